--- /dev/null
+++ b/tools/check.sh
@@ -0,0 +1,39 @@
+#!/bin/sh
+# Runs every test program of a build folder and closes with one line of
+# totals: `N passed, N failed`.  A second argument picks programs by name.
+b=$1
+pick=${2:-}
+pass=0
+fail=0
+for t in "$b"/test_*"$pick"* "$b"/example-*"$pick"*; do
+	[ -x "$t" ] && [ -f "$t" ] || continue
+	case $t in
+	*/test_*)
+		out=$("$t" --gtest_brief=1 2>&1)
+		rc=$?
+		p=$(printf '%s\n' "$out" |
+		    sed -n 's/^\[  PASSED  \] \([0-9]*\) test.*/\1/p' | tail -1)
+		f=$(printf '%s\n' "$out" |
+		    grep -c '^\[  FAILED  \] .*\..*(')
+		pass=$((pass + ${p:-0}))
+		if [ $rc -ne 0 ]; then
+			printf '%s\n' "$out" | tail -60
+			[ "$f" -eq 0 ] && f=1
+			fail=$((fail + f))
+		fi
+		printf '%s: %s passed, %s failed\n' "${t##*/}" "${p:-0}" "$f"
+		;;
+	*)
+		if out=$("$t" 2>&1); then
+			pass=$((pass + 1))
+		else
+			printf '%s\n' "$out" | tail -20
+			echo "${t##*/}: failed"
+			fail=$((fail + 1))
+		fi
+		;;
+	esac
+done
+[ -f KNOWN-RED.txt ] && grep -v '^#' KNOWN-RED.txt | sed 's/^/known red: /'
+echo "$pass passed, $fail failed"
+[ "$fail" -eq 0 ] && [ "$pass" -gt 0 ]
