Schema: record workers in use, releases and allotments in millionths

Cause: a successor must know every worker the last owner may have started work on, also one the lagging host list has dropped; so use is recorded. Ruled out: recording each placement, 4,100 records a second at the peak. Allotments are fractions, so a changed limit needs no new records. Before and after: builds.

--- a/gen/ogl.pb-c.c
+++ b/gen/ogl.pb-c.c
@@ -1132,6 +1132,51 @@
   assert(message->base.descriptor == &ogl__worker_on__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ogl__release__init
+                     (Ogl__Release         *message)
+{
+  static const Ogl__Release init_value = OGL__RELEASE__INIT;
+  *message = init_value;
+}
+size_t ogl__release__get_packed_size
+                     (const Ogl__Release *message)
+{
+  assert(message->base.descriptor == &ogl__release__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ogl__release__pack
+                     (const Ogl__Release *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ogl__release__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ogl__release__pack_to_buffer
+                     (const Ogl__Release *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ogl__release__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ogl__Release *
+       ogl__release__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ogl__Release *)
+     protobuf_c_message_unpack (&ogl__release__descriptor,
+                                allocator, len, data);
+}
+void   ogl__release__free_unpacked
+                     (Ogl__Release *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ogl__release__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ogl__allot__init
                      (Ogl__Allot         *message)
 {
@@ -4107,7 +4152,7 @@
   (ProtobufCMessageInit) ogl__worker_off__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__worker_on__field_descriptors[1] =
+static const ProtobufCFieldDescriptor ogl__worker_on__field_descriptors[2] =
 {
   {
     "worker",
@@ -4121,14 +4166,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "addr",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__WorkerOn, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__worker_on__field_indices_by_name[] = {
+  1,   /* field[1] = addr */
   0,   /* field[0] = worker */
 };
 static const ProtobufCIntRange ogl__worker_on__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor ogl__worker_on__descriptor =
 {
@@ -4138,74 +4196,86 @@
   "Ogl__WorkerOn",
   "ogl",
   sizeof(Ogl__WorkerOn),
-  1,
+  2,
   ogl__worker_on__field_descriptors,
   ogl__worker_on__field_indices_by_name,
   1,  ogl__worker_on__number_ranges,
   (ProtobufCMessageInit) ogl__worker_on__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__allot__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ogl__release__field_descriptors[1] =
 {
   {
-    "team",
+    "epoch",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Ogl__Allot, team),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "shard",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Ogl__Allot, shard),
+    offsetof(Ogl__Release, epoch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned ogl__release__field_indices_by_name[] = {
+  0,   /* field[0] = epoch */
+};
+static const ProtobufCIntRange ogl__release__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ogl__release__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ogl.Release",
+  "Release",
+  "Ogl__Release",
+  "ogl",
+  sizeof(Ogl__Release),
+  1,
+  ogl__release__field_descriptors,
+  ogl__release__field_indices_by_name,
+  1,  ogl__release__number_ranges,
+  (ProtobufCMessageInit) ogl__release__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ogl__allot__field_descriptors[2] =
+{
   {
-    "tasks",
-    3,
+    "team",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Ogl__Allot, tasks),
-    NULL,
+    offsetof(Ogl__Allot, team),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cpu_milli",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Ogl__Allot, cpu_milli),
+    "ppm",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ogl__Allot, n_ppm),
+    offsetof(Ogl__Allot, ppm),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned ogl__allot__field_indices_by_name[] = {
-  3,   /* field[3] = cpu_milli */
-  1,   /* field[1] = shard */
-  2,   /* field[2] = tasks */
+  1,   /* field[1] = ppm */
   0,   /* field[0] = team */
 };
 static const ProtobufCIntRange ogl__allot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor ogl__allot__descriptor =
 {
@@ -4215,7 +4285,7 @@
   "Ogl__Allot",
   "ogl",
   sizeof(Ogl__Allot),
-  4,
+  2,
   ogl__allot__field_descriptors,
   ogl__allot__field_indices_by_name,
   1,  ogl__allot__number_ranges,
@@ -4453,7 +4523,7 @@
   (ProtobufCMessageInit) ogl__id_snap__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__shard_snap__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ogl__shard_snap__field_descriptors[12] =
 {
   {
     "snap",
@@ -4516,14 +4586,14 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "off_workers",
+    "workers",
     6,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Ogl__ShardSnap, n_off_workers),
-    offsetof(Ogl__ShardSnap, off_workers),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__ShardSnap, n_workers),
+    offsetof(Ogl__ShardSnap, workers),
+    &ogl__worker_on__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -4551,21 +4621,73 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "claims",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__ShardSnap, claims),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__ShardSnap, owner),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner_boot",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__ShardSnap, owner_boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__ShardSnap, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__shard_snap__field_indices_by_name[] = {
   6,   /* field[6] = allots */
+  8,   /* field[8] = claims */
+  11,   /* field[11] = epoch */
   4,   /* field[4] = ids */
   3,   /* field[3] = jobs */
-  5,   /* field[5] = off_workers */
+  9,   /* field[9] = owner */
+  10,   /* field[10] = owner_boot */
   1,   /* field[1] = part */
   2,   /* field[2] = parts */
   0,   /* field[0] = snap */
   7,   /* field[7] = successors */
+  5,   /* field[5] = workers */
 };
 static const ProtobufCIntRange ogl__shard_snap__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor ogl__shard_snap__descriptor =
 {
@@ -4575,7 +4697,7 @@
   "Ogl__ShardSnap",
   "ogl",
   sizeof(Ogl__ShardSnap),
-  8,
+  12,
   ogl__shard_snap__field_descriptors,
   ogl__shard_snap__field_indices_by_name,
   1,  ogl__shard_snap__number_ranges,
@@ -4722,7 +4844,7 @@
   (ProtobufCMessageInit) ogl__settings_snap__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__record__field_descriptors[19] =
+static const ProtobufCFieldDescriptor ogl__record__field_descriptors[20] =
 {
   {
     "epoch",
@@ -4952,6 +5074,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "release",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__Record, body_case),
+    offsetof(Ogl__Record, release),
+    &ogl__release__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__record__field_indices_by_name[] = {
   13,   /* field[13] = allot */
@@ -4965,6 +5099,7 @@
   10,   /* field[10] = id_outcome */
   6,   /* field[6] = job_accepted */
   8,   /* field[8] = job_cancelled */
+  19,   /* field[19] = release */
   1,   /* field[1] = seq */
   18,   /* field[18] = settings_snap */
   14,   /* field[14] = shard_snap */
@@ -4978,7 +5113,7 @@
 {
   { 1, 0 },
   { 10, 5 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor ogl__record__descriptor =
 {
@@ -4988,7 +5123,7 @@
   "Ogl__Record",
   "ogl",
   sizeof(Ogl__Record),
-  19,
+  20,
   ogl__record__field_descriptors,
   ogl__record__field_indices_by_name,
   2,  ogl__record__number_ranges,
@@ -5786,7 +5921,7 @@
   (ProtobufCMessageInit) ogl__promise__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__allot_ask__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ogl__allot_ask__field_descriptors[7] =
 {
   {
     "shard",
@@ -5825,36 +5960,36 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "held_tasks",
+    "held_ppm",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Ogl__AllotAsk, held_tasks),
+    offsetof(Ogl__AllotAsk, held_ppm),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "used_tasks",
+    "used_ppm",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Ogl__AllotAsk, used_tasks),
+    offsetof(Ogl__AllotAsk, used_ppm),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "want_tasks",
+    "want_ppm",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Ogl__AllotAsk, want_tasks),
+    offsetof(Ogl__AllotAsk, want_ppm),
     NULL,
     NULL,
     0,             /* flags */
@@ -5872,33 +6007,20 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "shrunk",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Ogl__AllotAsk, shrunk),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned ogl__allot_ask__field_indices_by_name[] = {
   1,   /* field[1] = epoch */
-  3,   /* field[3] = held_tasks */
+  3,   /* field[3] = held_ppm */
   6,   /* field[6] = seq */
   0,   /* field[0] = shard */
-  7,   /* field[7] = shrunk */
   2,   /* field[2] = team */
-  4,   /* field[4] = used_tasks */
-  5,   /* field[5] = want_tasks */
+  4,   /* field[4] = used_ppm */
+  5,   /* field[5] = want_ppm */
 };
 static const ProtobufCIntRange ogl__allot_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ogl__allot_ask__descriptor =
 {
@@ -5908,7 +6030,7 @@
   "Ogl__AllotAsk",
   "ogl",
   sizeof(Ogl__AllotAsk),
-  8,
+  7,
   ogl__allot_ask__field_descriptors,
   ogl__allot_ask__field_indices_by_name,
   1,  ogl__allot_ask__number_ranges,
@@ -5954,12 +6076,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tasks",
+    "ppm",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Ogl__AllotGive, tasks),
+    offsetof(Ogl__AllotGive, ppm),
     NULL,
     NULL,
     0,             /* flags */
@@ -5992,10 +6114,10 @@
 };
 static const unsigned ogl__allot_give__field_indices_by_name[] = {
   1,   /* field[1] = epoch */
+  3,   /* field[3] = ppm */
   5,   /* field[5] = reclaim */
   4,   /* field[4] = seq */
   0,   /* field[0] = shard */
-  3,   /* field[3] = tasks */
   2,   /* field[2] = team */
 };
 static const ProtobufCIntRange ogl__allot_give__number_ranges[1 + 1] =
--- a/gen/ogl.pb-c.h
+++ b/gen/ogl.pb-c.h
@@ -40,6 +40,7 @@
 typedef struct Ogl__IdOutcome Ogl__IdOutcome;
 typedef struct Ogl__WorkerOff Ogl__WorkerOff;
 typedef struct Ogl__WorkerOn Ogl__WorkerOn;
+typedef struct Ogl__Release Ogl__Release;
 typedef struct Ogl__Allot Ogl__Allot;
 typedef struct Ogl__TaskSnap Ogl__TaskSnap;
 typedef struct Ogl__JobSnap Ogl__JobSnap;
@@ -588,30 +589,50 @@
     , (char *)protobuf_c_empty_string }
 
 
+/*
+ * The owner may start tasks on the worker from here on.
+ */
 struct  Ogl__WorkerOn
 {
   ProtobufCMessage base;
   char *worker;
+  char *addr;
 };
 #define OGL__WORKER_ON__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__worker_on__descriptor) \
-    , (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * The owner has stopped all it does for the shard; anyone may claim it.
+ */
+struct  Ogl__Release
+{
+  ProtobufCMessage base;
+  uint64_t epoch;
+};
+#define OGL__RELEASE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ogl__release__descriptor) \
+    , 0 }
 
 
 /*
- * Team `team` may run up to `res`/`tasks` in shard `shard`.
+ * The part of a team's upper limit, in millionths, that a shard may use.
+ * Parts of all shards never exceed a million.
  */
 struct  Ogl__Allot
 {
   ProtobufCMessage base;
   char *team;
-  uint32_t shard;
-  uint64_t tasks;
-  uint64_t cpu_milli;
+  /*
+   * by shard
+   */
+  size_t n_ppm;
+  uint32_t *ppm;
 };
 #define OGL__ALLOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__allot__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL }
 
 
 struct  Ogl__TaskSnap
@@ -668,16 +689,23 @@
   Ogl__JobSnap **jobs;
   size_t n_ids;
   Ogl__IdSnap **ids;
-  size_t n_off_workers;
-  char **off_workers;
+  size_t n_workers;
+  Ogl__WorkerOn **workers;
   size_t n_allots;
   Ogl__Allot **allots;
   size_t n_successors;
   char **successors;
+  /*
+   * claims so far; makes attempt numbers unique
+   */
+  uint32_t claims;
+  char *owner;
+  uint64_t owner_boot;
+  uint64_t epoch;
 };
 #define OGL__SHARD_SNAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__shard_snap__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Ogl__Successors
@@ -737,7 +765,8 @@
   OGL__RECORD__BODY_SUCCESSORS = 20,
   OGL__RECORD__BODY_EDIT = 21,
   OGL__RECORD__BODY_EVICT = 22,
-  OGL__RECORD__BODY_SETTINGS_SNAP = 23
+  OGL__RECORD__BODY_SETTINGS_SNAP = 23,
+  OGL__RECORD__BODY_RELEASE = 24
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OGL__RECORD__BODY__CASE)
 } Ogl__Record__BodyCase;
 
@@ -771,6 +800,7 @@
     Ogl__Edit *edit;
     Ogl__Evict *evict;
     Ogl__SettingsSnap *settings_snap;
+    Ogl__Release *release;
   };
 };
 #define OGL__RECORD__INIT \
@@ -923,6 +953,9 @@
     , 0, 0, 0, 0, 0 }
 
 
+/*
+ * A shard's owner tells the team's bank how it stands.
+ */
 struct  Ogl__AllotAsk
 {
   ProtobufCMessage base;
@@ -930,22 +963,36 @@
    * asking shard
    */
   uint32_t shard;
+  /*
+   * of its owner
+   */
   uint64_t epoch;
   char *team;
-  uint64_t held_tasks;
-  uint64_t used_tasks;
-  uint64_t want_tasks;
-  uint64_t seq;
   /*
-   * answer to a bank's reclaim
+   * what it goes by now
+   */
+  uint32_t held_ppm;
+  /*
+   * least it needs for what runs
+   */
+  uint32_t used_ppm;
+  /*
+   * what it could use
+   */
+  uint32_t want_ppm;
+  /*
+   * echoes the bank's
    */
-  protobuf_c_boolean shrunk;
+  uint64_t seq;
 };
 #define OGL__ALLOT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__allot_ask__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
+/*
+ * The bank's answer, also sent unasked to make a holder shrink.
+ */
 struct  Ogl__AllotGive
 {
   ProtobufCMessage base;
@@ -955,10 +1002,10 @@
    */
   uint64_t epoch;
   char *team;
-  uint64_t tasks;
+  uint32_t ppm;
   uint64_t seq;
   /*
-   * shrink to `tasks` and say so
+   * shrink to ppm or what is used, and say so
    */
   protobuf_c_boolean reclaim;
 };
@@ -1492,6 +1539,25 @@
 void   ogl__worker_on__free_unpacked
                      (Ogl__WorkerOn *message,
                       ProtobufCAllocator *allocator);
+/* Ogl__Release methods */
+void   ogl__release__init
+                     (Ogl__Release         *message);
+size_t ogl__release__get_packed_size
+                     (const Ogl__Release   *message);
+size_t ogl__release__pack
+                     (const Ogl__Release   *message,
+                      uint8_t             *out);
+size_t ogl__release__pack_to_buffer
+                     (const Ogl__Release   *message,
+                      ProtobufCBuffer     *buffer);
+Ogl__Release *
+       ogl__release__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ogl__release__free_unpacked
+                     (Ogl__Release *message,
+                      ProtobufCAllocator *allocator);
 /* Ogl__Allot methods */
 void   ogl__allot__init
                      (Ogl__Allot         *message);
@@ -1968,6 +2034,9 @@
 typedef void (*Ogl__WorkerOn_Closure)
                  (const Ogl__WorkerOn *message,
                   void *closure_data);
+typedef void (*Ogl__Release_Closure)
+                 (const Ogl__Release *message,
+                  void *closure_data);
 typedef void (*Ogl__Allot_Closure)
                  (const Ogl__Allot *message,
                   void *closure_data);
@@ -2068,6 +2137,7 @@
 extern const ProtobufCMessageDescriptor ogl__id_outcome__descriptor;
 extern const ProtobufCMessageDescriptor ogl__worker_off__descriptor;
 extern const ProtobufCMessageDescriptor ogl__worker_on__descriptor;
+extern const ProtobufCMessageDescriptor ogl__release__descriptor;
 extern const ProtobufCMessageDescriptor ogl__allot__descriptor;
 extern const ProtobufCMessageDescriptor ogl__task_snap__descriptor;
 extern const ProtobufCMessageDescriptor ogl__job_snap__descriptor;
