--- a/gen/ogl.pb-c.c
+++ b/gen/ogl.pb-c.c
@@ -1132,51 +1132,6 @@
   assert(message->base.descriptor == &ogl__worker_on__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   ogl__release__init
-                     (Ogl__Release         *message)
-{
-  static const Ogl__Release init_value = OGL__RELEASE__INIT;
-  *message = init_value;
-}
-size_t ogl__release__get_packed_size
-                     (const Ogl__Release *message)
-{
-  assert(message->base.descriptor == &ogl__release__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t ogl__release__pack
-                     (const Ogl__Release *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &ogl__release__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t ogl__release__pack_to_buffer
-                     (const Ogl__Release *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &ogl__release__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Ogl__Release *
-       ogl__release__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Ogl__Release *)
-     protobuf_c_message_unpack (&ogl__release__descriptor,
-                                allocator, len, data);
-}
-void   ogl__release__free_unpacked
-                     (Ogl__Release *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &ogl__release__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   ogl__allot__init
                      (Ogl__Allot         *message)
 {
@@ -3948,7 +3903,7 @@
   (ProtobufCMessageInit) ogl__task_ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__job_cancelled__field_descriptors[1] =
+static const ProtobufCFieldDescriptor ogl__job_cancelled__field_descriptors[2] =
 {
   {
     "job",
@@ -3962,14 +3917,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "verdict",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__JobCancelled, verdict),
+    &ogl__verdict__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__job_cancelled__field_indices_by_name[] = {
   0,   /* field[0] = job */
+  1,   /* field[1] = verdict */
 };
 static const ProtobufCIntRange ogl__job_cancelled__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor ogl__job_cancelled__descriptor =
 {
@@ -3979,7 +3947,7 @@
   "Ogl__JobCancelled",
   "ogl",
   sizeof(Ogl__JobCancelled),
-  1,
+  2,
   ogl__job_cancelled__field_descriptors,
   ogl__job_cancelled__field_indices_by_name,
   1,  ogl__job_cancelled__number_ranges,
@@ -4203,44 +4171,6 @@
   (ProtobufCMessageInit) ogl__worker_on__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__release__field_descriptors[1] =
-{
-  {
-    "epoch",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Ogl__Release, epoch),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned ogl__release__field_indices_by_name[] = {
-  0,   /* field[0] = epoch */
-};
-static const ProtobufCIntRange ogl__release__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor ogl__release__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "ogl.Release",
-  "Release",
-  "Ogl__Release",
-  "ogl",
-  sizeof(Ogl__Release),
-  1,
-  ogl__release__field_descriptors,
-  ogl__release__field_indices_by_name,
-  1,  ogl__release__number_ranges,
-  (ProtobufCMessageInit) ogl__release__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
 static const ProtobufCFieldDescriptor ogl__allot__field_descriptors[2] =
 {
   {
@@ -4292,7 +4222,7 @@
   (ProtobufCMessageInit) ogl__allot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__task_snap__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ogl__task_snap__field_descriptors[6] =
 {
   {
     "index",
@@ -4354,6 +4284,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tries",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__TaskSnap, tries),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__task_snap__field_indices_by_name[] = {
   1,   /* field[1] = attempt */
@@ -4361,11 +4303,12 @@
   0,   /* field[0] = index */
   4,   /* field[4] = reason */
   2,   /* field[2] = state */
+  5,   /* field[5] = tries */
 };
 static const ProtobufCIntRange ogl__task_snap__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ogl__task_snap__descriptor =
 {
@@ -4375,14 +4318,14 @@
   "Ogl__TaskSnap",
   "ogl",
   sizeof(Ogl__TaskSnap),
-  5,
+  6,
   ogl__task_snap__field_descriptors,
   ogl__task_snap__field_indices_by_name,
   1,  ogl__task_snap__number_ranges,
   (ProtobufCMessageInit) ogl__task_snap__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__job_snap__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ogl__job_snap__field_descriptors[5] =
 {
   {
     "job",
@@ -4420,16 +4363,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cancel_verdict",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__JobSnap, cancel_verdict),
+    &ogl__verdict__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__JobSnap, ended_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__job_snap__field_indices_by_name[] = {
+  3,   /* field[3] = cancel_verdict */
   1,   /* field[1] = cancelled */
   2,   /* field[2] = ended */
+  4,   /* field[4] = ended_ms */
   0,   /* field[0] = job */
 };
 static const ProtobufCIntRange ogl__job_snap__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ogl__job_snap__descriptor =
 {
@@ -4439,7 +4408,7 @@
   "Ogl__JobSnap",
   "ogl",
   sizeof(Ogl__JobSnap),
-  3,
+  5,
   ogl__job_snap__field_descriptors,
   ogl__job_snap__field_indices_by_name,
   1,  ogl__job_snap__number_ranges,
@@ -4844,7 +4813,7 @@
   (ProtobufCMessageInit) ogl__settings_snap__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__record__field_descriptors[20] =
+static const ProtobufCFieldDescriptor ogl__record__field_descriptors[19] =
 {
   {
     "epoch",
@@ -5074,18 +5043,6 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "release",
-    24,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Ogl__Record, body_case),
-    offsetof(Ogl__Record, release),
-    &ogl__release__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned ogl__record__field_indices_by_name[] = {
   13,   /* field[13] = allot */
@@ -5099,7 +5056,6 @@
   10,   /* field[10] = id_outcome */
   6,   /* field[6] = job_accepted */
   8,   /* field[8] = job_cancelled */
-  19,   /* field[19] = release */
   1,   /* field[1] = seq */
   18,   /* field[18] = settings_snap */
   14,   /* field[14] = shard_snap */
@@ -5113,7 +5069,7 @@
 {
   { 1, 0 },
   { 10, 5 },
-  { 0, 20 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor ogl__record__descriptor =
 {
@@ -5123,7 +5079,7 @@
   "Ogl__Record",
   "ogl",
   sizeof(Ogl__Record),
-  20,
+  19,
   ogl__record__field_descriptors,
   ogl__record__field_indices_by_name,
   2,  ogl__record__number_ranges,
@@ -5381,7 +5337,7 @@
   (ProtobufCMessageInit) ogl__member_fact__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__shard_fact__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ogl__shard_fact__field_descriptors[6] =
 {
   {
     "shard",
@@ -5443,10 +5399,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "offered",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__ShardFact, offered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__shard_fact__field_indices_by_name[] = {
   1,   /* field[1] = epoch */
   3,   /* field[3] = free_cpu_milli */
+  5,   /* field[5] = offered */
   4,   /* field[4] = queued */
   2,   /* field[2] = ready */
   0,   /* field[0] = shard */
@@ -5454,7 +5423,7 @@
 static const ProtobufCIntRange ogl__shard_fact__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ogl__shard_fact__descriptor =
 {
@@ -5464,7 +5433,7 @@
   "Ogl__ShardFact",
   "ogl",
   sizeof(Ogl__ShardFact),
-  5,
+  6,
   ogl__shard_fact__field_descriptors,
   ogl__shard_fact__field_indices_by_name,
   1,  ogl__shard_fact__number_ranges,
--- a/gen/ogl.pb-c.h
+++ b/gen/ogl.pb-c.h
@@ -40,7 +40,6 @@
 typedef struct Ogl__IdOutcome Ogl__IdOutcome;
 typedef struct Ogl__WorkerOff Ogl__WorkerOff;
 typedef struct Ogl__WorkerOn Ogl__WorkerOn;
-typedef struct Ogl__Release Ogl__Release;
 typedef struct Ogl__Allot Ogl__Allot;
 typedef struct Ogl__TaskSnap Ogl__TaskSnap;
 typedef struct Ogl__JobSnap Ogl__JobSnap;
@@ -539,10 +538,14 @@
 {
   ProtobufCMessage base;
   char *job;
+  /*
+   * not_run only when no task can have started
+   */
+  Ogl__Verdict verdict;
 };
 #define OGL__JOB_CANCELLED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__job_cancelled__descriptor) \
-    , (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, OGL__VERDICT__not_run }
 
 
 /*
@@ -603,19 +606,6 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
-/*
- * The owner has stopped all it does for the shard; anyone may claim it.
- */
-struct  Ogl__Release
-{
-  ProtobufCMessage base;
-  uint64_t epoch;
-};
-#define OGL__RELEASE__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&ogl__release__descriptor) \
-    , 0 }
-
-
 /*
  * The part of a team's upper limit, in millionths, that a shard may use.
  * Parts of all shards never exceed a million.
@@ -643,10 +633,11 @@
   Ogl__TaskState state;
   protobuf_c_boolean ended;
   char *reason;
+  uint32_t tries;
 };
 #define OGL__TASK_SNAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__task_snap__descriptor) \
-    , 0, 0, OGL__TASK_STATE__running, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, OGL__TASK_STATE__running, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Ogl__JobSnap
@@ -656,10 +647,12 @@
   protobuf_c_boolean cancelled;
   size_t n_ended;
   Ogl__TaskSnap **ended;
+  Ogl__Verdict cancel_verdict;
+  uint64_t ended_ms;
 };
 #define OGL__JOB_SNAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__job_snap__descriptor) \
-    , NULL, 0, 0,NULL }
+    , NULL, 0, 0,NULL, OGL__VERDICT__not_run, 0 }
 
 
 struct  Ogl__IdSnap
@@ -765,8 +758,7 @@
   OGL__RECORD__BODY_SUCCESSORS = 20,
   OGL__RECORD__BODY_EDIT = 21,
   OGL__RECORD__BODY_EVICT = 22,
-  OGL__RECORD__BODY_SETTINGS_SNAP = 23,
-  OGL__RECORD__BODY_RELEASE = 24
+  OGL__RECORD__BODY_SETTINGS_SNAP = 23
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OGL__RECORD__BODY__CASE)
 } Ogl__Record__BodyCase;
 
@@ -800,7 +792,6 @@
     Ogl__Edit *edit;
     Ogl__Evict *evict;
     Ogl__SettingsSnap *settings_snap;
-    Ogl__Release *release;
   };
 };
 #define OGL__RECORD__INIT \
@@ -865,10 +856,14 @@
   protobuf_c_boolean ready;
   uint64_t free_cpu_milli;
   uint64_t queued;
+  /*
+   * its owner asks the best placed node to claim it
+   */
+  protobuf_c_boolean offered;
 };
 #define OGL__SHARD_FACT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__shard_fact__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ogl__TeamUse
@@ -1539,25 +1534,6 @@
 void   ogl__worker_on__free_unpacked
                      (Ogl__WorkerOn *message,
                       ProtobufCAllocator *allocator);
-/* Ogl__Release methods */
-void   ogl__release__init
-                     (Ogl__Release         *message);
-size_t ogl__release__get_packed_size
-                     (const Ogl__Release   *message);
-size_t ogl__release__pack
-                     (const Ogl__Release   *message,
-                      uint8_t             *out);
-size_t ogl__release__pack_to_buffer
-                     (const Ogl__Release   *message,
-                      ProtobufCBuffer     *buffer);
-Ogl__Release *
-       ogl__release__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   ogl__release__free_unpacked
-                     (Ogl__Release *message,
-                      ProtobufCAllocator *allocator);
 /* Ogl__Allot methods */
 void   ogl__allot__init
                      (Ogl__Allot         *message);
@@ -2034,9 +2010,6 @@
 typedef void (*Ogl__WorkerOn_Closure)
                  (const Ogl__WorkerOn *message,
                   void *closure_data);
-typedef void (*Ogl__Release_Closure)
-                 (const Ogl__Release *message,
-                  void *closure_data);
 typedef void (*Ogl__Allot_Closure)
                  (const Ogl__Allot *message,
                   void *closure_data);
@@ -2137,7 +2110,6 @@
 extern const ProtobufCMessageDescriptor ogl__id_outcome__descriptor;
 extern const ProtobufCMessageDescriptor ogl__worker_off__descriptor;
 extern const ProtobufCMessageDescriptor ogl__worker_on__descriptor;
-extern const ProtobufCMessageDescriptor ogl__release__descriptor;
 extern const ProtobufCMessageDescriptor ogl__allot__descriptor;
 extern const ProtobufCMessageDescriptor ogl__task_snap__descriptor;
 extern const ProtobufCMessageDescriptor ogl__job_snap__descriptor;
--- /dev/null
+++ b/src/member.c
@@ -0,0 +1,541 @@
+/*
+ * Membership by probes and gossip.
+ *
+ * Each probe period one member is probed, in an order shuffled per round, so
+ * that every member is probed within one round and the cost a node does not
+ * grow with the cell.  A probe unanswered after one period is asked again of
+ * a few others; unanswered after two periods, the member becomes a suspect,
+ * and after suspect_ms dead.  A suspect that hears of it raises its
+ * incarnation, which overrules the suspicion.
+ *
+ * Facts spread by riding on every message: each fact that changed is told a
+ * number of times that grows with the logarithm of the cell, then rests.  The
+ * sender's own fact rides on every message.  Of two facts on one node the
+ * one with the larger (boot, incarnation, beat) wins; within equal ones the
+ * worse state wins.
+ *
+ * What a member says of its log contact counts only in answer to a probe of
+ * ours, dated back to when we sent the probe: a message may have lain in a
+ * buffer for long, and an old "I have no news" must not pass for a new one.
+ */
+
+#include <string.h>
+
+#include "member.h"
+#include "random.h"
+
+enum {
+	FACTS_A_MESSAGE = 8, /* bounds what rides on one message */
+	RELAYS = 3,	     /* members asked for an indirect probe */
+	SEED_PERIODS = 4,    /* seeds are tried every so many periods */
+	FIRST_TO_TELL = 1000, /* above any count of tell_times */
+	FORGET_SEC = 3600    /* a dead member is forgotten after it */
+};
+
+struct ogl_member {
+	const struct ogl_node_config *cfg;
+	struct ogl_random rnd;
+	Ogl__MemberFact *own;
+	GHashTable *peers; /* name -> struct ogl_peer */
+	GPtrArray *order;  /* names left in this probe round */
+	GPtrArray *sorted; /* struct ogl_peer by name */
+	ogl_time next;
+	uint64_t seq;
+	uint32_t periods;
+};
+
+static void
+peer_free(void *v)
+{
+	struct ogl_peer *p = v;
+
+	ogl__member_fact__free_unpacked(p->fact, NULL);
+	g_free(p);
+}
+
+static Ogl__MemberFact *
+fact_copy(const Ogl__MemberFact *f)
+{
+	size_t n = ogl__member_fact__get_packed_size(f);
+	uint8_t *buf = g_malloc(n + 1);
+	Ogl__MemberFact *copy;
+
+	ogl__member_fact__pack(f, buf);
+	copy = ogl__member_fact__unpack(NULL, n, buf);
+	g_free(buf);
+	return copy;
+}
+
+struct ogl_member *
+ogl_member_init(const struct ogl_node_config *c, uint64_t seed, ogl_time now)
+{
+	struct ogl_member *m = g_new0(struct ogl_member, 1);
+	Ogl__MemberFact f = OGL__MEMBER_FACT__INIT;
+
+	m->cfg = c;
+	ogl_random_init(&m->rnd, seed);
+	f.name = (char *)c->name;
+	f.addr = (char *)c->addr;
+	f.zone = (char *)c->zone;
+	f.boot = c->boot;
+	m->own = fact_copy(&f);
+	m->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+	    peer_free);
+	m->order = g_ptr_array_new_with_free_func(g_free);
+	m->sorted = g_ptr_array_new();
+	m->next = now;
+	return m;
+}
+
+void
+ogl_member_end(struct ogl_member *m)
+{
+	if (m == NULL)
+		return;
+	g_ptr_array_free(m->order, TRUE);
+	g_ptr_array_free(m->sorted, TRUE);
+	g_hash_table_destroy(m->peers);
+	ogl__member_fact__free_unpacked(m->own, NULL);
+	g_free(m);
+}
+
+Ogl__MemberFact *
+ogl_member_own(struct ogl_member *m)
+{
+	return m->own;
+}
+
+void
+ogl_member_changed(struct ogl_member *m)
+{
+	m->own->beat++;
+}
+
+struct ogl_peer *
+ogl_member_find(const struct ogl_member *m, const char *name)
+{
+	return g_hash_table_lookup(m->peers, name);
+}
+
+static bool
+state_alive(Ogl__MemberFact__State st)
+{
+	return st == OGL__MEMBER_FACT__STATE__alive ||
+	    st == OGL__MEMBER_FACT__STATE__suspect;
+}
+
+bool
+ogl_member_alive(const struct ogl_member *m, const char *name)
+{
+	const struct ogl_peer *p;
+
+	if (strcmp(name, m->own->name) == 0)
+		return state_alive(m->own->state);
+	p = ogl_member_find(m, name);
+	return p != NULL && state_alive(p->fact->state);
+}
+
+void
+ogl_member_each(const struct ogl_member *m,
+    void (*fn)(void *ctx, const struct ogl_peer *p), void *ctx)
+{
+	for (guint i = 0; i < m->sorted->len; i++)
+		fn(ctx, g_ptr_array_index(m->sorted, i));
+}
+
+uint64_t
+ogl_member_rank(const struct ogl_member *m, const char *name, uint32_t shard)
+{
+	(void)m;
+	return ogl_random_mix(ogl_random_hash(name, strlen(name)) ^
+	    ogl_random_mix(shard + 1));
+}
+
+/* Times a fact is told: thrice the logarithm of the cell's size. */
+static uint32_t
+tell_times(const struct ogl_member *m)
+{
+	uint32_t lg = 1;
+
+	for (guint n = m->sorted->len; n > 0; n >>= 1)
+		lg++;
+	return 3 * lg;
+}
+
+/* ---- sending ---------------------------------------------------------- */
+
+static gint
+more_to_tell(gconstpointer a, gconstpointer b)
+{
+	const struct ogl_peer *pa = *(struct ogl_peer *const *)a;
+	const struct ogl_peer *pb = *(struct ogl_peer *const *)b;
+
+	if (pa->tell != pb->tell)
+		return pa->tell > pb->tell ? -1 : 1;
+	return strcmp(pa->fact->name, pb->fact->name);
+}
+
+/* The facts that still need telling, those told least first. */
+static GPtrArray *
+facts_to_tell(struct ogl_member *m)
+{
+	GPtrArray *pick = g_ptr_array_new();
+
+	for (guint i = 0; i < m->sorted->len; i++) {
+		struct ogl_peer *p = g_ptr_array_index(m->sorted, i);
+
+		if (p->tell > 0)
+			g_ptr_array_add(pick, p);
+	}
+	g_ptr_array_sort(pick, more_to_tell);
+	if (pick->len > FACTS_A_MESSAGE)
+		g_ptr_array_set_size(pick, FACTS_A_MESSAGE);
+	return pick;
+}
+
+void
+ogl_member_send(struct ogl_member *m, const char *addr, Ogl__PeerMsg *msg,
+    struct ogl_actions *out)
+{
+	GPtrArray *pick = facts_to_tell(m);
+	Ogl__MemberFact *facts[FACTS_A_MESSAGE + 1];
+	struct ogl_action *a;
+	uint8_t *buf;
+	size_t n;
+
+	facts[0] = m->own;
+	msg->n_facts = 1;
+	for (guint i = 0; i < pick->len; i++) {
+		struct ogl_peer *p = g_ptr_array_index(pick, i);
+
+		p->tell--;
+		facts[msg->n_facts++] = p->fact;
+	}
+	msg->facts = facts;
+	msg->from = m->own->name;
+	msg->boot = m->own->boot;
+	n = ogl__peer_msg__get_packed_size(msg);
+	buf = g_malloc(n);
+	ogl__peer_msg__pack(msg, buf);
+	msg->facts = NULL;
+	msg->n_facts = 0;
+	a = ogl_actions_new(out, OGL_ACT_PEER);
+	a->addr = g_strdup(addr);
+	a->data = g_bytes_new_take(buf, n);
+	g_ptr_array_free(pick, TRUE);
+}
+
+static void
+send_probe(struct ogl_member *m, const char *addr, uint64_t seq,
+    const char *target, bool ack, struct ogl_actions *out)
+{
+	Ogl__PeerMsg msg = OGL__PEER_MSG__INIT;
+	Ogl__Probe pr = OGL__PROBE__INIT;
+
+	pr.seq = seq;
+	pr.target = (char *)target;
+	pr.ack = ack;
+	msg.body_case = OGL__PEER_MSG__BODY_PROBE;
+	msg.probe = &pr;
+	ogl_member_send(m, addr, &msg, out);
+}
+
+/* ---- taking in facts -------------------------------------------------- */
+
+static int
+cmp_u64(uint64_t a, uint64_t b)
+{
+	return a < b ? -1 : a > b;
+}
+
+/* Above zero when a overrules b. */
+static int
+fact_cmp(const Ogl__MemberFact *a, const Ogl__MemberFact *b)
+{
+	int c = cmp_u64(a->boot, b->boot);
+
+	if (c == 0)
+		c = cmp_u64(a->incarnation, b->incarnation);
+	if (c == 0)
+		c = cmp_u64(a->state, b->state);
+	if (c == 0)
+		c = cmp_u64(a->beat, b->beat);
+	return c;
+}
+
+static gint
+by_name(gconstpointer a, gconstpointer b)
+{
+	const struct ogl_peer *pa = *(struct ogl_peer *const *)a;
+	const struct ogl_peer *pb = *(struct ogl_peer *const *)b;
+
+	return strcmp(pa->fact->name, pb->fact->name);
+}
+
+static struct ogl_peer *
+peer_new(struct ogl_member *m, const Ogl__MemberFact *f, ogl_time now)
+{
+	struct ogl_peer *p = g_new0(struct ogl_peer, 1);
+
+	p->fact = fact_copy(f);
+	p->heard = now;
+	p->changed = now;
+	g_hash_table_insert(m->peers, g_strdup(f->name), p);
+	g_ptr_array_add(m->sorted, p);
+	g_ptr_array_sort(m->sorted, by_name);
+	p->tell = tell_times(m);
+	return p;
+}
+
+static void
+peer_take(struct ogl_member *m, struct ogl_peer *p, const Ogl__MemberFact *f,
+    ogl_time now)
+{
+	if (p->fact->state != f->state || p->fact->boot != f->boot)
+		p->changed = now;
+	if (p->fact->boot != f->boot) {
+		p->asked = 0;
+		p->probe_sent = 0;
+	}
+	ogl__member_fact__free_unpacked(p->fact, NULL);
+	p->fact = fact_copy(f);
+	p->heard = now;
+	p->tell = tell_times(m);
+}
+
+/* Somebody doubts us: only a higher incarnation of ours overrules it. */
+static void
+refute(struct ogl_member *m, const Ogl__MemberFact *f)
+{
+	if (f->boot != m->own->boot || f->incarnation < m->own->incarnation)
+		return;
+	if (f->state == m->own->state ||
+	    m->own->state == OGL__MEMBER_FACT__STATE__left)
+		return;
+	m->own->incarnation = f->incarnation + 1;
+	m->own->beat++;
+}
+
+static struct ogl_peer *
+take_fact(struct ogl_member *m, const Ogl__MemberFact *f, ogl_time now)
+{
+	struct ogl_peer *p;
+
+	if (f->name[0] == '\0')
+		return NULL;
+	if (strcmp(f->name, m->own->name) == 0) {
+		refute(m, f);
+		return NULL;
+	}
+	p = ogl_member_find(m, f->name);
+	if (p == NULL)
+		return peer_new(m, f, now);
+	if (fact_cmp(f, p->fact) > 0)
+		peer_take(m, p, f, now);
+	return p;
+}
+
+static void
+take_ack(struct ogl_peer *p, const Ogl__MemberFact *said, uint64_t seq)
+{
+	if (p->probe_sent == 0 || seq != p->probe_seq)
+		return;
+	p->asked = p->probe_sent;
+	p->probe_sent = 0;
+	p->down_since = said->log_age_ms == 0 ?
+	    0 : p->asked - said->log_age_ms * OGL_MS;
+}
+
+/* Answers a probe, or passes an indirect one on to its target. */
+static void
+take_probe(struct ogl_member *m, struct ogl_peer *from,
+    const Ogl__Probe *pr, struct ogl_actions *out)
+{
+	const struct ogl_peer *t;
+
+	if (pr->target[0] == '\0' || strcmp(pr->target, m->own->name) == 0) {
+		send_probe(m, from->fact->addr, pr->seq, "", true, out);
+		return;
+	}
+	t = ogl_member_find(m, pr->target);
+	if (t != NULL)
+		send_probe(m, t->fact->addr, pr->seq, "", false, out);
+}
+
+/* A node we hold for dead speaks: it must learn of that to refute it, so the
+ * fact rides first on a message to it. */
+static void
+tell_subject(struct ogl_member *m, struct ogl_peer *p,
+    struct ogl_actions *out)
+{
+	p->tell += 2 * FIRST_TO_TELL;
+	send_probe(m, p->fact->addr, 0, "", true, out);
+	p->tell -= 2 * FIRST_TO_TELL;
+}
+
+struct ogl_peer *
+ogl_member_heard(struct ogl_member *m, const Ogl__PeerMsg *msg, ogl_time now,
+    struct ogl_actions *out)
+{
+	struct ogl_peer *from = NULL;
+	const Ogl__MemberFact *said = NULL;
+
+	for (size_t i = 0; i < msg->n_facts; i++) {
+		struct ogl_peer *p = take_fact(m, msg->facts[i], now);
+
+		if (i == 0 && p != NULL) {
+			from = p;
+			said = msg->facts[0];
+		}
+	}
+	if (from == NULL || from->fact->boot != msg->boot)
+		return NULL;
+	from->heard = now;
+	if (from->fact->state != OGL__MEMBER_FACT__STATE__alive &&
+	    from->fact->state != OGL__MEMBER_FACT__STATE__left)
+		tell_subject(m, from, out);
+	if (msg->body_case == OGL__PEER_MSG__BODY_PROBE) {
+		if (msg->probe->ack)
+			take_ack(from, said, msg->probe->seq);
+		else
+			take_probe(m, from, msg->probe, out);
+	}
+	return from;
+}
+
+/* ---- probing ---------------------------------------------------------- */
+
+static void
+set_state(struct ogl_member *m, struct ogl_peer *p,
+    Ogl__MemberFact__State st, ogl_time now)
+{
+	p->fact->state = st;
+	p->changed = now;
+	p->tell = tell_times(m);
+}
+
+static void
+ask_relays(struct ogl_member *m, struct ogl_peer *p, struct ogl_actions *out)
+{
+	guint n = m->sorted->len;
+
+	for (int i = 0; i < RELAYS && n > 1; i++) {
+		guint k = (guint)(ogl_random_next(&m->rnd) % n);
+		struct ogl_peer *r = g_ptr_array_index(m->sorted, k);
+
+		if (r == p || !state_alive(r->fact->state))
+			continue;
+		send_probe(m, r->fact->addr, p->probe_seq, p->fact->name,
+		    false, out);
+	}
+	p->relayed = true;
+}
+
+static void
+check_pending(struct ogl_member *m, struct ogl_peer *p, ogl_time now,
+    struct ogl_actions *out)
+{
+	ogl_time period = m->cfg->probe_ms * OGL_MS;
+
+	if (p->fact->state == OGL__MEMBER_FACT__STATE__suspect) {
+		if (now - p->changed >= m->cfg->suspect_ms * OGL_MS)
+			set_state(m, p, OGL__MEMBER_FACT__STATE__dead, now);
+		return;
+	}
+	if (p->probe_sent == 0 || !state_alive(p->fact->state))
+		return;
+	/* Anything heard since the probe went out proves it lives. */
+	if (now - p->probe_sent >= 2 * period && p->heard < p->probe_sent) {
+		set_state(m, p, OGL__MEMBER_FACT__STATE__suspect, now);
+		p->probe_sent = 0;
+	} else if (now - p->probe_sent >= period && !p->relayed) {
+		ask_relays(m, p, out);
+	}
+}
+
+/* Probes in shuffled rounds: each member once before any twice. */
+static struct ogl_peer *
+next_in_round(struct ogl_member *m)
+{
+	struct ogl_peer *p;
+	char *name;
+
+	if (m->order->len == 0) {
+		for (guint i = 0; i < m->sorted->len; i++) {
+			p = g_ptr_array_index(m->sorted, i);
+			if (state_alive(p->fact->state))
+				g_ptr_array_add(m->order,
+				    g_strdup(p->fact->name));
+		}
+	}
+	if (m->order->len == 0)
+		return NULL;
+	name = g_ptr_array_steal_index_fast(m->order,
+	    (guint)(ogl_random_next(&m->rnd) % m->order->len));
+	p = ogl_member_find(m, name);
+	g_free(name);
+	return p;
+}
+
+static void
+probe_one(struct ogl_member *m, ogl_time now, struct ogl_actions *out)
+{
+	struct ogl_peer *p = next_in_round(m);
+
+	if (p == NULL || !state_alive(p->fact->state))
+		return;
+	if (p->probe_sent != 0 && now - p->probe_sent <
+	    2 * m->cfg->probe_ms * OGL_MS)
+		return;
+	p->probe_sent = now;
+	p->probe_seq = ++m->seq;
+	p->relayed = false;
+	send_probe(m, p->fact->addr, p->probe_seq, "", false, out);
+}
+
+/* Seeds are greeted again and again, so that parted halves find each other
+ * although each holds the other for dead. */
+static void
+greet_seeds(struct ogl_member *m, struct ogl_actions *out)
+{
+	const struct ogl_node_config *c = m->cfg;
+
+	for (size_t i = 0; i < c->nseeds; i++) {
+		if (strcmp(c->seeds[i], c->addr) != 0)
+			send_probe(m, c->seeds[i], 0, "", false, out);
+	}
+}
+
+static void
+forget_old(struct ogl_member *m, ogl_time now)
+{
+	for (guint i = m->sorted->len; i > 0; i--) {
+		struct ogl_peer *p = g_ptr_array_index(m->sorted, i - 1);
+
+		if (state_alive(p->fact->state) ||
+		    now - p->changed < FORGET_SEC * OGL_SEC)
+			continue;
+		g_ptr_array_remove_index(m->sorted, i - 1);
+		g_hash_table_remove(m->peers, p->fact->name);
+	}
+}
+
+void
+ogl_member_tick(struct ogl_member *m, ogl_time now, struct ogl_actions *out)
+{
+	if (now < m->next)
+		return;
+	m->next = now + m->cfg->probe_ms * OGL_MS;
+	for (guint i = 0; i < m->sorted->len; i++)
+		check_pending(m, g_ptr_array_index(m->sorted, i), now, out);
+	probe_one(m, now, out);
+	if (m->periods++ % SEED_PERIODS == 0)
+		greet_seeds(m, out);
+	forget_old(m, now);
+}
+
+ogl_time
+ogl_member_next(const struct ogl_member *m)
+{
+	return m->next;
+}
