--- a/gen/ogl.pb-c.c
+++ b/gen/ogl.pb-c.c
@@ -4762,7 +4762,7 @@
   (ProtobufCMessageInit) ogl__evict__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__settings_snap__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ogl__settings_snap__field_descriptors[3] =
 {
   {
     "version",
@@ -4788,15 +4788,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evicted",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__SettingsSnap, n_evicted),
+    offsetof(Ogl__SettingsSnap, evicted),
+    &ogl__evict__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__settings_snap__field_indices_by_name[] = {
+  2,   /* field[2] = evicted */
   1,   /* field[1] = tree */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange ogl__settings_snap__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ogl__settings_snap__descriptor =
 {
@@ -4806,7 +4819,7 @@
   "Ogl__SettingsSnap",
   "ogl",
   sizeof(Ogl__SettingsSnap),
-  2,
+  3,
   ogl__settings_snap__field_descriptors,
   ogl__settings_snap__field_indices_by_name,
   1,  ogl__settings_snap__number_ranges,
@@ -5890,7 +5903,7 @@
   (ProtobufCMessageInit) ogl__promise__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__allot_ask__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ogl__allot_ask__field_descriptors[8] =
 {
   {
     "shard",
@@ -5976,10 +5989,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__AllotAsk, known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__allot_ask__field_indices_by_name[] = {
   1,   /* field[1] = epoch */
   3,   /* field[3] = held_ppm */
+  7,   /* field[7] = known */
   6,   /* field[6] = seq */
   0,   /* field[0] = shard */
   2,   /* field[2] = team */
@@ -5989,7 +6015,7 @@
 static const ProtobufCIntRange ogl__allot_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ogl__allot_ask__descriptor =
 {
@@ -5999,14 +6025,14 @@
   "Ogl__AllotAsk",
   "ogl",
   sizeof(Ogl__AllotAsk),
-  7,
+  8,
   ogl__allot_ask__field_descriptors,
   ogl__allot_ask__field_indices_by_name,
   1,  ogl__allot_ask__number_ranges,
   (ProtobufCMessageInit) ogl__allot_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__allot_give__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ogl__allot_give__field_descriptors[8] =
 {
   {
     "shard",
@@ -6080,8 +6106,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "bank_epoch",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__AllotGive, bank_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bank",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__AllotGive, bank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__allot_give__field_indices_by_name[] = {
+  7,   /* field[7] = bank */
+  6,   /* field[6] = bank_epoch */
   1,   /* field[1] = epoch */
   3,   /* field[3] = ppm */
   5,   /* field[5] = reclaim */
@@ -6092,7 +6144,7 @@
 static const ProtobufCIntRange ogl__allot_give__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ogl__allot_give__descriptor =
 {
@@ -6102,7 +6154,7 @@
   "Ogl__AllotGive",
   "ogl",
   sizeof(Ogl__AllotGive),
-  6,
+  8,
   ogl__allot_give__field_descriptors,
   ogl__allot_give__field_indices_by_name,
   1,  ogl__allot_give__number_ranges,
@@ -6124,20 +6176,20 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "edits",
+    "snap",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Ogl__SettingsNews, n_edits),
-    offsetof(Ogl__SettingsNews, edits),
-    &ogl__record__descriptor,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__SettingsNews, snap),
+    &ogl__settings_snap__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned ogl__settings_news__field_indices_by_name[] = {
-  1,   /* field[1] = edits */
+  1,   /* field[1] = snap */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange ogl__settings_news__number_ranges[1 + 1] =
--- a/gen/ogl.pb-c.h
+++ b/gen/ogl.pb-c.h
@@ -737,10 +737,12 @@
    * JSON
    */
   ProtobufCBinaryData tree;
+  size_t n_evicted;
+  Ogl__Evict **evicted;
 };
 #define OGL__SETTINGS_SNAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__settings_snap__descriptor) \
-    , 0, {0,NULL} }
+    , 0, {0,NULL}, 0,NULL }
 
 
 typedef enum {
@@ -976,13 +978,17 @@
    */
   uint32_t want_ppm;
   /*
-   * echoes the bank's
+   * of the reclaim answered, 0 for a plain question
    */
   uint64_t seq;
+  /*
+   * held_ppm is what the bank last said
+   */
+  protobuf_c_boolean known;
 };
 #define OGL__ALLOT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__allot_ask__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1003,22 +1009,29 @@
    * shrink to ppm or what is used, and say so
    */
   protobuf_c_boolean reclaim;
+  uint64_t bank_epoch;
+  /*
+   * the bank's shard
+   */
+  uint32_t bank;
 };
 #define OGL__ALLOT_GIVE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__allot_give__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Asks for what is newer than `version`; the answer carries a snapshot.
+ */
 struct  Ogl__SettingsNews
 {
   ProtobufCMessage base;
   uint64_t version;
-  size_t n_edits;
-  Ogl__Record **edits;
+  Ogl__SettingsSnap *snap;
 };
 #define OGL__SETTINGS_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__settings_news__descriptor) \
-    , 0, 0,NULL }
+    , 0, NULL }
 
 
 typedef enum {
--- a/orioleglade.h
+++ b/orioleglade.h
@@ -515,6 +515,8 @@
 	uint32_t snapshot_ms;      /* age that forces a snapshot */
 	uint32_t id_keep_ms;       /* how long request ids are remembered */
 	uint32_t exec_slots;       /* requests in flight an executor */
+	/* Fills in unpredictable bytes for new keys; NULL: libsodium's. */
+	void (*entropy)(void *out, size_t n);
 };
 
 void ogl_node_config_default(struct ogl_node_config *c);
--- /dev/null
+++ b/src/follow.c
@@ -0,0 +1,555 @@
+/*
+ * Following the settings.
+ *
+ * Every node tails the stream `settings`; log order decides which of two
+ * edits made from one version counts.  One append carries one record, so
+ * that an append's offset + 1 is the version its edit makes.
+ *
+ * How current the tree is.  A read that reached the end shows it as of the
+ * time the read was sent.  A node cut off from the log learns from peers:
+ * the answer to a probe of ours tells the peer's version and how long ago it
+ * knew to be current.  When it is newer than ours we ask for a snapshot.
+ *
+ * When the log is down for all, nobody can have accepted an edit.  That is
+ * known only if every member says so, each in answer to a probe of ours; a
+ * member that does not answer may be the one that still reaches the log.  A
+ * member that died while the log was up is evicted by a record: what it
+ * writes later counts for nobody, so it need not be heard.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "follow.h"
+#include "stream.h"
+
+enum {
+	TOKEN_PART = 2,
+	POLL_MS = 250,
+	DOWN_MS = 1000,	       /* without an answer so long: the log is down */
+	PULL_EVERY_MS = 300,
+	EVICT_EVERY_MS = 1000,
+	SNAP_EDITS = 500,      /* edits between two snapshots at most */
+	SETTINGS_RANK = 0xfffffffe /* rank for the writer of snapshots */
+};
+
+struct ogl_follow {
+	const struct ogl_node_config *cfg;
+	struct ogl_settings *settings;
+	struct ogl_member *member;
+	struct ogl_counters *counters;
+	const struct ogl_follow_ops *ops;
+	void *ctx;
+	struct ogl_stream *stream;
+	bool complete;	     /* the tree is whole, not just its later edits */
+	GPtrArray *early;    /* Ogl__Record, edits read before any snapshot */
+	GArray *early_at;    /* their offsets */
+	GQueue *waiters;     /* uint64_t *, of our edits in order */
+	GHashTable *evicted; /* "name/boot" */
+	bool self_evicted;
+	ogl_time contact;
+	ogl_time fresh_peers;
+	ogl_time next_pull;
+	ogl_time next_evict;
+	ogl_time snap_at;
+	uint32_t edits_since;
+};
+
+static void
+record_free(void *r)
+{
+	ogl__record__free_unpacked(r, NULL);
+}
+
+static char *
+identity(const char *name, uint64_t boot)
+{
+	return g_strdup_printf("%s/%" G_GUINT64_FORMAT, name, boot);
+}
+
+static bool
+is_evicted(const struct ogl_follow *f, const char *name, uint64_t boot)
+{
+	char *id = identity(name, boot);
+	bool yes = g_hash_table_contains(f->evicted, id);
+
+	g_free(id);
+	return yes;
+}
+
+/* ---- records ---------------------------------------------------------- */
+
+static bool
+is_ours(const struct ogl_follow *f, const Ogl__Record *r)
+{
+	return r->boot == f->cfg->boot &&
+	    strcmp(r->writer, f->cfg->name) == 0;
+}
+
+static void
+answer_waiter(struct ogl_follow *f, uint64_t version, const GError *error,
+    ogl_time now)
+{
+	uint64_t *w = g_queue_pop_head(f->waiters);
+
+	if (w == NULL)
+		return;
+	f->ops->edited(f->ctx, *w, version, error, now);
+	g_free(w);
+}
+
+static void
+apply_edit(struct ogl_follow *f, const Ogl__Record *r, uint64_t offset,
+    ogl_time now)
+{
+	GError *error = NULL;
+
+	if (is_evicted(f, r->writer, r->boot))
+		g_set_error(&error, OGL_ERROR, OGL_ERROR_DENIED,
+		    "the node that wrote it had been evicted");
+	else
+		ogl_settings_apply(f->settings, offset + 1, r->edit,
+		    r->at_ms, &error);
+	if (error == NULL) {
+		f->edits_since++;
+		f->counters->edits++;
+		f->ops->changed(f->ctx, now);
+	}
+	if (is_ours(f, r))
+		answer_waiter(f, offset + 1, error, now);
+	g_clear_error(&error);
+}
+
+static void
+apply_evict(struct ogl_follow *f, const Ogl__Evict *e)
+{
+	if (e->boot == f->cfg->boot && strcmp(e->node, f->cfg->name) == 0)
+		f->self_evicted = true;
+	g_hash_table_add(f->evicted, identity(e->node, e->boot));
+}
+
+static void
+apply_early(struct ogl_follow *f, ogl_time now)
+{
+	for (guint i = 0; i < f->early->len; i++)
+		apply_edit(f, g_ptr_array_index(f->early, i),
+		    g_array_index(f->early_at, uint64_t, i), now);
+	g_ptr_array_set_size(f->early, 0);
+	g_array_set_size(f->early_at, 0);
+}
+
+static void
+load_snap(struct ogl_follow *f, const Ogl__SettingsSnap *s, ogl_time now)
+{
+	struct ogl_str tree = {(const char *)s->tree.data, s->tree.len};
+	GError *error = NULL;
+
+	for (size_t i = 0; i < s->n_evicted; i++)
+		apply_evict(f, s->evicted[i]);
+	if (!ogl_settings_load(f->settings, tree, &error)) {
+		g_clear_error(&error);
+		return;
+	}
+	f->complete = true;
+	apply_early(f, now);
+	f->ops->changed(f->ctx, now);
+}
+
+static Ogl__Record *
+record_copy(const Ogl__Record *r)
+{
+	size_t n = ogl__record__get_packed_size(r);
+	uint8_t *buf = g_malloc(n + 1);
+	Ogl__Record *copy;
+
+	ogl__record__pack(r, buf);
+	copy = ogl__record__unpack(NULL, n, buf);
+	g_free(buf);
+	return copy;
+}
+
+static void
+on_record(void *ctx, const Ogl__Record *r, uint64_t offset, ogl_time now)
+{
+	struct ogl_follow *f = ctx;
+
+	if (offset == 0)
+		f->complete = true;
+	switch (r->body_case) {
+	case OGL__RECORD__BODY_EDIT:
+		if (f->complete) {
+			apply_edit(f, r, offset, now);
+		} else {
+			g_ptr_array_add(f->early, record_copy(r));
+			g_array_append_val(f->early_at, offset);
+		}
+		break;
+	case OGL__RECORD__BODY_EVICT:
+		apply_evict(f, r->evict);
+		break;
+	case OGL__RECORD__BODY_SETTINGS_SNAP:
+		f->edits_since = 0;
+		f->snap_at = now;
+		if (!f->complete)
+			load_snap(f, r->settings_snap, now);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Retention passed edits we had not read: our tree is old until the next
+ * snapshot, but it is never taken back to an older one. */
+static void
+on_gap(void *ctx, uint64_t first)
+{
+	struct ogl_follow *f = ctx;
+
+	(void)first;
+	f->complete = false;
+}
+
+static const struct ogl_stream_ops stream_ops = {on_record, on_gap};
+
+/* ---- life ------------------------------------------------------------- */
+
+struct ogl_follow *
+ogl_follow_init(const struct ogl_node_config *c, struct ogl_settings *s,
+    struct ogl_member *m, struct ogl_counters *n,
+    const struct ogl_follow_ops *ops, void *ctx, ogl_time now)
+{
+	struct ogl_follow *f = g_new0(struct ogl_follow, 1);
+
+	f->cfg = c;
+	f->settings = s;
+	f->member = m;
+	f->counters = n;
+	f->ops = ops;
+	f->ctx = ctx;
+	f->stream = ogl_stream_init("settings", (uint64_t)TOKEN_PART << 56, c,
+	    &stream_ops, f);
+	ogl_stream_single(f->stream);
+	ogl_stream_poll(f->stream, POLL_MS, now);
+	f->early = g_ptr_array_new_with_free_func(record_free);
+	f->early_at = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	f->waiters = g_queue_new();
+	f->evicted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+	    NULL);
+	f->snap_at = now;
+	return f;
+}
+
+void
+ogl_follow_end(struct ogl_follow *f)
+{
+	if (f == NULL)
+		return;
+	ogl_stream_end(f->stream);
+	g_ptr_array_free(f->early, TRUE);
+	g_array_free(f->early_at, TRUE);
+	g_queue_free_full(f->waiters, g_free);
+	g_hash_table_destroy(f->evicted);
+	g_free(f);
+}
+
+bool
+ogl_follow_token(uint64_t token)
+{
+	return token >> 56 == TOKEN_PART;
+}
+
+ogl_time
+ogl_follow_contact(const struct ogl_follow *f)
+{
+	return f->contact;
+}
+
+uint64_t
+ogl_follow_appends(const struct ogl_follow *f)
+{
+	return ogl_stream_appends(f->stream);
+}
+
+static bool
+log_down(const struct ogl_follow *f, ogl_time now)
+{
+	return now - f->contact > DOWN_MS * OGL_MS;
+}
+
+bool
+ogl_follow_edit(struct ogl_follow *f, const Ogl__Edit *e, uint64_t waiter,
+    ogl_time now)
+{
+	Ogl__Record *r;
+	uint64_t *w;
+	size_t n;
+	uint8_t *buf;
+
+	if (f->self_evicted || !f->complete || log_down(f, now))
+		return false;
+	n = ogl__edit__get_packed_size(e);
+	buf = g_malloc(n + 1);
+	ogl__edit__pack(e, buf);
+	r = malloc(sizeof *r);
+	ogl__record__init(r);
+	r->at_ms = (uint64_t)(now / OGL_MS);
+	r->body_case = OGL__RECORD__BODY_EDIT;
+	r->edit = ogl__edit__unpack(NULL, n, buf);
+	g_free(buf);
+	w = g_new(uint64_t, 1);
+	*w = waiter;
+	g_queue_push_tail(f->waiters, w);
+	ogl_stream_add(f->stream, r, now);
+	return true;
+}
+
+void
+ogl_follow_event(struct ogl_follow *f, const struct ogl_event *ev,
+    ogl_time now)
+{
+	if (ev->io == OGL_IO_OK)
+		f->contact = now;
+	else
+		f->counters->log_errors++;
+	ogl_stream_event(f->stream, ev, now);
+}
+
+/* ---- snapshots and peers ---------------------------------------------- */
+
+static Ogl__SettingsSnap *
+make_snap(const struct ogl_follow *f)
+{
+	Ogl__SettingsSnap *s = malloc(sizeof *s);
+	char *dump = ogl_settings_dump(f->settings);
+	GHashTableIter it;
+	void *k;
+
+	ogl__settings_snap__init(s);
+	s->version = ogl_settings_version(f->settings);
+	s->tree.len = strlen(dump);
+	s->tree.data = malloc(s->tree.len + 1);
+	memcpy(s->tree.data, dump, s->tree.len + 1);
+	g_free(dump);
+	s->evicted = calloc(g_hash_table_size(f->evicted) + 1,
+	    sizeof(void *));
+	g_hash_table_iter_init(&it, f->evicted);
+	while (g_hash_table_iter_next(&it, &k, NULL)) {
+		Ogl__Evict *e = malloc(sizeof *e);
+		const char *slash = strrchr(k, '/');
+
+		ogl__evict__init(e);
+		e->node = strndup(k, (size_t)(slash - (char *)k));
+		e->boot = g_ascii_strtoull(slash + 1, NULL, 10);
+		s->evicted[s->n_evicted++] = e;
+	}
+	return s;
+}
+
+struct rank_ctx {
+	const struct ogl_follow *f;
+	uint64_t own;
+	bool best;
+};
+
+static void
+rank_one(void *ctx, const struct ogl_peer *p)
+{
+	struct rank_ctx *c = ctx;
+
+	if (p->fact->state == OGL__MEMBER_FACT__STATE__alive &&
+	    ogl_member_rank(c->f->member, p->fact->name, SETTINGS_RANK) >
+		c->own)
+		c->best = false;
+}
+
+/* Whether this node looks after the settings stream: snapshots, evictions.
+ * Two that both think so do no harm, the work is then done twice. */
+static bool
+is_keeper(const struct ogl_follow *f)
+{
+	struct rank_ctx c = {f,
+	    ogl_member_rank(f->member, f->cfg->name, SETTINGS_RANK), true};
+
+	ogl_member_each(f->member, rank_one, &c);
+	return c.best && !f->self_evicted;
+}
+
+static void
+write_snapshot(struct ogl_follow *f, ogl_time now)
+{
+	Ogl__Record *r;
+
+	if (!f->complete || ogl_settings_version(f->settings) == 0 ||
+	    (f->edits_since < SNAP_EDITS &&
+		now - f->snap_at < f->cfg->snapshot_ms * OGL_MS) ||
+	    log_down(f, now) || !ogl_stream_idle(f->stream) ||
+	    !is_keeper(f))
+		return;
+	f->snap_at = now;
+	r = malloc(sizeof *r);
+	ogl__record__init(r);
+	r->at_ms = (uint64_t)(now / OGL_MS);
+	r->body_case = OGL__RECORD__BODY_SETTINGS_SNAP;
+	r->settings_snap = make_snap(f);
+	ogl_stream_add(f->stream, r, now);
+}
+
+struct evict_ctx {
+	struct ogl_follow *f;
+	ogl_time now;
+};
+
+static void
+evict_one(void *ctx, const struct ogl_peer *p)
+{
+	struct evict_ctx *c = ctx;
+	Ogl__Record *r;
+
+	if (p->fact->state != OGL__MEMBER_FACT__STATE__dead ||
+	    is_evicted(c->f, p->fact->name, p->fact->boot))
+		return;
+	r = malloc(sizeof *r);
+	ogl__record__init(r);
+	r->at_ms = (uint64_t)(c->now / OGL_MS);
+	r->body_case = OGL__RECORD__BODY_EVICT;
+	r->evict = malloc(sizeof *r->evict);
+	ogl__evict__init(r->evict);
+	r->evict->node = strdup(p->fact->name);
+	r->evict->boot = p->fact->boot;
+	ogl_stream_add(c->f->stream, r, c->now);
+}
+
+static void
+evict_dead(struct ogl_follow *f, ogl_time now)
+{
+	struct evict_ctx c = {f, now};
+
+	if (now < f->next_evict || !f->complete || log_down(f, now) ||
+	    ogl_stream_pending(f->stream) > 0 || !is_keeper(f))
+		return;
+	f->next_evict = now + EVICT_EVERY_MS * OGL_MS;
+	ogl_member_each(f->member, evict_one, &c);
+}
+
+/* ---- being current ---------------------------------------------------- */
+
+struct fresh_ctx {
+	struct ogl_follow *f;
+	ogl_time now;
+	ogl_time all_down;	     /* as of when all say the log is down */
+	const struct ogl_peer *ahead; /* a peer with a newer version */
+	bool newer_found;
+};
+
+static void
+fresh_one(void *ctx, const struct ogl_peer *p)
+{
+	struct fresh_ctx *c = ctx;
+	struct ogl_follow *f = c->f;
+	uint64_t ours = ogl_settings_version(f->settings);
+
+	if (p->fact->state == OGL__MEMBER_FACT__STATE__left ||
+	    (p->fact->state == OGL__MEMBER_FACT__STATE__dead &&
+		is_evicted(f, p->fact->name, p->fact->boot)))
+		return;
+	c->all_down = MIN(c->all_down, p->down_since != 0 ? p->asked : 0);
+	if (MAX(p->fact->settings_version, p->current_version) > ours)
+		c->ahead = p;
+	else if (p->asked > 0 && p->current_at > f->fresh_peers)
+		f->fresh_peers = p->current_at;
+}
+
+static void
+pull(struct ogl_follow *f, const struct ogl_peer *p, ogl_time now,
+    struct ogl_actions *out)
+{
+	Ogl__PeerMsg msg = OGL__PEER_MSG__INIT;
+	Ogl__SettingsNews n = OGL__SETTINGS_NEWS__INIT;
+
+	if (now < f->next_pull)
+		return;
+	f->next_pull = now + PULL_EVERY_MS * OGL_MS;
+	n.version = ogl_settings_version(f->settings);
+	msg.body_case = OGL__PEER_MSG__BODY_SETTINGS_NEWS;
+	msg.settings_news = &n;
+	ogl_member_send(f->member, p->fact->addr, &msg, out);
+}
+
+void
+ogl_follow_news(struct ogl_follow *f, const struct ogl_peer *from,
+    const Ogl__SettingsNews *news, ogl_time now, struct ogl_actions *out)
+{
+	Ogl__PeerMsg msg = OGL__PEER_MSG__INIT;
+	Ogl__SettingsNews n = OGL__SETTINGS_NEWS__INIT;
+
+	if (news->snap != NULL) {
+		if (news->snap->version > ogl_settings_version(f->settings))
+			load_snap(f, news->snap, now);
+		return;
+	}
+	if (!f->complete ||
+	    ogl_settings_version(f->settings) <= news->version)
+		return;
+	n.version = ogl_settings_version(f->settings);
+	n.snap = make_snap(f);
+	msg.body_case = OGL__PEER_MSG__BODY_SETTINGS_NEWS;
+	msg.settings_news = &n;
+	ogl_member_send(f->member, from->fact->addr, &msg, out);
+	ogl__settings_snap__free_unpacked(n.snap, NULL);
+}
+
+static void
+look_at_peers(struct ogl_follow *f, ogl_time now, struct ogl_actions *out)
+{
+	struct fresh_ctx c = {.f = f, .now = now, .all_down = OGL_NEVER};
+	bool down = log_down(f, now);
+
+	ogl_member_probe_all(f->member, down);
+	if (!down)
+		return;
+	ogl_member_each(f->member, fresh_one, &c);
+	/* With no other member left there is nobody who could have accepted
+	 * anything. */
+	if (c.ahead != NULL)
+		pull(f, c.ahead, now, out);
+	else if (f->contact != 0)
+		f->fresh_peers = MAX(f->fresh_peers, MIN(c.all_down, now));
+}
+
+ogl_time
+ogl_follow_fresh(const struct ogl_follow *f, ogl_time now)
+{
+	(void)now;
+	if (!f->complete)
+		return 0;
+	return MAX(ogl_stream_current(f->stream), f->fresh_peers);
+}
+
+/* What we tell others of ourselves. */
+static void
+fill_fact(struct ogl_follow *f, ogl_time now)
+{
+	Ogl__MemberFact *own = ogl_member_own(f->member);
+	ogl_time age = now - ogl_follow_fresh(f, now);
+
+	own->settings_version = ogl_settings_version(f->settings);
+	own->settings_age_ms = (uint32_t)MIN(age / OGL_MS, UINT32_MAX);
+	own->log_age_ms = log_down(f, now) ?
+	    (uint32_t)MIN((now - f->contact) / OGL_MS, UINT32_MAX) : 0;
+}
+
+void
+ogl_follow_tick(struct ogl_follow *f, ogl_time now, struct ogl_actions *out)
+{
+	look_at_peers(f, now, out);
+	write_snapshot(f, now);
+	evict_dead(f, now);
+	ogl_stream_tick(f->stream, now, out);
+	fill_fact(f, now);
+}
+
+ogl_time
+ogl_follow_next(const struct ogl_follow *f)
+{
+	return ogl_stream_next(f->stream);
+}
--- a/src/member.c
+++ b/src/member.c
@@ -42,6 +42,7 @@
 	ogl_time next;
 	uint64_t seq;
 	uint32_t periods;
+	bool probe_all;
 };
 
 static void
@@ -335,6 +336,17 @@
 	return p;
 }
 
+/* What a node says of itself changes all the time in small ways (load, ages)
+ * that are not worth spreading; they are taken from its own mouth only. */
+static void
+take_own_words(struct ogl_peer *p, const Ogl__MemberFact *said)
+{
+	if (fact_cmp(said, p->fact) != 0)
+		return;
+	ogl__member_fact__free_unpacked(p->fact, NULL);
+	p->fact = fact_copy(said);
+}
+
 static void
 take_ack(struct ogl_peer *p, const Ogl__MemberFact *said, uint64_t seq)
 {
@@ -342,6 +354,8 @@
 		return;
 	p->asked = p->probe_sent;
 	p->probe_sent = 0;
+	p->current_at = p->asked - said->settings_age_ms * OGL_MS;
+	p->current_version = said->settings_version;
 	p->down_since = said->log_age_ms == 0 ?
 	    0 : p->asked - said->log_age_ms * OGL_MS;
 }
@@ -386,6 +400,7 @@
 		if (i == 0 && p != NULL) {
 			from = p;
 			said = msg->facts[0];
+			take_own_words(p, said);
 		}
 	}
 	if (from == NULL || from->fact->boot != msg->boot)
@@ -477,11 +492,16 @@
 	return p;
 }
 
-static void
-probe_one(struct ogl_member *m, ogl_time now, struct ogl_actions *out)
+void
+ogl_member_probe_all(struct ogl_member *m, bool on)
 {
-	struct ogl_peer *p = next_in_round(m);
+	m->probe_all = on;
+}
 
+static void
+probe_one(struct ogl_member *m, struct ogl_peer *p, ogl_time now,
+    struct ogl_actions *out)
+{
 	if (p == NULL || !state_alive(p->fact->state))
 		return;
 	if (p->probe_sent != 0 && now - p->probe_sent <
@@ -528,7 +548,10 @@
 	m->next = now + m->cfg->probe_ms * OGL_MS;
 	for (guint i = 0; i < m->sorted->len; i++)
 		check_pending(m, g_ptr_array_index(m->sorted, i), now, out);
-	probe_one(m, now, out);
+	if (!m->probe_all)
+		probe_one(m, next_in_round(m), now, out);
+	for (guint i = 0; m->probe_all && i < m->sorted->len; i++)
+		probe_one(m, g_ptr_array_index(m->sorted, i), now, out);
 	if (m->periods++ % SEED_PERIODS == 0)
 		greet_seeds(m, out);
 	forget_old(m, now);
--- a/src/member.h
+++ b/src/member.h
@@ -15,6 +15,9 @@
 	ogl_time asked;	       /* send time of the last probe it answered */
 	ogl_time down_since;   /* it said it had no log contact, as of asked;
 				  0 when it had */
+	ogl_time current_at;   /* its settings were current then, as its
+				  newest answer told */
+	uint64_t current_version; /* and this was their version */
 	uint32_t tell;	       /* messages that shall still carry the fact */
 	ogl_time probe_sent;   /* pending probe, 0 none */
 	uint64_t probe_seq;
@@ -51,6 +54,9 @@
 bool ogl_member_alive(const struct ogl_member *m, const char *name);
 /* Known and neither dead nor left; a suspect still counts as alive. */
 
+void ogl_member_probe_all(struct ogl_member *m, bool on);
+/* While on, every member is probed each period, not one. */
+
 void ogl_member_each(const struct ogl_member *m,
     void (*fn)(void *ctx, const struct ogl_peer *p), void *ctx);
 /* Every node known but ourselves, in order of name. */
--- /dev/null
+++ b/src/reqs.c
@@ -0,0 +1,522 @@
+/*
+ * Short requests.
+ *
+ * A request waits in the queue, which says who goes first, until the router
+ * has a free place at a target; it is then sent, and its answer passed on.
+ * The queue is bounded by time: what could not be served within the longest
+ * wait its team allows is refused at once, with the time to come back.  What
+ * waited too long after all is refused when its time is over, not later.
+ *
+ * Sent again elsewhere is only what certainly did not run, or what the
+ * caller called idempotent, and only within the retry budget.  When a
+ * non-idempotent request's answer is lost, the caller hears that it may have
+ * run.
+ */
+
+#include <string.h>
+
+#include "reqs.h"
+
+enum {
+	TOKEN_PART = 3,
+	TRIES = 3,		 /* targets one request is sent to at most */
+	BUDGET_MS = 30000,	 /* for a request that names none */
+	NO_TARGET_RETRY_MS = 1000,
+	LEAST_RETRY_MS = 50
+};
+
+enum req_phase {
+	REQ_WAITS,
+	REQ_SENT
+};
+
+struct req {
+	uint64_t id; /* number in the queue, and of its token */
+	uint64_t cookie;
+	enum req_phase phase;
+	bool idempotent;
+	bool abandoned; /* nobody waits for the answer */
+	bool started;	/* charged to its team since it was popped */
+	char *team;
+	char *label;
+	GBytes *body;
+	ogl_time since;
+	ogl_time wait_until; /* may wait so long for a place */
+	ogl_time deadline;   /* of the whole request */
+	uint32_t tried[TRIES];
+	uint32_t ntried;
+	GSequenceIter *expiry;
+};
+
+struct target {
+	char *name;
+	char *addr;
+	uint32_t number; /* router's */
+};
+
+struct ogl_reqs {
+	const struct ogl_node_config *cfg;
+	const struct ogl_settings *settings;
+	struct ogl_counters *counters;
+	const struct ogl_reqs_ops *ops;
+	void *ctx;
+	struct ogl_route *route;
+	struct ogl_queue *queue;
+	GHashTable *live;      /* id -> struct req */
+	GHashTable *by_cookie; /* cookie -> struct req */
+	GSequence *expiry;     /* struct req by wait_until, waiting ones */
+	GHashTable *targets;   /* name -> struct target */
+	GHashTable *by_number; /* number -> struct target */
+	uint64_t next_id;
+	bool pump_due;
+};
+
+static void
+req_free(void *v)
+{
+	struct req *r = v;
+
+	g_free(r->team);
+	g_free(r->label);
+	g_bytes_unref(r->body);
+	g_free(r);
+}
+
+static void
+target_free(void *v)
+{
+	struct target *t = v;
+
+	g_free(t->name);
+	g_free(t->addr);
+	g_free(t);
+}
+
+struct ogl_reqs *
+ogl_reqs_init(const struct ogl_node_config *c, const struct ogl_settings *s,
+    struct ogl_counters *n, uint64_t seed, const struct ogl_reqs_ops *ops,
+    void *ctx)
+{
+	struct ogl_reqs *q = g_new0(struct ogl_reqs, 1);
+
+	q->cfg = c;
+	q->settings = s;
+	q->counters = n;
+	q->ops = ops;
+	q->ctx = ctx;
+	q->route = ogl_route_init(seed, c->zone);
+	q->queue = ogl_queue_init(&ogl_queue_learned, seed + 1);
+	q->live = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+	    req_free);
+	q->by_cookie = g_hash_table_new(g_int64_hash, g_int64_equal);
+	q->expiry = g_sequence_new(NULL);
+	q->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+	    target_free);
+	q->by_number = g_hash_table_new(g_direct_hash, g_direct_equal);
+	return q;
+}
+
+void
+ogl_reqs_end(struct ogl_reqs *q)
+{
+	if (q == NULL)
+		return;
+	g_sequence_free(q->expiry);
+	g_hash_table_destroy(q->by_cookie);
+	g_hash_table_destroy(q->live);
+	g_hash_table_destroy(q->by_number);
+	g_hash_table_destroy(q->targets);
+	ogl_queue_end(q->queue);
+	ogl_route_end(q->route);
+	g_free(q);
+}
+
+/* ---- targets ---------------------------------------------------------- */
+
+void
+ogl_reqs_target(struct ogl_reqs *q, const char *name, const char *addr,
+    const char *zone, bool leaving, ogl_time now)
+{
+	struct target *t = g_hash_table_lookup(q->targets, name);
+
+	if (t == NULL) {
+		t = g_new0(struct target, 1);
+		t->name = g_strdup(name);
+		g_hash_table_insert(q->targets, t->name, t);
+	}
+	if (g_strcmp0(t->addr, addr) != 0) {
+		g_free(t->addr);
+		t->addr = g_strdup(addr);
+	}
+	t->number = ogl_route_target(q->route, name, zone,
+	    q->cfg->exec_slots, leaving, now);
+	g_hash_table_insert(q->by_number, GUINT_TO_POINTER(t->number), t);
+	q->pump_due = true;
+}
+
+void
+ogl_reqs_target_gone(struct ogl_reqs *q, const char *name)
+{
+	struct target *t = g_hash_table_lookup(q->targets, name);
+
+	if (t == NULL)
+		return;
+	ogl_route_drop(q->route, t->number);
+	g_hash_table_remove(q->by_number, GUINT_TO_POINTER(t->number));
+	g_hash_table_remove(q->targets, name);
+}
+
+static void
+set_share(void *ctx, const char *team, const struct ogl_team_view *view)
+{
+	struct ogl_reqs *q = ctx;
+
+	ogl_queue_team(q->queue, team, view->share);
+}
+
+void
+ogl_reqs_settings(struct ogl_reqs *q)
+{
+	ogl_settings_each_team(q->settings, set_share, q);
+}
+
+/* ---- answers ---------------------------------------------------------- */
+
+static GBytes *
+error_body(const char *error, enum ogl_verdict v, uint64_t retry_ms)
+{
+	Ogl__ErrorView e = OGL__ERROR_VIEW__INIT;
+	size_t n;
+	char *text;
+
+	e.error = (char *)error;
+	e.verdict = (Ogl__Verdict)v;
+	e.retry_after_ms = retry_ms;
+	text = ogl_json_print(&e.base, &n);
+	return g_bytes_new_take(text, n);
+}
+
+static void
+count_verdict(struct ogl_reqs *q, enum ogl_verdict v)
+{
+	if (v == OGL_RAN)
+		q->counters->req_ran++;
+	else if (v == OGL_NOT_RUN)
+		q->counters->req_not_run++;
+	else
+		q->counters->req_may++;
+}
+
+static void
+stop_waiting(struct req *r)
+{
+	if (r->expiry != NULL)
+		g_sequence_remove(r->expiry);
+	r->expiry = NULL;
+}
+
+/* Gives the final answer and forgets the request. */
+static void
+finish(struct ogl_reqs *q, struct req *r, uint32_t status,
+    enum ogl_verdict v, uint64_t retry_ms, GBytes *body, ogl_time now)
+{
+	uint64_t cookie = r->cookie;
+	bool abandoned = r->abandoned;
+
+	if (r->started)
+		ogl_queue_ended(q->queue, r->id, v == OGL_RAN, now);
+	stop_waiting(r);
+	count_verdict(q, v);
+	if (!abandoned)
+		g_hash_table_remove(q->by_cookie, &r->cookie);
+	g_hash_table_remove(q->live, &r->id);
+	if (!abandoned)
+		q->ops->done(q->ctx, cookie, status, v, retry_ms, body, now);
+}
+
+static void
+finish_error(struct ogl_reqs *q, struct req *r, uint32_t status,
+    enum ogl_verdict v, uint64_t retry_ms, const char *error, ogl_time now)
+{
+	GBytes *body = error_body(error, v, retry_ms);
+
+	finish(q, r, status, v, retry_ms, body, now);
+	g_bytes_unref(body);
+}
+
+/* When a caller turned away now should come back. */
+static uint64_t
+retry_after(const struct ogl_reqs *q, ogl_time now)
+{
+	uint64_t ms = ogl_route_wait_ms(q->route,
+	    ogl_queue_length(q->queue), now);
+
+	return MAX(ms, LEAST_RETRY_MS);
+}
+
+/* ---- admission -------------------------------------------------------- */
+
+static gint
+by_wait(gconstpointer a, gconstpointer b, gpointer unused)
+{
+	const struct req *ra = a;
+	const struct req *rb = b;
+
+	(void)unused;
+	if (ra->wait_until != rb->wait_until)
+		return ra->wait_until < rb->wait_until ? -1 : 1;
+	return ra->id < rb->id ? -1 : ra->id > rb->id;
+}
+
+static void
+wait_in_queue(struct ogl_reqs *q, struct req *r, ogl_time now)
+{
+	struct ogl_work w = {0};
+
+	w.id = r->id;
+	w.team = r->team;
+	w.label = r->label;
+	w.kind = OGL__KIND__request;
+	w.tasks = 1;
+	w.res.cpu_milli = 1000;
+	w.since = r->since;
+	r->phase = REQ_WAITS;
+	r->expiry = g_sequence_insert_sorted(q->expiry, r, by_wait, NULL);
+	ogl_queue_push(q->queue, &w, now);
+	q->pump_due = true;
+}
+
+void
+ogl_reqs_submit(struct ogl_reqs *q, uint64_t cookie, const char *team,
+    const char *label, struct ogl_str body, bool idempotent,
+    uint64_t budget_ms, ogl_time now)
+{
+	struct req *r = g_new0(struct req, 1);
+	struct ogl_team_view view;
+	uint64_t most, expect;
+
+	ogl_settings_team(q->settings, team, &view);
+	r->id = ++q->next_id;
+	r->cookie = cookie;
+	r->idempotent = idempotent;
+	r->team = g_strdup(team);
+	r->label = g_strdup(label);
+	r->body = g_bytes_new(body.p, body.n);
+	r->since = now;
+	budget_ms = budget_ms > 0 ? MIN(budget_ms, BUDGET_MS) : BUDGET_MS;
+	most = MIN(budget_ms, view.exists ? view.max_queue_ms : BUDGET_MS);
+	r->wait_until = now + (ogl_time)most * OGL_MS;
+	r->deadline = now + (ogl_time)budget_ms * OGL_MS;
+	g_hash_table_insert(q->live, &r->id, r);
+	g_hash_table_insert(q->by_cookie, &r->cookie, r);
+	if (g_hash_table_size(q->targets) == 0) {
+		q->counters->refused++;
+		finish_error(q, r, 503, OGL_NOT_RUN, NO_TARGET_RETRY_MS,
+		    "no target is known", now);
+		return;
+	}
+	expect = ogl_queue_length(q->queue) == 0 ? 0 :
+	    ogl_route_wait_ms(q->route, ogl_queue_length(q->queue), now);
+	if (expect > most) {
+		q->counters->refused++;
+		finish_error(q, r, 503, OGL_NOT_RUN, expect,
+		    "it would wait too long", now);
+		return;
+	}
+	wait_in_queue(q, r, now);
+}
+
+void
+ogl_reqs_gone(struct ogl_reqs *q, uint64_t cookie)
+{
+	struct req *r = g_hash_table_lookup(q->by_cookie, &cookie);
+
+	if (r == NULL)
+		return;
+	g_hash_table_remove(q->by_cookie, &cookie);
+	r->abandoned = true;
+	if (r->phase != REQ_WAITS)
+		return; /* it runs; its answer goes nowhere */
+	ogl_queue_remove(q->queue, r->id);
+	stop_waiting(r);
+	g_hash_table_remove(q->live, &r->id);
+}
+
+/* ---- sending ---------------------------------------------------------- */
+
+static void
+send_to(struct ogl_reqs *q, struct req *r, const struct target *t,
+    ogl_time now, struct ogl_actions *out)
+{
+	struct ogl_action *a = ogl_actions_new(out, OGL_ACT_EXEC);
+
+	a->token = (uint64_t)TOKEN_PART << 56 | r->id;
+	a->addr = g_strdup(t->addr);
+	a->name = g_strdup(r->team);
+	a->work_kind = g_strdup(r->label);
+	a->data = g_bytes_ref(r->body);
+	a->timeout_ms = (uint32_t)MAX((r->deadline - now) / OGL_MS, 1);
+	r->phase = REQ_SENT;
+	r->tried[r->ntried++] = t->number;
+}
+
+static void
+pump(struct ogl_reqs *q, ogl_time now, struct ogl_actions *out)
+{
+	struct ogl_work w;
+	uint32_t misses = 0;
+
+	q->pump_due = false;
+	ogl_queue_again(q->queue, now);
+	while (misses < TRIES && ogl_route_free(q->route, now) > 0 &&
+	    ogl_queue_pop(q->queue, now, &w)) {
+		struct req *r = g_hash_table_lookup(q->live, &w.id);
+		uint32_t t;
+
+		if (!ogl_route_pick(q->route, r->cookie, r->tried, r->ntried,
+			now, &t)) {
+			ogl_queue_back(q->queue, w.id, now);
+			misses++;
+			continue;
+		}
+		ogl_queue_started(q->queue, &w, now);
+		r->started = true;
+		stop_waiting(r);
+		send_to(q, r, g_hash_table_lookup(q->by_number,
+		    GUINT_TO_POINTER(t)), now, out);
+	}
+}
+
+/* ---- what came of it -------------------------------------------------- */
+
+static bool
+answer_retries(const struct ogl_event *ev, const struct req *r)
+{
+	if (ev->io == OGL_IO_NOT_SENT || ev->io == OGL_IO_REFUSED)
+		return true;
+	if (ev->io == OGL_IO_OK && ev->u.exec.not_run)
+		return true;
+	if (!r->idempotent)
+		return false;
+	return ev->io == OGL_IO_LOST || ev->u.exec.status >= 500;
+}
+
+static void
+try_again(struct ogl_reqs *q, struct req *r, ogl_time now)
+{
+	q->counters->retries++;
+	ogl_queue_ended(q->queue, r->id, false, now);
+	r->started = false;
+	wait_in_queue(q, r, now);
+}
+
+static bool
+surely_not_run(const struct ogl_event *ev)
+{
+	return ev->io == OGL_IO_NOT_SENT || ev->io == OGL_IO_REFUSED ||
+	    (ev->io == OGL_IO_OK && ev->u.exec.not_run);
+}
+
+static void
+give_up(struct ogl_reqs *q, struct req *r, const struct ogl_event *ev,
+    ogl_time now)
+{
+	GBytes *body;
+
+	/* An earlier try of an idempotent one may have run although the
+	 * last one surely did not. */
+	if (surely_not_run(ev) && (!r->idempotent || r->ntried == 1)) {
+		q->counters->refused++;
+		finish_error(q, r, 503, OGL_NOT_RUN, retry_after(q, now),
+		    "no target took it", now);
+	} else if (ev->io == OGL_IO_OK && !ev->u.exec.not_run) {
+		body = g_bytes_new(ev->u.exec.body.p, ev->u.exec.body.n);
+		finish(q, r, ev->u.exec.status,
+		    ev->u.exec.status < 500 ? OGL_RAN : OGL_MAY_HAVE_RUN, 0,
+		    body, now);
+		g_bytes_unref(body);
+	} else {
+		finish_error(q, r, 504, OGL_MAY_HAVE_RUN, 0,
+		    "the target's answer was lost", now);
+	}
+}
+
+void
+ogl_reqs_event(struct ogl_reqs *q, const struct ogl_event *ev, ogl_time now)
+{
+	uint64_t id = ev->token & 0xffffffffffffff;
+	struct req *r = g_hash_table_lookup(q->live, &id);
+
+	if (r == NULL || r->phase != REQ_SENT) {
+		q->counters->late_answers++;
+		return;
+	}
+	ogl_route_done(q->route, r->tried[r->ntried - 1], r->cookie, ev->io,
+	    ev->io == OGL_IO_OK ? ev->u.exec.status : 0, now);
+	q->pump_due = true;
+	if (answer_retries(ev, r) && r->ntried < TRIES && !r->abandoned &&
+	    now < r->wait_until && ogl_route_may_retry(q->route, now))
+		try_again(q, r, now);
+	else
+		give_up(q, r, ev, now);
+}
+
+/* ---- time ------------------------------------------------------------- */
+
+static void
+expire(struct ogl_reqs *q, ogl_time now)
+{
+	GSequenceIter *it;
+
+	while (!g_sequence_iter_is_end(
+	    it = g_sequence_get_begin_iter(q->expiry))) {
+		struct req *r = g_sequence_get(it);
+		bool fresh = r->ntried == 0 || !r->idempotent;
+
+		if (r->wait_until > now)
+			return;
+		ogl_queue_remove(q->queue, r->id);
+		q->counters->refused++;
+		finish_error(q, r, 503,
+		    fresh ? OGL_NOT_RUN : OGL_MAY_HAVE_RUN,
+		    retry_after(q, now), "it waited too long", now);
+	}
+}
+
+void
+ogl_reqs_tick(struct ogl_reqs *q, ogl_time now, struct ogl_actions *out)
+{
+	expire(q, now);
+	if (q->pump_due || ogl_queue_length(q->queue) > 0)
+		pump(q, now, out);
+}
+
+ogl_time
+ogl_reqs_next(const struct ogl_reqs *q)
+{
+	GSequenceIter *it = g_sequence_get_begin_iter(q->expiry);
+
+	if (q->pump_due)
+		return 0;
+	if (g_sequence_iter_is_end(it))
+		return OGL_NEVER;
+	return ((struct req *)g_sequence_get(it))->wait_until;
+}
+
+bool
+ogl_reqs_token(uint64_t token)
+{
+	return token >> 56 == TOKEN_PART;
+}
+
+size_t
+ogl_reqs_live(const struct ogl_reqs *q)
+{
+	return g_hash_table_size(q->live);
+}
+
+size_t
+ogl_reqs_waiting(const struct ogl_reqs *q)
+{
+	return ogl_queue_length(q->queue);
+}
--- /dev/null
+++ b/src/sched.c
@@ -0,0 +1,557 @@
+/*
+ * The owner's scheduling: what waits goes through the queue (who goes first)
+ * and the placer (where it fits), within the team limits that the shard's
+ * allotments leave.
+ *
+ * Tasks of batch jobs and services queue one by one; a gang queues as one
+ * piece of work for all its tasks that have not ended.  Whatever takes a
+ * task off its worker ends in ogl_sched_unbind, and whatever lets tasks wait
+ * again ends in ogl_sched_enqueue.
+ */
+
+#include <string.h>
+
+#include "shard_impl.h"
+
+enum {
+	PLACE_MOST = 2000,	/* placements in one step */
+	PLACE_MISSES = 64,	/* failures in a row that end a round */
+	GANG_RESERVE_S = 60,	/* how long room is kept for a waiting gang */
+	ATTEMPT_BITS = 12,	/* attempts of a task under one owner */
+	TEAM_PATH = 128
+};
+
+void
+ogl_sched_init(struct ogl_shard *sh)
+{
+	sh->placer = ogl_place_init(ogl_random_next(&sh->env->rnd));
+	sh->queue = ogl_queue_init(&ogl_queue_learned,
+	    ogl_random_next(&sh->env->rnd));
+	sh->works = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+	    g_free, g_free);
+	sh->held = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+	    g_free);
+	sh->requeue = g_ptr_array_new();
+}
+
+void
+ogl_sched_end(struct ogl_shard *sh)
+{
+	if (sh->placer == NULL)
+		return;
+	ogl_place_end(sh->placer);
+	ogl_queue_end(sh->queue);
+	sh->placer = NULL;
+	sh->queue = NULL;
+	g_clear_pointer(&sh->works, g_hash_table_destroy);
+	g_clear_pointer(&sh->held, g_hash_table_destroy);
+	g_clear_pointer(&sh->requeue, g_ptr_array_unref);
+}
+
+/* ---- teams and limits ------------------------------------------------- */
+
+/* Calls fn with the team and each team above it. */
+static void
+each_level(const char *team,
+    void (*fn)(struct ogl_shard *sh, const char *level, int64_t n),
+    struct ogl_shard *sh, int64_t n)
+{
+	char level[TEAM_PATH];
+	char *slash;
+
+	g_strlcpy(level, team, sizeof level);
+	for (;;) {
+		fn(sh, level, n);
+		slash = strrchr(level, '/');
+		if (slash == NULL)
+			return;
+		*slash = '\0';
+	}
+}
+
+static void
+add_held(struct ogl_shard *sh, const char *level, int64_t n)
+{
+	uint64_t *held = g_hash_table_lookup(sh->held, level);
+
+	if (held == NULL) {
+		held = g_new0(uint64_t, 1);
+		g_hash_table_insert(sh->held, g_strdup(level), held);
+	}
+	*held += (uint64_t)n;
+}
+
+uint64_t
+ogl_sched_held(const struct ogl_shard *sh, const char *team)
+{
+	const uint64_t *held = g_hash_table_lookup(sh->held, team);
+
+	return held != NULL ? *held : 0;
+}
+
+/* Whether n more tasks stay within every limit above the team; what lacks
+ * is asked of the bank. */
+static bool
+limits_allow(struct ogl_shard *sh, const char *team, uint32_t n)
+{
+	char level[TEAM_PATH];
+	char *slash;
+	bool ok = true;
+
+	g_strlcpy(level, team, sizeof level);
+	for (;;) {
+		uint64_t allowed = ogl_escrow_allowed(sh, level);
+		uint64_t held = ogl_sched_held(sh, level);
+
+		if (allowed < n || held > allowed - n) {
+			ogl_escrow_want(sh, level, held + n);
+			ok = false;
+		}
+		slash = strrchr(level, '/');
+		if (slash == NULL)
+			return ok;
+		*slash = '\0';
+	}
+}
+
+struct over {
+	struct ogl_shard *sh;
+	ogl_time now;
+};
+
+static gint
+newest_first(gconstpointer a, gconstpointer b)
+{
+	const struct ogl_tref *ra = *(struct ogl_tref *const *)a;
+	const struct ogl_tref *rb = *(struct ogl_tref *const *)b;
+	const struct ogl_task *ta = &ra->job->tasks[ra->index];
+	const struct ogl_task *tb = &rb->job->tasks[rb->index];
+	bool sa = ra->job->spec->restartable;
+	bool sb = rb->job->spec->restartable;
+
+	if (sa != sb)
+		return sa ? -1 : 1;
+	if (ta->since != tb->since)
+		return ta->since > tb->since ? -1 : 1;
+	return ra->job->number > rb->job->number ? -1 : 1;
+}
+
+static bool
+team_below(const char *team, const char *top)
+{
+	size_t n = strlen(top);
+
+	return strncmp(team, top, n) == 0 &&
+	    (team[n] == '\0' || team[n] == '/');
+}
+
+static void
+stop_one(struct ogl_shard *sh, struct ogl_job *j, uint32_t i,
+    Ogl__StopMode mode, ogl_time now)
+{
+	struct ogl_task *t = &j->tasks[i];
+	struct ogl_session *s;
+
+	if (t->phase != OGL_TASK_PLACED || t->stopping || t->ending)
+		return;
+	t->stopping = true;
+	s = g_ptr_array_index(sh->sessions, t->worker);
+	ogl_session_stop_task(s, j->id, i, t->attempt, mode, now);
+	sh->env->counters->preempts++;
+}
+
+/* Stops tasks of the team until it is within what it may have; those that
+ * can be started again go first, the newest of them before older ones. */
+static void
+stop_excess(struct ogl_shard *sh, const char *team, uint64_t excess,
+    ogl_time now)
+{
+	GPtrArray *refs = g_ptr_array_new();
+
+	for (guint i = 0; i < sh->sessions->len; i++) {
+		struct ogl_session *s = g_ptr_array_index(sh->sessions, i);
+
+		for (guint k = 0; k < s->tasks->len; k++) {
+			struct ogl_tref *r = g_ptr_array_index(s->tasks, k);
+
+			if (team_below(r->job->team, team))
+				g_ptr_array_add(refs, r);
+		}
+	}
+	g_ptr_array_sort(refs, newest_first);
+	for (guint i = 0; i < refs->len && i < excess; i++) {
+		struct ogl_tref *r = g_ptr_array_index(refs, i);
+		bool again = r->job->spec->restartable;
+
+		stop_one(sh, r->job, r->index,
+		    again ? OGL__STOP_MODE__checkpoint :
+			    OGL__STOP_MODE__stop,
+		    now);
+	}
+	g_ptr_array_free(refs, TRUE);
+}
+
+static void
+check_team(void *ctx, const char *team, const struct ogl_team_view *view)
+{
+	struct over *o = ctx;
+	uint64_t held = ogl_sched_held(o->sh, team);
+	uint64_t allowed;
+
+	if (view->limit_tasks == UINT64_MAX || held == 0)
+		return;
+	allowed = ogl_escrow_allowed(o->sh, team);
+	if (held > allowed)
+		stop_excess(o->sh, team, held - allowed, o->now);
+}
+
+void
+ogl_sched_limits(struct ogl_shard *sh, ogl_time now)
+{
+	struct over o = {sh, now};
+
+	ogl_settings_each_team(sh->env->settings, check_team, &o);
+}
+
+static void
+set_share(void *ctx, const char *team, const struct ogl_team_view *view)
+{
+	struct ogl_shard *sh = ctx;
+
+	ogl_queue_team(sh->queue, team, view->share);
+}
+
+void
+ogl_sched_settings(struct ogl_shard *sh, ogl_time now)
+{
+	ogl_settings_each_team(sh->env->settings, set_share, sh);
+	ogl_sched_limits(sh, now);
+	sh->place_due = true;
+}
+
+/* ---- waiting ---------------------------------------------------------- */
+
+static void
+ask_of(const struct ogl_job *j, struct ogl_ask *a)
+{
+	const Ogl__Res *r = j->spec->res;
+
+	memset(a, 0, sizeof *a);
+	a->kind = j->spec->kind;
+	a->job = j->number;
+	if (r == NULL)
+		return;
+	a->res.cpu_milli = r->cpu_milli;
+	a->res.mem_mb = r->mem_mb;
+	a->res.accel = r->accel;
+}
+
+static bool
+task_waits(const struct ogl_task *t)
+{
+	return t->phase == OGL_TASK_WAITING && !t->ending && t->work == 0;
+}
+
+static uint32_t
+count_waiting(const struct ogl_job *j)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < j->ntasks; i++)
+		n += task_waits(&j->tasks[i]) ? 1 : 0;
+	return n;
+}
+
+static uint64_t
+push_work(struct ogl_shard *sh, struct ogl_job *j, uint32_t index,
+    uint32_t tasks, ogl_time now)
+{
+	struct ogl_work_ref *ref = g_new0(struct ogl_work_ref, 1);
+	struct ogl_work w = {0};
+	struct ogl_ask ask;
+	int64_t *key = g_new(int64_t, 1);
+
+	ask_of(j, &ask);
+	ref->job = j;
+	ref->index = index;
+	w.id = ++sh->next_work;
+	w.team = j->team;
+	w.label = j->spec->payload;
+	w.kind = j->spec->kind;
+	w.tasks = tasks;
+	w.res = ask.res;
+	w.declared_ms = j->spec->run_ms;
+	w.since = MIN(now, (ogl_time)j->accepted_ms * OGL_MS);
+	*key = (int64_t)w.id;
+	g_hash_table_insert(sh->works, key, ref);
+	ogl_queue_push(sh->queue, &w, now);
+	sh->place_due = true;
+	return w.id;
+}
+
+/* A member ended for good without success: the others cannot do without. */
+static bool
+gang_broken(const struct ogl_job *j)
+{
+	return j->nended > j->nsucceeded;
+}
+
+static void
+end_broken_gang(struct ogl_shard *sh, struct ogl_job *j, ogl_time now)
+{
+	ogl_sched_stop_job(sh, j, OGL__STOP_MODE__stop, now);
+	for (uint32_t i = 0; i < j->ntasks; i++) {
+		if (task_waits(&j->tasks[i]))
+			ogl_shard_task_end(sh, j, i,
+			    OGL__TASK_STATE__stopped, "its gang broke", now);
+	}
+}
+
+/* A gang runs whole or not at all: as long as part of it is on workers while
+ * another part waits, that part is stopped, and then all queue again. */
+static void
+enqueue_gang(struct ogl_shard *sh, struct ogl_job *j, ogl_time now)
+{
+	uint32_t n = count_waiting(j);
+	uint32_t first = 0;
+	uint64_t work;
+
+	if (gang_broken(j)) {
+		end_broken_gang(sh, j, now);
+		return;
+	}
+	if (n > 0 && j->nplaced > 0)
+		ogl_sched_stop_job(sh, j, OGL__STOP_MODE__checkpoint, now);
+	if (n == 0 || j->nplaced > 0 || n + j->nended < j->ntasks)
+		return;
+	while (!task_waits(&j->tasks[first]))
+		first++;
+	work = push_work(sh, j, first, n, now);
+	for (uint32_t i = 0; i < j->ntasks; i++) {
+		if (j->tasks[i].phase == OGL_TASK_WAITING)
+			j->tasks[i].work = work;
+	}
+}
+
+void
+ogl_sched_enqueue(struct ogl_shard *sh, struct ogl_job *j, ogl_time now)
+{
+	if (ogl_job_ended(j) || j->cancelling ||
+	    (sh->limbo && j->inherited))
+		return;
+	if (j->spec->kind == OGL__KIND__gang) {
+		enqueue_gang(sh, j, now);
+		return;
+	}
+	for (uint32_t i = 0; i < j->ntasks; i++) {
+		struct ogl_task *t = &j->tasks[i];
+
+		if (task_waits(t))
+			t->work = push_work(sh, j, i, 1, now);
+	}
+}
+
+static void
+forget_work(struct ogl_shard *sh, uint64_t work)
+{
+	int64_t key = (int64_t)work;
+
+	g_hash_table_remove(sh->works, &key);
+}
+
+void
+ogl_sched_unqueue(struct ogl_shard *sh, struct ogl_job *j)
+{
+	for (uint32_t i = 0; i < j->ntasks; i++) {
+		struct ogl_task *t = &j->tasks[i];
+
+		if (t->phase != OGL_TASK_WAITING || t->work == 0)
+			continue;
+		ogl_queue_remove(sh->queue, t->work);
+		forget_work(sh, t->work);
+		t->work = 0;
+	}
+	ogl_place_unreserve(sh->placer, j->number);
+}
+
+/* ---- binding ---------------------------------------------------------- */
+
+static void
+bind(struct ogl_shard *sh, struct ogl_session *s, struct ogl_job *j,
+    uint32_t i, uint32_t attempt, ogl_time now)
+{
+	struct ogl_task *t = &j->tasks[i];
+	struct ogl_tref *ref = g_new0(struct ogl_tref, 1);
+
+	ref->job = j;
+	ref->index = i;
+	g_ptr_array_add(s->tasks, ref);
+	t->phase = OGL_TASK_PLACED;
+	t->worker = s->number;
+	t->attempt = attempt;
+	t->running = false;
+	t->stopping = false;
+	t->since = now;
+	j->nplaced++;
+	sh->nplaced++;
+	each_level(j->team, add_held, sh, 1);
+}
+
+bool
+ogl_sched_bind(struct ogl_shard *sh, struct ogl_session *s,
+    struct ogl_job *j, uint32_t i, uint32_t attempt, ogl_time now)
+{
+	struct ogl_ask ask;
+
+	if (j->number == 0)
+		j->number = ++sh->job_number;
+	ask_of(j, &ask);
+	if (!s->placed || !ogl_place_hold(sh->placer, s->place, &ask))
+		return false;
+	bind(sh, s, j, i, attempt, now);
+	return true;
+}
+
+static void
+remove_ref(struct ogl_session *s, const struct ogl_job *j, uint32_t i)
+{
+	for (guint k = 0; k < s->tasks->len; k++) {
+		const struct ogl_tref *r = g_ptr_array_index(s->tasks, k);
+
+		if (r->job == j && r->index == i) {
+			g_ptr_array_remove_index_fast(s->tasks, k);
+			return;
+		}
+	}
+}
+
+void
+ogl_sched_unbind(struct ogl_shard *sh, struct ogl_job *j, uint32_t i,
+    bool ok, ogl_time now)
+{
+	struct ogl_task *t = &j->tasks[i];
+	struct ogl_session *s;
+	struct ogl_ask ask;
+	uint64_t work = t->work;
+
+	if (t->phase != OGL_TASK_PLACED)
+		return;
+	s = g_ptr_array_index(sh->sessions, t->worker);
+	remove_ref(s, j, i);
+	ask_of(j, &ask);
+	if (s->placed) {
+		ogl_place_free(sh->placer, s->place, &ask);
+		ogl_place_result(sh->placer, s->place, j->number, ok, now);
+	}
+	t->phase = OGL_TASK_WAITING;
+	t->running = false;
+	t->stopping = false;
+	t->work = 0;
+	j->nplaced--;
+	sh->nplaced--;
+	each_level(j->team, add_held, sh, -1);
+	if (work != 0 && (j->spec->kind != OGL__KIND__gang || j->nplaced == 0))
+		ogl_queue_ended(sh->queue, work, ok, now);
+	sh->place_due = true;
+}
+
+void
+ogl_sched_stop_job(struct ogl_shard *sh, struct ogl_job *j,
+    Ogl__StopMode mode, ogl_time now)
+{
+	for (uint32_t i = 0; i < j->ntasks; i++)
+		stop_one(sh, j, i, mode, now);
+}
+
+/* ---- placing ---------------------------------------------------------- */
+
+/* Attempt numbers rise for each task, also from one owner to the next, so
+ * that a report on an earlier attempt is never taken for one on ours. */
+static uint32_t
+new_attempt(const struct ogl_shard *sh, const struct ogl_task *t)
+{
+	return MAX(t->attempt + 1, sh->state->claims << ATTEMPT_BITS);
+}
+
+static void
+start_on(struct ogl_shard *sh, struct ogl_job *j, uint32_t i, uint32_t place,
+    uint64_t work, ogl_time now)
+{
+	struct ogl_session *s = g_ptr_array_index(sh->by_place, place);
+
+	bind(sh, s, j, i, new_attempt(sh, &j->tasks[i]), now);
+	j->tasks[i].work = work;
+	ogl_session_wake(s, now);
+	sh->env->counters->starts++;
+}
+
+static bool
+start_gang(struct ogl_shard *sh, struct ogl_job *j, const struct ogl_work *w,
+    ogl_time now)
+{
+	uint32_t *at = g_new(uint32_t, w->tasks);
+	struct ogl_ask ask;
+	uint32_t k = 0;
+	bool ok;
+
+	ask_of(j, &ask);
+	ok = ogl_place_gang(sh->placer, &ask, w->tasks, now, at);
+	if (!ok) {
+		ogl_place_reserve(sh->placer, j->number, &ask, w->tasks,
+		    now + GANG_RESERVE_S * OGL_SEC, now);
+		g_free(at);
+		return false;
+	}
+	ogl_place_unreserve(sh->placer, j->number);
+	for (uint32_t i = 0; i < j->ntasks; i++) {
+		if (j->tasks[i].phase == OGL_TASK_WAITING &&
+		    j->tasks[i].work == w->id)
+			start_on(sh, j, i, at[k++], w->id, now);
+	}
+	g_free(at);
+	return true;
+}
+
+static bool
+start_work(struct ogl_shard *sh, const struct ogl_work *w, ogl_time now)
+{
+	int64_t key = (int64_t)w->id;
+	struct ogl_work_ref *ref = g_hash_table_lookup(sh->works, &key);
+	struct ogl_ask ask;
+	uint32_t place;
+
+	if (!limits_allow(sh, ref->job->team, w->tasks))
+		return false;
+	if (ref->job->spec->kind == OGL__KIND__gang)
+		return start_gang(sh, ref->job, w, now);
+	ask_of(ref->job, &ask);
+	if (!ogl_place_task(sh->placer, &ask, now, &place))
+		return false;
+	start_on(sh, ref->job, ref->index, place, w->id, now);
+	return true;
+}
+
+void
+ogl_sched_place(struct ogl_shard *sh, ogl_time now)
+{
+	struct ogl_work w;
+	int misses = 0;
+	int placed = 0;
+
+	sh->place_due = false;
+	ogl_queue_again(sh->queue, now);
+	while (placed < PLACE_MOST && misses < PLACE_MISSES &&
+	    ogl_queue_pop(sh->queue, now, &w)) {
+		if (start_work(sh, &w, now)) {
+			ogl_queue_started(sh->queue, &w, now);
+			forget_work(sh, w.id);
+			misses = 0;
+			placed++;
+		} else {
+			ogl_queue_back(sh->queue, w.id, now);
+			misses++;
+		}
+	}
+	if (placed == PLACE_MOST)
+		sh->place_due = true;
+}
--- /dev/null
+++ b/src/session.c
@@ -0,0 +1,802 @@
+/*
+ * The owner's conversations with workers.
+ *
+ * One message at a time goes to each worker, every sync_ms or as soon as
+ * there is something to say; it carries all starts, stops and acks for the
+ * worker and one lease renewal for all its tasks.  Messages carry (epoch,
+ * seq); a worker passes over any that is not above what it has seen, so an
+ * old owner, or a copy that lay in a buffer, does nothing there.
+ *
+ * Leases are counted on the worker's clock.  Each answer carries the clock's
+ * reading X; the next message renews "until X + lease_ms".  However long the
+ * message is under way, and however long either side is paused, the lease
+ * ends at most lease_ms after we received X, on our clock.  So once that
+ * time and a margin for clock drift are over, a silent worker runs nothing
+ * of ours, and its tasks may start elsewhere.  The same X bounds start
+ * commands.
+ *
+ * A worker is recorded as in use before the first start there, and as no
+ * longer in use once its leases have run out unheard.  A successor therefore
+ * knows every worker where something may run.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "shard_impl.h"
+
+#define DRIFT_SHARE 10 /* a tenth of the lease covers clock drift */
+
+static void
+tref_free(void *v)
+{
+	g_free(v);
+}
+
+static void
+stop_free(void *v)
+{
+	ogl__task_stop__free_unpacked(v, NULL);
+}
+
+static void
+ack_free(void *v)
+{
+	ogl__task_ack__free_unpacked(v, NULL);
+}
+
+static void
+session_free(void *v)
+{
+	struct ogl_session *s = v;
+
+	g_ptr_array_free(s->tasks, TRUE);
+	g_ptr_array_free(s->stops, TRUE);
+	g_ptr_array_free(s->acks, TRUE);
+	g_free(s->name);
+	g_free(s->addr);
+	g_free(s->zone);
+	g_free(s->rack);
+	g_free(s);
+}
+
+void
+ogl_sessions_init(struct ogl_shard *sh)
+{
+	sh->sessions = g_ptr_array_new_with_free_func(session_free);
+	sh->by_place = g_ptr_array_new();
+	sh->by_worker = g_hash_table_new(g_str_hash, g_str_equal);
+	sh->by_token = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+	    g_free, NULL);
+	sh->next_hosts = 0;
+}
+
+void
+ogl_sessions_end(struct ogl_shard *sh)
+{
+	g_clear_pointer(&sh->by_token, g_hash_table_destroy);
+	g_clear_pointer(&sh->by_place, g_ptr_array_unref);
+	g_clear_pointer(&sh->by_worker, g_hash_table_destroy);
+	g_clear_pointer(&sh->sessions, g_ptr_array_unref);
+}
+
+void
+ogl_session_wake(struct ogl_session *s, ogl_time now)
+{
+	ogl_time soon = MAX(now, s->sent_at + OGL_SYNC_GAP_MS * OGL_MS);
+
+	if (s->fails == 0)
+		s->next_sync = MIN(s->next_sync, soon);
+}
+
+static struct ogl_session *
+session_new(struct ogl_shard *sh, const char *name, const char *addr,
+    ogl_time now)
+{
+	struct ogl_session *s = g_new0(struct ogl_session, 1);
+
+	s->name = g_strdup(name);
+	s->addr = g_strdup(addr);
+	s->zone = g_strdup("");
+	s->rack = g_strdup("");
+	s->number = sh->sessions->len;
+	s->tasks = g_ptr_array_new_with_free_func(tref_free);
+	s->stops = g_ptr_array_new_with_free_func(stop_free);
+	s->acks = g_ptr_array_new_with_free_func(ack_free);
+	s->next_sync = now;
+	s->on = g_hash_table_contains(sh->state->workers, name);
+	g_ptr_array_add(sh->sessions, s);
+	g_hash_table_insert(sh->by_worker, s->name, s);
+	return s;
+}
+
+/* ---- which workers ---------------------------------------------------- */
+
+static bool
+host_is_ours(const struct ogl_shard *sh, const struct ogl_host *h)
+{
+	uint64_t x = ogl_random_hash(h->name, strlen(h->name));
+
+	return h->role == OGL__HOST_ROLE__worker &&
+	    x % sh->env->cfg->shards == sh->index;
+}
+
+static void
+set_open(struct ogl_shard *sh, struct ogl_session *s)
+{
+	bool open = s->known && s->on && !s->leaving && !s->want_full;
+
+	if (!s->placed)
+		return;
+	ogl_place_set(sh->placer, s->place,
+	    open ? OGL_PLACE_OPEN : OGL_PLACE_CLOSED);
+	sh->place_due |= open;
+}
+
+static void
+take_host(struct ogl_shard *sh, const struct ogl_host *h, ogl_time now)
+{
+	struct ogl_session *s = g_hash_table_lookup(sh->by_worker, h->name);
+
+	if (s == NULL) {
+		if (!h->listed)
+			return;
+		s = session_new(sh, h->name, h->addr, now);
+	}
+	if (strcmp(s->addr, h->addr) != 0) {
+		g_free(s->addr);
+		s->addr = g_strdup(h->addr);
+	}
+	if (h->listed && s->gone) {
+		s->gone = false;
+		s->next_sync = now;
+	}
+	if (s->leaving != (h->leaving || !h->listed)) {
+		s->leaving = h->leaving || !h->listed;
+		set_open(sh, s);
+	}
+}
+
+/* The lagging list says whom to talk to; that a worker is missing there is
+ * no proof that it stopped, only its leases running out is. */
+void
+ogl_sessions_hosts(struct ogl_shard *sh, ogl_time now)
+{
+	GHashTableIter it;
+	void *k, *v;
+
+	g_hash_table_iter_init(&it, sh->env->hosts);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		if (host_is_ours(sh, v))
+			take_host(sh, v, now);
+	}
+	g_hash_table_iter_init(&it, sh->state->workers);
+	while (g_hash_table_iter_next(&it, &k, &v)) {
+		if (!g_hash_table_contains(sh->by_worker, k))
+			session_new(sh, k, v, now);
+	}
+}
+
+/* ---- leases ----------------------------------------------------------- */
+
+static ogl_time
+drift(const struct ogl_shard *sh)
+{
+	return sh->env->cfg->lease_ms * OGL_MS / DRIFT_SHARE;
+}
+
+/* When the worker has surely stopped all that we or an earlier owner started
+ * there, if it is not heard any more. */
+static ogl_time
+silent_end(const struct ogl_shard *sh, const struct ogl_session *s)
+{
+	ogl_time t = s->lease_end > 0 ? s->lease_end + drift(sh) : 0;
+
+	if (!s->known && s->on)
+		t = MAX(t, sh->limbo_until);
+	return t;
+}
+
+static void
+lapse_all(struct ogl_shard *sh, struct ogl_session *s, const char *why,
+    ogl_time now)
+{
+	for (guint i = s->tasks->len; i > 0; i--) {
+		struct ogl_tref *t = g_ptr_array_index(s->tasks, i - 1);
+		struct ogl_job *j = t->job;
+		uint32_t index = t->index;
+
+		sh->env->counters->lapses++;
+		ogl_shard_task_end(sh, j, index, OGL__TASK_STATE__lapsed,
+		    why, now);
+	}
+}
+
+/* Nothing of ours is left on a silent worker. */
+static void
+write_off(struct ogl_shard *sh, struct ogl_session *s, ogl_time now)
+{
+	Ogl__Record *r;
+
+	lapse_all(sh, s, "its worker was lost", now);
+	s->known = false;
+	s->lease_end = 0;
+	if (s->placed) {
+		ogl_place_drop(sh->placer, s->place);
+		s->placed = false;
+	}
+	g_ptr_array_set_size(s->stops, 0);
+	g_ptr_array_set_size(s->acks, 0);
+	if (s->on) {
+		s->on = false;
+		s->asked_on = false;
+		r = ogl_shard_record(sh, now);
+		r->body_case = OGL__RECORD__BODY_WORKER_OFF;
+		r->worker_off = malloc(sizeof *r->worker_off);
+		ogl__worker_off__init(r->worker_off);
+		r->worker_off->worker = strdup(s->name);
+		ogl_shard_append(sh, r, now);
+		ogl_shard_log(sh, OGL_LOG_WARN, "worker %s is written off",
+		    s->name);
+	}
+}
+
+bool
+ogl_sessions_unknown(const struct ogl_shard *sh)
+{
+	for (guint i = 0; i < sh->sessions->len; i++) {
+		const struct ogl_session *s =
+		    g_ptr_array_index(sh->sessions, i);
+
+		if (s->on && !s->known)
+			return true;
+	}
+	return false;
+}
+
+/* ---- sending ---------------------------------------------------------- */
+
+static void
+add_start(Ogl__WorkerSync *m, const struct ogl_session *s,
+    const struct ogl_tref *ref)
+{
+	const struct ogl_job *j = ref->job;
+	const struct ogl_task *t = &j->tasks[ref->index];
+	Ogl__TaskStart *st = malloc(sizeof *st);
+
+	ogl__task_start__init(st);
+	st->task = g_strdup_printf("%s.%u", j->id, ref->index);
+	st->attempt = t->attempt;
+	st->team = strdup(j->team);
+	st->kind = j->spec->kind;
+	st->run_ms = j->spec->run_ms;
+	st->payload = strdup(j->spec->payload);
+	st->latest_start_ms = s->clock_ms + OGL_START_MS;
+	st->res = malloc(sizeof *st->res);
+	ogl__res__init(st->res);
+	if (j->spec->res != NULL) {
+		st->res->cpu_milli = j->spec->res->cpu_milli;
+		st->res->mem_mb = j->spec->res->mem_mb;
+		st->res->accel = j->spec->res->accel;
+	}
+	m->start[m->n_start++] = st;
+}
+
+static void
+add_starts(Ogl__WorkerSync *m, const struct ogl_session *s)
+{
+	m->start = calloc(s->tasks->len + 1, sizeof(void *));
+	for (guint i = 0; i < s->tasks->len; i++) {
+		const struct ogl_tref *ref = g_ptr_array_index(s->tasks, i);
+		const struct ogl_task *t = &ref->job->tasks[ref->index];
+
+		if (m->n_start == OGL_SYNC_TASKS)
+			break;
+		if (!t->running && !t->ending && !t->stopping)
+			add_start(m, s, ref);
+	}
+}
+
+static void
+add_stops(Ogl__WorkerSync *m, const struct ogl_session *s)
+{
+	m->stop = calloc(s->stops->len + 1, sizeof(void *));
+	for (guint i = 0; i < s->stops->len; i++) {
+		const Ogl__TaskStop *from = g_ptr_array_index(s->stops, i);
+		Ogl__TaskStop *st = malloc(sizeof *st);
+
+		ogl__task_stop__init(st);
+		st->task = strdup(from->task);
+		st->attempt = from->attempt;
+		st->mode = from->mode;
+		m->stop[m->n_stop++] = st;
+	}
+}
+
+/* Acks are sent once: a worker that misses one reports the end again. */
+static void
+add_acks(Ogl__WorkerSync *m, struct ogl_session *s)
+{
+	m->ack = calloc(s->acks->len + 1, sizeof(void *));
+	for (guint i = 0; i < s->acks->len; i++)
+		m->ack[m->n_ack++] = g_ptr_array_index(s->acks, i);
+	g_ptr_array_set_free_func(s->acks, NULL);
+	g_ptr_array_set_size(s->acks, 0);
+	g_ptr_array_set_free_func(s->acks, ack_free);
+}
+
+static uint64_t
+track_token(struct ogl_shard *sh, struct ogl_session *s)
+{
+	int64_t *key = g_new(int64_t, 1);
+
+	/* The upper half of the shard's tokens belongs to sessions. */
+	sh->token_count = (sh->token_count + 1) & 0x7fffffff;
+	*key = (int64_t)(ogl_shard_token_base(sh->index) | 0x80000000u |
+	    sh->token_count);
+	g_hash_table_insert(sh->by_token, key, s);
+	return (uint64_t)*key;
+}
+
+static void
+send_sync(struct ogl_shard *sh, struct ogl_session *s, ogl_time now)
+{
+	const struct ogl_node_config *c = sh->env->cfg;
+	Ogl__WorkerSync *m = malloc(sizeof *m);
+	struct ogl_action *a;
+
+	ogl__worker_sync__init(m);
+	m->shard = sh->index;
+	m->epoch = sh->state->epoch;
+	m->seq = ++s->seq;
+	m->owner = strdup(c->name);
+	/* After a lost answer differences may be missing: ask for all. */
+	m->full = !s->known || s->want_full || s->fails > 0;
+	if (s->known && s->on && !s->want_full) {
+		m->lease_from_ms = s->clock_ms;
+		m->lease_ms = c->lease_ms;
+		s->lease_end = MAX(s->lease_end,
+		    s->clock_at + c->lease_ms * OGL_MS);
+		add_starts(m, s);
+	}
+	add_stops(m, s);
+	add_acks(m, s);
+	a = ogl_actions_new(sh->env->out, OGL_ACT_WORKER);
+	a->addr = g_strdup(s->addr);
+	a->name = g_strdup(s->name);
+	a->timeout_ms = OGL_SYNC_TIMEOUT_MS;
+	a->token = track_token(sh, s);
+	a->sync = m;
+	s->token = a->token;
+	s->sent_at = now;
+	sh->env->counters->syncs++;
+}
+
+/* ---- answers ---------------------------------------------------------- */
+
+/* Splits "<job>.<index>"; false when it is none of ours. */
+static bool
+task_of(struct ogl_shard *sh, const char *name, struct ogl_job **j,
+    uint32_t *index)
+{
+	const char *dot = strrchr(name, '.');
+	char *id, *end;
+	guint64 n;
+
+	*j = NULL;
+	if (dot == NULL)
+		return false;
+	n = g_ascii_strtoull(dot + 1, &end, 10);
+	if (end == dot + 1 || *end != '\0' || n > UINT32_MAX)
+		return false;
+	id = g_strndup(name, (gsize)(dot - name));
+	*j = g_hash_table_lookup(sh->state->jobs, id);
+	g_free(id);
+	*index = (uint32_t)n;
+	return *j != NULL && *index < (*j)->ntasks;
+}
+
+static void
+push_ack(struct ogl_session *s, const char *task, uint32_t attempt)
+{
+	Ogl__TaskAck *a = malloc(sizeof *a);
+
+	ogl__task_ack__init(a);
+	a->task = strdup(task);
+	a->attempt = attempt;
+	g_ptr_array_add(s->acks, a);
+}
+
+void
+ogl_session_ack(struct ogl_shard *sh, const char *worker, const char *job,
+    uint32_t index, uint32_t attempt)
+{
+	struct ogl_session *s = g_hash_table_lookup(sh->by_worker, worker);
+	char *task;
+
+	if (s == NULL)
+		return;
+	task = g_strdup_printf("%s.%u", job, index);
+	push_ack(s, task, attempt);
+	g_free(task);
+}
+
+static void
+drop_stop(struct ogl_session *s, const char *task, uint32_t attempt)
+{
+	for (guint i = 0; i < s->stops->len; i++) {
+		const Ogl__TaskStop *st = g_ptr_array_index(s->stops, i);
+
+		if (st->attempt == attempt && strcmp(st->task, task) == 0) {
+			g_ptr_array_remove_index_fast(s->stops, i);
+			return;
+		}
+	}
+}
+
+static void
+push_stop(struct ogl_session *s, const char *task, uint32_t attempt,
+    Ogl__StopMode mode)
+{
+	Ogl__TaskStop *st;
+
+	drop_stop(s, task, attempt);
+	st = malloc(sizeof *st);
+	ogl__task_stop__init(st);
+	st->task = strdup(task);
+	st->attempt = attempt;
+	st->mode = mode;
+	g_ptr_array_add(s->stops, st);
+}
+
+void
+ogl_session_stop_task(struct ogl_session *s, const char *job, uint32_t index,
+    uint32_t attempt, Ogl__StopMode mode, ogl_time now)
+{
+	char *task = g_strdup_printf("%s.%u", job, index);
+
+	push_stop(s, task, attempt, mode);
+	g_free(task);
+	ogl_session_wake(s, now);
+}
+
+static bool
+state_live(Ogl__TaskState st)
+{
+	return st == OGL__TASK_STATE__running ||
+	    st == OGL__TASK_STATE__throttled;
+}
+
+/* Whether the task is bound to this very worker and attempt. */
+static bool
+bound_here(const struct ogl_session *s, const struct ogl_task *t,
+    uint32_t attempt)
+{
+	return t->phase == OGL_TASK_PLACED && t->worker == s->number &&
+	    t->attempt == attempt;
+}
+
+/* A running task: ours, one an earlier owner left, or one to be stopped. */
+static void
+take_live(struct ogl_shard *sh, struct ogl_session *s,
+    const Ogl__TaskReport *r, struct ogl_job *j, uint32_t i, ogl_time now)
+{
+	struct ogl_task *t = j != NULL ? &j->tasks[i] : NULL;
+
+	if (t != NULL && bound_here(s, t, r->attempt)) {
+		t->running = true;
+		return;
+	}
+	if (t != NULL && t->phase == OGL_TASK_WAITING && !t->ending &&
+	    !ogl_job_ended(j) && r->attempt >= t->attempt && sh->limbo &&
+	    ogl_sched_bind(sh, s, j, i, r->attempt, now)) {
+		j->tasks[i].running = true;
+		return;
+	}
+	if (t != NULL && t->phase == OGL_TASK_PLACED &&
+	    t->worker != s->number) {
+		sh->env->counters->double_found++;
+		ogl_shard_log(sh, OGL_LOG_ERROR,
+		    "task %s found on a second worker %s", r->task, s->name);
+	}
+	push_stop(s, r->task, r->attempt, OGL__STOP_MODE__stop);
+	ogl_session_wake(s, now);
+}
+
+/* A task refused by the worker has never run: it simply waits again. */
+static void
+take_refused(struct ogl_shard *sh, struct ogl_session *s,
+    const Ogl__TaskReport *r, struct ogl_job *j, uint32_t i, ogl_time now)
+{
+	push_ack(s, r->task, r->attempt);
+	ogl_sched_unbind(sh, j, i, true, now);
+	j->tasks[i].phase = OGL_TASK_WAITING;
+	ogl_sched_enqueue(sh, j, now);
+}
+
+static void
+take_ended(struct ogl_shard *sh, struct ogl_session *s,
+    const Ogl__TaskReport *r, struct ogl_job *j, uint32_t i, ogl_time now)
+{
+	struct ogl_task *t = j != NULL ? &j->tasks[i] : NULL;
+	bool orphan;
+
+	drop_stop(s, r->task, r->attempt);
+	if (t != NULL && t->ending && t->attempt == r->attempt)
+		return; /* on its way to the log; the ack follows */
+	orphan = t != NULL && t->phase == OGL_TASK_WAITING && sh->limbo &&
+	    r->attempt > t->attempt;
+	if (t == NULL || !(orphan || bound_here(s, t, r->attempt))) {
+		push_ack(s, r->task, r->attempt);
+		return;
+	}
+	if (r->state == OGL__TASK_STATE__refused) {
+		if (orphan)
+			push_ack(s, r->task, r->attempt);
+		else
+			take_refused(sh, s, r, j, i, now);
+		return;
+	}
+	if (orphan && !ogl_sched_bind(sh, s, j, i, r->attempt, now))
+		return;
+	ogl_shard_task_end(sh, j, i, r->state, r->reason, now);
+}
+
+static void
+take_task(struct ogl_shard *sh, struct ogl_session *s,
+    const Ogl__TaskReport *r, ogl_time now)
+{
+	struct ogl_job *j;
+	uint32_t i = 0;
+
+	if (!task_of(sh, r->task, &j, &i))
+		j = NULL;
+	if (state_live(r->state))
+		take_live(sh, s, r, j, i, now);
+	else
+		take_ended(sh, s, r, j, i, now);
+}
+
+/* After a full report: bound tasks it doesn't name are lost, unless their
+ * start went out with this very message or has yet to go out. */
+static void
+drop_unnamed(struct ogl_shard *sh, struct ogl_session *s,
+    const Ogl__WorkerReport *r, ogl_time now)
+{
+	GHashTable *named = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (size_t i = 0; i < r->n_tasks; i++)
+		g_hash_table_add(named, r->tasks[i]->task);
+	for (guint i = s->tasks->len; i > 0; i--) {
+		struct ogl_tref ref = *(struct ogl_tref *)g_ptr_array_index(
+		    s->tasks, i - 1);
+		char *name = g_strdup_printf("%s.%u", ref.job->id,
+		    ref.index);
+
+		if (!g_hash_table_contains(named, name) &&
+		    ref.job->tasks[ref.index].running) {
+			sh->env->counters->lapses++;
+			ogl_shard_task_end(sh, ref.job, ref.index,
+			    OGL__TASK_STATE__lapsed,
+			    "its worker started anew", now);
+		}
+		g_free(name);
+	}
+	g_hash_table_destroy(named);
+}
+
+static void
+take_capacity(struct ogl_shard *sh, struct ogl_session *s,
+    const Ogl__WorkerReport *r)
+{
+	struct ogl_res cap = {0};
+
+	if (r->capacity != NULL) {
+		cap.cpu_milli = r->capacity->cpu_milli;
+		cap.mem_mb = r->capacity->mem_mb;
+		cap.accel = r->capacity->accel;
+	}
+	if (s->placed && memcmp(&cap, &s->capacity, sizeof cap) == 0)
+		return;
+	g_free(s->zone);
+	g_free(s->rack);
+	s->zone = g_strdup(r->zone);
+	s->rack = g_strdup(r->rack);
+	s->capacity = cap;
+	s->place = ogl_place_worker(sh->placer, s->name, &cap, s->zone,
+	    s->rack);
+	s->placed = true;
+	if (sh->by_place->len <= s->place)
+		g_ptr_array_set_size(sh->by_place, (gint)s->place + 1);
+	g_ptr_array_index(sh->by_place, s->place) = s;
+}
+
+/* Asks the log to note that the worker is in use from here on. */
+static void
+ask_on(struct ogl_shard *sh, struct ogl_session *s, ogl_time now)
+{
+	Ogl__Record *r;
+
+	if (s->on || s->asked_on || s->leaving)
+		return;
+	s->asked_on = true;
+	r = ogl_shard_record(sh, now);
+	r->body_case = OGL__RECORD__BODY_WORKER_ON;
+	r->worker_on = malloc(sizeof *r->worker_on);
+	ogl__worker_on__init(r->worker_on);
+	r->worker_on->worker = strdup(s->name);
+	r->worker_on->addr = strdup(s->addr);
+	ogl_shard_append(sh, r, now);
+}
+
+void
+ogl_session_worker(struct ogl_shard *sh, const char *name, bool on,
+    ogl_time now)
+{
+	struct ogl_session *s = g_hash_table_lookup(sh->by_worker, name);
+
+	if (s == NULL || !on)
+		return;
+	s->asked_on = false;
+	s->on = true;
+	set_open(sh, s);
+	ogl_session_wake(s, now);
+}
+
+static void
+take_report(struct ogl_shard *sh, struct ogl_session *s,
+    const Ogl__WorkerReport *r, ogl_time now)
+{
+	bool was_known = s->known;
+
+	if (was_known && r->boot != s->boot && !r->full) {
+		/* It restarted: what it names is not all we must know. */
+		s->want_full = true;
+		set_open(sh, s);
+		s->next_sync = now;
+		return;
+	}
+	s->boot = r->boot;
+	s->clock_ms = r->clock_ms;
+	s->clock_at = now;
+	s->leaving |= r->leaving;
+	take_capacity(sh, s, r);
+	for (size_t i = 0; i < r->n_tasks; i++)
+		take_task(sh, s, r->tasks[i], now);
+	if (r->full) {
+		drop_unnamed(sh, s, r, now);
+		s->known = true;
+		s->want_full = false;
+	}
+	ask_on(sh, s, now);
+	set_open(sh, s);
+	if (!was_known && s->known)
+		ogl_session_wake(s, now);
+}
+
+static bool
+has_more_to_say(const struct ogl_session *s)
+{
+	if (s->acks->len > 0)
+		return true;
+	for (guint i = 0; i < s->tasks->len; i++) {
+		const struct ogl_tref *ref = g_ptr_array_index(s->tasks, i);
+		const struct ogl_task *t = &ref->job->tasks[ref->index];
+
+		if (!t->running && !t->ending && !t->stopping)
+			return true;
+	}
+	return false;
+}
+
+static void
+on_silence(struct ogl_shard *sh, struct ogl_session *s, ogl_time now)
+{
+	uint32_t wait = sh->env->cfg->sync_ms;
+
+	sh->env->counters->sync_fails++;
+	s->fails++;
+	/* Far below the lease at first, so one loss costs no lease; a worker
+	 * long silent is asked seldom. */
+	wait = s->fails < 5 ? wait / 4 : wait * 2;
+	s->next_sync = now + wait * OGL_MS;
+}
+
+void
+ogl_sessions_event(struct ogl_shard *sh, const struct ogl_event *ev,
+    ogl_time now)
+{
+	int64_t key = (int64_t)ev->token;
+	struct ogl_session *s = g_hash_table_lookup(sh->by_token, &key);
+
+	if (s == NULL)
+		return;
+	g_hash_table_remove(sh->by_token, &key);
+	if (s->token != ev->token)
+		return;
+	s->token = 0;
+	if (ev->io != OGL_IO_OK || ev->u.worker == NULL ||
+	    strcmp(ev->u.worker->worker, s->name) != 0) {
+		on_silence(sh, s, now);
+		return;
+	}
+	if (ev->u.worker->refused || ev->u.worker->epoch > sh->state->epoch) {
+		/* Somebody with a higher epoch was there: see who. */
+		sh->env->counters->set_aside++;
+		ogl_stream_read_now(sh->stream, now);
+		s->next_sync = now + sh->env->cfg->sync_ms * OGL_MS;
+		s->seq = MAX(s->seq, ev->u.worker->seq);
+		return;
+	}
+	s->fails = 0;
+	s->heard = now;
+	s->next_sync = now + sh->env->cfg->sync_ms * OGL_MS;
+	take_report(sh, s, ev->u.worker, now);
+	if (has_more_to_say(s))
+		ogl_session_wake(s, now);
+}
+
+/* ---- time ------------------------------------------------------------- */
+
+static void
+session_tick(struct ogl_shard *sh, struct ogl_session *s, ogl_time now)
+{
+	ogl_time end = silent_end(sh, s);
+
+	if (end > 0 && now >= end && (s->known || s->on))
+		write_off(sh, s, now);
+	if (!s->on && !s->known && s->leaving && s->tasks->len == 0)
+		s->gone = true;
+	if (s->gone || s->token != 0 || now < s->next_sync)
+		return;
+	if (ogl_shard_may_act(sh, now))
+		send_sync(sh, s, now);
+	else
+		s->next_sync = now + sh->env->cfg->sync_ms * OGL_MS / 4;
+}
+
+/* A sync whose adapter never answers counts as silence. */
+static void
+give_up_silent(struct ogl_shard *sh, struct ogl_session *s, ogl_time now)
+{
+	if (s->token == 0 ||
+	    now - s->sent_at < 2 * OGL_SYNC_TIMEOUT_MS * OGL_MS)
+		return;
+	int64_t key = (int64_t)s->token;
+	g_hash_table_remove(sh->by_token, &key);
+	s->token = 0;
+	on_silence(sh, s, now);
+}
+
+void
+ogl_sessions_tick(struct ogl_shard *sh, ogl_time now)
+{
+	if (now >= sh->next_hosts) {
+		sh->next_hosts = now + OGL_SEC;
+		ogl_sessions_hosts(sh, now);
+	}
+	for (guint i = 0; i < sh->sessions->len; i++) {
+		struct ogl_session *s = g_ptr_array_index(sh->sessions, i);
+
+		give_up_silent(sh, s, now);
+		session_tick(sh, s, now);
+	}
+}
+
+ogl_time
+ogl_sessions_next(const struct ogl_shard *sh, ogl_time now)
+{
+	ogl_time t = sh->next_hosts;
+
+	for (guint i = 0; i < sh->sessions->len; i++) {
+		const struct ogl_session *s =
+		    g_ptr_array_index(sh->sessions, i);
+		ogl_time end = silent_end(sh, s);
+
+		if (!s->gone && s->token == 0)
+			t = MIN(t, s->next_sync);
+		if (end > now && (s->known || s->on))
+			t = MIN(t, end);
+	}
+	return t;
+}
--- /dev/null
+++ b/src/shard.c
@@ -0,0 +1,861 @@
+/*
+ * One shard: who owns it, and what its owner does.
+ *
+ * Ownership.  Every node knows from gossip who owns a shard.  When that node
+ * is dead, has left or offers the shard, the live node with the highest
+ * rendezvous weight reads the shard's stream to its end and appends a claim
+ * that names the epoch it found.  The first such claim in log order counts;
+ * its claimant learns so by reading it back, and so does the old owner.
+ *
+ * Fencing.  The new owner contacts every worker recorded as in use under its
+ * epoch.  One that answers will obey no older epoch and tells all it runs.
+ * Tasks of jobs accepted before the claim are in limbo, that is, not started
+ * anywhere, until each of these workers has answered or its leases are
+ * surely over.  The old owner's right to act ends right_ms after it last saw
+ * the end of the stream without a claim, so that is claimed_at + right_ms +
+ * lease_ms and a margin.
+ *
+ * Outage.  While the log is down nobody can claim, but an owner cannot tell
+ * that from being cut off alone.  It may go on beyond right_ms as long as
+ * every named successor promises not to claim; a claim by anybody else waits
+ * out late_claim_ms before it trusts silent workers' leases to be over, and
+ * no owner lives on promises longer than that after its last log contact.
+ */
+
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "shard_impl.h"
+
+enum {
+	TOKEN_PART = 1,	       /* top byte of a shard's tokens */
+	OWNER_POLL_MS = 500,   /* an owner looks for rival claims */
+	OFFER_POLL_MS = 50,    /* and more often once it offers the shard */
+	READER_POLL_MS = 100,  /* a claimant waits for its claim */
+	OUTRANKED_S = 10,      /* a better placed node must live so long */
+	UNAWARE_MS = 3000,     /* an owner by the log that does not say so */
+	NAMED = 2,	       /* successors named */
+	HOLD_MS = 3000,	       /* a promise lasts so long */
+	PROMISE_EVERY_MS = 500,
+	LIMITS_EVERY_MS = 250,
+	LOG_UP_MS = 1500       /* contact within this time: the log is up */
+};
+
+void
+ogl_shard_log(struct ogl_shard *sh, enum ogl_log_level level,
+    const char *fmt, ...)
+{
+	struct ogl_action *a = ogl_actions_new(sh->env->out,
+	    OGL_ACT_LOG_LINE);
+	GString *line = g_string_new(NULL);
+	va_list ap;
+
+	g_string_printf(line, "shard %u: ", sh->index);
+	va_start(ap, fmt);
+	g_string_append_vprintf(line, fmt, ap);
+	va_end(ap);
+	a->level = level;
+	a->name = g_strdup("shard");
+	a->data = g_string_free_to_bytes(line);
+}
+
+uint64_t
+ogl_shard_token_base(uint32_t index)
+{
+	return (uint64_t)TOKEN_PART << 56 | (uint64_t)index << 32;
+}
+
+int64_t
+ogl_shard_of_token(uint64_t token)
+{
+	if (token >> 56 != TOKEN_PART)
+		return -1;
+	return (int64_t)(token >> 32 & 0xffffff);
+}
+
+struct ogl_shard *
+ogl_shard_init(struct ogl_shard_env *env, uint32_t index, ogl_time now)
+{
+	struct ogl_shard *sh = g_new0(struct ogl_shard, 1);
+
+	sh->env = env;
+	sh->index = index;
+	sh->ownerless_since = now;
+	return sh;
+}
+
+/* Back to a node that has nothing to do with the shard. */
+static void
+leave_role(struct ogl_shard *sh, ogl_time now)
+{
+	if (sh->role == OGL_ROLE_OWNER) {
+		ogl_shardcall_end(sh, now);
+		ogl_escrow_end(sh);
+		ogl_sessions_end(sh);
+		ogl_sched_end(sh);
+		g_clear_pointer(&sh->promises, g_hash_table_destroy);
+	}
+	g_clear_pointer(&sh->stream, ogl_stream_end);
+	g_clear_pointer(&sh->state, ogl_state_free);
+	sh->role = OGL_ROLE_NONE;
+	sh->claim_sent = false;
+	sh->limbo = false;
+}
+
+void
+ogl_shard_end(struct ogl_shard *sh)
+{
+	if (sh == NULL)
+		return;
+	leave_role(sh, 0);
+	g_free(sh->known_owner);
+	g_free(sh);
+}
+
+enum ogl_role
+ogl_shard_role(const struct ogl_shard *sh)
+{
+	return sh->role;
+}
+
+uint64_t
+ogl_shard_epoch(const struct ogl_shard *sh)
+{
+	return sh->role == OGL_ROLE_OWNER ? sh->state->epoch : 0;
+}
+
+bool
+ogl_shard_ready(const struct ogl_shard *sh)
+{
+	return sh->role == OGL_ROLE_OWNER && !sh->limbo;
+}
+
+void
+ogl_shard_fact(const struct ogl_shard *sh, Ogl__ShardFact *f)
+{
+	struct ogl_res total = {0}, held = {0};
+
+	ogl_place_room(sh->placer, &total, &held);
+	f->shard = sh->index;
+	f->epoch = sh->state->epoch;
+	f->ready = !sh->limbo;
+	f->free_cpu_milli = total.cpu_milli > held.cpu_milli ?
+	    total.cpu_milli - held.cpu_milli : 0;
+	f->queued = ogl_queue_length(sh->queue);
+	f->offered = sh->stopping || sh->outranked_since != 0;
+}
+
+/* ---- right to act ----------------------------------------------------- */
+
+bool
+ogl_shard_log_up(const struct ogl_shard *sh, ogl_time now)
+{
+	return now - ogl_stream_current(sh->stream) <= LOG_UP_MS * OGL_MS;
+}
+
+bool
+ogl_shard_may_act(const struct ogl_shard *sh, ogl_time now)
+{
+	const struct ogl_node_config *c = sh->env->cfg;
+	ogl_time contact = ogl_stream_current(sh->stream);
+	ogl_time until = contact + c->right_ms * OGL_MS;
+
+	until = MAX(until, MIN(sh->promise_until,
+	    contact + c->late_claim_ms * OGL_MS));
+	return now <= until;
+}
+
+static bool
+is_successor(const struct ogl_shard *sh, const char *name)
+{
+	for (guint i = 0; i < sh->state->successors->len; i++) {
+		const char *s = g_ptr_array_index(sh->state->successors, i);
+
+		if (strcmp(s, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+send_promise(struct ogl_shard *sh, const char *to, uint64_t epoch,
+    uint64_t seq, bool given)
+{
+	const struct ogl_peer *p = ogl_member_find(sh->env->member, to);
+	Ogl__PeerMsg msg = OGL__PEER_MSG__INIT;
+	Ogl__Promise pr = OGL__PROMISE__INIT;
+
+	if (p == NULL)
+		return;
+	pr.shard = sh->index;
+	pr.epoch = epoch;
+	pr.seq = seq;
+	pr.hold_ms = HOLD_MS;
+	pr.given = given;
+	msg.body_case = OGL__PEER_MSG__BODY_PROMISE;
+	msg.promise = &pr;
+	ogl_member_send(sh->env->member, p->fact->addr, &msg, sh->env->out);
+}
+
+/* Asks every successor to hold still while the log does not answer us. */
+static void
+ask_promises(struct ogl_shard *sh, ogl_time now)
+{
+	if (ogl_shard_log_up(sh, now) || now < sh->promise_next)
+		return;
+	sh->promise_next = now + PROMISE_EVERY_MS * OGL_MS;
+	sh->promise_seq++;
+	sh->promise_sent = now;
+	for (guint i = 0; i < sh->state->successors->len; i++)
+		send_promise(sh, g_ptr_array_index(sh->state->successors, i),
+		    sh->state->epoch, sh->promise_seq, false);
+}
+
+static void
+take_promise(struct ogl_shard *sh, const char *from, const Ogl__Promise *p)
+{
+	ogl_time *until;
+	ogl_time least = OGL_NEVER;
+
+	if (p->epoch != sh->state->epoch || p->seq != sh->promise_seq ||
+	    !is_successor(sh, from))
+		return;
+	until = g_new(ogl_time, 1);
+	*until = sh->promise_sent + p->hold_ms * OGL_MS;
+	g_hash_table_replace(sh->promises, g_strdup(from), until);
+	for (guint i = 0; i < sh->state->successors->len; i++) {
+		until = g_hash_table_lookup(sh->promises,
+		    g_ptr_array_index(sh->state->successors, i));
+		least = MIN(least, until != NULL ? *until : 0);
+	}
+	if (least != OGL_NEVER)
+		sh->promise_until = least;
+}
+
+void
+ogl_shard_promise(struct ogl_shard *sh, const char *from,
+    const Ogl__Promise *p, ogl_time now)
+{
+	if (p->given) {
+		if (sh->role == OGL_ROLE_OWNER)
+			take_promise(sh, from, p);
+		return;
+	}
+	/* We cannot promise what we have sent already. */
+	if (sh->role == OGL_ROLE_OWNER || sh->claim_sent)
+		return;
+	sh->holding = now + p->hold_ms * OGL_MS;
+	send_promise(sh, from, p->epoch, p->seq, true);
+}
+
+/* ---- records ---------------------------------------------------------- */
+
+Ogl__Record *
+ogl_shard_record(struct ogl_shard *sh, ogl_time now)
+{
+	Ogl__Record *r = malloc(sizeof *r);
+
+	ogl__record__init(r);
+	r->epoch = sh->state->epoch;
+	r->at_ms = (uint64_t)(now / OGL_MS);
+	return r;
+}
+
+void
+ogl_shard_append(struct ogl_shard *sh, Ogl__Record *r, ogl_time now)
+{
+	ogl_stream_add(sh->stream, r, now);
+}
+
+void
+ogl_shard_task_end(struct ogl_shard *sh, struct ogl_job *j, uint32_t i,
+    Ogl__TaskState state, const char *reason, ogl_time now)
+{
+	struct ogl_task *t = &j->tasks[i];
+	Ogl__Record *r;
+
+	if (t->ending)
+		return;
+	ogl_sched_unbind(sh, j, i, state == OGL__TASK_STATE__succeeded ||
+	    state == OGL__TASK_STATE__stopped ||
+	    state == OGL__TASK_STATE__checkpointed, now);
+	t->ending = true;
+	r = ogl_shard_record(sh, now);
+	r->body_case = OGL__RECORD__BODY_TASK_ENDED;
+	r->task_ended = malloc(sizeof *r->task_ended);
+	ogl__task_ended__init(r->task_ended);
+	r->task_ended->job = strdup(j->id);
+	r->task_ended->index = i;
+	r->task_ended->attempt = t->attempt;
+	r->task_ended->state = state;
+	r->task_ended->reason = strdup(reason);
+	ogl_shard_append(sh, r, now);
+}
+
+/* ---- what takes effect ------------------------------------------------ */
+
+static bool
+claim_is_ours(const struct ogl_shard *sh, const Ogl__Record *r)
+{
+	const struct ogl_node_config *c = sh->env->cfg;
+
+	return r->boot == c->boot && strcmp(r->writer, c->name) == 0;
+}
+
+/* The latest end of anything an earlier owner may still renew or start. */
+static ogl_time
+limbo_end(const struct ogl_shard *sh, bool late, ogl_time now)
+{
+	const struct ogl_node_config *c = sh->env->cfg;
+	ogl_time right = (late ? c->late_claim_ms : c->right_ms) * OGL_MS;
+	ogl_time lease = c->lease_ms * OGL_MS;
+
+	right = MAX(right, HOLD_MS * OGL_MS);
+	return now + right + lease + lease / 10 + OGL_SEC;
+}
+
+static void
+inherit_jobs(struct ogl_shard *sh)
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, sh->state->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct ogl_job *j = v;
+
+		j->inherited = true;
+		j->number = ++sh->job_number;
+	}
+}
+
+static void
+become_owner(struct ogl_shard *sh, const Ogl__Record *r, ogl_time now)
+{
+	sh->role = OGL_ROLE_OWNER;
+	sh->claim_sent = false;
+	sh->claimed_at = now;
+	sh->limbo = true;
+	sh->limbo_until = limbo_end(sh, r->claim->late, now);
+	sh->outranked_since = 0;
+	sh->promise_until = 0;
+	sh->promise_next = 0;
+	sh->snapshot_at = now;
+	sh->promises = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+	    g_free);
+	ogl_sched_init(sh);
+	ogl_sessions_init(sh);
+	ogl_shardcall_init(sh);
+	ogl_escrow_init(sh, now);
+	ogl_sched_settings(sh, now);
+	inherit_jobs(sh);
+	ogl_sessions_hosts(sh, now);
+	ogl_stream_poll(sh->stream, OWNER_POLL_MS, now);
+	sh->env->counters->claims++;
+	ogl_shard_log(sh, OGL_LOG_INFO,
+	    "owned from epoch %" G_GUINT64_FORMAT ", %u jobs read",
+	    sh->state->epoch, g_hash_table_size(sh->state->jobs));
+}
+
+static void
+hook_claimed(void *ctx, const Ogl__Record *r, ogl_time now)
+{
+	struct ogl_shard *sh = ctx;
+
+	if (sh->role != OGL_ROLE_OWNER) {
+		if (sh->claim_sent && claim_is_ours(sh, r))
+			become_owner(sh, r, now);
+		return;
+	}
+	/* Superseded; the tick lets go, for we are inside the stream now. */
+	sh->env->counters->lost_shards++;
+	ogl_shard_log(sh, OGL_LOG_WARN, "taken over by %s", r->writer);
+}
+
+static void
+hook_job(void *ctx, struct ogl_job *j, ogl_time now)
+{
+	struct ogl_shard *sh = ctx;
+
+	if (sh->role == OGL_ROLE_OWNER)
+		ogl_shardcall_job(sh, j, now);
+}
+
+static void
+hook_cancelled(void *ctx, struct ogl_job *j, ogl_time now)
+{
+	struct ogl_shard *sh = ctx;
+
+	if (sh->role == OGL_ROLE_OWNER)
+		ogl_shardcall_cancelled(sh, j, now);
+}
+
+static void
+hook_task_ended(void *ctx, struct ogl_job *j, uint32_t i,
+    const Ogl__TaskEnded *e, ogl_time now)
+{
+	struct ogl_shard *sh = ctx;
+	struct ogl_task *t = &j->tasks[i];
+	const struct ogl_session *s;
+
+	(void)now;
+	if (sh->role != OGL_ROLE_OWNER)
+		return;
+	if (t->worker < sh->sessions->len && t->ending) {
+		s = g_ptr_array_index(sh->sessions, t->worker);
+		ogl_session_ack(sh, s->name, j->id, i, e->attempt);
+	}
+	t->ending = false;
+	t->worker = OGL_NO_WORKER;
+	sh->env->counters->ends++;
+	g_ptr_array_add(sh->requeue, j);
+}
+
+static void
+hook_id(void *ctx, struct ogl_idrec *r, ogl_time now)
+{
+	struct ogl_shard *sh = ctx;
+
+	if (sh->role == OGL_ROLE_OWNER)
+		ogl_shardcall_id(sh, r, now);
+}
+
+static void
+hook_worker(void *ctx, const char *name, bool on, ogl_time now)
+{
+	struct ogl_shard *sh = ctx;
+
+	if (sh->role == OGL_ROLE_OWNER)
+		ogl_session_worker(sh, name, on, now);
+}
+
+static void
+hook_allot(void *ctx, const Ogl__Allot *a, ogl_time now)
+{
+	struct ogl_shard *sh = ctx;
+
+	if (sh->role == OGL_ROLE_OWNER)
+		ogl_escrow_recorded(sh, a, now);
+}
+
+static const struct ogl_state_hooks hooks = {
+    .claimed = hook_claimed,
+    .job = hook_job,
+    .cancelled = hook_cancelled,
+    .task_ended = hook_task_ended,
+    .id = hook_id,
+    .worker = hook_worker,
+    .allot = hook_allot,
+};
+
+static bool
+still_owner(const struct ogl_shard *sh)
+{
+	return sh->state->owner_boot == sh->env->cfg->boot &&
+	    strcmp(sh->state->owner, sh->env->cfg->name) == 0;
+}
+
+static void
+on_record(void *ctx, const Ogl__Record *r, uint64_t offset, ogl_time now)
+{
+	struct ogl_shard *sh = ctx;
+
+	ogl_state_apply(sh->state, r, offset, &hooks, sh, now);
+}
+
+/* Retention passed what we had not read.  A reader starts over from the
+ * next snapshot; an owner this far behind is no owner any more. */
+static void
+on_gap(void *ctx, uint64_t first)
+{
+	struct ogl_shard *sh = ctx;
+
+	(void)first;
+	if (sh->role == OGL_ROLE_OWNER) {
+		g_free(sh->state->owner);
+		sh->state->owner = g_strdup("");
+		return;
+	}
+	ogl_state_free(sh->state);
+	sh->state = ogl_state_new();
+}
+
+static const struct ogl_stream_ops stream_ops = {on_record, on_gap};
+
+/* ---- claiming --------------------------------------------------------- */
+
+void
+ogl_shard_known_owner(struct ogl_shard *sh, const char *node, uint64_t epoch,
+    bool offered)
+{
+	g_free(sh->known_owner);
+	sh->known_owner = g_strdup(node);
+	sh->known_epoch = MAX(sh->known_epoch, epoch);
+	sh->known_offered = offered;
+}
+
+struct best {
+	const struct ogl_member *m;
+	uint32_t shard;
+	const char *skip; /* leave out this node */
+	const char *name;
+	uint64_t rank;
+	ogl_time changed;
+};
+
+static void
+better(void *ctx, const struct ogl_peer *p)
+{
+	struct best *b = ctx;
+	uint64_t r = ogl_member_rank(b->m, p->fact->name, b->shard);
+
+	if (p->fact->state != OGL__MEMBER_FACT__STATE__alive ||
+	    (b->name != NULL && r <= b->rank) ||
+	    (b->skip != NULL && strcmp(b->skip, p->fact->name) == 0))
+		return;
+	b->name = p->fact->name;
+	b->rank = r;
+	b->changed = p->changed;
+}
+
+/* The best placed of the other live nodes. */
+static struct best
+best_other(const struct ogl_shard *sh)
+{
+	struct best b = {.m = sh->env->member, .shard = sh->index};
+
+	ogl_member_each(sh->env->member, better, &b);
+	return b;
+}
+
+static bool
+we_are_best(const struct ogl_shard *sh)
+{
+	struct best b = best_other(sh);
+
+	return b.name == NULL ||
+	    ogl_member_rank(b.m, sh->env->cfg->name, sh->index) > b.rank;
+}
+
+/* The two best placed live nodes besides ourselves. */
+static size_t
+name_successors(const struct ogl_shard *sh, char *names[NAMED])
+{
+	struct best b = best_other(sh);
+	size_t n = 0;
+
+	if (b.name != NULL) {
+		names[n++] = strdup(b.name);
+		struct best second = {.m = b.m,
+		    .shard = sh->index,
+		    .skip = b.name};
+		ogl_member_each(b.m, better, &second);
+		if (second.name != NULL)
+			names[n++] = strdup(second.name);
+	}
+	return n;
+}
+
+static void
+send_claim(struct ogl_shard *sh, ogl_time now)
+{
+	Ogl__Record *r = ogl_shard_record(sh, now);
+	Ogl__Claim *c = malloc(sizeof *c);
+	char *names[NAMED];
+
+	ogl__claim__init(c);
+	c->prev_epoch = sh->state->epoch;
+	c->late = sh->state->epoch != 0 &&
+	    !is_successor(sh, sh->env->cfg->name);
+	c->n_successors = name_successors(sh, names);
+	c->successors = calloc(NAMED, sizeof(char *));
+	for (size_t i = 0; i < c->n_successors; i++)
+		c->successors[i] = names[i];
+	r->epoch = 0;
+	r->body_case = OGL__RECORD__BODY_CLAIM;
+	r->claim = c;
+	ogl_stream_add(sh->stream, r, now);
+	sh->claim_sent = true;
+}
+
+/* Whether the node that gossip names as owner is there and means to stay. */
+static bool
+owner_lives(const struct ogl_shard *sh)
+{
+	return sh->known_owner != NULL && !sh->known_offered &&
+	    ogl_member_alive(sh->env->member, sh->known_owner);
+}
+
+static void
+start_reading(struct ogl_shard *sh, ogl_time now)
+{
+	char name[32];
+
+	g_snprintf(name, sizeof name, "shard-%u", sh->index);
+	sh->role = OGL_ROLE_READER;
+	sh->state = ogl_state_new();
+	sh->stream = ogl_stream_init(name, ogl_shard_token_base(sh->index),
+	    sh->env->cfg, &stream_ops, sh);
+	ogl_stream_poll(sh->stream, READER_POLL_MS, now);
+}
+
+static void
+none_tick(struct ogl_shard *sh, ogl_time now)
+{
+	ogl_time grace = 3 * sh->env->cfg->probe_ms * OGL_MS;
+
+	if (owner_lives(sh)) {
+		sh->ownerless_since = 0;
+		return;
+	}
+	if (sh->ownerless_since == 0)
+		sh->ownerless_since = now;
+	/* Unknown, not dead: the news may be under way. */
+	if (sh->known_owner == NULL && now - sh->ownerless_since < grace)
+		return;
+	if (!sh->stopping && now >= sh->holding && we_are_best(sh))
+		start_reading(sh, now);
+}
+
+/* The log names a live owner that gossip does not know as such: it may just
+ * have claimed, or have a claim whose answer it never got. */
+static bool
+log_owner_may_live(const struct ogl_shard *sh, ogl_time now)
+{
+	const struct ogl_peer *p;
+
+	if (sh->state->owner[0] == '\0' ||
+	    now - sh->ownerless_since >= UNAWARE_MS * OGL_MS)
+		return false;
+	p = ogl_member_find(sh->env->member, sh->state->owner);
+	return p != NULL && p->fact->boot == sh->state->owner_boot &&
+	    p->fact->state == OGL__MEMBER_FACT__STATE__alive &&
+	    sh->state->epoch > sh->known_epoch;
+}
+
+static void
+reader_tick(struct ogl_shard *sh, ogl_time now)
+{
+	/* A claim that is out may yet take effect: its fate comes first. */
+	if (!sh->claim_sent && owner_lives(sh) &&
+	    sh->known_epoch >= sh->state->epoch) {
+		leave_role(sh, now);
+		return;
+	}
+	if (sh->claim_sent) {
+		/* Rival claim read first: ours no longer names the epoch. */
+		if (sh->state->epoch != 0 && !still_owner(sh) &&
+		    ogl_stream_idle(sh->stream) &&
+		    ogl_stream_pending(sh->stream) == 0)
+			leave_role(sh, now);
+		return;
+	}
+	if (!ogl_shard_log_up(sh, now) || now < sh->holding ||
+	    log_owner_may_live(sh, now))
+		return;
+	if (!sh->state->complete && ogl_stream_offset(sh->stream) > 0) {
+		ogl_shard_log(sh, OGL_LOG_ERROR,
+		    "no whole snapshot is retained, starting empty");
+		sh->state->complete = true;
+	}
+	send_claim(sh, now);
+}
+
+/* ---- owning ----------------------------------------------------------- */
+
+static void
+end_limbo(struct ogl_shard *sh, ogl_time now)
+{
+	GHashTableIter it;
+	void *v;
+
+	if (now < sh->limbo_until && ogl_sessions_unknown(sh))
+		return;
+	sh->limbo = false;
+	g_hash_table_iter_init(&it, sh->state->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		ogl_sched_enqueue(sh, v, now);
+	ogl_shard_log(sh, OGL_LOG_INFO, "ready after %" G_GINT64_FORMAT " ms",
+	    (now - sh->claimed_at) / OGL_MS);
+}
+
+static void
+write_snapshot(struct ogl_shard *sh, ogl_time now)
+{
+	const struct ogl_node_config *c = sh->env->cfg;
+	GPtrArray *parts;
+
+	if (sh->state->records < c->snapshot_records &&
+	    now - sh->snapshot_at < c->snapshot_ms * OGL_MS)
+		return;
+	if (!ogl_stream_idle(sh->stream) || !ogl_shard_log_up(sh, now))
+		return;
+	sh->snapshot_at = now;
+	sh->state->records = 0;
+	ogl_state_prune(sh->state, (uint64_t)(now / OGL_MS), c->id_keep_ms);
+	parts = ogl_state_snapshot(sh->state, (uint64_t)now);
+	for (guint i = parts->len; i > 0; i--) {
+		Ogl__Record *r = g_ptr_array_index(parts, i - 1);
+
+		r->epoch = sh->state->epoch;
+		r->at_ms = (uint64_t)(now / OGL_MS);
+		ogl_stream_put_first(sh->stream, r);
+	}
+	g_ptr_array_free(parts, TRUE);
+}
+
+/* A successor that died is replaced in the list while the log is up, for in
+ * an outage it could not promise anything. */
+static void
+renew_successors(struct ogl_shard *sh, ogl_time now)
+{
+	char *names[NAMED];
+	size_t n;
+	bool same;
+	Ogl__Record *r;
+
+	if (!ogl_shard_log_up(sh, now) ||
+	    ogl_stream_pending(sh->stream) > 0)
+		return;
+	n = name_successors(sh, names);
+	same = n == sh->state->successors->len;
+	for (size_t i = 0; same && i < n; i++)
+		same = is_successor(sh, names[i]);
+	if (same) {
+		for (size_t i = 0; i < n; i++)
+			free(names[i]);
+		return;
+	}
+	r = ogl_shard_record(sh, now);
+	r->body_case = OGL__RECORD__BODY_SUCCESSORS;
+	r->successors = malloc(sizeof *r->successors);
+	ogl__successors__init(r->successors);
+	r->successors->nodes = calloc(NAMED, sizeof(char *));
+	for (size_t i = 0; i < n; i++)
+		r->successors->nodes[i] = names[i];
+	r->successors->n_nodes = n;
+	ogl_shard_append(sh, r, now);
+}
+
+/* Offers the shard to a node that should own it and has lived for a while. */
+static void
+watch_rank(struct ogl_shard *sh, ogl_time now)
+{
+	struct best b = best_other(sh);
+	bool outranked = b.name != NULL && b.rank >
+	    ogl_member_rank(b.m, sh->env->cfg->name, sh->index) &&
+	    now - b.changed >= OUTRANKED_S * OGL_SEC;
+	bool before = sh->outranked_since != 0;
+
+	if (outranked != before) {
+		sh->outranked_since = outranked ? now : 0;
+		ogl_member_changed(sh->env->member);
+		ogl_stream_poll(sh->stream, outranked || sh->stopping ?
+		    OFFER_POLL_MS : OWNER_POLL_MS, now);
+	}
+}
+
+static void
+requeue_jobs(struct ogl_shard *sh, ogl_time now)
+{
+	for (guint i = 0; i < sh->requeue->len; i++)
+		ogl_sched_enqueue(sh, g_ptr_array_index(sh->requeue, i),
+		    now);
+	g_ptr_array_set_size(sh->requeue, 0);
+}
+
+static void
+owner_tick(struct ogl_shard *sh, ogl_time now)
+{
+	requeue_jobs(sh, now);
+	ask_promises(sh, now);
+	ogl_sessions_tick(sh, now);
+	if (sh->limbo)
+		end_limbo(sh, now);
+	ogl_escrow_tick(sh, now);
+	if (now >= sh->next_limits) {
+		sh->next_limits = now + LIMITS_EVERY_MS * OGL_MS;
+		ogl_sched_limits(sh, now);
+		renew_successors(sh, now);
+		watch_rank(sh, now);
+		write_snapshot(sh, now);
+	}
+	if (sh->place_due && ogl_shard_may_act(sh, now)) {
+		ogl_sched_place(sh, now);
+		ogl_sessions_tick(sh, now);
+	}
+}
+
+void
+ogl_shard_tick(struct ogl_shard *sh, ogl_time now)
+{
+	if (sh->role == OGL_ROLE_NONE)
+		none_tick(sh, now);
+	if (sh->role == OGL_ROLE_READER)
+		reader_tick(sh, now);
+	if (sh->role == OGL_ROLE_OWNER && !still_owner(sh))
+		leave_role(sh, now);
+	if (sh->role == OGL_ROLE_OWNER)
+		owner_tick(sh, now);
+	if (sh->stream != NULL)
+		ogl_stream_tick(sh->stream, now, sh->env->out);
+}
+
+ogl_time
+ogl_shard_next(const struct ogl_shard *sh)
+{
+	ogl_time t = OGL_NEVER;
+
+	if (sh->stream != NULL)
+		t = MIN(t, ogl_stream_next(sh->stream));
+	if (sh->role == OGL_ROLE_OWNER) {
+		t = MIN(t, sh->next_limits);
+		t = MIN(t, ogl_escrow_next(sh));
+		t = MIN(t, ogl_sessions_next(sh, 0));
+		if (sh->place_due)
+			t = 0;
+	}
+	return t;
+}
+
+void
+ogl_shard_event(struct ogl_shard *sh, const struct ogl_event *ev,
+    ogl_time now)
+{
+	if (ev->type == OGL_EV_WORKER) {
+		if (sh->role == OGL_ROLE_OWNER)
+			ogl_sessions_event(sh, ev, now);
+		return;
+	}
+	if (ev->io != OGL_IO_OK)
+		sh->env->counters->log_errors++;
+	if (sh->stream != NULL)
+		ogl_stream_event(sh->stream, ev, now);
+	if (sh->role == OGL_ROLE_OWNER && !still_owner(sh))
+		leave_role(sh, now);
+}
+
+void
+ogl_shard_stop(struct ogl_shard *sh, ogl_time now)
+{
+	sh->stopping = true;
+	if (sh->role == OGL_ROLE_READER && !sh->claim_sent)
+		leave_role(sh, now);
+	if (sh->role == OGL_ROLE_OWNER)
+		ogl_stream_poll(sh->stream, OFFER_POLL_MS, now);
+}
+
+void
+ogl_shard_settings(struct ogl_shard *sh, ogl_time now)
+{
+	if (sh->role == OGL_ROLE_OWNER)
+		ogl_sched_settings(sh, now);
+}
+
+void
+ogl_shard_escrow(struct ogl_shard *sh, const Ogl__PeerMsg *msg, ogl_time now)
+{
+	if (sh->role == OGL_ROLE_OWNER)
+		ogl_escrow_msg(sh, msg, now);
+}
--- /dev/null
+++ b/src/shardcall.c
@@ -0,0 +1,638 @@
+/*
+ * What a shard's owner answers to callers, directly or through the node they
+ * asked.
+ *
+ * A job is accepted once its record has taken effect on the log; only then
+ * does its submitter hear so.  A submitter's request id is remembered with
+ * the job: the same id again gives the same job.
+ *
+ * A short request that must not run twice is recorded as an intent before it
+ * is sent to an executor, and its outcome afterwards.  The same id again
+ * gets the recorded outcome, joins the flight under way, or, when an earlier
+ * owner wrote the intent and no outcome is known, hears that it may have
+ * run.  It is never sent a second time.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "shard_impl.h"
+
+enum {
+	MOST_TASKS = 10000,	 /* tasks in one job */
+	MOST_WAITING = 200000,	 /* work waiting in one shard */
+	RETRY_OWNER_MS = 300,	 /* come back when an owner may be there */
+	RETRY_LOG_MS = 1000,	 /* come back when the log may be up */
+	RETRY_FULL_MS = 5000
+};
+
+/* A short request on its way, by its id. */
+struct ogl_flight {
+	char *id;
+	char *team;
+	char *work_kind;
+	GBytes *body;
+	uint64_t budget_ms;
+	GArray *waiters; /* uint64_t */
+	bool sent;
+};
+
+static void
+flight_free(void *v)
+{
+	struct ogl_flight *f = v;
+
+	g_free(f->id);
+	g_free(f->team);
+	g_free(f->work_kind);
+	g_bytes_unref(f->body);
+	g_array_free(f->waiters, TRUE);
+	g_free(f);
+}
+
+static void
+waiters_free(void *v)
+{
+	g_array_free(v, TRUE);
+}
+
+void
+ogl_shardcall_init(struct ogl_shard *sh)
+{
+	sh->submits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+	    waiters_free);
+	sh->pending_ids = g_hash_table_new_full(g_str_hash, g_str_equal,
+	    g_free, g_free);
+	sh->cancels = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+	    waiters_free);
+	sh->flights = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+	    flight_free);
+}
+
+/* ---- replies ---------------------------------------------------------- */
+
+static void
+reply(struct ogl_shard *sh, uint64_t waiter, uint32_t status,
+    enum ogl_verdict v, uint64_t retry_ms, GBytes *body)
+{
+	sh->env->ops->reply(sh->env->ctx, waiter, status, v, retry_ms, body);
+	g_bytes_unref(body);
+}
+
+static GBytes *
+error_body(const char *error, enum ogl_verdict v, uint64_t retry_ms)
+{
+	Ogl__ErrorView e = OGL__ERROR_VIEW__INIT;
+	size_t n;
+	char *text;
+
+	e.error = (char *)error;
+	e.verdict = (Ogl__Verdict)v;
+	e.retry_after_ms = retry_ms;
+	text = ogl_json_print(&e.base, &n);
+	return g_bytes_new_take(text, n);
+}
+
+static void
+refuse(struct ogl_shard *sh, uint64_t waiter, uint32_t status,
+    enum ogl_verdict v, uint64_t retry_ms, const char *error)
+{
+	reply(sh, waiter, status, v, retry_ms,
+	    error_body(error, v, retry_ms));
+}
+
+static GBytes *
+job_body(struct ogl_shard *sh, const struct ogl_job *j, bool with_tasks)
+{
+	Ogl__JobView v;
+	Ogl__TaskView *tasks = NULL;
+	Ogl__TaskView **list = NULL;
+	size_t n;
+	char *text;
+
+	ogl_job_view(j, &v);
+	if (with_tasks) {
+		tasks = g_new0(Ogl__TaskView, j->ntasks);
+		list = g_new0(Ogl__TaskView *, j->ntasks);
+		for (uint32_t i = 0; i < j->ntasks; i++) {
+			const struct ogl_task *t = &j->tasks[i];
+			const struct ogl_session *s = NULL;
+
+			ogl__task_view__init(&tasks[i]);
+			tasks[i].index = i;
+			tasks[i].attempt = t->attempt;
+			tasks[i].state = (char *)(t->phase ==
+			    OGL_TASK_WAITING ? "waiting" :
+				t->running ? "running" : "starting");
+			if (t->phase == OGL_TASK_ENDED)
+				tasks[i].state = (char *)
+				    ogl__task_state__descriptor
+					.values[t->end].name;
+			if (t->phase == OGL_TASK_PLACED) {
+				s = g_ptr_array_index(sh->sessions,
+				    t->worker);
+				tasks[i].worker = s->name;
+			}
+			list[i] = &tasks[i];
+		}
+		v.n_task = j->ntasks;
+		v.task = list;
+	}
+	text = ogl_json_print(&v.base, &n);
+	g_free(list);
+	g_free(tasks);
+	return g_bytes_new_take(text, n);
+}
+
+static enum ogl_verdict
+view_verdict(const struct ogl_job *j)
+{
+	Ogl__JobView v;
+
+	ogl_job_view(j, &v);
+	return (enum ogl_verdict)v.verdict;
+}
+
+static void
+reply_job(struct ogl_shard *sh, uint64_t waiter, uint32_t status,
+    const struct ogl_job *j, bool with_tasks)
+{
+	reply(sh, waiter, status, view_verdict(j), 0,
+	    job_body(sh, j, with_tasks));
+}
+
+static void
+add_waiter(GHashTable *to, const char *key, uint64_t waiter)
+{
+	GArray *w = g_hash_table_lookup(to, key);
+
+	if (w == NULL) {
+		w = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+		g_hash_table_insert(to, g_strdup(key), w);
+	}
+	g_array_append_val(w, waiter);
+}
+
+static void
+refuse_all(struct ogl_shard *sh, GArray *waiters, enum ogl_verdict v,
+    const char *error)
+{
+	for (guint i = 0; i < waiters->len; i++)
+		refuse(sh, g_array_index(waiters, uint64_t, i), 503, v,
+		    RETRY_OWNER_MS, error);
+}
+
+static void
+refuse_table(struct ogl_shard *sh, GHashTable *table, const char *error)
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, table);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		refuse_all(sh, v, OGL_MAY_HAVE_RUN, error);
+}
+
+void
+ogl_shardcall_end(struct ogl_shard *sh, ogl_time now)
+{
+	const char *error = "the shard changed its owner before the record "
+			    "was confirmed; ask again under the same id";
+	GHashTableIter it;
+	void *v;
+
+	(void)now;
+	refuse_table(sh, sh->submits, error);
+	refuse_table(sh, sh->cancels, error);
+	g_hash_table_iter_init(&it, sh->flights);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct ogl_flight *f = v;
+
+		refuse_all(sh, f->waiters,
+		    f->sent ? OGL_MAY_HAVE_RUN : OGL_NOT_RUN, error);
+	}
+	g_clear_pointer(&sh->submits, g_hash_table_destroy);
+	g_clear_pointer(&sh->pending_ids, g_hash_table_destroy);
+	g_clear_pointer(&sh->cancels, g_hash_table_destroy);
+	g_clear_pointer(&sh->flights, g_hash_table_destroy);
+}
+
+static void
+drop_waiter(GArray *w, uint64_t waiter)
+{
+	for (guint i = w->len; i > 0; i--) {
+		if (g_array_index(w, uint64_t, i - 1) == waiter)
+			g_array_remove_index_fast(w, i - 1);
+	}
+}
+
+void
+ogl_shard_waiter_gone(struct ogl_shard *sh, uint64_t waiter)
+{
+	GHashTableIter it;
+	void *v;
+
+	if (sh->role != OGL_ROLE_OWNER)
+		return;
+	g_hash_table_iter_init(&it, sh->submits);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		drop_waiter(v, waiter);
+	g_hash_table_iter_init(&it, sh->cancels);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		drop_waiter(v, waiter);
+	g_hash_table_iter_init(&it, sh->flights);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		drop_waiter(((struct ogl_flight *)v)->waiters, waiter);
+}
+
+/* ---- jobs ------------------------------------------------------------- */
+
+/* Why the job could never run here, NULL when it could. */
+static const char *
+never_reason(struct ogl_shard *sh, const Ogl__Submit *s)
+{
+	struct ogl_ask ask = {.kind = s->kind};
+	uint32_t together = s->kind == OGL__KIND__gang ? s->tasks : 1;
+
+	if (s->res != NULL) {
+		ask.res.cpu_milli = s->res->cpu_milli;
+		ask.res.mem_mb = s->res->mem_mb;
+		ask.res.accel = s->res->accel;
+	}
+	switch (ogl_place_never(sh->placer, &ask, together)) {
+	case OGL_NEVER_NO_WORKER:
+		return "it can never run: no worker is large enough for "
+		       "one task";
+	case OGL_NEVER_GANG_TOTAL:
+		return "it can never run: all workers together hold too few "
+		       "of its tasks at once";
+	case OGL_NEVER_NOT:
+	default:
+		return NULL;
+	}
+}
+
+static const char *
+limit_reason(struct ogl_shard *sh, const char *team, const Ogl__Submit *s)
+{
+	struct ogl_team_view view;
+
+	ogl_settings_team(sh->env->settings, team, &view);
+	if (s->kind == OGL__KIND__gang && view.exists &&
+	    view.limit_tasks < s->tasks)
+		return "it can never run: the gang is larger than the "
+		       "team's upper limit";
+	return NULL;
+}
+
+static void
+record_job(struct ogl_shard *sh, const char *team, const Ogl__Submit *spec,
+    uint64_t waiter, ogl_time now)
+{
+	Ogl__Record *r = ogl_shard_record(sh, now);
+	Ogl__JobAccepted *a = malloc(sizeof *a);
+	char *id = g_strdup_printf("s%u-%" G_GINT64_MODIFIER "x-%u",
+	    sh->index, sh->state->epoch, ++sh->next_job);
+
+	ogl__job_accepted__init(a);
+	a->job = strdup(id);
+	a->team = strdup(team);
+	a->spec = ogl_submit_copy(spec);
+	a->accepted_ms = (uint64_t)(now / OGL_MS);
+	r->body_case = OGL__RECORD__BODY_JOB_ACCEPTED;
+	r->job_accepted = a;
+	ogl_shard_append(sh, r, now);
+	add_waiter(sh->submits, id, waiter);
+	if (spec->request_id[0] != '\0')
+		g_hash_table_insert(sh->pending_ids,
+		    ogl_request_key(team, spec->request_id), id);
+	else
+		g_free(id);
+}
+
+/* Whether the id is known: answers from the job, or joins its submitters. */
+static bool
+known_request(struct ogl_shard *sh, const char *team, const char *request_id,
+    uint64_t waiter)
+{
+	struct ogl_job *j;
+	const char *id;
+	char *key;
+
+	if (request_id[0] == '\0')
+		return false;
+	key = ogl_request_key(team, request_id);
+	j = g_hash_table_lookup(sh->state->by_request, key);
+	id = g_hash_table_lookup(sh->pending_ids, key);
+	g_free(key);
+	if (j != NULL)
+		reply_job(sh, waiter, 202, j, false);
+	else if (id != NULL)
+		add_waiter(sh->submits, id, waiter);
+	return j != NULL || id != NULL;
+}
+
+static void
+call_submit(struct ogl_shard *sh, const struct ogl_ask_call *c, ogl_time now)
+{
+	struct ogl_faults *faults = ogl_faults_new();
+	Ogl__Submit *s = (Ogl__Submit *)ogl_json_parse(
+	    &ogl__submit__descriptor, c->body, faults);
+	const char *why = NULL;
+
+	if (s == NULL || s->tasks == 0 || s->tasks > MOST_TASKS ||
+	    s->kind == OGL__KIND__request) {
+		refuse(sh, c->waiter, 422, OGL_NOT_RUN, 0, "not a job");
+		goto out;
+	}
+	if (known_request(sh, c->team, s->request_id, c->waiter))
+		goto out;
+	if (!ogl_shard_log_up(sh, now)) {
+		refuse(sh, c->waiter, 503, OGL_NOT_RUN, RETRY_LOG_MS,
+		    "the log can't be reached, so nothing is accepted");
+		goto out;
+	}
+	if (ogl_queue_length(sh->queue) > MOST_WAITING) {
+		refuse(sh, c->waiter, 503, OGL_NOT_RUN, RETRY_FULL_MS,
+		    "too much work waits already");
+		goto out;
+	}
+	why = limit_reason(sh, c->team, s);
+	if (why == NULL && !sh->limbo)
+		why = never_reason(sh, s);
+	if (why != NULL)
+		refuse(sh, c->waiter, 422, OGL_NOT_RUN, 0, why);
+	else
+		record_job(sh, c->team, s, c->waiter, now);
+out:
+	if (s != NULL)
+		ogl__submit__free_unpacked(s, NULL);
+	ogl_faults_free(faults);
+}
+
+void
+ogl_shardcall_job(struct ogl_shard *sh, struct ogl_job *j, ogl_time now)
+{
+	GArray *w = g_hash_table_lookup(sh->submits, j->id);
+	char *key;
+
+	j->number = ++sh->job_number;
+	sh->env->counters->jobs++;
+	ogl_sched_enqueue(sh, j, now);
+	for (guint i = 0; w != NULL && i < w->len; i++)
+		reply_job(sh, g_array_index(w, uint64_t, i), 202, j, false);
+	g_hash_table_remove(sh->submits, j->id);
+	if (j->spec->request_id[0] != '\0') {
+		key = ogl_request_key(j->team, j->spec->request_id);
+		g_hash_table_remove(sh->pending_ids, key);
+		g_free(key);
+	}
+}
+
+static bool
+may_see(const struct ogl_ask_call *c, const struct ogl_job *j)
+{
+	return c->team[0] == '\0' || strcmp(c->team, j->team) == 0;
+}
+
+static void
+call_list(struct ogl_shard *sh, const struct ogl_ask_call *c)
+{
+	Ogl__JobList list = OGL__JOB_LIST__INIT;
+	guint most = g_hash_table_size(sh->state->jobs);
+	Ogl__JobView *views = g_new0(Ogl__JobView, most + 1);
+	Ogl__JobView **ptrs = g_new0(Ogl__JobView *, most + 1);
+	GHashTableIter it;
+	void *v;
+	size_t n;
+	char *text;
+
+	g_hash_table_iter_init(&it, sh->state->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		if (!may_see(c, v))
+			continue;
+		ogl_job_view(v, &views[list.n_jobs]);
+		ptrs[list.n_jobs] = &views[list.n_jobs];
+		list.n_jobs++;
+	}
+	list.jobs = ptrs;
+	text = ogl_json_print(&list.base, &n);
+	reply(sh, c->waiter, 200, OGL_RAN, 0, g_bytes_new_take(text, n));
+	g_free(ptrs);
+	g_free(views);
+}
+
+/* Whether no task of the job can have started under any owner. */
+static bool
+never_started(const struct ogl_shard *sh, const struct ogl_job *j)
+{
+	if (j->nplaced > 0 || j->nended > 0 || (sh->limbo && j->inherited))
+		return false;
+	for (uint32_t i = 0; i < j->ntasks; i++) {
+		if (j->tasks[i].attempt != 0)
+			return false;
+	}
+	return !j->inherited;
+}
+
+static void
+call_cancel(struct ogl_shard *sh, const struct ogl_ask_call *c,
+    struct ogl_job *j, ogl_time now)
+{
+	Ogl__Record *r;
+
+	if (ogl_job_ended(j)) {
+		reply_job(sh, c->waiter, 200, j, false);
+		return;
+	}
+	add_waiter(sh->cancels, j->id, c->waiter);
+	if (j->cancelling)
+		return;
+	/* From here on nothing of it is started, so not_run stays true. */
+	j->cancelling = true;
+	ogl_sched_unqueue(sh, j);
+	r = ogl_shard_record(sh, now);
+	r->body_case = OGL__RECORD__BODY_JOB_CANCELLED;
+	r->job_cancelled = malloc(sizeof *r->job_cancelled);
+	ogl__job_cancelled__init(r->job_cancelled);
+	r->job_cancelled->job = strdup(j->id);
+	r->job_cancelled->verdict = never_started(sh, j) ?
+	    OGL__VERDICT__not_run : OGL__VERDICT__may_have_run;
+	ogl_shard_append(sh, r, now);
+}
+
+void
+ogl_shardcall_cancelled(struct ogl_shard *sh, struct ogl_job *j, ogl_time now)
+{
+	GArray *w = g_hash_table_lookup(sh->cancels, j->id);
+
+	ogl_sched_unqueue(sh, j);
+	ogl_sched_stop_job(sh, j, OGL__STOP_MODE__stop, now);
+	for (guint i = 0; w != NULL && i < w->len; i++)
+		reply_job(sh, g_array_index(w, uint64_t, i), 200, j, false);
+	g_hash_table_remove(sh->cancels, j->id);
+}
+
+static void
+call_job(struct ogl_shard *sh, const struct ogl_ask_call *c, const char *id,
+    ogl_time now)
+{
+	struct ogl_job *j = g_hash_table_lookup(sh->state->jobs, id);
+
+	if (j == NULL || !may_see(c, j))
+		refuse(sh, c->waiter, 404, OGL_NOT_RUN, 0, "no such job");
+	else if (ogl_str_eq(c->method, ogl_str("DELETE")))
+		call_cancel(sh, c, j, now);
+	else
+		reply_job(sh, c->waiter, 200, j, true);
+}
+
+/* ---- short requests with an id ---------------------------------------- */
+
+static void
+reply_outcome(struct ogl_shard *sh, uint64_t waiter,
+    const struct ogl_idrec *r)
+{
+	reply(sh, waiter, r->status, (enum ogl_verdict)r->verdict, 0,
+	    g_bytes_ref(r->body));
+}
+
+static void
+start_flight(struct ogl_shard *sh, const struct ogl_ask_call *c,
+    const char *id, ogl_time now)
+{
+	struct ogl_flight *f = g_new0(struct ogl_flight, 1);
+	Ogl__Record *r = ogl_shard_record(sh, now);
+
+	f->id = g_strdup(id);
+	f->team = g_strdup(c->team);
+	f->work_kind = g_strdup(c->work_kind);
+	f->body = g_bytes_new(c->body.p, c->body.n);
+	f->budget_ms = c->budget_ms;
+	f->waiters = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_array_append_val(f->waiters, c->waiter);
+	g_hash_table_insert(sh->flights, f->id, f);
+	r->body_case = OGL__RECORD__BODY_ID_INTENT;
+	r->id_intent = malloc(sizeof *r->id_intent);
+	ogl__id_intent__init(r->id_intent);
+	r->id_intent->id = strdup(id);
+	r->id_intent->at_ms = (uint64_t)(now / OGL_MS);
+	ogl_shard_append(sh, r, now);
+}
+
+static void
+call_request(struct ogl_shard *sh, const struct ogl_ask_call *c, ogl_time now)
+{
+	char *id = ogl_request_key(c->team, c->request_id);
+	struct ogl_idrec *r = g_hash_table_lookup(sh->state->ids, id);
+	struct ogl_flight *f = g_hash_table_lookup(sh->flights, id);
+
+	if (f != NULL)
+		g_array_append_val(f->waiters, c->waiter);
+	else if (r != NULL && r->has_outcome)
+		reply_outcome(sh, c->waiter, r);
+	else if (r != NULL)
+		refuse(sh, c->waiter, 502, OGL_MAY_HAVE_RUN, 0,
+		    "the node that sent it was lost before its outcome was "
+		    "recorded");
+	else if (!ogl_shard_log_up(sh, now))
+		refuse(sh, c->waiter, 503, OGL_NOT_RUN, RETRY_LOG_MS,
+		    "the log can't be reached, so it can't be made sure "
+		    "that it runs once");
+	else
+		start_flight(sh, c, id, now);
+	g_free(id);
+}
+
+void
+ogl_shardcall_id(struct ogl_shard *sh, struct ogl_idrec *r, ogl_time now)
+{
+	struct ogl_flight *f = g_hash_table_lookup(sh->flights, r->id);
+
+	if (f == NULL)
+		return;
+	if (r->has_outcome) {
+		for (guint i = 0; i < f->waiters->len; i++)
+			reply_outcome(sh,
+			    g_array_index(f->waiters, uint64_t, i), r);
+		g_hash_table_remove(sh->flights, r->id);
+		return;
+	}
+	if (f->sent)
+		return;
+	f->sent = true;
+	sh->env->ops->dispatch(sh->env->ctx, sh->index, f->id, f->team,
+	    f->work_kind, f->body, f->budget_ms, now);
+}
+
+/* The outcome is answered at once; its record follows.  Should we die in
+ * between, a repetition hears "may have run", which is true.  A request that
+ * certainly did not run gives its id free again. */
+void
+ogl_shard_outcome(struct ogl_shard *sh, const char *id, enum ogl_verdict v,
+    uint32_t status, uint64_t retry_after_ms, GBytes *body, ogl_time now)
+{
+	struct ogl_flight *f;
+	Ogl__Record *r;
+	gsize n;
+	const void *data = g_bytes_get_data(body, &n);
+
+	if (sh->role != OGL_ROLE_OWNER)
+		return;
+	f = g_hash_table_lookup(sh->flights, id);
+	if (f == NULL)
+		return;
+	for (guint i = 0; i < f->waiters->len; i++)
+		reply(sh, g_array_index(f->waiters, uint64_t, i), status, v,
+		    retry_after_ms, g_bytes_ref(body));
+	g_array_set_size(f->waiters, 0);
+	r = ogl_shard_record(sh, now);
+	r->body_case = OGL__RECORD__BODY_ID_OUTCOME;
+	r->id_outcome = malloc(sizeof *r->id_outcome);
+	ogl__id_outcome__init(r->id_outcome);
+	r->id_outcome->id = strdup(id);
+	r->id_outcome->verdict = (Ogl__Verdict)v;
+	r->id_outcome->status = status;
+	r->id_outcome->body.data = malloc(n + 1);
+	if (n > 0)
+		memcpy(r->id_outcome->body.data, data, n);
+	r->id_outcome->body.len = n;
+	ogl_shard_append(sh, r, now);
+}
+
+/* ---- which call ------------------------------------------------------- */
+
+void
+ogl_shard_call(struct ogl_shard *sh, const struct ogl_ask_call *c,
+    ogl_time now)
+{
+	const char *jobs = "/v1/jobs";
+	size_t n = strlen(jobs);
+	char *id;
+
+	if (sh->role != OGL_ROLE_OWNER) {
+		refuse(sh, c->waiter, 503, OGL_NOT_RUN, RETRY_OWNER_MS,
+		    "not the owner of this shard");
+		return;
+	}
+	if (ogl_str_eq(c->path, ogl_str("/v1/requests"))) {
+		call_request(sh, c, now);
+	} else if (ogl_str_eq(c->path, ogl_str(jobs))) {
+		if (ogl_str_eq(c->method, ogl_str("POST")))
+			call_submit(sh, c, now);
+		else
+			call_list(sh, c);
+	} else if (c->path.n > n + 1 && memcmp(c->path.p, jobs, n) == 0) {
+		id = g_strndup(c->path.p + n + 1, c->path.n - n - 1);
+		call_job(sh, c, id, now);
+		g_free(id);
+	} else {
+		json_t *j = ogl_shard_view(sh, c->path, now);
+		char *text = json_dumps(j, JSON_COMPACT);
+
+		reply(sh, c->waiter, 200, OGL_RAN, 0,
+		    g_bytes_new_with_free_func(text, strlen(text), free,
+			text));
+		json_decref(j);
+	}
+}
--- /dev/null
+++ b/src/state.c
@@ -0,0 +1,713 @@
+/*
+ * A shard's state as its stream tells it.  Every reader of the stream comes
+ * to the same state, for whether a record counts depends on the records
+ * before it alone:
+ *
+ *  - A claim counts when it was made from the epoch in force.  Of two rival
+ *    claims the first in log order wins; the other names an epoch that is no
+ *    longer in force.  The claim's offset + 1 becomes the epoch.
+ *  - Any other record counts when its writer, boot and epoch are the owner's.
+ *    An owner that was paused and superseded may still get records into the
+ *    log; they are passed over by everyone, itself included.
+ *
+ * The whole state is written again from time to time as a snapshot in parts;
+ * a reader that begins in the middle passes over everything until it has
+ * read one whole snapshot.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "state.h"
+
+enum {
+	FAILED_TRIES = 3,     /* a restartable task may fail so often */
+	SNAP_JOBS = 500,      /* jobs and ids in one part of a snapshot */
+	ENDED_JOB_KEEP_S = 3600 /* ended jobs can be asked for so long */
+};
+
+static void
+job_free(void *v)
+{
+	struct ogl_job *j = v;
+
+	for (uint32_t i = 0; i < j->ntasks; i++)
+		g_free(j->tasks[i].reason);
+	g_free(j->tasks);
+	g_free(j->id);
+	g_free(j->team);
+	ogl__submit__free_unpacked(j->spec, NULL);
+	g_free(j);
+}
+
+static void
+idrec_free(void *v)
+{
+	struct ogl_idrec *r = v;
+
+	g_free(r->id);
+	if (r->body != NULL)
+		g_bytes_unref(r->body);
+	g_free(r);
+}
+
+static void
+allot_free(void *v)
+{
+	ogl__allot__free_unpacked(v, NULL);
+}
+
+struct ogl_state *
+ogl_state_new(void)
+{
+	struct ogl_state *st = g_new0(struct ogl_state, 1);
+
+	st->owner = g_strdup("");
+	st->successors = g_ptr_array_new_with_free_func(g_free);
+	st->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+	    job_free);
+	st->by_request = g_hash_table_new_full(g_str_hash, g_str_equal,
+	    g_free, NULL);
+	st->ids = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+	    idrec_free);
+	st->workers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+	    g_free);
+	st->allots = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+	    allot_free);
+	return st;
+}
+
+void
+ogl_state_free(struct ogl_state *st)
+{
+	if (st == NULL)
+		return;
+	ogl_state_free(st->building);
+	g_hash_table_destroy(st->by_request);
+	g_hash_table_destroy(st->jobs);
+	g_hash_table_destroy(st->ids);
+	g_hash_table_destroy(st->workers);
+	g_hash_table_destroy(st->allots);
+	g_ptr_array_free(st->successors, TRUE);
+	g_free(st->owner);
+	g_free(st);
+}
+
+/* A deep copy of a message, by way of its packed form. */
+static void *
+message_copy(const ProtobufCMessage *m)
+{
+	size_t n = protobuf_c_message_get_packed_size(m);
+	uint8_t *buf = g_malloc(n + 1);
+	void *copy;
+
+	protobuf_c_message_pack(m, buf);
+	copy = protobuf_c_message_unpack(m->descriptor, NULL, n, buf);
+	g_free(buf);
+	return copy;
+}
+
+Ogl__Submit *
+ogl_submit_copy(const Ogl__Submit *s)
+{
+	return message_copy(&s->base);
+}
+
+char *
+ogl_request_key(const char *team, const char *request_id)
+{
+	return g_strdup_printf("%s|%s", team, request_id);
+}
+
+bool
+ogl_job_ended(const struct ogl_job *j)
+{
+	return j->cancelled || j->nended == j->ntasks;
+}
+
+/* ---- jobs ------------------------------------------------------------- */
+
+static struct ogl_job *
+job_add(struct ogl_state *st, const Ogl__JobAccepted *a)
+{
+	struct ogl_job *j;
+
+	if (a->spec == NULL || a->spec->tasks == 0 ||
+	    g_hash_table_contains(st->jobs, a->job))
+		return NULL;
+	j = g_new0(struct ogl_job, 1);
+	j->id = g_strdup(a->job);
+	j->team = g_strdup(a->team);
+	j->spec = ogl_submit_copy(a->spec);
+	j->accepted_ms = a->accepted_ms;
+	j->ntasks = a->spec->tasks;
+	j->tasks = g_new0(struct ogl_task, j->ntasks);
+	for (uint32_t i = 0; i < j->ntasks; i++)
+		j->tasks[i].worker = OGL_NO_WORKER;
+	g_hash_table_insert(st->jobs, j->id, j);
+	if (j->spec->request_id[0] != '\0')
+		g_hash_table_insert(st->by_request,
+		    ogl_request_key(j->team, j->spec->request_id), j);
+	return j;
+}
+
+/* Whether a task that came to this end is done with for good. */
+static bool
+end_is_final(const struct ogl_job *j, const struct ogl_task *t,
+    Ogl__TaskState end)
+{
+	if (end == OGL__TASK_STATE__succeeded || j->cancelled)
+		return true;
+	if (j->spec->kind == OGL__KIND__gang && j->nended > j->nsucceeded)
+		return true; /* it lost a member for good */
+	if (end == OGL__TASK_STATE__refused)
+		return false;
+	if (!j->spec->restartable)
+		return end != OGL__TASK_STATE__checkpointed;
+	if (end == OGL__TASK_STATE__failed)
+		return t->tries >= FAILED_TRIES;
+	return false;
+}
+
+static void
+task_finish(struct ogl_job *j, struct ogl_task *t, Ogl__TaskState end,
+    const char *reason)
+{
+	t->phase = OGL_TASK_ENDED;
+	t->end = (uint8_t)end;
+	g_free(t->reason);
+	t->reason = reason[0] != '\0' ? g_strdup(reason) : NULL;
+	j->nended++;
+	if (end == OGL__TASK_STATE__succeeded)
+		j->nsucceeded++;
+	if (end == OGL__TASK_STATE__lapsed)
+		j->nlost++;
+}
+
+static void
+apply_task_ended(struct ogl_state *st, const Ogl__TaskEnded *e,
+    const struct ogl_state_hooks *hooks, void *ctx, uint64_t at_ms,
+    ogl_time now)
+{
+	struct ogl_job *j = g_hash_table_lookup(st->jobs, e->job);
+	struct ogl_task *t;
+
+	if (j == NULL || e->index >= j->ntasks)
+		return;
+	t = &j->tasks[e->index];
+	if (t->phase == OGL_TASK_ENDED || e->attempt < t->attempt)
+		return;
+	if (hooks != NULL)
+		hooks->task_ended(ctx, j, e->index, e, now);
+	t->attempt = e->attempt;
+	if (e->state == OGL__TASK_STATE__failed)
+		t->tries++;
+	if (end_is_final(j, t, e->state)) {
+		task_finish(j, t, e->state, e->reason);
+		if (j->nended == j->ntasks && j->ended_ms == 0)
+			j->ended_ms = at_ms;
+	} else {
+		t->phase = OGL_TASK_WAITING;
+	}
+}
+
+static void
+apply_cancelled(struct ogl_state *st, const Ogl__JobCancelled *c,
+    const struct ogl_state_hooks *hooks, void *ctx, uint64_t at_ms,
+    ogl_time now)
+{
+	struct ogl_job *j = g_hash_table_lookup(st->jobs, c->job);
+
+	if (j == NULL || ogl_job_ended(j))
+		return;
+	j->cancelled = true;
+	j->cancel_verdict = c->verdict;
+	j->ended_ms = at_ms;
+	if (hooks != NULL)
+		hooks->cancelled(ctx, j, now);
+}
+
+static Ogl__JobState
+job_state(const struct ogl_job *j)
+{
+	if (j->cancelled)
+		return OGL__JOB_STATE__cancelled;
+	if (j->nended == j->ntasks)
+		return j->nsucceeded == j->ntasks ? OGL__JOB_STATE__done :
+						    OGL__JOB_STATE__broken;
+	return j->nplaced + j->nended > 0 ? OGL__JOB_STATE__active :
+					    OGL__JOB_STATE__queued;
+}
+
+static Ogl__Verdict
+job_verdict(const struct ogl_job *j)
+{
+	if (j->cancelled)
+		return j->cancel_verdict;
+	if (j->nlost > 0)
+		return OGL__VERDICT__may_have_run;
+	if (j->nended == j->ntasks)
+		return OGL__VERDICT__ran;
+	return j->nplaced + j->nended > 0 ? OGL__VERDICT__may_have_run :
+					    OGL__VERDICT__not_run;
+}
+
+static const char *
+job_reason(const struct ogl_job *j)
+{
+	for (uint32_t i = 0; i < j->ntasks; i++) {
+		if (j->tasks[i].phase == OGL_TASK_ENDED &&
+		    j->tasks[i].reason != NULL)
+			return j->tasks[i].reason;
+	}
+	return "";
+}
+
+void
+ogl_job_view(const struct ogl_job *j, Ogl__JobView *v)
+{
+	ogl__job_view__init(v);
+	v->job = j->id;
+	v->team = j->team;
+	v->kind = j->spec->kind;
+	v->state = job_state(j);
+	v->verdict = job_verdict(j);
+	v->reason = (char *)job_reason(j);
+	v->tasks = j->ntasks;
+	v->running = j->nplaced;
+	v->succeeded = j->nsucceeded;
+	v->failed = j->nended - j->nsucceeded;
+	v->accepted_ms = j->accepted_ms;
+}
+
+/* ---- request ids ------------------------------------------------------ */
+
+static struct ogl_idrec *
+idrec_get(struct ogl_state *st, const char *id)
+{
+	struct ogl_idrec *r = g_hash_table_lookup(st->ids, id);
+
+	if (r == NULL) {
+		r = g_new0(struct ogl_idrec, 1);
+		r->id = g_strdup(id);
+		g_hash_table_insert(st->ids, r->id, r);
+	}
+	return r;
+}
+
+static void
+idrec_outcome(struct ogl_idrec *r, const Ogl__IdOutcome *o)
+{
+	if (r->has_outcome)
+		return;
+	r->has_outcome = true;
+	r->verdict = o->verdict;
+	r->status = o->status;
+	r->body = g_bytes_new(o->body.data, o->body.len);
+}
+
+/* ---- claims ----------------------------------------------------------- */
+
+static void
+set_names(GPtrArray *to, char **names, size_t n)
+{
+	g_ptr_array_set_size(to, 0);
+	for (size_t i = 0; i < n; i++)
+		g_ptr_array_add(to, g_strdup(names[i]));
+}
+
+static void
+apply_claim(struct ogl_state *st, const Ogl__Record *r, uint64_t offset,
+    const struct ogl_state_hooks *hooks, void *ctx, ogl_time now)
+{
+	if (r->claim->prev_epoch != st->epoch)
+		return;
+	st->epoch = offset + 1;
+	st->claims++;
+	g_free(st->owner);
+	st->owner = g_strdup(r->writer);
+	st->owner_boot = r->boot;
+	set_names(st->successors, r->claim->successors,
+	    r->claim->n_successors);
+	if (hooks != NULL)
+		hooks->claimed(ctx, r, now);
+}
+
+static void
+apply_worker(struct ogl_state *st, const char *name, const char *addr,
+    const struct ogl_state_hooks *hooks, void *ctx, ogl_time now)
+{
+	if (addr != NULL)
+		g_hash_table_insert(st->workers, g_strdup(name),
+		    g_strdup(addr));
+	else
+		g_hash_table_remove(st->workers, name);
+	if (hooks != NULL)
+		hooks->worker(ctx, name, addr != NULL, now);
+}
+
+static void
+apply_allot(struct ogl_state *st, const Ogl__Allot *a,
+    const struct ogl_state_hooks *hooks, void *ctx, ogl_time now)
+{
+	Ogl__Allot *copy = message_copy(&a->base);
+
+	g_hash_table_replace(st->allots, copy->team, copy);
+	if (hooks != NULL)
+		hooks->allot(ctx, copy, now);
+}
+
+/* ---- snapshots -------------------------------------------------------- */
+
+static void
+load_job(struct ogl_state *st, const Ogl__JobSnap *s)
+{
+	struct ogl_job *j = job_add(st, s->job);
+
+	if (j == NULL)
+		return;
+	for (size_t i = 0; i < s->n_ended; i++) {
+		const Ogl__TaskSnap *t = s->ended[i];
+
+		if (t->index >= j->ntasks)
+			continue;
+		j->tasks[t->index].attempt = t->attempt;
+		j->tasks[t->index].tries = (uint8_t)t->tries;
+		if (t->ended)
+			task_finish(j, &j->tasks[t->index], t->state,
+			    t->reason);
+	}
+	j->cancelled = s->cancelled;
+	j->cancel_verdict = s->cancel_verdict;
+	j->ended_ms = s->ended_ms;
+}
+
+static void
+load_part(struct ogl_state *st, const Ogl__ShardSnap *s)
+{
+	for (size_t i = 0; i < s->n_jobs; i++)
+		load_job(st, s->jobs[i]);
+	for (size_t i = 0; i < s->n_ids; i++) {
+		struct ogl_idrec *r = idrec_get(st, s->ids[i]->id);
+
+		r->at_ms = s->ids[i]->at_ms;
+		if (s->ids[i]->has_outcome)
+			idrec_outcome(r, s->ids[i]->outcome);
+	}
+	for (size_t i = 0; i < s->n_workers; i++)
+		apply_worker(st, s->workers[i]->worker, s->workers[i]->addr,
+		    NULL, NULL, 0);
+	for (size_t i = 0; i < s->n_allots; i++)
+		apply_allot(st, s->allots[i], NULL, NULL, 0);
+	if (s->part == 0) {
+		set_names(st->successors, s->successors, s->n_successors);
+		g_free(st->owner);
+		st->owner = g_strdup(s->owner);
+		st->owner_boot = s->owner_boot;
+		st->epoch = s->epoch;
+		st->claims = s->claims;
+	}
+}
+
+/* Takes the parts in order; a part out of order spoils the snapshot, and the
+ * reader waits for the next one. */
+static void
+take_part(struct ogl_state *st, const Ogl__ShardSnap *s)
+{
+	struct ogl_state *b;
+
+	if (s->part == 0) {
+		ogl_state_free(st->building);
+		st->building = ogl_state_new();
+		st->building_snap = s->snap;
+		st->building_next = 0;
+	}
+	b = st->building;
+	if (b == NULL || s->snap != st->building_snap ||
+	    s->part != st->building_next)
+		return;
+	load_part(b, s);
+	st->building_next++;
+	if (st->building_next < s->parts)
+		return;
+	st->building = NULL;
+	/* The finished one takes the place of the empty one. */
+	struct ogl_state old = *st;
+	*st = *b;
+	*b = old;
+	b->building = NULL;
+	ogl_state_free(b);
+	st->complete = true;
+}
+
+struct snap_ctx {
+	GPtrArray *records;
+	Ogl__ShardSnap *part;
+	size_t room; /* jobs and ids that still go into the part */
+	uint64_t snap;
+};
+
+static Ogl__ShardSnap *
+new_part(struct snap_ctx *c)
+{
+	Ogl__Record *r = malloc(sizeof *r);
+
+	ogl__record__init(r);
+	r->body_case = OGL__RECORD__BODY_SHARD_SNAP;
+	r->shard_snap = malloc(sizeof *r->shard_snap);
+	ogl__shard_snap__init(r->shard_snap);
+	r->shard_snap->snap = c->snap;
+	r->shard_snap->part = c->records->len;
+	r->shard_snap->jobs = calloc(SNAP_JOBS, sizeof(void *));
+	r->shard_snap->ids = calloc(SNAP_JOBS, sizeof(void *));
+	g_ptr_array_add(c->records, r);
+	c->part = r->shard_snap;
+	c->room = SNAP_JOBS;
+	return c->part;
+}
+
+static Ogl__JobSnap *
+snap_job(const struct ogl_job *j)
+{
+	Ogl__JobSnap *s = malloc(sizeof *s);
+	Ogl__JobAccepted a = OGL__JOB_ACCEPTED__INIT;
+
+	ogl__job_snap__init(s);
+	a.job = j->id;
+	a.team = j->team;
+	a.spec = j->spec;
+	a.accepted_ms = j->accepted_ms;
+	s->job = message_copy(&a.base);
+	s->cancelled = j->cancelled;
+	s->cancel_verdict = j->cancel_verdict;
+	s->ended_ms = j->ended_ms;
+	s->ended = calloc(j->ntasks, sizeof(void *));
+	for (uint32_t i = 0; i < j->ntasks; i++) {
+		const struct ogl_task *t = &j->tasks[i];
+		Ogl__TaskSnap *ts;
+
+		if (t->phase != OGL_TASK_ENDED && t->tries == 0)
+			continue;
+		ts = malloc(sizeof *ts);
+		ogl__task_snap__init(ts);
+		ts->index = i;
+		ts->attempt = t->attempt;
+		ts->tries = t->tries;
+		ts->ended = t->phase == OGL_TASK_ENDED;
+		ts->state = t->end;
+		if (t->reason != NULL)
+			ts->reason = strdup(t->reason);
+		s->ended[s->n_ended++] = ts;
+	}
+	return s;
+}
+
+static Ogl__IdSnap *
+snap_id(const struct ogl_idrec *r)
+{
+	Ogl__IdSnap *s = malloc(sizeof *s);
+	gsize n;
+
+	ogl__id_snap__init(s);
+	s->id = strdup(r->id);
+	s->at_ms = r->at_ms;
+	s->has_outcome = r->has_outcome;
+	if (!r->has_outcome)
+		return s;
+	s->outcome = malloc(sizeof *s->outcome);
+	ogl__id_outcome__init(s->outcome);
+	s->outcome->id = strdup(r->id);
+	s->outcome->verdict = r->verdict;
+	s->outcome->status = r->status;
+	const void *data = g_bytes_get_data(r->body, &n);
+	s->outcome->body.data = malloc(n + 1);
+	if (n > 0)
+		memcpy(s->outcome->body.data, data, n);
+	s->outcome->body.len = n;
+	return s;
+}
+
+/* Workers, allotments and ownership go into the first part. */
+static void
+snap_head(const struct ogl_state *st, Ogl__ShardSnap *p)
+{
+	GHashTableIter it;
+	void *k, *v;
+
+	p->owner = strdup(st->owner);
+	p->owner_boot = st->owner_boot;
+	p->epoch = st->epoch;
+	p->claims = st->claims;
+	p->successors = calloc(st->successors->len + 1, sizeof(char *));
+	for (guint i = 0; i < st->successors->len; i++)
+		p->successors[p->n_successors++] =
+		    strdup(g_ptr_array_index(st->successors, i));
+	p->workers = calloc(g_hash_table_size(st->workers) + 1,
+	    sizeof(void *));
+	g_hash_table_iter_init(&it, st->workers);
+	while (g_hash_table_iter_next(&it, &k, &v)) {
+		Ogl__WorkerOn *w = malloc(sizeof *w);
+
+		ogl__worker_on__init(w);
+		w->worker = strdup(k);
+		w->addr = strdup(v);
+		p->workers[p->n_workers++] = w;
+	}
+	p->allots = calloc(g_hash_table_size(st->allots) + 1,
+	    sizeof(void *));
+	g_hash_table_iter_init(&it, st->allots);
+	while (g_hash_table_iter_next(&it, &k, &v))
+		p->allots[p->n_allots++] =
+		    message_copy(&((Ogl__Allot *)v)->base);
+}
+
+/* The part that has room for one more job or id. */
+static Ogl__ShardSnap *
+part_with_room(struct snap_ctx *c)
+{
+	if (c->room == 0)
+		new_part(c);
+	c->room--;
+	return c->part;
+}
+
+GPtrArray *
+ogl_state_snapshot(const struct ogl_state *st, uint64_t now_ms)
+{
+	struct snap_ctx c = {.records = g_ptr_array_new(), .snap = now_ms};
+	Ogl__ShardSnap *p;
+	GHashTableIter it;
+	void *v;
+
+	snap_head(st, new_part(&c));
+	g_hash_table_iter_init(&it, st->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		p = part_with_room(&c);
+		p->jobs[p->n_jobs++] = snap_job(v);
+	}
+	g_hash_table_iter_init(&it, st->ids);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		p = part_with_room(&c);
+		p->ids[p->n_ids++] = snap_id(v);
+	}
+	for (guint i = 0; i < c.records->len; i++) {
+		Ogl__Record *r = g_ptr_array_index(c.records, i);
+
+		r->shard_snap->parts = c.records->len;
+	}
+	return c.records;
+}
+
+/* ---- forgetting ------------------------------------------------------- */
+
+static gboolean
+job_is_old(gpointer key, gpointer value, gpointer now_ms)
+{
+	const struct ogl_job *j = value;
+
+	(void)key;
+	return j->ended_ms != 0 && j->nplaced == 0 &&
+	    *(uint64_t *)now_ms > j->ended_ms + ENDED_JOB_KEEP_S * 1000ull;
+}
+
+static gboolean
+id_is_old(gpointer key, gpointer value, gpointer oldest_ms)
+{
+	(void)key;
+	return ((struct ogl_idrec *)value)->at_ms < *(uint64_t *)oldest_ms;
+}
+
+void
+ogl_state_prune(struct ogl_state *st, uint64_t now_ms, uint32_t id_keep_ms)
+{
+	uint64_t oldest = now_ms > id_keep_ms ? now_ms - id_keep_ms : 0;
+
+	g_hash_table_foreach_remove(st->by_request, job_is_old, &now_ms);
+	g_hash_table_foreach_remove(st->jobs, job_is_old, &now_ms);
+	g_hash_table_foreach_remove(st->ids, id_is_old, &oldest);
+}
+
+/* ---- one record ------------------------------------------------------- */
+
+static void
+apply_owned(struct ogl_state *st, const Ogl__Record *r,
+    const struct ogl_state_hooks *hooks, void *ctx, ogl_time now)
+{
+	struct ogl_job *j;
+	struct ogl_idrec *id;
+
+	switch (r->body_case) {
+	case OGL__RECORD__BODY_JOB_ACCEPTED:
+		j = job_add(st, r->job_accepted);
+		if (j != NULL && hooks != NULL)
+			hooks->job(ctx, j, now);
+		break;
+	case OGL__RECORD__BODY_TASK_ENDED:
+		apply_task_ended(st, r->task_ended, hooks, ctx, r->at_ms,
+		    now);
+		break;
+	case OGL__RECORD__BODY_JOB_CANCELLED:
+		apply_cancelled(st, r->job_cancelled, hooks, ctx, r->at_ms,
+		    now);
+		break;
+	case OGL__RECORD__BODY_ID_INTENT:
+		id = idrec_get(st, r->id_intent->id);
+		id->at_ms = r->id_intent->at_ms;
+		if (hooks != NULL)
+			hooks->id(ctx, id, now);
+		break;
+	case OGL__RECORD__BODY_ID_OUTCOME:
+		id = idrec_get(st, r->id_outcome->id);
+		idrec_outcome(id, r->id_outcome);
+		if (hooks != NULL)
+			hooks->id(ctx, id, now);
+		/* What certainly did not run may be asked for again. */
+		if (id->verdict == OGL__VERDICT__not_run)
+			g_hash_table_remove(st->ids, id->id);
+		break;
+	case OGL__RECORD__BODY_WORKER_ON:
+		apply_worker(st, r->worker_on->worker, r->worker_on->addr,
+		    hooks, ctx, now);
+		break;
+	case OGL__RECORD__BODY_WORKER_OFF:
+		apply_worker(st, r->worker_off->worker, NULL, hooks, ctx,
+		    now);
+		break;
+	case OGL__RECORD__BODY_ALLOT:
+		apply_allot(st, r->allot, hooks, ctx, now);
+		break;
+	case OGL__RECORD__BODY_SUCCESSORS:
+		set_names(st->successors, r->successors->nodes,
+		    r->successors->n_nodes);
+		break;
+	default:
+		break;
+	}
+}
+
+static bool
+by_owner(const struct ogl_state *st, const Ogl__Record *r)
+{
+	return st->epoch != 0 && r->epoch == st->epoch &&
+	    r->boot == st->owner_boot && strcmp(r->writer, st->owner) == 0;
+}
+
+void
+ogl_state_apply(struct ogl_state *st, const Ogl__Record *r, uint64_t offset,
+    const struct ogl_state_hooks *hooks, void *ctx, ogl_time now)
+{
+	if (offset == 0)
+		st->complete = true;
+	if (!st->complete) {
+		if (r->body_case == OGL__RECORD__BODY_SHARD_SNAP)
+			take_part(st, r->shard_snap);
+		return;
+	}
+	st->records++;
+	if (r->body_case == OGL__RECORD__BODY_CLAIM)
+		apply_claim(st, r, offset, hooks, ctx, now);
+	else if (r->body_case == OGL__RECORD__BODY_SHARD_SNAP)
+		st->records = by_owner(st, r) ? 0 : st->records;
+	else if (by_owner(st, r))
+		apply_owned(st, r, hooks, ctx, now);
+}
--- a/src/stream.c
+++ b/src/stream.c
@@ -54,6 +54,7 @@
 	GPtrArray *sent; /* Ogl__Record, fate unknown */
 	GBytes *batch;	 /* the sent ones, packed */
 	uint64_t seq;
+	uint32_t most_records; /* in one append */
 	ogl_time append_due;
 	uint64_t append_token; /* 0: no append under way */
 	ogl_time append_sent;
@@ -86,6 +87,7 @@
 	s->waiting = g_queue_new();
 	s->sent = g_ptr_array_new_with_free_func(record_free);
 	s->read_due = OGL_NEVER;
+	s->most_records = BATCH_RECORDS;
 	return s;
 }
 
@@ -102,6 +104,12 @@
 	g_free(s);
 }
 
+void
+ogl_stream_single(struct ogl_stream *s)
+{
+	s->most_records = 1;
+}
+
 void
 ogl_stream_poll(struct ogl_stream *s, uint32_t poll_ms, ogl_time now)
 {
@@ -296,14 +304,19 @@
 
 /* ---- appending -------------------------------------------------------- */
 
+/* Numbers begin at the time of the first batch, so that a stream closed and
+ * opened again within one boot goes on above its old numbers. */
 static void
-fill_batch(struct ogl_stream *s)
+fill_batch(struct ogl_stream *s, ogl_time now)
 {
 	Ogl__Batch b = OGL__BATCH__INIT;
 	size_t bytes = 0;
 	uint8_t *buf;
 
-	while (s->waiting->length > 0 && s->sent->len < BATCH_RECORDS &&
+	if (s->seq == 0)
+		s->seq = (uint64_t)now;
+
+	while (s->waiting->length > 0 && s->sent->len < s->most_records &&
 	    bytes < BATCH_BYTES) {
 		Ogl__Record *r = g_queue_pop_head(s->waiting);
 
@@ -402,7 +415,7 @@
 	give_up_silent(s, now);
 	if (append_wanted(s) && now >= s->append_due) {
 		if (s->sent->len == 0)
-			fill_batch(s);
+			fill_batch(s, now);
 		send_append(s, now, out);
 	}
 	if (s->read_token == 0 && now >= s->read_due)
--- a/src/stream.h
+++ b/src/stream.h
@@ -23,6 +23,9 @@
 /* Tokens of its actions are token_base + a count below 2^32. */
 void ogl_stream_end(struct ogl_stream *s);
 
+void ogl_stream_single(struct ogl_stream *s);
+/* From now on each append carries one record. */
+
 void ogl_stream_poll(struct ogl_stream *s, uint32_t poll_ms, ogl_time now);
 /* Follows the stream from now on, reading at least this often. */
 
