Place tasks by an index of free room

Cause: the cell needs thousands of placements a second, so a decision may not look at every worker. Workers stand in buckets by the size classes of their free processors and memory, one grid a zone and accelerator plane; policies by kind pick among a bounded walk. Gangs are planned, then held; one reservation keeps room for a waiting gang; workers whose failures surprise are set aside.

Ruled out: a segment tree of maxima, since maxima of two dimensions may come from two workers and the descent then backtracks.

Conclusion: seeded random runs agree with a model that looks at every worker. No timing yet.

--- /dev/null
+++ b/src/place.h
@@ -0,0 +1,219 @@
+/*
+ * Parts of placement: the grid of free room, counts for spreading, the
+ * record of failures, and the state they share.
+ */
+
+#ifndef OGL_PLACE_H
+#define OGL_PLACE_H
+
+#include "orioleglade.h"
+
+#define OGL_PLACE_NONE UINT32_MAX /* no worker */
+
+/* ---- grid ------------------------------------------------------------- */
+
+#define OGL_GRID_CLASSES 64 /* size classes a dimension; bits of a mask */
+
+/* What a search reads of a worker, kept small for the cache. */
+struct ogl_slot {
+	struct ogl_res avail; /* free and not kept for a reservation */
+	uint32_t next, prev;  /* in its bucket's list */
+	uint32_t rack;
+	uint16_t zone;
+	uint8_t plane; /* by accelerators, see place.c */
+	uint8_t row, col;
+	bool indexed; /* stands in a bucket */
+};
+
+/* Workers by the size classes of their free processors and memory. */
+struct ogl_grid {
+	uint64_t rows;                     /* rows with a worker */
+	uint64_t cols;                     /* columns with a worker */
+	uint64_t in_row[OGL_GRID_CLASSES]; /* columns with a worker, by row */
+	uint64_t in_col[OGL_GRID_CLASSES]; /* rows with a worker, by column */
+	uint32_t *head[OGL_GRID_CLASSES];  /* lists by row then column */
+};
+
+/* One search, tightest first in one dimension. */
+struct ogl_grid_walk {
+	const struct ogl_res *need;
+	bool by_mem;     /* order by memory, else by processors */
+	unsigned from;   /* class to begin at; lower ones come last */
+	uint32_t take;   /* offers left */
+	uint32_t misses; /* looks at workers without room left */
+	bool skipped;    /* a bucket that may fit was not looked through */
+	void (*offer)(void *ctx, uint32_t w);
+	void *ctx;
+};
+
+void ogl_grid_put(struct ogl_grid *g, struct ogl_slot *slots, uint32_t w);
+/* Puts worker w, by its avail, into its bucket. */
+
+void ogl_grid_take(struct ogl_grid *g, struct ogl_slot *slots, uint32_t w);
+/* Takes worker w out of its bucket. */
+
+bool ogl_grid_moves(const struct ogl_slot *s);
+/* Whether the avail of an indexed worker now belongs to another bucket. */
+
+void ogl_grid_walk(const struct ogl_grid *g, const struct ogl_slot *slots,
+    struct ogl_grid_walk *k);
+/* Offers workers whose avail holds the need until offers run out. */
+
+void ogl_grid_clear(struct ogl_grid *g);
+size_t ogl_grid_bytes(const struct ogl_grid *g);
+
+/* ---- counts ----------------------------------------------------------- */
+
+/* How many tasks of a job stand in a zone or rack, by hashed key. */
+struct ogl_count_cell {
+	uint64_t key; /* 0 when empty */
+	uint32_t n;
+};
+
+struct ogl_counts {
+	struct ogl_count_cell *cells;
+	uint32_t size; /* power of two */
+	uint32_t used;
+};
+
+enum ogl_count_sort {
+	OGL_COUNT_ZONE = 1,
+	OGL_COUNT_RACK
+};
+
+void ogl_counts_init(struct ogl_counts *c);
+void ogl_counts_clear(struct ogl_counts *c);
+uint64_t ogl_counts_key(uint64_t job, enum ogl_count_sort sort, uint32_t id);
+uint32_t ogl_counts_get(const struct ogl_counts *c, uint64_t key);
+void ogl_counts_add(struct ogl_counts *c, uint64_t key);
+void ogl_counts_sub(struct ogl_counts *c, uint64_t key);
+
+/* ---- failures --------------------------------------------------------- */
+
+struct ogl_health; /* what tasks' ends say of workers */
+
+struct ogl_health *ogl_health_init(void);
+void ogl_health_end(struct ogl_health *h);
+
+bool ogl_health_result(
+    struct ogl_health *h, uint32_t w, uint64_t job, bool ok, ogl_time now);
+/* Tells of a task's end; whether the worker should be set aside now. */
+
+ogl_time ogl_health_aside(struct ogl_health *h, uint32_t w, ogl_time now);
+/* The worker is set aside; until when. */
+
+void ogl_health_forget(struct ogl_health *h, uint32_t w);
+/* Worker w is gone. */
+
+/* ---- the whole -------------------------------------------------------- */
+
+enum ogl_aside {
+	OGL_ASIDE_NOT,    /* in use */
+	OGL_ASIDE_WAITS,  /* gets nothing until its delay is over */
+	OGL_ASIDE_PROBE,  /* may get one task */
+	OGL_ASIDE_PROBING /* has its one task */
+};
+
+/* Tasks of one spread job on one worker. */
+struct ogl_job_here {
+	uint64_t job;
+	uint32_t n;
+};
+
+struct ogl_place_worker {
+	char *name;
+	struct ogl_res capacity;
+	struct ogl_res held;
+	struct ogl_res held_long; /* part of held that services hold */
+	struct ogl_job_here *jobs;
+	uint16_t njobs, room_jobs;
+	uint32_t kept;      /* as struct ogl_kept has it, while in force */
+	ogl_time aside_due; /* when the present aside state ends */
+	uint8_t aside;      /* enum ogl_aside */
+	bool known;         /* the number is in use */
+	bool open;
+	bool counted; /* in the sums of ogl_place_room */
+};
+
+#define OGL_PLANES 6 /* see plane_of in place.c */
+
+struct ogl_place_zone {
+	char *name;
+	struct ogl_grid grid[OGL_PLANES];
+	uint64_t avail_cpu; /* over indexed workers */
+};
+
+struct ogl_place_rack {
+	uint16_t zone;
+	uint64_t cpu, mem, accel; /* avail over indexed workers */
+	GArray *workers;          /* uint32_t */
+};
+
+/* Tasks of the reserved gang that a worker keeps room for. */
+struct ogl_kept {
+	uint32_t w;
+	uint32_t tasks;
+};
+
+/* The one waiting gang that room is kept for. */
+struct ogl_reservation {
+	bool set;
+	bool lost; /* a chosen worker went away */
+	struct ogl_ask ask;
+	uint32_t n;
+	ogl_time until;
+	GArray *kept; /* struct ogl_kept */
+};
+
+#define OGL_PLACE_MISSES 8 /* shapes known to fit nowhere */
+
+struct ogl_place {
+	struct ogl_slot *slots; /* by worker number */
+	struct ogl_place_worker *workers;
+	uint32_t n, room;
+	GArray *spare;      /* uint32_t, numbers to give again */
+	GHashTable *byname; /* name -> number + 1 */
+	GPtrArray *zones;   /* struct ogl_place_zone */
+	GHashTable *zone_byname;
+	GArray *racks; /* struct ogl_place_rack */
+	GHashTable *rack_byname;
+	GHashTable *shapes; /* capacity -> workers of it */
+	struct ogl_counts counts;
+	struct ogl_health *health;
+	GArray *aside; /* uint32_t, workers not in OGL_ASIDE_NOT */
+	ogl_time aside_due;
+	uint32_t probes; /* workers in OGL_ASIDE_PROBE */
+	struct ogl_reservation reserved;
+	struct ogl_res miss[OGL_PLACE_MISSES];
+	uint32_t nmiss;
+	uint64_t total_cpu, total_mem, total_accel; /* open workers */
+	uint64_t held_cpu, held_mem, held_accel;
+	uint64_t rnd;
+};
+
+uint32_t ogl_place_fit(const struct ogl_res *need, const struct ogl_res *room);
+/* How many such tasks the room holds; UINT32_MAX when they need nothing. */
+
+void ogl_place_reindex(struct ogl_place *p, uint32_t w);
+/* Brings the index up to date after worker w changed. */
+
+void ogl_place_take(struct ogl_place *p, uint32_t w, const struct ogl_ask *ask);
+/* Holds room that is known to be there. */
+
+bool ogl_place_batch_pick(
+    struct ogl_place *p, const struct ogl_ask *ask, uint32_t *w);
+/* Best fit over all open workers. */
+
+bool ogl_place_missed(const struct ogl_place *p, const struct ogl_res *need);
+/* Whether the need is known to fit nowhere now. */
+
+void ogl_place_unkeep(struct ogl_place *p, uint32_t w);
+/* Worker w can no longer serve the reservation. */
+
+void ogl_place_expire(struct ogl_place *p, ogl_time now);
+/* Drops a reservation whose deadline has passed. */
+
+size_t ogl_place_bytes(const struct ogl_place *p);
+/* Memory held, for bench and metrics. */
+
+#endif
--- /dev/null
+++ b/src/place_count.c
@@ -0,0 +1,120 @@
+/*
+ * Counts by a 64-bit hashed key, for spreading a job's tasks.
+ *
+ * An open-addressed table with linear probing; a count that falls to zero is
+ * taken out by moving later cells back, so the table needs no tombstones and
+ * its size follows what is counted now.  Two keys that collide would share a
+ * count: spreading gets a little worse, nothing else.
+ */
+
+#include "place.h"
+
+#define COUNT_MIN_SIZE 64
+
+void
+ogl_counts_init(struct ogl_counts *c)
+{
+	c->size = COUNT_MIN_SIZE;
+	c->used = 0;
+	c->cells = g_new0(struct ogl_count_cell, c->size);
+}
+
+void
+ogl_counts_clear(struct ogl_counts *c)
+{
+	g_free(c->cells);
+	c->cells = NULL;
+}
+
+uint64_t
+ogl_counts_key(uint64_t job, enum ogl_count_sort sort, uint32_t id)
+{
+	uint64_t x = job + 0x9e3779b97f4a7c15u * ((uint64_t)id * 4 + sort);
+
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
+	x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
+	x ^= x >> 31;
+	return x != 0 ? x : 1;
+}
+
+/* The cell of a key, or the empty one where it would go. */
+static uint32_t
+find(const struct ogl_counts *c, uint64_t key)
+{
+	uint32_t i = (uint32_t)key & (c->size - 1);
+
+	while (c->cells[i].key != 0 && c->cells[i].key != key)
+		i = (i + 1) & (c->size - 1);
+	return i;
+}
+
+uint32_t
+ogl_counts_get(const struct ogl_counts *c, uint64_t key)
+{
+	return c->cells[find(c, key)].n;
+}
+
+static void
+resize(struct ogl_counts *c, uint32_t size)
+{
+	struct ogl_count_cell *old = c->cells;
+	uint32_t i, n = c->size;
+
+	c->cells = g_new0(struct ogl_count_cell, size);
+	c->size = size;
+	for (i = 0; i < n; i++) {
+		if (old[i].key != 0)
+			c->cells[find(c, old[i].key)] = old[i];
+	}
+	g_free(old);
+}
+
+void
+ogl_counts_add(struct ogl_counts *c, uint64_t key)
+{
+	uint32_t i;
+
+	if ((c->used + 1) * 4 > c->size * 3)
+		resize(c, c->size * 2);
+	i = find(c, key);
+	if (c->cells[i].key == 0) {
+		c->cells[i].key = key;
+		c->used++;
+	}
+	c->cells[i].n++;
+}
+
+/* Empties cell i and closes the gap in the run of cells after it. */
+static void
+erase(struct ogl_counts *c, uint32_t i)
+{
+	uint32_t mask = c->size - 1, j = i, home;
+
+	for (;;) {
+		j = (j + 1) & mask;
+		if (c->cells[j].key == 0)
+			break;
+		home = (uint32_t)c->cells[j].key & mask;
+		if (((j - home) & mask) < ((j - i) & mask))
+			continue;
+		c->cells[i] = c->cells[j];
+		i = j;
+	}
+	c->cells[i].key = 0;
+	c->cells[i].n = 0;
+	c->used--;
+}
+
+void
+ogl_counts_sub(struct ogl_counts *c, uint64_t key)
+{
+	uint32_t i = find(c, key);
+
+	if (c->cells[i].key == 0)
+		return;
+	if (--c->cells[i].n > 0)
+		return;
+	erase(c, i);
+	if (c->size > COUNT_MIN_SIZE && c->used * 8 < c->size)
+		resize(c, c->size / 2);
+}
--- /dev/null
+++ b/src/place_gang.c
@@ -0,0 +1,367 @@
+/*
+ * Gangs: all tasks at once or none, and the one reservation.
+ *
+ * A gang is first planned, touching nothing, then held.  The plan tries
+ * single racks whose free room in sum is enough, the tightest first, then
+ * the racks of one zone, then all racks, roomiest first.  All tasks of a
+ * gang are alike, so how many a worker takes does not depend on the others,
+ * and a plan over all racks finds room whenever there is some.
+ *
+ * Without a reservation a large gang may wait for ever, since each bit of
+ * room that falls free goes to some smaller task at once.  The reservation
+ * keeps the room of chosen workers for one gang: on each a number of its
+ * tasks.  Only what a worker has beyond that is shown to others, and workers
+ * not chosen stay open to all, so smaller work runs on behind it.  Chosen
+ * are the workers least of whose work is still to end; what services hold is
+ * taken to stay.  The deadline ends it whatever happens, and a gang that
+ * could not run even then reserves nothing, so no room is hoarded.
+ */
+
+#include <stdlib.h>
+
+#include "place.h"
+
+#define RACK_TRIES 4
+
+struct rack_fit {
+	uint64_t most; /* tasks the sums allow; at least what fits */
+	uint32_t rack;
+	uint16_t zone;
+};
+
+static struct ogl_place_rack *
+rack_at(const struct ogl_place *p, uint32_t r)
+{
+	return &g_array_index(p->racks, struct ogl_place_rack, r);
+}
+
+static uint64_t
+fit_sum(uint32_t need, uint64_t sum)
+{
+	return need > 0 ? sum / need : UINT32_MAX;
+}
+
+static uint64_t
+rack_most(const struct ogl_place_rack *r, const struct ogl_res *need)
+{
+	uint64_t n = fit_sum(need->cpu_milli, r->cpu);
+
+	n = MIN(n, fit_sum(need->mem_mb, r->mem));
+	return MIN(n, fit_sum(need->accel, r->accel));
+}
+
+/* ---- plans ------------------------------------------------------------ */
+
+struct plan {
+	const struct ogl_ask *ask;
+	uint32_t n; /* wanted */
+	uint32_t got;
+	uint32_t *w;
+	bool accel_too; /* also workers with accelerators, if not needed */
+};
+
+static void
+plan_rack(const struct ogl_place *p, struct plan *k, uint32_t rack)
+{
+	const GArray *a = rack_at(p, rack)->workers;
+	const struct ogl_slot *s;
+	uint32_t i, w, fit;
+
+	for (i = 0; i < a->len && k->got < k->n; i++) {
+		w = g_array_index(a, uint32_t, i);
+		s = &p->slots[w];
+		if (!s->indexed)
+			continue;
+		if (k->ask->res.accel == 0 && s->plane != 0 && !k->accel_too)
+			continue;
+		fit = ogl_place_fit(&k->ask->res, &s->avail);
+		for (; fit > 0 && k->got < k->n; fit--)
+			k->w[k->got++] = w;
+	}
+}
+
+/* A single rack that holds all, the tightest of those likely. */
+static bool
+plan_one_rack(const struct ogl_place *p, struct plan *k)
+{
+	struct rack_fit best[RACK_TRIES];
+	uint32_t i, n = 0, r;
+	uint64_t most;
+
+	for (r = 0; r < p->racks->len; r++) {
+		most = rack_most(rack_at(p, r), &k->ask->res);
+		if (most < k->n)
+			continue;
+		if (n == RACK_TRIES && most >= best[n - 1].most)
+			continue;
+		if (n < RACK_TRIES)
+			n++;
+		for (i = n - 1; i > 0 && best[i - 1].most > most; i--)
+			best[i] = best[i - 1];
+		best[i].most = most;
+		best[i].rack = r;
+	}
+	for (i = 0; i < n; i++) {
+		k->got = 0;
+		plan_rack(p, k, best[i].rack);
+		if (k->got == k->n)
+			return true;
+	}
+	return false;
+}
+
+static int
+by_most(const void *a, const void *b)
+{
+	const struct rack_fit *x = a, *y = b;
+
+	if (x->most != y->most)
+		return x->most > y->most ? -1 : 1;
+	return x->rack < y->rack ? -1 : x->rack > y->rack;
+}
+
+/* Racks by what they may hold, and the zone that may hold the most. */
+static struct rack_fit *
+sort_racks(
+    const struct ogl_place *p, const struct ogl_res *need, uint16_t *zone)
+{
+	struct rack_fit *f = g_new(struct rack_fit, p->racks->len);
+	uint64_t *sums = g_new0(uint64_t, p->zones->len);
+	uint32_t r;
+
+	for (r = 0; r < p->racks->len; r++) {
+		f[r].rack = r;
+		f[r].zone = rack_at(p, r)->zone;
+		f[r].most = rack_most(rack_at(p, r), need);
+		sums[f[r].zone] += f[r].most;
+	}
+	qsort(f, p->racks->len, sizeof(*f), by_most);
+	*zone = 0;
+	for (r = 1; r < p->zones->len; r++) {
+		if (sums[r] > sums[*zone])
+			*zone = (uint16_t)r;
+	}
+	g_free(sums);
+	return f;
+}
+
+static bool
+plan_many_racks(const struct ogl_place *p, struct plan *k)
+{
+	struct rack_fit *f;
+	uint16_t zone;
+	uint32_t i;
+
+	f = sort_racks(p, &k->ask->res, &zone);
+	k->got = 0;
+	for (i = 0; i < p->racks->len && k->got < k->n; i++) {
+		if (f[i].zone == zone)
+			plan_rack(p, k, f[i].rack);
+	}
+	if (k->got < k->n)
+		k->got = 0;
+	for (i = 0; i < p->racks->len && k->got < k->n; i++)
+		plan_rack(p, k, f[i].rack);
+	g_free(f);
+	return k->got == k->n;
+}
+
+static bool
+plan_gang(const struct ogl_place *p, struct plan *k)
+{
+	if (ogl_place_missed(p, &k->ask->res))
+		return false;
+	if (plan_one_rack(p, k) || plan_many_racks(p, k))
+		return true;
+	if (k->ask->res.accel > 0)
+		return false;
+	k->accel_too = true;
+	return plan_one_rack(p, k) || plan_many_racks(p, k);
+}
+
+/* ---- the reservation -------------------------------------------------- */
+
+struct choice {
+	double busy; /* part of its room that is still to fall free */
+	uint32_t w;
+	uint32_t tasks;
+};
+
+static int
+by_busy(const void *a, const void *b)
+{
+	const struct choice *x = a, *y = b;
+
+	if (x->busy != y->busy)
+		return x->busy < y->busy ? -1 : 1;
+	return x->w < y->w ? -1 : x->w > y->w;
+}
+
+static struct ogl_res
+less(struct ogl_res a, const struct ogl_res *b)
+{
+	ogl_res_sub(&a, b);
+	return a;
+}
+
+/* What worker w could give to the gang, as far as can be told. */
+static bool
+weigh(const struct ogl_place *p, uint32_t w, struct choice *c)
+{
+	const struct ogl_place_worker *k = &p->workers[w];
+	const struct ogl_res *need = &p->reserved.ask.res;
+	struct ogl_res later = less(k->capacity, &k->held_long);
+	struct ogl_res soon = less(k->capacity, &k->held);
+
+	if (!p->slots[w].indexed)
+		return false;
+	c->w = w;
+	c->tasks = ogl_place_fit(need, &later);
+	if (c->tasks == 0)
+		return false;
+	c->busy = 1 - ogl_place_fit(need, &soon) / (double)c->tasks;
+	if (need->accel == 0 && k->capacity.accel > 0)
+		c->busy += 1;
+	return true;
+}
+
+/*
+ * Chooses workers for the reserved gang; false when too few can ever do.
+ * Those chosen before have gained the most room since, so a new choice
+ * mostly falls on them again.
+ */
+static bool
+choose(struct ogl_place *p)
+{
+	struct choice *c = g_new(struct choice, p->n);
+	uint32_t i, n = 0, left = p->reserved.n;
+	struct ogl_kept kept;
+
+	g_array_set_size(p->reserved.kept, 0);
+	for (i = 0; i < p->n; i++) {
+		if (weigh(p, i, &c[n]))
+			n++;
+	}
+	qsort(c, n, sizeof(*c), by_busy);
+	for (i = 0; i < n && left > 0; i++) {
+		kept.w = c[i].w;
+		kept.tasks = MIN(left, c[i].tasks);
+		g_array_append_val(p->reserved.kept, kept);
+		left -= kept.tasks;
+	}
+	g_free(c);
+	p->reserved.lost = false;
+	return left == 0;
+}
+
+/* Keeps room as chosen, or shows all of it. */
+static void
+keep(struct ogl_place *p, bool on)
+{
+	const struct ogl_kept *k;
+	uint32_t i;
+
+	for (i = 0; i < p->reserved.kept->len; i++) {
+		k = &g_array_index(p->reserved.kept, struct ogl_kept, i);
+		p->workers[k->w].kept = on ? k->tasks : 0;
+		ogl_place_reindex(p, k->w);
+	}
+}
+
+/* Ends the reservation; the room kept is open to all. */
+static void
+end_reservation(struct ogl_place *p)
+{
+	keep(p, false);
+	g_array_set_size(p->reserved.kept, 0);
+	p->reserved.set = false;
+}
+
+void
+ogl_place_unkeep(struct ogl_place *p, uint32_t w)
+{
+	GArray *a = p->reserved.kept;
+	uint32_t i;
+
+	if (p->workers[w].kept == 0)
+		return;
+	p->workers[w].kept = 0;
+	p->reserved.lost = true;
+	for (i = 0; g_array_index(a, struct ogl_kept, i).w != w; i++)
+		;
+	g_array_remove_index_fast(a, i);
+}
+
+void
+ogl_place_expire(struct ogl_place *p, ogl_time now)
+{
+	if (p->reserved.set && now >= p->reserved.until)
+		end_reservation(p);
+}
+
+bool
+ogl_place_reserve(struct ogl_place *p, uint64_t job, const struct ogl_ask *ask,
+    uint32_t n, ogl_time until, ogl_time now)
+{
+	ogl_place_expire(p, now);
+	if (p->reserved.set && p->reserved.ask.job != job)
+		return false;
+	if (until <= now)
+		return false;
+	keep(p, false);
+	p->reserved.set = true;
+	p->reserved.ask = *ask;
+	p->reserved.ask.job = job;
+	p->reserved.n = n;
+	p->reserved.until = until;
+	if (choose(p))
+		keep(p, true);
+	else
+		end_reservation(p);
+	return p->reserved.set;
+}
+
+void
+ogl_place_unreserve(struct ogl_place *p, uint64_t job)
+{
+	if (!p->reserved.set || p->reserved.ask.job != job)
+		return;
+	end_reservation(p);
+}
+
+/* ---- a gang ----------------------------------------------------------- */
+
+/* Plans with the room kept for this gang in view. */
+static bool
+plan_reserved(struct ogl_place *p, struct plan *k)
+{
+	bool ok;
+
+	keep(p, false);
+	ok = plan_gang(p, k);
+	if (!ok && p->reserved.lost && !choose(p))
+		end_reservation(p);
+	else
+		keep(p, true);
+	return ok;
+}
+
+bool
+ogl_place_gang(struct ogl_place *p, const struct ogl_ask *ask, uint32_t n,
+    ogl_time now, uint32_t *w)
+{
+	struct plan k = {.ask = ask, .n = n, .w = w};
+	uint32_t i;
+	bool own, ok;
+
+	ogl_place_expire(p, now);
+	own = p->reserved.set && p->reserved.ask.job == ask->job;
+	ok = own ? plan_reserved(p, &k) : plan_gang(p, &k);
+	if (!ok)
+		return false;
+	if (own)
+		ogl_place_unreserve(p, ask->job);
+	for (i = 0; i < n; i++)
+		ogl_place_take(p, w[i], ask);
+	return true;
+}
--- /dev/null
+++ b/src/place_grid.c
@@ -0,0 +1,180 @@
+/*
+ * Workers indexed by free room.
+ *
+ * Free processors and free memory are each cut into 64 size classes, four to
+ * an octave, and a worker stands in the bucket of its two classes.  For each
+ * row one word tells which columns hold a worker, and the other way round,
+ * so a search visits only buckets that are not empty, tightest first in
+ * either dimension, and its cost depends on the number of classes, not of
+ * workers.  Every bucket beyond the need's own row and column fits as a
+ * whole; in those two each worker must be looked at, and the number of such
+ * looks is bounded by the caller.
+ *
+ * Buckets are lists through the slots.  Rows of list heads are allocated
+ * when first used, so a small cell pays for few.
+ */
+
+#include "place.h"
+
+#define UNIT_SHIFT 6 /* finest class: 64 thousandths or 64 MB */
+
+static unsigned
+size_class(uint32_t v)
+{
+	unsigned c, e;
+
+	v >>= UNIT_SHIFT;
+	if (v < 4)
+		return v;
+	e = 31 - (unsigned)__builtin_clz(v);
+	c = 4 * (e - 1) + ((v >> (e - 2)) & 3);
+	return MIN(c, OGL_GRID_CLASSES - 1);
+}
+
+static uint64_t
+bit(unsigned i)
+{
+	return (uint64_t)1 << i;
+}
+
+void
+ogl_grid_put(struct ogl_grid *g, struct ogl_slot *slots, uint32_t w)
+{
+	struct ogl_slot *s = &slots[w];
+	uint32_t *head;
+	unsigned i;
+
+	s->row = (uint8_t)size_class(s->avail.cpu_milli);
+	s->col = (uint8_t)size_class(s->avail.mem_mb);
+	if (g->head[s->row] == NULL) {
+		g->head[s->row] = g_new(uint32_t, OGL_GRID_CLASSES);
+		for (i = 0; i < OGL_GRID_CLASSES; i++)
+			g->head[s->row][i] = OGL_PLACE_NONE;
+	}
+	head = &g->head[s->row][s->col];
+	s->prev = OGL_PLACE_NONE;
+	s->next = *head;
+	if (s->next != OGL_PLACE_NONE)
+		slots[s->next].prev = w;
+	*head = w;
+	g->in_row[s->row] |= bit(s->col);
+	g->in_col[s->col] |= bit(s->row);
+	g->rows |= bit(s->row);
+	g->cols |= bit(s->col);
+	s->indexed = true;
+}
+
+void
+ogl_grid_take(struct ogl_grid *g, struct ogl_slot *slots, uint32_t w)
+{
+	struct ogl_slot *s = &slots[w];
+
+	if (s->next != OGL_PLACE_NONE)
+		slots[s->next].prev = s->prev;
+	if (s->prev != OGL_PLACE_NONE)
+		slots[s->prev].next = s->next;
+	else
+		g->head[s->row][s->col] = s->next;
+	s->indexed = false;
+	if (g->head[s->row][s->col] != OGL_PLACE_NONE)
+		return;
+	g->in_row[s->row] &= ~bit(s->col);
+	g->in_col[s->col] &= ~bit(s->row);
+	if (g->in_row[s->row] == 0)
+		g->rows &= ~bit(s->row);
+	if (g->in_col[s->col] == 0)
+		g->cols &= ~bit(s->col);
+}
+
+bool
+ogl_grid_moves(const struct ogl_slot *s)
+{
+	return size_class(s->avail.cpu_milli) != s->row ||
+	       size_class(s->avail.mem_mb) != s->col;
+}
+
+/* Looks through one bucket; edge tells that some in it may not fit. */
+static void
+walk_bucket(const struct ogl_slot *slots, uint32_t w, bool edge,
+    struct ogl_grid_walk *k)
+{
+	if (edge && k->misses == 0) {
+		k->skipped = true;
+		return;
+	}
+	while (w != OGL_PLACE_NONE && k->take > 0) {
+		if (ogl_res_fits(k->need, &slots[w].avail)) {
+			k->take--;
+			k->offer(k->ctx, w);
+		} else {
+			if (k->misses == 0) {
+				k->skipped = true;
+				return;
+			}
+			k->misses--;
+		}
+		w = slots[w].next;
+	}
+}
+
+/* Looks through the outer classes in `outer`, lowest first. */
+static void
+walk_outer(const struct ogl_grid *g, const struct ogl_slot *slots,
+    uint64_t outer, struct ogl_grid_walk *k)
+{
+	unsigned cpu = size_class(k->need->cpu_milli);
+	unsigned mem = size_class(k->need->mem_mb);
+	unsigned a, b, row, col;
+	uint64_t inner;
+
+	while (outer != 0 && k->take > 0) {
+		a = (unsigned)__builtin_ctzll(outer);
+		outer &= outer - 1;
+		inner = k->by_mem ? g->in_col[a] & (~(uint64_t)0 << cpu)
+				  : g->in_row[a] & (~(uint64_t)0 << mem);
+		while (inner != 0 && k->take > 0) {
+			b = (unsigned)__builtin_ctzll(inner);
+			inner &= inner - 1;
+			row = k->by_mem ? b : a;
+			col = k->by_mem ? a : b;
+			walk_bucket(slots, g->head[row][col],
+			    row == cpu || col == mem, k);
+		}
+	}
+}
+
+void
+ogl_grid_walk(const struct ogl_grid *g, const struct ogl_slot *slots,
+    struct ogl_grid_walk *k)
+{
+	unsigned need =
+	    size_class(k->by_mem ? k->need->mem_mb : k->need->cpu_milli);
+	uint64_t outer =
+	    (k->by_mem ? g->cols : g->rows) & (~(uint64_t)0 << need);
+	uint64_t first = ~(uint64_t)0 << MIN(k->from, OGL_GRID_CLASSES - 1);
+
+	walk_outer(g, slots, outer & first, k);
+	walk_outer(g, slots, outer & ~first, k);
+}
+
+void
+ogl_grid_clear(struct ogl_grid *g)
+{
+	unsigned i;
+
+	for (i = 0; i < OGL_GRID_CLASSES; i++)
+		g_free(g->head[i]);
+}
+
+size_t
+ogl_grid_bytes(const struct ogl_grid *g)
+{
+	size_t n = sizeof(*g);
+	unsigned i;
+
+	for (i = 0; i < OGL_GRID_CLASSES; i++) {
+		if (g->head[i] != NULL)
+			n += OGL_GRID_CLASSES * sizeof(uint32_t);
+	}
+	return n;
+}
--- /dev/null
+++ b/src/place_health.c
@@ -0,0 +1,217 @@
+/*
+ * What tasks' ends say of workers.
+ *
+ * A worker is suspect when its failures are surprising.  A failed task of a
+ * job that does well elsewhere is surprising, one of a job that fails
+ * everywhere is not: each of the jobs that failed on a worker since its last
+ * good task adds -log2(p) bits, p being how often that job fails on other
+ * workers.  A job counts once a worker however often it fails there, so a
+ * wave of failures of one job condemns nobody, and a worker that fails its
+ * tasks at once, and so draws many, does not spoil the record of the jobs
+ * that came to it.
+ *
+ * Without this a broken worker, always empty because all it starts ends at
+ * once, takes in a large part of all new tasks; it shows as failures on one
+ * worker over many jobs.
+ *
+ * The jobs' records live in a two-way table of fixed size where a new job
+ * takes the place of the one unheard of for longest.
+ */
+
+#include <math.h>
+
+#include "place.h"
+
+#define JOB_SETS 2048      /* of two records each */
+#define JOB_WEIGHT_MAX 64  /* results after which old ones are halved */
+#define SUSPECT_JOBS 8     /* failed jobs remembered a worker */
+#define SURPRISE_MAX 4.0   /* bits that one job can add */
+#define SURPRISE_MIN 0.5   /* bits below which a job tells nothing */
+#define SURPRISE_ASIDE 8.0 /* bits at which a worker is set aside */
+#define JOBS_ASIDE 3       /* telling jobs needed besides */
+#define SURPRISE_AGAIN 4.0 /* the same for one set aside lately */
+#define JOBS_AGAIN 2
+#define ASIDE_BASE (30 * OGL_SEC)
+#define ASIDE_DOUBLINGS 6
+#define GOOD_RUN 32 /* good tasks in a row that clear the past */
+
+struct job_record {
+	uint64_t job;
+	ogl_time last;
+	uint16_t ok, fail;
+};
+
+struct worker_record {
+	uint64_t jobs[SUSPECT_JOBS]; /* failed here since a good task */
+	uint8_t njobs, next;
+	uint8_t strikes; /* times set aside of late */
+	uint8_t run;     /* good tasks in a row */
+};
+
+struct ogl_health {
+	struct job_record jobs[JOB_SETS][2];
+	GPtrArray *workers; /* struct worker_record, NULL when all went well */
+};
+
+struct ogl_health *
+ogl_health_init(void)
+{
+	struct ogl_health *h = g_new0(struct ogl_health, 1);
+
+	h->workers = g_ptr_array_new_with_free_func(g_free);
+	return h;
+}
+
+void
+ogl_health_end(struct ogl_health *h)
+{
+	g_ptr_array_free(h->workers, TRUE);
+	g_free(h);
+}
+
+static struct job_record *
+job_record(struct ogl_health *h, uint64_t job, ogl_time now)
+{
+	uint64_t hash = job * 0x9e3779b97f4a7c15u;
+	struct job_record *set = h->jobs[(hash >> 32) % JOB_SETS];
+	struct job_record *r;
+
+	if (set[0].job == job || set[1].job == job) {
+		r = set[0].job == job ? &set[0] : &set[1];
+	} else {
+		r = set[0].last <= set[1].last ? &set[0] : &set[1];
+		memset(r, 0, sizeof(*r));
+		r->job = job;
+	}
+	r->last = now;
+	return r;
+}
+
+static void
+job_result(struct job_record *r, bool ok)
+{
+	if (ok)
+		r->ok++;
+	else
+		r->fail++;
+	if (r->ok + r->fail > JOB_WEIGHT_MAX) {
+		r->ok /= 2;
+		r->fail /= 2;
+	}
+}
+
+/* Bits of surprise that this job failed at one worker. */
+static double
+surprise(const struct job_record *r)
+{
+	unsigned other = r->fail > 0 ? r->fail - 1u : 0;
+	double bits;
+
+	if (r->ok == 0)
+		return 0;
+	bits = -log2((other + 1.0) / (r->ok + other + 2.0));
+	return bits < SURPRISE_MIN ? 0 : MIN(bits, SURPRISE_MAX);
+}
+
+static struct worker_record *
+worker_record(struct ogl_health *h, uint32_t w, bool make)
+{
+	if (w >= h->workers->len) {
+		if (!make)
+			return NULL;
+		g_ptr_array_set_size(h->workers, (int)w + 1);
+	}
+	if (h->workers->pdata[w] == NULL && make)
+		h->workers->pdata[w] = g_new0(struct worker_record, 1);
+	return h->workers->pdata[w];
+}
+
+static void
+worker_did_well(struct ogl_health *h, uint32_t w)
+{
+	struct worker_record *r = worker_record(h, w, false);
+
+	if (r == NULL)
+		return;
+	r->njobs /= 2;
+	r->next = r->njobs;
+	if (++r->run < GOOD_RUN)
+		return;
+	g_free(r);
+	h->workers->pdata[w] = NULL;
+}
+
+/* Notes a failed job; false when it was noted before. */
+static bool
+note_job(struct worker_record *r, uint64_t job)
+{
+	unsigned i;
+
+	for (i = 0; i < r->njobs; i++) {
+		if (r->jobs[i] == job)
+			return false;
+	}
+	r->next %= SUSPECT_JOBS;
+	r->jobs[r->next++] = job;
+	if (r->njobs < SUSPECT_JOBS)
+		r->njobs++;
+	return true;
+}
+
+static bool
+is_suspect(struct ogl_health *h, const struct worker_record *r, ogl_time now)
+{
+	double bits, sum = 0;
+	unsigned i, telling = 0;
+
+	for (i = 0; i < r->njobs; i++) {
+		bits = surprise(job_record(h, r->jobs[i], now));
+		sum += bits;
+		telling += bits > 0;
+	}
+	if (r->strikes > 0)
+		return sum >= SURPRISE_AGAIN && telling >= JOBS_AGAIN;
+	return sum >= SURPRISE_ASIDE && telling >= JOBS_ASIDE;
+}
+
+bool
+ogl_health_result(
+    struct ogl_health *h, uint32_t w, uint64_t job, bool ok, ogl_time now)
+{
+	struct job_record *j = job_record(h, job, now);
+	struct worker_record *r;
+
+	if (ok) {
+		job_result(j, true);
+		worker_did_well(h, w);
+		return false;
+	}
+	r = worker_record(h, w, true);
+	r->run = 0;
+	if (note_job(r, job))
+		job_result(j, false);
+	return is_suspect(h, r, now);
+}
+
+ogl_time
+ogl_health_aside(struct ogl_health *h, uint32_t w, ogl_time now)
+{
+	struct worker_record *r = worker_record(h, w, true);
+	unsigned doublings = MIN(r->strikes, ASIDE_DOUBLINGS);
+
+	if (r->strikes <= ASIDE_DOUBLINGS)
+		r->strikes++;
+	r->njobs = 0;
+	r->next = 0;
+	r->run = 0;
+	return now + ASIDE_BASE * ((ogl_time)1 << doublings);
+}
+
+void
+ogl_health_forget(struct ogl_health *h, uint32_t w)
+{
+	if (w >= h->workers->len)
+		return;
+	g_free(h->workers->pdata[w]);
+	h->workers->pdata[w] = NULL;
+}
--- /dev/null
+++ b/test/test_place.cc
@@ -0,0 +1,352 @@
+// Placement: scripted runs against expected output, and random holds and
+// frees against a model that looks at every worker.
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <map>
+#include <random>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "orioleglade.h"
+
+namespace
+{
+
+// Runs the commands of a script; a line `= text` is what the last command
+// has to answer.
+class Script
+{
+	struct ogl_place *p = ogl_place_init(7);
+	std::map<std::string, uint32_t> numbers;
+	std::vector<std::string> names;
+	ogl_time now = OGL_SEC;
+
+	static struct ogl_ask read_ask(std::istringstream &in)
+	{
+		static const std::map<std::string, Ogl__Kind> kinds = {
+		    {"batch", OGL__KIND__batch},
+		    {"service", OGL__KIND__service}, {"gang", OGL__KIND__gang}};
+		std::string kind;
+		struct ogl_ask a = {};
+
+		in >> kind >> a.job >> a.res.cpu_milli >> a.res.mem_mb >>
+		    a.res.accel;
+		a.kind = kinds.at(kind);
+		return a;
+	}
+
+	void worker(std::istringstream &in)
+	{
+		std::string name, zone, rack;
+		struct ogl_res r;
+
+		in >> name >> r.cpu_milli >> r.mem_mb >> r.accel >> zone >>
+		    rack;
+		uint32_t w = ogl_place_worker(
+		    p, name.c_str(), &r, zone.c_str(), rack.c_str());
+		ogl_place_set(p, w, OGL_PLACE_OPEN);
+		numbers[name] = w;
+		if (names.size() <= w)
+			names.resize(w + 1);
+		names[w] = name;
+	}
+
+	std::string gang(std::istringstream &in)
+	{
+		uint32_t n;
+		in >> n;
+		struct ogl_ask a = read_ask(in);
+		std::vector<uint32_t> w(n);
+		std::map<std::string, int> on;
+		std::string out;
+
+		if (!ogl_place_gang(p, &a, n, now, w.data()))
+			return "none";
+		for (uint32_t i : w)
+			on[names[i]]++;
+		for (auto &e : on)
+			out += (out.empty() ? "" : " ") + e.first + ":" +
+			       std::to_string(e.second);
+		return out;
+	}
+
+	std::string never(std::istringstream &in)
+	{
+		uint32_t n;
+		in >> n;
+		struct ogl_ask a = read_ask(in);
+
+		switch (ogl_place_never(p, &a, n)) {
+		case OGL_NEVER_NO_WORKER:
+			return "no worker";
+		case OGL_NEVER_GANG_TOTAL:
+			return "too many";
+		default:
+			return "can run";
+		}
+	}
+
+	std::string reserve(std::istringstream &in)
+	{
+		uint32_t n, secs;
+		in >> n >> secs;
+		struct ogl_ask a = read_ask(in);
+
+		return ogl_place_reserve(
+			   p, a.job, &a, n, now + secs * OGL_SEC, now)
+			   ? "yes"
+			   : "no";
+	}
+
+      public:
+	~Script()
+	{
+		ogl_place_end(p);
+	}
+
+	std::string run(const std::string &line)
+	{
+		std::istringstream in(line);
+		std::string cmd, name, word;
+		uint64_t job;
+		uint32_t w;
+
+		in >> cmd;
+		if (cmd == "worker") {
+			worker(in);
+		} else if (cmd == "task") {
+			struct ogl_ask a = read_ask(in);
+			return ogl_place_task(p, &a, now, &w) ? names[w]
+							      : "none";
+		} else if (cmd == "gang") {
+			return gang(in);
+		} else if (cmd == "never") {
+			return never(in);
+		} else if (cmd == "reserve") {
+			return reserve(in);
+		} else if (cmd == "unreserve") {
+			in >> job;
+			ogl_place_unreserve(p, job);
+		} else if (cmd == "free") {
+			in >> name;
+			struct ogl_ask a = read_ask(in);
+			ogl_place_free(p, numbers.at(name), &a);
+		} else if (cmd == "hold") {
+			in >> name;
+			struct ogl_ask a = read_ask(in);
+			return ogl_place_hold(p, numbers.at(name), &a) ? "yes"
+								       : "no";
+		} else if (cmd == "result") {
+			in >> name >> job >> word;
+			ogl_place_result(
+			    p, numbers.at(name), job, word == "ok", now);
+		} else if (cmd == "time") {
+			in >> job;
+			now += (ogl_time)job * OGL_SEC;
+		} else if (cmd == "close" || cmd == "open") {
+			in >> name;
+			ogl_place_set(p, numbers.at(name),
+			    cmd == "open" ? OGL_PLACE_OPEN : OGL_PLACE_CLOSED);
+		} else if (cmd == "drop") {
+			in >> name;
+			ogl_place_drop(p, numbers.at(name));
+		} else if (cmd == "room") {
+			struct ogl_res t, h;
+			ogl_place_room(p, &t, &h);
+			return std::to_string(h.cpu_milli) + "/" +
+			       std::to_string(t.cpu_milli);
+		} else {
+			return "unknown command";
+		}
+		return "";
+	}
+};
+
+void
+run_script(const std::string &name)
+{
+	std::ifstream f(std::string(OGL_TEST_DIR) + "/scripts/" + name);
+	std::string line, answer;
+	Script s;
+	int n = 0, checked = 0;
+
+	ASSERT_TRUE(f.good()) << name;
+	while (std::getline(f, line)) {
+		n++;
+		if (line.empty() || line[0] == '#')
+			continue;
+		if (line[0] != '=') {
+			answer = s.run(line);
+			continue;
+		}
+		EXPECT_EQ(line.substr(2), answer) << name << ":" << n;
+		checked++;
+	}
+	EXPECT_GT(checked, 0) << name;
+}
+
+// One worker as the naive model sees it.
+struct Plain {
+	struct ogl_res capacity, held;
+	bool open;
+};
+
+struct ogl_res
+room_of(const Plain &w)
+{
+	struct ogl_res r = w.capacity;
+
+	ogl_res_sub(&r, &w.held);
+	return r;
+}
+
+uint64_t
+fits_in_all(const std::vector<Plain> &ws, const struct ogl_res &need)
+{
+	uint64_t sum = 0;
+
+	for (const Plain &w : ws) {
+		struct ogl_res room = room_of(w);
+		for (; w.open && ogl_res_fits(&need, &room); sum++)
+			ogl_res_sub(&room, &need);
+	}
+	return sum;
+}
+
+class Random
+{
+	std::mt19937 g;
+
+      public:
+	explicit Random(unsigned seed) : g(seed)
+	{
+	}
+	uint32_t below(uint32_t n)
+	{
+		return g() % n;
+	}
+	struct ogl_ask ask()
+	{
+		static const Ogl__Kind kinds[] = {
+		    OGL__KIND__batch, OGL__KIND__service, OGL__KIND__gang};
+		struct ogl_ask a = {};
+
+		a.kind = kinds[below(3)];
+		a.res.cpu_milli = 50 << below(9);
+		a.res.mem_mb = 100 + below(1u << (8 + below(8)));
+		a.res.accel = below(10) == 0 ? 1 + below(4) : 0;
+		a.job = below(40);
+		return a;
+	}
+};
+
+struct Held {
+	uint32_t w;
+	struct ogl_ask ask;
+};
+
+// Checks that a worker given really had the room, and notes the task.
+void
+take(std::vector<Plain> &ws, std::vector<Held> &held, uint32_t w,
+    const struct ogl_ask &a)
+{
+	ASSERT_LT(w, ws.size());
+	struct ogl_res room = room_of(ws[w]);
+	ASSERT_TRUE(ws[w].open);
+	ASSERT_TRUE(ogl_res_fits(&a.res, &room));
+	ogl_res_add(&ws[w].held, &a.res);
+	held.push_back({w, a});
+}
+
+void
+random_run(unsigned seed)
+{
+	Random r(seed);
+	struct ogl_place *p = ogl_place_init(seed);
+	std::vector<Plain> ws;
+	std::vector<Held> held;
+
+	for (uint32_t i = 0; i < 60; i++) {
+		struct ogl_res c = {4000u << r.below(3), 16384u << r.below(3),
+		    r.below(4) == 0 ? 8u : 0u};
+		std::string n = "w" + std::to_string(i);
+		std::string rack = "r" + std::to_string(i / 8);
+		std::string zone = "z" + std::to_string(i / 20);
+		ASSERT_EQ(i, ogl_place_worker(
+				 p, n.c_str(), &c, zone.c_str(), rack.c_str()));
+		ogl_place_set(p, i, OGL_PLACE_OPEN);
+		ws.push_back({c, {}, true});
+	}
+	for (int step = 0; step < 4000 && !testing::Test::HasFatalFailure();
+	     step++) {
+		struct ogl_ask a = r.ask();
+		uint32_t what = r.below(20), w = 0;
+		if (what < 10) {
+			bool found = ogl_place_task(p, &a, step, &w);
+			ASSERT_EQ(fits_in_all(ws, a.res) > 0, found);
+			if (found)
+				take(ws, held, w, a);
+		} else if (what < 12) {
+			uint32_t n = 1 + r.below(30);
+			std::vector<uint32_t> at(n);
+			bool found = ogl_place_gang(p, &a, n, step, at.data());
+			ASSERT_EQ(fits_in_all(ws, a.res) >= n, found);
+			for (uint32_t i = 0; found && i < n; i++)
+				take(ws, held, at[i], a);
+		} else if (what < 19 && !held.empty()) {
+			uint32_t i = r.below(held.size());
+			ogl_place_free(p, held[i].w, &held[i].ask);
+			ogl_res_sub(&ws[held[i].w].held, &held[i].ask.res);
+			held[i] = held.back();
+			held.pop_back();
+		} else if (what == 19) {
+			w = r.below(ws.size());
+			ws[w].open = !ws[w].open;
+			ogl_place_set(p, w,
+			    ws[w].open ? OGL_PLACE_OPEN : OGL_PLACE_CLOSED);
+		}
+	}
+	ogl_place_end(p);
+}
+
+} // namespace
+
+TEST(Place, RandomRunsAgreeWithAModelThatLooksAtEveryWorker)
+{
+	for (unsigned seed = 1; seed <= 8; seed++)
+		random_run(seed);
+}
+
+TEST(Place, KindsFollowTheirPolicies)
+{
+	run_script("place_kinds.txt");
+}
+
+TEST(Place, GangsGetAllOrNothing)
+{
+	run_script("place_gangs.txt");
+}
+
+// A large gang waits in a full cell.  Smaller tasks take each bit of room
+// that falls free, so without a reservation its caller waits for ever; with
+// one that never ended, a gang that is not coming would idle the cell.
+TEST(Place, ReservationKeepsRoomUntilItsDeadline)
+{
+	run_script("place_reserve.txt");
+}
+
+// A worker with a broken disk ends every task at once with an error.  It is
+// always empty, so it draws most new tasks, and callers of many jobs see
+// failures.  One job with a fault of its own fails on every worker, and must
+// not close the cell to all others.
+TEST(Place, BrokenWorkerIsSetAsideAndBadJobIsNot)
+{
+	run_script("place_aside.txt");
+}
+
+TEST(Place, JobsThatCanNeverRunAreTold)
+{
+	run_script("place_never.txt");
+}
