--- /dev/null
+++ b/test/test_queue.cc
@@ -0,0 +1,310 @@
+// The order of waiting work, by scripted runs with expected output.
+//
+// A script (test/scripts/queue_*.txt) holds one command a line; lines that
+// begin with `> ` are the output expected so far.  Commands:
+//
+//	team PATH SHARE            at MS
+//	push ID TEAM LABEL KIND [RUN_MS [SINCE_MS]]
+//	pop | back ID | again | remove ID | start ID | end ID [failed]
+//	length | wait
+//	cell SLOTS                 a cell to run work in
+//	burst N FIRST_ID TEAM LABEL KIND RUN_MS    `%` in LABEL is the number
+//	run MS                     starts and ends work until then
+//	served                     share of each team of the service so far
+//	longest TEAM LABEL         longest wait to start so far, in seconds
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+#include <string>
+
+#include "queue.h"
+
+namespace
+{
+
+struct Work {
+	std::string team, label;
+	Ogl__Kind kind;
+	ogl_time run, since, began;
+};
+
+class Script
+{
+      public:
+	Script() : q(ogl_queue_init(&ogl_queue_learned, 1))
+	{
+	}
+	~Script()
+	{
+		ogl_queue_end(q);
+	}
+	void command(const std::string &line);
+	std::string out;
+
+      private:
+	struct ogl_queue *q;
+	ogl_time now = 0;
+	long slots = 0;
+	std::map<uint64_t, Work> works;
+	std::set<std::pair<ogl_time, uint64_t>> running;
+	std::map<std::string, double> service;
+	std::map<std::string, ogl_time> longest;
+
+	void say(const std::string &s)
+	{
+		out += s + "\n";
+	}
+	void push(uint64_t id, const Work &w);
+	bool pop(uint64_t *id);
+	void start(uint64_t id);
+	void end(uint64_t id, bool ok);
+	void run(ogl_time until);
+	void settle(const Work &w);
+	void served();
+	void queue_command(const std::string &verb, std::istringstream &in);
+	void cell_command(const std::string &verb, std::istringstream &in);
+};
+
+Ogl__Kind
+kind_of(const std::string &s)
+{
+	const ProtobufCEnumValue *v =
+	    protobuf_c_enum_descriptor_get_value_by_name(
+		&ogl__kind__descriptor, s.c_str());
+
+	EXPECT_NE(nullptr, v) << s;
+	return v != nullptr ? static_cast<Ogl__Kind>(v->value)
+			    : OGL__KIND__batch;
+}
+
+void
+Script::push(uint64_t id, const Work &w)
+{
+	struct ogl_work work = {};
+
+	work.id = id;
+	work.team = w.team.c_str();
+	work.label = w.label.c_str();
+	work.kind = w.kind;
+	work.tasks = 1;
+	work.res.cpu_milli = 1000;
+	work.since = w.since;
+	works[id] = w;
+	ogl_queue_push(q, &work, now);
+}
+
+bool
+Script::pop(uint64_t *id)
+{
+	struct ogl_work w;
+
+	if (!ogl_queue_pop(q, now, &w))
+		return false;
+	EXPECT_EQ(works[w.id].team, w.team);
+	EXPECT_EQ(works[w.id].label, w.label);
+	*id = w.id;
+	return true;
+}
+
+void
+Script::start(uint64_t id)
+{
+	struct ogl_work work = {};
+	Work &w = works[id];
+
+	work.id = id;
+	work.team = w.team.c_str();
+	work.label = w.label.c_str();
+	work.kind = w.kind;
+	work.tasks = 1;
+	work.res.cpu_milli = 1000;
+	work.since = w.since;
+	w.began = now;
+	ogl_time &l = longest[w.team + " " + w.label];
+	l = std::max(l, now - w.since);
+	ogl_queue_started(q, &work, now);
+	running.insert({now + w.run, id});
+}
+
+void
+Script::settle(const Work &w)
+{
+	service[w.team] += static_cast<double>(now - w.began);
+}
+
+void
+Script::end(uint64_t id, bool ok)
+{
+	settle(works[id]);
+	running.erase({works[id].began + works[id].run, id});
+	ogl_queue_ended(q, id, ok, now);
+}
+
+void
+Script::run(ogl_time until)
+{
+	uint64_t id;
+
+	for (;;) {
+		while (static_cast<long>(running.size()) < slots && pop(&id))
+			start(id);
+		if (running.empty() || running.begin()->first > until)
+			break;
+		now = running.begin()->first;
+		end(running.begin()->second, true);
+	}
+	now = until;
+}
+
+void
+Script::served()
+{
+	std::map<std::string, double> s = service;
+	double all = 0;
+
+	for (auto &r : running)
+		s[works[r.second].team] +=
+		    static_cast<double>(now - works[r.second].began);
+	for (auto &t : s)
+		all += t.second;
+	for (auto &t : s)
+		say(t.first + " " +
+		    std::to_string(std::lround(100 * t.second / all)) + "%");
+}
+
+void
+Script::queue_command(const std::string &verb, std::istringstream &in)
+{
+	uint64_t id = 0;
+	std::string word;
+
+	if (verb == "pop") {
+		say(pop(&id) ? "pop " + std::to_string(id) : "pop nothing");
+	} else if (verb == "again") {
+		ogl_queue_again(q, now);
+	} else if (verb == "length") {
+		say("length " + std::to_string(ogl_queue_length(q)));
+	} else if (verb == "wait") {
+		say("wait " + std::to_string(ogl_queue_wait_ms(q, now)));
+	} else {
+		in >> id >> word;
+		if (verb == "back")
+			ogl_queue_back(q, id, now);
+		else if (verb == "remove")
+			say(ogl_queue_remove(q, id) ? "removed"
+						    : "not waiting");
+		else if (verb == "start")
+			start(id);
+		else if (verb == "end")
+			end(id, word != "failed");
+		else
+			FAIL() << "unknown command " << verb;
+	}
+}
+
+void
+Script::cell_command(const std::string &verb, std::istringstream &in)
+{
+	std::string team, label, kind;
+	double share;
+	uint64_t id, n = 1;
+	ogl_time ms = 0, since = -1;
+
+	if (verb == "team") {
+		in >> team >> share;
+		ogl_queue_team(q, team.c_str(), share);
+	} else if (verb == "at") {
+		in >> ms;
+		now = ms * OGL_MS;
+	} else if (verb == "cell") {
+		in >> slots;
+	} else if (verb == "run") {
+		in >> ms;
+		run(ms * OGL_MS);
+	} else if (verb == "served") {
+		served();
+	} else if (verb == "longest") {
+		in >> team >> label;
+		say("longest " +
+		    std::to_string(longest[team + " " + label] / OGL_SEC));
+	} else if (verb == "push") {
+		in >> id >> team >> label >> kind;
+		if (in >> ms)
+			in >> since;
+		push(id, {team, label, kind_of(kind), ms * OGL_MS,
+			     since >= 0 ? since * OGL_MS : now, 0});
+	} else if (verb == "burst") {
+		in >> n >> id >> team >> label >> kind >> ms;
+		for (uint64_t i = 0; i < n; i++) {
+			std::string l = label;
+			if (l.find('%') != std::string::npos)
+				l.replace(l.find('%'), 1, std::to_string(i));
+			push(id + i,
+			    {team, l, kind_of(kind), ms * OGL_MS, now, 0});
+		}
+	} else {
+		queue_command(verb, in);
+	}
+}
+
+void
+Script::command(const std::string &line)
+{
+	std::istringstream in(line);
+	std::string verb;
+
+	if (in >> verb)
+		cell_command(verb, in);
+}
+
+void
+run_script(const std::filesystem::path &path)
+{
+	std::ifstream in(path);
+	std::string line, expected;
+	Script s;
+
+	while (std::getline(in, line)) {
+		if (line.rfind("> ", 0) == 0)
+			expected += line.substr(2) + "\n";
+		else if (line.rfind("#", 0) != 0)
+			s.command(line);
+	}
+	EXPECT_EQ(expected, s.out) << path;
+	EXPECT_FALSE(expected.empty()) << path;
+}
+
+std::vector<std::string>
+scripts()
+{
+	std::vector<std::string> names;
+
+	for (auto &e :
+	    std::filesystem::directory_iterator(OGL_TEST_DIR "/scripts")) {
+		std::string stem = e.path().stem();
+		if (stem.rfind("queue_", 0) == 0)
+			names.push_back(stem);
+	}
+	std::sort(names.begin(), names.end());
+	return names;
+}
+
+class QueueScript : public testing::TestWithParam<std::string>
+{
+};
+
+TEST_P(QueueScript, GivesExpectedOutput)
+{
+	run_script(std::filesystem::path(OGL_TEST_DIR "/scripts") /
+		   (GetParam() + ".txt"));
+}
+
+INSTANTIATE_TEST_SUITE_P(Scripts, QueueScript, testing::ValuesIn(scripts()),
+    [](const testing::TestParamInfo<std::string> &i) { return i.param; });
+
+} // namespace
