--- /dev/null
+++ b/test/test_fake_exec.cc
@@ -0,0 +1,78 @@
+// The executor fake: slots, echo, counts and scripted faults.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "fake_exec.h"
+
+namespace
+{
+
+class FakeExec : public ::testing::Test
+{
+      protected:
+	FakeExec()
+	{
+		e = fake_exec_init("e1", 2);
+	}
+	~FakeExec() override
+	{
+		fake_exec_answer_clear(&a);
+		fake_exec_end(e);
+	}
+	void Run(const char *body, ogl_time now)
+	{
+		fake_exec_answer_clear(&a);
+		fake_exec_run(e, ogl_str(body), "north", "order", 5, now, &a);
+	}
+
+	struct fake_exec *e;
+	struct fake_exec_answer a = {};
+};
+
+TEST_F(FakeExec, EchoesAndFreesItsSlotAtTheEnd)
+{
+	Run("x run_ms=20", 100);
+	EXPECT_TRUE(a.accepted);
+	EXPECT_EQ(100 + 20 * OGL_MS, a.finish);
+	EXPECT_EQ("north|order|x run_ms=20", std::string(a.body, a.n));
+	EXPECT_EQ(5u, a.token);
+	Run("y run_ms=40", 101);
+	Run("z", 102);
+	EXPECT_FALSE(a.accepted);
+	EXPECT_EQ(503u, a.status);
+	EXPECT_EQ(0u, fake_exec_ran(e, ogl_str("z")));
+	EXPECT_EQ(2u, fake_exec_busy(e, 102));
+	EXPECT_EQ(1u, fake_exec_busy(e, 100 + 20 * OGL_MS));
+	Run("z", 100 + 20 * OGL_MS);
+	EXPECT_TRUE(a.accepted);
+}
+
+// An executor can run a request and its answer still be lost, cut, late,
+// mixed up with another's, or an error.  Each of them ran, and counts.
+TEST_F(FakeExec, FaultyAnswersStillCountAsRuns)
+{
+	struct fake_exec_script *s = fake_exec_script(e);
+
+	s->lose = 1;
+	Run("x run_ms=1", OGL_SEC);
+	EXPECT_TRUE(a.lost);
+	s->cut = 1;
+	Run("x run_ms=1", 2 * OGL_SEC);
+	EXPECT_LT(a.sent, a.n);
+	s->cross = 1;
+	Run("x run_ms=1", 3 * OGL_SEC);
+	EXPECT_NE(5u, a.token);
+	s->late = OGL_SEC;
+	s->fail_all = true;
+	Run("x run_ms=1", 4 * OGL_SEC);
+	EXPECT_EQ(500u, a.status);
+	EXPECT_EQ(a.finish + OGL_SEC, a.at);
+	EXPECT_EQ(4u, fake_exec_ran(e, ogl_str("x run_ms=1")));
+	s->leaving = true;
+	Run("x run_ms=1", 6 * OGL_SEC);
+	EXPECT_FALSE(a.accepted);
+	EXPECT_EQ(4u, fake_exec_ran(e, ogl_str("x run_ms=1")));
+}
+
+} // namespace
