--- a/test/fake_worker.c
+++ b/test/fake_worker.c
@@ -21,6 +21,8 @@
 #include "fake_text.h"
 #include "fake_worker.h"
 
+static const char NO_ROOM[] = "no room";
+
 struct task {
 	char *name;
 	char *team;
@@ -49,7 +51,8 @@
 	uint64_t seq;
 	uint64_t lease_until_ms; /* own clock */
 	uint64_t last_report_ms; /* own clock */
-	GPtrArray *tasks;        /* of struct task, in order of start */
+	uint64_t no_room;
+	GPtrArray *tasks; /* of struct task, in order of start */
 	GArray *events;
 	GStringChunk *names; /* of the strings in events */
 	void (*hook)(void *ctx, const struct fake_worker_event *ev);
@@ -210,6 +213,12 @@
 	return n;
 }
 
+uint64_t
+fake_worker_no_room(const struct fake_worker *w)
+{
+	return w->no_room;
+}
+
 /* The live task that ends by itself first; NULL when none does. */
 static struct task *
 first_due(const struct fake_worker *w)
@@ -404,7 +413,7 @@
 		if (task_live(t))
 			return "an earlier attempt is running";
 	}
-	return has_room(w, need) ? NULL : "no room";
+	return has_room(w, need) ? NULL : NO_ROOM;
 }
 
 static void
@@ -417,6 +426,7 @@
 	if (find_task(w, s->task, s->attempt) != NULL)
 		return;
 	why = why_not(w, s, &need, now);
+	w->no_room += why == NO_ROOM;
 	t = g_new0(struct task, 1);
 	t->name = g_strdup(s->task);
 	t->team = g_strdup(s->team);
--- a/test/fake_worker.h
+++ b/test/fake_worker.h
@@ -94,6 +94,10 @@
 size_t fake_worker_running(const struct fake_worker *w);
 /* Tasks running or throttled. */
 
+uint64_t fake_worker_no_room(const struct fake_worker *w);
+/* Starts refused since they would have overfilled the worker: each is a
+ * mistake of the owner's. */
+
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/test/standin_caller.c
@@ -0,0 +1,949 @@
+/*
+ * Load driver and checker: sends requests or jobs to the nodes, as callers
+ * do, and compares what it was told with what executors and workers ran.
+ *
+ * Each item (a request or a job) passes through a few steps, each one HTTP
+ * exchange; `concurrency` items are under way at a time over one curl multi
+ * handle.  A step is repeated only where that cannot run anything twice: the
+ * verdict was not_run, the connection was never made, or the item is
+ * idempotent or bears an id by which the nodes know it again.
+ *
+ * An item is lost when its caller never got a final answer, or was told that
+ * it ran and it did not.  It is doubled when it ran twice without being
+ * idempotent, and false when it ran after an answer of not_run.
+ */
+
+#include <argp.h>
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fake_text.h"
+
+#define POLL_US (100 * OGL_MS)     /* between looks at a job */
+#define RETRY_US (100 * OGL_MS)    /* when the answer names no time */
+#define RETRY_MAX_US (2 * OGL_SEC) /* of what an answer names */
+#define ANSWER_MAX ((guint)64 << 20)
+
+enum mode {
+	REQUESTS,
+	JOBS
+};
+
+struct options {
+	char **nodes;
+	char **executors;
+	char **workers;
+	const char *key;
+	const char *label;
+	const char *team;
+	enum mode mode;
+	char **kinds; /* of jobs, taken in turn */
+	uint32_t count;
+	uint32_t concurrency;
+	uint32_t tasks;
+	uint32_t cpu_milli;
+	uint32_t run_ms;
+	uint32_t deadline_s;
+	uint32_t timeout_ms;
+	uint64_t seed;
+	bool idempotent;
+	bool ids;
+	bool want_all;
+};
+
+enum step {
+	SEND,
+	LOOK,
+	CANCEL,
+	SETTLED
+};
+
+/* How an item ended, as far as its caller knows. */
+enum outcome {
+	OPEN, /* no final answer yet */
+	RAN,
+	NOT_RUN,
+	MAY_HAVE_RUN,
+	BROKEN, /* the connection broke and it was not sent again */
+	WRONG,  /* the answer is not this request's, or not whole */
+	NOUTCOMES
+};
+
+static const char *const outcome_names[NOUTCOMES] = {
+    "no answer", "ran", "not_run", "may_have_run", "broken", "wrong answer"};
+
+struct item {
+	uint32_t number;
+	enum step step;
+	enum outcome outcome;
+	ogl_time first_at;
+	ogl_time ended_at;
+	ogl_time due; /* of the step */
+	char *body;
+	char *job; /* its id, once accepted */
+	bool sent;
+	uint64_t runs;
+};
+
+/* One connection and the item it carries. */
+struct slot {
+	CURL *curl;
+	struct curl_slist *headers;
+	struct item *item;
+	GByteArray *answer;
+	char verdict[32];
+	uint64_t retry_ms;
+	bool busy;
+};
+
+struct driver {
+	struct options o;
+	CURLM *multi;
+	struct slot *slots;
+	struct item *items;
+	uint32_t started;
+	uint32_t settled;
+	uint32_t next_node;
+	uint64_t retries;
+	ogl_time began;
+};
+
+/* ---- command line ------------------------------------------------------ */
+
+enum {
+	OPT_IDS = 256,
+	OPT_ALL,
+	OPT_TEAM,
+	OPT_LABEL,
+	OPT_TASKS,
+	OPT_CPU,
+	OPT_RUN,
+	OPT_KINDS,
+	OPT_DEADLINE,
+	OPT_TIMEOUT
+};
+
+static const struct argp_option argp_options[] = {
+    {"nodes", 'n', "ADDR,...", 0, "nodes, taken in turn", 0},
+    {"key", 'k', "KEY", 0, "key of the caller's team", 0},
+    {"mode", 'm', "requests|jobs", 0, "what to send", 0},
+    {"count", 'c', "N", 0, "how many", 0},
+    {"concurrency", 'C', "N", 0, "at a time", 0},
+    {"idempotent", 'i', NULL, 0, "requests may run twice", 0},
+    {"ids", OPT_IDS, NULL, 0, "requests bear ids, and are sent again", 0},
+    {"seed", 's', "N", 0, "makes bodies and run times", 0},
+    {"executors", 'e', "ADDR,...", 0, "whose counts to compare", 0},
+    {"workers", 'w', "ADDR,...", 0, "whose histories to compare", 0},
+    {"want-all", OPT_ALL, NULL, 0, "fail unless every item ran", 0},
+    {"team", OPT_TEAM, "TEAM", 0, "team that answers must name", 0},
+    {"label", OPT_LABEL, "LABEL", 0, "Ogl-Kind of requests", 0},
+    {"kinds", OPT_KINDS, "KIND,...", 0, "kinds of jobs, in turn", 0},
+    {"tasks", OPT_TASKS, "N", 0, "tasks a job", 0},
+    {"cpu", OPT_CPU, "MILLI", 0, "processors a task", 0},
+    {"run-ms", OPT_RUN, "N", 0, "mean run time", 0},
+    {"deadline-s", OPT_DEADLINE, "N", 0, "give up after", 0},
+    {"timeout-ms", OPT_TIMEOUT, "N", 0, "of one exchange", 0}, {0}};
+
+static error_t
+parse_number(int key, uint32_t n, struct options *o)
+{
+	switch (key) {
+	case 'c':
+		o->count = n;
+		return 0;
+	case 'C':
+		o->concurrency = MAX(1, n);
+		return 0;
+	case OPT_TASKS:
+		o->tasks = n;
+		return 0;
+	case OPT_CPU:
+		o->cpu_milli = n;
+		return 0;
+	case OPT_RUN:
+		o->run_ms = n;
+		return 0;
+	case OPT_DEADLINE:
+		o->deadline_s = n;
+		return 0;
+	case OPT_TIMEOUT:
+		o->timeout_ms = n;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static void
+set_list(char ***list, const char *arg)
+{
+	g_strfreev(*list);
+	*list = g_strsplit(arg, ",", 0);
+}
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct options *o = state->input;
+
+	switch (key) {
+	case 'n':
+		set_list(&o->nodes, arg);
+		return 0;
+	case 'e':
+		set_list(&o->executors, arg);
+		return 0;
+	case 'w':
+		set_list(&o->workers, arg);
+		return 0;
+	case OPT_KINDS:
+		set_list(&o->kinds, arg);
+		return 0;
+	case 'k':
+		o->key = arg;
+		return 0;
+	case 'm':
+		o->mode = strcmp(arg, "jobs") == 0 ? JOBS : REQUESTS;
+		return 0;
+	case 's':
+		o->seed = strtoull(arg, NULL, 10);
+		return 0;
+	case 'i':
+		o->idempotent = true;
+		return 0;
+	case OPT_IDS:
+		o->ids = true;
+		return 0;
+	case OPT_ALL:
+		o->want_all = true;
+		return 0;
+	case OPT_TEAM:
+		o->team = arg;
+		return 0;
+	case OPT_LABEL:
+		o->label = arg;
+		return 0;
+	case ARGP_KEY_END:
+		if (o->nodes == NULL || o->nodes[0] == NULL)
+			argp_error(state, "--nodes is needed");
+		return 0;
+	default:
+		if (arg == NULL)
+			return ARGP_ERR_UNKNOWN;
+		return parse_number(key, (uint32_t)strtoul(arg, NULL, 10), o);
+	}
+}
+
+/* ---- one exchange ------------------------------------------------------ */
+
+static size_t
+on_body(char *p, size_t size, size_t n, void *ctx)
+{
+	GByteArray *to = ctx;
+
+	if (to->len + size * n > ANSWER_MAX)
+		return 0;
+	g_byte_array_append(to, (const guint8 *)p, (guint)(size * n));
+	return size * n;
+}
+
+/* The value of a header line with this name; NULL when it is another. */
+static const char *
+header_value(const char *line, const char *name)
+{
+	size_t n = strlen(name);
+
+	if (g_ascii_strncasecmp(line, name, n) != 0 || line[n] != ':')
+		return NULL;
+	return line + n + 1 + strspn(line + n + 1, " ");
+}
+
+static size_t
+on_header(char *p, size_t size, size_t n, void *ctx)
+{
+	struct slot *s = ctx;
+	char *line = g_strstrip(g_strndup(p, size * n));
+	const char *v;
+
+	if ((v = header_value(line, "Ogl-Verdict")) != NULL)
+		g_strlcpy(s->verdict, v, sizeof(s->verdict));
+	if ((v = header_value(line, "Ogl-Retry-After-Ms")) != NULL)
+		s->retry_ms = strtoull(v, NULL, 10);
+	else if ((v = header_value(line, "Retry-After")) != NULL &&
+		 s->retry_ms == 0)
+		s->retry_ms = strtoull(v, NULL, 10) * 1000;
+	g_free(line);
+	return size * n;
+}
+
+static void G_GNUC_PRINTF(2, 3)
+    add_header(struct slot *s, const char *format, ...)
+{
+	va_list args;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	s->headers = curl_slist_append(s->headers, text);
+	g_free(text);
+}
+
+/* Whether sending an item twice runs it once. */
+static bool
+may_repeat(const struct driver *d)
+{
+	return d->o.idempotent || d->o.ids || d->o.mode == JOBS;
+}
+
+static void
+start_exchange(struct driver *d, struct slot *s, struct item *it)
+{
+	const char *node = d->o.nodes[d->next_node];
+	bool post = it->step == SEND;
+	char *url;
+
+	d->next_node = (d->next_node + 1) % g_strv_length(d->o.nodes);
+	if (post)
+		url = g_strdup_printf("http://%s/v1/%s", node,
+		    d->o.mode == JOBS ? "jobs" : "requests");
+	else
+		url = g_strdup_printf("http://%s/v1/jobs/%s", node, it->job);
+	curl_easy_reset(s->curl);
+	curl_slist_free_all(s->headers);
+	s->headers = NULL;
+	add_header(s, "Authorization: Bearer %s", d->o.key);
+	add_header(s, "Expect:");
+	if (d->o.mode == REQUESTS) {
+		add_header(s, "Ogl-Kind: %s", d->o.label);
+		add_header(s, "Content-Type: text/plain");
+		if (d->o.idempotent)
+			add_header(s, "Ogl-Idempotent: 1");
+		if (d->o.ids)
+			add_header(s, "Idempotency-Key: %" PRIu64 "-%u",
+			    d->o.seed, it->number);
+	}
+	curl_easy_setopt(s->curl, CURLOPT_URL, url);
+	curl_easy_setopt(s->curl, CURLOPT_PRIVATE, s);
+	curl_easy_setopt(s->curl, CURLOPT_HTTPHEADER, s->headers);
+	curl_easy_setopt(s->curl, CURLOPT_NOSIGNAL, 1L);
+	/*
+	 * When a kept connection closes before any byte of the answer, curl
+	 * sends the request anew by itself, a POST too.  A node killed in the
+	 * midst of a request would make it run twice, through no fault of the
+	 * nodes; on a fresh connection curl reports the failure instead.
+	 */
+	curl_easy_setopt(
+	    s->curl, CURLOPT_FRESH_CONNECT, may_repeat(d) ? 0L : 1L);
+	curl_easy_setopt(s->curl, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(s->curl, CURLOPT_TIMEOUT_MS, (long)d->o.timeout_ms);
+	curl_easy_setopt(s->curl, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(s->curl, CURLOPT_WRITEDATA, s->answer);
+	curl_easy_setopt(s->curl, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(s->curl, CURLOPT_HEADERDATA, s);
+	if (post) {
+		curl_easy_setopt(s->curl, CURLOPT_POSTFIELDS, it->body);
+		curl_easy_setopt(
+		    s->curl, CURLOPT_POSTFIELDSIZE, (long)strlen(it->body));
+	} else if (it->step == CANCEL)
+		curl_easy_setopt(s->curl, CURLOPT_CUSTOMREQUEST, "DELETE");
+	g_free(url);
+	g_byte_array_set_size(s->answer, 0);
+	s->verdict[0] = '\0';
+	s->retry_ms = 0;
+	s->busy = true;
+	curl_multi_add_handle(d->multi, s->curl);
+}
+
+/* ---- what an answer means ---------------------------------------------- */
+
+static void
+settle(struct driver *d, struct item *it, enum outcome outcome, ogl_time now)
+{
+	it->outcome = outcome;
+	it->step = SETTLED;
+	it->ended_at = now;
+	d->settled++;
+}
+
+static void
+retry(struct driver *d, struct slot *s, ogl_time now)
+{
+	ogl_time in = RETRY_US;
+
+	if (s->retry_ms > 0)
+		in = (ogl_time)MIN(s->retry_ms, 3600000) * OGL_MS;
+	s->item->due = now + MIN(in, RETRY_MAX_US);
+	d->retries++;
+}
+
+/* Certainly never reached a node. */
+static bool
+not_sent(CURLcode rc)
+{
+	return rc == CURLE_COULDNT_CONNECT || rc == CURLE_COULDNT_RESOLVE_HOST;
+}
+
+static enum outcome
+outcome_of(const struct slot *s)
+{
+	if (strcmp(s->verdict, "ran") == 0)
+		return RAN;
+	if (strcmp(s->verdict, "not_run") == 0)
+		return NOT_RUN;
+	return MAY_HAVE_RUN;
+}
+
+/* An executor answers "team|label|body". */
+static bool
+own_answer(const struct driver *d, const struct slot *s)
+{
+	char *tail = g_strdup_printf("|%s|%s", d->o.label, s->item->body);
+	struct ogl_str a = {(const char *)s->answer->data, s->answer->len};
+	size_t n = strlen(tail);
+	bool own = a.n >= n && memcmp(a.p + a.n - n, tail, n) == 0;
+
+	if (own && d->o.team != NULL)
+		own = a.n - n == strlen(d->o.team) &&
+		      memcmp(a.p, d->o.team, a.n - n) == 0;
+	g_free(tail);
+	return own;
+}
+
+static void
+take_request_answer(struct driver *d, struct slot *s, long status, ogl_time now)
+{
+	enum outcome out = outcome_of(s);
+	bool busy = status == 429 || status == 503;
+
+	if (status == 200 && out == RAN)
+		settle(d, s->item, own_answer(d, s) ? RAN : WRONG, now);
+	else if (busy && (out == NOT_RUN || may_repeat(d)))
+		retry(d, s, now);
+	else
+		settle(d, s->item, out, now);
+}
+
+static const char *
+text_of(const json_t *o, const char *name)
+{
+	const char *t = json_string_value(json_object_get(o, name));
+
+	return t != NULL ? t : "";
+}
+
+/* A service has done what was asked of it once all its tasks run; then it is
+ * cancelled, and its end is looked for. */
+static void
+take_job_view(struct driver *d, struct item *it, const json_t *o, ogl_time now)
+{
+	const char *state = text_of(o, "state");
+	bool service = strcmp(text_of(o, "kind"), "service") == 0;
+	json_int_t running = json_integer_value(json_object_get(o, "running"));
+
+	if (it->job == NULL)
+		it->job = g_strdup(text_of(o, "job"));
+	if (strcmp(state, "done") == 0)
+		settle(d, it, RAN, now);
+	else if (strcmp(state, "cancelled") == 0)
+		settle(d, it, service ? RAN : NOT_RUN, now);
+	else if (strcmp(state, "broken") == 0)
+		settle(d, it,
+		    strcmp(text_of(o, "verdict"), "not_run") == 0
+			? NOT_RUN
+			: MAY_HAVE_RUN,
+		    now);
+	else if (service && it->step == LOOK && running == d->o.tasks)
+		it->step = CANCEL;
+	else
+		it->step = LOOK;
+	if (it->step == LOOK)
+		it->due = now + POLL_US;
+}
+
+static void
+take_job_answer(struct driver *d, struct slot *s, long status, ogl_time now)
+{
+	struct item *it = s->item;
+	json_t *o =
+	    json_loadb((const char *)s->answer->data, s->answer->len, 0, NULL);
+	bool refused = status >= 400 && status < 500 && status != 429;
+
+	if (status / 100 == 2 && json_is_object(o) &&
+	    (it->job != NULL || text_of(o, "job")[0] != '\0'))
+		take_job_view(d, it, o, now);
+	else if (status / 100 == 2 && it->step == CANCEL)
+		it->step = LOOK;
+	else if (refused && it->step == SEND)
+		settle(d, it, outcome_of(s), now);
+	else
+		retry(d, s, now);
+	json_decref(o);
+}
+
+static void
+take_answer(struct driver *d, struct slot *s, CURLcode rc, ogl_time now)
+{
+	long status = 0;
+
+	curl_easy_getinfo(s->curl, CURLINFO_RESPONSE_CODE, &status);
+	if (rc != CURLE_OK && (not_sent(rc) || may_repeat(d)))
+		retry(d, s, now);
+	else if (rc == CURLE_PARTIAL_FILE)
+		settle(d, s->item, WRONG, now);
+	else if (rc != CURLE_OK)
+		settle(d, s->item, BROKEN, now);
+	else if (d->o.mode == JOBS)
+		take_job_answer(d, s, status, now);
+	else
+		take_request_answer(d, s, status, now);
+}
+
+/* ---- the run ----------------------------------------------------------- */
+
+static char *
+job_body(const struct options *o, uint32_t i, uint32_t run_ms)
+{
+	const char *kind = o->kinds[i % g_strv_length(o->kinds)];
+	bool service = strcmp(kind, "service") == 0;
+	char *payload = service ? g_strdup("service")
+				: g_strdup_printf("run_ms=%u", run_ms);
+	char *id = g_strdup_printf("%" PRIu64 "-%u", o->seed, i);
+	json_t *v =
+	    json_pack("{s:s, s:I, s:{s:I, s:i, s:i}, s:I, s:s, s:b, s:s}",
+		"kind", kind, "tasks", (json_int_t)o->tasks, "res", "cpu_milli",
+		(json_int_t)o->cpu_milli, "mem_mb", 256, "accel", 0, "run_ms",
+		(json_int_t)(service ? 0 : run_ms), "payload", payload,
+		"restartable", 1, "request_id", id);
+	char *text = json_dumps(v, JSON_COMPACT);
+	char *body = g_strdup(text);
+
+	free(text);
+	json_decref(v);
+	g_free(id);
+	g_free(payload);
+	return body;
+}
+
+static void
+make_items(struct driver *d)
+{
+	GRand *rand = g_rand_new_with_seed((guint32)d->o.seed);
+
+	d->items = g_new0(struct item, d->o.count);
+	for (uint32_t i = 0; i < d->o.count; i++) {
+		uint32_t run_ms = (uint32_t)g_rand_int_range(
+		    rand, 1, (gint32)MAX(1, d->o.run_ms) * 2);
+
+		d->items[i].number = i;
+		if (d->o.mode == JOBS)
+			d->items[i].body = job_body(&d->o, i, run_ms);
+		else
+			d->items[i].body = g_strdup_printf(
+			    "r%" PRIu64 "-%u run_ms=%u", d->o.seed, i, run_ms);
+	}
+	g_rand_free(rand);
+}
+
+/* Gives the slot its next exchange when one is due. */
+static void
+feed(struct driver *d, struct slot *s, ogl_time now)
+{
+	if (s->item != NULL && s->item->step == SETTLED)
+		s->item = NULL;
+	if (s->item == NULL && d->started < d->o.count) {
+		s->item = &d->items[d->started++];
+		s->item->first_at = now;
+		s->item->due = now;
+	}
+	if (s->item != NULL && s->item->due <= now)
+		start_exchange(d, s, s->item);
+}
+
+static void
+collect(struct driver *d, ogl_time now)
+{
+	CURLMsg *m;
+	int left;
+
+	while ((m = curl_multi_info_read(d->multi, &left)) != NULL) {
+		CURLcode rc = m->data.result;
+		CURL *curl = m->easy_handle;
+		char *p = NULL;
+		struct slot *s;
+
+		if (m->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(curl, CURLINFO_PRIVATE, &p);
+		s = (struct slot *)(void *)p;
+		curl_multi_remove_handle(d->multi, curl);
+		s->busy = false;
+		take_answer(d, s, rc, now);
+	}
+}
+
+static void
+run(struct driver *d)
+{
+	ogl_time end;
+	int live;
+
+	d->began = g_get_monotonic_time();
+	end = d->began + (ogl_time)d->o.deadline_s * OGL_SEC;
+	while (d->settled < d->o.count && g_get_monotonic_time() < end) {
+		for (uint32_t i = 0; i < d->o.concurrency; i++) {
+			if (!d->slots[i].busy)
+				feed(d, &d->slots[i], g_get_monotonic_time());
+		}
+		curl_multi_perform(d->multi, &live);
+		collect(d, g_get_monotonic_time());
+		curl_multi_poll(d->multi, NULL, 0, 5, NULL);
+	}
+}
+
+/* ---- comparing with executors and workers ------------------------------ */
+
+/* What the comparison found. */
+struct verdicts {
+	uint64_t lost;
+	uint64_t doubled;
+	uint64_t untrue;  /* not_run, and yet it ran */
+	uint64_t no_room; /* starts that workers refused as too many */
+	bool blind;       /* someone could not be asked */
+};
+
+/* One start or end of a task on some worker. */
+struct mark {
+	char *task;
+	ogl_time at;
+	bool start;
+	bool succeeded;
+};
+
+/* What a stand-in's GET /counts gives; NULL with a message. */
+static json_t *
+fetch_counts(const char *addr)
+{
+	char *url = g_strdup_printf("http://%s/counts", addr);
+	GByteArray *text = g_byte_array_new();
+	CURL *curl = curl_easy_init();
+	json_t *v = NULL;
+
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, 10000L);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, text);
+	if (curl_easy_perform(curl) == CURLE_OK)
+		v = json_loadb((const char *)text->data, text->len, 0, NULL);
+	if (v == NULL)
+		fprintf(stderr, "caller: no counts from %s\n", addr);
+	curl_easy_cleanup(curl);
+	g_byte_array_unref(text);
+	g_free(url);
+	return v;
+}
+
+static void
+add_runs(struct driver *d, struct verdicts *v)
+{
+	GHashTable *by_body = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (uint32_t i = 0; i < d->o.count; i++)
+		g_hash_table_insert(by_body, d->items[i].body, &d->items[i]);
+	for (char **e = d->o.executors; *e != NULL; e++) {
+		json_t *o = fetch_counts(*e);
+		json_t *one;
+		size_t i;
+
+		v->blind = v->blind || o == NULL;
+		json_array_foreach(json_object_get(o, "counts"), i, one)
+		{
+			struct item *it =
+			    g_hash_table_lookup(by_body, text_of(one, "body"));
+
+			if (it != NULL)
+				it->runs += (uint64_t)json_integer_value(
+				    json_object_get(one, "runs"));
+		}
+		json_decref(o);
+	}
+	g_hash_table_destroy(by_body);
+}
+
+static void
+judge_requests(struct driver *d, struct verdicts *v)
+{
+	bool counted = d->o.executors != NULL;
+
+	if (counted)
+		add_runs(d, v);
+	for (uint32_t i = 0; i < d->o.count; i++) {
+		const struct item *it = &d->items[i];
+
+		v->lost += it->outcome == OPEN || it->outcome == BROKEN ||
+			   it->outcome == WRONG ||
+			   (counted && it->outcome == RAN && it->runs == 0);
+		v->doubled += !d->o.idempotent && it->runs > 1;
+		v->untrue += it->outcome == NOT_RUN && it->runs > 0;
+	}
+}
+
+static int
+compare_marks(const void *a, const void *b)
+{
+	const struct mark *x = a;
+	const struct mark *y = b;
+	int c = strcmp(x->task, y->task);
+
+	if (c != 0)
+		return c;
+	if (x->at != y->at)
+		return x->at < y->at ? -1 : 1;
+	return (int)x->start - (int)y->start;
+}
+
+/* Adds the history of one worker. */
+static void
+add_marks(GArray *marks, const json_t *o)
+{
+	json_t *one;
+	size_t i;
+
+	json_array_foreach(json_object_get(o, "events"), i, one)
+	{
+		struct mark m = {.task = g_strdup(text_of(one, "task")),
+		    .at = json_integer_value(json_object_get(one, "at_us")),
+		    .start = strcmp(text_of(one, "event"), "start") == 0,
+		    .succeeded =
+			strcmp(text_of(one, "state"), "succeeded") == 0};
+
+		g_array_append_val(marks, m);
+	}
+}
+
+/* Name of the job a task belongs to; g_free. */
+static char *
+job_of(const char *task)
+{
+	const char *dot = strrchr(task, '.');
+
+	return dot != NULL ? g_strndup(task, (gsize)(dot - task))
+			   : g_strdup(task);
+}
+
+/* The marks of one task, in order of time: whether it ran in two places at
+ * once or succeeded twice. */
+static bool
+task_doubled(const struct mark *m, size_t n, bool *succeeded)
+{
+	int running = 0;
+	int ends = 0;
+	bool doubled = false;
+
+	for (size_t i = 0; i < n; i++) {
+		running += m[i].start ? 1 : -1;
+		ends += m[i].succeeded;
+		doubled = doubled || running > 1;
+	}
+	*succeeded = ends > 0;
+	return doubled || ends > 1;
+}
+
+static void
+judge_tasks(struct driver *d, GArray *marks, struct verdicts *v)
+{
+	GHashTable *by_job = g_hash_table_new(g_str_hash, g_str_equal);
+	const struct mark *m = (const struct mark *)(void *)marks->data;
+
+	for (uint32_t i = 0; i < d->o.count; i++) {
+		if (d->items[i].job != NULL)
+			g_hash_table_insert(
+			    by_job, d->items[i].job, &d->items[i]);
+	}
+	for (size_t i = 0, n; i < marks->len; i += n) {
+		char *job = job_of(m[i].task);
+		struct item *it = g_hash_table_lookup(by_job, job);
+		bool ok;
+
+		n = 1;
+		while (
+		    i + n < marks->len && strcmp(m[i + n].task, m[i].task) == 0)
+			n++;
+		if (it != NULL && task_doubled(&m[i], n, &ok))
+			v->doubled++;
+		if (it != NULL)
+			it->runs += ok;
+		g_free(job);
+	}
+	g_hash_table_destroy(by_job);
+}
+
+static bool
+is_service(const struct driver *d, const struct item *it)
+{
+	uint32_t n = g_strv_length(d->o.kinds);
+
+	return strcmp(d->o.kinds[it->number % n], "service") == 0;
+}
+
+static void
+judge_jobs(struct driver *d, struct verdicts *v)
+{
+	GArray *marks = g_array_new(FALSE, FALSE, sizeof(struct mark));
+	bool counted = d->o.workers != NULL;
+
+	for (char **w = d->o.workers; counted && *w != NULL; w++) {
+		json_t *o = fetch_counts(*w);
+
+		v->blind = v->blind || o == NULL;
+		v->no_room +=
+		    (uint64_t)json_integer_value(json_object_get(o, "no_room"));
+		add_marks(marks, o);
+		json_decref(o);
+	}
+	qsort(marks->data, marks->len, sizeof(struct mark), compare_marks);
+	judge_tasks(d, marks, v);
+	for (uint32_t i = 0; i < d->o.count; i++) {
+		const struct item *it = &d->items[i];
+
+		v->lost += it->outcome == OPEN ||
+			   (counted && it->outcome == RAN &&
+			       !is_service(d, it) && it->runs < d->o.tasks);
+		v->untrue += it->outcome == NOT_RUN && it->runs > 0;
+	}
+	for (guint i = 0; i < marks->len; i++)
+		g_free(g_array_index(marks, struct mark, i).task);
+	g_array_free(marks, TRUE);
+}
+
+/* ---- the table --------------------------------------------------------- */
+
+static int
+compare_times(const void *a, const void *b)
+{
+	ogl_time x = *(const ogl_time *)a;
+	ogl_time y = *(const ogl_time *)b;
+
+	return (x > y) - (x < y);
+}
+
+static void
+print_times(const struct driver *d)
+{
+	ogl_time *took = g_new0(ogl_time, d->o.count + 1);
+	ogl_time last = d->began;
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < d->o.count; i++) {
+		const struct item *it = &d->items[i];
+
+		if (it->outcome != RAN)
+			continue;
+		took[n++] = it->ended_at - it->first_at;
+		last = MAX(last, it->ended_at);
+	}
+	qsort(took, n, sizeof(*took), compare_times);
+	printf("p50 %" PRId64 " us\n", n > 0 ? took[n / 2] : 0);
+	printf("p99 %" PRId64 " us\n", n > 0 ? took[(n - 1) * 99 / 100] : 0);
+	printf("rate %.1f /s\n", last > d->began ? (double)n * (double)OGL_SEC /
+						       (double)(last - d->began)
+						 : 0.0);
+	g_free(took);
+}
+
+/* Whether nothing was lost or doubled. */
+static bool
+print_table(const struct driver *d, const struct verdicts *v)
+{
+	uint32_t by[NOUTCOMES] = {0};
+	bool good;
+
+	for (uint32_t i = 0; i < d->o.count; i++)
+		by[d->items[i].outcome]++;
+	printf("%s sent %u\n", d->o.mode == JOBS ? "jobs" : "requests",
+	    d->started);
+	printf("answered %u\n", d->settled - by[BROKEN]);
+	for (int i = 0; i < NOUTCOMES; i++)
+		printf("%s %u\n", outcome_names[i], by[i]);
+	printf("sent again %" PRIu64 "\n", d->retries);
+	printf("lost %" PRIu64 "\n", v->lost);
+	printf("doubled %" PRIu64 "\n", v->doubled);
+	printf("false not_run %" PRIu64 "\n", v->untrue);
+	if (d->o.mode == JOBS)
+		printf("starts beyond room %" PRIu64 "\n", v->no_room);
+	print_times(d);
+	good = v->lost == 0 && v->doubled == 0 && v->untrue == 0 && !v->blind;
+	return good && (!d->o.want_all || by[RAN] == d->o.count);
+}
+
+static void
+driver_free(struct driver *d)
+{
+	for (uint32_t i = 0; d->slots != NULL && i < d->o.concurrency; i++) {
+		struct slot *s = &d->slots[i];
+
+		if (s->busy)
+			curl_multi_remove_handle(d->multi, s->curl);
+		curl_easy_cleanup(s->curl);
+		curl_slist_free_all(s->headers);
+		g_byte_array_unref(s->answer);
+	}
+	for (uint32_t i = 0; d->items != NULL && i < d->o.count; i++) {
+		g_free(d->items[i].body);
+		g_free(d->items[i].job);
+	}
+	g_free(d->slots);
+	g_free(d->items);
+	curl_multi_cleanup(d->multi);
+	g_strfreev(d->o.nodes);
+	g_strfreev(d->o.executors);
+	g_strfreev(d->o.workers);
+	g_strfreev(d->o.kinds);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct driver d = {.o = {.key = "",
+			       .label = "order",
+			       .count = 100,
+			       .concurrency = 8,
+			       .tasks = 1,
+			       .cpu_milli = 500,
+			       .run_ms = 20,
+			       .deadline_s = 60,
+			       .timeout_ms = 30000,
+			       .seed = 1}};
+	const struct argp argp = {argp_options, parse_option, NULL,
+	    "Sends requests or jobs and checks what came of them.", NULL, NULL,
+	    NULL};
+	struct verdicts v = {0};
+	bool good = false;
+
+	d.o.kinds = g_strsplit("batch", ",", 0);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	d.multi = curl_multi_init();
+	if (argp_parse(&argp, argc, argv, 0, NULL, &d.o) != 0)
+		goto out;
+	d.slots = g_new0(struct slot, d.o.concurrency);
+	for (uint32_t i = 0; i < d.o.concurrency; i++) {
+		d.slots[i].curl = curl_easy_init();
+		d.slots[i].answer = g_byte_array_new();
+	}
+	make_items(&d);
+	run(&d);
+	if (d.o.mode == JOBS)
+		judge_jobs(&d, &v);
+	else
+		judge_requests(&d, &v);
+	good = print_table(&d, &v);
+out:
+	driver_free(&d);
+	curl_global_cleanup();
+	return good ? 0 : 1;
+}
