--- /dev/null
+++ b/daemon/config.h
@@ -0,0 +1,33 @@
+/*
+ * The daemon's settings file: JSON, checked whole.  Every fault is reported,
+ * each with its path, the value found and what is allowed there.
+ */
+#ifndef OGL_CONFIG_H
+#define OGL_CONFIG_H
+
+#include "logger.h"
+#include "orioleglade.h"
+
+struct ogl_config {
+	struct ogl_node_config node; /* borrows from this struct */
+	char *name;
+	char *addr;
+	char *zone;
+	char *listen_http;
+	char *listen_peer;
+	char *platform;
+	char **seeds; /* NULL at the end */
+	enum ogl_log_level log_level;
+};
+
+struct ogl_config *ogl_config_parse(
+    struct ogl_str text, uint64_t boot, struct ogl_faults *faults);
+/* NULL with every fault added when anything is wrong. */
+
+struct ogl_config *ogl_config_read(
+    const char *path, uint64_t boot, struct ogl_faults *faults);
+/* The same from a file. */
+
+void ogl_config_free(struct ogl_config *c);
+
+#endif
--- /dev/null
+++ b/daemon/http_in.c
@@ -0,0 +1,887 @@
+/*
+ * libmicrohttpd runs without a thread: its epoll descriptor is watched by the
+ * loop, and ogl_http_in_run lets it work.
+ *
+ * A connection is one struct conn for its whole life, a request one struct
+ * call from its first line to its last byte out.  A call goes through
+ *
+ *	READING -> WAITING (suspended, its token known) -> ANSWERED
+ *	                  \-> ABANDONED (the caller left)
+ *
+ * While suspended, libmicrohttpd does not look at the socket, so it would not
+ * see a caller leave: work would be done for nobody.  A second epoll
+ * descriptor watches every connection for the caller's side closing only.  A
+ * caller that merely closes its sending side looks the same and is taken as
+ * gone.
+ *
+ * libmicrohttpd's own timeout counts from the last byte seen, so a sender of
+ * a byte a second would hold its connection for ever.  A sweep therefore
+ * closes connections whose request is not whole within request_ms.
+ */
+
+#define _GNU_SOURCE /* accept4 */
+#include <errno.h>
+#include <ev.h>
+#include <microhttpd.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "addr.h"
+#include "http_in.h"
+
+#define PREFIX "http"
+#define GONE_BATCH 64
+#define LISTEN_BACKLOG 1024
+#define DISCARD_TIMES 8 /* a too large body is read up to 8 times its bound */
+#define BUDGET_MAX_MS ((uint64_t)24 * 3600 * 1000)
+#define RETRY_NO_ROOM_MS 1000
+#define JSON_TYPE "application/json"
+#define TEXT_TYPE "text/plain; version=0.0.4"
+
+enum call_state {
+	CALL_READING,
+	CALL_WAITING,
+	CALL_ANSWERED,
+	CALL_ABANDONED
+};
+
+struct conn {
+	int fd;
+	struct call *call;
+	ev_tstamp since; /* of its opening, or of its last reply's end */
+	bool gone;       /* the caller closed its side */
+	bool shut;       /* we closed the reading side */
+	GList link;      /* in conns */
+};
+
+struct call {
+	struct ogl_http_in *in;
+	struct MHD_Connection *mhd;
+	struct conn *conn;
+	enum call_state state;
+	bool begun;     /* the handler has seen its headers */
+	unsigned fault; /* status to refuse with once read, 0 none */
+	uint64_t token;
+	char *path; /* with its query, as sent */
+	GByteArray *body;
+	size_t received;
+	struct MHD_Response *response;
+	unsigned status;
+};
+
+struct ogl_http_in {
+	struct ev_loop *loop;
+	struct MHD_Daemon *mhd;
+	struct ogl_http_in_limits limits;
+	struct ogl_sink sink;
+	struct ogl_http_in_ops ops;
+	struct ogl_logger *log;
+	int gone_fd;
+	uint16_t port;
+	ev_io mhd_io;
+	ev_io gone_io;
+	ev_timer mhd_timer;
+	ev_timer sweep;
+	bool dirty; /* libmicrohttpd may have something to do */
+	bool closing;
+	bool quiesced;
+	uint64_t last_token;
+	GHashTable *waiting; /* token -> struct call */
+	GQueue conns;        /* struct conn */
+	size_t body_total;
+	struct ogl_http_in_counts counts;
+};
+
+void
+ogl_http_in_limits_default(struct ogl_http_in_limits *l)
+{
+	l->body_max = (size_t)1024 * 1024;
+	l->body_total_max = (size_t)32 * 1024 * 1024;
+	l->connections_max = 4000;
+	l->header_max = 16 * 1024;
+	l->request_ms = 10000;
+	l->idle_s = 75;
+}
+
+/* ---- responses -------------------------------------------------------- */
+
+static void
+unref_bytes(void *bytes)
+{
+	g_bytes_unref(bytes);
+}
+
+static struct MHD_Response *
+response_new(struct ogl_http_in *h, GBytes *body, const char *type)
+{
+	struct MHD_Response *r;
+	gsize n = 0;
+	void *p = NULL;
+
+	if (body != NULL) {
+		p = (void *)(uintptr_t)g_bytes_get_data(body, &n);
+		g_bytes_ref(body);
+	}
+	r = MHD_create_response_from_buffer_with_free_callback_cls(
+	    n, p, body != NULL ? unref_bytes : NULL, body);
+	if (r == NULL) {
+		if (body != NULL)
+			g_bytes_unref(body);
+		return NULL;
+	}
+	MHD_add_response_header(r, MHD_HTTP_HEADER_CONTENT_TYPE, type);
+	if (h->closing)
+		MHD_add_response_header(r, MHD_HTTP_HEADER_CONNECTION, "close");
+	return r;
+}
+
+static void
+add_number(struct MHD_Response *r, const char *name, uint64_t v)
+{
+	char text[24];
+
+	g_snprintf(text, sizeof text, "%" G_GUINT64_FORMAT, v);
+	MHD_add_response_header(r, name, text);
+}
+
+static void
+add_outcome(struct MHD_Response *r, enum ogl_verdict v, uint64_t retry_after_ms)
+{
+	MHD_add_response_header(r, "Ogl-Verdict", ogl_verdict_name(v));
+	if (retry_after_ms == 0)
+		return;
+	add_number(r, MHD_HTTP_HEADER_RETRY_AFTER,
+	    retry_after_ms / 1000 + (retry_after_ms % 1000 != 0));
+	add_number(r, "Ogl-Retry-After-Ms", retry_after_ms);
+}
+
+static enum MHD_Result
+send_response(
+    struct MHD_Connection *mhd, unsigned status, struct MHD_Response *r)
+{
+	enum MHD_Result ok;
+
+	if (r == NULL)
+		return MHD_NO;
+	ok = MHD_queue_response(mhd, status, r);
+	MHD_destroy_response(r);
+	return ok;
+}
+
+/* Refuses a request that never reached the node. */
+static enum MHD_Result
+refuse(struct call *c, unsigned status, const char *why, uint64_t retry_ms)
+{
+	Ogl__ErrorView view = OGL__ERROR_VIEW__INIT;
+	struct MHD_Response *r;
+	GBytes *body;
+	char *json;
+	size_t n;
+
+	view.error = (char *)(uintptr_t)why;
+	view.verdict = OGL__VERDICT__not_run;
+	view.retry_after_ms = retry_ms;
+	json = ogl_json_print(&view.base, &n);
+	body = g_bytes_new_take(json, n);
+	r = response_new(c->in, body, JSON_TYPE);
+	g_bytes_unref(body);
+	if (r != NULL)
+		add_outcome(r, OGL_NOT_RUN, retry_ms);
+	if (r != NULL && status == MHD_HTTP_METHOD_NOT_ALLOWED)
+		MHD_add_response_header(
+		    r, MHD_HTTP_HEADER_ALLOW, "GET, POST, DELETE");
+	c->state = CALL_ANSWERED;
+	return send_response(c->mhd, status, r);
+}
+
+static enum MHD_Result
+refuse_fault(struct call *c)
+{
+	switch (c->fault) {
+	case MHD_HTTP_CONTENT_TOO_LARGE:
+		return refuse(c, c->fault, "the body is too large", 0);
+	case MHD_HTTP_METHOD_NOT_ALLOWED:
+		return refuse(c, c->fault, "the method is not allowed", 0);
+	case MHD_HTTP_SERVICE_UNAVAILABLE:
+		return refuse(
+		    c, c->fault, "no room for the body", RETRY_NO_ROOM_MS);
+	default:
+		return refuse(
+		    c, MHD_HTTP_BAD_REQUEST, "a header is malformed", 0);
+	}
+}
+
+/* ---- reading a request ------------------------------------------------ */
+
+static struct ogl_str
+header(struct call *c, const char *name)
+{
+	return ogl_str(
+	    MHD_lookup_connection_value(c->mhd, MHD_HEADER_KIND, name));
+}
+
+static bool
+known_method(const char *method)
+{
+	return strcmp(method, MHD_HTTP_METHOD_GET) == 0 ||
+	       strcmp(method, MHD_HTTP_METHOD_POST) == 0 ||
+	       strcmp(method, MHD_HTTP_METHOD_DELETE) == 0;
+}
+
+/* Declared length of the body, 0 when it is not declared. */
+static uint64_t
+declared_length(struct call *c)
+{
+	struct ogl_str s = header(c, MHD_HTTP_HEADER_CONTENT_LENGTH);
+
+	return s.n > 0 ? g_ascii_strtoull(s.p, NULL, 10) : 0;
+}
+
+/*
+ * An answer sent while the caller still sends is often lost: the socket is
+ * closed with bytes unread, and the reset that follows overtakes the answer.
+ * So a refusal waits for the body's end, unless the caller waits itself for
+ * "100 Continue" or the body is beyond all measure.
+ */
+static bool
+refuse_at_once(struct call *c, uint64_t length)
+{
+	return header(c, MHD_HTTP_HEADER_EXPECT).n > 0 ||
+	       length > DISCARD_TIMES * c->in->limits.body_max;
+}
+
+static enum MHD_Result
+begin_call(struct call *c, const char *method)
+{
+	uint64_t length = declared_length(c);
+
+	c->begun = true;
+	if (!known_method(method))
+		c->fault = MHD_HTTP_METHOD_NOT_ALLOWED;
+	if (length > c->in->limits.body_max) {
+		c->fault = MHD_HTTP_CONTENT_TOO_LARGE;
+		c->in->counts.too_big++;
+	}
+	if (c->fault != 0 && refuse_at_once(c, length))
+		return refuse_fault(c);
+	return MHD_YES;
+}
+
+static void
+drop_body(struct call *c)
+{
+	if (c->body == NULL)
+		return;
+	c->in->body_total -= c->body->len;
+	g_byte_array_unref(c->body);
+	c->body = NULL;
+}
+
+static enum MHD_Result
+take_body(struct call *c, const char *data, size_t n)
+{
+	struct ogl_http_in *h = c->in;
+
+	c->received += n;
+	if (c->received > DISCARD_TIMES * h->limits.body_max)
+		return MHD_NO;
+	if (c->fault == 0 && c->received > h->limits.body_max) {
+		c->fault = MHD_HTTP_CONTENT_TOO_LARGE;
+		h->counts.too_big++;
+	}
+	if (c->fault == 0 && h->body_total + n > h->limits.body_total_max) {
+		c->fault = MHD_HTTP_SERVICE_UNAVAILABLE;
+		h->counts.no_room++;
+	}
+	if (c->fault != 0) {
+		drop_body(c);
+		return MHD_YES;
+	}
+	if (c->body == NULL)
+		c->body = g_byte_array_new();
+	g_byte_array_append(c->body, (const guint8 *)data, (guint)n);
+	h->body_total += n;
+	return MHD_YES;
+}
+
+static struct ogl_str
+bearer_key(struct call *c)
+{
+	static const char scheme[] = "Bearer ";
+	struct ogl_str s = header(c, MHD_HTTP_HEADER_AUTHORIZATION);
+
+	if (s.n < sizeof scheme - 1 ||
+	    g_ascii_strncasecmp(s.p, scheme, sizeof scheme - 1) != 0)
+		return ogl_str("");
+	s.p += sizeof scheme - 1;
+	s.n -= sizeof scheme - 1;
+	return s;
+}
+
+/* Fills in the event's headers; false when one is malformed. */
+static bool
+read_headers(struct call *c, struct ogl_event *ev)
+{
+	struct ogl_str budget = header(c, "Ogl-Timeout-Ms");
+	struct ogl_str idem = header(c, "Ogl-Idempotent");
+	guint64 ms = 0;
+
+	if (budget.n > 0 && !g_ascii_string_to_unsigned(
+				budget.p, 10, 1, BUDGET_MAX_MS, &ms, NULL))
+		return false;
+	if (idem.n > 0 && !ogl_str_eq(idem, ogl_str("1")) &&
+	    !ogl_str_eq(idem, ogl_str("0")))
+		return false;
+	ev->u.call.budget_ms = ms;
+	ev->u.call.idempotent = ogl_str_eq(idem, ogl_str("1"));
+	ev->u.call.key = bearer_key(c);
+	ev->u.call.request_id = header(c, "Idempotency-Key");
+	ev->u.call.work_kind = header(c, "Ogl-Kind");
+	return true;
+}
+
+static enum MHD_Result
+ask_node(struct call *c, const char *method)
+{
+	struct ogl_http_in *h = c->in;
+	struct ogl_event ev = {.type = OGL_EV_CALL};
+
+	if (!read_headers(c, &ev)) {
+		h->counts.malformed++;
+		return refuse(
+		    c, MHD_HTTP_BAD_REQUEST, "a header is malformed", 0);
+	}
+	c->token = ++h->last_token;
+	c->state = CALL_WAITING;
+	ev.token = c->token;
+	ev.u.call.method = ogl_str(method);
+	ev.u.call.path = ogl_str(c->path);
+	if (c->body != NULL) {
+		ev.u.call.body.p = (const char *)c->body->data;
+		ev.u.call.body.n = c->body->len;
+	}
+	g_hash_table_insert(h->waiting, &c->token, c);
+	h->counts.calls++;
+	MHD_suspend_connection(c->mhd);
+	h->sink.event(h->sink.ctx, &ev);
+	drop_body(c);
+	return MHD_YES;
+}
+
+/* ---- what is answered here -------------------------------------------- */
+
+static enum MHD_Result
+answer_text(struct call *c, unsigned status, char *text)
+{
+	GBytes *body = g_bytes_new_take(text, strlen(text));
+	struct MHD_Response *r = response_new(c->in, body, TEXT_TYPE);
+
+	g_bytes_unref(body);
+	c->state = CALL_ANSWERED;
+	return send_response(c->mhd, status, r);
+}
+
+static enum MHD_Result
+answer_healthz(struct call *c)
+{
+	return answer_text(c, MHD_HTTP_OK, g_strdup("ok\n"));
+}
+
+static enum MHD_Result
+answer_readyz(struct call *c)
+{
+	struct ogl_http_in *h = c->in;
+
+	if (!h->closing && h->ops.ready(h->ops.ctx))
+		return answer_text(c, MHD_HTTP_OK, g_strdup("ready\n"));
+	return answer_text(
+	    c, MHD_HTTP_SERVICE_UNAVAILABLE, g_strdup("not ready\n"));
+}
+
+static enum MHD_Result
+answer_metrics(struct call *c)
+{
+	return answer_text(c, MHD_HTTP_OK, c->in->ops.metrics(c->in->ops.ctx));
+}
+
+static const struct {
+	const char *path;
+	enum MHD_Result (*answer)(struct call *c);
+} own_paths[] = {
+    {"/healthz", answer_healthz},
+    {"/readyz", answer_readyz},
+    {"/metrics", answer_metrics},
+};
+
+/* ---- libmicrohttpd's callbacks ---------------------------------------- */
+
+static struct conn *
+conn_of(struct MHD_Connection *mhd)
+{
+	const union MHD_ConnectionInfo *info =
+	    MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	return info != NULL ? info->socket_context : NULL;
+}
+
+/* The first line of a request is there. */
+static void *
+on_uri(void *cls, const char *uri, struct MHD_Connection *mhd)
+{
+	struct ogl_http_in *h = cls;
+	struct call *c = g_new0(struct call, 1);
+
+	c->in = h;
+	c->mhd = mhd;
+	c->conn = conn_of(mhd);
+	c->path = g_strdup(uri);
+	c->conn->call = c;
+	c->conn->since = ev_now(h->loop);
+	return c;
+}
+
+static enum MHD_Result
+finish_reading(struct call *c, const char *method, const char *url)
+{
+	size_t i;
+
+	if (c->fault != 0)
+		return refuse_fault(c);
+	if (c->conn->gone && !c->conn->shut) {
+		c->in->counts.gone++;
+		return MHD_NO;
+	}
+	for (i = 0; i < G_N_ELEMENTS(own_paths); i++) {
+		if (strcmp(url, own_paths[i].path) == 0)
+			return own_paths[i].answer(c);
+	}
+	if (c->in->quiesced)
+		return refuse(c, MHD_HTTP_SERVICE_UNAVAILABLE,
+		    "the node has shut down", RETRY_NO_ROOM_MS);
+	return ask_node(c, method);
+}
+
+static enum MHD_Result
+on_request(void *cls, struct MHD_Connection *mhd, const char *url,
+    const char *method, const char *version, const char *data, size_t *n,
+    void **con_cls)
+{
+	struct call *c = *con_cls;
+	struct MHD_Response *r;
+	enum MHD_Result ok;
+
+	(void)cls;
+	(void)version;
+	if (c == NULL)
+		return MHD_NO;
+	switch (c->state) {
+	case CALL_READING:
+		if (!c->begun)
+			return begin_call(c, method);
+		if (*n == 0)
+			return finish_reading(c, method, url);
+		ok = take_body(c, data, *n);
+		*n = 0;
+		return ok;
+	case CALL_ANSWERED:
+		if (c->response == NULL) {
+			*n = 0;
+			return MHD_YES;
+		}
+		r = c->response;
+		c->response = NULL;
+		return send_response(mhd, c->status, r);
+	case CALL_WAITING:
+		return MHD_YES;
+	case CALL_ABANDONED:
+	default:
+		return MHD_NO;
+	}
+}
+
+static void
+on_completed(void *cls, struct MHD_Connection *mhd, void **con_cls,
+    enum MHD_RequestTerminationCode toe)
+{
+	struct ogl_http_in *h = cls;
+	struct call *c = *con_cls;
+
+	(void)mhd;
+	(void)toe;
+	if (c == NULL)
+		return;
+	*con_cls = NULL;
+	if (c->state == CALL_WAITING)
+		g_hash_table_remove(h->waiting, &c->token);
+	if (c->response != NULL)
+		MHD_destroy_response(c->response);
+	c->conn->call = NULL;
+	c->conn->since = ev_now(h->loop);
+	drop_body(c);
+	g_free(c->path);
+	g_free(c);
+}
+
+static void
+conn_open(struct ogl_http_in *h, struct MHD_Connection *mhd, void **context)
+{
+	struct epoll_event want = {.events = EPOLLRDHUP | EPOLLET};
+	struct conn *k = g_new0(struct conn, 1);
+
+	k->fd = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
+		    ->connect_fd;
+	k->since = ev_now(h->loop);
+	k->link.data = k;
+	g_queue_push_tail_link(&h->conns, &k->link);
+	want.data.ptr = k;
+	if (epoll_ctl(h->gone_fd, EPOLL_CTL_ADD, k->fd, &want) != 0)
+		ogl_log(h->log, OGL_LOG_WARN, PREFIX,
+		    "A connection can't be watched: %s.", g_strerror(errno));
+	*context = k;
+}
+
+static void
+conn_close(struct ogl_http_in *h, void **context)
+{
+	struct conn *k = *context;
+
+	if (k == NULL)
+		return;
+	epoll_ctl(h->gone_fd, EPOLL_CTL_DEL, k->fd, NULL);
+	g_queue_unlink(&h->conns, &k->link);
+	g_free(k);
+	*context = NULL;
+}
+
+static void
+on_connection(void *cls, struct MHD_Connection *mhd, void **context,
+    enum MHD_ConnectionNotificationCode toe)
+{
+	if (toe == MHD_CONNECTION_NOTIFY_STARTED)
+		conn_open(cls, mhd, context);
+	else
+		conn_close(cls, context);
+}
+
+/* ---- the loop's callbacks --------------------------------------------- */
+
+/* Takes the call's connection up again with whatever its state now says. */
+static void
+resume(struct call *c)
+{
+	g_hash_table_remove(c->in->waiting, &c->token);
+	c->in->dirty = true;
+	MHD_resume_connection(c->mhd);
+}
+
+static void
+abandon(struct call *c)
+{
+	struct ogl_event ev = {.type = OGL_EV_CALL_GONE, .token = c->token};
+	struct ogl_http_in *h = c->in;
+
+	c->state = CALL_ABANDONED;
+	h->counts.gone++;
+	resume(c);
+	h->sink.event(h->sink.ctx, &ev);
+}
+
+static void
+conn_gone(struct conn *k)
+{
+	k->gone = true;
+	if (k->call != NULL && k->call->state == CALL_WAITING)
+		abandon(k->call);
+}
+
+static void
+on_gone(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct ogl_http_in *h = w->data;
+	struct epoll_event got[GONE_BATCH];
+	int i, n;
+
+	(void)loop;
+	(void)events;
+	n = epoll_wait(h->gone_fd, got, GONE_BATCH, 0);
+	for (i = 0; i < n; i++)
+		conn_gone(got[i].data.ptr);
+}
+
+static void
+on_mhd_io(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct ogl_http_in *h = w->data;
+
+	(void)loop;
+	(void)events;
+	h->dirty = true;
+}
+
+static void
+on_mhd_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct ogl_http_in *h = w->data;
+
+	(void)loop;
+	(void)events;
+	h->dirty = true;
+}
+
+/*
+ * Closes the reading side alone: libmicrohttpd then sees the end of the
+ * stream and closes the connection itself, after answering what had come.
+ *
+ * Its descriptor is edge triggered.  When the last bytes and the end of the
+ * stream come together it reads the bytes, gets no second edge, and would see
+ * the end only at its timeout.  Each call here gives one more edge, and so
+ * the sweep calls it until the connection has ended.
+ */
+static void
+conn_shut(struct conn *k)
+{
+	k->shut = true;
+	shutdown(k->fd, SHUT_RD);
+}
+
+static bool
+too_slow(const struct ogl_http_in *h, const struct conn *k, ev_tstamp now)
+{
+	if (k->shut)
+		return false;
+	if (k->call == NULL)
+		return now - k->since > h->limits.idle_s;
+	return k->call->state == CALL_READING &&
+	       now - k->since > h->limits.request_ms / 1e3;
+}
+
+static void
+on_sweep(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct ogl_http_in *h = w->data;
+	GList *at;
+
+	(void)events;
+	for (at = h->conns.head; at != NULL; at = at->next) {
+		struct conn *k = at->data;
+		bool slow = too_slow(h, k, ev_now(loop));
+
+		if (slow && k->call != NULL)
+			h->counts.too_slow++;
+		if (slow || k->shut || k->gone)
+			conn_shut(k);
+	}
+	h->dirty = true;
+}
+
+bool
+ogl_http_in_run(struct ogl_http_in *h)
+{
+	MHD_UNSIGNED_LONG_LONG ms;
+
+	if (!h->dirty)
+		return false;
+	h->dirty = false;
+	MHD_run(h->mhd);
+	ev_timer_stop(h->loop, &h->mhd_timer);
+	if (MHD_get_timeout(h->mhd, &ms) == MHD_YES) {
+		ev_timer_set(&h->mhd_timer, (ev_tstamp)ms / 1e3, 0.);
+		ev_timer_start(h->loop, &h->mhd_timer);
+	}
+	return true;
+}
+
+/* ---- the node's answers ----------------------------------------------- */
+
+void
+ogl_http_in_reply(struct ogl_http_in *h, const struct ogl_action *a)
+{
+	struct call *c = g_hash_table_lookup(h->waiting, &a->token);
+
+	if (c == NULL) {
+		h->counts.late++;
+		return;
+	}
+	c->response = response_new(h, a->data,
+	    a->content_type != NULL ? a->content_type
+				    : "application/octet-stream");
+	if (c->response != NULL)
+		add_outcome(c->response, a->verdict, a->retry_after_ms);
+	c->status = a->status;
+	c->state = c->response != NULL ? CALL_ANSWERED : CALL_ABANDONED;
+	h->counts.replies++;
+	resume(c);
+}
+
+/* ---- beginning and end ------------------------------------------------ */
+
+static void
+start_watchers(struct ogl_http_in *h)
+{
+	const union MHD_DaemonInfo *info =
+	    MHD_get_daemon_info(h->mhd, MHD_DAEMON_INFO_EPOLL_FD);
+	ev_tstamp every = MIN(h->limits.request_ms / 4e3, 1.);
+
+	ev_io_init(&h->mhd_io, on_mhd_io, info->epoll_fd, EV_READ);
+	h->mhd_io.data = h;
+	ev_io_start(h->loop, &h->mhd_io);
+	ev_io_init(&h->gone_io, on_gone, h->gone_fd, EV_READ);
+	h->gone_io.data = h;
+	ev_io_start(h->loop, &h->gone_io);
+	ev_init(&h->mhd_timer, on_mhd_timer);
+	h->mhd_timer.data = h;
+	ev_timer_init(&h->sweep, on_sweep, every, every);
+	h->sweep.data = h;
+	ev_timer_start(h->loop, &h->sweep);
+}
+
+static struct MHD_Daemon *
+start_mhd(struct ogl_http_in *h, int fd)
+{
+	return MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0,
+	    NULL, NULL, on_request, h, MHD_OPTION_LISTEN_SOCKET, fd,
+	    MHD_OPTION_LISTEN_BACKLOG_SIZE, LISTEN_BACKLOG,
+	    MHD_OPTION_CONNECTION_LIMIT, h->limits.connections_max,
+	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)h->limits.header_max,
+	    MHD_OPTION_CONNECTION_TIMEOUT, h->limits.idle_s,
+	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, h,
+	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
+	    MHD_OPTION_URI_LOG_CALLBACK, on_uri, h, MHD_OPTION_END);
+}
+
+struct ogl_http_in *
+ogl_http_in_init(struct ev_loop *loop, const char *listen,
+    const struct ogl_http_in_limits *limits, struct ogl_sink sink,
+    struct ogl_http_in_ops ops, struct ogl_logger *log, GError **error)
+{
+	struct ogl_http_in *h = g_new0(struct ogl_http_in, 1);
+	int fd = ogl_addr_listen(listen, error);
+
+	h->gone_fd = -1;
+	if (fd < 0)
+		goto fail;
+	h->loop = loop;
+	h->limits = *limits;
+	h->sink = sink;
+	h->ops = ops;
+	h->log = log;
+	h->dirty = true;
+	h->port = ogl_addr_port(fd);
+	h->waiting = g_hash_table_new(g_int64_hash, g_int64_equal);
+	g_queue_init(&h->conns);
+	h->gone_fd = epoll_create1(EPOLL_CLOEXEC);
+	if (h->gone_fd >= 0)
+		h->mhd = start_mhd(h, fd);
+	if (h->mhd == NULL) {
+		g_set_error(error, OGL_ERROR, OGL_ERROR_INPUT,
+		    "can't serve HTTP on %s", listen);
+		goto fail;
+	}
+	start_watchers(h);
+	return h;
+fail:
+	if (h->waiting != NULL)
+		g_hash_table_unref(h->waiting);
+	if (h->gone_fd >= 0)
+		close(h->gone_fd);
+	if (fd >= 0)
+		close(fd);
+	g_free(h);
+	return NULL;
+}
+
+/* libmicrohttpd may not be stopped while a connection is suspended; what
+ * still arrives in its last run is refused, so that none is again. */
+static void
+abandon_all(struct ogl_http_in *h)
+{
+	GHashTableIter it;
+	gpointer c;
+
+	h->quiesced = true;
+	g_hash_table_iter_init(&it, h->waiting);
+	while (g_hash_table_iter_next(&it, NULL, &c)) {
+		struct call *call = c;
+
+		g_hash_table_iter_remove(&it);
+		call->state = CALL_ABANDONED;
+		MHD_resume_connection(call->mhd);
+	}
+	MHD_run(h->mhd);
+}
+
+void
+ogl_http_in_end(struct ogl_http_in *h)
+{
+	if (h == NULL)
+		return;
+	abandon_all(h);
+	ev_io_stop(h->loop, &h->mhd_io);
+	ev_io_stop(h->loop, &h->gone_io);
+	ev_timer_stop(h->loop, &h->mhd_timer);
+	ev_timer_stop(h->loop, &h->sweep);
+	MHD_stop_daemon(h->mhd);
+	close(h->gone_fd);
+	g_hash_table_unref(h->waiting);
+	g_free(h);
+}
+
+uint16_t
+ogl_http_in_port(const struct ogl_http_in *h)
+{
+	return h->port;
+}
+
+void
+ogl_http_in_closing(struct ogl_http_in *h)
+{
+	h->closing = true;
+}
+
+/*
+ * A connection waiting in the listening socket's queue would be reset when
+ * that is closed, and its caller could not know whether its request ran.  So
+ * these are taken first and refused properly.
+ */
+void
+ogl_http_in_quiesce(struct ogl_http_in *h)
+{
+	struct sockaddr_storage sa;
+	socklen_t len = sizeof sa;
+	GList *at;
+	int listen, fd;
+
+	if (h->quiesced)
+		return;
+	h->closing = true;
+	h->quiesced = true;
+	listen = MHD_quiesce_daemon(h->mhd);
+	while (listen >= 0 && (fd = accept4(listen, (struct sockaddr *)&sa,
+				   &len, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		MHD_add_connection(h->mhd, fd, (struct sockaddr *)&sa, len);
+		len = sizeof sa;
+	}
+	if (listen >= 0)
+		close(listen);
+	for (at = h->conns.head; at != NULL; at = at->next) {
+		struct conn *k = at->data;
+
+		if (k->call == NULL)
+			conn_shut(k);
+	}
+	h->dirty = true;
+}
+
+bool
+ogl_http_in_drained(const struct ogl_http_in *h)
+{
+	return h->conns.length == 0;
+}
+
+const struct ogl_http_in_counts *
+ogl_http_in_counts(const struct ogl_http_in *h)
+{
+	return &h->counts;
+}
--- /dev/null
+++ b/daemon/http_out.c
@@ -0,0 +1,858 @@
+/*
+ * One libcurl multi handle on the loop.  Easy handles live in a pool and are
+ * set up once; a request changes only its address, headers, body and timeout.
+ * The header list is made of nodes inside struct xfer, so that no request
+ * allocates one.
+ *
+ * What each kind of request needs stands in one table: how it is addressed
+ * and how its answer becomes an event.
+ *
+ * Whether anything was sent is taken from CURLINFO_REQUEST_SIZE, which counts
+ * the bytes handed to the kernel, never from the error code: a timeout may
+ * come before or after the sending.
+ *
+ * libcurl sends a request a second time, silently, when a connection it
+ * reused ends before any byte of the answer.  The first copy may have been
+ * executed by then: a request would run twice and nobody would be told.  The
+ * remedy that libcurl's manual offers, a body that can't be rewound, does not
+ * cover requests without a body.  So the hook that libcurl calls right before
+ * each sending refuses the second one of the same request, which then ends as
+ * lost, or as not sent when the kernel took no byte of it.  Only GET may go
+ * twice.
+ */
+
+#include <curl/curl.h>
+#include <ev.h>
+#include <jansson.h>
+#include <sodium.h>
+#include <string.h>
+
+#include "addr.h"
+#include "http_out.h"
+
+#define PREFIX "out"
+#define HOST_CONNECTIONS 60L
+#define CACHED_CONNECTIONS 4096L
+#define CONNECT_MS 2000L
+#define REUSE_IDLE_S 20L /* servers commonly close after 30 s or more */
+#define POOL_MAX 1024
+#define URL_BYTES 256
+#define HEADER_BYTES 192
+#define HEADERS_MAX 6
+#define BODY_KEEP ((size_t)64 * 1024) /* buffer a pooled handle may keep */
+#define ANSWER_MAX ((size_t)16 * 1024 * 1024)
+#define READ_MAX_RECORDS 256
+#define READ_WAIT_MS 1000
+#define READ_MARGIN_MS 500
+#define DEFAULT_TIMEOUT_MS 5000
+#define STATUS_NO_CONTENT 204
+
+struct xfer;
+
+/* One kind of request. */
+struct kind {
+	enum ogl_event_type event;
+	bool once; /* must never be sent twice */
+	/* Fills the event from a whole 200 answer; false when it does not
+	 * parse. */
+	bool (*parse)(struct xfer *x, struct ogl_event *ev);
+	/* Whether any status is an answer, not only 200. */
+	bool any_status;
+	bool token; /* the answer must echo Ogl-Token */
+};
+
+struct xfer {
+	struct ogl_http_out *out;
+	CURL *easy;
+	const struct kind *kind;
+	uint64_t token;
+	GBytes *body;
+	char url[URL_BYTES];
+	char lines[HEADERS_MAX][HEADER_BYTES];
+	struct curl_slist headers[HEADERS_MAX];
+	size_t nheaders;
+	unsigned sends; /* how often libcurl began to send it */
+	GByteArray *answer;
+	bool overflow;
+	bool has_token;
+	uint64_t got_token;
+	bool framed; /* the answer tells its own length */
+	bool not_run;
+	void *parsed;        /* message or entries that the event borrows */
+	GByteArray *decoded; /* records of a log read */
+	json_t *json;
+	GList link; /* in busy */
+};
+
+struct sock {
+	struct ogl_http_out *out;
+	ev_io io;
+};
+
+struct ogl_http_out {
+	struct ev_loop *loop;
+	char *platform;
+	struct ogl_sink sink;
+	struct ogl_logger *log;
+	CURLM *multi;
+	ev_timer timer;
+	GQueue busy; /* struct xfer */
+	GPtrArray *pool;
+	bool kick; /* libcurl asked to be called at once */
+	struct ogl_http_out_counts counts;
+};
+
+/* ---- parsing answers -------------------------------------------------- */
+
+static json_t *
+answer_json(struct xfer *x)
+{
+	x->json = json_loadb((const char *)x->answer->data, x->answer->len,
+	    JSON_REJECT_DUPLICATES, NULL);
+	return x->json;
+}
+
+static bool
+get_u64(const json_t *o, const char *name, uint64_t *to)
+{
+	const json_t *v = json_object_get(o, name);
+
+	if (!json_is_integer(v) || json_integer_value(v) < 0)
+		return false;
+	*to = (uint64_t)json_integer_value(v);
+	return true;
+}
+
+static bool
+parse_appended(struct xfer *x, struct ogl_event *ev)
+{
+	return get_u64(answer_json(x), "offset", &ev->u.appended.offset);
+}
+
+/* Decodes one record behind those before it. */
+static bool
+parse_record(
+    struct xfer *x, const json_t *v, uint64_t expect, struct ogl_log_entry *e)
+{
+	const json_t *data = json_object_get(v, "data");
+	size_t at = x->decoded->len;
+	size_t n = json_string_length(data);
+	size_t got = 0;
+
+	if (!get_u64(v, "offset", &e->offset) || e->offset < expect ||
+	    !json_is_string(data))
+		return false;
+	g_byte_array_set_size(x->decoded, (guint)(at + n / 4 * 3 + 3));
+	if (sodium_base642bin(x->decoded->data + at, n / 4 * 3 + 3,
+		json_string_value(data), n, NULL, &got, NULL,
+		sodium_base64_VARIANT_ORIGINAL) != 0)
+		return false;
+	g_byte_array_set_size(x->decoded, (guint)(at + got));
+	e->data.n = got;
+	return true;
+}
+
+/* The decoded bytes move while they grow; pointers are set at the end. */
+static void
+point_entries(struct xfer *x, struct ogl_log_entry *e, size_t n)
+{
+	const char *at = (const char *)x->decoded->data;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		e[i].data.p = at;
+		at += e[i].data.n;
+	}
+}
+
+static bool
+parse_read(struct xfer *x, struct ogl_event *ev)
+{
+	const json_t *root = answer_json(x);
+	const json_t *list = json_object_get(root, "records");
+	struct ogl_log_entry *e;
+	uint64_t expect = 0;
+	size_t i, n = json_array_size(list);
+
+	if (!json_is_array(list) ||
+	    !get_u64(root, "first", &ev->u.read.first) ||
+	    !get_u64(root, "next", &ev->u.read.next))
+		return false;
+	e = g_new0(struct ogl_log_entry, n + 1);
+	x->parsed = e;
+	x->decoded = g_byte_array_new();
+	for (i = 0; i < n; i++) {
+		if (!parse_record(x, json_array_get(list, i), expect, &e[i]) ||
+		    e[i].offset >= ev->u.read.next)
+			return false;
+		expect = e[i].offset + 1;
+	}
+	point_entries(x, e, n);
+	ev->u.read.entries = e;
+	ev->u.read.n = n;
+	return true;
+}
+
+static void *
+parse_message(struct xfer *x, const ProtobufCMessageDescriptor *d)
+{
+	struct ogl_faults *faults = ogl_faults_new();
+	struct ogl_str text = {(const char *)x->answer->data, x->answer->len};
+
+	x->parsed = ogl_json_parse(d, text, faults);
+	if (x->parsed == NULL)
+		ogl_log(x->out->log, OGL_LOG_WARN, PREFIX,
+		    "An answer from %s does not parse at '%s'.", x->url,
+		    ogl_faults_count(faults) > 0 ? ogl_faults_path(faults, 0)
+						 : "");
+	ogl_faults_free(faults);
+	return x->parsed;
+}
+
+static bool
+parse_hosts(struct xfer *x, struct ogl_event *ev)
+{
+	ev->u.hosts = parse_message(x, &ogl__host_list__descriptor);
+	return ev->u.hosts != NULL;
+}
+
+static bool
+parse_worker(struct xfer *x, struct ogl_event *ev)
+{
+	ev->u.worker = parse_message(x, &ogl__worker_report__descriptor);
+	return ev->u.worker != NULL;
+}
+
+static bool
+parse_exec(struct xfer *x, struct ogl_event *ev)
+{
+	ev->u.exec.body.p = (const char *)x->answer->data;
+	ev->u.exec.body.n = x->answer->len;
+	return true;
+}
+
+static const struct kind kind_append = {
+    .event = OGL_EV_LOG_APPENDED, .once = true, .parse = parse_appended};
+static const struct kind kind_read = {
+    .event = OGL_EV_LOG_READ, .parse = parse_read};
+static const struct kind kind_hosts = {
+    .event = OGL_EV_HOSTS, .parse = parse_hosts};
+static const struct kind kind_worker = {
+    .event = OGL_EV_WORKER, .once = true, .parse = parse_worker};
+static const struct kind kind_exec = {.event = OGL_EV_EXEC,
+    .once = true,
+    .parse = parse_exec,
+    .any_status = true,
+    .token = true};
+
+/* ---- the pool of easy handles ----------------------------------------- */
+
+static size_t
+on_body(char *data, size_t size, size_t n, void *ctx)
+{
+	struct xfer *x = ctx;
+
+	n *= size;
+	if (x->answer->len + n > ANSWER_MAX) {
+		x->overflow = true;
+		return 0;
+	}
+	g_byte_array_append(x->answer, (const guint8 *)data, (guint)n);
+	return n;
+}
+
+/* Value of a header line if it has the name; trimmed into buf. */
+static bool
+header_value(
+    const char *line, size_t n, const char *name, char *buf, size_t cap)
+{
+	size_t len = strlen(name);
+
+	if (n <= len || line[len] != ':' ||
+	    g_ascii_strncasecmp(line, name, len) != 0)
+		return false;
+	line += len + 1;
+	n = MIN(n - len - 1, cap - 1);
+	memcpy(buf, line, n);
+	buf[n] = '\0';
+	g_strstrip(buf);
+	return true;
+}
+
+static void
+reset_answer(struct xfer *x)
+{
+	x->has_token = false;
+	x->got_token = 0;
+	x->not_run = false;
+	x->framed = false;
+}
+
+static size_t
+on_header(char *line, size_t size, size_t n, void *ctx)
+{
+	struct xfer *x = ctx;
+	char value[64];
+	guint64 token;
+
+	n *= size;
+	if (n >= 5 && memcmp(line, "HTTP/", 5) == 0)
+		reset_answer(x); /* an interim answer may have gone before */
+	if (header_value(line, n, "Ogl-Token", value, sizeof value)) {
+		x->has_token = g_ascii_string_to_unsigned(
+		    value, 10, 0, G_MAXUINT64, &token, NULL);
+		x->got_token = x->has_token ? token : 0;
+	} else if (header_value(line, n, "Ogl-Verdict", value, sizeof value)) {
+		x->not_run = strcmp(value, "not_run") == 0;
+	} else if (header_value(
+		       line, n, "Content-Length", value, sizeof value) ||
+		   header_value(
+		       line, n, "Transfer-Encoding", value, sizeof value)) {
+		x->framed = true;
+	}
+	return n;
+}
+
+/* Called by libcurl with a connection ready, right before it sends. */
+static int
+on_before_send(
+    void *ctx, char *to_ip, char *from_ip, int to_port, int from_port)
+{
+	struct xfer *x = ctx;
+
+	(void)to_ip;
+	(void)from_ip;
+	(void)to_port;
+	(void)from_port;
+	if (x->sends++ > 0 && x->kind->once) {
+		x->out->counts.resends++;
+		return CURL_PREREQFUNC_ABORT;
+	}
+	return CURL_PREREQFUNC_OK;
+}
+
+static void
+setup_easy(struct xfer *x)
+{
+	CURL *e = x->easy;
+
+	curl_easy_setopt(e, CURLOPT_PRIVATE, x);
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
+	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, REUSE_IDLE_S);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, x);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(e, CURLOPT_HEADERDATA, x);
+	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_before_send);
+	curl_easy_setopt(e, CURLOPT_PREREQDATA, x);
+}
+
+static struct xfer *
+xfer_new(struct ogl_http_out *h)
+{
+	struct xfer *x;
+
+	if (h->pool->len > 0)
+		return g_ptr_array_steal_index_fast(h->pool, h->pool->len - 1);
+	x = g_new0(struct xfer, 1);
+	x->out = h;
+	x->link.data = x;
+	x->answer = g_byte_array_new();
+	x->easy = curl_easy_init();
+	if (x->easy == NULL)
+		g_error("%s: no memory for a request", PREFIX);
+	setup_easy(x);
+	return x;
+}
+
+static void
+xfer_free(void *p)
+{
+	struct xfer *x = p;
+
+	curl_easy_cleanup(x->easy);
+	g_byte_array_unref(x->answer);
+	g_free(x);
+}
+
+/* Drops all that belongs to one request. */
+static void
+xfer_clear(struct xfer *x)
+{
+	if (x->body != NULL)
+		g_bytes_unref(x->body);
+	if (x->parsed != NULL && x->kind == &kind_read)
+		g_free(x->parsed);
+	else if (x->parsed != NULL)
+		protobuf_c_message_free_unpacked(x->parsed, NULL);
+	if (x->decoded != NULL)
+		g_byte_array_unref(x->decoded);
+	json_decref(x->json);
+	x->body = NULL;
+	x->parsed = NULL;
+	x->decoded = NULL;
+	x->json = NULL;
+	x->nheaders = 0;
+	x->sends = 0;
+	x->overflow = false;
+	reset_answer(x);
+}
+
+static void
+xfer_release(struct xfer *x)
+{
+	struct ogl_http_out *h = x->out;
+	bool large = x->answer->len > BODY_KEEP;
+
+	xfer_clear(x);
+	if (large || h->pool->len >= POOL_MAX) {
+		xfer_free(x);
+		return;
+	}
+	g_byte_array_set_size(x->answer, 0);
+	g_ptr_array_add(h->pool, x);
+}
+
+/* ---- the end of a request --------------------------------------------- */
+
+/* Statuses by which the other side says that it did nothing.  A bare 503 is
+ * not one: a gateway sends it too, after the request went through. */
+static bool
+is_refusal(const struct xfer *x, long status)
+{
+	if (status == 429 || status == 409)
+		return !x->kind->any_status || x->not_run;
+	return status >= 400 && x->not_run;
+}
+
+static enum ogl_io
+judge_failure(struct xfer *x, CURLcode rc)
+{
+	struct ogl_http_out *h = x->out;
+	long sent = 0;
+
+	if (rc == CURLE_PARTIAL_FILE)
+		h->counts.cut++;
+	if (x->overflow)
+		h->counts.malformed++;
+	curl_easy_getinfo(x->easy, CURLINFO_REQUEST_SIZE, &sent);
+	return sent == 0 ? OGL_IO_NOT_SENT : OGL_IO_LOST;
+}
+
+/*
+ * An answer without a length ends where its connection ends, and so a cut one
+ * looks whole; it is not believed.
+ */
+static enum ogl_io
+judge_answer(struct xfer *x, struct ogl_event *ev)
+{
+	struct ogl_http_out *h = x->out;
+	long status = 0;
+
+	curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (!x->framed && status != STATUS_NO_CONTENT) {
+		h->counts.cut++;
+		return OGL_IO_LOST;
+	}
+	if (x->kind->token && (!x->has_token || x->got_token != x->token)) {
+		h->counts.crossed++;
+		ogl_log(h->log, OGL_LOG_WARN, PREFIX,
+		    "An answer from %s was not for request %" G_GUINT64_FORMAT
+		    "; it was dropped.",
+		    x->url, x->token);
+		return OGL_IO_LOST;
+	}
+	if (x->kind->any_status) {
+		ev->u.exec.status = (uint32_t)status;
+		ev->u.exec.not_run = x->not_run;
+	}
+	if (is_refusal(x, status)) {
+		if (x->kind->any_status)
+			x->kind->parse(x, ev);
+		return OGL_IO_REFUSED;
+	}
+	if (status != 200 && !x->kind->any_status)
+		return OGL_IO_LOST;
+	if (!x->kind->parse(x, ev)) {
+		h->counts.malformed++;
+		return OGL_IO_LOST;
+	}
+	return OGL_IO_OK;
+}
+
+static void
+count_io(struct ogl_http_out *h, enum ogl_io io)
+{
+	uint64_t *const counts[] = {
+	    [OGL_IO_OK] = &h->counts.ok,
+	    [OGL_IO_NOT_SENT] = &h->counts.not_sent,
+	    [OGL_IO_REFUSED] = &h->counts.refused,
+	    [OGL_IO_LOST] = &h->counts.lost,
+	};
+
+	(*counts[io])++;
+}
+
+static void
+xfer_done(struct xfer *x, CURLcode rc)
+{
+	struct ogl_http_out *h = x->out;
+	struct ogl_event ev = {.type = x->kind->event, .token = x->token};
+
+	if (rc == CURLE_OK)
+		ev.io = judge_answer(x, &ev);
+	else
+		ev.io = judge_failure(x, rc);
+	if (ev.io != OGL_IO_OK && x->kind != &kind_exec)
+		memset(&ev.u, 0, sizeof ev.u);
+	count_io(h, ev.io);
+	if (rc != CURLE_OK)
+		ogl_log(h->log, OGL_LOG_DEBUG, PREFIX, "%s: %s.", x->url,
+		    curl_easy_strerror(rc));
+	h->sink.event(h->sink.ctx, &ev);
+}
+
+static void
+take_ended(struct ogl_http_out *h)
+{
+	struct xfer *x;
+	CURLMsg *m;
+	int left;
+
+	while ((m = curl_multi_info_read(h->multi, &left)) != NULL) {
+		CURLcode rc = m->data.result;
+
+		if (m->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &x);
+		xfer_done(x, rc);
+		curl_multi_remove_handle(h->multi, x->easy);
+		g_queue_unlink(&h->busy, &x->link);
+		xfer_release(x);
+	}
+}
+
+/* ---- libcurl on the loop ---------------------------------------------- */
+
+static void
+act(struct ogl_http_out *h, curl_socket_t fd, int what)
+{
+	int running;
+
+	curl_multi_socket_action(h->multi, fd, what, &running);
+	take_ended(h);
+}
+
+static void
+on_sock(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct ogl_http_out *h = ((struct sock *)w->data)->out;
+	int what = 0;
+
+	(void)loop;
+	if (events & EV_READ)
+		what |= CURL_CSELECT_IN;
+	if (events & EV_WRITE)
+		what |= CURL_CSELECT_OUT;
+	act(h, w->fd, what);
+}
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct ogl_http_out *h = w->data;
+
+	(void)loop;
+	(void)events;
+	act(h, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int
+on_curl_socket(CURL *easy, curl_socket_t fd, int what, void *ctx, void *sockp)
+{
+	struct ogl_http_out *h = ctx;
+	struct sock *s = sockp;
+	int events = 0;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		if (s != NULL) {
+			ev_io_stop(h->loop, &s->io);
+			g_free(s);
+		}
+		return 0;
+	}
+	if (s == NULL) {
+		s = g_new0(struct sock, 1);
+		s->out = h;
+		ev_init(&s->io, on_sock);
+		s->io.data = s;
+		curl_multi_assign(h->multi, fd, s);
+	}
+	if (what & CURL_POLL_IN)
+		events |= EV_READ;
+	if (what & CURL_POLL_OUT)
+		events |= EV_WRITE;
+	ev_io_stop(h->loop, &s->io);
+	ev_io_set(&s->io, fd, events);
+	ev_io_start(h->loop, &s->io);
+	return 0;
+}
+
+static int
+on_curl_timer(CURLM *multi, long ms, void *ctx)
+{
+	struct ogl_http_out *h = ctx;
+
+	(void)multi;
+	ev_timer_stop(h->loop, &h->timer);
+	h->kick = ms == 0;
+	if (ms < 0)
+		return 0;
+	ev_timer_set(&h->timer, (ev_tstamp)ms / 1e3, 0.);
+	ev_timer_start(h->loop, &h->timer);
+	return 0;
+}
+
+bool
+ogl_http_out_run(struct ogl_http_out *h)
+{
+	if (!h->kick)
+		return false;
+	h->kick = false;
+	act(h, CURL_SOCKET_TIMEOUT, 0);
+	return true;
+}
+
+/* ---- starting requests ------------------------------------------------ */
+
+/*
+ * Adds a header.  A value with a control character in it would end the line
+ * and let a caller write headers of its own; it is left out.
+ */
+static void
+add_header(struct xfer *x, const char *name, const char *value)
+{
+	size_t i = x->nheaders;
+	const char *p;
+
+	for (p = value; *p != '\0'; p++) {
+		if ((unsigned char)*p < ' ' || *p == 127)
+			return;
+	}
+	g_snprintf(x->lines[i], HEADER_BYTES, "%s: %s", name, value);
+	x->headers[i].data = x->lines[i];
+	x->headers[i].next = NULL;
+	if (i > 0)
+		x->headers[i - 1].next = &x->headers[i];
+	x->nheaders++;
+}
+
+static struct xfer *
+xfer_begin(
+    struct ogl_http_out *h, const struct kind *kind, const struct ogl_action *a)
+{
+	struct xfer *x = xfer_new(h);
+
+	x->kind = kind;
+	x->token = a->token;
+	h->counts.requests++;
+	return x;
+}
+
+static void
+set_post(struct xfer *x, GBytes *body)
+{
+	gsize n;
+	const void *p;
+
+	x->body = body;
+	p = g_bytes_get_data(body, &n);
+	curl_easy_setopt(x->easy, CURLOPT_POST, 1L);
+	curl_easy_setopt(x->easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)n);
+	curl_easy_setopt(x->easy, CURLOPT_POSTFIELDS, p != NULL ? p : "");
+	add_header(x, "Expect", "");
+}
+
+static void
+xfer_start(struct xfer *x, const struct ogl_action *a)
+{
+	struct ogl_http_out *h = x->out;
+	uint32_t ms = a->timeout_ms > 0 ? a->timeout_ms : DEFAULT_TIMEOUT_MS;
+
+	if (x->body == NULL)
+		curl_easy_setopt(x->easy, CURLOPT_HTTPGET, 1L);
+	curl_easy_setopt(x->easy, CURLOPT_URL, x->url);
+	curl_easy_setopt(x->easy, CURLOPT_HTTPHEADER,
+	    x->nheaders > 0 ? &x->headers[0] : NULL);
+	curl_easy_setopt(x->easy, CURLOPT_TIMEOUT_MS, (long)ms);
+	g_queue_push_tail_link(&h->busy, &x->link);
+	curl_multi_add_handle(h->multi, x->easy);
+}
+
+static GBytes *
+body_of(const struct ogl_action *a)
+{
+	return a->data != NULL ? g_bytes_ref(a->data) : g_bytes_new(NULL, 0);
+}
+
+void
+ogl_http_out_append(struct ogl_http_out *h, const struct ogl_action *a)
+{
+	struct xfer *x = xfer_begin(h, &kind_append, a);
+
+	g_snprintf(x->url, URL_BYTES, "http://%s/v1/streams/%s/append",
+	    h->platform, a->name);
+	add_header(x, "Content-Type", "application/octet-stream");
+	set_post(x, body_of(a));
+	xfer_start(x, a);
+}
+
+/* The platform holds the answer back until there is a record or the wait is
+ * over; the wait ends well before the request's own timeout. */
+static uint32_t
+read_wait_ms(const struct ogl_action *a)
+{
+	if (a->timeout_ms <= READ_MARGIN_MS)
+		return 0;
+	return MIN(a->timeout_ms - READ_MARGIN_MS, READ_WAIT_MS);
+}
+
+void
+ogl_http_out_read(struct ogl_http_out *h, const struct ogl_action *a)
+{
+	struct xfer *x = xfer_begin(h, &kind_read, a);
+
+	g_snprintf(x->url, URL_BYTES,
+	    "http://%s/v1/streams/%s/records?from=%" G_GUINT64_FORMAT
+	    "&max=%u&wait_ms=%u",
+	    h->platform, a->name, a->from, READ_MAX_RECORDS, read_wait_ms(a));
+	xfer_start(x, a);
+}
+
+void
+ogl_http_out_hosts(struct ogl_http_out *h, const struct ogl_action *a)
+{
+	struct xfer *x = xfer_begin(h, &kind_hosts, a);
+
+	g_snprintf(x->url, URL_BYTES, "http://%s/v1/hosts", h->platform);
+	xfer_start(x, a);
+}
+
+/*
+ * An address that is no ip:port would make libcurl ask a resolver, which
+ * blocks.  Such a request is certainly not sent.
+ */
+static bool
+check_addr(struct xfer *x, const char *addr)
+{
+	struct ogl_event ev = {
+	    .type = x->kind->event, .token = x->token, .io = OGL_IO_NOT_SENT};
+	struct ogl_http_out *h = x->out;
+	struct sockaddr_storage sa;
+	socklen_t len;
+
+	if (ogl_addr_parse(addr, &sa, &len))
+		return true;
+	count_io(h, ev.io);
+	xfer_release(x);
+	h->sink.event(h->sink.ctx, &ev);
+	return false;
+}
+
+void
+ogl_http_out_worker(struct ogl_http_out *h, const struct ogl_action *a)
+{
+	struct xfer *x = xfer_begin(h, &kind_worker, a);
+	char *json;
+	size_t n;
+
+	if (!check_addr(x, a->addr))
+		return;
+	json = ogl_json_print(&a->sync->base, &n);
+	g_snprintf(x->url, URL_BYTES, "http://%s/v1/sync", a->addr);
+	add_header(x, "Content-Type", "application/json");
+	set_post(x, g_bytes_new_take(json, n));
+	xfer_start(x, a);
+}
+
+void
+ogl_http_out_exec(struct ogl_http_out *h, const struct ogl_action *a)
+{
+	struct xfer *x = xfer_begin(h, &kind_exec, a);
+	char token[24];
+
+	if (!check_addr(x, a->addr))
+		return;
+	g_snprintf(x->url, URL_BYTES, "http://%s/run", a->addr);
+	g_snprintf(token, sizeof token, "%" G_GUINT64_FORMAT, a->token);
+	add_header(x, "Ogl-Token", token);
+	add_header(x, "Ogl-Team", a->name != NULL ? a->name : "");
+	add_header(x, "Ogl-Kind", a->work_kind != NULL ? a->work_kind : "");
+	add_header(x, "Content-Type", "application/octet-stream");
+	set_post(x, body_of(a));
+	xfer_start(x, a);
+}
+
+/* ---- beginning and end ------------------------------------------------ */
+
+struct ogl_http_out *
+ogl_http_out_init(struct ev_loop *loop, const char *platform,
+    struct ogl_sink sink, struct ogl_logger *log)
+{
+	struct ogl_http_out *h = g_new0(struct ogl_http_out, 1);
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	h->loop = loop;
+	h->platform = g_strdup(platform);
+	h->sink = sink;
+	h->log = log;
+	h->pool = g_ptr_array_new_with_free_func(xfer_free);
+	g_queue_init(&h->busy);
+	ev_init(&h->timer, on_timer);
+	h->timer.data = h;
+	h->multi = curl_multi_init();
+	curl_multi_setopt(h->multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
+	curl_multi_setopt(h->multi, CURLMOPT_SOCKETDATA, h);
+	curl_multi_setopt(h->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
+	curl_multi_setopt(h->multi, CURLMOPT_TIMERDATA, h);
+	curl_multi_setopt(
+	    h->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+	curl_multi_setopt(
+	    h->multi, CURLMOPT_MAX_HOST_CONNECTIONS, HOST_CONNECTIONS);
+	curl_multi_setopt(h->multi, CURLMOPT_MAXCONNECTS, CACHED_CONNECTIONS);
+	return h;
+}
+
+void
+ogl_http_out_end(struct ogl_http_out *h)
+{
+	GList *l;
+
+	if (h == NULL)
+		return;
+	while ((l = g_queue_pop_head_link(&h->busy)) != NULL) {
+		struct xfer *x = l->data;
+
+		curl_multi_remove_handle(h->multi, x->easy);
+		xfer_clear(x);
+		xfer_free(x);
+	}
+	g_ptr_array_unref(h->pool);
+	curl_multi_cleanup(h->multi);
+	ev_timer_stop(h->loop, &h->timer);
+	g_free(h->platform);
+	g_free(h);
+	curl_global_cleanup();
+}
+
+const struct ogl_http_out_counts *
+ogl_http_out_counts(const struct ogl_http_out *h)
+{
+	return &h->counts;
+}
--- /dev/null
+++ b/test/test_daemon_config.cc
@@ -0,0 +1,119 @@
+// The settings file.
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+
+extern "C" {
+#include "config.h"
+}
+
+// Stands in for the node's defaults in a build without the node.
+extern "C" __attribute__((weak)) void
+ogl_node_config_default(struct ogl_node_config *c)
+{
+	*c = ogl_node_config();
+	c->shards = 4;
+	c->lease_ms = 6000;
+	c->sync_ms = 1000;
+	c->probe_ms = 500;
+	c->suspect_ms = 3000;
+	c->commit_ms = 4;
+	c->right_ms = 3000;
+	c->stale_ms = 10000;
+	c->late_claim_ms = 30000;
+	c->snapshot_records = 1000;
+	c->snapshot_ms = 60000;
+	c->id_keep_ms = 600000;
+	c->exec_slots = 8;
+}
+
+static const char good[] = R"({
+  "node": {"name": "n1", "addr": "127.0.0.1:7001", "zone": "z1"},
+  "listen": {"http": "0.0.0.0:8001", "peer": "0.0.0.0:7001"},
+  "platform": "127.0.0.1:9000",
+  "seeds": ["127.0.0.1:7002", "[::1]:7003"],
+  "shards": 6,
+  "operator_key_hash":
+    "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+  "log_level": "debug",
+  "timings": {"lease_ms": 9000, "sync_ms": 1000, "right_ms": 4000}
+})";
+
+static std::multiset<std::string>
+fault_paths(const char *text)
+{
+	ogl_faults *f = ogl_faults_new();
+	ogl_config *c = ogl_config_parse(ogl_str(text), 1, f);
+	std::multiset<std::string> paths;
+
+	EXPECT_EQ(nullptr, c);
+	for (size_t i = 0; i < ogl_faults_count(f); i++)
+		paths.insert(ogl_faults_path(f, i));
+	ogl_config_free(c);
+	ogl_faults_free(f);
+	return paths;
+}
+
+TEST(Config, AGoodFileFillsEveryField)
+{
+	ogl_faults *f = ogl_faults_new();
+	ogl_config *c = ogl_config_parse(ogl_str(good), 77, f);
+
+	ASSERT_EQ(0u, ogl_faults_count(f))
+	    << ogl_faults_path(f, 0) << ": " << ogl_faults_allowed(f, 0);
+	EXPECT_STREQ("n1", c->node.name);
+	EXPECT_STREQ("127.0.0.1:7001", c->node.addr);
+	EXPECT_EQ(77u, c->node.boot);
+	ASSERT_EQ(2u, c->node.nseeds);
+	EXPECT_STREQ("[::1]:7003", c->node.seeds[1]);
+	EXPECT_EQ(6u, c->node.shards);
+	EXPECT_EQ(9000u, c->node.lease_ms);
+	EXPECT_EQ(64u, strlen(c->node.operator_hash));
+	EXPECT_EQ(OGL_LOG_DEBUG, c->log_level);
+	ogl_config_free(c);
+	ogl_faults_free(f);
+}
+
+// An operator writes a file with many slips.  Told of one at a time, he would
+// need as many restarts; he is told of all of them.
+TEST(Config, EveryFaultIsToldAtOnce)
+{
+	std::multiset<std::string> want = {"node.name", "node.adr", "node.addr",
+	    "node.zone", "listen", "listen.http", "listen.peer", "platform",
+	    "seeds", "shards", "operator_key_hash", "log_level",
+	    "timings.lease_ms", "timings.nap_ms", "colour"};
+
+	EXPECT_EQ(want, fault_paths(R"({
+	  "node": {"name": "a b", "adr": "127.0.0.1:1", "zone": 3},
+	  "listen": "everywhere",
+	  "platform": "platform.example:9000",
+	  "seeds": ["127.0.0.1:7002", "127.0.0.1:0"],
+	  "shards": 0,
+	  "operator_key_hash": "abc",
+	  "log_level": "loud",
+	  "timings": {"lease_ms": -1, "nap_ms": 4},
+	  "colour": "blue"
+	})"));
+}
+
+// Each number is in its range, yet one lost sync would end every lease, and
+// an owner cut off would go on longer than the leases that it gave.
+TEST(Config, NumbersThatContradictEachOtherAreFaults)
+{
+	std::string text = good;
+	size_t at = text.find("\"sync_ms\": 1000, \"right_ms\": 4000");
+
+	ASSERT_NE(std::string::npos, at);
+	text.replace(at, 33, "\"sync_ms\": 3000, \"right_ms\": 9000");
+	std::multiset<std::string> got = fault_paths(text.c_str());
+	EXPECT_EQ(1u, got.count("timings.sync_ms"));
+	EXPECT_EQ(1u, got.count("timings.right_ms"));
+}
+
+TEST(Config, WhatIsNoObjectIsOneFault)
+{
+	EXPECT_EQ(1u, fault_paths("{\"node\":").size());
+	EXPECT_EQ(1u, fault_paths("[]").size());
+	EXPECT_EQ(1u, fault_paths("").size());
+}
