--- /dev/null
+++ b/bench/bench_place.c
@@ -0,0 +1,355 @@
+/*
+ * Placement: cost of a decision at 90% full, packing, waits of gangs.
+ */
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "lib_mix.h"
+#include "place.h"
+
+#define FULL 0.9
+#define LEAST_CPU 500 /* of the mix; its mean fills 7 to 8 a worker */
+
+struct held {
+	struct ogl_ask ask;
+	uint32_t w;
+};
+
+/* ---- cost of a decision ----------------------------------------------- */
+
+static void
+fill(struct mix *m, struct ogl_place *p, GArray *held)
+{
+	struct ogl_res total, used;
+	struct held h;
+	int misses = 0;
+
+	do {
+		mix_ask(m, &h.ask, LEAST_CPU);
+		if (ogl_place_task(p, &h.ask, 1, &h.w))
+			g_array_append_val(held, h);
+		else
+			misses++;
+		ogl_place_room(p, &total, &used);
+	} while (used.cpu_milli < FULL * total.cpu_milli && misses < 100000);
+}
+
+/* One task ends and others start, the cell staying as full as it is. */
+static void
+churn(struct mix *m, struct ogl_place *p, GArray *held, double *ns, uint32_t n)
+{
+	struct ogl_res total, used;
+	struct held h;
+	uint32_t i, at;
+	double start;
+	bool ok;
+
+	for (i = 0; i < n;) {
+		at = (uint32_t)(mix_uniform(m) * held->len);
+		h = g_array_index(held, struct held, at);
+		ogl_place_free(p, h.w, &h.ask);
+		g_array_remove_index_fast(held, at);
+		ogl_place_room(p, &total, &used);
+		while (i < n && used.cpu_milli < FULL * total.cpu_milli) {
+			mix_ask(m, &h.ask, LEAST_CPU);
+			start = mix_now_ns();
+			ok = ogl_place_task(p, &h.ask, 1, &h.w);
+			ns[i++] = mix_now_ns() - start;
+			if (!ok)
+				break;
+			g_array_append_val(held, h);
+			ogl_place_room(p, &total, &used);
+		}
+	}
+	qsort(ns, n, sizeof(*ns), mix_by_double);
+}
+
+static void
+cost(uint32_t workers, uint32_t zones)
+{
+	const uint32_t n = 300000;
+	struct mix m = {workers};
+	struct ogl_place *p = ogl_place_init(1);
+	GArray *held = g_array_new(FALSE, FALSE, sizeof(struct held));
+	double *ns = g_new(double, n);
+
+	mix_cell(&m, p, workers, zones);
+	fill(&m, p, held);
+	printf("place_tasks_%u %u tasks\n", workers, held->len);
+	churn(&m, p, held, ns, n);
+	printf("place_ns_%u %.0f ns\n", workers, ns[n / 2]);
+	printf("place_p99_us_%u %.2f us\n", workers, ns[n / 100 * 99] / 1000);
+	printf("place_bytes_worker_%u %.0f B\n", workers,
+	    (double)ogl_place_bytes(p) / workers);
+	g_free(ns);
+	g_array_free(held, TRUE);
+	ogl_place_end(p);
+}
+
+/* ---- packing ---------------------------------------------------------- */
+
+static double
+share(const struct ogl_res *r, const struct ogl_res *total)
+{
+	return (double)r->cpu_milli / total->cpu_milli +
+	       (double)r->mem_mb / total->mem_mb;
+}
+
+/*
+ * No choice of tasks from the backlog, in any order, holds more: for any
+ * prices of processors and memory the price of the whole cell plus what each
+ * task is worth beyond its own price bounds the worth held (weak duality of
+ * the linear program that may cut tasks and sees one large worker).  The
+ * prices are searched coarsely, then finely.
+ */
+static double
+bound(const GArray *backlog, const struct ogl_res *total)
+{
+	double best = 1e9, at_cpu = 1, at_mem = 1, step, sum, cpu, mem, rest;
+	double centre_cpu, centre_mem;
+	const struct ogl_res *r;
+	int i, j;
+	guint k;
+
+	for (step = 0.25; step > 0.01; step /= 2) {
+		centre_cpu = at_cpu;
+		centre_mem = at_mem;
+		for (i = -4; i <= 4; i++) {
+			for (j = -4; j <= 4; j++) {
+				cpu = MAX(centre_cpu + i * step, 0);
+				mem = MAX(centre_mem + j * step, 0);
+				sum = cpu + mem;
+				for (k = 0; k < backlog->len; k++) {
+					r = &g_array_index(
+					    backlog, struct ogl_ask, k)
+						 .res;
+					rest = (1 - cpu) * r->cpu_milli /
+						   total->cpu_milli +
+					       (1 - mem) * r->mem_mb /
+						   total->mem_mb;
+					sum += MAX(rest, 0);
+				}
+				if (sum < best) {
+					best = sum;
+					at_cpu = cpu;
+					at_mem = mem;
+				}
+			}
+		}
+	}
+	return best;
+}
+
+static void
+packing(uint32_t workers, uint32_t least_cpu, const char *suffix)
+{
+	struct mix m = {workers + least_cpu};
+	struct ogl_place *p = ogl_place_init(1);
+	GArray *backlog = g_array_new(FALSE, FALSE, sizeof(struct ogl_ask));
+	struct ogl_res total, used;
+	double cpu = 0, mem = 0, cpu_part, mem_part;
+	struct ogl_ask ask;
+	uint32_t w;
+
+	mix_cell(&m, p, workers, 4);
+	ogl_place_room(p, &total, &used);
+	/* Each task is offered once; none that was refused fits later, since
+	 * nothing ends. */
+	while (cpu < 1.3 || mem < 1.3) {
+		mix_ask(&m, &ask, least_cpu);
+		g_array_append_val(backlog, ask);
+		cpu += (double)ask.res.cpu_milli / total.cpu_milli;
+		mem += (double)ask.res.mem_mb / total.mem_mb;
+		ogl_place_task(p, &ask, 1, &w);
+	}
+	ogl_place_room(p, &total, &used);
+	cpu_part = (double)used.cpu_milli / total.cpu_milli;
+	mem_part = (double)used.mem_mb / total.mem_mb;
+	printf("packing_pct%s %.2f pct\n", suffix,
+	    100 * (cpu >= mem ? cpu_part : mem_part));
+	printf("packing_any_order_pct%s %.2f pct\n", suffix,
+	    100 * share(&used, &total) / bound(backlog, &total));
+	printf("packing_cpu_pct%s %.2f pct\n", suffix, 100 * cpu_part);
+	printf("packing_mem_pct%s %.2f pct\n", suffix, 100 * mem_part);
+	g_array_free(backlog, TRUE);
+	ogl_place_end(p);
+}
+
+/* ---- gangs ------------------------------------------------------------ */
+
+#define GANG_JOBS 6000
+#define GANG_LOAD 0.95
+#define GANG_WORKERS 50
+#define RESERVE (120 * OGL_SEC)
+#define WARM_UP 500 /* jobs before waits count */
+
+enum sort {
+	SMALL, /* one task */
+	BATCH, /* as many tasks as a gang, one by one */
+	GANG
+};
+
+struct job {
+	enum sort sort;
+	struct ogl_ask ask;
+	uint32_t n, placed;
+	ogl_time since, run;
+};
+
+struct cell {
+	struct ogl_place *p;
+	struct mix_heap events;
+	GArray *jobs;    /* struct job, by number */
+	GArray *waiting; /* uint32_t, oldest first */
+	GArray *running; /* struct held */
+	bool reserve;
+	double wait[3];
+	uint32_t waits[3];
+};
+
+#define ARRIVAL (1ull << 62)
+
+static void
+make_job(struct mix *m, struct job *j, uint64_t id)
+{
+	double u = mix_uniform(m);
+
+	j->sort = u < 0.8 ? SMALL : u < 0.9 ? BATCH : GANG;
+	j->ask.job = id;
+	j->ask.kind = j->sort == GANG ? OGL__KIND__gang : OGL__KIND__batch;
+	j->n = j->sort == SMALL ? 1 : (uint32_t)mix_pareto(m, 4, 64, 1.0);
+	j->ask.res.cpu_milli =
+	    j->sort == SMALL ? (uint32_t)mix_pareto(m, 500, 8000, 1.0) : 4000;
+	j->ask.res.mem_mb = j->ask.res.cpu_milli * 3;
+	j->ask.res.accel = 0;
+	j->run = (ogl_time)mix_pareto(m, 5e6, 600e6, 1.1);
+	j->placed = 0;
+}
+
+static void
+start(struct cell *c, const struct job *j, uint32_t w, ogl_time now)
+{
+	struct held h = {j->ask, w};
+
+	g_array_append_val(c->running, h);
+	mix_heap_push(&c->events, now + j->run, c->running->len - 1);
+}
+
+/* Starts what can start of a job; true when all of it has. */
+static bool
+try_job(struct cell *c, struct job *j, ogl_time now)
+{
+	uint32_t w[64], i;
+
+	if (j->sort == GANG) {
+		if (!ogl_place_gang(c->p, &j->ask, j->n, now, w)) {
+			if (c->reserve)
+				ogl_place_reserve(c->p, j->ask.job, &j->ask,
+				    j->n, now + RESERVE, now);
+			return false;
+		}
+		for (i = 0; i < j->n; i++)
+			start(c, j, w[i], now);
+		return true;
+	}
+	while (j->placed < j->n && ogl_place_task(c->p, &j->ask, now, w)) {
+		start(c, j, w[0], now);
+		j->placed++;
+	}
+	return j->placed == j->n;
+}
+
+/* Offers the waiting jobs, oldest first, what room there is. */
+static void
+serve(struct cell *c, ogl_time now)
+{
+	struct job *j;
+	uint32_t i, id, kept = 0;
+
+	for (i = 0; i < c->waiting->len; i++) {
+		id = g_array_index(c->waiting, uint32_t, i);
+		j = &g_array_index(c->jobs, struct job, id);
+		if (!try_job(c, j, now)) {
+			g_array_index(c->waiting, uint32_t, kept++) = id;
+			continue;
+		}
+		if (id < WARM_UP)
+			continue;
+		c->wait[j->sort] += (double)(now - j->since) / OGL_SEC;
+		c->waits[j->sort]++;
+	}
+	g_array_set_size(c->waiting, kept);
+}
+
+static void
+arrivals(struct cell *c, struct mix *m)
+{
+	double room = GANG_WORKERS * 16000.0 * GANG_LOAD, t = 0;
+	struct job j;
+	uint32_t i;
+
+	for (i = 0; i < GANG_JOBS; i++) {
+		make_job(m, &j, i);
+		t += (double)j.n * j.ask.res.cpu_milli * j.run / room;
+		/* Work arrives at the load on average, by chance in time. */
+		j.since = (ogl_time)(t + mix_exponential(m, 5e6)) + 1;
+		g_array_append_val(c->jobs, j);
+		mix_heap_push(&c->events, j.since, ARRIVAL | i);
+	}
+}
+
+static void
+gang_run(bool reserve, const char *suffix)
+{
+	struct mix m = {11};
+	struct cell c = {.reserve = reserve};
+	struct mix_event e;
+	struct held *h;
+	uint32_t id;
+
+	c.p = ogl_place_init(1);
+	c.jobs = g_array_new(FALSE, FALSE, sizeof(struct job));
+	c.waiting = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	c.running = g_array_new(FALSE, FALSE, sizeof(struct held));
+	mix_cell(&m, c.p, GANG_WORKERS, 4);
+	arrivals(&c, &m);
+	while (mix_heap_pop(&c.events, &e)) {
+		if (e.what & ARRIVAL) {
+			id = (uint32_t)e.what;
+			g_array_append_val(c.waiting, id);
+		} else {
+			h = &g_array_index(c.running, struct held, e.what);
+			ogl_place_free(c.p, h->w, &h->ask);
+		}
+		serve(&c, e.at);
+	}
+	printf("gang_wait_ratio%s %.2f ratio\n", suffix,
+	    (c.wait[GANG] / c.waits[GANG]) / (c.wait[BATCH] / c.waits[BATCH]));
+	printf("gang_wait_s%s %.2f s\n", suffix, c.wait[GANG] / c.waits[GANG]);
+	printf("gang_batch_wait_s%s %.2f s\n", suffix,
+	    c.wait[BATCH] / c.waits[BATCH]);
+	printf("gang_small_wait_s%s %.2f s\n", suffix,
+	    c.wait[SMALL] / c.waits[SMALL]);
+	mix_heap_clear(&c.events);
+	g_array_free(c.running, TRUE);
+	g_array_free(c.waiting, TRUE);
+	g_array_free(c.jobs, TRUE);
+	ogl_place_end(c.p);
+}
+
+int
+main(void)
+{
+	cost(50, 4);
+	cost(500, 4);
+	cost(5000, 12);
+	cost(22000, 12);
+	packing(50, 100, "");
+	packing(5000, 100, "_5000");
+	packing(50, 2000, "_coarse");
+	gang_run(true, "");
+	gang_run(false, "_noreserve");
+	return 0;
+}
--- a/src/place.h
+++ b/src/place.h
@@ -162,7 +162,8 @@
 	struct ogl_ask ask;
 	uint32_t n;
 	ogl_time until;
-	GArray *kept; /* struct ogl_kept */
+	ogl_time chosen; /* when kept was last chosen */
+	GArray *kept;    /* struct ogl_kept */
 };
 
 #define OGL_PLACE_MISSES 8 /* shapes known to fit nowhere */
--- a/src/place_gang.c
+++ b/src/place_gang.c
@@ -11,10 +11,10 @@
  * room that falls free goes to some smaller task at once.  The reservation
  * keeps the room of chosen workers for one gang: on each a number of its
  * tasks.  Only what a worker has beyond that is shown to others, and workers
- * not chosen stay open to all, so smaller work runs on behind it.  Chosen
- * are the workers least of whose work is still to end; what services hold is
- * taken to stay.  The deadline ends it whatever happens, and a gang that
- * could not run even then reserves nothing, so no room is hoarded.
+ * not chosen stay open to all, so smaller work runs on behind it.  What
+ * services hold is taken to stay.  The deadline ends it whatever happens,
+ * and a gang that could not run even then reserves nothing, so no room is
+ * hoarded.
  */
 
 #include <stdlib.h>
@@ -22,6 +22,8 @@
 #include "place.h"
 
 #define RACK_TRIES 4
+#define HALVINGS 7          /* steps to the part of work that has to end */
+#define CHOOSE_EACH OGL_SEC /* least time between choices */
 
 struct rack_fit {
 	uint64_t most; /* tasks the sums allow; at least what fits */
@@ -181,77 +183,92 @@
 
 /* ---- the reservation -------------------------------------------------- */
 
-struct choice {
-	double busy; /* part of its room that is still to fall free */
-	uint32_t w;
-	uint32_t tasks;
-};
+static uint32_t
+part_free(uint32_t capacity, uint32_t held, uint32_t held_long, double part)
+{
+	return capacity - held + (uint32_t)(part * (held - held_long));
+}
 
-static int
-by_busy(const void *a, const void *b)
+/* Tasks of the gang that fit on w once a part of its work has ended. */
+static uint32_t
+fit_once_ended(
+    const struct ogl_place *p, uint32_t w, double part, bool accel_too)
 {
-	const struct choice *x = a, *y = b;
+	const struct ogl_place_worker *k = &p->workers[w];
+	const struct ogl_res *need = &p->reserved.ask.res;
+	struct ogl_res room;
 
-	if (x->busy != y->busy)
-		return x->busy < y->busy ? -1 : 1;
-	return x->w < y->w ? -1 : x->w > y->w;
+	if (!p->slots[w].indexed)
+		return 0;
+	if (need->accel == 0 && k->capacity.accel > 0 && !accel_too)
+		return 0;
+	room.cpu_milli = part_free(k->capacity.cpu_milli, k->held.cpu_milli,
+	    k->held_long.cpu_milli, part);
+	room.mem_mb = part_free(
+	    k->capacity.mem_mb, k->held.mem_mb, k->held_long.mem_mb, part);
+	room.accel = part_free(
+	    k->capacity.accel, k->held.accel, k->held_long.accel, part);
+	return MIN(ogl_place_fit(need, &room), p->reserved.n);
 }
 
-static struct ogl_res
-less(struct ogl_res a, const struct ogl_res *b)
+static bool
+enough_once_ended(const struct ogl_place *p, double part, bool accel_too)
 {
-	ogl_res_sub(&a, b);
-	return a;
+	uint64_t sum = 0;
+	uint32_t w;
+
+	for (w = 0; w < p->n && sum < p->reserved.n; w++)
+		sum += fit_once_ended(p, w, part, accel_too);
+	return sum >= p->reserved.n;
 }
 
-/* What worker w could give to the gang, as far as can be told. */
-static bool
-weigh(const struct ogl_place *p, uint32_t w, struct choice *c)
+/* Keeps what fits once that part has ended, on top of kept tasks. */
+static void
+choose_at(struct ogl_place *p, double part, bool accel_too, uint32_t *left)
 {
-	const struct ogl_place_worker *k = &p->workers[w];
-	const struct ogl_res *need = &p->reserved.ask.res;
-	struct ogl_res later = less(k->capacity, &k->held_long);
-	struct ogl_res soon = less(k->capacity, &k->held);
+	struct ogl_kept kept;
+	uint32_t fit;
 
-	if (!p->slots[w].indexed)
-		return false;
-	c->w = w;
-	c->tasks = ogl_place_fit(need, &later);
-	if (c->tasks == 0)
-		return false;
-	c->busy = 1 - ogl_place_fit(need, &soon) / (double)c->tasks;
-	if (need->accel == 0 && k->capacity.accel > 0)
-		c->busy += 1;
-	return true;
+	for (kept.w = 0; kept.w<p->n && * left> 0; kept.w++) {
+		fit = fit_once_ended(p, kept.w, part, accel_too);
+		kept.tasks = MIN(fit, *left);
+		if (kept.tasks == 0)
+			continue;
+		*left -= kept.tasks;
+		g_array_append_val(p->reserved.kept, kept);
+	}
 }
 
 /*
- * Chooses workers for the reserved gang; false when too few can ever do.
- * Those chosen before have gained the most room since, so a new choice
- * mostly falls on them again.
+ * Chooses where to keep room; false when too little can ever fall free.  The
+ * least part of every worker's work that has to end is found by halving, so
+ * room is kept where little is missing, a few tasks on each of many workers:
+ * the first tasks to end on many workers are there long before the last ones
+ * on few.  Room that is free already is kept at any part, so choosing anew
+ * loses none of it and follows what fell free since.
  */
 static bool
-choose(struct ogl_place *p)
+choose(struct ogl_place *p, ogl_time now)
 {
-	struct choice *c = g_new(struct choice, p->n);
-	uint32_t i, n = 0, left = p->reserved.n;
-	struct ogl_kept kept;
+	double low = 0, high = 1, middle;
+	uint32_t i, left = p->reserved.n;
+	bool accel_too;
 
 	g_array_set_size(p->reserved.kept, 0);
-	for (i = 0; i < p->n; i++) {
-		if (weigh(p, i, &c[n]))
-			n++;
-	}
-	qsort(c, n, sizeof(*c), by_busy);
-	for (i = 0; i < n && left > 0; i++) {
-		kept.w = c[i].w;
-		kept.tasks = MIN(left, c[i].tasks);
-		g_array_append_val(p->reserved.kept, kept);
-		left -= kept.tasks;
-	}
-	g_free(c);
 	p->reserved.lost = false;
-	return left == 0;
+	p->reserved.chosen = now;
+	accel_too = !enough_once_ended(p, high, false);
+	if (accel_too && !enough_once_ended(p, high, true))
+		return false;
+	for (i = 0; i < HALVINGS; i++) {
+		middle = (low + high) / 2;
+		if (enough_once_ended(p, middle, accel_too))
+			high = middle;
+		else
+			low = middle;
+	}
+	choose_at(p, high, accel_too, &left);
+	return true;
 }
 
 /* Keeps room as chosen, or shows all of it. */
@@ -314,7 +331,7 @@
 	p->reserved.ask.job = job;
 	p->reserved.n = n;
 	p->reserved.until = until;
-	if (choose(p))
+	if (choose(p, now))
 		keep(p, true);
 	else
 		end_reservation(p);
@@ -333,13 +350,15 @@
 
 /* Plans with the room kept for this gang in view. */
 static bool
-plan_reserved(struct ogl_place *p, struct plan *k)
+plan_reserved(struct ogl_place *p, struct plan *k, ogl_time now)
 {
 	bool ok;
 
 	keep(p, false);
 	ok = plan_gang(p, k);
-	if (!ok && p->reserved.lost && !choose(p))
+	if (!ok &&
+	    (p->reserved.lost || now - p->reserved.chosen >= CHOOSE_EACH) &&
+	    !choose(p, now))
 		end_reservation(p);
 	else
 		keep(p, true);
@@ -356,7 +375,7 @@
 
 	ogl_place_expire(p, now);
 	own = p->reserved.set && p->reserved.ask.job == ask->job;
-	ok = own ? plan_reserved(p, &k) : plan_gang(p, &k);
+	ok = own ? plan_reserved(p, &k, now) : plan_gang(p, &k);
 	if (!ok)
 		return false;
 	if (own)
