--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -151,8 +151,7 @@
 	"node": {
 		"name": "n$(($1 + 1))",
 		"addr": "127.0.0.1:${peer[$1]}",
-		"zone": "${ZONES[$1]}",
-		"boot": 0
+		"zone": "${ZONES[$1]}"
 	},
 	"listen": {
 		"http": "127.0.0.1:${http[$1]}",
