Act on nothing once a rival claim has been read

An owner that was paused before its claim on a request id reached the log woke after its successor had run the request. Reading the stream it found the successor's intent under the same id, took it for its own and sent the request a second time. The role changes only after the whole read, so the hooks now ask the state who owns the shard.

--- a/src/shard.c
+++ b/src/shard.c
@@ -363,6 +363,22 @@
 	    sh->state->epoch, g_hash_table_size(sh->state->jobs));
 }
 
+static bool
+still_owner(const struct ogl_shard *sh)
+{
+	return sh->state->owner_boot == sh->env->cfg->boot &&
+	       strcmp(sh->state->owner, sh->env->cfg->name) == 0;
+}
+
+/* Whether to act on what is read.  Once a rival claim has been read, all
+ * that follows is the successor's: its intent for a request id that waits
+ * here too must not send the request from here a second time. */
+static bool
+acts(const struct ogl_shard *sh)
+{
+	return sh->role == OGL_ROLE_OWNER && still_owner(sh);
+}
+
 static void
 hook_claimed(void *ctx, const Ogl__Record *r, ogl_time now)
 {
@@ -383,7 +399,7 @@
 {
 	struct ogl_shard *sh = ctx;
 
-	if (sh->role == OGL_ROLE_OWNER)
+	if (acts(sh))
 		ogl_shardcall_job(sh, j, now);
 }
 
@@ -392,7 +408,7 @@
 {
 	struct ogl_shard *sh = ctx;
 
-	if (sh->role == OGL_ROLE_OWNER)
+	if (acts(sh))
 		ogl_shardcall_cancelled(sh, j, now);
 }
 
@@ -405,7 +421,7 @@
 	const struct ogl_session *s;
 
 	(void)now;
-	if (sh->role != OGL_ROLE_OWNER)
+	if (!acts(sh))
 		return;
 	if (t->worker < sh->sessions->len && t->ending) {
 		s = g_ptr_array_index(sh->sessions, t->worker);
@@ -422,7 +438,7 @@
 {
 	struct ogl_shard *sh = ctx;
 
-	if (sh->role == OGL_ROLE_OWNER)
+	if (acts(sh))
 		ogl_shardcall_id(sh, r, now);
 }
 
@@ -431,7 +447,7 @@
 {
 	struct ogl_shard *sh = ctx;
 
-	if (sh->role == OGL_ROLE_OWNER)
+	if (acts(sh))
 		ogl_session_worker(sh, name, on, now);
 }
 
@@ -440,7 +456,7 @@
 {
 	struct ogl_shard *sh = ctx;
 
-	if (sh->role == OGL_ROLE_OWNER)
+	if (acts(sh))
 		ogl_escrow_recorded(sh, a, now);
 }
 
@@ -454,13 +470,6 @@
     .allot = hook_allot,
 };
 
-static bool
-still_owner(const struct ogl_shard *sh)
-{
-	return sh->state->owner_boot == sh->env->cfg->boot &&
-	       strcmp(sh->state->owner, sh->env->cfg->name) == 0;
-}
-
 static void
 on_record(void *ctx, const Ogl__Record *r, uint64_t offset, ogl_time now)
 {
