Keep escrow and placement going where they stuck

A reclaim to a shard whose owner never asked this bank (or a later owner than the bank knows) was passed over, so an idle shard kept its part. It now answers with a plain ask.

A lost ask, reclaim or answer was never followed by another, for the next attempt to start came only when something else changed. The holder now tries again a second later.

--- a/src/escrow.c
+++ b/src/escrow.c
@@ -29,6 +29,7 @@
 enum {
 	WHOLE = 1000000,
 	ASK_EVERY_MS = 200,     /* per team, while it wants more */
+	RETRY_MS = 1000,        /* try to start again what an ask was for */
 	RECLAIM_EVERY_MS = 400, /* per team */
 	TICK_MS = 100
 };
@@ -40,6 +41,7 @@
 	uint32_t ppm;
 	uint64_t want; /* tasks it could use, 0 satisfied */
 	ogl_time next_ask;
+	ogl_time retry_at; /* 0: nothing asked for */
 	uint64_t bank_epoch; /* newest answer taken */
 	uint64_t bank_seq;
 };
@@ -195,6 +197,18 @@
 	sh->env->ops->send(sh->env->ctx, bank_of(sh, h->team), &msg);
 }
 
+/* An ask, the reclaim that follows from it or the answer may be lost, or the
+ * bank may change its owner and forget.  Nothing else might ever try to start
+ * the waiting work again, so this does, and asks anew if it still lacks. */
+static void
+try_anew(struct ogl_shard *sh, struct holding *h, ogl_time now)
+{
+	if (h->retry_at == 0 || now < h->retry_at)
+		return;
+	h->retry_at = 0;
+	sh->place_due = true;
+}
+
 static void
 ask_for_more(struct ogl_shard *sh, ogl_time now)
 {
@@ -205,8 +219,10 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct holding *h = v;
 
+		try_anew(sh, h, now);
 		if (h->want == 0 || now < h->next_ask)
 			continue;
+		h->retry_at = now + RETRY_MS * OGL_MS;
 		h->next_ask = now + ASK_EVERY_MS * OGL_MS;
 		send_ask(sh, h, 0);
 		h->want = 0; /* wanted again at the next failure to start */
@@ -230,9 +246,15 @@
 {
 	struct holding *h;
 
-	if (g->epoch != sh->state->epoch)
-		return;
 	h = holding_get(sh, g->team);
+	if (g->epoch != sh->state->epoch) {
+		/* The bank speaks to an earlier owner, or knows of none.  With
+		 * nothing to start we would never ask it, and it could never
+		 * get back what we don't use: so let it know of us. */
+		if (g->reclaim && g->epoch < sh->state->epoch)
+			send_ask(sh, h, 0);
+		return;
+	}
 	if (g->bank_epoch < h->bank_epoch ||
 	    (g->bank_epoch == h->bank_epoch && g->seq <= h->bank_seq))
 		return;
--- a/src/place_gang.c
+++ b/src/place_gang.c
@@ -137,7 +137,8 @@
 		f[r].most = rack_most(rack_at(p, r), need);
 		sums[f[r].zone] += f[r].most;
 	}
-	qsort(f, p->racks->len, sizeof(*f), by_most);
+	if (p->racks->len > 0)
+		qsort(f, p->racks->len, sizeof(*f), by_most);
 	*zone = 0;
 	for (r = 1; r < p->zones->len; r++) {
 		if (sums[r] > sums[*zone])
--- a/src/sched.c
+++ b/src/sched.c
@@ -32,6 +32,7 @@
 	sh->held =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sh->requeue = g_ptr_array_new();
+	sh->nplaced = 0;
 }
 
 void
