Let wants for a team's part grow old and take turns

The bank kept what a holder last wanted until it was met. A want now ends when it is not repeated, the oldest is served first for ten seconds at most, and a part gathered by an earlier want is not reclaimed for a later one, which would pass it to and fro between two gangs.

--- a/src/escrow.c
+++ b/src/escrow.c
@@ -31,6 +31,8 @@
 	ASK_EVERY_MS = 200,     /* per team, while it wants more */
 	RETRY_MS = 1000,        /* try to start again what an ask was for */
 	RECLAIM_EVERY_MS = 400, /* per team */
+	WANT_MS = 4 * RETRY_MS, /* a want not repeated for so long is over */
+	TURN_MS = 10000,        /* the oldest want goes first so long at most */
 	TICK_MS = 100
 };
 
@@ -41,7 +43,7 @@
 	uint32_t ppm;
 	uint64_t want; /* tasks it could use, 0 satisfied */
 	ogl_time next_ask;
-	ogl_time retry_at; /* 0: nothing asked for */
+	ogl_time retry_at;   /* 0: nothing asked for */
 	uint64_t bank_epoch; /* newest answer taken */
 	uint64_t bank_seq;
 };
@@ -51,6 +53,8 @@
 	char *team;
 	uint32_t *ppm;   /* by shard, in effect now */
 	uint32_t *want;  /* by shard, as last asked */
+	ogl_time *since; /* by shard, when its turn to want began, 0 none */
+	ogl_time *heard; /* by shard, when it last wanted */
 	uint64_t *epoch; /* by shard, newest owner heard */
 	uint64_t *asked; /* by shard, seq of the reclaim out, 0 none */
 	bool recording;  /* a new split is on its way to the log */
@@ -82,6 +86,8 @@
 	g_free(a->team);
 	g_free(a->ppm);
 	g_free(a->want);
+	g_free(a->since);
+	g_free(a->heard);
 	g_free(a->epoch);
 	g_free(a->asked);
 	g_free(a);
@@ -285,6 +291,8 @@
 	a->team = g_strdup(team);
 	a->ppm = g_new0(uint32_t, n);
 	a->want = g_new0(uint32_t, n);
+	a->since = g_new0(ogl_time, n);
+	a->heard = g_new0(ogl_time, n);
 	a->epoch = g_new0(uint64_t, n);
 	a->asked = g_new0(uint64_t, n);
 	rec = g_hash_table_lookup(sh->state->allots, team);
@@ -388,7 +396,20 @@
 		record_split(sh, a, now);
 }
 
-/* Asks the others to give up what they don't use. */
+/* Whether shard i waits for more and its turn comes before shard k's. */
+static bool
+goes_before(const struct account *a, uint32_t i, uint32_t k)
+{
+	if (a->since[i] == 0 || i == k)
+		return false;
+	if (a->since[i] != a->since[k])
+		return a->since[k] == 0 || a->since[i] < a->since[k];
+	return i < k;
+}
+
+/* Asks the others to give up what they don't use; but not those that gather
+ * for a start of their own and came first, or two gangs that both wait would
+ * take the same part from each other for ever. */
 static void
 reclaim(struct ogl_shard *sh, struct account *a, uint32_t asker, uint32_t need,
     ogl_time now)
@@ -401,21 +422,32 @@
 	for (uint32_t i = 0; i < n; i++) {
 		uint32_t part = need / (n - 1) + 1;
 
-		if (i == asker || a->ppm[i] == 0)
+		if (i == asker || a->ppm[i] == 0 || goes_before(a, i, asker))
 			continue;
 		send_give(
 		    sh, a, i, a->ppm[i] > part ? a->ppm[i] - part : 0, true);
 	}
 }
 
-/* Gives what is free to those that want it, the neediest share first come. */
+static void
+set_want(struct account *a, uint32_t i, uint32_t want, ogl_time now)
+{
+	a->want[i] = want > a->ppm[i] ? want : 0;
+	if (a->want[i] == 0)
+		a->since[i] = 0;
+	else if (a->since[i] == 0)
+		a->since[i] = now;
+	a->heard[i] = now;
+}
+
+/* Gives a shard what is free of what it wants. */
 static void
 serve(struct ogl_shard *sh, struct account *a, uint32_t shard, ogl_time now)
 {
 	uint32_t need, grant;
 
 	if (a->want[shard] <= a->ppm[shard]) {
-		a->want[shard] = 0;
+		set_want(a, shard, 0, now);
 		return;
 	}
 	need = a->want[shard] - a->ppm[shard];
@@ -428,6 +460,48 @@
 		reclaim(sh, a, shard, need - grant, now);
 }
 
+/* A holder that has started, or no longer has, what it wanted more for does
+ * not say so.  Were its want kept, it would be given again each time what it
+ * had just given back.  Nor does a want that can't be met stand before the
+ * others for ever. */
+static void
+review_wants(const struct ogl_shard *sh, struct account *a, ogl_time now)
+{
+	for (uint32_t i = 0; i < sh->env->cfg->shards; i++) {
+		if (a->since[i] == 0)
+			continue;
+		if (now - a->heard[i] > WANT_MS * OGL_MS)
+			set_want(a, i, 0, now);
+		else if (now - a->since[i] > TURN_MS * OGL_MS)
+			a->since[i] = now;
+	}
+}
+
+/* Serves every want, the oldest first. */
+static void
+serve_all(struct ogl_shard *sh, struct account *a, ogl_time now)
+{
+	uint32_t n = sh->env->cfg->shards;
+	uint32_t wants = 0;
+	bool *served = g_new0(bool, n);
+
+	review_wants(sh, a, now);
+	for (uint32_t i = 0; i < n; i++)
+		wants += a->since[i] != 0 ? 1 : 0;
+	for (; wants > 0; wants--) {
+		uint32_t first = n;
+
+		for (uint32_t i = 0; i < n; i++) {
+			if (a->since[i] != 0 && !served[i] &&
+			    (first == n || goes_before(a, i, first)))
+				first = i;
+		}
+		served[first] = true;
+		serve(sh, a, first, now);
+	}
+	g_free(served);
+}
+
 static void
 take_ask(struct ogl_shard *sh, const Ogl__AllotAsk *q, ogl_time now)
 {
@@ -441,8 +515,8 @@
 		return; /* from an owner that is no more */
 	a->epoch[q->shard] = q->epoch;
 	if (q->seq == 0) {
-		a->want[q->shard] = q->want_ppm;
-		serve(sh, a, q->shard, now);
+		set_want(a, q->shard, q->want_ppm, now);
+		serve_all(sh, a, now);
 		tell(sh, a, q->shard);
 		return;
 	}
@@ -453,8 +527,7 @@
 		a->ppm[q->shard] = q->held_ppm;
 	else if (!q->known)
 		tell(sh, a, q->shard);
-	for (uint32_t i = 0; i < sh->env->cfg->shards; i++)
-		serve(sh, a, i, now);
+	serve_all(sh, a, now);
 }
 
 void
