--- a/src/calls.c
+++ b/src/calls.c
@@ -124,7 +124,9 @@
 {
 	struct ogl_calls *c = g_new0(struct ogl_calls, 1);
 
-	(void)n;
+	/* Not from nought: a peer's answer to a call of the process that was
+	 * here before must not pass for the answer to one of ours. */
+	c->next = ogl_random_mix(ogl_random_next(&n->rnd) ^ n->cfg.boot) >> 2;
 	c->live =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, call_free);
 	c->by_token = g_hash_table_new(g_int64_hash, g_int64_equal);
--- a/src/sched.c
+++ b/src/sched.c
@@ -389,6 +389,7 @@
 	t->worker = s->number;
 	t->attempt = attempt;
 	t->running = false;
+	t->sent = false;
 	t->stopping = false;
 	t->since = now;
 	j->nplaced++;
--- a/src/session.c
+++ b/src/session.c
@@ -288,12 +288,14 @@
 	m->start = calloc(s->tasks->len + 1, sizeof(void *));
 	for (guint i = 0; i < s->tasks->len; i++) {
 		const struct ogl_tref *ref = g_ptr_array_index(s->tasks, i);
-		const struct ogl_task *t = &ref->job->tasks[ref->index];
+		struct ogl_task *t = &ref->job->tasks[ref->index];
 
 		if (m->n_start == OGL_SYNC_TASKS)
 			break;
-		if (!t->running && !t->ending && !t->stopping)
-			add_start(m, s, ref);
+		if (t->running || t->ending || t->stopping)
+			continue;
+		add_start(m, s, ref);
+		t->sent = true;
 	}
 }
 
@@ -559,10 +561,12 @@
 }
 
 /* After a full report: bound tasks it doesn't name are lost, unless their
- * start went out with this very message or has yet to go out. */
+ * start has yet to arrive there.  A worker that started anew has forgotten
+ * all: what was sent to it before may have run, although it never said so,
+ * and must not simply be sent again. */
 static void
 drop_unnamed(struct ogl_shard *sh, struct ogl_session *s,
-    const Ogl__WorkerReport *r, ogl_time now)
+    const Ogl__WorkerReport *r, bool anew, ogl_time now)
 {
 	GHashTable *named = g_hash_table_new(g_str_hash, g_str_equal);
 
@@ -571,10 +575,11 @@
 	for (guint i = s->tasks->len; i > 0; i--) {
 		struct ogl_tref ref =
 		    *(struct ogl_tref *)g_ptr_array_index(s->tasks, i - 1);
+		const struct ogl_task *t = &ref.job->tasks[ref.index];
 		char *name = g_strdup_printf("%s.%u", ref.job->id, ref.index);
 
 		if (!g_hash_table_contains(named, name) &&
-		    ref.job->tasks[ref.index].running) {
+		    (t->running || (anew && t->sent))) {
 			sh->env->counters->lapses++;
 			ogl_shard_task_end(sh, ref.job, ref.index,
 			    OGL__TASK_STATE__lapsed, "its worker started anew",
@@ -648,6 +653,7 @@
     const Ogl__WorkerReport *r, ogl_time now)
 {
 	bool was_known = s->known;
+	bool anew = s->boot != 0 && r->boot != s->boot;
 
 	if (was_known && r->boot != s->boot && !r->full) {
 		/* It restarted: what it names is not all we must know. */
@@ -664,7 +670,7 @@
 	for (size_t i = 0; i < r->n_tasks; i++)
 		take_task(sh, s, r->tasks[i], now);
 	if (r->full) {
-		drop_unnamed(sh, s, r, now);
+		drop_unnamed(sh, s, r, anew, now);
 		s->known = true;
 		s->want_full = false;
 	}
--- a/src/shard.c
+++ b/src/shard.c
@@ -34,6 +34,8 @@
 	OFFER_POLL_MS = 50,   /* and more often once it offers the shard */
 	READER_POLL_MS = 100, /* a claimant waits for its claim */
 	OUTRANKED_S = 10,     /* a better placed node must live so long */
+	CONTESTED_MS = 30000, /* an owner that wrote after its death */
+	SKEW_MS = 500,        /* of hosts' clocks, for that */
 	UNAWARE_MS = 3000,    /* an owner by the log that does not say so */
 	NAMED = 2,            /* successors named */
 	HOLD_MS = 3000,       /* a promise lasts so long */
@@ -338,6 +340,8 @@
 static void
 become_owner(struct ogl_shard *sh, const Ogl__Record *r, ogl_time now)
 {
+	const struct ogl_node_config *c = sh->env->cfg;
+
 	sh->role = OGL_ROLE_OWNER;
 	sh->claim_sent = false;
 	sh->claimed_at = now;
@@ -346,7 +350,10 @@
 	sh->outranked_since = 0;
 	sh->promise_until = 0;
 	sh->promise_next = 0;
-	sh->snapshot_at = now;
+	/* Not a whole period later: with owners that change more often than
+	 * that nobody would ever write one, until retention had passed all
+	 * and the jobs were lost. */
+	sh->snapshot_at = now - c->snapshot_ms * OGL_MS + OGL_SEC;
 	sh->promises =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ogl_sched_init(sh);
@@ -470,29 +477,40 @@
     .allot = hook_allot,
 };
 
+/* What we hold is no base to go on from.  A reader starts over; an owner for
+ * whom this comes true is no owner any more. */
+static void
+start_over(struct ogl_shard *sh, struct ogl_state *with)
+{
+	if (sh->role == OGL_ROLE_OWNER) {
+		g_free(sh->state->owner);
+		sh->state->owner = g_strdup("");
+		ogl_state_free(with);
+		return;
+	}
+	ogl_state_free(sh->state);
+	sh->state = with;
+}
+
 static void
 on_record(void *ctx, const Ogl__Record *r, uint64_t offset, ogl_time now)
 {
 	struct ogl_shard *sh = ctx;
 
+	if (ogl_state_stale(sh->state, r)) {
+		ogl_shard_log(sh, OGL_LOG_WARN,
+		    "the snapshot read was a superseded owner's");
+		start_over(sh, ogl_state_anew(r));
+	}
 	ogl_state_apply(sh->state, r, offset, &hooks, sh, now);
 }
 
-/* Retention passed what we had not read.  A reader starts over from the
- * next snapshot; an owner this far behind is no owner any more. */
+/* Retention passed what we had not read. */
 static void
 on_gap(void *ctx, uint64_t first)
 {
-	struct ogl_shard *sh = ctx;
-
 	(void)first;
-	if (sh->role == OGL_ROLE_OWNER) {
-		g_free(sh->state->owner);
-		sh->state->owner = g_strdup("");
-		return;
-	}
-	ogl_state_free(sh->state);
-	sh->state = ogl_state_new();
+	start_over(ctx, ogl_state_new());
 }
 
 static const struct ogl_stream_ops stream_ops = {on_record, on_gap};
@@ -631,6 +649,21 @@
 		start_reading(sh, now);
 }
 
+/* The owner wrote to the log after we had judged its node dead, and not long
+ * ago: it lives, we are only cut off from it.  Were we to claim now, it would
+ * do likewise, and the shard would go to and fro without ever doing its work
+ * for as long as the two of us are apart. */
+static bool
+wrote_since_death(
+    const struct ogl_shard *sh, const struct ogl_peer *p, ogl_time now)
+{
+	ogl_time wrote = (ogl_time)sh->state->owner_ms * OGL_MS;
+
+	return p->fact->state == OGL__MEMBER_FACT__STATE__dead &&
+	       wrote > p->changed + SKEW_MS * OGL_MS &&
+	       now - wrote < CONTESTED_MS * OGL_MS;
+}
+
 /* The log names a live owner that gossip does not know as such: it may just
  * have claimed, or have a claim whose answer it never got. */
 static bool
@@ -638,11 +671,15 @@
 {
 	const struct ogl_peer *p;
 
-	if (sh->state->owner[0] == '\0' ||
-	    now - sh->ownerless_since >= UNAWARE_MS * OGL_MS)
+	if (sh->state->owner[0] == '\0')
 		return false;
 	p = ogl_member_find(sh->env->member, sh->state->owner);
-	return p != NULL && p->fact->boot == sh->state->owner_boot &&
+	if (p == NULL)
+		return false;
+	if (wrote_since_death(sh, p, now))
+		return true;
+	return now - sh->ownerless_since < UNAWARE_MS * OGL_MS &&
+	       p->fact->boot == sh->state->owner_boot &&
 	       p->fact->state == OGL__MEMBER_FACT__STATE__alive &&
 	       sh->state->epoch > sh->known_epoch;
 }
@@ -671,6 +708,9 @@
 		ogl_shard_log(sh, OGL_LOG_ERROR,
 		    "no whole snapshot is retained, starting empty");
 		sh->state->complete = true;
+		/* Named in the claim, so that an owner who lives after all
+		 * sees that it is superseded. */
+		sh->state->epoch = sh->state->guess_epoch;
 	}
 	send_claim(sh, now);
 }
--- a/src/state.c
+++ b/src/state.c
@@ -323,6 +323,7 @@
 	if (r->claim->prev_epoch != st->epoch)
 		return;
 	st->epoch = offset + 1;
+	st->owner_ms = r->at_ms;
 	st->claims++;
 	g_free(st->owner);
 	st->owner = g_strdup(r->writer);
@@ -430,6 +431,10 @@
 	if (st->building_next < s->parts)
 		return;
 	st->building = NULL;
+	if (b->epoch < st->least_epoch) {
+		ogl_state_free(b);
+		return;
+	}
 	/* The finished one takes the place of the empty one. */
 	struct ogl_state old = *st;
 	*st = *b;
@@ -687,6 +692,58 @@
 	       r->boot == st->owner_boot && strcmp(r->writer, st->owner) == 0;
 }
 
+/* The epoch that was in force before the record, as its writer knew it. */
+static uint64_t
+epoch_known(const Ogl__Record *r)
+{
+	return r->body_case == OGL__RECORD__BODY_CLAIM ? r->claim->prev_epoch
+						       : r->epoch;
+}
+
+/*
+ * A reader that begins in mid-stream looks for the first whole snapshot.  An
+ * owner paused with a snapshot on its way may be superseded before that
+ * arrives; taking it, one would hold every claim since then to be invalid
+ * and one's own, made from the old epoch, to be valid: two owners for good.
+ * So the records passed over are watched for the least epoch that a snapshot
+ * must have.
+ */
+static void
+pass_over(struct ogl_state *st, const Ogl__Record *r, uint64_t offset)
+{
+	uint64_t known = epoch_known(r);
+
+	if (r->body_case == OGL__RECORD__BODY_CLAIM) {
+		st->least_epoch = MAX(st->least_epoch, known + 1);
+		if (known >= st->guess_epoch)
+			st->guess_epoch = offset + 1;
+		return;
+	}
+	if (r->body_case == OGL__RECORD__BODY_SHARD_SNAP &&
+	    known >= st->least_epoch)
+		take_part(st, r->shard_snap);
+	if (st->complete)
+		return;
+	st->least_epoch = MAX(st->least_epoch, known);
+	st->guess_epoch = MAX(st->guess_epoch, known);
+}
+
+bool
+ogl_state_stale(const struct ogl_state *st, const Ogl__Record *r)
+{
+	return st->complete && epoch_known(r) > st->epoch;
+}
+
+struct ogl_state *
+ogl_state_anew(const Ogl__Record *r)
+{
+	struct ogl_state *st = ogl_state_new();
+
+	st->least_epoch = epoch_known(r);
+	st->guess_epoch = st->least_epoch;
+	return st;
+}
+
 void
 ogl_state_apply(struct ogl_state *st, const Ogl__Record *r, uint64_t offset,
     const struct ogl_state_hooks *hooks, void *ctx, ogl_time now)
@@ -694,11 +751,12 @@
 	if (offset == 0)
 		st->complete = true;
 	if (!st->complete) {
-		if (r->body_case == OGL__RECORD__BODY_SHARD_SNAP)
-			take_part(st, r->shard_snap);
+		pass_over(st, r, offset);
 		return;
 	}
 	st->records++;
+	if (by_owner(st, r))
+		st->owner_ms = r->at_ms;
 	if (r->body_case == OGL__RECORD__BODY_CLAIM)
 		apply_claim(st, r, offset, hooks, ctx, now);
 	else if (r->body_case == OGL__RECORD__BODY_SHARD_SNAP)
--- a/src/state.h
+++ b/src/state.h
@@ -19,6 +19,7 @@
 	bool ending;      /* owner: its end is on the way to the log */
 	bool running;     /* owner: the worker said that it runs */
 	bool stopping;    /* owner: told to stop */
+	bool sent;        /* owner: a start of this attempt went out */
 	uint8_t tries;    /* attempts that failed by themselves */
 	uint32_t attempt; /* newest attempt known */
 	uint32_t worker;  /* owner: session number while placed */
@@ -73,6 +74,10 @@
 	uint64_t building_snap;
 	uint32_t building_next;
 	uint64_t records; /* applied since the last snapshot */
+	/* While incomplete: what the records passed over tell. */
+	uint64_t least_epoch; /* the epoch in force is this or newer */
+	uint64_t guess_epoch; /* and probably this one */
+	uint64_t owner_ms;    /* at_ms of the owner's newest record */
 };
 
 /* What the owner wants to know when something takes effect. */
@@ -97,6 +102,13 @@
 /* Applies one record if it is valid: a claim made from the epoch in force,
  * or anything else by the owner under its epoch.  hooks may be NULL. */
 
+bool ogl_state_stale(const struct ogl_state *st, const Ogl__Record *r);
+/* The record is proof that an epoch newer than ours was in force before it,
+ * so that what we hold was built on an owner superseded by then. */
+
+struct ogl_state *ogl_state_anew(const Ogl__Record *r);
+/* An empty state to start over with after such a record. */
+
 void ogl_state_prune(
     struct ogl_state *st, uint64_t now_ms, uint32_t id_keep_ms);
 /* Forgets jobs long ended and request ids kept long enough. */
