Measure short requests through a node against straight ones

Cause: nothing yet told what the node adds. Sessions are looked at only when one of them is due, and the owned shards' facts are filled in once per 50 ms instead of at each event.

--- a/src/node.c
+++ b/src/node.c
@@ -657,6 +657,7 @@
 	if (n->now < n->next_base)
 		return;
 	n->next_base = n->now + BASE_MS * OGL_MS;
+	tell_owned(n);
 	find_owners(n);
 	ask_hosts(n);
 }
@@ -678,7 +679,6 @@
 			ogl_shard_tick(n->shards[i], n->now);
 	}
 	drain_inner(n);
-	tell_owned(n);
 	ogl_member_tick(n->member, n->now, out);
 	ogl_calls_tick(n);
 	ogl_reqs_tick(n->reqs, n->now, out);
--- a/src/sched.c
+++ b/src/sched.c
@@ -156,7 +156,7 @@
 		return;
 	t->stopping = true;
 	s = g_ptr_array_index(sh->sessions, t->worker);
-	ogl_session_stop_task(s, j->id, i, t->attempt, mode, now);
+	ogl_session_stop_task(sh, s, j->id, i, t->attempt, mode, now);
 	sh->env->counters->preempts++;
 }
 
@@ -479,7 +479,7 @@
 
 	bind(sh, s, j, i, new_attempt(sh, &j->tasks[i]), now);
 	j->tasks[i].work = work;
-	ogl_session_wake(s, now);
+	ogl_session_wake(sh, s, now);
 	sh->env->counters->starts++;
 }
 
--- a/src/session.c
+++ b/src/session.c
@@ -81,12 +81,13 @@
 }
 
 void
-ogl_session_wake(struct ogl_session *s, ogl_time now)
+ogl_session_wake(struct ogl_shard *sh, struct ogl_session *s, ogl_time now)
 {
 	ogl_time soon = MAX(now, s->sent_at + OGL_SYNC_GAP_MS * OGL_MS);
 
 	if (s->fails == 0)
 		s->next_sync = MIN(s->next_sync, soon);
+	sh->sessions_due = MIN(sh->sessions_due, s->next_sync);
 }
 
 static struct ogl_session *
@@ -451,14 +452,15 @@
 }
 
 void
-ogl_session_stop_task(struct ogl_session *s, const char *job, uint32_t index,
-    uint32_t attempt, Ogl__StopMode mode, ogl_time now)
+ogl_session_stop_task(struct ogl_shard *sh, struct ogl_session *s,
+    const char *job, uint32_t index, uint32_t attempt, Ogl__StopMode mode,
+    ogl_time now)
 {
 	char *task = g_strdup_printf("%s.%u", job, index);
 
 	push_stop(s, task, attempt, mode);
 	g_free(task);
-	ogl_session_wake(s, now);
+	ogl_session_wake(sh, s, now);
 }
 
 static bool
@@ -501,7 +503,7 @@
 		    "task %s found on a second worker %s", r->task, s->name);
 	}
 	push_stop(s, r->task, r->attempt, OGL__STOP_MODE__stop);
-	ogl_session_wake(s, now);
+	ogl_session_wake(sh, s, now);
 }
 
 /* A task refused by the worker has never run: it simply waits again. */
@@ -639,8 +641,9 @@
 		return;
 	s->asked_on = false;
 	s->on = true;
+	sh->sessions_due = now;
 	set_open(sh, s);
-	ogl_session_wake(s, now);
+	ogl_session_wake(sh, s, now);
 }
 
 static void
@@ -671,7 +674,7 @@
 	ask_on(sh, s, now);
 	set_open(sh, s);
 	if (!was_known && s->known)
-		ogl_session_wake(s, now);
+		ogl_session_wake(sh, s, now);
 }
 
 static bool
@@ -715,6 +718,7 @@
 	if (s->token != ev->token)
 		return;
 	s->token = 0;
+	sh->sessions_due = now;
 	if (ev->io != OGL_IO_OK || ev->u.worker == NULL ||
 	    strcmp(ev->u.worker->worker, s->name) != 0) {
 		on_silence(sh, s, now);
@@ -733,7 +737,7 @@
 	s->next_sync = now + sh->env->cfg->sync_ms * OGL_MS;
 	take_report(sh, s, ev->u.worker, now);
 	if (has_more_to_say(s))
-		ogl_session_wake(s, now);
+		ogl_session_wake(sh, s, now);
 }
 
 /* ---- time ------------------------------------------------------------- */
@@ -768,35 +772,47 @@
 	on_silence(sh, s, now);
 }
 
+/* When the session has something to do next. */
+static ogl_time
+session_due(
+    const struct ogl_shard *sh, const struct ogl_session *s, ogl_time now)
+{
+	ogl_time end = silent_end(sh, s);
+	ogl_time t = OGL_NEVER;
+
+	if (s->token != 0)
+		t = s->sent_at + 2 * OGL_SYNC_TIMEOUT_MS * OGL_MS;
+	else if (!s->gone)
+		t = s->next_sync;
+	if (end > now && (s->known || s->on))
+		t = MIN(t, end);
+	return t;
+}
+
 void
 ogl_sessions_tick(struct ogl_shard *sh, ogl_time now)
 {
+	ogl_time due = OGL_NEVER;
+
 	if (now >= sh->next_hosts) {
 		sh->next_hosts = now + OGL_SEC;
 		ogl_sessions_hosts(sh, now);
+		sh->sessions_due = now;
 	}
+	if (now < sh->sessions_due)
+		return;
 	for (guint i = 0; i < sh->sessions->len; i++) {
 		struct ogl_session *s = g_ptr_array_index(sh->sessions, i);
 
 		give_up_silent(sh, s, now);
 		session_tick(sh, s, now);
+		due = MIN(due, session_due(sh, s, now));
 	}
+	sh->sessions_due = due;
 }
 
 ogl_time
-ogl_sessions_next(const struct ogl_shard *sh, ogl_time now)
+ogl_sessions_next(const struct ogl_shard *sh)
 {
-	ogl_time t = sh->next_hosts;
-
-	for (guint i = 0; i < sh->sessions->len; i++) {
-		const struct ogl_session *s =
-		    g_ptr_array_index(sh->sessions, i);
-		ogl_time end = silent_end(sh, s);
-
-		if (!s->gone && s->token == 0)
-			t = MIN(t, s->next_sync);
-		if (end > now && (s->known || s->on))
-			t = MIN(t, end);
-	}
-	return t;
+	return MIN(sh->next_hosts, sh->sessions_due);
 }
--- a/src/shard.c
+++ b/src/shard.c
@@ -819,7 +819,7 @@
 	if (sh->role == OGL_ROLE_OWNER) {
 		t = MIN(t, sh->next_limits);
 		t = MIN(t, ogl_escrow_next(sh));
-		t = MIN(t, ogl_sessions_next(sh, 0));
+		t = MIN(t, ogl_sessions_next(sh));
 		if (sh->place_due)
 			t = 0;
 	}
--- a/src/shard_impl.h
+++ b/src/shard_impl.h
@@ -104,6 +104,7 @@
 	GHashTable *flights;     /* request id -> struct ogl_flight */
 	struct ogl_escrow *escrow;
 	ogl_time next_hosts;
+	ogl_time sessions_due; /* no session has anything to do before */
 	ogl_time next_limits;
 	bool place_due;     /* something changed: try to place */
 	GPtrArray *requeue; /* jobs with tasks that may wait again */
@@ -116,12 +117,14 @@
 void ogl_sessions_end(struct ogl_shard *sh);
 void ogl_sessions_hosts(struct ogl_shard *sh, ogl_time now);
 void ogl_sessions_tick(struct ogl_shard *sh, ogl_time now);
-ogl_time ogl_sessions_next(const struct ogl_shard *sh, ogl_time now);
+ogl_time ogl_sessions_next(const struct ogl_shard *sh);
 void ogl_sessions_event(
     struct ogl_shard *sh, const struct ogl_event *ev, ogl_time now);
-void ogl_session_wake(struct ogl_session *s, ogl_time now);
-void ogl_session_stop_task(struct ogl_session *s, const char *job,
-    uint32_t index, uint32_t attempt, Ogl__StopMode mode, ogl_time now);
+void ogl_session_wake(
+    struct ogl_shard *sh, struct ogl_session *s, ogl_time now);
+void ogl_session_stop_task(struct ogl_shard *sh, struct ogl_session *s,
+    const char *job, uint32_t index, uint32_t attempt, Ogl__StopMode mode,
+    ogl_time now);
 void ogl_session_worker(
     struct ogl_shard *sh, const char *name, bool on, ogl_time now);
 void ogl_session_ack(struct ogl_shard *sh, const char *worker, const char *job,
--- a/test/standin_caller.c
+++ b/test/standin_caller.c
@@ -52,6 +52,7 @@
 	uint64_t seed;
 	bool idempotent;
 	bool ids;
+	bool direct; /* straight to executors, to compare with */
 	uint32_t want_ran;
 };
 
@@ -116,6 +117,7 @@
 
 enum {
 	OPT_IDS = 256,
+	OPT_DIRECT,
 	OPT_RAN,
 	OPT_TEAM,
 	OPT_LABEL,
@@ -135,6 +137,7 @@
     {"concurrency", 'C', "N", 0, "at a time", 0},
     {"idempotent", 'i', NULL, 0, "requests may run twice", 0},
     {"ids", OPT_IDS, NULL, 0, "requests bear ids, and are sent again", 0},
+    {"direct", OPT_DIRECT, NULL, 0, "the nodes are executors", 0},
     {"seed", 's', "N", 0, "makes bodies and run times", 0},
     {"executors", 'e', "ADDR,...", 0, "whose counts to compare", 0},
     {"workers", 'w', "ADDR,...", 0, "whose histories to compare", 0},
@@ -221,6 +224,9 @@
 	case OPT_IDS:
 		o->ids = true;
 		return 0;
+	case OPT_DIRECT:
+		o->direct = true;
+		return 0;
 	case OPT_TEAM:
 		o->team = arg;
 		return 0;
@@ -311,6 +317,10 @@
 		return;
 	add_header(s, "Ogl-Kind: %s", d->o.label);
 	add_header(s, "Content-Type: text/plain");
+	if (d->o.direct) {
+		add_header(s, "Ogl-Token: %u", s->item->number);
+		add_header(s, "Ogl-Team: %s", d->o.team);
+	}
 	if (d->o.idempotent)
 		add_header(s, "Ogl-Idempotent: 1");
 	if (d->o.ids)
@@ -346,11 +356,12 @@
 set_target(const struct driver *d, struct slot *s, const char *node)
 {
 	const struct item *it = s->item;
-	const char *what = d->o.mode == JOBS ? "jobs" : "requests";
+	const char *what = d->o.mode == JOBS ? "/v1/jobs" : "/v1/requests";
 	char *url;
 
 	if (it->step == SEND) {
-		url = g_strdup_printf("http://%s/v1/%s", node, what);
+		url = g_strdup_printf(
+		    "http://%s%s", node, d->o.direct ? "/run" : what);
 		curl_easy_setopt(s->curl, CURLOPT_POSTFIELDS, it->body);
 		curl_easy_setopt(
 		    s->curl, CURLOPT_POSTFIELDSIZE, (long)strlen(it->body));
@@ -440,7 +451,7 @@
 	enum outcome out = outcome_of(s);
 	bool busy = status == 429 || status == 503;
 
-	if (status == 200 && out == RAN)
+	if (status == 200 && (out == RAN || d->o.direct))
 		settle(d, s->item, own_answer(d, s) ? RAN : WRONG, now);
 	else if (busy && (out == NOT_RUN || may_repeat(d)))
 		retry(d, s, now);
