Daemon: read large log pages in smaller ones; bound by descriptors

A page of many large records was over the bound of an answer and would have been asked for again unchanged for ever, so a starting node would never get past it. After such a page fewer records are asked for, later more again; the test reads a page that comes through only at a smaller size.

Connections from callers and cached ones to targets keep to shares of the descriptors that the process may open, so that none starves the others.

--- a/daemon/http_in.c
+++ b/daemon/http_in.c
@@ -33,6 +33,7 @@
 
 #define PREFIX "http"
 #define GONE_BATCH 64
+#define CONNECTIONS_MAX 4000
 #define LISTEN_BACKLOG 1024
 #define DISCARD_TIMES 8 /* a too large body is read up to 8 times its bound */
 #define BUDGET_MAX_MS ((uint64_t)24 * 3600 * 1000)
@@ -94,12 +95,23 @@
 	struct ogl_http_in_counts counts;
 };
 
+/* Half of the descriptors are left for targets, peers and the platform. */
+static unsigned
+connections_max(void)
+{
+	long open_max = sysconf(_SC_OPEN_MAX);
+
+	if (open_max < 0)
+		return CONNECTIONS_MAX;
+	return (unsigned)CLAMP(open_max / 2, 1, CONNECTIONS_MAX);
+}
+
 void
 ogl_http_in_limits_default(struct ogl_http_in_limits *l)
 {
 	l->body_max = (size_t)1024 * 1024;
 	l->body_total_max = (size_t)32 * 1024 * 1024;
-	l->connections_max = 4000;
+	l->connections_max = connections_max();
 	l->header_max = 8 * 1024;
 	l->request_ms = 10000;
 	l->idle_s = 75;
--- a/daemon/http_out.c
+++ b/daemon/http_out.c
@@ -26,6 +26,7 @@
 #include <jansson.h>
 #include <sodium.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "addr.h"
 #include "http_out.h"
@@ -33,6 +34,7 @@
 #define PREFIX "out"
 #define HOST_CONNECTIONS 60L
 #define CACHED_CONNECTIONS 4096L
+#define CACHED_SHARE 4 /* of the descriptors this process may open */
 #define CONNECT_MS 2000L
 #define REUSE_IDLE_S 20L /* servers commonly close after 30 s or more */
 #define POOL_MAX 1024
@@ -41,7 +43,7 @@
 #define HEADERS_MAX 6
 #define BODY_KEEP ((size_t)64 * 1024) /* buffer a pooled handle may keep */
 #define ANSWER_MAX ((size_t)16 * 1024 * 1024)
-#define READ_MAX_RECORDS 256
+#define READ_MAX_RECORDS 256u
 #define READ_WAIT_MS 1000
 #define READ_MARGIN_MS 500
 #define DEFAULT_TIMEOUT_MS 5000
@@ -98,7 +100,8 @@
 	ev_timer timer;
 	GQueue busy; /* struct xfer */
 	GPtrArray *pool;
-	bool kick; /* libcurl asked to be called at once */
+	unsigned read_max; /* records asked for at a time */
+	bool kick;         /* libcurl asked to be called at once */
 	struct ogl_http_out_counts counts;
 };
 
@@ -434,6 +437,21 @@
 	return status >= 400 && x->not_run;
 }
 
+/*
+ * Records vary in size, so a page of many large ones may be over the bound of
+ * an answer.  Asked for again as it was, it would be too large each time and
+ * the reader would never get on; so fewer are asked for next time, and more
+ * again once pages come through.
+ */
+static void
+adapt_read(struct ogl_http_out *h, bool overflow)
+{
+	if (overflow)
+		h->read_max = MAX(h->read_max / 4, 1);
+	else
+		h->read_max = MIN(h->read_max * 2, READ_MAX_RECORDS);
+}
+
 static enum ogl_io
 judge_failure(struct xfer *x, CURLcode rc)
 {
@@ -512,6 +530,8 @@
 		ev.io = judge_answer(x, &ev);
 	else
 		ev.io = judge_failure(x, rc);
+	if (x->kind == &kind_read && (x->overflow || ev.io == OGL_IO_OK))
+		adapt_read(h, x->overflow);
 	if (ev.io != OGL_IO_OK && x->kind != &kind_exec)
 		memset(&ev.u, 0, sizeof ev.u);
 	count_io(h, ev.io);
@@ -735,7 +755,7 @@
 	g_snprintf(x->url, URL_BYTES,
 	    "http://%s/v1/streams/%s/records?from=%" G_GUINT64_FORMAT
 	    "&max=%u&wait_ms=%u",
-	    h->platform, a->name, a->from, READ_MAX_RECORDS, read_wait_ms(a));
+	    h->platform, a->name, a->from, h->read_max, read_wait_ms(a));
 	xfer_start(x, a);
 }
 
@@ -805,6 +825,16 @@
 
 /* ---- beginning and end ------------------------------------------------ */
 
+static long
+cached_connections(void)
+{
+	long open_max = sysconf(_SC_OPEN_MAX);
+
+	if (open_max < 0)
+		return CACHED_CONNECTIONS;
+	return CLAMP(open_max / CACHED_SHARE, 1, CACHED_CONNECTIONS);
+}
+
 struct ogl_http_out *
 ogl_http_out_init(struct ev_loop *loop, const char *platform,
     struct ogl_sink sink, struct ogl_logger *log)
@@ -813,6 +843,7 @@
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	h->loop = loop;
+	h->read_max = READ_MAX_RECORDS;
 	h->platform = g_strdup(platform);
 	h->sink = sink;
 	h->log = log;
@@ -829,7 +860,7 @@
 	    h->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
 	curl_multi_setopt(
 	    h->multi, CURLMOPT_MAX_HOST_CONNECTIONS, HOST_CONNECTIONS);
-	curl_multi_setopt(h->multi, CURLMOPT_MAXCONNECTS, CACHED_CONNECTIONS);
+	curl_multi_setopt(h->multi, CURLMOPT_MAXCONNECTS, cached_connections());
 	return h;
 }
 
--- a/test/test_daemon_http_out.cc
+++ b/test/test_daemon_http_out.cc
@@ -344,6 +344,24 @@
 	}
 }
 
+// Somebody wrote records so large that a page of them is over the bound of an
+// answer.  Read with the same page size again and again, a node that starts
+// would never get past them and never become ready.
+TEST(HttpOut, APageThatIsTooLargeIsReadInSmallerOnes)
+{
+	const std::string page = "{\"first\":0,\"next\":0,\"records\":[]}";
+	Server s([&](int, const std::string &req) {
+		size_t max = std::stoul(req.substr(req.find("max=") + 4));
+		return http(200, "", std::string(max << 20, ' ') + page);
+	});
+	Out o(s.port);
+	int tries = 0;
+
+	while (o.ask(ogl_http_out_read, "", "", 20000).io != OGL_IO_OK)
+		ASSERT_LT(++tries, 10);
+	EXPECT_GT(tries, 0);
+}
+
 TEST(HttpOut, WorkerReportsAndHostsThatDoNotParseAreLost)
 {
 	std::string body = "{\"worker\":\"w1\",\"boot\":3}";
