--- a/daemon/http_in.c
+++ b/daemon/http_in.c
@@ -30,6 +30,7 @@
 
 #include "addr.h"
 #include "http_in.h"
+#include "http_reply.h"
 
 #define PREFIX "http"
 #define GONE_BATCH 64
@@ -38,7 +39,7 @@
 #define DISCARD_TIMES 8 /* a too large body is read up to 8 times its bound */
 #define BUDGET_MAX_MS ((uint64_t)24 * 3600 * 1000)
 #define RETRY_NO_ROOM_MS 1000
-#define JSON_TYPE "application/json"
+#define BYTES_TYPE "application/octet-stream"
 #define TEXT_TYPE "text/plain; version=0.0.4"
 
 enum call_state {
@@ -119,56 +120,6 @@
 
 /* ---- responses -------------------------------------------------------- */
 
-static void
-unref_bytes(void *bytes)
-{
-	g_bytes_unref(bytes);
-}
-
-static struct MHD_Response *
-response_new(struct ogl_http_in *h, GBytes *body, const char *type)
-{
-	struct MHD_Response *r;
-	gsize n = 0;
-	void *p = NULL;
-
-	if (body != NULL) {
-		p = (void *)(uintptr_t)g_bytes_get_data(body, &n);
-		g_bytes_ref(body);
-	}
-	r = MHD_create_response_from_buffer_with_free_callback_cls(
-	    n, p, body != NULL ? unref_bytes : NULL, body);
-	if (r == NULL) {
-		if (body != NULL)
-			g_bytes_unref(body);
-		return NULL;
-	}
-	MHD_add_response_header(r, MHD_HTTP_HEADER_CONTENT_TYPE, type);
-	if (h->closing)
-		MHD_add_response_header(r, MHD_HTTP_HEADER_CONNECTION, "close");
-	return r;
-}
-
-static void
-add_number(struct MHD_Response *r, const char *name, uint64_t v)
-{
-	char text[24];
-
-	g_snprintf(text, sizeof text, "%" G_GUINT64_FORMAT, v);
-	MHD_add_response_header(r, name, text);
-}
-
-static void
-add_outcome(struct MHD_Response *r, enum ogl_verdict v, uint64_t retry_after_ms)
-{
-	MHD_add_response_header(r, "Ogl-Verdict", ogl_verdict_name(v));
-	if (retry_after_ms == 0)
-		return;
-	add_number(r, MHD_HTTP_HEADER_RETRY_AFTER,
-	    retry_after_ms / 1000 + (retry_after_ms % 1000 != 0));
-	add_number(r, "Ogl-Retry-After-Ms", retry_after_ms);
-}
-
 static enum MHD_Result
 send_response(
     struct MHD_Connection *mhd, unsigned status, struct MHD_Response *r)
@@ -186,21 +137,9 @@
 static enum MHD_Result
 refuse(struct call *c, unsigned status, const char *why, uint64_t retry_ms)
 {
-	Ogl__ErrorView view = OGL__ERROR_VIEW__INIT;
-	struct MHD_Response *r;
-	GBytes *body;
-	char *json;
-	size_t n;
-
-	view.error = (char *)(uintptr_t)why;
-	view.verdict = OGL__VERDICT__not_run;
-	view.retry_after_ms = retry_ms;
-	json = ogl_json_print(&view.base, &n);
-	body = g_bytes_new_take(json, n);
-	r = response_new(c->in, body, JSON_TYPE);
-	g_bytes_unref(body);
-	if (r != NULL)
-		add_outcome(r, OGL_NOT_RUN, retry_ms);
+	struct MHD_Response *r =
+	    ogl_http_reply_refusal(why, retry_ms, c->in->closing);
+
 	if (r != NULL && status == MHD_HTTP_METHOD_NOT_ALLOWED)
 		MHD_add_response_header(
 		    r, MHD_HTTP_HEADER_ALLOW, "GET, POST, DELETE");
@@ -388,7 +327,8 @@
 answer_text(struct call *c, unsigned status, char *text)
 {
 	GBytes *body = g_bytes_new_take(text, strlen(text));
-	struct MHD_Response *r = response_new(c->in, body, TEXT_TYPE);
+	struct MHD_Response *r =
+	    ogl_http_reply_new(body, TEXT_TYPE, c->in->closing);
 
 	g_bytes_unref(body);
 	c->state = CALL_ANSWERED;
@@ -716,11 +656,11 @@
 		h->counts.late++;
 		return;
 	}
-	c->response = response_new(h, a->data,
-	    a->content_type != NULL ? a->content_type
-				    : "application/octet-stream");
+	c->response = ogl_http_reply_new(a->data,
+	    a->content_type != NULL ? a->content_type : BYTES_TYPE, h->closing);
 	if (c->response != NULL)
-		add_outcome(c->response, a->verdict, a->retry_after_ms);
+		ogl_http_reply_outcome(
+		    c->response, a->verdict, a->retry_after_ms);
 	c->status = a->status;
 	c->state = c->response != NULL ? CALL_ANSWERED : CALL_ABANDONED;
 	h->counts.replies++;
--- a/daemon/http_out.c
+++ b/daemon/http_out.c
@@ -23,13 +23,12 @@
 
 #include <curl/curl.h>
 #include <ev.h>
-#include <jansson.h>
-#include <sodium.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "addr.h"
 #include "http_out.h"
+#include "logpage.h"
 
 #define PREFIX "out"
 #define HOST_CONNECTIONS 60L
@@ -80,10 +79,9 @@
 	uint64_t got_token;
 	bool framed; /* the answer tells its own length */
 	bool not_run;
-	void *parsed;        /* message or entries that the event borrows */
-	GByteArray *decoded; /* records of a log read */
-	json_t *json;
-	GList link; /* in busy */
+	ProtobufCMessage *parsed; /* what the event borrows */
+	struct ogl_logpage page;  /* the same, of a log read */
+	GList link;               /* in busy */
 };
 
 struct sock {
@@ -107,92 +105,29 @@
 
 /* ---- parsing answers -------------------------------------------------- */
 
-static json_t *
-answer_json(struct xfer *x)
+static struct ogl_str
+answer_text(const struct xfer *x)
 {
-	x->json = json_loadb((const char *)x->answer->data, x->answer->len,
-	    JSON_REJECT_DUPLICATES, NULL);
-	return x->json;
-}
-
-static bool
-get_u64(const json_t *o, const char *name, uint64_t *to)
-{
-	const json_t *v = json_object_get(o, name);
+	struct ogl_str s = {(const char *)x->answer->data, x->answer->len};
 
-	if (!json_is_integer(v) || json_integer_value(v) < 0)
-		return false;
-	*to = (uint64_t)json_integer_value(v);
-	return true;
+	return s;
 }
 
 static bool
 parse_appended(struct xfer *x, struct ogl_event *ev)
 {
-	return get_u64(answer_json(x), "offset", &ev->u.appended.offset);
-}
-
-/* Decodes one record behind those before it. */
-static bool
-parse_record(
-    struct xfer *x, const json_t *v, uint64_t expect, struct ogl_log_entry *e)
-{
-	const json_t *data = json_object_get(v, "data");
-	size_t at = x->decoded->len;
-	size_t n = json_string_length(data);
-	size_t got = 0;
-
-	if (!get_u64(v, "offset", &e->offset) || e->offset < expect ||
-	    !json_is_string(data))
-		return false;
-	g_byte_array_set_size(x->decoded, (guint)(at + n / 4 * 3 + 3));
-	if (sodium_base642bin(x->decoded->data + at, n / 4 * 3 + 3,
-		json_string_value(data), n, NULL, &got, NULL,
-		sodium_base64_VARIANT_ORIGINAL) != 0)
-		return false;
-	g_byte_array_set_size(x->decoded, (guint)(at + got));
-	e->data.n = got;
-	return true;
-}
-
-/* The decoded bytes move while they grow; pointers are set at the end. */
-static void
-point_entries(struct xfer *x, struct ogl_log_entry *e, size_t n)
-{
-	const char *at = (const char *)x->decoded->data;
-	size_t i;
-
-	for (i = 0; i < n; i++) {
-		e[i].data.p = at;
-		at += e[i].data.n;
-	}
+	return ogl_logpage_appended(answer_text(x), &ev->u.appended.offset);
 }
 
 static bool
 parse_read(struct xfer *x, struct ogl_event *ev)
 {
-	const json_t *root = answer_json(x);
-	const json_t *list = json_object_get(root, "records");
-	struct ogl_log_entry *e;
-	uint64_t expect = 0;
-	size_t i, n = json_array_size(list);
-
-	if (!json_is_array(list) ||
-	    !get_u64(root, "first", &ev->u.read.first) ||
-	    !get_u64(root, "next", &ev->u.read.next))
+	if (!ogl_logpage_parse(&x->page, answer_text(x)))
 		return false;
-	e = g_new0(struct ogl_log_entry, n + 1);
-	x->parsed = e;
-	x->decoded = g_byte_array_new();
-	for (i = 0; i < n; i++) {
-		if (!parse_record(x, json_array_get(list, i), expect, &e[i]) ||
-		    e[i].offset >= ev->u.read.next)
-			return false;
-		expect = e[i].offset + 1;
-	}
-	point_entries(x, e, n);
-	ev->u.read.entries = e;
-	ev->u.read.n = n;
+	ev->u.read.first = x->page.first;
+	ev->u.read.next = x->page.next;
+	ev->u.read.entries = x->page.entries;
+	ev->u.read.n = x->page.n;
 	return true;
 }
 
@@ -200,9 +135,8 @@
 parse_message(struct xfer *x, const ProtobufCMessageDescriptor *d)
 {
 	struct ogl_faults *faults = ogl_faults_new();
-	struct ogl_str text = {(const char *)x->answer->data, x->answer->len};
 
-	x->parsed = ogl_json_parse(d, text, faults);
+	x->parsed = ogl_json_parse(d, answer_text(x), faults);
 	if (x->parsed == NULL)
 		ogl_log(x->out->log, OGL_LOG_WARN, PREFIX,
 		    "An answer from %s does not parse at '%s'.", x->url,
@@ -229,8 +163,7 @@
 static bool
 parse_exec(struct xfer *x, struct ogl_event *ev)
 {
-	ev->u.exec.body.p = (const char *)x->answer->data;
-	ev->u.exec.body.n = x->answer->len;
+	ev->u.exec.body = answer_text(x);
 	return true;
 }
 
@@ -393,17 +326,11 @@
 {
 	if (x->body != NULL)
 		g_bytes_unref(x->body);
-	if (x->parsed != NULL && x->kind == &kind_read)
-		g_free(x->parsed);
-	else if (x->parsed != NULL)
+	if (x->parsed != NULL)
 		protobuf_c_message_free_unpacked(x->parsed, NULL);
-	if (x->decoded != NULL)
-		g_byte_array_unref(x->decoded);
-	json_decref(x->json);
+	ogl_logpage_end(&x->page);
 	x->body = NULL;
 	x->parsed = NULL;
-	x->decoded = NULL;
-	x->json = NULL;
 	x->nheaders = 0;
 	x->sends = 0;
 	x->overflow = false;
