--- a/gen/ogl.pb-c.c
+++ b/gen/ogl.pb-c.c
@@ -2526,7 +2526,7 @@
   (ProtobufCMessageInit) ogl__task_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__worker_sync__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ogl__worker_sync__field_descriptors[11] =
 {
   {
     "shard",
@@ -2648,9 +2648,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "boot",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__WorkerSync, boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__worker_sync__field_indices_by_name[] = {
   8,   /* field[8] = ack */
+  10,   /* field[10] = boot */
   1,   /* field[1] = epoch */
   9,   /* field[9] = full */
   4,   /* field[4] = lease_from_ms */
@@ -2664,7 +2677,7 @@
 static const ProtobufCIntRange ogl__worker_sync__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ogl__worker_sync__descriptor =
 {
@@ -2674,7 +2687,7 @@
   "Ogl__WorkerSync",
   "ogl",
   sizeof(Ogl__WorkerSync),
-  10,
+  11,
   ogl__worker_sync__field_descriptors,
   ogl__worker_sync__field_indices_by_name,
   1,  ogl__worker_sync__number_ranges,
@@ -3903,7 +3916,7 @@
   (ProtobufCMessageInit) ogl__task_ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__job_cancelled__field_descriptors[1] =
+static const ProtobufCFieldDescriptor ogl__job_cancelled__field_descriptors[2] =
 {
   {
     "job",
@@ -3917,14 +3930,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "verdict",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__JobCancelled, verdict),
+    &ogl__verdict__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__job_cancelled__field_indices_by_name[] = {
   0,   /* field[0] = job */
+  1,   /* field[1] = verdict */
 };
 static const ProtobufCIntRange ogl__job_cancelled__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor ogl__job_cancelled__descriptor =
 {
@@ -3934,7 +3960,7 @@
   "Ogl__JobCancelled",
   "ogl",
   sizeof(Ogl__JobCancelled),
-  1,
+  2,
   ogl__job_cancelled__field_descriptors,
   ogl__job_cancelled__field_indices_by_name,
   1,  ogl__job_cancelled__number_ranges,
@@ -4107,7 +4133,7 @@
   (ProtobufCMessageInit) ogl__worker_off__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__worker_on__field_descriptors[1] =
+static const ProtobufCFieldDescriptor ogl__worker_on__field_descriptors[2] =
 {
   {
     "worker",
@@ -4121,14 +4147,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "addr",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__WorkerOn, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__worker_on__field_indices_by_name[] = {
+  1,   /* field[1] = addr */
   0,   /* field[0] = worker */
 };
 static const ProtobufCIntRange ogl__worker_on__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor ogl__worker_on__descriptor =
 {
@@ -4138,14 +4177,14 @@
   "Ogl__WorkerOn",
   "ogl",
   sizeof(Ogl__WorkerOn),
-  1,
+  2,
   ogl__worker_on__field_descriptors,
   ogl__worker_on__field_indices_by_name,
   1,  ogl__worker_on__number_ranges,
   (ProtobufCMessageInit) ogl__worker_on__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__allot__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ogl__allot__field_descriptors[2] =
 {
   {
     "team",
@@ -4160,52 +4199,26 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "shard",
+    "ppm",
     2,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Ogl__Allot, shard),
+    offsetof(Ogl__Allot, n_ppm),
+    offsetof(Ogl__Allot, ppm),
     NULL,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "tasks",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Ogl__Allot, tasks),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "cpu_milli",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Ogl__Allot, cpu_milli),
-    NULL,
-    NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned ogl__allot__field_indices_by_name[] = {
-  3,   /* field[3] = cpu_milli */
-  1,   /* field[1] = shard */
-  2,   /* field[2] = tasks */
+  1,   /* field[1] = ppm */
   0,   /* field[0] = team */
 };
 static const ProtobufCIntRange ogl__allot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor ogl__allot__descriptor =
 {
@@ -4215,14 +4228,14 @@
   "Ogl__Allot",
   "ogl",
   sizeof(Ogl__Allot),
-  4,
+  2,
   ogl__allot__field_descriptors,
   ogl__allot__field_indices_by_name,
   1,  ogl__allot__number_ranges,
   (ProtobufCMessageInit) ogl__allot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__task_snap__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ogl__task_snap__field_descriptors[6] =
 {
   {
     "index",
@@ -4284,6 +4297,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tries",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__TaskSnap, tries),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__task_snap__field_indices_by_name[] = {
   1,   /* field[1] = attempt */
@@ -4291,11 +4316,12 @@
   0,   /* field[0] = index */
   4,   /* field[4] = reason */
   2,   /* field[2] = state */
+  5,   /* field[5] = tries */
 };
 static const ProtobufCIntRange ogl__task_snap__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ogl__task_snap__descriptor =
 {
@@ -4305,14 +4331,14 @@
   "Ogl__TaskSnap",
   "ogl",
   sizeof(Ogl__TaskSnap),
-  5,
+  6,
   ogl__task_snap__field_descriptors,
   ogl__task_snap__field_indices_by_name,
   1,  ogl__task_snap__number_ranges,
   (ProtobufCMessageInit) ogl__task_snap__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__job_snap__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ogl__job_snap__field_descriptors[5] =
 {
   {
     "job",
@@ -4350,16 +4376,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cancel_verdict",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__JobSnap, cancel_verdict),
+    &ogl__verdict__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__JobSnap, ended_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__job_snap__field_indices_by_name[] = {
+  3,   /* field[3] = cancel_verdict */
   1,   /* field[1] = cancelled */
   2,   /* field[2] = ended */
+  4,   /* field[4] = ended_ms */
   0,   /* field[0] = job */
 };
 static const ProtobufCIntRange ogl__job_snap__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ogl__job_snap__descriptor =
 {
@@ -4369,7 +4421,7 @@
   "Ogl__JobSnap",
   "ogl",
   sizeof(Ogl__JobSnap),
-  3,
+  5,
   ogl__job_snap__field_descriptors,
   ogl__job_snap__field_indices_by_name,
   1,  ogl__job_snap__number_ranges,
@@ -4453,7 +4505,7 @@
   (ProtobufCMessageInit) ogl__id_snap__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__shard_snap__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ogl__shard_snap__field_descriptors[12] =
 {
   {
     "snap",
@@ -4516,14 +4568,14 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "off_workers",
+    "workers",
     6,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Ogl__ShardSnap, n_off_workers),
-    offsetof(Ogl__ShardSnap, off_workers),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__ShardSnap, n_workers),
+    offsetof(Ogl__ShardSnap, workers),
+    &ogl__worker_on__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -4551,21 +4603,73 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "claims",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__ShardSnap, claims),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__ShardSnap, owner),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner_boot",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__ShardSnap, owner_boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__ShardSnap, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__shard_snap__field_indices_by_name[] = {
   6,   /* field[6] = allots */
+  8,   /* field[8] = claims */
+  11,   /* field[11] = epoch */
   4,   /* field[4] = ids */
   3,   /* field[3] = jobs */
-  5,   /* field[5] = off_workers */
+  9,   /* field[9] = owner */
+  10,   /* field[10] = owner_boot */
   1,   /* field[1] = part */
   2,   /* field[2] = parts */
   0,   /* field[0] = snap */
   7,   /* field[7] = successors */
+  5,   /* field[5] = workers */
 };
 static const ProtobufCIntRange ogl__shard_snap__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor ogl__shard_snap__descriptor =
 {
@@ -4575,7 +4679,7 @@
   "Ogl__ShardSnap",
   "ogl",
   sizeof(Ogl__ShardSnap),
-  8,
+  12,
   ogl__shard_snap__field_descriptors,
   ogl__shard_snap__field_indices_by_name,
   1,  ogl__shard_snap__number_ranges,
@@ -4671,7 +4775,7 @@
   (ProtobufCMessageInit) ogl__evict__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__settings_snap__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ogl__settings_snap__field_descriptors[3] =
 {
   {
     "version",
@@ -4697,15 +4801,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evicted",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__SettingsSnap, n_evicted),
+    offsetof(Ogl__SettingsSnap, evicted),
+    &ogl__evict__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__settings_snap__field_indices_by_name[] = {
+  2,   /* field[2] = evicted */
   1,   /* field[1] = tree */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange ogl__settings_snap__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ogl__settings_snap__descriptor =
 {
@@ -4715,7 +4832,7 @@
   "Ogl__SettingsSnap",
   "ogl",
   sizeof(Ogl__SettingsSnap),
-  2,
+  3,
   ogl__settings_snap__field_descriptors,
   ogl__settings_snap__field_indices_by_name,
   1,  ogl__settings_snap__number_ranges,
@@ -5246,7 +5363,7 @@
   (ProtobufCMessageInit) ogl__member_fact__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__shard_fact__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ogl__shard_fact__field_descriptors[6] =
 {
   {
     "shard",
@@ -5308,10 +5425,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "offered",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__ShardFact, offered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__shard_fact__field_indices_by_name[] = {
   1,   /* field[1] = epoch */
   3,   /* field[3] = free_cpu_milli */
+  5,   /* field[5] = offered */
   4,   /* field[4] = queued */
   2,   /* field[2] = ready */
   0,   /* field[0] = shard */
@@ -5319,7 +5449,7 @@
 static const ProtobufCIntRange ogl__shard_fact__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ogl__shard_fact__descriptor =
 {
@@ -5329,7 +5459,7 @@
   "Ogl__ShardFact",
   "ogl",
   sizeof(Ogl__ShardFact),
-  5,
+  6,
   ogl__shard_fact__field_descriptors,
   ogl__shard_fact__field_indices_by_name,
   1,  ogl__shard_fact__number_ranges,
@@ -5606,7 +5736,7 @@
   (ProtobufCMessageInit) ogl__forward__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__forward_reply__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ogl__forward_reply__field_descriptors[6] =
 {
   {
     "call",
@@ -5668,18 +5798,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "shard",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__ForwardReply, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__forward_reply__field_indices_by_name[] = {
   4,   /* field[4] = body */
   0,   /* field[0] = call */
   3,   /* field[3] = retry_after_ms */
+  5,   /* field[5] = shard */
   1,   /* field[1] = status */
   2,   /* field[2] = verdict */
 };
 static const ProtobufCIntRange ogl__forward_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ogl__forward_reply__descriptor =
 {
@@ -5689,7 +5832,7 @@
   "Ogl__ForwardReply",
   "ogl",
   sizeof(Ogl__ForwardReply),
-  5,
+  6,
   ogl__forward_reply__field_descriptors,
   ogl__forward_reply__field_indices_by_name,
   1,  ogl__forward_reply__number_ranges,
@@ -5825,36 +5968,36 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "held_tasks",
+    "held_ppm",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Ogl__AllotAsk, held_tasks),
+    offsetof(Ogl__AllotAsk, held_ppm),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "used_tasks",
+    "used_ppm",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Ogl__AllotAsk, used_tasks),
+    offsetof(Ogl__AllotAsk, used_ppm),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "want_tasks",
+    "want_ppm",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Ogl__AllotAsk, want_tasks),
+    offsetof(Ogl__AllotAsk, want_ppm),
     NULL,
     NULL,
     0,             /* flags */
@@ -5873,12 +6016,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "shrunk",
+    "known",
     8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Ogl__AllotAsk, shrunk),
+    offsetof(Ogl__AllotAsk, known),
     NULL,
     NULL,
     0,             /* flags */
@@ -5887,13 +6030,13 @@
 };
 static const unsigned ogl__allot_ask__field_indices_by_name[] = {
   1,   /* field[1] = epoch */
-  3,   /* field[3] = held_tasks */
+  3,   /* field[3] = held_ppm */
+  7,   /* field[7] = known */
   6,   /* field[6] = seq */
   0,   /* field[0] = shard */
-  7,   /* field[7] = shrunk */
   2,   /* field[2] = team */
-  4,   /* field[4] = used_tasks */
-  5,   /* field[5] = want_tasks */
+  4,   /* field[4] = used_ppm */
+  5,   /* field[5] = want_ppm */
 };
 static const ProtobufCIntRange ogl__allot_ask__number_ranges[1 + 1] =
 {
@@ -5915,7 +6058,7 @@
   (ProtobufCMessageInit) ogl__allot_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__allot_give__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ogl__allot_give__field_descriptors[8] =
 {
   {
     "shard",
@@ -5954,12 +6097,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tasks",
+    "ppm",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Ogl__AllotGive, tasks),
+    offsetof(Ogl__AllotGive, ppm),
     NULL,
     NULL,
     0,             /* flags */
@@ -5989,19 +6132,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "bank_epoch",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__AllotGive, bank_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bank",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__AllotGive, bank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__allot_give__field_indices_by_name[] = {
+  7,   /* field[7] = bank */
+  6,   /* field[6] = bank_epoch */
   1,   /* field[1] = epoch */
+  3,   /* field[3] = ppm */
   5,   /* field[5] = reclaim */
   4,   /* field[4] = seq */
   0,   /* field[0] = shard */
-  3,   /* field[3] = tasks */
   2,   /* field[2] = team */
 };
 static const ProtobufCIntRange ogl__allot_give__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ogl__allot_give__descriptor =
 {
@@ -6011,7 +6180,7 @@
   "Ogl__AllotGive",
   "ogl",
   sizeof(Ogl__AllotGive),
-  6,
+  8,
   ogl__allot_give__field_descriptors,
   ogl__allot_give__field_indices_by_name,
   1,  ogl__allot_give__number_ranges,
@@ -6033,20 +6202,20 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "edits",
+    "snap",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Ogl__SettingsNews, n_edits),
-    offsetof(Ogl__SettingsNews, edits),
-    &ogl__record__descriptor,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__SettingsNews, snap),
+    &ogl__settings_snap__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned ogl__settings_news__field_indices_by_name[] = {
-  1,   /* field[1] = edits */
+  1,   /* field[1] = snap */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange ogl__settings_news__number_ranges[1 + 1] =
--- a/gen/ogl.pb-c.h
+++ b/gen/ogl.pb-c.h
@@ -285,10 +285,15 @@
    * report every task, not only differences
    */
   protobuf_c_boolean full;
+  /*
+   * The worker's boot that the owner knows, 0 for none.  A worker of another
+   * boot starts nothing and renews nothing, and reports every task.
+   */
+  uint64_t boot;
 };
 #define OGL__WORKER_SYNC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__worker_sync__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Ogl__TaskReport
@@ -538,10 +543,14 @@
 {
   ProtobufCMessage base;
   char *job;
+  /*
+   * not_run only when no task can have started
+   */
+  Ogl__Verdict verdict;
 };
 #define OGL__JOB_CANCELLED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__job_cancelled__descriptor) \
-    , (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, OGL__VERDICT__not_run }
 
 
 /*
@@ -588,30 +597,37 @@
     , (char *)protobuf_c_empty_string }
 
 
+/*
+ * The owner may start tasks on the worker from here on.
+ */
 struct  Ogl__WorkerOn
 {
   ProtobufCMessage base;
   char *worker;
+  char *addr;
 };
 #define OGL__WORKER_ON__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__worker_on__descriptor) \
-    , (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
- * Team `team` may run up to `res`/`tasks` in shard `shard`.
+ * The part of a team's upper limit, in millionths, that a shard may use.
+ * Parts of all shards never exceed a million.
  */
 struct  Ogl__Allot
 {
   ProtobufCMessage base;
   char *team;
-  uint32_t shard;
-  uint64_t tasks;
-  uint64_t cpu_milli;
+  /*
+   * by shard
+   */
+  size_t n_ppm;
+  uint32_t *ppm;
 };
 #define OGL__ALLOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__allot__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL }
 
 
 struct  Ogl__TaskSnap
@@ -622,10 +638,11 @@
   Ogl__TaskState state;
   protobuf_c_boolean ended;
   char *reason;
+  uint32_t tries;
 };
 #define OGL__TASK_SNAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__task_snap__descriptor) \
-    , 0, 0, OGL__TASK_STATE__running, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, OGL__TASK_STATE__running, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Ogl__JobSnap
@@ -635,10 +652,12 @@
   protobuf_c_boolean cancelled;
   size_t n_ended;
   Ogl__TaskSnap **ended;
+  Ogl__Verdict cancel_verdict;
+  uint64_t ended_ms;
 };
 #define OGL__JOB_SNAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__job_snap__descriptor) \
-    , NULL, 0, 0,NULL }
+    , NULL, 0, 0,NULL, OGL__VERDICT__not_run, 0 }
 
 
 struct  Ogl__IdSnap
@@ -668,16 +687,23 @@
   Ogl__JobSnap **jobs;
   size_t n_ids;
   Ogl__IdSnap **ids;
-  size_t n_off_workers;
-  char **off_workers;
+  size_t n_workers;
+  Ogl__WorkerOn **workers;
   size_t n_allots;
   Ogl__Allot **allots;
   size_t n_successors;
   char **successors;
+  /*
+   * claims so far; makes attempt numbers unique
+   */
+  uint32_t claims;
+  char *owner;
+  uint64_t owner_boot;
+  uint64_t epoch;
 };
 #define OGL__SHARD_SNAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__shard_snap__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Ogl__Successors
@@ -716,10 +742,12 @@
    * JSON
    */
   ProtobufCBinaryData tree;
+  size_t n_evicted;
+  Ogl__Evict **evicted;
 };
 #define OGL__SETTINGS_SNAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__settings_snap__descriptor) \
-    , 0, {0,NULL} }
+    , 0, {0,NULL}, 0,NULL }
 
 
 typedef enum {
@@ -835,10 +863,14 @@
   protobuf_c_boolean ready;
   uint64_t free_cpu_milli;
   uint64_t queued;
+  /*
+   * its owner asks the best placed node to claim it
+   */
+  protobuf_c_boolean offered;
 };
 #define OGL__SHARD_FACT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__shard_fact__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ogl__TeamUse
@@ -900,10 +932,11 @@
   Ogl__Verdict verdict;
   uint64_t retry_after_ms;
   ProtobufCBinaryData body;
+  uint32_t shard;
 };
 #define OGL__FORWARD_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__forward_reply__descriptor) \
-    , 0, 0, OGL__VERDICT__not_run, 0, {0,NULL} }
+    , 0, 0, OGL__VERDICT__not_run, 0, {0,NULL}, 0 }
 
 
 /*
@@ -923,6 +956,9 @@
     , 0, 0, 0, 0, 0 }
 
 
+/*
+ * A shard's owner tells the team's bank how it stands.
+ */
 struct  Ogl__AllotAsk
 {
   ProtobufCMessage base;
@@ -930,22 +966,40 @@
    * asking shard
    */
   uint32_t shard;
+  /*
+   * of its owner
+   */
   uint64_t epoch;
   char *team;
-  uint64_t held_tasks;
-  uint64_t used_tasks;
-  uint64_t want_tasks;
+  /*
+   * what it goes by now
+   */
+  uint32_t held_ppm;
+  /*
+   * least it needs for what runs
+   */
+  uint32_t used_ppm;
+  /*
+   * what it could use
+   */
+  uint32_t want_ppm;
+  /*
+   * of the reclaim answered, 0 for a plain question
+   */
   uint64_t seq;
   /*
-   * answer to a bank's reclaim
+   * held_ppm is what the bank last said
    */
-  protobuf_c_boolean shrunk;
+  protobuf_c_boolean known;
 };
 #define OGL__ALLOT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__allot_ask__descriptor) \
     , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
+/*
+ * The bank's answer, also sent unasked to make a holder shrink.
+ */
 struct  Ogl__AllotGive
 {
   ProtobufCMessage base;
@@ -955,28 +1009,35 @@
    */
   uint64_t epoch;
   char *team;
-  uint64_t tasks;
+  uint32_t ppm;
   uint64_t seq;
   /*
-   * shrink to `tasks` and say so
+   * shrink to ppm or what is used, and say so
    */
   protobuf_c_boolean reclaim;
+  uint64_t bank_epoch;
+  /*
+   * the bank's shard
+   */
+  uint32_t bank;
 };
 #define OGL__ALLOT_GIVE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__allot_give__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Asks for what is newer than `version`; the answer carries a snapshot.
+ */
 struct  Ogl__SettingsNews
 {
   ProtobufCMessage base;
   uint64_t version;
-  size_t n_edits;
-  Ogl__Record **edits;
+  Ogl__SettingsSnap *snap;
 };
 #define OGL__SETTINGS_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__settings_news__descriptor) \
-    , 0, 0,NULL }
+    , 0, NULL }
 
 
 typedef enum {
