Daemon: build with the node, test the defaults that ship

The node is in the library, so the settings test no longer stands in for its defaults, and the program no longer depends on its file being there.

--- a/test/test_daemon_config.cc
+++ b/test/test_daemon_config.cc
@@ -8,26 +8,6 @@
 #include "config.h"
 }
 
-// Stands in for the node's defaults in a build without the node.
-extern "C" __attribute__((weak)) void
-ogl_node_config_default(struct ogl_node_config *c)
-{
-	*c = ogl_node_config();
-	c->shards = 4;
-	c->lease_ms = 6000;
-	c->sync_ms = 1000;
-	c->probe_ms = 500;
-	c->suspect_ms = 3000;
-	c->commit_ms = 4;
-	c->right_ms = 3000;
-	c->stale_ms = 10000;
-	c->late_claim_ms = 30000;
-	c->snapshot_records = 1000;
-	c->snapshot_ms = 60000;
-	c->id_keep_ms = 600000;
-	c->exec_slots = 8;
-}
-
 static const char good[] = R"({
   "node": {"name": "n1", "addr": "127.0.0.1:7001", "zone": "z1"},
   "listen": {"http": "0.0.0.0:8001", "peer": "0.0.0.0:7001"},
