--- a/daemon/http_out.c
+++ b/daemon/http_out.c
@@ -23,16 +23,17 @@
 
 #include <curl/curl.h>
 #include <ev.h>
-#include <jansson.h>
-#include <sodium.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "addr.h"
 #include "http_out.h"
+#include "logpage.h"
 
 #define PREFIX "out"
 #define HOST_CONNECTIONS 60L
 #define CACHED_CONNECTIONS 4096L
+#define CACHED_SHARE 4 /* of the descriptors this process may open */
 #define CONNECT_MS 2000L
 #define REUSE_IDLE_S 20L /* servers commonly close after 30 s or more */
 #define POOL_MAX 1024
@@ -41,7 +42,7 @@
 #define HEADERS_MAX 6
 #define BODY_KEEP ((size_t)64 * 1024) /* buffer a pooled handle may keep */
 #define ANSWER_MAX ((size_t)16 * 1024 * 1024)
-#define READ_MAX_RECORDS 256
+#define READ_MAX_RECORDS 256u
 #define READ_WAIT_MS 1000
 #define READ_MARGIN_MS 500
 #define DEFAULT_TIMEOUT_MS 5000
@@ -78,10 +79,9 @@
 	uint64_t got_token;
 	bool framed; /* the answer tells its own length */
 	bool not_run;
-	void *parsed;        /* message or entries that the event borrows */
-	GByteArray *decoded; /* records of a log read */
-	json_t *json;
-	GList link; /* in busy */
+	ProtobufCMessage *parsed; /* what the event borrows */
+	struct ogl_logpage page;  /* the same, of a log read */
+	GList link;               /* in busy */
 };
 
 struct sock {
@@ -98,98 +98,36 @@
 	ev_timer timer;
 	GQueue busy; /* struct xfer */
 	GPtrArray *pool;
-	bool kick; /* libcurl asked to be called at once */
+	unsigned read_max; /* records asked for at a time */
+	bool kick;         /* libcurl asked to be called at once */
 	struct ogl_http_out_counts counts;
 };
 
 /* ---- parsing answers -------------------------------------------------- */
 
-static json_t *
-answer_json(struct xfer *x)
+static struct ogl_str
+answer_text(const struct xfer *x)
 {
-	x->json = json_loadb((const char *)x->answer->data, x->answer->len,
-	    JSON_REJECT_DUPLICATES, NULL);
-	return x->json;
-}
+	struct ogl_str s = {(const char *)x->answer->data, x->answer->len};
 
-static bool
-get_u64(const json_t *o, const char *name, uint64_t *to)
-{
-	const json_t *v = json_object_get(o, name);
-
-	if (!json_is_integer(v) || json_integer_value(v) < 0)
-		return false;
-	*to = (uint64_t)json_integer_value(v);
-	return true;
+	return s;
 }
 
 static bool
 parse_appended(struct xfer *x, struct ogl_event *ev)
 {
-	return get_u64(answer_json(x), "offset", &ev->u.appended.offset);
-}
-
-/* Decodes one record behind those before it. */
-static bool
-parse_record(
-    struct xfer *x, const json_t *v, uint64_t expect, struct ogl_log_entry *e)
-{
-	const json_t *data = json_object_get(v, "data");
-	size_t at = x->decoded->len;
-	size_t n = json_string_length(data);
-	size_t got = 0;
-
-	if (!get_u64(v, "offset", &e->offset) || e->offset < expect ||
-	    !json_is_string(data))
-		return false;
-	g_byte_array_set_size(x->decoded, (guint)(at + n / 4 * 3 + 3));
-	if (sodium_base642bin(x->decoded->data + at, n / 4 * 3 + 3,
-		json_string_value(data), n, NULL, &got, NULL,
-		sodium_base64_VARIANT_ORIGINAL) != 0)
-		return false;
-	g_byte_array_set_size(x->decoded, (guint)(at + got));
-	e->data.n = got;
-	return true;
-}
-
-/* The decoded bytes move while they grow; pointers are set at the end. */
-static void
-point_entries(struct xfer *x, struct ogl_log_entry *e, size_t n)
-{
-	const char *at = (const char *)x->decoded->data;
-	size_t i;
-
-	for (i = 0; i < n; i++) {
-		e[i].data.p = at;
-		at += e[i].data.n;
-	}
+	return ogl_logpage_appended(answer_text(x), &ev->u.appended.offset);
 }
 
 static bool
 parse_read(struct xfer *x, struct ogl_event *ev)
 {
-	const json_t *root = answer_json(x);
-	const json_t *list = json_object_get(root, "records");
-	struct ogl_log_entry *e;
-	uint64_t expect = 0;
-	size_t i, n = json_array_size(list);
-
-	if (!json_is_array(list) ||
-	    !get_u64(root, "first", &ev->u.read.first) ||
-	    !get_u64(root, "next", &ev->u.read.next))
+	if (!ogl_logpage_parse(&x->page, answer_text(x)))
 		return false;
-	e = g_new0(struct ogl_log_entry, n + 1);
-	x->parsed = e;
-	x->decoded = g_byte_array_new();
-	for (i = 0; i < n; i++) {
-		if (!parse_record(x, json_array_get(list, i), expect, &e[i]) ||
-		    e[i].offset >= ev->u.read.next)
-			return false;
-		expect = e[i].offset + 1;
-	}
-	point_entries(x, e, n);
-	ev->u.read.entries = e;
-	ev->u.read.n = n;
+	ev->u.read.first = x->page.first;
+	ev->u.read.next = x->page.next;
+	ev->u.read.entries = x->page.entries;
+	ev->u.read.n = x->page.n;
 	return true;
 }
 
@@ -197,9 +135,8 @@
 parse_message(struct xfer *x, const ProtobufCMessageDescriptor *d)
 {
 	struct ogl_faults *faults = ogl_faults_new();
-	struct ogl_str text = {(const char *)x->answer->data, x->answer->len};
 
-	x->parsed = ogl_json_parse(d, text, faults);
+	x->parsed = ogl_json_parse(d, answer_text(x), faults);
 	if (x->parsed == NULL)
 		ogl_log(x->out->log, OGL_LOG_WARN, PREFIX,
 		    "An answer from %s does not parse at '%s'.", x->url,
@@ -226,8 +163,7 @@
 static bool
 parse_exec(struct xfer *x, struct ogl_event *ev)
 {
-	ev->u.exec.body.p = (const char *)x->answer->data;
-	ev->u.exec.body.n = x->answer->len;
+	ev->u.exec.body = answer_text(x);
 	return true;
 }
 
@@ -340,6 +276,10 @@
 	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	/* These paths would be copied for each request, though there is no
+	 * TLS here. */
+	curl_easy_setopt(e, CURLOPT_CAINFO, NULL);
+	curl_easy_setopt(e, CURLOPT_CAPATH, NULL);
 	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
@@ -386,17 +326,11 @@
 {
 	if (x->body != NULL)
 		g_bytes_unref(x->body);
-	if (x->parsed != NULL && x->kind == &kind_read)
-		g_free(x->parsed);
-	else if (x->parsed != NULL)
+	if (x->parsed != NULL)
 		protobuf_c_message_free_unpacked(x->parsed, NULL);
-	if (x->decoded != NULL)
-		g_byte_array_unref(x->decoded);
-	json_decref(x->json);
+	ogl_logpage_end(&x->page);
 	x->body = NULL;
 	x->parsed = NULL;
-	x->decoded = NULL;
-	x->json = NULL;
 	x->nheaders = 0;
 	x->sends = 0;
 	x->overflow = false;
@@ -430,6 +364,21 @@
 	return status >= 400 && x->not_run;
 }
 
+/*
+ * Records vary in size, so a page of many large ones may be over the bound of
+ * an answer.  Asked for again as it was, it would be too large each time and
+ * the reader would never get on; so fewer are asked for next time, and more
+ * again once pages come through.
+ */
+static void
+adapt_read(struct ogl_http_out *h, bool overflow)
+{
+	if (overflow)
+		h->read_max = MAX(h->read_max / 4, 1);
+	else
+		h->read_max = MIN(h->read_max * 2, READ_MAX_RECORDS);
+}
+
 static enum ogl_io
 judge_failure(struct xfer *x, CURLcode rc)
 {
@@ -508,6 +457,8 @@
 		ev.io = judge_answer(x, &ev);
 	else
 		ev.io = judge_failure(x, rc);
+	if (x->kind == &kind_read && (x->overflow || ev.io == OGL_IO_OK))
+		adapt_read(h, x->overflow);
 	if (ev.io != OGL_IO_OK && x->kind != &kind_exec)
 		memset(&ev.u, 0, sizeof ev.u);
 	count_io(h, ev.io);
@@ -731,7 +682,7 @@
 	g_snprintf(x->url, URL_BYTES,
 	    "http://%s/v1/streams/%s/records?from=%" G_GUINT64_FORMAT
 	    "&max=%u&wait_ms=%u",
-	    h->platform, a->name, a->from, READ_MAX_RECORDS, read_wait_ms(a));
+	    h->platform, a->name, a->from, h->read_max, read_wait_ms(a));
 	xfer_start(x, a);
 }
 
@@ -801,6 +752,16 @@
 
 /* ---- beginning and end ------------------------------------------------ */
 
+static long
+cached_connections(void)
+{
+	long open_max = sysconf(_SC_OPEN_MAX);
+
+	if (open_max < 0)
+		return CACHED_CONNECTIONS;
+	return CLAMP(open_max / CACHED_SHARE, 1, CACHED_CONNECTIONS);
+}
+
 struct ogl_http_out *
 ogl_http_out_init(struct ev_loop *loop, const char *platform,
     struct ogl_sink sink, struct ogl_logger *log)
@@ -809,6 +770,7 @@
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	h->loop = loop;
+	h->read_max = READ_MAX_RECORDS;
 	h->platform = g_strdup(platform);
 	h->sink = sink;
 	h->log = log;
@@ -825,7 +787,7 @@
 	    h->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
 	curl_multi_setopt(
 	    h->multi, CURLMOPT_MAX_HOST_CONNECTIONS, HOST_CONNECTIONS);
-	curl_multi_setopt(h->multi, CURLMOPT_MAXCONNECTS, CACHED_CONNECTIONS);
+	curl_multi_setopt(h->multi, CURLMOPT_MAXCONNECTS, cached_connections());
 	return h;
 }
 
