--- a/src/place.c
+++ b/src/place.c
@@ -6,8 +6,8 @@
  * need of one look at workers that have none first.  A kind's policy picks
  * among the workers a bounded walk of the grids offers:
  *
- *   batch    best fit: least room left over in the dimension that matters
- *            most to the task, and processors and memory left in balance;
+ *   batch    among the workers tightest in the dimension that matters most
+ *            to the task the one whose processors and memory it evens out;
  *   service  the zone, then the rack, then the worker with the fewest tasks
  *            of the job;
  *   gang     whole racks, see place_gang.c.
@@ -27,9 +27,10 @@
 #include "place.h"
 
 #define OFFERS 32                  /* workers compared a decision */
-#define OFFERS_ZONE 4              /* at least, in each zone */
+#define OFFERS_ZONE 8              /* of them in one zone */
 #define LOOKS 48                   /* first bound on looks in vain, a zone */
-#define BALANCE 0.5                /* weight of balance against tightness */
+#define TIGHT 0.05                 /* weight of tightness against balance */
+#define ALMOST_FULL 0.05           /* part of a worker that hardly matters */
 #define ASIDE_PART 10              /* at most one in so many is set aside */
 #define ASIDE_SMALLEST 3           /* workers below which none is */
 #define PROBE_LONG (120 * OGL_SEC) /* a probe task this long is good */
@@ -290,6 +291,18 @@
 	uint32_t best;
 };
 
+/* How lopsided room is; weighs more the less there is of the scarcer. */
+static double
+lopsided(double cpu, double mem)
+{
+	return fabs(cpu - mem) / (MIN(cpu, mem) + ALMOST_FULL);
+}
+
+/*
+ * Less is better.  Room is lost when one dimension runs out before the other,
+ * so a task goes where it evens out what is left; among alike the fuller
+ * worker keeps others whole for large tasks.
+ */
 static void
 pack_offer(void *ctx, uint32_t w)
 {
@@ -297,7 +310,9 @@
 	const struct ogl_res *a = &k->slots[w].avail;
 	double cpu = (a->cpu_milli - k->need->cpu_milli) * k->cpu_unit;
 	double mem = (a->mem_mb - k->need->mem_mb) * k->mem_unit;
-	double score = (k->by_mem ? mem : cpu) + BALANCE * fabs(cpu - mem);
+	double before =
+	    lopsided(a->cpu_milli * k->cpu_unit, a->mem_mb * k->mem_unit);
+	double score = lopsided(cpu, mem) - before + TIGHT * (cpu + mem);
 
 	if (k->best != OGL_PLACE_NONE && score >= k->score)
 		return;
@@ -305,24 +320,31 @@
 	k->best = w;
 }
 
-/* One walk over a plane of all zones; sets *skipped when cut short. */
+/*
+ * Walks a plane of one zone after the other, from a zone drawn by chance,
+ * until there were offers enough; sets *skipped when a walk was cut short.
+ */
 static void
 pack_plane(struct ogl_place *p, struct pack *k, unsigned plane, uint32_t looks,
     bool *skipped)
 {
-	uint32_t z, take = MAX(OFFERS / MAX(p->zones->len, 1), OFFERS_ZONE);
+	uint32_t z, n = p->zones->len, left = OFFERS;
+	uint32_t at = n > 0 ? next_random(p) % n : 0;
 
-	for (z = 0; z < p->zones->len; z++) {
+	for (z = 0; z < n && left > 0; z++) {
 		struct ogl_grid_walk walk = {
 		    .need = k->need,
 		    .by_mem = k->by_mem,
-		    .take = take,
+		    .take = MIN(OFFERS_ZONE, left),
 		    .misses = looks,
 		    .offer = pack_offer,
 		    .ctx = k,
 		};
 
-		ogl_grid_walk(&zone_at(p, z)->grid[plane], p->slots, &walk);
+		left -= walk.take;
+		ogl_grid_walk(
+		    &zone_at(p, (at + z) % n)->grid[plane], p->slots, &walk);
+		left += walk.take;
 		*skipped |= walk.skipped;
 	}
 }
@@ -845,6 +867,7 @@
 		p->workers =
 		    g_renew(struct ogl_place_worker, p->workers, p->room);
 	}
+	ogl_health_fit(p->health, p->n + 1);
 	return p->n++;
 }
 
@@ -1041,7 +1064,7 @@
 size_t
 ogl_place_bytes(const struct ogl_place *p)
 {
-	size_t n = sizeof(*p);
+	size_t n = sizeof(*p) + ogl_health_bytes(p->health);
 	uint32_t i;
 	unsigned plane;
 
--- a/src/place.h
+++ b/src/place.h
@@ -102,6 +102,11 @@
 ogl_time ogl_health_aside(struct ogl_health *h, uint32_t w, ogl_time now);
 /* The worker is set aside; until when. */
 
+void ogl_health_fit(struct ogl_health *h, uint32_t workers);
+/* Makes room for the jobs of so many workers. */
+
+size_t ogl_health_bytes(const struct ogl_health *h);
+
 void ogl_health_forget(struct ogl_health *h, uint32_t w);
 /* Worker w is gone. */
 
--- a/src/place_health.c
+++ b/src/place_health.c
@@ -14,15 +14,16 @@
  * once, takes in a large part of all new tasks; it shows as failures on one
  * worker over many jobs.
  *
- * The jobs' records live in a two-way table of fixed size where a new job
- * takes the place of the one unheard of for longest.
+ * The jobs' records live in a two-way table sized by the number of workers,
+ * where a new job takes the place of the one unheard of for longest.
  */
 
 #include <math.h>
 
 #include "place.h"
 
-#define JOB_SETS 2048      /* of two records each */
+#define JOB_SETS_MIN 64 /* of two records each */
+#define WORKERS_A_SET 4
 #define JOB_WEIGHT_MAX 64  /* results after which old ones are halved */
 #define SUSPECT_JOBS 8     /* failed jobs remembered a worker */
 #define SURPRISE_MAX 4.0   /* bits that one job can add */
@@ -49,7 +50,8 @@
 };
 
 struct ogl_health {
-	struct job_record jobs[JOB_SETS][2];
+	struct job_record (*jobs)[2];
+	uint32_t sets;      /* power of two */
 	GPtrArray *workers; /* struct worker_record, NULL when all went well */
 };
 
@@ -58,6 +60,8 @@
 {
 	struct ogl_health *h = g_new0(struct ogl_health, 1);
 
+	h->sets = JOB_SETS_MIN;
+	h->jobs = g_malloc0(h->sets * sizeof(*h->jobs));
 	h->workers = g_ptr_array_new_with_free_func(g_free);
 	return h;
 }
@@ -66,14 +70,22 @@
 ogl_health_end(struct ogl_health *h)
 {
 	g_ptr_array_free(h->workers, TRUE);
+	g_free(h->jobs);
 	g_free(h);
 }
 
 static struct job_record *
-job_record(struct ogl_health *h, uint64_t job, ogl_time now)
+job_set(struct ogl_health *h, uint64_t job)
 {
 	uint64_t hash = job * 0x9e3779b97f4a7c15u;
-	struct job_record *set = h->jobs[(hash >> 32) % JOB_SETS];
+
+	return h->jobs[(hash >> 32) & (h->sets - 1)];
+}
+
+static struct job_record *
+job_record(struct ogl_health *h, uint64_t job, ogl_time now)
+{
+	struct job_record *set = job_set(h, job);
 	struct job_record *r;
 
 	if (set[0].job == job || set[1].job == job) {
@@ -207,6 +219,39 @@
 	return now + ASIDE_BASE * ((ogl_time)1 << doublings);
 }
 
+void
+ogl_health_fit(struct ogl_health *h, uint32_t workers)
+{
+	struct job_record(*old)[2] = h->jobs, *r;
+	uint32_t i, n = h->sets;
+
+	if (workers <= n * WORKERS_A_SET)
+		return;
+	while (workers > h->sets * WORKERS_A_SET)
+		h->sets *= 2;
+	h->jobs = g_malloc0(h->sets * sizeof(*h->jobs));
+	for (i = 0; i < 2 * n; i++) {
+		r = &old[i / 2][i % 2];
+		if (r->last != 0)
+			*job_record(h, r->job, r->last) = *r;
+	}
+	g_free(old);
+}
+
+size_t
+ogl_health_bytes(const struct ogl_health *h)
+{
+	size_t n = sizeof(*h) + h->sets * sizeof(*h->jobs);
+	uint32_t i;
+
+	n += h->workers->len * sizeof(gpointer);
+	for (i = 0; i < h->workers->len; i++) {
+		if (h->workers->pdata[i] != NULL)
+			n += sizeof(struct worker_record);
+	}
+	return n;
+}
+
 void
 ogl_health_forget(struct ogl_health *h, uint32_t w)
 {
