Leave two places a target after refusals

Limits fell to one place when eight nodes share eight slots, and requests waited at their node beside free slots.

--- a/bench/bench_place.c
+++ b/bench/bench_place.c
@@ -67,6 +67,47 @@
 	qsort(ns, n, sizeof(*ns), mix_by_double);
 }
 
+/* Refusals in a full cell where one task after the other ends. */
+static void
+refusals(struct mix *m, struct ogl_place *p, GArray *held, double *ns,
+    uint32_t n, uint32_t workers)
+{
+	const uint32_t asks = 50; /* a task that ends */
+	struct held h;
+	double start, spent;
+	uint32_t i, at, in_row = 0, got = 0, j;
+
+	while (in_row < 2000) {
+		mix_ask(m, &h.ask, LEAST_CPU);
+		if (!ogl_place_task(p, &h.ask, 1, &h.w)) {
+			in_row++;
+			continue;
+		}
+		in_row = 0;
+		g_array_append_val(held, h);
+	}
+	for (i = 0; i < n / asks && held->len > 0; i++) {
+		at = (uint32_t)(mix_uniform(m) * held->len);
+		h = g_array_index(held, struct held, at);
+		ogl_place_free(p, h.w, &h.ask);
+		g_array_remove_index_fast(held, at);
+		for (j = 0; j < asks; j++) {
+			mix_ask(m, &h.ask, LEAST_CPU);
+			start = mix_now_ns();
+			if (ogl_place_task(p, &h.ask, 1, &h.w)) {
+				g_array_append_val(held, h);
+				continue;
+			}
+			spent = mix_now_ns() - start;
+			ns[got++] = spent;
+		}
+	}
+	qsort(ns, got, sizeof(*ns), mix_by_double);
+	printf("place_refuse_ns_%u %.0f ns\n", workers, ns[got / 2]);
+	printf("place_refuse_p99_us_%u %.2f us\n", workers,
+	    ns[got / 100 * 99] / 1000);
+}
+
 static void
 cost(uint32_t workers, uint32_t zones)
 {
@@ -84,6 +125,7 @@
 	printf("place_p99_us_%u %.2f us\n", workers, ns[n / 100 * 99] / 1000);
 	printf("place_bytes_worker_%u %.0f B\n", workers,
 	    (double)ogl_place_bytes(p) / workers);
+	refusals(&m, p, held, ns, n, workers);
 	g_free(ns);
 	g_array_free(held, TRUE);
 	ogl_place_end(p);
@@ -223,10 +265,10 @@
 struct cell {
 	struct ogl_place *p;
 	struct mix_heap events;
-	GArray *jobs;    /* struct job, by number */
-	GArray *waiting; /* uint32_t, oldest first */
-	GArray *running; /* struct held */
-	bool reserve;
+	GArray *jobs;           /* struct job, by number */
+	GArray *waiting;        /* uint32_t, oldest first */
+	GArray *running;        /* struct held */
+	ogl_time reserve_after; /* a gang's wait, OGL_NEVER for never */
 	double wait[3];
 	uint32_t waits[3];
 };
@@ -267,7 +309,7 @@
 
 	if (j->sort == GANG) {
 		if (!ogl_place_gang(c->p, &j->ask, j->n, now, w)) {
-			if (c->reserve)
+			if (now - j->since >= c->reserve_after)
 				ogl_place_reserve(c->p, j->ask.job, &j->ask,
 				    j->n, now + RESERVE, now);
 			return false;
@@ -323,10 +365,10 @@
 }
 
 static void
-gang_run(bool reserve, const char *suffix)
+gang_run(ogl_time reserve_after, const char *suffix)
 {
 	struct mix m = {11};
-	struct cell c = {.reserve = reserve};
+	struct cell c = {.reserve_after = reserve_after};
 	struct mix_event e;
 	struct held *h;
 	uint32_t id;
@@ -371,7 +413,9 @@
 	packing(50, 100, 40, "");
 	packing(5000, 100, 1, "_5000");
 	packing(50, 2000, 40, "_coarse");
-	gang_run(true, "");
-	gang_run(false, "_noreserve");
+	gang_run(0, "");
+	gang_run(10 * OGL_SEC, "_after10s");
+	gang_run(30 * OGL_SEC, "_after30s");
+	gang_run(OGL_NEVER, "_noreserve");
 	return 0;
 }
--- a/src/route.c
+++ b/src/route.c
@@ -32,9 +32,10 @@
 #define SERVICE_FIRST 20000.0       /* us, before any answer at all */
 #define SERVICE_LIFE (10 * OGL_SEC) /* after which an average is stale */
 #define OTHER_ZONE 1.15             /* how much better another zone must be */
-#define OTHERS_FADE 0.8             /* of others' load, an answer */
+#define OTHERS_FADE 0.95            /* of others' load, an answer */
 #define OTHERS_LIFE (2 * OGL_SEC)   /* after which a refusal says nothing */
-#define LIMIT_CUT 0.75              /* of the limit, a refusal */
+#define LIMIT_CUT 0.9               /* of the limit, a refusal */
+#define LIMIT_LEAST 2.0             /* which refusals leave */
 #define FAILS_ASIDE 5               /* in a row that set a target aside */
 #define FAILS_LIFE (5 * OGL_SEC)    /* after which they no longer deter */
 #define REFUSALS_ASIDE 8
@@ -489,7 +490,8 @@
 {
 	struct target *k = &r->targets[t];
 
-	k->limit = MAX(MIN(k->limit, k->nflights + 1) * LIMIT_CUT, 1);
+	k->limit = MIN(k->limit, k->nflights + 1) * LIMIT_CUT;
+	k->limit = MIN(MAX(k->limit, LIMIT_LEAST), k->slots);
 	k->others = k->slots > k->nflights ? k->slots - k->nflights : 0;
 	k->others_at = now;
 	if (k->refusals < UINT8_MAX)
