--- a/bench/bench_place.c
+++ b/bench/bench_place.c
@@ -108,6 +108,39 @@
 	    ns[got / 100 * 99] / 1000);
 }
 
+/* Gangs at 90% full, held and freed again; and one too large to fit. */
+static void
+gang_cost(struct mix *m, struct ogl_place *p, uint32_t workers)
+{
+	const uint32_t n = 400;
+	struct ogl_ask ask = {OGL__KIND__gang, {2000, 8192, 0}, 1};
+	uint32_t *w = g_new(uint32_t, workers * 8), size, i, j, got = 0;
+	double us[400], start, refuse;
+
+	for (i = 0; i < n; i++) {
+		size = (uint32_t)mix_pareto(m, 4, 64, 1.0);
+		start = mix_now_ns();
+		if (!ogl_place_gang(p, &ask, size, 1, w))
+			continue;
+		us[got++] = (mix_now_ns() - start) / 1000;
+		for (j = 0; j < size; j++)
+			ogl_place_free(p, w[j], &ask);
+	}
+	qsort(us, got, sizeof(*us), mix_by_double);
+	start = mix_now_ns();
+	ogl_place_gang(p, &ask, workers * 8, 1, w);
+	refuse = (mix_now_ns() - start) / 1000;
+	if (got > 0)
+		printf("place_gang_us_%u %.1f us\n", workers, us[got / 2]);
+	printf("place_gang_refuse_us_%u %.1f us\n", workers, refuse);
+	start = mix_now_ns();
+	ogl_place_reserve(p, 1, &ask, workers, 3, 2);
+	printf("place_reserve_us_%u %.1f us\n", workers,
+	    (mix_now_ns() - start) / 1000);
+	ogl_place_unreserve(p, 1);
+	g_free(w);
+}
+
 static void
 cost(uint32_t workers, uint32_t zones)
 {
@@ -125,6 +158,7 @@
 	printf("place_p99_us_%u %.2f us\n", workers, ns[n / 100 * 99] / 1000);
 	printf("place_bytes_worker_%u %.0f B\n", workers,
 	    (double)ogl_place_bytes(p) / workers);
+	gang_cost(&m, p, workers);
 	refusals(&m, p, held, ns, n, workers);
 	g_free(ns);
 	g_array_free(held, TRUE);
--- a/src/place.c
+++ b/src/place.c
@@ -199,6 +199,7 @@
 
 	for (i = 0; i < OGL_PLANES; i++)
 		ogl_grid_clear(&z->grid[i]);
+	ogl_grid_clear(&z->racks);
 	g_free(z->name);
 	g_free(z);
 }
@@ -228,6 +229,7 @@
 	char *key = g_strdup_printf("%u/%s", zone, name);
 	struct ogl_place_rack r = {.zone = zone};
 	gpointer v;
+	uint32_t n;
 
 	if (g_hash_table_lookup_extended(p->rack_byname, key, NULL, &v)) {
 		g_free(key);
@@ -235,9 +237,12 @@
 	}
 	r.workers = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	g_array_append_val(p->racks, r);
-	g_hash_table_insert(
-	    p->rack_byname, key, GUINT_TO_POINTER(p->racks->len - 1));
-	return p->racks->len - 1;
+	n = p->racks->len - 1;
+	p->rack_slots = g_renew(struct ogl_slot, p->rack_slots, n + 1);
+	memset(&p->rack_slots[n], 0, sizeof(p->rack_slots[n]));
+	ogl_place_rack_reindex(p, n);
+	g_hash_table_insert(p->rack_byname, key, GUINT_TO_POINTER(n));
+	return n;
 }
 
 static uint32_t
@@ -435,6 +440,7 @@
 	g_array_free(p->aside, TRUE);
 	g_array_free(p->spare, TRUE);
 	g_free(p->workers);
+	g_free(p->rack_slots);
 	g_free(p->slots);
 	g_free(p);
 }
@@ -448,12 +454,14 @@
 
 	n += p->room * (sizeof(*p->slots) + sizeof(*p->workers));
 	n += p->counts.size * sizeof(*p->counts.cells);
-	n += p->racks->len * sizeof(struct ogl_place_rack);
+	n += p->racks->len *
+	     (sizeof(struct ogl_place_rack) + sizeof(*p->rack_slots));
 	for (i = 0; i < p->n; i++)
 		n += p->workers[i].room_jobs * sizeof(struct ogl_job_here);
 	for (i = 0; i < p->racks->len; i++)
 		n += ogl_place_rack_at(p, i)->workers->len * sizeof(uint32_t);
 	for (i = 0; i < p->zones->len; i++) {
+		n += ogl_grid_bytes(&ogl_place_zone_at(p, i)->racks);
 		for (plane = 0; plane < OGL_PLANES; plane++)
 			n += ogl_grid_bytes(
 			    &ogl_place_zone_at(p, i)->grid[plane]);
--- a/src/place.h
+++ b/src/place.h
@@ -145,13 +145,15 @@
 struct ogl_place_zone {
 	char *name;
 	struct ogl_grid grid[OGL_PLANES];
-	uint64_t avail_cpu; /* over indexed workers */
+	struct ogl_grid racks;    /* by the sums of their workers */
+	uint64_t cpu, mem, accel; /* avail over indexed workers */
 };
 
 struct ogl_place_rack {
 	uint16_t zone;
 	uint64_t cpu, mem, accel; /* avail over indexed workers */
 	GArray *workers;          /* uint32_t */
+	uint32_t planned;         /* the last plan that looked at it */
 };
 
 /* Tasks of the reserved gang that a worker keeps room for. */
@@ -172,6 +174,13 @@
 };
 
 #define OGL_PLACE_MISSES 8 /* shapes known to fit nowhere */
+#define OGL_GANG_MISSES 4  /* shapes known to fit few times */
+
+/* How often a shape fits at most, since a gang of it was refused. */
+struct ogl_gang_miss {
+	struct ogl_res need;
+	uint64_t most;
+};
 
 struct ogl_place {
 	struct ogl_slot *slots; /* by worker number */
@@ -181,7 +190,8 @@
 	GHashTable *byname; /* name -> number + 1 */
 	GPtrArray *zones;   /* struct ogl_place_zone */
 	GHashTable *zone_byname;
-	GArray *racks; /* struct ogl_place_rack */
+	GArray *racks;               /* struct ogl_place_rack */
+	struct ogl_slot *rack_slots; /* by rack number, in zones' grids */
 	GHashTable *rack_byname;
 	GHashTable *shapes; /* capacity -> workers of it */
 	struct ogl_counts counts;
@@ -192,6 +202,9 @@
 	struct ogl_reservation reserved;
 	struct ogl_res miss[OGL_PLACE_MISSES];
 	uint32_t nmiss;
+	struct ogl_gang_miss gang_miss[OGL_GANG_MISSES];
+	uint32_t ngang_miss, next_gang_miss;
+	uint32_t plans;                             /* made so far */
 	uint64_t total_cpu, total_mem, total_accel; /* open workers */
 	uint64_t held_cpu, held_mem, held_accel;
 	uint64_t rnd;
@@ -255,6 +268,20 @@
 bool ogl_place_missed(const struct ogl_place *p, const struct ogl_res *need);
 /* Whether the need is known to fit nowhere now. */
 
+struct ogl_res ogl_place_times(const struct ogl_res *r, uint32_t n);
+/* n times r, at most the largest that 32 bits hold. */
+
+void ogl_place_rack_reindex(struct ogl_place *p, uint32_t rack);
+/* Brings a rack's place in its zone's grid up to date. */
+
+bool ogl_place_gang_missed(
+    const struct ogl_place *p, const struct ogl_res *need, uint32_t n);
+/* Whether so many are known not to fit now. */
+
+void ogl_place_note_gang_miss(
+    struct ogl_place *p, const struct ogl_res *need, uint64_t most);
+/* The need was found to fit so often and no more. */
+
 void ogl_place_note_miss(struct ogl_place *p, const struct ogl_res *need);
 /* The need was found to fit nowhere. */
 
--- a/src/place_gang.c
+++ b/src/place_gang.c
@@ -2,10 +2,12 @@
  * Gangs: all tasks at once or none, and the one reservation.
  *
  * A gang is first planned, touching nothing, then held.  The plan tries
- * single racks whose free room in sum is enough, the tightest first, then
- * the racks of one zone, then all racks, roomiest first.  All tasks of a
- * gang are alike, so how many a worker takes does not depend on the others,
- * and a plan over all racks finds room whenever there is some.
+ * single racks whose free room in sum is enough, found in the zone's grid of
+ * racks, then many racks, of the roomiest zone first.  All tasks of a gang
+ * are alike, so how many a worker takes does not depend on the others, and a
+ * plan over all racks finds room whenever there is some.  When it finds too
+ * little, the number that did fit is remembered, and raised as workers gain
+ * room; until it reaches the gang's size the gang is refused at once.
  *
  * Without a reservation a large gang may wait for ever, since each bit of
  * room that falls free goes to some smaller task at once.  The reservation
@@ -17,55 +19,35 @@
  * hoarded.
  */
 
-#include <stdlib.h>
-
 #include "place.h"
 
-#define RACK_TRIES 4
+#define RACK_TRIES 4 /* single racks tried in each zone */
+#define RACK_LOOKS 32
 #define HALVINGS 7          /* steps to the part of work that has to end */
 #define CHOOSE_EACH OGL_SEC /* least time between choices */
 
-struct rack_fit {
-	uint64_t most; /* tasks the sums allow; at least what fits */
-	uint32_t rack;
-	uint16_t zone;
-};
-
-static uint64_t
-fit_sum(uint32_t need, uint64_t sum)
-{
-	return need > 0 ? sum / need : UINT32_MAX;
-}
-
-static uint64_t
-rack_most(const struct ogl_place_rack *r, const struct ogl_res *need)
-{
-	uint64_t n = fit_sum(need->cpu_milli, r->cpu);
-
-	n = MIN(n, fit_sum(need->mem_mb, r->mem));
-	return MIN(n, fit_sum(need->accel, r->accel));
-}
-
 /* ---- plans ------------------------------------------------------------ */
 
 struct plan {
+	struct ogl_place *p;
 	const struct ogl_ask *ask;
 	uint32_t n; /* wanted */
 	uint32_t got;
 	uint32_t *w;
 	bool accel_too; /* also workers with accelerators, if not needed */
+	struct ogl_grid_walk *walk;
 };
 
 static void
-plan_rack(const struct ogl_place *p, struct plan *k, uint32_t rack)
+plan_rack(struct plan *k, uint32_t rack)
 {
-	const GArray *a = ogl_place_rack_at(p, rack)->workers;
+	const GArray *a = ogl_place_rack_at(k->p, rack)->workers;
 	const struct ogl_slot *s;
 	uint32_t i, w, fit;
 
 	for (i = 0; i < a->len && k->got < k->n; i++) {
 		w = g_array_index(a, uint32_t, i);
-		s = &p->slots[w];
+		s = &k->p->slots[w];
 		if (!s->indexed)
 			continue;
 		if (k->ask->res.accel == 0 && s->plane != 0 && !k->accel_too)
@@ -76,103 +58,146 @@
 	}
 }
 
-/* A single rack that holds all, the tightest of those likely. */
+static void
+one_rack_offer(void *ctx, uint32_t rack)
+{
+	struct plan *k = ctx;
+
+	k->got = 0;
+	plan_rack(k, rack);
+	if (k->got == k->n)
+		k->walk->take = 0;
+}
+
+/* A single rack that holds all, in each zone the tightest first. */
 static bool
-plan_one_rack(const struct ogl_place *p, struct plan *k)
+plan_one_rack(struct plan *k)
 {
-	struct rack_fit best[RACK_TRIES];
-	uint32_t i, n = 0, r;
-	uint64_t most;
+	struct ogl_res all = ogl_place_times(&k->ask->res, k->n);
+	uint32_t i, zones = k->p->zones->len, at = ogl_place_random(k->p);
+	struct ogl_place_zone *z;
 
-	for (r = 0; r < p->racks->len; r++) {
-		most = rack_most(ogl_place_rack_at(p, r), &k->ask->res);
-		if (most < k->n)
-			continue;
-		if (n == RACK_TRIES && most >= best[n - 1].most)
-			continue;
-		if (n < RACK_TRIES)
-			n++;
-		for (i = n - 1; i > 0 && best[i - 1].most > most; i--)
-			best[i] = best[i - 1];
-		best[i].most = most;
-		best[i].rack = r;
-	}
-	for (i = 0; i < n; i++) {
-		k->got = 0;
-		plan_rack(p, k, best[i].rack);
+	k->got = 0;
+	for (i = 0; i < zones; i++) {
+		struct ogl_grid_walk walk = {
+		    .need = &all,
+		    .take = RACK_TRIES,
+		    .misses = RACK_LOOKS,
+		    .offer = one_rack_offer,
+		    .ctx = k,
+		};
+
+		k->walk = &walk;
+		z = ogl_place_zone_at(k->p, (at + i) % zones);
+		ogl_grid_walk(&z->racks, k->p->rack_slots, &walk);
 		if (k->got == k->n)
 			return true;
 	}
 	return false;
 }
 
-static int
-by_most(const void *a, const void *b)
+static void
+fill_offer(void *ctx, uint32_t rack)
 {
-	const struct rack_fit *x = a, *y = b;
+	struct plan *k = ctx;
+	struct ogl_place_rack *r = ogl_place_rack_at(k->p, rack);
 
-	if (x->most != y->most)
-		return x->most > y->most ? -1 : 1;
-	return x->rack < y->rack ? -1 : x->rack > y->rack;
+	if (r->planned == k->p->plans)
+		return;
+	r->planned = k->p->plans;
+	plan_rack(k, rack);
+	if (k->got == k->n)
+		k->walk->take = 0;
 }
 
-/* Racks by what they may hold, and the zone that may hold the most. */
-static struct rack_fit *
-sort_racks(
-    const struct ogl_place *p, const struct ogl_res *need, uint16_t *zone)
+/*
+ * Fills the racks of a zone: first those that may hold half of the gang,
+ * then a quarter, and so on to single tasks, so few racks are used.
+ */
+static void
+plan_zone(struct plan *k, uint32_t z)
 {
-	struct rack_fit *f = g_new(struct rack_fit, p->racks->len);
-	uint64_t *sums = g_new0(uint64_t, p->zones->len);
-	uint32_t r;
-
-	for (r = 0; r < p->racks->len; r++) {
-		f[r].rack = r;
-		f[r].zone = ogl_place_rack_at(p, r)->zone;
-		f[r].most = rack_most(ogl_place_rack_at(p, r), need);
-		sums[f[r].zone] += f[r].most;
-	}
-	qsort(f, p->racks->len, sizeof(*f), by_most);
-	*zone = 0;
-	for (r = 1; r < p->zones->len; r++) {
-		if (sums[r] > sums[*zone])
-			*zone = (uint16_t)r;
+	const struct ogl_grid *g = &ogl_place_zone_at(k->p, z)->racks;
+	uint32_t part = k->n;
+	struct ogl_res need;
+
+	while (k->got < k->n && part > 0) {
+		struct ogl_grid_walk walk = {
+		    .need = &need,
+		    .take = UINT32_MAX,
+		    .misses = UINT32_MAX,
+		    .offer = fill_offer,
+		    .ctx = k,
+		};
+
+		part = part > 1 ? (part + 1) / 2 : 0;
+		need = ogl_place_times(&k->ask->res, MAX(part, 1));
+		k->walk = &walk;
+		ogl_grid_walk(g, k->p->rack_slots, &walk);
 	}
-	g_free(sums);
-	return f;
 }
 
-static bool
-plan_many_racks(const struct ogl_place *p, struct plan *k)
+static uint64_t
+fit_sum(uint32_t need, uint64_t sum)
 {
-	struct rack_fit *f;
-	uint16_t zone;
-	uint32_t i;
+	return need > 0 ? sum / need : UINT32_MAX;
+}
 
-	f = sort_racks(p, &k->ask->res, &zone);
-	k->got = 0;
-	for (i = 0; i < p->racks->len && k->got < k->n; i++) {
-		if (f[i].zone == zone)
-			plan_rack(p, k, f[i].rack);
+/* Tasks that the sums of a zone allow; at least what fits. */
+static uint64_t
+zone_most(const struct ogl_place_zone *z, const struct ogl_res *need)
+{
+	uint64_t n = fit_sum(need->cpu_milli, z->cpu);
+
+	n = MIN(n, fit_sum(need->mem_mb, z->mem));
+	return MIN(n, fit_sum(need->accel, z->accel));
+}
+
+/* Many racks, of the roomiest zone first. */
+static bool
+plan_many_racks(struct plan *k)
+{
+	uint32_t z, zones = k->p->zones->len, best = 0;
+	uint64_t most, sum = 0, best_most = 0;
+
+	for (z = 0; z < zones; z++) {
+		most = zone_most(ogl_place_zone_at(k->p, z), &k->ask->res);
+		sum += most;
+		if (most > best_most) {
+			best_most = most;
+			best = z;
+		}
 	}
-	if (k->got < k->n)
-		k->got = 0;
-	for (i = 0; i < p->racks->len && k->got < k->n; i++)
-		plan_rack(p, k, f[i].rack);
-	g_free(f);
+	k->got = 0;
+	if (sum < k->n)
+		return false;
+	k->p->plans++;
+	for (z = 0; z < zones && k->got < k->n; z++)
+		plan_zone(k, (best + z) % zones);
 	return k->got == k->n;
 }
 
 static bool
-plan_gang(const struct ogl_place *p, struct plan *k)
+plan_gang(struct plan *k)
 {
-	if (ogl_place_missed(p, &k->ask->res))
-		return false;
-	if (plan_one_rack(p, k) || plan_many_racks(p, k))
+	const struct ogl_res *need = &k->ask->res;
+
+	if (k->n == 0)
 		return true;
-	if (k->ask->res.accel > 0)
+	if (ogl_place_missed(k->p, need) ||
+	    ogl_place_gang_missed(k->p, need, k->n))
 		return false;
-	k->accel_too = true;
-	return plan_one_rack(p, k) || plan_many_racks(p, k);
+	if (plan_one_rack(k) || plan_many_racks(k))
+		return true;
+	if (need->accel == 0) {
+		k->accel_too = true;
+		if (plan_one_rack(k) || plan_many_racks(k))
+			return true;
+	}
+	/* A plan over all racks that failed has counted all that fits. */
+	if (k->got > 0)
+		ogl_place_note_gang_miss(k->p, need, k->got);
+	return false;
 }
 
 /* ---- the reservation -------------------------------------------------- */
@@ -349,7 +374,7 @@
 	bool ok;
 
 	keep(p, false);
-	ok = plan_gang(p, k);
+	ok = plan_gang(k);
 	if (!ok &&
 	    (p->reserved.lost || now - p->reserved.chosen >= CHOOSE_EACH) &&
 	    !choose(p, now))
@@ -363,13 +388,13 @@
 ogl_place_gang(struct ogl_place *p, const struct ogl_ask *ask, uint32_t n,
     ogl_time now, uint32_t *w)
 {
-	struct plan k = {.ask = ask, .n = n, .w = w};
+	struct plan k = {.p = p, .ask = ask, .n = n, .w = w};
 	uint32_t i;
 	bool own, ok;
 
 	ogl_place_expire(p, now);
 	own = p->reserved.set && p->reserved.ask.job == ask->job;
-	ok = own ? plan_reserved(p, &k, now) : plan_gang(p, &k);
+	ok = own ? plan_reserved(p, &k, now) : plan_gang(&k);
 	if (!ok)
 		return false;
 	if (own)
--- a/src/place_index.c
+++ b/src/place_index.c
@@ -1,6 +1,6 @@
 /*
  * The index of placement: where each worker stands in the grids, sums by
- * zone and rack, and shapes known to fit nowhere.
+ * zone and rack, shapes known to fit nowhere, and gangs known not to fit.
  *
  * Every change of a worker ends in ogl_place_reindex, which works out what
  * it shows to searches: its free room less what is kept for a reservation,
@@ -53,8 +53,8 @@
 	return need->accel == 0 ? 0 : 1 + accel_class(need->accel);
 }
 
-static struct ogl_res
-times(const struct ogl_res *r, uint32_t n)
+struct ogl_res
+ogl_place_times(const struct ogl_res *r, uint32_t n)
 {
 	struct ogl_res out = {
 	    ogl_place_sat((uint64_t)r->cpu_milli * n),
@@ -67,12 +67,32 @@
 
 /* ---- the index -------------------------------------------------------- */
 
+void
+ogl_place_rack_reindex(struct ogl_place *p, uint32_t rack)
+{
+	const struct ogl_place_rack *r = ogl_place_rack_at(p, rack);
+	struct ogl_grid *g = &ogl_place_zone_at(p, r->zone)->racks;
+	struct ogl_slot *s = &p->rack_slots[rack];
+
+	s->avail.cpu_milli = ogl_place_sat(r->cpu);
+	s->avail.mem_mb = ogl_place_sat(r->mem);
+	s->avail.accel = ogl_place_sat(r->accel);
+	if (s->indexed && !ogl_grid_moves(s))
+		return;
+	if (s->indexed)
+		ogl_grid_take(g, p->rack_slots, rack);
+	ogl_grid_put(g, p->rack_slots, rack);
+}
+
 static void
 sums_add(struct ogl_place *p, const struct ogl_slot *s)
 {
 	struct ogl_place_rack *r = ogl_place_rack_at(p, s->rack);
+	struct ogl_place_zone *z = ogl_place_zone_at(p, s->zone);
 
-	ogl_place_zone_at(p, s->zone)->avail_cpu += s->avail.cpu_milli;
+	z->cpu += s->avail.cpu_milli;
+	z->mem += s->avail.mem_mb;
+	z->accel += s->avail.accel;
 	r->cpu += s->avail.cpu_milli;
 	r->mem += s->avail.mem_mb;
 	r->accel += s->avail.accel;
@@ -82,8 +102,11 @@
 sums_sub(struct ogl_place *p, const struct ogl_slot *s)
 {
 	struct ogl_place_rack *r = ogl_place_rack_at(p, s->rack);
+	struct ogl_place_zone *z = ogl_place_zone_at(p, s->zone);
 
-	ogl_place_zone_at(p, s->zone)->avail_cpu -= s->avail.cpu_milli;
+	z->cpu -= s->avail.cpu_milli;
+	z->mem -= s->avail.mem_mb;
+	z->accel -= s->avail.accel;
 	r->cpu -= s->avail.cpu_milli;
 	r->mem -= s->avail.mem_mb;
 	r->accel -= s->avail.accel;
@@ -124,6 +147,7 @@
 	if (!s->indexed)
 		return;
 	sums_sub(p, s);
+	ogl_place_rack_reindex(p, s->rack);
 	ogl_grid_take(
 	    &ogl_place_zone_at(p, s->zone)->grid[s->plane], p->slots, w);
 }
@@ -149,13 +173,45 @@
 	}
 }
 
+/* A worker gained room: gangs refused before fit so much more often. */
+static void
+raise_gang_misses(struct ogl_place *p, const struct ogl_res *before,
+    const struct ogl_res *after)
+{
+	struct ogl_gang_miss *m;
+	uint32_t i, old, new;
+
+	for (i = 0; i < p->ngang_miss; i++) {
+		m = &p->gang_miss[i];
+		old = ogl_place_fit(&m->need, before);
+		new = ogl_place_fit(&m->need, after);
+		if (new > old)
+			m->most += new - old;
+	}
+}
+
+/* Puts the slot of worker w, its avail set, where it belongs. */
+static void
+put_slot(struct ogl_place *p, uint32_t w)
+{
+	struct ogl_slot *s = &p->slots[w];
+	struct ogl_grid *grid = ogl_place_zone_at(p, s->zone)->grid;
+	unsigned plane = plane_of(&p->workers[w].capacity, &s->avail);
+
+	if (s->indexed && plane == s->plane && !ogl_grid_moves(s))
+		return;
+	if (s->indexed)
+		ogl_grid_take(&grid[s->plane], p->slots, w);
+	s->plane = (uint8_t)plane;
+	ogl_grid_put(&grid[plane], p->slots, w);
+}
+
 void
 ogl_place_reindex(struct ogl_place *p, uint32_t w)
 {
 	struct ogl_place_worker *k = &p->workers[w];
 	struct ogl_slot *s = &p->slots[w];
-	struct ogl_res avail, kept;
-	unsigned plane;
+	struct ogl_res before = {0}, kept;
 
 	if (!usable(k)) {
 		ogl_place_unindex(p, w);
@@ -163,32 +219,20 @@
 	}
 	if (!k->counted)
 		count_in(p, k);
-	avail = ogl_place_free_room(k);
-	if (k->kept > 0) {
-		kept = times(&p->reserved.ask.res, k->kept);
-		ogl_res_sub(&avail, &kept);
-	}
-	plane = plane_of(&k->capacity, &avail);
 	if (s->indexed) {
+		before = s->avail;
 		sums_sub(p, s);
-		s->avail = avail;
-		sums_add(p, s);
-		if (plane != s->plane || ogl_grid_moves(s)) {
-			ogl_grid_take(
-			    &ogl_place_zone_at(p, s->zone)->grid[s->plane],
-			    p->slots, w);
-		}
-	} else {
-		s->avail = avail;
-		sums_add(p, s);
 	}
-	if (!s->indexed) {
-		s->plane = (uint8_t)plane;
-		ogl_grid_put(
-		    &ogl_place_zone_at(p, s->zone)->grid[plane], p->slots, w);
+	s->avail = ogl_place_free_room(k);
+	if (k->kept > 0) {
+		kept = ogl_place_times(&p->reserved.ask.res, k->kept);
+		ogl_res_sub(&s->avail, &kept);
 	}
-	if (p->nmiss > 0)
-		forget_misses(p, &avail);
+	sums_add(p, s);
+	ogl_place_rack_reindex(p, s->rack);
+	put_slot(p, w);
+	forget_misses(p, &s->avail);
+	raise_gang_misses(p, &before, &s->avail);
 }
 
 bool
@@ -214,3 +258,28 @@
 		i = ogl_place_random(p) % OGL_PLACE_MISSES;
 	p->miss[i] = *need;
 }
+
+bool
+ogl_place_gang_missed(
+    const struct ogl_place *p, const struct ogl_res *need, uint32_t n)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->ngang_miss; i++) {
+		if (ogl_res_fits(&p->gang_miss[i].need, need) &&
+		    n > p->gang_miss[i].most)
+			return true;
+	}
+	return false;
+}
+
+void
+ogl_place_note_gang_miss(
+    struct ogl_place *p, const struct ogl_res *need, uint64_t most)
+{
+	uint32_t i = p->next_gang_miss++ % OGL_GANG_MISSES;
+
+	p->ngang_miss = MIN(p->ngang_miss + 1, OGL_GANG_MISSES);
+	p->gang_miss[i].need = *need;
+	p->gang_miss[i].most = most;
+}
--- a/src/place_pick.c
+++ b/src/place_pick.c
@@ -203,11 +203,10 @@
 		    &p->counts, ogl_counts_key(job, OGL_COUNT_ZONE, i));
 		if (found &&
 		    (n > least ||
-			(n == least &&
-			    ogl_place_zone_at(p, i)->avail_cpu <= most)))
+			(n == least && ogl_place_zone_at(p, i)->cpu <= most)))
 			continue;
 		least = n;
-		most = ogl_place_zone_at(p, i)->avail_cpu;
+		most = ogl_place_zone_at(p, i)->cpu;
 		*z = i;
 		found = true;
 	}
