--- a/bench/bench_place.c
+++ b/bench/bench_place.c
@@ -278,7 +278,6 @@
 /* ---- gangs ------------------------------------------------------------ */
 
 #define GANG_JOBS 6000
-#define GANG_LOAD 0.95
 #define GANG_WORKERS 50
 #define RESERVE (120 * OGL_SEC)
 #define WARM_UP 500 /* jobs before waits count */
@@ -303,7 +302,7 @@
 	GArray *waiting;        /* uint32_t, oldest first */
 	GArray *running;        /* struct held */
 	ogl_time reserve_after; /* a gang's wait, OGL_NEVER for never */
-	double wait[3];
+	double wait[3], longest[3];
 	uint32_t waits[3];
 };
 
@@ -376,15 +375,17 @@
 		if (id < WARM_UP)
 			continue;
 		c->wait[j->sort] += (double)(now - j->since) / OGL_SEC;
+		c->longest[j->sort] = MAX(
+		    c->longest[j->sort], (double)(now - j->since) / OGL_SEC);
 		c->waits[j->sort]++;
 	}
 	g_array_set_size(c->waiting, kept);
 }
 
 static void
-arrivals(struct cell *c, struct mix *m)
+arrivals(struct cell *c, struct mix *m, double load)
 {
-	double room = GANG_WORKERS * 16000.0 * GANG_LOAD, t = 0;
+	double room = GANG_WORKERS * 16000.0 * load, t = 0;
 	struct job j;
 	uint32_t i;
 
@@ -399,7 +400,7 @@
 }
 
 static void
-gang_run(ogl_time reserve_after, const char *suffix)
+gang_run(double load, ogl_time reserve_after, const char *suffix)
 {
 	struct mix m = {11};
 	struct cell c = {.reserve_after = reserve_after};
@@ -412,7 +413,7 @@
 	c.waiting = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	c.running = g_array_new(FALSE, FALSE, sizeof(struct held));
 	mix_cell(&m, c.p, GANG_WORKERS, 4);
-	arrivals(&c, &m);
+	arrivals(&c, &m, load);
 	while (mix_heap_pop(&c.events, &e)) {
 		if (e.what & ARRIVAL) {
 			id = (uint32_t)e.what;
@@ -426,6 +427,7 @@
 	printf("gang_wait_ratio%s %.2f ratio\n", suffix,
 	    (c.wait[GANG] / c.waits[GANG]) / (c.wait[BATCH] / c.waits[BATCH]));
 	printf("gang_wait_s%s %.2f s\n", suffix, c.wait[GANG] / c.waits[GANG]);
+	printf("gang_wait_max_s%s %.2f s\n", suffix, c.longest[GANG]);
 	printf("gang_batch_wait_s%s %.2f s\n", suffix,
 	    c.wait[BATCH] / c.waits[BATCH]);
 	printf("gang_small_wait_s%s %.2f s\n", suffix,
@@ -447,9 +449,11 @@
 	packing(50, 100, 40, "");
 	packing(5000, 100, 1, "_5000");
 	packing(50, 2000, 40, "_coarse");
-	gang_run(0, "");
-	gang_run(10 * OGL_SEC, "_after10s");
-	gang_run(30 * OGL_SEC, "_after30s");
-	gang_run(OGL_NEVER, "_noreserve");
+	gang_run(0.95, 0, "");
+	gang_run(0.95, 30 * OGL_SEC, "_after30s");
+	gang_run(0.95, OGL_NEVER, "_noreserve");
+	gang_run(0.7, 0, "_70");
+	gang_run(0.7, 30 * OGL_SEC, "_70_after30s");
+	gang_run(0.7, OGL_NEVER, "_70_noreserve");
 	return 0;
 }
