--- a/src/route.c
+++ b/src/route.c
@@ -15,11 +15,9 @@
  *
  * Breaker: a run of failures sets a target aside for a delay that doubles,
  * then one request probes it.  At most half the targets are set aside, since
- * a failure of all has a common cause that no choice of target mends.  When
- * one request fails on several targets the request is at fault: the targets
- * are not blamed, and the first one, blamed before that was known, is
- * cleared.  Without this one poisonous request, tried again by its caller,
- * closes target after target.
+ * a failure of all has a common cause that no choice of target mends.  Whose
+ * fault a failure is, is told by route_blame.c; the rate at which requests
+ * leave is kept by route_drain.c.
  */
 
 #include <string.h>
@@ -41,12 +39,7 @@
 #define REFUSALS_ASIDE 8
 #define ASIDE_BASE (1 * OGL_SEC)
 #define ASIDE_DOUBLINGS 6
-#define FAILED_KEPT 64 /* failed requests remembered */
-#define FAILED_LIFE (60 * OGL_SEC)
-#define DRAIN_WINDOW (500 * OGL_MS)
-#define DRAIN_GAIN 0.4          /* of one window in the drain rate */
-#define BUSY_LIFE (2 * OGL_SEC) /* a lack of places is recent */
-#define WAIT_UNKNOWN_MS 2000    /* no target, nothing known */
+#define WAIT_UNKNOWN_MS 2000 /* no target, nothing known */
 #define WAIT_MAX_MS 60000
 #define WAIT_MIN_MS 20
 
@@ -83,14 +76,6 @@
 	bool own_zone;
 };
 
-/* A request that failed, and the target blamed for it. */
-struct failed {
-	uint64_t request;
-	uint32_t t;
-	bool blamed;
-	ogl_time at;
-};
-
 struct ogl_route {
 	char *own_zone;
 	struct target *targets;
@@ -100,15 +85,11 @@
 	GArray *active;     /* uint32_t, those that may get requests */
 	uint32_t naside;    /* set aside, not leaving or gone */
 	ogl_time probe_due; /* earliest aside_due, OGL_NEVER for none */
-	struct failed failed[FAILED_KEPT];
-	uint32_t next_failed;
+	struct ogl_blame blame;
 	double service; /* us, average over all targets */
 	struct ogl_budget budget;
-	bool begun;       /* the budget knows the time */
-	ogl_time window;  /* start of the present window */
-	uint32_t drained; /* requests that left in it */
-	double drain;     /* a second, while busy; 0 unknown */
-	ogl_time busy;    /* when a place was last lacking */
+	bool begun; /* the budget knows the time */
+	struct ogl_drain drain;
 	uint64_t rnd;
 };
 
@@ -407,7 +388,7 @@
 	if (due_for_probe(r, tried, ntried, now, t)) {
 		set_state(r, *t, ASIDE_PROBING, false);
 	} else if (!draw(r, tried, ntried, now, t)) {
-		r->busy = now;
+		ogl_drain_short(&r->drain, now);
 		return false;
 	}
 	fly(&r->targets[*t], request, now);
@@ -433,26 +414,6 @@
 	return true;
 }
 
-static void
-count_drained(struct ogl_route *r, ogl_time now)
-{
-	ogl_time length = now - r->window;
-	double rate;
-
-	r->drained++;
-	if (length < DRAIN_WINDOW)
-		return;
-	rate = (double)r->drained * OGL_SEC / length;
-	/* A window without a shortage tells the demand, not the capacity. */
-	if (r->busy >= r->window && r->window > 0) {
-		r->drain = r->drain > 0
-			       ? r->drain + DRAIN_GAIN * (rate - r->drain)
-			       : rate;
-	}
-	r->window = now;
-	r->drained = 0;
-}
-
 static void
 learn(double *average, double took)
 {
@@ -517,48 +478,20 @@
 	set_state(r, t, ASIDE_NOT, k->leaving);
 }
 
-/* Whether the request failed on another target too; clears that one. */
-static bool
-follows_request(struct ogl_route *r, uint64_t request, uint32_t t, ogl_time now)
-{
-	bool follows = false;
-	struct failed *f;
-	uint32_t i;
-
-	for (i = 0; i < FAILED_KEPT; i++) {
-		f = &r->failed[i];
-		if (f->at == 0 || f->request != request || f->t == t ||
-		    now - f->at > FAILED_LIFE)
-			continue;
-		follows = true;
-		if (f->blamed)
-			unblame(r, f->t);
-		f->blamed = false;
-	}
-	return follows;
-}
-
-static void
-note_failed(struct ogl_route *r, uint64_t request, uint32_t t, bool blamed,
-    ogl_time now)
-{
-	struct failed *f = &r->failed[r->next_failed++ % FAILED_KEPT];
-
-	f->request = request;
-	f->t = t;
-	f->blamed = blamed;
-	f->at = now;
-}
-
 static void
 failed(struct ogl_route *r, uint32_t t, uint64_t request, bool unreached,
     ogl_time now)
 {
 	struct target *k = &r->targets[t];
-	bool blamed = unreached || !follows_request(r, request, t, now);
-
-	if (!unreached)
-		note_failed(r, request, t, blamed, now);
+	bool blamed = true;
+	uint32_t before;
+
+	/* What never reached the target cannot be the request's fault. */
+	if (!unreached) {
+		while (ogl_blame_lift(&r->blame, request, t, now, &before))
+			unblame(r, before);
+		blamed = ogl_blame_note(&r->blame, request, t, now);
+	}
 	if (k->aside == ASIDE_PROBING) {
 		set_aside(r, t, now);
 		return;
@@ -582,7 +515,7 @@
 	if (!known(r, t) || !land(&r->targets[t], request, &since))
 		return;
 	if (io == OGL_IO_OK)
-		count_drained(r, now);
+		ogl_drain_count(&r->drain, now);
 	if (io == OGL_IO_OK && http_status < 500)
 		answered(r, t, since, now);
 	else if (io == OGL_IO_REFUSED)
@@ -639,9 +572,9 @@
 		return 0;
 	if (r->active->len == 0)
 		return wait_for_probe(r, now);
-	rate = capacity(r, now);
-	if (r->drain > 0 && now - r->busy < BUSY_LIFE)
-		rate = r->drain;
+	rate = ogl_drain_rate(&r->drain, now);
+	if (rate <= 0)
+		rate = capacity(r, now);
 	ms = (double)(ahead - free + 1) * 1000 / rate;
 	return ms < WAIT_MAX_MS ? (uint64_t)ms + 1 : WAIT_MAX_MS;
 }
@@ -671,7 +604,7 @@
 	r->active = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	r->byname = g_hash_table_new(g_str_hash, g_str_equal);
 	r->probe_due = OGL_NEVER;
-	r->busy = -BUSY_LIFE;
+	ogl_drain_init(&r->drain);
 	r->rnd = seed;
 	return r;
 }
