--- a/src/place.h
+++ b/src/place.h
@@ -102,6 +102,11 @@
 ogl_time ogl_health_aside(struct ogl_health *h, uint32_t w, ogl_time now);
 /* The worker is set aside; until when. */
 
+void ogl_health_fit(struct ogl_health *h, uint32_t workers);
+/* Makes room for the jobs of so many workers. */
+
+size_t ogl_health_bytes(const struct ogl_health *h);
+
 void ogl_health_forget(struct ogl_health *h, uint32_t w);
 /* Worker w is gone. */
 
@@ -140,13 +145,15 @@
 struct ogl_place_zone {
 	char *name;
 	struct ogl_grid grid[OGL_PLANES];
-	uint64_t avail_cpu; /* over indexed workers */
+	struct ogl_grid racks;    /* by the sums of their workers */
+	uint64_t cpu, mem, accel; /* avail over indexed workers */
 };
 
 struct ogl_place_rack {
 	uint16_t zone;
 	uint64_t cpu, mem, accel; /* avail over indexed workers */
 	GArray *workers;          /* uint32_t */
+	uint32_t planned;         /* the last plan that looked at it */
 };
 
 /* Tasks of the reserved gang that a worker keeps room for. */
@@ -167,6 +174,13 @@
 };
 
 #define OGL_PLACE_MISSES 8 /* shapes known to fit nowhere */
+#define OGL_GANG_MISSES 4  /* shapes known to fit few times */
+
+/* How often a shape fits at most, since a gang of it was refused. */
+struct ogl_gang_miss {
+	struct ogl_res need;
+	uint64_t most;
+};
 
 struct ogl_place {
 	struct ogl_slot *slots; /* by worker number */
@@ -176,7 +190,8 @@
 	GHashTable *byname; /* name -> number + 1 */
 	GPtrArray *zones;   /* struct ogl_place_zone */
 	GHashTable *zone_byname;
-	GArray *racks; /* struct ogl_place_rack */
+	GArray *racks;               /* struct ogl_place_rack */
+	struct ogl_slot *rack_slots; /* by rack number, in zones' grids */
 	GHashTable *rack_byname;
 	GHashTable *shapes; /* capacity -> workers of it */
 	struct ogl_counts counts;
@@ -187,34 +202,117 @@
 	struct ogl_reservation reserved;
 	struct ogl_res miss[OGL_PLACE_MISSES];
 	uint32_t nmiss;
+	struct ogl_gang_miss gang_miss[OGL_GANG_MISSES];
+	uint32_t ngang_miss, next_gang_miss;
+	uint32_t plans;                             /* made so far */
 	uint64_t total_cpu, total_mem, total_accel; /* open workers */
 	uint64_t held_cpu, held_mem, held_accel;
 	uint64_t rnd;
 };
 
+static inline struct ogl_place_zone *
+ogl_place_zone_at(const struct ogl_place *p, uint32_t z)
+{
+	return g_ptr_array_index(p->zones, z);
+}
+
+static inline struct ogl_place_rack *
+ogl_place_rack_at(const struct ogl_place *p, uint32_t r)
+{
+	return &g_array_index(p->racks, struct ogl_place_rack, r);
+}
+
+static inline bool
+ogl_place_known(const struct ogl_place *p, uint32_t w)
+{
+	return w < p->n && p->workers[w].known;
+}
+
+/* Free room of a worker, whoever it is kept for. */
+static inline struct ogl_res
+ogl_place_free_room(const struct ogl_place_worker *k)
+{
+	struct ogl_res r = k->capacity;
+
+	ogl_res_sub(&r, &k->held);
+	return r;
+}
+
+/* ---- place.c ---------------------------------------------------------- */
+
+uint32_t ogl_place_random(struct ogl_place *p);
+
+void ogl_place_take(struct ogl_place *p, uint32_t w, const struct ogl_ask *ask);
+/* Holds room that is known to be there. */
+
+size_t ogl_place_bytes(const struct ogl_place *p);
+/* Memory held, for bench and metrics. */
+
+/* ---- place_index.c ---------------------------------------------------- */
+
+uint32_t ogl_place_sat(uint64_t v);
+/* The number, or the largest that 32 bits hold. */
+
 uint32_t ogl_place_fit(const struct ogl_res *need, const struct ogl_res *room);
 /* How many such tasks the room holds; UINT32_MAX when they need nothing. */
 
+unsigned ogl_place_first_plane(const struct ogl_res *need);
+/* The lowest plane where the need may fit. */
+
 void ogl_place_reindex(struct ogl_place *p, uint32_t w);
 /* Brings the index up to date after worker w changed. */
 
-void ogl_place_take(struct ogl_place *p, uint32_t w, const struct ogl_ask *ask);
-/* Holds room that is known to be there. */
-
-bool ogl_place_batch_pick(
-    struct ogl_place *p, const struct ogl_ask *ask, uint32_t *w);
-/* Best fit over all open workers. */
+void ogl_place_unindex(struct ogl_place *p, uint32_t w);
+/* Takes a worker out of every index, before it changes as a whole. */
 
 bool ogl_place_missed(const struct ogl_place *p, const struct ogl_res *need);
 /* Whether the need is known to fit nowhere now. */
 
+struct ogl_res ogl_place_times(const struct ogl_res *r, uint32_t n);
+/* n times r, at most the largest that 32 bits hold. */
+
+void ogl_place_rack_reindex(struct ogl_place *p, uint32_t rack);
+/* Brings a rack's place in its zone's grid up to date. */
+
+bool ogl_place_gang_missed(
+    const struct ogl_place *p, const struct ogl_res *need, uint32_t n);
+/* Whether so many are known not to fit now. */
+
+void ogl_place_note_gang_miss(
+    struct ogl_place *p, const struct ogl_res *need, uint64_t most);
+/* The need was found to fit so often and no more. */
+
+void ogl_place_note_miss(struct ogl_place *p, const struct ogl_res *need);
+/* The need was found to fit nowhere. */
+
+/* ---- place_pick.c ----------------------------------------------------- */
+
+struct ogl_place_policy {
+	bool (*pick)(
+	    struct ogl_place *p, const struct ogl_ask *ask, uint32_t *w);
+	bool spreads; /* its jobs' tasks are counted by zone and rack */
+};
+
+const struct ogl_place_policy *ogl_place_policy(Ogl__Kind kind);
+
+/* ---- place_gang.c ----------------------------------------------------- */
+
 void ogl_place_unkeep(struct ogl_place *p, uint32_t w);
 /* Worker w can no longer serve the reservation. */
 
 void ogl_place_expire(struct ogl_place *p, ogl_time now);
 /* Drops a reservation whose deadline has passed. */
 
-size_t ogl_place_bytes(const struct ogl_place *p);
-/* Memory held, for bench and metrics. */
+/* ---- place_aside.c ---------------------------------------------------- */
+
+void ogl_place_wake(struct ogl_place *p, ogl_time now);
+/* Moves workers on whose delay, or whose long probe task, has come due. */
+
+bool ogl_place_probe(
+    struct ogl_place *p, const struct ogl_ask *ask, ogl_time now, uint32_t *w);
+/* A worker ready for its probe that has room for the task. */
+
+void ogl_place_take_back(struct ogl_place *p, uint32_t w);
+/* Worker w is no longer set aside. */
 
 #endif
--- a/src/place_health.c
+++ b/src/place_health.c
@@ -3,37 +3,40 @@
  *
  * A worker is suspect when its failures are surprising.  A failed task of a
  * job that does well elsewhere is surprising, one of a job that fails
- * everywhere is not: each of the jobs that failed on a worker since its last
- * good task adds -log2(p) bits, p being how often that job fails on other
- * workers.  A job counts once a worker however often it fails there, so a
- * wave of failures of one job condemns nobody, and a worker that fails its
- * tasks at once, and so draws many, does not spoil the record of the jobs
- * that came to it.
+ * everywhere is not: each failure since the worker's last good tasks adds
+ * -log2(p) bits, p being how often that job fails on other workers.  Twenty
+ * bits, about one in a million by chance, from several jobs are too many.
+ * Of one job only two failures count on a worker, so a wave of failures of
+ * one job condemns nobody; and in the job's own record a worker counts once,
+ * so a worker that fails its tasks at once, and so draws many, does not
+ * spoil the record of the jobs that came to it.
  *
  * Without this a broken worker, always empty because all it starts ends at
  * once, takes in a large part of all new tasks; it shows as failures on one
  * worker over many jobs.
  *
- * The jobs' records live in a two-way table of fixed size where a new job
- * takes the place of the one unheard of for longest.
+ * The jobs' records live in a two-way table sized by the number of workers,
+ * where a new job takes the place of the one unheard of for longest.
  */
 
 #include <math.h>
 
 #include "place.h"
 
-#define JOB_SETS 2048      /* of two records each */
-#define JOB_WEIGHT_MAX 64  /* results after which old ones are halved */
-#define SUSPECT_JOBS 8     /* failed jobs remembered a worker */
-#define SURPRISE_MAX 4.0   /* bits that one job can add */
-#define SURPRISE_MIN 0.5   /* bits below which a job tells nothing */
-#define SURPRISE_ASIDE 8.0 /* bits at which a worker is set aside */
-#define JOBS_ASIDE 3       /* telling jobs needed besides */
-#define SURPRISE_AGAIN 4.0 /* the same for one set aside lately */
+#define JOB_SETS_MIN 64 /* of two records each */
+#define WORKERS_A_SET 4
+#define JOB_WEIGHT_MAX 64   /* results after which old ones are halved */
+#define SUSPECT_JOBS 8      /* failed jobs remembered a worker */
+#define SURPRISE_MAX 4.0    /* bits that one job can add */
+#define SURPRISE_MIN 0.5    /* bits below which a job tells nothing */
+#define SURPRISE_ASIDE 20.0 /* bits at which a worker is set aside */
+#define JOBS_ASIDE 3        /* telling jobs needed besides */
+#define SURPRISE_AGAIN 10.0 /* the same for one set aside lately */
 #define JOBS_AGAIN 2
 #define ASIDE_BASE (30 * OGL_SEC)
 #define ASIDE_DOUBLINGS 6
-#define GOOD_RUN 32 /* good tasks in a row that clear the past */
+#define GOOD_RUN 32   /* good tasks that clear the past */
+#define FAILS_A_JOB 2 /* of a job on one worker that count */
 
 struct job_record {
 	uint64_t job;
@@ -43,13 +46,15 @@
 
 struct worker_record {
 	uint64_t jobs[SUSPECT_JOBS]; /* failed here since a good task */
+	uint8_t fails[SUSPECT_JOBS]; /* how often */
 	uint8_t njobs, next;
 	uint8_t strikes; /* times set aside of late */
-	uint8_t run;     /* good tasks in a row */
+	uint8_t run;     /* good tasks since it was set aside */
 };
 
 struct ogl_health {
-	struct job_record jobs[JOB_SETS][2];
+	struct job_record (*jobs)[2];
+	uint32_t sets;      /* power of two */
 	GPtrArray *workers; /* struct worker_record, NULL when all went well */
 };
 
@@ -58,6 +63,8 @@
 {
 	struct ogl_health *h = g_new0(struct ogl_health, 1);
 
+	h->sets = JOB_SETS_MIN;
+	h->jobs = g_malloc0(h->sets * sizeof(*h->jobs));
 	h->workers = g_ptr_array_new_with_free_func(g_free);
 	return h;
 }
@@ -66,14 +73,22 @@
 ogl_health_end(struct ogl_health *h)
 {
 	g_ptr_array_free(h->workers, TRUE);
+	g_free(h->jobs);
 	g_free(h);
 }
 
 static struct job_record *
-job_record(struct ogl_health *h, uint64_t job, ogl_time now)
+job_set(struct ogl_health *h, uint64_t job)
 {
 	uint64_t hash = job * 0x9e3779b97f4a7c15u;
-	struct job_record *set = h->jobs[(hash >> 32) % JOB_SETS];
+
+	return h->jobs[(hash >> 32) & (h->sets - 1)];
+}
+
+static struct job_record *
+job_record(struct ogl_health *h, uint64_t job, ogl_time now)
+{
+	struct job_record *set = job_set(h, job);
 	struct job_record *r;
 
 	if (set[0].job == job || set[1].job == job) {
@@ -148,10 +163,13 @@
 	unsigned i;
 
 	for (i = 0; i < r->njobs; i++) {
-		if (r->jobs[i] == job)
-			return false;
+		if (r->jobs[i] != job)
+			continue;
+		r->fails[i] = MIN(r->fails[i] + 1, FAILS_A_JOB);
+		return false;
 	}
 	r->next %= SUSPECT_JOBS;
+	r->fails[r->next] = 1;
 	r->jobs[r->next++] = job;
 	if (r->njobs < SUSPECT_JOBS)
 		r->njobs++;
@@ -166,7 +184,7 @@
 
 	for (i = 0; i < r->njobs; i++) {
 		bits = surprise(job_record(h, r->jobs[i], now));
-		sum += bits;
+		sum += bits * r->fails[i];
 		telling += bits > 0;
 	}
 	if (r->strikes > 0)
@@ -187,7 +205,6 @@
 		return false;
 	}
 	r = worker_record(h, w, true);
-	r->run = 0;
 	if (note_job(r, job))
 		job_result(j, false);
 	return is_suspect(h, r, now);
@@ -207,6 +224,39 @@
 	return now + ASIDE_BASE * ((ogl_time)1 << doublings);
 }
 
+void
+ogl_health_fit(struct ogl_health *h, uint32_t workers)
+{
+	struct job_record(*old)[2] = h->jobs, *r;
+	uint32_t i, n = h->sets;
+
+	if (workers <= n * WORKERS_A_SET)
+		return;
+	while (workers > h->sets * WORKERS_A_SET)
+		h->sets *= 2;
+	h->jobs = g_malloc0(h->sets * sizeof(*h->jobs));
+	for (i = 0; i < 2 * n; i++) {
+		r = &old[i / 2][i % 2];
+		if (r->last != 0)
+			*job_record(h, r->job, r->last) = *r;
+	}
+	g_free(old);
+}
+
+size_t
+ogl_health_bytes(const struct ogl_health *h)
+{
+	size_t n = sizeof(*h) + h->sets * sizeof(*h->jobs);
+	uint32_t i;
+
+	n += h->workers->len * sizeof(gpointer);
+	for (i = 0; i < h->workers->len; i++) {
+		if (h->workers->pdata[i] != NULL)
+			n += sizeof(struct worker_record);
+	}
+	return n;
+}
+
 void
 ogl_health_forget(struct ogl_health *h, uint32_t w)
 {
