--- a/src/fair.c
+++ b/src/fair.c
@@ -38,7 +38,7 @@
  * node's own pace. */
 #define CREDIT_SEC 0.05
 /* How far ahead of its share a team may get by overtaking, likewise. */
-#define DEBT_SEC 0.1
+#define DEBT_SEC 0.2
 
 struct ogl_fair_node {
 	struct ogl_fair_node *parent;
--- a/src/learn.c
+++ b/src/learn.c
@@ -13,8 +13,12 @@
  * guess rises with the time that piece has already taken, so a misjudged
  * sort is demoted before anything of it has ended.  New sorts that start as
  * short are rationed by a token bucket; beyond the ration a new sort is
- * guessed to take what the team's earlier new sorts took.  Otherwise a team
- * could have all its work treated as short by a new label on each piece.
+ * guessed to take what the team's earlier new sorts took in the mean.
+ * Otherwise a team could have all its work treated as short by a new label on
+ * each piece.  Here it is the plain mean, the cost to be expected of a piece
+ * that nothing is known of: with the middle, a team that mixes long work into
+ * much short work under ever new labels would have the long work pass for
+ * short.
  */
 
 #include <math.h>
@@ -26,6 +30,7 @@
 #define BUCKETS 32
 #define WAYS 4
 #define DECAY 0.125 /* weight of the newest run time */
+#define NEW_DECAY 0.01
 #define NEW_GUESS (20 * OGL_MS)
 #define NEW_TOKENS 16.0
 #define NEW_TOKEN_EVERY (4 * OGL_SEC)
@@ -35,6 +40,7 @@
 struct entry {
 	uint64_t sort;  /* 0: free */
 	double log_run; /* natural logarithm of microseconds */
+	ogl_time guess; /* its exponential */
 	ogl_time used;
 	ogl_time first_start; /* of the pieces now running; 0 none */
 	uint32_t ended;
@@ -46,7 +52,7 @@
 	struct entry e[BUCKETS][WAYS];
 	double tokens;
 	ogl_time tokens_at;
-	double new_log_run; /* what new sorts turned out to take */
+	double new_run; /* mean of what new sorts turned out to take */
 	uint32_t new_seen;
 };
 
@@ -56,7 +62,7 @@
 	struct ogl_learn *l = g_new0(struct ogl_learn, 1);
 
 	l->tokens = NEW_TOKENS;
-	l->new_log_run = log((double)NEW_GUESS);
+	l->new_run = (double)NEW_GUESS;
 	return l;
 }
 
@@ -168,9 +174,9 @@
 	ogl_time guess;
 
 	if (e->ended != 0)
-		guess = (ogl_time)exp(e->log_run);
+		guess = e->guess;
 	else if (e->rationed)
-		guess = MAX((ogl_time)exp(l->new_log_run), NEW_GUESS);
+		guess = MAX((ogl_time)l->new_run, NEW_GUESS);
 	else
 		guess = NEW_GUESS;
 	if (e->ended == 0 && e->running != 0)
@@ -203,9 +209,10 @@
 	e->ended++;
 	weight = MAX(DECAY, 1.0 / e->ended);
 	e->log_run += weight * (x - e->log_run);
+	e->guess = (ogl_time)exp(e->log_run);
 	if (e->ended == 1) {
 		l->new_seen++;
-		weight = MAX(DECAY, 1.0 / l->new_seen);
-		l->new_log_run += weight * (x - l->new_log_run);
+		weight = MAX(NEW_DECAY, 1.0 / l->new_seen);
+		l->new_run += weight * ((double)ran - l->new_run);
 	}
 }
--- a/src/queue.h
+++ b/src/queue.h
@@ -35,6 +35,7 @@
 	uint64_t sort; /* hash of kind, size class and label */
 	uint32_t level;
 	bool ranked; /* level was set; it is kept when put back */
+	bool aged;   /* went first because it had waited too long */
 
 	char label[]; /* zero-ended */
 };
--- a/src/queue_learned.c
+++ b/src/queue_learned.c
@@ -4,14 +4,22 @@
  * Whose turn it is comes from fair.c, what of that team's goes first from
  * learn.c.  Each team keeps a heap per level, a level being the power of two
  * of the run time expected in milliseconds; within a level the longest
- * waiting goes first.  The lowest level goes first, but every fourth turn of
- * a team is its longest waiting piece's once that has waited too long: short
- * work keeps most of the team's turns and no piece waits for ever.
+ * waiting goes first.  The lowest level goes first, but a quarter of the
+ * team's service may go to pieces that go first because they have waited too
+ * long: no piece waits for ever and short work keeps most of the team.
+ * Counting turns in place of service would hand nearly all to long pieces:
+ * one turn of theirs is worth a thousand short ones.
  *
- * Short work may overtake other teams' turns: the longest waiting short
- * piece of all teams goes first, as long as its team is not more than a small
- * debt ahead of its share.  The debt bounds what this costs the others,
- * whatever the team calls its work.
+ * Short work may overtake other teams' turns: the shortest, then longest
+ * waiting, short piece of all teams goes first, as long as its team is not
+ * more than a small debt ahead of its share.  The debt bounds what this costs
+ * the others, whatever the team calls its work.
+ *
+ * What counts as short is not a number of seconds: a request of a second is
+ * long, a task of a second is short.  The service given lately, by level, is
+ * split where the two sides differ most (Otsu's threshold).  Each team's
+ * service is brought to the same sum first, so that a flood of one team moves
+ * the limit by no more than any other team could.
  *
  * An item's level is set when it is pushed and may only rise, when its sort
  * of work has meanwhile been seen to take longer; it keeps its level when it
@@ -23,23 +31,45 @@
 #include "queue.h"
 
 #define LEVELS 24
-/* Work expected to end within this many milliseconds' level is short. */
-#define SHORT_LEVEL 8
-#define AGED_TURN 4
-#define DEMOTE_MAX 16 /* in one pop */
+#define SPLIT_MARGIN 1e-9 /* the lowest of equal splits is taken */
+#define SHORT_FIRST 6     /* highest short level before anything was seen */
+#define SHORT_EVERY OGL_SEC
+#define SERVICE_KEEP 0.98 /* of the histogram, at each look */
+#define AGED_PART 0.25
+#define AGED_CREDIT_SEC 1.0 /* most that aged_debt may be negative */
+#define SERVICE_LEVEL 7     /* a service's start is awaited, its end not */
+#define DEMOTE_MAX 16       /* in one pop */
 
 struct team {
+	struct learned *all;
+	guint at_lane;
 	struct ogl_fair_node *leaf;
 	struct ogl_learn *learn;
 	struct ogl_queue_heap level[LEVELS];
 	uint32_t used; /* bit per level that holds something */
-	uint32_t turn;
+	double held;
+	double aged_held;       /* part of it given for a long wait */
+	double aged_debt;       /* their service beyond AGED_PART of all */
+	ogl_time at;            /* time of aged_debt */
+	double service[LEVELS]; /* decayed, by level it was started at */
+};
+
+/* The first piece of a team's lowest level, kept apart from the team: looking
+ * through all teams then reads one short run of memory. */
+struct lane {
+	uint32_t level; /* LEVELS when nothing waits */
+	ogl_time since;
+	uint64_t seq;
+	struct team *team;
 };
 
 struct learned {
+	GArray *lanes; /* struct lane, by team->at_lane */
 	struct ogl_fair *fair;
 	GPtrArray *teams;
 	uint64_t seed;
+	uint32_t short_level; /* highest level that is short */
+	ogl_time looked;      /* when that was last worked out */
 };
 
 /* What differs between kinds. */
@@ -50,7 +80,7 @@
 
 static const struct kind_rule kind_rules[] = {
     [OGL__KIND__batch] = {60 * OGL_SEC, 0},
-    [OGL__KIND__service] = {30 * OGL_SEC, SHORT_LEVEL + 1},
+    [OGL__KIND__service] = {30 * OGL_SEC, SERVICE_LEVEL},
     [OGL__KIND__gang] = {60 * OGL_SEC, 0},
     [OGL__KIND__request] = {10 * OGL_SEC, 0},
 };
@@ -73,7 +103,9 @@
 
 	p->fair = ogl_fair_init();
 	p->teams = g_ptr_array_new();
+	p->lanes = g_array_new(FALSE, FALSE, sizeof(struct lane));
 	p->seed = seed;
+	p->short_level = SHORT_FIRST;
 	return p;
 }
 
@@ -94,6 +126,7 @@
 	for (guint i = 0; i < p->teams->len; i++)
 		team_free(p->teams->pdata[i]);
 	g_ptr_array_free(p->teams, TRUE);
+	g_array_free(p->lanes, TRUE);
 	ogl_fair_end(p->fair);
 	g_free(p);
 }
@@ -110,7 +143,11 @@
 team_new(struct learned *p, struct ogl_fair_node *leaf)
 {
 	struct team *t = g_new0(struct team, 1);
+	struct lane lane = {.level = LEVELS, .team = t};
 
+	t->all = p;
+	t->at_lane = p->lanes->len;
+	g_array_append_val(p->lanes, lane);
 	t->leaf = leaf;
 	t->learn = ogl_learn_init();
 	for (size_t i = 0; i < LEVELS; i++)
@@ -149,11 +186,27 @@
 	return MAX(level, bits);
 }
 
+static void
+lane_update(struct team *t)
+{
+	struct lane *l = &g_array_index(t->all->lanes, struct lane, t->at_lane);
+	const struct ogl_queue_item *it;
+
+	l->level = LEVELS;
+	if (t->used == 0)
+		return;
+	l->level = (uint32_t)__builtin_ctz(t->used);
+	it = ogl_queue_heap_top(&t->level[l->level]);
+	l->since = it->w.since;
+	l->seq = it->seq;
+}
+
 static void
 enter(struct team *t, struct ogl_queue_item *it)
 {
 	ogl_queue_heap_add(&t->level[it->level], it->w.since, it);
 	t->used |= 1u << it->level;
+	lane_update(t);
 }
 
 static void
@@ -162,6 +215,7 @@
 	ogl_queue_heap_del(&t->level[it->level], it);
 	if (t->level[it->level].n == 0)
 		t->used &= ~(1u << it->level);
+	lane_update(t);
 }
 
 static void
@@ -172,6 +226,7 @@
 	if (!it->ranked)
 		it->level = level_of(t, it, now);
 	it->ranked = true;
+	it->aged = false;
 	enter(t, it);
 	ogl_fair_wait(t->leaf, now);
 }
@@ -204,6 +259,14 @@
 	}
 }
 
+static bool
+waits_longer(const struct ogl_queue_item *a, const struct ogl_queue_item *b)
+{
+	if (a->w.since != b->w.since)
+		return a->w.since < b->w.since;
+	return a->seq < b->seq;
+}
+
 static struct ogl_queue_item *
 oldest(struct team *t)
 {
@@ -213,45 +276,149 @@
 		struct ogl_queue_item *it =
 		    ogl_queue_heap_top(&t->level[__builtin_ctz(bits)]);
 
-		if (best == NULL || it->w.since < best->w.since)
+		if (best == NULL || waits_longer(it, best))
 			best = it;
 	}
 	return best;
 }
 
+/* Brings aged_debt up to `now`. */
+static void
+team_advance(struct team *t, ogl_time now)
+{
+	double sec = (double)MAX(now - t->at, 0) / OGL_SEC;
+
+	t->aged_debt += sec * (t->aged_held - AGED_PART * t->held);
+	t->aged_debt = MAX(t->aged_debt, -AGED_CREDIT_SEC * t->held);
+	t->at = MAX(t->at, now);
+}
+
+/* One at a time may always go, lest a team with few places never starts any;
+ * its debt then keeps the next one back. */
+static bool
+may_age(struct team *t, ogl_time now)
+{
+	team_advance(t, now);
+	if (t->aged_debt > 0)
+		return false;
+	return t->aged_held <= 0 || t->aged_held < AGED_PART * t->held;
+}
+
 static struct ogl_queue_item *
 team_next(struct team *t, ogl_time now)
 {
-	if (++t->turn % AGED_TURN == 0) {
-		struct ogl_queue_item *it = oldest(t);
+	struct ogl_queue_item *it;
 
-		if (now - it->w.since > rule_of(it)->age)
+	if (may_age(t, now)) {
+		it = oldest(t);
+		if (now - it->w.since > rule_of(it)->age) {
+			it->aged = true;
 			return it;
+		}
 	}
 	return shortest(t, now);
 }
 
-/* The longest waiting short piece among teams that may overtake. */
-static struct ogl_queue_item *
-urgent(struct learned *p, ogl_time now)
+static bool
+goes_before(const struct lane *a, const struct lane *b)
 {
-	struct ogl_queue_item *best = NULL;
+	if (a->level != b->level)
+		return a->level < b->level;
+	if (a->since != b->since)
+		return a->since < b->since;
+	return a->seq < b->seq;
+}
+
+static double
+sum(const double *v, size_t n)
+{
+	double all = 0;
 
+	for (size_t i = 0; i < n; i++)
+		all += v[i];
+	return all;
+}
+
+/* Each team's service by level, all teams brought to the same sum. */
+static void
+gather(struct learned *p, double all[LEVELS])
+{
 	for (guint i = 0; i < p->teams->len; i++) {
 		struct team *t = p->teams->pdata[i];
-		struct ogl_queue_item *it;
+		double own = sum(t->service, LEVELS);
 
-		if ((t->used & ((1u << (SHORT_LEVEL + 1)) - 1)) == 0)
+		for (size_t k = 0; own > 0 && k < LEVELS; k++) {
+			all[k] += t->service[k] / own;
+			t->service[k] *= SERVICE_KEEP;
+		}
+	}
+}
+
+/* Works out anew which levels are short: the split with the greatest variance
+ * between the two sides. */
+static void
+look(struct learned *p, ogl_time now)
+{
+	double all[LEVELS] = {0};
+	double total, moment = 0;
+	double low = 0, low_moment = 0;
+	double best = 0;
+
+	p->looked = now;
+	gather(p, all);
+	total = sum(all, LEVELS);
+	for (uint32_t k = 0; k < LEVELS; k++)
+		moment += k * all[k];
+	for (uint32_t k = 0; k + 1 < LEVELS; k++) {
+		double between;
+
+		low += all[k];
+		low_moment += k * all[k];
+		if (low <= 0 || total - low <= 0)
 			continue;
-		it = shortest(t, now);
-		if (it->level > SHORT_LEVEL)
+		between =
+		    low_moment / low - (moment - low_moment) / (total - low);
+		between *= between * low * (total - low);
+		if (between > best * (1 + SPLIT_MARGIN)) {
+			best = between;
+			p->short_level = k;
+		}
+	}
+}
+
+/* The shortest, then longest waiting, among teams that may overtake. */
+static struct ogl_queue_item *
+urgent_as_ranked(struct learned *p, ogl_time now)
+{
+	const struct lane *best = NULL;
+
+	for (guint i = 0; i < p->lanes->len; i++) {
+		const struct lane *l = &g_array_index(p->lanes, struct lane, i);
+
+		if (l->level > p->short_level)
 			continue;
-		if (best != NULL && best->w.since <= it->w.since)
+		if (best != NULL && !goes_before(l, best))
 			continue;
-		if (ogl_fair_may_overtake(t->leaf, now))
-			best = it;
+		if (ogl_fair_may_overtake(l->team->leaf, now))
+			best = l;
 	}
-	return best;
+	if (best == NULL)
+		return NULL;
+	return ogl_queue_heap_top(&best->team->level[best->level]);
+}
+
+/* Looks again when the best turned out to be longer than it was ranked. */
+static struct ogl_queue_item *
+urgent(struct learned *p, ogl_time now)
+{
+	struct ogl_queue_item *it;
+
+	for (int i = 0; i < DEMOTE_MAX; i++) {
+		it = urgent_as_ranked(p, now);
+		if (it == NULL || shortest(it->leaf, now) == it)
+			return it;
+	}
+	return NULL;
 }
 
 static struct ogl_queue_item *
@@ -263,13 +430,26 @@
 
 	if (leaf == NULL)
 		return NULL;
+	if (now - p->looked >= SHORT_EVERY)
+		look(p, now);
 	it = urgent(p, now);
-	if (it == NULL)
+	/* A team whose turn it is overtakes nobody: there, old work may go
+	 * before short work, else short work without end starves it. */
+	if (it == NULL || it->leaf == ogl_fair_data(leaf))
 		it = team_next(ogl_fair_data(leaf), now);
 	learned_unlink(p, it);
 	return it;
 }
 
+static void
+hold(struct team *t, const struct ogl_queue_item *it, double rate, ogl_time now)
+{
+	team_advance(t, now);
+	t->held = MAX(t->held + rate, 0);
+	if (it->aged)
+		t->aged_held = MAX(t->aged_held + rate, 0);
+}
+
 static void
 learned_started(void *data, struct ogl_queue_item *it, ogl_time now)
 {
@@ -277,6 +457,7 @@
 
 	ogl_learn_started(t->learn, it->sort, now);
 	ogl_fair_hold(t->leaf, it->rate, now);
+	hold(t, it, it->rate, now);
 }
 
 static void
@@ -286,7 +467,9 @@
 
 	(void)data;
 	ogl_learn_ended(t->learn, it->sort, now - it->began, ok, now);
+	t->service[it->level] += it->rate * (double)(now - it->began);
 	ogl_fair_hold(t->leaf, -it->rate, now);
+	hold(t, it, -it->rate, now);
 }
 
 const struct ogl_queue_policy ogl_queue_learned = {
