--- a/bench/bench_replay.c
+++ b/bench/bench_replay.c
@@ -162,8 +162,9 @@
 	ogl_queue_push(q, &w, now);
 }
 
-/* Pops, starts, ends and pushes with COST_WORKS waiting, so that the run
- * times learned spread the work over the levels. */
+/* Pops, starts, ends and pushes with COST_WORKS waiting.  The first round is
+ * not counted: what was pushed before anything was learned is demoted in
+ * it. */
 static void
 queue_cost(void)
 {
@@ -178,7 +179,7 @@
 		push_one(q, ++id, now++);
 	printf("queue_bytes_work %.0f bytes\n",
 	    (double)(mallinfo2().uordblks - before) / COST_WORKS);
-	for (unsigned i = 0; i < COST_WORKS; i++) {
+	for (unsigned i = 0; i < 2 * COST_WORKS; i++) {
 		uint64_t *slot = &running[i * 31 % COST_RUNNING];
 		struct ogl_work w;
 		double start;
@@ -188,7 +189,8 @@
 			ogl_queue_ended(q, *slot, true, now);
 		start = clock_ns();
 		ogl_queue_pop(q, now, &w);
-		pop_ns += clock_ns() - start;
+		if (i >= COST_WORKS)
+			pop_ns += clock_ns() - start;
 		ogl_queue_started(q, &w, now);
 		*slot = w.id;
 		push_one(q, ++id, now);
--- a/src/fair.c
+++ b/src/fair.c
@@ -32,15 +32,16 @@
 
 #include "fair.h"
 
-/* How far ahead held resources are counted. */
-#define LOOKAHEAD_SEC 0.5
-/* How much service a returning team may be behind, in seconds of the
- * node's own pace. */
-#define CREDIT_SEC 0.05
-/* How far ahead of its share a team may get by overtaking, likewise. */
-#define DEBT_SEC 0.2
+/* All in typical run times, see ogl_fair_scale. */
+#define LOOKAHEAD 1.5 /* how far ahead held resources are counted */
+#define CREDIT 0.15   /* how far behind a returning team may be */
+#define DEBT 0.5      /* how far ahead a team may get by overtaking */
+#define SCALE_FIRST 0.4
+#define SCALE_LEAST 0.05
+#define SCALE_MOST 60.0
 
 struct ogl_fair_node {
+	struct ogl_fair *all;
 	struct ogl_fair_node *parent;
 	struct ogl_fair_node *own; /* where this team's own work goes */
 	GHashTable *by_name;       /* children */
@@ -59,6 +60,7 @@
 
 struct ogl_fair {
 	struct ogl_fair_node *root;
+	double scale; /* seconds */
 };
 
 static void
@@ -73,10 +75,12 @@
 }
 
 static struct ogl_fair_node *
-node_new(struct ogl_fair_node *parent, const char *name, size_t n)
+node_new(struct ogl_fair *f, struct ogl_fair_node *parent, const char *name,
+    size_t n)
 {
 	struct ogl_fair_node *c = g_new0(struct ogl_fair_node, 1);
 
+	c->all = f;
 	c->parent = parent;
 	c->name = g_strndup(name, n);
 	c->weight = 1.0;
@@ -93,7 +97,8 @@
 {
 	struct ogl_fair *f = g_new0(struct ogl_fair, 1);
 
-	f->root = node_new(NULL, "", 0);
+	f->scale = SCALE_FIRST;
+	f->root = node_new(f, NULL, "", 0);
 	return f;
 }
 
@@ -113,7 +118,7 @@
 	struct ogl_fair_node *c = g_hash_table_lookup(n->by_name, key);
 
 	g_free(key);
-	return c != NULL ? c : node_new(n, name, len);
+	return c != NULL ? c : node_new(n->all, n, name, len);
 }
 
 static struct ogl_fair_node *
@@ -139,7 +144,7 @@
 	struct ogl_fair_node *n = walk(f, team);
 
 	if (n->own == NULL)
-		n->own = node_new(n, "", 0);
+		n->own = node_new(f, n, "", 0);
 	return n->own;
 }
 
@@ -155,6 +160,12 @@
 	n->weight = share;
 }
 
+void
+ogl_fair_scale(struct ogl_fair *f, double sec)
+{
+	f->scale = CLAMP(sec, SCALE_LEAST, SCALE_MOST);
+}
+
 void *
 ogl_fair_data(const struct ogl_fair_node *leaf)
 {
@@ -205,7 +216,7 @@
 	g_ptr_array_add(p->waiting, c);
 	p->wait_weight += c->weight;
 	advance(c, now);
-	c->vtime = MAX(c->vtime, p->clock - CREDIT_SEC * pace(p));
+	c->vtime = MAX(c->vtime, p->clock - CREDIT * p->all->scale * pace(p));
 }
 
 static void
@@ -251,6 +262,7 @@
 {
 	struct ogl_fair_node *best = NULL;
 	double least = 0.0;
+	double ahead = LOOKAHEAD * p->all->scale;
 	double clock = 0.0;
 
 	for (guint i = 0; i < p->waiting->len; i++) {
@@ -258,7 +270,7 @@
 		double key;
 
 		advance(c, now);
-		key = c->vtime + LOOKAHEAD_SEC * c->held / c->weight;
+		key = c->vtime + ahead * c->held / c->weight;
 		if (best == NULL || key < least) {
 			best = c;
 			least = key;
@@ -290,7 +302,7 @@
 		if (p->waiting->len < 2)
 			continue;
 		advance(n, now);
-		if (n->vtime - p->clock > DEBT_SEC * pace(p))
+		if (n->vtime - p->clock > DEBT * p->all->scale * pace(p))
 			return false;
 	}
 	return true;
--- a/src/fair.h
+++ b/src/fair.h
@@ -19,6 +19,10 @@
 void ogl_fair_share(struct ogl_fair *f, const char *team, double share);
 /* Weight of a team among its siblings. */
 
+void ogl_fair_scale(struct ogl_fair *f, double sec);
+/* How long the work runs that service mostly goes to.  Debts, credits and the
+ * lookahead are parts of it: places fall free no faster. */
+
 void ogl_fair_wait(struct ogl_fair_node *leaf, ogl_time now);
 void ogl_fair_unwait(struct ogl_fair_node *leaf);
 /* One more or one less piece of the leaf's work waits. */
--- a/src/queue.h
+++ b/src/queue.h
@@ -55,7 +55,7 @@
 	    void *p, struct ogl_queue_item *it, bool ok, ogl_time now);
 };
 
-/* ---- binary heap of items, least key first ---------------------------- */
+/* ---- heap of items, least key first ----------------------------------- */
 
 struct ogl_queue_heap_entry {
 	int64_t key;
--- a/src/queue_heap.c
+++ b/src/queue_heap.c
@@ -1,11 +1,21 @@
 /*
- * Binary heap of items.  Each item knows its slot, so any item can be taken
- * out in O(log n).  Keys are copied into the array: comparing touches no
- * item.
+ * Heap of items with four children a node.  Each item knows its slot, so any
+ * item can be taken out in O(log n).  Keys are copied into the array, so that
+ * comparing touches no item; but each move writes to the item moved, which
+ * with much waiting work is far from the cache.  Four children halve the moves
+ * of a binary heap for a few more comparisons in one run of memory.
  */
 
 #include "queue.h"
 
+#define ARITY 4
+
+static size_t
+parent(size_t i)
+{
+	return (i - 1) / ARITY;
+}
+
 void
 ogl_queue_heap_init(struct ogl_queue_heap *h, enum ogl_queue_heap_use use)
 {
@@ -41,21 +51,33 @@
 static void
 sift_up(struct ogl_queue_heap *h, size_t i, struct ogl_queue_heap_entry e)
 {
-	while (i > 0 && before(&e, &h->a[(i - 1) / 2])) {
-		put(h, i, h->a[(i - 1) / 2]);
-		i = (i - 1) / 2;
+	while (i > 0 && before(&e, &h->a[parent(i)])) {
+		put(h, i, h->a[parent(i)]);
+		i = parent(i);
 	}
 	put(h, i, e);
 }
 
+static size_t
+least_child(const struct ogl_queue_heap *h, size_t i)
+{
+	size_t first = ARITY * i + 1;
+	size_t end = MIN(first + ARITY, h->n);
+	size_t least = first;
+
+	for (size_t c = first + 1; c < end; c++) {
+		if (before(&h->a[c], &h->a[least]))
+			least = c;
+	}
+	return least;
+}
+
 static void
 sift_down(struct ogl_queue_heap *h, size_t i, struct ogl_queue_heap_entry e)
 {
-	size_t c;
+	while (ARITY * i + 1 < h->n) {
+		size_t c = least_child(h, i);
 
-	while ((c = 2 * i + 1) < h->n) {
-		if (c + 1 < h->n && before(&h->a[c + 1], &h->a[c]))
-			c++;
 		if (!before(&h->a[c], &e))
 			break;
 		put(h, i, h->a[c]);
@@ -85,7 +107,7 @@
 
 	if (i == h->n)
 		return;
-	if (i > 0 && before(&last, &h->a[(i - 1) / 2]))
+	if (i > 0 && before(&last, &h->a[parent(i)]))
 		sift_up(h, i, last);
 	else
 		sift_down(h, i, last);
--- a/src/queue_learned.c
+++ b/src/queue_learned.c
@@ -26,16 +26,20 @@
  * is put back.
  */
 
+#include <math.h>
+
 #include "fair.h"
 #include "learn.h"
 #include "queue.h"
 
 #define LEVELS 24
 #define SPLIT_MARGIN 1e-9 /* the lowest of equal splits is taken */
-#define SHORT_FIRST 6     /* highest short level before anything was seen */
+#define MS_A_SEC 1000.0
+#define SHORT_FIRST 6 /* highest short level before anything was seen */
 #define SHORT_EVERY OGL_SEC
-#define SERVICE_KEEP 0.98 /* of the histogram, at each look */
+#define SERVICE_HALVE 1024 /* pieces ended, after which service is halved */
 #define AGED_PART 0.25
+#define AGED_PART_LONG 0.5  /* of turns that short work leaves */
 #define AGED_CREDIT_SEC 1.0 /* most that aged_debt may be negative */
 #define SERVICE_LEVEL 7     /* a service's start is awaited, its end not */
 #define DEMOTE_MAX 16       /* in one pop */
@@ -51,7 +55,8 @@
 	double aged_held;       /* part of it given for a long wait */
 	double aged_debt;       /* their service beyond AGED_PART of all */
 	ogl_time at;            /* time of aged_debt */
-	double service[LEVELS]; /* decayed, by level it was started at */
+	uint32_t ended;         /* since service was halved */
+	double service[LEVELS]; /* decayed, by level now known */
 };
 
 /* The first piece of a team's lowest level, kept apart from the team: looking
@@ -67,6 +72,7 @@
 	GArray *lanes; /* struct lane, by team->at_lane */
 	struct ogl_fair *fair;
 	GPtrArray *teams;
+	GHashTable *by_name; /* team path, as interned by the queue */
 	uint64_t seed;
 	uint32_t short_level; /* highest level that is short */
 	ogl_time looked;      /* when that was last worked out */
@@ -103,6 +109,7 @@
 
 	p->fair = ogl_fair_init();
 	p->teams = g_ptr_array_new();
+	p->by_name = g_hash_table_new(NULL, NULL);
 	p->lanes = g_array_new(FALSE, FALSE, sizeof(struct lane));
 	p->seed = seed;
 	p->short_level = SHORT_FIRST;
@@ -126,6 +133,7 @@
 	for (guint i = 0; i < p->teams->len; i++)
 		team_free(p->teams->pdata[i]);
 	g_ptr_array_free(p->teams, TRUE);
+	g_hash_table_destroy(p->by_name);
 	g_array_free(p->lanes, TRUE);
 	ogl_fair_end(p->fair);
 	g_free(p);
@@ -160,16 +168,18 @@
 static struct team *
 team_of(struct learned *p, struct ogl_queue_item *it)
 {
-	struct ogl_fair_node *leaf;
-
-	if (it->leaf == NULL) {
-		leaf = ogl_fair_leaf(p->fair, it->w.team);
-		it->leaf = ogl_fair_data(leaf);
-		if (it->leaf == NULL)
-			it->leaf = team_new(p, leaf);
-		it->sort = ogl_learn_sort(&it->w, p->seed);
+	struct team *t;
+
+	if (it->leaf != NULL)
+		return it->leaf;
+	t = g_hash_table_lookup(p->by_name, it->w.team);
+	if (t == NULL) {
+		t = team_new(p, ogl_fair_leaf(p->fair, it->w.team));
+		g_hash_table_insert(p->by_name, (gpointer)it->w.team, t);
 	}
-	return it->leaf;
+	it->leaf = t;
+	it->sort = ogl_learn_sort(&it->w, p->seed);
+	return t;
 }
 
 static uint32_t
@@ -307,16 +317,19 @@
 static struct ogl_queue_item *
 team_next(struct team *t, ogl_time now)
 {
-	struct ogl_queue_item *it;
-
-	if (may_age(t, now)) {
-		it = oldest(t);
-		if (now - it->w.since > rule_of(it)->age) {
-			it->aged = true;
-			return it;
-		}
-	}
-	return shortest(t, now);
+	struct ogl_queue_item *it = shortest(t, now);
+	struct ogl_queue_item *old;
+	bool may = may_age(t, now);
+
+	if (it->level > t->all->short_level)
+		may |= t->aged_held < AGED_PART_LONG * t->held;
+	if (!may)
+		return it;
+	old = oldest(t);
+	if (now - old->w.since <= rule_of(old)->age)
+		return it;
+	old->aged = true;
+	return old;
 }
 
 static bool
@@ -349,13 +362,12 @@
 
 		for (size_t k = 0; own > 0 && k < LEVELS; k++) {
 			all[k] += t->service[k] / own;
-			t->service[k] *= SERVICE_KEEP;
 		}
 	}
 }
 
 /* Works out anew which levels are short: the split with the greatest variance
- * between the two sides. */
+ * between the two sides.  The mean of the upper side is how long work runs. */
 static void
 look(struct learned *p, ogl_time now)
 {
@@ -367,21 +379,24 @@
 	p->looked = now;
 	gather(p, all);
 	total = sum(all, LEVELS);
+	if (total <= 0)
+		return;
 	for (uint32_t k = 0; k < LEVELS; k++)
 		moment += k * all[k];
 	for (uint32_t k = 0; k + 1 < LEVELS; k++) {
-		double between;
+		double high, between;
 
 		low += all[k];
 		low_moment += k * all[k];
 		if (low <= 0 || total - low <= 0)
 			continue;
-		between =
-		    low_moment / low - (moment - low_moment) / (total - low);
+		high = (moment - low_moment) / (total - low);
+		between = high - low_moment / low;
 		between *= between * low * (total - low);
 		if (between > best * (1 + SPLIT_MARGIN)) {
 			best = between;
 			p->short_level = k;
+			ogl_fair_scale(p->fair, exp2(high) / MS_A_SEC);
 		}
 	}
 }
@@ -450,6 +465,18 @@
 		t->aged_held = MAX(t->aged_held + rate, 0);
 }
 
+/* Lets old service count less, by pieces and not by time: a team of long
+ * tasks ends few of them. */
+static void
+fade(struct team *t)
+{
+	if (++t->ended < SERVICE_HALVE)
+		return;
+	t->ended = 0;
+	for (size_t k = 0; k < LEVELS; k++)
+		t->service[k] /= 2;
+}
+
 static void
 learned_started(void *data, struct ogl_queue_item *it, ogl_time now)
 {
@@ -467,7 +494,9 @@
 
 	(void)data;
 	ogl_learn_ended(t->learn, it->sort, now - it->began, ok, now);
-	t->service[it->level] += it->rate * (double)(now - it->began);
+	t->service[level_of(t, it, now)] +=
+	    it->rate * (double)(now - it->began);
+	fade(t);
 	ogl_fair_hold(t->leaf, -it->rate, now);
 	hold(t, it, -it->rate, now);
 }
