--- a/bench/bench_place.c
+++ b/bench/bench_place.c
@@ -10,7 +10,8 @@
 #include "place.h"
 
 #define FULL 0.9
-#define LEAST_CPU 500 /* of the mix; its mean fills 7 to 8 a worker */
+#define BACKLOG 1.3   /* cells full of tasks offered */
+#define LEAST_CPU 420 /* of the mix; its mean fills 7 to 8 a worker */
 
 struct held {
 	struct ogl_ask ask;
@@ -66,6 +67,80 @@
 	qsort(ns, n, sizeof(*ns), mix_by_double);
 }
 
+/* Refusals in a full cell where one task after the other ends. */
+static void
+refusals(struct mix *m, struct ogl_place *p, GArray *held, double *ns,
+    uint32_t n, uint32_t workers)
+{
+	const uint32_t asks = 50; /* a task that ends */
+	struct held h;
+	double start, spent;
+	uint32_t i, at, in_row = 0, got = 0, j;
+
+	while (in_row < 2000) {
+		mix_ask(m, &h.ask, LEAST_CPU);
+		if (!ogl_place_task(p, &h.ask, 1, &h.w)) {
+			in_row++;
+			continue;
+		}
+		in_row = 0;
+		g_array_append_val(held, h);
+	}
+	for (i = 0; i < n / asks && held->len > 0; i++) {
+		at = (uint32_t)(mix_uniform(m) * held->len);
+		h = g_array_index(held, struct held, at);
+		ogl_place_free(p, h.w, &h.ask);
+		g_array_remove_index_fast(held, at);
+		for (j = 0; j < asks; j++) {
+			mix_ask(m, &h.ask, LEAST_CPU);
+			start = mix_now_ns();
+			if (ogl_place_task(p, &h.ask, 1, &h.w)) {
+				g_array_append_val(held, h);
+				continue;
+			}
+			spent = mix_now_ns() - start;
+			ns[got++] = spent;
+		}
+	}
+	qsort(ns, got, sizeof(*ns), mix_by_double);
+	printf("place_refuse_ns_%u %.0f ns\n", workers, ns[got / 2]);
+	printf("place_refuse_p99_us_%u %.2f us\n", workers,
+	    ns[got / 100 * 99] / 1000);
+}
+
+/* Gangs at 90% full, held and freed again; and one too large to fit. */
+static void
+gang_cost(struct mix *m, struct ogl_place *p, uint32_t workers)
+{
+	const uint32_t n = 400;
+	struct ogl_ask ask = {OGL__KIND__gang, {2000, 8192, 0}, 1};
+	uint32_t *w = g_new(uint32_t, workers * 8), size, i, j, got = 0;
+	double us[400], start, refuse;
+
+	for (i = 0; i < n; i++) {
+		size = (uint32_t)mix_pareto(m, 4, 64, 1.0);
+		start = mix_now_ns();
+		if (!ogl_place_gang(p, &ask, size, 1, w))
+			continue;
+		us[got++] = (mix_now_ns() - start) / 1000;
+		for (j = 0; j < size; j++)
+			ogl_place_free(p, w[j], &ask);
+	}
+	qsort(us, got, sizeof(*us), mix_by_double);
+	start = mix_now_ns();
+	ogl_place_gang(p, &ask, workers * 8, 1, w);
+	refuse = (mix_now_ns() - start) / 1000;
+	if (got > 0)
+		printf("place_gang_us_%u %.1f us\n", workers, us[got / 2]);
+	printf("place_gang_refuse_us_%u %.1f us\n", workers, refuse);
+	start = mix_now_ns();
+	ogl_place_reserve(p, 1, &ask, workers, 3, 2);
+	printf("place_reserve_us_%u %.1f us\n", workers,
+	    (mix_now_ns() - start) / 1000);
+	ogl_place_unreserve(p, 1);
+	g_free(w);
+}
+
 static void
 cost(uint32_t workers, uint32_t zones)
 {
@@ -83,6 +158,8 @@
 	printf("place_p99_us_%u %.2f us\n", workers, ns[n / 100 * 99] / 1000);
 	printf("place_bytes_worker_%u %.0f B\n", workers,
 	    (double)ogl_place_bytes(p) / workers);
+	gang_cost(&m, p, workers);
+	refusals(&m, p, held, ns, n, workers);
 	g_free(ns);
 	g_array_free(held, TRUE);
 	ogl_place_end(p);
@@ -142,11 +219,17 @@
 	return best;
 }
 
+/* Parts of the cell and of the bound held, summed over trials. */
+struct packed {
+	double scarcest, any_order, cpu, mem;
+};
+
 static void
-packing(uint32_t workers, uint32_t least_cpu, const char *suffix)
+pack_once(
+    uint32_t workers, uint32_t least_cpu, uint64_t seed, struct packed *out)
 {
-	struct mix m = {workers + least_cpu};
-	struct ogl_place *p = ogl_place_init(1);
+	struct mix m = {seed};
+	struct ogl_place *p = ogl_place_init(seed);
 	GArray *backlog = g_array_new(FALSE, FALSE, sizeof(struct ogl_ask));
 	struct ogl_res total, used;
 	double cpu = 0, mem = 0, cpu_part, mem_part;
@@ -157,7 +240,7 @@
 	ogl_place_room(p, &total, &used);
 	/* Each task is offered once; none that was refused fits later, since
 	 * nothing ends. */
-	while (cpu < 1.3 || mem < 1.3) {
+	while (cpu < BACKLOG || mem < BACKLOG) {
 		mix_ask(&m, &ask, least_cpu);
 		g_array_append_val(backlog, ask);
 		cpu += (double)ask.res.cpu_milli / total.cpu_milli;
@@ -167,20 +250,34 @@
 	ogl_place_room(p, &total, &used);
 	cpu_part = (double)used.cpu_milli / total.cpu_milli;
 	mem_part = (double)used.mem_mb / total.mem_mb;
-	printf("packing_pct%s %.2f pct\n", suffix,
-	    100 * (cpu >= mem ? cpu_part : mem_part));
-	printf("packing_any_order_pct%s %.2f pct\n", suffix,
-	    100 * share(&used, &total) / bound(backlog, &total));
-	printf("packing_cpu_pct%s %.2f pct\n", suffix, 100 * cpu_part);
-	printf("packing_mem_pct%s %.2f pct\n", suffix, 100 * mem_part);
+	out->scarcest += cpu >= mem ? cpu_part : mem_part;
+	out->any_order += share(&used, &total) / bound(backlog, &total);
+	out->cpu += cpu_part;
+	out->mem += mem_part;
 	g_array_free(backlog, TRUE);
 	ogl_place_end(p);
 }
 
+static void
+packing(
+    uint32_t workers, uint32_t least_cpu, uint32_t trials, const char *suffix)
+{
+	struct packed sum = {0};
+	uint32_t i;
+
+	for (i = 1; i <= trials; i++)
+		pack_once(workers, least_cpu, i, &sum);
+	printf(
+	    "packing_pct%s %.2f pct\n", suffix, 100 * sum.any_order / trials);
+	printf("packing_scarcest_pct%s %.2f pct\n", suffix,
+	    100 * sum.scarcest / trials);
+	printf("packing_cpu_pct%s %.2f pct\n", suffix, 100 * sum.cpu / trials);
+	printf("packing_mem_pct%s %.2f pct\n", suffix, 100 * sum.mem / trials);
+}
+
 /* ---- gangs ------------------------------------------------------------ */
 
 #define GANG_JOBS 6000
-#define GANG_LOAD 0.95
 #define GANG_WORKERS 50
 #define RESERVE (120 * OGL_SEC)
 #define WARM_UP 500 /* jobs before waits count */
@@ -201,11 +298,11 @@
 struct cell {
 	struct ogl_place *p;
 	struct mix_heap events;
-	GArray *jobs;    /* struct job, by number */
-	GArray *waiting; /* uint32_t, oldest first */
-	GArray *running; /* struct held */
-	bool reserve;
-	double wait[3];
+	GArray *jobs;           /* struct job, by number */
+	GArray *waiting;        /* uint32_t, oldest first */
+	GArray *running;        /* struct held */
+	ogl_time reserve_after; /* a gang's wait, OGL_NEVER for never */
+	double wait[3], longest[3];
 	uint32_t waits[3];
 };
 
@@ -245,7 +342,7 @@
 
 	if (j->sort == GANG) {
 		if (!ogl_place_gang(c->p, &j->ask, j->n, now, w)) {
-			if (c->reserve)
+			if (now - j->since >= c->reserve_after)
 				ogl_place_reserve(c->p, j->ask.job, &j->ask,
 				    j->n, now + RESERVE, now);
 			return false;
@@ -278,15 +375,17 @@
 		if (id < WARM_UP)
 			continue;
 		c->wait[j->sort] += (double)(now - j->since) / OGL_SEC;
+		c->longest[j->sort] = MAX(
+		    c->longest[j->sort], (double)(now - j->since) / OGL_SEC);
 		c->waits[j->sort]++;
 	}
 	g_array_set_size(c->waiting, kept);
 }
 
 static void
-arrivals(struct cell *c, struct mix *m)
+arrivals(struct cell *c, struct mix *m, double load)
 {
-	double room = GANG_WORKERS * 16000.0 * GANG_LOAD, t = 0;
+	double room = GANG_WORKERS * 16000.0 * load, t = 0;
 	struct job j;
 	uint32_t i;
 
@@ -301,10 +400,10 @@
 }
 
 static void
-gang_run(bool reserve, const char *suffix)
+gang_run(double load, ogl_time reserve_after, const char *suffix)
 {
 	struct mix m = {11};
-	struct cell c = {.reserve = reserve};
+	struct cell c = {.reserve_after = reserve_after};
 	struct mix_event e;
 	struct held *h;
 	uint32_t id;
@@ -314,7 +413,7 @@
 	c.waiting = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	c.running = g_array_new(FALSE, FALSE, sizeof(struct held));
 	mix_cell(&m, c.p, GANG_WORKERS, 4);
-	arrivals(&c, &m);
+	arrivals(&c, &m, load);
 	while (mix_heap_pop(&c.events, &e)) {
 		if (e.what & ARRIVAL) {
 			id = (uint32_t)e.what;
@@ -328,6 +427,7 @@
 	printf("gang_wait_ratio%s %.2f ratio\n", suffix,
 	    (c.wait[GANG] / c.waits[GANG]) / (c.wait[BATCH] / c.waits[BATCH]));
 	printf("gang_wait_s%s %.2f s\n", suffix, c.wait[GANG] / c.waits[GANG]);
+	printf("gang_wait_max_s%s %.2f s\n", suffix, c.longest[GANG]);
 	printf("gang_batch_wait_s%s %.2f s\n", suffix,
 	    c.wait[BATCH] / c.waits[BATCH]);
 	printf("gang_small_wait_s%s %.2f s\n", suffix,
@@ -346,10 +446,14 @@
 	cost(500, 4);
 	cost(5000, 12);
 	cost(22000, 12);
-	packing(50, 100, "");
-	packing(5000, 100, "_5000");
-	packing(50, 2000, "_coarse");
-	gang_run(true, "");
-	gang_run(false, "_noreserve");
+	packing(50, 100, 40, "");
+	packing(5000, 100, 1, "_5000");
+	packing(50, 2000, 40, "_coarse");
+	gang_run(0.95, 0, "");
+	gang_run(0.95, 30 * OGL_SEC, "_after30s");
+	gang_run(0.95, OGL_NEVER, "_noreserve");
+	gang_run(0.7, 0, "_70");
+	gang_run(0.7, 30 * OGL_SEC, "_70_after30s");
+	gang_run(0.7, OGL_NEVER, "_70_noreserve");
 	return 0;
 }
