--- a/gen/ogl.pb-c.c
+++ b/gen/ogl.pb-c.c
@@ -907,6 +907,96 @@
   assert(message->base.descriptor == &ogl__task_ended__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ogl__task_intent__init
+                     (Ogl__TaskIntent         *message)
+{
+  static const Ogl__TaskIntent init_value = OGL__TASK_INTENT__INIT;
+  *message = init_value;
+}
+size_t ogl__task_intent__get_packed_size
+                     (const Ogl__TaskIntent *message)
+{
+  assert(message->base.descriptor == &ogl__task_intent__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ogl__task_intent__pack
+                     (const Ogl__TaskIntent *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ogl__task_intent__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ogl__task_intent__pack_to_buffer
+                     (const Ogl__TaskIntent *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ogl__task_intent__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ogl__TaskIntent *
+       ogl__task_intent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ogl__TaskIntent *)
+     protobuf_c_message_unpack (&ogl__task_intent__descriptor,
+                                allocator, len, data);
+}
+void   ogl__task_intent__free_unpacked
+                     (Ogl__TaskIntent *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ogl__task_intent__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ogl__job_referred__init
+                     (Ogl__JobReferred         *message)
+{
+  static const Ogl__JobReferred init_value = OGL__JOB_REFERRED__INIT;
+  *message = init_value;
+}
+size_t ogl__job_referred__get_packed_size
+                     (const Ogl__JobReferred *message)
+{
+  assert(message->base.descriptor == &ogl__job_referred__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ogl__job_referred__pack
+                     (const Ogl__JobReferred *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ogl__job_referred__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ogl__job_referred__pack_to_buffer
+                     (const Ogl__JobReferred *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ogl__job_referred__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ogl__JobReferred *
+       ogl__job_referred__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ogl__JobReferred *)
+     protobuf_c_message_unpack (&ogl__job_referred__descriptor,
+                                allocator, len, data);
+}
+void   ogl__job_referred__free_unpacked
+                     (Ogl__JobReferred *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ogl__job_referred__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ogl__job_cancelled__init
                      (Ogl__JobCancelled         *message)
 {
@@ -3916,6 +4006,134 @@
   (ProtobufCMessageInit) ogl__task_ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ogl__task_intent__field_descriptors[3] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__TaskIntent, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__TaskIntent, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__TaskIntent, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ogl__task_intent__field_indices_by_name[] = {
+  2,   /* field[2] = attempt */
+  1,   /* field[1] = index */
+  0,   /* field[0] = job */
+};
+static const ProtobufCIntRange ogl__task_intent__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ogl__task_intent__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ogl.TaskIntent",
+  "TaskIntent",
+  "Ogl__TaskIntent",
+  "ogl",
+  sizeof(Ogl__TaskIntent),
+  3,
+  ogl__task_intent__field_descriptors,
+  ogl__task_intent__field_indices_by_name,
+  1,  ogl__task_intent__number_ranges,
+  (ProtobufCMessageInit) ogl__task_intent__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ogl__job_referred__field_descriptors[3] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__JobReferred, request),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shard",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__JobReferred, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "at_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__JobReferred, at_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ogl__job_referred__field_indices_by_name[] = {
+  2,   /* field[2] = at_ms */
+  0,   /* field[0] = request */
+  1,   /* field[1] = shard */
+};
+static const ProtobufCIntRange ogl__job_referred__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ogl__job_referred__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ogl.JobReferred",
+  "JobReferred",
+  "Ogl__JobReferred",
+  "ogl",
+  sizeof(Ogl__JobReferred),
+  3,
+  ogl__job_referred__field_descriptors,
+  ogl__job_referred__field_indices_by_name,
+  1,  ogl__job_referred__number_ranges,
+  (ProtobufCMessageInit) ogl__job_referred__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ogl__job_cancelled__field_descriptors[2] =
 {
   {
@@ -4235,7 +4453,7 @@
   (ProtobufCMessageInit) ogl__allot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__task_snap__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ogl__task_snap__field_descriptors[7] =
 {
   {
     "index",
@@ -4309,11 +4527,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "intended",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__TaskSnap, intended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__task_snap__field_indices_by_name[] = {
   1,   /* field[1] = attempt */
   3,   /* field[3] = ended */
   0,   /* field[0] = index */
+  6,   /* field[6] = intended */
   4,   /* field[4] = reason */
   2,   /* field[2] = state */
   5,   /* field[5] = tries */
@@ -4321,7 +4552,7 @@
 static const ProtobufCIntRange ogl__task_snap__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ogl__task_snap__descriptor =
 {
@@ -4331,7 +4562,7 @@
   "Ogl__TaskSnap",
   "ogl",
   sizeof(Ogl__TaskSnap),
-  6,
+  7,
   ogl__task_snap__field_descriptors,
   ogl__task_snap__field_indices_by_name,
   1,  ogl__task_snap__number_ranges,
@@ -4505,7 +4736,7 @@
   (ProtobufCMessageInit) ogl__id_snap__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__shard_snap__field_descriptors[12] =
+static const ProtobufCFieldDescriptor ogl__shard_snap__field_descriptors[13] =
 {
   {
     "snap",
@@ -4651,6 +4882,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "referred",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__ShardSnap, n_referred),
+    offsetof(Ogl__ShardSnap, referred),
+    &ogl__job_referred__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__shard_snap__field_indices_by_name[] = {
   6,   /* field[6] = allots */
@@ -4662,6 +4905,7 @@
   10,   /* field[10] = owner_boot */
   1,   /* field[1] = part */
   2,   /* field[2] = parts */
+  12,   /* field[12] = referred */
   0,   /* field[0] = snap */
   7,   /* field[7] = successors */
   5,   /* field[5] = workers */
@@ -4669,7 +4913,7 @@
 static const ProtobufCIntRange ogl__shard_snap__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor ogl__shard_snap__descriptor =
 {
@@ -4679,7 +4923,7 @@
   "Ogl__ShardSnap",
   "ogl",
   sizeof(Ogl__ShardSnap),
-  12,
+  13,
   ogl__shard_snap__field_descriptors,
   ogl__shard_snap__field_indices_by_name,
   1,  ogl__shard_snap__number_ranges,
@@ -4839,7 +5083,7 @@
   (ProtobufCMessageInit) ogl__settings_snap__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__record__field_descriptors[19] =
+static const ProtobufCFieldDescriptor ogl__record__field_descriptors[21] =
 {
   {
     "epoch",
@@ -5069,6 +5313,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "task_intent",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__Record, body_case),
+    offsetof(Ogl__Record, task_intent),
+    &ogl__task_intent__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_referred",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__Record, body_case),
+    offsetof(Ogl__Record, job_referred),
+    &ogl__job_referred__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__record__field_indices_by_name[] = {
   13,   /* field[13] = allot */
@@ -5082,11 +5350,13 @@
   10,   /* field[10] = id_outcome */
   6,   /* field[6] = job_accepted */
   8,   /* field[8] = job_cancelled */
+  20,   /* field[20] = job_referred */
   1,   /* field[1] = seq */
   18,   /* field[18] = settings_snap */
   14,   /* field[14] = shard_snap */
   15,   /* field[15] = successors */
   7,   /* field[7] = task_ended */
+  19,   /* field[19] = task_intent */
   11,   /* field[11] = worker_off */
   12,   /* field[12] = worker_on */
   2,   /* field[2] = writer */
@@ -5095,7 +5365,7 @@
 {
   { 1, 0 },
   { 10, 5 },
-  { 0, 19 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor ogl__record__descriptor =
 {
@@ -5105,7 +5375,7 @@
   "Ogl__Record",
   "ogl",
   sizeof(Ogl__Record),
-  19,
+  21,
   ogl__record__field_descriptors,
   ogl__record__field_indices_by_name,
   2,  ogl__record__number_ranges,
@@ -5594,7 +5864,7 @@
   (ProtobufCMessageInit) ogl__probe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__forward__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ogl__forward__field_descriptors[11] =
 {
   {
     "call",
@@ -5704,6 +5974,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suggest",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__Forward, suggest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused_by",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__Forward, refused_by),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__forward__field_indices_by_name[] = {
   7,   /* field[7] = body */
@@ -5711,15 +6005,17 @@
   0,   /* field[0] = call */
   2,   /* field[2] = method */
   3,   /* field[3] = path */
+  10,   /* field[10] = refused_by */
   5,   /* field[5] = request_id */
   1,   /* field[1] = shard */
+  9,   /* field[9] = suggest */
   4,   /* field[4] = team */
   6,   /* field[6] = work_kind */
 };
 static const ProtobufCIntRange ogl__forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ogl__forward__descriptor =
 {
@@ -5729,7 +6025,7 @@
   "Ogl__Forward",
   "ogl",
   sizeof(Ogl__Forward),
-  9,
+  11,
   ogl__forward__field_descriptors,
   ogl__forward__field_indices_by_name,
   1,  ogl__forward__number_ranges,
--- a/gen/ogl.pb-c.h
+++ b/gen/ogl.pb-c.h
@@ -35,6 +35,8 @@
 typedef struct Ogl__Claim Ogl__Claim;
 typedef struct Ogl__JobAccepted Ogl__JobAccepted;
 typedef struct Ogl__TaskEnded Ogl__TaskEnded;
+typedef struct Ogl__TaskIntent Ogl__TaskIntent;
+typedef struct Ogl__JobReferred Ogl__JobReferred;
 typedef struct Ogl__JobCancelled Ogl__JobCancelled;
 typedef struct Ogl__IdIntent Ogl__IdIntent;
 typedef struct Ogl__IdOutcome Ogl__IdOutcome;
@@ -539,6 +541,39 @@
     , (char *)protobuf_c_empty_string, 0, 0, OGL__TASK_STATE__running, (char *)protobuf_c_empty_string }
 
 
+/*
+ * A task that must not run twice is about to be sent to a worker.
+ */
+struct  Ogl__TaskIntent
+{
+  ProtobufCMessage base;
+  char *job;
+  uint32_t index;
+  uint32_t attempt;
+};
+#define OGL__TASK_INTENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ogl__task_intent__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * The job of a caller's own request id lives, if anywhere, in `shard`.
+ */
+struct  Ogl__JobReferred
+{
+  ProtobufCMessage base;
+  /*
+   * team|request id
+   */
+  char *request;
+  uint32_t shard;
+  uint64_t at_ms;
+};
+#define OGL__JOB_REFERRED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ogl__job_referred__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Ogl__JobCancelled
 {
   ProtobufCMessage base;
@@ -639,10 +674,14 @@
   protobuf_c_boolean ended;
   char *reason;
   uint32_t tries;
+  /*
+   * its start was recorded, its end not yet
+   */
+  protobuf_c_boolean intended;
 };
 #define OGL__TASK_SNAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__task_snap__descriptor) \
-    , 0, 0, OGL__TASK_STATE__running, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, OGL__TASK_STATE__running, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Ogl__JobSnap
@@ -700,10 +739,12 @@
   char *owner;
   uint64_t owner_boot;
   uint64_t epoch;
+  size_t n_referred;
+  Ogl__JobReferred **referred;
 };
 #define OGL__SHARD_SNAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__shard_snap__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 struct  Ogl__Successors
@@ -765,7 +806,9 @@
   OGL__RECORD__BODY_SUCCESSORS = 20,
   OGL__RECORD__BODY_EDIT = 21,
   OGL__RECORD__BODY_EVICT = 22,
-  OGL__RECORD__BODY_SETTINGS_SNAP = 23
+  OGL__RECORD__BODY_SETTINGS_SNAP = 23,
+  OGL__RECORD__BODY_TASK_INTENT = 24,
+  OGL__RECORD__BODY_JOB_REFERRED = 25
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OGL__RECORD__BODY__CASE)
 } Ogl__Record__BodyCase;
 
@@ -799,6 +842,8 @@
     Ogl__Edit *edit;
     Ogl__Evict *evict;
     Ogl__SettingsSnap *settings_snap;
+    Ogl__TaskIntent *task_intent;
+    Ogl__JobReferred *job_referred;
   };
 };
 #define OGL__RECORD__INIT \
@@ -918,10 +963,16 @@
    * time left
    */
   uint64_t budget_ms;
+  /*
+   * Submissions under a caller's own id, see src/shardcall.c; shards are
+   * counted from 1 here, 0 means none.
+   */
+  uint32_t suggest;
+  uint32_t refused_by;
 };
 #define OGL__FORWARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__forward__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0 }
 
 
 struct  Ogl__ForwardReply
@@ -1458,6 +1509,44 @@
 void   ogl__task_ended__free_unpacked
                      (Ogl__TaskEnded *message,
                       ProtobufCAllocator *allocator);
+/* Ogl__TaskIntent methods */
+void   ogl__task_intent__init
+                     (Ogl__TaskIntent         *message);
+size_t ogl__task_intent__get_packed_size
+                     (const Ogl__TaskIntent   *message);
+size_t ogl__task_intent__pack
+                     (const Ogl__TaskIntent   *message,
+                      uint8_t             *out);
+size_t ogl__task_intent__pack_to_buffer
+                     (const Ogl__TaskIntent   *message,
+                      ProtobufCBuffer     *buffer);
+Ogl__TaskIntent *
+       ogl__task_intent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ogl__task_intent__free_unpacked
+                     (Ogl__TaskIntent *message,
+                      ProtobufCAllocator *allocator);
+/* Ogl__JobReferred methods */
+void   ogl__job_referred__init
+                     (Ogl__JobReferred         *message);
+size_t ogl__job_referred__get_packed_size
+                     (const Ogl__JobReferred   *message);
+size_t ogl__job_referred__pack
+                     (const Ogl__JobReferred   *message,
+                      uint8_t             *out);
+size_t ogl__job_referred__pack_to_buffer
+                     (const Ogl__JobReferred   *message,
+                      ProtobufCBuffer     *buffer);
+Ogl__JobReferred *
+       ogl__job_referred__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ogl__job_referred__free_unpacked
+                     (Ogl__JobReferred *message,
+                      ProtobufCAllocator *allocator);
 /* Ogl__JobCancelled methods */
 void   ogl__job_cancelled__init
                      (Ogl__JobCancelled         *message);
@@ -2014,6 +2103,12 @@
 typedef void (*Ogl__TaskEnded_Closure)
                  (const Ogl__TaskEnded *message,
                   void *closure_data);
+typedef void (*Ogl__TaskIntent_Closure)
+                 (const Ogl__TaskIntent *message,
+                  void *closure_data);
+typedef void (*Ogl__JobReferred_Closure)
+                 (const Ogl__JobReferred *message,
+                  void *closure_data);
 typedef void (*Ogl__JobCancelled_Closure)
                  (const Ogl__JobCancelled *message,
                   void *closure_data);
@@ -2124,6 +2219,8 @@
 extern const ProtobufCMessageDescriptor ogl__claim__descriptor;
 extern const ProtobufCMessageDescriptor ogl__job_accepted__descriptor;
 extern const ProtobufCMessageDescriptor ogl__task_ended__descriptor;
+extern const ProtobufCMessageDescriptor ogl__task_intent__descriptor;
+extern const ProtobufCMessageDescriptor ogl__job_referred__descriptor;
 extern const ProtobufCMessageDescriptor ogl__job_cancelled__descriptor;
 extern const ProtobufCMessageDescriptor ogl__id_intent__descriptor;
 extern const ProtobufCMessageDescriptor ogl__id_outcome__descriptor;
--- a/src/calls.c
+++ b/src/calls.c
@@ -46,7 +46,12 @@
 	char *work_kind;
 	GBytes *body;
 	uint32_t shard;
-	uint32_t tried;      /* shards that said the job can never run */
+	uint32_t tried;   /* shards that said the job can never run */
+	uint32_t home;    /* shard of the caller's own id */
+	bool own_id;      /* goes by way of its home */
+	bool referred;    /* c->shard is where home referred it to */
+	uint32_t suggest; /* shard + 1 */
+	uint32_t refused_by;
 	bool any_shard;      /* another shard may take it */
 	uint32_t unanswered; /* times passed on without an answer yet */
 	bool at_home;        /* our own shard holds it as a waiter */
@@ -220,6 +225,8 @@
 	q.body.p = g_bytes_get_data(c->body, &len);
 	q.body.n = len;
 	q.budget_ms = (uint64_t)MAX((c->deadline - n->now) / OGL_MS, 1);
+	q.suggest = c->referred ? 0 : c->suggest;
+	q.refused_by = c->refused_by;
 	ogl_shard_call(n->shards[shard], &q, n->now);
 }
 
@@ -241,6 +248,8 @@
 	f.body.data = (uint8_t *)g_bytes_get_data(c->body, &len);
 	f.body.len = len;
 	f.budget_ms = (uint64_t)MAX((c->deadline - n->now) / OGL_MS, 1);
+	f.suggest = c->referred ? 0 : c->suggest;
+	f.refused_by = c->refused_by;
 	msg.body_case = OGL__PEER_MSG__BODY_FORWARD;
 	msg.forward = &f;
 	ogl_member_send(n->member, p->fact->addr, &msg, n->out);
@@ -390,6 +399,35 @@
 	c->next_send = n->now + (ogl_time)wait_ms * OGL_MS;
 }
 
+/* The home of the caller's id says which shard is to take the job. */
+static void
+follow_referral(struct ogl_node *n, struct call *c, GBytes *body)
+{
+	char text[16] = "";
+	gsize len;
+	const char *p = g_bytes_get_data(body, &len);
+	guint64 shard;
+
+	memcpy(text, p, MIN(len, sizeof text - 1));
+	shard = g_ascii_strtoull(text, NULL, 10);
+	if (shard >= n->cfg.shards || c->referred)
+		return;
+	c->referred = true;
+	c->shard = (uint32_t)shard;
+	ask_again(n, c, 0);
+}
+
+/* A shard can never run the job: its home is asked to refer it to the next. */
+static void
+back_home(struct ogl_node *n, struct call *c)
+{
+	c->refused_by = c->shard + 1;
+	c->suggest = (c->shard + 1) % n->cfg.shards + 1;
+	c->referred = false;
+	c->shard = c->home;
+	ask_again(n, c, 0);
+}
+
 /* A shard's word on a call of ours.  What failed for want of an owner is
  * asked again: every passed call may be repeated.  A job that one shard can
  * never run may fit another.  Everything else is the answer. */
@@ -411,6 +449,14 @@
 		ask_again(n, c, retry_ms);
 		return;
 	}
+	if (status == OGL_STATUS_REFERRED) {
+		follow_referral(n, c, body);
+		return;
+	}
+	if (status == 422 && c->own_id && ++c->tried < n->cfg.shards) {
+		back_home(n, c);
+		return;
+	}
 	if (status == 422 && c->any_shard && ++c->tried < n->cfg.shards) {
 		c->shard = (c->shard + 1) % n->cfg.shards;
 		ask_again(n, c, 0);
@@ -489,6 +535,8 @@
 	q.body.p = (const char *)f->body.data;
 	q.body.n = f->body.len;
 	q.budget_ms = f->budget_ms;
+	q.suggest = f->suggest;
+	q.refused_by = f->refused_by;
 	ogl_shard_call(n->shards[f->shard], &q, n->now);
 }
 
@@ -659,9 +707,12 @@
 	c = call_new(n, ev, team, path);
 	c->kind = CALL_SHARD;
 	c->any_shard = !own_id;
+	c->own_id = own_id;
 	g_bytes_unref(c->body);
 	c->body = with_id(n, s, ev);
 	c->shard = own_id ? shard_of_id(n, team, s->request_id) : pick_shard(n);
+	c->home = c->shard;
+	c->suggest = own_id ? pick_shard(n) + 1 : 0;
 	send_shard(n, c);
 out:
 	if (s != NULL)
--- a/src/sched.c
+++ b/src/sched.c
@@ -9,6 +9,7 @@
  * again ends in ogl_sched_enqueue.
  */
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "shard_impl.h"
@@ -155,6 +156,12 @@
 
 	if (t->phase != OGL_TASK_PLACED || t->stopping || t->ending)
 		return;
+	if (!t->sent && !t->running) {
+		/* No worker has heard of it: it simply waits again. */
+		ogl_sched_unbind(sh, j, i, true, now);
+		g_ptr_array_add(sh->requeue, j);
+		return;
+	}
 	t->stopping = true;
 	s = g_ptr_array_index(sh->sessions, t->worker);
 	ogl_session_stop_task(sh, s, j->id, i, t->attempt, mode, now);
@@ -389,6 +396,7 @@
 	t->worker = s->number;
 	t->attempt = attempt;
 	t->running = false;
+	t->held = false;
 	t->sent = false;
 	t->stopping = false;
 	t->since = now;
@@ -445,6 +453,7 @@
 	}
 	t->phase = OGL_TASK_WAITING;
 	t->running = false;
+	t->held = false;
 	t->stopping = false;
 	t->work = 0;
 	j->nplaced--;
@@ -473,6 +482,36 @@
 	return MAX(t->attempt + 1, sh->state->claims << ATTEMPT_BITS);
 }
 
+/* A task that must not run twice goes to its worker only after the log knows
+ * of it.  An owner that follows us could otherwise not tell a task that was
+ * never started from one that ran on a worker which has restarted since. */
+static void
+record_intent(struct ogl_shard *sh, struct ogl_job *j, uint32_t i, ogl_time now)
+{
+	Ogl__Record *r = ogl_shard_record(sh, now);
+
+	j->tasks[i].held = true;
+	r->body_case = OGL__RECORD__BODY_TASK_INTENT;
+	r->task_intent = malloc(sizeof *r->task_intent);
+	ogl__task_intent__init(r->task_intent);
+	r->task_intent->job = strdup(j->id);
+	r->task_intent->index = i;
+	r->task_intent->attempt = j->tasks[i].attempt;
+	ogl_shard_append(sh, r, now);
+}
+
+void
+ogl_sched_intended(struct ogl_shard *sh, struct ogl_job *j, uint32_t i,
+    uint32_t attempt, ogl_time now)
+{
+	struct ogl_task *t = &j->tasks[i];
+
+	if (t->phase != OGL_TASK_PLACED || !t->held || t->attempt != attempt)
+		return;
+	t->held = false;
+	ogl_session_wake(sh, g_ptr_array_index(sh->sessions, t->worker), now);
+}
+
 static void
 start_on(struct ogl_shard *sh, struct ogl_job *j, uint32_t i, uint32_t place,
     uint64_t work, ogl_time now)
@@ -481,7 +520,10 @@
 
 	bind(sh, s, j, i, new_attempt(sh, &j->tasks[i]), now);
 	j->tasks[i].work = work;
-	ogl_session_wake(sh, s, now);
+	if (!j->spec->restartable)
+		record_intent(sh, j, i, now);
+	else
+		ogl_session_wake(sh, s, now);
 	sh->env->counters->starts++;
 }
 
@@ -520,6 +562,8 @@
 	struct ogl_ask ask;
 	uint32_t place;
 
+	if (!ref->job->spec->restartable && !ogl_shard_log_up(sh, now))
+		return false;
 	if (!limits_allow(sh, ref->job->team, w->tasks))
 		return false;
 	if (ref->job->spec->kind == OGL__KIND__gang)
--- a/src/session.c
+++ b/src/session.c
@@ -207,6 +207,11 @@
 		struct ogl_job *j = t->job;
 		uint32_t index = t->index;
 
+		if (!j->tasks[index].sent && !j->tasks[index].running) {
+			ogl_sched_unbind(sh, j, index, true, now);
+			g_ptr_array_add(sh->requeue, j);
+			continue;
+		}
 		sh->env->counters->lapses++;
 		ogl_shard_task_end(
 		    sh, j, index, OGL__TASK_STATE__lapsed, why, now);
@@ -293,7 +298,7 @@
 
 		if (m->n_start == OGL_SYNC_TASKS)
 			break;
-		if (t->running || t->ending || t->stopping)
+		if (t->running || t->ending || t->stopping || t->held)
 			continue;
 		add_start(m, s, ref);
 		t->sent = true;
@@ -328,6 +333,21 @@
 	g_ptr_array_set_free_func(s->acks, ack_free);
 }
 
+/* A task is to be stopped that never said it runs: only a full report tells
+ * whether it is there. */
+static bool
+stops_unstarted(const struct ogl_session *s)
+{
+	for (guint i = 0; s->stops->len > 0 && i < s->tasks->len; i++) {
+		const struct ogl_tref *ref = g_ptr_array_index(s->tasks, i);
+		const struct ogl_task *t = &ref->job->tasks[ref->index];
+
+		if (t->stopping && !t->running)
+			return true;
+	}
+	return false;
+}
+
 static uint64_t
 track_token(struct ogl_shard *sh, struct ogl_session *s)
 {
@@ -355,7 +375,8 @@
 	m->boot = s->known ? s->boot : 0;
 	m->owner = strdup(c->name);
 	/* After a lost answer differences may be missing: ask for all. */
-	m->full = !s->known || s->want_full || s->fails > 0;
+	m->full =
+	    !s->known || s->want_full || s->fails > 0 || stops_unstarted(s);
 	if (s->known && s->on && !s->want_full) {
 		m->lease_from_ms = s->clock_ms;
 		m->lease_ms = c->lease_ms;
@@ -530,7 +551,8 @@
 	if (t != NULL && t->ending && t->attempt == r->attempt)
 		return; /* on its way to the log; the ack follows */
 	orphan = t != NULL && t->phase == OGL_TASK_WAITING && sh->limbo &&
-		 r->attempt > t->attempt;
+		 (r->attempt > t->attempt ||
+		     (r->attempt == t->attempt && t->intended));
 	if (t == NULL || !(orphan || bound_here(s, t, r->attempt))) {
 		push_ack(s, r->task, r->attempt);
 		return;
@@ -586,6 +608,11 @@
 			ogl_shard_task_end(sh, ref.job, ref.index,
 			    OGL__TASK_STATE__lapsed, "its worker started anew",
 			    now);
+		} else if (!g_hash_table_contains(named, name) && t->stopping) {
+			/* The stop was there before its start. */
+			drop_stop(s, name, t->attempt);
+			ogl_shard_task_end(sh, ref.job, ref.index,
+			    OGL__TASK_STATE__stopped, "it was stopped", now);
 		}
 		g_free(name);
 	}
@@ -692,7 +719,7 @@
 		const struct ogl_tref *ref = g_ptr_array_index(s->tasks, i);
 		const struct ogl_task *t = &ref->job->tasks[ref->index];
 
-		if (!t->running && !t->ending && !t->stopping)
+		if (!t->running && !t->ending && !t->stopping && !t->held)
 			return true;
 	}
 	return false;
--- a/src/shard.c
+++ b/src/shard.c
@@ -440,6 +440,25 @@
 	g_ptr_array_add(sh->requeue, j);
 }
 
+static void
+hook_intent(
+    void *ctx, struct ogl_job *j, uint32_t i, uint32_t attempt, ogl_time now)
+{
+	struct ogl_shard *sh = ctx;
+
+	if (acts(sh))
+		ogl_sched_intended(sh, j, i, attempt, now);
+}
+
+static void
+hook_referred(void *ctx, const Ogl__JobReferred *r, ogl_time now)
+{
+	struct ogl_shard *sh = ctx;
+
+	if (acts(sh))
+		ogl_shardcall_referred(sh, r, now);
+}
+
 static void
 hook_id(void *ctx, struct ogl_idrec *r, ogl_time now)
 {
@@ -472,6 +491,8 @@
     .job = hook_job,
     .cancelled = hook_cancelled,
     .task_ended = hook_task_ended,
+    .intent = hook_intent,
+    .referred = hook_referred,
     .id = hook_id,
     .worker = hook_worker,
     .allot = hook_allot,
@@ -717,6 +738,21 @@
 
 /* ---- owning ----------------------------------------------------------- */
 
+/* A task whose start was recorded, that no worker names and none silent can
+ * still run, has run to an end nobody saw or was never sent.  It must not run
+ * twice, so it ends here, and its verdict says that it may have run. */
+static void
+end_unknown_starts(struct ogl_shard *sh, struct ogl_job *j, ogl_time now)
+{
+	for (uint32_t i = 0; i < j->ntasks; i++) {
+		struct ogl_task *t = &j->tasks[i];
+
+		if (t->phase == OGL_TASK_WAITING && t->intended && !t->ending)
+			ogl_shard_task_end(sh, j, i, OGL__TASK_STATE__lapsed,
+			    "its owner was lost while it was started", now);
+	}
+}
+
 static void
 end_limbo(struct ogl_shard *sh, ogl_time now)
 {
@@ -730,8 +766,11 @@
 		return;
 	sh->limbo = false;
 	g_hash_table_iter_init(&it, sh->state->jobs);
-	while (g_hash_table_iter_next(&it, NULL, &v))
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		if (((struct ogl_job *)v)->inherited)
+			end_unknown_starts(sh, v, now);
 		ogl_sched_enqueue(sh, v, now);
+	}
 	ogl_shard_log(sh, OGL_LOG_INFO, "ready after %" G_GINT64_FORMAT " ms",
 	    (now - sh->claimed_at) / OGL_MS);
 }
--- a/src/shard.h
+++ b/src/shard.h
@@ -33,8 +33,14 @@
 	const char *work_kind;
 	struct ogl_str body;
 	uint64_t budget_ms;
+	uint32_t suggest;    /* shard + 1 that may take the submission */
+	uint32_t refused_by; /* shard + 1 that can never run it */
 };
 
+/* Answer to a submission that another shard is to take: between nodes only;
+ * the body is the shard's number in decimal. */
+#define OGL_STATUS_REFERRED 309
+
 /* What a shard asks of the node it lives in. */
 struct ogl_shard_ops {
 	void (*reply)(void *ctx, uint32_t shard, uint64_t waiter,
--- a/src/shard_impl.h
+++ b/src/shard_impl.h
@@ -100,6 +100,7 @@
 	GHashTable *held;        /* team path -> uint64_t * tasks placed */
 	GHashTable *submits;     /* job id -> GArray of waiters */
 	GHashTable *pending_ids; /* request key -> job id, on its way */
+	GHashTable *referrals;   /* request key -> GArray of waiters */
 	GHashTable *cancels;     /* job id -> GArray of waiters */
 	GHashTable *flights;     /* request id -> struct ogl_flight */
 	struct ogl_escrow *escrow;
@@ -146,6 +147,9 @@
 void ogl_sched_unbind(
     struct ogl_shard *sh, struct ogl_job *j, uint32_t i, bool ok, ogl_time now);
 /* It no longer runs there. */
+void ogl_sched_intended(struct ogl_shard *sh, struct ogl_job *j, uint32_t i,
+    uint32_t attempt, ogl_time now);
+/* The record that a task is about to start has taken effect. */
 void ogl_sched_stop_job(
     struct ogl_shard *sh, struct ogl_job *j, Ogl__StopMode mode, ogl_time now);
 void ogl_sched_settings(struct ogl_shard *sh, ogl_time now);
@@ -161,6 +165,8 @@
 void ogl_shardcall_job(struct ogl_shard *sh, struct ogl_job *j, ogl_time now);
 void ogl_shardcall_cancelled(
     struct ogl_shard *sh, struct ogl_job *j, ogl_time now);
+void ogl_shardcall_referred(
+    struct ogl_shard *sh, const Ogl__JobReferred *r, ogl_time now);
 void ogl_shardcall_id(struct ogl_shard *sh, struct ogl_idrec *r, ogl_time now);
 
 /* ---- escrow.c --------------------------------------------------------- */
--- a/src/shardcall.c
+++ b/src/shardcall.c
@@ -6,6 +6,13 @@
  * does its submitter hear so.  A submitter's request id is remembered with
  * the job: the same id again gives the same job.
  *
+ * A submission under the caller's own id goes first to the shard that the id
+ * belongs to, its home.  The asked node suggests a shard with room; the home
+ * records which shard the id is referred to, and answers with it.  The same
+ * id again is referred to the same shard, whatever is suggested, until that
+ * shard has said that it can never run the job.  So one id gives one job, and
+ * yet jobs go where there is room.
+ *
  * A short request that must not run twice is recorded as an intent before it
  * is sent to an executor, and its outcome afterwards.  The same id again
  * gets the recorded outcome, joins the flight under way, or, when an earlier
@@ -23,7 +30,8 @@
 	MOST_WAITING = 200000, /* work waiting in one shard */
 	RETRY_OWNER_MS = 300,  /* come back when an owner may be there */
 	RETRY_LOG_MS = 1000,   /* come back when the log may be up */
-	RETRY_FULL_MS = 5000
+	RETRY_FULL_MS = 5000,
+	UNHEARD_FAILS = 3 /* a worker silent so often is not waited for */
 };
 
 /* A short request on its way, by its id. */
@@ -63,6 +71,8 @@
 	    g_str_hash, g_str_equal, g_free, waiters_free);
 	sh->pending_ids =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	sh->referrals = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, waiters_free);
 	sh->cancels = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, waiters_free);
 	sh->flights =
@@ -205,6 +215,7 @@
 	(void)now;
 	refuse_table(sh, sh->submits, error);
 	refuse_table(sh, sh->cancels, error);
+	refuse_table(sh, sh->referrals, error);
 	g_hash_table_iter_init(&it, sh->flights);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct ogl_flight *f = v;
@@ -215,6 +226,7 @@
 	g_clear_pointer(&sh->submits, g_hash_table_destroy);
 	g_clear_pointer(&sh->pending_ids, g_hash_table_destroy);
 	g_clear_pointer(&sh->cancels, g_hash_table_destroy);
+	g_clear_pointer(&sh->referrals, g_hash_table_destroy);
 	g_clear_pointer(&sh->flights, g_hash_table_destroy);
 }
 
@@ -239,6 +251,9 @@
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		drop_waiter(v, waiter);
 	g_hash_table_iter_init(&it, sh->cancels);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		drop_waiter(v, waiter);
+	g_hash_table_iter_init(&it, sh->referrals);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		drop_waiter(v, waiter);
 	g_hash_table_iter_init(&it, sh->flights);
@@ -333,6 +348,85 @@
 	return j != NULL || id != NULL;
 }
 
+static void
+reply_referral(struct ogl_shard *sh, uint64_t waiter, uint32_t shard)
+{
+	char *text = g_strdup_printf("%u", shard);
+
+	reply(sh, waiter, OGL_STATUS_REFERRED, OGL_NOT_RUN, 0,
+	    g_bytes_new_take(text, strlen(text)));
+}
+
+void
+ogl_shardcall_referred(
+    struct ogl_shard *sh, const Ogl__JobReferred *r, ogl_time now)
+{
+	GArray *w = g_hash_table_lookup(sh->referrals, r->request);
+
+	(void)now;
+	for (guint i = 0; w != NULL && i < w->len; i++)
+		reply_referral(sh, g_array_index(w, uint64_t, i), r->shard);
+	g_hash_table_remove(sh->referrals, r->request);
+}
+
+static void
+record_referral(
+    struct ogl_shard *sh, const char *key, uint32_t shard, ogl_time now)
+{
+	Ogl__Record *r = ogl_shard_record(sh, now);
+
+	r->body_case = OGL__RECORD__BODY_JOB_REFERRED;
+	r->job_referred = malloc(sizeof *r->job_referred);
+	ogl__job_referred__init(r->job_referred);
+	r->job_referred->request = strdup(key);
+	r->job_referred->shard = shard;
+	r->job_referred->at_ms = (uint64_t)(now / OGL_MS);
+	ogl_shard_append(sh, r, now);
+}
+
+/* Whether the submission belongs to another shard, or will in a moment. */
+static bool
+refer(struct ogl_shard *sh, const struct ogl_ask_call *c, const char *id,
+    ogl_time now)
+{
+	const Ogl__JobReferred *r;
+	char *key;
+
+	if (c->suggest == 0)
+		return false;
+	key = ogl_request_key(c->team, id);
+	r = g_hash_table_lookup(sh->state->referred, key);
+	if (g_hash_table_contains(sh->referrals, key)) {
+		add_waiter(sh->referrals, key, c->waiter);
+	} else if (r != NULL && c->refused_by != r->shard + 1) {
+		reply_referral(sh, c->waiter, r->shard);
+	} else if (r == NULL && c->suggest == sh->index + 1) {
+		g_free(key);
+		return false;
+	} else {
+		add_waiter(sh->referrals, key, c->waiter);
+		record_referral(sh, key, c->suggest - 1, now);
+	}
+	g_free(key);
+	return true;
+}
+
+/* Whether something may yet turn up that the job would fit. */
+static bool
+workers_unsettled(const struct ogl_shard *sh)
+{
+	if (sh->limbo)
+		return true;
+	for (guint i = 0; i < sh->sessions->len; i++) {
+		const struct ogl_session *s =
+		    g_ptr_array_index(sh->sessions, i);
+
+		if (!s->known && !s->gone && s->fails < UNHEARD_FAILS)
+			return true;
+	}
+	return false;
+}
+
 static void
 call_submit(struct ogl_shard *sh, const struct ogl_ask_call *c, ogl_time now)
 {
@@ -353,15 +447,20 @@
 		    "the log can't be reached, so nothing is accepted");
 		goto out;
 	}
+	if (refer(sh, c, s->request_id, now))
+		goto out;
 	if (ogl_queue_length(sh->queue) > MOST_WAITING) {
 		refuse(sh, c->waiter, 503, OGL_NOT_RUN, RETRY_FULL_MS,
 		    "too much work waits already");
 		goto out;
 	}
 	why = limit_reason(sh, c->team, s);
-	if (why == NULL && !sh->limbo)
+	if (why == NULL)
 		why = never_reason(sh, s);
-	if (why != NULL)
+	if (why != NULL && workers_unsettled(sh))
+		refuse(sh, c->waiter, 503, OGL_NOT_RUN, RETRY_OWNER_MS,
+		    "the workers are not all known yet");
+	else if (why != NULL)
 		refuse(sh, c->waiter, 422, OGL_NOT_RUN, 0, why);
 	else
 		record_job(sh, c->team, s, c->waiter, now);
--- a/src/state.c
+++ b/src/state.c
@@ -21,9 +21,10 @@
 #include "state.h"
 
 enum {
-	FAILED_TRIES = 3,       /* a restartable task may fail so often */
-	SNAP_JOBS = 500,        /* jobs and ids in one part of a snapshot */
-	ENDED_JOB_KEEP_S = 3600 /* ended jobs can be asked for so long */
+	FAILED_TRIES = 3,        /* a restartable task may fail so often */
+	SNAP_JOBS = 500,         /* jobs and ids in one part of a snapshot */
+	ENDED_JOB_KEEP_S = 3600, /* ended jobs can be asked for so long */
+	REFERRAL_KEEP_S = 86400, /* an id may be repeated for so long */
 };
 
 static void
@@ -51,6 +52,12 @@
 	g_free(r);
 }
 
+static void
+referred_free(void *v)
+{
+	ogl__job_referred__free_unpacked(v, NULL);
+}
+
 static void
 allot_free(void *v)
 {
@@ -68,6 +75,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 	st->by_request =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	st->referred =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, referred_free);
 	st->ids =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, idrec_free);
 	st->workers =
@@ -86,6 +95,7 @@
 	g_hash_table_destroy(st->by_request);
 	g_hash_table_destroy(st->jobs);
 	g_hash_table_destroy(st->ids);
+	g_hash_table_destroy(st->referred);
 	g_hash_table_destroy(st->workers);
 	g_hash_table_destroy(st->allots);
 	g_ptr_array_free(st->successors, TRUE);
@@ -200,6 +210,7 @@
 	if (hooks != NULL)
 		hooks->task_ended(ctx, j, e->index, e, now);
 	t->attempt = e->attempt;
+	t->intended = false;
 	if (e->state == OGL__TASK_STATE__failed)
 		t->tries++;
 	if (end_is_final(j, t, e->state)) {
@@ -211,6 +222,34 @@
 	}
 }
 
+/* From here on the task may have run, until its end is recorded. */
+static void
+apply_intent(struct ogl_state *st, const Ogl__TaskIntent *t,
+    const struct ogl_state_hooks *hooks, void *ctx, ogl_time now)
+{
+	struct ogl_job *j = g_hash_table_lookup(st->jobs, t->job);
+
+	if (j == NULL || t->index >= j->ntasks ||
+	    j->tasks[t->index].phase == OGL_TASK_ENDED)
+		return;
+	j->tasks[t->index].intended = true;
+	j->tasks[t->index].attempt =
+	    MAX(j->tasks[t->index].attempt, t->attempt);
+	if (hooks != NULL)
+		hooks->intent(ctx, j, t->index, t->attempt, now);
+}
+
+static void
+apply_referred(struct ogl_state *st, const Ogl__JobReferred *r,
+    const struct ogl_state_hooks *hooks, void *ctx, ogl_time now)
+{
+	Ogl__JobReferred *copy = message_copy(&r->base);
+
+	g_hash_table_replace(st->referred, copy->request, copy);
+	if (hooks != NULL)
+		hooks->referred(ctx, copy, now);
+}
+
 static void
 apply_cancelled(struct ogl_state *st, const Ogl__JobCancelled *c,
     const struct ogl_state_hooks *hooks, void *ctx, uint64_t at_ms,
@@ -373,6 +412,7 @@
 			continue;
 		j->tasks[t->index].attempt = t->attempt;
 		j->tasks[t->index].tries = (uint8_t)t->tries;
+		j->tasks[t->index].intended = t->intended;
 		if (t->ended)
 			task_finish(
 			    j, &j->tasks[t->index], t->state, t->reason);
@@ -397,6 +437,8 @@
 	for (size_t i = 0; i < s->n_workers; i++)
 		apply_worker(st, s->workers[i]->worker, s->workers[i]->addr,
 		    NULL, NULL, 0);
+	for (size_t i = 0; i < s->n_referred; i++)
+		apply_referred(st, s->referred[i], NULL, NULL, 0);
 	for (size_t i = 0; i < s->n_allots; i++)
 		apply_allot(st, s->allots[i], NULL, NULL, 0);
 	if (s->part == 0) {
@@ -490,13 +532,14 @@
 		const struct ogl_task *t = &j->tasks[i];
 		Ogl__TaskSnap *ts;
 
-		if (t->phase != OGL_TASK_ENDED && t->tries == 0)
+		if (t->phase != OGL_TASK_ENDED && t->tries == 0 && !t->intended)
 			continue;
 		ts = malloc(sizeof *ts);
 		ogl__task_snap__init(ts);
 		ts->index = i;
 		ts->attempt = t->attempt;
 		ts->tries = t->tries;
+		ts->intended = t->intended;
 		ts->ended = t->phase == OGL_TASK_ENDED;
 		ts->state = t->end;
 		if (t->reason != NULL)
@@ -546,6 +589,12 @@
 	for (guint i = 0; i < st->successors->len; i++)
 		p->successors[p->n_successors++] =
 		    strdup(g_ptr_array_index(st->successors, i));
+	p->referred =
+	    calloc(g_hash_table_size(st->referred) + 1, sizeof(void *));
+	g_hash_table_iter_init(&it, st->referred);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		p->referred[p->n_referred++] =
+		    message_copy(&((Ogl__JobReferred *)v)->base);
 	p->workers = calloc(g_hash_table_size(st->workers) + 1, sizeof(void *));
 	g_hash_table_iter_init(&it, st->workers);
 	while (g_hash_table_iter_next(&it, &k, &v)) {
@@ -619,6 +668,15 @@
 	return ((struct ogl_idrec *)value)->at_ms < *(uint64_t *)oldest_ms;
 }
 
+/* Without its referral an id sent again could lead to another shard and give
+ * a second job, so referrals are kept for as long as callers may repeat. */
+static gboolean
+referral_is_old(gpointer key, gpointer value, gpointer oldest_ms)
+{
+	(void)key;
+	return ((Ogl__JobReferred *)value)->at_ms < *(uint64_t *)oldest_ms;
+}
+
 void
 ogl_state_prune(struct ogl_state *st, uint64_t now_ms, uint32_t id_keep_ms)
 {
@@ -627,6 +685,10 @@
 	g_hash_table_foreach_remove(st->by_request, job_is_old, &now_ms);
 	g_hash_table_foreach_remove(st->jobs, job_is_old, &now_ms);
 	g_hash_table_foreach_remove(st->ids, id_is_old, &oldest);
+	oldest = now_ms > REFERRAL_KEEP_S * 1000ull
+		     ? now_ms - REFERRAL_KEEP_S * 1000ull
+		     : 0;
+	g_hash_table_foreach_remove(st->referred, referral_is_old, &oldest);
 }
 
 /* ---- one record ------------------------------------------------------- */
@@ -651,6 +713,12 @@
 		apply_cancelled(
 		    st, r->job_cancelled, hooks, ctx, r->at_ms, now);
 		break;
+	case OGL__RECORD__BODY_TASK_INTENT:
+		apply_intent(st, r->task_intent, hooks, ctx, now);
+		break;
+	case OGL__RECORD__BODY_JOB_REFERRED:
+		apply_referred(st, r->job_referred, hooks, ctx, now);
+		break;
 	case OGL__RECORD__BODY_ID_INTENT:
 		id = idrec_get(st, r->id_intent->id);
 		id->at_ms = r->id_intent->at_ms;
--- a/src/state.h
+++ b/src/state.h
@@ -20,6 +20,8 @@
 	bool running;     /* owner: the worker said that it runs */
 	bool stopping;    /* owner: told to stop */
 	bool sent;        /* owner: a start of this attempt went out */
+	bool intended;    /* an attempt to start it is on the log */
+	bool held;        /* owner: waits for that record to take effect */
 	uint8_t tries;    /* attempts that failed by themselves */
 	uint32_t attempt; /* newest attempt known */
 	uint32_t worker;  /* owner: session number while placed */
@@ -66,6 +68,7 @@
 	GPtrArray *successors;  /* names */
 	GHashTable *jobs;       /* id -> struct ogl_job */
 	GHashTable *by_request; /* team/request id -> struct ogl_job */
+	GHashTable *referred;   /* team/request id -> Ogl__JobReferred */
 	GHashTable *ids;        /* id -> struct ogl_idrec */
 	GHashTable *workers;    /* name -> addr: the owner may start there */
 	GHashTable *allots;     /* team -> Ogl__Allot */
@@ -88,6 +91,9 @@
 	/* Before the task's phase changes; `final` tells whether for good. */
 	void (*task_ended)(void *ctx, struct ogl_job *j, uint32_t i,
 	    const Ogl__TaskEnded *e, ogl_time now);
+	void (*intent)(void *ctx, struct ogl_job *j, uint32_t i,
+	    uint32_t attempt, ogl_time now);
+	void (*referred)(void *ctx, const Ogl__JobReferred *r, ogl_time now);
 	void (*id)(void *ctx, struct ogl_idrec *r, ogl_time now);
 	void (*worker)(void *ctx, const char *name, bool on, ogl_time now);
 	void (*allot)(void *ctx, const Ogl__Allot *a, ogl_time now);
