--- a/bench/bench_route_views.c
+++ b/bench/bench_route_views.c
@@ -19,8 +19,8 @@
 #define SLOTS 8
 #define SERVICE_US 50000.0
 #define ONE_WAY OGL_MS
-#define REQUESTS 400000
-#define WARM_UP 40000
+#define REQUESTS 250000
+#define WARM_UP 25000
 #define TRIES 8
 #define AGAIN (5 * OGL_MS) /* a queue with nothing in flight */
 
--- a/src/route.c
+++ b/src/route.c
@@ -156,6 +156,8 @@
 	struct target *k = &r->targets[t];
 	bool before = in_use(k);
 
+	if (k->aside == aside && k->leaving == leaving)
+		return;
 	r->naside -= !k->leaving && k->aside != ASIDE_NOT;
 	k->aside = (uint8_t)aside;
 	k->leaving = leaving;
