Tell the placer of real ends only, the router of refusals as such

Cause: a task stopped by command counted as a failure of its worker; a 503 with not_run reached the router as an answer, and its wait estimate never saw a failed pick since free places were tested first. Ruled out: none else; the placement's and router's contracts say so.

--- a/src/reqs.c
+++ b/src/reqs.c
@@ -370,8 +370,7 @@
 
 	q->pump_due = false;
 	ogl_queue_again(q->queue, now);
-	while (misses < TRIES && ogl_route_free(q->route, now) > 0 &&
-	       ogl_queue_pop(q->queue, now, &w)) {
+	while (misses < TRIES && ogl_queue_pop(q->queue, now, &w)) {
 		struct req *r = g_hash_table_lookup(q->live, &w.id);
 		uint32_t t;
 
@@ -449,13 +448,16 @@
 {
 	uint64_t id = ev->token & 0xffffffffffffff;
 	struct req *r = g_hash_table_lookup(q->live, &id);
+	enum ogl_io io;
 
 	if (r == NULL || r->phase != REQ_SENT) {
 		q->counters->late_answers++;
 		return;
 	}
-	ogl_route_done(q->route, r->tried[r->ntried - 1], r->cookie, ev->io,
-	    ev->io == OGL_IO_OK ? ev->u.exec.status : 0, now);
+	io = ev->io == OGL_IO_OK && ev->u.exec.not_run ? OGL_IO_REFUSED :
+							 ev->io;
+	ogl_route_done(q->route, r->tried[r->ntried - 1], r->cookie, io,
+	    io == OGL_IO_OK ? ev->u.exec.status : 0, now);
 	q->pump_due = true;
 	if (answer_retries(ev, r) && r->ntried < TRIES && !r->abandoned &&
 	    now < r->wait_until && ogl_route_may_retry(q->route, now))
--- a/src/sched.c
+++ b/src/sched.c
@@ -447,10 +447,8 @@
 	s = g_ptr_array_index(sh->sessions, t->worker);
 	remove_ref(s, j, i);
 	ask_of(j, &ask);
-	if (s->placed) {
+	if (s->placed)
 		ogl_place_free(sh->placer, s->place, &ask);
-		ogl_place_result(sh->placer, s->place, j->number, ok, now);
-	}
 	t->phase = OGL_TASK_WAITING;
 	t->running = false;
 	t->held = false;
--- a/src/shard.c
+++ b/src/shard.c
@@ -273,6 +273,22 @@
 	ogl_stream_add(sh->stream, r, now);
 }
 
+/* Only ends of the task's own making tell something of its worker. */
+static void
+tell_placer(struct ogl_shard *sh, const struct ogl_job *j,
+    const struct ogl_task *t, Ogl__TaskState state, ogl_time now)
+{
+	const struct ogl_session *s;
+	bool ok = state == OGL__TASK_STATE__succeeded;
+
+	if (t->phase != OGL_TASK_PLACED ||
+	    (!ok && state != OGL__TASK_STATE__failed))
+		return;
+	s = g_ptr_array_index(sh->sessions, t->worker);
+	if (s->placed)
+		ogl_place_result(sh->placer, s->place, j->number, ok, now);
+}
+
 void
 ogl_shard_task_end(struct ogl_shard *sh, struct ogl_job *j, uint32_t i,
     Ogl__TaskState state, const char *reason, ogl_time now)
@@ -282,6 +298,7 @@
 
 	if (t->ending)
 		return;
+	tell_placer(sh, j, t, state, now);
 	ogl_sched_unbind(sh, j, i,
 	    state == OGL__TASK_STATE__succeeded ||
 		state == OGL__TASK_STATE__stopped ||
