Start nothing of a limited team while in limbo

A new owner placed jobs accepted after its claim at once, counting only what workers had told of so far.

--- a/src/sched.c
+++ b/src/sched.c
@@ -91,7 +91,8 @@
 }
 
 /* Whether n more tasks stay within every limit above the team; what lacks
- * is asked of the bank. */
+ * is asked of the bank.  In limbo tasks of an earlier owner may run where no
+ * worker has told of them yet, so a limited team has to wait. */
 static bool
 limits_allow(struct ogl_shard *sh, const char *team, uint32_t n)
 {
@@ -104,7 +105,9 @@
 		uint64_t allowed = ogl_escrow_allowed(sh, level);
 		uint64_t held = ogl_sched_held(sh, level);
 
-		if (allowed < n || held > allowed - n) {
+		if (sh->limbo && allowed != UINT64_MAX) {
+			ok = false;
+		} else if (allowed < n || held > allowed - n) {
 			ogl_escrow_want(sh, level, held + n);
 			ok = false;
 		}
--- a/src/shard.c
+++ b/src/shard.c
@@ -729,6 +729,7 @@
 	if (now < right || (now < sh->limbo_until && ogl_sessions_unknown(sh)))
 		return;
 	sh->limbo = false;
+	sh->place_due = true;
 	g_hash_table_iter_init(&it, sh->state->jobs);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		ogl_sched_enqueue(sh, v, now);
