--- a/src/sched.c
+++ b/src/sched.c
@@ -158,6 +158,13 @@
 
 	if (t->phase != OGL_TASK_PLACED || t->stopping || t->ending)
 		return;
+	if (!t->sent && !t->running) {
+		/* The worker has never heard of it, so it could neither obey
+		 * a stop nor tell of an end, and the room would stay held. */
+		ogl_sched_unbind(sh, j, i, true, now);
+		g_ptr_array_add(sh->requeue, j);
+		return;
+	}
 	t->stopping = true;
 	s = g_ptr_array_index(sh->sessions, t->worker);
 	ogl_session_stop_task(sh, s, j->id, i, t->attempt, mode, now);
--- a/src/session.c
+++ b/src/session.c
@@ -562,6 +562,25 @@
 		take_ended(sh, s, r, j, i, now);
 }
 
+static void
+lose_task(struct ogl_shard *sh, const struct ogl_tref *ref, ogl_time now)
+{
+	sh->env->counters->lapses++;
+	ogl_shard_task_end(sh, ref->job, ref->index, OGL__TASK_STATE__lapsed,
+	    "its worker started anew", now);
+}
+
+/* The start was lost on its way and then the task was to be stopped: the
+ * worker has nothing to stop and will never tell of an end. */
+static void
+undo_start(struct ogl_shard *sh, struct ogl_session *s,
+    const struct ogl_tref *ref, const char *name, ogl_time now)
+{
+	drop_stop(s, name, ref->job->tasks[ref->index].attempt);
+	ogl_sched_unbind(sh, ref->job, ref->index, true, now);
+	g_ptr_array_add(sh->requeue, ref->job);
+}
+
 /* After a full report: bound tasks it doesn't name are lost, unless their
  * start has yet to arrive there.  A worker that started anew has forgotten
  * all: what was sent to it before may have run, although it never said so,
@@ -580,12 +599,11 @@
 		const struct ogl_task *t = &ref.job->tasks[ref.index];
 		char *name = g_strdup_printf("%s.%u", ref.job->id, ref.index);
 
-		if (!g_hash_table_contains(named, name) &&
-		    (t->running || (anew && t->sent))) {
-			sh->env->counters->lapses++;
-			ogl_shard_task_end(sh, ref.job, ref.index,
-			    OGL__TASK_STATE__lapsed, "its worker started anew",
-			    now);
+		if (!g_hash_table_contains(named, name)) {
+			if (t->running || (anew && t->sent))
+				lose_task(sh, &ref, now);
+			else if (t->stopping)
+				undo_start(sh, s, &ref, name, now);
 		}
 		g_free(name);
 	}
--- a/test/fake_cluster.c
+++ b/test/fake_cluster.c
@@ -28,7 +28,8 @@
 	NET_SPREAD_US = 1500,
 	LOG_US = 4000, /* least time the log takes */
 	LOG_SPREAD_US = 8000,
-	SPIN_US = 5000 /* a node that wants to be woken at once */
+	ATTEMPT_BITS = 12, /* of an attempt; above them stands its owner */
+	SPIN_US = 5000     /* a node that wants to be woken at once */
 };
 
 enum item_type {
@@ -92,7 +93,10 @@
 struct seen {
 	uint32_t starts;
 	uint32_t running;
+	uint32_t again;   /* starts under the owner that started it before */
+	uint32_t attempt; /* of the newest start */
 	bool succeeded;
+	bool saved; /* checkpointed, so that another start goes on from it */
 	char *worker;
 };
 
@@ -369,6 +373,7 @@
 	    ogl__task_state__descriptor.values[ev->state].name);
 	if (ev->type != FAKE_WORKER_START) {
 		s->running--;
+		s->saved = ev->state == OGL__TASK_STATE__checkpointed;
 		s->succeeded |= ev->state == OGL__TASK_STATE__succeeded;
 		count_team(c, ev->team, -1);
 		return;
@@ -376,6 +381,9 @@
 	if (s->running > 0)
 		fake_cluster_fault(c, "task %s runs on %s and on %s", ev->task,
 		    s->worker, ev->worker);
+	s->again += s->starts > 0 && !s->saved &&
+		    s->attempt >> ATTEMPT_BITS == ev->attempt >> ATTEMPT_BITS;
+	s->attempt = ev->attempt;
 	s->running++;
 	s->starts++;
 	g_free(s->worker);
@@ -860,7 +868,7 @@
 	k->answered = c->now;
 	if (cut) {
 		note(c, "call %u cut", number);
-		k->verdict = OGL_MAY_HAVE_RUN;
+		k->verdict = k->arrived ? OGL_MAY_HAVE_RUN : OGL_NOT_RUN;
 		k->answer = g_strdup("");
 		return;
 	}
@@ -923,7 +931,7 @@
 
 		if (k->node != node || k->done)
 			continue;
-		if (exited)
+		if (exited && k->arrived)
 			fake_cluster_fault(
 			    c, "shutdown of %s cut call %u", s->name, i);
 		finish_call(c, i, true, NULL);
@@ -1007,8 +1015,9 @@
 static void
 fill_call(struct fake_cluster *c, struct delivery *d)
 {
-	const struct fake_call *k = g_ptr_array_index(c->calls, d->call);
+	struct fake_call *k = g_ptr_array_index(c->calls, d->call);
 
+	k->arrived = true;
 	d->ev.u.call.method = ogl_str(k->method);
 	d->ev.u.call.path = ogl_str(k->path);
 	d->ev.u.call.key = ogl_str(d->key);
@@ -1505,6 +1514,12 @@
 	return task_seen(c, task)->starts;
 }
 
+uint32_t
+fake_cluster_again(const struct fake_cluster *c, const char *task)
+{
+	return task_seen(c, task)->again;
+}
+
 bool
 fake_cluster_succeeded(const struct fake_cluster *c, const char *task)
 {
--- a/test/fake_cluster.h
+++ b/test/fake_cluster.h
@@ -66,8 +66,9 @@
 	char *team; /* told by the caller of fake_cluster_call */
 	bool idempotent;
 	ogl_time asked;
+	bool arrived; /* the node has taken it */
 	bool done;
-	bool cut; /* the node died before it answered */
+	bool cut; /* the node was gone before it answered */
 	ogl_time answered;
 	uint32_t status;
 	enum ogl_verdict verdict;
@@ -167,6 +168,8 @@
 uint64_t fake_cluster_ran(const struct fake_cluster *c, const char *body);
 /* How often executors ran this body. */
 uint32_t fake_cluster_starts(const struct fake_cluster *c, const char *task);
+uint32_t fake_cluster_again(const struct fake_cluster *c, const char *task);
+/* Starts under the same owner as the start before. */
 bool fake_cluster_succeeded(const struct fake_cluster *c, const char *task);
 uint32_t fake_cluster_running(const struct fake_cluster *c, const char *task);
 uint32_t fake_cluster_team_running(
