--- a/test/fake_cluster.h
+++ b/test/fake_cluster.h
@@ -12,12 +12,13 @@
 #include "fake_log.h"
 #include "fake_worker.h"
 #include "orioleglade.h"
-#include "random.h"
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
+#include "random.h"
+
 #define FAKE_CLUSTER_MOST 16 /* nodes, workers, executors each */
 
 struct fake_cluster;
