--- a/src/sched.c
+++ b/src/sched.c
@@ -92,7 +92,8 @@
 }
 
 /* Whether n more tasks stay within every limit above the team; what lacks
- * is asked of the bank. */
+ * is asked of the bank.  In limbo tasks of an earlier owner may run where no
+ * worker has told of them yet, so a limited team has to wait. */
 static bool
 limits_allow(struct ogl_shard *sh, const char *team, uint32_t n)
 {
@@ -105,7 +106,9 @@
 		uint64_t allowed = ogl_escrow_allowed(sh, level);
 		uint64_t held = ogl_sched_held(sh, level);
 
-		if (allowed < n || held > allowed - n) {
+		if (sh->limbo && allowed != UINT64_MAX) {
+			ok = false;
+		} else if (allowed < n || held > allowed - n) {
 			ogl_escrow_want(sh, level, held + n);
 			ok = false;
 		}
@@ -157,7 +160,8 @@
 	if (t->phase != OGL_TASK_PLACED || t->stopping || t->ending)
 		return;
 	if (!t->sent && !t->running) {
-		/* No worker has heard of it: it simply waits again. */
+		/* The worker has never heard of it, so it could neither obey
+		 * a stop nor tell of an end, and the room would stay held. */
 		ogl_sched_unbind(sh, j, i, true, now);
 		g_ptr_array_add(sh->requeue, j);
 		return;
