Record what happens in a run as one history

Callers, executors, workers, operators and nodes each see a part of a run; nothing held their parts against each other.

--- /dev/null
+++ b/test/fake_history.c
@@ -0,0 +1,456 @@
+/*
+ * History of a run.
+ *
+ * One table names the fields of each type of event, with their places in
+ * struct history_event; printing, reading and copying all go by it, so that
+ * a new field is one line.  Strings live in one chunk, each text once.
+ */
+
+#include <errno.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fake_history.h"
+
+enum field_type {
+	STR,
+	U32,
+	U64, /* as a signed number in JSON, so that UINT64_MAX is -1 */
+	FLAG,
+	RES,
+	NAME /* a uint32_t, in JSON one of the names */
+};
+
+#define MAX_FIELDS 10 /* of one type, with the end mark */
+
+struct field {
+	const char *name; /* NULL ends a list */
+	enum field_type type;
+	size_t at; /* offset in struct history_event */
+	const char *const *names;
+};
+
+struct shape {
+	const char *name;
+	struct field fields[MAX_FIELDS];
+};
+
+static const char *const verdict_names[] = {
+    "not_run", "ran", "may_have_run", "broken", NULL};
+static const char *const job_names[] = {
+    "queued", "active", "done", "broken", "cancelled", "unknown", NULL};
+static const char *const task_names[] = {"running", "throttled", "succeeded",
+    "failed", "stopped", "checkpointed", "lapsed", "refused", NULL};
+static const char *const node_names[] = {
+    "up", "down", "paused", "resumed", "stopping", "exited", NULL};
+static const char *const edit_names[] = {
+    "limit", "key_created", "key_withdrawn", "other", NULL};
+
+#define PLACE(part, field) offsetof(struct history_event, u.part.field)
+#define FIELD(part, field, type)                                               \
+	{                                                                      \
+#field, type, PLACE(part, field), NULL                         \
+	}
+#define NAMES(part, field, names)                                              \
+	{                                                                      \
+#field, NAME, PLACE(part, field), names                        \
+	}
+#define TASK_FIELDS                                                            \
+	{                                                                      \
+		FIELD(task, worker, STR), FIELD(task, task, STR),              \
+		    FIELD(task, attempt, U32), FIELD(task, team, STR),         \
+		    FIELD(task, boot, U64), FIELD(task, res, RES),             \
+		    NAMES(task, state, task_names),                            \
+	}
+
+static const struct shape shapes[HISTORY_NTYPES] = {
+    [HISTORY_CALL] = {"call",
+	{FIELD(call, call, STR), FIELD(call, node, STR), FIELD(call, team, STR),
+	    FIELD(call, key, STR), FIELD(call, request_id, STR),
+	    FIELD(call, kind, STR), FIELD(call, body, STR),
+	    FIELD(call, idempotent, FLAG), FIELD(call, job, FLAG)}},
+    [HISTORY_ANSWER] = {"answer",
+	{FIELD(answer, call, STR), NAMES(answer, verdict, verdict_names),
+	    FIELD(answer, status, U32), FIELD(answer, retry_after_ms, U64),
+	    FIELD(answer, body, STR)}},
+    [HISTORY_JOB] = {"job",
+	{FIELD(job, call, STR), FIELD(job, job, STR),
+	    NAMES(job, state, job_names), NAMES(job, verdict, verdict_names)}},
+    [HISTORY_RUN] = {"run",
+	{FIELD(run, exec, STR), FIELD(run, body, STR), FIELD(run, team, STR),
+	    FIELD(run, kind, STR), FIELD(run, token, U64),
+	    FIELD(run, until, U64), FIELD(run, whole, FLAG)}},
+    [HISTORY_WORKER] = {"worker",
+	{FIELD(worker, worker, STR), FIELD(worker, boot, U64),
+	    FIELD(worker, capacity, RES)}},
+    [HISTORY_LEASE] = {"lease",
+	{FIELD(lease, worker, STR), FIELD(lease, owner, STR),
+	    FIELD(lease, shard, U32), FIELD(lease, epoch, U64),
+	    FIELD(lease, until, U64)}},
+    [HISTORY_START] = {"start", TASK_FIELDS},
+    [HISTORY_END] = {"end", TASK_FIELDS},
+    [HISTORY_LAPSE] = {"lapse", TASK_FIELDS},
+    [HISTORY_CRASH] = {"crash", TASK_FIELDS},
+    [HISTORY_LISTED] = {"listed",
+	{FIELD(listed, target, STR), FIELD(listed, leaving, FLAG)}},
+    [HISTORY_EDIT] = {"edit",
+	{NAMES(edit, what, edit_names), FIELD(edit, accepted, FLAG),
+	    FIELD(edit, asked, U64), FIELD(edit, version, U64),
+	    FIELD(edit, team, STR), FIELD(edit, key, STR),
+	    FIELD(edit, limit, U64)}},
+    [HISTORY_IN_FORCE] = {"in_force",
+	{FIELD(in_force, node, STR), FIELD(in_force, version, U64)}},
+    [HISTORY_NODE] = {"node",
+	{FIELD(node, node, STR), NAMES(node, state, node_names)}},
+    [HISTORY_CUT] = {"cut", {FIELD(cut, node, STR), FIELD(cut, call, STR)}},
+    [HISTORY_FAULT] = {"fault",
+	{FIELD(fault, what, STR), FIELD(fault, who, STR),
+	    FIELD(fault, on, FLAG)}},
+    [HISTORY_OVER] = {"over", {{0}}},
+};
+
+struct fake_history {
+	FILE *out;
+	GArray *events; /* of struct history_event */
+	GPtrArray *files;
+	GStringChunk *texts;
+	uint32_t added; /* by fake_history_add */
+};
+
+struct fake_history *
+fake_history_init(FILE *out)
+{
+	struct fake_history *h = g_new0(struct fake_history, 1);
+
+	h->out = out;
+	h->events = g_array_new(FALSE, FALSE, sizeof(struct history_event));
+	h->files = g_ptr_array_new_with_free_func(g_free);
+	h->texts = g_string_chunk_new(1 << 16);
+	g_ptr_array_add(h->files, g_strdup("")); /* events added */
+	return h;
+}
+
+void
+fake_history_end(struct fake_history *h)
+{
+	if (h == NULL)
+		return;
+	g_array_free(h->events, TRUE);
+	g_ptr_array_free(h->files, TRUE);
+	g_string_chunk_free(h->texts);
+	g_free(h);
+}
+
+const struct history_event *
+fake_history_events(const struct fake_history *h, size_t *n)
+{
+	*n = h->events->len;
+	return (const struct history_event *)(void *)h->events->data;
+}
+
+const char *
+fake_history_file(const struct fake_history *h, uint32_t file)
+{
+	return g_ptr_array_index(h->files, file);
+}
+
+/* ---- printing ---------------------------------------------------------- */
+
+static json_t *
+field_print(const struct field *f, const struct history_event *ev)
+{
+	const char *base = (const char *)ev + f->at;
+	const void *p = base;
+
+	switch (f->type) {
+	case STR: {
+		const char *s = *(const char *const *)p;
+
+		return json_string(s != NULL ? s : "");
+	}
+	case U32:
+		return json_integer(*(const uint32_t *)p);
+	case U64:
+		return json_integer((json_int_t)(*(const uint64_t *)p));
+	case FLAG:
+		return json_boolean(*(const bool *)p);
+	case RES: {
+		const struct ogl_res *r = p;
+
+		return json_pack("[I, I, I]", (json_int_t)r->cpu_milli,
+		    (json_int_t)r->mem_mb, (json_int_t)r->accel);
+	}
+	default:
+		return json_string(f->names[*(const uint32_t *)p]);
+	}
+}
+
+char *
+fake_history_print(const struct history_event *ev)
+{
+	const struct shape *s = &shapes[ev->type];
+	json_t *o =
+	    json_pack("{s:I, s:s}", "at", (json_int_t)ev->at, "event", s->name);
+	char *text;
+	char *line;
+
+	for (const struct field *f = s->fields; f->name != NULL; f++)
+		json_object_set_new(o, f->name, field_print(f, ev));
+	text = json_dumps(o, JSON_COMPACT);
+	line = g_strdup(text);
+	free(text);
+	json_decref(o);
+	return line;
+}
+
+/* ---- adding ------------------------------------------------------------ */
+
+/* Strings become the history's own. */
+static void
+keep(struct fake_history *h, struct history_event *ev)
+{
+	for (const struct field *f = shapes[ev->type].fields; f->name != NULL;
+	     f++) {
+		const char **s = (const char **)(void *)((char *)ev + f->at);
+
+		if (f->type == STR)
+			*s = g_string_chunk_insert_const(
+			    h->texts, *s != NULL ? *s : "");
+	}
+	g_array_append_val(h->events, *ev);
+}
+
+void
+fake_history_add(struct fake_history *h, const struct history_event *ev)
+{
+	struct history_event copy = *ev;
+	char *line;
+
+	copy.file = 0;
+	copy.line = ++h->added;
+	keep(h, &copy);
+	if (h->out == NULL)
+		return;
+	line = fake_history_print(ev);
+	fprintf(h->out, "%s\n", line);
+	fflush(h->out);
+	g_free(line);
+}
+
+/* ---- reading ----------------------------------------------------------- */
+
+static bool
+read_res(struct ogl_res *r, json_t *v)
+{
+	json_int_t n[3];
+
+	if (json_unpack(v, "[I, I, I!]", &n[0], &n[1], &n[2]) != 0)
+		return false;
+	r->cpu_milli = (uint32_t)n[0];
+	r->mem_mb = (uint32_t)n[1];
+	r->accel = (uint32_t)n[2];
+	return true;
+}
+
+static bool
+read_name(uint32_t *to, const char *const *names, json_t *v)
+{
+	const char *s = json_string_value(v);
+
+	for (uint32_t i = 0; s != NULL && names[i] != NULL; i++) {
+		if (strcmp(names[i], s) == 0) {
+			*to = i;
+			return true;
+		}
+	}
+	return false;
+}
+
+/* An absent field is zero or empty; false when it has another type. */
+static bool
+read_field(const struct field *f, struct history_event *ev, json_t *v)
+{
+	void *p = (char *)ev + f->at;
+
+	if (v == NULL)
+		return true;
+	switch (f->type) {
+	case STR:
+		*(const char **)p = json_string_value(v);
+		return json_is_string(v);
+	case U32:
+		*(uint32_t *)p = (uint32_t)json_integer_value(v);
+		return json_is_integer(v);
+	case U64:
+		*(uint64_t *)p = (uint64_t)json_integer_value(v);
+		return json_is_integer(v);
+	case FLAG:
+		*(bool *)p = json_is_true(v);
+		return json_is_boolean(v);
+	case RES:
+		return read_res(p, v);
+	default:
+		return read_name(p, f->names, v);
+	}
+}
+
+static const struct field *
+find_field(const struct shape *s, const char *name)
+{
+	for (const struct field *f = s->fields; f->name != NULL; f++) {
+		if (strcmp(f->name, name) == 0)
+			return f;
+	}
+	return NULL;
+}
+
+/* Strings of *ev borrow from o.  Gives NULL or what is wrong; g_free. */
+static char *
+read_event(struct history_event *ev, json_t *o)
+{
+	const char *type = json_string_value(json_object_get(o, "event"));
+	json_t *at = json_object_get(o, "at");
+	const char *name;
+	json_t *v;
+
+	memset(ev, 0, sizeof(*ev));
+	while (ev->type < HISTORY_NTYPES && type != NULL &&
+	       strcmp(shapes[ev->type].name, type) != 0)
+		ev->type++;
+	if (type == NULL || ev->type == HISTORY_NTYPES)
+		return g_strdup_printf(
+		    "unknown event \"%s\"", type != NULL ? type : "");
+	if (!json_is_integer(at))
+		return g_strdup("no time \"at\"");
+	ev->at = json_integer_value(at);
+	json_object_foreach(o, name, v)
+	{
+		const struct field *f = find_field(&shapes[ev->type], name);
+
+		if (strcmp(name, "at") == 0 || strcmp(name, "event") == 0)
+			continue;
+		if (f == NULL)
+			return g_strdup_printf("unknown field \"%s\"", name);
+		if (!read_field(f, ev, v))
+			return g_strdup_printf("wrong value of \"%s\"", name);
+	}
+	return NULL;
+}
+
+static bool
+read_line(
+    struct fake_history *h, uint32_t line, const char *text, GError **error)
+{
+	json_error_t e;
+	json_t *o = json_loads(text, 0, &e);
+	struct history_event ev;
+	char *wrong = o != NULL ? read_event(&ev, o) : g_strdup(e.text);
+	bool ok = wrong == NULL;
+
+	if (ok) {
+		ev.file = h->files->len - 1;
+		ev.line = line;
+		keep(h, &ev);
+	} else
+		g_set_error(error, OGL_ERROR, OGL_ERROR_INPUT, "%s:%u: %s",
+		    fake_history_file(h, h->files->len - 1), line, wrong);
+	g_free(wrong);
+	json_decref(o);
+	return ok;
+}
+
+bool
+fake_history_read(struct fake_history *h, const char *file, GError **error)
+{
+	FILE *in = fopen(file, "r");
+	char *text = NULL;
+	size_t size = 0;
+	bool ok = true;
+
+	if (in == NULL) {
+		g_set_error(error, OGL_ERROR, OGL_ERROR_INPUT, "%s: %s", file,
+		    g_strerror(errno));
+		return false;
+	}
+	g_ptr_array_add(h->files, g_strdup(file));
+	for (uint32_t line = 1; ok && getline(&text, &size, in) >= 0; line++) {
+		if (text[0] != '#')
+			ok = read_line(h, line, text, error);
+	}
+	free(text);
+	fclose(in);
+	return ok;
+}
+
+static gint
+compare_times(gconstpointer a, gconstpointer b)
+{
+	const struct history_event *x = a;
+	const struct history_event *y = b;
+
+	return (x->at > y->at) - (x->at < y->at);
+}
+
+void
+fake_history_sort(struct fake_history *h)
+{
+	g_array_sort(h->events, compare_times); /* stable, says GLib */
+}
+
+/* ---- from the fakes ---------------------------------------------------- */
+
+void
+fake_history_worker(void *h, const struct fake_worker_event *ev)
+{
+	static const enum history_type types[] = {
+	    [FAKE_WORKER_START] = HISTORY_START,
+	    [FAKE_WORKER_END] = HISTORY_END,
+	    [FAKE_WORKER_LAPSE] = HISTORY_LAPSE,
+	    [FAKE_WORKER_CRASH] = HISTORY_CRASH};
+	struct history_event e = {.type = types[ev->type], .at = ev->at};
+
+	e.u.task.worker = ev->worker;
+	e.u.task.task = ev->task;
+	e.u.task.team = ev->team;
+	e.u.task.boot = ev->boot;
+	e.u.task.attempt = ev->attempt;
+	e.u.task.res = ev->res;
+	e.u.task.state = (uint32_t)ev->state;
+	fake_history_add(h, &e);
+}
+
+void
+fake_history_capacity(struct fake_history *h, const char *worker, uint64_t boot,
+    const struct ogl_res *capacity, ogl_time now)
+{
+	struct history_event e = {.type = HISTORY_WORKER, .at = now};
+
+	e.u.worker.worker = worker;
+	e.u.worker.boot = boot;
+	e.u.worker.capacity = *capacity;
+	fake_history_add(h, &e);
+}
+
+void
+fake_history_exec(struct fake_history *h, const char *exec, struct ogl_str body,
+    const char *team, const char *kind, ogl_time now,
+    const struct fake_exec_answer *a)
+{
+	struct history_event e = {.type = HISTORY_RUN, .at = now};
+	char *text;
+
+	if (!a->accepted)
+		return;
+	text = body.n > 0 ? g_utf8_make_valid(body.p, (gssize)body.n) : NULL;
+	e.u.run.exec = exec;
+	e.u.run.body = text;
+	e.u.run.team = team;
+	e.u.run.kind = kind;
+	e.u.run.token = a->token;
+	e.u.run.until = a->finish;
+	e.u.run.whole = !a->lost && a->sent == a->n;
+	fake_history_add(h, &e);
+	g_free(text);
+}
