Check histories against what must always hold

Every check was seen failing on hand-made bad histories (21 files, at least one a point) and nothing is found in history_good.jsonl (99 lines) nor in 40005 lines of a full cell at its limits.

First demo with it: three calls were named not_run and had run. Cause: curl sends a request anew on a fresh connection when a kept one dies, and the refused connection then hid the first sending; the history now goes by the bytes curl counts as sent. A limit's check with spans of no length counted an end before its start and wrapped; such spans are now left out.

--- /dev/null
+++ b/test/fake_check_index.c
@@ -0,0 +1,385 @@
+/*
+ * Puts the events of a history together: answers to calls, runs to bodies,
+ * ends to starts, tasks to jobs, and the times when nodes are not to be
+ * relied on.  One pass in order of time; all else points into the history.
+ */
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "fake_check_index.h"
+
+/* Finds or makes the entry of a table; new ones also go on the list. */
+static void *
+entry(GHashTable *table, GPtrArray *list, const char *key, size_t size)
+{
+	void *p = g_hash_table_lookup(table, key);
+
+	if (p == NULL) {
+		p = g_malloc0(size);
+		g_hash_table_insert(table, (gpointer)key, p);
+		g_ptr_array_add(list, p);
+	}
+	return p;
+}
+
+static struct request *
+request_of(struct fake_check *c, const char *body)
+{
+	struct request *r =
+	    entry(c->requests, c->request_list, body, sizeof(*r));
+
+	if (r->calls == NULL) {
+		r->calls = g_ptr_array_new();
+		r->runs = g_ptr_array_new();
+	}
+	return r;
+}
+
+static void
+request_free(gpointer p)
+{
+	struct request *r = p;
+
+	g_ptr_array_free(r->calls, TRUE);
+	g_ptr_array_free(r->runs, TRUE);
+	g_free(r);
+}
+
+/* The job of a task named <job>.<index>. */
+static struct job *
+job_of_task(struct fake_check *c, const char *task)
+{
+	const char *dot = strrchr(task, '.');
+	char *name = dot != NULL ? g_strndup(task, (gsize)(dot - task)) : NULL;
+	struct job *j =
+	    name != NULL ? g_hash_table_lookup(c->jobs, name) : NULL;
+
+	g_free(name);
+	return j;
+}
+
+static void
+add_call(struct fake_check *c, const event *ev)
+{
+	struct call *k =
+	    entry(c->calls, c->call_list, ev->u.call.call, sizeof(*k));
+
+	if (k->sent != NULL)
+		return; /* check_answer tells of it */
+	k->sent = ev;
+	if (!ev->u.call.job)
+		g_ptr_array_add(request_of(c, ev->u.call.body)->calls, k);
+}
+
+static void
+add_job(struct fake_check *c, const event *ev)
+{
+	struct job *j = entry(c->jobs, c->job_list, ev->u.job.job, sizeof(*j));
+	struct call *k = g_hash_table_lookup(c->calls, ev->u.job.call);
+	uint32_t state = ev->u.job.state;
+
+	if (state == HISTORY_JOB_UNKNOWN) {
+		if (j->told != NULL && j->ended == NULL && j->missing == NULL)
+			j->missing = ev;
+		return;
+	}
+	if (k != NULL && k->job == NULL)
+		k->job = ev;
+	if (k != NULL && j->submit == NULL)
+		j->submit = k->sent;
+	if (j->told == NULL)
+		j->told = ev;
+	j->last = ev;
+	if (state >= HISTORY_JOB_DONE && j->ended == NULL)
+		j->ended = ev;
+}
+
+/* ---- tasks ------------------------------------------------------------- */
+
+static void
+span_end(struct span *s, const event *ev)
+{
+	s->end = ev;
+	s->to = ev->at;
+}
+
+static char *
+span_key(const event *ev)
+{
+	return g_strdup_printf("%s %" PRIu64 " %s %u", ev->u.task.worker,
+	    ev->u.task.boot, ev->u.task.task, ev->u.task.attempt);
+}
+
+static void
+add_start(struct fake_check *c, GHashTable *open, const event *ev)
+{
+	struct span *s = g_new0(struct span, 1);
+
+	s->start = ev;
+	s->to = OGL_NEVER;
+	g_ptr_array_add(c->spans, s);
+	g_hash_table_replace(open, span_key(ev), s);
+}
+
+static void
+add_end(GHashTable *open, const event *ev)
+{
+	char *key = span_key(ev);
+	struct span *s = g_hash_table_lookup(open, key);
+
+	if (s != NULL)
+		span_end(s, ev);
+	g_hash_table_remove(open, key);
+	g_free(key);
+}
+
+/* A worker that comes up again has none of its last boot's tasks left. */
+static void
+end_older_boots(GHashTable *open, const event *ev)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, open);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct span *s = p;
+		const event *start = s->start;
+
+		if (strcmp(start->u.task.worker, ev->u.worker.worker) == 0 &&
+		    start->u.task.boot != ev->u.worker.boot) {
+			span_end(s, ev);
+			g_hash_table_iter_remove(&it);
+		}
+	}
+}
+
+static void
+add_mark(struct fake_check *c, ogl_time at, enum mark_type type,
+    const struct span *span, const event *ev)
+{
+	struct mark m = {at, type, span, ev};
+
+	g_array_append_val(c->marks, m);
+}
+
+static gint
+compare_marks(gconstpointer a, gconstpointer b)
+{
+	const struct mark *x = a;
+	const struct mark *y = b;
+
+	if (x->at != y->at)
+		return x->at < y->at ? -1 : 1;
+	return (gint)x->type - (gint)y->type;
+}
+
+/* A start at the very time of an end elsewhere does not overlap it, so ends
+ * count first, and a span without length does not count at all. */
+static void
+make_marks(struct fake_check *c)
+{
+	for (guint i = 0; i < c->spans->len; i++) {
+		const struct span *s = g_ptr_array_index(c->spans, i);
+		struct job *j = job_of_task(c, s->start->u.task.task);
+
+		if (s->start->at < s->to)
+			add_mark(c, s->start->at, MARK_START, s, s->start);
+		if (s->start->at < s->to && s->end != NULL)
+			add_mark(c, s->to, MARK_END, s, s->end);
+		if (j != NULL && j->started == NULL)
+			j->started = s->start;
+		if (j != NULL && j->succeeded == NULL && s->end != NULL &&
+		    s->end->type == HISTORY_END &&
+		    s->end->u.task.state == OGL__TASK_STATE__succeeded)
+			j->succeeded = s->end;
+	}
+	for (size_t i = 0; i < c->n; i++) {
+		const event *ev = &c->ev[i];
+
+		if (ev->type == HISTORY_WORKER)
+			add_mark(c, ev->at, MARK_CAPACITY, NULL, ev);
+		if (ev->type == HISTORY_EDIT &&
+		    ev->u.edit.what == HISTORY_EDIT_LIMIT)
+			add_mark(c, ev->at + c->times.lowered + 1, MARK_LIMIT,
+			    NULL, ev);
+	}
+	g_array_sort(c->marks, compare_marks);
+}
+
+/* ---- nodes ------------------------------------------------------------- */
+
+static void
+outage_begin(struct fake_check *c, enum outage_type type, const char *who,
+    const event *ev)
+{
+	struct outage o = {type, who, ev, ev->at, OGL_NEVER, OGL_NEVER};
+
+	g_array_append_val(c->outages, o);
+}
+
+/* Ends the node's open outages; only its pauses when it was resumed. */
+static void
+node_back(struct fake_check *c, const event *ev)
+{
+	bool resumed = ev->u.node.state == HISTORY_NODE_RESUMED;
+	bool seen = false;
+
+	for (guint i = 0; i < c->outages->len; i++) {
+		struct outage *o = &g_array_index(c->outages, struct outage, i);
+
+		if (o->type == OUTAGE_FAULT ||
+		    strcmp(o->who, ev->u.node.node) != 0)
+			continue;
+		seen = true;
+		if (o->to == OGL_NEVER && (!resumed || o->type == OUTAGE_PAUSE))
+			o->to = ev->at;
+	}
+	if (!seen && !resumed) {
+		struct outage first = {OUTAGE_BEFORE, ev->u.node.node, ev,
+		    INT64_MIN, OGL_NEVER, ev->at};
+
+		g_array_append_val(c->outages, first);
+	}
+}
+
+/* A stop ends with the process, be it by itself or killed. */
+static void
+node_exited(struct fake_check *c, const event *ev)
+{
+	for (guint i = 0; i < c->outages->len; i++) {
+		struct outage *o = &g_array_index(c->outages, struct outage, i);
+
+		if (o->type == OUTAGE_STOP && o->to == OGL_NEVER &&
+		    strcmp(o->who, ev->u.node.node) == 0)
+			o->exited = MIN(o->exited, ev->at);
+	}
+}
+
+static void
+add_node(struct fake_check *c, const event *ev)
+{
+	const char *node = ev->u.node.node;
+
+	switch ((enum history_node)ev->u.node.state) {
+	case HISTORY_NODE_DOWN:
+		node_exited(c, ev);
+		outage_begin(c, OUTAGE_KILL, node, ev);
+		return;
+	case HISTORY_NODE_PAUSED:
+		outage_begin(c, OUTAGE_PAUSE, node, ev);
+		return;
+	case HISTORY_NODE_STOPPING:
+		outage_begin(c, OUTAGE_STOP, node, ev);
+		return;
+	case HISTORY_NODE_EXITED:
+		node_exited(c, ev);
+		return;
+	default:
+		node_back(c, ev);
+	}
+}
+
+static void
+add_fault(struct fake_check *c, const event *ev)
+{
+	if (ev->u.fault.on) {
+		outage_begin(c, OUTAGE_FAULT, ev->u.fault.who, ev);
+		return;
+	}
+	for (guint i = 0; i < c->outages->len; i++) {
+		struct outage *o = &g_array_index(c->outages, struct outage, i);
+
+		if (o->type == OUTAGE_FAULT && o->to == OGL_NEVER &&
+		    strcmp(o->who, ev->u.fault.who) == 0 &&
+		    strcmp(o->ev->u.fault.what, ev->u.fault.what) == 0)
+			o->to = ev->at;
+	}
+}
+
+/* ---- the pass ---------------------------------------------------------- */
+
+static void
+add_event(struct fake_check *c, GHashTable *open, const event *ev)
+{
+	struct call *k;
+
+	switch (ev->type) {
+	case HISTORY_CALL:
+		add_call(c, ev);
+		return;
+	case HISTORY_ANSWER:
+		k = g_hash_table_lookup(c->calls, ev->u.answer.call);
+		if (k != NULL && k->answer == NULL)
+			k->answer = ev;
+		return;
+	case HISTORY_JOB:
+		add_job(c, ev);
+		return;
+	case HISTORY_RUN:
+		c->has_runs = true;
+		g_ptr_array_add(
+		    request_of(c, ev->u.run.body)->runs, (gpointer)ev);
+		return;
+	case HISTORY_WORKER:
+		end_older_boots(open, ev);
+		return;
+	case HISTORY_START:
+		c->has_starts = true;
+		add_start(c, open, ev);
+		return;
+	case HISTORY_END:
+	case HISTORY_LAPSE:
+	case HISTORY_CRASH:
+		add_end(open, ev);
+		return;
+	case HISTORY_NODE:
+		add_node(c, ev);
+		return;
+	case HISTORY_FAULT:
+		add_fault(c, ev);
+		return;
+	case HISTORY_OVER:
+		if (c->over == NULL)
+			c->over = ev;
+		return;
+	default:
+		return;
+	}
+}
+
+void
+check_index(struct fake_check *c)
+{
+	GHashTable *open =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+	c->calls = g_hash_table_new(g_str_hash, g_str_equal);
+	c->requests = g_hash_table_new(g_str_hash, g_str_equal);
+	c->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	c->call_list = g_ptr_array_new_with_free_func(g_free);
+	c->request_list = g_ptr_array_new_with_free_func(request_free);
+	c->job_list = g_ptr_array_new_with_free_func(g_free);
+	c->spans = g_ptr_array_new_with_free_func(g_free);
+	c->marks = g_array_new(FALSE, FALSE, sizeof(struct mark));
+	c->outages = g_array_new(FALSE, FALSE, sizeof(struct outage));
+	for (size_t i = 0; i < c->n; i++)
+		add_event(c, open, &c->ev[i]);
+	c->end = c->n > 0 ? c->ev[c->n - 1].at : 0;
+	g_hash_table_destroy(open);
+	make_marks(c);
+}
+
+void
+check_index_end(struct fake_check *c)
+{
+	g_hash_table_destroy(c->calls);
+	g_hash_table_destroy(c->requests);
+	g_hash_table_destroy(c->jobs);
+	g_ptr_array_free(c->call_list, TRUE);
+	g_ptr_array_free(c->request_list, TRUE);
+	g_ptr_array_free(c->job_list, TRUE);
+	g_ptr_array_free(c->spans, TRUE);
+	g_array_free(c->marks, TRUE);
+	g_array_free(c->outages, TRUE);
+}
--- a/test/fake_history.c
+++ b/test/fake_history.c
@@ -23,7 +23,7 @@
 	NAME /* a uint32_t, in JSON one of the names */
 };
 
-#define MAX_FIELDS 10 /* of one type, with the end mark */
+#define MAX_FIELDS 11 /* of one type, with the end mark */
 
 struct field {
 	const char *name; /* NULL ends a list */
@@ -70,7 +70,8 @@
 	{FIELD(call, call, STR), FIELD(call, node, STR), FIELD(call, team, STR),
 	    FIELD(call, key, STR), FIELD(call, request_id, STR),
 	    FIELD(call, kind, STR), FIELD(call, body, STR),
-	    FIELD(call, idempotent, FLAG), FIELD(call, job, FLAG)}},
+	    FIELD(call, timeout_ms, U64), FIELD(call, idempotent, FLAG),
+	    FIELD(call, job, FLAG)}},
     [HISTORY_ANSWER] = {"answer",
 	{FIELD(answer, call, STR), NAMES(answer, verdict, verdict_names),
 	    FIELD(answer, status, U32), FIELD(answer, retry_after_ms, U64),
@@ -113,6 +114,7 @@
 
 struct fake_history {
 	FILE *out;
+	bool own_out;
 	GArray *events; /* of struct history_event */
 	GPtrArray *files;
 	GStringChunk *texts;
@@ -132,11 +134,28 @@
 	return h;
 }
 
+struct fake_history *
+fake_history_open(const char *file)
+{
+	FILE *out = fopen(file, "w");
+	struct fake_history *h;
+
+	if (out == NULL) {
+		fprintf(stderr, "history: %s: %s\n", file, g_strerror(errno));
+		return NULL;
+	}
+	h = fake_history_init(out);
+	h->own_out = true;
+	return h;
+}
+
 void
 fake_history_end(struct fake_history *h)
 {
 	if (h == NULL)
 		return;
+	if (h->own_out)
+		fclose(h->out);
 	g_array_free(h->events, TRUE);
 	g_ptr_array_free(h->files, TRUE);
 	g_string_chunk_free(h->texts);
--- a/test/fake_history.h
+++ b/test/fake_history.h
@@ -91,6 +91,7 @@
 			const char *request_id;
 			const char *kind; /* Ogl-Kind */
 			const char *body;
+			uint64_t timeout_ms; /* Ogl-Timeout-Ms, 0 none */
 			bool idempotent;
 			bool job; /* a submit, not a short request */
 		} call;
@@ -114,8 +115,7 @@
 			const char *kind;
 			uint64_t token;
 			ogl_time until;
-			bool
-			    whole; /* its answer is sent, whole and uncrossed */
+			bool whole; /* its answer is sent whole */
 		} run;
 		struct {
 			const char *worker;
@@ -144,14 +144,13 @@
 		} listed;
 		/* An edit without a last word may or may not be in force. */
 		struct {
-			uint32_t what;  /* enum history_edit */
-			bool accepted;  /* false: no last word came */
-			ogl_time asked; /* when it was sent */
-			uint64_t version;
+			uint32_t what;    /* enum history_edit */
+			bool accepted;    /* false: no last word came */
+			ogl_time asked;   /* when it was sent */
+			uint64_t version; /* 0: not told */
 			const char *team;
 			const char *key; /* its id */
-			uint64_t
-			    limit; /* tasks; UINT64_MAX, -1 in JSON: none */
+			uint64_t limit;  /* UINT64_MAX, in JSON -1: none */
 		} edit;
 		struct {
 			const char *node;
@@ -167,7 +166,7 @@
 		} cut;
 		struct {
 			const char *what; /* "log down", "cut off", ... */
-			const char *who;  /* node or target hit; "" all */
+			const char *who;  /* node or target hit; "" all nodes */
 			bool on;          /* begins */
 		} fault;
 	} u;
@@ -178,6 +177,10 @@
 struct fake_history *fake_history_init(FILE *out);
 /* An empty history; each event added is also written to out, unless NULL. */
 
+struct fake_history *fake_history_open(const char *file);
+/* One that is written to a new file, which it closes at its end; NULL with a
+ * message when it cannot. */
+
 void fake_history_end(struct fake_history *h);
 
 void fake_history_add(struct fake_history *h, const struct history_event *ev);
--- a/test/standin_caller.c
+++ b/test/standin_caller.c
@@ -10,7 +10,8 @@
  *
  * An item is lost when its caller never got a final answer, or was told that
  * it ran and it did not.  It is doubled when it ran twice without being
- * idempotent, and false when it ran after an answer of not_run.
+ * idempotent, and false when it ran after an answer of not_run.  --history
+ * writes each exchange, as a call of its own, for orioleglade-check.
  */
 
 #include <argp.h>
@@ -21,6 +22,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fake_history.h"
 #include "fake_text.h"
 
 #define POLL_US (100 * OGL_MS)     /* between looks at a job */
@@ -40,6 +42,8 @@
 	const char *key;
 	const char *label;
 	const char *team;
+	const char *history;
+	const char *key_id;
 	enum mode mode;
 	char **kinds; /* of jobs, taken in turn */
 	uint32_t count;
@@ -84,7 +88,10 @@
 	ogl_time ended_at;
 	ogl_time due; /* of the step */
 	char *body;
-	char *job; /* its id, once accepted */
+	char *job;  /* its id, once accepted */
+	char *call; /* its last SEND, as the history names it */
+	uint32_t sends;
+	json_int_t told; /* state and verdict, as last written */
 	bool sent;
 	uint64_t runs;
 };
@@ -105,6 +112,7 @@
 	CURLM *multi;
 	struct slot *slots;
 	struct item *items;
+	struct fake_history *history; /* NULL: none is kept */
 	uint32_t started;
 	uint32_t settled;
 	uint32_t next_node;
@@ -124,7 +132,8 @@
 	OPT_RUN,
 	OPT_KINDS,
 	OPT_DEADLINE,
-	OPT_TIMEOUT
+	OPT_TIMEOUT,
+	OPT_KEY_ID
 };
 
 static const struct argp_option argp_options[] = {
@@ -146,7 +155,9 @@
     {"cpu", OPT_CPU, "MILLI", 0, "processors a task", 0},
     {"run-ms", OPT_RUN, "N", 0, "mean run time", 0},
     {"deadline-s", OPT_DEADLINE, "N", 0, "give up after", 0},
-    {"timeout-ms", OPT_TIMEOUT, "N", 0, "of one exchange", 0}, {0}};
+    {"timeout-ms", OPT_TIMEOUT, "N", 0, "of one exchange", 0},
+    {"history", 'H', "FILE", 0, "write what is asked and told to it", 0},
+    {"key-id", OPT_KEY_ID, "ID", 0, "of the key, for the history", 0}, {0}};
 
 static error_t
 parse_number(int key, uint32_t n, struct options *o)
@@ -227,6 +238,12 @@
 	case OPT_LABEL:
 		o->label = arg;
 		return 0;
+	case OPT_KEY_ID:
+		o->key_id = arg;
+		return 0;
+	case 'H':
+		o->history = arg;
+		return 0;
 	case ARGP_KEY_END:
 		if (o->nodes == NULL || o->nodes[0] == NULL)
 			argp_error(state, "--nodes is needed");
@@ -362,12 +379,118 @@
 	g_free(url);
 }
 
+/* ---- what is written to the history ------------------------------------ */
+
+/* Item's id as the nodes know it; g_free. */
+static char *
+request_id(const struct driver *d, const struct item *it)
+{
+	return g_strdup_printf("%" PRIu64 "-%u", d->o.seed, it->number);
+}
+
+static void
+tell_call(struct driver *d, struct item *it, const char *node)
+{
+	struct history_event ev = {
+	    .type = HISTORY_CALL, .at = g_get_real_time()};
+	bool job = d->o.mode == JOBS;
+	char *id = request_id(d, it);
+
+	if (d->history == NULL || it->step != SEND)
+		goto out;
+	g_free(it->call);
+	it->call = g_strdup_printf("%s.%u", id, ++it->sends);
+	ev.u.call.call = it->call;
+	ev.u.call.node = node;
+	ev.u.call.team = d->o.team;
+	ev.u.call.key = d->o.key_id;
+	ev.u.call.request_id = job || d->o.ids ? id : NULL;
+	ev.u.call.kind = job ? NULL : d->o.label;
+	ev.u.call.body = it->body;
+	ev.u.call.timeout_ms = d->o.timeout_ms;
+	ev.u.call.idempotent = !job && d->o.idempotent;
+	ev.u.call.job = job;
+	fake_history_add(d->history, &ev);
+out:
+	g_free(id);
+}
+
+static bool not_sent(CURLcode rc);
+static enum outcome outcome_of(const struct slot *s);
+
+/*
+ * Whether an exchange without an answer never reached a node.  On a kept
+ * connection that a killed node closes, curl sends the request anew on a
+ * fresh one, and when that is refused the first sending must not count as
+ * none: the node may have passed it on.  curl keeps count of the bytes.
+ */
+static bool
+never_sent(const struct slot *s, CURLcode rc)
+{
+	long bytes = 0;
+
+	curl_easy_getinfo(s->curl, CURLINFO_REQUEST_SIZE, &bytes);
+	return not_sent(rc) && bytes == 0;
+}
+
+static void
+tell_answer(struct driver *d, const struct slot *s, CURLcode rc, long status)
+{
+	static const enum history_verdict verdicts[NOUTCOMES] = {
+	    [RAN] = HISTORY_RAN,
+	    [NOT_RUN] = HISTORY_NOT_RUN,
+	    [MAY_HAVE_RUN] = HISTORY_MAY_HAVE_RUN};
+	struct history_event ev = {
+	    .type = HISTORY_ANSWER, .at = g_get_real_time()};
+	char *body;
+
+	if (d->history == NULL || s->item->step != SEND)
+		return;
+	g_byte_array_append(s->answer, (const guint8 *)"", 1); /* never NULL */
+	g_byte_array_set_size(s->answer, s->answer->len - 1);
+	body = g_utf8_make_valid((const char *)s->answer->data, s->answer->len);
+	ev.u.answer.call = s->item->call;
+	ev.u.answer.status = rc == CURLE_OK ? (uint32_t)status : 0;
+	ev.u.answer.retry_after_ms = s->retry_ms;
+	ev.u.answer.body = body;
+	if (rc != CURLE_OK)
+		ev.u.answer.verdict =
+		    never_sent(s, rc) ? HISTORY_NOT_RUN : HISTORY_BROKEN;
+	else if (d->o.mode == JOBS && status / 100 == 2)
+		ev.u.answer.verdict = HISTORY_RAN;
+	else
+		ev.u.answer.verdict = verdicts[outcome_of(s)];
+	fake_history_add(d->history, &ev);
+	g_free(body);
+}
+
+/* Writes how a job stands when that is news. */
+static void
+tell_job(struct driver *d, struct item *it, uint32_t state, uint32_t verdict)
+{
+	struct history_event ev = {
+	    .type = HISTORY_JOB, .at = g_get_real_time()};
+	json_int_t told = 1 + (json_int_t)state * 8 + verdict;
+
+	if (d->history == NULL || told == it->told)
+		return;
+	ev.u.job.call = it->told == 0 ? it->call : NULL;
+	ev.u.job.job = it->job;
+	ev.u.job.state = state;
+	ev.u.job.verdict = verdict;
+	fake_history_add(d->history, &ev);
+	it->told = told;
+}
+
+/* ---- exchanges --------------------------------------------------------- */
+
 static void
 start_exchange(struct driver *d, struct slot *s)
 {
 	const char *node = d->o.nodes[d->next_node];
 
 	d->next_node = (d->next_node + 1) % g_strv_length(d->o.nodes);
+	tell_call(d, s->item, node);
 	set_options(d, s);
 	set_target(d, s, node);
 	set_headers(d, s);
@@ -456,6 +579,15 @@
 	return t != NULL ? t : "";
 }
 
+static uint32_t
+name_value(const ProtobufCEnumDescriptor *names, const char *name)
+{
+	const ProtobufCEnumValue *v =
+	    protobuf_c_enum_descriptor_get_value_by_name(names, name);
+
+	return v != NULL ? (uint32_t)v->value : 0;
+}
+
 /* A service has done what was asked of it once all its tasks run; then it is
  * cancelled, and its end is looked for. */
 static void
@@ -467,6 +599,8 @@
 
 	if (it->job == NULL)
 		it->job = g_strdup(text_of(o, "job"));
+	tell_job(d, it, name_value(&ogl__job_state__descriptor, state),
+	    name_value(&ogl__verdict__descriptor, text_of(o, "verdict")));
 	if (strcmp(state, "done") == 0)
 		settle(d, it, RAN, now);
 	else if (strcmp(state, "cancelled") == 0)
@@ -500,8 +634,11 @@
 		it->step = LOOK;
 	else if (refused && it->step == SEND)
 		settle(d, it, outcome_of(s), now);
-	else
+	else {
+		if (status == 404 && it->step == LOOK)
+			tell_job(d, it, HISTORY_JOB_UNKNOWN, HISTORY_NOT_RUN);
 		retry(d, s, now);
+	}
 	json_decref(o);
 }
 
@@ -511,6 +648,7 @@
 	long status = 0;
 
 	curl_easy_getinfo(s->curl, CURLINFO_RESPONSE_CODE, &status);
+	tell_answer(d, s, rc, status);
 	if (rc != CURLE_OK && (not_sent(rc) || may_repeat(d)))
 		retry(d, s, now);
 	else if (rc == CURLE_PARTIAL_FILE)
@@ -916,10 +1054,12 @@
 	for (uint32_t i = 0; d->items != NULL && i < d->o.count; i++) {
 		g_free(d->items[i].body);
 		g_free(d->items[i].job);
+		g_free(d->items[i].call);
 	}
 	g_free(d->slots);
 	g_free(d->items);
 	curl_multi_cleanup(d->multi);
+	fake_history_end(d->history);
 	g_strfreev(d->o.nodes);
 	g_strfreev(d->o.executors);
 	g_strfreev(d->o.workers);
@@ -956,7 +1096,16 @@
 		d.slots[i].answer = g_byte_array_new();
 	}
 	make_items(&d);
+	if (d.o.history != NULL) {
+		d.history = fake_history_open(d.o.history);
+		if (d.history == NULL)
+			goto out;
+	}
 	run(&d);
+	if (d.history != NULL)
+		fake_history_add(
+		    d.history, &(struct history_event){.type = HISTORY_OVER,
+				   .at = g_get_real_time()});
 	if (d.o.mode == JOBS)
 		judge_jobs(&d, &v);
 	else
--- a/test/standin_executor.c
+++ b/test/standin_executor.c
@@ -3,7 +3,8 @@
  * port of its own.  POST /run runs a request, GET /counts tells how often
  * each body ran, POST /ctl sets faults by the names in ctl().  POST
  * /v1/requests is a node's call, answered as the simplest of nodes would, so
- * that the load driver can be tried alone.
+ * that the load driver can be tried alone.  --history writes what runs for
+ * orioleglade-check.
  *
  * At SIGTERM it refuses everything new, finishes what runs, and exits.
  */
@@ -14,7 +15,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fake_exec.h"
+#include "fake_history.h"
 #include "fake_http.h"
 
 #define DRAIN_S 10.0 /* longest wait for running requests at the end */
@@ -24,10 +25,12 @@
 	uint16_t port;
 	uint32_t slots;
 	const char *name;
+	const char *history;
 };
 
 struct server {
 	struct fake_exec *exec;
+	struct fake_history *history; /* NULL: none is kept */
 	struct fake_http *http;
 	char *name;
 };
@@ -37,7 +40,8 @@
     {"port", 'p', "N", 0, "port of the first; 0 takes free ones", 0},
     {"base-port", 'b', "N", OPTION_ALIAS, NULL, 0},
     {"slots", 's', "N", 0, "requests at a time", 0},
-    {"name", 'n', "NAME", 0, "name, or its beginning for several", 0}, {0}};
+    {"name", 'n', "NAME", 0, "name, or its beginning for several", 0},
+    {"history", 'H', "FILE", 0, "write what runs to it", 0}, {0}};
 
 static error_t
 parse_option(int key, char *arg, struct argp_state *state)
@@ -58,6 +62,9 @@
 	case 'n':
 		o->name = arg;
 		return 0;
+	case 'H':
+		o->history = arg;
+		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
@@ -73,6 +80,10 @@
 	fake_exec_run(s->exec, c->body, fake_http_header(c, "Ogl-Team"),
 	    fake_http_header(c, "Ogl-Kind"), strtoull(token, NULL, 10), now,
 	    &a);
+	if (s->history != NULL)
+		fake_history_exec(s->history, s->name, c->body,
+		    fake_http_header(c, "Ogl-Team"),
+		    fake_http_header(c, "Ogl-Kind"), now, &a);
 	if (!a.accepted)
 		fake_http_set(c, "Ogl-Verdict", "not_run");
 	snprintf(text, sizeof(text), "%" PRIu64, a.token);
@@ -225,16 +236,23 @@
 int
 main(int argc, char **argv)
 {
-	struct options o = {1, 0, FAKE_EXEC_SLOTS, "e"};
+	struct options o = {1, 0, FAKE_EXEC_SLOTS, "e", NULL};
 	const struct argp argp = {argp_options, parse_option, NULL,
 	    "Stand-in for executors of short requests.", NULL, NULL, NULL};
 	struct ev_loop *loop = ev_default_loop(0);
 	GPtrArray *servers = g_ptr_array_new_with_free_func(server_free);
+	struct fake_history *history = NULL;
 	bool ok = argp_parse(&argp, argc, argv, 0, NULL, &o) == 0;
 
+	if (ok && o.history != NULL) {
+		history = fake_history_open(o.history);
+		ok = history != NULL;
+	}
+
 	for (uint32_t i = 0; ok && i < o.count; i++) {
 		struct server *s = g_new0(struct server, 1);
 
+		s->history = history;
 		g_ptr_array_add(servers, s);
 		ok = server_start(s, &o, loop, i);
 	}
@@ -244,6 +262,7 @@
 		drain(loop, servers);
 	}
 	g_ptr_array_free(servers, TRUE);
+	fake_history_end(history);
 	ev_loop_destroy(loop);
 	return ok ? 0 : 1;
 }
--- a/test/standin_platform.c
+++ b/test/standin_platform.c
@@ -2,7 +2,8 @@
  * Stand-in for the platform's service: log streams and the list of hosts.
  * A new list, given by POST /ctl, is shown after a lag, as the platform's own
  * list trails what happens.  /ctl takes the faults named in ctl() and
- * "hosts", the whole new list.
+ * "hosts", the whole new list.  --history writes for orioleglade-check which
+ * targets each list shows.
  */
 
 #include <argp.h>
@@ -10,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fake_history.h"
 #include "fake_http.h"
 #include "fake_log.h"
 
@@ -22,6 +24,7 @@
 	const char *name;
 	const char *hosts;
 	uint32_t lag_ms;
+	const char *history;
 };
 
 /* A list that is shown from some time on. */
@@ -33,6 +36,7 @@
 struct platform {
 	struct fake_log *log;
 	struct fake_http *http;
+	struct fake_history *history; /* NULL: none is kept */
 	GQueue lists; /* of struct list, the one shown now first */
 	ogl_time lag;
 	bool hosts_down;
@@ -42,7 +46,8 @@
     {"port", 'p', "N", 0, "port; 0 takes a free one", 0},
     {"name", 'n', "NAME", 0, "name shown with the port", 0},
     {"hosts", 'h', "FILE", 0, "list of hosts (HostList JSON) at the start", 0},
-    {"lag-ms", 'l', "N", 0, "age at which a new host list is shown", 0}, {0}};
+    {"lag-ms", 'l', "N", 0, "age at which a new host list is shown", 0},
+    {"history", 'H', "FILE", 0, "write what is listed to it", 0}, {0}};
 
 static error_t
 parse_option(int key, char *arg, struct argp_state *state)
@@ -62,6 +67,9 @@
 	case 'l':
 		o->lag_ms = (uint32_t)strtoul(arg, NULL, 10);
 		return 0;
+	case 'H':
+		o->history = arg;
+		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
@@ -76,6 +84,24 @@
 	g_free(l);
 }
 
+static void
+tell_list(struct fake_history *h, const json_t *hosts, ogl_time from)
+{
+	json_t *host;
+	size_t i;
+
+	json_array_foreach(hosts, i, host)
+	{
+		struct history_event ev = {.type = HISTORY_LISTED, .at = from};
+
+		ev.u.listed.target =
+		    json_string_value(json_object_get(host, "name"));
+		ev.u.listed.leaving =
+		    json_is_true(json_object_get(host, "leaving"));
+		fake_history_add(h, &ev);
+	}
+}
+
 /* Queues a list to be shown; takes over the reference. */
 static void
 list_add(struct platform *p, json_t *hosts, ogl_time from)
@@ -85,6 +111,8 @@
 	l->from = from;
 	l->hosts = hosts;
 	g_queue_push_tail(&p->lists, l);
+	if (p->history != NULL)
+		tell_list(p->history, hosts, from);
 }
 
 /* The list shown now. */
@@ -276,7 +304,7 @@
 int
 main(int argc, char **argv)
 {
-	struct options o = {0, "platform", NULL, DEFAULT_LAG_MS};
+	struct options o = {0, "platform", NULL, DEFAULT_LAG_MS, NULL};
 	const struct argp argp = {argp_options, parse_option, NULL,
 	    "Stand-in for the platform: log and host list.", NULL, NULL, NULL};
 	struct ev_loop *loop = ev_default_loop(0);
@@ -289,6 +317,11 @@
 	list = hosts_load(o.hosts);
 	if (list == NULL)
 		goto out;
+	if (o.history != NULL) {
+		p.history = fake_history_open(o.history);
+		if (p.history == NULL)
+			goto out;
+	}
 	list_add(&p, list, 0);
 	p.lag = (ogl_time)o.lag_ms * OGL_MS;
 	p.http = fake_http_start(loop, o.port, handle, &p);
@@ -303,6 +336,7 @@
 out:
 	fake_http_stop(p.http);
 	fake_log_end(p.log);
+	fake_history_end(p.history);
 	g_queue_clear_full(&p.lists, list_free);
 	ev_loop_destroy(loop);
 	return rc;
--- a/test/standin_worker.c
+++ b/test/standin_worker.c
@@ -1,7 +1,8 @@
 /*
  * Stand-in for workers: one process serves as many as asked for, each on a
  * port of its own.  POST /v1/sync is the worker protocol, GET /counts gives
- * the history of what ran, POST /ctl sets faults by the names in ctl().
+ * the events of what ran, POST /ctl sets faults by the names in ctl().
+ * --history writes them for orioleglade-check.
  */
 
 #include <argp.h>
@@ -9,8 +10,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fake_history.h"
 #include "fake_http.h"
-#include "fake_worker.h"
 
 #define RACK_SIZE 6
 
@@ -22,10 +23,14 @@
 	const char *rack;
 	struct ogl_res capacity;
 	int64_t clock_offset_ms;
+	const char *history;
 };
 
 struct server {
 	struct fake_worker *worker;
+	struct fake_history *history; /* NULL: none is kept */
+	uint64_t boot;
+	struct ogl_res capacity; /* last told of */
 	struct fake_http *http;
 	char *name;
 	uint32_t lose; /* next syncs done but not answered */
@@ -43,7 +48,8 @@
     {"cpu", 'C', "MILLI", 0, "thousandths of a processor each", 0},
     {"mem", 'M', "MB", 0, "memory each", 0},
     {"accel", 'A', "N", 0, "accelerators each", 0},
-    {"clock-offset-ms", 'o', "N", 0, "their clock less the true time", 0}, {0}};
+    {"clock-offset-ms", 'o', "N", 0, "their clock less the true time", 0},
+    {"history", 'H', "FILE", 0, "write what happens to it", 0}, {0}};
 
 static error_t
 parse_option(int key, char *arg, struct argp_state *state)
@@ -80,6 +86,9 @@
 	case 'o':
 		o->clock_offset_ms = n;
 		return 0;
+	case 'H':
+		o->history = arg;
+		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
@@ -96,6 +105,35 @@
 		allowed != NULL ? allowed : "malformed"));
 }
 
+/* Tells of a new boot or another capacity. */
+static void
+tell_capacity(struct server *s, bool booted, ogl_time now)
+{
+	const struct ogl_res *c = &fake_worker_script(s->worker)->capacity;
+
+	if (s->history == NULL ||
+	    (!booted && memcmp(c, &s->capacity, sizeof(*c)) == 0))
+		return;
+	s->capacity = *c;
+	fake_history_capacity(s->history, s->name, s->boot, c, now);
+}
+
+static void
+tell_lease(struct server *s, const Ogl__WorkerSync *sync, ogl_time now)
+{
+	struct history_event ev = {.type = HISTORY_LEASE, .at = now};
+
+	if (s->history == NULL)
+		return;
+	ev.u.lease.worker = s->name;
+	ev.u.lease.owner = sync->owner;
+	ev.u.lease.shard = sync->shard;
+	ev.u.lease.epoch = sync->epoch;
+	ev.u.lease.until =
+	    ((ogl_time)sync->lease_from_ms + sync->lease_ms) * OGL_MS;
+	fake_history_add(s->history, &ev);
+}
+
 static enum fake_http_next
 sync_call(struct server *s, struct fake_http_call *c, ogl_time now)
 {
@@ -115,6 +153,8 @@
 		c->drop = true;
 		goto out;
 	}
+	if (!r->refused)
+		tell_lease(s, (const Ogl__WorkerSync *)m, now);
 	fake_http_set(c, "Content-Type", "application/json");
 	fake_http_text(c, 200, ogl_json_print(&r->base, NULL));
 	if (s->lose > 0) {
@@ -178,8 +218,11 @@
 	enum fake_http_next next =
 	    fake_ctl_answer(c, table, G_N_ELEMENTS(table));
 
-	if (s->restart)
+	if (s->restart) {
 		fake_worker_restart(s->worker, now);
+		s->boot++; /* as the worker's own */
+	}
+	tell_capacity(s, s->restart, now);
 	s->restart = false;
 	return next;
 }
@@ -216,7 +259,11 @@
 	s->name = o->count == 1 ? g_strdup(o->name)
 				: g_strdup_printf("%s%04u", o->name, i + 1);
 	c.name = s->name;
+	s->boot = c.boot;
 	s->worker = fake_worker_init(&c);
+	if (s->history != NULL)
+		fake_worker_hook(s->worker, fake_history_worker, s->history);
+	tell_capacity(s, true, (ogl_time)c.boot);
 	s->http = fake_http_start(loop, port, handle, s);
 	if (s->http != NULL)
 		printf("port %u %s %s %s\n", fake_http_port(s->http), s->name,
@@ -234,6 +281,8 @@
 	struct server *s = p;
 
 	fake_http_stop(s->http);
+	if (s->worker != NULL)
+		fake_worker_tick(s->worker, g_get_real_time());
 	fake_worker_end(s->worker);
 	g_free(s->name);
 	g_free(s);
@@ -250,11 +299,18 @@
 	    "Stand-in for workers.", NULL, NULL, NULL};
 	struct ev_loop *loop = ev_default_loop(0);
 	GPtrArray *servers = g_ptr_array_new_with_free_func(server_free);
+	struct fake_history *history = NULL;
 	bool ok = argp_parse(&argp, argc, argv, 0, NULL, &o) == 0;
 
+	if (ok && o.history != NULL) {
+		history = fake_history_open(o.history);
+		ok = history != NULL;
+	}
+
 	for (uint32_t i = 0; ok && i < o.count; i++) {
 		struct server *s = g_new0(struct server, 1);
 
+		s->history = history;
 		g_ptr_array_add(servers, s);
 		ok = server_start(s, &o, loop, i);
 	}
@@ -262,6 +318,7 @@
 	if (ok)
 		fake_http_serve(loop);
 	g_ptr_array_free(servers, TRUE);
+	fake_history_end(history);
 	ev_loop_destroy(loop);
 	return ok ? 0 : 1;
 }
--- a/test/test_check.cc
+++ b/test/test_check.cc
@@ -1,14 +1,17 @@
-/*
- * The checker of histories: every kind of fault it looks for is found in a
- * history made by hand, and nothing is found in a good one.
- */
+// The checker of histories: every kind of fault it looks for is found in a
+// history made by hand, and nothing is found in a good one.
 
 #include <gtest/gtest.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <fstream>
+#include <set>
 #include <string>
+#include <vector>
 
-#include "fake_history.h"
+#include "fake_check.h"
 
 namespace
 {
@@ -97,4 +100,152 @@
 	EXPECT_NE("", read_error("{\"at\":1,\"event\":\"over\""));
 }
 
+// Scripts begin with comments; one of them says "# expect: " and then
+// "nothing", or "point line line ...; point line ...".
+std::string
+expected(const std::string &file)
+{
+	const std::string mark = "# expect: ";
+	std::ifstream in(file);
+	std::string line;
+
+	while (std::getline(in, line)) {
+		if (line.rfind(mark, 0) == 0)
+			return line.substr(mark.size());
+	}
+	return "no expectation";
+}
+
+std::string
+found(struct fake_history *h, std::set<std::string> *points)
+{
+	struct fake_check_times times;
+	std::string s;
+	size_t n;
+
+	fake_check_times_default(&times);
+	struct fake_check *c = fake_check_run(h, &times);
+	const struct fake_check_finding *f = fake_check_findings(c, &n);
+	for (size_t i = 0; i < n; i++) {
+		s += (i > 0 ? "; " : "") + std::string(f[i].point->name);
+		points->insert(f[i].point->name);
+		for (guint k = 0; k < f[i].lines->len; k++) {
+			auto *ev =
+			    (const struct history_event *)f[i].lines->pdata[k];
+
+			s += " " + std::to_string(ev->line);
+		}
+	}
+	fake_check_end(c);
+	return n > 0 ? s : "nothing";
+}
+
+std::vector<std::string>
+scripts()
+{
+	const char *dir = OGL_TEST_DIR "/scripts";
+	GDir *d = g_dir_open(dir, 0, nullptr);
+	std::vector<std::string> all;
+
+	while (const char *name = g_dir_read_name(d)) {
+		if (g_str_has_prefix(name, "history_"))
+			all.push_back(std::string(dir) + "/" + name);
+	}
+	g_dir_close(d);
+	std::sort(all.begin(), all.end());
+	return all;
+}
+
+// Each script breaks a point on purpose, as its first line tells; a user
+// would have met it as a doubled order, a host that swaps, an answer of
+// somebody else's.  A checker that overlooks it would call such a run good.
+TEST(Check, EveryPointIsCaughtWithTheLinesThatShowIt)
+{
+	std::set<std::string> points;
+	size_t all = 0;
+
+	for (const std::string &file : scripts()) {
+		struct fake_history *h = fake_history_init(nullptr);
+		GError *error = nullptr;
+
+		EXPECT_TRUE(fake_history_read(h, file.c_str(), &error))
+		    << (error != nullptr ? error->message : "");
+		EXPECT_EQ(expected(file), found(h, &points)) << file;
+		g_clear_error(&error);
+		fake_history_end(h);
+	}
+	while (fake_check_points[all].name != nullptr)
+		all++;
+	EXPECT_EQ(all, points.size());
+}
+
+// A run of many small good steps, with what may look like a fault at a
+// careless glance: a task restarted at the very time of its lapse, workers
+// full to the last thousandth, a team at its limit throughout.
+TEST(Check, LongGoodHistoryPasses)
+{
+	struct fake_history *h = fake_history_init(nullptr);
+	std::set<std::string> points;
+	struct history_event ev = {};
+
+	ev.type = HISTORY_EDIT;
+	ev.u.edit.accepted = true;
+	ev.u.edit.team = "a";
+	ev.u.edit.limit = 8;
+	fake_history_add(h, &ev);
+	for (int w = 0; w < 4; w++) {
+		const struct ogl_res room = {2000, 64, 0};
+
+		fake_history_capacity(
+		    h, ("w" + std::to_string(w)).c_str(), 1, &room, 0);
+	}
+	for (int i = 0; i < 20000; i++) {
+		std::string worker = "w" + std::to_string(i % 4);
+		std::string task = std::to_string(i / 2) + ".0";
+		ogl_time at = 10 * OGL_SEC + i * OGL_MS;
+		bool again = i % 2 == 1;
+
+		ev = {};
+		ev.type = HISTORY_START;
+		ev.at = again ? at - OGL_MS + 8 * OGL_MS : at;
+		ev.u.task.worker = worker.c_str();
+		ev.u.task.task = task.c_str();
+		ev.u.task.team = "a/b";
+		ev.u.task.attempt = again ? 2 : 1;
+		ev.u.task.res = {1000, 8, 0};
+		fake_history_add(h, &ev);
+		ev.at += 8 * OGL_MS;
+		ev.type = again ? HISTORY_END : HISTORY_LAPSE;
+		ev.u.task.state = again ? OGL__TASK_STATE__succeeded
+					: OGL__TASK_STATE__lapsed;
+		fake_history_add(h, &ev);
+	}
+	EXPECT_EQ("nothing", found(h, &points));
+	fake_history_end(h);
+}
+
+int
+run_program(const std::string &args)
+{
+	std::string command =
+	    OGL_BIN_DIR "/orioleglade-check " + args + " >/dev/null 2>&1";
+	int rc = system(command.c_str());
+
+	return WIFEXITED(rc) ? WEXITSTATUS(rc) : -1;
+}
+
+TEST(Check, ProgramTellsByItsExitStatus)
+{
+	const std::string dir = OGL_TEST_DIR "/scripts/history_";
+
+	EXPECT_EQ(0, run_program("--help"));
+	EXPECT_EQ(0, run_program(dir + "good.jsonl"));
+	EXPECT_EQ(1, run_program(dir + "bad_leaving.jsonl"));
+	EXPECT_EQ(
+	    0, run_program("--leaving-ms 9000 " + dir + "bad_leaving.jsonl"));
+	EXPECT_EQ(2, run_program(dir + "absent.jsonl"));
+	EXPECT_EQ(2, run_program("--leaving-ms x " + dir + "good.jsonl"));
+	EXPECT_EQ(2, run_program(""));
+}
+
 } // namespace
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -184,15 +184,18 @@
     fail "$B holds no orioleglade or oriolectl"
 
 say "starting 4 executors, 12 workers and the platform"
-start executors "$B/ogl-standin-executor" --count 4
-start workers "$B/ogl-standin-worker" --count 12 --zone z1,z2,z3
+start executors "$B/ogl-standin-executor" --count 4 \
+    --history "$tmp/executors.jsonl"
+start workers "$B/ogl-standin-worker" --count 12 --zone z1,z2,z3 \
+    --history "$tmp/workers.jsonl"
 within 10 lists 4 executors || fail "the executors did not start"
 within 10 lists 12 workers || fail "the workers did not start"
 read -ra ports < <(free_ports $((2 * NODES)))
 http=("${ports[@]:0:NODES}")
 peer=("${ports[@]:NODES:NODES}")
 write_hosts
-start platform "$B/ogl-standin-platform" --hosts "$tmp/hosts.json"
+start platform "$B/ogl-standin-platform" --hosts "$tmp/hosts.json" \
+    --history "$tmp/platform.jsonl"
 within 10 lists 1 platform || fail "the platform did not start"
 
 say "starting $NODES nodes"
@@ -223,11 +226,11 @@
     --count $REQUESTS --concurrency $IN_FLIGHT --ids --run-ms 40 --seed 11 \
     --executors "$(addresses executors)" --team demo \
     --want-ran $((REQUESTS - IN_FLIGHT)) \
-    --deadline-s $DEADLINE_S
+    --deadline-s $DEADLINE_S --history "$tmp/requests.jsonl"
 start jobs "$B/ogl-standin-caller" --nodes "$nodes" --key "$key" \
     --mode jobs --kinds batch,service,gang --count $JOBS --tasks 3 \
     --run-ms 2000 --seed 12 --workers "$(addresses workers)" --want-ran $JOBS \
-    --deadline-s $DEADLINE_S
+    --deadline-s $DEADLINE_S --team demo --history "$tmp/jobs.jsonl"
 
 within $DEADLINE_S half_done || fail "half of the requests never ran"
 say "killing n2"
@@ -253,5 +256,6 @@
 		good=false
 	}
 done
+"$B/orioleglade-check" "$tmp"/*.jsonl || good=false
 $good || fail "something was lost, doubled, refused or stopped badly"
 say "nothing lost, nothing doubled"
