--- a/src/queue.h
+++ b/src/queue.h
@@ -35,6 +35,7 @@
 	uint64_t sort; /* hash of kind, size class and label */
 	uint32_t level;
 	bool ranked; /* level was set; it is kept when put back */
+	bool aged;   /* went first because it had waited too long */
 
 	char label[]; /* zero-ended */
 };
@@ -54,7 +55,7 @@
 	    void *p, struct ogl_queue_item *it, bool ok, ogl_time now);
 };
 
-/* ---- binary heap of items, least key first ---------------------------- */
+/* ---- heap of items, least key first ----------------------------------- */
 
 struct ogl_queue_heap_entry {
 	int64_t key;
--- a/src/sched.c
+++ b/src/sched.c
@@ -32,6 +32,7 @@
 	sh->held =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sh->requeue = g_ptr_array_new();
+	sh->nplaced = 0;
 }
 
 void
@@ -156,7 +157,7 @@
 		return;
 	t->stopping = true;
 	s = g_ptr_array_index(sh->sessions, t->worker);
-	ogl_session_stop_task(s, j->id, i, t->attempt, mode, now);
+	ogl_session_stop_task(sh, s, j->id, i, t->attempt, mode, now);
 	sh->env->counters->preempts++;
 }
 
@@ -388,6 +389,7 @@
 	t->worker = s->number;
 	t->attempt = attempt;
 	t->running = false;
+	t->sent = false;
 	t->stopping = false;
 	t->since = now;
 	j->nplaced++;
@@ -479,7 +481,7 @@
 
 	bind(sh, s, j, i, new_attempt(sh, &j->tasks[i]), now);
 	j->tasks[i].work = work;
-	ogl_session_wake(s, now);
+	ogl_session_wake(sh, s, now);
 	sh->env->counters->starts++;
 }
 
