--- a/test/standin_platform.c
+++ b/test/standin_platform.c
@@ -2,7 +2,7 @@
  * Stand-in for the platform's service: log streams and the list of hosts.
  * A new list, given by POST /ctl, is shown after a lag, as the platform's own
  * list trails what happens.  /ctl takes the faults named in ctl() and
- * "hosts", the whole new list.
+ * "hosts", the whole new list.  GET /counts tells how many appends there were.
  */
 
 #include <argp.h>
@@ -36,6 +36,8 @@
 	GQueue lists; /* of struct list, the one shown now first */
 	ogl_time lag;
 	bool hosts_down;
+	uint64_t appends; /* that took effect, over all streams */
+	uint64_t limited; /* refused for their rate */
 };
 
 static const struct argp_option argp_options[] = {
@@ -123,6 +125,8 @@
 	r = fake_log_append(p->log, stream, c->body, now, &at);
 	if (r == FAKE_LOG_OK || r == FAKE_LOG_LOST)
 		fake_http_wake(p->http);
+	p->appends += r == FAKE_LOG_OK || r == FAKE_LOG_LOST;
+	p->limited += r == FAKE_LOG_LIMITED;
 	switch (r) {
 	case FAKE_LOG_LIMITED:
 		return fake_http_text(c, 429, g_strdup("too many appends\n"));
@@ -240,6 +244,14 @@
 	return next;
 }
 
+static enum fake_http_next
+counts(const struct platform *p, struct fake_http_call *c)
+{
+	return fake_http_json(c, 200,
+	    json_pack("{s:I, s:I}", "appends", (json_int_t)p->appends,
+		"limited", (json_int_t)p->limited));
+}
+
 static enum fake_http_next
 handle(void *ctx, struct fake_http_call *c, ogl_time now)
 {
@@ -249,6 +261,8 @@
 		return hosts(ctx, c, now);
 	if (strcmp(c->path, "/ctl") == 0)
 		return ctl(ctx, c, now);
+	if (strcmp(c->path, "/counts") == 0)
+		return counts(ctx, c);
 	return fake_http_text(c, 404, g_strdup("no such path\n"));
 }
 
