--- a/src/state.h
+++ b/src/state.h
@@ -19,6 +19,9 @@
 	bool ending;      /* owner: its end is on the way to the log */
 	bool running;     /* owner: the worker said that it runs */
 	bool stopping;    /* owner: told to stop */
+	bool sent;        /* owner: a start of this attempt went out */
+	bool intended;    /* an attempt to start it is on the log */
+	bool held;        /* owner: waits for that record to take effect */
 	uint8_t tries;    /* attempts that failed by themselves */
 	uint32_t attempt; /* newest attempt known */
 	uint32_t worker;  /* owner: session number while placed */
@@ -65,6 +68,7 @@
 	GPtrArray *successors;  /* names */
 	GHashTable *jobs;       /* id -> struct ogl_job */
 	GHashTable *by_request; /* team/request id -> struct ogl_job */
+	GHashTable *referred;   /* team/request id -> Ogl__JobReferred */
 	GHashTable *ids;        /* id -> struct ogl_idrec */
 	GHashTable *workers;    /* name -> addr: the owner may start there */
 	GHashTable *allots;     /* team -> Ogl__Allot */
@@ -73,6 +77,10 @@
 	uint64_t building_snap;
 	uint32_t building_next;
 	uint64_t records; /* applied since the last snapshot */
+	/* While incomplete: what the records passed over tell. */
+	uint64_t least_epoch; /* the epoch in force is this or newer */
+	uint64_t guess_epoch; /* and probably this one */
+	uint64_t owner_ms;    /* at_ms of the owner's newest record */
 };
 
 /* What the owner wants to know when something takes effect. */
@@ -83,6 +91,9 @@
 	/* Before the task's phase changes; `final` tells whether for good. */
 	void (*task_ended)(void *ctx, struct ogl_job *j, uint32_t i,
 	    const Ogl__TaskEnded *e, ogl_time now);
+	void (*intent)(void *ctx, struct ogl_job *j, uint32_t i,
+	    uint32_t attempt, ogl_time now);
+	void (*referred)(void *ctx, const Ogl__JobReferred *r, ogl_time now);
 	void (*id)(void *ctx, struct ogl_idrec *r, ogl_time now);
 	void (*worker)(void *ctx, const char *name, bool on, ogl_time now);
 	void (*allot)(void *ctx, const Ogl__Allot *a, ogl_time now);
@@ -97,6 +108,13 @@
 /* Applies one record if it is valid: a claim made from the epoch in force,
  * or anything else by the owner under its epoch.  hooks may be NULL. */
 
+bool ogl_state_stale(const struct ogl_state *st, const Ogl__Record *r);
+/* The record is proof that an epoch newer than ours was in force before it,
+ * so that what we hold was built on an owner superseded by then. */
+
+struct ogl_state *ogl_state_anew(const Ogl__Record *r);
+/* An empty state to start over with after such a record. */
+
 void ogl_state_prune(
     struct ogl_state *st, uint64_t now_ms, uint32_t id_keep_ms);
 /* Forgets jobs long ended and request ids kept long enough. */
