Readmit evicted nodes that live; a part told undoes a reclaim

Cause: a node cut off and back stayed evicted until restarted and refused edits. Another node's record readmits it, and counts as a change that peers pull, so that a node relying on everybody's word that the log is down learns of it. Ruled out: the workers' side (no lease was stale in that run).

--- a/gen/ogl.pb-c.c
+++ b/gen/ogl.pb-c.c
@@ -4968,7 +4968,7 @@
   (ProtobufCMessageInit) ogl__successors__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__evict__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ogl__evict__field_descriptors[3] =
 {
   {
     "node",
@@ -4994,15 +4994,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lifted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__Evict, lifted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__evict__field_indices_by_name[] = {
   1,   /* field[1] = boot */
+  2,   /* field[2] = lifted */
   0,   /* field[0] = node */
 };
 static const ProtobufCIntRange ogl__evict__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ogl__evict__descriptor =
 {
@@ -5012,14 +5025,14 @@
   "Ogl__Evict",
   "ogl",
   sizeof(Ogl__Evict),
-  2,
+  3,
   ogl__evict__field_descriptors,
   ogl__evict__field_indices_by_name,
   1,  ogl__evict__number_ranges,
   (ProtobufCMessageInit) ogl__evict__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__settings_snap__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ogl__settings_snap__field_descriptors[4] =
 {
   {
     "version",
@@ -5057,8 +5070,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "change",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__SettingsSnap, change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__settings_snap__field_indices_by_name[] = {
+  3,   /* field[3] = change */
   2,   /* field[2] = evicted */
   1,   /* field[1] = tree */
   0,   /* field[0] = version */
@@ -5066,7 +5092,7 @@
 static const ProtobufCIntRange ogl__settings_snap__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ogl__settings_snap__descriptor =
 {
@@ -5076,7 +5102,7 @@
   "Ogl__SettingsSnap",
   "ogl",
   sizeof(Ogl__SettingsSnap),
-  3,
+  4,
   ogl__settings_snap__field_descriptors,
   ogl__settings_snap__field_indices_by_name,
   1,  ogl__settings_snap__number_ranges,
--- a/gen/ogl.pb-c.h
+++ b/gen/ogl.pb-c.h
@@ -766,10 +766,14 @@
   ProtobufCMessage base;
   char *node;
   uint64_t boot;
+  /*
+   * it lives after all, as another node saw
+   */
+  protobuf_c_boolean lifted;
 };
 #define OGL__EVICT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__evict__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -785,10 +789,14 @@
   ProtobufCBinaryData tree;
   size_t n_evicted;
   Ogl__Evict **evicted;
+  /*
+   * offset + 1 of the last edit or eviction in it
+   */
+  uint64_t change;
 };
 #define OGL__SETTINGS_SNAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__settings_snap__descriptor) \
-    , 0, {0,NULL}, 0,NULL }
+    , 0, {0,NULL}, 0,NULL, 0 }
 
 
 typedef enum {
--- a/src/escrow.c
+++ b/src/escrow.c
@@ -332,8 +332,10 @@
 	g.bank_epoch = sh->state->epoch;
 	g.bank = sh->index;
 	g.reclaim = reclaim;
-	if (reclaim)
-		a->asked[shard] = g.seq;
+	/* A part told after a reclaim undoes the shrinking, so the answer to
+	 * that reclaim, when it comes, no longer counts.  Otherwise the part
+	 * would be with the holder and free to be given away. */
+	a->asked[shard] = reclaim ? g.seq : 0;
 	msg.body_case = OGL__PEER_MSG__BODY_ALLOT_GIVE;
 	msg.allot_give = &g;
 	sh->env->ops->send(sh->env->ctx, shard, &msg);
--- a/src/follow.c
+++ b/src/follow.c
@@ -14,7 +14,10 @@
  * known only if every member says so, each in answer to a probe of ours; a
  * member that does not answer may be the one that still reaches the log.  A
  * member that died while the log was up is evicted by a record: what it
- * writes later counts for nobody, so it need not be heard.
+ * writes later counts for nobody, so it need not be heard.  One that was
+ * only cut off is readmitted by a record of another node, not its own: so a
+ * node that reached the log after the eviction knows of the readmission, and
+ * who relies on its word that the log is down learns that it knows more.
  */
 
 #include <stdlib.h>
@@ -29,6 +32,7 @@
 	DOWN_MS = 1000, /* without an answer so long: the log is down */
 	PULL_EVERY_MS = 300,
 	EVICT_EVERY_MS = 1000,
+	READMIT_S = 2,             /* an evicted node must live so long */
 	SNAP_EDITS = 500,          /* edits between two snapshots at most */
 	SETTINGS_RANK = 0xfffffffe /* rank for the writer of snapshots */
 };
@@ -47,6 +51,7 @@
 	GQueue *waiters;     /* uint64_t *, of our edits in order */
 	GHashTable *evicted; /* "name/boot" */
 	bool self_evicted;
+	uint64_t change; /* offset + 1 of the last edit or eviction */
 	ogl_time contact;
 	ogl_time fresh_peers;
 	ogl_time next_pull;
@@ -114,6 +119,7 @@
 		f->counters->edits++;
 		f->ops->changed(f->ctx, now);
 	}
+	f->change = MAX(f->change, offset + 1);
 	if (is_ours(f, r))
 		answer_waiter(f, offset + 1, error, now);
 	g_clear_error(&error);
@@ -122,16 +128,36 @@
 static void
 apply_evict(struct ogl_follow *f, const Ogl__Evict *e)
 {
+	char *id = identity(e->node, e->boot);
+
 	if (e->boot == f->cfg->boot && strcmp(e->node, f->cfg->name) == 0)
-		f->self_evicted = true;
-	g_hash_table_add(f->evicted, identity(e->node, e->boot));
+		f->self_evicted = !e->lifted;
+	if (e->lifted) {
+		g_hash_table_remove(f->evicted, id);
+		g_free(id);
+	} else {
+		g_hash_table_add(f->evicted, id);
+	}
+}
+
+/* An edit, or an eviction not yet known by way of a snapshot. */
+static void
+apply_change(
+    struct ogl_follow *f, const Ogl__Record *r, uint64_t offset, ogl_time now)
+{
+	if (r->body_case == OGL__RECORD__BODY_EDIT) {
+		apply_edit(f, r, offset, now);
+	} else if (offset + 1 > f->change) {
+		apply_evict(f, r->evict);
+		f->change = offset + 1;
+	}
 }
 
 static void
 apply_early(struct ogl_follow *f, ogl_time now)
 {
 	for (guint i = 0; i < f->early->len; i++)
-		apply_edit(f, g_ptr_array_index(f->early, i),
+		apply_change(f, g_ptr_array_index(f->early, i),
 		    g_array_index(f->early_at, uint64_t, i), now);
 	g_ptr_array_set_size(f->early, 0);
 	g_array_set_size(f->early_at, 0);
@@ -143,9 +169,15 @@
 	struct ogl_str tree = {(const char *)s->tree.data, s->tree.len};
 	GError *error = NULL;
 
+	g_hash_table_remove_all(f->evicted);
+	f->self_evicted = false;
 	for (size_t i = 0; i < s->n_evicted; i++)
 		apply_evict(f, s->evicted[i]);
-	if (!ogl_settings_load(f->settings, tree, &error)) {
+	f->change = MAX(f->change, s->change);
+	/* A tree no newer than ours is no reason to take it; what is newer
+	 * than both comes from the records after it. */
+	if (s->version > ogl_settings_version(f->settings) &&
+	    !ogl_settings_load(f->settings, tree, &error)) {
 		g_clear_error(&error);
 		return;
 	}
@@ -176,16 +208,14 @@
 		f->complete = true;
 	switch (r->body_case) {
 	case OGL__RECORD__BODY_EDIT:
+	case OGL__RECORD__BODY_EVICT:
 		if (f->complete) {
-			apply_edit(f, r, offset, now);
+			apply_change(f, r, offset, now);
 		} else {
 			g_ptr_array_add(f->early, record_copy(r));
 			g_array_append_val(f->early_at, offset);
 		}
 		break;
-	case OGL__RECORD__BODY_EVICT:
-		apply_evict(f, r->evict);
-		break;
 	case OGL__RECORD__BODY_SETTINGS_SNAP:
 		f->edits_since = 0;
 		f->snap_at = now;
@@ -324,6 +354,7 @@
 
 	ogl__settings_snap__init(s);
 	s->version = ogl_settings_version(f->settings);
+	s->change = f->change;
 	s->tree.len = strlen(dump);
 	s->tree.data = malloc(s->tree.len + 1);
 	memcpy(s->tree.data, dump, s->tree.len + 1);
@@ -401,8 +432,12 @@
 	struct evict_ctx *c = ctx;
 	Ogl__Record *r;
 
-	if (p->fact->state != OGL__MEMBER_FACT__STATE__dead ||
-	    is_evicted(c->f, p->fact->name, p->fact->boot))
+	bool evicted = is_evicted(c->f, p->fact->name, p->fact->boot);
+	bool dead = p->fact->state == OGL__MEMBER_FACT__STATE__dead;
+	bool lives = p->fact->state == OGL__MEMBER_FACT__STATE__alive &&
+		     c->now - p->changed >= READMIT_S * OGL_SEC;
+
+	if (!(evicted ? lives : dead))
 		return;
 	r = malloc(sizeof *r);
 	ogl__record__init(r);
@@ -412,6 +447,7 @@
 	ogl__evict__init(r->evict);
 	r->evict->node = strdup(p->fact->name);
 	r->evict->boot = p->fact->boot;
+	r->evict->lifted = evicted;
 	ogl_stream_add(c->f->stream, r, c->now);
 }
 
@@ -442,7 +478,7 @@
 {
 	struct fresh_ctx *c = ctx;
 	struct ogl_follow *f = c->f;
-	uint64_t ours = ogl_settings_version(f->settings);
+	uint64_t ours = f->change;
 
 	if (p->fact->state == OGL__MEMBER_FACT__STATE__left ||
 	    (p->fact->state == OGL__MEMBER_FACT__STATE__dead &&
@@ -465,7 +501,7 @@
 	if (now < f->next_pull)
 		return;
 	f->next_pull = now + PULL_EVERY_MS * OGL_MS;
-	n.version = ogl_settings_version(f->settings);
+	n.version = f->change;
 	msg.body_case = OGL__PEER_MSG__BODY_SETTINGS_NEWS;
 	msg.settings_news = &n;
 	ogl_member_send(f->member, p->fact->addr, &msg, out);
@@ -479,13 +515,13 @@
 	Ogl__SettingsNews n = OGL__SETTINGS_NEWS__INIT;
 
 	if (news->snap != NULL) {
-		if (news->snap->version > ogl_settings_version(f->settings))
+		if (news->snap->change > f->change)
 			load_snap(f, news->snap, now);
 		return;
 	}
-	if (!f->complete || ogl_settings_version(f->settings) <= news->version)
+	if (!f->complete || f->change <= news->version)
 		return;
-	n.version = ogl_settings_version(f->settings);
+	n.version = f->change;
 	n.snap = make_snap(f);
 	msg.body_case = OGL__PEER_MSG__BODY_SETTINGS_NEWS;
 	msg.settings_news = &n;
@@ -527,7 +563,7 @@
 	Ogl__MemberFact *own = ogl_member_own(f->member);
 	ogl_time age = now - ogl_follow_fresh(f, now);
 
-	own->settings_version = ogl_settings_version(f->settings);
+	own->settings_version = f->change;
 	own->settings_age_ms = (uint32_t)MIN(age / OGL_MS, UINT32_MAX);
 	own->log_age_ms =
 	    log_down(f, now)
