Check the histories of real stand-in processes in a test

The caller sends to an executor that plays a node without memory of ids. With one lost answer the check finds the doubled request, without it nothing.

--- a/test/test_check.cc
+++ b/test/test_check.cc
@@ -248,4 +248,59 @@
 	EXPECT_EQ(2, run_program(""));
 }
 
+// The executor plays a node that remembers no ids.  It loses an answer after
+// the run, the caller sends the request again under its id, and the order is
+// carried out twice.  Told to lose none, the same run is good.
+const char run_programs[] = R"(
+set -eu
+bin=$1 lose=$2
+dir=$(mktemp -d)
+executor=
+trap 'kill $executor 2>/dev/null || true; rm -rf "$dir"' EXIT
+: >"$dir/out"
+"$bin/ogl-standin-executor" --history "$dir/executor.jsonl" >"$dir/out" &
+executor=$!
+until grep -q port "$dir/out"; do
+	kill -0 $executor
+	sleep 0.01
+done
+port=$(awk '{print $2}' "$dir/out")
+exec 3<>"/dev/tcp/127.0.0.1/$port"
+order="{\"lose\":$lose}"
+printf 'POST /ctl HTTP/1.0\r\nContent-Length: %d\r\n\r\n%s' \
+    ${#order} "$order" >&3
+cat <&3 >/dev/null
+"$bin/ogl-standin-caller" --nodes "127.0.0.1:$port" --count 20 --ids \
+    --run-ms 5 --history "$dir/caller.jsonl" >/dev/null || true
+kill -TERM $executor
+wait $executor
+executor=
+"$bin/orioleglade-check" "$dir/executor.jsonl" "$dir/caller.jsonl" \
+    >"$dir/found" || sed -n 's/^\([a-z_]*\):.*/\1/p' "$dir/found" | sort -u
+sed -n '/^no violation/p' "$dir/found"
+)";
+
+std::string
+programs_found(const char *lose)
+{
+	const char *argv[] = {
+	    "bash", "-c", run_programs, "bash", OGL_BIN_DIR, lose, nullptr};
+	char *out = nullptr;
+	int status = -1;
+
+	EXPECT_TRUE(
+	    g_spawn_sync(nullptr, (char **)argv, nullptr, G_SPAWN_SEARCH_PATH,
+		nullptr, nullptr, &out, nullptr, &status, nullptr));
+	EXPECT_EQ(0, status);
+	std::string s = out;
+	g_free(out);
+	return s;
+}
+
+TEST(Check, ProgramsWriteWhatTheCheckerNeeds)
+{
+	EXPECT_EQ("no violation in 61 lines\n", programs_found("0"));
+	EXPECT_EQ("once\n", programs_found("1"));
+}
+
 } // namespace
