--- /dev/null
+++ b/test/test_check.cc
@@ -0,0 +1,306 @@
+// The checker of histories: every kind of fault it looks for is found in a
+// history made by hand, and nothing is found in a good one.
+
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fake_check.h"
+
+namespace
+{
+
+std::string
+print(const struct history_event &ev)
+{
+	char *line = fake_history_print(&ev);
+	std::string s = line;
+
+	g_free(line);
+	return s;
+}
+
+std::string
+read_error(const char *text)
+{
+	char *file = nullptr;
+	int fd = g_file_open_tmp("historyXXXXXX", &file, nullptr);
+	struct fake_history *h = fake_history_init(nullptr);
+	GError *error = nullptr;
+	std::string wrong;
+
+	close(fd);
+	g_file_set_contents(file, text, -1, nullptr);
+	if (!fake_history_read(h, file, &error))
+		wrong = error->message + strlen(file);
+	g_clear_error(&error);
+	fake_history_end(h);
+	unlink(file);
+	g_free(file);
+	return wrong;
+}
+
+TEST(History, EventsSurviveWritingAndReading)
+{
+	char *file = nullptr;
+	int fd = g_file_open_tmp("historyXXXXXX", &file, nullptr);
+	FILE *out = fdopen(fd, "w");
+	struct fake_history *h = fake_history_init(out);
+	struct fake_history *again = fake_history_init(nullptr);
+
+	for (int type = 0; type < HISTORY_NTYPES; type++) {
+		struct history_event ev = {};
+
+		ev.type = (enum history_type)type;
+		ev.at = 1000 - type;
+		if (type == HISTORY_EDIT) {
+			ev.u.edit.team = "a/b";
+			ev.u.edit.limit = UINT64_MAX;
+		}
+		if (type == HISTORY_START)
+			ev.u.task.res = {1500, 64, 1};
+		fake_history_add(h, &ev);
+	}
+	fclose(out);
+	ASSERT_TRUE(fake_history_read(again, file, nullptr));
+	fake_history_sort(again);
+
+	size_t n;
+	size_t m;
+	const struct history_event *a = fake_history_events(h, &n);
+	const struct history_event *b = fake_history_events(again, &m);
+	ASSERT_EQ(n, m);
+	for (size_t i = 0; i < n; i++) {
+		EXPECT_EQ(print(a[i]), print(b[n - 1 - i]));
+		EXPECT_EQ(a[i].line, b[n - 1 - i].line);
+	}
+	EXPECT_STREQ(file, fake_history_file(again, b[0].file));
+	fake_history_end(h);
+	fake_history_end(again);
+	unlink(file);
+	g_free(file);
+}
+
+TEST(History, FaultsOfAFileAreNamed)
+{
+	EXPECT_EQ("", read_error("# nothing\n{\"at\":1,\"event\":\"over\"}\n"));
+	EXPECT_EQ(":2: unknown event \"under\"",
+	    read_error("# nothing\n{\"at\":1,\"event\":\"under\"}\n"));
+	EXPECT_EQ(":1: no time \"at\"", read_error("{\"event\":\"over\"}\n"));
+	EXPECT_EQ(":1: unknown field \"x\"",
+	    read_error("{\"at\":1,\"event\":\"over\",\"x\":1}\n"));
+	EXPECT_EQ(":1: wrong value of \"state\"",
+	    read_error("{\"at\":1,\"event\":\"node\",\"state\":\"gone\"}\n"));
+	EXPECT_NE("", read_error("{\"at\":1,\"event\":\"over\""));
+}
+
+// Scripts begin with comments; one of them says "# expect: " and then
+// "nothing", or "point line line ...; point line ...".
+std::string
+expected(const std::string &file)
+{
+	const std::string mark = "# expect: ";
+	std::ifstream in(file);
+	std::string line;
+
+	while (std::getline(in, line)) {
+		if (line.rfind(mark, 0) == 0)
+			return line.substr(mark.size());
+	}
+	return "no expectation";
+}
+
+std::string
+found(struct fake_history *h, std::set<std::string> *points)
+{
+	struct fake_check_times times;
+	std::string s;
+	size_t n;
+
+	fake_check_times_default(&times);
+	struct fake_check *c = fake_check_run(h, &times);
+	const struct fake_check_finding *f = fake_check_findings(c, &n);
+	for (size_t i = 0; i < n; i++) {
+		s += (i > 0 ? "; " : "") + std::string(f[i].point->name);
+		points->insert(f[i].point->name);
+		for (guint k = 0; k < f[i].lines->len; k++) {
+			auto *ev =
+			    (const struct history_event *)f[i].lines->pdata[k];
+
+			s += " " + std::to_string(ev->line);
+		}
+	}
+	fake_check_end(c);
+	return n > 0 ? s : "nothing";
+}
+
+std::vector<std::string>
+scripts()
+{
+	const char *dir = OGL_TEST_DIR "/scripts";
+	GDir *d = g_dir_open(dir, 0, nullptr);
+	std::vector<std::string> all;
+
+	while (const char *name = g_dir_read_name(d)) {
+		if (g_str_has_prefix(name, "history_"))
+			all.push_back(std::string(dir) + "/" + name);
+	}
+	g_dir_close(d);
+	std::sort(all.begin(), all.end());
+	return all;
+}
+
+// Each script breaks a point on purpose, as its first line tells; a user
+// would have met it as a doubled order, a host that swaps, an answer of
+// somebody else's.  A checker that overlooks it would call such a run good.
+TEST(Check, EveryPointIsCaughtWithTheLinesThatShowIt)
+{
+	std::set<std::string> points;
+	size_t all = 0;
+
+	for (const std::string &file : scripts()) {
+		struct fake_history *h = fake_history_init(nullptr);
+		GError *error = nullptr;
+
+		EXPECT_TRUE(fake_history_read(h, file.c_str(), &error))
+		    << (error != nullptr ? error->message : "");
+		EXPECT_EQ(expected(file), found(h, &points)) << file;
+		g_clear_error(&error);
+		fake_history_end(h);
+	}
+	while (fake_check_points[all].name != nullptr)
+		all++;
+	EXPECT_EQ(all, points.size());
+}
+
+// A run of many small good steps, with what may look like a fault at a
+// careless glance: a task restarted at the very time of its lapse, workers
+// full to the last thousandth, a team at its limit throughout.
+TEST(Check, LongGoodHistoryPasses)
+{
+	struct fake_history *h = fake_history_init(nullptr);
+	std::set<std::string> points;
+	struct history_event ev = {};
+
+	ev.type = HISTORY_EDIT;
+	ev.u.edit.accepted = true;
+	ev.u.edit.team = "a";
+	ev.u.edit.limit = 8;
+	fake_history_add(h, &ev);
+	for (int w = 0; w < 4; w++) {
+		const struct ogl_res room = {2000, 64, 0};
+
+		fake_history_capacity(
+		    h, ("w" + std::to_string(w)).c_str(), 1, &room, 0);
+	}
+	for (int i = 0; i < 20000; i++) {
+		std::string worker = "w" + std::to_string(i % 4);
+		std::string task = std::to_string(i / 2) + ".0";
+		ogl_time at = 10 * OGL_SEC + i * OGL_MS;
+		bool again = i % 2 == 1;
+
+		ev = {};
+		ev.type = HISTORY_START;
+		ev.at = again ? at - OGL_MS + 8 * OGL_MS : at;
+		ev.u.task.worker = worker.c_str();
+		ev.u.task.task = task.c_str();
+		ev.u.task.team = "a/b";
+		ev.u.task.attempt = again ? 2 : 1;
+		ev.u.task.res = {1000, 8, 0};
+		fake_history_add(h, &ev);
+		ev.at += 8 * OGL_MS;
+		ev.type = again ? HISTORY_END : HISTORY_LAPSE;
+		ev.u.task.state = again ? OGL__TASK_STATE__succeeded
+					: OGL__TASK_STATE__lapsed;
+		fake_history_add(h, &ev);
+	}
+	EXPECT_EQ("nothing", found(h, &points));
+	fake_history_end(h);
+}
+
+int
+run_program(const std::string &args)
+{
+	std::string command =
+	    OGL_BIN_DIR "/orioleglade-check " + args + " >/dev/null 2>&1";
+	int rc = system(command.c_str());
+
+	return WIFEXITED(rc) ? WEXITSTATUS(rc) : -1;
+}
+
+TEST(Check, ProgramTellsByItsExitStatus)
+{
+	const std::string dir = OGL_TEST_DIR "/scripts/history_";
+
+	EXPECT_EQ(0, run_program("--help"));
+	EXPECT_EQ(0, run_program(dir + "good.jsonl"));
+	EXPECT_EQ(1, run_program(dir + "bad_leaving.jsonl"));
+	EXPECT_EQ(
+	    0, run_program("--leaving-ms 9000 " + dir + "bad_leaving.jsonl"));
+	EXPECT_EQ(2, run_program(dir + "absent.jsonl"));
+	EXPECT_EQ(2, run_program("--leaving-ms x " + dir + "good.jsonl"));
+	EXPECT_EQ(2, run_program(""));
+}
+
+// The executor plays a node that remembers no ids.  It loses an answer after
+// the run, the caller sends the request again under its id, and the order is
+// carried out twice.  Told to lose none, the same run is good.
+const char run_programs[] = R"(
+set -eu
+bin=$1 lose=$2
+dir=$(mktemp -d)
+executor=
+trap 'kill $executor 2>/dev/null || true; rm -rf "$dir"' EXIT
+: >"$dir/out"
+"$bin/ogl-standin-executor" --history "$dir/executor.jsonl" >"$dir/out" &
+executor=$!
+until grep -q port "$dir/out"; do
+	kill -0 $executor
+	sleep 0.01
+done
+port=$(awk '{print $2}' "$dir/out")
+exec 3<>"/dev/tcp/127.0.0.1/$port"
+order="{\"lose\":$lose}"
+printf 'POST /ctl HTTP/1.0\r\nContent-Length: %d\r\n\r\n%s' \
+    ${#order} "$order" >&3
+cat <&3 >/dev/null
+"$bin/ogl-standin-caller" --nodes "127.0.0.1:$port" --count 20 --ids \
+    --run-ms 5 --history "$dir/caller.jsonl" >/dev/null || true
+kill -TERM $executor
+wait $executor
+executor=
+"$bin/orioleglade-check" "$dir/executor.jsonl" "$dir/caller.jsonl" \
+    >"$dir/found" || sed -n 's/^\([a-z_]*\):.*/\1/p' "$dir/found" | sort -u
+sed -n '/^no violation/p' "$dir/found"
+)";
+
+std::string
+programs_found(const char *lose)
+{
+	const char *argv[] = {
+	    "bash", "-c", run_programs, "bash", OGL_BIN_DIR, lose, nullptr};
+	char *out = nullptr;
+	int status = -1;
+
+	EXPECT_TRUE(
+	    g_spawn_sync(nullptr, (char **)argv, nullptr, G_SPAWN_SEARCH_PATH,
+		nullptr, nullptr, &out, nullptr, &status, nullptr));
+	EXPECT_EQ(0, status);
+	std::string s = out;
+	g_free(out);
+	return s;
+}
+
+TEST(Check, ProgramsWriteWhatTheCheckerNeeds)
+{
+	EXPECT_EQ("no violation in 61 lines\n", programs_found("0"));
+	EXPECT_EQ("once\n", programs_found("1"));
+}
+
+} // namespace
