Fuzz nodes and parsers; mend what damaged messages did to them

log_appends_total, peer_messages_total and peer_bytes_total were shown but never counted; the node now counts them as actions leave a step.

--- a/src/calls.c
+++ b/src/calls.c
@@ -514,6 +514,7 @@
 ogl_calls_forward(
     struct ogl_node *n, const struct ogl_peer *from, const Ogl__Forward *f)
 {
+	uint64_t budget_ms = MIN(f->budget_ms, CALL_MS);
 	struct ogl_ask_call q = {0};
 	struct remote *r;
 
@@ -524,7 +525,7 @@
 	r->peer = g_strdup(from->fact->name);
 	r->call = f->call;
 	r->shard = f->shard;
-	r->until = n->now + (ogl_time)f->budget_ms * OGL_MS + OGL_SEC;
+	r->until = n->now + (ogl_time)budget_ms * OGL_MS + OGL_SEC;
 	g_hash_table_insert(n->calls->remotes, &r->waiter, r);
 	q.waiter = r->waiter;
 	q.method = ogl_str(f->method);
@@ -534,7 +535,7 @@
 	q.work_kind = f->work_kind;
 	q.body.p = (const char *)f->body.data;
 	q.body.n = f->body.len;
-	q.budget_ms = f->budget_ms;
+	q.budget_ms = budget_ms;
 	q.suggest = f->suggest;
 	q.refused_by = f->refused_by;
 	ogl_shard_call(n->shards[f->shard], &q, n->now);
@@ -548,6 +549,9 @@
 	GBytes *body;
 
 	(void)from;
+	if (r->shard >= n->cfg.shards || !ogl_answer_is_sane(r->status) ||
+	    r->verdict > OGL__VERDICT__may_have_run)
+		return; /* damaged: as good as lost, and asked for again */
 	if (c == NULL) {
 		n->counters.late_answers++;
 		return;
@@ -628,9 +632,18 @@
 do_request(struct ogl_node *n, const struct ogl_event *ev, const char *team,
     const char *path, const char *arg)
 {
-	struct call *c = call_new(n, ev, team, path);
+	struct ogl_team_view view;
+	struct call *c;
 
 	(void)arg;
+	ogl_settings_team(n->settings, team, &view);
+	if (view.exists && ev->u.call.body.n > view.max_body) {
+		n->counters.bad_input++;
+		reply_error(n, ev->token, 413, OGL_NOT_RUN, 0,
+		    "the body is larger than the team's max_body");
+		return;
+	}
+	c = call_new(n, ev, team, path);
 	if (c->request_id[0] != '\0' && !ev->u.call.idempotent) {
 		c->kind = CALL_SHARD;
 		c->shard = shard_of_id(n, team, c->request_id);
--- a/src/member.c
+++ b/src/member.c
@@ -322,8 +322,8 @@
 {
 	struct ogl_peer *p;
 
-	if (f->name[0] == '\0')
-		return NULL;
+	if (f->name[0] == '\0' || f->state > OGL__MEMBER_FACT__STATE__left)
+		return NULL; /* a state we have no name for */
 	if (strcmp(f->name, m->own->name) == 0) {
 		refute(m, f);
 		return NULL;
--- a/src/node.c
+++ b/src/node.c
@@ -662,10 +662,26 @@
 	ask_hosts(n);
 }
 
+/* Counts what leaves with this step, from the action at `a` on. */
+static void
+count_actions(struct ogl_node *n, const struct ogl_action *a)
+{
+	for (; a != NULL; a = a->next) {
+		if (a->type == OGL_ACT_LOG_APPEND)
+			n->counters.log_appends++;
+		if (a->type != OGL_ACT_PEER)
+			continue;
+		n->counters.peer_msgs++;
+		n->counters.peer_bytes += g_bytes_get_size(a->data);
+	}
+}
+
 void
 ogl_node_step(struct ogl_node *n, const struct ogl_event *ev, ogl_time now,
     struct ogl_actions *out)
 {
+	struct ogl_action **first = out->tail;
+
 	n->now = MAX(n->now, now);
 	n->out = out;
 	n->env.out = out;
@@ -683,6 +699,7 @@
 	ogl_calls_tick(n);
 	ogl_reqs_tick(n->reqs, n->now, out);
 	check_stop(n);
+	count_actions(n, *first);
 }
 
 ogl_time
--- a/src/reqs.c
+++ b/src/reqs.c
@@ -454,8 +454,8 @@
 		q->counters->late_answers++;
 		return;
 	}
-	io = ev->io == OGL_IO_OK && ev->u.exec.not_run ? OGL_IO_REFUSED :
-							 ev->io;
+	io =
+	    ev->io == OGL_IO_OK && ev->u.exec.not_run ? OGL_IO_REFUSED : ev->io;
 	ogl_route_done(q->route, r->tried[r->ntried - 1], r->cookie, io,
 	    io == OGL_IO_OK ? ev->u.exec.status : 0, now);
 	q->pump_due = true;
--- a/src/sched.c
+++ b/src/sched.c
@@ -292,7 +292,9 @@
 	w.tasks = tasks;
 	w.res = ask.res;
 	w.declared_ms = j->spec->run_ms;
-	w.since = MIN(now, (ogl_time)j->accepted_ms * OGL_MS);
+	w.since = now;
+	if (j->accepted_ms < (uint64_t)(now / OGL_MS))
+		w.since = (ogl_time)j->accepted_ms * OGL_MS;
 	*key = (int64_t)w.id;
 	g_hash_table_insert(sh->works, key, ref);
 	ogl_queue_push(sh->queue, &w, now);
--- a/src/settings_edit.c
+++ b/src/settings_edit.c
@@ -606,8 +606,8 @@
 	d->faults = faults;
 	d->over = g_tree_new_full(compare_paths, NULL, g_free, value_free);
 	check_frame(d);
-	if (ogl_faults_count(faults) > before)
-		goto refused;
+	if (e->n_changes > CHANGES_MAX)
+		goto refused; /* else all that is wrong is told at once */
 	d->n = e->n_changes;
 	d->changes = g_new0(struct change, d->n);
 	read_changes(d);
--- a/src/state.c
+++ b/src/state.c
@@ -21,6 +21,9 @@
 #include "state.h"
 
 enum {
+	STATUS_LEAST = 100, /* of HTTP */
+	STATUS_MOST = 999,
+	MOST_TASKS = 10000,      /* of a job; a record of more is damaged */
 	FAILED_TRIES = 3,        /* a restartable task may fail so often */
 	SNAP_JOBS = 500,         /* jobs and ids in one part of a snapshot */
 	ENDED_JOB_KEEP_S = 3600, /* ended jobs can be asked for so long */
@@ -142,7 +145,8 @@
 {
 	struct ogl_job *j;
 
-	if (a->spec == NULL || a->spec->tasks == 0 ||
+	if (a == NULL || a->spec == NULL || a->spec->tasks == 0 ||
+	    a->spec->tasks > MOST_TASKS ||
 	    g_hash_table_contains(st->jobs, a->job))
 		return NULL;
 	j = g_new0(struct ogl_job, 1);
@@ -202,7 +206,8 @@
 	struct ogl_job *j = g_hash_table_lookup(st->jobs, e->job);
 	struct ogl_task *t;
 
-	if (j == NULL || e->index >= j->ntasks)
+	if (j == NULL || e->index >= j->ntasks ||
+	    e->state > OGL__TASK_STATE__refused)
 		return;
 	t = &j->tasks[e->index];
 	if (t->phase == OGL_TASK_ENDED || e->attempt < t->attempt)
@@ -334,10 +339,17 @@
 	return r;
 }
 
+bool
+ogl_answer_is_sane(uint32_t status)
+{
+	return status >= STATUS_LEAST && status <= STATUS_MOST;
+}
+
 static void
 idrec_outcome(struct ogl_idrec *r, const Ogl__IdOutcome *o)
 {
-	if (r->has_outcome)
+	if (r->has_outcome || !ogl_answer_is_sane(o->status) ||
+	    o->verdict > OGL__VERDICT__may_have_run)
 		return;
 	r->has_outcome = true;
 	r->verdict = o->verdict;
@@ -408,7 +420,9 @@
 	for (size_t i = 0; i < s->n_ended; i++) {
 		const Ogl__TaskSnap *t = s->ended[i];
 
-		if (t->index >= j->ntasks)
+		if (t->index >= j->ntasks ||
+		    j->tasks[t->index].phase == OGL_TASK_ENDED ||
+		    t->state > OGL__TASK_STATE__refused)
 			continue;
 		j->tasks[t->index].attempt = t->attempt;
 		j->tasks[t->index].tries = (uint8_t)t->tries;
@@ -431,7 +445,7 @@
 		struct ogl_idrec *r = idrec_get(st, s->ids[i]->id);
 
 		r->at_ms = s->ids[i]->at_ms;
-		if (s->ids[i]->has_outcome)
+		if (s->ids[i]->has_outcome && s->ids[i]->outcome != NULL)
 			idrec_outcome(r, s->ids[i]->outcome);
 	}
 	for (size_t i = 0; i < s->n_workers; i++)
--- a/src/state.h
+++ b/src/state.h
@@ -126,6 +126,9 @@
 void ogl_job_view(const struct ogl_job *j, Ogl__JobView *v);
 /* Fills in v, borrowing j's strings; task views are left empty. */
 
+bool ogl_answer_is_sane(uint32_t status);
+/* Whether it can be an HTTP status; a damaged message may hold any number. */
+
 char *ogl_request_key(const char *team, const char *request_id);
 /* Name of a caller's id within the cell; g_free. */
 
--- /dev/null
+++ b/test/test_daemon_fuzz.cc
@@ -0,0 +1,836 @@
+// Mutated input.  Whatever a peer, the platform, a worker or a caller sends,
+// a node must go on: one message that ends every node that reads it would end
+// the cell, and one on the log would end each node again at its next start.
+//
+// Every run is a small cell in virtual time whose messages are spoilt on the
+// way: bits flipped, ends cut off, fields of the decoded message set to odd
+// values.  The seed of a run decides all of it.  Few runs are made by default;
+// OGL_FUZZ gives the count and OGL_FUZZ_SEED the first seed (tools/fuzz.sh).
+#include <gtest/gtest.h>
+
+#include <jansson.h>
+
+#include <cstring>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fake_exec.h"
+#include "fake_log.h"
+#include "fake_worker.h"
+#include "orioleglade.h"
+extern "C" {
+#include "config.h"
+#include "logpage.h"
+#include "random.h"
+}
+
+namespace
+{
+
+const int kRuns = 12;
+const uint32_t kNodes = 3;
+const int kEntries = 64;
+
+struct Rnd {
+	ogl_random r;
+
+	explicit Rnd(uint64_t seed)
+	{
+		ogl_random_init(&r, seed);
+	}
+	uint64_t Below(uint64_t n)
+	{
+		return ogl_random_next(&r) % n;
+	}
+	bool Chance(uint32_t thousandths)
+	{
+		return Below(1000) < thousandths;
+	}
+	template <class T> const T &Of(const std::vector<T> &v)
+	{
+		return v[Below(v.size())];
+	}
+};
+
+long
+FromEnv(const char *name, long fallback)
+{
+	const char *s = getenv(name);
+
+	return s != nullptr ? atol(s) : fallback;
+}
+
+// Calls fn with each seed of this process.
+void
+EachSeed(long runs, const std::function<void(uint64_t)> &fn)
+{
+	long first = FromEnv("OGL_FUZZ_SEED", 1);
+	long n = FromEnv("OGL_FUZZ", 0);
+
+	g_log_set_always_fatal(
+	    (GLogLevelFlags)(G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_ERROR));
+	for (long i = 0; i < (n > 0 ? n : runs); i++) {
+		if (n > 0)
+			fprintf(stderr, "seed %ld\n", first + i);
+		fn((uint64_t)(first + i));
+	}
+}
+
+// ---- mutations --------------------------------------------------------------
+
+void
+SpoilBytes(std::string *s, Rnd *rnd)
+{
+	for (uint64_t i = 1 + rnd->Below(3); i > 0 && !s->empty(); i--) {
+		size_t at = rnd->Below(s->size());
+
+		switch (rnd->Below(5)) {
+		case 0:
+			(*s)[at] = (char)((*s)[at] ^ (1 << rnd->Below(8)));
+			break;
+		case 1:
+			(*s)[at] = (char)rnd->Below(256);
+			break;
+		case 2:
+			s->resize(at);
+			break;
+		case 3:
+			s->insert(at, s->substr(at, 1 + rnd->Below(40)));
+			break;
+		default:
+			s->erase(at, 1 + rnd->Below(10));
+			break;
+		}
+	}
+}
+
+uint64_t
+OddNumber(Rnd *rnd, uint64_t was)
+{
+	switch (rnd->Below(8)) {
+	case 0:
+		return was + 1;
+	case 1:
+		return was - 1;
+	case 2:
+		return UINT64_MAX - rnd->Below(2);
+	case 3:
+		return (uint64_t)INT64_MAX + rnd->Below(3) - 1;
+	case 4:
+		return UINT32_MAX - rnd->Below(2);
+	case 5:
+		return 1ull << rnd->Below(64);
+	default:
+		return rnd->Below(12);
+	}
+}
+
+char *
+OddString(Rnd *rnd)
+{
+	static const std::vector<std::string> odd = {"", "\xff\xfe", "a|b", "/",
+	    "north", "north/jerash", "s0-1-1", "s1-1-1.0", "n0", "w0", "%s%n",
+	    "{}", "127.0.0.1:1", "\x01", std::string(300, 'a')};
+
+	return strdup(rnd->Of(odd).c_str());
+}
+
+void Twist(ProtobufCMessage *m, Rnd *rnd, int depth);
+
+// Sets one value to something odd; false when it can't be.
+bool
+TwistValue(
+    const ProtobufCFieldDescriptor *f, char *at, Rnd *rnd, int depth, bool many)
+{
+	switch (f->type) {
+	case PROTOBUF_C_TYPE_UINT32:
+		*(uint32_t *)at = (uint32_t)OddNumber(rnd, *(uint32_t *)at);
+		return true;
+	case PROTOBUF_C_TYPE_UINT64:
+		*(uint64_t *)at = OddNumber(rnd, *(uint64_t *)at);
+		return true;
+	case PROTOBUF_C_TYPE_BOOL:
+		*(protobuf_c_boolean *)at = !*(protobuf_c_boolean *)at;
+		return true;
+	case PROTOBUF_C_TYPE_ENUM:
+		*(int *)at = rnd->Chance(500) ? (int)rnd->Below(9)
+					      : (int)OddNumber(rnd, 0);
+		return true;
+	case PROTOBUF_C_TYPE_STRING:
+		if (*(char **)at != protobuf_c_empty_string)
+			free(*(char **)at);
+		*(char **)at = OddString(rnd);
+		return true;
+	case PROTOBUF_C_TYPE_BYTES: {
+		ProtobufCBinaryData *b = (ProtobufCBinaryData *)at;
+
+		for (size_t i = 0; i < 3 && b->len > 0; i++)
+			b->data[rnd->Below(b->len)] = (uint8_t)rnd->Below(256);
+		return b->len > 0;
+	}
+	case PROTOBUF_C_TYPE_MESSAGE: {
+		ProtobufCMessage **sub = (ProtobufCMessage **)at;
+		bool oneof = (f->flags & PROTOBUF_C_FIELD_FLAG_ONEOF) != 0;
+
+		if (*sub == nullptr)
+			return false;
+		if (!many && !oneof && rnd->Chance(250)) {
+			protobuf_c_message_free_unpacked(*sub, nullptr);
+			*sub = nullptr;
+		} else {
+			Twist(*sub, rnd, depth + 1);
+		}
+		return true;
+	}
+	default:
+		return false;
+	}
+}
+
+size_t
+ValueSize(const ProtobufCFieldDescriptor *f)
+{
+	switch (f->type) {
+	case PROTOBUF_C_TYPE_UINT32:
+	case PROTOBUF_C_TYPE_BOOL:
+	case PROTOBUF_C_TYPE_ENUM:
+		return 4;
+	case PROTOBUF_C_TYPE_BYTES:
+		return sizeof(ProtobufCBinaryData);
+	default:
+		return 8;
+	}
+}
+
+bool
+TwistField(
+    ProtobufCMessage *m, const ProtobufCFieldDescriptor *f, Rnd *rnd, int depth)
+{
+	char *base = (char *)m;
+
+	if (f->label == PROTOBUF_C_LABEL_REPEATED) {
+		size_t *n = (size_t *)(base + f->quantifier_offset);
+
+		return *n > 0 && TwistValue(f,
+				     *(char **)(base + f->offset) +
+					 rnd->Below(*n) * ValueSize(f),
+				     rnd, depth, true);
+	}
+	if ((f->flags & PROTOBUF_C_FIELD_FLAG_ONEOF) != 0 &&
+	    *(uint32_t *)(base + f->quantifier_offset) != f->id)
+		return false;
+	return TwistValue(f, base + f->offset, rnd, depth, false);
+}
+
+// Sets one field of the message, or of one within it, to something odd.
+void
+Twist(ProtobufCMessage *m, Rnd *rnd, int depth)
+{
+	for (int i = 0; i < 12 && depth < 8; i++) {
+		const ProtobufCMessageDescriptor *d = m->descriptor;
+
+		if (TwistField(
+			m, &d->fields[rnd->Below(d->n_fields)], rnd, depth))
+			return;
+	}
+}
+
+std::string
+Pack(const ProtobufCMessage *m)
+{
+	std::string s(protobuf_c_message_get_packed_size(m), '\0');
+
+	protobuf_c_message_pack(m, (uint8_t *)&s[0]);
+	return s;
+}
+
+// A packed message with something wrong in it.
+std::string
+Spoil(std::string s, const ProtobufCMessageDescriptor *d, Rnd *rnd)
+{
+	ProtobufCMessage *m;
+
+	if (rnd->Chance(300)) {
+		SpoilBytes(&s, rnd);
+		return s;
+	}
+	m = protobuf_c_message_unpack(
+	    d, nullptr, s.size(), (const uint8_t *)s.data());
+	if (m == nullptr)
+		return s;
+	for (uint64_t i = 1 + rnd->Below(3); i > 0; i--)
+		Twist(m, rnd, 0);
+	s = Pack(m);
+	protobuf_c_message_free_unpacked(m, nullptr);
+	return s;
+}
+
+// ---- a cell whose messages are spoilt ---------------------------------------
+
+std::string
+Text(GBytes *b)
+{
+	gsize n = 0;
+	const char *p =
+	    b != nullptr ? (const char *)g_bytes_get_data(b, &n) : nullptr;
+
+	return std::string(p != nullptr ? p : "", n);
+}
+
+struct ogl_str
+Str(const std::string &s)
+{
+	return {s.data(), s.size()};
+}
+
+class World
+{
+      public:
+	explicit World(uint64_t seed) : rnd(seed)
+	{
+		Ogl__Edit *e = nullptr;
+		const uint8_t random[32] = {1};
+		char id[32];
+		fake_worker_config w = {
+		    "w0", "z0", "r0", {8000, 8000, 2}, 1, 0};
+
+		log = fake_log_init();
+		fake_log_script(log)->rate = 1e9;
+		worker = fake_worker_init(&w);
+		exec = fake_exec_init("e0", 8);
+		EXPECT_TRUE(ogl_key_make(random, "", op, &e, id));
+		ogl__edit__free_unpacked(e, nullptr);
+	}
+	~World()
+	{
+		for (ogl_node *n : nodes)
+			ogl_node_end(n);
+		fake_exec_end(exec);
+		fake_worker_end(worker);
+		fake_log_end(log);
+	}
+	void Start(uint32_t i)
+	{
+		ogl_node_config c;
+		std::string name = "n" + std::to_string(i);
+		std::string addr = "127.0.0.1:" + std::to_string(i + 10);
+		const char *seed = "127.0.0.1:10";
+
+		ogl_node_config_default(&c);
+		c.name = name.c_str();
+		c.addr = addr.c_str();
+		c.zone = "z0";
+		c.boot = i + 1;
+		c.seeds = &seed;
+		c.nseeds = 1;
+		c.shards = 2;
+		c.snapshot_records = 10;
+		c.snapshot_ms = 1000;
+		EXPECT_TRUE(ogl_key_hash(ogl_str(op), c.operator_hash));
+		nodes.push_back(
+		    ogl_node_init(&c, rnd.Below(1000), now, nullptr));
+		wakes.push_back(0);
+	}
+	// A quiet beginning, then calls and spoilt messages.
+	void Run()
+	{
+		Start(0);
+		Start(1);
+		for (int i = 0; i < 30 && key.empty(); i++) {
+			Pass(OGL_SEC);
+			Call("POST", "/v1/settings", op,
+			    R"({"base_version":0,"changes":[)"
+			    R"({"path":"teams/north","value":"{}"},)"
+			    R"({"path":"teams/north/limit_tasks","value":"9"},)"
+			    R"({"path":"teams/north/jerash","value":"{}"}]})",
+			    false);
+			Pass(OGL_SEC);
+			Call("POST", "/v1/keys", op, "{\"team\":\"north\"}",
+			    false);
+		}
+		Pass(OGL_SEC);
+		ASSERT_NE(key, "");
+		hostile = true;
+		fake_log_script(log)->keep_count = 20;
+		for (int i = 0; i < 120; i++) {
+			RandomCall();
+			Pass((ogl_time)rnd.Below(200) * OGL_MS);
+			if (i == 60)
+				Start(2);
+		}
+		if (rnd.Chance(500)) {
+			ogl_event ev{};
+
+			ev.type = OGL_EV_STOP;
+			Step(0, ev);
+			Pass(12 * OGL_SEC);
+		}
+	}
+
+      private:
+	struct Todo {
+		std::function<void()> fn;
+	};
+	Rnd rnd;
+	ogl_time now = 1000000 * OGL_SEC;
+	std::vector<ogl_node *> nodes;
+	std::vector<ogl_time> wakes;
+	std::multimap<ogl_time, std::function<void()>> due;
+	fake_log *log;
+	fake_worker *worker;
+	fake_exec *exec;
+	char op[80];
+	std::string key;
+	bool hostile = false;
+	uint64_t last_token = 0;
+
+	bool Bad()
+	{
+		return hostile && rnd.Chance(60);
+	}
+	void Later(std::function<void()> fn)
+	{
+		due.emplace(now + 200 + (ogl_time)rnd.Below(5000), fn);
+	}
+	void Step(uint32_t i, const ogl_event &ev)
+	{
+		ogl_actions out;
+		ogl_action *a;
+
+		ogl_actions_init(&out);
+		ogl_node_step(nodes[i], &ev, now, &out);
+		while ((a = ogl_actions_pop(&out)) != nullptr) {
+			Serve(i, a);
+			ogl_action_free(a);
+		}
+		wakes[i] = std::max(ogl_node_next_wake(nodes[i]), now + 2000);
+	}
+	// Lets virtual time pass.
+	void Pass(ogl_time length)
+	{
+		ogl_time end = now + length;
+
+		for (;;) {
+			ogl_time next =
+			    due.empty() ? OGL_NEVER : due.begin()->first;
+			uint32_t who = kNodes;
+
+			for (uint32_t i = 0; i < nodes.size(); i++) {
+				if (wakes[i] < next) {
+					next = wakes[i];
+					who = i;
+				}
+			}
+			if (next > end)
+				break;
+			now = std::max(now, next);
+			if (who < kNodes) {
+				ogl_event ev{};
+
+				ev.type = OGL_EV_TIMER;
+				Step(who, ev);
+			} else {
+				auto fn = due.begin()->second;
+
+				due.erase(due.begin());
+				fn();
+			}
+		}
+		now = end;
+	}
+	void Serve(uint32_t i, const ogl_action *a)
+	{
+		std::string data = Text(a->data);
+		std::string addr = a->addr != nullptr ? a->addr : "";
+		std::string name = a->name != nullptr ? a->name : "";
+		uint64_t token = a->token;
+		uint64_t from = a->from;
+
+		switch (a->type) {
+		case OGL_ACT_REPLY:
+			Reply(a, data);
+			break;
+		case OGL_ACT_PEER:
+			Later([=] { Peer(addr, data); });
+			break;
+		case OGL_ACT_LOG_APPEND:
+			Later([=] { Append(i, token, name, data); });
+			break;
+		case OGL_ACT_LOG_READ:
+			Later([=] { Read(i, token, name, from); });
+			break;
+		case OGL_ACT_HOSTS:
+			Later([=] { Hosts(i, token); });
+			break;
+		case OGL_ACT_WORKER: {
+			std::string sync = Pack(&a->sync->base);
+
+			Later([=] { Sync(i, token, sync); });
+			break;
+		}
+		case OGL_ACT_EXEC:
+			Later([=] { Exec(i, token, data); });
+			break;
+		default:
+			break;
+		}
+	}
+	void Reply(const ogl_action *a, const std::string &body)
+	{
+		size_t at = body.find("{\"key\":\"");
+
+		EXPECT_NE(a->data, nullptr);
+		EXPECT_TRUE(a->status >= 100 && a->status < 1000) << a->status;
+		if (at == 0 && key.empty())
+			key = body.substr(8, body.find('"', 8) - 8);
+	}
+	// A copy of an old message also comes now and then.
+	void Peer(const std::string &addr, const std::string &data)
+	{
+		size_t i = (size_t)atoi(addr.c_str() + addr.find(':') + 1) - 10;
+		std::string s = data;
+		ogl_event ev{};
+
+		if (addr.find(':') == std::string::npos || i >= nodes.size())
+			return;
+		if (Bad())
+			s = Spoil(s, &ogl__peer_msg__descriptor, &rnd);
+		if (Bad())
+			Later([=] { Peer(addr, data); });
+		ev.type = OGL_EV_PEER;
+		ev.u.peer.data = Str(s);
+		Step((uint32_t)i, ev);
+	}
+	void Append(uint32_t i, uint64_t token, const std::string &name,
+	    const std::string &data)
+	{
+		std::string s = data;
+		ogl_event ev{};
+
+		if (Bad())
+			s = Spoil(s, &ogl__batch__descriptor, &rnd);
+		ev.type = OGL_EV_LOG_APPENDED;
+		ev.token = token;
+		ev.io = fake_log_append(log, name.c_str(), Str(s), now,
+			    &ev.u.appended.offset) == FAKE_LOG_OK
+			    ? OGL_IO_OK
+			    : OGL_IO_LOST;
+		if (Bad())
+			ev.io = (ogl_io)rnd.Below(4);
+		if (rnd.Chance(hostile ? 5 : 0))
+			ev.u.appended.offset =
+			    OddNumber(&rnd, ev.u.appended.offset);
+		Step(i, ev);
+	}
+	void Read(
+	    uint32_t i, uint64_t token, const std::string &name, uint64_t from)
+	{
+		ogl_log_entry e[kEntries];
+		std::vector<std::string> kept;
+		ogl_event ev{};
+
+		ev.type = OGL_EV_LOG_READ;
+		ev.token = token;
+		fake_log_read(log, name.c_str(), from, now, &ev.u.read.first,
+		    &ev.u.read.next, e, kEntries, &ev.u.read.n);
+		kept.reserve(ev.u.read.n);
+		for (size_t k = 0; k < ev.u.read.n; k++) {
+			kept.emplace_back(e[k].data.p, e[k].data.n);
+			if (Bad())
+				kept[k] = Spoil(
+				    kept[k], &ogl__batch__descriptor, &rnd);
+			e[k].data = Str(kept[k]);
+		}
+		ev.u.read.entries = e;
+		if (Bad())
+			ev.io = (ogl_io)rnd.Below(4);
+		Step(i, ev);
+	}
+	void Hosts(uint32_t i, uint64_t token)
+	{
+		std::string s =
+		    R"({"hosts":[{"role":"executor","name":"e0",)"
+		    R"("addr":"127.0.0.1:1","zone":"z0","rack":"r0"},)"
+		    R"({"role":"worker","name":"w0","addr":"127.0.0.1:2",)"
+		    R"("zone":"z0","rack":"r0"},{"role":"node","name":"n1",)"
+		    R"("addr":"127.0.0.1:11","zone":"z0","leaving":false}]})";
+		ogl_event ev{};
+
+		if (Bad())
+			SpoilBytes(&s, &rnd);
+		Parsed p(&ogl__host_list__descriptor, s);
+		ev.type = OGL_EV_HOSTS;
+		ev.token = token;
+		ev.io = p.m != nullptr ? OGL_IO_OK : OGL_IO_LOST;
+		ev.u.hosts = (const Ogl__HostList *)p.m;
+		Step(i, ev);
+	}
+	// A message out of JSON text, as the daemon reads answers.
+	struct Parsed {
+		ProtobufCMessage *m;
+
+		Parsed(
+		    const ProtobufCMessageDescriptor *d, const std::string &s)
+		{
+			ogl_faults *f = ogl_faults_new();
+
+			m = ogl_json_parse(d, Str(s), f);
+			EXPECT_EQ(m == nullptr, ogl_faults_count(f) > 0);
+			ogl_faults_free(f);
+		}
+		~Parsed()
+		{
+			if (m != nullptr)
+				protobuf_c_message_free_unpacked(m, nullptr);
+		}
+	};
+	std::string Report(const std::string &sync)
+	{
+		Ogl__WorkerSync *s = ogl__worker_sync__unpack(
+		    nullptr, sync.size(), (const uint8_t *)sync.data());
+		Ogl__WorkerReport *r = nullptr;
+		std::string text;
+		char *t;
+
+		if (fake_worker_sync(worker, s, now, &r)) {
+			for (uint64_t k = Bad() ? 1 + rnd.Below(4) : 0; k > 0;
+			     k--)
+				Twist(&r->base, &rnd, 0);
+			t = ogl_json_print(&r->base, nullptr);
+			text = t;
+			g_free(t);
+		}
+		if (r != nullptr)
+			ogl__worker_report__free_unpacked(r, nullptr);
+		ogl__worker_sync__free_unpacked(s, nullptr);
+		return text;
+	}
+	void Sync(uint32_t i, uint64_t token, const std::string &sync)
+	{
+		std::string text = Report(sync);
+		ogl_event ev{};
+
+		if (Bad())
+			SpoilBytes(&text, &rnd);
+		Parsed p(&ogl__worker_report__descriptor, text);
+		ev.type = OGL_EV_WORKER;
+		ev.token = token;
+		ev.io = p.m != nullptr ? OGL_IO_OK : OGL_IO_LOST;
+		ev.u.worker = (const Ogl__WorkerReport *)p.m;
+		Step(i, ev);
+	}
+	void Exec(uint32_t i, uint64_t token, const std::string &body)
+	{
+		ogl_event ev{};
+
+		ev.type = OGL_EV_EXEC;
+		ev.token = token;
+		ev.u.exec.status = 200;
+		ev.u.exec.body = Str(body);
+		if (Bad()) {
+			ev.io = (ogl_io)rnd.Below(4);
+			ev.u.exec.not_run = rnd.Chance(500);
+			ev.u.exec.status =
+			    rnd.Of<uint32_t>({100, 404, 503, 999});
+		}
+		Step(i, ev);
+	}
+	void Call(const std::string &method, const std::string &path,
+	    const std::string &with, const std::string &body, bool idempotent,
+	    const std::string &id = "")
+	{
+		uint32_t i = (uint32_t)rnd.Below(nodes.size());
+		ogl_event ev{};
+
+		ev.type = OGL_EV_CALL;
+		ev.token = ++last_token;
+		ev.u.call.method = Str(method);
+		ev.u.call.path = Str(path);
+		ev.u.call.key = Str(with);
+		ev.u.call.body = Str(body);
+		ev.u.call.request_id = Str(id);
+		ev.u.call.work_kind = ogl_str("k");
+		ev.u.call.idempotent = idempotent;
+		ev.u.call.budget_ms = rnd.Below(3) * 1000;
+		Step(i, ev);
+		if (rnd.Chance(50)) {
+			ogl_event gone{};
+
+			gone.type = OGL_EV_CALL_GONE;
+			gone.token = ev.token;
+			Step(i, gone);
+		}
+	}
+	void RandomCall()
+	{
+		static const std::vector<std::string> views = {"/v1/jobs",
+		    "/v1/shards", "/v1/queues", "/v1/workers", "/v1/settings",
+		    "/v1/settings?path=teams/north", "/v1/audit?from=1",
+		    "/v1/hosts", "/v1/members", "/v1/status", "/v1/jobs/s0-1-1",
+		    "/v1/jobs/s1-1-1"};
+		static const std::vector<std::string> kinds = {
+		    "batch", "service", "gang"};
+		std::string body;
+
+		switch (rnd.Below(6)) {
+		case 0:
+			Call("GET", rnd.Of(views), rnd.Chance(800) ? op : key,
+			    "", false);
+			break;
+		case 1:
+			Call("POST", "/v1/requests", key, "x", rnd.Chance(300),
+			    rnd.Chance(700)
+				? "id" + std::to_string(rnd.Below(9))
+				: "");
+			break;
+		case 2:
+			body = R"({"base_version":5,"changes":[{"path":)"
+			       R"("teams/north/share","value":"2"}]})";
+			if (rnd.Chance(500))
+				SpoilBytes(&body, &rnd);
+			Call("POST", "/v1/settings", op, body, false);
+			break;
+		case 3:
+			Call("DELETE",
+			    "/v1/jobs/s" + std::to_string(rnd.Below(3)) + "-" +
+				std::to_string(rnd.Below(3)) + "-" +
+				std::to_string(rnd.Below(9)),
+			    key, "", false);
+			break;
+		default:
+			body =
+			    "{\"kind\":\"" + rnd.Of(kinds) +
+			    "\",\"tasks\":" + std::to_string(1 + rnd.Below(4)) +
+			    ",\"res\":{\"cpu_milli\":1000,\"mem_mb\":10},"
+			    "\"run_ms\":300,\"restartable\":true}";
+			if (rnd.Chance(200))
+				SpoilBytes(&body, &rnd);
+			Call("POST", "/v1/jobs", key, body, false,
+			    rnd.Chance(300) ? "j" + std::to_string(rnd.Below(5))
+					    : "");
+			break;
+		}
+	}
+};
+
+TEST(Fuzz, NodesGoOnWhateverTheyAreSent)
+{
+	EachSeed(kRuns, [](uint64_t seed) { World(seed).Run(); });
+}
+
+// ---- texts ------------------------------------------------------------------
+
+const ProtobufCMessageDescriptor *const kMessages[] = {
+    &ogl__host_list__descriptor, &ogl__worker_sync__descriptor,
+    &ogl__worker_report__descriptor, &ogl__submit__descriptor,
+    &ogl__job_view__descriptor, &ogl__job_list__descriptor,
+    &ogl__edit__descriptor, &ogl__error_view__descriptor,
+    &ogl__peer_msg__descriptor, &ogl__record__descriptor};
+
+const char *const kTexts[] = {
+    R"({"hosts":[{"name":"a","role":"worker","addr":"1.2.3.4:5"}]})",
+    R"({"shard":1,"epoch":18446744073709551615,"start":[{"task":"t"}]})",
+    R"({"worker":"w","tasks":[{"task":"t","state":"failed","res":{}}]})",
+    R"({"kind":"gang","tasks":3,"res":{"cpu_milli":1000},"payload":"p"})",
+    R"({"job":"s0-1-1","state":"active","task":[{"index":1}]})",
+    R"({"base_version":3,"changes":[{"path":"a/b","value":"{}"}]})",
+    R"({"error":"e","verdict":"ran","faults":[{"path":"p"}]})",
+    R"({"from":"n","facts":[{"name":"n","state":"dead"}],"probe":{"seq":1}})",
+    R"({"writer":"n","settings_snap":{"version":3,"tree":"eyJhIjoxfQ=="}})"};
+
+// What is taken must come out as it went in.
+TEST(Fuzz, JsonMessages)
+{
+	EachSeed(3000, [](uint64_t seed) {
+		Rnd rnd(seed);
+		std::string s = kTexts[rnd.Below(G_N_ELEMENTS(kTexts))];
+		const ProtobufCMessageDescriptor *d =
+		    kMessages[rnd.Below(G_N_ELEMENTS(kMessages))];
+		ogl_faults *f = ogl_faults_new();
+		ProtobufCMessage *m, *again;
+		char *text;
+		size_t n;
+
+		SpoilBytes(&s, &rnd);
+		m = ogl_json_parse(d, Str(s), f);
+		ASSERT_EQ(m == nullptr, ogl_faults_count(f) > 0) << s;
+		if (m != nullptr) {
+			text = ogl_json_print(m, &n);
+			again = ogl_json_parse(d, {text, n}, f);
+			ASSERT_NE(again, nullptr) << text;
+			EXPECT_EQ(Pack(m), Pack(again)) << text;
+			protobuf_c_message_free_unpacked(again, nullptr);
+			protobuf_c_message_free_unpacked(m, nullptr);
+			g_free(text);
+		}
+		ogl_faults_free(f);
+	});
+}
+
+TEST(Fuzz, SettingsFile)
+{
+	const std::string good =
+	    R"({"node":{"name":"n","addr":"127.0.0.1:1","zone":"z"},)"
+	    R"("listen":{"http":"127.0.0.1:0","peer":"[::1]:0"},)"
+	    R"("platform":"127.0.0.1:2","seeds":["127.0.0.1:3"],"shards":4,)"
+	    R"("log_level":"info","timings":{"lease_ms":6000},)"
+	    R"("operator_key_hash":")" +
+	    std::string(64, 'a') + "\"}";
+
+	EachSeed(3000, [&](uint64_t seed) {
+		Rnd rnd(seed);
+		ogl_faults *f = ogl_faults_new();
+		std::string s = good;
+		ogl_config *c = ogl_config_parse(Str(s), 1, f);
+
+		ASSERT_NE(c, nullptr);
+		ogl_config_free(c);
+		SpoilBytes(&s, &rnd);
+		c = ogl_config_parse(Str(s), 1, f);
+		EXPECT_EQ(c == nullptr, ogl_faults_count(f) > 0) << s;
+		ogl_config_free(c);
+		ogl_faults_free(f);
+	});
+}
+
+TEST(Fuzz, PlatformAnswersAndDumps)
+{
+	const std::string page =
+	    R"({"first":3,"next":6,"records":[{"offset":3,"data":"YWJj"},)"
+	    R"({"offset":4,"data":""},{"offset":5,"data":"AAECAw=="}]})";
+	const std::string dump =
+	    R"({"version":9,"forgotten":0,"nodes":[["teams/a",{},1],)"
+	    R"(["teams/a/share",2,3],["teams/b",null,4]],"audit":[)"
+	    R"({"version":1,"at_ms":1,"who":"x","path":"teams/a",)"
+	    R"("from":null,"to":{}}]})";
+
+	EachSeed(3000, [&](uint64_t seed) {
+		Rnd rnd(seed);
+		std::string s = page;
+		ogl_logpage p{};
+		ogl_settings *set = ogl_settings_init();
+		uint64_t offset;
+		char *again;
+
+		SpoilBytes(&s, &rnd);
+		if (ogl_logpage_parse(&p, Str(s))) {
+			for (size_t i = 0; i < p.n; i++)
+				EXPECT_LT(p.entries[i].offset, p.next);
+		}
+		ogl_logpage_end(&p);
+		s = "{\"offset\":12}";
+		SpoilBytes(&s, &rnd);
+		ogl_logpage_appended(Str(s), &offset);
+		s = dump;
+		SpoilBytes(&s, &rnd);
+		ogl_settings_load(set, Str(s), nullptr);
+		again = ogl_settings_dump(set);
+		EXPECT_NE(again, nullptr);
+		g_free(again);
+		ogl_settings_end(set);
+	});
+}
+
+} // namespace
