--- a/gen/settings_table.c
+++ b/gen/settings_table.c
@@ -6,15 +6,6 @@
 	{"audit_keep", OGL_SETTING_INTEGER,
 	    10, 100000, "1000",
 	    "changes kept in the audit trail"},
-	{"exec_slots", OGL_SETTING_INTEGER,
-	    1, 1024, "8",
-	    "requests in flight on one executor"},
-	{"id_keep_ms", OGL_SETTING_INTEGER,
-	    1000, 86400000, "600000",
-	    "how long the outcome of a request id is remembered"},
-	{"shards", OGL_SETTING_INTEGER,
-	    1, 4096, "8",
-	    "parts into which workers and jobs are divided"},
 };
 
 const struct ogl_setting ogl_team_settings[OGL_TEAM_SETTINGS] = {
@@ -28,7 +19,7 @@
 	    1, 600000, "5000",
 	    "longest a short request may wait"},
 	{"max_body", OGL_SETTING_INTEGER,
-	    0, 16777216, "262144",
+	    0, 1048576, "262144",
 	    "bytes of one request"},
 	{"idle_keep_jobs", OGL_SETTING_INTEGER,
 	    0, 100000, "1000",
--- a/gen/settings_table.h
+++ b/gen/settings_table.h
@@ -25,9 +25,6 @@
 
 enum ogl_cell_setting {
 	OGL_CELL_AUDIT_KEEP,
-	OGL_CELL_EXEC_SLOTS,
-	OGL_CELL_ID_KEEP_MS,
-	OGL_CELL_SHARDS,
 	OGL_CELL_SETTINGS
 };
 extern const struct ogl_setting ogl_cell_settings[OGL_CELL_SETTINGS];
--- a/orioleglade.h
+++ b/orioleglade.h
@@ -191,8 +191,8 @@
 
 int64_t ogl_settings_number(
     const struct ogl_settings *s, const char *path, int64_t fallback);
-/* A number of the tree, e.g. "cell/shards"; the schema's default, else
- * fallback. */
+/* A number of the tree, e.g. "cell/audit_keep"; the schema's default,
+ * else fallback. */
 
 char *ogl_settings_show(const struct ogl_settings *s, const char *path);
 /* JSON: version, what is set at and below path, and what it resolves to;
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -34,6 +34,14 @@
 		;;
 	esac
 done
+if [ -z "$pick" ]; then
+	if ./tools/check-install.sh "$b"; then
+		pass=$((pass + 1))
+	else
+		echo "check-install: failed"
+		fail=$((fail + 1))
+	fi
+fi
 [ -f KNOWN-RED.txt ] && grep -v '^#' KNOWN-RED.txt | sed 's/^/known red: /'
 echo "$pass passed, $fail failed"
 [ "$fail" -eq 0 ] && [ "$pass" -gt 0 ]
