Let an evicted node that lives write settings again

A node cut off for 3 s and back had taken its peers for dead, reached the log before it heard them and evicted them all; and whoever is evicted, rightly or not, answered every edit with 503 until it was restarted.

Now a keeper evicts only after 3 s of unbroken log contact, in which probes are answered, and an evicted node that reads of it goes on under a new boot that only its settings records bear (new field settings_boot of MemberFact).

--- a/gen/ogl.pb-c.c
+++ b/gen/ogl.pb-c.c
@@ -5452,7 +5452,7 @@
   ogl__member_fact__state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor ogl__member_fact__field_descriptors[12] =
+static const ProtobufCFieldDescriptor ogl__member_fact__field_descriptors[13] =
 {
   {
     "name",
@@ -5598,6 +5598,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "settings_boot",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__MemberFact, settings_boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__member_fact__field_indices_by_name[] = {
   1,   /* field[1] = addr */
@@ -5607,6 +5619,7 @@
   9,   /* field[9] = log_age_ms */
   0,   /* field[0] = name */
   8,   /* field[8] = settings_age_ms */
+  12,   /* field[12] = settings_boot */
   7,   /* field[7] = settings_version */
   10,   /* field[10] = shards */
   5,   /* field[5] = state */
@@ -5616,7 +5629,7 @@
 static const ProtobufCIntRange ogl__member_fact__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor ogl__member_fact__descriptor =
 {
@@ -5626,7 +5639,7 @@
   "Ogl__MemberFact",
   "ogl",
   sizeof(Ogl__MemberFact),
-  12,
+  13,
   ogl__member_fact__field_descriptors,
   ogl__member_fact__field_indices_by_name,
   1,  ogl__member_fact__number_ranges,
--- a/gen/ogl.pb-c.h
+++ b/gen/ogl.pb-c.h
@@ -894,10 +894,14 @@
   Ogl__ShardFact **shards;
   size_t n_use;
   Ogl__TeamUse **use;
+  /*
+   * boot its settings records bear, see follow.c
+   */
+  uint64_t settings_boot;
 };
 #define OGL__MEMBER_FACT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__member_fact__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, OGL__MEMBER_FACT__STATE__alive, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, OGL__MEMBER_FACT__STATE__alive, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 struct  Ogl__ShardFact
--- a/src/follow.c
+++ b/src/follow.c
@@ -15,6 +15,13 @@
  * member that does not answer may be the one that still reaches the log.  A
  * member that died while the log was up is evicted by a record: what it
  * writes later counts for nobody, so it need not be heard.
+ *
+ * An evicted member may live: it was cut off, or paused.  It then goes on as
+ * if it had been started anew, under a higher boot that only its records here
+ * bear (settings_boot of its fact); without that it would refuse edits until
+ * an operator restarted it.  A node that was itself cut off thinks the others
+ * dead when it reaches the log again, so it evicts nobody before it has had
+ * the time to hear them.
  */
 
 #include <stdlib.h>
@@ -29,12 +36,13 @@
 	DOWN_MS = 1000, /* without an answer so long: the log is down */
 	PULL_EVERY_MS = 300,
 	EVICT_EVERY_MS = 1000,
-	SNAP_EDITS = 500,          /* edits between two snapshots at most */
+	EVICT_AFTER_MS = 3000, /* of log contact: probes were answered by now */
+	SNAP_EDITS = 500,      /* edits between two snapshots at most */
 	SETTINGS_RANK = 0xfffffffe /* rank for the writer of snapshots */
 };
 
 struct ogl_follow {
-	const struct ogl_node_config *cfg;
+	struct ogl_node_config cfg; /* the node's but for its boot */
 	struct ogl_settings *settings;
 	struct ogl_member *member;
 	struct ogl_counters *counters;
@@ -48,6 +56,7 @@
 	GHashTable *evicted; /* "name/boot" */
 	bool self_evicted;
 	ogl_time contact;
+	ogl_time contact_since; /* unbroken */
 	ogl_time fresh_peers;
 	ogl_time next_pull;
 	ogl_time next_evict;
@@ -82,7 +91,7 @@
 static bool
 is_ours(const struct ogl_follow *f, const Ogl__Record *r)
 {
-	return r->boot == f->cfg->boot && strcmp(r->writer, f->cfg->name) == 0;
+	return r->boot == f->cfg.boot && strcmp(r->writer, f->cfg.name) == 0;
 }
 
 static void
@@ -122,7 +131,7 @@
 static void
 apply_evict(struct ogl_follow *f, const Ogl__Evict *e)
 {
-	if (e->boot == f->cfg->boot && strcmp(e->node, f->cfg->name) == 0)
+	if (e->boot == f->cfg.boot && strcmp(e->node, f->cfg.name) == 0)
 		f->self_evicted = true;
 	g_hash_table_add(f->evicted, identity(e->node, e->boot));
 }
@@ -219,14 +228,14 @@
 {
 	struct ogl_follow *f = g_new0(struct ogl_follow, 1);
 
-	f->cfg = c;
+	f->cfg = *c;
 	f->settings = s;
 	f->member = m;
 	f->counters = n;
 	f->ops = ops;
 	f->ctx = ctx;
 	f->stream = ogl_stream_init(
-	    "settings", (uint64_t)TOKEN_PART << 56, c, &stream_ops, f);
+	    "settings", (uint64_t)TOKEN_PART << 56, &f->cfg, &stream_ops, f);
 	ogl_stream_single(f->stream);
 	ogl_stream_poll(f->stream, POLL_MS, now);
 	f->early = g_ptr_array_new_with_free_func(record_free);
@@ -305,10 +314,13 @@
 void
 ogl_follow_event(struct ogl_follow *f, const struct ogl_event *ev, ogl_time now)
 {
-	if (ev->io == OGL_IO_OK)
+	if (ev->io == OGL_IO_OK) {
+		if (log_down(f, now))
+			f->contact_since = now;
 		f->contact = now;
-	else
+	} else {
 		f->counters->log_errors++;
+	}
 	ogl_stream_event(f->stream, ev, now);
 }
 
@@ -365,7 +377,7 @@
 is_keeper(const struct ogl_follow *f)
 {
 	struct rank_ctx c = {
-	    f, ogl_member_rank(f->member, f->cfg->name, SETTINGS_RANK), true};
+	    f, ogl_member_rank(f->member, f->cfg.name, SETTINGS_RANK), true};
 
 	ogl_member_each(f->member, rank_one, &c);
 	return c.best && !f->self_evicted;
@@ -378,7 +390,7 @@
 
 	if (!f->complete || ogl_settings_version(f->settings) == 0 ||
 	    (f->edits_since < SNAP_EDITS &&
-		now - f->snap_at < f->cfg->snapshot_ms * OGL_MS) ||
+		now - f->snap_at < f->cfg.snapshot_ms * OGL_MS) ||
 	    log_down(f, now) || !ogl_stream_idle(f->stream) || !is_keeper(f))
 		return;
 	f->snap_at = now;
@@ -402,7 +414,7 @@
 	Ogl__Record *r;
 
 	if (p->fact->state != OGL__MEMBER_FACT__STATE__dead ||
-	    is_evicted(c->f, p->fact->name, p->fact->boot))
+	    is_evicted(c->f, p->fact->name, p->fact->settings_boot))
 		return;
 	r = malloc(sizeof *r);
 	ogl__record__init(r);
@@ -411,7 +423,7 @@
 	r->evict = malloc(sizeof *r->evict);
 	ogl__evict__init(r->evict);
 	r->evict->node = strdup(p->fact->name);
-	r->evict->boot = p->fact->boot;
+	r->evict->boot = p->fact->settings_boot;
 	ogl_stream_add(c->f->stream, r, c->now);
 }
 
@@ -421,12 +433,27 @@
 	struct evict_ctx c = {f, now};
 
 	if (now < f->next_evict || !f->complete || log_down(f, now) ||
+	    now - f->contact_since < EVICT_AFTER_MS * OGL_MS ||
 	    ogl_stream_pending(f->stream) > 0 || !is_keeper(f))
 		return;
 	f->next_evict = now + EVICT_EVERY_MS * OGL_MS;
 	ogl_member_each(f->member, evict_one, &c);
 }
 
+/* Our edits count for nobody any more.  Once the fate of those we sent is
+ * known we go on under a new boot. */
+static void
+come_back(struct ogl_follow *f, ogl_time now)
+{
+	if (!f->self_evicted || !f->complete || log_down(f, now) ||
+	    ogl_stream_pending(f->stream) > 0)
+		return;
+	f->cfg.boot = MAX(f->cfg.boot + 1, (uint64_t)now);
+	f->self_evicted = false;
+	ogl_member_own(f->member)->settings_boot = f->cfg.boot;
+	ogl_member_changed(f->member);
+}
+
 /* ---- being current ---------------------------------------------------- */
 
 struct fresh_ctx {
@@ -446,7 +473,7 @@
 
 	if (p->fact->state == OGL__MEMBER_FACT__STATE__left ||
 	    (p->fact->state == OGL__MEMBER_FACT__STATE__dead &&
-		is_evicted(f, p->fact->name, p->fact->boot)))
+		is_evicted(f, p->fact->name, p->fact->settings_boot)))
 		return;
 	c->all_down = MIN(c->all_down, p->down_since != 0 ? p->asked : 0);
 	if (MAX(p->fact->settings_version, p->current_version) > ours)
@@ -545,6 +572,7 @@
 	look_at_peers(f, now, out);
 	write_snapshot(f, now);
 	evict_dead(f, now);
+	come_back(f, now);
 	ogl_stream_tick(f->stream, now, out);
 	fill_fact(f, now);
 }
--- a/src/member.c
+++ b/src/member.c
@@ -79,6 +79,7 @@
 	f.addr = (char *)c->addr;
 	f.zone = (char *)c->zone;
 	f.boot = c->boot;
+	f.settings_boot = c->boot;
 	m->own = fact_copy(&f);
 	m->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, peer_free);
--- /dev/null
+++ b/test/test_rejoin.cc
@@ -0,0 +1,66 @@
+// A node that was cut off, or taken for dead, comes back to a living cell.
+#include <gtest/gtest.h>
+
+#include "fake_cluster.h"
+
+namespace
+{
+
+const fake_cluster_config three = {7, 3, 3, 2, 4, 3, {8000, 32768, 2}, nullptr};
+
+void
+cut_off(fake_cluster *c, uint32_t node, bool cut)
+{
+	for (uint32_t other = 0; other < three.nodes; other++) {
+		if (other != node)
+			fake_cluster_cut(c, node, FAKE_NODE, other, cut);
+	}
+	fake_cluster_cut(c, node, FAKE_LOG, 0, cut);
+	fake_cluster_cut(c, node, FAKE_HOSTS, 0, cut);
+}
+
+// One node loses both its peers and the log for some seconds, then has all
+// back.  Each side has taken the other for dead, and writes that down; a node
+// that is written down as dead has its edits passed over.  Operators then
+// noticed that one node, or all but one, answered each edit with 503 for good.
+TEST(Rejoin, EveryNodeTakesEditsAfterOneWasCutOff)
+{
+	for (uint32_t node = 0; node < three.nodes; node++) {
+		fake_cluster *c = fake_cluster_init(&three);
+
+		fake_cluster_run(c, 8 * OGL_SEC);
+		ASSERT_TRUE(fake_cluster_set(c, 0, "teams/north", "{}"));
+		for (int round = 0; round < 3; round++) {
+			cut_off(c, node, true);
+			fake_cluster_run(c, 6 * OGL_SEC);
+			cut_off(c, node, false);
+			fake_cluster_run(c, 8 * OGL_SEC);
+		}
+		for (uint32_t i = 0; i < three.nodes; i++) {
+			EXPECT_TRUE(
+			    fake_cluster_set(c, i, "teams/north/share", "2"))
+			    << "node " << i << " after " << node
+			    << " was cut off";
+			fake_cluster_run(c, 2 * OGL_SEC);
+		}
+		EXPECT_STREQ(fake_cluster_faults(c), "");
+		fake_cluster_end(c);
+	}
+}
+
+// A node is paused until the others have written it down as dead, and its
+// log contact never seemed lost to itself.
+TEST(Rejoin, APausedNodeTakesEditsAgain)
+{
+	fake_cluster *c = fake_cluster_init(&three);
+
+	fake_cluster_run(c, 8 * OGL_SEC);
+	ASSERT_TRUE(fake_cluster_set(c, 0, "teams/north", "{}"));
+	fake_cluster_pause(c, 2, 10 * OGL_SEC);
+	fake_cluster_run(c, 16 * OGL_SEC);
+	EXPECT_TRUE(fake_cluster_set(c, 2, "teams/north/share", "3"));
+	EXPECT_STREQ(fake_cluster_faults(c), "");
+	fake_cluster_end(c);
+}
+
+} // namespace
--- a/tools/cell.sh
+++ b/tools/cell.sh
@@ -9,11 +9,15 @@
 #     cell_team demo
 #
 # Stand-ins whose names begin with `executors` or `workers` go into the host
-# list.  Afterwards cell_http and cell_peer hold the nodes' addresses,
-# cell_platform_addr the platform's, cell_op_key and cell_key the keys, and
-# $cell_dir/NAME.pid, .out and .err what belongs to each process.
+# list.  Afterwards cell_http holds the nodes' addresses, cell_platform_addr
+# the platform's, cell_op_key and cell_key the keys, and $cell_dir/NAME.pid,
+# .out and .err what belongs to each process.  With cell_relay set before
+# cell_nodes each node reaches the platform, and is reached by its peers,
+# through a relay; names of nodes written to $cell_dir/cut are cut off.
+# OGL_CELL_KEEP=1 in the environment keeps $cell_dir, with all output.
 
 CELL_READY_S=30
+cell_relay=
 
 cell_say() { printf 'cell: %s\n' "$*" >&2; }
 
@@ -28,10 +32,11 @@
 		kill -KILL "$(cat "$f")" 2>/dev/null || :
 	done
 	wait 2>/dev/null || :
-	rm -rf "$cell_dir"
+	[ -n "${OGL_CELL_KEEP:-}" ] || rm -rf "$cell_dir"
 }
 
 cell_begin() {
+	cell_tools=$(cd "$(dirname "$0")/../tools" && pwd)
 	cell_bin=$1
 	cell_dir=$(mktemp -d)
 	trap cell_quit EXIT
@@ -126,17 +131,17 @@
 	cell_platform_addr=$(cell_addresses platform)
 }
 
-cell_write_settings() { # NAME HTTP PEER SHARDS TIMINGS
+cell_write_settings() { # NAME HTTP LISTEN ADDR PLATFORM
 	cat >"$cell_dir/$1.json" <<JSON
 {
-	"node": {"name": "$1", "addr": "$3", "zone": "z${1#n}"},
+	"node": {"name": "$1", "addr": "$4", "zone": "z${1#n}"},
 	"listen": {"http": "$2", "peer": "$3"},
-	"platform": "$cell_platform_addr",
+	"platform": "$5",
 	"seeds": [$cell_seeds],
-	"shards": $4,
+	"shards": $cell_shards,
 	"operator_key_hash": "$cell_op_hash",
-	"log_level": "warn",
-	"timings": {$5}
+	"log_level": "${OGL_CELL_LOG:-warn}",
+	"timings": {$cell_timings}
 }
 JSON
 }
@@ -146,24 +151,40 @@
 	cell_run "$1" "$cell_bin/orioleglade" --settings "$cell_dir/$1.json"
 }
 
+# Four addresses a node: callers', listening for peers, and those of its
+# relays before itself and before the platform.
+cell_one_node() { # NAME HTTP LISTEN RELAY RELAY_PLATFORM
+	if [ -n "$cell_relay" ]; then
+		cell_run "relay_$1" python3 "$cell_tools/relay.py" \
+		    "$cell_dir/cut" "$1" "$4=$3" "$5=$cell_platform_addr"
+		cell_wait_ports "relay_$1" 2
+		cell_write_settings "$1" "$2" "$3" "$4" "$5"
+	else
+		cell_write_settings "$1" "$2" "$3" "$3" "$cell_platform_addr"
+	fi
+	cell_node "$1"
+	cell_http="$cell_http $2"
+}
+
 # cell_nodes COUNT SHARDS [TIMINGS]: nodes n1, n2, ..., all ready.
 cell_nodes() {
 	cell_op=$("$cell_bin/oriolectl" key hash)
 	cell_op_key=$(echo "$cell_op" | sed -n 1p)
 	cell_op_hash=$(echo "$cell_op" | sed -n 2p)
+	cell_n=$1 cell_shards=$2 cell_timings=${3:-}
+	: >"$cell_dir/cut"
 	# shellcheck disable=SC2046
-	set -- "$1" "$2" "${3:-}" $(cell_free_addrs $((2 * $1)))
-	cell_n=$1 cell_shards=$2 cell_timings=$3
-	shift 3
-	cell_http= cell_peer= cell_i=0
-	cell_seeds="\"$2\"${4:+, \"$4\"}"
+	set -- $(cell_free_addrs $((4 * cell_n)))
+	cell_http='' cell_i=0
+	if [ -n "$cell_relay" ]; then
+		cell_seeds="\"$3\"${7:+, \"$7\"}"
+	else
+		cell_seeds="\"$2\"${6:+, \"$6\"}"
+	fi
 	while [ $cell_i -lt "$cell_n" ]; do
 		cell_i=$((cell_i + 1))
-		cell_write_settings "n$cell_i" "$1" "$2" \
-		    "$cell_shards" "$cell_timings"
-		cell_node "n$cell_i"
-		cell_http="$cell_http $1" cell_peer="$cell_peer $2"
-		shift 2
+		cell_one_node "n$cell_i" "$1" "$2" "$3" "$4"
+		shift 4
 	done
 	for cell_a in $cell_http; do
 		cell_within $CELL_READY_S cell_answers "$cell_a" /readyz ||
