--- a/src/follow.c
+++ b/src/follow.c
@@ -32,8 +32,9 @@
 	DOWN_MS = 1000, /* without an answer so long: the log is down */
 	PULL_EVERY_MS = 300,
 	EVICT_EVERY_MS = 1000,
-	READMIT_S = 2,             /* an evicted node must live so long */
-	SNAP_EDITS = 500,          /* edits between two snapshots at most */
+	EVICT_AFTER_MS = 3000, /* of log contact: probes were answered by now */
+	READMIT_S = 2,         /* an evicted node must live so long */
+	SNAP_EDITS = 500,      /* edits between two snapshots at most */
 	SETTINGS_RANK = 0xfffffffe /* rank for the writer of snapshots */
 };
 
@@ -53,6 +54,7 @@
 	bool self_evicted;
 	uint64_t change; /* offset + 1 of the last edit or eviction */
 	ogl_time contact;
+	ogl_time contact_since; /* unbroken */
 	ogl_time fresh_peers;
 	ogl_time next_pull;
 	ogl_time next_evict;
@@ -335,10 +337,13 @@
 void
 ogl_follow_event(struct ogl_follow *f, const struct ogl_event *ev, ogl_time now)
 {
-	if (ev->io == OGL_IO_OK)
+	if (ev->io == OGL_IO_OK) {
+		if (log_down(f, now))
+			f->contact_since = now;
 		f->contact = now;
-	else
+	} else {
 		f->counters->log_errors++;
+	}
 	ogl_stream_event(f->stream, ev, now);
 }
 
@@ -385,6 +390,7 @@
 	struct rank_ctx *c = ctx;
 
 	if (p->fact->state == OGL__MEMBER_FACT__STATE__alive &&
+	    !is_evicted(c->f, p->fact->name, p->fact->boot) &&
 	    ogl_member_rank(c->f->member, p->fact->name, SETTINGS_RANK) >
 		c->own)
 		c->best = false;
@@ -456,7 +462,10 @@
 {
 	struct evict_ctx c = {f, now};
 
+	/* A node that was itself cut off thinks the others dead when it
+	 * reaches the log again; it must have had the time to hear them. */
 	if (now < f->next_evict || !f->complete || log_down(f, now) ||
+	    now - f->contact_since < EVICT_AFTER_MS * OGL_MS ||
 	    ogl_stream_pending(f->stream) > 0 || !is_keeper(f))
 		return;
 	f->next_evict = now + EVICT_EVERY_MS * OGL_MS;
