--- a/src/queue_learned.c
+++ b/src/queue_learned.c
@@ -17,7 +17,7 @@
  *
  * What counts as short is not a number of seconds: a request of a second is
  * long, a task of a second is short.  The service given lately, by level, is
- * split where the two sides differ most (Otsu's threshold).  Each team's
+ * split where the two sides differ most (queue_split.c).  Each team's
  * service is brought to the same sum first, so that a flood of one team moves
  * the limit by no more than any other team could.
  *
@@ -33,9 +33,9 @@
 #include "fair.h"
 #include "learn.h"
 #include "queue.h"
+#include "queue_split.h"
 
 #define LEVELS 24
-#define SPLIT_MARGIN 1e-9 /* the lowest of equal splits is taken */
 #define MS_A_SEC 1000.0
 #define SHORT_FIRST 6 /* highest short level before anything was seen */
 #define SHORT_EVERY OGL_SEC
@@ -423,11 +423,11 @@
 }
 
 static double
-sum(const double *v, size_t n)
+sum(const double v[LEVELS])
 {
 	double all = 0;
 
-	for (size_t i = 0; i < n; i++)
+	for (size_t i = 0; i < LEVELS; i++)
 		all += v[i];
 	return all;
 }
@@ -438,47 +438,26 @@
 {
 	for (guint i = 0; i < p->teams->len; i++) {
 		struct team *t = p->teams->pdata[i];
-		double own = sum(t->service, LEVELS);
+		double own = sum(t->service);
 
-		for (size_t k = 0; own > 0 && k < LEVELS; k++) {
+		for (size_t k = 0; own > 0 && k < LEVELS; k++)
 			all[k] += t->service[k] / own;
-		}
 	}
 }
 
-/* Works out anew which levels are short: the split with the greatest variance
- * between the two sides.  The mean of the upper side is how long work runs. */
+/* Works out anew which levels are short, and how long other work runs. */
 static void
 look(struct learned *p, ogl_time now)
 {
 	double all[LEVELS] = {0};
-	double total, moment = 0;
-	double low = 0, low_moment = 0;
-	double best = 0;
+	struct ogl_queue_split split;
 
 	p->looked = now;
 	gather(p, all);
-	total = sum(all, LEVELS);
-	if (total <= 0)
+	if (!ogl_queue_split(all, LEVELS, &split))
 		return;
-	for (uint32_t k = 0; k < LEVELS; k++)
-		moment += k * all[k];
-	for (uint32_t k = 0; k + 1 < LEVELS; k++) {
-		double high, between;
-
-		low += all[k];
-		low_moment += k * all[k];
-		if (low <= 0 || total - low <= 0)
-			continue;
-		high = (moment - low_moment) / (total - low);
-		between = high - low_moment / low;
-		between *= between * low * (total - low);
-		if (between > best * (1 + SPLIT_MARGIN)) {
-			best = between;
-			p->short_level = k;
-			ogl_fair_scale(p->fair, exp2(high) / MS_A_SEC);
-		}
-	}
+	p->short_level = split.short_level;
+	ogl_fair_scale(p->fair, exp2(split.high_mean) / MS_A_SEC);
 }
 
 /* The shortest, then longest waiting, among teams that may overtake. */
--- a/test/test_queue.cc
+++ b/test/test_queue.cc
@@ -23,7 +23,11 @@
 #include <sstream>
 #include <string>
 
+#include "orioleglade.h"
+extern "C" {
 #include "queue.h"
+#include "queue_split.h"
+}
 
 namespace
 {
@@ -315,6 +319,21 @@
 INSTANTIATE_TEST_SUITE_P(Scripts, QueueScript, testing::ValuesIn(scripts()),
     [](const testing::TestParamInfo<std::string> &i) { return i.param; });
 
+// More than half of the service is short work, some is long, and a little lies
+// between.  Were the limit a fixed part of service or drawn too high, either
+// no work or long work would overtake others.
+TEST(Queue, SplitsShortFromLongAtTheGap)
+{
+	const double service[10] = {0, 0, 40, 20, 0, 0, 0, 1, 30, 9};
+	const double one[10] = {0, 0, 0, 5, 0, 0, 0, 0, 0, 0};
+	struct ogl_queue_split split = {0, 0};
+
+	EXPECT_FALSE(ogl_queue_split(one, 10, &split));
+	ASSERT_TRUE(ogl_queue_split(service, 10, &split));
+	EXPECT_EQ(3u, split.short_level);
+	EXPECT_NEAR(8.2, split.high_mean, 0.01);
+}
+
 // A caller that loses or repeats work, or whose pops and puts back come in an
 // order nobody thought of, must find each piece exactly once.  Random calls
 // against a plain model of what waits.
