--- a/src/calls.c
+++ b/src/calls.c
@@ -428,6 +428,16 @@
 	ask_again(n, c, 0);
 }
 
+/* One copy of the call was refused while another, sent before or after it,
+ * has not been answered.  That one may meet the owner when it can serve
+ * again, and "not run" would then be a lie. */
+static bool
+copy_is_out(const struct call *c, uint32_t status, enum ogl_verdict v)
+{
+	return status >= 400 && v == OGL_NOT_RUN && c->unanswered > 0 &&
+	       strcmp(c->method, "GET") != 0;
+}
+
 /* A shard's word on a call of ours.  What failed for want of an owner is
  * asked again: every passed call may be repeated.  A job that one shard can
  * never run may fit another.  Everything else is the answer. */
@@ -462,6 +472,12 @@
 		ask_again(n, c, 0);
 		return;
 	}
+	if (copy_is_out(c, status, v)) {
+		call_error(n, c, status, OGL_MAY_HAVE_RUN, retry_ms,
+		    "another copy of it may be under way; ask again under "
+		    "the same id");
+		return;
+	}
 	reply_bytes(n, c->token, status, v, retry_ms, body,
 	    strcmp(c->path, "/v1/requests") != 0 || status >= 400);
 	call_done(n, c);
--- a/src/session.c
+++ b/src/session.c
@@ -292,6 +292,8 @@
 add_starts(Ogl__WorkerSync *m, const struct ogl_session *s)
 {
 	m->start = calloc(s->tasks->len + 1, sizeof(void *));
+	if (s->leaving)
+		return;
 	for (guint i = 0; i < s->tasks->len; i++) {
 		const struct ogl_tref *ref = g_ptr_array_index(s->tasks, i);
 		struct ogl_task *t = &ref->job->tasks[ref->index];
@@ -628,7 +630,7 @@
 		if (!g_hash_table_contains(named, name)) {
 			if (t->running || (anew && t->sent))
 				lose_task(sh, &ref, now);
-			else if (t->stopping)
+			else if (t->stopping || s->leaving)
 				undo_start(sh, s, &ref, name, now);
 		}
 		g_free(name);
@@ -792,6 +794,23 @@
 
 /* ---- time ------------------------------------------------------------- */
 
+/* What was bound to a worker before it was known to leave, and has not gone
+ * out yet, may not go there any more: it waits again, for another. */
+static void
+take_back_unsent(struct ogl_shard *sh, struct ogl_session *s, ogl_time now)
+{
+	for (guint i = s->tasks->len; i > 0; i--) {
+		struct ogl_tref ref =
+		    *(struct ogl_tref *)g_ptr_array_index(s->tasks, i - 1);
+		const struct ogl_task *t = &ref.job->tasks[ref.index];
+
+		if (t->sent || t->running || t->held)
+			continue;
+		ogl_sched_unbind(sh, ref.job, ref.index, true, now);
+		g_ptr_array_add(sh->requeue, ref.job);
+	}
+}
+
 static void
 session_tick(struct ogl_shard *sh, struct ogl_session *s, ogl_time now)
 {
@@ -801,6 +820,8 @@
 		write_off(sh, s, now);
 	if (!s->on && !s->known && s->leaving && s->tasks->len == 0)
 		s->gone = true;
+	if (s->leaving)
+		take_back_unsent(sh, s, now);
 	if (s->gone || s->token != 0 || now < s->next_sync)
 		return;
 	if (ogl_shard_may_act(sh, now))
--- /dev/null
+++ b/test/fake_cluster_tell.c
@@ -0,0 +1,202 @@
+/*
+ * From a cluster's calls to events of a history.  Only calls that hand in
+ * work are events by themselves; of the others what they tell of a job or of
+ * the settings is.
+ */
+
+#include <jansson.h>
+#include <string.h>
+
+#include "fake_cluster_tell.h"
+
+static bool
+hands_in(const struct fake_call *k)
+{
+	return strcmp(k->method, "POST") == 0 &&
+	       (strcmp(k->path, "/v1/requests") == 0 ||
+		   strcmp(k->path, "/v1/jobs") == 0);
+}
+
+static bool
+is_submit(const struct fake_call *k)
+{
+	return strcmp(k->method, "POST") == 0 &&
+	       strcmp(k->path, "/v1/jobs") == 0;
+}
+
+void
+fake_tell_call(struct fake_history *h, uint32_t number, const char *node,
+    const struct fake_call *k, uint64_t timeout_ms)
+{
+	struct history_event ev = {.type = HISTORY_CALL, .at = k->asked};
+	char name[16];
+
+	if (!hands_in(k))
+		return;
+	g_snprintf(name, sizeof name, "%u", number);
+	ev.u.call.call = name;
+	ev.u.call.node = node;
+	ev.u.call.team = k->team;
+	ev.u.call.request_id = k->id;
+	ev.u.call.kind = is_submit(k) ? NULL : "check";
+	ev.u.call.body = k->body;
+	ev.u.call.timeout_ms = timeout_ms;
+	ev.u.call.idempotent = k->idempotent;
+	ev.u.call.job = is_submit(k);
+	fake_history_add(h, &ev);
+}
+
+static void
+tell_job(struct fake_history *h, const char *call, const struct fake_call *k)
+{
+	struct history_event ev = {.type = HISTORY_JOB, .at = k->answered};
+	char *job = fake_cluster_field(k->answer, "job");
+	char *state = fake_cluster_field(k->answer, "state");
+	const ProtobufCEnumValue *v =
+	    state == NULL ? NULL
+			  : protobuf_c_enum_descriptor_get_value_by_name(
+				&ogl__job_state__descriptor, state);
+
+	if (job != NULL && v != NULL) {
+		ev.u.job.call = call;
+		ev.u.job.job = job;
+		ev.u.job.state = (uint32_t)v->value;
+		ev.u.job.verdict = k->verdict;
+		fake_history_add(h, &ev);
+	}
+	g_free(job);
+	g_free(state);
+}
+
+/* A limit set by the first change of an edit; false when it sets none. */
+static bool
+limit_of(const json_t *edit, char team[128], uint64_t *limit)
+{
+	const json_t *change =
+	    json_array_get(json_object_get(edit, "changes"), 0);
+	const char *path = json_string_value(json_object_get(change, "path"));
+	const char *value = json_string_value(json_object_get(change, "value"));
+
+	if (path == NULL || value == NULL ||
+	    !g_str_has_prefix(path, "teams/") ||
+	    !g_str_has_suffix(path, "/limit_tasks"))
+		return false;
+	g_strlcpy(team, path + strlen("teams/"), 128);
+	team[strlen(team) - strlen("/limit_tasks")] = '\0';
+	*limit =
+	    value[0] == '\0' ? UINT64_MAX : g_ascii_strtoull(value, NULL, 10);
+	return true;
+}
+
+static void
+tell_edit(struct fake_history *h, const struct fake_call *k)
+{
+	struct history_event ev = {.type = HISTORY_EDIT, .at = k->answered};
+	json_t *edit = json_loads(k->body, 0, NULL);
+	char *version = fake_cluster_field(k->answer, "version");
+	char team[128] = "";
+
+	ev.u.edit.what = HISTORY_EDIT_OTHER;
+	ev.u.edit.accepted = !k->cut && k->status < 300;
+	ev.u.edit.asked = k->asked;
+	ev.u.edit.version =
+	    version != NULL ? g_ascii_strtoull(version, NULL, 10) : 0;
+	if (limit_of(edit, team, &ev.u.edit.limit))
+		ev.u.edit.what = HISTORY_EDIT_LIMIT;
+	ev.u.edit.team = team;
+	if (ev.u.edit.accepted || k->cut || k->verdict == OGL_MAY_HAVE_RUN)
+		fake_history_add(h, &ev);
+	json_decref(edit);
+	g_free(version);
+}
+
+void
+fake_tell_answer(
+    struct fake_history *h, uint32_t number, const struct fake_call *k)
+{
+	struct history_event ev = {.type = HISTORY_ANSWER, .at = k->answered};
+	char name[16];
+
+	g_snprintf(name, sizeof name, "%u", number);
+	if (hands_in(k)) {
+		ev.u.answer.call = name;
+		ev.u.answer.status = k->cut ? 0 : k->status;
+		ev.u.answer.verdict = k->verdict;
+		if (k->cut && k->arrived)
+			ev.u.answer.verdict = HISTORY_BROKEN;
+		/* The view of an accepted job says whether the job ran. */
+		if (is_submit(k) && !k->cut && k->status / 100 == 2)
+			ev.u.answer.verdict = HISTORY_RAN;
+		ev.u.answer.retry_after_ms = k->retry_after_ms;
+		ev.u.answer.body = k->answer;
+		fake_history_add(h, &ev);
+	}
+	if (strcmp(k->path, "/v1/settings") == 0 &&
+	    strcmp(k->method, "POST") == 0)
+		tell_edit(h, k);
+	if (!k->cut && k->status / 100 == 2 &&
+	    (is_submit(k) || g_str_has_prefix(k->path, "/v1/jobs/")))
+		tell_job(h, is_submit(k) ? name : "", k);
+}
+
+void
+fake_tell_node(struct fake_history *h, const char *node,
+    enum history_node state, ogl_time now)
+{
+	struct history_event ev = {.type = HISTORY_NODE, .at = now};
+
+	ev.u.node.node = node;
+	ev.u.node.state = state;
+	fake_history_add(h, &ev);
+}
+
+void
+fake_tell_lease(struct fake_history *h, const char *worker,
+    const Ogl__WorkerSync *m, ogl_time now)
+{
+	struct history_event ev = {.type = HISTORY_LEASE, .at = now};
+
+	if (m->lease_ms == 0)
+		return;
+	ev.u.lease.worker = worker;
+	ev.u.lease.owner = m->owner;
+	ev.u.lease.shard = m->shard;
+	ev.u.lease.epoch = m->epoch;
+	ev.u.lease.until = ((ogl_time)m->lease_from_ms + m->lease_ms) * OGL_MS;
+	fake_history_add(h, &ev);
+}
+
+void
+fake_tell_listed(
+    struct fake_history *h, const char *target, bool leaving, ogl_time now)
+{
+	struct history_event ev = {.type = HISTORY_LISTED, .at = now};
+
+	ev.u.listed.target = target;
+	ev.u.listed.leaving = leaving;
+	fake_history_add(h, &ev);
+}
+
+void
+fake_tell_version(
+    struct fake_history *h, const char *node, uint64_t version, ogl_time now)
+{
+	struct history_event ev = {.type = HISTORY_IN_FORCE, .at = now};
+
+	ev.u.in_force.node = node;
+	ev.u.in_force.version = version;
+	fake_history_add(h, &ev);
+}
+
+void
+fake_tell_cut(
+    struct fake_history *h, const char *node, uint32_t call, ogl_time now)
+{
+	struct history_event ev = {.type = HISTORY_CUT, .at = now};
+	char name[16];
+
+	g_snprintf(name, sizeof name, "%u", call);
+	ev.u.cut.node = node;
+	ev.u.cut.call = name;
+	fake_history_add(h, &ev);
+}
