--- a/src/sched.c
+++ b/src/sched.c
@@ -292,7 +292,9 @@
 	w.tasks = tasks;
 	w.res = ask.res;
 	w.declared_ms = j->spec->run_ms;
-	w.since = MIN(now, (ogl_time)j->accepted_ms * OGL_MS);
+	w.since = now;
+	if (j->accepted_ms < (uint64_t)(now / OGL_MS))
+		w.since = (ogl_time)j->accepted_ms * OGL_MS;
 	*key = (int64_t)w.id;
 	g_hash_table_insert(sh->works, key, ref);
 	ogl_queue_push(sh->queue, &w, now);
@@ -451,10 +453,8 @@
 	s = g_ptr_array_index(sh->sessions, t->worker);
 	remove_ref(s, j, i);
 	ask_of(j, &ask);
-	if (s->placed) {
+	if (s->placed)
 		ogl_place_free(sh->placer, s->place, &ask);
-		ogl_place_result(sh->placer, s->place, j->number, ok, now);
-	}
 	t->phase = OGL_TASK_WAITING;
 	t->running = false;
 	t->held = false;
