Pick a shard that has an owner for a job without an id

A job handed in without an id was sent to the freer of two shards picked at random, also when neither had an owner known here while others had, and was refused ten seconds later.

--- a/src/calls.c
+++ b/src/calls.c
@@ -374,6 +374,19 @@
 	return true;
 }
 
+/* The first shard from this one on that is known to have an owner. */
+static uint32_t
+any_owned(const struct ogl_node *n, uint32_t from)
+{
+	for (uint32_t i = 0; i < n->cfg.shards; i++) {
+		uint32_t shard = (from + i) % n->cfg.shards;
+
+		if (n->owners[shard].name != NULL)
+			return shard;
+	}
+	return from;
+}
+
 /* The freer of two shards picked at random: spreads jobs without anybody
  * knowing the load of all. */
 static uint32_t
@@ -384,6 +397,8 @@
 	const struct ogl_owner *oa = &n->owners[a];
 	const struct ogl_owner *ob = &n->owners[b];
 
+	if (oa->name == NULL && ob->name == NULL)
+		return any_owned(n, a);
 	if ((oa->name != NULL) != (ob->name != NULL))
 		return oa->name != NULL ? a : b;
 	return ob->free_cpu > oa->free_cpu ? b : a;
