--- a/src/shard.c
+++ b/src/shard.c
@@ -695,11 +695,14 @@
 wrote_since_death(
     const struct ogl_shard *sh, const struct ogl_peer *p, ogl_time now)
 {
-	ogl_time wrote = (ogl_time)sh->state->owner_ms * OGL_MS;
+	/* A record's time is its writer's word: it may be any number. */
+	uint64_t wrote = sh->state->owner_ms;
+	uint64_t at = (uint64_t)(now / OGL_MS);
+	uint64_t died = (uint64_t)(p->changed / OGL_MS);
 
 	return p->fact->state == OGL__MEMBER_FACT__STATE__dead &&
-	       wrote > p->changed + SKEW_MS * OGL_MS &&
-	       now - wrote < CONTESTED_MS * OGL_MS;
+	       wrote > died + SKEW_MS && wrote < at + CONTESTED_MS &&
+	       at < wrote + CONTESTED_MS;
 }
 
 /* The log names a live owner that gossip does not know as such: it may just
