--- a/src/session.c
+++ b/src/session.c
@@ -138,6 +138,7 @@
 take_host(struct ogl_shard *sh, const struct ogl_host *h, ogl_time now)
 {
 	struct ogl_session *s = g_hash_table_lookup(sh->by_worker, h->name);
+	bool leaving;
 
 	if (s == NULL) {
 		if (!h->listed)
@@ -152,8 +153,11 @@
 		s->gone = false;
 		s->next_sync = now;
 	}
-	if (s->leaving != (h->leaving || !h->listed)) {
-		s->leaving = h->leaving || !h->listed;
+	/* The earliest sign counts: the list lags behind what the worker says
+	 * of itself, and must not open it again. */
+	leaving = h->leaving || !h->listed || s->says_leaving;
+	if (s->leaving != leaving) {
+		s->leaving = leaving;
 		set_open(sh, s);
 	}
 }
@@ -714,6 +718,7 @@
 	s->boot = r->boot;
 	s->clock_ms = r->clock_ms;
 	s->clock_at = now;
+	s->says_leaving = r->leaving;
 	s->leaving |= r->leaving;
 	take_capacity(sh, s, r);
 	for (size_t i = 0; i < r->n_tasks; i++)
--- a/src/shard_impl.h
+++ b/src/shard_impl.h
@@ -34,7 +34,8 @@
 	bool known;      /* it told all it runs, in this epoch */
 	bool want_full;  /* ask for a full report next */
 	bool leaving;
-	bool gone; /* no list names it and nothing is left there */
+	bool says_leaving; /* by its own newest report */
+	bool gone;         /* no list names it and nothing is left there */
 	uint64_t boot;
 	uint64_t clock_ms;  /* its clock, as last told */
 	ogl_time clock_at;  /* when that was received */
--- a/test/test_cluster_scripts.cc
+++ b/test/test_cluster_scripts.cc
@@ -390,7 +390,9 @@
 		if (w[2] == "down" || w[2] == "up")
 			fake_worker_script(f)->down = w[2] == "down";
 		else if (w[2] == "restart")
-			fake_worker_restart(f, fake_cluster_now(c));
+			fake_cluster_restart_worker(c, n);
+		else if (w[2] == "says-leaving")
+			fake_worker_script(f)->leaving = true;
 		else
 			fake_cluster_leaving(
 			    c, FAKE_WORKER, n, w[2] == "leaves");
@@ -569,6 +571,10 @@
 		if (v == "running")
 			return std::to_string(
 			    fake_cluster_team_running(c, TEAM));
+		if (v == "on")
+			return std::to_string(
+			    fake_worker_running(fake_cluster_worker(
+				c, (uint32_t)std::stoul(w[1].substr(1)))));
 		if (v == "most")
 			return std::to_string(fake_cluster_team_most(c, TEAM));
 		if (v == "ran")
