Count claims in the script of two nodes apart

Without the guard (CONTESTED_MS 0) the shards go to and fro some ten times a second, but the jobs of the script ended all the same; with the count of claims the script fails without it and passes with it.

--- a/test/test_cluster_scripts.cc
+++ b/test/test_cluster_scripts.cc
@@ -531,6 +531,18 @@
 		return std::to_string(n);
 	}
 
+	std::string claims()
+	{
+		const char *p = fake_cluster_trace(c);
+		uint32_t n = 0;
+
+		while ((p = strstr(p, "owned from epoch")) != nullptr) {
+			n++;
+			p++;
+		}
+		return std::to_string(n);
+	}
+
 	std::string answer(const words &w)
 	{
 		const fake_call *k = fake_cluster_answer(c, calls[w[1]]);
@@ -571,6 +583,8 @@
 		if (v == "running")
 			return std::to_string(
 			    fake_cluster_team_running(c, TEAM));
+		if (v == "claims")
+			return claims();
 		if (v == "on")
 			return std::to_string(
 			    fake_worker_running(fake_cluster_worker(
