--- a/src/session.c
+++ b/src/session.c
@@ -823,8 +823,12 @@
 
 	if (end > 0 && now >= end && (s->known || s->on))
 		write_off(sh, s, now);
-	if (!s->on && !s->known && s->leaving && s->tasks->len == 0)
+	if (!s->on && !s->known && s->leaving && s->tasks->len == 0) {
 		s->gone = true;
+		/* Should the list show it as staying after all, its word of
+		 * before must not keep us from asking it anew. */
+		s->says_leaving = false;
+	}
 	if (s->leaving)
 		take_back_unsent(sh, s, now);
 	if (s->gone || s->token != 0 || now < s->next_sync)
