--- a/test/fake_faults.c
+++ b/test/fake_faults.c
@@ -225,6 +225,40 @@
 	g_free(path);
 }
 
+/* The newest version an edit's answer has told. */
+static char *
+version_told(struct fake_faults *f)
+{
+	for (uint32_t i = fake_cluster_calls(f->c); i > 0; i--) {
+		const struct fake_call *k = fake_cluster_answer(f->c, i - 1);
+
+		if (k->done && k->status == 200 &&
+		    strcmp(k->path, "/v1/settings") == 0 &&
+		    strcmp(k->method, "POST") == 0)
+			return fake_cluster_field(k->answer, "version");
+	}
+	return g_strdup("0");
+}
+
+/* An operator changes a share, at times from an old version. */
+static void
+do_edit(struct fake_faults *f)
+{
+	char *base = version_told(f);
+	char *body = g_strdup_printf(
+	    "{\"base_version\":%s,\"who\":\"\",\"changes\":[{\"path\":"
+	    "\"teams/%s/share\",\"value\":\"%u\"}]}",
+	    base, teams[below(f, 3)], 1 + (unsigned)below(f, 9));
+	struct fake_ask a = {.method = "POST",
+	    .path = "/v1/settings",
+	    .key = fake_cluster_operator(f->c),
+	    .body = body};
+
+	send_call(f, &a);
+	g_free(base);
+	g_free(body);
+}
+
 static void
 do_something(struct fake_faults *f)
 {
@@ -239,8 +273,10 @@
 	else if (dice < 62 && f->once->len > 0)
 		send_again(f,
 		    g_array_index(f->once, uint32_t, below(f, f->once->len)));
-	else if (dice < 85)
+	else if (dice < 83)
 		do_submit(f);
+	else if (dice < 85)
+		do_edit(f);
 	else
 		do_job_call(f, dice < 92 ? "DELETE" : "GET");
 }
