--- a/orioleglade.h
+++ b/orioleglade.h
@@ -56,6 +56,8 @@
 
 #define OGL_ERROR ogl_error_quark()
 GQuark ogl_error_quark(void);
+/* Domain of every GError set here; where a function takes a GError ** it may
+ * be NULL, and a set error is the caller's to free. */
 
 enum ogl_error {
 	OGL_ERROR_INPUT,    /* the caller's data is wrong */
@@ -73,7 +75,7 @@
 };
 
 const char *ogl_verdict_name(enum ogl_verdict v);
-/* "not_run", "ran" or "may_have_run"; never NULL. */
+/* "not_run", "ran" or "may_have_run"; never NULL.  Static. */
 
 /* What became of a message an adapter was asked to send. */
 enum ogl_io {
@@ -95,6 +97,7 @@
 /* Whether need is at most room in every dimension. */
 
 void ogl_res_add(struct ogl_res *to, const struct ogl_res *r);
+/* Not checked for overflow. */
 void ogl_res_sub(struct ogl_res *from, const struct ogl_res *r);
 /* ogl_res_sub needs r to fit in from; it stops at zero otherwise. */
 
@@ -241,6 +244,7 @@
 
 struct ogl_place *ogl_place_init(uint64_t seed);
 void ogl_place_end(struct ogl_place *p);
+/* Every init gives an object to be freed by its end; end takes NULL. */
 
 uint32_t ogl_place_worker(struct ogl_place *p, const char *name,
     const struct ogl_res *capacity, const char *zone, const char *rack);
@@ -248,7 +252,7 @@
  * capacity below what is held there closes it for more. */
 
 void ogl_place_drop(struct ogl_place *p, uint32_t w);
-/* Removes a worker; what it held is forgotten, its number may come again. */
+/* Removes a worker, if it is known; what it held is forgotten, its number may come again. */
 
 void ogl_place_set(struct ogl_place *p, uint32_t w, enum ogl_place_state st);
 
@@ -266,7 +270,7 @@
  * closed; false when it would overfill it. */
 
 void ogl_place_free(struct ogl_place *p, uint32_t w, const struct ogl_ask *ask);
-/* Gives back what one task held. */
+/* Gives back what one task held; the same ask that it was held with. */
 
 enum ogl_never ogl_place_never(
     const struct ogl_place *p, const struct ogl_ask *ask, uint32_t n);
@@ -313,16 +317,21 @@
 struct ogl_queue *ogl_queue_init(
     const struct ogl_queue_policy *policy, uint64_t seed);
 void ogl_queue_end(struct ogl_queue *q);
+/* The policy is borrowed. */
 
 void ogl_queue_team(struct ogl_queue *q, const char *team, double share);
-/* Sets a team's weight among its siblings in the tree of teams. */
+/* Sets a team's weight among its siblings in the tree of teams; 1 until it is
+ * set.  A share that is not above 0 changes nothing. */
 
 void ogl_queue_push(
     struct ogl_queue *q, const struct ogl_work *w, ogl_time now);
+/* Work begins to wait.  An id that waits or runs already changes nothing. */
 
 bool ogl_queue_pop(struct ogl_queue *q, ogl_time now, struct ogl_work *w);
 /* Takes out the work that should go next; team and label stay valid until
- * the next call on q.  False when nothing waits. */
+ * the next call on q.  False when nothing waits but what was passed over.
+ * Popped work must be started, put back, pushed anew or removed, or it is
+ * kept for ever. */
 
 void ogl_queue_back(struct ogl_queue *q, uint64_t id, ogl_time now);
 /* Work just popped could not start: it waits again with its old rank, and
@@ -332,16 +341,19 @@
 /* Room came free: everything passed over may be popped again. */
 
 bool ogl_queue_remove(struct ogl_queue *q, uint64_t id);
-/* Cancelled while it waited; false when it does not wait. */
+/* Cancelled while it waited; false when it did not wait.  Popped work is
+ * forgotten, running work is left alone. */
 
 void ogl_queue_started(
     struct ogl_queue *q, const struct ogl_work *w, ogl_time now);
-/* Popped work now runs; its team is charged from here. */
+/* Popped work, or work that was found running, now runs; its team is charged
+ * from here. */
 
 void ogl_queue_ended(struct ogl_queue *q, uint64_t id, bool ok, ogl_time now);
 /* Started work ended; its run time is learned and its charge settled. */
 
 size_t ogl_queue_length(const struct ogl_queue *q);
+/* Work that waits, what was passed over included. */
 uint64_t ogl_queue_wait_ms(const struct ogl_queue *q, ogl_time now);
 /* Longest present wait. */
 
@@ -371,18 +383,35 @@
  * follow the request to other targets. */
 
 bool ogl_route_may_retry(struct ogl_route *r, ogl_time now);
-/* Takes one retry from the budget; false when it is spent. */
+/* Takes one retry from the budget, which ten successes earn; false when it is
+ * spent. */
 
 uint64_t ogl_route_wait_ms(
     const struct ogl_route *r, size_t ahead, ogl_time now);
 /* Expected wait of a request with `ahead` requests before it, from the drain
- * rate seen; also what Retry-After is made of. */
+ * rate seen, at most a minute; also what Retry-After is made of. */
 
 uint32_t ogl_route_free(const struct ogl_route *r, ogl_time now);
 /* Free places over all targets in use. */
 
 /* ---- node: events in, actions out ------------------------------------- */
 
+/*
+ * The embedding program, the adapter, carries out each action and tells what
+ * became of it by one event with the action's token:
+ *
+ *	OGL_ACT_LOG_APPEND  OGL_EV_LOG_APPENDED  io, and u.appended when OK
+ *	OGL_ACT_LOG_READ    OGL_EV_LOG_READ      io, and u.read when OK
+ *	OGL_ACT_HOSTS       OGL_EV_HOSTS         io, and u.hosts when OK
+ *	OGL_ACT_WORKER      OGL_EV_WORKER        io, and u.worker when OK
+ *	OGL_ACT_EXEC        OGL_EV_EXEC          io, and u.exec when OK
+ *
+ * The others are not answered.  An adapter that does not know whether
+ * something took effect says OGL_IO_LOST: the node's promises rest on
+ * OGL_IO_NOT_SENT and OGL_IO_REFUSED being certain.  Streams are read in
+ * order from offset 0 up; an append gets the next offset of its stream.
+ * examples/node.c is a small adapter.
+ */
 enum ogl_event_type {
 	OGL_EV_TIMER,        /* a time asked for by next_wake fell due */
 	OGL_EV_CALL,         /* a caller or operator asks something */
@@ -426,6 +455,8 @@
 		struct {
 			uint64_t first; /* oldest offset retained */
 			uint64_t next;  /* offset the next append gets */
+			/* From the one asked for, or `first` if that is
+			 * gone, rising; as many as the adapter likes. */
 			const struct ogl_log_entry *entries;
 			size_t n;
 		} read;
@@ -477,6 +508,7 @@
 };
 
 void ogl_action_free(struct ogl_action *a);
+/* With all it holds; NULL is fine. */
 
 /* First in, first out list of actions. */
 struct ogl_actions {
@@ -492,6 +524,7 @@
 struct ogl_action *ogl_actions_pop(struct ogl_actions *q);
 /* Takes the oldest out, NULL when empty; free with ogl_action_free. */
 void ogl_actions_clear(struct ogl_actions *q);
+/* Frees every action still listed; q may be used again. */
 
 /* What a node is told at its start, out of its settings file. */
 struct ogl_node_config {
@@ -526,15 +559,20 @@
 
 struct ogl_node *ogl_node_init(const struct ogl_node_config *c, uint64_t seed,
     ogl_time now, GError **error);
-/* A node that has joined nothing yet; the config is copied. */
+/* A node that has joined nothing yet; the config is copied.  NULL with
+ * OGL_ERROR_INPUT when name, addr, zone or shards is missing; other numbers
+ * are taken as they are (daemon/config.c has the ranges that make sense). */
 
 void ogl_node_step(struct ogl_node *n, const struct ogl_event *ev, ogl_time now,
     struct ogl_actions *out);
 /* Takes one event, appends what is to be done.  Answers to actions may come
- * in any order, late, or never. */
+ * in any order, late, or never.  What peers, workers, the log and callers
+ * send may be damaged in any way; an event's type and token are trusted.  Not
+ * to be called from within itself. */
 
 ogl_time ogl_node_next_wake(const struct ogl_node *n);
-/* When OGL_EV_TIMER is wanted next. */
+/* When OGL_EV_TIMER is wanted next; ask after each step.  It may lie in the
+ * past: then at once. */
 
 void ogl_node_end(struct ogl_node *n);
 
--- a/src/shard.c
+++ b/src/shard.c
@@ -695,8 +695,12 @@
 wrote_since_death(
     const struct ogl_shard *sh, const struct ogl_peer *p, ogl_time now)
 {
-	ogl_time wrote = (ogl_time)sh->state->owner_ms * OGL_MS;
+	uint64_t latest_ms = (uint64_t)(now / OGL_MS) + SKEW_MS;
+	ogl_time wrote;
 
+	if (sh->state->owner_ms > latest_ms)
+		return false; /* no clock says so: the record is damaged */
+	wrote = (ogl_time)sh->state->owner_ms * OGL_MS;
 	return p->fact->state == OGL__MEMBER_FACT__STATE__dead &&
 	       wrote > p->changed + SKEW_MS * OGL_MS &&
 	       now - wrote < CONTESTED_MS * OGL_MS;
