--- a/test/fake_faults.c
+++ b/test/fake_faults.c
@@ -792,12 +792,10 @@
 			fake_cluster_fault(f->c,
 			    "job %s: not_run, but task %s started", j->id,
 			    task);
-		/* A second start by a later owner, when worker and owner were
-		 * lost together, is in KNOWN-RED.txt and has a script. */
 		if (!j->restartable && fake_cluster_again(f->c, task) > 0)
 			fake_cluster_fault(f->c,
-			    "task %s may not be restarted, but one owner "
-			    "started it %u times",
+			    "task %s may not be restarted, but started %u "
+			    "times",
 			    task, starts);
 		g_free(task);
 	}
