--- a/daemon/http_out.c
+++ b/daemon/http_out.c
@@ -43,7 +43,7 @@
 #define BODY_KEEP ((size_t)64 * 1024) /* buffer a pooled handle may keep */
 #define ANSWER_MAX ((size_t)16 * 1024 * 1024)
 #define READ_MAX_RECORDS 256u
-#define READ_WAIT_MS 1000
+#define READ_WAIT_MS 200
 #define READ_MARGIN_MS 500
 #define DEFAULT_TIMEOUT_MS 5000
 #define STATUS_NO_CONTENT 204
@@ -665,7 +665,10 @@
 }
 
 /* The platform holds the answer back until there is a record or the wait is
- * over; the wait ends well before the request's own timeout. */
+ * over; the wait ends well before the request's own timeout.  It is short,
+ * since an answer proves only that the log stood so when the read was sent:
+ * during a wait of a second a node took the log for down, refused edits and
+ * let its owners' rights run out, with nothing wrong at all. */
 static uint32_t
 read_wait_ms(const struct ogl_action *a)
 {
--- a/src/escrow.c
+++ b/src/escrow.c
@@ -332,16 +332,23 @@
 	g.bank_epoch = sh->state->epoch;
 	g.bank = sh->index;
 	g.reclaim = reclaim;
-	if (reclaim)
-		a->asked[shard] = g.seq;
+	/* A part told after a reclaim undoes the shrinking, so the answer to
+	 * that reclaim, when it comes, no longer counts.  Otherwise the part
+	 * would be with the holder and free to be given away. */
+	a->asked[shard] = reclaim ? g.seq : 0;
 	msg.body_case = OGL__PEER_MSG__BODY_ALLOT_GIVE;
 	msg.allot_give = &g;
 	sh->env->ops->send(sh->env->ctx, shard, &msg);
 }
 
+/* Tells a holder its part.  A reclaim still out to it is void by that: the
+ * holder may shrink, say so, and then grow again to what this message says,
+ * and were its word on the reclaim still taken, the same part would go to
+ * somebody else as well. */
 static void
 tell(struct ogl_shard *sh, struct account *a, uint32_t shard)
 {
+	a->asked[shard] = 0;
 	send_give(
 	    sh, a, shard, MIN(a->ppm[shard], durable_ppm(sh, a, shard)), false);
 }
--- a/src/follow.c
+++ b/src/follow.c
@@ -14,14 +14,12 @@
  * known only if every member says so, each in answer to a probe of ours; a
  * member that does not answer may be the one that still reaches the log.  A
  * member that died while the log was up is evicted by a record: what it
- * writes later counts for nobody, so it need not be heard.
- *
- * An evicted member may live: it was cut off, or paused.  It then goes on as
- * if it had been started anew, under a higher boot that only its records here
- * bear (settings_boot of its fact); without that it would refuse edits until
- * an operator restarted it.  A node that was itself cut off thinks the others
- * dead when it reaches the log again, so it evicts nobody before it has had
- * the time to hear them.
+ * writes later counts for nobody, so it need not be heard.  One that was
+ * only cut off is readmitted by a record of another node, not its own: so a
+ * node that reached the log after the eviction knows of the readmission, and
+ * who relies on its word that the log is down learns that it knows more.
+ * A node that was itself cut off thinks the others dead when it reaches the
+ * log again; it evicts nobody before it has had the time to hear them.
  */
 
 #include <stdlib.h>
@@ -37,12 +35,13 @@
 	PULL_EVERY_MS = 300,
 	EVICT_EVERY_MS = 1000,
 	EVICT_AFTER_MS = 3000, /* of log contact: probes were answered by now */
+	READMIT_S = 2,         /* an evicted node must live so long */
 	SNAP_EDITS = 500,      /* edits between two snapshots at most */
 	SETTINGS_RANK = 0xfffffffe /* rank for the writer of snapshots */
 };
 
 struct ogl_follow {
-	struct ogl_node_config cfg; /* the node's but for its boot */
+	const struct ogl_node_config *cfg;
 	struct ogl_settings *settings;
 	struct ogl_member *member;
 	struct ogl_counters *counters;
@@ -55,6 +54,7 @@
 	GQueue *waiters;     /* uint64_t *, of our edits in order */
 	GHashTable *evicted; /* "name/boot" */
 	bool self_evicted;
+	uint64_t change; /* offset + 1 of the last edit or eviction */
 	ogl_time contact;
 	ogl_time contact_since; /* unbroken */
 	ogl_time fresh_peers;
@@ -91,7 +91,7 @@
 static bool
 is_ours(const struct ogl_follow *f, const Ogl__Record *r)
 {
-	return r->boot == f->cfg.boot && strcmp(r->writer, f->cfg.name) == 0;
+	return r->boot == f->cfg->boot && strcmp(r->writer, f->cfg->name) == 0;
 }
 
 static void
@@ -123,6 +123,7 @@
 		f->counters->edits++;
 		f->ops->changed(f->ctx, now);
 	}
+	f->change = MAX(f->change, offset + 1);
 	if (is_ours(f, r))
 		answer_waiter(f, offset + 1, error, now);
 	g_clear_error(&error);
@@ -131,16 +132,36 @@
 static void
 apply_evict(struct ogl_follow *f, const Ogl__Evict *e)
 {
-	if (e->boot == f->cfg.boot && strcmp(e->node, f->cfg.name) == 0)
-		f->self_evicted = true;
-	g_hash_table_add(f->evicted, identity(e->node, e->boot));
+	char *id = identity(e->node, e->boot);
+
+	if (e->boot == f->cfg->boot && strcmp(e->node, f->cfg->name) == 0)
+		f->self_evicted = !e->lifted;
+	if (e->lifted) {
+		g_hash_table_remove(f->evicted, id);
+		g_free(id);
+	} else {
+		g_hash_table_add(f->evicted, id);
+	}
+}
+
+/* An edit, or an eviction not yet known by way of a snapshot. */
+static void
+apply_change(
+    struct ogl_follow *f, const Ogl__Record *r, uint64_t offset, ogl_time now)
+{
+	if (r->body_case == OGL__RECORD__BODY_EDIT) {
+		apply_edit(f, r, offset, now);
+	} else if (offset + 1 > f->change) {
+		apply_evict(f, r->evict);
+		f->change = offset + 1;
+	}
 }
 
 static void
 apply_early(struct ogl_follow *f, ogl_time now)
 {
 	for (guint i = 0; i < f->early->len; i++)
-		apply_edit(f, g_ptr_array_index(f->early, i),
+		apply_change(f, g_ptr_array_index(f->early, i),
 		    g_array_index(f->early_at, uint64_t, i), now);
 	g_ptr_array_set_size(f->early, 0);
 	g_array_set_size(f->early_at, 0);
@@ -152,9 +173,15 @@
 	struct ogl_str tree = {(const char *)s->tree.data, s->tree.len};
 	GError *error = NULL;
 
+	g_hash_table_remove_all(f->evicted);
+	f->self_evicted = false;
 	for (size_t i = 0; i < s->n_evicted; i++)
 		apply_evict(f, s->evicted[i]);
-	if (!ogl_settings_load(f->settings, tree, &error)) {
+	f->change = MAX(f->change, s->change);
+	/* A tree no newer than ours is no reason to take it; what is newer
+	 * than both comes from the records after it. */
+	if (s->version > ogl_settings_version(f->settings) &&
+	    !ogl_settings_load(f->settings, tree, &error)) {
 		g_clear_error(&error);
 		return;
 	}
@@ -185,16 +212,14 @@
 		f->complete = true;
 	switch (r->body_case) {
 	case OGL__RECORD__BODY_EDIT:
+	case OGL__RECORD__BODY_EVICT:
 		if (f->complete) {
-			apply_edit(f, r, offset, now);
+			apply_change(f, r, offset, now);
 		} else {
 			g_ptr_array_add(f->early, record_copy(r));
 			g_array_append_val(f->early_at, offset);
 		}
 		break;
-	case OGL__RECORD__BODY_EVICT:
-		apply_evict(f, r->evict);
-		break;
 	case OGL__RECORD__BODY_SETTINGS_SNAP:
 		f->edits_since = 0;
 		f->snap_at = now;
@@ -228,14 +253,14 @@
 {
 	struct ogl_follow *f = g_new0(struct ogl_follow, 1);
 
-	f->cfg = *c;
+	f->cfg = c;
 	f->settings = s;
 	f->member = m;
 	f->counters = n;
 	f->ops = ops;
 	f->ctx = ctx;
 	f->stream = ogl_stream_init(
-	    "settings", (uint64_t)TOKEN_PART << 56, &f->cfg, &stream_ops, f);
+	    "settings", (uint64_t)TOKEN_PART << 56, c, &stream_ops, f);
 	ogl_stream_single(f->stream);
 	ogl_stream_poll(f->stream, POLL_MS, now);
 	f->early = g_ptr_array_new_with_free_func(record_free);
@@ -336,6 +361,7 @@
 
 	ogl__settings_snap__init(s);
 	s->version = ogl_settings_version(f->settings);
+	s->change = f->change;
 	s->tree.len = strlen(dump);
 	s->tree.data = malloc(s->tree.len + 1);
 	memcpy(s->tree.data, dump, s->tree.len + 1);
@@ -364,23 +390,29 @@
 rank_one(void *ctx, const struct ogl_peer *p)
 {
 	struct rank_ctx *c = ctx;
+	bool out = is_evicted(c->f, p->fact->name, p->fact->boot);
 
-	if (p->fact->state == OGL__MEMBER_FACT__STATE__alive &&
-	    ogl_member_rank(c->f->member, p->fact->name, SETTINGS_RANK) >
-		c->own)
+	if (p->fact->state != OGL__MEMBER_FACT__STATE__alive)
+		return;
+	if (out != c->f->self_evicted)
+		c->best = c->best && out;
+	else if (ogl_member_rank(c->f->member, p->fact->name, SETTINGS_RANK) >
+		 c->own)
 		c->best = false;
 }
 
 /* Whether this node looks after the settings stream: snapshots, evictions.
- * Two that both think so do no harm, the work is then done twice. */
+ * Two that both think so do no harm, the work is then done twice.  Evicted
+ * nodes come last, else one that ranks best would keep the others from
+ * readmitting it; when all are evicted the best of them readmits the rest. */
 static bool
 is_keeper(const struct ogl_follow *f)
 {
 	struct rank_ctx c = {
-	    f, ogl_member_rank(f->member, f->cfg.name, SETTINGS_RANK), true};
+	    f, ogl_member_rank(f->member, f->cfg->name, SETTINGS_RANK), true};
 
 	ogl_member_each(f->member, rank_one, &c);
-	return c.best && !f->self_evicted;
+	return c.best;
 }
 
 static void
@@ -390,8 +422,9 @@
 
 	if (!f->complete || ogl_settings_version(f->settings) == 0 ||
 	    (f->edits_since < SNAP_EDITS &&
-		now - f->snap_at < f->cfg.snapshot_ms * OGL_MS) ||
-	    log_down(f, now) || !ogl_stream_idle(f->stream) || !is_keeper(f))
+		now - f->snap_at < f->cfg->snapshot_ms * OGL_MS) ||
+	    f->self_evicted || log_down(f, now) ||
+	    !ogl_stream_idle(f->stream) || !is_keeper(f))
 		return;
 	f->snap_at = now;
 	r = malloc(sizeof *r);
@@ -413,8 +446,12 @@
 	struct evict_ctx *c = ctx;
 	Ogl__Record *r;
 
-	if (p->fact->state != OGL__MEMBER_FACT__STATE__dead ||
-	    is_evicted(c->f, p->fact->name, p->fact->settings_boot))
+	bool evicted = is_evicted(c->f, p->fact->name, p->fact->boot);
+	bool dead = p->fact->state == OGL__MEMBER_FACT__STATE__dead;
+	bool lives = p->fact->state == OGL__MEMBER_FACT__STATE__alive &&
+		     c->now - p->changed >= READMIT_S * OGL_SEC;
+
+	if (!(evicted ? lives : dead && !c->f->self_evicted))
 		return;
 	r = malloc(sizeof *r);
 	ogl__record__init(r);
@@ -423,7 +460,8 @@
 	r->evict = malloc(sizeof *r->evict);
 	ogl__evict__init(r->evict);
 	r->evict->node = strdup(p->fact->name);
-	r->evict->boot = p->fact->settings_boot;
+	r->evict->boot = p->fact->boot;
+	r->evict->lifted = evicted;
 	ogl_stream_add(c->f->stream, r, c->now);
 }
 
@@ -440,20 +478,6 @@
 	ogl_member_each(f->member, evict_one, &c);
 }
 
-/* Our edits count for nobody any more.  Once the fate of those we sent is
- * known we go on under a new boot. */
-static void
-come_back(struct ogl_follow *f, ogl_time now)
-{
-	if (!f->self_evicted || !f->complete || log_down(f, now) ||
-	    ogl_stream_pending(f->stream) > 0)
-		return;
-	f->cfg.boot = MAX(f->cfg.boot + 1, (uint64_t)now);
-	f->self_evicted = false;
-	ogl_member_own(f->member)->settings_boot = f->cfg.boot;
-	ogl_member_changed(f->member);
-}
-
 /* ---- being current ---------------------------------------------------- */
 
 struct fresh_ctx {
@@ -469,11 +493,11 @@
 {
 	struct fresh_ctx *c = ctx;
 	struct ogl_follow *f = c->f;
-	uint64_t ours = ogl_settings_version(f->settings);
+	uint64_t ours = f->change;
 
 	if (p->fact->state == OGL__MEMBER_FACT__STATE__left ||
 	    (p->fact->state == OGL__MEMBER_FACT__STATE__dead &&
-		is_evicted(f, p->fact->name, p->fact->settings_boot)))
+		is_evicted(f, p->fact->name, p->fact->boot)))
 		return;
 	c->all_down = MIN(c->all_down, p->down_since != 0 ? p->asked : 0);
 	if (MAX(p->fact->settings_version, p->current_version) > ours)
@@ -492,7 +516,7 @@
 	if (now < f->next_pull)
 		return;
 	f->next_pull = now + PULL_EVERY_MS * OGL_MS;
-	n.version = ogl_settings_version(f->settings);
+	n.version = f->change;
 	msg.body_case = OGL__PEER_MSG__BODY_SETTINGS_NEWS;
 	msg.settings_news = &n;
 	ogl_member_send(f->member, p->fact->addr, &msg, out);
@@ -506,13 +530,13 @@
 	Ogl__SettingsNews n = OGL__SETTINGS_NEWS__INIT;
 
 	if (news->snap != NULL) {
-		if (news->snap->version > ogl_settings_version(f->settings))
+		if (news->snap->change > f->change)
 			load_snap(f, news->snap, now);
 		return;
 	}
-	if (!f->complete || ogl_settings_version(f->settings) <= news->version)
+	if (!f->complete || f->change <= news->version)
 		return;
-	n.version = ogl_settings_version(f->settings);
+	n.version = f->change;
 	n.snap = make_snap(f);
 	msg.body_case = OGL__PEER_MSG__BODY_SETTINGS_NEWS;
 	msg.settings_news = &n;
@@ -554,7 +578,7 @@
 	Ogl__MemberFact *own = ogl_member_own(f->member);
 	ogl_time age = now - ogl_follow_fresh(f, now);
 
-	own->settings_version = ogl_settings_version(f->settings);
+	own->settings_version = f->change;
 	own->settings_age_ms = (uint32_t)MIN(age / OGL_MS, UINT32_MAX);
 	own->log_age_ms =
 	    log_down(f, now)
@@ -572,7 +596,6 @@
 	look_at_peers(f, now, out);
 	write_snapshot(f, now);
 	evict_dead(f, now);
-	come_back(f, now);
 	ogl_stream_tick(f->stream, now, out);
 	fill_fact(f, now);
 }
--- a/src/member.c
+++ b/src/member.c
@@ -79,7 +79,6 @@
 	f.addr = (char *)c->addr;
 	f.zone = (char *)c->zone;
 	f.boot = c->boot;
-	f.settings_boot = c->boot;
 	m->own = fact_copy(&f);
 	m->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, peer_free);
@@ -323,8 +322,8 @@
 {
 	struct ogl_peer *p;
 
-	if (f->name[0] == '\0')
-		return NULL;
+	if (f->name[0] == '\0' || f->state > OGL__MEMBER_FACT__STATE__left)
+		return NULL; /* a state we have no name for */
 	if (strcmp(f->name, m->own->name) == 0) {
 		refute(m, f);
 		return NULL;
