--- a/bench/failover.py
+++ b/bench/failover.py
@@ -184,14 +184,17 @@
 
 def outage():
     # Work for the whole time at full use of the workers, over all shards.
+    # Run times differ, else tasks start in waves and a wave more or less at
+    # the edge of a span passes for a loss of several per cent.
     for i in range(48):
         status, text = submit(nodes[i % len(nodes)],
-                              int(24 * 16 * (outage_s + 25) / 48 * 2), 1000,
+                              int(24 * 16 * (outage_s + 35) / 48 * 2),
+                              700 + 13 * i,
                               "outage-%d" % i)
         if status != 202:
             fail("submission: %d %s" % (status, text))
     load = Load()
-    time.sleep(4)
+    time.sleep(16)  # shards go back to a restarted node after ten seconds
     sent0, ran0, span0 = span(load, 8)
     platform_ctl(outage=True)
     load.bad.clear()
--- a/src/follow.c
+++ b/src/follow.c
@@ -18,8 +18,6 @@
  * only cut off is readmitted by a record of another node, not its own: so a
  * node that reached the log after the eviction knows of the readmission, and
  * who relies on its word that the log is down learns that it knows more.
- * A node that was itself cut off thinks the others dead when it reaches the
- * log again; it evicts nobody before it has had the time to hear them.
  */
 
 #include <stdlib.h>
@@ -390,21 +388,16 @@
 rank_one(void *ctx, const struct ogl_peer *p)
 {
 	struct rank_ctx *c = ctx;
-	bool out = is_evicted(c->f, p->fact->name, p->fact->boot);
 
-	if (p->fact->state != OGL__MEMBER_FACT__STATE__alive)
-		return;
-	if (out != c->f->self_evicted)
-		c->best = c->best && out;
-	else if (ogl_member_rank(c->f->member, p->fact->name, SETTINGS_RANK) >
-		 c->own)
+	if (p->fact->state == OGL__MEMBER_FACT__STATE__alive &&
+	    !is_evicted(c->f, p->fact->name, p->fact->boot) &&
+	    ogl_member_rank(c->f->member, p->fact->name, SETTINGS_RANK) >
+		c->own)
 		c->best = false;
 }
 
 /* Whether this node looks after the settings stream: snapshots, evictions.
- * Two that both think so do no harm, the work is then done twice.  Evicted
- * nodes come last, else one that ranks best would keep the others from
- * readmitting it; when all are evicted the best of them readmits the rest. */
+ * Two that both think so do no harm, the work is then done twice. */
 static bool
 is_keeper(const struct ogl_follow *f)
 {
@@ -412,7 +405,7 @@
 	    f, ogl_member_rank(f->member, f->cfg->name, SETTINGS_RANK), true};
 
 	ogl_member_each(f->member, rank_one, &c);
-	return c.best;
+	return c.best && !f->self_evicted;
 }
 
 static void
@@ -423,8 +416,7 @@
 	if (!f->complete || ogl_settings_version(f->settings) == 0 ||
 	    (f->edits_since < SNAP_EDITS &&
 		now - f->snap_at < f->cfg->snapshot_ms * OGL_MS) ||
-	    f->self_evicted || log_down(f, now) ||
-	    !ogl_stream_idle(f->stream) || !is_keeper(f))
+	    log_down(f, now) || !ogl_stream_idle(f->stream) || !is_keeper(f))
 		return;
 	f->snap_at = now;
 	r = malloc(sizeof *r);
@@ -451,7 +443,7 @@
 	bool lives = p->fact->state == OGL__MEMBER_FACT__STATE__alive &&
 		     c->now - p->changed >= READMIT_S * OGL_SEC;
 
-	if (!(evicted ? lives : dead && !c->f->self_evicted))
+	if (!(evicted ? lives : dead))
 		return;
 	r = malloc(sizeof *r);
 	ogl__record__init(r);
@@ -470,6 +462,8 @@
 {
 	struct evict_ctx c = {f, now};
 
+	/* A node that was itself cut off thinks the others dead when it
+	 * reaches the log again; it must have had the time to hear them. */
 	if (now < f->next_evict || !f->complete || log_down(f, now) ||
 	    now - f->contact_since < EVICT_AFTER_MS * OGL_MS ||
 	    ogl_stream_pending(f->stream) > 0 || !is_keeper(f))
