--- a/src/member.c
+++ b/src/member.c
@@ -12,7 +12,11 @@
  * number of times that grows with the logarithm of the cell, then rests.  The
  * sender's own fact rides on every message.  Of two facts on one node the
  * one with the larger (boot, incarnation, beat) wins; within equal ones the
- * worse state wins.
+ * worse state wins.  Yet a node that we hold for alive is never dead at the
+ * word of another: that one may have been cut off itself, hold the whole cell
+ * for dead, and come back.  Its word makes a suspect, which has the time to
+ * refute it; taken at once, every shard of the cell was claimed anew and its
+ * nodes evicted.
  *
  * What a member says of its log contact counts only in answer to a probe of
  * ours, dated back to when we sent the probe: a message may have lain in a
@@ -249,6 +253,15 @@
 	return a < b ? -1 : a > b;
 }
 
+static void
+set_state(struct ogl_member *m, struct ogl_peer *p, Ogl__MemberFact__State st,
+    ogl_time now)
+{
+	p->fact->state = st;
+	p->changed = now;
+	p->tell = tell_times(m);
+}
+
 /* Above zero when a overrules b. */
 static int
 fact_cmp(const Ogl__MemberFact *a, const Ogl__MemberFact *b)
@@ -317,6 +330,20 @@
 	m->own->beat++;
 }
 
+/* Whether the fact tells of the death of one that we held for alive a moment
+ * ago. */
+static bool
+rash(const struct ogl_member *m, const struct ogl_peer *p,
+    const Ogl__MemberFact *f, ogl_time now)
+{
+	if (f->state != OGL__MEMBER_FACT__STATE__dead ||
+	    f->boot != p->fact->boot || f->incarnation != p->fact->incarnation)
+		return false;
+	return p->fact->state == OGL__MEMBER_FACT__STATE__alive ||
+	       (p->fact->state == OGL__MEMBER_FACT__STATE__suspect &&
+		   now - p->changed < m->cfg->suspect_ms * OGL_MS / 2);
+}
+
 static struct ogl_peer *
 take_fact(struct ogl_member *m, const Ogl__MemberFact *f, ogl_time now)
 {
@@ -331,8 +358,12 @@
 	p = ogl_member_find(m, f->name);
 	if (p == NULL)
 		return peer_new(m, f, now);
-	if (fact_cmp(f, p->fact) > 0)
+	if (rash(m, p, f, now)) {
+		if (p->fact->state == OGL__MEMBER_FACT__STATE__alive)
+			set_state(m, p, OGL__MEMBER_FACT__STATE__suspect, now);
+	} else if (fact_cmp(f, p->fact) > 0) {
 		peer_take(m, p, f, now);
+	}
 	return p;
 }
 
@@ -419,15 +450,6 @@
 
 /* ---- probing ---------------------------------------------------------- */
 
-static void
-set_state(struct ogl_member *m, struct ogl_peer *p, Ogl__MemberFact__State st,
-    ogl_time now)
-{
-	p->fact->state = st;
-	p->changed = now;
-	p->tell = tell_times(m);
-}
-
 static void
 ask_relays(struct ogl_member *m, struct ogl_peer *p, struct ogl_actions *out)
 {
