End jobs no worker of a shard can hold; scale group commits with shards

Ruled out for now: moving waiting jobs to another shard; it needs a record on both sides and is listed as left. Now: after 60 s such a job ends as broken with the reason and a true verdict; the commit interval is at least shards / 240 s.

--- a/gen/ogl.pb-c.c
+++ b/gen/ogl.pb-c.c
@@ -4134,7 +4134,7 @@
   (ProtobufCMessageInit) ogl__job_referred__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__job_cancelled__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ogl__job_cancelled__field_descriptors[3] =
 {
   {
     "job",
@@ -4160,15 +4160,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reason",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__JobCancelled, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__job_cancelled__field_indices_by_name[] = {
   0,   /* field[0] = job */
+  2,   /* field[2] = reason */
   1,   /* field[1] = verdict */
 };
 static const ProtobufCIntRange ogl__job_cancelled__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ogl__job_cancelled__descriptor =
 {
@@ -4178,7 +4191,7 @@
   "Ogl__JobCancelled",
   "ogl",
   sizeof(Ogl__JobCancelled),
-  2,
+  3,
   ogl__job_cancelled__field_descriptors,
   ogl__job_cancelled__field_indices_by_name,
   1,  ogl__job_cancelled__number_ranges,
@@ -4569,7 +4582,7 @@
   (ProtobufCMessageInit) ogl__task_snap__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__job_snap__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ogl__job_snap__field_descriptors[6] =
 {
   {
     "job",
@@ -4631,8 +4644,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cancel_reason",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__JobSnap, cancel_reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__job_snap__field_indices_by_name[] = {
+  5,   /* field[5] = cancel_reason */
   3,   /* field[3] = cancel_verdict */
   1,   /* field[1] = cancelled */
   2,   /* field[2] = ended */
@@ -4642,7 +4668,7 @@
 static const ProtobufCIntRange ogl__job_snap__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ogl__job_snap__descriptor =
 {
@@ -4652,7 +4678,7 @@
   "Ogl__JobSnap",
   "ogl",
   sizeof(Ogl__JobSnap),
-  5,
+  6,
   ogl__job_snap__field_descriptors,
   ogl__job_snap__field_indices_by_name,
   1,  ogl__job_snap__number_ranges,
--- a/gen/ogl.pb-c.h
+++ b/gen/ogl.pb-c.h
@@ -582,10 +582,14 @@
    * not_run only when no task can have started
    */
   Ogl__Verdict verdict;
+  /*
+   * given when the owner ended it, not the caller
+   */
+  char *reason;
 };
 #define OGL__JOB_CANCELLED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__job_cancelled__descriptor) \
-    , (char *)protobuf_c_empty_string, OGL__VERDICT__not_run }
+    , (char *)protobuf_c_empty_string, OGL__VERDICT__not_run, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -693,10 +697,11 @@
   Ogl__TaskSnap **ended;
   Ogl__Verdict cancel_verdict;
   uint64_t ended_ms;
+  char *cancel_reason;
 };
 #define OGL__JOB_SNAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__job_snap__descriptor) \
-    , NULL, 0, 0,NULL, OGL__VERDICT__not_run, 0 }
+    , NULL, 0, 0,NULL, OGL__VERDICT__not_run, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Ogl__IdSnap
--- a/src/calls.c
+++ b/src/calls.c
@@ -23,7 +23,8 @@
 	GATHER_MS = 2000,  /* a list waits so long for missing shards */
 	STALE_RETRY_MS = 1000,
 	STOP_RETRY_MS = 100,
-	TEAM_MAX = 128
+	TEAM_MAX = 128,
+	ID_MAX = 128
 };
 
 #define REMOTE_WAITER ((uint64_t)1 << 63) /* a peer's call, not ours */
@@ -659,6 +660,15 @@
 typedef void (*call_fn)(struct ogl_node *n, const struct ogl_event *ev,
     const char *team, const char *path, const char *arg);
 
+#define ID_ALLOWED "at most 128 bytes without '|'"
+
+/* The bar parts team and id in the name of a request within the cell. */
+static bool
+id_is_sane(struct ogl_str id)
+{
+	return id.n <= ID_MAX && (id.n == 0 || memchr(id.p, '|', id.n) == NULL);
+}
+
 static void
 do_request(struct ogl_node *n, const struct ogl_event *ev, const char *team,
     const char *path, const char *arg)
@@ -674,6 +684,12 @@
 		    "the body is larger than the team's max_body");
 		return;
 	}
+	if (!id_is_sane(ev->u.call.request_id)) {
+		n->counters.bad_input++;
+		reply_error(n, ev->token, 422, OGL_NOT_RUN, 0,
+		    "Idempotency-Key: " ID_ALLOWED);
+		return;
+	}
 	c = call_new(n, ev, team, path);
 	if (c->request_id[0] != '\0' && !ev->u.call.idempotent) {
 		c->kind = CALL_SHARD;
@@ -701,31 +717,31 @@
 		    "processors (cpu_milli) or memory (mem_mb) above 0");
 	if (strlen(s->payload) > 4096)
 		ogl_faults_add(f, "payload", "", "at most 4096 bytes");
-	if (strlen(s->request_id) > 128 || strchr(s->request_id, '|') != NULL)
-		ogl_faults_add(f, "request_id", s->request_id,
-		    "at most 128 bytes without '|'");
+	if (!id_is_sane(ogl_str(s->request_id)))
+		ogl_faults_add(f, "request_id", s->request_id, ID_ALLOWED);
 	return ogl_faults_count(f) == 0;
 }
 
+static void
+set_id(Ogl__Submit *s, char *id)
+{
+	if (s->request_id != protobuf_c_empty_string)
+		free(s->request_id);
+	s->request_id = id;
+}
+
 /* A submission without an id gets one here, so that passing it on twice
  * gives one job. */
 static GBytes *
-with_id(struct ogl_node *n, Ogl__Submit *s, const struct ogl_event *ev)
+with_id(struct ogl_node *n, Ogl__Submit *s)
 {
 	char *text;
 	size_t len;
 
-	if (s->request_id[0] == '\0') {
-		if (s->request_id != protobuf_c_empty_string)
-			free(s->request_id);
-		s->request_id =
-		    ev->u.call.request_id.n > 0
-			? strndup(
-			      ev->u.call.request_id.p, ev->u.call.request_id.n)
-			: g_strdup_printf("auto-%s-%" G_GUINT64_FORMAT
+	if (s->request_id[0] == '\0')
+		set_id(s, g_strdup_printf("auto-%s-%" G_GUINT64_FORMAT
 					  "-%" G_GUINT64_FORMAT,
-			      n->name, n->cfg.boot, ++n->calls->next_auto);
-	}
+			      n->name, n->cfg.boot, ++n->calls->next_auto));
 	text = ogl_json_print(&s->base, &len);
 	return g_bytes_new_take(text, len);
 }
@@ -741,19 +757,23 @@
 	struct call *c;
 
 	(void)arg;
+	if (s != NULL && s->request_id[0] == '\0' &&
+	    ev->u.call.request_id.n > 0)
+		set_id(s,
+		    strndup(ev->u.call.request_id.p, ev->u.call.request_id.n));
 	if (s == NULL || !submit_is_sane(s, f)) {
 		n->counters.bad_input++;
 		reply_text(n, ev->token, 422, OGL_NOT_RUN, 0,
 		    ogl_error_text("the job is not valid", OGL_NOT_RUN, 0, f));
 		goto out;
 	}
-	own_id = s->request_id[0] != '\0' || ev->u.call.request_id.n > 0;
+	own_id = s->request_id[0] != '\0';
 	c = call_new(n, ev, team, path);
 	c->kind = CALL_SHARD;
 	c->any_shard = !own_id;
 	c->own_id = own_id;
 	g_bytes_unref(c->body);
-	c->body = with_id(n, s, ev);
+	c->body = with_id(n, s);
 	c->shard = own_id ? shard_of_id(n, team, s->request_id) : pick_shard(n);
 	c->home = c->shard;
 	c->suggest = own_id ? pick_shard(n) + 1 : 0;
--- a/src/node.c
+++ b/src/node.c
@@ -17,6 +17,7 @@
 	HOSTS_EVERY_MS = 1000,
 	HOSTS_TIMEOUT_MS = 1500,
 	HOST_FORGET_S = 600, /* an unlisted host is forgotten after it */
+	LOG_APPENDS_S = 240, /* by the shards of a cell together */
 	BASE_MS = 50,        /* between two ticks of everything */
 	STOP_MOST_S = 10,    /* a shutdown waits so long for others */
 	LEFT_SENDS = 3
@@ -182,6 +183,10 @@
 	n->cfg.seeds = (const char *const *)n->seeds;
 	if (n->cfg.entropy == NULL)
 		n->cfg.entropy = sodium_entropy;
+	/* However many shards there are, their group commits together stay
+	 * within what the platform's log takes. */
+	n->cfg.commit_ms =
+	    MAX(n->cfg.commit_ms, n->cfg.shards * 1000 / LOG_APPENDS_S);
 }
 
 static void
--- a/src/shard.c
+++ b/src/shard.c
@@ -40,6 +40,7 @@
 	NAMED = 2,            /* successors named */
 	HOLD_MS = 3000,       /* a promise lasts so long */
 	PROMISE_EVERY_MS = 500,
+	HOPELESS_EVERY_MS = 10000, /* between looks for jobs past hope */
 	LIMITS_EVERY_MS = 250,
 	PROMISE_AFTER_MS = 700, /* without contact so long, ask for promises */
 	LOG_UP_MS = 1500        /* contact within this time: the log is up */
@@ -897,6 +898,10 @@
 		watch_rank(sh, now);
 		write_snapshot(sh, now);
 	}
+	if (now >= sh->next_hopeless) {
+		sh->next_hopeless = now + HOPELESS_EVERY_MS * OGL_MS;
+		ogl_shardcall_hopeless(sh, now);
+	}
 	if (sh->place_due && ogl_shard_may_act(sh, now)) {
 		ogl_sched_place(sh, now);
 		ogl_sessions_tick(sh, now);
--- a/src/shard_impl.h
+++ b/src/shard_impl.h
@@ -108,6 +108,7 @@
 	ogl_time next_hosts;
 	ogl_time sessions_due; /* no session has anything to do before */
 	ogl_time next_limits;
+	ogl_time next_hopeless;
 	bool place_due;     /* something changed: try to place */
 	GPtrArray *requeue; /* jobs with tasks that may wait again */
 	uint64_t nplaced;
@@ -166,6 +167,7 @@
 void ogl_shardcall_job(struct ogl_shard *sh, struct ogl_job *j, ogl_time now);
 void ogl_shardcall_cancelled(
     struct ogl_shard *sh, struct ogl_job *j, ogl_time now);
+void ogl_shardcall_hopeless(struct ogl_shard *sh, ogl_time now);
 void ogl_shardcall_referred(
     struct ogl_shard *sh, const Ogl__JobReferred *r, ogl_time now);
 void ogl_shardcall_id(struct ogl_shard *sh, struct ogl_idrec *r, ogl_time now);
--- a/src/shardcall.c
+++ b/src/shardcall.c
@@ -31,6 +31,7 @@
 	RETRY_OWNER_MS = 300,  /* come back when an owner may be there */
 	RETRY_LOG_MS = 1000,   /* come back when the log may be up */
 	RETRY_FULL_MS = 5000,
+	HOPELESS_S = 60,  /* without any worker that could hold it */
 	UNHEARD_FAILS = 3 /* a worker silent so often is not waited for */
 };
 
@@ -535,19 +536,13 @@
 	return !j->inherited;
 }
 
+/* Ends the job by a record; a reason tells that its caller did not ask. */
 static void
-call_cancel(struct ogl_shard *sh, const struct ogl_ask_call *c,
-    struct ogl_job *j, ogl_time now)
+record_cancel(
+    struct ogl_shard *sh, struct ogl_job *j, const char *reason, ogl_time now)
 {
 	Ogl__Record *r;
 
-	if (ogl_job_ended(j)) {
-		reply_job(sh, c->waiter, 200, j, false);
-		return;
-	}
-	add_waiter(sh->cancels, j->id, c->waiter);
-	if (j->cancelling)
-		return;
 	/* From here on nothing of it is started, so not_run stays true. */
 	j->cancelling = true;
 	ogl_sched_unqueue(sh, j);
@@ -556,12 +551,53 @@
 	r->job_cancelled = malloc(sizeof *r->job_cancelled);
 	ogl__job_cancelled__init(r->job_cancelled);
 	r->job_cancelled->job = strdup(j->id);
+	r->job_cancelled->reason = strdup(reason);
 	r->job_cancelled->verdict = never_started(sh, j)
 					? OGL__VERDICT__not_run
 					: OGL__VERDICT__may_have_run;
 	ogl_shard_append(sh, r, now);
 }
 
+static void
+call_cancel(struct ogl_shard *sh, const struct ogl_ask_call *c,
+    struct ogl_job *j, ogl_time now)
+{
+	if (ogl_job_ended(j)) {
+		reply_job(sh, c->waiter, 200, j, false);
+		return;
+	}
+	add_waiter(sh->cancels, j->id, c->waiter);
+	if (!j->cancelling)
+		record_cancel(sh, j, "", now);
+}
+
+/* Ends jobs that no worker of the shard has been able to hold for a while:
+ * their callers would wait for ever, and know better where else to go. */
+void
+ogl_shardcall_hopeless(struct ogl_shard *sh, ogl_time now)
+{
+	GHashTableIter it;
+	void *v;
+
+	if (workers_unsettled(sh) || !ogl_shard_log_up(sh, now))
+		return;
+	g_hash_table_iter_init(&it, sh->state->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct ogl_job *j = v;
+		const char *why;
+
+		if (ogl_job_ended(j) || j->cancelling || j->nplaced > 0)
+			continue;
+		why = never_reason(sh, j->spec);
+		if (why == NULL)
+			j->never_since = 0;
+		else if (j->never_since == 0)
+			j->never_since = now;
+		else if (now - j->never_since >= HOPELESS_S * OGL_SEC)
+			record_cancel(sh, j, why, now);
+	}
+}
+
 void
 ogl_shardcall_cancelled(struct ogl_shard *sh, struct ogl_job *j, ogl_time now)
 {
--- a/src/state.c
+++ b/src/state.c
@@ -40,6 +40,7 @@
 	g_free(j->tasks);
 	g_free(j->id);
 	g_free(j->team);
+	g_free(j->cancel_reason);
 	ogl__submit__free_unpacked(j->spec, NULL);
 	g_free(j);
 }
@@ -266,6 +267,8 @@
 		return;
 	j->cancelled = true;
 	j->cancel_verdict = c->verdict;
+	if (c->reason[0] != '\0')
+		j->cancel_reason = g_strdup(c->reason);
 	j->ended_ms = at_ms;
 	if (hooks != NULL)
 		hooks->cancelled(ctx, j, now);
@@ -275,7 +278,8 @@
 job_state(const struct ogl_job *j)
 {
 	if (j->cancelled)
-		return OGL__JOB_STATE__cancelled;
+		return j->cancel_reason != NULL ? OGL__JOB_STATE__broken
+						: OGL__JOB_STATE__cancelled;
 	if (j->nended == j->ntasks)
 		return j->nsucceeded == j->ntasks ? OGL__JOB_STATE__done
 						  : OGL__JOB_STATE__broken;
@@ -299,6 +303,8 @@
 static const char *
 job_reason(const struct ogl_job *j)
 {
+	if (j->cancel_reason != NULL)
+		return j->cancel_reason;
 	for (uint32_t i = 0; i < j->ntasks; i++) {
 		if (j->tasks[i].phase == OGL_TASK_ENDED &&
 		    j->tasks[i].reason != NULL)
@@ -433,6 +439,8 @@
 	}
 	j->cancelled = s->cancelled;
 	j->cancel_verdict = s->cancel_verdict;
+	if (s->cancel_reason[0] != '\0')
+		j->cancel_reason = g_strdup(s->cancel_reason);
 	j->ended_ms = s->ended_ms;
 }
 
@@ -540,6 +548,8 @@
 	s->job = message_copy(&a.base);
 	s->cancelled = j->cancelled;
 	s->cancel_verdict = j->cancel_verdict;
+	if (j->cancel_reason != NULL)
+		s->cancel_reason = strdup(j->cancel_reason);
 	s->ended_ms = j->ended_ms;
 	s->ended = calloc(j->ntasks, sizeof(void *));
 	for (uint32_t i = 0; i < j->ntasks; i++) {
--- a/src/state.h
+++ b/src/state.h
@@ -44,9 +44,11 @@
 	uint32_t nplaced; /* owner: tasks bound to workers */
 	bool cancelled;
 	Ogl__Verdict cancel_verdict;
-	bool cancelling; /* owner: the cancel is on the way to the log */
-	bool inherited;  /* owner: accepted before our claim */
-	uint64_t number; /* owner: for placement and spreading */
+	char *cancel_reason;  /* ended by its owner, NULL by its caller */
+	ogl_time never_since; /* owner: since when no worker could hold it */
+	bool cancelling;      /* owner: the cancel is on the way to the log */
+	bool inherited;       /* owner: accepted before our claim */
+	uint64_t number;      /* owner: for placement and spreading */
 };
 
 /* One request id. */
