Check request ids from headers as those from bodies

The header's id of a submission was not checked. Two ids that differ only in bytes that are no UTF-8 became one on the way through JSON, so two jobs would have passed for one. Now 422 for both, and for short requests.

--- a/src/calls.c
+++ b/src/calls.c
@@ -23,9 +23,11 @@
 	GATHER_MS = 2000,  /* a list waits so long for missing shards */
 	STALE_RETRY_MS = 1000,
 	STOP_RETRY_MS = 100,
-	TEAM_MAX = 128
+	TEAM_MAX = 128,
+	ID_MAX = 128 /* bytes of a request id */
 };
 
+#define ID_ALLOWED "at most 128 bytes of UTF-8 without '|'"
 #define REMOTE_WAITER ((uint64_t)1 << 63) /* a peer's call, not ours */
 
 enum call_kind {
@@ -655,6 +657,17 @@
 	    ev->u.call.idempotent, ev->u.call.budget_ms, n->now);
 }
 
+/* An id that is no text would be told from others in memory, but not once it
+ * went through JSON, and two callers' jobs would pass for one. */
+static bool
+id_is_sane(struct ogl_str id)
+{
+	if (id.n == 0)
+		return true;
+	return id.n <= ID_MAX && memchr(id.p, '|', id.n) == NULL &&
+	       g_utf8_validate(id.p, (gssize)id.n, NULL);
+}
+
 static bool
 submit_is_sane(const Ogl__Submit *s, struct ogl_faults *f)
 {
@@ -670,9 +683,8 @@
 		    "processors (cpu_milli) or memory (mem_mb) above 0");
 	if (strlen(s->payload) > 4096)
 		ogl_faults_add(f, "payload", "", "at most 4096 bytes");
-	if (strlen(s->request_id) > 128 || strchr(s->request_id, '|') != NULL)
-		ogl_faults_add(f, "request_id", s->request_id,
-		    "at most 128 bytes without '|'");
+	if (!id_is_sane(ogl_str(s->request_id)))
+		ogl_faults_add(f, "request_id", s->request_id, ID_ALLOWED);
 	return ogl_faults_count(f) == 0;
 }
 
@@ -874,6 +886,26 @@
 	return true;
 }
 
+/* The id in the header; false after a refusal has been answered. */
+static bool
+check_id(struct ogl_node *n, const struct ogl_event *ev)
+{
+	struct ogl_faults *f;
+	char *id;
+
+	if (id_is_sane(ev->u.call.request_id))
+		return true;
+	f = ogl_faults_new();
+	id = ogl_str_dup(ev->u.call.request_id);
+	ogl_faults_add(f, "Idempotency-Key", id, ID_ALLOWED);
+	n->counters.bad_input++;
+	reply_text(n, ev->token, 422, OGL_NOT_RUN, 0,
+	    ogl_error_text("the request id is not valid", OGL_NOT_RUN, 0, f));
+	g_free(id);
+	ogl_faults_free(f);
+	return false;
+}
+
 static void
 answer_here(struct ogl_node *n, const struct ogl_event *ev,
     const struct call_row *row, const char *path, const char *arg)
@@ -921,7 +953,7 @@
 		    "the settings can't be confirmed, so no key counts");
 		goto out;
 	}
-	if (!check_key(n, ev, row->right, team))
+	if (!check_key(n, ev, row->right, team) || !check_id(n, ev))
 		goto out;
 	if (row->fn != NULL)
 		row->fn(n, ev, team, path, arg);
--- a/test/test_bad_input.cc
+++ b/test/test_bad_input.cc
@@ -536,6 +536,15 @@
 		 "Ogl-Timeout-Ms: 99999999999999999999\r\n",
 		 "Ogl-Idempotent: perhaps\r\n"})
 		ExpectRefused(Request("x", h), 400);
+	for (const std::string &id :
+	    {std::string(129, 'i'), std::string("a|b"), std::string("\xff")}) {
+		std::string h = "Idempotency-Key: " + id + "\r\n";
+
+		ExpectRefused(Request("x", h), 422);
+		ExpectRefused(Ask("POST", "/v1/jobs", victim,
+				  R"({"tasks":1,"res":{"cpu_milli":1}})", h),
+		    422);
+	}
 	EXPECT_EQ(431,
 	    Status(Request("x", "X: " + std::string(65536, 'h') + "\r\n")));
 	EXPECT_EQ(400, Status(Raw(http, "\x16\x03\x01 what is this\r\n\r\n")));
