--- a/src/shard.c
+++ b/src/shard.c
@@ -165,6 +165,10 @@
 	ogl_time contact = ogl_stream_current(sh->stream);
 	ogl_time until = contact + c->right_ms * OGL_MS;
 
+	/* Whoever is not named successor claims late, so where none is named
+	 * nobody need promise. */
+	if (sh->state->successors->len == 0)
+		until = contact + c->late_claim_ms * OGL_MS;
 	until = MAX(
 	    until, MIN(sh->promise_until, contact + c->late_claim_ms * OGL_MS));
 	return now <= until;
