--- a/src/follow.c
+++ b/src/follow.c
@@ -219,8 +219,11 @@
 		}
 		break;
 	case OGL__RECORD__BODY_SETTINGS_SNAP:
+		/* Its own age counts, not when we came to read it: nodes
+		 * that restart often would otherwise put the next one off
+		 * until retention has passed the last. */
 		f->edits_since = 0;
-		f->snap_at = now;
+		f->snap_at = MIN(now, (ogl_time)(r->at_ms * OGL_MS));
 		if (!f->complete)
 			load_snap(f, r->settings_snap, now);
 		break;
@@ -266,7 +269,6 @@
 	f->waiters = g_queue_new();
 	f->evicted =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	f->snap_at = now;
 	return f;
 }
 
@@ -390,6 +392,7 @@
 	struct rank_ctx *c = ctx;
 
 	if (p->fact->state == OGL__MEMBER_FACT__STATE__alive &&
+	    p->fact->log_age_ms == 0 &&
 	    !is_evicted(c->f, p->fact->name, p->fact->boot) &&
 	    ogl_member_rank(c->f->member, p->fact->name, SETTINGS_RANK) >
 		c->own)
