Let either of two racing edits win in the script

Which of them is first on the log is a matter of microseconds; that one is accepted and one refused, and that all nodes agree, is what has to hold.

--- a/test/test_cluster_scripts.cc
+++ b/test/test_cluster_scripts.cc
@@ -531,6 +531,20 @@
 		return std::to_string(n);
 	}
 
+	/* Of several calls, the least first. */
+	std::string statuses(const words &w)
+	{
+		std::vector<std::string> all;
+		std::string line;
+
+		for (size_t i = 1; i < w.size(); i++)
+			all.push_back(answer({"status", w[i]}));
+		std::sort(all.begin(), all.end());
+		for (const std::string &s : all)
+			line += (line.empty() ? "" : " ") + s;
+		return line;
+	}
+
 	std::string claims()
 	{
 		const char *p = fake_cluster_trace(c);
@@ -583,6 +597,13 @@
 		if (v == "running")
 			return std::to_string(
 			    fake_cluster_team_running(c, TEAM));
+		if (v == "statuses")
+			return statuses(w);
+		if (v == "agree")
+			return value(node(w[1]), w[3]) ==
+				       value(node(w[2]), w[3])
+				   ? "yes"
+				   : "no";
 		if (v == "claims")
 			return claims();
 		if (v == "on")
