--- a/src/follow.c
+++ b/src/follow.c
@@ -142,17 +142,56 @@
 	}
 }
 
-/* An edit, or an eviction not yet known by way of a snapshot. */
+/* Whether the edit that makes this version counted, by the audit trail. */
+static bool
+counted(const struct ogl_follow *f, uint64_t version)
+{
+	char *trail = ogl_settings_audit(f->settings, version);
+	char *word =
+	    g_strdup_printf("\"version\":%" G_GUINT64_FORMAT ",", version);
+	bool yes = trail != NULL && strstr(trail, word) != NULL;
+
+	g_free(word);
+	g_free(trail);
+	return yes;
+}
+
+/* An edit of our own that a snapshot got here before. */
+static void
+answer_known(struct ogl_follow *f, uint64_t version, ogl_time now)
+{
+	GError *error = NULL;
+
+	if (!counted(f, version))
+		g_set_error(&error, OGL_ERROR, OGL_ERROR_DENIED,
+		    "it had no effect: this node had been evicted, or another "
+		    "edit came first");
+	answer_waiter(f, version, error, now);
+	g_clear_error(&error);
+}
+
+/*
+ * An edit or an eviction not yet known by way of a snapshot.  One that a
+ * snapshot has covered must not be looked at again: whether its writer was
+ * evicted then can't be told from who is now, and the tree would come to
+ * differ from everybody else's, for good.
+ */
 static void
 apply_change(
     struct ogl_follow *f, const Ogl__Record *r, uint64_t offset, ogl_time now)
 {
-	if (r->body_case == OGL__RECORD__BODY_EDIT) {
+	bool edit = r->body_case == OGL__RECORD__BODY_EDIT;
+
+	if (offset + 1 <= f->change) {
+		if (edit && is_ours(f, r))
+			answer_known(f, offset + 1, now);
+		return;
+	}
+	if (edit)
 		apply_edit(f, r, offset, now);
-	} else if (offset + 1 > f->change) {
+	else
 		apply_evict(f, r->evict);
-		f->change = offset + 1;
-	}
+	f->change = offset + 1;
 }
 
 static void
--- a/test/fake_cluster.c
+++ b/test/fake_cluster.c
@@ -980,14 +980,24 @@
 	}
 }
 
-/* The pause, and its end in its time. */
+/* Unless the pause has been made longer meanwhile. */
+static void
+tell_resumed(struct fake_cluster *c, void *ctx)
+{
+	const struct slot *s = ctx;
+
+	if (s->node != NULL && s->paused == c->now)
+		fake_tell_node(
+		    c->history, s->name, HISTORY_NODE_RESUMED, c->now);
+}
+
 static void
 tell_pause(struct fake_cluster *c, uint32_t node)
 {
-	const struct slot *s = &c->slots[node];
+	struct slot *s = &c->slots[node];
 
 	fake_tell_node(c->history, s->name, HISTORY_NODE_PAUSED, c->now);
-	fake_tell_node(c->history, s->name, HISTORY_NODE_RESUMED, s->paused);
+	fake_cluster_at(c, s->paused, tell_resumed, s);
 }
 
 /* Sends what a step gave; true when the process has exited. */
@@ -1063,6 +1073,8 @@
 	}
 	if (ogl_settings_version(s->node->settings) != s->version) {
 		s->version = ogl_settings_version(s->node->settings);
+		note(c, "%s goes by settings %" G_GUINT64_FORMAT, s->name,
+		    s->version);
 		fake_tell_version(c->history, s->name, s->version, c->now);
 	}
 	plan_wake(c, node);
