Take lent room back for a team that lacks its share

Only the order of waiting work was fair: with tasks of a quarter of an hour a team that came back had to wait until some ended. Now, each second while something has waited 5 s, the shard pours its room down the tree of teams and takes restartable tasks of teams above their entitlement back, checkpoint first, stop when that is not obeyed.

Ruled out: throttle, since a throttled task holds its memory and, in placement, its whole room. A first rule that no giver may fall below its entitlement at all starved a team of one task between two teams each half a task above theirs (a test showed it); now the last gift may cross it, by at most half of what the taker lacks, so the least served team only gains.

--- a/orioleglade.h
+++ b/orioleglade.h
@@ -305,6 +305,7 @@
 	struct ogl_res res;   /* per task */
 	uint64_t declared_ms; /* 0 when not declared */
 	ogl_time since;       /* when it began to wait */
+	bool first; /* it was taken back: ahead of its team's like work */
 };
 
 struct ogl_queue_policy; /* table of function pointers, see src/queue.h */
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -28,6 +28,10 @@
 	X(ends, "task_ends_total", "tasks that ended, by any end")             \
 	X(lapses, "task_lapses_total", "tasks lost with their lease")          \
 	X(preempts, "task_stops_total", "tasks told to stop")                  \
+	X(lend_taken, "lent_taken_total",                                      \
+	    "tasks taken back from teams above their share")                   \
+	X(lend_lost_ms, "lent_lost_ms_total",                                  \
+	    "run time that tasks taken back had attained")                     \
 	X(syncs, "worker_syncs_total", "messages to workers")                  \
 	X(sync_fails, "worker_sync_failures_total",                            \
 	    "messages to workers left unanswered")                             \
--- a/src/queue_learned.c
+++ b/src/queue_learned.c
@@ -254,6 +254,16 @@
 	return &kind_rules[kind];
 }
 
+/* Work that was taken back goes right behind its team's short work.  It must
+ * not pass for short: it would overtake the team it had to make way for. */
+static uint32_t
+rank(struct team *t, const struct ogl_queue_item *it, ogl_time now)
+{
+	uint32_t level = rule_of(it)->rank(t, it, now);
+
+	return it->w.first ? MIN(level, t->all->short_level + 1) : level;
+}
+
 static void
 lane_update(struct team *t)
 {
@@ -312,7 +322,7 @@
 
 	if (!it->ranked) {
 		ogl_learn_pushed(t->learn, it->sort, now);
-		it->level = rule_of(it)->rank(t, it, now);
+		it->level = rank(t, it, now);
 		it->ranked = true;
 	}
 	it->aged = false;
@@ -339,7 +349,7 @@
 	for (int i = 0;; i++) {
 		uint32_t low = (uint32_t)__builtin_ctz(t->used);
 		struct ogl_queue_item *it = ogl_queue_heap_top(&t->level[low]);
-		uint32_t level = rule_of(it)->rank(t, it, now);
+		uint32_t level = rank(t, it, now);
 
 		if (level <= it->level || i == DEMOTE_MAX)
 			return it;
--- a/src/sched.c
+++ b/src/sched.c
@@ -28,6 +28,7 @@
 	sh->placer = ogl_place_init(ogl_random_next(&sh->env->rnd));
 	sh->queue =
 	    ogl_queue_init(&ogl_queue_learned, ogl_random_next(&sh->env->rnd));
+	sh->lend = ogl_lend_init();
 	sh->works =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	sh->held =
@@ -45,6 +46,7 @@
 	ogl_queue_end(sh->queue);
 	sh->placer = NULL;
 	sh->queue = NULL;
+	g_clear_pointer(&sh->lend, ogl_lend_end);
 	g_clear_pointer(&sh->works, g_hash_table_destroy);
 	g_clear_pointer(&sh->held, g_hash_table_destroy);
 	g_clear_pointer(&sh->requeue, g_ptr_array_unref);
@@ -150,8 +152,8 @@
 	       (team[n] == '\0' || team[n] == '/');
 }
 
-static void
-stop_one(struct ogl_shard *sh, struct ogl_job *j, uint32_t i,
+void
+ogl_sched_stop_task(struct ogl_shard *sh, struct ogl_job *j, uint32_t i,
     Ogl__StopMode mode, ogl_time now)
 {
 	struct ogl_task *t = &j->tasks[i];
@@ -195,7 +197,7 @@
 		struct ogl_tref *r = g_ptr_array_index(refs, i);
 		bool again = r->job->spec->restartable;
 
-		stop_one(sh, r->job, r->index,
+		ogl_sched_stop_task(sh, r->job, r->index,
 		    again ? OGL__STOP_MODE__checkpoint : OGL__STOP_MODE__stop,
 		    now);
 	}
@@ -230,6 +232,7 @@
 	struct ogl_shard *sh = ctx;
 
 	ogl_queue_team(sh->queue, team, view->share);
+	ogl_lend_share(sh->lend, team, view->share);
 }
 
 void
@@ -242,8 +245,8 @@
 
 /* ---- waiting ---------------------------------------------------------- */
 
-static void
-ask_of(const struct ogl_job *j, struct ogl_ask *a)
+void
+ogl_sched_ask_of(const struct ogl_job *j, struct ogl_ask *a)
 {
 	const Ogl__Res *r = j->spec->res;
 
@@ -282,7 +285,7 @@
 	struct ogl_ask ask;
 	int64_t *key = g_new(int64_t, 1);
 
-	ask_of(j, &ask);
+	ogl_sched_ask_of(j, &ask);
 	ref->job = j;
 	ref->index = index;
 	w.id = ++sh->next_work;
@@ -292,6 +295,7 @@
 	w.tasks = tasks;
 	w.res = ask.res;
 	w.declared_ms = j->spec->run_ms;
+	w.first = ogl_sched_was_taken(sh, j, index);
 	w.since = now;
 	if (j->accepted_ms < (uint64_t)(now / OGL_MS))
 		w.since = (ogl_time)j->accepted_ms * OGL_MS;
@@ -419,7 +423,7 @@
 
 	if (j->number == 0)
 		j->number = ++sh->job_number;
-	ask_of(j, &ask);
+	ogl_sched_ask_of(j, &ask);
 	if (!s->placed || !ogl_place_hold(sh->placer, s->place, &ask))
 		return false;
 	bind(sh, s, j, i, attempt, now);
@@ -452,7 +456,7 @@
 		return;
 	s = g_ptr_array_index(sh->sessions, t->worker);
 	remove_ref(s, j, i);
-	ask_of(j, &ask);
+	ogl_sched_ask_of(j, &ask);
 	if (s->placed)
 		ogl_place_free(sh->placer, s->place, &ask);
 	t->phase = OGL_TASK_WAITING;
@@ -473,7 +477,7 @@
     struct ogl_shard *sh, struct ogl_job *j, Ogl__StopMode mode, ogl_time now)
 {
 	for (uint32_t i = 0; i < j->ntasks; i++)
-		stop_one(sh, j, i, mode, now);
+		ogl_sched_stop_task(sh, j, i, mode, now);
 }
 
 /* ---- placing ---------------------------------------------------------- */
@@ -540,7 +544,7 @@
 	uint32_t k = 0;
 	bool ok;
 
-	ask_of(j, &ask);
+	ogl_sched_ask_of(j, &ask);
 	ok = ogl_place_gang(sh->placer, &ask, w->tasks, now, at);
 	if (!ok) {
 		ogl_place_reserve(sh->placer, j->number, &ask, w->tasks,
@@ -572,7 +576,7 @@
 		return false;
 	if (ref->job->spec->kind == OGL__KIND__gang)
 		return start_gang(sh, ref->job, w, now);
-	ask_of(ref->job, &ask);
+	ogl_sched_ask_of(ref->job, &ask);
 	if (!ogl_place_task(sh->placer, &ask, now, &place))
 		return false;
 	start_on(sh, ref->job, ref->index, place, w->id, now);
--- a/src/shard.c
+++ b/src/shard.c
@@ -898,6 +898,8 @@
 		ogl_sched_place(sh, now);
 		ogl_sessions_tick(sh, now);
 	}
+	if (now >= ogl_sched_lend_next(sh))
+		ogl_sched_lend(sh, now);
 }
 
 void
@@ -926,6 +928,7 @@
 		t = MIN(t, sh->next_limits);
 		t = MIN(t, ogl_escrow_next(sh));
 		t = MIN(t, ogl_sessions_next(sh));
+		t = MIN(t, ogl_sched_lend_next(sh));
 		if (sh->place_due)
 			t = 0;
 	}
--- a/src/shard_impl.h
+++ b/src/shard_impl.h
@@ -4,6 +4,7 @@
 #ifndef OGL_SHARD_IMPL_H
 #define OGL_SHARD_IMPL_H
 
+#include "lend.h"
 #include "shard.h"
 #include "stream.h"
 
@@ -92,6 +93,7 @@
 	uint32_t token_count;
 	struct ogl_place *placer;
 	struct ogl_queue *queue;
+	struct ogl_lend *lend;
 	GPtrArray *sessions;     /* struct ogl_session, by number */
 	GPtrArray *by_place;     /* struct ogl_session, by placer's number */
 	GHashTable *by_worker;   /* name -> struct ogl_session */
@@ -156,6 +158,17 @@
 void ogl_sched_limits(struct ogl_shard *sh, ogl_time now);
 /* Stops what is above a lowered limit. */
 uint64_t ogl_sched_held(const struct ogl_shard *sh, const char *team);
+void ogl_sched_stop_task(struct ogl_shard *sh, struct ogl_job *j, uint32_t i,
+    Ogl__StopMode mode, ogl_time now);
+void ogl_sched_ask_of(const struct ogl_job *j, struct ogl_ask *a);
+
+/* ---- sched_lend.c ----------------------------------------------------- */
+
+void ogl_sched_lend(struct ogl_shard *sh, ogl_time now);
+/* Takes lent room back where a team lacks its share. */
+ogl_time ogl_sched_lend_next(const struct ogl_shard *sh);
+bool ogl_sched_was_taken(
+    const struct ogl_shard *sh, const struct ogl_job *j, uint32_t i);
 
 /* ---- shardcall.c ------------------------------------------------------ */
 
