--- a/tools/cell.sh
+++ b/tools/cell.sh
@@ -65,7 +65,8 @@
 }
 
 cell_has_ports() {
-	[ "$(grep -c '^port ' "$cell_dir/$1.out")" -ge "$2" ]
+	[ -f "$cell_dir/$1.out" ] &&
+	    [ "$(grep -c '^port ' "$cell_dir/$1.out")" -ge "$2" ]
 }
 
 # cell_wait_ports NAME COUNT: until a stand-in has printed its ports.
