Take lent room back only for whom the queue would start next

Tasks end at random, and the queue shares by service received: room taken for a team that the queue owes nothing went to another at once.

--- a/src/lend.c
+++ b/src/lend.c
@@ -6,8 +6,8 @@
  * than it holds and waits for.  All is counted in dominant resources, parts
  * of the open workers' room.  A team above its entitlement holds lent room.
  *
- * Taking.  For work that waited longer than a bound, of a team below its
- * entitlement, the most behind first: if it fits into room that is free or
+ * Taking.  For work that waited longer than a bound, of a team that has been
+ * well below its entitlement for a while, and whose turn it is in the queue: if it fits into room that is free or
  * coming free, nothing is done.  Else, on each worker, tasks of teams above
  * their entitlement are gone through from the cheapest, newest first, until
  * the work fits, and those not needed are left out again; the worker where
@@ -37,10 +37,15 @@
 
 #define EVERY_MS 1000
 #define FULL 0.9             /* a shard that holds so much is full */
+#define SHORT 0.2            /* a team that lacks so much is short */
 #define BAND 0.05            /* a team so little short takes nothing */
 #define ROUND_MOST 0.1       /* part of all room taken in one round */
 #define ROUND_LOOKS 1000000  /* at tasks and workers, in one round */
 #define MISSES_MOST 8        /* of a team in one round */
+#define SHORT_MS 10000       /* for so long before it takes */
+#define SHORT_REGAINED 0.5   /* of what it lacked, by itself: no need */
+#define PAUSE_MS 3000        /* without a round: nothing is known */
+#define OTHERS_MOST 1        /* pieces of others passed in the queue */
 #define START_COST_S 5.0     /* what a start costs, so that fewer go */
 #define SERVICE_COST_S 1.0e6 /* services go last */
 #define GAVE_MS 30000        /* a team that gave does not take so long */
@@ -67,6 +72,9 @@
 	GPtrArray *children; /* struct node */
 	double weight;
 	ogl_time gave; /* when something was last taken from it, 0 never */
+	ogl_time short_since; /* 0 when it is not */
+	double short_has;     /* what it held then */
+	bool taking;
 	/* In this round: */
 	struct sum held;     /* without what is stopping */
 	struct sum all_held; /* with it */
@@ -99,7 +107,6 @@
 struct want {
 	struct ogl_lend_want w;
 	struct node *leaf;
-	double behind;
 };
 
 struct worker {
@@ -120,6 +127,7 @@
 	GHashTable *leaves; /* team path -> struct node */
 	GHashTable *taken;  /* id -> struct taken */
 	ogl_time next;
+	ogl_time decided; /* last round */
 	/* In this round: */
 	struct sum total;
 	GArray *workers;      /* struct worker */
@@ -803,42 +811,92 @@
 	g_array_free(room, TRUE);
 }
 
+/* A team that lacks a good part of its entitlement takes until it has nearly
+ * all; one that gets it back by itself soon enough takes nothing.  Tasks end
+ * at random: without this, most of what is taken would only smooth the ups
+ * and downs of teams that have their share over any half minute. */
+static void
+watch_leaf(struct node *n, ogl_time now)
+{
+	double regained = (n->has - n->short_has) / (n->ent - n->short_has);
+
+	if (n->has >= n->ent * (1 - BAND)) {
+		n->short_since = 0;
+		n->taking = false;
+	} else if (n->taking) {
+		return;
+	} else if (n->has >= n->ent * (1 - SHORT)) {
+		n->short_since = 0;
+	} else if (n->short_since == 0 || regained >= SHORT_REGAINED) {
+		n->short_since = now;
+		n->short_has = n->has;
+	} else if (now - n->short_since >= SHORT_MS * OGL_MS) {
+		n->taking = true;
+	}
+}
+
+static void
+watch(struct ogl_lend *l, ogl_time now)
+{
+	bool paused = now - l->decided > PAUSE_MS * OGL_MS;
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, l->leaves);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct node *n = v;
+
+		if (paused) {
+			n->short_since = 0;
+			n->taking = false;
+		}
+		watch_leaf(n, now);
+	}
+	l->decided = now;
+}
+
 static bool
 may_take(const struct want *k, ogl_time now)
 {
 	const struct node *leaf = k->leaf;
 
-	return now - k->w.since > OGL_LEND_BOUND_MS * OGL_MS &&
-	       leaf->has < leaf->ent * (1 - BAND) &&
+	return leaf->taking && now - k->w.since > OGL_LEND_BOUND_MS * OGL_MS &&
 	       (leaf->gave == 0 || now - leaf->gave > GAVE_MS * OGL_MS);
 }
 
 static gint
-most_behind(gconstpointer a, gconstpointer b)
+by_turn(gconstpointer a, gconstpointer b)
 {
 	const struct want *x = a, *y = b;
 
-	if (x->behind != y->behind)
-		return x->behind < y->behind ? -1 : 1;
-	return x->w.since < y->w.since ? -1 : x->w.since > y->w.since;
+	return x->w.turn < y->w.turn ? -1 : x->w.turn > y->w.turn;
 }
 
-/* Leaves only the work that may move others, in the order of serving. */
+/* Leaves only the work that may move others, in the order of turns.  What
+ * falls free goes to whose turn it is: behind several pieces of teams that
+ * may not take, room would be freed for those teams. */
 static void
 choose_wants(struct ogl_lend *l, ogl_time now)
 {
-	guint n = 0;
+	guint n = 0, kept = 0, others = 0;
 
 	for (guint i = 0; i < l->wants->len; i++) {
 		struct want *k = &g_array_index(l->wants, struct want, i);
 
-		if (!may_take(k, now))
-			continue;
-		k->behind = k->leaf->has / k->leaf->ent;
-		g_array_index(l->wants, struct want, n++) = *k;
+		if (k->w.turn != 0)
+			g_array_index(l->wants, struct want, n++) = *k;
 	}
 	g_array_set_size(l->wants, n);
-	g_array_sort(l->wants, most_behind);
+	g_array_sort(l->wants, by_turn);
+	for (guint i = 0; i < n && others < OTHERS_MOST; i++) {
+		struct want *k = &g_array_index(l->wants, struct want, i);
+
+		if (may_take(k, now))
+			g_array_index(l->wants, struct want, kept++) = *k;
+		else
+			others++;
+	}
+	g_array_set_size(l->wants, kept);
 }
 
 /* A worker that does not obey a checkpoint would keep the room for ever. */
@@ -865,6 +923,7 @@
 	double all = gather(l, l->root);
 
 	pour(l->root, MAX(all, FULL));
+	watch(l, now);
 	stop_disobedient(l, now);
 	choose_wants(l, now);
 	if (l->wants->len > 0)
--- a/src/lend.h
+++ b/src/lend.h
@@ -33,6 +33,8 @@
 	const char *team;
 	struct ogl_res res; /* per task */
 	uint32_t tasks;     /* a gang's size, else 1 */
+	uint32_t turn;      /* which of those whose turn came and that found
+			     * no room, from 1; 0: its turn did not come */
 	ogl_time since;
 };
 
--- a/src/sched.c
+++ b/src/sched.c
@@ -29,6 +29,7 @@
 	sh->queue =
 	    ogl_queue_init(&ogl_queue_learned, ogl_random_next(&sh->env->rnd));
 	sh->lend = ogl_lend_init();
+	sh->missed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	sh->works =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	sh->held =
@@ -47,6 +48,7 @@
 	sh->placer = NULL;
 	sh->queue = NULL;
 	g_clear_pointer(&sh->lend, ogl_lend_end);
+	g_clear_pointer(&sh->missed, g_array_unref);
 	g_clear_pointer(&sh->works, g_hash_table_destroy);
 	g_clear_pointer(&sh->held, g_hash_table_destroy);
 	g_clear_pointer(&sh->requeue, g_ptr_array_unref);
@@ -569,18 +571,23 @@
 	struct ogl_work_ref *ref = g_hash_table_lookup(sh->works, &key);
 	struct ogl_ask ask;
 	uint32_t place;
+	bool ok;
 
 	if (!ref->job->spec->restartable && !ogl_shard_log_up(sh, now))
 		return false;
 	if (!limits_allow(sh, ref->job->team, w->tasks))
 		return false;
-	if (ref->job->spec->kind == OGL__KIND__gang)
-		return start_gang(sh, ref->job, w, now);
-	ogl_sched_ask_of(ref->job, &ask);
-	if (!ogl_place_task(sh->placer, &ask, now, &place))
-		return false;
-	start_on(sh, ref->job, ref->index, place, w->id, now);
-	return true;
+	if (ref->job->spec->kind == OGL__KIND__gang) {
+		ok = start_gang(sh, ref->job, w, now);
+	} else {
+		ogl_sched_ask_of(ref->job, &ask);
+		ok = ogl_place_task(sh->placer, &ask, now, &place);
+		if (ok)
+			start_on(sh, ref->job, ref->index, place, w->id, now);
+	}
+	if (!ok)
+		g_array_append_val(sh->missed, w->id);
+	return ok;
 }
 
 void
@@ -592,6 +599,7 @@
 
 	sh->place_due = false;
 	ogl_queue_again(sh->queue, now);
+	g_array_set_size(sh->missed, 0);
 	while (placed < PLACE_MOST && misses < PLACE_MISSES &&
 	       ogl_queue_pop(sh->queue, now, &w)) {
 		if (start_work(sh, &w, now)) {
--- a/src/sched_lend.c
+++ b/src/sched_lend.c
@@ -130,7 +130,7 @@
 
 static void
 tell_want(struct ogl_shard *sh, const struct ogl_work_ref *ref, uint64_t work,
-    GHashTable *told, ogl_time now)
+    GHashTable *told, uint32_t turn, ogl_time now)
 {
 	const struct ogl_job *j = ref->job;
 	struct ogl_lend_want w = {.team = j->team, .tasks = 1};
@@ -147,6 +147,7 @@
 	within_limits(sh, told, j->team, w.tasks, true);
 	ogl_sched_ask_of(j, &ask);
 	w.res = ask.res;
+	w.turn = turn;
 	w.since = now;
 	/* The log may be damaged: a time to come could overflow. */
 	if (j->accepted_ms < (uint64_t)(now / OGL_MS))
@@ -154,17 +155,30 @@
 	ogl_lend_add_want(sh->lend, &w);
 }
 
+/* What has missed first, so that of a limited team it is told and not other
+ * work that the limit then leaves no place for. */
 static void
 tell_wants(struct ogl_shard *sh, ogl_time now)
 {
 	GHashTable *told =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	GHashTable *missed = g_hash_table_new(g_int64_hash, g_int64_equal);
 	GHashTableIter it;
 	void *k, *v;
 
+	for (guint i = 0; i < sh->missed->len; i++) {
+		k = &g_array_index(sh->missed, uint64_t, i);
+		v = g_hash_table_lookup(sh->works, k);
+		g_hash_table_add(missed, k);
+		if (v != NULL)
+			tell_want(sh, v, *(uint64_t *)k, told, i + 1, now);
+	}
 	g_hash_table_iter_init(&it, sh->works);
-	while (g_hash_table_iter_next(&it, &k, &v))
-		tell_want(sh, v, *(uint64_t *)k, told, now);
+	while (g_hash_table_iter_next(&it, &k, &v)) {
+		if (!g_hash_table_contains(missed, k))
+			tell_want(sh, v, *(uint64_t *)k, told, 0, now);
+	}
+	g_hash_table_destroy(missed);
 	g_hash_table_destroy(told);
 }
 
--- a/src/shard_impl.h
+++ b/src/shard_impl.h
@@ -94,13 +94,14 @@
 	struct ogl_place *placer;
 	struct ogl_queue *queue;
 	struct ogl_lend *lend;
-	GPtrArray *sessions;     /* struct ogl_session, by number */
-	GPtrArray *by_place;     /* struct ogl_session, by placer's number */
-	GHashTable *by_worker;   /* name -> struct ogl_session */
-	GHashTable *by_token;    /* token -> struct ogl_session */
-	GHashTable *works;       /* number -> struct ogl_work_ref */
-	GHashTable *held;        /* team path -> uint64_t * tasks placed */
-	GHashTable *submits;     /* job id -> GArray of waiters */
+	GArray *missed;        /* uint64_t, work that found no room, by turn */
+	GPtrArray *sessions;   /* struct ogl_session, by number */
+	GPtrArray *by_place;   /* struct ogl_session, by placer's number */
+	GHashTable *by_worker; /* name -> struct ogl_session */
+	GHashTable *by_token;  /* token -> struct ogl_session */
+	GHashTable *works;     /* number -> struct ogl_work_ref */
+	GHashTable *held;      /* team path -> uint64_t * tasks placed */
+	GHashTable *submits;   /* job id -> GArray of waiters */
 	GHashTable *pending_ids; /* request key -> job id, on its way */
 	GHashTable *referrals;   /* request key -> GArray of waiters */
 	GHashTable *cancels;     /* job id -> GArray of waiters */
