--- a/gen/ogl.pb-c.c
+++ b/gen/ogl.pb-c.c
@@ -4070,7 +4070,7 @@
   (ProtobufCMessageInit) ogl__task_intent__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__job_referred__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ogl__job_referred__field_descriptors[4] =
 {
   {
     "request",
@@ -4108,16 +4108,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refused",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__JobReferred, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__job_referred__field_indices_by_name[] = {
   2,   /* field[2] = at_ms */
+  3,   /* field[3] = refused */
   0,   /* field[0] = request */
   1,   /* field[1] = shard */
 };
 static const ProtobufCIntRange ogl__job_referred__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ogl__job_referred__descriptor =
 {
@@ -4127,7 +4140,7 @@
   "Ogl__JobReferred",
   "ogl",
   sizeof(Ogl__JobReferred),
-  3,
+  4,
   ogl__job_referred__field_descriptors,
   ogl__job_referred__field_indices_by_name,
   1,  ogl__job_referred__number_ranges,
@@ -5916,7 +5929,7 @@
   (ProtobufCMessageInit) ogl__probe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__forward__field_descriptors[11] =
+static const ProtobufCFieldDescriptor ogl__forward__field_descriptors[12] =
 {
   {
     "call",
@@ -6050,6 +6063,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "referred",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__Forward, referred),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__forward__field_indices_by_name[] = {
   7,   /* field[7] = body */
@@ -6057,6 +6082,7 @@
   0,   /* field[0] = call */
   2,   /* field[2] = method */
   3,   /* field[3] = path */
+  11,   /* field[11] = referred */
   10,   /* field[10] = refused_by */
   5,   /* field[5] = request_id */
   1,   /* field[1] = shard */
@@ -6067,7 +6093,7 @@
 static const ProtobufCIntRange ogl__forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor ogl__forward__descriptor =
 {
@@ -6077,7 +6103,7 @@
   "Ogl__Forward",
   "ogl",
   sizeof(Ogl__Forward),
-  11,
+  12,
   ogl__forward__field_descriptors,
   ogl__forward__field_indices_by_name,
   1,  ogl__forward__number_ranges,
--- a/gen/ogl.pb-c.h
+++ b/gen/ogl.pb-c.h
@@ -345,7 +345,11 @@
   char *zone;
   protobuf_c_boolean leaving;
   /*
-   * tasks holds every task on the worker
+   * tasks holds every task on the worker, ended ones not acknowledged yet
+   * included.  Otherwise only what changed since the report whose clock_ms
+   * the owner has echoed: an end told once is not told again at each sync, or
+   * reports would grow for as long as a log outage keeps the owner from
+   * acknowledging.
    */
   protobuf_c_boolean full;
   size_t n_tasks;
@@ -568,10 +572,14 @@
   char *request;
   uint32_t shard;
   uint64_t at_ms;
+  /*
+   * written by `shard`: it will never take this id's job
+   */
+  protobuf_c_boolean refused;
 };
 #define OGL__JOB_REFERRED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__job_referred__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Ogl__JobCancelled
@@ -982,10 +990,14 @@
    */
   uint32_t suggest;
   uint32_t refused_by;
+  /*
+   * by the home of the id to this shard
+   */
+  protobuf_c_boolean referred;
 };
 #define OGL__FORWARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__forward__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0 }
 
 
 struct  Ogl__ForwardReply
--- a/src/calls.c
+++ b/src/calls.c
@@ -229,6 +229,7 @@
 	q.budget_ms = (uint64_t)MAX((c->deadline - n->now) / OGL_MS, 1);
 	q.suggest = c->referred ? 0 : c->suggest;
 	q.refused_by = c->refused_by;
+	q.referred = c->referred;
 	ogl_shard_call(n->shards[shard], &q, n->now);
 }
 
@@ -252,6 +253,7 @@
 	f.budget_ms = (uint64_t)MAX((c->deadline - n->now) / OGL_MS, 1);
 	f.suggest = c->referred ? 0 : c->suggest;
 	f.refused_by = c->refused_by;
+	f.referred = c->referred;
 	msg.body_case = OGL__PEER_MSG__BODY_FORWARD;
 	msg.forward = &f;
 	ogl_member_send(n->member, p->fact->addr, &msg, n->out);
@@ -571,6 +573,7 @@
 	q.budget_ms = budget_ms;
 	q.suggest = f->suggest;
 	q.refused_by = f->refused_by;
+	q.referred = f->referred;
 	ogl_shard_call(n->shards[f->shard], &q, n->now);
 }
 
--- a/src/shard.h
+++ b/src/shard.h
@@ -35,6 +35,7 @@
 	uint64_t budget_ms;
 	uint32_t suggest;    /* shard + 1 that may take the submission */
 	uint32_t refused_by; /* shard + 1 that can never run it */
+	bool referred;       /* by the home of its id to this shard */
 };
 
 /* Answer to a submission that another shard is to take: between nodes only;
--- a/src/shardcall.c
+++ b/src/shardcall.c
@@ -35,6 +35,8 @@
 	UNHEARD_FAILS = 3 /* a worker silent so often is not waited for */
 };
 
+#define REFUSED_HERE "it can never run: its shard refused it for good"
+
 /* A short request on its way, by its id. */
 struct ogl_flight {
 	char *id;
@@ -365,14 +367,20 @@
 	GArray *w = g_hash_table_lookup(sh->referrals, r->request);
 
 	(void)now;
-	for (guint i = 0; w != NULL && i < w->len; i++)
-		reply_referral(sh, g_array_index(w, uint64_t, i), r->shard);
+	for (guint i = 0; w != NULL && i < w->len; i++) {
+		uint64_t waiter = g_array_index(w, uint64_t, i);
+
+		if (r->refused)
+			refuse(sh, waiter, 422, OGL_NOT_RUN, 0, REFUSED_HERE);
+		else
+			reply_referral(sh, waiter, r->shard);
+	}
 	g_hash_table_remove(sh->referrals, r->request);
 }
 
 static void
-record_referral(
-    struct ogl_shard *sh, const char *key, uint32_t shard, ogl_time now)
+record_referral(struct ogl_shard *sh, const char *key, uint32_t shard,
+    bool refused, ogl_time now)
 {
 	Ogl__Record *r = ogl_shard_record(sh, now);
 
@@ -381,6 +389,7 @@
 	ogl__job_referred__init(r->job_referred);
 	r->job_referred->request = strdup(key);
 	r->job_referred->shard = shard;
+	r->job_referred->refused = refused;
 	r->job_referred->at_ms = (uint64_t)(now / OGL_MS);
 	ogl_shard_append(sh, r, now);
 }
@@ -401,17 +410,57 @@
 		add_waiter(sh->referrals, key, c->waiter);
 	} else if (r != NULL && c->refused_by != r->shard + 1) {
 		reply_referral(sh, c->waiter, r->shard);
-	} else if (r == NULL && c->suggest == sh->index + 1) {
+	} else if (c->suggest == sh->index + 1) {
 		g_free(key);
 		return false;
 	} else {
 		add_waiter(sh->referrals, key, c->waiter);
-		record_referral(sh, key, c->suggest - 1, now);
+		record_referral(sh, key, c->suggest - 1, false, now);
 	}
 	g_free(key);
 	return true;
 }
 
+/*
+ * Whether this shard has refused the id before.  Its refusal must stand: the
+ * home has referred the id to another shard since, and a second caller may
+ * still come by the first referral.  Were the job taken here after all, say
+ * because a larger worker has come, one id would give two jobs.
+ */
+static bool
+refused_before(
+    struct ogl_shard *sh, const struct ogl_ask_call *c, const char *id)
+{
+	const Ogl__JobReferred *r;
+	char *key;
+	bool yes = true;
+
+	if (!c->referred)
+		return false;
+	key = ogl_request_key(c->team, id);
+	r = g_hash_table_lookup(sh->state->referred, key);
+	if (g_hash_table_contains(sh->referrals, key))
+		add_waiter(sh->referrals, key, c->waiter);
+	else if (r != NULL && r->refused)
+		refuse(sh, c->waiter, 422, OGL_NOT_RUN, 0, REFUSED_HERE);
+	else
+		yes = false;
+	g_free(key);
+	return yes;
+}
+
+/* Answers once the refusal is on the log. */
+static void
+refuse_for_good(struct ogl_shard *sh, const struct ogl_ask_call *c,
+    const char *id, ogl_time now)
+{
+	char *key = ogl_request_key(c->team, id);
+
+	add_waiter(sh->referrals, key, c->waiter);
+	record_referral(sh, key, sh->index, true, now);
+	g_free(key);
+}
+
 /* Whether something may yet turn up that the job would fit. */
 static bool
 workers_unsettled(const struct ogl_shard *sh)
@@ -448,7 +497,8 @@
 		    "the log can't be reached, so nothing is accepted");
 		goto out;
 	}
-	if (refer(sh, c, s->request_id, now))
+	if (refer(sh, c, s->request_id, now) ||
+	    refused_before(sh, c, s->request_id))
 		goto out;
 	if (ogl_queue_length(sh->queue) > MOST_WAITING) {
 		refuse(sh, c->waiter, 503, OGL_NOT_RUN, RETRY_FULL_MS,
@@ -461,6 +511,8 @@
 	if (why != NULL && workers_unsettled(sh))
 		refuse(sh, c->waiter, 503, OGL_NOT_RUN, RETRY_OWNER_MS,
 		    "the workers are not all known yet");
+	else if (why != NULL && c->referred)
+		refuse_for_good(sh, c, s->request_id, now);
 	else if (why != NULL)
 		refuse(sh, c->waiter, 422, OGL_NOT_RUN, 0, why);
 	else
--- a/test/fake_worker.c
+++ b/test/fake_worker.c
@@ -538,7 +538,7 @@
 		struct task *t = g_ptr_array_index(w->tasks, i);
 
 		learn_usage(t, now);
-		if (!full && task_live(t) && !t->unproven)
+		if (!full && !t->unproven)
 			continue;
 		r->tasks[r->n_tasks++] = task_message(t, now);
 		if (t->told_ms == 0 && later)
