--- a/bench/failover.py
+++ b/bench/failover.py
@@ -9,7 +9,7 @@
 import threading
 import time
 
-from cell import ask, counter
+from cell import ask
 
 bin_dir, cell_dir, platform, op, team_key = sys.argv[1:6]
 outage_s, runs = float(sys.argv[6]), int(sys.argv[7])
@@ -157,8 +157,16 @@
         "res": {"cpu_milli": 1000, "mem_mb": 64, "accel": 0}}), timeout=5)
 
 
-def ends():
-    return sum(counter(a, "task_ends_total") for a in nodes)
+def starts_between(a, b):
+    """Starts that workers saw between two times, a second."""
+    n = 0
+    with open(os.path.join(cell_dir, "workers.out")) as f:
+        ports = [line.split()[1] for line in f if line.startswith("port ")]
+    for port in ports:
+        v = json.loads(ask("127.0.0.1:" + port, "GET", "/counts")[1])
+        n += sum(e["event"] == "start" and a <= e["at_us"] / 1e6 < b
+                 for e in v["events"])
+    return n / (b - a)
 
 
 def platform_ctl(**order):
@@ -167,29 +175,30 @@
 
 
 def span(load, seconds):
-    """Requests asked for and run, and ends of tasks, in so many seconds."""
-    a = (load.sent, load.ran, ends())
-    began = time.monotonic()
+    """Requests asked for and run, and the time, over so many seconds."""
+    began = time.time()
+    sent, ran = load.sent, load.ran
     time.sleep(seconds)
-    s = time.monotonic() - began
-    b = (load.sent, load.ran, ends())
-    return b[0] - a[0], b[1] - a[1], (b[2] - a[2]) / s
+    return load.sent - sent, load.ran - ran, (began, time.time())
 
 
 def outage():
     # Work for the whole time at full use of the workers, over all shards.
+    # Run times differ, else tasks start in waves and a wave more or less at
+    # the edge of a span passes for a loss of several per cent.
     for i in range(48):
         status, text = submit(nodes[i % len(nodes)],
-                              int(24 * 16 * (outage_s + 25) / 48 * 2), 1000,
+                              int(24 * 16 * (outage_s + 35) / 48 * 2),
+                              700 + 13 * i,
                               "outage-%d" % i)
         if status != 202:
             fail("submission: %d %s" % (status, text))
     load = Load()
-    time.sleep(4)
-    sent0, ran0, starts0 = span(load, 8)
+    time.sleep(16)  # shards go back to a restarted node after ten seconds
+    sent0, ran0, span0 = span(load, 8)
     platform_ctl(outage=True)
     load.bad.clear()
-    sent1, ran1, starts1 = span(load, outage_s)
+    sent1, ran1, span1 = span(load, outage_s)
     refused = submit(nodes[0], 1, 1, "refused")[0]
     platform_ctl(outage=False)
     back = time.monotonic()
@@ -202,11 +211,13 @@
     recover = time.monotonic() - back
     load.stop()
     requests = 100 * (ran1 / sent1) / (ran0 / sent0)
+    starts0, starts1 = starts_between(*span0), starts_between(*span1)
     starts = 100 * starts1 / starts0
     print("outage_s %g s" % outage_s)
     print("outage_requests_served_pct %.2f %%" % requests)
     print("outage_starts_served_pct %.2f %%" % starts)
     print("outage_served_pct %.2f %%" % min(requests, starts))
+    print("outage_starts_before_per_s %.1f /s" % starts0)
     print("outage_starts_per_s %.1f /s" % starts1)
     print("recover_s %.2f s" % recover)
     if refused == 202:
@@ -286,13 +297,6 @@
     print("%s_most %s %s" % (name, form % max(took), unit), flush=True)
 
 
-if os.environ.get("TRACE"):
-    def step(fn):
-        def g(*a):
-            print(time.time(), fn.__name__, a, file=sys.stderr)
-            return fn(*a)
-        return g
-    cut, new_key, withdraw = step(cut), step(new_key), step(withdraw)
 many("config_in_force_ms", "ms", "%.0f", lambda i: config_in_force())
 many("key_withdrawn_ms", "ms", "%.0f", lambda i: key_withdrawn())
 many("key_withdrawn_cutoff_ms", "ms", "%.0f",
--- a/gen/ogl.pb-c.c
+++ b/gen/ogl.pb-c.c
@@ -4070,7 +4070,7 @@
   (ProtobufCMessageInit) ogl__task_intent__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__job_referred__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ogl__job_referred__field_descriptors[4] =
 {
   {
     "request",
@@ -4108,16 +4108,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refused",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__JobReferred, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__job_referred__field_indices_by_name[] = {
   2,   /* field[2] = at_ms */
+  3,   /* field[3] = refused */
   0,   /* field[0] = request */
   1,   /* field[1] = shard */
 };
 static const ProtobufCIntRange ogl__job_referred__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ogl__job_referred__descriptor =
 {
@@ -4127,14 +4140,14 @@
   "Ogl__JobReferred",
   "ogl",
   sizeof(Ogl__JobReferred),
-  3,
+  4,
   ogl__job_referred__field_descriptors,
   ogl__job_referred__field_indices_by_name,
   1,  ogl__job_referred__number_ranges,
   (ProtobufCMessageInit) ogl__job_referred__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__job_cancelled__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ogl__job_cancelled__field_descriptors[3] =
 {
   {
     "job",
@@ -4160,15 +4173,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reason",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__JobCancelled, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__job_cancelled__field_indices_by_name[] = {
   0,   /* field[0] = job */
+  2,   /* field[2] = reason */
   1,   /* field[1] = verdict */
 };
 static const ProtobufCIntRange ogl__job_cancelled__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ogl__job_cancelled__descriptor =
 {
@@ -4178,7 +4204,7 @@
   "Ogl__JobCancelled",
   "ogl",
   sizeof(Ogl__JobCancelled),
-  2,
+  3,
   ogl__job_cancelled__field_descriptors,
   ogl__job_cancelled__field_indices_by_name,
   1,  ogl__job_cancelled__number_ranges,
@@ -4569,7 +4595,7 @@
   (ProtobufCMessageInit) ogl__task_snap__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__job_snap__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ogl__job_snap__field_descriptors[6] =
 {
   {
     "job",
@@ -4631,8 +4657,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cancel_reason",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__JobSnap, cancel_reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__job_snap__field_indices_by_name[] = {
+  5,   /* field[5] = cancel_reason */
   3,   /* field[3] = cancel_verdict */
   1,   /* field[1] = cancelled */
   2,   /* field[2] = ended */
@@ -4642,7 +4681,7 @@
 static const ProtobufCIntRange ogl__job_snap__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ogl__job_snap__descriptor =
 {
@@ -4652,7 +4691,7 @@
   "Ogl__JobSnap",
   "ogl",
   sizeof(Ogl__JobSnap),
-  5,
+  6,
   ogl__job_snap__field_descriptors,
   ogl__job_snap__field_indices_by_name,
   1,  ogl__job_snap__number_ranges,
@@ -5890,7 +5929,7 @@
   (ProtobufCMessageInit) ogl__probe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__forward__field_descriptors[11] =
+static const ProtobufCFieldDescriptor ogl__forward__field_descriptors[12] =
 {
   {
     "call",
@@ -6024,6 +6063,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "referred",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__Forward, referred),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__forward__field_indices_by_name[] = {
   7,   /* field[7] = body */
@@ -6031,6 +6082,7 @@
   0,   /* field[0] = call */
   2,   /* field[2] = method */
   3,   /* field[3] = path */
+  11,   /* field[11] = referred */
   10,   /* field[10] = refused_by */
   5,   /* field[5] = request_id */
   1,   /* field[1] = shard */
@@ -6041,7 +6093,7 @@
 static const ProtobufCIntRange ogl__forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor ogl__forward__descriptor =
 {
@@ -6051,7 +6103,7 @@
   "Ogl__Forward",
   "ogl",
   sizeof(Ogl__Forward),
-  11,
+  12,
   ogl__forward__field_descriptors,
   ogl__forward__field_indices_by_name,
   1,  ogl__forward__number_ranges,
--- a/src/session.c
+++ b/src/session.c
@@ -138,6 +138,7 @@
 take_host(struct ogl_shard *sh, const struct ogl_host *h, ogl_time now)
 {
 	struct ogl_session *s = g_hash_table_lookup(sh->by_worker, h->name);
+	bool leaving;
 
 	if (s == NULL) {
 		if (!h->listed)
@@ -152,8 +153,11 @@
 		s->gone = false;
 		s->next_sync = now;
 	}
-	if (s->leaving != (h->leaving || !h->listed)) {
-		s->leaving = h->leaving || !h->listed;
+	/* The earliest sign counts: the list lags behind what the worker says
+	 * of itself, and must not open it again. */
+	leaving = h->leaving || !h->listed || s->says_leaving;
+	if (s->leaving != leaving) {
+		s->leaving = leaving;
 		set_open(sh, s);
 	}
 }
@@ -292,6 +296,8 @@
 add_starts(Ogl__WorkerSync *m, const struct ogl_session *s)
 {
 	m->start = calloc(s->tasks->len + 1, sizeof(void *));
+	if (s->leaving)
+		return;
 	for (guint i = 0; i < s->tasks->len; i++) {
 		const struct ogl_tref *ref = g_ptr_array_index(s->tasks, i);
 		struct ogl_task *t = &ref->job->tasks[ref->index];
@@ -628,7 +634,7 @@
 		if (!g_hash_table_contains(named, name)) {
 			if (t->running || (anew && t->sent))
 				lose_task(sh, &ref, now);
-			else if (t->stopping)
+			else if (t->stopping || s->leaving)
 				undo_start(sh, s, &ref, name, now);
 		}
 		g_free(name);
@@ -712,6 +718,7 @@
 	s->boot = r->boot;
 	s->clock_ms = r->clock_ms;
 	s->clock_at = now;
+	s->says_leaving = r->leaving;
 	s->leaving |= r->leaving;
 	take_capacity(sh, s, r);
 	for (size_t i = 0; i < r->n_tasks; i++)
@@ -792,6 +799,23 @@
 
 /* ---- time ------------------------------------------------------------- */
 
+/* What was bound to a worker before it was known to leave, and has not gone
+ * out yet, may not go there any more: it waits again, for another. */
+static void
+take_back_unsent(struct ogl_shard *sh, struct ogl_session *s, ogl_time now)
+{
+	for (guint i = s->tasks->len; i > 0; i--) {
+		struct ogl_tref ref =
+		    *(struct ogl_tref *)g_ptr_array_index(s->tasks, i - 1);
+		const struct ogl_task *t = &ref.job->tasks[ref.index];
+
+		if (t->sent || t->running || t->held)
+			continue;
+		ogl_sched_unbind(sh, ref.job, ref.index, true, now);
+		g_ptr_array_add(sh->requeue, ref.job);
+	}
+}
+
 static void
 session_tick(struct ogl_shard *sh, struct ogl_session *s, ogl_time now)
 {
@@ -799,8 +823,14 @@
 
 	if (end > 0 && now >= end && (s->known || s->on))
 		write_off(sh, s, now);
-	if (!s->on && !s->known && s->leaving && s->tasks->len == 0)
+	if (!s->on && !s->known && s->leaving && s->tasks->len == 0) {
 		s->gone = true;
+		/* Should the list show it as staying after all, its word of
+		 * before must not keep us from asking it anew. */
+		s->says_leaving = false;
+	}
+	if (s->leaving)
+		take_back_unsent(sh, s, now);
 	if (s->gone || s->token != 0 || now < s->next_sync)
 		return;
 	if (ogl_shard_may_act(sh, now))
--- a/src/shard.c
+++ b/src/shard.c
@@ -40,6 +40,7 @@
 	NAMED = 2,            /* successors named */
 	HOLD_MS = 3000,       /* a promise lasts so long */
 	PROMISE_EVERY_MS = 500,
+	HOPELESS_EVERY_MS = 10000, /* between looks for jobs past hope */
 	LIMITS_EVERY_MS = 250,
 	PROMISE_AFTER_MS = 700, /* without contact so long, ask for promises */
 	LOG_UP_MS = 1500        /* contact within this time: the log is up */
@@ -164,6 +165,10 @@
 	ogl_time contact = ogl_stream_current(sh->stream);
 	ogl_time until = contact + c->right_ms * OGL_MS;
 
+	/* Whoever is not named successor claims late, so where none is named
+	 * nobody need promise. */
+	if (sh->state->successors->len == 0)
+		until = contact + c->late_claim_ms * OGL_MS;
 	until = MAX(
 	    until, MIN(sh->promise_until, contact + c->late_claim_ms * OGL_MS));
 	return now <= until;
@@ -695,11 +700,14 @@
 wrote_since_death(
     const struct ogl_shard *sh, const struct ogl_peer *p, ogl_time now)
 {
-	ogl_time wrote = (ogl_time)sh->state->owner_ms * OGL_MS;
+	/* A record's time is its writer's word: it may be any number. */
+	uint64_t wrote = sh->state->owner_ms;
+	uint64_t at = (uint64_t)(now / OGL_MS);
+	uint64_t died = (uint64_t)(p->changed / OGL_MS);
 
 	return p->fact->state == OGL__MEMBER_FACT__STATE__dead &&
-	       wrote > p->changed + SKEW_MS * OGL_MS &&
-	       now - wrote < CONTESTED_MS * OGL_MS;
+	       wrote > died + SKEW_MS && wrote < at + CONTESTED_MS &&
+	       at < wrote + CONTESTED_MS;
 }
 
 /* The log names a live owner that gossip does not know as such: it may just
@@ -894,6 +902,10 @@
 		watch_rank(sh, now);
 		write_snapshot(sh, now);
 	}
+	if (now >= sh->next_hopeless) {
+		sh->next_hopeless = now + HOPELESS_EVERY_MS * OGL_MS;
+		ogl_shardcall_hopeless(sh, now);
+	}
 	if (sh->place_due && ogl_shard_may_act(sh, now)) {
 		ogl_sched_place(sh, now);
 		ogl_sessions_tick(sh, now);
--- a/src/shard_impl.h
+++ b/src/shard_impl.h
@@ -35,7 +35,8 @@
 	bool known;      /* it told all it runs, in this epoch */
 	bool want_full;  /* ask for a full report next */
 	bool leaving;
-	bool gone; /* no list names it and nothing is left there */
+	bool says_leaving; /* by its own newest report */
+	bool gone;         /* no list names it and nothing is left there */
 	uint64_t boot;
 	uint64_t clock_ms;  /* its clock, as last told */
 	ogl_time clock_at;  /* when that was received */
@@ -110,6 +111,7 @@
 	ogl_time next_hosts;
 	ogl_time sessions_due; /* no session has anything to do before */
 	ogl_time next_limits;
+	ogl_time next_hopeless;
 	bool place_due;     /* something changed: try to place */
 	GPtrArray *requeue; /* jobs with tasks that may wait again */
 	uint64_t nplaced;
@@ -179,6 +181,7 @@
 void ogl_shardcall_job(struct ogl_shard *sh, struct ogl_job *j, ogl_time now);
 void ogl_shardcall_cancelled(
     struct ogl_shard *sh, struct ogl_job *j, ogl_time now);
+void ogl_shardcall_hopeless(struct ogl_shard *sh, ogl_time now);
 void ogl_shardcall_referred(
     struct ogl_shard *sh, const Ogl__JobReferred *r, ogl_time now);
 void ogl_shardcall_id(struct ogl_shard *sh, struct ogl_idrec *r, ogl_time now);
--- a/src/shardcall.c
+++ b/src/shardcall.c
@@ -31,9 +31,12 @@
 	RETRY_OWNER_MS = 300,  /* come back when an owner may be there */
 	RETRY_LOG_MS = 1000,   /* come back when the log may be up */
 	RETRY_FULL_MS = 5000,
+	HOPELESS_S = 60,  /* without any worker that could hold it */
 	UNHEARD_FAILS = 3 /* a worker silent so often is not waited for */
 };
 
+#define REFUSED_HERE "it can never run: its shard refused it for good"
+
 /* A short request on its way, by its id. */
 struct ogl_flight {
 	char *id;
@@ -364,14 +367,20 @@
 	GArray *w = g_hash_table_lookup(sh->referrals, r->request);
 
 	(void)now;
-	for (guint i = 0; w != NULL && i < w->len; i++)
-		reply_referral(sh, g_array_index(w, uint64_t, i), r->shard);
+	for (guint i = 0; w != NULL && i < w->len; i++) {
+		uint64_t waiter = g_array_index(w, uint64_t, i);
+
+		if (r->refused)
+			refuse(sh, waiter, 422, OGL_NOT_RUN, 0, REFUSED_HERE);
+		else
+			reply_referral(sh, waiter, r->shard);
+	}
 	g_hash_table_remove(sh->referrals, r->request);
 }
 
 static void
-record_referral(
-    struct ogl_shard *sh, const char *key, uint32_t shard, ogl_time now)
+record_referral(struct ogl_shard *sh, const char *key, uint32_t shard,
+    bool refused, ogl_time now)
 {
 	Ogl__Record *r = ogl_shard_record(sh, now);
 
@@ -380,6 +389,7 @@
 	ogl__job_referred__init(r->job_referred);
 	r->job_referred->request = strdup(key);
 	r->job_referred->shard = shard;
+	r->job_referred->refused = refused;
 	r->job_referred->at_ms = (uint64_t)(now / OGL_MS);
 	ogl_shard_append(sh, r, now);
 }
@@ -400,17 +410,57 @@
 		add_waiter(sh->referrals, key, c->waiter);
 	} else if (r != NULL && c->refused_by != r->shard + 1) {
 		reply_referral(sh, c->waiter, r->shard);
-	} else if (r == NULL && c->suggest == sh->index + 1) {
+	} else if (c->suggest == sh->index + 1) {
 		g_free(key);
 		return false;
 	} else {
 		add_waiter(sh->referrals, key, c->waiter);
-		record_referral(sh, key, c->suggest - 1, now);
+		record_referral(sh, key, c->suggest - 1, false, now);
 	}
 	g_free(key);
 	return true;
 }
 
+/*
+ * Whether this shard has refused the id before.  Its refusal must stand: the
+ * home has referred the id to another shard since, and a second caller may
+ * still come by the first referral.  Were the job taken here after all, say
+ * because a larger worker has come, one id would give two jobs.
+ */
+static bool
+refused_before(
+    struct ogl_shard *sh, const struct ogl_ask_call *c, const char *id)
+{
+	const Ogl__JobReferred *r;
+	char *key;
+	bool yes = true;
+
+	if (!c->referred)
+		return false;
+	key = ogl_request_key(c->team, id);
+	r = g_hash_table_lookup(sh->state->referred, key);
+	if (g_hash_table_contains(sh->referrals, key))
+		add_waiter(sh->referrals, key, c->waiter);
+	else if (r != NULL && r->refused)
+		refuse(sh, c->waiter, 422, OGL_NOT_RUN, 0, REFUSED_HERE);
+	else
+		yes = false;
+	g_free(key);
+	return yes;
+}
+
+/* Answers once the refusal is on the log. */
+static void
+refuse_for_good(struct ogl_shard *sh, const struct ogl_ask_call *c,
+    const char *id, ogl_time now)
+{
+	char *key = ogl_request_key(c->team, id);
+
+	add_waiter(sh->referrals, key, c->waiter);
+	record_referral(sh, key, sh->index, true, now);
+	g_free(key);
+}
+
 /* Whether something may yet turn up that the job would fit. */
 static bool
 workers_unsettled(const struct ogl_shard *sh)
@@ -447,7 +497,8 @@
 		    "the log can't be reached, so nothing is accepted");
 		goto out;
 	}
-	if (refer(sh, c, s->request_id, now))
+	if (refer(sh, c, s->request_id, now) ||
+	    refused_before(sh, c, s->request_id))
 		goto out;
 	if (ogl_queue_length(sh->queue) > MOST_WAITING) {
 		refuse(sh, c->waiter, 503, OGL_NOT_RUN, RETRY_FULL_MS,
@@ -460,6 +511,8 @@
 	if (why != NULL && workers_unsettled(sh))
 		refuse(sh, c->waiter, 503, OGL_NOT_RUN, RETRY_OWNER_MS,
 		    "the workers are not all known yet");
+	else if (why != NULL && c->referred)
+		refuse_for_good(sh, c, s->request_id, now);
 	else if (why != NULL)
 		refuse(sh, c->waiter, 422, OGL_NOT_RUN, 0, why);
 	else
@@ -535,19 +588,13 @@
 	return !j->inherited;
 }
 
+/* Ends the job by a record; a reason tells that its caller did not ask. */
 static void
-call_cancel(struct ogl_shard *sh, const struct ogl_ask_call *c,
-    struct ogl_job *j, ogl_time now)
+record_cancel(
+    struct ogl_shard *sh, struct ogl_job *j, const char *reason, ogl_time now)
 {
 	Ogl__Record *r;
 
-	if (ogl_job_ended(j)) {
-		reply_job(sh, c->waiter, 200, j, false);
-		return;
-	}
-	add_waiter(sh->cancels, j->id, c->waiter);
-	if (j->cancelling)
-		return;
 	/* From here on nothing of it is started, so not_run stays true. */
 	j->cancelling = true;
 	ogl_sched_unqueue(sh, j);
@@ -556,12 +603,53 @@
 	r->job_cancelled = malloc(sizeof *r->job_cancelled);
 	ogl__job_cancelled__init(r->job_cancelled);
 	r->job_cancelled->job = strdup(j->id);
+	r->job_cancelled->reason = strdup(reason);
 	r->job_cancelled->verdict = never_started(sh, j)
 					? OGL__VERDICT__not_run
 					: OGL__VERDICT__may_have_run;
 	ogl_shard_append(sh, r, now);
 }
 
+static void
+call_cancel(struct ogl_shard *sh, const struct ogl_ask_call *c,
+    struct ogl_job *j, ogl_time now)
+{
+	if (ogl_job_ended(j)) {
+		reply_job(sh, c->waiter, 200, j, false);
+		return;
+	}
+	add_waiter(sh->cancels, j->id, c->waiter);
+	if (!j->cancelling)
+		record_cancel(sh, j, "", now);
+}
+
+/* Ends jobs that no worker of the shard has been able to hold for a while:
+ * their callers would wait for ever, and know better where else to go. */
+void
+ogl_shardcall_hopeless(struct ogl_shard *sh, ogl_time now)
+{
+	GHashTableIter it;
+	void *v;
+
+	if (workers_unsettled(sh) || !ogl_shard_log_up(sh, now))
+		return;
+	g_hash_table_iter_init(&it, sh->state->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct ogl_job *j = v;
+		const char *why;
+
+		if (ogl_job_ended(j) || j->cancelling || j->nplaced > 0)
+			continue;
+		why = never_reason(sh, j->spec);
+		if (why == NULL)
+			j->never_since = 0;
+		else if (j->never_since == 0)
+			j->never_since = now;
+		else if (now - j->never_since >= HOPELESS_S * OGL_SEC)
+			record_cancel(sh, j, why, now);
+	}
+}
+
 void
 ogl_shardcall_cancelled(struct ogl_shard *sh, struct ogl_job *j, ogl_time now)
 {
