--- a/test/fake_check.c
+++ b/check/check.c
@@ -6,9 +6,9 @@
 #include <stdarg.h>
 #include <string.h>
 
-#include "fake_check_index.h"
+#include "check_index.h"
 
-const struct fake_check_point fake_check_points[] = {
+const struct ogl_check_point ogl_check_points[] = {
     {"overfull", "no host is given more than it holds", check_overfull},
     {"two_places", "no task runs in two places at once", check_two_places},
     {"key", "work runs only for the team whose key came with it", check_key},
@@ -26,7 +26,7 @@
 };
 
 void
-fake_check_times_default(struct fake_check_times *t)
+ogl_check_times_default(struct ogl_check_times *t)
 {
 	t->withdrawn = 3 * OGL_SEC;
 	t->lowered = 5 * OGL_SEC;
@@ -35,19 +35,19 @@
 	t->settle = 5 * OGL_SEC;
 }
 
-struct fake_check *
-fake_check_run(struct fake_history *h, const struct fake_check_times *t)
+struct ogl_check *
+ogl_check_run(struct ogl_history *h, const struct ogl_check_times *t)
 {
-	struct fake_check *c = g_new0(struct fake_check, 1);
+	struct ogl_check *c = g_new0(struct ogl_check, 1);
 
-	fake_history_sort(h);
+	ogl_history_sort(h);
 	c->times = *t;
 	c->history = h;
-	c->ev = fake_history_events(h, &c->n);
+	c->ev = ogl_history_events(h, &c->n);
 	c->findings =
-	    g_array_new(FALSE, FALSE, sizeof(struct fake_check_finding));
+	    g_array_new(FALSE, FALSE, sizeof(struct ogl_check_finding));
 	check_index(c);
-	for (c->point = fake_check_points; c->point->name != NULL; c->point++) {
+	for (c->point = ogl_check_points; c->point->name != NULL; c->point++) {
 		c->found = 0;
 		c->point->check(c);
 	}
@@ -55,13 +55,13 @@
 }
 
 void
-fake_check_end(struct fake_check *c)
+ogl_check_end(struct ogl_check *c)
 {
 	if (c == NULL)
 		return;
 	for (guint i = 0; i < c->findings->len; i++) {
-		struct fake_check_finding *f =
-		    &g_array_index(c->findings, struct fake_check_finding, i);
+		struct ogl_check_finding *f =
+		    &g_array_index(c->findings, struct ogl_check_finding, i);
 
 		g_ptr_array_free(f->lines, TRUE);
 		g_free(f->text);
@@ -72,16 +72,16 @@
 }
 
 bool
-fake_check_whole(const struct fake_check *c)
+ogl_check_whole(const struct ogl_check *c)
 {
 	return c->over != NULL;
 }
 
-const struct fake_check_finding *
-fake_check_findings(const struct fake_check *c, size_t *n)
+const struct ogl_check_finding *
+ogl_check_findings(const struct ogl_check *c, size_t *n)
 {
 	*n = c->findings->len;
-	return (const struct fake_check_finding *)(void *)c->findings->data;
+	return (const struct ogl_check_finding *)(void *)c->findings->data;
 }
 
 GPtrArray *
@@ -109,9 +109,9 @@
 }
 
 void
-check_find(struct fake_check *c, GPtrArray *lines, const char *format, ...)
+check_find(struct ogl_check *c, GPtrArray *lines, const char *format, ...)
 {
-	struct fake_check_finding f = {c->point, NULL, lines};
+	struct ogl_check_finding f = {c->point, NULL, lines};
 	va_list args;
 
 	if (++c->found > FAKE_CHECK_MAX) {
@@ -132,22 +132,22 @@
 }
 
 char *
-fake_check_report(const struct fake_check *c)
+ogl_check_report(const struct ogl_check *c)
 {
 	GString *s = g_string_new(NULL);
 
 	for (guint i = 0; i < c->findings->len; i++) {
-		const struct fake_check_finding *f =
-		    &g_array_index(c->findings, struct fake_check_finding, i);
+		const struct ogl_check_finding *f =
+		    &g_array_index(c->findings, struct ogl_check_finding, i);
 
 		g_string_append_printf(s, "%s: %s (%s)\n", f->point->name,
 		    f->text, f->point->rule);
 		for (guint k = 0; k < f->lines->len; k++) {
 			const event *ev = g_ptr_array_index(f->lines, k);
-			char *text = fake_history_print(ev);
+			char *text = ogl_history_print(ev);
 
 			g_string_append_printf(s, "  %s:%u: %s\n",
-			    fake_history_file(c->history, ev->file), ev->line,
+			    ogl_history_file(c->history, ev->file), ev->line,
 			    text);
 			g_free(text);
 		}
--- a/test/fake_check_calls.c
+++ b/check/check_calls.c
@@ -4,7 +4,7 @@
 
 #include <string.h>
 
-#include "fake_check_index.h"
+#include "check_index.h"
 
 static const struct call *
 call_at(const GPtrArray *list, guint i)
@@ -53,7 +53,7 @@
 /* ---- keys -------------------------------------------------------------- */
 
 static void
-check_run_teams(struct fake_check *c, const struct request *r)
+check_run_teams(struct ogl_check *c, const struct request *r)
 {
 	for (guint i = 0; i < r->runs->len; i++) {
 		const event *run = g_ptr_array_index(r->runs, i);
@@ -70,7 +70,7 @@
 }
 
 static void
-check_job_team(struct fake_check *c, const struct job *j)
+check_job_team(struct ogl_check *c, const struct job *j)
 {
 	if (j->submit == NULL || j->started == NULL ||
 	    j->submit->u.call.team[0] == '\0' ||
@@ -83,7 +83,7 @@
 
 /* A run that only this call can have brought about; NULL when none. */
 static const event *
-own_run(const struct fake_check *c, const struct call *k)
+own_run(const struct ogl_check *c, const struct call *k)
 {
 	const struct request *r =
 	    g_hash_table_lookup(c->requests, k->sent->u.call.body);
@@ -95,7 +95,7 @@
 }
 
 static void
-check_withdrawn(struct fake_check *c, const event *edit)
+check_withdrawn(struct ogl_check *c, const event *edit)
 {
 	for (guint i = 0; i < c->call_list->len; i++) {
 		const struct call *k = call_at(c->call_list, i);
@@ -116,7 +116,7 @@
 }
 
 void
-check_key(struct fake_check *c)
+check_key(struct ogl_check *c)
 {
 	for (guint i = 0; c->call_list->len > 0 && i < c->request_list->len;
 	     i++)
@@ -150,7 +150,7 @@
 }
 
 static void
-check_one_answer(struct fake_check *c, const event *ev)
+check_one_answer(struct ogl_check *c, const event *ev)
 {
 	const struct call *k = g_hash_table_lookup(c->calls, ev->u.answer.call);
 
@@ -178,7 +178,7 @@
 
 /* Two submits that are not one request have two jobs. */
 static void
-check_job_answer(struct fake_check *c, const struct call *k)
+check_job_answer(struct ogl_check *c, const struct call *k)
 {
 	const struct job *j;
 
@@ -192,7 +192,7 @@
 }
 
 void
-check_answer(struct fake_check *c)
+check_answer(struct ogl_check *c)
 {
 	for (size_t i = 0; i < c->n; i++) {
 		const event *ev = &c->ev[i];
@@ -215,7 +215,7 @@
 /* ---- verdicts ---------------------------------------------------------- */
 
 void
-check_not_run(struct fake_check *c)
+check_not_run(struct ogl_check *c)
 {
 	for (guint i = 0; i < c->request_list->len; i++) {
 		const struct request *r = g_ptr_array_index(c->request_list, i);
@@ -243,7 +243,7 @@
 }
 
 void
-check_once(struct fake_check *c)
+check_once(struct ogl_check *c)
 {
 	for (guint i = 0; i < c->request_list->len; i++) {
 		const struct request *r = g_ptr_array_index(c->request_list, i);
@@ -264,7 +264,7 @@
 /* ---- lost and doubled -------------------------------------------------- */
 
 static void
-check_call_lost(struct fake_check *c, const struct call *k)
+check_call_lost(struct ogl_check *c, const struct call *k)
 {
 	const struct request *r =
 	    g_hash_table_lookup(c->requests, k->sent->u.call.body);
@@ -281,7 +281,7 @@
 }
 
 static void
-check_job_lost(struct fake_check *c, const struct job *j)
+check_job_lost(struct ogl_check *c, const struct job *j)
 {
 	if (j->told == NULL)
 		return;
@@ -300,7 +300,7 @@
 }
 
 static void
-check_job_doubled(struct fake_check *c, GHashTable *by_id, const struct call *k)
+check_job_doubled(struct ogl_check *c, GHashTable *by_id, const struct call *k)
 {
 	char *id;
 	const event *first;
@@ -321,7 +321,7 @@
 }
 
 static void
-check_success(struct fake_check *c, GHashTable *by_task, const event *ev)
+check_success(struct ogl_check *c, GHashTable *by_task, const event *ev)
 {
 	const event *first;
 
@@ -336,7 +336,7 @@
 }
 
 void
-check_lost(struct fake_check *c)
+check_lost(struct ogl_check *c)
 {
 	GHashTable *by_id =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/test/fake_check_index.c
+++ b/check/check_index.c
@@ -7,7 +7,7 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include "fake_check_index.h"
+#include "check_index.h"
 
 /* Finds or makes the entry of a table; new ones also go on the list. */
 static void *
@@ -24,7 +24,7 @@
 }
 
 static struct request *
-request_of(struct fake_check *c, const char *body)
+request_of(struct ogl_check *c, const char *body)
 {
 	struct request *r =
 	    entry(c->requests, c->request_list, body, sizeof(*r));
@@ -48,7 +48,7 @@
 
 /* The job of a task named <job>.<index>. */
 static struct job *
-job_of_task(struct fake_check *c, const char *task)
+job_of_task(struct ogl_check *c, const char *task)
 {
 	const char *dot = strrchr(task, '.');
 	char *name = dot != NULL ? g_strndup(task, (gsize)(dot - task)) : NULL;
@@ -60,7 +60,7 @@
 }
 
 static void
-add_call(struct fake_check *c, const event *ev)
+add_call(struct ogl_check *c, const event *ev)
 {
 	struct call *k =
 	    entry(c->calls, c->call_list, ev->u.call.call, sizeof(*k));
@@ -73,7 +73,7 @@
 }
 
 static void
-add_job(struct fake_check *c, const event *ev)
+add_job(struct ogl_check *c, const event *ev)
 {
 	struct job *j = entry(c->jobs, c->job_list, ev->u.job.job, sizeof(*j));
 	struct call *k = g_hash_table_lookup(c->calls, ev->u.job.call);
@@ -112,7 +112,7 @@
 }
 
 static void
-add_start(struct fake_check *c, GHashTable *open, const event *ev)
+add_start(struct ogl_check *c, GHashTable *open, const event *ev)
 {
 	struct span *s = g_new0(struct span, 1);
 
@@ -155,7 +155,7 @@
 }
 
 static void
-add_mark(struct fake_check *c, ogl_time at, enum mark_type type,
+add_mark(struct ogl_check *c, ogl_time at, enum mark_type type,
     const struct span *span, const event *ev)
 {
 	struct mark m = {at, type, span, ev};
@@ -177,7 +177,7 @@
 /* A start at the very time of an end elsewhere does not overlap it, so ends
  * count first, and a span without length does not count at all. */
 static void
-make_marks(struct fake_check *c)
+make_marks(struct ogl_check *c)
 {
 	for (guint i = 0; i < c->spans->len; i++) {
 		const struct span *s = g_ptr_array_index(c->spans, i);
@@ -210,7 +210,7 @@
 /* ---- nodes ------------------------------------------------------------- */
 
 static void
-outage_begin(struct fake_check *c, enum outage_type type, const char *who,
+outage_begin(struct ogl_check *c, enum outage_type type, const char *who,
     const event *ev)
 {
 	struct outage o = {type, who, ev, ev->at, OGL_NEVER, OGL_NEVER};
@@ -220,7 +220,7 @@
 
 /* Ends the node's open outages; only its pauses when it was resumed. */
 static void
-node_back(struct fake_check *c, const event *ev)
+node_back(struct ogl_check *c, const event *ev)
 {
 	bool resumed = ev->u.node.state == HISTORY_NODE_RESUMED;
 	bool seen = false;
@@ -245,7 +245,7 @@
 
 /* A stop ends with the process, be it by itself or killed. */
 static void
-node_exited(struct fake_check *c, const event *ev)
+node_exited(struct ogl_check *c, const event *ev)
 {
 	for (guint i = 0; i < c->outages->len; i++) {
 		struct outage *o = &g_array_index(c->outages, struct outage, i);
@@ -257,7 +257,7 @@
 }
 
 static void
-add_node(struct fake_check *c, const event *ev)
+add_node(struct ogl_check *c, const event *ev)
 {
 	const char *node = ev->u.node.node;
 
@@ -281,7 +281,7 @@
 }
 
 static void
-add_fault(struct fake_check *c, const event *ev)
+add_fault(struct ogl_check *c, const event *ev)
 {
 	if (ev->u.fault.on) {
 		outage_begin(c, OUTAGE_FAULT, ev->u.fault.who, ev);
@@ -300,7 +300,7 @@
 /* ---- the pass ---------------------------------------------------------- */
 
 static void
-add_event(struct fake_check *c, GHashTable *open, const event *ev)
+add_event(struct ogl_check *c, GHashTable *open, const event *ev)
 {
 	struct call *k;
 
@@ -349,7 +349,7 @@
 }
 
 void
-check_index(struct fake_check *c)
+check_index(struct ogl_check *c)
 {
 	GHashTable *open =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -371,7 +371,7 @@
 }
 
 void
-check_index_end(struct fake_check *c)
+check_index_end(struct ogl_check *c)
 {
 	g_hash_table_destroy(c->calls);
 	g_hash_table_destroy(c->requests);
--- a/test/fake_check_index.h
+++ b/check/check_index.h
@@ -3,10 +3,10 @@
  * task, job and node.  Everything points into the history.
  */
 
-#ifndef FAKE_CHECK_INDEX_H
-#define FAKE_CHECK_INDEX_H
+#ifndef OGL_CHECK_INDEX_H
+#define OGL_CHECK_INDEX_H
 
-#include "fake_check.h"
+#include "check.h"
 
 typedef struct history_event event;
 
@@ -73,9 +73,9 @@
 	ogl_time to;
 };
 
-struct fake_check {
-	struct fake_check_times times;
-	const struct fake_history *history;
+struct ogl_check {
+	struct ogl_check_times times;
+	const struct ogl_history *history;
 	const event *ev;
 	size_t n;
 	ogl_time end;      /* time of the last event */
@@ -91,33 +91,33 @@
 	GPtrArray *spans;
 	GArray *marks;
 	GArray *outages;
-	const struct fake_check_point *point; /* under way */
-	size_t found;                         /* at this point */
+	const struct ogl_check_point *point; /* under way */
+	size_t found;                        /* at this point */
 	GArray *findings;
 };
 
-void check_index(struct fake_check *c);
-void check_index_end(struct fake_check *c);
+void check_index(struct ogl_check *c);
+void check_index_end(struct ogl_check *c);
 
 GPtrArray *check_lines(const event *first, ...) G_GNUC_NULL_TERMINATED;
 /* A list of the events up to NULL. */
 
-void check_find(struct fake_check *c, GPtrArray *lines, const char *format, ...)
+void check_find(struct ogl_check *c, GPtrArray *lines, const char *format, ...)
     G_GNUC_PRINTF(3, 4);
 /* Adds a finding at the point under way; takes the lines. */
 
 bool check_answered(const struct call *k, enum history_verdict v);
 
-void check_overfull(struct fake_check *c);
-void check_two_places(struct fake_check *c);
-void check_key(struct fake_check *c);
-void check_limit(struct fake_check *c);
-void check_answer(struct fake_check *c);
-void check_not_run(struct fake_check *c);
-void check_once(struct fake_check *c);
-void check_leaving(struct fake_check *c);
-void check_stop(struct fake_check *c);
-void check_settings(struct fake_check *c);
-void check_lost(struct fake_check *c);
+void check_overfull(struct ogl_check *c);
+void check_two_places(struct ogl_check *c);
+void check_key(struct ogl_check *c);
+void check_limit(struct ogl_check *c);
+void check_answer(struct ogl_check *c);
+void check_not_run(struct ogl_check *c);
+void check_once(struct ogl_check *c);
+void check_leaving(struct ogl_check *c);
+void check_stop(struct ogl_check *c);
+void check_settings(struct ogl_check *c);
+void check_lost(struct ogl_check *c);
 
 #endif
--- a/test/fake_check_nodes.c
+++ b/check/check_nodes.c
@@ -6,10 +6,10 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include "fake_check_index.h"
+#include "check_index.h"
 
 static const struct outage *
-outage_at(const struct fake_check *c, guint i)
+outage_at(const struct ogl_check *c, guint i)
 {
 	return &g_array_index(c->outages, struct outage, i);
 }
@@ -21,7 +21,7 @@
 /* When an outage no longer explains a broken call.  A killed node breaks
  * what it had at that time, and nothing more until it is back. */
 static ogl_time
-excuses_until(const struct fake_check *c, const struct outage *o)
+excuses_until(const struct ogl_check *c, const struct outage *o)
 {
 	ogl_time to = o->type == OUTAGE_KILL ? o->from : o->to;
 
@@ -30,7 +30,7 @@
 
 /* Whether something else than a planned stop can have broken the call. */
 static bool
-excused(const struct fake_check *c, const struct call *k)
+excused(const struct ogl_check *c, const struct call *k)
 {
 	const struct request *r =
 	    g_hash_table_lookup(c->requests, k->sent->u.call.body);
@@ -57,7 +57,7 @@
 }
 
 static void
-check_one_stop(struct fake_check *c, const struct outage *stop)
+check_one_stop(struct ogl_check *c, const struct outage *stop)
 {
 	ogl_time until = MIN(stop->exited, stop->to);
 
@@ -77,7 +77,7 @@
 }
 
 void
-check_stop(struct fake_check *c)
+check_stop(struct ogl_check *c)
 {
 	for (guint i = 0; i < c->outages->len; i++) {
 		if (outage_at(c, i)->type == OUTAGE_STOP)
@@ -127,7 +127,7 @@
 }
 
 static void
-take_version(struct fake_check *c, struct follower *f, const event *ev)
+take_version(struct ogl_check *c, struct follower *f, const event *ev)
 {
 	if (f->last != NULL &&
 	    ev->u.in_force.version < f->last->u.in_force.version)
@@ -143,7 +143,7 @@
 /* When the node must have what was accepted at a time: so long after it, or
  * after the last outage that came in between. */
 static ogl_time
-deadline(const struct fake_check *c, const char *node, ogl_time accepted)
+deadline(const struct ogl_check *c, const char *node, ogl_time accepted)
 {
 	ogl_time due = accepted + c->times.in_force;
 	bool moved;
@@ -166,8 +166,7 @@
 }
 
 static void
-check_in_force(
-    struct fake_check *c, const struct follower *f, const event *edit)
+check_in_force(struct ogl_check *c, const struct follower *f, const event *edit)
 {
 	ogl_time due = deadline(c, f->name, edit->at);
 	const event *last = NULL;
@@ -188,7 +187,7 @@
 
 /* An edit asked for after another was accepted has the larger version. */
 static void
-check_order(struct fake_check *c, const GPtrArray *edits, const event *edit)
+check_order(struct ogl_check *c, const GPtrArray *edits, const event *edit)
 {
 	for (guint i = 0; i < edits->len; i++) {
 		const event *older = g_ptr_array_index(edits, i);
@@ -202,7 +201,7 @@
 }
 
 void
-check_settings(struct fake_check *c)
+check_settings(struct ogl_check *c)
 {
 	GPtrArray *followers = g_ptr_array_new_with_free_func(follower_free);
 	GPtrArray *edits = g_ptr_array_new();
--- a/test/fake_check_tasks.c
+++ b/check/check_tasks.c
@@ -6,7 +6,7 @@
 
 #include <string.h>
 
-#include "fake_check_index.h"
+#include "check_index.h"
 
 #define DIMENSIONS 3
 
@@ -28,7 +28,7 @@
 }
 
 static const struct mark *
-mark_at(const struct fake_check *c, guint i)
+mark_at(const struct ogl_check *c, guint i)
 {
 	return &g_array_index(c->marks, struct mark, i);
 }
@@ -54,7 +54,7 @@
 /* The new start, and the fewest others with which it is too much. */
 static GPtrArray *
 overfull_lines(
-    const struct fake_check *c, const struct host *h, const event *start, int d)
+    const struct ogl_check *c, const struct host *h, const event *start, int d)
 {
 	uint64_t room = dimension(&h->capacity->u.worker.capacity, d);
 	uint64_t sum = dimension(&start->u.task.res, d);
@@ -81,7 +81,7 @@
 
 /* A capacity that shrinks below what is held is no fault; to add is one. */
 static void
-check_room(struct fake_check *c, const struct host *h, const event *start)
+check_room(struct ogl_check *c, const struct host *h, const event *start)
 {
 	const struct ogl_res *room;
 
@@ -100,7 +100,7 @@
 }
 
 void
-check_overfull(struct fake_check *c)
+check_overfull(struct ogl_check *c)
 {
 	GHashTable *hosts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
@@ -138,7 +138,7 @@
 }
 
 void
-check_two_places(struct fake_check *c)
+check_two_places(struct ogl_check *c)
 {
 	GHashTable *running = g_hash_table_new(g_str_hash, g_str_equal);
 
@@ -183,7 +183,7 @@
 }
 
 static GHashTable *
-limits_of(const struct fake_check *c)
+limits_of(const struct ogl_check *c)
 {
 	GHashTable *limits =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, limit_free);
@@ -213,7 +213,7 @@
  * the next accepted one is over.
  */
 static const event *
-loosest(const struct fake_check *c, const struct limit *l, ogl_time at)
+loosest(const struct ogl_check *c, const struct limit *l, ogl_time at)
 {
 	const event *best = NULL;
 
@@ -243,7 +243,7 @@
 
 /* The edit, and the latest starts that are one too many under it. */
 static GPtrArray *
-limit_lines(const struct fake_check *c, const event *edit, ogl_time at)
+limit_lines(const struct ogl_check *c, const event *edit, ogl_time at)
 {
 	GPtrArray *lines = check_lines(edit, NULL);
 	uint64_t left = edit->u.edit.limit + 1;
@@ -261,8 +261,7 @@
 }
 
 static void
-check_count(
-    struct fake_check *c, struct limit *l, const char *team, ogl_time at)
+check_count(struct ogl_check *c, struct limit *l, const char *team, ogl_time at)
 {
 	const event *edit = loosest(c, l, at);
 	bool above = edit != NULL && l->running > edit->u.edit.limit;
@@ -276,7 +275,7 @@
 
 /* Counts a start or an end in the team and in each above it. */
 static void
-count_task(struct fake_check *c, GHashTable *limits, const struct mark *m)
+count_task(struct ogl_check *c, GHashTable *limits, const struct mark *m)
 {
 	char *team = g_strdup(m->span->start->u.task.team);
 	char *slash;
@@ -296,7 +295,7 @@
 }
 
 void
-check_limit(struct fake_check *c)
+check_limit(struct ogl_check *c)
 {
 	GHashTable *limits = limits_of(c);
 
@@ -327,7 +326,7 @@
 }
 
 void
-check_leaving(struct fake_check *c)
+check_leaving(struct ogl_check *c)
 {
 	GHashTable *leaving = g_hash_table_new(g_str_hash, g_str_equal);
 
--- a/test/fake_history.c
+++ b/check/history.c
@@ -12,7 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fake_history.h"
+#include "history.h"
 
 enum field_type {
 	STR,
@@ -112,19 +112,19 @@
     [HISTORY_OVER] = {"over", {{0}}},
 };
 
-struct fake_history {
+struct ogl_history {
 	FILE *out;
 	bool own_out;
 	GArray *events; /* of struct history_event */
 	GPtrArray *files;
 	GStringChunk *texts;
-	uint32_t added; /* by fake_history_add */
+	uint32_t added; /* by ogl_history_add */
 };
 
-struct fake_history *
-fake_history_init(FILE *out)
+struct ogl_history *
+ogl_history_init(FILE *out)
 {
-	struct fake_history *h = g_new0(struct fake_history, 1);
+	struct ogl_history *h = g_new0(struct ogl_history, 1);
 
 	h->out = out;
 	h->events = g_array_new(FALSE, FALSE, sizeof(struct history_event));
@@ -134,23 +134,23 @@
 	return h;
 }
 
-struct fake_history *
-fake_history_open(const char *file)
+struct ogl_history *
+ogl_history_open(const char *file)
 {
 	FILE *out = fopen(file, "w");
-	struct fake_history *h;
+	struct ogl_history *h;
 
 	if (out == NULL) {
 		fprintf(stderr, "history: %s: %s\n", file, g_strerror(errno));
 		return NULL;
 	}
-	h = fake_history_init(out);
+	h = ogl_history_init(out);
 	h->own_out = true;
 	return h;
 }
 
 void
-fake_history_end(struct fake_history *h)
+ogl_history_end(struct ogl_history *h)
 {
 	if (h == NULL)
 		return;
@@ -163,14 +163,14 @@
 }
 
 const struct history_event *
-fake_history_events(const struct fake_history *h, size_t *n)
+ogl_history_events(const struct ogl_history *h, size_t *n)
 {
 	*n = h->events->len;
 	return (const struct history_event *)(void *)h->events->data;
 }
 
 const char *
-fake_history_file(const struct fake_history *h, uint32_t file)
+ogl_history_file(const struct ogl_history *h, uint32_t file)
 {
 	return g_ptr_array_index(h->files, file);
 }
@@ -207,7 +207,7 @@
 }
 
 char *
-fake_history_print(const struct history_event *ev)
+ogl_history_print(const struct history_event *ev)
 {
 	const struct shape *s = &shapes[ev->type];
 	json_t *o =
@@ -228,7 +228,7 @@
 
 /* Strings become the history's own. */
 static void
-keep(struct fake_history *h, struct history_event *ev)
+keep(struct ogl_history *h, struct history_event *ev)
 {
 	for (const struct field *f = shapes[ev->type].fields; f->name != NULL;
 	     f++) {
@@ -242,7 +242,7 @@
 }
 
 void
-fake_history_add(struct fake_history *h, const struct history_event *ev)
+ogl_history_add(struct ogl_history *h, const struct history_event *ev)
 {
 	struct history_event copy = *ev;
 	char *line;
@@ -252,7 +252,7 @@
 	keep(h, &copy);
 	if (h->out == NULL)
 		return;
-	line = fake_history_print(ev);
+	line = ogl_history_print(ev);
 	fprintf(h->out, "%s\n", line);
 	fflush(h->out);
 	g_free(line);
@@ -360,7 +360,7 @@
 
 static bool
 read_line(
-    struct fake_history *h, uint32_t line, const char *text, GError **error)
+    struct ogl_history *h, uint32_t line, const char *text, GError **error)
 {
 	json_error_t e;
 	json_t *o = json_loads(text, 0, &e);
@@ -374,14 +374,14 @@
 		keep(h, &ev);
 	} else
 		g_set_error(error, OGL_ERROR, OGL_ERROR_INPUT, "%s:%u: %s",
-		    fake_history_file(h, h->files->len - 1), line, wrong);
+		    ogl_history_file(h, h->files->len - 1), line, wrong);
 	g_free(wrong);
 	json_decref(o);
 	return ok;
 }
 
 bool
-fake_history_read(struct fake_history *h, const char *file, GError **error)
+ogl_history_read(struct ogl_history *h, const char *file, GError **error)
 {
 	FILE *in = fopen(file, "r");
 	char *text = NULL;
@@ -413,63 +413,7 @@
 }
 
 void
-fake_history_sort(struct fake_history *h)
+ogl_history_sort(struct ogl_history *h)
 {
 	g_array_sort(h->events, compare_times); /* stable, says GLib */
 }
-
-/* ---- from the fakes ---------------------------------------------------- */
-
-void
-fake_history_worker(void *h, const struct fake_worker_event *ev)
-{
-	static const enum history_type types[] = {
-	    [FAKE_WORKER_START] = HISTORY_START,
-	    [FAKE_WORKER_END] = HISTORY_END,
-	    [FAKE_WORKER_LAPSE] = HISTORY_LAPSE,
-	    [FAKE_WORKER_CRASH] = HISTORY_CRASH};
-	struct history_event e = {.type = types[ev->type], .at = ev->at};
-
-	e.u.task.worker = ev->worker;
-	e.u.task.task = ev->task;
-	e.u.task.team = ev->team;
-	e.u.task.boot = ev->boot;
-	e.u.task.attempt = ev->attempt;
-	e.u.task.res = ev->res;
-	e.u.task.state = (uint32_t)ev->state;
-	fake_history_add(h, &e);
-}
-
-void
-fake_history_capacity(struct fake_history *h, const char *worker, uint64_t boot,
-    const struct ogl_res *capacity, ogl_time now)
-{
-	struct history_event e = {.type = HISTORY_WORKER, .at = now};
-
-	e.u.worker.worker = worker;
-	e.u.worker.boot = boot;
-	e.u.worker.capacity = *capacity;
-	fake_history_add(h, &e);
-}
-
-void
-fake_history_exec(struct fake_history *h, const char *exec, struct ogl_str body,
-    const char *team, const char *kind, ogl_time now,
-    const struct fake_exec_answer *a)
-{
-	struct history_event e = {.type = HISTORY_RUN, .at = now};
-	char *text;
-
-	if (!a->accepted)
-		return;
-	text = body.n > 0 ? g_utf8_make_valid(body.p, (gssize)body.n) : NULL;
-	e.u.run.exec = exec;
-	e.u.run.body = text;
-	e.u.run.team = team;
-	e.u.run.kind = kind;
-	e.u.run.token = a->token;
-	e.u.run.until = a->finish;
-	e.u.run.whole = !a->lost && a->sent == a->n;
-	fake_history_add(h, &e);
-	g_free(text);
-}
--- a/test/fake_history.h
+++ b/check/history.h
@@ -1,16 +1,15 @@
 /*
  * History of a run: what callers, executors, workers, the platform,
  * operators and nodes saw, one event a line of JSON, in order of time.  The
- * drivers of simulated and of real runs write it; fake_check.h judges it.
+ * drivers of simulated and of real runs write it; ogl_check.h judges it.
  */
 
-#ifndef FAKE_HISTORY_H
-#define FAKE_HISTORY_H
+#ifndef OGL_HISTORY_H
+#define OGL_HISTORY_H
 
 #include <stdio.h>
 
-#include "fake_exec.h"
-#include "fake_worker.h"
+#include "orioleglade.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -172,50 +171,37 @@
 	} u;
 };
 
-struct fake_history;
+struct ogl_history;
 
-struct fake_history *fake_history_init(FILE *out);
+struct ogl_history *ogl_history_init(FILE *out);
 /* An empty history; each event added is also written to out, unless NULL. */
 
-struct fake_history *fake_history_open(const char *file);
+struct ogl_history *ogl_history_open(const char *file);
 /* One that is written to a new file, which it closes at its end; NULL with a
  * message when it cannot. */
 
-void fake_history_end(struct fake_history *h);
+void ogl_history_end(struct ogl_history *h);
 
-void fake_history_add(struct fake_history *h, const struct history_event *ev);
+void ogl_history_add(struct ogl_history *h, const struct history_event *ev);
 /* Appends a copy. */
 
-bool fake_history_read(
-    struct fake_history *h, const char *file, GError **error);
+bool ogl_history_read(struct ogl_history *h, const char *file, GError **error);
 /* Appends the events of a file; lines that begin with # are comments.
  * OGL_ERROR_INPUT names file, line and what is wrong. */
 
-void fake_history_sort(struct fake_history *h);
+void ogl_history_sort(struct ogl_history *h);
 /* By time; events of one time keep their order. */
 
-const struct history_event *fake_history_events(
-    const struct fake_history *h, size_t *n);
+const struct history_event *ogl_history_events(
+    const struct ogl_history *h, size_t *n);
 /* Valid until the next change of h. */
 
-const char *fake_history_file(const struct fake_history *h, uint32_t file);
+const char *ogl_history_file(const struct ogl_history *h, uint32_t file);
 /* Name of a file read; "" for events added. */
 
-char *fake_history_print(const struct history_event *ev);
+char *ogl_history_print(const struct history_event *ev);
 /* Its JSON line, without a line feed; free with g_free. */
 
-void fake_history_worker(void *h, const struct fake_worker_event *ev);
-/* A hook for fake_worker_hook, with the history as its ctx. */
-
-void fake_history_capacity(struct fake_history *h, const char *worker,
-    uint64_t boot, const struct ogl_res *capacity, ogl_time now);
-/* Adds HISTORY_WORKER. */
-
-void fake_history_exec(struct fake_history *h, const char *exec,
-    struct ogl_str body, const char *team, const char *kind, ogl_time now,
-    const struct fake_exec_answer *a);
-/* Adds HISTORY_RUN for what fake_exec_run accepted. */
-
 #ifdef __cplusplus
 }
 #endif
--- a/test/standin_check.c
+++ b/check/main.c
@@ -7,7 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "fake_check.h"
+#include "check.h"
 
 enum {
 	EXIT_CLEAN,
@@ -24,7 +24,7 @@
 };
 
 struct options {
-	struct fake_check_times times;
+	struct ogl_check_times times;
 	char **files;
 	int nfiles;
 };
@@ -46,7 +46,7 @@
 parse_option(int key, char *arg, struct argp_state *state)
 {
 	struct options *o = state->input;
-	struct fake_check_times *t = &o->times;
+	struct ogl_check_times *t = &o->times;
 	ogl_time *const to[] = {
 	    &t->withdrawn, &t->lowered, &t->leaving, &t->in_force, &t->settle};
 	char *end;
@@ -74,23 +74,23 @@
 }
 
 static int
-check(struct fake_history *h, const struct fake_check_times *times)
+check(struct ogl_history *h, const struct ogl_check_times *times)
 {
-	struct fake_check *c = fake_check_run(h, times);
-	char *report = fake_check_report(c);
+	struct ogl_check *c = ogl_check_run(h, times);
+	char *report = ogl_check_report(c);
 	size_t found;
 	size_t lines;
 
-	fake_check_findings(c, &found);
-	fake_history_events(h, &lines);
+	ogl_check_findings(c, &found);
+	ogl_history_events(h, &lines);
 	fputs(report, stdout);
-	if (!fake_check_whole(c))
+	if (!ogl_check_whole(c))
 		printf(
 		    "no end mark: what is missing at the end is not judged\n");
 	if (found == 0)
 		printf("no violation in %zu lines\n", lines);
 	g_free(report);
-	fake_check_end(c);
+	ogl_check_end(c);
 	return found == 0 ? EXIT_CLEAN : EXIT_FOUND;
 }
 
@@ -101,17 +101,17 @@
 	    "Checks the history of a run.\v"
 	    "Exit status: 0 no violation, 1 some, 2 a file cannot be read.",
 	    NULL, NULL, NULL};
-	struct fake_history *h = fake_history_init(NULL);
+	struct ogl_history *h = ogl_history_init(NULL);
 	struct options o = {0};
 	GError *error = NULL;
 	int rc = EXIT_UNREAD;
 
-	fake_check_times_default(&o.times);
+	ogl_check_times_default(&o.times);
 	argp_err_exit_status = EXIT_UNREAD;
 	if (argp_parse(&argp, argc, argv, 0, NULL, &o) != 0)
 		goto out;
 	for (int i = 0; i < o.nfiles; i++) {
-		if (!fake_history_read(h, o.files[i], &error)) {
+		if (!ogl_history_read(h, o.files[i], &error)) {
 			fprintf(stderr, "check: %s\n", error->message);
 			goto out;
 		}
@@ -119,6 +119,6 @@
 	rc = check(h, &o.times);
 out:
 	g_clear_error(&error);
-	fake_history_end(h);
+	ogl_history_end(h);
 	return rc;
 }
--- a/test/fake_cluster.c
+++ b/test/fake_cluster.c
@@ -19,6 +19,7 @@
 #include <string.h>
 
 #include "fake_cluster.h"
+#include "fake_feed.h"
 #include "fake_cluster_tell.h"
 #include "node_impl.h"
 
@@ -133,7 +134,7 @@
 	GHashTable *bodies; /* body -> runs */
 	GString *trace;
 	GString *faults;
-	struct fake_history *history;
+	struct ogl_history *history;
 };
 
 /* ---- small ------------------------------------------------------------ */
@@ -373,7 +374,7 @@
 	struct fake_cluster *c = ctx;
 	struct seen *s = task_seen(c, ev->task);
 
-	fake_history_worker(c->history, ev);
+	fake_feed_worker(c->history, ev);
 	note(c, "%s %s %s attempt %u %s", ev->worker, worker_words[ev->type],
 	    ev->task, ev->attempt,
 	    ogl__task_state__descriptor.values[ev->state].name);
@@ -451,7 +452,7 @@
 
 		c->workers[i] = fake_worker_init(&w);
 		fake_worker_hook(c->workers[i], on_worker, c);
-		fake_history_capacity(
+		fake_feed_capacity(
 		    c->history, name, 1, &c->cfg.capacity, c->now);
 		g_free(name);
 		g_free(zone);
@@ -503,7 +504,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->trace = g_string_new(NULL);
 	c->faults = g_string_new(NULL);
-	c->history = fake_history_init(NULL);
+	c->history = ogl_history_init(NULL);
 	c->log = fake_log_init();
 	c->net.hosts_lag = 2 * OGL_SEC;
 	make_operator(c);
@@ -545,7 +546,7 @@
 	g_string_free(c->trace, TRUE);
 	g_string_free(c->faults, TRUE);
 	fake_log_end(c->log);
-	fake_history_end(c->history);
+	ogl_history_end(c->history);
 	g_free(c);
 }
 
@@ -816,7 +817,7 @@
 	    c->now, &a);
 	a.lost = a.lost || (a.accepted && chance(c, c->net.request_lost));
 	if (a.accepted)
-		fake_history_exec(c->history, name, body, i->act->name,
+		fake_feed_exec(c->history, name, body, i->act->name,
 		    i->act->work_kind, c->now, &a);
 	/* The adapter takes no answer that is cut or another request's. */
 	if (a.lost || a.sent < a.n || a.token != i->act->token) {
@@ -1332,7 +1333,7 @@
 	return &c->unguarded;
 }
 
-struct fake_history *
+struct ogl_history *
 fake_cluster_history(struct fake_cluster *c)
 {
 	return c->history;
@@ -1345,7 +1346,7 @@
 
 	g_snprintf(name, sizeof name, "w%u", w);
 	fake_worker_restart(c->workers[w], c->now);
-	fake_history_capacity(c->history, name, ++c->worker_boots[w] + 1,
+	fake_feed_capacity(c->history, name, ++c->worker_boots[w] + 1,
 	    &c->cfg.capacity, c->now);
 }
 
--- a/test/fake_cluster.h
+++ b/test/fake_cluster.h
@@ -22,7 +22,7 @@
 #define FAKE_CLUSTER_MOST 16 /* nodes, workers, executors each */
 
 struct fake_cluster;
-struct fake_history;
+struct ogl_history;
 
 struct fake_cluster_config {
 	uint64_t seed;
@@ -137,7 +137,7 @@
 /* ---- world ------------------------------------------------------------ */
 
 struct fake_net *fake_cluster_net(struct fake_cluster *c);
-struct fake_history *fake_cluster_history(struct fake_cluster *c);
+struct ogl_history *fake_cluster_history(struct fake_cluster *c);
 void fake_cluster_restart_worker(struct fake_cluster *c, uint32_t w);
 struct fake_unguarded *fake_cluster_unguarded(struct fake_cluster *c);
 struct fake_log *fake_cluster_log(struct fake_cluster *c);
--- a/test/fake_cluster_tell.c
+++ b/test/fake_cluster_tell.c
@@ -25,7 +25,7 @@
 }
 
 void
-fake_tell_call(struct fake_history *h, uint32_t number, const char *node,
+fake_tell_call(struct ogl_history *h, uint32_t number, const char *node,
     const struct fake_call *k, uint64_t timeout_ms)
 {
 	struct history_event ev = {.type = HISTORY_CALL, .at = k->asked};
@@ -43,11 +43,11 @@
 	ev.u.call.timeout_ms = timeout_ms;
 	ev.u.call.idempotent = k->idempotent;
 	ev.u.call.job = is_submit(k);
-	fake_history_add(h, &ev);
+	ogl_history_add(h, &ev);
 }
 
 static void
-tell_job(struct fake_history *h, const char *call, const struct fake_call *k)
+tell_job(struct ogl_history *h, const char *call, const struct fake_call *k)
 {
 	struct history_event ev = {.type = HISTORY_JOB, .at = k->answered};
 	char *job = fake_cluster_field(k->answer, "job");
@@ -62,7 +62,7 @@
 		ev.u.job.job = job;
 		ev.u.job.state = (uint32_t)v->value;
 		ev.u.job.verdict = k->verdict;
-		fake_history_add(h, &ev);
+		ogl_history_add(h, &ev);
 	}
 	g_free(job);
 	g_free(state);
@@ -89,7 +89,7 @@
 }
 
 static void
-tell_edit(struct fake_history *h, const struct fake_call *k)
+tell_edit(struct ogl_history *h, const struct fake_call *k)
 {
 	struct history_event ev = {.type = HISTORY_EDIT, .at = k->answered};
 	json_t *edit = json_loads(k->body, 0, NULL);
@@ -105,14 +105,14 @@
 		ev.u.edit.what = HISTORY_EDIT_LIMIT;
 	ev.u.edit.team = team;
 	if (ev.u.edit.accepted || k->cut || k->verdict == OGL_MAY_HAVE_RUN)
-		fake_history_add(h, &ev);
+		ogl_history_add(h, &ev);
 	json_decref(edit);
 	g_free(version);
 }
 
 void
 fake_tell_answer(
-    struct fake_history *h, uint32_t number, const struct fake_call *k)
+    struct ogl_history *h, uint32_t number, const struct fake_call *k)
 {
 	struct history_event ev = {.type = HISTORY_ANSWER, .at = k->answered};
 	char name[16];
@@ -129,7 +129,7 @@
 			ev.u.answer.verdict = HISTORY_RAN;
 		ev.u.answer.retry_after_ms = k->retry_after_ms;
 		ev.u.answer.body = k->answer;
-		fake_history_add(h, &ev);
+		ogl_history_add(h, &ev);
 	}
 	if (strcmp(k->path, "/v1/settings") == 0 &&
 	    strcmp(k->method, "POST") == 0)
@@ -140,18 +140,18 @@
 }
 
 void
-fake_tell_node(struct fake_history *h, const char *node,
-    enum history_node state, ogl_time now)
+fake_tell_node(struct ogl_history *h, const char *node, enum history_node state,
+    ogl_time now)
 {
 	struct history_event ev = {.type = HISTORY_NODE, .at = now};
 
 	ev.u.node.node = node;
 	ev.u.node.state = state;
-	fake_history_add(h, &ev);
+	ogl_history_add(h, &ev);
 }
 
 void
-fake_tell_lease(struct fake_history *h, const char *worker,
+fake_tell_lease(struct ogl_history *h, const char *worker,
     const Ogl__WorkerSync *m, ogl_time now)
 {
 	struct history_event ev = {.type = HISTORY_LEASE, .at = now};
@@ -163,34 +163,34 @@
 	ev.u.lease.shard = m->shard;
 	ev.u.lease.epoch = m->epoch;
 	ev.u.lease.until = ((ogl_time)m->lease_from_ms + m->lease_ms) * OGL_MS;
-	fake_history_add(h, &ev);
+	ogl_history_add(h, &ev);
 }
 
 void
 fake_tell_listed(
-    struct fake_history *h, const char *target, bool leaving, ogl_time now)
+    struct ogl_history *h, const char *target, bool leaving, ogl_time now)
 {
 	struct history_event ev = {.type = HISTORY_LISTED, .at = now};
 
 	ev.u.listed.target = target;
 	ev.u.listed.leaving = leaving;
-	fake_history_add(h, &ev);
+	ogl_history_add(h, &ev);
 }
 
 void
 fake_tell_version(
-    struct fake_history *h, const char *node, uint64_t version, ogl_time now)
+    struct ogl_history *h, const char *node, uint64_t version, ogl_time now)
 {
 	struct history_event ev = {.type = HISTORY_IN_FORCE, .at = now};
 
 	ev.u.in_force.node = node;
 	ev.u.in_force.version = version;
-	fake_history_add(h, &ev);
+	ogl_history_add(h, &ev);
 }
 
 void
 fake_tell_cut(
-    struct fake_history *h, const char *node, uint32_t call, ogl_time now)
+    struct ogl_history *h, const char *node, uint32_t call, ogl_time now)
 {
 	struct history_event ev = {.type = HISTORY_CUT, .at = now};
 	char name[16];
@@ -198,5 +198,5 @@
 	g_snprintf(name, sizeof name, "%u", call);
 	ev.u.cut.node = node;
 	ev.u.cut.call = name;
-	fake_history_add(h, &ev);
+	ogl_history_add(h, &ev);
 }
--- a/test/fake_cluster_tell.h
+++ b/test/fake_cluster_tell.h
@@ -4,22 +4,22 @@
 #define FAKE_CLUSTER_TELL_H
 
 #include "fake_cluster.h"
-#include "fake_history.h"
+#include "history.h"
 
-void fake_tell_call(struct fake_history *h, uint32_t number, const char *node,
+void fake_tell_call(struct ogl_history *h, uint32_t number, const char *node,
     const struct fake_call *k, uint64_t timeout_ms);
 void fake_tell_answer(
-    struct fake_history *h, uint32_t number, const struct fake_call *k);
+    struct ogl_history *h, uint32_t number, const struct fake_call *k);
 /* The answer, and what it tells of a job or an edit. */
-void fake_tell_node(struct fake_history *h, const char *node,
+void fake_tell_node(struct ogl_history *h, const char *node,
     enum history_node state, ogl_time now);
-void fake_tell_lease(struct fake_history *h, const char *worker,
+void fake_tell_lease(struct ogl_history *h, const char *worker,
     const Ogl__WorkerSync *m, ogl_time now);
 void fake_tell_listed(
-    struct fake_history *h, const char *target, bool leaving, ogl_time now);
+    struct ogl_history *h, const char *target, bool leaving, ogl_time now);
 void fake_tell_version(
-    struct fake_history *h, const char *node, uint64_t version, ogl_time now);
+    struct ogl_history *h, const char *node, uint64_t version, ogl_time now);
 void fake_tell_cut(
-    struct fake_history *h, const char *node, uint32_t call, ogl_time now);
+    struct ogl_history *h, const char *node, uint32_t call, ogl_time now);
 
 #endif
--- a/test/fake_faults.c
+++ b/test/fake_faults.c
@@ -9,7 +9,7 @@
 
 #include <string.h>
 
-#include "fake_check.h"
+#include "check.h"
 #include "fake_faults.h"
 
 enum {
@@ -706,7 +706,7 @@
 	ev.u.fault.what = l->row->name;
 	ev.u.fault.who = "";
 	ev.u.fault.on = on;
-	fake_history_add(fake_cluster_history(l->f->c), &ev);
+	ogl_history_add(fake_cluster_history(l->f->c), &ev);
 }
 
 static void
@@ -952,13 +952,13 @@
 	struct history_event ev = {
 	    .type = HISTORY_OVER, .at = fake_cluster_now(f->c)};
 
-	fake_history_add(fake_cluster_history(f->c), &ev);
+	ogl_history_add(fake_cluster_history(f->c), &ev);
 }
 
 /* A task that succeeded on a worker nobody could reach until its lease was
  * over is started again, if it may be; others are checked by check_view. */
 static bool
-is_allowed(const struct fake_check_finding *d)
+is_allowed(const struct ogl_check_finding *d)
 {
 	return g_str_has_suffix(d->text, "succeeds twice");
 }
@@ -966,16 +966,16 @@
 static void
 check_history(struct fake_faults *f)
 {
-	struct fake_check_times t;
-	struct fake_check *k;
-	const struct fake_check_finding *found;
+	struct ogl_check_times t;
+	struct ogl_check *k;
+	const struct ogl_check_finding *found;
 	char *report;
 	size_t n;
 
-	fake_check_times_default(&t);
-	k = fake_check_run(fake_cluster_history(f->c), &t);
-	found = fake_check_findings(k, &n);
-	report = fake_check_report(k);
+	ogl_check_times_default(&t);
+	k = ogl_check_run(fake_cluster_history(f->c), &t);
+	found = ogl_check_findings(k, &n);
+	report = ogl_check_report(k);
 	fake_cluster_note(f->c, report);
 	g_free(report);
 	for (size_t i = 0; i < n; i++) {
@@ -983,7 +983,7 @@
 			fake_cluster_fault(f->c, "history: %s: %s",
 			    found[i].point->name, found[i].text);
 	}
-	fake_check_end(k);
+	ogl_check_end(k);
 }
 
 void
--- a/test/standin_caller.c
+++ b/test/standin_caller.c
@@ -22,7 +22,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fake_history.h"
+#include "history.h"
 #include "fake_text.h"
 
 #define POLL_US (100 * OGL_MS)     /* between looks at a job */
@@ -113,7 +113,7 @@
 	CURLM *multi;
 	struct slot *slots;
 	struct item *items;
-	struct fake_history *history; /* NULL: none is kept */
+	struct ogl_history *history; /* NULL: none is kept */
 	uint32_t started;
 	uint32_t settled;
 	uint32_t next_node;
@@ -421,7 +421,7 @@
 	ev.u.call.timeout_ms = d->o.timeout_ms;
 	ev.u.call.idempotent = !job && d->o.idempotent;
 	ev.u.call.job = job;
-	fake_history_add(d->history, &ev);
+	ogl_history_add(d->history, &ev);
 out:
 	g_free(id);
 }
@@ -471,7 +471,7 @@
 		ev.u.answer.verdict = HISTORY_RAN;
 	else
 		ev.u.answer.verdict = verdicts[outcome_of(s)];
-	fake_history_add(d->history, &ev);
+	ogl_history_add(d->history, &ev);
 	g_free(body);
 }
 
@@ -489,7 +489,7 @@
 	ev.u.job.job = it->job;
 	ev.u.job.state = state;
 	ev.u.job.verdict = verdict;
-	fake_history_add(d->history, &ev);
+	ogl_history_add(d->history, &ev);
 	it->told = told;
 }
 
@@ -1070,7 +1070,7 @@
 	g_free(d->slots);
 	g_free(d->items);
 	curl_multi_cleanup(d->multi);
-	fake_history_end(d->history);
+	ogl_history_end(d->history);
 	g_strfreev(d->o.nodes);
 	g_strfreev(d->o.executors);
 	g_strfreev(d->o.workers);
@@ -1108,13 +1108,13 @@
 	}
 	make_items(&d);
 	if (d.o.history != NULL) {
-		d.history = fake_history_open(d.o.history);
+		d.history = ogl_history_open(d.o.history);
 		if (d.history == NULL)
 			goto out;
 	}
 	run(&d);
 	if (d.history != NULL)
-		fake_history_add(
+		ogl_history_add(
 		    d.history, &(struct history_event){.type = HISTORY_OVER,
 				   .at = g_get_real_time()});
 	if (d.o.mode == JOBS)
--- a/test/standin_executor.c
+++ b/test/standin_executor.c
@@ -15,7 +15,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fake_history.h"
+#include "history.h"
+#include "fake_feed.h"
 #include "fake_http.h"
 
 #define DRAIN_S 10.0 /* longest wait for running requests at the end */
@@ -30,7 +31,7 @@
 
 struct server {
 	struct fake_exec *exec;
-	struct fake_history *history; /* NULL: none is kept */
+	struct ogl_history *history; /* NULL: none is kept */
 	struct fake_http *http;
 	char *name;
 };
@@ -81,7 +82,7 @@
 	    fake_http_header(c, "Ogl-Kind"), strtoull(token, NULL, 10), now,
 	    &a);
 	if (s->history != NULL)
-		fake_history_exec(s->history, s->name, c->body,
+		fake_feed_exec(s->history, s->name, c->body,
 		    fake_http_header(c, "Ogl-Team"),
 		    fake_http_header(c, "Ogl-Kind"), now, &a);
 	if (!a.accepted)
@@ -241,11 +242,11 @@
 	    "Stand-in for executors of short requests.", NULL, NULL, NULL};
 	struct ev_loop *loop = ev_default_loop(0);
 	GPtrArray *servers = g_ptr_array_new_with_free_func(server_free);
-	struct fake_history *history = NULL;
+	struct ogl_history *history = NULL;
 	bool ok = argp_parse(&argp, argc, argv, 0, NULL, &o) == 0;
 
 	if (ok && o.history != NULL) {
-		history = fake_history_open(o.history);
+		history = ogl_history_open(o.history);
 		ok = history != NULL;
 	}
 
@@ -262,7 +263,7 @@
 		drain(loop, servers);
 	}
 	g_ptr_array_free(servers, TRUE);
-	fake_history_end(history);
+	ogl_history_end(history);
 	ev_loop_destroy(loop);
 	return ok ? 0 : 1;
 }
--- a/test/standin_platform.c
+++ b/test/standin_platform.c
@@ -11,7 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fake_history.h"
+#include "history.h"
 #include "fake_http.h"
 #include "fake_log.h"
 
@@ -36,7 +36,7 @@
 struct platform {
 	struct fake_log *log;
 	struct fake_http *http;
-	struct fake_history *history; /* NULL: none is kept */
+	struct ogl_history *history; /* NULL: none is kept */
 	GQueue lists; /* of struct list, the one shown now first */
 	ogl_time lag;
 	bool hosts_down;
@@ -87,7 +87,7 @@
 }
 
 static void
-tell_list(struct fake_history *h, const json_t *hosts, ogl_time from)
+tell_list(struct ogl_history *h, const json_t *hosts, ogl_time from)
 {
 	json_t *host;
 	size_t i;
@@ -100,7 +100,7 @@
 		    json_string_value(json_object_get(host, "name"));
 		ev.u.listed.leaving =
 		    json_is_true(json_object_get(host, "leaving"));
-		fake_history_add(h, &ev);
+		ogl_history_add(h, &ev);
 	}
 }
 
@@ -332,7 +332,7 @@
 	if (list == NULL)
 		goto out;
 	if (o.history != NULL) {
-		p.history = fake_history_open(o.history);
+		p.history = ogl_history_open(o.history);
 		if (p.history == NULL)
 			goto out;
 	}
@@ -350,7 +350,7 @@
 out:
 	fake_http_stop(p.http);
 	fake_log_end(p.log);
-	fake_history_end(p.history);
+	ogl_history_end(p.history);
 	g_queue_clear_full(&p.lists, list_free);
 	ev_loop_destroy(loop);
 	return rc;
--- a/test/standin_worker.c
+++ b/test/standin_worker.c
@@ -10,7 +10,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fake_history.h"
+#include "history.h"
+#include "fake_feed.h"
 #include "fake_http.h"
 
 #define RACK_SIZE 6
@@ -28,7 +29,7 @@
 
 struct server {
 	struct fake_worker *worker;
-	struct fake_history *history; /* NULL: none is kept */
+	struct ogl_history *history; /* NULL: none is kept */
 	uint64_t boot;
 	struct ogl_res capacity; /* last told of */
 	struct fake_http *http;
@@ -115,7 +116,7 @@
 	    (!booted && memcmp(c, &s->capacity, sizeof(*c)) == 0))
 		return;
 	s->capacity = *c;
-	fake_history_capacity(s->history, s->name, s->boot, c, now);
+	fake_feed_capacity(s->history, s->name, s->boot, c, now);
 }
 
 static void
@@ -131,7 +132,7 @@
 	ev.u.lease.epoch = sync->epoch;
 	ev.u.lease.until =
 	    ((ogl_time)sync->lease_from_ms + sync->lease_ms) * OGL_MS;
-	fake_history_add(s->history, &ev);
+	ogl_history_add(s->history, &ev);
 }
 
 static enum fake_http_next
@@ -262,7 +263,7 @@
 	s->boot = c.boot;
 	s->worker = fake_worker_init(&c);
 	if (s->history != NULL)
-		fake_worker_hook(s->worker, fake_history_worker, s->history);
+		fake_worker_hook(s->worker, fake_feed_worker, s->history);
 	tell_capacity(s, true, (ogl_time)c.boot);
 	s->http = fake_http_start(loop, port, handle, s);
 	if (s->http != NULL)
@@ -299,11 +300,11 @@
 	    "Stand-in for workers.", NULL, NULL, NULL};
 	struct ev_loop *loop = ev_default_loop(0);
 	GPtrArray *servers = g_ptr_array_new_with_free_func(server_free);
-	struct fake_history *history = NULL;
+	struct ogl_history *history = NULL;
 	bool ok = argp_parse(&argp, argc, argv, 0, NULL, &o) == 0;
 
 	if (ok && o.history != NULL) {
-		history = fake_history_open(o.history);
+		history = ogl_history_open(o.history);
 		ok = history != NULL;
 	}
 
@@ -318,7 +319,7 @@
 	if (ok)
 		fake_http_serve(loop);
 	g_ptr_array_free(servers, TRUE);
-	fake_history_end(history);
+	ogl_history_end(history);
 	ev_loop_destroy(loop);
 	return ok ? 0 : 1;
 }
--- a/test/test_check.cc
+++ b/test/test_check.cc
@@ -11,7 +11,8 @@
 #include <string>
 #include <vector>
 
-#include "fake_check.h"
+#include "check.h"
+#include "fake_feed.h"
 
 namespace
 {
@@ -19,7 +20,7 @@
 std::string
 print(const struct history_event &ev)
 {
-	char *line = fake_history_print(&ev);
+	char *line = ogl_history_print(&ev);
 	std::string s = line;
 
 	g_free(line);
@@ -31,16 +32,16 @@
 {
 	char *file = nullptr;
 	int fd = g_file_open_tmp("historyXXXXXX", &file, nullptr);
-	struct fake_history *h = fake_history_init(nullptr);
+	struct ogl_history *h = ogl_history_init(nullptr);
 	GError *error = nullptr;
 	std::string wrong;
 
 	close(fd);
 	g_file_set_contents(file, text, -1, nullptr);
-	if (!fake_history_read(h, file, &error))
+	if (!ogl_history_read(h, file, &error))
 		wrong = error->message + strlen(file);
 	g_clear_error(&error);
-	fake_history_end(h);
+	ogl_history_end(h);
 	unlink(file);
 	g_free(file);
 	return wrong;
@@ -51,8 +52,8 @@
 	char *file = nullptr;
 	int fd = g_file_open_tmp("historyXXXXXX", &file, nullptr);
 	FILE *out = fdopen(fd, "w");
-	struct fake_history *h = fake_history_init(out);
-	struct fake_history *again = fake_history_init(nullptr);
+	struct ogl_history *h = ogl_history_init(out);
+	struct ogl_history *again = ogl_history_init(nullptr);
 
 	for (int type = 0; type < HISTORY_NTYPES; type++) {
 		struct history_event ev = {};
@@ -65,24 +66,24 @@
 		}
 		if (type == HISTORY_START)
 			ev.u.task.res = {1500, 64, 1};
-		fake_history_add(h, &ev);
+		ogl_history_add(h, &ev);
 	}
 	fclose(out);
-	ASSERT_TRUE(fake_history_read(again, file, nullptr));
-	fake_history_sort(again);
+	ASSERT_TRUE(ogl_history_read(again, file, nullptr));
+	ogl_history_sort(again);
 
 	size_t n;
 	size_t m;
-	const struct history_event *a = fake_history_events(h, &n);
-	const struct history_event *b = fake_history_events(again, &m);
+	const struct history_event *a = ogl_history_events(h, &n);
+	const struct history_event *b = ogl_history_events(again, &m);
 	ASSERT_EQ(n, m);
 	for (size_t i = 0; i < n; i++) {
 		EXPECT_EQ(print(a[i]), print(b[n - 1 - i]));
 		EXPECT_EQ(a[i].line, b[n - 1 - i].line);
 	}
-	EXPECT_STREQ(file, fake_history_file(again, b[0].file));
-	fake_history_end(h);
-	fake_history_end(again);
+	EXPECT_STREQ(file, ogl_history_file(again, b[0].file));
+	ogl_history_end(h);
+	ogl_history_end(again);
 	unlink(file);
 	g_free(file);
 }
@@ -117,15 +118,15 @@
 }
 
 std::string
-found(struct fake_history *h, std::set<std::string> *points)
+found(struct ogl_history *h, std::set<std::string> *points)
 {
-	struct fake_check_times times;
+	struct ogl_check_times times;
 	std::string s;
 	size_t n;
 
-	fake_check_times_default(&times);
-	struct fake_check *c = fake_check_run(h, &times);
-	const struct fake_check_finding *f = fake_check_findings(c, &n);
+	ogl_check_times_default(&times);
+	struct ogl_check *c = ogl_check_run(h, &times);
+	const struct ogl_check_finding *f = ogl_check_findings(c, &n);
 	for (size_t i = 0; i < n; i++) {
 		s += (i > 0 ? "; " : "") + std::string(f[i].point->name);
 		points->insert(f[i].point->name);
@@ -136,7 +137,7 @@
 			s += " " + std::to_string(ev->line);
 		}
 	}
-	fake_check_end(c);
+	ogl_check_end(c);
 	return n > 0 ? s : "nothing";
 }
 
@@ -165,16 +166,16 @@
 	size_t all = 0;
 
 	for (const std::string &file : scripts()) {
-		struct fake_history *h = fake_history_init(nullptr);
+		struct ogl_history *h = ogl_history_init(nullptr);
 		GError *error = nullptr;
 
-		EXPECT_TRUE(fake_history_read(h, file.c_str(), &error))
+		EXPECT_TRUE(ogl_history_read(h, file.c_str(), &error))
 		    << (error != nullptr ? error->message : "");
 		EXPECT_EQ(expected(file), found(h, &points)) << file;
 		g_clear_error(&error);
-		fake_history_end(h);
+		ogl_history_end(h);
 	}
-	while (fake_check_points[all].name != nullptr)
+	while (ogl_check_points[all].name != nullptr)
 		all++;
 	EXPECT_EQ(all, points.size());
 }
@@ -184,7 +185,7 @@
 // full to the last thousandth, a team at its limit throughout.
 TEST(Check, LongGoodHistoryPasses)
 {
-	struct fake_history *h = fake_history_init(nullptr);
+	struct ogl_history *h = ogl_history_init(nullptr);
 	std::set<std::string> points;
 	struct history_event ev = {};
 
@@ -192,11 +193,11 @@
 	ev.u.edit.accepted = true;
 	ev.u.edit.team = "a";
 	ev.u.edit.limit = 8;
-	fake_history_add(h, &ev);
+	ogl_history_add(h, &ev);
 	for (int w = 0; w < 4; w++) {
 		const struct ogl_res room = {2000, 64, 0};
 
-		fake_history_capacity(
+		fake_feed_capacity(
 		    h, ("w" + std::to_string(w)).c_str(), 1, &room, 0);
 	}
 	for (int i = 0; i < 20000; i++) {
@@ -213,15 +214,15 @@
 		ev.u.task.team = "a/b";
 		ev.u.task.attempt = again ? 2 : 1;
 		ev.u.task.res = {1000, 8, 0};
-		fake_history_add(h, &ev);
+		ogl_history_add(h, &ev);
 		ev.at += 8 * OGL_MS;
 		ev.type = again ? HISTORY_END : HISTORY_LAPSE;
 		ev.u.task.state = again ? OGL__TASK_STATE__succeeded
 					: OGL__TASK_STATE__lapsed;
-		fake_history_add(h, &ev);
+		ogl_history_add(h, &ev);
 	}
 	EXPECT_EQ("nothing", found(h, &points));
-	fake_history_end(h);
+	ogl_history_end(h);
 }
 
 int
--- a/tools/tidy.sh
+++ b/tools/tidy.sh
@@ -2,10 +2,10 @@
 # clang-tidy and cppcheck over our own C sources.
 set -e
 b=$1
-files=$(git ls-files --cached --others --exclude-standard 'src/*.c' 'daemon/*.c' 'ctl/*.c')
+files=$(git ls-files --cached --others --exclude-standard 'src/*.c' 'daemon/*.c' 'ctl/*.c' 'check/*.c')
 printf '%s\n' $files | xargs -P 6 -n 4 clang-tidy -p "$b" --quiet 2>/tmp/tidy.$$ ||
     { cat /tmp/tidy.$$; rm -f /tmp/tidy.$$; exit 1; }
 rm -f /tmp/tidy.$$
 cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr \
-    --enable=warning,portability -I . -I src -I gen \
+    --enable=warning,portability -I . -I src -I check -I gen \
     --suppress=missingIncludeSystem --suppress=unknownMacro $files
