Forget a team's oldest ended jobs first; ask a bank less and less often

Causes: idle_keep_jobs was read by nothing; a team's askers sent one question each 200 ms from every shard, 51,700 a second by the sums of CAPACITY when all teams are at their limits.

--- a/orioleglade.h
+++ b/orioleglade.h
@@ -143,7 +143,7 @@
 	uint64_t limit_tasks;  /* most tasks running at once; UINT64_MAX none */
 	uint32_t max_queue_ms; /* longest a short request may wait */
 	uint32_t max_body;     /* bytes of a request */
-	uint32_t idle_keep_jobs; /* ended jobs remembered */
+	uint32_t idle_keep_jobs; /* ended jobs remembered a shard */
 };
 
 /* Who stands behind a key. */
--- a/src/escrow.c
+++ b/src/escrow.c
@@ -28,7 +28,8 @@
 
 enum {
 	WHOLE = 1000000,
-	ASK_EVERY_MS = 200,     /* per team, while it wants more */
+	ASK_EVERY_MS = 200,     /* per team, while it wants more; doubled */
+	ASK_MOST_MS = 1600,     /* up to this while nothing more is got */
 	RETRY_MS = 1000,        /* try to start again what an ask was for */
 	RECLAIM_EVERY_MS = 400, /* per team */
 	WANT_MS = 4 * RETRY_MS, /* a want not repeated for so long is over */
@@ -43,6 +44,7 @@
 	uint32_t ppm;
 	uint64_t want; /* tasks it could use, 0 satisfied */
 	ogl_time next_ask;
+	uint32_t ask_ms;     /* between two asks */
 	ogl_time retry_at;   /* 0: nothing asked for */
 	uint64_t bank_epoch; /* newest answer taken */
 	uint64_t bank_seq;
@@ -233,7 +235,8 @@
 		if (h->want == 0 || now < h->next_ask)
 			continue;
 		h->retry_at = now + RETRY_MS * OGL_MS;
-		h->next_ask = now + ASK_EVERY_MS * OGL_MS;
+		h->ask_ms = CLAMP(2 * h->ask_ms, ASK_EVERY_MS, ASK_MOST_MS);
+		h->next_ask = now + h->ask_ms * OGL_MS;
 		send_ask(sh, h, 0);
 		h->want = 0; /* wanted again at the next failure to start */
 	}
@@ -274,8 +277,10 @@
 		obey_reclaim(sh, h, g);
 		return;
 	}
-	if (!h->known || h->ppm < g->ppm)
+	if (!h->known || h->ppm < g->ppm) {
 		sh->place_due = true;
+		h->ask_ms = 0;
+	}
 	h->known = true;
 	h->ppm = g->ppm;
 }
--- a/src/shard.c
+++ b/src/shard.c
@@ -801,6 +801,32 @@
 	    (now - sh->claimed_at) / OGL_MS);
 }
 
+struct forget {
+	struct ogl_shard *sh;
+	uint64_t before_ms;
+};
+
+static void
+forget_of_team(void *ctx, const char *team, const struct ogl_team_view *view)
+{
+	struct forget *f = ctx;
+
+	ogl_state_keep_newest(
+	    f->sh->state, team, view->idle_keep_jobs, f->before_ms);
+}
+
+/* What nobody will ask for any more is left out of the snapshot. */
+static void
+forget_old(struct ogl_shard *sh, ogl_time now)
+{
+	uint64_t at_ms = (uint64_t)(now / OGL_MS);
+	uint32_t keep_ms = sh->env->cfg->id_keep_ms;
+	struct forget f = {sh, at_ms > keep_ms ? at_ms - keep_ms : 0};
+
+	ogl_state_prune(sh->state, at_ms, keep_ms);
+	ogl_settings_each_team(sh->env->settings, forget_of_team, &f);
+}
+
 static void
 write_snapshot(struct ogl_shard *sh, ogl_time now)
 {
@@ -814,7 +840,7 @@
 		return;
 	sh->snapshot_at = now;
 	sh->state->records = 0;
-	ogl_state_prune(sh->state, (uint64_t)(now / OGL_MS), c->id_keep_ms);
+	forget_old(sh, now);
 	parts = ogl_state_snapshot(sh->state, (uint64_t)now);
 	for (guint i = parts->len; i > 0; i--) {
 		Ogl__Record *r = g_ptr_array_index(parts, i - 1);
--- a/src/state.c
+++ b/src/state.c
@@ -701,6 +701,54 @@
 	return ((Ogl__JobReferred *)value)->at_ms < *(uint64_t *)oldest_ms;
 }
 
+static gint
+newest_end_first(gconstpointer a, gconstpointer b)
+{
+	const struct ogl_job *ja = *(struct ogl_job *const *)a;
+	const struct ogl_job *jb = *(struct ogl_job *const *)b;
+
+	if (ja->ended_ms != jb->ended_ms)
+		return ja->ended_ms > jb->ended_ms ? -1 : 1;
+	return strcmp(ja->id, jb->id);
+}
+
+static void
+forget_job(struct ogl_state *st, struct ogl_job *j)
+{
+	char *key = ogl_request_key(j->team, j->spec->request_id);
+
+	if (g_hash_table_lookup(st->by_request, key) == j)
+		g_hash_table_remove(st->by_request, key);
+	g_free(key);
+	g_hash_table_remove(st->jobs, j->id);
+}
+
+void
+ogl_state_keep_newest(
+    struct ogl_state *st, const char *team, uint32_t most, uint64_t before_ms)
+{
+	GPtrArray *ended = g_ptr_array_new();
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, st->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct ogl_job *j = v;
+
+		if (j->ended_ms != 0 && j->nplaced == 0 &&
+		    strcmp(j->team, team) == 0)
+			g_ptr_array_add(ended, v);
+	}
+	g_ptr_array_sort(ended, newest_end_first);
+	for (guint i = most; i < ended->len; i++) {
+		struct ogl_job *j = g_ptr_array_index(ended, i);
+
+		if (j->ended_ms < before_ms)
+			forget_job(st, j);
+	}
+	g_ptr_array_free(ended, TRUE);
+}
+
 void
 ogl_state_prune(struct ogl_state *st, uint64_t now_ms, uint32_t id_keep_ms)
 {
--- a/src/state.h
+++ b/src/state.h
@@ -121,6 +121,11 @@
     struct ogl_state *st, uint64_t now_ms, uint32_t id_keep_ms);
 /* Forgets jobs long ended and request ids kept long enough. */
 
+void ogl_state_keep_newest(
+    struct ogl_state *st, const char *team, uint32_t most, uint64_t before_ms);
+/* Forgets ended jobs of the team, oldest first, until at most so many are
+ * left; none that ended at before_ms or later. */
+
 GPtrArray *ogl_state_snapshot(const struct ogl_state *st, uint64_t now_ms);
 /* The whole state as records (Ogl__Record), ready to be queued. */
 
--- a/test/test_cluster_state.cc
+++ b/test/test_cluster_state.cc
@@ -86,4 +86,42 @@
 	ogl_state_free(st);
 }
 
+TEST(ClusterState, ForgetsTheOldestEndedJobsOfATeamFirst)
+{
+	ogl_state *st = ogl_state_new();
+	Ogl__Record r = record_by("a", 1);
+	Ogl__JobAccepted acc = OGL__JOB_ACCEPTED__INIT;
+	Ogl__JobCancelled can = OGL__JOB_CANCELLED__INIT;
+	Ogl__Submit spec = OGL__SUBMIT__INIT;
+	const char *ids[] = {"s0-1-1", "s0-1-2", "s0-1-3"};
+	const char *requests[] = {"r1", "r2", "r3"};
+
+	read_claim(st, "a", 0, 0);
+	spec.tasks = 1;
+	for (int i = 0; i < 3; i++) {
+		spec.request_id = (char *)requests[i];
+		acc.job = (char *)ids[i];
+		acc.team = (char *)"t";
+		acc.spec = &spec;
+		r.body_case = OGL__RECORD__BODY_JOB_ACCEPTED;
+		r.job_accepted = &acc;
+		ogl_state_apply(st, &r, 1, nullptr, nullptr, 0);
+		can.job = (char *)ids[i];
+		r.at_ms = 1000 + i;
+		r.body_case = OGL__RECORD__BODY_JOB_CANCELLED;
+		r.job_cancelled = &can;
+		ogl_state_apply(st, &r, 2, nullptr, nullptr, 0);
+	}
+	ogl_state_keep_newest(st, "t", 1, 1001);
+	EXPECT_EQ(nullptr, g_hash_table_lookup(st->jobs, "s0-1-1"));
+	EXPECT_EQ(nullptr, g_hash_table_lookup(st->by_request, "t|r1"));
+	/* Too young to go, though above the number. */
+	EXPECT_NE(nullptr, g_hash_table_lookup(st->jobs, "s0-1-2"));
+	EXPECT_NE(nullptr, g_hash_table_lookup(st->jobs, "s0-1-3"));
+	ogl_state_keep_newest(st, "t", 1, 5000);
+	EXPECT_EQ(1u, g_hash_table_size(st->jobs));
+	EXPECT_NE(nullptr, g_hash_table_lookup(st->by_request, "t|r3"));
+	ogl_state_free(st);
+}
+
 } // namespace
