--- a/check/check_calls.c
+++ b/check/check_calls.c
@@ -273,7 +273,7 @@
 		check_find(c, check_lines(k->sent, NULL),
 		    "call %s is never answered", k->sent->u.call.call);
 	if (c->has_runs && !k->sent->u.call.job &&
-	    check_answered(k, HISTORY_RAN) &&
+	    check_answered(k, HISTORY_RAN) && k->answer != NULL &&
 	    k->answer->u.answer.status == 200 && r->runs->len == 0)
 		check_find(c, check_lines(k->sent, k->answer, NULL),
 		    "call %s is said to have run and did not",
--- a/check/check_tasks.c
+++ b/check/check_tasks.c
@@ -125,6 +125,8 @@
 			h->capacity = m->ev;
 			continue;
 		}
+		if (m->span == NULL)
+			continue; /* only a capacity has none */
 		for (int d = 0; d < DIMENSIONS; d++) {
 			uint32_t n = dimension(&m->span->start->u.task.res, d);
 
@@ -222,10 +224,8 @@
 		bool settled =
 		    ev->u.edit.accepted && ev->at + c->times.lowered < at;
 
-		if (settled)
-			best = ev;
-		else if (best != NULL && ev->u.edit.asked <= at &&
-			 ev->u.edit.limit > best->u.edit.limit)
+		if (settled || (best != NULL && ev->u.edit.asked <= at &&
+				   ev->u.edit.limit > best->u.edit.limit))
 			best = ev;
 	}
 	return best;
--- a/check/history.c
+++ b/check/history.c
@@ -364,7 +364,7 @@
 {
 	json_error_t e;
 	json_t *o = json_loads(text, 0, &e);
-	struct history_event ev;
+	struct history_event ev = {0};
 	char *wrong = o != NULL ? read_event(&ev, o) : g_strdup(e.text);
 	bool ok = wrong == NULL;
 
