Copy messages and make refusals in one place

Cause: a read of the whole change found the deep copy of a message written three times (state.c, follow.c, member.c) and the body of a refusal three times (reqs.c, shardcall.c, opcalls.c). message.c holds each once. Ruled out for now: the pairs in generated code and among the stand-ins. The sanitizer run was not repeated.

--- a/src/follow.c
+++ b/src/follow.c
@@ -24,6 +24,7 @@
 #include <string.h>
 
 #include "follow.h"
+#include "message.h"
 #include "stream.h"
 
 enum {
@@ -237,19 +238,6 @@
 	f->ops->changed(f->ctx, now);
 }
 
-static Ogl__Record *
-record_copy(const Ogl__Record *r)
-{
-	size_t n = ogl__record__get_packed_size(r);
-	uint8_t *buf = g_malloc(n + 1);
-	Ogl__Record *copy;
-
-	ogl__record__pack(r, buf);
-	copy = ogl__record__unpack(NULL, n, buf);
-	g_free(buf);
-	return copy;
-}
-
 static void
 on_record(void *ctx, const Ogl__Record *r, uint64_t offset, ogl_time now)
 {
@@ -263,7 +251,7 @@
 		if (f->complete) {
 			apply_change(f, r, offset, now);
 		} else {
-			g_ptr_array_add(f->early, record_copy(r));
+			g_ptr_array_add(f->early, ogl_message_copy(&r->base));
 			g_array_append_val(f->early_at, offset);
 		}
 		break;
--- a/src/member.c
+++ b/src/member.c
@@ -26,6 +26,7 @@
 #include <string.h>
 
 #include "member.h"
+#include "message.h"
 #include "random.h"
 
 enum {
@@ -58,19 +59,6 @@
 	g_free(p);
 }
 
-static Ogl__MemberFact *
-fact_copy(const Ogl__MemberFact *f)
-{
-	size_t n = ogl__member_fact__get_packed_size(f);
-	uint8_t *buf = g_malloc(n + 1);
-	Ogl__MemberFact *copy;
-
-	ogl__member_fact__pack(f, buf);
-	copy = ogl__member_fact__unpack(NULL, n, buf);
-	g_free(buf);
-	return copy;
-}
-
 struct ogl_member *
 ogl_member_init(const struct ogl_node_config *c, uint64_t seed, ogl_time now)
 {
@@ -83,7 +71,7 @@
 	f.addr = (char *)c->addr;
 	f.zone = (char *)c->zone;
 	f.boot = c->boot;
-	m->own = fact_copy(&f);
+	m->own = ogl_message_copy(&f.base);
 	m->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, peer_free);
 	m->order = g_ptr_array_new_with_free_func(g_free);
@@ -291,7 +279,7 @@
 {
 	struct ogl_peer *p = g_new0(struct ogl_peer, 1);
 
-	p->fact = fact_copy(f);
+	p->fact = ogl_message_copy(&f->base);
 	p->heard = now;
 	p->changed = now;
 	g_hash_table_insert(m->peers, g_strdup(f->name), p);
@@ -312,7 +300,7 @@
 		p->probe_sent = 0;
 	}
 	ogl__member_fact__free_unpacked(p->fact, NULL);
-	p->fact = fact_copy(f);
+	p->fact = ogl_message_copy(&f->base);
 	p->heard = now;
 	p->tell = tell_times(m);
 }
@@ -375,7 +363,7 @@
 	if (fact_cmp(said, p->fact) != 0)
 		return;
 	ogl__member_fact__free_unpacked(p->fact, NULL);
-	p->fact = fact_copy(said);
+	p->fact = ogl_message_copy(&said->base);
 }
 
 static void
--- a/src/node_impl.h
+++ b/src/node_impl.h
@@ -4,6 +4,7 @@
 #define OGL_NODE_IMPL_H
 
 #include "follow.h"
+#include "message.h"
 #include "member.h"
 #include "metrics.h"
 #include "reqs.h"
@@ -112,8 +113,5 @@
     const char *arg, uint64_t waiter, struct ogl_op_reply *r);
 char *ogl_op_key_text(struct ogl_node *n, uint64_t waiter);
 /* The key made for this waiter, shown once; NULL when it made none. */
-char *ogl_error_text(const char *error, enum ogl_verdict v,
-    uint64_t retry_after_ms, const struct ogl_faults *faults);
-/* ErrorView as JSON; g_free. */
 
 #endif
--- a/src/opcalls.c
+++ b/src/opcalls.c
@@ -10,34 +10,6 @@
 	RETRY_LOG_MS = 1000
 };
 
-char *
-ogl_error_text(const char *error, enum ogl_verdict v, uint64_t retry_after_ms,
-    const struct ogl_faults *faults)
-{
-	Ogl__ErrorView e = OGL__ERROR_VIEW__INIT;
-	size_t nf = faults != NULL ? ogl_faults_count(faults) : 0;
-	Ogl__Fault *f = g_new0(Ogl__Fault, nf + 1);
-	Ogl__Fault **list = g_new0(Ogl__Fault *, nf + 1);
-	char *text;
-
-	for (size_t i = 0; i < nf; i++) {
-		ogl__fault__init(&f[i]);
-		f[i].path = (char *)ogl_faults_path(faults, i);
-		f[i].value = (char *)ogl_faults_value(faults, i);
-		f[i].allowed = (char *)ogl_faults_allowed(faults, i);
-		list[i] = &f[i];
-	}
-	e.error = (char *)error;
-	e.verdict = (Ogl__Verdict)v;
-	e.retry_after_ms = retry_after_ms;
-	e.n_faults = nf;
-	e.faults = list;
-	text = ogl_json_print(&e.base, NULL);
-	g_free(list);
-	g_free(f);
-	return text;
-}
-
 static void
 refuse(struct ogl_op_reply *r, uint32_t status, uint64_t retry_ms,
     const char *error, const struct ogl_faults *faults)
--- a/src/reqs.c
+++ b/src/reqs.c
@@ -15,6 +15,7 @@
 
 #include <string.h>
 
+#include "message.h"
 #include "reqs.h"
 
 enum {
@@ -182,20 +183,6 @@
 
 /* ---- answers ---------------------------------------------------------- */
 
-static GBytes *
-error_body(const char *error, enum ogl_verdict v, uint64_t retry_ms)
-{
-	Ogl__ErrorView e = OGL__ERROR_VIEW__INIT;
-	size_t n;
-	char *text;
-
-	e.error = (char *)error;
-	e.verdict = (Ogl__Verdict)v;
-	e.retry_after_ms = retry_ms;
-	text = ogl_json_print(&e.base, &n);
-	return g_bytes_new_take(text, n);
-}
-
 static void
 count_verdict(struct ogl_reqs *q, enum ogl_verdict v)
 {
@@ -238,7 +225,7 @@
 finish_error(struct ogl_reqs *q, struct req *r, uint32_t status,
     enum ogl_verdict v, uint64_t retry_ms, const char *error, ogl_time now)
 {
-	GBytes *body = error_body(error, v, retry_ms);
+	GBytes *body = ogl_error_body(error, v, retry_ms);
 
 	finish(q, r, status, v, retry_ms, body, now);
 	g_bytes_unref(body);
--- a/src/shardcall.c
+++ b/src/shardcall.c
@@ -23,6 +23,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "message.h"
 #include "shard_impl.h"
 
 enum {
@@ -93,25 +94,12 @@
 	g_bytes_unref(body);
 }
 
-static GBytes *
-error_body(const char *error, enum ogl_verdict v, uint64_t retry_ms)
-{
-	Ogl__ErrorView e = OGL__ERROR_VIEW__INIT;
-	size_t n;
-	char *text;
-
-	e.error = (char *)error;
-	e.verdict = (Ogl__Verdict)v;
-	e.retry_after_ms = retry_ms;
-	text = ogl_json_print(&e.base, &n);
-	return g_bytes_new_take(text, n);
-}
-
 static void
 refuse(struct ogl_shard *sh, uint64_t waiter, uint32_t status,
     enum ogl_verdict v, uint64_t retry_ms, const char *error)
 {
-	reply(sh, waiter, status, v, retry_ms, error_body(error, v, retry_ms));
+	reply(sh, waiter, status, v, retry_ms,
+	    ogl_error_body(error, v, retry_ms));
 }
 
 static GBytes *
--- a/src/state.c
+++ b/src/state.c
@@ -18,6 +18,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "message.h"
 #include "state.h"
 
 enum {
@@ -107,24 +108,10 @@
 	g_free(st);
 }
 
-/* A deep copy of a message, by way of its packed form. */
-static void *
-message_copy(const ProtobufCMessage *m)
-{
-	size_t n = protobuf_c_message_get_packed_size(m);
-	uint8_t *buf = g_malloc(n + 1);
-	void *copy;
-
-	protobuf_c_message_pack(m, buf);
-	copy = protobuf_c_message_unpack(m->descriptor, NULL, n, buf);
-	g_free(buf);
-	return copy;
-}
-
 Ogl__Submit *
 ogl_submit_copy(const Ogl__Submit *s)
 {
-	return message_copy(&s->base);
+	return ogl_message_copy(&s->base);
 }
 
 char *
@@ -249,7 +236,7 @@
 apply_referred(struct ogl_state *st, const Ogl__JobReferred *r,
     const struct ogl_state_hooks *hooks, void *ctx, ogl_time now)
 {
-	Ogl__JobReferred *copy = message_copy(&r->base);
+	Ogl__JobReferred *copy = ogl_message_copy(&r->base);
 
 	g_hash_table_replace(st->referred, copy->request, copy);
 	if (hooks != NULL)
@@ -407,7 +394,7 @@
 apply_allot(struct ogl_state *st, const Ogl__Allot *a,
     const struct ogl_state_hooks *hooks, void *ctx, ogl_time now)
 {
-	Ogl__Allot *copy = message_copy(&a->base);
+	Ogl__Allot *copy = ogl_message_copy(&a->base);
 
 	g_hash_table_replace(st->allots, copy->team, copy);
 	if (hooks != NULL)
@@ -545,7 +532,7 @@
 	a.team = j->team;
 	a.spec = j->spec;
 	a.accepted_ms = j->accepted_ms;
-	s->job = message_copy(&a.base);
+	s->job = ogl_message_copy(&a.base);
 	s->cancelled = j->cancelled;
 	s->cancel_verdict = j->cancel_verdict;
 	if (j->cancel_reason != NULL)
@@ -618,7 +605,7 @@
 	g_hash_table_iter_init(&it, st->referred);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		p->referred[p->n_referred++] =
-		    message_copy(&((Ogl__JobReferred *)v)->base);
+		    ogl_message_copy(&((Ogl__JobReferred *)v)->base);
 	p->workers = calloc(g_hash_table_size(st->workers) + 1, sizeof(void *));
 	g_hash_table_iter_init(&it, st->workers);
 	while (g_hash_table_iter_next(&it, &k, &v)) {
@@ -633,7 +620,7 @@
 	g_hash_table_iter_init(&it, st->allots);
 	while (g_hash_table_iter_next(&it, &k, &v))
 		p->allots[p->n_allots++] =
-		    message_copy(&((Ogl__Allot *)v)->base);
+		    ogl_message_copy(&((Ogl__Allot *)v)->base);
 }
 
 /* The part that has room for one more job or id. */
