--- /dev/null
+++ b/cell/advice.c
@@ -0,0 +1,296 @@
+/*
+ * Each node has a lane: the time until which the service is expected to be
+ * busy with what that node asked.  A question costs decide_ms and worker_ms a
+ * worker named in it.
+ */
+
+#include <string.h>
+
+#include "advice.h"
+#include "fleet.h"
+
+/* A node is asked while it was heard of within this time. */
+#define NODE_FRESH (1200 * OGL_MS)
+/* A lane longer than this takes no more: an answer would come after the
+ * caller's patience.  The service itself refuses beyond 32 questions. */
+#define LANE_MAX (2500 * OGL_MS)
+#define SLACK_MS 700 /* beyond the expected time, for the way and back */
+/* Tickets are not used in their last moments: the start takes a way too. */
+#define TICKET_MARGIN (120 * OGL_MS)
+/* A node that let a question go unanswered rests. */
+#define LANE_REST (1500 * OGL_MS)
+
+struct lane {
+	char *addr;
+	ogl_time heard;
+	ogl_time busy_until;
+	ogl_time rest_until;
+};
+
+struct question {
+	uint64_t token;
+	char id[CELL_ID_LEN + 1];
+	uint32_t occurrence;
+	uint32_t step;
+	GPtrArray *workers; /* ids */
+	char *lane;
+	ogl_time sent;
+	ogl_time give_up;
+};
+
+struct cell_advice {
+	const struct cell_ops *ops;
+	struct cell_advice_events events;
+	GHashTable *lanes;     /* addr -> struct lane */
+	GHashTable *questions; /* token -> struct question */
+	uint64_t last_token;
+};
+
+static void
+lane_free(void *p)
+{
+	struct lane *l = p;
+
+	g_free(l->addr);
+	g_free(l);
+}
+
+static void
+question_free(void *p)
+{
+	struct question *q = p;
+
+	g_ptr_array_unref(q->workers);
+	g_free(q->lane);
+	g_free(q);
+}
+
+struct cell_advice *
+cell_advice_init(
+    const struct cell_ops *ops, const struct cell_advice_events *events)
+{
+	struct cell_advice *a = g_new0(struct cell_advice, 1);
+
+	a->ops = ops;
+	a->events = *events;
+	a->lanes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lane_free);
+	a->questions = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, question_free);
+	return a;
+}
+
+void
+cell_advice_end(struct cell_advice *a)
+{
+	g_hash_table_unref(a->questions);
+	g_hash_table_unref(a->lanes);
+	g_free(a);
+}
+
+void
+cell_advice_clear(struct cell_advice *a)
+{
+	g_hash_table_remove_all(a->questions);
+	g_hash_table_remove_all(a->lanes);
+}
+
+void
+cell_advice_node(struct cell_advice *a, const char *addr, ogl_time now)
+{
+	struct lane *l = g_hash_table_lookup(a->lanes, addr);
+
+	if (l == NULL) {
+		l = g_new0(struct lane, 1);
+		l->addr = g_strdup(addr);
+		g_hash_table_insert(a->lanes, l->addr, l);
+	}
+	l->heard = now;
+}
+
+void
+cell_advice_no_node(struct cell_advice *a, const char *addr)
+{
+	g_hash_table_remove(a->lanes, addr);
+}
+
+static struct lane *
+pick_lane(struct cell_advice *a, ogl_time now)
+{
+	struct lane *best = NULL;
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, a->lanes);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct lane *l = p;
+
+		if (now - l->heard > NODE_FRESH || now < l->rest_until)
+			continue;
+		if (best == NULL || l->busy_until < best->busy_until)
+			best = l;
+	}
+	if (best != NULL && best->busy_until > now + LANE_MAX)
+		return NULL;
+	return best;
+}
+
+static void
+send_question(struct cell_advice *a, const struct question *q)
+{
+	Ogl__CellAsk ask = OGL__CELL_ASK__INIT;
+	char step[64];
+
+	g_snprintf(
+	    step, sizeof step, "%s.%u.%u", q->id, q->occurrence, q->step);
+	ask.token = q->token;
+	ask.step = step;
+	ask.workers = (char **)q->workers->pdata;
+	ask.n_workers = q->workers->len;
+	ask.timeout_ms = (uint32_t)((q->give_up - q->sent) / OGL_MS);
+	a->events.send(a->events.arg, q->lane, &ask);
+	a->ops->count(a->ops->ctx, "advice_questions", 1);
+}
+
+bool
+cell_advice_ask(struct cell_advice *a, struct cell_stage *s,
+    const struct cell_policy *p, GPtrArray *workers, ogl_time now)
+{
+	struct lane *l = pick_lane(a, now);
+	struct question *q;
+	ogl_time cost;
+	guint i;
+
+	if (l == NULL || workers->len == 0 || s->asking)
+		return false;
+	q = g_new0(struct question, 1);
+	q->token = ++a->last_token;
+	memcpy(q->id, s->job->id, sizeof q->id);
+	q->occurrence = s->occurrence;
+	q->step = s->step;
+	q->workers = g_ptr_array_new_with_free_func(g_free);
+	for (i = 0; i < workers->len && i < CELL_ADVICE_MAX; i++) {
+		const struct cell_worker *w = workers->pdata[i];
+
+		g_ptr_array_add(q->workers, g_strdup(w->id));
+	}
+	cost = (ogl_time)((p->decide_ms + p->worker_ms * q->workers->len) *
+			  OGL_MS);
+	l->busy_until = MAX(l->busy_until, now) + cost;
+	q->lane = g_strdup(l->addr);
+	q->sent = now;
+	q->give_up = l->busy_until + SLACK_MS * OGL_MS;
+	s->asking = true;
+	g_hash_table_insert(a->questions, &q->token, q);
+	send_question(a, q);
+	return true;
+}
+
+static void
+take_ticket(struct cell_advice *a, struct cell_stage *s, const char *id,
+    const char *ticket, ogl_time until)
+{
+	const struct cell_worker *w = a->events.worker(a->events.arg, id);
+	struct cell_good *g;
+
+	if (w == NULL)
+		return;
+	g = g_hash_table_lookup(s->good, id);
+	if (g == NULL) {
+		g = g_new0(struct cell_good, 1);
+		g->worker = g_strdup(id);
+		g_hash_table_insert(s->good, g->worker, g);
+	}
+	g_free(g->ticket);
+	g->ticket = g_strdup(ticket);
+	g->until = until;
+	g->born_ms = w->life;
+}
+
+static void
+take_answer(struct cell_advice *a, struct cell_stage *s,
+    const struct question *q, const Ogl__CellAdvice *m, ogl_time now)
+{
+	ogl_time until = now +
+			 ((ogl_time)m->valid_ms - (ogl_time)m->age_ms) * OGL_MS -
+			 TICKET_MARGIN;
+	size_t i;
+
+	for (i = 0; i < q->workers->len; i++)
+		g_hash_table_add(s->asked, g_strdup(q->workers->pdata[i]));
+	for (i = 0; i < m->n_tickets; i++)
+		take_ticket(a, s, m->tickets[i]->worker,
+		    m->tickets[i]->ticket, until);
+}
+
+/* The lane is corrected by what was seen: a slow service or a node that
+ * stands still. */
+static void
+correct_lane(
+    struct cell_advice *a, const struct question *q, bool ok, ogl_time now)
+{
+	struct lane *l = g_hash_table_lookup(a->lanes, q->lane);
+
+	if (l == NULL)
+		return;
+	if (ok)
+		l->rest_until = 0;
+	else
+		l->rest_until = now + LANE_REST;
+}
+
+void
+cell_advice_answer(
+    struct cell_advice *a, const Ogl__CellAdvice *m, ogl_time now)
+{
+	struct question *q = g_hash_table_lookup(a->questions, &m->token);
+	struct cell_stage *s;
+
+	if (q == NULL)
+		return;
+	correct_lane(a, q, m->ok, now);
+	a->ops->observe(a->ops->ctx, "advice_ms",
+	    (uint64_t)((now - q->sent) / OGL_MS));
+	s = a->events.stage(a->events.arg, q->id, q->occurrence, q->step);
+	if (s != NULL) {
+		s->asking = false;
+		if (m->ok)
+			take_answer(a, s, q, m, now);
+	}
+	g_hash_table_remove(a->questions, &m->token);
+	if (s != NULL)
+		a->events.answered(a->events.arg, s, now);
+}
+
+void
+cell_advice_step(struct cell_advice *a, ogl_time now)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, a->questions);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct question *q = p;
+		struct cell_stage *s;
+
+		if (now < q->give_up)
+			continue;
+		correct_lane(a, q, false, now);
+		s = a->events.stage(
+		    a->events.arg, q->id, q->occurrence, q->step);
+		if (s != NULL)
+			s->asking = false;
+		a->ops->count(a->ops->ctx, "advice_unanswered", 1);
+		g_hash_table_iter_remove(&it);
+	}
+}
+
+const struct cell_good *
+cell_advice_good(const struct cell_stage *s, const struct cell_worker *w)
+{
+	const struct cell_good *g = g_hash_table_lookup(s->good, w->id);
+
+	if (g == NULL || g->born_ms != w->life)
+		return NULL;
+	return g;
+}
--- /dev/null
+++ b/cell/cell_config.c
@@ -0,0 +1,253 @@
+/*
+ * Queues are few, so the longest prefix is found by looking at each; teams
+ * and keys are hashed.
+ */
+
+#include <string.h>
+
+#include "cell_config.h"
+
+struct cell_config {
+	uint64_t version;
+	unsigned refs;
+	GPtrArray *queues;
+	GPtrArray *services;
+	GPtrArray *team_list;
+	GHashTable *keys; /* key -> struct cell_team, borrowed */
+};
+
+static void
+queue_free(void *p)
+{
+	struct cell_queue *q = p;
+
+	g_free(q->name);
+	g_free(q->host);
+	g_free(q->prefix);
+	g_free(q->service);
+	g_free(q);
+}
+
+static void
+team_free(void *p)
+{
+	struct cell_team *t = p;
+
+	g_free(t->name);
+	g_free(t);
+}
+
+static void
+service_free(void *p)
+{
+	struct cell_service *s = p;
+
+	g_free(s->name);
+	g_free(s);
+}
+
+struct cell_config *
+cell_config_new(uint64_t version)
+{
+	struct cell_config *c = g_new0(struct cell_config, 1);
+
+	c->version = version;
+	c->refs = 1;
+	c->queues = g_ptr_array_new_with_free_func(queue_free);
+	c->services = g_ptr_array_new_with_free_func(service_free);
+	c->team_list = g_ptr_array_new_with_free_func(team_free);
+	c->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return c;
+}
+
+struct cell_config *
+cell_config_ref(struct cell_config *c)
+{
+	c->refs++;
+	return c;
+}
+
+void
+cell_config_unref(struct cell_config *c)
+{
+	if (c == NULL || --c->refs > 0)
+		return;
+	g_hash_table_unref(c->keys);
+	g_ptr_array_unref(c->queues);
+	g_ptr_array_unref(c->services);
+	g_ptr_array_unref(c->team_list);
+	g_free(c);
+}
+
+uint64_t
+cell_config_version(const struct cell_config *c)
+{
+	return c->version;
+}
+
+struct cell_queue *
+cell_config_add_queue(struct cell_config *c)
+{
+	struct cell_queue *q = g_new0(struct cell_queue, 1);
+
+	g_ptr_array_add(c->queues, q);
+	return q;
+}
+
+struct cell_team *
+cell_config_add_team(struct cell_config *c)
+{
+	struct cell_team *t = g_new0(struct cell_team, 1);
+
+	g_ptr_array_add(c->team_list, t);
+	return t;
+}
+
+struct cell_service *
+cell_config_add_service(struct cell_config *c)
+{
+	struct cell_service *s = g_new0(struct cell_service, 1);
+
+	g_ptr_array_add(c->services, s);
+	return s;
+}
+
+void
+cell_config_add_key(
+    struct cell_config *c, const char *key, const struct cell_team *team)
+{
+	g_hash_table_insert(
+	    c->keys, g_strdup(key), (struct cell_team *)(uintptr_t)team);
+}
+
+/* A Host header may carry a port. */
+static bool
+same_host(struct ogl_str host, const char *want)
+{
+	const char *colon = memchr(host.p, ':', host.n);
+	size_t n = colon != NULL ? (size_t)(colon - host.p) : host.n;
+
+	return n == strlen(want) && g_ascii_strncasecmp(host.p, want, n) == 0;
+}
+
+const struct cell_queue *
+cell_config_route(const struct cell_config *c, struct ogl_str host,
+    struct ogl_str path, struct ogl_str *rest)
+{
+	const struct cell_queue *best = NULL;
+	size_t best_len = 0;
+	guint i;
+
+	if (host.n == 0)
+		return NULL;
+	for (i = 0; i < c->queues->len; i++) {
+		const struct cell_queue *q = c->queues->pdata[i];
+		size_t n = strlen(q->prefix);
+
+		if (n > path.n || memcmp(path.p, q->prefix, n) != 0)
+			continue;
+		if (!same_host(host, q->host))
+			continue;
+		if (best == NULL || n > best_len) {
+			best = q;
+			best_len = n;
+		}
+	}
+	if (best != NULL) {
+		rest->p = path.p + best_len;
+		rest->n = path.n - best_len;
+	}
+	return best;
+}
+
+const struct cell_queue *
+cell_config_queue(const struct cell_config *c, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < c->queues->len; i++) {
+		const struct cell_queue *q = c->queues->pdata[i];
+
+		if (strcmp(q->name, name) == 0)
+			return q;
+	}
+	return NULL;
+}
+
+const struct cell_team *
+cell_config_team(const struct cell_config *c, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < c->team_list->len; i++) {
+		const struct cell_team *t = c->team_list->pdata[i];
+
+		if (strcmp(t->name, name) == 0)
+			return t;
+	}
+	return NULL;
+}
+
+const struct cell_team *
+cell_config_team_of_key(const struct cell_config *c, struct ogl_str key)
+{
+	char text[256];
+
+	if (key.n == 0 || key.n >= sizeof text)
+		return NULL;
+	if (memchr(key.p, '\0', key.n) != NULL)
+		return NULL;
+	memcpy(text, key.p, key.n);
+	text[key.n] = '\0';
+	return g_hash_table_lookup(c->keys, text);
+}
+
+struct cell_queue
+cell_queue_of_job(const struct cell_config *c, const Ogl__CellJob *def)
+{
+	const struct cell_queue *q =
+	    c != NULL ? cell_config_queue(c, def->queue) : NULL;
+	const Ogl__CellTerms *t = def->terms;
+	struct cell_queue old = {.name = def->queue, .service = def->service};
+
+	if (q != NULL)
+		return *q;
+	if (t == NULL)
+		return old;
+	old.rank = t->rank;
+	old.attempts_max = t->attempts_max;
+	old.objective_ms = t->objective_ms;
+	old.slack = t->slack;
+	old.policy.needed = t->policy;
+	old.policy.decide_ms = t->decide_ms;
+	old.policy.worker_ms = t->worker_ms;
+	old.policy.valid_ms = t->valid_ms;
+	return old;
+}
+
+void
+cell_queue_terms(const struct cell_queue *q, Ogl__CellTerms *t)
+{
+	t->rank = q->rank;
+	t->attempts_max = q->attempts_max;
+	t->objective_ms = q->objective_ms;
+	t->slack = q->slack;
+	t->policy = q->policy.needed;
+	t->decide_ms = q->policy.decide_ms;
+	t->worker_ms = q->policy.worker_ms;
+	t->valid_ms = q->policy.valid_ms;
+}
+
+bool
+cell_config_serves(const struct cell_config *c, const char *service)
+{
+	guint i;
+
+	for (i = 0; i < c->queues->len; i++) {
+		const struct cell_queue *q = c->queues->pdata[i];
+
+		if (strcmp(q->service, service) == 0)
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/cell/fleet.c
@@ -0,0 +1,1061 @@
+/*
+ * Each worker that has anything to tell or to keep alive has one hold under
+ * way.  A hold renews the lease of all that runs there, tells which ends are
+ * noted for good, and its answer waits for the next end; both lists of the
+ * answer are then compared with what is known here:
+ *
+ *	listed as running, known      it is up; its checkpoint is kept
+ *	listed as running, unknown    the owner is asked (found)
+ *	listed as ended               the run is over
+ *	up, but in neither list       it was lost
+ *	stop answered, in neither     it never came, and now never will
+ *
+ * A start without an answer may be carried out seconds later.  It is repeated
+ * as it was, which the worker carries out once.  Only a stop that was answered
+ * makes certain that the run won't begin any more, so a start that is given up
+ * is stopped first.
+ *
+ * A worker that does not answer may go on running all it has until the lease
+ * asked for last is over by its own clock, which may be SLOW slower than ours.
+ * Until then its runs count as running.
+ */
+
+#include <string.h>
+
+#include "fleet.h"
+
+/* Longest lease asked for.  It has to outlast the loss of an owner (silence,
+ * claim, first holds: some 2.5 s) and ends what a worker cut off runs. */
+#define LEASE_MS 5000
+#define SLOW 1.0205 /* a clock 2% slow takes 1/0.98 of the time */
+#define LAPSE_MARGIN (250 * OGL_MS)
+#define HOLD_WAIT_MS 900
+#define HOLD_TIMEOUT_MS 1700
+/* Ends within this time of each other are fetched with one hold. */
+#define HOLD_GAP (20 * OGL_MS)
+/* A hold whose ends are not stored yet would return at once with the same
+ * ends; it is sent all the same when the lease wants renewing. */
+#define RENEW (700 * OGL_MS)
+#define HOLD_RETRY (150 * OGL_MS)
+/* An answer overdue by this makes a worker suspect: nothing new goes there. */
+#define SUSPECT (400 * OGL_MS)
+#define ORDER_TIMEOUT_MS 600
+#define ORDER_RETRY (100 * OGL_MS)
+#define START_TRIES 3
+#define ENDS_A_PAGE 500 /* a fuller list of ends may not be whole */
+/* A worker that fails STREAK different jobs in a row is set aside. */
+#define STREAK 3
+#define ASIDE (4 * OGL_SEC)
+#define ASIDE_DOUBLINGS 3
+
+struct cell_fleet {
+	const struct cell_ops *ops;
+	const struct cell_limits *limits;
+	struct cell_fleet_events events;
+	GHashTable *workers; /* id -> struct cell_worker */
+	GHashTable *teams;   /* name -> struct ogl_res, what may run */
+	bool open;
+	uint64_t epoch;
+	uint64_t generation;
+	ogl_time opened_at;
+};
+
+/* An order or hold under way. */
+struct call {
+	struct cell_fleet *fleet;
+	struct cell_worker *worker;
+	struct cell_run *run; /* NULL: a hold */
+	uint64_t generation;
+	uint64_t noted; /* hold: ends acknowledged */
+	ogl_time sent;
+	bool stop;
+};
+
+/* ---- workers ---------------------------------------------------------- */
+
+static void
+run_free(struct cell_run *r)
+{
+	g_free(r->team);
+	g_free(r->spec);
+	g_free(r->ticket);
+	g_free(r->checkpoint);
+	g_free(r);
+}
+
+static void
+worker_free(void *p)
+{
+	struct cell_worker *w = p;
+
+	g_hash_table_unref(w->runs);
+	g_free(w->id);
+	g_free(w->addr);
+	g_free(w->zone);
+	g_free(w->rack);
+	g_strfreev(w->labels);
+	g_free(w->service);
+	g_free(w->streak_job);
+	g_free(w);
+}
+
+struct cell_fleet *
+cell_fleet_init(const struct cell_ops *ops, const struct cell_limits *limits,
+    const struct cell_fleet_events *events)
+{
+	struct cell_fleet *f = g_new0(struct cell_fleet, 1);
+
+	f->ops = ops;
+	f->limits = limits;
+	f->events = *events;
+	f->workers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, worker_free);
+	f->teams =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return f;
+}
+
+static void
+worker_drop_runs(struct cell_worker *w)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, w->runs);
+	while (g_hash_table_iter_next(&it, &p, NULL)) {
+		struct cell_run *r = p;
+
+		g_hash_table_iter_remove(&it);
+		if (r->open)
+			r->worker = NULL; /* freed when its answer comes */
+		else
+			run_free(r);
+	}
+	memset(&w->used, 0, sizeof w->used);
+}
+
+void
+cell_fleet_end(struct cell_fleet *f)
+{
+	cell_fleet_close(f);
+	g_hash_table_unref(f->workers);
+	g_hash_table_unref(f->teams);
+	g_free(f);
+}
+
+void
+cell_fleet_open(struct cell_fleet *f, uint64_t epoch, ogl_time now)
+{
+	f->open = true;
+	f->epoch = epoch;
+	f->generation++;
+	f->opened_at = now;
+}
+
+void
+cell_fleet_close(struct cell_fleet *f)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	f->open = false;
+	f->generation++;
+	g_hash_table_iter_init(&it, f->workers);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct cell_worker *w = p;
+
+		worker_drop_runs(w);
+		w->fenced = false;
+		w->holding = false;
+		w->life = 0;
+		w->last_seen = 0;
+		w->taken = 0;
+		w->until_ms = 0;
+		w->listed = false;
+	}
+	g_hash_table_remove_all(f->teams);
+}
+
+GHashTable *
+cell_fleet_workers(const struct cell_fleet *f)
+{
+	return f->workers;
+}
+
+struct cell_worker *
+cell_fleet_worker(const struct cell_fleet *f, const char *id)
+{
+	return g_hash_table_lookup(f->workers, id);
+}
+
+static void
+replace(char **to, const char *from)
+{
+	if (g_strcmp0(*to, from) == 0)
+		return;
+	g_free(*to);
+	*to = g_strdup(from);
+}
+
+static struct cell_worker *
+worker_get(struct cell_fleet *f, const char *id, ogl_time now)
+{
+	struct cell_worker *w = g_hash_table_lookup(f->workers, id);
+
+	if (w != NULL)
+		return w;
+	w = g_new0(struct cell_worker, 1);
+	w->id = g_strdup(id);
+	w->runs = g_hash_table_new(NULL, NULL);
+	w->hold_at = now;
+	w->pace = 1.0;
+	g_hash_table_insert(f->workers, w->id, w);
+	return w;
+}
+
+static void
+log_worker(struct cell_fleet *f, const struct cell_worker *w, const char *event)
+{
+	char text[256];
+
+	g_snprintf(text, sizeof text,
+	    "worker=%s addr=%s life=%" G_GUINT64_FORMAT
+	    " runs=%u failures=%u draining=%d",
+	    w->id, w->addr, w->life, g_hash_table_size(w->runs), w->failures,
+	    w->draining);
+	f->ops->log(f->ops->ctx, "fleet", event, text);
+}
+
+void
+cell_fleet_entry(struct cell_fleet *f, const char *id,
+    const struct cell_worker_entry *e, ogl_time now)
+{
+	struct cell_worker *w;
+
+	if (e == NULL) {
+		w = g_hash_table_lookup(f->workers, id);
+		if (w != NULL && w->listed) {
+			w->listed = false;
+			log_worker(f, w, "worker_unlisted");
+		}
+		return;
+	}
+	w = worker_get(f, id, now);
+	replace(&w->addr, e->addr);
+	replace(&w->zone, e->zone);
+	replace(&w->rack, e->rack);
+	replace(&w->service, e->service);
+	g_strfreev(w->labels);
+	w->labels = g_strdupv(e->labels);
+	w->capacity = e->capacity;
+	if (w->draining != e->draining || !w->listed) {
+		w->draining = e->draining;
+		w->listed = true;
+		log_worker(f, w, "worker_listed");
+	}
+	if (w->entry_born_ms != e->born_ms) {
+		w->entry_born_ms = e->born_ms;
+		w->failures = 0;
+		w->hold_at = now;
+		/* A new life has seen no epoch: it is called first. */
+		if (w->life != 0 && e->born_ms != 0 && e->born_ms != w->life)
+			w->fenced = false;
+	}
+	if (f->open)
+		f->events.room(f->events.arg, now);
+}
+
+bool
+cell_worker_fits(const struct cell_worker *w, const struct ogl_res *need)
+{
+	struct ogl_res room = w->capacity;
+
+	ogl_res_sub(&room, &w->used);
+	return ogl_res_fits(need, &room);
+}
+
+static bool
+overdue(const struct cell_worker *w, ogl_time now)
+{
+	return w->holding &&
+	       now - w->hold_sent > HOLD_WAIT_MS * OGL_MS + SUSPECT;
+}
+
+bool
+cell_worker_open(const struct cell_worker *w, ogl_time now)
+{
+	return w->listed && !w->draining && w->fenced && w->failures == 0 &&
+	       now >= w->aside_until && !overdue(w, now);
+}
+
+/*
+ * One bad job fails wherever it runs, so only failures of different jobs in a
+ * row speak against a worker.
+ */
+void
+cell_worker_result(
+    struct cell_worker *w, const char *job, bool ok, ogl_time now)
+{
+	if (ok) {
+		w->streak = 0;
+		w->asides = 0;
+		g_clear_pointer(&w->streak_job, g_free);
+		return;
+	}
+	if (g_strcmp0(w->streak_job, job) == 0)
+		return;
+	replace(&w->streak_job, job);
+	w->streak++;
+	if (w->streak < STREAK)
+		return;
+	w->aside_until = now + (ASIDE << MIN(w->asides, ASIDE_DOUBLINGS));
+	w->asides++;
+	w->streak = STREAK - 1; /* one more failure after that is enough */
+}
+
+/* ---- accounts --------------------------------------------------------- */
+
+static struct ogl_res *
+team_account(struct cell_fleet *f, const char *team)
+{
+	struct ogl_res *a = g_hash_table_lookup(f->teams, team);
+
+	if (a == NULL) {
+		a = g_new0(struct ogl_res, 1);
+		g_hash_table_insert(f->teams, g_strdup(team), a);
+	}
+	return a;
+}
+
+struct ogl_res
+cell_fleet_team_used(const struct cell_fleet *f, const char *team)
+{
+	const struct ogl_res none = {0};
+	const struct ogl_res *a = g_hash_table_lookup(f->teams, team);
+
+	return a != NULL ? *a : none;
+}
+
+static struct cell_run *
+run_new(struct cell_fleet *f, struct cell_worker *w,
+    const struct cell_task_name *name, uint64_t number,
+    const struct ogl_res *res, const char *team)
+{
+	struct cell_run *r = g_new0(struct cell_run, 1);
+
+	r->worker = w;
+	r->name = *name;
+	r->number = number;
+	r->res = *res;
+	r->team = g_strdup(team);
+	ogl_res_add(&w->used, res);
+	ogl_res_add(team_account(f, r->team), res);
+	g_hash_table_add(w->runs, r);
+	return r;
+}
+
+/* The run is over: its room is free. */
+static void
+run_end(struct cell_fleet *f, struct cell_run *r, ogl_time now)
+{
+	struct cell_worker *w = r->worker;
+
+	ogl_res_sub(&w->used, &r->res);
+	ogl_res_sub(team_account(f, r->team), &r->res);
+	g_hash_table_remove(w->runs, r);
+	r->worker = NULL;
+	if (!r->open)
+		run_free(r);
+	f->events.room(f->events.arg, now);
+}
+
+static void
+run_over(struct cell_fleet *f, struct cell_run *r, enum cell_end how,
+    const char *checkpoint, ogl_time now)
+{
+	f->events.ended(f->events.arg, r, how, checkpoint, now);
+	run_end(f, r, now);
+}
+
+/* ---- clocks and leases ------------------------------------------------ */
+
+static void
+read_clock(struct cell_worker *w, uint64_t clock_ms, ogl_time now)
+{
+	if (clock_ms == 0)
+		return;
+	w->clock_ms = clock_ms;
+	w->clock_at = now;
+}
+
+/* The worker's clock now, at least. */
+static uint64_t
+clock_now(const struct cell_worker *w, ogl_time now)
+{
+	return w->clock_ms + (uint64_t)((now - w->clock_at) / OGL_MS);
+}
+
+static uint64_t
+lease_end(
+    const struct cell_fleet *f, struct cell_worker *w, ogl_time now)
+{
+	uint64_t until;
+
+	if (w->life == 0)
+		return 0;
+	until = clock_now(w, now) + MIN(LEASE_MS, f->limits->lease_max_ms);
+	w->until_ms = MAX(w->until_ms, until);
+	return until;
+}
+
+/* When the worker's lease is over for certain, if it is not renewed. */
+static ogl_time
+lapse_at(const struct cell_worker *w)
+{
+	double left = w->until_ms > w->clock_ms
+			  ? (double)(w->until_ms - w->clock_ms)
+			  : 0;
+
+	return w->clock_at + (ogl_time)(left * SLOW * OGL_MS) + LAPSE_MARGIN;
+}
+
+/* ---- ends of runs ----------------------------------------------------- */
+
+static GPtrArray *
+list_runs(const struct cell_worker *w)
+{
+	GPtrArray *a = g_ptr_array_sized_new(g_hash_table_size(w->runs));
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, w->runs);
+	while (g_hash_table_iter_next(&it, &p, NULL))
+		g_ptr_array_add(a, p);
+	return a;
+}
+
+/* Nothing that was started in the worker's last life runs any more. */
+static void
+lose_runs(struct cell_fleet *f, struct cell_worker *w, bool late_starts,
+    ogl_time now)
+{
+	GPtrArray *a = list_runs(w);
+	guint i;
+
+	for (i = 0; i < a->len; i++) {
+		struct cell_run *r = a->pdata[i];
+
+		/* A start still without an answer may reach the new life of a
+		 * worker that kept its id, which knows no fence and no run
+		 * yet; only a stop there rules that out. */
+		if (late_starts && (r->unsure || r->open)) {
+			r->stop_done = false;
+			cell_fleet_stop(f, r, now);
+		} else {
+			run_over(f, r, CELL_END_LAPSED, NULL, now);
+		}
+	}
+	g_ptr_array_unref(a);
+}
+
+static void
+worker_reborn(struct cell_fleet *f, struct cell_worker *w, ogl_time now)
+{
+	log_worker(f, w, "worker_reborn");
+	w->last_seen = 0;
+	w->taken = 0;
+	w->until_ms = 0;
+	lose_runs(f, w, true, now);
+}
+
+/* ---- the answer to a hold --------------------------------------------- */
+
+static bool
+same_task(const struct cell_task_name *a, const struct cell_task_name *b)
+{
+	return a->index == b->index && a->step == b->step &&
+	       a->occurrence == b->occurrence && strcmp(a->id, b->id) == 0;
+}
+
+static struct cell_run *
+find_run(const struct cell_worker *w, const struct cell_row *row)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, w->runs);
+	while (g_hash_table_iter_next(&it, &p, NULL)) {
+		struct cell_run *r = p;
+
+		if (r->number == row->run && same_task(&r->name, &row->task))
+			return r;
+	}
+	return NULL;
+}
+
+static void
+run_up(struct cell_fleet *f, struct cell_run *r, ogl_time now)
+{
+	if (r->up_at != 0)
+		return;
+	r->up_at = now;
+	r->percent_at = now;
+	if (r->state == CELL_RUN_STARTING)
+		r->state = CELL_RUN_UP;
+	f->events.up(f->events.arg, r, now);
+}
+
+static void
+take_running(struct cell_fleet *f, struct cell_worker *w,
+    const struct cell_hold_answer *a, GHashTable *seen, ogl_time now)
+{
+	size_t i;
+
+	for (i = 0; i < a->nrunning; i++) {
+		const struct cell_row *row = &a->running[i];
+		struct cell_run *r = find_run(w, row);
+
+		if (r == NULL) {
+			f->events.found(f->events.arg, w, row, now);
+			r = find_run(w, row);
+			if (r == NULL)
+				continue;
+		}
+		g_hash_table_add(seen, r);
+		r->unsure = false;
+		run_up(f, r, now);
+		if (row->percent != r->percent) {
+			r->percent = row->percent;
+			r->percent_at = now;
+		}
+		if (*row->checkpoint != '\0' &&
+		    g_strcmp0(r->checkpoint, row->checkpoint) != 0) {
+			g_free(r->checkpoint);
+			r->checkpoint = g_strdup(row->checkpoint);
+		}
+	}
+}
+
+static void
+take_ended(struct cell_fleet *f, struct cell_worker *w,
+    const struct cell_hold_answer *a, ogl_time now)
+{
+	size_t i;
+
+	for (i = 0; i < a->nended; i++) {
+		const struct cell_row *row = &a->ended[i];
+		struct cell_run *r;
+
+		if (row->number <= w->taken)
+			continue;
+		w->taken = row->number;
+		r = find_run(w, row);
+		if (r != NULL)
+			run_over(f, r, row->how, row->checkpoint, now);
+		else
+			f->events.found_end(f->events.arg, w, row, now);
+	}
+}
+
+/* A run that the worker should know of and does not list. */
+static void
+take_missing(struct cell_fleet *f, struct cell_worker *w, GHashTable *seen,
+    ogl_time sent, ogl_time now)
+{
+	GPtrArray *a = list_runs(w);
+	guint i;
+
+	for (i = 0; i < a->len; i++) {
+		struct cell_run *r = a->pdata[i];
+
+		if (g_hash_table_contains(seen, r))
+			continue;
+		if (r->stop_done && r->stop_done_at <= sent)
+			run_over(f, r, CELL_END_STOPPED, NULL, now);
+		else if (r->state == CELL_RUN_UP && !r->open &&
+			 r->up_at <= sent)
+			run_over(f, r, CELL_END_LAPSED, NULL, now);
+	}
+	g_ptr_array_unref(a);
+}
+
+static void
+take_hold(struct cell_fleet *f, struct call *c,
+    const struct cell_hold_answer *a, ogl_time now)
+{
+	struct cell_worker *w = c->worker;
+	uint64_t taken = w->taken;
+	bool first = !w->fenced;
+	GHashTable *seen;
+
+	if (w->failures > 0)
+		log_worker(f, w, "worker_regained");
+	w->failures = 0;
+	w->last_ok = now;
+	if (w->life != 0 && w->life != a->born_ms)
+		worker_reborn(f, w, now);
+	if (w->life != a->born_ms)
+		taken = 0;
+	w->life = a->born_ms;
+	w->fenced = true;
+	read_clock(w, a->clock_ms, now);
+	seen = g_hash_table_new(NULL, NULL);
+	take_running(f, w, a, seen, now);
+	take_ended(f, w, a, now);
+	if (a->nended < ENDS_A_PAGE)
+		take_missing(f, w, seen, c->sent, now);
+	g_hash_table_unref(seen);
+	w->hold_at = now;
+	if (w->taken != taken) {
+		w->hold_at = now + HOLD_GAP;
+		f->events.ends_taken(f->events.arg, w, now);
+	}
+	if (first)
+		f->events.answered(f->events.arg, w, now);
+}
+
+static void
+hold_failed(struct cell_fleet *f, struct cell_worker *w,
+    const struct cell_hold_answer *a, ogl_time now)
+{
+	w->hold_at = now + HOLD_RETRY;
+	if (a->why == CELL_REFUSED_FENCE) {
+		f->events.outranked(f->events.arg, now);
+		return;
+	}
+	if (w->failures++ == 0)
+		log_worker(f, w, "worker_silent");
+	/* Whoever answers is another incarnation: the one we knew has ended,
+	 * and what was meant for it is refused. */
+	if (a->why == CELL_REFUSED_LIFE)
+		lose_runs(f, w, false, now);
+}
+
+static void
+call_ended(struct call *c)
+{
+	c->worker->nopen--;
+	g_free(c);
+}
+
+static void
+on_hold(void *arg, const struct cell_hold_answer *a, ogl_time now)
+{
+	struct call *c = arg;
+	struct cell_fleet *f = c->fleet;
+	struct cell_worker *w = c->worker;
+
+	if (c->generation == f->generation) {
+		w->holding = false;
+		if (a->io == OGL_IO_OK)
+			take_hold(f, c, a, now);
+		else
+			hold_failed(f, w, a, now);
+	}
+	call_ended(c);
+}
+
+static void
+send_hold(struct cell_fleet *f, struct cell_worker *w, ogl_time now)
+{
+	struct call *c = g_new0(struct call, 1);
+	bool renew = g_hash_table_size(w->runs) > 0;
+	struct cell_hold h = {
+	    .to = {w->addr, w->id, f->epoch},
+	    .last_seen = w->last_seen,
+	    .until_ms = renew && w->fenced ? lease_end(f, w, now) : 0,
+	    .wait_ms = w->fenced && renew && !w->hurry ? HOLD_WAIT_MS : 0,
+	    .timeout_ms = HOLD_TIMEOUT_MS,
+	};
+
+	if (h.wait_ms == 0)
+		h.timeout_ms = ORDER_TIMEOUT_MS;
+	c->fleet = f;
+	c->worker = w;
+	c->generation = f->generation;
+	c->sent = now;
+	c->noted = w->last_seen;
+	w->nopen++;
+	w->holding = true;
+	w->hold_sent = now;
+	w->hurry = false;
+	f->ops->count(f->ops->ctx, "holds", 1);
+	f->ops->hold(f->ops->outside, &h, on_hold, c);
+}
+
+static bool
+wants_hold(const struct cell_worker *w, ogl_time now)
+{
+	if (w->holding || now < w->hold_at || w->addr == NULL)
+		return false;
+	if (!w->listed && g_hash_table_size(w->runs) == 0)
+		return false;
+	if (!w->fenced)
+		return true;
+	/* Its ends are not stored yet. */
+	if (w->taken > w->last_seen && now - w->hold_sent < RENEW)
+		return false;
+	return g_hash_table_size(w->runs) > 0 || w->hurry;
+}
+
+void
+cell_fleet_noted(
+    struct cell_fleet *f, struct cell_worker *w, uint64_t number)
+{
+	(void)f;
+	if (number <= w->last_seen || number > w->taken)
+		return;
+	w->last_seen = number;
+	w->hurry = g_hash_table_size(w->runs) == 0;
+}
+
+/* ---- orders ----------------------------------------------------------- */
+
+static void on_start(
+    void *arg, const struct cell_order_answer *a, ogl_time now);
+static void on_stop(
+    void *arg, const struct cell_order_answer *a, ogl_time now);
+
+static struct call *
+order_call(struct cell_fleet *f, struct cell_run *r, ogl_time now)
+{
+	struct call *c = g_new0(struct call, 1);
+
+	c->fleet = f;
+	c->worker = r->worker;
+	c->run = r;
+	c->generation = f->generation;
+	c->sent = now;
+	r->worker->nopen++;
+	r->open = true;
+	return c;
+}
+
+static void
+send_start(struct cell_fleet *f, struct cell_run *r, ogl_time now)
+{
+	struct cell_worker *w = r->worker;
+	struct cell_order o = {
+	    .to = {w->addr, w->id, f->epoch},
+	    .task = r->name,
+	    .run = r->number,
+	    .spec = r->spec,
+	    .until_ms = lease_end(f, w, now),
+	    .checkpoint = r->checkpoint != NULL ? r->checkpoint : "",
+	    .ticket = r->ticket,
+	    .timeout_ms = ORDER_TIMEOUT_MS,
+	};
+
+	r->tries++;
+	r->ordered = true;
+	f->ops->count(f->ops->ctx, "starts", 1);
+	f->ops->start(f->ops->outside, &o, on_start, order_call(f, r, now));
+}
+
+static void
+send_stop(struct cell_fleet *f, struct cell_run *r, ogl_time now)
+{
+	struct cell_worker *w = r->worker;
+	struct cell_order o = {
+	    .to = {w->addr, w->id, f->epoch},
+	    .task = r->name,
+	    .run = r->number,
+	    .timeout_ms = ORDER_TIMEOUT_MS,
+	};
+
+	f->ops->count(f->ops->ctx, "stops", 1);
+	f->ops->stop(f->ops->outside, &o, on_stop, order_call(f, r, now));
+}
+
+void
+cell_fleet_stop(struct cell_fleet *f, struct cell_run *r, ogl_time now)
+{
+	r->state = CELL_RUN_STOPPING;
+	r->retry_at = now;
+	if (!r->open && !r->stop_done)
+		send_stop(f, r, now);
+}
+
+/* The start came to nothing for certain. */
+static void
+run_refused(struct cell_fleet *f, struct cell_run *r, enum cell_refusal why,
+    ogl_time now)
+{
+	f->events.refused(f->events.arg, r, why, now);
+	run_end(f, r, now);
+}
+
+static void
+start_refused(struct cell_fleet *f, struct cell_run *r, enum cell_refusal why,
+    ogl_time now)
+{
+	switch (why) {
+	case CELL_REFUSED_FENCE:
+		f->events.outranked(f->events.arg, now);
+		return;
+	case CELL_REFUSED_LIFE:
+		r->worker->fenced = false;
+		r->worker->hold_at = now;
+		if (r->unsure)
+			break;
+		run_refused(f, r, why, now);
+		return;
+	case CELL_REFUSED_OLD:
+		if (!r->unsure)
+			break;
+		/* An earlier sending did begin; the next hold tells what
+		 * became of it. */
+		r->unsure = false;
+		run_up(f, r, now);
+		r->worker->hurry = true;
+		return;
+	default:
+		break;
+	}
+	if (r->unsure || r->state == CELL_RUN_STOPPING)
+		cell_fleet_stop(f, r, now);
+	else
+		run_refused(f, r, why, now);
+}
+
+static void
+start_lost(struct cell_fleet *f, struct cell_run *r, enum ogl_io io,
+    ogl_time now)
+{
+	if (io == OGL_IO_LOST)
+		r->unsure = true;
+	if (io == OGL_IO_NOT_SENT && !r->unsure &&
+	    r->state == CELL_RUN_STARTING) {
+		r->worker->hurry = true;
+		r->worker->failures++;
+		r->worker->hold_at = now;
+		run_refused(f, r, CELL_REFUSED_BUSY, now);
+		return;
+	}
+	if (r->state == CELL_RUN_STOPPING || r->tries >= START_TRIES)
+		cell_fleet_stop(f, r, now);
+	else
+		r->retry_at = now;
+}
+
+static void
+start_done(struct cell_fleet *f, struct cell_run *r, ogl_time now)
+{
+	r->unsure = false;
+	run_up(f, r, now);
+	if (r->state == CELL_RUN_STOPPING && !r->stop_done)
+		send_stop(f, r, now);
+}
+
+/* Ends what an order's answer has in common; false when nobody waits for it. */
+static bool
+order_ended(struct call *c, struct cell_run **run)
+{
+	struct cell_run *r = c->run;
+	bool current = c->generation == c->fleet->generation;
+
+	r->open = false;
+	*run = r;
+	call_ended(c);
+	if (current && r->worker != NULL)
+		return true;
+	run_free(r);
+	return false;
+}
+
+static void
+on_start(void *arg, const struct cell_order_answer *a, ogl_time now)
+{
+	struct call *c = arg;
+	struct cell_fleet *f = c->fleet;
+	ogl_time sent = c->sent;
+	struct cell_run *r;
+
+	if (!order_ended(c, &r))
+		return;
+	if (a->io == OGL_IO_OK || a->why != CELL_REFUSED_NOT)
+		read_clock(r->worker, a->clock_ms, now);
+	if (a->io == OGL_IO_OK) {
+		f->ops->observe(
+		    f->ops->ctx, "start_ms", (uint64_t)((now - sent) / OGL_MS));
+		start_done(f, r, now);
+	} else if (a->io == OGL_IO_REFUSED) {
+		start_refused(f, r, a->why, now);
+	} else {
+		start_lost(f, r, a->io, now);
+	}
+}
+
+static void
+on_stop(void *arg, const struct cell_order_answer *a, ogl_time now)
+{
+	struct call *c = arg;
+	struct cell_fleet *f = c->fleet;
+	struct cell_run *r;
+
+	if (!order_ended(c, &r))
+		return;
+	if (a->io == OGL_IO_OK) {
+		r->stop_done = true;
+		r->stop_done_at = now;
+		r->worker->hurry = true;
+		return;
+	}
+	if (a->why == CELL_REFUSED_FENCE) {
+		f->events.outranked(f->events.arg, now);
+		return;
+	}
+	if (a->why == CELL_REFUSED_LIFE) {
+		run_over(f, r, CELL_END_LAPSED, NULL, now);
+		return;
+	}
+	r->retry_at = now + ORDER_RETRY;
+}
+
+struct cell_run *
+cell_fleet_start(struct cell_fleet *f, struct cell_worker *w,
+    struct cell_stage *s, uint32_t index, uint64_t number, const char *ticket,
+    uint32_t rank, ogl_time now)
+{
+	struct cell_task *t = cell_stage_keeper(s, index);
+	struct cell_task_name name = {.occurrence = s->occurrence,
+	    .step = s->step,
+	    .index = index};
+	struct ogl_res res = {s->def->cpu_milli, s->def->mem_mb, s->def->accel};
+	struct cell_run *r;
+
+	if (s->def->fills)
+		res.cpu_milli = 0;
+	memcpy(name.id, s->job->id, sizeof name.id);
+	r = run_new(f, w, &name, number, &res, s->job->def->team);
+	r->stage = s;
+	r->state = CELL_RUN_STARTING;
+	r->spec = g_strdup(s->job->def->spec);
+	r->ticket = g_strdup(ticket);
+	r->checkpoint = g_strdup(t->checkpoint);
+	r->rank = rank;
+	r->began = now;
+	send_start(f, r, now);
+	return r;
+}
+
+struct cell_run *
+cell_fleet_adopt(struct cell_fleet *f, struct cell_worker *w,
+    struct cell_stage *s, const struct cell_row *row, uint32_t rank,
+    ogl_time now)
+{
+	struct ogl_res res = {s->def->cpu_milli, s->def->mem_mb, s->def->accel};
+	struct cell_run *r;
+
+	if (s->def->fills)
+		res.cpu_milli = 0;
+	r = run_new(f, w, &row->task, row->run, &res, s->job->def->team);
+	r->stage = s;
+	r->state = CELL_RUN_UP;
+	r->rank = rank;
+	r->began = now;
+	r->up_at = now;
+	r->percent = row->percent;
+	r->percent_at = now;
+	r->checkpoint = g_strdup(row->checkpoint);
+	return r;
+}
+
+void
+cell_fleet_stray(struct cell_fleet *f, struct cell_worker *w,
+    const struct cell_row *row, ogl_time now)
+{
+	struct ogl_res none = {0};
+	struct cell_run *r =
+	    run_new(f, w, &row->task, row->run, &none, "");
+
+	r->up_at = now;
+	cell_fleet_stop(f, r, now);
+}
+
+/* ---- what falls due --------------------------------------------------- */
+
+static void
+step_run(struct cell_fleet *f, struct cell_run *r, ogl_time now)
+{
+	if (r->open || now < r->retry_at)
+		return;
+	if (r->state == CELL_RUN_STARTING) {
+		if (r->worker->fenced)
+			send_start(f, r, now);
+	} else if (r->state == CELL_RUN_STOPPING && !r->stop_done) {
+		send_stop(f, r, now);
+	}
+}
+
+static void
+step_runs(struct cell_fleet *f, struct cell_worker *w, ogl_time now)
+{
+	GPtrArray *a;
+	guint i;
+
+	if (g_hash_table_size(w->runs) == 0)
+		return;
+	a = list_runs(w);
+	for (i = 0; i < a->len; i++)
+		step_run(f, a->pdata[i], now);
+	g_ptr_array_unref(a);
+}
+
+static void
+step_worker(struct cell_fleet *f, struct cell_worker *w, ogl_time now)
+{
+	if (w->life != 0 && g_hash_table_size(w->runs) > 0 &&
+	    now > lapse_at(w)) {
+		log_worker(f, w, "worker_lapsed");
+		lose_runs(f, w, false, now);
+	}
+	if (wants_hold(w, now))
+		send_hold(f, w, now);
+	step_runs(f, w, now);
+}
+
+static gboolean
+worker_is_gone(gpointer key, gpointer value, gpointer ctx)
+{
+	const struct cell_worker *w = value;
+
+	(void)key;
+	(void)ctx;
+	return !w->listed && w->nopen == 0 && g_hash_table_size(w->runs) == 0;
+}
+
+void
+cell_fleet_step(struct cell_fleet *f, ogl_time now)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	if (!f->open)
+		return;
+	g_hash_table_iter_init(&it, f->workers);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		step_worker(f, p, now);
+	g_hash_table_foreach_remove(f->workers, worker_is_gone, NULL);
+}
+
+bool
+cell_fleet_settled(const struct cell_fleet *f, ogl_time now)
+{
+	ogl_time lapse =
+	    f->opened_at +
+	    (ogl_time)(f->limits->lease_max_ms * SLOW) * OGL_MS + LAPSE_MARGIN;
+	GHashTableIter it;
+	gpointer p;
+
+	if (now > lapse)
+		return true;
+	g_hash_table_iter_init(&it, f->workers);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct cell_worker *w = p;
+
+		if (w->listed && w->life == 0)
+			return false;
+	}
+	return true;
+}
--- /dev/null
+++ b/cell/fleet.h
@@ -0,0 +1,172 @@
+/*
+ * Workers and what may run on them, as the owner knows it, and the orders it
+ * gives them: holds (lease, look), starts and stops.
+ *
+ * A run is a task's start on one worker.  It holds room there and of its
+ * team's limit from the moment it is decided until it is certain that it
+ * neither runs nor ever will.
+ */
+
+#ifndef OGL_CELL_FLEET_H
+#define OGL_CELL_FLEET_H
+
+#include "job.h"
+
+struct cell_fleet;
+
+enum cell_run_state {
+	CELL_RUN_STARTING, /* ordered; not known to have begun */
+	CELL_RUN_UP,
+	CELL_RUN_STOPPING  /* to be stopped; may still run */
+};
+
+struct cell_run {
+	struct cell_worker *worker;
+	/* NULL once the job has no use for it any more; it is then only
+	 * waited for until it is certainly over. */
+	struct cell_stage *stage;
+	struct cell_task_name name;
+	uint64_t number;
+	enum cell_run_state state;
+	struct ogl_res res;
+	char *team;
+	char *spec; /* kept while the start may have to be repeated */
+	char *ticket;
+	char *checkpoint;
+	ogl_time began;     /* decided */
+	ogl_time up_at;     /* first known to run, 0 not yet */
+	uint32_t percent;
+	ogl_time percent_at; /* when it last rose */
+	bool open;          /* an order for it is under way */
+	bool unsure;        /* a start went unanswered */
+	bool ordered;       /* a start was sent */
+	bool stop_done;     /* a stop was answered */
+	ogl_time stop_done_at;
+	ogl_time retry_at;
+	uint32_t tries;
+	uint32_t rank;      /* of its queue */
+	bool preempted;
+};
+
+struct cell_worker {
+	char *id;
+	char *addr;
+	char *zone;
+	char *rack;
+	char **labels;
+	char *service;
+	struct ogl_res capacity;
+	struct ogl_res used;
+	bool listed;    /* on the platform's list */
+	bool draining;
+	uint64_t entry_born_ms; /* life that its entry speaks of */
+
+	uint64_t life;  /* born_ms of the life last heard; 0 none yet */
+	bool fenced;    /* this life has seen our epoch */
+	uint64_t clock_ms; /* its clock as last read, */
+	ogl_time clock_at; /* and when the answer came */
+	uint64_t until_ms; /* latest lease end asked for in this life */
+	uint64_t last_seen;  /* ends up to this are stored */
+	uint64_t taken;      /* ends up to this are dealt with */
+	bool holding;      /* a hold is under way */
+	ogl_time hold_sent;
+	ogl_time hold_at;  /* next hold not before */
+	ogl_time last_ok;  /* last answer of any kind */
+	uint32_t failures; /* holds in a row without an answer */
+	bool hurry;        /* the next hold does not wait */
+
+	GHashTable *runs;  /* set of struct cell_run */
+	uint32_t nopen;    /* orders under way; it may not be freed */
+	uint32_t streak;   /* failed ends in a row, of different jobs */
+	char *streak_job;  /* the last of them */
+	ogl_time aside_until; /* not used until then: it fails what it gets */
+	uint32_t asides;
+	double pace;       /* run time over estimate, smoothed; 1 normal */
+};
+
+/* What the owner wants to hear. */
+struct cell_fleet_events {
+	void (*ended)(void *arg, struct cell_run *r, enum cell_end how,
+	    const char *checkpoint, ogl_time now);
+	/* A run is over; r is freed after the call.  how is CELL_END_LAPSED
+	 * too when it was lost with its worker. */
+	void (*refused)(void *arg, struct cell_run *r, enum cell_refusal why,
+	    ogl_time now);
+	/* A start was refused and nothing runs; r is freed after the call. */
+	void (*found)(void *arg, struct cell_worker *w,
+	    const struct cell_row *row, ogl_time now);
+	/* A worker runs something that is not known here. */
+	void (*found_end)(void *arg, struct cell_worker *w,
+	    const struct cell_row *row, ogl_time now);
+	/* It lists an end of something that is not known here. */
+	void (*up)(void *arg, struct cell_run *r, ogl_time now);
+	void (*ends_taken)(void *arg, struct cell_worker *w, ogl_time now);
+	/* Ends up to w->taken were dealt with; say cell_fleet_noted once that
+	 * is stored. */
+	void (*answered)(void *arg, struct cell_worker *w, ogl_time now);
+	/* A worker has seen our epoch for the first time. */
+	void (*outranked)(void *arg, ogl_time now);
+	void (*room)(void *arg, ogl_time now); /* something came free */
+	void *arg;
+};
+
+struct cell_fleet *cell_fleet_init(const struct cell_ops *ops,
+    const struct cell_limits *limits, const struct cell_fleet_events *events);
+void cell_fleet_end(struct cell_fleet *f);
+
+void cell_fleet_open(struct cell_fleet *f, uint64_t epoch, ogl_time now);
+/* Begins to give orders under an epoch, knowing of nothing that runs. */
+void cell_fleet_close(struct cell_fleet *f);
+/* Gives no more orders and forgets all runs. */
+
+void cell_fleet_entry(struct cell_fleet *f, const char *id,
+    const struct cell_worker_entry *e, ogl_time now);
+/* The platform lists a worker; e NULL: no longer. */
+
+void cell_fleet_step(struct cell_fleet *f, ogl_time now);
+/* Holds, repeats and gives up what is due. */
+
+struct cell_run *cell_fleet_start(struct cell_fleet *f, struct cell_worker *w,
+    struct cell_stage *s, uint32_t index, uint64_t number, const char *ticket,
+    uint32_t rank, ogl_time now);
+/* Orders a start; room and limit are held from here on. */
+
+struct cell_run *cell_fleet_adopt(struct cell_fleet *f, struct cell_worker *w,
+    struct cell_stage *s, const struct cell_row *row, uint32_t rank,
+    ogl_time now);
+/* Takes a run over that was found on a worker. */
+
+void cell_fleet_stray(struct cell_fleet *f, struct cell_worker *w,
+    const struct cell_row *row, ogl_time now);
+/* Stops a run that was found and that nobody wants. */
+
+void cell_fleet_stop(struct cell_fleet *f, struct cell_run *r, ogl_time now);
+/* Orders a stop; ended is called once it is over. */
+
+void cell_fleet_noted(
+    struct cell_fleet *f, struct cell_worker *w, uint64_t number);
+/* Ends up to number are stored. */
+
+bool cell_worker_open(const struct cell_worker *w, ogl_time now);
+/* Whether it may be given work. */
+
+bool cell_worker_fits(const struct cell_worker *w, const struct ogl_res *need);
+
+void cell_worker_result(struct cell_worker *w, const char *job, bool ok,
+    ogl_time now);
+/* Tells of an end; one that fails several jobs in a row is set aside. */
+
+struct cell_worker *cell_fleet_worker(
+    const struct cell_fleet *f, const char *id);
+GHashTable *cell_fleet_workers(const struct cell_fleet *f);
+/* id -> struct cell_worker */
+
+struct ogl_res cell_fleet_team_used(
+    const struct cell_fleet *f, const char *team);
+/* What may be running of a team. */
+
+bool cell_fleet_settled(const struct cell_fleet *f, ogl_time now);
+/* Whether every worker that could run something has answered under our epoch
+ * or can no longer run anything. */
+
+#endif
--- /dev/null
+++ b/cell/front.c
@@ -0,0 +1,517 @@
+/*
+ * A call is answered here when the configuration settles it, else passed on:
+ *
+ *	WAITING  no owner is known: kept a short while, then refused as not
+ *	         accepted, which is true since nobody was told of it
+ *	SENT     the owner has it, or may have; repeated if no answer comes, to
+ *	         whoever owns the cell by then: a job's id makes it one job
+ *
+ * A call given up after it was sent may have been accepted, and is answered
+ * so.
+ *
+ * The settings stream is read with a wait all the time.  An answered read
+ * proves that as of its sending no other configuration was in force; without
+ * such proof for too long every key is refused, since it may have been
+ * withdrawn.
+ */
+
+#include <string.h>
+
+#include "front.h"
+#include "job.h"
+
+#define READ_WAIT_MS 800
+#define READ_TIMEOUT_MS 2200
+#define READ_RETRY (150 * OGL_MS)
+/* Part of revoke_ms after which keys are no longer trusted.  The rest covers
+ * the way of the request and this process standing still between its look at
+ * the clock and the answer. */
+#define FRESH_PART 0.7
+/* A call waits that long for an owner to be found. */
+#define OWNER_WAIT (900 * OGL_MS)
+/* An owner answers in some 15 ms; store and network may hold it up. */
+#define REPEAT (450 * OGL_MS)
+/* The answer still has its way to the caller. */
+#define REPLY_MARGIN (150 * OGL_MS)
+#define BUDGET_DEFAULT_MS 3000
+#define RETRY_MS 600
+
+struct pending {
+	uint64_t token;
+	Ogl__CellCall call;
+	Ogl__CellJob *job; /* owned; what call.job points at */
+	char *id;
+	char *team;
+	char *queue;
+	bool sent;
+	ogl_time began;
+	ogl_time repeat_at;
+	ogl_time deadline;
+};
+
+struct cell_front {
+	const struct cell_ops *ops;
+	const struct cell_limits *limits;
+	struct cell_front_events events;
+	char *owner;
+	GHashTable *calls; /* token -> struct pending */
+
+	struct cell_config *config;
+	bool loaded;
+	bool reading;
+	uint64_t next;
+	ogl_time read_at;
+	ogl_time read_sent;
+	ogl_time fresh_as_of; /* sending of the last good read */
+	bool stale_logged;
+};
+
+static void
+pending_free(void *v)
+{
+	struct pending *p = v;
+
+	if (p->job != NULL)
+		ogl__cell_job__free_unpacked(p->job, NULL);
+	g_free(p->id);
+	g_free(p->team);
+	g_free(p->queue);
+	g_free(p);
+}
+
+struct cell_front *
+cell_front_init(const struct cell_ops *ops, const struct cell_limits *limits,
+    const struct cell_front_events *events)
+{
+	struct cell_front *f = g_new0(struct cell_front, 1);
+
+	f->ops = ops;
+	f->limits = limits;
+	f->events = *events;
+	f->calls = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, pending_free);
+	f->fresh_as_of = -OGL_NEVER;
+	return f;
+}
+
+void
+cell_front_end(struct cell_front *f)
+{
+	g_hash_table_unref(f->calls);
+	cell_config_unref(f->config);
+	g_free(f->owner);
+	g_free(f);
+}
+
+struct cell_config *
+cell_front_config(const struct cell_front *f)
+{
+	return f->config;
+}
+
+bool
+cell_front_fresh(const struct cell_front *f, ogl_time now)
+{
+	ogl_time max = (ogl_time)(f->limits->revoke_ms * FRESH_PART) * OGL_MS;
+
+	return f->config != NULL && now - f->fresh_as_of < max;
+}
+
+size_t
+cell_front_open(const struct cell_front *f)
+{
+	return g_hash_table_size(f->calls);
+}
+
+/* ---- following the settings ------------------------------------------- */
+
+static void
+take_config(struct cell_front *f, struct cell_config *c)
+{
+	char text[64];
+
+	if (f->config != NULL &&
+	    cell_config_version(c) <= cell_config_version(f->config))
+		return;
+	cell_config_ref(c);
+	cell_config_unref(f->config);
+	f->config = c;
+	g_snprintf(text, sizeof text, "version=%" G_GUINT64_FORMAT,
+	    cell_config_version(c));
+	f->ops->log(f->ops->ctx, "front", "config_in_force", text);
+}
+
+static void
+take_records(
+    struct cell_front *f, const struct cell_record *records, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (records[i].config != NULL)
+			take_config(f, records[i].config);
+	}
+}
+
+static void
+read_succeeded(struct cell_front *f, ogl_time now)
+{
+	f->fresh_as_of = f->read_sent;
+	f->read_at = now;
+}
+
+static void
+on_newest(void *arg, const struct cell_newest_answer *a, ogl_time now)
+{
+	struct cell_front *f = arg;
+
+	f->reading = false;
+	if (a->io != OGL_IO_OK) {
+		f->read_at = now + READ_RETRY;
+		return;
+	}
+	f->loaded = true;
+	take_records(f, a->records, a->n);
+	f->next = a->end;
+	read_succeeded(f, now);
+}
+
+static void
+on_read(void *arg, const struct cell_read_answer *a, ogl_time now)
+{
+	struct cell_front *f = arg;
+
+	f->reading = false;
+	if (a->io != OGL_IO_OK) {
+		f->read_at = now + READ_RETRY;
+		return;
+	}
+	f->read_at = now;
+	if (a->trimmed) {
+		f->loaded = false;
+		return;
+	}
+	take_records(f, a->records, a->n);
+	if (a->n > 0)
+		f->next = a->records[a->n - 1].offset + 1;
+	/* A page cut short proves nothing of what comes after it. */
+	if (f->next >= a->end)
+		read_succeeded(f, now);
+}
+
+static void
+read_on(struct cell_front *f, ogl_time now)
+{
+	if (f->reading || now < f->read_at)
+		return;
+	f->reading = true;
+	f->read_sent = now;
+	if (f->loaded)
+		f->ops->read(f->ops->outside, CELL_SETTINGS, f->next, READ_WAIT_MS,
+		    READ_TIMEOUT_MS, on_read, f);
+	else
+		f->ops->newest(f->ops->outside, CELL_SETTINGS, NULL,
+		    READ_TIMEOUT_MS, on_newest, f);
+}
+
+/* ---- answers ---------------------------------------------------------- */
+
+static void
+log_call(struct cell_front *f, const struct pending *p, const char *event,
+    const char *more)
+{
+	char text[256];
+
+	g_snprintf(text, sizeof text,
+	    "job=%s kind=%d team=%s version=%" G_GUINT64_FORMAT
+	    " owner=%s sent=%d %s",
+	    p->id, (int)p->call.kind, p->team,
+	    f->config != NULL ? cell_config_version(f->config) : 0,
+	    f->owner != NULL ? f->owner : "none", p->sent, more);
+	f->ops->log(f->ops->ctx, "front", event, text);
+}
+
+static void
+answer(struct cell_front *f, uint64_t token, enum cell_status status,
+    uint32_t retry_ms, const char *why)
+{
+	struct cell_answer a = {
+	    .status = status, .retry_ms = retry_ms, .why = why};
+
+	f->ops->count(f->ops->ctx,
+	    status == CELL_OK ? "calls_ok" : "calls_refused", 1);
+	f->ops->reply(f->ops->ctx, token, &a);
+}
+
+static void
+refuse(struct cell_front *f, const struct cell_request *r, uint64_t token,
+    enum cell_status status, uint32_t retry_ms, const char *why)
+{
+	char text[200];
+
+	g_snprintf(text, sizeof text,
+	    "path=%.*s why=\"%s\" version=%" G_GUINT64_FORMAT,
+	    (int)MIN(r->path.n, 80), r->path.p, why,
+	    f->config != NULL ? cell_config_version(f->config) : 0);
+	f->ops->log(f->ops->ctx, "front", "call_refused", text);
+	answer(f, token, status, retry_ms, why);
+}
+
+/* ---- passing on ------------------------------------------------------- */
+
+static void
+pass_on(struct cell_front *f, struct pending *p, ogl_time now)
+{
+	p->sent = true;
+	p->repeat_at = now + REPEAT;
+	p->call.budget_ms = (uint32_t)((p->deadline - now) / OGL_MS);
+	f->events.send(f->events.arg, f->owner, &p->call);
+}
+
+void
+cell_front_owner(struct cell_front *f, const char *addr, ogl_time now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_free(f->owner);
+	f->owner = g_strdup(addr);
+	if (addr == NULL)
+		return;
+	g_hash_table_iter_init(&it, f->calls);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((struct pending *)v)->repeat_at = now;
+}
+
+static Ogl__CellCallKind
+kind_of(enum cell_method m)
+{
+	switch (m) {
+	case CELL_POST:
+		return OGL__CELL_CALL_KIND__cell_submit;
+	case CELL_DELETE:
+		return OGL__CELL_CALL_KIND__cell_cancel;
+	default:
+		return OGL__CELL_CALL_KIND__cell_state;
+	}
+}
+
+static Ogl__CellJob *
+read_job(struct cell_front *f, const struct cell_queue *q, const char *team,
+    const char *id, const struct cell_request *r, const char **why)
+{
+	Ogl__CellJob *j = f->ops->decode_job(f->ops->outside, r->body, why);
+
+	if (j == NULL)
+		return NULL;
+	if (!cell_job_def_valid(j, why)) {
+		ogl__cell_job__free_unpacked(j, NULL);
+		return NULL;
+	}
+	/* libprotobuf-c frees these with the C library's free. */
+	j->id = strdup(id);
+	j->team = strdup(team);
+	j->queue = strdup(q->name);
+	j->service = strdup(q->service);
+	j->terms = malloc(sizeof *j->terms);
+	ogl__cell_terms__init(j->terms);
+	cell_queue_terms(q, j->terms);
+	return j;
+}
+
+static void
+begin(struct cell_front *f, uint64_t token, const struct cell_request *r,
+    const struct cell_queue *q, const char *team, struct ogl_str rest,
+    ogl_time now)
+{
+	uint32_t budget = r->budget_ms > 0 ? r->budget_ms : BUDGET_DEFAULT_MS;
+	struct pending *p;
+	const char *why = "malformed body";
+	Ogl__CellJob *job = NULL;
+	char *id = ogl_str_dup(rest);
+
+	if (r->method == CELL_POST) {
+		job = read_job(f, q, team, id, r, &why);
+		if (job == NULL) {
+			refuse(f, r, token, CELL_BAD_REQUEST, 0, why);
+			g_free(id);
+			return;
+		}
+	}
+	p = g_new0(struct pending, 1);
+	p->token = token;
+	p->id = id;
+	p->team = g_strdup(team);
+	p->queue = g_strdup(q->name);
+	p->job = job;
+	p->began = now;
+	p->deadline = now + budget * OGL_MS - REPLY_MARGIN;
+	ogl__cell_call__init(&p->call);
+	p->call.token = token;
+	p->call.kind = rest.n == 0 ? OGL__CELL_CALL_KIND__cell_pending
+				   : kind_of(r->method);
+	p->call.id = p->id;
+	p->call.team = p->team;
+	p->call.queue = p->queue;
+	p->call.job = job;
+	g_hash_table_insert(f->calls, &p->token, p);
+	if (f->owner != NULL)
+		pass_on(f, p, now);
+}
+
+/*
+ * The order in which faults are looked for: a request on no queue needs no
+ * key, and a node that can't know the keys says so before it judges one.
+ */
+void
+cell_front_call(struct cell_front *f, uint64_t token,
+    const struct cell_request *r, ogl_time now)
+{
+	const struct cell_queue *q;
+	const struct cell_team *team;
+	struct ogl_str rest = {"", 0};
+
+	if (f->config == NULL) {
+		refuse(f, r, token, CELL_BUSY, RETRY_MS, "no configuration yet");
+		return;
+	}
+	if (!cell_front_fresh(f, now)) {
+		refuse(f, r, token, CELL_BUSY, RETRY_MS,
+		    "the configuration may be out of date");
+		return;
+	}
+	q = cell_config_route(f->config, r->host, r->path, &rest);
+	if (q == NULL) {
+		refuse(f, r, token, CELL_NO_QUEUE, 0, "no such queue");
+		return;
+	}
+	team = cell_config_team_of_key(f->config, r->key);
+	if (team == NULL && !q->open) {
+		refuse(f, r, token, CELL_NO_KEY, 0, "unknown key");
+		return;
+	}
+	if (r->method == CELL_OTHER_METHOD ||
+	    (rest.n == 0 && r->method != CELL_GET)) {
+		refuse(f, r, token, CELL_BAD_METHOD, 0, "method not allowed");
+		return;
+	}
+	if (rest.n > 0 && !cell_id_valid(rest)) {
+		refuse(f, r, token,
+		    r->method == CELL_POST ? CELL_BAD_REQUEST : CELL_NO_JOB, 0,
+		    "a job's id has 16 hexadecimal digits");
+		return;
+	}
+	begin(f, token, r, q, team != NULL ? team->name : "", rest, now);
+}
+
+void
+cell_front_gone(struct cell_front *f, uint64_t token)
+{
+	g_hash_table_remove(f->calls, &token);
+}
+
+/* ---- the owner's answers ---------------------------------------------- */
+
+static void
+answer_ok(struct cell_front *f, struct pending *p, const Ogl__CellReply *r)
+{
+	struct cell_answer a = {.status = CELL_OK};
+
+	a.has_state = p->call.kind == OGL__CELL_CALL_KIND__cell_state;
+	a.state = r->state;
+	a.has_pending = p->call.kind == OGL__CELL_CALL_KIND__cell_pending;
+	a.pending = r->pending;
+	f->ops->count(f->ops->ctx, "calls_ok", 1);
+	f->ops->reply(f->ops->ctx, p->token, &a);
+}
+
+void
+cell_front_reply(struct cell_front *f, const Ogl__CellReply *r, ogl_time now)
+{
+	struct pending *p = g_hash_table_lookup(f->calls, &r->token);
+
+	if (p == NULL)
+		return;
+	switch (r->outcome) {
+	case OGL__CELL_OUTCOME__cell_not_owner:
+		/* It may have been told of a job and have lost the cell before
+		 * it was stored: whoever owns it next is asked. */
+		p->repeat_at = now + READ_RETRY;
+		return;
+	case OGL__CELL_OUTCOME__cell_ok:
+		if (p->call.kind != OGL__CELL_CALL_KIND__cell_state)
+			log_call(f, p, "call_answered", "outcome=ok");
+		answer_ok(f, p, r);
+		break;
+	case OGL__CELL_OUTCOME__cell_absent:
+		log_call(f, p, "call_answered", "outcome=no_such_job");
+		answer(f, p->token, CELL_NO_JOB, 0, "no such job");
+		break;
+	case OGL__CELL_OUTCOME__cell_over:
+		log_call(f, p, "call_answered", "outcome=over_rate");
+		answer(f, p->token, CELL_OVER, r->retry_ms, "over the rate");
+		break;
+	case OGL__CELL_OUTCOME__cell_busy:
+		log_call(f, p, "call_answered", "outcome=busy");
+		answer(f, p->token, CELL_BUSY, r->retry_ms,
+		    "the store takes no jobs now");
+		break;
+	default:
+		log_call(f, p, "call_answered", "outcome=unsure");
+		answer(f, p->token, CELL_UNSURE, 0, "may have been accepted");
+		break;
+	}
+	g_hash_table_remove(f->calls, &p->token);
+}
+
+/* ---- what falls due --------------------------------------------------- */
+
+/* Whether the call is given up; its answer is then on its way. */
+static bool
+give_up(struct cell_front *f, struct pending *p, ogl_time now)
+{
+	if (!p->sent && f->owner == NULL && now - p->began > OWNER_WAIT) {
+		log_call(f, p, "call_given_up", "why=no_owner");
+		answer(f, p->token, CELL_BUSY, RETRY_MS, "no owner is known");
+		return true;
+	}
+	if (now < p->deadline)
+		return false;
+	log_call(f, p, "call_given_up", "why=deadline");
+	answer(f, p->token, p->sent ? CELL_UNSURE : CELL_BUSY, RETRY_MS,
+	    "no answer in time");
+	return true;
+}
+
+static void
+step_calls(struct cell_front *f, ogl_time now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, f->calls);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct pending *p = v;
+
+		if (give_up(f, p, now)) {
+			g_hash_table_iter_remove(&it);
+			continue;
+		}
+		if (f->owner != NULL && now >= p->repeat_at)
+			pass_on(f, p, now);
+	}
+}
+
+void
+cell_front_step(struct cell_front *f, ogl_time now)
+{
+	bool fresh = cell_front_fresh(f, now);
+
+	read_on(f, now);
+	step_calls(f, now);
+	if (f->config != NULL && fresh == f->stale_logged) {
+		f->stale_logged = !fresh;
+		f->ops->log(f->ops->ctx, "front",
+		    fresh ? "store_regained" : "store_lost", "");
+	}
+}
--- /dev/null
+++ b/cell/front.h
@@ -0,0 +1,47 @@
+/*
+ * The entry: looks at callers' requests, refuses what the configuration does
+ * not allow, passes the rest on to the owner and gives its answers back.
+ */
+
+#ifndef OGL_CELL_FRONT_H
+#define OGL_CELL_FRONT_H
+
+#include "cell_config.h"
+#include "ops.h"
+
+struct cell_front;
+
+struct cell_front_events {
+	void (*send)(void *arg, const char *to, const Ogl__CellCall *c);
+	/* Passes a call on to the owner at `to`. */
+	void *arg;
+};
+
+struct cell_front *cell_front_init(const struct cell_ops *ops,
+    const struct cell_limits *limits, const struct cell_front_events *events);
+void cell_front_end(struct cell_front *f);
+
+void cell_front_owner(struct cell_front *f, const char *addr, ogl_time now);
+/* Who owns the cell; NULL: nobody, as far as is known. */
+
+void cell_front_call(struct cell_front *f, uint64_t token,
+    const struct cell_request *r, ogl_time now);
+/* One request; ops->reply is called once with its token. */
+void cell_front_gone(struct cell_front *f, uint64_t token);
+/* Its caller has left. */
+
+void cell_front_reply(
+    struct cell_front *f, const Ogl__CellReply *r, ogl_time now);
+
+void cell_front_step(struct cell_front *f, ogl_time now);
+/* Follows the settings, repeats and gives up calls. */
+
+struct cell_config *cell_front_config(const struct cell_front *f);
+/* In force; NULL before the first. */
+bool cell_front_fresh(const struct cell_front *f, ogl_time now);
+/* Whether a key withdrawn long enough ago is certainly known to be. */
+
+size_t cell_front_open(const struct cell_front *f);
+/* Calls not answered yet. */
+
+#endif
--- /dev/null
+++ b/cell/job.c
@@ -0,0 +1,461 @@
+/*
+ * A job's occurrences are made when they fall due and dropped once all their
+ * tasks are done, so that a job repeated a thousand times stays small.
+ */
+
+#include <string.h>
+
+#include "job.h"
+
+#define TASKS_MAX 20000 /* of one step; a body of 256 KiB could ask for more */
+#define STEPS_MAX 1000
+
+bool
+cell_id_valid(struct ogl_str id)
+{
+	size_t i;
+
+	if (id.n != CELL_ID_LEN)
+		return false;
+	for (i = 0; i < id.n; i++) {
+		if (!g_ascii_isxdigit(id.p[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool
+step_valid(const Ogl__CellJob *def, size_t number, const char **why)
+{
+	const Ogl__CellStep *s = def->steps[number];
+	size_t i;
+
+	if (s->count == 0 || s->count > TASKS_MAX) {
+		*why = "a step's count is out of range";
+		return false;
+	}
+	for (i = 0; i < s->n_after; i++) {
+		if (s->after[i] >= number) {
+			*why = "a step may only come after earlier steps";
+			return false;
+		}
+	}
+	return true;
+}
+
+bool
+cell_job_def_valid(const Ogl__CellJob *def, const char **why)
+{
+	size_t i;
+
+	if (def->n_steps == 0 || def->n_steps > STEPS_MAX) {
+		*why = "the number of steps is out of range";
+		return false;
+	}
+	for (i = 0; i < def->n_steps; i++) {
+		if (!step_valid(def, i, why))
+			return false;
+	}
+	return true;
+}
+
+/* ---- making and freeing ----------------------------------------------- */
+
+static void
+good_free(void *p)
+{
+	struct cell_good *g = p;
+
+	g_free(g->worker);
+	g_free(g->ticket);
+	g_free(g);
+}
+
+static void
+stage_init(struct cell_stage *s, struct cell_job *j, uint32_t occurrence,
+    uint32_t step)
+{
+	s->job = j;
+	s->occurrence = occurrence;
+	s->step = step;
+	s->def = j->def->steps[step];
+	s->ntasks = s->def->count;
+	s->tasks = g_new0(struct cell_task, s->ntasks);
+	s->link.data = s;
+	s->good =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, good_free);
+	s->asked =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+static void
+stage_clear(struct cell_stage *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->ntasks; i++) {
+		g_free(s->tasks[i].checkpoint);
+		g_free(s->tasks[i].avoid);
+	}
+	g_free(s->tasks);
+	g_hash_table_unref(s->good);
+	g_hash_table_unref(s->asked);
+}
+
+static void
+occurrence_free(void *p, size_t nstages)
+{
+	struct cell_occurrence *o = p;
+	size_t i;
+
+	for (i = 0; i < nstages; i++)
+		stage_clear(&o->stages[i]);
+	g_free(o->stages);
+	g_free(o);
+}
+
+/* Steps come only after earlier ones, so tails are found from the last. */
+static void
+measure_tails(struct cell_job *j)
+{
+	size_t i, k;
+
+	j->tail_ms = g_new0(double, j->def->n_steps);
+	for (i = j->def->n_steps; i-- > 0;) {
+		const Ogl__CellStep *s = j->def->steps[i];
+
+		j->tail_ms[i] += s->estimate_ms;
+		for (k = 0; k < s->n_after; k++) {
+			double *before = &j->tail_ms[s->after[k]];
+
+			*before = MAX(*before, j->tail_ms[i]);
+		}
+	}
+}
+
+/* Declared run times along the longest chain, and all declared work. */
+static void
+measure(struct cell_job *j)
+{
+	double *end = g_new0(double, j->def->n_steps);
+	size_t i, k;
+
+	for (i = 0; i < j->def->n_steps; i++) {
+		const Ogl__CellStep *s = j->def->steps[i];
+		double before = 0;
+
+		for (k = 0; k < s->n_after; k++)
+			before = MAX(before, end[s->after[k]]);
+		end[i] = before + s->estimate_ms;
+		j->chain_ms = MAX(j->chain_ms, end[i]);
+		j->work +=
+		    s->count * (s->estimate_ms / 1e3) * (s->cpu_milli / 1e3);
+	}
+	g_free(end);
+	measure_tails(j);
+}
+
+static struct cell_job *
+job_alloc(const char *id)
+{
+	struct cell_job *j = g_new0(struct cell_job, 1);
+
+	g_strlcpy(j->id, id, sizeof j->id);
+	j->occurrences = g_ptr_array_new();
+	j->finished = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	return j;
+}
+
+struct cell_job *
+cell_job_new(Ogl__CellJob *def, ogl_time now)
+{
+	struct cell_job *j = job_alloc(def->id);
+
+	j->def = def;
+	j->accepted = now;
+	measure(j);
+	return j;
+}
+
+struct cell_job *
+cell_job_ended(const char *id, const Ogl__CellProgress *p)
+{
+	struct cell_job *j = job_alloc(id);
+
+	j->state = p->state;
+	j->ended_ms = p->ended_ms;
+	j->begun = p->begun;
+	j->stored = true;
+	return j;
+}
+
+void
+cell_job_clear(struct cell_job *j)
+{
+	guint i;
+
+	for (i = 0; i < j->occurrences->len; i++)
+		occurrence_free(j->occurrences->pdata[i], j->def->n_steps);
+	g_ptr_array_set_size(j->occurrences, 0);
+	if (j->def != NULL)
+		ogl__cell_job__free_unpacked(j->def, NULL);
+	j->def = NULL;
+	g_clear_pointer(&j->tail_ms, g_free);
+}
+
+void
+cell_job_free(struct cell_job *j)
+{
+	cell_job_clear(j);
+	g_ptr_array_unref(j->occurrences);
+	g_array_unref(j->finished);
+	g_free(j);
+}
+
+/* ---- occurrences and stages ------------------------------------------- */
+
+struct cell_occurrence *
+cell_job_occurrence(const struct cell_job *j, uint32_t number)
+{
+	guint i;
+
+	for (i = 0; i < j->occurrences->len; i++) {
+		struct cell_occurrence *o = j->occurrences->pdata[i];
+
+		if (o->number == number)
+			return o;
+	}
+	return NULL;
+}
+
+bool
+cell_job_occurrence_finished(const struct cell_job *j, uint32_t number)
+{
+	guint i;
+
+	for (i = 0; i < j->finished->len; i++) {
+		if (g_array_index(j->finished, uint32_t, i) == number)
+			return true;
+	}
+	return false;
+}
+
+struct cell_occurrence *
+cell_job_begin(struct cell_job *j, uint32_t number, ogl_time due)
+{
+	struct cell_occurrence *o = cell_job_occurrence(j, number);
+	uint32_t i;
+
+	if (o != NULL)
+		return o;
+	o = g_new0(struct cell_occurrence, 1);
+	o->number = number;
+	o->due = due;
+	o->stages = g_new0(struct cell_stage, j->def->n_steps);
+	for (i = 0; i < j->def->n_steps; i++)
+		stage_init(&o->stages[i], j, number, i);
+	g_ptr_array_add(j->occurrences, o);
+	j->next_occurrence = MAX(j->next_occurrence, number + 1);
+	return o;
+}
+
+void
+cell_job_finish_occurrence(struct cell_job *j, struct cell_occurrence *o)
+{
+	uint32_t number = o->number;
+
+	g_array_append_val(j->finished, number);
+	g_ptr_array_remove(j->occurrences, o);
+	occurrence_free(o, j->def->n_steps);
+}
+
+bool
+cell_stage_ready(const struct cell_stage *s)
+{
+	const struct cell_occurrence *o =
+	    cell_job_occurrence(s->job, s->occurrence);
+	size_t i;
+
+	for (i = 0; i < s->def->n_after; i++) {
+		const struct cell_stage *b = &o->stages[s->def->after[i]];
+
+		if (b->ndone < b->ntasks)
+			return false;
+	}
+	return true;
+}
+
+uint32_t
+cell_stage_waiting(const struct cell_stage *s)
+{
+	return s->ntasks - s->ndone - s->nactive;
+}
+
+bool
+cell_job_over(Ogl__CellJobState s)
+{
+	return s == OGL__CELL_JOB_STATE__cell_completed ||
+	       s == OGL__CELL_JOB_STATE__cell_failed ||
+	       s == OGL__CELL_JOB_STATE__cell_cancelled;
+}
+
+struct cell_stage *
+cell_job_stage(const struct cell_job *j, const struct cell_task_name *name)
+{
+	struct cell_occurrence *o;
+
+	if (j->def == NULL || name->step >= j->def->n_steps)
+		return NULL;
+	o = cell_job_occurrence(j, name->occurrence);
+	if (o == NULL || name->index >= o->stages[name->step].ntasks)
+		return NULL;
+	return &o->stages[name->step];
+}
+
+struct cell_task *
+cell_stage_keeper(struct cell_stage *s, uint32_t index)
+{
+	return &s->tasks[s->def->gang ? 0 : index];
+}
+
+void
+cell_task_save(struct cell_task *t, const char *checkpoint)
+{
+	if (checkpoint == NULL || *checkpoint == '\0')
+		return;
+	if (t->checkpoint != NULL && strcmp(t->checkpoint, checkpoint) == 0)
+		return;
+	g_free(t->checkpoint);
+	t->checkpoint = g_strdup(checkpoint);
+}
+
+/* ---- records ---------------------------------------------------------- */
+
+GBytes *
+cell_job_pack_def(const struct cell_job *j)
+{
+	size_t n = ogl__cell_job__get_packed_size(j->def);
+	uint8_t *p = g_malloc(n);
+
+	ogl__cell_job__pack(j->def, p);
+	return g_bytes_new_take(p, n);
+}
+
+/* A task that is as at its beginning needs no mark. */
+static bool
+has_mark(const struct cell_task *t)
+{
+	return t->done || t->failed > 0 || t->run > 0;
+}
+
+static Ogl__CellMark *
+mark_new(const struct cell_stage *s, uint32_t index)
+{
+	struct cell_task *t = &s->tasks[index];
+	Ogl__CellMark *m = g_new(Ogl__CellMark, 1);
+
+	ogl__cell_mark__init(m);
+	m->occurrence = s->occurrence;
+	m->step = s->step;
+	m->index = index;
+	m->done = t->done;
+	m->failed = t->failed;
+	m->run = t->run;
+	m->ended_run = t->ended_run;
+	if (t->checkpoint != NULL && !t->done)
+		m->checkpoint = t->checkpoint;
+	return m;
+}
+
+static void
+add_marks(GPtrArray *marks, const struct cell_stage *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->ntasks; i++) {
+		if (has_mark(&s->tasks[i]))
+			g_ptr_array_add(marks, mark_new(s, i));
+	}
+}
+
+GBytes *
+cell_job_pack_progress(const struct cell_job *j)
+{
+	Ogl__CellProgress p = OGL__CELL_PROGRESS__INIT;
+	GPtrArray *marks = g_ptr_array_new_with_free_func(g_free);
+	uint8_t *out;
+	size_t n;
+	guint i, k;
+
+	p.state = j->state;
+	p.ended_ms = j->ended_ms;
+	p.begun = j->begun;
+	if (!cell_job_over(j->state) && j->def != NULL) {
+		p.finished = (uint32_t *)(void *)j->finished->data;
+		p.n_finished = j->finished->len;
+		for (i = 0; i < j->occurrences->len; i++) {
+			struct cell_occurrence *o = j->occurrences->pdata[i];
+
+			for (k = 0; k < j->def->n_steps; k++)
+				add_marks(marks, &o->stages[k]);
+		}
+	}
+	p.marks = (Ogl__CellMark **)marks->pdata;
+	p.n_marks = marks->len;
+	n = ogl__cell_progress__get_packed_size(&p);
+	out = g_malloc(n);
+	ogl__cell_progress__pack(&p, out);
+	g_ptr_array_unref(marks);
+	return g_bytes_new_take(out, n);
+}
+
+static ogl_time
+due_of(const struct cell_job *j, uint32_t number)
+{
+	return (ogl_time)(j->def->first_due_ms +
+			  number * j->def->interval_ms) *
+	       OGL_MS;
+}
+
+static void
+apply_mark(struct cell_job *j, const Ogl__CellMark *m)
+{
+	struct cell_task_name name = {.occurrence = m->occurrence,
+	    .step = m->step,
+	    .index = m->index};
+	struct cell_stage *s;
+	struct cell_task *t;
+
+	if (cell_job_occurrence_finished(j, m->occurrence))
+		return;
+	cell_job_begin(j, m->occurrence, due_of(j, m->occurrence));
+	s = cell_job_stage(j, &name);
+	if (s == NULL)
+		return;
+	t = &s->tasks[m->index];
+	if (m->done && !t->done) {
+		t->done = true;
+		s->ndone++;
+	}
+	t->failed = m->failed;
+	t->run = m->run;
+	t->ended_run = m->ended_run;
+	cell_task_save(t, m->checkpoint);
+}
+
+void
+cell_job_apply(struct cell_job *j, const Ogl__CellProgress *p)
+{
+	size_t i;
+
+	j->state = p->state;
+	j->begun = p->begun;
+	j->ended_ms = p->ended_ms;
+	for (i = 0; i < p->n_finished; i++) {
+		g_array_append_val(j->finished, p->finished[i]);
+		j->next_occurrence =
+		    MAX(j->next_occurrence, p->finished[i] + 1);
+	}
+	for (i = 0; i < p->n_marks; i++)
+		apply_mark(j, p->marks[i]);
+}
--- /dev/null
+++ b/cell/job.h
@@ -0,0 +1,144 @@
+/*
+ * Jobs as the owner holds them: steps become stages (one for each occurrence
+ * of a repeated job), a stage has tasks, a task has at most one run and, where
+ * the step allows it, a copy.
+ *
+ * A job is written to the store as two records: what was submitted ('s' and
+ * the id), once, and how far it is ('p' and the id), whenever that changes.
+ * Once it has ended only the second stays, for as long as callers may ask.
+ */
+
+#ifndef OGL_CELL_JOB_H
+#define OGL_CELL_JOB_H
+
+#include "ops.h"
+
+struct cell_run;
+struct cell_worker;
+struct cell_job;
+
+struct cell_task {
+	bool done;
+	uint32_t failed;   /* attempts that ended as failed */
+	uint64_t run;      /* highest run number used */
+	uint64_t ended_run; /* highest run whose end is counted */
+	char *checkpoint;  /* NULL none */
+	struct cell_run *active; /* NULL: nothing runs or may run */
+	struct cell_run *copy;   /* a second one, where that is allowed */
+	char *avoid; /* worker where the last attempt failed; NULL none */
+	ogl_time due; /* not started before */
+};
+
+/* A worker that the queue's policy allows to run the stage. */
+struct cell_good {
+	char *worker;
+	char *ticket;
+	ogl_time until; /* the ticket is taken for expired from then on */
+	uint64_t born_ms; /* life of the worker that it was given for */
+};
+
+struct cell_stage {
+	struct cell_job *job;
+	uint32_t occurrence;
+	uint32_t step;
+	const Ogl__CellStep *def; /* borrowed from the job */
+	struct cell_task *tasks;
+	uint32_t ntasks;
+	uint32_t ndone;
+	uint32_t nactive; /* tasks with a run */
+	bool listed;      /* in the scheduler's lists */
+	GList link;
+	GHashTable *good;  /* worker -> struct cell_good; NULL until asked */
+	GHashTable *asked; /* set of workers whose answer is known */
+	bool asking;
+	ogl_time blocked_since; /* could not be placed; 0 it could */
+	ogl_time ready_at;
+};
+
+struct cell_occurrence {
+	uint32_t number;
+	ogl_time due; /* on the wall clock, microseconds */
+	struct cell_stage *stages;
+	uint32_t nstages_done;
+};
+
+struct cell_job {
+	char id[CELL_ID_LEN + 1];
+	Ogl__CellJob *def; /* NULL once the job has ended */
+	Ogl__CellJobState state;
+	GPtrArray *occurrences; /* struct cell_occurrence, those begun */
+	uint32_t next_occurrence;
+	GArray *finished;    /* uint32_t, occurrences all done */
+	ogl_time accepted;   /* node clock */
+	uint64_t ended_ms;   /* wall clock */
+	bool begun;
+	bool stored; /* the submission is on the store */
+	bool over;   /* beyond its team's rate when it came */
+	bool dirty;  /* in the journal's list */
+	bool write_def; /* the submission is to be written */
+	bool drop_def;  /* its record is to be dropped */
+	bool forget;    /* all of it is to be dropped */
+	uint32_t nruns; /* runs on any worker, whatever their state */
+	double work;    /* processor seconds declared, all steps */
+	double chain_ms; /* longest chain of declared run times */
+	double *tail_ms; /* the same from each step on */
+	bool shown;      /* its end is stored, so callers may be told */
+	bool settled;    /* not from an earlier owner, or all workers have
+			  * answered: what does not run may be started */
+};
+
+bool cell_id_valid(struct ogl_str id);
+/* Sixteen lower- or upper-case hexadecimal digits. */
+
+bool cell_job_def_valid(const Ogl__CellJob *def, const char **why);
+/* Whether steps, counts and their order make sense. */
+
+struct cell_job *cell_job_new(Ogl__CellJob *def, ogl_time now);
+/* Takes def. */
+struct cell_job *cell_job_ended(const char *id, const Ogl__CellProgress *p);
+/* What is left of a job that had ended. */
+void cell_job_free(struct cell_job *j);
+
+struct cell_occurrence *cell_job_begin(
+    struct cell_job *j, uint32_t number, ogl_time due);
+/* Makes an occurrence's stages; a number already begun is returned. */
+
+struct cell_occurrence *cell_job_occurrence(
+    const struct cell_job *j, uint32_t number);
+/* NULL when it has not begun or is over. */
+
+void cell_job_finish_occurrence(
+    struct cell_job *j, struct cell_occurrence *o);
+/* All its tasks are done: its stages are dropped. */
+
+bool cell_job_occurrence_finished(const struct cell_job *j, uint32_t number);
+
+bool cell_stage_ready(const struct cell_stage *s);
+/* Whether all steps that it comes after have ended. */
+
+uint32_t cell_stage_waiting(const struct cell_stage *s);
+/* Tasks that are neither done nor running. */
+
+bool cell_job_over(Ogl__CellJobState s);
+/* Completed, failed or cancelled. */
+
+struct cell_stage *cell_job_stage(
+    const struct cell_job *j, const struct cell_task_name *name);
+/* NULL when there is no such task. */
+
+GBytes *cell_job_pack_def(const struct cell_job *j);
+GBytes *cell_job_pack_progress(const struct cell_job *j);
+void cell_job_apply(struct cell_job *j, const Ogl__CellProgress *p);
+/* Takes up what an earlier owner had written; runs are not made. */
+
+struct cell_task *cell_stage_keeper(struct cell_stage *s, uint32_t index);
+/* The task that keeps attempts and checkpoint: of a gang, whose members share
+ * them, the first. */
+
+void cell_task_save(struct cell_task *t, const char *checkpoint);
+/* Keeps a newer checkpoint; an empty one changes nothing. */
+
+void cell_job_clear(struct cell_job *j);
+/* Drops its stages and what was submitted; no run may point at them. */
+
+#endif
--- /dev/null
+++ b/cell/journal.c
@@ -0,0 +1,437 @@
+/*
+ * One append is under way at a time; what is marked meanwhile goes with the
+ * next.  Within an epoch appends are numbered.  An append whose answer is lost
+ * may have taken effect or may still do so: it is sent again as it was, under
+ * its number, until the store answers, which takes effect once.  Only an
+ * append that the store has refused each time it was sent is known not to have
+ * happened; then the submissions in it can be refused truthfully.
+ */
+
+#include <string.h>
+
+#include "journal.h"
+
+/* Between two appends: each is priced and takes the partition 2 ms, and a
+ * caller notices nothing of 15 ms against an objective of 250. */
+#define GAP (15 * OGL_MS)
+/* Changes that nobody waits for are written within this time. */
+#define LAZY (250 * OGL_MS)
+/* The store answers in 4 ms when well; slow days take up to 60 times that. */
+#define TIMEOUT_MS 1500
+#define RETRY (100 * OGL_MS)
+/* From here on new submissions are refused instead of waiting. */
+#define FAILING (400 * OGL_MS)
+#define BATCH_BYTES ((size_t)512 * 1024) /* a quarter of the store's bound */
+
+struct waiter {
+	cell_stored_fn *fn;
+	void *arg;
+	uint64_t tag;
+	struct cell_job *submit; /* NULL: not a submission */
+};
+
+struct cell_journal {
+	const struct cell_ops *ops;
+	void (*lost)(void *arg, ogl_time now);
+	void *arg;
+	bool open;
+	uint64_t epoch;
+	uint64_t generation; /* tells late answers of an earlier epoch */
+	uint64_t seq;
+	GPtrArray *marked;  /* struct cell_job, to go with the next append */
+	GArray *waiters;    /* struct waiter, for the next append */
+	ogl_time urgent_at; /* OGL_NEVER: nobody waits */
+	ogl_time lazy_at;
+	/* the append under way or to be repeated */
+	GArray *batch;        /* struct cell_put */
+	GPtrArray *batch_jobs;
+	GArray *batch_waiters;
+	bool has_batch;
+	bool sent;      /* its answer is awaited */
+	bool uncertain; /* an earlier sending may have taken effect */
+	ogl_time retry_at;
+	ogl_time sent_at;
+	ogl_time last_ok;
+	ogl_time failing_since; /* 0: the last append was taken */
+};
+
+/* Says which epoch an answer belongs to. */
+struct sending {
+	struct cell_journal *journal;
+	uint64_t generation;
+};
+
+static void
+put_clear(void *p)
+{
+	struct cell_put *u = p;
+
+	g_free(u->key);
+	if (u->value != NULL)
+		g_bytes_unref(u->value);
+}
+
+struct cell_journal *
+cell_journal_init(const struct cell_ops *ops,
+    void (*lost)(void *arg, ogl_time now), void *arg)
+{
+	struct cell_journal *g = g_new0(struct cell_journal, 1);
+
+	g->ops = ops;
+	g->lost = lost;
+	g->arg = arg;
+	g->marked = g_ptr_array_new();
+	g->waiters = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	g->batch = g_array_new(FALSE, FALSE, sizeof(struct cell_put));
+	g_array_set_clear_func(g->batch, put_clear);
+	g->batch_jobs = g_ptr_array_new();
+	g->batch_waiters = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	g->urgent_at = OGL_NEVER;
+	g->lazy_at = OGL_NEVER;
+	return g;
+}
+
+void
+cell_journal_end(struct cell_journal *g)
+{
+	g_ptr_array_unref(g->marked);
+	g_array_unref(g->waiters);
+	g_array_unref(g->batch);
+	g_ptr_array_unref(g->batch_jobs);
+	g_array_unref(g->batch_waiters);
+	g_free(g);
+}
+
+static void
+clear_pending(struct cell_journal *g)
+{
+	g_ptr_array_set_size(g->marked, 0);
+	g_array_set_size(g->waiters, 0);
+	g_array_set_size(g->batch, 0);
+	g_ptr_array_set_size(g->batch_jobs, 0);
+	g_array_set_size(g->batch_waiters, 0);
+	g->urgent_at = OGL_NEVER;
+	g->lazy_at = OGL_NEVER;
+	g->has_batch = false;
+	g->sent = false;
+	g->uncertain = false;
+	g->failing_since = 0;
+}
+
+void
+cell_journal_open(struct cell_journal *g, uint64_t epoch)
+{
+	clear_pending(g);
+	g->open = true;
+	g->epoch = epoch;
+	g->seq = 0;
+	g->generation++;
+}
+
+static void
+tell(GArray *waiters, enum cell_fate fate, ogl_time now)
+{
+	GArray *copy = g_array_sized_new(
+	    FALSE, FALSE, sizeof(struct waiter), waiters->len);
+	guint i;
+
+	/* A waiter may add another while it is told. */
+	g_array_append_vals(copy, waiters->data, waiters->len);
+	g_array_set_size(waiters, 0);
+	for (i = 0; i < copy->len; i++) {
+		struct waiter *w = &g_array_index(copy, struct waiter, i);
+
+		w->fn(w->arg, w->tag, fate, now);
+	}
+	g_array_unref(copy);
+}
+
+void
+cell_journal_close(struct cell_journal *g, ogl_time now)
+{
+	if (!g->open)
+		return;
+	g->open = false;
+	g->generation++;
+	tell(g->batch_waiters, CELL_FATE_UNKNOWN, now);
+	tell(g->waiters, CELL_FATE_UNKNOWN, now);
+	clear_pending(g);
+}
+
+void
+cell_journal_mark(
+    struct cell_journal *g, struct cell_job *j, bool urgent, ogl_time now)
+{
+	if (!g->open)
+		return;
+	if (!j->dirty) {
+		j->dirty = true;
+		g_ptr_array_add(g->marked, j);
+	}
+	if (urgent)
+		g->urgent_at = MIN(g->urgent_at, now);
+	else if (g->lazy_at == OGL_NEVER)
+		g->lazy_at = now + LAZY;
+}
+
+void
+cell_journal_unmark(struct cell_journal *g, struct cell_job *j)
+{
+	if (j->dirty)
+		g_ptr_array_remove(g->marked, j);
+	j->dirty = false;
+	g_ptr_array_remove(g->batch_jobs, j);
+}
+
+void
+cell_journal_after(
+    struct cell_journal *g, cell_stored_fn *fn, void *arg, uint64_t tag)
+{
+	struct waiter w = {fn, arg, tag, NULL};
+
+	if (!g->open)
+		return;
+	g_array_append_val(g->waiters, w);
+}
+
+void
+cell_journal_submit(struct cell_journal *g, struct cell_job *j,
+    cell_stored_fn *fn, void *arg, uint64_t tag, ogl_time now)
+{
+	struct waiter w = {fn, arg, tag, j};
+
+	j->write_def = true;
+	cell_journal_mark(g, j, true, now);
+	g_array_append_val(g->waiters, w);
+}
+
+bool
+cell_journal_failing(const struct cell_journal *g, ogl_time now)
+{
+	if (g->failing_since != 0 && now - g->failing_since > FAILING)
+		return true;
+	return g->sent && now - g->sent_at > FAILING;
+}
+
+bool
+cell_journal_idle(const struct cell_journal *g)
+{
+	return !g->has_batch && g->marked->len == 0 && g->waiters->len == 0;
+}
+
+/* ---- putting a batch together ----------------------------------------- */
+
+static void
+add_put(struct cell_journal *g, char prefix, const char *id, GBytes *value)
+{
+	struct cell_put u = {g_strdup_printf("%c%s", prefix, id), value};
+
+	g_array_append_val(g->batch, u);
+}
+
+static size_t
+put_job(struct cell_journal *g, struct cell_job *j)
+{
+	GBytes *v;
+	size_t n = 0;
+
+	if (j->forget) {
+		add_put(g, 'p', j->id, NULL);
+		return 0;
+	}
+	if (j->write_def && j->def != NULL) {
+		v = cell_job_pack_def(j);
+		n += g_bytes_get_size(v);
+		add_put(g, 's', j->id, v);
+	}
+	if (!j->write_def || j->begun || cell_job_over(j->state)) {
+		v = cell_job_pack_progress(j);
+		n += g_bytes_get_size(v);
+		add_put(g, 'p', j->id, v);
+	}
+	if (j->drop_def)
+		add_put(g, 's', j->id, NULL);
+	j->write_def = false;
+	j->drop_def = false;
+	return n;
+}
+
+/*
+ * Jobs beyond the bound of a batch wait for the next one, and so do all
+ * waiters then: each has to know that everything marked before it is stored.
+ */
+static void
+make_batch(struct cell_journal *g, ogl_time now)
+{
+	size_t bytes = 0;
+	guint i;
+
+	for (i = 0; i < g->marked->len && bytes < BATCH_BYTES; i++) {
+		struct cell_job *j = g->marked->pdata[i];
+
+		bytes += put_job(g, j);
+		j->dirty = false;
+		g_ptr_array_add(g->batch_jobs, j);
+	}
+	g_ptr_array_remove_range(g->marked, 0, i);
+	g->urgent_at = OGL_NEVER;
+	g->lazy_at = OGL_NEVER;
+	if (g->marked->len > 0) {
+		g->urgent_at = now;
+	} else {
+		g_array_append_vals(
+		    g->batch_waiters, g->waiters->data, g->waiters->len);
+		g_array_set_size(g->waiters, 0);
+	}
+	g->has_batch = true;
+	g->uncertain = false;
+	g->seq++;
+}
+
+/* ---- sending ---------------------------------------------------------- */
+
+static void on_appended(
+    void *arg, const struct cell_append_answer *a, ogl_time now);
+
+static void
+send_batch(struct cell_journal *g, ogl_time now)
+{
+	struct sending *s = g_new(struct sending, 1);
+	struct cell_append a = {
+	    .stream = CELL_JOBS,
+	    .fenced = true,
+	    .epoch = g->epoch,
+	    .seq = g->seq,
+	    .at = -1,
+	    .puts = (const struct cell_put *)(void *)g->batch->data,
+	    .nputs = g->batch->len,
+	    .timeout_ms = TIMEOUT_MS,
+	};
+
+	s->journal = g;
+	s->generation = g->generation;
+	g->sent = true;
+	g->sent_at = now;
+	g->ops->append(g->ops->outside, &a, on_appended, s);
+}
+
+static void
+batch_stored(struct cell_journal *g, ogl_time now)
+{
+	g_array_set_size(g->batch, 0);
+	g_ptr_array_set_size(g->batch_jobs, 0);
+	g->has_batch = false;
+	g->failing_since = 0;
+	tell(g->batch_waiters, CELL_STORED, now);
+}
+
+/*
+ * The store did nothing, each time.  Submissions are taken back and refused;
+ * all else is put together anew later, under the same number.
+ */
+static void
+batch_refused(struct cell_journal *g, ogl_time now)
+{
+	GArray *refused = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	guint i;
+
+	for (i = 0; i < g->batch_jobs->len; i++) {
+		struct cell_job *j = g->batch_jobs->pdata[i];
+
+		j->write_def = j->def != NULL && !j->stored;
+		j->drop_def = j->def == NULL;
+		if (!j->dirty) {
+			j->dirty = true;
+			g_ptr_array_add(g->marked, j);
+		}
+	}
+	for (i = 0; i < g->batch_waiters->len; i++) {
+		struct waiter *w =
+		    &g_array_index(g->batch_waiters, struct waiter, i);
+
+		if (w->submit != NULL) {
+			cell_journal_unmark(g, w->submit);
+			g_array_append_val(refused, *w);
+		} else {
+			g_array_append_val(g->waiters, *w);
+		}
+	}
+	g_array_set_size(g->batch, 0);
+	g_ptr_array_set_size(g->batch_jobs, 0);
+	g_array_set_size(g->batch_waiters, 0);
+	g->has_batch = false;
+	g->seq--;
+	g->urgent_at = now;
+	tell(refused, CELL_NOT_STORED, now);
+	g_array_unref(refused);
+}
+
+static void
+batch_failed(
+    struct cell_journal *g, const struct cell_append_answer *a, ogl_time now)
+{
+	if (g->failing_since == 0)
+		g->failing_since = g->sent_at;
+	g->retry_at = now + RETRY;
+	if (a->io == OGL_IO_LOST)
+		g->uncertain = true;
+	if (!g->uncertain)
+		batch_refused(g, now);
+}
+
+static void
+on_appended(void *arg, const struct cell_append_answer *a, ogl_time now)
+{
+	struct sending *s = arg;
+	struct cell_journal *g = s->journal;
+	bool current = s->generation == g->generation;
+
+	g_free(s);
+	if (!current)
+		return;
+	g->sent = false;
+	if (a->outranked) {
+		g->lost(g->arg, now);
+		return;
+	}
+	if (a->io == OGL_IO_OK) {
+		batch_stored(g, now);
+		g->last_ok = now;
+	} else {
+		batch_failed(g, a, now);
+	}
+}
+
+ogl_time
+cell_journal_wake(const struct cell_journal *g)
+{
+	ogl_time due;
+
+	if (!g->open || g->sent)
+		return OGL_NEVER;
+	if (g->has_batch)
+		return g->retry_at;
+	if (g->marked->len == 0 && g->waiters->len == 0)
+		return OGL_NEVER;
+	due = MIN(g->urgent_at, g->lazy_at);
+	if (g->failing_since != 0)
+		return MAX(due, g->retry_at);
+	return MAX(due, g->sent_at + GAP);
+}
+
+void
+cell_journal_step(struct cell_journal *g, ogl_time now)
+{
+	/* Waiters without anything to write have nothing to wait for. */
+	if (g->open && !g->has_batch && g->marked->len == 0 &&
+	    g->waiters->len > 0)
+		tell(g->waiters, CELL_STORED, now);
+	if (cell_journal_wake(g) > now)
+		return;
+	if (!g->has_batch) {
+		if (g->marked->len == 0)
+			return;
+		make_batch(g, now);
+	}
+	send_batch(g, now);
+}
--- /dev/null
+++ b/cell/owner.c
@@ -0,0 +1,1539 @@
+/*
+ * Taking over goes in steps:
+ *
+ *	FENCING  the store learns the epoch: no earlier owner writes any more
+ *	LOADING  jobs are read, page by page; nobody else can change them now
+ *	SERVING  calls are answered and workers are called
+ *
+ * A job of an earlier owner may have tasks running that nobody has told us of
+ * yet.  Its tasks are started only once every worker has shown its lists under
+ * our epoch, or cannot run anything any more (settled); jobs accepted since
+ * are started at once.
+ *
+ * An end that a worker lists is dealt with at once, is stored with the job's
+ * progress, and only then is acknowledged to the worker: until it is stored, a
+ * successor must find it in the worker's list, or the task would run again.
+ * For the same reason a job is shown as over only once that is stored.
+ */
+
+#include <string.h>
+
+#include "journal.h"
+#include "owner.h"
+#include "schedule.h"
+
+#define NEWEST_TIMEOUT_MS 1500
+#define FENCE_TIMEOUT_MS 800
+#define RETRY (120 * OGL_MS)
+/* The list of workers is read so often: an entry changes on each worker's
+ * heartbeat, and reading each change by itself would be a call each. */
+#define LIST_EVERY (250 * OGL_MS)
+#define LIST_TIMEOUT_MS 1200
+/* Ended jobs are kept this much longer than callers are promised. */
+#define KEEP_MARGIN_MS 20000
+#define SWEEP (500 * OGL_MS)
+/* A task that failed waits before its next attempt; its next worker may
+ * otherwise be one with the same trouble. */
+#define FAIL_PAUSE (50 * OGL_MS)
+/* After this many losses on workers in a row the pause grows. */
+#define RUNS_AN_EPOCH 1024
+/* A gang of which some members were found running and others not is stopped
+ * if it is not whole after this time. */
+#define GANG_REPAIR (600 * OGL_MS)
+#define BUSY_RETRY_MS 500
+#define PENDING_MAX 100000
+
+enum phase {
+	PHASE_CLOSED,
+	PHASE_FENCING,
+	PHASE_LOADING,
+	PHASE_SERVING
+};
+
+/* A call that waits for the store. */
+struct waiting {
+	struct cell_owner *owner;
+	char *to;
+	uint64_t token;
+	char id[CELL_ID_LEN + 1];
+};
+
+/* Ends of a worker that wait to be stored, or a job's end. */
+struct noting {
+	struct cell_owner *owner;
+	char *name;
+};
+
+struct team_rate {
+	double tokens;
+	ogl_time at;
+};
+
+struct cell_owner {
+	const struct cell_ops *ops;
+	const struct cell_limits *limits;
+	struct cell_owner_events events;
+	struct cell_config *config;
+	enum phase phase;
+	uint64_t epoch;
+	uint64_t generation;
+	bool asking; /* a fence append or a page is under way */
+	ogl_time ask_at;
+	char *after; /* last key of the page before */
+	GHashTable *progress; /* id -> Ogl__CellProgress, while loading */
+	GHashTable *jobs;     /* id -> struct cell_job */
+	GHashTable *rates;    /* team -> struct team_rate */
+	struct cell_journal *journal;
+	struct cell_fleet *fleet;
+	struct cell_sched *sched;
+	struct cell_advice *advice;
+	bool settled;
+	ogl_time opened_at;
+	ogl_time wall;
+
+	bool list_loaded;
+	bool listing;
+	bool list_tail; /* read on from list_next, not the newest page */
+	char *list_after;
+	uint64_t list_next;
+	ogl_time list_at;
+	GHashTable *list_seen; /* workers named while the list is loaded */
+
+	bool run_pass; /* something came free or came in */
+	ogl_time sweep_at;
+};
+
+/* Belongs to an exchange with the store. */
+struct exchange {
+	struct cell_owner *owner;
+	uint64_t generation;
+	ogl_time sent;
+};
+
+static void job_changed(struct cell_owner *o, struct cell_job *j, bool urgent,
+    ogl_time now);
+
+/* ---- small things ----------------------------------------------------- */
+
+static void
+log_job(struct cell_owner *o, const struct cell_job *j, const char *event,
+    const char *more)
+{
+	char text[320];
+
+	g_snprintf(text, sizeof text, "job=%s epoch=%" G_GUINT64_FORMAT " %s",
+	    j->id, o->epoch, more);
+	o->ops->log(o->ops->ctx, "owner", event, text);
+}
+
+static void
+log_run(struct cell_owner *o, const struct cell_run *r, const char *event,
+    const char *more, ogl_time now)
+{
+	char text[320];
+
+	g_snprintf(text, sizeof text,
+	    "job=%s task=%u.%u.%u run=%" G_GUINT64_FORMAT
+	    " worker=%s age_ms=%" G_GINT64_FORMAT " %s",
+	    r->name.id, r->name.occurrence, r->name.step, r->name.index,
+	    r->number, r->worker->id, (now - r->began) / OGL_MS, more);
+	o->ops->log(o->ops->ctx, "owner", event, text);
+}
+
+static struct cell_job *
+job_of(const struct cell_owner *o, const char *id)
+{
+	return g_hash_table_lookup(o->jobs, id);
+}
+
+static uint32_t
+rank_of(const struct cell_owner *o, const struct cell_job *j)
+{
+	return cell_queue_of_job(o->config, j->def).rank;
+}
+
+static struct exchange *
+exchange_new(struct cell_owner *o, ogl_time now)
+{
+	struct exchange *x = g_new(struct exchange, 1);
+
+	x->owner = o;
+	x->generation = o->generation;
+	x->sent = now;
+	return x;
+}
+
+/* Frees it; NULL when it belongs to an earlier ownership. */
+static struct cell_owner *
+exchange_end(struct exchange *x)
+{
+	struct cell_owner *o =
+	    x->generation == x->owner->generation ? x->owner : NULL;
+
+	g_free(x);
+	return o;
+}
+
+/* ---- stages ----------------------------------------------------------- */
+
+/* Lists whatever of an occurrence may run now. */
+static void
+list_stages(struct cell_owner *o, struct cell_job *j,
+    struct cell_occurrence *oc, ogl_time now)
+{
+	size_t i;
+
+	for (i = 0; i < j->def->n_steps; i++) {
+		struct cell_stage *st = &oc->stages[i];
+
+		if (cell_stage_waiting(st) > 0 && cell_stage_ready(st))
+			cell_sched_add(o->sched, st, now);
+	}
+	o->run_pass = true;
+}
+
+static ogl_time
+due_of(const struct cell_job *j, uint32_t number)
+{
+	return (ogl_time)(j->def->first_due_ms +
+			  number * j->def->interval_ms) *
+	       OGL_MS;
+}
+
+/* Begins the occurrences that are due and lists what may run. */
+static void
+begin_due(struct cell_owner *o, struct cell_job *j, ogl_time now)
+{
+	uint32_t n = MAX(j->def->repeats, 1);
+	uint32_t k;
+
+	for (k = 0; k < n; k++) {
+		ogl_time due = due_of(j, k);
+
+		if (cell_job_occurrence_finished(j, k))
+			continue;
+		if (j->def->repeats > 0 && due > o->wall)
+			break;
+		list_stages(o, j, cell_job_begin(j, k, due), now);
+	}
+}
+
+/* ---- the end of a job ------------------------------------------------- */
+
+static void
+on_end_stored(void *arg, uint64_t tag, enum cell_fate fate, ogl_time now)
+{
+	struct noting *n = arg;
+	struct cell_job *j;
+
+	(void)tag;
+	(void)now;
+	if (fate == CELL_STORED) {
+		j = job_of(n->owner, n->name);
+		if (j != NULL)
+			j->shown = true;
+	}
+	g_free(n->name);
+	g_free(n);
+}
+
+static void
+note_after(struct cell_owner *o, const char *name, cell_stored_fn *fn,
+    uint64_t tag)
+{
+	struct noting *n = g_new(struct noting, 1);
+
+	n->owner = o;
+	n->name = g_strdup(name);
+	cell_journal_after(o->journal, fn, n, tag);
+}
+
+static void
+disown(struct cell_owner *o, struct cell_run *r, ogl_time now)
+{
+	if (r == NULL)
+		return;
+	r->stage = NULL;
+	if (r->state != CELL_RUN_STOPPING)
+		cell_fleet_stop(o->fleet, r, now);
+}
+
+static void
+drop_stage(struct cell_owner *o, struct cell_stage *st, ogl_time now)
+{
+	uint32_t i;
+
+	cell_sched_remove(o->sched, st);
+	for (i = 0; i < st->ntasks; i++) {
+		disown(o, st->tasks[i].active, now);
+		disown(o, st->tasks[i].copy, now);
+		st->tasks[i].active = NULL;
+		st->tasks[i].copy = NULL;
+	}
+}
+
+static void
+drop_occurrence(struct cell_owner *o, struct cell_job *j,
+    struct cell_occurrence *oc, ogl_time now)
+{
+	size_t i;
+
+	for (i = 0; i < j->def->n_steps; i++)
+		drop_stage(o, &oc->stages[i], now);
+}
+
+static const char *
+state_name(Ogl__CellJobState s)
+{
+	static const char *const names[] = {
+	    "queued", "running", "completed", "failed", "cancelled"};
+
+	return (unsigned)s < G_N_ELEMENTS(names) ? names[s] : "unknown";
+}
+
+static void
+end_job(struct cell_owner *o, struct cell_job *j, Ogl__CellJobState state,
+    const char *why, ogl_time now)
+{
+	char more[160];
+	guint i;
+
+	g_snprintf(more, sizeof more, "state=%s why=%s age_ms=%" G_GINT64_FORMAT,
+	    state_name(state), why, (now - j->accepted) / OGL_MS);
+	log_job(o, j, "job_ended", more);
+	o->ops->observe(o->ops->ctx, "job_ms",
+	    (uint64_t)((now - j->accepted) / OGL_MS));
+	for (i = 0; i < j->occurrences->len; i++)
+		drop_occurrence(o, j, j->occurrences->pdata[i], now);
+	cell_job_clear(j);
+	j->state = state;
+	j->ended_ms = (uint64_t)(o->wall / OGL_MS);
+	j->drop_def = true;
+	job_changed(o, j, true, now);
+	note_after(o, j->id, on_end_stored, 0);
+}
+
+/* ---- progress --------------------------------------------------------- */
+
+static void
+job_changed(
+    struct cell_owner *o, struct cell_job *j, bool urgent, ogl_time now)
+{
+	cell_journal_mark(o->journal, j, urgent, now);
+}
+
+static void
+occurrence_done(struct cell_owner *o, struct cell_job *j,
+    struct cell_occurrence *oc, ogl_time now)
+{
+	drop_occurrence(o, j, oc, now);
+	cell_job_finish_occurrence(j, oc);
+	if (j->finished->len >= MAX(j->def->repeats, 1))
+		end_job(o, j, OGL__CELL_JOB_STATE__cell_completed, "all_done",
+		    now);
+}
+
+/* May end the occurrence and the job with it: st is not to be used after. */
+static void
+stage_progress(struct cell_owner *o, struct cell_stage *st, ogl_time now)
+{
+	struct cell_job *j = st->job;
+	struct cell_occurrence *oc = cell_job_occurrence(j, st->occurrence);
+
+	if (st->ndone < st->ntasks) {
+		if (cell_stage_waiting(st) > 0 && cell_stage_ready(st))
+			cell_sched_add(o->sched, st, now);
+		return;
+	}
+	cell_sched_remove(o->sched, st);
+	oc->nstages_done++;
+	if (oc->nstages_done == j->def->n_steps)
+		occurrence_done(o, j, oc, now);
+	else
+		list_stages(o, j, oc, now);
+}
+
+static void
+task_done(struct cell_stage *st, struct cell_task *t)
+{
+	if (t->done)
+		return;
+	t->done = true;
+	st->ndone++;
+}
+
+static void
+detach(struct cell_stage *st, struct cell_task *t, struct cell_run *r)
+{
+	if (t->copy == r) {
+		t->copy = NULL;
+		return;
+	}
+	if (t->active != r)
+		return;
+	t->active = t->copy;
+	t->copy = NULL;
+	if (t->active == NULL)
+		st->nactive--;
+}
+
+/* One member's end stands for the gang; what else runs is let end. */
+static void
+gang_done(struct cell_owner *o, struct cell_stage *st, ogl_time now)
+{
+	uint32_t i;
+
+	(void)o;
+	(void)now;
+	for (i = 0; i < st->ntasks; i++) {
+		struct cell_task *t = &st->tasks[i];
+
+		task_done(st, t);
+		if (t->active != NULL) {
+			/* It has ended too, its worker just has not said. */
+			t->active->stage = NULL;
+			t->active = NULL;
+			st->nactive--;
+		}
+	}
+}
+
+static void
+copy_done(struct cell_owner *o, struct cell_stage *st, struct cell_task *t,
+    ogl_time now)
+{
+	if (t->active == NULL)
+		return;
+	disown(o, t->active, now);
+	t->active = NULL;
+	st->nactive--;
+}
+
+static void
+task_failed(struct cell_owner *o, struct cell_stage *st, uint32_t index,
+    const char *worker, ogl_time now)
+{
+	struct cell_task *t = cell_stage_keeper(st, index);
+	struct cell_queue q = cell_queue_of_job(o->config, st->job->def);
+
+	t->failed++;
+	g_free(st->tasks[index].avoid);
+	st->tasks[index].avoid = g_strdup(worker);
+	t->due = now + FAIL_PAUSE;
+	if (!st->def->lasting && q.attempts_max > 0 &&
+	    t->failed >= q.attempts_max)
+		end_job(o, st->job, OGL__CELL_JOB_STATE__cell_failed,
+		    "attempts_spent", now);
+}
+
+/* What an end means for its task; the job may be over after it. */
+static void
+count_end(struct cell_owner *o, struct cell_stage *st, uint32_t index,
+    uint64_t run, enum cell_end how, const char *checkpoint,
+    struct cell_worker *w, ogl_time now)
+{
+	struct cell_task *t = &st->tasks[index];
+	struct cell_job *j = st->job;
+
+	if (run <= t->ended_run || t->done)
+		return;
+	t->ended_run = run;
+	cell_task_save(cell_stage_keeper(st, index), checkpoint);
+	job_changed(o, j, true, now);
+	if (how == CELL_END_DONE && !st->def->lasting) {
+		cell_worker_result(w, j->id, true, now);
+		task_done(st, t);
+		if (st->def->gang)
+			gang_done(o, st, now);
+		else
+			copy_done(o, st, t, now);
+	} else if (how == CELL_END_FAILED) {
+		cell_worker_result(w, j->id, false, now);
+		task_failed(o, st, index, w->id, now);
+	}
+	if (!cell_job_over(j->state))
+		stage_progress(o, st, now);
+}
+
+/* ---- what the fleet tells --------------------------------------------- */
+
+static const char *
+end_name(enum cell_end how)
+{
+	static const char *const names[] = {
+	    "done", "failed", "stopped", "lapsed", "broken", "alone"};
+
+	return names[how];
+}
+
+static void
+on_ended(void *arg, struct cell_run *r, enum cell_end how,
+    const char *checkpoint, ogl_time now)
+{
+	struct cell_owner *o = arg;
+	struct cell_stage *st = r->stage;
+	char more[64];
+
+	g_snprintf(more, sizeof more, "how=%s percent=%u", end_name(how),
+	    r->percent);
+	log_run(o, r, "run_ended", more, now);
+	if (st == NULL)
+		return;
+	detach(st, &st->tasks[r->name.index], r);
+	count_end(o, st, r->name.index, r->number, how,
+	    checkpoint != NULL && *checkpoint != '\0' ? checkpoint
+						      : r->checkpoint,
+	    r->worker, now);
+}
+
+static void
+on_refused(
+    void *arg, struct cell_run *r, enum cell_refusal why, ogl_time now)
+{
+	struct cell_owner *o = arg;
+	struct cell_stage *st = r->stage;
+	struct cell_good *g;
+	char more[32];
+
+	g_snprintf(more, sizeof more, "why=%d", (int)why);
+	log_run(o, r, "start_refused", more, now);
+	o->ops->count(o->ops->ctx, "starts_refused", 1);
+	if (st == NULL)
+		return;
+	detach(st, &st->tasks[r->name.index], r);
+	if (why == CELL_REFUSED_TICKET || why == CELL_REFUSED_LIFE) {
+		g = g_hash_table_lookup(st->good, r->worker->id);
+		if (g != NULL)
+			g->until = 0;
+	}
+	if (why == CELL_REFUSED_BUSY)
+		r->worker->aside_until = now + OGL_SEC;
+	/* The members of a gang that did start wait for the others in vain. */
+	if (st->def->gang) {
+		uint32_t i;
+
+		for (i = 0; i < st->ntasks; i++) {
+			struct cell_run *m = st->tasks[i].active;
+
+			if (m != NULL && m->state != CELL_RUN_STOPPING)
+				cell_fleet_stop(o->fleet, m, now);
+		}
+	}
+	stage_progress(o, st, now);
+}
+
+static void
+on_up(void *arg, struct cell_run *r, ogl_time now)
+{
+	struct cell_owner *o = arg;
+	struct cell_job *j;
+
+	if (r->stage == NULL)
+		return;
+	j = r->stage->job;
+	if (!j->begun) {
+		j->begun = true;
+		j->state = OGL__CELL_JOB_STATE__cell_running;
+		o->ops->observe(o->ops->ctx, "job_wait_ms",
+		    (uint64_t)((now - j->accepted) / OGL_MS));
+	}
+	job_changed(o, j, false, now);
+}
+
+/* Whether a run that was found is one that the job wants. */
+static struct cell_stage *
+wanted(struct cell_owner *o, const struct cell_row *row)
+{
+	struct cell_job *j = job_of(o, row->task.id);
+	struct cell_stage *st;
+	struct cell_task *t;
+
+	if (j == NULL || cell_job_over(j->state))
+		return NULL;
+	st = cell_job_stage(j, &row->task);
+	if (st == NULL)
+		return NULL;
+	t = &st->tasks[row->task.index];
+	if (t->done || t->active != NULL || row->run <= t->ended_run)
+		return NULL;
+	return st;
+}
+
+static void
+on_found(void *arg, struct cell_worker *w, const struct cell_row *row,
+    ogl_time now)
+{
+	struct cell_owner *o = arg;
+	struct cell_stage *st = wanted(o, row);
+	struct cell_task *t;
+
+	if (st == NULL) {
+		cell_fleet_stray(o->fleet, w, row, now);
+		return;
+	}
+	t = &st->tasks[row->task.index];
+	t->run = MAX(t->run, row->run);
+	t->active = cell_fleet_adopt(
+	    o->fleet, w, st, row, rank_of(o, st->job), now);
+	st->nactive++;
+	if (cell_stage_waiting(st) == 0)
+		cell_sched_remove(o->sched, st);
+	on_up(o, t->active, now);
+}
+
+static void
+on_found_end(void *arg, struct cell_worker *w, const struct cell_row *row,
+    ogl_time now)
+{
+	struct cell_owner *o = arg;
+	struct cell_job *j = job_of(o, row->task.id);
+	struct cell_stage *st;
+
+	if (j == NULL || cell_job_over(j->state))
+		return;
+	st = cell_job_stage(j, &row->task);
+	if (st == NULL)
+		return;
+	if (st->tasks[row->task.index].active != NULL &&
+	    row->how != CELL_END_DONE)
+		return;
+	j->begun = true;
+	count_end(o, st, row->task.index, row->run, row->how, row->checkpoint,
+	    w, now);
+}
+
+static void
+on_ends_stored(void *arg, uint64_t tag, enum cell_fate fate, ogl_time now)
+{
+	struct noting *n = arg;
+	struct cell_worker *w;
+
+	(void)now;
+	if (fate == CELL_STORED) {
+		w = cell_fleet_worker(n->owner->fleet, n->name);
+		if (w != NULL)
+			cell_fleet_noted(n->owner->fleet, w, tag);
+	}
+	g_free(n->name);
+	g_free(n);
+}
+
+static void
+on_ends_taken(void *arg, struct cell_worker *w, ogl_time now)
+{
+	struct cell_owner *o = arg;
+
+	(void)now;
+	note_after(o, w->id, on_ends_stored, w->taken);
+}
+
+static void
+on_answered(void *arg, struct cell_worker *w, ogl_time now)
+{
+	struct cell_owner *o = arg;
+
+	(void)w;
+	(void)now;
+	o->run_pass = true;
+}
+
+static void
+on_fleet_outranked(void *arg, ogl_time now)
+{
+	struct cell_owner *o = arg;
+
+	o->events.outranked(o->events.arg, now);
+}
+
+static void
+on_room(void *arg, ogl_time now)
+{
+	struct cell_owner *o = arg;
+
+	(void)now;
+	o->run_pass = true;
+}
+
+/* ---- what the scheduler asks ------------------------------------------ */
+
+/*
+ * Run numbers of an epoch lie above all of earlier epochs, so that they rise
+ * although an earlier owner may have started runs that were never stored.
+ */
+static uint64_t
+next_run(void *arg, const struct cell_stage *st)
+{
+	struct cell_owner *o = arg;
+	uint64_t run = (o->epoch - 1) * RUNS_AN_EPOCH;
+	uint32_t i;
+
+	for (i = 0; i < st->ntasks; i++) {
+		if (st->def->gang || st->tasks[i].active == NULL)
+			run = MAX(run, st->tasks[i].run);
+	}
+	return run + 1;
+}
+
+static void
+on_started(void *arg, struct cell_stage *st, uint32_t index, ogl_time now)
+{
+	struct cell_owner *o = arg;
+
+	log_run(o, st->tasks[index].active, "run_started", "", now);
+	job_changed(o, st->job, false, now);
+}
+
+static void
+on_lost(void *arg, ogl_time now)
+{
+	struct cell_owner *o = arg;
+
+	o->events.outranked(o->events.arg, now);
+}
+
+/* ---- what advice asks ------------------------------------------------- */
+
+static void
+send_ask(void *arg, const char *addr, const Ogl__CellAsk *ask)
+{
+	struct cell_owner *o = arg;
+
+	o->events.ask(o->events.arg, addr, ask);
+}
+
+static struct cell_stage *
+stage_of(void *arg, const char *id, uint32_t occurrence, uint32_t step)
+{
+	struct cell_owner *o = arg;
+	struct cell_job *j = job_of(o, id);
+	struct cell_task_name name = {.occurrence = occurrence, .step = step};
+
+	if (j == NULL || cell_job_over(j->state))
+		return NULL;
+	return cell_job_stage(j, &name);
+}
+
+static struct cell_worker *
+worker_of(void *arg, const char *id)
+{
+	struct cell_owner *o = arg;
+
+	return cell_fleet_worker(o->fleet, id);
+}
+
+static void
+on_advice(void *arg, struct cell_stage *s, ogl_time now)
+{
+	struct cell_owner *o = arg;
+
+	(void)s;
+	(void)now;
+	o->run_pass = true;
+}
+
+/* ---- beginning and end ------------------------------------------------ */
+
+static void
+job_free(void *p)
+{
+	cell_job_free(p);
+}
+
+struct cell_owner *
+cell_owner_init(const struct cell_ops *ops, const struct cell_limits *limits,
+    const struct cell_owner_events *events)
+{
+	struct cell_owner *o = g_new0(struct cell_owner, 1);
+	struct cell_fleet_events fe = {on_ended, on_refused, on_found,
+	    on_found_end, on_up, on_ends_taken, on_answered,
+	    on_fleet_outranked, on_room, o};
+	struct cell_advice_events ae = {
+	    send_ask, stage_of, worker_of, on_advice, o};
+	struct cell_sched_parts sp = {.ops = ops,
+	    .next_run = next_run,
+	    .started = on_started,
+	    .arg = o};
+
+	o->ops = ops;
+	o->limits = limits;
+	o->events = *events;
+	o->jobs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+	o->rates =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	o->list_seen =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	o->journal = cell_journal_init(ops, on_lost, o);
+	o->fleet = cell_fleet_init(ops, limits, &fe);
+	o->advice = cell_advice_init(ops, &ae);
+	sp.fleet = o->fleet;
+	sp.advice = o->advice;
+	o->sched = cell_sched_init(&sp);
+	return o;
+}
+
+static void
+progress_free(void *p)
+{
+	ogl__cell_progress__free_unpacked(p, NULL);
+}
+
+void
+cell_owner_end(struct cell_owner *o)
+{
+	cell_owner_close(o, 0);
+	cell_sched_end(o->sched);
+	cell_advice_end(o->advice);
+	cell_fleet_end(o->fleet);
+	cell_journal_end(o->journal);
+	g_hash_table_unref(o->jobs);
+	g_hash_table_unref(o->rates);
+	g_hash_table_unref(o->list_seen);
+	cell_config_unref(o->config);
+	g_free(o);
+}
+
+void
+cell_owner_open(struct cell_owner *o, uint64_t epoch, ogl_time now)
+{
+	o->generation++;
+	o->phase = PHASE_FENCING;
+	o->epoch = epoch;
+	o->asking = false;
+	o->ask_at = now;
+	o->settled = false;
+	o->opened_at = now;
+	o->list_loaded = false;
+	o->listing = false;
+	o->list_tail = false;
+	o->list_at = now;
+	o->progress = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, progress_free);
+}
+
+void
+cell_owner_close(struct cell_owner *o, ogl_time now)
+{
+	if (o->phase == PHASE_CLOSED)
+		return;
+	o->phase = PHASE_CLOSED;
+	o->generation++;
+	cell_journal_close(o->journal, now);
+	cell_fleet_close(o->fleet);
+	cell_advice_clear(o->advice);
+	cell_sched_clear(o->sched);
+	g_hash_table_remove_all(o->jobs);
+	g_hash_table_remove_all(o->list_seen);
+	g_clear_pointer(&o->progress, g_hash_table_unref);
+	g_clear_pointer(&o->after, g_free);
+	g_clear_pointer(&o->list_after, g_free);
+}
+
+void
+cell_owner_config(struct cell_owner *o, struct cell_config *c)
+{
+	cell_config_ref(c);
+	cell_config_unref(o->config);
+	o->config = c;
+	cell_sched_config(o->sched, c);
+	o->run_pass = true;
+}
+
+/* ---- taking over ------------------------------------------------------ */
+
+static void
+on_fenced(void *arg, const struct cell_append_answer *a, ogl_time now)
+{
+	struct cell_owner *o = exchange_end(arg);
+
+	if (o == NULL)
+		return;
+	o->asking = false;
+	o->ask_at = now + RETRY;
+	if (a->outranked) {
+		o->events.outranked(o->events.arg, now);
+		return;
+	}
+	if (a->io != OGL_IO_OK)
+		return;
+	o->phase = PHASE_LOADING;
+	o->ask_at = now;
+}
+
+static void
+send_fence(struct cell_owner *o, ogl_time now)
+{
+	struct cell_append a = {.stream = CELL_JOBS,
+	    .fenced = true,
+	    .epoch = o->epoch,
+	    .at = -1,
+	    .timeout_ms = FENCE_TIMEOUT_MS};
+
+	o->asking = true;
+	o->ops->append(o->ops->outside, &a, on_fenced, exchange_new(o, now));
+}
+
+static void
+load_def(struct cell_owner *o, const char *id, struct ogl_str value,
+    ogl_time now)
+{
+	Ogl__CellJob *def =
+	    ogl__cell_job__unpack(NULL, value.n, (const uint8_t *)value.p);
+	Ogl__CellProgress *p = g_hash_table_lookup(o->progress, id);
+	ogl_time age;
+	struct cell_job *j;
+	const char *why = "";
+
+	if (def == NULL || strcmp(def->id, id) != 0 ||
+	    !cell_job_def_valid(def, &why)) {
+		o->ops->log(o->ops->ctx, "owner", "record_unreadable", id);
+		if (def != NULL)
+			ogl__cell_job__free_unpacked(def, NULL);
+		return;
+	}
+	if (p != NULL && cell_job_over(p->state)) {
+		ogl__cell_job__free_unpacked(def, NULL);
+		return; /* it ended just before; the progress record stays */
+	}
+	age = MAX(o->wall - (ogl_time)def->accepted_ms * OGL_MS, 0);
+	j = cell_job_new(def, now - age);
+	j->stored = true;
+	if (p != NULL)
+		cell_job_apply(j, p);
+	g_hash_table_insert(o->jobs, j->id, j);
+}
+
+static void
+load_record(
+    struct cell_owner *o, const struct cell_record *r, ogl_time now)
+{
+	const char *id = r->key + 1;
+	Ogl__CellProgress *p;
+
+	if (r->dropped || strlen(r->key) != CELL_ID_LEN + 1)
+		return;
+	if (r->key[0] == 's') {
+		load_def(o, id, r->value, now);
+		return;
+	}
+	p = ogl__cell_progress__unpack(
+	    NULL, r->value.n, (const uint8_t *)r->value.p);
+	if (p == NULL)
+		o->ops->log(o->ops->ctx, "owner", "record_unreadable", id);
+	else
+		g_hash_table_replace(o->progress, g_strdup(id), p);
+}
+
+/* Jobs that had ended have only their progress left. */
+static void
+load_ended(struct cell_owner *o)
+{
+	GHashTableIter it;
+	gpointer id, p;
+
+	g_hash_table_iter_init(&it, o->progress);
+	while (g_hash_table_iter_next(&it, &id, &p)) {
+		const Ogl__CellProgress *m = p;
+		struct cell_job *j;
+
+		if (!cell_job_over(m->state) || job_of(o, id) != NULL)
+			continue;
+		j = cell_job_ended(id, m);
+		j->shown = true;
+		g_hash_table_insert(o->jobs, j->id, j);
+	}
+}
+
+/* A stage may have been all done when the last owner was lost. */
+static void
+resume_job(struct cell_owner *o, struct cell_job *j, ogl_time now)
+{
+	guint i;
+	size_t k;
+
+	begin_due(o, j, now);
+	for (i = 0; i < j->occurrences->len; i++) {
+		struct cell_occurrence *oc = j->occurrences->pdata[i];
+
+		for (k = 0; k < j->def->n_steps; k++) {
+			if (oc->stages[k].ndone == oc->stages[k].ntasks)
+				oc->nstages_done++;
+		}
+		if (oc->nstages_done == j->def->n_steps) {
+			occurrence_done(o, j, oc, now);
+			if (cell_job_over(j->state))
+				return;
+			i--;
+		}
+	}
+}
+
+static void
+loaded(struct cell_owner *o, ogl_time now)
+{
+	GList *all, *at;
+	char text[96];
+
+	load_ended(o);
+	g_clear_pointer(&o->progress, g_hash_table_unref);
+	o->phase = PHASE_SERVING;
+	cell_journal_open(o->journal, o->epoch);
+	cell_fleet_open(o->fleet, o->epoch, now);
+	all = g_hash_table_get_values(o->jobs);
+	for (at = all; at != NULL; at = at->next) {
+		struct cell_job *j = at->data;
+
+		if (!cell_job_over(j->state))
+			resume_job(o, j, now);
+	}
+	g_list_free(all);
+	g_snprintf(text, sizeof text,
+	    "epoch=%" G_GUINT64_FORMAT " jobs=%u took_ms=%" G_GINT64_FORMAT,
+	    o->epoch, g_hash_table_size(o->jobs),
+	    (now - o->opened_at) / OGL_MS);
+	o->ops->log(o->ops->ctx, "owner", "cell_taken_over", text);
+}
+
+static void
+on_jobs_page(void *arg, const struct cell_newest_answer *a, ogl_time now)
+{
+	struct cell_owner *o = exchange_end(arg);
+	size_t i;
+
+	if (o == NULL)
+		return;
+	o->asking = false;
+	if (a->io != OGL_IO_OK) {
+		o->ask_at = now + RETRY;
+		return;
+	}
+	o->ask_at = now;
+	for (i = 0; i < a->n; i++)
+		load_record(o, &a->records[i], now);
+	if (a->n > 0) {
+		g_free(o->after);
+		o->after = g_strdup(a->records[a->n - 1].key);
+	}
+	if (!a->more) {
+		g_clear_pointer(&o->after, g_free);
+		loaded(o, now);
+	}
+}
+
+static void
+step_takeover(struct cell_owner *o, ogl_time now)
+{
+	if (o->asking || now < o->ask_at)
+		return;
+	if (o->phase == PHASE_FENCING) {
+		send_fence(o, now);
+	} else if (o->phase == PHASE_LOADING) {
+		o->asking = true;
+		o->ops->newest(o->ops->outside, CELL_JOBS, o->after,
+		    NEWEST_TIMEOUT_MS, on_jobs_page, exchange_new(o, now));
+	}
+}
+
+/* ---- the list of workers ---------------------------------------------- */
+
+/* Entries that can't be read name no worker to use. */
+static void
+take_entry(
+    struct cell_owner *o, const struct cell_record *r, ogl_time now)
+{
+	if (r->dropped || r->worker == NULL) {
+		cell_fleet_entry(o->fleet, r->key, NULL, now);
+		return;
+	}
+	cell_fleet_entry(o->fleet, r->key, r->worker, now);
+	g_hash_table_add(o->list_seen, g_strdup(r->key));
+}
+
+/* A whole list does not name what it no longer holds. */
+static void
+drop_unseen(struct cell_owner *o, ogl_time now)
+{
+	GList *ids =
+	    g_hash_table_get_keys(cell_fleet_workers(o->fleet));
+	GList *at;
+
+	for (at = ids; at != NULL; at = at->next) {
+		if (!g_hash_table_contains(o->list_seen, at->data))
+			cell_fleet_entry(o->fleet, at->data, NULL, now);
+	}
+	g_list_free(ids);
+}
+
+static void
+on_list_page(void *arg, const struct cell_newest_answer *a, ogl_time now)
+{
+	struct cell_owner *o = exchange_end(arg);
+	size_t i;
+
+	if (o == NULL)
+		return;
+	o->listing = false;
+	if (a->io != OGL_IO_OK) {
+		o->list_at = now + RETRY;
+		return;
+	}
+	if (o->list_after == NULL) {
+		o->list_next = a->end;
+		g_hash_table_remove_all(o->list_seen);
+	}
+	for (i = 0; i < a->n; i++)
+		take_entry(o, &a->records[i], now);
+	if (a->more && a->n > 0) {
+		g_free(o->list_after);
+		o->list_after = g_strdup(a->records[a->n - 1].key);
+		o->list_at = now;
+		return;
+	}
+	g_clear_pointer(&o->list_after, g_free);
+	drop_unseen(o, now);
+	o->list_tail = true;
+	o->list_loaded = true;
+	o->list_at = now + LIST_EVERY;
+}
+
+static void
+on_list_tail(void *arg, const struct cell_read_answer *a, ogl_time now)
+{
+	struct cell_owner *o = exchange_end(arg);
+	size_t i;
+
+	if (o == NULL)
+		return;
+	o->listing = false;
+	o->list_at = now + LIST_EVERY;
+	if (a->io != OGL_IO_OK)
+		return;
+	if (a->trimmed) {
+		o->list_tail = false;
+		o->list_at = now;
+		return;
+	}
+	for (i = 0; i < a->n; i++) {
+		take_entry(o, &a->records[i], now);
+		o->list_next = MAX(o->list_next, a->records[i].offset + 1);
+	}
+}
+
+static void
+step_list(struct cell_owner *o, ogl_time now)
+{
+	if (o->listing || now < o->list_at)
+		return;
+	o->listing = true;
+	if (o->list_tail)
+		o->ops->read(o->ops->outside, CELL_WORKERS, o->list_next, 0,
+		    LIST_TIMEOUT_MS, on_list_tail, exchange_new(o, now));
+	else
+		o->ops->newest(o->ops->outside, CELL_WORKERS, o->list_after,
+		    LIST_TIMEOUT_MS, on_list_page, exchange_new(o, now));
+}
+
+/* ---- calls ------------------------------------------------------------ */
+
+static void
+reply(struct cell_owner *o, const char *to, uint64_t token,
+    Ogl__CellOutcome outcome, uint32_t retry_ms)
+{
+	Ogl__CellReply r = OGL__CELL_REPLY__INIT;
+
+	r.token = token;
+	r.outcome = outcome;
+	r.retry_ms = retry_ms;
+	o->events.reply(o->events.arg, to, &r);
+}
+
+static struct waiting *
+waiting_new(struct cell_owner *o, const char *to, const Ogl__CellCall *c)
+{
+	struct waiting *w = g_new(struct waiting, 1);
+
+	w->owner = o;
+	w->to = g_strdup(to);
+	w->token = c->token;
+	g_strlcpy(w->id, c->id, sizeof w->id);
+	return w;
+}
+
+static void
+waiting_free(struct waiting *w)
+{
+	g_free(w->to);
+	g_free(w);
+}
+
+/* The store has refused a new job for certain: it never was. */
+static void
+take_back(struct cell_owner *o, struct cell_job *j, ogl_time now)
+{
+	guint i;
+
+	if (j == NULL || j->stored || cell_job_over(j->state))
+		return;
+	log_job(o, j, "job_refused", "why=store_refused");
+	for (i = 0; i < j->occurrences->len; i++)
+		drop_occurrence(o, j, j->occurrences->pdata[i], now);
+	cell_journal_unmark(o->journal, j);
+	g_hash_table_remove(o->jobs, j->id);
+}
+
+static void
+on_submit_stored(void *arg, uint64_t tag, enum cell_fate fate, ogl_time now)
+{
+	struct waiting *w = arg;
+	struct cell_owner *o = w->owner;
+	struct cell_job *j = job_of(o, w->id);
+
+	(void)tag;
+	if (fate == CELL_STORED && j != NULL) {
+		reply(o, w->to, w->token, OGL__CELL_OUTCOME__cell_ok, 0);
+		if (!j->stored) {
+			j->stored = true;
+			log_job(o, j, "job_accepted", "");
+			o->run_pass = true;
+		}
+	} else if (fate == CELL_NOT_STORED) {
+		take_back(o, j, now);
+		reply(o, w->to, w->token, OGL__CELL_OUTCOME__cell_busy,
+		    BUSY_RETRY_MS);
+	} else {
+		/* Also a second submission of a job that was taken back. */
+		reply(o, w->to, w->token, OGL__CELL_OUTCOME__cell_not_owner, 0);
+	}
+	waiting_free(w);
+}
+
+/* A call that changed a job and waits for that to be stored. */
+static void
+on_call_stored(void *arg, uint64_t tag, enum cell_fate fate, ogl_time now)
+{
+	struct waiting *w = arg;
+
+	(void)tag;
+	(void)now;
+	reply(w->owner, w->to, w->token,
+	    fate == CELL_STORED ? OGL__CELL_OUTCOME__cell_ok
+				: OGL__CELL_OUTCOME__cell_not_owner,
+	    0);
+	waiting_free(w);
+}
+
+/* Whether the team still keeps to the jobs a second that it is owed. */
+static bool
+within_rate(struct cell_owner *o, const char *team, ogl_time now)
+{
+	const struct cell_team *t = cell_config_team(o->config, team);
+	struct team_rate *r = g_hash_table_lookup(o->rates, team);
+
+	if (t == NULL || t->rate <= 0)
+		return true;
+	if (r == NULL) {
+		r = g_new0(struct team_rate, 1);
+		r->tokens = t->rate;
+		r->at = now;
+		g_hash_table_insert(o->rates, g_strdup(team), r);
+	}
+	r->tokens += t->rate * (double)(now - r->at) / OGL_SEC;
+	r->tokens = MIN(r->tokens, t->rate);
+	r->at = now;
+	if (r->tokens < 1)
+		return false;
+	r->tokens -= 1;
+	return true;
+}
+
+static void
+call_submit(
+    struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
+{
+	struct cell_job *j = job_of(o, c->id);
+	struct waiting *w;
+	const char *why = "";
+
+	if (j != NULL && j->stored) {
+		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_ok, 0);
+		return;
+	}
+	w = waiting_new(o, from, c);
+	if (j != NULL) {
+		cell_journal_submit(o->journal, j, on_submit_stored, w, 0, now);
+		return;
+	}
+	if (c->job == NULL || !cell_job_def_valid(c->job, &why) ||
+	    cell_journal_failing(o->journal, now)) {
+		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_busy,
+		    BUSY_RETRY_MS);
+		waiting_free(w);
+		return;
+	}
+	j = cell_job_new(c->job, now);
+	c->job = NULL;
+	j->settled = true;
+	j->over = !within_rate(o, j->def->team, now);
+	j->def->accepted_ms = (uint64_t)(o->wall / OGL_MS);
+	g_hash_table_insert(o->jobs, j->id, j);
+	cell_journal_submit(o->journal, j, on_submit_stored, w, 0, now);
+	begin_due(o, j, now);
+}
+
+static void
+call_cancel(
+    struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
+{
+	struct cell_job *j = job_of(o, c->id);
+
+	if (j == NULL) {
+		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_absent, 0);
+		return;
+	}
+	if (!cell_job_over(j->state))
+		end_job(o, j, OGL__CELL_JOB_STATE__cell_cancelled, "cancelled",
+		    now);
+	cell_journal_after(
+	    o->journal, on_call_stored, waiting_new(o, from, c), 0);
+}
+
+static void
+call_state(struct cell_owner *o, const char *from, Ogl__CellCall *c)
+{
+	struct cell_job *j = job_of(o, c->id);
+	Ogl__CellReply r = OGL__CELL_REPLY__INIT;
+
+	r.token = c->token;
+	if (j == NULL) {
+		r.outcome = OGL__CELL_OUTCOME__cell_absent;
+	} else {
+		r.state = j->state;
+		if (cell_job_over(j->state) && !j->shown)
+			r.state = OGL__CELL_JOB_STATE__cell_running;
+	}
+	o->events.reply(o->events.arg, from, &r);
+}
+
+static void
+call_pending(struct cell_owner *o, const char *from, Ogl__CellCall *c)
+{
+	Ogl__CellReply r = OGL__CELL_REPLY__INIT;
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, o->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct cell_job *j = p;
+
+		if (j->def != NULL && j->stored && !j->begun &&
+		    strcmp(j->def->queue, c->queue) == 0)
+			r.pending++;
+	}
+	r.token = c->token;
+	o->events.reply(o->events.arg, from, &r);
+}
+
+void
+cell_owner_call(struct cell_owner *o, const char *from, Ogl__CellCall *c,
+    ogl_time now)
+{
+	if (o->phase != PHASE_SERVING) {
+		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_not_owner, 0);
+		return;
+	}
+	switch (c->kind) {
+	case OGL__CELL_CALL_KIND__cell_submit:
+		call_submit(o, from, c, now);
+		break;
+	case OGL__CELL_CALL_KIND__cell_cancel:
+		call_cancel(o, from, c, now);
+		break;
+	case OGL__CELL_CALL_KIND__cell_pending:
+		call_pending(o, from, c);
+		break;
+	case OGL__CELL_CALL_KIND__cell_state:
+	default:
+		call_state(o, from, c);
+		break;
+	}
+}
+
+void
+cell_owner_advice(
+    struct cell_owner *o, const Ogl__CellAdvice *a, ogl_time now)
+{
+	if (o->phase == PHASE_SERVING)
+		cell_advice_answer(o->advice, a, now);
+}
+
+void
+cell_owner_node(
+    struct cell_owner *o, const char *addr, bool leaving, ogl_time now)
+{
+	if (leaving)
+		cell_advice_no_node(o->advice, addr);
+	else
+		cell_advice_node(o->advice, addr, now);
+}
+
+/* ---- what falls due --------------------------------------------------- */
+
+/* The store may have taken over what no longer runs: tasks of jobs that an
+ * earlier owner had accepted may now be started. */
+static void
+settle(struct cell_owner *o, ogl_time now)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	if (o->settled || !o->list_loaded ||
+	    !cell_fleet_settled(o->fleet, now))
+		return;
+	o->settled = true;
+	o->run_pass = true;
+	g_hash_table_iter_init(&it, o->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		((struct cell_job *)p)->settled = true;
+	o->ops->log(o->ops->ctx, "owner", "settled", "");
+}
+
+/* Part of a gang was found running, or lost a member without the others
+ * having noticed: the rest is stopped and the gang begins anew. */
+static void
+repair_gang(struct cell_owner *o, struct cell_stage *st, ogl_time now)
+{
+	uint64_t run = 0;
+	bool mixed = false;
+	uint32_t i;
+
+	if (!st->def->gang || st->nactive == 0 || st->ndone > 0)
+		return;
+	for (i = 0; i < st->ntasks; i++) {
+		const struct cell_run *r = st->tasks[i].active;
+
+		if (r == NULL || (run != 0 && r->number != run) ||
+		    r->state == CELL_RUN_STOPPING) {
+			mixed = true;
+			continue;
+		}
+		if (now - r->began < GANG_REPAIR)
+			return;
+		run = r->number;
+	}
+	if (!mixed)
+		return;
+	for (i = 0; i < st->ntasks; i++) {
+		struct cell_run *r = st->tasks[i].active;
+
+		if (r != NULL && r->state != CELL_RUN_STOPPING)
+			cell_fleet_stop(o->fleet, r, now);
+	}
+}
+
+static void
+sweep_job(struct cell_owner *o, struct cell_job *j, ogl_time now)
+{
+	guint i;
+	size_t k;
+
+	if (j->def->repeats > 0)
+		begin_due(o, j, now);
+	if (!j->settled)
+		return;
+	for (i = 0; i < j->occurrences->len; i++) {
+		struct cell_occurrence *oc = j->occurrences->pdata[i];
+
+		for (k = 0; k < j->def->n_steps; k++)
+			repair_gang(o, &oc->stages[k], now);
+	}
+}
+
+static void
+on_forgotten(void *arg, uint64_t tag, enum cell_fate fate, ogl_time now)
+{
+	struct noting *n = arg;
+
+	(void)tag;
+	(void)now;
+	if (fate == CELL_STORED) {
+		struct cell_job *j = job_of(n->owner, n->name);
+
+		if (j != NULL && j->forget) {
+			cell_journal_unmark(n->owner->journal, j);
+			g_hash_table_remove(n->owner->jobs, n->name);
+		}
+	}
+	g_free(n->name);
+	g_free(n);
+}
+
+static void
+forget_old(struct cell_owner *o, struct cell_job *j, ogl_time now)
+{
+	uint64_t keep = o->limits->status_ms + KEEP_MARGIN_MS;
+
+	if (j->forget || j->ended_ms + keep > (uint64_t)(o->wall / OGL_MS))
+		return;
+	j->forget = true;
+	job_changed(o, j, false, now);
+	note_after(o, j->id, on_forgotten, 0);
+}
+
+static void
+sweep(struct cell_owner *o, ogl_time now)
+{
+	GList *all, *at;
+
+	if (now < o->sweep_at)
+		return;
+	o->sweep_at = now + SWEEP;
+	all = g_hash_table_get_values(o->jobs);
+	for (at = all; at != NULL; at = at->next) {
+		struct cell_job *j = at->data;
+
+		if (cell_job_over(j->state))
+			forget_old(o, j, now);
+		else
+			sweep_job(o, j, now);
+	}
+	g_list_free(all);
+	o->run_pass = true;
+}
+
+void
+cell_owner_step(
+    struct cell_owner *o, bool may_act, ogl_time now, ogl_time wall)
+{
+	o->wall = wall;
+	if (o->phase == PHASE_CLOSED)
+		return;
+	step_takeover(o, now);
+	step_list(o, now);
+	if (o->phase != PHASE_SERVING)
+		return;
+	cell_journal_step(o->journal, now);
+	if (!may_act)
+		return;
+	cell_fleet_step(o->fleet, now);
+	cell_advice_step(o->advice, now);
+	settle(o, now);
+	sweep(o, now);
+	if (o->run_pass) {
+		o->run_pass = false;
+		cell_sched_pass(o->sched, now);
+	}
+}
+
+ogl_time
+cell_owner_wake(const struct cell_owner *o)
+{
+	if (o->phase != PHASE_SERVING)
+		return OGL_NEVER;
+	return cell_journal_wake(o->journal);
+}
+
+bool
+cell_owner_idle(const struct cell_owner *o)
+{
+	return o->phase == PHASE_CLOSED || cell_journal_idle(o->journal);
+}
--- /dev/null
+++ b/cell/owner.h
@@ -0,0 +1,55 @@
+/*
+ * The owner of the cell: takes jobs, sees to it that their tasks run, answers
+ * for them.  One node at a time is it; what it knows it reads from the store
+ * and the workers when it takes over.
+ */
+
+#ifndef OGL_CELL_OWNER_H
+#define OGL_CELL_OWNER_H
+
+#include "cell_config.h"
+#include "ops.h"
+
+struct cell_owner;
+
+struct cell_owner_events {
+	void (*outranked)(void *arg, ogl_time now);
+	/* A higher epoch was seen on the store or by a worker. */
+	void (*reply)(void *arg, const char *to, const Ogl__CellReply *r);
+	/* Answers a call that came from the node at `to`. */
+	void (*ask)(void *arg, const char *to, const Ogl__CellAsk *a);
+	/* Has the node at `to` ask the advice service. */
+	void *arg;
+};
+
+struct cell_owner *cell_owner_init(const struct cell_ops *ops,
+    const struct cell_limits *limits, const struct cell_owner_events *events);
+void cell_owner_end(struct cell_owner *o);
+
+void cell_owner_open(struct cell_owner *o, uint64_t epoch, ogl_time now);
+/* Takes the cell over. */
+void cell_owner_close(struct cell_owner *o, ogl_time now);
+/* Lets go of it: calls still waiting are answered as unsure. */
+
+void cell_owner_config(struct cell_owner *o, struct cell_config *c);
+
+void cell_owner_call(struct cell_owner *o, const char *from,
+    Ogl__CellCall *call, ogl_time now);
+/* A caller's request, passed on by the node at `from`; a submitted job is
+ * taken out of the message. */
+
+void cell_owner_advice(
+    struct cell_owner *o, const Ogl__CellAdvice *a, ogl_time now);
+void cell_owner_node(struct cell_owner *o, const char *addr, bool leaving,
+    ogl_time now);
+/* A node is there. */
+
+void cell_owner_step(
+    struct cell_owner *o, bool may_act, ogl_time now, ogl_time wall);
+/* Does what is due; without the right to act nothing is ordered. */
+ogl_time cell_owner_wake(const struct cell_owner *o);
+
+bool cell_owner_idle(const struct cell_owner *o);
+/* Everything that it knows is on the store. */
+
+#endif
--- /dev/null
+++ b/cell/schedule.c
@@ -0,0 +1,667 @@
+/*
+ * Waiting stages lie in one list a rank (queue priority), oldest first.  A
+ * pass looks at each in the order of
+ *
+ *	standing  can still end within its objective; later than that; too
+ *	          late to be worth anything; each first for teams within their
+ *	          rate, then for those beyond it
+ *	rank      the queue's priority
+ *	age       the longest waiting first
+ *
+ * and places its tasks on the workers that fit best: those that the queue's
+ * policy allows, with room left for as little as possible after it.  A gang is
+ * placed whole or not at all.
+ *
+ * A gang that finds no room reserves the workers that could hold it soonest
+ * for the rest of the pass, against lower ranks and later work of its own
+ * rank: otherwise smaller work that fits would take each place as it falls
+ * free, and the gang would wait for ever.
+ */
+
+#include <string.h>
+
+#include "schedule.h"
+
+#define RANKS 4
+#define STANDINGS 6 /* three, for teams within and beyond their rate */
+/* Objectives are met by work that keeps to its estimate; an estimate is often
+ * off by a fifth, so work that would miss by less still goes first. */
+#define HOPE 0.7
+/* Work done after this many objectives is worth nothing to its caller. */
+#define LATE_MAX 3
+/* Gangs that may hold back others at a time; each idles what it reserves. */
+#define RESERVES_MAX 2
+/* A stage without room asks for further workers after this time. */
+#define ASK_MORE (300 * OGL_MS)
+/* The first question names as many workers as the service is done with in
+ * this time; a long one would only delay the start. */
+#define FIRST_ASK_MS 650.0
+#define FIRST_ASK_MIN 16
+/* A ticket that has run out is asked for again for this many workers. */
+#define REFRESH_MAX 16
+
+struct cell_sched {
+	struct cell_sched_parts parts;
+	struct cell_config *config;
+	GQueue waiting[RANKS]; /* struct cell_stage */
+	GHashTable *reserved;  /* struct cell_worker -> rank + 1 */
+	unsigned reserves;
+	GPtrArray *candidates; /* scratch: struct cell_worker */
+	GPtrArray *chosen;     /* scratch: struct cell_worker, one a task */
+};
+
+struct cell_sched *
+cell_sched_init(const struct cell_sched_parts *parts)
+{
+	struct cell_sched *s = g_new0(struct cell_sched, 1);
+	int i;
+
+	s->parts = *parts;
+	for (i = 0; i < RANKS; i++)
+		g_queue_init(&s->waiting[i]);
+	s->reserved = g_hash_table_new(NULL, NULL);
+	s->candidates = g_ptr_array_new();
+	s->chosen = g_ptr_array_new();
+	return s;
+}
+
+void
+cell_sched_end(struct cell_sched *s)
+{
+	cell_sched_clear(s);
+	cell_config_unref(s->config);
+	g_hash_table_unref(s->reserved);
+	g_ptr_array_unref(s->candidates);
+	g_ptr_array_unref(s->chosen);
+	g_free(s);
+}
+
+void
+cell_sched_clear(struct cell_sched *s)
+{
+	GList *l;
+	int i;
+
+	for (i = 0; i < RANKS; i++) {
+		while ((l = g_queue_pop_head_link(&s->waiting[i])) != NULL)
+			((struct cell_stage *)l->data)->listed = false;
+	}
+}
+
+void
+cell_sched_config(struct cell_sched *s, struct cell_config *c)
+{
+	cell_config_ref(c);
+	cell_config_unref(s->config);
+	s->config = c;
+}
+
+/* ---- the lists -------------------------------------------------------- */
+
+static uint32_t
+rank_of(const struct cell_sched *s, const struct cell_stage *st)
+{
+	struct cell_queue q = cell_queue_of_job(s->config, st->job->def);
+
+	return MIN(q.rank, RANKS - 1);
+}
+
+void
+cell_sched_add(struct cell_sched *s, struct cell_stage *st, ogl_time now)
+{
+	GQueue *q;
+	GList *at;
+
+	if (st->listed)
+		return;
+	st->listed = true;
+	if (st->ready_at == 0)
+		st->ready_at = now;
+	q = &s->waiting[rank_of(s, st)];
+	/* Nearly always the youngest, so the search begins at the tail. */
+	for (at = q->tail; at != NULL; at = at->prev) {
+		const struct cell_stage *o = at->data;
+
+		if (o->job->accepted <= st->job->accepted)
+			break;
+	}
+	if (at == NULL)
+		g_queue_push_head_link(q, &st->link);
+	else
+		g_queue_insert_after_link(q, at, &st->link);
+}
+
+void
+cell_sched_remove(struct cell_sched *s, struct cell_stage *st)
+{
+	int i;
+
+	if (!st->listed)
+		return;
+	st->listed = false;
+	for (i = 0; i < RANKS; i++) {
+		if (g_queue_link_index(&s->waiting[i], &st->link) >= 0) {
+			g_queue_unlink(&s->waiting[i], &st->link);
+			return;
+		}
+	}
+}
+
+size_t
+cell_sched_waiting(const struct cell_sched *s)
+{
+	size_t n = 0;
+	int i;
+
+	for (i = 0; i < RANKS; i++)
+		n += s->waiting[i].length;
+	return n;
+}
+
+/* ---- standing --------------------------------------------------------- */
+
+static double
+objective_ms(const struct cell_queue *q, const struct cell_job *j)
+{
+	double policy = q->policy.needed
+			    ? q->policy.decide_ms + 30 * q->policy.worker_ms
+			    : 0;
+
+	return q->objective_ms +
+	       q->slack * (j->chain_ms + policy * (double)j->def->n_steps);
+}
+
+static unsigned
+standing(const struct cell_queue *q, const struct cell_stage *st, ogl_time now)
+{
+	const struct cell_job *j = st->job;
+	double objective = objective_ms(q, j);
+	double end = (double)(now - j->accepted) / OGL_MS +
+		     HOPE * j->tail_ms[st->step];
+	unsigned class = 0;
+
+	if (st->def->lasting)
+		return 0;
+	if (end > LATE_MAX * objective)
+		class = 2;
+	else if (end > objective)
+		class = 1;
+	return j->over ? class + 3 : class;
+}
+
+/* ---- candidates ------------------------------------------------------- */
+
+static bool
+has_label(const struct cell_worker *w, const char *label)
+{
+	return *label == '\0' ||
+	       (w->labels != NULL &&
+		   g_strv_contains((const gchar *const *)w->labels, label));
+}
+
+/* What never changes about whether a worker could run the stage. */
+static bool
+suits(const struct cell_stage *st, const struct cell_worker *w)
+{
+	struct ogl_res need = {
+	    st->def->fills ? 0 : st->def->cpu_milli, st->def->mem_mb,
+	    st->def->accel};
+
+	return g_strcmp0(w->service, st->job->def->service) == 0 &&
+	       has_label(w, st->def->label) &&
+	       ogl_res_fits(&need, &w->capacity);
+}
+
+static struct ogl_res
+need_of(const struct cell_stage *st)
+{
+	struct ogl_res need = {st->def->fills ? 0 : st->def->cpu_milli,
+	    st->def->mem_mb, st->def->accel};
+
+	return need;
+}
+
+static bool
+kept_from(const struct cell_sched *s, const struct cell_worker *w,
+    uint32_t rank)
+{
+	unsigned by = GPOINTER_TO_UINT(g_hash_table_lookup(s->reserved, w));
+
+	return by != 0 && rank + 1 >= by;
+}
+
+/* Workers that could take a task now, ticket apart. */
+static void
+list_open(struct cell_sched *s, const struct cell_stage *st, uint32_t rank,
+    ogl_time now)
+{
+	struct ogl_res need = need_of(st);
+	GHashTableIter it;
+	gpointer p;
+
+	g_ptr_array_set_size(s->candidates, 0);
+	g_hash_table_iter_init(&it, cell_fleet_workers(s->parts.fleet));
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct cell_worker *w = p;
+
+		if (cell_worker_open(w, now) && cell_worker_fits(w, &need) &&
+		    suits(st, w) && !kept_from(s, w, rank))
+			g_ptr_array_add(s->candidates, w);
+	}
+}
+
+/* Tasks of the stage on a worker, those chosen in this pass included. */
+static uint32_t
+tasks_on(const struct cell_sched *s, const struct cell_stage *st,
+    const struct cell_worker *w)
+{
+	GHashTableIter it;
+	gpointer p;
+	uint32_t n = 0;
+	guint i;
+
+	g_hash_table_iter_init(&it, w->runs);
+	while (g_hash_table_iter_next(&it, &p, NULL)) {
+		const struct cell_run *r = p;
+
+		if (r->name.step == st->step &&
+		    r->name.occurrence == st->occurrence &&
+		    strcmp(r->name.id, st->job->id) == 0)
+			n++;
+	}
+	for (i = 0; i < s->chosen->len; i++) {
+		if (s->chosen->pdata[i] == w)
+			n++;
+	}
+	return n;
+}
+
+static struct ogl_res
+room_of(const struct cell_worker *w)
+{
+	struct ogl_res room = w->capacity;
+
+	ogl_res_sub(&room, &w->used);
+	return room;
+}
+
+/*
+ * Lower is better: the data's rack, then a worker other than the one where the
+ * task failed, then the least processor time left over, which keeps large
+ * rooms whole for gangs.
+ */
+static double
+cost_of(const struct cell_stage *st, const struct cell_task *t,
+    const struct cell_worker *w)
+{
+	struct ogl_res room = room_of(w);
+	double cost = (double)room.cpu_milli;
+
+	if (*st->def->data_rack != '\0' &&
+	    strcmp(st->def->data_rack, w->rack) != 0)
+		cost += 1e6;
+	if (t->avoid != NULL && strcmp(t->avoid, w->id) == 0)
+		cost += 1e7;
+	return cost * w->pace;
+}
+
+static bool
+has_ticket(const struct cell_stage *st, const struct cell_worker *w,
+    bool policy, ogl_time now)
+{
+	const struct cell_good *g;
+
+	if (!policy)
+		return true;
+	g = cell_advice_good(st, w);
+	return g != NULL && g->until > now;
+}
+
+static struct cell_worker *
+pick(struct cell_sched *s, const struct cell_stage *st,
+    const struct cell_task *t, bool policy, ogl_time now)
+{
+	struct ogl_res need = need_of(st);
+	struct cell_worker *best = NULL;
+	double least = 0;
+	guint i;
+
+	for (i = 0; i < s->candidates->len; i++) {
+		struct cell_worker *w = s->candidates->pdata[i];
+		double cost;
+
+		if (!cell_worker_fits(w, &need) ||
+		    !has_ticket(st, w, policy, now))
+			continue;
+		if (st->def->worker_max > 0 &&
+		    tasks_on(s, st, w) >= st->def->worker_max)
+			continue;
+		cost = cost_of(st, t, w);
+		if (best == NULL || cost < least) {
+			best = w;
+			least = cost;
+		}
+	}
+	return best;
+}
+
+/* ---- limits ----------------------------------------------------------- */
+
+static bool
+below(uint32_t used, uint32_t need, uint32_t max)
+{
+	return max == 0 || (uint64_t)used + need <= max;
+}
+
+static bool
+team_allows(
+    const struct cell_sched *s, const struct cell_stage *st, uint32_t tasks)
+{
+	const struct cell_team *t =
+	    cell_config_team(s->config, st->job->def->team);
+	struct ogl_res used =
+	    cell_fleet_team_used(s->parts.fleet, st->job->def->team);
+	struct ogl_res need = need_of(st);
+
+	if (t == NULL)
+		return true;
+	return below(used.cpu_milli, need.cpu_milli * tasks,
+		   t->max.cpu_milli) &&
+	       below(used.mem_mb, need.mem_mb * tasks, t->max.mem_mb) &&
+	       below(used.accel, need.accel * tasks, t->max.accel);
+}
+
+/* ---- questions to the advice service ---------------------------------- */
+
+static gint
+by_room(gconstpointer a, gconstpointer b)
+{
+	const struct cell_worker *v = *(struct cell_worker *const *)a;
+	const struct cell_worker *w = *(struct cell_worker *const *)b;
+	uint32_t rv = room_of(v).cpu_milli;
+	uint32_t rw = room_of(w).cpu_milli;
+
+	return rv < rw ? 1 : rv > rw ? -1 : 0;
+}
+
+static guint
+first_ask_size(const struct cell_policy *p)
+{
+	double n = p->worker_ms > 0
+		       ? (FIRST_ASK_MS - p->decide_ms) / p->worker_ms
+		       : CELL_ADVICE_MAX;
+
+	return (guint)CLAMP(n, FIRST_ASK_MIN, CELL_ADVICE_MAX);
+}
+
+/* Asks for workers not asked for yet, those with the most room first. */
+static bool
+ask_new(struct cell_sched *s, struct cell_stage *st,
+    const struct cell_policy *p, ogl_time now)
+{
+	GPtrArray *a = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer v;
+	bool asked;
+
+	g_hash_table_iter_init(&it, cell_fleet_workers(s->parts.fleet));
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct cell_worker *w = v;
+
+		if (w->listed && !w->draining && suits(st, w) &&
+		    w->life != 0 && !g_hash_table_contains(st->asked, w->id))
+			g_ptr_array_add(a, w);
+	}
+	g_ptr_array_sort(a, by_room);
+	if (a->len > first_ask_size(p))
+		g_ptr_array_set_size(a, (gint)first_ask_size(p));
+	asked = cell_advice_ask(s->parts.advice, st, p, a, now);
+	g_ptr_array_unref(a);
+	return asked;
+}
+
+/* Asks again for allowed workers that have room now. */
+static bool
+ask_again(struct cell_sched *s, struct cell_stage *st,
+    const struct cell_policy *p, ogl_time now)
+{
+	GPtrArray *a = g_ptr_array_new();
+	bool asked;
+	guint i;
+
+	for (i = 0; i < s->candidates->len; i++) {
+		struct cell_worker *w = s->candidates->pdata[i];
+
+		if (g_hash_table_contains(st->good, w->id) &&
+		    !has_ticket(st, w, true, now))
+			g_ptr_array_add(a, w);
+	}
+	g_ptr_array_sort(a, by_room);
+	if (a->len > REFRESH_MAX)
+		g_ptr_array_set_size(a, REFRESH_MAX);
+	asked = cell_advice_ask(s->parts.advice, st, p, a, now);
+	g_ptr_array_unref(a);
+	return asked;
+}
+
+static void
+seek_advice(struct cell_sched *s, struct cell_stage *st,
+    const struct cell_policy *p, ogl_time now)
+{
+	if (!p->needed || st->asking)
+		return;
+	if (g_hash_table_size(st->asked) == 0) {
+		ask_new(s, st, p, now);
+		return;
+	}
+	if (ask_again(s, st, p, now))
+		return;
+	if (st->blocked_since != 0 && now - st->blocked_since > ASK_MORE)
+		ask_new(s, st, p, now);
+}
+
+/* ---- placing ---------------------------------------------------------- */
+
+static bool
+task_waits(const struct cell_task *t, ogl_time now)
+{
+	return !t->done && t->active == NULL && now >= t->due;
+}
+
+static void
+start_task(struct cell_sched *s, struct cell_stage *st, uint32_t index,
+    struct cell_worker *w, uint64_t run, uint32_t rank, ogl_time now)
+{
+	const struct cell_good *g = cell_advice_good(st, w);
+	struct cell_task *t = &st->tasks[index];
+
+	t->run = run;
+	t->active = cell_fleet_start(s->parts.fleet, w, st, index, run,
+	    g != NULL ? g->ticket : NULL, rank, now);
+	st->nactive++;
+	s->parts.started(s->parts.arg, st, index, now);
+}
+
+/* Places task by task; whether none is left waiting. */
+static bool
+place_tasks(struct cell_sched *s, struct cell_stage *st, bool policy,
+    uint32_t rank, ogl_time now)
+{
+	bool all = true;
+	uint32_t i;
+
+	g_ptr_array_set_size(s->chosen, 0);
+	for (i = 0; i < st->ntasks; i++) {
+		struct cell_task *t = &st->tasks[i];
+		struct cell_worker *w;
+
+		if (t->done || t->active != NULL)
+			continue;
+		w = task_waits(t, now) && team_allows(s, st, 1)
+			? pick(s, st, t, policy, now)
+			: NULL;
+		if (w == NULL) {
+			all = false;
+			break;
+		}
+		start_task(s, st, i, w,
+		    s->parts.next_run(s->parts.arg, st), rank, now);
+	}
+	return all;
+}
+
+static void
+unchoose(struct cell_sched *s, const struct ogl_res *need)
+{
+	guint i;
+
+	for (i = 0; i < s->chosen->len; i++)
+		ogl_res_sub(
+		    &((struct cell_worker *)s->chosen->pdata[i])->used, need);
+}
+
+/* All of a gang at once, under one run number. */
+static bool
+place_gang(struct cell_sched *s, struct cell_stage *st, bool policy,
+    uint32_t rank, ogl_time now)
+{
+	struct ogl_res need = need_of(st);
+	uint64_t run;
+	uint32_t i;
+
+	if (st->nactive > 0)
+		return true; /* the last run is not over yet */
+	if (!task_waits(&st->tasks[0], now) ||
+	    !team_allows(s, st, st->ntasks))
+		return false;
+	g_ptr_array_set_size(s->chosen, 0);
+	for (i = 0; i < st->ntasks; i++) {
+		struct cell_worker *w =
+		    pick(s, st, &st->tasks[0], policy, now);
+
+		if (w == NULL)
+			break;
+		ogl_res_add(&w->used, &need);
+		g_ptr_array_add(s->chosen, w);
+	}
+	unchoose(s, &need);
+	if (i < st->ntasks)
+		return false;
+	run = s->parts.next_run(s->parts.arg, st);
+	for (i = 0; i < st->ntasks; i++)
+		start_task(s, st, i, s->chosen->pdata[i], run, rank, now);
+	return true;
+}
+
+/* Times the task fits into what the worker has, used or not. */
+static uint32_t
+fits_times(const struct cell_worker *w, const struct ogl_res *need)
+{
+	uint32_t n = UINT32_MAX;
+
+	if (need->cpu_milli > 0)
+		n = MIN(n, w->capacity.cpu_milli / need->cpu_milli);
+	if (need->mem_mb > 0)
+		n = MIN(n, w->capacity.mem_mb / need->mem_mb);
+	if (need->accel > 0)
+		n = MIN(n, w->capacity.accel / need->accel);
+	return n;
+}
+
+static void
+reserve(struct cell_sched *s, struct cell_stage *st, uint32_t rank,
+    bool policy, ogl_time now)
+{
+	struct ogl_res need = need_of(st);
+	GPtrArray *a;
+	GHashTableIter it;
+	gpointer v;
+	uint32_t n = 0;
+	guint i;
+
+	if (s->reserves >= RESERVES_MAX)
+		return;
+	a = g_ptr_array_new();
+	g_hash_table_iter_init(&it, cell_fleet_workers(s->parts.fleet));
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct cell_worker *w = v;
+
+		if (cell_worker_open(w, now) && suits(st, w) &&
+		    (!policy || cell_advice_good(st, w) != NULL) &&
+		    !kept_from(s, w, rank))
+			g_ptr_array_add(a, w);
+	}
+	g_ptr_array_sort(a, by_room);
+	for (i = 0; i < a->len && n < st->ntasks; i++) {
+		struct cell_worker *w = a->pdata[i];
+
+		n += fits_times(w, &need);
+		g_hash_table_insert(
+		    s->reserved, w, GUINT_TO_POINTER(rank + 1));
+	}
+	s->reserves++;
+	g_ptr_array_unref(a);
+}
+
+static void
+place_stage(struct cell_sched *s, struct cell_stage *st,
+    const struct cell_queue *q, uint32_t rank, unsigned stand, ogl_time now)
+{
+	bool policy = q->policy.needed;
+	bool placed;
+
+	if (!st->job->settled || !st->job->stored) {
+		/* The answer will be there by the time it may start. */
+		if (g_hash_table_size(st->asked) == 0)
+			seek_advice(s, st, &q->policy, now);
+		return;
+	}
+	list_open(s, st, rank, now);
+	if (st->def->gang)
+		placed = place_gang(s, st, policy, rank, now);
+	else
+		placed = place_tasks(s, st, policy, rank, now);
+	if (placed) {
+		st->blocked_since = 0;
+		cell_sched_remove(s, st);
+		return;
+	}
+	if (st->blocked_since == 0)
+		st->blocked_since = now;
+	seek_advice(s, st, &q->policy, now);
+	if (st->def->gang && stand == 0 && team_allows(s, st, st->ntasks))
+		reserve(s, st, rank, policy, now);
+}
+
+static void
+pass_list(
+    struct cell_sched *s, uint32_t rank, unsigned stand, ogl_time now)
+{
+	GList *at = s->waiting[rank].head;
+
+	while (at != NULL) {
+		struct cell_stage *st = at->data;
+		struct cell_queue q =
+		    cell_queue_of_job(s->config, st->job->def);
+
+		at = at->next;
+		if (standing(&q, st, now) == stand)
+			place_stage(s, st, &q, rank, stand, now);
+	}
+}
+
+void
+cell_sched_pass(struct cell_sched *s, ogl_time now)
+{
+	unsigned stand;
+	uint32_t rank;
+
+	if (s->config == NULL || cell_sched_waiting(s) == 0)
+		return;
+	g_hash_table_remove_all(s->reserved);
+	s->reserves = 0;
+	for (stand = 0; stand < STANDINGS; stand++) {
+		for (rank = 0; rank < RANKS; rank++)
+			pass_list(s, rank, stand, now);
+	}
+}
--- /dev/null
+++ b/cell/schedule.h
@@ -0,0 +1,43 @@
+/*
+ * Who goes next and where to: the owner's order of waiting work and the
+ * choice of workers.
+ */
+
+#ifndef OGL_CELL_SCHED_H
+#define OGL_CELL_SCHED_H
+
+#include "advice.h"
+#include "fleet.h"
+
+struct cell_sched;
+
+struct cell_sched_parts {
+	const struct cell_ops *ops;
+	struct cell_fleet *fleet;
+	struct cell_advice *advice;
+	uint64_t (*next_run)(void *arg, const struct cell_stage *s);
+	/* A run number above all that the stage's tasks have had. */
+	void (*started)(
+	    void *arg, struct cell_stage *s, uint32_t index, ogl_time now);
+	void *arg;
+};
+
+struct cell_sched *cell_sched_init(const struct cell_sched_parts *parts);
+void cell_sched_end(struct cell_sched *s);
+void cell_sched_clear(struct cell_sched *s);
+/* Forgets all waiting work. */
+
+void cell_sched_config(struct cell_sched *s, struct cell_config *c);
+/* The configuration in force from now on. */
+
+void cell_sched_add(struct cell_sched *s, struct cell_stage *st, ogl_time now);
+/* The stage has tasks that wait; adding it twice changes nothing. */
+void cell_sched_remove(struct cell_sched *s, struct cell_stage *st);
+
+void cell_sched_pass(struct cell_sched *s, ogl_time now);
+/* Starts what can be started. */
+
+size_t cell_sched_waiting(const struct cell_sched *s);
+/* Stages that wait. */
+
+#endif
--- /dev/null
+++ b/daemon/cell_host.c
@@ -0,0 +1,476 @@
+/*
+ * Everything runs in one thread.  Before the loop waits, the node is stepped
+ * and whatever it wanted is begun, so that what one event brings about goes
+ * out in one turn.
+ *
+ * The node's clock is CLOCK_BOOTTIME: while a machine is suspended the
+ * monotonic clock stands still, and ownership, leases and the age of the
+ * configuration would seem younger than they are.
+ */
+
+#include <ev.h>
+#include <sodium.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "cell_host.h"
+#include "http_in.h"
+#include "logline.h"
+#include "metrics.h"
+#include "node.h"
+#include "peer.h"
+
+#define ROUNDS_MAX 16
+#define BODY_MAX ((size_t)256 * 1024) /* the operator's bound on bodies */
+#define BODIES_MAX ((size_t)24 * 1024 * 1024)
+#define HEADERS_MAX (20 * 1024)
+/* From not being ready any more until the balancer has seen it twice. */
+#define LINGER_S 2.4
+#define STOP_MARGIN_S 0.5 /* before the platform kills the process */
+#define SETTINGS_POLL_S 2.0
+#define DRAIN_POLL_S 0.05
+
+struct ogl_cell_host {
+	struct ev_loop *loop;
+	struct ogl_logger *log;
+	struct ogl_logline *lines;
+	struct ogl_metrics *metrics;
+	struct ogl_http_client *http;
+	struct platform *platform;
+	struct ogl_http_in *front;
+	struct ogl_http_in *ready;
+	struct ogl_http_in *measures;
+	struct ogl_peer *peer;
+	struct cell_node *node;
+	struct cell_ops ops;
+	char *settings_path;
+	uint32_t grace_ms;
+	ev_prepare prepare;
+	ev_timer wake;
+	ev_timer poll;
+	ev_timer drain;
+	ev_tstamp stop_at; /* 0: not stopping */
+	bool quiesced;
+};
+
+/* ---- clocks ----------------------------------------------------------- */
+
+static ogl_time
+read_clock(clockid_t id)
+{
+	struct timespec ts;
+
+	clock_gettime(id, &ts);
+	return (ogl_time)ts.tv_sec * OGL_SEC + ts.tv_nsec / 1000;
+}
+
+static ogl_time
+now_of(void *ctx)
+{
+	(void)ctx;
+	return read_clock(CLOCK_BOOTTIME);
+}
+
+/* ---- what the node asks for ------------------------------------------- */
+
+static void
+on_reply(void *ctx, uint64_t token, const struct cell_answer *a)
+{
+	struct ogl_cell_host *h = ctx;
+	struct ogl_action act = {.type = OGL_ACT_REPLY,
+	    .token = token,
+	    .status = platform_status(a->status),
+	    .verdict = a->status == CELL_OK	  ? OGL_RAN
+		       : a->status == CELL_UNSURE ? OGL_MAY_HAVE_RUN
+						  : OGL_NOT_RUN,
+	    .retry_after_ms = a->retry_ms,
+	    .content_type = "application/json"};
+
+	act.data = platform_answer_body(a);
+	ogl_http_in_reply(h->front, &act);
+	g_bytes_unref(act.data);
+}
+
+static void
+on_peer_send(void *ctx, const char *addr, GBytes *msg)
+{
+	struct ogl_cell_host *h = ctx;
+
+	ogl_peer_send(h->peer, addr, msg);
+}
+
+static void
+on_peer_reset(void *ctx, const char *addr)
+{
+	struct ogl_cell_host *h = ctx;
+
+	ogl_peer_reset(h->peer, addr);
+}
+
+static void
+on_log(void *ctx, const char *part, const char *event, const char *text)
+{
+	struct ogl_cell_host *h = ctx;
+
+	ogl_logline_put(h->lines, part, event, text, now_of(NULL),
+	    read_clock(CLOCK_REALTIME));
+}
+
+static void
+on_count(void *ctx, const char *name, uint64_t by)
+{
+	struct ogl_cell_host *h = ctx;
+
+	ogl_metrics_count(h->metrics, name, by);
+}
+
+static void
+on_observe(void *ctx, const char *name, uint64_t ms)
+{
+	struct ogl_cell_host *h = ctx;
+
+	ogl_metrics_observe(h->metrics, name, ms);
+}
+
+/* ---- what the sockets bring ------------------------------------------- */
+
+static enum cell_method
+method_of(struct ogl_str m)
+{
+	if (ogl_str_eq(m, ogl_str("GET")))
+		return CELL_GET;
+	if (ogl_str_eq(m, ogl_str("POST")))
+		return CELL_POST;
+	if (ogl_str_eq(m, ogl_str("DELETE")))
+		return CELL_DELETE;
+	return CELL_OTHER_METHOD;
+}
+
+static struct ogl_str
+without_query(struct ogl_str path)
+{
+	const char *q = memchr(path.p, '?', path.n);
+
+	if (q != NULL)
+		path.n = (size_t)(q - path.p);
+	return path;
+}
+
+static void
+on_event(void *ctx, const struct ogl_event *ev)
+{
+	struct ogl_cell_host *h = ctx;
+	struct cell_request r;
+
+	switch (ev->type) {
+	case OGL_EV_CALL:
+		r.method = method_of(ev->u.call.method);
+		r.host = ev->u.call.host;
+		r.path = without_query(ev->u.call.path);
+		r.key = ev->u.call.key;
+		r.body = ev->u.call.body;
+		r.budget_ms = (uint32_t)MIN(ev->u.call.budget_ms, 600000);
+		cell_node_call(h->node, ev->token, &r, now_of(NULL));
+		break;
+	case OGL_EV_CALL_GONE:
+		cell_node_gone(h->node, ev->token);
+		break;
+	case OGL_EV_PEER:
+		cell_node_peer(h->node, ev->u.peer.data, now_of(NULL));
+		break;
+	default:
+		break;
+	}
+}
+
+/* Nothing but readiness and metrics is served on the ports of our own. */
+static void
+on_stray_call(void *ctx, const struct ogl_event *ev)
+{
+	struct ogl_http_in *in = *(struct ogl_http_in **)ctx;
+	struct ogl_action act = {.type = OGL_ACT_REPLY,
+	    .token = ev->token,
+	    .status = 404,
+	    .verdict = OGL_NOT_RUN};
+
+	if (ev->type == OGL_EV_CALL)
+		ogl_http_in_reply(in, &act);
+}
+
+static bool
+is_ready(void *ctx)
+{
+	struct ogl_cell_host *h = ctx;
+
+	return cell_node_ready(h->node, now_of(NULL));
+}
+
+static char *
+metrics_text(void *ctx)
+{
+	struct ogl_cell_host *h = ctx;
+
+	return ogl_metrics_text(h->metrics);
+}
+
+/* ---- the loop --------------------------------------------------------- */
+
+static bool
+run_round(struct ogl_cell_host *h)
+{
+	bool front = ogl_http_in_run(h->front);
+	bool ready = ogl_http_in_run(h->ready);
+	bool measures =
+	    h->measures != NULL && ogl_http_in_run(h->measures);
+	bool out = ogl_http_client_run(h->http);
+
+	return front || ready || measures || out;
+}
+
+static void
+set_wake(struct ogl_cell_host *h)
+{
+	ogl_time now = now_of(NULL);
+	ogl_time at = cell_node_wake(h->node, now);
+
+	ev_timer_stop(h->loop, &h->wake);
+	ev_now_update(h->loop);
+	ev_timer_set(&h->wake, at > now ? (ev_tstamp)(at - now) / 1e6 : 0., 0.);
+	ev_timer_start(h->loop, &h->wake);
+}
+
+static void
+on_prepare(struct ev_loop *loop, ev_prepare *w, int events)
+{
+	struct ogl_cell_host *h = w->data;
+	int round;
+
+	(void)loop;
+	(void)events;
+	for (round = 0; round < ROUNDS_MAX; round++) {
+		cell_node_step(
+		    h->node, now_of(NULL), read_clock(CLOCK_REALTIME));
+		if (!run_round(h))
+			break;
+	}
+	set_wake(h);
+	ogl_logline_flush(h->lines);
+}
+
+static void
+on_wake(struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)loop;
+	(void)w;
+	(void)events;
+}
+
+/* ---- reload ----------------------------------------------------------- */
+
+void
+ogl_cell_host_reload(struct ogl_cell_host *h)
+{
+	struct ogl_faults *faults = ogl_faults_new();
+	struct platform_settings *s =
+	    platform_settings_read(h->settings_path, faults);
+
+	if (s == NULL) {
+		on_log(h, "host", "settings_refused",
+		    ogl_faults_path(faults, 0));
+		goto out;
+	}
+	if (platform_update(h->platform, s))
+		on_log(h, "host", "settings_changed", "");
+	else
+		on_log(h, "host", "settings_unchanged", "");
+	h->grace_ms = s->grace_ms;
+	cell_node_limits(h->node, &s->limits);
+	platform_settings_free(s);
+out:
+	ogl_faults_free(faults);
+}
+
+static void
+on_poll(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct ogl_cell_host *h = w->data;
+
+	(void)loop;
+	(void)events;
+	if (platform_settings_changed(h->platform, h->settings_path))
+		ogl_cell_host_reload(h);
+}
+
+/* ---- shutdown --------------------------------------------------------- */
+
+static void
+on_drain(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct ogl_cell_host *h = w->data;
+	ev_tstamp since = ev_now(loop) - h->stop_at;
+	bool late = since > h->grace_ms / 1e3 - STOP_MARGIN_S;
+
+	(void)events;
+	if (since < LINGER_S && !late)
+		return;
+	if (!h->quiesced) {
+		h->quiesced = true;
+		ogl_http_in_quiesce(h->front);
+		return;
+	}
+	if (!late && (!cell_node_stopped(h->node) ||
+			 !ogl_http_in_drained(h->front)))
+		return;
+	on_log(h, "host", "stopped", late ? "complete=0" : "complete=1");
+	ev_break(loop, EVBREAK_ALL);
+}
+
+void
+ogl_cell_host_stop(struct ogl_cell_host *h)
+{
+	if (h->stop_at > 0)
+		return;
+	h->stop_at = ev_now(h->loop);
+	on_log(h, "host", "stopping", "");
+	cell_node_stop(h->node, now_of(NULL));
+	ogl_http_in_closing(h->front);
+	ev_timer_start(h->loop, &h->drain);
+}
+
+/* ---- beginning and end ------------------------------------------------ */
+
+static struct ogl_http_in *
+listen_own(struct ogl_cell_host *h, const char *addr,
+    struct ogl_http_in **self, GError **error)
+{
+	struct ogl_http_in_limits limits;
+	struct ogl_sink sink = {on_stray_call, self};
+	struct ogl_http_in_ops ops = {is_ready, metrics_text, h};
+
+	ogl_http_in_limits_default(&limits);
+	limits.ready_path = platform_ready_path;
+	limits.connections_max = 64;
+	return ogl_http_in_init(
+	    h->loop, addr, &limits, sink, ops, h->log, error);
+}
+
+static struct ogl_http_in *
+listen_front(struct ogl_cell_host *h, const char *addr, GError **error)
+{
+	struct ogl_http_in_limits limits;
+	struct ogl_sink sink = {on_event, h};
+	struct ogl_http_in_ops ops = {is_ready, metrics_text, h};
+
+	ogl_http_in_limits_default(&limits);
+	limits.calls_only = true;
+	limits.body_max = BODY_MAX;
+	limits.body_total_max = BODIES_MAX;
+	limits.header_max = HEADERS_MAX;
+	limits.budget_header = platform_deadline_header;
+	return ogl_http_in_init(
+	    h->loop, addr, &limits, sink, ops, h->log, error);
+}
+
+static bool
+listen_all(struct ogl_cell_host *h, const struct platform_settings *s,
+    GError **error)
+{
+	struct ogl_sink sink = {on_event, h};
+
+	h->peer = ogl_peer_init(h->loop, s->peer, sink, h->log, error);
+	if (h->peer == NULL)
+		return false;
+	ogl_peer_expect(h->peer, &ogl__cell_msg__descriptor);
+	h->front = listen_front(h, s->frontend, error);
+	if (h->front == NULL)
+		return false;
+	h->ready = listen_own(h, s->ready, &h->ready, error);
+	if (h->ready == NULL)
+		return false;
+	h->measures = listen_own(h, s->metrics, &h->measures, NULL);
+	if (h->measures == NULL)
+		on_log(h, "host", "metrics_unserved", s->metrics);
+	return true;
+}
+
+static void
+make_node(struct ogl_cell_host *h, const struct platform_settings *s)
+{
+	struct cell_node_config c = {.name = s->name,
+	    .addr = s->peer,
+	    .boot = (uint64_t)read_clock(CLOCK_REALTIME),
+	    .limits = s->limits};
+
+	randombytes_buf(&c.seed, sizeof c.seed);
+	h->platform = platform_init(h->http, s, now_of, NULL);
+	platform_fill(h->platform, &h->ops);
+	h->ops.reply = on_reply;
+	h->ops.peer_send = on_peer_send;
+	h->ops.peer_reset = on_peer_reset;
+	h->ops.log = on_log;
+	h->ops.count = on_count;
+	h->ops.observe = on_observe;
+	h->ops.ctx = h;
+	h->node = cell_node_init(&c, &h->ops);
+}
+
+struct ogl_cell_host *
+ogl_cell_host_init(struct ev_loop *loop, const char *settings_path,
+    const struct platform_settings *s, GError **error)
+{
+	struct ogl_cell_host *h = g_new0(struct ogl_cell_host, 1);
+
+	h->loop = loop;
+	h->settings_path = g_strdup(settings_path);
+	h->grace_ms = s->grace_ms;
+	h->log = ogl_logger_init(stderr, OGL_LOG_WARN);
+	h->lines = ogl_logline_init(STDOUT_FILENO, s->name);
+	h->metrics = ogl_metrics_init();
+	h->http = ogl_http_client_init(loop);
+	make_node(h, s);
+	if (!listen_all(h, s, error)) {
+		ogl_cell_host_end(h);
+		return NULL;
+	}
+	ev_prepare_init(&h->prepare, on_prepare);
+	ev_init(&h->wake, on_wake);
+	ev_timer_init(&h->poll, on_poll, SETTINGS_POLL_S, SETTINGS_POLL_S);
+	ev_timer_init(&h->drain, on_drain, DRAIN_POLL_S, DRAIN_POLL_S);
+	h->prepare.data = h;
+	h->wake.data = h;
+	h->poll.data = h;
+	h->drain.data = h;
+	return h;
+}
+
+void
+ogl_cell_host_begin(struct ogl_cell_host *h)
+{
+	on_log(h, "host", "started", "version=" OGL_VERSION);
+	ev_prepare_start(h->loop, &h->prepare);
+	ev_timer_start(h->loop, &h->poll);
+}
+
+void
+ogl_cell_host_end(struct ogl_cell_host *h)
+{
+	if (h == NULL)
+		return;
+	ev_prepare_stop(h->loop, &h->prepare);
+	ev_timer_stop(h->loop, &h->wake);
+	ev_timer_stop(h->loop, &h->poll);
+	ev_timer_stop(h->loop, &h->drain);
+	ogl_http_client_end(h->http);
+	ogl_http_in_end(h->front);
+	ogl_http_in_end(h->ready);
+	ogl_http_in_end(h->measures);
+	ogl_peer_end(h->peer);
+	cell_node_end(h->node);
+	platform_end(h->platform);
+	ogl_metrics_end(h->metrics);
+	ogl_logline_end(h->lines);
+	ogl_logger_end(h->log);
+	g_free(h->settings_path);
+	g_free(h);
+}
--- a/daemon/http_in.c
+++ b/daemon/http_in.c
@@ -116,6 +116,9 @@
 	l->header_max = 8 * 1024;
 	l->request_ms = 10000;
 	l->idle_s = 75;
+	l->budget_header = "Ogl-Timeout-Ms";
+	l->ready_path = "/readyz";
+	l->calls_only = false;
 }
 
 /* ---- responses -------------------------------------------------------- */
@@ -275,7 +278,7 @@
 static bool
 read_headers(struct call *c, struct ogl_event *ev)
 {
-	struct ogl_str budget = header(c, "Ogl-Timeout-Ms");
+	struct ogl_str budget = header(c, c->in->limits.budget_header);
 	struct ogl_str idem = header(c, "Ogl-Idempotent");
 	guint64 ms = 0;
 
@@ -288,6 +291,7 @@
 	ev->u.call.budget_ms = ms;
 	ev->u.call.idempotent = ogl_str_eq(idem, ogl_str("1"));
 	ev->u.call.key = bearer_key(c);
+	ev->u.call.host = header(c, MHD_HTTP_HEADER_HOST);
 	ev->u.call.request_id = header(c, "Idempotency-Key");
 	ev->u.call.work_kind = header(c, "Ogl-Kind");
 	return true;
@@ -358,14 +362,22 @@
 	return answer_text(c, MHD_HTTP_OK, c->in->ops.metrics(c->in->ops.ctx));
 }
 
-static const struct {
-	const char *path;
-	enum MHD_Result (*answer)(struct call *c);
-} own_paths[] = {
-    {"/healthz", answer_healthz},
-    {"/readyz", answer_readyz},
-    {"/metrics", answer_metrics},
-};
+typedef enum MHD_Result own_answer(struct call *c);
+
+/* What answers the path here; NULL: it is for the node. */
+static own_answer *
+own_path(const struct ogl_http_in *h, const char *url)
+{
+	if (h->limits.calls_only)
+		return NULL;
+	if (strcmp(url, h->limits.ready_path) == 0)
+		return answer_readyz;
+	if (strcmp(url, "/healthz") == 0)
+		return answer_healthz;
+	if (strcmp(url, "/metrics") == 0)
+		return answer_metrics;
+	return NULL;
+}
 
 /* ---- libmicrohttpd's callbacks ---------------------------------------- */
 
@@ -397,7 +409,7 @@
 static enum MHD_Result
 finish_reading(struct call *c, const char *method, const char *url)
 {
-	size_t i;
+	own_answer *own;
 
 	if (c->fault != 0)
 		return refuse_fault(c);
@@ -405,10 +417,9 @@
 		c->in->counts.gone++;
 		return MHD_NO;
 	}
-	for (i = 0; i < G_N_ELEMENTS(own_paths); i++) {
-		if (strcmp(url, own_paths[i].path) == 0)
-			return own_paths[i].answer(c);
-	}
+	own = own_path(c->in, url);
+	if (own != NULL)
+		return own(c);
 	if (c->in->quiesced)
 		return refuse(c, MHD_HTTP_SERVICE_UNAVAILABLE,
 		    "the node has shut down", RETRY_NO_ROOM_MS);
--- a/daemon/http_in.h
+++ b/daemon/http_in.h
@@ -1,7 +1,7 @@
 /*
- * HTTP towards callers and operators.  Every /v1/ request becomes an
- * OGL_EV_CALL and waits, its connection suspended, until ogl_http_in_reply.
- * /healthz, /readyz and /metrics are answered here.
+ * HTTP towards callers and operators.  Every request becomes an OGL_EV_CALL
+ * and waits, its connection suspended, until ogl_http_in_reply, but for the
+ * paths of struct ogl_http_in_ops, which are answered here.
  */
 #ifndef OGL_HTTP_IN_H
 #define OGL_HTTP_IN_H
@@ -26,6 +26,9 @@
 	unsigned header_max;      /* bytes of a connection's header buffer */
 	unsigned request_ms;      /* from its first byte to its last */
 	unsigned idle_s;          /* a connection between requests */
+	const char *budget_header; /* tells how long a caller waits, ms */
+	const char *ready_path;
+	bool calls_only; /* every path is the node's, none answered here */
 };
 
 void ogl_http_in_limits_default(struct ogl_http_in_limits *l);
--- /dev/null
+++ b/daemon/metrics.c
@@ -0,0 +1,112 @@
+/* Buckets are fixed, so that histograms of several nodes can be added up. */
+
+#include "metrics.h"
+
+static const uint64_t bounds[] = {
+    1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 30000};
+
+#define NBOUNDS G_N_ELEMENTS(bounds)
+
+struct histogram {
+	uint64_t buckets[NBOUNDS + 1]; /* the last: above all bounds */
+	uint64_t sum;
+	uint64_t count;
+};
+
+struct ogl_metrics {
+	GHashTable *counters;   /* name -> uint64_t */
+	GHashTable *histograms; /* name -> struct histogram */
+};
+
+struct ogl_metrics *
+ogl_metrics_init(void)
+{
+	struct ogl_metrics *m = g_new0(struct ogl_metrics, 1);
+
+	m->counters =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	m->histograms =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	return m;
+}
+
+void
+ogl_metrics_end(struct ogl_metrics *m)
+{
+	if (m == NULL)
+		return;
+	g_hash_table_unref(m->counters);
+	g_hash_table_unref(m->histograms);
+	g_free(m);
+}
+
+void
+ogl_metrics_count(struct ogl_metrics *m, const char *name, uint64_t by)
+{
+	uint64_t *c = g_hash_table_lookup(m->counters, name);
+
+	if (c == NULL) {
+		c = g_new0(uint64_t, 1);
+		g_hash_table_insert(
+		    m->counters, (char *)(uintptr_t)name, c);
+	}
+	*c += by;
+}
+
+void
+ogl_metrics_observe(struct ogl_metrics *m, const char *name, uint64_t ms)
+{
+	struct histogram *h = g_hash_table_lookup(m->histograms, name);
+	size_t i;
+
+	if (h == NULL) {
+		h = g_new0(struct histogram, 1);
+		g_hash_table_insert(
+		    m->histograms, (char *)(uintptr_t)name, h);
+	}
+	for (i = 0; i < NBOUNDS && ms > bounds[i]; i++)
+		;
+	h->buckets[i]++;
+	h->sum += ms;
+	h->count++;
+}
+
+static void
+put_histogram(GString *s, const char *name, const struct histogram *h)
+{
+	uint64_t below = 0;
+	size_t i;
+
+	g_string_append_printf(s, "# TYPE ogl_%s histogram\n", name);
+	for (i = 0; i < NBOUNDS; i++) {
+		below += h->buckets[i];
+		g_string_append_printf(s,
+		    "ogl_%s_bucket{le=\"%" G_GUINT64_FORMAT
+		    "\"} %" G_GUINT64_FORMAT "\n",
+		    name, bounds[i], below);
+	}
+	g_string_append_printf(s,
+	    "ogl_%s_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT
+	    "\nogl_%s_sum %" G_GUINT64_FORMAT "\nogl_%s_count %" G_GUINT64_FORMAT
+	    "\n",
+	    name, h->count, name, h->sum, name, h->count);
+}
+
+char *
+ogl_metrics_text(const struct ogl_metrics *m)
+{
+	GString *s = g_string_new(NULL);
+	GHashTableIter it;
+	gpointer k, v;
+
+	g_hash_table_iter_init(&it, m->counters);
+	while (g_hash_table_iter_next(&it, &k, &v))
+		g_string_append_printf(s,
+		    "# TYPE ogl_%s_total counter\nogl_%s_total %"
+		    G_GUINT64_FORMAT "\n",
+		    (char *)k, (char *)k, *(uint64_t *)v);
+	g_hash_table_iter_init(&it, m->histograms);
+	while (g_hash_table_iter_next(&it, &k, &v))
+		put_histogram(s, k, v);
+	return g_string_free(s, FALSE);
+}
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -80,6 +80,7 @@
 	int fd;
 	ev_io accept_io;
 	ev_timer sweep;
+	const ProtobufCMessageDescriptor *message;
 	GHashTable *links;  /* addr -> struct link */
 	GHashTable *inlets; /* set of struct inlet */
 	struct ogl_peer_counts counts;
@@ -454,11 +455,12 @@
 take_frame(struct ogl_peer *p, const uint8_t *body, uint32_t n)
 {
 	struct ogl_event ev = {.type = OGL_EV_PEER};
-	Ogl__PeerMsg *m = ogl__peer_msg__unpack(NULL, n, body);
+	ProtobufCMessage *m =
+	    protobuf_c_message_unpack(p->message, NULL, n, body);
 
 	if (m == NULL)
 		return false;
-	ogl__peer_msg__free_unpacked(m, NULL);
+	protobuf_c_message_free_unpacked(m, NULL);
 	p->counts.frames_in++;
 	ev.u.peer.data.p = (const char *)body;
 	ev.u.peer.data.n = n;
@@ -589,6 +591,7 @@
 	p->sink = sink;
 	p->log = log;
 	p->fd = fd;
+	p->message = &ogl__peer_msg__descriptor;
 	p->links = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, (GDestroyNotify)link_free);
 	p->inlets =
@@ -615,6 +618,19 @@
 	g_free(p);
 }
 
+void
+ogl_peer_expect(
+    struct ogl_peer *p, const ProtobufCMessageDescriptor *message)
+{
+	p->message = message;
+}
+
+void
+ogl_peer_reset(struct ogl_peer *p, const char *addr)
+{
+	g_hash_table_remove(p->links, addr);
+}
+
 uint16_t
 ogl_peer_port(const struct ogl_peer *p)
 {
--- a/daemon/peer.h
+++ b/daemon/peer.h
@@ -32,6 +32,14 @@
 
 void ogl_peer_end(struct ogl_peer *p);
 
+void ogl_peer_expect(
+    struct ogl_peer *p, const ProtobufCMessageDescriptor *message);
+/* What the frames hold, if not Ogl__PeerMsg; to be said before the loop runs. */
+
+void ogl_peer_reset(struct ogl_peer *p, const char *addr);
+/* Drops the connection to addr, and what is queued for it: it has gone
+ * silent.  The next message opens a new one. */
+
 uint16_t ogl_peer_port(const struct ogl_peer *p);
 
 void ogl_peer_send(struct ogl_peer *p, const char *addr, GBytes *msg);
--- a/orioleglade.h
+++ b/orioleglade.h
@@ -440,6 +440,7 @@
 		struct {
 			struct ogl_str method; /* "GET", "POST", ... */
 			struct ogl_str path;   /* with its query */
+			struct ogl_str host;   /* the Host header */
 			struct ogl_str key;    /* from Authorization: Bearer */
 			struct ogl_str request_id; /* Idempotency-Key */
 			struct ogl_str work_kind;  /* Ogl-Kind */
