Count an adopted worker's lease as the longest it grants; name workers to successors

Workers missing from the platform's list while the store is away were not waited for. Ruled out: late starts; the doubles' first runs were up and answered.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -58,6 +58,7 @@
 	uint64_t epoch;
 	uint64_t generation;
 	ogl_time opened_at;
+	bool names_changed;
 };
 
 /* An order or hold under way. */
@@ -172,6 +173,7 @@
 		w->taken = 0;
 		w->until_ms = 0;
 		w->listed = false;
+		w->expected = false;
 	}
 	g_hash_table_remove_all(f->teams);
 }
@@ -209,6 +211,7 @@
 	w->runs = g_hash_table_new(NULL, NULL);
 	w->hold_at = now;
 	w->pace = 1.0;
+	f->names_changed = true;
 	g_hash_table_insert(f->workers, w->id, w);
 	return w;
 }
@@ -241,6 +244,8 @@
 		return;
 	}
 	w = worker_get(f, id, now);
+	if (g_strcmp0(w->addr, e->addr) != 0)
+		f->names_changed = true;
 	replace(&w->addr, e->addr);
 	replace(&w->zone, e->zone);
 	replace(&w->rack, e->rack);
@@ -265,6 +270,30 @@
 		f->events.room(f->events.arg, now);
 }
 
+void
+cell_fleet_expect(struct cell_fleet *f, const char *id, const char *addr,
+    const char *service, ogl_time now)
+{
+	struct cell_worker *w = worker_get(f, id, now);
+
+	w->expected = true;
+	if (w->addr != NULL)
+		return;
+	replace(&w->addr, addr);
+	replace(&w->service, service);
+	replace(&w->zone, "");
+	replace(&w->rack, "");
+}
+
+bool
+cell_fleet_names_changed(struct cell_fleet *f)
+{
+	bool changed = f->names_changed;
+
+	f->names_changed = false;
+	return changed;
+}
+
 bool
 cell_worker_fits(const struct cell_worker *w, const struct ogl_res *need)
 {
@@ -594,11 +623,16 @@
 	w->last_ok = now;
 	if (w->life != 0 && w->life != a->born_ms)
 		worker_reborn(f, w, now);
-	if (w->life != a->born_ms)
+	read_clock(w, a->clock_ms, now);
+	if (w->life != a->born_ms) {
 		taken = 0;
+		/* An earlier owner may just have renewed the lease of what
+		 * runs there, by as much as the worker grants. */
+		w->until_ms = a->clock_ms + f->limits->lease_max_ms;
+	}
 	w->life = a->born_ms;
 	w->fenced = true;
-	read_clock(w, a->clock_ms, now);
+	w->expected = false;
 	seen = g_hash_table_new(NULL, NULL);
 	take_running(f, w, a, seen, now);
 	take_ended(f, w, a, now);
@@ -688,7 +722,7 @@
 {
 	if (w->holding || now < w->hold_at || w->addr == NULL)
 		return false;
-	if (!w->listed && g_hash_table_size(w->runs) == 0)
+	if (!w->listed && !w->expected && g_hash_table_size(w->runs) == 0)
 		return false;
 	if (!w->fenced)
 		return true;
@@ -1019,10 +1053,14 @@
 worker_is_gone(gpointer key, gpointer value, gpointer ctx)
 {
 	const struct cell_worker *w = value;
+	struct cell_fleet *f = ctx;
 
 	(void)key;
-	(void)ctx;
-	return !w->listed && w->nopen == 0 && g_hash_table_size(w->runs) == 0;
+	if (w->listed || w->expected || w->nopen > 0 ||
+	    g_hash_table_size(w->runs) > 0)
+		return FALSE;
+	f->names_changed = true;
+	return TRUE;
 }
 
 void
@@ -1036,25 +1074,39 @@
 	g_hash_table_iter_init(&it, f->workers);
 	while (g_hash_table_iter_next(&it, NULL, &p))
 		step_worker(f, p, now);
-	g_hash_table_foreach_remove(f->workers, worker_is_gone, NULL);
+	g_hash_table_foreach_remove(f->workers, worker_is_gone, f);
+}
+
+/* No owner asks for more than LEASE_MS, and an owner that was replaced has
+ * renewed nothing since; a worker not heard of by then runs nothing. */
+static void
+give_up_expected(struct cell_fleet *f)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, f->workers);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		((struct cell_worker *)p)->expected = false;
 }
 
 bool
-cell_fleet_settled(const struct cell_fleet *f, ogl_time now)
+cell_fleet_settled(struct cell_fleet *f, ogl_time now)
 {
-	ogl_time lapse =
-	    f->opened_at +
-	    (ogl_time)(f->limits->lease_max_ms * SLOW) * OGL_MS + LAPSE_MARGIN;
+	ogl_time lapse = f->opened_at + (ogl_time)(LEASE_MS * SLOW) * OGL_MS +
+			 LAPSE_MARGIN;
 	GHashTableIter it;
 	gpointer p;
 
-	if (now > lapse)
+	if (now > lapse) {
+		give_up_expected(f);
 		return true;
+	}
 	g_hash_table_iter_init(&it, f->workers);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const struct cell_worker *w = p;
 
-		if (w->listed && w->life == 0)
+		if ((w->listed || w->expected) && w->life == 0)
 			return false;
 	}
 	return true;
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -58,6 +58,7 @@
 	struct ogl_res capacity;
 	struct ogl_res used;
 	bool listed;    /* on the platform's list */
+	bool expected;  /* known to an earlier owner, not heard of yet */
 	bool draining;
 	uint64_t entry_born_ms; /* life that its entry speaks of */
 
@@ -123,6 +124,13 @@
     const struct cell_worker_entry *e, ogl_time now);
 /* The platform lists a worker; e NULL: no longer. */
 
+void cell_fleet_expect(struct cell_fleet *f, const char *id, const char *addr,
+    const char *service, ogl_time now);
+/* An earlier owner may have started something there, listed or not. */
+
+bool cell_fleet_names_changed(struct cell_fleet *f);
+/* Whether a worker came, left or moved since it was last asked. */
+
 void cell_fleet_step(struct cell_fleet *f, ogl_time now);
 /* Holds, repeats and gives up what is due. */
 
@@ -165,7 +173,7 @@
     const struct cell_fleet *f, const char *team);
 /* What may be running of a team. */
 
-bool cell_fleet_settled(const struct cell_fleet *f, ogl_time now);
+bool cell_fleet_settled(struct cell_fleet *f, ogl_time now);
 /* Whether every worker that could run something has answered under our epoch
  * or can no longer run anything. */
 
--- a/cell/journal.c
+++ b/cell/journal.c
@@ -39,6 +39,8 @@
 	uint64_t generation; /* tells late answers of an earlier epoch */
 	uint64_t seq;
 	GPtrArray *marked;  /* struct cell_job, to go with the next append */
+	GHashTable *extra;  /* key -> GBytes, the same */
+	GHashTable *batch_extra; /* what of it is in the batch */
 	GArray *waiters;    /* struct waiter, for the next append */
 	ogl_time urgent_at; /* OGL_NEVER: nobody waits */
 	ogl_time lazy_at;
@@ -71,6 +73,13 @@
 		g_bytes_unref(u->value);
 }
 
+static GHashTable *
+extra_new(void)
+{
+	return g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
+}
+
 struct cell_journal *
 cell_journal_init(const struct cell_ops *ops,
     void (*lost)(void *arg, ogl_time now), void *arg)
@@ -81,6 +90,8 @@
 	g->lost = lost;
 	g->arg = arg;
 	g->marked = g_ptr_array_new();
+	g->extra = extra_new();
+	g->batch_extra = extra_new();
 	g->waiters = g_array_new(FALSE, FALSE, sizeof(struct waiter));
 	g->batch = g_array_new(FALSE, FALSE, sizeof(struct cell_put));
 	g_array_set_clear_func(g->batch, put_clear);
@@ -95,6 +106,8 @@
 cell_journal_end(struct cell_journal *g)
 {
 	g_ptr_array_unref(g->marked);
+	g_hash_table_unref(g->extra);
+	g_hash_table_unref(g->batch_extra);
 	g_array_unref(g->waiters);
 	g_array_unref(g->batch);
 	g_ptr_array_unref(g->batch_jobs);
@@ -106,6 +119,8 @@
 clear_pending(struct cell_journal *g)
 {
 	g_ptr_array_set_size(g->marked, 0);
+	g_hash_table_remove_all(g->extra);
+	g_hash_table_remove_all(g->batch_extra);
 	g_array_set_size(g->waiters, 0);
 	g_array_set_size(g->batch, 0);
 	g_ptr_array_set_size(g->batch_jobs, 0);
@@ -174,6 +189,18 @@
 		g->lazy_at = now + LAZY;
 }
 
+void
+cell_journal_put(
+    struct cell_journal *g, const char *key, GBytes *value, ogl_time now)
+{
+	if (!g->open) {
+		g_bytes_unref(value);
+		return;
+	}
+	g_hash_table_replace(g->extra, g_strdup(key), value);
+	g->urgent_at = MIN(g->urgent_at, now);
+}
+
 void
 cell_journal_unmark(struct cell_journal *g, struct cell_job *j)
 {
@@ -213,10 +240,16 @@
 	return g->sent && now - g->sent_at > FAILING;
 }
 
+static bool
+nothing_marked(const struct cell_journal *g)
+{
+	return g->marked->len == 0 && g_hash_table_size(g->extra) == 0;
+}
+
 bool
 cell_journal_idle(const struct cell_journal *g)
 {
-	return !g->has_batch && g->marked->len == 0 && g->waiters->len == 0;
+	return !g->has_batch && nothing_marked(g) && g->waiters->len == 0;
 }
 
 /* ---- putting a batch together ----------------------------------------- */
@@ -264,8 +297,19 @@
 make_batch(struct cell_journal *g, ogl_time now)
 {
 	size_t bytes = 0;
+	GHashTableIter it;
+	gpointer k, v;
 	guint i;
 
+	g_hash_table_iter_init(&it, g->extra);
+	while (g_hash_table_iter_next(&it, &k, &v)) {
+		struct cell_put u = {g_strdup(k), g_bytes_ref(v)};
+
+		g_array_append_val(g->batch, u);
+		g_hash_table_replace(
+		    g->batch_extra, g_strdup(k), g_bytes_ref(v));
+	}
+	g_hash_table_remove_all(g->extra);
 	for (i = 0; i < g->marked->len && bytes < BATCH_BYTES; i++) {
 		struct cell_job *j = g->marked->pdata[i];
 
@@ -320,6 +364,7 @@
 {
 	g_array_set_size(g->batch, 0);
 	g_ptr_array_set_size(g->batch_jobs, 0);
+	g_hash_table_remove_all(g->batch_extra);
 	g->has_batch = false;
 	g->failing_since = 0;
 	tell(g->batch_waiters, CELL_STORED, now);
@@ -333,8 +378,18 @@
 batch_refused(struct cell_journal *g, ogl_time now)
 {
 	GArray *refused = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	GHashTableIter it;
+	gpointer k, v;
 	guint i;
 
+	g_hash_table_iter_init(&it, g->batch_extra);
+	while (g_hash_table_iter_next(&it, &k, &v)) {
+		if (!g_hash_table_contains(g->extra, k))
+			g_hash_table_insert(
+			    g->extra, g_strdup(k), g_bytes_ref(v));
+	}
+	g_hash_table_remove_all(g->batch_extra);
+
 	for (i = 0; i < g->batch_jobs->len; i++) {
 		struct cell_job *j = g->batch_jobs->pdata[i];
 
@@ -411,7 +466,7 @@
 		return OGL_NEVER;
 	if (g->has_batch)
 		return g->retry_at;
-	if (g->marked->len == 0 && g->waiters->len == 0)
+	if (nothing_marked(g) && g->waiters->len == 0)
 		return OGL_NEVER;
 	due = MIN(g->urgent_at, g->lazy_at);
 	if (g->failing_since != 0)
@@ -423,13 +478,13 @@
 cell_journal_step(struct cell_journal *g, ogl_time now)
 {
 	/* Waiters without anything to write have nothing to wait for. */
-	if (g->open && !g->has_batch && g->marked->len == 0 &&
+	if (g->open && !g->has_batch && nothing_marked(g) &&
 	    g->waiters->len > 0)
 		tell(g->waiters, CELL_STORED, now);
 	if (cell_journal_wake(g) > now)
 		return;
 	if (!g->has_batch) {
-		if (g->marked->len == 0)
+		if (nothing_marked(g))
 			return;
 		make_batch(g, now);
 	}
--- a/cell/journal.h
+++ b/cell/journal.h
@@ -37,6 +37,11 @@
 /* The job is to be written; if not urgent, with the next that is or after a
  * while. */
 
+void cell_journal_put(
+    struct cell_journal *g, const char *key, GBytes *value, ogl_time now);
+/* Another record, beside the jobs; takes value.  A later one for the same key
+ * replaces it. */
+
 void cell_journal_unmark(struct cell_journal *g, struct cell_job *j);
 /* The job is about to be freed. */
 
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -41,7 +41,7 @@
  * if it is not whole after this time. */
 #define GANG_REPAIR (600 * OGL_MS)
 #define BUSY_RETRY_MS 500
-#define PENDING_MAX 100000
+#define WORKERS_KEY "workers"
 
 enum phase {
 	PHASE_CLOSED,
@@ -903,6 +903,64 @@
 	g_hash_table_insert(o->jobs, j->id, j);
 }
 
+/*
+ * The platform's list may lack workers for a while: entries lapse while the
+ * store is away, and come back seconds after it.  What runs there is not to be
+ * started elsewhere meanwhile.
+ */
+static void
+load_workers(struct cell_owner *o, struct ogl_str value, ogl_time now)
+{
+	Ogl__CellKnownWorkers *m = ogl__cell_known_workers__unpack(
+	    NULL, value.n, (const uint8_t *)value.p);
+	size_t i;
+
+	if (m == NULL) {
+		o->ops->log(
+		    o->ops->ctx, "owner", "record_unreadable", WORKERS_KEY);
+		return;
+	}
+	for (i = 0; i < m->n_workers; i++)
+		cell_fleet_expect(o->fleet, m->workers[i]->id,
+		    m->workers[i]->addr, m->workers[i]->service, now);
+	ogl__cell_known_workers__free_unpacked(m, NULL);
+}
+
+/* Tells a successor which workers to call. */
+static void
+store_workers(struct cell_owner *o, ogl_time now)
+{
+	Ogl__CellKnownWorkers m = OGL__CELL_KNOWN_WORKERS__INIT;
+	GHashTable *workers = cell_fleet_workers(o->fleet);
+	Ogl__CellKnown *known = g_new(Ogl__CellKnown, g_hash_table_size(workers));
+	Ogl__CellKnown **list =
+	    g_new(Ogl__CellKnown *, g_hash_table_size(workers));
+	GHashTableIter it;
+	gpointer p;
+	uint8_t *out;
+	size_t n;
+
+	g_hash_table_iter_init(&it, workers);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct cell_worker *w = p;
+		Ogl__CellKnown *k = &known[m.n_workers];
+
+		ogl__cell_known__init(k);
+		k->id = w->id;
+		k->addr = w->addr;
+		k->service = w->service;
+		list[m.n_workers++] = k;
+	}
+	m.workers = list;
+	n = ogl__cell_known_workers__get_packed_size(&m);
+	out = g_malloc(n);
+	ogl__cell_known_workers__pack(&m, out);
+	cell_journal_put(
+	    o->journal, WORKERS_KEY, g_bytes_new_take(out, n), now);
+	g_free(known);
+	g_free(list);
+}
+
 static void
 load_record(
     struct cell_owner *o, const struct cell_record *r, ogl_time now)
@@ -910,6 +968,10 @@
 	const char *id = r->key + 1;
 	Ogl__CellProgress *p;
 
+	if (strcmp(r->key, WORKERS_KEY) == 0 && !r->dropped) {
+		load_workers(o, r->value, now);
+		return;
+	}
 	if (r->dropped || strlen(r->key) != CELL_ID_LEN + 1)
 		return;
 	if (r->key[0] == 's') {
@@ -1511,6 +1573,8 @@
 	step_list(o, now);
 	if (o->phase != PHASE_SERVING)
 		return;
+	if (o->list_loaded && cell_fleet_names_changed(o->fleet))
+		store_workers(o, now);
 	cell_journal_step(o->journal, now);
 	if (!may_act)
 		return;
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -232,6 +232,96 @@
   assert(message->base.descriptor == &ogl__cell_progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ogl__cell_known__init
+                     (Ogl__CellKnown         *message)
+{
+  static const Ogl__CellKnown init_value = OGL__CELL_KNOWN__INIT;
+  *message = init_value;
+}
+size_t ogl__cell_known__get_packed_size
+                     (const Ogl__CellKnown *message)
+{
+  assert(message->base.descriptor == &ogl__cell_known__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ogl__cell_known__pack
+                     (const Ogl__CellKnown *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ogl__cell_known__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ogl__cell_known__pack_to_buffer
+                     (const Ogl__CellKnown *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ogl__cell_known__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ogl__CellKnown *
+       ogl__cell_known__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ogl__CellKnown *)
+     protobuf_c_message_unpack (&ogl__cell_known__descriptor,
+                                allocator, len, data);
+}
+void   ogl__cell_known__free_unpacked
+                     (Ogl__CellKnown *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ogl__cell_known__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ogl__cell_known_workers__init
+                     (Ogl__CellKnownWorkers         *message)
+{
+  static const Ogl__CellKnownWorkers init_value = OGL__CELL_KNOWN_WORKERS__INIT;
+  *message = init_value;
+}
+size_t ogl__cell_known_workers__get_packed_size
+                     (const Ogl__CellKnownWorkers *message)
+{
+  assert(message->base.descriptor == &ogl__cell_known_workers__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ogl__cell_known_workers__pack
+                     (const Ogl__CellKnownWorkers *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ogl__cell_known_workers__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ogl__cell_known_workers__pack_to_buffer
+                     (const Ogl__CellKnownWorkers *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ogl__cell_known_workers__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ogl__CellKnownWorkers *
+       ogl__cell_known_workers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ogl__CellKnownWorkers *)
+     protobuf_c_message_unpack (&ogl__cell_known_workers__descriptor,
+                                allocator, len, data);
+}
+void   ogl__cell_known_workers__free_unpacked
+                     (Ogl__CellKnownWorkers *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ogl__cell_known_workers__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ogl__cell_lead__init
                      (Ogl__CellLead         *message)
 {
@@ -1425,6 +1515,108 @@
   (ProtobufCMessageInit) ogl__cell_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ogl__cell_known__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellKnown, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "addr",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellKnown, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellKnown, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ogl__cell_known__field_indices_by_name[] = {
+  1,   /* field[1] = addr */
+  0,   /* field[0] = id */
+  2,   /* field[2] = service */
+};
+static const ProtobufCIntRange ogl__cell_known__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ogl__cell_known__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ogl.CellKnown",
+  "CellKnown",
+  "Ogl__CellKnown",
+  "ogl",
+  sizeof(Ogl__CellKnown),
+  3,
+  ogl__cell_known__field_descriptors,
+  ogl__cell_known__field_indices_by_name,
+  1,  ogl__cell_known__number_ranges,
+  (ProtobufCMessageInit) ogl__cell_known__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ogl__cell_known_workers__field_descriptors[1] =
+{
+  {
+    "workers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__CellKnownWorkers, n_workers),
+    offsetof(Ogl__CellKnownWorkers, workers),
+    &ogl__cell_known__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ogl__cell_known_workers__field_indices_by_name[] = {
+  0,   /* field[0] = workers */
+};
+static const ProtobufCIntRange ogl__cell_known_workers__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ogl__cell_known_workers__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ogl.CellKnownWorkers",
+  "CellKnownWorkers",
+  "Ogl__CellKnownWorkers",
+  "ogl",
+  sizeof(Ogl__CellKnownWorkers),
+  1,
+  ogl__cell_known_workers__field_descriptors,
+  ogl__cell_known_workers__field_indices_by_name,
+  1,  ogl__cell_known_workers__number_ranges,
+  (ProtobufCMessageInit) ogl__cell_known_workers__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ogl__cell_lead__field_descriptors[6] =
 {
   {
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -20,6 +20,8 @@
 typedef struct Ogl__CellJob Ogl__CellJob;
 typedef struct Ogl__CellMark Ogl__CellMark;
 typedef struct Ogl__CellProgress Ogl__CellProgress;
+typedef struct Ogl__CellKnown Ogl__CellKnown;
+typedef struct Ogl__CellKnownWorkers Ogl__CellKnownWorkers;
 typedef struct Ogl__CellLead Ogl__CellLead;
 typedef struct Ogl__CellPing Ogl__CellPing;
 typedef struct Ogl__CellPong Ogl__CellPong;
@@ -269,6 +271,33 @@
     , OGL__CELL_JOB_STATE__cell_queued, 0, 0, 0,NULL, 0,NULL }
 
 
+/*
+ * A worker that may run something: a new owner calls it even if the platform
+ * does not list it at the moment.
+ */
+struct  Ogl__CellKnown
+{
+  ProtobufCMessage base;
+  char *id;
+  char *addr;
+  char *service;
+};
+#define OGL__CELL_KNOWN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_known__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Ogl__CellKnownWorkers
+{
+  ProtobufCMessage base;
+  size_t n_workers;
+  Ogl__CellKnown **workers;
+};
+#define OGL__CELL_KNOWN_WORKERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_known_workers__descriptor) \
+    , 0,NULL }
+
+
 /*
  * Record of the ownership stream: a claim, a heartbeat, or a resignation.
  */
@@ -547,6 +576,44 @@
 void   ogl__cell_progress__free_unpacked
                      (Ogl__CellProgress *message,
                       ProtobufCAllocator *allocator);
+/* Ogl__CellKnown methods */
+void   ogl__cell_known__init
+                     (Ogl__CellKnown         *message);
+size_t ogl__cell_known__get_packed_size
+                     (const Ogl__CellKnown   *message);
+size_t ogl__cell_known__pack
+                     (const Ogl__CellKnown   *message,
+                      uint8_t             *out);
+size_t ogl__cell_known__pack_to_buffer
+                     (const Ogl__CellKnown   *message,
+                      ProtobufCBuffer     *buffer);
+Ogl__CellKnown *
+       ogl__cell_known__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ogl__cell_known__free_unpacked
+                     (Ogl__CellKnown *message,
+                      ProtobufCAllocator *allocator);
+/* Ogl__CellKnownWorkers methods */
+void   ogl__cell_known_workers__init
+                     (Ogl__CellKnownWorkers         *message);
+size_t ogl__cell_known_workers__get_packed_size
+                     (const Ogl__CellKnownWorkers   *message);
+size_t ogl__cell_known_workers__pack
+                     (const Ogl__CellKnownWorkers   *message,
+                      uint8_t             *out);
+size_t ogl__cell_known_workers__pack_to_buffer
+                     (const Ogl__CellKnownWorkers   *message,
+                      ProtobufCBuffer     *buffer);
+Ogl__CellKnownWorkers *
+       ogl__cell_known_workers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ogl__cell_known_workers__free_unpacked
+                     (Ogl__CellKnownWorkers *message,
+                      ProtobufCAllocator *allocator);
 /* Ogl__CellLead methods */
 void   ogl__cell_lead__init
                      (Ogl__CellLead         *message);
@@ -735,6 +802,12 @@
 typedef void (*Ogl__CellProgress_Closure)
                  (const Ogl__CellProgress *message,
                   void *closure_data);
+typedef void (*Ogl__CellKnown_Closure)
+                 (const Ogl__CellKnown *message,
+                  void *closure_data);
+typedef void (*Ogl__CellKnownWorkers_Closure)
+                 (const Ogl__CellKnownWorkers *message,
+                  void *closure_data);
 typedef void (*Ogl__CellLead_Closure)
                  (const Ogl__CellLead *message,
                   void *closure_data);
@@ -776,6 +849,8 @@
 extern const ProtobufCMessageDescriptor ogl__cell_job__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_mark__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_progress__descriptor;
+extern const ProtobufCMessageDescriptor ogl__cell_known__descriptor;
+extern const ProtobufCMessageDescriptor ogl__cell_known_workers__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_lead__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_ping__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_pong__descriptor;
