--- a/cell/advice.c
+++ b/cell/advice.c
@@ -11,9 +11,12 @@
 
 /* A node is asked while it was heard of within this time. */
 #define NODE_FRESH (1200 * OGL_MS)
-/* A lane longer than this takes no more: an answer would come after the
- * caller's patience.  The service itself refuses beyond 32 questions. */
-#define LANE_MAX (2500 * OGL_MS)
+/* A lane takes its next question so long before it is free: the question is
+ * on its way meanwhile. */
+#define LANE_AHEAD (12 * OGL_MS)
+/* Part of the lanes kept free for rank 0: at three times its usual rate, 150
+ * questions of 8 ms a second, that work fills 1.2 lanes of seven. */
+#define URGENT_LANES 0.3
 #define SLACK_MS 700 /* beyond the expected time, for the way and back */
 /* Tickets are not used in their last moments: the start takes a way too. */
 #define TICKET_MARGIN (120 * OGL_MS)
@@ -114,10 +117,18 @@
 	g_hash_table_remove(a->lanes, addr);
 }
 
+/*
+ * The lane that is free first.  A lane takes a question only once it is free
+ * or nearly so: whatever waits is then asked in the scheduler's order, not in
+ * the order it came.  Work of rank 0 finds a lane that no long question of
+ * another rank can be in.
+ */
 static struct lane *
-pick_lane(struct cell_advice *a, ogl_time now)
+pick_lane(struct cell_advice *a, uint32_t rank, ogl_time now)
 {
 	struct lane *best = NULL;
+	unsigned lanes = 0;
+	unsigned idle = 0;
 	GHashTableIter it;
 	gpointer p;
 
@@ -127,10 +138,15 @@
 
 		if (now - l->heard > NODE_FRESH || now < l->rest_until)
 			continue;
+		lanes++;
+		if (l->busy_until <= now + LANE_AHEAD)
+			idle++;
 		if (best == NULL || l->busy_until < best->busy_until)
 			best = l;
 	}
-	if (best != NULL && best->busy_until > now + LANE_MAX)
+	if (best == NULL || best->busy_until > now + LANE_AHEAD)
+		return NULL;
+	if (rank > 0 && idle <= lanes * URGENT_LANES)
 		return NULL;
 	return best;
 }
@@ -154,9 +170,10 @@
 
 bool
 cell_advice_ask(struct cell_advice *a, struct cell_stage *s,
-    const struct cell_policy *p, GPtrArray *workers, ogl_time now)
+    const struct cell_policy *p, GPtrArray *workers, uint32_t rank,
+    ogl_time now)
 {
-	struct lane *l = pick_lane(a, now);
+	struct lane *l = pick_lane(a, rank, now);
 	struct question *q;
 	ogl_time cost;
 	guint i;
--- a/cell/advice.h
+++ b/cell/advice.h
@@ -36,9 +36,10 @@
 void cell_advice_no_node(struct cell_advice *a, const char *addr);
 
 bool cell_advice_ask(struct cell_advice *a, struct cell_stage *s,
-    const struct cell_policy *p, GPtrArray *workers, ogl_time now);
+    const struct cell_policy *p, GPtrArray *workers, uint32_t rank,
+    ogl_time now);
 /* Asks for up to CELL_ADVICE_MAX workers (struct cell_worker); false when no
- * node is free to ask through. */
+ * node is free to ask through.  Some lanes are kept for rank 0. */
 
 #define CELL_ADVICE_MAX 100
 
--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -42,6 +42,10 @@
 #define ORDER_TIMEOUT_MS 600
 #define ORDER_RETRY (100 * OGL_MS)
 #define START_TRIES 3
+/* Between two looks at all workers, and at all runs: what is due may wait that
+ * long, and an owner steps hundreds of times a second. */
+#define SCAN (8 * OGL_MS)
+#define SCAN_RUNS (40 * OGL_MS)
 #define ENDS_A_PAGE 500 /* a fuller list of ends may not be whole */
 /* A worker that fails STREAK different jobs in a row is set aside. */
 #define STREAK 3
@@ -59,6 +63,8 @@
 	uint64_t generation;
 	ogl_time opened_at;
 	bool names_changed;
+	ogl_time scan_at;
+	ogl_time scan_runs_at;
 };
 
 /* An order or hold under way. */
@@ -1037,7 +1043,8 @@
 }
 
 static void
-step_worker(struct cell_fleet *f, struct cell_worker *w, ogl_time now)
+step_worker(struct cell_fleet *f, struct cell_worker *w, bool runs,
+    ogl_time now)
 {
 	if (w->life != 0 && g_hash_table_size(w->runs) > 0 &&
 	    now > lapse_at(w)) {
@@ -1046,7 +1053,8 @@
 	}
 	if (wants_hold(w, now))
 		send_hold(f, w, now);
-	step_runs(f, w, now);
+	if (runs)
+		step_runs(f, w, now);
 }
 
 static gboolean
@@ -1066,15 +1074,20 @@
 void
 cell_fleet_step(struct cell_fleet *f, ogl_time now)
 {
+	bool runs = now >= f->scan_runs_at;
 	GHashTableIter it;
 	gpointer p;
 
-	if (!f->open)
+	if (!f->open || now < f->scan_at)
 		return;
+	f->scan_at = now + SCAN;
+	if (runs)
+		f->scan_runs_at = now + SCAN_RUNS;
 	g_hash_table_iter_init(&it, f->workers);
 	while (g_hash_table_iter_next(&it, NULL, &p))
-		step_worker(f, p, now);
-	g_hash_table_foreach_remove(f->workers, worker_is_gone, f);
+		step_worker(f, p, runs, now);
+	if (runs)
+		g_hash_table_foreach_remove(f->workers, worker_is_gone, f);
 }
 
 /* No owner asks for more than LEASE_MS, and an owner that was replaced has
--- a/cell/job.c
+++ b/cell/job.c
@@ -200,6 +200,7 @@
 	if (j->def != NULL)
 		ogl__cell_job__free_unpacked(j->def, NULL);
 	j->def = NULL;
+	g_clear_pointer(&j->terms, g_free);
 	g_clear_pointer(&j->tail_ms, g_free);
 }
 
--- a/cell/job.h
+++ b/cell/job.h
@@ -13,6 +13,7 @@
 
 #include "ops.h"
 
+struct cell_queue;
 struct cell_run;
 struct cell_worker;
 struct cell_job;
@@ -83,6 +84,8 @@
 	double chain_ms; /* longest chain of declared run times */
 	double *tail_ms; /* the same from each step on */
 	bool shown;      /* its end is stored, so callers may be told */
+	uint64_t terms_version; /* configuration that terms are taken from */
+	struct cell_queue *terms; /* how its queue treats it; NULL not known */
 	bool settled;    /* not from an earlier owner, or all workers have
 			  * answered: what does not run may be started */
 };
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -1582,7 +1582,7 @@
 	cell_advice_step(o->advice, now);
 	settle(o, now);
 	sweep(o, now);
-	if (o->run_pass) {
+	if (o->run_pass && cell_sched_due(o->sched, now)) {
 		o->run_pass = false;
 		cell_sched_pass(o->sched, now);
 	}
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -39,6 +39,11 @@
 #define FIRST_ASK_MIN 16
 /* A ticket that has run out is asked for again for this many workers. */
 #define REFRESH_MAX 16
+/* Between two passes: what comes free within 4 ms is given out together, and
+ * a long queue does not take all of a small machine (a pass costs some 5 us a
+ * stage; a quarter of a core makes that 20). */
+#define PASS_GAP (4 * OGL_MS)
+#define PASS_STAGE ((ogl_time)60)
 
 struct cell_sched {
 	struct cell_sched_parts parts;
@@ -46,17 +51,27 @@
 	GQueue waiting[RANKS]; /* struct cell_stage */
 	GHashTable *reserved;  /* struct cell_worker -> rank + 1 */
 	unsigned reserves;
+	GPtrArray *open;       /* workers that may be given work, this pass */
+	GPtrArray *buckets[STANDINGS][RANKS]; /* struct cell_stage, this pass */
 	GPtrArray *candidates; /* scratch: struct cell_worker */
+	GPtrArray *stale;      /* scratch: allowed, with room, no ticket */
 	GPtrArray *chosen;     /* scratch: struct cell_worker, one a task */
+	ogl_time pass_at;      /* next pass not before */
 };
 
 struct cell_sched *
 cell_sched_init(const struct cell_sched_parts *parts)
 {
 	struct cell_sched *s = g_new0(struct cell_sched, 1);
-	int i;
+	int i, k;
 
 	s->parts = *parts;
+	s->open = g_ptr_array_new();
+	s->stale = g_ptr_array_new();
+	for (i = 0; i < STANDINGS; i++) {
+		for (k = 0; k < RANKS; k++)
+			s->buckets[i][k] = g_ptr_array_new();
+	}
 	for (i = 0; i < RANKS; i++)
 		g_queue_init(&s->waiting[i]);
 	s->reserved = g_hash_table_new(NULL, NULL);
@@ -68,8 +83,16 @@
 void
 cell_sched_end(struct cell_sched *s)
 {
+	int i, k;
+
 	cell_sched_clear(s);
+	for (i = 0; i < STANDINGS; i++) {
+		for (k = 0; k < RANKS; k++)
+			g_ptr_array_unref(s->buckets[i][k]);
+	}
 	cell_config_unref(s->config);
+	g_ptr_array_unref(s->open);
+	g_ptr_array_unref(s->stale);
 	g_hash_table_unref(s->reserved);
 	g_ptr_array_unref(s->candidates);
 	g_ptr_array_unref(s->chosen);
@@ -98,12 +121,26 @@
 
 /* ---- the lists -------------------------------------------------------- */
 
+/* How the job's queue treats it, looked up once a configuration. */
+static const struct cell_queue *
+queue_of(const struct cell_sched *s, struct cell_job *j)
+{
+	uint64_t version =
+	    s->config != NULL ? cell_config_version(s->config) : 0;
+
+	if (j->terms == NULL || j->terms_version != version) {
+		g_free(j->terms);
+		j->terms = g_new(struct cell_queue, 1);
+		*j->terms = cell_queue_of_job(s->config, j->def);
+		j->terms_version = version;
+	}
+	return j->terms;
+}
+
 static uint32_t
 rank_of(const struct cell_sched *s, const struct cell_stage *st)
 {
-	struct cell_queue q = cell_queue_of_job(s->config, st->job->def);
-
-	return MIN(q.rank, RANKS - 1);
+	return MIN(queue_of(s, st->job)->rank, RANKS - 1);
 }
 
 void
@@ -230,23 +267,37 @@
 	return by != 0 && rank + 1 >= by;
 }
 
-/* Workers that could take a task now, ticket apart. */
+/*
+ * Sorts the workers with room for a task into those that may be given it now
+ * and, where the queue has a policy, those whose ticket has run out.
+ */
 static void
-list_open(struct cell_sched *s, const struct cell_stage *st, uint32_t rank,
-    ogl_time now)
+list_candidates(struct cell_sched *s, const struct cell_stage *st,
+    bool policy, uint32_t rank, ogl_time now)
 {
 	struct ogl_res need = need_of(st);
-	GHashTableIter it;
-	gpointer p;
+	guint i;
 
 	g_ptr_array_set_size(s->candidates, 0);
-	g_hash_table_iter_init(&it, cell_fleet_workers(s->parts.fleet));
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		struct cell_worker *w = p;
+	g_ptr_array_set_size(s->stale, 0);
+	for (i = 0; i < s->open->len; i++) {
+		struct cell_worker *w = s->open->pdata[i];
+		const struct cell_good *g;
 
-		if (cell_worker_open(w, now) && cell_worker_fits(w, &need) &&
-		    suits(st, w) && !kept_from(s, w, rank))
+		if (!cell_worker_fits(w, &need) || kept_from(s, w, rank))
+			continue;
+		if (!policy) {
+			if (suits(st, w))
+				g_ptr_array_add(s->candidates, w);
+			continue;
+		}
+		g = g_hash_table_lookup(st->good, w->id);
+		if (g == NULL)
+			continue;
+		if (g->born_ms == w->life && g->until > now)
 			g_ptr_array_add(s->candidates, w);
+		else
+			g_ptr_array_add(s->stale, w);
 	}
 }
 
@@ -305,21 +356,9 @@
 	return cost * w->pace;
 }
 
-static bool
-has_ticket(const struct cell_stage *st, const struct cell_worker *w,
-    bool policy, ogl_time now)
-{
-	const struct cell_good *g;
-
-	if (!policy)
-		return true;
-	g = cell_advice_good(st, w);
-	return g != NULL && g->until > now;
-}
-
 static struct cell_worker *
 pick(struct cell_sched *s, const struct cell_stage *st,
-    const struct cell_task *t, bool policy, ogl_time now)
+    const struct cell_task *t)
 {
 	struct ogl_res need = need_of(st);
 	struct cell_worker *best = NULL;
@@ -330,8 +369,7 @@
 		struct cell_worker *w = s->candidates->pdata[i];
 		double cost;
 
-		if (!cell_worker_fits(w, &need) ||
-		    !has_ticket(st, w, policy, now))
+		if (!cell_worker_fits(w, &need))
 			continue;
 		if (st->def->worker_max > 0 &&
 		    tasks_on(s, st, w) >= st->def->worker_max)
@@ -373,6 +411,20 @@
 
 /* ---- questions to the advice service ---------------------------------- */
 
+static uint32_t
+times_in(const struct ogl_res *room, const struct ogl_res *need)
+{
+	uint32_t n = UINT32_MAX;
+
+	if (need->cpu_milli > 0)
+		n = MIN(n, room->cpu_milli / need->cpu_milli);
+	if (need->mem_mb > 0)
+		n = MIN(n, room->mem_mb / need->mem_mb);
+	if (need->accel > 0)
+		n = MIN(n, room->accel / need->accel);
+	return n;
+}
+
 static gint
 by_room(gconstpointer a, gconstpointer b)
 {
@@ -384,6 +436,15 @@
 	return rv < rw ? 1 : rv > rw ? -1 : 0;
 }
 
+/* Times the task fits into what the worker has free. */
+static uint32_t
+free_times(const struct cell_worker *w, const struct ogl_res *need)
+{
+	struct ogl_res room = room_of(w);
+
+	return times_in(&room, need);
+}
+
 static guint
 first_ask_size(const struct cell_policy *p)
 {
@@ -415,33 +476,45 @@
 	g_ptr_array_sort(a, by_room);
 	if (a->len > first_ask_size(p))
 		g_ptr_array_set_size(a, (gint)first_ask_size(p));
-	asked = cell_advice_ask(s->parts.advice, st, p, a, now);
+	asked = cell_advice_ask(
+	    s->parts.advice, st, p, a, rank_of(s, st), now);
 	g_ptr_array_unref(a);
 	return asked;
 }
 
-/* Asks again for allowed workers that have room now. */
+/* Whether a gang could be placed if all allowed workers had tickets. */
 static bool
-ask_again(struct cell_sched *s, struct cell_stage *st,
-    const struct cell_policy *p, ogl_time now)
+gang_would_fit(struct cell_sched *s, const struct cell_stage *st)
 {
-	GPtrArray *a = g_ptr_array_new();
-	bool asked;
+	struct ogl_res need = need_of(st);
+	uint32_t n = 0;
 	guint i;
 
-	for (i = 0; i < s->candidates->len; i++) {
-		struct cell_worker *w = s->candidates->pdata[i];
+	for (i = 0; i < s->candidates->len; i++)
+		n += free_times(s->candidates->pdata[i], &need);
+	for (i = 0; i < s->stale->len; i++)
+		n += free_times(s->stale->pdata[i], &need);
+	return n >= st->ntasks;
+}
 
-		if (g_hash_table_contains(st->good, w->id) &&
-		    !has_ticket(st, w, true, now))
-			g_ptr_array_add(a, w);
-	}
-	g_ptr_array_sort(a, by_room);
-	if (a->len > REFRESH_MAX)
-		g_ptr_array_set_size(a, REFRESH_MAX);
-	asked = cell_advice_ask(s->parts.advice, st, p, a, now);
-	g_ptr_array_unref(a);
-	return asked;
+/*
+ * Asks again for allowed workers that have room now.  A gang that would not
+ * fit all the same does not ask: the answer would run out unused, and the
+ * service answers one question at a time.
+ */
+static bool
+ask_again(struct cell_sched *s, struct cell_stage *st,
+    const struct cell_policy *p, ogl_time now)
+{
+	if (s->stale->len == 0)
+		return false;
+	if (st->def->gang && !gang_would_fit(s, st))
+		return false;
+	g_ptr_array_sort(s->stale, by_room);
+	if (s->stale->len > REFRESH_MAX)
+		g_ptr_array_set_size(s->stale, REFRESH_MAX);
+	return cell_advice_ask(
+	    s->parts.advice, st, p, s->stale, rank_of(s, st), now);
 }
 
 static void
@@ -484,8 +557,8 @@
 
 /* Places task by task; whether none is left waiting. */
 static bool
-place_tasks(struct cell_sched *s, struct cell_stage *st, bool policy,
-    uint32_t rank, ogl_time now)
+place_tasks(struct cell_sched *s, struct cell_stage *st, uint32_t rank,
+    ogl_time now)
 {
 	bool all = true;
 	uint32_t i;
@@ -498,7 +571,7 @@
 		if (t->done || t->active != NULL)
 			continue;
 		w = task_waits(t, now) && team_allows(s, st, 1)
-			? pick(s, st, t, policy, now)
+			? pick(s, st, t)
 			: NULL;
 		if (w == NULL) {
 			all = false;
@@ -522,8 +595,8 @@
 
 /* All of a gang at once, under one run number. */
 static bool
-place_gang(struct cell_sched *s, struct cell_stage *st, bool policy,
-    uint32_t rank, ogl_time now)
+place_gang(struct cell_sched *s, struct cell_stage *st, uint32_t rank,
+    ogl_time now)
 {
 	struct ogl_res need = need_of(st);
 	uint64_t run;
@@ -537,7 +610,7 @@
 	g_ptr_array_set_size(s->chosen, 0);
 	for (i = 0; i < st->ntasks; i++) {
 		struct cell_worker *w =
-		    pick(s, st, &st->tasks[0], policy, now);
+		    pick(s, st, &st->tasks[0]);
 
 		if (w == NULL)
 			break;
@@ -553,21 +626,6 @@
 	return true;
 }
 
-/* Times the task fits into what the worker has, used or not. */
-static uint32_t
-fits_times(const struct cell_worker *w, const struct ogl_res *need)
-{
-	uint32_t n = UINT32_MAX;
-
-	if (need->cpu_milli > 0)
-		n = MIN(n, w->capacity.cpu_milli / need->cpu_milli);
-	if (need->mem_mb > 0)
-		n = MIN(n, w->capacity.mem_mb / need->mem_mb);
-	if (need->accel > 0)
-		n = MIN(n, w->capacity.accel / need->accel);
-	return n;
-}
-
 static void
 reserve(struct cell_sched *s, struct cell_stage *st, uint32_t rank,
     bool policy, ogl_time now)
@@ -595,7 +653,7 @@
 	for (i = 0; i < a->len && n < st->ntasks; i++) {
 		struct cell_worker *w = a->pdata[i];
 
-		n += fits_times(w, &need);
+		n += times_in(&w->capacity, &need);
 		g_hash_table_insert(
 		    s->reserved, w, GUINT_TO_POINTER(rank + 1));
 	}
@@ -616,11 +674,11 @@
 			seek_advice(s, st, &q->policy, now);
 		return;
 	}
-	list_open(s, st, rank, now);
+	list_candidates(s, st, policy, rank, now);
 	if (st->def->gang)
-		placed = place_gang(s, st, policy, rank, now);
+		placed = place_gang(s, st, rank, now);
 	else
-		placed = place_tasks(s, st, policy, rank, now);
+		placed = place_tasks(s, st, rank, now);
 	if (placed) {
 		st->blocked_since = 0;
 		cell_sched_remove(s, st);
@@ -633,35 +691,78 @@
 		reserve(s, st, rank, policy, now);
 }
 
+/* Placing and asking change the lists, so what is to be looked at is put down
+ * first. */
 static void
-pass_list(
-    struct cell_sched *s, uint32_t rank, unsigned stand, ogl_time now)
+fill_buckets(struct cell_sched *s, ogl_time now)
 {
-	GList *at = s->waiting[rank].head;
+	uint32_t rank;
+	unsigned stand;
+	GList *at;
+
+	for (stand = 0; stand < STANDINGS; stand++) {
+		for (rank = 0; rank < RANKS; rank++)
+			g_ptr_array_set_size(s->buckets[stand][rank], 0);
+	}
+	for (rank = 0; rank < RANKS; rank++) {
+		for (at = s->waiting[rank].head; at != NULL; at = at->next) {
+			struct cell_stage *st = at->data;
+
+			stand = standing(queue_of(s, st->job), st, now);
+			g_ptr_array_add(s->buckets[stand][rank], st);
+		}
+	}
+}
+
+static void
+list_open(struct cell_sched *s, ogl_time now)
+{
+	GHashTableIter it;
+	gpointer p;
 
-	while (at != NULL) {
-		struct cell_stage *st = at->data;
-		struct cell_queue q =
-		    cell_queue_of_job(s->config, st->job->def);
+	g_ptr_array_set_size(s->open, 0);
+	g_hash_table_iter_init(&it, cell_fleet_workers(s->parts.fleet));
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		if (cell_worker_open(p, now))
+			g_ptr_array_add(s->open, p);
+	}
+}
 
-		at = at->next;
-		if (standing(&q, st, now) == stand)
-			place_stage(s, st, &q, rank, stand, now);
+static void
+pass_bucket(struct cell_sched *s, uint32_t rank, unsigned stand, ogl_time now)
+{
+	GPtrArray *a = s->buckets[stand][rank];
+	guint i;
+
+	for (i = 0; i < a->len; i++) {
+		struct cell_stage *st = a->pdata[i];
+
+		place_stage(s, st, queue_of(s, st->job), rank, stand, now);
 	}
 }
 
 void
 cell_sched_pass(struct cell_sched *s, ogl_time now)
 {
+	size_t waiting = cell_sched_waiting(s);
 	unsigned stand;
 	uint32_t rank;
 
-	if (s->config == NULL || cell_sched_waiting(s) == 0)
+	if (waiting == 0)
 		return;
+	s->pass_at = now + PASS_GAP + (ogl_time)waiting * PASS_STAGE;
 	g_hash_table_remove_all(s->reserved);
 	s->reserves = 0;
+	list_open(s, now);
+	fill_buckets(s, now);
 	for (stand = 0; stand < STANDINGS; stand++) {
 		for (rank = 0; rank < RANKS; rank++)
-			pass_list(s, rank, stand, now);
+			pass_bucket(s, rank, stand, now);
 	}
 }
+
+bool
+cell_sched_due(const struct cell_sched *s, ogl_time now)
+{
+	return now >= s->pass_at;
+}
--- a/cell/schedule.h
+++ b/cell/schedule.h
@@ -37,6 +37,9 @@
 void cell_sched_pass(struct cell_sched *s, ogl_time now);
 /* Starts what can be started. */
 
+bool cell_sched_due(const struct cell_sched *s, ogl_time now);
+/* Whether the last pass is long enough ago. */
+
 size_t cell_sched_waiting(const struct cell_sched *s);
 /* Stages that wait. */
 
