Count failed runs one by one, not by their highest number

Cause: a new owner met the ends of two runs of a task in the wrong order and counted only the later one, so the task had an attempt too many (BUDGET). Ruled out: ends acknowledged before they were stored; both were listed.

--- a/cell/job.c
+++ b/cell/job.c
@@ -9,6 +9,7 @@
 
 #define TASKS_MAX 20000 /* of one step; a body of 256 KiB could ask for more */
 #define STEPS_MAX 1000
+#define FAILED_RUNS_MAX 64 /* far above any queue's attempts */
 
 bool
 cell_id_valid(struct ogl_str id)
@@ -96,6 +97,8 @@
 	for (i = 0; i < s->ntasks; i++) {
 		g_free(s->tasks[i].checkpoint);
 		g_free(s->tasks[i].avoid);
+		if (s->tasks[i].failed_runs != NULL)
+			g_array_unref(s->tasks[i].failed_runs);
 	}
 	g_free(s->tasks);
 	g_hash_table_unref(s->good);
@@ -313,6 +316,34 @@
 	return &o->stages[name->step];
 }
 
+/*
+ * Ends of several runs reach a new owner in any order, and again if the last
+ * owner had stored but not acknowledged them; so each run is remembered, not
+ * their number.  A task that lasts may fail for ever: the oldest is dropped.
+ */
+bool
+cell_task_fail(struct cell_task *t, uint64_t run)
+{
+	guint i;
+
+	if (t->failed_runs == NULL)
+		t->failed_runs = g_array_new(FALSE, FALSE, sizeof run);
+	for (i = 0; i < t->failed_runs->len; i++) {
+		if (g_array_index(t->failed_runs, uint64_t, i) == run)
+			return false;
+	}
+	if (t->failed_runs->len >= FAILED_RUNS_MAX)
+		g_array_remove_index(t->failed_runs, 0);
+	g_array_append_val(t->failed_runs, run);
+	return true;
+}
+
+uint32_t
+cell_task_failures(const struct cell_task *t)
+{
+	return t->failed_runs != NULL ? t->failed_runs->len : 0;
+}
+
 struct cell_task *
 cell_stage_keeper(struct cell_stage *s, uint32_t index)
 {
@@ -346,7 +377,7 @@
 static bool
 has_mark(const struct cell_task *t)
 {
-	return t->done || t->failed > 0 || t->run > 0;
+	return t->done || t->failed_runs != NULL || t->run > 0;
 }
 
 static Ogl__CellMark *
@@ -360,9 +391,11 @@
 	m->step = s->step;
 	m->index = index;
 	m->done = t->done;
-	m->failed = t->failed;
 	m->run = t->run;
-	m->ended_run = t->ended_run;
+	if (t->failed_runs != NULL) {
+		m->failed_runs = (uint64_t *)(void *)t->failed_runs->data;
+		m->n_failed_runs = t->failed_runs->len;
+	}
 	if (t->checkpoint != NULL && !t->done)
 		m->checkpoint = t->checkpoint;
 	return m;
@@ -426,6 +459,7 @@
 	    .index = m->index};
 	struct cell_stage *s;
 	struct cell_task *t;
+	size_t i;
 
 	if (cell_job_occurrence_finished(j, m->occurrence))
 		return;
@@ -438,9 +472,9 @@
 		t->done = true;
 		s->ndone++;
 	}
-	t->failed = m->failed;
+	for (i = 0; i < m->n_failed_runs; i++)
+		cell_task_fail(t, m->failed_runs[i]);
 	t->run = m->run;
-	t->ended_run = m->ended_run;
 	cell_task_save(t, m->checkpoint);
 }
 
--- a/cell/job.h
+++ b/cell/job.h
@@ -20,9 +20,8 @@
 
 struct cell_task {
 	bool done;
-	uint32_t failed;   /* attempts that ended as failed */
+	GArray *failed_runs; /* uint64_t, runs that ended as failed; NULL none */
 	uint64_t run;      /* highest run number used */
-	uint64_t ended_run; /* highest run whose end is counted */
 	char *checkpoint;  /* NULL none */
 	struct cell_run *active; /* NULL: nothing runs or may run */
 	struct cell_run *copy;   /* a second one, where that is allowed */
@@ -141,6 +140,10 @@
 void cell_task_save(struct cell_task *t, const char *checkpoint);
 /* Keeps a newer checkpoint; an empty one changes nothing. */
 
+bool cell_task_fail(struct cell_task *t, uint64_t run);
+/* Counts a failed run; false when it was counted before. */
+uint32_t cell_task_failures(const struct cell_task *t);
+
 void cell_job_clear(struct cell_job *j);
 /* Drops its stages and what was submitted; no run may point at them. */
 
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -411,17 +411,18 @@
 
 static void
 task_failed(struct cell_owner *o, struct cell_stage *st, uint32_t index,
-    const char *worker, ogl_time now)
+    uint64_t run, const char *worker, ogl_time now)
 {
 	struct cell_task *t = cell_stage_keeper(st, index);
 	struct cell_queue q = cell_queue_of_job(o->config, st->job->def);
 
-	t->failed++;
+	if (!cell_task_fail(t, run))
+		return;
 	g_free(st->tasks[index].avoid);
 	st->tasks[index].avoid = g_strdup(worker);
 	t->due = now + FAIL_PAUSE;
 	if (!st->def->lasting && q.attempts_max > 0 &&
-	    t->failed >= q.attempts_max)
+	    cell_task_failures(t) >= q.attempts_max)
 		end_job(o, st->job, OGL__CELL_JOB_STATE__cell_failed,
 		    "attempts_spent", now);
 }
@@ -435,9 +436,8 @@
 	struct cell_task *t = &st->tasks[index];
 	struct cell_job *j = st->job;
 
-	if (run <= t->ended_run || t->done)
+	if (t->done)
 		return;
-	t->ended_run = run;
 	cell_task_save(cell_stage_keeper(st, index), checkpoint);
 	job_changed(o, j, true, now);
 	if (how == CELL_END_DONE && !st->def->lasting) {
@@ -449,7 +449,7 @@
 			copy_done(o, st, t, now);
 	} else if (how == CELL_END_FAILED) {
 		cell_worker_result(w, j->id, false, now);
-		task_failed(o, st, index, w->id, now);
+		task_failed(o, st, index, run, w->id, now);
 	}
 	if (!cell_job_over(j->state))
 		stage_progress(o, st, now);
@@ -554,7 +554,7 @@
 	if (st == NULL)
 		return NULL;
 	t = &st->tasks[row->task.index];
-	if (t->done || t->active != NULL || row->run <= t->ended_run)
+	if (t->done || t->active != NULL)
 		return NULL;
 	return st;
 }
@@ -576,6 +576,7 @@
 	t->active = cell_fleet_adopt(
 	    o->fleet, w, st, row, rank_of(o, st->job), now);
 	st->nactive++;
+	log_run(o, t->active, "run_adopted", "", now);
 	if (cell_stage_waiting(st) == 0)
 		cell_sched_remove(o->sched, st);
 	on_up(o, t->active, now);
@@ -588,16 +589,19 @@
 	struct cell_owner *o = arg;
 	struct cell_job *j = job_of(o, row->task.id);
 	struct cell_stage *st;
+	char more[160];
 
 	if (j == NULL || cell_job_over(j->state))
 		return;
 	st = cell_job_stage(j, &row->task);
 	if (st == NULL)
 		return;
-	if (st->tasks[row->task.index].active != NULL &&
-	    row->how != CELL_END_DONE)
-		return;
 	j->begun = true;
+	g_snprintf(more, sizeof more,
+	    "task=%u.%u.%u run=%" G_GUINT64_FORMAT " worker=%s how=%s",
+	    row->task.occurrence, row->task.step, row->task.index, row->run,
+	    w->id, end_name(row->how));
+	log_job(o, j, "end_found", more);
 	count_end(o, st, row->task.index, row->run, row->how, row->checkpoint,
 	    w, now);
 }
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -1283,7 +1283,7 @@
   (ProtobufCMessageInit) ogl__cell_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_mark__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ogl__cell_mark__field_descriptors[8] =
 {
   {
     "occurrence",
@@ -1334,15 +1334,15 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failed",
+    "failed_runs",
     5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Ogl__CellMark, failed),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Ogl__CellMark, n_failed_runs),
+    offsetof(Ogl__CellMark, failed_runs),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -1381,24 +1381,11 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "ended_run",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Ogl__CellMark, ended_run),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned ogl__cell_mark__field_indices_by_name[] = {
   6,   /* field[6] = checkpoint */
   3,   /* field[3] = done */
-  8,   /* field[8] = ended_run */
-  4,   /* field[4] = failed */
+  4,   /* field[4] = failed_runs */
   2,   /* field[2] = index */
   0,   /* field[0] = occurrence */
   5,   /* field[5] = run */
@@ -1408,7 +1395,7 @@
 static const ProtobufCIntRange ogl__cell_mark__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ogl__cell_mark__descriptor =
 {
@@ -1418,7 +1405,7 @@
   "Ogl__CellMark",
   "ogl",
   sizeof(Ogl__CellMark),
-  9,
+  8,
   ogl__cell_mark__field_descriptors,
   ogl__cell_mark__field_indices_by_name,
   1,  ogl__cell_mark__number_ranges,
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -217,10 +217,8 @@
   uint32_t step;
   uint32_t index;
   protobuf_c_boolean done;
-  /*
-   * attempts that ended as failed
-   */
-  uint32_t failed;
+  size_t n_failed_runs;
+  uint64_t *failed_runs;
   /*
    * highest run number used
    */
@@ -230,14 +228,10 @@
    * where it may run now; empty: nowhere
    */
   char *worker;
-  /*
-   * highest run whose end is counted
-   */
-  uint64_t ended_run;
 };
 #define OGL__CELL_MARK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_mark__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
