--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -139,6 +139,7 @@
 			run_free(r);
 	}
 	memset(&w->used, 0, sizeof w->used);
+	w->nstrays = 0;
 }
 
 void
@@ -320,7 +321,7 @@
 cell_worker_open(const struct cell_worker *w, ogl_time now)
 {
 	return w->listed && !w->draining && w->fenced && w->failures == 0 &&
-	       now >= w->aside_until && !overdue(w, now);
+	       w->nstrays == 0 && now >= w->aside_until && !overdue(w, now);
 }
 
 /*
@@ -398,6 +399,8 @@
 	ogl_res_sub(&w->used, &r->res);
 	ogl_res_sub(team_account(f, r->team), &r->res);
 	g_hash_table_remove(w->runs, r);
+	if (r->stray)
+		w->nstrays--;
 	r->worker = NULL;
 	if (!r->open)
 		run_free(r);
@@ -1001,6 +1004,11 @@
 	return r;
 }
 
+/*
+ * A job that ended shortly before a takeover may have tasks that are still
+ * being stopped; what they hold is no longer known.  A worker with such a run
+ * is given nothing more until it is over, or it might be overfilled.
+ */
 void
 cell_fleet_stray(struct cell_fleet *f, struct cell_worker *w,
     const struct cell_row *row, ogl_time now)
@@ -1010,6 +1018,8 @@
 	    run_new(f, w, &row->task, row->run, &none, "");
 
 	r->up_at = now;
+	r->stray = true;
+	w->nstrays++;
 	cell_fleet_stop(f, r, now);
 }
 
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -45,7 +45,7 @@
 	ogl_time retry_at;
 	uint32_t tries;
 	uint32_t rank;      /* of its queue */
-	bool preempted;
+	bool stray; /* nobody knows what room it holds */
 };
 
 struct cell_worker {
@@ -78,6 +78,7 @@
 
 	GHashTable *runs;  /* set of struct cell_run */
 	uint32_t nopen;    /* orders under way; it may not be freed */
+	uint32_t nstrays;  /* runs of unknown size */
 	uint32_t streak;   /* failed ends in a row, of different jobs */
 	char *streak_job;  /* the last of them */
 	ogl_time aside_until; /* not used until then: it fails what it gets */
