--- a/cell/advice.c
+++ b/cell/advice.c
@@ -228,16 +228,16 @@
 take_answer(struct cell_advice *a, struct cell_stage *s,
     const struct question *q, const Ogl__CellAdvice *m, ogl_time now)
 {
-	ogl_time until = now +
-			 ((ogl_time)m->valid_ms - (ogl_time)m->age_ms) * OGL_MS -
-			 TICKET_MARGIN;
+	ogl_time until =
+	    now + ((ogl_time)m->valid_ms - (ogl_time)m->age_ms) * OGL_MS -
+	    TICKET_MARGIN;
 	size_t i;
 
 	for (i = 0; i < q->workers->len; i++)
 		g_hash_table_add(s->asked, g_strdup(q->workers->pdata[i]));
 	for (i = 0; i < m->n_tickets; i++)
-		take_ticket(a, s, m->tickets[i]->worker,
-		    m->tickets[i]->ticket, until);
+		take_ticket(
+		    a, s, m->tickets[i]->worker, m->tickets[i]->ticket, until);
 }
 
 /* The lane is corrected by what was seen: a slow service or a node that
@@ -266,8 +266,8 @@
 	if (q == NULL)
 		return;
 	correct_lane(a, q, m->ok, now);
-	a->ops->observe(a->ops->ctx, "advice_ms",
-	    (uint64_t)((now - q->sent) / OGL_MS));
+	a->ops->observe(
+	    a->ops->ctx, "advice_ms", (uint64_t)((now - q->sent) / OGL_MS));
 	s = a->events.stage(a->events.arg, q->id, q->occurrence, q->step);
 	if (s != NULL) {
 		s->asking = false;
--- a/cell/advice.h
+++ b/cell/advice.h
@@ -14,8 +14,7 @@
 struct cell_advice;
 
 struct cell_advice_events {
-	void (*send)(
-	    void *arg, const char *addr, const Ogl__CellAsk *ask);
+	void (*send)(void *arg, const char *addr, const Ogl__CellAsk *ask);
 	struct cell_stage *(*stage)(
 	    void *arg, const char *id, uint32_t occurrence, uint32_t step);
 	/* The stage asked for, if its job still wants it. */
--- a/cell/cell_config.h
+++ b/cell/cell_config.h
@@ -33,7 +33,7 @@
 
 struct cell_team {
 	char *name;
-	double rate; /* jobs a second it is owed */
+	double rate;        /* jobs a second it is owed */
 	struct ogl_res max; /* most it may have running; 0: no limit */
 };
 
--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -434,8 +434,7 @@
 }
 
 static uint64_t
-lease_end(
-    const struct cell_fleet *f, struct cell_worker *w, ogl_time now)
+lease_end(const struct cell_fleet *f, struct cell_worker *w, ogl_time now)
 {
 	uint64_t until;
 
@@ -450,9 +449,8 @@
 static ogl_time
 lapse_at(const struct cell_worker *w)
 {
-	double left = w->until_ms > w->clock_ms
-			  ? (double)(w->until_ms - w->clock_ms)
-			  : 0;
+	double left =
+	    w->until_ms > w->clock_ms ? (double)(w->until_ms - w->clock_ms) : 0;
 
 	return w->clock_at + (ogl_time)(left * SLOW * OGL_MS) + LAPSE_MARGIN;
 }
@@ -474,8 +472,8 @@
 
 /* Nothing that was started in the worker's last life runs any more. */
 static void
-lose_runs(struct cell_fleet *f, struct cell_worker *w, bool late_starts,
-    ogl_time now)
+lose_runs(
+    struct cell_fleet *f, struct cell_worker *w, bool late_starts, ogl_time now)
 {
 	GPtrArray *a = list_runs(w);
 	guint i;
@@ -742,8 +740,7 @@
 }
 
 void
-cell_fleet_noted(
-    struct cell_fleet *f, struct cell_worker *w, uint64_t number)
+cell_fleet_noted(struct cell_fleet *f, struct cell_worker *w, uint64_t number)
 {
 	(void)f;
 	if (number <= w->last_seen || number > w->taken)
@@ -756,8 +753,7 @@
 
 static void on_start(
     void *arg, const struct cell_order_answer *a, ogl_time now);
-static void on_stop(
-    void *arg, const struct cell_order_answer *a, ogl_time now);
+static void on_stop(void *arg, const struct cell_order_answer *a, ogl_time now);
 
 static struct call *
 order_call(struct cell_fleet *f, struct cell_run *r, ogl_time now)
@@ -862,8 +858,8 @@
 }
 
 static void
-start_lost(struct cell_fleet *f, struct cell_run *r, enum ogl_io io,
-    ogl_time now)
+start_lost(
+    struct cell_fleet *f, struct cell_run *r, enum ogl_io io, ogl_time now)
 {
 	if (io == OGL_IO_LOST)
 		r->unsure = true;
@@ -961,9 +957,8 @@
     uint32_t rank, ogl_time now)
 {
 	struct cell_task *t = cell_stage_keeper(s, index);
-	struct cell_task_name name = {.occurrence = s->occurrence,
-	    .step = s->step,
-	    .index = index};
+	struct cell_task_name name = {
+	    .occurrence = s->occurrence, .step = s->step, .index = index};
 	struct ogl_res res = {s->def->cpu_milli, s->def->mem_mb, s->def->accel};
 	struct cell_run *r;
 
@@ -1014,8 +1009,7 @@
     const struct cell_row *row, ogl_time now)
 {
 	struct ogl_res none = {0};
-	struct cell_run *r =
-	    run_new(f, w, &row->task, row->run, &none, "");
+	struct cell_run *r = run_new(f, w, &row->task, row->run, &none, "");
 
 	r->up_at = now;
 	r->stray = true;
@@ -1053,8 +1047,8 @@
 }
 
 static void
-step_worker(struct cell_fleet *f, struct cell_worker *w, bool runs,
-    ogl_time now)
+step_worker(
+    struct cell_fleet *f, struct cell_worker *w, bool runs, ogl_time now)
 {
 	if (w->life != 0 && g_hash_table_size(w->runs) > 0 &&
 	    now > lapse_at(w)) {
@@ -1116,8 +1110,8 @@
 bool
 cell_fleet_settled(struct cell_fleet *f, ogl_time now)
 {
-	ogl_time lapse = f->opened_at + (ogl_time)(LEASE_MS * SLOW) * OGL_MS +
-			 LAPSE_MARGIN;
+	ogl_time lapse =
+	    f->opened_at + (ogl_time)(LEASE_MS * SLOW) * OGL_MS + LAPSE_MARGIN;
 	GHashTableIter it;
 	gpointer p;
 
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -17,7 +17,7 @@
 enum cell_run_state {
 	CELL_RUN_STARTING, /* ordered; not known to have begun */
 	CELL_RUN_UP,
-	CELL_RUN_STOPPING  /* to be stopped; may still run */
+	CELL_RUN_STOPPING /* to be stopped; may still run */
 };
 
 struct cell_run {
@@ -33,19 +33,19 @@
 	char *spec; /* kept while the start may have to be repeated */
 	char *ticket;
 	char *checkpoint;
-	ogl_time began;     /* decided */
-	ogl_time up_at;     /* first known to run, 0 not yet */
+	ogl_time began; /* decided */
+	ogl_time up_at; /* first known to run, 0 not yet */
 	uint32_t percent;
 	ogl_time percent_at; /* when it last rose */
-	bool open;          /* an order for it is under way */
-	bool unsure;        /* a start went unanswered */
-	bool ordered;       /* a start was sent */
-	bool stop_done;     /* a stop was answered */
+	bool open;           /* an order for it is under way */
+	bool unsure;         /* a start went unanswered */
+	bool ordered;        /* a start was sent */
+	bool stop_done;      /* a stop was answered */
 	ogl_time stop_done_at;
 	ogl_time retry_at;
 	uint32_t tries;
-	uint32_t rank;      /* of its queue */
-	bool stray; /* nobody knows what room it holds */
+	uint32_t rank; /* of its queue */
+	bool stray;    /* nobody knows what room it holds */
 };
 
 struct cell_worker {
@@ -57,33 +57,33 @@
 	char *service;
 	struct ogl_res capacity;
 	struct ogl_res used;
-	bool listed;    /* on the platform's list */
-	bool expected;  /* known to an earlier owner, not heard of yet */
+	bool listed;   /* on the platform's list */
+	bool expected; /* known to an earlier owner, not heard of yet */
 	bool draining;
 	uint64_t entry_born_ms; /* life that its entry speaks of */
 
-	uint64_t life;  /* born_ms of the life last heard; 0 none yet */
-	bool fenced;    /* this life has seen our epoch */
-	uint64_t clock_ms; /* its clock as last read, */
-	ogl_time clock_at; /* and when the answer came */
-	uint64_t until_ms; /* latest lease end asked for in this life */
-	uint64_t last_seen;  /* ends up to this are stored */
-	uint64_t taken;      /* ends up to this are dealt with */
-	bool holding;      /* a hold is under way */
+	uint64_t life;      /* born_ms of the life last heard; 0 none yet */
+	bool fenced;        /* this life has seen our epoch */
+	uint64_t clock_ms;  /* its clock as last read, */
+	ogl_time clock_at;  /* and when the answer came */
+	uint64_t until_ms;  /* latest lease end asked for in this life */
+	uint64_t last_seen; /* ends up to this are stored */
+	uint64_t taken;     /* ends up to this are dealt with */
+	bool holding;       /* a hold is under way */
 	ogl_time hold_sent;
 	ogl_time hold_at;  /* next hold not before */
 	ogl_time last_ok;  /* last answer of any kind */
 	uint32_t failures; /* holds in a row without an answer */
 	bool hurry;        /* the next hold does not wait */
 
-	GHashTable *runs;  /* set of struct cell_run */
-	uint32_t nopen;    /* orders under way; it may not be freed */
-	uint32_t nstrays;  /* runs of unknown size */
-	uint32_t streak;   /* failed ends in a row, of different jobs */
-	char *streak_job;  /* the last of them */
+	GHashTable *runs;     /* set of struct cell_run */
+	uint32_t nopen;       /* orders under way; it may not be freed */
+	uint32_t nstrays;     /* runs of unknown size */
+	uint32_t streak;      /* failed ends in a row, of different jobs */
+	char *streak_job;     /* the last of them */
 	ogl_time aside_until; /* not used until then: it fails what it gets */
 	uint32_t asides;
-	double pace;       /* run time over estimate, smoothed; 1 normal */
+	double pace; /* run time over estimate, smoothed; 1 normal */
 };
 
 /* What the owner wants to hear. */
@@ -92,8 +92,8 @@
 	    const char *checkpoint, ogl_time now);
 	/* A run is over; r is freed after the call.  how is CELL_END_LAPSED
 	 * too when it was lost with its worker. */
-	void (*refused)(void *arg, struct cell_run *r, enum cell_refusal why,
-	    ogl_time now);
+	void (*refused)(
+	    void *arg, struct cell_run *r, enum cell_refusal why, ogl_time now);
 	/* A start was refused and nothing runs; r is freed after the call. */
 	void (*found)(void *arg, struct cell_worker *w,
 	    const struct cell_row *row, ogl_time now);
@@ -161,8 +161,8 @@
 
 bool cell_worker_fits(const struct cell_worker *w, const struct ogl_res *need);
 
-void cell_worker_result(struct cell_worker *w, const char *job, bool ok,
-    ogl_time now);
+void cell_worker_result(
+    struct cell_worker *w, const char *job, bool ok, ogl_time now);
 /* Tells of an end; one that fails several jobs in a row is set aside. */
 
 struct cell_worker *cell_fleet_worker(
--- a/cell/front.c
+++ b/cell/front.c
@@ -142,8 +142,7 @@
 }
 
 static void
-take_records(
-    struct cell_front *f, const struct cell_record *records, size_t n)
+take_records(struct cell_front *f, const struct cell_record *records, size_t n)
 {
 	size_t i;
 
@@ -207,8 +206,8 @@
 	f->reading = true;
 	f->read_sent = now;
 	if (f->loaded)
-		f->ops->read(f->ops->outside, CELL_SETTINGS, f->next, READ_WAIT_MS,
-		    READ_TIMEOUT_MS, on_read, f);
+		f->ops->read(f->ops->outside, CELL_SETTINGS, f->next,
+		    READ_WAIT_MS, READ_TIMEOUT_MS, on_read, f);
 	else
 		f->ops->newest(f->ops->outside, CELL_SETTINGS, NULL,
 		    READ_TIMEOUT_MS, on_newest, f);
@@ -238,8 +237,8 @@
 	struct cell_answer a = {
 	    .status = status, .retry_ms = retry_ms, .why = why};
 
-	f->ops->count(f->ops->ctx,
-	    status == CELL_OK ? "calls_ok" : "calls_refused", 1);
+	f->ops->count(
+	    f->ops->ctx, status == CELL_OK ? "calls_ok" : "calls_refused", 1);
 	f->ops->reply(f->ops->ctx, token, &a);
 }
 
@@ -372,7 +371,8 @@
 	struct ogl_str rest = {"", 0};
 
 	if (f->config == NULL) {
-		refuse(f, r, token, CELL_BUSY, RETRY_MS, "no configuration yet");
+		refuse(
+		    f, r, token, CELL_BUSY, RETRY_MS, "no configuration yet");
 		return;
 	}
 	if (!cell_front_fresh(f, now)) {
--- a/cell/job.c
+++ b/cell/job.c
@@ -85,8 +85,7 @@
 	s->link.data = s;
 	s->good =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, good_free);
-	s->asked =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->asked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
 static void
@@ -446,17 +445,15 @@
 static ogl_time
 due_of(const struct cell_job *j, uint32_t number)
 {
-	return (ogl_time)(j->def->first_due_ms +
-			  number * j->def->interval_ms) *
+	return (ogl_time)(j->def->first_due_ms + number * j->def->interval_ms) *
 	       OGL_MS;
 }
 
 static void
 apply_mark(struct cell_job *j, const Ogl__CellMark *m)
 {
-	struct cell_task_name name = {.occurrence = m->occurrence,
-	    .step = m->step,
-	    .index = m->index};
+	struct cell_task_name name = {
+	    .occurrence = m->occurrence, .step = m->step, .index = m->index};
 	struct cell_stage *s;
 	struct cell_task *t;
 	size_t i;
--- a/cell/job.h
+++ b/cell/job.h
@@ -20,12 +20,13 @@
 
 struct cell_task {
 	bool done;
-	GArray *failed_runs; /* uint64_t, runs that ended as failed; NULL none */
-	uint64_t run;      /* highest run number used */
-	char *checkpoint;  /* NULL none */
+	GArray
+	    *failed_runs; /* uint64_t, runs that ended as failed; NULL none */
+	uint64_t run;     /* highest run number used */
+	char *checkpoint; /* NULL none */
 	struct cell_run *active; /* NULL: nothing runs or may run */
 	struct cell_run *copy;   /* a second one, where that is allowed */
-	char *avoid; /* worker where the last attempt failed; NULL none */
+	char *avoid;  /* worker where the last attempt failed; NULL none */
 	ogl_time due; /* not started before */
 };
 
@@ -33,7 +34,7 @@
 struct cell_good {
 	char *worker;
 	char *ticket;
-	ogl_time until; /* the ticket is taken for expired from then on */
+	ogl_time until;   /* the ticket is taken for expired from then on */
 	uint64_t born_ms; /* life of the worker that it was given for */
 };
 
@@ -68,24 +69,24 @@
 	Ogl__CellJobState state;
 	GPtrArray *occurrences; /* struct cell_occurrence, those begun */
 	uint32_t next_occurrence;
-	GArray *finished;    /* uint32_t, occurrences all done */
-	ogl_time accepted;   /* node clock */
-	uint64_t ended_ms;   /* wall clock */
+	GArray *finished;  /* uint32_t, occurrences all done */
+	ogl_time accepted; /* node clock */
+	uint64_t ended_ms; /* wall clock */
 	bool begun;
-	bool stored; /* the submission is on the store */
-	bool over;   /* beyond its team's rate when it came */
-	bool dirty;  /* in the journal's list */
-	bool write_def; /* the submission is to be written */
-	bool drop_def;  /* its record is to be dropped */
-	bool forget;    /* all of it is to be dropped */
-	uint32_t nruns; /* runs on any worker, whatever their state */
-	double work;    /* processor seconds declared, all steps */
-	double chain_ms; /* longest chain of declared run times */
-	double *tail_ms; /* the same from each step on */
-	bool shown;      /* its end is stored, so callers may be told */
+	bool stored;            /* the submission is on the store */
+	bool over;              /* beyond its team's rate when it came */
+	bool dirty;             /* in the journal's list */
+	bool write_def;         /* the submission is to be written */
+	bool drop_def;          /* its record is to be dropped */
+	bool forget;            /* all of it is to be dropped */
+	uint32_t nruns;         /* runs on any worker, whatever their state */
+	double work;            /* processor seconds declared, all steps */
+	double chain_ms;        /* longest chain of declared run times */
+	double *tail_ms;        /* the same from each step on */
+	bool shown;             /* its end is stored, so callers may be told */
 	uint64_t terms_version; /* configuration that terms are taken from */
 	struct cell_queue *terms; /* how its queue treats it; NULL not known */
-	bool settled;    /* not from an earlier owner, or all workers have
+	bool settled; /* not from an earlier owner, or all workers have
 			  * answered: what does not run may be started */
 };
 
@@ -109,8 +110,7 @@
     const struct cell_job *j, uint32_t number);
 /* NULL when it has not begun or is over. */
 
-void cell_job_finish_occurrence(
-    struct cell_job *j, struct cell_occurrence *o);
+void cell_job_finish_occurrence(struct cell_job *j, struct cell_occurrence *o);
 /* All its tasks are done: its stages are dropped. */
 
 bool cell_job_occurrence_finished(const struct cell_job *j, uint32_t number);
--- a/cell/journal.c
+++ b/cell/journal.c
@@ -38,14 +38,14 @@
 	uint64_t epoch;
 	uint64_t generation; /* tells late answers of an earlier epoch */
 	uint64_t seq;
-	GPtrArray *marked;  /* struct cell_job, to go with the next append */
-	GHashTable *extra;  /* key -> GBytes, the same */
+	GPtrArray *marked; /* struct cell_job, to go with the next append */
+	GHashTable *extra; /* key -> GBytes, the same */
 	GHashTable *batch_extra; /* what of it is in the batch */
-	GArray *waiters;    /* struct waiter, for the next append */
-	ogl_time urgent_at; /* OGL_NEVER: nobody waits */
+	GArray *waiters;         /* struct waiter, for the next append */
+	ogl_time urgent_at;      /* OGL_NEVER: nobody waits */
 	ogl_time lazy_at;
 	/* the append under way or to be repeated */
-	GArray *batch;        /* struct cell_put */
+	GArray *batch; /* struct cell_put */
 	GPtrArray *batch_jobs;
 	GArray *batch_waiters;
 	bool has_batch;
--- a/cell/journal.h
+++ b/cell/journal.h
@@ -12,7 +12,7 @@
 /* What became of something that waited for the store. */
 enum cell_fate {
 	CELL_STORED,
-	CELL_NOT_STORED, /* certainly not, and it never will be */
+	CELL_NOT_STORED,  /* certainly not, and it never will be */
 	CELL_FATE_UNKNOWN /* ownership was lost first */
 };
 
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -135,8 +135,8 @@
 }
 
 static void
-take_claim(struct cell_lead *l, const Ogl__CellLead *m, uint64_t epoch,
-    ogl_time now)
+take_claim(
+    struct cell_lead *l, const Ogl__CellLead *m, uint64_t epoch, ogl_time now)
 {
 	bool mine = strcmp(m->node, l->node) == 0 && m->boot == l->boot;
 
@@ -187,7 +187,8 @@
 
 	if (r->dropped)
 		return;
-	m = ogl__cell_lead__unpack(NULL, r->value.n, (const uint8_t *)r->value.p);
+	m = ogl__cell_lead__unpack(
+	    NULL, r->value.n, (const uint8_t *)r->value.p);
 	if (m == NULL) {
 		l->ops->log(l->ops->ctx, "lead", "record_unreadable", "");
 		return;
@@ -269,8 +270,8 @@
 	l->reading = true;
 	l->read_sent = now;
 	if (l->newest_next)
-		l->ops->newest(l->ops->outside, CELL_LEAD, NULL, READ_TIMEOUT_MS,
-		    on_newest, l);
+		l->ops->newest(l->ops->outside, CELL_LEAD, NULL,
+		    READ_TIMEOUT_MS, on_newest, l);
 	else
 		l->ops->read(l->ops->outside, CELL_LEAD, l->next, READ_WAIT_MS,
 		    READ_TIMEOUT_MS, on_read, l);
--- a/cell/node.c
+++ b/cell/node.c
@@ -128,9 +128,8 @@
 take_ask(struct cell_node *n, const char *from, const Ogl__CellAsk *a)
 {
 	struct asked *q = g_new(struct asked, 1);
-	struct cell_ask ask = {a->step,
-	    (const char *const *)(void *)a->workers, a->n_workers,
-	    a->timeout_ms};
+	struct cell_ask ask = {a->step, (const char *const *)(void *)a->workers,
+	    a->n_workers, a->timeout_ms};
 
 	q->node = n;
 	q->to = g_strdup(from);
@@ -141,8 +140,8 @@
 /* ---- incoming --------------------------------------------------------- */
 
 static void
-take_ping(struct cell_node *n, const char *from, const Ogl__CellPing *p,
-    ogl_time now)
+take_ping(
+    struct cell_node *n, const char *from, const Ogl__CellPing *p, ogl_time now)
 {
 	Ogl__CellMsg m = OGL__CELL_MSG__INIT;
 	Ogl__CellPong pong = OGL__CELL_PONG__INIT;
@@ -264,8 +263,7 @@
 	n->addr = g_strdup(c->addr);
 	n->limits = c->limits;
 	g_queue_init(&n->loop);
-	n->lead =
-	    cell_lead_init(ops, &le, n->name, n->addr, c->boot, c->seed);
+	n->lead = cell_lead_init(ops, &le, n->name, n->addr, c->boot, c->seed);
 	n->owner = cell_owner_init(ops, &n->limits, &oe);
 	n->front = cell_front_init(ops, &n->limits, &fe);
 	return n;
--- a/cell/ops.h
+++ b/cell/ops.h
@@ -49,8 +49,8 @@
 
 struct cell_append_answer {
 	enum ogl_io io;
-	bool outranked; /* refused: a higher epoch was seen */
-	bool moved;     /* refused: the stream does not end at `at` */
+	bool outranked;  /* refused: a higher epoch was seen */
+	bool moved;      /* refused: the stream does not end at `at` */
 	uint64_t offset; /* of the first record, when OK */
 	uint64_t end;    /* offset after the last record, when OK or moved */
 };
@@ -65,7 +65,7 @@
 	bool draining;
 	uint64_t born_ms; /* start of this life, wall clock; 0 not said */
 	struct ogl_res capacity;
-	uint32_t cold_ms; /* how much longer it is slow after its start */
+	uint32_t cold_ms;   /* how much longer it is slow after its start */
 	uint32_t leaves_ms; /* least time left while draining */
 };
 
@@ -304,15 +304,15 @@
 
 /* Times and bounds of a deployment; each from the settings file. */
 struct cell_limits {
-	uint32_t lease_max_ms;     /* longest lease a worker grants */
-	uint32_t stop_ms;          /* a stop takes at most that long */
-	uint32_t revoke_ms;        /* a withdrawn key is dead after it */
-	uint32_t status_ms;        /* how long an ended job is remembered */
-	uint32_t visible_ms;       /* an accepted job is shown after it */
-	uint32_t rack_factor;      /* slower off the data's rack */
-	uint32_t gang_ms;          /* members wait that long for the others */
-	uint32_t notice_ms;        /* a lasting task is back after it */
-	uint32_t harm_ms;          /* a target may be missed that long */
+	uint32_t lease_max_ms; /* longest lease a worker grants */
+	uint32_t stop_ms;      /* a stop takes at most that long */
+	uint32_t revoke_ms;    /* a withdrawn key is dead after it */
+	uint32_t status_ms;    /* how long an ended job is remembered */
+	uint32_t visible_ms;   /* an accepted job is shown after it */
+	uint32_t rack_factor;  /* slower off the data's rack */
+	uint32_t gang_ms;      /* members wait that long for the others */
+	uint32_t notice_ms;    /* a lasting task is back after it */
+	uint32_t harm_ms;      /* a target may be missed that long */
 };
 
 #endif
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -79,7 +79,7 @@
 	uint64_t generation;
 	bool asking; /* a fence append or a page is under way */
 	ogl_time ask_at;
-	char *after; /* last key of the page before */
+	char *after;          /* last key of the page before */
 	GHashTable *progress; /* id -> Ogl__CellProgress, while loading */
 	GHashTable *jobs;     /* id -> struct cell_job */
 	GHashTable *rates;    /* team -> struct team_rate */
@@ -110,8 +110,8 @@
 	ogl_time sent;
 };
 
-static void job_changed(struct cell_owner *o, struct cell_job *j, bool urgent,
-    ogl_time now);
+static void job_changed(
+    struct cell_owner *o, struct cell_job *j, bool urgent, ogl_time now);
 
 /* ---- small things ----------------------------------------------------- */
 
@@ -195,8 +195,7 @@
 static ogl_time
 due_of(const struct cell_job *j, uint32_t number)
 {
-	return (ogl_time)(j->def->first_due_ms +
-			  number * j->def->interval_ms) *
+	return (ogl_time)(j->def->first_due_ms + number * j->def->interval_ms) *
 	       OGL_MS;
 }
 
@@ -238,8 +237,8 @@
 }
 
 static void
-note_after(struct cell_owner *o, const char *name, cell_stored_fn *fn,
-    uint64_t tag)
+note_after(
+    struct cell_owner *o, const char *name, cell_stored_fn *fn, uint64_t tag)
 {
 	struct noting *n = g_new(struct noting, 1);
 
@@ -298,11 +297,12 @@
 	char more[160];
 	guint i;
 
-	g_snprintf(more, sizeof more, "state=%s why=%s age_ms=%" G_GINT64_FORMAT,
-	    state_name(state), why, (now - j->accepted) / OGL_MS);
+	g_snprintf(more, sizeof more,
+	    "state=%s why=%s age_ms=%" G_GINT64_FORMAT, state_name(state), why,
+	    (now - j->accepted) / OGL_MS);
 	log_job(o, j, "job_ended", more);
-	o->ops->observe(o->ops->ctx, "job_ms",
-	    (uint64_t)((now - j->accepted) / OGL_MS));
+	o->ops->observe(
+	    o->ops->ctx, "job_ms", (uint64_t)((now - j->accepted) / OGL_MS));
 	for (i = 0; i < j->occurrences->len; i++)
 		drop_occurrence(o, j, j->occurrences->pdata[i], now);
 	cell_job_clear(j);
@@ -316,8 +316,7 @@
 /* ---- progress --------------------------------------------------------- */
 
 static void
-job_changed(
-    struct cell_owner *o, struct cell_job *j, bool urgent, ogl_time now)
+job_changed(struct cell_owner *o, struct cell_job *j, bool urgent, ogl_time now)
 {
 	cell_journal_mark(o->journal, j, urgent, now);
 }
@@ -329,8 +328,8 @@
 	drop_occurrence(o, j, oc, now);
 	cell_job_finish_occurrence(j, oc);
 	if (j->finished->len >= MAX(j->def->repeats, 1))
-		end_job(o, j, OGL__CELL_JOB_STATE__cell_completed, "all_done",
-		    now);
+		end_job(
+		    o, j, OGL__CELL_JOB_STATE__cell_completed, "all_done", now);
 }
 
 /* May end the occurrence and the job with it: st is not to be used after. */
@@ -474,8 +473,8 @@
 	struct cell_stage *st = r->stage;
 	char more[64];
 
-	g_snprintf(more, sizeof more, "how=%s percent=%u", end_name(how),
-	    r->percent);
+	g_snprintf(
+	    more, sizeof more, "how=%s percent=%u", end_name(how), r->percent);
 	log_run(o, r, "run_ended", more, now);
 	if (st == NULL)
 		return;
@@ -487,8 +486,7 @@
 }
 
 static void
-on_refused(
-    void *arg, struct cell_run *r, enum cell_refusal why, ogl_time now)
+on_refused(void *arg, struct cell_run *r, enum cell_refusal why, ogl_time now)
 {
 	struct cell_owner *o = arg;
 	struct cell_stage *st = r->stage;
@@ -560,8 +558,8 @@
 }
 
 static void
-on_found(void *arg, struct cell_worker *w, const struct cell_row *row,
-    ogl_time now)
+on_found(
+    void *arg, struct cell_worker *w, const struct cell_row *row, ogl_time now)
 {
 	struct cell_owner *o = arg;
 	struct cell_stage *st = wanted(o, row);
@@ -573,8 +571,8 @@
 	}
 	t = &st->tasks[row->task.index];
 	t->run = MAX(t->run, row->run);
-	t->active = cell_fleet_adopt(
-	    o->fleet, w, st, row, rank_of(o, st->job), now);
+	t->active =
+	    cell_fleet_adopt(o->fleet, w, st, row, rank_of(o, st->job), now);
 	st->nactive++;
 	log_run(o, t->active, "run_adopted", "", now);
 	if (cell_stage_waiting(st) == 0)
@@ -583,8 +581,8 @@
 }
 
 static void
-on_found_end(void *arg, struct cell_worker *w, const struct cell_row *row,
-    ogl_time now)
+on_found_end(
+    void *arg, struct cell_worker *w, const struct cell_row *row, ogl_time now)
 {
 	struct cell_owner *o = arg;
 	struct cell_job *j = job_of(o, row->task.id);
@@ -749,14 +747,12 @@
 {
 	struct cell_owner *o = g_new0(struct cell_owner, 1);
 	struct cell_fleet_events fe = {on_ended, on_refused, on_found,
-	    on_found_end, on_up, on_ends_taken, on_answered,
-	    on_fleet_outranked, on_room, o};
+	    on_found_end, on_up, on_ends_taken, on_answered, on_fleet_outranked,
+	    on_room, o};
 	struct cell_advice_events ae = {
 	    send_ask, stage_of, worker_of, on_advice, o};
-	struct cell_sched_parts sp = {.ops = ops,
-	    .next_run = next_run,
-	    .started = on_started,
-	    .arg = o};
+	struct cell_sched_parts sp = {
+	    .ops = ops, .next_run = next_run, .started = on_started, .arg = o};
 
 	o->ops = ops;
 	o->limits = limits;
@@ -878,8 +874,8 @@
 }
 
 static void
-load_def(struct cell_owner *o, const char *id, struct ogl_str value,
-    ogl_time now)
+load_def(
+    struct cell_owner *o, const char *id, struct ogl_str value, ogl_time now)
 {
 	Ogl__CellJob *def =
 	    ogl__cell_job__unpack(NULL, value.n, (const uint8_t *)value.p);
@@ -936,7 +932,8 @@
 {
 	Ogl__CellKnownWorkers m = OGL__CELL_KNOWN_WORKERS__INIT;
 	GHashTable *workers = cell_fleet_workers(o->fleet);
-	Ogl__CellKnown *known = g_new(Ogl__CellKnown, g_hash_table_size(workers));
+	Ogl__CellKnown *known =
+	    g_new(Ogl__CellKnown, g_hash_table_size(workers));
 	Ogl__CellKnown **list =
 	    g_new(Ogl__CellKnown *, g_hash_table_size(workers));
 	GHashTableIter it;
@@ -966,8 +963,7 @@
 }
 
 static void
-load_record(
-    struct cell_owner *o, const struct cell_record *r, ogl_time now)
+load_record(struct cell_owner *o, const struct cell_record *r, ogl_time now)
 {
 	const char *id = r->key + 1;
 	Ogl__CellProgress *p;
@@ -1104,8 +1100,7 @@
 
 /* Entries that can't be read name no worker to use. */
 static void
-take_entry(
-    struct cell_owner *o, const struct cell_record *r, ogl_time now)
+take_entry(struct cell_owner *o, const struct cell_record *r, ogl_time now)
 {
 	if (r->dropped || r->worker == NULL) {
 		cell_fleet_entry(o->fleet, r->key, NULL, now);
@@ -1119,8 +1114,7 @@
 static void
 drop_unseen(struct cell_owner *o, ogl_time now)
 {
-	GList *ids =
-	    g_hash_table_get_keys(cell_fleet_workers(o->fleet));
+	GList *ids = g_hash_table_get_keys(cell_fleet_workers(o->fleet));
 	GList *at;
 
 	for (at = ids; at != NULL; at = at->next) {
@@ -1400,8 +1394,8 @@
 }
 
 void
-cell_owner_call(struct cell_owner *o, const char *from, Ogl__CellCall *c,
-    ogl_time now)
+cell_owner_call(
+    struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
 {
 	if (o->phase != PHASE_SERVING) {
 		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_not_owner, 0);
@@ -1425,8 +1419,7 @@
 }
 
 void
-cell_owner_advice(
-    struct cell_owner *o, const Ogl__CellAdvice *a, ogl_time now)
+cell_owner_advice(struct cell_owner *o, const Ogl__CellAdvice *a, ogl_time now)
 {
 	if (o->phase == PHASE_SERVING)
 		cell_advice_answer(o->advice, a, now);
@@ -1452,8 +1445,7 @@
 	GHashTableIter it;
 	gpointer p;
 
-	if (o->settled || !o->list_loaded ||
-	    !cell_fleet_settled(o->fleet, now))
+	if (o->settled || !o->list_loaded || !cell_fleet_settled(o->fleet, now))
 		return;
 	o->settled = true;
 	o->run_pass = true;
@@ -1567,8 +1559,7 @@
 }
 
 void
-cell_owner_step(
-    struct cell_owner *o, bool may_act, ogl_time now, ogl_time wall)
+cell_owner_step(struct cell_owner *o, bool may_act, ogl_time now, ogl_time wall)
 {
 	o->wall = wall;
 	if (o->phase == PHASE_CLOSED)
--- a/cell/owner.h
+++ b/cell/owner.h
@@ -33,15 +33,15 @@
 
 void cell_owner_config(struct cell_owner *o, struct cell_config *c);
 
-void cell_owner_call(struct cell_owner *o, const char *from,
-    Ogl__CellCall *call, ogl_time now);
+void cell_owner_call(
+    struct cell_owner *o, const char *from, Ogl__CellCall *call, ogl_time now);
 /* A caller's request, passed on by the node at `from`; a submitted job is
  * taken out of the message. */
 
 void cell_owner_advice(
     struct cell_owner *o, const Ogl__CellAdvice *a, ogl_time now);
-void cell_owner_node(struct cell_owner *o, const char *addr, bool leaving,
-    ogl_time now);
+void cell_owner_node(
+    struct cell_owner *o, const char *addr, bool leaving, ogl_time now);
 /* A node is there. */
 
 void cell_owner_step(
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -51,12 +51,12 @@
 	GQueue waiting[RANKS]; /* struct cell_stage */
 	GHashTable *reserved;  /* struct cell_worker -> rank + 1 */
 	unsigned reserves;
-	GPtrArray *open;       /* workers that may be given work, this pass */
+	GPtrArray *open; /* workers that may be given work, this pass */
 	GPtrArray *buckets[STANDINGS][RANKS]; /* struct cell_stage, this pass */
-	GPtrArray *candidates; /* scratch: struct cell_worker */
-	GPtrArray *stale;      /* scratch: allowed, with room, no ticket */
-	GPtrArray *chosen;     /* scratch: struct cell_worker, one a task */
-	ogl_time pass_at;      /* next pass not before */
+	GPtrArray *candidates;                /* scratch: struct cell_worker */
+	GPtrArray *stale;  /* scratch: allowed, with room, no ticket */
+	GPtrArray *chosen; /* scratch: struct cell_worker, one a task */
+	ogl_time pass_at;  /* next pass not before */
 };
 
 struct cell_sched *
@@ -213,8 +213,8 @@
 {
 	const struct cell_job *j = st->job;
 	double objective = objective_ms(q, j);
-	double end = (double)(now - j->accepted) / OGL_MS +
-		     HOPE * j->tail_ms[st->step];
+	double end =
+	    (double)(now - j->accepted) / OGL_MS + HOPE * j->tail_ms[st->step];
 	unsigned class = 0;
 
 	if (st->def->lasting)
@@ -240,9 +240,8 @@
 static bool
 suits(const struct cell_stage *st, const struct cell_worker *w)
 {
-	struct ogl_res need = {
-	    st->def->fills ? 0 : st->def->cpu_milli, st->def->mem_mb,
-	    st->def->accel};
+	struct ogl_res need = {st->def->fills ? 0 : st->def->cpu_milli,
+	    st->def->mem_mb, st->def->accel};
 
 	return g_strcmp0(w->service, st->job->def->service) == 0 &&
 	       has_label(w, st->def->label) &&
@@ -259,8 +258,8 @@
 }
 
 static bool
-kept_from(const struct cell_sched *s, const struct cell_worker *w,
-    uint32_t rank)
+kept_from(
+    const struct cell_sched *s, const struct cell_worker *w, uint32_t rank)
 {
 	unsigned by = GPOINTER_TO_UINT(g_hash_table_lookup(s->reserved, w));
 
@@ -272,8 +271,8 @@
  * and, where the queue has a policy, those whose ticket has run out.
  */
 static void
-list_candidates(struct cell_sched *s, const struct cell_stage *st,
-    bool policy, uint32_t rank, ogl_time now)
+list_candidates(struct cell_sched *s, const struct cell_stage *st, bool policy,
+    uint32_t rank, ogl_time now)
 {
 	struct ogl_res need = need_of(st);
 	guint i;
@@ -403,8 +402,8 @@
 
 	if (t == NULL)
 		return true;
-	return below(used.cpu_milli, need.cpu_milli * tasks,
-		   t->max.cpu_milli) &&
+	return below(
+		   used.cpu_milli, need.cpu_milli * tasks, t->max.cpu_milli) &&
 	       below(used.mem_mb, need.mem_mb * tasks, t->max.mem_mb) &&
 	       below(used.accel, need.accel * tasks, t->max.accel);
 }
@@ -469,15 +468,14 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct cell_worker *w = v;
 
-		if (w->listed && !w->draining && suits(st, w) &&
-		    w->life != 0 && !g_hash_table_contains(st->asked, w->id))
+		if (w->listed && !w->draining && suits(st, w) && w->life != 0 &&
+		    !g_hash_table_contains(st->asked, w->id))
 			g_ptr_array_add(a, w);
 	}
 	g_ptr_array_sort(a, by_room);
 	if (a->len > first_ask_size(p))
 		g_ptr_array_set_size(a, (gint)first_ask_size(p));
-	asked = cell_advice_ask(
-	    s->parts.advice, st, p, a, rank_of(s, st), now);
+	asked = cell_advice_ask(s->parts.advice, st, p, a, rank_of(s, st), now);
 	g_ptr_array_unref(a);
 	return asked;
 }
@@ -557,8 +555,8 @@
 
 /* Places task by task; whether none is left waiting. */
 static bool
-place_tasks(struct cell_sched *s, struct cell_stage *st, uint32_t rank,
-    ogl_time now)
+place_tasks(
+    struct cell_sched *s, struct cell_stage *st, uint32_t rank, ogl_time now)
 {
 	bool all = true;
 	uint32_t i;
@@ -570,15 +568,14 @@
 
 		if (t->done || t->active != NULL)
 			continue;
-		w = task_waits(t, now) && team_allows(s, st, 1)
-			? pick(s, st, t)
-			: NULL;
+		w = task_waits(t, now) && team_allows(s, st, 1) ? pick(s, st, t)
+								: NULL;
 		if (w == NULL) {
 			all = false;
 			break;
 		}
-		start_task(s, st, i, w,
-		    s->parts.next_run(s->parts.arg, st), rank, now);
+		start_task(s, st, i, w, s->parts.next_run(s->parts.arg, st),
+		    rank, now);
 	}
 	return all;
 }
@@ -595,8 +592,8 @@
 
 /* All of a gang at once, under one run number. */
 static bool
-place_gang(struct cell_sched *s, struct cell_stage *st, uint32_t rank,
-    ogl_time now)
+place_gang(
+    struct cell_sched *s, struct cell_stage *st, uint32_t rank, ogl_time now)
 {
 	struct ogl_res need = need_of(st);
 	uint64_t run;
@@ -604,13 +601,11 @@
 
 	if (st->nactive > 0)
 		return true; /* the last run is not over yet */
-	if (!task_waits(&st->tasks[0], now) ||
-	    !team_allows(s, st, st->ntasks))
+	if (!task_waits(&st->tasks[0], now) || !team_allows(s, st, st->ntasks))
 		return false;
 	g_ptr_array_set_size(s->chosen, 0);
 	for (i = 0; i < st->ntasks; i++) {
-		struct cell_worker *w =
-		    pick(s, st, &st->tasks[0]);
+		struct cell_worker *w = pick(s, st, &st->tasks[0]);
 
 		if (w == NULL)
 			break;
@@ -627,8 +622,8 @@
 }
 
 static void
-reserve(struct cell_sched *s, struct cell_stage *st, uint32_t rank,
-    bool policy, ogl_time now)
+reserve(struct cell_sched *s, struct cell_stage *st, uint32_t rank, bool policy,
+    ogl_time now)
 {
 	struct ogl_res need = need_of(st);
 	GPtrArray *a;
@@ -654,8 +649,7 @@
 		struct cell_worker *w = a->pdata[i];
 
 		n += times_in(&w->capacity, &need);
-		g_hash_table_insert(
-		    s->reserved, w, GUINT_TO_POINTER(rank + 1));
+		g_hash_table_insert(s->reserved, w, GUINT_TO_POINTER(rank + 1));
 	}
 	s->reserves++;
 	g_ptr_array_unref(a);
--- a/daemon/cell_host.c
+++ b/daemon/cell_host.c
@@ -81,7 +81,7 @@
 	struct ogl_action act = {.type = OGL_ACT_REPLY,
 	    .token = token,
 	    .status = platform_status(a->status),
-	    .verdict = a->status == CELL_OK	  ? OGL_RAN
+	    .verdict = a->status == CELL_OK       ? OGL_RAN
 		       : a->status == CELL_UNSURE ? OGL_MAY_HAVE_RUN
 						  : OGL_NOT_RUN,
 	    .retry_after_ms = a->retry_ms,
@@ -221,8 +221,7 @@
 {
 	bool front = ogl_http_in_run(h->front);
 	bool ready = ogl_http_in_run(h->ready);
-	bool measures =
-	    h->measures != NULL && ogl_http_in_run(h->measures);
+	bool measures = h->measures != NULL && ogl_http_in_run(h->measures);
 	bool out = ogl_http_client_run(h->http);
 
 	return front || ready || measures || out;
@@ -276,8 +275,8 @@
 	    platform_settings_read(h->settings_path, faults);
 
 	if (s == NULL) {
-		on_log(h, "host", "settings_refused",
-		    ogl_faults_path(faults, 0));
+		on_log(
+		    h, "host", "settings_refused", ogl_faults_path(faults, 0));
 		goto out;
 	}
 	if (platform_update(h->platform, s))
@@ -319,8 +318,8 @@
 		ogl_http_in_quiesce(h->front);
 		return;
 	}
-	if (!late && (!cell_node_stopped(h->node) ||
-			 !ogl_http_in_drained(h->front)))
+	if (!late &&
+	    (!cell_node_stopped(h->node) || !ogl_http_in_drained(h->front)))
 		return;
 	on_log(h, "host", "stopped", late ? "complete=0" : "complete=1");
 	ev_break(loop, EVBREAK_ALL);
@@ -341,8 +340,8 @@
 /* ---- beginning and end ------------------------------------------------ */
 
 static struct ogl_http_in *
-listen_own(struct ogl_cell_host *h, const char *addr,
-    struct ogl_http_in **self, GError **error)
+listen_own(struct ogl_cell_host *h, const char *addr, struct ogl_http_in **self,
+    GError **error)
 {
 	struct ogl_http_in_limits limits;
 	struct ogl_sink sink = {on_stray_call, self};
@@ -373,8 +372,8 @@
 }
 
 static bool
-listen_all(struct ogl_cell_host *h, const struct platform_settings *s,
-    GError **error)
+listen_all(
+    struct ogl_cell_host *h, const struct platform_settings *s, GError **error)
 {
 	struct ogl_sink sink = {on_event, h};
 
--- a/daemon/cell_main.c
+++ b/daemon/cell_main.c
@@ -15,7 +15,10 @@
 
 #define EXIT_SETTINGS 2
 
-enum option_key { KEY_SETTINGS = 's', KEY_CHECK = 'c' };
+enum option_key {
+	KEY_SETTINGS = 's',
+	KEY_CHECK = 'c'
+};
 
 struct options {
 	const char *settings;
--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -213,8 +213,8 @@
 		return;
 	}
 	curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &status);
-	r->io = x->framed || status == STATUS_NO_CONTENT ? OGL_IO_OK
-							 : OGL_IO_LOST;
+	r->io =
+	    x->framed || status == STATUS_NO_CONTENT ? OGL_IO_OK : OGL_IO_LOST;
 	r->status = (unsigned)status;
 	r->body.p = (const char *)x->answer->data;
 	r->body.n = x->answer->len;
--- a/daemon/http_client.h
+++ b/daemon/http_client.h
@@ -23,7 +23,7 @@
 typedef void ogl_http_done(void *arg, const struct ogl_http_result *r);
 
 struct ogl_http_request {
-	const char *url; /* http://ip:port/path */
+	const char *url;                           /* http://ip:port/path */
 	const char *headers[OGL_HTTP_HEADERS_MAX]; /* "Name: value" */
 	size_t nheaders;
 	GBytes *body;        /* NULL: GET; else POST */
--- a/daemon/http_in.h
+++ b/daemon/http_in.h
@@ -20,12 +20,12 @@
 };
 
 struct ogl_http_in_limits {
-	size_t body_max;          /* bytes of one request's body */
-	size_t body_total_max;    /* bytes of all bodies held at once */
-	unsigned connections_max; /* open at once */
-	unsigned header_max;      /* bytes of a connection's header buffer */
-	unsigned request_ms;      /* from its first byte to its last */
-	unsigned idle_s;          /* a connection between requests */
+	size_t body_max;           /* bytes of one request's body */
+	size_t body_total_max;     /* bytes of all bodies held at once */
+	unsigned connections_max;  /* open at once */
+	unsigned header_max;       /* bytes of a connection's header buffer */
+	unsigned request_ms;       /* from its first byte to its last */
+	unsigned idle_s;           /* a connection between requests */
 	const char *budget_header; /* tells how long a caller waits, ms */
 	const char *ready_path;
 	bool calls_only; /* every path is the node's, none answered here */
--- a/daemon/logline.h
+++ b/daemon/logline.h
@@ -14,8 +14,8 @@
 void ogl_logline_end(struct ogl_logline *l);
 /* Writes what it can without waiting. */
 
-void ogl_logline_put(struct ogl_logline *l, const char *part,
-    const char *event, const char *text, ogl_time now, ogl_time wall);
+void ogl_logline_put(struct ogl_logline *l, const char *part, const char *event,
+    const char *text, ogl_time now, ogl_time wall);
 /* One line; control characters become spaces.  Beyond its event's budget the
  * line is left out. */
 
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -47,8 +47,7 @@
 
 	if (c == NULL) {
 		c = g_new0(uint64_t, 1);
-		g_hash_table_insert(
-		    m->counters, (char *)(uintptr_t)name, c);
+		g_hash_table_insert(m->counters, (char *)(uintptr_t)name, c);
 	}
 	*c += by;
 }
@@ -61,8 +60,7 @@
 
 	if (h == NULL) {
 		h = g_new0(struct histogram, 1);
-		g_hash_table_insert(
-		    m->histograms, (char *)(uintptr_t)name, h);
+		g_hash_table_insert(m->histograms, (char *)(uintptr_t)name, h);
 	}
 	for (i = 0; i < NBOUNDS && ms > bounds[i]; i++)
 		;
@@ -87,8 +85,8 @@
 	}
 	g_string_append_printf(s,
 	    "ogl_%s_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT
-	    "\nogl_%s_sum %" G_GUINT64_FORMAT "\nogl_%s_count %" G_GUINT64_FORMAT
-	    "\n",
+	    "\nogl_%s_sum %" G_GUINT64_FORMAT
+	    "\nogl_%s_count %" G_GUINT64_FORMAT "\n",
 	    name, h->count, name, h->sum, name, h->count);
 }
 
@@ -102,8 +100,8 @@
 	g_hash_table_iter_init(&it, m->counters);
 	while (g_hash_table_iter_next(&it, &k, &v))
 		g_string_append_printf(s,
-		    "# TYPE ogl_%s_total counter\nogl_%s_total %"
-		    G_GUINT64_FORMAT "\n",
+		    "# TYPE ogl_%s_total counter\nogl_%s_total "
+		    "%" G_GUINT64_FORMAT "\n",
 		    (char *)k, (char *)k, *(uint64_t *)v);
 	g_hash_table_iter_init(&it, m->histograms);
 	while (g_hash_table_iter_next(&it, &k, &v))
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -619,8 +619,7 @@
 }
 
 void
-ogl_peer_expect(
-    struct ogl_peer *p, const ProtobufCMessageDescriptor *message)
+ogl_peer_expect(struct ogl_peer *p, const ProtobufCMessageDescriptor *message)
 {
 	p->message = message;
 }
--- a/tools/tidy.sh
+++ b/tools/tidy.sh
@@ -1,11 +1,13 @@
 #!/bin/sh
 # clang-tidy and cppcheck over our own C sources.
 set -e
+# One file a run: given several, clang-tidy 14 carries the state of its va_list
+# check from one file to the next.
 b=$1
-files=$(git ls-files --cached --others --exclude-standard 'src/*.c' 'daemon/*.c' 'ctl/*.c' 'check/*.c')
-printf '%s\n' $files | xargs -P 6 -n 4 clang-tidy -p "$b" --quiet 2>/tmp/tidy.$$ ||
+files=$(git ls-files --cached --others --exclude-standard 'src/*.c' 'cell/*.c' 'platform/*.c' 'daemon/*.c' 'ctl/*.c' 'check/*.c')
+printf '%s\n' $files | xargs -P 8 -n 1 clang-tidy -p "$b" --quiet 2>/tmp/tidy.$$ ||
     { cat /tmp/tidy.$$; rm -f /tmp/tidy.$$; exit 1; }
 rm -f /tmp/tidy.$$
 cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr \
-    --enable=warning,portability -I . -I src -I check -I gen \
+    --enable=warning,portability -I . -I src -I cell -I platform -I daemon -I check -I gen \
     --suppress=missingIncludeSystem --suppress=unknownMacro $files
