--- a/cell/owner.c
+++ b/cell/owner.c
@@ -1226,6 +1226,21 @@
 	g_free(w);
 }
 
+static void
+log_accepted(struct cell_owner *o, const struct cell_job *j)
+{
+	char more[200];
+
+	if (j->def == NULL)
+		return;
+	g_snprintf(more, sizeof more,
+	    "team=%s queue=%s steps=%zu tasks=%u chain_ms=%.0f work_s=%.1f "
+	    "over_rate=%d",
+	    j->def->team, j->def->queue, j->def->n_steps,
+	    j->def->steps[0]->count, j->chain_ms, j->work, j->over);
+	log_job(o, j, "job_accepted", more);
+}
+
 /* The store has refused a new job for certain: it never was. */
 static void
 take_back(struct cell_owner *o, struct cell_job *j, ogl_time now)
@@ -1253,7 +1268,7 @@
 		reply(o, w->to, w->token, OGL__CELL_OUTCOME__cell_ok, 0);
 		if (!j->stored) {
 			j->stored = true;
-			log_job(o, j, "job_accepted", "");
+			log_accepted(o, j);
 			o->run_pass = true;
 		}
 	} else if (fate == CELL_NOT_STORED) {
