--- a/cell/lead.c
+++ b/cell/lead.c
@@ -25,6 +25,11 @@
  * or slow append does not. */
 #define BEAT (400 * OGL_MS)
 #define SILENCE (1300 * OGL_MS)
+/* If besides nothing listens at the owner's address, its process has ended
+ * (or a cut looks like it): one missed beat is enough then. */
+#define SILENCE_DEAD (650 * OGL_MS)
+/* An owner whose beats are not taken for so long says so to its peers. */
+#define ABLE_MAX (750 * OGL_MS)
 /* Claimants spread over this time: most read the first claim before they
  * would append theirs. */
 #define SPREAD_MS 150
@@ -69,6 +74,8 @@
 	bool retired;
 	unsigned beats; /* appends under way */
 	ogl_time beat_at;
+	ogl_time beat_ok;   /* last beat taken, or the winning of ownership */
+	ogl_time dead_hint; /* last sign that the owner's process has ended */
 };
 
 struct cell_lead *
@@ -88,6 +95,7 @@
 	l->claim_at = OGL_NEVER;
 	l->confirmed_at = -OGL_NEVER;
 	l->last_read_ok = -OGL_NEVER;
+	l->dead_hint = -OGL_NEVER;
 	return l;
 }
 
@@ -134,6 +142,13 @@
 	l->events.changed(l->events.arg, l->owner, now);
 }
 
+/* The owner was this node before it started anew: nobody owns the cell. */
+static bool
+earlier_life(const struct cell_lead *l, const Ogl__CellLead *m)
+{
+	return strcmp(m->addr, l->addr) == 0 && m->boot != l->boot;
+}
+
 static void
 take_claim(
     struct cell_lead *l, const Ogl__CellLead *m, uint64_t epoch, ogl_time now)
@@ -147,13 +162,14 @@
 	l->last_news = now;
 	l->claim_at = OGL_NEVER;
 	if (!mine) {
-		set_owner(l, m->addr, now);
+		set_owner(l, earlier_life(l, m) ? NULL : m->addr, now);
 		return;
 	}
 	if (l->retired)
 		return; /* the silence that follows lets others claim */
 	l->own = true;
 	l->beat_at = now;
+	l->beat_ok = now;
 	set_owner(l, l->addr, now);
 	log_owner(l, "ownership_won", l->addr);
 	l->events.won(l->events.arg, epoch, now);
@@ -173,7 +189,8 @@
 	if (!m->vacant) {
 		l->claim_at = OGL_NEVER;
 		if (!l->own)
-			set_owner(l, m->addr, now);
+			set_owner(
+			    l, earlier_life(l, m) ? NULL : m->addr, now);
 		return;
 	}
 	step_down(l, now);
@@ -307,9 +324,9 @@
 {
 	struct cell_lead *l = arg;
 
-	(void)a;
-	(void)now;
 	l->beats--;
+	if (a->io == OGL_IO_OK)
+		l->beat_ok = now;
 }
 
 static void
@@ -357,7 +374,9 @@
 static void
 watch(struct cell_lead *l, ogl_time now)
 {
-	bool silent = now - l->last_news > SILENCE;
+	bool dead = now - l->dead_hint < SILENCE_DEAD;
+	bool silent =
+	    now - l->last_news > (dead ? SILENCE_DEAD : SILENCE);
 	bool vacant = l->owner == NULL && l->epoch > 0;
 
 	if (l->own || l->retired || !l->loaded || l->claiming ||
@@ -417,6 +436,29 @@
 	l->rest_until = now + SILENCE;
 }
 
+void
+cell_lead_doubt(struct cell_lead *l, uint64_t epoch, ogl_time now)
+{
+	if (l->own || epoch < l->epoch || l->owner == NULL)
+		return;
+	if (!cell_lead_reads(l, now))
+		return;
+	log_owner(l, "owner_unable", l->owner);
+	set_owner(l, NULL, now);
+}
+
+void
+cell_lead_hint_dead(struct cell_lead *l, ogl_time now)
+{
+	l->dead_hint = now;
+}
+
+bool
+cell_lead_able(const struct cell_lead *l, ogl_time now)
+{
+	return l->own && now - l->beat_ok < ABLE_MAX;
+}
+
 bool
 cell_lead_is_owner(const struct cell_lead *l)
 {
--- a/cell/lead.h
+++ b/cell/lead.h
@@ -36,6 +36,16 @@
 void cell_lead_outranked(struct cell_lead *l, ogl_time now);
 /* The store or a worker has refused this node's epoch. */
 
+void cell_lead_doubt(struct cell_lead *l, uint64_t epoch, ogl_time now);
+/* The owner of that epoch has said that it is no longer, or that the store
+ * does not take its writes: whoever reaches the store may claim at once. */
+
+void cell_lead_hint_dead(struct cell_lead *l, ogl_time now);
+/* Nothing listens at the owner's address: a shorter silence is enough. */
+
+bool cell_lead_able(const struct cell_lead *l, ogl_time now);
+/* Whether this node owns the cell and its heartbeats are taken. */
+
 bool cell_lead_is_owner(const struct cell_lead *l);
 uint64_t cell_lead_epoch(const struct cell_lead *l);
 /* Highest epoch known, 0 none. */
--- a/cell/node.c
+++ b/cell/node.c
@@ -9,7 +9,7 @@
 #include "node.h"
 
 #define TICK (40 * OGL_MS)
-#define PING (300 * OGL_MS)
+#define PING (250 * OGL_MS)
 /* A ping unanswered for so long: the connection is not trusted any more. */
 #define PONG_MAX (900 * OGL_MS)
 /* Nobody owns the cell for so long: callers are sent elsewhere. */
@@ -148,11 +148,28 @@
 
 	cell_owner_node(n->owner, from, p->leaving, now);
 	pong.stamp = p->stamp;
+	if (cell_lead_is_owner(n->lead))
+		pong.owns = cell_lead_epoch(n->lead);
+	pong.able = cell_lead_able(n->lead, now);
 	m.body_case = OGL__CELL_MSG__BODY_PONG;
 	m.pong = &pong;
 	send_msg(n, from, &m);
 }
 
+/* The owner may have been replaced by its own next life, or be cut off from
+ * the store alone; its pongs tell so long before silence would. */
+static void
+take_pong(struct cell_node *n, const Ogl__CellMsg *m, ogl_time now)
+{
+	const char *owner = cell_lead_addr(n->lead);
+
+	n->pong_at = now;
+	if (owner == NULL || strcmp(owner, m->from) != 0)
+		return;
+	if (m->pong->owns == 0 || !m->pong->able)
+		cell_lead_doubt(n->lead, m->epoch, now);
+}
+
 static void
 take_msg(struct cell_node *n, Ogl__CellMsg *m, ogl_time now)
 {
@@ -161,7 +178,7 @@
 		take_ping(n, m->from, m->ping, now);
 		break;
 	case OGL__CELL_MSG__BODY_PONG:
-		n->pong_at = now;
+		take_pong(n, m, now);
 		break;
 	case OGL__CELL_MSG__BODY_CALL:
 		cell_owner_call(n->owner, m->from, m->call, now);
@@ -315,6 +332,8 @@
 		n->ops->peer_reset(n->ops->ctx, owner);
 		n->pong_at = now;
 	}
+	if (n->ops->peer_refused(n->ops->ctx, owner))
+		cell_lead_hint_dead(n->lead, now);
 	n->ping_at = now + PING;
 	p.stamp = (uint64_t)now;
 	p.store_ok = cell_lead_reads(n->lead, now);
--- a/cell/ops.h
+++ b/cell/ops.h
@@ -290,6 +290,8 @@
 	void (*peer_send)(void *ctx, const char *addr, GBytes *msg);
 	void (*peer_reset)(void *ctx, const char *addr);
 	/* Drops the connection to a peer; the next message opens a new one. */
+	bool (*peer_refused)(void *ctx, const char *addr);
+	/* Whether the last attempt to connect found nobody listening. */
 
 	void (*log)(
 	    void *ctx, const char *prefix, const char *event, const char *text);
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -32,10 +32,7 @@
 /* Ended jobs are kept this much longer than callers are promised. */
 #define KEEP_MARGIN_MS 20000
 #define SWEEP (500 * OGL_MS)
-/* A task that failed waits before its next attempt; its next worker may
- * otherwise be one with the same trouble. */
-#define FAIL_PAUSE (50 * OGL_MS)
-/* After this many losses on workers in a row the pause grows. */
+/* Run numbers of an epoch; no task is started so often in one. */
 #define RUNS_AN_EPOCH 1024
 /* A gang of which some members were found running and others not is stopped
  * if it is not whole after this time. */
@@ -419,7 +416,7 @@
 		return;
 	g_free(st->tasks[index].avoid);
 	st->tasks[index].avoid = g_strdup(worker);
-	t->due = now + FAIL_PAUSE;
+	t->due = now;
 	if (!st->def->lasting && q.attempts_max > 0 &&
 	    cell_task_failures(t) >= q.attempts_max)
 		end_job(o, st->job, OGL__CELL_JOB_STATE__cell_failed,
--- a/daemon/cell_host.c
+++ b/daemon/cell_host.c
@@ -108,6 +108,14 @@
 	ogl_peer_reset(h->peer, addr);
 }
 
+static bool
+on_peer_refused(void *ctx, const char *addr)
+{
+	struct ogl_cell_host *h = ctx;
+
+	return ogl_peer_refused(h->peer, addr);
+}
+
 static void
 on_log(void *ctx, const char *part, const char *event, const char *text)
 {
@@ -407,6 +415,7 @@
 	h->ops.reply = on_reply;
 	h->ops.peer_send = on_peer_send;
 	h->ops.peer_reset = on_peer_reset;
+	h->ops.peer_refused = on_peer_refused;
 	h->ops.log = on_log;
 	h->ops.count = on_count;
 	h->ops.observe = on_observe;
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -64,6 +64,7 @@
 	size_t queued_bytes;
 	size_t begun; /* bytes written of the head, its length included */
 	ev_tstamp used;
+	bool refused; /* the last attempt to connect found nobody listening */
 };
 
 struct inlet {
@@ -275,6 +276,7 @@
 	socklen_t len = sizeof err;
 
 	getsockopt(k->fd, SOL_SOCKET, SO_ERROR, &err, &len);
+	k->refused = err == ECONNREFUSED;
 	if (err != 0) {
 		link_fail(k, g_strerror(err));
 		return;
@@ -618,6 +620,14 @@
 	g_free(p);
 }
 
+bool
+ogl_peer_refused(const struct ogl_peer *p, const char *addr)
+{
+	const struct link *k = g_hash_table_lookup(p->links, addr);
+
+	return k != NULL && k->refused;
+}
+
 void
 ogl_peer_expect(struct ogl_peer *p, const ProtobufCMessageDescriptor *message)
 {
--- a/daemon/peer.h
+++ b/daemon/peer.h
@@ -40,6 +40,9 @@
 /* Drops the connection to addr, and what is queued for it: it has gone
  * silent.  The next message opens a new one. */
 
+bool ogl_peer_refused(const struct ogl_peer *p, const char *addr);
+/* Whether the last attempt to connect to addr found nobody listening. */
+
 uint16_t ogl_peer_port(const struct ogl_peer *p);
 
 void ogl_peer_send(struct ogl_peer *p, const char *addr, GBytes *msg);
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -1771,7 +1771,7 @@
   (ProtobufCMessageInit) ogl__cell_ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_pong__field_descriptors[1] =
+static const ProtobufCFieldDescriptor ogl__cell_pong__field_descriptors[3] =
 {
   {
     "stamp",
@@ -1785,14 +1785,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "owns",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPong, owns),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "able",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPong, able),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_pong__field_indices_by_name[] = {
+  2,   /* field[2] = able */
+  1,   /* field[1] = owns */
   0,   /* field[0] = stamp */
 };
 static const ProtobufCIntRange ogl__cell_pong__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ogl__cell_pong__descriptor =
 {
@@ -1802,7 +1828,7 @@
   "Ogl__CellPong",
   "ogl",
   sizeof(Ogl__CellPong),
-  1,
+  3,
   ogl__cell_pong__field_descriptors,
   ogl__cell_pong__field_indices_by_name,
   1,  ogl__cell_pong__number_ranges,
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -347,10 +347,18 @@
 {
   ProtobufCMessage base;
   uint64_t stamp;
+  /*
+   * epoch that the sender owns the cell in, 0 none
+   */
+  uint64_t owns;
+  /*
+   * and the store takes what it writes
+   */
+  protobuf_c_boolean able;
 };
 #define OGL__CELL_PONG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_pong__descriptor) \
-    , 0 }
+    , 0, 0, 0 }
 
 
 /*
