Let no second sending's refusal end a run; answer a stored job's repeat as stored

Cause: (1) a start sent twice was refused as old while its run had begun, and the task was started again after it was done (TWICE); (2) a repeat of a submission whose batch the store refused was answered busy although the first was stored (REFUSED).

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -828,10 +828,16 @@
 start_refused(struct cell_fleet *f, struct cell_run *r, enum cell_refusal why,
     ogl_time now)
 {
-	switch (why) {
-	case CELL_REFUSED_FENCE:
+	if (why == CELL_REFUSED_FENCE) {
 		f->events.outranked(f->events.arg, now);
 		return;
+	}
+	/* A start sent twice, known to have begun meanwhile: what became of it
+	 * is for the lists to say, not for the second sending's answer.  Taken
+	 * for a refusal, the task would run again after it was done. */
+	if (r->up_at != 0)
+		return;
+	switch (why) {
 	case CELL_REFUSED_LIFE:
 		r->worker->fenced = false;
 		r->worker->hold_at = now;
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -1268,6 +1268,10 @@
 			log_accepted(o, j);
 			o->run_pass = true;
 		}
+	} else if (fate == CELL_NOT_STORED && j != NULL && j->stored) {
+		/* An earlier submission of the same job was stored; that one
+		 * may be the one whose answer got lost. */
+		reply(o, w->to, w->token, OGL__CELL_OUTCOME__cell_ok, 0);
 	} else if (fate == CELL_NOT_STORED) {
 		take_back(o, j, now);
 		reply(o, w->to, w->token, OGL__CELL_OUTCOME__cell_busy,
