--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -696,6 +696,17 @@
 	call_ended(c);
 }
 
+/*
+ * A worker that does not answer is not asked for a longer lease: the question
+ * may reach it all the same, so each would put off the time from which its
+ * tasks are certainly over, and they would never be started elsewhere.
+ */
+static bool
+may_renew(const struct cell_worker *w)
+{
+	return w->fenced && w->failures == 0;
+}
+
 static void
 send_hold(struct cell_fleet *f, struct cell_worker *w, ogl_time now)
 {
@@ -704,7 +715,7 @@
 	struct cell_hold h = {
 	    .to = {w->addr, w->id, f->epoch},
 	    .last_seen = w->last_seen,
-	    .until_ms = renew && w->fenced ? lease_end(f, w, now) : 0,
+	    .until_ms = renew && may_renew(w) ? lease_end(f, w, now) : 0,
 	    .wait_ms = w->fenced && renew && !w->hurry ? HOLD_WAIT_MS : 0,
 	    .timeout_ms = HOLD_TIMEOUT_MS,
 	};
