--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -634,8 +634,8 @@
 	if (w->life != a->born_ms) {
 		taken = 0;
 		/* An earlier owner may just have renewed the lease of what
-		 * runs there, by as much as the worker grants. */
-		w->until_ms = a->clock_ms + f->limits->lease_max_ms;
+		 * runs there, by as much as any owner asks for. */
+		w->until_ms = a->clock_ms + LEASE_MS;
 	}
 	w->life = a->born_ms;
 	w->fenced = true;
@@ -742,7 +742,9 @@
 		return false;
 	if (!w->listed && !w->expected && g_hash_table_size(w->runs) == 0)
 		return false;
-	if (!w->fenced)
+	/* One that went silent is called until it answers, also when nothing
+	 * runs there: it would never be given work again. */
+	if (!w->fenced || w->failures > 0)
 		return true;
 	/* Its ends are not stored yet. */
 	if (w->taken > w->last_seen && now - w->hold_sent < RENEW)
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -78,6 +78,7 @@
 	ogl_time ask_at;
 	char *after;          /* last key of the page before */
 	GHashTable *progress; /* id -> Ogl__CellProgress, while loading */
+	GHashTable *defs;     /* id -> Ogl__CellJob, the same */
 	GHashTable *jobs;     /* id -> struct cell_job */
 	GHashTable *rates;    /* team -> struct team_rate */
 	struct cell_journal *journal;
@@ -769,6 +770,12 @@
 	return o;
 }
 
+static void
+def_free(void *p)
+{
+	ogl__cell_job__free_unpacked(p, NULL);
+}
+
 static void
 progress_free(void *p)
 {
@@ -806,6 +813,8 @@
 	o->list_at = now;
 	o->progress = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, progress_free);
+	o->defs = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, def_free);
 }
 
 void
@@ -822,6 +831,7 @@
 	g_hash_table_remove_all(o->jobs);
 	g_hash_table_remove_all(o->list_seen);
 	g_clear_pointer(&o->progress, g_hash_table_unref);
+	g_clear_pointer(&o->defs, g_hash_table_unref);
 	g_clear_pointer(&o->after, g_free);
 	g_clear_pointer(&o->list_after, g_free);
 }
@@ -870,36 +880,56 @@
 	o->ops->append(o->ops->outside, &a, on_fenced, exchange_new(o, now));
 }
 
+/* Pages may bring a job's two records in either order. */
 static void
-load_def(
-    struct cell_owner *o, const char *id, struct ogl_str value, ogl_time now)
+load_job(struct cell_owner *o, const char *id, Ogl__CellJob *def, ogl_time now)
 {
-	Ogl__CellJob *def =
-	    ogl__cell_job__unpack(NULL, value.n, (const uint8_t *)value.p);
 	Ogl__CellProgress *p = g_hash_table_lookup(o->progress, id);
-	ogl_time age;
+	ogl_time age = o->wall - (ogl_time)def->accepted_ms * OGL_MS;
 	struct cell_job *j;
-	const char *why = "";
 
-	if (def == NULL || strcmp(def->id, id) != 0 ||
-	    !cell_job_def_valid(def, &why)) {
-		o->ops->log(o->ops->ctx, "owner", "record_unreadable", id);
-		if (def != NULL)
-			ogl__cell_job__free_unpacked(def, NULL);
-		return;
-	}
 	if (p != NULL && cell_job_over(p->state)) {
 		ogl__cell_job__free_unpacked(def, NULL);
 		return; /* it ended just before; the progress record stays */
 	}
-	age = MAX(o->wall - (ogl_time)def->accepted_ms * OGL_MS, 0);
-	j = cell_job_new(def, now - age);
+	j = cell_job_new(def, now - MAX(age, 0));
 	j->stored = true;
 	if (p != NULL)
 		cell_job_apply(j, p);
 	g_hash_table_insert(o->jobs, j->id, j);
 }
 
+static void
+load_jobs(struct cell_owner *o, ogl_time now)
+{
+	GHashTableIter it;
+	gpointer id, def;
+
+	g_hash_table_iter_init(&it, o->defs);
+	while (g_hash_table_iter_next(&it, &id, &def)) {
+		load_job(o, id, def, now);
+		g_hash_table_iter_steal(&it);
+		g_free(id);
+	}
+}
+
+static void
+load_def(struct cell_owner *o, const char *id, struct ogl_str value)
+{
+	Ogl__CellJob *def =
+	    ogl__cell_job__unpack(NULL, value.n, (const uint8_t *)value.p);
+	const char *why = "";
+
+	if (def != NULL && strcmp(def->id, id) == 0 &&
+	    cell_job_def_valid(def, &why)) {
+		g_hash_table_replace(o->defs, g_strdup(id), def);
+		return;
+	}
+	o->ops->log(o->ops->ctx, "owner", "record_unreadable", id);
+	if (def != NULL)
+		ogl__cell_job__free_unpacked(def, NULL);
+}
+
 /*
  * The platform's list may lack workers for a while: entries lapse while the
  * store is away, and come back seconds after it.  What runs there is not to be
@@ -972,7 +1002,7 @@
 	if (r->dropped || strlen(r->key) != CELL_ID_LEN + 1)
 		return;
 	if (r->key[0] == 's') {
-		load_def(o, id, r->value, now);
+		load_def(o, id, r->value);
 		return;
 	}
 	p = ogl__cell_progress__unpack(
@@ -1033,8 +1063,10 @@
 	GList *all, *at;
 	char text[96];
 
+	load_jobs(o, now);
 	load_ended(o);
 	g_clear_pointer(&o->progress, g_hash_table_unref);
+	g_clear_pointer(&o->defs, g_hash_table_unref);
 	o->phase = PHASE_SERVING;
 	cell_journal_open(o->journal, o->epoch);
 	cell_fleet_open(o->fleet, o->epoch, now);
--- /dev/null
+++ b/test/fake_cell.c
@@ -0,0 +1,2476 @@
+/*
+ * One queue of events in virtual time.  An event belongs to a life of a node
+ * or to nobody; those of a node that was killed are dropped, those of a frozen
+ * one wait until it wakes.
+ *
+ * Every exchange ends in one answer: with what the fake did, or as lost when
+ * its time is over.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fake_cell.h"
+#include "job.h"
+
+#define HOP_US 1500 /* one way, up to twice that */
+#define APPEND_US 3000
+#define VALID_MS 2500
+#define ADVICE_US 8000
+#define BEAT_US (1500 * OGL_MS)
+#define MAX_NODES 16
+#define MAX_WORKERS 64
+#define KEY "key-one"
+#define HOST "cell.example"
+#define PREFIX "/q/"
+#define QUEUE "q"
+#define SERVICE "svc"
+#define TEAM "team"
+#define REPEATS_KEPT 5
+#define METHODS 4 /* a caller's token tells its method: remainder by this */
+#define WORKER_CPU 16000
+#define STOP_US (200 * OGL_MS)
+#define GANG_WAIT_US (3 * OGL_SEC)
+#define LEASE_MAX_MS 10000
+#define SAVE_MS 500
+/* A limit may go unseen for as long as faults keep nodes from the store. */
+#define LIMIT_SLACK_US (12 * OGL_SEC)
+
+typedef void event_fn(struct fake_cell *f, void *arg);
+
+struct event {
+	ogl_time at;
+	uint64_t order;
+	int node; /* -1: nobody's */
+	uint64_t life;
+	event_fn *fn;
+	event_fn *drop; /* frees arg when the event is dropped */
+	void *arg;
+};
+
+struct call;
+
+struct node {
+	struct fake_cell *cell;
+	unsigned index;
+	struct cell_node *node;
+	struct cell_ops ops;
+	uint64_t life;
+	bool up;
+	bool frozen;
+	bool refused; /* nobody listened at the last try of a peer */
+	enum fake_store_fault store;
+	char addr[32];
+	char name[32];
+	ogl_time wake;
+	GHashTable *open; /* set of struct call */
+};
+
+/* ---- records of the store --------------------------------------------- */
+
+struct record {
+	char *key;
+	GBytes *value; /* NULL: dropped */
+};
+
+struct stream {
+	GPtrArray *records; /* struct record, by offset */
+	uint64_t epoch;
+	uint64_t seq;
+	bool seq_set;
+	GQueue repeats; /* uint64_t pairs seq, offset */
+	GQueue readers; /* struct call with a long poll */
+};
+
+/* ---- workers ---------------------------------------------------------- */
+
+struct run {
+	struct cell_task_name task;
+	uint64_t number;
+	uint64_t id; /* of this run, for its end's event */
+	uint32_t cpu;
+	bool gang;
+	bool working;
+	uint32_t run_ms;
+	uint32_t done_ms; /* work saved before this run */
+	ogl_time began;
+	bool fails;
+	bool checkpoints;
+	bool lasting;
+	unsigned members;
+};
+
+struct ended {
+	uint64_t number;
+	struct cell_task_name task;
+	uint64_t run;
+	enum cell_end how;
+	char checkpoint[24];
+};
+
+struct worker {
+	unsigned index;
+	char id[24];
+	char addr[32];
+	char rack[8];
+	uint64_t born;
+	ogl_time born_at;
+	uint64_t epoch;
+	uint64_t until_ms;
+	bool up;
+	bool draining;
+	enum fake_worker_fault fault;
+	GPtrArray *runs;   /* struct run */
+	GPtrArray *ended;  /* struct ended */
+	GHashTable *highest; /* task text -> highest run stopped or ended */
+	uint64_t last_end;
+	GQueue holds; /* struct call waiting for an end */
+};
+
+/* A task over the whole cell, for the checks. */
+struct task {
+	unsigned running;
+	bool ended; /* some run ended as done */
+	bool done;  /* and that was taken note of */
+	unsigned failed;
+	unsigned starts;
+};
+
+struct job {
+	char id[CELL_ID_LEN + 1];
+	struct fake_step steps[4];
+	size_t nsteps;
+	int status;
+	bool accepted;
+	unsigned handed_in; /* submissions sent */
+	unsigned rejected;  /* of them, answered as not accepted */
+	bool cancelled;     /* acknowledged */
+	ogl_time cancelled_at;
+	bool has_state;
+	Ogl__CellJobState state;
+	unsigned starts;
+	unsigned running;
+	GHashTable *tasks; /* "step.index" -> struct task */
+};
+
+struct fake_cell {
+	struct fake_cell_shape shape;
+	ogl_time now;
+	uint64_t order;
+	GSequence *events; /* struct event */
+	GRand *rand;
+	struct node nodes[MAX_NODES];
+	struct worker workers[MAX_WORKERS];
+	struct stream streams[CELL_NSTREAMS];
+	GHashTable *jobs;    /* id -> struct job */
+	GHashTable *calls;   /* token -> struct job, callers' */
+	GHashTable *revoked; /* set of keys */
+	GHashTable *tickets; /* "step worker born" -> ogl_time until */
+	uint64_t token;
+	uint64_t run_id;
+	uint64_t config_version;
+	uint32_t team_cpu;
+	ogl_time limit_at;    /* when the present limit was set */
+	uint32_t limit_before; /* the highest that may still be in force */
+	unsigned writes;
+	GString *breaches;
+};
+
+#define EPOCH_WALL ((ogl_time)1780000000 * OGL_SEC)
+
+static void
+breach(struct fake_cell *f, const char *what, const char *about)
+{
+	g_string_append_printf(f->breaches,
+	    "%" G_GINT64_FORMAT " ms: %s: %s\n", f->now / OGL_MS, what, about);
+}
+
+/* ---- events ----------------------------------------------------------- */
+
+static gint
+by_time(gconstpointer a, gconstpointer b, gpointer ctx)
+{
+	const struct event *x = a;
+	const struct event *y = b;
+
+	(void)ctx;
+	if (x->at != y->at)
+		return x->at < y->at ? -1 : 1;
+	return x->order < y->order ? -1 : x->order > y->order;
+}
+
+static void
+post(struct fake_cell *f, ogl_time after, int node, event_fn *fn,
+    event_fn *drop, void *arg)
+{
+	struct event *e = g_new0(struct event, 1);
+
+	e->at = f->now + after;
+	e->order = ++f->order;
+	e->node = node;
+	e->life = node >= 0 ? f->nodes[node].life : 0;
+	e->fn = fn;
+	e->drop = drop;
+	e->arg = arg;
+	g_sequence_insert_sorted(f->events, e, by_time, NULL);
+}
+
+static ogl_time
+hop(struct fake_cell *f)
+{
+	return HOP_US + g_rand_int_range(f->rand, 0, HOP_US);
+}
+
+static bool
+chance(struct fake_cell *f, double p)
+{
+	return g_rand_double(f->rand) < p;
+}
+
+/* ---- exchanges -------------------------------------------------------- */
+
+enum call_kind {
+	CALL_APPEND,
+	CALL_READ,
+	CALL_NEWEST,
+	CALL_HOLD,
+	CALL_START,
+	CALL_STOP,
+	CALL_ASK
+};
+
+/* One exchange of a node, from its sending to its answer. */
+struct call {
+	struct fake_cell *cell;
+	struct node *node;
+	enum call_kind kind;
+	bool over;    /* answered or lost */
+	unsigned refs;
+	void *done;
+	void *arg;
+	enum cell_stream stream;
+	bool fenced;
+	uint64_t epoch;
+	uint64_t seq;
+	int64_t at;
+	GPtrArray *puts; /* struct record */
+	uint64_t from;
+	char *after;
+	uint32_t wait_ms;
+	struct worker *worker;
+	char *worker_id;
+	uint64_t born; /* life of the worker when the call reached it */
+	uint64_t last_seen;
+	uint64_t until_ms;
+	struct cell_task_name task;
+	uint64_t run;
+	char *checkpoint;
+	char *ticket;
+	char *step;
+	GPtrArray *ids;
+	struct cell_order_answer order;
+};
+
+static void
+record_free(void *p)
+{
+	struct record *r = p;
+
+	g_free(r->key);
+	if (r->value != NULL)
+		g_bytes_unref(r->value);
+	g_free(r);
+}
+
+static void
+call_unref(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+
+	(void)f;
+	if (--c->refs > 0)
+		return;
+	if (c->puts != NULL)
+		g_ptr_array_unref(c->puts);
+	if (c->ids != NULL)
+		g_ptr_array_unref(c->ids);
+	g_free(c->after);
+	g_free(c->worker_id);
+	g_free(c->checkpoint);
+	g_free(c->ticket);
+	g_free(c->step);
+	g_free(c);
+}
+
+static void step_node(struct fake_cell *f, struct node *n);
+
+static void
+answer_lost(struct call *c, ogl_time now)
+{
+	switch (c->kind) {
+	case CALL_APPEND: {
+		struct cell_append_answer a = {.io = OGL_IO_LOST};
+
+		((cell_append_fn *)c->done)(c->arg, &a, now);
+		break;
+	}
+	case CALL_READ: {
+		struct cell_read_answer a = {.io = OGL_IO_LOST};
+
+		((cell_read_fn *)c->done)(c->arg, &a, now);
+		break;
+	}
+	case CALL_NEWEST: {
+		struct cell_newest_answer a = {.io = OGL_IO_LOST};
+
+		((cell_newest_fn *)c->done)(c->arg, &a, now);
+		break;
+	}
+	case CALL_HOLD: {
+		struct cell_hold_answer a = {.io = OGL_IO_LOST};
+
+		((cell_hold_fn *)c->done)(c->arg, &a, now);
+		break;
+	}
+	case CALL_START:
+	case CALL_STOP: {
+		struct cell_order_answer a = {.io = OGL_IO_LOST};
+
+		((cell_order_fn *)c->done)(c->arg, &a, now);
+		break;
+	}
+	case CALL_ASK: {
+		struct cell_ask_answer a = {.io = OGL_IO_LOST};
+
+		((cell_ask_fn *)c->done)(c->arg, &a, now);
+		break;
+	}
+	}
+}
+
+static void
+on_timeout(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+
+	if (!c->over) {
+		c->over = true;
+		g_hash_table_remove(c->node->open, c);
+		answer_lost(c, f->now);
+		step_node(f, c->node);
+	}
+	call_unref(f, c);
+}
+
+static struct call *
+call_new(struct node *n, enum call_kind kind, uint32_t timeout_ms, void *done,
+    void *arg)
+{
+	struct call *c = g_new0(struct call, 1);
+
+	c->cell = n->cell;
+	c->node = n;
+	c->kind = kind;
+	c->done = done;
+	c->arg = arg;
+	c->refs = 1;
+	g_hash_table_add(n->open, c);
+	post(n->cell, timeout_ms * OGL_MS, (int)n->index, on_timeout,
+	    call_unref, c);
+	return c;
+}
+
+/* Whether an answer may still be given; then it is the one. */
+static bool
+call_finish(struct call *c)
+{
+	if (c->over)
+		return false;
+	c->over = true;
+	g_hash_table_remove(c->node->open, c);
+	return true;
+}
+
+static void
+travel(struct call *c, ogl_time extra, int node, event_fn *fn)
+{
+	c->refs++;
+	post(c->cell, hop(c->cell) + extra, node, fn, call_unref, c);
+}
+
+/* ---- the store -------------------------------------------------------- */
+
+/*
+ * The fake's own form of what the operator and the workers write: words
+ * separated by spaces.  A configuration is `VERSION POLICY ATTEMPTS CPU KEY..`,
+ * an entry `ADDR RACK BORN DRAINING`.
+ */
+static struct cell_config *
+decode_config(struct ogl_str value)
+{
+	char *text = ogl_str_dup(value);
+	char **w = g_strsplit(text, " ", -1);
+	struct cell_config *c =
+	    cell_config_new(g_ascii_strtoull(w[0], NULL, 10));
+	struct cell_queue *q = cell_config_add_queue(c);
+	struct cell_team *t = cell_config_add_team(c);
+	guint i;
+
+	q->name = g_strdup(QUEUE);
+	q->host = g_strdup(HOST);
+	q->prefix = g_strdup(PREFIX);
+	q->service = g_strdup(SERVICE);
+	q->attempts_max = (uint32_t)atoi(w[2]);
+	q->objective_ms = 1000;
+	q->slack = 2;
+	q->policy.needed = atoi(w[1]) != 0;
+	q->policy.decide_ms = ADVICE_US / 1000.0;
+	q->policy.valid_ms = VALID_MS;
+	t->name = g_strdup(TEAM);
+	t->rate = 1000;
+	t->max.cpu_milli = (uint32_t)atoi(w[3]);
+	for (i = 4; w[i] != NULL; i++)
+		cell_config_add_key(c, w[i], t);
+	g_strfreev(w);
+	g_free(text);
+	return c;
+}
+
+static struct cell_worker_entry *
+decode_entry(struct ogl_str value)
+{
+	char *text = ogl_str_dup(value);
+	char **w = g_strsplit(text, " ", -1);
+	struct cell_worker_entry *e = g_new0(struct cell_worker_entry, 1);
+
+	e->service = g_strdup(SERVICE);
+	e->addr = g_strdup(w[0]);
+	e->zone = g_strdup("z1");
+	e->rack = g_strdup(w[1]);
+	e->labels = g_strsplit(w[1], ",", -1);
+	e->born_ms = g_ascii_strtoull(w[2], NULL, 10);
+	e->draining = atoi(w[3]) != 0;
+	e->capacity.cpu_milli = WORKER_CPU;
+	e->capacity.mem_mb = 65536;
+	g_strfreev(w);
+	g_free(text);
+	return e;
+}
+
+static void
+decode(enum cell_stream stream, GArray *records)
+{
+	guint i;
+
+	for (i = 0; i < records->len; i++) {
+		struct cell_record *r =
+		    &g_array_index(records, struct cell_record, i);
+
+		if (r->dropped)
+			continue;
+		if (stream == CELL_SETTINGS)
+			r->config = decode_config(r->value);
+		else if (stream == CELL_WORKERS)
+			r->worker = decode_entry(r->value);
+	}
+}
+
+static void
+undecode(GArray *records)
+{
+	guint i;
+
+	for (i = 0; i < records->len; i++) {
+		struct cell_record *r =
+		    &g_array_index(records, struct cell_record, i);
+
+		cell_config_unref(r->config);
+		if (r->worker == NULL)
+			continue;
+		g_free(r->worker->service);
+		g_free(r->worker->addr);
+		g_free(r->worker->zone);
+		g_free(r->worker->rack);
+		g_strfreev(r->worker->labels);
+		g_free(r->worker);
+	}
+}
+
+static void
+answer_append(struct call *c, const struct cell_append_answer *a)
+{
+	if (!call_finish(c))
+		return;
+	((cell_append_fn *)c->done)(c->arg, a, c->cell->now);
+	step_node(c->cell, c->node);
+}
+
+static void
+answer_append_ok(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	struct cell_append_answer a = {.io = OGL_IO_OK,
+	    .offset = c->from,
+	    .end = c->from + c->puts->len};
+
+	answer_append(c, &a);
+	call_unref(f, c);
+}
+
+static void
+answer_append_outranked(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	struct cell_append_answer a = {
+	    .io = OGL_IO_REFUSED, .outranked = true};
+
+	answer_append(c, &a);
+	call_unref(f, c);
+}
+
+static void
+answer_append_moved(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	struct cell_append_answer a = {.io = OGL_IO_REFUSED, .moved = true};
+
+	answer_append(c, &a);
+	call_unref(f, c);
+}
+
+static void
+answer_busy(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+
+	if (call_finish(c)) {
+		if (c->kind == CALL_APPEND) {
+			struct cell_append_answer a = {.io = OGL_IO_REFUSED};
+
+			((cell_append_fn *)c->done)(c->arg, &a, f->now);
+		} else {
+			answer_lost(c, f->now);
+		}
+		step_node(f, c->node);
+	}
+	call_unref(f, c);
+}
+
+static void answer_read(struct fake_cell *f, void *arg);
+
+static void
+wake_readers(struct fake_cell *f, struct stream *s)
+{
+	struct call *c;
+
+	while ((c = g_queue_pop_head(&s->readers)) != NULL) {
+		travel(c, 0, (int)c->node->index, answer_read);
+		call_unref(f, c);
+	}
+}
+
+static uint64_t
+put_records(struct fake_cell *f, struct stream *s, GPtrArray *puts)
+{
+	uint64_t offset = s->records->len;
+	guint i;
+
+	for (i = 0; i < puts->len; i++) {
+		const struct record *u = puts->pdata[i];
+		struct record *r = g_new0(struct record, 1);
+
+		r->key = g_strdup(u->key);
+		r->value = u->value != NULL ? g_bytes_ref(u->value) : NULL;
+		g_ptr_array_add(s->records, r);
+	}
+	if (puts->len > 0)
+		wake_readers(f, s);
+	return offset;
+}
+
+/* The first answer of a repeat, or -1. */
+static int64_t
+repeated(const struct stream *s, uint64_t seq)
+{
+	GList *at;
+
+	for (at = s->repeats.head; at != NULL; at = at->next) {
+		const uint64_t *pair = at->data;
+
+		if (pair[0] == seq)
+			return (int64_t)pair[1];
+	}
+	return -1;
+}
+
+static bool
+apply_append(struct fake_cell *f, struct call *c, event_fn **answer)
+{
+	struct stream *s = &f->streams[c->stream];
+	int64_t first;
+	uint64_t *pair;
+
+	*answer = answer_append_ok;
+	if (c->fenced && c->epoch < s->epoch) {
+		*answer = answer_append_outranked;
+		return false;
+	}
+	if (c->at >= 0 && (uint64_t)c->at != s->records->len) {
+		*answer = answer_append_moved;
+		return false;
+	}
+	if (c->fenced && c->epoch > s->epoch) {
+		s->epoch = c->epoch;
+		s->seq_set = false;
+		g_queue_clear_full(&s->repeats, g_free);
+	}
+	if (c->fenced && c->puts->len > 0) {
+		first = repeated(s, c->seq);
+		if (first >= 0) {
+			c->from = (uint64_t)first;
+			return false;
+		}
+		if (s->seq_set && c->seq != s->seq + 1) {
+			*answer = NULL; /* answered as lost: out of sequence */
+			return false;
+		}
+		s->seq = c->seq;
+		s->seq_set = true;
+	}
+	c->from = put_records(f, s, c->puts);
+	f->writes++;
+	if (c->fenced && c->puts->len > 0) {
+		pair = g_new(uint64_t, 2);
+		pair[0] = c->seq;
+		pair[1] = c->from;
+		g_queue_push_tail(&s->repeats, pair);
+		if (s->repeats.length > REPEATS_KEPT)
+			g_free(g_queue_pop_head(&s->repeats));
+	}
+	return true;
+}
+
+static void
+at_store_append(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	event_fn *answer;
+
+	apply_append(f, c, &answer);
+	if (answer != NULL)
+		travel(c, APPEND_US, (int)c->node->index, answer);
+	call_unref(f, c);
+}
+
+static void
+at_store_append_mute(struct fake_cell *f, void *arg)
+{
+	event_fn *answer;
+
+	apply_append(f, arg, &answer);
+	call_unref(f, arg);
+}
+
+static void
+answer_read(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	struct stream *s = &f->streams[c->stream];
+	struct cell_read_answer a = {.io = OGL_IO_OK, .end = s->records->len};
+	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct cell_record));
+	guint i;
+
+	for (i = (guint)c->from; i < s->records->len; i++) {
+		const struct record *u = s->records->pdata[i];
+		struct cell_record r = {.offset = i, .key = u->key};
+		gsize n = 0;
+
+		r.dropped = u->value == NULL;
+		if (u->value != NULL)
+			r.value.p = g_bytes_get_data(u->value, &n);
+		r.value.n = n;
+		g_array_append_val(out, r);
+	}
+	if (call_finish(c)) {
+		decode(c->stream, out);
+		a.records = (const struct cell_record *)(void *)out->data;
+		a.n = out->len;
+		((cell_read_fn *)c->done)(c->arg, &a, f->now);
+		undecode(out);
+		step_node(f, c->node);
+	}
+	g_array_unref(out);
+	call_unref(f, c);
+}
+
+static void
+end_wait(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	struct stream *s = &f->streams[c->stream];
+
+	if (g_queue_remove(&s->readers, c)) {
+		travel(c, 0, (int)c->node->index, answer_read);
+		call_unref(f, c);
+	}
+	call_unref(f, c);
+}
+
+static void
+at_store_read(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	struct stream *s = &f->streams[c->stream];
+
+	if (c->from < s->records->len || c->wait_ms == 0) {
+		travel(c, 0, (int)c->node->index, answer_read);
+	} else {
+		c->refs += 2;
+		g_queue_push_tail(&s->readers, c);
+		post(f, c->wait_ms * OGL_MS, -1, end_wait, call_unref, c);
+	}
+	call_unref(f, c);
+}
+
+struct newest_page {
+	const struct stream *stream;
+	GArray *out;
+};
+
+static gboolean
+add_newest(gpointer key, gpointer value, gpointer ctx)
+{
+	struct newest_page *p = ctx;
+	guint at = GPOINTER_TO_UINT(value) - 1;
+	const struct record *u = p->stream->records->pdata[at];
+	struct cell_record r = {.offset = at, .key = key};
+	gsize n;
+
+	if (u->value == NULL)
+		return FALSE;
+	r.value.p = g_bytes_get_data(u->value, &n);
+	r.value.n = n;
+	g_array_append_val(p->out, r);
+	return FALSE;
+}
+
+static void
+answer_newest(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	struct stream *s = &f->streams[c->stream];
+	struct cell_newest_answer a = {
+	    .io = OGL_IO_OK, .end = s->records->len};
+	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct cell_record));
+	GTree *newest = g_tree_new((GCompareFunc)strcmp); /* by key */
+	guint i;
+
+	for (i = 0; i < s->records->len; i++) {
+		const struct record *u = s->records->pdata[i];
+
+		g_tree_replace(newest, u->key, GUINT_TO_POINTER(i + 1));
+	}
+	g_tree_foreach(newest, add_newest, &(struct newest_page){s, out});
+	if (call_finish(c)) {
+		decode(c->stream, out);
+		a.records = (const struct cell_record *)(void *)out->data;
+		a.n = out->len;
+		((cell_newest_fn *)c->done)(c->arg, &a, f->now);
+		undecode(out);
+		step_node(f, c->node);
+	}
+	g_tree_unref(newest);
+	g_array_unref(out);
+	call_unref(f, c);
+}
+
+static enum fake_store_fault
+fault_of(struct fake_cell *f, const struct node *n, bool write)
+{
+	enum fake_store_fault x = n->store;
+
+	if (x == FAKE_STORE_LOSING || x == FAKE_STORE_LATE)
+		return write && chance(f, 0.5) ? x : FAKE_STORE_WELL;
+	return x;
+}
+
+static void
+send_append(struct call *c)
+{
+	struct fake_cell *f = c->cell;
+
+	switch (fault_of(f, c->node, true)) {
+	case FAKE_STORE_SILENT:
+		break;
+	case FAKE_STORE_BUSY:
+		travel(c, hop(f), (int)c->node->index, answer_busy);
+		break;
+	case FAKE_STORE_LOSING:
+		travel(c, 0, -1, at_store_append_mute);
+		break;
+	case FAKE_STORE_LATE:
+		travel(c, g_rand_int_range(f->rand, 1000, 6000) * OGL_MS, -1,
+		    at_store_append_mute);
+		break;
+	default:
+		travel(c, 0, -1, at_store_append);
+		break;
+	}
+}
+
+static void
+on_append(void *ctx, const struct cell_append *a, cell_append_fn *done,
+    void *arg)
+{
+	struct call *c =
+	    call_new(ctx, CALL_APPEND, a->timeout_ms, (void *)done, arg);
+	size_t i;
+
+	c->stream = a->stream;
+	c->fenced = a->fenced;
+	c->epoch = a->epoch;
+	c->seq = a->seq;
+	c->at = a->at;
+	c->puts = g_ptr_array_new_with_free_func(record_free);
+	for (i = 0; i < a->nputs; i++) {
+		struct record *r = g_new0(struct record, 1);
+
+		r->key = g_strdup(a->puts[i].key);
+		if (a->puts[i].value != NULL)
+			r->value = g_bytes_ref(a->puts[i].value);
+		g_ptr_array_add(c->puts, r);
+	}
+	send_append(c);
+}
+
+static void
+send_read(struct call *c, event_fn *fn)
+{
+	struct fake_cell *f = c->cell;
+	enum fake_store_fault x = fault_of(f, c->node, false);
+
+	if (x == FAKE_STORE_BUSY)
+		travel(c, hop(f), (int)c->node->index, answer_busy);
+	else if (x != FAKE_STORE_SILENT)
+		travel(c, 0, -1, fn);
+}
+
+static void
+on_read(void *ctx, enum cell_stream s, uint64_t from, uint32_t wait_ms,
+    uint32_t timeout_ms, cell_read_fn *done, void *arg)
+{
+	struct call *c =
+	    call_new(ctx, CALL_READ, timeout_ms, (void *)done, arg);
+
+	c->stream = s;
+	c->from = from;
+	c->wait_ms = wait_ms;
+	send_read(c, at_store_read);
+}
+
+static void
+at_store_newest(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+
+	travel(c, 0, (int)c->node->index, answer_newest);
+	call_unref(f, c);
+}
+
+static void
+on_newest(void *ctx, enum cell_stream s, const char *after,
+    uint32_t timeout_ms, cell_newest_fn *done, void *arg)
+{
+	struct call *c =
+	    call_new(ctx, CALL_NEWEST, timeout_ms, (void *)done, arg);
+
+	c->stream = s;
+	c->after = g_strdup(after);
+	send_read(c, at_store_newest);
+}
+
+/* ---- workers ---------------------------------------------------------- */
+
+static uint64_t
+clock_of(const struct fake_cell *f, const struct worker *w)
+{
+	return 1000 + (uint64_t)((f->now - w->born_at) / OGL_MS);
+}
+
+static char *
+task_text(const struct cell_task_name *t)
+{
+	return g_strdup_printf(
+	    "%s.%u.%u.%u", t->id, t->occurrence, t->step, t->index);
+}
+
+static struct job *
+job_of(const struct fake_cell *f, const char *id)
+{
+	return g_hash_table_lookup(f->jobs, id);
+}
+
+static struct task *
+task_of(const struct fake_cell *f, const struct cell_task_name *name)
+{
+	struct job *j = job_of(f, name->id);
+	char key[32];
+	struct task *t;
+
+	if (j == NULL)
+		return NULL;
+	g_snprintf(key, sizeof key, "%u.%u", name->step, name->index);
+	t = g_hash_table_lookup(j->tasks, key);
+	if (t == NULL) {
+		t = g_new0(struct task, 1);
+		g_hash_table_insert(j->tasks, g_strdup(key), t);
+	}
+	return t;
+}
+
+static bool
+same_run(const struct run *r, const struct cell_task_name *t, uint64_t run)
+{
+	return r->number == run && r->task.step == t->step &&
+	       r->task.index == t->index &&
+	       r->task.occurrence == t->occurrence &&
+	       strcmp(r->task.id, t->id) == 0;
+}
+
+static struct run *
+run_of(const struct worker *w, const struct cell_task_name *t, uint64_t run)
+{
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++) {
+		if (same_run(w->runs->pdata[i], t, run))
+			return w->runs->pdata[i];
+	}
+	return NULL;
+}
+
+static uint32_t
+worked_ms(const struct fake_cell *f, const struct run *r)
+{
+	if (!r->working)
+		return r->done_ms;
+	return r->done_ms + (uint32_t)((f->now - r->began) / OGL_MS);
+}
+
+static void
+put_checkpoint(
+    const struct fake_cell *f, const struct run *r, char *to, size_t n)
+{
+	uint32_t ms = worked_ms(f, r) / SAVE_MS * SAVE_MS;
+
+	to[0] = '\0';
+	if (r->checkpoints && ms > 0)
+		g_snprintf(to, n, "%u", ms);
+}
+
+static void answer_hold(struct fake_cell *f, void *arg);
+
+static void
+wake_holds(struct fake_cell *f, struct worker *w)
+{
+	struct call *c;
+
+	while ((c = g_queue_pop_head(&w->holds)) != NULL) {
+		travel(c, 0, (int)c->node->index, answer_hold);
+		call_unref(f, c);
+	}
+}
+
+static void
+forget_run(struct fake_cell *f, struct worker *w, struct run *r)
+{
+	struct task *t = task_of(f, &r->task);
+	struct job *j = job_of(f, r->task.id);
+
+	if (t != NULL)
+		t->running--;
+	if (j != NULL)
+		j->running--;
+	g_ptr_array_remove(w->runs, r);
+}
+
+static void
+raise_highest(struct worker *w, const struct cell_task_name *t, uint64_t run)
+{
+	char *key = task_text(t);
+	uint64_t *had = g_hash_table_lookup(w->highest, key);
+	uint64_t *v = g_new(uint64_t, 1);
+
+	*v = had != NULL ? MAX(*had, run) : run;
+	g_hash_table_replace(w->highest, key, v);
+}
+
+/* One member's end stands for its gang. */
+static void
+mark_ended(struct fake_cell *f, const struct run *r)
+{
+	struct cell_task_name m = r->task;
+	struct task *t = task_of(f, &m);
+
+	if (t != NULL)
+		t->ended = true;
+	for (m.index = 0; r->gang && m.index < r->members; m.index++)
+		task_of(f, &m)->ended = true;
+}
+
+static void
+end_run(struct fake_cell *f, struct worker *w, struct run *r,
+    enum cell_end how)
+{
+	struct ended *e = g_new0(struct ended, 1);
+
+	if (how == CELL_END_DONE)
+		mark_ended(f, r);
+
+	e->number = ++w->last_end;
+	e->task = r->task;
+	e->run = r->number;
+	e->how = how;
+	put_checkpoint(f, r, e->checkpoint, sizeof e->checkpoint);
+	g_ptr_array_add(w->ended, e);
+	raise_highest(w, &r->task, r->number);
+	forget_run(f, w, r);
+	if (w->fault != FAKE_WORKER_DARK)
+		wake_holds(f, w);
+}
+
+struct moment {
+	struct worker *worker;
+	uint64_t id;
+	uint64_t born;
+	enum cell_end how;
+};
+
+static void
+moment_free(struct fake_cell *f, void *arg)
+{
+	(void)f;
+	g_free(arg);
+}
+
+static void break_gang(struct fake_cell *f, const struct run *r);
+
+static void
+at_moment(struct fake_cell *f, void *arg)
+{
+	struct moment *m = arg;
+	struct worker *w = m->worker;
+	struct run copy;
+	guint i;
+
+	for (i = 0; w->born == m->born && i < w->runs->len; i++) {
+		struct run *r = w->runs->pdata[i];
+
+		if (r->id != m->id)
+			continue;
+		copy = *r;
+		if (m->how == CELL_END_ALONE && r->working)
+			break;
+		end_run(f, w, r, m->how);
+		if (copy.gang && m->how != CELL_END_DONE)
+			break_gang(f, &copy);
+		break;
+	}
+	g_free(m);
+}
+
+static void
+plan_end(struct fake_cell *f, struct worker *w, const struct run *r,
+    ogl_time after, enum cell_end how)
+{
+	struct moment *m = g_new(struct moment, 1);
+
+	m->worker = w;
+	m->id = r->id;
+	m->born = w->born;
+	m->how = how;
+	post(f, after, -1, at_moment, moment_free, m);
+}
+
+static void
+begin_work(struct fake_cell *f, struct worker *w, struct run *r)
+{
+	uint32_t left = r->run_ms > r->done_ms ? r->run_ms - r->done_ms : 1;
+	bool fails = r->fails || w->fault == FAKE_WORKER_FAILING;
+
+	r->working = true;
+	r->began = f->now;
+	if (r->lasting && !fails)
+		return;
+	plan_end(f, w, r, (fails ? left / 2 + 1 : left) * OGL_MS,
+	    fails ? CELL_END_FAILED : CELL_END_DONE);
+}
+
+/* Calls fn for each member of r's run of its gang, on workers that are up. */
+static void
+each_member(struct fake_cell *f, const struct run *r,
+    void (*fn)(struct fake_cell *, struct worker *, struct run *))
+{
+	unsigned i;
+	guint k;
+
+	for (i = 0; i < f->shape.workers; i++) {
+		struct worker *w = &f->workers[i];
+
+		for (k = w->runs->len; k-- > 0;) {
+			struct run *m = w->runs->pdata[k];
+
+			if (m->id != r->id && m->number == r->number &&
+			    m->task.step == r->task.step &&
+			    strcmp(m->task.id, r->task.id) == 0)
+				fn(f, w, m);
+		}
+	}
+}
+
+static void
+break_member(struct fake_cell *f, struct worker *w, struct run *r)
+{
+	end_run(f, w, r, CELL_END_BROKEN);
+}
+
+static void
+break_gang(struct fake_cell *f, const struct run *r)
+{
+	each_member(f, r, break_member);
+}
+
+static unsigned members_seen; /* of the gang being looked at */
+
+static void
+count_member(struct fake_cell *f, struct worker *w, struct run *r)
+{
+	(void)f;
+	(void)w;
+	(void)r;
+	members_seen++;
+}
+
+static void
+gather_gang(struct fake_cell *f, struct worker *w, struct run *r)
+{
+	members_seen = 1;
+	each_member(f, r, count_member);
+	if (members_seen < r->members) {
+		plan_end(f, w, r, GANG_WAIT_US, CELL_END_ALONE);
+		return;
+	}
+	begin_work(f, w, r);
+	each_member(f, r, begin_work);
+}
+
+static bool
+order_ready(const struct fake_cell *f, const struct job *j, uint32_t step)
+{
+	int32_t after = j->steps[step].after;
+	struct cell_task_name name = {.step = (uint32_t)after};
+	uint32_t i;
+
+	if (after < 0)
+		return true;
+	memcpy(name.id, j->id, sizeof name.id);
+	for (i = 0; i < j->steps[after].count; i++) {
+		name.index = i;
+		if (!task_of(f, &name)->ended)
+			return false;
+	}
+	return true;
+}
+
+static void
+check_start(struct fake_cell *f, const struct worker *w, struct job *j,
+    const struct cell_task_name *name, uint32_t cpu)
+{
+	struct task *t = task_of(f, name);
+	char *text = task_text(name);
+	uint32_t used = cpu;
+	uint32_t team = cpu;
+	uint32_t max = f->team_cpu;
+	unsigned i;
+	guint k;
+
+	if (f->now - f->limit_at < LIMIT_SLACK_US)
+		max = f->limit_before == 0 || f->team_cpu == 0
+			  ? 0
+			  : MAX(f->limit_before, f->team_cpu);
+	for (k = 0; k < w->runs->len; k++)
+		used += ((struct run *)w->runs->pdata[k])->cpu;
+	for (i = 0; i < f->shape.workers; i++) {
+		for (k = 0; k < f->workers[i].runs->len; k++)
+			team +=
+			    ((struct run *)f->workers[i].runs->pdata[k])->cpu;
+	}
+	if (used > WORKER_CPU)
+		breach(f, "LIMIT", text);
+	if (max > 0 && team > max + max / 10 + cpu)
+		breach(f, "QUOTA", text);
+	if (t->running > 0 && !j->steps[name->step].duplicates)
+		breach(f, "TWICE", text);
+	if (t->done && !j->steps[name->step].duplicates)
+		breach(f, "AGAIN", text);
+	if (!order_ready(f, j, name->step))
+		breach(f, "ORDER", text);
+	if (!j->steps[name->step].lasting && f->shape.attempts_max > 0 &&
+	    t->failed >= f->shape.attempts_max)
+		breach(f, "BUDGET", text);
+	if (j->cancelled && f->now - j->cancelled_at > 3 * OGL_SEC)
+		breach(f, "CANCELLED", text);
+	if (j->rejected == j->handed_in)
+		breach(f, "REFUSED", text);
+	g_free(text);
+}
+
+static enum cell_refusal
+refuse_start(struct fake_cell *f, struct worker *w, const struct call *c)
+{
+	char *key = task_text(&c->task);
+	uint64_t *had = g_hash_table_lookup(w->highest, key);
+	ogl_time *until;
+	char *ticket;
+	bool good;
+
+	g_free(key);
+	if (had != NULL && c->run <= *had)
+		return CELL_REFUSED_OLD;
+	if (c->until_ms <= clock_of(f, w))
+		return CELL_REFUSED_LATE;
+	if (!f->shape.policy)
+		return CELL_REFUSED_NOT;
+	ticket = g_strdup_printf("%s.%u.%u %s %" G_GUINT64_FORMAT, c->task.id,
+	    c->task.occurrence, c->task.step, w->id, w->born);
+	until = g_hash_table_lookup(f->tickets, ticket);
+	good = c->ticket != NULL && strcmp(c->ticket, ticket) == 0 &&
+	       until != NULL && f->now <= *until;
+	g_free(ticket);
+	return good ? CELL_REFUSED_NOT : CELL_REFUSED_TICKET;
+}
+
+static void
+start_run(struct fake_cell *f, struct worker *w, const struct call *c)
+{
+	struct job *j = job_of(f, c->task.id);
+	const struct fake_step *s;
+	struct run *r;
+
+	if (j == NULL || c->task.step >= j->nsteps) {
+		breach(f, "UNASKED", c->task.id);
+		return;
+	}
+	s = &j->steps[c->task.step];
+	check_start(f, w, j, &c->task, s->cpu);
+	r = g_new0(struct run, 1);
+	r->task = c->task;
+	r->number = c->run;
+	r->id = ++f->run_id;
+	r->cpu = s->cpu;
+	r->run_ms = s->run_ms;
+	r->gang = s->gang;
+	r->members = s->count;
+	r->fails = s->fails;
+	r->checkpoints = s->checkpoints;
+	r->lasting = s->lasting;
+	r->done_ms = (uint32_t)atoi(c->checkpoint);
+	task_of(f, &c->task)->running++;
+	task_of(f, &c->task)->starts++;
+	j->starts++;
+	j->running++;
+	g_ptr_array_add(w->runs, r);
+	if (r->gang)
+		gather_gang(f, w, r);
+	else
+		begin_work(f, w, r);
+}
+
+static bool
+fenced_off(struct worker *w, const struct call *c)
+{
+	if (c->epoch < w->epoch)
+		return true;
+	w->epoch = c->epoch;
+	return false;
+}
+
+static void
+renew(struct fake_cell *f, struct worker *w, uint64_t until)
+{
+	w->until_ms = MAX(
+	    w->until_ms, MIN(until, clock_of(f, w) + LEASE_MAX_MS));
+}
+
+static void
+do_start(struct fake_cell *f, struct call *c)
+{
+	struct worker *w = c->worker;
+	enum cell_refusal why;
+
+	c->order.io = OGL_IO_OK;
+	c->order.clock_ms = clock_of(f, w);
+	if (fenced_off(w, c)) {
+		c->order.io = OGL_IO_REFUSED;
+		c->order.why = CELL_REFUSED_FENCE;
+		return;
+	}
+	if (run_of(w, &c->task, c->run) != NULL)
+		return;
+	why = refuse_start(f, w, c);
+	if (why != CELL_REFUSED_NOT) {
+		c->order.io = OGL_IO_REFUSED;
+		c->order.why = why;
+		return;
+	}
+	renew(f, w, c->until_ms);
+	start_run(f, w, c);
+}
+
+static void
+do_stop(struct fake_cell *f, struct call *c)
+{
+	struct worker *w = c->worker;
+	struct run *r;
+
+	c->order.io = OGL_IO_OK;
+	c->order.clock_ms = clock_of(f, w);
+	if (fenced_off(w, c)) {
+		c->order.io = OGL_IO_REFUSED;
+		c->order.why = CELL_REFUSED_FENCE;
+		return;
+	}
+	r = run_of(w, &c->task, c->run);
+	if (r != NULL)
+		plan_end(f, w, r, STOP_US, CELL_END_STOPPED);
+	else
+		raise_highest(w, &c->task, c->run);
+}
+
+static void
+answer_order(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+
+	if (call_finish(c)) {
+		((cell_order_fn *)c->done)(c->arg, &c->order, f->now);
+		step_node(f, c->node);
+	}
+	call_unref(f, c);
+}
+
+/* Whether a call gets through to a worker and is meant for this life. */
+static bool
+reaches(struct fake_cell *f, struct call *c)
+{
+	(void)f;
+	return c->worker != NULL && c->worker->up &&
+	       c->worker->fault != FAKE_WORKER_DARK;
+}
+
+static void
+at_worker_order(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+
+	if (reaches(f, c)) {
+		if (c->kind == CALL_START)
+			do_start(f, c);
+		else
+			do_stop(f, c);
+		travel(c, 0, (int)c->node->index, answer_order);
+	}
+	call_unref(f, c);
+}
+
+static void
+at_worker_order_late(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+
+	if (reaches(f, c)) {
+		if (c->kind == CALL_START)
+			do_start(f, c);
+		else
+			do_stop(f, c);
+	}
+	call_unref(f, c);
+}
+
+static struct worker *
+worker_at(struct fake_cell *f, const char *addr)
+{
+	unsigned i;
+
+	for (i = 0; i < f->shape.workers; i++) {
+		if (strcmp(f->workers[i].addr, addr) == 0)
+			return &f->workers[i];
+	}
+	return NULL;
+}
+
+static struct call *
+order_call(struct node *n, enum call_kind kind, const struct cell_order *o,
+    cell_order_fn *done, void *arg)
+{
+	struct fake_cell *f = n->cell;
+	struct call *c =
+	    call_new(n, kind, o->timeout_ms, (void *)done, arg);
+
+	c->worker = worker_at(f, o->to.addr);
+	c->epoch = o->to.epoch;
+	c->task = o->task;
+	c->run = o->run;
+	c->until_ms = o->until_ms;
+	c->checkpoint =
+	    g_strdup(o->checkpoint != NULL ? o->checkpoint : "");
+	c->ticket = g_strdup(o->ticket);
+	if (c->worker != NULL && c->worker->fault == FAKE_WORKER_LATE &&
+	    chance(f, 0.4))
+		travel(c, g_rand_int_range(f->rand, 2000, 12000) * OGL_MS, -1,
+		    at_worker_order_late);
+	else
+		travel(c, 0, -1, at_worker_order);
+	return c;
+}
+
+static void
+on_start(void *ctx, const struct cell_order *o, cell_order_fn *done, void *arg)
+{
+	order_call(ctx, CALL_START, o, done, arg);
+}
+
+static void
+on_stop(void *ctx, const struct cell_order *o, cell_order_fn *done, void *arg)
+{
+	order_call(ctx, CALL_STOP, o, done, arg);
+}
+
+/* ---- holds ------------------------------------------------------------ */
+
+static void
+note_ends(struct fake_cell *f, struct worker *w, uint64_t seen)
+{
+	while (w->ended->len > 0) {
+		struct ended *e = w->ended->pdata[0];
+		struct task *t = task_of(f, &e->task);
+		struct job *j = job_of(f, e->task.id);
+
+		if (e->number > seen)
+			break;
+		if (t != NULL && e->how == CELL_END_DONE)
+			t->done = true;
+		if (t != NULL && e->how == CELL_END_FAILED)
+			t->failed++;
+		/* One member's end stands for its gang. */
+		if (j != NULL && e->how == CELL_END_DONE &&
+		    j->steps[e->task.step].gang) {
+			struct cell_task_name m = e->task;
+
+			for (m.index = 0;
+			     m.index < j->steps[e->task.step].count; m.index++)
+				task_of(f, &m)->done = true;
+		}
+		g_ptr_array_remove_index(w->ended, 0);
+	}
+}
+
+static void
+answer_hold(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	struct worker *w = c->worker;
+	struct cell_hold_answer a = {
+	    .io = OGL_IO_OK, .clock_ms = clock_of(f, w), .born_ms = w->born};
+	GArray *running = g_array_new(FALSE, TRUE, sizeof(struct cell_row));
+	GArray *ended = g_array_new(FALSE, TRUE, sizeof(struct cell_row));
+	GPtrArray *texts = g_ptr_array_new_with_free_func(g_free);
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++) {
+		const struct run *r = w->runs->pdata[i];
+		struct cell_row row = {.task = r->task, .run = r->number};
+		char *text = g_malloc0(24);
+
+		put_checkpoint(f, r, text, 24);
+		g_ptr_array_add(texts, text);
+		row.checkpoint = text;
+		row.percent = r->run_ms > 0 ? worked_ms(f, r) * 100 / r->run_ms
+					    : 100;
+		g_array_append_val(running, row);
+	}
+	for (i = 0; i < w->ended->len; i++) {
+		const struct ended *e = w->ended->pdata[i];
+		struct cell_row row = {.task = e->task,
+		    .run = e->run,
+		    .number = e->number,
+		    .how = e->how,
+		    .checkpoint = e->checkpoint};
+
+		g_array_append_val(ended, row);
+	}
+	a.running = (const struct cell_row *)(void *)running->data;
+	a.nrunning = running->len;
+	a.ended = (const struct cell_row *)(void *)ended->data;
+	a.nended = ended->len;
+	if (reaches(f, c) && c->born == w->born && call_finish(c)) {
+		((cell_hold_fn *)c->done)(c->arg, &a, f->now);
+		step_node(f, c->node);
+	}
+	g_array_unref(running);
+	g_array_unref(ended);
+	g_ptr_array_unref(texts);
+	call_unref(f, c);
+}
+
+static void
+answer_hold_fenced(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	struct cell_hold_answer a = {
+	    .io = OGL_IO_REFUSED, .why = CELL_REFUSED_FENCE};
+
+	if (call_finish(c)) {
+		((cell_hold_fn *)c->done)(c->arg, &a, f->now);
+		step_node(f, c->node);
+	}
+	call_unref(f, c);
+}
+
+static void
+end_hold(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+
+	if (g_queue_remove(&c->worker->holds, c)) {
+		travel(c, 0, (int)c->node->index, answer_hold);
+		call_unref(f, c);
+	}
+	call_unref(f, c);
+}
+
+static void
+at_worker_hold(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	struct worker *w = c->worker;
+
+	if (!reaches(f, c)) {
+		call_unref(f, c);
+		return;
+	}
+	c->born = w->born;
+	if (fenced_off(w, c)) {
+		travel(c, 0, (int)c->node->index, answer_hold_fenced);
+		call_unref(f, c);
+		return;
+	}
+	note_ends(f, w, c->last_seen);
+	if (c->until_ms > 0)
+		renew(f, w, c->until_ms);
+	if (w->ended->len > 0 || c->wait_ms == 0) {
+		travel(c, 0, (int)c->node->index, answer_hold);
+	} else {
+		c->refs += 2;
+		g_queue_push_tail(&w->holds, c);
+		post(f, c->wait_ms * OGL_MS, -1, end_hold, call_unref, c);
+	}
+	call_unref(f, c);
+}
+
+static void
+on_hold(void *ctx, const struct cell_hold *h, cell_hold_fn *done, void *arg)
+{
+	struct node *n = ctx;
+	struct call *c =
+	    call_new(n, CALL_HOLD, h->timeout_ms, (void *)done, arg);
+
+	c->worker = worker_at(n->cell, h->to.addr);
+	c->epoch = h->to.epoch;
+	c->last_seen = h->last_seen;
+	c->until_ms = h->until_ms;
+	c->wait_ms = h->wait_ms;
+	travel(c, 0, -1, at_worker_hold);
+}
+
+/* ---- advice ----------------------------------------------------------- */
+
+static void
+answer_ask(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	struct cell_ask_answer a = {.io = OGL_IO_OK, .valid_ms = VALID_MS};
+	struct cell_ticket *tickets = g_new(struct cell_ticket, c->ids->len);
+	GPtrArray *texts = g_ptr_array_new_with_free_func(g_free);
+	guint i;
+	unsigned k;
+
+	for (i = 0; i < c->ids->len; i++) {
+		for (k = 0; k < f->shape.workers; k++) {
+			struct worker *w = &f->workers[k];
+			ogl_time *until;
+			char *text;
+
+			/* Half of the workers are allowed, which does not
+			 * change. */
+			if (strcmp(w->id, c->ids->pdata[i]) != 0 ||
+			    (g_str_hash(c->step) + k) % 2 != 0)
+				continue;
+			text = g_strdup_printf("%s %s %" G_GUINT64_FORMAT,
+			    c->step, w->id, w->born);
+			until = g_new(ogl_time, 1);
+			*until = f->now + VALID_MS * OGL_MS;
+			g_hash_table_replace(
+			    f->tickets, g_strdup(text), until);
+			g_ptr_array_add(texts, text);
+			tickets[a.n].worker = w->id;
+			tickets[a.n].ticket = text;
+			a.n++;
+		}
+	}
+	a.tickets = tickets;
+	if (call_finish(c)) {
+		((cell_ask_fn *)c->done)(c->arg, &a, f->now);
+		step_node(f, c->node);
+	}
+	g_free(tickets);
+	g_ptr_array_unref(texts);
+	call_unref(f, c);
+}
+
+static void
+on_ask(void *ctx, const struct cell_ask *a, cell_ask_fn *done, void *arg)
+{
+	struct call *c =
+	    call_new(ctx, CALL_ASK, a->timeout_ms, (void *)done, arg);
+	size_t i;
+
+	c->step = g_strdup(a->step);
+	c->ids = g_ptr_array_new_with_free_func(g_free);
+	for (i = 0; i < a->n; i++)
+		g_ptr_array_add(c->ids, g_strdup(a->workers[i]));
+	travel(c, ADVICE_US, (int)c->node->index, answer_ask);
+}
+
+/* ---- peers ------------------------------------------------------------ */
+
+struct parcel {
+	unsigned to;
+	GBytes *bytes;
+};
+
+static void
+parcel_free(struct fake_cell *f, void *arg)
+{
+	struct parcel *p = arg;
+
+	(void)f;
+	g_bytes_unref(p->bytes);
+	g_free(p);
+}
+
+static void
+on_parcel(struct fake_cell *f, void *arg)
+{
+	struct parcel *p = arg;
+	struct node *n = &f->nodes[p->to];
+	gsize len;
+	struct ogl_str s;
+
+	s.p = g_bytes_get_data(p->bytes, &len);
+	s.n = len;
+	cell_node_peer(n->node, s, f->now);
+	parcel_free(f, p);
+	step_node(f, n);
+}
+
+static void
+on_peer_send(void *ctx, const char *addr, GBytes *msg)
+{
+	struct node *from = ctx;
+	struct fake_cell *f = from->cell;
+	unsigned i;
+
+	for (i = 0; i < f->shape.nodes; i++) {
+		struct node *n = &f->nodes[i];
+		struct parcel *p;
+
+		if (strcmp(n->addr, addr) != 0)
+			continue;
+		from->refused = !n->up;
+		if (!n->up)
+			continue;
+		p = g_new(struct parcel, 1);
+		p->to = i;
+		p->bytes = g_bytes_ref(msg);
+		post(f, hop(f), (int)i, on_parcel, parcel_free, p);
+	}
+}
+
+static void
+on_peer_reset(void *ctx, const char *addr)
+{
+	(void)ctx;
+	(void)addr;
+}
+
+static bool
+on_peer_refused(void *ctx, const char *addr)
+{
+	const struct node *n = ctx;
+
+	(void)addr;
+	return n->refused;
+}
+
+/* ---- callers ---------------------------------------------------------- */
+
+static int
+http_status(enum cell_status s)
+{
+	static const int statuses[] = {200, 400, 401, 404, 410, 405, 429, 503,
+	    504};
+
+	return statuses[s];
+}
+
+static void
+on_reply(void *ctx, uint64_t token, const struct cell_answer *a)
+{
+	struct node *n = ctx;
+	struct fake_cell *f = n->cell;
+	struct job *j = g_hash_table_lookup(f->calls, &token);
+
+	if (j == NULL)
+		return;
+	g_hash_table_remove(f->calls, &token);
+	j->status = http_status(a->status);
+	if (a->has_state) {
+		j->has_state = true;
+		j->state = a->state;
+	}
+	switch ((enum cell_method)(token % METHODS)) {
+	case CELL_POST:
+		if (a->status == CELL_OK)
+			j->accepted = true;
+		else if (a->status != CELL_UNSURE)
+			j->rejected++;
+		break;
+	case CELL_DELETE:
+		if (a->status == CELL_OK && !j->cancelled) {
+			j->cancelled = true;
+			j->cancelled_at = f->now;
+		}
+		break;
+	default:
+		break;
+	}
+}
+
+static Ogl__CellStep *
+proto_step(const struct fake_step *s)
+{
+	Ogl__CellStep *p = malloc(sizeof *p);
+
+	ogl__cell_step__init(p);
+	p->count = s->count;
+	p->cpu_milli = s->cpu;
+	p->mem_mb = 100;
+	p->estimate_ms = s->run_ms;
+	p->gang = s->gang;
+	p->checkpoints = s->checkpoints;
+	p->duplicates = s->duplicates;
+	p->lasting = s->lasting;
+	p->worker_max = s->worker_max;
+	if (s->after >= 0) {
+		p->after = malloc(sizeof *p->after);
+		p->after[0] = (uint32_t)s->after;
+		p->n_after = 1;
+	}
+	return p;
+}
+
+/* The body of a fake submission is the job's id. */
+static Ogl__CellJob *
+on_decode(void *ctx, struct ogl_str body, const char **why)
+{
+	struct node *n = ctx;
+	char *id = ogl_str_dup(body);
+	struct job *j = job_of(n->cell, id);
+	Ogl__CellJob *p;
+	size_t i;
+
+	g_free(id);
+	if (j == NULL) {
+		*why = "malformed";
+		return NULL;
+	}
+	p = malloc(sizeof *p);
+	ogl__cell_job__init(p);
+	p->n_steps = j->nsteps;
+	p->steps = calloc(j->nsteps, sizeof *p->steps);
+	for (i = 0; i < j->nsteps; i++)
+		p->steps[i] = proto_step(&j->steps[i]);
+	return p;
+}
+
+static void
+call_node(struct fake_cell *f, unsigned node, enum cell_method method,
+    struct job *j, const char *key)
+{
+	struct node *n = &f->nodes[node];
+	char path[64];
+	struct cell_request r = {.method = method,
+	    .host = ogl_str(HOST),
+	    .key = ogl_str(key),
+	    .body = ogl_str(j->id),
+	    .budget_ms = 3000};
+	uint64_t *token = g_new(uint64_t, 1);
+
+	g_snprintf(path, sizeof path, PREFIX "%s", j->id);
+	r.path = ogl_str(path);
+	*token = ++f->token * METHODS + method;
+	if (method == CELL_POST)
+		j->handed_in++;
+	if (!n->up || n->frozen) {
+		g_free(token);
+		return;
+	}
+	g_hash_table_insert(f->calls, token, j);
+	cell_node_call(n->node, *token, &r, f->now);
+	step_node(f, n);
+}
+
+void
+fake_cell_submit(struct fake_cell *f, unsigned node, const char *id,
+    const char *key, const struct fake_step *steps, size_t n)
+{
+	struct job *j = job_of(f, id);
+
+	if (j == NULL) {
+		j = g_new0(struct job, 1);
+		g_strlcpy(j->id, id, sizeof j->id);
+		memcpy(j->steps, steps, n * sizeof *steps);
+		j->nsteps = n;
+		j->status = -1;
+		j->tasks = g_hash_table_new_full(
+		    g_str_hash, g_str_equal, g_free, g_free);
+		g_hash_table_insert(f->jobs, j->id, j);
+	}
+	call_node(f, node, CELL_POST, j, key != NULL ? key : KEY);
+}
+
+void
+fake_cell_cancel(struct fake_cell *f, unsigned node, const char *id)
+{
+	call_node(f, node, CELL_DELETE, job_of(f, id), KEY);
+}
+
+void
+fake_cell_ask(struct fake_cell *f, unsigned node, const char *id)
+{
+	call_node(f, node, CELL_GET, job_of(f, id), KEY);
+}
+
+int
+fake_cell_status(const struct fake_cell *f, const char *id)
+{
+	return job_of(f, id)->status;
+}
+
+const char *
+fake_cell_state(struct fake_cell *f, const char *id)
+{
+	static const char *const names[] = {
+	    "queued", "running", "completed", "failed", "cancelled"};
+	struct job *j = job_of(f, id);
+	unsigned i;
+
+	j->has_state = false;
+	for (i = 0; i < f->shape.nodes; i++) {
+		if (f->nodes[i].frozen || !fake_cell_ready(f, i))
+			continue;
+		fake_cell_ask(f, i, id);
+		break;
+	}
+	fake_cell_run(f, 3000);
+	return j->has_state ? names[j->state] : "none";
+}
+
+unsigned
+fake_cell_starts(const struct fake_cell *f, const char *id)
+{
+	return job_of(f, id)->starts;
+}
+
+unsigned
+fake_cell_running(const struct fake_cell *f, const char *id)
+{
+	return job_of(f, id)->running;
+}
+
+/* ---- nodes ------------------------------------------------------------ */
+
+static void
+on_log(void *ctx, const char *part, const char *event, const char *text)
+{
+	struct node *n = ctx;
+
+	if (getenv("FAKE_CELL_LOG") != NULL)
+		fprintf(stderr, "%8" G_GINT64_FORMAT " %s %s.%s %s\n",
+		    n->cell->now / OGL_MS, n->name, part, event, text);
+}
+
+static void
+on_count(void *ctx, const char *name, uint64_t by)
+{
+	(void)ctx;
+	(void)name;
+	(void)by;
+}
+
+static void
+fill_ops(struct node *n)
+{
+	struct cell_ops *o = &n->ops;
+
+	o->append = on_append;
+	o->read = on_read;
+	o->newest = on_newest;
+	o->hold = on_hold;
+	o->start = on_start;
+	o->stop = on_stop;
+	o->ask = on_ask;
+	o->decode_job = on_decode;
+	o->reply = on_reply;
+	o->peer_send = on_peer_send;
+	o->peer_reset = on_peer_reset;
+	o->peer_refused = on_peer_refused;
+	o->log = on_log;
+	o->count = on_count;
+	o->observe = on_count;
+	o->outside = n;
+	o->ctx = n;
+}
+
+static void
+on_wake(struct fake_cell *f, void *arg)
+{
+	struct node *n = arg;
+
+	n->wake = OGL_NEVER;
+	step_node(f, n);
+}
+
+static void
+no_drop(struct fake_cell *f, void *arg)
+{
+	(void)f;
+	(void)arg;
+}
+
+static void
+step_node(struct fake_cell *f, struct node *n)
+{
+	ogl_time at;
+
+	if (!n->up)
+		return;
+	cell_node_step(n->node, f->now, f->now + EPOCH_WALL);
+	at = MAX(cell_node_wake(n->node, f->now), f->now + OGL_MS);
+	if (at < n->wake) {
+		n->wake = at;
+		post(f, at - f->now, (int)n->index, on_wake, no_drop, n);
+	}
+}
+
+void
+fake_cell_boot(struct fake_cell *f, unsigned node)
+{
+	struct node *n = &f->nodes[node];
+	struct cell_node_config c = {.name = n->name,
+	    .addr = n->addr,
+	    .boot = ++f->token,
+	    .seed = g_rand_int(f->rand),
+	    .limits = {.lease_max_ms = LEASE_MAX_MS,
+		.stop_ms = 900,
+		.revoke_ms = 5000,
+		.status_ms = 120000,
+		.visible_ms = 3000,
+		.gang_ms = 3000}};
+
+	if (n->up)
+		return;
+	n->up = true;
+	n->frozen = false;
+	n->life++;
+	n->wake = OGL_NEVER;
+	n->node = cell_node_init(&c, &n->ops);
+	step_node(f, n);
+}
+
+void
+fake_cell_kill(struct fake_cell *f, unsigned node)
+{
+	struct node *n = &f->nodes[node];
+	GHashTableIter it;
+	gpointer p;
+
+	if (!n->up)
+		return;
+	n->up = false;
+	n->life++;
+	/* Its exchanges end with it; they are told so that nothing leaks. */
+	while (g_hash_table_size(n->open) > 0) {
+		g_hash_table_iter_init(&it, n->open);
+		g_hash_table_iter_next(&it, &p, NULL);
+		g_hash_table_remove(n->open, p);
+		((struct call *)p)->over = true;
+		answer_lost(p, f->now);
+	}
+	cell_node_end(n->node);
+	n->node = NULL;
+}
+
+void
+fake_cell_freeze(struct fake_cell *f, unsigned node, bool on)
+{
+	f->nodes[node].frozen = on;
+	if (!on)
+		step_node(f, &f->nodes[node]);
+}
+
+void
+fake_cell_stop(struct fake_cell *f, unsigned node)
+{
+	if (!f->nodes[node].up)
+		return;
+	cell_node_stop(f->nodes[node].node, f->now);
+	step_node(f, &f->nodes[node]);
+}
+
+bool
+fake_cell_ready(const struct fake_cell *f, unsigned node)
+{
+	return f->nodes[node].up && cell_node_ready(f->nodes[node].node, f->now);
+}
+
+int
+fake_cell_owner(const struct fake_cell *f)
+{
+	int owner = -1;
+	unsigned i;
+
+	for (i = 0; i < f->shape.nodes; i++) {
+		if (!f->nodes[i].up || !cell_node_owns(f->nodes[i].node))
+			continue;
+		if (owner >= 0)
+			return -2;
+		owner = (int)i;
+	}
+	return owner;
+}
+
+/* ---- the store's contents --------------------------------------------- */
+
+static void
+put_text(struct fake_cell *f, enum cell_stream s, const char *key, char *text)
+{
+	GPtrArray *puts = g_ptr_array_new_with_free_func(record_free);
+	struct record *r = g_new0(struct record, 1);
+
+	r->key = g_strdup(key);
+	if (text != NULL)
+		r->value = g_bytes_new_take(text, strlen(text));
+	g_ptr_array_add(puts, r);
+	put_records(f, &f->streams[s], puts);
+	g_ptr_array_unref(puts);
+}
+
+static void
+put_config(struct fake_cell *f)
+{
+	static const char *const keys[] = {KEY, "key-two"};
+	GString *s = g_string_new(NULL);
+	size_t i;
+
+	g_string_printf(s, "%" G_GUINT64_FORMAT " %d %u %u",
+	    ++f->config_version, f->shape.policy, f->shape.attempts_max,
+	    f->team_cpu);
+	for (i = 0; i < G_N_ELEMENTS(keys); i++) {
+		if (!g_hash_table_contains(f->revoked, keys[i]))
+			g_string_append_printf(s, " %s", keys[i]);
+	}
+	put_text(f, CELL_SETTINGS, "config", g_string_free(s, FALSE));
+}
+
+static void
+put_entry(struct fake_cell *f, const struct worker *w)
+{
+	put_text(f, CELL_WORKERS, w->id,
+	    w->up ? g_strdup_printf("%s %s %" G_GUINT64_FORMAT " %d", w->addr,
+			w->rack, w->born, w->draining)
+		  : NULL);
+}
+
+void
+fake_cell_store(struct fake_cell *f, int node, enum fake_store_fault fault)
+{
+	unsigned i;
+
+	for (i = 0; i < f->shape.nodes; i++) {
+		if (node < 0 || (unsigned)node == i)
+			f->nodes[i].store = fault;
+	}
+}
+
+void
+fake_cell_revoke(struct fake_cell *f, const char *key)
+{
+	g_hash_table_add(f->revoked, g_strdup(key));
+	put_config(f);
+}
+
+void
+fake_cell_limit(struct fake_cell *f, uint32_t team_cpu_max)
+{
+	if (f->now - f->limit_at > LIMIT_SLACK_US)
+		f->limit_before = f->team_cpu;
+	else
+		f->limit_before = MAX(f->limit_before, f->team_cpu);
+	f->team_cpu = team_cpu_max;
+	f->limit_at = f->now;
+	put_config(f);
+}
+
+static void
+on_entry_back(struct fake_cell *f, void *arg)
+{
+	put_entry(f, arg);
+}
+
+void
+fake_cell_forget_lists(struct fake_cell *f)
+{
+	unsigned i;
+
+	for (i = 0; i < f->shape.workers; i++) {
+		put_text(f, CELL_WORKERS, f->workers[i].id, NULL);
+		post(f, g_rand_int_range(f->rand, 200, 2000) * OGL_MS, -1,
+		    on_entry_back, no_drop, &f->workers[i]);
+	}
+}
+
+unsigned
+fake_cell_writes(const struct fake_cell *f)
+{
+	return f->writes;
+}
+
+/* ---- faults of workers ------------------------------------------------ */
+
+static void
+lose_all(struct fake_cell *f, struct worker *w)
+{
+	while (w->runs->len > 0) {
+		struct run *r = w->runs->pdata[w->runs->len - 1];
+		struct run copy = *r;
+
+		forget_run(f, w, r);
+		if (copy.gang)
+			break_gang(f, &copy);
+	}
+	g_ptr_array_set_size(w->ended, 0);
+	g_hash_table_remove_all(w->highest);
+	w->last_end = 0;
+	w->epoch = 0;
+	w->until_ms = 0;
+	w->born++;
+	w->born_at = f->now;
+}
+
+void
+fake_cell_worker(
+    struct fake_cell *f, unsigned worker, enum fake_worker_fault fault)
+{
+	struct worker *w = &f->workers[worker];
+
+	if (fault == FAKE_WORKER_CRASHED && w->up) {
+		w->up = false;
+		lose_all(f, w);
+		put_entry(f, w);
+	} else if (fault != FAKE_WORKER_CRASHED && !w->up) {
+		w->up = true;
+		w->born_at = f->now;
+		put_entry(f, w);
+	}
+	w->fault = fault;
+}
+
+void
+fake_cell_reborn(struct fake_cell *f, unsigned worker)
+{
+	lose_all(f, &f->workers[worker]);
+	put_entry(f, &f->workers[worker]);
+}
+
+void
+fake_cell_drain(struct fake_cell *f, unsigned worker)
+{
+	f->workers[worker].draining = true;
+	put_entry(f, &f->workers[worker]);
+}
+
+/* Leases end by the worker's own clock, wherever it is. */
+static void
+on_lease_sweep(struct fake_cell *f, void *arg)
+{
+	unsigned i;
+
+	(void)arg;
+	for (i = 0; i < f->shape.workers; i++) {
+		struct worker *w = &f->workers[i];
+
+		while (w->runs->len > 0 && clock_of(f, w) > w->until_ms) {
+			struct run *r = w->runs->pdata[w->runs->len - 1];
+			struct run copy = *r;
+
+			end_run(f, w, r, CELL_END_LAPSED);
+			if (copy.gang)
+				break_gang(f, &copy);
+		}
+	}
+	post(f, 50 * OGL_MS, -1, on_lease_sweep, no_drop, NULL);
+}
+
+/* ---- the whole -------------------------------------------------------- */
+
+ogl_time
+fake_cell_now(const struct fake_cell *f)
+{
+	return f->now;
+}
+
+void
+fake_cell_run(struct fake_cell *f, uint32_t ms)
+{
+	ogl_time end = f->now + ms * OGL_MS;
+
+	for (;;) {
+		GSequenceIter *first = g_sequence_get_begin_iter(f->events);
+		struct event *e;
+		struct node *n;
+
+		if (g_sequence_iter_is_end(first))
+			break;
+		e = g_sequence_get(first);
+		if (e->at > end)
+			break;
+		f->now = MAX(f->now, e->at);
+		g_sequence_remove(first);
+		n = e->node >= 0 ? &f->nodes[e->node] : NULL;
+		if (n != NULL && n->life != e->life)
+			e->drop(f, e->arg);
+		else if (n != NULL && n->frozen)
+			post(f, 20 * OGL_MS, e->node, e->fn, e->drop, e->arg);
+		else
+			e->fn(f, e->arg);
+		g_free(e);
+	}
+	f->now = end;
+}
+
+static void
+job_free(void *p)
+{
+	struct job *j = p;
+
+	g_hash_table_unref(j->tasks);
+	g_free(j);
+}
+
+static void
+init_worker(struct fake_cell *f, unsigned i)
+{
+	struct worker *w = &f->workers[i];
+
+	w->index = i;
+	g_snprintf(w->id, sizeof w->id, "w%u", i);
+	g_snprintf(w->addr, sizeof w->addr, "10.9.0.%u:80", i);
+	g_snprintf(w->rack, sizeof w->rack, "r%u", i / 6);
+	w->born = 1000000 * (i + 1);
+	w->up = true;
+	w->runs = g_ptr_array_new_with_free_func(g_free);
+	w->ended = g_ptr_array_new_with_free_func(g_free);
+	w->highest =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	put_entry(f, w);
+}
+
+static void
+init_node(struct fake_cell *f, unsigned i)
+{
+	struct node *n = &f->nodes[i];
+
+	n->cell = f;
+	n->index = i;
+	g_snprintf(n->addr, sizeof n->addr, "10.1.0.%u:7000", i);
+	g_snprintf(n->name, sizeof n->name, "n%u", i);
+	n->open = g_hash_table_new(NULL, NULL);
+	fill_ops(n);
+	fake_cell_boot(f, i);
+}
+
+struct fake_cell *
+fake_cell_init(const struct fake_cell_shape *shape)
+{
+	struct fake_cell *f = g_new0(struct fake_cell, 1);
+	unsigned i;
+
+	f->shape = *shape;
+	f->now = OGL_SEC;
+	f->team_cpu = shape->team_cpu_max;
+	f->events = g_sequence_new(NULL);
+	f->rand = g_rand_new_with_seed((guint32)shape->seed);
+	f->jobs = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, job_free);
+	f->calls = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, g_free, NULL);
+	f->revoked =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	f->tickets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	f->breaches = g_string_new(NULL);
+	for (i = 0; i < CELL_NSTREAMS; i++) {
+		f->streams[i].records =
+		    g_ptr_array_new_with_free_func(record_free);
+		g_queue_init(&f->streams[i].repeats);
+		g_queue_init(&f->streams[i].readers);
+	}
+	put_config(f);
+	for (i = 0; i < shape->workers; i++)
+		init_worker(f, i);
+	for (i = 0; i < shape->nodes; i++)
+		init_node(f, i);
+	post(f, 0, -1, on_lease_sweep, no_drop, NULL);
+	return f;
+}
+
+static void
+drop_queue(struct fake_cell *f, GQueue *q)
+{
+	struct call *c;
+
+	while ((c = g_queue_pop_head(q)) != NULL)
+		call_unref(f, c);
+}
+
+void
+fake_cell_end(struct fake_cell *f)
+{
+	unsigned i;
+
+	for (i = 0; i < f->shape.nodes; i++) {
+		fake_cell_kill(f, i);
+		g_hash_table_unref(f->nodes[i].open);
+	}
+	while (!g_sequence_is_empty(f->events)) {
+		GSequenceIter *first = g_sequence_get_begin_iter(f->events);
+		struct event *e = g_sequence_get(first);
+
+		g_sequence_remove(first);
+		e->drop(f, e->arg);
+		g_free(e);
+	}
+	for (i = 0; i < f->shape.workers; i++) {
+		struct worker *w = &f->workers[i];
+
+		drop_queue(f, &w->holds);
+		g_ptr_array_unref(w->runs);
+		g_ptr_array_unref(w->ended);
+		g_hash_table_unref(w->highest);
+	}
+	for (i = 0; i < CELL_NSTREAMS; i++) {
+		drop_queue(f, &f->streams[i].readers);
+		g_queue_clear_full(&f->streams[i].repeats, g_free);
+		g_ptr_array_unref(f->streams[i].records);
+	}
+	g_sequence_free(f->events);
+	g_rand_free(f->rand);
+	g_hash_table_unref(f->calls);
+	g_hash_table_unref(f->jobs);
+	g_hash_table_unref(f->revoked);
+	g_hash_table_unref(f->tickets);
+	g_string_free(f->breaches, TRUE);
+	g_free(f);
+}
+
+const char *
+fake_cell_breaches(const struct fake_cell *f)
+{
+	return f->breaches->str;
+}
+
+static bool
+all_over(struct fake_cell *f)
+{
+	GHashTableIter it;
+	gpointer p;
+	bool over = true;
+
+	g_hash_table_iter_init(&it, f->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct job *j = p;
+
+		if (!j->accepted || j->steps[0].lasting ||
+		    (j->has_state && cell_job_over(j->state)))
+			continue;
+		over = false;
+		fake_cell_ask(f, (unsigned)(f->token % f->shape.nodes), j->id);
+	}
+	return over;
+}
+
+static void
+tell_open(struct fake_cell *f)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, f->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct job *j = p;
+		char text[96];
+
+		if (!j->accepted || (j->has_state && cell_job_over(j->state)))
+			continue;
+		g_snprintf(text, sizeof text, "%s state %d status %d runs %u",
+		    j->id, j->has_state ? (int)j->state : -1, j->status,
+		    j->running);
+		breach(f, "OPEN", text);
+	}
+}
+
+bool
+fake_cell_settle(struct fake_cell *f, uint32_t ms)
+{
+	ogl_time end = f->now + ms * OGL_MS;
+	unsigned i;
+
+	fake_cell_store(f, -1, FAKE_STORE_WELL);
+	for (i = 0; i < f->shape.nodes; i++) {
+		fake_cell_boot(f, i);
+		fake_cell_freeze(f, i, false);
+	}
+	for (i = 0; i < f->shape.workers; i++)
+		fake_cell_worker(f, i, FAKE_WORKER_WELL);
+	while (!all_over(f)) {
+		if (f->now > end) {
+			tell_open(f);
+			return false;
+		}
+		fake_cell_run(f, 500);
+	}
+	return true;
+}
--- /dev/null
+++ b/test/test_cell_scripts.cc
@@ -0,0 +1,329 @@
+/*
+ * Scripted runs of a whole cell over fakes: test/scripts/cell_*.txt.  A line
+ * is a command; `=>` at its end gives what it must print.  Nodes are numbers,
+ * `owner`, `other` (some node that does not own the cell) or names given by
+ * `let`.  At the end of every script nothing may have been breached and every
+ * accepted job must come to its end.
+ */
+
+#include <gtest/gtest.h>
+
+#include <dirent.h>
+
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+#include "fake_cell.h"
+
+namespace {
+
+using Words = std::vector<std::string>;
+
+std::string
+job_id(const std::string &name)
+{
+	char id[17];
+
+	snprintf(id, sizeof id, "%016zx", std::hash<std::string>{}(name));
+	return id;
+}
+
+class Script {
+    public:
+	~Script()
+	{
+		if (cell_ != nullptr)
+			fake_cell_end(cell_);
+	}
+
+	std::string
+	command(const Words &w)
+	{
+		if (w[0] == "cell")
+			return make(w);
+		if (w[0] == "submit")
+			return submit(w);
+		if (w[0] == "let")
+			names_[w[1]] = node(w[2]);
+		else if (w[0] == "run")
+			fake_cell_run(cell_, num(w[1]));
+		else if (w[0] == "kill")
+			each(w[1], fake_cell_kill);
+		else if (w[0] == "boot")
+			each(w[1], fake_cell_boot);
+		else if (w[0] == "stop")
+			each(w[1], fake_cell_stop);
+		else if (w[0] == "freeze")
+			fake_cell_freeze(cell_, node(w[1]), true);
+		else if (w[0] == "thaw")
+			fake_cell_freeze(cell_, node(w[1]), false);
+		else if (w[0] == "store")
+			fake_cell_store(cell_, w[1] == "all" ? -1 : node(w[1]),
+			    store_fault(w[2]));
+		else if (w[0] == "worker")
+			for (unsigned i : workers(w[1]))
+				fake_cell_worker(cell_, i, worker_fault(w[2]));
+		else if (w[0] == "reborn")
+			fake_cell_reborn(cell_, num(w[1]));
+		else if (w[0] == "drain")
+			fake_cell_drain(cell_, num(w[1]));
+		else if (w[0] == "forget-lists")
+			fake_cell_forget_lists(cell_);
+		else if (w[0] == "revoke")
+			fake_cell_revoke(cell_, w[1].c_str());
+		else if (w[0] == "limit")
+			fake_cell_limit(cell_, num(w[1]));
+		else if (w[0] == "cancel")
+			fake_cell_cancel(cell_, node(w[2]), id(w[1]));
+		else
+			return question(w);
+		return "";
+	}
+
+	std::string
+	finish()
+	{
+		if (!fake_cell_settle(cell_, 60000))
+			return std::string("not settled\n") +
+			       fake_cell_breaches(cell_);
+		return fake_cell_breaches(cell_);
+	}
+
+    private:
+	std::string
+	question(const Words &w)
+	{
+		if (w[0] == "status")
+			return std::to_string(
+			    fake_cell_status(cell_, id(w[1])));
+		if (w[0] == "state")
+			return fake_cell_state(cell_, id(w[1]));
+		if (w[0] == "starts")
+			return std::to_string(
+			    fake_cell_starts(cell_, id(w[1])));
+		if (w[0] == "running")
+			return std::to_string(
+			    fake_cell_running(cell_, id(w[1])));
+		if (w[0] == "ready")
+			return fake_cell_ready(cell_, node(w[1])) ? "yes"
+								  : "no";
+		if (w[0] == "owners") {
+			int o = fake_cell_owner(cell_);
+
+			return o == -1 ? "none" : o == -2 ? "several" : "one";
+		}
+		if (w[0] == "same")
+			return node(w[1]) == node(w[2]) ? "yes" : "no";
+		return "no such command: " + w[0];
+	}
+
+	static unsigned
+	num(const std::string &s)
+	{
+		return static_cast<unsigned>(std::stoul(s));
+	}
+
+	const char *
+	id(const std::string &name)
+	{
+		ids_[name] = job_id(name);
+		return ids_[name].c_str();
+	}
+
+	int
+	node(const std::string &s)
+	{
+		if (names_.count(s) != 0)
+			return names_[s];
+		if (s == "owner")
+			return std::max(fake_cell_owner(cell_), 0);
+		if (s == "other")
+			return fake_cell_owner(cell_) == 0 ? 1 : 0;
+		return static_cast<int>(num(s));
+	}
+
+	void
+	each(const std::string &s, void (*fn)(struct fake_cell *, unsigned))
+	{
+		if (s != "all") {
+			fn(cell_, static_cast<unsigned>(node(s)));
+			return;
+		}
+		for (unsigned i = 0; i < shape_.nodes; i++)
+			fn(cell_, i);
+	}
+
+	std::vector<unsigned>
+	workers(const std::string &s)
+	{
+		std::vector<unsigned> v;
+
+		if (s != "all")
+			return {num(s)};
+		for (unsigned i = 0; i < shape_.workers; i++)
+			v.push_back(i);
+		return v;
+	}
+
+	static enum fake_store_fault
+	store_fault(const std::string &s)
+	{
+		static const std::map<std::string, enum fake_store_fault> m = {
+		    {"well", FAKE_STORE_WELL}, {"silent", FAKE_STORE_SILENT},
+		    {"busy", FAKE_STORE_BUSY}, {"losing", FAKE_STORE_LOSING},
+		    {"late", FAKE_STORE_LATE}};
+
+		return m.at(s);
+	}
+
+	static enum fake_worker_fault
+	worker_fault(const std::string &s)
+	{
+		static const std::map<std::string, enum fake_worker_fault> m = {
+		    {"well", FAKE_WORKER_WELL}, {"dark", FAKE_WORKER_DARK},
+		    {"crashed", FAKE_WORKER_CRASHED},
+		    {"failing", FAKE_WORKER_FAILING},
+		    {"late", FAKE_WORKER_LATE}};
+
+		return m.at(s);
+	}
+
+	static std::map<std::string, std::string>
+	options(const Words &w, size_t from)
+	{
+		std::map<std::string, std::string> m;
+
+		for (size_t i = from; i < w.size(); i++) {
+			size_t eq = w[i].find('=');
+
+			m[w[i].substr(0, eq)] =
+			    eq == std::string::npos ? "1" : w[i].substr(eq + 1);
+		}
+		return m;
+	}
+
+	std::string
+	make(const Words &w)
+	{
+		auto o = options(w, 1);
+
+		shape_ = {};
+		shape_.nodes = num(o["nodes"]);
+		shape_.workers = num(o["workers"]);
+		shape_.seed = o.count("seed") != 0 ? num(o["seed"]) : 1;
+		shape_.policy = o.count("policy") != 0;
+		shape_.team_cpu_max = o.count("max") != 0 ? num(o["max"]) : 0;
+		shape_.attempts_max =
+		    o.count("attempts") != 0 ? num(o["attempts"]) : 3;
+		cell_ = fake_cell_init(&shape_);
+		fake_cell_run(cell_, 1000);
+		return "";
+	}
+
+	/* submit NAME NODE [key=K] step tasks=2 cpu=1000 run=500 ... */
+	std::string
+	submit(const Words &w)
+	{
+		std::vector<struct fake_step> steps;
+		const char *key = nullptr;
+		size_t i = 3;
+
+		if (w[3].rfind("key=", 0) == 0) {
+			key = w[3].c_str() + 4;
+			i = 4;
+		}
+		while (i < w.size()) {
+			size_t end = i + 1;
+
+			while (end < w.size() && w[end] != "step")
+				end++;
+			auto o = options(Words(w.begin(), w.begin() + end),
+			    i + 1);
+			struct fake_step s = {};
+
+			s.count = o.count("tasks") != 0 ? num(o["tasks"]) : 1;
+			s.cpu = o.count("cpu") != 0 ? num(o["cpu"]) : 1000;
+			s.run_ms = o.count("run") != 0 ? num(o["run"]) : 1000;
+			s.after = o.count("after") != 0
+				      ? static_cast<int>(num(o["after"]))
+				      : -1;
+			s.gang = o.count("gang") != 0;
+			s.fails = o.count("fails") != 0;
+			s.checkpoints = o.count("saves") != 0;
+			s.duplicates = o.count("twice") != 0;
+			s.lasting = o.count("lasting") != 0;
+			s.worker_max =
+			    o.count("apart") != 0 ? num(o["apart"]) : 0;
+			steps.push_back(s);
+			i = end;
+		}
+		fake_cell_submit(cell_, static_cast<unsigned>(node(w[2])),
+		    id(w[1]), key, steps.data(), steps.size());
+		return "";
+	}
+
+	struct fake_cell *cell_ = nullptr;
+	struct fake_cell_shape shape_ = {};
+	std::map<std::string, int> names_;
+	std::map<std::string, std::string> ids_;
+};
+
+Words
+split(const std::string &line)
+{
+	std::istringstream in(line);
+	Words w;
+	std::string s;
+
+	while (in >> s)
+		w.push_back(s);
+	return w;
+}
+
+std::vector<std::string>
+script_names()
+{
+	std::vector<std::string> names;
+	DIR *d = opendir(OGL_TEST_DIR "/scripts");
+
+	for (struct dirent *e; (e = readdir(d)) != nullptr;) {
+		std::string n = e->d_name;
+
+		if (n.rfind("cell_", 0) == 0)
+			names.push_back(n.substr(5, n.size() - 9));
+	}
+	closedir(d);
+	std::sort(names.begin(), names.end());
+	return names;
+}
+
+class CellScript : public testing::TestWithParam<std::string> {};
+
+TEST_P(CellScript, Runs)
+{
+	std::ifstream in(OGL_TEST_DIR "/scripts/cell_" + GetParam() + ".txt");
+	std::string line;
+	Script script;
+	int number = 0;
+
+	while (std::getline(in, line)) {
+		size_t arrow = line.find("=>");
+		Words w = split(line.substr(0, arrow));
+		std::string want;
+
+		number++;
+		if (w.empty() || w[0][0] == '#')
+			continue;
+		if (arrow != std::string::npos && arrow + 3 < line.size())
+			want = line.substr(arrow + 3);
+		ASSERT_EQ(want, script.command(w)) << "line " << number;
+	}
+	EXPECT_EQ("", script.finish());
+}
+
+INSTANTIATE_TEST_SUITE_P(All, CellScript, testing::ValuesIn(script_names()),
+    [](const auto &i) { return i.param; });
+
+} // namespace
--- /dev/null
+++ b/test/test_cell_seeds.cc
@@ -0,0 +1,218 @@
+/*
+ * Random faults over a whole cell, by seed.  While jobs come in, nodes are
+ * killed, frozen and stopped, the store fails in all its ways, workers are cut
+ * off, crash, start anew and answer late; at the end all is healed and every
+ * accepted job has to end.  The fakes check each start.  OGL_SEEDS tells how
+ * many seeds, OGL_SEED one of them.
+ */
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <random>
+
+#include "fake_cell.h"
+
+namespace {
+
+class Storm {
+    public:
+	explicit Storm(unsigned seed) : rand_(seed)
+	{
+		shape_.nodes = 2 + below(4);
+		shape_.workers = 3 + below(10);
+		shape_.seed = seed;
+		shape_.policy = below(2) == 0;
+		shape_.team_cpu_max = below(3) == 0 ? 40000 : 0;
+		shape_.attempts_max = 3;
+		cell_ = fake_cell_init(&shape_);
+		fake_cell_run(cell_, 1000);
+	}
+
+	~Storm()
+	{
+		fake_cell_end(cell_);
+	}
+
+	void
+	blow(unsigned turns)
+	{
+		for (unsigned i = 0; i < turns; i++) {
+			submit();
+			if (below(3) == 0)
+				strike();
+			if (below(3) == 0)
+				heal();
+			fake_cell_run(cell_, 50 + below(400));
+		}
+	}
+
+	std::string
+	settle()
+	{
+		if (!fake_cell_settle(cell_, 120000))
+			return std::string("not settled\n") +
+			       fake_cell_breaches(cell_);
+		return fake_cell_breaches(cell_);
+	}
+
+    private:
+	unsigned
+	below(unsigned n)
+	{
+		return static_cast<unsigned>(rand_() % n);
+	}
+
+	unsigned
+	node()
+	{
+		int o = fake_cell_owner(cell_);
+
+		return o >= 0 && below(2) == 0 ? static_cast<unsigned>(o)
+					       : below(shape_.nodes);
+	}
+
+	/* A step that no choice of workers could hold would never end. */
+	void
+	make_possible(struct fake_step &s) const
+	{
+		unsigned allowed =
+		    shape_.policy ? shape_.workers / 2 : shape_.workers;
+
+		if (s.worker_max > 0)
+			s.count = std::min(s.count, allowed);
+		if (s.gang)
+			s.count = std::min(s.count, 16000 / s.cpu);
+		if (s.gang && s.worker_max > 0)
+			s.count = 1;
+	}
+
+	void
+	submit()
+	{
+		struct fake_step s[2] = {};
+		size_t n = 1 + below(2);
+		char id[17];
+
+		for (size_t i = 0; i < n; i++) {
+			s[i].count = 1 + below(5);
+			s[i].cpu = 500 + below(4000);
+			s[i].run_ms = 100 + below(3000);
+			s[i].after = i == 0 ? -1 : 0;
+			s[i].gang = below(4) == 0;
+			s[i].fails = below(12) == 0;
+			s[i].checkpoints = below(2) == 0;
+			s[i].worker_max = below(6) == 0 ? 1 : 0;
+			make_possible(s[i]);
+		}
+		snprintf(id, sizeof id, "%016x", ++last_);
+		fake_cell_submit(
+		    cell_, below(shape_.nodes), id, nullptr, s, n);
+		if (last_ > 1 && below(6) == 0) {
+			snprintf(id, sizeof id, "%016x",
+			    1 + below(last_));
+			if (below(2) == 0)
+				fake_cell_cancel(
+				    cell_, below(shape_.nodes), id);
+			else
+				fake_cell_submit(cell_, below(shape_.nodes),
+				    id, nullptr, s, n);
+		}
+	}
+
+	void
+	strike()
+	{
+		unsigned w = below(shape_.workers);
+
+		switch (below(10)) {
+		case 0:
+			fake_cell_kill(cell_, node());
+			break;
+		case 1:
+			fake_cell_freeze(cell_, node(), true);
+			break;
+		case 2:
+			fake_cell_store(cell_,
+			    below(2) == 0 ? -1 : static_cast<int>(node()),
+			    static_cast<enum fake_store_fault>(1 + below(4)));
+			break;
+		case 3:
+			fake_cell_worker(cell_, w, FAKE_WORKER_DARK);
+			break;
+		case 4:
+			fake_cell_worker(cell_, w, FAKE_WORKER_CRASHED);
+			break;
+		case 5:
+			fake_cell_worker(cell_, w, FAKE_WORKER_LATE);
+			break;
+		case 6:
+			fake_cell_reborn(cell_, w);
+			break;
+		case 7:
+			fake_cell_forget_lists(cell_);
+			break;
+		case 8:
+			if (shape_.team_cpu_max > 0)
+				fake_cell_limit(
+				    cell_, 20000 + 10000 * below(4));
+			break;
+		default:
+			for (unsigned i = 0; i < shape_.nodes; i++)
+				fake_cell_kill(cell_, i);
+			break;
+		}
+	}
+
+	void
+	heal()
+	{
+		unsigned i;
+
+		switch (below(3)) {
+		case 0:
+			for (i = 0; i < shape_.nodes; i++) {
+				fake_cell_boot(cell_, i);
+				fake_cell_freeze(cell_, i, false);
+			}
+			break;
+		case 1:
+			fake_cell_store(cell_, -1, FAKE_STORE_WELL);
+			break;
+		default:
+			for (i = 0; i < shape_.workers; i++)
+				fake_cell_worker(cell_, i, FAKE_WORKER_WELL);
+			break;
+		}
+	}
+
+	std::mt19937 rand_;
+	struct fake_cell_shape shape_ = {};
+	struct fake_cell *cell_ = nullptr;
+	unsigned last_ = 0;
+};
+
+unsigned
+from_env(const char *name, unsigned otherwise)
+{
+	const char *t = getenv(name);
+
+	return t != nullptr ? static_cast<unsigned>(atoi(t)) : otherwise;
+}
+
+TEST(CellSeeds, KeepWhatMustHold)
+{
+	unsigned one = from_env("OGL_SEED", 0);
+	unsigned seeds = one != 0 ? 1 : from_env("OGL_SEEDS", 60);
+
+	for (unsigned i = 0; i < seeds; i++) {
+		unsigned seed = one != 0 ? one : 1000 + i;
+		Storm storm(seed);
+
+		storm.blow(60);
+		EXPECT_EQ("", storm.settle()) << "OGL_SEED=" << seed;
+	}
+}
+
+} // namespace
