--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -65,6 +65,8 @@
 	uint64_t generation;
 	ogl_time opened_at;
 	bool names_changed;
+	ogl_time confirmed_at; /* ownership, by the store */
+	ogl_time proof_from;   /* it has to be confirmed as of then */
 	ogl_time scan_at;
 	ogl_time scan_runs_at;
 };
@@ -162,6 +164,8 @@
 	f->open = true;
 	f->epoch = epoch;
 	f->generation++;
+	f->confirmed_at = 0;
+	f->proof_from = 0;
 	f->opened_at = now;
 }
 
@@ -317,6 +321,35 @@
 	f->events.room(f->events.arg, f->opened_at);
 }
 
+/*
+ * A worker that starts anew obeys whoever calls it first.  An owner that was
+ * replaced while it stood still or was cut off does not know that yet; if it
+ * called the new life before its successor, it would start there what already
+ * runs elsewhere.  So after a first answer, and after standing still, nothing
+ * is started before the store has confirmed the ownership once more.
+ */
+void
+cell_fleet_confirm(struct cell_fleet *f, ogl_time at)
+{
+	bool wanted = cell_fleet_wants_proof(f);
+
+	f->confirmed_at = MAX(f->confirmed_at, at);
+	if (wanted && !cell_fleet_wants_proof(f))
+		f->events.room(f->events.arg, at);
+}
+
+bool
+cell_fleet_wants_proof(const struct cell_fleet *f)
+{
+	return f->open && f->confirmed_at < f->proof_from;
+}
+
+void
+cell_fleet_doubt(struct cell_fleet *f, ogl_time now)
+{
+	f->proof_from = MAX(f->proof_from, now);
+}
+
 bool
 cell_fleet_names_changed(struct cell_fleet *f)
 {
@@ -742,8 +775,10 @@
 		w->hold_at = now + HOLD_GAP;
 		f->events.ends_taken(f->events.arg, w, now);
 	}
-	if (first)
+	if (first) {
+		f->proof_from = now;
 		f->events.answered(f->events.arg, w, now);
+	}
 }
 
 static void
@@ -857,9 +892,12 @@
 }
 
 void
-cell_fleet_noted(struct cell_fleet *f, struct cell_worker *w, uint64_t number)
+cell_fleet_noted(struct cell_fleet *f, struct cell_worker *w, uint64_t life,
+    uint64_t number)
 {
 	(void)f;
+	if (life != w->life || !w->fenced)
+		return;
 	if (number <= w->last_seen || number > w->taken)
 		return;
 	w->last_seen = number;
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -166,9 +166,17 @@
 void cell_fleet_stop(struct cell_fleet *f, struct cell_run *r, ogl_time now);
 /* Orders a stop; ended is called once it is over. */
 
-void cell_fleet_noted(
-    struct cell_fleet *f, struct cell_worker *w, uint64_t number);
-/* Ends up to number are stored. */
+void cell_fleet_noted(struct cell_fleet *f, struct cell_worker *w,
+    uint64_t life, uint64_t number);
+/* Ends up to number of that life are stored. */
+
+void cell_fleet_confirm(struct cell_fleet *f, ogl_time at);
+/* Ownership was confirmed by the store as of `at`. */
+bool cell_fleet_wants_proof(const struct cell_fleet *f);
+/* A worker waits to be given work until ownership is confirmed again. */
+void cell_fleet_doubt(struct cell_fleet *f, ogl_time now);
+/* This process may have stood still: nothing is started before ownership is
+ * confirmed as of now. */
 
 bool cell_worker_open(const struct cell_worker *w, ogl_time now);
 /* Whether it may be given work. */
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -44,6 +44,8 @@
 #define RESIGN_REST (8 * OGL_SEC)
 /* Reads are "answered" while the last good one is no older than this. */
 #define READS_FRESH (1800 * OGL_MS)
+#define PROBE_TIMEOUT_MS 600
+#define PROBE_GAP (20 * OGL_MS)
 #define LEAD_KEY "lead"
 
 struct cell_lead {
@@ -68,6 +70,8 @@
 	ogl_time confirmed_at; /* sending of the last good read */
 	ogl_time last_read_ok;
 
+	bool probing;
+	ogl_time probe_sent;
 	bool claiming;
 	ogl_time claim_at; /* OGL_NEVER unless planned */
 	ogl_time rest_until;
@@ -230,7 +234,7 @@
 static void
 read_succeeded(struct cell_lead *l, ogl_time now)
 {
-	l->confirmed_at = l->read_sent;
+	l->confirmed_at = MAX(l->confirmed_at, l->read_sent);
 	l->last_read_ok = now;
 	l->read_at = now;
 }
@@ -253,11 +257,44 @@
 	}
 	read_succeeded(l, now);
 	for (i = 0; i < a->n; i++) {
+		if (a->records[i].offset < l->next)
+			continue; /* a probe was faster */
 		take_record(l, &a->records[i], now);
-		l->next = MAX(l->next, a->records[i].offset + 1);
+		l->next = a->records[i].offset + 1;
 	}
 }
 
+/* A read that does not wait, to know for certain who owns the cell now. */
+static void
+on_probe(void *arg, const struct cell_read_answer *a, ogl_time now)
+{
+	struct cell_lead *l = arg;
+	size_t i;
+
+	l->probing = false;
+	if (a->io != OGL_IO_OK || a->trimmed)
+		return;
+	l->confirmed_at = MAX(l->confirmed_at, l->probe_sent);
+	l->last_read_ok = now;
+	for (i = 0; i < a->n; i++) {
+		if (a->records[i].offset < l->next)
+			continue;
+		take_record(l, &a->records[i], now);
+		l->next = a->records[i].offset + 1;
+	}
+}
+
+void
+cell_lead_probe(struct cell_lead *l, ogl_time now)
+{
+	if (l->probing || !l->loaded || now < l->probe_sent + PROBE_GAP)
+		return;
+	l->probing = true;
+	l->probe_sent = now;
+	l->ops->read(l->ops->outside, CELL_LEAD, l->next, 0, PROBE_TIMEOUT_MS,
+	    on_probe, l);
+}
+
 static void
 on_newest(void *arg, const struct cell_newest_answer *a, ogl_time now)
 {
@@ -483,6 +520,12 @@
 	return l->own && now - l->confirmed_at < ACT_MAX;
 }
 
+ogl_time
+cell_lead_confirmed(const struct cell_lead *l)
+{
+	return l->confirmed_at;
+}
+
 bool
 cell_lead_reads(const struct cell_lead *l, ogl_time now)
 {
--- a/cell/lead.h
+++ b/cell/lead.h
@@ -52,6 +52,11 @@
 const char *cell_lead_addr(const struct cell_lead *l);
 /* Peer address of the owner; NULL when nobody is known to own the cell. */
 
+void cell_lead_probe(struct cell_lead *l, ogl_time now);
+/* Reads the stream's end at once, beside the read that waits. */
+ogl_time cell_lead_confirmed(const struct cell_lead *l);
+/* As of when the store last showed who owns the cell. */
+
 bool cell_lead_may_act(const struct cell_lead *l, ogl_time now);
 /* Whether this node owns the cell as far as it can still know. */
 
--- a/cell/node.c
+++ b/cell/node.c
@@ -9,6 +9,9 @@
 #include "node.h"
 
 #define TICK (40 * OGL_MS)
+/* A step is due each TICK; a longer gap means that the process did not run,
+ * and others may have acted in its place. */
+#define STOOD_STILL (400 * OGL_MS)
 #define PING (250 * OGL_MS)
 /* A ping unanswered for so long: the connection is not trusted any more. */
 #define PONG_MAX (900 * OGL_MS)
@@ -29,6 +32,7 @@
 	ogl_time pong_at; /* last pong, or the first ping to a new owner */
 	ogl_time now;     /* of the step or event under way */
 	ogl_time owner_seen;
+	ogl_time stepped_at;
 	GQueue loop; /* Ogl__CellMsg as bytes, to oneself */
 };
 
@@ -358,13 +362,19 @@
 void
 cell_node_step(struct cell_node *n, ogl_time now, ogl_time wall)
 {
+	if (n->stepped_at != 0 && now - n->stepped_at > STOOD_STILL)
+		cell_owner_doubt(n->owner, now);
+	n->stepped_at = now;
 	n->now = now;
 	cell_lead_step(n->lead, now);
 	cell_front_step(n->front, now);
 	share_config(n);
 	ping(n, now);
 	run_loop(n, now);
-	cell_owner_step(n->owner, cell_lead_may_act(n->lead, now), now, wall);
+	cell_owner_step(n->owner, cell_lead_confirmed(n->lead),
+	    cell_lead_may_act(n->lead, now), now, wall);
+	if (cell_owner_wants_proof(n->owner))
+		cell_lead_probe(n->lead, now);
 	run_loop(n, now);
 	if (cell_lead_addr(n->lead) != NULL)
 		n->owner_seen = now;
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -61,6 +61,7 @@
 struct noting {
 	struct cell_owner *owner;
 	char *name;
+	uint64_t life; /* of the worker */
 };
 
 struct team_rate {
@@ -241,7 +242,7 @@
 note_after(
     struct cell_owner *o, const char *name, cell_stored_fn *fn, uint64_t tag)
 {
-	struct noting *n = g_new(struct noting, 1);
+	struct noting *n = g_new0(struct noting, 1);
 
 	n->owner = o;
 	n->name = g_strdup(name);
@@ -658,7 +659,8 @@
 	if (fate == CELL_STORED) {
 		w = cell_fleet_worker(n->owner->fleet, n->name);
 		if (w != NULL)
-			cell_fleet_noted(n->owner->fleet, w, tag);
+			cell_fleet_noted(
+			    n->owner->fleet, w, n->life, tag);
 	}
 	g_free(n->name);
 	g_free(n);
@@ -668,9 +670,13 @@
 on_ends_taken(void *arg, struct cell_worker *w, ogl_time now)
 {
 	struct cell_owner *o = arg;
+	struct noting *n = g_new0(struct noting, 1);
 
 	(void)now;
-	note_after(o, w->id, on_ends_stored, w->taken);
+	n->owner = o;
+	n->name = g_strdup(w->id);
+	n->life = w->life;
+	cell_journal_after(o->journal, on_ends_stored, n, w->taken);
 }
 
 static void
@@ -1737,7 +1743,8 @@
 }
 
 void
-cell_owner_step(struct cell_owner *o, bool may_act, ogl_time now, ogl_time wall)
+cell_owner_step(struct cell_owner *o, ogl_time confirmed, bool may_act,
+    ogl_time now, ogl_time wall)
 {
 	o->wall = wall;
 	if (o->phase == PHASE_CLOSED)
@@ -1751,6 +1758,7 @@
 	cell_journal_step(o->journal, now);
 	if (!may_act)
 		return;
+	cell_fleet_confirm(o->fleet, confirmed);
 	cell_fleet_step(o->fleet, now);
 	cell_advice_step(o->advice, now);
 	settle(o, now);
@@ -1761,6 +1769,18 @@
 	}
 }
 
+bool
+cell_owner_wants_proof(const struct cell_owner *o)
+{
+	return o->phase == PHASE_SERVING && cell_fleet_wants_proof(o->fleet);
+}
+
+void
+cell_owner_doubt(struct cell_owner *o, ogl_time now)
+{
+	cell_fleet_doubt(o->fleet, now);
+}
+
 ogl_time
 cell_owner_wake(const struct cell_owner *o)
 {
--- a/cell/owner.h
+++ b/cell/owner.h
@@ -44,9 +44,14 @@
     struct cell_owner *o, const char *addr, bool leaving, ogl_time now);
 /* A node is there. */
 
-void cell_owner_step(
-    struct cell_owner *o, bool may_act, ogl_time now, ogl_time wall);
-/* Does what is due; without the right to act nothing is ordered. */
+void cell_owner_step(struct cell_owner *o, ogl_time confirmed, bool may_act,
+    ogl_time now, ogl_time wall);
+/* Does what is due; without the right to act nothing is ordered.  confirmed is
+ * the time as of which the store last confirmed the ownership. */
+bool cell_owner_wants_proof(const struct cell_owner *o);
+/* It starts nothing until the ownership is confirmed once more. */
+void cell_owner_doubt(struct cell_owner *o, ogl_time now);
+/* This process may have stood still. */
 ogl_time cell_owner_wake(const struct cell_owner *o);
 
 bool cell_owner_idle(const struct cell_owner *o);
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -733,7 +733,7 @@
 	unsigned stand;
 	uint32_t rank;
 
-	if (waiting == 0)
+	if (waiting == 0 || cell_fleet_wants_proof(s->parts.fleet))
 		return;
 	s->pass_at = now + PASS_GAP + (ogl_time)waiting * PASS_STAGE;
 	g_hash_table_remove_all(s->reserved);
