--- a/cell/front.c
+++ b/cell/front.c
@@ -33,6 +33,8 @@
 #define REPEAT (450 * OGL_MS)
 /* The answer still has its way to the caller. */
 #define REPLY_MARGIN (150 * OGL_MS)
+/* Refusals that a call outlives while the cell changes hands. */
+#define BUSY_MAX 3
 #define BUDGET_DEFAULT_MS 3000
 #define RETRY_MS 600
 
@@ -44,8 +46,8 @@
 	char *team;
 	char *queue;
 	bool sent;
-	char *sent_to; /* the owner it was sent to last */
-	bool several;  /* it was sent to more than one */
+	unsigned busy; /* refusals while the cell changed hands */
+	bool several; /* it was sent to more than one ownership */
 	ogl_time began;
 	ogl_time repeat_at;
 	ogl_time deadline;
@@ -78,7 +80,6 @@
 	g_free(p->id);
 	g_free(p->team);
 	g_free(p->queue);
-	g_free(p->sent_to);
 	g_free(p);
 }
 
@@ -93,7 +94,7 @@
 	f->events = *events;
 	f->calls = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, pending_free);
-	f->fresh_as_of = -OGL_NEVER;
+	f->fresh_as_of = CELL_LONG_AGO;
 	return f;
 }
 
@@ -264,10 +265,6 @@
 static void
 pass_on(struct cell_front *f, struct pending *p, ogl_time now)
 {
-	if (p->sent && g_strcmp0(p->sent_to, f->owner) != 0)
-		p->several = true;
-	g_free(p->sent_to);
-	p->sent_to = g_strdup(f->owner);
 	p->sent = true;
 	p->repeat_at = now + REPEAT;
 	p->call.budget_ms = (uint32_t)((p->deadline - now) / OGL_MS);
@@ -282,11 +279,15 @@
 
 	g_free(f->owner);
 	f->owner = g_strdup(addr);
-	if (addr == NULL)
-		return;
 	g_hash_table_iter_init(&it, f->calls);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		((struct pending *)v)->repeat_at = now;
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct pending *p = v;
+
+		p->repeat_at = now;
+		/* Also when the same node owns the cell again. */
+		if (p->sent)
+			p->several = true;
+	}
 }
 
 static Ogl__CellCallKind
@@ -459,6 +460,11 @@
 		answer(f, p->token, CELL_OVER, r->retry_ms, "over the rate");
 		break;
 	case OGL__CELL_OUTCOME__cell_busy:
+		/* The cell changes hands: its next owner can take the job. */
+		if (p->several && ++p->busy < BUSY_MAX) {
+			p->repeat_at = now + READ_RETRY;
+			return;
+		}
 		if (p->several) {
 			/* Another owner may have accepted it, or may yet. */
 			log_call(f, p, "call_answered", "outcome=unsure");
--- a/cell/journal.c
+++ b/cell/journal.c
@@ -201,6 +201,20 @@
 	g->urgent_at = MIN(g->urgent_at, now);
 }
 
+/* A job may have been handed in more than once before it was stored. */
+static void
+forget_submit(GArray *waiters, const struct cell_job *j)
+{
+	guint i;
+
+	for (i = 0; i < waiters->len; i++) {
+		struct waiter *w = &g_array_index(waiters, struct waiter, i);
+
+		if (w->submit == j)
+			w->submit = NULL;
+	}
+}
+
 void
 cell_journal_unmark(struct cell_journal *g, struct cell_job *j)
 {
@@ -208,6 +222,8 @@
 		g_ptr_array_remove(g->marked, j);
 	j->dirty = false;
 	g_ptr_array_remove(g->batch_jobs, j);
+	forget_submit(g->waiters, j);
+	forget_submit(g->batch_waiters, j);
 }
 
 void
@@ -405,8 +421,8 @@
 		    &g_array_index(g->batch_waiters, struct waiter, i);
 
 		if (w->submit != NULL) {
-			cell_journal_unmark(g, w->submit);
 			g_array_append_val(refused, *w);
+			cell_journal_unmark(g, w->submit);
 		} else {
 			g_array_append_val(g->waiters, *w);
 		}
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -97,9 +97,9 @@
 	l->rand = g_rand_new_with_seed((guint32)(seed ^ seed >> 32));
 	l->newest_next = true;
 	l->claim_at = OGL_NEVER;
-	l->confirmed_at = -OGL_NEVER;
-	l->last_read_ok = -OGL_NEVER;
-	l->dead_hint = -OGL_NEVER;
+	l->confirmed_at = CELL_LONG_AGO;
+	l->last_read_ok = CELL_LONG_AGO;
+	l->dead_hint = CELL_LONG_AGO;
 	return l;
 }
 
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -884,7 +884,6 @@
 	cell_advice_clear(o->advice);
 	cell_sched_clear(o->sched);
 	g_hash_table_remove_all(o->jobs);
-	g_hash_table_remove_all(o->refused);
 	g_hash_table_remove_all(o->list_seen);
 	g_clear_pointer(&o->progress, g_hash_table_unref);
 	g_clear_pointer(&o->defs, g_hash_table_unref);
