Name the workers to successors anew at each takeover

Cause: workers known from an earlier ownership of the same process were never named again, and got no work (seed 19019: nothing started any more).

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -166,6 +166,7 @@
 	f->generation++;
 	f->confirmed_at = 0;
 	f->proof_from = 0;
+	f->names_changed = true; /* whatever the last owner had stored */
 	f->opened_at = now;
 }
 
