--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -77,7 +77,7 @@
 	struct cell_worker *worker;
 	struct cell_run *run; /* NULL: a hold */
 	uint64_t generation;
-	uint64_t noted; /* hold: ends acknowledged */
+	uint64_t noted;  /* hold: ends acknowledged */
 	uint64_t number; /* hold */
 	ogl_time sent;
 	bool stop;
@@ -380,7 +380,8 @@
 cell_worker_open(const struct cell_worker *w, ogl_time now)
 {
 	return w->listed && w->named && !w->draining && w->fenced &&
-	       w->failures == 0 && w->nstrays == 0 && now >= w->aside_until && !overdue(w, now);
+	       w->failures == 0 && w->nstrays == 0 && now >= w->aside_until &&
+	       !overdue(w, now);
 }
 
 /*
@@ -893,8 +894,8 @@
 }
 
 void
-cell_fleet_noted(struct cell_fleet *f, struct cell_worker *w, uint64_t life,
-    uint64_t number)
+cell_fleet_noted(
+    struct cell_fleet *f, struct cell_worker *w, uint64_t life, uint64_t number)
 {
 	(void)f;
 	if (life != w->life || !w->fenced)
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -69,29 +69,29 @@
 	bool draining;
 	uint64_t entry_born_ms; /* life that its entry speaks of */
 
-	uint64_t life;      /* born_ms of the life last heard; 0 none yet */
-	bool fenced;        /* this life has seen our epoch */
-	uint64_t clock_ms;  /* its clock as last read, */
-	ogl_time clock_at;  /* and when the answer came */
-	uint64_t until_ms;  /* latest lease end asked for in this life */
-	bool named;         /* successors are told of it */
-	uint64_t last_seen; /* ends up to this are stored, */
-	uint64_t acked;     /* and up to this the worker has been told */
-	uint64_t taken;     /* ends up to this are dealt with */
+	uint64_t life;        /* born_ms of the life last heard; 0 none yet */
+	bool fenced;          /* this life has seen our epoch */
+	uint64_t clock_ms;    /* its clock as last read, */
+	ogl_time clock_at;    /* and when the answer came */
+	uint64_t until_ms;    /* latest lease end asked for in this life */
+	bool named;           /* successors are told of it */
+	uint64_t last_seen;   /* ends up to this are stored, */
+	uint64_t acked;       /* and up to this the worker has been told */
+	uint64_t taken;       /* ends up to this are dealt with */
 	uint64_t hold_number; /* of the hold whose answer counts */
-	bool holding;       /* a hold is under way */
+	bool holding;         /* a hold is under way */
 	ogl_time hold_sent;
 	ogl_time hold_at;  /* next hold not before */
 	ogl_time last_ok;  /* last answer of any kind */
 	uint32_t failures; /* holds in a row without an answer */
 	bool hurry;        /* the next hold does not wait */
 
-	GArray *loose; /* struct cell_loose, starts that went unanswered */
-	GHashTable *runs;     /* set of struct cell_run */
-	uint32_t nopen;       /* orders under way; it may not be freed */
-	uint32_t nstrays;     /* runs of unknown size */
-	uint32_t streak;      /* failed ends in a row, of different jobs */
-	char *streak_job;     /* the last of them */
+	GArray *loose;    /* struct cell_loose, starts that went unanswered */
+	GHashTable *runs; /* set of struct cell_run */
+	uint32_t nopen;   /* orders under way; it may not be freed */
+	uint32_t nstrays; /* runs of unknown size */
+	uint32_t streak;  /* failed ends in a row, of different jobs */
+	char *streak_job; /* the last of them */
 	ogl_time aside_until; /* not used until then: it fails what it gets */
 	uint32_t asides;
 	double pace; /* run time over estimate, smoothed; 1 normal */
--- a/cell/front.c
+++ b/cell/front.c
@@ -47,7 +47,7 @@
 	char *queue;
 	bool sent;
 	unsigned busy; /* refusals while the cell changed hands */
-	bool several; /* it was sent to more than one ownership */
+	bool several;  /* it was sent to more than one ownership */
 	ogl_time began;
 	ogl_time repeat_at;
 	ogl_time deadline;
--- a/cell/job.h
+++ b/cell/job.h
@@ -26,7 +26,7 @@
 	char *checkpoint; /* NULL none */
 	struct cell_run *active; /* NULL: nothing runs or may run */
 	struct cell_run *copy;   /* a second one, where that is allowed */
-	bool supposed; /* it may run on a worker not heard of yet */
+	bool supposed;           /* it may run on a worker not heard of yet */
 	char *avoid;  /* worker where the last attempt failed; NULL none */
 	ogl_time due; /* not started before */
 };
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -193,8 +193,7 @@
 	if (!m->vacant) {
 		l->claim_at = OGL_NEVER;
 		if (!l->own)
-			set_owner(
-			    l, earlier_life(l, m) ? NULL : m->addr, now);
+			set_owner(l, earlier_life(l, m) ? NULL : m->addr, now);
 		return;
 	}
 	step_down(l, now);
@@ -412,8 +411,7 @@
 watch(struct cell_lead *l, ogl_time now)
 {
 	bool dead = now - l->dead_hint < SILENCE_DEAD;
-	bool silent =
-	    now - l->last_news > (dead ? SILENCE_DEAD : SILENCE);
+	bool silent = now - l->last_news > (dead ? SILENCE_DEAD : SILENCE);
 	bool vacant = l->owner == NULL && l->epoch > 0;
 
 	if (l->own || l->retired || !l->loaded || l->claiming ||
--- a/cell/ops.h
+++ b/cell/ops.h
@@ -15,7 +15,7 @@
 #include "orioleglade.h"
 
 #define CELL_LONG_AGO (-(OGL_NEVER / 4)) /* before any time there is */
-#define CELL_ID_LEN 16 /* hexadecimal digits of a job's id */
+#define CELL_ID_LEN 16                   /* hexadecimal digits of a job's id */
 
 struct cell_config;
 
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -659,8 +659,7 @@
 	if (fate == CELL_STORED) {
 		w = cell_fleet_worker(n->owner->fleet, n->name);
 		if (w != NULL)
-			cell_fleet_noted(
-			    n->owner->fleet, w, n->life, tag);
+			cell_fleet_noted(n->owner->fleet, w, n->life, tag);
 	}
 	g_free(n->name);
 	g_free(n);
@@ -868,8 +867,8 @@
 	o->list_at = now;
 	o->progress = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, progress_free);
-	o->defs = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, def_free);
+	o->defs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, def_free);
 }
 
 void
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -20,7 +20,7 @@
 	unsigned nodes;
 	unsigned workers; /* 16 processors and 64 GB each, six a rack */
 	uint64_t seed;
-	bool policy; /* the queues' steps need advice */
+	bool policy;           /* the queues' steps need advice */
 	uint32_t team_cpu_max; /* of the one team, 0 no limit */
 	uint32_t attempts_max;
 };
@@ -38,10 +38,10 @@
 struct fake_step {
 	uint32_t count;
 	uint32_t cpu;
-	uint32_t run_ms;   /* how long a task takes */
-	int32_t after;     /* the step it comes after, -1 none */
+	uint32_t run_ms; /* how long a task takes */
+	int32_t after;   /* the step it comes after, -1 none */
 	bool gang;
-	bool fails;        /* every run ends as failed */
+	bool fails; /* every run ends as failed */
 	bool checkpoints;
 	bool duplicates;
 	bool lasting;
