--- a/daemon/cell_host.c
+++ b/daemon/cell_host.c
@@ -17,7 +17,7 @@
 #include "cell_host.h"
 #include "http_in.h"
 #include "logline.h"
-#include "metrics.h"
+#include "measures.h"
 #include "node.h"
 #include "peer.h"
 
@@ -35,7 +35,7 @@
 	struct ev_loop *loop;
 	struct ogl_logger *log;
 	struct ogl_logline *lines;
-	struct ogl_metrics *metrics;
+	struct ogl_measures *metrics;
 	struct ogl_http_client *http;
 	struct platform *platform;
 	struct ogl_http_in *front;
@@ -130,7 +130,7 @@
 {
 	struct ogl_cell_host *h = ctx;
 
-	ogl_metrics_count(h->metrics, name, by);
+	ogl_measures_count(h->metrics, name, by);
 }
 
 static void
@@ -138,7 +138,7 @@
 {
 	struct ogl_cell_host *h = ctx;
 
-	ogl_metrics_observe(h->metrics, name, ms);
+	ogl_measures_observe(h->metrics, name, ms);
 }
 
 /* ---- what the sockets bring ------------------------------------------- */
@@ -219,7 +219,7 @@
 {
 	struct ogl_cell_host *h = ctx;
 
-	return ogl_metrics_text(h->metrics);
+	return ogl_measures_text(h->metrics);
 }
 
 /* ---- the loop --------------------------------------------------------- */
@@ -434,7 +434,7 @@
 	h->grace_ms = s->grace_ms;
 	h->log = ogl_logger_init(stderr, OGL_LOG_WARN);
 	h->lines = ogl_logline_init(STDOUT_FILENO, s->name);
-	h->metrics = ogl_metrics_init();
+	h->metrics = ogl_measures_init();
 	h->http = ogl_http_client_init(loop);
 	make_node(h, s);
 	if (!listen_all(h, s, error)) {
@@ -476,7 +476,7 @@
 	ogl_peer_end(h->peer);
 	cell_node_end(h->node);
 	platform_end(h->platform);
-	ogl_metrics_end(h->metrics);
+	ogl_measures_end(h->metrics);
 	ogl_logline_end(h->lines);
 	ogl_logger_end(h->log);
 	g_free(h->settings_path);
--- a/daemon/metrics.c
+++ b/daemon/measures.c
@@ -1,6 +1,6 @@
 /* Buckets are fixed, so that histograms of several nodes can be added up. */
 
-#include "metrics.h"
+#include "measures.h"
 
 static const uint64_t bounds[] = {
     1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 30000};
@@ -13,15 +13,15 @@
 	uint64_t count;
 };
 
-struct ogl_metrics {
+struct ogl_measures {
 	GHashTable *counters;   /* name -> uint64_t */
 	GHashTable *histograms; /* name -> struct histogram */
 };
 
-struct ogl_metrics *
-ogl_metrics_init(void)
+struct ogl_measures *
+ogl_measures_init(void)
 {
-	struct ogl_metrics *m = g_new0(struct ogl_metrics, 1);
+	struct ogl_measures *m = g_new0(struct ogl_measures, 1);
 
 	m->counters =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
@@ -31,7 +31,7 @@
 }
 
 void
-ogl_metrics_end(struct ogl_metrics *m)
+ogl_measures_end(struct ogl_measures *m)
 {
 	if (m == NULL)
 		return;
@@ -41,7 +41,7 @@
 }
 
 void
-ogl_metrics_count(struct ogl_metrics *m, const char *name, uint64_t by)
+ogl_measures_count(struct ogl_measures *m, const char *name, uint64_t by)
 {
 	uint64_t *c = g_hash_table_lookup(m->counters, name);
 
@@ -53,7 +53,7 @@
 }
 
 void
-ogl_metrics_observe(struct ogl_metrics *m, const char *name, uint64_t ms)
+ogl_measures_observe(struct ogl_measures *m, const char *name, uint64_t ms)
 {
 	struct histogram *h = g_hash_table_lookup(m->histograms, name);
 	size_t i;
@@ -91,7 +91,7 @@
 }
 
 char *
-ogl_metrics_text(const struct ogl_metrics *m)
+ogl_measures_text(const struct ogl_measures *m)
 {
 	GString *s = g_string_new(NULL);
 	GHashTableIter it;
--- /dev/null
+++ b/test/test_daemon_lines.cc
@@ -0,0 +1,128 @@
+/* Structured log lines and metrics: their form and their bounds. */
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <fcntl.h>
+#include <unistd.h>
+
+extern "C" {
+#include "logline.h"
+#include "measures.h"
+}
+
+namespace
+{
+
+class Pipe
+{
+      public:
+	Pipe()
+	{
+		EXPECT_EQ(0, pipe2(fd_, O_NONBLOCK));
+	}
+
+	~Pipe()
+	{
+		close(fd_[0]);
+		if (fd_[1] >= 0)
+			close(fd_[1]);
+	}
+
+	std::string read_all()
+	{
+		std::string s;
+		char c[4096];
+		ssize_t n;
+
+		while ((n = read(fd_[0], c, sizeof c)) > 0)
+			s.append(c, static_cast<size_t>(n));
+		return s;
+	}
+
+	int in() const
+	{
+		return fd_[1];
+	}
+
+      private:
+	int fd_[2];
+};
+
+TEST(LogLine, HasTimeNodePartAndEvent)
+{
+	Pipe p;
+	struct ogl_logline *l = ogl_logline_init(p.in(), "n1");
+
+	ogl_logline_put(l, "owner", "job_ended", "job=1 why=\"a\nb\"", 0,
+	    12 * OGL_SEC + 34 * OGL_MS);
+	ogl_logline_end(l);
+	EXPECT_EQ("ts=12.034 node=n1 part=owner event=job_ended "
+		  "job=1 why=\"a b\"\n",
+	    p.read_all());
+}
+
+/* One kind of event comes in masses.  It must not push out the rare lines that
+ * explain it, and what was left out is told. */
+TEST(LogLine, KeepsEachEventToItsBudget)
+{
+	Pipe p;
+	struct ogl_logline *l = ogl_logline_init(p.in(), "n1");
+	std::string s;
+
+	for (int i = 0; i < 1000; i++) {
+		ogl_logline_put(l, "a", "many", "", OGL_SEC, 0);
+		ogl_logline_flush(l);
+		s += p.read_all();
+	}
+	ogl_logline_put(l, "a", "rare", "", OGL_SEC, 0);
+	ogl_logline_put(l, "a", "many", "", 3 * OGL_SEC, 0);
+	ogl_logline_end(l);
+	s += p.read_all();
+	EXPECT_EQ(253, std::count(s.begin(), s.end(), '\n'));
+	EXPECT_NE(std::string::npos, s.find("event=rare"));
+	EXPECT_NE(std::string::npos,
+	    s.find("event=lines_left_out of=a.many lines=750"));
+}
+
+/* Whoever reads the lines has stopped.  The process goes on, at the cost of
+ * the lines that no longer fit. */
+TEST(LogLine, DoesNotWaitForAReaderThatStopped)
+{
+	Pipe p;
+	struct ogl_logline *l = ogl_logline_init(p.in(), "n1");
+	std::string text(200, 'x');
+
+	for (int i = 0; i < 20000; i++) {
+		ogl_logline_put(l, "a", "e", text.c_str(), i * 10 * OGL_MS, 0);
+		ogl_logline_flush(l);
+	}
+	EXPECT_GT(ogl_logline_left_out(l), 10000U);
+	ogl_logline_end(l);
+}
+
+TEST(Metrics, CountAndBucket)
+{
+	struct ogl_measures *m = ogl_measures_init();
+	char *text;
+
+	ogl_measures_count(m, "calls", 2);
+	ogl_measures_count(m, "calls", 3);
+	ogl_measures_observe(m, "wait_ms", 3);
+	ogl_measures_observe(m, "wait_ms", 700);
+	ogl_measures_observe(m, "wait_ms", 99999);
+	text = ogl_measures_text(m);
+	std::string s = text;
+	g_free(text);
+	ogl_measures_end(m);
+	EXPECT_NE(std::string::npos, s.find("ogl_calls_total 5\n"));
+	EXPECT_NE(
+	    std::string::npos, s.find("ogl_wait_ms_bucket{le=\"5\"} 1\n"));
+	EXPECT_NE(
+	    std::string::npos, s.find("ogl_wait_ms_bucket{le=\"1000\"} 2\n"));
+	EXPECT_NE(
+	    std::string::npos, s.find("ogl_wait_ms_bucket{le=\"+Inf\"} 3\n"));
+	EXPECT_NE(std::string::npos, s.find("ogl_wait_ms_count 3\n"));
+}
+
+} // namespace
