--- a/cell/advice.c
+++ b/cell/advice.c
@@ -151,6 +151,12 @@
 	return best;
 }
 
+bool
+cell_advice_free(struct cell_advice *a, uint32_t rank, ogl_time now)
+{
+	return pick_lane(a, rank, now) != NULL;
+}
+
 static void
 send_question(struct cell_advice *a, const struct question *q)
 {
--- a/cell/advice.h
+++ b/cell/advice.h
@@ -34,6 +34,9 @@
 /* A node is there to ask through; to be said again at least each second. */
 void cell_advice_no_node(struct cell_advice *a, const char *addr);
 
+bool cell_advice_free(struct cell_advice *a, uint32_t rank, ogl_time now);
+/* Whether a question of that rank could be asked now. */
+
 bool cell_advice_ask(struct cell_advice *a, struct cell_stage *s,
     const struct cell_policy *p, GPtrArray *workers, uint32_t rank,
     ogl_time now);
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -86,12 +86,15 @@
 	uint32_t failures; /* holds in a row without an answer */
 	bool hurry;        /* the next hold does not wait */
 
-	GArray *loose;    /* struct cell_loose, starts that went unanswered */
-	GHashTable *runs; /* set of struct cell_run */
-	uint32_t nopen;   /* orders under way; it may not be freed */
-	uint32_t nstrays; /* runs of unknown size */
-	uint32_t streak;  /* failed ends in a row, of different jobs */
-	char *streak_job; /* the last of them */
+	GArray *loose;      /* struct cell_loose, starts that went unanswered */
+	GHashTable *runs;   /* set of struct cell_run */
+	uint64_t open_pass; /* the scheduler's last pass that may use it */
+	uint32_t
+	    reserved;   /* rank + 1 that it is kept for in that pass, 0 none */
+	uint32_t nopen; /* orders under way; it may not be freed */
+	uint32_t nstrays;     /* runs of unknown size */
+	uint32_t streak;      /* failed ends in a row, of different jobs */
+	char *streak_job;     /* the last of them */
 	ogl_time aside_until; /* not used until then: it fails what it gets */
 	uint32_t asides;
 	double pace; /* run time over estimate, smoothed; 1 normal */
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -40,18 +40,19 @@
 /* A ticket that has run out is asked for again for this many workers. */
 #define REFRESH_MAX 16
 /* Between two passes: what comes free within 4 ms is given out together, and
- * a long queue does not take all of a small machine (a pass costs some 5 us a
- * stage; a quarter of a core makes that 20). */
+ * a long queue does not take all of a small machine. */
 #define PASS_GAP (4 * OGL_MS)
-#define PASS_STAGE ((ogl_time)60)
+#define PASS_STAGE ((ogl_time)10)
+/* Stages in a row without room after which a pass leaves their like. */
+#define MISSES_MAX 40
 
 struct cell_sched {
 	struct cell_sched_parts parts;
 	struct cell_config *config;
 	GQueue waiting[RANKS]; /* struct cell_stage */
-	GHashTable *reserved;  /* struct cell_worker -> rank + 1 */
 	unsigned reserves;
-	GPtrArray *open; /* workers that may be given work, this pass */
+	uint64_t pass;   /* number of the pass under way */
+	GPtrArray *open; /* workers that may be given work, roomiest first */
 	GPtrArray *buckets[STANDINGS][RANKS]; /* struct cell_stage, this pass */
 	GPtrArray *candidates;                /* scratch: struct cell_worker */
 	GPtrArray *stale;  /* scratch: allowed, with room, no ticket */
@@ -74,7 +75,6 @@
 	}
 	for (i = 0; i < RANKS; i++)
 		g_queue_init(&s->waiting[i]);
-	s->reserved = g_hash_table_new(NULL, NULL);
 	s->candidates = g_ptr_array_new();
 	s->chosen = g_ptr_array_new();
 	return s;
@@ -93,7 +93,6 @@
 	cell_config_unref(s->config);
 	g_ptr_array_unref(s->open);
 	g_ptr_array_unref(s->stale);
-	g_hash_table_unref(s->reserved);
 	g_ptr_array_unref(s->candidates);
 	g_ptr_array_unref(s->chosen);
 	g_free(s);
@@ -249,18 +248,39 @@
 }
 
 static bool
-kept_from(
-    const struct cell_sched *s, const struct cell_worker *w, uint32_t rank)
+kept_from(const struct cell_worker *w, uint32_t rank)
 {
-	unsigned by = GPOINTER_TO_UINT(g_hash_table_lookup(s->reserved, w));
-
-	return by != 0 && rank + 1 >= by;
+	return w->reserved != 0 && rank + 1 >= w->reserved;
 }
 
 /*
  * Sorts the workers with room for a task into those that may be given it now
  * and, where the queue has a policy, those whose ticket has run out.
  */
+static void
+list_allowed(struct cell_sched *s, const struct cell_stage *st, uint32_t rank,
+    ogl_time now)
+{
+	struct ogl_res need = cell_stage_need(st);
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, st->good);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct cell_good *g = p;
+		struct cell_worker *w =
+		    cell_fleet_worker(s->parts.fleet, g->worker);
+
+		if (w == NULL || w->open_pass != s->pass ||
+		    kept_from(w, rank) || !cell_worker_fits(w, &need))
+			continue;
+		if (g->born_ms == w->life && g->until > now)
+			g_ptr_array_add(s->candidates, w);
+		else
+			g_ptr_array_add(s->stale, w);
+	}
+}
+
 static void
 list_candidates(struct cell_sched *s, const struct cell_stage *st, bool policy,
     uint32_t rank, ogl_time now)
@@ -270,24 +290,16 @@
 
 	g_ptr_array_set_size(s->candidates, 0);
 	g_ptr_array_set_size(s->stale, 0);
+	if (policy) {
+		list_allowed(s, st, rank, now);
+		return;
+	}
 	for (i = 0; i < s->open->len; i++) {
 		struct cell_worker *w = s->open->pdata[i];
-		const struct cell_good *g;
 
-		if (!cell_worker_fits(w, &need) || kept_from(s, w, rank))
-			continue;
-		if (!policy) {
-			if (suits(st, w))
-				g_ptr_array_add(s->candidates, w);
-			continue;
-		}
-		g = g_hash_table_lookup(st->good, w->id);
-		if (g == NULL)
-			continue;
-		if (g->born_ms == w->life && g->until > now)
+		if (cell_worker_fits(w, &need) && !kept_from(w, rank) &&
+		    suits(st, w))
 			g_ptr_array_add(s->candidates, w);
-		else
-			g_ptr_array_add(s->stale, w);
 	}
 }
 
@@ -451,21 +463,16 @@
     const struct cell_policy *p, ogl_time now)
 {
 	GPtrArray *a = g_ptr_array_new();
-	GHashTableIter it;
-	gpointer v;
+	guint max = first_ask_size(p);
 	bool asked;
+	guint i;
 
-	g_hash_table_iter_init(&it, cell_fleet_workers(s->parts.fleet));
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		struct cell_worker *w = v;
+	for (i = 0; i < s->open->len && a->len < max; i++) {
+		struct cell_worker *w = s->open->pdata[i];
 
-		if (w->listed && !w->draining && suits(st, w) && w->life != 0 &&
-		    !g_hash_table_contains(st->asked, w->id))
+		if (suits(st, w) && !g_hash_table_contains(st->asked, w->id))
 			g_ptr_array_add(a, w);
 	}
-	g_ptr_array_sort(a, by_room);
-	if (a->len > first_ask_size(p))
-		g_ptr_array_set_size(a, (gint)first_ask_size(p));
 	asked = cell_advice_ask(s->parts.advice, st, p, a, rank_of(s, st), now);
 	g_ptr_array_unref(a);
 	return asked;
@@ -510,7 +517,8 @@
 seek_advice(struct cell_sched *s, struct cell_stage *st,
     const struct cell_policy *p, ogl_time now)
 {
-	if (!p->needed || st->asking)
+	if (!p->needed || st->asking ||
+	    !cell_advice_free(s->parts.advice, rank_of(s, st), now))
 		return;
 	if (g_hash_table_size(st->asked) == 0) {
 		ask_new(s, st, p, now);
@@ -617,48 +625,40 @@
     ogl_time now)
 {
 	struct ogl_res need = cell_stage_need(st);
-	GPtrArray *a;
-	GHashTableIter it;
-	gpointer v;
 	uint32_t n = 0;
 	guint i;
 
+	(void)now;
 	if (s->reserves >= RESERVES_MAX)
 		return;
-	a = g_ptr_array_new();
-	g_hash_table_iter_init(&it, cell_fleet_workers(s->parts.fleet));
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		struct cell_worker *w = v;
-
-		if (cell_worker_open(w, now) && suits(st, w) &&
-		    (!policy || cell_advice_good(st, w) != NULL) &&
-		    !kept_from(s, w, rank))
-			g_ptr_array_add(a, w);
-	}
-	g_ptr_array_sort(a, by_room);
-	for (i = 0; i < a->len && n < st->ntasks; i++) {
-		struct cell_worker *w = a->pdata[i];
+	for (i = 0; i < s->open->len && n < st->ntasks; i++) {
+		struct cell_worker *w = s->open->pdata[i];
 
+		if (kept_from(w, rank) || !suits(st, w) ||
+		    (policy && cell_advice_good(st, w) == NULL))
+			continue;
 		n += times_in(&w->capacity, &need);
-		g_hash_table_insert(s->reserved, w, GUINT_TO_POINTER(rank + 1));
+		w->reserved = rank + 1;
 	}
 	s->reserves++;
-	g_ptr_array_unref(a);
 }
 
-static void
+/* Whether anything was started, or the stage waits for nothing but time. */
+static bool
 place_stage(struct cell_sched *s, struct cell_stage *st,
     const struct cell_queue *q, uint32_t rank, unsigned stand, ogl_time now)
 {
 	bool policy = q->policy.needed;
+	uint32_t active;
 	bool placed;
 
 	if (!st->job->settled || !st->job->stored) {
 		/* The answer will be there by the time it may start. */
 		if (g_hash_table_size(st->asked) == 0)
 			seek_advice(s, st, &q->policy, now);
-		return;
+		return true;
 	}
+	active = st->nactive;
 	list_candidates(s, st, policy, rank, now);
 	if (st->def->gang)
 		placed = place_gang(s, st, rank, now);
@@ -667,13 +667,14 @@
 	if (placed) {
 		st->blocked_since = 0;
 		cell_sched_remove(s, st);
-		return;
+		return true;
 	}
 	if (st->blocked_since == 0)
 		st->blocked_since = now;
 	seek_advice(s, st, &q->policy, now);
 	if (st->def->gang && stand == 0 && team_allows(s, st, st->ntasks))
 		reserve(s, st, rank, policy, now);
+	return st->nactive > active;
 }
 
 /* Placing and asking change the lists, so what is to be looked at is put down
@@ -705,24 +706,37 @@
 	GHashTableIter it;
 	gpointer p;
 
+	s->pass++;
 	g_ptr_array_set_size(s->open, 0);
 	g_hash_table_iter_init(&it, cell_fleet_workers(s->parts.fleet));
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		if (cell_worker_open(p, now))
-			g_ptr_array_add(s->open, p);
+		struct cell_worker *w = p;
+
+		if (!cell_worker_open(w, now))
+			continue;
+		w->open_pass = s->pass;
+		w->reserved = 0;
+		g_ptr_array_add(s->open, w);
 	}
+	g_ptr_array_sort(s->open, by_room);
 }
 
+/* Once many in a row found no room, those behind them hardly will; they are
+ * looked at when the first ones have gone. */
 static void
 pass_bucket(struct cell_sched *s, uint32_t rank, unsigned stand, ogl_time now)
 {
 	GPtrArray *a = s->buckets[stand][rank];
+	unsigned misses = 0;
 	guint i;
 
-	for (i = 0; i < a->len; i++) {
+	for (i = 0; i < a->len && misses < MISSES_MAX; i++) {
 		struct cell_stage *st = a->pdata[i];
 
-		place_stage(s, st, queue_of(s, st->job), rank, stand, now);
+		if (place_stage(s, st, queue_of(s, st->job), rank, stand, now))
+			misses = 0;
+		else
+			misses++;
 	}
 }
 
@@ -736,7 +750,6 @@
 	if (waiting == 0 || cell_fleet_wants_proof(s->parts.fleet))
 		return;
 	s->pass_at = now + PASS_GAP + (ogl_time)waiting * PASS_STAGE;
-	g_hash_table_remove_all(s->reserved);
 	s->reserves = 0;
 	list_open(s, now);
 	fill_buckets(s, now);
