--- a/cell/front.c
+++ b/cell/front.c
@@ -33,8 +33,6 @@
 #define REPEAT (450 * OGL_MS)
 /* The answer still has its way to the caller. */
 #define REPLY_MARGIN (150 * OGL_MS)
-/* Refusals that a call outlives while the cell changes hands. */
-#define BUSY_MAX 3
 #define BUDGET_DEFAULT_MS 3000
 #define RETRY_MS 600
 
@@ -46,8 +44,8 @@
 	char *team;
 	char *queue;
 	bool sent;
-	unsigned busy; /* refusals while the cell changed hands */
-	bool several;  /* it was sent to more than one ownership */
+	uint64_t sent_epoch; /* highest that it was sent to */
+	bool refused;        /* and that owner refused it */
 	ogl_time began;
 	ogl_time repeat_at;
 	ogl_time deadline;
@@ -58,6 +56,7 @@
 	const struct cell_limits *limits;
 	struct cell_front_events events;
 	char *owner;
+	uint64_t epoch;    /* that it owns the cell in */
 	GHashTable *calls; /* token -> struct pending */
 
 	struct cell_config *config;
@@ -266,28 +265,27 @@
 pass_on(struct cell_front *f, struct pending *p, ogl_time now)
 {
 	p->sent = true;
+	p->sent_epoch = MAX(p->sent_epoch, f->epoch);
+	p->call.epoch = f->epoch;
+	p->refused = false;
 	p->repeat_at = now + REPEAT;
 	p->call.budget_ms = (uint32_t)((p->deadline - now) / OGL_MS);
 	f->events.send(f->events.arg, f->owner, &p->call);
 }
 
 void
-cell_front_owner(struct cell_front *f, const char *addr, ogl_time now)
+cell_front_owner(
+    struct cell_front *f, const char *addr, uint64_t epoch, ogl_time now)
 {
 	GHashTableIter it;
 	gpointer v;
 
 	g_free(f->owner);
 	f->owner = g_strdup(addr);
+	f->epoch = epoch;
 	g_hash_table_iter_init(&it, f->calls);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		struct pending *p = v;
-
-		p->repeat_at = now;
-		/* Also when the same node owns the cell again. */
-		if (p->sent)
-			p->several = true;
-	}
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((struct pending *)v)->repeat_at = now;
 }
 
 static Ogl__CellCallKind
@@ -460,18 +458,20 @@
 		answer(f, p->token, CELL_OVER, r->retry_ms, "over the rate");
 		break;
 	case OGL__CELL_OUTCOME__cell_busy:
+		/*
+		 * Each copy is for the owner of one epoch alone.  What earlier
+		 * owners had not stored by the time of this one's fence never
+		 * will be, so a refusal of the last epoch asked is certain;
+		 * one of an earlier epoch is not.
+		 */
+		if (r->epoch < p->sent_epoch)
+			return;
 		/* The cell changes hands: its next owner can take the job. */
-		if (p->several && ++p->busy < BUSY_MAX) {
+		if (f->owner == NULL || f->epoch != r->epoch) {
+			p->refused = true;
 			p->repeat_at = now + READ_RETRY;
 			return;
 		}
-		if (p->several) {
-			/* Another owner may have accepted it, or may yet. */
-			log_call(f, p, "call_answered", "outcome=unsure");
-			answer(f, p->token, CELL_UNSURE, r->retry_ms,
-			    "may have been accepted");
-			break;
-		}
 		log_call(f, p, "call_answered", "outcome=busy");
 		answer(f, p->token, CELL_BUSY, r->retry_ms,
 		    "the store takes no jobs now");
@@ -490,7 +490,9 @@
 static bool
 give_up(struct cell_front *f, struct pending *p, ogl_time now)
 {
-	if (!p->sent && f->owner == NULL && now - p->began > OWNER_WAIT) {
+	bool told = p->sent && !p->refused;
+
+	if (!told && f->owner == NULL && now - p->began > OWNER_WAIT) {
 		log_call(f, p, "call_given_up", "why=no_owner");
 		answer(f, p->token, CELL_BUSY, RETRY_MS, "no owner is known");
 		return true;
@@ -498,7 +500,7 @@
 	if (now < p->deadline)
 		return false;
 	log_call(f, p, "call_given_up", "why=deadline");
-	answer(f, p->token, p->sent ? CELL_UNSURE : CELL_BUSY, RETRY_MS,
+	answer(f, p->token, told ? CELL_UNSURE : CELL_BUSY, RETRY_MS,
 	    "no answer in time");
 	return true;
 }
--- a/cell/front.h
+++ b/cell/front.h
@@ -21,7 +21,8 @@
     const struct cell_limits *limits, const struct cell_front_events *events);
 void cell_front_end(struct cell_front *f);
 
-void cell_front_owner(struct cell_front *f, const char *addr, ogl_time now);
+void cell_front_owner(
+    struct cell_front *f, const char *addr, uint64_t epoch, ogl_time now);
 /* Who owns the cell; NULL: nobody, as far as is known. */
 
 void cell_front_call(struct cell_front *f, uint64_t token,
--- a/cell/journal.c
+++ b/cell/journal.c
@@ -16,8 +16,11 @@
 #define GAP (15 * OGL_MS)
 /* Changes that nobody waits for are written within this time. */
 #define LAZY (250 * OGL_MS)
-/* The store answers in 4 ms when well; slow days take up to 60 times that. */
-#define TIMEOUT_MS 1500
+/* The store answers in 4 ms when well, so an answer missing for so long is
+ * lost; a repeat costs little and is taken once.  On slow days answers take up
+ * to 60 times as long, so each miss doubles it. */
+#define TIMEOUT_MIN_MS 150
+#define TIMEOUT_MAX_MS 2400
 #define RETRY (100 * OGL_MS)
 /* From here on new submissions are refused instead of waiting. */
 #define FAILING (400 * OGL_MS)
@@ -38,6 +41,7 @@
 	uint64_t epoch;
 	uint64_t generation; /* tells late answers of an earlier epoch */
 	uint64_t seq;
+	uint32_t timeout_ms;
 	GPtrArray *marked; /* struct cell_job, to go with the next append */
 	GHashTable *extra; /* key -> GBytes, the same */
 	GHashTable *batch_extra; /* what of it is in the batch */
@@ -140,6 +144,7 @@
 	g->open = true;
 	g->epoch = epoch;
 	g->seq = 0;
+	g->timeout_ms = TIMEOUT_MIN_MS;
 	g->generation++;
 }
 
@@ -365,7 +370,7 @@
 	    .at = -1,
 	    .puts = (const struct cell_put *)(void *)g->batch->data,
 	    .nputs = g->batch->len,
-	    .timeout_ms = TIMEOUT_MS,
+	    .timeout_ms = g->timeout_ms,
 	};
 
 	s->journal = g;
@@ -375,6 +380,16 @@
 	g->ops->append(g->ops->outside, &a, on_appended, s);
 }
 
+/* Several times what the last answer took; it comes down slowly. */
+static void
+adapt_timeout(struct cell_journal *g, ogl_time took)
+{
+	uint32_t want = (uint32_t)(took / OGL_MS) * 4;
+
+	want = MAX(want, g->timeout_ms - g->timeout_ms / 4);
+	g->timeout_ms = CLAMP(want, TIMEOUT_MIN_MS, TIMEOUT_MAX_MS);
+}
+
 static void
 batch_stored(struct cell_journal *g, ogl_time now)
 {
@@ -383,6 +398,7 @@
 	g_hash_table_remove_all(g->batch_extra);
 	g->has_batch = false;
 	g->failing_since = 0;
+	adapt_timeout(g, now - g->sent_at);
 	tell(g->batch_waiters, CELL_STORED, now);
 }
 
@@ -444,8 +460,11 @@
 	if (g->failing_since == 0)
 		g->failing_since = g->sent_at;
 	g->retry_at = now + RETRY;
-	if (a->io == OGL_IO_LOST)
+	if (a->io == OGL_IO_LOST) {
 		g->uncertain = true;
+		g->timeout_ms = MIN(g->timeout_ms * 2, TIMEOUT_MAX_MS);
+		g->retry_at = now;
+	}
 	if (!g->uncertain)
 		batch_refused(g, now);
 }
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -40,7 +40,8 @@
 #define LATE_MAX_MS 600
 #define READ_WAIT_MS 1000
 #define READ_TIMEOUT_MS 2200
-#define APPEND_TIMEOUT_MS 1500
+#define APPEND_TIMEOUT_MS 900
+#define BEATS_MAX 3
 #define RETRY (150 * OGL_MS)
 /* An owner that has not reached the store for so long can't rule out that it
  * was replaced; outages of the store are shorter. */
@@ -70,7 +71,8 @@
 	uint64_t next;    /* offset to read from */
 
 	uint64_t epoch;
-	char *owner; /* address; NULL: vacant or never claimed */
+	uint64_t told_epoch; /* that the last change was told with */
+	char *owner;         /* address; NULL: vacant or never claimed */
 	bool own;
 	ogl_time last_news;    /* of the owner, or of a failed read */
 	ogl_time confirmed_at; /* sending of the last good read */
@@ -161,8 +163,10 @@
 static void
 set_owner(struct cell_lead *l, const char *addr, ogl_time now)
 {
-	if (g_strcmp0(l->owner, addr) == 0)
+	/* The same node may own the cell again, in another epoch. */
+	if (g_strcmp0(l->owner, addr) == 0 && l->told_epoch == l->epoch)
 		return;
+	l->told_epoch = l->epoch;
 	g_free(l->owner);
 	l->owner = g_strdup(addr);
 	log_owner(l, "owner_changed", addr);
@@ -415,13 +419,13 @@
 	append(l, &m, (int64_t)l->next, on_claim);
 }
 
-/* Two beats may be under way: the answer to one can be lost. */
+/* Several beats may be under way: answers get lost. */
 static void
 beat(struct cell_lead *l, ogl_time now)
 {
 	Ogl__CellLead m = OGL__CELL_LEAD__INIT;
 
-	if (!l->own || now < l->beat_at || l->beats >= 2)
+	if (!l->own || now < l->beat_at || l->beats >= BEATS_MAX)
 		return;
 	m.epoch = l->epoch;
 	l->beats++;
--- a/cell/node.c
+++ b/cell/node.c
@@ -286,7 +286,7 @@
 	n->pong_at = now;
 	n->ping_at = now;
 	n->owner_seen = now;
-	cell_front_owner(n->front, addr, now);
+	cell_front_owner(n->front, addr, cell_lead_epoch(n->lead), now);
 }
 
 static void
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -23,7 +23,7 @@
 #include "schedule.h"
 
 #define NEWEST_TIMEOUT_MS 1500
-#define FENCE_TIMEOUT_MS 800
+#define FENCE_TIMEOUT_MS 300
 #define RETRY (120 * OGL_MS)
 /* The list of workers is read so often: an entry changes on each worker's
  * heartbeat, and reading each change by itself would be a call each. */
@@ -1312,6 +1312,7 @@
 	r.token = token;
 	r.outcome = outcome;
 	r.retry_ms = retry_ms;
+	r.epoch = o->epoch;
 	o->events.reply(o->events.arg, to, &r);
 }
 
@@ -1559,7 +1560,9 @@
 cell_owner_call(
     struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
 {
-	if (o->phase != PHASE_SERVING) {
+	/* A copy that was on its way while the cell changed hands is not taken
+	 * up: its front may have had the answer of another owner since. */
+	if (o->phase != PHASE_SERVING || c->epoch != o->epoch) {
 		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_not_owner, 0);
 		return;
 	}
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -1848,7 +1848,7 @@
   (ProtobufCMessageInit) ogl__cell_pong__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_call__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ogl__cell_call__field_descriptors[8] =
 {
   {
     "token",
@@ -1934,9 +1934,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellCall, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_call__field_indices_by_name[] = {
   5,   /* field[5] = budget_ms */
+  7,   /* field[7] = epoch */
   2,   /* field[2] = id */
   6,   /* field[6] = job */
   1,   /* field[1] = kind */
@@ -1947,7 +1960,7 @@
 static const ProtobufCIntRange ogl__cell_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ogl__cell_call__descriptor =
 {
@@ -1957,14 +1970,14 @@
   "Ogl__CellCall",
   "ogl",
   sizeof(Ogl__CellCall),
-  7,
+  8,
   ogl__cell_call__field_descriptors,
   ogl__cell_call__field_indices_by_name,
   1,  ogl__cell_call__number_ranges,
   (ProtobufCMessageInit) ogl__cell_call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_reply__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ogl__cell_reply__field_descriptors[6] =
 {
   {
     "token",
@@ -2026,8 +2039,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellReply, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_reply__field_indices_by_name[] = {
+  5,   /* field[5] = epoch */
   1,   /* field[1] = outcome */
   4,   /* field[4] = pending */
   2,   /* field[2] = retry_ms */
@@ -2037,7 +2063,7 @@
 static const ProtobufCIntRange ogl__cell_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ogl__cell_reply__descriptor =
 {
@@ -2047,7 +2073,7 @@
   "Ogl__CellReply",
   "ogl",
   sizeof(Ogl__CellReply),
-  5,
+  6,
   ogl__cell_reply__field_descriptors,
   ogl__cell_reply__field_indices_by_name,
   1,  ogl__cell_reply__number_ranges,
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -384,10 +384,14 @@
    * of a submit
    */
   Ogl__CellJob *job;
+  /*
+   * of the owner it is meant for
+   */
+  uint64_t epoch;
 };
 #define OGL__CELL_CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_call__descriptor) \
-    , 0, OGL__CELL_CALL_KIND__cell_submit, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, NULL }
+    , 0, OGL__CELL_CALL_KIND__cell_submit, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, NULL, 0 }
 
 
 struct  Ogl__CellReply
@@ -398,10 +402,14 @@
   uint32_t retry_ms;
   Ogl__CellJobState state;
   uint32_t pending;
+  /*
+   * that the answer was given in
+   */
+  uint64_t epoch;
 };
 #define OGL__CELL_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_reply__descriptor) \
-    , 0, OGL__CELL_OUTCOME__cell_ok, 0, OGL__CELL_JOB_STATE__cell_queued, 0 }
+    , 0, OGL__CELL_OUTCOME__cell_ok, 0, OGL__CELL_JOB_STATE__cell_queued, 0, 0 }
 
 
 /*
