--- a/cell/lead.c
+++ b/cell/lead.c
@@ -71,6 +71,7 @@
 	uint64_t next;    /* offset to read from */
 
 	uint64_t epoch;
+	uint64_t vacated;    /* epoch whose owner has resigned */
 	uint64_t told_epoch; /* that the last change was told with */
 	char *owner;         /* address; NULL: vacant or never claimed */
 	bool own;
@@ -210,7 +211,8 @@
 static void
 take_beat(struct cell_lead *l, const Ogl__CellLead *m, ogl_time now)
 {
-	if (m->epoch < l->epoch)
+	/* A beat may have been on its way when its sender resigned. */
+	if (m->epoch < l->epoch || m->epoch == l->vacated)
 		return;
 	if (m->epoch > l->epoch) {
 		step_down(l, now);
@@ -223,6 +225,7 @@
 			set_owner(l, earlier_life(l, m) ? NULL : m->addr, now);
 		return;
 	}
+	l->vacated = m->epoch;
 	step_down(l, now);
 	set_owner(l, NULL, now);
 }
