--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -29,8 +29,10 @@
 #define LEASE_MS 5000
 #define SLOW 1.0205 /* a clock 2% slow takes 1/0.98 of the time */
 #define LAPSE_MARGIN (250 * OGL_MS)
-#define HOLD_WAIT_MS 900
-#define HOLD_TIMEOUT_MS 1700
+/* A hold whose answer is lost hides the ends of its worker for as long as it
+ * may take, so it is short; a busy worker answers long before. */
+#define HOLD_WAIT_MS 450
+#define HOLD_TIMEOUT_MS 800
 /* Ends within this time of each other are fetched with one hold. */
 #define HOLD_GAP (20 * OGL_MS)
 /* A hold whose ends are not stored yet would return at once with the same
@@ -38,7 +40,7 @@
 #define RENEW (700 * OGL_MS)
 #define HOLD_RETRY (150 * OGL_MS)
 /* An answer overdue by this makes a worker suspect: nothing new goes there. */
-#define SUSPECT (400 * OGL_MS)
+#define SUSPECT (250 * OGL_MS)
 #define ORDER_TIMEOUT_MS 600
 #define ORDER_RETRY (100 * OGL_MS)
 #define START_TRIES 3
@@ -787,7 +789,7 @@
 hold_failed(struct cell_fleet *f, struct cell_worker *w,
     const struct cell_hold_answer *a, ogl_time now)
 {
-	w->hold_at = now + HOLD_RETRY;
+	w->hold_at = w->failures == 0 ? now : now + HOLD_RETRY;
 	if (a->why == CELL_REFUSED_FENCE) {
 		f->events.outranked(f->events.arg, now);
 		return;
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -43,6 +43,9 @@
  * a long queue does not take all of a small machine. */
 #define PASS_GAP (4 * OGL_MS)
 #define PASS_STAGE ((ogl_time)10)
+/* Part of its limit that a team may fill with work of other ranks than 0: its
+ * short urgent work would else wait for its own long tasks to end (6 s seen). */
+#define LIMIT_PART 0.93
 /* Stages in a row without room after which a pass leaves their like. */
 #define MISSES_MAX 40
 
@@ -387,16 +390,22 @@
 
 /* ---- limits ----------------------------------------------------------- */
 
+/* A step that alone needs more than the part may have the whole. */
 static bool
-below(uint32_t used, uint32_t need, uint32_t max)
+below(uint32_t used, uint64_t need, uint32_t max, double part)
 {
-	return max == 0 || (uint64_t)used + need <= max;
+	uint64_t limit = (uint64_t)(max * part);
+
+	if (need > limit)
+		limit = max;
+	return max == 0 || used + need <= limit;
 }
 
 static bool
-team_allows(
-    const struct cell_sched *s, const struct cell_stage *st, uint32_t tasks)
+team_allows(const struct cell_sched *s, const struct cell_stage *st,
+    uint32_t tasks, uint32_t rank)
 {
+	double part = rank == 0 ? 1.0 : LIMIT_PART;
 	const struct cell_team *t =
 	    cell_config_team(s->config, st->job->def->team);
 	struct ogl_res used =
@@ -405,10 +414,12 @@
 
 	if (t == NULL)
 		return true;
-	return below(
-		   used.cpu_milli, need.cpu_milli * tasks, t->max.cpu_milli) &&
-	       below(used.mem_mb, need.mem_mb * tasks, t->max.mem_mb) &&
-	       below(used.accel, need.accel * tasks, t->max.accel);
+	return below(used.cpu_milli, (uint64_t)need.cpu_milli * tasks,
+		   t->max.cpu_milli, part) &&
+	       below(used.mem_mb, (uint64_t)need.mem_mb * tasks, t->max.mem_mb,
+		   part) &&
+	       below(used.accel, (uint64_t)need.accel * tasks, t->max.accel,
+		   part);
 }
 
 /* ---- questions to the advice service ---------------------------------- */
@@ -567,8 +578,9 @@
 
 		if (t->done || t->active != NULL)
 			continue;
-		w = task_waits(t, now) && team_allows(s, st, 1) ? pick(s, st, t)
-								: NULL;
+		w = task_waits(t, now) && team_allows(s, st, 1, rank)
+			? pick(s, st, t)
+			: NULL;
 		if (w == NULL) {
 			all = false;
 			break;
@@ -600,7 +612,8 @@
 
 	if (st->nactive > 0)
 		return true; /* the last run is not over yet */
-	if (!task_waits(&st->tasks[0], now) || !team_allows(s, st, st->ntasks))
+	if (!task_waits(&st->tasks[0], now) ||
+	    !team_allows(s, st, st->ntasks, rank))
 		return false;
 	g_ptr_array_set_size(s->chosen, 0);
 	for (i = 0; i < st->ntasks; i++) {
@@ -672,7 +685,7 @@
 	if (st->blocked_since == 0)
 		st->blocked_since = now;
 	seek_advice(s, st, &q->policy, now);
-	if (st->def->gang && stand == 0 && team_allows(s, st, st->ntasks))
+	if (st->def->gang && stand == 0 && team_allows(s, st, st->ntasks, rank))
 		reserve(s, st, rank, policy, now);
 	return st->nactive > active;
 }
@@ -753,9 +766,15 @@
 	s->reserves = 0;
 	list_open(s, now);
 	fill_buckets(s, now);
-	for (stand = 0; stand < STANDINGS; stand++) {
-		for (rank = 0; rank < RANKS; rank++)
+	for (stand = 0; stand < STANDINGS; stand += 3) {
+		pass_bucket(s, 0, stand, now);
+		pass_bucket(s, 0, stand + 1, now);
+		for (rank = 1; rank < RANKS; rank++)
 			pass_bucket(s, rank, stand, now);
+		for (rank = 1; rank < RANKS; rank++)
+			pass_bucket(s, rank, stand + 1, now);
+		for (rank = 0; rank < RANKS; rank++)
+			pass_bucket(s, rank, stand + 2, now);
 	}
 }
 
