--- a/ctl/main.c
+++ b/ctl/main.c
@@ -11,7 +11,7 @@
 
 #include "ctl.h"
 
-#define WORDS_MAX 32
+#define WORDS_MAX 64
 
 /* Options without a letter. */
 enum {
@@ -67,8 +67,8 @@
 	size_t n;
 };
 
-static const struct ctl_command *const tables[] = {
-    ctl_settings_commands, ctl_work_commands, ctl_cell_commands};
+static const struct ctl_command *const tables[] = {ctl_settings_commands,
+    ctl_work_commands, ctl_cell_commands, ctl_explain_commands};
 
 static uint64_t
 number(const char *arg, uint64_t max, struct argp_state *state)
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,456 @@
+"""The platform's stand-in for the soak: store, workers, advice, over HTTP.
+
+Everything lives in one process and one loop; the nodes under test are real
+processes that speak to it over loopback.  What must hold is checked here, as
+workers see it, and collected in World.breaches.
+"""
+
+import asyncio
+import base64
+import json
+import struct
+import time
+
+WORKER_CPU = 16000
+LEASE_MAX_MS = 10000
+STOP_S = 0.2
+VALID_MS = 2500
+
+
+def now():
+    return time.monotonic()
+
+
+async def read_message(reader):
+    """One HTTP message: first line, headers, body; None at the end."""
+    line = await reader.readline()
+    if not line:
+        return None
+    headers = {}
+    while True:
+        h = (await reader.readline()).decode().strip()
+        if not h:
+            break
+        name, _, value = h.partition(":")
+        headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return line.decode().split(), headers, body
+
+
+def answer(status, body, kind="application/json"):
+    if not isinstance(body, bytes):
+        body = json.dumps(body).encode()
+    return (
+        f"HTTP/1.1 {status} x\r\nContent-Type: {kind}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+class Stream:
+    def __init__(self):
+        self.records = []  # (key, value or None)
+        self.epoch = 0
+        self.seq = None
+        self.repeats = {}
+        self.grown = asyncio.Condition()
+
+    async def put(self, pairs):
+        first = len(self.records)
+        self.records += pairs
+        async with self.grown:
+            self.grown.notify_all()
+        return first
+
+    def newest(self):
+        last = {}
+        for i, (k, v) in enumerate(self.records):
+            last[k] = (i, v)
+        return {k: iv for k, iv in sorted(last.items()) if iv[1]}
+
+
+class Store:
+    """Topics of keyed records with fenced, numbered, conditional appends."""
+
+    def __init__(self, rand):
+        self.rand = rand
+        self.topics = {}
+        self.mode = "well"  # or busy, losing, late
+
+    def topic(self, name):
+        return self.topics.setdefault(name, Stream())
+
+    async def apply(self, q, body):
+        t = self.topic(q["topic"])
+        pairs, at = [], 0
+        while at < len(body):
+            (n,) = struct.unpack_from(">I", body, at)
+            raw = body[at + 4 : at + 4 + n]
+            at += 4 + n
+            k = raw[1 : 1 + raw[0]].decode()
+            pairs.append((k, raw[1 + raw[0] :] or None))
+        epoch, seq = int(q.get("epoch", 0)), int(q.get("seq", 0))
+        fenced = "producer" in q
+        if fenced and epoch < t.epoch:
+            return 409, {"reason": "fenced"}
+        if "at" in q and int(q["at"]) != len(t.records):
+            return 412, {"end_offset": len(t.records)}
+        if fenced and epoch > t.epoch:
+            t.epoch, t.seq, t.repeats = epoch, None, {}
+        if fenced and pairs:
+            if seq in t.repeats:
+                return 200, t.repeats[seq]
+            if t.seq is not None and seq != t.seq + 1:
+                return 409, {"reason": "seq", "seq": t.seq + 1}
+            t.seq = seq
+        first = await t.put(pairs)
+        out = {"offset": first, "end_offset": len(t.records)}
+        if fenced and pairs:
+            t.repeats[seq] = out
+            for old in sorted(t.repeats)[:-5]:
+                del t.repeats[old]
+        return 200, out
+
+    async def append(self, q, body):
+        if self.mode == "busy":
+            return answer(503, {})
+        if self.mode in ("losing", "late") and self.rand.random() < 0.4:
+            if self.mode == "late":
+                asyncio.get_running_loop().call_later(
+                    self.rand.uniform(1, 5),
+                    lambda: asyncio.ensure_future(self.apply(q, body)),
+                )
+            else:
+                await self.apply(q, body)
+            return None
+        status, out = await self.apply(q, body)
+        return answer(status, out)
+
+    async def read(self, q):
+        if self.mode == "busy":
+            return answer(503, {})
+        t, start = self.topic(q["topic"]), int(q["from"])
+        try:
+            async with t.grown:
+                await asyncio.wait_for(
+                    t.grown.wait_for(lambda: len(t.records) > start),
+                    int(q.get("wait_ms", 0)) / 1000 + 0.001,
+                )
+        except asyncio.TimeoutError:
+            pass
+        out = struct.pack(">QQ", len(t.records), 0)
+        for k, v in t.records[start:]:
+            raw = bytes([len(k)]) + k.encode() + (v or b"")
+            out += struct.pack(">I", len(raw)) + raw
+        return answer(200, out, "application/octet-stream")
+
+    async def handle(self, method, path, headers, body):
+        path, _, query = path.partition("?")
+        q = dict(p.split("=", 1) for p in query.split("&") if p)
+        if path.endswith("log-append"):
+            return await self.append(q, body)
+        if path.endswith("log-read"):
+            return await self.read(q)
+        if self.mode == "busy":
+            return answer(503, {})
+        t = self.topic(q["topic"])
+        items = [
+            {"key": k, "offset": i, "value": base64.b64encode(v).decode()}
+            for k, (i, v) in t.newest().items()
+            if k > q.get("after", "")
+        ]
+        return answer(
+            200,
+            {
+                "items": items[:500],
+                "has_more": len(items) > 500,
+                "end_offset": len(t.records),
+            },
+        )
+
+
+class Task:
+    def __init__(self):
+        self.running = 0
+        self.ended = False  # some run ended as done
+        self.noted = False  # and that was taken note of
+        self.failed = 0
+
+
+class Job:
+    def __init__(self, ident, steps):
+        self.id, self.steps = ident, steps
+        self.handed_in = self.rejected = 0
+        self.accepted = False
+        self.cancelled_at = None
+        self.state = None
+        self.tasks = {}
+
+    def task(self, step, index):
+        return self.tasks.setdefault((step, index), Task())
+
+
+class Run:
+    def __init__(self, name, number, step, body):
+        self.name, self.number, self.step = name, number, step
+        self.body = body
+        self.began = None
+        self.timer = None
+
+
+class Worker:
+    def __init__(self, world, ident, addr):
+        self.world, self.id, self.addr = world, ident, addr
+        self.mode = "well"  # failing, late, crashed
+        self.life()
+
+    def life(self):
+        self.born = time.time_ns() // 1000000
+        self.start = now()
+        self.epoch = self.until = self.last = 0
+        self.runs, self.ended, self.highest = {}, [], {}
+        self.woken = asyncio.Event()
+
+    def clock(self):
+        return 1000 + int((now() - self.start) * 1000)
+
+    def end(self, run, how):
+        if self.runs.pop((run.name, run.number), None) is None:
+            return
+        run.timer.cancel()
+        ident, _, step, index = run.name.split(".")
+        t = self.world.jobs[ident].task(int(step), int(index))
+        t.running -= 1
+        t.ended = t.ended or how == "done"
+        self.last += 1
+        self.ended.append([self.last, run.name, run.number, how, ""])
+        self.highest[run.name] = max(
+            self.highest.get(run.name, 0), run.number
+        )
+        self.woken.set()
+
+    def crash(self):
+        for run in list(self.runs.values()):
+            run.timer.cancel()
+            ident, _, step, index = run.name.split(".")
+            self.world.jobs[ident].task(int(step), int(index)).running -= 1
+        self.life()
+
+    def lapse(self):
+        if self.runs and self.clock() > self.until:
+            for run in list(self.runs.values()):
+                self.end(run, "lapsed")
+
+    def check(self, job, step, index, name):
+        t, breach = job.task(step, index), self.world.breach
+        used = sum(r.step["cpu"] for r in self.runs.values())
+        if used + job.steps[step]["cpu"] > WORKER_CPU:
+            breach("LIMIT", name)
+        if t.running:
+            breach("TWICE", name)
+        if t.noted:
+            breach("AGAIN", name)
+        if t.failed >= self.world.attempts:
+            breach("BUDGET", name)
+        for before in job.steps[step].get("after", []):
+            if not all(
+                job.task(before, i).ended
+                for i in range(job.steps[before]["count"])
+            ):
+                breach("ORDER", name)
+        if job.cancelled_at and now() - job.cancelled_at > 3:
+            breach("CANCELLED", name)
+        if job.handed_in == job.rejected:
+            breach("REFUSED", name)
+
+    def begin(self, b):
+        ident, _, step, index = b["task"].split(".")
+        job = self.world.jobs.get(ident)
+        if job is None:
+            self.world.breach("UNASKED", b["task"])
+            return
+        step, index = int(step), int(index)
+        self.check(job, step, index, b["task"])
+        run = Run(b["task"], b["run_id"], job.steps[step], b)
+        job.task(step, index).running += 1
+        self.runs[(run.name, run.number)] = run
+        bad = self.mode == "failing" or job.steps[step].get("bad")
+        run.timer = asyncio.get_running_loop().call_later(
+            job.steps[step]["estimate_ms"] / 1000 / (2 if bad else 1),
+            self.end,
+            run,
+            "failed" if bad else "done",
+        )
+
+    def fenced(self, b):
+        if b["fencing_token"] < self.epoch:
+            return True
+        self.epoch = b["fencing_token"]
+        return False
+
+    def renew(self, b):
+        if "until_ms" in b:
+            limit = self.clock() + LEASE_MAX_MS
+            self.until = max(self.until, min(b["until_ms"], limit))
+
+    def run_start(self, b):
+        if self.fenced(b):
+            return 409, "fence"
+        if (b["task"], b["run_id"]) in self.runs:
+            return 200, None
+        if b["run_id"] <= self.highest.get(b["task"], 0):
+            return 409, "old"
+        if b["until_ms"] <= self.clock():
+            return 409, "late"
+        ident, k, step, _ = b["task"].split(".")
+        key = (f"{ident}.{k}.{step}", self.id, self.born)
+        if self.world.tickets.get(key, 0) < now():
+            return 409, "ticket"
+        self.renew(b)
+        self.begin(b)
+        return 200, None
+
+    def run_stop(self, b):
+        if self.fenced(b):
+            return 409, "fence"
+        run = self.runs.get((b["task"], b["run_id"]))
+        if run is None:
+            self.highest[b["task"]] = max(
+                self.highest.get(b["task"], 0), b["run_id"]
+            )
+        else:
+            asyncio.get_running_loop().call_later(
+                STOP_S, self.end, run, "stopped"
+            )
+        return 200, None
+
+    def note(self, seen):
+        while self.ended and self.ended[0][0] <= seen:
+            _, name, _, how, _ = self.ended.pop(0)
+            ident, _, step, index = name.split(".")
+            t = self.world.jobs[ident].task(int(step), int(index))
+            t.noted = t.noted or how == "done"
+            t.failed += how == "failed"
+
+    async def hold(self, b):
+        if self.fenced(b):
+            return 409, "fence"
+        self.note(b["last_seen"])
+        self.renew(b)
+        if not self.ended and b.get("wait_ms"):
+            self.woken.clear()
+            try:
+                await asyncio.wait_for(
+                    self.woken.wait(), b["wait_ms"] / 1000
+                )
+            except asyncio.TimeoutError:
+                pass
+        return 200, None
+
+    async def handle(self, method, path, headers, body):
+        if self.mode == "crashed":
+            return None
+        if headers.get("x-expected-instance") != self.id:
+            return answer(421, {})
+        b, life = json.loads(body), self.born
+        if path.endswith("hold"):
+            status, why = await self.hold(b)
+        else:
+            act = self.run_start if path.endswith("start") else self.run_stop
+            if self.mode == "late" and self.world.rand.random() < 0.3:
+                asyncio.get_running_loop().call_later(
+                    self.world.rand.uniform(2, 8),
+                    lambda: self.born == life and act(b),
+                )
+                return None
+            status, why = act(b)
+        if self.born != life or self.mode == "crashed":
+            return None
+        out = {"clock_ms": self.clock(), "born": self.born}
+        if why:
+            out["reason"] = why
+        if path.endswith("hold"):
+            out["running"] = [
+                [r.name, r.number, "", 50, 0] for r in self.runs.values()
+            ]
+            out["ended"] = self.ended[:500]
+        return answer(status, out)
+
+    def entry(self):
+        if self.mode == "crashed":
+            return None
+        return json.dumps(
+            {
+                "service": "svc",
+                "address": self.addr,
+                "zone": "z",
+                "state": "ready",
+                "born": self.born,
+                "capacity": {"cpu": WORKER_CPU, "mem_mb": 65536, "gpus": 0},
+                "labels": ["a", "r1-1"],
+            }
+        ).encode()
+
+
+class World:
+    attempts = 3
+
+    def __init__(self, rand):
+        self.rand = rand
+        self.store = Store(rand)
+        self.jobs, self.workers, self.tickets = {}, [], {}
+        self.breaches = []
+        self.version = 0
+        self.began = now()
+
+    def breach(self, what, about):
+        self.breaches.append(f"{now() - self.began:.2f} s {what} {about}")
+
+    async def configure(self, keys):
+        self.version += 1
+        config = {
+            "version": self.version,
+            "routes": [
+                {
+                    "name": "r",
+                    "host": "q.example",
+                    "path_prefix": "/q/",
+                    "service": "svc",
+                    "priority": 0,
+                    "max_attempts": self.attempts,
+                    "slack_factor": 2,
+                    "target_latency_ms": 500,
+                    "advice": {
+                        "decide_ms": 3,
+                        "period_ms": 0.1,
+                        "valid_ms": VALID_MS,
+                    },
+                }
+            ],
+            "services": [{"name": "svc"}],
+            "tenants": [{"name": "t", "api_keys": keys, "weight": 1000}],
+        }
+        await self.store.topic("keyed.op").put(
+            [("config", json.dumps(config).encode())]
+        )
+
+    async def list_workers(self):
+        """Entries follow what the workers are; leases end by their clocks."""
+        last = {}
+        while True:
+            for w in self.workers:
+                w.lapse()
+                e = w.entry()
+                if last.get(w.id) != e and self.store.mode != "busy":
+                    last[w.id] = e
+                    await self.store.topic("keyed.servers").put([(w.id, e)])
+            await asyncio.sleep(0.1)
+
+    async def advise(self, method, path, headers, body):
+        b = json.loads(body)
+        await asyncio.sleep(0.003)
+        good = []
+        for w in self.workers:
+            if w.id in b["workers"]:
+                self.tickets[(b["step"], w.id, w.born)] = now() + 2.4
+                good.append([w.id, "x"])
+        return answer(200, {"good": good, "valid_ms": VALID_MS})
--- /dev/null
+++ b/test/test_ctl_explain.cc
@@ -0,0 +1,96 @@
+/* `oriolectl explain` on log lines of several nodes. */
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace
+{
+
+std::string
+explain(const std::string &lines, const std::string &job, int *status)
+{
+	std::string path = testing::TempDir() + "explain.log";
+	std::string out;
+	char buf[4096];
+
+	std::ofstream(path) << lines;
+	FILE *p = popen(
+	    (OGL_BIN_DIR "/oriolectl explain " + job + " " + path + " 2>&1")
+		.c_str(),
+	    "r");
+	while (fgets(buf, sizeof buf, p) != nullptr)
+		out += buf;
+	*status = pclose(p) >> 8;
+	return out;
+}
+
+/* Lines come from files of several nodes, in no order, with lines of other
+ * jobs between.  The story is told by time and names the lost worker. */
+TEST(Explain, TellsAJobThatLostAWorkerAcrossATakeover)
+{
+	int status;
+	std::string out = explain(
+	    "ts=12.500 node=b part=owner event=cell_taken_over epoch=9 jobs=3\n"
+	    "ts=15.000 node=b part=owner event=run_ended job=1 task=0.0.0 "
+	    "run=1 worker=w4 age_ms=4000 how=lapsed percent=10\n"
+	    "ts=14.900 node=b part=fleet event=worker_lapsed worker=w4 life=1\n"
+	    "ts=14.900 node=b part=fleet event=worker_lapsed worker=w5 life=1\n"
+	    "ts=16.000 node=b part=owner event=job_ended job=1 epoch=9 "
+	    "state=completed why=all_done age_ms=6000\n"
+	    "ts=10.000 node=a part=owner event=job_accepted job=1 epoch=1\n"
+	    "ts=10.250 node=a part=owner event=run_started job=1 task=0.0.0 "
+	    "run=1 worker=w4 age_ms=0\n"
+	    "ts=10.300 node=a part=owner event=job_accepted job=11 epoch=1\n"
+	    "not a line of ours\n",
+	    "1", &status);
+
+	EXPECT_EQ(0, status);
+	EXPECT_EQ(
+	    "   +0.000 * node=a part=owner event=job_accepted job=1 epoch=1\n"
+	    "   +0.250 * node=a part=owner event=run_started job=1 task=0.0.0 "
+	    "run=1 worker=w4 age_ms=0\n"
+	    "   +2.500   node=b part=owner event=cell_taken_over epoch=9 "
+	    "jobs=3\n"
+	    "   +4.900   node=b part=fleet event=worker_lapsed worker=w4 "
+	    "life=1\n"
+	    "   +5.000 * node=b part=owner event=run_ended job=1 task=0.0.0 "
+	    "run=1 worker=w4 age_ms=4000 how=lapsed percent=10\n"
+	    "   +6.000 * node=b part=owner event=job_ended job=1 epoch=9 "
+	    "state=completed why=all_done age_ms=6000\n"
+	    "cause: it ended as completed (all_done)\n"
+	    "  first start 250 ms after it was accepted\n"
+	    "  the cell was taken over 1 times meanwhile\n"
+	    "  1 runs were lost with their workers or leases, on w4\n",
+	    out);
+}
+
+TEST(Explain, NamesARefusalAndLinesLeftOut)
+{
+	int status;
+	std::string out = explain(
+	    "ts=1.000 node=a part=owner event=job_refused job=7 epoch=1 "
+	    "why=store_refused\n"
+	    "ts=1.001 node=a part=front event=call_answered job=7 kind=0 "
+	    "outcome=busy\n"
+	    "ts=1.200 node=a part=log event=lines_left_out of=a.b lines=4\n",
+	    "7", &status);
+
+	EXPECT_EQ(0, status);
+	EXPECT_NE(std::string::npos,
+	    out.find("cause: refused, the store did not take it\n"));
+	EXPECT_NE(std::string::npos, out.find("nodes left lines out"));
+}
+
+TEST(Explain, SaysWhenNoLineNamesTheJob)
+{
+	int status;
+
+	EXPECT_EQ("oriolectl: no line names job 9\n",
+	    explain("ts=1 node=a part=owner event=job_accepted job=91\n", "9",
+		&status));
+	EXPECT_EQ(1, status);
+}
+
+} // namespace
