--- a/cell/owner.c
+++ b/cell/owner.c
@@ -22,8 +22,10 @@
 #include "owner.h"
 #include "schedule.h"
 
-#define NEWEST_TIMEOUT_MS 1500
-#define FENCE_TIMEOUT_MS 300
+/* Of the first try of each step of a takeover; each miss doubles it, for on
+ * slow days the store takes up to 60 times as long. */
+#define ASK_TIMEOUT_MS 250
+#define ASK_TIMEOUT_MAX_MS 4000
 #define RETRY (120 * OGL_MS)
 /* The list of workers is read so often: an entry changes on each worker's
  * heartbeat, and reading each change by itself would be a call each. */
@@ -79,6 +81,7 @@
 	uint64_t generation;
 	bool asking; /* a fence append or a page is under way */
 	ogl_time ask_at;
+	uint32_t ask_timeout_ms;
 	char *after;          /* last key of the page before */
 	GHashTable *progress; /* id -> Ogl__CellProgress, while loading */
 	GHashTable *defs;     /* id -> Ogl__CellJob, the same */
@@ -859,6 +862,7 @@
 	o->epoch = epoch;
 	o->asking = false;
 	o->ask_at = now;
+	o->ask_timeout_ms = ASK_TIMEOUT_MS;
 	o->settled = false;
 	o->opened_at = now;
 	o->list_loaded = false;
@@ -902,6 +906,14 @@
 
 /* ---- taking over ------------------------------------------------------ */
 
+static void
+ask_missed(struct cell_owner *o, enum ogl_io io)
+{
+	if (io == OGL_IO_LOST)
+		o->ask_timeout_ms =
+		    MIN(o->ask_timeout_ms * 2, ASK_TIMEOUT_MAX_MS);
+}
+
 static void
 on_fenced(void *arg, const struct cell_append_answer *a, ogl_time now)
 {
@@ -915,8 +927,10 @@
 		o->events.outranked(o->events.arg, now);
 		return;
 	}
-	if (a->io != OGL_IO_OK)
+	if (a->io != OGL_IO_OK) {
+		ask_missed(o, a->io);
 		return;
+	}
 	o->phase = PHASE_LOADING;
 	o->ask_at = now;
 }
@@ -928,7 +942,7 @@
 	    .fenced = true,
 	    .epoch = o->epoch,
 	    .at = -1,
-	    .timeout_ms = FENCE_TIMEOUT_MS};
+	    .timeout_ms = o->ask_timeout_ms};
 
 	o->asking = true;
 	o->ops->append(o->ops->outside, &a, on_fenced, exchange_new(o, now));
@@ -1175,6 +1189,7 @@
 	o->asking = false;
 	if (a->io != OGL_IO_OK) {
 		o->ask_at = now + RETRY;
+		ask_missed(o, a->io);
 		return;
 	}
 	o->ask_at = now;
@@ -1200,7 +1215,7 @@
 	} else if (o->phase == PHASE_LOADING) {
 		o->asking = true;
 		o->ops->newest(o->ops->outside, CELL_JOBS, o->after,
-		    NEWEST_TIMEOUT_MS, on_jobs_page, exchange_new(o, now));
+		    o->ask_timeout_ms, on_jobs_page, exchange_new(o, now));
 	}
 }
 
