Refuse new jobs while the owner runs late, and calls with no time left

Cause: at 299 nodes and 3,000 workers nobody was served. Callers got 504 ("may have been accepted") for nearly all. Two faults beside it: a call with 150 ms left or less was passed on and given up in the same moment, its budget wrapped round to 50 days on the way; and no line told why the owner refused a job.

Change: an owner that runs late twice within a second refuses a growing part of the new jobs, first those beyond their team's rate; a call without time is refused at the entry; each refusal has its reason in the log and in `oriolectl explain`.

Conclusion: callers are told the truth and at once; the load is still not served, which takes cells split into shards.

--- a/cell/front.c
+++ b/cell/front.c
@@ -333,8 +333,19 @@
 	struct pending *p;
 	const char *why = "malformed body";
 	Ogl__CellJob *job = NULL;
-	char *id = ogl_str_dup(rest);
+	char *id;
 
+	/*
+	 * The last try of a caller that has waited nearly to its end.  Passed
+	 * on, it would be given up in the same moment, with the owner free to
+	 * take the job up all the same: its caller would be told that nobody
+	 * knows, and could not try again.  Not passed on it is surely not run.
+	 */
+	if (budget * OGL_MS <= REPLY_MARGIN) {
+		refuse(f, r, token, CELL_BUSY, RETRY_MS, "no time is left");
+		return;
+	}
+	id = ogl_str_dup(rest);
 	if (r->method == CELL_POST) {
 		job = read_job(f, q, team, id, r, &why);
 		if (job == NULL) {
@@ -474,7 +485,7 @@
 		}
 		log_call(f, p, "call_answered", "outcome=busy");
 		answer(f, p->token, CELL_BUSY, r->retry_ms,
-		    "the store takes no jobs now");
+		    "the cell takes no more jobs now");
 		break;
 	default:
 		log_call(f, p, "call_answered", "outcome=unsure");
--- a/cell/node.c
+++ b/cell/node.c
@@ -36,6 +36,7 @@
 	ogl_time now;     /* of the step or event under way */
 	ogl_time owner_seen;
 	ogl_time stepped_at;
+	ogl_time wake_at; /* asked for by the last step, 0 none yet */
 	uint32_t strength;
 	ogl_time stronger_at; /* first ping of a much stronger node, 0 none */
 	ogl_time stronger_last;
@@ -396,6 +397,7 @@
 	if (n->stepped_at != 0 && now - n->stepped_at > STOOD_STILL)
 		cell_owner_doubt(n->owner, now);
 	n->stepped_at = now;
+	cell_owner_ran(n->owner, n->wake_at, now);
 	n->now = now;
 	cell_lead_step(n->lead, now);
 	cell_front_step(n->front, now);
@@ -409,6 +411,7 @@
 	run_loop(n, now);
 	if (cell_lead_addr(n->lead) != NULL)
 		n->owner_seen = now;
+	n->wake_at = MAX(now, cell_node_wake(n, now));
 }
 
 ogl_time
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -19,6 +19,7 @@
 #include <string.h>
 
 #include "journal.h"
+#include "load.h"
 #include "owner.h"
 #include "schedule.h"
 
@@ -104,6 +105,7 @@
 	ogl_time list_at;
 	GHashTable *list_seen; /* workers named while the list is loaded */
 
+	struct cell_load load;
 	bool run_pass; /* something came free or came in */
 	ogl_time sweep_at;
 };
@@ -1484,13 +1486,50 @@
 	return true;
 }
 
+static void
+log_refused(struct cell_owner *o, const Ogl__CellCall *c, const char *why)
+{
+	char text[320];
+
+	g_snprintf(text, sizeof text,
+	    "job=%s epoch=%" G_GUINT64_FORMAT " team=%s why=%s", c->id,
+	    o->epoch, c->team, why);
+	o->ops->log(o->ops->ctx, "owner", "job_refused", text);
+}
+
+/*
+ * Why a new job is not taken; NULL when it is.  over: whether it is beyond its
+ * team's rate, which under load is a reason as well: else a team that hands in
+ * ten times its rate would take the places of all others.
+ */
+static const char *
+refusal(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
+    bool *over, ogl_time now)
+{
+	const char *why = "";
+
+	if (c->job == NULL || !cell_job_def_valid(c->job, &why))
+		return "malformed";
+	if (cell_journal_failing(o->journal, now))
+		return "store_failing";
+	if (was_refused(o, from, c->token))
+		return "refused_before";
+	if (!cell_load_takes(&o->load))
+		return "load";
+	*over = !within_rate(o, c->job->team, now);
+	if (*over && cell_load_full(&o->load))
+		return "load_over_rate";
+	return NULL;
+}
+
 static void
 call_submit(
     struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
 {
 	struct cell_job *j = job_of(o, c->id);
 	struct waiting *w;
-	const char *why = "";
+	const char *why;
+	bool over = false;
 
 	if (j != NULL && j->stored) {
 		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_ok, 0);
@@ -1501,9 +1540,9 @@
 		cell_journal_submit(o->journal, j, on_submit_stored, w, 0, now);
 		return;
 	}
-	if (c->job == NULL || !cell_job_def_valid(c->job, &why) ||
-	    cell_journal_failing(o->journal, now) ||
-	    was_refused(o, from, c->token)) {
+	why = refusal(o, from, c, &over, now);
+	if (why != NULL) {
+		log_refused(o, c, why);
 		refuse(o, from, c->token, now);
 		waiting_free(w);
 		return;
@@ -1511,7 +1550,7 @@
 	j = cell_job_new(c->job, now);
 	c->job = NULL;
 	j->settled = true;
-	j->over = !within_rate(o, j->def->team, now);
+	j->over = over;
 	j->def->accepted_ms = (uint64_t)(o->wall / OGL_MS);
 	g_hash_table_insert(o->jobs, j->id, j);
 	cell_journal_submit(o->journal, j, on_submit_stored, w, 0, now);
@@ -1785,6 +1824,22 @@
 	}
 }
 
+void
+cell_owner_ran(struct cell_owner *o, ogl_time wanted, ogl_time now)
+{
+	bool full = cell_load_full(&o->load);
+	char text[96];
+
+	cell_load_step(&o->load, wanted, now);
+	if (full == cell_load_full(&o->load) || o->phase != PHASE_SERVING)
+		return;
+	g_snprintf(text, sizeof text,
+	    "epoch=%" G_GUINT64_FORMAT " late_ms=%" G_GINT64_FORMAT " jobs=%u",
+	    o->epoch, (now - wanted) / OGL_MS, g_hash_table_size(o->jobs));
+	o->ops->log(o->ops->ctx, "owner",
+	    full ? "load_carried" : "load_too_high", text);
+}
+
 bool
 cell_owner_wants_proof(const struct cell_owner *o)
 {
--- a/cell/owner.h
+++ b/cell/owner.h
@@ -48,6 +48,9 @@
     ogl_time now, ogl_time wall);
 /* Does what is due; without the right to act nothing is ordered.  confirmed is
  * the time as of which the store last confirmed the ownership. */
+void cell_owner_ran(struct cell_owner *o, ogl_time wanted, ogl_time now);
+/* The process runs now; it had asked to run at `wanted` at the latest.  While
+ * it runs late, a part of the new jobs is refused. */
 bool cell_owner_wants_proof(const struct cell_owner *o);
 /* It starts nothing until the ownership is confirmed once more. */
 void cell_owner_doubt(struct cell_owner *o, ogl_time now);
--- a/ctl/cmd_explain.c
+++ b/ctl/cmd_explain.c
@@ -252,6 +252,27 @@
 	g_free(why);
 }
 
+/* What the owner's words for a refusal mean. */
+static const char *
+refusal_text(const char *why)
+{
+	static const char *const texts[][2] = {
+	    {"malformed", "its description was not sound"},
+	    {"store_failing", "the store was not taking jobs"},
+	    {"store_refused", "the store did not take it"},
+	    {"refused_before", "it was a copy of a refused call"},
+	    {"load", "the owner ran late"},
+	    {"load_over_rate",
+		"the owner ran late and the team was beyond its rate"}};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		if (g_strcmp0(why, texts[i][0]) == 0)
+			return texts[i][1];
+	}
+	return "no reason known here";
+}
+
 static void
 tell_cause(const struct story *s, const struct cause *c)
 {
@@ -262,7 +283,9 @@
 	} else if (c->accepted != NULL) {
 		puts("cause: accepted, and no end of it is in these lines");
 	} else if (c->refused != NULL) {
-		puts("cause: refused, the store did not take it");
+		why = field(c->refused->text, "why");
+		printf("cause: refused, %s\n", refusal_text(why));
+		g_free(why);
 	} else if (c->given_up != NULL) {
 		why = field(c->given_up->text, "why");
 		printf("cause: given up by the entry (%s)\n",
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -59,7 +59,9 @@
 	uint64_t life;
 	bool up;
 	bool frozen;
-	bool refused; /* nobody listened at the last try of a peer */
+	uint32_t lag_ms;     /* one step takes so long */
+	ogl_time busy_until; /* with the last one */
+	bool refused;        /* nobody listened at the last try of a peer */
 	enum fake_store_fault store;
 	char addr[32];
 	char name[32];
@@ -160,6 +162,7 @@
 	uint64_t order;
 	GSequence *events; /* struct event */
 	GRand *rand;
+	uint32_t budget_ms; /* how long callers wait */
 	struct node nodes[MAX_NODES];
 	struct worker workers[MAX_WORKERS];
 	struct stream streams[CELL_NSTREAMS];
@@ -1840,7 +1843,7 @@
 	    .host = ogl_str(HOST),
 	    .key = ogl_str(key),
 	    .body = ogl_str(j->id),
-	    .budget_ms = 3000};
+	    .budget_ms = f->budget_ms};
 	uint64_t *token = g_new(uint64_t, 1);
 
 	g_snprintf(path, sizeof path, PREFIX "%s", j->id);
@@ -1857,6 +1860,12 @@
 	step_node(f, n);
 }
 
+void
+fake_cell_budget(struct fake_cell *f, uint32_t ms)
+{
+	f->budget_ms = ms;
+}
+
 void
 fake_cell_submit(struct fake_cell *f, unsigned node, const char *id,
     const char *key, const struct fake_step *steps, size_t n)
@@ -1992,8 +2001,13 @@
 
 	if (!n->up)
 		return;
-	cell_node_step(n->node, f->now, f->now + EPOCH_WALL);
-	at = MAX(cell_node_wake(n->node, f->now), f->now + OGL_MS);
+	if (f->now < n->busy_until) {
+		at = n->busy_until;
+	} else {
+		cell_node_step(n->node, f->now, f->now + EPOCH_WALL);
+		n->busy_until = f->now + n->lag_ms * OGL_MS;
+		at = MAX(cell_node_wake(n->node, f->now), f->now + OGL_MS);
+	}
 	if (at < n->wake) {
 		n->wake = at;
 		post(f, at - f->now, (int)n->index, on_wake, no_drop, n);
@@ -2056,6 +2070,12 @@
 		step_node(f, &f->nodes[node]);
 }
 
+void
+fake_cell_lag(struct fake_cell *f, unsigned node, uint32_t ms)
+{
+	f->nodes[node].lag_ms = ms;
+}
+
 void
 fake_cell_stop(struct fake_cell *f, unsigned node)
 {
@@ -2346,6 +2366,7 @@
 	unsigned i;
 
 	f->shape = *shape;
+	f->budget_ms = 3000;
 	f->now = OGL_SEC;
 	f->team_cpu = shape->team_cpu_max;
 	f->events = g_sequence_new(NULL);
@@ -2479,6 +2500,7 @@
 	for (i = 0; i < f->shape.nodes; i++) {
 		fake_cell_boot(f, i);
 		fake_cell_freeze(f, i, false);
+		fake_cell_lag(f, i, 0);
 	}
 	for (i = 0; i < f->shape.workers; i++)
 		fake_cell_worker(f, i, FAKE_WORKER_WELL);
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -48,6 +48,8 @@
 	uint32_t worker_max;
 };
 
+void fake_cell_budget(struct fake_cell *f, uint32_t ms);
+/* How long callers wait from now on; 3 s at first. */
 void fake_cell_submit(struct fake_cell *f, unsigned node, const char *id,
     const char *key, const struct fake_step *steps, size_t n);
 void fake_cell_cancel(struct fake_cell *f, unsigned node, const char *id);
@@ -69,6 +71,9 @@
 void fake_cell_kill(struct fake_cell *f, unsigned node);
 void fake_cell_boot(struct fake_cell *f, unsigned node);
 void fake_cell_freeze(struct fake_cell *f, unsigned node, bool on);
+void fake_cell_lag(struct fake_cell *f, unsigned node, uint32_t ms);
+/* It has so much to do that what is due is looked at only so often; 0 ends
+ * it. */
 void fake_cell_stop(struct fake_cell *f, unsigned node);
 bool fake_cell_ready(const struct fake_cell *f, unsigned node);
 
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -60,6 +60,10 @@
 			fake_cell_freeze(cell_, node(w[1]), true);
 		else if (w[0] == "thaw")
 			fake_cell_freeze(cell_, node(w[1]), false);
+		else if (w[0] == "budget")
+			fake_cell_budget(cell_, num(w[1]));
+		else if (w[0] == "lag")
+			fake_cell_lag(cell_, node(w[1]), num(w[2]));
 		else if (w[0] == "store")
 			fake_cell_store(cell_, w[1] == "all" ? -1 : node(w[1]),
 			    store_fault(w[2]));
--- a/test/test_ctl_explain.cc
+++ b/test/test_ctl_explain.cc
@@ -83,6 +83,20 @@
 	EXPECT_NE(std::string::npos, out.find("nodes left lines out"));
 }
 
+TEST(Explain, NamesARefusalUnderLoad)
+{
+	int status;
+	std::string out =
+	    explain("ts=1.000 node=a part=owner event=job_refused job=7 "
+		    "epoch=1 team=t why=load_over_rate\n",
+		"7", &status);
+
+	EXPECT_EQ(0, status);
+	EXPECT_NE(std::string::npos,
+	    out.find("cause: refused, the owner ran late and the team was "
+		     "beyond its rate\n"));
+}
+
 TEST(Explain, SaysWhenNoLineNamesTheJob)
 {
 	int status;
