Tell a refusal to all copies of a submission

Entries repeat a call without an answer, so a submission can wait twice. When the store refused the job, the copies in the same batch and those for the next one stayed behind without their job, and were told "stored" with a later batch; by its id the same job handed in anew then counted as stored before it was written. Lost ownership before that batch, it was gone.

Ruled out: the store's numbering of appends (a batch is repeated as it was); pages read before an append that waited (three later takeovers read the same count); an answer of the owner before (calls are for one epoch).

Change: all copies are told of the refusal.

--- a/cell/journal.c
+++ b/cell/journal.c
@@ -402,14 +402,37 @@
 	tell(g->batch_waiters, CELL_STORED, now);
 }
 
+/* Moves the submissions of the jobs from one list of waiters to another. */
+static void
+take_submits(GArray *from, GHashTable *jobs, GArray *to)
+{
+	guint i = 0;
+
+	while (i < from->len) {
+		struct waiter *w = &g_array_index(from, struct waiter, i);
+
+		if (w->submit == NULL ||
+		    !g_hash_table_contains(jobs, w->submit)) {
+			i++;
+			continue;
+		}
+		g_array_append_val(to, *w);
+		g_array_remove_index(from, i);
+	}
+}
+
 /*
  * The store did nothing, each time.  Submissions are taken back and refused;
- * all else is put together anew later, under the same number.
+ * all else is put together anew later, under the same number.  A submission may
+ * wait more than once, as entries repeat calls, in this batch and for the next:
+ * all are told.  One left over would be told "stored" with a later batch, and
+ * a job handed in anew under the same id would count as stored that is not.
  */
 static void
 batch_refused(struct cell_journal *g, ogl_time now)
 {
 	GArray *refused = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	GHashTable *jobs = g_hash_table_new(NULL, NULL);
 	GHashTableIter it;
 	gpointer k, v;
 	guint i;
@@ -436,13 +459,17 @@
 		struct waiter *w =
 		    &g_array_index(g->batch_waiters, struct waiter, i);
 
-		if (w->submit != NULL) {
-			g_array_append_val(refused, *w);
-			cell_journal_unmark(g, w->submit);
-		} else {
-			g_array_append_val(g->waiters, *w);
-		}
+		if (w->submit != NULL)
+			g_hash_table_add(jobs, w->submit);
 	}
+	take_submits(g->batch_waiters, jobs, refused);
+	take_submits(g->waiters, jobs, refused);
+	g_array_append_vals(
+	    g->waiters, g->batch_waiters->data, g->batch_waiters->len);
+	g_hash_table_iter_init(&it, jobs);
+	while (g_hash_table_iter_next(&it, &k, NULL))
+		cell_journal_unmark(g, k);
+	g_hash_table_unref(jobs);
 	g_array_set_size(g->batch, 0);
 	g_ptr_array_set_size(g->batch_jobs, 0);
 	g_array_set_size(g->batch_waiters, 0);
