Refuse only submissions of the refused append

Cause: when more is to be written than one append takes, all waiters wait for the next one, so that each knows that all before it is stored. A refusal of that next one refused the submissions of the first half as well, which are on the store: their callers were told "not run", and the next owner ran them. Found by reading, after the fault of the copies; no run has shown it.

Change: only jobs of the refused append are refused.

--- a/cell/journal.c
+++ b/cell/journal.c
@@ -421,6 +421,13 @@
 	}
 }
 
+/* Not what an earlier append has stored, when all did not go into one. */
+static bool
+in_batch(const struct cell_journal *g, const struct cell_job *j)
+{
+	return g_ptr_array_find(g->batch_jobs, j, NULL);
+}
+
 /*
  * The store did nothing, each time.  Submissions are taken back and refused;
  * all else is put together anew later, under the same number.  A submission may
@@ -459,7 +466,7 @@
 		struct waiter *w =
 		    &g_array_index(g->batch_waiters, struct waiter, i);
 
-		if (w->submit != NULL)
+		if (w->submit != NULL && in_batch(g, w->submit))
 			g_hash_table_add(jobs, w->submit);
 	}
 	take_submits(g->batch_waiters, jobs, refused);
--- a/test/test_cell_journal.cc
+++ b/test/test_cell_journal.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
 #include <vector>
 
 extern "C" {
@@ -50,13 +51,14 @@
 			cell_job_free(j);
 	}
 
-	struct cell_job *job()
+	struct cell_job *job(const std::string &spec = "")
 	{
 		auto *d = static_cast<Ogl__CellJob *>(
 		    g_malloc0(sizeof(Ogl__CellJob)));
 
 		ogl__cell_job__init(d);
 		d->id = g_strdup("0123456789abcdef");
+		d->spec = g_strdup(spec.c_str());
 		jobs_.push_back(cell_job_new(d, now_));
 		return jobs_.back();
 	}
@@ -119,6 +121,28 @@
 	EXPECT_TRUE(cell_journal_idle(journal_));
 }
 
+/*
+ * More comes in than one append takes, so the second half waits for the next;
+ * the first half is stored, the second refused.  Told "refused", callers of
+ * the first half would see jobs run that were never accepted.
+ */
+TEST_F(Journal, ARefusalOfTheSecondHalfLeavesTheFirst)
+{
+	std::vector<cell_fate> first, second;
+	struct cell_job *big = job(std::string(600 * 1024, 'x'));
+	struct cell_job *j = job();
+
+	submit(big, &first);
+	submit(j, &second);
+	step();
+	answer(OGL_IO_OK);
+	step();
+	answer(OGL_IO_REFUSED);
+	EXPECT_EQ(std::vector<cell_fate>{CELL_NOT_STORED}, second);
+	step();
+	EXPECT_EQ(std::vector<cell_fate>{CELL_STORED}, first);
+}
+
 /* The other jobs of a refused batch are not touched by it: what was no new
  * job is written again. */
 TEST_F(Journal, ARefusalKeepsWhatIsNotASubmission)
