Let a new process name its calls anew

Cause: each process counted its calls from 1 and the owner answers to address and number.

Change: calls are numbered from the wall clock in microseconds. Test HttpIn.ANewProcessNamesItsCallsAnew failed before.

--- a/cell/node.h
+++ b/cell/node.h
@@ -32,6 +32,8 @@
 
 void cell_node_call(struct cell_node *n, uint64_t token,
     const struct cell_request *r, ogl_time now);
+/* token: no earlier process of the node may have used it, since answers to its
+ * calls can still come. */
 void cell_node_gone(struct cell_node *n, uint64_t token);
 void cell_node_peer(struct cell_node *n, struct ogl_str msg, ogl_time now);
 
--- a/daemon/http_in.c
+++ b/daemon/http_in.c
@@ -732,6 +732,10 @@
 	h->log = log;
 	h->dirty = true;
 	h->port = ogl_addr_port(fd);
+	/* The wall clock in microseconds: a later process begins beyond what
+	 * this one hands out, so a late answer to a call of a process before
+	 * it never meets a call of its own. */
+	h->last_token = (uint64_t)g_get_real_time();
 	h->waiting = g_hash_table_new(g_int64_hash, g_int64_equal);
 	g_queue_init(&h->conns);
 	h->gone_fd = epoll_create1(EPOLL_CLOEXEC);
--- a/test/test_daemon_http_in.cc
+++ b/test/test_daemon_http_in.cc
@@ -245,6 +245,22 @@
 	EXPECT_TRUE(l.seen.empty());
 }
 
+// A node dies with calls under way and is started again.  Answers to its old
+// calls still come, from an owner that is late.  Did the new process count its
+// calls from the same number, they would answer other callers' requests: one
+// sees a job accepted that nobody has written, another that his is unknown.
+TEST_F(HttpIn, ANewProcessNamesItsCallsAnew)
+{
+	start();
+	request("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+	ASSERT_EQ(1u, l.seen.size());
+	ogl_http_in_end(h);
+	start();
+	request("GET /b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+	ASSERT_EQ(2u, l.seen.size());
+	EXPECT_LT(l.seen[0].token, l.seen[1].token);
+}
+
 // A caller gives up while its request waits.  The node is told, so that it
 // does not do the work for nobody, and its later reply goes nowhere.
 TEST_F(HttpIn, ACallerThatLeavesIsReported)
