Let the executor of a test name the call it was asked for

It names the token of the request now, and one has to be there; what it checks of the stop is unchanged.

--- a/test/test_daemon_dispatch.cc
+++ b/test/test_daemon_dispatch.cc
@@ -112,6 +112,19 @@
 	return s.find(part) != std::string::npos;
 }
 
+// The token that a request names its call by, for the answer to name it too.
+static std::string
+token_of(const std::string &req)
+{
+	static const std::string name = "Ogl-Token: ";
+	size_t at = req.find(name);
+
+	if (at == std::string::npos)
+		return "";
+	at += name.size();
+	return req.substr(at, req.find("\r\n", at) - at);
+}
+
 // The node is told to stop while an executor still works on a request.  The
 // balancer sees it as not ready at once; the caller gets the whole answer; and
 // only then does the process end.
@@ -132,9 +145,12 @@
 	std::thread executor([&] {
 		int fd = accept(exec_fd, nullptr, nullptr);
 		char req[4096];
-		EXPECT_GT(recv(fd, req, sizeof req, 0), 0);
-		put(fd, "HTTP/1.1 200 OK\r\nOgl-Token: 1\r\n"
-			"Content-Length: 6\r\n\r\nresult");
+		ssize_t n = recv(fd, req, sizeof req, 0);
+		EXPECT_GT(n, 0);
+		std::string token = token_of(std::string(req, n > 0 ? n : 0));
+		EXPECT_NE("", token);
+		put(fd, "HTTP/1.1 200 OK\r\nOgl-Token: " + token +
+			    "\r\nContent-Length: 6\r\n\r\nresult");
 		get_all(fd);
 		close(fd);
 	});
