--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -12,16 +12,13 @@
  * refuses the second one unless the request says that it may go twice.
  */
 
-#include <curl/curl.h>
-#include <ev.h>
 #include <string.h>
-#include <unistd.h>
 
+#include "curl_loop.h"
 #include "http_client.h"
 
 #define HOST_CONNECTIONS 48L /* a worker takes 64 from all nodes together */
 #define CACHED_CONNECTIONS 2048L
-#define CACHED_SHARE 4 /* of the descriptors this process may open */
 #define CONNECT_MS 1000L
 #define REUSE_IDLE_S 60L
 #define POOL_MAX 256
@@ -44,18 +41,10 @@
 	GList link;  /* in busy */
 };
 
-struct sock {
-	struct ogl_http_client *client;
-	ev_io io;
-};
-
 struct ogl_http_client {
-	struct ev_loop *loop;
-	CURLM *multi;
-	ev_timer timer;
+	struct ogl_curl_loop *curl;
 	GQueue busy; /* struct xfer */
 	GPtrArray *pool;
-	bool kick; /* libcurl asked to be called at once */
 };
 
 /* ---- the pool of easy handles ----------------------------------------- */
@@ -221,115 +210,24 @@
 }
 
 static void
-take_ended(struct ogl_http_client *h)
-{
-	struct xfer *x;
-	CURLMsg *m;
-	int left;
-
-	while ((m = curl_multi_info_read(h->multi, &left)) != NULL) {
-		struct ogl_http_result r = {.body = {"", 0}};
-		CURLcode rc = m->data.result;
-
-		if (m->msg != CURLMSG_DONE)
-			continue;
-		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &x);
-		judge(x, rc, &r);
-		curl_multi_remove_handle(h->multi, x->easy);
-		g_queue_unlink(&h->busy, &x->link);
-		x->done(x->arg, &r);
-		xfer_release(x);
-	}
-}
-
-/* ---- libcurl on the loop ---------------------------------------------- */
-
-static void
-act(struct ogl_http_client *h, curl_socket_t fd, int what)
-{
-	int running;
-
-	curl_multi_socket_action(h->multi, fd, what, &running);
-	take_ended(h);
-}
-
-static void
-on_sock(struct ev_loop *loop, ev_io *w, int events)
-{
-	struct ogl_http_client *h = ((struct sock *)w->data)->client;
-	int what = 0;
-
-	(void)loop;
-	if (events & EV_READ)
-		what |= CURL_CSELECT_IN;
-	if (events & EV_WRITE)
-		what |= CURL_CSELECT_OUT;
-	act(h, w->fd, what);
-}
-
-static void
-on_timer(struct ev_loop *loop, ev_timer *w, int events)
-{
-	(void)loop;
-	(void)events;
-	act(w->data, CURL_SOCKET_TIMEOUT, 0);
-}
-
-static int
-on_curl_socket(CURL *easy, curl_socket_t fd, int what, void *ctx, void *sockp)
-{
-	struct ogl_http_client *h = ctx;
-	struct sock *s = sockp;
-	int events = 0;
-
-	(void)easy;
-	if (what == CURL_POLL_REMOVE) {
-		if (s != NULL) {
-			ev_io_stop(h->loop, &s->io);
-			g_free(s);
-		}
-		return 0;
-	}
-	if (s == NULL) {
-		s = g_new0(struct sock, 1);
-		s->client = h;
-		ev_init(&s->io, on_sock);
-		s->io.data = s;
-		curl_multi_assign(h->multi, fd, s);
-	}
-	if (what & CURL_POLL_IN)
-		events |= EV_READ;
-	if (what & CURL_POLL_OUT)
-		events |= EV_WRITE;
-	ev_io_stop(h->loop, &s->io);
-	ev_io_set(&s->io, fd, events);
-	ev_io_start(h->loop, &s->io);
-	return 0;
-}
-
-static int
-on_curl_timer(CURLM *multi, long ms, void *ctx)
+on_ended(void *ctx, CURL *easy, CURLcode rc)
 {
 	struct ogl_http_client *h = ctx;
+	struct ogl_http_result r = {.body = {"", 0}};
+	struct xfer *x;
 
-	(void)multi;
-	ev_timer_stop(h->loop, &h->timer);
-	h->kick = ms == 0;
-	if (ms < 0)
-		return 0;
-	ev_timer_set(&h->timer, (ev_tstamp)ms / 1e3, 0.);
-	ev_timer_start(h->loop, &h->timer);
-	return 0;
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &x);
+	judge(x, rc, &r);
+	ogl_curl_loop_remove(h->curl, easy);
+	g_queue_unlink(&h->busy, &x->link);
+	x->done(x->arg, &r);
+	xfer_release(x);
 }
 
 bool
 ogl_http_client_run(struct ogl_http_client *h)
 {
-	if (!h->kick)
-		return false;
-	h->kick = false;
-	act(h, CURL_SOCKET_TIMEOUT, 0);
-	return true;
+	return ogl_curl_loop_run(h->curl);
 }
 
 /* ---- starting requests ------------------------------------------------ */
@@ -369,42 +267,21 @@
 	curl_easy_setopt(x->easy, CURLOPT_HTTPHEADER, x->headers);
 	curl_easy_setopt(x->easy, CURLOPT_TIMEOUT_MS, (long)r->timeout_ms);
 	g_queue_push_tail_link(&h->busy, &x->link);
-	curl_multi_add_handle(h->multi, x->easy);
+	ogl_curl_loop_add(h->curl, x->easy);
 }
 
 /* ---- beginning and end ------------------------------------------------ */
 
-static long
-cached_connections(void)
-{
-	long open_max = sysconf(_SC_OPEN_MAX);
-
-	if (open_max < 0)
-		return CACHED_CONNECTIONS;
-	return CLAMP(open_max / CACHED_SHARE, 1, CACHED_CONNECTIONS);
-}
-
 struct ogl_http_client *
 ogl_http_client_init(struct ev_loop *loop)
 {
 	struct ogl_http_client *h = g_new0(struct ogl_http_client, 1);
+	struct ogl_curl_loop_shape shape = {
+	    HOST_CONNECTIONS, CACHED_CONNECTIONS, on_ended, h};
 
-	curl_global_init(CURL_GLOBAL_DEFAULT);
-	h->loop = loop;
 	h->pool = g_ptr_array_new_with_free_func(xfer_free);
 	g_queue_init(&h->busy);
-	ev_init(&h->timer, on_timer);
-	h->timer.data = h;
-	h->multi = curl_multi_init();
-	curl_multi_setopt(h->multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
-	curl_multi_setopt(h->multi, CURLMOPT_SOCKETDATA, h);
-	curl_multi_setopt(h->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
-	curl_multi_setopt(h->multi, CURLMOPT_TIMERDATA, h);
-	curl_multi_setopt(
-	    h->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
-	curl_multi_setopt(
-	    h->multi, CURLMOPT_MAX_HOST_CONNECTIONS, HOST_CONNECTIONS);
-	curl_multi_setopt(h->multi, CURLMOPT_MAXCONNECTS, cached_connections());
+	h->curl = ogl_curl_loop_init(loop, &shape);
 	return h;
 }
 
@@ -418,13 +295,11 @@
 	while ((l = g_queue_pop_head_link(&h->busy)) != NULL) {
 		struct xfer *x = l->data;
 
-		curl_multi_remove_handle(h->multi, x->easy);
+		ogl_curl_loop_remove(h->curl, x->easy);
 		xfer_clear(x);
 		xfer_free(x);
 	}
 	g_ptr_array_unref(h->pool);
-	curl_multi_cleanup(h->multi);
-	ev_timer_stop(h->loop, &h->timer);
+	ogl_curl_loop_end(h->curl);
 	g_free(h);
-	curl_global_cleanup();
 }
