Take a stage out of its queue without a search; drop what nobody reads

A waiting stage remembers the queue it is in, instead of a flag and a search through up to four queues at each removal, which is on the way of every start. ready_at, the time kept with an exchange, and parameters that were only passed on are gone; the key of a refused call is made in one place.

--- a/cell/job.h
+++ b/cell/job.h
@@ -48,13 +48,12 @@
 	uint32_t ntasks;
 	uint32_t ndone;
 	uint32_t nactive; /* tasks with a run */
-	bool listed;      /* in the scheduler's lists */
+	GQueue *queue;    /* list of the scheduler that it is in */
 	GList link;
 	GHashTable *good;  /* worker -> struct cell_good; NULL until asked */
 	GHashTable *asked; /* set of workers whose answer is known */
 	bool asking;
 	ogl_time blocked_since; /* could not be placed; 0 it could */
-	ogl_time ready_at;
 };
 
 struct cell_occurrence {
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -114,7 +114,6 @@
 struct exchange {
 	struct cell_owner *owner;
 	uint64_t generation;
-	ogl_time sent;
 };
 
 static void job_changed(
@@ -160,13 +159,12 @@
 }
 
 static struct exchange *
-exchange_new(struct cell_owner *o, ogl_time now)
+exchange_new(struct cell_owner *o)
 {
 	struct exchange *x = g_new(struct exchange, 1);
 
 	x->owner = o;
 	x->generation = o->generation;
-	x->sent = now;
 	return x;
 }
 
@@ -185,8 +183,8 @@
 
 /* Lists whatever of an occurrence may run now. */
 static void
-list_stages(struct cell_owner *o, struct cell_job *j,
-    struct cell_occurrence *oc, ogl_time now)
+list_stages(
+    struct cell_owner *o, struct cell_job *j, struct cell_occurrence *oc)
 {
 	size_t i;
 
@@ -194,7 +192,7 @@
 		struct cell_stage *st = &oc->stages[i];
 
 		if (cell_stage_waiting(st) > 0 && cell_stage_ready(st))
-			cell_sched_add(o->sched, st, now);
+			cell_sched_add(o->sched, st);
 	}
 	o->run_pass = true;
 }
@@ -208,7 +206,7 @@
 
 /* Begins the occurrences that are due and lists what may run. */
 static void
-begin_due(struct cell_owner *o, struct cell_job *j, ogl_time now)
+begin_due(struct cell_owner *o, struct cell_job *j)
 {
 	uint32_t n = MAX(j->def->repeats, 1);
 	uint32_t k;
@@ -220,7 +218,7 @@
 			continue;
 		if (j->def->repeats > 0 && due > o->wall)
 			break;
-		list_stages(o, j, cell_job_begin(j, k, due), now);
+		list_stages(o, j, cell_job_begin(j, k, due));
 	}
 }
 
@@ -310,7 +308,7 @@
 {
 	uint32_t i;
 
-	cell_sched_remove(o->sched, st);
+	cell_sched_remove(st);
 	suppose_stage_not(o, st);
 	for (i = 0; i < st->ntasks; i++) {
 		disown(o, st->tasks[i].active, now);
@@ -390,15 +388,15 @@
 
 	if (st->ndone < st->ntasks) {
 		if (cell_stage_waiting(st) > 0 && cell_stage_ready(st))
-			cell_sched_add(o->sched, st, now);
+			cell_sched_add(o->sched, st);
 		return;
 	}
-	cell_sched_remove(o->sched, st);
+	cell_sched_remove(st);
 	oc->nstages_done++;
 	if (oc->nstages_done == j->def->n_steps)
 		occurrence_done(o, j, oc, now);
 	else
-		list_stages(o, j, oc, now);
+		list_stages(o, j, oc);
 }
 
 static void
@@ -427,12 +425,10 @@
 
 /* One member's end stands for the gang; what else runs is let end. */
 static void
-gang_done(struct cell_owner *o, struct cell_stage *st, ogl_time now)
+gang_done(struct cell_stage *st)
 {
 	uint32_t i;
 
-	(void)o;
-	(void)now;
 	for (i = 0; i < st->ntasks; i++) {
 		struct cell_task *t = &st->tasks[i];
 
@@ -493,7 +489,7 @@
 		cell_worker_result(w, j->id, true, now);
 		task_done(st, t);
 		if (st->def->gang)
-			gang_done(o, st, now);
+			gang_done(st);
 		else
 			copy_done(o, st, t, now);
 	} else if (how == CELL_END_FAILED) {
@@ -626,7 +622,7 @@
 	st->nactive++;
 	log_run(o, t->active, "run_adopted", "", now);
 	if (cell_stage_waiting(st) == 0)
-		cell_sched_remove(o->sched, st);
+		cell_sched_remove(st);
 	on_up(o, t->active, now);
 }
 
@@ -938,7 +934,7 @@
 }
 
 static void
-send_fence(struct cell_owner *o, ogl_time now)
+send_fence(struct cell_owner *o)
 {
 	struct cell_append a = {.stream = CELL_JOBS,
 	    .fenced = true,
@@ -947,7 +943,7 @@
 	    .timeout_ms = o->ask_timeout_ms};
 
 	o->asking = true;
-	o->ops->append(o->ops->outside, &a, on_fenced, exchange_new(o, now));
+	o->ops->append(o->ops->outside, &a, on_fenced, exchange_new(o));
 }
 
 /* Pages may bring a job's two records in either order. */
@@ -1134,7 +1130,7 @@
 	guint i;
 	size_t k;
 
-	begin_due(o, j, now);
+	begin_due(o, j);
 	for (i = 0; i < j->occurrences->len; i++) {
 		struct cell_occurrence *oc = j->occurrences->pdata[i];
 
@@ -1213,11 +1209,11 @@
 	if (o->asking || now < o->ask_at)
 		return;
 	if (o->phase == PHASE_FENCING) {
-		send_fence(o, now);
+		send_fence(o);
 	} else if (o->phase == PHASE_LOADING) {
 		o->asking = true;
 		o->ops->newest(o->ops->outside, CELL_JOBS, o->after,
-		    o->ask_timeout_ms, on_jobs_page, exchange_new(o, now));
+		    o->ask_timeout_ms, on_jobs_page, exchange_new(o));
 	}
 }
 
@@ -1312,10 +1308,10 @@
 	o->listing = true;
 	if (o->list_tail)
 		o->ops->read(o->ops->outside, CELL_WORKERS, o->list_next, 0,
-		    LIST_TIMEOUT_MS, on_list_tail, exchange_new(o, now));
+		    LIST_TIMEOUT_MS, on_list_tail, exchange_new(o));
 	else
 		o->ops->newest(o->ops->outside, CELL_WORKERS, o->list_after,
-		    LIST_TIMEOUT_MS, on_list_page, exchange_new(o, now));
+		    LIST_TIMEOUT_MS, on_list_page, exchange_new(o));
 }
 
 /* ---- calls ------------------------------------------------------------ */
@@ -1333,6 +1329,12 @@
 	o->events.reply(o->events.arg, to, &r);
 }
 
+static char *
+call_key(const char *to, uint64_t token)
+{
+	return g_strdup_printf("%s %" G_GUINT64_FORMAT, to, token);
+}
+
 /*
  * A refusal stands: a repeat of the same call may still be on its way, and
  * taken up it would bring to life a job whose caller was told that it never
@@ -1341,7 +1343,7 @@
 static void
 refuse(struct cell_owner *o, const char *to, uint64_t token, ogl_time now)
 {
-	char *key = g_strdup_printf("%s %" G_GUINT64_FORMAT, to, token);
+	char *key = call_key(to, token);
 	ogl_time *at = g_new(ogl_time, 1);
 
 	*at = now;
@@ -1352,7 +1354,7 @@
 static bool
 was_refused(const struct cell_owner *o, const char *to, uint64_t token)
 {
-	char *key = g_strdup_printf("%s %" G_GUINT64_FORMAT, to, token);
+	char *key = call_key(to, token);
 	bool refused = g_hash_table_contains(o->refused, key);
 
 	g_free(key);
@@ -1554,7 +1556,7 @@
 	j->def->accepted_ms = (uint64_t)(o->wall / OGL_MS);
 	g_hash_table_insert(o->jobs, j->id, j);
 	cell_journal_submit(o->journal, j, on_submit_stored, w, 0, now);
-	begin_due(o, j, now);
+	begin_due(o, j);
 }
 
 static void
@@ -1733,7 +1735,7 @@
 	size_t k;
 
 	if (j->def->repeats > 0)
-		begin_due(o, j, now);
+		begin_due(o, j);
 	if (!j->settled)
 		return;
 	for (i = 0; i < j->occurrences->len; i++) {
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -109,7 +109,7 @@
 
 	for (i = 0; i < RANKS; i++) {
 		while ((l = g_queue_pop_head_link(&s->waiting[i])) != NULL)
-			((struct cell_stage *)l->data)->listed = false;
+			((struct cell_stage *)l->data)->queue = NULL;
 	}
 }
 
@@ -146,17 +146,15 @@
 }
 
 void
-cell_sched_add(struct cell_sched *s, struct cell_stage *st, ogl_time now)
+cell_sched_add(struct cell_sched *s, struct cell_stage *st)
 {
 	GQueue *q;
 	GList *at;
 
-	if (st->listed)
+	if (st->queue != NULL)
 		return;
-	st->listed = true;
-	if (st->ready_at == 0)
-		st->ready_at = now;
 	q = &s->waiting[rank_of(s, st)];
+	st->queue = q;
 	/* Nearly always the youngest, so the search begins at the tail. */
 	for (at = q->tail; at != NULL; at = at->prev) {
 		const struct cell_stage *o = at->data;
@@ -171,19 +169,12 @@
 }
 
 void
-cell_sched_remove(struct cell_sched *s, struct cell_stage *st)
+cell_sched_remove(struct cell_stage *st)
 {
-	int i;
-
-	if (!st->listed)
+	if (st->queue == NULL)
 		return;
-	st->listed = false;
-	for (i = 0; i < RANKS; i++) {
-		if (g_queue_link_index(&s->waiting[i], &st->link) >= 0) {
-			g_queue_unlink(&s->waiting[i], &st->link);
-			return;
-		}
-	}
+	g_queue_unlink(st->queue, &st->link);
+	st->queue = NULL;
 }
 
 size_t
@@ -634,14 +625,12 @@
 }
 
 static void
-reserve(struct cell_sched *s, struct cell_stage *st, uint32_t rank, bool policy,
-    ogl_time now)
+reserve(struct cell_sched *s, struct cell_stage *st, uint32_t rank, bool policy)
 {
 	struct ogl_res need = cell_stage_need(st);
 	uint32_t n = 0;
 	guint i;
 
-	(void)now;
 	if (s->reserves >= RESERVES_MAX)
 		return;
 	for (i = 0; i < s->open->len && n < st->ntasks; i++) {
@@ -679,14 +668,14 @@
 		placed = place_tasks(s, st, rank, now);
 	if (placed) {
 		st->blocked_since = 0;
-		cell_sched_remove(s, st);
+		cell_sched_remove(st);
 		return true;
 	}
 	if (st->blocked_since == 0)
 		st->blocked_since = now;
 	seek_advice(s, st, &q->policy, now);
 	if (st->def->gang && stand == 0 && team_allows(s, st, st->ntasks, rank))
-		reserve(s, st, rank, policy, now);
+		reserve(s, st, rank, policy);
 	return st->nactive > active;
 }
 
