--- a/daemon/http_out.c
+++ b/daemon/http_out.c
@@ -1,8 +1,7 @@
 /*
- * Easy handles live in a pool and are
- * set up once; a request changes only its address, headers, body and timeout.
- * The header list is made of nodes inside struct xfer, so that no request
- * allocates one.
+ * Easy handles live in a pool and are set up once; a request changes only its
+ * address, headers, body and timeout.  The header list is made of nodes inside
+ * struct xfer, so that no request allocates one.
  *
  * What each kind of request needs stands in one table: how it is addressed
  * and how its answer becomes an event.
