--- a/cell/front.c
+++ b/cell/front.c
@@ -9,6 +9,11 @@
  * A call given up after it was sent may have been accepted, and is answered
  * so.
  *
+ * A submission goes to the shard where the job belongs.  Of other calls only
+ * the id is known, while a job may lie at the rack of its data: they are asked
+ * of the shard that the id points to and, where that has no such job, of the
+ * others in turn.  A count of waiting jobs is asked of all and added up.
+ *
  * The settings stream is read with a wait all the time.  An answered read
  * proves that as of its sending no other configuration was in force; without
  * such proof for too long every key is refused, since it may have been
@@ -43,20 +48,29 @@
 	char *id;
 	char *team;
 	char *queue;
+	uint32_t shard; /* that is asked now */
+	uint32_t left;  /* shards to ask after it */
+	uint32_t found; /* waiting jobs counted so far */
 	bool sent;
-	uint64_t sent_epoch; /* highest that it was sent to */
+	uint64_t sent_epoch; /* highest of the shard that it was sent to */
 	bool refused;        /* and that owner refused it */
 	ogl_time began;
 	ogl_time repeat_at;
 	ogl_time deadline;
 };
 
+/* Who owns a shard. */
+struct shard_owner {
+	char *addr;     /* NULL: nobody that is known */
+	uint64_t epoch; /* that it owns the shard in */
+};
+
 struct cell_front {
 	const struct cell_ops *ops;
 	const struct cell_limits *limits;
 	struct cell_front_events events;
-	char *owner;
-	uint64_t epoch;    /* that it owns the cell in */
+	uint32_t shards; /* 0 not known yet */
+	struct shard_owner owners[CELL_SHARDS_MAX];
 	GHashTable *calls; /* token -> struct pending */
 
 	struct cell_config *config;
@@ -100,9 +114,12 @@
 void
 cell_front_end(struct cell_front *f)
 {
+	uint32_t i;
+
+	for (i = 0; i < f->shards; i++)
+		g_free(f->owners[i].addr);
 	g_hash_table_unref(f->calls);
 	cell_config_unref(f->config);
-	g_free(f->owner);
 	g_free(f);
 }
 
@@ -204,32 +221,44 @@
 static void
 read_on(struct cell_front *f, ogl_time now)
 {
+	struct cell_read r = {.stream = CELL_SETTINGS,
+	    .from = f->next,
+	    .wait_ms = READ_WAIT_MS,
+	    .timeout_ms = READ_TIMEOUT_MS};
+	struct cell_newest q = {
+	    .stream = CELL_SETTINGS, .timeout_ms = READ_TIMEOUT_MS};
+
 	if (f->reading || now < f->read_at)
 		return;
 	f->reading = true;
 	f->read_sent = now;
 	if (f->loaded)
-		f->ops->read(f->ops->outside, CELL_SETTINGS, f->next,
-		    READ_WAIT_MS, READ_TIMEOUT_MS, on_read, f);
+		f->ops->read(f->ops->outside, &r, on_read, f);
 	else
-		f->ops->newest(f->ops->outside, CELL_SETTINGS, NULL,
-		    READ_TIMEOUT_MS, on_newest, f);
+		f->ops->newest(f->ops->outside, &q, on_newest, f);
 }
 
 /* ---- answers ---------------------------------------------------------- */
 
+static const struct shard_owner *
+owner_of(const struct cell_front *f, const struct pending *p)
+{
+	return &f->owners[p->shard];
+}
+
 static void
 log_call(struct cell_front *f, const struct pending *p, const char *event,
     const char *more)
 {
-	char text[256];
+	const char *owner = owner_of(f, p)->addr;
+	char text[280];
 
 	g_snprintf(text, sizeof text,
 	    "job=%s kind=%d team=%s version=%" G_GUINT64_FORMAT
-	    " owner=%s sent=%d %s",
+	    " shard=%u owner=%s sent=%d %s",
 	    p->id, (int)p->call.kind, p->team,
-	    f->config != NULL ? cell_config_version(f->config) : 0,
-	    f->owner != NULL ? f->owner : "none", p->sent, more);
+	    f->config != NULL ? cell_config_version(f->config) : 0, p->shard,
+	    owner != NULL ? owner : "none", p->sent, more);
 	f->ops->log(f->ops->ctx, "front", event, text);
 }
 
@@ -264,28 +293,78 @@
 static void
 pass_on(struct cell_front *f, struct pending *p, ogl_time now)
 {
+	const struct shard_owner *o = owner_of(f, p);
+
 	p->sent = true;
-	p->sent_epoch = MAX(p->sent_epoch, f->epoch);
-	p->call.epoch = f->epoch;
+	p->sent_epoch = MAX(p->sent_epoch, o->epoch);
+	p->call.epoch = o->epoch;
 	p->refused = false;
 	p->repeat_at = now + REPEAT;
 	p->call.budget_ms = (uint32_t)((p->deadline - now) / OGL_MS);
-	f->events.send(f->events.arg, f->owner, &p->call);
+	f->events.send(f->events.arg, p->shard, o->addr, &p->call);
+}
+
+static uint32_t
+shard_of_call(const struct cell_front *f, const struct pending *p)
+{
+	return f->shards > 0 ? cell_shard_of_job(p->id, p->job, f->shards) : 0;
+}
+
+/* Everything that comes before its shard's owner is known waits. */
+static void
+choose_shard(const struct cell_front *f, struct pending *p)
+{
+	p->shard = shard_of_call(f, p);
+	p->left = 0;
+	if (f->shards > 0 && p->job == NULL)
+		p->left = f->shards - 1;
+}
+
+/* The next shard to ask; false when all were. */
+static bool
+ask_next(struct cell_front *f, struct pending *p, ogl_time now)
+{
+	if (p->left == 0)
+		return false;
+	p->left--;
+	p->shard = (p->shard + 1) % f->shards;
+	p->sent_epoch = 0;
+	p->repeat_at = now;
+	if (owner_of(f, p)->addr != NULL)
+		pass_on(f, p, now);
+	return true;
 }
 
 void
-cell_front_owner(
-    struct cell_front *f, const char *addr, uint64_t epoch, ogl_time now)
+cell_front_shards(struct cell_front *f, uint32_t shards)
 {
 	GHashTableIter it;
 	gpointer v;
 
-	g_free(f->owner);
-	f->owner = g_strdup(addr);
-	f->epoch = epoch;
+	f->shards = shards;
 	g_hash_table_iter_init(&it, f->calls);
 	while (g_hash_table_iter_next(&it, NULL, &v))
-		((struct pending *)v)->repeat_at = now;
+		choose_shard(f, v);
+}
+
+void
+cell_front_owner(struct cell_front *f, uint32_t shard, const char *addr,
+    uint64_t epoch, ogl_time now)
+{
+	struct shard_owner *o = &f->owners[shard];
+	GHashTableIter it;
+	gpointer v;
+
+	g_free(o->addr);
+	o->addr = g_strdup(addr);
+	o->epoch = epoch;
+	g_hash_table_iter_init(&it, f->calls);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct pending *p = v;
+
+		if (p->shard == shard)
+			p->repeat_at = now;
+	}
 }
 
 static Ogl__CellCallKind
@@ -371,7 +450,8 @@
 	p->call.queue = p->queue;
 	p->call.job = job;
 	g_hash_table_insert(f->calls, &p->token, p);
-	if (f->owner != NULL)
+	choose_shard(f, p);
+	if (owner_of(f, p)->addr != NULL)
 		pass_on(f, p, now);
 }
 
@@ -437,17 +517,33 @@
 	a.has_state = p->call.kind == OGL__CELL_CALL_KIND__cell_state;
 	a.state = r->state;
 	a.has_pending = p->call.kind == OGL__CELL_CALL_KIND__cell_pending;
-	a.pending = r->pending;
+	a.pending = p->found + r->pending;
 	f->ops->count(f->ops->ctx, "calls_ok", 1);
 	f->ops->reply(f->ops->ctx, p->token, &a);
 }
 
+/* Whether the answer settles nothing yet: another shard is asked. */
+static bool
+goes_on(struct cell_front *f, struct pending *p, const Ogl__CellReply *r,
+    ogl_time now)
+{
+	if (r->outcome == OGL__CELL_OUTCOME__cell_absent)
+		return ask_next(f, p, now);
+	if (r->outcome != OGL__CELL_OUTCOME__cell_ok ||
+	    p->call.kind != OGL__CELL_CALL_KIND__cell_pending || p->left == 0)
+		return false;
+	p->found += r->pending;
+	return ask_next(f, p, now);
+}
+
 void
-cell_front_reply(struct cell_front *f, const Ogl__CellReply *r, ogl_time now)
+cell_front_reply(struct cell_front *f, uint32_t shard, const Ogl__CellReply *r,
+    ogl_time now)
 {
 	struct pending *p = g_hash_table_lookup(f->calls, &r->token);
 
-	if (p == NULL)
+	/* A shard asked before may answer a repeat once more. */
+	if (p == NULL || p->shard != shard || goes_on(f, p, r, now))
 		return;
 	switch (r->outcome) {
 	case OGL__CELL_OUTCOME__cell_not_owner:
@@ -478,7 +574,8 @@
 		if (r->epoch < p->sent_epoch)
 			return;
 		/* The cell changes hands: its next owner can take the job. */
-		if (f->owner == NULL || f->epoch != r->epoch) {
+		if (owner_of(f, p)->addr == NULL ||
+		    owner_of(f, p)->epoch != r->epoch) {
 			p->refused = true;
 			p->repeat_at = now + READ_RETRY;
 			return;
@@ -502,8 +599,9 @@
 give_up(struct cell_front *f, struct pending *p, ogl_time now)
 {
 	bool told = p->sent && !p->refused;
+	bool ownerless = owner_of(f, p)->addr == NULL;
 
-	if (!told && f->owner == NULL && now - p->began > OWNER_WAIT) {
+	if (!told && ownerless && now - p->began > OWNER_WAIT) {
 		log_call(f, p, "call_given_up", "why=no_owner");
 		answer(f, p->token, CELL_BUSY, RETRY_MS, "no owner is known");
 		return true;
@@ -530,7 +628,7 @@
 			g_hash_table_iter_remove(&it);
 			continue;
 		}
-		if (f->owner != NULL && now >= p->repeat_at)
+		if (owner_of(f, p)->addr != NULL && now >= p->repeat_at)
 			pass_on(f, p, now);
 	}
 }
--- a/cell/front.h
+++ b/cell/front.h
@@ -1,19 +1,21 @@
 /*
  * The entry: looks at callers' requests, refuses what the configuration does
- * not allow, passes the rest on to the owner and gives its answers back.
+ * not allow, passes the rest on to the shards' owners and gives their answers
+ * back.
  */
 
 #ifndef OGL_CELL_FRONT_H
 #define OGL_CELL_FRONT_H
 
 #include "cell_config.h"
-#include "ops.h"
+#include "shards.h"
 
 struct cell_front;
 
 struct cell_front_events {
-	void (*send)(void *arg, const char *to, const Ogl__CellCall *c);
-	/* Passes a call on to the owner at `to`. */
+	void (*send)(void *arg, uint32_t shard, const char *to,
+	    const Ogl__CellCall *c);
+	/* Passes a call on to the shard's owner at `to`. */
 	void *arg;
 };
 
@@ -21,9 +23,11 @@
     const struct cell_limits *limits, const struct cell_front_events *events);
 void cell_front_end(struct cell_front *f);
 
-void cell_front_owner(
-    struct cell_front *f, const char *addr, uint64_t epoch, ogl_time now);
-/* Who owns the cell; NULL: nobody, as far as is known. */
+void cell_front_shards(struct cell_front *f, uint32_t shards);
+/* The number of shards is known; to be told once, before any owner. */
+void cell_front_owner(struct cell_front *f, uint32_t shard, const char *addr,
+    uint64_t epoch, ogl_time now);
+/* Who owns the shard; NULL: nobody, as far as is known. */
 
 void cell_front_call(struct cell_front *f, uint64_t token,
     const struct cell_request *r, ogl_time now);
@@ -31,8 +35,9 @@
 void cell_front_gone(struct cell_front *f, uint64_t token);
 /* Its caller has left. */
 
-void cell_front_reply(
-    struct cell_front *f, const Ogl__CellReply *r, ogl_time now);
+void cell_front_reply(struct cell_front *f, uint32_t shard,
+    const Ogl__CellReply *r, ogl_time now);
+/* The answer of the shard's owner. */
 
 void cell_front_step(struct cell_front *f, ogl_time now);
 /* Follows the settings, repeats and gives up calls. */
--- a/cell/journal.c
+++ b/cell/journal.c
@@ -35,6 +35,7 @@
 
 struct cell_journal {
 	const struct cell_ops *ops;
+	uint32_t shard;
 	void (*lost)(void *arg, ogl_time now);
 	void *arg;
 	bool open;
@@ -85,12 +86,13 @@
 }
 
 struct cell_journal *
-cell_journal_init(const struct cell_ops *ops,
+cell_journal_init(const struct cell_ops *ops, uint32_t shard,
     void (*lost)(void *arg, ogl_time now), void *arg)
 {
 	struct cell_journal *g = g_new0(struct cell_journal, 1);
 
 	g->ops = ops;
+	g->shard = shard;
 	g->lost = lost;
 	g->arg = arg;
 	g->marked = g_ptr_array_new();
@@ -137,14 +139,23 @@
 	g->failing_since = 0;
 }
 
+/* Several times what the store takes, so that a slow answer is not lost. */
+static uint32_t
+timeout_for(ogl_time took)
+{
+	ogl_time ms = took / OGL_MS * 4;
+
+	return (uint32_t)CLAMP(ms, TIMEOUT_MIN_MS, TIMEOUT_MAX_MS);
+}
+
 void
-cell_journal_open(struct cell_journal *g, uint64_t epoch)
+cell_journal_open(struct cell_journal *g, uint64_t epoch, ogl_time store_took)
 {
 	clear_pending(g);
 	g->open = true;
 	g->epoch = epoch;
 	g->seq = 0;
-	g->timeout_ms = TIMEOUT_MIN_MS;
+	g->timeout_ms = timeout_for(store_took);
 	g->generation++;
 }
 
@@ -364,6 +375,7 @@
 	struct sending *s = g_new(struct sending, 1);
 	struct cell_append a = {
 	    .stream = CELL_JOBS,
+	    .shard = g->shard,
 	    .fenced = true,
 	    .epoch = g->epoch,
 	    .seq = g->seq,
@@ -380,14 +392,13 @@
 	g->ops->append(g->ops->outside, &a, on_appended, s);
 }
 
-/* Several times what the last answer took; it comes down slowly. */
+/* By what the last answer took; it comes down slowly. */
 static void
 adapt_timeout(struct cell_journal *g, ogl_time took)
 {
-	uint32_t want = (uint32_t)(took / OGL_MS) * 4;
+	uint32_t slowly = g->timeout_ms - g->timeout_ms / 4;
 
-	want = MAX(want, g->timeout_ms - g->timeout_ms / 4);
-	g->timeout_ms = CLAMP(want, TIMEOUT_MIN_MS, TIMEOUT_MAX_MS);
+	g->timeout_ms = MAX(timeout_for(took), slowly);
 }
 
 static void
--- a/cell/journal.h
+++ b/cell/journal.h
@@ -20,13 +20,15 @@
     void *arg, uint64_t tag, enum cell_fate fate, ogl_time now);
 
 struct cell_journal *cell_journal_init(const struct cell_ops *ops,
-    void (*lost)(void *arg, ogl_time now), void *arg);
-/* lost is called once a higher epoch has taken the stream over. */
+    uint32_t shard, void (*lost)(void *arg, ogl_time now), void *arg);
+/* Of the shard's stream of jobs.  lost is called once a higher epoch has taken the stream over. */
 
 void cell_journal_end(struct cell_journal *g);
 
-void cell_journal_open(struct cell_journal *g, uint64_t epoch);
-/* Begins to write under a new epoch; nothing is pending. */
+void cell_journal_open(
+    struct cell_journal *g, uint64_t epoch, ogl_time store_took);
+/* Begins to write under a new epoch; nothing is pending.  store_took: what the
+ * store last took for an append, 0 not known. */
 
 void cell_journal_close(struct cell_journal *g, ogl_time now);
 /* Gives up: whatever waited is told CELL_FATE_UNKNOWN, an answer still under
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -1,18 +1,25 @@
 /*
- * A claim is appended on the condition that the stream still ends where the
- * claimant read it to; so of several claims after the same record one lands.
- * Its offset + 1 is the epoch, which no other claim can have, and which the
- * owner's records on the store and its orders to workers bear.
+ * A claim is appended to the shard's claims on the condition that they still
+ * end where the claimant knows them to; so of several claims after the same
+ * one only one lands.  Its offset + 1 is the epoch, which no other claim of
+ * the shard can have, and which the owner's records on the store and its
+ * orders to workers bear.  It is also the offset that the next claim has to
+ * name, so nothing needs to be read before claiming.
  *
- * The owner appends a heartbeat each BEAT.  Everybody reads the stream with a
- * wait.  A node that hears nothing for SILENCE, although its reads are
- * answered, knows that the owner does not reach the store, and claims.  Where
- * the store itself is away nobody's reads are answered, no silence is counted
- * and the owner stays: it cannot have been replaced.  A node cut off alone
- * counts no silence either.
+ * An owner appends a heartbeat each BEAT to the ownership stream of the whole
+ * cell, the first as soon as it has won.  Everybody reads that stream with a
+ * wait.  A node that hears nothing of an owner for SILENCE, although its reads
+ * are answered, knows that the owner does not reach the store, and claims.
+ * Where the store itself is away nobody's reads are answered, no silence is
+ * counted and the owners stay: none can have been replaced.  A node cut off
+ * alone counts no silence either.
  *
- * The owner reads along: a claim above its own ends its ownership.  Until it
- * reads that, its orders are refused by every worker that the new owner has
+ * One ownership stream for all shards keeps the reads of a node as many as
+ * they are with one shard; claims have streams of their own, as a condition on
+ * the common one would fail whenever any owner's heartbeat came in between.
+ *
+ * An owner reads along: a later epoch than its own ends its ownership.  Until
+ * it reads that, its orders are refused by every worker that the new owner has
  * called, and the new owner starts nothing that may run elsewhere before all
  * have answered it (owner.c).
  */
@@ -30,7 +37,7 @@
 #define SILENCE_DEAD (650 * OGL_MS)
 /* An owner whose beats are not taken for so long says so to its peers. */
 #define ABLE_MAX (750 * OGL_MS)
-/* Claimants spread over this time: most read the first claim before they
+/* Claimants spread over this time: most read of the first claim before they
  * would append theirs. */
 #define SPREAD_MS 150
 /* A machine of half a core or more claims without delay, one of half of that
@@ -38,8 +45,15 @@
 #define STRONG 400
 #define LATE_MS 100
 #define LATE_MAX_MS 600
+/* A node leaves shards that are not first its own to others for so long, and
+ * as much again for each shard that it owns: one each is best. */
+#define OTHERS_MS 200
 #define READ_WAIT_MS 1000
 #define READ_TIMEOUT_MS 2200
+/* Between two reads when there are several owners, each of whose beats would
+ * end a read: 300 nodes with 8 owners would read 6,000 times a second.  Not
+ * while a shard is vacant. */
+#define READ_GAP (250 * OGL_MS)
 #define APPEND_TIMEOUT_MS 900
 #define BEATS_MAX 3
 #define RETRY (150 * OGL_MS)
@@ -53,6 +67,33 @@
 #define PROBE_TIMEOUT_MS 600
 #define PROBE_GAP (20 * OGL_MS)
 #define LEAD_KEY "lead"
+#define PLAN_KEY "shards"
+#define CLAIM_KEY "claim"
+#define KEY_BYTES 24
+
+/* The ownership of one shard. */
+struct seat {
+	struct cell_lead *lead;
+	uint32_t shard;
+	uint64_t epoch; /* highest known; where the claims end */
+	uint64_t vacated;    /* epoch whose owner has resigned */
+	uint64_t told_epoch; /* that the last change was told with */
+	char *owner;         /* address; NULL: vacant or never claimed */
+	bool own;
+	ogl_time last_news; /* of the owner, or of a failed read */
+
+	bool probing;
+	ogl_time probe_sent;
+	ogl_time confirmed_at; /* sending of the last probe that showed nobody */
+	bool claiming;
+	ogl_time claim_sent;
+	ogl_time claim_at; /* OGL_NEVER unless planned */
+	ogl_time rest_until;
+	unsigned beats; /* appends under way */
+	ogl_time beat_at;
+	ogl_time beat_ok;   /* last beat taken, or the winning of ownership */
+	ogl_time dead_hint; /* last sign that the owner's process has ended */
+};
 
 struct cell_lead {
 	const struct cell_ops *ops;
@@ -63,36 +104,24 @@
 	int32_t late_ms; /* of its claims, for a weak machine */
 	GRand *rand;
 
-	bool loaded; /* the newest record was read */
+	bool loaded; /* the newest records were read */
 	bool reading;
-	bool newest_next; /* read the newest record instead of the tail */
+	bool newest_next; /* read the newest records instead of the tail */
 	ogl_time read_sent;
 	ogl_time read_at; /* next read not before */
 	uint64_t next;    /* offset to read from */
-
-	uint64_t epoch;
-	uint64_t vacated;    /* epoch whose owner has resigned */
-	uint64_t told_epoch; /* that the last change was told with */
-	char *owner;         /* address; NULL: vacant or never claimed */
-	bool own;
-	ogl_time last_news;    /* of the owner, or of a failed read */
-	ogl_time confirmed_at; /* sending of the last good read */
 	ogl_time last_read_ok;
+	ogl_time read_ok_sent; /* sending of the last good read */
 
-	bool probing;
-	ogl_time probe_sent;
-	bool claiming;
-	ogl_time claim_at; /* OGL_NEVER unless planned */
-	ogl_time rest_until;
+	bool planning; /* the plan's append is under way */
+	uint32_t shards;
+	struct seat *seats;
+	ogl_time took; /* by the last claim at the store */
 	bool retired;
-	unsigned beats; /* appends under way */
-	ogl_time beat_at;
-	ogl_time beat_ok;   /* last beat taken, or the winning of ownership */
-	ogl_time dead_hint; /* last sign that the owner's process has ended */
 };
 
 /*
- * The owner decides for the whole cell, so the strongest machines should win:
+ * An owner decides for a whole shard, so the strongest machines should win:
  * the weaker one is, the later it claims.  On a mixed cell, owners of an
  * eighth of a core took 1 to 10 s to read the jobs, and served a tenth.
  */
@@ -122,112 +151,183 @@
 	l->late_ms = lateness(self->strength);
 	l->rand = g_rand_new_with_seed((guint32)(seed ^ seed >> 32));
 	l->newest_next = true;
-	l->claim_at = OGL_NEVER;
-	l->confirmed_at = CELL_LONG_AGO;
 	l->last_read_ok = CELL_LONG_AGO;
-	l->dead_hint = CELL_LONG_AGO;
+	l->read_ok_sent = CELL_LONG_AGO;
 	return l;
 }
 
 void
 cell_lead_end(struct cell_lead *l)
 {
+	uint32_t i;
+
+	for (i = 0; i < l->shards; i++)
+		g_free(l->seats[i].owner);
+	g_free(l->seats);
 	g_rand_free(l->rand);
 	g_free(l->node);
 	g_free(l->addr);
-	g_free(l->owner);
 	g_free(l);
 }
 
+/* ---- the plan --------------------------------------------------------- */
+
+static void
+make_seats(struct cell_lead *l, uint32_t shards, ogl_time now)
+{
+	uint32_t i;
+
+	l->shards = shards;
+	l->seats = g_new0(struct seat, shards);
+	for (i = 0; i < shards; i++) {
+		struct seat *s = &l->seats[i];
+
+		s->lead = l;
+		s->shard = i;
+		s->claim_at = OGL_NEVER;
+		s->confirmed_at = CELL_LONG_AGO;
+		s->dead_hint = CELL_LONG_AGO;
+		s->last_news = now;
+	}
+	l->events.planned(l->events.arg, shards, now);
+}
+
+static void
+take_plan(struct cell_lead *l, const struct cell_record *r, ogl_time now)
+{
+	Ogl__CellPlan *m = ogl__cell_plan__unpack(
+	    NULL, r->value.n, (const uint8_t *)r->value.p);
+	char text[48];
+
+	if (m == NULL || m->shards == 0 || m->shards > CELL_SHARDS_MAX) {
+		l->ops->log(l->ops->ctx, "lead", "record_unreadable", PLAN_KEY);
+	} else if (l->shards == 0) {
+		g_snprintf(text, sizeof text, "shards=%u", m->shards);
+		l->ops->log(l->ops->ctx, "lead", "planned", text);
+		make_seats(l, m->shards, now);
+	}
+	if (m != NULL)
+		ogl__cell_plan__free_unpacked(m, NULL);
+}
+
 /* ---- what the records say --------------------------------------------- */
 
 static void
-log_owner(struct cell_lead *l, const char *event, const char *addr)
+log_owner(struct seat *s, const char *event, const char *addr)
 {
+	const struct cell_ops *ops = s->lead->ops;
 	char text[160];
 
-	g_snprintf(text, sizeof text, "owner=%s epoch=%" G_GUINT64_FORMAT,
-	    addr != NULL ? addr : "none", l->epoch);
-	l->ops->log(l->ops->ctx, "lead", event, text);
+	g_snprintf(text, sizeof text,
+	    "owner=%s epoch=%" G_GUINT64_FORMAT " shard=%u",
+	    addr != NULL ? addr : "none", s->epoch, s->shard);
+	ops->log(ops->ctx, "lead", event, text);
 }
 
 static void
-step_down(struct cell_lead *l, ogl_time now)
+step_down(struct seat *s, ogl_time now)
 {
-	if (!l->own)
+	if (!s->own)
 		return;
-	l->own = false;
-	log_owner(l, "ownership_lost", l->owner);
-	l->events.lost(l->events.arg, now);
+	s->own = false;
+	log_owner(s, "ownership_lost", s->owner);
+	s->lead->events.lost(s->lead->events.arg, s->shard, now);
 }
 
 static void
-set_owner(struct cell_lead *l, const char *addr, ogl_time now)
+set_owner(struct seat *s, const char *addr, ogl_time now)
 {
-	/* The same node may own the cell again, in another epoch. */
-	if (g_strcmp0(l->owner, addr) == 0 && l->told_epoch == l->epoch)
+	/* The same node may own the shard again, in another epoch. */
+	if (g_strcmp0(s->owner, addr) == 0 && s->told_epoch == s->epoch)
 		return;
-	l->told_epoch = l->epoch;
-	g_free(l->owner);
-	l->owner = g_strdup(addr);
-	log_owner(l, "owner_changed", addr);
-	l->events.changed(l->events.arg, l->owner, now);
+	s->told_epoch = s->epoch;
+	g_free(s->owner);
+	s->owner = g_strdup(addr);
+	log_owner(s, "owner_changed", addr);
+	s->lead->events.changed(
+	    s->lead->events.arg, s->shard, s->owner, now);
 }
 
-/* The owner was this node before it started anew: nobody owns the cell. */
+/* The owner was this node before it started anew: nobody owns the shard. */
 static bool
 earlier_life(const struct cell_lead *l, const Ogl__CellLead *m)
 {
 	return strcmp(m->addr, l->addr) == 0 && m->boot != l->boot;
 }
 
+/* One shard a node is best: what it has planned to claim besides waits. */
+static void
+claim_others_later(struct cell_lead *l)
+{
+	uint32_t i;
+
+	for (i = 0; i < l->shards; i++) {
+		if (l->seats[i].claim_at != OGL_NEVER)
+			l->seats[i].claim_at += OTHERS_MS * OGL_MS;
+	}
+}
+
 static void
 take_claim(
-    struct cell_lead *l, const Ogl__CellLead *m, uint64_t epoch, ogl_time now)
+    struct seat *s, const Ogl__CellLead *m, uint64_t epoch, ogl_time now)
 {
+	struct cell_lead *l = s->lead;
 	bool mine = strcmp(m->node, l->node) == 0 && m->boot == l->boot;
 
-	if (epoch <= l->epoch)
+	if (epoch <= s->epoch)
 		return;
-	step_down(l, now);
-	l->epoch = epoch;
-	l->last_news = now;
-	l->claim_at = OGL_NEVER;
+	step_down(s, now);
+	s->epoch = epoch;
+	s->last_news = now;
+	s->claim_at = OGL_NEVER;
 	if (!mine) {
-		set_owner(l, earlier_life(l, m) ? NULL : m->addr, now);
+		set_owner(s, earlier_life(l, m) ? NULL : m->addr, now);
 		return;
 	}
 	if (l->retired)
 		return; /* the silence that follows lets others claim */
-	l->own = true;
-	l->beat_at = now;
-	l->beat_ok = now;
-	set_owner(l, l->addr, now);
-	log_owner(l, "ownership_won", l->addr);
-	l->events.won(l->events.arg, epoch, now);
+	s->own = true;
+	s->beat_at = now;
+	s->beat_ok = now;
+	claim_others_later(l);
+	set_owner(s, l->addr, now);
+	log_owner(s, "ownership_won", l->addr);
+	l->events.won(l->events.arg, s->shard, epoch, now);
 }
 
 /* A heartbeat or resignation counts only for the epoch it was made in. */
 static void
-take_beat(struct cell_lead *l, const Ogl__CellLead *m, ogl_time now)
+take_beat(struct seat *s, const Ogl__CellLead *m, ogl_time now)
 {
 	/* A beat may have been on its way when its sender resigned. */
-	if (m->epoch < l->epoch || m->epoch == l->vacated)
+	if (m->epoch < s->epoch || m->epoch == s->vacated)
 		return;
-	if (m->epoch > l->epoch) {
-		step_down(l, now);
-		l->epoch = m->epoch;
+	if (m->epoch > s->epoch) {
+		step_down(s, now);
+		s->epoch = m->epoch;
 	}
-	l->last_news = now;
+	s->last_news = now;
 	if (!m->vacant) {
-		l->claim_at = OGL_NEVER;
-		if (!l->own)
-			set_owner(l, earlier_life(l, m) ? NULL : m->addr, now);
+		s->claim_at = OGL_NEVER;
+		if (!s->own)
+			set_owner(s,
+			    earlier_life(s->lead, m) ? NULL : m->addr, now);
 		return;
 	}
-	l->vacated = m->epoch;
-	step_down(l, now);
-	set_owner(l, NULL, now);
+	s->vacated = m->epoch;
+	step_down(s, now);
+	set_owner(s, NULL, now);
+}
+
+static Ogl__CellLead *
+unpack(struct cell_lead *l, const struct cell_record *r)
+{
+	Ogl__CellLead *m = ogl__cell_lead__unpack(
+	    NULL, r->value.n, (const uint8_t *)r->value.p);
+
+	if (m == NULL)
+		l->ops->log(l->ops->ctx, "lead", "record_unreadable", r->key);
+	return m;
 }
 
 static void
@@ -237,16 +337,15 @@
 
 	if (r->dropped)
 		return;
-	m = ogl__cell_lead__unpack(
-	    NULL, r->value.n, (const uint8_t *)r->value.p);
-	if (m == NULL) {
-		l->ops->log(l->ops->ctx, "lead", "record_unreadable", "");
+	if (strcmp(r->key, PLAN_KEY) == 0) {
+		take_plan(l, r, now);
 		return;
 	}
-	if (m->claim)
-		take_claim(l, m, r->offset + 1, now);
-	else
-		take_beat(l, m, now);
+	m = unpack(l, r);
+	if (m == NULL)
+		return;
+	if (!m->claim && m->shard < l->shards)
+		take_beat(&l->seats[m->shard], m, now);
 	ogl__cell_lead__free_unpacked(m, NULL);
 }
 
@@ -255,17 +354,35 @@
 static void
 read_failed(struct cell_lead *l, ogl_time now)
 {
+	uint32_t i;
+
 	l->read_at = now + RETRY;
-	l->last_news = now;
-	l->claim_at = OGL_NEVER;
+	for (i = 0; i < l->shards; i++) {
+		l->seats[i].last_news = now;
+		l->seats[i].claim_at = OGL_NEVER;
+	}
+}
+
+static bool
+any_vacant(const struct cell_lead *l)
+{
+	uint32_t i;
+
+	for (i = 0; i < l->shards; i++) {
+		if (l->seats[i].owner == NULL)
+			return true;
+	}
+	return false;
 }
 
 static void
 read_succeeded(struct cell_lead *l, ogl_time now)
 {
-	l->confirmed_at = MAX(l->confirmed_at, l->read_sent);
+	l->read_ok_sent = MAX(l->read_ok_sent, l->read_sent);
 	l->last_read_ok = now;
 	l->read_at = now;
+	if (l->shards > 1 && !any_vacant(l))
+		l->read_at = l->read_sent + READ_GAP;
 }
 
 static void
@@ -284,46 +401,14 @@
 		l->read_at = now;
 		return;
 	}
-	read_succeeded(l, now);
-	for (i = 0; i < a->n; i++) {
-		if (a->records[i].offset < l->next)
-			continue; /* a probe was faster */
-		take_record(l, &a->records[i], now);
-		l->next = a->records[i].offset + 1;
-	}
-}
-
-/* A read that does not wait, to know for certain who owns the cell now. */
-static void
-on_probe(void *arg, const struct cell_read_answer *a, ogl_time now)
-{
-	struct cell_lead *l = arg;
-	size_t i;
-
-	l->probing = false;
-	if (a->io != OGL_IO_OK || a->trimmed)
-		return;
-	l->confirmed_at = MAX(l->confirmed_at, l->probe_sent);
-	l->last_read_ok = now;
 	for (i = 0; i < a->n; i++) {
-		if (a->records[i].offset < l->next)
-			continue;
 		take_record(l, &a->records[i], now);
 		l->next = a->records[i].offset + 1;
 	}
+	read_succeeded(l, now);
 }
 
-void
-cell_lead_probe(struct cell_lead *l, ogl_time now)
-{
-	if (l->probing || !l->loaded || now < l->probe_sent + PROBE_GAP)
-		return;
-	l->probing = true;
-	l->probe_sent = now;
-	l->ops->read(l->ops->outside, CELL_LEAD, l->next, 0, PROBE_TIMEOUT_MS,
-	    on_probe, l);
-}
-
+/* The plan is written first and may stand behind others in the page. */
 static void
 on_newest(void *arg, const struct cell_newest_answer *a, ogl_time now)
 {
@@ -335,225 +420,418 @@
 		read_failed(l, now);
 		return;
 	}
-	if (!l->loaded)
-		l->last_news = now;
 	l->loaded = true;
 	l->newest_next = false;
-	read_succeeded(l, now);
+	for (i = 0; i < a->n; i++) {
+		if (strcmp(a->records[i].key, PLAN_KEY) == 0)
+			take_record(l, &a->records[i], now);
+	}
 	for (i = 0; i < a->n; i++)
 		take_record(l, &a->records[i], now);
 	l->next = a->end;
+	read_succeeded(l, now);
 }
 
 static void
 read_on(struct cell_lead *l, ogl_time now)
 {
+	struct cell_read r = {.stream = CELL_LEAD,
+	    .from = l->next,
+	    .wait_ms = READ_WAIT_MS,
+	    .timeout_ms = READ_TIMEOUT_MS};
+	struct cell_newest q = {
+	    .stream = CELL_LEAD, .timeout_ms = READ_TIMEOUT_MS};
+
 	if (l->reading || now < l->read_at)
 		return;
 	l->reading = true;
 	l->read_sent = now;
 	if (l->newest_next)
-		l->ops->newest(l->ops->outside, CELL_LEAD, NULL,
-		    READ_TIMEOUT_MS, on_newest, l);
+		l->ops->newest(l->ops->outside, &q, on_newest, l);
 	else
-		l->ops->read(l->ops->outside, CELL_LEAD, l->next, READ_WAIT_MS,
-		    READ_TIMEOUT_MS, on_read, l);
+		l->ops->read(l->ops->outside, &r, on_read, l);
 }
 
-/* ---- writing ---------------------------------------------------------- */
+/* ---- the claims of a shard -------------------------------------------- */
 
 static void
-append(struct cell_lead *l, Ogl__CellLead *m, int64_t at, cell_append_fn *done)
+take_claims(struct seat *s, const struct cell_record *records, size_t n,
+    ogl_time now)
 {
-	size_t n;
-	uint8_t *p;
-	struct cell_put put = {(char *)(uintptr_t)LEAD_KEY, NULL};
-	struct cell_append a = {.stream = CELL_LEAD,
-	    .at = at,
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		const struct cell_record *r = &records[i];
+		Ogl__CellLead *m = r->dropped ? NULL : unpack(s->lead, r);
+
+		if (m == NULL)
+			continue;
+		take_claim(s, m, r->offset + 1, now);
+		ogl__cell_lead__free_unpacked(m, NULL);
+	}
+}
+
+static void
+on_newest_claim(void *arg, const struct cell_newest_answer *a, ogl_time now)
+{
+	struct seat *s = arg;
+
+	s->probing = false;
+	if (a->io == OGL_IO_OK)
+		take_claims(s, a->records, a->n, now);
+}
+
+/* What came after the last claim known is not retained any more. */
+static void
+read_newest_claim(struct seat *s)
+{
+	struct cell_newest q = {.stream = CELL_CLAIMS,
+	    .shard = s->shard,
+	    .timeout_ms = PROBE_TIMEOUT_MS};
+
+	s->probing = true;
+	s->lead->ops->newest(
+	    s->lead->ops->outside, &q, on_newest_claim, s);
+}
+
+static void
+on_probe(void *arg, const struct cell_read_answer *a, ogl_time now)
+{
+	struct seat *s = arg;
+	uint64_t known = s->epoch;
+
+	s->probing = false;
+	if (a->io != OGL_IO_OK)
+		return;
+	s->lead->last_read_ok = now;
+	if (a->trimmed) {
+		read_newest_claim(s);
+		return;
+	}
+	take_claims(s, a->records, a->n, now);
+	if (a->end <= known)
+		s->confirmed_at = MAX(s->confirmed_at, s->probe_sent);
+}
+
+void
+cell_lead_probe(struct cell_lead *l, uint32_t shard, ogl_time now)
+{
+	struct seat *s = &l->seats[shard];
+	struct cell_read r = {.stream = CELL_CLAIMS,
+	    .shard = shard,
+	    .from = s->epoch,
+	    .timeout_ms = PROBE_TIMEOUT_MS};
+
+	if (s->probing || now < s->probe_sent + PROBE_GAP)
+		return;
+	s->probing = true;
+	s->probe_sent = now;
+	l->ops->read(l->ops->outside, &r, on_probe, s);
+}
+
+/* ---- writing ---------------------------------------------------------- */
+
+static void
+append(struct seat *s, Ogl__CellLead *m, cell_append_fn *done)
+{
+	struct cell_lead *l = s->lead;
+	char key[KEY_BYTES];
+	struct cell_put put = {key, NULL};
+	struct cell_append a = {.stream = m->claim ? CELL_CLAIMS : CELL_LEAD,
+	    .shard = m->claim ? s->shard : 0,
+	    .at = m->claim ? (int64_t)s->epoch : -1,
 	    .puts = &put,
 	    .nputs = 1,
 	    .timeout_ms = APPEND_TIMEOUT_MS};
+	size_t n;
+	uint8_t *p;
 
+	if (m->claim)
+		g_strlcpy(key, CLAIM_KEY, sizeof key);
+	else
+		g_snprintf(key, sizeof key, LEAD_KEY ".%u", s->shard);
 	m->node = l->node;
 	m->addr = l->addr;
 	m->boot = l->boot;
+	m->shard = s->shard;
 	n = ogl__cell_lead__get_packed_size(m);
 	p = g_malloc(n);
 	ogl__cell_lead__pack(m, p);
 	put.value = g_bytes_new_take(p, n);
-	l->ops->append(l->ops->outside, &a, done, l);
+	l->ops->append(l->ops->outside, &a, done, s);
 	g_bytes_unref(put.value);
 }
 
 static void
 on_beat(void *arg, const struct cell_append_answer *a, ogl_time now)
 {
-	struct cell_lead *l = arg;
+	struct seat *s = arg;
 
-	l->beats--;
+	s->beats--;
 	if (a->io == OGL_IO_OK)
-		l->beat_ok = now;
+		s->beat_ok = now;
 }
 
+/* A claim that was refused, or whose answer is lost, is settled by reading the
+ * claims: whoever stands there owns the shard, be it this node. */
 static void
 on_claim(void *arg, const struct cell_append_answer *a, ogl_time now)
 {
-	struct cell_lead *l = arg;
+	struct seat *s = arg;
+	struct cell_lead *l = s->lead;
 	Ogl__CellLead m = OGL__CELL_LEAD__INIT;
 
-	l->claiming = false;
-	if (a->io != OGL_IO_OK)
-		return; /* if it landed all the same, the tail shows it */
+	s->claiming = false;
+	if (a->io != OGL_IO_OK) {
+		if (a->moved || a->io == OGL_IO_LOST)
+			cell_lead_probe(l, s->shard, now);
+		return;
+	}
+	l->took = now - s->claim_sent;
 	m.node = l->node;
 	m.addr = l->addr;
 	m.boot = l->boot;
-	l->next = MAX(l->next, a->offset + 1);
-	take_claim(l, &m, a->offset + 1, now);
+	take_claim(s, &m, a->offset + 1, now);
 }
 
 static void
-claim(struct cell_lead *l)
+claim(struct seat *s, ogl_time now)
 {
 	Ogl__CellLead m = OGL__CELL_LEAD__INIT;
 
 	m.claim = true;
-	l->claiming = true;
-	l->claim_at = OGL_NEVER;
-	append(l, &m, (int64_t)l->next, on_claim);
+	s->claiming = true;
+	s->claim_sent = now;
+	s->claim_at = OGL_NEVER;
+	append(s, &m, on_claim);
 }
 
 /* Several beats may be under way: answers get lost. */
 static void
-beat(struct cell_lead *l, ogl_time now)
+beat(struct seat *s, ogl_time now)
 {
 	Ogl__CellLead m = OGL__CELL_LEAD__INIT;
 
-	if (!l->own || now < l->beat_at || l->beats >= BEATS_MAX)
+	if (!s->own || now < s->beat_at || s->beats >= BEATS_MAX)
 		return;
-	m.epoch = l->epoch;
-	l->beats++;
-	l->beat_at = now + BEAT;
-	append(l, &m, -1, on_beat);
+	m.epoch = s->epoch;
+	s->beats++;
+	s->beat_at = now + BEAT;
+	append(s, &m, on_beat);
 }
 
-/* Plans a claim when nobody owns the cell, or its owner is silent. */
+/* How much later than others this node claims the shard. */
+static int32_t
+claim_delay(const struct seat *s)
+{
+	struct cell_lead *l = s->lead;
+	int32_t ms =
+	    l->late_ms + g_rand_int_range(l->rand, 0, SPREAD_MS) +
+	    (int32_t)cell_lead_owned(l) * OTHERS_MS;
+
+	if (cell_shard_of_node(l->addr, l->shards) != s->shard)
+		ms += OTHERS_MS;
+	return ms;
+}
+
+/* Plans a claim when nobody owns the shard, or its owner is silent. */
 static void
-watch(struct cell_lead *l, ogl_time now)
+watch(struct seat *s, ogl_time now)
 {
-	bool dead = now - l->dead_hint < SILENCE_DEAD;
-	bool silent = now - l->last_news > (dead ? SILENCE_DEAD : SILENCE);
-	bool vacant = l->owner == NULL && l->epoch > 0;
+	bool dead = now - s->dead_hint < SILENCE_DEAD;
+	bool silent = now - s->last_news > (dead ? SILENCE_DEAD : SILENCE);
+	bool vacant = s->owner == NULL && s->epoch > 0;
 
-	if (l->own || l->retired || !l->loaded || l->claiming ||
-	    now < l->rest_until || l->claim_at != OGL_NEVER)
+	if (s->own || s->claiming || s->probing || now < s->rest_until ||
+	    s->claim_at != OGL_NEVER)
 		return;
-	if (!vacant && !silent && l->epoch > 0)
+	if (!vacant && !silent && s->epoch > 0)
 		return;
-	if (!cell_lead_reads(l, now))
+	if (!cell_lead_reads(s->lead, now))
 		return;
-	l->claim_at =
-	    now +
-	    (l->late_ms + g_rand_int_range(l->rand, 0, SPREAD_MS)) * OGL_MS;
+	s->claim_at = now + claim_delay(s) * OGL_MS;
+}
+
+static void
+step_seat(struct seat *s, ogl_time now)
+{
+	beat(s, now);
+	if (s->lead->retired)
+		return;
+	watch(s, now);
+	if (s->claim_at <= now && !s->claiming)
+		claim(s, now);
 }
 
 void
 cell_lead_step(struct cell_lead *l, ogl_time now)
 {
+	uint32_t i;
+
 	read_on(l, now);
-	beat(l, now);
-	watch(l, now);
-	if (l->claim_at <= now && !l->claiming)
-		claim(l);
+	for (i = 0; i < l->shards; i++)
+		step_seat(&l->seats[i], now);
+}
+
+bool
+cell_lead_unplanned(const struct cell_lead *l)
+{
+	return l->loaded && l->shards == 0 && !l->planning;
+}
+
+static void
+on_plan(void *arg, const struct cell_append_answer *a, ogl_time now)
+{
+	struct cell_lead *l = arg;
+
+	(void)a;
+	(void)now;
+	l->planning = false; /* what stands is read like everything else */
+}
+
+void
+cell_lead_plan(struct cell_lead *l, uint32_t shards)
+{
+	Ogl__CellPlan m = OGL__CELL_PLAN__INIT;
+	char key[] = PLAN_KEY;
+	struct cell_put put = {key, NULL};
+	struct cell_append a = {.stream = CELL_LEAD,
+	    .at = (int64_t)l->next,
+	    .puts = &put,
+	    .nputs = 1,
+	    .timeout_ms = APPEND_TIMEOUT_MS};
+	size_t n;
+	uint8_t *p;
+
+	m.shards = shards;
+	n = ogl__cell_plan__get_packed_size(&m);
+	p = g_malloc(n);
+	ogl__cell_plan__pack(&m, p);
+	put.value = g_bytes_new_take(p, n);
+	l->planning = true;
+	l->ops->append(l->ops->outside, &a, on_plan, l);
+	g_bytes_unref(put.value);
 }
 
 /* ---- giving up -------------------------------------------------------- */
 
 void
-cell_lead_resign(struct cell_lead *l, ogl_time now)
+cell_lead_resign(struct cell_lead *l, uint32_t shard, ogl_time now)
 {
+	struct seat *s = &l->seats[shard];
 	Ogl__CellLead m = OGL__CELL_LEAD__INIT;
 
-	l->rest_until = now + RESIGN_REST;
-	l->claim_at = OGL_NEVER;
-	if (!l->own)
+	s->rest_until = now + RESIGN_REST;
+	s->claim_at = OGL_NEVER;
+	if (!s->own)
 		return;
-	m.epoch = l->epoch;
+	m.epoch = s->epoch;
 	m.vacant = true;
-	l->beats++;
-	append(l, &m, -1, on_beat);
-	step_down(l, now);
-	set_owner(l, NULL, now);
+	s->beats++;
+	append(s, &m, on_beat);
+	step_down(s, now);
+	set_owner(s, NULL, now);
 }
 
 void
 cell_lead_retire(struct cell_lead *l, ogl_time now)
 {
+	uint32_t i;
+
 	l->retired = true;
-	cell_lead_resign(l, now);
+	for (i = 0; i < l->shards; i++)
+		cell_lead_resign(l, i, now);
 }
 
 void
-cell_lead_outranked(struct cell_lead *l, ogl_time now)
+cell_lead_outranked(struct cell_lead *l, uint32_t shard, ogl_time now)
 {
-	if (!l->own)
+	struct seat *s = &l->seats[shard];
+
+	if (!s->own)
 		return;
-	step_down(l, now);
-	set_owner(l, NULL, now);
-	l->last_news = now;
-	l->rest_until = now + SILENCE;
+	step_down(s, now);
+	set_owner(s, NULL, now);
+	s->last_news = now;
+	s->rest_until = now + SILENCE;
+	cell_lead_probe(l, shard, now);
 }
 
 void
-cell_lead_doubt(struct cell_lead *l, uint64_t epoch, ogl_time now)
+cell_lead_doubt(
+    struct cell_lead *l, uint32_t shard, uint64_t epoch, ogl_time now)
 {
-	if (l->own || epoch < l->epoch || l->owner == NULL)
+	struct seat *s = &l->seats[shard];
+
+	if (s->own || epoch < s->epoch || s->owner == NULL)
 		return;
 	if (!cell_lead_reads(l, now))
 		return;
-	log_owner(l, "owner_unable", l->owner);
-	set_owner(l, NULL, now);
+	log_owner(s, "owner_unable", s->owner);
+	set_owner(s, NULL, now);
 }
 
 void
-cell_lead_hint_dead(struct cell_lead *l, ogl_time now)
+cell_lead_hint_dead(struct cell_lead *l, uint32_t shard, ogl_time now)
+{
+	l->seats[shard].dead_hint = now;
+}
+
+/* ---- what is known ---------------------------------------------------- */
+
+uint32_t
+cell_lead_shards(const struct cell_lead *l)
+{
+	return l->shards;
+}
+
+uint32_t
+cell_lead_owned(const struct cell_lead *l)
 {
-	l->dead_hint = now;
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < l->shards; i++)
+		n += l->seats[i].own;
+	return n;
 }
 
 bool
-cell_lead_able(const struct cell_lead *l, ogl_time now)
+cell_lead_able(const struct cell_lead *l, uint32_t shard, ogl_time now)
 {
-	return l->own && now - l->beat_ok < ABLE_MAX;
+	const struct seat *s = &l->seats[shard];
+
+	return s->own && now - s->beat_ok < ABLE_MAX;
 }
 
 bool
-cell_lead_is_owner(const struct cell_lead *l)
+cell_lead_is_owner(const struct cell_lead *l, uint32_t shard)
 {
-	return l->own;
+	return l->seats[shard].own;
 }
 
 uint64_t
-cell_lead_epoch(const struct cell_lead *l)
+cell_lead_epoch(const struct cell_lead *l, uint32_t shard)
 {
-	return l->epoch;
+	return l->seats[shard].epoch;
 }
 
 const char *
-cell_lead_addr(const struct cell_lead *l)
+cell_lead_addr(const struct cell_lead *l, uint32_t shard)
 {
-	return l->owner;
+	return l->seats[shard].owner;
 }
 
 bool
-cell_lead_may_act(const struct cell_lead *l, ogl_time now)
+cell_lead_may_act(const struct cell_lead *l, uint32_t shard, ogl_time now)
 {
-	return l->own && now - l->confirmed_at < ACT_MAX;
+	return l->seats[shard].own && now - l->read_ok_sent < ACT_MAX;
 }
 
 ogl_time
-cell_lead_confirmed(const struct cell_lead *l)
+cell_lead_confirmed(const struct cell_lead *l, uint32_t shard)
 {
-	return l->confirmed_at;
+	return l->seats[shard].confirmed_at;
 }
 
 bool
@@ -561,3 +839,9 @@
 {
 	return now - l->last_read_ok < READS_FRESH;
 }
+
+ogl_time
+cell_lead_store_took(const struct cell_lead *l)
+{
+	return l->took;
+}
--- a/cell/node.c
+++ b/cell/node.c
@@ -1,12 +1,15 @@
 /*
- * Each node pings the owner, which so learns whom it can ask advice through;
- * a pong that does not come shows a connection that has gone silent, and it is
- * opened anew.  Messages to oneself do not touch the network.
+ * Each node pings the owner of each shard; a pong that does not come shows a
+ * connection that has gone silent, and it is opened anew.  One of the owners may
+ * ask advice through the node: the service takes one question at a time from
+ * each machine, so owners must not share them.
+ * Messages to oneself do not touch the network.
  */
 
 #include <string.h>
 
 #include "node.h"
+#include "plan.h"
 
 #define TICK (40 * OGL_MS)
 /* A step is due each TICK; a longer gap means that the process did not run,
@@ -18,42 +21,52 @@
 #define PING (250 * OGL_MS)
 /* A ping unanswered for so long: the connection is not trusted any more. */
 #define PONG_MAX (900 * OGL_MS)
-/* Nobody owns the cell for so long: callers are sent elsewhere. */
+/* Some shard has had no owner for so long: callers are sent elsewhere. */
 #define OWNERLESS_MAX (1500 * OGL_MS)
 
+/* What the node has to do with one shard. */
+struct part {
+	struct cell_node *node;
+	uint32_t shard;
+	struct cell_owner *owner;
+	ogl_time ping_at;
+	ogl_time pong_at; /* last pong, or the first ping to a new owner */
+	ogl_time owner_seen;
+	ogl_time stronger_at; /* first ping of a much stronger node, 0 none */
+	ogl_time stronger_last;
+};
+
 struct cell_node {
 	const struct cell_ops *ops;
 	char *name;
 	char *addr;
 	struct cell_limits limits;
 	struct cell_lead *lead;
-	struct cell_owner *owner;
+	struct cell_plan *plan;
 	struct cell_front *front;
-	struct cell_config *config; /* that the owner was told of */
+	uint32_t shards; /* 0 not known yet */
+	struct part parts[CELL_SHARDS_MAX];
+	struct cell_config *config; /* that the owners were told of */
 	bool stopping;
-	ogl_time ping_at;
-	ogl_time pong_at; /* last pong, or the first ping to a new owner */
-	ogl_time now;     /* of the step or event under way */
-	ogl_time owner_seen;
+	ogl_time now; /* of the step or event under way */
 	ogl_time stepped_at;
 	ogl_time wake_at; /* asked for by the last step, 0 none yet */
 	uint32_t strength;
-	ogl_time stronger_at; /* first ping of a much stronger node, 0 none */
-	ogl_time stronger_last;
 	GQueue loop; /* Ogl__CellMsg as bytes, to oneself */
 };
 
 /* ---- messages --------------------------------------------------------- */
 
 static void
-send_msg(struct cell_node *n, const char *to, Ogl__CellMsg *m)
+send_msg(struct cell_node *n, uint32_t shard, const char *to, Ogl__CellMsg *m)
 {
 	size_t len;
 	uint8_t *p;
 	GBytes *b;
 
 	m->from = n->addr;
-	m->epoch = cell_lead_epoch(n->lead);
+	m->shard = shard;
+	m->epoch = cell_lead_epoch(n->lead, shard);
 	len = ogl__cell_msg__get_packed_size(m);
 	p = g_malloc(len);
 	ogl__cell_msg__pack(m, p);
@@ -67,39 +80,42 @@
 }
 
 static void
-send_call(void *arg, const char *to, const Ogl__CellCall *c)
+send_call(void *arg, uint32_t shard, const char *to, const Ogl__CellCall *c)
 {
 	Ogl__CellMsg m = OGL__CELL_MSG__INIT;
 
 	m.body_case = OGL__CELL_MSG__BODY_CALL;
 	m.call = (Ogl__CellCall *)(uintptr_t)c;
-	send_msg(arg, to, &m);
+	send_msg(arg, shard, to, &m);
 }
 
 static void
 send_reply(void *arg, const char *to, const Ogl__CellReply *r)
 {
+	const struct part *part = arg;
 	Ogl__CellMsg m = OGL__CELL_MSG__INIT;
 
 	m.body_case = OGL__CELL_MSG__BODY_REPLY;
 	m.reply = (Ogl__CellReply *)(uintptr_t)r;
-	send_msg(arg, to, &m);
+	send_msg(part->node, part->shard, to, &m);
 }
 
 static void
 send_ask(void *arg, const char *to, const Ogl__CellAsk *a)
 {
+	const struct part *part = arg;
 	Ogl__CellMsg m = OGL__CELL_MSG__INIT;
 
 	m.body_case = OGL__CELL_MSG__BODY_ASK;
 	m.ask = (Ogl__CellAsk *)(uintptr_t)a;
-	send_msg(arg, to, &m);
+	send_msg(part->node, part->shard, to, &m);
 }
 
-/* ---- advice for the owner --------------------------------------------- */
+/* ---- advice for an owner ---------------------------------------------- */
 
 struct asked {
 	struct cell_node *node;
+	uint32_t shard;
 	char *to;
 	uint64_t token;
 };
@@ -128,7 +144,7 @@
 	v.n_tickets = v.ok ? a->n : 0;
 	m.body_case = OGL__CELL_MSG__BODY_ADVICE;
 	m.advice = &v;
-	send_msg(q->node, q->to, &m);
+	send_msg(q->node, q->shard, q->to, &m);
 	g_free(tickets);
 	g_free(list);
 	g_free(q->to);
@@ -136,13 +152,15 @@
 }
 
 static void
-take_ask(struct cell_node *n, const char *from, const Ogl__CellAsk *a)
+take_ask(struct cell_node *n, uint32_t shard, const char *from,
+    const Ogl__CellAsk *a)
 {
 	struct asked *q = g_new(struct asked, 1);
 	struct cell_ask ask = {a->step, (const char *const *)(void *)a->workers,
 	    a->n_workers, a->timeout_ms};
 
 	q->node = n;
+	q->shard = shard;
 	q->to = g_strdup(from);
 	q->token = a->token;
 	n->ops->ask(n->ops->outside, &ask, on_asked, q);
@@ -151,79 +169,87 @@
 /* ---- incoming --------------------------------------------------------- */
 
 /*
- * A weak machine may own the cell because the strong ones were away when the
- * last owner was lost.  Once one has been back for a while it gets the cell.
+ * A weak machine may own the shard because the strong ones were away when the
+ * last owner was lost.  Once one has been back for a while, and owns none
+ * itself, it gets the shard.
  */
 static void
-weigh_peer(struct cell_node *n, const Ogl__CellPing *p, ogl_time now)
+weigh_peer(struct part *part, const Ogl__CellPing *p, ogl_time now)
 {
-	if (!p->store_ok || p->leaving || n->strength == 0 ||
+	struct cell_node *n = part->node;
+
+	if (!p->store_ok || p->leaving || p->owned > 0 || n->strength == 0 ||
 	    p->strength < n->strength * MUCH_STRONGER)
 		return;
-	if (now - n->stronger_last > OGL_SEC)
-		n->stronger_at = now;
-	n->stronger_last = now;
-	if (now - n->stronger_at < STRONGER_FOR ||
-	    !cell_lead_able(n->lead, now))
+	if (now - part->stronger_last > OGL_SEC)
+		part->stronger_at = now;
+	part->stronger_last = now;
+	if (now - part->stronger_at < STRONGER_FOR ||
+	    !cell_lead_able(n->lead, part->shard, now))
 		return;
-	n->stronger_at = now;
+	part->stronger_at = now;
 	n->ops->log(n->ops->ctx, "node", "hands_over", "to=stronger");
-	cell_lead_resign(n->lead, now);
+	cell_lead_resign(n->lead, part->shard, now);
 }
 
 static void
-take_ping(
-    struct cell_node *n, const char *from, const Ogl__CellPing *p, ogl_time now)
+take_ping(struct part *part, const char *from, const Ogl__CellPing *p,
+    ogl_time now)
 {
+	struct cell_node *n = part->node;
 	Ogl__CellMsg m = OGL__CELL_MSG__INIT;
 	Ogl__CellPong pong = OGL__CELL_PONG__INIT;
 
-	cell_owner_node(n->owner, from, p->leaving, now);
-	weigh_peer(n, p, now);
+	if (p->lane)
+		cell_owner_node(part->owner, from, p->leaving, now);
+	weigh_peer(part, p, now);
 	pong.stamp = p->stamp;
-	if (cell_lead_is_owner(n->lead))
-		pong.owns = cell_lead_epoch(n->lead);
-	pong.able = cell_lead_able(n->lead, now);
+	if (cell_lead_is_owner(n->lead, part->shard))
+		pong.owns = cell_lead_epoch(n->lead, part->shard);
+	pong.able = cell_lead_able(n->lead, part->shard, now);
 	m.body_case = OGL__CELL_MSG__BODY_PONG;
 	m.pong = &pong;
-	send_msg(n, from, &m);
+	send_msg(n, part->shard, from, &m);
 }
 
 /* The owner may have been replaced by its own next life, or be cut off from
  * the store alone; its pongs tell so long before silence would. */
 static void
-take_pong(struct cell_node *n, const Ogl__CellMsg *m, ogl_time now)
+take_pong(struct part *part, const Ogl__CellMsg *m, ogl_time now)
 {
-	const char *owner = cell_lead_addr(n->lead);
+	struct cell_lead *lead = part->node->lead;
+	const char *owner = cell_lead_addr(lead, part->shard);
 
-	n->pong_at = now;
+	part->pong_at = now;
 	if (owner == NULL || strcmp(owner, m->from) != 0)
 		return;
 	if (m->pong->owns == 0 || !m->pong->able)
-		cell_lead_doubt(n->lead, m->epoch, now);
+		cell_lead_doubt(lead, part->shard, m->epoch, now);
 }
 
 static void
-take_msg(struct cell_node *n, Ogl__CellMsg *m, ogl_time now)
+take_msg(struct part *part, Ogl__CellMsg *m, ogl_time now)
 {
+	struct cell_node *n = part->node;
+
 	switch (m->body_case) {
 	case OGL__CELL_MSG__BODY_PING:
-		take_ping(n, m->from, m->ping, now);
+		take_ping(part, m->from, m->ping, now);
 		break;
 	case OGL__CELL_MSG__BODY_PONG:
-		take_pong(n, m, now);
+		take_pong(part, m, now);
 		break;
 	case OGL__CELL_MSG__BODY_CALL:
-		cell_owner_call(n->owner, m->from, m->call, now);
+		cell_owner_call(part->owner, m->from, m->call, now);
 		break;
 	case OGL__CELL_MSG__BODY_REPLY:
-		cell_front_reply(n->front, m->reply, now);
+		cell_front_reply(n->front, part->shard, m->reply, now);
 		break;
 	case OGL__CELL_MSG__BODY_ASK:
-		take_ask(n, m->from, m->ask);
+		take_ask(n, part->shard, m->from, m->ask);
 		break;
 	case OGL__CELL_MSG__BODY_ADVICE:
-		cell_owner_advice(n->owner, m->advice, now);
+		cell_owner_advice(part->owner, m->advice, now);
 		break;
 	default:
 		n->ops->count(n->ops->ctx, "peer_unknown_messages", 1);
@@ -242,7 +268,12 @@
 		return;
 	}
 	n->now = now;
-	take_msg(n, m, now);
+	/* A node that has not read the plan yet has no part in the cell: its
+	 * peers repeat what they say. */
+	if (m->shard < n->shards)
+		take_msg(&n->parts[m->shard], m, now);
+	else
+		n->ops->count(n->ops->ctx, "peer_early_messages", 1);
 	ogl__cell_msg__free_unpacked(m, NULL);
 }
 
@@ -264,38 +295,74 @@
 /* ---- ownership -------------------------------------------------------- */
 
 static void
-on_won(void *arg, uint64_t epoch, ogl_time now)
+on_won(void *arg, uint32_t shard, uint64_t epoch, ogl_time now)
 {
 	struct cell_node *n = arg;
 
-	cell_owner_open(n->owner, epoch, now);
+	cell_owner_open(n->parts[shard].owner, epoch,
+	    cell_lead_store_took(n->lead), now);
 }
 
 static void
-on_lost(void *arg, ogl_time now)
+on_lost(void *arg, uint32_t shard, ogl_time now)
 {
 	struct cell_node *n = arg;
 
-	cell_owner_close(n->owner, now);
+	cell_owner_close(n->parts[shard].owner, now);
 }
 
 static void
-on_changed(void *arg, const char *addr, ogl_time now)
+on_changed(void *arg, uint32_t shard, const char *addr, ogl_time now)
 {
 	struct cell_node *n = arg;
+	struct part *part = &n->parts[shard];
 
-	n->pong_at = now;
-	n->ping_at = now;
-	n->owner_seen = now;
-	cell_front_owner(n->front, addr, cell_lead_epoch(n->lead), now);
+	part->pong_at = now;
+	part->ping_at = now;
+	part->owner_seen = now;
+	cell_front_owner(
+	    n->front, shard, addr, cell_lead_epoch(n->lead, shard), now);
 }
 
 static void
 on_outranked(void *arg, ogl_time now)
+{
+	struct part *part = arg;
+
+	cell_lead_outranked(part->node->lead, part->shard, now);
+}
+
+static void
+on_planned(void *arg, uint32_t shards, ogl_time now)
+{
+	struct cell_node *n = arg;
+	uint32_t i;
+
+	(void)now;
+	n->shards = shards;
+	for (i = 0; i < shards; i++) {
+		struct part *part = &n->parts[i];
+		struct cell_owner_events e = {
+		    on_outranked, send_reply, send_ask, part};
+		struct cell_part p = {i, shards};
+
+		part->node = n;
+		part->shard = i;
+		part->owner = cell_owner_init(n->ops, &n->limits, &e, &p);
+		if (n->config != NULL)
+			cell_owner_config(part->owner, n->config);
+	}
+	cell_front_shards(n->front, shards);
+}
+
+static void
+on_decided(void *arg, uint32_t shards, ogl_time now)
 {
 	struct cell_node *n = arg;
 
-	cell_lead_outranked(n->lead, now);
+	(void)now;
+	if (cell_lead_unplanned(n->lead))
+		cell_lead_plan(n->lead, shards);
 }
 
 /* ---- the node --------------------------------------------------------- */
@@ -304,9 +371,10 @@
 cell_node_init(const struct cell_node_config *c, const struct cell_ops *ops)
 {
 	struct cell_node *n = g_new0(struct cell_node, 1);
-	struct cell_lead_events le = {on_won, on_lost, on_changed, n};
+	struct cell_lead_events le = {
+	    on_planned, on_won, on_lost, on_changed, n};
 	struct cell_lead_self self = {c->name, c->addr, c->boot, c->strength};
-	struct cell_owner_events oe = {on_outranked, send_reply, send_ask, n};
+	struct cell_plan_events pe = {on_decided, n};
 	struct cell_front_events fe = {send_call, n};
 
 	n->ops = ops;
@@ -316,7 +384,7 @@
 	g_queue_init(&n->loop);
 	n->strength = c->strength;
 	n->lead = cell_lead_init(ops, &le, &self, c->seed);
-	n->owner = cell_owner_init(ops, &n->limits, &oe);
+	n->plan = cell_plan_init(ops, &pe, c->strength, c->seed);
 	n->front = cell_front_init(ops, &n->limits, &fe);
 	return n;
 }
@@ -324,8 +392,12 @@
 void
 cell_node_end(struct cell_node *n)
 {
-	cell_owner_end(n->owner);
+	uint32_t i;
+
+	for (i = 0; i < n->shards; i++)
+		cell_owner_end(n->parts[i].owner);
 	cell_front_end(n->front);
+	cell_plan_end(n->plan);
 	cell_lead_end(n->lead);
 	g_queue_clear_full(&n->loop, (GDestroyNotify)g_bytes_unref);
 	g_free(n->name);
@@ -353,80 +425,126 @@
 	cell_front_gone(n->front, token);
 }
 
+/*
+ * Whether the shard's owner may ask advice through this node.  An owner keeps
+ * its own machine, so that each shard has a way to the service however few
+ * nodes there are; the others are dealt out by a hash.
+ */
+static bool
+lends_lane(const struct part *part)
+{
+	const struct cell_node *n = part->node;
+
+	if (cell_lead_owned(n->lead) > 0)
+		return cell_lead_is_owner(n->lead, part->shard);
+	return cell_shard_of_node(n->addr, n->shards) == part->shard;
+}
+
 static void
-ping(struct cell_node *n, ogl_time now)
+ping(struct part *part, ogl_time now)
 {
-	const char *owner = cell_lead_addr(n->lead);
+	struct cell_node *n = part->node;
+	const char *owner = cell_lead_addr(n->lead, part->shard);
 	Ogl__CellMsg m = OGL__CELL_MSG__INIT;
 	Ogl__CellPing p = OGL__CELL_PING__INIT;
 
-	if (owner == NULL || now < n->ping_at)
+	if (owner == NULL || now < part->ping_at)
 		return;
-	if (now - n->pong_at > PONG_MAX) {
+	if (now - part->pong_at > PONG_MAX) {
 		n->ops->count(n->ops->ctx, "peer_resets", 1);
 		n->ops->peer_reset(n->ops->ctx, owner);
-		n->pong_at = now;
+		part->pong_at = now;
 	}
 	if (n->ops->peer_refused(n->ops->ctx, owner))
-		cell_lead_hint_dead(n->lead, now);
-	n->ping_at = now + PING;
+		cell_lead_hint_dead(n->lead, part->shard, now);
+	part->ping_at = now + PING;
 	p.stamp = (uint64_t)now;
 	p.store_ok = cell_lead_reads(n->lead, now);
 	p.leaving = n->stopping;
 	p.strength = n->strength;
+	p.owned = cell_lead_owned(n->lead);
+	p.lane = lends_lane(part);
 	m.body_case = OGL__CELL_MSG__BODY_PING;
 	m.ping = &p;
-	send_msg(n, owner, &m);
+	send_msg(n, part->shard, owner, &m);
 }
 
-/* The owner goes by the same configuration as the entry. */
+/* The owners go by the same configuration as the entry. */
 static void
 share_config(struct cell_node *n)
 {
 	struct cell_config *c = cell_front_config(n->front);
+	uint32_t i;
 
 	if (c == n->config)
 		return;
 	n->config = c;
-	cell_owner_config(n->owner, c);
+	for (i = 0; i < n->shards; i++)
+		cell_owner_config(n->parts[i].owner, c);
+}
+
+static void
+step_part(struct part *part, ogl_time now, ogl_time wall)
+{
+	struct cell_lead *lead = part->node->lead;
+	uint32_t shard = part->shard;
+
+	cell_owner_step(part->owner, cell_lead_confirmed(lead, shard),
+	    cell_lead_may_act(lead, shard, now), now, wall);
+	if (cell_owner_wants_proof(part->owner))
+		cell_lead_probe(lead, shard, now);
+	if (cell_lead_addr(lead, shard) != NULL)
+		part->owner_seen = now;
 }
 
 void
 cell_node_step(struct cell_node *n, ogl_time now, ogl_time wall)
 {
-	if (n->stepped_at != 0 && now - n->stepped_at > STOOD_STILL)
-		cell_owner_doubt(n->owner, now);
+	bool stood = n->stepped_at != 0 && now - n->stepped_at > STOOD_STILL;
+	uint32_t i;
+
+	for (i = 0; i < n->shards; i++) {
+		if (stood)
+			cell_owner_doubt(n->parts[i].owner, now);
+		cell_owner_ran(n->parts[i].owner, n->wake_at, now);
+	}
 	n->stepped_at = now;
-	cell_owner_ran(n->owner, n->wake_at, now);
 	n->now = now;
+	if (cell_lead_unplanned(n->lead))
+		cell_plan_step(n->plan, now);
 	cell_lead_step(n->lead, now);
 	cell_front_step(n->front, now);
 	share_config(n);
-	ping(n, now);
+	for (i = 0; i < n->shards; i++)
+		ping(&n->parts[i], now);
 	run_loop(n, now);
-	cell_owner_step(n->owner, cell_lead_confirmed(n->lead),
-	    cell_lead_may_act(n->lead, now), now, wall);
-	if (cell_owner_wants_proof(n->owner))
-		cell_lead_probe(n->lead, now);
+	for (i = 0; i < n->shards; i++)
+		step_part(&n->parts[i], now, wall);
 	run_loop(n, now);
-	if (cell_lead_addr(n->lead) != NULL)
-		n->owner_seen = now;
 	n->wake_at = MAX(now, cell_node_wake(n, now));
 }
 
 ogl_time
 cell_node_wake(const struct cell_node *n, ogl_time now)
 {
+	ogl_time at = now + TICK;
+	uint32_t i;
+
 	if (!g_queue_is_empty((GQueue *)(uintptr_t)&n->loop))
 		return now;
-	return MIN(now + TICK, cell_owner_wake(n->owner));
+	for (i = 0; i < n->shards; i++)
+		at = MIN(at, cell_owner_wake(n->parts[i].owner));
+	return at;
 }
 
 void
 cell_node_stop(struct cell_node *n, ogl_time now)
 {
+	uint32_t i;
+
 	n->stopping = true;
-	n->ping_at = now;
+	for (i = 0; i < n->shards; i++)
+		n->parts[i].ping_at = now;
 	cell_lead_retire(n->lead, now);
 }
 
@@ -436,15 +554,35 @@
 	return cell_front_open(n->front) == 0;
 }
 
+/* Callers are sent elsewhere while a shard is ownerless for this node: others
+ * may know its owner. */
+static bool
+all_owned(const struct cell_node *n, ogl_time now)
+{
+	uint32_t i;
+
+	for (i = 0; i < n->shards; i++) {
+		if (now - n->parts[i].owner_seen >= OWNERLESS_MAX)
+			return false;
+	}
+	return n->shards > 0;
+}
+
 bool
 cell_node_ready(const struct cell_node *n, ogl_time now)
 {
 	return !n->stopping && cell_front_fresh(n->front, now) &&
-	       now - n->owner_seen < OWNERLESS_MAX;
+	       all_owned(n, now);
+}
+
+uint32_t
+cell_node_shards(const struct cell_node *n)
+{
+	return n->shards;
 }
 
 bool
-cell_node_owns(const struct cell_node *n)
+cell_node_owns(const struct cell_node *n, uint32_t shard)
 {
-	return cell_lead_is_owner(n->lead);
+	return shard < n->shards && cell_lead_is_owner(n->lead, shard);
 }
--- a/cell/node.h
+++ b/cell/node.h
@@ -49,6 +49,8 @@
 
 bool cell_node_ready(const struct cell_node *n, ogl_time now);
 /* Whether callers may be sent here. */
-bool cell_node_owns(const struct cell_node *n);
+uint32_t cell_node_shards(const struct cell_node *n);
+/* Of the whole cell; 0 while not known. */
+bool cell_node_owns(const struct cell_node *n, uint32_t shard);
 
 #endif
--- a/cell/ops.h
+++ b/cell/ops.h
@@ -22,8 +22,9 @@
 /* ---- the store: streams of keyed records ------------------------------ */
 
 enum cell_stream {
-	CELL_JOBS,     /* the owner's: jobs and how far they are */
-	CELL_LEAD,     /* claims, heartbeats and resignations of owners */
+	CELL_JOBS,     /* of a shard: jobs and how far they are */
+	CELL_CLAIMS,   /* of a shard: who claimed it, one record an epoch */
+	CELL_LEAD,     /* heartbeats and resignations of all owners */
 	CELL_SETTINGS, /* the operator's: configuration */
 	CELL_WORKERS,  /* the workers' own: who is there */
 	CELL_NSTREAMS
@@ -37,6 +38,7 @@
 
 struct cell_append {
 	enum cell_stream stream;
+	uint32_t shard; /* of a stream that each shard has; else 0 */
 	/* A writer's epoch below one already seen is refused; within an epoch
 	 * seq rises by one a call, and a repeat gets its first answer again. */
 	bool fenced;
@@ -56,6 +58,23 @@
 	uint64_t end;    /* offset after the last record, when OK or moved */
 };
 
+/* The records from an offset on. */
+struct cell_read {
+	enum cell_stream stream;
+	uint32_t shard;
+	uint64_t from;
+	uint32_t wait_ms; /* the answer waits that long for a record */
+	uint32_t timeout_ms;
+};
+
+/* The newest record of each key, in pages. */
+struct cell_newest {
+	enum cell_stream stream;
+	uint32_t shard;
+	const char *after; /* the last key of the page before, NULL none */
+	uint32_t timeout_ms;
+};
+
 /* What a worker says of itself. */
 struct cell_worker_entry {
 	char *service;
@@ -265,11 +284,10 @@
 struct cell_ops {
 	void (*append)(void *ctx, const struct cell_append *a,
 	    cell_append_fn *done, void *arg);
-	void (*read)(void *ctx, enum cell_stream s, uint64_t from,
-	    uint32_t wait_ms, uint32_t timeout_ms, cell_read_fn *done,
+	void (*read)(void *ctx, const struct cell_read *r, cell_read_fn *done,
 	    void *arg);
-	void (*newest)(void *ctx, enum cell_stream s, const char *after,
-	    uint32_t timeout_ms, cell_newest_fn *done, void *arg);
+	void (*newest)(void *ctx, const struct cell_newest *q,
+	    cell_newest_fn *done, void *arg);
 
 	void (*hold)(void *ctx, const struct cell_hold *h, cell_hold_fn *done,
 	    void *arg);
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -23,9 +23,11 @@
 #include "owner.h"
 #include "schedule.h"
 
-/* Of the first try of each step of a takeover; each miss doubles it, for on
- * slow days the store takes up to 60 times as long. */
+/* Of the first try of each step of a takeover, or several times what the store
+ * took for the claim; each miss doubles it, for on slow days the store takes up
+ * to 60 times as long. */
 #define ASK_TIMEOUT_MS 250
+#define ASK_TIMES 4
 #define ASK_TIMEOUT_MAX_MS 4000
 #define RETRY (120 * OGL_MS)
 /* The list of workers is read so often: an entry changes on each worker's
@@ -44,6 +46,9 @@
 /* Longer than any repeat of a call can be on its way. */
 #define REFUSAL_KEPT (10 * OGL_SEC)
 #define WORKERS_KEY "workers"
+/* A team's jobs fall on shards by chance; where one gets more than its part for
+ * a while, that is not the team's doing. */
+#define RATE_SLACK 2.0
 
 enum phase {
 	PHASE_CLOSED,
@@ -74,6 +79,7 @@
 
 struct cell_owner {
 	const struct cell_ops *ops;
+	struct cell_part part;
 	const struct cell_limits *limits;
 	struct cell_owner_events events;
 	struct cell_config *config;
@@ -83,6 +89,7 @@
 	bool asking; /* a fence append or a page is under way */
 	ogl_time ask_at;
 	uint32_t ask_timeout_ms;
+	ogl_time store_took; /* for the claim */
 	char *after;          /* last key of the page before */
 	GHashTable *progress; /* id -> Ogl__CellProgress, while loading */
 	GHashTable *defs;     /* id -> Ogl__CellJob, the same */
@@ -793,7 +800,7 @@
 
 struct cell_owner *
 cell_owner_init(const struct cell_ops *ops, const struct cell_limits *limits,
-    const struct cell_owner_events *events)
+    const struct cell_owner_events *events, const struct cell_part *part)
 {
 	struct cell_owner *o = g_new0(struct cell_owner, 1);
 	struct cell_fleet_events fe = {on_ended, on_refused, on_found,
@@ -802,9 +809,11 @@
 	struct cell_advice_events ae = {
 	    send_ask, stage_of, worker_of, on_advice, o};
 	struct cell_sched_parts sp = {
-	    .ops = ops, .next_run = next_run, .started = on_started, .arg = o};
+	    .ops = ops, .shards = part->shards, .next_run = next_run,
+	    .started = on_started, .arg = o};
 
 	o->ops = ops;
+	o->part = *part;
 	o->limits = limits;
 	o->events = *events;
 	o->jobs =
@@ -815,7 +824,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	o->list_seen =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	o->journal = cell_journal_init(ops, on_lost, o);
+	o->journal = cell_journal_init(ops, part->shard, on_lost, o);
 	o->fleet = cell_fleet_init(ops, limits, &fe);
 	o->advice = cell_advice_init(ops, &ae);
 	sp.fleet = o->fleet;
@@ -853,14 +862,19 @@
 }
 
 void
-cell_owner_open(struct cell_owner *o, uint64_t epoch, ogl_time now)
+cell_owner_open(struct cell_owner *o, uint64_t epoch, ogl_time store_took,
+    ogl_time now)
 {
+	ogl_time ask_ms = store_took / OGL_MS * ASK_TIMES;
+
 	o->generation++;
 	o->phase = PHASE_FENCING;
 	o->epoch = epoch;
 	o->asking = false;
 	o->ask_at = now;
-	o->ask_timeout_ms = ASK_TIMEOUT_MS;
+	o->store_took = store_took;
+	o->ask_timeout_ms =
+	    (uint32_t)CLAMP(ask_ms, ASK_TIMEOUT_MS, ASK_TIMEOUT_MAX_MS);
 	o->settled = false;
 	o->opened_at = now;
 	o->list_loaded = false;
@@ -937,6 +951,7 @@
 send_fence(struct cell_owner *o)
 {
 	struct cell_append a = {.stream = CELL_JOBS,
+	    .shard = o->part.shard,
 	    .fenced = true,
 	    .epoch = o->epoch,
 	    .at = -1,
@@ -1159,7 +1174,7 @@
 	g_clear_pointer(&o->progress, g_hash_table_unref);
 	g_clear_pointer(&o->defs, g_hash_table_unref);
 	o->phase = PHASE_SERVING;
-	cell_journal_open(o->journal, o->epoch);
+	cell_journal_open(o->journal, o->epoch, o->store_took);
 	cell_fleet_open(o->fleet, o->epoch, now);
 	all = g_hash_table_get_values(o->jobs);
 	for (at = all; at != NULL; at = at->next) {
@@ -1170,8 +1185,9 @@
 	}
 	g_list_free(all);
 	g_snprintf(text, sizeof text,
-	    "epoch=%" G_GUINT64_FORMAT " jobs=%u took_ms=%" G_GINT64_FORMAT,
-	    o->epoch, g_hash_table_size(o->jobs),
+	    "shard=%u epoch=%" G_GUINT64_FORMAT
+	    " jobs=%u took_ms=%" G_GINT64_FORMAT,
+	    o->part.shard, o->epoch, g_hash_table_size(o->jobs),
 	    (now - o->opened_at) / OGL_MS);
 	o->ops->log(o->ops->ctx, "owner", "cell_taken_over", text);
 }
@@ -1206,19 +1222,31 @@
 static void
 step_takeover(struct cell_owner *o, ogl_time now)
 {
+	struct cell_newest q = {.stream = CELL_JOBS,
+	    .shard = o->part.shard,
+	    .after = o->after,
+	    .timeout_ms = o->ask_timeout_ms};
+
 	if (o->asking || now < o->ask_at)
 		return;
 	if (o->phase == PHASE_FENCING) {
 		send_fence(o);
 	} else if (o->phase == PHASE_LOADING) {
 		o->asking = true;
-		o->ops->newest(o->ops->outside, CELL_JOBS, o->after,
-		    o->ask_timeout_ms, on_jobs_page, exchange_new(o));
+		o->ops->newest(
+		    o->ops->outside, &q, on_jobs_page, exchange_new(o));
 	}
 }
 
 /* ---- the list of workers ---------------------------------------------- */
 
+static bool
+of_other_shard(const struct cell_owner *o, const struct cell_record *r)
+{
+	return cell_shard_of_worker(r->worker->rack, r->key, o->part.shards) !=
+	       o->part.shard;
+}
+
 /* Entries that can't be read name no worker to use. */
 static void
 take_entry(struct cell_owner *o, const struct cell_record *r, ogl_time now)
@@ -1227,6 +1255,8 @@
 		cell_fleet_entry(o->fleet, r->key, NULL, now);
 		return;
 	}
+	if (of_other_shard(o, r))
+		return;
 	cell_fleet_entry(o->fleet, r->key, r->worker, now);
 	g_hash_table_add(o->list_seen, g_strdup(r->key));
 }
@@ -1303,15 +1333,22 @@
 static void
 step_list(struct cell_owner *o, ogl_time now)
 {
+	struct cell_read r = {.stream = CELL_WORKERS,
+	    .from = o->list_next,
+	    .timeout_ms = LIST_TIMEOUT_MS};
+	struct cell_newest q = {.stream = CELL_WORKERS,
+	    .after = o->list_after,
+	    .timeout_ms = LIST_TIMEOUT_MS};
+
 	if (o->listing || now < o->list_at)
 		return;
 	o->listing = true;
 	if (o->list_tail)
-		o->ops->read(o->ops->outside, CELL_WORKERS, o->list_next, 0,
-		    LIST_TIMEOUT_MS, on_list_tail, exchange_new(o));
+		o->ops->read(
+		    o->ops->outside, &r, on_list_tail, exchange_new(o));
 	else
-		o->ops->newest(o->ops->outside, CELL_WORKERS, o->list_after,
-		    LIST_TIMEOUT_MS, on_list_page, exchange_new(o));
+		o->ops->newest(
+		    o->ops->outside, &q, on_list_page, exchange_new(o));
 }
 
 /* ---- calls ------------------------------------------------------------ */
@@ -1470,17 +1507,19 @@
 {
 	const struct cell_team *t = cell_config_team(o->config, team);
 	struct team_rate *r = g_hash_table_lookup(o->rates, team);
+	double rate = t != NULL ? t->rate / o->part.shards : 0;
+	double most = rate * (o->part.shards > 1 ? RATE_SLACK : 1);
 
-	if (t == NULL || t->rate <= 0)
+	if (rate <= 0)
 		return true;
 	if (r == NULL) {
 		r = g_new0(struct team_rate, 1);
-		r->tokens = t->rate;
+		r->tokens = most;
 		r->at = now;
 		g_hash_table_insert(o->rates, g_strdup(team), r);
 	}
-	r->tokens += t->rate * (double)(now - r->at) / OGL_SEC;
-	r->tokens = MIN(r->tokens, t->rate);
+	r->tokens += rate * (double)(now - r->at) / OGL_SEC;
+	r->tokens = MIN(r->tokens, most);
 	r->at = now;
 	if (r->tokens < 1)
 		return false;
@@ -1512,10 +1551,15 @@
 
 	if (c->job == NULL || !cell_job_def_valid(c->job, &why))
 		return "malformed";
+	/* The node that passed it on has read one; this one has just begun. */
+	if (o->config == NULL)
+		return "no_configuration";
 	if (cell_journal_failing(o->journal, now))
 		return "store_failing";
 	if (was_refused(o, from, c->token))
 		return "refused_before";
+	if (!cell_sched_possible(o->sched, c->job))
+		return "beyond_limit";
 	if (!cell_load_takes(&o->load))
 		return "load";
 	*over = !within_rate(o, c->job->team, now);
@@ -1680,6 +1724,7 @@
 {
 	GHashTableIter it;
 	gpointer p;
+	char text[64];
 
 	if (o->settled || !o->list_loaded || !cell_fleet_settled(o->fleet, now))
 		return;
@@ -1692,7 +1737,9 @@
 		j->settled = true;
 		each_stage(o, j, suppose_stage_not);
 	}
-	o->ops->log(o->ops->ctx, "owner", "settled", "");
+	g_snprintf(text, sizeof text, "shard=%u epoch=%" G_GUINT64_FORMAT,
+	    o->part.shard, o->epoch);
+	o->ops->log(o->ops->ctx, "owner", "settled", text);
 }
 
 /* Part of a gang was found running, or lost a member without the others
@@ -1830,14 +1877,15 @@
 cell_owner_ran(struct cell_owner *o, ogl_time wanted, ogl_time now)
 {
 	bool full = cell_load_full(&o->load);
-	char text[96];
+	char text[128];
 
 	cell_load_step(&o->load, wanted, now);
 	if (full == cell_load_full(&o->load) || o->phase != PHASE_SERVING)
 		return;
 	g_snprintf(text, sizeof text,
-	    "epoch=%" G_GUINT64_FORMAT " late_ms=%" G_GINT64_FORMAT " jobs=%u",
-	    o->epoch, (now - wanted) / OGL_MS, g_hash_table_size(o->jobs));
+	    "shard=%u epoch=%" G_GUINT64_FORMAT
+	    " late_ms=%" G_GINT64_FORMAT " jobs=%u",
+	    o->part.shard, o->epoch, (now - wanted) / OGL_MS, g_hash_table_size(o->jobs));
 	o->ops->log(o->ops->ctx, "owner",
 	    full ? "load_carried" : "load_too_high", text);
 }
--- a/cell/owner.h
+++ b/cell/owner.h
@@ -1,5 +1,5 @@
 /*
- * The owner of the cell: takes jobs, sees to it that their tasks run, answers
+ * The owner of a shard: takes jobs, sees to it that their tasks run, answers
  * for them.  One node at a time is it; what it knows it reads from the store
  * and the workers when it takes over.
  */
@@ -8,7 +8,7 @@
 #define OGL_CELL_OWNER_H
 
 #include "cell_config.h"
-#include "ops.h"
+#include "shards.h"
 
 struct cell_owner;
 
@@ -22,12 +22,21 @@
 	void *arg;
 };
 
+/* The part of the cell that an owner is for. */
+struct cell_part {
+	uint32_t shard;
+	uint32_t shards; /* in the whole cell */
+};
+
 struct cell_owner *cell_owner_init(const struct cell_ops *ops,
-    const struct cell_limits *limits, const struct cell_owner_events *events);
+    const struct cell_limits *limits, const struct cell_owner_events *events,
+    const struct cell_part *part);
 void cell_owner_end(struct cell_owner *o);
 
-void cell_owner_open(struct cell_owner *o, uint64_t epoch, ogl_time now);
-/* Takes the cell over. */
+void cell_owner_open(struct cell_owner *o, uint64_t epoch, ogl_time store_took,
+    ogl_time now);
+/* Takes the shard over.  store_took: what the store last took for an answer, 0
+ * not known. */
 void cell_owner_close(struct cell_owner *o, ogl_time now);
 /* Lets go of it: calls still waiting are answered as unsure. */
 
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -392,6 +392,54 @@
 	return max == 0 || used + need <= limit;
 }
 
+/*
+ * Each shard has an equal part of a team's limit: jobs are spread evenly, and
+ * shares that move would have to be agreed on the store.  0: no limit.
+ */
+static struct ogl_res
+limit_of(const struct cell_sched *s, const struct cell_team *t)
+{
+	struct ogl_res max = t->max;
+
+	if (max.cpu_milli > 0)
+		max.cpu_milli = MAX(max.cpu_milli / s->parts.shards, 1);
+	if (max.mem_mb > 0)
+		max.mem_mb = MAX(max.mem_mb / s->parts.shards, 1);
+	if (max.accel > 0)
+		max.accel = MAX(max.accel / s->parts.shards, 1);
+	return max;
+}
+
+/* Whether the limit could hold the step if nothing else ran: a task of it, or
+ * all of a gang. */
+static bool
+step_possible(const struct ogl_res *max, const Ogl__CellStep *step)
+{
+	uint64_t n = step->gang ? step->count : 1;
+	uint64_t cpu = step->fills ? 0 : step->cpu_milli * n;
+
+	return (max->cpu_milli == 0 || cpu <= max->cpu_milli) &&
+	       (max->mem_mb == 0 || step->mem_mb * n <= max->mem_mb) &&
+	       (max->accel == 0 || step->accel * n <= max->accel);
+}
+
+bool
+cell_sched_possible(const struct cell_sched *s, const Ogl__CellJob *job)
+{
+	const struct cell_team *t = cell_config_team(s->config, job->team);
+	struct ogl_res max;
+	size_t i;
+
+	if (t == NULL || s->parts.shards == 1)
+		return true;
+	max = limit_of(s, t);
+	for (i = 0; i < job->n_steps; i++) {
+		if (!step_possible(&max, job->steps[i]))
+			return false;
+	}
+	return true;
+}
+
 static bool
 team_allows(const struct cell_sched *s, const struct cell_stage *st,
     uint32_t tasks, uint32_t rank)
@@ -399,18 +447,19 @@
 	double part = rank == 0 ? 1.0 : LIMIT_PART;
 	const struct cell_team *t =
 	    cell_config_team(s->config, st->job->def->team);
+	struct ogl_res max;
 	struct ogl_res used =
 	    cell_fleet_team_used(s->parts.fleet, st->job->def->team);
 	struct ogl_res need = cell_stage_need(st);
 
 	if (t == NULL)
 		return true;
+	max = limit_of(s, t);
 	return below(used.cpu_milli, (uint64_t)need.cpu_milli * tasks,
-		   t->max.cpu_milli, part) &&
-	       below(used.mem_mb, (uint64_t)need.mem_mb * tasks, t->max.mem_mb,
+		   max.cpu_milli, part) &&
+	       below(used.mem_mb, (uint64_t)need.mem_mb * tasks, max.mem_mb,
 		   part) &&
-	       below(used.accel, (uint64_t)need.accel * tasks, t->max.accel,
-		   part);
+	       below(used.accel, (uint64_t)need.accel * tasks, max.accel, part);
 }
 
 /* ---- questions to the advice service ---------------------------------- */
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &ogl__cell_lead__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ogl__cell_plan__init
+                     (Ogl__CellPlan         *message)
+{
+  static const Ogl__CellPlan init_value = OGL__CELL_PLAN__INIT;
+  *message = init_value;
+}
+size_t ogl__cell_plan__get_packed_size
+                     (const Ogl__CellPlan *message)
+{
+  assert(message->base.descriptor == &ogl__cell_plan__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ogl__cell_plan__pack
+                     (const Ogl__CellPlan *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ogl__cell_plan__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ogl__cell_plan__pack_to_buffer
+                     (const Ogl__CellPlan *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ogl__cell_plan__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ogl__CellPlan *
+       ogl__cell_plan__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ogl__CellPlan *)
+     protobuf_c_message_unpack (&ogl__cell_plan__descriptor,
+                                allocator, len, data);
+}
+void   ogl__cell_plan__free_unpacked
+                     (Ogl__CellPlan *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ogl__cell_plan__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ogl__cell_ping__init
                      (Ogl__CellPing         *message)
 {
@@ -1604,7 +1649,7 @@
   (ProtobufCMessageInit) ogl__cell_known_workers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_lead__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ogl__cell_lead__field_descriptors[7] =
 {
   {
     "node",
@@ -1678,6 +1723,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "shard",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellLead, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_lead__field_indices_by_name[] = {
   1,   /* field[1] = addr */
@@ -1685,12 +1742,13 @@
   3,   /* field[3] = claim */
   5,   /* field[5] = epoch */
   0,   /* field[0] = node */
+  6,   /* field[6] = shard */
   4,   /* field[4] = vacant */
 };
 static const ProtobufCIntRange ogl__cell_lead__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ogl__cell_lead__descriptor =
 {
@@ -1700,14 +1758,52 @@
   "Ogl__CellLead",
   "ogl",
   sizeof(Ogl__CellLead),
-  6,
+  7,
   ogl__cell_lead__field_descriptors,
   ogl__cell_lead__field_indices_by_name,
   1,  ogl__cell_lead__number_ranges,
   (ProtobufCMessageInit) ogl__cell_lead__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_ping__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ogl__cell_plan__field_descriptors[1] =
+{
+  {
+    "shards",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPlan, shards),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ogl__cell_plan__field_indices_by_name[] = {
+  0,   /* field[0] = shards */
+};
+static const ProtobufCIntRange ogl__cell_plan__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ogl__cell_plan__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ogl.CellPlan",
+  "CellPlan",
+  "Ogl__CellPlan",
+  "ogl",
+  sizeof(Ogl__CellPlan),
+  1,
+  ogl__cell_plan__field_descriptors,
+  ogl__cell_plan__field_indices_by_name,
+  1,  ogl__cell_plan__number_ranges,
+  (ProtobufCMessageInit) ogl__cell_plan__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ogl__cell_ping__field_descriptors[6] =
 {
   {
     "stamp",
@@ -1757,9 +1853,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lane",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPing, lane),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owned",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPing, owned),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_ping__field_indices_by_name[] = {
+  4,   /* field[4] = lane */
   2,   /* field[2] = leaving */
+  5,   /* field[5] = owned */
   0,   /* field[0] = stamp */
   1,   /* field[1] = store_ok */
   3,   /* field[3] = strength */
@@ -1767,7 +1889,7 @@
 static const ProtobufCIntRange ogl__cell_ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ogl__cell_ping__descriptor =
 {
@@ -1777,7 +1899,7 @@
   "Ogl__CellPing",
   "ogl",
   sizeof(Ogl__CellPing),
-  4,
+  6,
   ogl__cell_ping__field_descriptors,
   ogl__cell_ping__field_indices_by_name,
   1,  ogl__cell_ping__number_ranges,
@@ -2298,7 +2420,7 @@
   (ProtobufCMessageInit) ogl__cell_advice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_msg__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ogl__cell_msg__field_descriptors[9] =
 {
   {
     "from",
@@ -2324,6 +2446,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "shard",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellMsg, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "ping",
     10,
@@ -2398,20 +2532,21 @@
   },
 };
 static const unsigned ogl__cell_msg__field_indices_by_name[] = {
-  7,   /* field[7] = advice */
-  6,   /* field[6] = ask */
-  4,   /* field[4] = call */
+  8,   /* field[8] = advice */
+  7,   /* field[7] = ask */
+  5,   /* field[5] = call */
   1,   /* field[1] = epoch */
   0,   /* field[0] = from */
-  2,   /* field[2] = ping */
-  3,   /* field[3] = pong */
-  5,   /* field[5] = reply */
+  3,   /* field[3] = ping */
+  4,   /* field[4] = pong */
+  6,   /* field[6] = reply */
+  2,   /* field[2] = shard */
 };
 static const ProtobufCIntRange ogl__cell_msg__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 10, 2 },
-  { 0, 8 }
+  { 10, 3 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ogl__cell_msg__descriptor =
 {
@@ -2421,7 +2556,7 @@
   "Ogl__CellMsg",
   "ogl",
   sizeof(Ogl__CellMsg),
-  8,
+  9,
   ogl__cell_msg__field_descriptors,
   ogl__cell_msg__field_indices_by_name,
   2,  ogl__cell_msg__number_ranges,
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Ogl__CellKnown Ogl__CellKnown;
 typedef struct Ogl__CellKnownWorkers Ogl__CellKnownWorkers;
 typedef struct Ogl__CellLead Ogl__CellLead;
+typedef struct Ogl__CellPlan Ogl__CellPlan;
 typedef struct Ogl__CellPing Ogl__CellPing;
 typedef struct Ogl__CellPong Ogl__CellPong;
 typedef struct Ogl__CellCall Ogl__CellCall;
@@ -293,7 +294,8 @@
 
 
 /*
- * Record of the ownership stream: a claim, a heartbeat, or a resignation.
+ * A claim (stream of the shard's claims), or a heartbeat or resignation
+ * (ownership stream of the whole cell).
  */
 struct  Ogl__CellLead
 {
@@ -319,10 +321,24 @@
    * of a heartbeat or resignation
    */
   uint64_t epoch;
+  uint32_t shard;
 };
 #define OGL__CELL_LEAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_lead__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+/*
+ * First record of the ownership stream: how many shards the cell has, for good.
+ */
+struct  Ogl__CellPlan
+{
+  ProtobufCMessage base;
+  uint32_t shards;
+};
+#define OGL__CELL_PLAN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_plan__descriptor) \
+    , 0 }
 
 
 struct  Ogl__CellPing
@@ -341,10 +357,18 @@
    * thousandths of a processor that the sender has
    */
   uint32_t strength;
+  /*
+   * the owner may ask advice through the sender
+   */
+  protobuf_c_boolean lane;
+  /*
+   * shards that the sender owns
+   */
+  uint32_t owned;
 };
 #define OGL__CELL_PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_ping__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ogl__CellPong
@@ -477,9 +501,13 @@
    */
   char *from;
   /*
-   * highest epoch the sender knows
+   * highest epoch of the shard that the sender knows
    */
   uint64_t epoch;
+  /*
+   * that the message is about
+   */
+  uint32_t shard;
   Ogl__CellMsg__BodyCase body_case;
   union {
     Ogl__CellPing *ping;
@@ -492,7 +520,7 @@
 };
 #define OGL__CELL_MSG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_msg__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, OGL__CELL_MSG__BODY__NOT_SET, {0} }
+    , (char *)protobuf_c_empty_string, 0, 0, OGL__CELL_MSG__BODY__NOT_SET, {0} }
 
 
 /* Ogl__CellStep methods */
@@ -647,6 +675,25 @@
 void   ogl__cell_lead__free_unpacked
                      (Ogl__CellLead *message,
                       ProtobufCAllocator *allocator);
+/* Ogl__CellPlan methods */
+void   ogl__cell_plan__init
+                     (Ogl__CellPlan         *message);
+size_t ogl__cell_plan__get_packed_size
+                     (const Ogl__CellPlan   *message);
+size_t ogl__cell_plan__pack
+                     (const Ogl__CellPlan   *message,
+                      uint8_t             *out);
+size_t ogl__cell_plan__pack_to_buffer
+                     (const Ogl__CellPlan   *message,
+                      ProtobufCBuffer     *buffer);
+Ogl__CellPlan *
+       ogl__cell_plan__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ogl__cell_plan__free_unpacked
+                     (Ogl__CellPlan *message,
+                      ProtobufCAllocator *allocator);
 /* Ogl__CellPing methods */
 void   ogl__cell_ping__init
                      (Ogl__CellPing         *message);
@@ -825,6 +872,9 @@
 typedef void (*Ogl__CellLead_Closure)
                  (const Ogl__CellLead *message,
                   void *closure_data);
+typedef void (*Ogl__CellPlan_Closure)
+                 (const Ogl__CellPlan *message,
+                  void *closure_data);
 typedef void (*Ogl__CellPing_Closure)
                  (const Ogl__CellPing *message,
                   void *closure_data);
@@ -866,6 +916,7 @@
 extern const ProtobufCMessageDescriptor ogl__cell_known__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_known_workers__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_lead__descriptor;
+extern const ProtobufCMessageDescriptor ogl__cell_plan__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_ping__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_pong__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_call__descriptor;
