--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -17,7 +17,8 @@
  *
  * A worker that does not answer may go on running all it has until the lease
  * asked for last is over by its own clock, which may be SLOW slower than ours.
- * Until then its runs count as running.
+ * Until then its runs count as running.  One whose host answers that nothing
+ * listens at its address has ended, and all it ran with it.
  */
 
 #include <string.h>
@@ -39,6 +40,10 @@
  * ends; it is sent all the same when the lease wants renewing. */
 #define RENEW (700 * OGL_MS)
 #define HOLD_RETRY (150 * OGL_MS)
+/* A worker has ended when so many connections in a row, over so long a time,
+ * met nobody listening; a single one may fall into its start. */
+#define GONE_REFUSALS 3
+#define GONE_AFTER (400 * OGL_MS)
 /* An answer overdue by this makes a worker suspect: nothing new goes there. */
 #define SUSPECT (250 * OGL_MS)
 #define ORDER_TIMEOUT_MS 600
@@ -194,6 +199,8 @@
 		w->listed = false;
 		w->expected = false;
 		w->named = false;
+		w->gone = false;
+		w->refusals = 0;
 		w->acked = 0;
 	}
 	g_hash_table_remove_all(f->teams);
@@ -592,6 +599,18 @@
 	return false;
 }
 
+static void
+remember_loose(const struct cell_run *r, ogl_time now)
+{
+	GArray *a = r->worker->loose;
+	struct cell_loose l = {r->name, r->number, now};
+
+	while (a->len > 0 &&
+	       now - g_array_index(a, struct cell_loose, 0).sent > LOOSE_MAX)
+		g_array_remove_index(a, 0);
+	g_array_append_val(a, l);
+}
+
 /* Nothing that was started in the worker's last life runs any more, but for
  * what the new life lists: a start may have reached that already. */
 static void
@@ -606,6 +625,10 @@
 
 		if (answer_names(new_life, r))
 			continue;
+		/* Still on its way, it may reach the worker's next life. */
+		if (new_life == NULL && r->open &&
+		    r->state == CELL_RUN_STARTING)
+			remember_loose(r, now);
 		/* A start still without an answer may reach the new life of a
 		 * worker that kept its id, which knows no fence and no run
 		 * yet; only a stop there rules that out. */
@@ -752,6 +775,10 @@
 
 	if (w->failures > 0)
 		log_worker(f, w, "worker_regained");
+	if (w->gone && w->life == a->born_ms)
+		log_worker(f, w, "worker_was_not_gone");
+	w->gone = false;
+	w->refusals = 0;
 	w->failures = 0;
 	w->last_ok = now;
 	if (w->life != 0 && w->life != a->born_ms)
@@ -785,6 +812,31 @@
 	}
 }
 
+/*
+ * A worker listens for as long as it lives, so a refused connection tells that
+ * it has ended: what ran there is started elsewhere after 0.4 s instead of after
+ * its lease, 5 s, and a new owner need not wait for it.
+ */
+static void
+watch_refusals(
+    struct cell_fleet *f, struct cell_worker *w, bool refused, ogl_time now)
+{
+	if (!refused) {
+		w->refusals = 0;
+		return;
+	}
+	if (w->refusals++ == 0)
+		w->refused_since = now;
+	if (w->gone || w->refusals < GONE_REFUSALS ||
+	    now - w->refused_since < GONE_AFTER)
+		return;
+	w->gone = true;
+	w->expected = false;
+	log_worker(f, w, "worker_gone");
+	lose_runs(f, w, NULL, now);
+	f->events.answered(f->events.arg, w, now);
+}
+
 static void
 hold_failed(struct cell_fleet *f, struct cell_worker *w,
     const struct cell_hold_answer *a, ogl_time now)
@@ -796,6 +848,7 @@
 	}
 	if (w->failures++ == 0)
 		log_worker(f, w, "worker_silent");
+	watch_refusals(f, w, a->no_listener, now);
 	/* Whoever answers is another incarnation: the one we knew has ended,
 	 * and what was meant for it is refused. */
 	if (a->why == CELL_REFUSED_LIFE)
@@ -1022,18 +1075,6 @@
 		run_refused(f, r, why, now);
 }
 
-static void
-remember_loose(const struct cell_run *r, ogl_time now)
-{
-	GArray *a = r->worker->loose;
-	struct cell_loose l = {r->name, r->number, now};
-
-	while (a->len > 0 &&
-	       now - g_array_index(a, struct cell_loose, 0).sent > LOOSE_MAX)
-		g_array_remove_index(a, 0);
-	g_array_append_val(a, l);
-}
-
 static void
 start_lost(
     struct cell_fleet *f, struct cell_run *r, enum ogl_io io, ogl_time now)
@@ -1298,7 +1339,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const struct cell_worker *w = p;
 
-		if ((w->listed || w->expected) && w->life == 0)
+		if ((w->listed || w->expected) && w->life == 0 && !w->gone)
 			return false;
 	}
 	return true;
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -84,7 +84,10 @@
 	ogl_time hold_at;  /* next hold not before */
 	ogl_time last_ok;  /* last answer of any kind */
 	uint32_t failures; /* holds in a row without an answer */
-	bool hurry;        /* the next hold does not wait */
+	uint32_t refusals; /* of them at the end, those nobody listened to, */
+	ogl_time refused_since; /* since then */
+	bool gone;              /* its process has ended */
+	bool hurry;             /* the next hold does not wait */
 
 	GArray *loose;      /* struct cell_loose, starts that went unanswered */
 	GHashTable *runs;   /* set of struct cell_run */
--- a/cell/ops.h
+++ b/cell/ops.h
@@ -175,6 +175,7 @@
 
 struct cell_hold_answer {
 	enum ogl_io io;
+	bool no_listener; /* the connection was refused: no process is there */
 	enum cell_refusal why;
 	uint64_t clock_ms;
 	uint64_t born_ms;
--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -195,10 +195,14 @@
 {
 	long status = 0;
 	long sent = 0;
+	long error = 0;
 
 	curl_easy_getinfo(x->easy, CURLINFO_REQUEST_SIZE, &sent);
 	if (rc != CURLE_OK) {
 		r->io = sent == 0 ? OGL_IO_NOT_SENT : OGL_IO_LOST;
+		curl_easy_getinfo(x->easy, CURLINFO_OS_ERRNO, &error);
+		r->no_listener =
+		    rc == CURLE_COULDNT_CONNECT && error == ECONNREFUSED;
 		return;
 	}
 	curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &status);
--- a/daemon/http_client.h
+++ b/daemon/http_client.h
@@ -16,6 +16,7 @@
 	/* OGL_IO_OK: a whole answer, whatever its status.  OGL_IO_NOT_SENT is
 	 * certain, OGL_IO_LOST says that the request may have been served. */
 	enum ogl_io io;
+	bool no_listener; /* the host answered that nothing listens there */
 	unsigned status;
 	struct ogl_str body;
 };
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -1572,12 +1572,31 @@
 	call_unref(f, c);
 }
 
+static void
+answer_hold_refused(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	struct cell_hold_answer a = {
+	    .io = OGL_IO_NOT_SENT, .no_listener = true};
+
+	if (call_finish(c)) {
+		((cell_hold_fn *)c->done)(c->arg, &a, f->now);
+		step_node(f, c->node);
+	}
+	call_unref(f, c);
+}
+
 static void
 at_worker_hold(struct fake_cell *f, void *arg)
 {
 	struct call *c = arg;
 	struct worker *w = c->worker;
 
+	if (f->shape.refuses && w != NULL && !w->up) {
+		travel(c, 0, (int)c->node->index, answer_hold_refused);
+		call_unref(f, c);
+		return;
+	}
 	if (!reaches(f, c)) {
 		call_unref(f, c);
 		return;
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -21,6 +21,8 @@
 	unsigned workers; /* 16 processors and 64 GB each, six a rack, or a
 			   * rack each in a cell of several shards */
 	unsigned shards;  /* 0 as 1 */
+	bool refuses;     /* connections to crashed workers are refused at
+			   * once; else calls to them stay unanswered */
 	bool unplanned;   /* the nodes decide how many shards there are */
 	uint64_t seed;
 	bool policy;           /* the queues' steps need advice */
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -222,6 +222,7 @@
 		shape_.policy = o.count("policy") != 0;
 		shape_.shards = o.count("shards") != 0 ? num(o["shards"]) : 1;
 		shape_.unplanned = o.count("unplanned") != 0;
+		shape_.refuses = o.count("refuses") != 0;
 		shape_.team_cpu_max = o.count("max") != 0 ? num(o["max"]) : 0;
 		shape_.attempts_max =
 		    o.count("attempts") != 0 ? num(o["attempts"]) : 3;
--- a/test/test_cell_seeds.cc
+++ b/test/test_cell_seeds.cc
@@ -21,11 +21,13 @@
 class Storm
 {
       public:
-	explicit Storm(unsigned seed, unsigned shards = 1) : rand_(seed)
+	explicit Storm(unsigned seed, unsigned shards = 1, bool stops = false)
+	    : rand_(seed), stops_(stops)
 	{
 		shape_.nodes = 2 + below(4);
 		shape_.workers = shards == 1 ? 3 + below(10) : 12 + below(20);
 		shape_.shards = shards;
+		shape_.refuses = stops;
 		shape_.seed = seed;
 		shape_.policy = below(2) == 0;
 		shape_.team_cpu_max = below(3) == 0 ? 40000 * shards : 0;
@@ -55,6 +57,7 @@
 
 	std::string settle()
 	{
+		end_stopped();
 		if (!fake_cell_settle(cell_, 120000))
 			return std::string("not settled\n") +
 			       fake_cell_breaches(cell_);
@@ -145,10 +148,25 @@
 		}
 	}
 
+	/* A stopped node ends when its time is over, whatever it still does. */
+	void end_stopped()
+	{
+		for (unsigned i : stopped_)
+			fake_cell_kill(cell_, i);
+		stopped_.clear();
+	}
+
 	void strike()
 	{
 		unsigned w = below(shape_.workers);
 
+		if (stops_ && below(3) == 0) {
+			unsigned i = node();
+
+			fake_cell_stop(cell_, i);
+			stopped_.push_back(i);
+			return;
+		}
 		switch (below(10)) {
 		case 0:
 			fake_cell_kill(cell_, node());
@@ -192,6 +210,7 @@
 	{
 		unsigned i;
 
+		end_stopped();
 		switch (below(3)) {
 		case 0:
 			for (i = 0; i < shape_.nodes; i++) {
@@ -213,6 +232,8 @@
 	struct fake_cell_shape shape_ = {};
 	struct fake_cell *cell_ = nullptr;
 	unsigned last_ = 0;
+	bool stops_;
+	std::vector<unsigned> stopped_;
 };
 
 unsigned
@@ -291,6 +312,23 @@
 	}
 }
 
+/* Nodes are stopped as well, so that shards are handed over while all else goes
+ * wrong, and crashed workers are known by their refused connections. */
+TEST(CellSeeds, StopsKeepWhatMustHold)
+{
+	unsigned one = from_env("OGL_STOP_SEED", 0);
+	unsigned seeds = one != 0 ? 1 : from_env("OGL_STOP_SEEDS", 40);
+	unsigned first = from_env("OGL_SEED_FIRST", 1000);
+
+	for (unsigned i = 0; i < seeds; i++) {
+		unsigned seed = one != 0 ? one : first + i;
+		Storm storm(seed, 1 + seed % 3, true);
+
+		storm.blow(60);
+		EXPECT_EQ("", storm.settle()) << "OGL_STOP_SEED=" << seed;
+	}
+}
+
 /* The same in cells of two and three shards, whose owners come and go each by
  * itself. */
 TEST(CellSeeds, ShardsKeepWhatMustHold)
