--- a/cell/escrow.c
+++ b/cell/escrow.c
@@ -313,7 +313,11 @@
 	}
 }
 
-/* Shards that hold what they want are asked to give back what they can. */
+/*
+ * Shards that hold what they want are asked to give back what they can; also
+ * those that only used something when they last reported, after a takeover, as
+ * nothing else would make them say that it has ended.
+ */
 static void
 call_in(struct cell_escrow *e, struct team *t, ogl_time now)
 {
@@ -324,7 +328,7 @@
 		const struct account *a = &t->accounts[i];
 		Ogl__CellPart m = OGL__CELL_PART__INIT;
 
-		if (a->held == 0 || a->wanted > a->held)
+		if (MAX(a->held, a->used) == 0 || a->wanted > a->held)
 			continue;
 		m.kind = OGL__CELL_PART_KIND__cell_part_query;
 		m.wanted = 1;
--- a/test/test_cell_escrow.cc
+++ b/test/test_cell_escrow.cc
@@ -231,4 +231,25 @@
 	EXPECT_GE(part(one_), 900000U);
 }
 
+/* After all owners were lost, one shard says what may still run there, which is
+ * the whole limit, and has no more work for the team.  Once that has ended the
+ * rest must get room: a job of a small team was seen to wait for 22 s, to the
+ * end of the day, with the cell nearly empty. */
+TEST_F(Escrow, WhatRanBeforeAllWereLostIsNotKeptForEver)
+{
+	want(one_, kWhole);
+	settle();
+	holders_[one_].used = kWhole;
+	for (uint32_t i = 0; i < kShards; i++)
+		replace(i);
+	want(two_, 200000);
+	pass(300);
+	EXPECT_EQ(0U, part(two_));
+	holders_[one_].used = 0;
+	pass(1000);
+	want(two_, 200000);
+	pass(300);
+	EXPECT_GE(part(two_), 200000U);
+}
+
 } // namespace
