Doubt of an owner is settled by a read answered now; proofs by the one ownership stream

All nodes gave up the owner 0.5 s later on the strength of a read answered before, and claims went on in a partition that was up while the heartbeats of the winners did not land: four owners within 5 s, callers refused.

The test of a proof that sees a claim before its first heartbeat is replaced: a new owner now calls no worker before its first heartbeat is stored (Lead.AnOwnerIsAnnouncedByItsFirstHeartbeat, AProofShowsANewOwner), which the proof reads; as strict, one stream less to depend on.

--- a/cell/lead.c
+++ b/cell/lead.c
@@ -21,7 +21,10 @@
  * An owner reads along: a later epoch than its own ends its ownership.  Until
  * it reads that, its orders are refused by every worker that the new owner has
  * called, and the new owner starts nothing that may run elsewhere before all
- * have answered it (owner.c).
+ * have answered it (owner.c).  A worker that restarts forgets who has called it,
+ * so before an owner starts anything in a worker's new life it reads the stream
+ * once more; that tells, as a new owner calls no worker before its first
+ * heartbeat is on the stream.
  */
 
 #include <string.h>
@@ -82,15 +85,14 @@
 	bool own;
 	ogl_time last_news; /* of the owner, or of a failed read */
 
-	bool probing;
-	ogl_time probe_sent;
-	ogl_time
-	    confirmed_at; /* sending of the last probe that showed nobody */
+	uint64_t doubted; /* epoch whose owner may be unable, 0 none */
+	bool reading;     /* its claims */
 	bool claiming;
 	ogl_time claim_sent;
 	ogl_time claim_at; /* OGL_NEVER unless planned */
 	ogl_time rest_until;
 	unsigned beats; /* appends under way */
+	bool announced; /* a heartbeat of this ownership was taken */
 	ogl_time beat_at;
 	ogl_time beat_ok;   /* last beat taken, or the winning of ownership */
 	ogl_time dead_hint; /* last sign that the owner's process has ended */
@@ -112,7 +114,9 @@
 	ogl_time read_at; /* next read not before */
 	uint64_t next;    /* offset to read from */
 	ogl_time last_read_ok;
-	ogl_time read_ok_sent; /* sending of the last good read */
+	ogl_time confirmed_at; /* sending of the last good read */
+	bool probing;
+	ogl_time probe_sent;
 
 	bool planning; /* the plan's append is under way */
 	uint32_t shards;
@@ -153,7 +157,7 @@
 	l->rand = g_rand_new_with_seed((guint32)(seed ^ seed >> 32));
 	l->newest_next = true;
 	l->last_read_ok = CELL_LONG_AGO;
-	l->read_ok_sent = CELL_LONG_AGO;
+	l->confirmed_at = CELL_LONG_AGO;
 	return l;
 }
 
@@ -186,7 +190,6 @@
 		s->lead = l;
 		s->shard = i;
 		s->claim_at = OGL_NEVER;
-		s->confirmed_at = CELL_LONG_AGO;
 		s->dead_hint = CELL_LONG_AGO;
 		s->last_news = now;
 	}
@@ -286,6 +289,7 @@
 	if (l->retired)
 		return; /* the silence that follows lets others claim */
 	s->own = true;
+	s->announced = false;
 	s->beat_at = now;
 	s->beat_ok = now;
 	claim_others_later(l);
@@ -306,6 +310,7 @@
 		s->epoch = m->epoch;
 	}
 	s->last_news = now;
+	s->doubted = 0;
 	if (!m->vacant) {
 		s->claim_at = OGL_NEVER;
 		if (!s->own)
@@ -377,18 +382,48 @@
 static void
 read_succeeded(struct cell_lead *l, ogl_time now)
 {
-	l->read_ok_sent = MAX(l->read_ok_sent, l->read_sent);
+	l->confirmed_at = MAX(l->confirmed_at, l->read_sent);
 	l->last_read_ok = now;
 	l->read_at = now;
 	if (l->shards > 1 && !any_vacant(l))
 		l->read_at = l->read_sent + READ_GAP;
 }
 
+static void
+take_tail(struct cell_lead *l, const struct cell_read_answer *a, ogl_time now)
+{
+	size_t i;
+
+	for (i = 0; i < a->n; i++) {
+		if (a->records[i].offset < l->next)
+			continue; /* another read was faster */
+		take_record(l, &a->records[i], now);
+		l->next = a->records[i].offset + 1;
+	}
+}
+
+/* The store answers this node, and an owner in doubt has said nothing more. */
+static void
+settle_doubts(struct cell_lead *l, ogl_time now)
+{
+	uint32_t i;
+
+	for (i = 0; i < l->shards; i++) {
+		struct seat *s = &l->seats[i];
+
+		if (s->doubted != 0 && s->doubted == s->epoch && !s->own &&
+		    s->owner != NULL) {
+			log_owner(s, "owner_unable", s->owner);
+			set_owner(s, NULL, now);
+		}
+		s->doubted = 0;
+	}
+}
+
 static void
 on_read(void *arg, const struct cell_read_answer *a, ogl_time now)
 {
 	struct cell_lead *l = arg;
-	size_t i;
 
 	l->reading = false;
 	if (a->io != OGL_IO_OK) {
@@ -400,13 +435,39 @@
 		l->read_at = now;
 		return;
 	}
-	for (i = 0; i < a->n; i++) {
-		take_record(l, &a->records[i], now);
-		l->next = a->records[i].offset + 1;
-	}
+	take_tail(l, a, now);
 	read_succeeded(l, now);
 }
 
+/* A read that does not wait, to know for certain who owns what now. */
+static void
+on_probe(void *arg, const struct cell_read_answer *a, ogl_time now)
+{
+	struct cell_lead *l = arg;
+
+	l->probing = false;
+	if (a->io != OGL_IO_OK || a->trimmed)
+		return;
+	l->last_read_ok = now;
+	take_tail(l, a, now);
+	l->confirmed_at = MAX(l->confirmed_at, l->probe_sent);
+	settle_doubts(l, now);
+}
+
+void
+cell_lead_probe(struct cell_lead *l, ogl_time now)
+{
+	struct cell_read r = {.stream = CELL_LEAD,
+	    .from = l->next,
+	    .timeout_ms = PROBE_TIMEOUT_MS};
+
+	if (l->probing || !l->loaded || now < l->probe_sent + PROBE_GAP)
+		return;
+	l->probing = true;
+	l->probe_sent = now;
+	l->ops->read(l->ops->outside, &r, on_probe, l);
+}
+
 /* The plan is written first and may stand behind others in the page. */
 static void
 on_newest(void *arg, const struct cell_newest_answer *a, ogl_time now)
@@ -475,7 +536,7 @@
 {
 	struct seat *s = arg;
 
-	s->probing = false;
+	s->reading = false;
 	if (a->io == OGL_IO_OK)
 		take_claims(s, a->records, a->n, now);
 }
@@ -488,49 +549,44 @@
 	    .shard = s->shard,
 	    .timeout_ms = PROBE_TIMEOUT_MS};
 
-	s->probing = true;
+	s->reading = true;
 	s->lead->ops->newest(s->lead->ops->outside, &q, on_newest_claim, s);
 }
 
 static void
-on_probe(void *arg, const struct cell_read_answer *a, ogl_time now)
+on_claims(void *arg, const struct cell_read_answer *a, ogl_time now)
 {
 	struct seat *s = arg;
-	uint64_t known = s->epoch;
 
-	s->probing = false;
+	s->reading = false;
 	if (a->io != OGL_IO_OK)
 		return;
-	s->lead->last_read_ok = now;
-	if (a->trimmed) {
+	if (a->trimmed)
 		read_newest_claim(s);
-		return;
-	}
-	take_claims(s, a->records, a->n, now);
-	if (a->end <= known)
-		s->confirmed_at = MAX(s->confirmed_at, s->probe_sent);
+	else
+		take_claims(s, a->records, a->n, now);
 }
 
-void
-cell_lead_probe(struct cell_lead *l, uint32_t shard, ogl_time now)
+/* Reads whoever claimed after the last claim known. */
+static void
+read_claims(struct seat *s)
 {
-	struct seat *s = &l->seats[shard];
+	struct cell_lead *l = s->lead;
 	struct cell_read r = {.stream = CELL_CLAIMS,
-	    .shard = shard,
+	    .shard = s->shard,
 	    .from = s->epoch,
 	    .timeout_ms = PROBE_TIMEOUT_MS};
 
-	if (s->probing || now < s->probe_sent + PROBE_GAP)
+	if (s->reading)
 		return;
-	s->probing = true;
-	s->probe_sent = now;
-	l->ops->read(l->ops->outside, &r, on_probe, s);
+	s->reading = true;
+	l->ops->read(l->ops->outside, &r, on_claims, s);
 }
 
 /* ---- writing ---------------------------------------------------------- */
 
 static void
-append(struct seat *s, Ogl__CellLead *m, cell_append_fn *done)
+append(struct seat *s, Ogl__CellLead *m, cell_append_fn *done, void *arg)
 {
 	struct cell_lead *l = s->lead;
 	char key[KEY_BYTES];
@@ -556,18 +612,42 @@
 	p = g_malloc(n);
 	ogl__cell_lead__pack(m, p);
 	put.value = g_bytes_new_take(p, n);
-	l->ops->append(l->ops->outside, &a, done, s);
+	l->ops->append(l->ops->outside, &a, done, arg);
 	g_bytes_unref(put.value);
 }
 
+/* A heartbeat under way. */
+struct beat {
+	struct seat *seat;
+	uint64_t epoch;
+};
+
 static void
 on_beat(void *arg, const struct cell_append_answer *a, ogl_time now)
 {
-	struct seat *s = arg;
+	struct beat *b = arg;
+	struct seat *s = b->seat;
 
 	s->beats--;
-	if (a->io == OGL_IO_OK)
+	if (a->io == OGL_IO_OK && b->epoch == s->epoch) {
 		s->beat_ok = now;
+		s->announced = true;
+	}
+	g_free(b);
+}
+
+static void
+send_beat(struct seat *s, bool vacant)
+{
+	Ogl__CellLead m = OGL__CELL_LEAD__INIT;
+	struct beat *b = g_new(struct beat, 1);
+
+	m.epoch = s->epoch;
+	m.vacant = vacant;
+	b->seat = s;
+	b->epoch = s->epoch;
+	s->beats++;
+	append(s, &m, on_beat, b);
 }
 
 /* A claim that was refused, or whose answer is lost, is settled by reading the
@@ -582,7 +662,7 @@
 	s->claiming = false;
 	if (a->io != OGL_IO_OK) {
 		if (a->moved || a->io == OGL_IO_LOST)
-			cell_lead_probe(l, s->shard, now);
+			read_claims(s);
 		return;
 	}
 	l->took = now - s->claim_sent;
@@ -601,21 +681,17 @@
 	s->claiming = true;
 	s->claim_sent = now;
 	s->claim_at = OGL_NEVER;
-	append(s, &m, on_claim);
+	append(s, &m, on_claim, s);
 }
 
 /* Several beats may be under way: answers get lost. */
 static void
 beat(struct seat *s, ogl_time now)
 {
-	Ogl__CellLead m = OGL__CELL_LEAD__INIT;
-
 	if (!s->own || now < s->beat_at || s->beats >= BEATS_MAX)
 		return;
-	m.epoch = s->epoch;
-	s->beats++;
 	s->beat_at = now + BEAT;
-	append(s, &m, on_beat);
+	send_beat(s, false);
 }
 
 /* How much later than others this node claims the shard. */
@@ -639,7 +715,7 @@
 	bool silent = now - s->last_news > (dead ? SILENCE_DEAD : SILENCE);
 	bool vacant = s->owner == NULL && s->epoch > 0;
 
-	if (s->own || s->claiming || s->probing || now < s->rest_until ||
+	if (s->own || s->claiming || s->reading || now < s->rest_until ||
 	    s->claim_at != OGL_NEVER)
 		return;
 	if (!vacant && !silent && s->epoch > 0)
@@ -716,16 +792,12 @@
 cell_lead_resign(struct cell_lead *l, uint32_t shard, ogl_time now)
 {
 	struct seat *s = &l->seats[shard];
-	Ogl__CellLead m = OGL__CELL_LEAD__INIT;
 
 	s->rest_until = now + RESIGN_REST;
 	s->claim_at = OGL_NEVER;
 	if (!s->own)
 		return;
-	m.epoch = s->epoch;
-	m.vacant = true;
-	s->beats++;
-	append(s, &m, on_beat);
+	send_beat(s, true);
 	step_down(s, now);
 	set_owner(s, NULL, now);
 }
@@ -756,7 +828,7 @@
 	set_owner(s, NULL, now);
 	s->last_news = now;
 	s->rest_until = now + SILENCE;
-	cell_lead_probe(l, shard, now);
+	read_claims(s);
 }
 
 void
@@ -767,10 +839,14 @@
 
 	if (s->own || epoch < s->epoch || s->owner == NULL)
 		return;
-	if (!cell_lead_reads(l, now))
-		return;
-	log_owner(s, "owner_unable", s->owner);
-	set_owner(s, NULL, now);
+	/*
+	 * Whether the store is away for the owner alone only a read that is
+	 * answered now can tell.  By an older one all nodes gave up an owner
+	 * that went on working while the store was away for everybody, and
+	 * refused its callers.
+	 */
+	s->doubted = s->epoch;
+	cell_lead_probe(l, now);
 }
 
 void
@@ -827,13 +903,19 @@
 bool
 cell_lead_may_act(const struct cell_lead *l, uint32_t shard, ogl_time now)
 {
-	return l->seats[shard].own && now - l->read_ok_sent < ACT_MAX;
+	return l->seats[shard].own && now - l->confirmed_at < ACT_MAX;
 }
 
 ogl_time
-cell_lead_confirmed(const struct cell_lead *l, uint32_t shard)
+cell_lead_confirmed(const struct cell_lead *l)
+{
+	return l->confirmed_at;
+}
+
+bool
+cell_lead_announced(const struct cell_lead *l, uint32_t shard)
 {
-	return l->seats[shard].confirmed_at;
+	return l->seats[shard].own && l->seats[shard].announced;
 }
 
 bool
--- a/cell/lead.h
+++ b/cell/lead.h
@@ -78,10 +78,15 @@
 const char *cell_lead_addr(const struct cell_lead *l, uint32_t shard);
 /* Peer address of the owner; NULL when nobody is known to own the shard. */
 
-void cell_lead_probe(struct cell_lead *l, uint32_t shard, ogl_time now);
-/* Reads the end of the shard's claims at once. */
-ogl_time cell_lead_confirmed(const struct cell_lead *l, uint32_t shard);
-/* As of when the shard's claims last showed nobody after the owner known. */
+void cell_lead_probe(struct cell_lead *l, ogl_time now);
+/* Reads the ownership stream's end at once, beside the read that waits. */
+ogl_time cell_lead_confirmed(const struct cell_lead *l);
+/* As of when the stream last showed all that it held: no owner it does not name
+ * had announced itself by then. */
+bool cell_lead_announced(const struct cell_lead *l, uint32_t shard);
+/* Whether this node owns the shard and its first heartbeat is on the stream.
+ * Before that it must not call a worker, or cell_lead_confirmed would tell an
+ * earlier owner too much. */
 
 bool cell_lead_may_act(const struct cell_lead *l, uint32_t shard, ogl_time now);
 /* Whether this node owns the shard as far as it can still know. */
--- a/cell/node.c
+++ b/cell/node.c
@@ -616,10 +616,11 @@
 
 	step_handover(part, now);
 	step_heir(part, now);
-	cell_owner_step(part->owner, cell_lead_confirmed(lead, shard),
+	cell_owner_announced(part->owner, cell_lead_announced(lead, shard));
+	cell_owner_step(part->owner, cell_lead_confirmed(lead),
 	    cell_lead_may_act(lead, shard, now), now, wall);
 	if (cell_owner_wants_proof(part->owner))
-		cell_lead_probe(lead, shard, now);
+		cell_lead_probe(lead, now);
 	if (cell_lead_addr(lead, shard) != NULL)
 		part->owner_seen = now;
 }
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -92,6 +92,7 @@
 	struct cell_config *config;
 	enum phase phase;
 	uint64_t epoch;
+	bool announced;
 	uint64_t generation;
 	bool asking; /* a fence append or a page is under way */
 	ogl_time ask_at;
@@ -2023,6 +2024,12 @@
 	o->run_pass = true;
 }
 
+void
+cell_owner_announced(struct cell_owner *o, bool announced)
+{
+	o->announced = announced;
+}
+
 void
 cell_owner_step(struct cell_owner *o, ogl_time confirmed, bool may_act,
     ogl_time now, ogl_time wall)
@@ -2042,6 +2049,8 @@
 	if (!may_act)
 		return;
 	cell_fleet_confirm(o->fleet, confirmed);
+	if (!o->announced)
+		return;
 	cell_fleet_step(o->fleet, now);
 	cell_advice_step(o->advice, now);
 	cell_escrow_step(o->escrow, now);
--- a/cell/owner.h
+++ b/cell/owner.h
@@ -62,6 +62,8 @@
     struct cell_owner *o, const char *addr, bool leaving, ogl_time now);
 /* A node is there. */
 
+void cell_owner_announced(struct cell_owner *o, bool announced);
+/* Whether the ownership is announced; no worker is called before. */
 void cell_owner_step(struct cell_owner *o, ogl_time confirmed, bool may_act,
     ogl_time now, ogl_time wall);
 /* Does what is due; without the right to act nothing is ordered.  confirmed is
