--- a/cell/front.c
+++ b/cell/front.c
@@ -40,11 +40,6 @@
 #define REPLY_MARGIN (150 * OGL_MS)
 #define BUDGET_DEFAULT_MS 3000
 #define RETRY_MS 600
-/* The settings are read with a wait of 0.8 s, so a last proof older than this
- * means a read that failed. */
-#define ALONE_AFTER (1500 * OGL_MS)
-/* What others say of the store holds so long; the owner is asked each 250 ms. */
-#define OTHERS_FRESH (800 * OGL_MS)
 
 struct pending {
 	uint64_t token;
@@ -85,8 +80,6 @@
 	ogl_time read_at;
 	ogl_time read_sent;
 	ogl_time fresh_as_of; /* sending of the last good read */
-	ogl_time others_well; /* another node last said it reaches the store */
-	bool alone;           /* as of the last step */
 	bool stale_logged;
 };
 
@@ -115,7 +108,6 @@
 	f->calls = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, pending_free);
 	f->fresh_as_of = CELL_LONG_AGO;
-	f->others_well = CELL_LONG_AGO;
 	return f;
 }
 
@@ -145,26 +137,6 @@
 	return f->config != NULL && now - f->fresh_as_of < max;
 }
 
-void
-cell_front_others_well(struct cell_front *f, ogl_time now)
-{
-	f->others_well = now;
-}
-
-/*
- * The store turns some machines away at times and serves the others.  Callers
- * keep their connections, and each request met this node first: refused with
- * "come back in a second", four in ten lookups were late for as long as it
- * lasted.  Told to come back at once, on a new connection, they are served by
- * another node within milliseconds.
- */
-bool
-cell_front_alone(const struct cell_front *f, ogl_time now)
-{
-	return now - f->fresh_as_of > ALONE_AFTER &&
-	       now - f->others_well < OTHERS_FRESH;
-}
-
 size_t
 cell_front_open(const struct cell_front *f)
 {
@@ -297,9 +269,6 @@
 	struct cell_answer a = {
 	    .status = status, .retry_ms = retry_ms, .why = why};
 
-	a.elsewhere = f->alone;
-	if (f->alone)
-		a.retry_ms = 0;
 	f->ops->count(
 	    f->ops->ctx, status == CELL_OK ? "calls_ok" : "calls_refused", 1);
 	f->ops->reply(f->ops->ctx, token, &a);
@@ -543,7 +512,7 @@
 static void
 answer_ok(struct cell_front *f, struct pending *p, const Ogl__CellReply *r)
 {
-	struct cell_answer a = {.status = CELL_OK, .elsewhere = f->alone};
+	struct cell_answer a = {.status = CELL_OK};
 
 	a.has_state = p->call.kind == OGL__CELL_CALL_KIND__cell_state;
 	a.state = r->state;
@@ -670,7 +639,6 @@
 	bool fresh = cell_front_fresh(f, now);
 
 	read_on(f, now);
-	f->alone = cell_front_alone(f, now);
 	step_calls(f, now);
 	if (f->config != NULL && fresh == f->stale_logged) {
 		f->stale_logged = !fresh;
--- a/cell/front.h
+++ b/cell/front.h
@@ -47,11 +47,6 @@
 bool cell_front_fresh(const struct cell_front *f, ogl_time now);
 /* Whether a key withdrawn long enough ago is certainly known to be. */
 
-void cell_front_others_well(struct cell_front *f, ogl_time now);
-/* Another node has just said that it reaches the store. */
-bool cell_front_alone(const struct cell_front *f, ogl_time now);
-/* Whether this node does not reach the store while others do. */
-
 size_t cell_front_open(const struct cell_front *f);
 /* Calls not answered yet. */
 
--- a/cell/node.c
+++ b/cell/node.c
@@ -277,8 +277,6 @@
 	const char *owner = cell_lead_addr(lead, part->shard);
 
 	part->pong_at = now;
-	if (m->pong->able && strcmp(m->from, part->node->addr) != 0)
-		cell_front_others_well(part->node->front, now);
 	if (owner == NULL || strcmp(owner, m->from) != 0)
 		return;
 	if (m->pong->owns == 0 || !m->pong->able)
@@ -702,7 +700,7 @@
 cell_node_ready(const struct cell_node *n, ogl_time now)
 {
 	return !n->stopping && cell_front_fresh(n->front, now) &&
-	       !cell_front_alone(n->front, now) && all_owned(n, now);
+	       all_owned(n, now);
 }
 
 uint32_t
--- a/cell/ops.h
+++ b/cell/ops.h
@@ -260,7 +260,6 @@
 struct cell_answer {
 	enum cell_status status;
 	uint32_t retry_ms; /* 0 none */
-	bool elsewhere;    /* this node alone can't serve; others can, now */
 	bool has_state;
 	Ogl__CellJobState state;
 	bool has_pending;
--- a/daemon/cell_host.c
+++ b/daemon/cell_host.c
@@ -85,7 +85,6 @@
 		       : a->status == CELL_UNSURE ? OGL_MAY_HAVE_RUN
 						  : OGL_NOT_RUN,
 	    .retry_after_ms = a->retry_ms,
-	    .elsewhere = a->elsewhere,
 	    .content_type = "application/json"};
 
 	act.data = platform_answer_body(a);
--- a/daemon/http_in.c
+++ b/daemon/http_in.c
@@ -668,13 +668,10 @@
 		return;
 	}
 	c->response = ogl_http_reply_new(a->data,
-	    a->content_type != NULL ? a->content_type : BYTES_TYPE,
-	    h->closing || a->elsewhere);
+	    a->content_type != NULL ? a->content_type : BYTES_TYPE, h->closing);
 	if (c->response != NULL)
 		ogl_http_reply_outcome(
 		    c->response, a->verdict, a->retry_after_ms);
-	if (c->response != NULL && a->elsewhere && a->verdict == OGL_NOT_RUN)
-		ogl_http_reply_at_once(c->response);
 	c->status = a->status;
 	c->state = c->response != NULL ? CALL_ANSWERED : CALL_ABANDONED;
 	h->counts.replies++;
--- a/daemon/http_reply.c
+++ b/daemon/http_reply.c
@@ -61,12 +61,6 @@
 	add_number(r, "Ogl-Retry-After-Ms", retry_after_ms);
 }
 
-void
-ogl_http_reply_at_once(struct MHD_Response *r)
-{
-	MHD_add_response_header(r, MHD_HTTP_HEADER_RETRY_AFTER, "0");
-}
-
 struct MHD_Response *
 ogl_http_reply_refusal(const char *why, uint64_t retry_after_ms, bool close)
 {
--- a/daemon/http_reply.h
+++ b/daemon/http_reply.h
@@ -15,9 +15,6 @@
     struct MHD_Response *r, enum ogl_verdict v, uint64_t retry_after_ms);
 /* Ogl-Verdict and, unless 0, when to come again. */
 
-void ogl_http_reply_at_once(struct MHD_Response *r);
-/* The caller may come back at once: another node serves it. */
-
 struct MHD_Response *ogl_http_reply_refusal(
     const char *why, uint64_t retry_after_ms, bool close);
 /* ErrorView for a request that certainly did not run. */
--- a/orioleglade.h
+++ b/orioleglade.h
@@ -504,8 +504,6 @@
 	uint32_t status; /* OGL_ACT_REPLY: HTTP status */
 	enum ogl_verdict verdict;
 	uint64_t retry_after_ms; /* 0 none */
-	bool elsewhere; /* other nodes serve: the caller may come back at once,
-			 * and its connection is closed so that it meets one */
 	const char *content_type;
 	enum ogl_log_level level;
 	struct ogl_action *next;
