--- a/cell/front.c
+++ b/cell/front.c
@@ -17,7 +17,9 @@
  * The settings stream is read with a wait all the time.  An answered read
  * proves that as of its sending no other configuration was in force; without
  * such proof for too long every key is refused, since it may have been
- * withdrawn.
+ * withdrawn.  A node that the store turns away goes by the proofs of the owner,
+ * which come with its pongs: the store turns single machines away for 9 s and
+ * more, and each request to them was refused, to be late at another node.
  */
 
 #include <string.h>
@@ -40,6 +42,9 @@
 #define REPLY_MARGIN (150 * OGL_MS)
 #define BUDGET_DEFAULT_MS 3000
 #define RETRY_MS 600
+/* The settings are read with a wait of 0.8 s, so a last proof older than this
+ * means a read that failed. */
+#define CUT_OFF_AFTER (1300 * OGL_MS)
 
 struct pending {
 	uint64_t token;
@@ -74,12 +79,14 @@
 	GHashTable *calls; /* token -> struct pending */
 
 	struct cell_config *config;
+	GBytes *record; /* that the configuration was read from */
 	bool loaded;
 	bool reading;
 	uint64_t next;
 	ogl_time read_at;
 	ogl_time read_sent;
-	ogl_time fresh_as_of; /* sending of the last good read */
+	ogl_time read_ok;     /* answer to the last good read */
+	ogl_time fresh_as_of; /* the configuration was certainly the newest */
 	bool stale_logged;
 };
 
@@ -107,6 +114,8 @@
 	f->events = *events;
 	f->calls = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, pending_free);
+	f->record = g_bytes_new(NULL, 0);
+	f->read_ok = CELL_LONG_AGO;
 	f->fresh_as_of = CELL_LONG_AGO;
 	return f;
 }
@@ -120,6 +129,7 @@
 		g_free(f->owners[i].addr);
 	g_hash_table_unref(f->calls);
 	cell_config_unref(f->config);
+	g_bytes_unref(f->record);
 	g_free(f);
 }
 
@@ -146,7 +156,7 @@
 /* ---- following the settings ------------------------------------------- */
 
 static void
-take_config(struct cell_front *f, struct cell_config *c)
+take_config(struct cell_front *f, struct cell_config *c, struct ogl_str record)
 {
 	char text[64];
 
@@ -156,6 +166,8 @@
 	cell_config_ref(c);
 	cell_config_unref(f->config);
 	f->config = c;
+	g_bytes_unref(f->record);
+	f->record = g_bytes_new(record.p, record.n);
 	g_snprintf(text, sizeof text, "version=%" G_GUINT64_FORMAT,
 	    cell_config_version(c));
 	f->ops->log(f->ops->ctx, "front", "config_in_force", text);
@@ -168,17 +180,57 @@
 
 	for (i = 0; i < n; i++) {
 		if (records[i].config != NULL)
-			take_config(f, records[i].config);
+			take_config(f, records[i].config, records[i].value);
 	}
 }
 
 static void
 read_succeeded(struct cell_front *f, ogl_time now)
 {
-	f->fresh_as_of = f->read_sent;
+	f->read_ok = now;
+	f->fresh_as_of = MAX(f->fresh_as_of, f->read_sent);
 	f->read_at = now;
 }
 
+struct cell_front_config
+cell_front_known(const struct cell_front *f)
+{
+	struct cell_front_config c = {.as_of = f->fresh_as_of};
+	gsize n = 0;
+
+	if (f->config == NULL)
+		return c;
+	c.version = cell_config_version(f->config);
+	c.record.p = g_bytes_get_data(f->record, &n);
+	c.record.n = n;
+	return c;
+}
+
+bool
+cell_front_cut_off(const struct cell_front *f, ogl_time now)
+{
+	return now - f->read_ok > CUT_OFF_AFTER;
+}
+
+void
+cell_front_learn(
+    struct cell_front *f, const struct cell_front_config *c, ogl_time now)
+{
+	struct cell_config *config;
+
+	if (!cell_front_cut_off(f, now))
+		return;
+	if (c->record.n > 0) {
+		config = f->ops->decode_config(f->ops->outside, c->record);
+		if (config != NULL)
+			take_config(f, config, c->record);
+		cell_config_unref(config);
+	}
+	/* Of another version it proves nothing about the one held here. */
+	if (f->config != NULL && c->version == cell_config_version(f->config))
+		f->fresh_as_of = MAX(f->fresh_as_of, c->as_of);
+}
+
 static void
 on_newest(void *arg, const struct cell_newest_answer *a, ogl_time now)
 {
--- a/cell/front.h
+++ b/cell/front.h
@@ -47,6 +47,21 @@
 bool cell_front_fresh(const struct cell_front *f, ogl_time now);
 /* Whether a key withdrawn long enough ago is certainly known to be. */
 
+/* What a node knows of the configuration. */
+struct cell_front_config {
+	uint64_t version; /* 0 none */
+	ogl_time as_of;   /* when it was certainly the newest */
+	struct ogl_str record;
+};
+
+struct cell_front_config cell_front_known(const struct cell_front *f);
+bool cell_front_cut_off(const struct cell_front *f, ogl_time now);
+/* Whether the last reads of the settings failed. */
+void cell_front_learn(
+    struct cell_front *f, const struct cell_front_config *c, ogl_time now);
+/* What a peer knows, as_of on this node's clock; the record is empty when the
+ * peer did not send it. */
+
 size_t cell_front_open(const struct cell_front *f);
 /* Calls not answered yet. */
 
--- a/cell/node.c
+++ b/cell/node.c
@@ -247,6 +247,39 @@
 	part->heir_heard = now;
 }
 
+/* What the owner knows of the configuration, for nodes that the store turns
+ * away; the record itself only to one that lacks it. */
+static void
+tell_config(struct cell_node *n, const Ogl__CellPing *p, Ogl__CellPong *pong,
+    ogl_time now)
+{
+	struct cell_front_config c = cell_front_known(n->front);
+
+	if (!p->cut_off || c.version == 0)
+		return;
+	pong->config = c.version;
+	pong->config_age_ms = (uint32_t)((now - c.as_of) / OGL_MS) + 1;
+	if (c.version <= p->config)
+		return;
+	pong->config_record.data = (uint8_t *)(uintptr_t)c.record.p;
+	pong->config_record.len = c.record.n;
+}
+
+/* Dated back to when the ping was sent: the pong's age was right then or later,
+ * whatever the way took. */
+static void
+learn_config(struct cell_node *n, const Ogl__CellPong *pong, ogl_time now)
+{
+	struct cell_front_config c = {.version = pong->config};
+
+	if (pong->config == 0 || pong->stamp > (uint64_t)now)
+		return;
+	c.as_of = (ogl_time)pong->stamp - pong->config_age_ms * OGL_MS;
+	c.record.p = (const char *)pong->config_record.data;
+	c.record.n = pong->config_record.len;
+	cell_front_learn(n->front, &c, now);
+}
+
 static void
 take_ping(
     struct part *part, const char *from, const Ogl__CellPing *p, ogl_time now)
@@ -263,6 +296,7 @@
 	if (cell_lead_is_owner(n->lead, part->shard))
 		pong.owns = cell_lead_epoch(n->lead, part->shard);
 	pong.able = cell_lead_able(n->lead, part->shard, now);
+	tell_config(n, p, &pong, now);
 	m.body_case = OGL__CELL_MSG__BODY_PONG;
 	m.pong = &pong;
 	send_msg(n, part->shard, from, &m);
@@ -277,6 +311,7 @@
 	const char *owner = cell_lead_addr(lead, part->shard);
 
 	part->pong_at = now;
+	learn_config(part->node, m->pong, now);
 	if (owner == NULL || strcmp(owner, m->from) != 0)
 		return;
 	if (m->pong->owns == 0 || !m->pong->able)
@@ -542,6 +577,8 @@
 	p.strength = n->strength;
 	p.owned = cell_lead_owned(n->lead);
 	p.lane = lends_lane(part);
+	p.config = cell_front_known(n->front).version;
+	p.cut_off = cell_front_cut_off(n->front, now);
 	m.body_case = OGL__CELL_MSG__BODY_PING;
 	m.ping = &p;
 	send_msg(n, part->shard, owner, &m);
--- a/cell/ops.h
+++ b/cell/ops.h
@@ -301,6 +301,9 @@
 	void (*ask)(
 	    void *ctx, const struct cell_ask *a, cell_ask_fn *done, void *arg);
 
+	struct cell_config *(*decode_config)(void *ctx, struct ogl_str value);
+	/* The operator's record as a configuration; NULL when it can't be
+	 * read. */
 	Ogl__CellJob *(*decode_job)(
 	    void *ctx, struct ogl_str body, const char **why);
 	/* A submitted body as a job, steps and spec only; NULL with the
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -1893,7 +1893,7 @@
   (ProtobufCMessageInit) ogl__cell_plan__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_ping__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ogl__cell_ping__field_descriptors[8] =
 {
   {
     "stamp",
@@ -1967,8 +1967,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPing, config),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cut_off",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPing, cut_off),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_ping__field_indices_by_name[] = {
+  6,   /* field[6] = config */
+  7,   /* field[7] = cut_off */
   4,   /* field[4] = lane */
   2,   /* field[2] = leaving */
   5,   /* field[5] = owned */
@@ -1979,7 +2005,7 @@
 static const ProtobufCIntRange ogl__cell_ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ogl__cell_ping__descriptor =
 {
@@ -1989,14 +2015,14 @@
   "Ogl__CellPing",
   "ogl",
   sizeof(Ogl__CellPing),
-  6,
+  8,
   ogl__cell_ping__field_descriptors,
   ogl__cell_ping__field_indices_by_name,
   1,  ogl__cell_ping__number_ranges,
   (ProtobufCMessageInit) ogl__cell_ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_pong__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ogl__cell_pong__field_descriptors[6] =
 {
   {
     "stamp",
@@ -2034,16 +2060,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPong, config),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPong, config_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_record",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPong, config_record),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_pong__field_indices_by_name[] = {
   2,   /* field[2] = able */
+  3,   /* field[3] = config */
+  4,   /* field[4] = config_age_ms */
+  5,   /* field[5] = config_record */
   1,   /* field[1] = owns */
   0,   /* field[0] = stamp */
 };
 static const ProtobufCIntRange ogl__cell_pong__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ogl__cell_pong__descriptor =
 {
@@ -2053,7 +2118,7 @@
   "Ogl__CellPong",
   "ogl",
   sizeof(Ogl__CellPong),
-  3,
+  6,
   ogl__cell_pong__field_descriptors,
   ogl__cell_pong__field_indices_by_name,
   1,  ogl__cell_pong__number_ranges,
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -382,10 +382,18 @@
    * shards that the sender owns
    */
   uint32_t owned;
+  /*
+   * version of the configuration it goes by
+   */
+  uint64_t config;
+  /*
+   * it can't read the settings itself
+   */
+  protobuf_c_boolean cut_off;
 };
 #define OGL__CELL_PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_ping__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ogl__CellPong
@@ -400,10 +408,22 @@
    * and the store takes what it writes
    */
   protobuf_c_boolean able;
+  /*
+   * version of the configuration the sender goes by, 0 none
+   */
+  uint64_t config;
+  /*
+   * since it was certainly the newest
+   */
+  uint32_t config_age_ms;
+  /*
+   * it, for one cut off that has an older one
+   */
+  ProtobufCBinaryData config_record;
 };
 #define OGL__CELL_PONG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_pong__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0, {0,NULL} }
 
 
 /*
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -456,6 +456,13 @@
 	return c;
 }
 
+static struct cell_config *
+on_decode_config(void *ctx, struct ogl_str value)
+{
+	(void)ctx;
+	return decode_config(value);
+}
+
 static struct cell_worker_entry *
 decode_entry(struct ogl_str value)
 {
@@ -1988,6 +1995,7 @@
 	o->start = on_start;
 	o->stop = on_stop;
 	o->ask = on_ask;
+	o->decode_config = on_decode_config;
 	o->decode_job = on_decode;
 	o->reply = on_reply;
 	o->peer_send = on_peer_send;
