--- a/cell/lead.c
+++ b/cell/lead.c
@@ -849,6 +849,27 @@
 	cell_lead_probe(l, now);
 }
 
+/*
+ * A node that the store turns away does not read of a new owner, nor does an
+ * owner in the same case.  Their peers tell them; else they passed calls to the
+ * old owner, which could take none, for as long as it lasted.
+ */
+void
+cell_lead_hear(struct cell_lead *l, uint32_t shard, uint64_t epoch,
+    const char *addr, ogl_time now)
+{
+	struct seat *s = &l->seats[shard];
+
+	if (epoch <= s->epoch)
+		return;
+	step_down(s, now);
+	s->epoch = epoch;
+	s->last_news = now;
+	s->doubted = 0;
+	s->claim_at = OGL_NEVER;
+	set_owner(s, strcmp(addr, l->addr) == 0 ? NULL : addr, now);
+}
+
 void
 cell_lead_hint_dead(struct cell_lead *l, uint32_t shard, ogl_time now)
 {
--- a/cell/lead.h
+++ b/cell/lead.h
@@ -66,6 +66,10 @@
 /* The owner of that epoch has said that it is no longer, or that the store
  * does not take its writes: whoever reaches the store may claim at once. */
 
+void cell_lead_hear(struct cell_lead *l, uint32_t shard, uint64_t epoch,
+    const char *addr, ogl_time now);
+/* A peer knows who owns the shard in that epoch. */
+
 void cell_lead_hint_dead(struct cell_lead *l, uint32_t shard, ogl_time now);
 /* Nothing listens at the owner's address: a shorter silence is enough. */
 
--- a/cell/node.c
+++ b/cell/node.c
@@ -38,6 +38,7 @@
 	ogl_time ping_at;
 	ogl_time pong_at; /* last pong, or the first ping to a new owner */
 	ogl_time owner_seen;
+	char *last_owner;     /* address of the last that was known */
 	ogl_time stronger_at; /* first ping of a much stronger node, 0 none */
 	ogl_time stronger_last;
 	/* as owner: who could take over, as of the pings */
@@ -73,6 +74,7 @@
 static void
 send_msg(struct cell_node *n, uint32_t shard, const char *to, Ogl__CellMsg *m)
 {
+	const char *owner = cell_lead_addr(n->lead, shard);
 	size_t len;
 	uint8_t *p;
 	GBytes *b;
@@ -80,6 +82,8 @@
 	m->from = n->addr;
 	m->shard = shard;
 	m->epoch = cell_lead_epoch(n->lead, shard);
+	if (owner != NULL)
+		m->owner = (char *)(uintptr_t)owner;
 	len = ogl__cell_msg__get_packed_size(m);
 	p = g_malloc(len);
 	ogl__cell_msg__pack(m, p);
@@ -335,6 +339,8 @@
 {
 	struct cell_node *n = part->node;
 
+	if (*m->owner != '\0')
+		cell_lead_hear(n->lead, part->shard, m->epoch, m->owner, now);
 	switch (m->body_case) {
 	case OGL__CELL_MSG__BODY_PING:
 		take_ping(part, m->from, m->ping, now);
@@ -401,6 +407,57 @@
 	}
 }
 
+/* ---- pings ------------------------------------------------------------ */
+
+/*
+ * Whether the shard's owner may ask advice through this node.  An owner keeps
+ * its own machine, so that each shard has a way to the service however few
+ * nodes there are; the others are dealt out by a hash.
+ */
+static bool
+lends_lane(const struct part *part)
+{
+	const struct cell_node *n = part->node;
+
+	if (cell_lead_owned(n->lead) > 0)
+		return cell_lead_is_owner(n->lead, part->shard);
+	return cell_shard_of_node(n->addr, n->shards) == part->shard;
+}
+
+static void
+send_ping(struct part *part, const char *to, bool lane, ogl_time now)
+{
+	struct cell_node *n = part->node;
+	Ogl__CellMsg m = OGL__CELL_MSG__INIT;
+	Ogl__CellPing p = OGL__CELL_PING__INIT;
+
+	p.stamp = (uint64_t)now;
+	p.store_ok = cell_lead_reads(n->lead, now);
+	p.leaving = n->stopping;
+	p.strength = n->strength;
+	p.owned = cell_lead_owned(n->lead);
+	p.lane = lane;
+	p.config = cell_front_known(n->front).version;
+	p.cut_off = cell_front_cut_off(n->front, now);
+	m.body_case = OGL__CELL_MSG__BODY_PING;
+	m.ping = &p;
+	send_msg(n, part->shard, to, &m);
+}
+
+/* The last owner may not reach the store, and neither may nodes that ask it;
+ * it learns who owns the shard now, and they by its pongs. */
+static void
+tell_last_owner(struct part *part, const char *owner, ogl_time now)
+{
+	const char *last = part->last_owner;
+
+	if (last != NULL && strcmp(last, owner) != 0 &&
+	    strcmp(last, part->node->addr) != 0)
+		send_ping(part, last, false, now);
+	g_free(part->last_owner);
+	part->last_owner = g_strdup(owner);
+}
+
 /* ---- ownership -------------------------------------------------------- */
 
 static void
@@ -431,6 +488,8 @@
 	part->owner_seen = now;
 	part->claims = false;
 	part->handover_at = 0;
+	if (addr != NULL)
+		tell_last_owner(part, addr, now);
 	cell_front_owner(
 	    n->front, shard, addr, cell_lead_epoch(n->lead, shard), now);
 }
@@ -508,6 +567,7 @@
 	for (i = 0; i < n->shards; i++) {
 		cell_owner_end(n->parts[i].owner);
 		g_free(n->parts[i].heir);
+		g_free(n->parts[i].last_owner);
 	}
 	cell_front_end(n->front);
 	cell_plan_end(n->plan);
@@ -538,28 +598,11 @@
 	cell_front_gone(n->front, token);
 }
 
-/*
- * Whether the shard's owner may ask advice through this node.  An owner keeps
- * its own machine, so that each shard has a way to the service however few
- * nodes there are; the others are dealt out by a hash.
- */
-static bool
-lends_lane(const struct part *part)
-{
-	const struct cell_node *n = part->node;
-
-	if (cell_lead_owned(n->lead) > 0)
-		return cell_lead_is_owner(n->lead, part->shard);
-	return cell_shard_of_node(n->addr, n->shards) == part->shard;
-}
-
 static void
 ping(struct part *part, ogl_time now)
 {
 	struct cell_node *n = part->node;
 	const char *owner = cell_lead_addr(n->lead, part->shard);
-	Ogl__CellMsg m = OGL__CELL_MSG__INIT;
-	Ogl__CellPing p = OGL__CELL_PING__INIT;
 
 	if (owner == NULL || now < part->ping_at)
 		return;
@@ -571,17 +614,7 @@
 	if (n->ops->peer_refused(n->ops->ctx, owner))
 		cell_lead_hint_dead(n->lead, part->shard, now);
 	part->ping_at = now + PING;
-	p.stamp = (uint64_t)now;
-	p.store_ok = cell_lead_reads(n->lead, now);
-	p.leaving = n->stopping;
-	p.strength = n->strength;
-	p.owned = cell_lead_owned(n->lead);
-	p.lane = lends_lane(part);
-	p.config = cell_front_known(n->front).version;
-	p.cut_off = cell_front_cut_off(n->front, now);
-	m.body_case = OGL__CELL_MSG__BODY_PING;
-	m.ping = &p;
-	send_msg(n, part->shard, owner, &m);
+	send_ping(part, owner, lends_lane(part), now);
 }
 
 /* The owners go by the same configuration as the entry. */
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -2755,7 +2755,7 @@
   (ProtobufCMessageInit) ogl__cell_handover__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_msg__field_descriptors[11] =
+static const ProtobufCFieldDescriptor ogl__cell_msg__field_descriptors[12] =
 {
   {
     "from",
@@ -2793,6 +2793,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "owner",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellMsg, owner),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "ping",
     10,
@@ -2891,23 +2903,24 @@
   },
 };
 static const unsigned ogl__cell_msg__field_indices_by_name[] = {
-  8,   /* field[8] = advice */
-  7,   /* field[7] = ask */
-  5,   /* field[5] = call */
+  9,   /* field[9] = advice */
+  8,   /* field[8] = ask */
+  6,   /* field[6] = call */
   1,   /* field[1] = epoch */
   0,   /* field[0] = from */
-  10,   /* field[10] = handover */
-  9,   /* field[9] = part */
-  3,   /* field[3] = ping */
-  4,   /* field[4] = pong */
-  6,   /* field[6] = reply */
+  11,   /* field[11] = handover */
+  3,   /* field[3] = owner */
+  10,   /* field[10] = part */
+  4,   /* field[4] = ping */
+  5,   /* field[5] = pong */
+  7,   /* field[7] = reply */
   2,   /* field[2] = shard */
 };
 static const ProtobufCIntRange ogl__cell_msg__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 10, 3 },
-  { 0, 11 }
+  { 10, 4 },
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor ogl__cell_msg__descriptor =
 {
@@ -2917,7 +2930,7 @@
   "Ogl__CellMsg",
   "ogl",
   sizeof(Ogl__CellMsg),
-  11,
+  12,
   ogl__cell_msg__field_descriptors,
   ogl__cell_msg__field_indices_by_name,
   2,  ogl__cell_msg__number_ranges,
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -597,6 +597,10 @@
    * that the message is about
    */
   uint32_t shard;
+  /*
+   * address of that epoch's owner, empty if not known
+   */
+  char *owner;
   Ogl__CellMsg__BodyCase body_case;
   union {
     Ogl__CellPing *ping;
@@ -611,7 +615,7 @@
 };
 #define OGL__CELL_MSG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_msg__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, OGL__CELL_MSG__BODY__NOT_SET, {0} }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, OGL__CELL_MSG__BODY__NOT_SET, {0} }
 
 
 /* Ogl__CellStep methods */
