--- a/cell/node.c
+++ b/cell/node.c
@@ -44,6 +44,7 @@
 	/* as owner: who could take over, as of the pings */
 	char *heir;
 	uint32_t heir_strength;
+	uint32_t heir_uptime;
 	ogl_time heir_heard;
 	ogl_time handover_at; /* it was asked to, 0 not yet */
 	/* as heir */
@@ -62,7 +63,8 @@
 	struct part parts[CELL_SHARDS_MAX];
 	struct cell_config *config; /* that the owners were told of */
 	bool stopping;
-	ogl_time now; /* of the step or event under way */
+	ogl_time now;        /* of the step or event under way */
+	ogl_time started_at; /* first step, 0 not yet */
 	ogl_time stepped_at;
 	ogl_time wake_at; /* asked for by the last step, 0 none yet */
 	uint32_t strength;
@@ -224,7 +226,20 @@
 	cell_lead_resign(n->lead, part->shard, now);
 }
 
-/* The strongest node that could own the shard next. */
+/*
+ * Whether a node would be the better heir.  Of equally strong ones the youngest:
+ * when all are restarted in turn, it is the one that will be restarted last, and
+ * each change of owner costs its waiting work the advice it has.
+ */
+static bool
+better_heir(const struct part *part, uint32_t strength, uint32_t uptime)
+{
+	if (strength != part->heir_strength)
+		return strength > part->heir_strength;
+	return uptime < part->heir_uptime;
+}
+
+/* The node that could best own the shard next. */
 static void
 weigh_heir(
     struct part *part, const char *from, const Ogl__CellPing *p, ogl_time now)
@@ -239,15 +254,18 @@
 		g_clear_pointer(&part->heir, g_free);
 		return;
 	}
-	if (!fit || (!same && part->heir != NULL &&
-			now - part->heir_heard < HEIR_FRESH &&
-			strength <= part->heir_strength))
+	if (!fit)
+		return;
+	if (!same && part->heir != NULL &&
+	    now - part->heir_heard < HEIR_FRESH &&
+	    !better_heir(part, strength, p->uptime_ms))
 		return;
 	if (!same) {
 		g_free(part->heir);
 		part->heir = g_strdup(from);
 	}
 	part->heir_strength = strength;
+	part->heir_uptime = p->uptime_ms;
 	part->heir_heard = now;
 }
 
@@ -436,6 +454,7 @@
 	p.leaving = n->stopping;
 	p.strength = n->strength;
 	p.owned = cell_lead_owned(n->lead);
+	p.uptime_ms = (uint32_t)((now - n->started_at) / OGL_MS);
 	p.lane = lane;
 	p.config = cell_front_known(n->front).version;
 	p.cut_off = cell_front_cut_off(n->front, now);
@@ -705,6 +724,8 @@
 		cell_owner_ran(n->parts[i].owner, n->wake_at, now);
 	}
 	n->stepped_at = now;
+	if (n->started_at == 0)
+		n->started_at = now;
 	n->now = now;
 	if (cell_lead_unplanned(n->lead))
 		cell_plan_step(n->plan, now);
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -1893,7 +1893,7 @@
   (ProtobufCMessageInit) ogl__cell_plan__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_ping__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ogl__cell_ping__field_descriptors[9] =
 {
   {
     "stamp",
@@ -1991,6 +1991,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "uptime_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPing, uptime_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_ping__field_indices_by_name[] = {
   6,   /* field[6] = config */
@@ -2001,11 +2013,12 @@
   0,   /* field[0] = stamp */
   1,   /* field[1] = store_ok */
   3,   /* field[3] = strength */
+  8,   /* field[8] = uptime_ms */
 };
 static const ProtobufCIntRange ogl__cell_ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ogl__cell_ping__descriptor =
 {
@@ -2015,7 +2028,7 @@
   "Ogl__CellPing",
   "ogl",
   sizeof(Ogl__CellPing),
-  8,
+  9,
   ogl__cell_ping__field_descriptors,
   ogl__cell_ping__field_indices_by_name,
   1,  ogl__cell_ping__number_ranges,
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -390,10 +390,14 @@
    * it can't read the settings itself
    */
   protobuf_c_boolean cut_off;
+  /*
+   * since its process was started
+   */
+  uint32_t uptime_ms;
 };
 #define OGL__CELL_PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_ping__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ogl__CellPong
