--- a/cell/owner.c
+++ b/cell/owner.c
@@ -1,12 +1,6 @@
 /*
- * Taking over goes in steps:
- *
- *	PREPARING  jobs are read, page by page, while another still owns the
- *		   shard and changes them; only when that one has asked for it
- *	FENCING    the store learns the epoch: no earlier owner writes any more
- *	LOADING    jobs are read; nobody else can change them now.  After
- *		   PREPARING only what was written since its first page
- *	SERVING    calls are answered and workers are called
+ * The jobs come from the store when the shard is taken over (loader.c), the
+ * workers from the platform's list (roster.c).
  *
  * A job of an earlier owner may have tasks running that nobody has told us of
  * yet.  Its tasks are started only once every worker has shown its lists under
@@ -23,20 +17,11 @@
 
 #include "journal.h"
 #include "load.h"
+#include "loader.h"
 #include "owner.h"
+#include "roster.h"
 #include "schedule.h"
 
-/* Of the first try of each step of a takeover, or several times what the store
- * took for the claim; each miss doubles it, for on slow days the store takes up
- * to 60 times as long. */
-#define ASK_TIMEOUT_MS 250
-#define ASK_TIMES 4
-#define ASK_TIMEOUT_MAX_MS 4000
-#define RETRY (120 * OGL_MS)
-/* The list of workers is read so often: an entry changes on each worker's
- * heartbeat, and reading each change by itself would be a call each. */
-#define LIST_EVERY (250 * OGL_MS)
-#define LIST_TIMEOUT_MS 1200
 /* Ended jobs are kept this much longer than callers are promised. */
 #define KEEP_MARGIN_MS 20000
 #define SWEEP (500 * OGL_MS)
@@ -48,18 +33,12 @@
 #define BUSY_RETRY_MS 500
 /* Longer than any repeat of a call can be on its way. */
 #define REFUSAL_KEPT (10 * OGL_SEC)
-#define WORKERS_KEY "workers"
-/* What was read beforehand is of use for so long; later too much of it has
- * changed, and it is dropped. */
-#define PREPARED_MAX (4 * OGL_SEC)
 /* A team's jobs fall on shards by chance; where one gets more than its part for
  * a while, that is not the team's doing. */
 #define RATE_SLACK 2.0
 
 enum phase {
 	PHASE_CLOSED,
-	PHASE_PREPARING,
-	PHASE_FENCING,
 	PHASE_LOADING,
 	PHASE_SERVING
 };
@@ -93,21 +72,12 @@
 	enum phase phase;
 	uint64_t epoch;
 	bool announced;
-	uint64_t generation;
-	bool asking; /* a fence append or a page is under way */
-	ogl_time ask_at;
-	uint32_t ask_timeout_ms;
 	ogl_time store_took; /* for the claim */
-	char *after;         /* last key of the page before */
-	bool tail;           /* read on from tail_next, not the newest pages */
-	uint64_t tail_next;
-	ogl_time prepared_at; /* 0 not prepared */
-	GBytes *known;        /* record of the workers to call, or NULL */
-	GHashTable *progress; /* id -> Ogl__CellProgress, while loading */
-	GHashTable *defs;     /* id -> Ogl__CellJob, the same */
-	GHashTable *jobs;     /* id -> struct cell_job */
-	GHashTable *refused;  /* "node token" -> ogl_time, calls refused */
-	GHashTable *rates;    /* team -> struct team_rate */
+	struct cell_loader *loader;
+	struct cell_roster *roster;
+	GHashTable *jobs;    /* id -> struct cell_job */
+	GHashTable *refused; /* "node token" -> ogl_time, calls refused */
+	GHashTable *rates;   /* team -> struct team_rate */
 	struct cell_journal *journal;
 	struct cell_fleet *fleet;
 	struct cell_sched *sched;
@@ -117,25 +87,11 @@
 	ogl_time opened_at;
 	ogl_time wall;
 
-	bool list_loaded;
-	bool listing;
-	bool list_tail; /* read on from list_next, not the newest page */
-	char *list_after;
-	uint64_t list_next;
-	ogl_time list_at;
-	GHashTable *list_seen; /* workers named while the list is loaded */
-
 	struct cell_load load;
 	bool run_pass; /* something came free or came in */
 	ogl_time sweep_at;
 };
 
-/* Belongs to an exchange with the store. */
-struct exchange {
-	struct cell_owner *owner;
-	uint64_t generation;
-};
-
 static void job_changed(
     struct cell_owner *o, struct cell_job *j, bool urgent, ogl_time now);
 
@@ -178,27 +134,6 @@
 	return cell_queue_of_job(o->config, j->def).rank;
 }
 
-static struct exchange *
-exchange_new(struct cell_owner *o)
-{
-	struct exchange *x = g_new(struct exchange, 1);
-
-	x->owner = o;
-	x->generation = o->generation;
-	return x;
-}
-
-/* Frees it; NULL when it belongs to an earlier ownership. */
-static struct cell_owner *
-exchange_end(struct exchange *x)
-{
-	struct cell_owner *o =
-	    x->generation == x->owner->generation ? x->owner : NULL;
-
-	g_free(x);
-	return o;
-}
-
 /* ---- stages ----------------------------------------------------------- */
 
 /* Lists whatever of an occurrence may run now. */
@@ -845,227 +780,13 @@
 	o->run_pass = true;
 }
 
-/* ---- beginning and end ------------------------------------------------ */
-
-static void
-job_free(void *p)
-{
-	cell_job_free(p);
-}
-
-struct cell_owner *
-cell_owner_init(const struct cell_ops *ops, const struct cell_limits *limits,
-    const struct cell_owner_events *events, const struct cell_part *part)
-{
-	struct cell_owner *o = g_new0(struct cell_owner, 1);
-	struct cell_fleet_events fe = {on_ended, on_refused, on_found,
-	    on_found_end, on_up, on_ends_taken, on_answered, on_fleet_outranked,
-	    on_room, o};
-	struct cell_advice_events ae = {
-	    send_ask, stage_of, worker_of, on_advice, o};
-	struct cell_sched_parts sp = {
-	    .ops = ops, .next_run = next_run, .started = on_started, .arg = o};
-	struct cell_escrow_events ee = {send_part, team_part, on_part, o};
-
-	o->ops = ops;
-	o->part = *part;
-	o->limits = limits;
-	o->events = *events;
-	o->jobs =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
-	o->rates =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	o->refused =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	o->list_seen =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	o->journal = cell_journal_init(ops, part->shard, on_lost, o);
-	o->fleet = cell_fleet_init(ops, limits, &fe);
-	o->advice = cell_advice_init(ops, &ae);
-	o->escrow = cell_escrow_init(part->shard, part->shards, &ee);
-	sp.escrow = o->escrow;
-	sp.fleet = o->fleet;
-	sp.advice = o->advice;
-	o->sched = cell_sched_init(&sp);
-	return o;
-}
-
-static void
-def_free(void *p)
-{
-	ogl__cell_job__free_unpacked(p, NULL);
-}
-
-static void
-progress_free(void *p)
-{
-	ogl__cell_progress__free_unpacked(p, NULL);
-}
-
-void
-cell_owner_end(struct cell_owner *o)
-{
-	cell_owner_close(o, 0);
-	cell_sched_end(o->sched);
-	cell_escrow_end(o->escrow);
-	cell_advice_end(o->advice);
-	cell_fleet_end(o->fleet);
-	cell_journal_end(o->journal);
-	g_hash_table_unref(o->jobs);
-	g_hash_table_unref(o->rates);
-	g_hash_table_unref(o->refused);
-	g_hash_table_unref(o->list_seen);
-	cell_config_unref(o->config);
-	g_free(o);
-}
-
-static void
-forget_read(struct cell_owner *o)
-{
-	g_clear_pointer(&o->known, g_bytes_unref);
-	g_clear_pointer(&o->progress, g_hash_table_unref);
-	g_clear_pointer(&o->defs, g_hash_table_unref);
-	g_clear_pointer(&o->after, g_free);
-	o->tail = false;
-	o->prepared_at = 0;
-}
-
-/* Begins to read the jobs from the first page on. */
-static void
-begin_reading(struct cell_owner *o, ogl_time now)
-{
-	forget_read(o);
-	o->asking = false;
-	o->ask_at = now;
-	o->progress = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, progress_free);
-	o->defs =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, def_free);
-}
-
-void
-cell_owner_prepare(struct cell_owner *o, ogl_time now)
-{
-	if (o->phase != PHASE_CLOSED)
-		return;
-	o->phase = PHASE_PREPARING;
-	o->generation++;
-	o->ask_timeout_ms = ASK_TIMEOUT_MS;
-	o->opened_at = now;
-	begin_reading(o, now);
-}
-
-bool
-cell_owner_prepared(const struct cell_owner *o, ogl_time now)
-{
-	return o->phase == PHASE_PREPARING && o->prepared_at != 0 &&
-	       now - o->prepared_at < PREPARED_MAX;
-}
-
-void
-cell_owner_open(
-    struct cell_owner *o, uint64_t epoch, ogl_time store_took, ogl_time now)
-{
-	ogl_time ask_ms = store_took / OGL_MS * ASK_TIMES;
-	bool prepared = cell_owner_prepared(o, now);
-
-	o->generation++;
-	o->phase = PHASE_FENCING;
-	o->epoch = epoch;
-	o->asking = false;
-	o->ask_at = now;
-	o->store_took = store_took;
-	o->ask_timeout_ms =
-	    (uint32_t)CLAMP(ask_ms, ASK_TIMEOUT_MS, ASK_TIMEOUT_MAX_MS);
-	o->settled = false;
-	o->opened_at = now;
-	o->list_loaded = false;
-	o->listing = false;
-	o->list_tail = false;
-	o->list_at = now;
-	if (!prepared)
-		begin_reading(o, now);
-	o->prepared_at = 0;
-}
-
-void
-cell_owner_close(struct cell_owner *o, ogl_time now)
-{
-	if (o->phase == PHASE_CLOSED)
-		return;
-	o->phase = PHASE_CLOSED;
-	o->generation++;
-	cell_journal_close(o->journal, now);
-	cell_fleet_close(o->fleet);
-	cell_escrow_close(o->escrow);
-	cell_advice_clear(o->advice);
-	cell_sched_clear(o->sched);
-	g_hash_table_remove_all(o->jobs);
-	g_hash_table_remove_all(o->list_seen);
-	forget_read(o);
-	g_clear_pointer(&o->list_after, g_free);
-}
-
-void
-cell_owner_config(struct cell_owner *o, struct cell_config *c)
-{
-	cell_config_ref(c);
-	cell_config_unref(o->config);
-	o->config = c;
-	cell_sched_config(o->sched, c);
-	o->run_pass = true;
-}
-
 /* ---- taking over ------------------------------------------------------ */
 
-static void
-ask_missed(struct cell_owner *o, enum ogl_io io)
-{
-	if (io == OGL_IO_LOST)
-		o->ask_timeout_ms =
-		    MIN(o->ask_timeout_ms * 2, ASK_TIMEOUT_MAX_MS);
-}
-
-static void
-on_fenced(void *arg, const struct cell_append_answer *a, ogl_time now)
-{
-	struct cell_owner *o = exchange_end(arg);
-
-	if (o == NULL)
-		return;
-	o->asking = false;
-	o->ask_at = now + RETRY;
-	if (a->outranked) {
-		o->events.outranked(o->events.arg, now);
-		return;
-	}
-	if (a->io != OGL_IO_OK) {
-		ask_missed(o, a->io);
-		return;
-	}
-	o->phase = PHASE_LOADING;
-	o->ask_at = now;
-}
-
-static void
-send_fence(struct cell_owner *o)
-{
-	struct cell_append a = {.stream = CELL_JOBS,
-	    .shard = o->part.shard,
-	    .fenced = true,
-	    .epoch = o->epoch,
-	    .at = -1,
-	    .timeout_ms = o->ask_timeout_ms};
-
-	o->asking = true;
-	o->ops->append(o->ops->outside, &a, on_fenced, exchange_new(o));
-}
-
 /* Pages may bring a job's two records in either order. */
 static void
-load_job(struct cell_owner *o, const char *id, Ogl__CellJob *def, ogl_time now)
+load_job(struct cell_owner *o, Ogl__CellJob *def, const Ogl__CellProgress *p,
+    ogl_time now)
 {
-	Ogl__CellProgress *p = g_hash_table_lookup(o->progress, id);
 	ogl_time age = o->wall - (ogl_time)def->accepted_ms * OGL_MS;
 	struct cell_job *j;
 
@@ -1081,54 +802,37 @@
 }
 
 static void
-load_jobs(struct cell_owner *o, ogl_time now)
+load_jobs(struct cell_owner *o, const struct cell_loaded *l, ogl_time now)
 {
 	GHashTableIter it;
 	gpointer id, def;
 
-	g_hash_table_iter_init(&it, o->defs);
+	g_hash_table_iter_init(&it, l->defs);
 	while (g_hash_table_iter_next(&it, &id, &def)) {
-		load_job(o, id, def, now);
+		load_job(o, def, g_hash_table_lookup(l->progress, id), now);
 		g_hash_table_iter_steal(&it);
 		g_free(id);
 	}
 }
 
-static void
-load_def(struct cell_owner *o, const char *id, struct ogl_str value)
-{
-	Ogl__CellJob *def =
-	    ogl__cell_job__unpack(NULL, value.n, (const uint8_t *)value.p);
-	const char *why = "";
-
-	if (def != NULL && strcmp(def->id, id) == 0 &&
-	    cell_job_def_valid(def, &why)) {
-		g_hash_table_replace(o->defs, g_strdup(id), def);
-		return;
-	}
-	o->ops->log(o->ops->ctx, "owner", "record_unreadable", id);
-	if (def != NULL)
-		ogl__cell_job__free_unpacked(def, NULL);
-}
-
 /*
  * The platform's list may lack workers for a while: entries lapse while the
  * store is away, and come back seconds after it.  What runs there is not to be
  * started elsewhere meanwhile.
  */
 static void
-load_workers(struct cell_owner *o, ogl_time now)
+load_workers(struct cell_owner *o, GBytes *record, ogl_time now)
 {
 	gsize n = 0;
 	const uint8_t *value =
-	    o->known != NULL ? g_bytes_get_data(o->known, &n) : NULL;
+	    record != NULL ? g_bytes_get_data(record, &n) : NULL;
 	Ogl__CellKnownWorkers *m =
 	    ogl__cell_known_workers__unpack(NULL, n, value);
 	size_t i;
 
 	if (m == NULL) {
-		o->ops->log(
-		    o->ops->ctx, "owner", "record_unreadable", WORKERS_KEY);
+		o->ops->log(o->ops->ctx, "owner", "record_unreadable",
+		    CELL_WORKERS_KEY);
 		return;
 	}
 	for (i = 0; i < m->n_workers; i++)
@@ -1190,58 +894,21 @@
 	out = g_malloc(n);
 	ogl__cell_known_workers__pack(&m, out);
 	cell_journal_put(
-	    o->journal, WORKERS_KEY, g_bytes_new_take(out, n), now);
+	    o->journal, CELL_WORKERS_KEY, g_bytes_new_take(out, n), now);
 	note_after(o, ids->str, on_workers_stored, 0);
 	g_string_free(ids, TRUE);
 	g_free(known);
 	g_free(list);
 }
 
-/* A record dropped since it was read: the job has ended, or is forgotten. */
-static void
-unload_record(struct cell_owner *o, const struct cell_record *r)
-{
-	g_hash_table_remove(
-	    r->key[0] == 's' ? o->defs : o->progress, r->key + 1);
-}
-
-static void
-load_record(struct cell_owner *o, const struct cell_record *r)
-{
-	const char *id = r->key + 1;
-	Ogl__CellProgress *p;
-
-	if (strcmp(r->key, WORKERS_KEY) == 0 && !r->dropped) {
-		g_clear_pointer(&o->known, g_bytes_unref);
-		o->known = g_bytes_new(r->value.p, r->value.n);
-		return;
-	}
-	if (strlen(r->key) != CELL_ID_LEN + 1)
-		return;
-	if (r->dropped) {
-		unload_record(o, r);
-		return;
-	}
-	if (r->key[0] == 's') {
-		load_def(o, id, r->value);
-		return;
-	}
-	p = ogl__cell_progress__unpack(
-	    NULL, r->value.n, (const uint8_t *)r->value.p);
-	if (p == NULL)
-		o->ops->log(o->ops->ctx, "owner", "record_unreadable", id);
-	else
-		g_hash_table_replace(o->progress, g_strdup(id), p);
-}
-
 /* Jobs that had ended have only their progress left. */
 static void
-load_ended(struct cell_owner *o)
+load_ended(struct cell_owner *o, GHashTable *progress)
 {
 	GHashTableIter it;
 	gpointer id, p;
 
-	g_hash_table_iter_init(&it, o->progress);
+	g_hash_table_iter_init(&it, progress);
 	while (g_hash_table_iter_next(&it, &id, &p)) {
 		const Ogl__CellProgress *m = p;
 		struct cell_job *j;
@@ -1280,15 +947,15 @@
 }
 
 static void
-loaded(struct cell_owner *o, ogl_time now)
+on_loaded(void *arg, const struct cell_loaded *l, ogl_time now)
 {
+	struct cell_owner *o = arg;
 	GList *all, *at;
 	char text[96];
 
-	load_workers(o, now);
-	load_jobs(o, now);
-	load_ended(o);
-	forget_read(o);
+	load_workers(o, l->workers, now);
+	load_jobs(o, l, now);
+	load_ended(o, l->progress);
 	o->phase = PHASE_SERVING;
 	cell_journal_open(o->journal, o->epoch, o->store_took);
 	cell_fleet_open(o->fleet, o->epoch, now);
@@ -1309,219 +976,157 @@
 	o->ops->log(o->ops->ctx, "owner", "cell_taken_over", text);
 }
 
+/* ---- the list of workers ---------------------------------------------- */
+
 static void
-all_pages_read(struct cell_owner *o, ogl_time now)
+on_loader_outranked(void *arg, ogl_time now)
 {
-	if (o->phase != PHASE_PREPARING) {
-		loaded(o, now);
-		return;
-	}
-	o->prepared_at = now;
-	o->tail = true;
+	struct cell_owner *o = arg;
+
+	o->events.outranked(o->events.arg, now);
 }
 
 static void
-on_jobs_page(void *arg, const struct cell_newest_answer *a, ogl_time now)
+on_entry(
+    void *arg, const char *id, const struct cell_worker_entry *e, ogl_time now)
 {
-	struct cell_owner *o = exchange_end(arg);
-	size_t i;
+	struct cell_owner *o = arg;
 
-	if (o == NULL)
-		return;
-	o->asking = false;
-	if (a->io != OGL_IO_OK) {
-		o->ask_at = now + RETRY;
-		ask_missed(o, a->io);
-		return;
-	}
-	o->ask_at = now;
-	/* What changes while the pages are read is read once more after them. */
-	if (o->after == NULL)
-		o->tail_next = a->end;
-	for (i = 0; i < a->n; i++)
-		load_record(o, &a->records[i]);
-	if (a->n > 0) {
-		g_free(o->after);
-		o->after = g_strdup(a->records[a->n - 1].key);
-	}
-	if (!a->more) {
-		g_clear_pointer(&o->after, g_free);
-		all_pages_read(o, now);
-	}
+	if (e == NULL ||
+	    cell_shard_of_worker(e->rack, id, o->part.shards) == o->part.shard)
+		cell_fleet_entry(o->fleet, id, e, now);
 }
 
-/* What was written after the first page of PREPARING. */
+/* A whole list does not name what it no longer holds. */
 static void
-on_jobs_tail(void *arg, const struct cell_read_answer *a, ogl_time now)
+on_roster(void *arg, GHashTable *named, ogl_time now)
 {
-	struct cell_owner *o = exchange_end(arg);
-	size_t i;
+	struct cell_owner *o = arg;
+	GList *ids = g_hash_table_get_keys(cell_fleet_workers(o->fleet));
+	GList *at;
 
-	if (o == NULL)
-		return;
-	o->asking = false;
-	if (a->io != OGL_IO_OK) {
-		o->ask_at = now + RETRY;
-		ask_missed(o, a->io);
-		return;
-	}
-	o->ask_at = now;
-	if (a->trimmed) {
-		begin_reading(o, now);
-		return;
-	}
-	for (i = 0; i < a->n; i++) {
-		load_record(o, &a->records[i]);
-		o->tail_next = a->records[i].offset + 1;
+	for (at = ids; at != NULL; at = at->next) {
+		if (!g_hash_table_contains(named, at->data))
+			cell_fleet_entry(o->fleet, at->data, NULL, now);
 	}
-	if (o->tail_next >= a->end)
-		loaded(o, now);
-	else if (a->n == 0)
-		o->tail_next = a->end; /* unreadable to its end */
+	g_list_free(ids);
 }
 
+/* ---- beginning and end ------------------------------------------------ */
+
 static void
-step_takeover(struct cell_owner *o, ogl_time now)
+job_free(void *p)
 {
-	struct cell_newest q = {.stream = CELL_JOBS,
-	    .shard = o->part.shard,
-	    .after = o->after,
-	    .timeout_ms = o->ask_timeout_ms};
+	cell_job_free(p);
+}
 
-	struct cell_read r = {.stream = CELL_JOBS,
-	    .shard = o->part.shard,
-	    .from = o->tail_next,
-	    .timeout_ms = o->ask_timeout_ms};
+struct cell_owner *
+cell_owner_init(const struct cell_ops *ops, const struct cell_limits *limits,
+    const struct cell_owner_events *events, const struct cell_part *part)
+{
+	struct cell_owner *o = g_new0(struct cell_owner, 1);
+	struct cell_fleet_events fe = {on_ended, on_refused, on_found,
+	    on_found_end, on_up, on_ends_taken, on_answered, on_fleet_outranked,
+	    on_room, o};
+	struct cell_advice_events ae = {
+	    send_ask, stage_of, worker_of, on_advice, o};
+	struct cell_sched_parts sp = {
+	    .ops = ops, .next_run = next_run, .started = on_started, .arg = o};
+	struct cell_loader_events le = {on_loader_outranked, on_loaded, o};
+	struct cell_roster_events re = {on_entry, on_roster, o};
+	struct cell_escrow_events ee = {send_part, team_part, on_part, o};
 
-	if (o->asking || now < o->ask_at)
-		return;
-	if (o->phase == PHASE_FENCING) {
-		send_fence(o);
-	} else if (o->phase == PHASE_PREPARING && o->prepared_at != 0) {
-		if (now - o->prepared_at > PREPARED_MAX)
-			cell_owner_close(o, now);
-	} else if (o->phase != PHASE_SERVING) {
-		o->asking = true;
-		if (o->tail)
-			o->ops->read(
-			    o->ops->outside, &r, on_jobs_tail, exchange_new(o));
-		else
-			o->ops->newest(
-			    o->ops->outside, &q, on_jobs_page, exchange_new(o));
-	}
+	o->ops = ops;
+	o->part = *part;
+	o->limits = limits;
+	o->events = *events;
+	o->jobs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+	o->rates =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	o->refused =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	o->journal = cell_journal_init(ops, part->shard, on_lost, o);
+	o->fleet = cell_fleet_init(ops, limits, &fe);
+	o->advice = cell_advice_init(ops, &ae);
+	o->loader = cell_loader_init(ops, part->shard, &le);
+	o->roster = cell_roster_init(ops, &re);
+	o->escrow = cell_escrow_init(part->shard, part->shards, &ee);
+	sp.escrow = o->escrow;
+	sp.fleet = o->fleet;
+	sp.advice = o->advice;
+	o->sched = cell_sched_init(&sp);
+	return o;
 }
 
-/* ---- the list of workers ---------------------------------------------- */
-
-static bool
-of_other_shard(const struct cell_owner *o, const struct cell_record *r)
+void
+cell_owner_end(struct cell_owner *o)
 {
-	return cell_shard_of_worker(r->worker->rack, r->key, o->part.shards) !=
-	       o->part.shard;
+	cell_owner_close(o, 0);
+	cell_sched_end(o->sched);
+	cell_escrow_end(o->escrow);
+	cell_advice_end(o->advice);
+	cell_fleet_end(o->fleet);
+	cell_roster_end(o->roster);
+	cell_loader_end(o->loader);
+	cell_journal_end(o->journal);
+	g_hash_table_unref(o->jobs);
+	g_hash_table_unref(o->rates);
+	g_hash_table_unref(o->refused);
+	cell_config_unref(o->config);
+	g_free(o);
 }
 
-/* Entries that can't be read name no worker to use. */
-static void
-take_entry(struct cell_owner *o, const struct cell_record *r, ogl_time now)
+void
+cell_owner_prepare(struct cell_owner *o, ogl_time now)
 {
-	if (r->dropped || r->worker == NULL) {
-		cell_fleet_entry(o->fleet, r->key, NULL, now);
-		return;
-	}
-	if (of_other_shard(o, r))
-		return;
-	cell_fleet_entry(o->fleet, r->key, r->worker, now);
-	g_hash_table_add(o->list_seen, g_strdup(r->key));
+	if (o->phase == PHASE_CLOSED)
+		cell_loader_prepare(o->loader, now);
 }
 
-/* A whole list does not name what it no longer holds. */
-static void
-drop_unseen(struct cell_owner *o, ogl_time now)
+bool
+cell_owner_prepared(const struct cell_owner *o, ogl_time now)
 {
-	GList *ids = g_hash_table_get_keys(cell_fleet_workers(o->fleet));
-	GList *at;
-
-	for (at = ids; at != NULL; at = at->next) {
-		if (!g_hash_table_contains(o->list_seen, at->data))
-			cell_fleet_entry(o->fleet, at->data, NULL, now);
-	}
-	g_list_free(ids);
+	return cell_loader_prepared(o->loader, now);
 }
 
-static void
-on_list_page(void *arg, const struct cell_newest_answer *a, ogl_time now)
+void
+cell_owner_open(
+    struct cell_owner *o, uint64_t epoch, ogl_time store_took, ogl_time now)
 {
-	struct cell_owner *o = exchange_end(arg);
-	size_t i;
-
-	if (o == NULL)
-		return;
-	o->listing = false;
-	if (a->io != OGL_IO_OK) {
-		o->list_at = now + RETRY;
-		return;
-	}
-	if (o->list_after == NULL) {
-		o->list_next = a->end;
-		g_hash_table_remove_all(o->list_seen);
-	}
-	for (i = 0; i < a->n; i++)
-		take_entry(o, &a->records[i], now);
-	if (a->more && a->n > 0) {
-		g_free(o->list_after);
-		o->list_after = g_strdup(a->records[a->n - 1].key);
-		o->list_at = now;
-		return;
-	}
-	g_clear_pointer(&o->list_after, g_free);
-	drop_unseen(o, now);
-	o->list_tail = true;
-	o->list_loaded = true;
-	o->list_at = now + LIST_EVERY;
+	o->phase = PHASE_LOADING;
+	o->epoch = epoch;
+	o->store_took = store_took;
+	o->settled = false;
+	o->opened_at = now;
+	cell_loader_open(o->loader, epoch, store_took, now);
+	cell_roster_open(o->roster, now);
 }
 
-static void
-on_list_tail(void *arg, const struct cell_read_answer *a, ogl_time now)
+void
+cell_owner_close(struct cell_owner *o, ogl_time now)
 {
-	struct cell_owner *o = exchange_end(arg);
-	size_t i;
-
-	if (o == NULL)
-		return;
-	o->listing = false;
-	o->list_at = now + LIST_EVERY;
-	if (a->io != OGL_IO_OK)
-		return;
-	if (a->trimmed) {
-		o->list_tail = false;
-		o->list_at = now;
+	if (o->phase == PHASE_CLOSED)
 		return;
-	}
-	for (i = 0; i < a->n; i++) {
-		take_entry(o, &a->records[i], now);
-		o->list_next = MAX(o->list_next, a->records[i].offset + 1);
-	}
+	o->phase = PHASE_CLOSED;
+	cell_loader_close(o->loader);
+	cell_roster_close(o->roster);
+	cell_journal_close(o->journal, now);
+	cell_fleet_close(o->fleet);
+	cell_escrow_close(o->escrow);
+	cell_advice_clear(o->advice);
+	cell_sched_clear(o->sched);
+	g_hash_table_remove_all(o->jobs);
 }
 
-static void
-step_list(struct cell_owner *o, ogl_time now)
+void
+cell_owner_config(struct cell_owner *o, struct cell_config *c)
 {
-	struct cell_read r = {.stream = CELL_WORKERS,
-	    .from = o->list_next,
-	    .timeout_ms = LIST_TIMEOUT_MS};
-	struct cell_newest q = {.stream = CELL_WORKERS,
-	    .after = o->list_after,
-	    .timeout_ms = LIST_TIMEOUT_MS};
-
-	if (o->listing || now < o->list_at)
-		return;
-	o->listing = true;
-	if (o->list_tail)
-		o->ops->read(
-		    o->ops->outside, &r, on_list_tail, exchange_new(o));
-	else
-		o->ops->newest(
-		    o->ops->outside, &q, on_list_page, exchange_new(o));
+	cell_config_ref(c);
+	cell_config_unref(o->config);
+	o->config = c;
+	cell_sched_config(o->sched, c);
+	o->run_pass = true;
 }
 
 /* ---- calls ------------------------------------------------------------ */
@@ -1904,7 +1509,8 @@
 	gpointer p;
 	char text[64];
 
-	if (o->settled || !o->list_loaded || !cell_fleet_settled(o->fleet, now))
+	if (o->settled || !cell_roster_loaded(o->roster) ||
+	    !cell_fleet_settled(o->fleet, now))
 		return;
 	o->settled = true;
 	o->run_pass = true;
@@ -2035,15 +1641,11 @@
     ogl_time now, ogl_time wall)
 {
 	o->wall = wall;
-	if (o->phase == PHASE_CLOSED)
-		return;
-	step_takeover(o, now);
-	if (o->phase <= PHASE_PREPARING)
-		return;
-	step_list(o, now);
+	cell_loader_step(o->loader, now);
+	cell_roster_step(o->roster, now);
 	if (o->phase != PHASE_SERVING)
 		return;
-	if (o->list_loaded && cell_fleet_names_changed(o->fleet))
+	if (cell_roster_loaded(o->roster) && cell_fleet_names_changed(o->fleet))
 		store_workers(o, now);
 	cell_journal_step(o->journal, now);
 	if (!may_act)
