--- a/cell/advice.c
+++ b/cell/advice.c
@@ -20,6 +20,7 @@
 #define SLACK_MS 700 /* beyond the expected time, for the way and back */
 /* Tickets are not used in their last moments: the start takes a way too. */
 #define TICKET_MARGIN (120 * OGL_MS)
+#define TOKEN_BITS 32 /* questions of one epoch; no owner asks so many */
 /* A node that let a question go unanswered rests. */
 #define LANE_REST (1500 * OGL_MS)
 
@@ -98,6 +99,13 @@
 	g_hash_table_remove_all(a->lanes);
 }
 
+void
+cell_advice_open(struct cell_advice *a, uint64_t epoch)
+{
+	cell_advice_clear(a);
+	a->last_token = epoch << TOKEN_BITS;
+}
+
 void
 cell_advice_node(struct cell_advice *a, const char *addr, ogl_time now)
 {
--- a/cell/advice.h
+++ b/cell/advice.h
@@ -27,6 +27,9 @@
     const struct cell_ops *ops, const struct cell_advice_events *events);
 void cell_advice_end(struct cell_advice *a);
 
+void cell_advice_open(struct cell_advice *a, uint64_t epoch);
+/* Forgets all questions and numbers new ones by the epoch: a late answer to an
+ * earlier owner, or to an earlier process of this node, meets none of them. */
 void cell_advice_clear(struct cell_advice *a);
 /* Forgets all questions. */
 
--- a/cell/escrow.c
+++ b/cell/escrow.c
@@ -209,7 +209,8 @@
 	if (t->known && part <= t->held)
 		return;
 	t->wanted = MIN(part + AHEAD, CELL_PART_WHOLE);
-	if (now >= t->ask_at)
+	/* Another report would make the grant on its way void. */
+	if (now >= t->ask_at && !t->unanswered)
 		report(e, t, now);
 	else
 		set_asks(e, t, true);
@@ -459,7 +460,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct team *t = v;
 
-		if (t->asks && now >= t->ask_at)
+		if (t->asks && !t->unanswered && now >= t->ask_at)
 			report(e, t, now);
 		if (sweep)
 			step_team(e, t, now);
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -960,6 +960,7 @@
 	cell_journal_open(o->journal, o->epoch, o->store_took);
 	cell_fleet_open(o->fleet, o->epoch, now);
 	cell_escrow_open(o->escrow, o->epoch);
+	cell_advice_open(o->advice, o->epoch);
 	all = g_hash_table_get_values(o->jobs);
 	for (at = all; at != NULL; at = at->next) {
 		struct cell_job *j = at->data;
--- a/test/test_cell_escrow.cc
+++ b/test/test_cell_escrow.cc
@@ -183,12 +183,30 @@
 	Message grant = wire_.front();
 
 	wire_.pop_front();
-	want(one_, 400000);
-	wire_.clear();
+	pass(200, bank_);
 	deliver(grant);
 	EXPECT_EQ(before, part(one_));
 }
 
+/* More work for the team comes in while a report is on its way.  A second report
+ * would make the first one's grant void, and on a slow network, with work coming
+ * in all the time, none would ever count: the team's jobs would wait with its
+ * limit unused. */
+TEST_F(Escrow, MoreWorkDoesNotVoidAGrantOnItsWay)
+{
+	want(one_, 100000);
+	settle();
+	want(one_, 300000);
+	ASSERT_EQ(1U, wire_.size());
+	now_ += 50 * kMs;
+	cell_escrow_want(holders_[one_].e, "team", 500000, now_);
+	EXPECT_EQ(1U, wire_.size());
+	settle();
+	EXPECT_GE(part(one_), 300000U);
+	pass(200);
+	EXPECT_GE(part(one_), 500000U);
+}
+
 /* The owner of a shard is replaced, and most of a limit may still run there.
  * The new one gets what its predecessor held, no more. */
 TEST_F(Escrow, ANewOwnerGetsWhatItsPredecessorHeld)
