An unanswered read is not an owner's silence

Silence counts now only when the stream was read after it. Lead.AReadWithoutAnAnswerIsNotTheOwnersSilence failed first.

--- a/cell/lead.c
+++ b/cell/lead.c
@@ -707,21 +707,36 @@
 	return ms;
 }
 
+/* Whether the stream was read after the owner should have been heard of again.
+ * A read that just is not answered yet tells nothing. */
+static bool
+silent(struct seat *s, ogl_time now)
+{
+	struct cell_lead *l = s->lead;
+	bool dead = now - s->dead_hint < SILENCE_DEAD;
+	ogl_time due = s->last_news + (dead ? SILENCE_DEAD : SILENCE);
+
+	if (now <= due)
+		return false;
+	if (l->confirmed_at > due)
+		return true;
+	cell_lead_probe(l, now);
+	return false;
+}
+
 /* Plans a claim when nobody owns the shard, or its owner is silent. */
 static void
 watch(struct seat *s, ogl_time now)
 {
-	bool dead = now - s->dead_hint < SILENCE_DEAD;
-	bool silent = now - s->last_news > (dead ? SILENCE_DEAD : SILENCE);
-	bool vacant = s->owner == NULL && s->epoch > 0;
+	bool vacant = s->owner == NULL || s->epoch == 0;
 
 	if (s->own || s->claiming || s->reading || now < s->rest_until ||
 	    s->claim_at != OGL_NEVER)
 		return;
-	if (!vacant && !silent && s->epoch > 0)
-		return;
 	if (!cell_lead_reads(s->lead, now))
 		return;
+	if (!vacant && !silent(s, now))
+		return;
 	s->claim_at = now + claim_delay(s) * OGL_MS;
 }
 
--- a/test/test_cell_lead.cc
+++ b/test/test_cell_lead.cc
@@ -328,6 +328,28 @@
 	EXPECT_EQ(1, claims()[0].at) << "only if nobody claimed since";
 }
 
+/* The part of the store that holds the heartbeats answers nobody any more, while
+ * claims are still taken.  The read that waits has not failed yet; taken for an
+ * owner's silence, it made another node claim, and a new owner that can't
+ * announce itself starts nothing. */
+TEST_F(Lead, AReadWithoutAnAnswerIsNotTheOwnersSilence)
+{
+	begin(1);
+	read(false, 1);
+	for (int i = 0; i < 40; i++) {
+		pass(40);
+		cell_lead_step(lead_, now_);
+	}
+	EXPECT_EQ(0U, claims().size());
+	ASSERT_NE(nullptr, store_.probe);
+	answer_probe(false);
+	for (int i = 0; i < 10; i++) {
+		pass(40);
+		cell_lead_step(lead_, now_);
+	}
+	EXPECT_EQ(1U, claims().size());
+}
+
 /* The store itself is away: nobody can have claimed, no silence counts, and
  * the owner that was known stays. */
 TEST_F(Lead, AStoreThatIsAwayBringsNoClaim)
