--- a/cell/lead.c
+++ b/cell/lead.c
@@ -35,8 +35,9 @@
  * or slow append does not. */
 #define BEAT (400 * OGL_MS)
 #define SILENCE (1300 * OGL_MS)
-/* If besides nothing listens at the owner's address, its process has ended
- * (or a cut looks like it): one missed beat is enough then. */
+/* If besides nothing listens at the owner's address, or it answers no pings, its
+ * process has ended or its machine gone (or a cut looks like it): one missed
+ * beat is enough then. */
 #define SILENCE_DEAD (650 * OGL_MS)
 /* An owner whose beats are not taken for so long says so to its peers. */
 #define ABLE_MAX (750 * OGL_MS)
--- a/cell/lead.h
+++ b/cell/lead.h
@@ -71,7 +71,8 @@
 /* A peer knows who owns the shard in that epoch. */
 
 void cell_lead_hint_dead(struct cell_lead *l, uint32_t shard, ogl_time now);
-/* Nothing listens at the owner's address: a shorter silence is enough. */
+/* Nothing listens at the owner's address, or it answers no pings: a shorter
+ * silence is enough. */
 
 bool cell_lead_able(const struct cell_lead *l, uint32_t shard, ogl_time now);
 /* Whether this node owns the shard and its heartbeats are taken. */
--- a/cell/node.c
+++ b/cell/node.c
@@ -19,6 +19,8 @@
 #define MUCH_STRONGER 1.7
 #define STRONGER_FOR (2500 * OGL_MS)
 #define PING (250 * OGL_MS)
+/* Two pings unanswered: the owner's machine may have gone without a word. */
+#define PONG_DEAD (550 * OGL_MS)
 /* A ping unanswered for so long: the connection is not trusted any more. */
 #define PONG_MAX (900 * OGL_MS)
 /* An heir is trusted while it was heard of within this time. */
@@ -625,13 +627,14 @@
 
 	if (owner == NULL || now < part->ping_at)
 		return;
+	if (n->ops->peer_refused(n->ops->ctx, owner) ||
+	    now - part->pong_at > PONG_DEAD)
+		cell_lead_hint_dead(n->lead, part->shard, now);
 	if (now - part->pong_at > PONG_MAX) {
 		n->ops->count(n->ops->ctx, "peer_resets", 1);
 		n->ops->peer_reset(n->ops->ctx, owner);
 		part->pong_at = now;
 	}
-	if (n->ops->peer_refused(n->ops->ctx, owner))
-		cell_lead_hint_dead(n->lead, part->shard, now);
 	part->ping_at = now + PING;
 	send_ping(part, owner, lends_lane(part), now);
 }
