--- a/cell/node.c
+++ b/cell/node.c
@@ -23,6 +23,8 @@
 #define PONG_DEAD (550 * OGL_MS)
 /* A ping unanswered for so long: the connection is not trusted any more. */
 #define PONG_MAX (900 * OGL_MS)
+/* Told of a configuration without proof; any receiver takes it for stale. */
+#define CONFIG_AGE_MAX_MS 3600000
 /* An heir is trusted while it was heard of within this time. */
 #define HEIR_FRESH (600 * OGL_MS)
 /* A stopping owner gives its shard up if the heir has not taken it by then: the
@@ -278,11 +280,12 @@
     ogl_time now)
 {
 	struct cell_front_config c = cell_front_known(n->front);
+	ogl_time age_ms = (now - c.as_of) / OGL_MS + 1;
 
 	if (!p->cut_off || c.version == 0)
 		return;
 	pong->config = c.version;
-	pong->config_age_ms = (uint32_t)((now - c.as_of) / OGL_MS) + 1;
+	pong->config_age_ms = (uint32_t)MIN(age_ms, CONFIG_AGE_MAX_MS);
 	if (c.version <= p->config)
 		return;
 	pong->config_record.data = (uint8_t *)(uintptr_t)c.record.p;
