--- a/test/test_cell_lead.cc
+++ b/test/test_cell_lead.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,7 @@
 	std::string value;
 	cell_append_fn *done;
 	void *arg;
+	std::shared_ptr<bool> answered;
 };
 
 /* A store of which the test hands out one answer at a time. */
@@ -45,8 +47,8 @@
 	auto *p =
 	    static_cast<const char *>(g_bytes_get_data(a->puts[0].value, &n));
 
-	s->written.push_back(
-	    {a->stream, a->shard, a->at, std::string(p, n), done, arg});
+	s->written.push_back({a->stream, a->shard, a->at, std::string(p, n),
+	    done, arg, std::make_shared<bool>(false)});
 }
 
 void
@@ -125,8 +127,14 @@
 		events_.arg = this;
 	}
 
+	/* Every exchange ends in one answer. */
 	void TearDown() override
 	{
+		struct cell_append_answer lost = {};
+
+		lost.io = OGL_IO_LOST;
+		for (size_t i = 0; i < store_.written.size(); i++)
+			answer(store_.written[i], lost);
 		cell_lead_end(lead_);
 	}
 
@@ -217,6 +225,14 @@
 		store_.probe(store_.arg, &a, now_);
 	}
 
+	void answer(const Append &a, const struct cell_append_answer &with)
+	{
+		if (*a.answered)
+			return;
+		*a.answered = true;
+		a.done(a.arg, &with, now_);
+	}
+
 	/* Claims shard 0, which nobody owns, in epoch 1. */
 	void win()
 	{
@@ -226,7 +242,7 @@
 		struct cell_append_answer ok = {};
 
 		ok.io = OGL_IO_OK;
-		c.done(c.arg, &ok, now_);
+		answer(c, ok);
 		ASSERT_EQ(1U, won_);
 		cell_lead_step(lead_, now_);
 	}
@@ -381,7 +397,7 @@
 	struct cell_append_answer lost = {};
 
 	lost.io = OGL_IO_LOST;
-	c.done(c.arg, &lost, now_);
+	answer(c, lost);
 	ASSERT_NE(nullptr, store_.claims);
 	show(c.value, 2);
 	EXPECT_EQ(2U, won_);
@@ -402,7 +418,7 @@
 
 	moved.io = OGL_IO_REFUSED;
 	moved.moved = true;
-	c.done(c.arg, &moved, now_);
+	answer(c, moved);
 	ASSERT_NE(nullptr, store_.claims);
 	show_claim(2);
 	EXPECT_EQ(0U, won_);
@@ -456,7 +472,7 @@
 
 	ASSERT_EQ(CELL_LEAD, beat.stream);
 	ok.io = OGL_IO_OK;
-	beat.done(beat.arg, &ok, now_);
+	answer(beat, ok);
 	EXPECT_TRUE(cell_lead_announced(lead_, 0));
 }
 
