--- a/cell/job.h
+++ b/cell/job.h
@@ -39,6 +39,18 @@
 	uint64_t born_ms; /* life of the worker that it was given for */
 };
 
+/* Why tasks whose turn has come are not running. */
+enum cell_wait {
+	CELL_WAIT_NOT,    /* they run, or nothing was tried yet */
+	CELL_WAIT_STORE,  /* the job is not on the store yet */
+	CELL_WAIT_SETTLE, /* an earlier owner may have started them */
+	CELL_WAIT_LIMIT,  /* the team has running what it may */
+	CELL_WAIT_ADVICE, /* no worker is known to be allowed yet */
+	CELL_WAIT_TICKET, /* allowed workers have room, tickets ran out */
+	CELL_WAIT_ROOM,   /* no allowed worker has room */
+	CELL_WAIT_APART   /* those with room have enough of the step */
+};
+
 struct cell_stage {
 	struct cell_job *job;
 	uint32_t occurrence;
@@ -53,6 +65,8 @@
 	GHashTable *good;  /* worker -> struct cell_good; NULL until asked */
 	GHashTable *asked; /* set of workers whose answer is known */
 	bool asking;
+	enum cell_wait waits; /* why it waits, as last logged */
+	ogl_time waits_since;
 	ogl_time blocked_since; /* could not be placed; 0 it could */
 };
 
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -1210,14 +1210,17 @@
 log_accepted(struct cell_owner *o, const struct cell_job *j)
 {
 	char more[200];
+	const struct cell_team *t;
 
 	if (j->def == NULL)
 		return;
+	t = cell_config_team(o->config, j->def->team);
 	g_snprintf(more, sizeof more,
 	    "team=%s queue=%s steps=%zu tasks=%u chain_ms=%.0f work_s=%.1f "
-	    "over_rate=%d",
+	    "over_rate=%d rate=%.2f",
 	    j->def->team, j->def->queue, j->def->n_steps,
-	    j->def->steps[0]->count, j->chain_ms, j->work, j->over);
+	    j->def->steps[0]->count, j->chain_ms, j->work, j->over,
+	    t != NULL ? t->rate : 0);
 	log_job(o, j, "job_accepted", more);
 }
 
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -78,6 +78,7 @@
 	unsigned reserves;
 	GHashTable *limits; /* team -> struct team_state */
 	uint64_t pass;      /* number of the pass under way */
+	uint64_t room_cpu;  /* free on open workers, when it began */
 	GPtrArray *open;    /* workers that may be given work, roomiest first */
 	GPtrArray *buckets[STANDINGS][RANKS]; /* struct cell_stage, this pass */
 	GPtrArray *candidates;                /* scratch: struct cell_worker */
@@ -660,6 +661,64 @@
 		ask_new(s, st, p, now);
 }
 
+/* ---- why a stage waits ------------------------------------------------ */
+
+static const char *
+wait_name(enum cell_wait why)
+{
+	static const char *const names[] = {"not", "store", "settle", "limit",
+	    "advice", "ticket", "room", "apart"};
+
+	return names[why];
+}
+
+/*
+ * One line each time that the reason changes.  A job that ended late is
+ * explained by them: the time between two lines is lost for the first one's
+ * reason.
+ */
+static void
+note_wait(struct cell_sched *s, struct cell_stage *st, enum cell_wait why,
+    ogl_time now)
+{
+	const struct cell_team *t =
+	    cell_config_team(s->config, st->job->def->team);
+	struct ogl_res used =
+	    cell_fleet_team_used(s->parts.fleet, st->job->def->team);
+	char text[256];
+
+	if (st->waits == why)
+		return;
+	g_snprintf(text, sizeof text,
+	    "job=%s task=%u.%u why=%s waiting=%u ms=%" G_GINT64_FORMAT
+	    " room_cpu=%" G_GUINT64_FORMAT " used_cpu=%u max_cpu=%u",
+	    st->job->id, st->occurrence, st->step, wait_name(why),
+	    cell_stage_waiting(st),
+	    st->waits != CELL_WAIT_NOT ? (now - st->waits_since) / OGL_MS : 0,
+	    s->room_cpu, used.cpu_milli, t != NULL ? t->max.cpu_milli : 0);
+	s->parts.ops->log(s->parts.ops->ctx, "owner", "stage_waits", text);
+	st->waits = why;
+	st->waits_since = now;
+}
+
+/* Of a stage that was looked at and not placed whole. */
+static enum cell_wait
+wait_reason(const struct cell_sched *s, const struct cell_stage *st,
+    const struct cell_policy *p)
+{
+	struct ogl_res need = cell_stage_need(st);
+	guint i;
+
+	if (p->needed && g_hash_table_size(st->asked) == 0)
+		return CELL_WAIT_ADVICE;
+	for (i = 0; i < s->candidates->len; i++) {
+		if (cell_worker_fits(s->candidates->pdata[i], &need))
+			return st->def->worker_max > 0 ? CELL_WAIT_APART
+						       : CELL_WAIT_ROOM;
+	}
+	return s->stale->len > 0 ? CELL_WAIT_TICKET : CELL_WAIT_ROOM;
+}
+
 /* ---- placing ---------------------------------------------------------- */
 
 static bool
@@ -802,9 +861,12 @@
 		/* The answer will be there by the time it may start. */
 		if (g_hash_table_size(st->asked) == 0)
 			seek_advice(s, st, &q->policy, now);
+		note_wait(s, st,
+		    st->job->stored ? CELL_WAIT_SETTLE : CELL_WAIT_STORE, now);
 		return PLACED;
 	}
 	if (!team_allows(s, st, tasks, rank, now)) {
+		note_wait(s, st, CELL_WAIT_LIMIT, now);
 		wait_for_limit(s, st, q, rank, stand, now);
 		return LIMITED;
 	}
@@ -816,11 +878,13 @@
 		placed = place_tasks(s, st, rank, now);
 	if (placed) {
 		st->blocked_since = 0;
+		note_wait(s, st, CELL_WAIT_NOT, now);
 		cell_sched_remove(st);
 		return PLACED;
 	}
 	if (st->blocked_since == 0)
 		st->blocked_since = now;
+	note_wait(s, st, wait_reason(s, st, &q->policy), now);
 	seek_advice(s, st, &q->policy, now);
 	if (st->def->gang && stand == 0)
 		reserve(s, st, rank, policy);
@@ -857,6 +921,7 @@
 	gpointer p;
 
 	s->pass++;
+	s->room_cpu = 0;
 	g_ptr_array_set_size(s->open, 0);
 	g_hash_table_iter_init(&it, cell_fleet_workers(s->parts.fleet));
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
@@ -866,6 +931,7 @@
 			continue;
 		w->open_pass = s->pass;
 		w->reserved = 0;
+		s->room_cpu += room_of(w).cpu_milli;
 		g_ptr_array_add(s->open, w);
 	}
 	g_ptr_array_sort(s->open, by_room);
