--- /dev/null
+++ b/cell/ablate.h
@@ -0,0 +1,21 @@
+/*
+ * Mechanisms that a build can leave out, to measure what each is worth:
+ * cmake -DOGL_OFF="moves;pace".  No setting reaches them.
+ */
+
+#ifndef OGL_CELL_ABLATE_H
+#define OGL_CELL_ABLATE_H
+
+#ifdef OGL_OFF_PACE
+#define CELL_USES_PACE 0 /* work in a hurry to fast workers */
+#else
+#define CELL_USES_PACE 1
+#endif
+
+#ifdef OGL_OFF_MOVES
+#define CELL_USES_MOVES 0 /* stragglers start again elsewhere */
+#else
+#define CELL_USES_MOVES 1
+#endif
+
+#endif
--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -65,9 +65,9 @@
 	const struct cell_ops *ops;
 	const struct cell_limits *limits;
 	struct cell_fleet_events events;
-	GHashTable *workers;   /* id -> struct cell_worker */
-	GHashTable *teams;     /* name -> struct ogl_res, what may run */
-	struct cell_pace pace; /* of all workers */
+	GHashTable *workers; /* id -> struct cell_worker */
+	GHashTable *teams;   /* name -> struct ogl_res, what may run */
+	double sound_pace;   /* of workers that are well */
 	bool open;
 	uint64_t epoch;
 	uint64_t generation;
@@ -129,6 +129,7 @@
 	f->ops = ops;
 	f->limits = limits;
 	f->events = *events;
+	f->sound_pace = 1;
 	f->workers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, worker_free);
 	f->teams =
@@ -372,7 +373,7 @@
 double
 cell_fleet_pace(const struct cell_fleet *f, const struct cell_worker *w)
 {
-	return cell_pace_relative(&w->pace, &f->pace);
+	return cell_pace_relative(&w->pace, f->sound_pace);
 }
 
 bool
@@ -575,8 +576,8 @@
 	return NULL;
 }
 
-static GPtrArray *
-list_runs(const struct cell_worker *w)
+GPtrArray *
+cell_worker_runs(const struct cell_worker *w)
 {
 	GPtrArray *a = g_ptr_array_sized_new(g_hash_table_size(w->runs));
 	GHashTableIter it;
@@ -623,7 +624,7 @@
 lose_runs(struct cell_fleet *f, struct cell_worker *w,
     const struct cell_hold_answer *new_life, ogl_time now)
 {
-	GPtrArray *a = list_runs(w);
+	GPtrArray *a = cell_worker_runs(w);
 	guint i;
 
 	for (i = 0; i < a->len; i++) {
@@ -705,8 +706,8 @@
 
 	if (step == NULL || step->gang || step->lasting)
 		return;
-	cell_pace_look(&w->pace, &f->pace, &r->progress, clock_ms, r->percent,
-	    step->estimate_ms);
+	cell_pace_look(&w->pace, f->sound_pace, &r->progress, clock_ms,
+	    r->percent, step->estimate_ms);
 }
 
 static void
@@ -764,7 +765,7 @@
 take_missing(struct cell_fleet *f, struct cell_worker *w, GHashTable *seen,
     ogl_time sent, ogl_time now)
 {
-	GPtrArray *a = list_runs(w);
+	GPtrArray *a = cell_worker_runs(w);
 	guint i;
 
 	for (i = 0; i < a->len; i++) {
@@ -1044,6 +1045,53 @@
 		send_stop(f, r, now);
 }
 
+void
+cell_fleet_compare(struct cell_fleet *f)
+{
+	GArray *values = g_array_new(FALSE, FALSE, sizeof(double));
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, f->workers);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct cell_worker *w = p;
+
+		if (cell_pace_known(&w->pace))
+			g_array_append_val(values, w->pace.value);
+	}
+	f->sound_pace = cell_pace_sound(values);
+	g_array_unref(values);
+}
+
+void
+cell_fleet_still(struct cell_fleet *f, struct cell_worker *w)
+{
+	cell_pace_still(&w->pace, f->sound_pace);
+}
+
+void
+cell_fleet_fade(struct cell_fleet *f, struct cell_worker *w)
+{
+	cell_pace_fade(&w->pace, f->sound_pace);
+}
+
+void
+cell_fleet_move(
+    struct cell_fleet *f, struct cell_run *r, const char *why, ogl_time now)
+{
+	char text[256];
+
+	g_snprintf(text, sizeof text,
+	    "job=%s task=%u.%u.%u run=%" G_GUINT64_FORMAT
+	    " worker=%s why=%s percent=%u pace=%.2f",
+	    r->name.id, r->name.occurrence, r->name.step, r->name.index,
+	    r->number, r->worker->id, why, r->percent,
+	    cell_fleet_pace(f, r->worker));
+	f->ops->log(f->ops->ctx, "fleet", "run_moved", text);
+	f->ops->count(f->ops->ctx, "runs_moved", 1);
+	cell_fleet_stop(f, r, now);
+}
+
 /* The start came to nothing for certain. */
 static void
 run_refused(struct cell_fleet *f, struct cell_run *r, enum cell_refusal why,
@@ -1272,7 +1320,7 @@
 
 	if (g_hash_table_size(w->runs) == 0)
 		return;
-	a = list_runs(w);
+	a = cell_worker_runs(w);
 	for (i = 0; i < a->len; i++)
 		step_run(f, a->pdata[i], now);
 	g_ptr_array_unref(a);
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -173,6 +173,19 @@
 void cell_fleet_stop(struct cell_fleet *f, struct cell_run *r, ogl_time now);
 /* Orders a stop; ended is called once it is over. */
 
+void cell_fleet_still(struct cell_fleet *f, struct cell_worker *w);
+/* A run of the worker stands still: counts against its pace. */
+
+void cell_fleet_fade(struct cell_fleet *f, struct cell_worker *w);
+/* The worker runs nothing: what is known of its pace grows old. */
+
+void cell_fleet_move(
+    struct cell_fleet *f, struct cell_run *r, const char *why, ogl_time now);
+/* Stops a run so that its task can run on another worker. */
+
+GPtrArray *cell_worker_runs(const struct cell_worker *w);
+/* A new list of its runs, which may end while it is gone through. */
+
 void cell_fleet_noted(struct cell_fleet *f, struct cell_worker *w,
     uint64_t life, uint64_t number);
 /* Ends up to number of that life are stored. */
@@ -189,7 +202,11 @@
 /* Whether it may be given work. */
 
 double cell_fleet_pace(const struct cell_fleet *f, const struct cell_worker *w);
-/* How long the worker takes, against the mean of all; 1 normal or not known. */
+/* How long the worker takes, against workers that are well; 1 as they, or not
+ * known. */
+
+void cell_fleet_compare(struct cell_fleet *f);
+/* Learns anew what workers that are well take. */
 
 bool cell_worker_fits(const struct cell_worker *w, const struct ogl_res *need);
 
--- a/cell/job.h
+++ b/cell/job.h
@@ -27,8 +27,9 @@
 	struct cell_run *active; /* NULL: nothing runs or may run */
 	struct cell_run *copy;   /* a second one, where that is allowed */
 	bool supposed;           /* it may run on a worker not heard of yet */
-	char *avoid;  /* worker where the last attempt failed; NULL none */
-	ogl_time due; /* not started before */
+	char *avoid;    /* worker where the last attempt failed; NULL none */
+	ogl_time due;   /* not started before */
+	uint32_t moves; /* times it was stopped to run elsewhere */
 };
 
 /* A worker that the queue's policy allows to run the stage. */
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -21,6 +21,7 @@
 #include "owner.h"
 #include "roster.h"
 #include "schedule.h"
+#include "straggler.h"
 
 /* Ended jobs are kept this much longer than callers are promised. */
 #define KEEP_MARGIN_MS 20000
@@ -30,6 +31,7 @@
 /* A gang of which some members were found running and others not is stopped
  * if it is not whole after this time. */
 #define GANG_REPAIR (600 * OGL_MS)
+#define STRAGGLERS (200 * OGL_MS)
 #define BUSY_RETRY_MS 500
 /* Longer than any repeat of a call can be on its way. */
 #define REFUSAL_KEPT (10 * OGL_SEC)
@@ -90,6 +92,7 @@
 	struct cell_load load;
 	bool run_pass; /* something came free or came in */
 	ogl_time sweep_at;
+	ogl_time stragglers_at;
 };
 
 static void job_changed(
@@ -1634,6 +1637,15 @@
 	o->run_pass = true;
 }
 
+static void
+move_stragglers(struct cell_owner *o, ogl_time now)
+{
+	if (now < o->stragglers_at || o->config == NULL)
+		return;
+	o->stragglers_at = now + STRAGGLERS;
+	cell_straggler_step(o->fleet, o->sched, now);
+}
+
 void
 cell_owner_announced(struct cell_owner *o, bool announced)
 {
@@ -1662,6 +1674,7 @@
 	cell_escrow_step(o->escrow, now);
 	settle(o, now);
 	sweep(o, now);
+	move_stragglers(o, now);
 	if (o->run_pass && cell_sched_due(o->sched, now)) {
 		o->run_pass = false;
 		cell_sched_pass(o->sched, now);
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -20,6 +20,7 @@
 
 #include <string.h>
 
+#include "ablate.h"
 #include "schedule.h"
 
 #define RANKS 4
@@ -66,11 +67,15 @@
  * what it will take. */
 #define HURRY 2.0
 
+/* Room counts as spare when no stage missed it for so long. */
+#define SPARE_FOR (300 * OGL_MS)
+
 /* What passes remember of a team. */
 struct team_state {
 	ogl_time urgent_at;      /* last try of rank 0 that its limit refused */
 	uint64_t pass;           /* that the numbers below are of */
 	unsigned limited[RANKS]; /* stages that its limit refused */
+	ogl_time limited_at;     /* last of them */
 };
 
 /* What became of one look at a stage. */
@@ -87,6 +92,7 @@
 	unsigned reserves;
 	GHashTable *limits; /* team -> struct team_state */
 	uint64_t pass;      /* number of the pass under way */
+	ogl_time missed_at; /* last time that a stage found no room */
 	uint64_t room_cpu;  /* free on open workers, when it began */
 	GPtrArray *open;    /* workers that may be given work, roomiest first */
 	GPtrArray *buckets[STANDINGS][RANKS]; /* struct cell_stage, this pass */
@@ -104,6 +110,7 @@
 	int i, k;
 
 	s->parts = *parts;
+	s->missed_at = CELL_LONG_AGO;
 	s->open = g_ptr_array_new();
 	s->stale = g_ptr_array_new();
 	for (i = 0; i < STANDINGS; i++) {
@@ -388,6 +395,8 @@
 {
 	double pace = cell_fleet_pace(s->parts.fleet, w);
 
+	if (!CELL_USES_PACE)
+		return 0;
 	if (pace > PACE_SLOW)
 		return PACE_SLOW_COST * pace;
 	return s->hurry ? PACE_COST * pace : -PACE_COST * pace;
@@ -526,6 +535,7 @@
 	if (t == NULL) {
 		t = g_new0(struct team_state, 1);
 		t->urgent_at = CELL_LONG_AGO;
+		t->limited_at = CELL_LONG_AGO;
 		g_hash_table_insert(s->limits, g_strdup(team), t);
 	}
 	if (t->pass != s->pass) {
@@ -872,6 +882,7 @@
 {
 	struct team_state *t = state_of(s, st->job->def->team);
 
+	t->limited_at = now;
 	if (rank == 0 && stand % 3 < TOO_LATE)
 		t->urgent_at = now;
 	if (t->limited[rank]++ >= LIMITED_ASKS &&
@@ -989,6 +1000,8 @@
 			misses = 0;
 			break;
 		case MISSED:
+			if (st->waits == CELL_WAIT_ROOM)
+				s->missed_at = now;
 			misses++;
 			break;
 		case LIMITED:
@@ -1027,6 +1040,40 @@
 	}
 }
 
+static bool
+is_room(const struct cell_sched *s, const struct cell_stage *st,
+    const struct cell_worker *w, ogl_time now)
+{
+	struct ogl_res need = cell_stage_need(st);
+
+	return cell_worker_open(w, now) && suits(st, w) &&
+	       cell_worker_fits(w, &need) &&
+	       cell_fleet_pace(s->parts.fleet, w) < PACE_SLOW;
+}
+
+bool
+cell_sched_has_room(struct cell_sched *s, struct cell_stage *st,
+    const struct cell_worker *other, ogl_time now)
+{
+	bool policy = queue_of(s, st->job)->policy.needed;
+	const struct team_state *t = state_of(s, st->job->def->team);
+	GHashTableIter it;
+	gpointer p;
+
+	if (now - s->missed_at < SPARE_FOR || now - t->limited_at < SPARE_FOR)
+		return false;
+	g_hash_table_iter_init(&it, cell_fleet_workers(s->parts.fleet));
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct cell_worker *w = p;
+
+		if (w == other || !is_room(s, st, w, now))
+			continue;
+		if (!policy || cell_advice_good(st, w) != NULL)
+			return true;
+	}
+	return false;
+}
+
 bool
 cell_sched_due(const struct cell_sched *s, ogl_time now)
 {
--- a/cell/schedule.h
+++ b/cell/schedule.h
@@ -42,6 +42,13 @@
 bool cell_sched_due(const struct cell_sched *s, ogl_time now);
 /* Whether the last pass is long enough ago. */
 
+bool cell_sched_has_room(struct cell_sched *s, struct cell_stage *st,
+    const struct cell_worker *other, ogl_time now);
+/* Whether a worker other than that one, and no slower than most, could be given
+ * a task of the stage now, but for a ticket that may have to be asked anew, and
+ * nothing else waits for the room or for its team's limit: what is stopped then
+ * would lose its place. */
+
 size_t cell_sched_waiting(const struct cell_sched *s);
 /* Stages that wait. */
 
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -34,6 +34,7 @@
 #define GANG_WAIT_US (3 * OGL_SEC)
 #define LEASE_MAX_MS 10000
 #define SAVE_MS 500
+#define SLOW_TIMES 6
 /* A limit may go unseen for as long as faults keep nodes from the store. */
 #define LIMIT_SLACK_US (12 * OGL_SEC)
 
@@ -96,6 +97,8 @@
 	bool working;
 	uint32_t run_ms;
 	uint32_t done_ms; /* work saved before this run */
+	uint32_t slow;    /* times as long as on a worker that is well */
+	bool hangs;
 	ogl_time began;
 	bool fails;
 	bool checkpoints;
@@ -980,7 +983,9 @@
 {
 	if (!r->working)
 		return r->done_ms;
-	return r->done_ms + (uint32_t)((f->now - r->began) / OGL_MS);
+	if (r->hangs)
+		return r->done_ms;
+	return r->done_ms + (uint32_t)((f->now - r->began) / OGL_MS) / r->slow;
 }
 
 static void
@@ -1127,8 +1132,11 @@
 
 	r->working = true;
 	r->began = f->now;
-	if (r->lasting && !fails)
+	r->slow = w->fault == FAKE_WORKER_SLOW ? SLOW_TIMES : 1;
+	r->hangs = w->fault == FAKE_WORKER_HANGING;
+	if ((r->lasting && !fails) || r->hangs)
 		return;
+	left *= r->slow;
 	plan_end(f, w, r, (fails ? left / 2 + 1 : left) * OGL_MS,
 	    fails ? CELL_END_FAILED : CELL_END_DONE);
 }
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -111,7 +111,9 @@
 	FAKE_WORKER_DARK,    /* cut off, runs on */
 	FAKE_WORKER_CRASHED, /* gone with all it ran, entry lapses */
 	FAKE_WORKER_FAILING, /* ends every run as failed */
-	FAKE_WORKER_LATE     /* carries orders out seconds later, unanswered */
+	FAKE_WORKER_LATE,    /* carries orders out seconds later, unanswered */
+	FAKE_WORKER_SLOW,    /* what it begins takes six times as long */
+	FAKE_WORKER_HANGING  /* what it begins makes no progress */
 };
 
 void fake_cell_worker(
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -192,7 +192,8 @@
 		    {"well", FAKE_WORKER_WELL}, {"dark", FAKE_WORKER_DARK},
 		    {"crashed", FAKE_WORKER_CRASHED},
 		    {"failing", FAKE_WORKER_FAILING},
-		    {"late", FAKE_WORKER_LATE}};
+		    {"late", FAKE_WORKER_LATE}, {"slow", FAKE_WORKER_SLOW},
+		    {"hanging", FAKE_WORKER_HANGING}};
 
 		return m.at(s);
 	}
