An overdue append is sent again while its first answer is still awaited

Cause: when the store turns slow from one moment to the next (59 times, 0.36 s an append), the answer in hand was given up after 150 ms, then after 300 ms, and waited for anew each time: no job was accepted for 1.2 s. And an append that took over 0.4 s counted as a failing store, so new jobs were refused by a store that took all. Ruled out: a longer first timeout, which costs as much where answers are lost.

--- a/cell/journal.c
+++ b/cell/journal.c
@@ -5,6 +5,10 @@
  * its number, until the store answers, which takes effect once.  Only an
  * append that the store has refused each time it was sent is known not to have
  * happened; then the submissions in it can be refused truthfully.
+ *
+ * An answer that is overdue may be lost or only slow, as when the store takes
+ * sixty times as long from one moment to the next.  So the append is sent again
+ * while its first answer is still waited for, and whichever comes first counts.
  */
 
 #include <string.h>
@@ -16,14 +20,19 @@
 #define GAP (15 * OGL_MS)
 /* Changes that nobody waits for are written within this time. */
 #define LAZY (250 * OGL_MS)
-/* The store answers in 4 ms when well, so an answer missing for so long is
- * lost; a repeat costs little and is taken once.  On slow days answers take up
- * to 60 times as long, so each miss doubles it. */
-#define TIMEOUT_MIN_MS 150
-#define TIMEOUT_MAX_MS 2400
+/* An answer missing for so long is overdue.  Each sending doubles it. */
+#define OVERDUE_MIN_MS 150
+#define OVERDUE_MAX_MS 2400
+/* An answer is waited for so long. */
+#define TIMEOUT_MS 2400
+/* Sendings of one append whose answers are awaited. */
+#define SENDINGS_MAX 4
 #define RETRY (100 * OGL_MS)
 /* From here on new submissions are refused instead of waiting. */
 #define FAILING (400 * OGL_MS)
+/* A store that is slow but takes all is not failing: an append may take so many
+ * times what the last one took. */
+#define FAILING_TIMES 2
 #define BATCH_BYTES ((size_t)512 * 1024) /* a quarter of the store's bound */
 
 struct waiter {
@@ -42,7 +51,8 @@
 	uint64_t epoch;
 	uint64_t generation; /* tells late answers of an earlier epoch */
 	uint64_t seq;
-	uint32_t timeout_ms;
+	uint64_t number; /* counts batches, also those that took a seq again */
+	uint32_t overdue_ms;
 	GPtrArray *marked; /* struct cell_job, to go with the next append */
 	GHashTable *extra; /* key -> GBytes, the same */
 	GHashTable *batch_extra; /* what of it is in the batch */
@@ -54,18 +64,20 @@
 	GPtrArray *batch_jobs;
 	GArray *batch_waiters;
 	bool has_batch;
-	bool sent;      /* its answer is awaited */
-	bool uncertain; /* an earlier sending may have taken effect */
-	ogl_time retry_at;
-	ogl_time sent_at;
+	uint32_t awaited;  /* sendings whose answers are missing */
+	bool uncertain;    /* a sending without answer may take effect */
+	ogl_time retry_at; /* sent again then */
+	ogl_time sent_at;  /* first */
+	ogl_time took;     /* by the last one, from first sending to answer */
 	ogl_time last_ok;
 	ogl_time failing_since; /* 0: the last append was taken */
 };
 
-/* Says which epoch an answer belongs to. */
+/* Says which append of which epoch an answer belongs to. */
 struct sending {
 	struct cell_journal *journal;
 	uint64_t generation;
+	uint64_t number;
 };
 
 static void
@@ -134,18 +146,18 @@
 	g->urgent_at = OGL_NEVER;
 	g->lazy_at = OGL_NEVER;
 	g->has_batch = false;
-	g->sent = false;
+	g->awaited = 0;
 	g->uncertain = false;
 	g->failing_since = 0;
 }
 
 /* Several times what the store takes, so that a slow answer is not lost. */
 static uint32_t
-timeout_for(ogl_time took)
+overdue_for(ogl_time took)
 {
 	ogl_time ms = took / OGL_MS * 4;
 
-	return (uint32_t)CLAMP(ms, TIMEOUT_MIN_MS, TIMEOUT_MAX_MS);
+	return (uint32_t)CLAMP(ms, OVERDUE_MIN_MS, OVERDUE_MAX_MS);
 }
 
 void
@@ -155,7 +167,8 @@
 	g->open = true;
 	g->epoch = epoch;
 	g->seq = 0;
-	g->timeout_ms = timeout_for(store_took);
+	g->overdue_ms = overdue_for(store_took);
+	g->took = store_took;
 	g->generation++;
 }
 
@@ -269,7 +282,8 @@
 {
 	if (g->failing_since != 0 && now - g->failing_since > FAILING)
 		return true;
-	return g->sent && now - g->sent_at > FAILING;
+	return g->awaited > 0 &&
+	       now - g->sent_at > MAX(FAILING, FAILING_TIMES * g->took);
 }
 
 static bool
@@ -361,7 +375,11 @@
 	}
 	g->has_batch = true;
 	g->uncertain = false;
+	g->awaited = 0;
+	g->sent_at = now;
+	g->retry_at = now;
 	g->seq++;
+	g->number++;
 }
 
 /* ---- sending ---------------------------------------------------------- */
@@ -382,23 +400,24 @@
 	    .at = -1,
 	    .puts = (const struct cell_put *)(void *)g->batch->data,
 	    .nputs = g->batch->len,
-	    .timeout_ms = g->timeout_ms,
+	    .timeout_ms = TIMEOUT_MS,
 	};
 
 	s->journal = g;
 	s->generation = g->generation;
-	g->sent = true;
-	g->sent_at = now;
+	s->number = g->number;
+	g->awaited++;
+	g->retry_at = now + g->overdue_ms * OGL_MS;
 	g->ops->append(g->ops->outside, &a, on_appended, s);
 }
 
 /* By what the last answer took; it comes down slowly. */
 static void
-adapt_timeout(struct cell_journal *g, ogl_time took)
+adapt_overdue(struct cell_journal *g)
 {
-	uint32_t slowly = g->timeout_ms - g->timeout_ms / 4;
+	uint32_t slowly = g->overdue_ms - g->overdue_ms / 4;
 
-	g->timeout_ms = MAX(timeout_for(took), slowly);
+	g->overdue_ms = MAX(overdue_for(g->took), slowly);
 }
 
 static void
@@ -409,7 +428,8 @@
 	g_hash_table_remove_all(g->batch_extra);
 	g->has_batch = false;
 	g->failing_since = 0;
-	adapt_timeout(g, now - g->sent_at);
+	g->took = now - g->sent_at;
+	adapt_overdue(g);
 	tell(g->batch_waiters, CELL_STORED, now);
 }
 
@@ -504,12 +524,11 @@
 {
 	if (g->failing_since == 0)
 		g->failing_since = g->sent_at;
-	g->retry_at = now + RETRY;
-	if (a->io == OGL_IO_LOST) {
+	if (a->io == OGL_IO_LOST)
 		g->uncertain = true;
-		g->timeout_ms = MIN(g->timeout_ms * 2, TIMEOUT_MAX_MS);
-		g->retry_at = now;
-	}
+	if (g->awaited > 0)
+		return;
+	g->retry_at = a->io == OGL_IO_LOST ? now : now + RETRY;
 	if (!g->uncertain)
 		batch_refused(g, now);
 }
@@ -520,15 +539,18 @@
 	struct sending *s = arg;
 	struct cell_journal *g = s->journal;
 	bool current = s->generation == g->generation;
+	bool of_batch = current && g->has_batch && s->number == g->number;
 
 	g_free(s);
 	if (!current)
 		return;
-	g->sent = false;
 	if (a->outranked) {
 		g->lost(g->arg, now);
 		return;
 	}
+	if (!of_batch)
+		return; /* another sending of it was answered before */
+	g->awaited--;
 	if (a->io == OGL_IO_OK) {
 		batch_stored(g, now);
 		g->last_ok = now;
@@ -537,15 +559,22 @@
 	}
 }
 
+/* When the batch is to be sent, again or for the first time. */
+static ogl_time
+batch_wake(const struct cell_journal *g)
+{
+	return g->awaited < SENDINGS_MAX ? g->retry_at : OGL_NEVER;
+}
+
 ogl_time
 cell_journal_wake(const struct cell_journal *g)
 {
 	ogl_time due;
 
-	if (!g->open || g->sent)
+	if (!g->open)
 		return OGL_NEVER;
 	if (g->has_batch)
-		return g->retry_at;
+		return batch_wake(g);
 	if (nothing_marked(g) && g->waiters->len == 0)
 		return OGL_NEVER;
 	due = MIN(g->urgent_at, g->lazy_at);
@@ -567,6 +596,8 @@
 		if (nothing_marked(g))
 			return;
 		make_batch(g, now);
+	} else if (g->awaited > 0) {
+		g->overdue_ms = MIN(g->overdue_ms * 2, OVERDUE_MAX_MS);
 	}
 	send_batch(g, now);
 }
