--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -34,6 +34,14 @@
  * may take, so it is short; a busy worker answers long before. */
 #define HOLD_WAIT_MS 450
 #define HOLD_TIMEOUT_MS 800
+/* A worker whose answers are lost now and then is asked in short holds for a
+ * while, or its ends would be known up to 0.8 s late. */
+#define LOSSY (2 * OGL_SEC)
+#define LOSSY_WAIT_MS 100
+#define LOSSY_TIMEOUT_MS 250
+/* After a change of owner everything waits for the first answer of each worker.
+ * The question may be repeated freely, so it is, soon; each miss doubles it. */
+#define FIRST_TIMEOUT_MS 150
 /* Ends within this time of each other are fetched with one hold. */
 #define HOLD_GAP (20 * OGL_MS)
 /* A hold whose ends are not stored yet would return at once with the same
@@ -261,9 +269,9 @@
 
 	g_snprintf(text, sizeof text,
 	    "worker=%s addr=%s life=%" G_GUINT64_FORMAT
-	    " runs=%u failures=%u draining=%d",
+	    " runs=%u failures=%u draining=%d hold_ms=%" G_GINT64_FORMAT,
 	    w->id, w->addr, w->life, g_hash_table_size(w->runs), w->failures,
-	    w->draining);
+	    w->draining, w->hold_took / OGL_MS);
 	f->ops->log(f->ops->ctx, "fleet", event, text);
 }
 
@@ -895,6 +903,8 @@
 		f->events.outranked(f->events.arg, now);
 		return;
 	}
+	if (a->io == OGL_IO_LOST)
+		w->lossy_until = now + LOSSY;
 	if (w->failures == 0)
 		log_worker(f, w, "worker_silent");
 	count_failure(w, now);
@@ -921,6 +931,7 @@
 
 	if (c->generation == f->generation && c->number == w->hold_number) {
 		w->holding = false;
+		w->hold_took = now - c->sent;
 		if (a->io == OGL_IO_OK)
 			take_hold(f, c, a, now);
 		else
@@ -952,6 +963,24 @@
 	return w->failures == 0 && w->last_seen > w->acked ? w->last_seen : 0;
 }
 
+/* How long the worker may wait with its answer, and we for it. */
+static void
+hold_times(
+    const struct cell_worker *w, struct cell_hold *h, bool renew, ogl_time now)
+{
+	bool lossy = now < w->lossy_until;
+
+	if (!w->fenced) {
+		h->timeout_ms = MIN(
+		    FIRST_TIMEOUT_MS << MIN(w->failures, 4), ORDER_TIMEOUT_MS);
+	} else if (!renew || w->hurry) {
+		h->timeout_ms = lossy ? LOSSY_TIMEOUT_MS : ORDER_TIMEOUT_MS;
+	} else {
+		h->wait_ms = lossy ? LOSSY_WAIT_MS : HOLD_WAIT_MS;
+		h->timeout_ms = lossy ? LOSSY_TIMEOUT_MS : HOLD_TIMEOUT_MS;
+	}
+}
+
 static void
 send_hold(struct cell_fleet *f, struct cell_worker *w, ogl_time now)
 {
@@ -961,12 +990,9 @@
 	    .to = {w->addr, w->id, f->epoch},
 	    .last_seen = acknowledge(w),
 	    .until_ms = renew && may_renew(w) ? lease_end(f, w, now) : 0,
-	    .wait_ms = w->fenced && renew && !w->hurry ? HOLD_WAIT_MS : 0,
-	    .timeout_ms = HOLD_TIMEOUT_MS,
 	};
 
-	if (h.wait_ms == 0)
-		h.timeout_ms = ORDER_TIMEOUT_MS;
+	hold_times(w, &h, renew, now);
 	c->fleet = f;
 	c->worker = w;
 	c->generation = f->generation;
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -86,9 +86,11 @@
 	uint64_t hold_number; /* of the hold whose answer counts */
 	bool holding;         /* a hold is under way */
 	ogl_time hold_sent;
-	ogl_time hold_at;  /* next hold not before */
-	ogl_time last_ok;  /* last answer of any kind */
-	uint32_t failures; /* holds in a row without an answer */
+	ogl_time lossy_until; /* an answer was lost shortly before */
+	ogl_time hold_took;   /* the last one, answered or not */
+	ogl_time hold_at;     /* next hold not before */
+	ogl_time last_ok;     /* last answer of any kind */
+	uint32_t failures;    /* holds in a row without an answer */
 	uint32_t refusals; /* of them at the end, those nobody listened to, */
 	ogl_time refused_since; /* since then */
 	bool gone;              /* its process has ended */
--- /dev/null
+++ b/test/test_cell_fleet.cc
@@ -0,0 +1,143 @@
+/* Holds as the owner sends them, driven answer by answer. */
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+extern "C" {
+#include "fleet.h"
+}
+
+namespace
+{
+
+struct Hold {
+	uint32_t wait_ms;
+	uint32_t timeout_ms;
+	cell_hold_fn *done;
+	void *arg;
+};
+
+struct Worker {
+	std::vector<Hold> holds;
+	int ended = 0;
+};
+
+void
+on_hold(void *ctx, const struct cell_hold *h, cell_hold_fn *done, void *arg)
+{
+	static_cast<Worker *>(ctx)->holds.push_back(
+	    {h->wait_ms, h->timeout_ms, done, arg});
+}
+
+class Fleet : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		struct cell_fleet_events e = {};
+		struct cell_worker_entry entry = {};
+		char service[] = "svc", addr[] = "10.9.0.1:80", none[] = "";
+
+		ops_.hold = on_hold;
+		ops_.outside = &worker_;
+		ops_.log = [](void *, const char *, const char *,
+			       const char *) {};
+		ops_.count = [](void *, const char *, uint64_t) {};
+		limits_.lease_max_ms = 10000;
+		e.answered = [](void *, struct cell_worker *, ogl_time) {};
+		e.room = [](void *, ogl_time) {};
+		e.found = [](void *arg, struct cell_worker *w,
+			      const struct cell_row *row, ogl_time now) {
+			auto *t = static_cast<Fleet *>(arg);
+
+			cell_fleet_stray(t->fleet_, w, row, now);
+		};
+		e.arg = this;
+		ops_.stop = [](void *, const struct cell_order *,
+				cell_order_fn *, void *) {};
+		fleet_ = cell_fleet_init(&ops_, &limits_, &e);
+		cell_fleet_open(fleet_, 1, now_);
+		entry.service = service;
+		entry.addr = addr;
+		entry.zone = none;
+		entry.rack = none;
+		entry.capacity.cpu_milli = 16000;
+		cell_fleet_entry(fleet_, "w", &entry, now_);
+	}
+
+	void TearDown() override
+	{
+		cell_fleet_end(fleet_);
+	}
+
+	/* Lets time pass; the hold sent meanwhile. */
+	Hold step(ogl_time ms)
+	{
+		now_ += ms * OGL_MS;
+		cell_fleet_step(fleet_, now_);
+		return worker_.holds.back();
+	}
+
+	void answer(enum ogl_io io, size_t running)
+	{
+		struct cell_hold_answer a = {};
+		struct cell_row row = {};
+		Hold h = worker_.holds.back();
+
+		a.io = io;
+		a.born_ms = 7;
+		a.clock_ms = static_cast<uint64_t>(now_ / OGL_MS);
+		row.run = 1;
+		row.checkpoint = "";
+		a.running = &row;
+		a.nrunning = running;
+		h.done(h.arg, &a, now_);
+	}
+
+	Worker worker_;
+	struct cell_ops ops_ = {};
+	struct cell_limits limits_ = {};
+	struct cell_fleet *fleet_ = nullptr;
+	ogl_time now_ = 100 * OGL_SEC;
+};
+
+/*
+ * After all nodes were killed, a worker's answer to the new owner's first
+ * question is lost.  Nothing of earlier jobs is started before that answer, so
+ * callers of the whole cell would wait for as long as the owner does.
+ */
+TEST_F(Fleet, TheFirstQuestionIsRepeatedSoon)
+{
+	Hold first = step(10);
+
+	EXPECT_EQ(0u, first.wait_ms);
+	EXPECT_EQ(150u, first.timeout_ms);
+	answer(OGL_IO_LOST, 0);
+	EXPECT_EQ(300u, step(10).timeout_ms);
+	answer(OGL_IO_LOST, 0);
+	EXPECT_EQ(600u, step(200).timeout_ms);
+	answer(OGL_IO_LOST, 0);
+	EXPECT_EQ(600u, step(200).timeout_ms);
+}
+
+/*
+ * A worker loses some of its answers.  An end that is told in a lost one stays
+ * unknown until the hold is given up; with the usual long ones the next step of
+ * a short job would begin 0.8 s late.
+ */
+TEST_F(Fleet, AWorkerThatLosesAnswersIsAskedInShortHolds)
+{
+	step(10);
+	answer(OGL_IO_OK, 1);
+	EXPECT_EQ(450u, step(10).wait_ms);
+	answer(OGL_IO_LOST, 0);
+	EXPECT_EQ(100u, step(10).wait_ms);
+	EXPECT_EQ(250u, worker_.holds.back().timeout_ms);
+	answer(OGL_IO_OK, 1);
+	EXPECT_EQ(100u, step(10).wait_ms);
+	answer(OGL_IO_OK, 1);
+	EXPECT_EQ(450u, step(2500).wait_ms);
+}
+
+} // namespace
