Two stages of a team at its limit keep their tickets fresh, not six

Cause: each question for a long step fills a lane of the advice service for 0.65 s, its ticket lasts 2.5 s, and a team at its limit starts one or two such steps a second; six of each rank kept 1.6 of 8 lanes busy for nothing.

--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -53,7 +53,7 @@
 /* Of the stages that a team's limit keeps waiting, so many of each rank have
  * their tickets kept fresh; for the rest each question would be in vain, and
  * the lanes were full of them (1,888 of 1,892 lane seconds in one day). */
-#define LIMITED_ASKS 6
+#define LIMITED_ASKS 2
 /* A team's work of rank 0 that its limit keeps waiting holds back all else of
  * the team for so long after each try. */
 #define URGENT_FOR (150 * OGL_MS)
