Beyond a team's rate the smallest job goes first

Cause: of what a team sends beyond its rate not all can be in time; oldest first, each waited until it hardly could any more.

--- a/cell/ablate.h
+++ b/cell/ablate.h
@@ -12,6 +12,12 @@
 #define CELL_USES_PACE 1
 #endif
 
+#ifdef OGL_OFF_SMALLEST
+#define CELL_USES_SMALLEST 0 /* beyond a team's rate the smallest job first */
+#else
+#define CELL_USES_SMALLEST 1
+#endif
+
 #ifdef OGL_OFF_MOVES
 #define CELL_USES_MOVES 0 /* stragglers start again elsewhere */
 #else
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -24,8 +24,9 @@
 #include "schedule.h"
 
 #define RANKS 4
-#define STANDINGS 6 /* three, for teams within and beyond their rate */
-#define TOO_LATE 2  /* the last of the three */
+#define STANDINGS 6   /* three, for teams within and beyond their rate */
+#define TOO_LATE 2    /* the last of the three */
+#define BEYOND_RATE 3 /* the first of those beyond their rate */
 /* Objectives are met by work that keeps to its estimate; an estimate is often
  * off by a fifth, so work that would miss by less still goes first. */
 #define HOPE 0.7
@@ -261,7 +262,7 @@
 		class = TOO_LATE;
 	else if (end > objective)
 		class = 1;
-	return j->over ? class + 3 : class;
+	return j->over ? class + BEYOND_RATE : class;
 }
 
 static bool
@@ -963,6 +964,33 @@
 	}
 }
 
+static gint
+by_work(gconstpointer a, gconstpointer b)
+{
+	const struct cell_stage *x = *(struct cell_stage *const *)a;
+	const struct cell_stage *y = *(struct cell_stage *const *)b;
+
+	return x->job->work < y->job->work ? -1 : x->job->work > y->job->work;
+}
+
+/*
+ * Of what a team sends beyond its rate not all can be in time.  Oldest first,
+ * each would wait until it hardly can be any more; the smallest first, the room
+ * that is left serves the most callers.
+ */
+static void
+order_beyond_rate(struct cell_sched *s)
+{
+	uint32_t rank;
+
+	if (!CELL_USES_SMALLEST)
+		return;
+	for (rank = 0; rank < RANKS; rank++) {
+		g_ptr_array_sort(s->buckets[BEYOND_RATE][rank], by_work);
+		g_ptr_array_sort(s->buckets[BEYOND_RATE + 1][rank], by_work);
+	}
+}
+
 static void
 list_open(struct cell_sched *s, ogl_time now)
 {
@@ -1032,6 +1060,7 @@
 	s->reserves = 0;
 	list_open(s, now);
 	fill_buckets(s, now);
+	order_beyond_rate(s);
 	for (stand = 0; stand < STANDINGS; stand += 3) {
 		pass_bucket(s, 0, stand, now);
 		pass_bucket(s, 0, stand + 1, now);
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -35,6 +35,7 @@
 #define LEASE_MAX_MS 10000
 #define SAVE_MS 500
 #define SLOW_TIMES 6
+#define RATE_ANY 1000u
 /* A limit may go unseen for as long as faults keep nodes from the store. */
 #define LIMIT_SLACK_US (12 * OGL_SEC)
 
@@ -425,7 +426,7 @@
 
 /*
  * The fake's own form of what the operator and the workers write: words
- * separated by spaces.  A configuration is `VERSION POLICY ATTEMPTS CPU KEY..`,
+ * separated by spaces.  A configuration is `VERSION POLICY ATTEMPTS CPU RATE KEY..`,
  * an entry `ADDR RACK BORN DRAINING`.
  */
 static struct cell_config *
@@ -450,9 +451,9 @@
 	q->policy.decide_ms = ADVICE_US / 1000.0;
 	q->policy.valid_ms = VALID_MS;
 	t->name = g_strdup(TEAM);
-	t->rate = 1000;
+	t->rate = atoi(w[4]);
 	t->max.cpu_milli = (uint32_t)atoi(w[3]);
-	for (i = 4; w[i] != NULL; i++)
+	for (i = 5; w[i] != NULL; i++)
 		cell_config_add_key(c, w[i], t);
 	g_strfreev(w);
 	g_free(text);
@@ -2192,9 +2193,10 @@
 	GString *s = g_string_new(NULL);
 	size_t i;
 
-	g_string_printf(s, "%" G_GUINT64_FORMAT " %d %u %u",
+	g_string_printf(s, "%" G_GUINT64_FORMAT " %d %u %u %u",
 	    ++f->config_version, f->shape.policy, f->shape.attempts_max,
-	    f->team_cpu);
+	    f->team_cpu,
+	    f->shape.team_rate > 0 ? f->shape.team_rate : RATE_ANY);
 	for (i = 0; i < G_N_ELEMENTS(keys); i++) {
 		if (!g_hash_table_contains(f->revoked, keys[i]))
 			g_string_append_printf(s, " %s", keys[i]);
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -27,6 +27,7 @@
 	uint64_t seed;
 	bool policy;           /* the queues' steps need advice */
 	uint32_t team_cpu_max; /* of the one team, 0 no limit */
+	uint32_t team_rate;    /* its jobs a second, 0 more than any */
 	uint32_t attempts_max;
 };
 
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -225,6 +225,7 @@
 		shape_.unplanned = o.count("unplanned") != 0;
 		shape_.refuses = o.count("refuses") != 0;
 		shape_.team_cpu_max = o.count("max") != 0 ? num(o["max"]) : 0;
+		shape_.team_rate = o.count("rate") != 0 ? num(o["rate"]) : 0;
 		shape_.attempts_max =
 		    o.count("attempts") != 0 ? num(o["attempts"]) : 3;
 		cell_ = fake_cell_init(&shape_);
