--- a/daemon/curl_loop.c
+++ b/daemon/curl_loop.c
@@ -146,7 +146,8 @@
 {
 	struct ogl_curl_loop *l = g_new0(struct ogl_curl_loop, 1);
 
-	curl_global_init(CURL_GLOBAL_DEFAULT);
+	/* Only plain HTTP is spoken: TLS would cost each node memory. */
+	curl_global_init(CURL_GLOBAL_NOTHING);
 	l->loop = loop;
 	l->shape = *shape;
 	ev_init(&l->timer, on_timer);
