Several appends under way to a slow store

Cause: on a store that takes 0.36 s an append, a call waited for the rest of the one under way and then for its own, twice a job: accepted and shown as over 0.53 s after each. Ruled out: starting a job before its append is answered (after the loss of the owner the caller's repeat would start it again beside the first run); showing an end before it is stored (a worker lost with the owner would make it untrue).

--- a/cell/ablate.h
+++ b/cell/ablate.h
@@ -18,6 +18,12 @@
 #define CELL_USES_SMALLEST 1
 #endif
 
+#ifdef OGL_OFF_PIPELINE
+#define CELL_USES_PIPELINE 0 /* several appends under way to a slow store */
+#else
+#define CELL_USES_PIPELINE 1
+#endif
+
 #ifdef OGL_OFF_MOVES
 #define CELL_USES_MOVES 0 /* stragglers start again elsewhere */
 #else
--- a/cell/journal.c
+++ b/cell/journal.c
@@ -1,6 +1,6 @@
 /*
- * One append is under way at a time; what is marked meanwhile goes with the
- * next.  Within an epoch appends are numbered.  An append whose answer is lost
+ * What is marked while an append is under way goes with the next.  Within an
+ * epoch appends are numbered, and the store takes them only in that order.  An append whose answer is lost
  * may have taken effect or may still do so: it is sent again as it was, under
  * its number, until the store answers, which takes effect once.  Only an
  * append that the store has refused each time it was sent is known not to have
@@ -9,10 +9,16 @@
  * An answer that is overdue may be lost or only slow, as when the store takes
  * sixty times as long from one moment to the next.  So the append is sent again
  * while its first answer is still waited for, and whichever comes first counts.
+ *
+ * While the store is well one append is under way at a time.  Where it is slow,
+ * the next is sent before the last one is answered: else a call waits for the
+ * rest of one append and the whole of its own.  The answer to a later one tells
+ * that the earlier ones were taken, too.
  */
 
 #include <string.h>
 
+#include "ablate.h"
 #include "journal.h"
 
 /* Between two appends: each is priced and takes the partition 2 ms, and a
@@ -27,6 +33,9 @@
 #define TIMEOUT_MS 2400
 /* Sendings of one append whose answers are awaited. */
 #define SENDINGS_MAX 4
+/* Appends under way at a time to a slow store, and what counts as slow. */
+#define BATCHES_MAX 3
+#define SLOW (60 * OGL_MS)
 #define RETRY (100 * OGL_MS)
 /* From here on new submissions are refused instead of waiting. */
 #define FAILING (400 * OGL_MS)
@@ -42,6 +51,20 @@
 	struct cell_job *submit; /* NULL: not a submission */
 };
 
+/* One append. */
+struct batch {
+	uint64_t number; /* of the batch; a seq may be used by several */
+	uint64_t seq;
+	GArray *puts;      /* struct cell_put */
+	GPtrArray *jobs;   /* struct cell_job */
+	GArray *waiters;   /* struct waiter */
+	GHashTable *extra; /* key -> GBytes */
+	uint32_t awaited;  /* sendings whose answers are missing */
+	bool uncertain;    /* a sending without answer may take effect */
+	ogl_time retry_at; /* sent again then */
+	ogl_time sent_at;  /* first; 0 not yet */
+};
+
 struct cell_journal {
 	const struct cell_ops *ops;
 	uint32_t shard;
@@ -50,27 +73,21 @@
 	bool open;
 	uint64_t epoch;
 	uint64_t generation; /* tells late answers of an earlier epoch */
-	uint64_t seq;
-	uint64_t number; /* counts batches, also those that took a seq again */
+	uint64_t seq;        /* of the last batch */
+	uint64_t number;     /* the same */
+	bool begun; /* an append of the epoch was taken: the store knows where
+		     * its numbers begin, and takes none before its turn */
 	uint32_t overdue_ms;
-	GPtrArray *marked; /* struct cell_job, to go with the next append */
-	GHashTable *extra; /* key -> GBytes, the same */
-	GHashTable *batch_extra; /* what of it is in the batch */
-	GArray *waiters;         /* struct waiter, for the next append */
-	ogl_time urgent_at;      /* OGL_NEVER: nobody waits */
-	ogl_time lazy_at;
-	/* the append under way or to be repeated */
-	GArray *batch; /* struct cell_put */
-	GPtrArray *batch_jobs;
-	GArray *batch_waiters;
-	bool has_batch;
-	uint32_t awaited;  /* sendings whose answers are missing */
-	bool uncertain;    /* a sending without answer may take effect */
-	ogl_time retry_at; /* sent again then */
-	ogl_time sent_at;  /* first */
-	ogl_time took;     /* by the last one, from first sending to answer */
-	ogl_time last_ok;
+	ogl_time took; /* by the last answered one, from first sending on */
+	ogl_time last_sent_at;
 	ogl_time failing_since; /* 0: the last append was taken */
+	ogl_time retry_at;      /* no new batch before, while that is set */
+	GPtrArray *marked;  /* struct cell_job, to go with the next append */
+	GHashTable *extra;  /* key -> GBytes, the same */
+	GArray *waiters;    /* struct waiter, for the next append */
+	ogl_time urgent_at; /* OGL_NEVER: nobody waits */
+	ogl_time lazy_at;
+	GQueue batches; /* struct batch, not known to be stored, oldest first */
 };
 
 /* Says which append of which epoch an answer belongs to. */
@@ -97,6 +114,31 @@
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
 }
 
+static struct batch *
+batch_new(void)
+{
+	struct batch *b = g_new0(struct batch, 1);
+
+	b->puts = g_array_new(FALSE, FALSE, sizeof(struct cell_put));
+	g_array_set_clear_func(b->puts, put_clear);
+	b->jobs = g_ptr_array_new();
+	b->waiters = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	b->extra = extra_new();
+	return b;
+}
+
+static void
+batch_free(void *p)
+{
+	struct batch *b = p;
+
+	g_array_unref(b->puts);
+	g_ptr_array_unref(b->jobs);
+	g_array_unref(b->waiters);
+	g_hash_table_unref(b->extra);
+	g_free(b);
+}
+
 struct cell_journal *
 cell_journal_init(const struct cell_ops *ops, uint32_t shard,
     void (*lost)(void *arg, ogl_time now), void *arg)
@@ -109,12 +151,8 @@
 	g->arg = arg;
 	g->marked = g_ptr_array_new();
 	g->extra = extra_new();
-	g->batch_extra = extra_new();
 	g->waiters = g_array_new(FALSE, FALSE, sizeof(struct waiter));
-	g->batch = g_array_new(FALSE, FALSE, sizeof(struct cell_put));
-	g_array_set_clear_func(g->batch, put_clear);
-	g->batch_jobs = g_ptr_array_new();
-	g->batch_waiters = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	g_queue_init(&g->batches);
 	g->urgent_at = OGL_NEVER;
 	g->lazy_at = OGL_NEVER;
 	return g;
@@ -125,11 +163,8 @@
 {
 	g_ptr_array_unref(g->marked);
 	g_hash_table_unref(g->extra);
-	g_hash_table_unref(g->batch_extra);
 	g_array_unref(g->waiters);
-	g_array_unref(g->batch);
-	g_ptr_array_unref(g->batch_jobs);
-	g_array_unref(g->batch_waiters);
+	g_queue_clear_full(&g->batches, batch_free);
 	g_free(g);
 }
 
@@ -138,16 +173,10 @@
 {
 	g_ptr_array_set_size(g->marked, 0);
 	g_hash_table_remove_all(g->extra);
-	g_hash_table_remove_all(g->batch_extra);
 	g_array_set_size(g->waiters, 0);
-	g_array_set_size(g->batch, 0);
-	g_ptr_array_set_size(g->batch_jobs, 0);
-	g_array_set_size(g->batch_waiters, 0);
+	g_queue_clear_full(&g->batches, batch_free);
 	g->urgent_at = OGL_NEVER;
 	g->lazy_at = OGL_NEVER;
-	g->has_batch = false;
-	g->awaited = 0;
-	g->uncertain = false;
 	g->failing_since = 0;
 }
 
@@ -165,6 +194,7 @@
 {
 	clear_pending(g);
 	g->open = true;
+	g->begun = false;
 	g->epoch = epoch;
 	g->seq = 0;
 	g->overdue_ms = overdue_for(store_took);
@@ -193,11 +223,15 @@
 void
 cell_journal_close(struct cell_journal *g, ogl_time now)
 {
+	GList *at;
+
 	if (!g->open)
 		return;
 	g->open = false;
 	g->generation++;
-	tell(g->batch_waiters, CELL_FATE_UNKNOWN, now);
+	for (at = g->batches.head; at != NULL; at = at->next)
+		tell(((struct batch *)at->data)->waiters, CELL_FATE_UNKNOWN,
+		    now);
 	tell(g->waiters, CELL_FATE_UNKNOWN, now);
 	clear_pending(g);
 }
@@ -247,12 +281,18 @@
 void
 cell_journal_unmark(struct cell_journal *g, struct cell_job *j)
 {
+	GList *at;
+
 	if (j->dirty)
 		g_ptr_array_remove(g->marked, j);
 	j->dirty = false;
-	g_ptr_array_remove(g->batch_jobs, j);
 	forget_submit(g->waiters, j);
-	forget_submit(g->batch_waiters, j);
+	for (at = g->batches.head; at != NULL; at = at->next) {
+		struct batch *b = at->data;
+
+		g_ptr_array_remove(b->jobs, j);
+		forget_submit(b->waiters, j);
+	}
 }
 
 void
@@ -280,10 +320,12 @@
 bool
 cell_journal_failing(const struct cell_journal *g, ogl_time now)
 {
+	const struct batch *b = g_queue_peek_head((GQueue *)&g->batches);
+
 	if (g->failing_since != 0 && now - g->failing_since > FAILING)
 		return true;
-	return g->awaited > 0 &&
-	       now - g->sent_at > MAX(FAILING, FAILING_TIMES * g->took);
+	return b != NULL && b->awaited > 0 &&
+	       now - b->sent_at > MAX(FAILING, FAILING_TIMES * g->took);
 }
 
 static bool
@@ -295,41 +337,42 @@
 bool
 cell_journal_idle(const struct cell_journal *g)
 {
-	return !g->has_batch && nothing_marked(g) && g->waiters->len == 0;
+	return g->batches.length == 0 && nothing_marked(g) &&
+	       g->waiters->len == 0;
 }
 
 /* ---- putting a batch together ----------------------------------------- */
 
 static void
-add_put(struct cell_journal *g, char prefix, const char *id, GBytes *value)
+add_put(struct batch *b, char prefix, const char *id, GBytes *value)
 {
 	struct cell_put u = {g_strdup_printf("%c%s", prefix, id), value};
 
-	g_array_append_val(g->batch, u);
+	g_array_append_val(b->puts, u);
 }
 
 static size_t
-put_job(struct cell_journal *g, struct cell_job *j)
+put_job(struct batch *b, struct cell_job *j)
 {
 	GBytes *v;
 	size_t n = 0;
 
 	if (j->forget) {
-		add_put(g, 'p', j->id, NULL);
+		add_put(b, 'p', j->id, NULL);
 		return 0;
 	}
 	if (j->write_def && j->def != NULL) {
 		v = cell_job_pack_def(j);
 		n += g_bytes_get_size(v);
-		add_put(g, 's', j->id, v);
+		add_put(b, 's', j->id, v);
 	}
 	if (!j->write_def || j->begun || cell_job_over(j->state)) {
 		v = cell_job_pack_progress(j);
 		n += g_bytes_get_size(v);
-		add_put(g, 'p', j->id, v);
+		add_put(b, 'p', j->id, v);
 	}
 	if (j->drop_def)
-		add_put(g, 's', j->id, NULL);
+		add_put(b, 's', j->id, NULL);
 	j->write_def = false;
 	j->drop_def = false;
 	return n;
@@ -339,9 +382,10 @@
  * Jobs beyond the bound of a batch wait for the next one, and so do all
  * waiters then: each has to know that everything marked before it is stored.
  */
-static void
+static struct batch *
 make_batch(struct cell_journal *g, ogl_time now)
 {
+	struct batch *b = batch_new();
 	size_t bytes = 0;
 	GHashTableIter it;
 	gpointer k, v;
@@ -351,17 +395,16 @@
 	while (g_hash_table_iter_next(&it, &k, &v)) {
 		struct cell_put u = {g_strdup(k), g_bytes_ref(v)};
 
-		g_array_append_val(g->batch, u);
-		g_hash_table_replace(
-		    g->batch_extra, g_strdup(k), g_bytes_ref(v));
+		g_array_append_val(b->puts, u);
+		g_hash_table_replace(b->extra, g_strdup(k), g_bytes_ref(v));
 	}
 	g_hash_table_remove_all(g->extra);
 	for (i = 0; i < g->marked->len && bytes < BATCH_BYTES; i++) {
 		struct cell_job *j = g->marked->pdata[i];
 
-		bytes += put_job(g, j);
+		bytes += put_job(b, j);
 		j->dirty = false;
-		g_ptr_array_add(g->batch_jobs, j);
+		g_ptr_array_add(b->jobs, j);
 	}
 	g_ptr_array_remove_range(g->marked, 0, i);
 	g->urgent_at = OGL_NEVER;
@@ -370,16 +413,15 @@
 		g->urgent_at = now;
 	} else {
 		g_array_append_vals(
-		    g->batch_waiters, g->waiters->data, g->waiters->len);
+		    b->waiters, g->waiters->data, g->waiters->len);
 		g_array_set_size(g->waiters, 0);
 	}
-	g->has_batch = true;
-	g->uncertain = false;
-	g->awaited = 0;
-	g->sent_at = now;
-	g->retry_at = now;
-	g->seq++;
-	g->number++;
+	b->sent_at = now;
+	b->retry_at = now;
+	b->seq = ++g->seq;
+	b->number = ++g->number;
+	g_queue_push_tail(&g->batches, b);
+	return b;
 }
 
 /* ---- sending ---------------------------------------------------------- */
@@ -388,7 +430,7 @@
     void *arg, const struct cell_append_answer *a, ogl_time now);
 
 static void
-send_batch(struct cell_journal *g, ogl_time now)
+send_batch(struct cell_journal *g, struct batch *b, ogl_time now)
 {
 	struct sending *s = g_new(struct sending, 1);
 	struct cell_append a = {
@@ -396,18 +438,19 @@
 	    .shard = g->shard,
 	    .fenced = true,
 	    .epoch = g->epoch,
-	    .seq = g->seq,
+	    .seq = b->seq,
 	    .at = -1,
-	    .puts = (const struct cell_put *)(void *)g->batch->data,
-	    .nputs = g->batch->len,
+	    .puts = (const struct cell_put *)(void *)b->puts->data,
+	    .nputs = b->puts->len,
 	    .timeout_ms = TIMEOUT_MS,
 	};
 
 	s->journal = g;
 	s->generation = g->generation;
-	s->number = g->number;
-	g->awaited++;
-	g->retry_at = now + g->overdue_ms * OGL_MS;
+	s->number = b->number;
+	b->awaited++;
+	b->retry_at = now + g->overdue_ms * OGL_MS;
+	g->last_sent_at = now;
 	g->ops->append(g->ops->outside, &a, on_appended, s);
 }
 
@@ -420,17 +463,23 @@
 	g->overdue_ms = MAX(overdue_for(g->took), slowly);
 }
 
+/* The batch and all before it. */
 static void
-batch_stored(struct cell_journal *g, ogl_time now)
+stored_up_to(struct cell_journal *g, const struct batch *last, ogl_time now)
 {
-	g_array_set_size(g->batch, 0);
-	g_ptr_array_set_size(g->batch_jobs, 0);
-	g_hash_table_remove_all(g->batch_extra);
-	g->has_batch = false;
+	uint64_t number = last->number;
+	struct batch *b;
+
+	g->begun = true;
 	g->failing_since = 0;
-	g->took = now - g->sent_at;
+	g->took = now - last->sent_at;
 	adapt_overdue(g);
-	tell(g->batch_waiters, CELL_STORED, now);
+	while ((b = g_queue_peek_head(&g->batches)) != NULL &&
+	       b->number <= number) {
+		g_queue_pop_head(&g->batches);
+		tell(b->waiters, CELL_STORED, now);
+		batch_free(b);
+	}
 }
 
 /* Moves the submissions of the jobs from one list of waiters to another. */
@@ -454,37 +503,27 @@
 
 /* Not what an earlier append has stored, when all did not go into one. */
 static bool
-in_batch(const struct cell_journal *g, const struct cell_job *j)
+in_batch(const struct batch *b, const struct cell_job *j)
 {
-	return g_ptr_array_find(g->batch_jobs, j, NULL);
+	return g_ptr_array_find(b->jobs, j, NULL);
 }
 
-/*
- * The store did nothing, each time.  Submissions are taken back and refused;
- * all else is put together anew later, under the same number.  A submission may
- * wait more than once, as entries repeat calls, in this batch and for the next:
- * all are told.  One left over would be told "stored" with a later batch, and
- * a job handed in anew under the same id would count as stored that is not.
- */
+/* Marks what was in the batch anew. */
 static void
-batch_refused(struct cell_journal *g, ogl_time now)
+unmake(struct cell_journal *g, struct batch *b)
 {
-	GArray *refused = g_array_new(FALSE, FALSE, sizeof(struct waiter));
-	GHashTable *jobs = g_hash_table_new(NULL, NULL);
 	GHashTableIter it;
 	gpointer k, v;
 	guint i;
 
-	g_hash_table_iter_init(&it, g->batch_extra);
+	g_hash_table_iter_init(&it, b->extra);
 	while (g_hash_table_iter_next(&it, &k, &v)) {
 		if (!g_hash_table_contains(g->extra, k))
 			g_hash_table_insert(
 			    g->extra, g_strdup(k), g_bytes_ref(v));
 	}
-	g_hash_table_remove_all(g->batch_extra);
-
-	for (i = 0; i < g->batch_jobs->len; i++) {
-		struct cell_job *j = g->batch_jobs->pdata[i];
+	for (i = 0; i < b->jobs->len; i++) {
+		struct cell_job *j = b->jobs->pdata[i];
 
 		j->write_def = j->def != NULL && !j->stored;
 		j->drop_def = j->def == NULL;
@@ -493,44 +532,119 @@
 			g_ptr_array_add(g->marked, j);
 		}
 	}
-	for (i = 0; i < g->batch_waiters->len; i++) {
-		struct waiter *w =
-		    &g_array_index(g->batch_waiters, struct waiter, i);
+}
+
+/* Adds the jobs that the batch was to store for the first time. */
+static void
+list_submitted(const struct batch *b, GHashTable *jobs)
+{
+	guint i;
+
+	for (i = 0; i < b->waiters->len; i++) {
+		const struct waiter *w =
+		    &g_array_index(b->waiters, struct waiter, i);
 
-		if (w->submit != NULL && in_batch(g, w->submit))
+		if (w->submit != NULL && in_batch(b, w->submit))
 			g_hash_table_add(jobs, w->submit);
 	}
-	take_submits(g->batch_waiters, jobs, refused);
+}
+
+/* Takes the submissions of the jobs out of all lists, and puts all other
+ * waiters, in their order, before those for the next append. */
+static void
+gather_waiters(struct cell_journal *g, GHashTable *jobs, GArray *refused)
+{
+	GArray *rest = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	GList *at;
+
+	for (at = g->batches.head; at != NULL; at = at->next) {
+		struct batch *b = at->data;
+
+		take_submits(b->waiters, jobs, refused);
+		g_array_append_vals(rest, b->waiters->data, b->waiters->len);
+	}
 	take_submits(g->waiters, jobs, refused);
-	g_array_append_vals(
-	    g->waiters, g->batch_waiters->data, g->batch_waiters->len);
+	g_array_append_vals(rest, g->waiters->data, g->waiters->len);
+	g_array_unref(g->waiters);
+	g->waiters = rest;
+}
+
+/*
+ * The store did nothing, each time.  Submissions are taken back and refused;
+ * all else is put together anew later, under the same number.  A submission may
+ * wait more than once, as entries repeat calls, in a batch and for the next:
+ * all are told.  One left over would be told "stored" with a later batch, and
+ * a job handed in anew under the same id would count as stored that is not.
+ */
+static void
+all_refused(struct cell_journal *g, ogl_time now)
+{
+	GArray *refused = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	GHashTable *jobs = g_hash_table_new(NULL, NULL);
+	const struct batch *first = g_queue_peek_head(&g->batches);
+	GHashTableIter it;
+	gpointer k;
+	GList *at;
+
+	g->seq = first->seq - 1;
+	for (at = g->batches.tail; at != NULL; at = at->prev) {
+		unmake(g, at->data);
+		list_submitted(at->data, jobs);
+	}
+	gather_waiters(g, jobs, refused);
+	g_queue_clear_full(&g->batches, batch_free);
 	g_hash_table_iter_init(&it, jobs);
 	while (g_hash_table_iter_next(&it, &k, NULL))
 		cell_journal_unmark(g, k);
 	g_hash_table_unref(jobs);
-	g_array_set_size(g->batch, 0);
-	g_ptr_array_set_size(g->batch_jobs, 0);
-	g_array_set_size(g->batch_waiters, 0);
-	g->has_batch = false;
-	g->seq--;
 	g->urgent_at = now;
+	g->retry_at = now + RETRY;
 	tell(refused, CELL_NOT_STORED, now);
 	g_array_unref(refused);
 }
 
+/* None of the batches was taken, nor can be any more. */
+static bool
+none_can_be_stored(const struct cell_journal *g)
+{
+	const GList *at;
+
+	for (at = g->batches.head; at != NULL; at = at->next) {
+		const struct batch *b = at->data;
+
+		if (b->awaited > 0 || b->uncertain)
+			return false;
+	}
+	return true;
+}
+
 static void
-batch_failed(
-    struct cell_journal *g, const struct cell_append_answer *a, ogl_time now)
+batch_failed(struct cell_journal *g, struct batch *b,
+    const struct cell_append_answer *a, ogl_time now)
 {
 	if (g->failing_since == 0)
-		g->failing_since = g->sent_at;
+		g->failing_since = b->sent_at;
 	if (a->io == OGL_IO_LOST)
-		g->uncertain = true;
-	if (g->awaited > 0)
+		b->uncertain = true;
+	if (b->awaited > 0)
 		return;
-	g->retry_at = a->io == OGL_IO_LOST ? now : now + RETRY;
-	if (!g->uncertain)
-		batch_refused(g, now);
+	b->retry_at = a->io == OGL_IO_LOST ? now : now + RETRY;
+	if (none_can_be_stored(g))
+		all_refused(g, now);
+}
+
+static struct batch *
+batch_of(struct cell_journal *g, uint64_t number)
+{
+	GList *at;
+
+	for (at = g->batches.head; at != NULL; at = at->next) {
+		struct batch *b = at->data;
+
+		if (b->number == number)
+			return b;
+	}
+	return NULL;
 }
 
 static void
@@ -539,7 +653,7 @@
 	struct sending *s = arg;
 	struct cell_journal *g = s->journal;
 	bool current = s->generation == g->generation;
-	bool of_batch = current && g->has_batch && s->number == g->number;
+	struct batch *b = current ? batch_of(g, s->number) : NULL;
 
 	g_free(s);
 	if (!current)
@@ -548,56 +662,100 @@
 		g->lost(g->arg, now);
 		return;
 	}
-	if (!of_batch)
-		return; /* another sending of it was answered before */
-	g->awaited--;
-	if (a->io == OGL_IO_OK) {
-		batch_stored(g, now);
-		g->last_ok = now;
-	} else {
-		batch_failed(g, a, now);
+	if (b == NULL)
+		return; /* another sending, or a later one, was answered before */
+	b->awaited--;
+	if (a->io == OGL_IO_OK)
+		stored_up_to(g, b, now);
+	else
+		batch_failed(g, b, a, now);
+}
+
+/* When the batch is to be sent, again or for the first time.  One behind others
+ * that was refused or lost waits for them: the store takes none before. */
+static ogl_time
+batch_wake(const struct cell_journal *g, const struct batch *b)
+{
+	bool first = b == g_queue_peek_head((GQueue *)&g->batches);
+
+	if (b->awaited >= SENDINGS_MAX || (b->awaited == 0 && !first))
+		return OGL_NEVER;
+	return b->retry_at;
+}
+
+/* When the next batch may be sent while others are under way. */
+static ogl_time
+next_wake(const struct cell_journal *g)
+{
+	const GList *at;
+
+	if (!CELL_USES_PIPELINE || !g->begun || g->took < SLOW ||
+	    g->batches.length >= BATCHES_MAX || g->failing_since != 0)
+		return OGL_NEVER;
+	for (at = g->batches.head; at != NULL; at = at->next) {
+		const struct batch *b = at->data;
+
+		if (b->awaited != 1 || b->uncertain)
+			return OGL_NEVER;
 	}
+	return g->last_sent_at + g->took / BATCHES_MAX;
 }
 
-/* When the batch is to be sent, again or for the first time. */
+/* When a new batch is to be put together. */
 static ogl_time
-batch_wake(const struct cell_journal *g)
+make_wake(const struct cell_journal *g)
 {
-	return g->awaited < SENDINGS_MAX ? g->retry_at : OGL_NEVER;
+	ogl_time due = MIN(g->urgent_at, g->lazy_at);
+
+	if (nothing_marked(g) && g->waiters->len == 0)
+		return OGL_NEVER;
+	if (g->batches.length > 0)
+		return nothing_marked(g) ? OGL_NEVER : MAX(due, next_wake(g));
+	if (g->failing_since != 0)
+		return MAX(due, g->retry_at);
+	return MAX(due, g->last_sent_at + GAP);
 }
 
 ogl_time
 cell_journal_wake(const struct cell_journal *g)
 {
 	ogl_time due;
+	const GList *at;
 
 	if (!g->open)
 		return OGL_NEVER;
-	if (g->has_batch)
-		return batch_wake(g);
-	if (nothing_marked(g) && g->waiters->len == 0)
-		return OGL_NEVER;
-	due = MIN(g->urgent_at, g->lazy_at);
-	if (g->failing_since != 0)
-		return MAX(due, g->retry_at);
-	return MAX(due, g->sent_at + GAP);
+	due = make_wake(g);
+	for (at = g->batches.head; at != NULL; at = at->next)
+		due = MIN(due, batch_wake(g, at->data));
+	return due;
+}
+
+static void
+send_due(struct cell_journal *g, ogl_time now)
+{
+	GList *at;
+
+	for (at = g->batches.head; at != NULL; at = at->next) {
+		struct batch *b = at->data;
+
+		if (batch_wake(g, b) > now)
+			continue;
+		if (b->awaited > 0)
+			g->overdue_ms = MIN(g->overdue_ms * 2, OVERDUE_MAX_MS);
+		send_batch(g, b, now);
+	}
 }
 
 void
 cell_journal_step(struct cell_journal *g, ogl_time now)
 {
 	/* Waiters without anything to write have nothing to wait for. */
-	if (g->open && !g->has_batch && nothing_marked(g) &&
+	if (g->open && g->batches.length == 0 && nothing_marked(g) &&
 	    g->waiters->len > 0)
 		tell(g->waiters, CELL_STORED, now);
 	if (cell_journal_wake(g) > now)
 		return;
-	if (!g->has_batch) {
-		if (nothing_marked(g))
-			return;
-		make_batch(g, now);
-	} else if (g->awaited > 0) {
-		g->overdue_ms = MIN(g->overdue_ms * 2, OVERDUE_MAX_MS);
-	}
-	send_batch(g, now);
+	if (make_wake(g) <= now && !nothing_marked(g))
+		send_batch(g, make_batch(g, now), now);
+	send_due(g, now);
 }
--- a/test/test_cell_journal.cc
+++ b/test/test_cell_journal.cc
@@ -18,17 +18,21 @@
 	cell_append_fn *done = nullptr;
 	void *arg = nullptr;
 	int appends = 0;
+	std::vector<uint64_t> seqs;
+	std::vector<void *> args;
 };
 
 void
 on_append(
-    void *ctx, const struct cell_append *, cell_append_fn *done, void *arg)
+    void *ctx, const struct cell_append *a, cell_append_fn *done, void *arg)
 {
 	auto *s = static_cast<Store *>(ctx);
 
 	s->done = done;
 	s->arg = arg;
 	s->appends++;
+	s->seqs.push_back(a->seq);
+	s->args.push_back(arg);
 }
 
 class Journal : public testing::Test
@@ -80,6 +84,34 @@
 		cell_journal_step(journal_, now_);
 	}
 
+	void step_ms(ogl_time ms)
+	{
+		now_ += ms * OGL_MS;
+		cell_journal_step(journal_, now_);
+	}
+
+	/* The answer to the n-th sending, from 0. */
+	void answer_nth(size_t n, enum ogl_io io)
+	{
+		struct cell_append_answer a = {};
+
+		a.io = io;
+		store_.done(store_.args[n], &a, now_);
+	}
+
+	/* An append that takes so long makes the store a slow one. */
+	void slow_store()
+	{
+		std::vector<cell_fate> told;
+
+		submit(job(), &told);
+		step_ms(20);
+		now_ += 120 * OGL_MS;
+		answer(OGL_IO_OK);
+		store_.seqs.clear();
+		store_.args.clear();
+	}
+
 	void answer(enum ogl_io io)
 	{
 		struct cell_append_answer a = {};
@@ -164,4 +196,124 @@
 	EXPECT_TRUE(cell_journal_idle(journal_));
 }
 
+/*
+ * The store takes sixty times as long from one moment to the next.  Were the
+ * answer under way given up for a new one, callers would wait for both.
+ */
+TEST_F(Journal, AnOverdueAppendIsRepeatedAndItsFirstAnswerCounts)
+{
+	std::vector<cell_fate> told;
+
+	submit(job(), &told);
+	step_ms(20);
+	step_ms(160);
+	EXPECT_EQ((std::vector<uint64_t>{1, 1}), store_.seqs);
+	answer_nth(0, OGL_IO_OK);
+	EXPECT_EQ(std::vector<cell_fate>{CELL_STORED}, told);
+	answer_nth(1, OGL_IO_OK);
+	EXPECT_TRUE(cell_journal_idle(journal_));
+}
+
+/* One sending is refused while the answer to another is missing: that one may
+ * have taken effect, and a caller told "refused" would see its job run. */
+TEST_F(Journal, NoRefusalWhileASendingMayTakeEffect)
+{
+	std::vector<cell_fate> told;
+
+	submit(job(), &told);
+	step_ms(20);
+	step_ms(160);
+	answer_nth(1, OGL_IO_REFUSED);
+	EXPECT_TRUE(told.empty());
+	answer_nth(0, OGL_IO_LOST);
+	EXPECT_TRUE(told.empty());
+	step_ms(120);
+	answer(OGL_IO_OK);
+	EXPECT_EQ(std::vector<cell_fate>{CELL_STORED}, told);
+}
+
+/* A slow store: a call that comes just after an append was sent would wait for
+ * that one and then for its own. */
+TEST_F(Journal, TheNextAppendToASlowStoreDoesNotWaitForTheLast)
+{
+	std::vector<cell_fate> first, second;
+
+	slow_store();
+	submit(job(), &first);
+	step_ms(20);
+	submit(job(), &second);
+	step_ms(60);
+	EXPECT_EQ((std::vector<uint64_t>{2, 3}), store_.seqs);
+	answer_nth(0, OGL_IO_OK);
+	EXPECT_EQ(std::vector<cell_fate>{CELL_STORED}, first);
+	EXPECT_TRUE(second.empty());
+	answer_nth(1, OGL_IO_OK);
+	EXPECT_EQ(std::vector<cell_fate>{CELL_STORED}, second);
+}
+
+/* Answers cross on their way; the store takes numbers only in order. */
+TEST_F(Journal, ALaterAnswerTellsThatEarlierAppendsWereTaken)
+{
+	std::vector<cell_fate> first, second;
+
+	slow_store();
+	submit(job(), &first);
+	step_ms(20);
+	submit(job(), &second);
+	step_ms(60);
+	answer_nth(1, OGL_IO_OK);
+	EXPECT_EQ(std::vector<cell_fate>{CELL_STORED}, first);
+	EXPECT_EQ(std::vector<cell_fate>{CELL_STORED}, second);
+	answer_nth(0, OGL_IO_LOST);
+	EXPECT_TRUE(cell_journal_idle(journal_));
+}
+
+/* The store refuses the first of two; the second, out of turn, is refused for
+ * its number.  Neither was taken, both callers are told so, and the number is
+ * used again. */
+TEST_F(Journal, TwoRefusedAppendsAreBothTakenBack)
+{
+	std::vector<cell_fate> first, second, third;
+
+	slow_store();
+	submit(job(), &first);
+	step_ms(20);
+	submit(job(), &second);
+	step_ms(60);
+	answer_nth(0, OGL_IO_REFUSED);
+	EXPECT_TRUE(first.empty());
+	answer_nth(1, OGL_IO_REFUSED);
+	EXPECT_EQ(std::vector<cell_fate>{CELL_NOT_STORED}, first);
+	EXPECT_EQ(std::vector<cell_fate>{CELL_NOT_STORED}, second);
+	submit(job(), &third);
+	step();
+	EXPECT_EQ((std::vector<uint64_t>{2, 3, 2}), store_.seqs);
+	answer(OGL_IO_OK);
+	EXPECT_EQ(std::vector<cell_fate>{CELL_STORED}, third);
+}
+
+/* The first is refused and the second lost: the second can still be taken once
+ * the first is, so nobody is refused and both are sent again, in order. */
+TEST_F(Journal, ALostAppendBehindARefusedOneIsNotRefused)
+{
+	std::vector<cell_fate> first, second;
+
+	slow_store();
+	submit(job(), &first);
+	step_ms(20);
+	submit(job(), &second);
+	step_ms(60);
+	answer_nth(0, OGL_IO_REFUSED);
+	answer_nth(1, OGL_IO_LOST);
+	EXPECT_TRUE(first.empty());
+	EXPECT_TRUE(second.empty());
+	step_ms(120);
+	EXPECT_EQ((std::vector<uint64_t>{2, 3, 2}), store_.seqs);
+	answer_nth(2, OGL_IO_OK);
+	step_ms(1);
+	EXPECT_EQ(3u, store_.seqs.back());
+	answer(OGL_IO_OK);
+	EXPECT_EQ(std::vector<cell_fate>{CELL_STORED}, second);
+}
+
 } // namespace
