--- a/cell/advice.c
+++ b/cell/advice.c
@@ -6,6 +6,7 @@
 
 #include <string.h>
 
+#include "ablate.h"
 #include "advice.h"
 #include "fleet.h"
 
@@ -154,7 +155,7 @@
 	}
 	if (best == NULL || best->busy_until > now + LANE_AHEAD)
 		return NULL;
-	if (rank > 0 && idle <= lanes * URGENT_LANES)
+	if (CELL_USES_LANES && rank > 0 && idle <= lanes * URGENT_LANES)
 		return NULL;
 	return best;
 }
--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -23,6 +23,7 @@
 
 #include <string.h>
 
+#include "ablate.h"
 #include "fleet.h"
 
 /* Longest lease asked for.  It has to outlast the loss of an owner (silence,
@@ -358,7 +359,7 @@
 bool
 cell_worker_silent(const struct cell_worker *w, ogl_time now)
 {
-	return w->life != 0 && w->failures > 0 &&
+	return CELL_USES_SILENT && w->life != 0 && w->failures > 0 &&
 	       now - w->silent_since > SILENT_TOLD;
 }
 
@@ -878,7 +879,7 @@
 watch_refusals(
     struct cell_fleet *f, struct cell_worker *w, bool refused, ogl_time now)
 {
-	if (!refused) {
+	if (!refused || !CELL_USES_GONE) {
 		w->refusals = 0;
 		return;
 	}
@@ -968,7 +969,7 @@
 hold_times(
     const struct cell_worker *w, struct cell_hold *h, bool renew, ogl_time now)
 {
-	bool lossy = now < w->lossy_until;
+	bool lossy = CELL_USES_LOSSY && now < w->lossy_until;
 
 	if (!w->fenced) {
 		h->timeout_ms = MIN(
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -15,6 +15,7 @@
 
 #include <string.h>
 
+#include "ablate.h"
 #include "journal.h"
 #include "known.h"
 #include "load.h"
@@ -1357,7 +1358,7 @@
 		return "refused_before";
 	if (!cell_load_takes(&o->load))
 		return "load";
-	*over = !within_rate(o, c->job->team, now);
+	*over = CELL_USES_RATE && !within_rate(o, c->job->team, now);
 	if (*over && cell_load_full(&o->load))
 		return "load_over_rate";
 	return NULL;
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -258,7 +258,9 @@
 
 	if (st->def->lasting)
 		return 0;
-	if (end > LATE_MAX * objective)
+	if (!CELL_USES_STANDING)
+		class = 0;
+	else if (end > LATE_MAX * objective)
 		class = TOO_LATE;
 	else if (end > objective)
 		class = 1;
@@ -555,7 +557,7 @@
 held_back(struct cell_sched *s, const struct cell_stage *st, uint32_t rank,
     ogl_time now)
 {
-	return rank > 0 &&
+	return CELL_USES_URGENT && rank > 0 &&
 	       now - state_of(s, st->job->def->team)->urgent_at < URGENT_FOR;
 }
 
@@ -563,7 +565,7 @@
 team_allows(struct cell_sched *s, const struct cell_stage *st, uint32_t tasks,
     uint32_t rank, ogl_time now)
 {
-	double part = rank == 0 ? 1.0 : LIMIT_PART;
+	double part = rank == 0 || !CELL_USES_LIMIT_PART ? 1.0 : LIMIT_PART;
 	const struct cell_team *t =
 	    cell_config_team(s->config, st->job->def->team);
 	struct ogl_res used =
@@ -866,7 +868,7 @@
 	uint32_t n = 0;
 	guint i;
 
-	if (s->reserves >= RESERVES_MAX)
+	if (!CELL_USES_RESERVE || s->reserves >= RESERVES_MAX)
 		return;
 	for (i = 0; i < s->open->len && n < st->ntasks; i++) {
 		struct cell_worker *w = s->open->pdata[i];
