oriolectl losses: what made jobs late, from collected log lines

Ruled out: counters by reason, which could not be traced back to jobs. After: one table a queue, by reason and moment; the reading of lines is shared with explain.

--- a/cell/owner.c
+++ b/cell/owner.c
@@ -1223,9 +1223,9 @@
 }
 
 static void
-log_accepted(struct cell_owner *o, const struct cell_job *j)
+log_accepted(struct cell_owner *o, struct cell_job *j)
 {
-	char more[200];
+	char more[240];
 	const struct cell_team *t;
 
 	if (j->def == NULL)
@@ -1233,10 +1233,10 @@
 	t = cell_config_team(o->config, j->def->team);
 	g_snprintf(more, sizeof more,
 	    "team=%s queue=%s steps=%zu tasks=%u chain_ms=%.0f work_s=%.1f "
-	    "over_rate=%d rate=%.2f",
+	    "over_rate=%d rate=%.2f objective_ms=%.0f",
 	    j->def->team, j->def->queue, j->def->n_steps,
 	    j->def->steps[0]->count, j->chain_ms, j->work, j->over,
-	    t != NULL ? t->rate : 0);
+	    t != NULL ? t->rate : 0, cell_sched_objective_ms(o->sched, j));
 	log_job(o, j, "job_accepted", more);
 }
 
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -247,6 +247,12 @@
 	       q->slack * (j->chain_ms + policy * (double)j->def->n_steps);
 }
 
+double
+cell_sched_objective_ms(const struct cell_sched *s, struct cell_job *j)
+{
+	return objective_ms(queue_of(s, j), j);
+}
+
 static unsigned
 standing(const struct cell_queue *q, const struct cell_stage *st, ogl_time now)
 {
--- a/cell/schedule.h
+++ b/cell/schedule.h
@@ -49,6 +49,9 @@
  * nothing else waits for the room or for its team's limit: what is stopped then
  * would lose its place. */
 
+double cell_sched_objective_ms(const struct cell_sched *s, struct cell_job *j);
+/* How long the job may take from its acceptance on to be in time. */
+
 size_t cell_sched_waiting(const struct cell_sched *s);
 /* Stages that wait. */
 
--- a/ctl/cmd_explain.c
+++ b/ctl/cmd_explain.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #include "ctl.h"
+#include "logline.h"
 
 #define BEFORE_S 3.0 /* of the cell, before the job is first named */
 #define AFTER_S 0.5
@@ -43,27 +44,10 @@
 	g_free(e);
 }
 
-/* The value of ` key=` in a line, up to the next space; NULL: not there. */
-static char *
-field(const char *line, const char *key)
-{
-	size_t n = strlen(key);
-	const char *at = line;
-
-	while ((at = strstr(at, key)) != NULL) {
-		if ((at == line || at[-1] == ' ') && at[n] == '=') {
-			at += n + 1;
-			return g_strndup(at, strcspn(at, " \n"));
-		}
-		at += n;
-	}
-	return NULL;
-}
-
 static bool
 names_job(const char *line, const char *id)
 {
-	char *job = field(line, "job");
+	char *job = ctl_field(line, "job");
 	bool named = job != NULL && strcmp(job, id) == 0;
 
 	g_free(job);
@@ -71,11 +55,12 @@
 }
 
 static void
-take_line(struct story *s, const char *line)
+take_line(void *arg, const char *line)
 {
-	char *ts = field(line, "ts");
-	char *part = field(line, "part");
-	char *event = field(line, "event");
+	struct story *s = arg;
+	char *ts = ctl_field(line, "ts");
+	char *part = ctl_field(line, "part");
+	char *event = ctl_field(line, "event");
 	struct entry *e;
 
 	if (ts != NULL && part != NULL && event != NULL) {
@@ -83,7 +68,7 @@
 		e->ts = g_ascii_strtod(ts, NULL);
 		e->text = g_strchomp(g_strdup(line));
 		e->event = g_strdup_printf("%s.%s", part, event);
-		e->worker = field(line, "worker");
+		e->worker = ctl_field(line, "worker");
 		e->of_job = names_job(line, s->id);
 		g_ptr_array_add(s->entries, e);
 	}
@@ -92,25 +77,6 @@
 	g_free(event);
 }
 
-static bool
-read_file(struct story *s, const char *path)
-{
-	FILE *f = strcmp(path, "-") == 0 ? stdin : fopen(path, "r");
-	char *line = NULL;
-	size_t cap = 0;
-
-	if (f == NULL) {
-		fprintf(stderr, "oriolectl: %s: cannot be read\n", path);
-		return false;
-	}
-	while (getline(&line, &cap, f) >= 0)
-		take_line(s, line);
-	free(line);
-	if (f != stdin)
-		fclose(f);
-	return true;
-}
-
 static gint
 by_time(gconstpointer a, gconstpointer b)
 {
@@ -183,7 +149,7 @@
 static void
 note_end(struct cause *c, const struct entry *e)
 {
-	char *how = field(e->text, "how");
+	char *how = ctl_field(e->text, "how");
 
 	if (g_strcmp0(how, "failed") == 0) {
 		c->failed++;
@@ -243,8 +209,8 @@
 static void
 tell_end(const struct cause *c)
 {
-	char *state = field(c->ended->text, "state");
-	char *why = field(c->ended->text, "why");
+	char *state = ctl_field(c->ended->text, "state");
+	char *why = ctl_field(c->ended->text, "why");
 
 	printf("cause: it ended as %s (%s)\n", state != NULL ? state : "?",
 	    why != NULL ? why : "no reason given");
@@ -283,11 +249,11 @@
 	} else if (c->accepted != NULL) {
 		puts("cause: accepted, and no end of it is in these lines");
 	} else if (c->refused != NULL) {
-		why = field(c->refused->text, "why");
+		why = ctl_field(c->refused->text, "why");
 		printf("cause: refused, %s\n", refusal_text(why));
 		g_free(why);
 	} else if (c->given_up != NULL) {
-		why = field(c->given_up->text, "why");
+		why = ctl_field(c->given_up->text, "why");
 		printf("cause: given up by the entry (%s)\n",
 		    why != NULL ? why : "no reason given");
 		g_free(why);
@@ -342,11 +308,11 @@
 	(void)c;
 	s.entries = g_ptr_array_new_with_free_func(entry_free);
 	for (i = 1; i < n && rc == CTL_OK; i++) {
-		if (!read_file(&s, words[i]))
+		if (!ctl_read_lines(words[i], take_line, &s))
 			rc = CTL_USAGE;
 	}
 	if (n == 1)
-		read_file(&s, "-");
+		ctl_read_lines("-", take_line, &s);
 	if (rc == CTL_OK)
 		rc = tell(&s);
 	g_ptr_array_unref(s.entries);
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -69,6 +69,7 @@
 extern const struct ctl_command ctl_work_commands[];
 extern const struct ctl_command ctl_cell_commands[];
 extern const struct ctl_command ctl_explain_commands[];
+extern const struct ctl_command ctl_losses_commands[];
 /* Each ends with a row whose group is NULL. */
 
 enum ctl_exit ctl_call(
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -68,7 +68,8 @@
 };
 
 static const struct ctl_command *const tables[] = {ctl_settings_commands,
-    ctl_work_commands, ctl_cell_commands, ctl_explain_commands};
+    ctl_work_commands, ctl_cell_commands, ctl_explain_commands,
+    ctl_losses_commands};
 
 static uint64_t
 number(const char *arg, uint64_t max, struct argp_state *state)
--- /dev/null
+++ b/test/test_ctl_losses.cc
@@ -0,0 +1,101 @@
+/* `oriolectl losses` on log lines of several nodes. */
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace
+{
+
+std::string
+losses(const std::string &lines, int *status)
+{
+	std::string path = testing::TempDir() + "losses.log";
+	std::string out;
+	char buf[4096];
+
+	std::ofstream(path) << lines;
+	FILE *p = popen(
+	    (OGL_BIN_DIR "/oriolectl losses " + path + " 2>&1").c_str(), "r");
+	while (fgets(buf, sizeof buf, p) != nullptr)
+		out += buf;
+	*status = pclose(p) >> 8;
+	return out;
+}
+
+std::string
+accepted(const std::string &id, const std::string &ts, int over)
+{
+	return "ts=" + ts + " node=a part=owner event=job_accepted job=" + id +
+	       " queue=q chain_ms=1000 over_rate=" + std::to_string(over) +
+	       " objective_ms=2000\n";
+}
+
+std::string
+ended(const std::string &id, const std::string &ts, const std::string &state)
+{
+	return "ts=" + ts + " node=a part=owner event=job_ended job=" + id +
+	       " state=" + state + " why=x\n";
+}
+
+std::string
+waits(const std::string &id, const std::string &ts, const std::string &why)
+{
+	return "ts=" + ts + " node=a part=owner event=stage_waits job=" + id +
+	       " task=0.0 why=" + why + "\n";
+}
+
+TEST(Losses, PutsLateJobsDownToWhatTookMostOfTheirTime)
+{
+	int status;
+	std::string out = losses(
+	    accepted("1", "10.0", 0) + ended("1", "11.5", "completed") +
+		accepted("2", "10.0", 0) + waits("2", "10.0", "advice") +
+		waits("2", "10.4", "limit") + waits("2", "12.0", "not") +
+		ended("2", "13.0", "completed") + accepted("3", "21.0", 0) +
+		"ts=24.0 node=a part=owner event=run_ended job=3 task=0.0.0 "
+		"how=failed age_ms=3000\n" +
+		ended("3", "29.0", "completed") + accepted("4", "21.0", 1) +
+		ended("4", "99.0", "completed") + accepted("5", "22.0", 0) +
+		accepted("6", "22.0", 0) + ended("6", "22.5", "cancelled") +
+		"no line of ours\n",
+	    &status);
+
+	EXPECT_EQ(0, status);
+	EXPECT_EQ("queue q:  in-time 1  late 1  too-late 1  open 1  cancelled 1"
+		  "  beyond-rate 1\n"
+		  "  mostly for:  limit 1  other 1\n"
+		  "  ms a late job:  limit 800  advice 200  failed-runs 1500"
+		  "  other 2000\n"
+		  "    from    0 s:  limit 1\n"
+		  "    from   10 s:  other 1\n",
+	    out);
+}
+
+/* The owner is lost while a step waits: its reason goes on until the next owner
+ * names one. */
+TEST(Losses, AWaitGoesOnOverAChangeOfOwner)
+{
+	int status;
+	std::string out = losses(
+	    accepted("1", "10.0", 0) + waits("1", "10.0", "store") +
+		waits("1", "12.0", "settle") + waits("1", "12.5", "not") +
+		ended("1", "13.5", "completed"),
+	    &status);
+
+	EXPECT_NE(std::string::npos, out.find("store 2000  settle 500"));
+}
+
+TEST(Losses, AFileThatCannotBeReadIsTold)
+{
+	char buf[256] = "";
+	FILE *p =
+	    popen(OGL_BIN_DIR "/oriolectl losses /no/such/file 2>&1", "r");
+
+	EXPECT_NE(nullptr, fgets(buf, sizeof buf, p));
+	EXPECT_NE(0, pclose(p));
+	EXPECT_STREQ("oriolectl: /no/such/file: cannot be read\n", buf);
+}
+
+} // namespace
