--- a/cell/advice.c
+++ b/cell/advice.c
@@ -15,8 +15,8 @@
 /* A lane takes its next question so long before it is free: the question is
  * on its way meanwhile. */
 #define LANE_AHEAD (12 * OGL_MS)
-/* Part of the lanes kept free for rank 0: at three times its usual rate, 150
- * questions of 8 ms a second, that work fills 1.2 lanes of seven. */
+/* Part of the lanes kept free for rank 0, whose questions are short: it would
+ * else wait for the long ones of other ranks. */
 #define URGENT_LANES 0.3
 #define SLACK_MS 700 /* beyond the expected time, for the way and back */
 /* Tickets are not used in their last moments: the start takes a way too. */
--- a/cell/node.c
+++ b/cell/node.c
@@ -659,8 +659,7 @@
 /*
  * A stopping owner goes on serving until its heir has read the jobs and claimed
  * the shard.  If it resigned first, nobody would serve while others notice,
- * claim and read: 0.3 s, and 3 s measured on a day when the store took 330 ms an
- * answer; with an heir 10 ms and 0.7 s remain.
+ * claim and read, which takes seconds where the store is slow.
  */
 static void
 step_handover(struct part *part, ogl_time now)
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -47,21 +47,21 @@
 #define PASS_GAP (4 * OGL_MS)
 #define PASS_STAGE ((ogl_time)10)
 /* Part of its limit that a team may fill with work of other ranks than 0: its
- * short urgent work would else wait for its own long tasks to end (6 s seen). */
+ * short urgent work would else wait for its own long tasks to end. */
 #define LIMIT_PART 0.93
 /* Stages in a row without room after which a pass leaves their like. */
 #define MISSES_MAX 40
 /* Of the stages that a team's limit keeps waiting, so many of each rank have
  * their tickets kept fresh; for the rest each question would be in vain, and
- * the lanes were full of them (1,888 of 1,892 lane seconds in one day). */
+ * take a lane of the advice service from work that can be started. */
 #define LIMITED_ASKS 2
 /* A team's work of rank 0 that its limit keeps waiting holds back all else of
  * the team for so long after each try. */
 #define URGENT_FOR (150 * OGL_MS)
 
-/* Processor time left over on a worker that one unit of pace weighs up to. */
+/* Thousandths of a core left over on a worker that one unit of pace outweighs. */
 #define PACE_COST 60e3
-/* A worker this much slower than the mean is out of order. */
+/* A worker this much slower than those that are well is out of order. */
 #define PACE_SLOW 1.7
 #define PACE_SLOW_COST 300e3
 /* Work is in a hurry when the time to its objective is less than so many times
@@ -556,8 +556,8 @@
 
 /*
  * A team at its limit gives what falls free to its short urgent work.  Handed
- * out in order of standing alone, its long tasks took it, and with ten times
- * its usual work half of its lookups waited 3 to 7 s although the cell had room.
+ * out in order of standing alone, its long tasks would take it, and its lookups
+ * would wait for seconds although the cell has room.
  */
 static bool
 held_back(struct cell_sched *s, const struct cell_stage *st, uint32_t rank,
