--- a/cell/pace.c
+++ b/cell/pace.c
@@ -41,8 +41,10 @@
 static void
 blend(struct cell_pace *p, double sound, double sample)
 {
-	double weight = MAX(WEIGHT, 1.0 / (PRIOR + ++p->samples));
+	double weight;
 
+	p->samples++;
+	weight = MAX(WEIGHT, 1.0 / (PRIOR + p->samples));
 	if (p->value <= 0)
 		p->value = sound;
 	p->value += weight * (sample - p->value);
