Admission as a module of its own, out of the owner

Cause: owner.c held the memory of refused calls and the teams' rates beside ten other jobs, and neither could be tested by itself.

--- /dev/null
+++ b/cell/admission.c
@@ -0,0 +1,118 @@
+/*
+ * A refusal stands: a repeat of the same call may still be on its way, and taken
+ * up it would bring to life a job whose caller was told that it never runs.
+ *
+ * Rates are token buckets, one a team, that hold a second's jobs or more.
+ */
+
+#include <glib.h>
+
+#include "admission.h"
+
+/* Longer than any repeat of a call can be on its way. */
+#define REFUSAL_KEPT (10 * OGL_SEC)
+
+struct bucket {
+	double tokens;
+	ogl_time at;
+};
+
+struct cell_admission {
+	GHashTable *refused; /* "node token" -> ogl_time */
+	GHashTable *buckets; /* team -> struct bucket */
+};
+
+struct cell_admission *
+cell_admission_init(void)
+{
+	struct cell_admission *a = g_new0(struct cell_admission, 1);
+
+	a->refused =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	a->buckets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return a;
+}
+
+void
+cell_admission_end(struct cell_admission *a)
+{
+	g_hash_table_unref(a->refused);
+	g_hash_table_unref(a->buckets);
+	g_free(a);
+}
+
+static struct bucket *
+bucket_of(struct cell_admission *a, const char *team, double most, ogl_time now)
+{
+	struct bucket *b = g_hash_table_lookup(a->buckets, team);
+
+	if (b != NULL)
+		return b;
+	b = g_new0(struct bucket, 1);
+	b->tokens = most;
+	b->at = now;
+	g_hash_table_insert(a->buckets, g_strdup(team), b);
+	return b;
+}
+
+bool
+cell_admission_within_rate(struct cell_admission *a, const char *team,
+    double rate, double most, ogl_time now)
+{
+	struct bucket *b;
+
+	if (rate <= 0)
+		return true;
+	b = bucket_of(a, team, most, now);
+	b->tokens += rate * (double)(now - b->at) / OGL_SEC;
+	b->tokens = MIN(b->tokens, most);
+	b->at = now;
+	if (b->tokens < 1)
+		return false;
+	b->tokens -= 1;
+	return true;
+}
+
+static char *
+call_key(const char *node, uint64_t token)
+{
+	return g_strdup_printf("%s %" G_GUINT64_FORMAT, node, token);
+}
+
+void
+cell_admission_refuse(
+    struct cell_admission *a, const char *node, uint64_t token, ogl_time now)
+{
+	ogl_time *at = g_new(ogl_time, 1);
+
+	*at = now;
+	g_hash_table_replace(a->refused, call_key(node, token), at);
+}
+
+bool
+cell_admission_was_refused(
+    const struct cell_admission *a, const char *node, uint64_t token)
+{
+	char *key = call_key(node, token);
+	bool refused = g_hash_table_contains(a->refused, key);
+
+	g_free(key);
+	return refused;
+}
+
+static gboolean
+refusal_is_old(gpointer key, gpointer value, gpointer ctx)
+{
+	const ogl_time *at = value;
+	const ogl_time *now = ctx;
+
+	(void)key;
+	return *now - *at > REFUSAL_KEPT;
+}
+
+void
+cell_admission_sweep(struct cell_admission *a, ogl_time now)
+{
+	g_hash_table_foreach_remove(a->refused, refusal_is_old, &now);
+}
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -16,6 +16,7 @@
 #include <string.h>
 
 #include "ablate.h"
+#include "admission.h"
 #include "journal.h"
 #include "known.h"
 #include "load.h"
@@ -35,8 +36,6 @@
 #define GANG_REPAIR (600 * OGL_MS)
 #define STRAGGLERS (200 * OGL_MS)
 #define BUSY_RETRY_MS 500
-/* Longer than any repeat of a call can be on its way. */
-#define REFUSAL_KEPT (10 * OGL_SEC)
 /* A team's jobs fall on shards by chance; where one gets more than its part for
  * a while, that is not the team's doing. */
 #define RATE_SLACK 2.0
@@ -62,11 +61,6 @@
 	uint64_t life; /* of the worker */
 };
 
-struct team_rate {
-	double tokens;
-	ogl_time at;
-};
-
 struct cell_owner {
 	const struct cell_ops *ops;
 	struct cell_part part;
@@ -79,9 +73,8 @@
 	ogl_time store_took; /* for the claim */
 	struct cell_loader *loader;
 	struct cell_roster *roster;
-	GHashTable *jobs;    /* id -> struct cell_job */
-	GHashTable *refused; /* "node token" -> ogl_time, calls refused */
-	GHashTable *rates;   /* team -> struct team_rate */
+	GHashTable *jobs; /* id -> struct cell_job */
+	struct cell_admission *admission;
 	struct cell_journal *journal;
 	struct cell_fleet *fleet;
 	struct cell_sched *sched;
@@ -1059,10 +1052,7 @@
 	o->events = *events;
 	o->jobs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
-	o->rates =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	o->refused =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	o->admission = cell_admission_init();
 	o->journal = cell_journal_init(ops, part->shard, on_lost, o);
 	o->fleet = cell_fleet_init(ops, limits, &fe);
 	o->advice = cell_advice_init(ops, &ae);
@@ -1088,8 +1078,7 @@
 	cell_loader_end(o->loader);
 	cell_journal_end(o->journal);
 	g_hash_table_unref(o->jobs);
-	g_hash_table_unref(o->rates);
-	g_hash_table_unref(o->refused);
+	cell_admission_end(o->admission);
 	cell_config_unref(o->config);
 	g_free(o);
 }
@@ -1161,48 +1150,13 @@
 	o->events.reply(o->events.arg, to, &r);
 }
 
-static char *
-call_key(const char *to, uint64_t token)
-{
-	return g_strdup_printf("%s %" G_GUINT64_FORMAT, to, token);
-}
-
-/*
- * A refusal stands: a repeat of the same call may still be on its way, and
- * taken up it would bring to life a job whose caller was told that it never
- * runs.
- */
 static void
 refuse(struct cell_owner *o, const char *to, uint64_t token, ogl_time now)
 {
-	char *key = call_key(to, token);
-	ogl_time *at = g_new(ogl_time, 1);
-
-	*at = now;
-	g_hash_table_replace(o->refused, key, at);
+	cell_admission_refuse(o->admission, to, token, now);
 	reply(o, to, token, OGL__CELL_OUTCOME__cell_busy, BUSY_RETRY_MS);
 }
 
-static bool
-was_refused(const struct cell_owner *o, const char *to, uint64_t token)
-{
-	char *key = call_key(to, token);
-	bool refused = g_hash_table_contains(o->refused, key);
-
-	g_free(key);
-	return refused;
-}
-
-static gboolean
-refusal_is_old(gpointer key, gpointer value, gpointer ctx)
-{
-	const ogl_time *at = value;
-	const ogl_time *now = ctx;
-
-	(void)key;
-	return *now - *at > REFUSAL_KEPT;
-}
-
 static struct waiting *
 waiting_new(struct cell_owner *o, const char *to, const Ogl__CellCall *c)
 {
@@ -1304,25 +1258,10 @@
 within_rate(struct cell_owner *o, const char *team, ogl_time now)
 {
 	const struct cell_team *t = cell_config_team(o->config, team);
-	struct team_rate *r = g_hash_table_lookup(o->rates, team);
 	double rate = t != NULL ? t->rate / o->part.shards : 0;
 	double most = rate * (o->part.shards > 1 ? RATE_SLACK : 1);
 
-	if (rate <= 0)
-		return true;
-	if (r == NULL) {
-		r = g_new0(struct team_rate, 1);
-		r->tokens = most;
-		r->at = now;
-		g_hash_table_insert(o->rates, g_strdup(team), r);
-	}
-	r->tokens += rate * (double)(now - r->at) / OGL_SEC;
-	r->tokens = MIN(r->tokens, most);
-	r->at = now;
-	if (r->tokens < 1)
-		return false;
-	r->tokens -= 1;
-	return true;
+	return cell_admission_within_rate(o->admission, team, rate, most, now);
 }
 
 static void
@@ -1354,7 +1293,7 @@
 		return "no_configuration";
 	if (cell_journal_failing(o->journal, now))
 		return "store_failing";
-	if (was_refused(o, from, c->token))
+	if (cell_admission_was_refused(o->admission, from, c->token))
 		return "refused_before";
 	if (!cell_load_takes(&o->load))
 		return "load";
@@ -1636,7 +1575,7 @@
 	if (now < o->sweep_at)
 		return;
 	o->sweep_at = now + SWEEP;
-	g_hash_table_foreach_remove(o->refused, refusal_is_old, &now);
+	cell_admission_sweep(o->admission, now);
 	all = g_hash_table_get_values(o->jobs);
 	for (at = all; at != NULL; at = at->next) {
 		struct cell_job *j = at->data;
--- a/cell/pace.c
+++ b/cell/pace.c
@@ -15,6 +15,7 @@
 /* Weight of one sample.  A worker with ten runs gives some forty a second, so a
  * change shows within half a second. */
 #define WEIGHT 0.1
+/* Samples that it takes to outweigh having known nothing. */
 #define PRIOR 4
 /* Looks after which a worker counts as known. */
 #define KNOWN 4
--- a/cell/pace.h
+++ b/cell/pace.h
@@ -49,8 +49,8 @@
  * for too short a time to tell. */
 
 void cell_pace_fade(struct cell_pace *p, double sound);
-/* The worker has run nothing that would teach its pace for a quarter of a
- * second: what is known of it grows old. */
+/* To be called five times a second while the worker runs nothing: what is known
+ * of it grows old. */
 
 bool cell_pace_stands_still(
     const struct cell_progress *seen, uint64_t clock_ms, uint32_t estimate_ms);
