--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -16,18 +16,30 @@
 	uint32_t timeout_ms;
 	cell_hold_fn *done;
 	void *arg;
+	bool answered;
+};
+
+struct Stop {
+	cell_order_fn *done;
+	void *arg;
 };
 
 struct Worker {
 	std::vector<Hold> holds;
-	int ended = 0;
+	std::vector<Stop> stops;
 };
 
 void
 on_hold(void *ctx, const struct cell_hold *h, cell_hold_fn *done, void *arg)
 {
 	static_cast<Worker *>(ctx)->holds.push_back(
-	    {h->wait_ms, h->timeout_ms, done, arg});
+	    {h->wait_ms, h->timeout_ms, done, arg, false});
+}
+
+void
+on_stop(void *ctx, const struct cell_order *, cell_order_fn *done, void *arg)
+{
+	static_cast<Worker *>(ctx)->stops.push_back({done, arg});
 }
 
 class Fleet : public testing::Test
@@ -54,8 +66,7 @@
 			cell_fleet_stray(t->fleet_, w, row, now);
 		};
 		e.arg = this;
-		ops_.stop = [](void *, const struct cell_order *,
-				cell_order_fn *, void *) {};
+		ops_.stop = on_stop;
 		fleet_ = cell_fleet_init(&ops_, &limits_, &e);
 		cell_fleet_open(fleet_, 1, now_);
 		entry.service = service;
@@ -66,8 +77,21 @@
 		cell_fleet_entry(fleet_, "w", &entry, now_);
 	}
 
+	/* Every call gets its one answer, also after the end of ownership. */
 	void TearDown() override
 	{
+		struct cell_hold_answer lost = {};
+		struct cell_order_answer none = {};
+
+		lost.io = OGL_IO_LOST;
+		none.io = OGL_IO_LOST;
+		cell_fleet_close(fleet_);
+		for (Hold &h : worker_.holds) {
+			if (!h.answered)
+				h.done(h.arg, &lost, now_);
+		}
+		for (Stop &s : worker_.stops)
+			s.done(s.arg, &none, now_);
 		cell_fleet_end(fleet_);
 	}
 
@@ -83,7 +107,7 @@
 	{
 		struct cell_hold_answer a = {};
 		struct cell_row row = {};
-		Hold h = worker_.holds.back();
+		Hold &h = worker_.holds.back();
 
 		a.io = io;
 		a.born_ms = 7;
@@ -92,6 +116,7 @@
 		row.checkpoint = "";
 		a.running = &row;
 		a.nrunning = running;
+		h.answered = true;
 		h.done(h.arg, &a, now_);
 	}
 
