--- a/cell/journal.c
+++ b/cell/journal.c
@@ -317,10 +317,18 @@
 	g_array_append_val(g->waiters, w);
 }
 
+static struct batch *
+oldest(const struct cell_journal *g)
+{
+	const GList *head = g->batches.head;
+
+	return head != NULL ? head->data : NULL;
+}
+
 bool
 cell_journal_failing(const struct cell_journal *g, ogl_time now)
 {
-	const struct batch *b = g_queue_peek_head((GQueue *)&g->batches);
+	const struct batch *b = oldest(g);
 
 	if (g->failing_since != 0 && now - g->failing_since > FAILING)
 		return true;
@@ -474,8 +482,7 @@
 	g->failing_since = 0;
 	g->took = now - last->sent_at;
 	adapt_overdue(g);
-	while ((b = g_queue_peek_head(&g->batches)) != NULL &&
-	       b->number <= number) {
+	while ((b = oldest(g)) != NULL && b->number <= number) {
 		g_queue_pop_head(&g->batches);
 		tell(b->waiters, CELL_STORED, now);
 		batch_free(b);
@@ -581,12 +588,11 @@
 {
 	GArray *refused = g_array_new(FALSE, FALSE, sizeof(struct waiter));
 	GHashTable *jobs = g_hash_table_new(NULL, NULL);
-	const struct batch *first = g_queue_peek_head(&g->batches);
 	GHashTableIter it;
 	gpointer k;
 	GList *at;
 
-	g->seq = first->seq - 1;
+	g->seq = oldest(g)->seq - 1;
 	for (at = g->batches.tail; at != NULL; at = at->prev) {
 		unmake(g, at->data);
 		list_submitted(at->data, jobs);
@@ -676,9 +682,7 @@
 static ogl_time
 batch_wake(const struct cell_journal *g, const struct batch *b)
 {
-	bool first = b == g_queue_peek_head((GQueue *)&g->batches);
-
-	if (b->awaited >= SENDINGS_MAX || (b->awaited == 0 && !first))
+	if (b->awaited >= SENDINGS_MAX || (b->awaited == 0 && b != oldest(g)))
 		return OGL_NEVER;
 	return b->retry_at;
 }
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -82,6 +82,7 @@
 	struct cell_escrow *escrow;
 	uint64_t records; /* of the workers, in this process */
 	bool settled;
+	bool holds_tasks; /* some may run on workers not heard of yet */
 	ogl_time opened_at;
 	ogl_time wall;
 
@@ -828,28 +829,13 @@
 	}
 }
 
-/*
- * The platform's list may lack workers for a while: entries lapse while the
- * store is away, and come back seconds after it.  What runs there is not to be
- * started elsewhere meanwhile.
- */
-static void
-load_worker(void *arg, const Ogl__CellKnown *k, ogl_time now)
-{
-	struct cell_owner *o = arg;
-
-	cell_fleet_expect(o->fleet, k, now);
-}
-
 /* The tasks that may run on a worker that had gone silent wait until it has
  * answered or its lease is over; all others need not wait for it. */
 static void
-hold_tasks(void *arg, const Ogl__CellKnown *k, ogl_time now)
+hold_tasks(struct cell_owner *o, const Ogl__CellKnown *k)
 {
-	struct cell_owner *o = arg;
 	size_t i;
 
-	(void)now;
 	for (i = 0; i < k->n_tasks; i++) {
 		const Ogl__CellKnownTask *t = k->tasks[i];
 		struct cell_task_name name = {.occurrence = t->occurrence,
@@ -867,6 +853,20 @@
 	}
 }
 
+/*
+ * The platform's list may lack workers for a while: entries lapse while the
+ * store is away, and come back seconds after it.  What runs there is not to be
+ * started elsewhere meanwhile.
+ */
+static void
+load_worker(void *arg, const Ogl__CellKnown *k, ogl_time now)
+{
+	struct cell_owner *o = arg;
+
+	cell_fleet_expect(o->fleet, k, now);
+	hold_tasks(o, k);
+}
+
 /* Waits for a record of the workers to be stored. */
 struct named {
 	struct cell_owner *owner;
@@ -959,9 +959,6 @@
 	GList *all, *at;
 	char text[96];
 
-	if (!cell_known_unpack(l->workers, load_worker, o, now))
-		o->ops->log(o->ops->ctx, "owner", "record_unreadable",
-		    CELL_WORKERS_KEY);
 	load_jobs(o, l, now);
 	load_ended(o, l->progress);
 	o->phase = PHASE_SERVING;
@@ -977,7 +974,9 @@
 			resume_job(o, j, now);
 	}
 	g_list_free(all);
-	cell_known_unpack(l->workers, hold_tasks, o, now);
+	if (!cell_known_unpack(l->workers, load_worker, o, now))
+		o->ops->log(o->ops->ctx, "owner", "record_unreadable",
+		    CELL_WORKERS_KEY);
 	g_snprintf(text, sizeof text,
 	    "shard=%u epoch=%" G_GUINT64_FORMAT
 	    " jobs=%u took_ms=%" G_GINT64_FORMAT,
@@ -1104,6 +1103,7 @@
 	o->epoch = epoch;
 	o->store_took = store_took;
 	o->settled = false;
+	o->holds_tasks = true;
 	o->opened_at = now;
 	cell_loader_open(o->loader, epoch, store_took, now);
 	cell_roster_open(o->roster, now);
@@ -1527,7 +1527,8 @@
 		begin_due(o, j);
 	if (!j->settled)
 		return;
-	suppose_job_settled(o, j, now);
+	if (o->holds_tasks)
+		suppose_job_settled(o, j, now);
 	for (i = 0; i < j->occurrences->len; i++) {
 		struct cell_occurrence *oc = j->occurrences->pdata[i];
 
@@ -1586,6 +1587,8 @@
 			sweep_job(o, j, now);
 	}
 	g_list_free(all);
+	if (o->settled && now > cell_fleet_lapse(o->fleet))
+		o->holds_tasks = false;
 	o->run_pass = true;
 }
 
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -733,14 +733,14 @@
 note_wait(struct cell_sched *s, struct cell_stage *st, enum cell_wait why,
     ogl_time now)
 {
-	const struct cell_team *t =
-	    cell_config_team(s->config, st->job->def->team);
-	struct ogl_res used =
-	    cell_fleet_team_used(s->parts.fleet, st->job->def->team);
+	const struct cell_team *t;
+	struct ogl_res used;
 	char text[256];
 
 	if (st->waits == why)
 		return;
+	t = cell_config_team(s->config, st->job->def->team);
+	used = cell_fleet_team_used(s->parts.fleet, st->job->def->team);
 	g_snprintf(text, sizeof text,
 	    "job=%s task=%u.%u why=%s waiting=%u ms=%" G_GINT64_FORMAT
 	    " room_cpu=%" G_GUINT64_FORMAT " used_cpu=%u max_cpu=%u",
