--- a/test/test_cell_lead.cc
+++ b/test/test_cell_lead.cc
@@ -122,7 +122,13 @@
 			static_cast<Lead *>(arg)->won_ = epoch;
 		};
 		events_.lost = [](void *, uint32_t, ogl_time) {};
-		events_.changed = [](void *, uint32_t, const char *, ogl_time) {
+		events_.changed = [](void *arg, uint32_t shard,
+				      const char *addr, ogl_time) {
+			auto *t = static_cast<Lead *>(arg);
+
+			t->told_.push_back(
+			    std::to_string(cell_lead_epoch(t->lead_, shard)) +
+			    " " + (addr != nullptr ? addr : "none"));
 		};
 		events_.arg = this;
 	}
@@ -296,6 +302,7 @@
 	ogl_time now_ = 1000 * kMs;
 	uint64_t offset_ = 0;
 	uint64_t won_ = 0;
+	std::vector<std::string> told_; /* owners in their epochs */
 };
 
 TEST_F(Lead, FollowsClaimsAndResignations)
@@ -332,6 +339,19 @@
 	EXPECT_EQ("10.0.0.2:1", owner());
 }
 
+/* Guards against calls that bear an old epoch for ever and are never answered. */
+TEST_F(Lead, ANodeThatWinsAgainIsToldInItsNewEpoch)
+{
+	begin(1);
+	read(false, 1);
+	read(false, 2);
+	read(false, 2);
+	cell_lead_hear(lead_, 0, 3, "10.0.0.2:1", now_);
+	EXPECT_EQ((std::vector<std::string>{
+		      "1 10.0.0.2:1", "2 10.0.0.2:1", "3 10.0.0.2:1"}),
+	    told_);
+}
+
 /* The owner falls silent while reads are answered: it does not reach the
  * store, and the cell is claimed. */
 TEST_F(Lead, SilenceOfTheOwnerAloneBringsAClaim)
