--- a/cell/journal.c
+++ b/cell/journal.c
@@ -59,7 +59,8 @@
 	GPtrArray *jobs;   /* struct cell_job */
 	GArray *waiters;   /* struct waiter */
 	GHashTable *extra; /* key -> GBytes */
-	uint32_t awaited;  /* sendings whose answers are missing */
+	uint32_t sendings; /* so far */
+	uint32_t awaited;  /* of them, answers that are missing */
 	bool uncertain;    /* a sending without answer may take effect */
 	ogl_time retry_at; /* sent again then */
 	ogl_time sent_at;  /* first; 0 not yet */
@@ -456,6 +457,7 @@
 	s->journal = g;
 	s->generation = g->generation;
 	s->number = b->number;
+	b->sendings++;
 	b->awaited++;
 	b->retry_at = now + g->overdue_ms * OGL_MS;
 	g->last_sent_at = now;
@@ -471,6 +473,19 @@
 	g->overdue_ms = MAX(overdue_for(g->took), slowly);
 }
 
+static void
+log_repeated(struct cell_journal *g, const struct batch *b, ogl_time now)
+{
+	char text[128];
+
+	g_snprintf(text, sizeof text,
+	    "shard=%u epoch=%" G_GUINT64_FORMAT " seq=%" G_GUINT64_FORMAT
+	    " sendings=%u took_ms=%" G_GINT64_FORMAT " overdue_ms=%u",
+	    g->shard, g->epoch, b->seq, b->sendings,
+	    (now - b->sent_at) / OGL_MS, g->overdue_ms);
+	g->ops->log(g->ops->ctx, "journal", "append_repeated", text);
+}
+
 /* The batch and all before it. */
 static void
 stored_up_to(struct cell_journal *g, const struct batch *last, ogl_time now)
@@ -478,6 +493,8 @@
 	uint64_t number = last->number;
 	struct batch *b;
 
+	if (last->sendings > 1)
+		log_repeated(g, last, now);
 	g->begun = true;
 	g->failing_since = 0;
 	g->took = now - last->sent_at;
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -634,6 +634,8 @@
 		s->beat_ok = now;
 		s->announced = true;
 	}
+	if (a->io != OGL_IO_OK)
+		s->lead->ops->count(s->lead->ops->ctx, "beats_failed", 1);
 	g_free(b);
 }
 
@@ -662,6 +664,7 @@
 
 	s->claiming = false;
 	if (a->io != OGL_IO_OK) {
+		log_owner(s, a->moved ? "claim_late" : "claim_failed", l->addr);
 		if (a->moved || a->io == OGL_IO_LOST)
 			read_claims(s);
 		return;
--- a/cell/loader.c
+++ b/cell/loader.c
@@ -167,6 +167,14 @@
 	l->prepared_at = 0;
 }
 
+static const char *
+phase_name(enum phase p)
+{
+	static const char *const names[] = {"idle", "prepare", "fence", "load"};
+
+	return names[p];
+}
+
 void
 cell_loader_close(struct cell_loader *l)
 {
@@ -178,6 +186,14 @@
 static void
 missed(struct cell_loader *l, enum ogl_io io, ogl_time now)
 {
+	char text[128];
+
+	g_snprintf(text, sizeof text,
+	    "shard=%u epoch=%" G_GUINT64_FORMAT
+	    " step=%s lost=%d timeout_ms=%u",
+	    l->shard, l->epoch, phase_name(l->phase), io == OGL_IO_LOST,
+	    l->ask_timeout_ms);
+	l->ops->log(l->ops->ctx, "owner", "load_missed", text);
 	l->ask_at = now + RETRY;
 	if (io == OGL_IO_LOST)
 		l->ask_timeout_ms =
--- a/test/test_cell_journal.cc
+++ b/test/test_cell_journal.cc
@@ -35,12 +35,18 @@
 	s->args.push_back(arg);
 }
 
+void
+on_log(void *, const char *, const char *, const char *)
+{
+}
+
 class Journal : public testing::Test
 {
       protected:
 	void SetUp() override
 	{
 		ops_.append = on_append;
+		ops_.log = on_log;
 		ops_.outside = &store_;
 		journal_ = cell_journal_init(
 		    &ops_, 0, [](void *, ogl_time) {}, nullptr);
--- a/test/test_cell_lead.cc
+++ b/test/test_cell_lead.cc
@@ -85,6 +85,11 @@
 {
 }
 
+void
+on_count(void *, const char *, uint64_t)
+{
+}
+
 /* The record of a node that is not the one under test. */
 std::string
 lead_record(uint32_t shard, bool claim, bool vacant, uint64_t epoch)
@@ -115,6 +120,7 @@
 		ops_.read = on_read;
 		ops_.newest = on_newest;
 		ops_.log = on_log;
+		ops_.count = on_count;
 		ops_.outside = &store_;
 		events_.planned = [](void *, uint32_t, ogl_time) {};
 		events_.won = [](void *arg, uint32_t, uint64_t epoch,
