Measure the store by the sending that was answered

What callers saw: while two in five writes lost their answer, one job in twenty got no end in time, others were accepted seconds late.

Cause: the time the store takes ran from an append's first sending to the answer of any. A lost answer passed for a slow store: the next repeat came after four times as long, doubled by each repeat, up to 2.4 s.

Change: each sending bears its time, the answered one is measured; repeats come at an even pace, up to 8 under way.

--- a/cell/journal.c
+++ b/cell/journal.c
@@ -9,6 +9,9 @@
  * An answer that is overdue may be lost or only slow, as when the store takes
  * sixty times as long from one moment to the next.  So the append is sent again
  * while its first answer is still waited for, and whichever comes first counts.
+ * How long the store takes is measured from the sending that was answered: from
+ * the first one on, each lost answer would pass for a slow store and put off the
+ * next repeat.
  *
  * While the store is well one append is under way at a time.  Where it is slow,
  * the next is sent before the last one is answered: else a call waits for the
@@ -26,13 +29,13 @@
 #define GAP (15 * OGL_MS)
 /* Changes that nobody waits for are written within this time. */
 #define LAZY (250 * OGL_MS)
-/* An answer missing for so long is overdue.  Each sending doubles it. */
+/* An answer missing for so long is overdue, at least and at most. */
 #define OVERDUE_MIN_MS 150
 #define OVERDUE_MAX_MS 2400
 /* An answer is waited for so long. */
 #define TIMEOUT_MS 2400
 /* Sendings of one append whose answers are awaited. */
-#define SENDINGS_MAX 4
+#define SENDINGS_MAX 8
 /* Appends under way at a time to a slow store, and what counts as slow. */
 #define BATCHES_MAX 3
 #define SLOW (60 * OGL_MS)
@@ -79,7 +82,7 @@
 	bool begun; /* an append of the epoch was taken: the store knows where
 		     * its numbers begin, and takes none before its turn */
 	uint32_t overdue_ms;
-	ogl_time took; /* by the last answered one, from first sending on */
+	ogl_time took; /* by the last sending that was answered */
 	ogl_time last_sent_at;
 	ogl_time failing_since; /* 0: the last append was taken */
 	ogl_time retry_at;      /* no new batch before, while that is set */
@@ -96,6 +99,7 @@
 	struct cell_journal *journal;
 	uint64_t generation;
 	uint64_t number;
+	ogl_time at;
 };
 
 static void
@@ -457,6 +461,7 @@
 	s->journal = g;
 	s->generation = g->generation;
 	s->number = b->number;
+	s->at = now;
 	b->sendings++;
 	b->awaited++;
 	b->retry_at = now + g->overdue_ms * OGL_MS;
@@ -486,9 +491,10 @@
 	g->ops->log(g->ops->ctx, "journal", "append_repeated", text);
 }
 
-/* The batch and all before it. */
+/* The batch and all before it, by the answer to what was sent at `sent`. */
 static void
-stored_up_to(struct cell_journal *g, const struct batch *last, ogl_time now)
+stored_up_to(struct cell_journal *g, const struct batch *last, ogl_time sent,
+    ogl_time now)
 {
 	uint64_t number = last->number;
 	struct batch *b;
@@ -497,7 +503,7 @@
 		log_repeated(g, last, now);
 	g->begun = true;
 	g->failing_since = 0;
-	g->took = now - last->sent_at;
+	g->took = now - sent;
 	adapt_overdue(g);
 	while ((b = oldest(g)) != NULL && b->number <= number) {
 		g_queue_pop_head(&g->batches);
@@ -677,6 +683,7 @@
 	struct cell_journal *g = s->journal;
 	bool current = s->generation == g->generation;
 	struct batch *b = current ? batch_of(g, s->number) : NULL;
+	ogl_time sent = s->at;
 
 	g_free(s);
 	if (!current)
@@ -689,7 +696,7 @@
 		return; /* another sending, or a later one, was answered before */
 	b->awaited--;
 	if (a->io == OGL_IO_OK)
-		stored_up_to(g, b, now);
+		stored_up_to(g, b, sent, now);
 	else
 		batch_failed(g, b, a, now);
 }
@@ -759,11 +766,8 @@
 	for (at = g->batches.head; at != NULL; at = at->next) {
 		struct batch *b = at->data;
 
-		if (batch_wake(g, b) > now)
-			continue;
-		if (b->awaited > 0)
-			g->overdue_ms = MIN(g->overdue_ms * 2, OVERDUE_MAX_MS);
-		send_batch(g, b, now);
+		if (batch_wake(g, b) <= now)
+			send_batch(g, b, now);
 	}
 }
 
--- a/test/test_cell_journal.cc
+++ b/test/test_cell_journal.cc
@@ -220,6 +220,25 @@
 	EXPECT_TRUE(cell_journal_idle(journal_));
 }
 
+/* Guards against waits that grow with each lost answer. */
+TEST_F(Journal, ALostAnswerDoesNotDelayTheNextRepeat)
+{
+	std::vector<cell_fate> told;
+
+	submit(job(), &told);
+	step_ms(20);
+	step_ms(160);
+	step_ms(160);
+	EXPECT_EQ((std::vector<uint64_t>{1, 1, 1}), store_.seqs);
+	now_ += 4 * OGL_MS;
+	answer_nth(2, OGL_IO_OK);
+	submit(job(), &told);
+	step_ms(20);
+	step_ms(160);
+	step_ms(160);
+	EXPECT_EQ((std::vector<uint64_t>{1, 1, 1, 2, 2, 2}), store_.seqs);
+}
+
 /* One sending is refused while the answer to another is missing: that one may
  * have taken effect, and a caller told "refused" would see its job run. */
 TEST_F(Journal, NoRefusalWhileASendingMayTakeEffect)
