An owner whose reads are answered stays able while answers to its writes are lost

What callers saw: while the store lost answers the shard changed hands 3 to 9 times in 15 s with no process gone; work waited for each takeover.

Cause: two heartbeats in a row without an answer made an owner call itself unable, and its peers took the shard for vacant (docs/incidents/ownership-moves-on-lost-answers.md).

Evidence: owner_unable of a live owner 0.4 to 1 s after the first lost answer, before each of the moves. Ruled out: slow nodes (pings answered), a store that turns the owner away (its reads are answered).

Change: an unanswered heartbeat is repeated after 150 ms; answered reads keep an owner able unless the store refuses its heartbeats.

--- a/cell/lead.c
+++ b/cell/lead.c
@@ -18,6 +18,11 @@
  * they are with one shard; claims have streams of their own, as a condition on
  * the common one would fail whenever any owner's heartbeat came in between.
  *
+ * Answers to heartbeats get lost: one that is overdue is repeated soon, and an
+ * owner without any answer to them still counts as able while its reads are
+ * answered.  Where the store loses the answers of all, another owner would fare
+ * no better, and each move costs the time of a takeover.
+ *
  * An owner reads along: a later epoch than its own ends its ownership.  Until
  * it reads that, its orders are refused by every worker that the new owner has
  * called, and the new owner starts nothing that may run elsewhere before all
@@ -39,8 +44,15 @@
  * process has ended or its machine gone (or a cut looks like it): one missed
  * beat is enough then. */
 #define SILENCE_DEAD (650 * OGL_MS)
-/* An owner whose beats are not taken for so long says so to its peers. */
+/* A beat without an answer for so long, or several times what the last one took,
+ * is repeated. */
+#define BEAT_OVERDUE (150 * OGL_MS)
+#define BEAT_OVERDUE_TIMES 4
+/* An owner that has had no answer of the store for so long says so to its
+ * peers. */
 #define ABLE_MAX (750 * OGL_MS)
+/* It reads beside its beats when the last answered read is older. */
+#define READ_PROOF_AFTER (350 * OGL_MS)
 /* Claimants spread over this time: most read of the first claim before they
  * would append theirs. */
 #define SPREAD_MS 150
@@ -59,7 +71,7 @@
  * while a shard is vacant. */
 #define READ_GAP (250 * OGL_MS)
 #define APPEND_TIMEOUT_MS 900
-#define BEATS_MAX 3
+#define BEATS_MAX 6
 #define RETRY (150 * OGL_MS)
 /* An owner that has not reached the store for so long can't rule out that it
  * was replaced; outages of the store are shorter. */
@@ -95,7 +107,9 @@
 	unsigned beats; /* appends under way */
 	bool announced; /* a heartbeat of this ownership was taken */
 	ogl_time beat_at;
+	ogl_time beat_took; /* by the last one that was answered */
 	ogl_time beat_ok;   /* last beat taken, or the winning of ownership */
+	bool beat_refused;  /* one was, since */
 	ogl_time dead_hint; /* last sign that the owner's process has ended */
 };
 
@@ -293,6 +307,7 @@
 	s->announced = false;
 	s->beat_at = now;
 	s->beat_ok = now;
+	s->beat_refused = false;
 	claim_others_later(l);
 	set_owner(s, l->addr, now);
 	log_owner(s, "ownership_won", l->addr);
@@ -621,8 +636,18 @@
 struct beat {
 	struct seat *seat;
 	uint64_t epoch;
+	ogl_time sent;
 };
 
+/* The next beat is due as long after an answered one as if none had been
+ * repeated. */
+static void
+beat_answered(struct seat *s, const struct beat *b, ogl_time now)
+{
+	s->beat_at = MAX(s->beat_at, b->sent + BEAT);
+	s->beat_took = now - b->sent;
+}
+
 static void
 on_beat(void *arg, const struct cell_append_answer *a, ogl_time now)
 {
@@ -630,17 +655,23 @@
 	struct seat *s = b->seat;
 
 	s->beats--;
-	if (a->io == OGL_IO_OK && b->epoch == s->epoch) {
+	if (a->io != OGL_IO_OK)
+		s->lead->ops->count(s->lead->ops->ctx, "beats_failed", 1);
+	if (b->epoch != s->epoch)
+		goto out;
+	if (a->io != OGL_IO_LOST)
+		beat_answered(s, b, now);
+	if (a->io == OGL_IO_OK) {
 		s->beat_ok = now;
 		s->announced = true;
 	}
-	if (a->io != OGL_IO_OK)
-		s->lead->ops->count(s->lead->ops->ctx, "beats_failed", 1);
+	s->beat_refused = a->io == OGL_IO_REFUSED;
+out:
 	g_free(b);
 }
 
 static void
-send_beat(struct seat *s, bool vacant)
+send_beat(struct seat *s, bool vacant, ogl_time now)
 {
 	Ogl__CellLead m = OGL__CELL_LEAD__INIT;
 	struct beat *b = g_new(struct beat, 1);
@@ -649,6 +680,7 @@
 	m.vacant = vacant;
 	b->seat = s;
 	b->epoch = s->epoch;
+	b->sent = now;
 	s->beats++;
 	append(s, &m, on_beat, b);
 }
@@ -692,10 +724,18 @@
 static void
 beat(struct seat *s, ogl_time now)
 {
-	if (!s->own || now < s->beat_at || s->beats >= BEATS_MAX)
+	ogl_time overdue =
+	    CLAMP(s->beat_took * BEAT_OVERDUE_TIMES, BEAT_OVERDUE, BEAT);
+
+	if (!s->own)
+		return;
+	if (now - s->beat_ok > READ_PROOF_AFTER &&
+	    now - s->lead->last_read_ok > READ_PROOF_AFTER)
+		cell_lead_probe(s->lead, now);
+	if (now < s->beat_at || s->beats >= BEATS_MAX)
 		return;
-	s->beat_at = now + BEAT;
-	send_beat(s, false);
+	s->beat_at = now + overdue;
+	send_beat(s, false, now);
 }
 
 /* How much later than others this node claims the shard. */
@@ -816,7 +856,7 @@
 	s->claim_at = OGL_NEVER;
 	if (!s->own)
 		return;
-	send_beat(s, true);
+	send_beat(s, true, now);
 	step_down(s, now);
 	set_owner(s, NULL, now);
 }
@@ -918,8 +958,11 @@
 cell_lead_able(const struct cell_lead *l, uint32_t shard, ogl_time now)
 {
 	const struct seat *s = &l->seats[shard];
+	ogl_time ok = s->beat_ok;
 
-	return s->own && now - s->beat_ok < ABLE_MAX;
+	if (!s->beat_refused)
+		ok = MAX(ok, l->last_read_ok);
+	return s->own && now - ok < ABLE_MAX;
 }
 
 bool
--- a/cell/lead.h
+++ b/cell/lead.h
@@ -75,7 +75,8 @@
  * silence is enough. */
 
 bool cell_lead_able(const struct cell_lead *l, uint32_t shard, ogl_time now);
-/* Whether this node owns the shard and its heartbeats are taken. */
+/* Whether this node owns the shard and reaches the store: its heartbeats are
+ * taken, or unanswered while its reads are answered. */
 
 bool cell_lead_is_owner(const struct cell_lead *l, uint32_t shard);
 uint64_t cell_lead_epoch(const struct cell_lead *l, uint32_t shard);
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -2153,6 +2153,12 @@
 	return owner;
 }
 
+unsigned
+fake_cell_claims(const struct fake_cell *f, unsigned shard)
+{
+	return f->streams[CELL_CLAIMS][shard].records->len;
+}
+
 /* ---- the store's contents --------------------------------------------- */
 
 static void
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -74,6 +74,8 @@
 
 int fake_cell_owner(const struct fake_cell *f, unsigned shard);
 /* The node that owns the shard, by its own word; -1 none, -2 several. */
+unsigned fake_cell_claims(const struct fake_cell *f, unsigned shard);
+/* How often the shard was won so far, first time included. */
 unsigned fake_cell_shards(const struct fake_cell *f, unsigned node);
 /* How many shards the node knows of; 0 none yet. */
 void fake_cell_kill(struct fake_cell *f, unsigned node);
--- /dev/null
+++ b/test/test_cell_answers.cc
@@ -0,0 +1,89 @@
+/* A cell whose store loses the answers to half of the writes, by seed. */
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "fake_cell.h"
+
+namespace
+{
+
+constexpr unsigned kSeeds = 20;
+constexpr uint32_t kDeadlineMs = 3000; /* callers wait so long */
+
+std::string
+id_of(unsigned n)
+{
+	char id[17];
+
+	snprintf(id, sizeof id, "%016x", n + 1);
+	return id;
+}
+
+class Answers : public testing::TestWithParam<unsigned>
+{
+      protected:
+	void SetUp() override
+	{
+		struct fake_cell_shape shape = {};
+
+		shape.nodes = 5;
+		shape.workers = 6;
+		shape.seed = GetParam();
+		shape.attempts_max = 3;
+		cell_ = fake_cell_init(&shape);
+		fake_cell_run(cell_, 1000);
+		fake_cell_store(cell_, -1, FAKE_STORE_LATE);
+	}
+
+	void TearDown() override
+	{
+		EXPECT_TRUE(fake_cell_settle(cell_, 60000));
+		EXPECT_STREQ("", fake_cell_breaches(cell_));
+		fake_cell_end(cell_);
+	}
+
+	void submit(unsigned n)
+	{
+		struct fake_step s = {};
+
+		s.count = 2;
+		s.cpu = 1000;
+		s.run_ms = 500;
+		s.after = -1;
+		fake_cell_submit(
+		    cell_, n % 5, id_of(n).c_str(), nullptr, &s, 1);
+	}
+
+	struct fake_cell *cell_ = nullptr;
+};
+
+/* Guards against ownership that moves from an owner that is well. */
+TEST_P(Answers, ALiveOwnerKeepsTheCell)
+{
+	for (unsigned n = 0; n < 40; n++) {
+		submit(n);
+		fake_cell_run(cell_, 500);
+	}
+	EXPECT_EQ(1u, fake_cell_claims(cell_, 0));
+}
+
+/* Guards against callers that wait in vain after an owner has gone. */
+TEST_P(Answers, ALostOwnerIsReplacedWithinACallersDeadline)
+{
+	int owner = fake_cell_owner(cell_, 0);
+
+	ASSERT_LE(0, owner);
+	fake_cell_run(cell_, 2000);
+	fake_cell_kill(cell_, static_cast<unsigned>(owner));
+	fake_cell_run(cell_, 1000);
+	submit(static_cast<unsigned>(owner) + 1);
+	fake_cell_run(cell_, kDeadlineMs);
+	EXPECT_EQ(200, fake_cell_status(cell_,
+			   id_of(static_cast<unsigned>(owner) + 1).c_str()));
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Answers, testing::Range(1u, kSeeds + 1));
+
+} // namespace
--- a/test/test_cell_lead.cc
+++ b/test/test_cell_lead.cc
@@ -522,6 +522,56 @@
 	EXPECT_EQ("none", owner());
 }
 
+/* Guards against an owner given up because answers to its heartbeats are lost. */
+TEST_F(Lead, AnOwnerWhoseReadsAreAnsweredIsAble)
+{
+	begin(1);
+	win();
+	for (int i = 0; i < 10; i++) {
+		quiet(200);
+		EXPECT_TRUE(cell_lead_able(lead_, 0, now_)) << i;
+	}
+}
+
+/* Guards against an owner kept although the store refuses all it writes. */
+TEST_F(Lead, AnOwnerWhoseHeartbeatsAreRefusedIsNotAble)
+{
+	struct cell_append_answer refused = {};
+
+	refused.io = OGL_IO_REFUSED;
+	begin(1);
+	win();
+	for (int i = 0; i < 5; i++) {
+		for (size_t k = 0; k < store_.written.size(); k++)
+			answer(store_.written[k], refused);
+		quiet(200);
+	}
+	EXPECT_FALSE(cell_lead_able(lead_, 0, now_));
+}
+
+/* Guards against an owner kept although the store answers it nothing. */
+TEST_F(Lead, AnOwnerWithoutAnyAnswerIsNotAble)
+{
+	begin(1);
+	win();
+	for (int i = 0; i < 25; i++) {
+		pass(40);
+		cell_lead_step(lead_, now_);
+	}
+	EXPECT_FALSE(cell_lead_able(lead_, 0, now_));
+}
+
+/* Guards against a new owner that calls no worker for want of a heartbeat. */
+TEST_F(Lead, AnUnansweredHeartbeatIsRepeatedSoon)
+{
+	begin(1);
+	win();
+	size_t sent = store_.written.size();
+
+	quiet(320);
+	EXPECT_EQ(sent + 2, store_.written.size());
+}
+
 /* All owners are lost at once.  A node claims one shard at first and leaves the
  * others to its peers: one machine could not carry them all, and callers would
  * be refused for want of its processor alone. */
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -118,6 +118,8 @@
 
 			return o == -1 ? "none" : o == -2 ? "several" : "one";
 		}
+		if (w[0] == "claims")
+			return std::to_string(fake_cell_claims(cell_, 0));
 		if (w[0] == "shards")
 			return std::to_string(fake_cell_shards(
 			    cell_, static_cast<unsigned>(node(w[1]))));
