A worker is gone when another answers at its address

Cause: at a takeover the answer of another worker at the address did not count as proof that the one asked for has ended (docs/incidents/takeover-waits-for-a-replaced-worker.md).

Evidence: worker_silent why=other_life, a field added with this, for just the workers that were waited for.

Change: it counts.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -18,7 +18,8 @@
  * A worker that does not answer may go on running all it has until the lease
  * asked for last is over by its own clock, which may be SLOW slower than ours.
  * Until then its runs count as running.  One whose host answers that nothing
- * listens at its address has ended, and all it ran with it.
+ * listens at its address, or where another worker answers, has ended, and all it
+ * ran with it.
  */
 
 #include <string.h>
@@ -216,7 +217,8 @@
 		w->expected = false;
 		w->named = false;
 		w->excused = false;
-		w->silent_record = 0;
+		w->named_from = 0;
+		w->moved = false;
 		w->told_silent = false;
 		w->gone = false;
 		w->refusals = 0;
@@ -264,18 +266,44 @@
 }
 
 static void
-log_worker(struct cell_fleet *f, const struct cell_worker *w, const char *event)
+log_worker_why(struct cell_fleet *f, const struct cell_worker *w,
+    const char *event, const char *why)
 {
 	char text[256];
 
 	g_snprintf(text, sizeof text,
 	    "worker=%s addr=%s life=%" G_GUINT64_FORMAT
-	    " runs=%u failures=%u draining=%d hold_ms=%" G_GINT64_FORMAT,
+	    " runs=%u failures=%u draining=%d hold_ms=%" G_GINT64_FORMAT "%s%s",
 	    w->id, w->addr, w->life, g_hash_table_size(w->runs), w->failures,
-	    w->draining, w->hold_took / OGL_MS);
+	    w->draining, w->hold_took / OGL_MS, *why != '\0' ? " why=" : "",
+	    why);
 	f->ops->log(f->ops->ctx, "fleet", event, text);
 }
 
+static void
+log_worker(struct cell_fleet *f, const struct cell_worker *w, const char *event)
+{
+	log_worker_why(f, w, event, "");
+}
+
+/* A successor would call it at its old address, learn there that it has ended,
+ * and start elsewhere what runs at the new one; so it is given nothing until a
+ * record has the new one. */
+static void
+set_addr(
+    struct cell_fleet *f, struct cell_worker *w, const char *addr, ogl_time now)
+{
+	w->moved = w->addr != NULL;
+	if (w->moved) {
+		w->named = false;
+		w->gone = false;
+		w->refusals = 0;
+		w->hold_at = now;
+	}
+	f->names_changed = true;
+	replace(&w->addr, addr);
+}
+
 void
 cell_fleet_entry(struct cell_fleet *f, const char *id,
     const struct cell_worker_entry *e, ogl_time now)
@@ -292,8 +320,7 @@
 	}
 	w = worker_get(f, id, now);
 	if (g_strcmp0(w->addr, e->addr) != 0)
-		f->names_changed = true;
-	replace(&w->addr, e->addr);
+		set_addr(f, w, e->addr, now);
 	replace(&w->zone, e->zone);
 	replace(&w->rack, e->rack);
 	replace(&w->service, e->service);
@@ -350,7 +377,7 @@
 {
 	struct cell_worker *w = g_hash_table_lookup(f->workers, id);
 
-	if (w == NULL || w->named || record < w->silent_record)
+	if (w == NULL || w->named || w->moved || record < w->named_from)
 		return;
 	w->named = true;
 	f->events.room(f->events.arg, f->opened_at);
@@ -870,6 +897,16 @@
 	}
 }
 
+static void
+set_gone(struct cell_fleet *f, struct cell_worker *w, ogl_time now)
+{
+	w->gone = true;
+	w->expected = false;
+	log_worker(f, w, "worker_gone");
+	lose_runs(f, w, NULL, now);
+	f->events.answered(f->events.arg, w, now);
+}
+
 /*
  * A worker listens for as long as it lives, so a refused connection tells that
  * it has ended: what ran there is started elsewhere after 0.4 s instead of after
@@ -888,11 +925,17 @@
 	if (w->gone || w->refusals < GONE_REFUSALS ||
 	    now - w->refused_since < GONE_AFTER)
 		return;
-	w->gone = true;
-	w->expected = false;
-	log_worker(f, w, "worker_gone");
-	lose_runs(f, w, NULL, now);
-	f->events.answered(f->events.arg, w, now);
+	set_gone(f, w, now);
+}
+
+static const char *
+failure_name(const struct cell_hold_answer *a)
+{
+	if (a->no_listener)
+		return "no_listener";
+	if (a->why == CELL_REFUSED_LIFE)
+		return "other_life";
+	return a->io == OGL_IO_LOST ? "unanswered" : "refused";
 }
 
 static void
@@ -907,13 +950,17 @@
 	if (a->io == OGL_IO_LOST)
 		w->lossy_until = now + LOSSY;
 	if (w->failures == 0)
-		log_worker(f, w, "worker_silent");
+		log_worker_why(f, w, "worker_silent", failure_name(a));
 	count_failure(w, now);
 	watch_refusals(f, w, a->no_listener, now);
 	/* Whoever answers is another incarnation: the one we knew has ended,
 	 * and what was meant for it is refused. */
-	if (a->why == CELL_REFUSED_LIFE)
+	if (a->why != CELL_REFUSED_LIFE)
+		return;
+	if (w->gone)
 		lose_runs(f, w, NULL, now);
+	else
+		set_gone(f, w, now);
 }
 
 static void
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -70,15 +70,16 @@
 	bool draining;
 	uint64_t entry_born_ms; /* life that its entry speaks of */
 
-	uint64_t life;     /* born_ms of the life last heard; 0 none yet */
-	bool fenced;       /* this life has seen our epoch */
-	uint64_t clock_ms; /* its clock as last read, */
-	ogl_time clock_at; /* and when the answer came */
-	uint64_t until_ms; /* latest lease end asked for in this life */
-	bool named;        /* successors are told that it may run anything */
-	uint64_t silent_record; /* last record that called it silent, 0 none */
-	bool told_silent;       /* the last record calls it silent */
-	ogl_time silent_since;  /* while failures > 0 */
+	uint64_t life;       /* born_ms of the life last heard; 0 none yet */
+	bool fenced;         /* this life has seen our epoch */
+	uint64_t clock_ms;   /* its clock as last read, */
+	ogl_time clock_at;   /* and when the answer came */
+	uint64_t until_ms;   /* latest lease end asked for in this life */
+	bool named;          /* successors are told that it may run anything */
+	uint64_t named_from; /* no earlier record names it, 0 any may */
+	bool moved;          /* no record has its address yet */
+	bool told_silent;    /* the last record calls it silent */
+	ogl_time silent_since; /* while failures > 0 */
 	bool excused; /* what may run there is known by name: not waited for */
 	uint64_t last_seen;   /* ends up to this are stored, */
 	uint64_t acked;       /* and up to this the worker has been told */
--- a/cell/known.c
+++ b/cell/known.c
@@ -58,11 +58,14 @@
 	k->id = g_strdup(w->id);
 	k->addr = g_strdup(w->addr);
 	k->service = g_strdup(w->service);
+	if (w->moved)
+		w->named_from = number;
+	w->moved = false;
 	w->told_silent = cell_worker_silent(w, now);
 	if (w->told_silent) {
 		k->silent = true;
 		w->named = false;
-		w->silent_record = number;
+		w->named_from = number;
 		add_tasks(k, w);
 	}
 	return k;
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -957,9 +957,11 @@
 {
 	struct cell_owner *o = arg;
 	GList *all, *at;
-	char text[96];
+	guint open;
+	char text[128];
 
 	load_jobs(o, l, now);
+	open = g_hash_table_size(o->jobs);
 	load_ended(o, l->progress);
 	o->phase = PHASE_SERVING;
 	cell_journal_open(o->journal, o->epoch, o->store_took);
@@ -979,8 +981,8 @@
 		    CELL_WORKERS_KEY);
 	g_snprintf(text, sizeof text,
 	    "shard=%u epoch=%" G_GUINT64_FORMAT
-	    " jobs=%u took_ms=%" G_GINT64_FORMAT,
-	    o->part.shard, o->epoch, g_hash_table_size(o->jobs),
+	    " jobs=%u open=%u took_ms=%" G_GINT64_FORMAT,
+	    o->part.shard, o->epoch, g_hash_table_size(o->jobs), open,
 	    (now - o->opened_at) / OGL_MS);
 	o->ops->log(o->ops->ctx, "owner", "cell_taken_over", text);
 }
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -6,6 +6,7 @@
 
 extern "C" {
 #include "fleet.h"
+#include "known.h"
 }
 
 namespace
@@ -48,8 +49,6 @@
 	void SetUp() override
 	{
 		struct cell_fleet_events e = {};
-		struct cell_worker_entry entry = {};
-		char service[] = "svc", addr[] = "10.9.0.1:80", none[] = "";
 
 		ops_.hold = on_hold;
 		ops_.outside = &worker_;
@@ -69,8 +68,17 @@
 		ops_.stop = on_stop;
 		fleet_ = cell_fleet_init(&ops_, &limits_, &e);
 		cell_fleet_open(fleet_, 1, now_);
+		list("10.9.0.1:80");
+	}
+
+	/* The platform's list has the worker at that address. */
+	void list(const char *addr)
+	{
+		struct cell_worker_entry entry = {};
+		char service[] = "svc", none[] = "";
+
 		entry.service = service;
-		entry.addr = addr;
+		entry.addr = const_cast<char *>(addr);
 		entry.zone = none;
 		entry.rack = none;
 		entry.capacity.cpu_milli = 16000;
@@ -103,6 +111,32 @@
 		return worker_.holds.back();
 	}
 
+	/* Another worker answers at the address. */
+	void refuse_life()
+	{
+		struct cell_hold_answer a = {};
+		Hold &h = worker_.holds.back();
+
+		a.io = OGL_IO_REFUSED;
+		a.why = CELL_REFUSED_LIFE;
+		h.answered = true;
+		h.done(h.arg, &a, now_);
+	}
+
+	/* A record of the workers is made. */
+	void store(uint64_t number)
+	{
+		GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+
+		g_bytes_unref(cell_known_pack(fleet_, number, ids, now_));
+		g_ptr_array_unref(ids);
+	}
+
+	struct cell_worker *worker()
+	{
+		return cell_fleet_worker(fleet_, "w");
+	}
+
 	void answer(enum ogl_io io, size_t running)
 	{
 		struct cell_hold_answer a = {};
@@ -165,4 +199,44 @@
 	EXPECT_EQ(450u, step(2500).wait_ms);
 }
 
+/* Guards against a takeover that waits for a worker whose place another took. */
+TEST_F(Fleet, AWorkerWhoseAddressAnotherHasIsGone)
+{
+	step(10);
+	EXPECT_FALSE(cell_fleet_settled(fleet_, now_));
+	refuse_life();
+	EXPECT_TRUE(cell_fleet_settled(fleet_, now_));
+}
+
+/* Guards against a takeover that does not wait for a worker that has moved. */
+TEST_F(Fleet, AGoneWorkerListedElsewhereIsWaitedFor)
+{
+	step(10);
+	refuse_life();
+	list("10.9.0.2:80");
+	EXPECT_FALSE(cell_fleet_settled(fleet_, now_));
+	step(10);
+	answer(OGL_IO_OK, 0);
+	EXPECT_TRUE(cell_fleet_settled(fleet_, now_));
+}
+
+/* Guards against work on a worker that a successor would call elsewhere. */
+TEST_F(Fleet, AWorkerThatHasMovedIsGivenNothingUntilThatIsStored)
+{
+	step(10);
+	answer(OGL_IO_OK, 0);
+	cell_fleet_named(fleet_, "w", 1);
+	EXPECT_TRUE(cell_worker_open(worker(), now_));
+	list("10.9.0.2:80");
+	EXPECT_FALSE(cell_worker_open(worker(), now_));
+	EXPECT_TRUE(cell_fleet_names_changed(fleet_));
+	cell_fleet_named(fleet_, "w", 2);
+	EXPECT_FALSE(cell_worker_open(worker(), now_));
+	store(3);
+	cell_fleet_named(fleet_, "w", 2);
+	EXPECT_FALSE(cell_worker_open(worker(), now_));
+	cell_fleet_named(fleet_, "w", 3);
+	EXPECT_TRUE(cell_worker_open(worker(), now_));
+}
+
 } // namespace
