Release tasks held for a silent worker when it answers or has ended

What callers saw: tasks on a worker that was silent when the owner was lost started 5.3 s after the takeover, whatever the worker said in the meantime.

Evidence: scripts cell_silent_worker_answers and cell_silent_worker_ends, 8 of 24 tasks running before, 24 after.

Change: a module of its own, cell/held.c, which the owner asks; its copy in owner.c goes.

--- /dev/null
+++ b/cell/held.c
@@ -0,0 +1,96 @@
+/*
+ * A start without an answer is tried elsewhere after a stop, so the record may
+ * name one task under two workers.  Each task therefore counts the workers that
+ * hold it back; when the last one is heard of it falls due.  Nobody may be heard
+ * of any more: then it falls due with the end of the longest lease.
+ */
+
+#include <string.h>
+
+#include "held.h"
+
+struct cell_held {
+	cell_stage_fn *stage;
+	void *arg;
+	GHashTable *workers; /* id -> GArray of struct cell_task_name */
+};
+
+static void
+names_free(void *p)
+{
+	g_array_unref(p);
+}
+
+struct cell_held *
+cell_held_init(cell_stage_fn *stage, void *arg)
+{
+	struct cell_held *h = g_new0(struct cell_held, 1);
+
+	h->stage = stage;
+	h->arg = arg;
+	h->workers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, names_free);
+	return h;
+}
+
+void
+cell_held_end(struct cell_held *h)
+{
+	g_hash_table_unref(h->workers);
+	g_free(h);
+}
+
+void
+cell_held_clear(struct cell_held *h)
+{
+	g_hash_table_remove_all(h->workers);
+}
+
+static void
+hold_task(struct cell_held *h, GArray *names, const Ogl__CellKnownTask *t,
+    ogl_time until)
+{
+	struct cell_task_name name = {
+	    .occurrence = t->occurrence, .step = t->step, .index = t->index};
+	struct cell_stage *st;
+
+	g_strlcpy(name.id, t->id, sizeof name.id);
+	st = h->stage(h->arg, &name);
+	if (st == NULL)
+		return;
+	cell_stage_hold(st, name.index, until);
+	g_array_append_val(names, name);
+}
+
+void
+cell_held_add(struct cell_held *h, const Ogl__CellKnown *k, ogl_time until)
+{
+	GArray *names;
+	size_t i;
+
+	if (k->n_tasks == 0)
+		return;
+	names = g_array_new(FALSE, FALSE, sizeof(struct cell_task_name));
+	for (i = 0; i < k->n_tasks; i++)
+		hold_task(h, names, k->tasks[i], until);
+	g_hash_table_replace(h->workers, g_strdup(k->id), names);
+}
+
+void
+cell_held_release(struct cell_held *h, const char *worker, ogl_time now)
+{
+	GArray *names = g_hash_table_lookup(h->workers, worker);
+	guint i;
+
+	if (names == NULL)
+		return;
+	for (i = 0; i < names->len; i++) {
+		const struct cell_task_name *name =
+		    &g_array_index(names, struct cell_task_name, i);
+		struct cell_stage *st = h->stage(h->arg, name);
+
+		if (st != NULL)
+			cell_stage_release(st, name->index, now);
+	}
+	g_hash_table_remove(h->workers, worker);
+}
--- a/cell/job.c
+++ b/cell/job.c
@@ -278,6 +278,16 @@
 	struct cell_task *t = cell_stage_keeper(s, index);
 
 	t->due = MAX(t->due, until);
+	t->holds++;
+}
+
+void
+cell_stage_release(struct cell_stage *s, uint32_t index, ogl_time now)
+{
+	struct cell_task *t = cell_stage_keeper(s, index);
+
+	if (t->holds > 0 && --t->holds == 0)
+		t->due = MIN(t->due, now);
 }
 
 bool
--- a/cell/job.h
+++ b/cell/job.h
@@ -29,6 +29,7 @@
 	bool supposed;           /* it may run on a worker not heard of yet */
 	char *avoid;    /* worker where the last attempt failed; NULL none */
 	ogl_time due;   /* not started before */
+	uint32_t holds; /* silent workers that it may run on */
 	uint32_t moves; /* times it was stopped to run elsewhere */
 };
 
@@ -134,6 +135,7 @@
 /* What one task holds; filling ones hold no processor. */
 
 void cell_stage_hold(struct cell_stage *s, uint32_t index, ogl_time until);
+void cell_stage_release(struct cell_stage *s, uint32_t index, ogl_time now);
 /* The task may be running where nobody can be asked: it is not started before
  * then.  A gang is held as a whole. */
 
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -17,6 +17,7 @@
 
 #include "ablate.h"
 #include "admission.h"
+#include "held.h"
 #include "journal.h"
 #include "known.h"
 #include "load.h"
@@ -77,6 +78,7 @@
 	struct cell_admission *admission;
 	struct cell_journal *journal;
 	struct cell_fleet *fleet;
+	struct cell_held *held;
 	struct cell_sched *sched;
 	struct cell_advice *advice;
 	struct cell_escrow *escrow;
@@ -128,6 +130,17 @@
 	return g_hash_table_lookup(o->jobs, id);
 }
 
+/* The stage of a task whose job is not over. */
+static struct cell_stage *
+open_stage(void *arg, const struct cell_task_name *name)
+{
+	struct cell_owner *o = arg;
+	struct cell_job *j = job_of(o, name->id);
+
+	return j != NULL && !cell_job_over(j->state) ? cell_job_stage(j, name)
+						     : NULL;
+}
+
 static uint32_t
 rank_of(const struct cell_owner *o, const struct cell_job *j)
 {
@@ -555,13 +568,9 @@
 static struct cell_stage *
 wanted(struct cell_owner *o, const struct cell_row *row)
 {
-	struct cell_job *j = job_of(o, row->task.id);
-	struct cell_stage *st;
+	struct cell_stage *st = open_stage(o, &row->task);
 	struct cell_task *t;
 
-	if (j == NULL || cell_job_over(j->state))
-		return NULL;
-	st = cell_job_stage(j, &row->task);
 	if (st == NULL)
 		return NULL;
 	t = &st->tasks[row->task.index];
@@ -652,8 +661,7 @@
 {
 	struct cell_owner *o = arg;
 
-	(void)w;
-	(void)now;
+	cell_held_release(o->held, w->id, now);
 	o->run_pass = true;
 }
 
@@ -725,13 +733,10 @@
 static struct cell_stage *
 stage_of(void *arg, const char *id, uint32_t occurrence, uint32_t step)
 {
-	struct cell_owner *o = arg;
-	struct cell_job *j = job_of(o, id);
 	struct cell_task_name name = {.occurrence = occurrence, .step = step};
 
-	if (j == NULL || cell_job_over(j->state))
-		return NULL;
-	return cell_job_stage(j, &name);
+	g_strlcpy(name.id, id, sizeof name.id);
+	return open_stage(arg, &name);
 }
 
 static struct cell_worker *
@@ -829,30 +834,6 @@
 	}
 }
 
-/* The tasks that may run on a worker that had gone silent wait until it has
- * answered or its lease is over; all others need not wait for it. */
-static void
-hold_tasks(struct cell_owner *o, const Ogl__CellKnown *k)
-{
-	size_t i;
-
-	for (i = 0; i < k->n_tasks; i++) {
-		const Ogl__CellKnownTask *t = k->tasks[i];
-		struct cell_task_name name = {.occurrence = t->occurrence,
-		    .step = t->step,
-		    .index = t->index};
-		struct cell_job *j = job_of(o, t->id);
-		struct cell_stage *st;
-
-		if (j == NULL || cell_job_over(j->state))
-			continue;
-		st = cell_job_stage(j, &name);
-		if (st != NULL)
-			cell_stage_hold(
-			    st, t->index, cell_fleet_lapse(o->fleet));
-	}
-}
-
 /*
  * The platform's list may lack workers for a while: entries lapse while the
  * store is away, and come back seconds after it.  What runs there is not to be
@@ -864,7 +845,7 @@
 	struct cell_owner *o = arg;
 
 	cell_fleet_expect(o->fleet, k, now);
-	hold_tasks(o, k);
+	cell_held_add(o->held, k, cell_fleet_lapse(o->fleet));
 }
 
 /* Waits for a record of the workers to be stored. */
@@ -1056,6 +1037,7 @@
 	o->admission = cell_admission_init();
 	o->journal = cell_journal_init(ops, part->shard, on_lost, o);
 	o->fleet = cell_fleet_init(ops, limits, &fe);
+	o->held = cell_held_init(open_stage, o);
 	o->advice = cell_advice_init(ops, &ae);
 	o->loader = cell_loader_init(ops, part->shard, &le);
 	o->roster = cell_roster_init(ops, &re);
@@ -1074,6 +1056,7 @@
 	cell_sched_end(o->sched);
 	cell_escrow_end(o->escrow);
 	cell_advice_end(o->advice);
+	cell_held_end(o->held);
 	cell_fleet_end(o->fleet);
 	cell_roster_end(o->roster);
 	cell_loader_end(o->loader);
@@ -1120,6 +1103,7 @@
 	cell_loader_close(o->loader);
 	cell_roster_close(o->roster);
 	cell_journal_close(o->journal, now);
+	cell_held_clear(o->held);
 	cell_fleet_close(o->fleet);
 	cell_escrow_close(o->escrow);
 	cell_advice_clear(o->advice);
