Say "no such job" only as an owner that the store has confirmed

What callers saw: 410 for a job that had been accepted, from an owner that was replaced while it stood still; a cancel answered so leaves the job running.

Change: absent is told only of an ownership confirmed within 1.5 s and since the last standstill; otherwise the entry repeats the call.

--- a/cell/node.c
+++ b/cell/node.c
@@ -395,6 +395,18 @@
 	}
 }
 
+/* Others may have acted in its place while the process did not run. */
+static void
+watch_standstill(struct cell_node *n, ogl_time now)
+{
+	uint32_t i;
+
+	if (n->stepped_at == 0 || now - n->stepped_at <= STOOD_STILL)
+		return;
+	for (i = 0; i < n->shards; i++)
+		cell_owner_doubt(n->parts[i].owner, now);
+}
+
 void
 cell_node_peer(struct cell_node *n, struct ogl_str msg, ogl_time now)
 {
@@ -406,6 +418,7 @@
 		return;
 	}
 	n->now = now;
+	watch_standstill(n, now);
 	/* A node that has not read the plan yet has no part in the cell: its
 	 * peers repeat what they say. */
 	if (m->shard < n->shards)
@@ -720,14 +733,11 @@
 void
 cell_node_step(struct cell_node *n, ogl_time now, ogl_time wall)
 {
-	bool stood = n->stepped_at != 0 && now - n->stepped_at > STOOD_STILL;
 	uint32_t i;
 
-	for (i = 0; i < n->shards; i++) {
-		if (stood)
-			cell_owner_doubt(n->parts[i].owner, now);
+	watch_standstill(n, now);
+	for (i = 0; i < n->shards; i++)
 		cell_owner_ran(n->parts[i].owner, n->wake_at, now);
-	}
 	n->stepped_at = now;
 	if (n->started_at == 0)
 		n->started_at = now;
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -37,6 +37,8 @@
 #define GANG_REPAIR (600 * OGL_MS)
 #define STRAGGLERS (200 * OGL_MS)
 #define BUSY_RETRY_MS 500
+/* An ownership that the store confirmed longer ago may have ended since. */
+#define PROOF_AGE_MAX (1500 * OGL_MS)
 /* A team's jobs fall on shards by chance; where one gets more than its part for
  * a while, that is not the team's doing. */
 #define RATE_SLACK 2.0
@@ -86,6 +88,7 @@
 	bool settled;
 	bool holds_tasks; /* some may run on workers not heard of yet */
 	ogl_time opened_at;
+	ogl_time confirmed; /* ownership, by the store */
 	ogl_time wall;
 
 	struct cell_load load;
@@ -1324,6 +1327,25 @@
 	begin_due(o, j);
 }
 
+/*
+ * A successor may have accepted the job while this node stood still or did not
+ * reach the store.  "No such job" would make its caller give it up, or take it
+ * for cancelled; so the call goes on until the ownership is confirmed, or the
+ * successor known.
+ */
+static void
+reply_absent(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
+    ogl_time now)
+{
+	bool proven = !cell_fleet_wants_proof(o->fleet) &&
+		      now - o->confirmed < PROOF_AGE_MAX;
+
+	reply(o, from, c->token,
+	    proven ? OGL__CELL_OUTCOME__cell_absent
+		   : OGL__CELL_OUTCOME__cell_not_owner,
+	    0);
+}
+
 static void
 call_cancel(
     struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
@@ -1331,7 +1353,7 @@
 	struct cell_job *j = job_of(o, c->id);
 
 	if (j == NULL) {
-		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_absent, 0);
+		reply_absent(o, from, c, now);
 		return;
 	}
 	if (!cell_job_over(j->state))
@@ -1342,19 +1364,20 @@
 }
 
 static void
-call_state(struct cell_owner *o, const char *from, Ogl__CellCall *c)
+call_state(
+    struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
 {
 	struct cell_job *j = job_of(o, c->id);
 	Ogl__CellReply r = OGL__CELL_REPLY__INIT;
 
-	r.token = c->token;
 	if (j == NULL) {
-		r.outcome = OGL__CELL_OUTCOME__cell_absent;
-	} else {
-		r.state = j->state;
-		if (cell_job_over(j->state) && !j->shown)
-			r.state = OGL__CELL_JOB_STATE__cell_running;
+		reply_absent(o, from, c, now);
+		return;
 	}
+	r.token = c->token;
+	r.state = j->state;
+	if (cell_job_over(j->state) && !j->shown)
+		r.state = OGL__CELL_JOB_STATE__cell_running;
 	o->events.reply(o->events.arg, from, &r);
 }
 
@@ -1399,7 +1422,7 @@
 		break;
 	case OGL__CELL_CALL_KIND__cell_state:
 	default:
-		call_state(o, from, c);
+		call_state(o, from, c, now);
 		break;
 	}
 }
@@ -1598,6 +1621,7 @@
     ogl_time now, ogl_time wall)
 {
 	o->wall = wall;
+	o->confirmed = confirmed;
 	cell_loader_step(o->loader, now);
 	cell_roster_step(o->roster, now);
 	if (o->phase != PHASE_SERVING)
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -82,6 +82,8 @@
 			fake_cell_limit(cell_, num(w[1]));
 		else if (w[0] == "cancel")
 			fake_cell_cancel(cell_, node(w[2]), id(w[1]));
+		else if (w[0] == "ask")
+			fake_cell_ask(cell_, node(w[2]), id(w[1]));
 		else
 			return question(w);
 		return "";
