A node that is told of its own ownership reads the claims

What callers saw: calls in an epoch that nobody serves, for as long as a second claim takes.

Evidence: Lead.ANodeToldThatItOwnsTheShardReadsItsClaim and Lead.ANodeToldOfAnEarlierLifeOfItsOwnClaims failed before.

--- a/cell/lead.c
+++ b/cell/lead.c
@@ -921,12 +921,18 @@
 
 	if (epoch <= s->epoch)
 		return;
+	/* Its claim was taken and the answer lost, or it is a claim of an
+	 * earlier life: the claims tell. */
+	if (strcmp(addr, l->addr) == 0) {
+		read_claims(s);
+		return;
+	}
 	step_down(s, now);
 	s->epoch = epoch;
 	s->last_news = now;
 	s->doubted = 0;
 	s->claim_at = OGL_NEVER;
-	set_owner(s, strcmp(addr, l->addr) == 0 ? NULL : addr, now);
+	set_owner(s, addr, now);
 }
 
 void
--- a/test/test_cell_lead.cc
+++ b/test/test_cell_lead.cc
@@ -90,6 +90,15 @@
 {
 }
 
+std::string
+packed(const Ogl__CellLead &m)
+{
+	uint8_t buf[256];
+	size_t n = ogl__cell_lead__pack(&m, buf);
+
+	return std::string(reinterpret_cast<char *>(buf), n);
+}
+
 /* The record of a node that is not the one under test. */
 std::string
 lead_record(uint32_t shard, bool claim, bool vacant, uint64_t epoch)
@@ -97,8 +106,6 @@
 	Ogl__CellLead m = OGL__CELL_LEAD__INIT;
 	char node[] = "n2";
 	char addr[] = "10.0.0.2:1";
-	uint8_t buf[256];
-	size_t n;
 
 	m.node = node;
 	m.addr = addr;
@@ -107,8 +114,22 @@
 	m.vacant = vacant;
 	m.epoch = epoch;
 	m.shard = shard;
-	n = ogl__cell_lead__pack(&m, buf);
-	return std::string(reinterpret_cast<char *>(buf), n);
+	return packed(m);
+}
+
+/* A claim of the node under test, in another life. */
+std::string
+own_record(uint64_t boot)
+{
+	Ogl__CellLead m = OGL__CELL_LEAD__INIT;
+	char node[] = "n1";
+	char addr[] = "10.0.0.1:1";
+
+	m.node = node;
+	m.addr = addr;
+	m.boot = boot;
+	m.claim = true;
+	return packed(m);
 }
 
 class Lead : public testing::Test
@@ -430,6 +451,35 @@
 	EXPECT_TRUE(cell_lead_is_owner(lead_, 0));
 }
 
+/* Guards against a second claim by the node that owns the shard already. */
+TEST_F(Lead, ANodeToldThatItOwnsTheShardReadsItsClaim)
+{
+	begin(1);
+	read(false, 1);
+	quiet(2000);
+	ASSERT_EQ(1U, claims().size());
+	cell_lead_hear(lead_, 0, 2, "10.0.0.1:1", now_);
+	ASSERT_NE(nullptr, store_.claims);
+	show(claims()[0].value, 2);
+	EXPECT_EQ(2U, won_);
+	quiet(400);
+	EXPECT_EQ(1U, claims().size());
+}
+
+/* Guards against an owner that is taken for the life of its node before. */
+TEST_F(Lead, ANodeToldOfAnEarlierLifeOfItsOwnClaims)
+{
+	begin(1);
+	read(false, 1);
+	cell_lead_hear(lead_, 0, 2, "10.0.0.1:1", now_);
+	ASSERT_NE(nullptr, store_.claims);
+	show(own_record(99), 2);
+	EXPECT_EQ("none", owner());
+	quiet(400);
+	ASSERT_EQ(1U, claims().size());
+	EXPECT_EQ(2, claims()[0].at);
+}
+
 /* Two nodes claim at the same moment and the other's lands first.  The loser
  * learns the winner from the claims at once, and calls go there before its
  * first heartbeat is read. */
