oriolectl losses: time at the store and runs longer than declared

Time until the store had taken a job was not told; runs that take longer than declared were not told from the rest.

Change: job_accepted has store_ms; losses counts it as store, and the longest run done of each step beyond the declared time as long-runs.

Test: Losses.RunsThatTakeLongerThanDeclaredAreTold.

--- a/cell/owner.c
+++ b/cell/owner.c
@@ -1166,9 +1166,9 @@
 }
 
 static void
-log_accepted(struct cell_owner *o, struct cell_job *j)
+log_accepted(struct cell_owner *o, struct cell_job *j, ogl_time now)
 {
-	char more[240];
+	char more[280];
 	const struct cell_team *t;
 
 	if (j->def == NULL)
@@ -1176,10 +1176,12 @@
 	t = cell_config_team(o->config, j->def->team);
 	g_snprintf(more, sizeof more,
 	    "team=%s queue=%s steps=%zu tasks=%u chain_ms=%.0f work_s=%.1f "
-	    "over_rate=%d rate=%.2f objective_ms=%.0f",
+	    "over_rate=%d rate=%.2f objective_ms=%.0f "
+	    "store_ms=%" G_GINT64_FORMAT,
 	    j->def->team, j->def->queue, j->def->n_steps,
 	    j->def->steps[0]->count, j->chain_ms, j->work, j->over,
-	    t != NULL ? t->rate : 0, cell_sched_objective_ms(o->sched, j));
+	    t != NULL ? t->rate : 0, cell_sched_objective_ms(o->sched, j),
+	    (now - j->accepted) / OGL_MS);
 	log_job(o, j, "job_accepted", more);
 }
 
@@ -1210,7 +1212,7 @@
 		reply(o, w->to, w->token, OGL__CELL_OUTCOME__cell_ok, 0);
 		if (!j->stored) {
 			j->stored = true;
-			log_accepted(o, j);
+			log_accepted(o, j, now);
 			o->run_pass = true;
 		}
 	} else if (fate == CELL_NOT_STORED && j != NULL && j->stored) {
--- a/ctl/cmd_losses.c
+++ b/ctl/cmd_losses.c
@@ -3,10 +3,11 @@
  *
  * The owner logs each time that the reason changes for which a step's tasks do
  * not run (stage_waits), so the time between two such lines of a step is lost
- * for the first one's reason.  Runs that failed are lost time as well.  What is
- * left of a job's age beyond its declared run time, and beyond these, is put
- * down as "other": orders and answers on their way, slow workers, estimates too
- * low, and the time without an owner.
+ * for the first one's reason.  Runs that failed are lost time as well, and so is
+ * the time until the store had taken the job.  Of each step the longest run that
+ * was done counts; what these take beyond the job's declared run time is put down
+ * as "long-runs": slow workers, estimates too low.  What is left is "other":
+ * orders and answers on their way, and the time without an owner.
  *
  * Lines may come from several nodes but have to be in the order of time within
  * each file; after a change of owner a step's reason goes on until the next
@@ -32,12 +33,13 @@
 	ROOM,
 	APART,
 	FAILED_RUNS,
+	LONG_RUNS,
 	OTHER,
 	REASONS
 };
 
 static const char *const reason_names[REASONS] = {"store", "settle", "limit",
-    "advice", "ticket", "room", "apart", "failed-runs", "other"};
+    "advice", "ticket", "room", "apart", "failed-runs", "long-runs", "other"};
 
 enum fate {
 	IN_TIME,
@@ -67,6 +69,7 @@
 	double ended;
 	char *state;         /* NULL: no end seen */
 	GHashTable *waiting; /* task -> struct waiting */
+	GHashTable *runs;    /* step -> double, longest run that was done, ms */
 	double lost_ms[REASONS];
 };
 
@@ -93,6 +96,7 @@
 	g_free(j->queue);
 	g_free(j->state);
 	g_hash_table_unref(j->waiting);
+	g_hash_table_unref(j->runs);
 	g_free(j);
 }
 
@@ -116,12 +120,15 @@
 		return;
 	j = g_new0(struct job, 1);
 	j->queue = ctl_field(line, "queue");
-	j->accepted = ctl_field_number(line, "ts");
+	j->lost_ms[STORE] = ctl_field_number(line, "store_ms");
+	j->accepted = ctl_field_number(line, "ts") - j->lost_ms[STORE] / 1e3;
 	j->objective_ms = ctl_field_number(line, "objective_ms");
 	j->chain_ms = ctl_field_number(line, "chain_ms");
 	j->over = ctl_field_number(line, "over_rate") != 0;
 	j->waiting =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	j->runs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_hash_table_insert(d->jobs, g_strdup(id), j);
 	d->from = MIN(d->from, j->accepted);
 }
@@ -160,6 +167,28 @@
 	g_free(why);
 }
 
+/* The task is named OCCURRENCE.STEP.INDEX. */
+static void
+take_done(struct job *j, const char *line)
+{
+	char *step = ctl_field(line, "task");
+	char *index = step != NULL ? strrchr(step, '.') : NULL;
+	double ms = ctl_field_number(line, "age_ms");
+	double *longest;
+
+	if (index == NULL)
+		goto out;
+	*index = '\0';
+	longest = g_hash_table_lookup(j->runs, step);
+	if (longest == NULL) {
+		longest = g_new0(double, 1);
+		g_hash_table_insert(j->runs, g_strdup(step), longest);
+	}
+	*longest = MAX(*longest, ms);
+out:
+	g_free(step);
+}
+
 static void
 take_run_end(struct job *j, const char *line)
 {
@@ -167,6 +196,8 @@
 
 	if (g_strcmp0(how, "failed") == 0 || g_strcmp0(how, "lapsed") == 0)
 		j->lost_ms[FAILED_RUNS] += ctl_field_number(line, "age_ms");
+	else if (g_strcmp0(how, "done") == 0)
+		take_done(j, line);
 	g_free(how);
 }
 
@@ -262,6 +293,20 @@
 	return counts;
 }
 
+/* Steps may run beside each other, so at most what nothing else accounts for. */
+static double
+long_runs_ms(const struct job *j, double most)
+{
+	double ms = -j->chain_ms;
+	GHashTableIter it;
+	gpointer longest;
+
+	g_hash_table_iter_init(&it, j->runs);
+	while (g_hash_table_iter_next(&it, NULL, &longest))
+		ms += *(const double *)longest;
+	return CLAMP(ms, 0, most);
+}
+
 /* Puts a late job down to what took most of its time. */
 static void
 blame(struct day *d, struct queue *q, struct job *j)
@@ -269,9 +314,11 @@
 	double other = age_ms(j) - j->chain_ms;
 	int r, most = OTHER;
 
-	for (r = 0; r < OTHER; r++)
+	for (r = 0; r < LONG_RUNS; r++)
 		other -= j->lost_ms[r];
-	j->lost_ms[OTHER] = MAX(other, 0);
+	other = MAX(other, 0);
+	j->lost_ms[LONG_RUNS] = long_runs_ms(j, other);
+	j->lost_ms[OTHER] = other - j->lost_ms[LONG_RUNS];
 	for (r = 0; r < REASONS; r++) {
 		q->lost_ms[r] += j->lost_ms[r];
 		if (j->lost_ms[r] > j->lost_ms[most])
--- a/test/test_ctl_losses.cc
+++ b/test/test_ctl_losses.cc
@@ -87,6 +87,25 @@
 	EXPECT_NE(std::string::npos, out.find("store 2000  settle 500"));
 }
 
+TEST(Losses, RunsThatTakeLongerThanDeclaredAreTold)
+{
+	int status;
+	std::string run =
+	    " node=a part=owner event=run_ended job=1 how=done task=";
+	std::string out =
+	    losses("ts=10.5 node=a part=owner event=job_accepted "
+		   "job=1 queue=q chain_ms=1000 over_rate=0 "
+		   "objective_ms=2000 store_ms=500\n"
+		   "ts=11.5" +
+		       run + "0.0.1 age_ms=900\nts=12.0" + run +
+		       "0.0.2 age_ms=1400\nts=13.0" + run +
+		       "0.1.0 age_ms=800\n" + ended("1", "13.0", "completed"),
+		&status);
+
+	EXPECT_NE(std::string::npos,
+	    out.find("ms a late job:  store 500  long-runs 1200  other 300"));
+}
+
 TEST(Losses, AFileThatCannotBeReadIsTold)
 {
 	char buf[256] = "";
