Give no owner up for the end of an outage that all shared

What callers saw: a takeover at the end of most outages of the store.

Cause: the first answered read of a peer counted as proof that the store was away for the owner alone (docs/incidents/owner-given-up-after-an-outage.md).

--- a/cell/lead.c
+++ b/cell/lead.c
@@ -51,6 +51,11 @@
 /* An owner that has had no answer of the store for so long says so to its
  * peers. */
 #define ABLE_MAX (750 * OGL_MS)
+/* A peer gives an owner up for this only if its own reads have been answered for
+ * so long: when the store comes back for all, an owner needs a moment to say so. */
+#define DOUBT_AFTER (500 * OGL_MS)
+/* Without an answer for so long, and with reads that failed: an outage. */
+#define OUTAGE_MIN (500 * OGL_MS)
 /* It reads beside its beats when the last answered read is older. */
 #define READ_PROOF_AFTER (350 * OGL_MS)
 /* Claimants spread over this time: most read of the first claim before they
@@ -129,7 +134,9 @@
 	ogl_time read_at; /* next read not before */
 	uint64_t next;    /* offset to read from */
 	ogl_time last_read_ok;
-	ogl_time confirmed_at; /* sending of the last good read */
+	bool read_missed;        /* one has failed since */
+	ogl_time outage_over_at; /* first answer after the last outage */
+	ogl_time confirmed_at;   /* sending of the last good read */
 	bool probing;
 	ogl_time probe_sent;
 
@@ -377,6 +384,7 @@
 	uint32_t i;
 
 	l->read_at = now + RETRY;
+	l->read_missed = true;
 	for (i = 0; i < l->shards; i++) {
 		l->seats[i].last_news = now;
 		l->seats[i].claim_at = OGL_NEVER;
@@ -395,11 +403,20 @@
 	return false;
 }
 
+static void
+read_answered(struct cell_lead *l, ogl_time now)
+{
+	if (l->read_missed && now - l->last_read_ok > OUTAGE_MIN)
+		l->outage_over_at = now;
+	l->read_missed = false;
+	l->last_read_ok = now;
+}
+
 static void
 read_succeeded(struct cell_lead *l, ogl_time now)
 {
 	l->confirmed_at = MAX(l->confirmed_at, l->read_sent);
-	l->last_read_ok = now;
+	read_answered(l, now);
 	l->read_at = now;
 	if (l->shards > 1 && !any_vacant(l))
 		l->read_at = l->read_sent + READ_GAP;
@@ -422,13 +439,14 @@
 static void
 settle_doubts(struct cell_lead *l, ogl_time now)
 {
+	bool alone = now - l->outage_over_at >= DOUBT_AFTER;
 	uint32_t i;
 
 	for (i = 0; i < l->shards; i++) {
 		struct seat *s = &l->seats[i];
 
-		if (s->doubted != 0 && s->doubted == s->epoch && !s->own &&
-		    s->owner != NULL) {
+		if (alone && s->doubted != 0 && s->doubted == s->epoch &&
+		    !s->own && s->owner != NULL) {
 			log_owner(s, "owner_unable", s->owner);
 			set_owner(s, NULL, now);
 		}
@@ -462,9 +480,11 @@
 	struct cell_lead *l = arg;
 
 	l->probing = false;
+	if (a->io != OGL_IO_OK)
+		l->read_missed = true;
 	if (a->io != OGL_IO_OK || a->trimmed)
 		return;
-	l->last_read_ok = now;
+	read_answered(l, now);
 	take_tail(l, a, now);
 	l->confirmed_at = MAX(l->confirmed_at, l->probe_sent);
 	settle_doubts(l, now);
--- a/test/test_cell_answers.cc
+++ b/test/test_cell_answers.cc
@@ -69,6 +69,22 @@
 	EXPECT_EQ(1u, fake_cell_claims(cell_, 0));
 }
 
+/* Guards against an owner given up at the end of an outage that all shared. */
+TEST_P(Answers, AnOwnerOutlivesAnOutageOfTheStore)
+{
+	static const enum fake_store_fault faults[] = {
+	    FAKE_STORE_SILENT, FAKE_STORE_BUSY};
+
+	fake_cell_store(cell_, -1, FAKE_STORE_WELL);
+	for (enum fake_store_fault x : faults) {
+		fake_cell_store(cell_, -1, x);
+		fake_cell_run(cell_, 3000 + GetParam() * 37);
+		fake_cell_store(cell_, -1, FAKE_STORE_WELL);
+		fake_cell_run(cell_, 2000);
+	}
+	EXPECT_EQ(1u, fake_cell_claims(cell_, 0));
+}
+
 /* Guards against callers that wait in vain after an owner has gone. */
 TEST_P(Answers, ALostOwnerIsReplacedWithinACallersDeadline)
 {
