--- a/cell/job.h
+++ b/cell/job.h
@@ -135,9 +135,10 @@
 /* What one task holds; filling ones hold no processor. */
 
 void cell_stage_hold(struct cell_stage *s, uint32_t index, ogl_time until);
-void cell_stage_release(struct cell_stage *s, uint32_t index, ogl_time now);
 /* The task may be running where nobody can be asked: it is not started before
  * then.  A gang is held as a whole. */
+void cell_stage_release(struct cell_stage *s, uint32_t index, ogl_time now);
+/* One hold is over; with the last one the task may be started. */
 
 bool cell_stage_ready(const struct cell_stage *s);
 /* Whether all steps that it comes after have ended. */
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -51,13 +51,13 @@
 /* An owner that has had no answer of the store for so long says so to its
  * peers. */
 #define ABLE_MAX (750 * OGL_MS)
-/* A peer gives an owner up for this only if its own reads have been answered for
- * so long: when the store comes back for all, an owner needs a moment to say so. */
+/* When its last answered read is older, an owner reads beside its beats. */
+#define READ_PROOF_AFTER (350 * OGL_MS)
+/* So long after an outage of its own a node gives no owner up for want of
+ * answers: when the store is back for all, an owner needs a moment to say so. */
 #define DOUBT_AFTER (500 * OGL_MS)
-/* Without an answer for so long, and with reads that failed: an outage. */
+/* An outage is so long without an answered read, and with reads that failed. */
 #define OUTAGE_MIN (500 * OGL_MS)
-/* It reads beside its beats when the last answered read is older. */
-#define READ_PROOF_AFTER (350 * OGL_MS)
 /* Claimants spread over this time: most read of the first claim before they
  * would append theirs. */
 #define SPREAD_MS 150
@@ -114,7 +114,7 @@
 	ogl_time beat_at;
 	ogl_time beat_took; /* by the last one that was answered */
 	ogl_time beat_ok;   /* last beat taken, or the winning of ownership */
-	bool beat_refused;  /* one was, since */
+	bool beat_refused;  /* the last answer was a refusal */
 	ogl_time dead_hint; /* last sign that the owner's process has ended */
 };
 
@@ -659,13 +659,19 @@
 	ogl_time sent;
 };
 
-/* The next beat is due as long after an answered one as if none had been
- * repeated. */
+/* However often a beat was repeated, the next is due after the usual time. */
 static void
-beat_answered(struct seat *s, const struct beat *b, ogl_time now)
+take_answer(struct seat *s, const struct beat *b, enum ogl_io io, ogl_time now)
 {
+	s->beat_refused = io == OGL_IO_REFUSED;
+	if (io == OGL_IO_LOST)
+		return;
 	s->beat_at = MAX(s->beat_at, b->sent + BEAT);
 	s->beat_took = now - b->sent;
+	if (io != OGL_IO_OK)
+		return;
+	s->beat_ok = now;
+	s->announced = true;
 }
 
 static void
@@ -677,16 +683,8 @@
 	s->beats--;
 	if (a->io != OGL_IO_OK)
 		s->lead->ops->count(s->lead->ops->ctx, "beats_failed", 1);
-	if (b->epoch != s->epoch)
-		goto out;
-	if (a->io != OGL_IO_LOST)
-		beat_answered(s, b, now);
-	if (a->io == OGL_IO_OK) {
-		s->beat_ok = now;
-		s->announced = true;
-	}
-	s->beat_refused = a->io == OGL_IO_REFUSED;
-out:
+	if (b->epoch == s->epoch)
+		take_answer(s, b, a->io, now);
 	g_free(b);
 }
 
