An owner that answers its peers and reaches the store is not silent

What callers saw: a takeover from an owner that is well, where half of the answers are lost and all heartbeats of 1.3 s are carried out late.

Cause: only what is read of the store counted as news of an owner.

Change: the pong of an able owner is news as well. Test: Lead.AnOwnerThatAnswersPeersAndReachesTheStoreIsNotSilent failed before.

--- a/cell/lead.c
+++ b/cell/lead.c
@@ -799,6 +799,8 @@
 		return;
 	if (!vacant && !silent(s, now))
 		return;
+	if (!vacant)
+		log_owner(s, "owner_silent", s->owner);
 	s->claim_at = now + claim_delay(s) * OGL_MS;
 }
 
@@ -953,6 +955,24 @@
 	set_owner(s, addr, now);
 }
 
+/*
+ * The owner's heartbeats may all be late, as their answers are.  A node that it
+ * tells of itself need not wait for them: whether it is still the owner the store
+ * decides, whenever somebody claims.
+ */
+void
+cell_lead_heard(
+    struct cell_lead *l, uint32_t shard, uint64_t epoch, ogl_time now)
+{
+	struct seat *s = &l->seats[shard];
+
+	if (s->own || epoch != s->epoch || s->owner == NULL)
+		return;
+	s->last_news = now;
+	s->doubted = 0;
+	s->claim_at = OGL_NEVER;
+}
+
 void
 cell_lead_hint_dead(struct cell_lead *l, uint32_t shard, ogl_time now)
 {
--- a/cell/lead.h
+++ b/cell/lead.h
@@ -70,6 +70,10 @@
     const char *addr, ogl_time now);
 /* A peer knows who owns the shard in that epoch. */
 
+void cell_lead_heard(
+    struct cell_lead *l, uint32_t shard, uint64_t epoch, ogl_time now);
+/* The owner of that epoch has told this node that it reaches the store. */
+
 void cell_lead_hint_dead(struct cell_lead *l, uint32_t shard, ogl_time now);
 /* Nothing listens at the owner's address, or it answers no pings: a shorter
  * silence is enough. */
--- a/cell/node.c
+++ b/cell/node.c
@@ -343,6 +343,8 @@
 		return;
 	if (m->pong->owns == 0 || !m->pong->able)
 		cell_lead_doubt(lead, part->shard, m->epoch, now);
+	else
+		cell_lead_heard(lead, part->shard, m->pong->owns, now);
 }
 
 /* The owner wants to end and has chosen this node. */
--- a/test/test_cell_lead.cc
+++ b/test/test_cell_lead.cc
@@ -622,6 +622,21 @@
 	EXPECT_EQ(sent + 2, store_.written.size());
 }
 
+/* Guards against a claim while the owner is well and its heartbeats are late. */
+TEST_F(Lead, AnOwnerThatAnswersPeersAndReachesTheStoreIsNotSilent)
+{
+	begin(1);
+	read(false, 1);
+	for (int i = 0; i < 10; i++) {
+		quiet(400);
+		cell_lead_heard(lead_, 0, 1, now_);
+	}
+	EXPECT_EQ(0U, claims().size());
+	cell_lead_heard(lead_, 0, 0, now_);
+	quiet(2000);
+	EXPECT_EQ(1U, claims().size());
+}
+
 /* All owners are lost at once.  A node claims one shard at first and leaves the
  * others to its peers: one machine could not carry them all, and callers would
  * be refused for want of its processor alone. */
