--- a/soak/soak.py
+++ b/soak/soak.py
@@ -346,7 +346,18 @@
         for ident in left:
             self.world.breach("OPEN", ident)
 
+    async def refuse_strangers(self):
+        """Nodes left by a soak of the same seed would answer for ours."""
+        for n in self.nodes:
+            try:
+                _, writer = await asyncio.open_connection(n.ip, self.port + 1)
+            except OSError:
+                continue
+            writer.close()
+            sys.exit(f"{n.ip}:{self.port + 1} is taken: another soak?")
+
     async def run(self):
+        await self.refuse_strangers()
         await self.listen()
         await self.world.configure([KEY])
         asyncio.ensure_future(self.world.list_workers())
