Repeats of an append become rarer after the third

Cause: with repeats each 50 ms the eight sendings that may be under way go out in 0.4 s; to a store that is silent the next one goes after 2.4 s, so that it is back for up to 2 s before it is asked again.

Change: after three even repeats each wait is twice the last, up to 0.6 s.

--- a/cell/journal.c
+++ b/cell/journal.c
@@ -36,6 +36,11 @@
 #define TIMEOUT_MS 2400
 /* Sendings of one append whose answers are awaited. */
 #define SENDINGS_MAX 8
+/* So many of them come at an even pace; after that each wait is twice the last,
+ * or a store that is away would get them all at once and, when it is back, none
+ * until the first has timed out. */
+#define SENDINGS_EVEN 3
+#define REPEAT_MAX_MS 600
 /* Appends under way at a time to a slow store, and what counts as slow. */
 #define BATCHES_MAX 3
 #define SLOW (60 * OGL_MS)
@@ -442,6 +447,16 @@
 static void on_appended(
     void *arg, const struct cell_append_answer *a, ogl_time now);
 
+static ogl_time
+repeat_after_ms(const struct cell_journal *g, const struct batch *b)
+{
+	ogl_time most = MAX(g->overdue_ms, REPEAT_MAX_MS);
+	uint32_t doublings = b->sendings - MIN(b->sendings, SENDINGS_EVEN);
+
+	return MIN(
+	    (ogl_time)g->overdue_ms << MIN(doublings, SENDINGS_MAX), most);
+}
+
 static void
 send_batch(struct cell_journal *g, struct batch *b, ogl_time now)
 {
@@ -464,7 +479,7 @@
 	s->at = now;
 	b->sendings++;
 	b->awaited++;
-	b->retry_at = now + g->overdue_ms * OGL_MS;
+	b->retry_at = now + repeat_after_ms(g, b) * OGL_MS;
 	g->last_sent_at = now;
 	g->ops->append(g->ops->outside, &a, on_appended, s);
 }
--- a/test/test_cell_journal.cc
+++ b/test/test_cell_journal.cc
@@ -256,15 +256,20 @@
 	answer(OGL_IO_OK);
 }
 
-/* Guards against a flood of repeats to a store that is away. */
-TEST_F(Journal, SendingsUnderWayAreBounded)
+/* Guards against a flood of repeats to a store that is away, and against none in
+ * the second after it is back. */
+TEST_F(Journal, RepeatsToAStoreThatIsAwayBecomeRarer)
 {
 	std::vector<cell_fate> told;
+	std::vector<size_t> sent;
 
 	submit(job(), &told);
-	for (int i = 0; i < 200; i++)
-		step_ms(10);
-	EXPECT_EQ(8u, store_.seqs.size());
+	for (int half = 0; half < 4; half++) {
+		for (int i = 0; i < 50; i++)
+			step_ms(10);
+		sent.push_back(store_.seqs.size());
+	}
+	EXPECT_EQ((std::vector<size_t>{6, 7, 8, 8}), sent);
 	answer(OGL_IO_OK);
 }
 
