--- a/test/test_cell_journal.cc
+++ b/test/test_cell_journal.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,7 @@
 	int appends = 0;
 	std::vector<uint64_t> seqs;
 	std::vector<void *> args;
+	std::set<void *> open; /* not answered yet */
 };
 
 void
@@ -33,6 +35,7 @@
 	s->appends++;
 	s->seqs.push_back(a->seq);
 	s->args.push_back(arg);
+	s->open.insert(arg);
 }
 
 void
@@ -53,9 +56,14 @@
 		cell_journal_open(journal_, 7, 0);
 	}
 
+	/* Every exchange ends in one answer. */
 	void TearDown() override
 	{
+		std::set<void *> open = store_.open;
+
 		cell_journal_close(journal_, now_);
+		for (void *arg : open)
+			answer_to(arg, OGL_IO_LOST);
 		cell_journal_end(journal_);
 		for (struct cell_job *j : jobs_)
 			cell_job_free(j);
@@ -96,13 +104,19 @@
 		cell_journal_step(journal_, now_);
 	}
 
-	/* The answer to the n-th sending, from 0. */
-	void answer_nth(size_t n, enum ogl_io io)
+	void answer_to(void *arg, enum ogl_io io)
 	{
 		struct cell_append_answer a = {};
 
 		a.io = io;
-		store_.done(store_.args[n], &a, now_);
+		store_.open.erase(arg);
+		store_.done(arg, &a, now_);
+	}
+
+	/* The answer to the n-th sending, from 0. */
+	void answer_nth(size_t n, enum ogl_io io)
+	{
+		answer_to(store_.args[n], io);
 	}
 
 	/* An append that takes so long makes the store a slow one. */
@@ -120,10 +134,7 @@
 
 	void answer(enum ogl_io io)
 	{
-		struct cell_append_answer a = {};
-
-		a.io = io;
-		store_.done(store_.arg, &a, now_);
+		answer_to(store_.arg, io);
 	}
 
 	Store store_;
