--- a/cell/front.c
+++ b/cell/front.c
@@ -26,6 +26,7 @@
 
 #include "front.h"
 #include "job.h"
+#include "window.h"
 
 #define READ_WAIT_MS 800
 #define READ_TIMEOUT_MS 2200
@@ -38,6 +39,7 @@
 #define OWNER_WAIT (900 * OGL_MS)
 /* An owner answers in some 15 ms; store and network may hold it up. */
 #define REPEAT (450 * OGL_MS)
+#define REPEAT_DOUBLINGS 2
 /* The answer still has its way to the caller. */
 #define REPLY_MARGIN (150 * OGL_MS)
 #define BUDGET_DEFAULT_MS 3000
@@ -57,9 +59,12 @@
 	uint32_t left;  /* shards to ask after it */
 	uint32_t found; /* waiting jobs counted so far */
 	bool sent;
+	bool in_window;    /* counted as under way to the owner */
+	uint64_t admitted; /* epoch whose owner has asked for the job, 0 none */
 	uint64_t sent_epoch; /* highest of the shard that it was sent to */
 	bool refused;        /* and that owner refused it */
 	ogl_time began;
+	unsigned repeats; /* to the owner that it was sent to last */
 	ogl_time repeat_at;
 	ogl_time deadline;
 };
@@ -68,6 +73,9 @@
 struct shard_owner {
 	char *addr;     /* NULL: nobody that is known */
 	uint64_t epoch; /* that it owns the shard in */
+	struct cell_window window;
+	/* It refuses some new jobs.  What it would refuse is not sent to it. */
+	bool asks_first;
 };
 
 struct cell_front {
@@ -348,14 +356,63 @@
 	const struct shard_owner *o = owner_of(f, p);
 
 	p->sent = true;
+	p->repeats = p->call.epoch == o->epoch ? p->repeats + 1 : 0;
 	p->sent_epoch = MAX(p->sent_epoch, o->epoch);
 	p->call.epoch = o->epoch;
+	p->call.admitted = p->admitted == o->epoch;
+	p->call.job = !o->asks_first || p->call.admitted ? p->job : NULL;
 	p->refused = false;
-	p->repeat_at = now + REPEAT;
+	p->repeat_at = now + (REPEAT << MIN(p->repeats, REPEAT_DOUBLINGS));
 	p->call.budget_ms = (uint32_t)((p->deadline - now) / OGL_MS);
 	f->events.send(f->events.arg, p->shard, o->addr, &p->call);
 }
 
+static struct cell_window *
+window_of(struct cell_front *f, const struct pending *p)
+{
+	return &f->owners[p->shard].window;
+}
+
+/* Unless too many calls to its owner are under way. */
+static void
+try_pass_on(struct cell_front *f, struct pending *p, ogl_time now)
+{
+	struct cell_window *w = window_of(f, p);
+
+	if (owner_of(f, p)->addr == NULL)
+		return;
+	if (!p->in_window) {
+		if (!cell_window_allows(w, now))
+			return;
+		cell_window_sent(w);
+		p->in_window = true;
+	}
+	pass_on(f, p, now);
+}
+
+/* The call is no longer under way to the owner of its shard. */
+static void
+leave_window(struct cell_front *f, struct pending *p)
+{
+	if (p->in_window)
+		cell_window_ended(window_of(f, p));
+	p->in_window = false;
+}
+
+/* What an answer of the shard's present owner says of it. */
+static void
+note_answer(struct cell_front *f, struct pending *p, const Ogl__CellReply *r,
+    ogl_time now)
+{
+	leave_window(f, p);
+	if (r->epoch != owner_of(f, p)->epoch)
+		return;
+	if (r->outcome == OGL__CELL_OUTCOME__cell_not_owner)
+		cell_window_turned_away(window_of(f, p), now);
+	else
+		cell_window_served(window_of(f, p));
+}
+
 static uint32_t
 shard_of_call(const struct cell_front *f, const struct pending *p)
 {
@@ -379,11 +436,11 @@
 	if (p->left == 0)
 		return false;
 	p->left--;
+	leave_window(f, p);
 	p->shard = (p->shard + 1) % f->shards;
 	p->sent_epoch = 0;
 	p->repeat_at = now;
-	if (owner_of(f, p)->addr != NULL)
-		pass_on(f, p, now);
+	try_pass_on(f, p, now);
 	return true;
 }
 
@@ -409,13 +466,16 @@
 
 	g_free(o->addr);
 	o->addr = g_strdup(addr);
+	cell_window_reset(&o->window);
 	o->epoch = epoch;
 	g_hash_table_iter_init(&it, f->calls);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct pending *p = v;
 
-		if (p->shard == shard)
-			p->repeat_at = now;
+		if (p->shard != shard)
+			continue;
+		p->in_window = false;
+		p->repeat_at = now;
 	}
 }
 
@@ -503,8 +563,8 @@
 	p->call.job = job;
 	g_hash_table_insert(f->calls, &p->token, p);
 	choose_shard(f, p);
-	if (owner_of(f, p)->addr != NULL)
-		pass_on(f, p, now);
+	p->repeat_at = now;
+	try_pass_on(f, p, now);
 }
 
 /*
@@ -556,6 +616,10 @@
 void
 cell_front_gone(struct cell_front *f, uint64_t token)
 {
+	struct pending *p = g_hash_table_lookup(f->calls, &token);
+
+	if (p != NULL)
+		leave_window(f, p);
 	g_hash_table_remove(f->calls, &token);
 }
 
@@ -588,6 +652,19 @@
 	return ask_next(f, p, now);
 }
 
+void
+cell_front_delay(
+    struct cell_front *f, uint32_t shard, ogl_time delay, ogl_time now)
+{
+	cell_window_delay(&f->owners[shard].window, delay, now);
+}
+
+void
+cell_front_asks_first(struct cell_front *f, uint32_t shard, bool asks_first)
+{
+	f->owners[shard].asks_first = asks_first;
+}
+
 void
 cell_front_reply(
     struct cell_front *f, uint32_t shard, const Ogl__CellReply *r, ogl_time now)
@@ -595,7 +672,10 @@
 	struct pending *p = g_hash_table_lookup(f->calls, &r->token);
 
 	/* A shard asked before may answer a repeat once more. */
-	if (p == NULL || p->shard != shard || goes_on(f, p, r, now))
+	if (p == NULL || p->shard != shard)
+		return;
+	note_answer(f, p, r, now);
+	if (goes_on(f, p, r, now))
 		return;
 	switch (r->outcome) {
 	case OGL__CELL_OUTCOME__cell_not_owner:
@@ -603,6 +683,11 @@
 		 * it was stored: whoever owns it next is asked. */
 		p->repeat_at = now + READ_RETRY;
 		return;
+	case OGL__CELL_OUTCOME__cell_send_job:
+		p->admitted = r->epoch;
+		p->repeat_at = now;
+		try_pass_on(f, p, now);
+		return;
 	case OGL__CELL_OUTCOME__cell_ok:
 		if (p->call.kind != OGL__CELL_CALL_KIND__cell_state)
 			log_call(f, p, "call_answered", "outcome=ok");
@@ -658,6 +743,12 @@
 		answer(f, p->token, CELL_BUSY, RETRY_MS, "no owner is known");
 		return true;
 	}
+	if (!p->sent && !ownerless && now - p->began > OWNER_WAIT) {
+		log_call(f, p, "call_given_up", "why=owner_behind");
+		answer(f, p->token, CELL_BUSY, RETRY_MS,
+		    "the owner is behind with its calls");
+		return true;
+	}
 	if (now < p->deadline)
 		return false;
 	log_call(f, p, "call_given_up", "why=deadline");
@@ -677,11 +768,12 @@
 		struct pending *p = v;
 
 		if (give_up(f, p, now)) {
+			leave_window(f, p);
 			g_hash_table_iter_remove(&it);
 			continue;
 		}
-		if (owner_of(f, p)->addr != NULL && now >= p->repeat_at)
-			pass_on(f, p, now);
+		if (now >= p->repeat_at)
+			try_pass_on(f, p, now);
 	}
 }
 
--- a/cell/front.h
+++ b/cell/front.h
@@ -35,6 +35,15 @@
 void cell_front_gone(struct cell_front *f, uint64_t token);
 /* Its caller has left. */
 
+void cell_front_asks_first(
+    struct cell_front *f, uint32_t shard, bool asks_first);
+/* Whether the shard's owner wants to be asked before it is sent a job. */
+
+void cell_front_delay(
+    struct cell_front *f, uint32_t shard, ogl_time delay, ogl_time now);
+/* What a message to the shard's owner and back takes, or has taken without
+ * coming back. */
+
 void cell_front_reply(struct cell_front *f, uint32_t shard,
     const Ogl__CellReply *r, ogl_time now);
 /* The answer of the shard's owner. */
--- a/cell/job.c
+++ b/cell/job.c
@@ -399,11 +399,12 @@
 	return g_bytes_new_take(p, n);
 }
 
-/* A task that is as at its beginning needs no mark. */
+/* A task that is as at its beginning needs no mark, and of one that is done
+ * nothing else matters any more. */
 static bool
 has_mark(const struct cell_task *t)
 {
-	return t->done || t->failed_runs != NULL || t->run > 0;
+	return !t->done && (t->failed_runs != NULL || t->run > 0);
 }
 
 static Ogl__CellMark *
@@ -416,13 +417,12 @@
 	m->occurrence = s->occurrence;
 	m->step = s->step;
 	m->index = index;
-	m->done = t->done;
 	m->run = t->run;
 	if (t->failed_runs != NULL) {
 		m->failed_runs = (uint64_t *)(void *)t->failed_runs->data;
 		m->n_failed_runs = t->failed_runs->len;
 	}
-	if (t->checkpoint != NULL && !t->done)
+	if (t->checkpoint != NULL)
 		m->checkpoint = t->checkpoint;
 	return m;
 }
@@ -438,11 +438,41 @@
 	}
 }
 
+static void
+done_free(void *p)
+{
+	Ogl__CellDone *d = p;
+
+	g_free(d->indexes);
+	g_free(d);
+}
+
+static void
+add_done(GPtrArray *done, const struct cell_stage *s)
+{
+	Ogl__CellDone *d;
+	uint32_t i;
+
+	if (s->ndone == 0)
+		return;
+	d = g_new(Ogl__CellDone, 1);
+	ogl__cell_done__init(d);
+	d->occurrence = s->occurrence;
+	d->step = s->step;
+	d->indexes = g_new(uint32_t, s->ndone);
+	for (i = 0; i < s->ntasks && d->n_indexes < s->ndone; i++) {
+		if (s->tasks[i].done)
+			d->indexes[d->n_indexes++] = i;
+	}
+	g_ptr_array_add(done, d);
+}
+
 GBytes *
 cell_job_pack_progress(const struct cell_job *j)
 {
 	Ogl__CellProgress p = OGL__CELL_PROGRESS__INIT;
 	GPtrArray *marks = g_ptr_array_new_with_free_func(g_free);
+	GPtrArray *done = g_ptr_array_new_with_free_func(done_free);
 	uint8_t *out;
 	size_t n;
 	guint i, k;
@@ -456,16 +486,21 @@
 		for (i = 0; i < j->occurrences->len; i++) {
 			struct cell_occurrence *o = j->occurrences->pdata[i];
 
-			for (k = 0; k < j->def->n_steps; k++)
+			for (k = 0; k < j->def->n_steps; k++) {
 				add_marks(marks, &o->stages[k]);
+				add_done(done, &o->stages[k]);
+			}
 		}
 	}
 	p.marks = (Ogl__CellMark **)marks->pdata;
 	p.n_marks = marks->len;
+	p.done = (Ogl__CellDone **)done->pdata;
+	p.n_done = done->len;
 	n = ogl__cell_progress__get_packed_size(&p);
 	out = g_malloc(n);
 	ogl__cell_progress__pack(&p, out);
 	g_ptr_array_unref(marks);
+	g_ptr_array_unref(done);
 	return g_bytes_new_take(out, n);
 }
 
@@ -476,26 +511,48 @@
 	       OGL_MS;
 }
 
+/* The stage of a task in an occurrence that has begun; NULL: it is over, or
+ * there is no such task. */
+static struct cell_stage *
+begun_stage(struct cell_job *j, const struct cell_task_name *name)
+{
+	if (cell_job_occurrence_finished(j, name->occurrence))
+		return NULL;
+	cell_job_begin(j, name->occurrence, due_of(j, name->occurrence));
+	return cell_job_stage(j, name);
+}
+
+static void
+apply_done(struct cell_job *j, const Ogl__CellDone *d)
+{
+	struct cell_task_name name = {
+	    .occurrence = d->occurrence, .step = d->step};
+	size_t i;
+
+	for (i = 0; i < d->n_indexes; i++) {
+		struct cell_stage *s;
+
+		name.index = d->indexes[i];
+		s = begun_stage(j, &name);
+		if (s == NULL || s->tasks[name.index].done)
+			continue;
+		s->tasks[name.index].done = true;
+		s->ndone++;
+	}
+}
+
 static void
 apply_mark(struct cell_job *j, const Ogl__CellMark *m)
 {
 	struct cell_task_name name = {
 	    .occurrence = m->occurrence, .step = m->step, .index = m->index};
-	struct cell_stage *s;
+	struct cell_stage *s = begun_stage(j, &name);
 	struct cell_task *t;
 	size_t i;
 
-	if (cell_job_occurrence_finished(j, m->occurrence))
-		return;
-	cell_job_begin(j, m->occurrence, due_of(j, m->occurrence));
-	s = cell_job_stage(j, &name);
 	if (s == NULL)
 		return;
 	t = &s->tasks[m->index];
-	if (m->done && !t->done) {
-		t->done = true;
-		s->ndone++;
-	}
 	for (i = 0; i < m->n_failed_runs; i++)
 		cell_task_fail(t, m->failed_runs[i]);
 	t->run = m->run;
@@ -517,4 +574,6 @@
 	}
 	for (i = 0; i < p->n_marks; i++)
 		apply_mark(j, p->marks[i]);
+	for (i = 0; i < p->n_done; i++)
+		apply_done(j, p->done[i]);
 }
--- a/cell/journal.c
+++ b/cell/journal.c
@@ -27,11 +27,15 @@
 /* Between two appends: each is priced and takes the partition 2 ms, and a
  * caller notices nothing of 15 ms against an objective of 250. */
 #define GAP (15 * OGL_MS)
+#define GAP_SPARE (45 * OGL_MS)
 /* Changes that nobody waits for are written within this time. */
 #define LAZY (250 * OGL_MS)
 /* An answer missing for so long is overdue, at least and at most. */
 #define OVERDUE_MIN_MS 50
 #define OVERDUE_MAX_MS 2400
+/* On a thin link an answer waits behind other bytes, and each repeat makes the
+ * queue longer. */
+#define OVERDUE_MIN_SPARE_MS 300
 /* An answer is waited for so long. */
 #define TIMEOUT_MS 2400
 /* Sendings of one append whose answers are awaited. */
@@ -87,6 +91,7 @@
 	bool begun; /* an append of the epoch was taken: the store knows where
 		     * its numbers begin, and takes none before its turn */
 	uint32_t overdue_ms;
+	bool spare;    /* the link is thin */
 	ogl_time took; /* by the last sending that was answered */
 	ogl_time last_sent_at;
 	ogl_time failing_since; /* 0: the last append was taken */
@@ -168,6 +173,25 @@
 	return g;
 }
 
+/* Several times what the store takes, so that a slow answer is not lost. */
+static uint32_t
+overdue_for(const struct cell_journal *g, ogl_time took)
+{
+	ogl_time ms = took / OGL_MS * 4;
+
+	return (uint32_t)CLAMP(ms,
+	    g->spare ? OVERDUE_MIN_SPARE_MS : OVERDUE_MIN_MS, OVERDUE_MAX_MS);
+}
+
+void
+cell_journal_spare(struct cell_journal *g, bool spare)
+{
+	if (spare == g->spare)
+		return;
+	g->spare = spare;
+	g->overdue_ms = overdue_for(g, g->took);
+}
+
 void
 cell_journal_end(struct cell_journal *g)
 {
@@ -190,15 +214,6 @@
 	g->failing_since = 0;
 }
 
-/* Several times what the store takes, so that a slow answer is not lost. */
-static uint32_t
-overdue_for(ogl_time took)
-{
-	ogl_time ms = took / OGL_MS * 4;
-
-	return (uint32_t)CLAMP(ms, OVERDUE_MIN_MS, OVERDUE_MAX_MS);
-}
-
 void
 cell_journal_open(struct cell_journal *g, uint64_t epoch, ogl_time store_took)
 {
@@ -207,7 +222,7 @@
 	g->begun = false;
 	g->epoch = epoch;
 	g->seq = 0;
-	g->overdue_ms = overdue_for(store_took);
+	g->overdue_ms = overdue_for(g, store_took);
 	g->took = store_took;
 	g->generation++;
 }
@@ -457,6 +472,25 @@
 	    (ogl_time)g->overdue_ms << MIN(doublings, SENDINGS_MAX), most);
 }
 
+/* Keys begin with what they are of: a job, its progress, or the workers. */
+static void
+count_bytes(struct cell_journal *g, const struct batch *b)
+{
+	guint i;
+
+	for (i = 0; i < b->puts->len; i++) {
+		const struct cell_put *u =
+		    &g_array_index(b->puts, struct cell_put, i);
+		const char *name = *u->key == 's'   ? "store_bytes_jobs"
+				   : *u->key == 'p' ? "store_bytes_progress"
+						    : "store_bytes_workers";
+
+		if (u->value != NULL)
+			g->ops->count(
+			    g->ops->ctx, name, g_bytes_get_size(u->value));
+	}
+}
+
 static void
 send_batch(struct cell_journal *g, struct batch *b, ogl_time now)
 {
@@ -477,6 +511,8 @@
 	s->generation = g->generation;
 	s->number = b->number;
 	s->at = now;
+	count_bytes(g, b);
+	g->ops->count(g->ops->ctx, "store_appends", 1);
 	b->sendings++;
 	b->awaited++;
 	b->retry_at = now + repeat_after_ms(g, b) * OGL_MS;
@@ -490,7 +526,7 @@
 {
 	uint32_t slowly = g->overdue_ms - g->overdue_ms / 4;
 
-	g->overdue_ms = MAX(overdue_for(g->took), slowly);
+	g->overdue_ms = MAX(overdue_for(g, g->took), slowly);
 }
 
 static void
@@ -756,7 +792,7 @@
 		return nothing_marked(g) ? OGL_NEVER : MAX(due, next_wake(g));
 	if (g->failing_since != 0)
 		return MAX(due, g->retry_at);
-	return MAX(due, g->last_sent_at + GAP);
+	return MAX(due, g->last_sent_at + (g->spare ? GAP_SPARE : GAP));
 }
 
 ogl_time
--- a/cell/journal.h
+++ b/cell/journal.h
@@ -23,6 +23,8 @@
     uint32_t shard, void (*lost)(void *arg, ogl_time now), void *arg);
 /* Of the shard's stream of jobs.  lost is called once a higher epoch has taken the stream over. */
 
+void cell_journal_spare(struct cell_journal *g, bool spare);
+/* The link is thin: fewer and larger appends. */
 void cell_journal_end(struct cell_journal *g);
 
 void cell_journal_open(
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -51,6 +51,10 @@
 /* An owner that has had no answer of the store for so long says so to its
  * peers. */
 #define ABLE_MAX (750 * OGL_MS)
+/* More where the jobs that it reads when it takes over keep its link busy for
+ * longer: answers to its heartbeats wait behind them. */
+#define ABLE_MORE_KBITS 4000
+#define ABLE_MORE_MAX (2 * OGL_SEC)
 /* When its last answered read is older, an owner reads beside its beats. */
 #define READ_PROOF_AFTER (350 * OGL_MS)
 /* So long after an outage of its own a node gives no owner up for want of
@@ -125,6 +129,7 @@
 	char *addr;
 	uint64_t boot;
 	int32_t late_ms; /* of its claims, for a weak machine */
+	ogl_time able_max;
 	GRand *rand;
 
 	bool loaded; /* the newest records were read */
@@ -163,6 +168,16 @@
 	return (int32_t)MIN(ms, LATE_MAX_MS);
 }
 
+static ogl_time
+able_for(uint32_t link_kbps)
+{
+	ogl_time more = 0;
+
+	if (link_kbps > 0)
+		more = (ogl_time)ABLE_MORE_KBITS * OGL_SEC / link_kbps;
+	return ABLE_MAX + MIN(more, ABLE_MORE_MAX);
+}
+
 struct cell_lead *
 cell_lead_init(const struct cell_ops *ops,
     const struct cell_lead_events *events, const struct cell_lead_self *self,
@@ -176,6 +191,7 @@
 	l->addr = g_strdup(self->addr);
 	l->boot = self->boot;
 	l->late_ms = lateness(self->strength);
+	l->able_max = able_for(self->link_kbps);
 	l->rand = g_rand_new_with_seed((guint32)(seed ^ seed >> 32));
 	l->newest_next = true;
 	l->last_read_ok = CELL_LONG_AGO;
@@ -1006,7 +1022,7 @@
 
 	if (!s->beat_refused)
 		ok = MAX(ok, l->last_read_ok);
-	return s->own && now - ok < ABLE_MAX;
+	return s->own && now - ok < l->able_max;
 }
 
 bool
--- a/cell/lead.h
+++ b/cell/lead.h
@@ -27,6 +27,7 @@
 	uint64_t boot;    /* differs at each start */
 	uint32_t
 	    strength; /* thousandths of a processor; weak nodes claim late */
+	uint32_t link_kbps; /* that its link carries, 0 not known */
 };
 
 struct cell_lead *cell_lead_init(const struct cell_ops *ops,
--- a/cell/loader.c
+++ b/cell/loader.c
@@ -22,6 +22,8 @@
 #define ASK_TIMEOUT_MS 250
 #define ASK_TIMES 4
 #define ASK_TIMEOUT_MAX_MS 4000
+/* A page has up to 1 MB; most have half of that or less. */
+#define PAGE_KBITS 4000
 /* A fence without an answer for so long, or several times what the store took,
  * is sent again. */
 #define FENCE_OVERDUE_MS 150
@@ -51,6 +53,7 @@
 	ogl_time ask_at;
 	uint32_t fences; /* under way */
 	uint32_t fence_overdue_ms;
+	uint32_t ask_timeout_min_ms; /* while a page may be on the link */
 	uint32_t ask_timeout_ms;
 	char *after; /* last key of the page before */
 	bool tail;   /* read on from tail_next, not the newest pages */
@@ -99,13 +102,17 @@
 }
 
 struct cell_loader *
-cell_loader_init(const struct cell_ops *ops, uint32_t shard,
+cell_loader_init(const struct cell_ops *ops, uint32_t shard, uint32_t link_kbps,
     const struct cell_loader_events *events)
 {
 	struct cell_loader *l = g_new0(struct cell_loader, 1);
 
 	l->ops = ops;
 	l->shard = shard;
+	l->ask_timeout_min_ms = ASK_TIMEOUT_MS;
+	if (link_kbps > 0)
+		l->ask_timeout_min_ms += PAGE_KBITS * 1000 / link_kbps;
+	l->ask_timeout_min_ms = MIN(l->ask_timeout_min_ms, ASK_TIMEOUT_MAX_MS);
 	l->events = *events;
 	return l;
 }
@@ -148,7 +155,7 @@
 		return;
 	l->phase = PHASE_PREPARING;
 	l->generation++;
-	l->ask_timeout_ms = ASK_TIMEOUT_MS;
+	l->ask_timeout_ms = l->ask_timeout_min_ms;
 	begin_reading(l, now);
 }
 
@@ -172,7 +179,7 @@
 	l->asking = false;
 	l->ask_at = now;
 	l->ask_timeout_ms =
-	    (uint32_t)CLAMP(ask_ms, ASK_TIMEOUT_MS, ASK_TIMEOUT_MAX_MS);
+	    (uint32_t)CLAMP(ask_ms, l->ask_timeout_min_ms, ASK_TIMEOUT_MAX_MS);
 	l->fences = 0;
 	l->fence_overdue_ms =
 	    (uint32_t)CLAMP(ask_ms, FENCE_OVERDUE_MS, FENCE_OVERDUE_MAX_MS);
--- a/cell/loader.h
+++ b/cell/loader.h
@@ -28,7 +28,7 @@
 };
 
 struct cell_loader *cell_loader_init(const struct cell_ops *ops, uint32_t shard,
-    const struct cell_loader_events *events);
+    uint32_t link_kbps, const struct cell_loader_events *events);
 void cell_loader_end(struct cell_loader *l);
 
 void cell_loader_prepare(struct cell_loader *l, ogl_time now);
--- a/cell/node.c
+++ b/cell/node.c
@@ -10,6 +10,7 @@
 
 #include "node.h"
 #include "plan.h"
+#include "relay_serve.h"
 
 #define TICK (40 * OGL_MS)
 /* A step is due each TICK; a longer gap means that the process did not run,
@@ -18,6 +19,8 @@
 /* What counts as much stronger, and for how long it has to be there. */
 #define MUCH_STRONGER 1.7
 #define STRONGER_FOR (2500 * OGL_MS)
+/* What a node reads so soon after it stood still may have waited for it. */
+#define STALE_AFTER (300 * OGL_MS)
 #define PING (250 * OGL_MS)
 /* Two pings unanswered: the owner's machine may have gone without a word. */
 #define PONG_DEAD (550 * OGL_MS)
@@ -70,13 +73,67 @@
 	ogl_time now;        /* of the step or event under way */
 	ogl_time started_at; /* first step, 0 not yet */
 	ogl_time stepped_at;
-	ogl_time wake_at; /* asked for by the last step, 0 none yet */
+	ogl_time wake_at;     /* asked for by the last step, 0 none yet */
+	ogl_time stood_until; /* last found to have stood still, 0 never */
 	uint32_t strength;
-	GQueue loop; /* Ogl__CellMsg as bytes, to oneself */
+	uint32_t link_kbps;
+	struct cell_relay_serve *serve; /* calls workers for owners */
+	GQueue loop;                    /* Ogl__CellMsg as bytes, to oneself */
 };
 
 /* ---- messages --------------------------------------------------------- */
 
+/* Counters of bytes by kind of message: sent, received. */
+struct kind_names {
+	Ogl__CellMsg__BodyCase body;
+	const char *sent;
+	const char *received;
+};
+
+static const struct kind_names kinds[] = {
+    {OGL__CELL_MSG__BODY_PING, "peer_sent_bytes_ping",
+	"peer_received_bytes_ping"},
+    {OGL__CELL_MSG__BODY_PONG, "peer_sent_bytes_pong",
+	"peer_received_bytes_pong"},
+    {OGL__CELL_MSG__BODY_CALL, "peer_sent_bytes_call",
+	"peer_received_bytes_call"},
+    {OGL__CELL_MSG__BODY_REPLY, "peer_sent_bytes_reply",
+	"peer_received_bytes_reply"},
+    {OGL__CELL_MSG__BODY_ASK, "peer_sent_bytes_ask", "peer_received_bytes_ask"},
+    {OGL__CELL_MSG__BODY_ADVICE, "peer_sent_bytes_advice",
+	"peer_received_bytes_advice"},
+    {OGL__CELL_MSG__BODY_PART, "peer_sent_bytes_part",
+	"peer_received_bytes_part"},
+    {OGL__CELL_MSG__BODY_HANDOVER, "peer_sent_bytes_handover",
+	"peer_received_bytes_handover"},
+    {OGL__CELL_MSG__BODY_ORDERS, "peer_sent_bytes_orders",
+	"peer_received_bytes_orders"},
+    {OGL__CELL_MSG__BODY_ORDER_ANSWERS, "peer_sent_bytes_order_answer",
+	"peer_received_bytes_order_answer"},
+};
+
+static void
+count_bytes(
+    struct cell_node *n, const Ogl__CellMsg *m, bool received, size_t bytes)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		if (kinds[i].body == m->body_case)
+			n->ops->count(n->ops->ctx,
+			    received ? kinds[i].received : kinds[i].sent,
+			    bytes);
+	}
+}
+
+/* These are many, and either end of them is the owner. */
+static bool
+is_order(const Ogl__CellMsg *m)
+{
+	return m->body_case == OGL__CELL_MSG__BODY_ORDERS ||
+	       m->body_case == OGL__CELL_MSG__BODY_ORDER_ANSWERS;
+}
+
 static void
 send_msg(struct cell_node *n, uint32_t shard, const char *to, Ogl__CellMsg *m)
 {
@@ -88,7 +145,7 @@
 	m->from = n->addr;
 	m->shard = shard;
 	m->epoch = cell_lead_epoch(n->lead, shard);
-	if (owner != NULL)
+	if (owner != NULL && !is_order(m))
 		m->owner = (char *)(uintptr_t)owner;
 	len = ogl__cell_msg__get_packed_size(m);
 	p = g_malloc(len);
@@ -98,6 +155,7 @@
 		g_queue_push_tail(&n->loop, b);
 		return;
 	}
+	count_bytes(n, m, false, len);
 	n->ops->peer_send(n->ops->ctx, to, b);
 	g_bytes_unref(b);
 }
@@ -105,11 +163,14 @@
 static void
 send_call(void *arg, uint32_t shard, const char *to, const Ogl__CellCall *c)
 {
+	struct cell_node *n = arg;
 	Ogl__CellMsg m = OGL__CELL_MSG__INIT;
 
 	m.body_case = OGL__CELL_MSG__BODY_CALL;
 	m.call = (Ogl__CellCall *)(uintptr_t)c;
-	send_msg(arg, shard, to, &m);
+	if (c->job != NULL)
+		cell_relay_serve_spec(n->serve, c->id, c->job->spec);
+	send_msg(n, shard, to, &m);
 }
 
 static void
@@ -204,6 +265,44 @@
 	n->ops->ask(n->ops->outside, &ask, on_asked, q);
 }
 
+/* ---- calls to workers for an owner ------------------------------------ */
+
+static void
+send_orders(void *arg, const char *to, const Ogl__CellOrders *orders)
+{
+	const struct part *part = arg;
+	Ogl__CellMsg m = OGL__CELL_MSG__INIT;
+
+	m.body_case = OGL__CELL_MSG__BODY_ORDERS;
+	m.orders = (Ogl__CellOrders *)(uintptr_t)orders;
+	send_msg(part->node, part->shard, to, &m);
+}
+
+static void
+send_answers(void *arg, uint32_t shard, const char *to,
+    const Ogl__CellOrderAnswers *answers)
+{
+	struct cell_node *n = arg;
+	Ogl__CellMsg m = OGL__CELL_MSG__INIT;
+
+	m.body_case = OGL__CELL_MSG__BODY_ORDER_ANSWERS;
+	m.order_answers = (Ogl__CellOrderAnswers *)(uintptr_t)answers;
+	send_msg(n, shard, to, &m);
+}
+
+/*
+ * What waited while this process stood still is too old to be carried out: its
+ * owner has given it up and may have been replaced.
+ */
+static void
+take_orders(struct cell_node *n, uint32_t shard, const char *from,
+    const Ogl__CellOrders *orders, ogl_time now)
+{
+	bool stale = n->stood_until != 0 && now - n->stood_until < STALE_AFTER;
+
+	cell_relay_serve(n->serve, shard, from, orders, stale, now);
+}
+
 /* ---- incoming --------------------------------------------------------- */
 
 /*
@@ -317,12 +416,15 @@
 
 	if (p->lane)
 		cell_owner_node(part->owner, from, p->leaving, now);
+	if (strcmp(from, n->addr) != 0)
+		cell_owner_relay(part->owner, from, p->leaving, now);
 	weigh_peer(part, p, now);
 	weigh_heir(part, from, p, now);
 	pong.stamp = p->stamp;
 	if (cell_lead_is_owner(n->lead, part->shard))
 		pong.owns = cell_lead_epoch(n->lead, part->shard);
 	pong.able = cell_lead_able(n->lead, part->shard, now);
+	pong.asks_first = cell_owner_asks_first(part->owner);
 	tell_config(n, p, &pong, now);
 	m.body_case = OGL__CELL_MSG__BODY_PONG;
 	m.pong = &pong;
@@ -345,6 +447,10 @@
 		cell_lead_doubt(lead, part->shard, m->epoch, now);
 	else
 		cell_lead_heard(lead, part->shard, m->pong->owns, now);
+	cell_front_asks_first(
+	    part->node->front, part->shard, m->pong->asks_first);
+	cell_front_delay(part->node->front, part->shard,
+	    now - (ogl_time)m->pong->stamp, now);
 }
 
 /* The owner wants to end and has chosen this node. */
@@ -391,6 +497,12 @@
 	case OGL__CELL_MSG__BODY_PART:
 		cell_owner_part(part->owner, m->part, now);
 		break;
+	case OGL__CELL_MSG__BODY_ORDERS:
+		take_orders(n, m->shard, m->from, m->orders, now);
+		break;
+	case OGL__CELL_MSG__BODY_ORDER_ANSWERS:
+		cell_owner_ordered(part->owner, m->order_answers, now);
+		break;
 	default:
 		n->ops->count(n->ops->ctx, "peer_unknown_messages", 1);
 		break;
@@ -405,6 +517,7 @@
 
 	if (n->stepped_at == 0 || now - n->stepped_at <= STOOD_STILL)
 		return;
+	n->stood_until = now;
 	for (i = 0; i < n->shards; i++)
 		cell_owner_doubt(n->parts[i].owner, now);
 }
@@ -419,6 +532,8 @@
 		n->ops->count(n->ops->ctx, "peer_unknown_messages", 1);
 		return;
 	}
+	if (strcmp(m->from, n->addr) != 0)
+		count_bytes(n, m, true, msg.n);
 	n->now = now;
 	watch_standstill(n, now);
 	/* A node that has not read the plan yet has no part in the cell: its
@@ -551,9 +666,9 @@
 	n->shards = shards;
 	for (i = 0; i < shards; i++) {
 		struct part *part = &n->parts[i];
-		struct cell_owner_events e = {
-		    on_outranked, send_reply, send_ask, send_part, part};
-		struct cell_part p = {i, shards};
+		struct cell_owner_events e = {on_outranked, send_reply,
+		    send_ask, send_part, send_orders, part};
+		struct cell_part p = {i, shards, n->link_kbps};
 
 		part->node = n;
 		part->shard = i;
@@ -582,7 +697,8 @@
 	struct cell_node *n = g_new0(struct cell_node, 1);
 	struct cell_lead_events le = {
 	    on_planned, on_won, on_lost, on_changed, n};
-	struct cell_lead_self self = {c->name, c->addr, c->boot, c->strength};
+	struct cell_lead_self self = {
+	    c->name, c->addr, c->boot, c->strength, c->link_kbps};
 	struct cell_plan_events pe = {on_decided, n};
 	struct cell_front_events fe = {send_call, n};
 
@@ -592,6 +708,8 @@
 	n->limits = c->limits;
 	g_queue_init(&n->loop);
 	n->strength = c->strength;
+	n->link_kbps = c->link_kbps;
+	n->serve = cell_relay_serve_init(ops, send_answers, n);
 	n->lead = cell_lead_init(ops, &le, &self, c->seed);
 	n->plan = cell_plan_init(ops, &pe, c->strength, c->seed);
 	n->front = cell_front_init(ops, &n->limits, &fe);
@@ -611,6 +729,7 @@
 	cell_front_end(n->front);
 	cell_plan_end(n->plan);
 	cell_lead_end(n->lead);
+	cell_relay_serve_end(n->serve);
 	g_queue_clear_full(&n->loop, (GDestroyNotify)g_bytes_unref);
 	g_free(n->name);
 	g_free(n->addr);
@@ -648,6 +767,8 @@
 	if (n->ops->peer_refused(n->ops->ctx, owner) ||
 	    now - part->pong_at > PONG_DEAD)
 		cell_lead_hint_dead(n->lead, part->shard, now);
+	cell_front_delay(
+	    n->front, part->shard, now - part->pong_at - PING, now);
 	if (now - part->pong_at > PONG_MAX) {
 		n->ops->count(n->ops->ctx, "peer_resets", 1);
 		n->ops->peer_reset(n->ops->ctx, owner);
@@ -754,6 +875,7 @@
 	run_loop(n, now);
 	for (i = 0; i < n->shards; i++)
 		step_part(&n->parts[i], now, wall);
+	cell_relay_serve_step(n->serve, now);
 	run_loop(n, now);
 	n->wake_at = MAX(now, cell_node_wake(n, now));
 }
@@ -768,7 +890,7 @@
 		return now;
 	for (i = 0; i < n->shards; i++)
 		at = MIN(at, cell_owner_wake(n->parts[i].owner));
-	return at;
+	return MIN(at, cell_relay_serve_wake(n->serve));
 }
 
 void
--- a/cell/node.h
+++ b/cell/node.h
@@ -19,6 +19,7 @@
 	uint64_t seed;    /* of its random choices */
 	uint32_t
 	    strength; /* thousandths of a processor it may use, 0 unknown */
+	uint32_t link_kbps; /* that its link carries, 0 unknown */
 	struct cell_limits limits;
 };
 
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -23,6 +23,7 @@
 #include "load.h"
 #include "loader.h"
 #include "owner.h"
+#include "relay.h"
 #include "roster.h"
 #include "schedule.h"
 #include "straggler.h"
@@ -79,6 +80,8 @@
 	GHashTable *jobs; /* id -> struct cell_job */
 	struct cell_admission *admission;
 	struct cell_journal *journal;
+	struct cell_relay *relay;
+	struct cell_ops worker_ops; /* calls to workers by the relay */
 	struct cell_fleet *fleet;
 	struct cell_held *held;
 	struct cell_sched *sched;
@@ -339,6 +342,7 @@
 	j->state = state;
 	j->ended_ms = (uint64_t)(o->wall / OGL_MS);
 	j->drop_def = true;
+	cell_relay_forget(o->relay, j->id);
 	job_changed(o, j, true, now);
 	note_after(o, j->id, on_end_stored, 0);
 }
@@ -802,6 +806,16 @@
 	o->run_pass = true;
 }
 
+/* ---- what the relay asks ---------------------------------------------- */
+
+static void
+send_orders(void *arg, const char *to, const Ogl__CellOrders *m)
+{
+	struct cell_owner *o = arg;
+
+	o->events.orders(o->events.arg, to, m);
+}
+
 /* ---- taking over ------------------------------------------------------ */
 
 /* Pages may bring a job's two records in either order. */
@@ -949,6 +963,7 @@
 	load_ended(o, l->progress);
 	o->phase = PHASE_SERVING;
 	cell_journal_open(o->journal, o->epoch, o->store_took);
+	cell_relay_open(o->relay, o->epoch);
 	cell_fleet_open(o->fleet, o->epoch, now);
 	cell_escrow_open(o->escrow, o->epoch);
 	cell_advice_open(o->advice, o->epoch);
@@ -1030,6 +1045,7 @@
 	struct cell_loader_events le = {on_loader_outranked, on_loaded, o};
 	struct cell_roster_events re = {on_entry, on_roster, o};
 	struct cell_escrow_events ee = {send_part, team_part, on_part, o};
+	struct cell_relay_events ye = {send_orders, o};
 
 	o->ops = ops;
 	o->part = *part;
@@ -1039,10 +1055,13 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 	o->admission = cell_admission_init();
 	o->journal = cell_journal_init(ops, part->shard, on_lost, o);
-	o->fleet = cell_fleet_init(ops, limits, &fe);
+	o->relay = cell_relay_init(ops, part->link_kbps, &ye);
+	o->worker_ops = *ops;
+	cell_relay_fill(o->relay, &o->worker_ops);
+	o->fleet = cell_fleet_init(&o->worker_ops, limits, &fe);
 	o->held = cell_held_init(open_stage, o);
 	o->advice = cell_advice_init(ops, &ae);
-	o->loader = cell_loader_init(ops, part->shard, &le);
+	o->loader = cell_loader_init(ops, part->shard, part->link_kbps, &le);
 	o->roster = cell_roster_init(ops, &re);
 	o->escrow = cell_escrow_init(part->shard, part->shards, &ee);
 	sp.escrow = o->escrow;
@@ -1060,6 +1079,7 @@
 	cell_escrow_end(o->escrow);
 	cell_advice_end(o->advice);
 	cell_held_end(o->held);
+	cell_relay_end(o->relay);
 	cell_fleet_end(o->fleet);
 	cell_roster_end(o->roster);
 	cell_loader_end(o->loader);
@@ -1197,6 +1217,7 @@
 	for (i = 0; i < j->occurrences->len; i++)
 		drop_occurrence(o, j, j->occurrences->pdata[i], now);
 	cell_journal_unmark(o->journal, j);
+	cell_relay_forget(o->relay, j->id);
 	g_hash_table_remove(o->jobs, j->id);
 }
 
@@ -1267,18 +1288,13 @@
 }
 
 /*
- * Why a new job is not taken; NULL when it is.  over: whether it is beyond its
- * team's rate, which under load is a reason as well: else a team that hands in
- * ten times its rate would take the places of all others.
+ * Why no job is taken now whatever it is; NULL: one may be.  A call that was
+ * admitted before its job was sent is not weighed against the load again.
  */
 static const char *
-refusal(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
-    bool *over, ogl_time now)
+refusal_of_any(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
+    ogl_time now)
 {
-	const char *why = "";
-
-	if (c->job == NULL || !cell_job_def_valid(c->job, &why))
-		return "malformed";
 	/* The node that passed it on has read one; this one has just begun. */
 	if (o->config == NULL)
 		return "no_configuration";
@@ -1286,14 +1302,54 @@
 		return "store_failing";
 	if (cell_admission_was_refused(o->admission, from, c->token))
 		return "refused_before";
-	if (!cell_load_takes(&o->load))
+	if (!c->admitted && !cell_load_takes(&o->load))
 		return "load";
+	return NULL;
+}
+
+/*
+ * Why a new job is not taken; NULL when it is.  over: whether it is beyond its
+ * team's rate, which under load is a reason as well: else a team that hands in
+ * ten times its rate would take the places of all others.
+ */
+static const char *
+refusal(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
+    bool *over, ogl_time now)
+{
+	const char *why = "";
+
+	if (!cell_job_def_valid(c->job, &why))
+		return "malformed";
+	why = refusal_of_any(o, from, c, now);
+	if (why != NULL)
+		return why;
 	*over = CELL_USES_RATE && !within_rate(o, c->job->team, now);
 	if (*over && cell_load_full(&o->load))
 		return "load_over_rate";
 	return NULL;
 }
 
+static void
+refuse_job(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
+    const char *why, ogl_time now)
+{
+	log_refused(o, c, why);
+	refuse(o, from, c->token, now);
+}
+
+/* The job is not known here, and has not been sent. */
+static void
+call_ask_first(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
+    ogl_time now)
+{
+	const char *why = refusal_of_any(o, from, c, now);
+
+	if (why != NULL)
+		refuse_job(o, from, c, why, now);
+	else
+		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_send_job, 0);
+}
+
 static void
 call_submit(
     struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
@@ -1307,24 +1363,28 @@
 		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_ok, 0);
 		return;
 	}
-	w = waiting_new(o, from, c);
 	if (j != NULL) {
-		cell_journal_submit(o->journal, j, on_submit_stored, w, 0, now);
+		cell_journal_submit(o->journal, j, on_submit_stored,
+		    waiting_new(o, from, c), 0, now);
+		return;
+	}
+	if (c->job == NULL) {
+		call_ask_first(o, from, c, now);
 		return;
 	}
 	why = refusal(o, from, c, &over, now);
 	if (why != NULL) {
-		log_refused(o, c, why);
-		refuse(o, from, c->token, now);
-		waiting_free(w);
+		refuse_job(o, from, c, why, now);
 		return;
 	}
+	w = waiting_new(o, from, c);
 	j = cell_job_new(c->job, now);
 	c->job = NULL;
 	j->settled = true;
 	j->over = over;
 	j->def->accepted_ms = (uint64_t)(o->wall / OGL_MS);
 	g_hash_table_insert(o->jobs, j->id, j);
+	cell_relay_told(o->relay, j->id, from);
 	cell_journal_submit(o->journal, j, on_submit_stored, w, 0, now);
 	begin_due(o, j);
 }
@@ -1453,6 +1513,23 @@
 		cell_advice_node(o->advice, addr, now);
 }
 
+void
+cell_owner_relay(
+    struct cell_owner *o, const char *addr, bool leaving, ogl_time now)
+{
+	cell_relay_node(o->relay, addr, leaving, now);
+}
+
+void
+cell_owner_ordered(
+    struct cell_owner *o, const Ogl__CellOrderAnswers *m, ogl_time now)
+{
+	size_t i;
+
+	for (i = 0; i < m->n_answers; i++)
+		cell_relay_answer(o->relay, m->answers[i], now);
+}
+
 /* ---- what falls due --------------------------------------------------- */
 
 static void
@@ -1618,16 +1695,10 @@
 	o->announced = announced;
 }
 
-void
-cell_owner_step(struct cell_owner *o, ogl_time confirmed, bool may_act,
-    ogl_time now, ogl_time wall)
+/* What an owner does that serves. */
+static void
+serve(struct cell_owner *o, ogl_time confirmed, bool may_act, ogl_time now)
 {
-	o->wall = wall;
-	o->confirmed = confirmed;
-	cell_loader_step(o->loader, now);
-	cell_roster_step(o->roster, now);
-	if (o->phase != PHASE_SERVING)
-		return;
 	if (cell_roster_loaded(o->roster) && cell_fleet_names_changed(o->fleet))
 		store_workers(o, now);
 	cell_journal_step(o->journal, now);
@@ -1648,12 +1719,34 @@
 	}
 }
 
+void
+cell_owner_step(struct cell_owner *o, ogl_time confirmed, bool may_act,
+    ogl_time now, ogl_time wall)
+{
+	guint workers = g_hash_table_size(cell_fleet_workers(o->fleet));
+
+	o->wall = wall;
+	o->confirmed = confirmed;
+	cell_loader_step(o->loader, now);
+	cell_roster_step(o->roster, now);
+	cell_relay_step(o->relay, workers, now);
+	cell_journal_spare(o->journal, cell_relay_active(o->relay));
+	cell_sched_spare(o->sched, cell_relay_active(o->relay));
+	if (o->phase == PHASE_SERVING)
+		serve(o, confirmed, may_act, now);
+	cell_relay_flush(o->relay, now);
+}
+
 void
 cell_owner_ran(struct cell_owner *o, ogl_time wanted, ogl_time now)
 {
+	ogl_time delay = cell_relay_delay(o->relay, now);
 	bool full = cell_load_full(&o->load);
 	char text[128];
 
+	/* What comes late over the link is late like what the process does. */
+	if (wanted != 0)
+		wanted = MIN(wanted, now - delay);
 	cell_load_step(&o->load, wanted, now);
 	if (full == cell_load_full(&o->load) || o->phase != PHASE_SERVING)
 		return;
@@ -1666,6 +1759,12 @@
 	    full ? "load_carried" : "load_too_high", text);
 }
 
+bool
+cell_owner_asks_first(const struct cell_owner *o)
+{
+	return o->phase == PHASE_SERVING && cell_load_full(&o->load);
+}
+
 bool
 cell_owner_wants_proof(const struct cell_owner *o)
 {
@@ -1681,9 +1780,11 @@
 ogl_time
 cell_owner_wake(const struct cell_owner *o)
 {
+	ogl_time relay = cell_relay_wake(o->relay);
+
 	if (o->phase != PHASE_SERVING)
-		return OGL_NEVER;
-	return cell_journal_wake(o->journal);
+		return relay;
+	return MIN(relay, cell_journal_wake(o->journal));
 }
 
 bool
--- a/cell/owner.h
+++ b/cell/owner.h
@@ -21,13 +21,16 @@
 	/* Has the node at `to` ask the advice service. */
 	void (*part)(void *arg, uint32_t to_shard, const Ogl__CellPart *m);
 	/* Tells the owner of another shard about a team's limit. */
+	void (*orders)(void *arg, const char *to, const Ogl__CellOrders *m);
+	/* Has the node at `to` call workers. */
 	void *arg;
 };
 
 /* The part of the cell that an owner is for. */
 struct cell_part {
 	uint32_t shard;
-	uint32_t shards; /* in the whole cell */
+	uint32_t shards;    /* in the whole cell */
+	uint32_t link_kbps; /* what the node's own link carries, 0 not known */
 };
 
 struct cell_owner *cell_owner_init(const struct cell_ops *ops,
@@ -60,7 +63,12 @@
 /* What the owner of m->from_shard says of a team's limit. */
 void cell_owner_node(
     struct cell_owner *o, const char *addr, bool leaving, ogl_time now);
-/* A node is there. */
+/* A node is there to ask advice through. */
+void cell_owner_relay(
+    struct cell_owner *o, const char *addr, bool leaving, ogl_time now);
+/* Another node is there to call workers through. */
+void cell_owner_ordered(
+    struct cell_owner *o, const Ogl__CellOrderAnswers *m, ogl_time now);
 
 void cell_owner_announced(struct cell_owner *o, bool announced);
 /* Whether the ownership is announced; no worker is called before. */
@@ -71,6 +79,8 @@
 void cell_owner_ran(struct cell_owner *o, ogl_time wanted, ogl_time now);
 /* The process runs now; it had asked to run at `wanted` at the latest.  While
  * it runs late, a part of the new jobs is refused. */
+bool cell_owner_asks_first(const struct cell_owner *o);
+/* It refuses some new jobs, and is to be asked before it is sent one. */
 bool cell_owner_wants_proof(const struct cell_owner *o);
 /* It starts nothing until the ownership is confirmed once more. */
 void cell_owner_doubt(struct cell_owner *o, ogl_time now);
--- /dev/null
+++ b/cell/relay_serve.c
@@ -0,0 +1,418 @@
+/*
+ * The specs of the latest jobs are kept up to a bound of bytes; the oldest goes
+ * first.  An owner that counts on one which is gone is told so, and sends it.
+ *
+ * Answers to one owner gather for a moment and go in one message.
+ */
+
+#include <string.h>
+
+#include "relay_serve.h"
+
+#define SPECS_BYTES_MAX ((size_t)2 * 1024 * 1024)
+#define GATHER (8 * OGL_MS)
+
+/* ---- specs ------------------------------------------------------------ */
+
+/* Specs of jobs that passed through this node, the latest ones. */
+struct specs {
+	GHashTable *specs; /* job -> spec */
+	GQueue order;      /* jobs, oldest first; keys of the table */
+	size_t bytes;
+};
+
+static void
+specs_init(struct specs *s)
+{
+	s->specs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_queue_init(&s->order);
+}
+
+static void
+specs_end(struct specs *s)
+{
+	g_queue_clear(&s->order);
+	g_hash_table_unref(s->specs);
+}
+
+static size_t
+size_of(const char *job, const char *spec)
+{
+	return strlen(job) + strlen(spec);
+}
+
+static void
+drop_oldest(struct specs *s)
+{
+	const char *job = g_queue_pop_head(&s->order);
+
+	s->bytes -= size_of(job, g_hash_table_lookup(s->specs, job));
+	g_hash_table_remove(s->specs, job);
+}
+
+static void
+specs_add(struct specs *s, const char *job, const char *spec)
+{
+	char *key;
+
+	if (g_hash_table_contains(s->specs, job))
+		return;
+	key = g_strdup(job);
+	g_hash_table_insert(s->specs, key, g_strdup(spec));
+	g_queue_push_tail(&s->order, key);
+	s->bytes += size_of(job, spec);
+	while (s->bytes > SPECS_BYTES_MAX)
+		drop_oldest(s);
+}
+
+/* ---- answers ---------------------------------------------------------- */
+
+/* Answers to the owner of a shard. */
+struct batch {
+	uint32_t shard;
+	char *to;
+	ogl_time since;
+	GPtrArray *answers; /* Ogl__CellOrderAnswer */
+};
+
+struct cell_relay_serve {
+	const struct cell_ops *ops;
+	cell_relay_send_fn *send;
+	void *arg;
+	struct specs specs;
+	GPtrArray *batches; /* struct batch, none empty */
+	GHashTable *calls;  /* set of struct carried */
+};
+
+static void
+answer_free(void *p)
+{
+	ogl__cell_order_answer__free_unpacked(p, NULL);
+}
+
+static void
+batch_free(void *p)
+{
+	struct batch *b = p;
+
+	g_ptr_array_unref(b->answers);
+	g_free(b->to);
+	g_free(b);
+}
+
+static struct batch *
+batch_of(
+    struct cell_relay_serve *v, uint32_t shard, const char *to, ogl_time now)
+{
+	struct batch *b;
+	guint i;
+
+	for (i = 0; i < v->batches->len; i++) {
+		b = v->batches->pdata[i];
+		if (b->shard == shard && strcmp(b->to, to) == 0)
+			return b;
+	}
+	b = g_new0(struct batch, 1);
+	b->shard = shard;
+	b->to = g_strdup(to);
+	b->since = now;
+	b->answers = g_ptr_array_new_with_free_func(answer_free);
+	g_ptr_array_add(v->batches, b);
+	return b;
+}
+
+static void
+send_batch(struct cell_relay_serve *v, const struct batch *b)
+{
+	Ogl__CellOrderAnswers m = OGL__CELL_ORDER_ANSWERS__INIT;
+
+	m.answers = (Ogl__CellOrderAnswer **)b->answers->pdata;
+	m.n_answers = b->answers->len;
+	v->send(v->arg, b->shard, b->to, &m);
+}
+
+void
+cell_relay_serve_step(struct cell_relay_serve *v, ogl_time now)
+{
+	guint i = 0;
+
+	while (i < v->batches->len) {
+		const struct batch *b = v->batches->pdata[i];
+
+		if (now - b->since < GATHER) {
+			i++;
+			continue;
+		}
+		send_batch(v, b);
+		g_ptr_array_remove_index_fast(v->batches, i);
+	}
+}
+
+ogl_time
+cell_relay_serve_wake(const struct cell_relay_serve *v)
+{
+	ogl_time at = OGL_NEVER;
+	guint i;
+
+	for (i = 0; i < v->batches->len; i++) {
+		const struct batch *b = v->batches->pdata[i];
+
+		at = MIN(at, b->since + GATHER);
+	}
+	return at;
+}
+
+/* ---- calls ------------------------------------------------------------ */
+
+struct carried {
+	struct cell_relay_serve *serve; /* NULL: it has ended */
+	uint32_t shard;
+	char *to;
+	uint64_t token;
+};
+
+static struct carried *
+carried_new(
+    struct cell_relay_serve *v, uint32_t shard, const char *to, uint64_t token)
+{
+	struct carried *c = g_new(struct carried, 1);
+
+	c->serve = v;
+	c->shard = shard;
+	c->to = g_strdup(to);
+	c->token = token;
+	g_hash_table_add(v->calls, c);
+	return c;
+}
+
+static void
+carried_free(struct carried *c)
+{
+	if (c->serve != NULL)
+		g_hash_table_remove(c->serve->calls, c);
+	g_free(c->to);
+	g_free(c);
+}
+
+struct cell_relay_serve *
+cell_relay_serve_init(
+    const struct cell_ops *ops, cell_relay_send_fn *send, void *arg)
+{
+	struct cell_relay_serve *v = g_new0(struct cell_relay_serve, 1);
+
+	v->ops = ops;
+	v->send = send;
+	v->arg = arg;
+	specs_init(&v->specs);
+	v->batches = g_ptr_array_new_with_free_func(batch_free);
+	v->calls = g_hash_table_new(NULL, NULL);
+	return v;
+}
+
+void
+cell_relay_serve_end(struct cell_relay_serve *v)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, v->calls);
+	while (g_hash_table_iter_next(&it, &p, NULL))
+		((struct carried *)p)->serve = NULL;
+	g_hash_table_unref(v->calls);
+	g_ptr_array_unref(v->batches);
+	specs_end(&v->specs);
+	g_free(v);
+}
+
+void
+cell_relay_serve_spec(
+    struct cell_relay_serve *v, const char *job, const char *spec)
+{
+	specs_add(&v->specs, job, spec);
+}
+
+static Ogl__CellOrderOutcome
+outcome_of(enum ogl_io io)
+{
+	switch (io) {
+	case OGL_IO_OK:
+		return OGL__CELL_ORDER_OUTCOME__cell_order_done;
+	case OGL_IO_REFUSED:
+		return OGL__CELL_ORDER_OUTCOME__cell_order_refused;
+	case OGL_IO_NOT_SENT:
+		return OGL__CELL_ORDER_OUTCOME__cell_order_not_sent;
+	default:
+		return OGL__CELL_ORDER_OUTCOME__cell_order_lost;
+	}
+}
+
+/* An answer in the batch to the owner, to be filled in. */
+static Ogl__CellOrderAnswer *
+answer_new(const struct carried *c, enum ogl_io io, ogl_time now)
+{
+	struct batch *b = batch_of(c->serve, c->shard, c->to, now);
+	Ogl__CellOrderAnswer *m = malloc(sizeof *m);
+
+	ogl__cell_order_answer__init(m);
+	m->token = c->token;
+	m->outcome = outcome_of(io);
+	g_ptr_array_add(b->answers, m);
+	return m;
+}
+
+/* libprotobuf-c frees these with the C library's free. */
+static Ogl__CellRunRow **
+rows_of(const struct cell_row *rows, size_t n)
+{
+	Ogl__CellRunRow **list = malloc(n * sizeof(Ogl__CellRunRow *));
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		Ogl__CellRunRow *m = malloc(sizeof *m);
+
+		ogl__cell_run_row__init(m);
+		m->job = strdup(rows[i].task.id);
+		m->occurrence = rows[i].task.occurrence;
+		m->step = rows[i].task.step;
+		m->index = rows[i].task.index;
+		m->run = rows[i].run;
+		if (rows[i].checkpoint != NULL)
+			m->checkpoint = strdup(rows[i].checkpoint);
+		m->percent = rows[i].percent;
+		m->gauge = rows[i].gauge;
+		m->number = rows[i].number;
+		m->how = rows[i].how;
+		list[i] = m;
+	}
+	return list;
+}
+
+static void
+on_hold(void *arg, const struct cell_hold_answer *a, ogl_time now)
+{
+	struct carried *c = arg;
+	Ogl__CellOrderAnswer *m;
+
+	if (c->serve != NULL) {
+		m = answer_new(c, a->io, now);
+		m->refusal = a->why;
+		m->no_listener = a->no_listener;
+		m->clock_ms = a->clock_ms;
+		m->born_ms = a->born_ms;
+		m->n_running = a->nrunning;
+		m->running = rows_of(a->running, a->nrunning);
+		m->n_ended = a->nended;
+		m->ended = rows_of(a->ended, a->nended);
+	}
+	carried_free(c);
+}
+
+static void
+on_order(void *arg, const struct cell_order_answer *a, ogl_time now)
+{
+	struct carried *c = arg;
+	Ogl__CellOrderAnswer *m;
+
+	if (c->serve != NULL) {
+		m = answer_new(c, a->io, now);
+		m->refusal = a->why;
+		m->clock_ms = a->clock_ms;
+	}
+	carried_free(c);
+}
+
+/* The order is not carried out. */
+static void
+turn_down(struct carried *c, Ogl__CellOrderOutcome outcome, ogl_time now)
+{
+	answer_new(c, OGL_IO_NOT_SENT, now)->outcome = outcome;
+	carried_free(c);
+}
+
+static void
+hold(const struct cell_ops *ops, const Ogl__CellOrder *m, struct carried *c)
+{
+	struct cell_hold h = {.to = {m->addr, m->worker, m->epoch},
+	    .last_seen = m->last_seen,
+	    .until_ms = m->until_ms,
+	    .wait_ms = m->wait_ms,
+	    .timeout_ms = m->timeout_ms};
+
+	ops->hold(ops->outside, &h, on_hold, c);
+}
+
+static struct cell_order
+order_of(const Ogl__CellOrder *m)
+{
+	struct cell_order o = {.to = {m->addr, m->worker, m->epoch},
+	    .task = {.occurrence = m->occurrence,
+		.step = m->step,
+		.index = m->index},
+	    .run = m->run,
+	    .timeout_ms = m->timeout_ms,
+	    .until_ms = m->until_ms,
+	    .checkpoint = m->checkpoint,
+	    .ticket = *m->ticket != '\0' ? m->ticket : NULL};
+
+	g_strlcpy(o.task.id, m->job, sizeof o.task.id);
+	return o;
+}
+
+static void
+start(struct cell_relay_serve *v, const Ogl__CellOrder *m, struct carried *c,
+    ogl_time now)
+{
+	struct cell_order o = order_of(m);
+
+	if (m->with_spec)
+		specs_add(&v->specs, m->job, m->spec);
+	o.spec = m->with_spec ? m->spec
+			      : g_hash_table_lookup(v->specs.specs, m->job);
+	if (o.spec == NULL)
+		turn_down(
+		    c, OGL__CELL_ORDER_OUTCOME__cell_order_lacks_spec, now);
+	else
+		v->ops->start(v->ops->outside, &o, on_order, c);
+}
+
+static void
+carry_out(struct cell_relay_serve *v, const Ogl__CellOrder *m,
+    struct carried *c, ogl_time now)
+{
+	struct cell_order o;
+
+	switch (m->kind) {
+	case OGL__CELL_ORDER_KIND__cell_order_hold:
+		hold(v->ops, m, c);
+		break;
+	case OGL__CELL_ORDER_KIND__cell_order_stop:
+		o = order_of(m);
+		v->ops->stop(v->ops->outside, &o, on_order, c);
+		break;
+	case OGL__CELL_ORDER_KIND__cell_order_start:
+		start(v, m, c, now);
+		break;
+	default: /* of a later version */
+		turn_down(c, OGL__CELL_ORDER_OUTCOME__cell_order_not_sent, now);
+		break;
+	}
+}
+
+void
+cell_relay_serve(struct cell_relay_serve *v, uint32_t shard, const char *from,
+    const Ogl__CellOrders *orders, bool refuse, ogl_time now)
+{
+	size_t i;
+
+	for (i = 0; i < orders->n_orders; i++) {
+		const Ogl__CellOrder *m = orders->orders[i];
+		struct carried *c = carried_new(v, shard, from, m->token);
+
+		if (refuse)
+			turn_down(c,
+			    OGL__CELL_ORDER_OUTCOME__cell_order_not_sent, now);
+		else
+			carry_out(v, m, c, now);
+	}
+}
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -40,6 +40,9 @@
  * this time; a long one would only delay the start. */
 #define FIRST_ASK_MS 650.0
 #define FIRST_ASK_MIN 16
+/* Workers asked about for each waiting task on a thin link: an answer names a
+ * ticket for each that is allowed. */
+#define SPARE_ASK_A_TASK 6
 /* A ticket that has run out is asked for again for this many workers. */
 #define REFRESH_MAX 16
 /* Between two passes: what comes free within 4 ms is given out together, and
@@ -88,6 +91,7 @@
 
 struct cell_sched {
 	struct cell_sched_parts parts;
+	bool spare;
 	struct cell_config *config;
 	GQueue waiting[RANKS]; /* struct cell_stage */
 	unsigned reserves;
@@ -191,6 +195,12 @@
 	return MIN(queue_of(s, st->job)->rank, RANKS - 1);
 }
 
+void
+cell_sched_spare(struct cell_sched *s, bool spare)
+{
+	s->spare = spare;
+}
+
 void
 cell_sched_add(struct cell_sched *s, struct cell_stage *st)
 {
@@ -631,12 +641,15 @@
 }
 
 static guint
-first_ask_size(const struct cell_policy *p)
+first_ask_size(const struct cell_sched *s, const struct cell_stage *st,
+    const struct cell_policy *p)
 {
 	double n = p->worker_ms > 0
 		       ? (FIRST_ASK_MS - p->decide_ms) / p->worker_ms
 		       : CELL_ADVICE_MAX;
 
+	if (s->spare)
+		n = MIN(n, SPARE_ASK_A_TASK * cell_stage_waiting(st));
 	return (guint)CLAMP(n, FIRST_ASK_MIN, CELL_ADVICE_MAX);
 }
 
@@ -646,7 +659,7 @@
     const struct cell_policy *p, ogl_time now)
 {
 	GPtrArray *a = g_ptr_array_new();
-	guint max = first_ask_size(p);
+	guint max = first_ask_size(s, st, p);
 	bool asked;
 	guint i;
 
--- a/cell/schedule.h
+++ b/cell/schedule.h
@@ -32,6 +32,9 @@
 void cell_sched_config(struct cell_sched *s, struct cell_config *c);
 /* The configuration in force from now on. */
 
+void cell_sched_spare(struct cell_sched *s, bool spare);
+/* The link is thin: fewer workers are asked about at a time. */
+
 void cell_sched_add(struct cell_sched *s, struct cell_stage *st);
 /* The stage has tasks that wait; adding it twice changes nothing. */
 void cell_sched_remove(struct cell_stage *st);
--- a/daemon/cell_host.c
+++ b/daemon/cell_host.c
@@ -218,8 +218,26 @@
 metrics_text(void *ctx)
 {
 	struct ogl_cell_host *h = ctx;
-
-	return ogl_measures_text(h->metrics);
+	char *own = ogl_measures_text(h->metrics);
+	GString *s = g_string_new(own);
+	GHashTableIter it;
+	gpointer kind, v;
+
+	g_free(own);
+	g_hash_table_iter_init(&it, ogl_http_client_bytes(h->http));
+	while (g_hash_table_iter_next(&it, &kind, &v)) {
+		const struct ogl_http_bytes *b = v;
+
+		g_string_append_printf(s,
+		    "ogl_http_requests_total{kind=\"%s\"} %" G_GUINT64_FORMAT
+		    "\nogl_http_sent_bytes_total{kind=\"%s\"} "
+		    "%" G_GUINT64_FORMAT
+		    "\nogl_http_received_bytes_total{kind=\"%s\"} "
+		    "%" G_GUINT64_FORMAT "\n",
+		    (char *)kind, b->requests, (char *)kind, b->sent,
+		    (char *)kind, b->received);
+	}
+	return g_string_free(s, FALSE);
 }
 
 /* ---- the loop --------------------------------------------------------- */
@@ -408,6 +426,7 @@
 	    .addr = s->peer,
 	    .boot = (uint64_t)read_clock(CLOCK_REALTIME),
 	    .strength = s->strength,
+	    .link_kbps = s->link_kbps,
 	    .limits = s->limits};
 
 	randombytes_buf(&c.seed, sizeof c.seed);
--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -31,6 +31,7 @@
 	CURL *easy;
 	ogl_http_done *done;
 	void *arg;
+	const char *kind;
 	GBytes *body;
 	struct curl_slist *headers;
 	bool again;
@@ -45,6 +46,7 @@
 	struct ogl_curl_loop *curl;
 	GQueue busy; /* struct xfer */
 	GPtrArray *pool;
+	GHashTable *bytes; /* kind -> struct ogl_http_bytes */
 };
 
 /* ---- the pool of easy handles ----------------------------------------- */
@@ -213,6 +215,28 @@
 	r->body.n = x->answer->len;
 }
 
+static void
+count_bytes(const struct xfer *x)
+{
+	GHashTable *bytes = x->client->bytes;
+	struct ogl_http_bytes *b = g_hash_table_lookup(bytes, x->kind);
+	curl_off_t up = 0, down = 0;
+	long request = 0, header = 0;
+
+	if (b == NULL) {
+		b = g_new0(struct ogl_http_bytes, 1);
+		g_hash_table_insert(bytes, (char *)(uintptr_t)x->kind, b);
+	}
+	curl_easy_getinfo(x->easy, CURLINFO_REQUEST_SIZE, &request);
+	curl_easy_getinfo(x->easy, CURLINFO_SIZE_UPLOAD_T, &up);
+	curl_easy_getinfo(x->easy, CURLINFO_HEADER_SIZE, &header);
+	curl_easy_getinfo(x->easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
+	b->requests++;
+	/* A body that went out with the headers counts as part of them. */
+	b->sent += (uint64_t)MAX(request, up);
+	b->received += (uint64_t)(header + down);
+}
+
 static void
 on_ended(void *ctx, CURL *easy, CURLcode rc)
 {
@@ -222,12 +246,19 @@
 
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &x);
 	judge(x, rc, &r);
+	count_bytes(x);
 	ogl_curl_loop_remove(h->curl, easy);
 	g_queue_unlink(&h->busy, &x->link);
 	x->done(x->arg, &r);
 	xfer_release(x);
 }
 
+GHashTable *
+ogl_http_client_bytes(const struct ogl_http_client *h)
+{
+	return h->bytes;
+}
+
 bool
 ogl_http_client_run(struct ogl_http_client *h)
 {
@@ -264,6 +295,7 @@
 	x->done = r->done;
 	x->arg = r->arg;
 	x->again = r->again;
+	x->kind = r->kind != NULL ? r->kind : "other";
 	for (i = 0; i < r->nheaders; i++)
 		x->headers = curl_slist_append(x->headers, r->headers[i]);
 	set_body(x, r->body);
@@ -284,6 +316,7 @@
 	    HOST_CONNECTIONS, CACHED_CONNECTIONS, on_ended, h};
 
 	h->pool = g_ptr_array_new_with_free_func(xfer_free);
+	h->bytes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	g_queue_init(&h->busy);
 	h->curl = ogl_curl_loop_init(loop, &shape);
 	return h;
@@ -304,6 +337,7 @@
 		xfer_free(x);
 	}
 	g_ptr_array_unref(h->pool);
+	g_hash_table_unref(h->bytes);
 	ogl_curl_loop_end(h->curl);
 	g_free(h);
 }
--- a/daemon/http_client.h
+++ b/daemon/http_client.h
@@ -21,6 +21,13 @@
 	struct ogl_str body;
 };
 
+/* Bytes of the requests of one kind, headers included. */
+struct ogl_http_bytes {
+	uint64_t requests;
+	uint64_t sent;
+	uint64_t received;
+};
+
 typedef void ogl_http_done(void *arg, const struct ogl_http_result *r);
 
 struct ogl_http_request {
@@ -28,6 +35,7 @@
 	const char *headers[OGL_HTTP_HEADERS_MAX]; /* "Name: value" */
 	size_t nheaders;
 	GBytes *body;        /* NULL: GET; else POST */
+	const char *kind;    /* what its bytes are counted as; a literal */
 	uint32_t timeout_ms; /* over all, connecting included */
 	bool again; /* may be sent twice when a kept connection has ended */
 	ogl_http_done *done;
@@ -43,6 +51,9 @@
 /* Strings and body are copied or referenced.  done is called once, never from
  * within this call. */
 
+GHashTable *ogl_http_client_bytes(const struct ogl_http_client *h);
+/* kind -> struct ogl_http_bytes, of the requests that have ended. */
+
 bool ogl_http_client_run(struct ogl_http_client *h);
 /* Starts what was just handed in, without a turn of the loop; whether there
  * was anything to do. */
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &ogl__cell_progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ogl__cell_done__init
+                     (Ogl__CellDone         *message)
+{
+  static const Ogl__CellDone init_value = OGL__CELL_DONE__INIT;
+  *message = init_value;
+}
+size_t ogl__cell_done__get_packed_size
+                     (const Ogl__CellDone *message)
+{
+  assert(message->base.descriptor == &ogl__cell_done__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ogl__cell_done__pack
+                     (const Ogl__CellDone *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ogl__cell_done__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ogl__cell_done__pack_to_buffer
+                     (const Ogl__CellDone *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ogl__cell_done__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ogl__CellDone *
+       ogl__cell_done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ogl__CellDone *)
+     protobuf_c_message_unpack (&ogl__cell_done__descriptor,
+                                allocator, len, data);
+}
+void   ogl__cell_done__free_unpacked
+                     (Ogl__CellDone *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ogl__cell_done__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ogl__cell_known__init
                      (Ogl__CellKnown         *message)
 {
@@ -817,6 +862,231 @@
   assert(message->base.descriptor == &ogl__cell_part__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ogl__cell_order__init
+                     (Ogl__CellOrder         *message)
+{
+  static const Ogl__CellOrder init_value = OGL__CELL_ORDER__INIT;
+  *message = init_value;
+}
+size_t ogl__cell_order__get_packed_size
+                     (const Ogl__CellOrder *message)
+{
+  assert(message->base.descriptor == &ogl__cell_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ogl__cell_order__pack
+                     (const Ogl__CellOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ogl__cell_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ogl__cell_order__pack_to_buffer
+                     (const Ogl__CellOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ogl__cell_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ogl__CellOrder *
+       ogl__cell_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ogl__CellOrder *)
+     protobuf_c_message_unpack (&ogl__cell_order__descriptor,
+                                allocator, len, data);
+}
+void   ogl__cell_order__free_unpacked
+                     (Ogl__CellOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ogl__cell_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ogl__cell_orders__init
+                     (Ogl__CellOrders         *message)
+{
+  static const Ogl__CellOrders init_value = OGL__CELL_ORDERS__INIT;
+  *message = init_value;
+}
+size_t ogl__cell_orders__get_packed_size
+                     (const Ogl__CellOrders *message)
+{
+  assert(message->base.descriptor == &ogl__cell_orders__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ogl__cell_orders__pack
+                     (const Ogl__CellOrders *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ogl__cell_orders__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ogl__cell_orders__pack_to_buffer
+                     (const Ogl__CellOrders *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ogl__cell_orders__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ogl__CellOrders *
+       ogl__cell_orders__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ogl__CellOrders *)
+     protobuf_c_message_unpack (&ogl__cell_orders__descriptor,
+                                allocator, len, data);
+}
+void   ogl__cell_orders__free_unpacked
+                     (Ogl__CellOrders *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ogl__cell_orders__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ogl__cell_run_row__init
+                     (Ogl__CellRunRow         *message)
+{
+  static const Ogl__CellRunRow init_value = OGL__CELL_RUN_ROW__INIT;
+  *message = init_value;
+}
+size_t ogl__cell_run_row__get_packed_size
+                     (const Ogl__CellRunRow *message)
+{
+  assert(message->base.descriptor == &ogl__cell_run_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ogl__cell_run_row__pack
+                     (const Ogl__CellRunRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ogl__cell_run_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ogl__cell_run_row__pack_to_buffer
+                     (const Ogl__CellRunRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ogl__cell_run_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ogl__CellRunRow *
+       ogl__cell_run_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ogl__CellRunRow *)
+     protobuf_c_message_unpack (&ogl__cell_run_row__descriptor,
+                                allocator, len, data);
+}
+void   ogl__cell_run_row__free_unpacked
+                     (Ogl__CellRunRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ogl__cell_run_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ogl__cell_order_answers__init
+                     (Ogl__CellOrderAnswers         *message)
+{
+  static const Ogl__CellOrderAnswers init_value = OGL__CELL_ORDER_ANSWERS__INIT;
+  *message = init_value;
+}
+size_t ogl__cell_order_answers__get_packed_size
+                     (const Ogl__CellOrderAnswers *message)
+{
+  assert(message->base.descriptor == &ogl__cell_order_answers__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ogl__cell_order_answers__pack
+                     (const Ogl__CellOrderAnswers *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ogl__cell_order_answers__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ogl__cell_order_answers__pack_to_buffer
+                     (const Ogl__CellOrderAnswers *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ogl__cell_order_answers__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ogl__CellOrderAnswers *
+       ogl__cell_order_answers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ogl__CellOrderAnswers *)
+     protobuf_c_message_unpack (&ogl__cell_order_answers__descriptor,
+                                allocator, len, data);
+}
+void   ogl__cell_order_answers__free_unpacked
+                     (Ogl__CellOrderAnswers *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ogl__cell_order_answers__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ogl__cell_order_answer__init
+                     (Ogl__CellOrderAnswer         *message)
+{
+  static const Ogl__CellOrderAnswer init_value = OGL__CELL_ORDER_ANSWER__INIT;
+  *message = init_value;
+}
+size_t ogl__cell_order_answer__get_packed_size
+                     (const Ogl__CellOrderAnswer *message)
+{
+  assert(message->base.descriptor == &ogl__cell_order_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ogl__cell_order_answer__pack
+                     (const Ogl__CellOrderAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ogl__cell_order_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ogl__cell_order_answer__pack_to_buffer
+                     (const Ogl__CellOrderAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ogl__cell_order_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ogl__CellOrderAnswer *
+       ogl__cell_order_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ogl__CellOrderAnswer *)
+     protobuf_c_message_unpack (&ogl__cell_order_answer__descriptor,
+                                allocator, len, data);
+}
+void   ogl__cell_order_answer__free_unpacked
+                     (Ogl__CellOrderAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ogl__cell_order_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ogl__cell_handover__init
                      (Ogl__CellHandover         *message)
 {
@@ -1592,7 +1862,7 @@
   (ProtobufCMessageInit) ogl__cell_mark__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_progress__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ogl__cell_progress__field_descriptors[6] =
 {
   {
     "state",
@@ -1654,9 +1924,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "done",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__CellProgress, n_done),
+    offsetof(Ogl__CellProgress, done),
+    &ogl__cell_done__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_progress__field_indices_by_name[] = {
   2,   /* field[2] = begun */
+  5,   /* field[5] = done */
   1,   /* field[1] = ended_ms */
   3,   /* field[3] = finished */
   4,   /* field[4] = marks */
@@ -1665,7 +1948,7 @@
 static const ProtobufCIntRange ogl__cell_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ogl__cell_progress__descriptor =
 {
@@ -1675,13 +1958,77 @@
   "Ogl__CellProgress",
   "ogl",
   sizeof(Ogl__CellProgress),
-  5,
+  6,
   ogl__cell_progress__field_descriptors,
   ogl__cell_progress__field_indices_by_name,
   1,  ogl__cell_progress__number_ranges,
   (ProtobufCMessageInit) ogl__cell_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ogl__cell_done__field_descriptors[3] =
+{
+  {
+    "occurrence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellDone, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellDone, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "indexes",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ogl__CellDone, n_indexes),
+    offsetof(Ogl__CellDone, indexes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ogl__cell_done__field_indices_by_name[] = {
+  2,   /* field[2] = indexes */
+  0,   /* field[0] = occurrence */
+  1,   /* field[1] = step */
+};
+static const ProtobufCIntRange ogl__cell_done__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ogl__cell_done__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ogl.CellDone",
+  "CellDone",
+  "Ogl__CellDone",
+  "ogl",
+  sizeof(Ogl__CellDone),
+  3,
+  ogl__cell_done__field_descriptors,
+  ogl__cell_done__field_indices_by_name,
+  1,  ogl__cell_done__number_ranges,
+  (ProtobufCMessageInit) ogl__cell_done__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ogl__cell_known__field_descriptors[5] =
 {
   {
@@ -2183,7 +2530,7 @@
   (ProtobufCMessageInit) ogl__cell_ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_pong__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ogl__cell_pong__field_descriptors[7] =
 {
   {
     "stamp",
@@ -2257,9 +2604,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asks_first",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPong, asks_first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_pong__field_indices_by_name[] = {
   2,   /* field[2] = able */
+  6,   /* field[6] = asks_first */
   3,   /* field[3] = config */
   4,   /* field[4] = config_age_ms */
   5,   /* field[5] = config_record */
@@ -2269,7 +2629,7 @@
 static const ProtobufCIntRange ogl__cell_pong__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ogl__cell_pong__descriptor =
 {
@@ -2279,14 +2639,14 @@
   "Ogl__CellPong",
   "ogl",
   sizeof(Ogl__CellPong),
-  6,
+  7,
   ogl__cell_pong__field_descriptors,
   ogl__cell_pong__field_indices_by_name,
   1,  ogl__cell_pong__number_ranges,
   (ProtobufCMessageInit) ogl__cell_pong__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_call__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ogl__cell_call__field_descriptors[9] =
 {
   {
     "token",
@@ -2384,8 +2744,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "admitted",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellCall, admitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_call__field_indices_by_name[] = {
+  8,   /* field[8] = admitted */
   5,   /* field[5] = budget_ms */
   7,   /* field[7] = epoch */
   2,   /* field[2] = id */
@@ -2398,7 +2771,7 @@
 static const ProtobufCIntRange ogl__cell_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ogl__cell_call__descriptor =
 {
@@ -2408,7 +2781,7 @@
   "Ogl__CellCall",
   "ogl",
   sizeof(Ogl__CellCall),
-  8,
+  9,
   ogl__cell_call__field_descriptors,
   ogl__cell_call__field_indices_by_name,
   1,  ogl__cell_call__number_ranges,
@@ -2878,30 +3251,649 @@
   (ProtobufCMessageInit) ogl__cell_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_handover__field_descriptors[1] =
+static const ProtobufCFieldDescriptor ogl__cell_order__field_descriptors[18] =
 {
   {
-    "epoch",
+    "token",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Ogl__CellHandover, epoch),
+    offsetof(Ogl__CellOrder, token),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned ogl__cell_handover__field_indices_by_name[] = {
-  0,   /* field[0] = epoch */
-};
-static const ProtobufCIntRange ogl__cell_handover__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor ogl__cell_handover__descriptor =
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, kind),
+    &ogl__cell_order_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "addr",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "until_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, until_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "occurrence",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, ticket),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "with_spec",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, with_spec),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spec",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, spec),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_seen",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, last_seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ogl__cell_order__field_indices_by_name[] = {
+  2,   /* field[2] = addr */
+  12,   /* field[12] = checkpoint */
+  4,   /* field[4] = epoch */
+  10,   /* field[10] = index */
+  7,   /* field[7] = job */
+  1,   /* field[1] = kind */
+  16,   /* field[16] = last_seen */
+  8,   /* field[8] = occurrence */
+  11,   /* field[11] = run */
+  15,   /* field[15] = spec */
+  9,   /* field[9] = step */
+  13,   /* field[13] = ticket */
+  5,   /* field[5] = timeout_ms */
+  0,   /* field[0] = token */
+  6,   /* field[6] = until_ms */
+  17,   /* field[17] = wait_ms */
+  14,   /* field[14] = with_spec */
+  3,   /* field[3] = worker */
+};
+static const ProtobufCIntRange ogl__cell_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 18 }
+};
+const ProtobufCMessageDescriptor ogl__cell_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ogl.CellOrder",
+  "CellOrder",
+  "Ogl__CellOrder",
+  "ogl",
+  sizeof(Ogl__CellOrder),
+  18,
+  ogl__cell_order__field_descriptors,
+  ogl__cell_order__field_indices_by_name,
+  1,  ogl__cell_order__number_ranges,
+  (ProtobufCMessageInit) ogl__cell_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ogl__cell_orders__field_descriptors[1] =
+{
+  {
+    "orders",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__CellOrders, n_orders),
+    offsetof(Ogl__CellOrders, orders),
+    &ogl__cell_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ogl__cell_orders__field_indices_by_name[] = {
+  0,   /* field[0] = orders */
+};
+static const ProtobufCIntRange ogl__cell_orders__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ogl__cell_orders__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ogl.CellOrders",
+  "CellOrders",
+  "Ogl__CellOrders",
+  "ogl",
+  sizeof(Ogl__CellOrders),
+  1,
+  ogl__cell_orders__field_descriptors,
+  ogl__cell_orders__field_indices_by_name,
+  1,  ogl__cell_orders__number_ranges,
+  (ProtobufCMessageInit) ogl__cell_orders__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ogl__cell_run_row__field_descriptors[10] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellRunRow, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "occurrence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellRunRow, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellRunRow, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellRunRow, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellRunRow, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellRunRow, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellRunRow, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gauge",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellRunRow, gauge),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellRunRow, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "how",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellRunRow, how),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ogl__cell_run_row__field_indices_by_name[] = {
+  5,   /* field[5] = checkpoint */
+  7,   /* field[7] = gauge */
+  9,   /* field[9] = how */
+  3,   /* field[3] = index */
+  0,   /* field[0] = job */
+  8,   /* field[8] = number */
+  1,   /* field[1] = occurrence */
+  6,   /* field[6] = percent */
+  4,   /* field[4] = run */
+  2,   /* field[2] = step */
+};
+static const ProtobufCIntRange ogl__cell_run_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor ogl__cell_run_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ogl.CellRunRow",
+  "CellRunRow",
+  "Ogl__CellRunRow",
+  "ogl",
+  sizeof(Ogl__CellRunRow),
+  10,
+  ogl__cell_run_row__field_descriptors,
+  ogl__cell_run_row__field_indices_by_name,
+  1,  ogl__cell_run_row__number_ranges,
+  (ProtobufCMessageInit) ogl__cell_run_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ogl__cell_order_answers__field_descriptors[1] =
+{
+  {
+    "answers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__CellOrderAnswers, n_answers),
+    offsetof(Ogl__CellOrderAnswers, answers),
+    &ogl__cell_order_answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ogl__cell_order_answers__field_indices_by_name[] = {
+  0,   /* field[0] = answers */
+};
+static const ProtobufCIntRange ogl__cell_order_answers__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ogl__cell_order_answers__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ogl.CellOrderAnswers",
+  "CellOrderAnswers",
+  "Ogl__CellOrderAnswers",
+  "ogl",
+  sizeof(Ogl__CellOrderAnswers),
+  1,
+  ogl__cell_order_answers__field_descriptors,
+  ogl__cell_order_answers__field_indices_by_name,
+  1,  ogl__cell_order_answers__number_ranges,
+  (ProtobufCMessageInit) ogl__cell_order_answers__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ogl__cell_order_answer__field_descriptors[8] =
+{
+  {
+    "token",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrderAnswer, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrderAnswer, outcome),
+    &ogl__cell_order_outcome__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refusal",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrderAnswer, refusal),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "no_listener",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrderAnswer, no_listener),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrderAnswer, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrderAnswer, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__CellOrderAnswer, n_running),
+    offsetof(Ogl__CellOrderAnswer, running),
+    &ogl__cell_run_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__CellOrderAnswer, n_ended),
+    offsetof(Ogl__CellOrderAnswer, ended),
+    &ogl__cell_run_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ogl__cell_order_answer__field_indices_by_name[] = {
+  5,   /* field[5] = born_ms */
+  4,   /* field[4] = clock_ms */
+  7,   /* field[7] = ended */
+  3,   /* field[3] = no_listener */
+  1,   /* field[1] = outcome */
+  2,   /* field[2] = refusal */
+  6,   /* field[6] = running */
+  0,   /* field[0] = token */
+};
+static const ProtobufCIntRange ogl__cell_order_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor ogl__cell_order_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ogl.CellOrderAnswer",
+  "CellOrderAnswer",
+  "Ogl__CellOrderAnswer",
+  "ogl",
+  sizeof(Ogl__CellOrderAnswer),
+  8,
+  ogl__cell_order_answer__field_descriptors,
+  ogl__cell_order_answer__field_indices_by_name,
+  1,  ogl__cell_order_answer__number_ranges,
+  (ProtobufCMessageInit) ogl__cell_order_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ogl__cell_handover__field_descriptors[1] =
+{
+  {
+    "epoch",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellHandover, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ogl__cell_handover__field_indices_by_name[] = {
+  0,   /* field[0] = epoch */
+};
+static const ProtobufCIntRange ogl__cell_handover__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ogl__cell_handover__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "ogl.CellHandover",
@@ -2916,7 +3908,7 @@
   (ProtobufCMessageInit) ogl__cell_handover__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_msg__field_descriptors[12] =
+static const ProtobufCFieldDescriptor ogl__cell_msg__field_descriptors[14] =
 {
   {
     "from",
@@ -3062,6 +4054,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "orders",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__CellMsg, body_case),
+    offsetof(Ogl__CellMsg, orders),
+    &ogl__cell_orders__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order_answers",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__CellMsg, body_case),
+    offsetof(Ogl__CellMsg, order_answers),
+    &ogl__cell_order_answers__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_msg__field_indices_by_name[] = {
   9,   /* field[9] = advice */
@@ -3070,6 +4086,8 @@
   1,   /* field[1] = epoch */
   0,   /* field[0] = from */
   11,   /* field[11] = handover */
+  13,   /* field[13] = order_answers */
+  12,   /* field[12] = orders */
   3,   /* field[3] = owner */
   10,   /* field[10] = part */
   4,   /* field[4] = ping */
@@ -3081,7 +4099,7 @@
 {
   { 1, 0 },
   { 10, 4 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor ogl__cell_msg__descriptor =
 {
@@ -3091,7 +4109,7 @@
   "Ogl__CellMsg",
   "ogl",
   sizeof(Ogl__CellMsg),
-  12,
+  14,
   ogl__cell_msg__field_descriptors,
   ogl__cell_msg__field_indices_by_name,
   2,  ogl__cell_msg__number_ranges,
@@ -3164,7 +4182,7 @@
   ogl__cell_call_kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue ogl__cell_outcome__enum_values_by_number[6] =
+static const ProtobufCEnumValue ogl__cell_outcome__enum_values_by_number[7] =
 {
   { "cell_ok", "OGL__CELL_OUTCOME__cell_ok", 0 },
   { "cell_busy", "OGL__CELL_OUTCOME__cell_busy", 1 },
@@ -3172,17 +4190,19 @@
   { "cell_absent", "OGL__CELL_OUTCOME__cell_absent", 3 },
   { "cell_unsure", "OGL__CELL_OUTCOME__cell_unsure", 4 },
   { "cell_not_owner", "OGL__CELL_OUTCOME__cell_not_owner", 5 },
+  { "cell_send_job", "OGL__CELL_OUTCOME__cell_send_job", 6 },
 };
 static const ProtobufCIntRange ogl__cell_outcome__value_ranges[] = {
-{0, 0},{0, 6}
+{0, 0},{0, 7}
 };
-static const ProtobufCEnumValueIndex ogl__cell_outcome__enum_values_by_name[6] =
+static const ProtobufCEnumValueIndex ogl__cell_outcome__enum_values_by_name[7] =
 {
   { "cell_absent", 3 },
   { "cell_busy", 1 },
   { "cell_not_owner", 5 },
   { "cell_ok", 0 },
   { "cell_over", 2 },
+  { "cell_send_job", 6 },
   { "cell_unsure", 4 },
 };
 const ProtobufCEnumDescriptor ogl__cell_outcome__descriptor =
@@ -3192,9 +4212,9 @@
   "CellOutcome",
   "Ogl__CellOutcome",
   "ogl",
-  6,
+  7,
   ogl__cell_outcome__enum_values_by_number,
-  6,
+  7,
   ogl__cell_outcome__enum_values_by_name,
   1,
   ogl__cell_outcome__value_ranges,
@@ -3230,3 +4250,67 @@
   ogl__cell_part_kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue ogl__cell_order_kind__enum_values_by_number[3] =
+{
+  { "cell_order_start", "OGL__CELL_ORDER_KIND__cell_order_start", 0 },
+  { "cell_order_stop", "OGL__CELL_ORDER_KIND__cell_order_stop", 1 },
+  { "cell_order_hold", "OGL__CELL_ORDER_KIND__cell_order_hold", 2 },
+};
+static const ProtobufCIntRange ogl__cell_order_kind__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex ogl__cell_order_kind__enum_values_by_name[3] =
+{
+  { "cell_order_hold", 2 },
+  { "cell_order_start", 0 },
+  { "cell_order_stop", 1 },
+};
+const ProtobufCEnumDescriptor ogl__cell_order_kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "ogl.CellOrderKind",
+  "CellOrderKind",
+  "Ogl__CellOrderKind",
+  "ogl",
+  3,
+  ogl__cell_order_kind__enum_values_by_number,
+  3,
+  ogl__cell_order_kind__enum_values_by_name,
+  1,
+  ogl__cell_order_kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue ogl__cell_order_outcome__enum_values_by_number[5] =
+{
+  { "cell_order_done", "OGL__CELL_ORDER_OUTCOME__cell_order_done", 0 },
+  { "cell_order_refused", "OGL__CELL_ORDER_OUTCOME__cell_order_refused", 1 },
+  { "cell_order_lost", "OGL__CELL_ORDER_OUTCOME__cell_order_lost", 2 },
+  { "cell_order_not_sent", "OGL__CELL_ORDER_OUTCOME__cell_order_not_sent", 3 },
+  { "cell_order_lacks_spec", "OGL__CELL_ORDER_OUTCOME__cell_order_lacks_spec", 4 },
+};
+static const ProtobufCIntRange ogl__cell_order_outcome__value_ranges[] = {
+{0, 0},{0, 5}
+};
+static const ProtobufCEnumValueIndex ogl__cell_order_outcome__enum_values_by_name[5] =
+{
+  { "cell_order_done", 0 },
+  { "cell_order_lacks_spec", 4 },
+  { "cell_order_lost", 2 },
+  { "cell_order_not_sent", 3 },
+  { "cell_order_refused", 1 },
+};
+const ProtobufCEnumDescriptor ogl__cell_order_outcome__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "ogl.CellOrderOutcome",
+  "CellOrderOutcome",
+  "Ogl__CellOrderOutcome",
+  "ogl",
+  5,
+  ogl__cell_order_outcome__enum_values_by_number,
+  5,
+  ogl__cell_order_outcome__enum_values_by_name,
+  1,
+  ogl__cell_order_outcome__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Ogl__CellJob Ogl__CellJob;
 typedef struct Ogl__CellMark Ogl__CellMark;
 typedef struct Ogl__CellProgress Ogl__CellProgress;
+typedef struct Ogl__CellDone Ogl__CellDone;
 typedef struct Ogl__CellKnown Ogl__CellKnown;
 typedef struct Ogl__CellKnownTask Ogl__CellKnownTask;
 typedef struct Ogl__CellKnownWorkers Ogl__CellKnownWorkers;
@@ -33,6 +34,11 @@
 typedef struct Ogl__CellTicket Ogl__CellTicket;
 typedef struct Ogl__CellAdvice Ogl__CellAdvice;
 typedef struct Ogl__CellPart Ogl__CellPart;
+typedef struct Ogl__CellOrder Ogl__CellOrder;
+typedef struct Ogl__CellOrders Ogl__CellOrders;
+typedef struct Ogl__CellRunRow Ogl__CellRunRow;
+typedef struct Ogl__CellOrderAnswers Ogl__CellOrderAnswers;
+typedef struct Ogl__CellOrderAnswer Ogl__CellOrderAnswer;
 typedef struct Ogl__CellHandover Ogl__CellHandover;
 typedef struct Ogl__CellMsg Ogl__CellMsg;
 
@@ -75,7 +81,11 @@
   /*
    * ask whoever owns the cell now
    */
-  OGL__CELL_OUTCOME__cell_not_owner = 5
+  OGL__CELL_OUTCOME__cell_not_owner = 5,
+  /*
+   * not known and not refused: send the job
+   */
+  OGL__CELL_OUTCOME__cell_send_job = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OGL__CELL_OUTCOME)
 } Ogl__CellOutcome;
 typedef enum _Ogl__CellPartKind {
@@ -93,6 +103,29 @@
   OGL__CELL_PART_KIND__cell_part_grant = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OGL__CELL_PART_KIND)
 } Ogl__CellPartKind;
+typedef enum _Ogl__CellOrderKind {
+  OGL__CELL_ORDER_KIND__cell_order_start = 0,
+  OGL__CELL_ORDER_KIND__cell_order_stop = 1,
+  OGL__CELL_ORDER_KIND__cell_order_hold = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OGL__CELL_ORDER_KIND)
+} Ogl__CellOrderKind;
+typedef enum _Ogl__CellOrderOutcome {
+  OGL__CELL_ORDER_OUTCOME__cell_order_done = 0,
+  /*
+   * by the worker
+   */
+  OGL__CELL_ORDER_OUTCOME__cell_order_refused = 1,
+  /*
+   * it may have been carried out, now or later
+   */
+  OGL__CELL_ORDER_OUTCOME__cell_order_lost = 2,
+  OGL__CELL_ORDER_OUTCOME__cell_order_not_sent = 3,
+  /*
+   * not sent: the relay does not have it
+   */
+  OGL__CELL_ORDER_OUTCOME__cell_order_lacks_spec = 4
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OGL__CELL_ORDER_OUTCOME)
+} Ogl__CellOrderOutcome;
 
 /* --- messages --- */
 
@@ -274,14 +307,35 @@
   size_t n_finished;
   uint32_t *finished;
   /*
-   * tasks that are not as at the beginning
+   * tasks begun and not done
    */
   size_t n_marks;
   Ogl__CellMark **marks;
+  /*
+   * tasks that are done
+   */
+  size_t n_done;
+  Ogl__CellDone **done;
 };
 #define OGL__CELL_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_progress__descriptor) \
-    , OGL__CELL_JOB_STATE__cell_queued, 0, 0, 0,NULL, 0,NULL }
+    , OGL__CELL_JOB_STATE__cell_queued, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * Tasks of one step that are done.
+ */
+struct  Ogl__CellDone
+{
+  ProtobufCMessage base;
+  uint32_t occurrence;
+  uint32_t step;
+  size_t n_indexes;
+  uint32_t *indexes;
+};
+#define OGL__CELL_DONE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_done__descriptor) \
+    , 0, 0, 0,NULL }
 
 
 /*
@@ -448,10 +502,14 @@
    * it, for one cut off that has an older one
    */
   ProtobufCBinaryData config_record;
+  /*
+   * the sender refuses some new jobs: it wants to be
+   */
+  protobuf_c_boolean asks_first;
 };
 #define OGL__CELL_PONG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_pong__descriptor) \
-    , 0, 0, 0, 0, 0, {0,NULL} }
+    , 0, 0, 0, 0, 0, {0,NULL}, 0 }
 
 
 /*
@@ -470,17 +528,21 @@
    */
   uint32_t budget_ms;
   /*
-   * of a submit
+   * of a submit; without: asks whether to send it
    */
   Ogl__CellJob *job;
   /*
    * of the owner it is meant for
    */
   uint64_t epoch;
+  /*
+   * the owner has asked for the job
+   */
+  protobuf_c_boolean admitted;
 };
 #define OGL__CELL_CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_call__descriptor) \
-    , 0, OGL__CELL_CALL_KIND__cell_submit, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, NULL, 0 }
+    , 0, OGL__CELL_CALL_KIND__cell_submit, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, NULL, 0, 0 }
 
 
 struct  Ogl__CellReply
@@ -580,6 +642,132 @@
     , OGL__CELL_PART_KIND__cell_part_report, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * A call to a worker that the owner has another node make.
+ */
+struct  Ogl__CellOrder
+{
+  ProtobufCMessage base;
+  uint64_t token;
+  Ogl__CellOrderKind kind;
+  /*
+   * of the worker
+   */
+  char *addr;
+  char *worker;
+  /*
+   * fencing token
+   */
+  uint64_t epoch;
+  uint32_t timeout_ms;
+  /*
+   * end of the lease, on the worker's clock, 0 as it is
+   */
+  uint64_t until_ms;
+  /*
+   * of the task that is started or stopped
+   */
+  char *job;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+  uint64_t run;
+  char *checkpoint;
+  /*
+   * empty: none
+   */
+  char *ticket;
+  /*
+   * spec is set; else the relay has the job's spec
+   */
+  protobuf_c_boolean with_spec;
+  char *spec;
+  /*
+   * of a hold
+   */
+  uint64_t last_seen;
+  /*
+   * of a hold
+   */
+  uint32_t wait_ms;
+};
+#define OGL__CELL_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_order__descriptor) \
+    , 0, OGL__CELL_ORDER_KIND__cell_order_start, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Ogl__CellOrders
+{
+  ProtobufCMessage base;
+  size_t n_orders;
+  Ogl__CellOrder **orders;
+};
+#define OGL__CELL_ORDERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_orders__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * A row of either list that a worker returns.
+ */
+struct  Ogl__CellRunRow
+{
+  ProtobufCMessage base;
+  char *job;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+  uint64_t run;
+  char *checkpoint;
+  uint32_t percent;
+  int64_t gauge;
+  /*
+   * of an end
+   */
+  uint64_t number;
+  /*
+   * of an end: enum cell_end
+   */
+  uint32_t how;
+};
+#define OGL__CELL_RUN_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_run_row__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+struct  Ogl__CellOrderAnswers
+{
+  ProtobufCMessage base;
+  size_t n_answers;
+  Ogl__CellOrderAnswer **answers;
+};
+#define OGL__CELL_ORDER_ANSWERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_order_answers__descriptor) \
+    , 0,NULL }
+
+
+struct  Ogl__CellOrderAnswer
+{
+  ProtobufCMessage base;
+  uint64_t token;
+  Ogl__CellOrderOutcome outcome;
+  /*
+   * enum cell_refusal
+   */
+  uint32_t refusal;
+  protobuf_c_boolean no_listener;
+  uint64_t clock_ms;
+  uint64_t born_ms;
+  size_t n_running;
+  Ogl__CellRunRow **running;
+  size_t n_ended;
+  Ogl__CellRunRow **ended;
+};
+#define OGL__CELL_ORDER_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_order_answer__descriptor) \
+    , 0, OGL__CELL_ORDER_OUTCOME__cell_order_done, 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
 /*
  * The owner of a shard is about to end and asks a node to take it over: to read
  * its jobs beforehand, and then to claim it.
@@ -606,7 +794,9 @@
   OGL__CELL_MSG__BODY_ASK = 14,
   OGL__CELL_MSG__BODY_ADVICE = 15,
   OGL__CELL_MSG__BODY_PART = 16,
-  OGL__CELL_MSG__BODY_HANDOVER = 17
+  OGL__CELL_MSG__BODY_HANDOVER = 17,
+  OGL__CELL_MSG__BODY_ORDERS = 18,
+  OGL__CELL_MSG__BODY_ORDER_ANSWERS = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OGL__CELL_MSG__BODY__CASE)
 } Ogl__CellMsg__BodyCase;
 
@@ -639,6 +829,8 @@
     Ogl__CellAdvice *advice;
     Ogl__CellPart *part;
     Ogl__CellHandover *handover;
+    Ogl__CellOrders *orders;
+    Ogl__CellOrderAnswers *order_answers;
   };
 };
 #define OGL__CELL_MSG__INIT \
@@ -741,6 +933,25 @@
 void   ogl__cell_progress__free_unpacked
                      (Ogl__CellProgress *message,
                       ProtobufCAllocator *allocator);
+/* Ogl__CellDone methods */
+void   ogl__cell_done__init
+                     (Ogl__CellDone         *message);
+size_t ogl__cell_done__get_packed_size
+                     (const Ogl__CellDone   *message);
+size_t ogl__cell_done__pack
+                     (const Ogl__CellDone   *message,
+                      uint8_t             *out);
+size_t ogl__cell_done__pack_to_buffer
+                     (const Ogl__CellDone   *message,
+                      ProtobufCBuffer     *buffer);
+Ogl__CellDone *
+       ogl__cell_done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ogl__cell_done__free_unpacked
+                     (Ogl__CellDone *message,
+                      ProtobufCAllocator *allocator);
 /* Ogl__CellKnown methods */
 void   ogl__cell_known__init
                      (Ogl__CellKnown         *message);
@@ -988,6 +1199,101 @@
 void   ogl__cell_part__free_unpacked
                      (Ogl__CellPart *message,
                       ProtobufCAllocator *allocator);
+/* Ogl__CellOrder methods */
+void   ogl__cell_order__init
+                     (Ogl__CellOrder         *message);
+size_t ogl__cell_order__get_packed_size
+                     (const Ogl__CellOrder   *message);
+size_t ogl__cell_order__pack
+                     (const Ogl__CellOrder   *message,
+                      uint8_t             *out);
+size_t ogl__cell_order__pack_to_buffer
+                     (const Ogl__CellOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Ogl__CellOrder *
+       ogl__cell_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ogl__cell_order__free_unpacked
+                     (Ogl__CellOrder *message,
+                      ProtobufCAllocator *allocator);
+/* Ogl__CellOrders methods */
+void   ogl__cell_orders__init
+                     (Ogl__CellOrders         *message);
+size_t ogl__cell_orders__get_packed_size
+                     (const Ogl__CellOrders   *message);
+size_t ogl__cell_orders__pack
+                     (const Ogl__CellOrders   *message,
+                      uint8_t             *out);
+size_t ogl__cell_orders__pack_to_buffer
+                     (const Ogl__CellOrders   *message,
+                      ProtobufCBuffer     *buffer);
+Ogl__CellOrders *
+       ogl__cell_orders__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ogl__cell_orders__free_unpacked
+                     (Ogl__CellOrders *message,
+                      ProtobufCAllocator *allocator);
+/* Ogl__CellRunRow methods */
+void   ogl__cell_run_row__init
+                     (Ogl__CellRunRow         *message);
+size_t ogl__cell_run_row__get_packed_size
+                     (const Ogl__CellRunRow   *message);
+size_t ogl__cell_run_row__pack
+                     (const Ogl__CellRunRow   *message,
+                      uint8_t             *out);
+size_t ogl__cell_run_row__pack_to_buffer
+                     (const Ogl__CellRunRow   *message,
+                      ProtobufCBuffer     *buffer);
+Ogl__CellRunRow *
+       ogl__cell_run_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ogl__cell_run_row__free_unpacked
+                     (Ogl__CellRunRow *message,
+                      ProtobufCAllocator *allocator);
+/* Ogl__CellOrderAnswers methods */
+void   ogl__cell_order_answers__init
+                     (Ogl__CellOrderAnswers         *message);
+size_t ogl__cell_order_answers__get_packed_size
+                     (const Ogl__CellOrderAnswers   *message);
+size_t ogl__cell_order_answers__pack
+                     (const Ogl__CellOrderAnswers   *message,
+                      uint8_t             *out);
+size_t ogl__cell_order_answers__pack_to_buffer
+                     (const Ogl__CellOrderAnswers   *message,
+                      ProtobufCBuffer     *buffer);
+Ogl__CellOrderAnswers *
+       ogl__cell_order_answers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ogl__cell_order_answers__free_unpacked
+                     (Ogl__CellOrderAnswers *message,
+                      ProtobufCAllocator *allocator);
+/* Ogl__CellOrderAnswer methods */
+void   ogl__cell_order_answer__init
+                     (Ogl__CellOrderAnswer         *message);
+size_t ogl__cell_order_answer__get_packed_size
+                     (const Ogl__CellOrderAnswer   *message);
+size_t ogl__cell_order_answer__pack
+                     (const Ogl__CellOrderAnswer   *message,
+                      uint8_t             *out);
+size_t ogl__cell_order_answer__pack_to_buffer
+                     (const Ogl__CellOrderAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Ogl__CellOrderAnswer *
+       ogl__cell_order_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ogl__cell_order_answer__free_unpacked
+                     (Ogl__CellOrderAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Ogl__CellHandover methods */
 void   ogl__cell_handover__init
                      (Ogl__CellHandover         *message);
@@ -1043,6 +1349,9 @@
 typedef void (*Ogl__CellProgress_Closure)
                  (const Ogl__CellProgress *message,
                   void *closure_data);
+typedef void (*Ogl__CellDone_Closure)
+                 (const Ogl__CellDone *message,
+                  void *closure_data);
 typedef void (*Ogl__CellKnown_Closure)
                  (const Ogl__CellKnown *message,
                   void *closure_data);
@@ -1082,6 +1391,21 @@
 typedef void (*Ogl__CellPart_Closure)
                  (const Ogl__CellPart *message,
                   void *closure_data);
+typedef void (*Ogl__CellOrder_Closure)
+                 (const Ogl__CellOrder *message,
+                  void *closure_data);
+typedef void (*Ogl__CellOrders_Closure)
+                 (const Ogl__CellOrders *message,
+                  void *closure_data);
+typedef void (*Ogl__CellRunRow_Closure)
+                 (const Ogl__CellRunRow *message,
+                  void *closure_data);
+typedef void (*Ogl__CellOrderAnswers_Closure)
+                 (const Ogl__CellOrderAnswers *message,
+                  void *closure_data);
+typedef void (*Ogl__CellOrderAnswer_Closure)
+                 (const Ogl__CellOrderAnswer *message,
+                  void *closure_data);
 typedef void (*Ogl__CellHandover_Closure)
                  (const Ogl__CellHandover *message,
                   void *closure_data);
@@ -1098,11 +1422,14 @@
 extern const ProtobufCEnumDescriptor    ogl__cell_call_kind__descriptor;
 extern const ProtobufCEnumDescriptor    ogl__cell_outcome__descriptor;
 extern const ProtobufCEnumDescriptor    ogl__cell_part_kind__descriptor;
+extern const ProtobufCEnumDescriptor    ogl__cell_order_kind__descriptor;
+extern const ProtobufCEnumDescriptor    ogl__cell_order_outcome__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_step__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_terms__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_job__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_mark__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_progress__descriptor;
+extern const ProtobufCMessageDescriptor ogl__cell_done__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_known__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_known_task__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_known_workers__descriptor;
@@ -1116,6 +1443,11 @@
 extern const ProtobufCMessageDescriptor ogl__cell_ticket__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_advice__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_part__descriptor;
+extern const ProtobufCMessageDescriptor ogl__cell_order__descriptor;
+extern const ProtobufCMessageDescriptor ogl__cell_orders__descriptor;
+extern const ProtobufCMessageDescriptor ogl__cell_run_row__descriptor;
+extern const ProtobufCMessageDescriptor ogl__cell_order_answers__descriptor;
+extern const ProtobufCMessageDescriptor ogl__cell_order_answer__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_handover__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_msg__descriptor;
 
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -65,12 +65,23 @@
 	ogl_time busy_until; /* with the last one */
 	bool refused;        /* nobody listened at the last try of a peer */
 	enum fake_store_fault store;
+	ogl_time sends_until;    /* the link is busy with what it was given */
+	ogl_time receives_until; /* the same, of what is sent to the node */
 	char addr[32];
 	char name[32];
 	ogl_time wake;
 	GHashTable *open; /* set of struct call */
 };
 
+/* Bytes of a message of each kind besides what differs from one to another:
+ * headers, names, numbers. */
+#define CALL_BYTES 300
+#define ANSWER_BYTES 200
+#define PARCEL_BYTES 60
+#define ROW_BYTES 60
+#define ID_BYTES 15
+#define SPEC_BYTES 1000
+
 /* ---- records of the store --------------------------------------------- */
 
 struct record {
@@ -145,6 +156,7 @@
 
 struct job {
 	char id[CELL_ID_LEN + 1];
+	char *spec;
 	struct fake_step steps[4];
 	size_t nsteps;
 	int status;
@@ -292,6 +304,8 @@
 	char *ticket;
 	char *step;
 	GPtrArray *ids;
+	char *spec;
+	size_t answer_bytes; /* besides ANSWER_BYTES */
 	struct cell_order_answer order;
 };
 
@@ -323,6 +337,7 @@
 	g_free(c->checkpoint);
 	g_free(c->ticket);
 	g_free(c->step);
+	g_free(c->spec);
 	g_free(c);
 }
 
@@ -415,11 +430,47 @@
 	return true;
 }
 
+/* How long bytes wait for a link and are on it; busy_until is the link's. */
+static ogl_time
+link_delay(const struct fake_cell *f, ogl_time *busy_until, size_t bytes)
+{
+	if (f->shape.link_kbps == 0)
+		return 0;
+	*busy_until = MAX(*busy_until, f->now) +
+		      (ogl_time)(bytes * 8 * 1000 / f->shape.link_kbps);
+	return *busy_until - f->now;
+}
+
+static size_t
+call_bytes(const struct call *c)
+{
+	size_t n = CALL_BYTES;
+	guint i;
+
+	for (i = 0; c->puts != NULL && i < c->puts->len; i++) {
+		const struct record *u = c->puts->pdata[i];
+
+		n += u->value != NULL ? g_bytes_get_size(u->value) : 0;
+	}
+	if (c->ids != NULL)
+		n += c->ids->len * ID_BYTES;
+	if (c->spec != NULL)
+		n += strlen(c->spec);
+	return n;
+}
+
+/* node: where it goes, or -1 to whatever is no node. */
 static void
 travel(struct call *c, ogl_time extra, int node, event_fn *fn)
 {
+	struct fake_cell *f = c->cell;
+	ogl_time busy =
+	    node < 0 ? link_delay(f, &c->node->sends_until, call_bytes(c))
+		     : link_delay(f, &c->node->receives_until,
+			   ANSWER_BYTES + c->answer_bytes);
+
 	c->refs++;
-	post(c->cell, hop(c->cell) + extra, node, fn, call_unref, c);
+	post(f, hop(f) + busy + extra, node, fn, call_unref, c);
 }
 
 /* ---- the store -------------------------------------------------------- */
@@ -812,6 +863,24 @@
 	call_unref(f, c);
 }
 
+/* Of one record of each key, a third more for their form. */
+static size_t
+newest_bytes(const struct stream *s)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	size_t n = 0;
+	guint i;
+
+	for (i = s->records->len; i > 0; i--) {
+		const struct record *u = s->records->pdata[i - 1];
+
+		if (g_hash_table_add(seen, u->key) && u->value != NULL)
+			n += g_bytes_get_size(u->value) * 4 / 3;
+	}
+	g_hash_table_unref(seen);
+	return n;
+}
+
 static enum fake_store_fault
 fault_of(struct fake_cell *f, const struct node *n, bool write)
 {
@@ -902,6 +971,7 @@
 {
 	struct call *c = arg;
 
+	c->answer_bytes = newest_bytes(&f->streams[c->stream][c->shard]);
 	travel(c, 0, (int)c->node->index, answer_newest);
 	call_unref(f, c);
 }
@@ -1002,13 +1072,21 @@
 
 static void answer_hold(struct fake_cell *f, void *arg);
 
+static void
+travel_hold(struct call *c)
+{
+	c->answer_bytes =
+	    (c->worker->runs->len + c->worker->ended->len) * ROW_BYTES;
+	travel(c, 0, (int)c->node->index, answer_hold);
+}
+
 static void
 wake_holds(struct fake_cell *f, struct worker *w)
 {
 	struct call *c;
 
 	while ((c = g_queue_pop_head(&w->holds)) != NULL) {
-		travel(c, 0, (int)c->node->index, answer_hold);
+		travel_hold(c);
 		call_unref(f, c);
 	}
 }
@@ -1360,6 +1438,8 @@
 		c->order.why = why;
 		return;
 	}
+	if (g_strcmp0(c->spec, job_of(f, c->task.id)->spec) != 0)
+		breach(f, "SPEC", c->task.id);
 	renew(f, w, c->until_ms);
 	start_run(f, w, c);
 }
@@ -1459,6 +1539,7 @@
 	c->task = o->task;
 	c->run = o->run;
 	c->until_ms = o->until_ms;
+	c->spec = g_strdup(o->spec);
 	c->checkpoint = g_strdup(o->checkpoint != NULL ? o->checkpoint : "");
 	c->ticket = g_strdup(o->ticket);
 	if (c->worker != NULL)
@@ -1582,7 +1663,7 @@
 	struct call *c = arg;
 
 	if (g_queue_remove(&c->worker->holds, c)) {
-		travel(c, 0, (int)c->node->index, answer_hold);
+		travel_hold(c);
 		call_unref(f, c);
 	}
 	call_unref(f, c);
@@ -1627,7 +1708,7 @@
 	if (c->until_ms > 0)
 		renew(f, w, c->until_ms);
 	if (w->ended->len > 0 || c->wait_ms == 0) {
-		travel(c, 0, (int)c->node->index, answer_hold);
+		travel_hold(c);
 	} else {
 		c->refs += 2;
 		g_queue_push_tail(&w->holds, c);
@@ -1746,6 +1827,8 @@
 {
 	struct node *from = ctx;
 	struct fake_cell *f = from->cell;
+	ogl_time busy;
+	size_t bytes;
 	unsigned i;
 
 	for (i = 0; i < f->shape.nodes; i++) {
@@ -1760,7 +1843,10 @@
 		p = g_new(struct parcel, 1);
 		p->to = i;
 		p->bytes = g_bytes_ref(msg);
-		post(f, hop(f), (int)i, on_parcel, parcel_free, p);
+		bytes = PARCEL_BYTES + g_bytes_get_size(msg);
+		busy = link_delay(f, &from->sends_until, bytes) +
+		       link_delay(f, &n->receives_until, bytes);
+		post(f, hop(f) + busy, (int)i, on_parcel, parcel_free, p);
 	}
 }
 
@@ -1824,6 +1910,17 @@
 	}
 }
 
+/* Each job has its own; on wide links its size does not matter. */
+static char *
+spec_of(const struct fake_cell *f, const char *id)
+{
+	GString *s = g_string_new(id);
+
+	while (f->shape.link_kbps > 0 && s->len < SPEC_BYTES)
+		g_string_append_c(s, 'x');
+	return g_string_free(s, FALSE);
+}
+
 static Ogl__CellStep *
 proto_step(const struct fake_step *s)
 {
@@ -1864,6 +1961,7 @@
 	}
 	p = malloc(sizeof *p);
 	ogl__cell_job__init(p);
+	p->spec = strdup(j->spec);
 	p->n_steps = j->nsteps;
 	p->steps = calloc(j->nsteps, sizeof *p->steps);
 	for (i = 0; i < j->nsteps; i++)
@@ -1913,6 +2011,7 @@
 	if (j == NULL) {
 		j = g_new0(struct job, 1);
 		g_strlcpy(j->id, id, sizeof j->id);
+		j->spec = spec_of(f, id);
 		memcpy(j->steps, steps, n * sizeof *steps);
 		j->nsteps = n;
 		j->status = -1;
@@ -2061,6 +2160,7 @@
 	    .addr = n->addr,
 	    .boot = ++f->token,
 	    .seed = g_rand_int(f->rand),
+	    .link_kbps = f->shape.link_kbps,
 	    .limits = {.lease_max_ms = LEASE_MAX_MS,
 		.stop_ms = 900,
 		.revoke_ms = 5000,
@@ -2115,6 +2215,14 @@
 	f->nodes[node].lag_ms = ms;
 }
 
+unsigned
+fake_cell_link_ms(const struct fake_cell *f, unsigned node)
+{
+	ogl_time busy = f->nodes[node].receives_until - f->now;
+
+	return (unsigned)(MAX(busy, 0) / OGL_MS);
+}
+
 void
 fake_cell_stop(struct fake_cell *f, unsigned node)
 {
@@ -2393,6 +2501,7 @@
 	struct job *j = p;
 
 	g_hash_table_unref(j->tasks);
+	g_free(j->spec);
 	g_free(j);
 }
 
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -29,6 +29,8 @@
 	uint32_t team_cpu_max; /* of the one team, 0 no limit */
 	uint32_t team_rate;    /* its jobs a second, 0 more than any */
 	uint32_t attempts_max;
+	uint32_t link_kbps; /* that each node's link carries either way; 0: all
+			     * links are wide */
 };
 
 struct fake_cell *fake_cell_init(const struct fake_cell_shape *shape);
@@ -72,6 +74,8 @@
 
 /* ---- nodes ------------------------------------------------------------ */
 
+unsigned fake_cell_link_ms(const struct fake_cell *f, unsigned node);
+/* How long what is sent to the node now waits before its link. */
 int fake_cell_owner(const struct fake_cell *f, unsigned shard);
 /* The node that owns the shard, by its own word; -1 none, -2 several. */
 unsigned fake_cell_claims(const struct fake_cell *f, unsigned shard);
--- a/test/test_cell_lead.cc
+++ b/test/test_cell_lead.cc
@@ -324,7 +324,7 @@
 	Store store_;
 	struct cell_ops ops_ = {};
 	struct cell_lead_events events_ = {};
-	struct cell_lead_self self_ = {"n1", "10.0.0.1:1", 1, 0};
+	struct cell_lead_self self_ = {"n1", "10.0.0.1:1", 1, 0, 0};
 	struct cell_lead *lead_ = nullptr;
 	ogl_time now_ = 1000 * kMs;
 	uint64_t offset_ = 0;
--- a/test/test_cell_loader.cc
+++ b/test/test_cell_loader.cc
@@ -46,7 +46,7 @@
 			static_cast<Loader *>(arg)->loaded_++;
 		};
 		events.arg = this;
-		loader_ = cell_loader_init(&ops_, 0, &events);
+		loader_ = cell_loader_init(&ops_, 0, 0, &events);
 	}
 
 	/* Every exchange ends in one answer. */
--- /dev/null
+++ b/test/test_cell_relay.cc
@@ -0,0 +1,349 @@
+/* Calls to workers through other nodes, driven message by message. */
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "relay.h"
+#include "relay_serve.h"
+}
+
+namespace
+{
+
+struct Sent {
+	std::string to;
+	Ogl__CellOrderKind kind;
+	uint64_t token;
+	bool with_spec;
+	std::string spec;
+};
+
+class Relay : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		ops_.start = on_start;
+		ops_.hold = [](void *ctx, const struct cell_hold *,
+				cell_hold_fn *, void *) {
+			static_cast<Relay *>(ctx)->direct_++;
+		};
+		ops_.log = [](void *, const char *, const char *,
+			       const char *) {};
+		ops_.outside = this;
+	}
+
+	void TearDown() override
+	{
+		if (relay_ != nullptr)
+			cell_relay_end(relay_);
+	}
+
+	void begin(uint32_t link_kbps)
+	{
+		struct cell_relay_events events = {on_send, this};
+
+		relay_ = cell_relay_init(&ops_, link_kbps, &events);
+		cell_relay_fill(relay_, &relayed_);
+		cell_relay_open(relay_, 3);
+		nodes();
+		step(0);
+	}
+
+	void nodes()
+	{
+		for (const char *addr : {"n1", "n2", "n3"})
+			cell_relay_node(relay_, addr, false, now_);
+	}
+
+	void step(int ms)
+	{
+		now_ += ms * OGL_MS;
+		cell_relay_step(relay_, 100, now_);
+		cell_relay_flush(relay_, now_);
+	}
+
+	void start(const char *job)
+	{
+		struct cell_order o = {};
+
+		o.to = {"10.9.0.1:80", "w1", 3};
+		g_strlcpy(o.task.id, job, sizeof o.task.id);
+		o.run = 1;
+		o.timeout_ms = 600;
+		o.spec = "the spec";
+		relayed_.start(relayed_.outside, &o, on_order, this);
+	}
+
+	void answer(const Sent &s, Ogl__CellOrderOutcome outcome)
+	{
+		Ogl__CellOrderAnswer a = OGL__CELL_ORDER_ANSWER__INIT;
+
+		a.token = s.token;
+		a.outcome = outcome;
+		cell_relay_answer(relay_, &a, now_);
+	}
+
+	static void on_start(
+	    void *ctx, const struct cell_order *, cell_order_fn *, void *)
+	{
+		static_cast<Relay *>(ctx)->direct_++;
+	}
+
+	static void on_send(void *arg, const char *to, const Ogl__CellOrders *m)
+	{
+		auto *t = static_cast<Relay *>(arg);
+
+		for (size_t i = 0; i < m->n_orders; i++) {
+			const Ogl__CellOrder *o = m->orders[i];
+
+			t->sent_.push_back({to, o->kind, o->token,
+			    o->with_spec != 0, o->spec});
+		}
+	}
+
+	static void on_order(
+	    void *arg, const struct cell_order_answer *a, ogl_time)
+	{
+		static_cast<Relay *>(arg)->ends_.push_back(a->io);
+	}
+
+	struct cell_ops ops_ = {};
+	struct cell_ops relayed_ = {};
+	struct cell_relay *relay_ = nullptr;
+	std::vector<Sent> sent_;
+	std::vector<enum ogl_io> ends_;
+	int direct_ = 0;
+	ogl_time now_ = 100 * OGL_SEC;
+};
+
+const char job1[] = "0000000000000001";
+
+TEST_F(Relay, AWideLinkCallsItsWorkersItself)
+{
+	begin(200000);
+	start(job1);
+	step(10);
+	EXPECT_EQ(1, direct_);
+	EXPECT_TRUE(sent_.empty());
+}
+
+TEST_F(Relay, TheNodeThatPassedAJobOnNeedsNoSpec)
+{
+	begin(2000);
+	cell_relay_told(relay_, job1, "n2");
+	start(job1);
+	step(10);
+	ASSERT_EQ(1u, sent_.size());
+	EXPECT_EQ("n2", sent_[0].to);
+	EXPECT_FALSE(sent_[0].with_spec);
+	answer(sent_[0], OGL__CELL_ORDER_OUTCOME__cell_order_done);
+	ASSERT_EQ(1u, ends_.size());
+	EXPECT_EQ(OGL_IO_OK, ends_[0]);
+}
+
+TEST_F(Relay, AnotherNodeIsSentTheSpecOnce)
+{
+	begin(2000);
+	start(job1);
+	start(job1);
+	step(10);
+	ASSERT_EQ(2u, sent_.size());
+	EXPECT_EQ(sent_[0].to, sent_[1].to);
+	EXPECT_EQ("the spec", sent_[0].spec);
+	EXPECT_FALSE(sent_[1].with_spec);
+}
+
+/* Guards against a task that is never started because its relay was started
+ * anew, or had too many specs to keep. */
+TEST_F(Relay, ANodeThatLacksTheSpecIsSentIt)
+{
+	begin(2000);
+	cell_relay_told(relay_, job1, "n2");
+	start(job1);
+	step(10);
+	answer(sent_[0], OGL__CELL_ORDER_OUTCOME__cell_order_lacks_spec);
+	EXPECT_TRUE(ends_.empty());
+	step(10);
+	ASSERT_EQ(2u, sent_.size());
+	EXPECT_EQ("n2", sent_[1].to);
+	EXPECT_EQ("the spec", sent_[1].spec);
+	answer(sent_[1], OGL__CELL_ORDER_OUTCOME__cell_order_done);
+	ASSERT_EQ(1u, ends_.size());
+}
+
+/* Guards against "not sent" of a start that its relay may have sent. */
+TEST_F(Relay, ACallWithoutAnAnswerMayHaveBeenMade)
+{
+	begin(2000);
+	cell_relay_told(relay_, job1, "n2");
+	start(job1);
+	step(10);
+	step(600);
+	EXPECT_TRUE(ends_.empty());
+	step(200);
+	ASSERT_EQ(1u, ends_.size());
+	EXPECT_EQ(OGL_IO_LOST, ends_[0]);
+	answer(sent_[0], OGL__CELL_ORDER_OUTCOME__cell_order_done);
+	EXPECT_EQ(1u, ends_.size());
+}
+
+/* Guards against work that waits for a node which no longer answers. */
+TEST_F(Relay, ANodeThatLeavesCallsUnansweredIsPassedOver)
+{
+	begin(2000);
+	cell_relay_told(relay_, job1, "n2");
+	start(job1);
+	start(job1);
+	step(10);
+	step(800);
+	nodes();
+	start(job1);
+	step(10);
+	ASSERT_EQ(3u, sent_.size());
+	EXPECT_NE("n2", sent_[2].to);
+	EXPECT_TRUE(sent_[2].with_spec);
+}
+
+TEST_F(Relay, WithoutOtherNodesWorkersAreCalledDirectly)
+{
+	begin(2000);
+	now_ += 2 * OGL_SEC;
+	step(0);
+	start(job1);
+	step(10);
+	EXPECT_EQ(1, direct_);
+}
+
+TEST_F(Relay, TheQuickestAnswerTellsTheDelayOfTheLink)
+{
+	begin(2000);
+	EXPECT_EQ(0, cell_relay_delay(relay_, now_));
+	start(job1);
+	start(job1);
+	step(10);
+	now_ += 300 * OGL_MS;
+	answer(sent_[0], OGL__CELL_ORDER_OUTCOME__cell_order_done);
+	now_ += 50 * OGL_MS;
+	answer(sent_[1], OGL__CELL_ORDER_OUTCOME__cell_order_done);
+	EXPECT_EQ(310 * OGL_MS, cell_relay_delay(relay_, now_));
+	EXPECT_EQ(0, cell_relay_delay(relay_, now_ + OGL_SEC));
+}
+
+/* The node that makes the calls. */
+class RelayServe : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		ops_.start = [](void *ctx, const struct cell_order *o,
+				 cell_order_fn *done, void *arg) {
+			auto *t = static_cast<RelayServe *>(ctx);
+
+			t->specs_.push_back(o->spec);
+			t->done_ = done;
+			t->arg_ = arg;
+		};
+		ops_.outside = this;
+		serve_ = cell_relay_serve_init(&ops_, on_send, this);
+	}
+
+	void TearDown() override
+	{
+		if (serve_ != nullptr)
+			cell_relay_serve_end(serve_);
+	}
+
+	void give(bool refuse)
+	{
+		Ogl__CellOrder o = OGL__CELL_ORDER__INIT;
+		Ogl__CellOrder *list[] = {&o};
+		Ogl__CellOrders m = OGL__CELL_ORDERS__INIT;
+
+		o.token = ++token_;
+		o.job = const_cast<char *>(job1);
+		m.orders = list;
+		m.n_orders = 1;
+		cell_relay_serve(serve_, 0, "owner", &m, refuse, now_);
+	}
+
+	void end_call()
+	{
+		struct cell_order_answer a = {};
+
+		done_(arg_, &a, now_);
+	}
+
+	void step()
+	{
+		now_ += 10 * OGL_MS;
+		cell_relay_serve_step(serve_, now_);
+	}
+
+	static void on_send(
+	    void *arg, uint32_t, const char *, const Ogl__CellOrderAnswers *m)
+	{
+		auto *t = static_cast<RelayServe *>(arg);
+
+		for (size_t i = 0; i < m->n_answers; i++)
+			t->answers_.push_back(m->answers[i]->outcome);
+	}
+
+	struct cell_ops ops_ = {};
+	struct cell_relay_serve *serve_ = nullptr;
+	std::vector<std::string> specs_;
+	std::vector<Ogl__CellOrderOutcome> answers_;
+	cell_order_fn *done_ = nullptr;
+	void *arg_ = nullptr;
+	uint64_t token_ = 0;
+	ogl_time now_ = 100 * OGL_SEC;
+};
+
+TEST_F(RelayServe, StartsWithTheSpecOfAJobThatPassedThrough)
+{
+	cell_relay_serve_spec(serve_, job1, "kept");
+	give(false);
+	ASSERT_EQ(1u, specs_.size());
+	EXPECT_EQ("kept", specs_[0]);
+	end_call();
+	EXPECT_TRUE(answers_.empty());
+	step();
+	ASSERT_EQ(1u, answers_.size());
+	EXPECT_EQ(OGL__CELL_ORDER_OUTCOME__cell_order_done, answers_[0]);
+}
+
+TEST_F(RelayServe, SaysThatItLacksTheSpec)
+{
+	give(false);
+	step();
+	EXPECT_TRUE(specs_.empty());
+	ASSERT_EQ(1u, answers_.size());
+	EXPECT_EQ(OGL__CELL_ORDER_OUTCOME__cell_order_lacks_spec, answers_[0]);
+}
+
+/* Guards against an order carried out long after its owner gave it up. */
+TEST_F(RelayServe, RefusedOrdersAreNotCarriedOut)
+{
+	cell_relay_serve_spec(serve_, job1, "kept");
+	give(true);
+	step();
+	EXPECT_TRUE(specs_.empty());
+	ASSERT_EQ(1u, answers_.size());
+	EXPECT_EQ(OGL__CELL_ORDER_OUTCOME__cell_order_not_sent, answers_[0]);
+}
+
+/* Guards against an answer that reaches a part of the node that has ended. */
+TEST_F(RelayServe, ACallMayEndAfterIt)
+{
+	cell_relay_serve_spec(serve_, job1, "kept");
+	give(false);
+	cell_relay_serve_end(serve_);
+	serve_ = nullptr;
+	end_call();
+	EXPECT_TRUE(answers_.empty());
+}
+
+} // namespace
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -46,6 +46,8 @@
 			return make(w);
 		if (w[0] == "submit")
 			return submit(w);
+		if (w[0] == "flood")
+			return flood(w);
 		if (w[0] == "let")
 			names_[w[1]] = node(w[2]);
 		else if (w[0] == "run")
@@ -98,8 +100,36 @@
 	}
 
       private:
+	/* flood NAME JOBS EVERY_MS step ...: jobs NAME0, NAME1, .. one after
+	 * the other, at one node after the other */
+	std::string flood(const Words &w)
+	{
+		for (unsigned i = 0; i < num(w[2]); i++) {
+			Words one = {"submit", w[1] + std::to_string(i),
+			    std::to_string(i % shape_.nodes)};
+
+			one.insert(one.end(), w.begin() + 4, w.end());
+			submit(one);
+			fake_cell_run(cell_, num(w[3]));
+		}
+		return "";
+	}
+
+	/* How many of the jobs of a flood were accepted. */
+	std::string accepted(const Words &w)
+	{
+		unsigned n = 0;
+
+		for (unsigned i = 0; i < num(w[2]); i++)
+			n += fake_cell_status(
+				 cell_, id(w[1] + std::to_string(i))) == 200;
+		return std::to_string(n);
+	}
+
 	std::string question(const Words &w)
 	{
+		if (w[0] == "accepted")
+			return accepted(w);
 		if (w[0] == "status")
 			return std::to_string(
 			    fake_cell_status(cell_, id(w[1])));
@@ -120,6 +150,12 @@
 
 			return o == -1 ? "none" : o == -2 ? "several" : "one";
 		}
+		if (w[0] == "link")
+			return fake_cell_link_ms(
+				   cell_, static_cast<unsigned>(node(w[1]))) <
+				       num(w[2])
+				   ? "under"
+				   : "over";
 		if (w[0] == "claims")
 			return std::to_string(fake_cell_claims(cell_, 0));
 		if (w[0] == "shards")
@@ -230,6 +266,7 @@
 		shape_.refuses = o.count("refuses") != 0;
 		shape_.team_cpu_max = o.count("max") != 0 ? num(o["max"]) : 0;
 		shape_.team_rate = o.count("rate") != 0 ? num(o["rate"]) : 0;
+		shape_.link_kbps = o.count("link") != 0 ? num(o["link"]) : 0;
 		shape_.attempts_max =
 		    o.count("attempts") != 0 ? num(o["attempts"]) : 3;
 		cell_ = fake_cell_init(&shape_);
--- a/test/test_cell_seeds.cc
+++ b/test/test_cell_seeds.cc
@@ -21,7 +21,8 @@
 class Storm
 {
       public:
-	explicit Storm(unsigned seed, unsigned shards = 1, bool stops = false)
+	explicit Storm(unsigned seed, unsigned shards = 1, bool stops = false,
+	    unsigned link_kbps = 0)
 	    : rand_(seed), stops_(stops)
 	{
 		shape_.nodes = 2 + below(4);
@@ -29,6 +30,7 @@
 		shape_.shards = shards;
 		shape_.refuses = stops;
 		shape_.seed = seed;
+		shape_.link_kbps = link_kbps;
 		shape_.policy = below(2) == 0;
 		shape_.team_cpu_max = below(3) == 0 ? 40000 * shards : 0;
 		shape_.attempts_max = 3;
@@ -330,6 +332,22 @@
 	}
 }
 
+/* Links so thin that workers are called through other nodes, which fail too. */
+TEST(CellSeeds, ThinLinksKeepWhatMustHold)
+{
+	unsigned one = from_env("OGL_LINK_SEED", 0);
+	unsigned seeds = one != 0 ? 1 : from_env("OGL_LINK_SEEDS", 40);
+	unsigned first = from_env("OGL_SEED_FIRST", 1000);
+
+	for (unsigned i = 0; i < seeds; i++) {
+		unsigned seed = one != 0 ? one : first + i;
+		Storm storm(seed, 1, seed % 2 == 0, 300 + seed % 4 * 100);
+
+		storm.blow(60);
+		EXPECT_EQ("", storm.settle()) << "OGL_LINK_SEED=" << seed;
+	}
+}
+
 /* The same in cells of two and three shards, whose owners come and go each by
  * itself. */
 TEST(CellSeeds, ShardsKeepWhatMustHold)
