A start answered by a worker's new life is not taken for one of the last

Answers overtake each other on any link; a queue makes it likely.

Now a run that was answered after the question was sent is stopped before it counts as over, like one without an answer.

The load of the link is weighed apart from that of the processor and is forgotten sooner.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -684,10 +684,11 @@
 }
 
 /* Nothing that was started in the worker's last life runs any more, but for
- * what the new life lists: a start may have reached that already. */
+ * what the new life lists: a start may have reached that already.  asked: when
+ * the question was sent that the new life answered. */
 static void
 lose_runs(struct cell_fleet *f, struct cell_worker *w,
-    const struct cell_hold_answer *new_life, ogl_time now)
+    const struct cell_hold_answer *new_life, ogl_time asked, ogl_time now)
 {
 	GPtrArray *a = cell_worker_runs(w);
 	guint i;
@@ -703,8 +704,11 @@
 			remember_loose(r, now);
 		/* A start still without an answer may reach the new life of a
 		 * worker that kept its id, which knows no fence and no run
-		 * yet; only a stop there rules that out. */
-		if (new_life != NULL && (r->unsure || r->open)) {
+		 * yet; only a stop there rules that out.  One that was answered
+		 * since the question may have reached it after it listed what
+		 * it runs. */
+		if (new_life != NULL &&
+		    (r->unsure || r->open || r->up_at > asked)) {
 			r->stop_done = false;
 			cell_fleet_stop(f, r, now);
 		} else {
@@ -737,7 +741,7 @@
 
 static void
 worker_reborn(struct cell_fleet *f, struct cell_worker *w,
-    const struct cell_hold_answer *a, ogl_time now)
+    const struct cell_hold_answer *a, ogl_time asked, ogl_time now)
 {
 	log_worker(f, w, "worker_reborn");
 	w->acked = 0;
@@ -745,7 +749,7 @@
 	w->taken = 0;
 	w->until_ms = 0;
 	memset(&w->pace, 0, sizeof w->pace);
-	lose_runs(f, w, a, now);
+	lose_runs(f, w, a, asked, now);
 	stop_loose(f, w, now);
 }
 
@@ -867,7 +871,7 @@
 	w->excused = false;
 	w->last_ok = now;
 	if (w->life != 0 && w->life != a->born_ms)
-		worker_reborn(f, w, a, now);
+		worker_reborn(f, w, a, c->sent, now);
 	read_clock(w, a->clock_ms, now);
 	if (w->life != a->born_ms) {
 		taken = 0;
@@ -903,7 +907,7 @@
 	w->gone = true;
 	w->expected = false;
 	log_worker(f, w, "worker_gone");
-	lose_runs(f, w, NULL, now);
+	lose_runs(f, w, NULL, now, now);
 	f->events.answered(f->events.arg, w, now);
 }
 
@@ -958,7 +962,7 @@
 	if (a->why != CELL_REFUSED_LIFE)
 		return;
 	if (w->gone)
-		lose_runs(f, w, NULL, now);
+		lose_runs(f, w, NULL, now, now);
 	else
 		set_gone(f, w, now);
 }
@@ -1439,7 +1443,7 @@
 	if (w->life != 0 && g_hash_table_size(w->runs) > 0 &&
 	    now > lapse_at(w)) {
 		log_worker(f, w, "worker_lapsed");
-		lose_runs(f, w, NULL, now);
+		lose_runs(f, w, NULL, now, now);
 	}
 	if (w->named && cell_worker_silent(w, now))
 		f->names_changed = true;
--- a/cell/load.c
+++ b/cell/load.c
@@ -44,7 +44,7 @@
 	}
 	if (now - l->late_at <= STEADY)
 		return;
-	l->part -= FALL_A_SECOND * elapsed;
+	l->part -= (l->fall > 0 ? l->fall : FALL_A_SECOND) * elapsed;
 	if (l->part < 0)
 		l->part = 0;
 }
--- a/cell/load.h
+++ b/cell/load.h
@@ -14,6 +14,7 @@
 	ogl_time late_at; /* last moment that came late, 0 none */
 	double part;      /* of the new jobs that is refused, 0 none */
 	double credit;    /* of a job to be taken */
+	double fall;      /* of part, a second; 0: the usual */
 };
 
 void cell_load_step(struct cell_load *l, ogl_time wanted, ogl_time now);
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -43,6 +43,8 @@
 /* A team's jobs fall on shards by chance; where one gets more than its part for
  * a while, that is not the team's doing. */
 #define RATE_SLACK 2.0
+/* A queue before the link is gone soon after it is no longer fed. */
+#define LINK_LOAD_FALL_A_SECOND 0.4
 
 enum phase {
 	PHASE_CLOSED,
@@ -94,8 +96,9 @@
 	ogl_time confirmed; /* ownership, by the store */
 	ogl_time wall;
 
-	struct cell_load load;
-	bool run_pass; /* something came free or came in */
+	struct cell_load load;      /* of the processor */
+	struct cell_load link_load; /* of the node's link */
+	bool run_pass;              /* something came free or came in */
 	ogl_time sweep_at;
 	ogl_time stragglers_at;
 };
@@ -1051,6 +1054,7 @@
 	o->part = *part;
 	o->limits = limits;
 	o->events = *events;
+	o->link_load.fall = LINK_LOAD_FALL_A_SECOND;
 	o->jobs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 	o->admission = cell_admission_init();
@@ -1276,6 +1280,12 @@
 	return cell_admission_within_rate(o->admission, team, rate, most, now);
 }
 
+static bool
+any_load(const struct cell_owner *o)
+{
+	return cell_load_full(&o->load) || cell_load_full(&o->link_load);
+}
+
 static void
 log_refused(struct cell_owner *o, const Ogl__CellCall *c, const char *why)
 {
@@ -1304,6 +1314,8 @@
 		return "refused_before";
 	if (!c->admitted && !cell_load_takes(&o->load))
 		return "load";
+	if (!c->admitted && !cell_load_takes(&o->link_load))
+		return "link_load";
 	return NULL;
 }
 
@@ -1324,7 +1336,7 @@
 	if (why != NULL)
 		return why;
 	*over = CELL_USES_RATE && !within_rate(o, c->job->team, now);
-	if (*over && cell_load_full(&o->load))
+	if (*over && any_load(o))
 		return "load_over_rate";
 	return NULL;
 }
@@ -1737,32 +1749,44 @@
 	cell_relay_flush(o->relay, now);
 }
 
-void
-cell_owner_ran(struct cell_owner *o, ogl_time wanted, ogl_time now)
+static void
+log_load(struct cell_owner *o, const char *of, bool carried, ogl_time late)
 {
-	ogl_time delay = cell_relay_delay(o->relay, now);
-	bool full = cell_load_full(&o->load);
-	char text[128];
+	char text[160];
 
-	/* What comes late over the link is late like what the process does. */
-	if (wanted != 0)
-		wanted = MIN(wanted, now - delay);
-	cell_load_step(&o->load, wanted, now);
-	if (full == cell_load_full(&o->load) || o->phase != PHASE_SERVING)
-		return;
 	g_snprintf(text, sizeof text,
-	    "shard=%u epoch=%" G_GUINT64_FORMAT " late_ms=%" G_GINT64_FORMAT
-	    " jobs=%u",
-	    o->part.shard, o->epoch, (now - wanted) / OGL_MS,
+	    "shard=%u epoch=%" G_GUINT64_FORMAT
+	    " of=%s late_ms=%" G_GINT64_FORMAT " jobs=%u",
+	    o->part.shard, o->epoch, of, late / OGL_MS,
 	    g_hash_table_size(o->jobs));
 	o->ops->log(o->ops->ctx, "owner",
-	    full ? "load_carried" : "load_too_high", text);
+	    carried ? "load_carried" : "load_too_high", text);
+}
+
+static void
+step_load(struct cell_owner *o, struct cell_load *l, const char *of,
+    ogl_time wanted, ogl_time now)
+{
+	bool full = cell_load_full(l);
+
+	cell_load_step(l, wanted, now);
+	if (full != cell_load_full(l) && o->phase == PHASE_SERVING)
+		log_load(o, of, full, now - wanted);
+}
+
+void
+cell_owner_ran(struct cell_owner *o, ogl_time wanted, ogl_time now)
+{
+	ogl_time delay = cell_relay_delay(o->relay, now);
+
+	step_load(o, &o->load, "processor", wanted, now);
+	step_load(o, &o->link_load, "link", now - delay, now);
 }
 
 bool
 cell_owner_asks_first(const struct cell_owner *o)
 {
-	return o->phase == PHASE_SERVING && cell_load_full(&o->load);
+	return o->phase == PHASE_SERVING && any_load(o);
 }
 
 bool
--- a/cell/relay.c
+++ b/cell/relay.c
@@ -32,8 +32,11 @@
 /* A node pings four times a second. */
 #define FRESH OGL_SEC
 /* A relay gives a call up by itself; its answer needs so long at most. */
-#define ANSWER_MARGIN (150 * OGL_MS)
+#define ANSWER_MARGIN (400 * OGL_MS)
 #define PASSED_OVER (2 * OGL_SEC)
+/* A worker that a start through a relay may not have reached is called directly
+ * for so long: it may be cut off from that relay alone. */
+#define DIRECT (5 * OGL_SEC)
 /* Answers are compared over so long. */
 #define WINDOW (200 * OGL_MS)
 #define TOKENS_AN_EPOCH_BITS 32
@@ -52,7 +55,8 @@
 /* A call whose answer is awaited. */
 struct order {
 	uint64_t token;
-	char *to; /* the relay */
+	char *to;     /* the relay */
+	char *worker; /* of a start, its id */
 	ogl_time sent;
 	ogl_time deadline;
 	Ogl__CellOrder *message; /* of a start without spec, to send it again */
@@ -73,6 +77,7 @@
 	GPtrArray *ranked;  /* struct node, in the order of their addresses */
 	GHashTable *orders; /* token -> struct order */
 	GHashTable *told;   /* job -> address of the node that has its spec */
+	GHashTable *direct; /* worker -> ogl_time until when, as int64 */
 	/* Quickest answers of this window and of the last one, 0 none. */
 	ogl_time window_at;
 	ogl_time quickest;
@@ -110,6 +115,7 @@
 	if (o->message != NULL)
 		ogl__cell_order__free_unpacked(o->message, NULL);
 	g_free(o->spec);
+	g_free(o->worker);
 	g_free(o->to);
 	g_free(o);
 }
@@ -128,6 +134,8 @@
 	r->ranked = g_ptr_array_new();
 	r->orders = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, order_free);
+	r->direct =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	r->told =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return r;
@@ -339,17 +347,40 @@
 	m->with_spec = true;
 }
 
+static void
+call_directly(struct cell_relay *r, const char *worker, ogl_time now)
+{
+	ogl_time *until = g_new(ogl_time, 1);
+
+	*until = now + DIRECT;
+	g_hash_table_replace(r->direct, g_strdup(worker), until);
+}
+
+static bool
+is_direct(struct cell_relay *r, const char *worker)
+{
+	const ogl_time *until = g_hash_table_lookup(r->direct, worker);
+
+	if (until == NULL)
+		return false;
+	if (r->now < *until)
+		return true;
+	g_hash_table_remove(r->direct, worker);
+	return false;
+}
+
 static void
 relay_start(
     void *ctx, const struct cell_order *o, cell_order_fn *done, void *arg)
 {
 	struct cell_relay *r = ctx;
 	bool has_spec = false;
-	struct node *n =
-	    r->active ? choose_for_job(r, o->task.id, &has_spec) : NULL;
+	struct node *n = NULL;
 	Ogl__CellOrder *m;
 	struct order *x;
 
+	if (r->active && !is_direct(r, o->to.id))
+		n = choose_for_job(r, o->task.id, &has_spec);
 	if (n == NULL) {
 		r->ops->start(r->ops->outside, o, done, arg);
 		return;
@@ -357,6 +388,7 @@
 	m = order_message(OGL__CELL_ORDER_KIND__cell_order_start, o);
 	x = order_new(r, n, m, arg);
 	x->order = done;
+	x->worker = g_strdup(o->to.id);
 	if (has_spec) {
 		x->message = copy(m);
 		x->spec = g_strdup(o->spec);
@@ -459,13 +491,16 @@
 
 /* m NULL: no answer came. */
 static void
-finish(struct order *o, const Ogl__CellOrderAnswer *m, ogl_time now)
+finish(struct cell_relay *r, struct order *o, const Ogl__CellOrderAnswer *m,
+    ogl_time now)
 {
 	enum ogl_io io = m != NULL ? io_of(m->outcome) : OGL_IO_LOST;
 	enum cell_refusal why = m != NULL && m->refusal <= CELL_REFUSED_BAD
 				    ? (enum cell_refusal)m->refusal
 				    : CELL_REFUSED_NOT;
 
+	if (io == OGL_IO_LOST && o->worker != NULL)
+		call_directly(r, o->worker, now);
 	if (o->order != NULL) {
 		struct cell_order_answer a = {.io = io,
 		    .why = why,
@@ -567,7 +602,7 @@
 	if (m->outcome == OGL__CELL_ORDER_OUTCOME__cell_order_lacks_spec &&
 	    repeat_with_spec(r, o))
 		return;
-	finish(o, m, now);
+	finish(r, o, m, now);
 }
 
 /* ---- what falls due --------------------------------------------------- */
@@ -609,7 +644,7 @@
 
 		note_delay(r, o, now);
 		count_unanswered(r, o, now);
-		finish(o, NULL, now);
+		finish(r, o, NULL, now);
 	}
 	g_array_unref(late);
 }
@@ -691,10 +726,11 @@
 
 	g_hash_table_steal_all(r->orders);
 	for (at = all; at != NULL; at = at->next)
-		finish(at->data, NULL, r->now);
+		finish(r, at->data, NULL, r->now);
 	g_list_free(all);
 	g_hash_table_unref(r->orders);
 	g_hash_table_unref(r->told);
+	g_hash_table_unref(r->direct);
 	g_ptr_array_unref(r->ranked);
 	g_hash_table_unref(r->nodes);
 	g_free(r);
--- a/cell/relay_serve.c
+++ b/cell/relay_serve.c
@@ -3,6 +3,8 @@
  * first.  An owner that counts on one which is gone is told so, and sends it.
  *
  * Answers to one owner gather for a moment and go in one message.
+ *
+ * Orders to a worker wait for each other, as long as their owner waits for them.
  */
 
 #include <string.h>
@@ -11,6 +13,9 @@
 
 #define SPECS_BYTES_MAX ((size_t)2 * 1024 * 1024)
 #define GATHER (8 * OGL_MS)
+/* Starts and stops under way to one worker.  It takes 64 connections from all
+ * nodes together, and any node may have work for any worker. */
+#define CALLS_A_WORKER 1
 
 /* ---- specs ------------------------------------------------------------ */
 
@@ -83,6 +88,7 @@
 	struct specs specs;
 	GPtrArray *batches; /* struct batch, none empty */
 	GHashTable *calls;  /* set of struct carried */
+	GHashTable *lines;  /* address of a worker -> struct line */
 };
 
 static void
@@ -165,8 +171,16 @@
 
 /* ---- calls ------------------------------------------------------------ */
 
+/* Starts and stops to one worker. */
+struct line {
+	char *addr;
+	unsigned open;  /* under way */
+	GQueue waiting; /* struct waiting */
+};
+
 struct carried {
 	struct cell_relay_serve *serve; /* NULL: it has ended */
+	struct line *line;              /* NULL: a hold */
 	uint32_t shard;
 	char *to;
 	uint64_t token;
@@ -179,6 +193,7 @@
 	struct carried *c = g_new(struct carried, 1);
 
 	c->serve = v;
+	c->line = NULL;
 	c->shard = shard;
 	c->to = g_strdup(to);
 	c->token = token;
@@ -195,6 +210,46 @@
 	g_free(c);
 }
 
+/* An order that waits for others to its worker. */
+struct waiting {
+	Ogl__CellOrder *order;
+	struct carried *call;
+	ogl_time give_up;
+};
+
+static void
+waiting_free(void *p)
+{
+	struct waiting *x = p;
+
+	ogl__cell_order__free_unpacked(x->order, NULL);
+	g_free(x);
+}
+
+static void
+line_free(void *p)
+{
+	struct line *l = p;
+
+	g_queue_clear_full(&l->waiting, waiting_free);
+	g_free(l->addr);
+	g_free(l);
+}
+
+static struct line *
+line_of(struct cell_relay_serve *v, const char *addr)
+{
+	struct line *l = g_hash_table_lookup(v->lines, addr);
+
+	if (l != NULL)
+		return l;
+	l = g_new0(struct line, 1);
+	l->addr = g_strdup(addr);
+	g_queue_init(&l->waiting);
+	g_hash_table_insert(v->lines, l->addr, l);
+	return l;
+}
+
 struct cell_relay_serve *
 cell_relay_serve_init(
     const struct cell_ops *ops, cell_relay_send_fn *send, void *arg)
@@ -207,15 +262,37 @@
 	specs_init(&v->specs);
 	v->batches = g_ptr_array_new_with_free_func(batch_free);
 	v->calls = g_hash_table_new(NULL, NULL);
+	v->lines =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, line_free);
 	return v;
 }
 
+static void
+drop_waiting(struct cell_relay_serve *v)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, v->lines);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct line *l = p;
+		struct waiting *x;
+
+		while ((x = g_queue_pop_head(&l->waiting)) != NULL) {
+			carried_free(x->call);
+			waiting_free(x);
+		}
+	}
+	g_hash_table_unref(v->lines);
+}
+
 void
 cell_relay_serve_end(struct cell_relay_serve *v)
 {
 	GHashTableIter it;
 	gpointer p;
 
+	drop_waiting(v);
 	g_hash_table_iter_init(&it, v->calls);
 	while (g_hash_table_iter_next(&it, &p, NULL))
 		((struct carried *)p)->serve = NULL;
@@ -308,18 +385,26 @@
 	carried_free(c);
 }
 
+static void next_in(struct cell_relay_serve *v, struct line *l, ogl_time now);
+
 static void
 on_order(void *arg, const struct cell_order_answer *a, ogl_time now)
 {
 	struct carried *c = arg;
+	struct cell_relay_serve *v = c->serve;
+	struct line *l = c->line;
 	Ogl__CellOrderAnswer *m;
 
-	if (c->serve != NULL) {
+	if (v != NULL) {
 		m = answer_new(c, a->io, now);
 		m->refusal = a->why;
 		m->clock_ms = a->clock_ms;
 	}
 	carried_free(c);
+	if (v != NULL) {
+		l->open--;
+		next_in(v, l, now);
+	}
 }
 
 /* The order is not carried out. */
@@ -359,7 +444,8 @@
 	return o;
 }
 
-static void
+/* Whether the start was sent; else it was turned down. */
+static bool
 start(struct cell_relay_serve *v, const Ogl__CellOrder *m, struct carried *c,
     ogl_time now)
 {
@@ -369,29 +455,91 @@
 		specs_add(&v->specs, m->job, m->spec);
 	o.spec = m->with_spec ? m->spec
 			      : g_hash_table_lookup(v->specs.specs, m->job);
-	if (o.spec == NULL)
+	if (o.spec == NULL) {
 		turn_down(
 		    c, OGL__CELL_ORDER_OUTCOME__cell_order_lacks_spec, now);
-	else
-		v->ops->start(v->ops->outside, &o, on_order, c);
+		return false;
+	}
+	v->ops->start(v->ops->outside, &o, on_order, c);
+	return true;
 }
 
+/* A start or a stop, when nothing else is under way to its worker. */
 static void
-carry_out(struct cell_relay_serve *v, const Ogl__CellOrder *m,
+call_worker(struct cell_relay_serve *v, struct line *l, const Ogl__CellOrder *m,
     struct carried *c, ogl_time now)
 {
 	struct cell_order o;
 
+	c->line = l;
+	if (m->kind == OGL__CELL_ORDER_KIND__cell_order_start) {
+		if (start(v, m, c, now))
+			l->open++;
+		return;
+	}
+	o = order_of(m);
+	l->open++;
+	v->ops->stop(v->ops->outside, &o, on_order, c);
+}
+
+/* What has waited too long is given up by its owner, who takes it for perhaps
+ * sent; it was not. */
+static void
+next_in(struct cell_relay_serve *v, struct line *l, ogl_time now)
+{
+	struct waiting *x;
+
+	while (l->open < CALLS_A_WORKER &&
+	       (x = g_queue_pop_head(&l->waiting)) != NULL) {
+		if (now >= x->give_up)
+			turn_down(x->call,
+			    OGL__CELL_ORDER_OUTCOME__cell_order_not_sent, now);
+		else
+			call_worker(v, l, x->order, x->call, now);
+		waiting_free(x);
+	}
+	if (l->open == 0)
+		g_hash_table_remove(v->lines, l->addr);
+}
+
+static Ogl__CellOrder *
+copy(const Ogl__CellOrder *m)
+{
+	size_t n = ogl__cell_order__get_packed_size(m);
+	uint8_t *p = g_malloc(n);
+	Ogl__CellOrder *c;
+
+	ogl__cell_order__pack(m, p);
+	c = ogl__cell_order__unpack(NULL, n, p);
+	g_free(p);
+	return c;
+}
+
+static void
+line_up(struct cell_relay_serve *v, const Ogl__CellOrder *m, struct carried *c,
+    ogl_time now)
+{
+	struct line *l = line_of(v, m->addr);
+	struct waiting *x = g_new(struct waiting, 1);
+
+	x->order = copy(m);
+	x->call = c;
+	x->give_up = now + m->timeout_ms * OGL_MS;
+	g_queue_push_tail(&l->waiting, x);
+	next_in(v, l, now);
+}
+
+static void
+carry_out(struct cell_relay_serve *v, const Ogl__CellOrder *m,
+    struct carried *c, ogl_time now)
+{
 	switch (m->kind) {
 	case OGL__CELL_ORDER_KIND__cell_order_hold:
 		hold(v->ops, m, c);
 		break;
 	case OGL__CELL_ORDER_KIND__cell_order_stop:
-		o = order_of(m);
-		v->ops->stop(v->ops->outside, &o, on_order, c);
-		break;
 	case OGL__CELL_ORDER_KIND__cell_order_start:
-		start(v, m, c, now);
+		line_up(v, m, c, now);
 		break;
 	default: /* of a later version */
 		turn_down(c, OGL__CELL_ORDER_OUTCOME__cell_order_not_sent, now);
