--- a/cell/owner.c
+++ b/cell/owner.c
@@ -1742,8 +1742,8 @@
 	cell_loader_step(o->loader, now);
 	cell_roster_step(o->roster, now);
 	cell_relay_step(o->relay, workers, now);
-	cell_journal_spare(o->journal, cell_relay_active(o->relay));
-	cell_sched_spare(o->sched, cell_relay_active(o->relay));
+	cell_journal_spare(o->journal, cell_relay_thin(o->relay));
+	cell_sched_spare(o->sched, cell_relay_thin(o->relay));
 	if (o->phase == PHASE_SERVING)
 		serve(o, confirmed, may_act, now);
 	cell_relay_flush(o->relay, now);
--- a/cell/relay.c
+++ b/cell/relay.c
@@ -28,14 +28,15 @@
  * few and large. */
 #define HOLD_RELAYS 6
 /* Orders to one node gather for so long. */
-#define GATHER (8 * OGL_MS)
+#define GATHER (2 * OGL_MS)
 /* A node pings four times a second. */
 #define FRESH OGL_SEC
 /* A relay gives a call up by itself; its answer needs so long at most. */
 #define ANSWER_MARGIN (400 * OGL_MS)
 #define PASSED_OVER (2 * OGL_SEC)
-/* A worker that a start through a relay may not have reached is called directly
- * for so long: it may be cut off from that relay alone. */
+/* A worker that so many starts in a row through relays may not have reached is
+ * called directly for so long: it may be cut off from a relay alone. */
+#define LOST_STARTS 4
 #define DIRECT (5 * OGL_SEC)
 /* Answers are compared over so long. */
 #define WINDOW (200 * OGL_MS)
@@ -52,6 +53,12 @@
 	ogl_time batch_at; /* the first of the batch was given */
 };
 
+/* How starts through relays reach a worker. */
+struct reach {
+	unsigned lost; /* in a row */
+	ogl_time direct_until;
+};
+
 /* A call whose answer is awaited. */
 struct order {
 	uint64_t token;
@@ -70,14 +77,15 @@
 	const struct cell_ops *ops;
 	struct cell_relay_events events;
 	uint32_t link_kbps;
-	bool active;
+	bool active;  /* calls are relayed */
+	bool thin;    /* the link could not carry them */
 	ogl_time now; /* of the last step or event */
 	uint64_t token;
 	GHashTable *nodes;  /* addr -> struct node */
 	GPtrArray *ranked;  /* struct node, in the order of their addresses */
 	GHashTable *orders; /* token -> struct order */
 	GHashTable *told;   /* job -> address of the node that has its spec */
-	GHashTable *direct; /* worker -> ogl_time until when, as int64 */
+	GHashTable *reach;  /* worker -> struct reach */
 	/* Quickest answers of this window and of the last one, 0 none. */
 	ogl_time window_at;
 	ogl_time quickest;
@@ -134,7 +142,7 @@
 	r->ranked = g_ptr_array_new();
 	r->orders = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, order_free);
-	r->direct =
+	r->reach =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	r->told =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -348,25 +356,30 @@
 }
 
 static void
-call_directly(struct cell_relay *r, const char *worker, ogl_time now)
+note_reach(struct cell_relay *r, const char *worker, bool lost, ogl_time now)
 {
-	ogl_time *until = g_new(ogl_time, 1);
+	struct reach *x = g_hash_table_lookup(r->reach, worker);
 
-	*until = now + DIRECT;
-	g_hash_table_replace(r->direct, g_strdup(worker), until);
+	if (!lost) {
+		g_hash_table_remove(r->reach, worker);
+		return;
+	}
+	if (x == NULL) {
+		x = g_new0(struct reach, 1);
+		g_hash_table_insert(r->reach, g_strdup(worker), x);
+	}
+	if (++x->lost < LOST_STARTS)
+		return;
+	x->lost = 0;
+	x->direct_until = now + DIRECT;
 }
 
 static bool
-is_direct(struct cell_relay *r, const char *worker)
+is_direct(const struct cell_relay *r, const char *worker)
 {
-	const ogl_time *until = g_hash_table_lookup(r->direct, worker);
+	const struct reach *x = g_hash_table_lookup(r->reach, worker);
 
-	if (until == NULL)
-		return false;
-	if (r->now < *until)
-		return true;
-	g_hash_table_remove(r->direct, worker);
-	return false;
+	return x != NULL && r->now < x->direct_until;
 }
 
 static void
@@ -499,8 +512,8 @@
 				    ? (enum cell_refusal)m->refusal
 				    : CELL_REFUSED_NOT;
 
-	if (io == OGL_IO_LOST && o->worker != NULL)
-		call_directly(r, o->worker, now);
+	if (o->worker != NULL)
+		note_reach(r, o->worker, io == OGL_IO_LOST, now);
 	if (o->order != NULL) {
 		struct cell_order_answer a = {.io = io,
 		    .why = why,
@@ -679,36 +692,37 @@
 	return at;
 }
 
-static bool
-link_too_thin(const struct cell_relay *r, size_t workers)
+static void
+weigh_link(struct cell_relay *r, size_t workers)
 {
-	double bytes_a_second = r->link_kbps * 1000.0 / 8;
+	double calls = (double)workers * WORKER_BYTES_A_SECOND;
+	double part = r->link_kbps * 1000.0 / 8 * LINK_PART;
 
-	return r->link_kbps > 0 && (double)workers * WORKER_BYTES_A_SECOND >
-				       bytes_a_second * LINK_PART;
+	r->thin = r->link_kbps > 0 && calls > part;
+	r->active = r->thin;
 }
 
 void
 cell_relay_step(struct cell_relay *r, size_t workers, ogl_time now)
 {
-	bool thin = link_too_thin(r, workers);
+	bool before = r->active;
 	char line[96];
 
 	r->now = now;
-	if (thin != r->active) {
-		r->active = thin;
+	weigh_link(r, workers);
+	if (r->active != before) {
 		g_snprintf(line, sizeof line,
-		    "active=%d workers=%zu link_kbps=%u", thin, workers,
-		    r->link_kbps);
+		    "active=%d thin=%d workers=%zu link_kbps=%u", r->active,
+		    r->thin, workers, r->link_kbps);
 		r->ops->log(r->ops->ctx, "relay", "switched", line);
 	}
 	give_up(r, now);
 }
 
 bool
-cell_relay_active(const struct cell_relay *r)
+cell_relay_thin(const struct cell_relay *r)
 {
-	return r->active;
+	return r->thin;
 }
 
 void
@@ -730,7 +744,7 @@
 	g_list_free(all);
 	g_hash_table_unref(r->orders);
 	g_hash_table_unref(r->told);
-	g_hash_table_unref(r->direct);
+	g_hash_table_unref(r->reach);
 	g_ptr_array_unref(r->ranked);
 	g_hash_table_unref(r->nodes);
 	g_free(r);
--- a/cell/relay.h
+++ b/cell/relay.h
@@ -56,7 +56,7 @@
 /* The quickest answer to an order that does not wait, of late; 0 none.  Workers
  * and relays differ, and what all answers have in common is this node's link. */
 
-bool cell_relay_active(const struct cell_relay *r);
+bool cell_relay_thin(const struct cell_relay *r);
 /* Whether the link is too thin to call the workers over it. */
 
 #endif
--- a/cell/relay_serve.c
+++ b/cell/relay_serve.c
@@ -12,7 +12,7 @@
 #include "relay_serve.h"
 
 #define SPECS_BYTES_MAX ((size_t)2 * 1024 * 1024)
-#define GATHER (8 * OGL_MS)
+#define GATHER (2 * OGL_MS)
 /* Starts and stops under way to one worker.  It takes 64 connections from all
  * nodes together, and any node may have work for any worker. */
 #define CALLS_A_WORKER 1
