An owner on a thin link has another node read the workers' list

Cause: each worker's heartbeat writes its entry anew; at 120 workers that is 38 of the 150 kB/s that the owner of the small twin receives, and hardly any entry says anything new. The relay reads on and sends what differs from what it sent before, and the last entry, from where the owner reads on; whoever repeats an offset gets all since it.

--- a/cell/owner.c
+++ b/cell/owner.c
@@ -1054,19 +1054,19 @@
 	o->part = *part;
 	o->limits = limits;
 	o->events = *events;
+	o->relay = cell_relay_init(ops, part->link_kbps, &ye);
+	o->worker_ops = *ops;
+	cell_relay_fill(o->relay, &o->worker_ops);
 	o->link_load.fall = LINK_LOAD_FALL_A_SECOND;
 	o->jobs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 	o->admission = cell_admission_init();
 	o->journal = cell_journal_init(ops, part->shard, on_lost, o);
-	o->relay = cell_relay_init(ops, part->link_kbps, &ye);
-	o->worker_ops = *ops;
-	cell_relay_fill(o->relay, &o->worker_ops);
 	o->fleet = cell_fleet_init(&o->worker_ops, limits, &fe);
 	o->held = cell_held_init(open_stage, o);
 	o->advice = cell_advice_init(ops, &ae);
 	o->loader = cell_loader_init(ops, part->shard, part->link_kbps, &le);
-	o->roster = cell_roster_init(ops, &re);
+	o->roster = cell_roster_init(&o->worker_ops, &re);
 	o->escrow = cell_escrow_init(part->shard, part->shards, &ee);
 	sp.escrow = o->escrow;
 	sp.fleet = o->fleet;
--- a/cell/relay.c
+++ b/cell/relay.c
@@ -41,6 +41,7 @@
 /* Answers are compared over so long. */
 #define WINDOW (200 * OGL_MS)
 #define TOKENS_AN_EPOCH_BITS 32
+#define LIST_KEY "workers" /* by which the node is chosen that reads them */
 
 /* A node that may make calls. */
 struct node {
@@ -70,6 +71,7 @@
 	char *spec;
 	cell_hold_fn *hold;
 	cell_order_fn *order;
+	cell_read_fn *list;
 	void *arg;
 };
 
@@ -449,9 +451,43 @@
 	put_in_batch(r, n, m);
 }
 
+/* The workers' entries: each is written anew with each of its heartbeats, and
+ * hardly ever says anything new. */
+static void
+relay_read(void *ctx, const struct cell_read *q, cell_read_fn *done, void *arg)
+{
+	const struct cell_target nobody = {"", "", 0};
+	struct cell_relay *r = ctx;
+	struct node *n = NULL;
+	Ogl__CellOrder *m;
+
+	if (r->active && q->stream == CELL_WORKERS)
+		n = choose(r, LIST_KEY, HOLD_RELAYS);
+	if (n == NULL) {
+		r->ops->read(r->ops->outside, q, done, arg);
+		return;
+	}
+	m = message_new(
+	    OGL__CELL_ORDER_KIND__cell_order_list, &nobody, q->timeout_ms);
+	m->from = q->from;
+	order_new(r, n, m, arg)->list = done;
+	put_in_batch(r, n, m);
+}
+
+static void
+relay_newest(
+    void *ctx, const struct cell_newest *q, cell_newest_fn *done, void *arg)
+{
+	struct cell_relay *r = ctx;
+
+	r->ops->newest(r->ops->outside, q, done, arg);
+}
+
 void
 cell_relay_fill(struct cell_relay *r, struct cell_ops *ops)
 {
+	ops->read = relay_read;
+	ops->newest = relay_newest;
 	ops->start = relay_start;
 	ops->stop = relay_stop;
 	ops->hold = relay_hold;
@@ -502,6 +538,87 @@
 	return rows;
 }
 
+/* Borrows from the message. */
+static void
+take_entry(
+    const Ogl__CellEntry *m, struct cell_record *r, struct cell_worker_entry *e)
+{
+	r->offset = m->offset;
+	r->key = m->worker;
+	r->dropped = m->dropped;
+	r->worker = m->readable ? e : NULL;
+	e->service = m->service;
+	e->addr = m->addr;
+	e->zone = m->zone;
+	e->rack = m->rack;
+	e->labels = g_new0(char *, m->n_labels + 1);
+	memcpy(e->labels, m->labels, m->n_labels * sizeof(char *));
+	e->draining = m->draining;
+	e->born_ms = m->born_ms;
+	e->capacity.cpu_milli = m->cpu_milli;
+	e->capacity.mem_mb = m->mem_mb;
+	e->capacity.accel = m->accel;
+	e->cold_ms = m->cold_ms;
+	e->leaves_ms = m->leaves_ms;
+}
+
+static void
+finish_list(struct order *o, const Ogl__CellOrderAnswer *m, enum ogl_io io,
+    ogl_time now)
+{
+	size_t n = m != NULL ? m->n_entries : 0;
+	struct cell_record *records = g_new0(struct cell_record, n);
+	struct cell_worker_entry *entries = g_new0(struct cell_worker_entry, n);
+	struct cell_read_answer a = {.io = io, .records = records, .n = n};
+	size_t i;
+
+	if (m != NULL) {
+		a.trimmed = m->trimmed;
+		a.first = m->first;
+		a.end = m->end;
+	}
+	for (i = 0; i < n; i++)
+		take_entry(m->entries[i], &records[i], &entries[i]);
+	o->list(o->arg, &a, now);
+	for (i = 0; i < n; i++)
+		g_free(entries[i].labels);
+	g_free(entries);
+	g_free(records);
+}
+
+static void
+finish_order(struct order *o, const Ogl__CellOrderAnswer *m, enum ogl_io io,
+    enum cell_refusal why, ogl_time now)
+{
+	struct cell_order_answer a = {
+	    .io = io, .why = why, .clock_ms = m != NULL ? m->clock_ms : 0};
+
+	o->order(o->arg, &a, now);
+}
+
+static void
+finish_hold(struct order *o, const Ogl__CellOrderAnswer *m, enum ogl_io io,
+    enum cell_refusal why, ogl_time now)
+{
+	const Ogl__CellOrderAnswer none = OGL__CELL_ORDER_ANSWER__INIT;
+	const Ogl__CellOrderAnswer *x = m != NULL ? m : &none;
+	struct cell_row *running = rows_of(x->running, x->n_running);
+	struct cell_row *ended = rows_of(x->ended, x->n_ended);
+	struct cell_hold_answer a = {.io = io,
+	    .why = why,
+	    .no_listener = x->no_listener,
+	    .clock_ms = x->clock_ms,
+	    .born_ms = x->born_ms,
+	    .running = running,
+	    .nrunning = x->n_running,
+	    .ended = ended,
+	    .nended = x->n_ended};
+
+	o->hold(o->arg, &a, now);
+	g_free(running);
+	g_free(ended);
+}
+
 /* m NULL: no answer came. */
 static void
 finish(struct cell_relay *r, struct order *o, const Ogl__CellOrderAnswer *m,
@@ -514,32 +631,12 @@
 
 	if (o->worker != NULL)
 		note_reach(r, o->worker, io == OGL_IO_LOST, now);
-	if (o->order != NULL) {
-		struct cell_order_answer a = {.io = io,
-		    .why = why,
-		    .clock_ms = m != NULL ? m->clock_ms : 0};
-
-		o->order(o->arg, &a, now);
-	} else {
-		struct cell_row *running =
-		    rows_of(m != NULL ? m->running : NULL,
-			m != NULL ? m->n_running : 0);
-		struct cell_row *ended = rows_of(
-		    m != NULL ? m->ended : NULL, m != NULL ? m->n_ended : 0);
-		struct cell_hold_answer a = {.io = io,
-		    .why = why,
-		    .no_listener = m != NULL && m->no_listener,
-		    .clock_ms = m != NULL ? m->clock_ms : 0,
-		    .born_ms = m != NULL ? m->born_ms : 0,
-		    .running = running,
-		    .nrunning = m != NULL ? m->n_running : 0,
-		    .ended = ended,
-		    .nended = m != NULL ? m->n_ended : 0};
-
-		o->hold(o->arg, &a, now);
-		g_free(running);
-		g_free(ended);
-	}
+	if (o->list != NULL)
+		finish_list(o, m, io, now);
+	else if (o->order != NULL)
+		finish_order(o, m, io, why, now);
+	else
+		finish_hold(o, m, io, why, now);
 	order_free(o);
 }
 
--- a/cell/relay.h
+++ b/cell/relay.h
@@ -28,7 +28,8 @@
 /* Calls under way end as lost. */
 
 void cell_relay_fill(struct cell_relay *r, struct cell_ops *ops);
-/* Replaces the calls to workers in the table by those of the relay. */
+/* Replaces the calls to workers and the reading of their list in the table by
+ * those of the relay. */
 
 void cell_relay_open(struct cell_relay *r, uint64_t epoch);
 /* Numbers calls by the epoch: a late answer to an earlier owner, or to an
--- a/cell/relay_serve.c
+++ b/cell/relay_serve.c
@@ -89,6 +89,7 @@
 	GPtrArray *batches; /* struct batch, none empty */
 	GHashTable *calls;  /* set of struct carried */
 	GHashTable *lines;  /* address of a worker -> struct line */
+	GHashTable *lists;  /* shard and owner -> struct list */
 };
 
 static void
@@ -178,12 +179,19 @@
 	GQueue waiting; /* struct waiting */
 };
 
+/* What an owner was told of the workers' entries. */
+struct list {
+	uint64_t next;    /* that it reads from if it got the last answer */
+	GHashTable *told; /* worker -> GBytes of its entry, but the offset */
+};
+
 struct carried {
 	struct cell_relay_serve *serve; /* NULL: it has ended */
 	struct line *line;              /* NULL: a hold */
 	uint32_t shard;
 	char *to;
 	uint64_t token;
+	uint64_t from; /* of a list */
 };
 
 static struct carried *
@@ -194,6 +202,7 @@
 
 	c->serve = v;
 	c->line = NULL;
+	c->from = 0;
 	c->shard = shard;
 	c->to = g_strdup(to);
 	c->token = token;
@@ -236,6 +245,15 @@
 	g_free(l);
 }
 
+static void
+list_free(void *p)
+{
+	struct list *l = p;
+
+	g_hash_table_unref(l->told);
+	g_free(l);
+}
+
 static struct line *
 line_of(struct cell_relay_serve *v, const char *addr)
 {
@@ -262,6 +280,8 @@
 	specs_init(&v->specs);
 	v->batches = g_ptr_array_new_with_free_func(batch_free);
 	v->calls = g_hash_table_new(NULL, NULL);
+	v->lists =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, list_free);
 	v->lines =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, line_free);
 	return v;
@@ -293,6 +313,7 @@
 	gpointer p;
 
 	drop_waiting(v);
+	g_hash_table_unref(v->lists);
 	g_hash_table_iter_init(&it, v->calls);
 	while (g_hash_table_iter_next(&it, &p, NULL))
 		((struct carried *)p)->serve = NULL;
@@ -427,6 +448,131 @@
 	ops->hold(ops->outside, &h, on_hold, c);
 }
 
+/* ---- the workers' list ------------------------------------------------ */
+
+static struct list *
+list_for(struct cell_relay_serve *v, const struct carried *c)
+{
+	char *key = g_strdup_printf("%u %s", c->shard, c->to);
+	struct list *l = g_hash_table_lookup(v->lists, key);
+
+	if (l == NULL) {
+		l = g_new0(struct list, 1);
+		l->told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+		    (GDestroyNotify)g_bytes_unref);
+		g_hash_table_insert(v->lists, g_strdup(key), l);
+	}
+	g_free(key);
+	/* It has not got the last answer, or has read elsewhere meanwhile. */
+	if (l->next != c->from)
+		g_hash_table_remove_all(l->told);
+	return l;
+}
+
+static Ogl__CellEntry *
+entry_new(const struct cell_record *r)
+{
+	const struct cell_worker_entry *e = r->worker;
+	Ogl__CellEntry *m = malloc(sizeof *m);
+	guint i;
+
+	ogl__cell_entry__init(m);
+	m->worker = strdup(r->key);
+	m->dropped = r->dropped;
+	m->readable = e != NULL;
+	if (e == NULL)
+		return m;
+	m->service = strdup(e->service);
+	m->addr = strdup(e->addr);
+	m->zone = strdup(e->zone != NULL ? e->zone : "");
+	m->rack = strdup(e->rack != NULL ? e->rack : "");
+	m->n_labels = e->labels != NULL ? g_strv_length(e->labels) : 0;
+	m->labels = malloc((m->n_labels + 1) * sizeof(char *));
+	for (i = 0; i < m->n_labels; i++)
+		m->labels[i] = strdup(e->labels[i]);
+	m->draining = e->draining;
+	m->born_ms = e->born_ms;
+	m->cpu_milli = e->capacity.cpu_milli;
+	m->mem_mb = e->capacity.mem_mb;
+	m->accel = e->capacity.accel;
+	m->cold_ms = e->cold_ms;
+	m->leaves_ms = e->leaves_ms;
+	return m;
+}
+
+/* Whether it says something that the owner was not told; it counts as told. */
+static bool
+tell(struct list *l, const Ogl__CellEntry *m)
+{
+	size_t n = ogl__cell_entry__get_packed_size(m);
+	uint8_t *p = g_malloc(n);
+	GBytes *b;
+	GBytes *before = g_hash_table_lookup(l->told, m->worker);
+
+	ogl__cell_entry__pack(m, p);
+	b = g_bytes_new_take(p, n);
+	if (before != NULL && g_bytes_equal(before, b)) {
+		g_bytes_unref(b);
+		return false;
+	}
+	g_hash_table_replace(l->told, g_strdup(m->worker), b);
+	return true;
+}
+
+/* The last one goes along in any case: the owner reads on from there. */
+static void
+add_entries(
+    struct list *l, Ogl__CellOrderAnswer *m, const struct cell_read_answer *a)
+{
+	size_t i;
+
+	m->entries = malloc((a->n + 1) * sizeof(Ogl__CellEntry *));
+	for (i = 0; i < a->n; i++) {
+		Ogl__CellEntry *e = entry_new(&a->records[i]);
+
+		if (!tell(l, e) && i + 1 < a->n) {
+			ogl__cell_entry__free_unpacked(e, NULL);
+			continue;
+		}
+		e->offset = a->records[i].offset;
+		l->next = e->offset + 1;
+		m->entries[m->n_entries++] = e;
+	}
+}
+
+static void
+on_list(void *arg, const struct cell_read_answer *a, ogl_time now)
+{
+	struct carried *c = arg;
+	Ogl__CellOrderAnswer *m;
+	struct list *l;
+
+	if (c->serve != NULL) {
+		m = answer_new(c, a->io, now);
+		m->trimmed = a->trimmed;
+		m->first = a->first;
+		m->end = a->end;
+		l = list_for(c->serve, c);
+		l->next = c->from;
+		add_entries(l, m, a);
+	}
+	carried_free(c);
+}
+
+static void
+read_list(
+    const struct cell_ops *ops, const Ogl__CellOrder *m, struct carried *c)
+{
+	struct cell_read q = {.stream = CELL_WORKERS,
+	    .from = m->from,
+	    .timeout_ms = m->timeout_ms};
+
+	c->from = m->from;
+	ops->read(ops->outside, &q, on_list, c);
+}
+
+/* ---- orders ----------------------------------------------------------- */
+
 static struct cell_order
 order_of(const Ogl__CellOrder *m)
 {
@@ -537,6 +683,9 @@
 	case OGL__CELL_ORDER_KIND__cell_order_hold:
 		hold(v->ops, m, c);
 		break;
+	case OGL__CELL_ORDER_KIND__cell_order_list:
+		read_list(v->ops, m, c);
+		break;
 	case OGL__CELL_ORDER_KIND__cell_order_stop:
 	case OGL__CELL_ORDER_KIND__cell_order_start:
 		line_up(v, m, c, now);
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -907,6 +907,51 @@
   assert(message->base.descriptor == &ogl__cell_order__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ogl__cell_entry__init
+                     (Ogl__CellEntry         *message)
+{
+  static const Ogl__CellEntry init_value = OGL__CELL_ENTRY__INIT;
+  *message = init_value;
+}
+size_t ogl__cell_entry__get_packed_size
+                     (const Ogl__CellEntry *message)
+{
+  assert(message->base.descriptor == &ogl__cell_entry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ogl__cell_entry__pack
+                     (const Ogl__CellEntry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ogl__cell_entry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ogl__cell_entry__pack_to_buffer
+                     (const Ogl__CellEntry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ogl__cell_entry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ogl__CellEntry *
+       ogl__cell_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ogl__CellEntry *)
+     protobuf_c_message_unpack (&ogl__cell_entry__descriptor,
+                                allocator, len, data);
+}
+void   ogl__cell_entry__free_unpacked
+                     (Ogl__CellEntry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ogl__cell_entry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ogl__cell_orders__init
                      (Ogl__CellOrders         *message)
 {
@@ -3251,7 +3296,7 @@
   (ProtobufCMessageInit) ogl__cell_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_order__field_descriptors[18] =
+static const ProtobufCFieldDescriptor ogl__cell_order__field_descriptors[19] =
 {
   {
     "token",
@@ -3469,11 +3514,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "from",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_order__field_indices_by_name[] = {
   2,   /* field[2] = addr */
   12,   /* field[12] = checkpoint */
   4,   /* field[4] = epoch */
+  18,   /* field[18] = from */
   10,   /* field[10] = index */
   7,   /* field[7] = job */
   1,   /* field[1] = kind */
@@ -3493,7 +3551,7 @@
 static const ProtobufCIntRange ogl__cell_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor ogl__cell_order__descriptor =
 {
@@ -3503,13 +3561,246 @@
   "Ogl__CellOrder",
   "ogl",
   sizeof(Ogl__CellOrder),
-  18,
+  19,
   ogl__cell_order__field_descriptors,
   ogl__cell_order__field_indices_by_name,
   1,  ogl__cell_order__number_ranges,
   (ProtobufCMessageInit) ogl__cell_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ogl__cell_entry__field_descriptors[16] =
+{
+  {
+    "offset",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellEntry, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellEntry, worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dropped",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellEntry, dropped),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "readable",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellEntry, readable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellEntry, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "addr",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellEntry, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellEntry, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rack",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellEntry, rack),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "labels",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Ogl__CellEntry, n_labels),
+    offsetof(Ogl__CellEntry, labels),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellEntry, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellEntry, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_milli",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellEntry, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mem_mb",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellEntry, mem_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accel",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellEntry, accel),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellEntry, cold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaves_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellEntry, leaves_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ogl__cell_entry__field_indices_by_name[] = {
+  13,   /* field[13] = accel */
+  5,   /* field[5] = addr */
+  10,   /* field[10] = born_ms */
+  14,   /* field[14] = cold_ms */
+  11,   /* field[11] = cpu_milli */
+  9,   /* field[9] = draining */
+  2,   /* field[2] = dropped */
+  8,   /* field[8] = labels */
+  15,   /* field[15] = leaves_ms */
+  12,   /* field[12] = mem_mb */
+  0,   /* field[0] = offset */
+  7,   /* field[7] = rack */
+  3,   /* field[3] = readable */
+  4,   /* field[4] = service */
+  1,   /* field[1] = worker */
+  6,   /* field[6] = zone */
+};
+static const ProtobufCIntRange ogl__cell_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 16 }
+};
+const ProtobufCMessageDescriptor ogl__cell_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ogl.CellEntry",
+  "CellEntry",
+  "Ogl__CellEntry",
+  "ogl",
+  sizeof(Ogl__CellEntry),
+  16,
+  ogl__cell_entry__field_descriptors,
+  ogl__cell_entry__field_indices_by_name,
+  1,  ogl__cell_entry__number_ranges,
+  (ProtobufCMessageInit) ogl__cell_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ogl__cell_orders__field_descriptors[1] =
 {
   {
@@ -3741,7 +4032,7 @@
   (ProtobufCMessageInit) ogl__cell_order_answers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_order_answer__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ogl__cell_order_answer__field_descriptors[12] =
 {
   {
     "token",
@@ -3839,21 +4130,73 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entries",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__CellOrderAnswer, n_entries),
+    offsetof(Ogl__CellOrderAnswer, entries),
+    &ogl__cell_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrderAnswer, first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrderAnswer, end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trimmed",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrderAnswer, trimmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_order_answer__field_indices_by_name[] = {
   5,   /* field[5] = born_ms */
   4,   /* field[4] = clock_ms */
+  10,   /* field[10] = end */
   7,   /* field[7] = ended */
+  8,   /* field[8] = entries */
+  9,   /* field[9] = first */
   3,   /* field[3] = no_listener */
   1,   /* field[1] = outcome */
   2,   /* field[2] = refusal */
   6,   /* field[6] = running */
   0,   /* field[0] = token */
+  11,   /* field[11] = trimmed */
 };
 static const ProtobufCIntRange ogl__cell_order_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor ogl__cell_order_answer__descriptor =
 {
@@ -3863,7 +4206,7 @@
   "Ogl__CellOrderAnswer",
   "ogl",
   sizeof(Ogl__CellOrderAnswer),
-  8,
+  12,
   ogl__cell_order_answer__field_descriptors,
   ogl__cell_order_answer__field_indices_by_name,
   1,  ogl__cell_order_answer__number_ranges,
@@ -4250,18 +4593,20 @@
   ogl__cell_part_kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue ogl__cell_order_kind__enum_values_by_number[3] =
+static const ProtobufCEnumValue ogl__cell_order_kind__enum_values_by_number[4] =
 {
   { "cell_order_start", "OGL__CELL_ORDER_KIND__cell_order_start", 0 },
   { "cell_order_stop", "OGL__CELL_ORDER_KIND__cell_order_stop", 1 },
   { "cell_order_hold", "OGL__CELL_ORDER_KIND__cell_order_hold", 2 },
+  { "cell_order_list", "OGL__CELL_ORDER_KIND__cell_order_list", 3 },
 };
 static const ProtobufCIntRange ogl__cell_order_kind__value_ranges[] = {
-{0, 0},{0, 3}
+{0, 0},{0, 4}
 };
-static const ProtobufCEnumValueIndex ogl__cell_order_kind__enum_values_by_name[3] =
+static const ProtobufCEnumValueIndex ogl__cell_order_kind__enum_values_by_name[4] =
 {
   { "cell_order_hold", 2 },
+  { "cell_order_list", 3 },
   { "cell_order_start", 0 },
   { "cell_order_stop", 1 },
 };
@@ -4272,9 +4617,9 @@
   "CellOrderKind",
   "Ogl__CellOrderKind",
   "ogl",
-  3,
+  4,
   ogl__cell_order_kind__enum_values_by_number,
-  3,
+  4,
   ogl__cell_order_kind__enum_values_by_name,
   1,
   ogl__cell_order_kind__value_ranges,
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -35,6 +35,7 @@
 typedef struct Ogl__CellAdvice Ogl__CellAdvice;
 typedef struct Ogl__CellPart Ogl__CellPart;
 typedef struct Ogl__CellOrder Ogl__CellOrder;
+typedef struct Ogl__CellEntry Ogl__CellEntry;
 typedef struct Ogl__CellOrders Ogl__CellOrders;
 typedef struct Ogl__CellRunRow Ogl__CellRunRow;
 typedef struct Ogl__CellOrderAnswers Ogl__CellOrderAnswers;
@@ -106,7 +107,11 @@
 typedef enum _Ogl__CellOrderKind {
   OGL__CELL_ORDER_KIND__cell_order_start = 0,
   OGL__CELL_ORDER_KIND__cell_order_stop = 1,
-  OGL__CELL_ORDER_KIND__cell_order_hold = 2
+  OGL__CELL_ORDER_KIND__cell_order_hold = 2,
+  /*
+   * read the workers' list on
+   */
+  OGL__CELL_ORDER_KIND__cell_order_list = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OGL__CELL_ORDER_KIND)
 } Ogl__CellOrderKind;
 typedef enum _Ogl__CellOrderOutcome {
@@ -690,10 +695,43 @@
    * of a hold
    */
   uint32_t wait_ms;
+  /*
+   * of a list: offset to read from
+   */
+  uint64_t from;
 };
 #define OGL__CELL_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_order__descriptor) \
-    , 0, OGL__CELL_ORDER_KIND__cell_order_start, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, OGL__CELL_ORDER_KIND__cell_order_start, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * An entry of the workers' list.
+ */
+struct  Ogl__CellEntry
+{
+  ProtobufCMessage base;
+  uint64_t offset;
+  char *worker;
+  protobuf_c_boolean dropped;
+  protobuf_c_boolean readable;
+  char *service;
+  char *addr;
+  char *zone;
+  char *rack;
+  size_t n_labels;
+  char **labels;
+  protobuf_c_boolean draining;
+  uint64_t born_ms;
+  uint32_t cpu_milli;
+  uint32_t mem_mb;
+  uint32_t accel;
+  uint32_t cold_ms;
+  uint32_t leaves_ms;
+};
+#define OGL__CELL_ENTRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_entry__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ogl__CellOrders
@@ -762,10 +800,22 @@
   Ogl__CellRunRow **running;
   size_t n_ended;
   Ogl__CellRunRow **ended;
+  /*
+   * of a list: entries that have changed since the answer before, and the last
+   * one read
+   */
+  size_t n_entries;
+  Ogl__CellEntry **entries;
+  /*
+   * oldest offset that the store has
+   */
+  uint64_t first;
+  uint64_t end;
+  protobuf_c_boolean trimmed;
 };
 #define OGL__CELL_ORDER_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_order_answer__descriptor) \
-    , 0, OGL__CELL_ORDER_OUTCOME__cell_order_done, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, OGL__CELL_ORDER_OUTCOME__cell_order_done, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
@@ -1218,6 +1268,25 @@
 void   ogl__cell_order__free_unpacked
                      (Ogl__CellOrder *message,
                       ProtobufCAllocator *allocator);
+/* Ogl__CellEntry methods */
+void   ogl__cell_entry__init
+                     (Ogl__CellEntry         *message);
+size_t ogl__cell_entry__get_packed_size
+                     (const Ogl__CellEntry   *message);
+size_t ogl__cell_entry__pack
+                     (const Ogl__CellEntry   *message,
+                      uint8_t             *out);
+size_t ogl__cell_entry__pack_to_buffer
+                     (const Ogl__CellEntry   *message,
+                      ProtobufCBuffer     *buffer);
+Ogl__CellEntry *
+       ogl__cell_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ogl__cell_entry__free_unpacked
+                     (Ogl__CellEntry *message,
+                      ProtobufCAllocator *allocator);
 /* Ogl__CellOrders methods */
 void   ogl__cell_orders__init
                      (Ogl__CellOrders         *message);
@@ -1394,6 +1463,9 @@
 typedef void (*Ogl__CellOrder_Closure)
                  (const Ogl__CellOrder *message,
                   void *closure_data);
+typedef void (*Ogl__CellEntry_Closure)
+                 (const Ogl__CellEntry *message,
+                  void *closure_data);
 typedef void (*Ogl__CellOrders_Closure)
                  (const Ogl__CellOrders *message,
                   void *closure_data);
@@ -1444,6 +1516,7 @@
 extern const ProtobufCMessageDescriptor ogl__cell_advice__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_part__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_order__descriptor;
+extern const ProtobufCMessageDescriptor ogl__cell_entry__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_orders__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_run_row__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_order_answers__descriptor;
--- a/test/test_cell_relay.cc
+++ b/test/test_cell_relay.cc
@@ -284,6 +284,14 @@
 			t->done_ = done;
 			t->arg_ = arg;
 		};
+		ops_.read = [](void *ctx, const struct cell_read *r,
+				cell_read_fn *done, void *arg) {
+			auto *t = static_cast<RelayServe *>(ctx);
+
+			t->read_from_ = r->from;
+			t->read_ = done;
+			t->arg_ = arg;
+		};
 		ops_.outside = this;
 		serve_ = cell_relay_serve_init(&ops_, on_send, this);
 	}
@@ -327,13 +335,58 @@
 	{
 		auto *t = static_cast<RelayServe *>(arg);
 
-		for (size_t i = 0; i < m->n_answers; i++)
-			t->answers_.push_back(m->answers[i]->outcome);
+		for (size_t i = 0; i < m->n_answers; i++) {
+			const Ogl__CellOrderAnswer *a = m->answers[i];
+
+			t->answers_.push_back(a->outcome);
+			t->entries_.clear();
+			for (size_t k = 0; k < a->n_entries; k++)
+				t->entries_.push_back(a->entries[k]->worker);
+		}
+	}
+
+	/* Asks for the entries from an offset on, which are those of the named
+	 * workers; the entries of the answer. */
+	std::vector<std::string> list(
+	    uint64_t from, const std::vector<std::string> &workers)
+	{
+		Ogl__CellOrder o = OGL__CELL_ORDER__INIT;
+		Ogl__CellOrder *orders[] = {&o};
+		Ogl__CellOrders m = OGL__CELL_ORDERS__INIT;
+		struct cell_worker_entry e = {};
+		std::vector<struct cell_record> records;
+		struct cell_read_answer a = {};
+		char none[] = "";
+
+		o.token = ++token_;
+		o.kind = OGL__CELL_ORDER_KIND__cell_order_list;
+		o.from = from;
+		m.orders = orders;
+		m.n_orders = 1;
+		cell_relay_serve(serve_, 0, "owner", &m, false, now_);
+		EXPECT_EQ(from, read_from_);
+		e.service = e.addr = e.zone = e.rack = none;
+		for (const std::string &w : workers) {
+			struct cell_record r = {};
+
+			r.offset = from + records.size();
+			r.key = const_cast<char *>(w.c_str());
+			r.worker = &e;
+			records.push_back(r);
+		}
+		a.records = records.data();
+		a.n = records.size();
+		read_(arg_, &a, now_);
+		step();
+		return entries_;
 	}
 
 	struct cell_ops ops_ = {};
 	struct cell_relay_serve *serve_ = nullptr;
 	std::vector<std::string> specs_;
+	std::vector<std::string> entries_;
+	uint64_t read_from_ = 0;
+	cell_read_fn *read_ = nullptr;
 	std::vector<Ogl__CellOrderOutcome> answers_;
 	cell_order_fn *done_ = nullptr;
 	void *arg_ = nullptr;
@@ -402,6 +455,23 @@
 	EXPECT_EQ(OGL__CELL_ORDER_OUTCOME__cell_order_not_sent, answers_[0]);
 }
 
+using Names = std::vector<std::string>;
+
+TEST_F(RelayServe, EntriesThatSayNothingNewAreLeftOut)
+{
+	EXPECT_EQ(Names({"w1", "w2"}), list(10, {"w1", "w2"}));
+	/* The last one tells from where to read on. */
+	EXPECT_EQ(Names({"w3", "w2"}), list(12, {"w1", "w3", "w2"}));
+}
+
+/* Guards against an entry that its owner never hears of, because the answer
+ * that told it was lost. */
+TEST_F(RelayServe, EntriesOfALostAnswerAreToldAgain)
+{
+	EXPECT_EQ(Names({"w1", "w2"}), list(10, {"w1", "w2"}));
+	EXPECT_EQ(Names({"w1", "w2"}), list(10, {"w1", "w2"}));
+}
+
 /* Guards against an answer that reaches a part of the node that has ended. */
 TEST_F(RelayServe, ACallMayEndAfterIt)
 {
