Messages between nodes are compressed where the sender's link is thin

Cause: of what the owner of the small twin sends and receives by messages most repeats what stood in those before: addresses, ids, tickets, the numbers of runs.

Wide links are left alone: there the processor is dearer.

--- a/daemon/cell_host.c
+++ b/daemon/cell_host.c
@@ -29,6 +29,9 @@
 #define LINGER_S 2.4
 #define STOP_MARGIN_S 0.5 /* before the platform kills the process */
 #define SETTINGS_POLL_S 2.0
+/* Below it bytes are dearer than the processor time that it takes to make them
+ * fewer. */
+#define THIN_LINK_KBPS 20000
 #define DRAIN_POLL_S 0.05
 
 struct ogl_cell_host {
@@ -224,6 +227,11 @@
 	gpointer kind, v;
 
 	g_free(own);
+	g_string_append_printf(s,
+	    "ogl_peer_sent_bytes_total %" G_GUINT64_FORMAT
+	    "\nogl_peer_received_bytes_total %" G_GUINT64_FORMAT "\n",
+	    ogl_peer_counts(h->peer)->bytes_out,
+	    ogl_peer_counts(h->peer)->bytes_in);
 	g_hash_table_iter_init(&it, ogl_http_client_bytes(h->http));
 	while (g_hash_table_iter_next(&it, &kind, &v)) {
 		const struct ogl_http_bytes *b = v;
@@ -407,6 +415,8 @@
 	if (h->peer == NULL)
 		return false;
 	ogl_peer_expect(h->peer, &ogl__cell_msg__descriptor);
+	if (s->link_kbps > 0 && s->link_kbps < THIN_LINK_KBPS)
+		ogl_peer_compress(h->peer);
 	h->front = listen_front(h, s->frontend, error);
 	if (h->front == NULL)
 		return false;
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -9,6 +9,10 @@
  * receiver would then read the next message as the rest of it.  When the
  * connection breaks, a begun head is given up for the same reason.
  *
+ * A link may carry one compressed stream, which a mark at its beginning tells.
+ * Frames are compressed when the link takes them, so that those still queued can
+ * be dropped; a new connection begins a new stream.
+ *
  * A length over the limit or a body that is no PeerMsg means that the other
  * side speaks something else or has lost its place in the stream; the
  * connection is closed, since nothing after it can be trusted.
@@ -24,6 +28,7 @@
 #include <unistd.h>
 
 #include "addr.h"
+#include "compress.h"
 #include "peer.h"
 
 #define PREFIX "peer"
@@ -32,6 +37,10 @@
 #define READS_A_TURN 16
 #define FRAMES_A_WRITE 32
 #define INLETS_MAX 1024
+/* Begins a compressed stream; no frame has such a length. */
+#define COMPRESSED_MARK 0x4f474c5aU
+/* Compressed at a time: what was is sent, however old it gets. */
+#define COMPRESS_STEP ((size_t)16 * 1024)
 #define BACKOFF_FIRST_S 0.05
 #define BACKOFF_MAX_S 2.0
 #define CONNECT_TIMEOUT_S 2.0
@@ -63,6 +72,9 @@
 	GQueue queue; /* struct frame */
 	size_t queued_bytes;
 	size_t begun; /* bytes written of the head, its length included */
+	struct ogl_deflate *deflate; /* NULL: frames are sent as they are */
+	GByteArray *out;             /* compressed, not sent yet */
+	size_t out_sent;
 	ev_tstamp used;
 	bool refused; /* the last attempt to connect found nobody listening */
 };
@@ -72,6 +84,8 @@
 	int fd;
 	ev_io io;
 	GByteArray *in;
+	bool marked;                 /* it is known whether it is compressed */
+	struct ogl_inflate *inflate; /* NULL: it is not */
 };
 
 struct ogl_peer {
@@ -82,6 +96,7 @@
 	ev_io accept_io;
 	ev_timer sweep;
 	const ProtobufCMessageDescriptor *message;
+	bool compress;
 	GHashTable *links;  /* addr -> struct link */
 	GHashTable *inlets; /* set of struct inlet */
 	struct ogl_peer_counts counts;
@@ -152,6 +167,9 @@
 	if (k->fd >= 0)
 		close(k->fd);
 	k->fd = -1;
+	g_clear_pointer(&k->deflate, ogl_deflate_end);
+	g_byte_array_set_size(k->out, 0);
+	k->out_sent = 0;
 	if (k->begun > 0) {
 		link_drop_head(k);
 		k->begun = 0;
@@ -166,6 +184,7 @@
 	link_close(k);
 	while (!g_queue_is_empty(&k->queue))
 		link_drop_head(k);
+	g_byte_array_unref(k->out);
 	g_free(k->addr);
 	g_free(k);
 }
@@ -234,16 +253,62 @@
 	return n;
 }
 
+/* Compresses some of what is queued; false when nothing is left to send. */
+static bool
+link_compress(struct link *k)
+{
+	size_t taken = 0;
+
+	if (k->out_sent < k->out->len)
+		return true;
+	g_byte_array_set_size(k->out, 0);
+	k->out_sent = 0;
+	while (!g_queue_is_empty(&k->queue) && taken < COMPRESS_STEP) {
+		struct frame *f = g_queue_peek_head(&k->queue);
+		gsize n;
+		const void *p = g_bytes_get_data(f->body, &n);
+
+		ogl_deflate_add(k->deflate, f->head, HEAD_BYTES, k->out);
+		ogl_deflate_add(k->deflate, p, n, k->out);
+		taken += HEAD_BYTES + n;
+		link_drop_head(k);
+		k->peer->counts.frames_out++;
+	}
+	if (taken > 0)
+		ogl_deflate_flush(k->deflate, k->out);
+	return k->out->len > 0;
+}
+
+static bool
+link_has_more(struct link *k)
+{
+	return k->deflate != NULL ? link_compress(k)
+				  : !g_queue_is_empty(&k->queue);
+}
+
+/* What sendmsg tells of the next bytes. */
+static ssize_t
+link_send(struct link *k)
+{
+	struct iovec iov[2 * FRAMES_A_WRITE];
+	struct msghdr m = {.msg_iov = iov, .msg_iovlen = 1};
+
+	if (k->deflate == NULL) {
+		m.msg_iovlen = link_iov(k, iov);
+	} else {
+		iov[0].iov_base = k->out->data + k->out_sent;
+		iov[0].iov_len = k->out->len - k->out_sent;
+	}
+	return sendmsg(k->fd, &m, MSG_NOSIGNAL);
+}
+
 static void
 link_flush(struct link *k)
 {
-	struct iovec iov[2 * FRAMES_A_WRITE];
-	struct msghdr m = {.msg_iov = iov};
 	ssize_t n;
 
-	while (!g_queue_is_empty(&k->queue)) {
-		m.msg_iovlen = link_iov(k, iov);
-		n = sendmsg(k->fd, &m, MSG_NOSIGNAL);
+	while (link_has_more(k)) {
+		n = link_send(k);
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
@@ -252,13 +317,27 @@
 			link_fail(k, g_strerror(errno));
 			return;
 		}
-		link_written(k, (size_t)n);
+		k->peer->counts.bytes_out += (uint64_t)n;
+		if (k->deflate != NULL)
+			k->out_sent += (size_t)n;
+		else
+			link_written(k, (size_t)n);
 	}
 	ev_io_stop(k->peer->loop, &k->io);
 	ev_io_set(&k->io, k->fd, EV_READ);
 	ev_io_start(k->peer->loop, &k->io);
 }
 
+static void
+link_begin_stream(struct link *k)
+{
+	uint8_t mark[HEAD_BYTES];
+
+	put_length(mark, COMPRESSED_MARK);
+	k->deflate = ogl_deflate_init();
+	g_byte_array_append(k->out, mark, sizeof mark);
+}
+
 /* Nothing is ever sent back on a link: readable means that it ended. */
 static bool
 link_ended(struct link *k)
@@ -285,6 +364,8 @@
 	k->state = LINK_UP;
 	k->backoff = BACKOFF_FIRST_S;
 	k->peer->counts.connects++;
+	if (k->peer->compress)
+		link_begin_stream(k);
 	ev_io_stop(k->peer->loop, &k->io);
 	ev_io_set(&k->io, k->fd, EV_READ | EV_WRITE);
 	ev_io_start(k->peer->loop, &k->io);
@@ -362,6 +443,7 @@
 	k->addr = g_strdup(addr);
 	k->fd = -1;
 	k->backoff = BACKOFF_FIRST_S;
+	k->out = g_byte_array_new();
 	g_queue_init(&k->queue);
 	ev_init(&k->io, on_link_io);
 	ev_init(&k->timer, on_link_timer);
@@ -450,6 +532,7 @@
 	ev_io_stop(i->peer->loop, &i->io);
 	close(i->fd);
 	g_byte_array_unref(i->in);
+	ogl_inflate_end(i->inflate);
 	g_free(i);
 }
 
@@ -492,6 +575,54 @@
 	return true;
 }
 
+static bool
+inlet_take_compressed(struct inlet *i, const uint8_t *p, size_t n)
+{
+	uint8_t plain[READ_CHUNK];
+	ssize_t got;
+
+	do {
+		got = ogl_inflate_next(i->inflate, &p, &n, plain, sizeof plain);
+		if (got < 0)
+			return false;
+		g_byte_array_append(i->in, plain, (guint)got);
+		if (!inlet_take(i))
+			return false;
+	} while (n > 0 || got == sizeof plain);
+	return true;
+}
+
+/* Whether it is compressed is told by its first bytes. */
+static bool
+inlet_take_first(struct inlet *i)
+{
+	GByteArray *first;
+	bool ok;
+
+	if (i->in->len < HEAD_BYTES)
+		return true;
+	i->marked = true;
+	if (get_length(i->in->data) != COMPRESSED_MARK)
+		return inlet_take(i);
+	first = i->in;
+	i->in = g_byte_array_new();
+	i->inflate = ogl_inflate_init();
+	ok = inlet_take_compressed(
+	    i, first->data + HEAD_BYTES, first->len - HEAD_BYTES);
+	g_byte_array_unref(first);
+	return ok;
+}
+
+static bool
+inlet_take_bytes(struct inlet *i, const uint8_t *p, size_t n)
+{
+	i->peer->counts.bytes_in += n;
+	if (i->inflate != NULL)
+		return inlet_take_compressed(i, p, n);
+	g_byte_array_append(i->in, p, (guint)n);
+	return i->marked ? inlet_take(i) : inlet_take_first(i);
+}
+
 /* Bytes still unread of the next frame are at most a frame, so the buffer
  * stays below a frame and one read. */
 static bool
@@ -507,8 +638,7 @@
 			return true;
 		if (n <= 0)
 			return false;
-		g_byte_array_append(i->in, chunk, (guint)n);
-		if (!inlet_take(i)) {
+		if (!inlet_take_bytes(i, chunk, (size_t)n)) {
 			i->peer->counts.malformed++;
 			ogl_log(i->peer->log, OGL_LOG_WARN, PREFIX,
 			    "A malformed frame closed its connection.");
@@ -634,6 +764,12 @@
 	p->message = message;
 }
 
+void
+ogl_peer_compress(struct ogl_peer *p)
+{
+	p->compress = true;
+}
+
 void
 ogl_peer_reset(struct ogl_peer *p, const char *addr)
 {
--- a/daemon/peer.h
+++ b/daemon/peer.h
@@ -24,6 +24,8 @@
 	uint64_t malformed; /* frames that closed their connection */
 	uint64_t connects;
 	uint64_t refused; /* connections beyond the limit */
+	uint64_t bytes_out;
+	uint64_t bytes_in;
 };
 
 struct ogl_peer *ogl_peer_init(struct ev_loop *loop, const char *listen,
@@ -36,6 +38,10 @@
     struct ogl_peer *p, const ProtobufCMessageDescriptor *message);
 /* What the frames hold, if not Ogl__PeerMsg; to be said before the loop runs. */
 
+void ogl_peer_compress(struct ogl_peer *p);
+/* Messages are sent compressed, for a link that is thin; what arrives may be
+ * compressed or not.  To be said before the first message. */
+
 void ogl_peer_reset(struct ogl_peer *p, const char *addr);
 /* Drops the connection to addr, and what is queued for it: it has gone
  * silent.  The next message opens a new one. */
--- a/test/test_daemon_peer.cc
+++ b/test/test_daemon_peer.cc
@@ -156,3 +156,72 @@
 	EXPECT_EQ(packed("after"), l.seen.back().text);
 	ogl_peer_end(q);
 }
+
+struct CompressedPeer : Peer {
+	CompressedPeer()
+	{
+		ogl_peer_compress(p);
+	}
+};
+
+TEST_F(CompressedPeer, MessagesArriveWholeAndInOrder)
+{
+	std::string large = packed(std::string(900000, 'x'));
+
+	send_to(ogl_peer_port(p), packed("a"));
+	send_to(ogl_peer_port(p), large);
+	send_to(ogl_peer_port(p), packed("b"));
+	ASSERT_TRUE(l.until([&] { return l.seen.size() == 3; }));
+	EXPECT_EQ(packed("a"), l.seen[0].text);
+	EXPECT_EQ(large, l.seen[1].text);
+	EXPECT_EQ(packed("b"), l.seen[2].text);
+}
+
+TEST_F(CompressedPeer, MessagesThatAreAlikeTakeFewBytes)
+{
+	size_t plain = 0;
+
+	for (int i = 0; i < 200; i++) {
+		std::string m = packed("a node of the cell, number " +
+				       std::to_string(i % 7));
+
+		plain += m.size();
+		send_to(ogl_peer_port(p), m);
+	}
+	ASSERT_TRUE(l.until([&] { return l.seen.size() == 200; }));
+	EXPECT_LT(ogl_peer_counts(p)->bytes_out, plain / 3);
+	EXPECT_EQ(ogl_peer_counts(p)->bytes_out, ogl_peer_counts(p)->bytes_in);
+}
+
+// Guards against a stream read on with the state of a connection that broke.
+TEST_F(CompressedPeer, ReconnectsAfterAPeerRestarts)
+{
+	ogl_peer *q =
+	    ogl_peer_init(l.loop, "127.0.0.1:0", l.sink(), l.log, nullptr);
+	uint16_t port = ogl_peer_port(q);
+
+	send_to(port, packed("before"));
+	ASSERT_TRUE(l.until([&] { return l.seen.size() == 1; }));
+	ogl_peer_end(q);
+	q = ogl_peer_init(
+	    l.loop, addr_of(port).c_str(), l.sink(), l.log, nullptr);
+	ASSERT_NE(nullptr, q);
+	ASSERT_TRUE(l.until([&] {
+		send_to(port, packed("after"));
+		return l.seen.size() >= 2;
+	}));
+	EXPECT_EQ(packed("after"), l.seen.back().text);
+	ogl_peer_end(q);
+}
+
+// Guards against a damaged stream whose bytes are taken for messages.
+TEST_F(CompressedPeer, ADamagedStreamClosesItsConnection)
+{
+	int fd = dial(ogl_peer_port(p));
+
+	ASSERT_TRUE(put(fd, "OGLZ" + std::string(64, '\xee')));
+	ASSERT_TRUE(
+	    l.until([&] { return ogl_peer_counts(p)->malformed == 1; }));
+	EXPECT_TRUE(l.seen.empty());
+	close(fd);
+}
