The adapter tells the link, the node weighs it

The settings reader halved a host's strength where its link is thin, which is a decision. It now gives processor and link as declared; the node weighs both by the same rule as before.

--- a/cell/node.c
+++ b/cell/node.c
@@ -21,6 +21,8 @@
 #define STRONGER_FOR (2500 * OGL_MS)
 /* What a node reads so soon after it stood still may have waited for it. */
 #define STALE_AFTER (300 * OGL_MS)
+/* Half a megabyte of jobs takes a second over such a link. */
+#define THIN_LINK_KBPS 50000
 #define PING (250 * OGL_MS)
 /* Two pings unanswered: the owner's machine may have gone without a word. */
 #define PONG_DEAD (550 * OGL_MS)
@@ -691,6 +693,16 @@
 
 /* ---- the node --------------------------------------------------------- */
 
+/* How well the host could own a shard, in thousandths of a processor: one that
+ * reads the jobs over a thin link is as slow as a weak one. */
+static uint32_t
+fitness(const struct cell_node_config *c)
+{
+	if (c->link_kbps > 0 && c->link_kbps < THIN_LINK_KBPS)
+		return c->strength / 2;
+	return c->strength;
+}
+
 struct cell_node *
 cell_node_init(const struct cell_node_config *c, const struct cell_ops *ops)
 {
@@ -698,7 +710,7 @@
 	struct cell_lead_events le = {
 	    on_planned, on_won, on_lost, on_changed, n};
 	struct cell_lead_self self = {
-	    c->name, c->addr, c->boot, c->strength, c->link_kbps};
+	    c->name, c->addr, c->boot, fitness(c), c->link_kbps};
 	struct cell_plan_events pe = {on_decided, n};
 	struct cell_front_events fe = {send_call, n};
 
@@ -707,11 +719,11 @@
 	n->addr = g_strdup(c->addr);
 	n->limits = c->limits;
 	g_queue_init(&n->loop);
-	n->strength = c->strength;
+	n->strength = fitness(c);
 	n->link_kbps = c->link_kbps;
 	n->serve = cell_relay_serve_init(ops, send_answers, n);
 	n->lead = cell_lead_init(ops, &le, &self, c->seed);
-	n->plan = cell_plan_init(ops, &pe, c->strength, c->seed);
+	n->plan = cell_plan_init(ops, &pe, n->strength, c->seed);
 	n->front = cell_front_init(ops, &n->limits, &fe);
 	return n;
 }
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -258,6 +258,7 @@
  "platform":{"address":"10.200.1.7:8182"},"advice":"10.200.1.9:8182",
  "bounds":{"max_hold_ms":10000,"stop_ms":900,"revoke_ms":5000,
  "status_s":120,"visible_ms":3000,"gang_timeout_ms":3000,"grace_s":6},
+ "limits":{"cpu_shares":0.25,"cores":2,"link_mbps":1.5},
  "news":[1,2]})";
 
 TEST(PlatformSettings, AreReadAndUnknownFieldsPassedOver)
@@ -272,6 +273,8 @@
 	EXPECT_EQ(6000U, s->grace_ms);
 	EXPECT_EQ(120000U, s->limits.status_ms);
 	EXPECT_EQ(10000U, s->limits.lease_max_ms);
+	EXPECT_EQ(500U, s->strength);
+	EXPECT_EQ(1500U, s->link_kbps);
 	platform_settings_free(s);
 	ogl_faults_free(f);
 }
