A worker that drains is told of to successors as closed

An owner gives a draining worker nothing more, so the record can say which tasks may run there, as for a silent one; a successor waits for it only with those.

Script drained_worker_takeover fails without.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -328,6 +328,7 @@
 	w->labels = g_strdupv(e->labels);
 	w->capacity = e->capacity;
 	if (w->draining != e->draining || !w->listed) {
+		f->names_changed |= w->draining != e->draining;
 		w->draining = e->draining;
 		w->listed = true;
 		log_worker(f, w, "worker_listed");
@@ -355,8 +356,8 @@
 	struct cell_worker *w = worker_get(f, k->id, now);
 
 	w->expected = true;
-	w->excused = k->silent;
-	w->named = !k->silent;
+	w->excused = k->closed;
+	w->named = !k->closed;
 	if (w->addr != NULL)
 		return;
 	replace(&w->addr, k->addr);
--- a/cell/known.c
+++ b/cell/known.c
@@ -62,8 +62,8 @@
 		w->named_from = number;
 	w->moved = false;
 	w->told_silent = cell_worker_silent(w, now);
-	if (w->told_silent) {
-		k->silent = true;
+	if (w->told_silent || w->draining) {
+		k->closed = true;
 		w->named = false;
 		w->named_from = number;
 		add_tasks(k, w);
@@ -90,7 +90,7 @@
 		Ogl__CellKnown *k = known_new(p, number, now);
 
 		g_ptr_array_add(all, k);
-		if (!k->silent)
+		if (!k->closed)
 			g_ptr_array_add(open, g_strdup(k->id));
 	}
 	m->n_workers = all->len;
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -2113,12 +2113,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "silent",
+    "closed",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Ogl__CellKnown, silent),
+    offsetof(Ogl__CellKnown, closed),
     NULL,
     NULL,
     0,             /* flags */
@@ -2139,9 +2139,9 @@
 };
 static const unsigned ogl__cell_known__field_indices_by_name[] = {
   1,   /* field[1] = addr */
+  3,   /* field[3] = closed */
   0,   /* field[0] = id */
   2,   /* field[2] = service */
-  3,   /* field[3] = silent */
   4,   /* field[4] = tasks */
 };
 static const ProtobufCIntRange ogl__cell_known__number_ranges[1 + 1] =
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -354,10 +354,10 @@
   char *addr;
   char *service;
   /*
-   * It does not answer and is given nothing more: no task but these may run
-   * there.  Where false, any task may.
+   * It does not answer, or drains, and is given nothing more: no task but these
+   * may run there.  Where false, any task may.
    */
-  protobuf_c_boolean silent;
+  protobuf_c_boolean closed;
   size_t n_tasks;
   Ogl__CellKnownTask **tasks;
 };
