Orders that gathered while their owner stood still are not sent

An owner stood still in that time, was replaced, woke and sent them; a worker that had started anew meanwhile knew no fence and carried them out. Now orders that gathered for over 0.2 s, or are not yet sent when the ownership ends, are withdrawn, which their answer says truly.

--- a/cell/owner.c
+++ b/cell/owner.c
@@ -1132,6 +1132,7 @@
 	cell_journal_close(o->journal, now);
 	cell_held_clear(o->held);
 	cell_fleet_close(o->fleet);
+	cell_relay_close(o->relay, now);
 	cell_escrow_close(o->escrow);
 	cell_advice_clear(o->advice);
 	cell_sched_clear(o->sched);
--- a/cell/relay.c
+++ b/cell/relay.c
@@ -29,6 +29,9 @@
 #define HOLD_RELAYS 6
 /* Orders to one node gather for so long. */
 #define GATHER (2 * OGL_MS)
+/* Orders that gathered for longer did so while this process stood still: its
+ * right to give them may be over. */
+#define GATHER_MAX (200 * OGL_MS)
 /* A node pings four times a second. */
 #define FRESH OGL_SEC
 /* A relay gives a call up by itself; its answer needs so long at most. */
@@ -759,6 +762,27 @@
 	g_array_unref(late);
 }
 
+/* The orders of the batch were not sent. */
+static void
+withdraw(struct cell_relay *r, struct node *n, ogl_time now)
+{
+	Ogl__CellOrderAnswer none = OGL__CELL_ORDER_ANSWER__INIT;
+	GArray *tokens = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	size_t i;
+
+	for (i = 0; i < n->batch.n_orders; i++)
+		g_array_append_val(tokens, n->batch.orders[i]->token);
+	drop_batch(n);
+	none.outcome = OGL__CELL_ORDER_OUTCOME__cell_order_not_sent;
+	for (i = 0; i < tokens->len; i++) {
+		struct order *o = take(r, g_array_index(tokens, uint64_t, i));
+
+		if (o != NULL)
+			finish(r, o, &none, now);
+	}
+	g_array_unref(tokens);
+}
+
 void
 cell_relay_flush(struct cell_relay *r, ogl_time now)
 {
@@ -769,11 +793,24 @@
 
 		if (n->batch.n_orders == 0 || now - n->batch_at < GATHER)
 			continue;
+		if (now - n->batch_at > GATHER_MAX) {
+			withdraw(r, n, now);
+			continue;
+		}
 		r->events.send(r->events.arg, n->addr, &n->batch);
 		drop_batch(n);
 	}
 }
 
+void
+cell_relay_close(struct cell_relay *r, ogl_time now)
+{
+	guint i;
+
+	for (i = 0; i < r->ranked->len; i++)
+		withdraw(r, r->ranked->pdata[i], now);
+}
+
 ogl_time
 cell_relay_wake(const struct cell_relay *r)
 {
--- a/cell/relay.h
+++ b/cell/relay.h
@@ -34,6 +34,8 @@
 void cell_relay_open(struct cell_relay *r, uint64_t epoch);
 /* Numbers calls by the epoch: a late answer to an earlier owner, or to an
  * earlier process of this node, meets none of them. */
+void cell_relay_close(struct cell_relay *r, ogl_time now);
+/* The ownership is over: orders not yet sent are withdrawn. */
 void cell_relay_node(
     struct cell_relay *r, const char *addr, bool leaving, ogl_time now);
 /* A node is there; to be said again at least each second. */
--- a/test/test_cell_relay.cc
+++ b/test/test_cell_relay.cc
@@ -191,6 +191,30 @@
 	EXPECT_EQ(1u, ends_.size());
 }
 
+/* Guards against a start given before the owner stood still and was replaced,
+ * and sent to a worker that has started anew since. */
+TEST_F(Relay, OrdersThatGatheredWhileTheOwnerStoodStillAreNotSent)
+{
+	begin(2000);
+	start(job1);
+	now_ += 2 * OGL_SEC;
+	cell_relay_flush(relay_, now_);
+	EXPECT_TRUE(sent_.empty());
+	ASSERT_EQ(1u, ends_.size());
+	EXPECT_EQ(OGL_IO_NOT_SENT, ends_[0]);
+}
+
+TEST_F(Relay, OrdersNotYetSentAreWithdrawnWhenTheOwnershipEnds)
+{
+	begin(2000);
+	start(job1);
+	cell_relay_close(relay_, now_);
+	step(10);
+	EXPECT_TRUE(sent_.empty());
+	ASSERT_EQ(1u, ends_.size());
+	EXPECT_EQ(OGL_IO_NOT_SENT, ends_[0]);
+}
+
 /* Guards against work that waits for a node which no longer answers. */
 TEST_F(Relay, ANodeThatLeavesCallsUnansweredIsPassedOver)
 {
--- a/test/test_cell_seeds.cc
+++ b/test/test_cell_seeds.cc
@@ -295,6 +295,9 @@
 	const char *cause;
 } links_once_failed[] = {
     {5133, "a start carried out by a new life taken for one of the last"},
+    {10635, "an order sent that waited while its owner stood still"},
+    {11057, "the same"},
+    {11210, "the same"},
 };
 
 void
