Messages of orders in a module of their own; relays that have gone are forgotten

What relay.c and relay_serve.c both did with messages stands once, in order_msg.c. Relays are counted among the nodes that are there: once 24 hosts with low addresses had been replaced, none would have been chosen (Relay.NodesThatHaveGoneLeaveTheirPlaceToOthers).

--- a/cell/relay.c
+++ b/cell/relay.c
@@ -15,6 +15,7 @@
 
 #include <string.h>
 
+#include "order_msg.h"
 #include "relay.h"
 
 /* What a worker costs its owner's link when it is called directly. */
@@ -34,6 +35,8 @@
 #define GATHER_MAX (200 * OGL_MS)
 /* A node pings four times a second. */
 #define FRESH OGL_SEC
+/* One not heard of for so long has gone; another came at its place. */
+#define FORGOTTEN (60 * OGL_SEC)
 /* A relay gives a call up by itself; its answer needs so long at most. */
 #define ANSWER_MARGIN (400 * OGL_MS)
 #define PASSED_OVER (2 * OGL_SEC)
@@ -82,8 +85,7 @@
 	const struct cell_ops *ops;
 	struct cell_relay_events events;
 	uint32_t link_kbps;
-	bool active;  /* calls are relayed */
-	bool thin;    /* the link could not carry them */
+	bool thin;    /* the link can't carry the calls: they are relayed */
 	ogl_time now; /* of the last step or event */
 	uint64_t token;
 	GHashTable *nodes;  /* addr -> struct node */
@@ -163,6 +165,16 @@
 	return strcmp((*x)->addr, (*y)->addr);
 }
 
+static gboolean
+is_forgotten(gpointer key, gpointer value, gpointer ctx)
+{
+	const struct node *n = value;
+	const struct cell_relay *r = ctx;
+
+	(void)key;
+	return r->now - n->heard > FORGOTTEN && n->batch.n_orders == 0;
+}
+
 static void
 rank(struct cell_relay *r)
 {
@@ -192,6 +204,8 @@
 		n = g_new0(struct node, 1);
 		n->addr = g_strdup(addr);
 		ogl__cell_orders__init(&n->batch);
+		n->heard = now;
+		g_hash_table_foreach_remove(r->nodes, is_forgotten, r);
 		g_hash_table_insert(r->nodes, n->addr, n);
 		rank(r);
 	}
@@ -210,19 +224,21 @@
 	return g_str_hash(key) * 2654435761U ^ g_str_hash(addr) * 40503U;
 }
 
-/* The same node for the same key while it can be used; NULL: none can. */
+/* The same node for the same key, of the first so many that are there; NULL: none
+ * can be used. */
 static struct node *
 choose(const struct cell_relay *r, const char *key, guint most_nodes)
 {
-	guint n = MIN(r->ranked->len, most_nodes);
 	struct node *best = NULL;
 	uint32_t most = 0;
+	guint there = 0;
 	guint i;
 
-	for (i = 0; i < n; i++) {
+	for (i = 0; i < r->ranked->len && there < most_nodes; i++) {
 		struct node *x = r->ranked->pdata[i];
 		uint32_t w = weight(key, x->addr);
 
+		there += r->now - x->heard < FRESH;
 		if (!usable(r, x) || (best != NULL && w <= most))
 			continue;
 		best = x;
@@ -234,7 +250,7 @@
 void
 cell_relay_told(struct cell_relay *r, const char *job, const char *addr)
 {
-	if (r->active)
+	if (r->thin)
 		g_hash_table_replace(r->told, g_strdup(job), g_strdup(addr));
 }
 
@@ -248,11 +264,15 @@
 static bool
 is_relay(const struct cell_relay *r, const struct node *n)
 {
+	guint there = 0;
 	guint i;
 
-	for (i = 0; i < MIN(r->ranked->len, RELAYS_MAX); i++) {
-		if (r->ranked->pdata[i] == n)
+	for (i = 0; i < r->ranked->len && there < RELAYS_MAX; i++) {
+		const struct node *x = r->ranked->pdata[i];
+
+		if (x == n)
 			return true;
+		there += r->now - x->heard < FRESH;
 	}
 	return false;
 }
@@ -270,13 +290,6 @@
 
 /* ---- giving orders ---------------------------------------------------- */
 
-/* Strings of messages are freed by libprotobuf-c with the C library's free. */
-static char *
-text(const char *s)
-{
-	return strdup(s != NULL ? s : "");
-}
-
 static Ogl__CellOrder *
 message_new(
     Ogl__CellOrderKind kind, const struct cell_target *to, uint32_t timeout_ms)
@@ -285,8 +298,8 @@
 
 	ogl__cell_order__init(m);
 	m->kind = kind;
-	m->addr = text(to->addr);
-	m->worker = text(to->id);
+	m->addr = cell_order_text(to->addr);
+	m->worker = cell_order_text(to->id);
 	m->epoch = to->epoch;
 	m->timeout_ms = timeout_ms;
 	return m;
@@ -297,7 +310,7 @@
 {
 	Ogl__CellOrder *m = message_new(kind, &o->to, o->timeout_ms);
 
-	m->job = text(o->task.id);
+	m->job = cell_order_text(o->task.id);
 	m->occurrence = o->task.occurrence;
 	m->step = o->task.step;
 	m->index = o->task.index;
@@ -305,24 +318,11 @@
 	if (kind != OGL__CELL_ORDER_KIND__cell_order_start)
 		return m;
 	m->until_ms = o->until_ms;
-	m->checkpoint = text(o->checkpoint);
-	m->ticket = text(o->ticket);
+	m->checkpoint = cell_order_text(o->checkpoint);
+	m->ticket = cell_order_text(o->ticket);
 	return m;
 }
 
-static Ogl__CellOrder *
-copy(const Ogl__CellOrder *m)
-{
-	size_t n = ogl__cell_order__get_packed_size(m);
-	uint8_t *p = g_malloc(n);
-	Ogl__CellOrder *c;
-
-	ogl__cell_order__pack(m, p);
-	c = ogl__cell_order__unpack(NULL, n, p);
-	g_free(p);
-	return c;
-}
-
 /* Takes m. */
 static void
 put_in_batch(struct cell_relay *r, struct node *n, Ogl__CellOrder *m)
@@ -356,7 +356,7 @@
 static void
 add_spec(Ogl__CellOrder *m, const char *spec)
 {
-	m->spec = text(spec); /* a message begins without */
+	m->spec = cell_order_text(spec); /* a message begins without */
 	m->with_spec = true;
 }
 
@@ -397,7 +397,7 @@
 	Ogl__CellOrder *m;
 	struct order *x;
 
-	if (r->active && !is_direct(r, o->to.id))
+	if (r->thin && !is_direct(r, o->to.id))
 		n = choose_for_job(r, o->task.id, &has_spec);
 	if (n == NULL) {
 		r->ops->start(r->ops->outside, o, done, arg);
@@ -408,7 +408,7 @@
 	x->order = done;
 	x->worker = g_strdup(o->to.id);
 	if (has_spec) {
-		x->message = copy(m);
+		x->message = cell_order_copy(m);
 		x->spec = g_strdup(o->spec);
 	} else {
 		add_spec(m, o->spec);
@@ -422,7 +422,7 @@
     void *ctx, const struct cell_order *o, cell_order_fn *done, void *arg)
 {
 	struct cell_relay *r = ctx;
-	struct node *n = r->active ? choose(r, o->to.id, HOLD_RELAYS) : NULL;
+	struct node *n = r->thin ? choose(r, o->to.id, HOLD_RELAYS) : NULL;
 	Ogl__CellOrder *m;
 
 	if (n == NULL) {
@@ -438,7 +438,7 @@
 relay_hold(void *ctx, const struct cell_hold *h, cell_hold_fn *done, void *arg)
 {
 	struct cell_relay *r = ctx;
-	struct node *n = r->active ? choose(r, h->to.id, HOLD_RELAYS) : NULL;
+	struct node *n = r->thin ? choose(r, h->to.id, HOLD_RELAYS) : NULL;
 	Ogl__CellOrder *m;
 
 	if (n == NULL) {
@@ -464,7 +464,7 @@
 	struct node *n = NULL;
 	Ogl__CellOrder *m;
 
-	if (r->active && q->stream == CELL_WORKERS)
+	if (r->thin && q->stream == CELL_WORKERS)
 		n = choose(r, LIST_KEY, HOLD_RELAYS);
 	if (n == NULL) {
 		r->ops->read(r->ops->outside, q, done, arg);
@@ -499,72 +499,6 @@
 
 /* ---- answers ---------------------------------------------------------- */
 
-static enum ogl_io
-io_of(Ogl__CellOrderOutcome outcome)
-{
-	switch (outcome) {
-	case OGL__CELL_ORDER_OUTCOME__cell_order_done:
-		return OGL_IO_OK;
-	case OGL__CELL_ORDER_OUTCOME__cell_order_refused:
-		return OGL_IO_REFUSED;
-	case OGL__CELL_ORDER_OUTCOME__cell_order_not_sent:
-	case OGL__CELL_ORDER_OUTCOME__cell_order_lacks_spec:
-		return OGL_IO_NOT_SENT;
-	case OGL__CELL_ORDER_OUTCOME__cell_order_lost:
-	default:
-		return OGL_IO_LOST;
-	}
-}
-
-static struct cell_row *
-rows_of(Ogl__CellRunRow *const *list, size_t n)
-{
-	struct cell_row *rows = g_new0(struct cell_row, n);
-	size_t i;
-
-	for (i = 0; i < n; i++) {
-		const Ogl__CellRunRow *m = list[i];
-		struct cell_row *row = &rows[i];
-
-		g_strlcpy(row->task.id, m->job, sizeof row->task.id);
-		row->task.occurrence = m->occurrence;
-		row->task.step = m->step;
-		row->task.index = m->index;
-		row->run = m->run;
-		row->checkpoint = m->checkpoint;
-		row->percent = m->percent;
-		row->gauge = m->gauge;
-		row->number = m->number;
-		row->how = m->how <= CELL_END_ALONE ? (enum cell_end)m->how
-						    : CELL_END_LAPSED;
-	}
-	return rows;
-}
-
-/* Borrows from the message. */
-static void
-take_entry(
-    const Ogl__CellEntry *m, struct cell_record *r, struct cell_worker_entry *e)
-{
-	r->offset = m->offset;
-	r->key = m->worker;
-	r->dropped = m->dropped;
-	r->worker = m->readable ? e : NULL;
-	e->service = m->service;
-	e->addr = m->addr;
-	e->zone = m->zone;
-	e->rack = m->rack;
-	e->labels = g_new0(char *, m->n_labels + 1);
-	memcpy(e->labels, m->labels, m->n_labels * sizeof(char *));
-	e->draining = m->draining;
-	e->born_ms = m->born_ms;
-	e->capacity.cpu_milli = m->cpu_milli;
-	e->capacity.mem_mb = m->mem_mb;
-	e->capacity.accel = m->accel;
-	e->cold_ms = m->cold_ms;
-	e->leaves_ms = m->leaves_ms;
-}
-
 static void
 finish_list(struct order *o, const Ogl__CellOrderAnswer *m, enum ogl_io io,
     ogl_time now)
@@ -581,7 +515,7 @@
 		a.end = m->end;
 	}
 	for (i = 0; i < n; i++)
-		take_entry(m->entries[i], &records[i], &entries[i]);
+		cell_entry_read(m->entries[i], &records[i], &entries[i]);
 	o->list(o->arg, &a, now);
 	for (i = 0; i < n; i++)
 		g_free(entries[i].labels);
@@ -605,8 +539,8 @@
 {
 	const Ogl__CellOrderAnswer none = OGL__CELL_ORDER_ANSWER__INIT;
 	const Ogl__CellOrderAnswer *x = m != NULL ? m : &none;
-	struct cell_row *running = rows_of(x->running, x->n_running);
-	struct cell_row *ended = rows_of(x->ended, x->n_ended);
+	struct cell_row *running = cell_rows_read(x->running, x->n_running);
+	struct cell_row *ended = cell_rows_read(x->ended, x->n_ended);
 	struct cell_hold_answer a = {.io = io,
 	    .why = why,
 	    .no_listener = x->no_listener,
@@ -627,7 +561,7 @@
 finish(struct cell_relay *r, struct order *o, const Ogl__CellOrderAnswer *m,
     ogl_time now)
 {
-	enum ogl_io io = m != NULL ? io_of(m->outcome) : OGL_IO_LOST;
+	enum ogl_io io = m != NULL ? cell_order_io(m->outcome) : OGL_IO_LOST;
 	enum cell_refusal why = m != NULL && m->refusal <= CELL_REFUSED_BAD
 				    ? (enum cell_refusal)m->refusal
 				    : CELL_REFUSED_NOT;
@@ -826,28 +760,27 @@
 	return at;
 }
 
-static void
-weigh_link(struct cell_relay *r, size_t workers)
+static bool
+too_thin(const struct cell_relay *r, size_t workers)
 {
-	double calls = (double)workers * WORKER_BYTES_A_SECOND;
 	double part = r->link_kbps * 1000.0 / 8 * LINK_PART;
 
-	r->thin = r->link_kbps > 0 && calls > part;
-	r->active = r->thin;
+	return r->link_kbps > 0 &&
+	       (double)workers * WORKER_BYTES_A_SECOND > part;
 }
 
 void
 cell_relay_step(struct cell_relay *r, size_t workers, ogl_time now)
 {
-	bool before = r->active;
+	bool thin = too_thin(r, workers);
 	char line[96];
 
 	r->now = now;
-	weigh_link(r, workers);
-	if (r->active != before) {
+	if (thin != r->thin) {
+		r->thin = thin;
 		g_snprintf(line, sizeof line,
-		    "active=%d thin=%d workers=%zu link_kbps=%u", r->active,
-		    r->thin, workers, r->link_kbps);
+		    "active=%d workers=%zu link_kbps=%u", thin, workers,
+		    r->link_kbps);
 		r->ops->log(r->ops->ctx, "relay", "switched", line);
 	}
 	give_up(r, now);
@@ -864,6 +797,7 @@
 {
 	r->token = MAX(r->token, epoch << TOKENS_AN_EPOCH_BITS);
 	g_hash_table_remove_all(r->told);
+	g_hash_table_remove_all(r->reach);
 }
 
 void
--- a/cell/relay_serve.c
+++ b/cell/relay_serve.c
@@ -9,6 +9,7 @@
 
 #include <string.h>
 
+#include "order_msg.h"
 #include "relay_serve.h"
 
 #define SPECS_BYTES_MAX ((size_t)2 * 1024 * 1024)
@@ -89,7 +90,7 @@
 	GPtrArray *batches; /* struct batch, none empty */
 	GHashTable *calls;  /* set of struct carried */
 	GHashTable *lines;  /* address of a worker -> struct line */
-	GHashTable *lists;  /* shard and owner -> struct list */
+	GHashTable *lists;  /* shard -> struct list */
 };
 
 static void
@@ -179,8 +180,9 @@
 	GQueue waiting; /* struct waiting */
 };
 
-/* What an owner was told of the workers' entries. */
+/* What the owner of a shard was told of the workers' entries. */
 struct list {
+	char *owner;
 	uint64_t next;    /* that it reads from if it got the last answer */
 	GHashTable *told; /* worker -> GBytes of its entry, but the offset */
 };
@@ -251,6 +253,7 @@
 	struct list *l = p;
 
 	g_hash_table_unref(l->told);
+	g_free(l->owner);
 	g_free(l);
 }
 
@@ -280,8 +283,7 @@
 	specs_init(&v->specs);
 	v->batches = g_ptr_array_new_with_free_func(batch_free);
 	v->calls = g_hash_table_new(NULL, NULL);
-	v->lists =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, list_free);
+	v->lists = g_hash_table_new_full(NULL, NULL, NULL, list_free);
 	v->lines =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, line_free);
 	return v;
@@ -330,21 +332,6 @@
 	specs_add(&v->specs, job, spec);
 }
 
-static Ogl__CellOrderOutcome
-outcome_of(enum ogl_io io)
-{
-	switch (io) {
-	case OGL_IO_OK:
-		return OGL__CELL_ORDER_OUTCOME__cell_order_done;
-	case OGL_IO_REFUSED:
-		return OGL__CELL_ORDER_OUTCOME__cell_order_refused;
-	case OGL_IO_NOT_SENT:
-		return OGL__CELL_ORDER_OUTCOME__cell_order_not_sent;
-	default:
-		return OGL__CELL_ORDER_OUTCOME__cell_order_lost;
-	}
-}
-
 /* An answer in the batch to the owner, to be filled in. */
 static Ogl__CellOrderAnswer *
 answer_new(const struct carried *c, enum ogl_io io, ogl_time now)
@@ -354,38 +341,11 @@
 
 	ogl__cell_order_answer__init(m);
 	m->token = c->token;
-	m->outcome = outcome_of(io);
+	m->outcome = cell_order_outcome(io);
 	g_ptr_array_add(b->answers, m);
 	return m;
 }
 
-/* libprotobuf-c frees these with the C library's free. */
-static Ogl__CellRunRow **
-rows_of(const struct cell_row *rows, size_t n)
-{
-	Ogl__CellRunRow **list = malloc(n * sizeof(Ogl__CellRunRow *));
-	size_t i;
-
-	for (i = 0; i < n; i++) {
-		Ogl__CellRunRow *m = malloc(sizeof *m);
-
-		ogl__cell_run_row__init(m);
-		m->job = strdup(rows[i].task.id);
-		m->occurrence = rows[i].task.occurrence;
-		m->step = rows[i].task.step;
-		m->index = rows[i].task.index;
-		m->run = rows[i].run;
-		if (rows[i].checkpoint != NULL)
-			m->checkpoint = strdup(rows[i].checkpoint);
-		m->percent = rows[i].percent;
-		m->gauge = rows[i].gauge;
-		m->number = rows[i].number;
-		m->how = rows[i].how;
-		list[i] = m;
-	}
-	return list;
-}
-
 static void
 on_hold(void *arg, const struct cell_hold_answer *a, ogl_time now)
 {
@@ -399,9 +359,9 @@
 		m->clock_ms = a->clock_ms;
 		m->born_ms = a->born_ms;
 		m->n_running = a->nrunning;
-		m->running = rows_of(a->running, a->nrunning);
+		m->running = cell_rows_write(a->running, a->nrunning);
 		m->n_ended = a->nended;
-		m->ended = rows_of(a->ended, a->nended);
+		m->ended = cell_rows_write(a->ended, a->nended);
 	}
 	carried_free(c);
 }
@@ -453,53 +413,24 @@
 static struct list *
 list_for(struct cell_relay_serve *v, const struct carried *c)
 {
-	char *key = g_strdup_printf("%u %s", c->shard, c->to);
-	struct list *l = g_hash_table_lookup(v->lists, key);
+	struct list *l =
+	    g_hash_table_lookup(v->lists, GUINT_TO_POINTER(c->shard));
 
 	if (l == NULL) {
 		l = g_new0(struct list, 1);
 		l->told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 		    (GDestroyNotify)g_bytes_unref);
-		g_hash_table_insert(v->lists, g_strdup(key), l);
+		g_hash_table_insert(v->lists, GUINT_TO_POINTER(c->shard), l);
 	}
-	g_free(key);
-	/* It has not got the last answer, or has read elsewhere meanwhile. */
-	if (l->next != c->from)
+	/* Another owner, or one that has not got the last answer or has read
+	 * elsewhere meanwhile. */
+	if (l->next != c->from || g_strcmp0(l->owner, c->to) != 0)
 		g_hash_table_remove_all(l->told);
+	g_free(l->owner);
+	l->owner = g_strdup(c->to);
 	return l;
 }
 
-static Ogl__CellEntry *
-entry_new(const struct cell_record *r)
-{
-	const struct cell_worker_entry *e = r->worker;
-	Ogl__CellEntry *m = malloc(sizeof *m);
-	guint i;
-
-	ogl__cell_entry__init(m);
-	m->worker = strdup(r->key);
-	m->dropped = r->dropped;
-	m->readable = e != NULL;
-	if (e == NULL)
-		return m;
-	m->service = strdup(e->service);
-	m->addr = strdup(e->addr);
-	m->zone = strdup(e->zone != NULL ? e->zone : "");
-	m->rack = strdup(e->rack != NULL ? e->rack : "");
-	m->n_labels = e->labels != NULL ? g_strv_length(e->labels) : 0;
-	m->labels = malloc((m->n_labels + 1) * sizeof(char *));
-	for (i = 0; i < m->n_labels; i++)
-		m->labels[i] = strdup(e->labels[i]);
-	m->draining = e->draining;
-	m->born_ms = e->born_ms;
-	m->cpu_milli = e->capacity.cpu_milli;
-	m->mem_mb = e->capacity.mem_mb;
-	m->accel = e->capacity.accel;
-	m->cold_ms = e->cold_ms;
-	m->leaves_ms = e->leaves_ms;
-	return m;
-}
-
 /* Whether it says something that the owner was not told; it counts as told. */
 static bool
 tell(struct list *l, const Ogl__CellEntry *m)
@@ -528,7 +459,7 @@
 
 	m->entries = malloc((a->n + 1) * sizeof(Ogl__CellEntry *));
 	for (i = 0; i < a->n; i++) {
-		Ogl__CellEntry *e = entry_new(&a->records[i]);
+		Ogl__CellEntry *e = cell_entry_write(&a->records[i]);
 
 		if (!tell(l, e) && i + 1 < a->n) {
 			ogl__cell_entry__free_unpacked(e, NULL);
@@ -648,19 +579,6 @@
 		g_hash_table_remove(v->lines, l->addr);
 }
 
-static Ogl__CellOrder *
-copy(const Ogl__CellOrder *m)
-{
-	size_t n = ogl__cell_order__get_packed_size(m);
-	uint8_t *p = g_malloc(n);
-	Ogl__CellOrder *c;
-
-	ogl__cell_order__pack(m, p);
-	c = ogl__cell_order__unpack(NULL, n, p);
-	g_free(p);
-	return c;
-}
-
 static void
 line_up(struct cell_relay_serve *v, const Ogl__CellOrder *m, struct carried *c,
     ogl_time now)
@@ -668,7 +586,7 @@
 	struct line *l = line_of(v, m->addr);
 	struct waiting *x = g_new(struct waiting, 1);
 
-	x->order = copy(m);
+	x->order = cell_order_copy(m);
 	x->call = c;
 	x->give_up = now + m->timeout_ms * OGL_MS;
 	g_queue_push_tail(&l->waiting, x);
--- a/test/test_cell_relay.cc
+++ b/test/test_cell_relay.cc
@@ -269,6 +269,23 @@
 	EXPECT_EQ(0, direct_);
 }
 
+/* Guards against a cell whose hosts were all replaced and that finds no relay
+ * among the first addresses. */
+TEST_F(Relay, NodesThatHaveGoneLeaveTheirPlaceToOthers)
+{
+	begin(2000);
+	for (int i = 0; i < 40; i++)
+		cell_relay_node(
+		    relay_, ("a" + std::to_string(i)).c_str(), false, now_);
+	now_ += 5 * OGL_SEC;
+	cell_relay_node(relay_, "z", false, now_);
+	step(0);
+	start(job1);
+	step(10);
+	ASSERT_EQ(1u, sent_.size());
+	EXPECT_EQ("z", sent_[0].to);
+}
+
 TEST_F(Relay, WithoutOtherNodesWorkersAreCalledDirectly)
 {
 	begin(2000);
