--- a/test/test_daemon_peer.cc
+++ b/test/test_daemon_peer.cc
@@ -182,8 +182,8 @@
 	size_t plain = 0;
 
 	for (int i = 0; i < 200; i++) {
-		std::string m = packed("a node of the cell, number " +
-				       std::to_string(i % 7));
+		std::string m = packed(
+		    "a node of the cell, number " + std::to_string(i % 7));
 
 		plain += m.size();
 		send_to(ogl_peer_port(p), m);
