Tests of the node's window of calls; no copy from an empty list of labels

Without the sanitizers nothing changes.

test_cell_front holds what a node passes on to an owner: one call until it serves, none held to its deadline that never left, an overloaded owner asked first, repeats ever rarer.

--- a/cell/order_msg.c
+++ b/cell/order_msg.c
@@ -121,7 +121,8 @@
 	e->zone = m->zone;
 	e->rack = m->rack;
 	e->labels = g_new0(char *, m->n_labels + 1);
-	memcpy(e->labels, m->labels, m->n_labels * sizeof(char *));
+	if (m->n_labels > 0)
+		memcpy(e->labels, m->labels, m->n_labels * sizeof(char *));
 	e->draining = m->draining;
 	e->born_ms = m->born_ms;
 	e->capacity.cpu_milli = m->cpu_milli;
--- /dev/null
+++ b/test/test_cell_front.cc
@@ -0,0 +1,227 @@
+/* Calls that a node passes on to a shard's owner, driven message by message. */
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "front.h"
+}
+
+namespace
+{
+
+struct Passed {
+	uint64_t token;
+	bool job;
+	bool admitted;
+};
+
+class Front : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		struct cell_front_events events = {on_send, this};
+
+		ops_.newest = [](void *ctx, const struct cell_newest *,
+				  cell_newest_fn *done, void *arg) {
+			auto *t = static_cast<Front *>(ctx);
+
+			t->newest_ = done;
+			t->arg_ = arg;
+		};
+		ops_.read = [](void *ctx, const struct cell_read *,
+				cell_read_fn *done, void *arg) {
+			auto *t = static_cast<Front *>(ctx);
+
+			t->read_ = done;
+			t->arg_ = arg;
+		};
+		ops_.decode_job = decode_job;
+		ops_.reply = on_reply;
+		ops_.log = [](void *, const char *, const char *,
+			       const char *) {};
+		ops_.count = [](void *, const char *, uint64_t) {};
+		ops_.outside = this;
+		ops_.ctx = this;
+		limits_.revoke_ms = 60000;
+		front_ = cell_front_init(&ops_, &limits_, &events);
+		read_settings();
+		cell_front_shards(front_, 1);
+	}
+
+	void TearDown() override
+	{
+		cell_front_end(front_);
+	}
+
+	void read_settings()
+	{
+		struct cell_config *c = cell_config_new(1);
+		struct cell_queue *q = cell_config_add_queue(c);
+		struct cell_record r = {};
+		struct cell_newest_answer a = {};
+
+		q->name = g_strdup("q");
+		q->host = g_strdup("h");
+		q->prefix = g_strdup("/q/");
+		q->service = g_strdup("s");
+		q->open = true;
+		r.config = c;
+		r.value = ogl_str("");
+		a.records = &r;
+		a.n = 1;
+		a.end = 1;
+		cell_front_step(front_, now_);
+		newest_(arg_, &a, now_);
+		cell_config_unref(c);
+	}
+
+	/* Hands in a job; ids are told apart by the token. */
+	void submit(uint64_t token)
+	{
+		char path[64];
+		struct cell_request r = {};
+
+		g_snprintf(path, sizeof path, "/q/%016x",
+		    static_cast<unsigned>(token));
+		r.method = CELL_POST;
+		r.host = ogl_str("h");
+		r.path = ogl_str(path);
+		r.key = ogl_str("");
+		r.body = ogl_str("{}");
+		r.budget_ms = 3000;
+		cell_front_call(front_, token, &r, now_);
+	}
+
+	void step(int ms)
+	{
+		now_ += ms * OGL_MS;
+		cell_front_step(front_, now_);
+	}
+
+	void answer(uint64_t token, Ogl__CellOutcome outcome)
+	{
+		Ogl__CellReply r = OGL__CELL_REPLY__INIT;
+
+		r.token = token;
+		r.outcome = outcome;
+		r.epoch = 7;
+		cell_front_reply(front_, 0, &r, now_);
+	}
+
+	static Ogl__CellJob *decode_job(void *, struct ogl_str, const char **)
+	{
+		auto *j =
+		    static_cast<Ogl__CellJob *>(malloc(sizeof(Ogl__CellJob)));
+		auto *s =
+		    static_cast<Ogl__CellStep *>(malloc(sizeof(Ogl__CellStep)));
+
+		ogl__cell_job__init(j);
+		ogl__cell_step__init(s);
+		s->count = 1;
+		s->cpu_milli = 1000;
+		j->n_steps = 1;
+		j->steps = static_cast<Ogl__CellStep **>(malloc(sizeof s));
+		j->steps[0] = s;
+		return j;
+	}
+
+	static void on_send(
+	    void *arg, uint32_t, const char *, const Ogl__CellCall *c)
+	{
+		static_cast<Front *>(arg)->passed_.push_back(
+		    {c->token, c->job != nullptr, c->admitted != 0});
+	}
+
+	static void on_reply(void *ctx, uint64_t, const struct cell_answer *a)
+	{
+		static_cast<Front *>(ctx)->answers_.push_back(a->status);
+	}
+
+	struct cell_ops ops_ = {};
+	struct cell_limits limits_ = {};
+	struct cell_front *front_ = nullptr;
+	std::vector<Passed> passed_;
+	std::vector<enum cell_status> answers_;
+	cell_newest_fn *newest_ = nullptr;
+	cell_read_fn *read_ = nullptr;
+	void *arg_ = nullptr;
+	ogl_time now_ = 100 * OGL_SEC;
+};
+
+/* Guards against a new owner whose link is filled by all calls that waited. */
+TEST_F(Front, OneCallIsPassedOnUntilANewOwnerServes)
+{
+	for (uint64_t t = 1; t <= 20; t++)
+		submit(t);
+	cell_front_owner(front_, 0, "owner", 7, now_);
+	step(0);
+	ASSERT_EQ(1u, passed_.size());
+	answer(passed_[0].token, OGL__CELL_OUTCOME__cell_not_owner);
+	step(100);
+	EXPECT_EQ(1u, passed_.size());
+	step(60);
+	ASSERT_EQ(2u, passed_.size());
+	answer(passed_[1].token, OGL__CELL_OUTCOME__cell_ok);
+	step(1);
+	EXPECT_EQ(6u, passed_.size());
+}
+
+/* Guards against callers held to their deadline by calls that never leave. */
+TEST_F(Front, ACallThatNeverLeftIsRefusedAsNotAccepted)
+{
+	cell_front_owner(front_, 0, "owner", 7, now_);
+	submit(1);
+	submit(2);
+	ASSERT_EQ(1u, passed_.size());
+	step(950);
+	ASSERT_EQ(1u, answers_.size());
+	EXPECT_EQ(CELL_BUSY, answers_[0]);
+}
+
+/* A call that was sent may have been accepted. */
+TEST_F(Front, ACallThatWasSentIsNotRefused)
+{
+	cell_front_owner(front_, 0, "owner", 7, now_);
+	submit(1);
+	step(950);
+	EXPECT_TRUE(answers_.empty());
+	step(2000);
+	ASSERT_EQ(1u, answers_.size());
+	EXPECT_EQ(CELL_UNSURE, answers_[0]);
+}
+
+/* Guards against jobs sent to an owner that is about to refuse them. */
+TEST_F(Front, AnOverloadedOwnerIsAskedBeforeItIsSentAJob)
+{
+	cell_front_owner(front_, 0, "owner", 7, now_);
+	cell_front_asks_first(front_, 0, true);
+	submit(1);
+	ASSERT_EQ(1u, passed_.size());
+	EXPECT_FALSE(passed_[0].job);
+	answer(1, OGL__CELL_OUTCOME__cell_send_job);
+	ASSERT_EQ(2u, passed_.size());
+	EXPECT_TRUE(passed_[1].job);
+	EXPECT_TRUE(passed_[1].admitted);
+	answer(1, OGL__CELL_OUTCOME__cell_ok);
+	ASSERT_EQ(1u, answers_.size());
+	EXPECT_EQ(CELL_OK, answers_[0]);
+}
+
+/* Guards against a repeat of a lost call that is given up too early. */
+TEST_F(Front, ACallWithoutAnAnswerIsRepeatedLessAndLess)
+{
+	cell_front_owner(front_, 0, "owner", 7, now_);
+	submit(1);
+	step(460);
+	EXPECT_EQ(2u, passed_.size());
+	step(460);
+	EXPECT_EQ(2u, passed_.size());
+	step(460);
+	EXPECT_EQ(3u, passed_.size());
+}
+
+} // namespace
