A window stays open when an owner that serves turns a single call away

An owner that can't confirm its ownership, as while the store is away, answers questions about unknown jobs with "not the owner". The window of calls closed for 150 ms at each of them, and held questions that it would have answered. Found by reading; Window.OneThatHasServedIsNotHeld.. fails without.

--- a/cell/relay.c
+++ b/cell/relay.c
@@ -9,8 +9,7 @@
  * may be carried out still.  A relay that leaves calls unanswered is passed over
  * for a while.
  *
- * Orders to the same relay that are given in one step of the node go in one
- * message.
+ * Orders to the same relay gather for a moment and go in one message.
  */
 
 #include <string.h>
--- a/cell/window.c
+++ b/cell/window.c
@@ -60,11 +60,14 @@
 	w->closed_until = 0;
 }
 
+/* An owner that has served turns single calls away while it can't be sure that
+ * it still is the owner; the others it answers. */
 void
 cell_window_turned_away(struct cell_window *w, ogl_time now)
 {
+	if (w->proven)
+		return;
 	w->size = 1;
-	w->proven = false;
 	w->closed_until = now + TURNED_AWAY;
 }
 
--- a/test/test_cell_window.cc
+++ b/test/test_cell_window.cc
@@ -64,6 +64,17 @@
 	EXPECT_EQ(1, sent());
 }
 
+/* Guards against questions that wait because an owner which can't confirm its
+ * ownership has turned another one away. */
+TEST_F(Window, OneThatHasServedIsNotHeldForASingleCallTurnedAway)
+{
+	answer(sent());
+	EXPECT_EQ(4, sent());
+	cell_window_ended(&w_);
+	cell_window_turned_away(&w_, now_);
+	EXPECT_EQ(1, sent());
+}
+
 /* Guards against a queue before the owner's link that grows with each call. */
 TEST_F(Window, LongRoundTripsHalveIt)
 {
