Evacuated zones get no new work

Change: the adapter decodes the record's key; each node holds the set of evacuated zones with the offset that it is known to (zones.c). A listing, now read page by page, replaces the set, as the record that takes a zone back may be gone; a node that the store turns away learns the set from pongs, as it does the configuration. The fleet gives an evacuated worker nothing and repeats no lost start there; advice, reservations, moves of stragglers and room for them go by the same test. Runs, stops and holds go on. Owners get no configuration, and start nothing, before the zones are known.

Ruled out: a number of shards that leaves evacuated workers out (it is decided for good, and the zone comes back).

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -80,7 +80,8 @@
 	struct cell_fleet_events events;
 	GHashTable *workers; /* id -> struct cell_worker */
 	GHashTable *teams;   /* name -> struct ogl_res, what may run */
-	double sound_pace;   /* of workers that are well */
+	const struct cell_zones *zones; /* evacuated ones; NULL not told yet */
+	double sound_pace;              /* of workers that are well */
 	bool open;
 	uint64_t epoch;
 	uint64_t generation;
@@ -322,6 +323,8 @@
 	if (g_strcmp0(w->addr, e->addr) != 0)
 		set_addr(f, w, e->addr, now);
 	replace(&w->zone, e->zone);
+	w->evacuated =
+	    f->zones != NULL && cell_zones_evacuated(f->zones, w->zone);
 	replace(&w->rack, e->rack);
 	replace(&w->service, e->service);
 	g_strfreev(w->labels);
@@ -350,6 +353,32 @@
 		f->events.room(f->events.arg, now);
 }
 
+void
+cell_fleet_zones(struct cell_fleet *f, const struct cell_zones *z, ogl_time now)
+{
+	unsigned evacuated = 0;
+	unsigned running = 0;
+	GHashTableIter it;
+	gpointer p;
+	char text[96];
+
+	f->zones = z;
+	g_hash_table_iter_init(&it, f->workers);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct cell_worker *w = p;
+
+		w->evacuated = cell_zones_evacuated(z, w->zone);
+		evacuated += w->evacuated;
+		running += w->evacuated ? g_hash_table_size(w->runs) : 0;
+	}
+	if (!f->open)
+		return;
+	g_snprintf(text, sizeof text, "evacuated=%u of=%u runs=%u", evacuated,
+	    g_hash_table_size(f->workers), running);
+	f->ops->log(f->ops->ctx, "fleet", "workers_evacuated", text);
+	f->events.room(f->events.arg, now);
+}
+
 void
 cell_fleet_expect(struct cell_fleet *f, const Ogl__CellKnown *k, ogl_time now)
 {
@@ -454,9 +483,9 @@
 bool
 cell_worker_open(const struct cell_worker *w, ogl_time now)
 {
-	return w->listed && w->named && !w->draining && w->fenced &&
-	       w->failures == 0 && w->nstrays == 0 && now >= w->aside_until &&
-	       !overdue(w, now);
+	return w->listed && w->named && !w->draining && !w->evacuated &&
+	       w->fenced && w->failures == 0 && w->nstrays == 0 &&
+	       now >= w->aside_until && !overdue(w, now);
 }
 
 /*
@@ -1415,7 +1444,9 @@
 {
 	if (r->open || now < r->retry_at)
 		return;
-	if (r->state == CELL_RUN_STARTING) {
+	if (r->state == CELL_RUN_STARTING && r->worker->evacuated) {
+		cell_fleet_stop(f, r, now);
+	} else if (r->state == CELL_RUN_STARTING) {
 		if (r->worker->fenced)
 			send_start(f, r, now);
 	} else if (r->state == CELL_RUN_STOPPING && !r->stop_done) {
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -12,6 +12,7 @@
 
 #include "job.h"
 #include "pace.h"
+#include "zones.h"
 
 struct cell_fleet;
 
@@ -68,6 +69,7 @@
 	bool listed;   /* on the platform's list */
 	bool expected; /* known to an earlier owner, not heard of yet */
 	bool draining;
+	bool evacuated;         /* its zone is: nothing is started there */
 	uint64_t entry_born_ms; /* life that its entry speaks of */
 
 	uint64_t life;       /* born_ms of the life last heard; 0 none yet */
@@ -150,6 +152,10 @@
     const struct cell_worker_entry *e, ogl_time now);
 /* The platform lists a worker; e NULL: no longer. */
 
+void cell_fleet_zones(
+    struct cell_fleet *f, const struct cell_zones *z, ogl_time now);
+/* Evacuated zones; borrowed, to be called again when they have changed. */
+
 void cell_fleet_expect(
     struct cell_fleet *f, const Ogl__CellKnown *k, ogl_time now);
 /* An earlier owner may have started something there, listed or not. */
--- a/cell/front.c
+++ b/cell/front.c
@@ -78,6 +78,14 @@
 	bool asks_first;
 };
 
+/* A reading of the newest record of each key, page by page. */
+struct listing {
+	char *after;      /* last key of the last page, NULL before the first */
+	uint64_t end;     /* of the stream at the first page */
+	ogl_time sent;    /* when the first page was asked for */
+	GPtrArray *zones; /* names of evacuated zones found so far */
+};
+
 struct cell_front {
 	const struct cell_ops *ops;
 	const struct cell_limits *limits;
@@ -88,6 +96,8 @@
 
 	struct cell_config *config;
 	GBytes *record; /* that the configuration was read from */
+	struct cell_zones *zones;
+	struct listing listing;
 	bool loaded;
 	bool reading;
 	uint64_t next;
@@ -123,6 +133,8 @@
 	f->calls = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, pending_free);
 	f->record = g_bytes_new(NULL, 0);
+	f->zones = cell_zones_init();
+	f->listing.zones = g_ptr_array_new_with_free_func(g_free);
 	f->read_ok = CELL_LONG_AGO;
 	f->fresh_as_of = CELL_LONG_AGO;
 	return f;
@@ -138,6 +150,9 @@
 	g_hash_table_unref(f->calls);
 	cell_config_unref(f->config);
 	g_bytes_unref(f->record);
+	cell_zones_end(f->zones);
+	g_ptr_array_unref(f->listing.zones);
+	g_free(f->listing.after);
 	g_free(f);
 }
 
@@ -147,6 +162,12 @@
 	return f->config;
 }
 
+const struct cell_zones *
+cell_front_zones(const struct cell_front *f)
+{
+	return f->zones;
+}
+
 bool
 cell_front_fresh(const struct cell_front *f, ogl_time now)
 {
@@ -181,6 +202,19 @@
 	f->ops->log(f->ops->ctx, "front", "config_in_force", text);
 }
 
+static void
+take_zone(struct cell_front *f, const struct cell_record *r)
+{
+	char text[160];
+
+	if (!cell_zones_record(f->zones, r->zone, !r->dropped, r->offset))
+		return;
+	g_snprintf(text, sizeof text, "zone=%.80s offset=%" G_GUINT64_FORMAT,
+	    r->zone, r->offset);
+	f->ops->log(f->ops->ctx, "front",
+	    r->dropped ? "zone_taken_back" : "zone_evacuated", text);
+}
+
 static void
 take_records(struct cell_front *f, const struct cell_record *records, size_t n)
 {
@@ -189,9 +223,32 @@
 	for (i = 0; i < n; i++) {
 		if (records[i].config != NULL)
 			take_config(f, records[i].config, records[i].value);
+		if (records[i].zone != NULL)
+			take_zone(f, &records[i]);
 	}
 }
 
+/* The listing holds all zones that are evacuated: others are not any more,
+ * although the record that says so may be gone. */
+static void
+replace_zones(
+    struct cell_front *f, char *const *names, size_t n, uint64_t known_to)
+{
+	uint64_t changes = cell_zones_changes(f->zones);
+	char *list;
+	char *text;
+
+	cell_zones_replace(f->zones, names, n, known_to);
+	if (cell_zones_changes(f->zones) == changes)
+		return;
+	list = n > 0 ? g_strjoinv(",", (char **)(uintptr_t)names) : NULL;
+	text = g_strdup_printf("evacuated=%s known_to=%" G_GUINT64_FORMAT,
+	    list != NULL ? list : "none", known_to);
+	f->ops->log(f->ops->ctx, "front", "zones_listed", text);
+	g_free(text);
+	g_free(list);
+}
+
 static void
 read_succeeded(struct cell_front *f, ogl_time now)
 {
@@ -239,6 +296,66 @@
 		f->fresh_as_of = MAX(f->fresh_as_of, c->as_of);
 }
 
+void
+cell_front_learn_zones(struct cell_front *f, char *const *names, size_t n,
+    uint64_t known_to, ogl_time now)
+{
+	GPtrArray *list;
+	size_t i;
+
+	if (!cell_front_cut_off(f, now))
+		return;
+	list = g_ptr_array_new();
+	for (i = 0; i < n; i++)
+		g_ptr_array_add(list, names[i]);
+	g_ptr_array_add(list, NULL);
+	replace_zones(f, (char *const *)list->pdata, n, known_to);
+	g_ptr_array_unref(list);
+}
+
+/* ---- a listing of the settings, page by page --------------------------- */
+
+/* Records that come while it is read are read once more from its start on. */
+static void
+listing_begin(struct cell_front *f, uint64_t end)
+{
+	f->listing.end = end;
+	f->listing.sent = f->read_sent;
+	g_ptr_array_set_size(f->listing.zones, 0);
+}
+
+static void
+listing_take(struct cell_front *f, const struct cell_newest_answer *a)
+{
+	size_t i;
+
+	for (i = 0; i < a->n; i++) {
+		const struct cell_record *r = &a->records[i];
+
+		if (r->config != NULL)
+			take_config(f, r->config, r->value);
+		if (r->zone != NULL && !r->dropped)
+			g_ptr_array_add(f->listing.zones, g_strdup(r->zone));
+	}
+	g_clear_pointer(&f->listing.after, g_free);
+	if (a->n > 0)
+		f->listing.after = g_strdup(a->records[a->n - 1].key);
+}
+
+static void
+listing_finish(struct cell_front *f)
+{
+	GPtrArray *zones = f->listing.zones;
+
+	g_clear_pointer(&f->listing.after, g_free);
+	g_ptr_array_add(zones, NULL);
+	replace_zones(
+	    f, (char *const *)zones->pdata, zones->len - 1, f->listing.end);
+	f->loaded = true;
+	f->next = f->listing.end;
+	f->read_sent = f->listing.sent;
+}
+
 static void
 on_newest(void *arg, const struct cell_newest_answer *a, ogl_time now)
 {
@@ -249,9 +366,13 @@
 		f->read_at = now + READ_RETRY;
 		return;
 	}
-	f->loaded = true;
-	take_records(f, a->records, a->n);
-	f->next = a->end;
+	if (f->listing.after == NULL)
+		listing_begin(f, a->end);
+	listing_take(f, a);
+	f->read_at = now;
+	if (a->more && f->listing.after != NULL)
+		return;
+	listing_finish(f);
 	read_succeeded(f, now);
 }
 
@@ -285,8 +406,9 @@
 	    .from = f->next,
 	    .wait_ms = READ_WAIT_MS,
 	    .timeout_ms = READ_TIMEOUT_MS};
-	struct cell_newest q = {
-	    .stream = CELL_SETTINGS, .timeout_ms = READ_TIMEOUT_MS};
+	struct cell_newest q = {.stream = CELL_SETTINGS,
+	    .after = f->listing.after,
+	    .timeout_ms = READ_TIMEOUT_MS};
 
 	if (f->reading || now < f->read_at)
 		return;
--- a/cell/front.h
+++ b/cell/front.h
@@ -9,6 +9,7 @@
 
 #include "cell_config.h"
 #include "shards.h"
+#include "zones.h"
 
 struct cell_front;
 
@@ -71,6 +72,12 @@
 /* What a peer knows, as_of on this node's clock; the record is empty when the
  * peer did not send it. */
 
+const struct cell_zones *cell_front_zones(const struct cell_front *f);
+/* Evacuated zones; lives as long as the front. */
+void cell_front_learn_zones(struct cell_front *f, char *const *names, size_t n,
+    uint64_t known_to, ogl_time now);
+/* The list of a peer, for a node that can't read the settings itself. */
+
 size_t cell_front_open(const struct cell_front *f);
 /* Calls not answered yet. */
 
--- a/cell/node.c
+++ b/cell/node.c
@@ -71,6 +71,7 @@
 	uint32_t shards; /* 0 not known yet */
 	struct part parts[CELL_SHARDS_MAX];
 	struct cell_config *config; /* that the owners were told of */
+	uint64_t zone_changes;      /* of the zones that they were told of */
 	bool stopping;
 	ogl_time now;        /* of the step or event under way */
 	ogl_time started_at; /* first step, 0 not yet */
@@ -393,6 +394,21 @@
 	pong->config_record.len = c.record.n;
 }
 
+/* The names are to be freed with the list, after the pong was sent. */
+static GPtrArray *
+tell_zones(struct cell_node *n, const Ogl__CellPing *p, Ogl__CellPong *pong)
+{
+	const struct cell_zones *z = cell_front_zones(n->front);
+	GPtrArray *a = cell_zones_list(z);
+
+	if (p->cut_off && cell_zones_known(z)) {
+		pong->zones_known_to = cell_zones_known_to(z);
+		pong->evacuated_zones = (char **)a->pdata;
+		pong->n_evacuated_zones = a->len;
+	}
+	return a;
+}
+
 /* Dated back to when the ping was sent: the pong's age was right then or later,
  * whatever the way took. */
 static void
@@ -406,6 +422,9 @@
 	c.record.p = (const char *)pong->config_record.data;
 	c.record.n = pong->config_record.len;
 	cell_front_learn(n->front, &c, now);
+	if (pong->zones_known_to > 0)
+		cell_front_learn_zones(n->front, pong->evacuated_zones,
+		    pong->n_evacuated_zones, pong->zones_known_to, now);
 }
 
 static void
@@ -415,6 +434,7 @@
 	struct cell_node *n = part->node;
 	Ogl__CellMsg m = OGL__CELL_MSG__INIT;
 	Ogl__CellPong pong = OGL__CELL_PONG__INIT;
+	GPtrArray *zones;
 
 	if (p->lane)
 		cell_owner_node(part->owner, from, p->leaving, now);
@@ -428,9 +448,11 @@
 	pong.able = cell_lead_able(n->lead, part->shard, now);
 	pong.asks_first = cell_owner_asks_first(part->owner);
 	tell_config(n, p, &pong, now);
+	zones = tell_zones(n, p, &pong);
 	m.body_case = OGL__CELL_MSG__BODY_PONG;
 	m.pong = &pong;
 	send_msg(n, part->shard, from, &m);
+	g_ptr_array_unref(zones);
 }
 
 /* The owner may have been replaced by its own next life, or be cut off from
@@ -664,7 +686,6 @@
 	struct cell_node *n = arg;
 	uint32_t i;
 
-	(void)now;
 	n->shards = shards;
 	for (i = 0; i < shards; i++) {
 		struct part *part = &n->parts[i];
@@ -675,8 +696,10 @@
 		part->node = n;
 		part->shard = i;
 		part->owner = cell_owner_init(n->ops, &n->limits, &e, &p);
-		if (n->config != NULL)
-			cell_owner_config(part->owner, n->config);
+		if (n->config == NULL)
+			continue;
+		cell_owner_zones(part->owner, cell_front_zones(n->front), now);
+		cell_owner_config(part->owner, n->config);
 	}
 	cell_front_shards(n->front, shards);
 }
@@ -790,18 +813,27 @@
 	send_ping(part, owner, lends_lane(part), now);
 }
 
-/* The owners go by the same configuration as the entry. */
+/*
+ * The owners go by the same configuration as the entry.  They get none, and
+ * start nothing, before it is known which zones are evacuated.
+ */
 static void
 share_config(struct cell_node *n)
 {
 	struct cell_config *c = cell_front_config(n->front);
+	const struct cell_zones *z = cell_front_zones(n->front);
 	uint32_t i;
 
-	if (c == n->config)
+	if (c == NULL || !cell_zones_known(z))
+		return;
+	if (c == n->config && cell_zones_changes(z) == n->zone_changes)
 		return;
 	n->config = c;
-	for (i = 0; i < n->shards; i++)
+	n->zone_changes = cell_zones_changes(z);
+	for (i = 0; i < n->shards; i++) {
+		cell_owner_zones(n->parts[i].owner, z, n->now);
 		cell_owner_config(n->parts[i].owner, c);
+	}
 }
 
 /*
--- a/cell/ops.h
+++ b/cell/ops.h
@@ -95,7 +95,8 @@
 	struct ogl_str value;
 	bool dropped; /* the key is gone */
 	/* Decoded by stream; NULL when it can't be read. */
-	struct cell_config *config;       /* CELL_SETTINGS, its main record */
+	struct cell_config *config; /* CELL_SETTINGS, its main record */
+	const char *zone; /* CELL_SETTINGS: evacuated; taken back if dropped */
 	struct cell_worker_entry *worker; /* CELL_WORKERS */
 };
 
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -1149,6 +1149,13 @@
 	o->run_pass = true;
 }
 
+void
+cell_owner_zones(struct cell_owner *o, const struct cell_zones *z, ogl_time now)
+{
+	cell_fleet_zones(o->fleet, z, now);
+	o->run_pass = true;
+}
+
 /* ---- calls ------------------------------------------------------------ */
 
 static void
--- a/cell/owner.h
+++ b/cell/owner.h
@@ -9,6 +9,7 @@
 
 #include "cell_config.h"
 #include "shards.h"
+#include "zones.h"
 
 struct cell_owner;
 
@@ -50,6 +51,10 @@
 /* Lets go of it: calls still waiting are answered as unsure. */
 
 void cell_owner_config(struct cell_owner *o, struct cell_config *c);
+void cell_owner_zones(
+    struct cell_owner *o, const struct cell_zones *z, ogl_time now);
+/* Evacuated zones; borrowed for as long as the owner lives.  To be called again
+ * when they have changed. */
 
 void cell_owner_call(
     struct cell_owner *o, const char *from, Ogl__CellCall *call, ogl_time now);
--- a/ctl/cmd_explain.c
+++ b/ctl/cmd_explain.c
@@ -114,16 +114,17 @@
 	static const char *const cell[] = {"lead.ownership_won",
 	    "lead.ownership_lost", "lead.owner_unable", "owner.cell_taken_over",
 	    "owner.settled", "front.store_lost", "front.store_regained",
-	    "host.started", "host.stopping", "log.lines_left_out"};
+	    "front.zone_evacuated", "front.zone_taken_back",
+	    "fleet.workers_evacuated", "host.started", "host.stopping",
+	    "log.lines_left_out"};
 	size_t i;
 
 	if (e->of_job)
 		return true;
 	if (e->ts < s->from - BEFORE_S || e->ts > s->to + AFTER_S)
 		return false;
-	if (g_str_has_prefix(e->event, "fleet."))
-		return e->worker != NULL &&
-		       g_hash_table_contains(workers, e->worker);
+	if (e->worker != NULL && g_str_has_prefix(e->event, "fleet."))
+		return g_hash_table_contains(workers, e->worker);
 	for (i = 0; i < G_N_ELEMENTS(cell); i++) {
 		if (strcmp(e->event, cell[i]) == 0)
 			return true;
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -2575,7 +2575,7 @@
   (ProtobufCMessageInit) ogl__cell_ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_pong__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ogl__cell_pong__field_descriptors[9] =
 {
   {
     "stamp",
@@ -2661,6 +2661,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "zones_known_to",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPong, zones_known_to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuated_zones",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Ogl__CellPong, n_evacuated_zones),
+    offsetof(Ogl__CellPong, evacuated_zones),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_pong__field_indices_by_name[] = {
   2,   /* field[2] = able */
@@ -2668,13 +2692,15 @@
   3,   /* field[3] = config */
   4,   /* field[4] = config_age_ms */
   5,   /* field[5] = config_record */
+  8,   /* field[8] = evacuated_zones */
   1,   /* field[1] = owns */
   0,   /* field[0] = stamp */
+  7,   /* field[7] = zones_known_to */
 };
 static const ProtobufCIntRange ogl__cell_pong__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ogl__cell_pong__descriptor =
 {
@@ -2684,7 +2710,7 @@
   "Ogl__CellPong",
   "ogl",
   sizeof(Ogl__CellPong),
-  7,
+  9,
   ogl__cell_pong__field_descriptors,
   ogl__cell_pong__field_indices_by_name,
   1,  ogl__cell_pong__number_ranges,
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -511,10 +511,18 @@
    * the sender refuses some new jobs: it wants to be
    */
   protobuf_c_boolean asks_first;
+  /*
+   * asked before it is sent one
+   * For one cut off that knows less: evacuated zones, as of all records of the
+   * settings stream below an offset; 0 not told.
+   */
+  uint64_t zones_known_to;
+  size_t n_evacuated_zones;
+  char **evacuated_zones;
 };
 #define OGL__CELL_PONG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_pong__descriptor) \
-    , 0, 0, 0, 0, 0, {0,NULL}, 0 }
+    , 0, 0, 0, 0, 0, {0,NULL}, 0, 0, 0,NULL }
 
 
 /*
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -24,6 +24,7 @@
 KEY = "key-one"
 SETTLE_S = 60
 CALLS_S = 30
+ZONES = ["za", "zb"]  # that the workers are dealt out to
 
 
 class Proxy:
@@ -152,6 +153,7 @@
 class Soak:
     def __init__(self, a):
         self.rand = random.Random(a.seed)
+        self.zone_rand = random.Random(a.seed + 1)
         self.build, self.dir = a.build, a.keep or tempfile.mkdtemp()
         self.net = a.seed % 200
         self.port = 21000 + (a.seed % 50) * 20
@@ -171,7 +173,9 @@
         )
         for i in range(self.nworkers):
             ip = f"127.0.{1 + self.net}.{100 + i}"
-            worker = w.Worker(self.world, f"w{i}", f"{ip}:{self.port + 6}")
+            worker = w.Worker(
+                self.world, f"w{i}", f"{ip}:{self.port + 6}", ZONES[i % 2]
+            )
             await asyncio.start_server(
                 server_of(worker.handle), ip, self.port + 7
             )
@@ -259,6 +263,7 @@
         r = self.rand
         node, i = r.choice(self.nodes), r.randrange(self.nworkers)
         worker, kind = self.world.workers[i], r.randrange(9)
+        self.world.troubled = w.now()
         if kind == 0:
             node.signal(signal.SIGKILL)
         elif kind == 1:
@@ -296,9 +301,16 @@
                     worker.life()
                 worker.mode = "well"
 
+    async def move_zones(self):
+        """A random source of its own: older seeds play as they did."""
+        r = self.zone_rand
+        if r.random() < 0.2:
+            await self.world.evacuate(r.choice(ZONES), r.random() < 0.6)
+
     async def trouble(self, until):
         while w.now() < until:
             await asyncio.sleep(self.rand.uniform(0.2, 1.2))
+            await self.move_zones()
             for _ in range(self.rand.randint(0, 2)):
                 await self.strike()
             if self.rand.random() < 0.5:
@@ -338,6 +350,11 @@
 
     async def settle(self):
         await self.heal(True)
+        if self.world.evacuated:
+            self.world.troubled = w.now()
+            await asyncio.sleep(w.EVACUATE_S + 0.5)
+        for zone in ZONES:
+            await self.world.evacuate(zone, False)
         end, left = w.now() + SETTLE_S, ["?"]
         while left and w.now() < end:
             await asyncio.sleep(0.5)
--- a/soak/world.py
+++ b/soak/world.py
@@ -15,6 +15,8 @@
 LEASE_MAX_MS = 10000
 STOP_S = 0.2
 VALID_MS = 2500
+EVACUATE_S = 5  # from an evacuation's record to the last start in its zone
+CONTACT_S = 4  # so long after a fault the bound holds again
 
 
 def now():
@@ -208,8 +210,9 @@
 
 
 class Worker:
-    def __init__(self, world, ident, addr):
+    def __init__(self, world, ident, addr, zone="z"):
         self.world, self.id, self.addr = world, ident, addr
+        self.zone = zone
         self.mode = "well"  # failing, late, crashed
         self.life()
 
@@ -271,6 +274,11 @@
             breach("CANCELLED", name)
         if job.handed_in == job.rejected:
             breach("REFUSED", name)
+        since = self.world.evacuated.get(self.zone)
+        calm = now() - self.world.troubled > CONTACT_S
+        if since and now() - since > EVACUATE_S and calm:
+            if self.mode != "late":
+                breach("EVAC", name)
 
     def begin(self, b):
         ident, _, step, index = b["task"].split(".")
@@ -389,7 +397,7 @@
             {
                 "service": "svc",
                 "address": self.addr,
-                "zone": "z",
+                "zone": self.zone,
                 "state": "ready",
                 "born": self.born,
                 "capacity": {"cpu": WORKER_CPU, "mem_mb": 65536, "gpus": 0},
@@ -407,6 +415,8 @@
         self.jobs, self.workers, self.tickets = {}, [], {}
         self.breaches = []
         self.version = 0
+        self.evacuated = {}  # zone -> since when
+        self.troubled = now()  # last fault of a node, its links or the store
         self.began = now()
 
     def breach(self, what, about):
@@ -440,6 +450,15 @@
             [("config", json.dumps(config).encode())]
         )
 
+    async def evacuate(self, zone, on):
+        if on:
+            self.evacuated.setdefault(zone, now())
+        else:
+            self.evacuated.pop(zone, None)
+        await self.store.topic("keyed.op").put(
+            [(f"evacuate/{zone}", b"{}" if on else None)]
+        )
+
     async def list_workers(self):
         """Entries follow what the workers are; leases end by their clocks."""
         last = {}
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -38,6 +38,12 @@
 #define RATE_ANY 1000u
 /* A limit may go unseen for as long as faults keep nodes from the store. */
 #define LIMIT_SLACK_US (12 * OGL_SEC)
+/* No node that has reached the store for CONTACT_US orders a start in a zone so
+ * long after the zone was evacuated. */
+#define EVACUATE_US (5 * OGL_SEC)
+#define CONTACT_US (4 * OGL_SEC)
+#define MAX_ZONES 8
+#define EVACUATE "evacuate " /* begins a key of the settings stream */
 
 typedef void event_fn(struct fake_cell *f, void *arg);
 
@@ -65,6 +71,7 @@
 	ogl_time busy_until; /* with the last one */
 	bool refused;        /* nobody listened at the last try of a peer */
 	enum fake_store_fault store;
+	ogl_time well_since;     /* it runs, and the store serves it */
 	ogl_time sends_until;    /* the link is busy with what it was given */
 	ogl_time receives_until; /* the same, of what is sent to the node */
 	char addr[32];
@@ -91,6 +98,7 @@
 
 struct stream {
 	GPtrArray *records; /* struct record, by offset */
+	uint64_t first;     /* records before it can't be read any more */
 	uint64_t epoch;
 	uint64_t seq;
 	bool seq_set;
@@ -132,6 +140,7 @@
 	char id[24];
 	char addr[32];
 	char rack[8];
+	char zone[8];
 	uint64_t born;
 	ogl_time born_at;
 	uint64_t epoch;
@@ -195,6 +204,7 @@
 	ogl_time limit_at;     /* when the present limit was set */
 	uint32_t limit_before; /* the highest that may still be in force */
 	unsigned writes;
+	ogl_time evacuated_at[MAX_ZONES + 1]; /* zone 1 and so on, 0 not */
 	GString *breaches;
 };
 
@@ -282,6 +292,7 @@
 	struct node *node;
 	enum call_kind kind;
 	bool over; /* answered or lost */
+	ogl_time sent;
 	unsigned refs;
 	void *done;
 	void *arg;
@@ -415,6 +426,7 @@
 	c->done = done;
 	c->arg = arg;
 	c->refs = 1;
+	c->sent = n->cell->now;
 	g_hash_table_add(n->open, c);
 	post(n->cell, timeout_ms * OGL_MS, (int)n->index, on_timeout,
 	    call_unref, c);
@@ -480,7 +492,7 @@
 /*
  * The fake's own form of what the operator and the workers write: words
  * separated by spaces.  A configuration is `VERSION POLICY ATTEMPTS CPU RATE KEY..`,
- * an entry `ADDR RACK BORN DRAINING`.
+ * an entry `ADDR RACK BORN DRAINING ZONE`.
  */
 static struct cell_config *
 decode_config(struct ogl_str value)
@@ -529,7 +541,7 @@
 
 	e->service = g_strdup(SERVICE);
 	e->addr = g_strdup(w[0]);
-	e->zone = g_strdup("z1");
+	e->zone = g_strdup(w[4]);
 	e->rack = g_strdup(w[1]);
 	e->labels = g_strsplit(w[1], ",", -1);
 	e->born_ms = g_ascii_strtoull(w[2], NULL, 10);
@@ -550,9 +562,12 @@
 		struct cell_record *r =
 		    &g_array_index(records, struct cell_record, i);
 
+		if (stream == CELL_SETTINGS &&
+		    g_str_has_prefix(r->key, EVACUATE))
+			r->zone = r->key + strlen(EVACUATE);
 		if (r->dropped)
 			continue;
-		if (stream == CELL_SETTINGS)
+		if (stream == CELL_SETTINGS && strcmp(r->key, "config") == 0)
 			r->config = decode_config(r->value);
 		else if (stream == CELL_WORKERS)
 			r->worker = decode_entry(r->value);
@@ -758,11 +773,14 @@
 {
 	struct call *c = arg;
 	struct stream *s = &f->streams[c->stream][c->shard];
-	struct cell_read_answer a = {.io = OGL_IO_OK, .end = s->records->len};
+	struct cell_read_answer a = {.io = OGL_IO_OK,
+	    .trimmed = c->from < s->first,
+	    .first = s->first,
+	    .end = s->records->len};
 	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct cell_record));
 	guint i;
 
-	for (i = (guint)c->from; i < s->records->len; i++) {
+	for (i = (guint)c->from; !a.trimmed && i < s->records->len; i++) {
 		const struct record *u = s->records->pdata[i];
 		struct cell_record r = {.offset = i, .key = u->key};
 		gsize n = 0;
@@ -816,6 +834,9 @@
 
 struct newest_page {
 	const struct stream *stream;
+	const char *after; /* NULL: from the first key on */
+	guint max;
+	bool more;
 	GArray *out;
 };
 
@@ -828,14 +849,25 @@
 	struct cell_record r = {.offset = at, .key = key};
 	gsize n;
 
-	if (u->value == NULL)
+	if (u->value == NULL ||
+	    (p->after != NULL && strcmp(key, p->after) <= 0))
 		return FALSE;
+	p->more = p->out->len == p->max;
+	if (p->more)
+		return TRUE;
 	r.value.p = g_bytes_get_data(u->value, &n);
 	r.value.n = n;
 	g_array_append_val(p->out, r);
 	return FALSE;
 }
 
+/* The stream of ownership has so few keys that it always fits one page. */
+static guint
+page_size(const struct fake_cell *f, enum cell_stream s)
+{
+	return f->shape.page > 0 && s != CELL_LEAD ? f->shape.page : G_MAXUINT;
+}
+
 static void
 answer_newest(struct fake_cell *f, void *arg)
 {
@@ -844,6 +876,8 @@
 	struct cell_newest_answer a = {.io = OGL_IO_OK, .end = s->records->len};
 	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct cell_record));
 	GTree *newest = g_tree_new((GCompareFunc)strcmp); /* by key */
+	struct newest_page page = {
+	    s, c->after, page_size(f, c->stream), false, out};
 	guint i;
 
 	for (i = 0; i < s->records->len; i++) {
@@ -851,7 +885,8 @@
 
 		g_tree_replace(newest, u->key, GUINT_TO_POINTER(i + 1));
 	}
-	g_tree_foreach(newest, add_newest, &(struct newest_page){s, out});
+	g_tree_foreach(newest, add_newest, &page);
+	a.more = page.more;
 	if (call_finish(c)) {
 		decode(c->stream, out);
 		a.records = (const struct cell_record *)(void *)out->data;
@@ -1342,6 +1377,17 @@
 	g_free(text);
 }
 
+/* One order may be carried out long after it was sent. */
+static void
+check_zone(struct fake_cell *f, const struct worker *w, const struct call *c)
+{
+	ogl_time since = f->evacuated_at[atoi(w->zone + 1)];
+	ogl_time in_touch = c->node->well_since + CONTACT_US;
+
+	if (since != 0 && c->sent > MAX(since + EVACUATE_US, in_touch))
+		breach(f, "EVACUATED", c->task.id);
+}
+
 static enum cell_refusal
 refuse_start(struct fake_cell *f, struct worker *w, const struct call *c)
 {
@@ -1380,6 +1426,7 @@
 	}
 	s = &j->steps[c->task.step];
 	check_start(f, w, j, &c->task, s->cpu);
+	check_zone(f, w, c);
 	r = g_new0(struct run, 1);
 	r->task = c->task;
 	r->number = c->run;
@@ -2086,6 +2133,19 @@
 	return job_of(f, id)->running;
 }
 
+unsigned
+fake_cell_running_in(const struct fake_cell *f, const char *zone)
+{
+	unsigned n = 0;
+	unsigned i;
+
+	for (i = 0; i < f->shape.workers; i++) {
+		if (strcmp(f->workers[i].zone, zone) == 0)
+			n += f->workers[i].runs->len;
+	}
+	return n;
+}
+
 /* ---- nodes ------------------------------------------------------------ */
 
 static void
@@ -2186,6 +2246,7 @@
 	if (n->up)
 		return;
 	n->up = true;
+	n->well_since = MAX(n->well_since, f->now);
 	n->frozen = false;
 	n->life++;
 	n->wake = OGL_NEVER;
@@ -2220,6 +2281,9 @@
 fake_cell_freeze(struct fake_cell *f, unsigned node, bool on)
 {
 	f->nodes[node].frozen = on;
+	if (!on)
+		f->nodes[node].well_since =
+		    MAX(f->nodes[node].well_since, f->now);
 	if (!on)
 		step_node(f, &f->nodes[node]);
 }
@@ -2337,8 +2401,8 @@
 put_entry(struct fake_cell *f, const struct worker *w)
 {
 	put_text(f, CELL_WORKERS, w->id,
-	    w->up ? g_strdup_printf("%s %s %" G_GUINT64_FORMAT " %d", w->addr,
-			w->rack, w->born, w->draining)
+	    w->up ? g_strdup_printf("%s %s %" G_GUINT64_FORMAT " %d %s",
+			w->addr, w->rack, w->born, w->draining, w->zone)
 		  : NULL);
 }
 
@@ -2348,11 +2412,36 @@
 	unsigned i;
 
 	for (i = 0; i < f->shape.nodes; i++) {
-		if (node < 0 || (unsigned)node == i)
-			f->nodes[i].store = fault;
+		if (node >= 0 && (unsigned)node != i)
+			continue;
+		f->nodes[i].store = fault;
+		f->nodes[i].well_since =
+		    fault == FAKE_STORE_WELL ? f->now : OGL_NEVER / 2;
 	}
 }
 
+void
+fake_cell_evacuate(struct fake_cell *f, const char *zone, bool on)
+{
+	ogl_time *at = &f->evacuated_at[atoi(zone + 1)];
+	char *key = g_strdup_printf(EVACUATE "%s", zone);
+
+	if (on && *at == 0)
+		*at = f->now;
+	else if (!on)
+		*at = 0;
+	put_text(f, CELL_SETTINGS, key, on ? g_strdup("{}") : NULL);
+	g_free(key);
+}
+
+void
+fake_cell_forget_settings(struct fake_cell *f)
+{
+	struct stream *s = &f->streams[CELL_SETTINGS][0];
+
+	s->first = s->records->len;
+}
+
 void
 fake_cell_revoke(struct fake_cell *f, const char *key)
 {
@@ -2533,6 +2622,8 @@
 	 * dozen spread over all of them. */
 	g_snprintf(
 	    w->rack, sizeof w->rack, "r%u", f->shape.shards > 1 ? i : i / 6);
+	g_snprintf(w->zone, sizeof w->zone, "z%u",
+	    1 + i % CLAMP(f->shape.zones, 1, MAX_ZONES));
 	w->born = 1000000 * (i + 1);
 	w->up = true;
 	w->runs = g_ptr_array_new_with_free_func(g_free);
@@ -2700,6 +2791,7 @@
 fake_cell_settle(struct fake_cell *f, uint32_t ms)
 {
 	ogl_time end = f->now + ms * OGL_MS;
+	char zone[8];
 	unsigned i;
 
 	fake_cell_store(f, -1, FAKE_STORE_WELL);
@@ -2710,6 +2802,11 @@
 	}
 	for (i = 0; i < f->shape.workers; i++)
 		fake_cell_worker(f, i, FAKE_WORKER_WELL);
+	for (i = 1; i <= MAX_ZONES; i++) {
+		g_snprintf(zone, sizeof zone, "z%u", i);
+		if (f->evacuated_at[i] != 0)
+			fake_cell_evacuate(f, zone, false);
+	}
 	while (!all_over(f)) {
 		if (f->now > end) {
 			tell_open(f);
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -31,6 +31,8 @@
 	uint32_t attempts_max;
 	uint32_t link_kbps; /* that each node's link carries either way; 0: all
 			     * links are wide */
+	unsigned zones;     /* that the workers are dealt out to, 0 as 1 */
+	unsigned page;      /* records in one answer of newest ones, 0 all */
 };
 
 struct fake_cell *fake_cell_init(const struct fake_cell_shape *shape);
@@ -71,6 +73,8 @@
 unsigned fake_cell_starts(const struct fake_cell *f, const char *id);
 /* Runs that workers have begun for the job. */
 unsigned fake_cell_running(const struct fake_cell *f, const char *id);
+unsigned fake_cell_running_in(const struct fake_cell *f, const char *zone);
+/* Runs of all jobs on the workers of a zone. */
 
 /* ---- nodes ------------------------------------------------------------ */
 
@@ -107,6 +111,11 @@
 void fake_cell_revoke(struct fake_cell *f, const char *key);
 /* The operator takes a key away. */
 void fake_cell_limit(struct fake_cell *f, uint32_t team_cpu_max);
+void fake_cell_evacuate(struct fake_cell *f, const char *zone, bool on);
+/* The operator evacuates a zone, z1 and so on, or takes it back. */
+void fake_cell_forget_settings(struct fake_cell *f);
+/* The store drops the history of the settings stream; of each key the newest
+ * record stays. */
 void fake_cell_forget_lists(struct fake_cell *f);
 /* The workers' entries lapse; they come back within 2 s. */
 unsigned fake_cell_writes(const struct fake_cell *f);
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -89,11 +89,11 @@
 	void list(const char *addr)
 	{
 		struct cell_worker_entry entry = {};
-		char service[] = "svc", none[] = "";
+		char service[] = "svc", none[] = "", zone[] = "z";
 
 		entry.service = service;
 		entry.addr = const_cast<char *>(addr);
-		entry.zone = none;
+		entry.zone = zone;
 		entry.rack = none;
 		entry.capacity.cpu_milli = 16000;
 		cell_fleet_entry(fleet_, "w", &entry, now_);
@@ -115,6 +115,7 @@
 		for (Stop &s : worker_.stops)
 			s.done(s.arg, &none, now_);
 		cell_fleet_end(fleet_);
+		cell_zones_end(zones_);
 		if (job_ != nullptr)
 			cell_job_free(job_);
 	}
@@ -153,14 +154,21 @@
 		return cell_fleet_worker(fleet_, "w");
 	}
 
+	/* Its zone is evacuated, or taken back. */
+	void evacuate(bool on)
+	{
+		cell_zones_record(zones_, "z", on, ++records_);
+		cell_fleet_zones(fleet_, zones_, now_);
+	}
+
 	/* Starts the task of a job on the worker, and has the start answered. */
-	void start()
+	void start(enum ogl_io io = OGL_IO_OK)
 	{
 		auto *d = static_cast<Ogl__CellJob *>(
 		    calloc(1, sizeof(Ogl__CellJob)));
 		auto *s = static_cast<Ogl__CellStep *>(
 		    calloc(1, sizeof(Ogl__CellStep)));
-		struct cell_order_answer ok = {};
+		struct cell_order_answer a = {};
 
 		ogl__cell_job__init(d);
 		ogl__cell_step__init(s);
@@ -174,9 +182,8 @@
 		cell_fleet_start(fleet_, worker(),
 		    &cell_job_begin(job_, 0, now_)->stages[0], 0, 5, nullptr, 0,
 		    now_);
-		ok.io = OGL_IO_OK;
-		worker_.starts.back().done(
-		    worker_.starts.back().arg, &ok, now_);
+		a.io = io;
+		worker_.starts.back().done(worker_.starts.back().arg, &a, now_);
 	}
 
 	void answer(enum ogl_io io, size_t running, uint64_t born = 7)
@@ -197,6 +204,8 @@
 	}
 
 	Worker worker_;
+	struct cell_zones *zones_ = cell_zones_init();
+	uint64_t records_ = 0;
 	int ended_ = 0;
 	struct cell_job *job_ = nullptr;
 	struct cell_ops ops_ = {};
@@ -298,4 +307,42 @@
 	EXPECT_TRUE(cell_worker_open(worker(), now_));
 }
 
+/* Guards against work on a worker whose zone is evacuated. */
+TEST_F(Fleet, AnEvacuatedWorkerIsGivenNothing)
+{
+	step(10);
+	answer(OGL_IO_OK, 0);
+	cell_fleet_named(fleet_, "w", 1);
+	EXPECT_TRUE(cell_worker_open(worker(), now_));
+	evacuate(true);
+	EXPECT_FALSE(cell_worker_open(worker(), now_));
+	list("10.9.0.1:80");
+	EXPECT_FALSE(cell_worker_open(worker(), now_));
+	evacuate(false);
+	EXPECT_TRUE(cell_worker_open(worker(), now_));
+}
+
+/* Guards against a lost start that is ordered again in an evacuated zone. */
+TEST_F(Fleet, ALostStartIsNotRepeatedOnAnEvacuatedWorker)
+{
+	step(10);
+	answer(OGL_IO_OK, 0);
+	start(OGL_IO_LOST);
+	evacuate(true);
+	step(50);
+	EXPECT_EQ(1u, worker_.starts.size());
+	EXPECT_EQ(1u, worker_.stops.size());
+}
+
+/* A start that was lost is repeated as long as the zone is used. */
+TEST_F(Fleet, ALostStartIsRepeated)
+{
+	step(10);
+	answer(OGL_IO_OK, 0);
+	start(OGL_IO_LOST);
+	step(50);
+	EXPECT_EQ(2u, worker_.starts.size());
+	EXPECT_EQ(0u, worker_.stops.size());
+}
+
 } // namespace
--- a/test/test_cell_front.cc
+++ b/test/test_cell_front.cc
@@ -25,10 +25,11 @@
 	{
 		struct cell_front_events events = {on_send, this};
 
-		ops_.newest = [](void *ctx, const struct cell_newest *,
+		ops_.newest = [](void *ctx, const struct cell_newest *q,
 				  cell_newest_fn *done, void *arg) {
 			auto *t = static_cast<Front *>(ctx);
 
+			t->after_ = q->after != nullptr ? q->after : "";
 			t->newest_ = done;
 			t->arg_ = arg;
 		};
@@ -79,6 +80,57 @@
 		cell_config_unref(c);
 	}
 
+	/* A read finds that its records are gone; a listing follows. */
+	void forget()
+	{
+		struct cell_read_answer a = {};
+
+		a.trimmed = true;
+		read_(arg_, &a, now_);
+		step(1);
+	}
+
+	/* One page of a listing, with the record of an evacuated zone. */
+	void list_zone(const char *zone, bool more, uint64_t end)
+	{
+		std::string key = std::string("zone ") + zone;
+		struct cell_newest_answer a = {};
+		struct cell_record r = {};
+
+		r.offset = end - 1;
+		r.key = const_cast<char *>(key.c_str());
+		r.zone = zone;
+		a.records = &r;
+		a.n = zone[0] != '\0' ? 1 : 0;
+		a.more = more;
+		a.end = end;
+		newest_(arg_, &a, now_);
+		step(1);
+	}
+
+	/* A record about a zone is read. */
+	void read_zone(const char *zone, bool evacuated, uint64_t offset)
+	{
+		struct cell_read_answer a = {};
+		struct cell_record r = {};
+		char key[] = "zone";
+
+		r.offset = offset;
+		r.key = key;
+		r.zone = zone;
+		r.dropped = !evacuated;
+		a.records = &r;
+		a.n = 1;
+		a.end = offset + 1;
+		read_(arg_, &a, now_);
+		step(1);
+	}
+
+	bool evacuated(const char *zone)
+	{
+		return cell_zones_evacuated(cell_front_zones(front_), zone);
+	}
+
 	/* Hands in a job; ids are told apart by the token. */
 	void submit(uint64_t token)
 	{
@@ -148,6 +200,7 @@
 	std::vector<enum cell_status> answers_;
 	cell_newest_fn *newest_ = nullptr;
 	cell_read_fn *read_ = nullptr;
+	std::string after_; /* key that the last listing goes on from */
 	void *arg_ = nullptr;
 	ogl_time now_ = 100 * OGL_SEC;
 };
@@ -224,4 +277,53 @@
 	EXPECT_EQ(3u, passed_.size());
 }
 
+/* Guards against a zone left out for being on a later page of the listing. */
+TEST_F(Front, EvacuatedZonesAreListedPageByPage)
+{
+	step(1);
+	forget();
+	EXPECT_EQ("", after_);
+	list_zone("a", true, 9);
+	EXPECT_EQ("zone a", after_);
+	EXPECT_FALSE(evacuated("a"));
+	list_zone("b", false, 10);
+	EXPECT_TRUE(evacuated("a"));
+	EXPECT_TRUE(evacuated("b"));
+	EXPECT_EQ(9u, cell_zones_known_to(cell_front_zones(front_)));
+}
+
+/* Guards against a zone unused for good: the record that took it back is gone
+ * before it was read. */
+TEST_F(Front, AZoneThatIsListedNoMoreIsTakenBack)
+{
+	step(1);
+	read_zone("a", true, 1);
+	EXPECT_TRUE(evacuated("a"));
+	forget();
+	list_zone("", false, 5);
+	EXPECT_FALSE(evacuated("a"));
+}
+
+/* Guards against starts in a zone by a node that can't read of it. */
+TEST_F(Front, ACutOffNodeLearnsOfZonesFromAPeer)
+{
+	char a[] = "a", b[] = "b";
+	char *names[] = {a, b};
+
+	step(1);
+	cell_front_learn_zones(front_, names, 1, 4, now_);
+	EXPECT_FALSE(evacuated("a"));
+	step(2000);
+	cell_front_learn_zones(front_, names, 1, 4, now_);
+	EXPECT_TRUE(evacuated("a"));
+	cell_front_learn_zones(front_, names + 1, 1, 3, now_);
+	EXPECT_TRUE(evacuated("a"));
+	EXPECT_FALSE(evacuated("b"));
+	/* What it reads later may be older than that. */
+	read_zone("a", false, 2);
+	EXPECT_TRUE(evacuated("a"));
+	read_zone("a", false, 4);
+	EXPECT_FALSE(evacuated("a"));
+}
+
 } // namespace
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -78,6 +78,12 @@
 			fake_cell_drain(cell_, num(w[1]));
 		else if (w[0] == "forget-lists")
 			fake_cell_forget_lists(cell_);
+		else if (w[0] == "evacuate")
+			fake_cell_evacuate(cell_, w[1].c_str(), true);
+		else if (w[0] == "take-back")
+			fake_cell_evacuate(cell_, w[1].c_str(), false);
+		else if (w[0] == "forget-settings")
+			fake_cell_forget_settings(cell_);
 		else if (w[0] == "revoke")
 			fake_cell_revoke(cell_, w[1].c_str());
 		else if (w[0] == "limit")
@@ -141,6 +147,9 @@
 		if (w[0] == "running")
 			return std::to_string(
 			    fake_cell_running(cell_, id(w[1])));
+		if (w[0] == "running-in")
+			return std::to_string(
+			    fake_cell_running_in(cell_, w[1].c_str()));
 		if (w[0] == "ready")
 			return fake_cell_ready(cell_, node(w[1])) ? "yes"
 								  : "no";
@@ -267,6 +276,8 @@
 		shape_.team_cpu_max = o.count("max") != 0 ? num(o["max"]) : 0;
 		shape_.team_rate = o.count("rate") != 0 ? num(o["rate"]) : 0;
 		shape_.link_kbps = o.count("link") != 0 ? num(o["link"]) : 0;
+		shape_.page = o.count("page") != 0 ? num(o["page"]) : 0;
+		shape_.zones = o.count("zones") != 0 ? num(o["zones"]) : 1;
 		shape_.attempts_max =
 		    o.count("attempts") != 0 ? num(o["attempts"]) : 3;
 		cell_ = fake_cell_init(&shape_);
--- a/test/test_cell_seeds.cc
+++ b/test/test_cell_seeds.cc
@@ -22,8 +22,8 @@
 {
       public:
 	explicit Storm(unsigned seed, unsigned shards = 1, bool stops = false,
-	    unsigned link_kbps = 0)
-	    : rand_(seed), stops_(stops)
+	    unsigned link_kbps = 0, unsigned zones = 1)
+	    : rand_(seed), stops_(stops), zones_(zones)
 	{
 		shape_.nodes = 2 + below(4);
 		shape_.workers = shards == 1 ? 3 + below(10) : 12 + below(20);
@@ -31,6 +31,8 @@
 		shape_.refuses = stops;
 		shape_.seed = seed;
 		shape_.link_kbps = link_kbps;
+		shape_.zones = zones;
+		shape_.page = zones > 1 ? 1 + seed % 3 : 0;
 		shape_.policy = below(2) == 0;
 		shape_.team_cpu_max = below(3) == 0 ? 40000 * shards : 0;
 		shape_.attempts_max = 3;
@@ -53,6 +55,8 @@
 				strike();
 			if (below(3) == 0)
 				heal();
+			if (zones_ > 1 && below(4) == 0)
+				evacuate();
 			fake_cell_run(cell_, 50 + below(400));
 		}
 	}
@@ -208,6 +212,17 @@
 		}
 	}
 
+	/* Zones are evacuated and taken back, also all at once and again while
+	 * they are; now and then the store drops the records of it. */
+	void evacuate()
+	{
+		std::string zone = "z" + std::to_string(1 + below(zones_));
+
+		fake_cell_evacuate(cell_, zone.c_str(), below(2) == 0);
+		if (below(4) == 0)
+			fake_cell_forget_settings(cell_);
+	}
+
 	void heal()
 	{
 		unsigned i;
@@ -235,6 +250,7 @@
 	struct fake_cell *cell_ = nullptr;
 	unsigned last_ = 0;
 	bool stops_;
+	unsigned zones_;
 	std::vector<unsigned> stopped_;
 };
 
@@ -373,6 +389,24 @@
 	}
 }
 
+/* Zones are evacuated and taken back while all else goes wrong, on wide links
+ * and thin ones. */
+TEST(CellSeeds, EvacuationsKeepWhatMustHold)
+{
+	unsigned one = from_env("OGL_ZONE_SEED", 0);
+	unsigned seeds = one != 0 ? 1 : from_env("OGL_ZONE_SEEDS", 60);
+	unsigned first = from_env("OGL_SEED_FIRST", 1000);
+
+	for (unsigned i = 0; i < seeds; i++) {
+		unsigned seed = one != 0 ? one : first + i;
+		Storm storm(seed, 1 + seed % 2, seed % 3 == 0,
+		    seed % 4 == 0 ? 400 : 0, 2 + seed % 3);
+
+		storm.blow(60);
+		EXPECT_EQ("", storm.settle()) << "OGL_ZONE_SEED=" << seed;
+	}
+}
+
 /* The same in cells of two and three shards, whose owners come and go each by
  * itself. */
 TEST(CellSeeds, ShardsKeepWhatMustHold)
--- a/test/test_ctl_explain.cc
+++ b/test/test_ctl_explain.cc
@@ -107,4 +107,27 @@
 	EXPECT_EQ(1, status);
 }
 
+/* Guards against a job's wait that no line explains: its workers' zone was
+ * evacuated. */
+TEST(Explain, ShowsZonesThatWereEvacuatedMeanwhile)
+{
+	int status;
+	std::string out = explain(
+	    "ts=1.000 node=a part=owner event=job_accepted job=7 epoch=1\n"
+	    "ts=1.200 node=a part=front event=zone_evacuated zone=z1 "
+	    "offset=4\n"
+	    "ts=1.201 node=a part=fleet event=workers_evacuated evacuated=8 "
+	    "of=8 runs=3\n"
+	    "ts=9.000 node=a part=front event=zone_taken_back zone=z1 "
+	    "offset=5\n"
+	    "ts=9.100 node=a part=owner event=run_started job=7 task=0.0.0 "
+	    "run=1 worker=w1 age_ms=8100\n",
+	    "7", &status);
+
+	EXPECT_EQ(0, status);
+	EXPECT_NE(std::string::npos, out.find("zone_evacuated zone=z1"));
+	EXPECT_NE(std::string::npos, out.find("evacuated=8 of=8 runs=3"));
+	EXPECT_NE(std::string::npos, out.find("zone_taken_back zone=z1"));
+}
+
 } // namespace
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -81,6 +81,17 @@
 		EXPECT_EQ(nullptr, config(text)) << text;
 }
 
+TEST(PlatformSettingsKey, TellsOfTheZoneThatIsEvacuated)
+{
+	EXPECT_STREQ("zone-a", platform_zone_of_key("evacuate/zone-a"));
+	EXPECT_STREQ("a/b", platform_zone_of_key("evacuate/a/b"));
+	EXPECT_EQ(nullptr, platform_zone_of_key("evacuate/"));
+	EXPECT_EQ(nullptr, platform_zone_of_key("evacuate"));
+	EXPECT_EQ(nullptr, platform_zone_of_key("config"));
+	EXPECT_EQ(nullptr, platform_zone_of_key("wave/1"));
+	EXPECT_EQ(nullptr, platform_zone_of_key(""));
+}
+
 TEST(PlatformEntry, IsDecoded)
 {
 	const char text[] =
