Placement finds workers by number, queues and teams in tables

Cause: in the same profile string hashes, comparisons and table look-ups were a quarter of an owner's time: each look at a waiting stage looked up each of its allowed workers by name, each question each open worker, each decision the team and the queue by comparing names one after the other.

Change: workers have a serial number within their fleet; allowed workers are an array, those asked about a set of numbers; queues and teams have tables.

--- a/cell/advice.c
+++ b/cell/advice.c
@@ -227,11 +227,11 @@
 
 	if (w == NULL)
 		return;
-	g = g_hash_table_lookup(s->good, id);
+	g = cell_stage_good(s, w->serial);
 	if (g == NULL) {
-		g = g_new0(struct cell_good, 1);
-		g->worker = g_strdup(id);
-		g_hash_table_insert(s->good, g->worker, g);
+		g_array_set_size(s->good, s->good->len + 1);
+		g = &g_array_index(s->good, struct cell_good, s->good->len - 1);
+		g->worker = w->serial;
 	}
 	g_free(g->ticket);
 	g->ticket = g_strdup(ticket);
@@ -247,8 +247,10 @@
 static void
 note_asked(struct cell_advice *a, struct cell_stage *s, const char *id)
 {
-	if (a->events.worker(a->events.arg, id) != NULL)
-		g_hash_table_add(s->asked, g_strdup(id));
+	const struct cell_worker *w = a->events.worker(a->events.arg, id);
+
+	if (w != NULL)
+		g_hash_table_add(s->asked, GUINT_TO_POINTER(w->serial));
 }
 
 static void
@@ -332,7 +334,7 @@
 const struct cell_good *
 cell_advice_good(const struct cell_stage *s, const struct cell_worker *w)
 {
-	const struct cell_good *g = g_hash_table_lookup(s->good, w->id);
+	const struct cell_good *g = cell_stage_good(s, w->serial);
 
 	if (g == NULL || g->born_ms != w->life)
 		return NULL;
--- a/cell/cell_config.c
+++ b/cell/cell_config.c
@@ -1,6 +1,6 @@
 /*
- * Queues are few, so the longest prefix is found by looking at each; teams
- * and keys are hashed.
+ * The longest prefix of a path is found by looking at each queue; queues and
+ * teams by their names, and teams by their keys, in tables.
  */
 
 #include <string.h>
@@ -14,6 +14,10 @@
 	GPtrArray *services;
 	GPtrArray *team_list;
 	GHashTable *keys; /* key -> struct cell_team, borrowed */
+	/* Name -> entry, both borrowed; made at the first look, as the builder
+	 * names entries after it has added them. */
+	GHashTable *queue_names;
+	GHashTable *team_names;
 };
 
 static void
@@ -72,6 +76,8 @@
 {
 	if (c == NULL || --c->refs > 0)
 		return;
+	g_clear_pointer(&c->queue_names, g_hash_table_unref);
+	g_clear_pointer(&c->team_names, g_hash_table_unref);
 	g_hash_table_unref(c->keys);
 	g_ptr_array_unref(c->queues);
 	g_ptr_array_unref(c->services);
@@ -90,6 +96,7 @@
 {
 	struct cell_queue *q = g_new0(struct cell_queue, 1);
 
+	g_clear_pointer(&c->queue_names, g_hash_table_unref);
 	g_ptr_array_add(c->queues, q);
 	return q;
 }
@@ -99,6 +106,7 @@
 {
 	struct cell_team *t = g_new0(struct cell_team, 1);
 
+	g_clear_pointer(&c->team_names, g_hash_table_unref);
 	g_ptr_array_add(c->team_list, t);
 	return t;
 }
@@ -160,32 +168,49 @@
 	return best;
 }
 
-const struct cell_queue *
-cell_config_queue(const struct cell_config *c, const char *name)
+/* Of entries of one name the first counts. */
+static GHashTable *
+index_queues(const struct cell_config *c)
 {
+	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
 	guint i;
 
-	for (i = 0; i < c->queues->len; i++) {
-		const struct cell_queue *q = c->queues->pdata[i];
+	for (i = c->queues->len; i-- > 0;) {
+		struct cell_queue *q = c->queues->pdata[i];
 
-		if (strcmp(q->name, name) == 0)
-			return q;
+		g_hash_table_replace(names, q->name, q);
 	}
-	return NULL;
+	return names;
 }
 
-const struct cell_team *
-cell_config_team(const struct cell_config *c, const char *name)
+static GHashTable *
+index_teams(const struct cell_config *c)
 {
+	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
 	guint i;
 
-	for (i = 0; i < c->team_list->len; i++) {
-		const struct cell_team *t = c->team_list->pdata[i];
+	for (i = c->team_list->len; i-- > 0;) {
+		struct cell_team *t = c->team_list->pdata[i];
 
-		if (strcmp(t->name, name) == 0)
-			return t;
+		g_hash_table_replace(names, t->name, t);
 	}
-	return NULL;
+	return names;
+}
+
+const struct cell_queue *
+cell_config_queue(struct cell_config *c, const char *name)
+{
+	if (c->queue_names == NULL)
+		c->queue_names = index_queues(c);
+	return g_hash_table_lookup(c->queue_names, name);
+}
+
+const struct cell_team *
+cell_config_team(struct cell_config *c, const char *name)
+{
+	if (c->team_names == NULL)
+		c->team_names = index_teams(c);
+	return g_hash_table_lookup(c->team_names, name);
 }
 
 const struct cell_team *
@@ -203,7 +228,7 @@
 }
 
 struct cell_queue
-cell_queue_of_job(const struct cell_config *c, const Ogl__CellJob *def)
+cell_queue_of_job(struct cell_config *c, const Ogl__CellJob *def)
 {
 	const struct cell_queue *q =
 	    c != NULL ? cell_config_queue(c, def->queue) : NULL;
--- a/cell/cell_config.h
+++ b/cell/cell_config.h
@@ -64,13 +64,14 @@
  * none. */
 
 const struct cell_queue *cell_config_queue(
-    const struct cell_config *c, const char *name);
+    struct cell_config *c, const char *name);
 const struct cell_team *cell_config_team(
-    const struct cell_config *c, const char *name);
+    struct cell_config *c, const char *name);
+/* NULL when there is none of that name. */
 const struct cell_team *cell_config_team_of_key(
     const struct cell_config *c, struct ogl_str key);
 struct cell_queue cell_queue_of_job(
-    const struct cell_config *c, const Ogl__CellJob *def);
+    struct cell_config *c, const Ogl__CellJob *def);
 /* How the job's queue treats it now or, where c lacks it, when the job was
  * submitted; borrows from both. */
 
--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -78,8 +78,10 @@
 	const struct cell_ops *ops;
 	const struct cell_limits *limits;
 	struct cell_fleet_events events;
-	GHashTable *workers; /* id -> struct cell_worker */
-	GHashTable *teams;   /* name -> struct ogl_res, what may run */
+	GHashTable *workers;   /* id -> struct cell_worker */
+	GHashTable *by_serial; /* the same workers, not owned */
+	uint32_t last_serial;
+	GHashTable *teams; /* name -> struct ogl_res, what may run */
 	const struct cell_zones *zones; /* evacuated ones; NULL not told yet */
 	double sound_pace;              /* of workers that are well */
 	bool open;
@@ -147,6 +149,7 @@
 	f->sound_pace = 1;
 	f->workers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, worker_free);
+	f->by_serial = g_hash_table_new(NULL, NULL);
 	f->teams =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return f;
@@ -177,6 +180,7 @@
 cell_fleet_end(struct cell_fleet *f)
 {
 	cell_fleet_close(f);
+	g_hash_table_unref(f->by_serial);
 	g_hash_table_unref(f->workers);
 	g_hash_table_unref(f->teams);
 	g_free(f);
@@ -240,6 +244,12 @@
 	return g_hash_table_lookup(f->workers, id);
 }
 
+struct cell_worker *
+cell_fleet_by_serial(const struct cell_fleet *f, uint32_t serial)
+{
+	return g_hash_table_lookup(f->by_serial, GUINT_TO_POINTER(serial));
+}
+
 static void
 replace(char **to, const char *from)
 {
@@ -257,12 +267,14 @@
 	if (w != NULL)
 		return w;
 	w = g_new0(struct cell_worker, 1);
+	w->serial = ++f->last_serial;
 	w->id = g_strdup(id);
 	w->runs = g_hash_table_new(NULL, NULL);
 	w->loose = g_array_new(FALSE, FALSE, sizeof(struct cell_loose));
 	w->hold_at = now;
 	f->names_changed = true;
 	g_hash_table_insert(f->workers, w->id, w);
+	g_hash_table_insert(f->by_serial, GUINT_TO_POINTER(w->serial), w);
 	return w;
 }
 
@@ -1509,6 +1521,7 @@
 	    g_hash_table_size(w->runs) > 0)
 		return FALSE;
 	f->names_changed = true;
+	g_hash_table_remove(f->by_serial, GUINT_TO_POINTER(w->serial));
 	return TRUE;
 }
 
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -58,6 +58,7 @@
 };
 
 struct cell_worker {
+	uint32_t serial; /* in this fleet no other worker has or had it */
 	char *id;
 	char *addr;
 	char *zone;
@@ -236,6 +237,9 @@
 
 struct cell_worker *cell_fleet_worker(
     const struct cell_fleet *f, const char *id);
+struct cell_worker *cell_fleet_by_serial(
+    const struct cell_fleet *f, uint32_t serial);
+/* NULL: it has gone. */
 GHashTable *cell_fleet_workers(const struct cell_fleet *f);
 /* id -> struct cell_worker */
 
--- a/cell/job.c
+++ b/cell/job.c
@@ -63,13 +63,11 @@
 /* ---- making and freeing ----------------------------------------------- */
 
 static void
-good_free(void *p)
+good_clear(void *p)
 {
 	struct cell_good *g = p;
 
-	g_free(g->worker);
 	g_free(g->ticket);
-	g_free(g);
 }
 
 static void
@@ -83,9 +81,9 @@
 	s->ntasks = s->def->count;
 	s->tasks = g_new0(struct cell_task, s->ntasks);
 	s->link.data = s;
-	s->good =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, good_free);
-	s->asked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->good = g_array_new(FALSE, TRUE, sizeof(struct cell_good));
+	g_array_set_clear_func(s->good, good_clear);
+	s->asked = g_hash_table_new(NULL, NULL);
 }
 
 static void
@@ -100,7 +98,7 @@
 			g_array_unref(s->tasks[i].failed_runs);
 	}
 	g_free(s->tasks);
-	g_hash_table_unref(s->good);
+	g_array_unref(s->good);
 	g_hash_table_unref(s->asked);
 }
 
@@ -290,6 +288,21 @@
 		t->due = MIN(t->due, now);
 }
 
+struct cell_good *
+cell_stage_good(const struct cell_stage *s, uint32_t worker)
+{
+	guint i;
+
+	for (i = 0; i < s->good->len; i++) {
+		struct cell_good *g =
+		    &g_array_index(s->good, struct cell_good, i);
+
+		if (g->worker == worker)
+			return g;
+	}
+	return NULL;
+}
+
 bool
 cell_stage_ready(const struct cell_stage *s)
 {
--- a/cell/job.h
+++ b/cell/job.h
@@ -35,7 +35,7 @@
 
 /* A worker that the queue's policy allows to run the stage. */
 struct cell_good {
-	char *worker;
+	uint32_t worker; /* its serial number */
 	char *ticket;
 	ogl_time until;   /* the ticket is taken for expired from then on */
 	uint64_t born_ms; /* life of the worker that it was given for */
@@ -64,8 +64,8 @@
 	uint32_t nactive; /* tasks with a run */
 	GQueue *queue;    /* list of the scheduler that it is in */
 	GList link;
-	GHashTable *good;  /* worker -> struct cell_good; NULL until asked */
-	GHashTable *asked; /* set of workers whose answer is known */
+	GArray *good;      /* struct cell_good */
+	GHashTable *asked; /* set of workers' serials whose answer is known */
 	bool asking;
 	enum cell_wait waits; /* why it waits, as last logged */
 	ogl_time waits_since;
@@ -140,6 +140,10 @@
 void cell_stage_release(struct cell_stage *s, uint32_t index, ogl_time now);
 /* One hold is over; with the last one the task may be started. */
 
+struct cell_good *cell_stage_good(const struct cell_stage *s, uint32_t worker);
+/* What the policy said of the worker of that serial; NULL: not allowed, or not
+ * asked.  Valid until the next answer is taken. */
+
 bool cell_stage_ready(const struct cell_stage *s);
 /* Whether all steps that it comes after have ended. */
 
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -536,7 +536,7 @@
 		return;
 	detach(st, &st->tasks[r->name.index], r);
 	if (why == CELL_REFUSED_TICKET || why == CELL_REFUSED_LIFE) {
-		g = g_hash_table_lookup(st->good, r->worker->id);
+		g = cell_stage_good(st, r->worker->serial);
 		if (g != NULL)
 			g->until = 0;
 	}
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -329,14 +329,13 @@
     ogl_time now)
 {
 	struct ogl_res need = cell_stage_need(st);
-	GHashTableIter it;
-	gpointer p;
+	guint i;
 
-	g_hash_table_iter_init(&it, st->good);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		const struct cell_good *g = p;
+	for (i = 0; i < st->good->len; i++) {
+		const struct cell_good *g =
+		    &g_array_index(st->good, struct cell_good, i);
 		struct cell_worker *w =
-		    cell_fleet_worker(s->parts.fleet, g->worker);
+		    cell_fleet_by_serial(s->parts.fleet, g->worker);
 
 		if (w == NULL || w->open_pass != s->pass ||
 		    kept_from(w, rank) || !cell_worker_fits(w, &need))
@@ -666,7 +665,9 @@
 	for (i = 0; i < s->open->len && a->len < max; i++) {
 		struct cell_worker *w = s->open->pdata[i];
 
-		if (suits(st, w) && !g_hash_table_contains(st->asked, w->id))
+		if (!g_hash_table_contains(
+			st->asked, GUINT_TO_POINTER(w->serial)) &&
+		    suits(st, w))
 			g_ptr_array_add(a, w);
 	}
 	asked = cell_advice_ask(s->parts.advice, st, p, a, rank_of(s, st), now);
