Work with time to spare asks for the fullest workers that have room

Each question to the advice service named the workers with the most room, also for tasks that start one by one and have time: these took the rooms that only gangs need.

Change: a stage that is no gang and not in a hurry asks first for the workers with the least room that fits a task.

--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -652,22 +652,56 @@
 	return (guint)CLAMP(n, FIRST_ASK_MIN, CELL_ADVICE_MAX);
 }
 
+static bool
+is_new_to(const struct cell_stage *st, const struct cell_worker *w)
+{
+	return !g_hash_table_contains(st->asked, GUINT_TO_POINTER(w->serial)) &&
+	       suits(st, w);
+}
+
+/* Whether the stage can do with what others leave: it has time, and its tasks
+ * start one by one. */
+static bool
+takes_small_rooms(
+    const struct cell_queue *q, const struct cell_stage *st, ogl_time now)
+{
+	return !st->def->gang && !in_hurry(q, st, now);
+}
+
+/* Workers with room for a task, the fullest ones first: gangs need the room of
+ * the others. */
+static void
+list_small_rooms(const struct cell_sched *s, const struct cell_stage *st,
+    guint max, GPtrArray *a)
+{
+	struct ogl_res need = cell_stage_need(st);
+	guint i;
+
+	for (i = s->open->len; i-- > 0 && a->len < max;) {
+		struct cell_worker *w = s->open->pdata[i];
+
+		if (cell_worker_fits(w, &need) && is_new_to(st, w))
+			g_ptr_array_add(a, w);
+	}
+}
+
 /* Asks for workers not asked for yet, those with the most room first. */
 static bool
-ask_new(struct cell_sched *s, struct cell_stage *st,
-    const struct cell_policy *p, ogl_time now)
+ask_new(struct cell_sched *s, struct cell_stage *st, const struct cell_queue *q,
+    ogl_time now)
 {
+	const struct cell_policy *p = &q->policy;
 	GPtrArray *a = g_ptr_array_new();
 	guint max = first_ask_size(s, st, p);
 	bool asked;
 	guint i;
 
+	if (takes_small_rooms(q, st, now))
+		list_small_rooms(s, st, max, a);
 	for (i = 0; i < s->open->len && a->len < max; i++) {
 		struct cell_worker *w = s->open->pdata[i];
 
-		if (!g_hash_table_contains(
-			st->asked, GUINT_TO_POINTER(w->serial)) &&
-		    suits(st, w))
+		if (is_new_to(st, w) && !g_ptr_array_find(a, w, NULL))
 			g_ptr_array_add(a, w);
 	}
 	asked = cell_advice_ask(s->parts.advice, st, p, a, rank_of(s, st), now);
@@ -712,19 +746,21 @@
 
 static void
 seek_advice(struct cell_sched *s, struct cell_stage *st,
-    const struct cell_policy *p, ogl_time now)
+    const struct cell_queue *q, ogl_time now)
 {
+	const struct cell_policy *p = &q->policy;
+
 	if (!p->needed || st->asking ||
 	    !cell_advice_free(s->parts.advice, rank_of(s, st), now))
 		return;
 	if (g_hash_table_size(st->asked) == 0) {
-		ask_new(s, st, p, now);
+		ask_new(s, st, q, now);
 		return;
 	}
 	if (ask_again(s, st, p, now))
 		return;
 	if (st->blocked_since != 0 && now - st->blocked_since > ASK_MORE)
-		ask_new(s, st, p, now);
+		ask_new(s, st, q, now);
 }
 
 /* ---- why a stage waits ------------------------------------------------ */
@@ -916,7 +952,7 @@
 	    g_hash_table_size(st->asked) > 0)
 		return;
 	list_candidates(s, st, q->policy.needed, rank, now);
-	seek_advice(s, st, &q->policy, now);
+	seek_advice(s, st, q, now);
 }
 
 static enum outcome
@@ -931,7 +967,7 @@
 	if (!st->job->settled || !st->job->stored) {
 		/* The answer will be there by the time it may start. */
 		if (g_hash_table_size(st->asked) == 0)
-			seek_advice(s, st, &q->policy, now);
+			seek_advice(s, st, q, now);
 		note_wait(s, st,
 		    st->job->stored ? CELL_WAIT_SETTLE : CELL_WAIT_STORE, now);
 		return PLACED;
@@ -957,7 +993,7 @@
 	if (st->blocked_since == 0)
 		st->blocked_since = now;
 	note_wait(s, st, wait_reason(s, st, &q->policy), now);
-	seek_advice(s, st, &q->policy, now);
+	seek_advice(s, st, q, now);
 	if (st->def->gang && stand == 0)
 		reserve(s, st, rank, policy);
 	return st->nactive > active ? PLACED : MISSED;
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -23,7 +23,8 @@
 #define MAX_WORKERS 64
 #define KEY "key-one"
 #define HOST "cell.example"
-#define PREFIX "/q/"
+#define PREFIX "/q/" /* of the queue of rank 0; of others /q1/ and /q2/ */
+#define QUEUES 3
 #define QUEUE "q"
 #define SERVICE "svc"
 #define TEAM "team"
@@ -190,6 +191,7 @@
 	GSequence *events; /* struct event */
 	GRand *rand;
 	uint32_t budget_ms; /* how long callers wait */
+	unsigned rank;      /* of the queue that jobs go to */
 	struct node nodes[MAX_NODES];
 	struct worker workers[MAX_WORKERS];
 	struct stream streams[CELL_NSTREAMS][CELL_SHARDS_MAX];
@@ -491,7 +493,8 @@
 
 /*
  * The fake's own form of what the operator and the workers write: words
- * separated by spaces.  A configuration is `VERSION POLICY ATTEMPTS CPU RATE KEY..`,
+ * separated by spaces.  A configuration is `VERSION POLICY ATTEMPTS CPU RATE KEY..`
+ * (POLICY: 0 none, else 1 and what a question costs for each worker),
  * an entry `ADDR RACK BORN DRAINING ZONE`.
  */
 static struct cell_config *
@@ -501,20 +504,27 @@
 	char **w = g_strsplit(text, " ", -1);
 	struct cell_config *c =
 	    cell_config_new(g_ascii_strtoull(w[0], NULL, 10));
-	struct cell_queue *q = cell_config_add_queue(c);
 	struct cell_team *t = cell_config_add_team(c);
 	guint i;
 
-	q->name = g_strdup(QUEUE);
-	q->host = g_strdup(HOST);
-	q->prefix = g_strdup(PREFIX);
-	q->service = g_strdup(SERVICE);
-	q->attempts_max = (uint32_t)atoi(w[2]);
-	q->objective_ms = 1000;
-	q->slack = 2;
-	q->policy.needed = atoi(w[1]) != 0;
-	q->policy.decide_ms = ADVICE_US / 1000.0;
-	q->policy.valid_ms = VALID_MS;
+	for (i = 0; i < QUEUES; i++) {
+		struct cell_queue *q = cell_config_add_queue(c);
+
+		q->name =
+		    i == 0 ? g_strdup(QUEUE) : g_strdup_printf(QUEUE "%u", i);
+		q->host = g_strdup(HOST);
+		q->prefix =
+		    i == 0 ? g_strdup(PREFIX) : g_strdup_printf("/q%u/", i);
+		q->service = g_strdup(SERVICE);
+		q->rank = i;
+		q->attempts_max = (uint32_t)atoi(w[2]);
+		q->objective_ms = 1000;
+		q->slack = i < 2 ? 2 : 8;
+		q->policy.needed = atoi(w[1]) > 0;
+		q->policy.decide_ms = ADVICE_US / 1000.0;
+		q->policy.worker_ms = atoi(w[1]) - 1;
+		q->policy.valid_ms = VALID_MS;
+	}
 	t->name = g_strdup(TEAM);
 	t->rate = atoi(w[4]);
 	t->max.cpu_milli = (uint32_t)atoi(w[3]);
@@ -1841,15 +1851,19 @@
 static void
 on_ask(void *ctx, const struct cell_ask *a, cell_ask_fn *done, void *arg)
 {
+	struct node *n = ctx;
+	struct fake_cell *f = n->cell;
 	struct call *c =
-	    call_new(ctx, CALL_ASK, a->timeout_ms, (void *)done, arg);
+	    call_new(n, CALL_ASK, a->timeout_ms, (void *)done, arg);
 	size_t i;
 
 	c->step = g_strdup(a->step);
 	c->ids = g_ptr_array_new_with_free_func(g_free);
 	for (i = 0; i < a->n; i++)
 		g_ptr_array_add(c->ids, g_strdup(a->workers[i]));
-	travel(c, ADVICE_US, (int)c->node->index, answer_ask);
+	travel(c,
+	    ADVICE_US + (ogl_time)a->n * f->shape.advice_worker_ms * OGL_MS,
+	    (int)c->node->index, answer_ask);
 }
 
 /* ---- peers ------------------------------------------------------------ */
@@ -2044,7 +2058,10 @@
 	    .budget_ms = f->budget_ms};
 	uint64_t *token = g_new(uint64_t, 1);
 
-	g_snprintf(path, sizeof path, PREFIX "%s", j->id);
+	if (f->rank == 0 || method != CELL_POST)
+		g_snprintf(path, sizeof path, PREFIX "%s", j->id);
+	else
+		g_snprintf(path, sizeof path, "/q%u/%s", f->rank, j->id);
 	r.path = ogl_str(path);
 	*token = ++f->token * METHODS + method;
 	if (method == CELL_POST)
@@ -2064,6 +2081,12 @@
 	f->budget_ms = ms;
 }
 
+void
+fake_cell_rank(struct fake_cell *f, unsigned rank)
+{
+	f->rank = rank;
+}
+
 void
 fake_cell_submit(struct fake_cell *f, unsigned node, const char *id,
     const char *key, const struct fake_step *steps, size_t n)
@@ -2387,8 +2410,9 @@
 	size_t i;
 
 	g_string_printf(s, "%" G_GUINT64_FORMAT " %d %u %u %u",
-	    ++f->config_version, f->shape.policy, f->shape.attempts_max,
-	    f->team_cpu,
+	    ++f->config_version,
+	    f->shape.policy ? 1 + (int)f->shape.advice_worker_ms : 0,
+	    f->shape.attempts_max, f->team_cpu,
 	    f->shape.team_rate > 0 ? f->shape.team_rate : RATE_ANY);
 	for (i = 0; i < G_N_ELEMENTS(keys); i++) {
 		if (!g_hash_table_contains(f->revoked, keys[i]))
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -32,7 +32,8 @@
 	uint32_t link_kbps; /* that each node's link carries either way; 0: all
 			     * links are wide */
 	unsigned zones;     /* that the workers are dealt out to, 0 as 1 */
-	unsigned page;      /* records in one answer of newest ones, 0 all */
+	uint32_t advice_worker_ms; /* a question costs for each worker */
+	unsigned page; /* records in one answer of newest ones, 0 all */
 };
 
 struct fake_cell *fake_cell_init(const struct fake_cell_shape *shape);
@@ -60,6 +61,8 @@
 
 void fake_cell_budget(struct fake_cell *f, uint32_t ms);
 /* How long callers wait from now on; 3 s at first. */
+void fake_cell_rank(struct fake_cell *f, unsigned rank);
+/* Jobs go to the queue of that rank from now on, 0 to 2; 0 at first. */
 void fake_cell_submit(struct fake_cell *f, unsigned node, const char *id,
     const char *key, const struct fake_step *steps, size_t n);
 void fake_cell_cancel(struct fake_cell *f, unsigned node, const char *id);
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -62,6 +62,8 @@
 			fake_cell_freeze(cell_, node(w[1]), true);
 		else if (w[0] == "thaw")
 			fake_cell_freeze(cell_, node(w[1]), false);
+		else if (w[0] == "rank")
+			fake_cell_rank(cell_, num(w[1]));
 		else if (w[0] == "budget")
 			fake_cell_budget(cell_, num(w[1]));
 		else if (w[0] == "lag")
@@ -276,6 +278,8 @@
 		shape_.team_cpu_max = o.count("max") != 0 ? num(o["max"]) : 0;
 		shape_.team_rate = o.count("rate") != 0 ? num(o["rate"]) : 0;
 		shape_.link_kbps = o.count("link") != 0 ? num(o["link"]) : 0;
+		shape_.advice_worker_ms =
+		    o.count("ask") != 0 ? num(o["ask"]) : 0;
 		shape_.page = o.count("page") != 0 ? num(o["page"]) : 0;
 		shape_.zones = o.count("zones") != 0 ? num(o["zones"]) : 1;
 		shape_.attempts_max =
