A gang that waits for its team's limit holds back the team's lower ranks

Change: within a pass, a gang that its team's limit keeps waiting, that could run within the limit and that can still earn something, holds back what the team has waiting in lower ranks. Other gangs of its rank go on.

--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -80,6 +80,9 @@
 	uint64_t pass;           /* that the numbers below are of */
 	unsigned limited[RANKS]; /* stages that its limit refused */
 	ogl_time limited_at;     /* last of them */
+	/* A gang of this rank waits in this pass for what the team has running
+	 * to end: lower ranks are not started; RANKS none. */
+	uint32_t gang_rank;
 };
 
 /* What became of one look at a stage. */
@@ -559,6 +562,7 @@
 	if (t->pass != s->pass) {
 		t->pass = s->pass;
 		memset(t->limited, 0, sizeof t->limited);
+		t->gang_rank = RANKS;
 	}
 	return t;
 }
@@ -590,7 +594,8 @@
 
 	if (t == NULL)
 		return true;
-	if (held_back(s, st, rank, now))
+	if (held_back(s, st, rank, now) ||
+	    rank > state_of(s, st->job->def->team)->gang_rank)
 		return false;
 	max = limit_of(s, t);
 	if (below(used.cpu_milli, (uint64_t)need.cpu_milli * tasks,
@@ -938,6 +943,24 @@
 	s->reserves++;
 }
 
+/* Whether the whole gang could run if its team ran nothing else. */
+static bool
+within_maximum(const struct cell_sched *s, const struct cell_stage *st)
+{
+	const struct cell_team *t =
+	    cell_config_team(s->config, st->job->def->team);
+	struct ogl_res need = cell_stage_need(st);
+	struct ogl_res max;
+
+	if (t == NULL)
+		return false;
+	max = limit_of(s, t);
+	return below(0, (uint64_t)need.cpu_milli * st->ntasks, max.cpu_milli,
+		   1.0) &&
+	       below(0, (uint64_t)need.mem_mb * st->ntasks, max.mem_mb, 1.0) &&
+	       below(0, (uint64_t)need.accel * st->ntasks, max.accel, 1.0);
+}
+
 /* The stage has to wait for its team's limit. */
 static void
 wait_for_limit(struct cell_sched *s, struct cell_stage *st,
@@ -946,6 +969,8 @@
 	struct team_state *t = state_of(s, st->job->def->team);
 
 	t->limited_at = now;
+	if (st->def->gang && stand % 3 < TOO_LATE && within_maximum(s, st))
+		t->gang_rank = MIN(t->gang_rank, rank);
 	if (rank == 0 && stand % 3 < TOO_LATE)
 		t->urgent_at = now;
 	if (t->limited[rank]++ >= LIMITED_ASKS &&
