Pages of jobs are read side by side at a takeover

Change: the part of the keys that the first page covers tells how many pages are left; these are asked for at once, each a range of keys, up to eight on a wide link. An overdue page is asked for again beside the first instead of given up. Were the store's keys out of order, the reading begins anew, one by one. The owner that hands over tells how long the store takes.

--- a/cell/lead.c
+++ b/cell/lead.c
@@ -1072,3 +1072,9 @@
 {
 	return l->took;
 }
+
+ogl_time
+cell_lead_beat_took(const struct cell_lead *l, uint32_t shard)
+{
+	return l->seats[shard].beat_took;
+}
--- a/cell/lead.h
+++ b/cell/lead.h
@@ -107,5 +107,7 @@
 
 ogl_time cell_lead_store_took(const struct cell_lead *l);
 /* How long the store took over the last claim of this node, 0 none yet. */
+ogl_time cell_lead_beat_took(const struct cell_lead *l, uint32_t shard);
+/* By the last heartbeat that this node wrote as the shard's owner, 0 none. */
 
 #endif
--- a/cell/loader.c
+++ b/cell/loader.c
@@ -9,6 +9,12 @@
  *		   nothing a second time
  *	LOADING    jobs are read; nobody else can change them now.  After
  *		   PREPARING only what was written since its first page
+ *
+ * The store lists keys in order, and a job's key holds its id, which is random.
+ * So the part of the keys that the first page covers tells how many pages are
+ * left, and these are asked for all at once, each for a range of keys of its own.
+ * A store on a slow day takes half a second a page.  Were a page out of order,
+ * the reading begins anew, page after page.
  */
 
 #include <string.h>
@@ -16,14 +22,22 @@
 #include "job.h"
 #include "loader.h"
 
-/* Of the first try of each page, or several times what the store took for the
- * claim; each miss doubles it, for on slow days the store takes up to 60 times
- * as long. */
-#define ASK_TIMEOUT_MS 250
+/* A page without an answer for so long, or several times what the store took, is
+ * asked for once more beside the first: the answer may be lost, or the store may
+ * be slow, up to 60 times as slow as on other days.  Each such page doubles it. */
+#define ASK_OVERDUE_MS 250
 #define ASK_TIMES 4
-#define ASK_TIMEOUT_MAX_MS 4000
+#define ASK_OVERDUE_MAX_MS 4000
+#define ASK_TIMEOUT_MS 4000
+#define ASKS_MAX 3 /* for one page */
 /* A page has up to 1 MB; most have half of that or less. */
 #define PAGE_KBITS 4000
+/* Pages under way at a time, where the link carries them soon. */
+#define PAGES_MAX 8
+#define WIDE_KBPS 50000
+/* A range is made this much smaller than a page seems to cover. */
+#define PAGE_FILL 0.85
+#define KEY_DIGITS 8 /* of an id, enough to tell its place among all */
 /* A fence without an answer for so long, or several times what the store took,
  * is sent again. */
 #define FENCE_OVERDUE_MS 150
@@ -49,29 +63,66 @@
 	enum phase phase;
 	uint64_t epoch;
 	uint64_t generation;
-	bool asking; /* a page is under way */
+	bool asking; /* the tail is under way */
 	ogl_time ask_at;
+	GPtrArray *ranges; /* struct range, those not read to their end */
+	uint32_t pages_max;
+	uint32_t last_range;
+	bool one_by_one; /* the store's keys were found out of order */
+	bool end_known;  /* tail_next is set */
 	uint32_t fences; /* under way */
 	uint32_t fence_overdue_ms;
-	uint32_t ask_timeout_min_ms; /* while a page may be on the link */
-	uint32_t ask_timeout_ms;
-	char *after; /* last key of the page before */
-	bool tail;   /* read on from tail_next, not the newest pages */
+	uint32_t ask_overdue_min_ms; /* while a page may be on the link */
+	uint32_t ask_overdue_ms;
+	bool tail; /* read on from tail_next, not the newest pages */
 	uint64_t tail_next;
 	ogl_time prepared_at; /* 0 not prepared */
 	struct cell_loaded read;
 };
 
+/* Keys still to be read: those after one, below another. */
+struct range {
+	uint32_t number;
+	char *after;   /* NULL: from the first key on */
+	char *until;   /* NULL: to the last */
+	uint32_t asks; /* under way */
+	ogl_time ask_at;
+};
+
 /* Belongs to an exchange with the store. */
 struct exchange {
 	struct cell_loader *loader;
 	uint64_t generation;
+	uint32_t range; /* number of a page's range, which may be read by now */
 };
 
+static void
+range_free(void *p)
+{
+	struct range *r = p;
+
+	g_free(r->after);
+	g_free(r->until);
+	g_free(r);
+}
+
+static void
+add_range(
+    struct cell_loader *l, const char *after, const char *until, ogl_time now)
+{
+	struct range *r = g_new0(struct range, 1);
+
+	r->number = ++l->last_range;
+	r->after = g_strdup(after);
+	r->until = g_strdup(until);
+	r->ask_at = now;
+	g_ptr_array_add(l->ranges, r);
+}
+
 static struct exchange *
 exchange_new(struct cell_loader *l)
 {
-	struct exchange *x = g_new(struct exchange, 1);
+	struct exchange *x = g_new0(struct exchange, 1);
 
 	x->loader = l;
 	x->generation = l->generation;
@@ -109,10 +160,12 @@
 
 	l->ops = ops;
 	l->shard = shard;
-	l->ask_timeout_min_ms = ASK_TIMEOUT_MS;
+	l->ask_overdue_min_ms = ASK_OVERDUE_MS;
 	if (link_kbps > 0)
-		l->ask_timeout_min_ms += PAGE_KBITS * 1000 / link_kbps;
-	l->ask_timeout_min_ms = MIN(l->ask_timeout_min_ms, ASK_TIMEOUT_MAX_MS);
+		l->ask_overdue_min_ms += PAGE_KBITS * 1000 / link_kbps;
+	l->ask_overdue_min_ms = MIN(l->ask_overdue_min_ms, ASK_OVERDUE_MAX_MS);
+	l->pages_max = link_kbps == 0 || link_kbps >= WIDE_KBPS ? PAGES_MAX : 1;
+	l->ranges = g_ptr_array_new_with_free_func(range_free);
 	l->events = *events;
 	return l;
 }
@@ -123,8 +176,9 @@
 	g_clear_pointer(&l->read.workers, g_bytes_unref);
 	g_clear_pointer(&l->read.progress, g_hash_table_unref);
 	g_clear_pointer(&l->read.defs, g_hash_table_unref);
-	g_clear_pointer(&l->after, g_free);
+	g_ptr_array_set_size(l->ranges, 0);
 	l->tail = false;
+	l->end_known = false;
 	l->prepared_at = 0;
 }
 
@@ -132,14 +186,18 @@
 cell_loader_end(struct cell_loader *l)
 {
 	forget_read(l);
+	g_ptr_array_unref(l->ranges);
 	g_free(l);
 }
 
-/* Begins to read the jobs from the first page on. */
+/* Begins to read the jobs from the first page on.  Pages still under way are of
+ * no interest any more. */
 static void
 begin_reading(struct cell_loader *l, ogl_time now)
 {
 	forget_read(l);
+	l->generation++;
+	add_range(l, NULL, NULL, now);
 	l->asking = false;
 	l->ask_at = now;
 	l->read.progress = g_hash_table_new_full(
@@ -148,14 +206,22 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, def_free);
 }
 
+static uint32_t
+ask_overdue(const struct cell_loader *l, ogl_time store_took)
+{
+	ogl_time ms = store_took / OGL_MS * ASK_TIMES;
+
+	return (uint32_t)CLAMP(ms, l->ask_overdue_min_ms, ASK_OVERDUE_MAX_MS);
+}
+
 void
-cell_loader_prepare(struct cell_loader *l, ogl_time now)
+cell_loader_prepare(struct cell_loader *l, ogl_time store_took, ogl_time now)
 {
 	if (l->phase != PHASE_IDLE)
 		return;
 	l->phase = PHASE_PREPARING;
 	l->generation++;
-	l->ask_timeout_ms = l->ask_timeout_min_ms;
+	l->ask_overdue_ms = ask_overdue(l, store_took);
 	begin_reading(l, now);
 }
 
@@ -178,8 +244,7 @@
 	l->epoch = epoch;
 	l->asking = false;
 	l->ask_at = now;
-	l->ask_timeout_ms =
-	    (uint32_t)CLAMP(ask_ms, l->ask_timeout_min_ms, ASK_TIMEOUT_MAX_MS);
+	l->ask_overdue_ms = ask_overdue(l, store_took);
 	l->fences = 0;
 	l->fence_overdue_ms =
 	    (uint32_t)CLAMP(ask_ms, FENCE_OVERDUE_MS, FENCE_OVERDUE_MAX_MS);
@@ -211,20 +276,25 @@
 
 	g_snprintf(text, sizeof text,
 	    "shard=%u epoch=%" G_GUINT64_FORMAT
-	    " step=%s lost=%d timeout_ms=%u",
+	    " step=%s lost=%d overdue_ms=%u",
 	    l->shard, l->epoch, phase_name(l->phase), io == OGL_IO_LOST,
-	    l->ask_timeout_ms);
+	    l->ask_overdue_ms);
 	l->ops->log(l->ops->ctx, "owner", "load_missed", text);
 }
 
 static void
-missed(struct cell_loader *l, enum ogl_io io, ogl_time now)
+more_patience(struct cell_loader *l)
+{
+	l->ask_overdue_ms = MIN(l->ask_overdue_ms * 2, ASK_OVERDUE_MAX_MS);
+}
+
+static void
+tail_missed(struct cell_loader *l, enum ogl_io io, ogl_time now)
 {
 	log_missed(l, io);
 	l->ask_at = now + RETRY;
 	if (io == OGL_IO_LOST)
-		l->ask_timeout_ms =
-		    MIN(l->ask_timeout_ms * 2, ASK_TIMEOUT_MAX_MS);
+		more_patience(l);
 }
 
 /* ---- fencing ---------------------------------------------------------- */
@@ -340,33 +410,170 @@
 	l->tail = true;
 }
 
+/* Where an id lies among all there could be, 0 to 1. */
+static double
+place_of(const char *id)
+{
+	char digits[KEY_DIGITS + 1];
+
+	g_strlcpy(digits, id, sizeof digits);
+	return (double)g_ascii_strtoull(digits, NULL, 16) / 4294967296.0;
+}
+
+/* The place of a bound of keys that begin with a letter. */
+static double
+place_in(const char *key, char letter, double otherwise)
+{
+	if (key == NULL || key[0] != letter || key[1] == '\0')
+		return otherwise;
+	return place_of(key + 1);
+}
+
+/* Cuts the keys of one letter that are left into ranges of a page each. */
+static void
+cut_letter(struct cell_loader *l, const char *after, const char *until,
+    double covered, ogl_time now)
+{
+	char letter = after[0];
+	double from = place_in(after, letter, 0);
+	double to = place_in(until, letter, 1);
+	double left = (to - from) / (covered * PAGE_FILL);
+	unsigned n = (unsigned)CLAMP(left, 0, PAGES_MAX - 1) + 1;
+	char *key = g_strdup(after);
+	unsigned i;
+
+	for (i = 1; i <= n; i++) {
+		double at = from + (to - from) * i / n;
+		char *next = i == n ? g_strdup(until)
+				    : g_strdup_printf("%c%08x", letter,
+					  (unsigned)(at * 4294967295.0));
+
+		add_range(l, key, next, now);
+		g_free(key);
+		key = next;
+	}
+	g_free(key);
+}
+
+/*
+ * A range whose page has ended at a key is cut by what the page covered.  Of
+ * the two kinds of keys, how far jobs are comes first ('p'), and what was
+ * submitted after it ('s').
+ */
+static void
+cut_range(struct cell_loader *l, const struct range *r, const char *last,
+    ogl_time now)
+{
+	char letter = last[0];
+	double covered =
+	    place_in(last, letter, 0) - place_in(r->after, letter, 0);
+	bool crosses =
+	    letter == 'p' && (r->until == NULL || r->until[0] != 'p');
+
+	if (l->pages_max == 1 || l->one_by_one || covered <= 0 ||
+	    (letter != 'p' && letter != 's')) {
+		add_range(l, last, r->until, now);
+		return;
+	}
+	cut_letter(l, last, crosses ? "s" : r->until, covered, now);
+	if (crosses)
+		add_range(l, "s", r->until, now);
+}
+
+/* Whether the keys of a page rise from the one asked for on. */
+static bool
+in_order(const struct range *r, const struct cell_newest_answer *a)
+{
+	const char *before = r->after;
+	size_t i;
+
+	for (i = 0; i < a->n; i++) {
+		const char *key = a->records[i].key;
+
+		if (before != NULL && strcmp(key, before) <= 0)
+			return false;
+		before = key;
+	}
+	return true;
+}
+
+/* The records of a page that lie in its range; whether that is read to its
+ * end. */
+static bool
+take_page(struct cell_loader *l, const struct range *r,
+    const struct cell_newest_answer *a)
+{
+	size_t i;
+
+	for (i = 0; i < a->n; i++) {
+		const struct cell_record *record = &a->records[i];
+
+		if (r->until != NULL && strcmp(record->key, r->until) > 0)
+			return true;
+		take_record(l, record);
+	}
+	return !a->more || a->n == 0;
+}
+
+/* What changes while the pages are read is read once more after them. */
+static void
+note_end(struct cell_loader *l, uint64_t end)
+{
+	l->tail_next = l->end_known ? MIN(l->tail_next, end) : end;
+	l->end_known = true;
+}
+
+static struct range *
+range_of(const struct cell_loader *l, uint32_t number)
+{
+	guint i;
+
+	for (i = 0; i < l->ranges->len; i++) {
+		struct range *r = l->ranges->pdata[i];
+
+		if (r->number == number)
+			return r;
+	}
+	return NULL;
+}
+
+static void
+page_missed(
+    struct cell_loader *l, struct range *r, enum ogl_io io, ogl_time now)
+{
+	log_missed(l, io);
+	if (r->asks == 0)
+		r->ask_at = now + RETRY;
+}
+
 static void
 on_page(void *arg, const struct cell_newest_answer *a, ogl_time now)
 {
+	uint32_t number = ((struct exchange *)arg)->range;
 	struct cell_loader *l = exchange_end(arg);
-	size_t i;
+	struct range *r = l != NULL ? range_of(l, number) : NULL;
 
-	if (l == NULL)
+	if (r == NULL)
 		return;
-	l->asking = false;
+	r->asks--;
 	if (a->io != OGL_IO_OK) {
-		missed(l, a->io, now);
+		page_missed(l, r, a->io, now);
 		return;
 	}
-	l->ask_at = now;
-	/* What changes while the pages are read is read once more after them. */
-	if (l->after == NULL)
-		l->tail_next = a->end;
-	for (i = 0; i < a->n; i++)
-		take_record(l, &a->records[i]);
-	if (a->n > 0) {
-		g_free(l->after);
-		l->after = g_strdup(a->records[a->n - 1].key);
+	if (!l->one_by_one && !in_order(r, a)) {
+		l->ops->log(
+		    l->ops->ctx, "owner", "load_out_of_order", r->after);
+		l->one_by_one = true;
+		begin_reading(l, now);
+		return;
 	}
-	if (!a->more) {
-		g_clear_pointer(&l->after, g_free);
+	l->ask_at = now;
+	note_end(l, a->end);
+	if (!take_page(l, r, a))
+		cut_range(l, r, a->records[a->n - 1].key, now);
+	g_ptr_array_remove(l->ranges, r);
+	if (l->ranges->len == 0)
 		all_pages_read(l, now);
-	}
 }
 
 /* What was written after the first page of PREPARING. */
@@ -380,7 +587,7 @@
 		return;
 	l->asking = false;
 	if (a->io != OGL_IO_OK) {
-		missed(l, a->io, now);
+		tail_missed(l, a->io, now);
 		return;
 	}
 	l->ask_at = now;
@@ -399,21 +606,45 @@
 }
 
 static void
-read_on(struct cell_loader *l)
+read_tail(struct cell_loader *l)
 {
-	struct cell_newest q = {.stream = CELL_JOBS,
-	    .shard = l->shard,
-	    .after = l->after,
-	    .timeout_ms = l->ask_timeout_ms};
 	struct cell_read r = {.stream = CELL_JOBS,
 	    .shard = l->shard,
 	    .from = l->tail_next,
-	    .timeout_ms = l->ask_timeout_ms};
+	    .timeout_ms = l->ask_overdue_ms};
 
-	if (l->tail)
-		l->ops->read(l->ops->outside, &r, on_tail, exchange_new(l));
-	else
-		l->ops->newest(l->ops->outside, &q, on_page, exchange_new(l));
+	l->asking = true;
+	l->ops->read(l->ops->outside, &r, on_tail, exchange_new(l));
+}
+
+static void
+read_page(struct cell_loader *l, struct range *r, ogl_time now)
+{
+	struct cell_newest q = {.stream = CELL_JOBS,
+	    .shard = l->shard,
+	    .after = r->after,
+	    .timeout_ms = ASK_TIMEOUT_MS};
+	struct exchange *x = exchange_new(l);
+
+	if (r->asks > 0)
+		more_patience(l);
+	x->range = r->number;
+	r->asks++;
+	r->ask_at = now + l->ask_overdue_ms * OGL_MS;
+	l->ops->newest(l->ops->outside, &q, on_page, x);
+}
+
+static void
+read_pages(struct cell_loader *l, ogl_time now)
+{
+	guint i;
+
+	for (i = 0; i < l->ranges->len && i < l->pages_max; i++) {
+		struct range *r = l->ranges->pdata[i];
+
+		if (r->asks < ASKS_MAX && now >= r->ask_at)
+			read_page(l, r, now);
+	}
 }
 
 void
@@ -423,12 +654,16 @@
 
 	if (waits && now - l->prepared_at > PREPARED_MAX)
 		cell_loader_close(l);
-	if (l->phase == PHASE_IDLE || waits || l->asking || now < l->ask_at)
+	if (l->phase == PHASE_IDLE || waits)
 		return;
-	if (l->phase == PHASE_FENCING) {
-		send_fence(l, now);
+	if (l->phase != PHASE_FENCING && !l->tail) {
+		read_pages(l, now);
 		return;
 	}
-	l->asking = true;
-	read_on(l);
+	if (l->asking || now < l->ask_at)
+		return;
+	if (l->phase == PHASE_FENCING)
+		send_fence(l, now);
+	else
+		read_tail(l);
 }
--- a/cell/loader.h
+++ b/cell/loader.h
@@ -31,9 +31,11 @@
     uint32_t link_kbps, const struct cell_loader_events *events);
 void cell_loader_end(struct cell_loader *l);
 
-void cell_loader_prepare(struct cell_loader *l, ogl_time now);
+void cell_loader_prepare(
+    struct cell_loader *l, ogl_time store_took, ogl_time now);
 /* Reads the jobs although another owns the shard, so that an opening within the
- * next seconds has to read only what has changed since. */
+ * next seconds has to read only what has changed since.  store_took: what the
+ * store last took for an answer, 0 not known. */
 bool cell_loader_prepared(const struct cell_loader *l, ogl_time now);
 
 void cell_loader_open(
--- a/cell/node.c
+++ b/cell/node.c
@@ -485,7 +485,7 @@
 
 	if (n->stopping || h->epoch != cell_lead_epoch(n->lead, part->shard))
 		return;
-	cell_owner_prepare(part->owner, now);
+	cell_owner_prepare(part->owner, h->store_ms * OGL_MS, now);
 	part->claims = true;
 }
 
@@ -866,6 +866,8 @@
 	    part->shard, part->heir, cell_lead_epoch(n->lead, part->shard));
 	n->ops->log(n->ops->ctx, "node", "hands_over", text);
 	h.epoch = cell_lead_epoch(n->lead, part->shard);
+	h.store_ms =
+	    (uint32_t)(cell_lead_beat_took(n->lead, part->shard) / OGL_MS);
 	m.body_case = OGL__CELL_MSG__BODY_HANDOVER;
 	m.handover = &h;
 	send_msg(n, part->shard, part->heir, &m);
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -1095,10 +1095,10 @@
 }
 
 void
-cell_owner_prepare(struct cell_owner *o, ogl_time now)
+cell_owner_prepare(struct cell_owner *o, ogl_time store_took, ogl_time now)
 {
 	if (o->phase == PHASE_CLOSED)
-		cell_loader_prepare(o->loader, now);
+		cell_loader_prepare(o->loader, store_took, now);
 }
 
 bool
--- a/cell/owner.h
+++ b/cell/owner.h
@@ -43,7 +43,8 @@
     struct cell_owner *o, uint64_t epoch, ogl_time store_took, ogl_time now);
 /* Takes the shard over.  store_took: what the store last took for an answer, 0
  * not known. */
-void cell_owner_prepare(struct cell_owner *o, ogl_time now);
+void cell_owner_prepare(
+    struct cell_owner *o, ogl_time store_took, ogl_time now);
 /* Reads the jobs although another owns the shard, so that a takeover within
  * the next seconds has to read only what has changed since. */
 bool cell_owner_prepared(const struct cell_owner *o, ogl_time now);
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -4239,7 +4239,7 @@
   (ProtobufCMessageInit) ogl__cell_order_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_handover__field_descriptors[1] =
+static const ProtobufCFieldDescriptor ogl__cell_handover__field_descriptors[2] =
 {
   {
     "epoch",
@@ -4253,14 +4253,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellHandover, store_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_handover__field_indices_by_name[] = {
   0,   /* field[0] = epoch */
+  1,   /* field[1] = store_ms */
 };
 static const ProtobufCIntRange ogl__cell_handover__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor ogl__cell_handover__descriptor =
 {
@@ -4270,7 +4283,7 @@
   "Ogl__CellHandover",
   "ogl",
   sizeof(Ogl__CellHandover),
-  1,
+  2,
   ogl__cell_handover__field_descriptors,
   ogl__cell_handover__field_indices_by_name,
   1,  ogl__cell_handover__number_ranges,
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -837,10 +837,14 @@
    * that the sender owns the shard in
    */
   uint64_t epoch;
+  /*
+   * what the store last took to answer the sender
+   */
+  uint32_t store_ms;
 };
 #define OGL__CELL_HANDOVER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_handover__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 typedef enum {
--- a/test/test_cell_loader.cc
+++ b/test/test_cell_loader.cc
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
 #include <vector>
 
 extern "C" {
@@ -16,6 +20,8 @@
 	cell_newest_fn *page;
 	void *arg;
 	bool answered;
+	std::string after; /* of a page; "" the first */
+	uint32_t timeout_ms;
 };
 
 class Loader : public testing::Test
@@ -28,12 +34,14 @@
 		ops_.append = [](void *ctx, const struct cell_append *,
 				  cell_append_fn *done, void *arg) {
 			static_cast<Loader *>(ctx)->sent_.push_back(
-			    {done, nullptr, arg, false});
+			    {done, nullptr, arg, false, "", 0});
 		};
-		ops_.newest = [](void *ctx, const struct cell_newest *,
+		ops_.newest = [](void *ctx, const struct cell_newest *q,
 				  cell_newest_fn *done, void *arg) {
 			static_cast<Loader *>(ctx)->sent_.push_back(
-			    {nullptr, done, arg, false});
+			    {nullptr, done, arg, false,
+				q->after != nullptr ? q->after : "",
+				q->timeout_ms});
 		};
 		ops_.log = [](void *, const char *, const char *,
 			       const char *) {};
@@ -41,9 +49,12 @@
 		events.outranked = [](void *arg, ogl_time) {
 			static_cast<Loader *>(arg)->outranked_++;
 		};
-		events.loaded = [](void *arg, const struct cell_loaded *,
+		events.loaded = [](void *arg, const struct cell_loaded *read,
 				    ogl_time) {
-			static_cast<Loader *>(arg)->loaded_++;
+			auto *t = static_cast<Loader *>(arg);
+
+			t->loaded_++;
+			t->jobs_ = g_hash_table_size(read->progress);
 		};
 		events.arg = this;
 		loader_ = cell_loader_init(&ops_, 0, 0, &events);
@@ -87,6 +98,57 @@
 		}
 	}
 
+	/* The store has so many jobs, with ids spread evenly. */
+	void fill(unsigned jobs)
+	{
+		for (unsigned i = 0; i < jobs; i++) {
+			char key[32];
+
+			snprintf(key, sizeof key, "p%08x%08x",
+			    i * (0xffffffffu / jobs), i);
+			keys_.insert(key);
+		}
+	}
+
+	/* Answers each page under way from the store; how many there were. */
+	size_t answer_pages(size_t page, bool sorted = true)
+	{
+		size_t n = 0;
+		size_t all = sent_.size();
+
+		for (size_t i = 0; i < all; i++) {
+			if (sent_[i].answered || sent_[i].page == nullptr)
+				continue;
+			answer_page(i, page, sorted);
+			n++;
+		}
+		return n;
+	}
+
+	void answer_page(size_t n, size_t page, bool sorted)
+	{
+		std::vector<struct cell_record> records;
+		struct cell_newest_answer a = {};
+		Exchange x = sent_[n];
+		auto at = keys_.upper_bound(x.after);
+
+		for (; at != keys_.end() && records.size() < page; ++at) {
+			struct cell_record r = {};
+
+			r.key = const_cast<char *>(at->c_str());
+			r.value = ogl_str("");
+			records.push_back(r);
+		}
+		if (!sorted)
+			std::reverse(records.begin(), records.end());
+		a.records = records.data();
+		a.n = records.size();
+		a.more = at != keys_.end();
+		a.end = 1000;
+		sent_[n].answered = true;
+		x.page(x.arg, &a, now_);
+	}
+
 	size_t fences() const
 	{
 		size_t n = 0;
@@ -99,7 +161,9 @@
 	struct cell_ops ops_ = {};
 	struct cell_loader *loader_ = nullptr;
 	std::vector<Exchange> sent_;
+	std::set<std::string> keys_;
 	ogl_time now_ = 100 * OGL_SEC;
+	unsigned jobs_ = 0;
 	int loaded_ = 0;
 	int outranked_ = 0;
 };
@@ -146,4 +210,90 @@
 	EXPECT_EQ(before + 1, fences());
 }
 
+/* Guards against a takeover on a slow store that asks for one page after the
+ * other. */
+TEST_F(Loader, PagesAfterTheFirstAreReadSideBySide)
+{
+	fill(3000);
+	cell_loader_open(loader_, 2, 0, now_);
+	run(10);
+	answer(0, OGL_IO_OK);
+	run(10);
+	EXPECT_EQ(1u, answer_pages(500));
+	run(10);
+	EXPECT_EQ(7u, answer_pages(500));
+	run(10);
+	EXPECT_GE(1u, answer_pages(500));
+	EXPECT_EQ(1, loaded_);
+	EXPECT_EQ(3000u, jobs_);
+}
+
+/* Ids need not be spread evenly: a range may need several pages, or none. */
+TEST_F(Loader, RangesOfUnevenKeysAreReadWhole)
+{
+	fill(700);
+	for (unsigned i = 0; i < 2000; i++) {
+		char key[32];
+
+		snprintf(key, sizeof key, "p7f%06x%08x", i, i);
+		keys_.insert(key);
+	}
+	cell_loader_open(loader_, 2, 0, now_);
+	run(10);
+	answer(0, OGL_IO_OK);
+	for (int i = 0; i < 40 && loaded_ == 0; i++) {
+		run(10);
+		answer_pages(300);
+	}
+	EXPECT_EQ(1, loaded_);
+	EXPECT_EQ(2700u, jobs_);
+}
+
+/* Guards against jobs lost where the store lists keys in another order. */
+TEST_F(Loader, PagesOutOfOrderAreReadOneByOne)
+{
+	fill(900);
+	cell_loader_open(loader_, 2, 0, now_);
+	run(10);
+	answer(0, OGL_IO_OK);
+	run(10);
+	answer_pages(300, false);
+	for (int i = 0; i < 40 && loaded_ == 0; i++) {
+		run(10);
+		EXPECT_GE(1u, answer_pages(300));
+	}
+	EXPECT_EQ(1, loaded_);
+	EXPECT_EQ(900u, jobs_);
+}
+
+/* Guards against a handover whose heir gives up each page that a slow store
+ * would answer. */
+TEST_F(Loader, APageIsAskedForAgainBesideAnUnansweredOne)
+{
+	fill(100);
+	cell_loader_prepare(loader_, 0, now_);
+	run(260);
+	ASSERT_EQ(2u, sent_.size());
+	answer(1, OGL_IO_LOST);
+	run(600);
+	EXPECT_EQ(3u, sent_.size());
+	answer_page(0, 500, true);
+	run(10);
+	EXPECT_TRUE(cell_loader_prepared(loader_, now_));
+	answer_page(2, 500, true);
+	EXPECT_TRUE(cell_loader_prepared(loader_, now_));
+}
+
+/* Asked again too soon, a slow store would have the more to do. */
+TEST_F(Loader, PagesAreAskedForAgainByWhatTheStoreTakes)
+{
+	cell_loader_prepare(loader_, 600 * OGL_MS, now_);
+	run(2350);
+	EXPECT_EQ(1u, sent_.size());
+	run(100);
+	EXPECT_EQ(2u, sent_.size());
+	run(20000);
+	EXPECT_GE(3u, sent_.size());
+}
+
 } // namespace
