An ended job tells its objective by what its runs took

Change: the owner keeps the longest run of each step that was done, and the line of a job's end tells the longest chain and the objective by these; losses goes by them where the line has them.

--- a/cell/job.c
+++ b/cell/job.c
@@ -133,11 +133,19 @@
 	}
 }
 
-/* Declared run times along the longest chain, and all declared work. */
-static void
-measure(struct cell_job *j)
+static double
+step_ms(const struct cell_job *j, size_t step)
+{
+	double took = j->took_ms[step];
+
+	return took > 0 ? took : j->def->steps[step]->estimate_ms;
+}
+
+static double
+longest_chain_ms(const struct cell_job *j)
 {
 	double *end = g_new0(double, j->def->n_steps);
+	double longest = 0;
 	size_t i, k;
 
 	for (i = 0; i < j->def->n_steps; i++) {
@@ -146,15 +154,42 @@
 
 		for (k = 0; k < s->n_after; k++)
 			before = MAX(before, end[s->after[k]]);
-		end[i] = before + s->estimate_ms;
-		j->chain_ms = MAX(j->chain_ms, end[i]);
+		end[i] = before + step_ms(j, i);
+		longest = MAX(longest, end[i]);
+	}
+	g_free(end);
+	return longest;
+}
+
+/* Declared run times along the longest chain, and all declared work. */
+static void
+measure(struct cell_job *j)
+{
+	size_t i;
+
+	j->took_ms = g_new0(double, j->def->n_steps);
+	j->chain_ms = longest_chain_ms(j);
+	for (i = 0; i < j->def->n_steps; i++) {
+		const Ogl__CellStep *s = j->def->steps[i];
+
 		j->work +=
 		    s->count * (s->estimate_ms / 1e3) * (s->cpu_milli / 1e3);
 	}
-	g_free(end);
 	measure_tails(j);
 }
 
+void
+cell_job_took(struct cell_job *j, uint32_t step, double ms)
+{
+	j->took_ms[step] = MAX(j->took_ms[step], ms);
+}
+
+double
+cell_job_took_chain_ms(const struct cell_job *j)
+{
+	return longest_chain_ms(j);
+}
+
 static struct cell_job *
 job_alloc(const char *id)
 {
@@ -202,6 +237,7 @@
 	j->def = NULL;
 	g_clear_pointer(&j->terms, g_free);
 	g_clear_pointer(&j->tail_ms, g_free);
+	g_clear_pointer(&j->took_ms, g_free);
 }
 
 void
--- a/cell/job.h
+++ b/cell/job.h
@@ -89,18 +89,20 @@
 	ogl_time accepted; /* node clock */
 	uint64_t ended_ms; /* wall clock */
 	bool begun;
-	bool stored;            /* the submission is on the store */
-	bool over;              /* beyond its team's rate when it came */
-	bool dirty;             /* in the journal's list */
-	bool write_def;         /* the submission is to be written */
-	bool drop_def;          /* its record is to be dropped */
-	bool forget;            /* all of it is to be dropped */
-	uint32_t nruns;         /* runs on any worker, whatever their state */
-	double work;            /* processor seconds declared, all steps */
-	double chain_ms;        /* longest chain of declared run times */
-	double *tail_ms;        /* the same from each step on */
-	bool shown;             /* its end is stored, so callers may be told */
-	uint64_t terms_version; /* configuration that terms are taken from */
+	bool stored;     /* the submission is on the store */
+	bool over;       /* beyond its team's rate when it came */
+	bool dirty;      /* in the journal's list */
+	bool write_def;  /* the submission is to be written */
+	bool drop_def;   /* its record is to be dropped */
+	bool forget;     /* all of it is to be dropped */
+	uint32_t nruns;  /* runs on any worker, whatever their state */
+	double work;     /* processor seconds declared, all steps */
+	double chain_ms; /* longest chain of declared run times */
+	double *tail_ms; /* the same from each step on */
+	double *took_ms; /* by the longest run of each step that was done; 0
+			  * not known */
+	bool shown;      /* its end is stored, so callers may be told */
+	uint64_t terms_version;   /* configuration that terms are taken from */
 	struct cell_queue *terms; /* how its queue treats it; NULL not known */
 	bool settled; /* not from an earlier owner, or all workers have
 			  * answered: what does not run may be started */
@@ -173,6 +175,11 @@
 /* Counts a failed run; false when it was counted before. */
 uint32_t cell_task_failures(const struct cell_task *t);
 
+void cell_job_took(struct cell_job *j, uint32_t step, double ms);
+/* A run of the step was done after so long. */
+double cell_job_took_chain_ms(const struct cell_job *j);
+/* Longest chain by what runs took; as declared where that is not known. */
+
 void cell_job_clear(struct cell_job *j);
 /* Drops its stages and what was submitted; no run may point at them. */
 
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -330,12 +330,15 @@
 end_job(struct cell_owner *o, struct cell_job *j, Ogl__CellJobState state,
     const char *why, ogl_time now)
 {
-	char more[160];
+	char more[200];
 	guint i;
 
 	g_snprintf(more, sizeof more,
-	    "state=%s why=%s age_ms=%" G_GINT64_FORMAT, state_name(state), why,
-	    (now - j->accepted) / OGL_MS);
+	    "state=%s why=%s age_ms=%" G_GINT64_FORMAT
+	    " chain_ms=%.0f objective_ms=%.0f",
+	    state_name(state), why, (now - j->accepted) / OGL_MS,
+	    cell_job_took_chain_ms(j),
+	    cell_sched_took_objective_ms(o->sched, j));
 	log_job(o, j, "job_ended", more);
 	o->ops->observe(
 	    o->ops->ctx, "job_ms", (uint64_t)((now - j->accepted) / OGL_MS));
@@ -514,6 +517,10 @@
 	log_run(o, r, "run_ended", more, now);
 	if (st == NULL)
 		return;
+	/* Of one that an earlier owner started the beginning is not known. */
+	if (how == CELL_END_DONE && r->ordered)
+		cell_job_took(
+		    st->job, st->step, (double)(now - r->began) / OGL_MS);
 	detach(st, &st->tasks[r->name.index], r);
 	count_end(o, st, r->name.index, r->number, how,
 	    checkpoint != NULL && *checkpoint != '\0' ? checkpoint
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -250,14 +250,21 @@
 /* ---- standing --------------------------------------------------------- */
 
 static double
-objective_ms(const struct cell_queue *q, const struct cell_job *j)
+objective_for(
+    const struct cell_queue *q, const struct cell_job *j, double chain_ms)
 {
 	double policy = q->policy.needed
 			    ? q->policy.decide_ms + 30 * q->policy.worker_ms
 			    : 0;
 
 	return q->objective_ms +
-	       q->slack * (j->chain_ms + policy * (double)j->def->n_steps);
+	       q->slack * (chain_ms + policy * (double)j->def->n_steps);
+}
+
+static double
+objective_ms(const struct cell_queue *q, const struct cell_job *j)
+{
+	return objective_for(q, j, j->chain_ms);
 }
 
 double
@@ -266,6 +273,12 @@
 	return objective_ms(queue_of(s, j), j);
 }
 
+double
+cell_sched_took_objective_ms(const struct cell_sched *s, struct cell_job *j)
+{
+	return objective_for(queue_of(s, j), j, cell_job_took_chain_ms(j));
+}
+
 static unsigned
 standing(const struct cell_queue *q, const struct cell_stage *st, ogl_time now)
 {
--- a/cell/schedule.h
+++ b/cell/schedule.h
@@ -55,6 +55,10 @@
 double cell_sched_objective_ms(const struct cell_sched *s, struct cell_job *j);
 /* How long the job may take from its acceptance on to be in time. */
 
+double cell_sched_took_objective_ms(
+    const struct cell_sched *s, struct cell_job *j);
+/* The same by what the job's runs took, as far as that is known. */
+
 size_t cell_sched_waiting(const struct cell_sched *s);
 /* Stages that wait. */
 
--- a/ctl/cmd_losses.c
+++ b/ctl/cmd_losses.c
@@ -201,6 +201,19 @@
 	g_free(how);
 }
 
+/* The end tells the objective by what the runs took; what was declared may be
+ * far off. */
+static void
+take_measured(struct job *j, const char *line)
+{
+	double objective = ctl_field_number(line, "objective_ms");
+
+	if (objective <= 0)
+		return;
+	j->objective_ms = objective;
+	j->chain_ms = ctl_field_number(line, "chain_ms");
+}
+
 static void
 take_end(struct job *j, const char *line)
 {
@@ -211,6 +224,7 @@
 		return;
 	j->state = ctl_field(line, "state");
 	j->ended = ctl_field_number(line, "ts");
+	take_measured(j, line);
 	g_hash_table_iter_init(&it, j->waiting);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const struct waiting *w = p;
--- a/test/test_ctl_losses.cc
+++ b/test/test_ctl_losses.cc
@@ -106,6 +106,24 @@
 	    out.find("ms a late job:  store 500  long-runs 1200  other 300"));
 }
 
+/* Guards against an account by declared run times, which may be far off. */
+TEST(Losses, GoesByTheObjectiveThatTheEndTells)
+{
+	int status;
+	std::string out =
+	    losses(accepted("1", "10.0", 0) +
+		       "ts=13.0 node=a part=owner event=job_ended job=1 "
+		       "state=completed why=x chain_ms=2400 "
+		       "objective_ms=4800\n" +
+		       accepted("2", "10.0", 0) +
+		       "ts=11.5 node=a part=owner event=job_ended job=2 "
+		       "state=completed why=x chain_ms=300 objective_ms=600\n",
+		&status);
+
+	EXPECT_NE(std::string::npos, out.find("in-time 1  late 1"));
+	EXPECT_NE(std::string::npos, out.find("other 1200"));
+}
+
 TEST(Losses, AFileThatCannotBeReadIsTold)
 {
 	char buf[256] = "";
