Fields of marks that nothing uses are reserved; two constants of one name told apart

CellMark.done and worker have had no use since ends are listed by number. THIN_LINK_KBPS meant two things in node.c and cell_host.c.

--- a/cell/node.c
+++ b/cell/node.c
@@ -22,7 +22,7 @@
 /* What a node reads so soon after it stood still may have waited for it. */
 #define STALE_AFTER (300 * OGL_MS)
 /* Half a megabyte of jobs takes a second over such a link. */
-#define THIN_LINK_KBPS 50000
+#define SLOW_TAKEOVER_KBPS 50000
 #define PING (250 * OGL_MS)
 /* Two pings unanswered: the owner's machine may have gone without a word. */
 #define PONG_DEAD (550 * OGL_MS)
@@ -721,7 +721,7 @@
 static uint32_t
 fitness(const struct cell_node_config *c)
 {
-	if (c->link_kbps > 0 && c->link_kbps < THIN_LINK_KBPS)
+	if (c->link_kbps > 0 && c->link_kbps < SLOW_TAKEOVER_KBPS)
 		return c->strength / 2;
 	return c->strength;
 }
--- a/daemon/cell_host.c
+++ b/daemon/cell_host.c
@@ -31,7 +31,7 @@
 #define SETTINGS_POLL_S 2.0
 /* Below it bytes are dearer than the processor time that it takes to make them
  * fewer. */
-#define THIN_LINK_KBPS 20000
+#define COMPRESS_BELOW_KBPS 20000
 #define DRAIN_POLL_S 0.05
 
 struct ogl_cell_host {
@@ -415,7 +415,7 @@
 	if (h->peer == NULL)
 		return false;
 	ogl_peer_expect(h->peer, &ogl__cell_msg__descriptor);
-	if (s->link_kbps > 0 && s->link_kbps < THIN_LINK_KBPS)
+	if (s->link_kbps > 0 && s->link_kbps < COMPRESS_BELOW_KBPS)
 		ogl_peer_compress(h->peer);
 	h->front = listen_front(h, s->frontend, error);
 	if (h->front == NULL)
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -1778,7 +1778,7 @@
   (ProtobufCMessageInit) ogl__cell_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_mark__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ogl__cell_mark__field_descriptors[6] =
 {
   {
     "occurrence",
@@ -1816,18 +1816,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "done",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Ogl__CellMark, done),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "failed_runs",
     5,
@@ -1864,33 +1852,20 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "worker",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Ogl__CellMark, worker),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned ogl__cell_mark__field_indices_by_name[] = {
-  6,   /* field[6] = checkpoint */
-  3,   /* field[3] = done */
-  4,   /* field[4] = failed_runs */
+  5,   /* field[5] = checkpoint */
+  3,   /* field[3] = failed_runs */
   2,   /* field[2] = index */
   0,   /* field[0] = occurrence */
-  5,   /* field[5] = run */
+  4,   /* field[4] = run */
   1,   /* field[1] = step */
-  7,   /* field[7] = worker */
 };
-static const ProtobufCIntRange ogl__cell_mark__number_ranges[1 + 1] =
+static const ProtobufCIntRange ogl__cell_mark__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 5, 3 },
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ogl__cell_mark__descriptor =
 {
@@ -1900,10 +1875,10 @@
   "Ogl__CellMark",
   "ogl",
   sizeof(Ogl__CellMark),
-  8,
+  6,
   ogl__cell_mark__field_descriptors,
   ogl__cell_mark__field_indices_by_name,
-  1,  ogl__cell_mark__number_ranges,
+  2,  ogl__cell_mark__number_ranges,
   (ProtobufCMessageInit) ogl__cell_mark__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -273,7 +273,6 @@
   uint32_t occurrence;
   uint32_t step;
   uint32_t index;
-  protobuf_c_boolean done;
   size_t n_failed_runs;
   uint64_t *failed_runs;
   /*
@@ -281,14 +280,10 @@
    */
   uint64_t run;
   char *checkpoint;
-  /*
-   * where it may run now; empty: nowhere
-   */
-  char *worker;
 };
 #define OGL__CELL_MARK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_mark__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string }
 
 
 /*
