--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -114,6 +114,10 @@
 		}
 		for (Stop &s : worker_.stops)
 			s.done(s.arg, &none, now_);
+		for (size_t i = answered_starts_; i < worker_.starts.size();
+		     i++)
+			worker_.starts[i].done(
+			    worker_.starts[i].arg, &none, now_);
 		cell_fleet_end(fleet_);
 		cell_zones_end(zones_);
 		if (job_ != nullptr)
@@ -184,6 +188,7 @@
 		    now_);
 		a.io = io;
 		worker_.starts.back().done(worker_.starts.back().arg, &a, now_);
+		answered_starts_ = worker_.starts.size();
 	}
 
 	void answer(enum ogl_io io, size_t running, uint64_t born = 7)
@@ -206,6 +211,7 @@
 	Worker worker_;
 	struct cell_zones *zones_ = cell_zones_init();
 	uint64_t records_ = 0;
+	size_t answered_starts_ = 0;
 	int ended_ = 0;
 	struct cell_job *job_ = nullptr;
 	struct cell_ops ops_ = {};
