--- a/cell/loader.c
+++ b/cell/loader.c
@@ -561,8 +561,8 @@
 		return;
 	}
 	if (!l->one_by_one && !in_order(r, a)) {
-		l->ops->log(
-		    l->ops->ctx, "owner", "load_out_of_order", r->after);
+		l->ops->log(l->ops->ctx, "owner", "load_out_of_order",
+		    r->after != NULL ? r->after : "");
 		l->one_by_one = true;
 		begin_reading(l, now);
 		return;
--- a/cell/node.c
+++ b/cell/node.c
@@ -813,6 +813,18 @@
 	send_ping(part, owner, lends_lane(part), now);
 }
 
+static void
+share_zones(struct cell_node *n, const struct cell_zones *z)
+{
+	uint32_t i;
+
+	if (cell_zones_changes(z) == n->zone_changes)
+		return;
+	n->zone_changes = cell_zones_changes(z);
+	for (i = 0; i < n->shards; i++)
+		cell_owner_zones(n->parts[i].owner, z, n->now);
+}
+
 /*
  * The owners go by the same configuration as the entry.  They get none, and
  * start nothing, before it is known which zones are evacuated.
@@ -826,14 +838,12 @@
 
 	if (c == NULL || !cell_zones_known(z))
 		return;
-	if (c == n->config && cell_zones_changes(z) == n->zone_changes)
+	share_zones(n, z);
+	if (c == n->config)
 		return;
 	n->config = c;
-	n->zone_changes = cell_zones_changes(z);
-	for (i = 0; i < n->shards; i++) {
-		cell_owner_zones(n->parts[i].owner, z, n->now);
+	for (i = 0; i < n->shards; i++)
 		cell_owner_config(n->parts[i].owner, c);
-	}
 }
 
 /*
--- a/test/test_cell_loader.cc
+++ b/test/test_cell_loader.cc
@@ -44,7 +44,7 @@
 				q->timeout_ms});
 		};
 		ops_.log = [](void *, const char *, const char *,
-			       const char *) {};
+			       const char *text) { EXPECT_NE(nullptr, text); };
 		ops_.outside = this;
 		events.outranked = [](void *arg, ogl_time) {
 			static_cast<Loader *>(arg)->outranked_++;
