--- a/cell/loader.c
+++ b/cell/loader.c
@@ -12,9 +12,8 @@
  *
  * The store lists keys in order, and a job's key holds its id, which is random.
  * So the part of the keys that the first page covers tells how many pages are
- * left, and these are asked for all at once, each for a range of keys of its own.
- * A store on a slow day takes half a second a page.  Were a page out of order,
- * the reading begins anew, page after page.
+ * left, and these are asked for at once, each for a range of keys of its own.  If
+ * a page is out of order, the reading begins anew, one page after the other.
  */
 
 #include <string.h>
@@ -32,10 +31,10 @@
 #define ASKS_MAX 3 /* for one page */
 /* A page has up to 1 MB; most have half of that or less. */
 #define PAGE_KBITS 4000
-/* Pages under way at a time, where the link carries them soon. */
+/* Pages asked for at a time, on a link of WIDE_KBPS or more. */
 #define PAGES_MAX 8
 #define WIDE_KBPS 50000
-/* A range is made this much smaller than a page seems to cover. */
+/* Ids are spread unevenly: a range is made smaller than a page would cover. */
 #define PAGE_FILL 0.85
 #define KEY_DIGITS 8 /* of an id, enough to tell its place among all */
 /* A fence without an answer for so long, or several times what the store took,
@@ -283,7 +282,7 @@
 }
 
 static void
-more_patience(struct cell_loader *l)
+back_off(struct cell_loader *l)
 {
 	l->ask_overdue_ms = MIN(l->ask_overdue_ms * 2, ASK_OVERDUE_MAX_MS);
 }
@@ -294,7 +293,7 @@
 	log_missed(l, io);
 	l->ask_at = now + RETRY;
 	if (io == OGL_IO_LOST)
-		more_patience(l);
+		back_off(l);
 }
 
 /* ---- fencing ---------------------------------------------------------- */
@@ -410,9 +409,9 @@
 	l->tail = true;
 }
 
-/* Where an id lies among all there could be, 0 to 1. */
+/* Part of all possible ids that lies below this one, 0 to 1. */
 static double
-place_of(const char *id)
+fraction_of_id(const char *id)
 {
 	char digits[KEY_DIGITS + 1];
 
@@ -420,23 +419,25 @@
 	return (double)g_ascii_strtoull(digits, NULL, 16) / 4294967296.0;
 }
 
-/* The place of a bound of keys that begin with a letter. */
+/* The same of a bound of the keys with a prefix; otherwise where the bound lies
+ * outside of these. */
 static double
-place_in(const char *key, char letter, double otherwise)
+fraction_of_key(const char *key, char prefix, double otherwise)
 {
-	if (key == NULL || key[0] != letter || key[1] == '\0')
+	if (key == NULL || key[0] != prefix || key[1] == '\0')
 		return otherwise;
-	return place_of(key + 1);
+	return fraction_of_id(key + 1);
 }
 
-/* Cuts the keys of one letter that are left into ranges of a page each. */
+/* Splits the keys with one prefix that are left into ranges of a page each;
+ * covered is the part of all ids that the last page held. */
 static void
-cut_letter(struct cell_loader *l, const char *after, const char *until,
+split_prefix(struct cell_loader *l, const char *after, const char *until,
     double covered, ogl_time now)
 {
-	char letter = after[0];
-	double from = place_in(after, letter, 0);
-	double to = place_in(until, letter, 1);
+	char prefix = after[0];
+	double from = fraction_of_key(after, prefix, 0);
+	double to = fraction_of_key(until, prefix, 1);
 	double left = (to - from) / (covered * PAGE_FILL);
 	unsigned n = (unsigned)CLAMP(left, 0, PAGES_MAX - 1) + 1;
 	char *key = g_strdup(after);
@@ -445,7 +446,7 @@
 	for (i = 1; i <= n; i++) {
 		double at = from + (to - from) * i / n;
 		char *next = i == n ? g_strdup(until)
-				    : g_strdup_printf("%c%08x", letter,
+				    : g_strdup_printf("%c%08x", prefix,
 					  (unsigned)(at * 4294967295.0));
 
 		add_range(l, key, next, now);
@@ -456,27 +457,26 @@
 }
 
 /*
- * A range whose page has ended at a key is cut by what the page covered.  Of
- * the two kinds of keys, how far jobs are comes first ('p'), and what was
- * submitted after it ('s').
+ * Splits what is left of a range after a page that ended at a key.  Keys with
+ * prefix 'p' (progress) come before those with 's' (what was submitted).
  */
 static void
-cut_range(struct cell_loader *l, const struct range *r, const char *last,
+split_range(struct cell_loader *l, const struct range *r, const char *last,
     ogl_time now)
 {
-	char letter = last[0];
-	double covered =
-	    place_in(last, letter, 0) - place_in(r->after, letter, 0);
-	bool crosses =
-	    letter == 'p' && (r->until == NULL || r->until[0] != 'p');
+	char prefix = last[0];
+	double covered = fraction_of_key(last, prefix, 0) -
+			 fraction_of_key(r->after, prefix, 0);
+	bool into_defs =
+	    prefix == 'p' && (r->until == NULL || r->until[0] != 'p');
 
 	if (l->pages_max == 1 || l->one_by_one || covered <= 0 ||
-	    (letter != 'p' && letter != 's')) {
+	    (prefix != 'p' && prefix != 's')) {
 		add_range(l, last, r->until, now);
 		return;
 	}
-	cut_letter(l, last, crosses ? "s" : r->until, covered, now);
-	if (crosses)
+	split_prefix(l, last, into_defs ? "s" : r->until, covered, now);
+	if (into_defs)
 		add_range(l, "s", r->until, now);
 }
 
@@ -570,7 +570,7 @@
 	l->ask_at = now;
 	note_end(l, a->end);
 	if (!take_page(l, r, a))
-		cut_range(l, r, a->records[a->n - 1].key, now);
+		split_range(l, r, a->records[a->n - 1].key, now);
 	g_ptr_array_remove(l->ranges, r);
 	if (l->ranges->len == 0)
 		all_pages_read(l, now);
@@ -627,7 +627,7 @@
 	struct exchange *x = exchange_new(l);
 
 	if (r->asks > 0)
-		more_patience(l);
+		back_off(l);
 	x->range = r->number;
 	r->asks++;
 	r->ask_at = now + l->ask_overdue_ms * OGL_MS;
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -15,7 +15,9 @@
  * A gang that finds no room reserves the workers that could hold it soonest
  * for the rest of the pass, against lower ranks and later work of its own
  * rank: otherwise smaller work that fits would take each place as it falls
- * free, and the gang would wait for ever.
+ * free, and the gang would wait for ever.  For the same reason work with time to
+ * spare asks the advice service about the fullest workers, and a gang that its
+ * team's limit keeps waiting holds back lower ranks of the team.
  */
 
 #include <string.h>
@@ -671,26 +673,25 @@
 }
 
 static bool
-is_new_to(const struct cell_stage *st, const struct cell_worker *w)
+not_asked_about(const struct cell_stage *st, const struct cell_worker *w)
 {
 	return !g_hash_table_contains(st->asked, GUINT_TO_POINTER(w->serial)) &&
 	       suits(st, w);
 }
 
-/* Whether the stage can do with what others leave: it has time, and its tasks
+/* Whether room that no gang could use will do: the stage has time, and its tasks
  * start one by one. */
 static bool
-takes_small_rooms(
+can_use_leftovers(
     const struct cell_queue *q, const struct cell_stage *st, ogl_time now)
 {
 	return !st->def->gang && !in_hurry(q, st, now);
 }
 
-/* Workers with room for a task, the fullest ones first: gangs need the room of
- * the others. */
+/* Workers with room for a task, the least first. */
 static void
-list_small_rooms(const struct cell_sched *s, const struct cell_stage *st,
-    guint max, GPtrArray *a)
+list_fullest(const struct cell_sched *s, const struct cell_stage *st, guint max,
+    GPtrArray *a)
 {
 	struct ogl_res need = cell_stage_need(st);
 	guint i;
@@ -698,7 +699,7 @@
 	for (i = s->open->len; i-- > 0 && a->len < max;) {
 		struct cell_worker *w = s->open->pdata[i];
 
-		if (cell_worker_fits(w, &need) && is_new_to(st, w))
+		if (cell_worker_fits(w, &need) && not_asked_about(st, w))
 			g_ptr_array_add(a, w);
 	}
 }
@@ -714,12 +715,12 @@
 	bool asked;
 	guint i;
 
-	if (takes_small_rooms(q, st, now))
-		list_small_rooms(s, st, max, a);
+	if (can_use_leftovers(q, st, now))
+		list_fullest(s, st, max, a);
 	for (i = 0; i < s->open->len && a->len < max; i++) {
 		struct cell_worker *w = s->open->pdata[i];
 
-		if (is_new_to(st, w) && !g_ptr_array_find(a, w, NULL))
+		if (not_asked_about(st, w) && !g_ptr_array_find(a, w, NULL))
 			g_ptr_array_add(a, w);
 	}
 	asked = cell_advice_ask(s->parts.advice, st, p, a, rank_of(s, st), now);
--- a/tools/regular.sh
+++ b/tools/regular.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 verb=$1 bench=$2 dir=$3 jobs=${JOBS:-4}
 small=(further/ibiciro-glade)
-large=(large/hima-ops-large further-grown/ibiciro-glade-grown
+large=(shifted/hima-ops-now-grown large/hima-ops-large further-grown/ibiciro-glade-grown
     grown/hima-ops-grown grown/faelles-affedt-grown)
 old=(sites/hima-ops sites/faelles-affedt)
 
