A gang holds lower ranks back only while its team uses its limit

A gang that waits for its team's limit held back lower ranks for as long as it waited: also while one long task was all that the team ran, and in a cell of several shards by the part of the limit that one of them knows.

Change: while less than half of the limit is in use, lower ranks are held back for 1.5 s at most (the users' bound is 3 s); in cells of several shards not at all.

--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -64,6 +64,10 @@
  * the team for so long after each try. */
 #define URGENT_FOR (150 * OGL_MS)
 
+/* A gang that waits for its team's limit may leave more than half of it idle for
+ * so long. */
+#define IDLE_MAX (1500 * OGL_MS)
+
 /* Thousandths of a core left over on a worker that one unit of pace outweighs. */
 #define PACE_COST 60e3
 /* A worker this much slower than those that are well is out of order. */
@@ -85,6 +89,7 @@
 	/* A gang of this rank waits in this pass for what the team has running
 	 * to end: lower ranks are not started; RANKS none. */
 	uint32_t gang_rank;
+	ogl_time idle_since; /* less than half in use for it, 0 not */
 };
 
 /* What became of one look at a stage. */
@@ -957,22 +962,59 @@
 	s->reserves++;
 }
 
-/* Whether the whole gang could run if its team ran nothing else. */
+/* Whether the limit keeps the gang waiting although it could run alone. */
 static bool
-within_maximum(const struct cell_sched *s, const struct cell_stage *st)
+waits_for_others(uint32_t used, uint64_t need, uint32_t max)
 {
-	const struct cell_team *t =
-	    cell_config_team(s->config, st->job->def->team);
+	return max > 0 && need <= max && used + need > max;
+}
+
+static bool
+uses_half(uint32_t used, uint32_t max)
+{
+	return max > 0 && used >= max / 2;
+}
+
+/* A team that has less than half of its limit in use while a gang holds back
+ * lower ranks leaves it idle: only for so long. */
+static bool
+may_idle(struct team_state *t, const struct ogl_res *used,
+    const struct ogl_res *max, ogl_time now)
+{
+	if (uses_half(used->cpu_milli, max->cpu_milli) ||
+	    uses_half(used->mem_mb, max->mem_mb) ||
+	    uses_half(used->accel, max->accel)) {
+		t->idle_since = 0;
+		return true;
+	}
+	if (t->idle_since == 0)
+		t->idle_since = now;
+	return now - t->idle_since < IDLE_MAX;
+}
+
+/*
+ * Whether lower ranks of the team wait until the gang has room within the limit.
+ * Not where other shards may run work of the team that is not known here.
+ */
+static bool
+holds_lower_ranks(struct cell_sched *s, const struct cell_stage *st,
+    struct team_state *state, ogl_time now)
+{
+	const char *team = st->job->def->team;
+	const struct cell_team *t = cell_config_team(s->config, team);
+	struct ogl_res used = cell_fleet_team_used(s->parts.fleet, team);
 	struct ogl_res need = cell_stage_need(st);
-	struct ogl_res max;
+	uint64_t n = st->ntasks;
 
-	if (t == NULL)
+	if (t == NULL ||
+	    cell_escrow_part(s->parts.escrow, team) != CELL_PART_WHOLE)
 		return false;
-	max = limit_of(s, t);
-	return below(0, (uint64_t)need.cpu_milli * st->ntasks, max.cpu_milli,
-		   1.0) &&
-	       below(0, (uint64_t)need.mem_mb * st->ntasks, max.mem_mb, 1.0) &&
-	       below(0, (uint64_t)need.accel * st->ntasks, max.accel, 1.0);
+	if (!waits_for_others(
+		used.cpu_milli, n * need.cpu_milli, t->max.cpu_milli) &&
+	    !waits_for_others(used.mem_mb, n * need.mem_mb, t->max.mem_mb) &&
+	    !waits_for_others(used.accel, n * need.accel, t->max.accel))
+		return false;
+	return may_idle(state, &used, &t->max, now);
 }
 
 /* The stage has to wait for its team's limit. */
@@ -982,8 +1024,11 @@
 {
 	struct team_state *t = state_of(s, st->job->def->team);
 
+	if (now - t->limited_at > IDLE_MAX)
+		t->idle_since = 0;
 	t->limited_at = now;
-	if (st->def->gang && stand % 3 < TOO_LATE && within_maximum(s, st))
+	if (st->def->gang && stand % 3 < TOO_LATE &&
+	    holds_lower_ranks(s, st, t, now))
 		t->gang_rank = MIN(t->gang_rank, rank);
 	if (rank == 0 && stand % 3 < TOO_LATE)
 		t->urgent_at = now;
