--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -115,7 +115,8 @@
 	GPtrArray *stale;  /* scratch: allowed, with room, no ticket */
 	GPtrArray *chosen; /* scratch: struct cell_worker, one a task */
 	bool hurry;        /* scratch: the stage looked at is in a hurry */
-	ogl_time pass_at;  /* next pass not before */
+	bool apart; /* scratch: some allowed worker has enough of the stage */
+	ogl_time pass_at; /* next pass not before */
 };
 
 struct cell_sched *
@@ -343,6 +344,41 @@
 	return w->reserved != 0 && rank + 1 >= w->reserved;
 }
 
+/* Tasks of the stage on a worker, those chosen in this pass included. */
+static uint32_t
+tasks_on(const struct cell_sched *s, const struct cell_stage *st,
+    const struct cell_worker *w)
+{
+	GHashTableIter it;
+	gpointer p;
+	uint32_t n = 0;
+	guint i;
+
+	g_hash_table_iter_init(&it, w->runs);
+	while (g_hash_table_iter_next(&it, &p, NULL)) {
+		const struct cell_run *r = p;
+
+		if (r->name.step == st->step &&
+		    r->name.occurrence == st->occurrence &&
+		    strcmp(r->name.id, st->job->id) == 0)
+			n++;
+	}
+	for (i = 0; i < s->chosen->len; i++) {
+		if (s->chosen->pdata[i] == w)
+			n++;
+	}
+	return n;
+}
+
+/* Whether no more tasks of the stage may be put on the worker. */
+static bool
+has_enough(const struct cell_sched *s, const struct cell_stage *st,
+    const struct cell_worker *w)
+{
+	return st->def->worker_max > 0 &&
+	       tasks_on(s, st, w) >= st->def->worker_max;
+}
+
 /*
  * Sorts the workers with room for a task into those that may be given it now
  * and, where the queue has a policy, those whose ticket has run out.
@@ -363,6 +399,11 @@
 		if (w == NULL || w->open_pass != s->pass ||
 		    kept_from(w, rank) || !cell_worker_fits(w, &need))
 			continue;
+		/* A ticket for it would be of no use to the stage. */
+		if (has_enough(s, st, w)) {
+			s->apart = true;
+			continue;
+		}
 		if (g->born_ms == w->life && g->until > now)
 			g_ptr_array_add(s->candidates, w);
 		else
@@ -379,6 +420,8 @@
 
 	g_ptr_array_set_size(s->candidates, 0);
 	g_ptr_array_set_size(s->stale, 0);
+	g_ptr_array_set_size(s->chosen, 0);
+	s->apart = false;
 	if (policy) {
 		list_allowed(s, st, rank, now);
 		return;
@@ -392,32 +435,6 @@
 	}
 }
 
-/* Tasks of the stage on a worker, those chosen in this pass included. */
-static uint32_t
-tasks_on(const struct cell_sched *s, const struct cell_stage *st,
-    const struct cell_worker *w)
-{
-	GHashTableIter it;
-	gpointer p;
-	uint32_t n = 0;
-	guint i;
-
-	g_hash_table_iter_init(&it, w->runs);
-	while (g_hash_table_iter_next(&it, &p, NULL)) {
-		const struct cell_run *r = p;
-
-		if (r->name.step == st->step &&
-		    r->name.occurrence == st->occurrence &&
-		    strcmp(r->name.id, st->job->id) == 0)
-			n++;
-	}
-	for (i = 0; i < s->chosen->len; i++) {
-		if (s->chosen->pdata[i] == w)
-			n++;
-	}
-	return n;
-}
-
 static struct ogl_res
 room_of(const struct cell_worker *w)
 {
@@ -478,8 +495,7 @@
 
 		if (!cell_worker_fits(w, &need))
 			continue;
-		if (st->def->worker_max > 0 &&
-		    tasks_on(s, st, w) >= st->def->worker_max)
+		if (has_enough(s, st, w))
 			continue;
 		cost = cost_of(s, st, t, w);
 		if (best == NULL || cost < least) {
@@ -842,7 +858,9 @@
 			return st->def->worker_max > 0 ? CELL_WAIT_APART
 						       : CELL_WAIT_ROOM;
 	}
-	return s->stale->len > 0 ? CELL_WAIT_TICKET : CELL_WAIT_ROOM;
+	if (s->stale->len > 0)
+		return CELL_WAIT_TICKET;
+	return s->apart ? CELL_WAIT_APART : CELL_WAIT_ROOM;
 }
 
 /* ---- placing ---------------------------------------------------------- */
--- /dev/null
+++ b/test/test_cell_schedule.cc
@@ -0,0 +1,264 @@
+/* Choice of workers by the real scheduler, fleet and advice, without a cell. */
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "schedule.h"
+}
+
+namespace
+{
+
+const unsigned kWorkers = 20;
+
+struct Hold {
+	std::string worker;
+	cell_hold_fn *done;
+	void *arg;
+};
+
+struct Start {
+	cell_order_fn *done;
+	void *arg;
+};
+
+class Schedule : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		struct cell_fleet_events fe = {};
+		struct cell_advice_events ae = {};
+		struct cell_escrow_events ee = {};
+		struct cell_sched_parts parts = {};
+
+		ops_.hold = [](void *ctx, const struct cell_hold *h,
+				cell_hold_fn *done, void *arg) {
+			static_cast<Schedule *>(ctx)->holds_.push_back(
+			    {h->to.id, done, arg});
+		};
+		ops_.start = [](void *ctx, const struct cell_order *,
+				 cell_order_fn *done, void *arg) {
+			static_cast<Schedule *>(ctx)->starts_.push_back(
+			    {done, arg});
+		};
+		ops_.log = [](void *, const char *, const char *,
+			       const char *) {};
+		ops_.count = [](void *, const char *, uint64_t) {};
+		ops_.observe = ops_.count;
+		ops_.outside = this;
+		limits_.lease_max_ms = 10000;
+		fe.answered = [](void *, struct cell_worker *, ogl_time) {};
+		fe.room = [](void *, ogl_time) {};
+		fe.up = [](void *, struct cell_run *, ogl_time) {};
+		fleet_ = cell_fleet_init(&ops_, &limits_, &fe);
+		ae.send = [](void *arg, const char *, const Ogl__CellAsk *a) {
+			auto *t = static_cast<Schedule *>(arg);
+
+			t->token_ = a->token;
+			t->asked_.assign(a->workers, a->workers + a->n_workers);
+		};
+		ae.stage = [](void *arg, const char *, uint32_t, uint32_t) {
+			return static_cast<Schedule *>(arg)->stage_;
+		};
+		ae.worker = [](void *arg, const char *id) {
+			return cell_fleet_worker(
+			    static_cast<Schedule *>(arg)->fleet_, id);
+		};
+		ae.answered = [](void *, struct cell_stage *, ogl_time) {};
+		ae.arg = this;
+		advice_ = cell_advice_init(&ops_, &ae);
+		escrow_ = cell_escrow_init(0, 1, &ee);
+		parts.ops = &ops_;
+		parts.fleet = fleet_;
+		parts.advice = advice_;
+		parts.escrow = escrow_;
+		parts.next_run = [](void *, const struct cell_stage *) {
+			static uint64_t run;
+
+			return ++run;
+		};
+		parts.started = [](void *, struct cell_stage *, uint32_t,
+				    ogl_time) {};
+		sched_ = cell_sched_init(&parts);
+		list_workers();
+		cell_advice_open(advice_, 1);
+		configure();
+	}
+
+	/* Every call gets its one answer, also after the end of ownership. */
+	void TearDown() override
+	{
+		struct cell_order_answer none = {};
+
+		none.io = OGL_IO_LOST;
+		cell_sched_clear(sched_);
+		cell_fleet_close(fleet_);
+		for (const Start &s : starts_)
+			s.done(s.arg, &none, now_);
+		cell_sched_end(sched_);
+		cell_escrow_end(escrow_);
+		cell_advice_end(advice_);
+		cell_job_free(job_);
+		cell_fleet_end(fleet_);
+	}
+
+	void list_workers()
+	{
+		char service[] = "svc", none[] = "";
+		struct cell_hold_answer a = {};
+
+		cell_fleet_open(fleet_, 1, now_);
+		for (unsigned i = 0; i < kWorkers; i++) {
+			std::string id = "w" + std::to_string(i);
+			std::string addr = "10.9.0." + std::to_string(i);
+			struct cell_worker_entry e = {};
+
+			e.service = service;
+			e.addr = const_cast<char *>(addr.c_str());
+			e.zone = none;
+			e.rack = none;
+			e.capacity.cpu_milli = 16000;
+			cell_fleet_entry(fleet_, id.c_str(), &e, now_);
+		}
+		cell_fleet_step(fleet_, now_);
+		a.io = OGL_IO_OK;
+		a.born_ms = 7;
+		a.clock_ms = 1000;
+		for (const Hold &h : holds_) {
+			h.done(h.arg, &a, now_);
+			cell_fleet_named(fleet_, h.worker.c_str(), 1);
+		}
+		now_ += OGL_MS;
+		cell_fleet_confirm(fleet_, now_);
+	}
+
+	void configure()
+	{
+		struct cell_config *c = cell_config_new(1);
+		struct cell_queue *q = cell_config_add_queue(c);
+
+		q->name = g_strdup("q");
+		q->host = g_strdup("h");
+		q->prefix = g_strdup("/");
+		q->service = g_strdup("svc");
+		q->policy.needed = true;
+		q->policy.decide_ms = 5;
+		q->policy.valid_ms = 2500;
+		cell_sched_config(sched_, c);
+		cell_config_unref(c);
+	}
+
+	/* A lasting job, each of whose tasks needs a worker of its own. */
+	void submit(uint32_t tasks)
+	{
+		auto *d = static_cast<Ogl__CellJob *>(
+		    calloc(1, sizeof(Ogl__CellJob)));
+		auto *s = static_cast<Ogl__CellStep *>(
+		    calloc(1, sizeof(Ogl__CellStep)));
+
+		ogl__cell_job__init(d);
+		ogl__cell_step__init(s);
+		s->count = tasks;
+		s->cpu_milli = 1000;
+		s->worker_max = 1;
+		s->lasting = 1;
+		d->id = strdup("0000000000000001");
+		d->queue = strdup("q");
+		d->service = strdup("svc");
+		d->steps = static_cast<Ogl__CellStep **>(malloc(sizeof s));
+		d->steps[0] = s;
+		d->n_steps = 1;
+		job_ = cell_job_new(d, now_);
+		job_->stored = true;
+		job_->settled = true;
+		stage_ = &cell_job_begin(job_, 0, now_)->stages[0];
+		cell_sched_add(sched_, stage_);
+	}
+
+	/* A pass; the workers that it asks about are in asked_. */
+	void pass(int ms)
+	{
+		now_ += ms * OGL_MS;
+		asked_.clear();
+		for (unsigned i = 0; i < kWorkers; i++)
+			worker(i)->holding = false;
+		cell_advice_node(advice_, "n", now_);
+		cell_sched_pass(sched_, now_);
+	}
+
+	/* All workers asked about are allowed. */
+	void allow()
+	{
+		Ogl__CellAdvice m = OGL__CELL_ADVICE__INIT;
+		std::vector<Ogl__CellTicket> tickets(asked_.size());
+		std::vector<Ogl__CellTicket *> list;
+		char ticket[] = "t";
+
+		for (size_t i = 0; i < asked_.size(); i++) {
+			ogl__cell_ticket__init(&tickets[i]);
+			tickets[i].worker =
+			    const_cast<char *>(asked_[i].c_str());
+			tickets[i].ticket = ticket;
+			list.push_back(&tickets[i]);
+		}
+		m.token = token_;
+		m.ok = 1;
+		m.valid_ms = 2500;
+		m.tickets = list.data();
+		m.n_tickets = list.size();
+		cell_advice_answer(advice_, &m, now_);
+	}
+
+	struct cell_worker *worker(unsigned i)
+	{
+		return cell_fleet_worker(
+		    fleet_, ("w" + std::to_string(i)).c_str());
+	}
+
+	bool asked(const char *id)
+	{
+		return std::find(asked_.begin(), asked_.end(), id) !=
+		       asked_.end();
+	}
+
+	struct cell_ops ops_ = {};
+	struct cell_limits limits_ = {};
+	struct cell_fleet *fleet_ = nullptr;
+	struct cell_advice *advice_ = nullptr;
+	struct cell_escrow *escrow_ = nullptr;
+	struct cell_sched *sched_ = nullptr;
+	struct cell_job *job_ = nullptr;
+	struct cell_stage *stage_ = nullptr;
+	std::vector<Hold> holds_;
+	std::vector<Start> starts_;
+	std::vector<std::string> asked_;
+	uint64_t token_ = 0;
+	ogl_time now_ = 100 * OGL_SEC;
+};
+
+/* Guards against a task that never runs: tickets are asked anew only for the
+ * roomiest workers, and those run its step already. */
+TEST_F(Schedule, NoTicketsForWorkersThatHaveEnoughOfAStep)
+{
+	worker(18)->used.cpu_milli = 16000;
+	worker(19)->used.cpu_milli = 16000;
+	submit(19);
+	pass(10);
+	ASSERT_EQ(kWorkers, asked_.size());
+	allow();
+	pass(10);
+	ASSERT_EQ(18u, starts_.size());
+	worker(18)->used.cpu_milli = 9000;
+	worker(19)->used.cpu_milli = 9000;
+	pass(3000);
+	EXPECT_TRUE(asked("w18"));
+	EXPECT_TRUE(asked("w19"));
+	EXPECT_EQ(2u, asked_.size());
+}
+
+} // namespace
