cell: questions to the advice service name what waiting tasks need

Of 1,914 s that the service worked, blocked gangs took 1,097: each asked about 16 more workers whenever a lane was free, at 559 ms a question, 1,594 times.

Ruled out: too little room (above), team limits (392 s), the reserve of lanes for rank 0 (lookups used 172 lane-seconds of it).

Change: question.c names as many workers as the waiting tasks are expected to need, by the free capacity of each and the fraction that the queue's policy approves, which is learned from answers. A gang that would not fit even after a favourable answer does not ask; it asks about further workers only while the approved ones could not hold it. Each question is logged.

--- a/cell/advice.c
+++ b/cell/advice.c
@@ -37,6 +37,12 @@
  * time. */
 #define LANE_PAUSE (1500 * OGL_MS)
 
+/* Weight, in workers, of the fraction assumed while little is known. */
+#define SHARE_PRIOR_WORKERS 20.0
+#define SHARE_PRIOR 0.5
+/* Older answers count less once this many workers were asked about. */
+#define SHARE_WORKERS_MAX 2000.0
+
 struct lane {
 	char *addr; /* address of the node */
 	ogl_time heard_at;
@@ -50,16 +56,24 @@
 	uint32_t occurrence;
 	uint32_t step;
 	GPtrArray *workers; /* ids */
+	bool first;         /* the stage's first question */
 	char *lane_addr;    /* address of the node it was sent to */
 	ogl_time sent_at;
 	ogl_time deadline;
 };
 
+/* How many workers the policy of a queue was asked about and approved. */
+struct share {
+	double asked;
+	double approved;
+};
+
 struct cell_advice {
 	const struct cell_ops *ops;
 	struct cell_advice_events events;
 	GHashTable *lanes;     /* addr -> struct lane */
 	GHashTable *questions; /* token -> struct question */
+	GHashTable *shares;    /* queue -> struct share */
 	uint64_t last_token;
 };
 
@@ -94,6 +108,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lane_free);
 	a->questions = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, question_free);
+	a->shares =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return a;
 }
 
@@ -102,6 +118,7 @@
 {
 	g_hash_table_unref(a->questions);
 	g_hash_table_unref(a->lanes);
+	g_hash_table_unref(a->shares);
 	g_free(a);
 }
 
@@ -187,6 +204,7 @@
 {
 	Ogl__CellAsk ask = OGL__CELL_ASK__INIT;
 	char step[64];
+	char text[200];
 
 	g_snprintf(
 	    step, sizeof step, "%s.%u.%u", q->id, q->occurrence, q->step);
@@ -197,6 +215,13 @@
 	ask.timeout_ms = (uint32_t)((q->deadline - q->sent_at) / OGL_MS);
 	a->events.send(a->events.arg, q->lane_addr, &ask);
 	a->ops->count(a->ops->ctx, "advice_questions", 1);
+	g_snprintf(text, sizeof text,
+	    "job=%s task=%u.%u first=%d workers=%u node=%s "
+	    "answer_ms=%" G_GINT64_FORMAT,
+	    q->id, q->occurrence, q->step, q->first, q->workers->len,
+	    q->lane_addr,
+	    (q->deadline - q->sent_at) / OGL_MS - NETWORK_MARGIN_MS);
+	a->ops->log(a->ops->ctx, "owner", "advice_asked", text);
 }
 
 bool
@@ -216,6 +241,7 @@
 	memcpy(q->id, s->job->id, sizeof q->id);
 	q->occurrence = s->occurrence;
 	q->step = s->step;
+	q->first = g_hash_table_size(s->asked) == 0;
 	q->workers = g_ptr_array_new_with_free_func(g_free);
 	for (i = 0; i < workers->len && i < CELL_ADVICE_WORKERS_MAX; i++) {
 		const struct cell_worker *w = workers->pdata[i];
@@ -272,6 +298,35 @@
 		g_hash_table_add(s->asked, GUINT_TO_POINTER(w->serial));
 }
 
+static void
+count_answer(
+    struct cell_advice *a, const char *queue, size_t asked, size_t approved)
+{
+	struct share *s = g_hash_table_lookup(a->shares, queue);
+
+	if (s == NULL) {
+		s = g_new0(struct share, 1);
+		g_hash_table_insert(a->shares, g_strdup(queue), s);
+	}
+	s->asked += (double)asked;
+	s->approved += (double)MIN(approved, asked);
+	if (s->asked > SHARE_WORKERS_MAX) {
+		s->asked /= 2;
+		s->approved /= 2;
+	}
+}
+
+double
+cell_advice_approved_share(const struct cell_advice *a, const char *queue)
+{
+	const struct share *s = g_hash_table_lookup(a->shares, queue);
+
+	if (s == NULL)
+		return SHARE_PRIOR;
+	return (s->approved + SHARE_PRIOR * SHARE_PRIOR_WORKERS) /
+	       (s->asked + SHARE_PRIOR_WORKERS);
+}
+
 static void
 store_answer(struct cell_advice *a, struct cell_stage *s,
     const struct question *q, const Ogl__CellAdvice *m, ogl_time now)
@@ -282,6 +337,10 @@
 	    TICKET_EXPIRY_MARGIN;
 	size_t i;
 
+	/* Workers asked about again are known to be approved. */
+	if (q->first)
+		count_answer(
+		    a, s->job->def->queue, q->workers->len, m->n_tickets);
 	for (i = 0; i < q->workers->len; i++)
 		mark_asked(a, s, q->workers->pdata[i]);
 	for (i = 0; i < m->n_tickets; i++)
--- a/cell/advice.h
+++ b/cell/advice.h
@@ -64,6 +64,11 @@
 void cell_advice_step(struct cell_advice *a, ogl_time now);
 /* Drops questions whose answer is overdue. */
 
+double cell_advice_approved_share(
+    const struct cell_advice *a, const char *queue);
+/* The fraction of workers that the queue's policy approves, as learned from
+ * earlier answers. */
+
 const struct cell_approval *cell_advice_approval(
     const struct cell_stage *s, const struct cell_worker *w);
 /* The service's approval of a worker in its present incarnation.  NULL if the
--- /dev/null
+++ b/cell/room.c
@@ -0,0 +1,70 @@
+/*
+ * Compares what the tasks of a stage need with what a worker has.
+ */
+
+#include "room.h"
+
+struct ogl_res
+cell_worker_room(const struct cell_worker *w)
+{
+	struct ogl_res room = w->capacity;
+
+	ogl_res_sub(&room, &w->used);
+	return room;
+}
+
+uint32_t
+cell_res_tasks(const struct ogl_res *res, const struct ogl_res *need)
+{
+	uint32_t n = UINT32_MAX;
+
+	if (need->cpu_milli > 0)
+		n = MIN(n, res->cpu_milli / need->cpu_milli);
+	if (need->mem_mb > 0)
+		n = MIN(n, res->mem_mb / need->mem_mb);
+	if (need->accel > 0)
+		n = MIN(n, res->accel / need->accel);
+	return n;
+}
+
+static uint32_t
+slots_in(const struct ogl_res *res, const struct cell_stage *st)
+{
+	struct ogl_res need = cell_stage_need(st);
+	uint32_t n = cell_res_tasks(res, &need);
+
+	return st->def->worker_max > 0 ? MIN(n, st->def->worker_max) : n;
+}
+
+uint32_t
+cell_worker_free_slots(const struct cell_worker *w, const struct cell_stage *st)
+{
+	struct ogl_res room = cell_worker_room(w);
+
+	return slots_in(&room, st);
+}
+
+uint32_t
+cell_worker_slots(const struct cell_worker *w, const struct cell_stage *st)
+{
+	return slots_in(&w->capacity, st);
+}
+
+static bool
+has_label(const struct cell_worker *w, const char *label)
+{
+	return *label == '\0' ||
+	       (w->labels != NULL &&
+		   g_strv_contains((const gchar *const *)w->labels, label));
+}
+
+bool
+cell_worker_could_run(const struct cell_worker *w, const struct cell_stage *st)
+{
+	struct ogl_res need = {st->def->fills ? 0 : st->def->cpu_milli,
+	    st->def->mem_mb, st->def->accel};
+
+	return g_strcmp0(w->service, st->job->def->service) == 0 &&
+	       has_label(w, st->def->label) &&
+	       ogl_res_fits(&need, &w->capacity);
+}
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -28,6 +28,8 @@
 #include <string.h>
 
 #include "ablate.h"
+#include "question.h"
+#include "room.h"
 #include "schedule.h"
 
 #define RANKS 4
@@ -47,15 +49,6 @@
 #define RESERVING_GANGS_MAX 2
 /* A stage that finds no room for this long asks about further workers. */
 #define ASK_MORE_DELAY (300 * OGL_MS)
-/* The first question names as many workers as the service can judge in this
- * time, because a longer one would delay the start. */
-#define FIRST_ASK_BUDGET_MS 650.0
-#define FIRST_ASK_WORKERS_MIN 16
-/* Workers asked about per waiting task on a slow link, as the answer carries a
- * ticket for each worker that is allowed. */
-#define SLOW_LINK_WORKERS_PER_TASK 6
-/* Expired tickets are renewed for at most this many workers at a time. */
-#define REFRESH_WORKERS_MAX 16
 /* Time between two passes: capacity that becomes free within 4 ms is allocated
  * in one pass, and a long queue does not use up the processor of a small
  * machine, because each waiting stage adds to the interval. */
@@ -340,26 +333,6 @@
 
 /* ---- candidates ------------------------------------------------------- */
 
-static bool
-has_label(const struct cell_worker *w, const char *label)
-{
-	return *label == '\0' ||
-	       (w->labels != NULL &&
-		   g_strv_contains((const gchar *const *)w->labels, label));
-}
-
-/* Whether the worker's service, labels and total capacity suit the stage. */
-static bool
-could_run(const struct cell_stage *st, const struct cell_worker *w)
-{
-	struct ogl_res need = {st->def->fills ? 0 : st->def->cpu_milli,
-	    st->def->mem_mb, st->def->accel};
-
-	return g_strcmp0(w->service, st->job->def->service) == 0 &&
-	       has_label(w, st->def->label) &&
-	       ogl_res_fits(&need, &w->capacity);
-}
-
 /* Whether a gang of the same or a higher rank has reserved the worker, which
  * stores that gang's rank + 1. */
 static bool
@@ -456,20 +429,11 @@
 		struct cell_worker *w = s->schedulable->pdata[i];
 
 		if (cell_worker_fits(w, &need) && !reserved_against(w, rank) &&
-		    could_run(st, w))
+		    cell_worker_could_run(w, st))
 			g_ptr_array_add(s->candidates, w);
 	}
 }
 
-static struct ogl_res
-room_of(const struct cell_worker *w)
-{
-	struct ogl_res room = w->capacity;
-
-	ogl_res_sub(&room, &w->used);
-	return room;
-}
-
 /*
  * Stages with a tight deadline prefer fast workers.  Other stages prefer slow
  * ones, to leave the fast ones free, but also avoid faulty workers.
@@ -496,7 +460,7 @@
 placement_cost(const struct cell_sched *s, const struct cell_stage *st,
     const struct cell_task *t, const struct cell_worker *w)
 {
-	struct ogl_res room = room_of(w);
+	struct ogl_res room = cell_worker_room(w);
 	double cost = (double)room.cpu_milli + pace_cost(s, w);
 
 	if (*st->def->data_rack != '\0' &&
@@ -680,60 +644,17 @@
 
 /* ---- questions to the advice service ---------------------------------- */
 
-static uint32_t
-tasks_that_fit(const struct ogl_res *room, const struct ogl_res *need)
-{
-	uint32_t n = UINT32_MAX;
-
-	if (need->cpu_milli > 0)
-		n = MIN(n, room->cpu_milli / need->cpu_milli);
-	if (need->mem_mb > 0)
-		n = MIN(n, room->mem_mb / need->mem_mb);
-	if (need->accel > 0)
-		n = MIN(n, room->accel / need->accel);
-	return n;
-}
-
 static gint
 by_room(gconstpointer a, gconstpointer b)
 {
 	const struct cell_worker *v = *(struct cell_worker *const *)a;
 	const struct cell_worker *w = *(struct cell_worker *const *)b;
-	uint32_t rv = room_of(v).cpu_milli;
-	uint32_t rw = room_of(w).cpu_milli;
+	uint32_t rv = cell_worker_room(v).cpu_milli;
+	uint32_t rw = cell_worker_room(w).cpu_milli;
 
 	return rv < rw ? 1 : rv > rw ? -1 : 0;
 }
 
-/* Number of tasks that fit into the worker's free capacity. */
-static uint32_t
-free_slots(const struct cell_worker *w, const struct ogl_res *need)
-{
-	struct ogl_res room = room_of(w);
-
-	return tasks_that_fit(&room, need);
-}
-
-static guint
-first_ask_size(const struct cell_sched *s, const struct cell_stage *st,
-    const struct cell_policy *p)
-{
-	double n = p->worker_ms > 0
-		       ? (FIRST_ASK_BUDGET_MS - p->decide_ms) / p->worker_ms
-		       : CELL_ADVICE_WORKERS_MAX;
-
-	if (s->slow_link)
-		n = MIN(n, SLOW_LINK_WORKERS_PER_TASK * cell_stage_waiting(st));
-	return (guint)CLAMP(n, FIRST_ASK_WORKERS_MIN, CELL_ADVICE_WORKERS_MAX);
-}
-
-static bool
-not_asked_about(const struct cell_stage *st, const struct cell_worker *w)
-{
-	return !g_hash_table_contains(st->asked, GUINT_TO_POINTER(w->serial)) &&
-	       could_run(st, w);
-}
-
 /* Whether the stage can use the small free capacity of nearly full workers.  It
  * can if it has no tight deadline and its tasks start one by one. */
 static bool
@@ -743,85 +664,28 @@
 	return !st->def->gang && !deadline_is_tight(q, st, now);
 }
 
-/* Adds workers with room for a task, those with the least room first, until the
- * list has max workers. */
-static void
-list_fullest(const struct cell_sched *s, const struct cell_stage *st, guint max,
-    GPtrArray *workers)
-{
-	struct ogl_res need = cell_stage_need(st);
-	guint i;
-
-	for (i = s->schedulable->len; i-- > 0 && workers->len < max;) {
-		struct cell_worker *w = s->schedulable->pdata[i];
-
-		if (cell_worker_fits(w, &need) && not_asked_about(st, w))
-			g_ptr_array_add(workers, w);
-	}
-}
+typedef void choose_fn(const struct cell_question_scope *q,
+    const struct cell_stage *st, GPtrArray *workers);
 
-/* Asks about workers not yet asked about: first the fullest ones if the stage
- * may use these, then those with the most room. */
+/* Asks about the workers that `choose` lists; false if it lists none. */
 static bool
-ask_new(struct cell_sched *s, struct cell_stage *st, const struct cell_queue *q,
-    ogl_time now)
+ask(struct cell_sched *s, struct cell_stage *st, const struct cell_queue *q,
+    choose_fn *choose, ogl_time now)
 {
-	const struct cell_policy *p = &q->policy;
 	GPtrArray *workers = g_ptr_array_new();
-	guint max = first_ask_size(s, st, p);
+	struct cell_question_scope scope = {&q->policy, s->schedulable,
+	    s->candidates, s->expired,
+	    cell_advice_approved_share(s->parts.advice, st->job->def->queue),
+	    s->slow_link, may_use_fullest(q, st, now)};
 	bool asked;
-	guint i;
-
-	if (may_use_fullest(q, st, now))
-		list_fullest(s, st, max, workers);
-	for (i = 0; i < s->schedulable->len && workers->len < max; i++) {
-		struct cell_worker *w = s->schedulable->pdata[i];
 
-		if (not_asked_about(st, w) &&
-		    !g_ptr_array_find(workers, w, NULL))
-			g_ptr_array_add(workers, w);
-	}
+	choose(&scope, st, workers);
 	asked = cell_advice_ask(
-	    s->parts.advice, st, p, workers, rank_of(s, st), now);
+	    s->parts.advice, st, &q->policy, workers, rank_of(s, st), now);
 	g_ptr_array_unref(workers);
 	return asked;
 }
 
-/* Whether the gang could be placed if all allowed workers had valid tickets. */
-static bool
-gang_would_fit(struct cell_sched *s, const struct cell_stage *st)
-{
-	struct ogl_res need = cell_stage_need(st);
-	uint32_t n = 0;
-	guint i;
-
-	for (i = 0; i < s->candidates->len; i++)
-		n += free_slots(s->candidates->pdata[i], &need);
-	for (i = 0; i < s->expired->len; i++)
-		n += free_slots(s->expired->pdata[i], &need);
-	return n >= st->ntasks;
-}
-
-/*
- * Renews the expired tickets of allowed workers that have room.  A gang that
- * would not fit even then does not ask, as its tickets would expire unused and
- * the service answers one question at a time.
- */
-static bool
-refresh_tickets(struct cell_sched *s, struct cell_stage *st,
-    const struct cell_policy *p, ogl_time now)
-{
-	if (s->expired->len == 0)
-		return false;
-	if (st->def->gang && !gang_would_fit(s, st))
-		return false;
-	g_ptr_array_sort(s->expired, by_room);
-	if (s->expired->len > REFRESH_WORKERS_MAX)
-		g_ptr_array_set_size(s->expired, REFRESH_WORKERS_MAX);
-	return cell_advice_ask(
-	    s->parts.advice, st, p, s->expired, rank_of(s, st), now);
-}
-
 static void
 request_advice(struct cell_sched *s, struct cell_stage *st,
     const struct cell_queue *q, ogl_time now)
@@ -832,13 +696,13 @@
 	    !cell_advice_has_free_lane(s->parts.advice, rank_of(s, st), now))
 		return;
 	if (g_hash_table_size(st->asked) == 0) {
-		ask_new(s, st, q, now);
+		ask(s, st, q, cell_question_first, now);
 		return;
 	}
-	if (refresh_tickets(s, st, p, now))
+	if (ask(s, st, q, cell_question_renew, now))
 		return;
 	if (st->blocked_since != 0 && now - st->blocked_since > ASK_MORE_DELAY)
-		ask_new(s, st, q, now);
+		ask(s, st, q, cell_question_more, now);
 }
 
 /* ---- why a stage waits ------------------------------------------------ */
@@ -1014,10 +878,11 @@
 	for (i = 0; i < s->schedulable->len && n < st->ntasks; i++) {
 		struct cell_worker *w = s->schedulable->pdata[i];
 
-		if (reserved_against(w, rank) || !could_run(st, w) ||
+		if (reserved_against(w, rank) ||
+		    !cell_worker_could_run(w, st) ||
 		    (policy_needed && cell_advice_approval(st, w) == NULL))
 			continue;
-		n += tasks_that_fit(&w->capacity, &need);
+		n += cell_res_tasks(&w->capacity, &need);
 		w->reserved_rank_plus_1 = rank + 1;
 	}
 	s->reserving_gangs++;
@@ -1219,7 +1084,7 @@
 			continue;
 		w->schedulable_pass = s->pass;
 		w->reserved_rank_plus_1 = 0;
-		s->free_cpu_milli += room_of(w).cpu_milli;
+		s->free_cpu_milli += cell_worker_room(w).cpu_milli;
 		g_ptr_array_add(s->schedulable, w);
 	}
 	g_ptr_array_sort(s->schedulable, by_room);
@@ -1293,8 +1158,8 @@
 {
 	struct ogl_res need = cell_stage_need(st);
 
-	return cell_worker_schedulable(w, now) && could_run(st, w) &&
-	       cell_worker_fits(w, &need) &&
+	return cell_worker_schedulable(w, now) &&
+	       cell_worker_could_run(w, st) && cell_worker_fits(w, &need) &&
 	       cell_fleet_pace(s->parts.fleet, w) < FAULTY_PACE_MIN;
 }
 
--- a/test/test_cell_schedule.cc
+++ b/test/test_cell_schedule.cc
@@ -88,7 +88,7 @@
 		sched_ = cell_sched_init(&parts);
 		list_workers();
 		cell_advice_open(advice_, 1);
-		configure();
+		configure(5, 0);
 	}
 
 	/* Every call has to be answered once, even after the fleet's close. */
@@ -138,7 +138,9 @@
 		cell_fleet_confirm(fleet_, now_);
 	}
 
-	void configure()
+	/* Sets the time that the advice service takes for a question, and for
+	 * each worker named in it. */
+	void configure(double decide_ms, double worker_ms)
 	{
 		struct cell_config *c = cell_config_new(1);
 		struct cell_queue *q = cell_config_add_queue(c);
@@ -148,14 +150,33 @@
 		q->prefix = g_strdup("/");
 		q->service = g_strdup("svc");
 		q->policy.needed = true;
-		q->policy.decide_ms = 5;
+		q->policy.decide_ms = decide_ms;
+		q->policy.worker_ms = worker_ms;
 		q->policy.valid_ms = 2500;
 		cell_sched_set_config(sched_, c);
 		cell_config_unref(c);
 	}
 
 	/* Adds a lasting job with at most one task per worker. */
-	void submit(uint32_t tasks)
+	void submit_lasting(uint32_t tasks)
+	{
+		submit(tasks, 1000);
+		stage_def()->worker_max = 1;
+		stage_def()->lasting = 1;
+	}
+
+	void submit_gang(uint32_t tasks, uint32_t cpu_milli)
+	{
+		submit(tasks, cpu_milli);
+		stage_def()->gang = 1;
+	}
+
+	Ogl__CellStep *stage_def()
+	{
+		return job_->def->steps[0];
+	}
+
+	void submit(uint32_t tasks, uint32_t cpu_milli)
 	{
 		auto *d = static_cast<Ogl__CellJob *>(
 		    calloc(1, sizeof(Ogl__CellJob)));
@@ -165,9 +186,7 @@
 		ogl__cell_job__init(d);
 		ogl__cell_step__init(s);
 		s->count = tasks;
-		s->cpu_milli = 1000;
-		s->worker_max = 1;
-		s->lasting = 1;
+		s->cpu_milli = cpu_milli;
 		d->id = strdup("0000000000000001");
 		d->queue = strdup("q");
 		d->service = strdup("svc");
@@ -194,13 +213,19 @@
 
 	/* Answers the last question with a ticket for each worker. */
 	void allow()
+	{
+		answer(asked_.size());
+	}
+
+	/* Answers it with tickets for the first workers only. */
+	void answer(size_t approved)
 	{
 		Ogl__CellAdvice m = OGL__CELL_ADVICE__INIT;
-		std::vector<Ogl__CellTicket> tickets(asked_.size());
+		std::vector<Ogl__CellTicket> tickets(approved);
 		std::vector<Ogl__CellTicket *> list;
 		char ticket[] = "t";
 
-		for (size_t i = 0; i < asked_.size(); i++) {
+		for (size_t i = 0; i < approved; i++) {
 			ogl__cell_ticket__init(&tickets[i]);
 			tickets[i].worker =
 			    const_cast<char *>(asked_[i].c_str());
@@ -215,12 +240,32 @@
 		cell_advice_answer(advice_, &m, now_);
 	}
 
+	void occupy(unsigned i, uint32_t cpu_milli)
+	{
+		worker(i)->used.cpu_milli = cpu_milli;
+	}
+
+	void occupy_all()
+	{
+		for (unsigned i = 0; i < kWorkers; i++)
+			occupy(i, 16000);
+	}
+
 	struct cell_worker *worker(unsigned i)
 	{
 		return cell_fleet_worker(
 		    fleet_, ("w" + std::to_string(i)).c_str());
 	}
 
+	/* The worker that the stage's i-th approval is for. */
+	std::string stage_worker(unsigned i)
+	{
+		const auto *a =
+		    &g_array_index(stage_->approvals, struct cell_approval, i);
+
+		return cell_fleet_by_serial(fleet_, a->worker)->id;
+	}
+
 	bool asked(const char *id)
 	{
 		return std::find(asked_.begin(), asked_.end(), id) !=
@@ -246,20 +291,87 @@
  * the workers with the most room, which already run worker_max of its step. */
 TEST_F(Schedule, TicketsAreNotRenewedForWorkersAtWorkerMax)
 {
-	worker(18)->used.cpu_milli = 16000;
-	worker(19)->used.cpu_milli = 16000;
-	submit(19);
+	occupy(18, 16000);
+	occupy(19, 16000);
+	submit_lasting(19);
 	pass(10);
 	ASSERT_EQ(kWorkers, asked_.size());
 	allow();
 	pass(10);
 	ASSERT_EQ(18u, starts_.size());
-	worker(18)->used.cpu_milli = 9000;
-	worker(19)->used.cpu_milli = 9000;
+	occupy(18, 9000);
+	occupy(19, 9000);
 	pass(3000);
 	EXPECT_TRUE(asked("w18"));
 	EXPECT_TRUE(asked("w19"));
 	EXPECT_EQ(2u, asked_.size());
 }
 
+/* Guards against small work whose questions name so many workers that the
+ * advice service has no time left for other work. */
+TEST_F(Schedule, QuestionNamesNoMoreWorkersThanTheTasksNeed)
+{
+	submit(2, 1000);
+	pass(10);
+	EXPECT_EQ(16u, asked_.size());
+}
+
+/* Guards against waiting gangs that ask about a few more workers again and
+ * again.  The service spends half a second on each question, and work that has
+ * room gets no answer. */
+TEST_F(Schedule, GangWithoutRoomDoesNotAskAboutFurtherWorkers)
+{
+	configure(550, 8);
+	occupy_all();
+	submit_gang(6, 8000);
+	pass(10);
+	ASSERT_EQ(16u, asked_.size());
+	allow();
+	for (int ms = 0; ms < 4000; ms += 100) {
+		pass(100);
+		EXPECT_EQ(0u, asked_.size());
+	}
+}
+
+TEST_F(Schedule, GangWithTooFewApprovedWorkersAsksAboutFurtherOnes)
+{
+	configure(550, 8);
+	occupy_all();
+	submit_gang(6, 8000);
+	pass(10);
+	answer(2);
+	pass(10);
+	pass(1000);
+	EXPECT_EQ(4u, asked_.size());
+}
+
+TEST_F(Schedule, GangRenewsTicketsOnceItsApprovedWorkersHaveRoom)
+{
+	configure(550, 8);
+	occupy_all();
+	submit_gang(6, 8000);
+	pass(10);
+	allow();
+	pass(3000);
+	for (unsigned i = 0; i < 3; i++) {
+		occupy((unsigned)std::stoul(stage_worker(i).substr(1)), 0);
+	}
+	pass(100);
+	EXPECT_EQ(3u, asked_.size());
+	allow();
+	pass(10);
+	EXPECT_EQ(6u, starts_.size());
+}
+
+TEST_F(Schedule, ShareOfApprovedWorkersIsLearned)
+{
+	double before = cell_advice_approved_share(advice_, "q");
+
+	submit(2, 1000);
+	pass(10);
+	answer(0);
+	EXPECT_LT(cell_advice_approved_share(advice_, "q"), before);
+	EXPECT_EQ(before, cell_advice_approved_share(advice_, "other"));
+}
+
 } // namespace
