--- a/cell/question.c
+++ b/cell/question.c
@@ -31,6 +31,7 @@
 /* Tickets of stages that are not gangs are renewed for at most this many
  * workers at a time. */
 #define RENEW_WORKERS_MAX 16
+#define ANSWER_MARGIN (100 * OGL_MS)
 
 static guint
 first_max(const struct cell_question_scope *q, const struct cell_stage *st)
@@ -185,19 +186,47 @@
 	return rv < rw ? 1 : rv > rw ? -1 : 0;
 }
 
+/* Time until the answer to a question that names so many workers, with a margin
+ * for the network. */
+static ogl_time
+answer_time(const struct cell_policy *p, guint workers)
+{
+	return (ogl_time)(p->decide_ms + p->worker_ms * workers) * OGL_MS +
+	       ANSWER_MARGIN;
+}
+
+/*
+ * Tickets that expire before the answer arrives are renewed as well.  Otherwise
+ * a gang that needs many tickets never holds all of them at the same time.
+ */
 void
 cell_question_renew(const struct cell_question_scope *q,
     const struct cell_stage *st, GPtrArray *workers)
 {
 	uint32_t waiting = cell_stage_waiting(st);
-	double slots = free_slots_of(q->valid, st);
 	guint max = st->def->gang ? CELL_ADVICE_WORKERS_MAX : RENEW_WORKERS_MAX;
+	ogl_time answered =
+	    q->now +
+	    answer_time(q->policy, MIN(max, q->valid->len + q->expired->len));
+	double slots = 0;
 	guint i;
 
-	if (st->def->gang && slots + free_slots_of(q->expired, st) < waiting)
+	if (q->expired->len == 0)
 		return;
 	for (i = 0; i < q->expired->len; i++)
 		g_ptr_array_add(workers, q->expired->pdata[i]);
+	for (i = 0; i < q->valid->len; i++) {
+		struct cell_worker *w = q->valid->pdata[i];
+
+		if (cell_stage_approval(st, w->serial)->expires > answered)
+			slots += cell_worker_free_slots(w, st);
+		else
+			g_ptr_array_add(workers, w);
+	}
+	if (st->def->gang && slots + free_slots_of(workers, st) < waiting) {
+		g_ptr_array_set_size(workers, 0);
+		return;
+	}
 	g_ptr_array_sort(workers, by_room);
 	for (i = 0; i < workers->len && i < max &&
 		    slots < RENEW_SLOTS_MARGIN * waiting;
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -676,7 +676,7 @@
 	struct cell_question_scope scope = {&q->policy, s->schedulable,
 	    s->candidates, s->expired,
 	    cell_advice_approved_share(s->parts.advice, st->job->def->queue),
-	    s->slow_link, may_use_fullest(q, st, now)};
+	    s->slow_link, may_use_fullest(q, st, now), now};
 	bool asked;
 
 	choose(&scope, st, workers);
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -21,8 +21,6 @@
 #define TICKET_VALID_MS 2500
 #define ADVICE_DELAY_US 8000 /* for a question without workers */
 #define HEARTBEAT_INTERVAL (1500 * OGL_MS)
-#define MAX_NODES 16
-#define MAX_WORKERS 64
 #define API_KEY "key-one"
 #define QUEUE_HOST "cell.example"
 #define QUEUE_PATH "/q/" /* for rank 0; /q1/ and /q2/ for the other ranks */
@@ -199,8 +197,8 @@
 	GRand *rand;
 	uint32_t caller_timeout_ms;
 	unsigned queue_rank; /* of the queue that jobs are submitted to */
-	struct node nodes[MAX_NODES];
-	struct worker workers[MAX_WORKERS];
+	struct node *nodes;     /* shape.nodes of them */
+	struct worker *workers; /* shape.workers of them */
 	struct stream streams[CELL_NSTREAMS][CELL_SHARDS_MAX];
 	GHashTable *jobs;            /* id -> struct job */
 	GHashTable *caller_requests; /* token -> struct job */
@@ -2734,6 +2732,8 @@
 	unsigned i;
 
 	f->shape = *shape;
+	f->nodes = g_new0(struct node, shape->nodes);
+	f->workers = g_new0(struct worker, shape->workers);
 	f->caller_timeout_ms = 3000;
 	f->now = OGL_SEC;
 	f->team_cpu_milli = shape->team_cpu_milli_max;
@@ -2818,6 +2818,8 @@
 	g_hash_table_unref(f->revoked_keys);
 	g_hash_table_unref(f->tickets);
 	g_string_free(f->violations, TRUE);
+	g_free(f->nodes);
+	g_free(f->workers);
 	g_free(f);
 }
 
--- a/test/test_cell_schedule.cc
+++ b/test/test_cell_schedule.cc
@@ -363,6 +363,25 @@
 	EXPECT_EQ(6u, starts_.size());
 }
 
+/* Guards against a gang that renews its expired tickets while its other tickets
+ * expire, and so never holds all of them at once. */
+TEST_F(Schedule, TicketsThatExpireBeforeTheAnswerAreRenewedToo)
+{
+	configure(550, 8);
+	occupy_all();
+	submit_gang(6, 8000);
+	pass(10);
+	answer(2);
+	pass(10);
+	pass(1000);
+	ASSERT_EQ(4u, asked_.size());
+	allow();
+	for (unsigned i = 0; i < 6; i++)
+		occupy((unsigned)std::stoul(stage_worker(i).substr(1)), 8000);
+	pass(1750);
+	EXPECT_EQ(6u, asked_.size());
+}
+
 TEST_F(Schedule, ShareOfApprovedWorkersIsLearned)
 {
 	double before = cell_advice_approved_share(advice_, "q");
