cell: jobs that can't be of use in time are refused at once

Change: forecast.c divides the jobs that wait in a line (a queue; its jobs beyond the rate; a team at its limit) by the rate at which the line was served lately. A job that would wait twice as long as any use of its result allows is refused with a time to come back, spread over callers. Lines whose forecasts were too long get shorter ones. While no worker takes work because all are drained or evacuated, the time until that ends is taken to be as long as it has lasted, or as it lasted the last time.

--- a/cell/ablate.h
+++ b/cell/ablate.h
@@ -90,6 +90,13 @@
 #define CELL_USES_RESERVE 1
 #endif
 
+/* Jobs that can't end before their result is worthless are refused. */
+#ifdef OGL_OFF_FORECAST
+#define CELL_USES_FORECAST 0
+#else
+#define CELL_USES_FORECAST 1
+#endif
+
 /* Part of the lanes of the advice service is reserved for rank 0. */
 #ifdef OGL_OFF_LANES
 #define CELL_USES_LANES 0
--- a/cell/job.h
+++ b/cell/job.h
@@ -87,22 +87,23 @@
 	Ogl__CellJobState state;
 	GPtrArray *occurrences; /* struct cell_occurrence, unfinished */
 	uint32_t next_occurrence;
-	GArray *finished;      /* uint32_t, numbers of finished occurrences */
-	ogl_time accepted;     /* node clock */
-	uint64_t ended_ms;     /* wall clock */
-	bool begun;            /* a run of it has begun */
-	bool stored;           /* the submission is stored */
-	bool beyond_rate;      /* submitted beyond its team's rate */
-	bool dirty;            /* waits in the journal to be stored */
-	bool write_def;        /* the submission has to be written */
-	bool drop_def;         /* the submission has to be dropped */
-	bool drop_records;     /* both records have to be dropped */
-	uint32_t nruns;        /* runs on any worker, whatever their state */
-	double cpu_seconds;    /* processor seconds declared, all steps */
-	double chain_ms;       /* longest chain of declared run times */
-	double *chain_from_ms; /* longest such chain from each step on */
-	double *measured_ms;   /* longest finished run of each step; 0 none */
-	bool end_stored;       /* the end is stored, so callers may see it */
+	GArray *finished;       /* uint32_t, numbers of finished occurrences */
+	ogl_time accepted;      /* node clock */
+	uint64_t ended_ms;      /* wall clock */
+	bool begun;             /* a run of it has begun */
+	bool stored;            /* the submission is stored */
+	bool beyond_rate;       /* submitted beyond its team's rate */
+	bool dirty;             /* waits in the journal to be stored */
+	bool write_def;         /* the submission has to be written */
+	bool drop_def;          /* the submission has to be dropped */
+	bool drop_records;      /* both records have to be dropped */
+	bool placed;            /* this owner has started a run of it */
+	ogl_time expected_wait; /* for the first start, when it was submitted */
+	double cpu_seconds;     /* processor seconds declared, all steps */
+	double chain_ms;        /* longest chain of declared run times */
+	double *chain_from_ms;  /* longest such chain from each step on */
+	double *measured_ms;    /* longest finished run of each step; 0 none */
+	bool end_stored;        /* the end is stored, so callers may see it */
 	uint64_t queue_config_version;   /* version of queue_config */
 	struct cell_queue *queue_config; /* NULL not looked up yet */
 	/* Whether tasks without a known run may be started, because this owner
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -43,6 +43,8 @@
 #define GANG_REPAIR_DELAY (600 * OGL_MS)
 #define STRAGGLER_INTERVAL (200 * OGL_MS)
 #define BUSY_RETRY_MS 500
+/* A forecast further ahead is too uncertain to keep callers away that long. */
+#define FORECAST_RETRY_MS_MAX 5000
 /* Ownership that the store confirmed longer ago may have ended since. */
 #define CONFIRMATION_AGE_MAX (1500 * OGL_MS)
 /* Number of jobs that a team may submit at once to one of several shards, given
@@ -997,6 +999,7 @@
 	cell_fleet_open(o->fleet, o->epoch, now);
 	cell_escrow_open(o->escrow, o->epoch);
 	cell_advice_open(o->advice, o->epoch);
+	cell_sched_open(o->sched, now);
 	all = g_hash_table_get_values(o->jobs);
 	for (at = all; at != NULL; at = at->next) {
 		struct cell_job *j = at->data;
@@ -1209,10 +1212,11 @@
 }
 
 static void
-refuse(struct cell_owner *o, const char *to, uint64_t token, ogl_time now)
+refuse(struct cell_owner *o, const char *to, uint64_t token, uint32_t retry_ms,
+    ogl_time now)
 {
 	cell_admission_refuse(o->admission, to, token, now);
-	reply(o, to, token, OGL__CELL_OUTCOME__cell_busy, BUSY_RETRY_MS);
+	reply(o, to, token, OGL__CELL_OUTCOME__cell_busy, retry_ms);
 }
 
 static struct waiting_call *
@@ -1292,7 +1296,7 @@
 		reply(o, w->to, w->token, OGL__CELL_OUTCOME__cell_ok, 0);
 	} else if (result == CELL_NOT_STORED) {
 		remove_refused_job(o, j, now);
-		refuse(o, w->to, w->token, now);
+		refuse(o, w->to, w->token, BUSY_RETRY_MS, now);
 	} else {
 		/* This may be a second submission of a job that has been
 		 * removed. */
@@ -1395,10 +1399,23 @@
 
 static void
 refuse_job(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
-    const char *why, ogl_time now)
+    const char *why, uint32_t retry_ms, ogl_time now)
 {
 	log_refused(o, c, why);
-	refuse(o, from, c->token, now);
+	refuse(o, from, c->token, retry_ms, now);
+}
+
+/*
+ * When a caller of a job that can't be served now is to come back.  The times
+ * are spread, as callers who all return at once would find the same line again.
+ */
+static uint32_t
+retry_ms_after(const struct cell_job *j, ogl_time wait)
+{
+	uint64_t ms = (uint64_t)CLAMP(
+	    wait / OGL_MS, BUSY_RETRY_MS, FORECAST_RETRY_MS_MAX);
+
+	return (uint32_t)(ms + ms * (g_str_hash(j->id) % 64) / 128);
 }
 
 /* Answers a submission of an unknown job that does not include the job: the
@@ -1410,7 +1427,7 @@
 	const char *why = why_refuse_any(o, from, c, now);
 
 	if (why != NULL)
-		refuse_job(o, from, c, why, now);
+		refuse_job(o, from, c, why, BUSY_RETRY_MS, now);
 	else
 		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_send_job, 0);
 }
@@ -1423,6 +1440,7 @@
 	struct waiting_call *w;
 	const char *why;
 	bool over = false;
+	ogl_time wait;
 
 	if (j != NULL && j->stored) {
 		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_ok, 0);
@@ -1439,14 +1457,22 @@
 	}
 	why = why_refuse(o, from, c, &over, now);
 	if (why != NULL) {
-		refuse_job(o, from, c, why, now);
+		refuse_job(o, from, c, why, BUSY_RETRY_MS, now);
 		return;
 	}
 	w = waiting_call_new(o, from, c);
 	j = cell_job_new(c->job, now);
 	c->job = NULL;
-	j->settled = true;
 	j->beyond_rate = over;
+	wait = o->settled ? cell_sched_forecast(o->sched, j, now) : 0;
+	if (wait > 0) {
+		refuse_job(o, from, c, "no_room_in_time",
+		    retry_ms_after(j, wait), now);
+		waiting_call_free(w);
+		cell_job_free(j);
+		return;
+	}
+	j->settled = true;
 	j->def->accepted_ms = (uint64_t)(o->wall / OGL_MS);
 	g_hash_table_insert(o->jobs, j->id, j);
 	cell_relay_note_spec(o->relay, j->id, from);
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -28,6 +28,7 @@
 #include <string.h>
 
 #include "ablate.h"
+#include "forecast.h"
 #include "question.h"
 #include "room.h"
 #include "schedule.h"
@@ -86,6 +87,13 @@
 /* Free capacity counts as spare when no stage has lacked room for this long. */
 #define ROOM_SPARE_AFTER (300 * OGL_MS)
 
+#define LINE_NAME_MAX 256
+/* A job is refused only if it would wait this many times too long: a forecast
+ * that errs costs a caller whose job could have been served. */
+#define FORECAST_MARGIN 2.0
+/* How long the first closure of all workers is expected to last. */
+#define FIRST_CLOSURE (5 * OGL_SEC)
+
 /* State of a team that is kept between passes. */
 struct team_state {
 	ogl_time urgent_limited_at; /* last refusal of rank 0 by its limit */
@@ -113,8 +121,11 @@
 	GQueue waiting[RANKS]; /* struct cell_stage */
 	unsigned reserving_gangs;
 	GHashTable *team_states; /* team -> struct team_state */
-	uint64_t pass;           /* number of the current pass */
-	ogl_time no_room_at;     /* last time that a stage found no room */
+	struct cell_forecast *forecast;
+	ogl_time closed_since; /* no worker takes work since then; 0 some do */
+	ogl_time last_closure; /* how long that lasted the last time */
+	uint64_t pass;         /* number of the current pass */
+	ogl_time no_room_at;   /* last time that a stage found no room */
 	/* Free capacity of schedulable workers when the pass began. */
 	uint64_t free_cpu_milli;
 	GPtrArray *schedulable; /* workers that take work, most room first */
@@ -147,6 +158,8 @@
 		g_queue_init(&s->waiting[i]);
 	s->team_states =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->forecast = cell_forecast_init();
+	s->last_closure = FIRST_CLOSURE;
 	s->candidates = g_ptr_array_new();
 	s->chosen = g_ptr_array_new();
 	return s;
@@ -164,6 +177,7 @@
 	}
 	cell_config_unref(s->config);
 	g_hash_table_unref(s->team_states);
+	cell_forecast_end(s->forecast);
 	g_ptr_array_unref(s->schedulable);
 	g_ptr_array_unref(s->expired);
 	g_ptr_array_unref(s->candidates);
@@ -171,6 +185,12 @@
 	g_free(s);
 }
 
+void
+cell_sched_open(struct cell_sched *s, ogl_time now)
+{
+	cell_forecast_reset(s->forecast, now);
+}
+
 void
 cell_sched_clear(struct cell_sched *s)
 {
@@ -331,6 +351,154 @@
 	       left_ms < TIGHT_DEADLINE_FACTOR * j->chain_from_ms[st->step];
 }
 
+/* ---- forecast --------------------------------------------------------- */
+
+/* Jobs of a queue wait in one line, those beyond their team's rate in another,
+ * and those that wait for their team's limit in a line of the team. */
+static void
+name_line(const struct cell_job *j, char name[LINE_NAME_MAX])
+{
+	g_snprintf(name, LINE_NAME_MAX, "%s%s", j->def->queue,
+	    j->beyond_rate ? " beyond rate" : "");
+}
+
+static void
+name_team_line(const struct cell_job *j, char name[LINE_NAME_MAX])
+{
+	g_snprintf(
+	    name, LINE_NAME_MAX, "%s of %s", j->def->queue, j->def->team);
+}
+
+static void
+count_waiting_job(
+    struct cell_sched *s, const struct cell_stage *st, unsigned precedence)
+{
+	char name[LINE_NAME_MAX];
+
+	if (st->job->placed || precedence % 3 == PRECEDENCE_TOO_LATE)
+		return;
+	if (st->wait_reason == CELL_WAIT_LIMIT)
+		name_team_line(st->job, name);
+	else
+		name_line(st->job, name);
+	cell_forecast_count(
+	    s->forecast, name, precedence % 3 == 0, st->job->accepted);
+}
+
+static void
+count_first_start(struct cell_sched *s, struct cell_job *j, ogl_time now)
+{
+	char name[LINE_NAME_MAX];
+
+	if (j->placed)
+		return;
+	j->placed = true;
+	name_team_line(j, name);
+	cell_forecast_started(s->forecast, name, now);
+	name_line(j, name);
+	cell_forecast_started(s->forecast, name, now);
+	cell_forecast_check(
+	    s->forecast, name, j->expected_wait, now - j->accepted);
+	s->parts.ops->observe(s->parts.ops->ctx, "forecast_error_ms",
+	    (uint64_t)(ABS(j->expected_wait - (now - j->accepted)) / OGL_MS));
+}
+
+/* Whether every listed worker is drained or in an evacuated zone. */
+static bool
+all_closed(const struct cell_sched *s)
+{
+	GHashTableIter it;
+	gpointer p;
+	bool any = false;
+
+	g_hash_table_iter_init(&it, cell_fleet_workers(s->parts.fleet));
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct cell_worker *w = p;
+
+		if (!w->listed)
+			continue;
+		if (!w->evacuated && !w->draining)
+			return false;
+		any = true;
+	}
+	return any;
+}
+
+/*
+ * How long no worker is expected to take work, 0 if there are some that do.
+ * Nobody says when the operator will open them again, so it is taken to last as
+ * long as it did the last time, or as long again as it has lasted.
+ */
+static ogl_time
+expected_closure(struct cell_sched *s, ogl_time now)
+{
+	if (!all_closed(s)) {
+		if (s->closed_since != 0)
+			s->last_closure = now - s->closed_since;
+		s->closed_since = 0;
+		return 0;
+	}
+	if (s->closed_since == 0)
+		s->closed_since = now;
+	return MAX(s->last_closure, now - s->closed_since);
+}
+
+static bool
+lasts(const struct cell_job *j)
+{
+	size_t i;
+
+	for (i = 0; i < j->def->n_steps; i++) {
+		if (j->def->steps[i]->lasting)
+			return true;
+	}
+	return false;
+}
+
+/* Returns 0 if a job that waits so long can still be of use to its caller, and
+ * otherwise after what time one can be in time again. */
+static ogl_time
+too_long_by(const struct cell_queue *q, const struct cell_job *j,
+    struct cell_expected_wait w, double margin)
+{
+	double allowed_ms = objective_ms(q, j);
+	double run_ms = ESTIMATE_FACTOR * j->chain_ms;
+	ogl_time in_time = (ogl_time)(allowed_ms - run_ms) * OGL_MS;
+	ogl_time late =
+	    (ogl_time)(LATE_OBJECTIVES_MAX * allowed_ms - run_ms) * OGL_MS;
+
+	if ((double)w.behind_in_time <= margin * (double)in_time ||
+	    (double)w.behind_all <= margin * (double)late)
+		return 0;
+	return w.behind_in_time - in_time;
+}
+
+ogl_time
+cell_sched_forecast(struct cell_sched *s, struct cell_job *j, ogl_time now)
+{
+	const struct cell_queue *q = queue_of(s, j);
+	struct cell_expected_wait w;
+	char name[LINE_NAME_MAX];
+	ogl_time by;
+	ogl_time closure;
+
+	if (!CELL_USES_FORECAST || j->def->repeats > 0 || lasts(j))
+		return 0;
+	closure = expected_closure(s, now);
+	if (closure > 0) {
+		w.behind_in_time = closure;
+		w.behind_all = closure;
+		return too_long_by(q, j, w, 1);
+	}
+	name_team_line(j, name);
+	w = cell_forecast_wait(s->forecast, name, now);
+	by = too_long_by(q, j, w, FORECAST_MARGIN);
+	name_line(j, name);
+	w = cell_forecast_wait(s->forecast, name, now);
+	j->expected_wait = w.behind_in_time;
+	return MAX(by, too_long_by(q, j, w, FORECAST_MARGIN));
+}
+
 /* ---- candidates ------------------------------------------------------- */
 
 /* Whether a gang of the same or a higher rank has reserved the worker, which
@@ -781,6 +949,7 @@
 	const struct cell_approval *approval = cell_advice_approval(st, w);
 	struct cell_task *t = &st->tasks[index];
 
+	count_first_start(s, st->job, now);
 	t->run = run;
 	t->active = cell_fleet_start(s->parts.fleet, w, st, index, run,
 	    approval != NULL ? approval->ticket : NULL, rank, now);
@@ -1021,6 +1190,7 @@
 	unsigned precedence;
 	GList *at;
 
+	cell_forecast_begin_count(s->forecast);
 	for (precedence = 0; precedence < PRECEDENCES; precedence++) {
 		for (rank = 0; rank < RANKS; rank++)
 			g_ptr_array_set_size(s->buckets[precedence][rank], 0);
@@ -1031,6 +1201,7 @@
 
 			precedence =
 			    precedence_of(queue_of(s, st->job), st, now);
+			count_waiting_job(s, st, precedence);
 			g_ptr_array_add(s->buckets[precedence][rank], st);
 		}
 	}
@@ -1128,6 +1299,8 @@
 	unsigned precedence;
 	uint32_t rank;
 
+	if (waiting == 0)
+		cell_forecast_begin_count(s->forecast);
 	if (waiting == 0 || cell_fleet_awaits_confirmation(s->parts.fleet))
 		return;
 	/* A new owner may read the jobs before the configuration, without which
--- a/cell/schedule.h
+++ b/cell/schedule.h
@@ -26,6 +26,8 @@
 
 struct cell_sched *cell_sched_init(const struct cell_sched_parts *parts);
 void cell_sched_end(struct cell_sched *s);
+void cell_sched_open(struct cell_sched *s, ogl_time now);
+/* Called when the shard has been taken over. */
 void cell_sched_clear(struct cell_sched *s);
 /* Removes all stages and drops the state of all teams. */
 
@@ -52,6 +54,12 @@
  * found no room or was refused by the team's limit: waiting work would then
  * take the place of a task that is stopped to be moved. */
 
+ogl_time cell_sched_forecast(
+    struct cell_sched *s, struct cell_job *j, ogl_time now);
+/* Returns 0 if a new job is expected to end before its result is worthless.
+ * Otherwise returns the time after which such a job can be in time again, if
+ * the waiting jobs are started as fast as lately. */
+
 double cell_sched_objective_ms(const struct cell_sched *s, struct cell_job *j);
 /* Time in ms after its acceptance within which the job has to end. */
 
