cell: nodes rely on one owner's pongs instead of polling the store

Each node pinged the owner of each shard 4 times a second, a product of nodes and shards.

Ways weighed: longer polls (the slope stays: 587 nodes at 2 s are 0.5 calls a second each, and proofs for withdrawn keys get older than the poll); a stream of claims apart from heartbeats, polled for 30 s (calls a node then grow with the shards); this one.

Change: a node pings the owner of its preferred shard, and others only while it has calls for them. The pong tells the owners of all shards if the node knows others, and how far the owner has read the settings and when. That proves the node's own settings as new as a read of its own would, if it has read as far; otherwise the node reads the store at once. Only proofs by own reads are passed on. A node reads the ownership stream every 5 s to know that the store answers it.

--- a/cell/front.c
+++ b/cell/front.c
@@ -27,6 +27,11 @@
  * which come with its pongs: the store may refuse a single machine for 9 s and
  * more.  The node would refuse each request during that time, and the request
  * would reach another node late.
+ *
+ * A quiet node does not poll.  Its owner's pongs tell how far the owner has read
+ * the stream and when, which proves the same as a read of its own as long as it
+ * has read that far itself.  Only proofs by reads are passed on, so none comes
+ * from further away than one node.
  */
 
 #include <string.h>
@@ -36,7 +41,14 @@
 #include "window.h"
 
 #define READ_WAIT_MS 800
+/* Wait of reads whose results are passed on to quiet nodes. */
+#define INFORMING_READ_WAIT_MS 400
 #define READ_TIMEOUT_MS 2200
+/* A quiet node whose last proof is older than this reads the settings itself.
+ * Proofs that come with pongs are up to 1.2 s old. */
+#define QUIET_PROOF_MAX_AGE (1600 * OGL_MS)
+/* A shard counts as used for this long after a call for it. */
+#define SHARD_USE_TIME (2 * OGL_SEC)
 #define RETRY_DELAY (150 * OGL_MS)
 /* Fraction of revoke_ms after which keys are no longer trusted.  The rest is
  * for the transmission of the request, and for a pause of this process between
@@ -58,6 +70,8 @@
 /* A read of the settings waits 0.8 s at most (READ_WAIT_MS), so a last good
  * read that is older than this means that a read has failed. */
 #define CUT_OFF_AFTER (1300 * OGL_MS)
+/* A quiet node that knows of new records reads them without waiting. */
+#define QUIET_CUT_OFF_AFTER (400 * OGL_MS)
 
 struct pending_call {
 	uint64_t token;
@@ -88,6 +102,7 @@
 	/* The owner refuses some new jobs, so a job is sent only after the
 	 * owner has asked for it. */
 	bool asks_first;
+	ogl_time used_at; /* last call for the shard */
 };
 
 /* State of reading the newest record of each key, page by page. */
@@ -118,6 +133,11 @@
 	ogl_time read_sent_at; /* time of sending the last read */
 	ogl_time last_read_ok; /* time of the last good answer */
 	ogl_time fresh_as_of;  /* when config was last known the newest */
+	ogl_time read_as_of;   /* the same, as shown by this node's reads */
+	bool quiet;            /* see cell_front_set_quiet */
+	bool informs;          /* see cell_front_set_informs */
+	/* Since when a peer has been known to have read further; 0: none has */
+	ogl_time behind_since;
 	bool stale_logged;
 };
 
@@ -150,6 +170,7 @@
 	f->listing.zones = g_ptr_array_new_with_free_func(g_free);
 	f->last_read_ok = CELL_LONG_AGO;
 	f->fresh_as_of = CELL_LONG_AGO;
+	f->read_as_of = CELL_LONG_AGO;
 	return f;
 }
 
@@ -267,8 +288,10 @@
 read_succeeded(struct cell_front *f, ogl_time now)
 {
 	f->last_read_ok = now;
+	f->read_as_of = f->read_sent_at;
 	f->fresh_as_of = MAX(f->fresh_as_of, f->read_sent_at);
 	f->next_read_at = now;
+	f->behind_since = 0;
 }
 
 struct cell_front_config
@@ -288,9 +311,53 @@
 bool
 cell_front_cut_off(const struct cell_front *f, ogl_time now)
 {
+	if (f->quiet)
+		return f->behind_since != 0 &&
+		       now - f->behind_since > QUIET_CUT_OFF_AFTER;
 	return now - f->last_read_ok > CUT_OFF_AFTER;
 }
 
+struct cell_front_position
+cell_front_position(const struct cell_front *f)
+{
+	struct cell_front_position p = {f->next_offset, f->read_as_of};
+
+	if (!f->loaded)
+		p.end = 0;
+	return p;
+}
+
+void
+cell_front_learn_position(
+    struct cell_front *f, const struct cell_front_position *p, ogl_time now)
+{
+	if (!f->loaded || p->end == 0)
+		return;
+	if (p->end > f->next_offset && f->behind_since == 0)
+		f->behind_since = now;
+	if (p->end <= f->next_offset)
+		f->fresh_as_of = MAX(f->fresh_as_of, p->as_of);
+}
+
+void
+cell_front_set_quiet(struct cell_front *f, bool quiet)
+{
+	f->quiet = quiet;
+}
+
+void
+cell_front_set_informs(struct cell_front *f, bool informs)
+{
+	f->informs = informs;
+}
+
+bool
+cell_front_uses(const struct cell_front *f, uint32_t shard, ogl_time now)
+{
+	return f->owners[shard].used_at != 0 &&
+	       now - f->owners[shard].used_at < SHARD_USE_TIME;
+}
+
 void
 cell_front_learn_config(
     struct cell_front *f, const struct cell_front_config *c, ogl_time now)
@@ -415,18 +482,25 @@
 		read_succeeded(f, now);
 }
 
+static bool
+needs_read(const struct cell_front *f, ogl_time now)
+{
+	return !f->quiet || !f->loaded || f->behind_since != 0 ||
+	       now - f->fresh_as_of > QUIET_PROOF_MAX_AGE;
+}
+
 static void
 read_settings(struct cell_front *f, ogl_time now)
 {
 	struct cell_read r = {.stream = CELL_SETTINGS,
 	    .from = f->next_offset,
-	    .wait_ms = READ_WAIT_MS,
+	    .wait_ms = f->informs ? INFORMING_READ_WAIT_MS : READ_WAIT_MS,
 	    .timeout_ms = READ_TIMEOUT_MS};
 	struct cell_newest q = {.stream = CELL_SETTINGS,
 	    .after = f->listing.after,
 	    .timeout_ms = READ_TIMEOUT_MS};
 
-	if (f->reading || now < f->next_read_at)
+	if (f->reading || now < f->next_read_at || !needs_read(f, now))
 		return;
 	f->reading = true;
 	f->read_sent_at = now;
@@ -519,6 +593,7 @@
 {
 	struct cell_window *w = window_of(f, p);
 
+	f->owners[p->shard].used_at = now;
 	if (owner_of(f, p)->addr == NULL)
 		return;
 	if (!p->in_window) {
--- a/cell/front.h
+++ b/cell/front.h
@@ -77,6 +77,29 @@
  * settings itself.  as_of is on this node's clock; the record is empty if the
  * peer did not send it. */
 
+/* How far a node has read the settings stream. */
+struct cell_front_position {
+	uint64_t end;   /* all records below this offset are known; 0 none */
+	ogl_time as_of; /* the stream ended there at this time */
+};
+
+struct cell_front_position cell_front_position(const struct cell_front *f);
+/* As shown by this node's own reads. */
+void cell_front_learn_position(
+    struct cell_front *f, const struct cell_front_position *p, ogl_time now);
+/* Takes a peer's position, with as_of on this node's clock.  It proves that
+ * this node's settings were the newest then, or makes it read those that it has
+ * not read yet. */
+
+void cell_front_set_quiet(struct cell_front *f, bool quiet);
+/* Sets whether a peer keeps telling this node its position.  A quiet node reads
+ * the settings only if they have changed or the peer's reports are old. */
+void cell_front_set_informs(struct cell_front *f, bool informs);
+/* Sets whether quiet nodes rely on this node, which then reads more often. */
+
+bool cell_front_uses(const struct cell_front *f, uint32_t shard, ogl_time now);
+/* Whether a call of the last seconds was for the shard. */
+
 const struct cell_zones *cell_front_zones(const struct cell_front *f);
 /* The evacuated zones; valid as long as the front. */
 void cell_front_learn_zones(struct cell_front *f, char *const *names, size_t n,
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -17,6 +17,12 @@
  * reads are answered, no timeout runs, and the owners stay, since none can have
  * been replaced.  A node that is cut off alone does not run the timeout either.
  *
+ * Most nodes are quiet: the owner of their preferred shard answers their pings,
+ * and its answers tell who the other owners are.  A quiet node reads the stream
+ * only now and then, so that the cost for the store does not grow with the
+ * number of nodes.  When the answers cease, it reads the stream as any other
+ * node, and claims.  Owners are never quiet.
+ *
  * A single ownership stream for all shards keeps the number of reads per node
  * independent of the number of shards.  Claims need streams of their own: on
  * the common stream their condition would fail whenever a heartbeat of any
@@ -93,6 +99,10 @@
  * otherwise read 6,000 times a second.  Does not apply while a shard has no
  * owner. */
 #define READ_INTERVAL_MIN (250 * OGL_MS)
+/* Time between two reads of a quiet node, which show that the store answers it
+ * and that it could own a shard. */
+#define QUIET_READ_INTERVAL (5 * OGL_SEC)
+#define QUIET_RETRY_DELAY OGL_SEC
 #define APPEND_TIMEOUT_MS 900
 #define HEARTBEATS_IN_FLIGHT_MAX 6
 #define READ_RETRY_DELAY (150 * OGL_MS)
@@ -111,6 +121,8 @@
 #define PLAN_KEY "shards"
 #define CLAIM_KEY "claim"
 #define KEY_BYTES 24
+/* A large odd number, so that a change of any epoch changes the digest. */
+#define DIGEST_FACTOR 0x9e3779b97f4a7c15U
 
 /* The ownership of one shard. */
 struct lead_shard {
@@ -125,6 +137,11 @@
 	 * starts here. */
 	ogl_time last_heard;
 
+	/* The owner's clock and this node's at the same time, for an epoch. */
+	uint64_t clock_epoch;
+	uint64_t clock_sent_us;
+	ogl_time clock_at;
+
 	uint64_t suspect_epoch; /* epoch whose owner may be unable, 0 if none */
 	bool reading_claims;
 	bool claiming;
@@ -150,6 +167,10 @@
 	ogl_time able_timeout;
 	GRand *rand;
 
+	bool quiet; /* see cell_lead_set_quiet */
+	/* There may be records on the stream that are older than what peers
+	 * have told since the last read. */
+	bool behind;
 	bool loaded; /* the newest record of each key was read once */
 	bool reading;
 	bool newest_wanted; /* next read gets the newest record of each key */
@@ -360,6 +381,31 @@
 	l->events.won(l->events.arg, s->shard, epoch, now);
 }
 
+/* Records what the owner's clock showed when this node's showed now. */
+static void
+note_owner_clock(
+    struct lead_shard *s, uint64_t epoch, uint64_t sent_us, ogl_time now)
+{
+	s->clock_epoch = epoch;
+	s->clock_sent_us = sent_us;
+	s->clock_at = now;
+}
+
+/* When a heartbeat was sent that was read much later, on this node's clock.  If
+ * the owner's clock is not known, all that is certain is that the last read did
+ * not show the heartbeat. */
+static ogl_time
+old_heartbeat_time(
+    const struct lead_shard *s, const Ogl__CellLead *m, ogl_time now)
+{
+	ogl_time at;
+
+	if (s->clock_epoch != m->epoch || m->sent_us < s->clock_sent_us)
+		return s->lead->confirmed_at;
+	at = s->clock_at + (ogl_time)(m->sent_us - s->clock_sent_us);
+	return MIN(at, now);
+}
+
 /* Applies a heartbeat or resignation.  It is ignored if its epoch is earlier
  * than the last known one; a later epoch ends the known ownership. */
 static void
@@ -371,7 +417,12 @@
 	if (m->epoch > s->epoch) {
 		step_down(s, now);
 		s->epoch = m->epoch;
+	} else if (s->lead->behind && !m->vacant && s->owner != NULL) {
+		s->last_heard =
+		    MAX(s->last_heard, old_heartbeat_time(s, m, now));
+		return;
 	}
+	note_owner_clock(s, m->epoch, m->sent_us, now);
 	s->last_heard = now;
 	s->suspect_epoch = 0;
 	if (!m->vacant) {
@@ -424,7 +475,8 @@
 {
 	uint32_t i;
 
-	l->next_read_at = now + READ_RETRY_DELAY;
+	l->next_read_at =
+	    now + (l->quiet ? QUIET_RETRY_DELAY : READ_RETRY_DELAY);
 	l->read_failing = true;
 	for (i = 0; i < l->shards; i++) {
 		l->by_shard[i].last_heard = now;
@@ -459,7 +511,9 @@
 	l->confirmed_at = MAX(l->confirmed_at, l->read_sent_at);
 	read_answered(l, now);
 	l->next_read_at = now;
-	if (l->shards > 1 && !any_vacant(l))
+	if (l->quiet)
+		l->next_read_at = l->read_sent_at + QUIET_READ_INTERVAL;
+	else if (l->shards > 1 && !any_vacant(l))
 		l->next_read_at = l->read_sent_at + READ_INTERVAL_MIN;
 }
 
@@ -499,6 +553,14 @@
 	}
 }
 
+/* Called after the end of the stream was read. */
+static void
+caught_up(struct cell_lead *l)
+{
+	if (!l->quiet)
+		l->behind = false;
+}
+
 static void
 on_read(void *arg, const struct cell_read_answer *a, ogl_time now)
 {
@@ -515,6 +577,7 @@
 		return;
 	}
 	apply_records(l, a, now);
+	caught_up(l);
 	read_succeeded(l, now);
 }
 
@@ -534,6 +597,7 @@
 	apply_records(l, a, now);
 	l->confirmed_at = MAX(l->confirmed_at, l->probe_sent_at);
 	resolve_suspects(l, now);
+	caught_up(l);
 }
 
 void
@@ -573,6 +637,7 @@
 	for (i = 0; i < a->n; i++)
 		apply_record(l, &a->records[i], now);
 	l->next_offset = a->end;
+	caught_up(l);
 	read_succeeded(l, now);
 }
 
@@ -581,7 +646,7 @@
 {
 	struct cell_read r = {.stream = CELL_LEAD,
 	    .from = l->next_offset,
-	    .wait_ms = READ_WAIT_MS,
+	    .wait_ms = l->quiet ? 0 : READ_WAIT_MS,
 	    .timeout_ms = READ_TIMEOUT_MS};
 	struct cell_newest q = {
 	    .stream = CELL_LEAD, .timeout_ms = READ_TIMEOUT_MS};
@@ -590,7 +655,9 @@
 		return;
 	l->reading = true;
 	l->read_sent_at = now;
-	if (l->newest_wanted)
+	/* What has been added since the last read of a quiet node is mostly
+	 * heartbeats that it does not need. */
+	if (l->newest_wanted || l->quiet)
 		l->ops->newest(l->ops->backend_ctx, &q, on_newest, l);
 	else
 		l->ops->read(l->ops->backend_ctx, &r, on_read, l);
@@ -748,6 +815,7 @@
 
 	m.epoch = s->epoch;
 	m.vacant = vacant;
+	m.sent_us = (uint64_t)now;
 	h->shard = s;
 	h->epoch = s->epoch;
 	h->sent_at = now;
@@ -812,6 +880,14 @@
 	send_heartbeat(s, false, now);
 }
 
+static bool
+is_preferred(const struct lead_shard *s)
+{
+	const struct cell_lead *l = s->lead;
+
+	return cell_shard_of_node(l->addr, l->shards) == s->shard;
+}
+
 /* Delay before this node claims the shard, in ms. */
 static int32_t
 claim_delay_ms(const struct lead_shard *s)
@@ -821,7 +897,7 @@
 	    l->weak_delay_ms + g_rand_int_range(l->rand, 0, CLAIM_JITTER_MS) +
 	    (int32_t)cell_lead_owned_count(l) * OTHER_SHARD_DELAY_MS;
 
-	if (cell_shard_of_node(l->addr, l->shards) != s->shard)
+	if (!is_preferred(s))
 		delay_ms += OTHER_SHARD_DELAY_MS;
 	return delay_ms;
 }
@@ -854,6 +930,8 @@
 	if (s->is_owner || s->claiming || s->reading_claims ||
 	    now < s->no_claim_until || s->claim_at != OGL_NEVER)
 		return;
+	if (s->lead->quiet && !is_preferred(s))
+		return;
 	if (!cell_lead_store_answers(s->lead, now))
 		return;
 	if (!vacant && !heartbeat_timed_out(s, now))
@@ -884,6 +962,27 @@
 		step_shard(&l->by_shard[i], now);
 }
 
+/* The signs of most owners were not read while the node was quiet, so their
+ * timeouts start anew. */
+void
+cell_lead_set_quiet(struct cell_lead *l, bool quiet, ogl_time now)
+{
+	uint32_t i;
+
+	if (l->quiet == quiet)
+		return;
+	l->quiet = quiet;
+	if (quiet) {
+		l->behind = true;
+		return;
+	}
+	l->next_read_at = now;
+	for (i = 0; i < l->shards; i++) {
+		if (!is_preferred(&l->by_shard[i]))
+			l->by_shard[i].last_heard = now;
+	}
+}
+
 bool
 cell_lead_needs_plan(const struct cell_lead *l)
 {
@@ -1021,13 +1120,14 @@
  * decides who owns the shard whenever a node claims.
  */
 void
-cell_lead_owner_alive(
-    struct cell_lead *l, uint32_t shard, uint64_t epoch, ogl_time now)
+cell_lead_owner_alive(struct cell_lead *l, uint32_t shard, uint64_t epoch,
+    uint64_t sent_us, ogl_time now)
 {
 	struct lead_shard *s = &l->by_shard[shard];
 
 	if (s->is_owner || epoch != s->epoch || s->owner == NULL)
 		return;
+	note_owner_clock(s, epoch, sent_us, now);
 	s->last_heard = now;
 	s->suspect_epoch = 0;
 	s->claim_at = OGL_NEVER;
@@ -1075,6 +1175,17 @@
 	return l->by_shard[shard].is_owner;
 }
 
+uint64_t
+cell_lead_digest(const struct cell_lead *l)
+{
+	uint64_t digest = l->shards;
+	uint32_t i;
+
+	for (i = 0; i < l->shards; i++)
+		digest = digest * DIGEST_FACTOR + l->by_shard[i].epoch;
+	return digest;
+}
+
 uint64_t
 cell_lead_epoch(const struct cell_lead *l, uint32_t shard)
 {
@@ -1109,7 +1220,8 @@
 bool
 cell_lead_store_answers(const struct cell_lead *l, ogl_time now)
 {
-	return now - l->last_read_ok < READ_OK_MAX_AGE;
+	return now - l->last_read_ok <
+	       READ_OK_MAX_AGE + (l->quiet ? QUIET_READ_INTERVAL : 0);
 }
 
 ogl_time
--- a/cell/lead.h
+++ b/cell/lead.h
@@ -43,6 +43,11 @@
 /* Starts the reads, heartbeats and claims that are due.  The caller runs it
  * about 20 times a second. */
 
+void cell_lead_set_quiet(struct cell_lead *l, bool quiet, ogl_time now);
+/* Sets whether the owner of this node's preferred shard keeps telling it who
+ * the owners are and that it is alive itself.  A quiet node hardly reads the
+ * ownership stream, and claims no other shard. */
+
 bool cell_lead_needs_plan(const struct cell_lead *l);
 /* Whether the ownership stream was read, holds no number of shards yet, and no
  * proposal of this node is in flight. */
@@ -82,9 +87,10 @@
     const char *addr, ogl_time now);
 /* Takes a peer's report of the owner of the shard in that epoch. */
 
-void cell_lead_owner_alive(
-    struct cell_lead *l, uint32_t shard, uint64_t epoch, ogl_time now);
-/* Takes the report of the owner of that epoch that it reaches the store. */
+void cell_lead_owner_alive(struct cell_lead *l, uint32_t shard, uint64_t epoch,
+    uint64_t sent_us, ogl_time now);
+/* Takes the report of the owner of that epoch that it reaches the store.
+ * sent_us: when it was sent, on the owner's clock. */
 
 void cell_lead_report_unreachable(
     struct cell_lead *l, uint32_t shard, ogl_time now);
@@ -101,6 +107,9 @@
 const char *cell_lead_addr(const struct cell_lead *l, uint32_t shard);
 /* Peer address of the owner; NULL if the shard has no known owner. */
 
+uint64_t cell_lead_digest(const struct cell_lead *l);
+/* Differs, in practice, between two nodes that know different epochs. */
+
 void cell_lead_probe(struct cell_lead *l, ogl_time now);
 /* Reads the end of the ownership stream at once, in addition to the pending
  * long-poll read. */
--- a/cell/node.c
+++ b/cell/node.c
@@ -2,8 +2,11 @@
  * Runs the parts of a node: election (lead.c), front end (front.c) and owners
  * (owner.c), and exchanges messages with its peers.
  *
- * Each node pings the owner of each shard.  When no pong comes, it closes the
- * connection and opens a new one.  At most one owner may ask the advice service
+ * A node pings the owner of its preferred shard, and owners of other shards while
+ * it has calls for them.  When no pong comes, it closes the connection and opens
+ * a new one.  As long as the first owner answers, the node is quiet: the pongs
+ * tell it who the other owners are and that its settings are the newest, so that
+ * neither the store nor the owners hear from each node for each shard.  At most one owner may ask the advice service
  * through the node: the service takes one question at a time from each machine,
  * so owners must not share a machine.
  *
@@ -34,6 +37,8 @@
 /* After this time without a pong, two pings are unanswered, and the owner's
  * machine may have failed without closing its connections. */
 #define OWNER_SUSPECT_TIMEOUT (550 * OGL_MS)
+/* A node is quiet for this long after a pong of its preferred shard's owner. */
+#define QUIET_TIME (600 * OGL_MS)
 /* After this time without a pong, the connection is closed and opened again. */
 #define RECONNECT_TIMEOUT (900 * OGL_MS)
 /* Highest age that is reported, also for a configuration that was never
@@ -56,6 +61,8 @@
 	struct cell_owner *owner;
 	ogl_time next_ping_at;
 	ogl_time pong_at; /* last pong, or the first ping to a new owner */
+	bool pinged;      /* its owner is pinged at present */
+	ogl_time able_at; /* last pong of its owner that reached the store */
 	ogl_time owner_known_at; /* last time that an owner was known */
 	char *last_owner;        /* address of the last known owner */
 	/* Times of the first and the last ping of stronger nodes, see
@@ -89,6 +96,7 @@
 	/* cell_zones_changes of the zones last given to the owners */
 	uint64_t zone_changes;
 	bool stopping;
+	bool quiet;          /* see update_quiet */
 	ogl_time now;        /* time of the step or event under way */
 	ogl_time started_at; /* first step, 0 not yet */
 	ogl_time stepped_at; /* last step, 0 none yet */
@@ -435,6 +443,64 @@
 	return a;
 }
 
+/* Adds the owners of all shards and how far this node has read the settings, for
+ * a node that reads neither.  Returns the array that pong points at; it is to
+ * be freed after the pong is sent. */
+static GArray *
+add_news(struct cell_node *n, const Ogl__CellPing *p, Ogl__CellPong *pong,
+    GPtrArray *owner_ptrs, ogl_time now)
+{
+	struct cell_front_position pos = cell_front_position(n->front);
+	ogl_time age_ms = (now - pos.as_of) / OGL_MS + 1;
+	GArray *owners = g_array_sized_new(
+	    FALSE, FALSE, sizeof(Ogl__CellOwnerOf), n->shards);
+	uint32_t i;
+
+	if (!p->follows)
+		return owners;
+	pong->settings_end = pos.end;
+	pong->settings_age_ms = (uint32_t)MIN(age_ms, CONFIG_AGE_MAX_MS);
+	if (p->owners == cell_lead_digest(n->lead))
+		return owners;
+	for (i = 0; i < n->shards; i++) {
+		Ogl__CellOwnerOf o = OGL__CELL_OWNER_OF__INIT;
+
+		if (cell_lead_addr(n->lead, i) == NULL)
+			continue;
+		o.shard = i;
+		o.epoch = cell_lead_epoch(n->lead, i);
+		o.addr = (char *)(uintptr_t)cell_lead_addr(n->lead, i);
+		g_array_append_val(owners, o);
+	}
+	for (i = 0; i < owners->len; i++)
+		g_ptr_array_add(
+		    owner_ptrs, &g_array_index(owners, Ogl__CellOwnerOf, i));
+	pong->owners = (Ogl__CellOwnerOf **)owner_ptrs->pdata;
+	pong->n_owners = owner_ptrs->len;
+	return owners;
+}
+
+/* Ages are subtracted from the time when the ping was sent, as in
+ * learn_config. */
+static void
+learn_news(struct cell_node *n, const Ogl__CellPong *pong, ogl_time now)
+{
+	struct cell_front_position pos = {.end = pong->settings_end};
+	size_t i;
+
+	for (i = 0; i < pong->n_owners; i++) {
+		const Ogl__CellOwnerOf *o = pong->owners[i];
+
+		if (o->shard < n->shards)
+			cell_lead_learn_owner(
+			    n->lead, o->shard, o->epoch, o->addr, now);
+	}
+	if (pong->stamp > (uint64_t)now)
+		return;
+	pos.as_of = (ogl_time)pong->stamp - pong->settings_age_ms * OGL_MS;
+	cell_front_learn_position(n->front, &pos, now);
+}
+
 /* The age in the pong is subtracted from the time when the ping was sent.  The
  * peer determined it at that time or later, so the configuration never counts
  * as newer than it is, however long the messages took. */
@@ -462,6 +528,8 @@
 	Ogl__CellMsg m = OGL__CELL_MSG__INIT;
 	Ogl__CellPong pong = OGL__CELL_PONG__INIT;
 	GPtrArray *zones;
+	GPtrArray *owner_ptrs = g_ptr_array_new();
+	GArray *owners;
 
 	if (p->lane)
 		cell_owner_advice_node(s->owner, from, p->leaving, now);
@@ -470,16 +538,20 @@
 	resign_to_stronger(s, p, now);
 	update_successor(s, from, p, now);
 	pong.stamp = p->stamp;
+	pong.sent_us = (uint64_t)now;
 	if (cell_lead_is_owner(n->lead, s->shard))
 		pong.owns = cell_lead_epoch(n->lead, s->shard);
 	pong.able = cell_lead_able(n->lead, s->shard, now);
 	pong.asks_first = cell_owner_asks_first(s->owner);
 	add_config(n, p, &pong, now);
 	zones = add_zones(n, p, &pong);
+	owners = add_news(n, p, &pong, owner_ptrs, now);
 	m.body_case = OGL__CELL_MSG__BODY_PONG;
 	m.pong = &pong;
 	send_msg(n, s->shard, from, &m);
 	g_ptr_array_unref(zones);
+	g_ptr_array_unref(owner_ptrs);
+	g_array_unref(owners);
 }
 
 /* The owner may have restarted, or have lost only its connection to the store.
@@ -492,12 +564,17 @@
 
 	s->pong_at = now;
 	learn_config(s->node, m->pong, now);
+	learn_news(s->node, m->pong, now);
 	if (owner == NULL || strcmp(owner, m->from) != 0)
 		return;
-	if (m->pong->owns == 0 || !m->pong->able)
+	if (m->pong->owns == 0 || !m->pong->able) {
+		s->able_at = 0;
 		cell_lead_suspect(lead, s->shard, m->epoch, now);
-	else
-		cell_lead_owner_alive(lead, s->shard, m->pong->owns, now);
+	} else {
+		s->able_at = now;
+		cell_lead_owner_alive(
+		    lead, s->shard, m->pong->owns, m->pong->sent_us, now);
+	}
 	cell_front_set_asks_first(
 	    s->node->front, s->shard, m->pong->asks_first);
 	cell_front_delay(
@@ -648,6 +725,8 @@
 	p.lane = offers_advice;
 	p.config = cell_front_known_config(n->front).version;
 	p.cut_off = cell_front_cut_off(n->front, now);
+	p.follows = cell_lead_owned_count(n->lead) == 0;
+	p.owners = cell_lead_digest(n->lead);
 	m.body_case = OGL__CELL_MSG__BODY_PING;
 	m.ping = &p;
 	send_msg(n, s->shard, to, &m);
@@ -661,7 +740,7 @@
 {
 	const char *last = s->last_owner;
 
-	if (last != NULL && strcmp(last, owner) != 0 &&
+	if (last != NULL && s->pinged && strcmp(last, owner) != 0 &&
 	    strcmp(last, s->node->addr) != 0)
 		send_ping(s, last, false, now);
 	g_free(s->last_owner);
@@ -694,6 +773,7 @@
 	struct node_shard *s = &n->per_shard[shard];
 
 	s->pong_at = now;
+	s->able_at = 0;
 	s->next_ping_at = now;
 	s->owner_known_at = now;
 	s->claim_pending = false;
@@ -824,13 +904,54 @@
 	cell_front_caller_gone(n->front, token);
 }
 
+static bool
+is_preferred(const struct node_shard *s)
+{
+	return cell_shard_of_node(s->node->addr, s->node->shards) == s->shard;
+}
+
+/* Becomes quiet, or stops being quiet. */
+static void
+update_quiet(struct cell_node *n, ogl_time now)
+{
+	bool owns = cell_lead_owned_count(n->lead) > 0;
+	const struct node_shard *s;
+
+	if (n->shards == 0)
+		return;
+	s = &n->per_shard[cell_shard_of_node(n->addr, n->shards)];
+	n->quiet = !owns && s->able_at != 0 && now - s->able_at < QUIET_TIME;
+	cell_lead_set_quiet(n->lead, n->quiet, now);
+	cell_front_set_quiet(n->front, n->quiet);
+	cell_front_set_informs(n->front, owns);
+}
+
+/* A node that nobody informs asks the owners of all shards: it may be unable to
+ * read the store.  An owner reads the store, and asks only if that fails. */
+static bool
+pings_owner_of(const struct node_shard *s, ogl_time now)
+{
+	const struct cell_node *n = s->node;
+	bool owns = cell_lead_owned_count(n->lead) > 0;
+
+	return is_preferred(s) || cell_lead_is_owner(n->lead, s->shard) ||
+	       cell_front_uses(n->front, s->shard, now) ||
+	       (!n->quiet && (!owns || cell_front_cut_off(n->front, now)));
+}
+
 static void
 ping_owner(struct node_shard *s, ogl_time now)
 {
 	struct cell_node *n = s->node;
 	const char *owner = cell_lead_addr(n->lead, s->shard);
+	bool was_pinged = s->pinged;
 
-	if (owner == NULL || now < s->next_ping_at)
+	s->pinged = owner != NULL && pings_owner_of(s, now);
+	if (!s->pinged)
+		return;
+	if (!was_pinged)
+		s->pong_at = now;
+	else if (now < s->next_ping_at)
 		return;
 	if (n->ops->peer_refused(n->ops->ctx, owner) ||
 	    now - s->pong_at > OWNER_SUSPECT_TIMEOUT)
@@ -960,6 +1081,7 @@
 	cell_lead_step(n->lead, now);
 	cell_front_step(n->front, now);
 	distribute_config(n);
+	update_quiet(n, now);
 	for (i = 0; i < n->shards; i++)
 		ping_owner(&n->per_shard[i], now);
 	deliver_loopback(n, now);
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -592,6 +592,51 @@
   assert(message->base.descriptor == &ogl__cell_pong__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ogl__cell_owner_of__init
+                     (Ogl__CellOwnerOf         *message)
+{
+  static const Ogl__CellOwnerOf init_value = OGL__CELL_OWNER_OF__INIT;
+  *message = init_value;
+}
+size_t ogl__cell_owner_of__get_packed_size
+                     (const Ogl__CellOwnerOf *message)
+{
+  assert(message->base.descriptor == &ogl__cell_owner_of__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ogl__cell_owner_of__pack
+                     (const Ogl__CellOwnerOf *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ogl__cell_owner_of__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ogl__cell_owner_of__pack_to_buffer
+                     (const Ogl__CellOwnerOf *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ogl__cell_owner_of__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ogl__CellOwnerOf *
+       ogl__cell_owner_of__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ogl__CellOwnerOf *)
+     protobuf_c_message_unpack (&ogl__cell_owner_of__descriptor,
+                                allocator, len, data);
+}
+void   ogl__cell_owner_of__free_unpacked
+                     (Ogl__CellOwnerOf *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ogl__cell_owner_of__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ogl__cell_call__init
                      (Ogl__CellCall         *message)
 {
@@ -2254,7 +2299,7 @@
   (ProtobufCMessageInit) ogl__cell_known_workers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_lead__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ogl__cell_lead__field_descriptors[8] =
 {
   {
     "node",
@@ -2340,6 +2385,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellLead, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_lead__field_indices_by_name[] = {
   1,   /* field[1] = addr */
@@ -2347,13 +2404,14 @@
   3,   /* field[3] = claim */
   5,   /* field[5] = epoch */
   0,   /* field[0] = node */
+  7,   /* field[7] = sent_us */
   6,   /* field[6] = shard */
   4,   /* field[4] = vacant */
 };
 static const ProtobufCIntRange ogl__cell_lead__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ogl__cell_lead__descriptor =
 {
@@ -2363,7 +2421,7 @@
   "Ogl__CellLead",
   "ogl",
   sizeof(Ogl__CellLead),
-  7,
+  8,
   ogl__cell_lead__field_descriptors,
   ogl__cell_lead__field_indices_by_name,
   1,  ogl__cell_lead__number_ranges,
@@ -2408,7 +2466,7 @@
   (ProtobufCMessageInit) ogl__cell_plan__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_ping__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ogl__cell_ping__field_descriptors[11] =
 {
   {
     "stamp",
@@ -2518,13 +2576,39 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "follows",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPing, follows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owners",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPing, owners),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_ping__field_indices_by_name[] = {
   6,   /* field[6] = config */
   7,   /* field[7] = cut_off */
+  9,   /* field[9] = follows */
   4,   /* field[4] = lane */
   2,   /* field[2] = leaving */
   5,   /* field[5] = owned */
+  10,   /* field[10] = owners */
   0,   /* field[0] = stamp */
   1,   /* field[1] = store_ok */
   3,   /* field[3] = strength */
@@ -2533,7 +2617,7 @@
 static const ProtobufCIntRange ogl__cell_ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ogl__cell_ping__descriptor =
 {
@@ -2543,14 +2627,14 @@
   "Ogl__CellPing",
   "ogl",
   sizeof(Ogl__CellPing),
-  9,
+  11,
   ogl__cell_ping__field_descriptors,
   ogl__cell_ping__field_indices_by_name,
   1,  ogl__cell_ping__number_ranges,
   (ProtobufCMessageInit) ogl__cell_ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_pong__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ogl__cell_pong__field_descriptors[13] =
 {
   {
     "stamp",
@@ -2660,6 +2744,54 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "owners",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__CellPong, n_owners),
+    offsetof(Ogl__CellPong, owners),
+    &ogl__cell_owner_of__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "settings_end",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPong, settings_end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "settings_age_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPong, settings_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPong, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_pong__field_indices_by_name[] = {
   2,   /* field[2] = able */
@@ -2668,14 +2800,18 @@
   4,   /* field[4] = config_age_ms */
   5,   /* field[5] = config_record */
   8,   /* field[8] = evacuated_zones */
+  9,   /* field[9] = owners */
   1,   /* field[1] = owns */
+  12,   /* field[12] = sent_us */
+  11,   /* field[11] = settings_age_ms */
+  10,   /* field[10] = settings_end */
   0,   /* field[0] = stamp */
   7,   /* field[7] = zones_known_to */
 };
 static const ProtobufCIntRange ogl__cell_pong__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor ogl__cell_pong__descriptor =
 {
@@ -2685,13 +2821,77 @@
   "Ogl__CellPong",
   "ogl",
   sizeof(Ogl__CellPong),
-  9,
+  13,
   ogl__cell_pong__field_descriptors,
   ogl__cell_pong__field_indices_by_name,
   1,  ogl__cell_pong__number_ranges,
   (ProtobufCMessageInit) ogl__cell_pong__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ogl__cell_owner_of__field_descriptors[3] =
+{
+  {
+    "shard",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOwnerOf, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOwnerOf, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "addr",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOwnerOf, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ogl__cell_owner_of__field_indices_by_name[] = {
+  2,   /* field[2] = addr */
+  1,   /* field[1] = epoch */
+  0,   /* field[0] = shard */
+};
+static const ProtobufCIntRange ogl__cell_owner_of__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ogl__cell_owner_of__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ogl.CellOwnerOf",
+  "CellOwnerOf",
+  "Ogl__CellOwnerOf",
+  "ogl",
+  sizeof(Ogl__CellOwnerOf),
+  3,
+  ogl__cell_owner_of__field_descriptors,
+  ogl__cell_owner_of__field_indices_by_name,
+  1,  ogl__cell_owner_of__number_ranges,
+  (ProtobufCMessageInit) ogl__cell_owner_of__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ogl__cell_call__field_descriptors[9] =
 {
   {
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct Ogl__CellPlan Ogl__CellPlan;
 typedef struct Ogl__CellPing Ogl__CellPing;
 typedef struct Ogl__CellPong Ogl__CellPong;
+typedef struct Ogl__CellOwnerOf Ogl__CellOwnerOf;
 typedef struct Ogl__CellCall Ogl__CellCall;
 typedef struct Ogl__CellReply Ogl__CellReply;
 typedef struct Ogl__CellAsk Ogl__CellAsk;
@@ -438,10 +439,14 @@
    */
   uint64_t epoch;
   uint32_t shard;
+  /*
+   * sender's clock, heartbeats only
+   */
+  uint64_t sent_us;
 };
 #define OGL__CELL_LEAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_lead__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -496,10 +501,21 @@
    * since the sender's process started
    */
   uint32_t uptime_ms;
+  /*
+   * the sender does not read the store but relies on
+   */
+  protobuf_c_boolean follows;
+  /*
+   * the pongs
+   */
+  /*
+   * digest of the epochs known to the sender
+   */
+  uint64_t owners;
 };
 #define OGL__CELL_PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_ping__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ogl__CellPong
@@ -541,10 +557,44 @@
   uint64_t zones_known_to;
   size_t n_evacuated_zones;
   char **evacuated_zones;
+  /*
+   * The owners of all shards, for a receiver that follows and whose digest of
+   * them differs.
+   */
+  size_t n_owners;
+  Ogl__CellOwnerOf **owners;
+  /*
+   * For a receiver that follows: the sender's last read of the settings stream
+   * showed that it ended at settings_end.  0 if not set.
+   */
+  uint64_t settings_end;
+  /*
+   * since that read was sent
+   */
+  uint32_t settings_age_ms;
+  /*
+   * sender's clock, as in the owner's heartbeats
+   */
+  uint64_t sent_us;
 };
 #define OGL__CELL_PONG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_pong__descriptor) \
-    , 0, 0, 0, 0, 0, {0,NULL}, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+
+
+/*
+ * The owner of a shard.
+ */
+struct  Ogl__CellOwnerOf
+{
+  ProtobufCMessage base;
+  uint32_t shard;
+  uint64_t epoch;
+  char *addr;
+};
+#define OGL__CELL_OWNER_OF__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_owner_of__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -1190,6 +1240,25 @@
 void   ogl__cell_pong__free_unpacked
                      (Ogl__CellPong *message,
                       ProtobufCAllocator *allocator);
+/* Ogl__CellOwnerOf methods */
+void   ogl__cell_owner_of__init
+                     (Ogl__CellOwnerOf         *message);
+size_t ogl__cell_owner_of__get_packed_size
+                     (const Ogl__CellOwnerOf   *message);
+size_t ogl__cell_owner_of__pack
+                     (const Ogl__CellOwnerOf   *message,
+                      uint8_t             *out);
+size_t ogl__cell_owner_of__pack_to_buffer
+                     (const Ogl__CellOwnerOf   *message,
+                      ProtobufCBuffer     *buffer);
+Ogl__CellOwnerOf *
+       ogl__cell_owner_of__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ogl__cell_owner_of__free_unpacked
+                     (Ogl__CellOwnerOf *message,
+                      ProtobufCAllocator *allocator);
 /* Ogl__CellCall methods */
 void   ogl__cell_call__init
                      (Ogl__CellCall         *message);
@@ -1497,6 +1566,9 @@
 typedef void (*Ogl__CellPong_Closure)
                  (const Ogl__CellPong *message,
                   void *closure_data);
+typedef void (*Ogl__CellOwnerOf_Closure)
+                 (const Ogl__CellOwnerOf *message,
+                  void *closure_data);
 typedef void (*Ogl__CellCall_Closure)
                  (const Ogl__CellCall *message,
                   void *closure_data);
@@ -1564,6 +1636,7 @@
 extern const ProtobufCMessageDescriptor ogl__cell_plan__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_ping__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_pong__descriptor;
+extern const ProtobufCMessageDescriptor ogl__cell_owner_of__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_call__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_reply__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_ask__descriptor;
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -83,6 +83,9 @@
 	char name[32];
 	ogl_time wake_at;
 	GHashTable *open_calls; /* set of struct call */
+	unsigned store_calls;   /* so far */
+	unsigned peer_messages; /* sent so far */
+	GHashTable *peers;      /* set of addresses sent to */
 };
 
 /* Fixed part of each kind of message (headers, names, numbers), and the size of
@@ -196,7 +199,7 @@
 	GSequence *events;   /* struct event */
 	GRand *rand;
 	uint32_t caller_timeout_ms;
-	unsigned queue_rank; /* of the queue that jobs are submitted to */
+	unsigned queue_rank;    /* of the queue that jobs are submitted to */
 	struct node *nodes;     /* shape.nodes of them */
 	struct worker *workers; /* shape.workers of them */
 	struct stream streams[CELL_NSTREAMS][CELL_SHARDS_MAX];
@@ -441,6 +444,8 @@
 	c->refs = 1;
 	c->sent_at = n->cell->now;
 	g_hash_table_add(n->open_calls, c);
+	if (kind == CALL_APPEND || kind == CALL_READ || kind == CALL_NEWEST)
+		n->store_calls++;
 	post(n->cell, timeout_ms * OGL_MS, (int)n->index, on_timeout,
 	    call_unref, c);
 	return c;
@@ -1956,6 +1961,9 @@
 	size_t bytes;
 	unsigned i;
 
+	from->peer_messages++;
+	g_hash_table_add(from->peers, g_strdup(addr));
+
 	for (i = 0; i < f->shape.nodes; i++) {
 		struct node *n = &f->nodes[i];
 		struct peer_message *p;
@@ -2562,6 +2570,36 @@
 	return f->writes;
 }
 
+unsigned
+fake_cell_store_calls(const struct fake_cell *f, unsigned node)
+{
+	return f->nodes[node].store_calls;
+}
+
+unsigned
+fake_cell_peer_messages(const struct fake_cell *f, unsigned node)
+{
+	return f->nodes[node].peer_messages;
+}
+
+unsigned
+fake_cell_peers(const struct fake_cell *f, unsigned node)
+{
+	return g_hash_table_size(f->nodes[node].peers);
+}
+
+void
+fake_cell_reset_counts(struct fake_cell *f)
+{
+	unsigned i;
+
+	for (i = 0; i < f->shape.nodes; i++) {
+		f->nodes[i].store_calls = 0;
+		f->nodes[i].peer_messages = 0;
+		g_hash_table_remove_all(f->nodes[i].peers);
+	}
+}
+
 /* ---- faults of workers ------------------------------------------------ */
 
 static void
@@ -2721,6 +2759,7 @@
 	g_snprintf(n->addr, sizeof n->addr, "10.1.0.%u:7000", i);
 	g_snprintf(n->name, sizeof n->name, "n%u", i);
 	n->open_calls = g_hash_table_new(NULL, NULL);
+	n->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fill_ops(n);
 	fake_cell_boot(f, i);
 }
@@ -2786,6 +2825,7 @@
 	for (i = 0; i < f->shape.nodes; i++) {
 		fake_cell_kill(f, i);
 		g_hash_table_unref(f->nodes[i].open_calls);
+		g_hash_table_unref(f->nodes[i].peers);
 	}
 	while (!g_sequence_is_empty(f->events)) {
 		GSequenceIter *first = g_sequence_get_begin_iter(f->events);
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -137,6 +137,17 @@
 unsigned fake_cell_writes(const struct fake_cell *f);
 /* Number of appends that nodes have made so far. */
 
+/* ---- costs ------------------------------------------------------------ */
+
+unsigned fake_cell_store_calls(const struct fake_cell *f, unsigned node);
+/* Number of calls that the node has made to the store. */
+unsigned fake_cell_peer_messages(const struct fake_cell *f, unsigned node);
+/* Number of messages that the node has sent to others. */
+unsigned fake_cell_peers(const struct fake_cell *f, unsigned node);
+/* Number of nodes that the node has sent messages to. */
+void fake_cell_reset_counts(struct fake_cell *f);
+/* Sets all of them to 0. */
+
 /* ---- workers ---------------------------------------------------------- */
 
 enum fake_worker_fault {
--- a/test/test_cell_lead.cc
+++ b/test/test_cell_lead.cc
@@ -631,10 +631,10 @@
 	read_n2(false, 1);
 	for (int i = 0; i < 10; i++) {
 		run_idle(400);
-		cell_lead_owner_alive(lead_, 0, 1, now_);
+		cell_lead_owner_alive(lead_, 0, 1, (uint64_t)now_, now_);
 	}
 	EXPECT_EQ(0U, claims().size());
-	cell_lead_owner_alive(lead_, 0, 0, now_);
+	cell_lead_owner_alive(lead_, 0, 0, (uint64_t)now_, now_);
 	run_idle(2000);
 	EXPECT_EQ(1U, claims().size());
 }
