cell: one node counts the workers of a new cell, until all have registered

Cause: the fleet of 6,000 workers was cut into 4 shards instead of 15, for good. The number was decided 6 s after the start, when DECISION_TIMEOUT ended a count that changed all the time: all 587 nodes read a list of 12 pages every 0.3 s, each change of the list restarted the wait for two equal counts, and the store served them slowly. Then all nodes claimed all shards: 2,433 claims that came too late.

Change: a node asks the store for its turn to count; the others wait. The count decides once it has stood still for 1.8 s, longer than a worker's heartbeat. A shard has 400 workers for half a processor of the host that counts, so that strong hosts own larger shards. First claims of nodes that do not prefer the shard, and of weak ones, come later.

--- a/cell/lead.c
+++ b/cell/lead.c
@@ -92,6 +92,10 @@
  * one, and again for each shard that the node owns, as one shard per node is
  * best. */
 #define OTHER_SHARD_DELAY_MS 200
+/* Further delays of the first claims of a shard: those of nodes that prefer it
+ * and are strong have to be read by the others before these claim. */
+#define FIRST_OTHER_DELAY_MS 250
+#define FIRST_WEAK_DELAY_MS 600
 #define READ_WAIT_MS 1000
 #define READ_TIMEOUT_MS 2200
 /* Minimum time between the starts of two reads if there are several shards.
@@ -103,6 +107,8 @@
  * and that it could own a shard. */
 #define QUIET_READ_INTERVAL (5 * OGL_SEC)
 #define QUIET_RETRY_DELAY OGL_SEC
+/* A planner that has decided nothing by then has probably ended. */
+#define PLANNER_TURN (5 * OGL_SEC)
 #define APPEND_TIMEOUT_MS 900
 #define HEARTBEATS_IN_FLIGHT_MAX 6
 #define READ_RETRY_DELAY (150 * OGL_MS)
@@ -119,6 +125,7 @@
 #define PROBE_INTERVAL_MIN (20 * OGL_MS)
 #define LEAD_KEY "lead"
 #define PLAN_KEY "shards"
+#define PLANNER_KEY "planner"
 #define CLAIM_KEY "claim"
 #define KEY_BYTES 24
 /* A large odd number, so that a change of any epoch changes the digest. */
@@ -184,7 +191,9 @@
 	bool probing;
 	ogl_time probe_sent_at;
 
-	bool planning; /* an append of the number of shards is in flight */
+	bool planning;   /* an append about the number of shards is in flight */
+	bool is_planner; /* this node took the last turn */
+	ogl_time planner_since; /* of the last turn that is known */
 	uint32_t shards;
 	struct lead_shard *by_shard;
 	ogl_time claim_took;   /* how long the last successful claim took */
@@ -292,6 +301,22 @@
 		ogl__cell_plan__free_unpacked(m, NULL);
 }
 
+static void
+apply_planner(struct cell_lead *l, const struct cell_record *r, ogl_time now)
+{
+	Ogl__CellPlan *m = ogl__cell_plan__unpack(
+	    NULL, r->value.n, (const uint8_t *)r->value.p);
+
+	if (m == NULL) {
+		l->ops->log(
+		    l->ops->ctx, "lead", "record_unreadable", PLANNER_KEY);
+		return;
+	}
+	l->planner_since = now;
+	l->is_planner = strcmp(m->planner, l->node) == 0 && m->boot == l->boot;
+	ogl__cell_plan__free_unpacked(m, NULL);
+}
+
 /* ---- records of the streams ------------------------------------------- */
 
 static void
@@ -460,6 +485,10 @@
 		apply_plan(l, r, now);
 		return;
 	}
+	if (strcmp(r->key, PLANNER_KEY) == 0) {
+		apply_planner(l, r, now);
+		return;
+	}
 	m = unpack(l, r);
 	if (m == NULL)
 		return;
@@ -899,6 +928,12 @@
 
 	if (!is_preferred(s))
 		delay_ms += OTHER_SHARD_DELAY_MS;
+	/* At the first start of the cell all nodes see all shards without an
+	 * owner at the same moment. */
+	if (s->epoch == 0 && !is_preferred(s))
+		delay_ms += FIRST_OTHER_DELAY_MS;
+	if (s->epoch == 0 && l->weak_delay_ms > 0)
+		delay_ms += FIRST_WEAK_DELAY_MS;
 	return delay_ms;
 }
 
@@ -989,6 +1024,7 @@
 	return l->loaded && l->shards == 0 && !l->planning;
 }
 
+/* What was stored arrives with the reads. */
 static void
 on_plan(void *arg, const struct cell_append_answer *a, ogl_time now)
 {
@@ -996,33 +1032,54 @@
 
 	(void)a;
 	(void)now;
-	l->planning = false; /* the stored number arrives with the reads */
+	l->planning = false;
 }
 
-void
-cell_lead_plan(struct cell_lead *l, uint32_t shards)
+/* Appends the record if the stream has not grown since the last read. */
+static void
+append_plan(struct cell_lead *l, char *key, const Ogl__CellPlan *m)
 {
-	Ogl__CellPlan m = OGL__CELL_PLAN__INIT;
-	char key[] = PLAN_KEY;
 	struct cell_put put = {key, NULL};
 	struct cell_append a = {.stream = CELL_LEAD,
 	    .expected_end = (int64_t)l->next_offset,
 	    .puts = &put,
 	    .nputs = 1,
 	    .timeout_ms = APPEND_TIMEOUT_MS};
-	size_t n;
-	uint8_t *p;
+	size_t n = ogl__cell_plan__get_packed_size(m);
+	uint8_t *p = g_malloc(n);
 
-	m.shards = shards;
-	n = ogl__cell_plan__get_packed_size(&m);
-	p = g_malloc(n);
-	ogl__cell_plan__pack(&m, p);
+	ogl__cell_plan__pack(m, p);
 	put.value = g_bytes_new_take(p, n);
 	l->planning = true;
 	l->ops->append(l->ops->backend_ctx, &a, on_plan, l);
 	g_bytes_unref(put.value);
 }
 
+bool
+cell_lead_take_plan_turn(struct cell_lead *l, ogl_time now)
+{
+	Ogl__CellPlan m = OGL__CELL_PLAN__INIT;
+	char key[] = PLANNER_KEY;
+
+	if (l->planner_since != 0 && now - l->planner_since < PLANNER_TURN)
+		return l->is_planner;
+	m.planner = l->node;
+	m.boot = l->boot;
+	if (!l->planning)
+		append_plan(l, key, &m);
+	return false;
+}
+
+void
+cell_lead_plan(struct cell_lead *l, uint32_t shards)
+{
+	Ogl__CellPlan m = OGL__CELL_PLAN__INIT;
+	char key[] = PLAN_KEY;
+
+	m.shards = shards;
+	append_plan(l, key, &m);
+}
+
 /* ---- requests and reports --------------------------------------------- */
 
 void
--- a/cell/lead.h
+++ b/cell/lead.h
@@ -51,6 +51,9 @@
 bool cell_lead_needs_plan(const struct cell_lead *l);
 /* Whether the ownership stream was read, holds no number of shards yet, and no
  * proposal of this node is in flight. */
+bool cell_lead_take_plan_turn(struct cell_lead *l, ogl_time now);
+/* Whether it is this node's turn to find out how many shards the cell needs.
+ * If it is nobody's turn, asks the store for it. */
 void cell_lead_plan(struct cell_lead *l, uint32_t shards);
 /* Proposes a number of shards.  The first proposal that reaches the store is
  * final. */
--- a/cell/node.c
+++ b/cell/node.c
@@ -571,7 +571,8 @@
 		s->able_at = 0;
 		cell_lead_suspect(lead, s->shard, m->epoch, now);
 	} else {
-		s->able_at = now;
+		/* Without the settings' position it can't inform this node. */
+		s->able_at = m->pong->settings_end > 0 ? now : 0;
 		cell_lead_owner_alive(
 		    lead, s->shard, m->pong->owns, m->pong->sent_us, now);
 	}
@@ -826,6 +827,14 @@
 		cell_lead_plan(n->lead, shards);
 }
 
+static bool
+on_takes_turn(void *arg, ogl_time now)
+{
+	struct cell_node *n = arg;
+
+	return cell_lead_take_plan_turn(n->lead, now);
+}
+
 /* ---- the node --------------------------------------------------------- */
 
 /* How well the host could own a shard, in thousandths of a processor.  A host
@@ -847,7 +856,7 @@
 	    on_planned, on_won, on_lost, on_changed, n};
 	struct cell_lead_self self = {
 	    c->name, c->addr, c->boot, ownership_strength(c), c->link_kbps};
-	struct cell_plan_events plan_events = {on_decided, n};
+	struct cell_plan_events plan_events = {on_decided, on_takes_turn, n};
 	struct cell_front_events front_events = {send_call, n};
 
 	n->ops = ops;
--- a/cell/plan.c
+++ b/cell/plan.c
@@ -1,25 +1,30 @@
 /*
- * Decides the number of shards of a new cell from the number of its workers.
+ * Decides the number of shards of a new cell from the number of its workers and
+ * the processors of its hosts.
  *
- * The listed workers are counted until two counts in a row are equal.  When
- * all machines start together, workers appear in the list with their first
- * heartbeats, so an early count would be too low, and the number of shards
- * cannot be changed once decided.  Nodes start counting after a random delay,
- * and those on small machines last, so that most nodes find the number already
- * decided and do not read the list.
+ * The listed workers are counted until the count has stayed the same for
+ * STABLE_TIME.  When all machines start together, workers appear in the list
+ * with their first heartbeats, several at a time, so an early count would be too
+ * low, and the number of shards cannot be changed once decided.
+ *
+ * The list of a large cell has megabytes, so only one node counts at a time: the
+ * first whose turn is on the store.  Nodes ask for it after a random delay, and
+ * those on small machines last.
  */
 
 #include "plan.h"
 
 #define START_DELAY_RANGE_MS 300
 #define SMALL_MACHINE_DELAY_MS 900
-/* Nodes on machines with fewer thousandths of a processor than this start
- * counting later, by SMALL_MACHINE_DELAY_MS. */
+/* Nodes on machines with fewer thousandths of a processor start counting
+ * later, by SMALL_MACHINE_DELAY_MS. */
 #define SMALL_MACHINE_CPU_MILLI 400
 #define COUNT_INTERVAL (300 * OGL_MS)
-/* After this time a count decides even if it differs from the previous one or
- * is zero. */
-#define DECISION_TIMEOUT (5 * OGL_SEC)
+/* Longer than the time between two heartbeats of a worker, so that each worker
+ * that has started is in the list by then. */
+#define STABLE_TIME (1800 * OGL_MS)
+/* After this time a count decides even if it has changed lately or is zero. */
+#define DECISION_TIMEOUT (8 * OGL_SEC)
 #define RETRY_DELAY (200 * OGL_MS)
 #define LIST_TIMEOUT_MS 2000
 
@@ -34,6 +39,8 @@
 	GHashTable *services; /* name -> number of workers, as a pointer */
 	size_t count_so_far;  /* workers in the present count */
 	size_t last_count;    /* result of the last count; SIZE_MAX none */
+	ogl_time changed_at;  /* first count with that result */
+	uint32_t cpu_milli;   /* of this host */
 };
 
 struct cell_plan *
@@ -47,6 +54,7 @@
 	p->services =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	p->last_count = SIZE_MAX;
+	p->cpu_milli = cpu_milli;
 	p->start_delay = (ogl_time)(seed % START_DELAY_RANGE_MS) * OGL_MS;
 	if (cpu_milli > 0 && cpu_milli < SMALL_MACHINE_CPU_MILLI)
 		p->start_delay += SMALL_MACHINE_DELAY_MS * OGL_MS;
@@ -87,15 +95,18 @@
 static void
 decide(struct cell_plan *p, ogl_time now)
 {
-	bool unchanged =
-	    p->count_so_far > 0 && p->count_so_far == p->last_count;
 	bool timed_out = now - p->started_at > DECISION_TIMEOUT;
+	bool stable;
 
 	p->next_request_at = now + COUNT_INTERVAL;
+	if (p->count_so_far != p->last_count)
+		p->changed_at = now;
 	p->last_count = p->count_so_far;
-	if (unchanged || timed_out)
+	stable = p->last_count > 0 && now - p->changed_at >= STABLE_TIME;
+	if (stable || timed_out)
 		p->events.decided(p->events.arg,
-		    cell_shards_wanted(p->last_count, smallest_service(p)),
+		    cell_shards_wanted(
+			p->last_count, smallest_service(p), p->cpu_milli),
 		    now);
 }
 
@@ -132,7 +143,8 @@
 		p->started_at = now;
 		p->next_request_at = now + p->start_delay;
 	}
-	if (p->request_pending || now < p->next_request_at)
+	if (p->request_pending || now < p->next_request_at ||
+	    !p->events.takes_turn(p->events.arg, now))
 		return;
 	p->request_pending = true;
 	if (p->after == NULL) {
--- a/cell/plan.h
+++ b/cell/plan.h
@@ -13,6 +13,8 @@
 	void (*decided)(void *arg, uint32_t shards, ogl_time now);
 	/* May be called again for a later count, as long as cell_plan_step is
 	 * called. */
+	bool (*takes_turn)(void *arg, ogl_time now);
+	/* Whether this node is the one that counts; called before each read. */
 	void *arg;
 };
 
--- a/cell/shards.c
+++ b/cell/shards.c
@@ -14,6 +14,7 @@
  * bursts.
  */
 #define WORKERS_PER_SHARD 400
+#define SHARD_CPU_MILLI 500
 /* Racks are assigned by hash, so a shard may get none of a service's racks.
  * With about 100 workers of the service per shard, in 12 racks of 8, a given
  * shard gets none in one of 160,000 cells, whatever the number of shards. */
@@ -36,9 +37,14 @@
 }
 
 uint32_t
-cell_shards_wanted(size_t workers, size_t smallest_service_workers)
+cell_shards_wanted(
+    size_t workers, size_t smallest_service_workers, uint32_t cpu_milli)
 {
-	size_t shards = (workers + WORKERS_PER_SHARD - 1) / WORKERS_PER_SHARD;
+	/* A weak host that decides is not the one that will own a shard. */
+	size_t per_shard = WORKERS_PER_SHARD *
+			   (size_t)MAX(cpu_milli, SHARD_CPU_MILLI) /
+			   SHARD_CPU_MILLI;
+	size_t shards = (workers + per_shard - 1) / per_shard;
 
 	shards = MIN(
 	    shards, smallest_service_workers / SERVICE_WORKERS_PER_SHARD_MIN);
--- a/cell/shards.h
+++ b/cell/shards.h
@@ -2,8 +2,8 @@
  * Division of the cell into shards.  Each shard has its own workers, jobs and
  * owner.
  *
- * One owner handles 400 workers easily and 700 at most, so a larger cell is
- * divided.  The number of shards is decided when the cell is first started, is
+ * One owner on half a processor handles 400 workers easily and 700 at most, so a
+ * larger cell is divided.  The number of shards is decided when the cell is first started, is
  * kept on the store and never changes.  A change could move a worker from one
  * owner to another while both are active; the worker might then run a task that
  * both owners believe is not running.
@@ -20,9 +20,11 @@
 
 #define CELL_SHARDS_MAX 32
 
-uint32_t cell_shards_wanted(size_t workers, size_t smallest_service_workers);
+uint32_t cell_shards_wanted(
+    size_t workers, size_t smallest_service_workers, uint32_t cpu_milli);
 /* Returns the number of shards for a cell with this many workers, from 1 to
- * CELL_SHARDS_MAX.  smallest_service_workers: number of workers of the service
+ * CELL_SHARDS_MAX.  cpu_milli: thousandths of a processor that an owner's host
+ * has, 0 unknown.  smallest_service_workers: number of workers of the service
  * that has the fewest.  It limits the number of shards, as a job never runs in
  * a shard that has no workers of its service. */
 
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -2428,7 +2428,7 @@
   (ProtobufCMessageInit) ogl__cell_lead__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_plan__field_descriptors[1] =
+static const ProtobufCFieldDescriptor ogl__cell_plan__field_descriptors[3] =
 {
   {
     "shards",
@@ -2442,14 +2442,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "planner",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPlan, planner),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "boot",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPlan, boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_plan__field_indices_by_name[] = {
+  2,   /* field[2] = boot */
+  1,   /* field[1] = planner */
   0,   /* field[0] = shards */
 };
 static const ProtobufCIntRange ogl__cell_plan__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ogl__cell_plan__descriptor =
 {
@@ -2459,7 +2485,7 @@
   "Ogl__CellPlan",
   "ogl",
   sizeof(Ogl__CellPlan),
-  1,
+  3,
   ogl__cell_plan__field_descriptors,
   ogl__cell_plan__field_indices_by_name,
   1,  ogl__cell_plan__number_ranges,
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -456,10 +456,16 @@
 {
   ProtobufCMessage base;
   uint32_t shards;
+  /*
+   * While the number is not decided (shards is 0): the node that is to find it
+   * out, and its start of process.
+   */
+  char *planner;
+  uint64_t boot;
 };
 #define OGL__CELL_PLAN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_plan__descriptor) \
-    , 0 }
+    , 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Ogl__CellPing
--- a/test/test_cell_shards.cc
+++ b/test/test_cell_shards.cc
@@ -14,20 +14,30 @@
 
 TEST(Shards, NumberOfShardsFollowsWorkers)
 {
-	EXPECT_EQ(1U, cell_shards_wanted(0, 0));
-	EXPECT_EQ(1U, cell_shards_wanted(48, 48));
-	EXPECT_EQ(1U, cell_shards_wanted(400, 400));
-	EXPECT_EQ(3U, cell_shards_wanted(1000, 1000));
-	EXPECT_EQ(8U, cell_shards_wanted(3000, 3000));
-	EXPECT_EQ(CELL_SHARDS_MAX, cell_shards_wanted(1000000, 1000000));
+	EXPECT_EQ(1U, cell_shards_wanted(0, 0, 500));
+	EXPECT_EQ(1U, cell_shards_wanted(48, 48, 500));
+	EXPECT_EQ(1U, cell_shards_wanted(400, 400, 500));
+	EXPECT_EQ(3U, cell_shards_wanted(1000, 1000, 500));
+	EXPECT_EQ(8U, cell_shards_wanted(3000, 3000, 500));
+	EXPECT_EQ(CELL_SHARDS_MAX, cell_shards_wanted(1000000, 1000000, 500));
+}
+
+/* Owners on stronger hosts handle larger shards.  A weak host may decide, but
+ * does not own. */
+TEST(Shards, NumberOfShardsFollowsStrengthOfHosts)
+{
+	EXPECT_EQ(15U, cell_shards_wanted(6000, 6000, 500));
+	EXPECT_EQ(8U, cell_shards_wanted(6000, 6000, 1000));
+	EXPECT_EQ(15U, cell_shards_wanted(6000, 6000, 120));
+	EXPECT_EQ(15U, cell_shards_wanted(6000, 6000, 0));
 }
 
 /* A service with few workers would have none in some shards, and its jobs that
  * are submitted there would wait forever. */
 TEST(Shards, SmallServiceLimitsNumberOfShards)
 {
-	EXPECT_EQ(1U, cell_shards_wanted(3000, 40));
-	EXPECT_EQ(2U, cell_shards_wanted(3000, 250));
+	EXPECT_EQ(1U, cell_shards_wanted(3000, 40, 500));
+	EXPECT_EQ(2U, cell_shards_wanted(3000, 250, 500));
 }
 
 TEST(Shards, JobIsInShardOfItsDataRack)
