--- a/cell/forecast.c
+++ b/cell/forecast.c
@@ -33,7 +33,7 @@
 	ogl_time oldest; /* since when the oldest one has waited */
 };
 
-struct line {
+struct cell_line {
 	struct count count;
 	double rate; /* starts a second, as of rate_at */
 	ogl_time rate_at;
@@ -41,7 +41,7 @@
 };
 
 struct cell_forecast {
-	GHashTable *lines; /* name -> struct line */
+	GHashTable *lines; /* name -> struct cell_line */
 	ogl_time begun_at;
 };
 
@@ -65,17 +65,25 @@
 void
 cell_forecast_reset(struct cell_forecast *f, ogl_time now)
 {
-	g_hash_table_remove_all(f->lines);
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, f->lines);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct cell_line *l = p;
+
+		*l = (struct cell_line){.correction = CORRECTION_MAX};
+	}
 	f->begun_at = now;
 }
 
-static struct line *
-find_or_add(struct cell_forecast *f, const char *name)
+struct cell_line *
+cell_forecast_line(struct cell_forecast *f, const char *name)
 {
-	struct line *l = g_hash_table_lookup(f->lines, name);
+	struct cell_line *l = g_hash_table_lookup(f->lines, name);
 
 	if (l == NULL) {
-		l = g_new0(struct line, 1);
+		l = g_new0(struct cell_line, 1);
 		l->correction = CORRECTION_MAX;
 		g_hash_table_insert(f->lines, g_strdup(name), l);
 	}
@@ -90,17 +98,16 @@
 
 	g_hash_table_iter_init(&it, f->lines);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		struct line *l = p;
+		struct cell_line *l = p;
 
 		l->count = (struct count){0};
 	}
 }
 
 void
-cell_forecast_count(
-    struct cell_forecast *f, const char *line, bool in_time, ogl_time since)
+cell_forecast_count(struct cell_line *l, bool in_time, ogl_time since)
 {
-	struct count *c = &find_or_add(f, line)->count;
+	struct count *c = &l->count;
 
 	if (c->in_time + c->late == 0 || since < c->oldest)
 		c->oldest = since;
@@ -111,25 +118,21 @@
 }
 
 static double
-rate_at(const struct line *l, ogl_time now)
+rate_at(const struct cell_line *l, ogl_time now)
 {
 	return l->rate * exp(-(double)(now - l->rate_at) / (double)RATE_TIME);
 }
 
 void
-cell_forecast_started(struct cell_forecast *f, const char *line, ogl_time now)
+cell_forecast_started(struct cell_line *l, ogl_time now)
 {
-	struct line *l = find_or_add(f, line);
-
 	l->rate = rate_at(l, now) + (double)OGL_SEC / (double)RATE_TIME;
 	l->rate_at = now;
 }
 
 void
-cell_forecast_check(struct cell_forecast *f, const char *line,
-    ogl_time expected, ogl_time waited)
+cell_forecast_check(struct cell_line *l, ogl_time expected, ogl_time waited)
 {
-	struct line *l = find_or_add(f, line);
 	double ratio;
 
 	if (expected < CHECK_MIN)
@@ -141,14 +144,13 @@
 
 struct cell_expected_wait
 cell_forecast_wait(
-    const struct cell_forecast *f, const char *line, ogl_time now)
+    const struct cell_forecast *f, const struct cell_line *l, ogl_time now)
 {
 	struct cell_expected_wait w = {0, 0};
-	const struct line *l = g_hash_table_lookup(f->lines, line);
 	const struct count *c;
 	double rate, each;
 
-	if (l == NULL || now - f->begun_at < LEARNING_TIME)
+	if (now - f->begun_at < LEARNING_TIME)
 		return w;
 	c = &l->count;
 	if (c->in_time + c->late == 0)
--- a/cell/job.h
+++ b/cell/job.h
@@ -14,6 +14,7 @@
 
 #include "ops.h"
 
+struct cell_line;
 struct cell_queue;
 struct cell_run;
 struct cell_worker;
@@ -87,17 +88,20 @@
 	Ogl__CellJobState state;
 	GPtrArray *occurrences; /* struct cell_occurrence, unfinished */
 	uint32_t next_occurrence;
-	GArray *finished;       /* uint32_t, numbers of finished occurrences */
-	ogl_time accepted;      /* node clock */
-	uint64_t ended_ms;      /* wall clock */
-	bool begun;             /* a run of it has begun */
-	bool stored;            /* the submission is stored */
-	bool beyond_rate;       /* submitted beyond its team's rate */
-	bool dirty;             /* waits in the journal to be stored */
-	bool write_def;         /* the submission has to be written */
-	bool drop_def;          /* the submission has to be dropped */
-	bool drop_records;      /* both records have to be dropped */
-	bool placed;            /* this owner has started a run of it */
+	GArray *finished;  /* uint32_t, numbers of finished occurrences */
+	ogl_time accepted; /* node clock */
+	uint64_t ended_ms; /* wall clock */
+	bool begun;        /* a run of it has begun */
+	bool stored;       /* the submission is stored */
+	bool beyond_rate;  /* submitted beyond its team's rate */
+	bool dirty;        /* waits in the journal to be stored */
+	bool write_def;    /* the submission has to be written */
+	bool drop_def;     /* the submission has to be dropped */
+	bool drop_records; /* both records have to be dropped */
+	/* Lines in which it waits, see forecast.h; NULL not looked up yet. */
+	struct cell_line *line;
+	struct cell_line *team_line; /* while its team's limit is reached */
+	bool placed;                 /* this owner has started a run of it */
 	ogl_time expected_wait; /* for the first start, when it was submitted */
 	double cpu_seconds;     /* processor seconds declared, all steps */
 	double chain_ms;        /* longest chain of declared run times */
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -353,54 +353,63 @@
 
 /* ---- forecast --------------------------------------------------------- */
 
-/* Jobs of a queue wait in one line, those beyond their team's rate in another,
- * and those that wait for their team's limit in a line of the team. */
-static void
-name_line(const struct cell_job *j, char name[LINE_NAME_MAX])
+/* Jobs of a queue wait in one line, those beyond their team's rate in another.
+ */
+static struct cell_line *
+line_of(struct cell_sched *s, struct cell_job *j)
 {
-	g_snprintf(name, LINE_NAME_MAX, "%s%s", j->def->queue,
-	    j->beyond_rate ? " beyond rate" : "");
+	char name[LINE_NAME_MAX];
+
+	if (j->line == NULL) {
+		g_snprintf(name, sizeof name, "%s%s", j->def->queue,
+		    j->beyond_rate ? " beyond rate" : "");
+		j->line = cell_forecast_line(s->forecast, name);
+	}
+	return j->line;
 }
 
-static void
-name_team_line(const struct cell_job *j, char name[LINE_NAME_MAX])
+/* The line of jobs of a queue that wait for their team's limit. */
+static struct cell_line *
+team_line_of(struct cell_sched *s, struct cell_job *j)
 {
-	g_snprintf(
-	    name, LINE_NAME_MAX, "%s of %s", j->def->queue, j->def->team);
+	char name[LINE_NAME_MAX];
+
+	if (j->team_line == NULL) {
+		g_snprintf(
+		    name, sizeof name, "%s of %s", j->def->queue, j->def->team);
+		j->team_line = cell_forecast_line(s->forecast, name);
+	}
+	return j->team_line;
 }
 
 static void
 count_waiting_job(
     struct cell_sched *s, const struct cell_stage *st, unsigned precedence)
 {
-	char name[LINE_NAME_MAX];
+	struct cell_line *l;
 
 	if (st->job->placed || precedence % 3 == PRECEDENCE_TOO_LATE)
 		return;
 	if (st->wait_reason == CELL_WAIT_LIMIT)
-		name_team_line(st->job, name);
+		l = team_line_of(s, st->job);
 	else
-		name_line(st->job, name);
-	cell_forecast_count(
-	    s->forecast, name, precedence % 3 == 0, st->job->accepted);
+		l = line_of(s, st->job);
+	cell_forecast_count(l, precedence % 3 == 0, st->job->accepted);
 }
 
 static void
 count_first_start(struct cell_sched *s, struct cell_job *j, ogl_time now)
 {
-	char name[LINE_NAME_MAX];
+	ogl_time waited = now - j->accepted;
 
 	if (j->placed)
 		return;
 	j->placed = true;
-	name_team_line(j, name);
-	cell_forecast_started(s->forecast, name, now);
-	name_line(j, name);
-	cell_forecast_started(s->forecast, name, now);
-	cell_forecast_check(
-	    s->forecast, name, j->expected_wait, now - j->accepted);
+	cell_forecast_started(team_line_of(s, j), now);
+	cell_forecast_started(line_of(s, j), now);
+	cell_forecast_check(line_of(s, j), j->expected_wait, waited);
 	s->parts.ops->observe(s->parts.ops->ctx, "forecast_error_ms",
-	    (uint64_t)(ABS(j->expected_wait - (now - j->accepted)) / OGL_MS));
+	    (uint64_t)(ABS(j->expected_wait - waited) / OGL_MS));
 }
 
 /* Whether every listed worker is drained or in an evacuated zone. */
@@ -478,7 +487,6 @@
 {
 	const struct cell_queue *q = queue_of(s, j);
 	struct cell_expected_wait w;
-	char name[LINE_NAME_MAX];
 	ogl_time by;
 	ogl_time closure;
 
@@ -490,11 +498,9 @@
 		w.behind_all = closure;
 		return too_long_by(q, j, w, 1);
 	}
-	name_team_line(j, name);
-	w = cell_forecast_wait(s->forecast, name, now);
+	w = cell_forecast_wait(s->forecast, team_line_of(s, j), now);
 	by = too_long_by(q, j, w, FORECAST_MARGIN);
-	name_line(j, name);
-	w = cell_forecast_wait(s->forecast, name, now);
+	w = cell_forecast_wait(s->forecast, line_of(s, j), now);
 	j->expected_wait = w.behind_in_time;
 	return MAX(by, too_long_by(q, j, w, FORECAST_MARGIN));
 }
--- a/test/test_cell_forecast.cc
+++ b/test/test_cell_forecast.cc
@@ -23,25 +23,32 @@
 		cell_forecast_end(f_);
 	}
 
+	struct cell_line *line_named(const char *name)
+	{
+		return cell_forecast_line(f_, name);
+	}
+
 	/* Starts `rate` jobs of the line a second until `until`. */
 	void serve(const char *line, unsigned rate, ogl_time until)
 	{
 		for (; now_ < until; now_ += OGL_SEC / rate)
-			cell_forecast_started(f_, line, now_);
+			cell_forecast_started(line_named(line), now_);
 	}
 
 	void line_up(const char *line, unsigned in_time, unsigned late)
 	{
 		cell_forecast_begin_count(f_);
 		for (unsigned i = 0; i < in_time; i++)
-			cell_forecast_count(f_, line, true, now_ - OGL_SEC);
+			cell_forecast_count(
+			    line_named(line), true, now_ - OGL_SEC);
 		for (unsigned i = 0; i < late; i++)
-			cell_forecast_count(f_, line, false, now_ - OGL_SEC);
+			cell_forecast_count(
+			    line_named(line), false, now_ - OGL_SEC);
 	}
 
 	double wait_s(const char *line)
 	{
-		return (double)cell_forecast_wait(f_, line, now_)
+		return (double)cell_forecast_wait(f_, line_named(line), now_)
 			   .behind_in_time /
 		       OGL_SEC;
 	}
@@ -56,7 +63,8 @@
 	line_up("q", 40, 60);
 	EXPECT_NEAR(2, wait_s("q"), 0.2);
 	EXPECT_NEAR(5,
-	    (double)cell_forecast_wait(f_, "q", now_).behind_all / OGL_SEC,
+	    (double)cell_forecast_wait(f_, line_named("q"), now_).behind_all /
+		OGL_SEC,
 	    0.5);
 	EXPECT_EQ(0, wait_s("other"));
 }
@@ -105,8 +113,9 @@
 	line_up("q", 40, 0);
 	before = wait_s("q");
 	for (int i = 0; i < 100; i++)
-		cell_forecast_check(f_, "q",
-		    cell_forecast_wait(f_, "q", now_).behind_in_time,
+		cell_forecast_check(line_named("q"),
+		    cell_forecast_wait(f_, line_named("q"), now_)
+			.behind_in_time,
 		    (ogl_time)(before / 2 * OGL_SEC));
 	EXPECT_NEAR(before / 2, wait_s("q"), before / 10);
 }
