--- a/test/test_cell_escrow.cc
+++ b/test/test_cell_escrow.cc
@@ -326,6 +326,7 @@
 		request(shard_a_, 500000, 500000, 1);
 		request(coordinator_, 100000, 300000, 2);
 		advance(100);
+		holders_[coordinator_].used = part(coordinator_);
 	}
 	EXPECT_GE(part(shard_a_), 500000U);
 }
