--- a/bench/bench_owner.c
+++ b/bench/bench_owner.c
@@ -3,7 +3,8 @@
  *
  * Three queues share the cell: short urgent jobs, gangs that hold many
  * processors, and wide jobs with time to spare.  Prints the processor time of
- * the whole simulation, fakes included, for each job.
+ * the whole simulation, fakes included, for each job.  Arguments: jobs a second,
+ * seconds, nodes, workers, shards.
  */
 
 #include <stdio.h>
@@ -43,19 +44,27 @@
 	snprintf(id, sizeof id, "%016x", n);
 	fake_cell_set_queue_rank(f, n % 20 == 0 ? 1 : n % 8 == 1 ? 2 : 0);
 	fake_cell_submit(f, n % nodes, id, NULL,
-	    n % 20 == 0 ? &gang : n % 8 == 1 ? &wide : &urgent, 1);
+	    n % 20 == 0  ? &gang
+	    : n % 8 == 1 ? &wide
+			 : &urgent,
+	    1);
+}
+
+/* The value of an argument of the program, or a default. */
+static unsigned
+argument(int argc, char **argv, int i, unsigned fallback)
+{
+	return argc > i ? (unsigned)atoi(argv[i]) : fallback;
 }
 
 int
 main(int argc, char **argv)
 {
-	unsigned jobs_per_s = argc > 1 ? (unsigned)atoi(argv[1]) : 100;
-	unsigned seconds = argc > 2 ? (unsigned)atoi(argv[2]) : 10;
-	struct fake_cell_params p = {.nodes = argc > 3
-						  ? (unsigned)atoi(argv[3])
-						  : 12,
-	    .workers = argc > 4 ? (unsigned)atoi(argv[4]) : 350,
-	    .shards = argc > 5 ? (unsigned)atoi(argv[5]) : 1,
+	unsigned jobs_per_s = argument(argc, argv, 1, 100);
+	unsigned seconds = argument(argc, argv, 2, 10);
+	struct fake_cell_params p = {.nodes = argument(argc, argv, 3, 12),
+	    .workers = argument(argc, argv, 4, 350),
+	    .shards = argument(argc, argv, 5, 1),
 	    .seed = 1,
 	    .needs_advice = true,
 	    .advice_worker_ms = 1,
@@ -72,7 +81,9 @@
 			submit(f, n, p.nodes);
 		fake_cell_advance(f, STEP_MS);
 	}
-	printf("owner_sim_us_job %.0f us\n", (cpu_s() - begin) * 1e6 / n);
+	if (n > 0)
+		printf(
+		    "owner_sim_us_job %.0f us\n", (cpu_s() - begin) * 1e6 / n);
 	fputs(fake_cell_violations(f), stderr);
 	fake_cell_end(f);
 	return 0;
