--- a/cell/node.c
+++ b/cell/node.c
@@ -2,13 +2,15 @@
  * Runs the parts of a node: election (lead.c), front end (front.c) and owners
  * (owner.c), and exchanges messages with its peers.
  *
- * A node pings the owner of its preferred shard, and owners of other shards while
- * it has calls for them.  When no pong comes, it closes the connection and opens
- * a new one.  As long as the first owner answers, the node is quiet: the pongs
- * tell it who the other owners are and that its settings are the newest, so that
- * neither the store nor the owners hear from each node for each shard.  At most one owner may ask the advice service
- * through the node: the service takes one question at a time from each machine,
- * so owners must not share a machine.
+ * A node pings the owner of its preferred shard, and owners of other shards
+ * while it has calls for them.  When no pong comes, it closes the connection and
+ * opens a new one.  As long as the first owner answers, the node is quiet: the
+ * pongs tell it who the other owners are and that its settings are the newest,
+ * so that neither the store nor the owners hear from each node for each shard.
+ *
+ * At most one owner may ask the advice service through the node: the service
+ * takes one question at a time from each machine, so owners must not share a
+ * machine.
  *
  * Messages of a node to itself do not use the network.
  */
