--- a/cell/question.c
+++ b/cell/question.c
@@ -175,17 +175,6 @@
 		limit_to_capacity(q, st, workers);
 }
 
-static gint
-by_room(gconstpointer a, gconstpointer b)
-{
-	const struct cell_worker *v = *(struct cell_worker *const *)a;
-	const struct cell_worker *w = *(struct cell_worker *const *)b;
-	uint32_t rv = cell_worker_room(v).cpu_milli;
-	uint32_t rw = cell_worker_room(w).cpu_milli;
-
-	return rv < rw ? 1 : rv > rw ? -1 : 0;
-}
-
 /* Time until the answer to a question that names so many workers, with a margin
  * for the network. */
 static ogl_time
@@ -227,7 +216,7 @@
 		g_ptr_array_set_size(workers, 0);
 		return;
 	}
-	g_ptr_array_sort(workers, by_room);
+	g_ptr_array_sort(workers, cell_worker_compare_room);
 	for (i = 0; i < workers->len && i < max &&
 		    slots < RENEW_SLOTS_MARGIN * waiting;
 	     i++)
--- a/cell/room.c
+++ b/cell/room.c
@@ -13,6 +13,17 @@
 	return room;
 }
 
+gint
+cell_worker_compare_room(gconstpointer a, gconstpointer b)
+{
+	const struct cell_worker *v = *(struct cell_worker *const *)a;
+	const struct cell_worker *w = *(struct cell_worker *const *)b;
+	uint32_t rv = cell_worker_room(v).cpu_milli;
+	uint32_t rw = cell_worker_room(w).cpu_milli;
+
+	return rv < rw ? 1 : rv > rw ? -1 : 0;
+}
+
 uint32_t
 cell_res_tasks(const struct ogl_res *res, const struct ogl_res *need)
 {
--- a/cell/room.h
+++ b/cell/room.h
@@ -10,6 +10,10 @@
 struct ogl_res cell_worker_room(const struct cell_worker *w);
 /* The worker's free capacity. */
 
+gint cell_worker_compare_room(gconstpointer a, gconstpointer b);
+/* Orders pointers to workers in an array, those with the most free processor
+ * capacity first. */
+
 uint32_t cell_res_tasks(const struct ogl_res *res, const struct ogl_res *need);
 /* Number of tasks that the resources are enough for; UINT32_MAX if a task needs
  * nothing. */
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -822,17 +822,6 @@
 
 /* ---- questions to the advice service ---------------------------------- */
 
-static gint
-by_room(gconstpointer a, gconstpointer b)
-{
-	const struct cell_worker *v = *(struct cell_worker *const *)a;
-	const struct cell_worker *w = *(struct cell_worker *const *)b;
-	uint32_t rv = cell_worker_room(v).cpu_milli;
-	uint32_t rw = cell_worker_room(w).cpu_milli;
-
-	return rv < rw ? 1 : rv > rw ? -1 : 0;
-}
-
 /* Whether the stage can use the small free capacity of nearly full workers.  It
  * can if it has no tight deadline and its tasks start one by one. */
 static bool
@@ -1268,7 +1257,7 @@
 		s->free_cpu_milli += cell_worker_room(w).cpu_milli;
 		g_ptr_array_add(s->schedulable, w);
 	}
-	g_ptr_array_sort(s->schedulable, by_room);
+	g_ptr_array_sort(s->schedulable, cell_worker_compare_room);
 }
 
 /* After CONSECUTIVE_UNPLACED_MAX stages without a place, the later ones are
