cell: a question for a job's state waits for an end that is being stored

Cause: callers ask for a job's state right after its last task has ended and again only 258 ms later. Stretches of a lookup, half of them: 17 ms until accepted, 0 to the first start, 452 the run, 261 from the end to the answer that shows it. So it was neither the objective nor the callers' pace alone: they were early by some ms and paid for a pause.

Change: such a question waits until the end is stored, 400 ms at most; one for a job without a waiting task waits 40 ms for the end of its runs to arrive.

Ruled out: the objective.

--- a/cell/owner.c
+++ b/cell/owner.c
@@ -31,6 +31,7 @@
 #include "roster.h"
 #include "schedule.h"
 #include "straggler.h"
+#include "watch.h"
 
 /* Ended jobs are kept this much longer than status_ms, which callers are
  * promised. */
@@ -52,6 +53,12 @@
  * so one shard may get more than an even share for a while although the team
  * does not exceed its rate. */
 #define SHARD_BURST_SECONDS 2.0
+/* A question for the state of a job that has ended waits for the store, but no
+ * longer than this while the store is slow. */
+#define END_STORE_WAIT_MAX (400 * OGL_MS)
+/* The end of a run reaches the owner within this time: the network, and the
+ * delay with which the fleet fetches ends that come in short succession. */
+#define END_ARRIVAL_WAIT (40 * OGL_MS)
 /* The refused fraction falls faster for the link than for the processor, as the
  * link's queue empties soon once nothing is added to it. */
 #define LINK_REFUSAL_FALL_PER_SECOND 0.4
@@ -93,6 +100,7 @@
 	GHashTable *jobs; /* id -> struct cell_job */
 	struct cell_admission *admission;
 	struct cell_journal *journal;
+	struct cell_watch *watch;
 	struct cell_relay *relay;
 	struct cell_ops worker_ops; /* calls to workers by the relay */
 	struct cell_fleet *fleet;
@@ -114,6 +122,8 @@
 	ogl_time next_straggler_check;
 };
 
+static void reply_state(
+    void *arg, const char *to, uint64_t token, const char *id);
 static void job_changed(
     struct cell_owner *o, struct cell_job *j, bool urgent, ogl_time now);
 
@@ -223,8 +233,10 @@
 	(void)now;
 	if (result == CELL_STORED) {
 		j = job_of(wait->owner, wait->id);
-		if (j != NULL)
+		if (j != NULL) {
 			j->end_stored = true;
+			cell_watch_job_ended(wait->owner->watch, j->id);
+		}
 	}
 	g_free(wait->id);
 	g_free(wait);
@@ -1099,6 +1111,8 @@
 	o->admission = cell_admission_init();
 	o->journal =
 	    cell_journal_init(ops, params->shard, on_ownership_lost, o);
+	o->watch = cell_watch_init(
+	    &(struct cell_watch_events){.answer = reply_state, .arg = o});
 	o->fleet = cell_fleet_init(&o->worker_ops, limits, &fleet_events);
 	o->held = cell_held_init(find_open_stage, o);
 	o->advice = cell_advice_init(ops, &advice_events);
@@ -1127,6 +1141,7 @@
 	cell_roster_end(o->roster);
 	cell_loader_end(o->loader);
 	cell_journal_end(o->journal);
+	cell_watch_end(o->watch);
 	g_hash_table_unref(o->jobs);
 	cell_admission_end(o->admission);
 	cell_config_unref(o->config);
@@ -1176,6 +1191,7 @@
 	cell_advice_clear(o->advice);
 	cell_sched_clear(o->sched);
 	g_hash_table_remove_all(o->jobs);
+	cell_watch_clear(o->watch);
 }
 
 void
@@ -1518,21 +1534,69 @@
 }
 
 static void
-call_state(
-    struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
+reply_state(void *arg, const char *to, uint64_t token, const char *id)
 {
-	struct cell_job *j = job_of(o, c->id);
+	struct cell_owner *o = arg;
+	struct cell_job *j = job_of(o, id);
 	Ogl__CellReply r = OGL__CELL_REPLY__INIT;
 
 	if (j == NULL) {
-		reply_absent(o, from, c, now);
+		reply(o, to, token, OGL__CELL_OUTCOME__cell_not_owner, 0);
 		return;
 	}
-	r.token = c->token;
+	r.token = token;
+	r.epoch = o->epoch;
 	r.state = j->state;
 	if (cell_job_state_ended(j->state) && !j->end_stored)
 		r.state = OGL__CELL_JOB_STATE__cell_running;
-	o->events.reply(o->events.arg, from, &r);
+	o->events.reply(o->events.arg, to, &r);
+}
+
+/* Whether the job ends with the next ends of runs: no task waits. */
+static bool
+may_end_soon(const struct cell_job *j)
+{
+	guint i;
+	size_t k;
+
+	for (i = 0; i < j->occurrences->len; i++) {
+		const struct cell_occurrence *oc = j->occurrences->pdata[i];
+
+		for (k = 0; k < j->def->n_steps; k++) {
+			const struct cell_stage *st = &oc->stages[k];
+
+			if (st->def->lasting || cell_stage_waiting(st) > 0)
+				return false;
+		}
+	}
+	return j->occurrences->len > 0;
+}
+
+/* How long a question for the state of the job waits for its end. */
+static ogl_time
+state_wait(const struct cell_job *j)
+{
+	if (cell_job_state_ended(j->state))
+		return j->end_stored ? 0 : END_STORE_WAIT_MAX;
+	return may_end_soon(j) ? END_ARRIVAL_WAIT : 0;
+}
+
+static void
+call_state(
+    struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
+{
+	struct cell_job *j = job_of(o, c->id);
+	ogl_time wait;
+
+	if (j == NULL) {
+		reply_absent(o, from, c, now);
+		return;
+	}
+	wait = state_wait(j);
+	if (wait > 0)
+		cell_watch_add(o->watch, j->id, from, c->token, now + wait);
+	else
+		reply_state(o, from, c->token, j->id);
 }
 
 static void
@@ -1798,6 +1862,7 @@
 	    cell_fleet_record_outdated(o->fleet))
 		store_workers(o, now);
 	cell_journal_step(o->journal, now);
+	cell_watch_step(o->watch, now);
 	if (!may_act)
 		return;
 	cell_fleet_confirm(o->fleet, confirmed);
@@ -1894,6 +1959,7 @@
 
 	if (o->phase != PHASE_SERVING)
 		return relay;
+	relay = MIN(relay, cell_watch_wake(o->watch));
 	return MIN(relay, cell_journal_wake(o->journal));
 }
 
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -2184,10 +2184,18 @@
 }
 
 const char *
-fake_cell_state(struct fake_cell *f, const char *id)
+fake_cell_last_state(const struct fake_cell *f, const char *id)
 {
 	static const char *const names[] = {
 	    "queued", "running", "completed", "failed", "cancelled"};
+	const struct job *j = job_of(f, id);
+
+	return j->has_state ? names[j->state] : "none";
+}
+
+const char *
+fake_cell_state(struct fake_cell *f, const char *id)
+{
 	struct job *j = job_of(f, id);
 	unsigned i;
 
@@ -2199,7 +2207,7 @@
 		break;
 	}
 	fake_cell_advance(f, 3000);
-	return j->has_state ? names[j->state] : "none";
+	return fake_cell_last_state(f, id);
 }
 
 unsigned
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -80,6 +80,8 @@
  * there was none. */
 const char *fake_cell_state(struct fake_cell *f, const char *id);
 /* Asks a node that is ready and runs for 3 s; "none" if no answer comes. */
+const char *fake_cell_last_state(const struct fake_cell *f, const char *id);
+/* The state in the last answer to a question for it; "none" if none came. */
 unsigned fake_cell_started_runs(const struct fake_cell *f, const char *id);
 /* Number of runs that workers have started for the job so far. */
 unsigned fake_cell_running_runs(const struct fake_cell *f, const char *id);
