--- /dev/null
+++ b/cell/sched_impl.h
@@ -0,0 +1,121 @@
+/*
+ * The scheduler's state, and what its files use of each other.
+ */
+
+#ifndef OGL_CELL_SCHED_IMPL_H
+#define OGL_CELL_SCHED_IMPL_H
+
+#include "forecast.h"
+#include "schedule.h"
+
+#define RANKS 4
+/* Precedences are in time, late and too late, first for teams within their rate
+ * and then for teams beyond it. */
+#define PRECEDENCES 6
+#define PRECEDENCE_TOO_LATE 2
+#define PRECEDENCE_BEYOND_RATE 3 /* in time, but beyond the rate */
+/* Fraction of the estimated remaining run time that counts for the precedence
+ * of a stage.  Estimates are often off by a fifth, so a stage that would miss
+ * its objective by less still counts as in time. */
+#define ESTIMATE_FACTOR 0.7
+/* A result later than this many times the objective is worthless. */
+#define LATE_OBJECTIVES_MAX 3
+/* How long the first closure of all workers is expected to last. */
+#define FIRST_CLOSURE (5 * OGL_SEC)
+/* A deadline is tight when the time to the objective is less than this many
+ * times the estimated remaining run time. */
+#define TIGHT_DEADLINE_FACTOR 2.0
+/* A team whose gang waits for its limit may have more than half of the limit
+ * unused for this long. */
+#define UNDERUSE_TIME_MAX (1500 * OGL_MS)
+
+/* State of a team that is kept between passes. */
+struct team_state {
+	ogl_time urgent_limited_at; /* last refusal of rank 0 by its limit */
+	uint64_t pass;              /* pass of nlimited and waiting_gang_rank */
+	unsigned nlimited[RANKS];   /* refused stages of each rank */
+	ogl_time limited_at;        /* last refusal of any rank */
+	/* Highest rank of a gang that waits in this pass for running tasks of
+	 * the team to end.  Lower ranks are not started.  RANKS: no gang. */
+	uint32_t waiting_gang_rank;
+	/* Since when less than half of the limit is in use; 0: it is not. */
+	ogl_time underused_since;
+};
+
+struct cell_sched {
+	struct cell_sched_parts parts;
+	bool slow_link;
+	struct cell_config *config;
+	GQueue waiting[RANKS]; /* struct cell_stage */
+	unsigned reserving_gangs;
+	GHashTable *team_states; /* team -> struct team_state */
+	struct cell_forecast *forecast;
+	ogl_time closed_since; /* no worker takes work since then; 0 some do */
+	ogl_time last_closure; /* how long that lasted the last time */
+	uint64_t pass;         /* number of the current pass */
+	ogl_time no_room_at;   /* last time that a stage found no room */
+	/* Free capacity of schedulable workers when the pass began. */
+	uint64_t free_cpu_milli;
+	GPtrArray *schedulable; /* workers that take work, most room first */
+	GPtrArray *buckets[PRECEDENCES][RANKS]; /* struct cell_stage */
+	GPtrArray *candidates; /* scratch: struct cell_worker */
+	GPtrArray *expired;    /* scratch: allowed, with room, ticket expired */
+	GPtrArray *chosen;     /* scratch: struct cell_worker, one per task */
+	bool tight_deadline;   /* scratch: of the current stage */
+	/* scratch: an allowed worker has room, but already runs worker_max
+	 * tasks of the stage */
+	bool some_at_worker_max;
+	ogl_time next_pass_at; /* earliest time of the next pass */
+};
+
+/* ---- sched_order.c -------------------------------------------------- */
+
+const struct cell_queue *cell_sched_queue_of(
+    const struct cell_sched *s, struct cell_job *j);
+/* The configuration of the job's queue, looked up once per version. */
+uint32_t cell_sched_rank_of(
+    const struct cell_sched *s, const struct cell_stage *st);
+double cell_sched_queue_objective_ms(
+    const struct cell_queue *q, const struct cell_job *j);
+unsigned cell_sched_precedence_of(
+    const struct cell_queue *q, const struct cell_stage *st, ogl_time now);
+bool cell_sched_deadline_is_tight(
+    const struct cell_queue *q, const struct cell_stage *st, ogl_time now);
+/* 0 in time, 1 late, PRECEDENCE_TOO_LATE; PRECEDENCE_BEYOND_RATE is added for
+ * jobs beyond their team's rate. */
+void cell_sched_order_beyond_rate(struct cell_sched *s);
+
+/* ---- sched_forecast.c ----------------------------------------------- */
+
+void cell_sched_count_waiting_job(
+    struct cell_sched *s, const struct cell_stage *st, unsigned precedence);
+void cell_sched_count_first_start(
+    struct cell_sched *s, struct cell_job *j, ogl_time now);
+
+/* ---- sched_limit.c -------------------------------------------------- */
+
+struct team_state *cell_sched_team_state_of(
+    struct cell_sched *s, const char *team);
+bool cell_sched_team_limit_allows(struct cell_sched *s,
+    const struct cell_stage *st, uint32_t tasks, uint32_t rank, ogl_time now);
+bool cell_sched_blocks_lower_ranks(struct cell_sched *s,
+    const struct cell_stage *st, struct team_state *state, ogl_time now);
+
+/* ---- sched_place.c -------------------------------------------------- */
+
+void cell_sched_list_candidates(struct cell_sched *s,
+    const struct cell_stage *st, bool policy_needed, uint32_t rank,
+    ogl_time now);
+bool cell_sched_place_tasks(
+    struct cell_sched *s, struct cell_stage *st, uint32_t rank, ogl_time now);
+bool cell_sched_place_gang(
+    struct cell_sched *s, struct cell_stage *st, uint32_t rank, ogl_time now);
+void cell_sched_reserve_workers(struct cell_sched *s, struct cell_stage *st,
+    uint32_t rank, bool policy_needed);
+
+/* ---- sched_ask.c ---------------------------------------------------- */
+
+void cell_sched_request_advice(struct cell_sched *s, struct cell_stage *st,
+    const struct cell_queue *q, ogl_time now);
+
+#endif
--- /dev/null
+++ b/cell/sched_place.c
@@ -0,0 +1,351 @@
+/*
+ * Places the tasks of a stage on the workers that fit best: of those that the
+ * queue's policy allows, the ones that have the least capacity left afterwards.
+ * A gang is placed whole or not at all.
+ *
+ * A gang that finds no room reserves the workers that could hold it soonest,
+ * those with the most free capacity, for the rest of the pass, against lower
+ * ranks and later work of its own rank.  Otherwise smaller work would take all
+ * capacity as it becomes free, and the gang would starve.
+ */
+
+#include <string.h>
+
+#include "ablate.h"
+#include "room.h"
+#include "sched_impl.h"
+
+/* Gangs that may reserve workers in one pass.  The number is small because
+ * reserved capacity stays idle. */
+#define RESERVING_GANGS_MAX 2
+
+/* What one unit of pace adds to placement_cost, whose unit is a thousandth of a
+ * core left over on the worker. */
+#define PACE_COST_MILLI 60e3
+/* A worker more than this many times slower than healthy ones counts as
+ * faulty. */
+#define FAULTY_PACE_MIN 1.7
+#define FAULTY_PACE_COST_MILLI 300e3
+/* Free capacity counts as spare when no stage has lacked room for this long. */
+#define ROOM_SPARE_AFTER (300 * OGL_MS)
+
+/* Whether a gang of the same or a higher rank has reserved the worker, which
+ * stores that gang's rank + 1. */
+static bool
+reserved_against(const struct cell_worker *w, uint32_t rank)
+{
+	return w->reserved_rank_plus_1 != 0 &&
+	       rank + 1 >= w->reserved_rank_plus_1;
+}
+
+/* Tasks of the stage on a worker, including those chosen in this pass. */
+static uint32_t
+tasks_on(const struct cell_sched *s, const struct cell_stage *st,
+    const struct cell_worker *w)
+{
+	GHashTableIter it;
+	gpointer p;
+	uint32_t n = 0;
+	guint i;
+
+	g_hash_table_iter_init(&it, w->runs);
+	while (g_hash_table_iter_next(&it, &p, NULL)) {
+		const struct cell_run *r = p;
+
+		if (r->name.step == st->step &&
+		    r->name.occurrence == st->occurrence &&
+		    strcmp(r->name.id, st->job->id) == 0)
+			n++;
+	}
+	for (i = 0; i < s->chosen->len; i++) {
+		if (s->chosen->pdata[i] == w)
+			n++;
+	}
+	return n;
+}
+
+/* Whether the worker has as many tasks of the stage as the step allows. */
+static bool
+at_worker_max(const struct cell_sched *s, const struct cell_stage *st,
+    const struct cell_worker *w)
+{
+	return st->def->worker_max > 0 &&
+	       tasks_on(s, st, w) >= st->def->worker_max;
+}
+
+/*
+ * Splits the allowed workers with room for a task into candidates, which have a
+ * valid ticket, and those whose ticket has expired.
+ */
+static void
+list_allowed(struct cell_sched *s, const struct cell_stage *st, uint32_t rank,
+    ogl_time now)
+{
+	struct ogl_res need = cell_stage_need(st);
+	guint i;
+
+	for (i = 0; i < st->approvals->len; i++) {
+		const struct cell_approval *approval =
+		    &g_array_index(st->approvals, struct cell_approval, i);
+		struct cell_worker *w =
+		    cell_fleet_by_serial(s->parts.fleet, approval->worker);
+
+		if (w == NULL || w->schedulable_pass != s->pass ||
+		    reserved_against(w, rank) || !cell_worker_fits(w, &need))
+			continue;
+		/* Not listed, as the stage could not use a new ticket. */
+		if (at_worker_max(s, st, w)) {
+			s->some_at_worker_max = true;
+			continue;
+		}
+		if (approval->incarnation == w->incarnation &&
+		    approval->expires > now)
+			g_ptr_array_add(s->candidates, w);
+		else
+			g_ptr_array_add(s->expired, w);
+	}
+}
+
+void
+cell_sched_list_candidates(struct cell_sched *s, const struct cell_stage *st,
+    bool policy_needed, uint32_t rank, ogl_time now)
+{
+	struct ogl_res need = cell_stage_need(st);
+	guint i;
+
+	g_ptr_array_set_size(s->candidates, 0);
+	g_ptr_array_set_size(s->expired, 0);
+	g_ptr_array_set_size(s->chosen, 0);
+	s->some_at_worker_max = false;
+	if (policy_needed) {
+		list_allowed(s, st, rank, now);
+		return;
+	}
+	for (i = 0; i < s->schedulable->len; i++) {
+		struct cell_worker *w = s->schedulable->pdata[i];
+
+		if (cell_worker_fits(w, &need) && !reserved_against(w, rank) &&
+		    cell_worker_could_run(w, st))
+			g_ptr_array_add(s->candidates, w);
+	}
+}
+
+/*
+ * Stages with a tight deadline prefer fast workers.  Other stages prefer slow
+ * ones, to leave the fast ones free, but also avoid faulty workers.
+ */
+static double
+pace_cost(const struct cell_sched *s, const struct cell_worker *w)
+{
+	double pace = cell_fleet_pace(s->parts.fleet, w);
+
+	if (!CELL_USES_PACE)
+		return 0;
+	if (pace > FAULTY_PACE_MIN)
+		return FAULTY_PACE_COST_MILLI * pace;
+	return s->tight_deadline ? PACE_COST_MILLI * pace
+				 : -PACE_COST_MILLI * pace;
+}
+
+/*
+ * Lower is better.  A worker where the task failed before costs most, then one
+ * outside of the data's rack.  Otherwise the cost is the processor capacity
+ * left over, which keeps large free workers for gangs, corrected for pace.
+ */
+static double
+placement_cost(const struct cell_sched *s, const struct cell_stage *st,
+    const struct cell_task *t, const struct cell_worker *w)
+{
+	struct ogl_res room = cell_worker_room(w);
+	double cost = (double)room.cpu_milli + pace_cost(s, w);
+
+	if (*st->def->data_rack != '\0' &&
+	    strcmp(st->def->data_rack, w->rack) != 0)
+		cost += 1e6;
+	if (t->avoid_worker != NULL && strcmp(t->avoid_worker, w->id) == 0)
+		cost += 1e7;
+	return cost;
+}
+
+static struct cell_worker *
+pick_worker(struct cell_sched *s, const struct cell_stage *st,
+    const struct cell_task *t)
+{
+	struct ogl_res need = cell_stage_need(st);
+	struct cell_worker *best = NULL;
+	double least = 0;
+	guint i;
+
+	for (i = 0; i < s->candidates->len; i++) {
+		struct cell_worker *w = s->candidates->pdata[i];
+		double cost;
+
+		if (!cell_worker_fits(w, &need))
+			continue;
+		if (at_worker_max(s, st, w))
+			continue;
+		cost = placement_cost(s, st, t, w);
+		if (best == NULL || cost < least) {
+			best = w;
+			least = cost;
+		}
+	}
+	return best;
+}
+
+static bool
+task_startable(const struct cell_task *t, ogl_time now)
+{
+	return !t->done && t->active == NULL && now >= t->not_before;
+}
+
+static void
+start_task(struct cell_sched *s, struct cell_stage *st, uint32_t index,
+    struct cell_worker *w, uint64_t run, uint32_t rank, ogl_time now)
+{
+	const struct cell_approval *approval = cell_advice_approval(st, w);
+	struct cell_task *t = &st->tasks[index];
+
+	cell_sched_count_first_start(s, st->job, now);
+	t->run = run;
+	t->active = cell_fleet_start(s->parts.fleet, w, st, index, run,
+	    approval != NULL ? approval->ticket : NULL, rank, now);
+	st->nactive++;
+	s->parts.started(s->parts.arg, st, index, now);
+}
+
+/* Places tasks one by one; true if none is left waiting. */
+bool
+cell_sched_place_tasks(
+    struct cell_sched *s, struct cell_stage *st, uint32_t rank, ogl_time now)
+{
+	bool all_placed = true;
+	uint32_t i;
+
+	g_ptr_array_set_size(s->chosen, 0);
+	for (i = 0; i < st->ntasks; i++) {
+		struct cell_task *t = &st->tasks[i];
+		struct cell_worker *w;
+
+		if (t->done || t->active != NULL)
+			continue;
+		if (now < t->not_before) {
+			all_placed = false;
+			continue;
+		}
+		w = task_startable(t, now) &&
+			    cell_sched_team_limit_allows(s, st, 1, rank, now)
+			? pick_worker(s, st, t)
+			: NULL;
+		if (w == NULL) {
+			all_placed = false;
+			break;
+		}
+		start_task(s, st, i, w, s->parts.next_run(s->parts.arg, st),
+		    rank, now);
+	}
+	return all_placed;
+}
+
+static void
+release_chosen(struct cell_sched *s, const struct ogl_res *need)
+{
+	guint i;
+
+	for (i = 0; i < s->chosen->len; i++)
+		ogl_res_sub(
+		    &((struct cell_worker *)s->chosen->pdata[i])->used, need);
+}
+
+/* Starts all tasks of a gang at once, under one run number. */
+bool
+cell_sched_place_gang(
+    struct cell_sched *s, struct cell_stage *st, uint32_t rank, ogl_time now)
+{
+	struct ogl_res need = cell_stage_need(st);
+	uint64_t run;
+	uint32_t i;
+
+	if (st->nactive > 0)
+		return true; /* the last run has not ended yet */
+	if (!task_startable(&st->tasks[0], now) ||
+	    !cell_sched_team_limit_allows(s, st, st->ntasks, rank, now))
+		return false;
+	g_ptr_array_set_size(s->chosen, 0);
+	for (i = 0; i < st->ntasks; i++) {
+		struct cell_worker *w = pick_worker(s, st, &st->tasks[0]);
+
+		if (w == NULL)
+			break;
+		ogl_res_add(&w->used, &need);
+		g_ptr_array_add(s->chosen, w);
+	}
+	release_chosen(s, &need);
+	if (i < st->ntasks)
+		return false;
+	run = s->parts.next_run(s->parts.arg, st);
+	for (i = 0; i < st->ntasks; i++)
+		start_task(s, st, i, s->chosen->pdata[i], run, rank, now);
+	return true;
+}
+
+/* Reserves workers that the gang may use, those with the most room first, until
+ * their total capacity is enough for it. */
+void
+cell_sched_reserve_workers(struct cell_sched *s, struct cell_stage *st,
+    uint32_t rank, bool policy_needed)
+{
+	struct ogl_res need = cell_stage_need(st);
+	uint32_t n = 0;
+	guint i;
+
+	if (!CELL_USES_RESERVE || s->reserving_gangs >= RESERVING_GANGS_MAX)
+		return;
+	for (i = 0; i < s->schedulable->len && n < st->ntasks; i++) {
+		struct cell_worker *w = s->schedulable->pdata[i];
+
+		if (reserved_against(w, rank) ||
+		    !cell_worker_could_run(w, st) ||
+		    (policy_needed && cell_advice_approval(st, w) == NULL))
+			continue;
+		n += cell_res_tasks(&w->capacity, &need);
+		w->reserved_rank_plus_1 = rank + 1;
+	}
+	s->reserving_gangs++;
+}
+
+static bool
+has_room_on(const struct cell_sched *s, const struct cell_stage *st,
+    const struct cell_worker *w, ogl_time now)
+{
+	struct ogl_res need = cell_stage_need(st);
+
+	return cell_worker_schedulable(w, now) &&
+	       cell_worker_could_run(w, st) && cell_worker_fits(w, &need) &&
+	       cell_fleet_pace(s->parts.fleet, w) < FAULTY_PACE_MIN;
+}
+
+bool
+cell_sched_has_room(struct cell_sched *s, struct cell_stage *st,
+    const struct cell_worker *other, ogl_time now)
+{
+	bool policy_needed = cell_sched_queue_of(s, st->job)->policy.needed;
+	const struct team_state *t =
+	    cell_sched_team_state_of(s, st->job->def->team);
+	GHashTableIter it;
+	gpointer p;
+
+	if (now - s->no_room_at < ROOM_SPARE_AFTER ||
+	    now - t->limited_at < ROOM_SPARE_AFTER)
+		return false;
+	g_hash_table_iter_init(&it, cell_fleet_workers(s->parts.fleet));
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct cell_worker *w = p;
+
+		if (w == other || !has_room_on(s, st, w, now))
+			continue;
+		if (!policy_needed || cell_advice_approval(st, w) != NULL)
+			return true;
+	}
+	return false;
+}
