cell: owner.c cut into jobs, takeover and calls

No change of behaviour, for the parts of docs/design/hard-load.md. Functions of cell/ paired by name over files have the same code at -O0, but for cell_owner_init, which takes the addresses of functions that were static.

--- /dev/null
+++ b/cell/owner_calls.c
@@ -0,0 +1,466 @@
+/*
+ * Answers callers' requests that nodes pass on: accepts or refuses new jobs,
+ * cancels jobs and tells their state.
+ */
+
+#include <string.h>
+
+#include "ablate.h"
+#include "owner_impl.h"
+
+#define BUSY_RETRY_MS 500
+/* A forecast further ahead is too uncertain to keep callers away that long. */
+#define FORECAST_RETRY_MS_MAX 5000
+/* Ownership that the store confirmed longer ago may have ended since. */
+#define CONFIRMATION_AGE_MAX (1500 * OGL_MS)
+/* Number of jobs that a team may submit at once to one of several shards, given
+ * as seconds of the team's rate there.  Jobs are assigned to shards at random,
+ * so one shard may get more than an even share for a while although the team
+ * does not exceed its rate. */
+#define SHARD_BURST_SECONDS 2.0
+/* A question for the state of a job that has ended waits for the store, but no
+ * longer than this while the store is slow. */
+#define END_STORE_WAIT_MAX (400 * OGL_MS)
+/* The end of a run reaches the owner within this time: the network, and the
+ * delay with which the fleet fetches ends that come in short succession. */
+#define END_ARRIVAL_WAIT (40 * OGL_MS)
+
+/* A call that is answered once the store has answered. */
+struct waiting_call {
+	struct cell_owner *owner;
+	char *to;
+	uint64_t token;
+	char id[CELL_ID_LEN + 1];
+};
+
+static void
+reply(struct cell_owner *o, const char *to, uint64_t token,
+    Ogl__CellOutcome outcome, uint32_t retry_ms)
+{
+	Ogl__CellReply r = OGL__CELL_REPLY__INIT;
+
+	r.token = token;
+	r.outcome = outcome;
+	r.retry_ms = retry_ms;
+	r.epoch = o->epoch;
+	o->events.reply(o->events.arg, to, &r);
+}
+
+static void
+refuse(struct cell_owner *o, const char *to, uint64_t token, uint32_t retry_ms,
+    ogl_time now)
+{
+	cell_admission_refuse(o->admission, to, token, now);
+	reply(o, to, token, OGL__CELL_OUTCOME__cell_busy, retry_ms);
+}
+
+static struct waiting_call *
+waiting_call_new(struct cell_owner *o, const char *to, const Ogl__CellCall *c)
+{
+	struct waiting_call *w = g_new(struct waiting_call, 1);
+
+	w->owner = o;
+	w->to = g_strdup(to);
+	w->token = c->token;
+	g_strlcpy(w->id, c->id, sizeof w->id);
+	return w;
+}
+
+static void
+waiting_call_free(struct waiting_call *w)
+{
+	g_free(w->to);
+	g_free(w);
+}
+
+static void
+log_accepted(struct cell_owner *o, struct cell_job *j, ogl_time now)
+{
+	char more[280];
+	const struct cell_team *t;
+
+	if (j->def == NULL)
+		return;
+	t = cell_config_team(o->config, j->def->team);
+	g_snprintf(more, sizeof more,
+	    "team=%s queue=%s steps=%zu tasks=%u chain_ms=%.0f work_s=%.1f "
+	    "over_rate=%d rate=%.2f objective_ms=%.0f "
+	    "store_ms=%" G_GINT64_FORMAT,
+	    j->def->team, j->def->queue, j->def->n_steps,
+	    j->def->steps[0]->count, j->chain_ms, j->cpu_seconds,
+	    j->beyond_rate, t != NULL ? t->rate : 0,
+	    cell_sched_objective_ms(o->sched, j), (now - j->accepted) / OGL_MS);
+	cell_owner_log_job(o, j, "job_accepted", more);
+}
+
+/* Removes a new job that the store has certainly refused. */
+static void
+remove_refused_job(struct cell_owner *o, struct cell_job *j, ogl_time now)
+{
+	guint i;
+
+	if (j == NULL || j->stored || cell_job_state_ended(j->state))
+		return;
+	cell_owner_log_job(o, j, "job_refused", "why=store_refused");
+	for (i = 0; i < j->occurrences->len; i++)
+		cell_owner_drop_occurrence(o, j, j->occurrences->pdata[i], now);
+	cell_journal_unmark(o->journal, j);
+	cell_relay_job_ended(o->relay, j->id);
+	g_hash_table_remove(o->jobs, j->id);
+}
+
+static void
+on_submit_stored(
+    void *arg, uint64_t tag, enum cell_store_result result, ogl_time now)
+{
+	struct waiting_call *w = arg;
+	struct cell_owner *o = w->owner;
+	struct cell_job *j = cell_owner_job(o, w->id);
+
+	(void)tag;
+	if (result == CELL_STORED && j != NULL) {
+		reply(o, w->to, w->token, OGL__CELL_OUTCOME__cell_ok, 0);
+		if (!j->stored) {
+			j->stored = true;
+			log_accepted(o, j, now);
+			o->pass_needed = true;
+		}
+	} else if (result == CELL_NOT_STORED && j != NULL && j->stored) {
+		/* An earlier submission of the same job was stored, and its
+		 * answer may have been lost. */
+		reply(o, w->to, w->token, OGL__CELL_OUTCOME__cell_ok, 0);
+	} else if (result == CELL_NOT_STORED) {
+		remove_refused_job(o, j, now);
+		refuse(o, w->to, w->token, BUSY_RETRY_MS, now);
+	} else {
+		/* This may be a second submission of a job that has been
+		 * removed. */
+		reply(o, w->to, w->token, OGL__CELL_OUTCOME__cell_not_owner, 0);
+	}
+	waiting_call_free(w);
+}
+
+/* Answers a call once the change that it made to a job is stored. */
+static void
+on_call_stored(
+    void *arg, uint64_t tag, enum cell_store_result result, ogl_time now)
+{
+	struct waiting_call *w = arg;
+
+	(void)tag;
+	(void)now;
+	reply(w->owner, w->to, w->token,
+	    result == CELL_STORED ? OGL__CELL_OUTCOME__cell_ok
+				  : OGL__CELL_OUTCOME__cell_not_owner,
+	    0);
+	waiting_call_free(w);
+}
+
+/* Counts one more job of the team and returns whether it is within the team's
+ * rate on this shard. */
+static bool
+within_rate(struct cell_owner *o, const char *team, ogl_time now)
+{
+	const struct cell_team *t = cell_config_team(o->config, team);
+	double rate = t != NULL ? t->rate / o->params.shards : 0;
+	double burst = rate * (o->params.shards > 1 ? SHARD_BURST_SECONDS : 1);
+
+	return cell_admission_within_rate(o->admission, team, rate, burst, now);
+}
+
+bool
+cell_owner_overloaded(const struct cell_owner *o)
+{
+	return cell_load_refusing(&o->load) ||
+	       cell_load_refusing(&o->link_load);
+}
+
+static void
+log_refused(struct cell_owner *o, const Ogl__CellCall *c, const char *why)
+{
+	char text[320];
+
+	g_snprintf(text, sizeof text,
+	    "job=%s epoch=%" G_GUINT64_FORMAT " team=%s why=%s", c->id,
+	    o->epoch, c->team, why);
+	o->ops->log(o->ops->ctx, "owner", "job_refused", text);
+}
+
+/*
+ * Why any new job would be refused now, NULL if it may be accepted.  A call
+ * that was admitted before its job was sent is not checked against the load
+ * again.
+ */
+static const char *
+why_refuse_any(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
+    ogl_time now)
+{
+	/* This node has just started.  The node that passed the call on has a
+	 * configuration already. */
+	if (o->config == NULL)
+		return "no_configuration";
+	if (cell_journal_failing(o->journal, now))
+		return "store_failing";
+	if (cell_admission_was_refused(o->admission, from, c->token))
+		return "refused_before";
+	if (!c->admitted && !cell_load_admit(&o->load))
+		return "load";
+	if (!c->admitted && !cell_load_admit(&o->link_load))
+		return "link_load";
+	return NULL;
+}
+
+/*
+ * Why a new job is refused, NULL if it is accepted.  *over is set to whether it
+ * exceeds its team's rate.  Under load such a job is refused: otherwise a team
+ * that submits ten times its rate would displace the jobs of all other teams.
+ */
+static const char *
+why_refuse(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
+    bool *over, ogl_time now)
+{
+	const char *why = "";
+
+	if (!cell_job_def_valid(c->job, &why))
+		return "malformed";
+	why = why_refuse_any(o, from, c, now);
+	if (why != NULL)
+		return why;
+	*over = CELL_USES_RATE && !within_rate(o, c->job->team, now);
+	if (*over && cell_owner_overloaded(o))
+		return "load_over_rate";
+	return NULL;
+}
+
+static void
+refuse_job(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
+    const char *why, uint32_t retry_ms, ogl_time now)
+{
+	log_refused(o, c, why);
+	refuse(o, from, c->token, retry_ms, now);
+}
+
+/*
+ * When a caller of a job that can't be served now is to come back.  The times
+ * are spread, as callers who all return at once would find the same line again.
+ */
+static uint32_t
+retry_ms_after(const struct cell_job *j, ogl_time wait)
+{
+	uint64_t ms = (uint64_t)CLAMP(
+	    wait / OGL_MS, BUSY_RETRY_MS, FORECAST_RETRY_MS_MAX);
+
+	return (uint32_t)(ms + ms * (g_str_hash(j->id) % 64) / 128);
+}
+
+/* Answers a submission of an unknown job that does not include the job: the
+ * front end asks whether to send it. */
+static void
+call_submit_query(struct cell_owner *o, const char *from,
+    const Ogl__CellCall *c, ogl_time now)
+{
+	const char *why = why_refuse_any(o, from, c, now);
+
+	if (why != NULL)
+		refuse_job(o, from, c, why, BUSY_RETRY_MS, now);
+	else
+		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_send_job, 0);
+}
+
+static void
+call_submit(
+    struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
+{
+	struct cell_job *j = cell_owner_job(o, c->id);
+	struct waiting_call *w;
+	const char *why;
+	bool over = false;
+	ogl_time wait;
+
+	if (j != NULL && j->stored) {
+		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_ok, 0);
+		return;
+	}
+	if (j != NULL) {
+		cell_journal_submit(o->journal, j, on_submit_stored,
+		    waiting_call_new(o, from, c), 0, now);
+		return;
+	}
+	if (c->job == NULL) {
+		call_submit_query(o, from, c, now);
+		return;
+	}
+	why = why_refuse(o, from, c, &over, now);
+	if (why != NULL) {
+		refuse_job(o, from, c, why, BUSY_RETRY_MS, now);
+		return;
+	}
+	w = waiting_call_new(o, from, c);
+	j = cell_job_new(c->job, now);
+	c->job = NULL;
+	j->beyond_rate = over;
+	wait = o->settled ? cell_sched_forecast(o->sched, j, now) : 0;
+	if (wait > 0) {
+		refuse_job(o, from, c, "no_room_in_time",
+		    retry_ms_after(j, wait), now);
+		waiting_call_free(w);
+		cell_job_free(j);
+		return;
+	}
+	j->settled = true;
+	j->def->accepted_ms = (uint64_t)(o->wall / OGL_MS);
+	g_hash_table_insert(o->jobs, j->id, j);
+	cell_relay_note_spec(o->relay, j->id, from);
+	cell_journal_submit(o->journal, j, on_submit_stored, w, 0, now);
+	cell_owner_begin_due_occurrences(o, j);
+}
+
+/*
+ * A successor may have accepted the job while this node was paused or could not
+ * reach the store.  "No such job" would make the caller give the job up, or
+ * take it for cancelled.  So unless ownership was confirmed recently the answer
+ * is "not owner", and the front end repeats the call until ownership is
+ * confirmed or the successor is known.
+ */
+static void
+reply_absent(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
+    ogl_time now)
+{
+	bool confirmed_lately = !cell_fleet_awaits_confirmation(o->fleet) &&
+				now - o->confirmed < CONFIRMATION_AGE_MAX;
+
+	reply(o, from, c->token,
+	    confirmed_lately ? OGL__CELL_OUTCOME__cell_absent
+			     : OGL__CELL_OUTCOME__cell_not_owner,
+	    0);
+}
+
+static void
+call_cancel(
+    struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
+{
+	struct cell_job *j = cell_owner_job(o, c->id);
+
+	if (j == NULL) {
+		reply_absent(o, from, c, now);
+		return;
+	}
+	if (!cell_job_state_ended(j->state))
+		cell_owner_end_job(o, j, OGL__CELL_JOB_STATE__cell_cancelled,
+		    "cancelled", now);
+	cell_journal_notify(
+	    o->journal, on_call_stored, waiting_call_new(o, from, c), 0);
+}
+
+void
+cell_owner_reply_state(
+    void *arg, const char *to, uint64_t token, const char *id)
+{
+	struct cell_owner *o = arg;
+	struct cell_job *j = cell_owner_job(o, id);
+	Ogl__CellReply r = OGL__CELL_REPLY__INIT;
+
+	if (j == NULL) {
+		reply(o, to, token, OGL__CELL_OUTCOME__cell_not_owner, 0);
+		return;
+	}
+	r.token = token;
+	r.epoch = o->epoch;
+	r.state = j->state;
+	if (cell_job_state_ended(j->state) && !j->end_stored)
+		r.state = OGL__CELL_JOB_STATE__cell_running;
+	o->events.reply(o->events.arg, to, &r);
+}
+
+/* Whether the job ends with the next ends of runs: no task waits. */
+static bool
+may_end_soon(const struct cell_job *j)
+{
+	guint i;
+	size_t k;
+
+	for (i = 0; i < j->occurrences->len; i++) {
+		const struct cell_occurrence *oc = j->occurrences->pdata[i];
+
+		for (k = 0; k < j->def->n_steps; k++) {
+			const struct cell_stage *st = &oc->stages[k];
+
+			if (st->def->lasting || cell_stage_waiting(st) > 0)
+				return false;
+		}
+	}
+	return j->occurrences->len > 0;
+}
+
+/* How long a question for the state of the job waits for its end. */
+static ogl_time
+state_wait(const struct cell_job *j)
+{
+	if (cell_job_state_ended(j->state))
+		return j->end_stored ? 0 : END_STORE_WAIT_MAX;
+	return may_end_soon(j) ? END_ARRIVAL_WAIT : 0;
+}
+
+static void
+call_state(
+    struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
+{
+	struct cell_job *j = cell_owner_job(o, c->id);
+	ogl_time wait;
+
+	if (j == NULL) {
+		reply_absent(o, from, c, now);
+		return;
+	}
+	wait = state_wait(j);
+	if (wait > 0)
+		cell_watch_add(o->watch, j->id, from, c->token, now + wait);
+	else
+		cell_owner_reply_state(o, from, c->token, j->id);
+}
+
+static void
+call_pending(struct cell_owner *o, const char *from, Ogl__CellCall *c)
+{
+	Ogl__CellReply r = OGL__CELL_REPLY__INIT;
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, o->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct cell_job *j = p;
+
+		if (j->def != NULL && j->stored && !j->begun &&
+		    strcmp(j->def->queue, c->queue) == 0)
+			r.pending++;
+	}
+	r.token = c->token;
+	o->events.reply(o->events.arg, from, &r);
+}
+
+void
+cell_owner_call(
+    struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
+{
+	/* A call that was sent to the owner of another epoch is not accepted:
+	 * its front end may have got an answer from another owner since. */
+	if (o->phase != PHASE_SERVING || c->epoch != o->epoch) {
+		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_not_owner, 0);
+		return;
+	}
+	switch (c->kind) {
+	case OGL__CELL_CALL_KIND__cell_submit:
+		call_submit(o, from, c, now);
+		break;
+	case OGL__CELL_CALL_KIND__cell_cancel:
+		call_cancel(o, from, c, now);
+		break;
+	case OGL__CELL_CALL_KIND__cell_pending:
+		call_pending(o, from, c);
+		break;
+	case OGL__CELL_CALL_KIND__cell_state:
+	default:
+		call_state(o, from, c, now);
+		break;
+	}
+}
