cell: queues share the advice service by its time; small work on full workers

Change: stages of other ranks than 0 ask at the end of a pass; within a precedence their queues share the time of the service (policy/lanes.c). All but large gangs ask about the fullest workers with room. The lanes kept for rank 0 follow what it uses. A question through a node not heard from for 1.2 s is asked again.

Ruled out by trials (docs/design/advice-lanes.md): room kept for gangs while they ask, more reservations, fewer further questions, claims between questions.

--- a/cell/advice.c
+++ b/cell/advice.c
@@ -8,6 +8,7 @@
  * each worker named in it.
  */
 
+#include <math.h>
 #include <string.h>
 
 #include "ablate.h"
@@ -19,10 +20,15 @@
 /* The next question of a lane is sent this long before the lane is free, to
  * hide the time it takes on the network. */
 #define LANE_SEND_AHEAD (12 * OGL_MS)
-/* Fraction of the lanes that only questions of rank 0, the highest priority,
- * may use.  They are short and would otherwise wait for the long questions of
- * other ranks. */
-#define RANK0_LANES_FRACTION 0.3
+/* Only questions of rank 0, the highest priority, may use some of the lanes.
+ * They are short and would otherwise wait for the long questions of other ranks.
+ * The number of these lanes follows what rank 0 has used lately, as its demand
+ * may grow by this factor within seconds. */
+#define RANK0_GROWTH 3.0
+#define RANK0_LANES_MIN 2.0
+#define RANK0_FRACTION_MAX 0.3
+/* Time constant of the average of what rank 0 uses. */
+#define RANK0_USE_TIME (2 * OGL_SEC)
 /* Time allowed for question and answer on the network, in addition to the
  * service's time. */
 #define NETWORK_MARGIN_MS 700
@@ -59,6 +65,7 @@
 	bool first;         /* the stage's first question */
 	char *lane_addr;    /* address of the node it was sent to */
 	ogl_time sent_at;
+	ogl_time busy_time; /* expected time of the service for it */
 	ogl_time deadline;
 };
 
@@ -75,6 +82,8 @@
 	GHashTable *questions; /* token -> struct question */
 	GHashTable *shares;    /* queue -> struct share */
 	uint64_t last_token;
+	double rank0_lanes; /* lanes that rank 0 has used on average */
+	ogl_time rank0_lanes_at;
 };
 
 static void
@@ -155,14 +164,37 @@
 	g_hash_table_remove(a->lanes, addr);
 }
 
+static double
+decayed_rank0_lanes(const struct cell_advice *a, ogl_time now)
+{
+	return a->rank0_lanes *
+	       exp(-(double)(now - a->rank0_lanes_at) / (double)RANK0_USE_TIME);
+}
+
+static void
+count_rank0_use(struct cell_advice *a, ogl_time busy_time, ogl_time now)
+{
+	a->rank0_lanes = decayed_rank0_lanes(a, now) +
+			 (double)busy_time / (double)RANK0_USE_TIME;
+	a->rank0_lanes_at = now;
+}
+
+/* Lanes that are kept free for rank 0. */
+static double
+rank0_lanes(const struct cell_advice *a, unsigned lanes, ogl_time now)
+{
+	double wanted = RANK0_GROWTH * decayed_rank0_lanes(a, now);
+
+	return MIN(MAX(wanted, RANK0_LANES_MIN), lanes * RANK0_FRACTION_MAX);
+}
+
 /*
  * Returns the lane that becomes free first.  Returns NULL if no lane becomes
  * free within LANE_SEND_AHEAD, or if those that do are reserved for rank 0.
  *
  * Questions are not queued in lanes, so that they are asked in the scheduler's
- * order rather than in order of arrival.  Ranks other than 0 leave
- * RANK0_LANES_FRACTION of the lanes free, so that none of their long questions
- * delays rank 0.
+ * order rather than in order of arrival.  Ranks other than 0 leave some of the
+ * lanes free, so that none of their long questions delays rank 0.
  */
 static struct lane *
 pick_lane(struct cell_advice *a, uint32_t rank, ogl_time now)
@@ -188,7 +220,7 @@
 	}
 	if (best == NULL || best->busy_until > now + LANE_SEND_AHEAD)
 		return NULL;
-	if (CELL_USES_LANES && rank > 0 && idle <= lanes * RANK0_LANES_FRACTION)
+	if (CELL_USES_LANES && rank > 0 && idle <= rank0_lanes(a, lanes, now))
 		return NULL;
 	return best;
 }
@@ -199,6 +231,13 @@
 	return pick_lane(a, rank, now) != NULL;
 }
 
+double
+cell_advice_question_ms(const struct cell_policy *p, guint workers)
+{
+	return p->decide_ms +
+	       p->worker_ms * MIN(workers, CELL_ADVICE_WORKERS_MAX);
+}
+
 static void
 send_question(struct cell_advice *a, const struct question *q)
 {
@@ -248,11 +287,14 @@
 
 		g_ptr_array_add(q->workers, g_strdup(w->id));
 	}
-	busy_time = (ogl_time)((p->decide_ms + p->worker_ms * q->workers->len) *
-			       OGL_MS);
+	busy_time =
+	    (ogl_time)(cell_advice_question_ms(p, workers->len) * OGL_MS);
 	l->busy_until = MAX(l->busy_until, now) + busy_time;
+	if (rank == 0)
+		count_rank0_use(a, busy_time, now);
 	q->lane_addr = g_strdup(l->addr);
 	q->sent_at = now;
+	q->busy_time = busy_time;
 	q->deadline = l->busy_until + NETWORK_MARGIN_MS * OGL_MS;
 	s->asking = true;
 	g_hash_table_insert(a->questions, &q->token, q);
@@ -365,6 +407,14 @@
 		l->paused_until = now + LANE_PAUSE;
 }
 
+/* Counts the time of the service for a question that was of no use. */
+static void
+count_wasted(
+    struct cell_advice *a, const struct question *q, const char *counter)
+{
+	a->ops->count(a->ops->ctx, counter, (uint64_t)(q->busy_time / OGL_MS));
+}
+
 void
 cell_advice_answer(
     struct cell_advice *a, const Ogl__CellAdvice *m, ogl_time now)
@@ -383,11 +433,24 @@
 		if (m->ok)
 			store_answer(a, s, q, m, now);
 	}
+	if (s == NULL)
+		count_wasted(a, q, "advice_wasted_ms_job_over");
 	g_hash_table_remove(a->questions, &m->token);
 	if (s != NULL)
 		a->events.answered(a->events.arg, s, now);
 }
 
+/* Whether the node that was to ask the question has not been heard from, so
+ * that the answer is unlikely to come. */
+static bool
+lane_is_silent(
+    const struct cell_advice *a, const struct question *q, ogl_time now)
+{
+	const struct lane *l = g_hash_table_lookup(a->lanes, q->lane_addr);
+
+	return l == NULL || now - l->heard_at > NODE_HEARD_MAX_AGE;
+}
+
 void
 cell_advice_step(struct cell_advice *a, ogl_time now)
 {
@@ -399,7 +462,7 @@
 		struct question *q = p;
 		struct cell_stage *s;
 
-		if (now < q->deadline)
+		if (now < q->deadline && !lane_is_silent(a, q, now))
 			continue;
 		update_lane_pause(a, q, false, now);
 		s = a->events.stage(
@@ -407,6 +470,7 @@
 		if (s != NULL)
 			s->asking = false;
 		a->ops->count(a->ops->ctx, "advice_unanswered", 1);
+		count_wasted(a, q, "advice_wasted_ms_unanswered");
 		g_hash_table_iter_remove(&it);
 	}
 }
--- a/cell/advice.h
+++ b/cell/advice.h
@@ -58,6 +58,9 @@
 
 #define CELL_ADVICE_WORKERS_MAX 100
 
+double cell_advice_question_ms(const struct cell_policy *p, guint workers);
+/* How long the service takes for a question that names so many workers. */
+
 void cell_advice_answer(
     struct cell_advice *a, const Ogl__CellAdvice *m, ogl_time now);
 
--- a/cell/question.c
+++ b/cell/question.c
@@ -180,7 +180,7 @@
 static ogl_time
 answer_time(const struct cell_policy *p, guint workers)
 {
-	return (ogl_time)(p->decide_ms + p->worker_ms * workers) * OGL_MS +
+	return (ogl_time)cell_advice_question_ms(p, workers) * OGL_MS +
 	       ANSWER_MARGIN;
 }
 
--- a/cell/sched_ask.c
+++ b/cell/sched_ask.c
@@ -1,7 +1,13 @@
 /*
- * Asks the advice service which workers may run a stage.  Stages without a
- * tight deadline ask about the fullest workers first, so that room is left for
- * gangs.
+ * Asks the advice service which workers may run a stage.
+ *
+ * All stages but large gangs ask about the fullest workers that have room.
+ * Otherwise the tasks of short urgent jobs would spread over the roomiest
+ * workers, and no room would be left that the large tasks of a gang fit into.
+ *
+ * Rank 0 asks at once.  Stages of other ranks ask at the end of the pass, when
+ * the questions of all are known, and their queues share the service by its
+ * time (lanes.h).
  */
 
 #include "question.h"
@@ -9,14 +15,16 @@
 
 /* A stage that finds no room for this long asks about further workers. */
 #define ASK_MORE_DELAY (300 * OGL_MS)
+/* The tasks of a gang up to this size find room on nearly full workers as well
+ * as tasks that start one by one. */
+#define SMALL_GANG_TASKS_MAX 6
 
-/* Whether the stage can use the small free capacity of nearly full workers.  It
- * can if it has no tight deadline and its tasks start one by one. */
+/* Whether the stage can use the small free capacity of nearly full workers.
+ * Otherwise it needs the roomiest ones. */
 static bool
-may_use_fullest(
-    const struct cell_queue *q, const struct cell_stage *st, ogl_time now)
+may_use_fullest(const struct cell_stage *st)
 {
-	return !st->def->gang && !cell_sched_deadline_is_tight(q, st, now);
+	return !st->def->gang || st->ntasks <= SMALL_GANG_TASKS_MAX;
 }
 
 typedef void choose_fn(const struct cell_question_scope *q,
@@ -31,32 +39,102 @@
 	struct cell_question_scope scope = {&q->policy, s->schedulable,
 	    s->candidates, s->expired,
 	    cell_advice_approved_share(s->parts.advice, st->job->def->queue),
-	    s->slow_link, may_use_fullest(q, st, now), now};
+	    s->slow_link, may_use_fullest(st), now};
 	bool asked;
 
 	choose(&scope, st, workers);
 	asked = cell_advice_ask(s->parts.advice, st, &q->policy, workers,
 	    cell_sched_rank_of(s, st), now);
+	if (asked)
+		ogl_lanes_charge(s->lanes,
+		    ogl_lanes_queue(s->lanes, st->job->def->queue),
+		    cell_advice_question_ms(&q->policy, workers->len));
 	g_ptr_array_unref(workers);
 	return asked;
 }
 
+/* Asks the question that the stage needs most. */
+static bool
+ask_for_stage(struct cell_sched *s, struct cell_stage *st,
+    const struct cell_queue *q, ogl_time now)
+{
+	if (g_hash_table_size(st->asked) == 0)
+		return ask(s, st, q, cell_question_first, now);
+	if (ask(s, st, q, cell_question_renew, now))
+		return true;
+	return st->blocked_since != 0 &&
+	       now - st->blocked_since > ASK_MORE_DELAY &&
+	       ask(s, st, q, cell_question_more, now);
+}
+
 void
 cell_sched_request_advice(struct cell_sched *s, struct cell_stage *st,
-    const struct cell_queue *q, ogl_time now)
+    const struct cell_queue *q, unsigned precedence, ogl_time now)
 {
-	const struct cell_policy *p = &q->policy;
+	uint32_t rank = cell_sched_rank_of(s, st);
 
-	if (!p->needed || st->asking ||
-	    !cell_advice_has_free_lane(
-		s->parts.advice, cell_sched_rank_of(s, st), now))
-		return;
-	if (g_hash_table_size(st->asked) == 0) {
-		ask(s, st, q, cell_question_first, now);
+	if (!q->policy.needed || st->asking)
 		return;
+	if (rank > 0)
+		g_ptr_array_add(s->asking[precedence], st);
+	else if (cell_advice_has_free_lane(s->parts.advice, rank, now))
+		ask_for_stage(s, st, q, now);
+}
+
+/* The first stage of the queue from *at on, which is set behind it; NULL if
+ * there is none. */
+static struct cell_stage *
+next_of_queue(const struct cell_sched *s, const GPtrArray *stages,
+    const struct ogl_lanes_queue *q, guint *at)
+{
+	while (*at < stages->len) {
+		struct cell_stage *st = stages->pdata[(*at)++];
+
+		if (ogl_lanes_queue(s->lanes, st->job->def->queue) == q)
+			return st;
+	}
+	return NULL;
+}
+
+/* Asks for stages of one precedence until no lane is free. */
+static void
+ask_for_stages(struct cell_sched *s, GPtrArray *stages, ogl_time now)
+{
+	GHashTable *at = g_hash_table_new(NULL, NULL); /* queue -> position */
+	struct ogl_lanes_queue *lq;
+	guint i;
+
+	ogl_lanes_begin(s->lanes);
+	for (i = 0; i < stages->len; i++) {
+		const struct cell_stage *st = stages->pdata[i];
+
+		ogl_lanes_add(
+		    s->lanes, ogl_lanes_queue(s->lanes, st->job->def->queue));
+	}
+	while ((lq = ogl_lanes_next(s->lanes)) != NULL &&
+	       cell_advice_has_free_lane(s->parts.advice, 1, now)) {
+		guint pos = GPOINTER_TO_UINT(g_hash_table_lookup(at, lq));
+		struct cell_stage *st = next_of_queue(s, stages, lq, &pos);
+
+		g_hash_table_insert(at, lq, GUINT_TO_POINTER(pos));
+		if (st == NULL) {
+			ogl_lanes_remove(s->lanes, lq);
+			continue;
+		}
+		cell_sched_list_candidates(
+		    s, st, true, cell_sched_rank_of(s, st), now);
+		ask_for_stage(s, st, cell_sched_queue_of(s, st->job), now);
+	}
+	g_hash_table_unref(at);
+}
+
+void
+cell_sched_ask_waiting(struct cell_sched *s, ogl_time now)
+{
+	unsigned precedence;
+
+	for (precedence = 0; precedence < PRECEDENCES; precedence++) {
+		ask_for_stages(s, s->asking[precedence], now);
+		g_ptr_array_set_size(s->asking[precedence], 0);
 	}
-	if (ask(s, st, q, cell_question_renew, now))
-		return;
-	if (st->blocked_since != 0 && now - st->blocked_since > ASK_MORE_DELAY)
-		ask(s, st, q, cell_question_more, now);
 }
--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -6,6 +6,7 @@
 #define OGL_CELL_SCHED_IMPL_H
 
 #include "forecast.h"
+#include "lanes.h"
 #include "schedule.h"
 
 #define RANKS 4
@@ -66,6 +67,10 @@
 	 * tasks of the stage */
 	bool some_at_worker_max;
 	ogl_time next_pass_at; /* earliest time of the next pass */
+	struct ogl_lanes *lanes;
+	/* Stages with questions that wait for the end of the pass, in the order
+	 * of the pass. */
+	GPtrArray *asking[PRECEDENCES];
 };
 
 /* ---- sched_order.c -------------------------------------------------- */
@@ -116,6 +121,10 @@
 /* ---- sched_ask.c ---------------------------------------------------- */
 
 void cell_sched_request_advice(struct cell_sched *s, struct cell_stage *st,
-    const struct cell_queue *q, ogl_time now);
+    const struct cell_queue *q, unsigned precedence, ogl_time now);
+/* Asks about workers for the stage: at once for rank 0, otherwise at the end of
+ * the pass if its turn comes. */
+void cell_sched_ask_waiting(struct cell_sched *s, ogl_time now);
+/* Asks the questions of this pass for which there are lanes. */
 
 #endif
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -57,6 +57,9 @@
 	s->last_closure = FIRST_CLOSURE;
 	s->candidates = g_ptr_array_new();
 	s->chosen = g_ptr_array_new();
+	s->lanes = ogl_lanes_init();
+	for (i = 0; i < PRECEDENCES; i++)
+		s->asking[i] = g_ptr_array_new();
 	return s;
 }
 
@@ -69,7 +72,9 @@
 	for (i = 0; i < PRECEDENCES; i++) {
 		for (k = 0; k < RANKS; k++)
 			g_ptr_array_unref(s->buckets[i][k]);
+		g_ptr_array_unref(s->asking[i]);
 	}
+	ogl_lanes_end(s->lanes);
 	cell_config_unref(s->config);
 	g_hash_table_unref(s->team_states);
 	cell_forecast_end(s->forecast);
@@ -235,7 +240,7 @@
 	    g_hash_table_size(st->asked) > 0)
 		return;
 	cell_sched_list_candidates(s, st, q->policy.needed, rank, now);
-	cell_sched_request_advice(s, st, q, now);
+	cell_sched_request_advice(s, st, q, precedence, now);
 }
 
 static enum outcome
@@ -251,7 +256,7 @@
 	if (!st->job->settled || !st->job->stored) {
 		/* The answer should have arrived when the stage may start. */
 		if (g_hash_table_size(st->asked) == 0)
-			cell_sched_request_advice(s, st, q, now);
+			cell_sched_request_advice(s, st, q, precedence, now);
 		log_wait(s, st,
 		    st->job->stored ? CELL_WAIT_SETTLE : CELL_WAIT_STORE, now);
 		return PLACED;
@@ -277,7 +282,7 @@
 	if (st->blocked_since == 0)
 		st->blocked_since = now;
 	log_wait(s, st, find_wait_reason(s, st, &q->policy), now);
-	cell_sched_request_advice(s, st, q, now);
+	cell_sched_request_advice(s, st, q, precedence, now);
 	if (st->def->gang && precedence == 0)
 		cell_sched_reserve_workers(s, st, rank, policy_needed);
 	return st->nactive > active_before ? PLACED : UNPLACED;
@@ -394,6 +399,7 @@
 		for (rank = 0; rank < RANKS; rank++)
 			place_bucket(s, rank, precedence + 2, now);
 	}
+	cell_sched_ask_waiting(s, now);
 }
 
 bool
--- a/test/test_cell_schedule.cc
+++ b/test/test_cell_schedule.cc
@@ -382,6 +382,22 @@
 	EXPECT_EQ(6u, asked_.size());
 }
 
+/* Guards against a stage that waits for the answer of a lost node until the
+ * whole time of its question is over. */
+TEST_F(Schedule, QuestionOfASilentNodeIsAskedAgainByAnother)
+{
+	configure(3000, 0);
+	submit(1, 1000);
+	pass(10);
+	ASSERT_FALSE(asked_.empty());
+	now_ += 1300 * OGL_MS;
+	asked_.clear();
+	cell_advice_step(advice_, now_);
+	cell_advice_update_node(advice_, "m", now_);
+	cell_sched_pass(sched_, now_ + OGL_MS);
+	EXPECT_FALSE(asked_.empty());
+}
+
 TEST_F(Schedule, ShareOfApprovedWorkersIsLearned)
 {
 	double before = cell_advice_approved_share(advice_, "q");
