cell: pings and pongs moved from node.c to node_ping.c

No change of behaviour: node_ping.c has the pings and pongs and what they tell, node_impl.h the structs and what the files use of each other. The section lines of the files of the fleet get their usual length.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -444,7 +444,7 @@
 	w->failure_streak = FAILURE_STREAK_MAX - 1;
 }
 
-/* ---- pace of workers ------------------------------------------------------- */
+/* ---- pace of workers -------------------------------------------------- */
 
 double
 cell_fleet_pace(const struct cell_fleet *f, const struct cell_worker *w)
@@ -482,7 +482,7 @@
 	cell_pace_decay(&w->pace, f->baseline_pace);
 }
 
-/* ---- resources in use ------------------------------------------------------ */
+/* ---- resources in use ------------------------------------------------- */
 
 static struct ogl_res *
 team_usage(struct cell_fleet *f, const char *team)
@@ -562,7 +562,7 @@
 	cell_fleet_run_remove(f, r, now);
 }
 
-/* ---- periodic work --------------------------------------------------------- */
+/* ---- periodic work ---------------------------------------------------- */
 
 static void
 step_worker(
--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -67,7 +67,7 @@
 #define UNANSWERED_START_MAX (15 * OGL_SEC)
 #define ENDS_PER_ANSWER_MAX 500 /* a list this long may be incomplete */
 
-/* ---- clocks and leases ----------------------------------------------------- */
+/* ---- clocks and leases ------------------------------------------------ */
 
 void
 cell_fleet_record_clock(struct cell_worker *w, uint64_t clock_ms, ogl_time now)
@@ -121,7 +121,7 @@
 	       LEASE_END_MARGIN;
 }
 
-/* ---- ends of runs ---------------------------------------------------------- */
+/* ---- ends of runs ----------------------------------------------------- */
 
 static bool
 same_task(const struct cell_task_name *a, const struct cell_task_name *b)
@@ -257,7 +257,7 @@
 	stop_unanswered_starts(f, w, now);
 }
 
-/* ---- the answer to a hold -------------------------------------------------- */
+/* ---- the answer to a hold --------------------------------------------- */
 
 void
 cell_fleet_run_started(struct cell_fleet *f, struct cell_run *r, ogl_time now)
@@ -507,7 +507,7 @@
 	cell_fleet_call_free(c);
 }
 
-/* ---- sending holds --------------------------------------------------------- */
+/* ---- sending holds ---------------------------------------------------- */
 
 bool
 cell_fleet_hold_overdue(const struct cell_worker *w, ogl_time now)
--- a/cell/node.c
+++ b/cell/node.c
@@ -1,12 +1,6 @@
 /*
- * Runs the parts of a node: election (lead.c), front end (front.c) and owners
- * (owner.c), and exchanges messages with its peers.
- *
- * A node pings the owner of its preferred shard, and owners of other shards
- * while it has calls for them.  When no pong comes, it closes the connection and
- * opens a new one.  As long as the first owner answers, the node is quiet: the
- * pongs tell it who the other owners are and that its settings are the newest,
- * so that neither the store nor the owners hear from each node for each shard.
+ * Runs the parts of a node: election (lead.c), front end (front.c), owners
+ * (owner.c) and pings (node_ping.c), and exchanges messages with its peers.
  *
  * At most one owner may ask the advice service through the node: the service
  * takes one question at a time from each machine, so owners must not share a
@@ -17,37 +11,18 @@
 
 #include <string.h>
 
-#include "node.h"
-#include "plan.h"
-#include "relay_serve.h"
+#include "node_impl.h"
 
 #define STEP_INTERVAL (40 * OGL_MS)
 /* A step is due at least every STEP_INTERVAL.  A gap longer than PAUSE_MIN
  * means that the process did not run, and other nodes may have replaced it. */
 #define PAUSE_MIN (400 * OGL_MS)
-/* An owner resigns in favour of a node whose strength is higher by this factor
- * and that has pinged it for this time. */
-#define STRONGER_FACTOR 1.7
-#define STRONGER_TIME (2500 * OGL_MS)
 /* Orders received within this time after a pause may have been queued during
  * the pause. */
 #define STALE_ORDERS_TIME (300 * OGL_MS)
 /* A link below this rate slows the reading of jobs at a takeover: half a
  * megabyte takes at least 80 ms over it. */
 #define SLOW_LINK_KBPS 50000
-#define PING_INTERVAL (250 * OGL_MS)
-/* After this time without a pong, two pings are unanswered, and the owner's
- * machine may have failed without closing its connections. */
-#define OWNER_SUSPECT_TIMEOUT (550 * OGL_MS)
-/* A node is quiet for this long after a pong of its preferred shard's owner. */
-#define QUIET_TIME (600 * OGL_MS)
-/* After this time without a pong, the connection is closed and opened again. */
-#define RECONNECT_TIMEOUT (900 * OGL_MS)
-/* Highest age that is reported, also for a configuration that was never
- * confirmed.  Every receiver treats a configuration of this age as stale. */
-#define CONFIG_AGE_MAX_MS 3600000
-/* A successor counts as alive for this time after its last ping. */
-#define SUCCESSOR_TIMEOUT (600 * OGL_MS)
 /* A stopping owner resigns if the successor has not claimed the shard within
  * this time.  The successor reads some pages first, which takes 4 ms each, or
  * 300 ms when the store is slow.  A process has 6 s to end. */
@@ -56,60 +31,6 @@
  * this time. */
 #define OWNERLESS_TIMEOUT (1500 * OGL_MS)
 
-/* The node's state for one shard. */
-struct node_shard {
-	struct cell_node *node;
-	uint32_t shard;
-	struct cell_owner *owner;
-	ogl_time next_ping_at;
-	ogl_time pong_at; /* last pong, or the first ping to a new owner */
-	bool pinged;      /* its owner is pinged at present */
-	ogl_time able_at; /* last pong of its owner that reached the store */
-	ogl_time owner_known_at; /* last time that an owner was known */
-	char *last_owner;        /* address of the last known owner */
-	/* Times of the first and the last ping of stronger nodes, see
-	 * STRONGER_FACTOR.  After a gap of a second the next ping counts as the
-	 * first. */
-	ogl_time stronger_since;
-	ogl_time stronger_heard_at;
-	/* While this node owns the shard: the node that could best take over,
-	 * as of its last ping. */
-	char *successor; /* its address, NULL none */
-	uint32_t successor_strength;
-	uint32_t successor_uptime_ms;
-	ogl_time successor_heard_at;
-	ogl_time handover_at; /* the handover was sent, 0 not yet */
-	/* This node was chosen as the successor, and claims the shard once it
-	 * has read the jobs. */
-	bool claim_pending;
-};
-
-struct cell_node {
-	const struct cell_ops *ops;
-	char *name;
-	char *addr;
-	struct cell_limits limits;
-	struct cell_lead *lead;
-	struct cell_plan *plan;
-	struct cell_front *front;
-	uint32_t shards; /* 0 not known yet */
-	struct node_shard per_shard[CELL_SHARDS_MAX];
-	struct cell_config *config; /* last given to the owners */
-	/* cell_zones_changes of the zones last given to the owners */
-	uint64_t zone_changes;
-	bool stopping;
-	bool quiet;          /* see update_quiet */
-	ogl_time now;        /* time of the step or event under way */
-	ogl_time started_at; /* first step, 0 not yet */
-	ogl_time stepped_at; /* last step, 0 none yet */
-	ogl_time wake_at;    /* next step asked for by the last, 0 none yet */
-	ogl_time resumed_at; /* end of the last pause, 0 none yet */
-	uint32_t strength;   /* see ownership_strength */
-	uint32_t link_kbps;
-	struct cell_relay_serve *serve; /* calls workers for owners */
-	GQueue loopback; /* packed Ogl__CellMsg of the node to itself */
-};
-
 /* ---- messages --------------------------------------------------------- */
 
 /* Names of the byte counters for one kind of message. */
@@ -165,8 +86,9 @@
 	       m->body_case == OGL__CELL_MSG__BODY_ORDER_ANSWERS;
 }
 
-static void
-send_msg(struct cell_node *n, uint32_t shard, const char *to, Ogl__CellMsg *m)
+void
+cell_node_send_msg(
+    struct cell_node *n, uint32_t shard, const char *to, Ogl__CellMsg *m)
 {
 	const char *owner = cell_lead_addr(n->lead, shard);
 	size_t len;
@@ -201,7 +123,7 @@
 	m.call = (Ogl__CellCall *)(uintptr_t)c;
 	if (c->job != NULL)
 		cell_relay_serve_add_spec(n->serve, c->id, c->job->spec);
-	send_msg(n, shard, to, &m);
+	cell_node_send_msg(n, shard, to, &m);
 }
 
 static void
@@ -212,7 +134,7 @@
 
 	m.body_case = OGL__CELL_MSG__BODY_REPLY;
 	m.reply = (Ogl__CellReply *)(uintptr_t)r;
-	send_msg(s->node, s->shard, to, &m);
+	cell_node_send_msg(s->node, s->shard, to, &m);
 }
 
 static void
@@ -223,7 +145,7 @@
 
 	m.body_case = OGL__CELL_MSG__BODY_ASK;
 	m.ask = (Ogl__CellAsk *)(uintptr_t)a;
-	send_msg(s->node, s->shard, to, &m);
+	cell_node_send_msg(s->node, s->shard, to, &m);
 }
 
 /* Drops the message if the shard has no known owner; the sender repeats it
@@ -239,7 +161,7 @@
 		return;
 	m.body_case = OGL__CELL_MSG__BODY_PART;
 	m.part = (Ogl__CellPart *)(uintptr_t)body;
-	send_msg(n, to_shard, to, &m);
+	cell_node_send_msg(n, to_shard, to, &m);
 }
 
 /* ---- advice for an owner ---------------------------------------------- */
@@ -275,7 +197,7 @@
 	advice.n_tickets = advice.ok ? a->n : 0;
 	m.body_case = OGL__CELL_MSG__BODY_ADVICE;
 	m.advice = &advice;
-	send_msg(call->node, call->shard, call->to, &m);
+	cell_node_send_msg(call->node, call->shard, call->to, &m);
 	g_free(tickets);
 	g_free(ticket_ptrs);
 	g_free(call->to);
@@ -308,7 +230,7 @@
 
 	m.body_case = OGL__CELL_MSG__BODY_ORDERS;
 	m.orders = (Ogl__CellOrders *)(uintptr_t)orders;
-	send_msg(s->node, s->shard, to, &m);
+	cell_node_send_msg(s->node, s->shard, to, &m);
 }
 
 static void
@@ -320,7 +242,7 @@
 
 	m.body_case = OGL__CELL_MSG__BODY_ORDER_ANSWERS;
 	m.order_answers = (Ogl__CellOrderAnswers *)(uintptr_t)answers;
-	send_msg(n, shard, to, &m);
+	cell_node_send_msg(n, shard, to, &m);
 }
 
 /*
@@ -339,251 +261,6 @@
 
 /* ---- incoming --------------------------------------------------------- */
 
-/*
- * A weak machine may own the shard because the strong ones were down when the
- * last owner was lost.  It resigns once a strong one has been back for
- * STRONGER_TIME and owns no shard.
- */
-static void
-resign_to_stronger(struct node_shard *s, const Ogl__CellPing *p, ogl_time now)
-{
-	struct cell_node *n = s->node;
-
-	if (!p->store_ok || p->leaving || p->owned > 0 || n->strength == 0 ||
-	    p->strength < n->strength * STRONGER_FACTOR)
-		return;
-	if (now - s->stronger_heard_at > OGL_SEC)
-		s->stronger_since = now;
-	s->stronger_heard_at = now;
-	if (now - s->stronger_since < STRONGER_TIME ||
-	    !cell_lead_able(n->lead, s->shard, now))
-		return;
-	s->stronger_since = now;
-	n->ops->log(n->ops->ctx, "node", "gives_up", "to=stronger");
-	cell_lead_resign(n->lead, s->shard, now);
-}
-
-/*
- * Whether a node would be a better successor than the present one.  Of equally
- * strong nodes the one that started last is chosen: in a rolling restart it is
- * restarted last, so the shard changes its owner less often.  Each change of
- * owner loses the advice that the shard's waiting work has got.
- */
-static bool
-better_successor(
-    const struct node_shard *s, uint32_t strength, uint32_t uptime_ms)
-{
-	if (strength != s->successor_strength)
-		return strength > s->successor_strength;
-	return uptime_ms < s->successor_uptime_ms;
-}
-
-/* Makes the node that sent the ping the successor if it is a better one, and
- * drops it as the successor if it can't take over any more. */
-static void
-update_successor(struct node_shard *s, const char *from, const Ogl__CellPing *p,
-    ogl_time now)
-{
-	bool same = g_strcmp0(s->successor, from) == 0;
-	bool eligible =
-	    p->store_ok && !p->leaving && strcmp(from, s->node->addr) != 0;
-	/* If the node already owns a shard, its strength counts half. */
-	uint32_t strength = p->owned > 0 ? p->strength / 2 : p->strength;
-
-	if (same && !eligible) {
-		g_clear_pointer(&s->successor, g_free);
-		return;
-	}
-	if (!eligible)
-		return;
-	if (!same && s->successor != NULL &&
-	    now - s->successor_heard_at < SUCCESSOR_TIMEOUT &&
-	    !better_successor(s, strength, p->uptime_ms))
-		return;
-	if (!same) {
-		g_free(s->successor);
-		s->successor = g_strdup(from);
-	}
-	s->successor_strength = strength;
-	s->successor_uptime_ms = p->uptime_ms;
-	s->successor_heard_at = now;
-}
-
-/* Adds what this node knows of the configuration, for a node that can't read
- * the store; the record itself is added only if that node has an older one. */
-static void
-add_config(struct cell_node *n, const Ogl__CellPing *p, Ogl__CellPong *pong,
-    ogl_time now)
-{
-	struct cell_front_config c = cell_front_known_config(n->front);
-	ogl_time age_ms = (now - c.as_of) / OGL_MS + 1;
-
-	if (!p->cut_off || c.version == 0)
-		return;
-	pong->config = c.version;
-	pong->config_age_ms = (uint32_t)MIN(age_ms, CONFIG_AGE_MAX_MS);
-	if (c.version <= p->config)
-		return;
-	pong->config_record.data = (uint8_t *)(uintptr_t)c.record.p;
-	pong->config_record.len = c.record.n;
-}
-
-/* Adds the evacuated zones, for a node that can't read the store.  Returns the
- * list of names that pong points at; it is to be freed after the pong is
- * sent. */
-static GPtrArray *
-add_zones(struct cell_node *n, const Ogl__CellPing *p, Ogl__CellPong *pong)
-{
-	const struct cell_zones *z = cell_front_zones(n->front);
-	GPtrArray *a = cell_zones_list(z);
-
-	if (p->cut_off && cell_zones_complete(z)) {
-		pong->zones_known_to = cell_zones_known_to(z);
-		pong->evacuated_zones = (char **)a->pdata;
-		pong->n_evacuated_zones = a->len;
-	}
-	return a;
-}
-
-/* Adds the owners of all shards and how far this node has read the settings, for
- * a node that reads neither.  Returns the array that pong points at; it is to
- * be freed after the pong is sent. */
-static GArray *
-add_news(struct cell_node *n, const Ogl__CellPing *p, Ogl__CellPong *pong,
-    GPtrArray *owner_ptrs, ogl_time now)
-{
-	struct cell_front_position pos = cell_front_position(n->front);
-	ogl_time age_ms = (now - pos.as_of) / OGL_MS + 1;
-	GArray *owners = g_array_sized_new(
-	    FALSE, FALSE, sizeof(Ogl__CellOwnerOf), n->shards);
-	uint32_t i;
-
-	if (!p->follows)
-		return owners;
-	pong->settings_end = pos.end;
-	pong->settings_age_ms = (uint32_t)MIN(age_ms, CONFIG_AGE_MAX_MS);
-	if (p->owners == cell_lead_digest(n->lead))
-		return owners;
-	for (i = 0; i < n->shards; i++) {
-		Ogl__CellOwnerOf o = OGL__CELL_OWNER_OF__INIT;
-
-		if (cell_lead_addr(n->lead, i) == NULL)
-			continue;
-		o.shard = i;
-		o.epoch = cell_lead_epoch(n->lead, i);
-		o.addr = (char *)(uintptr_t)cell_lead_addr(n->lead, i);
-		g_array_append_val(owners, o);
-	}
-	for (i = 0; i < owners->len; i++)
-		g_ptr_array_add(
-		    owner_ptrs, &g_array_index(owners, Ogl__CellOwnerOf, i));
-	pong->owners = (Ogl__CellOwnerOf **)owner_ptrs->pdata;
-	pong->n_owners = owner_ptrs->len;
-	return owners;
-}
-
-/* Ages are subtracted from the time when the ping was sent, as in
- * learn_config. */
-static void
-learn_news(struct cell_node *n, const Ogl__CellPong *pong, ogl_time now)
-{
-	struct cell_front_position pos = {.end = pong->settings_end};
-	size_t i;
-
-	for (i = 0; i < pong->n_owners; i++) {
-		const Ogl__CellOwnerOf *o = pong->owners[i];
-
-		if (o->shard < n->shards)
-			cell_lead_learn_owner(
-			    n->lead, o->shard, o->epoch, o->addr, now);
-	}
-	if (pong->stamp > (uint64_t)now)
-		return;
-	pos.as_of = (ogl_time)pong->stamp - pong->settings_age_ms * OGL_MS;
-	cell_front_learn_position(n->front, &pos, now);
-}
-
-/* The age in the pong is subtracted from the time when the ping was sent.  The
- * peer determined it at that time or later, so the configuration never counts
- * as newer than it is, however long the messages took. */
-static void
-learn_config(struct cell_node *n, const Ogl__CellPong *pong, ogl_time now)
-{
-	struct cell_front_config c = {.version = pong->config};
-
-	if (pong->config == 0 || pong->stamp > (uint64_t)now)
-		return;
-	c.as_of = (ogl_time)pong->stamp - pong->config_age_ms * OGL_MS;
-	c.record.p = (const char *)pong->config_record.data;
-	c.record.n = pong->config_record.len;
-	cell_front_learn_config(n->front, &c, now);
-	if (pong->zones_known_to > 0)
-		cell_front_learn_zones(n->front, pong->evacuated_zones,
-		    pong->n_evacuated_zones, pong->zones_known_to, now);
-}
-
-static void
-handle_ping(struct node_shard *s, const char *from, const Ogl__CellPing *p,
-    ogl_time now)
-{
-	struct cell_node *n = s->node;
-	Ogl__CellMsg m = OGL__CELL_MSG__INIT;
-	Ogl__CellPong pong = OGL__CELL_PONG__INIT;
-	GPtrArray *zones;
-	GPtrArray *owner_ptrs = g_ptr_array_new();
-	GArray *owners;
-
-	if (p->lane)
-		cell_owner_advice_node(s->owner, from, p->leaving, now);
-	if (strcmp(from, n->addr) != 0)
-		cell_owner_relay_node(s->owner, from, p->leaving, now);
-	resign_to_stronger(s, p, now);
-	update_successor(s, from, p, now);
-	pong.stamp = p->stamp;
-	pong.sent_us = (uint64_t)now;
-	if (cell_lead_is_owner(n->lead, s->shard))
-		pong.owns = cell_lead_epoch(n->lead, s->shard);
-	pong.able = cell_lead_able(n->lead, s->shard, now);
-	pong.asks_first = cell_owner_asks_first(s->owner);
-	add_config(n, p, &pong, now);
-	zones = add_zones(n, p, &pong);
-	owners = add_news(n, p, &pong, owner_ptrs, now);
-	m.body_case = OGL__CELL_MSG__BODY_PONG;
-	m.pong = &pong;
-	send_msg(n, s->shard, from, &m);
-	g_ptr_array_unref(zones);
-	g_ptr_array_unref(owner_ptrs);
-	g_array_unref(owners);
-}
-
-/* The owner may have restarted, or have lost only its connection to the store.
- * Its pongs show this much earlier than a timeout would. */
-static void
-handle_pong(struct node_shard *s, const Ogl__CellMsg *m, ogl_time now)
-{
-	struct cell_lead *lead = s->node->lead;
-	const char *owner = cell_lead_addr(lead, s->shard);
-
-	s->pong_at = now;
-	learn_config(s->node, m->pong, now);
-	learn_news(s->node, m->pong, now);
-	if (owner == NULL || strcmp(owner, m->from) != 0)
-		return;
-	if (m->pong->owns == 0 || !m->pong->able) {
-		s->able_at = 0;
-		cell_lead_suspect(lead, s->shard, m->epoch, now);
-	} else {
-		/* Without the settings' position it can't inform this node. */
-		s->able_at = m->pong->settings_end > 0 ? now : 0;
-		cell_lead_owner_alive(
-		    lead, s->shard, m->pong->owns, m->pong->sent_us, now);
-	}
-	cell_front_set_asks_first(
-	    s->node->front, s->shard, m->pong->asks_first);
-	cell_front_delay(
-	    s->node->front, s->shard, now - (ogl_time)m->pong->stamp, now);
-}
-
 /* The owner is stopping and has chosen this node as its successor. */
 static void
 handle_handover(struct node_shard *s, const Ogl__CellHandover *h, ogl_time now)
@@ -606,10 +283,10 @@
 		    n->lead, s->shard, m->epoch, m->owner, now);
 	switch (m->body_case) {
 	case OGL__CELL_MSG__BODY_PING:
-		handle_ping(s, m->from, m->ping, now);
+		cell_node_handle_ping(s, m->from, m->ping, now);
 		break;
 	case OGL__CELL_MSG__BODY_PONG:
-		handle_pong(s, m, now);
+		cell_node_handle_pong(s, m, now);
 		break;
 	case OGL__CELL_MSG__BODY_CALL:
 		cell_owner_call(s->owner, m->from, m->call, now);
@@ -693,63 +370,6 @@
 	}
 }
 
-/* ---- pings ------------------------------------------------------------ */
-
-/*
- * Whether the shard's owner may ask the advice service through this node.  A
- * node that owns shards serves only these, so that each owner reaches the
- * service however few nodes there are.  The others are assigned to shards by a
- * hash.
- */
-static bool
-serves_advice(const struct node_shard *s)
-{
-	const struct cell_node *n = s->node;
-
-	if (cell_lead_owned_count(n->lead) > 0)
-		return cell_lead_is_owner(n->lead, s->shard);
-	return cell_shard_of_node(n->addr, n->shards) == s->shard;
-}
-
-static void
-send_ping(
-    struct node_shard *s, const char *to, bool offers_advice, ogl_time now)
-{
-	struct cell_node *n = s->node;
-	Ogl__CellMsg m = OGL__CELL_MSG__INIT;
-	Ogl__CellPing p = OGL__CELL_PING__INIT;
-
-	p.stamp = (uint64_t)now;
-	p.store_ok = cell_lead_store_answers(n->lead, now);
-	p.leaving = n->stopping;
-	p.strength = n->strength;
-	p.owned = cell_lead_owned_count(n->lead);
-	p.uptime_ms = (uint32_t)((now - n->started_at) / OGL_MS);
-	p.lane = offers_advice;
-	p.config = cell_front_known_config(n->front).version;
-	p.cut_off = cell_front_cut_off(n->front, now);
-	p.follows = cell_lead_owned_count(n->lead) == 0;
-	p.owners = cell_lead_digest(n->lead);
-	m.body_case = OGL__CELL_MSG__BODY_PING;
-	m.ping = &p;
-	send_msg(n, s->shard, to, &m);
-}
-
-/* The last owner may be unable to read the store, and so may nodes that still
- * ping it.  The ping tells it who owns the shard now, and its pongs tell those
- * nodes. */
-static void
-notify_last_owner(struct node_shard *s, const char *owner, ogl_time now)
-{
-	const char *last = s->last_owner;
-
-	if (last != NULL && s->pinged && strcmp(last, owner) != 0 &&
-	    strcmp(last, s->node->addr) != 0)
-		send_ping(s, last, false, now);
-	g_free(s->last_owner);
-	s->last_owner = g_strdup(owner);
-}
-
 /* ---- ownership -------------------------------------------------------- */
 
 static void
@@ -782,7 +402,7 @@
 	s->claim_pending = false;
 	s->handover_at = 0;
 	if (addr != NULL)
-		notify_last_owner(s, addr, now);
+		cell_node_notify_last_owner(s, addr, now);
 	cell_front_set_owner(
 	    n->front, shard, addr, cell_lead_epoch(n->lead, shard), now);
 }
@@ -915,69 +535,6 @@
 	cell_front_caller_gone(n->front, token);
 }
 
-static bool
-is_preferred(const struct node_shard *s)
-{
-	return cell_shard_of_node(s->node->addr, s->node->shards) == s->shard;
-}
-
-/* Becomes quiet, or stops being quiet. */
-static void
-update_quiet(struct cell_node *n, ogl_time now)
-{
-	bool owns = cell_lead_owned_count(n->lead) > 0;
-	const struct node_shard *s;
-
-	if (n->shards == 0)
-		return;
-	s = &n->per_shard[cell_shard_of_node(n->addr, n->shards)];
-	n->quiet = !owns && s->able_at != 0 && now - s->able_at < QUIET_TIME;
-	cell_lead_set_quiet(n->lead, n->quiet, now);
-	cell_front_set_quiet(n->front, n->quiet);
-	cell_front_set_informs(n->front, owns);
-}
-
-/* A node that nobody informs asks the owners of all shards: it may be unable to
- * read the store.  An owner reads the store, and asks only if that fails. */
-static bool
-pings_owner_of(const struct node_shard *s, ogl_time now)
-{
-	const struct cell_node *n = s->node;
-	bool owns = cell_lead_owned_count(n->lead) > 0;
-
-	return is_preferred(s) || cell_lead_is_owner(n->lead, s->shard) ||
-	       cell_front_uses(n->front, s->shard, now) ||
-	       (!n->quiet && (!owns || cell_front_cut_off(n->front, now)));
-}
-
-static void
-ping_owner(struct node_shard *s, ogl_time now)
-{
-	struct cell_node *n = s->node;
-	const char *owner = cell_lead_addr(n->lead, s->shard);
-	bool was_pinged = s->pinged;
-
-	s->pinged = owner != NULL && pings_owner_of(s, now);
-	if (!s->pinged)
-		return;
-	if (!was_pinged)
-		s->pong_at = now;
-	else if (now < s->next_ping_at)
-		return;
-	if (n->ops->peer_refused(n->ops->ctx, owner) ||
-	    now - s->pong_at > OWNER_SUSPECT_TIMEOUT)
-		cell_lead_report_unreachable(n->lead, s->shard, now);
-	cell_front_delay(
-	    n->front, s->shard, now - s->pong_at - PING_INTERVAL, now);
-	if (now - s->pong_at > RECONNECT_TIMEOUT) {
-		n->ops->count(n->ops->ctx, "peer_resets", 1);
-		n->ops->peer_reset(n->ops->ctx, owner);
-		s->pong_at = now;
-	}
-	s->next_ping_at = now + PING_INTERVAL;
-	send_ping(s, owner, serves_advice(s), now);
-}
-
 static void
 distribute_zones(struct cell_node *n, const struct cell_zones *z)
 {
@@ -1046,7 +603,7 @@
 	    (uint32_t)(cell_lead_heartbeat_took(n->lead, s->shard) / OGL_MS);
 	m.body_case = OGL__CELL_MSG__BODY_HANDOVER;
 	m.handover = &h;
-	send_msg(n, s->shard, s->successor, &m);
+	cell_node_send_msg(n, s->shard, s->successor, &m);
 }
 
 static void
@@ -1092,9 +649,9 @@
 	cell_lead_step(n->lead, now);
 	cell_front_step(n->front, now);
 	distribute_config(n);
-	update_quiet(n, now);
+	cell_node_update_quiet(n, now);
 	for (i = 0; i < n->shards; i++)
-		ping_owner(&n->per_shard[i], now);
+		cell_node_ping_owner(&n->per_shard[i], now);
 	deliver_loopback(n, now);
 	for (i = 0; i < n->shards; i++)
 		step_shard(&n->per_shard[i], now, wall);
