cell: lead.c cut into heartbeats, claims, reading and the number of shards

No change of behaviour: lead.c keeps the heartbeats, reports and state, lead_claim.c has the claims of a shard, lead_read.c reads the ownership stream, lead_plan.c has the number of shards. lead_impl.h holds the structs and what the files use of each other. All functions of cell/, paired by name over files and compiled at -O0, have the same code; the one exception is the size of the stack frame of cell_lead_owner_alive, whose callee is no longer static.

--- a/cell/load.c
+++ b/cell/load.c
@@ -16,8 +16,8 @@
 #include "load.h"
 
 /* Far less than the silence after which other nodes take over
- * (HEARTBEAT_TIMEOUT and HEARTBEAT_TIMEOUT_DEAD in lead.c), so that lateness is
- * noticed before it can cost the ownership. */
+ * (HEARTBEAT_TIMEOUT and HEARTBEAT_TIMEOUT_DEAD in lead_impl.h), so that
+ * lateness is noticed before it can cost the ownership. */
 #define LATE_AFTER (100 * OGL_MS)
 #define LATE_PAIR_WINDOW OGL_SEC
 #define RECOVERY_DELAY (300 * OGL_MS)
