platform: HTTP requests are sent by a function that is passed in

platform/ included http_client.h of daemon/, and with it the logger. The request and its result are now declared in platform/http_request.h, and platform_init takes a struct platform_http with the function that sends a request; daemon/cell_host.c fills it in with its HTTP client. Nothing else changes: platform/ includes nothing of daemon/ any more, daemon/ still includes platform/.

--- a/daemon/cell_host.c
+++ b/daemon/cell_host.c
@@ -16,7 +16,9 @@
 #include <unistd.h>
 
 #include "cell_host.h"
+#include "http_client.h"
 #include "http_in.h"
+#include "logger.h"
 #include "logline.h"
 #include "measures.h"
 #include "node.h"
@@ -442,6 +444,12 @@
 	return true;
 }
 
+static void
+send_http(void *ctx, const struct ogl_http_request *r)
+{
+	ogl_http_client_send(ctx, r);
+}
+
 static void
 make_node(struct ogl_cell_host *h, const struct platform_settings *s)
 {
@@ -451,9 +459,10 @@
 	    .strength = s->strength,
 	    .link_kbps = s->link_kbps,
 	    .limits = s->limits};
+	struct platform_http http = {send_http, h->http};
 
 	randombytes_buf(&c.seed, sizeof c.seed);
-	h->platform = platform_init(h->http, s, boot_time, NULL);
+	h->platform = platform_init(&http, s, boot_time, NULL);
 	platform_set_ops(h->platform, &h->ops);
 	h->ops.reply = on_reply;
 	h->ops.peer_send = on_peer_send;
