cell: owners learn the run times of their queues

Fed with the runs that end as done, by their time on the worker at the worker's mean pace. Estimates are kept with each job; nothing decides by them yet. Metrics runtime_error_permille and declared_error_permille, line owner.runtime_learned.

--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -118,6 +118,8 @@
 	ogl_time cooldown_until; /* gets no work until then */
 	uint32_t cooldowns;      /* cooldowns in a row */
 	struct cell_pace pace;
+	double log_pace;   /* mean of ln(relative pace) over many runs */
+	uint32_t nlearned; /* samples in it, see learned.c */
 };
 
 /* Callbacks to the owner. */
--- a/cell/job.c
+++ b/cell/job.c
@@ -245,6 +245,7 @@
 	g_clear_pointer(&j->queue_config, g_free);
 	g_clear_pointer(&j->chain_from_ms, g_free);
 	g_clear_pointer(&j->measured_ms, g_free);
+	g_clear_pointer(&j->expected, g_free);
 }
 
 void
--- a/cell/job.h
+++ b/cell/job.h
@@ -82,6 +82,20 @@
 	uint32_t nstages_done;
 };
 
+/* Expected run times of a step, see learned.h. */
+struct cell_expected_step {
+	double run_ms;
+	double chain_from_ms; /* longest chain from the step on */
+	double first_ms;      /* first estimate of run_ms; 0 none yet */
+};
+
+struct cell_expected {
+	ogl_time updated_at;
+	bool known; /* the queue has enough samples; else all below is 0 */
+	double chain_ms;
+	struct cell_expected_step steps[];
+};
+
 struct cell_job {
 	char id[CELL_ID_LEN + 1];
 	Ogl__CellJob *def; /* NULL once the job has ended */
@@ -106,8 +120,9 @@
 	double cpu_seconds;     /* processor seconds declared, all steps */
 	double chain_ms;        /* longest chain of declared run times */
 	double *chain_from_ms;  /* longest such chain from each step on */
-	double *measured_ms;    /* longest finished run of each step; 0 none */
-	bool end_stored;        /* the end is stored, so callers may see it */
+	struct cell_expected *expected; /* learned; NULL never updated */
+	double *measured_ms; /* longest finished run of each step; 0 none */
+	bool end_stored;     /* the end is stored, so callers may see it */
 	uint64_t queue_config_version;   /* version of queue_config */
 	struct cell_queue *queue_config; /* NULL not looked up yet */
 	/* Whether tasks without a known run may be started, because this owner
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -24,6 +24,7 @@
 #include "held.h"
 #include "journal.h"
 #include "known.h"
+#include "learned.h"
 #include "load.h"
 #include "loader.h"
 #include "owner.h"
@@ -105,6 +106,7 @@
 	struct cell_ops worker_ops; /* calls to workers by the relay */
 	struct cell_fleet *fleet;
 	struct cell_held *held;
+	struct cell_learned *learned;
 	struct cell_sched *sched;
 	struct cell_advice *advice;
 	struct cell_escrow *escrow;
@@ -549,6 +551,11 @@
 	if (how == CELL_END_DONE && r->start_sent)
 		cell_job_record_run_ms(
 		    st->job, st->step, (double)(now - r->created_at) / OGL_MS);
+	cell_learned_run_ended(o->learned, r, how,
+	    cell_pace_known(&r->worker->pace)
+		? cell_fleet_pace(o->fleet, r->worker)
+		: 0,
+	    now);
 	detach_run(st, &st->tasks[r->name.index], r);
 	apply_end(o, st, r->name.index, r->number, how,
 	    checkpoint != NULL && *checkpoint != '\0' ? checkpoint
@@ -1115,12 +1122,14 @@
 	    &(struct cell_watch_events){.answer = reply_state, .arg = o});
 	o->fleet = cell_fleet_init(&o->worker_ops, limits, &fleet_events);
 	o->held = cell_held_init(find_open_stage, o);
+	o->learned = cell_learned_init(ops);
 	o->advice = cell_advice_init(ops, &advice_events);
 	o->loader = cell_loader_init(
 	    ops, params->shard, params->link_kbps, &loader_events);
 	o->roster = cell_roster_init(&o->worker_ops, &roster_events);
 	o->escrow =
 	    cell_escrow_init(params->shard, params->shards, &escrow_events);
+	sched_parts.learned = o->learned;
 	sched_parts.escrow = o->escrow;
 	sched_parts.fleet = o->fleet;
 	sched_parts.advice = o->advice;
@@ -1135,6 +1144,7 @@
 	cell_sched_end(o->sched);
 	cell_escrow_end(o->escrow);
 	cell_advice_end(o->advice);
+	cell_learned_end(o->learned);
 	cell_held_end(o->held);
 	cell_relay_end(o->relay);
 	cell_fleet_end(o->fleet);
@@ -1190,6 +1200,7 @@
 	cell_escrow_close(o->escrow);
 	cell_advice_clear(o->advice);
 	cell_sched_clear(o->sched);
+	cell_learned_clear(o->learned);
 	g_hash_table_remove_all(o->jobs);
 	cell_watch_clear(o->watch);
 }
@@ -1480,6 +1491,7 @@
 	j = cell_job_new(c->job, now);
 	c->job = NULL;
 	j->beyond_rate = over;
+	cell_learned_update_job(o->learned, j, now);
 	wait = o->settled ? cell_sched_forecast(o->sched, j, now) : 0;
 	if (wait > 0) {
 		refuse_job(o, from, c, "no_room_in_time",
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -301,6 +301,7 @@
 		for (at = s->waiting[rank].head; at != NULL; at = at->next) {
 			struct cell_stage *st = at->data;
 
+			cell_learned_update_job(s->parts.learned, st->job, now);
 			precedence = cell_sched_precedence_of(
 			    cell_sched_queue_of(s, st->job), st, now);
 			cell_sched_count_waiting_job(s, st, precedence);
--- a/cell/schedule.h
+++ b/cell/schedule.h
@@ -9,6 +9,7 @@
 #include "advice.h"
 #include "escrow.h"
 #include "fleet.h"
+#include "learned.h"
 
 struct cell_sched;
 
@@ -17,6 +18,7 @@
 	struct cell_fleet *fleet;
 	struct cell_advice *advice;
 	struct cell_escrow *escrow;
+	struct cell_learned *learned; /* NULL: run times are as declared */
 	uint64_t (*next_run)(void *arg, const struct cell_stage *s);
 	/* Returns a run number above all that the stage's tasks have had. */
 	void (*started)(
