--- a/cell/sched_order.c
+++ b/cell/sched_order.c
@@ -73,8 +73,9 @@
 {
 	const struct cell_job *j = st->job;
 	double allowed_ms = cell_sched_queue_objective_ms(q, j);
-	double end_ms = (double)(now - j->accepted) / OGL_MS +
-			ESTIMATE_FACTOR * j->chain_from_ms[st->step];
+	double end_ms =
+	    (double)(now - j->accepted) / OGL_MS +
+	    ESTIMATE_FACTOR * cell_learned_chain_from_ms(j, st->step);
 	unsigned precedence = 0;
 
 	if (st->def->lasting)
@@ -98,7 +99,8 @@
 			 (double)(now - j->accepted) / OGL_MS;
 
 	return !st->def->lasting &&
-	       left_ms < TIGHT_DEADLINE_FACTOR * j->chain_from_ms[st->step];
+	       left_ms < TIGHT_DEADLINE_FACTOR *
+			     cell_learned_chain_from_ms(j, st->step);
 }
 
 static gint
--- a/test/test_cell_learned.cc
+++ b/test/test_cell_learned.cc
@@ -141,6 +141,23 @@
 	EXPECT_EQ(100, expected_ms());
 }
 
+/* Guards against work that counts as in time because it declared too little:
+ * others that could be in time would wait for it. */
+TEST_F(Learned, OrderFollowsLearnedTimes)
+{
+	struct cell_queue q = {};
+	struct cell_job *j = job(1, 100);
+
+	q.objective_ms = 500;
+	learn(100);
+	j->accepted = now_;
+	EXPECT_EQ(0u, cell_sched_precedence_of(&q, stage(j), now_));
+	EXPECT_FALSE(cell_sched_deadline_is_tight(&q, stage(j), now_));
+	update(j);
+	EXPECT_EQ(1u, cell_sched_precedence_of(&q, stage(j), now_));
+	EXPECT_TRUE(cell_sched_deadline_is_tight(&q, stage(j), now_));
+}
+
 /* Guards against forgetting all other jobs over the tasks of one step, which
  * share the error of one declaration. */
 TEST_F(Learned, TasksOfAStepCountAsOneSample)
