--- a/cell/sched_forecast.c
+++ b/cell/sched_forecast.c
@@ -123,16 +123,18 @@
 }
 
 /* Returns 0 if a job that waits so long can still be of use to its caller, and
- * otherwise after what time one can be in time again. */
+ * otherwise after what time one can be in time again.  A job is not refused for
+ * its run time alone, as it would be again whenever its caller came back. */
 static ogl_time
 too_long_by(const struct cell_queue *q, const struct cell_job *j,
     struct cell_expected_wait w, double margin)
 {
 	double allowed_ms = cell_sched_queue_objective_ms(q, j);
-	double run_ms = ESTIMATE_FACTOR * j->chain_ms;
-	ogl_time in_time = (ogl_time)(allowed_ms - run_ms) * OGL_MS;
+	double run_ms = ESTIMATE_FACTOR * cell_learned_chain_ms(j);
+	ogl_time in_time = (ogl_time)MAX(allowed_ms - run_ms, 0) * OGL_MS;
 	ogl_time late =
-	    (ogl_time)(LATE_OBJECTIVES_MAX * allowed_ms - run_ms) * OGL_MS;
+	    (ogl_time)MAX(LATE_OBJECTIVES_MAX * allowed_ms - run_ms, 0) *
+	    OGL_MS;
 
 	if ((double)w.behind_in_time <= margin * (double)in_time ||
 	    (double)w.behind_all <= margin * (double)late)
--- a/test/test_cell_learned.cc
+++ b/test/test_cell_learned.cc
@@ -169,6 +169,35 @@
 	EXPECT_EQ(100, expected_ms());
 }
 
+/* Guards against accepting work that would end too late because it declared too
+ * little, and against refusing it for ever while nothing waits. */
+TEST_F(Learned, ForecastFollowsLearnedTimes)
+{
+	struct cell_limits limits = {};
+	struct cell_fleet_events events = {};
+	struct cell_sched_parts parts = {};
+
+	parts.fleet = cell_fleet_init(&ops_, &limits, &events);
+	GHashTable *workers = cell_fleet_workers(parts.fleet);
+	struct cell_sched *s = cell_sched_init(&parts);
+	struct cell_job *j = job(1, 100);
+
+	j->queue_config = g_new0(struct cell_queue, 1);
+	j->queue_config->objective_ms = 1780;
+	learn(100);
+	/* A closure is expected to last 5 s. */
+	worker_.listed = worker_.draining = true;
+	g_hash_table_insert(workers, const_cast<char *>("w"), &worker_);
+	EXPECT_EQ(0, cell_sched_forecast(s, j, now_));
+	EXPECT_GT(cell_sched_forecast(s, update(j), now_), 0);
+	worker_.draining = false;
+	j->queue_config->objective_ms = 1;
+	EXPECT_EQ(0, cell_sched_forecast(s, j, now_));
+	g_hash_table_steal(workers, "w");
+	cell_sched_end(s);
+	cell_fleet_end(parts.fleet);
+}
+
 /* Guards against taking the wait of a gang's members, what is left after a
  * checkpoint, or a start that was long unanswered for a run time. */
 TEST_F(Learned, OnlyWholeRunsWithoutWaitingCount)
