--- a/cell/straggler.c
+++ b/cell/straggler.c
@@ -7,13 +7,14 @@
  * is.  The remaining time of each run is therefore compared with the time of a
  * restart on another worker:
  *
- *	remaining  (1 - done) x declared time x pace; infinite when the run is
+ *	remaining  (1 - done) x expected time x pace; infinite when the run is
  *		   stalled
- *	restart    declared time, or the rest of it when there is a checkpoint,
+ *	restart    expected time, or the rest of it when there is a checkpoint,
  *		   plus the time for a stop and a start
  *
- * The pace is the time taken divided by the time declared, so a slow run has a
- * high pace (see pace.h).
+ * The expected time is the learned or else the declared one (see learned.h).
+ * The pace of a run is the time taken divided by the time expected, so a slow
+ * run has a high pace; that of a worker is relative to other workers (pace.h).
  *
  * A run is stopped only while another allowed worker has room for it.  Gangs
  * are not moved, as moving one member restarts all of them, nor are lasting
@@ -24,8 +25,8 @@
 #include "ablate.h"
 #include "straggler.h"
 
-/* Below this pace a run may seem slow only because its job declared too little
- * time. */
+/* Below this pace a run may seem slow only because too little time is expected
+ * for it. */
 #define STRAGGLER_PACE_MIN 2.5
 /* Time to stop a run, ask the advice service and start the task again. */
 #define MOVE_COST_MS 450.0
@@ -58,14 +59,33 @@
 static bool
 worth_restarting(const struct cell_run *r, double pace, bool stalled)
 {
-	double declared_ms = r->stage->def->estimate_ms;
-	double rest_ms = declared_ms * (100 - MIN(r->percent, 100)) / 100;
+	double expected_ms = cell_learned_run_ms(r->stage->job, r->stage->step);
+	double rest_ms = expected_ms * (100 - MIN(r->percent, 100)) / 100;
 	bool has_checkpoint = r->checkpoint != NULL && *r->checkpoint != '\0';
 
 	if (stalled)
 		return true;
 	return cell_straggler_worth_moving(rest_ms * pace,
-	    has_checkpoint ? rest_ms + RESTORE_COST_MS : declared_ms);
+	    has_checkpoint ? rest_ms + RESTORE_COST_MS : expected_ms);
+}
+
+bool
+cell_straggler_is_slow(
+    const struct cell_run *r, double worker_pace, bool *stalled)
+{
+	uint32_t expected_ms = (uint32_t)CLAMP(
+	    cell_learned_run_ms(r->stage->job, r->stage->step), 1, UINT32_MAX);
+	uint64_t clock_ms = r->worker->clock_ms;
+	double pace;
+
+	/* Both paces have to be high.  If only the worker's is, it may have
+	 * recovered; if only the run's is, too little time may be expected for
+	 * it. */
+	pace = cell_pace_of_run(&r->progress, clock_ms, expected_ms);
+	pace = MIN(worker_pace, pace);
+	*stalled = cell_pace_is_stalled(&r->progress, clock_ms, expected_ms);
+	return (*stalled || pace >= STRAGGLER_PACE_MIN) &&
+	       worth_restarting(r, pace, *stalled);
 }
 
 static void
@@ -73,25 +93,14 @@
     struct cell_run *r, ogl_time now)
 {
 	struct cell_worker *w = r->worker;
-	double pace, run_pace;
-	bool stalled;
+	bool slow, stalled;
 
 	if (!may_move(r))
 		return;
-	/* Both paces have to be high.  If only the worker's is, it may have
-	 * recovered; if only the run's is, its job may have declared too little
-	 * time. */
-	run_pace = cell_pace_of_run(
-	    &r->progress, w->clock_ms, r->stage->def->estimate_ms);
-	pace = MIN(cell_fleet_pace(f, w), run_pace);
-	stalled = cell_pace_is_stalled(
-	    &r->progress, w->clock_ms, r->stage->def->estimate_ms);
+	slow = cell_straggler_is_slow(r, cell_fleet_pace(f, w), &stalled);
 	if (stalled)
 		cell_fleet_count_stall(f, w);
-	if (!stalled && pace < STRAGGLER_PACE_MIN)
-		return;
-	if (!worth_restarting(r, pace, stalled) ||
-	    !cell_sched_has_room(s, r->stage, w, now))
+	if (!slow || !cell_sched_has_room(s, r->stage, w, now))
 		return;
 	r->stage->tasks[r->name.index].move_count++;
 	cell_fleet_move(f, r, stalled ? "still" : "slow", now);
--- a/cell/straggler.h
+++ b/cell/straggler.h
@@ -14,6 +14,11 @@
  * worker; their tasks then wait to be placed again.  To be called five times a
  * second. */
 
+bool cell_straggler_is_slow(
+    const struct cell_run *r, double worker_pace, bool *stalled);
+/* Whether a run is stalled, or slow on a slow worker, and would end sooner if it
+ * was restarted.  worker_pace: the pace of its worker relative to others. */
+
 bool cell_straggler_worth_moving(double remaining_ms, double restart_ms);
 /* Whether a restart, which takes restart_ms, gains enough over waiting for
  * remaining_ms. */
--- a/test/test_cell_learned.cc
+++ b/test/test_cell_learned.cc
@@ -220,6 +220,25 @@
 	EXPECT_NEAR(400, expected_ms(), 20);
 }
 
+/* Guards against stopping runs whose job declared too little: on a worker that
+ * is slow only because of them, both paces would be high. */
+TEST_F(Learned, StragglersAreComparedWithLearnedTimes)
+{
+	struct cell_job *j = job(1, 10000);
+	struct cell_run r = run_of(j);
+
+	learn(100, 10000);
+	r.percent = 25;
+	r.progress = {9000, 25, 1000, 5};
+	worker_.clock_ms = 9000;
+	EXPECT_TRUE(cell_straggler_is_slow(&r, 4, &stalled_));
+	update(j);
+	EXPECT_FALSE(cell_straggler_is_slow(&r, 4, &stalled_) || stalled_);
+	r.progress.clock_ms = worker_.clock_ms = 25000;
+	EXPECT_TRUE(cell_straggler_is_slow(&r, 4, &stalled_));
+	EXPECT_FALSE(cell_straggler_is_slow(&r, 1, &stalled_));
+}
+
 /* Guards against taking slow workers for longer work. */
 TEST_F(Learned, PaceOfWorkerIsTakenOut)
 {
