--- a/cell/sched_order.c
+++ b/cell/sched_order.c
@@ -51,7 +51,7 @@
 cell_sched_queue_objective_ms(
     const struct cell_queue *q, const struct cell_job *j)
 {
-	return objective_for(q, j, j->chain_ms);
+	return objective_for(q, j, cell_learned_chain_ms(j));
 }
 
 double
--- a/cell/schedule.h
+++ b/cell/schedule.h
@@ -63,7 +63,8 @@
  * the waiting jobs are started as fast as lately. */
 
 double cell_sched_objective_ms(const struct cell_sched *s, struct cell_job *j);
-/* Time in ms after its acceptance within which the job has to end. */
+/* Time in ms after its acceptance within which the job has to end, by expected
+ * run times (see learned.h). */
 
 double cell_sched_measured_objective_ms(
     const struct cell_sched *s, struct cell_job *j);
--- a/test/test_cell_learned.cc
+++ b/test/test_cell_learned.cc
@@ -265,6 +265,20 @@
 	EXPECT_GT(cell_learned_run_ms(update(j), 0), 600);
 }
 
+/* Guards against holding a job to the objective of the time that it declared,
+ * when its caller counts with the time it takes. */
+TEST_F(Learned, ObjectiveFollowsLearnedTimes)
+{
+	struct cell_queue q = {};
+	struct cell_job *j = job(1, 100);
+
+	q.objective_ms = 300;
+	q.slack = 1.5;
+	learn(100);
+	EXPECT_EQ(600, cell_sched_queue_objective_ms(&q, j));
+	EXPECT_NEAR(1500, cell_sched_queue_objective_ms(&q, update(j)), 120);
+}
+
 /* Guards against an operator who can't see whether estimates are better than
  * declarations, and against a line for each run. */
 TEST_F(Learned, ErrorsAreShown)
