--- a/cell/owner.c
+++ b/cell/owner.c
@@ -247,12 +247,14 @@
 	    .answer = cell_owner_reply_state, .arg = o});
 	o->fleet = cell_fleet_init(&o->worker_ops, limits, &fleet_events);
 	o->held = cell_held_init(cell_owner_find_stage, o);
+	o->learned = cell_learned_init(ops);
 	o->advice = cell_advice_init(ops, &advice_events);
 	o->loader = cell_loader_init(
 	    ops, params->shard, params->link_kbps, &loader_events);
 	o->roster = cell_roster_init(&o->worker_ops, &roster_events);
 	o->escrow =
 	    cell_escrow_init(params->shard, params->shards, &escrow_events);
+	sched_parts.learned = o->learned;
 	sched_parts.escrow = o->escrow;
 	sched_parts.fleet = o->fleet;
 	sched_parts.advice = o->advice;
@@ -267,6 +269,7 @@
 	cell_sched_end(o->sched);
 	cell_escrow_end(o->escrow);
 	cell_advice_end(o->advice);
+	cell_learned_end(o->learned);
 	cell_held_end(o->held);
 	cell_relay_end(o->relay);
 	cell_fleet_end(o->fleet);
@@ -322,6 +325,7 @@
 	cell_escrow_close(o->escrow);
 	cell_advice_clear(o->advice);
 	cell_sched_clear(o->sched);
+	cell_learned_clear(o->learned);
 	g_hash_table_remove_all(o->jobs);
 	cell_watch_clear(o->watch);
 }
--- a/cell/owner_calls.c
+++ b/cell/owner_calls.c
@@ -299,6 +299,7 @@
 	j = cell_job_new(c->job, now);
 	c->job = NULL;
 	j->beyond_rate = over;
+	cell_learned_update_job(o->learned, j, now);
 	wait = o->settled ? cell_sched_forecast(o->sched, j, now) : 0;
 	if (wait > 0) {
 		refuse_job(o, from, c, "no_room_in_time",
--- a/cell/owner_impl.h
+++ b/cell/owner_impl.h
@@ -9,6 +9,7 @@
 #include "held.h"
 #include "journal.h"
 #include "known.h"
+#include "learned.h"
 #include "load.h"
 #include "loader.h"
 #include "owner.h"
@@ -51,6 +52,7 @@
 	struct cell_ops worker_ops; /* calls to workers by the relay */
 	struct cell_fleet *fleet;
 	struct cell_held *held;
+	struct cell_learned *learned;
 	struct cell_sched *sched;
 	struct cell_advice *advice;
 	struct cell_escrow *escrow;
--- a/cell/owner_jobs.c
+++ b/cell/owner_jobs.c
@@ -431,6 +431,11 @@
 	if (how == CELL_END_DONE && r->start_sent)
 		cell_job_record_run_ms(
 		    st->job, st->step, (double)(now - r->created_at) / OGL_MS);
+	cell_learned_run_ended(o->learned, r, how,
+	    cell_pace_known(&r->worker->pace)
+		? cell_fleet_pace(o->fleet, r->worker)
+		: 0,
+	    now);
 	detach_run(st, &st->tasks[r->name.index], r);
 	apply_end(o, st, r->name.index, r->number, how,
 	    checkpoint != NULL && *checkpoint != '\0' ? checkpoint
