policy: forecast of room and lanes for a new job

Plays the next minute in steps of 250 ms: running work releases cores, waiting work takes them by rank. Lanes of the advice service are filled with the questions that wait. Errors are averaged by line and sign. Not used yet.

--- /dev/null
+++ b/policy/capacity.h
@@ -0,0 +1,87 @@
+/*
+ * Forecasts when there will be room, and a free lane of the advice service, for
+ * a job.
+ */
+
+#ifndef OGL_CAPACITY_H
+#define OGL_CAPACITY_H
+
+#include "orioleglade.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct ogl_capacity;
+
+/* Ranks of work: a lower one goes first. */
+#define OGL_CAPACITY_RANKS 16
+#define OGL_CAPACITY_BUCKET (250 * OGL_MS)
+/* Nothing is forecast further ahead; a wait of this length may be longer. */
+#define OGL_CAPACITY_HORIZON (60 * OGL_SEC)
+
+struct ogl_capacity_wait {
+	ogl_time room;
+	ogl_time lane;
+	ogl_time longer; /* of the two */
+};
+
+/* Averages over a line's latest jobs. */
+struct ogl_capacity_error {
+	ogl_time late;  /* how much later than forecast they started */
+	ogl_time early; /* how much earlier */
+	bool reliable;  /* they are off by at most half of the wait */
+};
+
+struct ogl_capacity *ogl_capacity_init(void);
+void ogl_capacity_end(struct ogl_capacity *c);
+
+void ogl_capacity_reset(struct ogl_capacity *c);
+/* Forgets everything, also the errors. */
+
+void ogl_capacity_begin(struct ogl_capacity *c, ogl_time now);
+/* Begins a new picture of the cell, without work, capacity and lanes. */
+
+void ogl_capacity_add_waiting(
+    struct ogl_capacity *c, uint32_t rank, double cores, double core_ms);
+/* Adds work that waits: the cores on which it would run at once, and how much
+ * it is. */
+
+void ogl_capacity_add_running(
+    struct ogl_capacity *c, double cores, ogl_time ends);
+/* Adds cores that are used until then. */
+
+void ogl_capacity_add_free(struct ogl_capacity *c, double cores);
+/* Adds cores that are free. */
+
+void ogl_capacity_add_change(struct ogl_capacity *c, double cores, ogl_time at);
+/* Adds cores that open at that time, or that close if `cores` is negative. */
+
+void ogl_capacity_add_lane(struct ogl_capacity *c, ogl_time busy_until);
+
+void ogl_capacity_reserve_lanes(struct ogl_capacity *c, double fraction);
+/* Only questions of rank 0 use the last lanes that are free, which are this
+ * fraction of all. */
+
+void ogl_capacity_add_question(
+    struct ogl_capacity *c, uint32_t rank, double lane_ms);
+/* Adds a question that waits for a lane and keeps it busy for that time. */
+
+struct ogl_capacity_wait ogl_capacity_wait(struct ogl_capacity *c,
+    uint32_t rank, double cores, bool asks, ogl_time now);
+/* How long work that comes now, behind all of its rank, waits until so many
+ * cores are free at once, and, if it asks, until a lane is free.  All are 0
+ * when no picture was made lately. */
+
+void ogl_capacity_check(struct ogl_capacity *c, const char *line,
+    ogl_time expected, ogl_time waited);
+/* Compares a forecast for a job of the line with what it waited. */
+
+struct ogl_capacity_error ogl_capacity_error(
+    const struct ogl_capacity *c, const char *line);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/test/test_capacity.cc
@@ -0,0 +1,162 @@
+/* Forecasts of room and lanes, by scripted loads. */
+
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "capacity.h"
+}
+
+namespace
+{
+
+class Capacity : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		c_ = ogl_capacity_init();
+		ogl_capacity_begin(c_, now_);
+	}
+
+	void TearDown() override
+	{
+		ogl_capacity_end(c_);
+	}
+
+	double room_s(uint32_t rank, double cores)
+	{
+		return (double)ogl_capacity_wait(c_, rank, cores, false, now_)
+			   .room /
+		       OGL_SEC;
+	}
+
+	double lane_s(uint32_t rank)
+	{
+		return (double)ogl_capacity_wait(c_, rank, 0, true, now_).lane /
+		       OGL_SEC;
+	}
+
+	/* Work that ends evenly over the next `sec` seconds. */
+	void run(double cores, double sec)
+	{
+		for (int i = 0; i < 100; i++)
+			ogl_capacity_add_running(c_, cores / 100,
+			    now_ + (ogl_time)(sec * (i + 1) / 100 * OGL_SEC));
+	}
+
+	void lanes(int n, ogl_time busy)
+	{
+		for (int i = 0; i < n; i++)
+			ogl_capacity_add_lane(c_, now_ + busy);
+	}
+
+	struct ogl_capacity *c_ = nullptr;
+	ogl_time now_ = 100 * OGL_SEC;
+};
+
+/* Guards against refusing jobs of a cell that is not full. */
+TEST_F(Capacity, AnOrdinarySecondHasNoWait)
+{
+	ogl_capacity_add_free(c_, 2400);
+	run(20000, 3);
+	ogl_capacity_add_waiting(c_, 0, 50, 50000);
+	ogl_capacity_add_waiting(c_, 1, 360, 1800000);
+	lanes(20, 500 * OGL_MS);
+	lanes(17, 0);
+	ogl_capacity_add_question(c_, 0, 50);
+	for (uint32_t rank = 0; rank < 3; rank++) {
+		struct ogl_capacity_wait w =
+		    ogl_capacity_wait(c_, rank, 360, true, now_);
+
+		EXPECT_EQ(0, w.room);
+		EXPECT_LT(w.longer, 10 * OGL_MS);
+	}
+}
+
+/* Guards against a line's rate being taken for what it will be: 1,000 cores end
+ * within 2 s, so 3,000 waiting cores of 2 s each need three such turns. */
+TEST_F(Capacity, ACrowdOfOneRankDelaysItAndLowerOnes)
+{
+	run(1000, 2);
+	ogl_capacity_add_waiting(c_, 1, 3000, 3000 * 2000.0);
+	EXPECT_EQ(0.25, room_s(0, 1));
+	EXPECT_NEAR(6, room_s(1, 1), 0.5);
+	EXPECT_NEAR(6, room_s(2, 1), 0.5);
+}
+
+/* Guards against a gang being refused for what a few cores wait for, or the
+ * other way round. */
+TEST_F(Capacity, AGangWaitsForAllItsCores)
+{
+	ogl_capacity_add_free(c_, 40);
+	ogl_capacity_add_running(c_, 360, now_ + 3 * OGL_SEC);
+	EXPECT_EQ(0, room_s(1, 40));
+	EXPECT_EQ(3, room_s(1, 300));
+	EXPECT_EQ(60, room_s(1, 500));
+}
+
+/* Guards against taking free cores for all that a job needs. */
+TEST_F(Capacity, LanesAreTheBottleneckWhileRoomIsFree)
+{
+	ogl_capacity_add_free(c_, 9000);
+	lanes(30, 500 * OGL_MS);
+	lanes(7, 0);
+	ogl_capacity_reserve_lanes(c_, 0.3);
+	for (int i = 0; i < 60; i++)
+		ogl_capacity_add_question(c_, 1, 650);
+	EXPECT_EQ(0, room_s(2, 1));
+	EXPECT_EQ(0, lane_s(0));
+	/* 26 lanes, busy for 0.5 s, have 39 s of questions. */
+	EXPECT_NEAR(2, lane_s(2), 0.1);
+	ogl_capacity_add_question(c_, 0, 37000);
+	EXPECT_NEAR((37 + 39 + 15) / 37.0, lane_s(1), 0.6);
+	EXPECT_NEAR((37 + 15) / 37.0, lane_s(0), 0.1);
+	EXPECT_EQ(lane_s(2) * OGL_SEC,
+	    ogl_capacity_wait(c_, 2, 1, true, now_).longer);
+}
+
+/* Guards against counting on cores that are about to be closed. */
+TEST_F(Capacity, ClosingCapacityIsNotCountedOn)
+{
+	run(1000, 4);
+	EXPECT_NEAR(2, room_s(1, 500), 0.3);
+	ogl_capacity_add_change(c_, -800, now_ + OGL_SEC);
+	EXPECT_EQ(60, room_s(1, 500));
+	ogl_capacity_add_change(c_, 800, now_ + 10 * OGL_SEC);
+	EXPECT_EQ(10, room_s(1, 500));
+}
+
+/* Guards against forecasts from a picture of long ago, as when the store is
+ * silent and nothing is started. */
+TEST_F(Capacity, AnOldPictureSaysNothing)
+{
+	run(1000, 2);
+	EXPECT_LT(0, room_s(1, 500));
+	now_ += OGL_SEC + 1;
+	EXPECT_EQ(0, room_s(1, 500));
+	ogl_capacity_reset(c_);
+	EXPECT_EQ(0, room_s(1, 5000));
+}
+
+/* Guards against refusing by forecasts that have proved wrong. */
+TEST_F(Capacity, UnreliableForecastsAreSaidToBe)
+{
+	struct ogl_capacity_error e;
+
+	for (int i = 0; i < 30; i++)
+		ogl_capacity_check(c_, "q", 4 * OGL_SEC, 3 * OGL_SEC);
+	e = ogl_capacity_error(c_, "q");
+	EXPECT_TRUE(e.reliable);
+	EXPECT_NEAR(OGL_SEC, e.early, OGL_MS);
+	EXPECT_EQ(0, e.late);
+	for (int i = 0; i < 30; i++)
+		ogl_capacity_check(c_, "q", OGL_SEC, 4 * OGL_SEC);
+	EXPECT_FALSE(ogl_capacity_error(c_, "q").reliable);
+	EXPECT_GT(ogl_capacity_error(c_, "q").late, 2 * OGL_SEC);
+	EXPECT_TRUE(ogl_capacity_error(c_, "r").reliable);
+	for (int i = 0; i < 30; i++)
+		ogl_capacity_check(c_, "q", 0, 20 * OGL_MS);
+	EXPECT_TRUE(ogl_capacity_error(c_, "q").reliable);
+}
+
+} // namespace
