cell: refuse by room and lanes, and give refused callers slots

The forecast divided the length of a line by its rate and knew nothing of what runs and when it ends, nor of lanes. It stays as a second opinion. The new one refuses only while a stage lacks room or a lane, and no queue for which it is off by more than half. Retry times were constants and are now slots; where no time can be said they are spread by the job's id. A caller that returns in its slot goes before those that came after its first attempt.

Seen failing with the guard off: slots kept by a takeover, a late caller that keeps its place, forecasts before the ownership is confirmed, while the cell is not full, of unreliable queues and from an old picture, times without slots.

--- a/cell/ablate.h
+++ b/cell/ablate.h
@@ -97,6 +97,20 @@
 #define CELL_USES_FORECAST 1
 #endif
 
+/* The same by what runs, waits and is free, not only by a line's rate. */
+#ifdef OGL_OFF_CAPACITY
+#define CELL_USES_CAPACITY 0
+#else
+#define CELL_USES_CAPACITY 1
+#endif
+
+/* Refused callers are told times that are spread. */
+#ifdef OGL_OFF_SLOTS
+#define CELL_USES_SLOTS 0
+#else
+#define CELL_USES_SLOTS 1
+#endif
+
 /* Part of the lanes of the advice service is reserved for rank 0. */
 #ifdef OGL_OFF_LANES
 #define CELL_USES_LANES 0
--- a/cell/advice.c
+++ b/cell/advice.c
@@ -199,6 +199,26 @@
 	return pick_lane(a, rank, now) != NULL;
 }
 
+void
+cell_advice_add_lanes(
+    const struct cell_advice *a, struct ogl_capacity *c, ogl_time now)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, a->lanes);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct lane *l = p;
+
+		if (now - l->heard_at <= NODE_HEARD_MAX_AGE)
+			ogl_capacity_add_lane(
+			    c, MAX(l->busy_until - LANE_SEND_AHEAD,
+				   l->paused_until));
+	}
+	ogl_capacity_reserve_lanes(
+	    c, CELL_USES_LANES ? RANK0_LANES_FRACTION : 0);
+}
+
 static void
 send_question(struct cell_advice *a, const struct question *q)
 {
--- a/cell/advice.h
+++ b/cell/advice.h
@@ -10,6 +10,7 @@
 #ifndef OGL_CELL_ADVICE_H
 #define OGL_CELL_ADVICE_H
 
+#include "capacity.h"
 #include "cell_config.h"
 #include "job.h"
 
@@ -49,6 +50,10 @@
     struct cell_advice *a, uint32_t rank, ogl_time now);
 /* Whether a lane is free now for a question of that rank (queue priority). */
 
+void cell_advice_add_lanes(
+    const struct cell_advice *a, struct ogl_capacity *c, ogl_time now);
+/* Adds the lanes of nodes that are alive to a forecast's picture. */
+
 bool cell_advice_ask(struct cell_advice *a, struct cell_stage *s,
     const struct cell_policy *p, GPtrArray *workers, uint32_t rank,
     ogl_time now);
--- a/cell/forecast.c
+++ b/cell/forecast.c
@@ -34,6 +34,7 @@
 };
 
 struct cell_line {
+	char *name; /* borrowed from the table */
 	struct count count;
 	double rate; /* starts a second, as of rate_at */
 	ogl_time rate_at;
@@ -72,7 +73,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct cell_line *l = p;
 
-		*l = (struct cell_line){.correction = CORRECTION_MAX};
+		*l = (struct cell_line){
+		    .name = l->name, .correction = CORRECTION_MAX};
 	}
 	f->begun_at = now;
 }
@@ -85,7 +87,8 @@
 	if (l == NULL) {
 		l = g_new0(struct cell_line, 1);
 		l->correction = CORRECTION_MAX;
-		g_hash_table_insert(f->lines, g_strdup(name), l);
+		l->name = g_strdup(name);
+		g_hash_table_insert(f->lines, l->name, l);
 	}
 	return l;
 }
@@ -123,6 +126,18 @@
 	return l->rate * exp(-(double)(now - l->rate_at) / (double)RATE_TIME);
 }
 
+const char *
+cell_forecast_line_name(const struct cell_line *l)
+{
+	return l->name;
+}
+
+double
+cell_forecast_rate(const struct cell_line *l, ogl_time now)
+{
+	return rate_at(l, now);
+}
+
 void
 cell_forecast_started(struct cell_line *l, ogl_time now)
 {
--- a/cell/forecast.h
+++ b/cell/forecast.h
@@ -48,6 +48,10 @@
     const struct cell_forecast *f, const struct cell_line *l, ogl_time now);
 /* Both are 0 if the line is empty or too little is known. */
 
+const char *cell_forecast_line_name(const struct cell_line *l);
+double cell_forecast_rate(const struct cell_line *l, ogl_time now);
+/* Jobs of the line that were started a second lately. */
+
 #ifdef __cplusplus
 }
 #endif
--- a/cell/front.c
+++ b/cell/front.c
@@ -66,6 +66,8 @@
  * arrives in time. */
 #define REPLY_MARGIN (150 * OGL_MS)
 #define CALL_BUDGET_DEFAULT_MS 3000
+/* Callers that the node refuses itself are told a time between this and twice
+ * as much, by the job's id: all of them at once would be refused again. */
 #define CALLER_RETRY_MS 600
 /* A read of the settings waits 0.8 s at most (READ_WAIT_MS), so a last good
  * read that is older than this means that a read has failed. */
@@ -534,6 +536,17 @@
 	f->ops->log(f->ops->ctx, "front", event, text);
 }
 
+static uint32_t
+retry_ms_for(struct ogl_str id)
+{
+	guint h = 5381;
+	size_t i;
+
+	for (i = 0; i < id.n; i++)
+		h = h * 33 + (unsigned char)id.p[i];
+	return CALLER_RETRY_MS + h % CALLER_RETRY_MS;
+}
+
 static void
 answer(struct cell_front *f, uint64_t token, enum cell_status status,
     uint32_t retry_ms, const char *why)
@@ -751,8 +764,8 @@
 	 * certainly does not run.
 	 */
 	if (budget_ms * OGL_MS <= REPLY_MARGIN) {
-		refuse(
-		    f, r, token, CELL_BUSY, CALLER_RETRY_MS, "no time is left");
+		refuse(f, r, token, CELL_BUSY, retry_ms_for(rest),
+		    "no time is left");
 		return;
 	}
 	id = ogl_str_dup(rest);
@@ -800,12 +813,12 @@
 	struct ogl_str rest = {"", 0};
 
 	if (f->config == NULL) {
-		refuse(f, r, token, CELL_BUSY, CALLER_RETRY_MS,
+		refuse(f, r, token, CELL_BUSY, retry_ms_for(r->path),
 		    "no configuration yet");
 		return;
 	}
 	if (!cell_front_fresh(f, now)) {
-		refuse(f, r, token, CELL_BUSY, CALLER_RETRY_MS,
+		refuse(f, r, token, CELL_BUSY, retry_ms_for(r->path),
 		    "the configuration may be out of date");
 		return;
 	}
@@ -965,13 +978,13 @@
 	if (!may_be_accepted && no_owner &&
 	    now - p->started_at > OWNER_TIMEOUT) {
 		log_call(f, p, "call_given_up", "why=no_owner");
-		answer(f, p->token, CELL_BUSY, CALLER_RETRY_MS,
+		answer(f, p->token, CELL_BUSY, retry_ms_for(ogl_str(p->id)),
 		    "no owner is known");
 		return true;
 	}
 	if (!p->sent && !no_owner && now - p->started_at > OWNER_TIMEOUT) {
 		log_call(f, p, "call_given_up", "why=owner_behind");
-		answer(f, p->token, CELL_BUSY, CALLER_RETRY_MS,
+		answer(f, p->token, CELL_BUSY, retry_ms_for(ogl_str(p->id)),
 		    "the owner is behind with its calls");
 		return true;
 	}
@@ -979,7 +992,7 @@
 		return false;
 	log_call(f, p, "call_given_up", "why=deadline");
 	answer(f, p->token, may_be_accepted ? CELL_UNSURE : CELL_BUSY,
-	    CALLER_RETRY_MS, "no answer in time");
+	    retry_ms_for(ogl_str(p->id)), "no answer in time");
 	return true;
 }
 
--- a/cell/job.c
+++ b/cell/job.c
@@ -215,6 +215,7 @@
 
 	j->def = def;
 	j->accepted = now;
+	j->waits_since = now;
 	compute_declared_work(j);
 	return j;
 }
--- a/cell/job.h
+++ b/cell/job.h
@@ -90,6 +90,9 @@
 	uint32_t next_occurrence;
 	GArray *finished;  /* uint32_t, numbers of finished occurrences */
 	ogl_time accepted; /* node clock */
+	/* Its place among jobs of its rank: when it was accepted, or first
+	 * refused if its caller came back in its return slot. */
+	ogl_time waits_since;
 	uint64_t ended_ms; /* wall clock */
 	bool begun;        /* a run of it has begun */
 	bool stored;       /* the submission is stored */
@@ -103,11 +106,17 @@
 	struct cell_line *team_line; /* while its team's limit is reached */
 	bool placed;                 /* this owner has started a run of it */
 	ogl_time expected_wait; /* for the first start, when it was submitted */
-	double cpu_seconds;     /* processor seconds declared, all steps */
-	double chain_ms;        /* longest chain of declared run times */
-	double *chain_from_ms;  /* longest such chain from each step on */
-	double *measured_ms;    /* longest finished run of each step; 0 none */
-	bool end_stored;        /* the end is stored, so callers may see it */
+	/* The same by the capacity; valid if has_expected_start. */
+	ogl_time expected_start;
+	bool has_expected_start;
+	bool waited_for_limit;  /* which the capacity does not foresee */
+	const char *refused_by; /* rule that refused it; NULL none */
+	struct cell_line *refused_line; /* in which its caller returns */
+	double cpu_seconds;    /* processor seconds declared, all steps */
+	double chain_ms;       /* longest chain of declared run times */
+	double *chain_from_ms; /* longest such chain from each step on */
+	double *measured_ms;   /* longest finished run of each step; 0 none */
+	bool end_stored;       /* the end is stored, so callers may see it */
 	uint64_t queue_config_version;   /* version of queue_config */
 	struct cell_queue *queue_config; /* NULL not looked up yet */
 	/* Whether tasks without a known run may be started, because this owner
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -1235,6 +1235,14 @@
 	reply(o, to, token, OGL__CELL_OUTCOME__cell_busy, retry_ms);
 }
 
+/* Times that are not given as slots, spread by the job's id: callers who all
+ * return at once would be refused again. */
+static uint32_t
+busy_retry_ms(const char *id)
+{
+	return BUSY_RETRY_MS + g_str_hash(id) % BUSY_RETRY_MS;
+}
+
 static struct waiting_call *
 waiting_call_new(struct cell_owner *o, const char *to, const Ogl__CellCall *c)
 {
@@ -1312,7 +1320,7 @@
 		reply(o, w->to, w->token, OGL__CELL_OUTCOME__cell_ok, 0);
 	} else if (result == CELL_NOT_STORED) {
 		remove_refused_job(o, j, now);
-		refuse(o, w->to, w->token, BUSY_RETRY_MS, now);
+		refuse(o, w->to, w->token, busy_retry_ms(w->id), now);
 	} else {
 		/* This may be a second submission of a job that has been
 		 * removed. */
@@ -1356,14 +1364,20 @@
 	       cell_load_refusing(&o->link_load);
 }
 
+/* j: the job if it was refused by a forecast, otherwise NULL. */
 static void
-log_refused(struct cell_owner *o, const Ogl__CellCall *c, const char *why)
+log_refused(struct cell_owner *o, const Ogl__CellCall *c,
+    const struct cell_job *j, const char *why, uint32_t retry_ms)
 {
-	char text[320];
+	char text[400];
 
 	g_snprintf(text, sizeof text,
-	    "job=%s epoch=%" G_GUINT64_FORMAT " team=%s why=%s", c->id,
-	    o->epoch, c->team, why);
+	    "job=%s epoch=%" G_GUINT64_FORMAT
+	    " team=%s queue=%s why=%s rule=%s expected_ms=%" G_GINT64_FORMAT
+	    " slot_ms=%u",
+	    c->id, o->epoch, c->team, c->queue, why,
+	    j != NULL && j->refused_by != NULL ? j->refused_by : "none",
+	    j != NULL ? cell_sched_expected_start(j) / OGL_MS : 0, retry_ms);
 	o->ops->log(o->ops->ctx, "owner", "job_refused", text);
 }
 
@@ -1413,25 +1427,38 @@
 	return NULL;
 }
 
-static void
-refuse_job(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
-    const char *why, uint32_t retry_ms, ogl_time now)
+/* When the caller of a job that is refused for too much work is to come back. */
+static uint32_t
+retry_ms_after(struct cell_owner *o, const Ogl__CellCall *c,
+    const struct cell_job *j, ogl_time wait, ogl_time now)
 {
-	log_refused(o, c, why);
-	refuse(o, from, c->token, retry_ms, now);
+	struct cell_refused r = {c->id, c->queue, j};
+
+	return cell_sched_return_ms(o->sched, &r,
+	    now + CLAMP(wait, BUSY_RETRY_MS * OGL_MS,
+		      FORECAST_RETRY_MS_MAX * OGL_MS),
+	    now);
 }
 
-/*
- * When a caller of a job that can't be served now is to come back.  The times
- * are spread, as callers who all return at once would find the same line again.
- */
-static uint32_t
-retry_ms_after(const struct cell_job *j, ogl_time wait)
+/* Whether there is no saying when a job refused for that reason can be taken. */
+static bool
+retry_time_unknown(const char *why)
+{
+	return strcmp(why, "malformed") == 0 ||
+	       strcmp(why, "no_configuration") == 0 ||
+	       strcmp(why, "store_failing") == 0;
+}
+
+static void
+refuse_job(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
+    const char *why, ogl_time now)
 {
-	uint64_t ms = (uint64_t)CLAMP(
-	    wait / OGL_MS, BUSY_RETRY_MS, FORECAST_RETRY_MS_MAX);
+	uint32_t retry_ms = retry_time_unknown(why)
+				? busy_retry_ms(c->id)
+				: retry_ms_after(o, c, NULL, 0, now);
 
-	return (uint32_t)(ms + ms * (g_str_hash(j->id) % 64) / 128);
+	log_refused(o, c, NULL, why, retry_ms);
+	refuse(o, from, c->token, retry_ms, now);
 }
 
 /* Answers a submission of an unknown job that does not include the job: the
@@ -1443,7 +1470,7 @@
 	const char *why = why_refuse_any(o, from, c, now);
 
 	if (why != NULL)
-		refuse_job(o, from, c, why, BUSY_RETRY_MS, now);
+		refuse_job(o, from, c, why, now);
 	else
 		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_send_job, 0);
 }
@@ -1456,6 +1483,7 @@
 	struct waiting_call *w;
 	const char *why;
 	bool over = false;
+	uint32_t retry_ms;
 	ogl_time wait;
 
 	if (j != NULL && j->stored) {
@@ -1473,21 +1501,24 @@
 	}
 	why = why_refuse(o, from, c, &over, now);
 	if (why != NULL) {
-		refuse_job(o, from, c, why, BUSY_RETRY_MS, now);
+		refuse_job(o, from, c, why, now);
 		return;
 	}
 	w = waiting_call_new(o, from, c);
 	j = cell_job_new(c->job, now);
 	c->job = NULL;
 	j->beyond_rate = over;
+	cell_sched_note_return(o->sched, j, now);
 	wait = o->settled ? cell_sched_forecast(o->sched, j, now) : 0;
 	if (wait > 0) {
-		refuse_job(o, from, c, "no_room_in_time",
-		    retry_ms_after(j, wait), now);
+		retry_ms = retry_ms_after(o, c, j, wait, now);
+		log_refused(o, c, j, "no_room_in_time", retry_ms);
+		refuse(o, from, c->token, retry_ms, now);
 		waiting_call_free(w);
 		cell_job_free(j);
 		return;
 	}
+	cell_sched_note_accepted(o->sched, j);
 	j->settled = true;
 	j->def->accepted_ms = (uint64_t)(o->wall / OGL_MS);
 	g_hash_table_insert(o->jobs, j->id, j);
--- a/cell/question.c
+++ b/cell/question.c
@@ -223,3 +223,15 @@
 		slots += cell_worker_free_slots(workers->pdata[i], st);
 	g_ptr_array_set_size(workers, (gint)i);
 }
+
+double
+cell_question_first_ms(const struct cell_policy *p, const Ogl__CellStep *step,
+    uint32_t tasks, double approved_share)
+{
+	double n = SLOTS_MARGIN * tasks / MAX(approved_share, 0.01);
+
+	if (!step->gang && p->worker_ms > 0)
+		n = MIN(n, (FIRST_BUDGET_MS - p->decide_ms) / p->worker_ms);
+	n = CLAMP(n, WORKERS_MIN, CELL_ADVICE_WORKERS_MAX);
+	return p->decide_ms + p->worker_ms * n;
+}
--- a/cell/question.h
+++ b/cell/question.h
@@ -37,4 +37,8 @@
 /* Lists approved workers whose tickets have expired.  The list is empty if new
  * tickets would not let a task start. */
 
+double cell_question_first_ms(const struct cell_policy *p,
+    const Ogl__CellStep *step, uint32_t tasks, double approved_share);
+/* Time that the first question for so many waiting tasks is expected to take. */
+
 #endif
--- a/cell/sched_ask.c
+++ b/cell/sched_ask.c
@@ -47,10 +47,13 @@
 {
 	const struct cell_policy *p = &q->policy;
 
-	if (!p->needed || st->asking ||
-	    !cell_advice_has_free_lane(
-		s->parts.advice, cell_sched_rank_of(s, st), now))
+	if (!p->needed || st->asking)
 		return;
+	if (!cell_advice_has_free_lane(
+		s->parts.advice, cell_sched_rank_of(s, st), now)) {
+		s->no_lane_at = now;
+		return;
+	}
 	if (g_hash_table_size(st->asked) == 0) {
 		ask(s, st, q, cell_question_first, now);
 		return;
--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -5,8 +5,10 @@
 #ifndef OGL_CELL_SCHED_IMPL_H
 #define OGL_CELL_SCHED_IMPL_H
 
+#include "capacity.h"
 #include "forecast.h"
 #include "schedule.h"
+#include "slots.h"
 
 #define RANKS 4
 /* Precedences are in time, late and too late, first for teams within their rate
@@ -50,6 +52,11 @@
 	unsigned reserving_gangs;
 	GHashTable *team_states; /* team -> struct team_state */
 	struct cell_forecast *forecast;
+	struct ogl_capacity *capacity;
+	ogl_time picture_at; /* when it was last told of work and workers */
+	double open_cores;   /* of all workers then */
+	struct ogl_slots *slots;
+	ogl_time no_lane_at;   /* last time that a question found no lane */
 	ogl_time closed_since; /* no worker takes work since then; 0 some do */
 	ogl_time last_closure; /* how long that lasted the last time */
 	uint64_t pass;         /* number of the current pass */
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -43,6 +43,8 @@
 
 	s->parts = *parts;
 	s->no_room_at = CELL_LONG_AGO;
+	s->no_lane_at = CELL_LONG_AGO;
+	s->picture_at = CELL_LONG_AGO;
 	s->schedulable = g_ptr_array_new();
 	s->expired = g_ptr_array_new();
 	for (i = 0; i < PRECEDENCES; i++) {
@@ -54,6 +56,8 @@
 	s->team_states =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->forecast = cell_forecast_init();
+	s->capacity = ogl_capacity_init();
+	s->slots = ogl_slots_init();
 	s->last_closure = FIRST_CLOSURE;
 	s->candidates = g_ptr_array_new();
 	s->chosen = g_ptr_array_new();
@@ -73,6 +77,8 @@
 	cell_config_unref(s->config);
 	g_hash_table_unref(s->team_states);
 	cell_forecast_end(s->forecast);
+	ogl_capacity_end(s->capacity);
+	ogl_slots_end(s->slots);
 	g_ptr_array_unref(s->schedulable);
 	g_ptr_array_unref(s->expired);
 	g_ptr_array_unref(s->candidates);
@@ -84,6 +90,9 @@
 cell_sched_open(struct cell_sched *s, ogl_time now)
 {
 	cell_forecast_reset(s->forecast, now);
+	ogl_capacity_reset(s->capacity);
+	s->picture_at = CELL_LONG_AGO;
+	ogl_slots_clear(s->slots);
 }
 
 void
@@ -127,7 +136,7 @@
 	for (at = q->tail; at != NULL; at = at->prev) {
 		const struct cell_stage *other = at->data;
 
-		if (other->job->accepted <= st->job->accepted)
+		if (other->job->waits_since <= st->job->waits_since)
 			break;
 	}
 	if (at == NULL)
--- a/cell/schedule.h
+++ b/cell/schedule.h
@@ -60,6 +60,30 @@
  * Otherwise returns the time after which such a job can be in time again, if
  * the waiting jobs are started as fast as lately. */
 
+ogl_time cell_sched_expected_start(const struct cell_job *j);
+/* After what time the job was expected to start when cell_sched_forecast was
+ * called, 0 if nothing was forecast. */
+
+void cell_sched_note_return(
+    struct cell_sched *s, struct cell_job *j, ogl_time now);
+/* To be called for a new job before cell_sched_forecast.  If its caller was
+ * refused and comes back in its return slot, the job goes before those that
+ * came after its first attempt. */
+void cell_sched_note_accepted(struct cell_sched *s, const struct cell_job *j);
+/* Frees the return slot of an accepted job, if it has one. */
+
+/* A refused job.  job is NULL if only its id and queue are known. */
+struct cell_refused {
+	const char *id;
+	const char *queue;
+	const struct cell_job *job;
+};
+
+uint32_t cell_sched_return_ms(struct cell_sched *s,
+    const struct cell_refused *r, ogl_time not_before, ogl_time now);
+/* Gives the job's caller a return slot, and returns in how many ms it begins,
+ * which is not before that time. */
+
 double cell_sched_objective_ms(const struct cell_sched *s, struct cell_job *j);
 /* Time in ms after its acceptance within which the job has to end. */
 
--- a/test/test_cell_schedule.cc
+++ b/test/test_cell_schedule.cc
@@ -8,7 +8,7 @@
 #include <vector>
 
 extern "C" {
-#include "schedule.h"
+#include "sched_impl.h"
 }
 
 namespace
@@ -104,7 +104,8 @@
 		cell_sched_end(sched_);
 		cell_escrow_end(escrow_);
 		cell_advice_end(advice_);
-		cell_job_free(job_);
+		if (job_ != nullptr)
+			cell_job_free(job_);
 		cell_fleet_end(fleet_);
 	}
 
@@ -153,6 +154,7 @@
 		q->policy.decide_ms = decide_ms;
 		q->policy.worker_ms = worker_ms;
 		q->policy.valid_ms = 2500;
+		q->objective_ms = objective_ms_;
 		cell_sched_set_config(sched_, c);
 		cell_config_unref(c);
 	}
@@ -177,6 +179,16 @@
 	}
 
 	void submit(uint32_t tasks, uint32_t cpu_milli)
+	{
+		job_ = new_job("0000000000000001", tasks, cpu_milli);
+		job_->stored = true;
+		job_->settled = true;
+		stage_ = &cell_job_begin_occurrence(job_, 0, now_)->stages[0];
+		cell_sched_add(sched_, stage_);
+	}
+
+	struct cell_job *new_job(
+	    const char *id, uint32_t tasks, uint32_t cpu_milli)
 	{
 		auto *d = static_cast<Ogl__CellJob *>(
 		    calloc(1, sizeof(Ogl__CellJob)));
@@ -187,17 +199,59 @@
 		ogl__cell_step__init(s);
 		s->count = tasks;
 		s->cpu_milli = cpu_milli;
-		d->id = strdup("0000000000000001");
+		d->id = strdup(id);
 		d->queue = strdup("q");
 		d->service = strdup("svc");
 		d->steps = static_cast<Ogl__CellStep **>(malloc(sizeof s));
 		d->steps[0] = s;
 		d->n_steps = 1;
-		job_ = cell_job_new(d, now_);
-		job_->stored = true;
-		job_->settled = true;
-		stage_ = &cell_job_begin_occurrence(job_, 0, now_)->stages[0];
-		cell_sched_add(sched_, stage_);
+		return cell_job_new(d, now_);
+	}
+
+	/* A full cell in which one stage waits for room; results are in time
+	 * within 1 s. */
+	void fill()
+	{
+		objective_ms_ = 1000;
+		configure(5, 0);
+		submit(1, 1000);
+		pass(10);
+		allow();
+		occupy_all();
+		pass(200); /* forecasts may be that old */
+	}
+
+	/* Forecasts for a new job; the rule that refuses it, "" for none. */
+	std::string refused_by(const char *id = "00000000000000aa")
+	{
+		struct cell_job *j = new_job(id, 1, 1000);
+		std::string rule;
+
+		if (cell_sched_forecast(sched_, j, now_) > 0)
+			rule = j->refused_by;
+		cell_job_free(j);
+		return rule;
+	}
+
+	/* After how many ms a refused caller is told to come back. */
+	uint32_t return_ms(const char *id)
+	{
+		struct cell_refused r = {id, "q", nullptr};
+
+		return cell_sched_return_ms(
+		    sched_, &r, now_ + 500 * OGL_MS, now_);
+	}
+
+	/* Since when a job that is submitted now counts as waiting. */
+	ogl_time waits_since(const char *id)
+	{
+		struct cell_job *j = new_job(id, 1, 1000);
+		ogl_time since;
+
+		cell_sched_note_return(sched_, j, now_);
+		since = j->waits_since;
+		cell_job_free(j);
+		return since;
 	}
 
 	/* Runs a pass ms later; asked_ then lists the workers asked about. */
@@ -284,6 +338,7 @@
 	std::vector<Start> starts_;
 	std::vector<std::string> asked_;
 	uint64_t token_ = 0;
+	uint32_t objective_ms_ = 0;
 	ogl_time now_ = 100 * OGL_SEC;
 };
 
@@ -393,4 +448,87 @@
 	EXPECT_EQ(before, cell_advice_approved_share(advice_, "other"));
 }
 
+/* Guards against accepting what has no room in time, and against refusing jobs
+ * of a cell that is not full. */
+TEST_F(Schedule, CapacityRefusesOnlyWhileTheCellIsFull)
+{
+	EXPECT_EQ("", refused_by());
+	fill();
+	EXPECT_EQ("room", refused_by());
+	now_ += 310 * OGL_MS; /* no stage has lacked room since */
+	EXPECT_EQ("", refused_by());
+	pass(1);
+	EXPECT_EQ("room", refused_by());
+	occupy(3, 0);
+	now_ += 200 * OGL_MS;
+	EXPECT_EQ("", refused_by());
+}
+
+/* Guards against refusals while the store is silent or after the owner was
+ * frozen: nothing is started then, whatever there is room for. */
+TEST_F(Schedule, CapacityIsNotUsedUntilOwnershipIsConfirmed)
+{
+	fill();
+	cell_fleet_require_confirmation(fleet_, now_);
+	EXPECT_EQ("", refused_by());
+	cell_fleet_confirm(fleet_, now_);
+	EXPECT_EQ("room", refused_by());
+}
+
+/* Guards against refusing a queue by forecasts that were wrong for it. */
+TEST_F(Schedule, CapacityDoesNotRefuseAQueueItErrsFor)
+{
+	struct cell_job *jobs[5];
+
+	pass(1);
+	for (auto &j : jobs) {
+		j = new_job("00000000000000bb", 1, 1000);
+		EXPECT_EQ(0, cell_sched_forecast(sched_, j, now_));
+	}
+	now_ += 4 * OGL_SEC;
+	fill();
+	EXPECT_EQ("room", refused_by());
+	for (auto &j : jobs) {
+		cell_sched_count_first_start(sched_, j, now_);
+		cell_job_free(j);
+	}
+	EXPECT_EQ("", refused_by());
+}
+
+/* Guards against a crowd that comes back at once when zones are opened. */
+TEST_F(Schedule, CallersAreSpreadWhileAllWorkersAreClosed)
+{
+	std::vector<uint32_t> ms;
+
+	objective_ms_ = 1000;
+	configure(5, 0);
+	for (unsigned i = 0; i < kWorkers; i++)
+		worker(i)->evacuated = true;
+	for (int i = 0; i < 10; i++) {
+		std::string id = "00000000000000c" + std::to_string(i);
+
+		EXPECT_EQ("closed", refused_by(id.c_str()));
+		ms.push_back(return_ms(id.c_str()));
+	}
+	std::sort(ms.begin(), ms.end());
+	for (size_t i = 1; i < ms.size(); i++)
+		EXPECT_LT(ms[i - 1], ms[i]);
+}
+
+/* Guards against a place ahead of others that was given under an earlier
+ * ownership, or before the owner was frozen. */
+TEST_F(Schedule, SlotsOfAnEarlierOwnershipAreVoid)
+{
+	ogl_time refused_at = now_;
+
+	EXPECT_EQ(500u, return_ms("00000000000000aa"));
+	now_ += 520 * OGL_MS;
+	EXPECT_EQ(refused_at, waits_since("00000000000000aa"));
+	cell_sched_open(sched_, now_);
+	EXPECT_EQ(now_, waits_since("00000000000000aa"));
+	return_ms("00000000000000aa");
+	now_ += 3 * OGL_SEC;
+	EXPECT_EQ(now_, waits_since("00000000000000aa"));
+}
+
 } // namespace
