cell: owners tell nodes what they would refuse

A node that has such a hint asks the owner with the job's id alone before it sends the job; it refuses nothing by itself. The owner refuses such a job without decoding it or forecasting, as long as forecasts have refused at least three in a row and one within 300 ms. Callers in their return slots, jobs that are of use whenever they start, and questions under load are not refused that way.

--- a/cell/front.c
+++ b/cell/front.c
@@ -37,6 +37,7 @@
 #include <string.h>
 
 #include "front.h"
+#include "hints.h"
 #include "job.h"
 #include "window.h"
 
@@ -104,7 +105,8 @@
 	/* The owner refuses some new jobs, so a job is sent only after the
 	 * owner has asked for it. */
 	bool asks_first;
-	ogl_time used_at; /* last call for the shard */
+	struct cell_hints hints; /* what it would refuse */
+	ogl_time used_at;        /* last call for the shard */
 };
 
 /* State of reading the newest record of each key, page by page. */
@@ -181,8 +183,10 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < f->shards; i++)
+	for (i = 0; i < f->shards; i++) {
 		g_free(f->owners[i].addr);
+		cell_hints_clear(&f->owners[i].hints);
+	}
 	g_hash_table_unref(f->calls);
 	cell_config_unref(f->config);
 	g_bytes_unref(f->record);
@@ -575,6 +579,17 @@
 
 /* ---- sending calls to owners ------------------------------------------ */
 
+/* Whether the owner is asked, with the id alone, before it is sent the job. */
+static bool
+asks_first(
+    const struct shard_owner *o, const struct pending_call *p, ogl_time now)
+{
+	if (o->asks_first || p->job == NULL)
+		return true;
+	return !cell_job_def_open_ended(p->job) &&
+	       cell_hints_apply(&o->hints, o->epoch, p->queue, p->team, now);
+}
+
 static void
 send_call(struct cell_front *f, struct pending_call *p, ogl_time now)
 {
@@ -585,7 +600,8 @@
 	p->sent_epoch = MAX(p->sent_epoch, o->epoch);
 	p->call.epoch = o->epoch;
 	p->call.admitted = p->admitted_epoch == o->epoch;
-	p->call.job = !o->asks_first || p->call.admitted ? p->job : NULL;
+	p->call.job =
+	    p->call.admitted || !asks_first(o, p, now) ? p->job : NULL;
 	p->refused = false;
 	p->repeat_at =
 	    now + (REPEAT_DELAY << MIN(p->repeats, REPEAT_DOUBLINGS_MAX));
@@ -899,6 +915,13 @@
 	f->owners[shard].asks_first = asks_first;
 }
 
+void
+cell_front_learn_refusals(struct cell_front *f, uint32_t shard,
+    const Ogl__CellPong *pong, ogl_time now)
+{
+	cell_hints_learn(&f->owners[shard].hints, pong, now);
+}
+
 void
 cell_front_reply(
     struct cell_front *f, uint32_t shard, const Ogl__CellReply *r, ogl_time now)
--- a/cell/front.h
+++ b/cell/front.h
@@ -42,6 +42,11 @@
 /* Whether the shard's owner is to be asked before it is sent a job, since it
  * refuses some. */
 
+void cell_front_learn_refusals(struct cell_front *f, uint32_t shard,
+    const Ogl__CellPong *pong, ogl_time now);
+/* Takes from a pong of a node that owns the shard what it would refuse.  It is
+ * asked before it is sent such a job. */
+
 void cell_front_delay(
     struct cell_front *f, uint32_t shard, ogl_time delay, ogl_time now);
 /* Reports the round-trip time of a message to the shard's owner, or how long
--- a/cell/job.c
+++ b/cell/job.c
@@ -208,6 +208,18 @@
 	return j;
 }
 
+bool
+cell_job_def_open_ended(const Ogl__CellJob *def)
+{
+	size_t i;
+
+	for (i = 0; i < def->n_steps; i++) {
+		if (def->steps[i]->lasting)
+			return true;
+	}
+	return def->repeats > 0;
+}
+
 struct cell_job *
 cell_job_new(Ogl__CellJob *def, ogl_time now)
 {
--- a/cell/job.h
+++ b/cell/job.h
@@ -131,6 +131,10 @@
 /* Checks the number of steps, their counts, and that each depends only on
  * earlier ones; if not valid, sets *why to the reason. */
 
+bool cell_job_def_open_ended(const Ogl__CellJob *def);
+/* Whether the job is repeated or lasts until it is cancelled.  Such a job is of
+ * use whenever it starts. */
+
 struct cell_job *cell_job_new(Ogl__CellJob *def, ogl_time now);
 /* Takes ownership of def; now is the time of acceptance. */
 struct cell_job *cell_job_new_ended(const char *id, const Ogl__CellProgress *p);
--- a/cell/node.c
+++ b/cell/node.c
@@ -545,6 +545,8 @@
 		pong.owns = cell_lead_epoch(n->lead, s->shard);
 	pong.able = cell_lead_able(n->lead, s->shard, now);
 	pong.asks_first = cell_owner_asks_first(s->owner);
+	if (pong.owns != 0)
+		cell_owner_add_refusals(s->owner, &pong, now);
 	add_config(n, p, &pong, now);
 	zones = add_zones(n, p, &pong);
 	owners = add_news(n, p, &pong, owner_ptrs, now);
@@ -567,6 +569,7 @@
 	s->pong_at = now;
 	learn_config(s->node, m->pong, now);
 	learn_news(s->node, m->pong, now);
+	cell_front_learn_refusals(s->node->front, s->shard, m->pong, now);
 	if (owner == NULL || strcmp(owner, m->from) != 0)
 		return;
 	if (m->pong->owns == 0 || !m->pong->able) {
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -22,6 +22,7 @@
 #include "ablate.h"
 #include "admission.h"
 #include "held.h"
+#include "hints.h"
 #include "journal.h"
 #include "known.h"
 #include "load.h"
@@ -99,6 +100,7 @@
 	struct cell_roster *roster;
 	GHashTable *jobs; /* id -> struct cell_job */
 	struct cell_admission *admission;
+	struct cell_refusals *refusals;
 	struct cell_journal *journal;
 	struct cell_watch *watch;
 	struct cell_relay *relay;
@@ -1109,6 +1111,7 @@
 	o->jobs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 	o->admission = cell_admission_init();
+	o->refusals = cell_refusals_init();
 	o->journal =
 	    cell_journal_init(ops, params->shard, on_ownership_lost, o);
 	o->watch = cell_watch_init(
@@ -1144,6 +1147,7 @@
 	cell_watch_end(o->watch);
 	g_hash_table_unref(o->jobs);
 	cell_admission_end(o->admission);
+	cell_refusals_end(o->refusals);
 	cell_config_unref(o->config);
 	g_free(o);
 }
@@ -1190,6 +1194,7 @@
 	cell_escrow_close(o->escrow);
 	cell_advice_clear(o->advice);
 	cell_sched_clear(o->sched);
+	cell_refusals_clear(o->refusals);
 	g_hash_table_remove_all(o->jobs);
 	cell_watch_clear(o->watch);
 }
@@ -1461,13 +1466,54 @@
 	refuse(o, from, c->token, retry_ms, now);
 }
 
+/* Whether the team of a job that a forecast refused is the reason. */
+static bool
+refused_for_team(const struct cell_job *j)
+{
+	return j->beyond_rate || g_strcmp0(j->refused_by, "team_line") == 0;
+}
+
+/* Counts what the forecast said of a new job.  One that is accepted because it
+ * came before others says nothing of those. */
+static void
+note_forecast(struct cell_owner *o, const struct cell_job *j, bool refused,
+    uint32_t retry_ms, ogl_time now)
+{
+	const char *queue = j->def->queue;
+	const char *team = j->def->team;
+
+	if (refused)
+		cell_refusals_add(o->refusals, queue,
+		    refused_for_team(j) ? team : "", retry_ms, now);
+	else if (j->waits_since == j->accepted)
+		cell_refusals_accepted(o->refusals, queue, team);
+}
+
+/*
+ * Why a job is refused of which only id, queue and team are known.  Nodes ask
+ * because of a hint only for jobs that a forecast may refuse; under load they ask
+ * for all, so hints do not count then.
+ */
+static const char *
+why_refuse_query(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
+    ogl_time now)
+{
+	const char *why = why_refuse_any(o, from, c, now);
+
+	if (why == NULL && !overloaded(o) &&
+	    cell_refusals_apply(o->refusals, c->queue, c->team, now) &&
+	    !cell_sched_is_return(o->sched, c->id, now))
+		why = "no_room_in_time";
+	return why;
+}
+
 /* Answers a submission of an unknown job that does not include the job: the
  * front end asks whether to send it. */
 static void
 call_submit_query(struct cell_owner *o, const char *from,
     const Ogl__CellCall *c, ogl_time now)
 {
-	const char *why = why_refuse_any(o, from, c, now);
+	const char *why = why_refuse_query(o, from, c, now);
 
 	if (why != NULL)
 		refuse_job(o, from, c, why, now);
@@ -1513,11 +1559,13 @@
 	if (wait > 0) {
 		retry_ms = retry_ms_after(o, c, j, wait, now);
 		log_refused(o, c, j, "no_room_in_time", retry_ms);
+		note_forecast(o, j, true, retry_ms, now);
 		refuse(o, from, c->token, retry_ms, now);
 		waiting_call_free(w);
 		cell_job_free(j);
 		return;
 	}
+	note_forecast(o, j, false, 0, now);
 	cell_sched_note_accepted(o->sched, j);
 	j->settled = true;
 	j->def->accepted_ms = (uint64_t)(o->wall / OGL_MS);
@@ -1964,6 +2012,13 @@
 	step_load(o, &o->link_load, "link", now - delay, now);
 }
 
+void
+cell_owner_add_refusals(struct cell_owner *o, Ogl__CellPong *pong, ogl_time now)
+{
+	if (o->phase == PHASE_SERVING)
+		cell_refusals_list(o->refusals, pong, now);
+}
+
 bool
 cell_owner_asks_first(const struct cell_owner *o)
 {
--- a/cell/owner.h
+++ b/cell/owner.h
@@ -95,6 +95,10 @@
 bool cell_owner_asks_first(const struct cell_owner *o);
 /* Whether the owner refuses some new jobs.  A node then has to ask it before
  * sending it a job. */
+void cell_owner_add_refusals(
+    struct cell_owner *o, Ogl__CellPong *pong, ogl_time now);
+/* Adds what the owner would refuse now to a pong, which then points into o until
+ * the next call. */
 bool cell_owner_awaits_confirmation(const struct cell_owner *o);
 /* Whether nothing may be started until the ownership is confirmed again. */
 void cell_owner_require_confirmation(struct cell_owner *o, ogl_time now);
--- a/cell/sched_forecast.c
+++ b/cell/sched_forecast.c
@@ -374,18 +374,6 @@
 	return MAX(s->last_closure, now - s->closed_since);
 }
 
-static bool
-lasts(const struct cell_job *j)
-{
-	size_t i;
-
-	for (i = 0; i < j->def->n_steps; i++) {
-		if (j->def->steps[i]->lasting)
-			return true;
-	}
-	return false;
-}
-
 /* Returns 0 if a job that waits so long can still be of use to its caller, and
  * otherwise after what time one can be in time again. */
 static ogl_time
@@ -463,7 +451,7 @@
 	ogl_time by;
 	ogl_time closure;
 
-	if (!CELL_USES_FORECAST || j->def->repeats > 0 || lasts(j))
+	if (!CELL_USES_FORECAST || cell_job_def_open_ended(j->def))
 		return 0;
 	j->refused_line = line_of(s, j);
 	closure = expected_closure(s, now);
@@ -496,6 +484,12 @@
 		j->waits_since = ogl_slots_first_attempt(s->slots, j->id, now);
 }
 
+bool
+cell_sched_is_return(const struct cell_sched *s, const char *id, ogl_time now)
+{
+	return ogl_slots_first_attempt(s->slots, id, now) < now;
+}
+
 void
 cell_sched_note_accepted(struct cell_sched *s, const struct cell_job *j)
 {
--- a/cell/schedule.h
+++ b/cell/schedule.h
@@ -69,6 +69,9 @@
 /* To be called for a new job before cell_sched_forecast.  If its caller was
  * refused and comes back in its return slot, the job goes before those that
  * came after its first attempt. */
+bool cell_sched_is_return(
+    const struct cell_sched *s, const char *id, ogl_time now);
+/* Whether the job's caller comes back now in its return slot. */
 void cell_sched_note_accepted(struct cell_sched *s, const struct cell_job *j);
 /* Frees the return slot of an accepted job, if it has one. */
 
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -637,6 +637,51 @@
   assert(message->base.descriptor == &ogl__cell_owner_of__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ogl__cell_refusal__init
+                     (Ogl__CellRefusal         *message)
+{
+  static const Ogl__CellRefusal init_value = OGL__CELL_REFUSAL__INIT;
+  *message = init_value;
+}
+size_t ogl__cell_refusal__get_packed_size
+                     (const Ogl__CellRefusal *message)
+{
+  assert(message->base.descriptor == &ogl__cell_refusal__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ogl__cell_refusal__pack
+                     (const Ogl__CellRefusal *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ogl__cell_refusal__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ogl__cell_refusal__pack_to_buffer
+                     (const Ogl__CellRefusal *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ogl__cell_refusal__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ogl__CellRefusal *
+       ogl__cell_refusal__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ogl__CellRefusal *)
+     protobuf_c_message_unpack (&ogl__cell_refusal__descriptor,
+                                allocator, len, data);
+}
+void   ogl__cell_refusal__free_unpacked
+                     (Ogl__CellRefusal *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ogl__cell_refusal__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ogl__cell_call__init
                      (Ogl__CellCall         *message)
 {
@@ -2660,7 +2705,7 @@
   (ProtobufCMessageInit) ogl__cell_ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_pong__field_descriptors[13] =
+static const ProtobufCFieldDescriptor ogl__cell_pong__field_descriptors[15] =
 {
   {
     "stamp",
@@ -2818,6 +2863,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refusals",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__CellPong, n_refusals),
+    offsetof(Ogl__CellPong, refusals),
+    &ogl__cell_refusal__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refusals_age_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellPong, refusals_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_pong__field_indices_by_name[] = {
   2,   /* field[2] = able */
@@ -2828,6 +2897,8 @@
   8,   /* field[8] = evacuated_zones */
   9,   /* field[9] = owners */
   1,   /* field[1] = owns */
+  13,   /* field[13] = refusals */
+  14,   /* field[14] = refusals_age_ms */
   12,   /* field[12] = sent_us */
   11,   /* field[11] = settings_age_ms */
   10,   /* field[10] = settings_end */
@@ -2837,7 +2908,7 @@
 static const ProtobufCIntRange ogl__cell_pong__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor ogl__cell_pong__descriptor =
 {
@@ -2847,7 +2918,7 @@
   "Ogl__CellPong",
   "ogl",
   sizeof(Ogl__CellPong),
-  13,
+  15,
   ogl__cell_pong__field_descriptors,
   ogl__cell_pong__field_indices_by_name,
   1,  ogl__cell_pong__number_ranges,
@@ -2918,6 +2989,70 @@
   (ProtobufCMessageInit) ogl__cell_owner_of__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ogl__cell_refusal__field_descriptors[3] =
+{
+  {
+    "queue",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellRefusal, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellRefusal, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellRefusal, retry_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ogl__cell_refusal__field_indices_by_name[] = {
+  0,   /* field[0] = queue */
+  2,   /* field[2] = retry_ms */
+  1,   /* field[1] = team */
+};
+static const ProtobufCIntRange ogl__cell_refusal__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ogl__cell_refusal__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ogl.CellRefusal",
+  "CellRefusal",
+  "Ogl__CellRefusal",
+  "ogl",
+  sizeof(Ogl__CellRefusal),
+  3,
+  ogl__cell_refusal__field_descriptors,
+  ogl__cell_refusal__field_indices_by_name,
+  1,  ogl__cell_refusal__number_ranges,
+  (ProtobufCMessageInit) ogl__cell_refusal__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ogl__cell_call__field_descriptors[9] =
 {
   {
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -29,6 +29,7 @@
 typedef struct Ogl__CellPing Ogl__CellPing;
 typedef struct Ogl__CellPong Ogl__CellPong;
 typedef struct Ogl__CellOwnerOf Ogl__CellOwnerOf;
+typedef struct Ogl__CellRefusal Ogl__CellRefusal;
 typedef struct Ogl__CellCall Ogl__CellCall;
 typedef struct Ogl__CellReply Ogl__CellReply;
 typedef struct Ogl__CellAsk Ogl__CellAsk;
@@ -582,10 +583,19 @@
    * sender's clock, as in the owner's heartbeats
    */
   uint64_t sent_us;
+  /*
+   * New jobs that the owner would refuse now.
+   */
+  size_t n_refusals;
+  Ogl__CellRefusal **refusals;
+  /*
+   * since the last such refusal, the oldest one
+   */
+  uint32_t refusals_age_ms;
 };
 #define OGL__CELL_PONG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_pong__descriptor) \
-    , 0, 0, 0, 0, 0, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -603,6 +613,27 @@
     , 0, 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * New jobs of a queue that an owner would refuse.
+ */
+struct  Ogl__CellRefusal
+{
+  ProtobufCMessage base;
+  char *queue;
+  /*
+   * empty: of all teams
+   */
+  char *team;
+  /*
+   * when to retry, as the last one was told
+   */
+  uint32_t retry_ms;
+};
+#define OGL__CELL_REFUSAL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_refusal__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * A caller's request, forwarded to the shard's owner.
  */
@@ -1273,6 +1304,25 @@
 void   ogl__cell_owner_of__free_unpacked
                      (Ogl__CellOwnerOf *message,
                       ProtobufCAllocator *allocator);
+/* Ogl__CellRefusal methods */
+void   ogl__cell_refusal__init
+                     (Ogl__CellRefusal         *message);
+size_t ogl__cell_refusal__get_packed_size
+                     (const Ogl__CellRefusal   *message);
+size_t ogl__cell_refusal__pack
+                     (const Ogl__CellRefusal   *message,
+                      uint8_t             *out);
+size_t ogl__cell_refusal__pack_to_buffer
+                     (const Ogl__CellRefusal   *message,
+                      ProtobufCBuffer     *buffer);
+Ogl__CellRefusal *
+       ogl__cell_refusal__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ogl__cell_refusal__free_unpacked
+                     (Ogl__CellRefusal *message,
+                      ProtobufCAllocator *allocator);
 /* Ogl__CellCall methods */
 void   ogl__cell_call__init
                      (Ogl__CellCall         *message);
@@ -1583,6 +1633,9 @@
 typedef void (*Ogl__CellOwnerOf_Closure)
                  (const Ogl__CellOwnerOf *message,
                   void *closure_data);
+typedef void (*Ogl__CellRefusal_Closure)
+                 (const Ogl__CellRefusal *message,
+                  void *closure_data);
 typedef void (*Ogl__CellCall_Closure)
                  (const Ogl__CellCall *message,
                   void *closure_data);
@@ -1651,6 +1704,7 @@
 extern const ProtobufCMessageDescriptor ogl__cell_ping__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_pong__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_owner_of__descriptor;
+extern const ProtobufCMessageDescriptor ogl__cell_refusal__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_call__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_reply__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_ask__descriptor;
--- a/test/test_cell_front.cc
+++ b/test/test_cell_front.cc
@@ -156,6 +156,34 @@
 		cell_front_step(front_, now_);
 	}
 
+	/* A pong of the owner of an epoch, which would refuse the queue's jobs,
+	 * or none. */
+	void pong(uint64_t epoch, bool refuses)
+	{
+		Ogl__CellPong m = OGL__CELL_PONG__INIT;
+		Ogl__CellRefusal r = OGL__CELL_REFUSAL__INIT;
+		Ogl__CellRefusal *list = &r;
+		char queue[] = "q";
+
+		r.queue = queue;
+		m.owns = epoch;
+		m.stamp = static_cast<uint64_t>(now_);
+		m.n_refusals = refuses ? 1 : 0;
+		m.refusals = &list;
+		cell_front_learn_refusals(front_, 0, &m, now_);
+	}
+
+	/* Whether the owner is sent a job at once, not asked for it first. */
+	bool sends_job_at_once(uint64_t token)
+	{
+		bool job;
+
+		submit(token);
+		job = sent_.back().job;
+		answer(token, OGL__CELL_OUTCOME__cell_ok);
+		return job;
+	}
+
 	void answer(uint64_t token, Ogl__CellOutcome outcome)
 	{
 		Ogl__CellReply r = OGL__CELL_REPLY__INIT;
@@ -267,6 +295,56 @@
 	EXPECT_EQ(CELL_OK, answers_[0]);
 }
 
+/* Guards against sending jobs that the owner refuses, and against a node that
+ * refuses by itself what the owner may have accepted. */
+TEST_F(Front, OwnerIsAskedForJobsThatItWouldRefuse)
+{
+	cell_front_set_owner(front_, 0, "owner", 7, now_);
+	pong(7, true);
+	submit(1);
+	ASSERT_EQ(1u, sent_.size());
+	EXPECT_FALSE(sent_[0].job);
+	EXPECT_TRUE(answers_.empty());
+	answer(1, OGL__CELL_OUTCOME__cell_send_job);
+	ASSERT_EQ(2u, sent_.size());
+	EXPECT_TRUE(sent_[1].job);
+	answer(1, OGL__CELL_OUTCOME__cell_ok);
+	EXPECT_FALSE(sends_job_at_once(2));
+	pong(7, false);
+	EXPECT_TRUE(sends_job_at_once(3));
+}
+
+/* Guards against hints that outlive what they tell of: an owner that is frozen
+ * or cut off sends no others. */
+TEST_F(Front, OldHintsAreNotUsed)
+{
+	cell_front_set_owner(front_, 0, "owner", 7, now_);
+	pong(7, true);
+	step(600);
+	EXPECT_FALSE(sends_job_at_once(1));
+	step(1);
+	EXPECT_TRUE(sends_job_at_once(2));
+}
+
+/* Guards against a lost owner's hints being taken for its successor's. */
+TEST_F(Front, HintsOfAnEarlierOwnerAreNotUsed)
+{
+	cell_front_set_owner(front_, 0, "owner", 7, now_);
+	pong(7, true);
+	cell_front_set_owner(front_, 0, "next", 8, now_);
+	EXPECT_TRUE(sends_job_at_once(1));
+}
+
+/* Guards against an owner that was frozen and still sends pongs: its hints
+ * replace those of the owner with the higher epoch. */
+TEST_F(Front, OfTwoOwnersTheHigherEpochCounts)
+{
+	cell_front_set_owner(front_, 0, "next", 8, now_);
+	pong(8, true);
+	pong(7, false);
+	EXPECT_FALSE(sends_job_at_once(1));
+}
+
 /* Guards against a repeat of a lost call that is given up too early. */
 TEST_F(Front, CallWithoutAnswerIsRepeatedWithBackoff)
 {
