--- a/policy/slots.c
+++ b/policy/slots.c
@@ -22,14 +22,22 @@
  * place are spread over the second half of this time. */
 #define PLACES_TIME_MAX (10 * OGL_SEC)
 #define SWEEP_INTERVAL OGL_SEC
+/* After a line was found without a place, none is looked for for this long unless
+ * one is freed.  Looking at a few thousand places takes 10 us, and an overloaded
+ * owner may refuse thousands of callers a second. */
+#define FULL_TIME (100 * OGL_MS)
 
+/* Both arrays hold struct slot, by time. */
 struct line {
-	GPtrArray *places; /* struct slot, by time */
+	GPtrArray *places;
+	GPtrArray *unplaced; /* for whom there was no place */
+	ogl_time full_until; /* no place is looked for before */
 };
 
 struct slot {
 	char *id;
 	struct line *line;
+	GPtrArray *array; /* of the line */
 	ogl_time at;
 	ogl_time first_attempt;
 	GList link; /* in by_age */
@@ -48,6 +56,7 @@
 	struct line *l = p;
 
 	g_ptr_array_unref(l->places);
+	g_ptr_array_unref(l->unplaced);
 	g_free(l);
 }
 
@@ -91,16 +100,16 @@
 	g_hash_table_remove_all(s->lines);
 }
 
-/* Index of the first place later than `after`. */
+/* Index of the first slot later than `after`. */
 static guint
-first_later(const struct line *l, ogl_time after)
+first_later(const GPtrArray *slots, ogl_time after)
 {
 	guint low = 0;
-	guint high = l->places->len;
+	guint high = slots->len;
 
 	while (low < high) {
 		guint mid = low + (high - low) / 2;
-		const struct slot *e = l->places->pdata[mid];
+		const struct slot *e = slots->pdata[mid];
 
 		if (e->at > after)
 			high = mid;
@@ -113,15 +122,29 @@
 static void
 drop(struct ogl_slots *s, struct slot *e)
 {
-	guint i = first_later(e->line, e->at - 1);
+	guint i = first_later(e->array, e->at - 1);
 
-	while (e->line->places->pdata[i] != e)
+	while (e->array->pdata[i] != e)
 		i++;
-	g_ptr_array_remove_index(e->line->places, i);
+	g_ptr_array_remove_index(e->array, i);
+	if (e->array == e->line->places)
+		e->line->full_until = 0;
 	slot_free(s, e);
 }
 
-/* Frees the places that were not used, and lines without places. */
+static void
+drop_past(struct ogl_slots *s, GPtrArray *slots, ogl_time now)
+{
+	guint past = first_later(slots, now - OGL_SLOT_LATE - 1);
+	guint i;
+
+	for (i = 0; i < past; i++)
+		slot_free(s, slots->pdata[i]);
+	if (past > 0)
+		g_ptr_array_remove_range(slots, 0, past);
+}
+
+/* Frees the slots that were not used, and lines without slots. */
 static void
 sweep(struct ogl_slots *s, ogl_time now)
 {
@@ -134,14 +157,10 @@
 	g_hash_table_iter_init(&it, s->lines);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct line *l = p;
-		guint past = first_later(l, now - OGL_SLOT_LATE - 1);
-		guint i;
-
-		for (i = 0; i < past; i++)
-			slot_free(s, l->places->pdata[i]);
-		if (past > 0)
-			g_ptr_array_remove_range(l->places, 0, past);
-		if (l->places->len == 0)
+
+		drop_past(s, l->places, now);
+		drop_past(s, l->unplaced, now);
+		if (l->places->len == 0 && l->unplaced->len == 0)
 			g_hash_table_iter_remove(&it);
 	}
 }
@@ -154,6 +173,7 @@
 	if (l == NULL) {
 		l = g_new0(struct line, 1);
 		l->places = g_ptr_array_new();
+		l->unplaced = g_ptr_array_new();
 		g_hash_table_insert(s->lines, g_strdup(name), l);
 	}
 	return l;
@@ -166,11 +186,11 @@
 	ogl_time at = not_before;
 	guint i;
 
-	for (i = first_later(l, not_before - interval); i < l->places->len;
-	     i++) {
+	for (i = first_later(l->places, not_before - interval);
+	     i < l->places->len; i++) {
 		const struct slot *e = l->places->pdata[i];
 
-		if (e->at >= at + interval)
+		if (e->at >= at + interval || at > not_before + PLACES_TIME_MAX)
 			break;
 		at = MAX(at, e->at + interval);
 	}
@@ -187,6 +207,29 @@
 	return not_before + half + g_str_hash(id) * 2654435761U % half;
 }
 
+/* Sets the time of a slot, and adds the slot to its line. */
+static void
+place(struct slot *e, ogl_time interval, ogl_time not_before, ogl_time now)
+{
+	struct line *l = e->line;
+	bool returns = e->first_attempt < now;
+
+	if (returns || now >= l->full_until) {
+		e->at = find_place(
+		    l, returns ? interval / 2 : interval, not_before);
+		e->array = l->places;
+		if (e->at > not_before + PLACES_TIME_MAX) {
+			e->array = NULL;
+			l->full_until = now + FULL_TIME;
+		}
+	}
+	if (e->array == NULL) {
+		e->at = spread(e->id, not_before);
+		e->array = l->unplaced;
+	}
+	g_ptr_array_insert(e->array, (gint)first_later(e->array, e->at), e);
+}
+
 static bool
 within(const struct slot *e, ogl_time now)
 {
@@ -212,17 +255,11 @@
 		drop(s, s->by_age.head->data);
 	if (rate * INTERVAL_MAX > (double)OGL_SEC)
 		interval = MAX((ogl_time)(OGL_SEC / rate), INTERVAL_MIN);
-	if (first_attempt < now)
-		interval /= 2;
 	e = g_new0(struct slot, 1);
 	e->id = g_strdup(id);
 	e->line = find_or_add_line(s, line);
 	e->first_attempt = first_attempt;
-	e->at = find_place(e->line, interval, not_before);
-	if (e->at > not_before + PLACES_TIME_MAX)
-		e->at = spread(id, not_before);
-	g_ptr_array_insert(
-	    e->line->places, (gint)first_later(e->line, e->at), e);
+	place(e, interval, not_before, now);
 	g_hash_table_insert(s->slots, e->id, e);
 	e->link.data = e;
 	g_queue_push_tail_link(&s->by_age, &e->link);
