cell: forecasts count on work that keeps coming, refusals do not

In trials with bursts of 4 s, most errors were jobs of ranks 1 and 2 that work of higher ranks overtook, and jobs that became late while they waited. The expected start counts both. A refusal counts only what waits already, as a burst may end at any time.

--- a/cell/sched_forecast.c
+++ b/cell/sched_forecast.c
@@ -309,8 +309,8 @@
 
 /* Adds the first step of a job that is accepted, until the next picture. */
 static void
-add_accepted(
-    struct cell_sched *s, const struct cell_job *j, const struct cell_queue *q)
+add_accepted(struct cell_sched *s, const struct cell_job *j,
+    const struct cell_queue *q, ogl_time now)
 {
 	const Ogl__CellStep *step = j->def->steps[0];
 	uint32_t rank = capacity_rank(q->rank, false, j->beyond_rate);
@@ -321,6 +321,8 @@
 	if (q->policy.needed)
 		ogl_capacity_add_question(s->capacity, rank,
 		    first_question_ms(s, j, q, step, step->count));
+	ogl_capacity_arrived(
+	    s->capacity, rank, cores, j->cpu_seconds * 1e3, now);
 }
 
 /* Whether the capacity may refuse: something lacks room or a lane, and things
@@ -392,32 +394,60 @@
 	return w.behind_in_time - in_time;
 }
 
-/* Refuses a job by the capacity's forecast; as too_long_by. */
+/* How long the job would wait by the capacity if it stayed in time, and if it
+ * became late while it waits; `at_least`: if no more work came.  *rule: what it
+ * would be refused for. */
+static struct cell_expected_wait
+capacity_wait(struct cell_sched *s, const struct cell_job *j,
+    const struct cell_queue *q, bool at_least, const char **rule, ogl_time now)
+{
+	struct ogl_capacity_work work = work_of(s, j, q, false, now);
+	struct ogl_capacity_wait in_time, late;
+	struct cell_expected_wait w;
+
+	work.at_least = at_least;
+	in_time = ogl_capacity_wait(s->capacity, &work, now);
+	w.behind_in_time = in_time.longer;
+	w.behind_all = OGL_NEVER;
+	if (too_long_by(q, j, w, 1) == 0) {
+		w.behind_all = in_time.longer;
+		return w;
+	}
+	*rule = in_time.lane > in_time.room ? "lanes" : "room";
+	work = work_of(s, j, q, true, now);
+	work.at_least = at_least;
+	late = ogl_capacity_wait(s->capacity, &work, now);
+	w.behind_all = MAX(in_time.longer, late.longer);
+	return w;
+}
+
+/*
+ * Refuses a job by the capacity's forecast; as too_long_by.  A burst may end at
+ * any time, so work that has not come yet counts for the time that is expected
+ * and compared with the real one, but not against the job.
+ */
 static ogl_time
 refused_by_capacity(struct cell_sched *s, struct cell_job *j,
     const struct cell_queue *q, ogl_time now)
 {
-	struct ogl_capacity_work work;
-	struct ogl_capacity_wait in_time;
+	const char *rule = NULL;
 	struct cell_expected_wait w;
 	ogl_time by;
 
 	if (!CELL_USES_CAPACITY)
 		return 0;
 	take_picture(s, now);
-	work = work_of(s, j, q, false, now);
-	in_time = ogl_capacity_wait(s->capacity, &work, now);
-	j->expected_start = in_time.longer;
+	w = capacity_wait(s, j, q, false, &rule, now);
+	j->expected_start = w.behind_all;
 	j->has_expected_start = true;
 	if (!is_full(s, now) ||
-	    !ogl_capacity_error(s->capacity, j->def->queue).reliable)
+	    !ogl_capacity_error(s->capacity, j->def->queue).reliable ||
+	    too_long_by(q, j, w, CAPACITY_MARGIN) == 0)
 		return 0;
-	work = work_of(s, j, q, true, now);
-	w.behind_in_time = in_time.longer;
-	w.behind_all = ogl_capacity_wait(s->capacity, &work, now).longer;
+	w = capacity_wait(s, j, q, true, &rule, now);
 	by = too_long_by(q, j, w, CAPACITY_MARGIN);
 	if (by > 0)
-		j->refused_by = in_time.lane > in_time.room ? "lanes" : "room";
+		j->refused_by = rule;
 	return by;
 }
 
@@ -462,10 +492,10 @@
 		j->expected_wait = closure;
 		return too_long_by(q, j, w, 1);
 	}
-	by = refused_by_capacity(s, j, q, now);
-	by = MAX(by, refused_by_lines(s, j, q, now));
+	by = refused_by_lines(s, j, q, now);
+	by = MAX(by, refused_by_capacity(s, j, q, now));
 	if (by == 0 && CELL_USES_CAPACITY)
-		add_accepted(s, j, q);
+		add_accepted(s, j, q, now);
 	return by;
 }
 
--- a/policy/capacity.c
+++ b/policy/capacity.c
@@ -2,7 +2,8 @@
  * The forecast for room plays the next minute in steps of OGL_CAPACITY_BUCKET.
  * At each step the cores that running work releases become free, and waiting
  * work takes them, lower ranks first.  What is started that way releases its
- * cores after the mean run time of the waiting work of its rank.  New work
+ * cores after the mean run time of the waiting work of its rank.  For the next
+ * seconds, work of lower ranks comes as it came lately, and goes first.  New work
  * starts at the first step at which nothing waits before it and enough cores
  * are free.
  *
@@ -31,12 +32,21 @@
 #define ERROR_MAX 0.5
 /* There is a line for each queue.  More are not tracked, and not reliable. */
 #define LINES_MAX 256
+/* Time constant of the rate at which work comes, and for how long it is expected
+ * to come at that rate: bursts last some seconds. */
+#define ARRIVAL_TIME (4 * OGL_SEC)
 
 struct waiting {
 	double cores;
 	double core_ms;
 };
 
+/* Work that came, older work counting less. */
+struct arrived {
+	struct waiting work;
+	ogl_time at;
+};
+
 struct line {
 	unsigned checks;
 	double late;
@@ -48,6 +58,7 @@
 	bool known; /* there is a picture */
 	ogl_time at;
 	struct waiting waiting[OGL_CAPACITY_RANKS];
+	struct arrived arrived[OGL_CAPACITY_RANKS];
 	double questions[OGL_CAPACITY_RANKS]; /* lane time in ms */
 	double free;
 	double released[BUCKETS]; /* cores that become free in each step */
@@ -82,6 +93,7 @@
 ogl_capacity_reset(struct ogl_capacity *c)
 {
 	c->known = false;
+	memset(c->arrived, 0, sizeof c->arrived);
 	g_hash_table_remove_all(c->lines);
 }
 
@@ -109,6 +121,28 @@
 	w->core_ms += core_ms;
 }
 
+/* What came of a rank, as of a time. */
+static struct waiting
+arrived_at(const struct arrived *a, ogl_time now)
+{
+	double part = exp(-(double)(now - a->at) / (double)ARRIVAL_TIME);
+	struct waiting w = {a->work.cores * part, a->work.core_ms * part};
+
+	return w;
+}
+
+void
+ogl_capacity_arrived(struct ogl_capacity *c, uint32_t rank, double cores,
+    double core_ms, ogl_time now)
+{
+	struct arrived *a = &c->arrived[MIN(rank, OGL_CAPACITY_RANKS - 1)];
+
+	a->work = arrived_at(a, now);
+	a->work.cores += cores;
+	a->work.core_ms += core_ms;
+	a->at = now;
+}
+
 /* The step from which a change at that time counts, at least 1. */
 static guint
 step_of(const struct ogl_capacity *c, ogl_time at)
@@ -187,10 +221,39 @@
 	return left;
 }
 
+/* What comes of ranks below that one in each step. */
+static void
+expect_arrivals(
+    const struct ogl_capacity *c, uint32_t rank, struct waiting *coming)
+{
+	double part = (double)OGL_CAPACITY_BUCKET / (double)ARRIVAL_TIME;
+	uint32_t r;
+
+	for (r = 0; r < rank; r++) {
+		struct waiting w = arrived_at(&c->arrived[r], c->at);
+
+		coming[r].cores = w.cores * part;
+		coming[r].core_ms = w.core_ms * part;
+	}
+}
+
+static void
+add_arrivals(
+    struct waiting *waiting, uint32_t rank, const struct waiting *coming)
+{
+	uint32_t r;
+
+	for (r = 0; r < rank; r++) {
+		waiting[r].cores += coming[r].cores;
+		waiting[r].core_ms += coming[r].core_ms;
+	}
+}
+
 static ogl_time
 room_wait(const struct ogl_capacity *c, const struct ogl_capacity_work *work)
 {
 	struct waiting waiting[OGL_CAPACITY_RANKS];
+	struct waiting coming[OGL_CAPACITY_RANKS]; /* in one step */
 	struct waiting *same = &waiting[work->rank];
 	double released[BUCKETS];
 	double free = c->free;
@@ -200,8 +263,12 @@
 	memcpy(released, c->released, sizeof released);
 	same->cores = MAX(same->cores - work->later_cores, 0);
 	same->core_ms = MAX(same->core_ms - work->later_core_ms, 0);
+	expect_arrivals(c, work->rank, coming);
 	for (step = 0; step < BUCKETS; step++) {
 		free += released[step];
+		if (!work->at_least && step > 0 &&
+		    step * OGL_CAPACITY_BUCKET <= ARRIVAL_TIME)
+			add_arrivals(waiting, work->rank, coming);
 		/* Sums of fractions are off by less than this. */
 		if (start_waiting(waiting, work->rank, step, &free, released) <
 			1e-6 &&
--- a/policy/capacity.h
+++ b/policy/capacity.h
@@ -32,6 +32,7 @@
 	double cores;   /* that must be free at once */
 	bool asks;      /* it needs a lane */
 	double lane_ms; /* time of its own question, counted as wait */
+	bool at_least;  /* as if no more work came */
 	/* Waiting work of the same rank that goes after it. */
 	double later_cores;
 	double later_core_ms;
@@ -59,6 +60,11 @@
 /* Adds work that waits: the cores on which it would run at once, and how much
  * it is. */
 
+void ogl_capacity_arrived(struct ogl_capacity *c, uint32_t rank, double cores,
+    double core_ms, ogl_time now);
+/* Counts work that was accepted now; as much of its rank is expected to come in
+ * the next seconds as came in the last ones.  This is kept until a reset. */
+
 void ogl_capacity_add_running(
     struct ogl_capacity *c, double cores, ogl_time ends);
 /* Adds cores that are used until then. */
--- a/test/test_capacity.cc
+++ b/test/test_capacity.cc
@@ -96,6 +96,24 @@
 	    2, (double)ogl_capacity_wait(c_, &w, now_).room / OGL_SEC, 0.3);
 }
 
+/* Guards against forecasts that take a burst for over, and against refusing for
+ * work that may not come. */
+TEST_F(Capacity, WorkThatKeepsComingIsExpectedButNotCertain)
+{
+	struct ogl_capacity_work w = {};
+
+	run(1000, 2);
+	for (int i = 40; i > 0; i--)
+		ogl_capacity_arrived(
+		    c_, 0, 100, 200000, now_ - i * 100 * OGL_MS);
+	EXPECT_EQ(0.25, room_s(0, 1));
+	EXPECT_GT(room_s(1, 1), 3);
+	w.rank = 1;
+	w.cores = 1;
+	w.at_least = true;
+	EXPECT_EQ(OGL_CAPACITY_BUCKET, ogl_capacity_wait(c_, &w, now_).room);
+}
+
 /* Guards against a gang being refused for what a few cores wait for, or the
  * other way round. */
 TEST_F(Capacity, AGangWaitsForAllItsCores)
