--- a/cell/advice.c
+++ b/cell/advice.c
@@ -231,6 +231,29 @@
 	return pick_lane(a, rank, now) != NULL;
 }
 
+void
+cell_advice_add_lanes(
+    const struct cell_advice *a, struct ogl_capacity *c, ogl_time now)
+{
+	unsigned lanes = 0;
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, a->lanes);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct lane *l = p;
+
+		if (now - l->heard_at > NODE_HEARD_MAX_AGE)
+			continue;
+		lanes++;
+		ogl_capacity_add_lane(
+		    c, MAX(l->busy_until - LANE_SEND_AHEAD, l->paused_until));
+	}
+	if (CELL_USES_LANES && lanes > 0)
+		ogl_capacity_reserve_lanes(
+		    c, rank0_lanes(a, lanes, now) / lanes);
+}
+
 double
 cell_advice_question_ms(const struct cell_policy *p, guint workers)
 {
--- a/cell/front.c
+++ b/cell/front.c
@@ -42,6 +42,8 @@
  * arrives in time. */
 #define REPLY_MARGIN (150 * OGL_MS)
 #define CALL_BUDGET_DEFAULT_MS 3000
+/* Callers that the node refuses itself are told a time between this and twice
+ * as much, by the job's id: all of them at once would be refused again. */
 #define CALLER_RETRY_MS 600
 
 struct pending_call {
@@ -103,8 +105,10 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < f->shards; i++)
+	for (i = 0; i < f->shards; i++) {
 		g_free(f->owners[i].addr);
+		cell_hints_clear(&f->owners[i].hints);
+	}
 	g_hash_table_unref(f->calls);
 	cell_config_unref(f->config);
 	g_bytes_unref(f->record);
@@ -151,6 +155,17 @@
 	f->ops->log(f->ops->ctx, "front", event, text);
 }
 
+static uint32_t
+retry_ms_for(struct ogl_str id)
+{
+	guint h = 5381;
+	size_t i;
+
+	for (i = 0; i < id.n; i++)
+		h = h * 33 + (unsigned char)id.p[i];
+	return CALLER_RETRY_MS + h % CALLER_RETRY_MS;
+}
+
 static void
 answer(struct cell_front *f, uint64_t token, enum cell_status status,
     uint32_t retry_ms, const char *why)
@@ -179,6 +194,17 @@
 
 /* ---- sending calls to owners ------------------------------------------ */
 
+/* Whether the owner is asked, with the id alone, before it is sent the job. */
+static bool
+asks_first(
+    const struct shard_owner *o, const struct pending_call *p, ogl_time now)
+{
+	if (o->asks_first || p->job == NULL)
+		return true;
+	return !cell_job_def_open_ended(p->job) &&
+	       cell_hints_apply(&o->hints, o->epoch, p->queue, p->team, now);
+}
+
 static void
 send_call(struct cell_front *f, struct pending_call *p, ogl_time now)
 {
@@ -189,7 +215,8 @@
 	p->sent_epoch = MAX(p->sent_epoch, o->epoch);
 	p->call.epoch = o->epoch;
 	p->call.admitted = p->admitted_epoch == o->epoch;
-	p->call.job = !o->asks_first || p->call.admitted ? p->job : NULL;
+	p->call.job =
+	    p->call.admitted || !asks_first(o, p, now) ? p->job : NULL;
 	p->refused = false;
 	p->repeat_at =
 	    now + (REPEAT_DELAY << MIN(p->repeats, REPEAT_DOUBLINGS_MAX));
@@ -368,8 +395,8 @@
 	 * certainly does not run.
 	 */
 	if (budget_ms * OGL_MS <= REPLY_MARGIN) {
-		refuse(
-		    f, r, token, CELL_BUSY, CALLER_RETRY_MS, "no time is left");
+		refuse(f, r, token, CELL_BUSY, retry_ms_for(rest),
+		    "no time is left");
 		return;
 	}
 	id = ogl_str_dup(rest);
@@ -417,12 +444,12 @@
 	struct ogl_str rest = {"", 0};
 
 	if (f->config == NULL) {
-		refuse(f, r, token, CELL_BUSY, CALLER_RETRY_MS,
+		refuse(f, r, token, CELL_BUSY, retry_ms_for(r->path),
 		    "no configuration yet");
 		return;
 	}
 	if (!cell_front_fresh(f, now)) {
-		refuse(f, r, token, CELL_BUSY, CALLER_RETRY_MS,
+		refuse(f, r, token, CELL_BUSY, retry_ms_for(r->path),
 		    "the configuration may be out of date");
 		return;
 	}
@@ -503,6 +530,13 @@
 	f->owners[shard].asks_first = asks_first;
 }
 
+void
+cell_front_learn_refusals(struct cell_front *f, uint32_t shard,
+    const Ogl__CellPong *pong, ogl_time now)
+{
+	cell_hints_learn(&f->owners[shard].hints, pong, now);
+}
+
 void
 cell_front_reply(
     struct cell_front *f, uint32_t shard, const Ogl__CellReply *r, ogl_time now)
@@ -582,13 +616,13 @@
 	if (!may_be_accepted && no_owner &&
 	    now - p->started_at > OWNER_TIMEOUT) {
 		log_call(f, p, "call_given_up", "why=no_owner");
-		answer(f, p->token, CELL_BUSY, CALLER_RETRY_MS,
+		answer(f, p->token, CELL_BUSY, retry_ms_for(ogl_str(p->id)),
 		    "no owner is known");
 		return true;
 	}
 	if (!p->sent && !no_owner && now - p->started_at > OWNER_TIMEOUT) {
 		log_call(f, p, "call_given_up", "why=owner_behind");
-		answer(f, p->token, CELL_BUSY, CALLER_RETRY_MS,
+		answer(f, p->token, CELL_BUSY, retry_ms_for(ogl_str(p->id)),
 		    "the owner is behind with its calls");
 		return true;
 	}
@@ -596,7 +630,7 @@
 		return false;
 	log_call(f, p, "call_given_up", "why=deadline");
 	answer(f, p->token, may_be_accepted ? CELL_UNSURE : CELL_BUSY,
-	    CALLER_RETRY_MS, "no answer in time");
+	    retry_ms_for(ogl_str(p->id)), "no answer in time");
 	return true;
 }
 
--- a/cell/front_impl.h
+++ b/cell/front_impl.h
@@ -6,6 +6,7 @@
 #define OGL_CELL_FRONT_IMPL_H
 
 #include "front.h"
+#include "hints.h"
 #include "window.h"
 
 #define RETRY_DELAY (150 * OGL_MS)
@@ -18,7 +19,8 @@
 	/* The owner refuses some new jobs, so a job is sent only after the
 	 * owner has asked for it. */
 	bool asks_first;
-	ogl_time used_at; /* last call for the shard */
+	struct cell_hints hints; /* what it would refuse */
+	ogl_time used_at;        /* last call for the shard */
 };
 
 /* State of reading the newest record of each key, page by page. */
--- a/cell/job.h
+++ b/cell/job.h
@@ -104,6 +104,9 @@
 	uint32_t next_occurrence;
 	GArray *finished;  /* uint32_t, numbers of finished occurrences */
 	ogl_time accepted; /* node clock */
+	/* Its place among jobs of its rank: when it was accepted, or first
+	 * refused if its caller came back in its return slot. */
+	ogl_time waits_since;
 	uint64_t ended_ms; /* wall clock */
 	bool begun;        /* a run of it has begun */
 	bool stored;       /* the submission is stored */
@@ -117,9 +120,15 @@
 	struct cell_line *team_line; /* while its team's limit is reached */
 	bool placed;                 /* this owner has started a run of it */
 	ogl_time expected_wait; /* for the first start, when it was submitted */
-	double cpu_seconds;     /* processor seconds declared, all steps */
-	double chain_ms;        /* longest chain of declared run times */
-	double *chain_from_ms;  /* longest such chain from each step on */
+	/* The same by the capacity; valid if has_expected_start. */
+	ogl_time expected_start;
+	bool has_expected_start;
+	bool waited_for_limit;  /* which the capacity does not foresee */
+	const char *refused_by; /* rule that refused it; NULL none */
+	struct cell_line *refused_line; /* in which its caller returns */
+	double cpu_seconds;    /* processor seconds declared, all steps */
+	double chain_ms;       /* longest chain of declared run times */
+	double *chain_from_ms; /* longest such chain from each step on */
 	struct cell_expected *expected; /* learned; NULL never updated */
 	double *measured_ms; /* longest finished run of each step; 0 none */
 	bool end_stored;     /* the end is stored, so callers may see it */
@@ -137,6 +146,10 @@
 /* Checks the number of steps, their counts, and that each depends only on
  * earlier ones; if not valid, sets *why to the reason. */
 
+bool cell_job_def_open_ended(const Ogl__CellJob *def);
+/* Whether the job is repeated or lasts until it is cancelled.  Such a job is of
+ * use whenever it starts. */
+
 struct cell_job *cell_job_new(Ogl__CellJob *def, ogl_time now);
 /* Takes ownership of def; now is the time of acceptance. */
 struct cell_job *cell_job_new_ended(const char *id, const Ogl__CellProgress *p);
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -241,6 +241,7 @@
 	o->jobs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 	o->admission = cell_admission_init();
+	o->refusals = cell_refusals_init();
 	o->journal =
 	    cell_journal_init(ops, params->shard, on_ownership_lost, o);
 	o->watch = cell_watch_init(&(struct cell_watch_events){
@@ -279,6 +280,7 @@
 	cell_watch_end(o->watch);
 	g_hash_table_unref(o->jobs);
 	cell_admission_end(o->admission);
+	cell_refusals_end(o->refusals);
 	cell_config_unref(o->config);
 	g_free(o);
 }
@@ -326,6 +328,7 @@
 	cell_advice_clear(o->advice);
 	cell_sched_clear(o->sched);
 	cell_learned_clear(o->learned);
+	cell_refusals_clear(o->refusals);
 	g_hash_table_remove_all(o->jobs);
 	cell_watch_clear(o->watch);
 }
@@ -639,6 +642,13 @@
 	step_load(o, &o->link_load, "link", now - delay, now);
 }
 
+void
+cell_owner_add_refusals(struct cell_owner *o, Ogl__CellPong *pong, ogl_time now)
+{
+	if (o->phase == PHASE_SERVING)
+		cell_refusals_list(o->refusals, pong, now);
+}
+
 bool
 cell_owner_asks_first(const struct cell_owner *o)
 {
--- a/cell/owner_impl.h
+++ b/cell/owner_impl.h
@@ -7,6 +7,7 @@
 
 #include "admission.h"
 #include "held.h"
+#include "hints.h"
 #include "journal.h"
 #include "known.h"
 #include "learned.h"
@@ -46,6 +47,7 @@
 	struct cell_roster *roster;
 	GHashTable *jobs; /* id -> struct cell_job */
 	struct cell_admission *admission;
+	struct cell_refusals *refusals;
 	struct cell_journal *journal;
 	struct cell_watch *watch;
 	struct cell_relay *relay;
--- a/cell/sched_ask.c
+++ b/cell/sched_ask.c
@@ -79,6 +79,8 @@
 		g_ptr_array_add(s->asking[precedence], st);
 	else if (cell_advice_has_free_lane(s->parts.advice, rank, now))
 		ask_for_stage(s, st, q, now);
+	else
+		s->no_lane_at = now;
 }
 
 /* The first stage of the queue from *at on, which is set behind it; NULL if
@@ -111,11 +113,14 @@
 		ogl_lanes_add(
 		    s->lanes, ogl_lanes_queue(s->lanes, st->job->def->queue));
 	}
-	while ((lq = ogl_lanes_next(s->lanes)) != NULL &&
-	       cell_advice_has_free_lane(s->parts.advice, 1, now)) {
+	while ((lq = ogl_lanes_next(s->lanes)) != NULL) {
 		guint pos = GPOINTER_TO_UINT(g_hash_table_lookup(at, lq));
 		struct cell_stage *st = next_of_queue(s, stages, lq, &pos);
 
+		if (!cell_advice_has_free_lane(s->parts.advice, 1, now)) {
+			s->no_lane_at = now;
+			break;
+		}
 		g_hash_table_insert(at, lq, GUINT_TO_POINTER(pos));
 		if (st == NULL) {
 			ogl_lanes_remove(s->lanes, lq);
