--- a/test/test_cell_learned.cc
+++ b/test/test_cell_learned.cc
@@ -179,6 +179,8 @@
 
 	parts.fleet = cell_fleet_init(&ops_, &limits, &events);
 	GHashTable *workers = cell_fleet_workers(parts.fleet);
+	struct cell_advice_events advice_events = {};
+	parts.advice = cell_advice_init(&ops_, &advice_events);
 	struct cell_sched *s = cell_sched_init(&parts);
 	struct cell_job *j = job(1, 100);
 
@@ -195,6 +197,7 @@
 	EXPECT_EQ(0, cell_sched_forecast(s, j, now_));
 	g_hash_table_steal(workers, "w");
 	cell_sched_end(s);
+	cell_advice_end(parts.advice);
 	cell_fleet_end(parts.fleet);
 }
 
