--- a/cell/sched_forecast.c
+++ b/cell/sched_forecast.c
@@ -9,6 +9,8 @@
  * for which it has been wrong.
  */
 
+#include <string.h>
+
 #include "ablate.h"
 #include "question.h"
 #include "room.h"
@@ -134,6 +136,15 @@
 	return r + (beyond_rate ? BEYOND_RATE_OFFSET : 0);
 }
 
+/* The order in which questions of the rank are asked, see sched_ask.c. */
+static uint32_t
+question_turn(uint32_t rank, bool late, bool beyond_rate)
+{
+	if (rank == 0)
+		return 0;
+	return 1 + (late ? 1 : 0) + (beyond_rate ? 2 : 0);
+}
+
 static double
 step_cores(const Ogl__CellStep *step, uint32_t tasks)
 {
@@ -141,10 +152,11 @@
 }
 
 static double
-step_run_ms(const Ogl__CellStep *step)
+step_run_ms(const struct cell_job *j, uint32_t step)
 {
-	return step->lasting ? (double)OGL_CAPACITY_HORIZON / OGL_MS
-			     : MAX(step->estimate_ms, 1);
+	return j->def->steps[step]->lasting
+		   ? (double)OGL_CAPACITY_HORIZON / OGL_MS
+		   : MAX(cell_learned_run_ms(j, step), 1);
 }
 
 static double
@@ -163,16 +175,17 @@
 	       g_hash_table_size(st->asked) == 0;
 }
 
-/* Whether the stage waits for room or a lane, and in *rank its rank there. */
+/* Whether the stage waits for room or a lane, and its rank and turn there. */
 static bool
 counts_as_waiting(const struct cell_sched *s, const struct cell_stage *st,
-    uint32_t *rank, ogl_time now)
+    uint32_t *rank, uint32_t *turn, ogl_time now)
 {
 	const struct cell_queue *q = cell_sched_queue_of(s, st->job);
 	unsigned precedence = cell_sched_precedence_of(q, st, now);
+	bool late = precedence % 3 != 0;
 
-	*rank =
-	    capacity_rank(q->rank, precedence % 3 != 0, st->job->beyond_rate);
+	*rank = capacity_rank(q->rank, late, st->job->beyond_rate);
+	*turn = question_turn(q->rank, late, st->job->beyond_rate);
 	return st->wait_reason != CELL_WAIT_LIMIT &&
 	       precedence % 3 != PRECEDENCE_TOO_LATE;
 }
@@ -184,14 +197,15 @@
 	const struct cell_queue *q = cell_sched_queue_of(s, st->job);
 	uint32_t tasks = cell_stage_waiting(st);
 	double cores = step_cores(st->def, tasks);
-	uint32_t rank;
+	uint32_t rank, turn;
 
-	if (!counts_as_waiting(s, st, &rank, now))
+	if (!counts_as_waiting(s, st, &rank, &turn, now))
 		return;
 	ogl_capacity_add_waiting(
-	    s->capacity, rank, cores, cores * step_run_ms(st->def));
+	    s->capacity, rank, cores, cores * step_run_ms(st->job, st->step));
 	if (waits_for_first_question(q, st))
-		ogl_capacity_add_question(s->capacity, rank,
+		ogl_capacity_add_question(s->capacity, turn,
+		    st->job->def->queue,
 		    first_question_ms(s, st->job, q, st->def, tasks));
 }
 
@@ -204,7 +218,7 @@
 
 	if (r->stage == NULL)
 		return now; /* it is being stopped */
-	takes = (ogl_time)(step_run_ms(r->stage->def) * OGL_MS *
+	takes = (ogl_time)(step_run_ms(r->stage->job, r->stage->step) * OGL_MS *
 			   cell_fleet_pace(s->parts.fleet, r->worker));
 	return MAX(r->created_at + takes,
 	    now + (ogl_time)((double)ran * OVERRUN_SHARE));
@@ -263,7 +277,7 @@
     struct ogl_capacity_work *w, ogl_time now)
 {
 	GList *at;
-	uint32_t r;
+	uint32_t r, turn;
 
 	for (at = s->waiting[MIN(rank, RANKS - 1)].tail; at != NULL;
 	     at = at->prev) {
@@ -274,12 +288,14 @@
 
 		if (st->job->waits_since <= j->waits_since)
 			return;
-		if (!counts_as_waiting(s, st, &r, now) || r != w->rank)
+		if (!counts_as_waiting(s, st, &r, &turn, now) || r != w->rank)
 			continue;
 		q = cell_sched_queue_of(s, st->job);
 		w->later_cores += cores;
-		w->later_core_ms += cores * step_run_ms(st->def);
-		if (waits_for_first_question(q, st))
+		w->later_core_ms += cores * step_run_ms(st->job, st->step);
+		if (waits_for_first_question(q, st) &&
+		    (turn == 0 ||
+			strcmp(st->job->def->queue, j->def->queue) == 0))
 			w->later_lane_ms +=
 			    first_question_ms(s, st->job, q, st->def, tasks);
 	}
@@ -301,6 +317,8 @@
 	w.cores = MIN(cores / MAX(share, 0.01),
 	    MAX(cores, GANG_CORES_SHARE_MAX * s->open_cores));
 	w.asks = q->policy.needed;
+	w.turn = question_turn(q->rank, late, j->beyond_rate);
+	w.queue = j->def->queue;
 	if (w.asks)
 		w.lane_ms = first_question_ms(s, j, q, step, step->count);
 	find_later_work(s, j, q->rank, &w, now);
@@ -317,12 +335,16 @@
 	double cores = step_cores(step, step->count);
 
 	ogl_capacity_add_waiting(
-	    s->capacity, rank, cores, cores * step_run_ms(step));
+	    s->capacity, rank, cores, cores * step_run_ms(j, 0));
 	if (q->policy.needed)
-		ogl_capacity_add_question(s->capacity, rank,
+		ogl_capacity_add_question(s->capacity,
+		    question_turn(q->rank, false, j->beyond_rate),
+		    j->def->queue,
 		    first_question_ms(s, j, q, step, step->count));
-	ogl_capacity_arrived(
-	    s->capacity, rank, cores, j->cpu_seconds * 1e3, now);
+	ogl_capacity_arrived(s->capacity, rank, cores,
+	    j->cpu_seconds * 1e3 * cell_learned_chain_ms(j) /
+		MAX(j->chain_ms, 1),
+	    now);
 }
 
 /* Whether the capacity may refuse: something lacks room or a lane, and things
@@ -377,16 +399,18 @@
 }
 
 /* Returns 0 if a job that waits so long can still be of use to its caller, and
- * otherwise after what time one can be in time again. */
+ * otherwise after what time one can be in time again.  A job is not refused for
+ * its run time alone, as it would be again whenever its caller came back. */
 static ogl_time
 too_long_by(const struct cell_queue *q, const struct cell_job *j,
     struct cell_expected_wait w, double margin)
 {
 	double allowed_ms = cell_sched_queue_objective_ms(q, j);
-	double run_ms = ESTIMATE_FACTOR * j->chain_ms;
-	ogl_time in_time = (ogl_time)(allowed_ms - run_ms) * OGL_MS;
+	double run_ms = ESTIMATE_FACTOR * cell_learned_chain_ms(j);
+	ogl_time in_time = (ogl_time)MAX(allowed_ms - run_ms, 0) * OGL_MS;
 	ogl_time late =
-	    (ogl_time)(LATE_OBJECTIVES_MAX * allowed_ms - run_ms) * OGL_MS;
+	    (ogl_time)MAX(LATE_OBJECTIVES_MAX * allowed_ms - run_ms, 0) *
+	    OGL_MS;
 
 	if ((double)w.behind_in_time <= margin * (double)in_time ||
 	    (double)w.behind_all <= margin * (double)late)
--- a/policy/capacity.c
+++ b/policy/capacity.c
@@ -47,6 +47,11 @@
 	ogl_time at;
 };
 
+/* Lane time in ms that the questions of a queue need, by turn. */
+struct questions {
+	double ms[OGL_CAPACITY_TURNS];
+};
+
 struct line {
 	unsigned checks;
 	double late;
@@ -59,13 +64,13 @@
 	ogl_time at;
 	struct waiting waiting[OGL_CAPACITY_RANKS];
 	struct arrived arrived[OGL_CAPACITY_RANKS];
-	double questions[OGL_CAPACITY_RANKS]; /* lane time in ms */
+	GHashTable *questions; /* queue -> struct questions */
 	double free;
 	double released[BUCKETS]; /* cores that become free in each step */
 	GArray *lanes;            /* ogl_time, busy for so long from `at` */
 	bool lanes_sorted;
-	double reserved_lanes; /* fraction */
-	GHashTable *lines;     /* name -> struct line */
+	double reserved_lanes;
+	GHashTable *lines; /* name -> struct line */
 };
 
 struct ogl_capacity *
@@ -76,6 +81,8 @@
 	c->lanes = g_array_new(FALSE, FALSE, sizeof(ogl_time));
 	c->lines =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->questions =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return c;
 }
 
@@ -86,6 +93,7 @@
 		return;
 	g_array_unref(c->lanes);
 	g_hash_table_unref(c->lines);
+	g_hash_table_unref(c->questions);
 	g_free(c);
 }
 
@@ -103,7 +111,7 @@
 	c->known = true;
 	c->at = now;
 	memset(c->waiting, 0, sizeof c->waiting);
-	memset(c->questions, 0, sizeof c->questions);
+	g_hash_table_remove_all(c->questions);
 	memset(c->released, 0, sizeof c->released);
 	c->free = 0;
 	g_array_set_size(c->lanes, 0);
@@ -181,15 +189,22 @@
 }
 
 void
-ogl_capacity_reserve_lanes(struct ogl_capacity *c, double fraction)
+ogl_capacity_reserve_lanes(struct ogl_capacity *c, double lanes)
 {
-	c->reserved_lanes = fraction;
+	c->reserved_lanes = lanes;
 }
 
 void
-ogl_capacity_add_question(struct ogl_capacity *c, uint32_t rank, double lane_ms)
+ogl_capacity_add_question(
+    struct ogl_capacity *c, uint32_t turn, const char *queue, double lane_ms)
 {
-	c->questions[MIN(rank, OGL_CAPACITY_RANKS - 1)] += lane_ms;
+	struct questions *q = g_hash_table_lookup(c->questions, queue);
+
+	if (q == NULL) {
+		q = g_new0(struct questions, 1);
+		g_hash_table_insert(c->questions, g_strdup(queue), q);
+	}
+	q->ms[MIN(turn, OGL_CAPACITY_TURNS - 1)] += lane_ms;
 }
 
 /* Lets waiting work up to the rank take free cores, which are released again
@@ -308,23 +323,59 @@
 	return (ogl_time)MIN(at, (double)OGL_CAPACITY_HORIZON);
 }
 
+/* Lane time of the questions that are asked before that of the work, without
+ * those of turn 0. */
+static double
+asked_before(const struct ogl_capacity *c, const struct ogl_capacity_work *w)
+{
+	const struct questions *own =
+	    g_hash_table_lookup(c->questions, w->queue);
+	double before = own != NULL ? own->ms[w->turn] - w->later_lane_ms : 0;
+	double sum = MAX(before, 0);
+	double share = sum + w->lane_ms;
+	GHashTableIter it;
+	gpointer p;
+	uint32_t t;
+
+	g_hash_table_iter_init(&it, c->questions);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct questions *q = p;
+
+		for (t = 1; t < w->turn; t++)
+			sum += q->ms[t];
+		if (q != own)
+			sum += MIN(q->ms[w->turn], share);
+	}
+	return sum;
+}
+
+static double
+asked_at_once(const struct ogl_capacity *c)
+{
+	double sum = 0;
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, c->questions);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		sum += ((const struct questions *)p)->ms[0];
+	return sum;
+}
+
 static ogl_time
 lane_wait(struct ogl_capacity *c, const struct ogl_capacity_work *w)
 {
-	guint reserved = (guint)(c->reserved_lanes * c->lanes->len);
-	double urgent = c->questions[0];
-	double others = 0;
-	uint32_t r;
+	guint reserved = (guint)MIN(c->reserved_lanes, c->lanes->len);
+	double urgent = asked_at_once(c);
+	double others;
 
 	if (!c->lanes_sorted)
 		g_array_sort(c->lanes, compare_times);
 	c->lanes_sorted = true;
-	if (w->rank == 0)
+	if (w->turn == 0)
 		return fill_lanes(c, 0, MAX(urgent - w->later_lane_ms, 0));
-	for (r = 1; r <= w->rank; r++)
-		others += c->questions[r];
-	others = MAX(others - w->later_lane_ms, 0);
-	/* Questions of rank 0 use the reserved lanes first. */
+	others = asked_before(c, w);
+	/* Questions of turn 0 use the reserved lanes first. */
 	return MAX(
 	    fill_lanes(c, reserved, others), fill_lanes(c, 0, urgent + others));
 }
@@ -336,7 +387,7 @@
 	struct ogl_capacity_wait wait = {0, 0, 0};
 
 	if (!c->known || now - c->at > PICTURE_AGE_MAX ||
-	    w->rank >= OGL_CAPACITY_RANKS)
+	    w->rank >= OGL_CAPACITY_RANKS || w->turn >= OGL_CAPACITY_TURNS)
 		return wait;
 	wait.room = room_wait(c, w);
 	if (w->asks)
