--- a/cell/advice.c
+++ b/cell/advice.c
@@ -231,6 +231,13 @@
 	return pick_lane(a, rank, now) != NULL;
 }
 
+double
+cell_advice_question_ms(const struct cell_policy *p, guint workers)
+{
+	return p->decide_ms +
+	       p->worker_ms * MIN(workers, CELL_ADVICE_WORKERS_MAX);
+}
+
 void
 cell_advice_add_lanes(
     const struct cell_advice *a, struct ogl_capacity *c, ogl_time now)
@@ -249,16 +256,8 @@
 		ogl_capacity_add_lane(
 		    c, MAX(l->busy_until - LANE_SEND_AHEAD, l->paused_until));
 	}
-	if (CELL_USES_LANES && lanes > 0)
-		ogl_capacity_reserve_lanes(
-		    c, rank0_lanes(a, lanes, now) / lanes);
-}
-
-double
-cell_advice_question_ms(const struct cell_policy *p, guint workers)
-{
-	return p->decide_ms +
-	       p->worker_ms * MIN(workers, CELL_ADVICE_WORKERS_MAX);
+	if (CELL_USES_LANES)
+		ogl_capacity_reserve_lanes(c, rank0_lanes(a, lanes, now));
 }
 
 static void
--- a/policy/capacity.h
+++ b/policy/capacity.h
@@ -29,8 +29,10 @@
 /* Work that a wait is asked for. */
 struct ogl_capacity_work {
 	uint32_t rank;
-	double cores;   /* that must be free at once */
-	bool asks;      /* it needs a lane */
+	double cores;  /* that must be free at once */
+	bool asks;     /* it needs a lane */
+	uint32_t turn; /* of its question */
+	const char *queue;
 	double lane_ms; /* time of its own question, counted as wait */
 	bool at_least;  /* as if no more work came */
 	/* Waiting work of the same rank that goes after it. */
@@ -77,12 +79,16 @@
 
 void ogl_capacity_add_lane(struct ogl_capacity *c, ogl_time busy_until);
 
-void ogl_capacity_reserve_lanes(struct ogl_capacity *c, double fraction);
-/* Only questions of rank 0 use the last lanes that are free, which are this
- * fraction of all. */
+void ogl_capacity_reserve_lanes(struct ogl_capacity *c, double lanes);
+/* Only questions of turn 0 use the last lanes that are free, which are so many.
+ */
+
+/* Questions of a lower turn go first; within one of them, other than 0, queues
+ * share the lanes evenly. */
+#define OGL_CAPACITY_TURNS 5
 
 void ogl_capacity_add_question(
-    struct ogl_capacity *c, uint32_t rank, double lane_ms);
+    struct ogl_capacity *c, uint32_t turn, const char *queue, double lane_ms);
 /* Adds a question that waits for a lane and keeps it busy for that time. */
 
 struct ogl_capacity_wait ogl_capacity_wait(
--- a/test/test_capacity.cc
+++ b/test/test_capacity.cc
@@ -12,13 +12,12 @@
 class Capacity : public testing::Test
 {
       protected:
-	void SetUp() override
+	Capacity()
 	{
-		c_ = ogl_capacity_init();
 		ogl_capacity_begin(c_, now_);
 	}
 
-	void TearDown() override
+	~Capacity() override
 	{
 		ogl_capacity_end(c_);
 	}
@@ -30,6 +29,9 @@
 		w.rank = rank;
 		w.cores = cores;
 		w.asks = true;
+		w.turn = rank;
+		w.queue = "tally";
+		w.lane_ms = question_ms_;
 		return ogl_capacity_wait(c_, &w, now_);
 	}
 
@@ -57,7 +59,8 @@
 			ogl_capacity_add_lane(c_, now_ + busy);
 	}
 
-	struct ogl_capacity *c_ = nullptr;
+	struct ogl_capacity *c_ = ogl_capacity_init();
+	double question_ms_ = 0;
 	ogl_time now_ = 100 * OGL_SEC;
 };
 
@@ -70,7 +73,7 @@
 	ogl_capacity_add_waiting(c_, 1, 360, 1800000);
 	lanes(20, 500 * OGL_MS);
 	lanes(17, 0);
-	ogl_capacity_add_question(c_, 0, 50);
+	ogl_capacity_add_question(c_, 0, "lookup", 50);
 	for (uint32_t rank = 0; rank < 3; rank++) {
 		EXPECT_EQ(0, wait(rank, 360).room);
 		EXPECT_LT(wait(rank, 360).longer, 10 * OGL_MS);
@@ -89,7 +92,6 @@
 	EXPECT_NEAR(6, room_s(1, 1), 0.5);
 	EXPECT_NEAR(6, room_s(2, 1), 0.5);
 	w.rank = 1;
-	w.cores = 1;
 	w.later_cores = 2000;
 	w.later_core_ms = 2000 * 2000.0;
 	EXPECT_NEAR(
@@ -131,19 +133,30 @@
 	ogl_capacity_add_free(c_, 9000);
 	lanes(30, 500 * OGL_MS);
 	lanes(7, 0);
-	ogl_capacity_reserve_lanes(c_, 0.3);
+	ogl_capacity_reserve_lanes(c_, 11);
 	for (int i = 0; i < 60; i++)
-		ogl_capacity_add_question(c_, 1, 650);
+		ogl_capacity_add_question(c_, 1, "round", 650);
 	EXPECT_EQ(0, room_s(2, 1));
 	EXPECT_EQ(0, lane_s(0));
 	/* 26 lanes, busy for 0.5 s, have 39 s of questions. */
 	EXPECT_NEAR(2, lane_s(2), 0.1);
-	ogl_capacity_add_question(c_, 0, 37000);
-	EXPECT_NEAR((37 + 39 + 15) / 37.0, lane_s(1), 0.6);
+	ogl_capacity_add_question(c_, 0, "lookup", 37000);
+	EXPECT_NEAR((37 + 39 + 15) / 37.0, lane_s(2), 0.1);
 	EXPECT_NEAR((37 + 15) / 37.0, lane_s(0), 0.1);
 	EXPECT_EQ(wait(2, 1).lane, wait(2, 1).longer);
 }
 
+/* Guards against forecasts by rank where queues share the lanes: what another
+ * queue asks delays a question by no more than its own queue's questions. */
+TEST_F(Capacity, AnotherQueuesQuestionsCountOnlyForItsShare)
+{
+	lanes(10, 0);
+	ogl_capacity_add_question(c_, 1, "round", 60000);
+	ogl_capacity_add_question(c_, 1, "tally", 4000);
+	question_ms_ = 1000;
+	EXPECT_NEAR(1 + (4 + 5) / 10.0, lane_s(1), 0.1);
+}
+
 /* Guards against counting on cores that are about to be closed. */
 TEST_F(Capacity, ClosingCapacityIsNotCountedOn)
 {
--- a/test/test_cell_learned.cc
+++ b/test/test_cell_learned.cc
@@ -175,9 +175,12 @@
 {
 	struct cell_limits limits = {};
 	struct cell_fleet_events events = {};
+	struct cell_advice_events advice_events = {};
 	struct cell_sched_parts parts = {};
 
+	parts.ops = &ops_;
 	parts.fleet = cell_fleet_init(&ops_, &limits, &events);
+	parts.advice = cell_advice_init(&ops_, &advice_events);
 	GHashTable *workers = cell_fleet_workers(parts.fleet);
 	struct cell_advice_events advice_events = {};
 	parts.advice = cell_advice_init(&ops_, &advice_events);
@@ -189,6 +192,7 @@
 	learn(100);
 	/* A closure is expected to last 5 s. */
 	worker_.listed = worker_.draining = true;
+	worker_.runs = g_hash_table_new(nullptr, nullptr);
 	g_hash_table_insert(workers, const_cast<char *>("w"), &worker_);
 	EXPECT_EQ(0, cell_sched_forecast(s, j, now_));
 	EXPECT_GT(cell_sched_forecast(s, update(j), now_), 0);
@@ -196,6 +200,7 @@
 	j->queue_config->objective_ms = 1;
 	EXPECT_EQ(0, cell_sched_forecast(s, j, now_));
 	g_hash_table_steal(workers, "w");
+	g_hash_table_unref(worker_.runs);
 	cell_sched_end(s);
 	cell_advice_end(parts.advice);
 	cell_fleet_end(parts.fleet);
