--- a/test/test_cell_learned.cc
+++ b/test/test_cell_learned.cc
@@ -182,8 +182,6 @@
 	parts.fleet = cell_fleet_init(&ops_, &limits, &events);
 	parts.advice = cell_advice_init(&ops_, &advice_events);
 	GHashTable *workers = cell_fleet_workers(parts.fleet);
-	struct cell_advice_events advice_events = {};
-	parts.advice = cell_advice_init(&ops_, &advice_events);
 	struct cell_sched *s = cell_sched_init(&parts);
 	struct cell_job *j = job(1, 100);
 
