--- a/src/place_health.c
+++ b/policy/health.c
@@ -22,7 +22,7 @@
 
 #include <math.h>
 
-#include "place.h"
+#include "health.h"
 
 #define MIN_JOB_SETS 64    /* sets in the smallest table, two records each */
 #define WORKERS_PER_SET 4  /* the table is enlarged above this ratio */
--- a/src/place.h
+++ b/src/place.h
@@ -1,11 +1,12 @@
 /*
- * Internals of placement: the grid of free room, counts for spreading, the
- * record of failures, and the state they share.
+ * Internals of placement: the grid of free room, counts for spreading, and the
+ * state they share.
  */
 
 #ifndef OGL_PLACE_H
 #define OGL_PLACE_H
 
+#include "health.h"
 #include "orioleglade.h"
 
 #define OGL_PLACE_NONE UINT32_MAX /* no worker or rack */
@@ -91,30 +92,6 @@
 void ogl_counts_add(struct ogl_counts *c, uint64_t key);
 void ogl_counts_sub(struct ogl_counts *c, uint64_t key);
 
-/* ---- failures --------------------------------------------------------- */
-
-struct ogl_health; /* failures of workers and jobs */
-
-struct ogl_health *ogl_health_init(void);
-void ogl_health_end(struct ogl_health *h);
-
-bool ogl_health_result(
-    struct ogl_health *h, uint32_t w, uint64_t job, bool ok, ogl_time now);
-/* Records the end of a task of the job on worker w.  Returns whether the
- * worker is suspect and should be quarantined. */
-
-ogl_time ogl_health_start_quarantine(
-    struct ogl_health *h, uint32_t w, ogl_time now);
-/* Records that worker w is quarantined; returns when its cooldown ends. */
-
-void ogl_health_resize(struct ogl_health *h, uint32_t workers);
-/* Enlarges the table of jobs if it is too small for this many workers. */
-
-size_t ogl_health_bytes(const struct ogl_health *h);
-
-void ogl_health_remove_worker(struct ogl_health *h, uint32_t w);
-/* Drops the record of worker w. */
-
 /* ---- shared state ----------------------------------------------------- */
 
 enum ogl_quarantine {
--- a/src/place_aside.c
+++ b/src/place_aside.c
@@ -1,7 +1,7 @@
 /*
  * Quarantine of failing workers: cooldowns and probes.
  *
- * A worker that place_health.c finds suspect gets no tasks during a cooldown,
+ * A worker that health.c finds suspect gets no tasks during a cooldown,
  * which doubles each time, and then one task as a probe.  The quarantine ends
  * when the probe task succeeds or has run for long enough; it starts again with
  * the next cooldown when the task fails.
