cell: a worker that is slower by a constant factor is not faulty

So far a relative pace of 1.7 made a worker faulty, which kept work away from a third of the workers of a cell where these are 2.4 times slower. Now a worker is faulty if it is 1.7 times slower than its own mean over a minute of work, or four times slower than the fast workers. Runs are moved from 2.5 times the worker's usual pace on. Slower workers are avoided by stages that would be late there.

Seen failing: Pace.ConstantlySlowerWorkerIsNotFaulty with a fault from 1.7 on, and with moves from 2.5 times the healthy pace on; Pace.WorkerThatBecameSlowerIsFaulty without the comparison with the worker's past, and without the absolute bound.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -500,6 +500,20 @@
 	return cell_pace_relative(&w->pace, f->baseline_pace);
 }
 
+bool
+cell_fleet_pace_is_faulty(
+    const struct cell_fleet *f, const struct cell_worker *w)
+{
+	return cell_pace_is_faulty(&w->pace, f->baseline_pace);
+}
+
+double
+cell_fleet_straggler_pace_min(
+    const struct cell_fleet *f, const struct cell_worker *w)
+{
+	return cell_pace_straggler_min(&w->pace, f->baseline_pace);
+}
+
 bool
 cell_worker_fits(const struct cell_worker *w, const struct ogl_res *need)
 {
@@ -1257,8 +1271,10 @@
 
 	g_hash_table_iter_init(&it, f->workers);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		const struct cell_worker *w = p;
+		struct cell_worker *w = p;
 
+		if (g_hash_table_size(w->runs) > 0)
+			cell_pace_learn_usual(&w->pace);
 		if (cell_pace_known(&w->pace))
 			g_array_append_val(values, w->pace.value);
 	}
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -247,8 +247,15 @@
 /* The time that the worker takes, relative to healthy workers: 1 for the same
  * time or when it is not known, 2 for twice the time. */
 
+bool cell_fleet_pace_is_faulty(
+    const struct cell_fleet *f, const struct cell_worker *w);
+double cell_fleet_straggler_pace_min(
+    const struct cell_fleet *f, const struct cell_worker *w);
+/* See cell_pace_is_faulty and cell_pace_straggler_min. */
+
 void cell_fleet_update_baseline(struct cell_fleet *f);
-/* Recomputes the pace of healthy workers from the paces of all workers. */
+/* Recomputes the pace of healthy workers from the paces of all workers, and
+ * each worker's usual pace.  To be called five times a second. */
 
 bool cell_worker_fits(const struct cell_worker *w, const struct ogl_res *need);
 /* Whether the worker's free capacity covers the need. */
--- a/cell/pace.c
+++ b/cell/pace.c
@@ -37,6 +37,20 @@
 #define STALL_MIN_MS 900
 #define STALL_MIN_FRACTION 0.25
 
+/* Weight of one step of the usual pace: a minute of work.  A shorter mean would
+ * follow a worker that has become slow before its runs are moved. */
+#define USUAL_STEP_WEIGHT (1.0 / 300)
+/* Steps, of 0.2 s, until the usual pace is known. */
+#define USUAL_STEPS_MIN 25
+/* A pace of this many times the worker's usual one is a fault. */
+#define FAULTY_CHANGE_MIN 1.7
+/* A relative pace that no group of healthy workers has; the slowest known group
+ * is at 2.4, and a worker's measured pace is off by up to a half. */
+#define FAULTY_PACE_MIN 4.0
+/* Below this relative pace a run may seem slow only because its job declared
+ * too little time.  Counted from the worker's usual pace if that is slower. */
+#define STRAGGLER_PACE_MIN 2.5
+
 /*
  * An unknown worker starts as if it had a few samples of the baseline: a single
  * sample, of a job that declared far too little time, must not make it look
@@ -100,6 +114,34 @@
 	return p->samples >= KNOWN_SAMPLES_MIN;
 }
 
+void
+cell_pace_learn_usual(struct cell_pace *p)
+{
+	if (!cell_pace_known(p))
+		return;
+	p->usual_steps++;
+	p->usual += MAX(USUAL_STEP_WEIGHT, 1.0 / p->usual_steps) *
+		    (p->value - p->usual);
+}
+
+bool
+cell_pace_is_faulty(const struct cell_pace *p, double baseline)
+{
+	if (cell_pace_relative(p, baseline) >= FAULTY_PACE_MIN)
+		return true;
+	return p->usual_steps >= USUAL_STEPS_MIN &&
+	       p->value > FAULTY_CHANGE_MIN * MAX(p->usual, baseline);
+}
+
+double
+cell_pace_straggler_min(const struct cell_pace *p, double baseline)
+{
+	double usual =
+	    p->usual_steps >= USUAL_STEPS_MIN ? p->usual / baseline : 1;
+
+	return MIN(STRAGGLER_PACE_MIN * MAX(usual, 1), FAULTY_PACE_MIN);
+}
+
 static gint
 by_value(gconstpointer a, gconstpointer b)
 {
--- a/cell/pace.h
+++ b/cell/pace.h
@@ -14,6 +14,8 @@
 struct cell_pace {
 	double value; /* smoothed; 0 not known */
 	uint32_t samples;
+	double usual; /* mean over a minute of work; 0 not known */
+	uint32_t usual_steps;
 };
 
 /* Progress of a run when it was last sampled; all zero before that. */
@@ -39,6 +41,18 @@
 /* The pace relative to the baseline: 1 for a worker as fast as a healthy one,
  * or not known; 2 for one half as fast. */
 
+void cell_pace_learn_usual(struct cell_pace *p);
+/* Brings the worker's usual pace up to date.  To be called five times a second
+ * while the worker runs something. */
+
+bool cell_pace_is_faulty(const struct cell_pace *p, double baseline);
+/* Whether the worker has become much slower than it was, or is far slower than
+ * any group of healthy workers.  One that is slower by a constant factor is not
+ * faulty. */
+
+double cell_pace_straggler_min(const struct cell_pace *p, double baseline);
+/* The relative pace from which on a run there may be a straggler. */
+
 double cell_pace_baseline(GArray *values);
 /* The pace of healthy workers, given the paces of all workers that are known
  * (double; the array gets sorted); 1 when there are none. */
--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -62,6 +62,9 @@
 	GPtrArray *expired;    /* scratch: allowed, with room, ticket expired */
 	GPtrArray *chosen;     /* scratch: struct cell_worker, one per task */
 	bool tight_deadline;   /* scratch: of the current stage */
+	/* scratch: time to the objective of the current stage, as a multiple of
+	 * its remaining run time */
+	double slack;
 	/* scratch: an allowed worker has room, but already runs worker_max
 	 * tasks of the stage */
 	bool some_at_worker_max;
@@ -83,6 +86,9 @@
     const struct cell_queue *q, const struct cell_stage *st, ogl_time now);
 /* 0 in time, 1 late, PRECEDENCE_TOO_LATE; PRECEDENCE_BEYOND_RATE is added for
  * jobs beyond their team's rate. */
+double cell_sched_slack(
+    const struct cell_queue *q, const struct cell_stage *st, ogl_time now);
+/* Time to the objective as a multiple of the estimated remaining run time. */
 void cell_sched_order_beyond_rate(struct cell_sched *s);
 
 /* ---- sched_forecast.c ----------------------------------------------- */
--- a/cell/sched_order.c
+++ b/cell/sched_order.c
@@ -89,16 +89,23 @@
 			      : precedence;
 }
 
-bool
-cell_sched_deadline_is_tight(
+double
+cell_sched_slack(
     const struct cell_queue *q, const struct cell_stage *st, ogl_time now)
 {
 	const struct cell_job *j = st->job;
 	double left_ms = cell_sched_queue_objective_ms(q, j) -
 			 (double)(now - j->accepted) / OGL_MS;
 
-	return !st->def->lasting &&
-	       left_ms < TIGHT_DEADLINE_FACTOR * j->chain_from_ms[st->step];
+	return st->def->lasting ? G_MAXDOUBLE
+				: left_ms / MAX(j->chain_from_ms[st->step], 1);
+}
+
+bool
+cell_sched_deadline_is_tight(
+    const struct cell_queue *q, const struct cell_stage *st, ogl_time now)
+{
+	return cell_sched_slack(q, st, now) < TIGHT_DEADLINE_FACTOR;
 }
 
 static gint
--- a/cell/sched_place.c
+++ b/cell/sched_place.c
@@ -22,10 +22,15 @@
 /* What one unit of pace adds to placement_cost, whose unit is a thousandth of a
  * core left over on the worker. */
 #define PACE_COST_MILLI 60e3
-/* A worker more than this many times slower than healthy ones counts as
- * faulty. */
-#define FAULTY_PACE_MIN 1.7
-#define FAULTY_PACE_COST_MILLI 300e3
+/* The same on a worker that is faulty, or so slow that the stage would be late
+ * there: more than SLOW_PACE_MIN, and than its slack allows with this margin
+ * for the error of declared times. */
+#define AVOIDED_PACE_COST_MILLI 300e3
+#define SLOW_PACE_MIN 1.7
+#define SLACK_MARGIN 1.5
+/* A run that is moved is to start on a worker below this relative pace; the
+ * gain of moving it is computed for a pace of 1. */
+#define RESTART_PACE_MAX 1.7
 /* Free capacity counts as spare when no stage has lacked room for this long. */
 #define ROOM_SPARE_AFTER (300 * OGL_MS)
 
@@ -132,7 +137,8 @@
 
 /*
  * Stages with a tight deadline prefer fast workers.  Other stages prefer slow
- * ones, to leave the fast ones free, but also avoid faulty workers.
+ * ones, to leave the fast ones free, but avoid faulty workers and those that
+ * are too slow for the time that is left.
  */
 static double
 pace_cost(const struct cell_sched *s, const struct cell_worker *w)
@@ -141,8 +147,9 @@
 
 	if (!CELL_USES_PACE)
 		return 0;
-	if (pace > FAULTY_PACE_MIN)
-		return FAULTY_PACE_COST_MILLI * pace;
+	if (cell_fleet_pace_is_faulty(s->parts.fleet, w) ||
+	    (pace > SLOW_PACE_MIN && pace * SLACK_MARGIN > s->slack))
+		return AVOIDED_PACE_COST_MILLI * pace;
 	return s->tight_deadline ? PACE_COST_MILLI * pace
 				 : -PACE_COST_MILLI * pace;
 }
@@ -322,7 +329,7 @@
 
 	return cell_worker_schedulable(w, now) &&
 	       cell_worker_could_run(w, st) && cell_worker_fits(w, &need) &&
-	       cell_fleet_pace(s->parts.fleet, w) < FAULTY_PACE_MIN;
+	       cell_fleet_pace(s->parts.fleet, w) < RESTART_PACE_MAX;
 }
 
 bool
--- a/cell/straggler.c
+++ b/cell/straggler.c
@@ -24,9 +24,6 @@
 #include "ablate.h"
 #include "straggler.h"
 
-/* Below this pace a run may seem slow only because its job declared too little
- * time. */
-#define STRAGGLER_PACE_MIN 2.5
 /* Time to stop a run, ask the advice service and start the task again. */
 #define MOVE_COST_MS 450.0
 /* Additional time of a restart that restores a checkpoint. */
@@ -88,7 +85,7 @@
 	    &r->progress, w->clock_ms, r->stage->def->estimate_ms);
 	if (stalled)
 		cell_fleet_count_stall(f, w);
-	if (!stalled && pace < STRAGGLER_PACE_MIN)
+	if (!stalled && pace < cell_fleet_straggler_pace_min(f, w))
 		return;
 	if (!worth_restarting(r, pace, stalled) ||
 	    !cell_sched_has_room(s, r->stage, w, now))
--- a/test/test_cell_pace.cc
+++ b/test/test_cell_pace.cc
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cstring>
+
 extern "C" {
 #include "pace.h"
 #include "straggler.h"
@@ -138,6 +140,42 @@
 	EXPECT_FALSE(cell_pace_is_stalled(&progress, 20, 1000));
 }
 
+/* Guards against leaving workers idle, and moving their runs, that are only
+ * slower by a constant factor. */
+TEST_F(Pace, ConstantlySlowerWorkerIsNotFaulty)
+{
+	for (double pace : {1.3, 2.4}) {
+		struct cell_pace w = {};
+
+		for (int i = 0; i < 100; i++) {
+			runs(&w, pace, 2);
+			cell_pace_learn_usual(&w);
+			EXPECT_FALSE(cell_pace_is_faulty(&w, baseline_));
+		}
+		EXPECT_LT(cell_pace_relative(&w, baseline_) * 1.1,
+		    cell_pace_straggler_min(&w, baseline_));
+	}
+}
+
+/* Guards against sending work to a worker that has become slow. */
+TEST_F(Pace, WorkerThatBecameSlowerIsFaulty)
+{
+	struct cell_pace w = {};
+
+	for (int i = 0; i < 100; i++) {
+		runs(&w, 1.3, 2);
+		cell_pace_learn_usual(&w);
+	}
+	for (int i = 0; i < 10; i++) {
+		runs(&w, 2.6, 2);
+		cell_pace_learn_usual(&w);
+	}
+	EXPECT_TRUE(cell_pace_is_faulty(&w, baseline_));
+	memset(&w, 0, sizeof w);
+	runs(&w, 7.0, 10);
+	EXPECT_TRUE(cell_pace_is_faulty(&w, baseline_));
+}
+
 TEST(Straggler, MovesOnlyWithEnoughGain)
 {
 	EXPECT_TRUE(cell_straggler_worth_moving(5000, 1000));
