policy: states of workers by probabilities

Failures and successes of runs add up to bits, the logarithm of how much more probable they are of a faulty worker than of a sound one, and calls without an answer likewise. A worker is sound, suspect or aside, by a table of parameters. src/ gets what it got: the code of ogl_health_result is unchanged but for names.

--- a/policy/health.c
+++ b/policy/health.c
@@ -22,7 +22,7 @@
 
 #include <math.h>
 
-#include "health.h"
+#include "health_impl.h"
 
 #define MIN_JOB_SETS 64    /* sets in the smallest table, two records each */
 #define WORKERS_PER_SET 4  /* the table is enlarged above this ratio */
@@ -39,12 +39,6 @@
 #define CLEARING_SUCCESSES 32  /* successes that delete a worker's record */
 #define MAX_FAILURES_PER_JOB 2 /* failures of one job that count */
 
-struct job_record {
-	uint64_t job;
-	ogl_time used_at;
-	uint16_t ok, failed;
-};
-
 struct worker_record {
 	uint64_t jobs[MAX_FAILED_JOBS];    /* jobs that failed here recently */
 	uint8_t failures[MAX_FAILED_JOBS]; /* failures of each of these jobs */
@@ -53,12 +47,6 @@
 	uint8_t successes;   /* since the last quarantine */
 };
 
-struct ogl_health {
-	struct job_record (*jobs)[2];
-	uint32_t sets;      /* power of two */
-	GPtrArray *workers; /* struct worker_record, NULL when none failed */
-};
-
 struct ogl_health *
 ogl_health_init(void)
 {
@@ -73,24 +61,26 @@
 void
 ogl_health_end(struct ogl_health *h)
 {
+	if (h->states != NULL)
+		ogl_health_states_end(h->states);
 	g_ptr_array_free(h->workers, TRUE);
 	g_free(h->jobs);
 	g_free(h);
 }
 
-static struct job_record *
-job_set(struct ogl_health *h, uint64_t job)
+static struct ogl_job_record *
+job_set(const struct ogl_health *h, uint64_t job)
 {
 	uint64_t hash = job * 0x9e3779b97f4a7c15u;
 
 	return h->jobs[(hash >> 32) & (h->sets - 1)];
 }
 
-static struct job_record *
-job_record(struct ogl_health *h, uint64_t job, ogl_time now)
+struct ogl_job_record *
+ogl_health_job(struct ogl_health *h, uint64_t job, ogl_time now)
 {
-	struct job_record *set = job_set(h, job);
-	struct job_record *r;
+	struct ogl_job_record *set = job_set(h, job);
+	struct ogl_job_record *r;
 
 	if (set[0].job == job || set[1].job == job) {
 		r = set[0].job == job ? &set[0] : &set[1];
@@ -103,8 +93,18 @@
 	return r;
 }
 
-static void
-job_result(struct job_record *r, bool ok)
+const struct ogl_job_record *
+ogl_health_find_job(const struct ogl_health *h, uint64_t job)
+{
+	const struct ogl_job_record *set = job_set(h, job);
+
+	if (set[0].job == job)
+		return &set[0];
+	return set[1].job == job ? &set[1] : NULL;
+}
+
+void
+ogl_health_job_result(struct ogl_job_record *r, bool ok)
 {
 	if (ok)
 		r->ok++;
@@ -118,7 +118,7 @@
 
 /* Surprisal, in bits, of one failure of this job on a worker. */
 static double
-surprisal(const struct job_record *r)
+surprisal(const struct ogl_job_record *r)
 {
 	unsigned other_failures = r->failed > 0 ? r->failed - 1u : 0;
 	double bits;
@@ -185,7 +185,7 @@
 	unsigned i, significant = 0;
 
 	for (i = 0; i < r->njobs; i++) {
-		bits = surprisal(job_record(h, r->jobs[i], now));
+		bits = surprisal(ogl_health_job(h, r->jobs[i], now));
 		sum += bits * r->failures[i];
 		significant += bits > 0;
 	}
@@ -199,17 +199,17 @@
 ogl_health_result(
     struct ogl_health *h, uint32_t w, uint64_t job, bool ok, ogl_time now)
 {
-	struct job_record *j = job_record(h, job, now);
+	struct ogl_job_record *j = ogl_health_job(h, job, now);
 	struct worker_record *r;
 
 	if (ok) {
-		job_result(j, true);
+		ogl_health_job_result(j, true);
 		worker_succeeded(h, w);
 		return false;
 	}
 	r = worker_record(h, w, true);
 	if (add_failed_job(r, job))
-		job_result(j, false);
+		ogl_health_job_result(j, false);
 	return is_suspect(h, r, now);
 }
 
@@ -230,7 +230,7 @@
 void
 ogl_health_resize(struct ogl_health *h, uint32_t workers)
 {
-	struct job_record(*old)[2] = h->jobs, *r;
+	struct ogl_job_record(*old)[2] = h->jobs, *r;
 	uint32_t i, n = h->sets;
 
 	if (workers <= n * WORKERS_PER_SET)
@@ -241,7 +241,7 @@
 	for (i = 0; i < 2 * n; i++) {
 		r = &old[i / 2][i % 2];
 		if (r->used_at != 0)
-			*job_record(h, r->job, r->used_at) = *r;
+			*ogl_health_job(h, r->job, r->used_at) = *r;
 	}
 	g_free(old);
 }
--- a/src/place.h
+++ b/src/place.h
@@ -6,7 +6,7 @@
 #ifndef OGL_PLACE_H
 #define OGL_PLACE_H
 
-#include "health.h"
+#include "policy/health.h"
 #include "orioleglade.h"
 
 #define OGL_PLACE_NONE UINT32_MAX /* no worker or rack */
