cell: workers that fail more often than their jobs explain

In place of three failures in a row, the states of policy/health.h: a suspect worker gets one task at a time and no gang's, one that is aside gets none, and the last attempt at a task starts on a worker that has finished a run. Calls that workers leave unanswered or refuse count as well, and runs that stand still.

--- a/cell/ablate.h
+++ b/cell/ablate.h
@@ -13,6 +13,13 @@
 #define CELL_USES_PACE 1
 #endif
 
+/* Workers that fail more often than their jobs explain get less or no work. */
+#ifdef OGL_OFF_HEALTH
+#define CELL_USES_HEALTH 0
+#else
+#define CELL_USES_HEALTH 1
+#endif
+
 /* Stragglers are started again on other workers. */
 #ifdef OGL_OFF_MOVES
 #define CELL_USES_MOVES 0
--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -81,11 +81,6 @@
 /* A start without an answer is carried out within this time or never. */
 #define UNANSWERED_START_MAX (15 * OGL_SEC)
 #define ENDS_PER_ANSWER_MAX 500 /* a list this long may be incomplete */
-/* A worker that fails this many different jobs in a row gets no work for the
- * cooldown, which doubles each time, at most COOLDOWN_DOUBLINGS_MAX times. */
-#define FAILURE_STREAK_MAX 3
-#define COOLDOWN (4 * OGL_SEC)
-#define COOLDOWN_DOUBLINGS_MAX 3
 
 struct cell_fleet {
 	const struct cell_ops *ops;
@@ -93,6 +88,7 @@
 	struct cell_fleet_events events;
 	GHashTable *workers;   /* id -> struct cell_worker */
 	GHashTable *by_serial; /* the same workers, not owned */
+	struct cell_health *health;
 	uint32_t last_serial;
 	GHashTable *teams; /* name -> struct ogl_res that runs may use */
 	const struct cell_zones *zones; /* evacuated zones, NULL until set */
@@ -147,7 +143,6 @@
 	g_free(w->rack);
 	g_strfreev(w->labels);
 	g_free(w->service);
-	g_free(w->last_failed_job);
 	g_free(w);
 }
 
@@ -164,6 +159,7 @@
 	f->workers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, worker_free);
 	f->by_serial = g_hash_table_new(NULL, NULL);
+	f->health = cell_health_init(ops, f->by_serial);
 	f->teams =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return f;
@@ -194,6 +190,7 @@
 cell_fleet_end(struct cell_fleet *f)
 {
 	cell_fleet_close(f);
+	cell_health_end(f->health);
 	g_hash_table_unref(f->by_serial);
 	g_hash_table_unref(f->workers);
 	g_hash_table_unref(f->teams);
@@ -211,6 +208,7 @@
 	f->record_outdated = true; /* the stored one is an earlier owner's */
 	f->opened_at = now;
 	f->old_leases_expired = false;
+	cell_health_reset(f->health);
 }
 
 void
@@ -537,34 +535,23 @@
 	return w->listed && w->open_in_record && !w->draining &&
 	       !w->evacuated && w->fenced && w->failures == 0 &&
 	       w->norphans == 0 && now >= w->cooldown_until &&
-	       !hold_overdue(w, now);
+	       cell_health_may_start(w, false) && !hold_overdue(w, now);
 }
 
-/*
- * A faulty job fails wherever it runs, so only failures of different jobs in a
- * row count against a worker.
- */
 void
-cell_worker_count_result(
-    struct cell_worker *w, const char *job, bool ok, ogl_time now)
+cell_worker_count_result(struct cell_fleet *f, struct cell_worker *w,
+    const char *job, bool ok, ogl_time now)
 {
-	if (ok) {
-		w->failure_streak = 0;
-		w->cooldowns = 0;
-		g_clear_pointer(&w->last_failed_job, g_free);
-		return;
-	}
-	if (g_strcmp0(w->last_failed_job, job) == 0)
-		return;
-	set_string(&w->last_failed_job, job);
-	w->failure_streak++;
-	if (w->failure_streak < FAILURE_STREAK_MAX)
-		return;
-	w->cooldown_until =
-	    now + (COOLDOWN << MIN(w->cooldowns, COOLDOWN_DOUBLINGS_MAX));
-	w->cooldowns++;
-	/* After the cooldown a single failure is enough. */
-	w->failure_streak = FAILURE_STREAK_MAX - 1;
+	cell_health_count(f->health, w, OGL_HEALTH_RUN_FAILED, job, ok, now);
+}
+
+/* Counts the outcome of a call to a worker that has answered before. */
+static void
+count_call(struct cell_fleet *f, struct cell_worker *w,
+    enum ogl_health_evidence kind, bool ok, ogl_time now)
+{
+	if (w->fenced)
+		cell_health_count(f->health, w, kind, NULL, ok, now);
 }
 
 static void
@@ -844,6 +831,7 @@
 	w->ends_reported = 0;
 	w->lease_end_ms = 0;
 	memset(&w->pace, 0, sizeof w->pace);
+	w->proven = false;
 	lose_runs(f, w, a, hold_sent_at, now);
 	stop_unanswered_starts(f, w, now);
 }
@@ -966,6 +954,8 @@
 	w->failures = 0;
 	w->tasks_recorded = false;
 	w->last_answer_at = now;
+	count_call(f, w, OGL_HEALTH_HOLD_UNANSWERED, true, now);
+	count_call(f, w, OGL_HEALTH_CONN_REFUSED, true, now);
 	if (w->incarnation != 0 && w->incarnation != a->born_ms)
 		worker_restarted(f, w, a, c->sent_at, now);
 	record_clock(w, a->clock_ms, now);
@@ -1049,6 +1039,10 @@
 	}
 	if (a->io == OGL_IO_LOST)
 		w->lossy_until = now + LOSSY_PERIOD;
+	if (a->no_listener)
+		count_call(f, w, OGL_HEALTH_CONN_REFUSED, false, now);
+	else if (a->io == OGL_IO_LOST)
+		count_call(f, w, OGL_HEALTH_HOLD_UNANSWERED, false, now);
 	if (w->failures == 0)
 		log_worker_why(f, w, "worker_silent", failure_name(a));
 	count_failure(w, now);
@@ -1283,9 +1277,14 @@
 }
 
 void
-cell_fleet_count_stall(struct cell_fleet *f, struct cell_worker *w)
+cell_fleet_count_stall(struct cell_fleet *f, struct cell_run *r, ogl_time now)
 {
-	cell_pace_observe_stall(&w->pace, f->baseline_pace);
+	cell_pace_observe_stall(&r->worker->pace, f->baseline_pace);
+	if (r->stall_counted)
+		return;
+	r->stall_counted = true;
+	cell_health_count(f->health, r->worker, OGL_HEALTH_NO_PROGRESS,
+	    r->name.id, false, now);
 }
 
 void
@@ -1364,6 +1363,8 @@
     ogl_time now)
 {
 	if (io == OGL_IO_LOST) {
+		count_call(
+		    f, r->worker, OGL_HEALTH_START_UNANSWERED, false, now);
 		r->start_unanswered = true;
 		remember_unanswered_start(r, now);
 	}
@@ -1419,6 +1420,12 @@
 		return;
 	if (a->io == OGL_IO_OK || a->why != CELL_NOT_REFUSED)
 		record_clock(r->worker, a->clock_ms, now);
+	if (a->io == OGL_IO_OK || a->io == OGL_IO_REFUSED) {
+		count_call(
+		    f, r->worker, OGL_HEALTH_START_UNANSWERED, true, now);
+		count_call(f, r->worker, OGL_HEALTH_START_BUSY,
+		    a->why != CELL_REFUSED_BUSY, now);
+	}
 	if (a->io == OGL_IO_OK) {
 		f->ops->observe(f->ops->ctx, "start_ms",
 		    (uint64_t)((now - sent_at) / OGL_MS));
@@ -1590,6 +1597,7 @@
 	    g_hash_table_size(w->runs) > 0)
 		return FALSE;
 	f->record_outdated = true;
+	cell_health_forget(f->health, w);
 	g_hash_table_remove(f->by_serial, GUINT_TO_POINTER(w->serial));
 	return TRUE;
 }
@@ -1613,6 +1621,7 @@
 	g_hash_table_iter_init(&it, f->workers);
 	while (g_hash_table_iter_next(&it, NULL, &p))
 		step_worker(f, p, scan_runs, now);
+	cell_health_step(f->health, now);
 	if (scan_runs)
 		g_hash_table_foreach_remove(f->workers, worker_is_unused, f);
 }
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -11,6 +11,7 @@
 #ifndef OGL_CELL_FLEET_H
 #define OGL_CELL_FLEET_H
 
+#include "health.h"
 #include "job.h"
 #include "pace.h"
 #include "zones.h"
@@ -40,6 +41,7 @@
 	ogl_time running_since; /* when first known to run, 0 not yet */
 	uint32_t percent;
 	struct cell_progress progress;
+	bool stall_counted;    /* against the health of its worker */
 	bool order_pending;    /* a start or stop awaits its answer */
 	bool start_unanswered; /* the answer to a start was lost */
 	bool start_sent;       /* this owner has sent a start */
@@ -113,10 +115,9 @@
 	uint32_t reserved_rank_plus_1;
 	uint32_t calls_pending;  /* unanswered calls; not freed while > 0 */
 	uint32_t norphans;       /* runs that are orphans */
-	uint32_t failure_streak; /* failed ends in a row, of different jobs */
-	char *last_failed_job;   /* the last job of the streak */
 	ogl_time cooldown_until; /* gets no work until then */
-	uint32_t cooldowns;      /* cooldowns in a row */
+	enum ogl_health_state health;
+	bool proven; /* sound, and has finished a run of this owner */
 	struct cell_pace pace;
 };
 
@@ -213,8 +214,9 @@
 void cell_fleet_stop(struct cell_fleet *f, struct cell_run *r, ogl_time now);
 /* Orders a stop; run_ended is called once the run is over. */
 
-void cell_fleet_count_stall(struct cell_fleet *f, struct cell_worker *w);
-/* Counts a stalled run against the worker's pace. */
+void cell_fleet_count_stall(
+    struct cell_fleet *f, struct cell_run *r, ogl_time now);
+/* Counts a stalled run against its worker's pace and, once, its health. */
 
 void cell_fleet_decay_pace(struct cell_fleet *f, struct cell_worker *w);
 /* Moves the pace of a worker that runs nothing towards that of healthy
@@ -260,10 +262,9 @@
 bool cell_worker_fits(const struct cell_worker *w, const struct ogl_res *need);
 /* Whether the worker's free capacity covers the need. */
 
-void cell_worker_count_result(
-    struct cell_worker *w, const char *job, bool ok, ogl_time now);
-/* Counts an end of a run of the job; a worker that fails several jobs in a row
- * gets no work for a while. */
+void cell_worker_count_result(struct cell_fleet *f, struct cell_worker *w,
+    const char *job, bool ok, ogl_time now);
+/* Counts an end of a run of the job for or against the worker's health. */
 
 struct cell_worker *cell_fleet_worker(
     const struct cell_fleet *f, const char *id);
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -507,14 +507,14 @@
 	    cell_stage_shared_task(st, index), checkpoint);
 	job_changed(o, j, true, now);
 	if (how == CELL_END_DONE && !st->def->lasting) {
-		cell_worker_count_result(w, j->id, true, now);
+		cell_worker_count_result(o->fleet, w, j->id, true, now);
 		task_done(st, t);
 		if (st->def->gang)
 			gang_done(st);
 		else
 			stop_other_run(o, st, t, now);
 	} else if (how == CELL_END_FAILED) {
-		cell_worker_count_result(w, j->id, false, now);
+		cell_worker_count_result(o->fleet, w, j->id, false, now);
 		task_failed(o, st, index, run, w->id, now);
 	}
 	if (!cell_job_state_ended(j->state))
--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -65,6 +65,7 @@
 	/* scratch: time to the objective of the current stage, as a multiple of
 	 * its remaining run time */
 	double slack;
+	bool proven_only; /* scratch: the current task's last attempt */
 	/* scratch: an allowed worker has room, but already runs worker_max
 	 * tasks of the stage */
 	bool some_at_worker_max;
--- a/cell/sched_place.c
+++ b/cell/sched_place.c
@@ -31,6 +31,11 @@
 /* A run that is moved is to start on a worker below this relative pace; the
  * gain of moving it is computed for a pace of 1. */
 #define RESTART_PACE_MAX 1.7
+/* Cost of a suspect worker for work that has failed before or is urgent. */
+#define SUSPECT_COST_MILLI 2e6
+/* How long a last attempt waits for a proven worker.  They are known one run
+ * after the first start, so a longer wait would mean that all are full. */
+#define PROVEN_WAIT_MAX OGL_SEC
 /* Free capacity counts as spare when no stage has lacked room for this long. */
 #define ROOM_SPARE_AFTER (300 * OGL_MS)
 
@@ -135,6 +140,70 @@
 	}
 }
 
+/* Whether a failed run of the task would be its last, after others failed. */
+static bool
+is_last_attempt(
+    const struct cell_sched *s, struct cell_stage *st, uint32_t index)
+{
+	uint32_t max = cell_sched_queue_of(s, st->job)->attempts_max;
+	uint32_t failed = cell_task_failures(cell_stage_shared_task(st, index));
+
+	return !st->def->lasting && failed > 0 && failed + 1 >= max && max > 0;
+}
+
+/* Whether a proven worker takes work and may be allowed to run the stage. */
+static bool
+some_proven(const struct cell_sched *s, const struct cell_stage *st)
+{
+	bool policy_needed = cell_sched_queue_of(s, st->job)->policy.needed;
+	guint i;
+
+	for (i = 0; i < s->schedulable->len; i++) {
+		const struct cell_worker *w = s->schedulable->pdata[i];
+
+		if (!cell_health_proven(w) || !cell_worker_could_run(w, st))
+			continue;
+		if (!policy_needed || cell_advice_approval(st, w) != NULL ||
+		    !g_hash_table_contains(
+			st->asked, GUINT_TO_POINTER(w->serial)))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * A worker that fails its runs always has room, so without this it would be
+ * given the last attempts of many tasks and with them end their jobs.
+ */
+static bool
+needs_proven_worker(const struct cell_sched *s, struct cell_stage *st,
+    uint32_t index, ogl_time now)
+{
+	return CELL_USES_HEALTH && is_last_attempt(s, st, index) &&
+	       now < cell_stage_shared_task(st, index)->not_before +
+			 PROVEN_WAIT_MAX &&
+	       some_proven(s, st);
+}
+
+/* Whether the worker's health allows the current task of the stage there. */
+static bool
+health_allows(const struct cell_sched *s, const struct cell_stage *st,
+    const struct cell_worker *w)
+{
+	return cell_health_may_start(w, st->def->gang) &&
+	       (!s->proven_only || cell_health_proven(w));
+}
+
+static double
+health_cost(const struct cell_sched *s, const struct cell_task *t,
+    const struct cell_worker *w)
+{
+	return w->health != OGL_HEALTH_SOUND &&
+		       (s->tight_deadline || cell_task_failures(t) > 0)
+		   ? SUSPECT_COST_MILLI
+		   : 0;
+}
+
 /*
  * Stages with a tight deadline prefer fast workers.  Other stages prefer slow
  * ones, to leave the fast ones free, but avoid faulty workers and those that
@@ -164,7 +233,8 @@
     const struct cell_task *t, const struct cell_worker *w)
 {
 	struct ogl_res room = cell_worker_room(w);
-	double cost = (double)room.cpu_milli + pace_cost(s, w);
+	double cost =
+	    (double)room.cpu_milli + pace_cost(s, w) + health_cost(s, t, w);
 
 	if (*st->def->data_rack != '\0' &&
 	    strcmp(st->def->data_rack, w->rack) != 0)
@@ -187,7 +257,7 @@
 		struct cell_worker *w = s->candidates->pdata[i];
 		double cost;
 
-		if (!cell_worker_fits(w, &need))
+		if (!cell_worker_fits(w, &need) || !health_allows(s, st, w))
 			continue;
 		if (at_worker_max(s, st, w))
 			continue;
@@ -240,12 +310,15 @@
 			all_placed = false;
 			continue;
 		}
+		s->proven_only = needs_proven_worker(s, st, i, now);
 		w = task_startable(t, now) &&
 			    cell_sched_team_limit_allows(s, st, 1, rank, now)
 			? pick_worker(s, st, t)
 			: NULL;
 		if (w == NULL) {
 			all_placed = false;
+			if (s->proven_only)
+				continue;
 			break;
 		}
 		start_task(s, st, i, w, s->parts.next_run(s->parts.arg, st),
@@ -279,6 +352,7 @@
 	    !cell_sched_team_limit_allows(s, st, st->ntasks, rank, now))
 		return false;
 	g_ptr_array_set_size(s->chosen, 0);
+	s->proven_only = needs_proven_worker(s, st, 0, now);
 	for (i = 0; i < st->ntasks; i++) {
 		struct cell_worker *w = pick_worker(s, st, &st->tasks[0]);
 
--- a/cell/straggler.c
+++ b/cell/straggler.c
@@ -84,7 +84,7 @@
 	stalled = cell_pace_is_stalled(
 	    &r->progress, w->clock_ms, r->stage->def->estimate_ms);
 	if (stalled)
-		cell_fleet_count_stall(f, w);
+		cell_fleet_count_stall(f, r, now);
 	if (!stalled && pace < cell_fleet_straggler_pace_min(f, w))
 		return;
 	if (!worth_restarting(r, pace, stalled) ||
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -162,7 +162,8 @@
 	/* task_text -> highest number of a run that was stopped or ended */
 	GHashTable *highest_runs;
 	uint64_t last_end_number;
-	GQueue holds; /* struct call of holds that wait for an end */
+	unsigned nbegun; /* runs */
+	GQueue holds;    /* struct call of holds that wait for an end */
 };
 
 /* What the checks know of a task, counted over all workers. */
@@ -1289,8 +1290,10 @@
 {
 	uint32_t left_ms =
 	    r->run_ms > r->saved_ms ? r->run_ms - r->saved_ms : 1;
-	bool fails = r->fails || w->fault == FAKE_WORKER_FAILING;
+	bool fails = r->fails || w->fault == FAKE_WORKER_FAILING ||
+		     (w->fault == FAKE_WORKER_FLAKY && chance(f, 0.4));
 
+	w->nbegun++;
 	r->working = true;
 	r->began_at = f->now;
 	r->slow_factor = w->fault == FAKE_WORKER_SLOW ? SLOW_FACTOR : 1;
@@ -2222,6 +2225,12 @@
 	return job_of(f, id)->running;
 }
 
+unsigned
+fake_cell_worker_runs(const struct fake_cell *f, unsigned worker)
+{
+	return f->workers[worker].nbegun;
+}
+
 unsigned
 fake_cell_zone_running_runs(const struct fake_cell *f, const char *zone)
 {
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -157,6 +157,7 @@
 	FAKE_WORKER_UNREACHABLE, /* its runs go on */
 	FAKE_WORKER_CRASHED, /* down, its runs are lost, its entry is dropped */
 	FAKE_WORKER_FAILING, /* runs it starts end as failed */
+	FAKE_WORKER_FLAKY,   /* two in five of them end as failed */
 	FAKE_WORKER_LATE,    /* executes four in ten orders 2 to 12 s late and
 			      * does not answer them */
 	FAKE_WORKER_SLOW,    /* runs it starts take six times as long */
@@ -172,6 +173,8 @@
 
 /* ---- results ---------------------------------------------------------- */
 
+unsigned fake_cell_worker_runs(const struct fake_cell *f, unsigned worker);
+/* Number of runs that the worker has begun so far. */
 const char *fake_cell_violations(const struct fake_cell *f);
 /* Violations of invariants so far, one a line; "" if there were none. */
 bool fake_cell_settle(struct fake_cell *f, uint32_t ms);
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -356,4 +356,36 @@
 	EXPECT_EQ(0u, worker_.stops.size());
 }
 
+/* Guards against many tasks lost on a worker that fails them one after the
+ * other. */
+TEST_F(Fleet, SuspectWorkerGetsOneTaskAtATime)
+{
+	step(10);
+	answer(OGL_IO_OK, 0);
+	cell_fleet_record_stored(fleet_, "w", 1);
+	for (const char *job : {"a1", "a2", "a3", "a4", "a5"})
+		cell_worker_count_result(fleet_, worker(), job, false, now_);
+	EXPECT_EQ(OGL_HEALTH_SUSPECT, worker()->health);
+	EXPECT_TRUE(cell_worker_schedulable(worker(), now_));
+	EXPECT_FALSE(cell_health_may_start(worker(), true));
+	start(OGL_IO_OK);
+	EXPECT_FALSE(cell_worker_schedulable(worker(), now_));
+}
+
+/* Guards against an owner that wins again and goes by what it knew of workers
+ * under its last epoch. */
+TEST_F(Fleet, NewOwnerTakesAllWorkersForSound)
+{
+	step(10);
+	answer(OGL_IO_OK, 0);
+	for (const char *job : {"a1", "a2", "a3", "a4", "a5"})
+		cell_worker_count_result(fleet_, worker(), job, false, now_);
+	EXPECT_EQ(OGL_HEALTH_SUSPECT, worker()->health);
+	cell_fleet_close(fleet_);
+	cell_fleet_open(fleet_, 2, now_);
+	EXPECT_EQ(OGL_HEALTH_SOUND, worker()->health);
+	cell_worker_count_result(fleet_, worker(), "a6", false, now_);
+	EXPECT_EQ(OGL_HEALTH_SOUND, worker()->health);
+}
+
 } // namespace
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -47,7 +47,8 @@
  *                              the writes are done unanswered) or late (the
  *                              same, and they are done seconds later)
  * worker WORKER|all FAULT      healthy, unreachable (runs go on), crashed,
- *                              failing (runs end as failed), late (orders are
+ *                              failing (runs end as failed), flaky (two in
+ *                              five runs do), late (orders are
  *                              done seconds later, unanswered), slow (new runs
  *                              take six times as long) or hanging (new runs
  *                              make no progress)
@@ -61,6 +62,9 @@
  *
  * Questions, which are answered:
  * accepted JOB COUNT           how many jobs of a submit-many were accepted
+ * completed JOB COUNT          how many of them have completed, as a node tells
+ * runs-on WORKER COUNT         whether the worker has begun under or over that
+ *                              number of runs
  * status JOB                   last HTTP status that answered a call about it
  * state JOB                    as told by a node
  * starts JOB                   runs that workers have begun
@@ -205,8 +209,26 @@
 		return std::to_string(n);
 	}
 
+	std::string completed(const Words &w)
+	{
+		unsigned n = 0;
+
+		for (unsigned i = 0; i < num(w[2]); i++)
+			n += fake_cell_state(
+				 cell_, id(w[1] + std::to_string(i))) ==
+			     std::string("completed");
+		return std::to_string(n);
+	}
+
 	std::string query(const Words &w)
 	{
+		if (w[0] == "completed")
+			return completed(w);
+		if (w[0] == "runs-on")
+			return fake_cell_worker_runs(cell_, num(w[1])) <
+				       num(w[2])
+				   ? "under"
+				   : "over";
 		if (w[0] == "accepted")
 			return accepted(w);
 		if (w[0] == "status")
@@ -317,7 +339,8 @@
 		    {"unreachable", FAKE_WORKER_UNREACHABLE},
 		    {"crashed", FAKE_WORKER_CRASHED},
 		    {"failing", FAKE_WORKER_FAILING},
-		    {"late", FAKE_WORKER_LATE}, {"slow", FAKE_WORKER_SLOW},
+		    {"flaky", FAKE_WORKER_FLAKY}, {"late", FAKE_WORKER_LATE},
+		    {"slow", FAKE_WORKER_SLOW},
 		    {"hanging", FAKE_WORKER_HANGING}};
 
 		return m.at(s);
