--- a/cell/pace.c
+++ b/cell/pace.c
@@ -30,7 +30,8 @@
 /* A run is observed for at least this time before it has a pace of its own. */
 #define RUN_OBSERVED_MIN_MS 300
 /* Part of the distance to the baseline that an idle worker's pace moves five
- * times a second.  A pace of 8 makes a worker count as faulty for about 9 s. */
+ * times a second.  A pace of 8 makes a worker count as faulty for about 9 s, or
+ * 3 s if its usual pace is not known. */
 #define DECAY_FACTOR 0.05
 /* A run is stalled when it has made no progress for this time, and for this
  * fraction of its declared time. */
