--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -17,11 +17,6 @@
  * hundreds of times a second, and calls that are due may wait this long. */
 #define SCAN_INTERVAL (8 * OGL_MS)
 #define RUN_SCAN_INTERVAL (40 * OGL_MS)
-/* A worker that fails this many different jobs in a row gets no work for the
- * cooldown, which doubles each time, at most COOLDOWN_DOUBLINGS_MAX times. */
-#define FAILURE_STREAK_MAX 3
-#define COOLDOWN (4 * OGL_SEC)
-#define COOLDOWN_DOUBLINGS_MAX 3
 
 void
 cell_fleet_run_free(struct cell_run *r)
@@ -46,7 +41,6 @@
 	g_free(w->rack);
 	g_strfreev(w->labels);
 	g_free(w->service);
-	g_free(w->last_failed_job);
 	g_free(w);
 }
 
@@ -63,6 +57,7 @@
 	f->workers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, worker_free);
 	f->by_serial = g_hash_table_new(NULL, NULL);
+	f->health = cell_health_init(ops, f->by_serial);
 	f->teams =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return f;
@@ -93,6 +88,7 @@
 cell_fleet_end(struct cell_fleet *f)
 {
 	cell_fleet_close(f);
+	cell_health_end(f->health);
 	g_hash_table_unref(f->by_serial);
 	g_hash_table_unref(f->workers);
 	g_hash_table_unref(f->teams);
@@ -110,6 +106,7 @@
 	f->record_outdated = true; /* the stored one is an earlier owner's */
 	f->opened_at = now;
 	f->old_leases_expired = false;
+	cell_health_reset(f->health);
 }
 
 void
@@ -414,34 +411,23 @@
 	return w->listed && w->open_in_record && !w->draining &&
 	       !w->evacuated && w->fenced && w->failures == 0 &&
 	       w->norphans == 0 && now >= w->cooldown_until &&
+	       cell_health_may_start(w, false) &&
 	       !cell_fleet_hold_overdue(w, now);
 }
 
-/*
- * A faulty job fails wherever it runs, so only failures of different jobs in a
- * row count against a worker.
- */
 void
-cell_worker_count_result(
-    struct cell_worker *w, const char *job, bool ok, ogl_time now)
+cell_worker_count_result(struct cell_fleet *f, struct cell_worker *w,
+    const char *job, bool ok, ogl_time now)
 {
-	if (ok) {
-		w->failure_streak = 0;
-		w->cooldowns = 0;
-		g_clear_pointer(&w->last_failed_job, g_free);
-		return;
-	}
-	if (g_strcmp0(w->last_failed_job, job) == 0)
-		return;
-	set_string(&w->last_failed_job, job);
-	w->failure_streak++;
-	if (w->failure_streak < FAILURE_STREAK_MAX)
-		return;
-	w->cooldown_until =
-	    now + (COOLDOWN << MIN(w->cooldowns, COOLDOWN_DOUBLINGS_MAX));
-	w->cooldowns++;
-	/* After the cooldown a single failure is enough. */
-	w->failure_streak = FAILURE_STREAK_MAX - 1;
+	cell_health_count(f->health, w, OGL_HEALTH_RUN_FAILED, job, ok, now);
+}
+
+void
+cell_fleet_count_call(struct cell_fleet *f, struct cell_worker *w,
+    enum ogl_health_evidence kind, bool ok, ogl_time now)
+{
+	if (w->fenced)
+		cell_health_count(f->health, w, kind, NULL, ok, now);
 }
 
 /* ---- pace of workers -------------------------------------------------- */
@@ -452,6 +438,20 @@
 	return cell_pace_relative(&w->pace, f->baseline_pace);
 }
 
+bool
+cell_fleet_pace_is_faulty(
+    const struct cell_fleet *f, const struct cell_worker *w)
+{
+	return cell_pace_is_faulty(&w->pace, f->baseline_pace);
+}
+
+double
+cell_fleet_straggler_pace_min(
+    const struct cell_fleet *f, const struct cell_worker *w)
+{
+	return cell_pace_straggler_min(&w->pace, f->baseline_pace);
+}
+
 void
 cell_fleet_update_baseline(struct cell_fleet *f)
 {
@@ -461,8 +461,10 @@
 
 	g_hash_table_iter_init(&it, f->workers);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		const struct cell_worker *w = p;
+		struct cell_worker *w = p;
 
+		if (g_hash_table_size(w->runs) > 0)
+			cell_pace_learn_usual(&w->pace);
 		if (cell_pace_known(&w->pace))
 			g_array_append_val(values, w->pace.value);
 	}
@@ -471,9 +473,14 @@
 }
 
 void
-cell_fleet_count_stall(struct cell_fleet *f, struct cell_worker *w)
+cell_fleet_count_stall(struct cell_fleet *f, struct cell_run *r, ogl_time now)
 {
-	cell_pace_observe_stall(&w->pace, f->baseline_pace);
+	cell_pace_observe_stall(&r->worker->pace, f->baseline_pace);
+	if (r->stall_counted)
+		return;
+	r->stall_counted = true;
+	cell_health_count(f->health, r->worker, OGL_HEALTH_NO_PROGRESS,
+	    r->name.id, false, now);
 }
 
 void
@@ -606,6 +613,7 @@
 	    g_hash_table_size(w->runs) > 0)
 		return FALSE;
 	f->record_outdated = true;
+	cell_health_forget(f->health, w);
 	g_hash_table_remove(f->by_serial, GUINT_TO_POINTER(w->serial));
 	return TRUE;
 }
@@ -629,6 +637,7 @@
 	g_hash_table_iter_init(&it, f->workers);
 	while (g_hash_table_iter_next(&it, NULL, &p))
 		step_worker(f, p, scan_runs, now);
+	cell_health_step(f->health, now);
 	if (scan_runs)
 		g_hash_table_foreach_remove(f->workers, worker_is_unused, f);
 }
--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -253,6 +253,7 @@
 	w->ends_reported = 0;
 	w->lease_end_ms = 0;
 	memset(&w->pace, 0, sizeof w->pace);
+	w->proven = false;
 	cell_fleet_lose_runs(f, w, a, hold_sent_at, now);
 	stop_unanswered_starts(f, w, now);
 }
@@ -376,6 +377,8 @@
 	w->failures = 0;
 	w->tasks_recorded = false;
 	w->last_answer_at = now;
+	cell_fleet_count_call(f, w, OGL_HEALTH_HOLD_UNANSWERED, true, now);
+	cell_fleet_count_call(f, w, OGL_HEALTH_CONN_REFUSED, true, now);
 	if (w->incarnation != 0 && w->incarnation != a->born_ms)
 		worker_restarted(f, w, a, c->sent_at, now);
 	cell_fleet_record_clock(w, a->clock_ms, now);
@@ -466,6 +469,12 @@
 	}
 	if (a->io == OGL_IO_LOST)
 		w->lossy_until = now + LOSSY_PERIOD;
+	if (a->no_listener)
+		cell_fleet_count_call(
+		    f, w, OGL_HEALTH_CONN_REFUSED, false, now);
+	else if (a->io == OGL_IO_LOST)
+		cell_fleet_count_call(
+		    f, w, OGL_HEALTH_HOLD_UNANSWERED, false, now);
 	if (w->failures == 0)
 		cell_fleet_log_worker_why(
 		    f, w, "worker_silent", failure_name(a));
--- a/cell/fleet_impl.h
+++ b/cell/fleet_impl.h
@@ -15,6 +15,7 @@
 	struct cell_fleet_events events;
 	GHashTable *workers;   /* id -> struct cell_worker */
 	GHashTable *by_serial; /* the same workers, not owned */
+	struct cell_health *health;
 	uint32_t last_serial;
 	GHashTable *teams; /* name -> struct ogl_res that runs may use */
 	const struct cell_zones *zones; /* evacuated zones, NULL until set */
@@ -50,6 +51,9 @@
     const struct cell_worker *w, const char *event, const char *why);
 void cell_fleet_log_worker(
     struct cell_fleet *f, const struct cell_worker *w, const char *event);
+void cell_fleet_count_call(struct cell_fleet *f, struct cell_worker *w,
+    enum ogl_health_evidence kind, bool ok, ogl_time now);
+/* Counts the outcome of a call to a worker that has answered before. */
 void cell_fleet_run_free(struct cell_run *r);
 struct cell_run *cell_fleet_run_new(struct cell_fleet *f, struct cell_worker *w,
     const struct cell_task_name *name, uint64_t number,
--- a/test/test_cell_learned.cc
+++ b/test/test_cell_learned.cc
@@ -234,12 +234,12 @@
 	r.percent = 25;
 	r.progress = {9000, 25, 1000, 5};
 	worker_.clock_ms = 9000;
-	EXPECT_TRUE(cell_straggler_is_slow(&r, 4, &stalled_));
+	EXPECT_TRUE(cell_straggler_is_slow(&r, 4, 2.5, &stalled_));
 	update(j);
-	EXPECT_FALSE(cell_straggler_is_slow(&r, 4, &stalled_) || stalled_);
+	EXPECT_FALSE(cell_straggler_is_slow(&r, 4, 2.5, &stalled_) || stalled_);
 	r.progress.clock_ms = worker_.clock_ms = 25000;
-	EXPECT_TRUE(cell_straggler_is_slow(&r, 4, &stalled_));
-	EXPECT_FALSE(cell_straggler_is_slow(&r, 1, &stalled_));
+	EXPECT_TRUE(cell_straggler_is_slow(&r, 4, 2.5, &stalled_));
+	EXPECT_FALSE(cell_straggler_is_slow(&r, 1, 2.5, &stalled_));
 }
 
 /* Guards against taking slow workers for longer work. */
