--- a/cell/fleet_order.c
+++ b/cell/fleet_order.c
@@ -150,6 +150,8 @@
     ogl_time now)
 {
 	if (io == OGL_IO_LOST) {
+		cell_fleet_count_call(
+		    f, r->worker, OGL_HEALTH_START_UNANSWERED, false, now);
 		r->start_unanswered = true;
 		cell_fleet_remember_unanswered_start(r, now);
 	}
@@ -205,6 +207,12 @@
 		return;
 	if (a->io == OGL_IO_OK || a->why != CELL_NOT_REFUSED)
 		cell_fleet_record_clock(r->worker, a->clock_ms, now);
+	if (a->io == OGL_IO_OK || a->io == OGL_IO_REFUSED) {
+		cell_fleet_count_call(
+		    f, r->worker, OGL_HEALTH_START_UNANSWERED, true, now);
+		cell_fleet_count_call(f, r->worker, OGL_HEALTH_START_BUSY,
+		    a->why != CELL_REFUSED_BUSY, now);
+	}
 	if (a->io == OGL_IO_OK) {
 		f->ops->observe(f->ops->ctx, "start_ms",
 		    (uint64_t)((now - sent_at) / OGL_MS));
--- a/cell/straggler.c
+++ b/cell/straggler.c
@@ -25,9 +25,6 @@
 #include "ablate.h"
 #include "straggler.h"
 
-/* Below this pace a run may seem slow only because too little time is expected
- * for it. */
-#define STRAGGLER_PACE_MIN 2.5
 /* Time to stop a run, ask the advice service and start the task again. */
 #define MOVE_COST_MS 450.0
 /* Additional time of a restart that restores a checkpoint. */
@@ -70,8 +67,8 @@
 }
 
 bool
-cell_straggler_is_slow(
-    const struct cell_run *r, double worker_pace, bool *stalled)
+cell_straggler_is_slow(const struct cell_run *r, double worker_pace,
+    double pace_min, bool *stalled)
 {
 	uint32_t expected_ms = (uint32_t)CLAMP(
 	    cell_learned_run_ms(r->stage->job, r->stage->step), 1, UINT32_MAX);
@@ -84,7 +81,7 @@
 	pace = cell_pace_of_run(&r->progress, clock_ms, expected_ms);
 	pace = MIN(worker_pace, pace);
 	*stalled = cell_pace_is_stalled(&r->progress, clock_ms, expected_ms);
-	return (*stalled || pace >= STRAGGLER_PACE_MIN) &&
+	return (*stalled || pace >= pace_min) &&
 	       worth_restarting(r, pace, *stalled);
 }
 
@@ -97,9 +94,10 @@
 
 	if (!may_move(r))
 		return;
-	slow = cell_straggler_is_slow(r, cell_fleet_pace(f, w), &stalled);
+	slow = cell_straggler_is_slow(r, cell_fleet_pace(f, w),
+	    cell_fleet_straggler_pace_min(f, w), &stalled);
 	if (stalled)
-		cell_fleet_count_stall(f, w);
+		cell_fleet_count_stall(f, r, now);
 	if (!slow || !cell_sched_has_room(s, r->stage, w, now))
 		return;
 	r->stage->tasks[r->name.index].move_count++;
