cell: a full cell is shared by the teams' weights

While a stage lately found no room, or a question no lane, the stages of one precedence and rank go by the virtual times of their teams. Runs are charged when they are started and corrected when they end. A gang that has waited longer than half its objective goes by age. Weights are in force with the pass after the configuration changes. Line owner.team_share.

--- a/cell/ablate.h
+++ b/cell/ablate.h
@@ -104,4 +104,11 @@
 #define CELL_USES_LANES 1
 #endif
 
+/* While the cell is full, teams share it by their weights. */
+#ifdef OGL_OFF_SHARES
+#define CELL_USES_SHARES 0
+#else
+#define CELL_USES_SHARES 1
+#endif
+
 #endif
--- a/cell/cell_config.c
+++ b/cell/cell_config.c
@@ -215,6 +215,12 @@
 	return g_hash_table_lookup(c->team_names, name);
 }
 
+const struct cell_team *
+cell_config_team_at(const struct cell_config *c, size_t i)
+{
+	return i < c->teams->len ? c->teams->pdata[i] : NULL;
+}
+
 const struct cell_team *
 cell_config_team_of_key(const struct cell_config *c, struct ogl_str key)
 {
--- a/cell/cell_config.h
+++ b/cell/cell_config.h
@@ -71,6 +71,9 @@
 const struct cell_team *cell_config_team(
     struct cell_config *c, const char *name);
 /* The queue or team with that name, NULL if there is none. */
+const struct cell_team *cell_config_team_at(
+    const struct cell_config *c, size_t i);
+/* The i-th team, NULL if there are no more. */
 const struct cell_team *cell_config_team_of_key(
     const struct cell_config *c, struct ogl_str key);
 /* The team that the key belongs to, NULL if the key is unknown. */
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -13,6 +13,7 @@
 
 #include "job.h"
 #include "pace.h"
+#include "share.h"
 #include "zones.h"
 
 struct cell_fleet;
@@ -49,6 +50,7 @@
 	uint32_t tries; /* starts sent */
 	uint32_t rank;  /* rank of its queue */
 	bool orphan;    /* belongs to no known job; its resources are unknown */
+	struct ogl_share_charge charge; /* what its team was charged for it */
 };
 
 /* A start whose answer was lost: the worker may still carry it out, even if
--- a/cell/job.h
+++ b/cell/job.h
@@ -19,6 +19,8 @@
 struct cell_run;
 struct cell_worker;
 struct cell_job;
+struct ogl_share_queue;
+struct ogl_share_team;
 
 struct cell_task {
 	bool done;
@@ -115,7 +117,12 @@
 	/* Lines in which it waits, see forecast.h; NULL not looked up yet. */
 	struct cell_line *line;
 	struct cell_line *team_line; /* while its team's limit is reached */
-	bool placed;                 /* this owner has started a run of it */
+	/* Where its runs are charged (see share.h), and the generation in which
+	 * that was looked up. */
+	struct ogl_share_team *share_team;
+	struct ogl_share_queue *share_queue;
+	uint64_t share_generation;
+	bool placed;            /* this owner has started a run of it */
 	ogl_time expected_wait; /* for the first start, when it was submitted */
 	double cpu_seconds;     /* processor seconds declared, all steps */
 	double chain_ms;        /* longest chain of declared run times */
--- a/cell/owner_jobs.c
+++ b/cell/owner_jobs.c
@@ -248,6 +248,8 @@
 	cell_owner_log_job(o, j, "job_ended", more);
 	o->ops->observe(
 	    o->ops->ctx, "job_ms", (uint64_t)((now - j->accepted) / OGL_MS));
+	if (state == OGL__CELL_JOB_STATE__cell_completed)
+		cell_sched_job_completed(o->sched, j, now);
 	for (i = 0; i < j->occurrences->len; i++)
 		cell_owner_drop_occurrence(o, j, j->occurrences->pdata[i], now);
 	cell_job_clear(j);
@@ -425,6 +427,7 @@
 	g_snprintf(
 	    more, sizeof more, "how=%s percent=%u", end_name(how), r->percent);
 	log_run(o, r, "run_ended", more, now);
+	cell_sched_run_ended(o->sched, r, how, now);
 	if (st == NULL)
 		return;
 	/* If an earlier owner started the run, its start time is not known. */
@@ -455,6 +458,7 @@
 	g_snprintf(more, sizeof more, "why=%d", (int)why);
 	log_run(o, r, "start_refused", more, now);
 	o->ops->count(o->ops->ctx, "starts_refused", 1);
+	cell_sched_run_ended(o->sched, r, CELL_END_STOPPED, now);
 	if (st == NULL)
 		return;
 	detach_run(st, &st->tasks[r->name.index], r);
--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -8,6 +8,7 @@
 #include "forecast.h"
 #include "lanes.h"
 #include "schedule.h"
+#include "share.h"
 
 #define RANKS 4
 /* Precedences are in time, late and too late, first for teams within their rate
@@ -68,6 +69,10 @@
 	bool some_at_worker_max;
 	ogl_time next_pass_at; /* earliest time of the next pass */
 	struct ogl_lanes *lanes;
+	ogl_time no_lane_at; /* last time that a question found no lane */
+	struct ogl_share *share;
+	GArray *share_items; /* scratch: struct ogl_share_item */
+	ogl_time next_share_log_at;
 	/* Stages with questions that wait for the end of the pass, in the order
 	 * of the pass. */
 	GPtrArray *asking[PRECEDENCES];
@@ -89,6 +94,9 @@
 /* 0 in time, 1 late, PRECEDENCE_TOO_LATE; PRECEDENCE_BEYOND_RATE is added for
  * jobs beyond their team's rate. */
 void cell_sched_order_beyond_rate(struct cell_sched *s);
+void cell_sched_order_buckets(struct cell_sched *s, bool full, ogl_time now);
+/* Orders the stages of each precedence and rank: by age or, while the cell is
+ * full, by the shares of their teams. */
 
 /* ---- sched_forecast.c ----------------------------------------------- */
 
@@ -97,6 +105,21 @@
 void cell_sched_count_first_start(
     struct cell_sched *s, struct cell_job *j, ogl_time now);
 
+/* ---- sched_share.c -------------------------------------------------- */
+
+void cell_sched_set_shares(struct cell_sched *s);
+/* Takes the teams' weights from the configuration. */
+bool cell_sched_update_full(struct cell_sched *s, ogl_time now);
+/* Whether the cell is full now. */
+void cell_sched_note_missing_lanes(struct cell_sched *s, ogl_time now);
+/* Notes if a stage still has a question for which there is no lane. */
+struct ogl_share_item cell_sched_share_item(
+    struct cell_sched *s, struct cell_stage *st, ogl_time now);
+void cell_sched_charge_starts(
+    struct cell_sched *s, struct cell_stage *st, ogl_time now);
+/* Charges the stage's team for the runs that were started now. */
+void cell_sched_log_shares(struct cell_sched *s, ogl_time now);
+
 /* ---- sched_limit.c -------------------------------------------------- */
 
 struct team_state *cell_sched_team_state_of(
--- a/cell/sched_order.c
+++ b/cell/sched_order.c
@@ -7,7 +7,8 @@
  *	            their rate, then for teams beyond it
  *	rank        the queue's priority; late stages of rank 0 come before
  *	            stages of other ranks that are in time
- *	age         the longest waiting first
+ *	age         the longest waiting first; while the cell is full, first
+ *	            those of the team that is furthest behind its share
  */
 
 #include "ablate.h"
@@ -133,3 +134,53 @@
 		    s->buckets[PRECEDENCE_BEYOND_RATE + 1][rank], by_work);
 	}
 }
+
+/* Buckets are filled oldest first. */
+static void
+keep_age(struct cell_sched *s, GPtrArray *stages, ogl_time now)
+{
+	(void)s;
+	(void)stages;
+	(void)now;
+}
+
+/* Keeps the order of the stages of each team. */
+static void
+sort_by_share(struct cell_sched *s, GPtrArray *stages, ogl_time now)
+{
+	struct ogl_share_item *items;
+	guint i;
+
+	g_array_set_size(s->share_items, stages->len);
+	items = (struct ogl_share_item *)(void *)s->share_items->data;
+	for (i = 0; i < stages->len; i++)
+		items[i] = cell_sched_share_item(s, stages->pdata[i], now);
+	ogl_share_order(s->share, items, stages->len);
+	for (i = 0; i < stages->len; i++)
+		stages->pdata[i] = items[i].data;
+}
+
+typedef void sort_fn(struct cell_sched *s, GPtrArray *stages, ogl_time now);
+
+enum order {
+	BY_AGE,
+	BY_SHARE
+};
+
+static sort_fn *const sorts[] = {
+    [BY_AGE] = keep_age, [BY_SHARE] = sort_by_share};
+
+void
+cell_sched_order_buckets(struct cell_sched *s, bool full, ogl_time now)
+{
+	sort_fn *sort = sorts[CELL_USES_SHARES && full ? BY_SHARE : BY_AGE];
+	unsigned precedence;
+	uint32_t rank;
+
+	if (full)
+		ogl_share_begin_round(s->share);
+	for (precedence = 0; precedence < PRECEDENCES; precedence++) {
+		for (rank = 0; rank < RANKS; rank++)
+			sort(s, s->buckets[precedence][rank], now);
+	}
+}
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -43,6 +43,10 @@
 
 	s->parts = *parts;
 	s->no_room_at = CELL_LONG_AGO;
+	s->no_lane_at = CELL_LONG_AGO;
+	s->share = ogl_share_init();
+	s->share_items =
+	    g_array_new(FALSE, FALSE, sizeof(struct ogl_share_item));
 	s->schedulable = g_ptr_array_new();
 	s->expired = g_ptr_array_new();
 	for (i = 0; i < PRECEDENCES; i++) {
@@ -75,6 +79,8 @@
 		g_ptr_array_unref(s->asking[i]);
 	}
 	ogl_lanes_end(s->lanes);
+	ogl_share_end(s->share);
+	g_array_unref(s->share_items);
 	cell_config_unref(s->config);
 	g_hash_table_unref(s->team_states);
 	cell_forecast_end(s->forecast);
@@ -98,6 +104,9 @@
 	int i;
 
 	g_hash_table_remove_all(s->team_states);
+	ogl_share_clear(s->share);
+	s->no_room_at = CELL_LONG_AGO;
+	s->no_lane_at = CELL_LONG_AGO;
 	for (i = 0; i < RANKS; i++) {
 		while ((l = g_queue_pop_head_link(&s->waiting[i])) != NULL)
 			((struct cell_stage *)l->data)->queue = NULL;
@@ -110,6 +119,7 @@
 	cell_config_ref(c);
 	cell_config_unref(s->config);
 	s->config = c;
+	cell_sched_set_shares(s);
 }
 
 void
@@ -273,6 +283,8 @@
 		placed = cell_sched_place_gang(s, st, rank, now);
 	else
 		placed = cell_sched_place_tasks(s, st, rank, now);
+	if (st->nactive > active_before)
+		cell_sched_charge_starts(s, st, now);
 	if (placed) {
 		st->blocked_since = 0;
 		log_wait(s, st, CELL_WAIT_NONE, now);
@@ -375,6 +387,7 @@
 	size_t waiting = cell_sched_waiting(s);
 	unsigned precedence;
 	uint32_t rank;
+	bool full;
 
 	if (waiting == 0)
 		cell_forecast_begin_count(s->forecast);
@@ -390,6 +403,8 @@
 	list_schedulable_workers(s, now);
 	fill_buckets(s, now);
 	cell_sched_order_beyond_rate(s);
+	full = cell_sched_update_full(s, now);
+	cell_sched_order_buckets(s, full, now);
 	for (precedence = 0; precedence < PRECEDENCES; precedence += 3) {
 		place_bucket(s, 0, precedence, now);
 		place_bucket(s, 0, precedence + 1, now);
@@ -401,6 +416,9 @@
 			place_bucket(s, rank, precedence + 2, now);
 	}
 	cell_sched_ask_waiting(s, now);
+	cell_sched_note_missing_lanes(s, now);
+	if (full)
+		cell_sched_log_shares(s, now);
 }
 
 bool
--- a/cell/schedule.h
+++ b/cell/schedule.h
@@ -71,6 +71,17 @@
 /* As cell_sched_objective_ms, but with measured run times of the steps where
  * known. */
 
+void cell_sched_run_ended(struct cell_sched *s, const struct cell_run *r,
+    enum cell_end how, ogl_time now);
+/* Charges the run's team with what the run used, whether its job still needs it
+ * or not. */
+void cell_sched_job_completed(
+    struct cell_sched *s, struct cell_job *j, ogl_time now);
+/* Counts the job for its team; to be called while its submission is kept. */
+void cell_sched_report_shares(
+    const struct cell_sched *s, ogl_share_report_fn *fn, void *arg);
+/* Calls fn with the figures of each team. */
+
 size_t cell_sched_waiting(const struct cell_sched *s);
 /* Number of waiting stages. */
 
--- a/test/test_cell_schedule.cc
+++ b/test/test_cell_schedule.cc
@@ -4,10 +4,12 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
 extern "C" {
+#include "fleet_impl.h"
 #include "schedule.h"
 }
 
@@ -56,6 +58,8 @@
 		fe.answered = [](void *, struct cell_worker *, ogl_time) {};
 		fe.room_freed = [](void *, ogl_time) {};
 		fe.run_started = [](void *, struct cell_run *, ogl_time) {};
+		fe.run_ended = on_end;
+		fe.arg = this;
 		fleet_ = cell_fleet_init(&ops_, &limits_, &fe);
 		ae.send = [](void *arg, const char *, const Ogl__CellAsk *a) {
 			auto *t = static_cast<Schedule *>(arg);
@@ -91,6 +95,20 @@
 		configure(5, 0);
 	}
 
+	/* As cell_owner_run_ended does. */
+	static void on_end(void *arg, struct cell_run *r, enum cell_end how,
+	    const char *, ogl_time now)
+	{
+		struct cell_task *t = &r->stage->tasks[r->name.index];
+
+		cell_sched_run_ended(
+		    static_cast<Schedule *>(arg)->sched_, r, how, now);
+		t->done = true;
+		t->active = nullptr;
+		r->stage->ndone++;
+		r->stage->nactive--;
+	}
+
 	/* Every call has to be answered once, even after the fleet's close. */
 	void TearDown() override
 	{
@@ -104,7 +122,8 @@
 		cell_sched_end(sched_);
 		cell_escrow_end(escrow_);
 		cell_advice_end(advice_);
-		cell_job_free(job_);
+		for (struct cell_job *j : jobs_)
+			cell_job_free(j);
 		cell_fleet_end(fleet_);
 	}
 
@@ -194,6 +213,7 @@
 		d->steps[0] = s;
 		d->n_steps = 1;
 		job_ = cell_job_new(d, now_);
+		jobs_.push_back(job_);
 		job_->stored = true;
 		job_->settled = true;
 		stage_ = &cell_job_begin_occurrence(job_, 0, now_)->stages[0];
@@ -278,7 +298,8 @@
 	struct cell_advice *advice_ = nullptr;
 	struct cell_escrow *escrow_ = nullptr;
 	struct cell_sched *sched_ = nullptr;
-	struct cell_job *job_ = nullptr;
+	struct cell_job *job_ = nullptr; /* the last one */
+	std::vector<struct cell_job *> jobs_;
 	struct cell_stage *stage_ = nullptr;
 	std::vector<Hold> holds_;
 	std::vector<Start> starts_;
@@ -409,4 +430,200 @@
 	EXPECT_EQ(before, cell_advice_approved_share(advice_, "other"));
 }
 
+/* Many jobs of tasks that take a whole worker for their estimated time. */
+class SharedSchedule : public Schedule
+{
+      protected:
+	void SetUp() override
+	{
+		Schedule::SetUp();
+		ops_.ctx = this;
+		ops_.log = [](void *ctx, const char *, const char *event,
+			       const char *text) {
+			if (strcmp(event, "team_share") == 0)
+				static_cast<SharedSchedule *>(ctx)
+				    ->lines_.push_back(text);
+		};
+		set_weights(3, 1, false);
+	}
+
+	void set_weights(double a, double b, bool policy)
+	{
+		const std::pair<const char *, double> teams[] = {
+		    {"a", a}, {"b", b}, {"c", 1}};
+		struct cell_config *c = cell_config_new(++version_);
+		struct cell_queue *q = cell_config_add_queue(c);
+
+		q->name = g_strdup("q");
+		q->rank = 1;
+		q->objective_ms = 20000;
+		q->policy.needed = policy;
+		q->policy.decide_ms = 500;
+		for (const auto &t : teams) {
+			struct cell_team *x = cell_config_add_team(c);
+
+			x->name = g_strdup(t.first);
+			x->rate = t.second;
+		}
+		cell_sched_set_config(sched_, c);
+		cell_config_unref(c);
+	}
+
+	struct cell_stage *add(const char *team, double estimate_ms = 1000,
+	    uint32_t tasks = 1, bool gang = false)
+	{
+		submit(tasks, 16000);
+		job_->id[0] = *team;
+		job_->def->team = strdup(team);
+		stage_def()->estimate_ms = estimate_ms;
+		stage_def()->gang = gang;
+		return stage_;
+	}
+
+	void add_many(unsigned n, const char *team)
+	{
+		while (n-- > 0)
+			add(team);
+	}
+
+	/* Runs passes for that time, and counts the starts of each team. */
+	void run(int ms)
+	{
+		started_.clear();
+		for (; ms > 0; ms -= 50) {
+			for (unsigned i = 0; i < kWorkers; i++)
+				end_runs(worker(i));
+			pass(50);
+			for (const struct cell_job *j : jobs_)
+				count(j);
+		}
+	}
+
+	void end_runs(struct cell_worker *w)
+	{
+		GList *all = g_hash_table_get_keys(w->runs);
+
+		for (GList *l = all; l != nullptr; l = l->next) {
+			auto *r = static_cast<struct cell_run *>(l->data);
+
+			if (now_ - r->created_at >=
+			    r->stage->def->estimate_ms * OGL_MS)
+				cell_fleet_run_ended(
+				    fleet_, r, CELL_END_DONE, nullptr, now_);
+		}
+		g_list_free(all);
+	}
+
+	void count(const struct cell_job *j)
+	{
+		const struct cell_run *r =
+		    cell_job_occurrence(j, 0)->stages[0].tasks[0].active;
+
+		if (r != nullptr && r->created_at == now_)
+			started_[j->def->team]++;
+	}
+
+	unsigned active_teams()
+	{
+		unsigned n = 0;
+
+		cell_sched_report_shares(
+		    sched_,
+		    [](void *arg, const struct ogl_share_figures *f) {
+			    *static_cast<unsigned *>(arg) += f->active;
+		    },
+		    &n);
+		return n;
+	}
+
+	std::map<std::string, unsigned> started_;
+	std::vector<std::string> lines_;
+	uint64_t version_ = 1;
+};
+
+/* Guards against a burst of one team that displaces the work of others: the
+ * jobs of b came first, and in a cell that is not full they also start first.
+ */
+TEST_F(SharedSchedule, AFullCellIsSharedByWeight)
+{
+	add_many(200, "b");
+	add_many(200, "a");
+	run(1000);
+	EXPECT_EQ(20u, started_["b"]);
+	run(4000);
+	EXPECT_NEAR(60u, started_["a"], 2);
+	EXPECT_NEAR(20u, started_["b"], 2);
+	run(1000);
+	ASSERT_EQ(4u, lines_.size()); /* two teams, twice in 6 s */
+	EXPECT_NE(std::string::npos, lines_[2].find("team=a weight=3 "));
+	EXPECT_NE(std::string::npos, lines_[2].find(" entitled_permille=750"));
+	EXPECT_EQ(std::string::npos, lines_[2].find(" used_core_ms=0 "));
+}
+
+/* Guards against weights that stay as they were when the cell became full. */
+TEST_F(SharedSchedule, ANewWeightIsInForceWithTheNextPass)
+{
+	add_many(200, "a");
+	add_many(200, "b");
+	run(2000);
+	set_weights(1, 3, false);
+	run(4000);
+	EXPECT_NEAR(20u, started_["a"], 2);
+	EXPECT_NEAR(60u, started_["b"], 2);
+}
+
+/* Guards against virtual times that a new owner takes from an earlier epoch of
+ * the same node.  It costs order only: all that waits is started. */
+TEST_F(SharedSchedule, VirtualTimesBeginAnewAfterATakeover)
+{
+	add_many(40, "c");
+	run(1000);
+	add("b", 1e6);
+	add_many(40, "c");
+	add_many(40, "b");
+	run(3000);
+	ASSERT_EQ(1u, started_["b"]);
+	cell_sched_clear(sched_);
+	EXPECT_EQ(0u, active_teams());
+	for (const struct cell_job *j : jobs_) {
+		struct cell_stage *st = &cell_job_occurrence(j, 0)->stages[0];
+
+		if (cell_stage_waiting(st) > 0)
+			cell_sched_add(sched_, st);
+	}
+	add_many(40, "c");
+	run(500);
+	run(2000);
+	EXPECT_NEAR(19u, started_["b"], 3);
+	run(4000);
+	EXPECT_EQ(0u, cell_sched_waiting(sched_));
+}
+
+/* Guards against a gang that is bypassed until its result is worthless. */
+TEST_F(SharedSchedule, AGangGoesByAgeAfterHalfItsObjective)
+{
+	add_many(40, "c");
+	run(1000);
+	add("b", 1e6);
+	struct cell_stage *gang = add("b", 1000, 4, true);
+	add_many(400, "c");
+	run(9500);
+	EXPECT_EQ(0u, gang->nactive + gang->ndone);
+	run(2000);
+	EXPECT_EQ(4u, gang->nactive + gang->ndone);
+}
+
+/* Guards against a cell that is not taken for full although work waits for the
+ * advice service. */
+TEST_F(SharedSchedule, ACellWithoutALaneForAQuestionIsFull)
+{
+	set_weights(3, 1, true);
+	add("a");
+	add("b");
+	pass(50);
+	EXPECT_EQ(0u, active_teams());
+	pass(50);
+	EXPECT_EQ(2u, active_teams());
+}
+
 } // namespace
