--- a/policy/share.c
+++ b/policy/share.c
@@ -36,6 +36,7 @@
 	double weight;
 	double vtime;
 	double order_vtime; /* scratch of ogl_share_order */
+	guint group;        /* scratch: index of its group found last */
 	uint64_t set;       /* last change of the teams that set it */
 	uint64_t round;     /* last round in which it had work; 0 none */
 	uint64_t period;    /* last full period in which it had work */
@@ -290,20 +291,33 @@
 		g_ptr_array_add(s->listed, q);
 }
 
+/* Whether the i-th group is that of the item. */
+static bool
+group_is_of(const struct ogl_share *s, guint i, const struct ogl_share_item *x)
+{
+	const struct group *g;
+
+	if (i >= s->groups->len)
+		return false;
+	g = &g_array_index(s->groups, struct group, i);
+	return g->team == x->team && g->queue == x->queue;
+}
+
 static struct group *
 find_or_add_group(struct ogl_share *s, const struct ogl_share_item *x, size_t n)
 {
 	struct group fresh = {x->team, x->queue, n, n};
-	guint i;
+	guint i = x->team->group;
 
-	for (i = 0; i < s->groups->len; i++) {
-		struct group *g = &g_array_index(s->groups, struct group, i);
-
-		if (g->team == x->team && g->queue == x->queue)
-			return g;
+	/* Most teams have one queue in a rank. */
+	if (!group_is_of(s, i, x)) {
+		for (i = 0; i < s->groups->len && !group_is_of(s, i, x); i++)
+			continue;
+		if (i == s->groups->len)
+			g_array_append_val(s->groups, fresh);
+		x->team->group = i;
 	}
-	g_array_append_val(s->groups, fresh);
-	return &g_array_index(s->groups, struct group, s->groups->len - 1);
+	return &g_array_index(s->groups, struct group, i);
 }
 
 /* Lists the items of each team and queue. */
