--- a/test/test_cell_schedule.cc
+++ b/test/test_cell_schedule.cc
@@ -4,11 +4,13 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
 
 extern "C" {
+#include "fleet_impl.h"
 #include "sched_impl.h"
 }
 
@@ -57,6 +59,8 @@
 		fe.answered = [](void *, struct cell_worker *, ogl_time) {};
 		fe.room_freed = [](void *, ogl_time) {};
 		fe.run_started = [](void *, struct cell_run *, ogl_time) {};
+		fe.run_ended = on_end;
+		fe.arg = this;
 		fleet_ = cell_fleet_init(&ops_, &limits_, &fe);
 		ae.send = [](void *arg, const char *, const Ogl__CellAsk *a) {
 			auto *t = static_cast<Schedule *>(arg);
@@ -84,14 +88,32 @@
 
 			return ++run;
 		};
-		parts.started = [](void *, struct cell_stage *, uint32_t,
-				    ogl_time) {};
+		parts.started = [](void *arg, struct cell_stage *st, uint32_t,
+				    ogl_time) {
+			static_cast<Schedule *>(arg)
+			    ->started_[st->job->def->team]++;
+		};
+		parts.arg = this;
 		sched_ = cell_sched_init(&parts);
 		list_workers();
 		cell_advice_open(advice_, 1);
 		configure(5, 0);
 	}
 
+	/* As cell_owner_run_ended does. */
+	static void on_end(void *arg, struct cell_run *r, enum cell_end how,
+	    const char *, ogl_time now)
+	{
+		struct cell_task *t = &r->stage->tasks[r->name.index];
+
+		cell_sched_run_ended(
+		    static_cast<Schedule *>(arg)->sched_, r, how, now);
+		t->done = true;
+		t->active = nullptr;
+		r->stage->ndone++;
+		r->stage->nactive--;
+	}
+
 	/* Every call has to be answered once, even after the fleet's close. */
 	void TearDown() override
 	{
@@ -105,8 +127,8 @@
 		cell_sched_end(sched_);
 		cell_escrow_end(escrow_);
 		cell_advice_end(advice_);
-		if (job_ != nullptr)
-			cell_job_free(job_);
+		for (struct cell_job *j : jobs_)
+			cell_job_free(j);
 		cell_fleet_end(fleet_);
 	}
 
@@ -182,6 +204,7 @@
 	void submit(uint32_t tasks, uint32_t cpu_milli)
 	{
 		job_ = new_job("0000000000000001", tasks, cpu_milli);
+		jobs_.push_back(job_);
 		job_->stored = true;
 		job_->settled = true;
 		stage_ = &cell_job_begin_occurrence(job_, 0, now_)->stages[0];
@@ -334,7 +357,9 @@
 	struct cell_advice *advice_ = nullptr;
 	struct cell_escrow *escrow_ = nullptr;
 	struct cell_sched *sched_ = nullptr;
-	struct cell_job *job_ = nullptr;
+	struct cell_job *job_ = nullptr; /* the last one */
+	std::vector<struct cell_job *> jobs_;
+	std::map<std::string, unsigned> started_; /* tasks, by team */
 	struct cell_stage *stage_ = nullptr;
 	std::vector<Hold> holds_;
 	std::vector<Start> starts_;
@@ -547,4 +572,188 @@
 	EXPECT_EQ(now_, waits_since("00000000000000aa"));
 }
 
+/* Many jobs of tasks that take a whole worker for their estimated time. */
+class SharedSchedule : public Schedule
+{
+      protected:
+	void SetUp() override
+	{
+		Schedule::SetUp();
+		ops_.ctx = this;
+		ops_.log = [](void *ctx, const char *, const char *event,
+			       const char *text) {
+			if (strcmp(event, "team_share") == 0)
+				static_cast<SharedSchedule *>(ctx)
+				    ->lines_.push_back(text);
+		};
+		set_weights(3, 1, false);
+	}
+
+	void set_weights(double a, double b, bool policy)
+	{
+		const std::pair<const char *, double> teams[] = {
+		    {"a", a}, {"b", b}, {"c", 1}};
+		struct cell_config *c = cell_config_new(++version_);
+		struct cell_queue *q = cell_config_add_queue(c);
+
+		q->name = g_strdup("q");
+		q->rank = 1;
+		q->objective_ms = 20000;
+		q->policy.needed = policy;
+		q->policy.decide_ms = 500;
+		for (const auto &t : teams) {
+			struct cell_team *x = cell_config_add_team(c);
+
+			x->name = g_strdup(t.first);
+			x->rate = t.second;
+		}
+		cell_sched_set_config(sched_, c);
+		cell_config_unref(c);
+	}
+
+	struct cell_stage *add(const char *team, double estimate_ms = 1000,
+	    uint32_t tasks = 1, bool gang = false)
+	{
+		submit(tasks, 16000);
+		job_->id[0] = *team;
+		job_->def->team = strdup(team);
+		stage_def()->estimate_ms = estimate_ms;
+		stage_def()->gang = gang;
+		return stage_;
+	}
+
+	void add_many(unsigned n, const char *team)
+	{
+		while (n-- > 0)
+			add(team);
+	}
+
+	/* Runs passes for that time, and counts the starts of each team. */
+	void run(int ms)
+	{
+		started_.clear();
+		for (; ms > 0; ms -= 50) {
+			for (unsigned i = 0; i < kWorkers; i++)
+				end_runs(worker(i));
+			pass(50);
+		}
+	}
+
+	void end_runs(struct cell_worker *w)
+	{
+		GList *all = g_hash_table_get_keys(w->runs);
+
+		for (GList *l = all; l != nullptr; l = l->next) {
+			auto *r = static_cast<struct cell_run *>(l->data);
+
+			if (now_ - r->created_at >=
+			    r->stage->def->estimate_ms * OGL_MS)
+				cell_fleet_run_ended(
+				    fleet_, r, CELL_END_DONE, nullptr, now_);
+		}
+		g_list_free(all);
+	}
+
+	unsigned active_teams()
+	{
+		unsigned n = 0;
+
+		cell_sched_report_shares(
+		    sched_,
+		    [](void *arg, const struct ogl_share_figures *f) {
+			    *static_cast<unsigned *>(arg) += f->active;
+		    },
+		    &n);
+		return n;
+	}
+
+	std::vector<std::string> lines_;
+	uint64_t version_ = 1;
+};
+
+/* Guards against a burst of one team that displaces the work of others: the
+ * jobs of b came first, and in a cell that is not full they also start first.
+ */
+TEST_F(SharedSchedule, AFullCellIsSharedByWeight)
+{
+	add_many(200, "b");
+	add_many(200, "a");
+	run(1000);
+	EXPECT_EQ(20u, started_["b"]);
+	run(4000);
+	EXPECT_NEAR(60u, started_["a"], 2);
+	EXPECT_NEAR(20u, started_["b"], 2);
+	run(1000);
+	ASSERT_EQ(4u, lines_.size()); /* two teams, twice in 6 s */
+	EXPECT_NE(std::string::npos, lines_[2].find("team=a weight=3 "));
+	EXPECT_NE(std::string::npos, lines_[2].find(" entitled_permille=750"));
+	EXPECT_EQ(std::string::npos, lines_[2].find(" used_core_ms=0 "));
+}
+
+/* Guards against weights that stay as they were when the cell became full. */
+TEST_F(SharedSchedule, ANewWeightIsInForceWithTheNextPass)
+{
+	add_many(200, "a");
+	add_many(200, "b");
+	run(2000);
+	set_weights(1, 3, false);
+	run(4000);
+	EXPECT_NEAR(20u, started_["a"], 2);
+	EXPECT_NEAR(60u, started_["b"], 2);
+}
+
+/* Guards against virtual times that a new owner takes from an earlier epoch of
+ * the same node.  It costs order only: all that waits is started. */
+TEST_F(SharedSchedule, VirtualTimesBeginAnewAfterATakeover)
+{
+	add_many(40, "c");
+	run(1000);
+	add("b", 1e6);
+	add_many(40, "c");
+	add_many(40, "b");
+	run(3000);
+	ASSERT_EQ(1u, started_["b"]);
+	cell_sched_clear(sched_);
+	EXPECT_EQ(0u, active_teams());
+	for (const struct cell_job *j : jobs_) {
+		struct cell_stage *st = &cell_job_occurrence(j, 0)->stages[0];
+
+		if (cell_stage_waiting(st) > 0)
+			cell_sched_add(sched_, st);
+	}
+	add_many(40, "c");
+	run(500);
+	run(2000);
+	EXPECT_NEAR(19u, started_["b"], 3);
+	run(4000);
+	EXPECT_EQ(0u, cell_sched_waiting(sched_));
+}
+
+/* Guards against a gang that is bypassed until its result is worthless. */
+TEST_F(SharedSchedule, AGangGoesByAgeAfterHalfItsObjective)
+{
+	add_many(40, "c");
+	run(1000);
+	add("b", 1e6);
+	struct cell_stage *gang = add("b", 1000, 4, true);
+	add_many(400, "c");
+	run(9500);
+	EXPECT_EQ(0u, gang->nactive + gang->ndone);
+	run(2000);
+	EXPECT_EQ(4u, gang->nactive + gang->ndone);
+}
+
+/* Guards against a cell that is not taken for full although work waits for the
+ * advice service. */
+TEST_F(SharedSchedule, ACellWithoutALaneForAQuestionIsFull)
+{
+	set_weights(3, 1, true);
+	add("a");
+	add("b");
+	pass(50);
+	EXPECT_EQ(0u, active_teams());
+	pass(50);
+	EXPECT_EQ(2u, active_teams());
+}
+
 } // namespace
