policy: limited sums of failed runs, and successes that always count

A worker that kept failing while no more workers could be aside gathered bits without limit, and stayed suspect for minutes after it was mended: bits_max limited the result, not the sum. It limits the sum now.

After a cooldown that ended without runs, the successes of the worker, sound by then, were not counted, so the next failure set it aside again.

Health.LongFailingWorkerIsSoundSoonAfterItIsMended and SuccessesCountAgainstWhatIsLeftAfterACooldown fail without this.

--- a/policy/health_state.c
+++ b/policy/health_state.c
@@ -208,6 +208,17 @@
 	return o->factor * failure_bits(failure_probability(h, o), q);
 }
 
+/* The sum at the time of an outcome that includes it.  The limit keeps the time
+ * short in which a worker that failed for long is sound after it is mended. */
+static double
+add_outcome(const struct ogl_health *h, double sum, ogl_time at,
+    const struct outcome *o, double q)
+{
+	sum = sum * decay(h->states, at, o->at) + outcome_bits(h, o, q);
+	return CLAMP(
+	    sum, 0, h->states->params->weights[OGL_HEALTH_RUN_FAILED].bits_max);
+}
+
 static double
 sum_runs(const struct ogl_health *h, const struct ogl_watched *w, unsigned alt,
     ogl_time now)
@@ -220,9 +231,7 @@
 		const struct outcome *o =
 		    &g_array_index(w->outcomes, struct outcome, i);
 
-		sum = sum * decay(h->states, at, o->at) +
-		      outcome_bits(h, o, alternatives[alt]);
-		sum = MAX(sum, 0);
+		sum = add_outcome(h, sum, at, o, alternatives[alt]);
 		at = o->at;
 	}
 	return sum * decay(h->states, at, now);
@@ -245,7 +254,6 @@
 
 	for (i = 0; i < ALTERNATIVES; i++)
 		runs = MAX(runs, sum_runs(h, w, i, now));
-	runs = MIN(runs, s->params->weights[OGL_HEALTH_RUN_FAILED].bits_max);
 	most = runs;
 	*why = w->no_progress_at != 0 &&
 		       now - w->no_progress_at < s->params->half_life
@@ -377,18 +385,28 @@
 drop_oldest(struct ogl_health *h, struct ogl_watched *w)
 {
 	struct outcome *o = &g_array_index(w->outcomes, struct outcome, 0);
-	double sum;
 	unsigned i;
 
-	for (i = 0; i < ALTERNATIVES; i++) {
-		sum = w->carry[i] * decay(h->states, w->carry_at, o->at) +
-		      outcome_bits(h, o, alternatives[i]);
-		w->carry[i] = MAX(sum, 0);
-	}
+	for (i = 0; i < ALTERNATIVES; i++)
+		w->carry[i] = add_outcome(
+		    h, w->carry[i], w->carry_at, o, alternatives[i]);
 	w->carry_at = o->at;
 	g_array_remove_index(w->outcomes, 0);
 }
 
+/* Whether the worker's sums of runs are zero, and stay so while runs succeed. */
+static bool
+no_run_counts(const struct ogl_watched *w)
+{
+	unsigned i;
+
+	for (i = 0; i < ALTERNATIVES; i++) {
+		if (w->carry[i] > 0)
+			return false;
+	}
+	return w->outcomes->len == 0 && w->state == OGL_HEALTH_SOUND;
+}
+
 static void
 count_run(struct ogl_health *h, struct ogl_watched *w,
     enum ogl_health_evidence kind, uint64_t job, bool ok, ogl_time now)
@@ -402,8 +420,7 @@
 	w->counted_at = now;
 	if (ok) {
 		ogl_health_job_result(ogl_health_job(h, job, now), true);
-		/* With nothing against the worker the sums stay zero. */
-		if (w->outcomes->len == 0 && w->state == OGL_HEALTH_SOUND)
+		if (no_run_counts(w))
 			return;
 	} else {
 		o.first = is_first_failure(w, job);
--- a/test/test_health.cc
+++ b/test/test_health.cc
@@ -254,6 +254,45 @@
 	EXPECT_EQ(OGL_HEALTH_SOUND, state(0));
 }
 
+/* Guards against successes that do not count after a cooldown without runs: one
+ * more failure would set the worker aside again. */
+TEST_F(Health, SuccessesCountAgainstWhatIsLeftAfterACooldown)
+{
+	traffic(20, [](uint32_t) { return false; });
+	for (int i = 0; i < 8 && state(0) != OGL_HEALTH_ASIDE; i++)
+		run(0, ++job_, false);
+	pass(15 * OGL_SEC);
+	ASSERT_EQ(OGL_HEALTH_SOUND, state(0));
+	ASSERT_GT(ogl_health_bits(health_, 0, now_), 10);
+	for (int i = 0; i < 40; i++)
+		run(0, ++job_, true);
+	EXPECT_EQ(0, ogl_health_bits(health_, 0, now_));
+	run(0, ++job_, false);
+	EXPECT_EQ(OGL_HEALTH_SOUND, state(0));
+}
+
+/* Guards against a worker that failed so often while no more could be set aside
+ * that it stays suspect for minutes after it is mended. */
+TEST_F(Health, LongFailingWorkerIsSoundSoonAfterItIsMended)
+{
+	workers_ = 2; /* too few for one to be aside */
+	review();
+	for (int i = 0; i < 2000; i++) {
+		run(0, ++job_, false);
+		run(1, ++job_, false);
+		run(1, ++job_, true);
+		run(1, ++job_, true);
+		if (i % 10 == 0)
+			pass(200 * OGL_MS);
+	}
+	ASSERT_EQ(OGL_HEALTH_SUSPECT, state(0));
+	for (int i = 0; i < 100 && state(0) != OGL_HEALTH_SOUND; i++) {
+		run(0, ++job_, true);
+		pass(200 * OGL_MS);
+	}
+	EXPECT_EQ(OGL_HEALTH_SOUND, state(0));
+}
+
 /* Guards against a worker whose good phases reset its cooldown each time. */
 TEST_F(Health, CooldownOfFlappingWorkerGrowsToSixteenSeconds)
 {
