cell: gangs reserve no suspect workers, forecasts know who is aside

A suspect worker that takes work is empty, so a waiting gang, which may not use it, reserved it first, while smaller work took the other workers.

Forecasts took the room of a worker aside for free after two seconds, as cooldown_until no longer covers cooldowns for failures. They read aside_until.

Whether a proven worker may run a stage is determined once for a stage in a pass, instead of once for each of its waiting tasks.

--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -117,7 +117,8 @@
 	uint32_t norphans;       /* runs that are orphans */
 	ogl_time cooldown_until; /* gets no work until then */
 	enum ogl_health_state health;
-	bool proven; /* sound, and has finished a run of this owner */
+	ogl_time aside_until; /* while its health is OGL_HEALTH_ASIDE, else 0 */
+	bool proven;          /* sound, and has finished a run of this owner */
 	struct cell_pace pace;
 	double log_pace;   /* mean of ln(relative pace) over many runs */
 	uint32_t nlearned; /* samples in it, see learned.c */
--- a/cell/health.c
+++ b/cell/health.c
@@ -105,6 +105,7 @@
 	if (w == NULL)
 		return;
 	w->health = c->state;
+	w->aside_until = c->until;
 	w->proven = false;
 	g_snprintf(text, sizeof text,
 	    "worker=%s bits=%.1f why=%s runs=%u for_ms=%" G_GINT64_FORMAT,
@@ -146,6 +147,7 @@
 		struct cell_worker *w = p;
 
 		w->health = OGL_HEALTH_SOUND;
+		w->aside_until = 0;
 		w->proven = false;
 	}
 }
--- a/cell/sched_forecast.c
+++ b/cell/sched_forecast.c
@@ -214,6 +214,7 @@
 add_worker(struct cell_sched *s, const struct cell_worker *w, ogl_time now)
 {
 	double free = cell_worker_room(w).cpu_milli / 1e3;
+	ogl_time closed_until = MAX(w->cooldown_until, w->aside_until);
 	GHashTableIter it;
 	gpointer p;
 
@@ -223,8 +224,8 @@
 	if (cell_worker_schedulable(w, now))
 		ogl_capacity_add_free(s->capacity, free);
 	else
-		ogl_capacity_add_change(s->capacity, free,
-		    MAX(now + WORKER_PAUSE, w->cooldown_until));
+		ogl_capacity_add_change(
+		    s->capacity, free, MAX(now + WORKER_PAUSE, closed_until));
 	g_hash_table_iter_init(&it, w->runs);
 	while (g_hash_table_iter_next(&it, &p, NULL)) {
 		const struct cell_run *r = p;
--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -74,6 +74,10 @@
 	 * its remaining run time */
 	double slack;
 	bool proven_only; /* scratch: the current task's last attempt */
+	/* scratch: whether a proven worker may run the stage, and the stage that
+	 * this was determined for in the current placement, NULL none */
+	bool some_proven;
+	const struct cell_stage *proven_for;
 	/* scratch: an allowed worker has room, but already runs worker_max
 	 * tasks of the stage */
 	bool some_at_worker_max;
--- a/cell/sched_place.c
+++ b/cell/sched_place.c
@@ -176,13 +176,18 @@
  * given the last attempts of many tasks and with them end their jobs.
  */
 static bool
-needs_proven_worker(const struct cell_sched *s, struct cell_stage *st,
-    uint32_t index, ogl_time now)
+needs_proven_worker(
+    struct cell_sched *s, struct cell_stage *st, uint32_t index, ogl_time now)
 {
-	return CELL_USES_HEALTH && is_last_attempt(s, st, index) &&
-	       now < cell_stage_shared_task(st, index)->not_before +
-			 PROVEN_WAIT_MAX &&
-	       some_proven(s, st);
+	if (!CELL_USES_HEALTH || !is_last_attempt(s, st, index) ||
+	    now >=
+		cell_stage_shared_task(st, index)->not_before + PROVEN_WAIT_MAX)
+		return false;
+	if (s->proven_for != st) {
+		s->proven_for = st;
+		s->some_proven = some_proven(s, st);
+	}
+	return s->some_proven;
 }
 
 /* Whether the worker's health allows the current task of the stage there. */
@@ -386,6 +391,7 @@
 		struct cell_worker *w = s->schedulable->pdata[i];
 
 		if (reserved_against(w, rank) ||
+		    !cell_health_may_start(w, st->def->gang) ||
 		    !cell_worker_could_run(w, st) ||
 		    (policy_needed && cell_advice_approval(st, w) == NULL))
 			continue;
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -279,6 +279,7 @@
 	cell_sched_list_candidates(s, st, policy_needed, rank, now);
 	s->tight_deadline = cell_sched_deadline_is_tight(q, st, now);
 	s->slack = cell_sched_slack(q, st, now);
+	s->proven_for = NULL;
 	if (st->def->gang)
 		placed = cell_sched_place_gang(s, st, rank, now);
 	else
--- a/test/test_cell_schedule.cc
+++ b/test/test_cell_schedule.cc
@@ -299,6 +299,16 @@
 		worker(i)->used.cpu_milli = cpu_milli;
 	}
 
+	void make_suspect(unsigned i)
+	{
+		static const char *const jobs[] = {"a1", "a2", "a3"};
+
+		for (const char *job : jobs)
+			cell_worker_count_result(
+			    fleet_, worker(i), job, false, now_);
+		ASSERT_EQ(OGL_HEALTH_SUSPECT, worker(i)->health);
+	}
+
 	void occupy_all()
 	{
 		for (unsigned i = 0; i < kWorkers; i++)
@@ -464,6 +474,42 @@
 	EXPECT_EQ(before, cell_advice_approved_share(advice_, "other"));
 }
 
+/* Guards against a gang that reserves workers it may not use, which are empty
+ * and would be reserved first, while smaller work takes the others. */
+TEST_F(Schedule, GangReservesNoSuspectWorker)
+{
+	unsigned reserved = 0;
+
+	objective_ms_ = 60000;
+	configure(5, 0);
+	occupy_all();
+	occupy(3, 0);
+	make_suspect(3);
+	submit_gang(6, 8000);
+	pass(10);
+	allow();
+	pass(10);
+	EXPECT_EQ(0u, worker(3)->reserved_rank_plus_1);
+	for (unsigned i = 0; i < kWorkers; i++)
+		reserved += worker(i)->reserved_rank_plus_1 != 0;
+	EXPECT_EQ(3u, reserved);
+}
+
+/* Guards against forecasts that count on the room of a worker that gets no work
+ * before its cooldown ends. */
+TEST_F(Schedule, EndOfCooldownIsKnownWhileAWorkerIsAside)
+{
+	make_suspect(3);
+	EXPECT_EQ(0, worker(3)->aside_until);
+	for (const char *job : {"b1", "b2", "b3"})
+		cell_worker_count_result(fleet_, worker(3), job, false, now_);
+	ASSERT_EQ(OGL_HEALTH_ASIDE, worker(3)->health);
+	EXPECT_EQ(now_ + 2 * OGL_SEC, worker(3)->aside_until);
+	cell_fleet_close(fleet_);
+	cell_fleet_open(fleet_, 2, now_);
+	EXPECT_EQ(0, worker(3)->aside_until);
+}
+
 /* Guards against accepting what has no room in time, and against refusing jobs
  * of a cell that is not full. */
 TEST_F(Schedule, CapacityRefusesOnlyWhileTheCellIsFull)
