--- a/policy/health_state.c
+++ b/policy/health_state.c
@@ -77,7 +77,8 @@
 	ogl_time no_progress_at; /* last run that stood still */
 	double runs, failed;     /* halved each half-life, as of counted_at */
 	ogl_time counted_at;
-	double bits; /* as of the last review; for the order */
+	double bits;                  /* as last summed up */
+	enum ogl_health_evidence why; /* the kind with most of them */
 };
 
 struct ogl_health_states {
@@ -337,30 +338,26 @@
 					    : s->params->aside_bits);
 }
 
-/* Applies what the worker's bits call for. */
+/* Applies what the worker's bits, summed up at this time, call for. */
 static void
-judge(struct ogl_health *h, struct ogl_watched *w, ogl_time now)
+judge(struct ogl_health_states *s, struct ogl_watched *w, ogl_time now)
 {
-	struct ogl_health_states *s = h->states;
-	enum ogl_health_evidence why;
-
 	if (w->state == OGL_HEALTH_ASIDE) {
 		if (now >= w->until)
 			end_cooldown(s, w, now);
 		return;
 	}
-	w->bits = sum_bits(h, w, now, &why);
 	if (w->state == OGL_HEALTH_SOUND &&
 	    now - w->since > s->params->forget_after)
 		w->cooldowns = 0;
 	if (w->state == OGL_HEALTH_SUSPECT && w->bits < s->params->sound_bits)
-		set_state(s, w, OGL_HEALTH_SOUND, w->bits, why, now);
+		set_state(s, w, OGL_HEALTH_SOUND, w->bits, w->why, now);
 	if (w->state == OGL_HEALTH_SOUND &&
 	    w->bits >= s->params->suspect_bits &&
 	    one_more_may_be(s, OGL_HEALTH_SUSPECT))
-		set_state(s, w, OGL_HEALTH_SUSPECT, w->bits, why, now);
+		set_state(s, w, OGL_HEALTH_SUSPECT, w->bits, w->why, now);
 	if (is_to_be_aside(s, w) && one_more_may_be(s, OGL_HEALTH_ASIDE))
-		set_state(s, w, OGL_HEALTH_ASIDE, w->bits, why, now);
+		set_state(s, w, OGL_HEALTH_ASIDE, w->bits, w->why, now);
 }
 
 /* ---- evidence ----------------------------------------------------------- */
@@ -464,8 +461,10 @@
 		count_call(h->states, w, kind, ok, now);
 	if (kind == OGL_HEALTH_NO_PROGRESS && !ok)
 		w->no_progress_at = now;
-	if (!ok || w->state != OGL_HEALTH_SOUND)
-		judge(h, w, now);
+	if (!ok || w->state != OGL_HEALTH_SOUND) {
+		w->bits = sum_bits(h, w, now, &w->why);
+		judge(h->states, w, now);
+	}
 }
 
 /* ---- review ------------------------------------------------------------- */
@@ -516,7 +515,6 @@
 ogl_health_review(struct ogl_health *h, uint32_t workers, ogl_time now)
 {
 	struct ogl_health_states *s = h->states;
-	enum ogl_health_evidence why;
 	GHashTableIter it;
 	gpointer p;
 	guint i;
@@ -528,13 +526,13 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct ogl_watched *w = p;
 
-		w->bits = sum_bits(h, w, now, &why);
+		w->bits = sum_bits(h, w, now, &w->why);
 		drop_stale_outcomes(w);
 		g_ptr_array_add(s->candidates, w);
 	}
 	g_ptr_array_sort(s->candidates, by_bits);
 	for (i = 0; i < s->candidates->len; i++)
-		judge(h, s->candidates->pdata[i], now);
+		judge(s, s->candidates->pdata[i], now);
 }
 
 enum ogl_health_state
