--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -14,6 +14,7 @@
 #include "health.h"
 #include "job.h"
 #include "pace.h"
+#include "share.h"
 #include "zones.h"
 
 struct cell_fleet;
@@ -51,6 +52,7 @@
 	uint32_t tries; /* starts sent */
 	uint32_t rank;  /* rank of its queue */
 	bool orphan;    /* belongs to no known job; its resources are unknown */
+	struct ogl_share_charge charge; /* what its team was charged for it */
 };
 
 /* A start whose answer was lost: the worker may still carry it out, even if
@@ -117,7 +119,8 @@
 	uint32_t norphans;       /* runs that are orphans */
 	ogl_time cooldown_until; /* gets no work until then */
 	enum ogl_health_state health;
-	bool proven; /* sound, and has finished a run of this owner */
+	ogl_time aside_until; /* while its health is OGL_HEALTH_ASIDE, else 0 */
+	bool proven;          /* sound, and has finished a run of this owner */
 	struct cell_pace pace;
 	double log_pace;   /* mean of ln(relative pace) over many runs */
 	uint32_t nlearned; /* samples in it, see learned.c */
--- a/policy/health_state.c
+++ b/policy/health_state.c
@@ -77,7 +77,8 @@
 	ogl_time no_progress_at; /* last run that stood still */
 	double runs, failed;     /* halved each half-life, as of counted_at */
 	ogl_time counted_at;
-	double bits; /* as of the last review; for the order */
+	double bits;                  /* as last summed up */
+	enum ogl_health_evidence why; /* the kind with most of them */
 };
 
 struct ogl_health_states {
@@ -208,6 +209,17 @@
 	return o->factor * failure_bits(failure_probability(h, o), q);
 }
 
+/* The sum at the time of an outcome that includes it.  The limit keeps the time
+ * short in which a worker that failed for long is sound after it is mended. */
+static double
+add_outcome(const struct ogl_health *h, double sum, ogl_time at,
+    const struct outcome *o, double q)
+{
+	sum = sum * decay(h->states, at, o->at) + outcome_bits(h, o, q);
+	return CLAMP(
+	    sum, 0, h->states->params->weights[OGL_HEALTH_RUN_FAILED].bits_max);
+}
+
 static double
 sum_runs(const struct ogl_health *h, const struct ogl_watched *w, unsigned alt,
     ogl_time now)
@@ -220,9 +232,7 @@
 		const struct outcome *o =
 		    &g_array_index(w->outcomes, struct outcome, i);
 
-		sum = sum * decay(h->states, at, o->at) +
-		      outcome_bits(h, o, alternatives[alt]);
-		sum = MAX(sum, 0);
+		sum = add_outcome(h, sum, at, o, alternatives[alt]);
 		at = o->at;
 	}
 	return sum * decay(h->states, at, now);
@@ -245,7 +255,6 @@
 
 	for (i = 0; i < ALTERNATIVES; i++)
 		runs = MAX(runs, sum_runs(h, w, i, now));
-	runs = MIN(runs, s->params->weights[OGL_HEALTH_RUN_FAILED].bits_max);
 	most = runs;
 	*why = w->no_progress_at != 0 &&
 		       now - w->no_progress_at < s->params->half_life
@@ -329,30 +338,26 @@
 					    : s->params->aside_bits);
 }
 
-/* Applies what the worker's bits call for. */
+/* Applies what the worker's bits, summed up at this time, call for. */
 static void
-judge(struct ogl_health *h, struct ogl_watched *w, ogl_time now)
+judge(struct ogl_health_states *s, struct ogl_watched *w, ogl_time now)
 {
-	struct ogl_health_states *s = h->states;
-	enum ogl_health_evidence why;
-
 	if (w->state == OGL_HEALTH_ASIDE) {
 		if (now >= w->until)
 			end_cooldown(s, w, now);
 		return;
 	}
-	w->bits = sum_bits(h, w, now, &why);
 	if (w->state == OGL_HEALTH_SOUND &&
 	    now - w->since > s->params->forget_after)
 		w->cooldowns = 0;
 	if (w->state == OGL_HEALTH_SUSPECT && w->bits < s->params->sound_bits)
-		set_state(s, w, OGL_HEALTH_SOUND, w->bits, why, now);
+		set_state(s, w, OGL_HEALTH_SOUND, w->bits, w->why, now);
 	if (w->state == OGL_HEALTH_SOUND &&
 	    w->bits >= s->params->suspect_bits &&
 	    one_more_may_be(s, OGL_HEALTH_SUSPECT))
-		set_state(s, w, OGL_HEALTH_SUSPECT, w->bits, why, now);
+		set_state(s, w, OGL_HEALTH_SUSPECT, w->bits, w->why, now);
 	if (is_to_be_aside(s, w) && one_more_may_be(s, OGL_HEALTH_ASIDE))
-		set_state(s, w, OGL_HEALTH_ASIDE, w->bits, why, now);
+		set_state(s, w, OGL_HEALTH_ASIDE, w->bits, w->why, now);
 }
 
 /* ---- evidence ----------------------------------------------------------- */
@@ -377,18 +382,28 @@
 drop_oldest(struct ogl_health *h, struct ogl_watched *w)
 {
 	struct outcome *o = &g_array_index(w->outcomes, struct outcome, 0);
-	double sum;
 	unsigned i;
 
-	for (i = 0; i < ALTERNATIVES; i++) {
-		sum = w->carry[i] * decay(h->states, w->carry_at, o->at) +
-		      outcome_bits(h, o, alternatives[i]);
-		w->carry[i] = MAX(sum, 0);
-	}
+	for (i = 0; i < ALTERNATIVES; i++)
+		w->carry[i] = add_outcome(
+		    h, w->carry[i], w->carry_at, o, alternatives[i]);
 	w->carry_at = o->at;
 	g_array_remove_index(w->outcomes, 0);
 }
 
+/* Whether the worker's sums of runs are zero, and stay so while runs succeed. */
+static bool
+no_run_counts(const struct ogl_watched *w)
+{
+	unsigned i;
+
+	for (i = 0; i < ALTERNATIVES; i++) {
+		if (w->carry[i] > 0)
+			return false;
+	}
+	return w->outcomes->len == 0 && w->state == OGL_HEALTH_SOUND;
+}
+
 static void
 count_run(struct ogl_health *h, struct ogl_watched *w,
     enum ogl_health_evidence kind, uint64_t job, bool ok, ogl_time now)
@@ -402,8 +417,7 @@
 	w->counted_at = now;
 	if (ok) {
 		ogl_health_job_result(ogl_health_job(h, job, now), true);
-		/* With nothing against the worker the sums stay zero. */
-		if (w->outcomes->len == 0 && w->state == OGL_HEALTH_SOUND)
+		if (no_run_counts(w))
 			return;
 	} else {
 		o.first = is_first_failure(w, job);
@@ -447,8 +461,10 @@
 		count_call(h->states, w, kind, ok, now);
 	if (kind == OGL_HEALTH_NO_PROGRESS && !ok)
 		w->no_progress_at = now;
-	if (!ok || w->state != OGL_HEALTH_SOUND)
-		judge(h, w, now);
+	if (!ok || w->state != OGL_HEALTH_SOUND) {
+		w->bits = sum_bits(h, w, now, &w->why);
+		judge(h->states, w, now);
+	}
 }
 
 /* ---- review ------------------------------------------------------------- */
@@ -499,7 +515,6 @@
 ogl_health_review(struct ogl_health *h, uint32_t workers, ogl_time now)
 {
 	struct ogl_health_states *s = h->states;
-	enum ogl_health_evidence why;
 	GHashTableIter it;
 	gpointer p;
 	guint i;
@@ -511,13 +526,13 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct ogl_watched *w = p;
 
-		w->bits = sum_bits(h, w, now, &why);
+		w->bits = sum_bits(h, w, now, &w->why);
 		drop_stale_outcomes(w);
 		g_ptr_array_add(s->candidates, w);
 	}
 	g_ptr_array_sort(s->candidates, by_bits);
 	for (i = 0; i < s->candidates->len; i++)
-		judge(h, s->candidates->pdata[i], now);
+		judge(s, s->candidates->pdata[i], now);
 }
 
 enum ogl_health_state
