cell: runs of lower ranks make way for rank 0

A stage of rank 0 that found no room and would be late if it waited for what runs stops runs that save checkpoints, see docs/design/preemption.md.

The rule that an adopted run is stopped only after a checkpoint of it was seen has no test of its own.

--- a/cell/ablate.h
+++ b/cell/ablate.h
@@ -104,4 +104,11 @@
 #define CELL_USES_LANES 1
 #endif
 
+/* Runs of lower ranks are stopped for rank 0 that would be late. */
+#ifdef OGL_OFF_PREEMPT
+#define CELL_USES_PREEMPT 0
+#else
+#define CELL_USES_PREEMPT 1
+#endif
+
 #endif
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -36,6 +36,7 @@
 	char *spec; /* kept while the start may have to be repeated */
 	char *ticket;
 	char *checkpoint;
+	ogl_time checkpoint_at; /* when it last changed; 0: not seen to */
 	ogl_time created_at;    /* when the start was decided */
 	ogl_time running_since; /* when first known to run, 0 not yet */
 	uint32_t percent;
--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -309,6 +309,7 @@
 		    g_strcmp0(r->checkpoint, row->checkpoint) != 0) {
 			g_free(r->checkpoint);
 			r->checkpoint = g_strdup(row->checkpoint);
+			r->checkpoint_at = now;
 		}
 	}
 }
--- a/cell/job.h
+++ b/cell/job.h
@@ -34,6 +34,7 @@
 	ogl_time not_before;     /* earliest start */
 	uint32_t silent_workers; /* silent workers on which it may run */
 	uint32_t move_count;     /* times it was stopped to run elsewhere */
+	ogl_time preempted_at;   /* last stop for work of rank 0; 0 never */
 };
 
 /* The policy's approval of a worker for a stage. */
--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -71,6 +71,7 @@
 	/* Stages with questions that wait for the end of the pass, in the order
 	 * of the pass. */
 	GPtrArray *asking[PRECEDENCES];
+	struct cell_yield *yield;
 };
 
 /* ---- sched_order.c -------------------------------------------------- */
@@ -127,4 +128,16 @@
 void cell_sched_ask_waiting(struct cell_sched *s, ogl_time now);
 /* Asks the questions of this pass for which there are lanes. */
 
+/* ---- sched_yield.c -------------------------------------------------- */
+
+struct cell_yield *cell_yield_init(void);
+void cell_yield_end(struct cell_yield *y);
+void cell_yield_open(struct cell_yield *y, ogl_time now);
+/* Called when the shard has been taken over. */
+void cell_sched_count_without_room(struct cell_sched *s, struct cell_stage *st,
+    uint32_t rank, unsigned precedence);
+/* The stage found no room in this pass. */
+void cell_sched_yield(struct cell_sched *s, ogl_time now);
+/* Stops runs for the stages that found no room in this pass. */
+
 #endif
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -58,6 +58,7 @@
 	s->candidates = g_ptr_array_new();
 	s->chosen = g_ptr_array_new();
 	s->lanes = ogl_lanes_init();
+	s->yield = cell_yield_init();
 	for (i = 0; i < PRECEDENCES; i++)
 		s->asking[i] = g_ptr_array_new();
 	return s;
@@ -75,6 +76,7 @@
 		g_ptr_array_unref(s->asking[i]);
 	}
 	ogl_lanes_end(s->lanes);
+	cell_yield_end(s->yield);
 	cell_config_unref(s->config);
 	g_hash_table_unref(s->team_states);
 	cell_forecast_end(s->forecast);
@@ -89,6 +91,7 @@
 cell_sched_open(struct cell_sched *s, ogl_time now)
 {
 	cell_forecast_reset(s->forecast, now);
+	cell_yield_open(s->yield, now);
 }
 
 void
@@ -358,8 +361,11 @@
 			unplaced = 0;
 			break;
 		case UNPLACED:
-			if (st->wait_reason == CELL_WAIT_ROOM)
+			if (st->wait_reason == CELL_WAIT_ROOM) {
 				s->no_room_at = now;
+				cell_sched_count_without_room(
+				    s, st, rank, precedence);
+			}
 			unplaced++;
 			break;
 		case LIMITED:
@@ -401,6 +407,7 @@
 			place_bucket(s, rank, precedence + 2, now);
 	}
 	cell_sched_ask_waiting(s, now);
+	cell_sched_yield(s, now);
 }
 
 bool
