--- a/cell/ablate.h
+++ b/cell/ablate.h
@@ -132,4 +132,11 @@
 #define CELL_USES_SHARES 1
 #endif
 
+/* Runs of lower ranks are stopped for rank 0 that would be late. */
+#ifdef OGL_OFF_PREEMPT
+#define CELL_USES_PREEMPT 0
+#else
+#define CELL_USES_PREEMPT 1
+#endif
+
 #endif
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -65,6 +65,7 @@
 	s->candidates = g_ptr_array_new();
 	s->chosen = g_ptr_array_new();
 	s->lanes = ogl_lanes_init();
+	s->yield = cell_yield_init();
 	for (i = 0; i < PRECEDENCES; i++)
 		s->asking[i] = g_ptr_array_new();
 	return s;
@@ -84,6 +85,7 @@
 	ogl_lanes_end(s->lanes);
 	ogl_share_end(s->share);
 	g_array_unref(s->share_items);
+	cell_yield_end(s->yield);
 	cell_config_unref(s->config);
 	g_hash_table_unref(s->team_states);
 	cell_forecast_end(s->forecast);
@@ -103,6 +105,7 @@
 	ogl_capacity_reset(s->capacity);
 	s->picture_at = CELL_LONG_AGO;
 	ogl_slots_clear(s->slots);
+	cell_yield_open(s->yield, now);
 }
 
 void
@@ -380,8 +383,11 @@
 			unplaced = 0;
 			break;
 		case UNPLACED:
-			if (st->wait_reason == CELL_WAIT_ROOM)
+			if (st->wait_reason == CELL_WAIT_ROOM) {
 				s->no_room_at = now;
+				cell_sched_count_without_room(
+				    s, st, rank, precedence);
+			}
 			unplaced++;
 			break;
 		case LIMITED:
@@ -428,6 +434,7 @@
 	cell_sched_ask_waiting(s, now);
 	if (full)
 		cell_sched_log_shares(s, now);
+	cell_sched_yield(s, now);
 }
 
 bool
