Log lines of a job are kept or left out together

The limit of 250 lines of an event a second left out lines one by one, so in a burst no job's record was complete.

cell_ops has log_job for this, which passes on when the job was accepted. Lines that name a job through log are sampled by the share in force. lines_left_out has jobs_share_permille; it is written each second, not only with the next line of the same event, and at the end. job_refused has the queue.

--- a/cell/advice.c
+++ b/cell/advice.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "ablate.h"
+#include "account.h"
 #include "advice.h"
 #include "fleet.h"
 
@@ -60,6 +61,7 @@
 	char *lane_addr;    /* address of the node it was sent to */
 	ogl_time sent_at;
 	ogl_time deadline;
+	ogl_time accepted; /* when the job was accepted */
 };
 
 /* How many workers the policy of a queue was asked about and approved. */
@@ -216,12 +218,11 @@
 	a->events.send(a->events.arg, q->lane_addr, &ask);
 	a->ops->count(a->ops->ctx, "advice_questions", 1);
 	g_snprintf(text, sizeof text,
-	    "job=%s task=%u.%u first=%d workers=%u node=%s "
+	    "task=%u.%u first=%d workers=%u node=%s "
 	    "answer_ms=%" G_GINT64_FORMAT,
-	    q->id, q->occurrence, q->step, q->first, q->workers->len,
-	    q->lane_addr,
+	    q->occurrence, q->step, q->first, q->workers->len, q->lane_addr,
 	    (q->deadline - q->sent_at) / OGL_MS - NETWORK_MARGIN_MS);
-	a->ops->log(a->ops->ctx, "owner", "advice_asked", text);
+	cell_log_job(a->ops, "owner", "advice_asked", q->id, q->accepted, text);
 }
 
 bool
@@ -239,6 +240,7 @@
 	q = g_new0(struct question, 1);
 	q->token = ++a->last_token;
 	memcpy(q->id, s->job->id, sizeof q->id);
+	q->accepted = s->job->accepted;
 	q->occurrence = s->occurrence;
 	q->step = s->step;
 	q->first = g_hash_table_size(s->asked) == 0;
--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -30,6 +30,7 @@
 #include <string.h>
 
 #include "ablate.h"
+#include "account.h"
 #include "fleet.h"
 
 /* Longest lease asked for.  It has to outlast a change of owner (detection,
@@ -1285,12 +1286,12 @@
 	char text[256];
 
 	g_snprintf(text, sizeof text,
-	    "job=%s task=%u.%u.%u run=%" G_GUINT64_FORMAT
+	    "task=%u.%u.%u run=%" G_GUINT64_FORMAT
 	    " worker=%s why=%s percent=%u pace=%.2f",
-	    r->name.id, r->name.occurrence, r->name.step, r->name.index,
-	    r->number, r->worker->id, why, r->percent,
-	    cell_fleet_pace(f, r->worker));
-	f->ops->log(f->ops->ctx, "fleet", "run_moved", text);
+	    r->name.occurrence, r->name.step, r->name.index, r->number,
+	    r->worker->id, why, r->percent, cell_fleet_pace(f, r->worker));
+	cell_log_job(f->ops, "fleet", "run_moved", r->name.id,
+	    r->stage != NULL ? r->stage->job->accepted : OGL_NEVER, text);
 	f->ops->count(f->ops->ctx, "runs_moved", 1);
 	cell_fleet_stop(f, r, now);
 }
--- a/cell/front.c
+++ b/cell/front.c
@@ -36,6 +36,7 @@
 
 #include <string.h>
 
+#include "account.h"
 #include "front.h"
 #include "job.h"
 #include "window.h"
@@ -526,12 +527,16 @@
 	char text[280];
 
 	g_snprintf(text, sizeof text,
-	    "job=%s kind=%d team=%s version=%" G_GUINT64_FORMAT
+	    "kind=%d team=%s version=%" G_GUINT64_FORMAT
 	    " shard=%u owner=%s sent=%d %s",
-	    p->id, (int)p->call.kind, p->team,
+	    (int)p->call.kind, p->team,
 	    f->config != NULL ? cell_config_version(f->config) : 0, p->shard,
 	    owner != NULL ? owner : "none", p->sent, details);
-	f->ops->log(f->ops->ctx, "front", event, text);
+	/* Only a submission tells when its job began. */
+	cell_log_job(f->ops, "front", event, p->id,
+	    p->call.kind == OGL__CELL_CALL_KIND__cell_submit ? p->started_at
+							     : OGL_NEVER,
+	    text);
 }
 
 static void
--- a/cell/ops.h
+++ b/cell/ops.h
@@ -325,6 +325,12 @@
 	void (*log)(
 	    void *ctx, const char *prefix, const char *event, const char *text);
 	/* Writes one log line; text has `key=value` pairs. */
+	void (*log_job)(void *ctx, const char *part, const char *event,
+	    const char *id, ogl_time began, const char *text);
+	/* The same for a job.  If there are too many lines, all lines of some
+	 * jobs are left out: those that began at the same time are treated
+	 * alike.  began: OGL_NEVER if it is not known.  May be NULL; log then
+	 * gets the line.  To be called by cell_log_job. */
 	void (*count)(void *ctx, const char *name, uint64_t by);
 	void (*observe)(void *ctx, const char *name, uint64_t ms);
 	/* Add to a counter, and a time to a latency histogram. */
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -20,6 +20,7 @@
 #include <string.h>
 
 #include "ablate.h"
+#include "account.h"
 #include "admission.h"
 #include "held.h"
 #include "journal.h"
@@ -129,35 +130,37 @@
 
 /* ---- helpers ---------------------------------------------------------- */
 
+static struct cell_job *
+job_of(const struct cell_owner *o, const char *id)
+{
+	return g_hash_table_lookup(o->jobs, id);
+}
+
 static void
 log_job(struct cell_owner *o, const struct cell_job *j, const char *event,
     const char *more)
 {
 	char text[320];
 
-	g_snprintf(text, sizeof text, "job=%s epoch=%" G_GUINT64_FORMAT " %s",
-	    j->id, o->epoch, more);
-	o->ops->log(o->ops->ctx, "owner", event, text);
+	g_snprintf(text, sizeof text, "epoch=%" G_GUINT64_FORMAT " %s",
+	    o->epoch, more);
+	cell_log_job(o->ops, "owner", event, j->id, j->accepted, text);
 }
 
 static void
 log_run(struct cell_owner *o, const struct cell_run *r, const char *event,
     const char *more, ogl_time now)
 {
+	const struct cell_job *j = job_of(o, r->name.id);
 	char text[320];
 
 	g_snprintf(text, sizeof text,
-	    "job=%s task=%u.%u.%u run=%" G_GUINT64_FORMAT
+	    "task=%u.%u.%u run=%" G_GUINT64_FORMAT
 	    " worker=%s age_ms=%" G_GINT64_FORMAT " %s",
-	    r->name.id, r->name.occurrence, r->name.step, r->name.index,
-	    r->number, r->worker->id, (now - r->created_at) / OGL_MS, more);
-	o->ops->log(o->ops->ctx, "owner", event, text);
-}
-
-static struct cell_job *
-job_of(const struct cell_owner *o, const char *id)
-{
-	return g_hash_table_lookup(o->jobs, id);
+	    r->name.occurrence, r->name.step, r->name.index, r->number,
+	    r->worker->id, (now - r->created_at) / OGL_MS, more);
+	cell_log_job(o->ops, "owner", event, r->name.id,
+	    j != NULL ? j->accepted : OGL_NEVER, text);
 }
 
 /* The stage of a task, NULL if its job is over or not known. */
@@ -1362,9 +1365,9 @@
 	char text[320];
 
 	g_snprintf(text, sizeof text,
-	    "job=%s epoch=%" G_GUINT64_FORMAT " team=%s why=%s", c->id,
-	    o->epoch, c->team, why);
-	o->ops->log(o->ops->ctx, "owner", "job_refused", text);
+	    "epoch=%" G_GUINT64_FORMAT " team=%s queue=%s why=%s", o->epoch,
+	    c->team, c->queue, why);
+	cell_log_job(o->ops, "owner", "job_refused", c->id, OGL_NEVER, text);
 }
 
 /*
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -12,6 +12,7 @@
 
 #include <string.h>
 
+#include "account.h"
 #include "room.h"
 #include "sched_impl.h"
 
@@ -182,15 +183,15 @@
 	t = cell_config_team(s->config, st->job->def->team);
 	used = cell_fleet_team_used(s->parts.fleet, st->job->def->team);
 	g_snprintf(text, sizeof text,
-	    "job=%s task=%u.%u why=%s waiting=%u ms=%" G_GINT64_FORMAT
+	    "task=%u.%u why=%s waiting=%u ms=%" G_GINT64_FORMAT
 	    " room_cpu=%" G_GUINT64_FORMAT " used_cpu=%u max_cpu=%u",
-	    st->job->id, st->occurrence, st->step, wait_name(why),
-	    cell_stage_waiting(st),
+	    st->occurrence, st->step, wait_name(why), cell_stage_waiting(st),
 	    st->wait_reason != CELL_WAIT_NONE ? (now - st->wait_since) / OGL_MS
 					      : 0,
 	    s->free_cpu_milli, used.cpu_milli,
 	    t != NULL ? t->max.cpu_milli : 0);
-	s->parts.ops->log(s->parts.ops->ctx, "owner", "stage_waits", text);
+	cell_log_job(s->parts.ops, "owner", "stage_waits", st->job->id,
+	    st->job->accepted, text);
 	st->wait_reason = why;
 	st->wait_since = now;
 }
--- a/daemon/cell_host.c
+++ b/daemon/cell_host.c
@@ -135,6 +135,16 @@
 	    read_clock(CLOCK_REALTIME));
 }
 
+static void
+on_log_job(void *ctx, const char *part, const char *event, const char *id,
+    ogl_time began, const char *text)
+{
+	struct ogl_cell_host *h = ctx;
+
+	ogl_logline_put_job(h->log_lines, part, event, id, began, text,
+	    boot_time(NULL), read_clock(CLOCK_REALTIME));
+}
+
 static void
 on_count(void *ctx, const char *name, uint64_t by)
 {
@@ -460,6 +470,7 @@
 	h->ops.peer_reset = on_peer_reset;
 	h->ops.peer_refused = on_peer_refused;
 	h->ops.log = on_log;
+	h->ops.log_job = on_log_job;
 	h->ops.count = on_count;
 	h->ops.observe = on_observe;
 	h->ops.ctx = h;
--- a/daemon/logline.h
+++ b/daemon/logline.h
@@ -18,8 +18,15 @@
 void ogl_logline_put(struct ogl_logline *l, const char *part, const char *event,
     const char *text, ogl_time now, ogl_time wall);
 /* Adds a line; control characters in it become spaces.  The line is left out if
- * its event has reached its limit for this second.  now is the node's clock,
- * wall the time since the epoch. */
+ * its event has reached its limit for this second or, if it names a job
+ * (job=ID), if the job is not in the sample.  now is the node's clock, wall the
+ * time since the epoch. */
+void ogl_logline_put_job(struct ogl_logline *l, const char *part,
+    const char *event, const char *id, ogl_time began, const char *text,
+    ogl_time now, ogl_time wall);
+/* Adds a line about a job, which names it in front of the text.  All lines of a
+ * job that have the same time `began` (the node's clock) are kept or left out
+ * together. */
 
 void ogl_logline_flush(struct ogl_logline *l);
 /* Writes what fd takes without blocking. */
--- a/test/test_daemon_lines.cc
+++ b/test/test_daemon_lines.cc
@@ -85,6 +85,44 @@
 	    s.find("event=lines_left_out of=a.many lines=750"));
 }
 
+/* In a burst a job must have all its lines or none, of each event, and the lines
+ * about it must tell the share.  One text names its job itself. */
+TEST(LogLine, KeepsOrLeavesOutLinesOfJobTogether)
+{
+	Pipe p;
+	struct ogl_logline *l = ogl_logline_init(p.write_end(), "n1");
+	std::string s;
+	unsigned whole = 0;
+
+	for (int i = 0; i < 4000; i++) {
+		std::string id = std::to_string(i);
+		ogl_time at = i * OGL_MS;
+
+		ogl_logline_put_job(
+		    l, "owner", "first", id.c_str(), at, "a=1", at, 0);
+		ogl_logline_put(l, "owner", "last",
+		    ("b=2 job=" + id + " c=3").c_str(), at, 0);
+		ogl_logline_flush(l);
+		s += p.read_all();
+	}
+	ogl_logline_end(l);
+	s += p.read_all();
+	for (int i = 2000; i < 4000; i++) {
+		std::string id = std::to_string(i);
+		bool first = s.find("event=first job=" + id + " a=1\n") !=
+			     std::string::npos;
+
+		EXPECT_EQ(first, s.find("event=last b=2 job=" + id +
+					" c=3\n") != std::string::npos);
+		whole += first;
+	}
+	EXPECT_GT(whole, 100U);
+	EXPECT_LT(whole, 1000U);
+	EXPECT_NE(std::string::npos, s.find("event=lines_left_out "
+					    "of=owner.first lines="));
+	EXPECT_NE(std::string::npos, s.find(" jobs_share_permille=250\n"));
+}
+
 /* The reader of the lines has stopped.  The process must not block but leave
  * out the lines that no longer fit. */
 TEST(LogLine, DoesNotBlockOnStoppedReader)
