Exact counters of ended jobs and of what late jobs waited for

jobs_ended{queue,team,outcome} and jobs_late_ms{queue,cause} do not depend on which log lines are left out. An end counts once the store has it, as callers are told of it then. Each moment of a job counts for one cause, so the causes of a late job add up to the time it took. The state is in cell/account.c and, per job, struct cell_job_clock; it is a node's own and begins anew with the process.

cell_ops has count_labels. A page of metrics keeps 64 teams and 16 queues apart and counts further ones as "other".

Stages that a pass does not try, as those before them found no room, now say that they wait for room. Before, they gave no reason, and the time was reported as "other".

--- a/cell/job.c
+++ b/cell/job.c
@@ -215,6 +215,8 @@
 
 	j->def = def;
 	j->accepted = now;
+	j->clock.since = now;
+	j->clock.cause = CELL_WAIT_STORE;
 	compute_declared_work(j);
 	return j;
 }
--- a/cell/job.h
+++ b/cell/job.h
@@ -46,14 +46,23 @@
 
 /* Why tasks of a stage that is ready are not running. */
 enum cell_wait {
-	CELL_WAIT_NONE,      /* they run, or were not tried yet */
-	CELL_WAIT_STORE,     /* the submission is not stored yet */
-	CELL_WAIT_SETTLE,    /* an earlier owner may have started them */
-	CELL_WAIT_LIMIT,     /* the team's limit is reached */
-	CELL_WAIT_ADVICE,    /* the policy has not answered yet */
-	CELL_WAIT_TICKET,    /* tickets of workers with room have expired */
-	CELL_WAIT_ROOM,      /* no allowed worker has room */
-	CELL_WAIT_WORKER_MAX /* workers with room run worker_max of its tasks */
+	CELL_WAIT_NONE,       /* they run, or were not tried yet */
+	CELL_WAIT_STORE,      /* the submission is not stored yet */
+	CELL_WAIT_SETTLE,     /* an earlier owner may have started them */
+	CELL_WAIT_LIMIT,      /* the team's limit is reached */
+	CELL_WAIT_ADVICE,     /* the policy has not answered yet */
+	CELL_WAIT_TICKET,     /* tickets of workers with room have expired */
+	CELL_WAIT_ROOM,       /* no allowed worker has room */
+	CELL_WAIT_WORKER_MAX, /* workers with room run worker_max of its tasks */
+	CELL_NWAITS
+};
+
+/* How long a job has waited for each reason, and has run (CELL_WAIT_NONE), see
+ * account.h. */
+struct cell_job_clock {
+	ogl_time since; /* `cause` holds since then */
+	enum cell_wait cause;
+	ogl_time spent[CELL_NWAITS];
 };
 
 struct cell_stage {
@@ -90,6 +99,7 @@
 	uint32_t next_occurrence;
 	GArray *finished;  /* uint32_t, numbers of finished occurrences */
 	ogl_time accepted; /* node clock */
+	struct cell_job_clock clock;
 	uint64_t ended_ms; /* wall clock */
 	bool begun;        /* a run of it has begun */
 	bool stored;       /* the submission is stored */
--- a/cell/ops.h
+++ b/cell/ops.h
@@ -288,6 +288,12 @@
 typedef void cell_ask_fn(
     void *arg, const struct cell_ask_answer *a, ogl_time now);
 
+/* A label of a counter; a counter always has the same ones. */
+struct cell_label {
+	const char *name;
+	const char *value;
+};
+
 struct cell_ops {
 	void (*append)(void *ctx, const struct cell_append *a,
 	    cell_append_fn *done, void *arg);
@@ -334,6 +340,9 @@
 	void (*count)(void *ctx, const char *name, uint64_t by);
 	void (*observe)(void *ctx, const char *name, uint64_t ms);
 	/* Add to a counter, and a time to a latency histogram. */
+	void (*count_labels)(void *ctx, const char *name,
+	    const struct cell_label *labels, size_t n, uint64_t by);
+	/* Adds to the counter of these labels.  May be NULL. */
 
 	void *backend_ctx; /* passed to the functions up to decode_job */
 	void *ctx;         /* passed to those after it */
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -100,6 +100,7 @@
 	struct cell_roster *roster;
 	GHashTable *jobs; /* id -> struct cell_job */
 	struct cell_admission *admission;
+	struct cell_account *account;
 	struct cell_journal *journal;
 	struct cell_watch *watch;
 	struct cell_relay *relay;
@@ -233,9 +234,9 @@
 	struct cell_job *j;
 
 	(void)tag;
-	(void)now;
 	if (result == CELL_STORED) {
 		j = job_of(wait->owner, wait->id);
+		cell_account_end_stored(wait->owner->account, wait->id, now);
 		if (j != NULL) {
 			j->end_stored = true;
 			cell_watch_job_ended(wait->owner->watch, j->id);
@@ -358,6 +359,7 @@
 end_job(struct cell_owner *o, struct cell_job *j, Ogl__CellJobState state,
     const char *why, ogl_time now)
 {
+	double objective_ms = cell_sched_measured_objective_ms(o->sched, j);
 	char more[200];
 	guint i;
 
@@ -365,9 +367,9 @@
 	    "state=%s why=%s age_ms=%" G_GINT64_FORMAT
 	    " chain_ms=%.0f objective_ms=%.0f",
 	    state_name(state), why, (now - j->accepted) / OGL_MS,
-	    cell_job_measured_chain_ms(j),
-	    cell_sched_measured_objective_ms(o->sched, j));
+	    cell_job_measured_chain_ms(j), objective_ms);
 	log_job(o, j, "job_ended", more);
+	cell_account_job_ends(o->account, j, state, objective_ms, now);
 	o->ops->observe(
 	    o->ops->ctx, "job_ms", (uint64_t)((now - j->accepted) / OGL_MS));
 	for (i = 0; i < j->occurrences->len; i++)
@@ -386,6 +388,7 @@
 static void
 job_changed(struct cell_owner *o, struct cell_job *j, bool urgent, ogl_time now)
 {
+	cell_account_look(j, now);
 	cell_journal_mark(o->journal, j, urgent, now);
 }
 
@@ -876,6 +879,7 @@
 	}
 	j = cell_job_new(def, now - MAX(age, 0));
 	j->stored = true;
+	cell_account_resume(j, now);
 	if (p != NULL)
 		cell_job_restore_progress(j, p);
 	g_hash_table_insert(o->jobs, j->id, j);
@@ -1112,6 +1116,7 @@
 	o->jobs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 	o->admission = cell_admission_init();
+	o->account = cell_account_init(ops);
 	o->journal =
 	    cell_journal_init(ops, params->shard, on_ownership_lost, o);
 	o->watch = cell_watch_init(
@@ -1147,6 +1152,7 @@
 	cell_watch_end(o->watch);
 	g_hash_table_unref(o->jobs);
 	cell_admission_end(o->admission);
+	cell_account_end(o->account);
 	cell_config_unref(o->config);
 	g_free(o);
 }
@@ -1187,6 +1193,7 @@
 	cell_loader_close(o->loader);
 	cell_roster_close(o->roster);
 	cell_journal_close(o->journal, now);
+	cell_account_clear(o->account);
 	cell_held_clear(o->held);
 	cell_fleet_close(o->fleet);
 	cell_relay_close(o->relay, now);
@@ -1286,6 +1293,7 @@
 	if (j == NULL || j->stored || cell_job_state_ended(j->state))
 		return;
 	log_job(o, j, "job_refused", "why=store_refused");
+	cell_account_refused(o->account, j->def->queue, j->def->team);
 	for (i = 0; i < j->occurrences->len; i++)
 		drop_occurrence(o, j, j->occurrences->pdata[i], now);
 	cell_journal_unmark(o->journal, j);
@@ -1306,6 +1314,7 @@
 		reply(o, w->to, w->token, OGL__CELL_OUTCOME__cell_ok, 0);
 		if (!j->stored) {
 			j->stored = true;
+			cell_account_look(j, now);
 			log_accepted(o, j, now);
 			o->pass_needed = true;
 		}
@@ -1421,6 +1430,7 @@
     const char *why, uint32_t retry_ms, ogl_time now)
 {
 	log_refused(o, c, why);
+	cell_account_refused(o->account, c->queue, c->team);
 	refuse(o, from, c->token, retry_ms, now);
 }
 
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -194,6 +194,7 @@
 	    st->job->accepted, text);
 	st->wait_reason = why;
 	st->wait_since = now;
+	cell_account_look(st->job, now);
 }
 
 /* Why a stage still has waiting tasks after a pass tried to place it. */
@@ -335,6 +336,22 @@
 
 /* After CONSECUTIVE_UNPLACED_MAX stages without a place, the later ones are
  * unlikely to find one.  They are tried once the first ones are placed. */
+/* Stages that were not tried wait for room, as those before them do. */
+static void
+note_untried(struct cell_sched *s, GPtrArray *stages, guint from, ogl_time now)
+{
+	guint i;
+
+	for (i = from; i < stages->len; i++) {
+		struct cell_stage *st = stages->pdata[i];
+		enum cell_wait why = st->wait_reason;
+
+		if (st->queue != NULL && st->job->stored && st->job->settled &&
+		    why <= CELL_WAIT_SETTLE)
+			log_wait(s, st, CELL_WAIT_ROOM, now);
+	}
+}
+
 static void
 place_bucket(
     struct cell_sched *s, uint32_t rank, unsigned precedence, ogl_time now)
@@ -362,6 +379,7 @@
 			break;
 		}
 	}
+	note_untried(s, stages, i, now);
 }
 
 void
--- a/daemon/cell_host.c
+++ b/daemon/cell_host.c
@@ -153,6 +153,15 @@
 	ogl_measures_count(h->measures, name, by);
 }
 
+static void
+on_count_labels(void *ctx, const char *name, const struct cell_label *labels,
+    size_t n, uint64_t by)
+{
+	struct ogl_cell_host *h = ctx;
+
+	ogl_measures_count_labels(h->measures, name, labels, n, by);
+}
+
 static void
 on_observe(void *ctx, const char *name, uint64_t ms)
 {
@@ -472,6 +481,7 @@
 	h->ops.log = on_log;
 	h->ops.log_job = on_log_job;
 	h->ops.count = on_count;
+	h->ops.count_labels = on_count_labels;
 	h->ops.observe = on_observe;
 	h->ops.ctx = h;
 	h->node = cell_node_init(&c, &h->ops);
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -217,6 +217,7 @@
 	unsigned writes;
 	ogl_time evacuated_at[MAX_ZONES + 1]; /* by zone number; 0: it is not */
 	GString *violations;
+	GHashTable *counters; /* "name label=value ..." -> uint64_t */
 };
 
 /* Wall clock time at virtual time 0. */
@@ -2255,6 +2256,50 @@
 	(void)by;
 }
 
+static void
+on_count_labels(void *ctx, const char *name, const struct cell_label *labels,
+    size_t n, uint64_t by)
+{
+	struct node *node = ctx;
+	GString *key = g_string_new(name);
+	uint64_t *counter;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		g_string_append_printf(
+		    key, " %s=%s", labels[i].name, labels[i].value);
+	counter = g_hash_table_lookup(node->cell->counters, key->str);
+	if (counter == NULL) {
+		counter = g_new0(uint64_t, 1);
+		g_hash_table_insert(
+		    node->cell->counters, g_strdup(key->str), counter);
+	}
+	*counter += by;
+	g_string_free(key, TRUE);
+}
+
+uint64_t
+fake_cell_counter(const struct fake_cell *f, const char *name,
+    const char *label, const char *value)
+{
+	char *part = g_strdup_printf(" %s=%s ", label, value);
+	uint64_t sum = 0;
+	GHashTableIter it;
+	gpointer key, v;
+
+	g_hash_table_iter_init(&it, f->counters);
+	while (g_hash_table_iter_next(&it, &key, &v)) {
+		char *text = g_strdup_printf("%s ", (char *)key);
+
+		if (g_str_has_prefix(text, name) && text[strlen(name)] == ' ' &&
+		    strstr(text, part) != NULL)
+			sum += *(uint64_t *)v;
+		g_free(text);
+	}
+	g_free(part);
+	return sum;
+}
+
 static void
 fill_ops(struct node *n)
 {
@@ -2275,6 +2320,7 @@
 	o->peer_refused = on_peer_refused;
 	o->log = on_log;
 	o->count = on_count;
+	o->count_labels = on_count_labels;
 	o->observe = on_count;
 	o->backend_ctx = n;
 	o->ctx = n;
@@ -2794,6 +2840,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	f->tickets =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	f->counters =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->violations = g_string_new(NULL);
 	if (f->shape.shards == 0)
 		f->shape.shards = 1;
@@ -2865,6 +2913,7 @@
 	g_hash_table_unref(f->jobs);
 	g_hash_table_unref(f->revoked_keys);
 	g_hash_table_unref(f->tickets);
+	g_hash_table_unref(f->counters);
 	g_string_free(f->violations, TRUE);
 	g_free(f->nodes);
 	g_free(f->workers);
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -170,6 +170,12 @@
 void fake_cell_drain_worker(struct fake_cell *f, unsigned worker);
 /* Marks the worker's entry as draining. */
 
+/* ---- counters --------------------------------------------------------- */
+
+uint64_t fake_cell_counter(const struct fake_cell *f, const char *name,
+    const char *label, const char *value);
+/* Sum of the counters of that name, on all nodes, that have this label. */
+
 /* ---- results ---------------------------------------------------------- */
 
 const char *fake_cell_violations(const struct fake_cell *f);
--- a/test/test_daemon_lines.cc
+++ b/test/test_daemon_lines.cc
@@ -163,4 +163,30 @@
 	EXPECT_NE(std::string::npos, s.find("ogl_wait_ms_count 3\n"));
 }
 
+/* Guards against a page of metrics that grows with the names that callers or
+ * operators use, and against a counter that has its TYPE line twice. */
+TEST(Metrics, LimitsTheValuesOfLabels)
+{
+	struct ogl_measures *m = ogl_measures_init();
+
+	for (int i = 0; i < 100; i++) {
+		std::string team = "t\"" + std::to_string(i);
+		struct cell_label labels[] = {
+		    {"team", team.c_str()}, {"outcome", "late"}};
+
+		ogl_measures_count_labels(m, "jobs_ended", labels, 2, 2);
+		ogl_measures_count_labels(m, "jobs", labels, 1, 1);
+	}
+	char *text = ogl_measures_text(m);
+	std::string s = text;
+	g_free(text);
+	ogl_measures_end(m);
+	EXPECT_EQ(2 * 65 + 2, std::count(s.begin(), s.end(), '\n'));
+	EXPECT_NE(std::string::npos,
+	    s.find("# TYPE ogl_jobs_ended_total counter\n"
+		   "ogl_jobs_ended_total{team=\"other\",outcome=\"late\"} "
+		   "72\n"));
+	EXPECT_NE(std::string::npos, s.find("{team=\"t\\\"63\"} 1\n"));
+}
+
 } // namespace
