oriolectl losses and explain: left-out lines, metrics pages, open jobs

losses adds up jobs_ended and jobs_late_ms of metrics pages, says of each open job what it waits for, that it runs, that it ended without a line or that its lines were left out, and counts each moment of waiting and each lost run of a gang once. Runs that were stopped to start again are stopped-runs instead of other. explain says when a job is outside the sample of a node.

The output that CountsLateJobsByMainReason expects has one more line, on its open job.

--- a/ctl/cmd_explain.c
+++ b/ctl/cmd_explain.c
@@ -13,6 +13,7 @@
 
 #include "ctl.h"
 #include "logline.h"
+#include "logsample.h"
 
 /* Lines about cell and workers are kept from this long before the first line
  * that names the job until this long after the last one. */
@@ -35,6 +36,8 @@
 	double first_ts;          /* first line that names the job */
 	double last_ts;           /* last line that names the job */
 	unsigned left_out_events; /* reports of a node that it left out lines */
+	/* The first of them by which the job is not in the node's sample. */
+	const struct entry *excluded;
 };
 
 static void
@@ -172,6 +175,36 @@
 	g_free(how);
 }
 
+/* Records that a node left out lines.  Nodes write the lines of a share of all
+ * jobs, so it may be known whether they include this one's. */
+static void
+record_left_out(struct timeline *t, const struct entry *e)
+{
+	char *share = ctl_field(e->text, "jobs_share_permille");
+	double permille = ctl_field_number(e->text, "jobs_share_permille");
+
+	if (share == NULL)
+		t->left_out_events++;
+	else if (t->excluded == NULL &&
+		 ogl_logsample_position(ogl_str(t->id)) >= permille)
+		t->excluded = e;
+	g_free(share);
+}
+
+static void
+print_excluded(FILE *to, const char *head, const struct timeline *t)
+{
+	char *node = ctl_field(t->excluded->text, "node");
+	char *share = ctl_field(t->excluded->text, "jobs_share_permille");
+
+	fprintf(to,
+	    "%slines of job %s were left out: at ts=%.3f node %s wrote those "
+	    "of %s in 1000 jobs\n",
+	    head, t->id, t->excluded->ts, node != NULL ? node : "?", share);
+	g_free(node);
+	g_free(share);
+}
+
 static void
 record_event(struct timeline *t, struct cause *c, const struct entry *e)
 {
@@ -179,7 +212,7 @@
 	    e->ts >= t->first_ts)
 		c->takeovers++;
 	if (strcmp(e->event, "log.lines_left_out") == 0)
-		t->left_out_events++;
+		record_left_out(t, e);
 	if (!e->of_job)
 		return;
 	if (strcmp(e->event, "owner.job_accepted") == 0)
@@ -271,11 +304,30 @@
 		puts("cause: not to be told from these lines");
 	}
 	print_details(c);
+	if (t->excluded != NULL)
+		print_excluded(stdout, "  ", t);
 	if (t->left_out_events > 0)
 		puts("  nodes left lines out meanwhile: some may be "
 		     "missing here");
 }
 
+static void
+print_nothing_found(struct timeline *t)
+{
+	guint i;
+
+	for (i = 0; i < t->entries->len; i++) {
+		const struct entry *e = t->entries->pdata[i];
+
+		if (strcmp(e->event, "log.lines_left_out") == 0)
+			record_left_out(t, e);
+	}
+	if (t->excluded != NULL)
+		print_excluded(stderr, "oriolectl: ", t);
+	else
+		fprintf(stderr, "oriolectl: no line names job %s\n", t->id);
+}
+
 static enum ctl_exit
 print_timeline(struct timeline *t)
 {
@@ -301,7 +353,7 @@
 	if (job_lines > 0)
 		print_cause(t, &c);
 	else
-		fprintf(stderr, "oriolectl: no line names job %s\n", t->id);
+		print_nothing_found(t);
 	g_string_free(c.failed_workers, TRUE);
 	g_string_free(c.lost_workers, TRUE);
 	g_hash_table_unref(workers);
--- a/ctl/cmd_losses.c
+++ b/ctl/cmd_losses.c
@@ -3,15 +3,21 @@
  *
  * The owner logs a line (stage_waits) whenever the reason changes why a step's
  * tasks don't run.  The time between two such lines of a step is attributed to
- * the reason in the first one.  Failed runs are lost time as well, and so is
- * the time that the store took to accept the job.  "long-runs" is the sum of
- * the longest successful run of each step minus the job's declared run time:
- * it is due to slow workers or low estimates.  The rest is "other": messages in
- * transit, and time without an owner.
+ * the reason in the first one; if steps of a job wait for different reasons,
+ * the first in the order of enum reason counts.  Failed runs are lost time as
+ * well, and so are runs that were stopped to start again, and the time that the
+ * store took to accept the job.  "long-runs" is the sum of the longest
+ * successful run of each step minus the job's declared run time: it is due to
+ * slow workers or low estimates.  The rest is "other": messages in transit, and
+ * time without an owner.
  *
  * Lines may come from several nodes but must be sorted by time within each
  * file.  After a change of owner a step's reason stays in effect until the next
  * owner logs one.
+ *
+ * Nodes leave out all lines of some jobs if there are too many.  Files may also
+ * be metrics pages, one of each node; their counters are exact and are added
+ * up.
  */
 
 #include <stdio.h>
@@ -19,6 +25,7 @@
 
 #include "ctl.h"
 #include "logline.h"
+#include "logsample.h"
 
 /* A job that takes longer than this multiple of its objective is too late: the
  * result has no value to the caller any more. */
@@ -35,13 +42,15 @@
 	ROOM,
 	APART,
 	FAILED_RUNS,
+	STOPPED_RUNS,
 	LONG_RUNS,
 	OTHER,
 	NREASONS
 };
 
 static const char *const reason_names[NREASONS] = {"store", "settle", "limit",
-    "advice", "ticket", "room", "apart", "failed-runs", "long-runs", "other"};
+    "advice", "ticket", "room", "apart", "failed-runs", "stopped-runs",
+    "long-runs", "other"};
 
 enum outcome {
 	IN_TIME,
@@ -50,11 +59,12 @@
 	OPEN, /* the lines don't include its end */
 	FAILED,
 	CANCELLED,
+	REFUSED, /* in metrics only */
 	NOUTCOMES
 };
 
 static const char *const outcome_names[NOUTCOMES] = {
-    "in-time", "late", "too-late", "open", "failed", "cancelled"};
+    "in-time", "late", "too-late", "open", "failed", "cancelled", "refused"};
 
 /* Why a step waits.  Times with suffix _s are seconds since the epoch. */
 struct step_wait {
@@ -69,8 +79,13 @@
 	double chain_ms; /* longest chain of run times, declared or measured */
 	bool over_rate;  /* the team was beyond its rate */
 	double ended_s;
-	char *state;       /* NULL until the end is read */
-	GHashTable *waits; /* step -> struct step_wait */
+	char *state;         /* NULL until the end is read */
+	double counted_s;    /* the waiting until then is in lost_ms */
+	double last_s;       /* of the last line that names it */
+	bool tried;          /* a step was seen waiting or running */
+	GHashTable *active;  /* tasks that run */
+	GHashTable *covered; /* step -> double, end of its lost runs */
+	GHashTable *waits;   /* step -> struct step_wait */
 	GHashTable *runs; /* step -> double, its longest successful run in ms */
 	double lost_ms[NREASONS];
 };
@@ -83,9 +98,21 @@
 	unsigned late_jobs[NREASONS]; /* by the main reason */
 	double lost_ms[NREASONS];     /* of the late jobs */
 	GHashTable *intervals; /* index -> unsigned[NREASONS], like late_jobs */
+	GPtrArray *open;       /* a text about each open job */
+	bool counted;          /* the fields from here on are of metrics */
+	double counted_jobs[NOUTCOMES];
+	GHashTable *counted_ms; /* cause -> double, of late jobs */
+};
+
+/* A node's report that it left out lines. */
+struct left_out {
+	double ts;
+	double permille; /* share of the jobs whose lines it writes */
 };
 
 struct report {
+	GArray *left_out;   /* struct left_out */
+	double end_s;       /* of the last line */
 	GHashTable *jobs;   /* id -> struct job */
 	GHashTable *queues; /* name -> struct queue */
 	double start_s;     /* earliest accepted_s */
@@ -100,6 +127,8 @@
 	g_free(j->state);
 	g_hash_table_unref(j->waits);
 	g_hash_table_unref(j->runs);
+	g_hash_table_unref(j->active);
+	g_hash_table_unref(j->covered);
 	g_free(j);
 }
 
@@ -109,6 +138,8 @@
 	struct queue *q = p;
 
 	g_hash_table_unref(q->intervals);
+	g_hash_table_unref(q->counted_ms);
+	g_ptr_array_unref(q->open);
 	g_free(q);
 }
 
@@ -132,18 +163,42 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	j->runs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	j->active =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	j->covered =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	j->counted_s = ctl_field_number(line, "ts");
 	g_hash_table_insert(rep->jobs, g_strdup(id), j);
 	rep->start_s = MIN(rep->start_s, j->accepted_s);
 }
 
+/* The wait of a step that counts now; NULL if none waits. */
+static const struct step_wait *
+main_wait(const struct job *j)
+{
+	const struct step_wait *main = NULL;
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, j->waits);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct step_wait *w = p;
+
+		if (main == NULL || w->reason < main->reason)
+			main = w;
+	}
+	return main;
+}
+
+/* Counts the waiting until ts, so that no moment counts twice. */
 static void
-end_wait(struct job *j, const char *step, double ts)
+count_wait(struct job *j, double ts)
 {
-	struct step_wait *w = g_hash_table_lookup(j->waits, step);
+	const struct step_wait *w = main_wait(j);
 
 	if (w != NULL)
-		j->lost_ms[w->reason] += MAX(ts - w->since_s, 0) * 1e3;
-	g_hash_table_remove(j->waits, step);
+		j->lost_ms[w->reason] += MAX(ts - j->counted_s, 0) * 1e3;
+	j->counted_s = MAX(j->counted_s, ts);
 }
 
 /* The task in a stage_waits line has no index, so it names a step. */
@@ -157,7 +212,9 @@
 	int r;
 
 	if (step != NULL && why != NULL) {
-		end_wait(j, step, ts);
+		count_wait(j, ts);
+		j->tried = true;
+		g_hash_table_remove(j->waits, step);
 		for (r = 0; r < FAILED_RUNS; r++) {
 			if (strcmp(why, reason_names[r]) != 0)
 				continue;
@@ -171,39 +228,60 @@
 	g_free(why);
 }
 
-/* A task's name is OCCURRENCE.STEP.INDEX, and that of its step is
- * OCCURRENCE.STEP. */
+/* The number kept for the step of a task.  A task's name is
+ * OCCURRENCE.STEP.INDEX, and that of its step is OCCURRENCE.STEP. */
+static double *
+number_of_step(GHashTable *numbers, const char *task)
+{
+	const char *index = strrchr(task, '.');
+	char *step = index != NULL ? g_strndup(task, (gsize)(index - task))
+				   : g_strdup(task);
+	double *number = g_hash_table_lookup(numbers, step);
+
+	if (number == NULL) {
+		number = g_new0(double, 1);
+		g_hash_table_insert(numbers, step, number);
+	} else {
+		g_free(step);
+	}
+	return number;
+}
+
+/* Runs of a step that are lost together, as those of a gang, count once. */
 static void
-record_successful_run(struct job *j, const char *line)
+record_lost_run(
+    struct job *j, const char *task, double ts, double age_ms, enum reason r)
 {
-	char *step = ctl_field(line, "task");
-	char *index = step != NULL ? strrchr(step, '.') : NULL;
-	double ms = ctl_field_number(line, "age_ms");
-	double *longest;
+	double *covered = number_of_step(j->covered, task);
+	double from = MAX(ts - age_ms / 1e3, *covered);
 
-	if (index == NULL)
-		goto out;
-	*index = '\0';
-	longest = g_hash_table_lookup(j->runs, step);
-	if (longest == NULL) {
-		longest = g_new0(double, 1);
-		g_hash_table_insert(j->runs, g_strdup(step), longest);
-	}
-	*longest = MAX(*longest, ms);
-out:
-	g_free(step);
+	j->lost_ms[r] += MAX(ts - from, 0) * 1e3;
+	*covered = MAX(*covered, ts);
 }
 
 static void
 record_run_end(struct job *j, const char *line)
 {
 	char *how = ctl_field(line, "how");
+	char *task = ctl_field(line, "task");
+	double ts = ctl_field_number(line, "ts");
+	double age_ms = ctl_field_number(line, "age_ms");
+	double *longest;
 
-	if (g_strcmp0(how, "failed") == 0 || g_strcmp0(how, "lapsed") == 0)
-		j->lost_ms[FAILED_RUNS] += ctl_field_number(line, "age_ms");
-	else if (g_strcmp0(how, "done") == 0)
-		record_successful_run(j, line);
+	if (how == NULL || task == NULL)
+		goto out;
+	g_hash_table_remove(j->active, task);
+	if (strcmp(how, "failed") == 0 || strcmp(how, "lapsed") == 0) {
+		record_lost_run(j, task, ts, age_ms, FAILED_RUNS);
+	} else if (strcmp(how, "done") == 0) {
+		longest = number_of_step(j->runs, task);
+		*longest = MAX(*longest, age_ms);
+	} else {
+		record_lost_run(j, task, ts, age_ms, STOPPED_RUNS);
+	}
+out:
 	g_free(how);
+	g_free(task);
 }
 
 /* The line of the job's end has the objective computed from measured run times;
@@ -222,20 +300,110 @@
 static void
 record_job_end(struct job *j, const char *line)
 {
-	GHashTableIter it;
-	gpointer p;
-
 	if (j->state != NULL)
 		return;
 	j->state = ctl_field(line, "state");
 	j->ended_s = ctl_field_number(line, "ts");
 	record_measured_objective(j, line);
-	g_hash_table_iter_init(&it, j->waits);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		const struct step_wait *w = p;
+	count_wait(j, j->ended_s);
+}
+
+static void
+record_start(struct job *j, const char *line)
+{
+	char *task = ctl_field(line, "task");
+
+	j->tried = true;
+	if (task != NULL)
+		g_hash_table_add(j->active, task);
+}
+
+static void
+record_refused_start(struct job *j, const char *line)
+{
+	char *task = ctl_field(line, "task");
+
+	if (task != NULL)
+		g_hash_table_remove(j->active, task);
+	g_free(task);
+}
+
+static void
+record_left_out(struct report *rep, const char *line)
+{
+	struct left_out l = {.ts = ctl_field_number(line, "ts"),
+	    .permille = ctl_field_number(line, "jobs_share_permille")};
+	char *share = ctl_field(line, "jobs_share_permille");
+
+	if (share != NULL && l.permille < 1000)
+		g_array_append_val(rep->left_out, l);
+	g_free(share);
+}
+
+static struct queue *get_queue(struct report *rep, const char *name);
+
+/* Returns the value of a label of a line of metrics; the caller frees it. */
+static char *
+label_value(const char *line, const char *label)
+{
+	char *key = g_strdup_printf("%s=\"", label);
+	const char *at = strstr(line, key);
+	char *value = NULL;
+
+	if (at != NULL) {
+		at += strlen(key);
+		value = g_strndup(at, strcspn(at, "\""));
+	}
+	g_free(key);
+	return value;
+}
+
+static void
+add_counted_jobs(struct queue *q, const char *outcome, double n)
+{
+	char *name = g_strdelimit(g_strdup(outcome), "_", '-');
+	int i;
 
-		j->lost_ms[w->reason] += MAX(j->ended_s - w->since_s, 0) * 1e3;
+	for (i = 0; i < NOUTCOMES; i++) {
+		if (strcmp(name, outcome_names[i]) == 0)
+			q->counted_jobs[i] += n;
 	}
+	g_free(name);
+}
+
+static void
+add_counted_ms(struct queue *q, const char *cause, double ms)
+{
+	double *sum = g_hash_table_lookup(q->counted_ms, cause);
+
+	if (sum == NULL) {
+		sum = g_new0(double, 1);
+		g_hash_table_insert(q->counted_ms, g_strdup(cause), sum);
+	}
+	*sum += ms;
+}
+
+static void
+read_counter(struct report *rep, const char *line)
+{
+	char *queue = label_value(line, "queue");
+	char *outcome = label_value(line, "outcome");
+	char *cause = label_value(line, "cause");
+	const char *number = strrchr(line, ' ');
+	struct queue *q;
+
+	if (queue == NULL || number == NULL)
+		goto out;
+	q = get_queue(rep, queue);
+	q->counted = true;
+	if (outcome != NULL)
+		add_counted_jobs(q, outcome, g_ascii_strtod(number, NULL));
+	else if (cause != NULL)
+		add_counted_ms(q, cause, g_ascii_strtod(number, NULL));
+out:
+	g_free(queue);
+	g_free(outcome);
+	g_free(cause);
 }
 
 static void
@@ -246,6 +414,13 @@
 	char *id = ctl_field(line, "job");
 	struct job *j;
 
+	if (g_str_has_prefix(line, "ogl_jobs_ended_total{") ||
+	    g_str_has_prefix(line, "ogl_jobs_late_ms_total{"))
+		read_counter(rep, line);
+	if (event != NULL)
+		rep->end_s = MAX(rep->end_s, ctl_field_number(line, "ts"));
+	if (event != NULL && strcmp(event, "lines_left_out") == 0)
+		record_left_out(rep, line);
 	if (event == NULL || id == NULL)
 		goto out;
 	if (strcmp(event, "job_accepted") == 0)
@@ -253,9 +428,16 @@
 	j = g_hash_table_lookup(rep->jobs, id);
 	if (j == NULL)
 		goto out;
+	j->last_s = MAX(j->last_s, ctl_field_number(line, "ts"));
 	if (strcmp(event, "stage_waits") == 0)
 		record_wait(j, line);
-	else if (strcmp(event, "run_ended") == 0)
+	else if (strcmp(event, "run_started") == 0 ||
+		 strcmp(event, "run_adopted") == 0)
+		record_start(j, line);
+	else if (strcmp(event, "start_refused") == 0)
+		record_refused_start(j, line);
+	else if (strcmp(event, "run_ended") == 0 ||
+		 strcmp(event, "end_found") == 0)
 		record_run_end(j, line);
 	else if (strcmp(event, "job_ended") == 0)
 		record_job_end(j, line);
@@ -296,6 +478,9 @@
 		return q;
 	q = g_new0(struct queue, 1);
 	q->intervals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	q->open = g_ptr_array_new_with_free_func(g_free);
+	q->counted_ms =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_hash_table_insert(rep->queues, g_strdup(name), q);
 	return q;
 }
@@ -351,19 +536,64 @@
 	    (int)((j->accepted_s - rep->start_s) / INTERVAL_S))[main_reason]++;
 }
 
+/* Whether a node left out lines of the job after the last one read. */
+static bool
+lines_left_out(const struct report *rep, const char *id, const struct job *j)
+{
+	unsigned position = ogl_logsample_position(ogl_str(id));
+	guint i;
+
+	for (i = 0; i < rep->left_out->len; i++) {
+		const struct left_out *l =
+		    &g_array_index(rep->left_out, struct left_out, i);
+
+		if (l->ts >= j->last_s && position >= l->permille)
+			return true;
+	}
+	return false;
+}
+
+/* What an open job is doing at the end of the lines. */
+static char *
+describe_open(const struct report *rep, const char *id, const struct job *j)
+{
+	const struct step_wait *w = main_wait(j);
+
+	if (lines_left_out(rep, id, j))
+		return g_strdup_printf(
+		    "%s: its lines were left out from %.1f s before the end on",
+		    id, rep->end_s - j->last_s);
+	if (w != NULL)
+		return g_strdup_printf("%s: waits for %s since %.1f s", id,
+		    reason_names[w->reason], rep->end_s - w->since_s);
+	if (g_hash_table_size(j->active) > 0)
+		return g_strdup_printf("%s: runs, %u tasks, last line %.1f s "
+				       "before the end",
+		    id, g_hash_table_size(j->active), rep->end_s - j->last_s);
+	if (j->tried)
+		return g_strdup_printf(
+		    "%s: ended without a line, last run ended %.1f s before "
+		    "the end",
+		    id, rep->end_s - j->last_s);
+	return g_strdup_printf("%s: not tried since it was accepted, %.1f s",
+	    id, rep->end_s - j->accepted_s);
+}
+
 static void
 summarize_jobs(struct report *rep)
 {
 	GHashTableIter it;
-	gpointer p;
+	gpointer id, p;
 
 	g_hash_table_iter_init(&it, rep->jobs);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
+	while (g_hash_table_iter_next(&it, &id, &p)) {
 		struct job *j = p;
 		struct queue *q =
 		    get_queue(rep, j->queue != NULL ? j->queue : "?");
 		enum outcome o = job_outcome(j);
 
+		if (o == OPEN)
+			g_ptr_array_add(q->open, describe_open(rep, id, j));
 		if (j->over_rate) {
 			q->beyond_rate++;
 			continue;
@@ -412,8 +642,49 @@
 	g_list_free(keys);
 }
 
+static gint
+by_text(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+static void
+print_open(struct queue *q)
+{
+	guint i;
+
+	g_ptr_array_sort(q->open, by_text);
+	for (i = 0; i < q->open->len; i++)
+		printf("  open %s\n", (char *)q->open->pdata[i]);
+}
+
+static void
+print_counted(const struct queue *q)
+{
+	GList *causes = g_list_sort(
+	    g_hash_table_get_keys(q->counted_ms), (GCompareFunc)strcmp);
+	GList *at;
+	double late = q->counted_jobs[LATE] + q->counted_jobs[TOO_LATE];
+	int i;
+
+	printf("  counted by the nodes:");
+	for (i = 0; i < NOUTCOMES; i++) {
+		if (q->counted_jobs[i] > 0)
+			printf(
+			    "  %s %.0f", outcome_names[i], q->counted_jobs[i]);
+	}
+	if (causes != NULL && late > 0)
+		printf("\n  ms a late job, counted:");
+	for (at = causes; at != NULL && late > 0; at = at->next)
+		printf("  %s %.0f", (char *)at->data,
+		    *(double *)g_hash_table_lookup(q->counted_ms, at->data) /
+			late);
+	putchar('\n');
+	g_list_free(causes);
+}
+
 static void
-print_queue(const char *name, const struct queue *q)
+print_queue(const char *name, struct queue *q)
 {
 	unsigned late = q->jobs[LATE] + q->jobs[TOO_LATE];
 	int i;
@@ -426,6 +697,9 @@
 	if (q->beyond_rate > 0)
 		printf("  beyond-rate %u", q->beyond_rate);
 	putchar('\n');
+	if (q->counted)
+		print_counted(q);
+	print_open(q);
 	if (late == 0)
 		return;
 	print_reasons("  mostly for:", q->late_jobs);
@@ -452,6 +726,21 @@
 	g_list_free(names);
 }
 
+static void
+print_left_out(const struct report *rep)
+{
+	double smallest = 1000;
+	guint i;
+
+	for (i = 0; i < rep->left_out->len; i++)
+		smallest = MIN(smallest,
+		    g_array_index(rep->left_out, struct left_out, i).permille);
+	if (smallest < 1000)
+		printf("nodes left out lines: of some jobs all, the smallest "
+		       "share with lines was %.0f in 1000\n",
+		    smallest);
+}
+
 static enum ctl_exit
 losses(struct ctl *c, char **words, size_t n)
 {
@@ -460,6 +749,7 @@
 	size_t i;
 
 	(void)c;
+	rep.left_out = g_array_new(FALSE, FALSE, sizeof(struct left_out));
 	rep.jobs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, job_free);
 	rep.queues =
@@ -473,7 +763,9 @@
 	if (rc == CTL_OK) {
 		summarize_jobs(&rep);
 		print_report(&rep);
+		print_left_out(&rep);
 	}
+	g_array_unref(rep.left_out);
 	g_hash_table_unref(rep.queues);
 	g_hash_table_unref(rep.jobs);
 	return rc;
@@ -481,6 +773,6 @@
 
 const struct ctl_command ctl_losses_commands[] = {
     {"losses", NULL, 0, 60, 0, 0, true, losses, "[FILE...]",
-	"tells from collected log lines what made jobs late"},
+	"tells from log lines and metrics pages what made jobs late"},
     {0},
 };
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -217,6 +217,7 @@
 	unsigned writes;
 	ogl_time evacuated_at[MAX_ZONES + 1]; /* by zone number; 0: it is not */
 	GString *violations;
+	FILE *log;            /* NULL: not kept */
 	GHashTable *counters; /* "name label=value ..." -> uint64_t */
 };
 
@@ -2243,6 +2244,9 @@
 {
 	struct node *n = ctx;
 
+	if (n->cell->log != NULL)
+		fprintf(n->cell->log, "ts=%.3f node=%s part=%s event=%s %s\n",
+		    (double)n->cell->now / OGL_SEC, n->name, part, event, text);
 	if (getenv("FAKE_CELL_LOG") != NULL)
 		fprintf(stderr, "%8" G_GINT64_FORMAT " %s %s.%s %s\n",
 		    n->cell->now / OGL_MS, n->name, part, event, text);
@@ -2300,6 +2304,12 @@
 	return sum;
 }
 
+void
+fake_cell_set_log(struct fake_cell *f, FILE *log)
+{
+	f->log = log;
+}
+
 static void
 fill_ops(struct node *n)
 {
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -8,6 +8,8 @@
 #ifndef FAKE_CELL_H
 #define FAKE_CELL_H
 
+#include <stdio.h>
+
 #include "node.h"
 
 #ifdef __cplusplus
@@ -175,6 +177,9 @@
 uint64_t fake_cell_counter(const struct fake_cell *f, const char *name,
     const char *label, const char *value);
 /* Sum of the counters of that name, on all nodes, that have this label. */
+void fake_cell_set_log(struct fake_cell *f, FILE *log);
+/* Writes the log lines of all nodes to a file, which the caller closes; NULL:
+ * not any more. */
 
 /* ---- results ---------------------------------------------------------- */
 
--- a/test/test_ctl_explain.cc
+++ b/test/test_ctl_explain.cc
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <fstream>
 
+#include "logsample.h"
+
 namespace
 {
 
@@ -97,6 +99,37 @@
 		     "beyond its rate\n"));
 }
 
+/* Guards against an operator who searches for a job that no node logged: the
+ * answer has to be that its lines were left out.  A job that is in the sample
+ * must not be suspected of missing lines. */
+TEST(Explain, TellsThatLinesWereLeftOut)
+{
+	int status;
+	std::string out_id = "x", in_id = "y";
+	std::string lines = "ts=10.500 node=b part=log event=lines_left_out "
+			    "of=a.b lines=9 jobs_share_permille=250\n";
+
+	while (ogl_logsample_position(ogl_str(out_id.c_str())) < 250)
+		out_id += "x";
+	while (ogl_logsample_position(ogl_str(in_id.c_str())) >= 250)
+		in_id += "y";
+	EXPECT_EQ("oriolectl: lines of job " + out_id +
+		      " were left out: at ts=10.500 node b wrote those of 250 "
+		      "in 1000 jobs\n",
+	    explain(lines, out_id, &status));
+	EXPECT_EQ(1, status);
+	for (auto &id : {out_id, in_id})
+		lines +=
+		    "ts=10.000 node=a part=front event=call_answered job=" +
+		    id + " outcome=ok\n";
+	EXPECT_NE(std::string::npos,
+	    explain(lines, out_id, &status).find("  lines of job " + out_id));
+	EXPECT_EQ(std::string::npos,
+	    explain(lines, in_id, &status).find("were left out"));
+	EXPECT_EQ(std::string::npos,
+	    explain(lines, in_id, &status).find("left lines out"));
+}
+
 TEST(Explain, ReportsJobThatNoLineNames)
 {
 	int status;
--- a/test/test_ctl_losses.cc
+++ b/test/test_ctl_losses.cc
@@ -3,8 +3,12 @@
 #include <gtest/gtest.h>
 
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 
+#include "fake_cell.h"
+#include "logsample.h"
+
 namespace
 {
 
@@ -65,6 +69,7 @@
 	EXPECT_EQ(0, status);
 	EXPECT_EQ("queue q:  in-time 1  late 1  too-late 1  open 1  cancelled 1"
 		  "  beyond-rate 1\n"
+		  "  open 5: not tried since it was accepted, 77.0 s\n"
 		  "  mostly for:  limit 1  other 1\n"
 		  "  ms a late job:  limit 800  advice 200  failed-runs 1500"
 		  "  other 2000\n"
@@ -125,6 +130,142 @@
 	EXPECT_NE(std::string::npos, out.find("other 1200"));
 }
 
+/* Guards against open jobs that are reported without what they are doing, and
+ * against lost members of a gang that count once each. */
+TEST(Losses, TellsWhatOpenJobsDo)
+{
+	int status;
+	std::string out_id = "x", in_id = "y", o = "part=owner event=";
+
+	while (ogl_logsample_position(ogl_str(out_id.c_str())) < 500)
+		out_id += "x";
+	while (ogl_logsample_position(ogl_str(in_id.c_str())) >= 500)
+		in_id += "y";
+	std::string out = losses(
+	    accepted("1", "10.0", 0) + waits("1", "11.0", "limit") +
+		accepted("2", "10.0", 0) + "ts=11.0 " + o +
+		"run_started job=2 task=0.0.0\n" + accepted("3", "10.0", 0) +
+		"ts=11.0 " + o + "run_started job=3 task=0.0.0\nts=15.0 " + o +
+		"run_ended job=3 task=0.0.0 how=done age_ms=1000\n" +
+		accepted(out_id, "10.0", 0) + accepted(in_id, "10.0", 0) +
+		waits(in_id, "12.0", "room") +
+		"ts=14.0 part=log event=lines_left_out of=a.b lines=9 "
+		"jobs_share_permille=500\n" +
+		accepted("6", "15.0", 0) + "ts=20.0 " + o +
+		"run_ended job=6 task=0.0.0 how=broken age_ms=4000\nts=20.0 " +
+		o + "run_ended job=6 task=0.0.1 how=broken age_ms=4000\n" +
+		ended("6", "21.0", "completed"),
+	    &status);
+
+	EXPECT_EQ("queue q:  late 1  open 5\n"
+		  "  open 1: waits for limit since 10.0 s\n"
+		  "  open 2: runs, 1 tasks, last line 10.0 s before the end\n"
+		  "  open 3: ended without a line, last run ended 6.0 s before "
+		  "the end\n"
+		  "  open " +
+		      out_id +
+		      ": its lines were left out from 11.0 s before the end "
+		      "on\n"
+		      "  open " +
+		      in_id +
+		      ": waits for room since 9.0 s\n"
+		      "  mostly for:  stopped-runs 1\n"
+		      "  ms a late job:  stopped-runs 4000  other 1000\n"
+		      "    from    0 s:  stopped-runs 1\n"
+		      "nodes left out lines: of some jobs all, the smallest "
+		      "share with lines was 500 in 1000\n",
+	    out);
+}
+
+/* Guards against counters of several nodes that replace each other, and against
+ * labels in another order. */
+TEST(Losses, AddsUpMetricsPages)
+{
+	int status;
+	std::string out =
+	    losses("# TYPE ogl_jobs_ended_total counter\n"
+		   "ogl_jobs_ended_total{queue=\"q\",outcome=\"in_time\",team="
+		   "\"a\"} 7\n"
+		   "ogl_jobs_ended_total{team=\"b\",queue=\"q\",outcome=\"in_"
+		   "time\"} 5\n"
+		   "ogl_jobs_ended_total{queue=\"q\",outcome=\"too_late\",team="
+		   "\"a\"} 4\n"
+		   "ogl_jobs_ended_total{queue=\"q\",outcome=\"refused\",team="
+		   "\"a\"} 2\n"
+		   "ogl_jobs_late_ms_total{queue=\"q\",cause=\"room\"} 6000\n"
+		   "ogl_jobs_late_ms_total{queue=\"q\",cause=\"room\"} 2000\n"
+		   "ogl_jobs_late_ms_total{queue=\"q\",cause=\"run\"} 400\n",
+		&status);
+
+	EXPECT_EQ("queue q:\n"
+		  "  counted by the nodes:  in-time 12  too-late 4  refused 2\n"
+		  "  ms a late job, counted:  room 2000  run 100\n",
+	    out);
+}
+
+/* The lines of a simulated cell that gets more work than it can do: gangs and
+ * wide steps of several ranks, each with questions to the advice service.
+ * Guards against waiting that no line gives a reason for, as that of stages
+ * which a pass does not try. */
+TEST(Losses, LeavesLittleUnexplainedInFullCell)
+{
+	std::string path = testing::TempDir() + "losses_full.log";
+	struct fake_cell_params p = {};
+	double other = 0, all = 0;
+	char buf[4096];
+
+	p.nodes = 3;
+	p.workers = 4;
+	p.seed = 1;
+	p.attempts_max = 3;
+	p.needs_advice = true;
+	struct fake_cell *cell = fake_cell_init(&p);
+	FILE *log = fopen(path.c_str(), "w");
+	fake_cell_set_log(cell, log);
+	fake_cell_advance(cell, 3000);
+	for (unsigned k = 0; k < 600; k++) {
+		struct fake_step s = {};
+		char id[17];
+
+		snprintf(id, sizeof id, "%016x", k + 1);
+		s.after = -1;
+		s.count = k % 3 == 0 ? 2 : k % 3 == 1 ? 10 : 20;
+		s.cpu_milli = 2000;
+		s.run_ms = 600;
+		s.gang = k % 3 == 1;
+		fake_cell_set_queue_rank(cell, k % 3);
+		fake_cell_submit(cell, k % 3, id, nullptr, &s, 1);
+		if (k % 300 == 299) /* in bursts */
+			fake_cell_advance(cell, 9000);
+	}
+	fake_cell_advance(cell, 30000);
+	EXPECT_STREQ("", fake_cell_violations(cell));
+	fake_cell_set_log(cell, nullptr);
+	fake_cell_end(cell);
+	fclose(log);
+	FILE *out = popen(
+	    (OGL_BIN_DIR "/oriolectl losses " + path + " 2>&1").c_str(), "r");
+	unsigned late = 0;
+	while (fgets(buf, sizeof buf, out) != nullptr) {
+		std::string l = buf;
+
+		if (l.rfind("queue ", 0) == 0) {
+			for (std::string o : {"  late ", "  too-late "})
+				if (l.find(o) != std::string::npos)
+					late += static_cast<unsigned>(atoi(
+					    l.c_str() + l.find(o) + o.size()));
+		}
+		if (l.rfind("  mostly for:", 0) != 0)
+			continue;
+		if (l.find("  other ") != std::string::npos)
+			other += atof(l.c_str() + l.find("  other ") + 8);
+	}
+	pclose(out);
+	all = late;
+	EXPECT_GT(all, 50);
+	EXPECT_LT(other, all / 10);
+}
+
 TEST(Losses, ReportsUnreadableFile)
 {
 	char buf[256] = "";
