--- a/test/test_ctl_losses.cc
+++ b/test/test_ctl_losses.cc
@@ -3,8 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <cstdio>
-#include <cstdlib>
 #include <fstream>
+#include <sstream>
 
 #include "fake_cell.h"
 #include "logsample.h"
@@ -13,21 +13,44 @@
 {
 
 std::string
-losses(const std::string &lines, int *status)
+losses_of_file(const std::string &path, int *status)
 {
-	std::string path = testing::TempDir() + "losses.log";
 	std::string out;
 	char buf[4096];
-
-	std::ofstream(path) << lines;
 	FILE *p = popen(
 	    (OGL_BIN_DIR "/oriolectl losses " + path + " 2>&1").c_str(), "r");
+
 	while (fgets(buf, sizeof buf, p) != nullptr)
 		out += buf;
 	*status = pclose(p) >> 8;
 	return out;
 }
 
+std::string
+losses(const std::string &lines, int *status)
+{
+	std::string path = testing::TempDir() + "losses.log";
+
+	std::ofstream(path) << lines;
+	return losses_of_file(path, status);
+}
+
+/* Sum of the numbers after a word, over the lines that begin with `head`. */
+int
+sum_after(const std::string &out, const std::string &head, std::string word)
+{
+	std::istringstream lines(out);
+	std::string l;
+	int sum = 0;
+
+	word = "  " + word + " ";
+	while (std::getline(lines, l)) {
+		if (l.rfind(head, 0) == 0 && l.find(word) != std::string::npos)
+			sum += std::stoi(l.substr(l.find(word) + word.size()));
+	}
+	return sum;
+}
+
 std::string
 accepted(const std::string &id, const std::string &ts, int over_rate)
 {
@@ -211,8 +234,7 @@
 {
 	std::string path = testing::TempDir() + "losses_full.log";
 	struct fake_cell_params p = {};
-	double other = 0, all = 0;
-	char buf[4096];
+	int status;
 
 	p.nodes = 3;
 	p.workers = 4;
@@ -243,27 +265,11 @@
 	fake_cell_set_log(cell, nullptr);
 	fake_cell_end(cell);
 	fclose(log);
-	FILE *out = popen(
-	    (OGL_BIN_DIR "/oriolectl losses " + path + " 2>&1").c_str(), "r");
-	unsigned late = 0;
-	while (fgets(buf, sizeof buf, out) != nullptr) {
-		std::string l = buf;
-
-		if (l.rfind("queue ", 0) == 0) {
-			for (std::string o : {"  late ", "  too-late "})
-				if (l.find(o) != std::string::npos)
-					late += static_cast<unsigned>(atoi(
-					    l.c_str() + l.find(o) + o.size()));
-		}
-		if (l.rfind("  mostly for:", 0) != 0)
-			continue;
-		if (l.find("  other ") != std::string::npos)
-			other += atof(l.c_str() + l.find("  other ") + 8);
-	}
-	pclose(out);
-	all = late;
-	EXPECT_GT(all, 50);
-	EXPECT_LT(other, all / 10);
+	std::string out = losses_of_file(path, &status);
+	int late = sum_after(out, "queue ", "late") +
+		   sum_after(out, "queue ", "too-late");
+	EXPECT_GT(late, 50);
+	EXPECT_LT(sum_after(out, "  mostly for:", "other"), late / 10);
 }
 
 TEST(Losses, ReportsUnreadableFile)
