--- a/cell/job.c
+++ b/cell/job.c
@@ -228,6 +228,8 @@
 	j->def = def;
 	j->accepted = now;
 	j->waits_since = now;
+	j->clock.since = now;
+	j->clock.cause = CELL_WAIT_STORE;
 	compute_declared_work(j);
 	return j;
 }
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -242,6 +242,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 	o->admission = cell_admission_init();
 	o->refusals = cell_refusals_init();
+	o->account = cell_account_init(ops);
 	o->journal =
 	    cell_journal_init(ops, params->shard, on_ownership_lost, o);
 	o->watch = cell_watch_init(&(struct cell_watch_events){
@@ -281,6 +282,7 @@
 	g_hash_table_unref(o->jobs);
 	cell_admission_end(o->admission);
 	cell_refusals_end(o->refusals);
+	cell_account_end(o->account);
 	cell_config_unref(o->config);
 	g_free(o);
 }
@@ -321,6 +323,7 @@
 	cell_loader_close(o->loader);
 	cell_roster_close(o->roster);
 	cell_journal_close(o->journal, now);
+	cell_account_clear(o->account);
 	cell_held_clear(o->held);
 	cell_fleet_close(o->fleet);
 	cell_relay_close(o->relay, now);
--- a/cell/owner_impl.h
+++ b/cell/owner_impl.h
@@ -5,6 +5,7 @@
 #ifndef OGL_CELL_OWNER_IMPL_H
 #define OGL_CELL_OWNER_IMPL_H
 
+#include "account.h"
 #include "admission.h"
 #include "held.h"
 #include "hints.h"
@@ -48,6 +49,7 @@
 	GHashTable *jobs; /* id -> struct cell_job */
 	struct cell_admission *admission;
 	struct cell_refusals *refusals;
+	struct cell_account *account;
 	struct cell_journal *journal;
 	struct cell_watch *watch;
 	struct cell_relay *relay;
--- a/cell/owner_takeover.c
+++ b/cell/owner_takeover.c
@@ -21,6 +21,7 @@
 	}
 	j = cell_job_new(def, now - MAX(age, 0));
 	j->stored = true;
+	cell_account_resume(j, now);
 	if (p != NULL)
 		cell_job_restore_progress(j, p);
 	g_hash_table_insert(o->jobs, j->id, j);
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -12,6 +12,7 @@
 
 #include <string.h>
 
+#include "account.h"
 #include "room.h"
 #include "sched_impl.h"
 
@@ -205,17 +206,18 @@
 	t = cell_config_team(s->config, st->job->def->team);
 	used = cell_fleet_team_used(s->parts.fleet, st->job->def->team);
 	g_snprintf(text, sizeof text,
-	    "job=%s task=%u.%u why=%s waiting=%u ms=%" G_GINT64_FORMAT
+	    "task=%u.%u why=%s waiting=%u ms=%" G_GINT64_FORMAT
 	    " room_cpu=%" G_GUINT64_FORMAT " used_cpu=%u max_cpu=%u",
-	    st->job->id, st->occurrence, st->step, wait_name(why),
-	    cell_stage_waiting(st),
+	    st->occurrence, st->step, wait_name(why), cell_stage_waiting(st),
 	    st->wait_reason != CELL_WAIT_NONE ? (now - st->wait_since) / OGL_MS
 					      : 0,
 	    s->free_cpu_milli, used.cpu_milli,
 	    t != NULL ? t->max.cpu_milli : 0);
-	s->parts.ops->log(s->parts.ops->ctx, "owner", "stage_waits", text);
+	cell_log_job(s->parts.ops, "owner", "stage_waits", st->job->id,
+	    st->job->accepted, text);
 	st->wait_reason = why;
 	st->wait_since = now;
+	cell_account_look(st->job, now);
 }
 
 /* Why a stage still has waiting tasks after a pass tried to place it. */
@@ -360,6 +362,22 @@
 	g_ptr_array_sort(s->schedulable, cell_worker_compare_room);
 }
 
+/* Stages that were not tried wait for room, as those before them do. */
+static void
+note_untried(struct cell_sched *s, GPtrArray *stages, guint from, ogl_time now)
+{
+	guint i;
+
+	for (i = from; i < stages->len; i++) {
+		struct cell_stage *st = stages->pdata[i];
+		enum cell_wait why = st->wait_reason;
+
+		if (st->queue != NULL && st->job->stored && st->job->settled &&
+		    why <= CELL_WAIT_SETTLE)
+			log_wait(s, st, CELL_WAIT_ROOM, now);
+	}
+}
+
 /* After CONSECUTIVE_UNPLACED_MAX stages without a place, the later ones are
  * unlikely to find one.  They are tried once the first ones are placed. */
 static void
@@ -389,6 +407,7 @@
 			break;
 		}
 	}
+	note_untried(s, stages, i, now);
 }
 
 void
--- a/daemon/cell_host.c
+++ b/daemon/cell_host.c
@@ -137,6 +137,16 @@
 	    read_clock(CLOCK_REALTIME));
 }
 
+static void
+on_log_job(void *ctx, const char *part, const char *event, const char *id,
+    ogl_time began, const char *text)
+{
+	struct ogl_cell_host *h = ctx;
+
+	ogl_logline_put_job(h->log_lines, part, event, id, began, text,
+	    boot_time(NULL), read_clock(CLOCK_REALTIME));
+}
+
 static void
 on_count(void *ctx, const char *name, uint64_t by)
 {
@@ -145,6 +155,15 @@
 	ogl_measures_count(h->measures, name, by);
 }
 
+static void
+on_count_labels(void *ctx, const char *name, const struct cell_label *labels,
+    size_t n, uint64_t by)
+{
+	struct ogl_cell_host *h = ctx;
+
+	ogl_measures_count_labels(h->measures, name, labels, n, by);
+}
+
 static void
 on_observe(void *ctx, const char *name, uint64_t ms)
 {
@@ -469,7 +488,9 @@
 	h->ops.peer_reset = on_peer_reset;
 	h->ops.peer_refused = on_peer_refused;
 	h->ops.log = on_log;
+	h->ops.log_job = on_log_job;
 	h->ops.count = on_count;
+	h->ops.count_labels = on_count_labels;
 	h->ops.observe = on_observe;
 	h->ops.ctx = h;
 	h->node = cell_node_init(&c, &h->ops);
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -8,6 +8,8 @@
 #ifndef FAKE_CELL_H
 #define FAKE_CELL_H
 
+#include <stdio.h>
+
 #include "node.h"
 
 #ifdef __cplusplus
@@ -171,6 +173,15 @@
 void fake_cell_drain_worker(struct fake_cell *f, unsigned worker);
 /* Marks the worker's entry as draining. */
 
+/* ---- counters --------------------------------------------------------- */
+
+uint64_t fake_cell_counter(const struct fake_cell *f, const char *name,
+    const char *label, const char *value);
+/* Sum of the counters of that name, on all nodes, that have this label. */
+void fake_cell_set_log(struct fake_cell *f, FILE *log);
+/* Writes the log lines of all nodes to a file, which the caller closes; NULL:
+ * not any more. */
+
 /* ---- results ---------------------------------------------------------- */
 
 unsigned fake_cell_worker_runs(const struct fake_cell *f, unsigned worker);
--- a/test/test_daemon_lines.cc
+++ b/test/test_daemon_lines.cc
@@ -85,6 +85,44 @@
 	    s.find("event=lines_left_out of=a.many lines=750"));
 }
 
+/* In a burst a job must have all its lines or none, of each event, and the lines
+ * about it must tell the share.  One text names its job itself. */
+TEST(LogLine, KeepsOrLeavesOutLinesOfJobTogether)
+{
+	Pipe p;
+	struct ogl_logline *l = ogl_logline_init(p.write_end(), "n1");
+	std::string s;
+	unsigned whole = 0;
+
+	for (int i = 0; i < 4000; i++) {
+		std::string id = std::to_string(i);
+		ogl_time at = i * OGL_MS;
+
+		ogl_logline_put_job(
+		    l, "owner", "first", id.c_str(), at, "a=1", at, 0);
+		ogl_logline_put(l, "owner", "last",
+		    ("b=2 job=" + id + " c=3").c_str(), at, 0);
+		ogl_logline_flush(l);
+		s += p.read_all();
+	}
+	ogl_logline_end(l);
+	s += p.read_all();
+	for (int i = 2000; i < 4000; i++) {
+		std::string id = std::to_string(i);
+		bool first = s.find("event=first job=" + id + " a=1\n") !=
+			     std::string::npos;
+
+		EXPECT_EQ(first, s.find("event=last b=2 job=" + id +
+					" c=3\n") != std::string::npos);
+		whole += first;
+	}
+	EXPECT_GT(whole, 100U);
+	EXPECT_LT(whole, 1000U);
+	EXPECT_NE(std::string::npos, s.find("event=lines_left_out "
+					    "of=owner.first lines="));
+	EXPECT_NE(std::string::npos, s.find(" jobs_share_permille=250\n"));
+}
+
 /* The reader of the lines has stopped.  The process must not block but leave
  * out the lines that no longer fit. */
 TEST(LogLine, DoesNotBlockOnStoppedReader)
@@ -125,4 +163,30 @@
 	EXPECT_NE(std::string::npos, s.find("ogl_wait_ms_count 3\n"));
 }
 
+/* Guards against a page of metrics that grows with the names that callers or
+ * operators use, and against a counter that has its TYPE line twice. */
+TEST(Metrics, LimitsTheValuesOfLabels)
+{
+	struct ogl_measures *m = ogl_measures_init();
+
+	for (int i = 0; i < 100; i++) {
+		std::string team = "t\"" + std::to_string(i);
+		struct cell_label labels[] = {
+		    {"team", team.c_str()}, {"outcome", "late"}};
+
+		ogl_measures_count_labels(m, "jobs_ended", labels, 2, 2);
+		ogl_measures_count_labels(m, "jobs", labels, 1, 1);
+	}
+	char *text = ogl_measures_text(m);
+	std::string s = text;
+	g_free(text);
+	ogl_measures_end(m);
+	EXPECT_EQ(2 * 65 + 2, std::count(s.begin(), s.end(), '\n'));
+	EXPECT_NE(std::string::npos,
+	    s.find("# TYPE ogl_jobs_ended_total counter\n"
+		   "ogl_jobs_ended_total{team=\"other\",outcome=\"late\"} "
+		   "72\n"));
+	EXPECT_NE(std::string::npos, s.find("{team=\"t\\\"63\"} 1\n"));
+}
+
 } // namespace
