--- a/cell/owner_calls.c
+++ b/cell/owner_calls.c
@@ -110,6 +110,7 @@
 	if (j == NULL || j->stored || cell_job_state_ended(j->state))
 		return;
 	cell_owner_log_job(o, j, "job_refused", "why=store_refused");
+	cell_account_refused(o->account, j->def->queue, j->def->team);
 	for (i = 0; i < j->occurrences->len; i++)
 		cell_owner_drop_occurrence(o, j, j->occurrences->pdata[i], now);
 	cell_journal_unmark(o->journal, j);
@@ -130,6 +131,7 @@
 		reply(o, w->to, w->token, OGL__CELL_OUTCOME__cell_ok, 0);
 		if (!j->stored) {
 			j->stored = true;
+			cell_account_look(j, now);
 			log_accepted(o, j, now);
 			o->pass_needed = true;
 		}
@@ -191,13 +193,13 @@
 	char text[400];
 
 	g_snprintf(text, sizeof text,
-	    "job=%s epoch=%" G_GUINT64_FORMAT
+	    "epoch=%" G_GUINT64_FORMAT
 	    " team=%s queue=%s why=%s rule=%s expected_ms=%" G_GINT64_FORMAT
 	    " slot_ms=%u",
-	    c->id, o->epoch, c->team, c->queue, why,
+	    o->epoch, c->team, c->queue, why,
 	    j != NULL && j->refused_by != NULL ? j->refused_by : "none",
 	    j != NULL ? cell_sched_expected_start(j) / OGL_MS : 0, retry_ms);
-	o->ops->log(o->ops->ctx, "owner", "job_refused", text);
+	cell_log_job(o->ops, "owner", "job_refused", c->id, OGL_NEVER, text);
 }
 
 /*
@@ -277,6 +279,7 @@
 				: retry_ms_after(o, c, NULL, 0, now);
 
 	log_refused(o, c, NULL, why, retry_ms);
+	cell_account_refused(o->account, c->queue, c->team);
 	refuse(o, from, c->token, retry_ms, now);
 }
 
@@ -374,6 +377,7 @@
 	if (wait > 0) {
 		retry_ms = retry_ms_after(o, c, j, wait, now);
 		log_refused(o, c, j, "no_room_in_time", retry_ms);
+		cell_account_refused(o->account, c->queue, c->team);
 		note_forecast(o, j, true, retry_ms, now);
 		refuse(o, from, c->token, retry_ms, now);
 		waiting_call_free(w);
--- a/cell/owner_jobs.c
+++ b/cell/owner_jobs.c
@@ -10,35 +10,37 @@
 /* Run numbers reserved for each epoch; no task needs as many in one epoch. */
 #define RUNS_PER_EPOCH 1024
 
+struct cell_job *
+cell_owner_job(const struct cell_owner *o, const char *id)
+{
+	return g_hash_table_lookup(o->jobs, id);
+}
+
 void
 cell_owner_log_job(struct cell_owner *o, const struct cell_job *j,
     const char *event, const char *more)
 {
 	char text[320];
 
-	g_snprintf(text, sizeof text, "job=%s epoch=%" G_GUINT64_FORMAT " %s",
-	    j->id, o->epoch, more);
-	o->ops->log(o->ops->ctx, "owner", event, text);
+	g_snprintf(text, sizeof text, "epoch=%" G_GUINT64_FORMAT " %s",
+	    o->epoch, more);
+	cell_log_job(o->ops, "owner", event, j->id, j->accepted, text);
 }
 
 static void
 log_run(struct cell_owner *o, const struct cell_run *r, const char *event,
     const char *more, ogl_time now)
 {
+	const struct cell_job *j = cell_owner_job(o, r->name.id);
 	char text[320];
 
 	g_snprintf(text, sizeof text,
-	    "job=%s task=%u.%u.%u run=%" G_GUINT64_FORMAT
+	    "task=%u.%u.%u run=%" G_GUINT64_FORMAT
 	    " worker=%s age_ms=%" G_GINT64_FORMAT " %s",
-	    r->name.id, r->name.occurrence, r->name.step, r->name.index,
-	    r->number, r->worker->id, (now - r->created_at) / OGL_MS, more);
-	o->ops->log(o->ops->ctx, "owner", event, text);
-}
-
-struct cell_job *
-cell_owner_job(const struct cell_owner *o, const char *id)
-{
-	return g_hash_table_lookup(o->jobs, id);
+	    r->name.occurrence, r->name.step, r->name.index, r->number,
+	    r->worker->id, (now - r->created_at) / OGL_MS, more);
+	cell_log_job(o->ops, "owner", event, r->name.id,
+	    j != NULL ? j->accepted : OGL_NEVER, text);
 }
 
 /* The stage of a task, NULL if its job is over or not known. */
@@ -111,9 +113,9 @@
 	struct cell_job *j;
 
 	(void)tag;
-	(void)now;
 	if (result == CELL_STORED) {
 		j = cell_owner_job(wait->owner, wait->id);
+		cell_account_end_stored(wait->owner->account, wait->id, now);
 		if (j != NULL) {
 			j->end_stored = true;
 			cell_watch_job_ended(wait->owner->watch, j->id);
@@ -236,6 +238,7 @@
 cell_owner_end_job(struct cell_owner *o, struct cell_job *j,
     Ogl__CellJobState state, const char *why, ogl_time now)
 {
+	double objective_ms = cell_sched_measured_objective_ms(o->sched, j);
 	char more[200];
 	guint i;
 
@@ -243,9 +246,9 @@
 	    "state=%s why=%s age_ms=%" G_GINT64_FORMAT
 	    " chain_ms=%.0f objective_ms=%.0f",
 	    state_name(state), why, (now - j->accepted) / OGL_MS,
-	    cell_job_measured_chain_ms(j),
-	    cell_sched_measured_objective_ms(o->sched, j));
+	    cell_job_measured_chain_ms(j), objective_ms);
 	cell_owner_log_job(o, j, "job_ended", more);
+	cell_account_job_ends(o->account, j, state, objective_ms, now);
 	o->ops->observe(
 	    o->ops->ctx, "job_ms", (uint64_t)((now - j->accepted) / OGL_MS));
 	if (state == OGL__CELL_JOB_STATE__cell_completed)
@@ -267,6 +270,7 @@
 cell_owner_job_changed(
     struct cell_owner *o, struct cell_job *j, bool urgent, ogl_time now)
 {
+	cell_account_look(j, now);
 	cell_journal_mark(o->journal, j, urgent, now);
 }
 
