cell: a waiting stage adds 40 us to the interval of passes, in place of 10

Cause: with the new parts a pass does more for each waiting stage (its share, its estimate, its worker's health).

Change: the interval grows by 40 us for each waiting stage: 16 ms with 300.

--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -20,7 +20,7 @@
  * in one pass, and a long queue does not use up the processor of a small
  * machine, because each waiting stage adds to the interval. */
 #define PASS_INTERVAL (4 * OGL_MS)
-#define PASS_INTERVAL_PER_STAGE_US ((ogl_time)10)
+#define PASS_INTERVAL_PER_STAGE_US ((ogl_time)40)
 /* A pass skips the rest of a bucket after this many stages in a row found no
  * place. */
 #define CONSECUTIVE_UNPLACED_MAX 40
