test: processes listen on ports that no outgoing connection gets

Change: ports of 12000 to 17999 by process id, each tried by a bind. The checks are the same. Ruled out: the node itself, whose other two processes came up and which does nothing before it listens.

--- a/test/test_process.cc
+++ b/test/test_process.cc
@@ -47,17 +47,25 @@
 	return false;
 }
 
+// An address that no socket uses.  Its port lies below those that the kernel
+// gives to outgoing connections: one of these may otherwise take the port
+// before the process that is to listen there has started.
 std::string
 free_addr()
 {
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	static unsigned next = static_cast<unsigned>(getpid()) * 64;
 	struct sockaddr_in a = {};
-	socklen_t n = sizeof(a);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int bound = -1;
 
 	a.sin_family = AF_INET;
 	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	EXPECT_EQ(0, bind(fd, reinterpret_cast<sockaddr *>(&a), n));
-	EXPECT_EQ(0, getsockname(fd, reinterpret_cast<sockaddr *>(&a), &n));
+	for (int tries = 0; bound != 0 && tries < 1000; tries++) {
+		a.sin_port =
+		    htons(static_cast<uint16_t>(12000 + next++ % 6000));
+		bound = bind(fd, reinterpret_cast<sockaddr *>(&a), sizeof(a));
+	}
+	EXPECT_EQ(0, bound);
 	close(fd);
 	return "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
 }
