cell: one test of whether the cell is full; a repeated assignment is gone

The shares and the forecast had a copy each of the time and of the comparison; the forecast adds that the ownership is confirmed. ask_for_stages noted a missing lane a second time behind its loop, where it had just been noted.

--- a/cell/sched_ask.c
+++ b/cell/sched_ask.c
@@ -130,8 +130,6 @@
 		    s, st, true, cell_sched_rank_of(s, st), now);
 		ask_for_stage(s, st, cell_sched_queue_of(s, st->job), now);
 	}
-	if (lq != NULL)
-		s->no_lane_at = now;
 	g_hash_table_unref(at);
 }
 
--- a/cell/sched_forecast.c
+++ b/cell/sched_forecast.c
@@ -29,8 +29,6 @@
 /* A worker that takes no work for a moment, as its answer is overdue or as runs
  * on it have failed, is expected to take some after this time. */
 #define WORKER_PAUSE (2 * OGL_SEC)
-/* The cell is full for this long after a stage found no room or no lane. */
-#define FULL_TIME (300 * OGL_MS)
 /* A run that has taken as long as expected is expected to take this much more of
  * the time that it has taken. */
 #define OVERRUN_SHARE 0.25
@@ -351,9 +349,9 @@
 /* Whether the capacity may refuse: something lacks room or a lane, and things
  * are started at all, which is not so while the store is silent. */
 static bool
-is_full(const struct cell_sched *s, ogl_time now)
+may_refuse_by_capacity(const struct cell_sched *s, ogl_time now)
 {
-	return now - MAX(s->no_room_at, s->no_lane_at) <= FULL_TIME &&
+	return cell_sched_is_full(s, now) &&
 	       !cell_fleet_awaits_confirmation(s->parts.fleet);
 }
 
@@ -465,7 +463,7 @@
 	w = capacity_wait(s, j, q, false, &rule, now);
 	j->expected_start = w.behind_all;
 	j->has_expected_start = true;
-	if (!is_full(s, now) ||
+	if (!may_refuse_by_capacity(s, now) ||
 	    !ogl_capacity_error(s->capacity, j->def->queue).reliable ||
 	    too_long_by(q, j, w, CAPACITY_MARGIN) == 0)
 		return 0;
--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -127,8 +127,10 @@
 
 void cell_sched_set_shares(struct cell_sched *s);
 /* Takes the teams' weights from the configuration. */
+bool cell_sched_is_full(const struct cell_sched *s, ogl_time now);
+/* Whether a stage found no room, or a question no lane, lately. */
 bool cell_sched_update_full(struct cell_sched *s, ogl_time now);
-/* Whether the cell is full now. */
+/* The same, and tells the shares. */
 struct ogl_share_item cell_sched_share_item(
     struct cell_sched *s, struct cell_stage *st, ogl_time now);
 void cell_sched_charge_starts(
--- a/cell/sched_share.c
+++ b/cell/sched_share.c
@@ -5,8 +5,8 @@
 
 #include "sched_impl.h"
 
-/* The cell is full if a stage found no room, or a question no lane, within this
- * time. */
+/* The cell is full for this long after a stage found no room or a question no
+ * lane. */
 #define FULL_TIME (300 * OGL_MS)
 #define SHARE_LOG_INTERVAL (5 * OGL_SEC)
 #define PPM_PER_PERMILLE 1000
@@ -48,11 +48,16 @@
 	ogl_share_end_teams(s->share);
 }
 
+bool
+cell_sched_is_full(const struct cell_sched *s, ogl_time now)
+{
+	return now - MAX(s->no_room_at, s->no_lane_at) <= FULL_TIME;
+}
+
 bool
 cell_sched_update_full(struct cell_sched *s, ogl_time now)
 {
-	bool full = now - s->no_room_at <= FULL_TIME ||
-		    now - s->no_lane_at <= FULL_TIME;
+	bool full = cell_sched_is_full(s, now);
 
 	ogl_share_set_full(s->share, full);
 	return full;
