--- a/review/cellworld.py
+++ b/review/cellworld.py
@@ -104,6 +104,7 @@
         super().__init__(cell.platform, worker_id, f"{host}:{port}", "z1")
         self.server = Server(self.handle, host, port)
         self.up = False
+        self.cut_off = False
         self.seq = 0
         self.silent_since = 0
 
@@ -146,11 +147,23 @@
         self.server.end()
         self.crash()
 
+    def cut(self):
+        """The worker runs on; connections to it are reset."""
+        self.cell.record.note(f"worker {self.id} cut off with resets")
+        self.cut_off = True
+        self.silent_since = w.now()
+        self.server.end()
+
+    async def heal(self):
+        await self.server.start()
+        self.cut_off = False
+        self.cell.record.note(f"worker {self.id} reachable again")
+
     async def heartbeat(self):
         """Writes the entry; removes it when the worker was silent for long."""
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            if self.up:
+            if self.up and not self.cut_off:
                 await self.publish()
             elif w.now() - self.silent_since > MISSED_HEARTBEATS * HEARTBEAT_S:
                 await self.cell.workers_topic.put([(self.id, None)])
