--- a/review/cellworld.py
+++ b/review/cellworld.py
@@ -55,15 +55,22 @@
         self.note(f"BROKEN {rule} {text}")
 
 
-async def serve(handle, reader, writer, writers):
-    writers.add(writer)
+async def serve(server, reader, writer):
+    """Answers the requests of a connection, in order."""
+    server.writers.add(writer)
+    if server.silent:
+        server.cut_writers.add(writer)
     try:
         while (m := await w.read_message(reader)) is not None:
+            if writer in server.cut_writers:
+                continue
             (method, path, _), headers, body = m
-            out = await handle(method, path, headers, body)
+            out = await server.handle(method, path, headers, body)
             if out is None:
                 await asyncio.sleep(20)
                 break
+            if writer in server.cut_writers:
+                continue
             writer.write(out)
             await writer.drain()
     except (OSError, asyncio.IncompleteReadError, ValueError):
@@ -71,7 +78,8 @@
     except asyncio.CancelledError:
         return
     finally:
-        writers.discard(writer)
+        server.writers.discard(writer)
+        server.cut_writers.discard(writer)
         writer.close()
 
 
@@ -81,10 +89,12 @@
     def __init__(self, handle, host, port):
         self.handle, self.host, self.port = handle, host, port
         self.server, self.writers = None, set()
+        self.silent = False
+        self.cut_writers = set()  # connections that were silent once
 
     async def start(self):
         self.server = await asyncio.start_server(
-            lambda r, wr: serve(self.handle, r, wr, self.writers),
+            lambda r, wr: serve(self, r, wr),
             self.host,
             self.port,
             reuse_address=True,
@@ -95,10 +105,21 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def silence(self):
+        """What is sent to the server from now on is lost."""
+        self.silent = True
+        self.cut_writers |= self.writers
+
+    def unsilence(self):
+        """Connections from before the cut stay silent, as bytes are missing."""
+        self.silent = False
+
 
 class Worker(w.Worker):
     """A worker process with an entry in the list of workers."""
 
+    clock_rate = 1.0
+
     def __init__(self, cell, worker_id, host, port, labels):
         self.cell, self.labels = cell, labels
         super().__init__(cell.platform, worker_id, f"{host}:{port}", "z1")
@@ -108,6 +129,10 @@
         self.seq = 0
         self.silent_since = 0
 
+    def clock(self):
+        elapsed_ms = (w.now() - self.started_at) * 1000
+        return 1000 + int(elapsed_ms * self.clock_rate)
+
     def entry(self):
         self.seq += 1
         return json.dumps(
@@ -147,15 +172,25 @@
         self.server.end()
         self.crash()
 
-    def cut(self):
-        """The worker runs on; connections to it are reset."""
-        self.cell.record.note(f"worker {self.id} cut off with resets")
+    def cut(self, silent=False):
+        """The worker runs on; it gets no call, and none is answered.
+
+        silent: connections hang, otherwise they are reset.
+        """
+        how = "silently" if silent else "with resets"
+        self.cell.record.note(f"worker {self.id} cut off {how}")
         self.cut_off = True
         self.silent_since = w.now()
-        self.server.end()
+        if silent:
+            self.server.silence()
+        else:
+            self.server.end()
 
     async def heal(self):
-        await self.server.start()
+        if self.server.silent:
+            self.server.unsilence()
+        else:
+            await self.server.start()
         self.cut_off = False
         self.cell.record.note(f"worker {self.id} reachable again")
 
@@ -418,6 +453,18 @@
             await asyncio.sleep(0.5)
         return job
 
+    def owner(self):
+        """The node that won the shard last, by the nodes' logs."""
+        best = (-1, None)
+        for i in range(self.nnodes):
+            with open(os.path.join(self.dir, f"node{i}.log")) as f:
+                for line in f:
+                    if "event=ownership_won" not in line:
+                        continue
+                    epoch = int(line.split("epoch=")[1].split()[0])
+                    best = max(best, (epoch, i))
+        return best[1]
+
     def spawn(self, coroutine):
         self.tasks.append(asyncio.ensure_future(coroutine))
 
@@ -433,7 +480,7 @@
                     pass
 
 
-def run_case(cell, play, rule):
+def run_case(cell, play, rule, limit_s=100):
     """Plays a case and returns its exit status.
 
     Only breaks of the case's own rule count as the result.  The case can't run
@@ -444,7 +491,7 @@
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         try:
             await cell.start()
-            await asyncio.wait_for(play(), 100)
+            await asyncio.wait_for(play(), limit_s)
             return 0
         except Exception as e:  # the case could not run
             cell.record.note(f"could not run: {e!r}")
