--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/orioleglade-cell ] || { echo "no target/orioleglade-cell"; exit 2; }
 command -v python3 >/dev/null || { echo "no python3"; exit 2; }
-exec timeout -k 5 119 python3 review/2/case.py
+exec timeout -k 5 115 python3 review/2/case.py
--- a/review/cellworld.py
+++ b/review/cellworld.py
@@ -28,6 +28,9 @@
 HEARTBEAT_S = 1.5
 MISSED_HEARTBEATS = 3  # an entry is removed after so many intervals of silence
 STORE_ANSWER_S = 0.004
+APPEND_S = 0.002  # that an append takes besides
+# Names that soak/world.py gives to breaches, and the rules that they break.
+RULES = {"AGAIN": "TWICE", "CANCELLED": "UNASKED"}
 TROUBLE = os.environ.get("TROUBLE", "1")
 
 
@@ -55,6 +58,15 @@
         self.note(f"BROKEN {rule} {text}")
 
 
+async def travel(server, writer, path):
+    """Waits while an answer is under way; it arrives after its sender's end."""
+    for end, delay_s in list(server.delays.items()):
+        if path.endswith(end):
+            server.under_way.add(writer)
+            await asyncio.sleep(delay_s)
+            server.under_way.discard(writer)
+
+
 async def serve(server, reader, writer):
     """Answers the requests of a connection, in order."""
     server.writers.add(writer)
@@ -69,6 +81,7 @@
             if out is None:
                 await asyncio.sleep(20)
                 break
+            await travel(server, writer, path)
             if writer in server.cut_writers:
                 continue
             writer.write(out)
@@ -91,6 +104,8 @@
         self.server, self.writers = None, set()
         self.silent = False
         self.cut_writers = set()  # connections that were silent once
+        self.delays = {}  # end of a path -> how long its answers are under way
+        self.under_way = set()  # connections with such an answer
 
     async def start(self):
         self.server = await asyncio.start_server(
@@ -103,7 +118,8 @@
     def end(self):
         self.server.close()
         for writer in list(self.writers):
-            writer.transport.abort()
+            if writer not in self.under_way:
+                writer.transport.abort()
 
     def silence(self):
         """What is sent to the server from now on is lost."""
@@ -230,7 +246,8 @@
             f" token={b['fencing_token']} began"
         )
         for v in self.platform.violations[before:]:
-            self.cell.record.broke(v.split()[2], v)
+            what = v.split()[2]
+            self.cell.record.broke(RULES.get(what, what), f"{b['task']} {what}")
         self.cell.check_start(self, b)
 
     def end_run(self, run, how):
@@ -257,6 +274,7 @@
         self.tasks = []
         self.last_job = 0
         self.check = check_start
+        self.store_slowness = 1
 
     def free_port(self):
         """The first of eleven ports that are free."""
@@ -281,8 +299,15 @@
             self.check(worker, b)
 
     async def store(self, method, path, headers, body):
-        await asyncio.sleep(STORE_ANSWER_S)
-        return await self.platform.store.handle(method, path, headers, body)
+        """A slow store is slow to carry calls out and to answer them."""
+        answer_s = STORE_ANSWER_S
+        if "/api/log-append" in path:
+            answer_s += APPEND_S
+        answer_s *= self.store_slowness
+        await asyncio.sleep(answer_s / 2)
+        out = await self.platform.store.handle(method, path, headers, body)
+        await asyncio.sleep(answer_s / 2)
+        return out
 
     def node_ip(self, i):
         return f"{self.net}.{10 + i}"
