--- a/review/cellworld.py
+++ b/review/cellworld.py
@@ -2,10 +2,10 @@
 
 The store, the workers and the advice service come from soak/world.py, which
 serves them over HTTP on loopback addresses.  This module adds what the cases
-need: workers whose processes end and start again, entries in the list of
-workers that are written and expire as the platform's protocol says, a proxy in
-front of each worker, node processes started with the command of
-deploy/system.toml, and a record of what was sent, answered and run.
+need: workers that are cut off and run on, entries in the list of workers that
+are written and expire as the platform's protocol says, a store that is slow,
+node processes started with the command of deploy/system.toml, and a record of
+what was sent, answered and run.
 """
 
 import asyncio
@@ -58,15 +58,6 @@
         self.note(f"BROKEN {rule} {text}")
 
 
-async def travel(server, writer, path):
-    """Waits while an answer is under way; it arrives after its sender's end."""
-    for end, delay_s in list(server.delays.items()):
-        if path.endswith(end):
-            server.under_way.add(writer)
-            await asyncio.sleep(delay_s)
-            server.under_way.discard(writer)
-
-
 async def serve(server, reader, writer):
     """Answers the requests of a connection, in order."""
     server.writers.add(writer)
@@ -81,7 +72,6 @@
             if out is None:
                 await asyncio.sleep(20)
                 break
-            await travel(server, writer, path)
             if writer in server.cut_writers:
                 continue
             writer.write(out)
@@ -97,15 +87,13 @@
 
 
 class Server:
-    """An HTTP server that can be ended, as with its process, and started."""
+    """An HTTP server that can be cut off, with resets or silently."""
 
     def __init__(self, handle, host, port):
         self.handle, self.host, self.port = handle, host, port
         self.server, self.writers = None, set()
         self.silent = False
         self.cut_writers = set()  # connections that were silent once
-        self.delays = {}  # end of a path -> how long its answers are under way
-        self.under_way = set()  # connections with such an answer
 
     async def start(self):
         self.server = await asyncio.start_server(
@@ -118,8 +106,7 @@
     def end(self):
         self.server.close()
         for writer in list(self.writers):
-            if writer not in self.under_way:
-                writer.transport.abort()
+            writer.transport.abort()
 
     def silence(self):
         """What is sent to the server from now on is lost."""
@@ -181,13 +168,6 @@
             f"worker {self.id} started born={self.born} labels={self.labels}"
         )
 
-    def kill(self):
-        self.cell.record.note(f"worker {self.id} killed")
-        self.up = False
-        self.silent_since = w.now()
-        self.server.end()
-        self.crash()
-
     def cut(self, silent=False):
         """The worker runs on; it gets no call, and none is answered.
 
@@ -248,7 +228,6 @@
         for v in self.platform.violations[before:]:
             what = v.split()[2]
             self.cell.record.broke(RULES.get(what, what), f"{b['task']} {what}")
-        self.cell.check_start(self, b)
 
     def end_run(self, run, how):
         known = (run.name, run.number) in self.runs
@@ -262,7 +241,7 @@
 class Cell:
     """Store, advice, workers and nodes on loopback addresses."""
 
-    def __init__(self, folder, nodes, check_start=None):
+    def __init__(self, folder, nodes):
         self.record = Record(os.path.join(folder, "record.txt"))
         self.rand = random.Random(1)
         self.net = f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}"
@@ -273,7 +252,6 @@
         self.nnodes, self.procs, self.logs = nodes, [], []
         self.tasks = []
         self.last_job = 0
-        self.check = check_start
         self.store_slowness = 1
 
     def free_port(self):
@@ -294,10 +272,6 @@
                 for s in socks:
                     s.close()
 
-    def check_start(self, worker, b):
-        if self.check is not None:
-            self.check(worker, b)
-
     async def store(self, method, path, headers, body):
         """A slow store is slow to carry calls out and to answer them."""
         answer_s = STORE_ANSWER_S
