--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,7 +22,7 @@
 CANCELLED_SHARE = 0.35
 CANCEL_WITHIN_S = 0.9  # of the acknowledgement
 
-cell = cw.Cell(HERE, nodes=4)
+cell = cw.Cell(os.path.join(HERE, "record.txt"), nodes=4)
 for i in range(6):
     cell.platform.workers.append(
         cw.Worker(cell, f"w{i}", f"{cell.net}.{100 + i}", cell.port + 6,
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,7 @@
 CUTS = 4
 BETWEEN_S = 5
 
-cell = cw.Cell(HERE, nodes=3)
+cell = cw.Cell(os.path.join(HERE, "record.txt"), nodes=3)
 for i in range(WORKERS):
     cell.platform.workers.append(
         cw.Worker(cell, f"w{i}", f"{cell.net}.{100 + i}", cell.port + 6,
--- a/review/cellworld.py
+++ b/review/cellworld.py
@@ -241,8 +241,8 @@
 class Cell:
     """Store, advice, workers and nodes on loopback addresses."""
 
-    def __init__(self, folder, nodes):
-        self.record = Record(os.path.join(folder, "record.txt"))
+    def __init__(self, record, nodes):
+        self.record = Record(record)
         self.rand = random.Random(1)
         self.net = f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}"
         self.port = self.free_port()
