--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 
 import cellworld as cw  # noqa: E402
 
-ROUNDS = 3
+ROUNDS = 5
 SLOW_FACTOR = 60
 SLOW_S = 0.8
 REFUSING_S = 2
