--- a/cell/journal.c
+++ b/cell/journal.c
@@ -566,28 +566,6 @@
 	g->ops->log(g->ops->ctx, "journal", "append_repeated", text);
 }
 
-/* Removes the batch and all before it, as the store has confirmed them with the
- * answer to the attempt sent at sent_at. */
-static void
-complete_up_to(struct cell_journal *g, const struct batch *last,
-    ogl_time sent_at, ogl_time now)
-{
-	uint64_t last_id = last->id;
-	struct batch *b;
-
-	if (last->attempts > 1)
-		log_repeated(g, last, now);
-	g->epoch_accepted = true;
-	g->failing_since = 0;
-	g->last_latency = now - sent_at;
-	adapt_overdue_ms(g);
-	while ((b = oldest_batch(g)) != NULL && b->id <= last_id) {
-		g_queue_pop_head(&g->batches);
-		notify_waiters(b->waiters, CELL_STORED, now);
-		batch_free(b);
-	}
-}
-
 /* Moves the submissions of these jobs from one list of waiters to another. */
 static void
 move_submissions(GArray *from, GHashTable *jobs, GArray *to)
@@ -607,13 +585,53 @@
 	}
 }
 
-/* Whether the batch contains the job.  If the marked jobs do not fit into one
- * batch, a submission waits in a later batch than its job, which may already be
- * stored. */
-static bool
-in_batch(const struct batch *b, const struct cell_job *j)
+/*
+ * Tells the submissions of the batch's jobs that wait for later appends.  A job
+ * is submitted again until its caller is answered, and all submissions are of
+ * one job: the first append with it decides about all of them.  If one waited
+ * for a later append, the refusal of that append would refuse a stored job.
+ */
+static void
+notify_later_submissions(
+    struct cell_journal *g, const struct batch *b, ogl_time now)
 {
-	return g_ptr_array_find(b->jobs, j, NULL);
+	GArray *stored = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	GHashTable *jobs = g_hash_table_new(NULL, NULL);
+	GList *item;
+	guint i;
+
+	for (i = 0; i < b->jobs->len; i++)
+		g_hash_table_add(jobs, b->jobs->pdata[i]);
+	for (item = g->batches.head; item != NULL; item = item->next)
+		move_submissions(
+		    ((struct batch *)item->data)->waiters, jobs, stored);
+	move_submissions(g->waiters, jobs, stored);
+	notify_waiters(stored, CELL_STORED, now);
+	g_hash_table_unref(jobs);
+	g_array_unref(stored);
+}
+
+/* Removes the batch and all before it, as the store has confirmed them with the
+ * answer to the attempt sent at sent_at. */
+static void
+complete_up_to(struct cell_journal *g, const struct batch *last,
+    ogl_time sent_at, ogl_time now)
+{
+	uint64_t last_id = last->id;
+	struct batch *b;
+
+	if (last->attempts > 1)
+		log_repeated(g, last, now);
+	g->epoch_accepted = true;
+	g->failing_since = 0;
+	g->last_latency = now - sent_at;
+	adapt_overdue_ms(g);
+	while ((b = oldest_batch(g)) != NULL && b->id <= last_id) {
+		g_queue_pop_head(&g->batches);
+		notify_waiters(b->waiters, CELL_STORED, now);
+		notify_later_submissions(g, b, now);
+		batch_free(b);
+	}
 }
 
 /* Marks the contents of the batch again. */
@@ -642,7 +660,8 @@
 	}
 }
 
-/* Adds to jobs the submitted jobs that the batch contains. */
+/* Adds the jobs that the batch's waiters have submitted.  None of them is stored
+ * yet, and each is in this batch or an earlier one. */
 static void
 add_submitted_jobs(const struct batch *b, GHashTable *jobs)
 {
@@ -652,7 +671,7 @@
 		const struct waiter *w =
 		    &g_array_index(b->waiters, struct waiter, i);
 
-		if (w->submitted != NULL && in_batch(b, w->submitted))
+		if (w->submitted != NULL)
 			g_hash_table_add(jobs, w->submitted);
 	}
 }
--- a/test/test_cell_journal.cc
+++ b/test/test_cell_journal.cc
@@ -43,6 +43,12 @@
 {
 }
 
+void
+push_result(void *arg, uint64_t, enum cell_store_result result, ogl_time)
+{
+	static_cast<std::vector<cell_store_result> *>(arg)->push_back(result);
+}
+
 class Journal : public testing::Test
 {
       protected:
@@ -84,14 +90,12 @@
 
 	void submit(struct cell_job *j, std::vector<cell_store_result> *results)
 	{
-		cell_journal_submit(
-		    journal_, j,
-		    [](void *arg, uint64_t, enum cell_store_result f,
-			ogl_time) {
-			    static_cast<std::vector<cell_store_result> *>(arg)
-				->push_back(f);
-		    },
-		    results, 0, now_);
+		cell_journal_submit(journal_, j, push_result, results, 0, now_);
+	}
+
+	void notify(std::vector<cell_store_result> *results)
+	{
+		cell_journal_notify(journal_, push_result, results, 0);
 	}
 
 	void step()
@@ -215,6 +219,56 @@
 	EXPECT_TRUE(cell_journal_idle(journal_));
 }
 
+/* Guards against changes of a stored job that are lost, and told to their
+ * callers as stored, when an append with a repeat of its submission is
+ * refused. */
+TEST_F(Journal, RefusedRepeatOfASubmissionKeepsChangesOfItsJob)
+{
+	std::vector<cell_store_result> first, repeat, change;
+	struct cell_job *j = job();
+
+	submit(j, &first);
+	step();
+	submit(j, &repeat);
+	answer(OGL_IO_OK);
+	j->stored = true;
+	EXPECT_EQ(std::vector<cell_store_result>{CELL_STORED}, first);
+	EXPECT_EQ(std::vector<cell_store_result>{CELL_STORED}, repeat);
+	step();
+	cell_journal_mark(journal_, j, true, now_);
+	notify(&change);
+	answer(OGL_IO_REFUSED);
+	step();
+	EXPECT_TRUE(change.empty());
+	answer(OGL_IO_OK);
+	EXPECT_EQ(std::vector<cell_store_result>{CELL_STORED}, change);
+}
+
+/* The same while the repeat is in an append that was sent before the one with
+ * the job was answered. */
+TEST_F(Journal, RefusedOverlappingRepeatKeepsChangesOfItsJob)
+{
+	std::vector<cell_store_result> first, repeat, change;
+	struct cell_job *j = job();
+
+	make_store_slow();
+	submit(j, &first);
+	step_ms(20);
+	submit(j, &repeat);
+	step_ms(60);
+	ASSERT_EQ(2u, store_.args.size());
+	answer_nth(0, OGL_IO_OK);
+	j->stored = true;
+	EXPECT_EQ(std::vector<cell_store_result>{CELL_STORED}, repeat);
+	cell_journal_mark(journal_, j, true, now_);
+	notify(&change);
+	answer_nth(1, OGL_IO_REFUSED);
+	step();
+	EXPECT_TRUE(change.empty());
+	answer(OGL_IO_OK);
+	EXPECT_EQ(std::vector<cell_store_result>{CELL_STORED}, change);
+}
+
 /*
  * The store's latency rises sixtyfold from one moment to the next.  If a retry
  * gave up the pending answer, callers would wait for both.
