--- a/cell/journal.c
+++ b/cell/journal.c
@@ -703,7 +703,8 @@
  * calls repeat them, one job may have several submissions, both in a batch and
  * for the next one.  All of them are told.  A submission that was left out
  * would get CELL_STORED with a later batch, and a job submitted again under the
- * same id would count as stored although it is not.
+ * same id would count as stored although it is not.  A submitted job that was
+ * cancelled meanwhile stays marked: its cancel has a caller, too.
  */
 static void
 take_back_batches(struct cell_journal *g, ogl_time now)
@@ -722,8 +723,10 @@
 	gather_waiters(g, jobs, refused);
 	g_queue_clear_full(&g->batches, batch_free);
 	g_hash_table_iter_init(&it, jobs);
-	while (g_hash_table_iter_next(&it, &k, NULL))
-		cell_journal_unmark(g, k);
+	while (g_hash_table_iter_next(&it, &k, NULL)) {
+		if (!cell_job_state_ended(((struct cell_job *)k)->state))
+			cell_journal_unmark(g, k);
+	}
 	g_hash_table_unref(jobs);
 	g->urgent_at = now;
 	g->retry_at = now + REFUSED_RETRY_DELAY;
--- a/test/test_cell_journal.cc
+++ b/test/test_cell_journal.cc
@@ -269,6 +269,28 @@
 	EXPECT_EQ(std::vector<cell_store_result>{CELL_STORED}, change);
 }
 
+/* Guards against a cancel that is told as stored and lost when the submission
+ * of its job is refused. */
+TEST_F(Journal, RefusalKeepsTheCancelOfAJobNotYetStored)
+{
+	std::vector<cell_store_result> submitted, cancelled;
+	struct cell_job *j = job();
+
+	submit(j, &submitted);
+	step();
+	cell_job_clear(j);
+	j->state = OGL__CELL_JOB_STATE__cell_cancelled;
+	cell_journal_mark(journal_, j, true, now_);
+	notify(&cancelled);
+	answer(OGL_IO_REFUSED);
+	EXPECT_EQ(std::vector<cell_store_result>{CELL_NOT_STORED}, submitted);
+	step();
+	EXPECT_EQ(2, store_.appends);
+	EXPECT_TRUE(cancelled.empty());
+	answer(OGL_IO_OK);
+	EXPECT_EQ(std::vector<cell_store_result>{CELL_STORED}, cancelled);
+}
+
 /*
  * The store's latency rises sixtyfold from one moment to the next.  If a retry
  * gave up the pending answer, callers would wait for both.
