fleet: a worker that refuses connections may run on

Cause: three refused connections within 0.4 s counted as the end of the worker's process, and its runs were given up although their lease, which the owner itself had renewed, lasted for seconds. A new owner did not wait for such a worker either. A cut in the network may refuse connections in the worker's place; from here the two look the same.

Ruled out: telling resets from refusals (the next hold connects anew and gets a refusal in both cases); the platform's list as a witness (a worker that is cut off from the store leaves the list and runs on).

Change: refusals count as silence. A run is over when its lease has expired or when another incarnation or worker answers at the address. CELL_USES_GONE goes.

The fakes learn workers that refuse connections while their runs go on.

--- a/cell/ablate.h
+++ b/cell/ablate.h
@@ -55,13 +55,6 @@
 #define CELL_USES_LOSSY 1
 #endif
 
-/* A worker whose connections are refused counts as ended. */
-#ifdef OGL_OFF_GONE
-#define CELL_USES_GONE 0
-#else
-#define CELL_USES_GONE 1
-#endif
-
 /* Work that can meet its objective goes before work that cannot. */
 #ifdef OGL_OFF_STANDING
 #define CELL_USES_STANDING 0
--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -136,7 +136,6 @@
 		w->addr_unrecorded = false;
 		w->silent_in_record = false;
 		w->gone = false;
-		w->conn_refusals = 0;
 		w->ends_acked = 0;
 	}
 	g_hash_table_remove_all(f->teams);
@@ -236,7 +235,6 @@
 	if (w->addr_unrecorded) {
 		w->open_in_record = false;
 		w->gone = false;
-		w->conn_refusals = 0;
 		w->next_hold_at = now;
 	}
 	f->record_outdated = true;
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -106,10 +106,8 @@
 	ogl_time next_hold_at;   /* no hold is sent before */
 	ogl_time last_answer_at; /* last answer to a hold */
 	uint32_t failures;       /* holds in a row without an answer */
-	uint32_t conn_refusals;  /* connections refused in a row */
-	ogl_time conn_refused_since; /* time of the first of these */
-	bool gone;                   /* its process has ended */
-	bool next_hold_no_wait; /* the next hold is answered without waiting */
+	bool gone;               /* its process has ended */
+	bool next_hold_no_wait;  /* the next hold is answered without waiting */
 
 	GArray *unanswered_starts; /* struct cell_unanswered_start */
 	GHashTable *runs;          /* set of struct cell_run */
--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -17,9 +17,10 @@
  *
  * A worker that does not answer may keep running its tasks until the last lease
  * asked for ends by its own clock, which may be slower than ours by the factor
- * CLOCK_SLOW_FACTOR.  Until then its runs count as running.  When connections
- * to its address are refused, or another worker answers there, the worker has
- * ended, and its runs with it.
+ * CLOCK_SLOW_FACTOR.  Until then its runs count as running.  Refused or reset
+ * connections show nothing more: the network may refuse them for a worker that
+ * runs on.  Only when another incarnation or worker answers at its address has
+ * the worker ended, and its runs with it.
  */
 
 #include <string.h>
@@ -56,11 +57,6 @@
  * has to renew the lease. */
 #define LEASE_RENEW_AFTER (700 * OGL_MS)
 #define HOLD_RETRY_DELAY (150 * OGL_MS)
-/* A worker counts as ended when this many connections in a row were refused
- * over at least this time.  A single one may be refused while the worker
- * starts. */
-#define GONE_REFUSALS_MIN 3
-#define GONE_REFUSED_MIN (400 * OGL_MS)
 /* A worker whose answer is overdue by this gets no new work. */
 #define HOLD_OVERDUE_AFTER (250 * OGL_MS)
 /* A start without an answer is carried out within this time or never. */
@@ -374,7 +370,6 @@
 	if (w->gone && w->incarnation == a->born_ms)
 		cell_fleet_log_worker(f, w, "worker_was_not_gone");
 	w->gone = false;
-	w->conn_refusals = 0;
 	w->failures = 0;
 	w->tasks_recorded = false;
 	w->last_answer_at = now;
@@ -421,27 +416,6 @@
 	f->events.answered(f->events.arg, w, now);
 }
 
-/*
- * A worker listens as long as its process runs, so refused connections mean
- * that it has ended.  Its tasks are started elsewhere after 0.4 s instead of
- * after the lease of 5 s, and a new owner need not wait for it.
- */
-static void
-track_conn_refusals(
-    struct cell_fleet *f, struct cell_worker *w, bool refused, ogl_time now)
-{
-	if (!refused || !CELL_USES_GONE) {
-		w->conn_refusals = 0;
-		return;
-	}
-	if (w->conn_refusals++ == 0)
-		w->conn_refused_since = now;
-	if (w->gone || w->conn_refusals < GONE_REFUSALS_MIN ||
-	    now - w->conn_refused_since < GONE_REFUSED_MIN)
-		return;
-	set_gone(f, w, now);
-}
-
 static const char *
 failure_name(const struct cell_hold_answer *a)
 {
@@ -480,7 +454,6 @@
 		cell_fleet_log_worker_why(
 		    f, w, "worker_silent", failure_name(a));
 	cell_fleet_count_failure(w, now);
-	track_conn_refusals(f, w, a->no_listener, now);
 	/* Another incarnation answers: the last one has ended, and the new one
 	 * refuses calls meant for the last one. */
 	if (a->why != CELL_REFUSED_INCARNATION)
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -1153,6 +1153,13 @@
 
 static void answer_hold(struct fake_cell *f, void *arg);
 
+static bool
+worker_answers(const struct worker *w)
+{
+	return w->up && w->fault != FAKE_WORKER_UNREACHABLE &&
+	       w->fault != FAKE_WORKER_REFUSING;
+}
+
 static void
 transmit_hold_answer(struct call *c)
 {
@@ -1229,7 +1236,7 @@
 	g_ptr_array_add(w->ended, e);
 	raise_highest_run(w, &r->task, r->number);
 	remove_run(f, w, r);
-	if (w->fault != FAKE_WORKER_UNREACHABLE)
+	if (worker_answers(w))
 		wake_holds(f, w);
 }
 
@@ -1602,8 +1609,35 @@
 worker_reachable(struct fake_cell *f, struct call *c)
 {
 	(void)f;
-	return c->worker != NULL && c->worker->up &&
-	       c->worker->fault != FAKE_WORKER_UNREACHABLE;
+	return c->worker != NULL && worker_answers(c->worker);
+}
+
+/* Whether the caller learns at once that it can't connect. */
+static bool
+worker_refuses(const struct fake_cell *f, const struct call *c)
+{
+	const struct worker *w = c->worker;
+
+	return w != NULL && (w->fault == FAKE_WORKER_REFUSING ||
+				(f->shape.crashed_refuse && !w->up));
+}
+
+static void
+answer_not_connected(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	struct cell_hold_answer hold = {
+	    .io = OGL_IO_NOT_SENT, .no_listener = true};
+	struct cell_order_answer order = {.io = OGL_IO_NOT_SENT};
+
+	if (call_finish(c)) {
+		if (c->kind == CALL_HOLD)
+			((cell_hold_fn *)c->done)(c->arg, &hold, f->now);
+		else
+			((cell_order_fn *)c->done)(c->arg, &order, f->now);
+		step_node(f, c->node);
+	}
+	call_unref(f, c);
 }
 
 static void
@@ -1611,6 +1645,11 @@
 {
 	struct call *c = arg;
 
+	if (worker_refuses(f, c)) {
+		transmit(c, 0, (int)c->node->index, answer_not_connected);
+		call_unref(f, c);
+		return;
+	}
 	if (worker_reachable(f, c)) {
 		if (c->kind == CALL_START)
 			do_start(f, c);
@@ -1796,28 +1835,14 @@
 	call_unref(f, c);
 }
 
-static void
-answer_hold_refused(struct fake_cell *f, void *arg)
-{
-	struct call *c = arg;
-	struct cell_hold_answer a = {
-	    .io = OGL_IO_NOT_SENT, .no_listener = true};
-
-	if (call_finish(c)) {
-		((cell_hold_fn *)c->done)(c->arg, &a, f->now);
-		step_node(f, c->node);
-	}
-	call_unref(f, c);
-}
-
 static void
 at_worker_hold(struct fake_cell *f, void *arg)
 {
 	struct call *c = arg;
 	struct worker *w = c->worker;
 
-	if (f->shape.crashed_refuse && w != NULL && !w->up) {
-		transmit(c, 0, (int)c->node->index, answer_hold_refused);
+	if (worker_refuses(f, c)) {
+		transmit(c, 0, (int)c->node->index, answer_not_connected);
 		call_unref(f, c);
 		return;
 	}
@@ -1859,6 +1884,30 @@
 	transmit(c, 0, -1, at_worker_hold);
 }
 
+static void
+answer_hold_reset(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	struct cell_hold_answer a = {.io = OGL_IO_LOST};
+
+	if (call_finish(c)) {
+		((cell_hold_fn *)c->done)(c->arg, &a, f->now);
+		step_node(f, c->node);
+	}
+	call_unref(f, c);
+}
+
+static void
+reset_holds(struct fake_cell *f, struct worker *w)
+{
+	struct call *c;
+
+	while ((c = g_queue_pop_head(&w->holds)) != NULL) {
+		transmit(c, 0, (int)c->node->index, answer_hold_reset);
+		call_unref(f, c);
+	}
+}
+
 /* ---- advice ----------------------------------------------------------- */
 
 static void
@@ -2713,6 +2762,8 @@
 		put_entry(f, w);
 	}
 	w->fault = fault;
+	if (fault == FAKE_WORKER_REFUSING)
+		reset_holds(f, w);
 }
 
 void
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -157,6 +157,8 @@
 enum fake_worker_fault {
 	FAKE_WORKER_OK,
 	FAKE_WORKER_UNREACHABLE, /* its runs go on */
+	FAKE_WORKER_REFUSING, /* connections to it are refused, and those that
+			       * are open reset; its runs go on */
 	FAKE_WORKER_CRASHED, /* down, its runs are lost, its entry is dropped */
 	FAKE_WORKER_FAILING, /* runs it starts end as failed */
 	FAKE_WORKER_FLAKY,   /* two in five of them end as failed */
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -337,6 +337,7 @@
 		static const std::map<std::string, enum fake_worker_fault> m = {
 		    {"healthy", FAKE_WORKER_OK},
 		    {"unreachable", FAKE_WORKER_UNREACHABLE},
+		    {"refusing", FAKE_WORKER_REFUSING},
 		    {"crashed", FAKE_WORKER_CRASHED},
 		    {"failing", FAKE_WORKER_FAILING},
 		    {"flaky", FAKE_WORKER_FLAKY}, {"late", FAKE_WORKER_LATE},
