known: a worker that has not answered stays on record as it was

Takeovers in close succession each waited for the lease of a worker that nobody could reach: the first new owner replaced the record that lists the tasks which may run there by one that calls the worker open. Refused connections had hidden this for workers that had ended.

Change: until such a worker answers or the leases of earlier owners are over, it is recorded with the tasks that the last record listed, and after that with none. The owner starts nothing there before a later record opens it, so the list stays complete.

Before: script unreachable_worker_two_takeovers fails (no task starts within 2.5 s of the second takeover).

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -35,6 +35,7 @@
 
 	g_hash_table_unref(w->runs);
 	g_array_unref(w->unanswered_starts);
+	g_array_unref(w->recorded_tasks);
 	g_free(w->id);
 	g_free(w->addr);
 	g_free(w->zone);
@@ -194,6 +195,8 @@
 	w->runs = g_hash_table_new(NULL, NULL);
 	w->unanswered_starts =
 	    g_array_new(FALSE, FALSE, sizeof(struct cell_unanswered_start));
+	w->recorded_tasks =
+	    g_array_new(FALSE, FALSE, sizeof(struct cell_task_name));
 	w->next_hold_at = now;
 	f->record_outdated = true;
 	g_hash_table_insert(f->workers, w->id, w);
@@ -319,6 +322,23 @@
 	f->events.room_freed(f->events.arg, now);
 }
 
+static void
+record_tasks(struct cell_worker *w, const Ogl__CellKnown *k)
+{
+	size_t i;
+
+	g_array_set_size(w->recorded_tasks, 0);
+	for (i = 0; i < k->n_tasks; i++) {
+		const Ogl__CellKnownTask *t = k->tasks[i];
+		struct cell_task_name name = {.occurrence = t->occurrence,
+		    .step = t->step,
+		    .index = t->index};
+
+		g_strlcpy(name.id, t->id, sizeof name.id);
+		g_array_append_val(w->recorded_tasks, name);
+	}
+}
+
 void
 cell_fleet_expect(struct cell_fleet *f, const Ogl__CellKnown *k, ogl_time now)
 {
@@ -326,6 +346,7 @@
 
 	w->expected = true;
 	w->tasks_recorded = k->closed;
+	record_tasks(w, k);
 	w->open_in_record = !k->closed;
 	if (w->addr != NULL)
 		return;
@@ -588,7 +609,8 @@
 
 /* Called once the leases of earlier owners have expired: none was longer than
  * LEASE_MS, and a replaced owner can renew none.  A worker that has not
- * answered by then runs nothing, and is no longer waited for. */
+ * answered by then runs nothing, and is no longer waited for, neither by this
+ * owner nor, once that is on record, by the next. */
 static void
 clear_expected(struct cell_fleet *f)
 {
@@ -596,8 +618,16 @@
 	gpointer p;
 
 	g_hash_table_iter_init(&it, f->workers);
-	while (g_hash_table_iter_next(&it, NULL, &p))
-		((struct cell_worker *)p)->expected = false;
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct cell_worker *w = p;
+
+		w->expected = false;
+		if (w->incarnation != 0)
+			continue;
+		w->tasks_recorded = true;
+		g_array_set_size(w->recorded_tasks, 0);
+		f->record_outdated = true;
+	}
 }
 
 static gboolean
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -92,9 +92,10 @@
 	bool addr_unrecorded;      /* no record holds its address yet */
 	bool silent_in_record;     /* the last record calls it silent */
 	ogl_time silent_since;     /* valid while failures > 0 */
-	/* The record lists every task that may run there, so a new owner does
-	 * not wait for its answer. */
+	/* The last owner's record lists every task that may run there, so this
+	 * owner does not wait for its answer. */
 	bool tasks_recorded;
+	GArray *recorded_tasks; /* these tasks: struct cell_task_name */
 	uint64_t ends_stored;   /* ends up to this are stored */
 	uint64_t ends_acked;    /* ends up to this were acknowledged to it */
 	uint64_t ends_reported; /* ends up to this were reported to the owner */
--- a/cell/known.c
+++ b/cell/known.c
@@ -12,6 +12,10 @@
  * open_in_record is cleared, and the worker gets no new work, before a record
  * with its tasks is sent.  It gets work again only after a later record, which
  * does not list its tasks, has been stored.
+ *
+ * A worker that has not answered since the takeover stays as the last record
+ * calls it: this owner has started nothing there.  If it were called open, the
+ * next owner would wait for its lease once more.
  */
 
 #include <string.h>
@@ -32,7 +36,7 @@
 }
 
 /* Adds each task that may be running on the worker, and each that it may yet
- * begin because a start order was not answered. */
+ * begin because a start order was not answered or that an earlier owner left. */
 static void
 add_tasks(Ogl__CellKnown *k, const struct cell_worker *w)
 {
@@ -50,12 +54,17 @@
 		    tasks, task_new(&g_array_index(w->unanswered_starts,
 			       struct cell_unanswered_start, i)
 					 .task));
+	for (i = 0; w->tasks_recorded && i < w->recorded_tasks->len; i++)
+		g_ptr_array_add(
+		    tasks, task_new(&g_array_index(
+			       w->recorded_tasks, struct cell_task_name, i)));
 	k->n_tasks = tasks->len;
 	k->tasks = (Ogl__CellKnownTask **)g_ptr_array_free(tasks, FALSE);
 }
 
 /* Makes the worker's entry in the record with that number.  If the worker is
- * silent or draining, it gets no new work from now on. */
+ * silent or draining, or was when the last owner was lost, it gets no new work
+ * from now on. */
 static Ogl__CellKnown *
 known_new(struct cell_worker *w, uint64_t number, ogl_time now)
 {
@@ -68,7 +77,7 @@
 	if (w->addr_unrecorded)
 		w->open_from_record = number;
 	w->addr_unrecorded = false;
-	w->silent_in_record = cell_worker_silent(w, now);
+	w->silent_in_record = cell_worker_silent(w, now) || w->tasks_recorded;
 	if (w->silent_in_record || w->draining) {
 		k->closed = true;
 		w->open_in_record = false;
