lease: one module for all arithmetic between a worker's clock and ours

Cause: the owner's reading of an idle worker's clock ages, and was carried on at the rate of our clock. So a lease was too long by 2% of the age of the reading. A new owner counted with LEASE_MS alone. Related: the answer to a start of the last incarnation could bring that one's clock after the next one's, and a replaced owner may renew leases until it learns that it is replaced.

A reading is carried on at the lowest rate, so an old one makes a lease shorter; idle workers' clocks are read once a minute; readings by orders to an earlier incarnation are ignored; a new owner that hears nothing from a worker adds a second.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -128,7 +128,7 @@
 		w->incarnation = 0;
 		w->ends_stored = 0;
 		w->ends_reported = 0;
-		w->lease_end_ms = 0;
+		memset(&w->lease, 0, sizeof w->lease);
 		w->listed = false;
 		w->expected = false;
 		w->open_in_record = false;
@@ -595,7 +595,7 @@
     struct cell_fleet *f, struct cell_worker *w, bool scan_runs, ogl_time now)
 {
 	if (w->incarnation != 0 && g_hash_table_size(w->runs) > 0 &&
-	    now > cell_fleet_lease_expires_at(w)) {
+	    now > cell_lease_expires_at(&w->lease)) {
 		cell_fleet_log_worker(f, w, "worker_lapsed");
 		cell_fleet_lose_runs(f, w, NULL, now, now);
 	}
@@ -607,8 +607,7 @@
 		cell_fleet_step_runs(f, w, now);
 }
 
-/* Called once the leases of earlier owners have expired: none was longer than
- * LEASE_MS, and a replaced owner can renew none.  A worker that has not
+/* Called once the leases of earlier owners have expired.  A worker that has not
  * answered by then runs nothing, and is no longer waited for, neither by this
  * owner nor, once that is on record, by the next. */
 static void
@@ -670,6 +669,12 @@
 		g_hash_table_foreach_remove(f->workers, worker_is_unused, f);
 }
 
+ogl_time
+cell_fleet_old_leases_end(const struct cell_fleet *f)
+{
+	return cell_lease_all_expired_at(f->opened_at);
+}
+
 bool
 cell_fleet_settled(struct cell_fleet *f, ogl_time now)
 {
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -13,6 +13,7 @@
 
 #include "health.h"
 #include "job.h"
+#include "lease.h"
 #include "pace.h"
 #include "share.h"
 #include "zones.h"
@@ -82,12 +83,10 @@
 	bool evacuated; /* its zone is evacuated: nothing starts there */
 	uint64_t entry_born_ms; /* incarnation that the list entry describes */
 
-	uint64_t incarnation;  /* born_ms of the last incarnation, 0 none yet */
-	bool fenced;           /* this incarnation has seen our epoch */
-	uint64_t clock_ms;     /* its clock as last read */
-	ogl_time clock_at;     /* when clock_ms was read */
-	uint64_t lease_end_ms; /* latest lease end asked of this incarnation */
-	bool open_in_record;   /* a stored record allows new runs there */
+	uint64_t incarnation; /* born_ms of the last incarnation, 0 none yet */
+	bool fenced;          /* this incarnation has seen our epoch */
+	struct cell_lease lease;   /* of this incarnation */
+	bool open_in_record;       /* a stored record allows new runs there */
 	uint64_t open_from_record; /* first record to allow new runs, 0 any */
 	bool addr_unrecorded;      /* no record holds its address yet */
 	bool silent_in_record;     /* the last record calls it silent */
@@ -181,8 +180,7 @@
  * something. */
 
 ogl_time cell_fleet_old_leases_end(const struct cell_fleet *f);
-/* Time from which every lease that an earlier owner granted has certainly
- * expired. */
+/* Time from which every lease of earlier owners has certainly expired. */
 
 void cell_fleet_record_stored(
     struct cell_fleet *f, const char *id, uint64_t record);
--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -16,8 +16,8 @@
  *	stopped, in neither list       it has not begun and no longer can
  *
  * A worker that does not answer may keep running its tasks until the last lease
- * asked for ends by its own clock, which may be slower than ours by the factor
- * CLOCK_SLOW_FACTOR.  Until then its runs count as running.  Refused or reset
+ * asked for ends by its own clock (lease.h).  Until then its runs count as
+ * running.  Refused or reset
  * connections show nothing more: the network may refuse them for a worker that
  * runs on.  Only when another incarnation or worker answers at its address has
  * the worker ended, and its runs with it.
@@ -28,12 +28,6 @@
 #include "ablate.h"
 #include "fleet_impl.h"
 
-/* Longest lease asked for.  It has to outlast a change of owner (detection,
- * claim and first holds take about 2.5 s), and bounds how long a worker that is
- * cut off keeps running its tasks. */
-#define LEASE_MS 5000
-#define CLOCK_SLOW_FACTOR 1.0205 /* 1 / 0.98: a clock may be 2% slow */
-#define LEASE_END_MARGIN (250 * OGL_MS)
 /* The timeout is short, because after a lost answer the ends at its worker stay
  * unknown until then.  A worker whose runs end often answers long before the
  * timeout. */
@@ -63,60 +57,6 @@
 #define UNANSWERED_START_MAX (15 * OGL_SEC)
 #define ENDS_PER_ANSWER_MAX 500 /* a list this long may be incomplete */
 
-/* ---- clocks and leases ------------------------------------------------ */
-
-void
-cell_fleet_record_clock(struct cell_worker *w, uint64_t clock_ms, ogl_time now)
-{
-	if (clock_ms == 0)
-		return;
-	w->clock_ms = clock_ms;
-	w->clock_at = now;
-}
-
-/* Estimates the time on the worker's clock.  It is a lower bound unless that
- * clock runs slow. */
-static uint64_t
-estimate_clock(const struct cell_worker *w, ogl_time now)
-{
-	return w->clock_ms + (uint64_t)((now - w->clock_at) / OGL_MS);
-}
-
-uint64_t
-cell_fleet_extend_lease(
-    const struct cell_fleet *f, struct cell_worker *w, ogl_time now)
-{
-	uint64_t until_ms;
-
-	if (w->incarnation == 0)
-		return 0;
-	until_ms =
-	    estimate_clock(w, now) + MIN(LEASE_MS, f->limits->lease_max_ms);
-	w->lease_end_ms = MAX(w->lease_end_ms, until_ms);
-	return until_ms;
-}
-
-/* Time from which the worker's lease has certainly expired unless it is
- * renewed. */
-ogl_time
-cell_fleet_lease_expires_at(const struct cell_worker *w)
-{
-	double left_ms = w->lease_end_ms > w->clock_ms
-			     ? (double)(w->lease_end_ms - w->clock_ms)
-			     : 0;
-
-	return w->clock_at + (ogl_time)(left_ms * CLOCK_SLOW_FACTOR * OGL_MS) +
-	       LEASE_END_MARGIN;
-}
-
-ogl_time
-cell_fleet_old_leases_end(const struct cell_fleet *f)
-{
-	return f->opened_at +
-	       (ogl_time)(LEASE_MS * CLOCK_SLOW_FACTOR) * OGL_MS +
-	       LEASE_END_MARGIN;
-}
-
 /* ---- ends of runs ----------------------------------------------------- */
 
 static bool
@@ -247,7 +187,7 @@
 	w->ends_acked = 0;
 	w->ends_stored = 0;
 	w->ends_reported = 0;
-	w->lease_end_ms = 0;
+	memset(&w->lease, 0, sizeof w->lease);
 	memset(&w->pace, 0, sizeof w->pace);
 	w->proven = false;
 	cell_fleet_lose_runs(f, w, a, hold_sent_at, now);
@@ -377,12 +317,11 @@
 	cell_fleet_count_call(f, w, OGL_HEALTH_CONN_REFUSED, true, now);
 	if (w->incarnation != 0 && w->incarnation != a->born_ms)
 		worker_restarted(f, w, a, c->sent_at, now);
-	cell_fleet_record_clock(w, a->clock_ms, now);
+	cell_lease_read_clock(&w->lease, a->clock_ms, now);
 	if (w->incarnation != a->born_ms) {
 		ends_before = 0;
-		/* An earlier owner may just have renewed the lease of the
-		 * runs there, for the longest time that an owner asks for. */
-		w->lease_end_ms = a->clock_ms + LEASE_MS;
+		/* An earlier owner may just have renewed the lease. */
+		cell_lease_assume_longest(&w->lease);
 	}
 	if (w->incarnation == a->born_ms)
 		w->ends_acked = MAX(w->ends_acked, c->ends_acked);
@@ -556,7 +495,9 @@
 	    .to = {w->addr, w->id, f->epoch},
 	    .last_seen = ends_to_acknowledge(w),
 	    .until_ms =
-		renew && may_renew(w) ? cell_fleet_extend_lease(f, w, now) : 0,
+		renew && may_renew(w)
+		    ? cell_lease_extend(&w->lease, f->limits->lease_max_ms, now)
+		    : 0,
 	};
 
 	set_hold_times(w, &h, renew, now);
@@ -590,7 +531,10 @@
 	if (w->ends_reported > w->ends_stored &&
 	    now - w->hold_sent_at < LEASE_RENEW_AFTER)
 		return false;
-	return g_hash_table_size(w->runs) > 0 || w->next_hold_no_wait;
+	/* The clock of a worker without runs is read again from time to time,
+	 * so that its next start gets a lease of use. */
+	return g_hash_table_size(w->runs) > 0 || w->next_hold_no_wait ||
+	       cell_lease_clock_old(&w->lease, now);
 }
 
 void
--- a/cell/fleet_impl.h
+++ b/cell/fleet_impl.h
@@ -39,6 +39,7 @@
 	struct cell_worker *worker;
 	struct cell_run *run; /* NULL for a hold */
 	uint64_t generation;  /* of the fleet when the call was sent */
+	uint64_t incarnation; /* of the worker when the call was sent */
 	uint64_t ends_acked;  /* ends up to this were acknowledged by a hold */
 	uint64_t hold_number; /* 0 for a start or stop */
 	ogl_time sent_at;
@@ -69,12 +70,6 @@
 
 /* ---- fleet_hold.c ----------------------------------------------------- */
 
-void cell_fleet_record_clock(
-    struct cell_worker *w, uint64_t clock_ms, ogl_time now);
-uint64_t cell_fleet_extend_lease(
-    const struct cell_fleet *f, struct cell_worker *w, ogl_time now);
-/* Returns the lease end to ask for, 0 if the incarnation is not known yet. */
-ogl_time cell_fleet_lease_expires_at(const struct cell_worker *w);
 bool cell_fleet_hold_overdue(const struct cell_worker *w, ogl_time now);
 void cell_fleet_count_failure(struct cell_worker *w, ogl_time now);
 void cell_fleet_remember_unanswered_start(
--- a/cell/fleet_order.c
+++ b/cell/fleet_order.c
@@ -28,6 +28,7 @@
 	c->worker = r->worker;
 	c->run = r;
 	c->generation = f->generation;
+	c->incarnation = r->worker->incarnation;
 	c->sent_at = now;
 	r->worker->calls_pending++;
 	r->order_pending = true;
@@ -43,7 +44,8 @@
 	    .task = r->name,
 	    .run = r->number,
 	    .spec = r->spec,
-	    .until_ms = cell_fleet_extend_lease(f, w, now),
+	    .until_ms =
+		cell_lease_extend(&w->lease, f->limits->lease_max_ms, now),
 	    .checkpoint = r->checkpoint != NULL ? r->checkpoint : "",
 	    .ticket = r->ticket,
 	    .timeout_ms = ORDER_TIMEOUT_MS,
@@ -202,12 +204,15 @@
 	struct cell_fleet_call *c = arg;
 	struct cell_fleet *f = c->fleet;
 	ogl_time sent_at = c->sent_at;
+	uint64_t incarnation = c->incarnation;
 	struct cell_run *r;
 
 	if (!order_finish(c, &r))
 		return;
-	if (a->io == OGL_IO_OK || a->why != CELL_NOT_REFUSED)
-		cell_fleet_record_clock(r->worker, a->clock_ms, now);
+	/* The last incarnation's answer may come after the next one's. */
+	if ((a->io == OGL_IO_OK || a->why != CELL_NOT_REFUSED) &&
+	    incarnation == r->worker->incarnation)
+		cell_lease_read_clock(&r->worker->lease, a->clock_ms, now);
 	if (a->io == OGL_IO_OK || a->io == OGL_IO_REFUSED) {
 		cell_fleet_count_call(
 		    f, r->worker, OGL_HEALTH_START_UNANSWERED, true, now);
--- /dev/null
+++ b/cell/lease.h
@@ -0,0 +1,44 @@
+/*
+ * Leases of a worker's runs.  A lease ends at a time on the worker's clock,
+ * which runs at most 2% slow.  All conversions between that clock and ours are
+ * done here.
+ */
+
+#ifndef OGL_CELL_LEASE_H
+#define OGL_CELL_LEASE_H
+
+#include "ops.h"
+
+/* The leases of one incarnation of a worker; all zero for a new one. */
+struct cell_lease {
+	uint64_t clock_ms; /* worker's clock as last read */
+	ogl_time read_at;  /* when the answer with clock_ms arrived, our clock;
+			    * 0 not yet */
+	uint64_t end_ms;   /* latest end asked for, worker's clock */
+};
+
+void cell_lease_read_clock(
+    struct cell_lease *l, uint64_t clock_ms, ogl_time now);
+/* Takes a time that the worker has told; 0 is no time and changes nothing. */
+
+bool cell_lease_clock_old(const struct cell_lease *l, ogl_time now);
+/* Whether the clock was last read so long ago that a lease asked for now might
+ * be much too short. */
+
+uint64_t cell_lease_extend(struct cell_lease *l, uint32_t max_ms, ogl_time now);
+/* Returns the end to ask for now, in milliseconds on the worker's clock.
+ * max_ms: the longest lease that the worker grants. */
+
+void cell_lease_assume_longest(struct cell_lease *l);
+/* Counts with the longest lease that an earlier owner can have asked for by the
+ * time of the last reading. */
+
+ogl_time cell_lease_expires_at(const struct cell_lease *l);
+/* Time on our clock from which the lease has certainly expired unless it is
+ * extended. */
+
+ogl_time cell_lease_all_expired_at(ogl_time owner_since);
+/* The same for all leases of earlier owners, whose workers are not known to us:
+ * owner_since is when the present owner began to serve. */
+
+#endif
--- a/cell/straggler.c
+++ b/cell/straggler.c
@@ -72,7 +72,7 @@
 {
 	uint32_t expected_ms = (uint32_t)CLAMP(
 	    cell_learned_run_ms(r->stage->job, r->stage->step), 1, UINT32_MAX);
-	uint64_t clock_ms = r->worker->clock_ms;
+	uint64_t clock_ms = r->worker->lease.clock_ms;
 	double pace;
 
 	/* Both paces have to be high.  If only the worker's is, it may have
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -969,6 +969,14 @@
 	return fault;
 }
 
+static ogl_time
+store_delay(struct fake_cell *f, const struct node *n)
+{
+	return n->store_fault == FAKE_STORE_SLOW
+		   ? g_rand_int_range(f->rand, 200, 300) * OGL_MS
+		   : 0;
+}
+
 static void
 send_append(struct call *c)
 {
@@ -988,7 +996,7 @@
 		    at_store_append_unanswered);
 		break;
 	default:
-		transmit(c, 0, -1, at_store_append);
+		transmit(c, store_delay(f, c->node), -1, at_store_append);
 		break;
 	}
 }
@@ -1028,7 +1036,7 @@
 	if (fault == FAKE_STORE_REFUSING)
 		transmit(c, hop_delay(f), (int)c->node->index, answer_busy);
 	else if (fault != FAKE_STORE_UNREACHABLE)
-		transmit(c, 0, -1, fn);
+		transmit(c, store_delay(f, c->node), -1, fn);
 }
 
 static void
@@ -1072,7 +1080,10 @@
 static uint64_t
 worker_clock_ms(const struct fake_cell *f, const struct worker *w)
 {
-	return 1000 + (uint64_t)((f->now - w->started_at) / OGL_MS);
+	double rate = f->shape.slow_clocks ? 1 - w->index % 3 * 0.01 : 1;
+
+	return 1000 +
+	       (uint64_t)((double)(f->now - w->started_at) / OGL_MS * rate);
 }
 
 static char *
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -25,6 +25,7 @@
 	unsigned shards;     /* 0 means 1 */
 	bool crashed_refuse; /* a hold at a crashed worker is refused at once;
 			   * otherwise it times out */
+	bool slow_clocks;    /* workers' clocks are up to 2% slow */
 	bool no_shard_plan;  /* the nodes decide how many shards there are */
 	uint64_t seed;
 	bool needs_advice; /* every step needs advice */
@@ -122,7 +123,8 @@
 	FAKE_STORE_UNREACHABLE,   /* no call arrives */
 	FAKE_STORE_REFUSING,      /* refuses every call */
 	FAKE_STORE_LOSES_ANSWERS, /* does half of the writes unanswered */
-	FAKE_STORE_LATE /* the same, and does these writes 1 to 6 s late */
+	FAKE_STORE_LATE, /* the same, and does these writes 1 to 6 s late */
+	FAKE_STORE_SLOW  /* takes 200 to 300 ms for a call */
 };
 
 void fake_cell_set_store_fault(
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -168,12 +168,27 @@
 
 	/* Starts a task on the worker and answers the start with io. */
 	void start(enum ogl_io_result io = OGL_IO_OK)
+	{
+		send_start();
+		answer_start(io, 0);
+	}
+
+	void answer_start(enum ogl_io_result io, uint64_t clock_ms)
+	{
+		struct cell_order_answer a = {};
+
+		a.io = io;
+		a.clock_ms = clock_ms;
+		worker_.starts.back().done(worker_.starts.back().arg, &a, now_);
+		answered_starts_ = worker_.starts.size();
+	}
+
+	void send_start()
 	{
 		auto *d = static_cast<Ogl__CellJob *>(
 		    calloc(1, sizeof(Ogl__CellJob)));
 		auto *s = static_cast<Ogl__CellStep *>(
 		    calloc(1, sizeof(Ogl__CellStep)));
-		struct cell_order_answer a = {};
 
 		ogl__cell_job__init(d);
 		ogl__cell_step__init(s);
@@ -187,9 +202,6 @@
 		cell_fleet_start(fleet_, worker(),
 		    &cell_job_begin_occurrence(job_, 0, now_)->stages[0], 0, 5,
 		    nullptr, 0, now_);
-		a.io = io;
-		worker_.starts.back().done(worker_.starts.back().arg, &a, now_);
-		answered_starts_ = worker_.starts.size();
 	}
 
 	/* Answers the last hold; the worker lists `running` (0 or 1) runs. */
@@ -275,6 +287,38 @@
 	EXPECT_EQ(2u, worker_.stops.size());
 }
 
+/* Guards against a lease as long as the last incarnation's life: its answer to a
+ * start arrives after the next incarnation's to a hold. */
+TEST_F(Fleet, ClockOfTheLastIncarnationIsIgnored)
+{
+	step(10);
+	answer(OGL_IO_OK, 0);
+	send_start();
+	step(10);
+	answer(OGL_IO_OK, 0, 8);
+	answer_start(OGL_IO_OK, 3600000);
+	EXPECT_EQ(
+	    static_cast<uint64_t>(now_ / OGL_MS), worker()->lease.clock_ms);
+}
+
+/* Guards against idle workers whose clock is never read again, so that their
+ * next start gets a lease of no use. */
+TEST_F(Fleet, ClockOfAnIdleWorkerIsReadOnceAMinute)
+{
+	size_t holds;
+
+	step(10);
+	answer(OGL_IO_OK, 0);
+	holds = worker_.holds.size();
+	step(59000);
+	EXPECT_EQ(holds, worker_.holds.size());
+	step(2000);
+	EXPECT_EQ(holds + 1, worker_.holds.size());
+	answer(OGL_IO_OK, 0);
+	step(1000);
+	EXPECT_EQ(holds + 1, worker_.holds.size());
+}
+
 /* Guards against a takeover that waits for a worker whose address another
  * worker has taken. */
 TEST_F(Fleet, WorkerIsGoneWhenAnotherAnswersAtItsAddress)
--- a/test/test_cell_learned.cc
+++ b/test/test_cell_learned.cc
@@ -236,11 +236,11 @@
 	learn(100, 10000);
 	r.percent = 25;
 	r.progress = {9000, 25, 1000, 5};
-	worker_.clock_ms = 9000;
+	worker_.lease.clock_ms = 9000;
 	EXPECT_TRUE(cell_straggler_is_slow(&r, 4, 2.5, &stalled_));
 	update(j);
 	EXPECT_FALSE(cell_straggler_is_slow(&r, 4, 2.5, &stalled_) || stalled_);
-	r.progress.clock_ms = worker_.clock_ms = 25000;
+	r.progress.clock_ms = worker_.lease.clock_ms = 25000;
 	EXPECT_TRUE(cell_straggler_is_slow(&r, 4, 2.5, &stalled_));
 	EXPECT_FALSE(cell_straggler_is_slow(&r, 1, 2.5, &stalled_));
 }
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -327,7 +327,7 @@
 		    {"unreachable", FAKE_STORE_UNREACHABLE},
 		    {"refusing", FAKE_STORE_REFUSING},
 		    {"losing-answers", FAKE_STORE_LOSES_ANSWERS},
-		    {"late", FAKE_STORE_LATE}};
+		    {"late", FAKE_STORE_LATE}, {"slow", FAKE_STORE_SLOW}};
 
 		return m.at(s);
 	}
@@ -381,6 +381,7 @@
 		    o.count("ask") != 0 ? num(o["ask"]) : 0;
 		shape_.page_records =
 		    o.count("page-records") != 0 ? num(o["page-records"]) : 0;
+		shape_.slow_clocks = o.count("slow-clocks") != 0;
 		shape_.zones = o.count("zones") != 0 ? num(o["zones"]) : 1;
 		shape_.attempts_max =
 		    o.count("attempts") != 0 ? num(o["attempts"]) : 3;
