owner: starts that no record names count against their team

A team could exceed its limit (QUOTA) when the owner was lost right after it had started tasks and a worker with some of them did not answer the next owner: a start is sent before its record is stored, and only tasks with a recorded run counted until the worker had answered.

Change: until all workers have answered, each task of a ready stage counts.

Before: script team_limit_unrecorded_starts starts two tasks too many. Takeovers where all workers answer are settled within milliseconds, so nothing changes there.

--- a/cell/owner_jobs.c
+++ b/cell/owner_jobs.c
@@ -139,18 +139,21 @@
 /*
  * After a takeover, tasks may be running on workers that have not answered yet.
  * Until all have answered, such tasks count against their team's limit.
- * Otherwise the team could exceed its limit by these tasks.
+ * Otherwise the team could exceed its limit by these tasks.  Tasks of a stage
+ * that is ready are among them even if the store knows no run of them: a start is
+ * sent before its record is stored.
  */
 void
 cell_owner_assume_running(struct cell_owner *o, struct cell_stage *st)
 {
 	struct ogl_res need = cell_stage_need(st);
+	bool ready = cell_stage_ready(st);
 	uint32_t i;
 
 	for (i = 0; i < st->ntasks; i++) {
 		struct cell_task *t = &st->tasks[i];
 
-		if (t->done || t->run == 0 || t->active != NULL)
+		if (t->done || t->active != NULL || (t->run == 0 && !ready))
 			continue;
 		t->assumed_running = true;
 		cell_fleet_team_charge(o->fleet, st->job->def->team, &need);
