owner: what a cancelled job still has running counts after a takeover

A team could exceed its limit (QUOTA) when the owner changed right after a large job was cancelled: the next owner found its runs, which were being stopped, and knew neither their team nor what they use, as the submission is dropped with the end of the job.

Change: the record of a job that ends while it has runs names its team and, by step, their number and needs. Until all workers have answered they count as a whole, afterwards one by one. A worker with such runs gets work again as far as there is room; before, it got none until they were over.

A record without such runs is no longer than before.

--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -212,7 +212,13 @@
 
 void cell_fleet_stop_orphan(struct cell_fleet *f, struct cell_worker *w,
     const struct cell_run_row *row, ogl_time now);
-/* Stops a run that was found on a worker and that no job needs. */
+/* Stops a run that was found on a worker and belongs to no known job. */
+
+void cell_fleet_stop_found(struct cell_fleet *f, struct cell_worker *w,
+    const struct cell_run_row *row, const struct ogl_res *need,
+    const char *team, ogl_time now);
+/* Stops a run that was found on a worker and that its job does not need any
+ * more.  need: what it uses. */
 
 void cell_fleet_stop(struct cell_fleet *f, struct cell_run *r, ogl_time now);
 /* Orders a stop; run_ended is called once the run is over. */
--- a/cell/fleet_order.c
+++ b/cell/fleet_order.c
@@ -300,20 +300,37 @@
 	return r;
 }
 
+static struct cell_run *
+add_found(struct cell_fleet *f, struct cell_worker *w,
+    const struct cell_run_row *row, const struct ogl_res *need,
+    const char *team, ogl_time now)
+{
+	struct cell_run *r =
+	    cell_fleet_run_new(f, w, &row->task, row->run, need, team);
+
+	r->running_since = now;
+	return r;
+}
+
+void
+cell_fleet_stop_found(struct cell_fleet *f, struct cell_worker *w,
+    const struct cell_run_row *row, const struct ogl_res *need,
+    const char *team, ogl_time now)
+{
+	cell_fleet_stop(f, add_found(f, w, row, need, team, now), now);
+}
+
 /*
- * A job that ended shortly before a takeover may have tasks that are still
- * being stopped, whose resources are no longer known.  A worker with such a run
- * gets no work until the run is over, as its capacity might be exceeded.
+ * What such a run uses is not known.  Its worker gets no work until the run is
+ * over, as its capacity might be exceeded.
  */
 void
 cell_fleet_stop_orphan(struct cell_fleet *f, struct cell_worker *w,
     const struct cell_run_row *row, ogl_time now)
 {
 	struct ogl_res none = {0};
-	struct cell_run *r =
-	    cell_fleet_run_new(f, w, &row->task, row->run, &none, "");
+	struct cell_run *r = add_found(f, w, row, &none, "", now);
 
-	r->running_since = now;
 	r->orphan = true;
 	w->norphans++;
 	cell_fleet_stop(f, r, now);
--- a/cell/job.c
+++ b/cell/job.c
@@ -234,15 +234,108 @@
 	return j;
 }
 
+/* ---- what outlasts the end of a job ------------------------------------- */
+
+static void
+add_stopping(struct cell_job *j, const char *team, uint32_t step,
+    uint32_t count, const struct ogl_res *need)
+{
+	struct cell_stopping s = {step, count, *need};
+
+	if (j->stopping == NULL) {
+		j->stopping =
+		    g_array_new(FALSE, FALSE, sizeof(struct cell_stopping));
+		j->stopping_team = g_strdup(team);
+	}
+	g_array_append_val(j->stopping, s);
+}
+
+static uint32_t
+running_tasks(const struct cell_stage *st)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < st->ntasks; i++) {
+		const struct cell_task *t = &st->tasks[i];
+
+		n += (t->active != NULL || t->assumed_running) +
+		     (t->copy != NULL);
+	}
+	return n;
+}
+
+void
+cell_job_note_stopping(struct cell_job *j)
+{
+	guint i;
+	size_t k;
+
+	for (i = 0; i < j->occurrences->len; i++) {
+		struct cell_occurrence *o = j->occurrences->pdata[i];
+
+		for (k = 0; k < j->def->n_steps; k++) {
+			struct ogl_res need = cell_stage_need(&o->stages[k]);
+			uint32_t n = running_tasks(&o->stages[k]);
+
+			if (n > 0)
+				add_stopping(
+				    j, j->def->team, (uint32_t)k, n, &need);
+		}
+	}
+}
+
+const struct ogl_res *
+cell_job_stopping_need(const struct cell_job *j, uint32_t step)
+{
+	guint i;
+
+	for (i = 0; j->stopping != NULL && i < j->stopping->len; i++) {
+		const struct cell_stopping *s =
+		    &g_array_index(j->stopping, struct cell_stopping, i);
+
+		if (s->step == step)
+			return &s->need;
+	}
+	return NULL;
+}
+
+static void
+pack_stopping(const struct cell_job *j, GPtrArray *out)
+{
+	guint i;
+
+	for (i = 0; j->stopping != NULL && i < j->stopping->len; i++) {
+		const struct cell_stopping *s =
+		    &g_array_index(j->stopping, struct cell_stopping, i);
+		Ogl__CellStopping *m = g_new(Ogl__CellStopping, 1);
+
+		ogl__cell_stopping__init(m);
+		m->step = s->step;
+		m->count = s->count;
+		m->cpu_milli = s->need.cpu_milli;
+		m->mem_mb = s->need.mem_mb;
+		m->accel = s->need.accel;
+		g_ptr_array_add(out, m);
+	}
+}
+
 struct cell_job *
 cell_job_new_ended(const char *id, const Ogl__CellProgress *p)
 {
 	struct cell_job *j = job_alloc(id);
+	size_t i;
 
 	j->state = p->state;
 	j->ended_ms = p->ended_ms;
 	j->begun = p->begun;
 	j->stored = true;
+	for (i = 0; i < p->n_stopping; i++) {
+		const Ogl__CellStopping *m = p->stopping[i];
+
+		add_stopping(j, p->team, m->step, m->count,
+		    &(struct ogl_res){m->cpu_milli, m->mem_mb, m->accel});
+	}
 	return j;
 }
 
@@ -269,6 +362,9 @@
 	cell_job_clear(j);
 	g_ptr_array_unref(j->occurrences);
 	g_array_unref(j->finished);
+	g_free(j->stopping_team);
+	if (j->stopping != NULL)
+		g_array_unref(j->stopping);
 	g_free(j);
 }
 
@@ -546,6 +642,7 @@
 	Ogl__CellProgress p = OGL__CELL_PROGRESS__INIT;
 	GPtrArray *marks = g_ptr_array_new_with_free_func(g_free);
 	GPtrArray *done = g_ptr_array_new_with_free_func(done_free);
+	GPtrArray *stopping = g_ptr_array_new_with_free_func(g_free);
 	uint8_t *out;
 	size_t n;
 	guint i, k;
@@ -569,11 +666,17 @@
 	p.n_marks = marks->len;
 	p.done = (Ogl__CellDone **)done->pdata;
 	p.n_done = done->len;
+	pack_stopping(j, stopping);
+	p.stopping = (Ogl__CellStopping **)stopping->pdata;
+	p.n_stopping = stopping->len;
+	if (stopping->len > 0)
+		p.team = j->stopping_team;
 	n = ogl__cell_progress__get_packed_size(&p);
 	out = g_malloc(n);
 	ogl__cell_progress__pack(&p, out);
 	g_ptr_array_unref(marks);
 	g_ptr_array_unref(done);
+	g_ptr_array_unref(stopping);
 	return g_bytes_new_take(out, n);
 }
 
--- a/cell/job.h
+++ b/cell/job.h
@@ -108,6 +108,13 @@
 	struct cell_expected_step steps[];
 };
 
+/* Tasks of one step of an ended job that were still being stopped. */
+struct cell_stopping {
+	uint32_t step;
+	uint32_t count;
+	struct ogl_res need; /* of one task */
+};
+
 struct cell_job {
 	char id[CELL_ID_LEN + 1];
 	Ogl__CellJob *def; /* NULL once the job has ended */
@@ -150,6 +157,11 @@
 	struct cell_expected *expected; /* learned; NULL never updated */
 	double *measured_ms; /* longest finished run of each step; 0 none */
 	bool end_stored;     /* the end is stored, so callers may see it */
+	/* Of an ended job: its team and what was still being stopped then, so
+	 * that a successor counts it; NULL none. */
+	char *stopping_team;
+	GArray *stopping;                /* struct cell_stopping */
+	bool stopping_charged;           /* to the team, after a takeover */
 	uint64_t queue_config_version;   /* version of queue_config */
 	struct cell_queue *queue_config; /* NULL not looked up yet */
 	/* Whether tasks without a known run may be started, because this owner
@@ -240,6 +252,15 @@
 /* Longest chain of run times, each measured or, if there is no measurement,
  * declared. */
 
+void cell_job_note_stopping(struct cell_job *j);
+/* To be called when the job ends, before its runs are dropped: records those
+ * that may still be running. */
+
+const struct ogl_res *cell_job_stopping_need(
+    const struct cell_job *j, uint32_t step);
+/* What a run of that step uses which may outlast the ended job; NULL when none
+ * is known. */
+
 void cell_job_clear(struct cell_job *j);
 /* Frees its stages and the submission; no run may point at them. */
 
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -434,6 +434,7 @@
 
 		j->settled = true;
 		clear_assumed_job(o, j, now);
+		cell_owner_clear_stopping(o, j);
 	}
 	g_snprintf(text, sizeof text, "shard=%u epoch=%" G_GUINT64_FORMAT,
 	    o->params.shard, o->epoch);
--- a/cell/owner_impl.h
+++ b/cell/owner_impl.h
@@ -85,6 +85,10 @@
 void cell_owner_call_after_store(
     struct cell_owner *o, const char *id, cell_stored_fn *fn, uint64_t tag);
 void cell_owner_assume_running(struct cell_owner *o, struct cell_stage *st);
+void cell_owner_assume_stopping(struct cell_owner *o, struct cell_job *j);
+void cell_owner_clear_stopping(struct cell_owner *o, struct cell_job *j);
+/* Count what an ended job may still have running against its team's limit, and
+ * no more. */
 void cell_owner_clear_assumed_unless_held(
     struct cell_owner *o, struct cell_stage *st, ogl_time now);
 void cell_owner_drop_occurrence(struct cell_owner *o, struct cell_job *j,
--- a/cell/owner_jobs.c
+++ b/cell/owner_jobs.c
@@ -9,6 +9,9 @@
 
 /* Run numbers reserved for each epoch; no task needs as many in one epoch. */
 #define RUNS_PER_EPOCH 1024
+/* A run outlasts the end of its job by no more than this: an order that is
+ * carried out late, its lease, and the time that a stop takes. */
+#define STOPPING_TIME_MAX_MS 20000
 
 struct cell_job *
 cell_owner_job(const struct cell_owner *o, const char *id)
@@ -171,6 +174,42 @@
 	cell_fleet_team_uncharge(o->fleet, st->job->def->team, &need);
 }
 
+/* Applies charge to all that the ended job may still have running. */
+static void
+charge_stopping(struct cell_owner *o, const struct cell_job *j,
+    void (*charge)(struct cell_fleet *, const char *, const struct ogl_res *))
+{
+	guint i;
+
+	for (i = 0; i < j->stopping->len; i++) {
+		const struct cell_stopping *s =
+		    &g_array_index(j->stopping, struct cell_stopping, i);
+		struct ogl_res all = {s->need.cpu_milli * s->count,
+		    s->need.mem_mb * s->count, s->need.accel * s->count};
+
+		charge(o->fleet, j->stopping_team, &all);
+	}
+}
+
+void
+cell_owner_assume_stopping(struct cell_owner *o, struct cell_job *j)
+{
+	int64_t age_ms = o->wall / OGL_MS - (int64_t)j->ended_ms;
+
+	if (j->stopping == NULL || ABS(age_ms) > STOPPING_TIME_MAX_MS)
+		return;
+	j->stopping_charged = true;
+	charge_stopping(o, j, cell_fleet_team_charge);
+}
+
+void
+cell_owner_clear_stopping(struct cell_owner *o, struct cell_job *j)
+{
+	if (j->stopping_charged)
+		charge_stopping(o, j, cell_fleet_team_uncharge);
+	j->stopping_charged = false;
+}
+
 static void
 clear_assumed_stage(struct cell_owner *o, struct cell_stage *st)
 {
@@ -256,6 +295,7 @@
 	    o->ops->ctx, "job_ms", (uint64_t)((now - j->accepted) / OGL_MS));
 	if (state == OGL__CELL_JOB_STATE__cell_completed)
 		cell_sched_job_completed(o->sched, j, now);
+	cell_job_note_stopping(j);
 	for (i = 0; i < j->occurrences->len; i++)
 		cell_owner_drop_occurrence(o, j, j->occurrences->pdata[i], now);
 	cell_job_clear(j);
@@ -523,6 +563,22 @@
 	return st;
 }
 
+/* Stops a run whose job is over or not known, or that another one has replaced. */
+static void
+stop_unneeded(struct cell_owner *o, struct cell_worker *w,
+    const struct cell_run_row *row, ogl_time now)
+{
+	const struct cell_job *j = cell_owner_job(o, row->task.id);
+	const struct ogl_res *need =
+	    j != NULL ? cell_job_stopping_need(j, row->task.step) : NULL;
+
+	if (need != NULL)
+		cell_fleet_stop_found(
+		    o->fleet, w, row, need, j->stopping_team, now);
+	else
+		cell_fleet_stop_orphan(o->fleet, w, row, now);
+}
+
 void
 cell_owner_run_found(void *arg, struct cell_worker *w,
     const struct cell_run_row *row, ogl_time now)
@@ -532,7 +588,7 @@
 	struct cell_task *t;
 
 	if (st == NULL) {
-		cell_fleet_stop_orphan(o->fleet, w, row, now);
+		stop_unneeded(o, w, row, now);
 		return;
 	}
 	t = &st->tasks[row->task.index];
--- a/cell/owner_takeover.c
+++ b/cell/owner_takeover.c
@@ -115,6 +115,7 @@
 		j = cell_job_new_ended(id, m);
 		j->end_stored = true;
 		g_hash_table_insert(o->jobs, j->id, j);
+		cell_owner_assume_stopping(o, j);
 	}
 }
 
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &ogl__cell_progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ogl__cell_stopping__init
+                     (Ogl__CellStopping         *message)
+{
+  static const Ogl__CellStopping init_value = OGL__CELL_STOPPING__INIT;
+  *message = init_value;
+}
+size_t ogl__cell_stopping__get_packed_size
+                     (const Ogl__CellStopping *message)
+{
+  assert(message->base.descriptor == &ogl__cell_stopping__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ogl__cell_stopping__pack
+                     (const Ogl__CellStopping *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ogl__cell_stopping__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ogl__cell_stopping__pack_to_buffer
+                     (const Ogl__CellStopping *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ogl__cell_stopping__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ogl__CellStopping *
+       ogl__cell_stopping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ogl__CellStopping *)
+     protobuf_c_message_unpack (&ogl__cell_stopping__descriptor,
+                                allocator, len, data);
+}
+void   ogl__cell_stopping__free_unpacked
+                     (Ogl__CellStopping *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ogl__cell_stopping__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ogl__cell_done__init
                      (Ogl__CellDone         *message)
 {
@@ -1972,7 +2017,7 @@
   (ProtobufCMessageInit) ogl__cell_mark__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_progress__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ogl__cell_progress__field_descriptors[8] =
 {
   {
     "state",
@@ -2046,6 +2091,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "team",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellProgress, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stopping",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ogl__CellProgress, n_stopping),
+    offsetof(Ogl__CellProgress, stopping),
+    &ogl__cell_stopping__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_progress__field_indices_by_name[] = {
   2,   /* field[2] = begun */
@@ -2054,11 +2123,13 @@
   3,   /* field[3] = finished */
   4,   /* field[4] = marks */
   0,   /* field[0] = state */
+  7,   /* field[7] = stopping */
+  6,   /* field[6] = team */
 };
 static const ProtobufCIntRange ogl__cell_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ogl__cell_progress__descriptor =
 {
@@ -2068,13 +2139,103 @@
   "Ogl__CellProgress",
   "ogl",
   sizeof(Ogl__CellProgress),
-  6,
+  8,
   ogl__cell_progress__field_descriptors,
   ogl__cell_progress__field_indices_by_name,
   1,  ogl__cell_progress__number_ranges,
   (ProtobufCMessageInit) ogl__cell_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ogl__cell_stopping__field_descriptors[5] =
+{
+  {
+    "step",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellStopping, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellStopping, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_milli",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellStopping, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mem_mb",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellStopping, mem_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accel",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellStopping, accel),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ogl__cell_stopping__field_indices_by_name[] = {
+  4,   /* field[4] = accel */
+  1,   /* field[1] = count */
+  2,   /* field[2] = cpu_milli */
+  3,   /* field[3] = mem_mb */
+  0,   /* field[0] = step */
+};
+static const ProtobufCIntRange ogl__cell_stopping__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor ogl__cell_stopping__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ogl.CellStopping",
+  "CellStopping",
+  "Ogl__CellStopping",
+  "ogl",
+  sizeof(Ogl__CellStopping),
+  5,
+  ogl__cell_stopping__field_descriptors,
+  ogl__cell_stopping__field_indices_by_name,
+  1,  ogl__cell_stopping__number_ranges,
+  (ProtobufCMessageInit) ogl__cell_stopping__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ogl__cell_done__field_descriptors[3] =
 {
   {
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Ogl__CellJob Ogl__CellJob;
 typedef struct Ogl__CellMark Ogl__CellMark;
 typedef struct Ogl__CellProgress Ogl__CellProgress;
+typedef struct Ogl__CellStopping Ogl__CellStopping;
 typedef struct Ogl__CellDone Ogl__CellDone;
 typedef struct Ogl__CellKnown Ogl__CellKnown;
 typedef struct Ogl__CellKnownTask Ogl__CellKnownTask;
@@ -339,10 +340,36 @@
    */
   size_t n_done;
   Ogl__CellDone **done;
+  /*
+   * Of an ended job: its team, and its tasks that were still being stopped.
+   */
+  char *team;
+  size_t n_stopping;
+  Ogl__CellStopping **stopping;
 };
 #define OGL__CELL_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_progress__descriptor) \
-    , OGL__CELL_JOB_STATE__cell_queued, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , OGL__CELL_JOB_STATE__cell_queued, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL }
+
+
+/*
+ * Tasks of one step of an ended job that were still being stopped.
+ */
+struct  Ogl__CellStopping
+{
+  ProtobufCMessage base;
+  uint32_t step;
+  uint32_t count;
+  /*
+   * Resources that one task uses.
+   */
+  uint32_t cpu_milli;
+  uint32_t mem_mb;
+  uint32_t accel;
+};
+#define OGL__CELL_STOPPING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_stopping__descriptor) \
+    , 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1133,6 +1160,25 @@
 void   ogl__cell_progress__free_unpacked
                      (Ogl__CellProgress *message,
                       ProtobufCAllocator *allocator);
+/* Ogl__CellStopping methods */
+void   ogl__cell_stopping__init
+                     (Ogl__CellStopping         *message);
+size_t ogl__cell_stopping__get_packed_size
+                     (const Ogl__CellStopping   *message);
+size_t ogl__cell_stopping__pack
+                     (const Ogl__CellStopping   *message,
+                      uint8_t             *out);
+size_t ogl__cell_stopping__pack_to_buffer
+                     (const Ogl__CellStopping   *message,
+                      ProtobufCBuffer     *buffer);
+Ogl__CellStopping *
+       ogl__cell_stopping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ogl__cell_stopping__free_unpacked
+                     (Ogl__CellStopping *message,
+                      ProtobufCAllocator *allocator);
 /* Ogl__CellDone methods */
 void   ogl__cell_done__init
                      (Ogl__CellDone         *message);
@@ -1606,6 +1652,9 @@
 typedef void (*Ogl__CellProgress_Closure)
                  (const Ogl__CellProgress *message,
                   void *closure_data);
+typedef void (*Ogl__CellStopping_Closure)
+                 (const Ogl__CellStopping *message,
+                  void *closure_data);
 typedef void (*Ogl__CellDone_Closure)
                  (const Ogl__CellDone *message,
                   void *closure_data);
@@ -1695,6 +1744,7 @@
 extern const ProtobufCMessageDescriptor ogl__cell_job__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_mark__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_progress__descriptor;
+extern const ProtobufCMessageDescriptor ogl__cell_stopping__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_done__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_known__descriptor;
 extern const ProtobufCMessageDescriptor ogl__cell_known_task__descriptor;
