owner: a cancelled job's tasks that may be running keep counting

A team could exceed its limit (QUOTA) when a job was cancelled shortly after a takeover while a worker with some of its tasks had not answered the new owner: dropping the stage took them off the team's account although nobody had stopped them.

Change: they are kept with the job's end, as those of an earlier owner are, and count until all leases of earlier owners have expired.

--- a/cell/job.c
+++ b/cell/job.c
@@ -237,32 +237,15 @@
 /* ---- what outlasts the end of a job ------------------------------------- */
 
 static void
-add_stopping(struct cell_job *j, const char *team, uint32_t step,
-    uint32_t count, const struct ogl_res *need)
+add_stopping(
+    struct cell_job *j, const char *team, const struct cell_stopping *s)
 {
-	struct cell_stopping s = {step, count, *need};
-
 	if (j->stopping == NULL) {
 		j->stopping =
 		    g_array_new(FALSE, FALSE, sizeof(struct cell_stopping));
 		j->stopping_team = g_strdup(team);
 	}
-	g_array_append_val(j->stopping, s);
-}
-
-static uint32_t
-running_tasks(const struct cell_stage *st)
-{
-	uint32_t n = 0;
-	uint32_t i;
-
-	for (i = 0; i < st->ntasks; i++) {
-		const struct cell_task *t = &st->tasks[i];
-
-		n += (t->active != NULL || t->assumed_running) +
-		     (t->copy != NULL);
-	}
-	return n;
+	g_array_append_val(j->stopping, *s);
 }
 
 void
@@ -270,17 +253,26 @@
 {
 	guint i;
 	size_t k;
+	uint32_t n;
 
 	for (i = 0; i < j->occurrences->len; i++) {
 		struct cell_occurrence *o = j->occurrences->pdata[i];
 
 		for (k = 0; k < j->def->n_steps; k++) {
-			struct ogl_res need = cell_stage_need(&o->stages[k]);
-			uint32_t n = running_tasks(&o->stages[k]);
+			const struct cell_stage *st = &o->stages[k];
+			struct cell_stopping s = {
+			    .step = (uint32_t)k, .need = cell_stage_need(st)};
 
-			if (n > 0)
-				add_stopping(
-				    j, j->def->team, (uint32_t)k, n, &need);
+			for (n = 0; n < st->ntasks; n++) {
+				const struct cell_task *t = &st->tasks[n];
+
+				s.assumed += t->assumed_running;
+				s.count += t->assumed_running +
+					   (t->active != NULL) +
+					   (t->copy != NULL);
+			}
+			if (s.count > 0)
+				add_stopping(j, j->def->team, &s);
 		}
 	}
 }
@@ -332,9 +324,11 @@
 	j->stored = true;
 	for (i = 0; i < p->n_stopping; i++) {
 		const Ogl__CellStopping *m = p->stopping[i];
+		struct cell_stopping s = {.step = m->step,
+		    .count = m->count,
+		    .need = {m->cpu_milli, m->mem_mb, m->accel}};
 
-		add_stopping(j, p->team, m->step, m->count,
-		    &(struct ogl_res){m->cpu_milli, m->mem_mb, m->accel});
+		add_stopping(j, p->team, &s);
 	}
 	return j;
 }
--- a/cell/job.h
+++ b/cell/job.h
@@ -112,6 +112,7 @@
 struct cell_stopping {
 	uint32_t step;
 	uint32_t count;
+	uint32_t assumed;    /* of these, charged to the team without a run */
 	struct ogl_res need; /* of one task */
 };
 
@@ -161,7 +162,7 @@
 	 * that a successor counts it; NULL none. */
 	char *stopping_team;
 	GArray *stopping;                /* struct cell_stopping */
-	bool stopping_charged;           /* to the team, after a takeover */
+	bool ended_here;                 /* ended under this owner */
 	uint64_t queue_config_version;   /* version of queue_config */
 	struct cell_queue *queue_config; /* NULL not looked up yet */
 	/* Whether tasks without a known run may be started, because this owner
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -434,7 +434,8 @@
 
 		j->settled = true;
 		clear_assumed_job(o, j, now);
-		cell_owner_clear_stopping(o, j);
+		if (!j->ended_here)
+			cell_owner_clear_stopping(o, j);
 	}
 	g_snprintf(text, sizeof text, "shard=%u epoch=%" G_GUINT64_FORMAT,
 	    o->params.shard, o->epoch);
@@ -541,10 +542,13 @@
 	for (at = all; at != NULL; at = at->next) {
 		struct cell_job *j = at->data;
 
-		if (cell_job_state_ended(j->state))
-			forget_ended(o, j, now);
-		else
+		if (!cell_job_state_ended(j->state)) {
 			sweep_job(o, j, now);
+			continue;
+		}
+		if (now > cell_fleet_old_leases_end(o->fleet))
+			cell_owner_clear_stopping(o, j);
+		forget_ended(o, j, now);
 	}
 	g_list_free(all);
 	if (o->settled && now > cell_fleet_old_leases_end(o->fleet))
--- a/cell/owner_jobs.c
+++ b/cell/owner_jobs.c
@@ -174,7 +174,7 @@
 	cell_fleet_team_uncharge(o->fleet, st->job->def->team, &need);
 }
 
-/* Applies charge to all that the ended job may still have running. */
+/* Applies charge to what is assumed to run of the ended job. */
 static void
 charge_stopping(struct cell_owner *o, const struct cell_job *j,
     void (*charge)(struct cell_fleet *, const char *, const struct ogl_res *))
@@ -184,8 +184,8 @@
 	for (i = 0; i < j->stopping->len; i++) {
 		const struct cell_stopping *s =
 		    &g_array_index(j->stopping, struct cell_stopping, i);
-		struct ogl_res all = {s->need.cpu_milli * s->count,
-		    s->need.mem_mb * s->count, s->need.accel * s->count};
+		struct ogl_res all = {s->need.cpu_milli * s->assumed,
+		    s->need.mem_mb * s->assumed, s->need.accel * s->assumed};
 
 		charge(o->fleet, j->stopping_team, &all);
 	}
@@ -195,19 +195,29 @@
 cell_owner_assume_stopping(struct cell_owner *o, struct cell_job *j)
 {
 	int64_t age_ms = o->wall / OGL_MS - (int64_t)j->ended_ms;
+	guint i;
 
 	if (j->stopping == NULL || ABS(age_ms) > STOPPING_TIME_MAX_MS)
 		return;
-	j->stopping_charged = true;
+	for (i = 0; i < j->stopping->len; i++) {
+		struct cell_stopping *s =
+		    &g_array_index(j->stopping, struct cell_stopping, i);
+
+		s->assumed = s->count;
+	}
 	charge_stopping(o, j, cell_fleet_team_charge);
 }
 
 void
 cell_owner_clear_stopping(struct cell_owner *o, struct cell_job *j)
 {
-	if (j->stopping_charged)
-		charge_stopping(o, j, cell_fleet_team_uncharge);
-	j->stopping_charged = false;
+	guint i;
+
+	if (j->stopping == NULL)
+		return;
+	charge_stopping(o, j, cell_fleet_team_uncharge);
+	for (i = 0; i < j->stopping->len; i++)
+		g_array_index(j->stopping, struct cell_stopping, i).assumed = 0;
 }
 
 static void
@@ -298,7 +308,10 @@
 	cell_job_note_stopping(j);
 	for (i = 0; i < j->occurrences->len; i++)
 		cell_owner_drop_occurrence(o, j, j->occurrences->pdata[i], now);
+	if (j->stopping != NULL)
+		charge_stopping(o, j, cell_fleet_team_charge);
 	cell_job_clear(j);
+	j->ended_here = true;
 	j->state = state;
 	j->ended_ms = (uint64_t)(o->wall / OGL_MS);
 	j->drop_def = true;
