test: seeds with series of faults

The simulated cell could not show them: its store was never slow, workers that refuse connections had ended, clocks were exact, and no job was submitted again and cancelled around the time at which the store answers.

--- a/test/test_cell_seeds.cc
+++ b/test/test_cell_seeds.cc
@@ -25,7 +25,7 @@
       public:
 	explicit FaultRun(unsigned seed, unsigned shards = 1,
 	    bool stops_nodes = false, unsigned link_kbps = 0,
-	    unsigned zones = 1)
+	    unsigned zones = 1, bool slow_clocks = false)
 	    : rand_(seed), stops_nodes_(stops_nodes), zones_(zones)
 	{
 		shape_.nodes = 2 + random_below(4);
@@ -35,6 +35,7 @@
 		shape_.crashed_refuse = stops_nodes;
 		shape_.seed = seed;
 		shape_.link_kbps = link_kbps;
+		shape_.slow_clocks = slow_clocks;
 		shape_.zones = zones;
 		shape_.page_records = zones > 1 ? 1 + seed % 3 : 0;
 		shape_.needs_advice = random_below(2) == 0;
@@ -66,6 +67,36 @@
 		}
 	}
 
+	/* Faults that follow each other as random ones rarely do. */
+	void run_series(unsigned count)
+	{
+		for (unsigned i = 0; i < count; i++) {
+			switch (random_below(3)) {
+			case 0:
+				store_slow_then_refusing();
+				break;
+			case 1:
+				workers_refuse_connections();
+				break;
+			default:
+				idle_then_cut_off();
+				break;
+			}
+			if (random_below(3) == 0)
+				inject_fault();
+			turns(1 + random_below(8));
+			kill_stopped();
+			for (unsigned n = 0; n < shape_.nodes; n++) {
+				fake_cell_boot(cell_, n);
+				fake_cell_freeze(cell_, n, false);
+			}
+			fake_cell_set_store_fault(cell_, -1, FAKE_STORE_OK);
+			for (unsigned w = 0; w < shape_.workers; w++)
+				fake_cell_set_worker_fault(
+				    cell_, w, FAKE_WORKER_OK);
+		}
+	}
+
 	std::string settle()
 	{
 		kill_stopped();
@@ -153,9 +184,10 @@
 		snprintf(id, sizeof id, "%016x", ++last_job_);
 		fake_cell_submit(
 		    cell_, random_below(shape_.nodes), id, nullptr, s, n);
-		if (last_job_ > 1 && random_below(6) == 0) {
+		if (last_job_ > first_job_ + 1 && random_below(6) == 0) {
 			snprintf(id, sizeof id, "%016x",
-			    1 + random_below(last_job_));
+			    first_job_ + 1 +
+				random_below(last_job_ - first_job_));
 			if (random_below(2) == 0)
 				fake_cell_cancel(
 				    cell_, random_below(shape_.nodes), id);
@@ -166,6 +198,134 @@
 		}
 	}
 
+	/* Submits jobs as callers do who do not wait long: each is sent again
+	 * to other nodes, and some are cancelled soon. */
+	void turns(unsigned count)
+	{
+		char id[17];
+
+		for (unsigned i = 0; i < count; i++) {
+			struct fake_step none = {};
+
+			submit();
+			for (unsigned k = random_below(4); k > 0; k--) {
+				fake_cell_advance(cell_, random_below(200));
+				snprintf(id, sizeof id, "%016x", last_job_);
+				fake_cell_submit(cell_,
+				    random_below(shape_.nodes), id, nullptr,
+				    &none, 1);
+			}
+			if (random_below(2) == 0) {
+				fake_cell_advance(cell_, random_below(200));
+				snprintf(id, sizeof id, "%016x",
+				    last_job_ -
+					random_below(std::min(
+					    last_job_ - first_job_, 4u)));
+				fake_cell_cancel(
+				    cell_, random_below(shape_.nodes), id);
+			}
+			fake_cell_advance(cell_, random_below(200));
+		}
+	}
+
+	/* Many jobs at once, each of which is submitted and cancelled around
+	 * the time at which the store answers. */
+	void burst(unsigned count)
+	{
+		struct fake_step none = {};
+		char id[17];
+
+		for (unsigned i = 0; i < count; i++) {
+			submit();
+			for (unsigned k = 0; k < 2; k++) {
+				snprintf(id, sizeof id, "%016x",
+				    last_job_ -
+					random_below(std::min(
+					    last_job_ - first_job_, 12u)));
+				if (random_below(3) == 0)
+					fake_cell_cancel(cell_,
+					    random_below(shape_.nodes), id);
+				else
+					fake_cell_submit(cell_,
+					    random_below(shape_.nodes), id,
+					    nullptr, &none, 1);
+			}
+			fake_cell_advance(cell_, random_below(50));
+		}
+	}
+
+	void store_slow_then_refusing()
+	{
+		fake_cell_set_store_fault(cell_, -1, FAKE_STORE_SLOW);
+		burst(20 + random_below(20));
+		fake_cell_set_store_fault(cell_, -1, FAKE_STORE_REFUSING);
+		burst(5 + random_below(10));
+		fake_cell_set_store_fault(cell_, -1, FAKE_STORE_OK);
+		turns(random_below(10));
+		fake_cell_kill(cell_, pick_node());
+	}
+
+	void workers_refuse_connections()
+	{
+		for (unsigned i = 1 + random_below(2); i > 0; i--)
+			fake_cell_set_worker_fault(cell_,
+			    random_below(shape_.workers), FAKE_WORKER_REFUSING);
+		if (random_below(2) == 0)
+			fake_cell_kill(cell_, pick_node());
+		turns(random_below(10));
+		if (random_below(2) == 0)
+			fake_cell_kill(cell_, pick_node());
+		fake_cell_advance(cell_, random_below(7000));
+	}
+
+	/* The owner changes right after work has come again, and a worker that
+	 * got some can't be reached any more.  Jobs that are over by then are
+	 * forgotten. */
+	void idle_then_cut_off()
+	{
+		fake_cell_advance(cell_, 4000); /* all calls are answered */
+		fake_cell_settle(cell_, 120000);
+		first_job_ = last_job_;
+		fake_cell_advance(cell_, random_below(300) * 1000);
+		submit_long();
+		turns(random_below(3));
+		replace_owner();
+		fake_cell_advance(cell_, random_below(1500));
+		for (unsigned i = 1 + random_below(3); i > 0; i--)
+			fake_cell_set_worker_fault(cell_,
+			    random_below(shape_.workers),
+			    FAKE_WORKER_UNREACHABLE);
+		fake_cell_advance(cell_, random_below(12000));
+	}
+
+	/* Submits a job whose tasks run for longer than a lease. */
+	void submit_long()
+	{
+		struct fake_step s = {};
+		char id[17];
+
+		s.count = shape_.workers;
+		s.cpu_milli = 3000;
+		s.run_ms = 15000;
+		s.after = -1;
+		snprintf(id, sizeof id, "%016x", ++last_job_);
+		fake_cell_submit(
+		    cell_, random_below(shape_.nodes), id, nullptr, &s, 1);
+		fake_cell_advance(cell_, 100 + random_below(400));
+	}
+
+	void replace_owner()
+	{
+		unsigned i = pick_node();
+
+		if (random_below(2) == 0) {
+			fake_cell_kill(cell_, i);
+			return;
+		}
+		fake_cell_stop(cell_, i);
+		stopped_.push_back(i);
+	}
+
 	/* Ends the stopped nodes: their time to stop is over, whatever they
 	 * still do. */
 	void kill_stopped()
@@ -270,6 +430,7 @@
 	struct fake_cell_params shape_ = {};
 	struct fake_cell *cell_ = nullptr;
 	unsigned last_job_ = 0;
+	unsigned first_job_ = 0; /* jobs up to this are over */
 	bool stops_nodes_;
 	unsigned zones_;
 	std::vector<unsigned> stopped_;
@@ -435,6 +596,25 @@
 	}
 }
 
+/* Guards against changes that are lost when the store is slow and then refuses,
+ * against tasks that run twice while connections to their worker are refused,
+ * and against leases that a slow clock makes too long. */
+TEST(CellSeeds, InvariantsHoldInSeriesOfFaults)
+{
+	unsigned one = from_env("OGL_SERIES_SEED", 0);
+	unsigned seeds = one != 0 ? 1 : from_env("OGL_SERIES_SEEDS", 60);
+	unsigned first = from_env("OGL_SEED_FIRST", 1000);
+
+	for (unsigned i = 0; i < seeds; i++) {
+		unsigned seed = one != 0 ? one : first + i;
+		FaultRun fault_run(
+		    seed, 1 + seed % 2, false, 0, 1, seed % 3 != 0);
+
+		fault_run.run_series(8);
+		EXPECT_EQ("", fault_run.settle()) << "OGL_SERIES_SEED=" << seed;
+	}
+}
+
 /* Cells of two and three shards, whose owners change independently. */
 TEST(CellSeeds, InvariantsHoldWithShards)
 {
