--- a/cell/journal.c
+++ b/cell/journal.c
@@ -367,11 +367,21 @@
 	return head != NULL ? head->data : NULL;
 }
 
+static bool
+nothing_marked(const struct cell_journal *g)
+{
+	return g->marked->len == 0 && g_hash_table_size(g->other_records) == 0;
+}
+
 bool
 cell_journal_failing(const struct cell_journal *g, ogl_time now)
 {
 	const struct batch *b = oldest_batch(g);
 
+	/* With nothing to write no append can show that the store has
+	 * recovered.  The next submission is the one that tries. */
+	if (b == NULL && nothing_marked(g))
+		return false;
 	if (g->failing_since != 0 && now - g->failing_since > FAILING_TIMEOUT)
 		return true;
 	return b != NULL && b->in_flight > 0 &&
@@ -379,12 +389,6 @@
 		   MAX(FAILING_TIMEOUT, FAILING_FACTOR * g->last_latency);
 }
 
-static bool
-nothing_marked(const struct cell_journal *g)
-{
-	return g->marked->len == 0 && g_hash_table_size(g->other_records) == 0;
-}
-
 bool
 cell_journal_idle(const struct cell_journal *g)
 {
--- a/test/test_cell_journal.cc
+++ b/test/test_cell_journal.cc
@@ -269,6 +269,25 @@
 	EXPECT_EQ(std::vector<cell_store_result>{CELL_STORED}, change);
 }
 
+/* Guards against an owner that refuses all jobs for good after an outage: the
+ * refused submissions were all that it had to write. */
+TEST_F(Journal, IsNotFailingWithNothingToWrite)
+{
+	std::vector<cell_store_result> refused, next;
+
+	submit(job(), &refused);
+	step();
+	answer(OGL_IO_REFUSED);
+	now_ += kSecond;
+	EXPECT_FALSE(cell_journal_failing(journal_, now_));
+	submit(job(), &next);
+	EXPECT_TRUE(cell_journal_failing(journal_, now_));
+	step();
+	answer(OGL_IO_OK);
+	EXPECT_EQ(std::vector<cell_store_result>{CELL_STORED}, next);
+	EXPECT_FALSE(cell_journal_failing(journal_, now_));
+}
+
 /* Guards against a cancel that is told as stored and lost when the submission
  * of its job is refused. */
 TEST_F(Journal, RefusalKeepsTheCancelOfAJobNotYetStored)
