soak: a slow store that then refuses, workers that refuse connections, slow clocks

The soak's proxies reset connections but never refused them, its store was never slow, and its workers' clocks were exact.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -3,10 +3,10 @@
     soak/soak.py BUILD --seed N [--seconds S] [--nodes N] [--workers N] [--keep DIR]
 
 Nodes reach the store and the workers through loopback proxies that delay, drop
-or reset traffic or drop it in one direction.  Node processes get SIGKILL,
+or reset traffic, drop it in one direction or refuse connections.  Node processes get SIGKILL,
 SIGSTOP, SIGCONT, SIGTERM and SIGHUP and are restarted.  The store refuses
-requests, loses answers and executes writes late.  Workers crash, restart, fail
-all tasks and answer late.  Callers reuse their connections while the node runs.
+requests, is slow, loses answers and executes writes late.  Workers crash,
+restart, fail all tasks and answer late; their clocks are up to 2% slow.  Callers reuse their connections while the node runs.
 At the end all faults are removed and each accepted job has to end.  The exit
 status is 0 if there was no violation.
 """
@@ -35,11 +35,17 @@
         self.target, self.mode, self.writers = target, "pass", set()
 
     async def start(self, host, port):
-        await asyncio.start_server(self.serve, host, port)
+        self.address = host, port
+        self.server = await asyncio.start_server(self.serve, host, port)
 
     def set_mode(self, mode):
+        if (mode == "refuse") != (self.mode == "refuse"):
+            if mode == "refuse":
+                self.server.close()
+            else:
+                asyncio.ensure_future(self.start(*self.address))
         self.mode = mode
-        if mode == "reset":
+        if mode in ("reset", "refuse"):
             for writer in list(self.writers):
                 writer.transport.abort()
 
@@ -59,7 +65,7 @@
         writer.close()
 
     async def serve(self, reader, writer):
-        if self.mode == "reset":
+        if self.mode in ("reset", "refuse"):
             writer.transport.abort()
             return
         self.writers.add(writer)
@@ -160,6 +166,7 @@
     def __init__(self, a):
         self.rand = random.Random(a.seed)
         self.zone_rand = random.Random(a.seed + 1)
+        self.series_rand = random.Random(a.seed + 2)
         self.build, self.dir = a.build, a.keep or tempfile.mkdtemp()
         self.subnet = a.seed % 200
         self.port = 21000 + (a.seed % 50) * 20
@@ -284,10 +291,10 @@
                 r.choice(["silent", "reset", "oneway", "delay"])
             )
         elif kind == 5:
-            self.platform.store.mode = r.choice(["busy", "losing", "late"])
+            self.platform.store.mode = r.choice(["busy", "losing", "late", "slow"])
         elif kind == 6:
             self.proxies[i].set_mode(
-                r.choice(["silent", "reset", "oneway", "delay"])
+                r.choice(["silent", "reset", "refuse", "oneway", "delay"])
             )
         elif kind == 7:
             worker.mode = r.choice(["failing", "late"])
@@ -316,9 +323,42 @@
         if r.random() < 0.2:
             await self.platform.evacuate(r.choice(ZONES), r.random() < 0.6)
 
+    async def store_slow_then_refusing(self):
+        r, store = self.series_rand, self.platform.store
+        store.mode = "slow"
+        await asyncio.sleep(r.uniform(0.4, 1))
+        store.mode = "busy"
+        await asyncio.sleep(r.uniform(0.5, 1.5))
+        store.mode = "normal"
+        await asyncio.sleep(r.uniform(0.2, 2))
+        r.choice(self.nodes).signal(signal.SIGKILL)
+
+    async def workers_refuse_connections(self):
+        r = self.series_rand
+        proxies = r.sample(self.proxies, min(2, len(self.proxies)))
+        for p in proxies:
+            p.set_mode("refuse")
+        if r.random() < 0.5:
+            r.choice(self.nodes).signal(signal.SIGKILL)
+        await asyncio.sleep(r.uniform(1, 4))
+        for p in proxies:
+            p.set_mode("pass")
+
+    async def inject_series(self):
+        """Faults that follow each other as random ones rarely do."""
+        if self.series_rand.random() > 0.25:
+            return
+        self.platform.last_fault = w.now()
+        if self.series_rand.random() < 0.5:
+            await self.store_slow_then_refusing()
+        else:
+            await self.workers_refuse_connections()
+        self.platform.last_fault = w.now()
+
     async def inject_faults(self, until):
         while w.now() < until:
             await asyncio.sleep(self.rand.uniform(0.2, 1.2))
+            await self.inject_series()
             await self.evacuate_zones()
             for _ in range(self.rand.randint(0, 2)):
                 await self.inject_fault()
--- a/soak/world.py
+++ b/soak/world.py
@@ -15,6 +15,7 @@
 LEASE_MAX_MS = 10000
 TASK_STOP_S = 0.2
 TICKET_VALID_MS = 2500
+SLOW_STORE_S = 0.25  # time of an append to a slow store
 EVACUATION_BOUND_S = 5  # from an evacuation's record to the last start there
 FAULT_SETTLE_S = 4  # after a fault, until that bound holds again
 
@@ -92,7 +93,7 @@
     def __init__(self, rand):
         self.rand = rand
         self.topics = {}
-        self.mode = "normal"  # or busy, losing, late
+        self.mode = "normal"  # or busy, losing, late, slow
 
     def topic(self, name):
         return self.topics.setdefault(name, Stream())
@@ -131,6 +132,8 @@
     async def append(self, q, body):
         if self.mode == "busy":
             return answer(503, {})
+        if self.mode == "slow":
+            await asyncio.sleep(SLOW_STORE_S)
         if self.mode in ("losing", "late") and self.rand.random() < 0.4:
             if self.mode == "late":
                 asyncio.get_running_loop().call_later(
@@ -213,6 +216,7 @@
         self.platform, self.id, self.addr = platform, worker_id, addr
         self.zone = zone
         self.mode = "normal"  # or failing, late, crashed
+        self.clock_rate = 1 - len(platform.workers) % 3 * 0.01
         self.new_incarnation()
 
     def new_incarnation(self):
@@ -223,7 +227,7 @@
         self.end_event = asyncio.Event()
 
     def clock(self):
-        return 1000 + int((now() - self.started_at) * 1000)
+        return 1000 + int((now() - self.started_at) * 1000 * self.clock_rate)
 
     def end_run(self, run, how):
         if self.runs.pop((run.name, run.number), None) is None:
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -44,7 +44,7 @@
 fi
 # A short soak: real node processes under injected faults, with a fixed seed.
 if [ -z "$pick" ]; then
-	if out=$(python3 soak/soak.py "$b" --seed 3 --seconds 6 2>&1); then
+	if out=$(python3 soak/soak.py "$b" --seed 3 --seconds 20 2>&1); then
 		pass=$((pass + 1))
 	else
 		fail=$((fail + 1))
