--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -17,10 +17,9 @@
  *
  * A worker that does not answer may keep running its tasks until the last lease
  * asked for ends by its own clock (lease.h).  Until then its runs count as
- * running.  Refused or reset
- * connections show nothing more: the network may refuse them for a worker that
- * runs on.  Only when another incarnation or worker answers at its address has
- * the worker ended, and its runs with it.
+ * running.  Refused or reset connections show nothing more: the network may
+ * refuse them for a worker that runs on.  Only when another incarnation or
+ * worker answers at its address has the worker ended, and its runs with it.
  */
 
 #include <string.h>
