--- a/soak/soak.py
+++ b/soak/soak.py
@@ -3,10 +3,12 @@
     soak/soak.py BUILD --seed N [--seconds S] [--nodes N] [--workers N] [--keep DIR]
 
 Nodes reach the store and the workers through loopback proxies that delay, drop
-or reset traffic, drop it in one direction or refuse connections.  Node processes get SIGKILL,
+or reset traffic, drop it in one direction or refuse connections.  Node
+processes get SIGKILL,
 SIGSTOP, SIGCONT, SIGTERM and SIGHUP and are restarted.  The store refuses
 requests, is slow, loses answers and executes writes late.  Workers crash,
-restart, fail all tasks and answer late; their clocks are up to 2% slow.  Callers reuse their connections while the node runs.
+restart, fail all tasks and answer late; their clocks are up to 2% slow.
+Callers reuse their connections while the node runs.
 At the end all faults are removed and each accepted job has to end.  The exit
 status is 0 if there was no violation.
 """
