fake cell: a wake that was replaced no longer steps the node

A wake that fires before the time that the node waits for is dropped; that time has a wake of its own.

--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -2422,6 +2422,8 @@
 {
 	struct node *n = arg;
 
+	if (f->now < n->wake_at)
+		return; /* replaced by a later wake */
 	n->wake_at = OGL_NEVER;
 	step_node(f, n);
 }
