fake cell: parts of the network, cuts in one direction, faults of single links

Cuts had two sides at most and lost what was sent either way. Nodes and workers can now be moved to any part; cuts can lose only what leaves or only what enters a part; a node's link to a worker can be cut alone, lose answers, or bridge a cut. The store drops the entry of a worker that it has not heard for three heartbeats, and lists it again within 2 s of its return. A worker that restarts or drains while it is cut off writes its entry once it is back, restarted workers no longer drain, and a node on the far side of a cut is not known to refuse connections. The checks are unchanged.

--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -21,6 +21,8 @@
 #define TICKET_VALID_MS 2500
 #define ADVICE_DELAY_US 8000 /* for a question without workers */
 #define HEARTBEAT_INTERVAL (1500 * OGL_MS)
+/* The store drops the entry of a worker that it has not heard for this long. */
+#define ENTRY_EXPIRES_AFTER (3 * HEARTBEAT_INTERVAL)
 #define API_KEY "key-one"
 #define QUEUE_HOST "cell.example"
 #define QUEUE_PATH "/q/" /* for rank 0; /q1/ and /q2/ for the other ranks */
@@ -75,7 +77,8 @@
 	uint32_t step_ms;       /* duration of one step */
 	ogl_time busy_until;    /* end of the last step */
 	bool last_peer_refused; /* the last message met a peer that was down */
-	bool cut_off;           /* reaches only what is cut off too */
+	unsigned island;        /* part of the network, 0 the main one */
+	uint8_t *links;         /* enum fake_link, by worker */
 	enum fake_store_fault store_fault;
 	ogl_time healthy_since;   /* running, and served by the store */
 	ogl_time send_busy_until; /* when the link has sent all it was given */
@@ -157,7 +160,11 @@
 	uint64_t lease_lapsed_ms; /* last end of a lease that ran out */
 	bool up;
 	bool draining;
-	bool cut_off; /* reached only by nodes that are cut off too */
+	unsigned island; /* part of the network, 0 the main one */
+	bool
+	    entry_outdated; /* the store's entry, and no new one is on its way */
+	bool entry_expired;
+	ogl_time heard_at; /* when the store could last hear the worker */
 	enum fake_worker_fault fault;
 	GPtrArray *runs;  /* struct run */
 	GPtrArray *ended; /* struct ended */
@@ -205,6 +212,7 @@
 	unsigned queue_rank;    /* of the queue that jobs are submitted to */
 	struct node *nodes;     /* shape.nodes of them */
 	struct worker *workers; /* shape.workers of them */
+	enum fake_cut cut;      /* which messages the cuts lose */
 	struct stream streams[CELL_NSTREAMS][CELL_SHARDS_MAX];
 	GHashTable *jobs;            /* id -> struct job */
 	GHashTable *caller_requests; /* token -> struct job */
@@ -497,11 +505,33 @@
 	return n;
 }
 
-/* Whether the call's two ends are on the same side of a cut. */
+/* Whether a message from one part of the network to another is lost. */
 static bool
-same_side(const struct call *c)
+cut_between(const struct fake_cell *f, unsigned from, unsigned to)
 {
-	return c->node->cut_off == (c->worker != NULL && c->worker->cut_off);
+	return from != to && ((from != 0 && f->cut != FAKE_CUT_INTO) ||
+				 (to != 0 && f->cut != FAKE_CUT_OUT_OF));
+}
+
+static bool
+lost_at_cut(const struct call *c, bool answer)
+{
+	unsigned near = c->node->island;
+	unsigned far = c->worker != NULL ? c->worker->island : 0;
+	enum fake_link link =
+	    c->worker != NULL ? c->node->links[c->worker->index] : FAKE_LINK_OK;
+
+	switch (link) {
+	case FAKE_LINK_CUT:
+		return true;
+	case FAKE_LINK_LOSES_ANSWERS:
+		return answer;
+	case FAKE_LINK_BRIDGES_CUTS:
+		return false;
+	default:
+		return answer ? cut_between(c->cell, far, near)
+			      : cut_between(c->cell, near, far);
+	}
 }
 
 /* Posts the call's arrival, or its answer's, unless it is lost at a cut.
@@ -516,7 +546,7 @@
 		     : link_delay(f, &c->node->receive_busy_until,
 			   ANSWER_BYTES + c->answer_bytes);
 
-	if (!same_side(c))
+	if (lost_at_cut(c, node >= 0))
 		return;
 	c->refs++;
 	post(
@@ -1991,6 +2021,8 @@
 	c->worker_ids = g_ptr_array_new_with_free_func(g_free);
 	for (i = 0; i < a->n; i++)
 		g_ptr_array_add(c->worker_ids, g_strdup(a->workers[i]));
+	if (lost_at_cut(c, false))
+		return;
 	transmit(c,
 	    ADVICE_DELAY_US +
 		(ogl_time)a->n * f->shape.advice_worker_ms * OGL_MS,
@@ -2037,6 +2069,7 @@
 	ogl_time link_wait;
 	size_t bytes;
 	unsigned i;
+	bool cut;
 
 	from->peer_messages++;
 	g_hash_table_add(from->peers, g_strdup(addr));
@@ -2047,8 +2080,9 @@
 
 		if (strcmp(n->addr, addr) != 0)
 			continue;
-		from->last_peer_refused = !n->up;
-		if (!n->up || n->cut_off != from->cut_off)
+		cut = cut_between(f, from->island, n->island);
+		from->last_peer_refused = !n->up && !cut;
+		if (!n->up || cut)
 			continue;
 		p = g_new(struct peer_message, 1);
 		p->to = i;
@@ -2569,6 +2603,12 @@
 	return owner;
 }
 
+bool
+fake_cell_owns(const struct fake_cell *f, unsigned node, unsigned shard)
+{
+	return f->nodes[node].up && cell_node_owns(f->nodes[node].node, shard);
+}
+
 unsigned
 fake_cell_claim_count(const struct fake_cell *f, unsigned shard)
 {
@@ -2627,9 +2667,14 @@
 	put_text(f, CELL_SETTINGS, "config", g_string_free(s, FALSE));
 }
 
+/* A worker that does not reach the store writes its entry later. */
 static void
-put_entry(struct fake_cell *f, const struct worker *w)
+put_entry(struct fake_cell *f, struct worker *w)
 {
+	w->entry_outdated = cut_between(f, w->island, 0);
+	if (w->entry_outdated)
+		return;
+	w->entry_expired = false;
 	put_text(f, CELL_WORKERS, w->id,
 	    w->up ? g_strdup_printf("%s %s %" G_GUINT64_FORMAT " %d %s",
 			w->addr, w->rack, w->born_ms, w->draining, w->zone)
@@ -2794,6 +2839,7 @@
 void
 fake_cell_restart_worker(struct fake_cell *f, unsigned worker)
 {
+	f->workers[worker].draining = false;
 	lose_state(f, &f->workers[worker]);
 	put_entry(f, &f->workers[worker]);
 }
@@ -2808,13 +2854,44 @@
 void
 fake_cell_cut_off_node(struct fake_cell *f, unsigned node)
 {
-	f->nodes[node].cut_off = true;
+	fake_cell_move_node(f, node, 1);
 }
 
 void
 fake_cell_cut_off_worker(struct fake_cell *f, unsigned worker)
 {
-	f->workers[worker].cut_off = true;
+	fake_cell_move_worker(f, worker, 1);
+}
+
+void
+fake_cell_move_node(struct fake_cell *f, unsigned node, unsigned island)
+{
+	f->nodes[node].island = island;
+}
+
+void
+fake_cell_move_worker(struct fake_cell *f, unsigned worker, unsigned island)
+{
+	f->workers[worker].island = island;
+}
+
+unsigned
+fake_cell_node_island(const struct fake_cell *f, unsigned node)
+{
+	return f->nodes[node].island;
+}
+
+void
+fake_cell_set_cut(struct fake_cell *f, enum fake_cut cut)
+{
+	f->cut = cut;
+}
+
+void
+fake_cell_set_link(
+    struct fake_cell *f, unsigned node, unsigned worker, enum fake_link link)
+{
+	f->nodes[node].links[worker] = (uint8_t)link;
 }
 
 void
@@ -2822,10 +2899,35 @@
 {
 	unsigned i;
 
-	for (i = 0; i < f->shape.nodes; i++)
-		f->nodes[i].cut_off = false;
+	for (i = 0; i < f->shape.nodes; i++) {
+		f->nodes[i].island = 0;
+		memset(f->nodes[i].links, FAKE_LINK_OK, f->shape.workers);
+	}
 	for (i = 0; i < f->shape.workers; i++)
-		f->workers[i].cut_off = false;
+		f->workers[i].island = 0;
+	f->cut = FAKE_CUT_BOTH_WAYS;
+}
+
+/* Entries of workers that the store does not hear expire, and are written again
+ * within 2 s when it hears them. */
+static void
+update_entry(struct fake_cell *f, struct worker *w)
+{
+	if (cut_between(f, w->island, 0)) {
+		if (w->entry_expired ||
+		    f->now - w->heard_at <= ENTRY_EXPIRES_AFTER)
+			return;
+		w->entry_expired = true;
+		w->entry_outdated = true;
+		put_text(f, CELL_WORKERS, w->id, NULL);
+		return;
+	}
+	w->heard_at = f->now;
+	if (!w->entry_outdated)
+		return;
+	w->entry_outdated = false;
+	post(f, g_rand_int_range(f->rand, 200, 2000) * OGL_MS, -1,
+	    on_entry_restored, drop_nothing, w);
 }
 
 /* Leases run out by the worker's own clock, also while it is unreachable. */
@@ -2838,6 +2940,7 @@
 	for (i = 0; i < f->shape.workers; i++) {
 		struct worker *w = &f->workers[i];
 
+		update_entry(f, w);
 		while (w->runs->len > 0 &&
 		       worker_clock_ms(f, w) > w->lease_until_ms) {
 			struct run *r = w->runs->pdata[w->runs->len - 1];
@@ -2930,6 +3033,7 @@
 	n->index = i;
 	g_snprintf(n->addr, sizeof n->addr, "10.1.0.%u:7000", i);
 	g_snprintf(n->name, sizeof n->name, "n%u", i);
+	n->links = g_new0(uint8_t, f->shape.workers);
 	n->open_calls = g_hash_table_new(NULL, NULL);
 	n->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fill_ops(n);
@@ -3000,6 +3104,7 @@
 		fake_cell_kill(f, i);
 		g_hash_table_unref(f->nodes[i].open_calls);
 		g_hash_table_unref(f->nodes[i].peers);
+		g_free(f->nodes[i].links);
 	}
 	while (!g_sequence_is_empty(f->events)) {
 		GSequenceIter *first = g_sequence_get_begin_iter(f->events);
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -99,6 +99,8 @@
 /* Milliseconds until the node's link has received all that was sent to it. */
 int fake_cell_owner(const struct fake_cell *f, unsigned shard);
 /* The node that considers itself the shard's owner; -1 none, -2 several. */
+bool fake_cell_owns(const struct fake_cell *f, unsigned node, unsigned shard);
+/* Whether the node considers itself the shard's owner. */
 unsigned fake_cell_claim_count(const struct fake_cell *f, unsigned shard);
 /* How often ownership of the shard was won so far, the first time included. */
 unsigned fake_cell_known_shards(const struct fake_cell *f, unsigned node);
@@ -179,12 +181,39 @@
 
 /* ---- cuts of the network ---------------------------------------------- */
 
+/* Nodes and workers of the same part of the network reach each other; what is
+ * sent from one part to another is lost.  The store and the advice service are
+ * in part 0, where everything is at first.  Callers reach all nodes.  The store
+ * drops the entries of workers that it has not heard for 4.5 s. */
+void fake_cell_move_node(struct fake_cell *f, unsigned node, unsigned island);
+void fake_cell_move_worker(
+    struct fake_cell *f, unsigned worker, unsigned island);
+unsigned fake_cell_node_island(const struct fake_cell *f, unsigned node);
 void fake_cell_cut_off_node(struct fake_cell *f, unsigned node);
 void fake_cell_cut_off_worker(struct fake_cell *f, unsigned worker);
-/* Nodes and workers that are cut off reach each other and nothing else; what
- * is sent across the cut is lost.  Callers reach all nodes. */
+/* Moves it to part 1. */
+
+enum fake_cut {
+	FAKE_CUT_BOTH_WAYS,
+	FAKE_CUT_OUT_OF, /* only what leaves a part other than 0 is lost */
+	FAKE_CUT_INTO    /* only what enters such a part is lost */
+};
+
+void fake_cell_set_cut(struct fake_cell *f, enum fake_cut cut);
+/* Sets which messages all cuts lose; initially those of both ways. */
+
+enum fake_link {
+	FAKE_LINK_OK, /* as the parts of the network say */
+	FAKE_LINK_CUT,
+	FAKE_LINK_LOSES_ANSWERS, /* calls reach the worker */
+	FAKE_LINK_BRIDGES_CUTS   /* nothing is lost, whatever the parts */
+};
+
+void fake_cell_set_link(
+    struct fake_cell *f, unsigned node, unsigned worker, enum fake_link link);
+/* Sets what calls of the node to the worker meet. */
 void fake_cell_end_cut(struct fake_cell *f);
-/* Nothing is cut off any more. */
+/* Ends all cuts and faults of links. */
 
 /* ---- counters --------------------------------------------------------- */
 
