test: seeds with cuts of the network, and what one of them found

Owners that were replaced while they were cut off with some workers went on renewing leases and starting tasks there; no seed put an owner and workers on the same side of a cut. CellSeeds.InvariantsHoldDuringCuts does, for 0.5 to 14 s, in cells of 2 to 12 workers (12 to 31 with two shards), in one or both directions, alone and overlapping with the faults of the series, owners killed on the other side, nodes frozen, workers restarted, drained, moved and isolated, links that bridge the cut or lose answers, thin links, and cuts that come again. The histories of the other tests don't change: their random numbers are drawn as before.

--- a/test/test_cell_seeds.cc
+++ b/test/test_cell_seeds.cc
@@ -5,13 +5,17 @@
  * faults are cleared and every accepted job has to end.  The fakes check each
  * start.  OGL_SEEDS is the number of seeds from OGL_SEED_FIRST on; OGL_SEED
  * runs one seed alone.  Other variables with the same roles are read by the
- * tests of cells that stop nodes, have slow links, zones or several shards.
+ * tests of cells that stop nodes, have slow links, zones or several shards, of
+ * series of faults and of cuts of the network.
  */
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <cstdlib>
+#include <functional>
+#include <map>
+#include <memory>
 #include <random>
 
 #include "fake_cell.h"
@@ -25,12 +29,15 @@
       public:
 	explicit FaultRun(unsigned seed, unsigned shards = 1,
 	    bool stops_nodes = false, unsigned link_kbps = 0,
-	    unsigned zones = 1, bool slow_clocks = false)
+	    unsigned zones = 1, bool slow_clocks = false,
+	    unsigned fewest_workers = 3)
 	    : rand_(seed), stops_nodes_(stops_nodes), zones_(zones)
 	{
 		shape_.nodes = 2 + random_below(4);
 		shape_.workers =
-		    shards == 1 ? 3 + random_below(10) : 12 + random_below(20);
+		    shards == 1
+			? fewest_workers + random_below(13 - fewest_workers)
+			: 12 + random_below(20);
 		shape_.shards = shards;
 		shape_.crashed_refuse = stops_nodes;
 		shape_.seed = seed;
@@ -63,7 +70,7 @@
 				clear_faults();
 			if (zones_ > 1 && random_below(4) == 0)
 				evacuate();
-			fake_cell_advance(cell_, 50 + random_below(400));
+			advance(50 + random_below(400));
 		}
 	}
 
@@ -85,21 +92,51 @@
 			if (random_below(3) == 0)
 				inject_fault();
 			turns(1 + random_below(8));
-			kill_stopped();
-			for (unsigned n = 0; n < shape_.nodes; n++) {
-				fake_cell_boot(cell_, n);
-				fake_cell_freeze(cell_, n, false);
+			clear_all_faults();
+		}
+	}
+
+	/* Cuts of the network that overlap with each other and with other
+	 * faults, while more work waits than the workers can hold. */
+	void run_cuts(unsigned count)
+	{
+		for (unsigned i = 0; i < count; i++) {
+			submit_load();
+			advance(random_below(1500));
+			plan_cut(random_below(1500));
+			if (random_below(3) == 0)
+				plan_cut(random_below(8000));
+			switch (random_below(8)) {
+			case 0:
+				store_slow_then_refusing();
+				break;
+			case 1:
+				workers_refuse_connections();
+				break;
+			case 2:
+				idle_then_cut_off();
+				break;
+			default:
+				turns(random_below(6));
+				break;
 			}
-			fake_cell_set_store_fault(cell_, -1, FAKE_STORE_OK);
-			for (unsigned w = 0; w < shape_.workers; w++)
-				fake_cell_set_worker_fault(
-				    cell_, w, FAKE_WORKER_OK);
+			if (random_below(3) == 0)
+				inject_fault();
+			advance(random_below(3000));
+			if (random_below(2) == 0)
+				submit_load();
+			turns(1 + random_below(8));
+			advance(random_below(14000));
+			clear_all_faults();
 		}
 	}
 
 	std::string settle()
 	{
+		planned_.clear();
 		kill_stopped();
+		for (unsigned w : drained_)
+			fake_cell_restart_worker(cell_, w);
 		if (!fake_cell_settle(cell_, 120000))
 			return std::string("not settled\n") +
 			       fake_cell_violations(cell_);
@@ -107,6 +144,37 @@
 	}
 
       private:
+	/* Lets time pass, with what is planned for it. */
+	void advance(unsigned ms)
+	{
+		ogl_time end = fake_cell_now(cell_) + ms * OGL_MS;
+
+		while (!planned_.empty() && planned_.begin()->first <= end) {
+			auto first = planned_.begin();
+			std::function<void()> action = first->second;
+
+			advance_to(first->first);
+			planned_.erase(first);
+			action();
+		}
+		advance_to(end);
+	}
+
+	void advance_to(ogl_time t)
+	{
+		ogl_time now = fake_cell_now(cell_);
+
+		if (t > now)
+			fake_cell_advance(
+			    cell_, static_cast<uint32_t>((t - now) / OGL_MS));
+	}
+
+	void plan(unsigned after_ms, std::function<void()> action)
+	{
+		planned_.emplace(
+		    fake_cell_now(cell_) + after_ms * OGL_MS, action);
+	}
+
 	unsigned random_below(unsigned n)
 	{
 		return static_cast<unsigned>(rand_() % n);
@@ -209,14 +277,14 @@
 
 			submit();
 			for (unsigned k = random_below(4); k > 0; k--) {
-				fake_cell_advance(cell_, random_below(200));
+				advance(random_below(200));
 				snprintf(id, sizeof id, "%016x", last_job_);
 				fake_cell_submit(cell_,
 				    random_below(shape_.nodes), id, nullptr,
 				    &none, 1);
 			}
 			if (random_below(2) == 0) {
-				fake_cell_advance(cell_, random_below(200));
+				advance(random_below(200));
 				snprintf(id, sizeof id, "%016x",
 				    last_job_ -
 					random_below(std::min(
@@ -224,7 +292,7 @@
 				fake_cell_cancel(
 				    cell_, random_below(shape_.nodes), id);
 			}
-			fake_cell_advance(cell_, random_below(200));
+			advance(random_below(200));
 		}
 	}
 
@@ -250,7 +318,7 @@
 					    random_below(shape_.nodes), id,
 					    nullptr, &none, 1);
 			}
-			fake_cell_advance(cell_, random_below(50));
+			advance(random_below(50));
 		}
 	}
 
@@ -275,7 +343,7 @@
 		turns(random_below(10));
 		if (random_below(2) == 0)
 			fake_cell_kill(cell_, pick_node());
-		fake_cell_advance(cell_, random_below(7000));
+		advance(random_below(7000));
 	}
 
 	/* The owner changes right after work has come again, and a worker that
@@ -283,19 +351,23 @@
 	 * forgotten. */
 	void idle_then_cut_off()
 	{
-		fake_cell_advance(cell_, 4000); /* all calls are answered */
+		advance(4000); /* all calls are answered */
+		planned_.clear();
+		for (unsigned w : drained_)
+			fake_cell_restart_worker(cell_, w);
+		drained_.clear();
 		fake_cell_settle(cell_, 120000);
 		first_job_ = last_job_;
-		fake_cell_advance(cell_, random_below(300) * 1000);
+		advance(random_below(300) * 1000);
 		submit_long();
 		turns(random_below(3));
 		replace_owner();
-		fake_cell_advance(cell_, random_below(1500));
+		advance(random_below(1500));
 		for (unsigned i = 1 + random_below(3); i > 0; i--)
 			fake_cell_set_worker_fault(cell_,
 			    random_below(shape_.workers),
 			    FAKE_WORKER_UNREACHABLE);
-		fake_cell_advance(cell_, random_below(12000));
+		advance(random_below(12000));
 	}
 
 	/* Submits a job whose tasks run for longer than a lease. */
@@ -311,7 +383,7 @@
 		snprintf(id, sizeof id, "%016x", ++last_job_);
 		fake_cell_submit(
 		    cell_, random_below(shape_.nodes), id, nullptr, &s, 1);
-		fake_cell_advance(cell_, 100 + random_below(400));
+		advance(100 + random_below(400));
 	}
 
 	void replace_owner()
@@ -391,6 +463,208 @@
 		}
 	}
 
+	/* More tasks than the workers can hold at once, at times, so that an
+	 * owner has some to start whenever a run ends. */
+	void submit_load()
+	{
+		unsigned room = usable_workers(shape_.needs_advice ? 1 : 0);
+		struct fake_step s[2] = {};
+		size_t n = 1 + random_below(2);
+		char id[17];
+
+		if (shape_.team_cpu_milli_max > 0)
+			room = std::min(room, 2u);
+		for (size_t i = 0; i < n; i++) {
+			s[i].cpu_milli = 2000 + random_below(6000);
+			s[i].count =
+			    std::max(1u, room * (16000 / s[i].cpu_milli) *
+					     (50 + random_below(100)) / 100);
+			s[i].run_ms =
+			    500 +
+			    random_below(random_below(2) == 0 ? 3000 : 14000);
+			s[i].after = i == 0 ? -1 : 0;
+			s[i].checkpoints = random_below(2) == 0;
+		}
+		snprintf(id, sizeof id, "%016x", ++last_job_);
+		fake_cell_submit(
+		    cell_, random_below(shape_.nodes), id, nullptr, s, n);
+	}
+
+	/* What a cut puts into a part of the network of its own. */
+	struct Cut {
+		unsigned island;
+		std::vector<unsigned> nodes;
+		std::vector<unsigned> workers;
+		std::vector<unsigned> lone_workers;
+	};
+
+	void plan_cut(unsigned after_ms)
+	{
+		auto cut = std::make_shared<Cut>();
+
+		cut->island = 1 + random_below(2);
+		plan(after_ms, [=] {
+			pick_sides(*cut);
+			begin_cut(cut, true);
+		});
+	}
+
+	/* Usually an owner is cut off, sometimes with other nodes, and a few,
+	 * half or most of the workers. */
+	void pick_sides(Cut &cut)
+	{
+		static const unsigned percents[] = {10, 30, 50, 80, 95};
+		int owner = fake_cell_owner(cell_, random_below(shape_.shards));
+		unsigned percent = percents[random_below(5)];
+		bool several = random_below(3) == 0;
+		unsigned first = owner >= 0 && random_below(8) != 0
+				     ? static_cast<unsigned>(owner)
+				     : random_below(shape_.nodes);
+
+		for (unsigned i = 0; i < shape_.nodes; i++) {
+			if (i == first || (several && random_below(3) == 0))
+				cut.nodes.push_back(i);
+		}
+		for (unsigned w = 0; w < shape_.workers; w++) {
+			if (random_below(100) < percent)
+				cut.workers.push_back(w);
+		}
+		if (cut.workers.empty())
+			cut.workers.push_back(random_below(shape_.workers));
+		if (random_below(4) == 0)
+			cut.lone_workers.push_back(
+			    random_below(shape_.workers));
+	}
+
+	void begin_cut(const std::shared_ptr<Cut> &cut, bool may_repeat)
+	{
+		static const enum fake_cut ways[] = {FAKE_CUT_BOTH_WAYS,
+		    FAKE_CUT_BOTH_WAYS, FAKE_CUT_BOTH_WAYS, FAKE_CUT_BOTH_WAYS,
+		    FAKE_CUT_OUT_OF, FAKE_CUT_INTO};
+		unsigned ms = 500 + random_below(13501);
+
+		fake_cell_set_cut(cell_, ways[random_below(6)]);
+		for (unsigned i : cut->nodes)
+			fake_cell_move_node(cell_, i, cut->island);
+		for (unsigned w : cut->workers)
+			fake_cell_move_worker(cell_, w, cut->island);
+		for (unsigned w : cut->lone_workers)
+			fake_cell_move_worker(cell_, w, 3 + w);
+		if (random_below(3) == 0)
+			impair_links(*cut);
+		plan_during_cut(cut, ms);
+		plan(ms, [=] {
+			heal(*cut);
+			if (may_repeat && random_below(3) == 0)
+				plan(random_below(3000),
+				    [=] { begin_cut(cut, false); });
+		});
+	}
+
+	void heal(const Cut &cut)
+	{
+		for (unsigned i : cut.nodes)
+			fake_cell_move_node(cell_, i, 0);
+		for (unsigned w : cut.workers)
+			fake_cell_move_worker(cell_, w, 0);
+		for (unsigned w : cut.lone_workers)
+			fake_cell_move_worker(cell_, w, 0);
+		for (unsigned i = 0; i < shape_.nodes; i++)
+			for (unsigned w = 0; w < shape_.workers; w++)
+				fake_cell_set_link(cell_, i, w, FAKE_LINK_OK);
+	}
+
+	/* The node that is cut off still reaches some of the other workers, or
+	 * single nodes do not reach single workers of their side, or learn
+	 * nothing from them. */
+	void impair_links(const Cut &cut)
+	{
+		static const enum fake_link links[] = {FAKE_LINK_BRIDGES_CUTS,
+		    FAKE_LINK_CUT, FAKE_LINK_LOSES_ANSWERS};
+		enum fake_link link = links[random_below(3)];
+		unsigned node = link == FAKE_LINK_BRIDGES_CUTS
+				    ? cut.nodes[0]
+				    : random_below(shape_.nodes);
+
+		for (unsigned w = 0; w < shape_.workers; w++) {
+			if (random_below(3) == 0)
+				fake_cell_set_link(cell_, node, w, link);
+		}
+	}
+
+	/* Other faults within the next ms milliseconds. */
+	void plan_during_cut(const std::shared_ptr<Cut> &cut, unsigned ms)
+	{
+		if (random_below(3) == 0)
+			plan(random_below(ms), [=] { kill_owner_of_part_0(); });
+		if (random_below(4) == 0)
+			plan(random_below(ms), [=] {
+				freeze_for_a_while(
+				    random_below(2) == 0
+					? cut->nodes[0]
+					: random_below(shape_.nodes));
+			});
+		for (unsigned i = random_below(4); i > 0; i--)
+			plan(random_below(ms), [=] { disturb_worker(*cut); });
+		if (random_below(4) == 0)
+			plan(random_below(ms), [=] {
+				fake_cell_set_store_fault(cell_, -1,
+				    static_cast<enum fake_store_fault>(
+					random_below(6)));
+			});
+	}
+
+	void kill_owner_of_part_0()
+	{
+		unsigned shard = random_below(shape_.shards);
+
+		for (unsigned i = 0; i < shape_.nodes; i++) {
+			if (fake_cell_node_island(cell_, i) != 0 ||
+			    !fake_cell_owns(cell_, i, shard))
+				continue;
+			fake_cell_kill(cell_, i);
+			plan(random_below(4000),
+			    [=] { fake_cell_boot(cell_, i); });
+		}
+	}
+
+	void freeze_for_a_while(unsigned node)
+	{
+		fake_cell_freeze(cell_, node, true);
+		plan(300 + random_below(8000),
+		    [=] { fake_cell_freeze(cell_, node, false); });
+	}
+
+	/* Restarts, drains, delays or moves a worker, usually of those that are
+	 * cut off. */
+	void disturb_worker(const Cut &cut)
+	{
+		unsigned w =
+		    random_below(4) != 0
+			? cut.workers[random_below(
+			      static_cast<unsigned>(cut.workers.size()))]
+			: random_below(shape_.workers);
+
+		switch (random_below(8)) {
+		case 0:
+			drained_.push_back(w);
+			fake_cell_drain_worker(cell_, w);
+			plan(2000 + random_below(10000),
+			    [=] { fake_cell_restart_worker(cell_, w); });
+			break;
+		case 1:
+			fake_cell_set_worker_fault(cell_, w, FAKE_WORKER_LATE);
+			break;
+		case 2:
+			fake_cell_move_worker(
+			    cell_, w, random_below(2) * cut.island);
+			break;
+		default:
+			fake_cell_restart_worker(cell_, w);
+			break;
+		}
+	}
+
 	/* Evacuates a zone or takes it back, whatever its state; all zones may
 	 * be evacuated at once.  Sometimes the store then trims the records. */
 	void evacuate()
@@ -403,6 +677,19 @@
 			fake_cell_trim_settings(cell_);
 	}
 
+	/* All but cuts, whose ends are planned. */
+	void clear_all_faults()
+	{
+		kill_stopped();
+		for (unsigned n = 0; n < shape_.nodes; n++) {
+			fake_cell_boot(cell_, n);
+			fake_cell_freeze(cell_, n, false);
+		}
+		fake_cell_set_store_fault(cell_, -1, FAKE_STORE_OK);
+		for (unsigned w = 0; w < shape_.workers; w++)
+			fake_cell_set_worker_fault(cell_, w, FAKE_WORKER_OK);
+	}
+
 	void clear_faults()
 	{
 		unsigned i;
@@ -434,6 +721,8 @@
 	bool stops_nodes_;
 	unsigned zones_;
 	std::vector<unsigned> stopped_;
+	std::vector<unsigned> drained_;
+	std::multimap<ogl_time, std::function<void()>> planned_;
 };
 
 unsigned
@@ -615,6 +904,25 @@
 	}
 }
 
+/* Guards against an owner that was replaced while it is cut off, and goes on
+ * renewing leases and starting tasks on the workers that it still reaches. */
+TEST(CellSeeds, InvariantsHoldDuringCuts)
+{
+	unsigned one = from_env("OGL_CUT_SEED", 0);
+	unsigned seeds = one != 0 ? 1 : from_env("OGL_CUT_SEEDS", 60);
+	unsigned first = from_env("OGL_SEED_FIRST", 1000);
+
+	for (unsigned i = 0; i < seeds; i++) {
+		unsigned seed = one != 0 ? one : first + i;
+		FaultRun fault_run(seed, seed % 3 == 0 ? 2 : 1, seed % 5 == 0,
+		    seed % 4 == 0 ? 300 + seed % 3 * 100 : 0, 1, seed % 2 == 0,
+		    2);
+
+		fault_run.run_cuts(6);
+		EXPECT_EQ("", fault_run.settle()) << "OGL_CUT_SEED=" << seed;
+	}
+}
+
 /* Cells of two and three shards, whose owners change independently. */
 TEST(CellSeeds, InvariantsHoldWithShards)
 {
