fleet: no lease without recent proof of ownership

What callers saw: tasks that must run once ran twice, at the same time (the successor of an owner started what still ran) or after an end that was taken note of (the replaced owner started what had ended).

Cause: an owner that is cut off from the store and from its successor's workers, together with a few workers, is told by nobody that it is replaced. It went on for up to 12 s after the store's last confirmation, renewed the leases of the workers on its side and started there what it counted as lapsed elsewhere. A successor counted with 1 s.

Change: a lease is asked for, by a hold or a start, only within 1 s of a proof of ownership: a read of the ownership stream, or more than half of the recorded workers having accepted a call (quorum.c). The second keeps the work alive while the store is down for all; it is collected by short holds once the store's word is 0.55 s old, and the store is asked then as well. A new owner counts the leases of its predecessors from the time when half of these workers have answered it, or, if they don't, from 12 s on. Until then its record names the same workers, so that the argument holds over several takeovers. Tasks held for a silent worker are released by that time and no longer at a time fixed at the takeover.

Of a set of workers, more than half and half have one in common; that one refuses the earlier owner.

To tell such cases from others in the logs: run_started has proof_ms, leases_withheld and leases_resumed, old_leases_expired.

Fixtures of test_cell_fleet and test_cell_schedule confirm the ownership when they let time pass, as a store does; before, an owner never confirmed could act.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -16,6 +16,9 @@
 /* Intervals of the scans of all workers and of all runs.  An owner is stepped
  * hundreds of times a second, and calls that are due may wait this long. */
 #define SCAN_INTERVAL (8 * OGL_MS)
+/* The store confirms an owner each 0.4 s.  From this age of its last word on,
+ * the workers are asked. */
+#define STORE_SILENT_AFTER (550 * OGL_MS)
 #define RUN_SCAN_INTERVAL (40 * OGL_MS)
 
 void
@@ -58,6 +61,7 @@
 	f->workers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, worker_free);
 	f->by_serial = g_hash_table_new(NULL, NULL);
+	f->quorum = cell_quorum_init();
 	f->health = cell_health_init(ops, f->by_serial);
 	f->teams =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -90,6 +94,7 @@
 {
 	cell_fleet_close(f);
 	cell_health_end(f->health);
+	cell_quorum_end(f->quorum);
 	g_hash_table_unref(f->by_serial);
 	g_hash_table_unref(f->workers);
 	g_hash_table_unref(f->teams);
@@ -106,6 +111,12 @@
 	f->confirmation_from = 0;
 	f->record_outdated = true; /* the stored one is an earlier owner's */
 	f->opened_at = now;
+	f->first_step_at = 0;
+	f->nexpected = 0;
+	f->nexpected_answered = 0;
+	f->quorum_at = 0;
+	f->workers_confirmed_at = 0;
+	f->leases_withheld = false;
 	f->old_leases_expired = false;
 	cell_health_reset(f->health);
 }
@@ -126,6 +137,9 @@
 		w->fenced = false;
 		w->hold_pending = false;
 		w->incarnation = 0;
+		w->incarnation_since = 0;
+		w->accepted_at = 0;
+		w->first_record = 0;
 		w->ends_stored = 0;
 		w->ends_reported = 0;
 		memset(&w->lease, 0, sizeof w->lease);
@@ -139,6 +153,7 @@
 		w->gone = false;
 		w->ends_acked = 0;
 	}
+	cell_quorum_clear(f->quorum);
 	g_hash_table_remove_all(f->teams);
 }
 
@@ -345,6 +360,8 @@
 	struct cell_worker *w = get_or_add_worker(f, k->id, now);
 
 	w->expected = true;
+	w->first_record = CELL_FLEET_LOADED_RECORD;
+	f->nexpected++;
 	w->tasks_recorded = k->closed;
 	record_tasks(w, k);
 	w->open_in_record = !k->closed;
@@ -356,6 +373,49 @@
 	set_string(&w->rack, "");
 }
 
+/* Whether no earlier owner can have proof of its ownership any more. */
+static bool
+predecessors_are_out(const struct cell_fleet *f)
+{
+	return f->old_leases_expired ||
+	       cell_quorum_answered(f->nexpected_answered, f->nexpected);
+}
+
+bool
+cell_fleet_may_record(const struct cell_fleet *f, const struct cell_worker *w)
+{
+	return predecessors_are_out(f) ||
+	       w->first_record == CELL_FLEET_LOADED_RECORD;
+}
+
+void
+cell_fleet_record_sent(struct cell_fleet *f, uint64_t record)
+{
+	guint workers = 0;
+	guint added = 0;
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, f->workers);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct cell_worker *w = p;
+
+		if (!cell_fleet_may_record(f, w))
+			continue;
+		if (w->first_record == 0)
+			w->first_record = record;
+		added += w->first_record == record;
+		workers++;
+	}
+	cell_quorum_record_sent(f->quorum, record, workers, added);
+}
+
+void
+cell_fleet_record_replaces(struct cell_fleet *f, uint64_t record)
+{
+	cell_quorum_record_stored(f->quorum, record);
+}
+
 void
 cell_fleet_record_stored(struct cell_fleet *f, const char *id, uint64_t record)
 {
@@ -387,17 +447,79 @@
 void
 cell_fleet_confirm(struct cell_fleet *f, ogl_time at)
 {
-	bool wanted = cell_fleet_awaits_confirmation(f);
+	bool wanted = f->confirmed_at < f->confirmation_from;
 
 	f->confirmed_at = MAX(f->confirmed_at, at);
-	if (wanted && !cell_fleet_awaits_confirmation(f))
+	if (wanted && f->confirmed_at >= f->confirmation_from)
 		f->events.room_freed(f->events.arg, at);
 }
 
 bool
-cell_fleet_awaits_confirmation(const struct cell_fleet *f)
+cell_fleet_awaits_confirmation(const struct cell_fleet *f, ogl_time now)
+{
+	return f->open && (f->confirmed_at < f->confirmation_from ||
+			      !cell_fleet_may_lease(f, now));
+}
+
+ogl_time
+cell_fleet_proof_age(const struct cell_fleet *f, ogl_time now)
+{
+	return now - MAX(f->confirmed_at, f->workers_confirmed_at);
+}
+
+bool
+cell_fleet_may_lease(const struct cell_fleet *f, ogl_time now)
 {
-	return f->open && f->confirmed_at < f->confirmation_from;
+	return cell_fleet_proof_age(f, now) < CELL_LEASE_PROOF_MAX_AGE;
+}
+
+bool
+cell_fleet_needs_quorum(const struct cell_fleet *f, ogl_time now)
+{
+	return now - f->confirmed_at > STORE_SILENT_AFTER;
+}
+
+bool
+cell_fleet_wants_confirmation(const struct cell_fleet *f, ogl_time now)
+{
+	return cell_fleet_awaits_confirmation(f, now) ||
+	       cell_fleet_needs_quorum(f, now);
+}
+
+static void
+log_proof(struct cell_fleet *f, const char *event, ogl_time now)
+{
+	char text[160];
+
+	g_snprintf(text, sizeof text,
+	    "epoch=%" G_GUINT64_FORMAT " store_ms=%" G_GINT64_FORMAT
+	    " workers_ms=%" G_GINT64_FORMAT " workers=%u",
+	    f->epoch, (now - f->confirmed_at) / OGL_MS,
+	    f->workers_confirmed_at != 0
+		? (now - f->workers_confirmed_at) / OGL_MS
+		: -1,
+	    g_hash_table_size(f->workers));
+	f->ops->log(f->ops->ctx, "fleet", event, text);
+}
+
+/* Takes the workers' confirmation if the store's is old, and tells when the
+ * proof of ownership gets too old for leases, or is renewed. */
+static void
+update_proof(struct cell_fleet *f, ogl_time now)
+{
+	if (cell_fleet_needs_quorum(f, now))
+		f->workers_confirmed_at = MAX(
+		    f->workers_confirmed_at, cell_quorum_accepted_at(f->quorum,
+						 f->workers, f->confirmed_at));
+	if (f->leases_withheld != cell_fleet_may_lease(f, now))
+		return;
+	f->leases_withheld = !f->leases_withheld;
+	log_proof(
+	    f, f->leases_withheld ? "leases_withheld" : "leases_resumed", now);
+	if (f->leases_withheld)
+		f->ops->count(f->ops->ctx, "leases_withheld", 1);
+	else
+		f->events.room_freed(f->events.arg, now);
 }
 
 void
@@ -601,21 +723,46 @@
 	}
 	if (w->open_in_record && cell_worker_silent(w, now))
 		f->record_outdated = true;
-	if (cell_fleet_wants_hold(w, now))
+	if (cell_fleet_wants_hold(f, w, now))
 		cell_fleet_send_hold(f, w, now);
 	if (scan_runs)
 		cell_fleet_step_runs(f, w, now);
 }
 
+/* Whether no record names some worker, so that it gets no work. */
+static bool
+any_unrecorded(const struct cell_fleet *f)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, f->workers);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		if (((const struct cell_worker *)p)->first_record == 0)
+			return true;
+	}
+	return false;
+}
+
 /* Called once the leases of earlier owners have expired.  A worker that has not
  * answered by then runs nothing, and is no longer waited for, neither by this
  * owner nor, once that is on record, by the next. */
 static void
-clear_expected(struct cell_fleet *f)
+clear_expected(struct cell_fleet *f, ogl_time now)
 {
 	GHashTableIter it;
 	gpointer p;
+	char text[160];
 
+	g_snprintf(text, sizeof text,
+	    "epoch=%" G_GUINT64_FORMAT
+	    " workers=%u answered=%u quorum_ms=%" G_GINT64_FORMAT
+	    " waited_ms=%" G_GINT64_FORMAT,
+	    f->epoch, f->nexpected, f->nexpected_answered,
+	    f->quorum_at != 0 ? (f->quorum_at - f->opened_at) / OGL_MS : -1,
+	    (now - f->opened_at) / OGL_MS);
+	f->ops->log(f->ops->ctx, "fleet", "old_leases_expired", text);
+	f->record_outdated |= any_unrecorded(f);
 	g_hash_table_iter_init(&it, f->workers);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct cell_worker *w = p;
@@ -637,7 +784,7 @@
 
 	(void)key;
 	if (w->listed || w->expected || w->calls_pending > 0 ||
-	    g_hash_table_size(w->runs) > 0)
+	    g_hash_table_size(w->runs) > 0 || !predecessors_are_out(f))
 		return FALSE;
 	f->record_outdated = true;
 	cell_health_forget(f->health, w);
@@ -654,9 +801,17 @@
 
 	if (!f->open || now < f->next_scan_at)
 		return;
+	if (f->first_step_at == 0)
+		f->first_step_at = now;
+	if (f->quorum_at == 0 &&
+	    cell_quorum_answered(f->nexpected_answered, f->nexpected)) {
+		f->quorum_at = now;
+		f->record_outdated |= any_unrecorded(f);
+	}
+	update_proof(f, now);
 	if (!f->old_leases_expired && now > cell_fleet_old_leases_end(f)) {
 		f->old_leases_expired = true;
-		clear_expected(f);
+		clear_expected(f, now);
 	}
 	f->next_scan_at = now + SCAN_INTERVAL;
 	if (scan_runs)
@@ -672,7 +827,14 @@
 ogl_time
 cell_fleet_old_leases_end(const struct cell_fleet *f)
 {
-	return cell_lease_all_expired_at(f->opened_at);
+	if (f->quorum_at != 0)
+		return cell_lease_all_expired_at(f->quorum_at);
+	if (f->first_step_at == 0)
+		return OGL_NEVER;
+	/* The last owner may have more than half of the workers on its side. */
+	return cell_lease_all_expired_at(f->first_step_at +
+					 CELL_LEASE_CONFIRMATION_MAX_AGE -
+					 CELL_LEASE_PROOF_MAX_AGE);
 }
 
 bool
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -79,12 +79,17 @@
 	/* An earlier owner may have called it, and it has not answered this
 	 * owner yet. */
 	bool expected;
+	/* First record of the workers that names it, 0 none.  It is in all
+	 * later ones, too. */
+	uint64_t first_record;
 	bool draining;
 	bool evacuated; /* its zone is evacuated: nothing starts there */
 	uint64_t entry_born_ms; /* incarnation that the list entry describes */
 
 	uint64_t incarnation; /* born_ms of the last incarnation, 0 none yet */
-	bool fenced;          /* this incarnation has seen our epoch */
+	ogl_time incarnation_since; /* first answer of that incarnation */
+	bool fenced;                /* this incarnation has seen our epoch */
+	ogl_time accepted_at; /* when the last hold that it answered was sent */
 	struct cell_lease lease;   /* of this incarnation */
 	bool open_in_record;       /* a stored record allows new runs there */
 	uint64_t open_from_record; /* first record to allow new runs, 0 any */
@@ -180,7 +185,20 @@
  * something. */
 
 ogl_time cell_fleet_old_leases_end(const struct cell_fleet *f);
-/* Time from which every lease of earlier owners has certainly expired. */
+/* Time from which every lease of earlier owners has certainly expired.  It is
+ * moved forward once enough workers have answered. */
+
+#define CELL_FLEET_LOADED_RECORD 1 /* the record read at the takeover */
+
+bool cell_fleet_may_record(
+    const struct cell_fleet *f, const struct cell_worker *w);
+/* Whether the record may name the worker.  Until enough workers of the record
+ * read at the takeover have answered, the record names the same ones, so that
+ * the next owner too needs answers of those (quorum.h). */
+void cell_fleet_record_sent(struct cell_fleet *f, uint64_t record);
+/* To be called when the record of the workers with that number is sent. */
+void cell_fleet_record_replaces(struct cell_fleet *f, uint64_t record);
+/* To be called when that record is stored, once for the whole record. */
 
 void cell_fleet_record_stored(
     struct cell_fleet *f, const char *id, uint64_t record);
@@ -245,8 +263,15 @@
 
 void cell_fleet_confirm(struct cell_fleet *f, ogl_time at);
 /* To be called when the store has confirmed the ownership as of `at`. */
-bool cell_fleet_awaits_confirmation(const struct cell_fleet *f);
+bool cell_fleet_awaits_confirmation(const struct cell_fleet *f, ogl_time now);
 /* Whether nothing may be started until ownership is confirmed again. */
+bool cell_fleet_wants_confirmation(const struct cell_fleet *f, ogl_time now);
+/* Whether the store should be asked now instead of at the next heartbeat. */
+bool cell_fleet_may_lease(const struct cell_fleet *f, ogl_time now);
+/* Whether leases may be asked for: the store or the workers have confirmed the
+ * ownership lately, so that a successor still counts with these leases. */
+ogl_time cell_fleet_proof_age(const struct cell_fleet *f, ogl_time now);
+/* Age of the last proof of ownership. */
 void cell_fleet_require_confirmation(struct cell_fleet *f, ogl_time now);
 /* To be called when the process may have been suspended.  Nothing is started
  * until the ownership is confirmed as of now. */
--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -38,6 +38,10 @@
 #define LOSSY_PERIOD (2 * OGL_SEC)
 #define LOSSY_HOLD_WAIT_MS 100
 #define LOSSY_HOLD_TIMEOUT_MS 250
+/* While the store does not confirm the ownership, each worker shows within
+ * these times whether it has been called by a successor. */
+#define QUORUM_HOLD_WAIT_MS 200
+#define QUORUM_HOLD_INTERVAL (300 * OGL_MS)
 /* A new owner starts no task of earlier owners' jobs before the first answer of
  * each worker.  The first hold may be repeated safely, so it has a short
  * timeout, which doubles with each failure. */
@@ -324,7 +328,12 @@
 	}
 	if (w->incarnation == a->born_ms)
 		w->ends_acked = MAX(w->ends_acked, c->ends_acked);
+	else
+		w->incarnation_since = now;
+	if (w->incarnation == 0 && w->first_record == CELL_FLEET_LOADED_RECORD)
+		f->nexpected_answered++;
 	w->incarnation = a->born_ms;
+	w->accepted_at = MAX(w->accepted_at, c->sent_at);
 	w->fenced = true;
 	w->expected = false;
 	seen = g_hash_table_new(NULL, NULL);
@@ -445,9 +454,9 @@
  * would never be started elsewhere.
  */
 static bool
-may_renew(const struct cell_worker *w)
+may_renew(const struct cell_fleet *f, const struct cell_worker *w, ogl_time now)
 {
-	return w->fenced && w->failures == 0;
+	return w->fenced && w->failures == 0 && cell_fleet_may_lease(f, now);
 }
 
 /*
@@ -467,8 +476,8 @@
 
 /* Sets how long the worker may delay its answer and how long we wait for it. */
 static void
-set_hold_times(
-    const struct cell_worker *w, struct cell_hold *h, bool renew, ogl_time now)
+set_hold_times(const struct cell_fleet *f, const struct cell_worker *w,
+    struct cell_hold *h, bool renew, ogl_time now)
 {
 	bool lossy = CELL_USES_LOSSY && now < w->lossy_until;
 
@@ -480,7 +489,10 @@
 		h->timeout_ms =
 		    lossy ? LOSSY_HOLD_TIMEOUT_MS : ORDER_TIMEOUT_MS;
 	} else {
-		h->wait_ms = lossy ? LOSSY_HOLD_WAIT_MS : HOLD_WAIT_MS;
+		h->wait_ms = lossy ? LOSSY_HOLD_WAIT_MS
+			     : cell_fleet_needs_quorum(f, now)
+				 ? QUORUM_HOLD_WAIT_MS
+				 : HOLD_WAIT_MS;
 		h->timeout_ms = lossy ? LOSSY_HOLD_TIMEOUT_MS : HOLD_TIMEOUT_MS;
 	}
 }
@@ -494,12 +506,12 @@
 	    .to = {w->addr, w->id, f->epoch},
 	    .last_seen = ends_to_acknowledge(w),
 	    .until_ms =
-		renew && may_renew(w)
+		renew && may_renew(f, w, now)
 		    ? cell_lease_extend(&w->lease, f->limits->lease_max_ms, now)
 		    : 0,
 	};
 
-	set_hold_times(w, &h, renew, now);
+	set_hold_times(f, w, &h, renew, now);
 	c->fleet = f;
 	c->worker = w;
 	c->generation = f->generation;
@@ -515,7 +527,8 @@
 }
 
 bool
-cell_fleet_wants_hold(const struct cell_worker *w, ogl_time now)
+cell_fleet_wants_hold(
+    const struct cell_fleet *f, const struct cell_worker *w, ogl_time now)
 {
 	if (w->hold_pending || now < w->next_hold_at || w->addr == NULL)
 		return false;
@@ -532,8 +545,11 @@
 		return false;
 	/* The clock of a worker without runs is read again from time to time,
 	 * so that its next start gets a lease of use. */
-	return g_hash_table_size(w->runs) > 0 || w->next_hold_no_wait ||
-	       cell_lease_clock_old(&w->lease, now);
+	if (g_hash_table_size(w->runs) > 0 || w->next_hold_no_wait ||
+	    cell_lease_clock_old(&w->lease, now))
+		return true;
+	return cell_fleet_needs_quorum(f, now) &&
+	       now - w->accepted_at > QUORUM_HOLD_INTERVAL;
 }
 
 void
--- a/cell/fleet_impl.h
+++ b/cell/fleet_impl.h
@@ -6,6 +6,7 @@
 #define OGL_CELL_FLEET_IMPL_H
 
 #include "fleet.h"
+#include "quorum.h"
 
 #define ORDER_TIMEOUT_MS 600
 
@@ -24,9 +25,21 @@
 	uint64_t epoch;
 	uint64_t generation; /* raised by each open and close */
 	ogl_time opened_at;
+	ogl_time first_step_at; /* no worker was called before; 0 not yet */
+	/* Workers that the record read at the takeover names, and how many of
+	 * them have answered. */
+	guint nexpected;
+	guint nexpected_answered;
+	/* When enough of them had answered for the leases of earlier owners to
+	 * be counted from there, 0 not yet. */
+	ogl_time quorum_at;
 	bool old_leases_expired; /* all leases of earlier owners have expired */
-	bool record_outdated;    /* the workers are to be stored again */
-	ogl_time confirmed_at;   /* latest time of confirmed ownership */
+	struct cell_quorum *quorum;
+	ogl_time workers_confirmed_at; /* latest time of which the workers
+					* have shown that we are the owner */
+	bool leases_withheld;
+	bool record_outdated;  /* the workers are to be stored again */
+	ogl_time confirmed_at; /* latest time of confirmed ownership */
 	/* Nothing is started until ownership is confirmed as of this time. */
 	ogl_time confirmation_from;
 	ogl_time next_scan_at;
@@ -67,6 +80,9 @@
 void cell_fleet_run_ended(struct cell_fleet *f, struct cell_run *r,
     enum cell_end how, const char *checkpoint, ogl_time now);
 /* Reports the end of a run to the owner and removes the run. */
+bool cell_fleet_needs_quorum(const struct cell_fleet *f, ogl_time now);
+/* Whether the store's confirmation is so old that the workers' will be needed
+ * soon. */
 
 /* ---- fleet_hold.c ----------------------------------------------------- */
 
@@ -80,7 +96,8 @@
 void cell_fleet_run_started(
     struct cell_fleet *f, struct cell_run *r, ogl_time now);
 void cell_fleet_call_free(struct cell_fleet_call *c);
-bool cell_fleet_wants_hold(const struct cell_worker *w, ogl_time now);
+bool cell_fleet_wants_hold(
+    const struct cell_fleet *f, const struct cell_worker *w, ogl_time now);
 void cell_fleet_send_hold(
     struct cell_fleet *f, struct cell_worker *w, ogl_time now);
 
--- a/cell/fleet_order.c
+++ b/cell/fleet_order.c
@@ -344,7 +344,7 @@
 	if (r->state == CELL_RUN_STARTING && r->worker->evacuated) {
 		cell_fleet_stop(f, r, now);
 	} else if (r->state == CELL_RUN_STARTING) {
-		if (r->worker->fenced)
+		if (r->worker->fenced && cell_fleet_may_lease(f, now))
 			send_start(f, r, now);
 	} else if (r->state == CELL_RUN_STOPPING && !r->stop_answered) {
 		send_stop(f, r, now);
--- a/cell/held.c
+++ b/cell/held.c
@@ -5,14 +5,16 @@
  * A task whose start was not answered is stopped and then started on another
  * worker, so the record of the workers may list it for both.  Each task
  * therefore counts the workers for which it is delayed.  It may be started once
- * all of them have answered or, if one never answers, when the longest lease
- * has expired.
+ * all of them have answered or, if one never answers, when the leases of all
+ * earlier owners have expired.
  */
 
 #include <string.h>
 
 #include "held.h"
 
+#define UNTIL_RELEASED (OGL_NEVER / 2)
+
 struct cell_held {
 	cell_stage_lookup_fn *find_stage;
 	void *arg;
@@ -52,8 +54,7 @@
 }
 
 static void
-delay_task(struct cell_held *h, GArray *tasks, const Ogl__CellKnownTask *t,
-    ogl_time until)
+delay_task(struct cell_held *h, GArray *tasks, const Ogl__CellKnownTask *t)
 {
 	struct cell_task_name name = {
 	    .occurrence = t->occurrence, .step = t->step, .index = t->index};
@@ -63,12 +64,12 @@
 	st = h->find_stage(h->arg, &name);
 	if (st == NULL)
 		return;
-	cell_stage_delay_start(st, name.index, until);
+	cell_stage_delay_start(st, name.index, UNTIL_RELEASED);
 	g_array_append_val(tasks, name);
 }
 
 void
-cell_held_add(struct cell_held *h, const Ogl__CellKnown *k, ogl_time until)
+cell_held_add(struct cell_held *h, const Ogl__CellKnown *k)
 {
 	GArray *tasks;
 	size_t i;
@@ -77,18 +78,15 @@
 		return;
 	tasks = g_array_new(FALSE, FALSE, sizeof(struct cell_task_name));
 	for (i = 0; i < k->n_tasks; i++)
-		delay_task(h, tasks, k->tasks[i], until);
+		delay_task(h, tasks, k->tasks[i]);
 	g_hash_table_replace(h->workers, g_strdup(k->id), tasks);
 }
 
-void
-cell_held_release(struct cell_held *h, const char *worker, ogl_time now)
+static void
+release_tasks(struct cell_held *h, const GArray *tasks, ogl_time now)
 {
-	GArray *tasks = g_hash_table_lookup(h->workers, worker);
 	guint i;
 
-	if (tasks == NULL)
-		return;
 	for (i = 0; i < tasks->len; i++) {
 		const struct cell_task_name *name =
 		    &g_array_index(tasks, struct cell_task_name, i);
@@ -97,5 +95,27 @@
 		if (st != NULL)
 			cell_stage_end_delay(st, name->index, now);
 	}
+}
+
+void
+cell_held_release(struct cell_held *h, const char *worker, ogl_time now)
+{
+	const GArray *tasks = g_hash_table_lookup(h->workers, worker);
+
+	if (tasks == NULL)
+		return;
+	release_tasks(h, tasks, now);
 	g_hash_table_remove(h->workers, worker);
 }
+
+void
+cell_held_release_all(struct cell_held *h, ogl_time now)
+{
+	GHashTableIter it;
+	gpointer tasks;
+
+	g_hash_table_iter_init(&it, h->workers);
+	while (g_hash_table_iter_next(&it, NULL, &tasks))
+		release_tasks(h, tasks, now);
+	g_hash_table_remove_all(h->workers);
+}
--- a/cell/known.c
+++ b/cell/known.c
@@ -3,7 +3,7 @@
  *
  * A new owner calls every worker in the record.  It starts no task that an
  * earlier owner may have started until each worker has reported what it runs,
- * or the worker's lease has expired, which takes 5 s.  An unreachable worker
+ * or the worker's lease has expired, which takes seconds.  An unreachable worker
  * would thus delay the whole shard at each change of owner.  So once a worker
  * has been silent for a short time, or is draining, the record lists the tasks
  * that may run there, and only these wait for it.
@@ -103,8 +103,11 @@
 	ogl__cell_known_workers__init(m);
 	g_hash_table_iter_init(&it, cell_fleet_workers(f));
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		Ogl__CellKnown *k = known_new(p, number, now);
+		Ogl__CellKnown *k;
 
+		if (!cell_fleet_may_record(f, p))
+			continue;
+		k = known_new(p, number, now);
 		g_ptr_array_add(all, k);
 		if (!k->closed)
 			g_ptr_array_add(open_ids, g_strdup(k->id));
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -42,11 +42,13 @@
  * An owner also reads the ownership stream, and a later epoch than its own ends
  * its ownership.  Until it has read that epoch, every worker that the new owner
  * has called refuses its orders, and the new owner starts nothing that may be
- * running elsewhere before all workers have answered it (owner.c).  A worker
- * that restarts forgets which owner has called it, so an owner reads the stream
- * once more before it starts anything on a restarted worker.  That read shows
- * any new owner, because a new owner calls no worker before its first heartbeat
- * is on the stream.
+ * running elsewhere before all workers have answered it (owner.c), or their
+ * leases have expired.  So that these do expire, an owner needs recent proof of
+ * its ownership to renew one or to start anything: such a read, or the answers
+ * of most workers (quorum.h).  A worker that restarts forgets which owner has
+ * called it, so an owner reads the stream once more before it starts anything
+ * on a restarted worker.  That read shows any new owner, because a new owner
+ * calls no worker before its first heartbeat is on the stream.
  */
 
 #include <string.h>
@@ -76,9 +78,6 @@
 #define NO_DELAY_CPU_MILLI 400
 #define WEAK_DELAY_MS 100
 #define WEAK_DELAY_MAX_MS 600
-/* An owner that has not reached the store for longer than this can't rule out
- * that it was replaced; outages of the store are shorter. */
-#define CONFIRMED_MAX_AGE (12 * OGL_SEC)
 /* A node that resigned because it is in trouble leaves claims to others for
  * this long. */
 #define RESIGN_BACKOFF (8 * OGL_SEC)
@@ -528,7 +527,7 @@
 cell_lead_may_act(const struct cell_lead *l, uint32_t shard, ogl_time now)
 {
 	return l->by_shard[shard].is_owner &&
-	       now - l->confirmed_at < CONFIRMED_MAX_AGE;
+	       now - l->confirmed_at < CELL_LEASE_CONFIRMATION_MAX_AGE;
 }
 
 ogl_time
--- a/cell/lead_impl.h
+++ b/cell/lead_impl.h
@@ -6,6 +6,7 @@
 #define OGL_CELL_LEAD_IMPL_H
 
 #include "lead.h"
+#include "lease.h"
 
 /* The timeout spans three heartbeats, so that one lost or slow append does not
  * end an ownership. */
--- a/cell/lease.c
+++ b/cell/lease.c
@@ -15,7 +15,8 @@
  *   counts with an end LEASE_MS after that reading.
  * - A lease has expired once clock_min(t) has reached its end.
  * - Where a new owner has read no clock, a lease asked for at time s has expired
- *   at s + LEASE_MS / 0.98.
+ *   at s + LEASE_MS / 0.98.  No earlier owner asks for one more than
+ *   CELL_LEASE_PROOF_MAX_AGE after the last proof that it was the owner.
  */
 
 #include "lease.h"
@@ -26,9 +27,6 @@
 #define CLOCK_RATE_MIN 0.98
 /* Covers timers and the rounding of times to milliseconds. */
 #define EXPIRY_MARGIN (250 * OGL_MS)
-/* Within this time an owner that was replaced learns of it and renews no more
- * leases. */
-#define REPLACED_OWNER_TIME (1 * OGL_SEC)
 /* A lease asked for by a reading of this age is shorter by 1.2 s. */
 #define CLOCK_AGE_MAX (60 * OGL_SEC)
 
@@ -86,8 +84,8 @@
 }
 
 ogl_time
-cell_lease_all_expired_at(ogl_time owner_since)
+cell_lease_all_expired_at(ogl_time last_proof)
 {
-	return owner_since + REPLACED_OWNER_TIME + longest_time(LEASE_MS) +
+	return last_proof + CELL_LEASE_PROOF_MAX_AGE + longest_time(LEASE_MS) +
 	       EXPIRY_MARGIN;
 }
--- a/cell/lease.h
+++ b/cell/lease.h
@@ -37,8 +37,16 @@
 /* Time on our clock from which the lease has certainly expired unless it is
  * extended. */
 
-ogl_time cell_lease_all_expired_at(ogl_time owner_since);
+/* An owner asks for no lease later than this after its ownership was last
+ * proved. */
+#define CELL_LEASE_PROOF_MAX_AGE (1 * OGL_SEC)
+/* Nor later than this after the store last confirmed it, whatever other proof
+ * there is; outages of the store are shorter. */
+#define CELL_LEASE_CONFIRMATION_MAX_AGE (12 * OGL_SEC)
+
+ogl_time cell_lease_all_expired_at(ogl_time last_proof);
 /* The same for all leases of earlier owners, whose workers are not known to us:
- * owner_since is when the present owner began to serve. */
+ * last_proof is the latest time of which an earlier owner can have proof that
+ * it is the owner. */
 
 #endif
--- a/cell/node.c
+++ b/cell/node.c
@@ -626,7 +626,7 @@
 	cell_owner_set_announced(s->owner, cell_lead_announced(lead, shard));
 	cell_owner_step(s->owner, cell_lead_confirmed_at(lead),
 	    cell_lead_may_act(lead, shard, now), now, wall);
-	if (cell_owner_awaits_confirmation(s->owner))
+	if (cell_owner_wants_confirmation(s->owner, now))
 		cell_lead_probe(lead, now);
 	if (cell_lead_addr(lead, shard) != NULL)
 		s->owner_known_at = now;
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -423,6 +423,8 @@
 	gpointer p;
 	char text[64];
 
+	if (o->holds_tasks && now > cell_fleet_old_leases_end(o->fleet))
+		cell_held_release_all(o->held, now);
 	if (o->settled || !cell_roster_loaded(o->roster) ||
 	    !cell_fleet_settled(o->fleet, now))
 		return;
@@ -664,10 +666,10 @@
 }
 
 bool
-cell_owner_awaits_confirmation(const struct cell_owner *o)
+cell_owner_wants_confirmation(const struct cell_owner *o, ogl_time now)
 {
 	return o->phase == PHASE_SERVING &&
-	       cell_fleet_awaits_confirmation(o->fleet);
+	       cell_fleet_wants_confirmation(o->fleet, now);
 }
 
 void
--- a/cell/owner.h
+++ b/cell/owner.h
@@ -99,8 +99,8 @@
     struct cell_owner *o, Ogl__CellPong *pong, ogl_time now);
 /* Adds what the owner would refuse now to a pong, which then points into o until
  * the next call. */
-bool cell_owner_awaits_confirmation(const struct cell_owner *o);
-/* Whether nothing may be started until the ownership is confirmed again. */
+bool cell_owner_wants_confirmation(const struct cell_owner *o, ogl_time now);
+/* Whether the store should be asked at once if this node is still the owner. */
 void cell_owner_require_confirmation(struct cell_owner *o, ogl_time now);
 /* To be called when the process may have been paused.  Nothing is started until
  * the ownership is confirmed as of now. */
--- a/cell/owner_calls.c
+++ b/cell/owner_calls.c
@@ -405,8 +405,9 @@
 reply_absent(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
     ogl_time now)
 {
-	bool confirmed_lately = !cell_fleet_awaits_confirmation(o->fleet) &&
-				now - o->confirmed < CONFIRMATION_AGE_MAX;
+	bool confirmed_lately =
+	    !cell_fleet_awaits_confirmation(o->fleet, now) &&
+	    now - o->confirmed < CONFIRMATION_AGE_MAX;
 
 	reply(o, from, c->token,
 	    confirmed_lately ? OGL__CELL_OUTCOME__cell_absent
--- a/cell/owner_jobs.c
+++ b/cell/owner_jobs.c
@@ -696,8 +696,12 @@
     void *arg, struct cell_stage *st, uint32_t index, ogl_time now)
 {
 	struct cell_owner *o = arg;
+	char more[64];
 
 	clear_assumed(o, st, &st->tasks[index]);
-	log_run(o, st->tasks[index].active, "run_started", "", now);
+	g_snprintf(more, sizeof more,
+	    "epoch=%" G_GUINT64_FORMAT " proof_ms=%" G_GINT64_FORMAT, o->epoch,
+	    cell_fleet_proof_age(o->fleet, now) / OGL_MS);
+	log_run(o, st->tasks[index].active, "run_started", more, now);
 	cell_owner_job_changed(o, st->job, false, now);
 }
--- a/cell/owner_takeover.c
+++ b/cell/owner_takeover.c
@@ -52,7 +52,7 @@
 	struct cell_owner *o = arg;
 
 	cell_fleet_expect(o->fleet, k, now);
-	cell_held_add(o->held, k, cell_fleet_old_leases_end(o->fleet));
+	cell_held_add(o->held, k);
 }
 
 /* A record of the workers that is being stored. */
@@ -71,6 +71,9 @@
 
 	(void)tag;
 	(void)now;
+	if (result == CELL_STORED)
+		cell_fleet_record_replaces(
+		    pending->owner->fleet, pending->number);
 	for (i = 0; result == CELL_STORED && i < pending->ids->len; i++)
 		cell_fleet_record_stored(pending->owner->fleet,
 		    pending->ids->pdata[i], pending->number);
@@ -93,6 +96,7 @@
 	pending->ids = g_ptr_array_new_with_free_func(g_free);
 	pending->number = ++o->worker_records;
 	record = cell_known_pack(o->fleet, pending->number, pending->ids, now);
+	cell_fleet_record_sent(o->fleet, pending->number);
 	cell_journal_put(o->journal, CELL_WORKERS_KEY, record, now);
 	cell_journal_notify(o->journal, on_workers_stored, pending, 0);
 }
@@ -174,6 +178,8 @@
 	if (!cell_known_unpack(l->workers, expect_worker, o, now))
 		o->ops->log(o->ops->ctx, "owner", "record_unreadable",
 		    CELL_WORKERS_KEY);
+	o->worker_records = CELL_FLEET_LOADED_RECORD;
+	cell_fleet_record_sent(o->fleet, o->worker_records);
 	g_snprintf(text, sizeof text,
 	    "shard=%u epoch=%" G_GUINT64_FORMAT
 	    " jobs=%u open=%u took_ms=%" G_GINT64_FORMAT,
--- a/cell/sched_forecast.c
+++ b/cell/sched_forecast.c
@@ -352,7 +352,7 @@
 may_refuse_by_capacity(const struct cell_sched *s, ogl_time now)
 {
 	return cell_sched_is_full(s, now) &&
-	       !cell_fleet_awaits_confirmation(s->parts.fleet);
+	       !cell_fleet_awaits_confirmation(s->parts.fleet, now);
 }
 
 /* ---- closed workers --------------------------------------------------- */
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -426,7 +426,7 @@
 
 	if (waiting == 0)
 		cell_forecast_begin_count(s->forecast);
-	if (waiting == 0 || cell_fleet_awaits_confirmation(s->parts.fleet))
+	if (waiting == 0 || cell_fleet_awaits_confirmation(s->parts.fleet, now))
 		return;
 	/* A new owner may read the jobs before the configuration, without which
 	 * no team's limit is known. */
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -15,6 +15,7 @@
 struct Hold {
 	uint32_t wait_ms;
 	uint32_t timeout_ms;
+	uint64_t until_ms;
 	cell_hold_fn *done;
 	void *arg;
 	bool answered;
@@ -35,7 +36,7 @@
 on_hold(void *ctx, const struct cell_hold *h, cell_hold_fn *done, void *arg)
 {
 	static_cast<Worker *>(ctx)->holds.push_back(
-	    {h->wait_ms, h->timeout_ms, done, arg, false});
+	    {h->wait_ms, h->timeout_ms, h->until_ms, done, arg, false});
 }
 
 void
@@ -129,6 +130,8 @@
 	Hold step(ogl_time ms)
 	{
 		now_ += ms * OGL_MS;
+		if (store_confirms_)
+			cell_fleet_confirm(fleet_, now_);
 		cell_fleet_step(fleet_, now_);
 		return worker_.holds.back();
 	}
@@ -223,6 +226,7 @@
 	}
 
 	Worker worker_;
+	bool store_confirms_ = true; /* at each step */
 	struct cell_zones *zones_ = cell_zones_init();
 	uint64_t records_ = 0;
 	size_t answered_starts_ = 0;
@@ -301,6 +305,48 @@
 	    static_cast<uint64_t>(now_ / OGL_MS), worker()->lease.clock_ms);
 }
 
+/* Guards against an owner that renews leases and repeats starts after its
+ * successor has begun to wait for the last of them. */
+TEST_F(Fleet, NothingIsLeasedWithoutProofOfOwnership)
+{
+	step(10);
+	answer(OGL_IO_OK, 1);
+	EXPECT_NE(0u, step(10).until_ms);
+	start(OGL_IO_LOST);
+	store_confirms_ = false;
+	answer(OGL_IO_LOST, 0);
+	step(1000);
+	EXPECT_TRUE(cell_fleet_may_lease(fleet_, now_ - 1));
+	EXPECT_FALSE(cell_fleet_may_lease(fleet_, now_));
+	step(50);
+	EXPECT_EQ(0u, worker_.holds.back().until_ms);
+	EXPECT_EQ(1u, worker_.starts.size());
+	answer(OGL_IO_OK, 1);
+	EXPECT_EQ(0u, step(50).until_ms);
+	store_confirms_ = true;
+	answer(OGL_IO_OK, 1);
+	EXPECT_NE(0u, step(50).until_ms);
+	EXPECT_EQ(2u, worker_.starts.size());
+}
+
+/* Guards against work that ends with its leases while the store is down for all
+ * nodes. */
+TEST_F(Fleet, WorkersProveTheOwnershipWhileTheStoreIsSilent)
+{
+	step(10);
+	store(2);
+	cell_fleet_record_sent(fleet_, 2);
+	answer(OGL_IO_OK, 0);
+	step(10);
+	store_confirms_ = false;
+	for (int i = 0; i < 30; i++) {
+		if (!worker_.holds.back().answered)
+			answer(OGL_IO_OK, 0);
+		step(100);
+		EXPECT_TRUE(cell_fleet_may_lease(fleet_, now_));
+	}
+}
+
 /* Guards against idle workers whose clock is never read again, so that their
  * next start gets a lease of no use. */
 TEST_F(Fleet, ClockOfAnIdleWorkerIsReadOnceAMinute)
--- a/test/test_cell_schedule.cc
+++ b/test/test_cell_schedule.cc
@@ -162,6 +162,13 @@
 		cell_fleet_confirm(fleet_, now_);
 	}
 
+	/* Lets time pass, at the end of which the store confirms the owner. */
+	void advance(ogl_time t)
+	{
+		now_ += t;
+		cell_fleet_confirm(fleet_, now_);
+	}
+
 	/* Sets the time that the advice service takes for a question, and for
 	 * each worker named in it. */
 	void configure(double decide_ms, double worker_ms)
@@ -282,7 +289,7 @@
 	/* Runs a pass ms later; asked_ then lists the workers asked about. */
 	void pass(int ms)
 	{
-		now_ += ms * OGL_MS;
+		advance(ms * OGL_MS);
 		asked_.clear();
 		for (unsigned i = 0; i < kWorkers; i++)
 			worker(i)->hold_pending = false;
@@ -482,7 +489,7 @@
 	submit(1, 1000);
 	pass(10);
 	ASSERT_FALSE(asked_.empty());
-	now_ += 1300 * OGL_MS;
+	advance(1300 * OGL_MS);
 	asked_.clear();
 	cell_advice_step(advice_, now_);
 	cell_advice_update_node(advice_, "m", now_);
@@ -544,12 +551,12 @@
 	EXPECT_EQ("", refused_by());
 	fill();
 	EXPECT_EQ("room", refused_by());
-	now_ += 310 * OGL_MS; /* no stage has lacked room since */
+	advance(310 * OGL_MS); /* no stage has lacked room since */
 	EXPECT_EQ("", refused_by());
 	pass(1);
 	EXPECT_EQ("room", refused_by());
 	occupy(3, 0);
-	now_ += 200 * OGL_MS;
+	advance(200 * OGL_MS);
 	EXPECT_EQ("", refused_by());
 }
 
@@ -558,6 +565,7 @@
 TEST_F(Schedule, CapacityIsNotUsedUntilOwnershipIsConfirmed)
 {
 	fill();
+	now_ += OGL_MS;
 	cell_fleet_require_confirmation(fleet_, now_);
 	EXPECT_EQ("", refused_by());
 	cell_fleet_confirm(fleet_, now_);
@@ -574,7 +582,7 @@
 		j = new_job("00000000000000bb", 1, 1000);
 		EXPECT_EQ(0, cell_sched_forecast(sched_, j, now_));
 	}
-	now_ += 4 * OGL_SEC;
+	advance(4 * OGL_SEC);
 	fill();
 	EXPECT_EQ("room", refused_by());
 	for (auto &j : jobs) {
@@ -609,12 +617,12 @@
 	ogl_time refused_at = now_;
 
 	EXPECT_EQ(500u, return_ms("00000000000000aa"));
-	now_ += 520 * OGL_MS;
+	advance(520 * OGL_MS);
 	EXPECT_EQ(refused_at, waits_since("00000000000000aa"));
 	cell_sched_open(sched_, now_);
 	EXPECT_EQ(now_, waits_since("00000000000000aa"));
 	return_ms("00000000000000aa");
-	now_ += 3 * OGL_SEC;
+	advance(3 * OGL_SEC);
 	EXPECT_EQ(now_, waits_since("00000000000000aa"));
 }
 
