platform: a node may tell its peers another address than it listens on

Behind a port forward, peers can't reach the address that a node listens on, and a node told them no other. The optional settings field advertised_addr names the address to tell them.

--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -284,6 +284,7 @@
 	ASSERT_NE(nullptr, s);
 	EXPECT_STREQ("edge-1", s->name);
 	EXPECT_STREQ("10.1.0.17:7420", s->peer);
+	EXPECT_STREQ("10.1.0.17:7420", s->told_peer);
 	EXPECT_EQ(6000U, s->grace_ms);
 	EXPECT_EQ(120000U, s->limits.status_ms);
 	EXPECT_EQ(10000U, s->limits.lease_max_ms);
@@ -293,6 +294,28 @@
 	ogl_faults_free(f);
 }
 
+/* A node behind a port forward tells its peers an address that nobody reaches. */
+TEST(PlatformSettings, AddressToldToPeersMayDifferFromTheOneListenedOn)
+{
+	struct ogl_faults *f = ogl_faults_new();
+	std::string text = kSettings;
+	struct platform_settings *s;
+
+	text.insert(1, R"("advertised_addr":"192.0.2.9:420",)");
+	s = platform_settings_read(settings_file(text).c_str(), f);
+	ASSERT_NE(nullptr, s);
+	EXPECT_STREQ("10.1.0.17:7420", s->peer);
+	EXPECT_STREQ("192.0.2.9:420", s->told_peer);
+	platform_settings_free(s);
+	text = kSettings;
+	text.insert(1, R"("advertised_addr":7,)");
+	EXPECT_EQ(
+	    nullptr, platform_settings_read(settings_file(text).c_str(), f));
+	ASSERT_EQ(1U, ogl_faults_count(f));
+	EXPECT_STREQ("/advertised_addr", ogl_faults_path(f, 0));
+	ogl_faults_free(f);
+}
+
 TEST(PlatformSettings, ReportsPathOfEveryFault)
 {
 	struct ogl_faults *f = ogl_faults_new();
