soak: an owner cut off together with workers; streams closed at the end

The soak could not find it: it had no fault that parts a node and workers from the rest, but lets them reach each other.

A cut has two sides. Node to store passes a proxy of the node. Node to node passes a new proxy before each node (advertised_addr), which knows the sender from the first message. Workers' stand-ins leave calls unanswered whose epoch belongs to a node of the other side, as the claims stream tells.

AGAIN is the soak's name for a start after an end that was acknowledged.

The stand-ins told of 50 percent for as long as a task ran, so tasks of some seconds were moved as stragglers; they tell of what has passed now.

At its end the soak left streams open. All streams are closed now, the nodes' ends are awaited, and the verdict is the last line. The exit status is as before.

--- /dev/null
+++ b/soak/cuts.py
@@ -0,0 +1,140 @@
+"""Cuts of the network as a fault of the soak, and what happens inside them."""
+
+import asyncio
+import signal
+
+import net
+import world as w
+
+BEGIN_SHARE = 0.15  # of the times at which a cut may begin
+CUT_MIN_S, CUT_MAX_S = 1, 12
+FREEZE_MIN_S, FREEZE_MAX_S = 0.5, 9  # the longer ones outlast a takeover
+
+
+class Cuts:
+    """At most one cut at a time, each in a task of its own, so that the other
+    faults go on meanwhile."""
+
+    def __init__(self, soak, rand):
+        self.soak, self.rand = soak, rand
+        self.task = None
+
+    def owner(self):
+        """The node with the newest claim, or None."""
+        owners = self.soak.platform.store.owners
+        addr = owners[max(owners)] if owners else None
+        return next((n for n in self.soak.nodes if n.addr == addr), None)
+
+    def begin_cut(self, nodes, workers, stalls):
+        p = self.soak.platform
+        p.last_fault = w.now()
+        self.soak.net.cut = net.Cut(
+            [n.addr for n in nodes], [x.id for x in workers], stalls
+        )
+        p.note(
+            f"cut {' '.join(sorted(n.addr for n in nodes))} "
+            f"{' '.join(sorted(x.id for x in workers))} "
+            f"{'stalls' if stalls else 'loses'} connections"
+        )
+
+    def end_cut(self):
+        if self.soak.net.cut:
+            self.soak.net.cut = None
+            self.soak.platform.last_fault = w.now()
+            self.soak.platform.note("end of the cut")
+
+    def maybe_begin(self):
+        if self.task is None and self.rand.random() < BEGIN_SHARE:
+            self.task = asyncio.ensure_future(self.run_cut())
+
+    async def end(self):
+        """Ends the cut that is in force, at the end of the soak."""
+        task, self.task = self.task, None
+        if task:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        for n in self.soak.nodes:
+            n.frozen = False
+        self.end_cut()
+
+    def choose_sides(self):
+        r, s = self.rand, self.soak
+        node = self.owner() if r.random() < 0.75 else None
+        near = {node or r.choice(s.nodes)}
+        if r.random() < 0.2:
+            near.add(r.choice(s.nodes))
+        count = max(1, round(r.random() * s.nworkers * 0.8))
+        return near, r.sample(s.platform.workers, count)
+
+    async def run_cut(self):
+        r = self.rand
+        near, workers = self.choose_sides()
+        seconds = r.uniform(CUT_MIN_S, CUT_MAX_S)
+        self.begin_cut(near, workers, r.random() < 0.5)
+        faults = [
+            self.freeze(r.choice(sorted(near, key=lambda n: n.index)), seconds),
+            self.kill_successor(near, seconds),
+            self.restart_worker(workers, seconds),
+            self.disturb_store(seconds),
+            self.stop_nodes(seconds),
+        ]
+        for f in faults[:]:
+            if r.random() < 0.6:
+                faults.remove(f)
+                f.close()
+        try:
+            await asyncio.gather(self.end_after(seconds), *faults)
+        finally:
+            self.end_cut()
+            self.task = None
+
+    async def end_after(self, seconds):
+        await asyncio.sleep(seconds)
+        self.end_cut()
+
+    # ---- faults inside a cut -------------------------------------------
+
+    async def freeze(self, node, seconds):
+        """The node may wake inside the cut or after it."""
+        r = self.rand
+        await asyncio.sleep(r.uniform(0, seconds))
+        node.frozen = True
+        node.signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(r.uniform(FREEZE_MIN_S, FREEZE_MAX_S))
+        finally:
+            node.frozen = False
+            node.signal(signal.SIGCONT)
+
+    async def kill_successor(self, near, seconds):
+        await asyncio.sleep(self.rand.uniform(0, seconds))
+        owner = self.owner()
+        if owner and owner not in near:
+            owner.signal(signal.SIGKILL)
+
+    async def restart_worker(self, workers, seconds):
+        r = self.rand
+        await asyncio.sleep(r.uniform(0, seconds))
+        x = r.choice(workers)
+        x.crash()
+        x.mode = "crashed"
+        await asyncio.sleep(r.uniform(0, 2))
+        if x.mode == "crashed":
+            x.new_incarnation()
+            x.mode = "normal"
+
+    async def disturb_store(self, seconds):
+        r, store = self.rand, self.soak.platform.store
+        await asyncio.sleep(r.uniform(0, seconds))
+        store.mode = r.choice(["busy", "losing", "late", "slow"])
+        await asyncio.sleep(r.uniform(0.3, 3))
+        store.mode = "normal"
+
+    async def stop_nodes(self, seconds):
+        """A roll: nodes stop by SIGTERM one after the other and start again."""
+        r = self.rand
+        await asyncio.sleep(r.uniform(0, seconds / 2))
+        for n in r.sample(self.soak.nodes, min(3, len(self.soak.nodes))):
+            n.signal(signal.SIGTERM)
+            await asyncio.sleep(r.uniform(0.5, 4))
+            await n.start()
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -1,10 +1,11 @@
 """Soak test with faults: runs real node processes and checks invariants.
 
-    soak/soak.py BUILD --seed N [--seconds S] [--nodes N] [--workers N] [--keep DIR]
+    soak/soak.py BUILD --seed N [--seconds S] [--nodes N] [--workers N]
+        [--large] [--keep DIR]
 
 Nodes reach the store and the workers through loopback proxies that delay, drop
-or reset traffic, drop it in one direction or refuse connections.  Node
-processes get SIGKILL,
+or reset traffic, drop it in one direction or refuse connections.  Cuts part some
+nodes and workers from the others and from the store.  Node processes get SIGKILL,
 SIGSTOP, SIGCONT, SIGTERM and SIGHUP and are restarted.  The store refuses
 requests, is slow, loses answers and executes writes late.  Workers crash,
 restart, fail all tasks and answer late; their clocks are up to 2% slow.
@@ -22,6 +23,8 @@
 import sys
 import tempfile
 
+import cuts
+import net
 import world as w
 
 API_KEY = "key-one"
@@ -30,64 +33,6 @@
 ZONES = ["za", "zb"]  # of the workers, alternating
 
 
-class Proxy:
-    """Forwards connections to an address, with faults according to mode."""
-
-    def __init__(self, target):
-        self.target, self.mode, self.writers = target, "pass", set()
-
-    async def start(self, host, port):
-        self.address = host, port
-        self.server = await asyncio.start_server(self.serve, host, port)
-
-    def set_mode(self, mode):
-        if (mode == "refuse") != (self.mode == "refuse"):
-            if mode == "refuse":
-                self.server.close()
-            else:
-                asyncio.ensure_future(self.start(*self.address))
-        self.mode = mode
-        if mode in ("reset", "refuse"):
-            for writer in list(self.writers):
-                writer.transport.abort()
-
-    async def forward(self, reader, writer, from_target):
-        try:
-            while data := await reader.read(65536):
-                if self.mode == "delay":
-                    await asyncio.sleep(0.15)
-                if self.mode == "silent" or (
-                    from_target and self.mode == "oneway"
-                ):
-                    continue
-                writer.write(data)
-                await writer.drain()
-        except OSError:
-            pass
-        writer.close()
-
-    async def serve(self, reader, writer):
-        if self.mode in ("reset", "refuse"):
-            writer.transport.abort()
-            return
-        self.writers.add(writer)
-        try:
-            target_reader, target_writer = await asyncio.open_connection(
-                *self.target
-            )
-            self.writers.add(target_writer)
-            await asyncio.gather(
-                self.forward(reader, target_writer, False),
-                self.forward(target_reader, writer, True),
-            )
-            self.writers.discard(target_writer)
-        except OSError:
-            writer.transport.abort()
-        except asyncio.CancelledError:
-            return
-        self.writers.discard(writer)
-
-
 def make_server(handle):
     async def serve(reader, writer):
         try:
@@ -101,9 +46,6 @@
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, ValueError):
             pass
-        except asyncio.CancelledError:
-            return  # the soak has ended
-        writer.close()
 
     return serve
 
@@ -113,8 +55,14 @@
         self.soak, self.index = soak, index
         self.ip = f"127.0.{1 + soak.subnet}.{10 + index}"
         self.proc = None
-        self.stopped = False
-        self.store = Proxy(("127.0.0.1", soak.port))
+        self.addr = f"{self.ip}:{soak.port + 8}"  # that its peers are told
+        self.frozen = False  # not to be continued by remove_faults
+        self.store = net.StoreProxy(
+            soak.net, ("127.0.0.1", soak.port), self.addr
+        )
+        self.peer = net.PeerProxy(
+            soak.net, (self.ip, soak.port + 3), self.addr
+        )
 
     def settings(self):
         s = self.soak
@@ -127,6 +75,7 @@
                 "ready": f"{self.ip}:{s.port + 2}",
             },
             "internal_ports": [s.port + 3, s.port + 9],
+            "advertised_addr": self.addr,
             "limits": {"cpu_shares": 1, "cores": 1, "link_mbps": 1000},
             "platform": {"address": f"{self.ip}:{s.port + 4}"},
             "advice": f"127.0.0.1:{s.port + 5}",
@@ -142,7 +91,7 @@
         }
 
     async def start(self):
-        if self.proc and self.proc.returncode is None:
+        if self.running():
             return
         path = f"{self.soak.dir}/n{self.index}.json"
         with open(path, "w") as f:
@@ -155,24 +104,39 @@
             stdout=log,
             stderr=log,
         )
-        self.stopped = False
+        log.close()
+        self.peer.set_mode("pass")
+        asyncio.ensure_future(self.watch(self.proc))
+
+    async def watch(self, proc):
+        """Refuses connections in place of a process that has ended, as its host
+        does unless it is cut off."""
+        await proc.wait()
+        while self.soak.net.cut:
+            await asyncio.sleep(net.STALL_POLL_S)
+        if self.proc is proc:
+            self.peer.set_mode("refuse")
+
+    def running(self):
+        return self.proc is not None and self.proc.returncode is None
 
     def signal(self, number):
-        if self.proc and self.proc.returncode is None:
+        if self.running():
             self.proc.send_signal(number)
-            if number in (signal.SIGSTOP, signal.SIGCONT):
-                self.stopped = number == signal.SIGSTOP
 
 
 class Soak:
     def __init__(self, a):
-        self.rand = random.Random(a.seed)
+        self.seed, self.rand = a.seed, random.Random(a.seed)
         self.zone_rand = random.Random(a.seed + 1)
         self.series_rand = random.Random(a.seed + 2)
         self.build, self.dir = a.build, a.keep or tempfile.mkdtemp()
+        os.makedirs(self.dir, exist_ok=True)
         self.subnet = a.seed % 200
         self.port = 21000 + (a.seed % 50) * 20
-        self.platform = w.Platform(self.rand)
+        self.net = net.Net()
+        self.cuts = cuts.Cuts(self, random.Random(a.seed + 3))
+        self.platform = w.Platform(self.rand, self.net)
         self.nodes = [Node(self, i) for i in range(a.nodes)]
         self.proxies = []
         self.nworkers, self.seconds = a.workers, a.seconds
@@ -182,24 +146,22 @@
 
     async def listen(self):
         host, store = "127.0.0.1", self.platform.store
-        await asyncio.start_server(make_server(store.handle), host, self.port)
-        await asyncio.start_server(
-            make_server(self.platform.advise), host, self.port + 5
-        )
+        listen = self.net.streams.listen
+        await listen(make_server(store.handle), host, self.port)
+        await listen(make_server(self.platform.advise), host, self.port + 5)
         for i in range(self.nworkers):
             ip = f"127.0.{1 + self.subnet}.{100 + i}"
             worker = w.Worker(
                 self.platform, f"w{i}", f"{ip}:{self.port + 6}", ZONES[i % 2]
             )
-            await asyncio.start_server(
-                make_server(worker.handle), ip, self.port + 7
-            )
-            proxy = Proxy((ip, self.port + 7))
+            await listen(make_server(worker.handle), ip, self.port + 7)
+            proxy = net.Proxy(self.net, (ip, self.port + 7))
             await proxy.start(ip, self.port + 6)
             self.platform.workers.append(worker)
             self.proxies.append(proxy)
         for n in self.nodes:
             await n.store.start(n.ip, self.port + 4)
+            await n.peer.start(n.ip, self.port + 8)
 
     # ---- callers ------------------------------------------------------
 
@@ -210,7 +172,7 @@
         try:
             if writer is None:
                 reader, writer = await asyncio.wait_for(
-                    asyncio.open_connection(node.ip, self.port + 1), 1
+                    self.net.streams.connect(node.ip, self.port + 1), 1
                 )
             writer.write(
                 (
@@ -223,12 +185,13 @@
             )
             m = await asyncio.wait_for(w.read_message(reader), 3.5)
             if m is None:
+                self.net.streams.close_writer(writer)
                 return 0, None
             connections.append((reader, writer))
             return int(m[0][1]), m[2]
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             if writer:
-                writer.close()
+                self.net.streams.close_writer(writer)
             return 0, None
 
     async def submit(self):
@@ -305,12 +268,15 @@
             worker.crash()
 
     async def remove_faults(self, everything):
+        if everything:
+            await self.cuts.end()
         if everything or self.rand.random() < 0.4:
             self.platform.store.mode = "normal"
         for n in self.nodes:
             if everything or self.rand.random() < 0.4:
                 n.store.set_mode("pass")
-                n.signal(signal.SIGCONT)
+                if not n.frozen:
+                    n.signal(signal.SIGCONT)
                 await n.start()
         for i, worker in enumerate(self.platform.workers):
             if everything or self.rand.random() < 0.4:
@@ -418,19 +384,23 @@
         """Nodes left by a soak with the same seed would take our calls."""
         for n in self.nodes:
             try:
-                _, writer = await asyncio.open_connection(n.ip, self.port + 1)
+                _, writer = await self.net.streams.connect(
+                    n.ip, self.port + 1
+                )
             except OSError:
                 continue
-            writer.close()
+            self.net.streams.close_writer(writer)
             sys.exit(f"{n.ip}:{self.port + 1} is in use by another soak?")
 
-    async def run(self):
+    async def begin(self):
         await self.check_ports_free()
         await self.listen()
         await self.platform.configure([API_KEY])
         asyncio.ensure_future(self.platform.list_workers())
         for n in self.nodes:
             await n.start()
+
+    async def play(self):
         await asyncio.sleep(1.5)
         until = w.now() + self.seconds
         await asyncio.gather(self.submit_jobs(until), self.inject_faults(until))
@@ -444,29 +414,30 @@
                 print("stuck:", [f.f_lineno for f in t.get_stack()])
                 t.cancel()
         await self.settle()
-        for n in self.nodes:
-            n.signal(signal.SIGKILL)
 
-
-def main():
-    p = argparse.ArgumentParser()
-    p.add_argument("build")
-    p.add_argument("--seed", type=int, default=1)
-    p.add_argument("--seconds", type=float, default=20)
-    p.add_argument("--nodes", type=int, default=4)
-    p.add_argument("--workers", type=int, default=8)
-    p.add_argument("--keep")
-    a = p.parse_args()
-    if a.keep:
-        os.makedirs(a.keep, exist_ok=True)
-    soak = Soak(a)
+    async def run(self, play):
+        try:
+            await self.begin()
+            await play()
+        finally:
+            for n in self.nodes:
+                n.signal(signal.SIGKILL)
+                if n.proc:
+                    await n.proc.wait()
+            await self.net.streams.close_all()
+            with open(f"{self.dir}/notes.txt", "w") as f:
+                f.writelines(line + "\n" for line in self.platform.notes)
+
+
+def run_soak(soak, play):
+    """Returns the exit status."""
     # Node processes must not outlive a soak that is terminated.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     try:
-        asyncio.run(soak.run())
+        asyncio.run(soak.run(play))
     finally:
         for n in soak.nodes:
-            if n.proc and n.proc.returncode is None:
+            if n.running():
                 try:
                     n.proc.kill()
                 except ProcessLookupError:
@@ -475,7 +446,7 @@
     for b in soak.platform.violations:
         print(b)
     print(
-        f"seed {a.seed}: {len(jobs)} jobs, "
+        f"seed {soak.seed}: {len(jobs)} jobs, "
         f"{sum(j.accepted for j in jobs)} accepted, "
         f"{len(soak.platform.violations)} breaches, logs in {soak.dir}"
     )
@@ -486,5 +457,29 @@
     )
 
 
+def options(**defaults):
+    p = argparse.ArgumentParser()
+    p.add_argument("build")
+    p.add_argument("--seed", type=int, default=1)
+    p.add_argument("--seconds", type=float, default=20)
+    p.add_argument("--nodes", type=int, default=4)
+    p.add_argument("--workers", type=int, default=8)
+    p.add_argument("--keep")
+    p.set_defaults(**defaults)
+    return p
+
+
+def main():
+    p = options()
+    p.add_argument(
+        "--large", action="store_true", help="40 nodes and 60 workers"
+    )
+    a = p.parse_args()
+    if a.large:
+        a.nodes, a.workers = 40, 60
+    soak = Soak(a)
+    return run_soak(soak, soak.play)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/soak/test_world.py
+++ b/soak/test_world.py
@@ -1,15 +1,18 @@
 """Tests of the soak's simulated platform."""
 
 import asyncio
+import json
 import random
 import subprocess
 import sys
 import unittest
 
+import net
 import world as w
 
 READERS, WRITERS, SEEDS = 8, 3, 6
 END_TIMEOUT_S = 8  # the cancellation takes milliseconds
+TARGET, PROXY = ("127.0.200.1", 20981), ("127.0.200.1", 20982)
 
 
 async def use_store(rand):
@@ -49,8 +52,101 @@
                 )
 
 
+class NetTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.net, self.heard = net.Net(), b""
+
+        async def hear(reader, writer):
+            while data := await reader.read(100):
+                self.heard += data
+
+        await self.net.streams.listen(hear, *TARGET)
+        proxy = net.PeerProxy(self.net, TARGET, "127.0.0.9:2")
+        await proxy.start(*PROXY)
+        _, self.writer = await self.net.streams.connect(*PROXY)
+
+    async def asyncTearDown(self):
+        await self.net.streams.close_all()
+
+    async def say(self, data):
+        self.writer.write(data)
+        await asyncio.sleep(0.1)
+
+    async def test_messages_of_the_same_side_pass_a_cut(self):
+        """Owners and workers of one side reach each other."""
+        self.net.cut = net.Cut(["127.0.0.8:2", "127.0.0.9:2"], [], True)
+        await self.say(b"\n\x0b127.0.0.8:2.")
+        self.assertTrue(self.heard.endswith(b":2."))
+
+    async def test_messages_from_the_other_side_stall(self):
+        """A cut that lets something through finds no fault."""
+        await self.say(b"\n\x0b127.0.0.8:2.")
+        self.net.cut = net.Cut(["127.0.0.9:2"], [], True)
+        await self.say(b"more")
+        self.assertTrue(self.heard.endswith(b":2."))
+        self.net.cut = None
+        await self.say(b"")
+        self.assertTrue(self.heard.endswith(b"more"))
+
+    async def test_messages_from_the_other_side_are_lost(self):
+        await self.say(b"\n\x0b127.0.0.8:2.")
+        self.net.cut = net.Cut(["127.0.0.9:2"], [], False)
+        await self.say(b"more")
+        self.net.cut = None
+        await self.say(b"")
+        self.assertTrue(self.heard.endswith(b":2."))
+
+
+class WorkerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_only_the_owner_of_its_side_reaches_a_worker(self):
+        n = net.Net()
+        p = w.Platform(random.Random(1), n)
+        p.store.owners = {1: "127.0.0.8:2", 2: "127.0.0.9:2"}
+        x = w.Worker(p, "w0", "127.0.0.1:1")
+        n.cut = net.Cut(["127.0.0.8:2"], ["w0"], True)
+        for token, answered in ((1, True), (2, False), (1, False)):
+            out = await x.handle(
+                "POST",
+                "/hold",
+                {"x-expected-instance": "w0"},
+                json.dumps({"fencing_token": token, "last_seen": 0}),
+            )
+            self.assertEqual(answered, out is not None)
+            x.epoch = 0
+            if token == 2:
+                n.cut = net.Cut(["127.0.0.9:2"], ["w0"], True)
+
+
+async def leave_streams_open():
+    """Ends with an open connection, as the soak does with many."""
+    n = net.Net()
+
+    async def wait(reader, writer):
+        await reader.read()
+
+    await n.streams.listen(wait, *TARGET)
+    await n.streams.connect(*TARGET)
+    await asyncio.sleep(0.05)
+    await n.streams.close_all()
+
+
+class StreamsTest(unittest.TestCase):
+    def test_nothing_is_printed_at_the_end(self):
+        """Exceptions of streams left open push the soak's verdict out of the
+        lines that the check prints."""
+        r = subprocess.run(
+            [sys.executable, __file__, "leave"],
+            timeout=END_TIMEOUT_S,
+            check=True,
+            capture_output=True,
+        )
+        self.assertEqual(b"", r.stdout + r.stderr)
+
+
 if __name__ == "__main__":
     if sys.argv[1:2] == ["use"]:
         asyncio.run(use_store(random.Random(int(sys.argv[2]))))
+    elif sys.argv[1:2] == ["leave"]:
+        asyncio.run(leave_streams_open())
     else:
         unittest.main()
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,6 +11,9 @@
 import struct
 import time
 
+from net import ADDRESS
+
+CLAIMS_TOPIC = "keyed.claims"
 WORKER_CPU = 16000
 LEASE_MAX_MS = 10000
 TASK_STOP_S = 0.2
@@ -93,6 +96,7 @@
     def __init__(self, rand):
         self.rand = rand
         self.topics = {}
+        self.owners = {}  # epoch -> address of the node that claimed it
         self.mode = "normal"  # or busy, losing, late, slow
 
     def topic(self, name):
@@ -122,6 +126,8 @@
                 return 409, {"reason": "seq", "seq": t.seq + 1}
             t.seq = seq
         first = await t.put(pairs)
+        if q["topic"] == CLAIMS_TOPIC:
+            self.owners[first + 1] = ADDRESS.search(pairs[0][1]).group().decode()
         out = {"offset": first, "end_offset": len(t.records)}
         if fenced and pairs:
             t.results[seq] = out
@@ -184,7 +190,8 @@
 
 class Task:
     def __init__(self):
-        self.running = 0
+        self.running = []  # the runs
+        self.last_end = None  # text about the last run that ended as done
         self.done = False  # a run has ended as done
         self.done_recorded = False  # and the owner has recorded that end
         self.failed = 0  # failed runs whose ends the owner has recorded
@@ -204,12 +211,24 @@
 
 
 class Run:
-    def __init__(self, name, number, step, body):
-        self.name, self.number, self.step = name, number, step
-        self.body = body
-        self.began = None
+    def __init__(self, worker, step, body):
+        self.worker, self.step, self.body = worker, step, body
+        self.name, self.number = body["task"], body["run_id"]
+        self.began = now()
         self.timer = None
 
+    def percent(self):
+        share = (now() - self.began) * 1000 / self.step["estimate_ms"]
+        return min(99, int(100 * share))
+
+    def __str__(self):
+        p, epoch = self.worker.platform, self.body["fencing_token"]
+        return (
+            f"run {self.number} on {self.worker.id} since "
+            f"{self.began - p.started_at:.2f} s, ordered in epoch {epoch} "
+            f"by {p.store.owners.get(epoch)}"
+        )
+
 
 class Worker:
     def __init__(self, platform, worker_id, addr, zone="z"):
@@ -235,8 +254,10 @@
         run.timer.cancel()
         job_id, _, step, index = run.name.split(".")
         t = self.platform.jobs[job_id].task(int(step), int(index))
-        t.running -= 1
-        t.done = t.done or how == "done"
+        t.running.remove(run)
+        if how == "done":
+            t.done = True
+            t.last_end = f"{run}, ended {self.platform.elapsed():.2f} s"
         self.last_end += 1
         self.ended.append([self.last_end, run.name, run.number, how, ""])
         self.highest_run[run.name] = max(
@@ -248,7 +269,8 @@
         for run in list(self.runs.values()):
             run.timer.cancel()
             job_id, _, step, index = run.name.split(".")
-            self.platform.jobs[job_id].task(int(step), int(index)).running -= 1
+            t = self.platform.jobs[job_id].task(int(step), int(index))
+            t.running.remove(run)
         self.new_incarnation()
 
     def expire_lease(self):
@@ -256,15 +278,16 @@
             for run in list(self.runs.values()):
                 self.end_run(run, "lapsed")
 
-    def check_start(self, job, step, index, name):
+    def check_start(self, job, step, index, run):
         t, report = job.task(step, index), self.platform.report_violation
+        name = run.name
         used = sum(r.step["cpu"] for r in self.runs.values())
         if used + job.steps[step]["cpu"] > WORKER_CPU:
             report("LIMIT", name)
         if t.running:
-            report("TWICE", name)
+            report("TWICE", f"{name}: {run}; {t.running[0]}")
         if t.done_recorded:
-            report("AGAIN", name)
+            report("AGAIN", f"{name}: {run}; {t.last_end}")
         if t.failed >= self.platform.attempts_max:
             report("BUDGET", name)
         for before in job.steps[step].get("after", []):
@@ -278,7 +301,10 @@
         if job.submissions == job.rejections:
             report("REFUSED", name)
         since = self.platform.evacuated.get(self.zone)
-        settled = now() - self.platform.last_fault > FAULT_SETTLE_S
+        settled = (
+            now() - self.platform.last_fault > FAULT_SETTLE_S
+            and not self.platform.net.cut
+        )
         if since and now() - since > EVACUATION_BOUND_S and settled:
             if self.mode != "late":
                 report("EVAC", name)
@@ -290,9 +316,9 @@
             self.platform.report_violation("UNASKED", b["task"])
             return
         step, index = int(step), int(index)
-        self.check_start(job, step, index, b["task"])
-        run = Run(b["task"], b["run_id"], job.steps[step], b)
-        job.task(step, index).running += 1
+        run = Run(self, job.steps[step], b)
+        self.check_start(job, step, index, run)
+        job.task(step, index).running.append(run)
         self.runs[(run.name, run.number)] = run
         bad = self.mode == "failing" or job.steps[step].get("bad")
         run.timer = asyncio.get_running_loop().call_later(
@@ -364,7 +390,21 @@
             wait.cancel()
         return 200, None
 
+    def cut_from(self, epoch):
+        """Whether a cut parts the worker from the owner of the epoch.  Calls of
+        all nodes come from one address, so their epoch tells the sender."""
+        cut, owners = self.platform.net.cut, self.platform.store.owners
+        return cut and cut.parts_worker(owners.get(epoch), self.id)
+
     async def handle(self, method, path, headers, body):
+        """An answer that is ready after the start of a cut is lost, too."""
+        epoch = json.loads(body)["fencing_token"]
+        if self.cut_from(epoch):
+            return None
+        out = await self.answer_call(path, headers, body)
+        return None if self.cut_from(epoch) else out
+
+    async def answer_call(self, path, headers, body):
         if self.mode == "crashed":
             return None
         if headers.get("x-expected-instance") != self.id:
@@ -388,7 +428,8 @@
             out["reason"] = why
         if path.endswith("hold"):
             out["running"] = [
-                [r.name, r.number, "", 50, 0] for r in self.runs.values()
+                [r.name, r.number, "", r.percent(), 0]
+                for r in self.runs.values()
             ]
             out["ended"] = self.ended[:500]
         return answer(status, out)
@@ -412,20 +453,30 @@
 class Platform:
     attempts_max = 3
 
-    def __init__(self, rand):
-        self.rand = rand
+    def __init__(self, rand, net):
+        self.rand, self.net = rand, net
         self.store = Store(rand)
         self.jobs, self.workers, self.tickets = {}, [], {}
-        self.violations = []
+        self.violations, self.notes = [], []
+        self.prints_notes = False
         self.version = 0
         self.evacuated = {}  # zone -> time of its evacuation
         self.last_fault = now()  # of a node, its connections or the store
         self.started_at = now()
 
+    def elapsed(self):
+        return now() - self.started_at
+
+    def note(self, text):
+        """For reading the logs of the nodes, whose times are those of the wall
+        clock."""
+        self.notes.append(f"{time.time():.3f} {self.elapsed():.2f} s {text}")
+        if self.prints_notes:
+            print(self.notes[-1])
+
     def report_violation(self, what, about):
-        self.violations.append(
-            f"{now() - self.started_at:.2f} s {what} {about}"
-        )
+        self.note(f"{what} {about}")
+        self.violations.append(f"{self.elapsed():.2f} s {what} {about}")
 
     async def configure(self, keys):
         self.version += 1
