--- a/daemon/cell_host.c
+++ b/daemon/cell_host.c
@@ -473,7 +473,7 @@
 make_node(struct ogl_cell_host *h, const struct platform_settings *s)
 {
 	struct cell_node_config c = {.name = s->name,
-	    .addr = s->told_peer,
+	    .addr = s->advertised,
 	    .boot = (uint64_t)read_clock(CLOCK_REALTIME),
 	    .strength = s->strength,
 	    .link_kbps = s->link_kbps,
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -284,7 +284,7 @@
 	ASSERT_NE(nullptr, s);
 	EXPECT_STREQ("edge-1", s->name);
 	EXPECT_STREQ("10.1.0.17:7420", s->peer);
-	EXPECT_STREQ("10.1.0.17:7420", s->told_peer);
+	EXPECT_STREQ("10.1.0.17:7420", s->advertised);
 	EXPECT_EQ(6000U, s->grace_ms);
 	EXPECT_EQ(120000U, s->limits.status_ms);
 	EXPECT_EQ(10000U, s->limits.lease_max_ms);
@@ -305,7 +305,7 @@
 	s = platform_settings_read(settings_file(text).c_str(), f);
 	ASSERT_NE(nullptr, s);
 	EXPECT_STREQ("10.1.0.17:7420", s->peer);
-	EXPECT_STREQ("192.0.2.9:420", s->told_peer);
+	EXPECT_STREQ("192.0.2.9:420", s->advertised);
 	platform_settings_free(s);
 	text = kSettings;
 	text.insert(1, R"("advertised_addr":7,)");
