fleet: workers that no record names are not counted among those of the last

A first owner's line old_leases_expired said workers=0 answered=48: workers listed before the empty record was read counted as named by it. Nothing was decided by it, as nothing is waited for then.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -396,6 +396,11 @@
 	GHashTableIter it;
 	gpointer p;
 
+	if (record == CELL_FLEET_LOADED_RECORD) {
+		cell_quorum_record_sent(
+		    f->quorum, record, f->nexpected, f->nexpected);
+		return;
+	}
 	g_hash_table_iter_init(&it, f->workers);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct cell_worker *w = p;
