owner: a later run of a gang is stopped when an earlier one is found done

What callers saw: a task that must run once runs again after its job has completed (TWICE, the shape "started after an end that was taken note of").

Cause: gang_done() took all active runs of the stage for members of the run that ended, which end by themselves, and forgot them. When a gang counts as lapsed and is ordered anew, and its first run is then found to have ended as done, the active runs are of the second one. A start of it whose answer was lost was sent again after the job had completed.

Change: only members of the run that ended are left to themselves, members of another run are stopped.

--- a/cell/owner_jobs.c
+++ b/cell/owner_jobs.c
@@ -385,10 +385,12 @@
 		st->nactive--;
 }
 
-/* A gang is done as soon as one of its members is.  The other members are left
- * to end by themselves. */
+/* A gang is done as soon as a member of one of its runs is.  The other members
+ * of that run end by themselves; those of a later one, which was ordered while
+ * this run counted as lost, are stopped. */
 static void
-gang_done(struct cell_stage *st)
+gang_done(
+    struct cell_owner *o, struct cell_stage *st, uint64_t run, ogl_time now)
 {
 	uint32_t i;
 
@@ -396,13 +398,14 @@
 		struct cell_task *t = &st->tasks[i];
 
 		task_done(st, t);
-		if (t->active != NULL) {
-			/* It has ended too, but its worker has not reported
-			 * that yet. */
+		if (t->active == NULL)
+			continue;
+		if (t->active->number == run)
 			t->active->stage = NULL;
-			t->active = NULL;
-			st->nactive--;
-		}
+		else
+			abandon_run(o, t->active, now);
+		t->active = NULL;
+		st->nactive--;
 	}
 }
 
@@ -454,7 +457,7 @@
 		cell_worker_count_result(o->fleet, w, j->id, true, now);
 		task_done(st, t);
 		if (st->def->gang)
-			gang_done(st);
+			gang_done(o, st, run, now);
 		else
 			stop_other_run(o, st, t, now);
 	} else if (how == CELL_END_FAILED) {
