fleet: a lease counts as expired only once the store confirms the owner later

Cause: the proof by most workers allows an owner to go on without the store. Workers on the other side count as lapsed for it after their lease, but a successor that reaches them has taken over their runs: it renews their leases and takes note of their ends. The same at a new owner that has waited for the leases of its predecessors and is itself replaced by then.

Change: a lease, of a worker or of all earlier owners, counts as expired only if the store has confirmed the ownership as of a time after its end (expired_unrenewed). A successor has called no worker before that, so nobody has renewed the lease. Until then the runs count against their team's limit, too. The store is asked at once when a lease waits for it.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -487,7 +487,8 @@
 bool
 cell_fleet_wants_confirmation(const struct cell_fleet *f, ogl_time now)
 {
-	return cell_fleet_awaits_confirmation(f, now) ||
+	return f->confirmation_wanted ||
+	       cell_fleet_awaits_confirmation(f, now) ||
 	       cell_fleet_needs_quorum(f, now);
 }
 
@@ -717,12 +718,41 @@
 
 /* ---- periodic work ---------------------------------------------------- */
 
+/* When every lease of earlier owners has expired. */
+static ogl_time
+old_leases_end(const struct cell_fleet *f)
+{
+	if (f->quorum_at != 0)
+		return cell_lease_all_expired_at(f->quorum_at);
+	if (f->first_step_at == 0)
+		return OGL_NEVER;
+	/* The last owner may have more than half of the workers on its side. */
+	return cell_lease_all_expired_at(f->first_step_at +
+					 CELL_LEASE_CONFIRMATION_MAX_AGE -
+					 CELL_LEASE_PROOF_MAX_AGE);
+}
+
+/*
+ * Whether a lease that ended at that time can't have been renewed by a
+ * successor.  A successor that reaches a worker which this owner doesn't reach
+ * takes over its runs.  It has called no worker before the store's last
+ * confirmation of this owner.
+ */
+static bool
+expired_unrenewed(struct cell_fleet *f, ogl_time end, ogl_time now)
+{
+	if (now <= end)
+		return false;
+	f->confirmation_wanted |= f->confirmed_at <= end;
+	return f->confirmed_at > end;
+}
+
 static void
 step_worker(
     struct cell_fleet *f, struct cell_worker *w, bool scan_runs, ogl_time now)
 {
 	if (w->incarnation != 0 && g_hash_table_size(w->runs) > 0 &&
-	    now > cell_lease_expires_at(&w->lease)) {
+	    expired_unrenewed(f, cell_lease_expires_at(&w->lease), now)) {
 		cell_fleet_log_worker(f, w, "worker_lapsed");
 		cell_fleet_lose_runs(f, w, NULL, now, now);
 	}
@@ -814,7 +844,9 @@
 		f->record_outdated |= any_unrecorded(f);
 	}
 	update_proof(f, now);
-	if (!f->old_leases_expired && now > cell_fleet_old_leases_end(f)) {
+	f->confirmation_wanted = false;
+	if (!f->old_leases_expired &&
+	    expired_unrenewed(f, old_leases_end(f), now)) {
 		f->old_leases_expired = true;
 		clear_expected(f, now);
 	}
@@ -829,26 +861,19 @@
 		g_hash_table_foreach_remove(f->workers, worker_is_unused, f);
 }
 
-ogl_time
-cell_fleet_old_leases_end(const struct cell_fleet *f)
+bool
+cell_fleet_old_leases_expired(const struct cell_fleet *f)
 {
-	if (f->quorum_at != 0)
-		return cell_lease_all_expired_at(f->quorum_at);
-	if (f->first_step_at == 0)
-		return OGL_NEVER;
-	/* The last owner may have more than half of the workers on its side. */
-	return cell_lease_all_expired_at(f->first_step_at +
-					 CELL_LEASE_CONFIRMATION_MAX_AGE -
-					 CELL_LEASE_PROOF_MAX_AGE);
+	return f->old_leases_expired;
 }
 
 bool
-cell_fleet_settled(struct cell_fleet *f, ogl_time now)
+cell_fleet_settled(const struct cell_fleet *f)
 {
 	GHashTableIter it;
 	gpointer p;
 
-	if (now > cell_fleet_old_leases_end(f))
+	if (f->old_leases_expired)
 		return true;
 	g_hash_table_iter_init(&it, f->workers);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -184,9 +184,8 @@
 /* Adds a worker, listed or not, on which an earlier owner may have started
  * something. */
 
-ogl_time cell_fleet_old_leases_end(const struct cell_fleet *f);
-/* Time from which every lease of earlier owners has certainly expired.  It is
- * moved forward once enough workers have answered. */
+bool cell_fleet_old_leases_expired(const struct cell_fleet *f);
+/* Whether every lease of earlier owners has certainly expired. */
 
 #define CELL_FLEET_LOADED_RECORD 1 /* the record read at the takeover */
 
@@ -320,7 +319,7 @@
  * again.  Used for tasks that may be running on workers that have not answered
  * yet. */
 
-bool cell_fleet_settled(struct cell_fleet *f, ogl_time now);
+bool cell_fleet_settled(const struct cell_fleet *f);
 /* Whether every worker that could run something has answered under our epoch
  * or can no longer run anything. */
 
--- a/cell/fleet_impl.h
+++ b/cell/fleet_impl.h
@@ -38,6 +38,7 @@
 	ogl_time workers_confirmed_at; /* latest time of which the workers
 					* have shown that we are the owner */
 	bool leases_withheld;
+	bool confirmation_wanted; /* expired leases wait for one */
 	bool record_outdated;  /* the workers are to be stored again */
 	ogl_time confirmed_at; /* latest time of confirmed ownership */
 	/* Nothing is started until ownership is confirmed as of this time. */
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -423,10 +423,10 @@
 	gpointer p;
 	char text[64];
 
-	if (o->holds_tasks && now > cell_fleet_old_leases_end(o->fleet))
+	if (o->holds_tasks && cell_fleet_old_leases_expired(o->fleet))
 		cell_held_release_all(o->held, now);
 	if (o->settled || !cell_roster_loaded(o->roster) ||
-	    !cell_fleet_settled(o->fleet, now))
+	    !cell_fleet_settled(o->fleet))
 		return;
 	o->settled = true;
 	o->pass_needed = true;
@@ -548,12 +548,12 @@
 			sweep_job(o, j, now);
 			continue;
 		}
-		if (now > cell_fleet_old_leases_end(o->fleet))
+		if (cell_fleet_old_leases_expired(o->fleet))
 			cell_owner_clear_stopping(o, j);
 		forget_ended(o, j, now);
 	}
 	g_list_free(all);
-	if (o->settled && now > cell_fleet_old_leases_end(o->fleet))
+	if (o->settled && cell_fleet_old_leases_expired(o->fleet))
 		o->holds_tasks = false;
 	o->pass_needed = true;
 }
