lease: an order to a worker's last incarnation may give the next one a longer lease

Cause: an order asks for an end of the lease on the worker's clock. One that reaches the next incarnation of a worker that restarted names a time of the old clock, far ahead of the new one, which the worker shortens to the longest lease that it grants, 6 to 10 s. Owners counted with the longest that they ask for, 4 s.

Change: for an incarnation younger than 15 s, the longest time that an order is late, of a worker that may have been given orders before, an owner counts with the longest lease that the worker grants. Workers that no record names, and older incarnations, count as before.

Not covered: an order that arrives after the first answer of the new incarnation, at a worker that is cut off just then.

--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -324,7 +324,9 @@
 	if (w->incarnation != a->born_ms) {
 		ends_before = 0;
 		/* An earlier owner may just have renewed the lease. */
-		cell_lease_assume_longest(&w->lease);
+		cell_lease_assume_longest(&w->lease, f->limits->lease_max_ms,
+		    w->incarnation != 0 ||
+			w->first_record == CELL_FLEET_LOADED_RECORD);
 	}
 	if (w->incarnation == a->born_ms)
 		w->ends_acked = MAX(w->ends_acked, c->ends_acked);
--- a/cell/lease.c
+++ b/cell/lease.c
@@ -13,6 +13,9 @@
  *   old its reading is.  An old reading makes the lease shorter.
  * - A new owner that has read the clock after all orders of earlier owners
  *   counts with an end LEASE_MS after that reading.
+ * - An order to a worker's last incarnation that reaches the next one asks for
+ *   an end on the old clock, which the new one shortens to the longest lease
+ *   that it grants.  A worker's clock starts with its incarnation.
  * - A lease has expired once clock_min(t) has reached its end.
  * - Where a new owner has read no clock, a lease asked for at time s has expired
  *   at s + LEASE_MS / 0.98.  No earlier owner asks for one more than
@@ -27,6 +30,8 @@
 #define CLOCK_RATE_MIN 0.98
 /* Covers timers and the rounding of times to milliseconds. */
 #define EXPIRY_MARGIN (250 * OGL_MS)
+/* An order that is not answered is carried out within this time or never. */
+#define LATE_ORDER_MAX_MS 15000
 /* A lease asked for by a reading of this age is shorter by 1.2 s. */
 #define CLOCK_AGE_MAX (60 * OGL_SEC)
 
@@ -70,9 +75,13 @@
 }
 
 void
-cell_lease_assume_longest(struct cell_lease *l)
+cell_lease_assume_longest(
+    struct cell_lease *l, uint32_t max_ms, bool called_before)
 {
-	l->end_ms = MAX(l->end_ms, l->clock_ms + LEASE_MS);
+	bool late_orders = called_before && l->clock_ms < LATE_ORDER_MAX_MS;
+	uint64_t end_ms = l->clock_ms + (late_orders ? max_ms : LEASE_MS);
+
+	l->end_ms = MAX(l->end_ms, end_ms);
 }
 
 ogl_time
--- a/cell/lease.h
+++ b/cell/lease.h
@@ -29,9 +29,11 @@
 /* Returns the end to ask for now, in milliseconds on the worker's clock.
  * max_ms: the longest lease that the worker grants. */
 
-void cell_lease_assume_longest(struct cell_lease *l);
-/* Counts with the longest lease that an earlier owner can have asked for by the
- * time of the last reading. */
+void cell_lease_assume_longest(
+    struct cell_lease *l, uint32_t max_ms, bool called_before);
+/* Counts with the longest lease that the incarnation can hold by the time of
+ * the last reading.  max_ms: the longest lease that the worker grants.
+ * called_before: an earlier incarnation of it may have been given orders. */
 
 ogl_time cell_lease_expires_at(const struct cell_lease *l);
 /* Time on our clock from which the lease has certainly expired unless it is
--- a/test/test_cell_lease.cc
+++ b/test/test_cell_lease.cc
@@ -124,13 +124,30 @@
 			struct cell_lease l = {};
 
 			read(&l, w);
-			cell_lease_assume_longest(&l);
+			cell_lease_assume_longest(&l, w.max_ms(), true);
 			EXPECT_TRUE(w.lease_expired(cell_lease_expires_at(&l)));
 			start_after_idling(&l, &w);
 		}
 	}
 }
 
+/* Guards against an order to a worker's last incarnation, whose clock was far
+ * ahead, that the next one has carried out by the time it is heard. */
+TEST_F(Lease, HasExpiredWhenItWasAskedForOnTheClockOfTheLastIncarnation)
+{
+	for (int i = 0; i < kRounds; i++) {
+		Worker w = worker();
+		struct cell_lease l = {};
+
+		now_ = ms(13000);
+		w.grant(3600000, now_);
+		now_ += ms(500);
+		read(&l, w);
+		cell_lease_assume_longest(&l, w.max_ms(), true);
+		EXPECT_TRUE(w.lease_expired(cell_lease_expires_at(&l)));
+	}
+}
+
 /* The same where no new owner reaches the worker: the last one to give it work
  * goes on for a second after it was replaced. */
 TEST_F(Lease, HasExpiredWhenANewOwnerThatHeardNothingCountsSo)
