fake cell: several teams with keys of their own, public queues

All callers of the fake cell were of one team, so no script and no seed could see that a job is served to another one. Keys of further teams can be added, calls carry a chosen key or none, queues become public, and the count of waiting jobs can be asked for. Scripts: add-key, as, public, private, pending, counter.

The fakes hold the promise themselves: a 2xx to a call of another team than the one whose submission was accepted is a breach, and so is a 410 to a POST, and a 410 to the job's own team that was sent after its acceptance and within the time that states are kept. Rejected calls of other teams do not count among the submissions of a job.

--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -36,6 +36,7 @@
 #define STOP_DELAY (200 * OGL_MS)
 #define GANG_TIMEOUT (3 * OGL_SEC)
 #define LEASE_MAX_MS 10000
+#define STATUS_MS 120000 /* how long ended jobs are told of */
 #define CHECKPOINT_INTERVAL_MS 500
 #define SLOW_FACTOR 6
 #define RATE_UNLIMITED 1000u /* jobs a second; no test submits more */
@@ -193,6 +194,17 @@
 	unsigned starts;
 	unsigned running;
 	GHashTable *tasks; /* "step.index" -> struct task */
+	/* Whose key the submission accepted first had, "" none, and when that
+	 * was answered; NULL before. */
+	const char *team;
+	ogl_time accepted_at;
+};
+
+/* A caller's request without an answer yet. */
+struct request {
+	struct job *job;  /* NULL: asks for the number of waiting jobs */
+	const char *team; /* of its key; "" if it has none or an unknown one */
+	ogl_time sent_at;
 };
 
 struct fake_cell {
@@ -207,8 +219,12 @@
 	struct worker *workers; /* shape.workers of them */
 	struct stream streams[CELL_NSTREAMS][CELL_SHARDS_MAX];
 	GHashTable *jobs;            /* id -> struct job */
-	GHashTable *caller_requests; /* token -> struct job */
+	GHashTable *caller_requests; /* token -> struct request */
 	GHashTable *revoked_keys;    /* set of API keys */
+	GHashTable *keys;            /* API key -> team, revoked ones as well */
+	const char *caller_key;      /* of requests for which none is given */
+	unsigned public_queues;      /* bit for each rank */
+	int pending;                 /* as last told; -1 none */
 	GHashTable *tickets; /* "step worker born_ms" -> ogl_time of expiry */
 	uint64_t last_token;
 	uint64_t last_run_id;
@@ -525,11 +541,35 @@
 
 /* ---- the store -------------------------------------------------------- */
 
+/* Adds a key, and its team if it is not there yet. */
+static void
+decode_key(struct cell_config *c, char *key)
+{
+	char *name = strchr(key, '@');
+	const struct cell_team *t;
+	struct cell_team *added;
+
+	if (name != NULL)
+		*name++ = '\0';
+	else
+		name = TEAM_NAME;
+	t = cell_config_team(c, name);
+	if (t == NULL) {
+		added = cell_config_add_team(c);
+		added->name = g_strdup(name);
+		added->rate = RATE_UNLIMITED;
+		t = added;
+	}
+	cell_config_add_key(c, key, t);
+}
+
 /*
  * Records of the operator and the workers have a form of the fake's own: words
  * separated by spaces.  A configuration is
  * `VERSION POLICY ATTEMPTS CPU RATE KEY...`, where POLICY is 0 when no advice
- * is needed, else 1 plus the milliseconds a question takes for each worker.
+ * is needed, else 1 plus the milliseconds a question takes for each worker.  A
+ * key of another team than the first one is `KEY@TEAM`, and `*RANK` makes the
+ * queue of the rank public.
  * A worker's entry is `ADDR RACK BORN DRAINING ZONE`.
  */
 static struct cell_config *
@@ -540,8 +580,10 @@
 	struct cell_config *c =
 	    cell_config_new(g_ascii_strtoull(w[0], NULL, 10));
 	struct cell_team *t = cell_config_add_team(c);
+	char public_mark[] = "*0";
 	guint i;
 
+	t->name = g_strdup(TEAM_NAME);
 	for (i = 0; i < QUEUE_COUNT; i++) {
 		struct cell_queue *q = cell_config_add_queue(c);
 
@@ -559,12 +601,16 @@
 		q->policy.decide_ms = ADVICE_DELAY_US / 1000.0;
 		q->policy.worker_ms = atoi(w[1]) - 1;
 		q->policy.valid_ms = TICKET_VALID_MS;
+		public_mark[1] = (char)('0' + i);
+		q->is_public =
+		    g_strv_contains((const char *const *)w, public_mark);
 	}
-	t->name = g_strdup(TEAM_NAME);
 	t->rate = atoi(w[4]);
 	t->max.cpu_milli = (uint32_t)atoi(w[3]);
-	for (i = 5; w[i] != NULL; i++)
-		cell_config_add_key(c, w[i], t);
+	for (i = 5; w[i] != NULL; i++) {
+		if (*w[i] != '*')
+			decode_key(c, w[i]);
+	}
 	g_strfreev(w);
 	g_free(text);
 	return c;
@@ -2083,31 +2129,84 @@
 http_status(enum cell_status s)
 {
 	static const int statuses[] = {
-	    200, 400, 401, 404, 410, 405, 429, 503, 504};
+	    200, 400, 401, 404, 410, 405, 429, 503, 504, 409};
 
 	return statuses[s];
 }
 
+static const char *
+team_of_key(const struct fake_cell *f, const char *key)
+{
+	const char *team = g_hash_table_lookup(f->keys, key);
+
+	if (g_hash_table_contains(f->revoked_keys, key))
+		team = NULL;
+	return team != NULL ? team : "";
+}
+
+/* Whether the job is certainly that of another team. */
+static bool
+is_other_team(const struct job *j, const char *team)
+{
+	return j->team != NULL && *j->team != '\0' && *team != '\0' &&
+	       strcmp(j->team, team) != 0;
+}
+
+/* An answer to a call by another team than the one whose job was accepted. */
+static void
+on_reply_to_other_team(struct fake_cell *f, struct job *j, uint64_t token,
+    const struct cell_answer *a)
+{
+	if (token % METHOD_COUNT == CELL_POST)
+		j->submissions--;
+	if (a->status == CELL_OK)
+		report_violation(f, "call of another team done", j->id);
+	if (a->status == CELL_NO_JOB && token % METHOD_COUNT == CELL_POST)
+		report_violation(f, "submission answered with 410", j->id);
+}
+
 static void
 on_reply(void *ctx, uint64_t token, const struct cell_answer *a)
 {
 	struct node *n = ctx;
 	struct fake_cell *f = n->cell;
-	struct job *j = g_hash_table_lookup(f->caller_requests, &token);
+	struct request *q = g_hash_table_lookup(f->caller_requests, &token);
+	struct job *j;
+	const char *team;
+	ogl_time sent_at;
 
-	if (j == NULL)
+	if (q == NULL)
 		return;
+	j = q->job;
+	team = q->team;
+	sent_at = q->sent_at;
 	g_hash_table_remove(f->caller_requests, &token);
+	if (j == NULL) {
+		f->pending = a->has_pending ? (int)a->pending : -1;
+		return;
+	}
 	j->status = http_status(a->status);
+	if (is_other_team(j, team)) {
+		on_reply_to_other_team(f, j, token, a);
+		return;
+	}
+	if (a->status == CELL_NO_JOB && j->team != NULL && *team != '\0' &&
+	    sent_at > j->accepted_at &&
+	    f->now - j->accepted_at < STATUS_MS * OGL_MS)
+		report_violation(f, "job unknown to its team", j->id);
 	if (a->has_state) {
 		j->has_state = true;
 		j->state = a->state;
 	}
 	switch ((enum cell_method)(token % METHOD_COUNT)) {
 	case CELL_POST:
-		if (a->status == CELL_OK)
+		if (a->status == CELL_OK) {
 			j->accepted = true;
-		else if (a->status != CELL_UNSURE)
+			if (j->team == NULL) {
+				j->team = team;
+				j->accepted_at = f->now;
+			}
+		} else if (a->status != CELL_UNSURE)
 			j->rejections++;
 		break;
 	case CELL_DELETE:
@@ -2185,18 +2284,20 @@
     struct job *j, const char *key)
 {
 	struct node *n = &f->nodes[node];
+	const char *id = j != NULL ? j->id : "";
 	char path[64];
 	struct cell_request r = {.method = method,
 	    .host = ogl_str(QUEUE_HOST),
 	    .key = ogl_str(key),
-	    .body = ogl_str(j->id),
+	    .body = ogl_str(id),
 	    .budget_ms = f->caller_timeout_ms};
 	uint64_t *token = g_new(uint64_t, 1);
+	struct request *q;
 
 	if (f->queue_rank == 0 || method != CELL_POST)
-		g_snprintf(path, sizeof path, QUEUE_PATH "%s", j->id);
+		g_snprintf(path, sizeof path, QUEUE_PATH "%s", id);
 	else
-		g_snprintf(path, sizeof path, "/q%u/%s", f->queue_rank, j->id);
+		g_snprintf(path, sizeof path, "/q%u/%s", f->queue_rank, id);
 	r.path = ogl_str(path);
 	*token = ++f->last_token * METHOD_COUNT + method;
 	if (method == CELL_POST)
@@ -2205,7 +2306,11 @@
 		g_free(token);
 		return;
 	}
-	g_hash_table_insert(f->caller_requests, token, j);
+	q = g_new(struct request, 1);
+	q->job = j;
+	q->team = team_of_key(f, key);
+	q->sent_at = f->now;
+	g_hash_table_insert(f->caller_requests, token, q);
 	cell_node_call(n->node, *token, &r, f->now);
 	step_node(f, n);
 }
@@ -2216,6 +2321,12 @@
 	f->caller_timeout_ms = ms;
 }
 
+void
+fake_cell_set_caller_key(struct fake_cell *f, const char *key)
+{
+	f->caller_key = g_intern_string(key != NULL ? key : API_KEY);
+}
+
 void
 fake_cell_set_queue_rank(struct fake_cell *f, unsigned rank)
 {
@@ -2239,19 +2350,28 @@
 		    g_str_hash, g_str_equal, g_free, g_free);
 		g_hash_table_insert(f->jobs, j->id, j);
 	}
-	call_node(f, node, CELL_POST, j, key != NULL ? key : API_KEY);
+	call_node(f, node, CELL_POST, j, key != NULL ? key : f->caller_key);
 }
 
 void
 fake_cell_cancel(struct fake_cell *f, unsigned node, const char *id)
 {
-	call_node(f, node, CELL_DELETE, job_of(f, id), API_KEY);
+	call_node(f, node, CELL_DELETE, job_of(f, id), f->caller_key);
 }
 
 void
 fake_cell_query_job(struct fake_cell *f, unsigned node, const char *id)
 {
-	call_node(f, node, CELL_GET, job_of(f, id), API_KEY);
+	call_node(f, node, CELL_GET, job_of(f, id), f->caller_key);
+}
+
+int
+fake_cell_pending(struct fake_cell *f, unsigned node)
+{
+	f->pending = -1;
+	call_node(f, node, CELL_GET, NULL, f->caller_key);
+	fake_cell_advance(f, 200);
+	return f->pending;
 }
 
 int
@@ -2465,7 +2585,7 @@
 	    .limits = {.lease_max_ms = LEASE_MAX_MS,
 		.stop_ms = 900,
 		.revoke_ms = 5000,
-		.status_ms = 120000,
+		.status_ms = STATUS_MS,
 		.visible_ms = 3000,
 		.gang_ms = 3000}};
 
@@ -2609,19 +2729,32 @@
 static void
 put_config(struct fake_cell *f)
 {
-	static const char *const keys[] = {API_KEY, "key-two"};
+	GList *keys =
+	    g_list_sort(g_hash_table_get_keys(f->keys), (GCompareFunc)strcmp);
 	GString *s = g_string_new(NULL);
-	size_t i;
+	const GList *at;
+	unsigned i;
 
 	g_string_printf(s, "%" G_GUINT64_FORMAT " %d %u %u %u",
 	    ++f->config_version,
 	    f->shape.needs_advice ? 1 + (int)f->shape.advice_worker_ms : 0,
 	    f->shape.attempts_max, f->team_cpu_milli,
 	    f->shape.team_rate > 0 ? f->shape.team_rate : RATE_UNLIMITED);
-	for (i = 0; i < G_N_ELEMENTS(keys); i++) {
-		if (!g_hash_table_contains(f->revoked_keys, keys[i]))
-			g_string_append_printf(s, " %s", keys[i]);
+	for (at = keys; at != NULL; at = at->next) {
+		const char *key = at->data;
+		const char *team = g_hash_table_lookup(f->keys, key);
+
+		if (g_hash_table_contains(f->revoked_keys, key))
+			continue;
+		g_string_append_printf(s, " %s", key);
+		if (strcmp(team, TEAM_NAME) != 0)
+			g_string_append_printf(s, "@%s", team);
 	}
+	for (i = 0; i < QUEUE_COUNT; i++) {
+		if ((f->public_queues >> i & 1) != 0)
+			g_string_append_printf(s, " *%u", i);
+	}
+	g_list_free(keys);
 	put_text(f, CELL_SETTINGS, "config", g_string_free(s, FALSE));
 }
 
@@ -2671,6 +2804,24 @@
 	s->first = s->records->len;
 }
 
+void
+fake_cell_add_key(struct fake_cell *f, const char *key, const char *team)
+{
+	g_hash_table_insert(
+	    f->keys, g_strdup(key), (char *)(uintptr_t)g_intern_string(team));
+	put_config(f);
+}
+
+void
+fake_cell_set_queue_public(struct fake_cell *f, unsigned rank, bool on)
+{
+	if (on)
+		f->public_queues |= 1U << rank;
+	else
+		f->public_queues &= ~(1U << rank);
+	put_config(f);
+}
+
 void
 fake_cell_revoke_key(struct fake_cell *f, const char *key)
 {
@@ -2937,6 +3088,7 @@
 struct fake_cell *
 fake_cell_init(const struct fake_cell_params *shape)
 {
+	static const char *const keys[] = {API_KEY, "key-two"};
 	struct fake_cell *f = g_new0(struct fake_cell, 1);
 	unsigned i;
 
@@ -2951,7 +3103,12 @@
 	f->jobs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 	f->caller_requests =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	f->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (i = 0; i < G_N_ELEMENTS(keys); i++)
+		g_hash_table_insert(f->keys, g_strdup(keys[i]),
+		    (char *)(uintptr_t)g_intern_string(TEAM_NAME));
+	f->caller_key = API_KEY;
 	f->revoked_keys =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	f->tickets =
@@ -3028,6 +3185,7 @@
 	g_hash_table_unref(f->caller_requests);
 	g_hash_table_unref(f->jobs);
 	g_hash_table_unref(f->revoked_keys);
+	g_hash_table_unref(f->keys);
 	g_hash_table_unref(f->tickets);
 	g_hash_table_unref(f->counters);
 	g_string_free(f->violations, TRUE);
@@ -3042,6 +3200,24 @@
 	return f->violations->str;
 }
 
+/* A key of the job's team, if there is one. */
+static const char *
+key_for(const struct fake_cell *f, const struct job *j)
+{
+	GHashTableIter it;
+	gpointer key, team;
+
+	if (j->team == NULL || *j->team == '\0' ||
+	    strcmp(team_of_key(f, f->caller_key), j->team) == 0)
+		return f->caller_key;
+	g_hash_table_iter_init(&it, f->keys);
+	while (g_hash_table_iter_next(&it, &key, &team)) {
+		if (strcmp(team_of_key(f, key), j->team) == 0)
+			return key;
+	}
+	return f->caller_key;
+}
+
 static bool
 all_jobs_ended(struct fake_cell *f)
 {
@@ -3057,8 +3233,8 @@
 		    (j->has_state && cell_job_state_ended(j->state)))
 			continue;
 		all_ended = false;
-		fake_cell_query_job(
-		    f, (unsigned)(f->last_token % f->shape.nodes), j->id);
+		call_node(f, (unsigned)(f->last_token % f->shape.nodes),
+		    CELL_GET, j, key_for(f, j));
 	}
 	return all_ended;
 }
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -74,10 +74,16 @@
 /* key: API key, NULL for one that is valid until it is revoked.  An id that is
  * known already keeps its first steps.  A node that is down or frozen does not
  * receive the request. */
+void fake_cell_set_caller_key(struct fake_cell *f, const char *key);
+/* Requests for which no key is given carry this one from now on; NULL: the first
+ * key of the first team, "": none. */
 void fake_cell_cancel(struct fake_cell *f, unsigned node, const char *id);
 void fake_cell_query_job(struct fake_cell *f, unsigned node, const char *id);
 /* Requests the job's state. */
 
+int fake_cell_pending(struct fake_cell *f, unsigned node);
+/* Asks the node for the waiting jobs of the queue of rank 0 and runs for 200 ms;
+ * -1 if it does not tell. */
 int fake_cell_status(const struct fake_cell *f, const char *id);
 /* HTTP status of the last answer to a submit, cancel or ask for the job; -1 if
  * there was none. */
@@ -130,6 +136,11 @@
 void fake_cell_set_store_fault(
     struct fake_cell *f, int node, enum fake_store_fault fault);
 /* Sets the fault that calls of a node meet; node -1: of all nodes. */
+void fake_cell_add_key(struct fake_cell *f, const char *key, const char *team);
+/* The operator adds an API key of the team, and the team if it is new; it has no
+ * limits.  The first team is called "team" and has "key-one" and "key-two". */
+void fake_cell_set_queue_public(struct fake_cell *f, unsigned rank, bool on);
+/* The operator makes the queue of this rank public, or takes that back. */
 void fake_cell_revoke_key(struct fake_cell *f, const char *key);
 /* The operator withdraws an API key. */
 void fake_cell_set_team_limit(struct fake_cell *f, uint32_t team_cpu_milli_max);
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -61,6 +61,9 @@
  * evacuate ZONE, end-evacuation ZONE
  * drop-settings-history        only the newest record of each key stays
  * revoke KEY                   revokes an API key
+ * add-key KEY TEAM             adds an API key of a team, and the team
+ * as KEY                       key of later calls, `-` none
+ * public RANK, private RANK    whether calls for a queue need a key
  * limit CPU                    sets the team's limit of processors
  *
  * Questions, which are answered:
@@ -69,6 +72,8 @@
  * runs-on WORKER COUNT         whether the worker has begun under or over that
  *                              number of runs
  * status JOB                   last HTTP status that answered a call about it
+ * counter NAME LABEL VALUE     sum of the nodes' counters with that label
+ * pending NODE                 waiting jobs of the queue of rank 0; -1 refused
  * state JOB                    as told by a node
  * starts JOB                   runs that workers have begun
  * running JOB                  runs that go on
@@ -173,6 +178,14 @@
 			fake_cell_trim_settings(cell_);
 		else if (w[0] == "revoke")
 			fake_cell_revoke_key(cell_, w[1].c_str());
+		else if (w[0] == "add-key")
+			fake_cell_add_key(cell_, w[1].c_str(), w[2].c_str());
+		else if (w[0] == "as")
+			fake_cell_set_caller_key(
+			    cell_, w[1] == "-" ? "" : w[1].c_str());
+		else if (w[0] == "public" || w[0] == "private")
+			fake_cell_set_queue_public(
+			    cell_, num(w[1]), w[0] == "public");
 		else if (w[0] == "limit")
 			fake_cell_set_team_limit(cell_, num(w[1]));
 		else if (w[0] == "cancel")
@@ -241,6 +254,12 @@
 				   : "over";
 		if (w[0] == "accepted")
 			return accepted(w);
+		if (w[0] == "pending")
+			return std::to_string(
+			    fake_cell_pending(cell_, node(w[1])));
+		if (w[0] == "counter")
+			return std::to_string(fake_cell_counter(
+			    cell_, w[1].c_str(), w[2].c_str(), w[3].c_str()));
 		if (w[0] == "status")
 			return std::to_string(
 			    fake_cell_status(cell_, id(w[1])));
