owner: another team's key neither reads nor cancels a job

Callers saw: with two teams, the other team's key got 200 and the state of a job at its owner and at every other node, and a DELETE with it was answered 200 and ended the job.

Cause: the front end checks that a key is known and passes its team on, but the owner looked the job up by its id alone.

Now one function of the owner, why_not_for(), decides for each GET and DELETE whether the caller may have to do with the job, and reply_absent() answers for unknown jobs and for those of others alike: at once, and only under a confirmed ownership. Teams are compared, not keys. A job without a team is served to all that a front end lets through; calls without a key, which come through public queues only, are served the queue's own jobs. So a job stays in reach of its caller when its queue becomes or ceases to be public and when its key is replaced. Refusals are counted by reason and kind of call (calls_for_others_jobs), with one log line a second and shard at most.

Failed before: scripts team_other_key, team_takeover, team_public and team_shards ("410" expected, "200" given); TwoTeams.AnotherTeamsJobIsAnsweredAsSoonAsAnUnknownOne (410 expected, 200 given); WatchedCell.QuestionOfAnotherTeamIsNotHeldBack (410 expected, 200 given, and the breach "call of another team done").

--- a/cell/job.c
+++ b/cell/job.c
@@ -198,11 +198,13 @@
 }
 
 static struct cell_job *
-job_alloc(const char *id)
+job_alloc(const char *id, const char *team, const char *queue)
 {
 	struct cell_job *j = g_new0(struct cell_job, 1);
 
 	g_strlcpy(j->id, id, sizeof j->id);
+	j->team = g_strdup(team);
+	j->queue_name = g_strdup(queue);
 	j->occurrences = g_ptr_array_new();
 	j->finished = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	return j;
@@ -223,7 +225,7 @@
 struct cell_job *
 cell_job_new(Ogl__CellJob *def, ogl_time now)
 {
-	struct cell_job *j = job_alloc(def->id);
+	struct cell_job *j = job_alloc(def->id, def->team, def->queue);
 
 	j->def = def;
 	j->accepted = now;
@@ -315,7 +317,7 @@
 struct cell_job *
 cell_job_new_ended(const char *id, const Ogl__CellProgress *p)
 {
-	struct cell_job *j = job_alloc(id);
+	struct cell_job *j = job_alloc(id, p->team, "");
 	size_t i;
 
 	j->state = p->state;
@@ -356,6 +358,8 @@
 	cell_job_clear(j);
 	g_ptr_array_unref(j->occurrences);
 	g_array_unref(j->finished);
+	g_free(j->team);
+	g_free(j->queue_name);
 	g_free(j->stopping_team);
 	if (j->stopping != NULL)
 		g_array_unref(j->stopping);
--- a/cell/job.h
+++ b/cell/job.h
@@ -158,6 +158,11 @@
 	struct cell_expected *expected; /* learned; NULL never updated */
 	double *measured_ms; /* longest finished run of each step; 0 none */
 	bool end_stored;     /* the end is stored, so callers may see it */
+	/* Whose it is.  Team "": submitted without a key, or it ended under an
+	 * earlier version, which did not record it.  Queue "": not known, since
+	 * the job ended under an earlier owner. */
+	char *team;
+	char *queue_name;
 	/* Of an ended job: its team and what was still being stopped then, so
 	 * that a successor counts it; NULL none. */
 	char *stopping_team;
--- a/cell/owner_calls.c
+++ b/cell/owner_calls.c
@@ -25,6 +25,9 @@
  * delay with which the fleet fetches ends that come in short succession. */
 #define END_ARRIVAL_WAIT (40 * OGL_MS)
 
+/* Shortest time between two log lines about calls for jobs of other teams. */
+#define STRANGER_LOG_INTERVAL OGL_SEC
+
 /* A call that is answered once the store has answered. */
 struct waiting_call {
 	struct cell_owner *owner;
@@ -101,6 +104,64 @@
 	cell_owner_log_job(o, j, "job_accepted", more);
 }
 
+/* ---- whose job it is -------------------------------------------------- */
+
+/*
+ * Why the call may not have to do with the job; NULL if it may.  Teams are
+ * compared, not keys, so a team's new key serves its old jobs.  A job without a
+ * team is for everyone whose call a front end lets through.  Without a key such
+ * calls come through public queues only, and may do there as they like with the
+ * queue's own jobs, whoever submitted them.
+ */
+static const char *
+why_not_for(const struct cell_job *j, const Ogl__CellCall *c)
+{
+	if (*j->team == '\0' || strcmp(j->team, c->team) == 0)
+		return NULL;
+	if (*c->team != '\0')
+		return "other_team";
+	return strcmp(j->queue_name, c->queue) == 0 ? NULL : "no_key";
+}
+
+static const char *
+call_name(Ogl__CellCallKind k)
+{
+	switch (k) {
+	case OGL__CELL_CALL_KIND__cell_cancel:
+		return "cancel";
+	default:
+		return "state";
+	}
+}
+
+static void
+note_stranger(struct cell_owner *o, const struct cell_job *j,
+    const Ogl__CellCall *c, const char *why, ogl_time now)
+{
+	struct cell_label labels[] = {
+	    {"reason", why}, {"call", call_name(c->kind)}};
+	char text[300];
+
+	if (o->ops->count_labels != NULL)
+		o->ops->count_labels(o->ops->ctx, "calls_for_others_jobs",
+		    labels, G_N_ELEMENTS(labels), 1);
+	if (o->stranger_logged_at != 0 &&
+	    now - o->stranger_logged_at < STRANGER_LOG_INTERVAL) {
+		o->strangers_unlogged++;
+		return;
+	}
+	g_snprintf(text, sizeof text,
+	    "shard=%u call=%s why=%s job=%s of_team=%.64s team=%.64s "
+	    "queue=%.64s left_out=%u",
+	    o->params.shard, call_name(c->kind), why, j->id, j->team, c->team,
+	    c->queue, o->strangers_unlogged);
+	o->ops->log(o->ops->ctx, "owner", "call_for_others_job", text);
+	o->stranger_logged_at = now;
+	o->strangers_unlogged = 0;
+}
+
+/* ---- submissions ------------------------------------------------------ */
+
 /* Removes a new job that the store has certainly refused. */
 static void
 remove_refused_job(struct cell_owner *o, struct cell_job *j, ogl_time now)
@@ -324,6 +385,36 @@
 	return why;
 }
 
+/*
+ * Answers a call for an id that the caller has no job under.
+ *
+ * A successor may have accepted the job while this node was paused or could not
+ * reach the store.  "No such job" would make the caller give the job up, or
+ * take it for cancelled.  So unless ownership was confirmed recently the answer
+ * is "not owner", and the front end repeats the call until ownership is
+ * confirmed or the successor is known.
+ *
+ * other: the job of another team under this id, NULL if there is none.  Nothing
+ * in the answer tells them apart.
+ */
+static void
+reply_absent(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
+    const struct cell_job *other, ogl_time now)
+{
+	bool confirmed_lately = !cell_fleet_awaits_confirmation(o->fleet) &&
+				now - o->confirmed < CONFIRMATION_AGE_MAX;
+
+	if (!confirmed_lately) {
+		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_not_owner, 0);
+		return;
+	}
+	reply(o, from, c->token, OGL__CELL_OUTCOME__cell_absent, 0);
+	if (other != NULL)
+		note_stranger(o, other, c, why_not_for(other, c), now);
+}
+
+/* ---- calls ------------------------------------------------------------ */
+
 /* Answers a submission of an unknown job that does not include the job: the
  * front end asks whether to send it. */
 static void
@@ -339,10 +430,9 @@
 }
 
 static void
-call_submit(
-    struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
+call_submit(struct cell_owner *o, struct cell_job *j, const char *from,
+    Ogl__CellCall *c, ogl_time now)
 {
-	struct cell_job *j = cell_owner_job(o, c->id);
 	struct waiting_call *w;
 	const char *why;
 	bool over = false;
@@ -394,36 +484,10 @@
 	cell_owner_begin_due_occurrences(o, j);
 }
 
-/*
- * A successor may have accepted the job while this node was paused or could not
- * reach the store.  "No such job" would make the caller give the job up, or
- * take it for cancelled.  So unless ownership was confirmed recently the answer
- * is "not owner", and the front end repeats the call until ownership is
- * confirmed or the successor is known.
- */
 static void
-reply_absent(struct cell_owner *o, const char *from, const Ogl__CellCall *c,
-    ogl_time now)
+call_cancel(struct cell_owner *o, struct cell_job *j, const char *from,
+    Ogl__CellCall *c, ogl_time now)
 {
-	bool confirmed_lately = !cell_fleet_awaits_confirmation(o->fleet) &&
-				now - o->confirmed < CONFIRMATION_AGE_MAX;
-
-	reply(o, from, c->token,
-	    confirmed_lately ? OGL__CELL_OUTCOME__cell_absent
-			     : OGL__CELL_OUTCOME__cell_not_owner,
-	    0);
-}
-
-static void
-call_cancel(
-    struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
-{
-	struct cell_job *j = cell_owner_job(o, c->id);
-
-	if (j == NULL) {
-		reply_absent(o, from, c, now);
-		return;
-	}
 	if (!cell_job_state_ended(j->state))
 		cell_owner_end_job(o, j, OGL__CELL_JOB_STATE__cell_cancelled,
 		    "cancelled", now);
@@ -481,17 +545,11 @@
 }
 
 static void
-call_state(
-    struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
+call_state(struct cell_owner *o, struct cell_job *j, const char *from,
+    Ogl__CellCall *c, ogl_time now)
 {
-	struct cell_job *j = cell_owner_job(o, c->id);
-	ogl_time wait;
+	ogl_time wait = state_wait(j);
 
-	if (j == NULL) {
-		reply_absent(o, from, c, now);
-		return;
-	}
-	wait = state_wait(j);
 	if (wait > 0)
 		cell_watch_add(o->watch, j->id, from, c->token, now + wait);
 	else
@@ -521,25 +579,34 @@
 cell_owner_call(
     struct cell_owner *o, const char *from, Ogl__CellCall *c, ogl_time now)
 {
+	struct cell_job *j;
+
 	/* A call that was sent to the owner of another epoch is not accepted:
 	 * its front end may have got an answer from another owner since. */
 	if (o->phase != PHASE_SERVING || c->epoch != o->epoch) {
 		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_not_owner, 0);
 		return;
 	}
+	if (c->kind == OGL__CELL_CALL_KIND__cell_pending) {
+		call_pending(o, from, c);
+		return;
+	}
+	j = cell_owner_job(o, c->id);
+	if (c->kind != OGL__CELL_CALL_KIND__cell_submit &&
+	    (j == NULL || why_not_for(j, c) != NULL)) {
+		reply_absent(o, from, c, j, now);
+		return;
+	}
 	switch (c->kind) {
 	case OGL__CELL_CALL_KIND__cell_submit:
-		call_submit(o, from, c, now);
+		call_submit(o, j, from, c, now);
 		break;
 	case OGL__CELL_CALL_KIND__cell_cancel:
-		call_cancel(o, from, c, now);
-		break;
-	case OGL__CELL_CALL_KIND__cell_pending:
-		call_pending(o, from, c);
+		call_cancel(o, j, from, c, now);
 		break;
 	case OGL__CELL_CALL_KIND__cell_state:
 	default:
-		call_state(o, from, c, now);
+		call_state(o, j, from, c, now);
 		break;
 	}
 }
--- a/cell/owner_impl.h
+++ b/cell/owner_impl.h
@@ -72,6 +72,10 @@
 	bool pass_needed;           /* the scheduler may have work */
 	ogl_time next_sweep_at;
 	ogl_time next_straggler_check;
+	/* Calls for jobs of other teams: when one was last logged, 0 never, and
+	 * how many were not since. */
+	ogl_time stranger_logged_at;
+	unsigned strangers_unlogged;
 };
 
 /* ---- owner_jobs.c --------------------------------------------------- */
--- a/test/test_cell_answers.cc
+++ b/test/test_cell_answers.cc
@@ -1,8 +1,9 @@
-/* Cells, one per seed, whose store does half of the writes seconds late and
- * never answers them. */
+/* Answers to callers: in cells, one per seed, whose store does half of the writes
+ * seconds late and never answers them, and to callers of two teams. */
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 
 #include "fake_cell.h"
@@ -104,4 +105,88 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, LostAnswers, testing::Range(1u, kSeeds + 1));
 
+class TwoTeams : public testing::TestWithParam<unsigned>
+{
+      protected:
+	void SetUp() override
+	{
+		struct fake_cell_params shape = {};
+
+		shape.nodes = 3;
+		shape.workers = 4;
+		shape.seed = GetParam();
+		shape.attempts_max = 3;
+		shape.shards = 1 + GetParam() % 2;
+		cell_ = fake_cell_init(&shape);
+		fake_cell_add_key(cell_, "key-b", "other");
+		fake_cell_advance(cell_, 2000);
+		submit(kRunning, nullptr, 9000);
+		submit(kEnded, nullptr, 100);
+		submit(kUnknown, "no key", 100);
+		fake_cell_advance(cell_, 1000);
+	}
+
+	void TearDown() override
+	{
+		EXPECT_TRUE(fake_cell_settle(cell_, 60000));
+		EXPECT_STREQ("", fake_cell_violations(cell_));
+		fake_cell_end(cell_);
+	}
+
+	void submit(const char *id, const char *key, uint32_t run_ms)
+	{
+		struct fake_step s = {};
+
+		s.count = 1;
+		s.cpu_milli = 1000;
+		s.run_ms = run_ms;
+		s.after = -1;
+		fake_cell_submit(cell_, 0, id, key, &s, 1);
+	}
+
+	/* Longest time until the other team's calls are answered with 410. */
+	unsigned longest_ms(const char *id)
+	{
+		unsigned longest = 0;
+
+		for (unsigned n = 0; n < 30; n++) {
+			unsigned ms = 0;
+
+			fake_cell_set_caller_key(cell_, "no key");
+			fake_cell_query_job(cell_, n % 3, id);
+			EXPECT_EQ(401, fake_cell_status(cell_, id));
+			fake_cell_set_caller_key(cell_, "key-b");
+			if (n % 2 == 0)
+				fake_cell_query_job(cell_, n % 3, id);
+			else
+				fake_cell_cancel(cell_, n % 3, id);
+			for (; ms < 3000 && fake_cell_status(cell_, id) == 401;
+			     ms++)
+				fake_cell_advance(cell_, 1);
+			EXPECT_EQ(410, fake_cell_status(cell_, id));
+			longest = std::max(longest, ms);
+		}
+		fake_cell_set_caller_key(cell_, nullptr);
+		return longest;
+	}
+
+	static constexpr const char *kRunning = "00000000000000a1";
+	static constexpr const char *kEnded = "00000000000000a2";
+	static constexpr const char *kUnknown = "00000000000000a3";
+	struct fake_cell *cell_ = nullptr;
+};
+
+/* Guards against a job whose existence another team can tell by how long the
+ * answer takes. */
+TEST_P(TwoTeams, AnotherTeamsJobIsAnsweredAsSoonAsAnUnknownOne)
+{
+	unsigned unknown = longest_ms(kUnknown);
+
+	EXPECT_GE(20u, unknown);
+	EXPECT_GE(unknown + 3, longest_ms(kRunning));
+	EXPECT_GE(unknown + 3, longest_ms(kEnded));
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, TwoTeams, testing::Range(1u, 7u));
+
 } // namespace
--- a/test/test_cell_watch.cc
+++ b/test/test_cell_watch.cc
@@ -80,6 +80,7 @@
 		p.seed = 1;
 		p.attempts_max = 3;
 		cell_ = fake_cell_init(&p);
+		fake_cell_add_key(cell_, "key-b", "other");
 		fake_cell_advance(cell_, 3000);
 		step.count = 1;
 		step.cpu_milli = 1000;
@@ -119,6 +120,25 @@
 	EXPECT_STREQ(fake_cell_last_state(cell_, kJob), "completed");
 }
 
+/* Guards against another team's question that is held back like the team's own,
+ * which tells that there is a job. */
+TEST_F(WatchedCell, QuestionOfAnotherTeamIsNotHeldBack)
+{
+	fake_cell_set_store_fault(cell_, -1, FAKE_STORE_REFUSING);
+	fake_cell_query_job(cell_, 1, kJob);
+	fake_cell_advance(cell_, 1);
+	fake_cell_set_caller_key(cell_, "key-b");
+	fake_cell_query_job(cell_, 0, kJob);
+	fake_cell_advance(cell_, 20);
+	EXPECT_EQ(fake_cell_status(cell_, kJob), 410);
+	EXPECT_STREQ(fake_cell_last_state(cell_, kJob), "none");
+	fake_cell_advance(cell_, 600);
+	EXPECT_EQ(fake_cell_status(cell_, kJob), 200);
+	EXPECT_STREQ(fake_cell_last_state(cell_, kJob), "running");
+	fake_cell_set_store_fault(cell_, -1, FAKE_STORE_OK);
+	fake_cell_advance(cell_, 3000);
+}
+
 /* Guards against questions that are held back as long as the store is down. */
 TEST_F(WatchedCell, QuestionIsAnsweredWhileTheStoreRefusesTheEnd)
 {
