job: the record of an ended job names its team

Callers saw: after a takeover another team's key still read jobs that had ended (200, "completed").

Cause: only the progress record is left of an ended job, and it named the team only if runs were still being stopped; the next owner had nothing to compare.

Now the record of each ended job has the team, in the field that was there for that. (Script team_public asks for a job with the same record, one that was submitted without a key.)

Failed before: scripts team_ended and team_key_replaced, after the takeover ("410" expected, "200" given).

--- a/cell/job.c
+++ b/cell/job.c
@@ -667,8 +667,8 @@
 	pack_stopping(j, stopping);
 	p.stopping = (Ogl__CellStopping **)stopping->pdata;
 	p.n_stopping = stopping->len;
-	if (stopping->len > 0)
-		p.team = j->stopping_team;
+	if (cell_job_state_ended(j->state))
+		p.team = j->team;
 	n = ogl__cell_progress__get_packed_size(&p);
 	out = g_malloc(n);
 	ogl__cell_progress__pack(&p, out);
