owner, front: a submission under another team's id is refused

Callers saw: a POST under an id that another team holds was answered 200, though the job was never accepted.

Cause: the owner took each submission under a known id for a repeat.

Now the decision that GET and DELETE ask for counts for submissions as well, and the answer is 409: not 2xx, not 410 (which would say that an accepted job is gone), not 429, 502, 503 or 504 (which ask to come back with the same id). The front end passes it on only if it is final, as it does with refusals, and the owner refuses later copies of the same call, since the other team's job may be gone by then (no test shows that copies can come so late).

--- a/cell/front.c
+++ b/cell/front.c
@@ -542,6 +542,32 @@
 	cell_hints_learn(&f->owners[shard].hints, pong, now);
 }
 
+/*
+ * Whether the job that was refused is certainly not accepted; if not, the call
+ * is repeated.
+ *
+ * Each copy of the call is valid for the owner of one epoch.  What earlier
+ * owners had not stored when this owner's fence was set is never stored, so a
+ * refusal under the highest epoch asked is final; one under an earlier epoch is
+ * not.
+ */
+static bool
+refusal_final(struct cell_front *f, struct pending_call *p,
+    const Ogl__CellReply *r, ogl_time now)
+{
+	const struct shard_owner *o = owner_of(f, p);
+
+	if (r->epoch < p->sent_epoch)
+		return false;
+	if (o->addr != NULL && o->epoch == r->epoch)
+		return true;
+	/* The shard has a new owner or none: the next one may still accept the
+	 * job. */
+	p->refused = true;
+	p->repeat_at = now + RETRY_DELAY;
+	return false;
+}
+
 void
 cell_front_reply(
     struct cell_front *f, uint32_t shard, const Ogl__CellReply *r, ogl_time now)
@@ -571,6 +597,14 @@
 		answer_ok(f, p, r);
 		break;
 	case OGL__CELL_OUTCOME__cell_absent:
+		if (p->call.kind == OGL__CELL_CALL_KIND__cell_submit) {
+			if (!refusal_final(f, p, r, now))
+				return;
+			log_call(f, p, "call_answered", "outcome=id_taken");
+			answer(
+			    f, p->token, CELL_ID_TAKEN, 0, "the id is in use");
+			break;
+		}
 		log_call(f, p, "call_answered", "outcome=no_such_job");
 		answer(f, p->token, CELL_NO_JOB, 0, "no such job");
 		break;
@@ -580,22 +614,8 @@
 		    f, p->token, CELL_OVER_RATE, r->retry_ms, "over the rate");
 		break;
 	case OGL__CELL_OUTCOME__cell_busy:
-		/*
-		 * Each copy of the call is valid for the owner of one epoch.
-		 * What earlier owners had not stored when this owner's fence
-		 * was set is never stored, so a refusal under the highest epoch
-		 * asked is final; one under an earlier epoch is not.
-		 */
-		if (r->epoch < p->sent_epoch)
-			return;
-		/* The shard has a new owner or none: the next one may still
-		 * accept the job. */
-		if (owner_of(f, p)->addr == NULL ||
-		    owner_of(f, p)->epoch != r->epoch) {
-			p->refused = true;
-			p->repeat_at = now + RETRY_DELAY;
+		if (!refusal_final(f, p, r, now))
 			return;
-		}
 		log_call(f, p, "call_answered", "outcome=busy");
 		answer(f, p->token, CELL_BUSY, r->retry_ms,
 		    "the cell takes no more jobs now");
--- a/cell/ops.h
+++ b/cell/ops.h
@@ -260,7 +260,8 @@
 	CELL_BAD_METHOD,
 	CELL_OVER_RATE, /* refused: the team is over its rate */
 	CELL_BUSY,      /* refused: to be retried */
-	CELL_UNSURE     /* may be accepted: to be retried with the same id */
+	CELL_UNSURE,    /* may be accepted: to be retried with the same id */
+	CELL_ID_TAKEN   /* refused: the job's id is another team's */
 };
 
 struct cell_answer {
--- a/cell/owner_calls.c
+++ b/cell/owner_calls.c
@@ -127,6 +127,8 @@
 call_name(Ogl__CellCallKind k)
 {
 	switch (k) {
+	case OGL__CELL_CALL_KIND__cell_submit:
+		return "submit";
 	case OGL__CELL_CALL_KIND__cell_cancel:
 		return "cancel";
 	default:
@@ -386,7 +388,8 @@
 }
 
 /*
- * Answers a call for an id that the caller has no job under.
+ * Answers a call for an id that the caller has no job under, and for a
+ * submission also that it gets none, as the id is another's.
  *
  * A successor may have accepted the job while this node was paused or could not
  * reach the store.  "No such job" would make the caller give the job up, or
@@ -408,6 +411,10 @@
 		reply(o, from, c->token, OGL__CELL_OUTCOME__cell_not_owner, 0);
 		return;
 	}
+	/* A second copy of the submission may arrive after the other team's job
+	 * is gone. */
+	if (c->kind == OGL__CELL_CALL_KIND__cell_submit)
+		cell_admission_refuse(o->admission, from, c->token, now);
 	reply(o, from, c->token, OGL__CELL_OUTCOME__cell_absent, 0);
 	if (other != NULL)
 		note_stranger(o, other, c, why_not_for(other, c), now);
@@ -592,8 +599,8 @@
 		return;
 	}
 	j = cell_owner_job(o, c->id);
-	if (c->kind != OGL__CELL_CALL_KIND__cell_submit &&
-	    (j == NULL || why_not_for(j, c) != NULL)) {
+	if (j != NULL ? why_not_for(j, c) != NULL
+		      : c->kind != OGL__CELL_CALL_KIND__cell_submit) {
 		reply_absent(o, from, c, j, now);
 		return;
 	}
--- a/test/test_cell_front.cc
+++ b/test/test_cell_front.cc
@@ -295,6 +295,33 @@
 	EXPECT_EQ(CELL_OK, answers_[0]);
 }
 
+/* Guards against a submission under another team's id that its caller takes for
+ * lost or repeats. */
+TEST_F(Front, IdOfAnotherTeamIsRefusedForGood)
+{
+	cell_front_set_owner(front_, 0, "owner", 7, now_);
+	submit(1);
+	answer(1, OGL__CELL_OUTCOME__cell_absent);
+	ASSERT_EQ(1u, answers_.size());
+	EXPECT_EQ(CELL_ID_TAKEN, answers_[0]);
+}
+
+/* Guards against a refusal of a job that the next owner may still accept. */
+TEST_F(Front, IdTakenUnderAnEarlierOwnerIsNotFinal)
+{
+	cell_front_set_owner(front_, 0, "owner", 7, now_);
+	submit(1);
+	cell_front_set_owner(front_, 0, "next", 8, now_);
+	answer(1, OGL__CELL_OUTCOME__cell_absent);
+	step(160);
+	ASSERT_EQ(2u, sent_.size());
+	answer(1, OGL__CELL_OUTCOME__cell_absent);
+	EXPECT_TRUE(answers_.empty());
+	answer(1, OGL__CELL_OUTCOME__cell_ok);
+	ASSERT_EQ(1u, answers_.size());
+	EXPECT_EQ(CELL_OK, answers_[0]);
+}
+
 /* Guards against sending jobs that the owner refuses, and against a node that
  * refuses by itself what the owner may have accepted. */
 TEST_F(Front, OwnerIsAskedForJobsThatItWouldRefuse)
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -248,6 +248,7 @@
 	EXPECT_EQ(429U, platform_http_status(CELL_OVER_RATE));
 	EXPECT_EQ(503U, platform_http_status(CELL_BUSY));
 	EXPECT_EQ(504U, platform_http_status(CELL_UNSURE));
+	EXPECT_EQ(409U, platform_http_status(CELL_ID_TAKEN));
 	a.has_state = true;
 	a.state = OGL__CELL_JOB_STATE__cell_completed;
 	b = platform_answer_body(&a);
