--- a/test/test_cell_answers.cc
+++ b/test/test_cell_answers.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstring>
 #include <string>
 
 #include "fake_cell.h"
@@ -187,6 +188,36 @@
 	EXPECT_GE(unknown + 3, longest_ms(kEnded));
 }
 
+/* Guards against a caller that fills the log by guessing ids. */
+TEST_P(TwoTeams, CallsForOthersJobsAreCountedAndLoggedOnceASecond)
+{
+	char *text = nullptr;
+	size_t n = 0, lines = 0;
+	FILE *log = open_memstream(&text, &n);
+
+	fake_cell_set_log(cell_, log);
+	fake_cell_set_caller_key(cell_, "key-b");
+	for (unsigned i = 0; i < 50; i++) {
+		fake_cell_query_job(cell_, i % 3, kRunning);
+		fake_cell_cancel(cell_, i % 3, kRunning);
+		fake_cell_advance(cell_, 40);
+	}
+	fake_cell_set_caller_key(cell_, nullptr);
+	fake_cell_set_log(cell_, nullptr);
+	fclose(log);
+	for (const char *at = text;
+	     (at = strstr(at, "event=call_for_others_job ")) != nullptr; at++)
+		lines++;
+	EXPECT_EQ(2u, lines) << text;
+	EXPECT_NE(nullptr, strstr(text, "of_team=team team=other queue=q "
+					"left_out="));
+	EXPECT_EQ(50u,
+	    fake_cell_counter(cell_, "calls_for_others_jobs", "call", "state"));
+	EXPECT_EQ(100u, fake_cell_counter(cell_, "calls_for_others_jobs",
+			    "reason", "other_team"));
+	free(text);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, TwoTeams, testing::Range(1u, 7u));
 
 } // namespace
