test: seeds give the same verdict in each process

What was seen: a seed that failed passed when it was run again, as tables whose keys are addresses are iterated and addresses are random.

Change: the seeds' program starts itself again without address randomisation. Where that is not permitted it goes on as before.

--- a/test/test_cell_seeds.cc
+++ b/test/test_cell_seeds.cc
@@ -10,13 +10,18 @@
  */
 
 #include <gtest/gtest.h>
+#include <sys/personality.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cstdlib>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
 #include <random>
+#include <string>
+#include <vector>
 
 #include "fake_cell.h"
 #include "shards.h"
@@ -24,6 +29,31 @@
 namespace
 {
 
+/* Starts this program again without address randomisation.  Tables whose keys
+ * are addresses are iterated, so a seed's run depends on where objects lie. */
+bool
+fix_addresses()
+{
+	int persona = personality(0xffffffff);
+	std::ifstream in("/proc/self/cmdline");
+	std::vector<std::string> args;
+	std::vector<char *> argv;
+
+	if (persona == -1 || (persona & ADDR_NO_RANDOMIZE) != 0)
+		return false;
+	for (std::string arg; std::getline(in, arg, '\0');)
+		args.push_back(arg);
+	for (std::string &arg : args)
+		argv.push_back(&arg[0]);
+	argv.push_back(nullptr);
+	if (args.empty() || personality(persona | ADDR_NO_RANDOMIZE) == -1)
+		return false;
+	execv("/proc/self/exe", argv.data());
+	return false;
+}
+
+const bool addresses_fixed = fix_addresses();
+
 class FaultRun
 {
       public:
