test: a seed's run does not depend on what ran before

What was seen: the verdict of a seed still differed between a run alone and one among others, as the heap was laid out otherwise.

Change: each seed runs in a copy of a process that was forked before main, without address randomisation (fresh_process.h). A run that crashes or exits otherwise (a sanitizer's report) counts as failed.

--- a/test/test_cell_seeds.cc
+++ b/test/test_cell_seeds.cc
@@ -10,50 +10,21 @@
  */
 
 #include <gtest/gtest.h>
-#include <sys/personality.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <cstdlib>
-#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
 #include <random>
-#include <string>
-#include <vector>
 
 #include "fake_cell.h"
+#include "fresh_process.h"
 #include "shards.h"
 
 namespace
 {
 
-/* Starts this program again without address randomisation.  Tables whose keys
- * are addresses are iterated, so a seed's run depends on where objects lie. */
-bool
-fix_addresses()
-{
-	int persona = personality(0xffffffff);
-	std::ifstream in("/proc/self/cmdline");
-	std::vector<std::string> args;
-	std::vector<char *> argv;
-
-	if (persona == -1 || (persona & ADDR_NO_RANDOMIZE) != 0)
-		return false;
-	for (std::string arg; std::getline(in, arg, '\0');)
-		args.push_back(arg);
-	for (std::string &arg : args)
-		argv.push_back(&arg[0]);
-	argv.push_back(nullptr);
-	if (args.empty() || personality(persona | ADDR_NO_RANDOMIZE) == -1)
-		return false;
-	execv("/proc/self/exe", argv.data());
-	return false;
-}
-
-const bool addresses_fixed = fix_addresses();
-
 class FaultRun
 {
       public:
@@ -755,6 +726,71 @@
 	std::multimap<ogl_time, std::function<void()>> planned_;
 };
 
+std::string
+run_plain(unsigned seed)
+{
+	FaultRun fault_run(seed);
+
+	fault_run.run(60);
+	return fault_run.settle();
+}
+
+std::string
+run_with_stops(unsigned seed)
+{
+	FaultRun fault_run(seed, 1 + seed % 3, true);
+
+	fault_run.run(60);
+	return fault_run.settle();
+}
+
+std::string
+run_on_slow_links(unsigned seed)
+{
+	FaultRun fault_run(seed, 1, seed % 2 == 0, 300 + seed % 4 * 100);
+
+	fault_run.run(60);
+	return fault_run.settle();
+}
+
+std::string
+run_with_shards(unsigned seed)
+{
+	FaultRun fault_run(seed, 2 + seed % 2);
+
+	fault_run.run(60);
+	return fault_run.settle();
+}
+
+std::string
+run_with_evacuations(unsigned seed)
+{
+	FaultRun fault_run(seed, 1 + seed % 2, seed % 3 == 0,
+	    seed % 4 == 0 ? 400 : 0, 2 + seed % 3);
+
+	fault_run.run(60);
+	return fault_run.settle();
+}
+
+std::string
+run_series(unsigned seed)
+{
+	FaultRun fault_run(seed, 1 + seed % 2, false, 0, 1, seed % 3 != 0);
+
+	fault_run.run_series(8);
+	return fault_run.settle();
+}
+
+std::string
+run_cuts(unsigned seed)
+{
+	FaultRun fault_run(seed, seed % 3 == 0 ? 2 : 1, seed % 5 == 0,
+	    seed % 4 == 0 ? 300 + seed % 3 * 100 : 0, 1, seed % 2 == 0, 2);
+
+	fault_run.run_cuts(6);
+	return fault_run.settle();
+}
+
 unsigned
 from_env(const char *name, unsigned default_value)
 {
@@ -803,10 +839,7 @@
 TEST(CellSeeds, FormerFailures)
 {
 	for (const auto &s : failed_seeds) {
-		FaultRun fault_run(s.seed);
-
-		fault_run.run(60);
-		EXPECT_EQ("", fault_run.settle())
+		EXPECT_EQ("", run_in_fresh_process(run_plain, s.seed))
 		    << "OGL_SEED=" << s.seed << ": " << s.cause;
 	}
 }
@@ -826,10 +859,7 @@
 void
 expect_no_violation_on_slow_links(unsigned seed, const char *cause)
 {
-	FaultRun fault_run(seed, 1, seed % 2 == 0, 300 + seed % 4 * 100);
-
-	fault_run.run(60);
-	EXPECT_EQ("", fault_run.settle())
+	EXPECT_EQ("", run_in_fresh_process(run_on_slow_links, seed))
 	    << "OGL_LINK_SEED=" << seed << ": " << cause;
 }
 
@@ -842,10 +872,7 @@
 TEST(CellSeeds, FormerFailuresWithShards)
 {
 	for (const auto &s : failed_shard_seeds) {
-		FaultRun fault_run(s.seed, 2 + s.seed % 2);
-
-		fault_run.run(60);
-		EXPECT_EQ("", fault_run.settle())
+		EXPECT_EQ("", run_in_fresh_process(run_with_shards, s.seed))
 		    << "OGL_SHARD_SEED=" << s.seed << ": " << s.cause;
 	}
 }
@@ -858,10 +885,8 @@
 
 	for (unsigned i = 0; i < seeds; i++) {
 		unsigned seed = one != 0 ? one : first + i;
-		FaultRun fault_run(seed);
-
-		fault_run.run(60);
-		EXPECT_EQ("", fault_run.settle()) << "OGL_SEED=" << seed;
+		EXPECT_EQ("", run_in_fresh_process(run_plain, seed))
+		    << "OGL_SEED=" << seed;
 	}
 }
 
@@ -875,10 +900,8 @@
 
 	for (unsigned i = 0; i < seeds; i++) {
 		unsigned seed = one != 0 ? one : first + i;
-		FaultRun fault_run(seed, 1 + seed % 3, true);
-
-		fault_run.run(60);
-		EXPECT_EQ("", fault_run.settle()) << "OGL_STOP_SEED=" << seed;
+		EXPECT_EQ("", run_in_fresh_process(run_with_stops, seed))
+		    << "OGL_STOP_SEED=" << seed;
 	}
 }
 
@@ -907,11 +930,8 @@
 
 	for (unsigned i = 0; i < seeds; i++) {
 		unsigned seed = one != 0 ? one : first + i;
-		FaultRun fault_run(seed, 1 + seed % 2, seed % 3 == 0,
-		    seed % 4 == 0 ? 400 : 0, 2 + seed % 3);
-
-		fault_run.run(60);
-		EXPECT_EQ("", fault_run.settle()) << "OGL_ZONE_SEED=" << seed;
+		EXPECT_EQ("", run_in_fresh_process(run_with_evacuations, seed))
+		    << "OGL_ZONE_SEED=" << seed;
 	}
 }
 
@@ -926,11 +946,8 @@
 
 	for (unsigned i = 0; i < seeds; i++) {
 		unsigned seed = one != 0 ? one : first + i;
-		FaultRun fault_run(
-		    seed, 1 + seed % 2, false, 0, 1, seed % 3 != 0);
-
-		fault_run.run_series(8);
-		EXPECT_EQ("", fault_run.settle()) << "OGL_SERIES_SEED=" << seed;
+		EXPECT_EQ("", run_in_fresh_process(run_series, seed))
+		    << "OGL_SERIES_SEED=" << seed;
 	}
 }
 
@@ -944,12 +961,8 @@
 
 	for (unsigned i = 0; i < seeds; i++) {
 		unsigned seed = one != 0 ? one : first + i;
-		FaultRun fault_run(seed, seed % 3 == 0 ? 2 : 1, seed % 5 == 0,
-		    seed % 4 == 0 ? 300 + seed % 3 * 100 : 0, 1, seed % 2 == 0,
-		    2);
-
-		fault_run.run_cuts(6);
-		EXPECT_EQ("", fault_run.settle()) << "OGL_CUT_SEED=" << seed;
+		EXPECT_EQ("", run_in_fresh_process(run_cuts, seed))
+		    << "OGL_CUT_SEED=" << seed;
 	}
 }
 
@@ -962,10 +975,8 @@
 
 	for (unsigned i = 0; i < seeds; i++) {
 		unsigned seed = one != 0 ? one : first + i;
-		FaultRun fault_run(seed, 2 + seed % 2);
-
-		fault_run.run(60);
-		EXPECT_EQ("", fault_run.settle()) << "OGL_SHARD_SEED=" << seed;
+		EXPECT_EQ("", run_in_fresh_process(run_with_shards, seed))
+		    << "OGL_SHARD_SEED=" << seed;
 	}
 }
 
