--- a/test/test_cell_seeds.cc
+++ b/test/test_cell_seeds.cc
@@ -19,6 +19,7 @@
 #include <random>
 
 #include "fake_cell.h"
+#include "fresh_process.h"
 #include "shards.h"
 
 namespace
@@ -725,6 +726,71 @@
 	std::multimap<ogl_time, std::function<void()>> planned_;
 };
 
+std::string
+run_plain(unsigned seed)
+{
+	FaultRun fault_run(seed);
+
+	fault_run.run(60);
+	return fault_run.settle();
+}
+
+std::string
+run_with_stops(unsigned seed)
+{
+	FaultRun fault_run(seed, 1 + seed % 3, true);
+
+	fault_run.run(60);
+	return fault_run.settle();
+}
+
+std::string
+run_on_slow_links(unsigned seed)
+{
+	FaultRun fault_run(seed, 1, seed % 2 == 0, 300 + seed % 4 * 100);
+
+	fault_run.run(60);
+	return fault_run.settle();
+}
+
+std::string
+run_with_shards(unsigned seed)
+{
+	FaultRun fault_run(seed, 2 + seed % 2);
+
+	fault_run.run(60);
+	return fault_run.settle();
+}
+
+std::string
+run_with_evacuations(unsigned seed)
+{
+	FaultRun fault_run(seed, 1 + seed % 2, seed % 3 == 0,
+	    seed % 4 == 0 ? 400 : 0, 2 + seed % 3);
+
+	fault_run.run(60);
+	return fault_run.settle();
+}
+
+std::string
+run_series(unsigned seed)
+{
+	FaultRun fault_run(seed, 1 + seed % 2, false, 0, 1, seed % 3 != 0);
+
+	fault_run.run_series(8);
+	return fault_run.settle();
+}
+
+std::string
+run_cuts(unsigned seed)
+{
+	FaultRun fault_run(seed, seed % 3 == 0 ? 2 : 1, seed % 5 == 0,
+	    seed % 4 == 0 ? 300 + seed % 3 * 100 : 0, 1, seed % 2 == 0, 2);
+
+	fault_run.run_cuts(6);
+	return fault_run.settle();
+}
+
 unsigned
 from_env(const char *name, unsigned default_value)
 {
@@ -773,10 +839,7 @@
 TEST(CellSeeds, FormerFailures)
 {
 	for (const auto &s : failed_seeds) {
-		FaultRun fault_run(s.seed);
-
-		fault_run.run(60);
-		EXPECT_EQ("", fault_run.settle())
+		EXPECT_EQ("", run_in_fresh_process(run_plain, s.seed))
 		    << "OGL_SEED=" << s.seed << ": " << s.cause;
 	}
 }
@@ -796,10 +859,7 @@
 void
 expect_no_violation_on_slow_links(unsigned seed, const char *cause)
 {
-	FaultRun fault_run(seed, 1, seed % 2 == 0, 300 + seed % 4 * 100);
-
-	fault_run.run(60);
-	EXPECT_EQ("", fault_run.settle())
+	EXPECT_EQ("", run_in_fresh_process(run_on_slow_links, seed))
 	    << "OGL_LINK_SEED=" << seed << ": " << cause;
 }
 
@@ -812,10 +872,7 @@
 TEST(CellSeeds, FormerFailuresWithShards)
 {
 	for (const auto &s : failed_shard_seeds) {
-		FaultRun fault_run(s.seed, 2 + s.seed % 2);
-
-		fault_run.run(60);
-		EXPECT_EQ("", fault_run.settle())
+		EXPECT_EQ("", run_in_fresh_process(run_with_shards, s.seed))
 		    << "OGL_SHARD_SEED=" << s.seed << ": " << s.cause;
 	}
 }
@@ -828,10 +885,8 @@
 
 	for (unsigned i = 0; i < seeds; i++) {
 		unsigned seed = one != 0 ? one : first + i;
-		FaultRun fault_run(seed);
-
-		fault_run.run(60);
-		EXPECT_EQ("", fault_run.settle()) << "OGL_SEED=" << seed;
+		EXPECT_EQ("", run_in_fresh_process(run_plain, seed))
+		    << "OGL_SEED=" << seed;
 	}
 }
 
@@ -845,10 +900,8 @@
 
 	for (unsigned i = 0; i < seeds; i++) {
 		unsigned seed = one != 0 ? one : first + i;
-		FaultRun fault_run(seed, 1 + seed % 3, true);
-
-		fault_run.run(60);
-		EXPECT_EQ("", fault_run.settle()) << "OGL_STOP_SEED=" << seed;
+		EXPECT_EQ("", run_in_fresh_process(run_with_stops, seed))
+		    << "OGL_STOP_SEED=" << seed;
 	}
 }
 
@@ -877,11 +930,8 @@
 
 	for (unsigned i = 0; i < seeds; i++) {
 		unsigned seed = one != 0 ? one : first + i;
-		FaultRun fault_run(seed, 1 + seed % 2, seed % 3 == 0,
-		    seed % 4 == 0 ? 400 : 0, 2 + seed % 3);
-
-		fault_run.run(60);
-		EXPECT_EQ("", fault_run.settle()) << "OGL_ZONE_SEED=" << seed;
+		EXPECT_EQ("", run_in_fresh_process(run_with_evacuations, seed))
+		    << "OGL_ZONE_SEED=" << seed;
 	}
 }
 
@@ -896,11 +946,8 @@
 
 	for (unsigned i = 0; i < seeds; i++) {
 		unsigned seed = one != 0 ? one : first + i;
-		FaultRun fault_run(
-		    seed, 1 + seed % 2, false, 0, 1, seed % 3 != 0);
-
-		fault_run.run_series(8);
-		EXPECT_EQ("", fault_run.settle()) << "OGL_SERIES_SEED=" << seed;
+		EXPECT_EQ("", run_in_fresh_process(run_series, seed))
+		    << "OGL_SERIES_SEED=" << seed;
 	}
 }
 
@@ -914,12 +961,8 @@
 
 	for (unsigned i = 0; i < seeds; i++) {
 		unsigned seed = one != 0 ? one : first + i;
-		FaultRun fault_run(seed, seed % 3 == 0 ? 2 : 1, seed % 5 == 0,
-		    seed % 4 == 0 ? 300 + seed % 3 * 100 : 0, 1, seed % 2 == 0,
-		    2);
-
-		fault_run.run_cuts(6);
-		EXPECT_EQ("", fault_run.settle()) << "OGL_CUT_SEED=" << seed;
+		EXPECT_EQ("", run_in_fresh_process(run_cuts, seed))
+		    << "OGL_CUT_SEED=" << seed;
 	}
 }
 
@@ -932,10 +975,8 @@
 
 	for (unsigned i = 0; i < seeds; i++) {
 		unsigned seed = one != 0 ? one : first + i;
-		FaultRun fault_run(seed, 2 + seed % 2);
-
-		fault_run.run(60);
-		EXPECT_EQ("", fault_run.settle()) << "OGL_SHARD_SEED=" << seed;
+		EXPECT_EQ("", run_in_fresh_process(run_with_shards, seed))
+		    << "OGL_SHARD_SEED=" << seed;
 	}
 }
 
