--- a/tools/check.sh
+++ b/tools/check.sh
@@ -45,6 +45,20 @@
 		fail=$((fail + 1))
 	fi
 fi
+# Scripted cuts of an owner and workers: real node processes.
+if [ -z "$pick" ]; then
+	for c in 'running --seed 71' 'ended --seed 72'; do
+		# shellcheck disable=SC2086
+		if out=$(python3 soak/cut_case.py "$b" $c 2>&1); then
+			pass=$((pass + 1))
+		else
+			printf '%s\n' "$out" | tail -20
+			fail=$((fail + 1))
+		fi
+		printf 'cut_case %s: %s\n' "$c" \
+		    "$(printf '%s\n' "$out" | tail -1)"
+	done
+fi
 # A short soak: real node processes under injected faults, with a fixed seed.
 if [ -z "$pick" ]; then
 	if out=$(python3 soak/soak.py "$b" --seed 3 --seconds 20 2>&1); then
