fleet: the end of an unknown run that is being stopped counts for its task

Cause: a start that was given up after its worker's lease may reach the next incarnation of the worker late and be carried out. The owner stops it as a run that it does not know. If it ends as done before the stop arrives, the end was acknowledged, but not applied to the task, which was started again.

Change: ends of such runs are reported like ends of runs that are not known at all.

--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -268,11 +268,13 @@
 			continue;
 		w->ends_reported = row->number;
 		r = find_run(w, row);
+		/* A run that is being stopped as unknown may have been of use: a
+		 * start that went unanswered and was given up. */
+		if (r == NULL || r->orphan)
+			f->events.end_found(f->events.arg, w, row, now);
 		if (r != NULL)
 			cell_fleet_run_ended(
 			    f, r, row->how, row->checkpoint, now);
-		else
-			f->events.end_found(f->events.arg, w, row, now);
 	}
 }
 
