--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -22,7 +22,7 @@
 cell_fleet_run_free(struct cell_run *r)
 {
 	g_free(r->team);
-	g_free(r->spec);
+	g_clear_pointer(&r->spec, g_bytes_unref);
 	g_free(r->ticket);
 	g_free(r->checkpoint);
 	g_free(r);
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -36,7 +36,7 @@
 	enum cell_run_state state;
 	struct ogl_res res;
 	char *team;
-	char *spec; /* kept while the start may have to be repeated */
+	GBytes *spec; /* kept while the start may have to be repeated */
 	char *ticket;
 	char *checkpoint;
 	ogl_time checkpoint_at; /* when it last changed; 0: not seen to */
--- a/cell/fleet_order.c
+++ b/cell/fleet_order.c
@@ -43,7 +43,7 @@
 	    .to = {w->addr, w->id, f->epoch},
 	    .task = r->name,
 	    .run = r->number,
-	    .spec = r->spec,
+	    .spec = cell_bytes_str(r->spec),
 	    .until_ms =
 		cell_lease_extend(&w->lease, f->limits->lease_max_ms, now),
 	    .checkpoint = r->checkpoint != NULL ? r->checkpoint : "",
@@ -271,7 +271,7 @@
 	r = cell_fleet_run_new(f, w, &name, number, &res, s->job->def->team);
 	r->stage = s;
 	r->state = CELL_RUN_STARTING;
-	r->spec = g_strdup(s->job->def->spec);
+	r->spec = g_bytes_new(s->job->def->spec.data, s->job->def->spec.len);
 	r->ticket = g_strdup(ticket);
 	r->checkpoint = g_strdup(t->checkpoint);
 	r->rank = rank;
--- a/cell/node.c
+++ b/cell/node.c
@@ -122,7 +122,8 @@
 	m.body_case = OGL__CELL_MSG__BODY_CALL;
 	m.call = (Ogl__CellCall *)(uintptr_t)c;
 	if (c->job != NULL)
-		cell_relay_serve_add_spec(n->serve, c->id, c->job->spec);
+		cell_relay_serve_add_spec(
+		    n->serve, c->id, cell_field_str(&c->job->spec));
 	cell_node_send_msg(n, shard, to, &m);
 }
 
--- a/cell/ops.h
+++ b/cell/ops.h
@@ -19,6 +19,24 @@
 
 struct cell_config;
 
+/* The bytes of a field of a message, and those of b; borrowed. */
+static inline struct ogl_str
+cell_field_str(const ProtobufCBinaryData *field)
+{
+	struct ogl_str s = {(const char *)field->data, field->len};
+
+	return s;
+}
+
+static inline struct ogl_str
+cell_bytes_str(GBytes *b)
+{
+	struct ogl_str s;
+
+	s.p = (const char *)g_bytes_get_data(b, &s.n);
+	return s;
+}
+
 /* ---- the store: streams of keyed records ------------------------------ */
 
 enum cell_stream {
@@ -196,7 +214,7 @@
 	uint64_t run;
 	uint32_t timeout_ms;
 	/* for a start only */
-	const char *spec;
+	struct ogl_str spec;
 	uint64_t until_ms; /* end of the lease, on the worker's clock */
 	const char *checkpoint;
 	const char *ticket; /* NULL none */
@@ -318,7 +336,8 @@
 	Ogl__CellJob *(*decode_job)(
 	    void *ctx, struct ogl_str body, const char **why);
 	/* Decodes the body of a submission, which leaves id, team and queue
-	 * unset; NULL, with the reason in why, if it is malformed. */
+	 * unset; NULL, with the reason in why, if it is malformed.  The reason
+	 * is valid until the next call. */
 	void (*reply)(void *ctx, uint64_t token, const struct cell_answer *a);
 	/* Answers a caller's request. */
 
--- a/cell/order_msg.c
+++ b/cell/order_msg.c
@@ -16,6 +16,15 @@
 	return strdup(s != NULL ? s : "");
 }
 
+void
+cell_order_set_bytes(ProtobufCBinaryData *field, struct ogl_str value)
+{
+	field->data = malloc(MAX(value.n, 1));
+	field->len = value.n;
+	if (value.n > 0)
+		memcpy(field->data, value.p, value.n);
+}
+
 Ogl__CellOrder *
 cell_order_copy(const Ogl__CellOrder *m)
 {
--- a/cell/order_msg.h
+++ b/cell/order_msg.h
@@ -11,6 +11,9 @@
 char *cell_order_strdup(const char *s);
 /* Copies s for a message, which frees it; NULL gives "". */
 
+void cell_order_set_bytes(ProtobufCBinaryData *field, struct ogl_str value);
+/* Copies value into an empty field of a message, which frees it. */
+
 Ogl__CellOrder *cell_order_copy(const Ogl__CellOrder *m);
 /* Result: free with ogl__cell_order__free_unpacked. */
 
--- a/cell/relay.c
+++ b/cell/relay.c
@@ -88,7 +88,7 @@
 	/* Copies of the order and the spec of a start that was sent without the
 	 * spec, in case it has to be repeated with it; NULL for other calls. */
 	Ogl__CellOrder *message;
-	char *spec;
+	GBytes *spec;
 	/* Exactly one of the three callbacks is set; arg is passed to it. */
 	cell_hold_fn *hold_done;
 	cell_order_fn *order_done;
@@ -145,7 +145,7 @@
 
 	if (call->message != NULL)
 		ogl__cell_order__free_unpacked(call->message, NULL);
-	g_free(call->spec);
+	g_clear_pointer(&call->spec, g_bytes_unref);
 	g_free(call->worker);
 	g_free(call->relay);
 	g_free(call);
@@ -372,9 +372,9 @@
 }
 
 static void
-add_spec(Ogl__CellOrder *m, const char *spec)
+add_spec(Ogl__CellOrder *m, struct ogl_str spec)
 {
-	m->spec = cell_order_strdup(spec); /* no earlier value to free */
+	cell_order_set_bytes(&m->spec, spec);
 	m->with_spec = true;
 }
 
@@ -428,7 +428,7 @@
 	call->worker = g_strdup(o->to.id);
 	if (has_spec) {
 		call->message = cell_order_copy(m);
-		call->spec = g_strdup(o->spec);
+		call->spec = g_bytes_new(o->spec.p, o->spec.n);
 	} else {
 		add_spec(m, o->spec);
 		cell_relay_note_spec(r, o->task.id, n->addr);
@@ -625,7 +625,7 @@
 
 	if (call->message == NULL || n == NULL)
 		return false;
-	add_spec(call->message, call->spec);
+	add_spec(call->message, cell_bytes_str(call->spec));
 	batch_add(r, n, call->message);
 	call->message = NULL;
 	g_hash_table_insert(r->calls, &call->token, call);
--- a/cell/relay_serve.c
+++ b/cell/relay_serve.c
@@ -30,7 +30,7 @@
 /* Specs of the latest jobs that this node forwarded to an owner or started
  * tasks of. */
 struct spec_cache {
-	GHashTable *specs; /* job -> spec */
+	GHashTable *specs; /* job -> GBytes, its spec */
 	GQueue fifo;       /* jobs, oldest first; the keys of the table */
 	size_t bytes;
 };
@@ -38,8 +38,8 @@
 static void
 spec_cache_init(struct spec_cache *s)
 {
-	s->specs =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->specs = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
 	g_queue_init(&s->fifo);
 }
 
@@ -51,9 +51,9 @@
 }
 
 static size_t
-entry_size(const char *job, const char *spec)
+entry_size(const char *job, GBytes *spec)
 {
-	return strlen(job) + strlen(spec);
+	return strlen(job) + g_bytes_get_size(spec);
 }
 
 static void
@@ -66,16 +66,18 @@
 }
 
 static void
-spec_cache_add(struct spec_cache *s, const char *job, const char *spec)
+spec_cache_add(struct spec_cache *s, const char *job, struct ogl_str spec)
 {
+	GBytes *b;
 	char *key;
 
 	if (g_hash_table_contains(s->specs, job))
 		return;
 	key = g_strdup(job);
-	g_hash_table_insert(s->specs, key, g_strdup(spec));
+	b = g_bytes_new(spec.p, spec.n);
+	g_hash_table_insert(s->specs, key, b);
 	g_queue_push_tail(&s->fifo, key);
-	s->bytes += entry_size(job, spec);
+	s->bytes += entry_size(job, b);
 	while (s->bytes > SPEC_CACHE_BYTES_MAX)
 		evict_oldest(s);
 }
@@ -340,7 +342,7 @@
 
 void
 cell_relay_serve_add_spec(
-    struct cell_relay_serve *v, const char *job, const char *spec)
+    struct cell_relay_serve *v, const char *job, struct ogl_str spec)
 {
 	spec_cache_add(&v->specs, job, spec);
 }
@@ -548,14 +550,20 @@
     ogl_time now)
 {
 	struct cell_order o = order_from_msg(m);
-
-	if (m->with_spec)
-		spec_cache_add(&v->specs, m->job, m->spec);
-	o.spec = m->with_spec ? m->spec
-			      : g_hash_table_lookup(v->specs.specs, m->job);
-	if (o.spec == NULL) {
-		reject(c, OGL__CELL_ORDER_OUTCOME__cell_order_lacks_spec, now);
-		return false;
+	GBytes *spec = NULL;
+
+	if (m->with_spec) {
+		o.spec = cell_field_str(&m->spec);
+		spec_cache_add(&v->specs, m->job, o.spec);
+	} else {
+		spec = g_hash_table_lookup(v->specs.specs, m->job);
+		if (spec == NULL) {
+			reject(c,
+			    OGL__CELL_ORDER_OUTCOME__cell_order_lacks_spec,
+			    now);
+			return false;
+		}
+		o.spec = cell_bytes_str(spec);
 	}
 	v->ops->start(v->ops->backend_ctx, &o, on_order, c);
 	return true;
--- a/cell/relay_serve.h
+++ b/cell/relay_serve.h
@@ -18,7 +18,7 @@
 /* Calls in progress may still end afterwards; their answers are discarded. */
 
 void cell_relay_serve_add_spec(
-    struct cell_relay_serve *v, const char *job, const char *spec);
+    struct cell_relay_serve *v, const char *job, struct ogl_str spec);
 /* Keeps the spec of a job that this node forwarded to its owner. */
 
 void cell_relay_serve(struct cell_relay_serve *v, uint32_t shard,
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -1799,11 +1799,11 @@
     "spec",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
     offsetof(Ogl__CellJob, spec),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -4031,11 +4031,11 @@
     "spec",
     16,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
     offsetof(Ogl__CellOrder, spec),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -259,7 +259,7 @@
   char *team;
   char *queue;
   char *service;
-  char *spec;
+  ProtobufCBinaryData spec;
   size_t n_steps;
   Ogl__CellStep **steps;
   /*
@@ -282,7 +282,7 @@
 };
 #define OGL__CELL_JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_job__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, NULL }
 
 
 /*
@@ -838,7 +838,7 @@
    * spec is set; otherwise the relay has the job's spec
    */
   protobuf_c_boolean with_spec;
-  char *spec;
+  ProtobufCBinaryData spec;
   /*
    * of a hold: number of the last end that is recorded
    */
@@ -854,7 +854,7 @@
 };
 #define OGL__CELL_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_order__descriptor) \
-    , 0, OGL__CELL_ORDER_KIND__cell_order_start, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, OGL__CELL_ORDER_KIND__cell_order_start, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0, 0, 0 }
 
 
 /*
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -179,7 +179,7 @@
 
 struct job {
 	char id[CELL_ID_LEN + 1];
-	char *spec;
+	GBytes *spec;
 	struct fake_step steps[4];
 	size_t nsteps;
 	int status; /* HTTP status of the last answer, -1 none */
@@ -338,7 +338,7 @@
 	char *ticket;
 	char *step; /* that advice is asked for */
 	GPtrArray *worker_ids;
-	char *spec;
+	GBytes *spec;
 	size_t answer_bytes; /* besides ANSWER_BYTES */
 	struct cell_order_answer order_answer;
 };
@@ -371,7 +371,7 @@
 	g_free(c->checkpoint);
 	g_free(c->ticket);
 	g_free(c->step);
-	g_free(c->spec);
+	g_clear_pointer(&c->spec, g_bytes_unref);
 	g_free(c);
 }
 
@@ -493,7 +493,7 @@
 	if (c->worker_ids != NULL)
 		n += c->worker_ids->len * WORKER_ID_BYTES;
 	if (c->spec != NULL)
-		n += strlen(c->spec);
+		n += g_bytes_get_size(c->spec);
 	return n;
 }
 
@@ -1589,7 +1589,7 @@
 		c->order_answer.why = why;
 		return;
 	}
-	if (g_strcmp0(c->spec, job_of(f, c->task.id)->spec) != 0)
+	if (!g_bytes_equal(c->spec, job_of(f, c->task.id)->spec))
 		report_violation(f, "start with a wrong spec", c->task.id);
 	renew_lease(f, w, c->lease_until_ms);
 	start_run(f, w, c);
@@ -1722,7 +1722,7 @@
 	c->task = o->task;
 	c->run = o->run;
 	c->lease_until_ms = o->until_ms;
-	c->spec = g_strdup(o->spec);
+	c->spec = g_bytes_new(o->spec.p, o->spec.n);
 	c->checkpoint = g_strdup(o->checkpoint != NULL ? o->checkpoint : "");
 	c->ticket = g_strdup(o->ticket);
 	if (c->worker != NULL)
@@ -2121,15 +2121,17 @@
 	}
 }
 
-/* The text differs from job to job.  Its size matters only on limited links. */
-static char *
+/* The bytes differ from job to job.  Their number matters only on limited
+ * links. */
+static GBytes *
 spec_of(const struct fake_cell *f, const char *id)
 {
 	GString *s = g_string_new(id);
 
+	g_string_append_len(s, "\0\n\xff", 3);
 	while (f->shape.link_kbps > 0 && s->len < SPEC_BYTES)
 		g_string_append_c(s, 'x');
-	return g_string_free(s, FALSE);
+	return g_string_free_to_bytes(s);
 }
 
 static Ogl__CellStep *
@@ -2172,7 +2174,9 @@
 	}
 	p = malloc(sizeof *p);
 	ogl__cell_job__init(p);
-	p->spec = strdup(j->spec);
+	p->spec.len = g_bytes_get_size(j->spec);
+	p->spec.data = malloc(p->spec.len);
+	memcpy(p->spec.data, g_bytes_get_data(j->spec, NULL), p->spec.len);
 	p->n_steps = j->nsteps;
 	p->steps = calloc(j->nsteps, sizeof *p->steps);
 	for (i = 0; i < j->nsteps; i++)
@@ -2892,7 +2896,7 @@
 	struct job *j = p;
 
 	g_hash_table_unref(j->tasks);
-	g_free(j->spec);
+	g_bytes_unref(j->spec);
 	g_free(j);
 }
 
--- a/test/test_cell_journal.cc
+++ b/test/test_cell_journal.cc
@@ -83,7 +83,9 @@
 
 		ogl__cell_job__init(d);
 		d->id = g_strdup("0123456789abcdef");
-		d->spec = g_strdup(spec.c_str());
+		d->spec.len = spec.size();
+		d->spec.data =
+		    static_cast<uint8_t *>(g_memdup2(spec.data(), spec.size()));
 		jobs_.push_back(cell_job_new(d, now_));
 		return jobs_.back();
 	}
--- a/test/test_cell_relay.cc
+++ b/test/test_cell_relay.cc
@@ -13,6 +13,15 @@
 namespace
 {
 
+/* It has a NUL, at which it must not end. */
+const std::string kSpec("the\0spec", 8);
+
+std::string
+text(struct ogl_str s)
+{
+	return {s.p != nullptr ? s.p : "", s.n};
+}
+
 struct Sent {
 	std::string to;
 	Ogl__CellOrderKind kind;
@@ -74,7 +83,7 @@
 		g_strlcpy(o.task.id, job, sizeof o.task.id);
 		o.run = 1;
 		o.timeout_ms = 600;
-		o.spec = "the spec";
+		o.spec = {kSpec.data(), kSpec.size()};
 		relayed_.start(relayed_.backend_ctx, &o, on_order, this);
 	}
 
@@ -101,7 +110,7 @@
 			const Ogl__CellOrder *o = m->orders[i];
 
 			t->sent_.push_back({to, o->kind, o->token,
-			    o->with_spec != 0, o->spec});
+			    o->with_spec != 0, text(cell_field_str(&o->spec))});
 		}
 	}
 
@@ -153,7 +162,7 @@
 	step(10);
 	ASSERT_EQ(2u, sent_.size());
 	EXPECT_EQ(sent_[0].to, sent_[1].to);
-	EXPECT_EQ("the spec", sent_[0].spec);
+	EXPECT_EQ(kSpec, sent_[0].spec);
 	EXPECT_FALSE(sent_[1].with_spec);
 }
 
@@ -170,7 +179,7 @@
 	step(10);
 	ASSERT_EQ(2u, sent_.size());
 	EXPECT_EQ("n2", sent_[1].to);
-	EXPECT_EQ("the spec", sent_[1].spec);
+	EXPECT_EQ(kSpec, sent_[1].spec);
 	answer(sent_[1], OGL__CELL_ORDER_OUTCOME__cell_order_done);
 	ASSERT_EQ(1u, outcomes_.size());
 }
@@ -321,7 +330,7 @@
 				 cell_order_fn *done, void *arg) {
 			auto *t = static_cast<RelayServe *>(ctx);
 
-			t->specs_.push_back(o->spec);
+			t->specs_.push_back(text(o->spec));
 			t->done_ = done;
 			t->arg_ = arg;
 		};
@@ -437,10 +446,10 @@
 
 TEST_F(RelayServe, StartUsesSpecOfForwardedJob)
 {
-	cell_relay_serve_add_spec(serve_, job1, "kept");
+	cell_relay_serve_add_spec(serve_, job1, {kSpec.data(), kSpec.size()});
 	serve_start(false);
 	ASSERT_EQ(1u, specs_.size());
-	EXPECT_EQ("kept", specs_[0]);
+	EXPECT_EQ(kSpec, specs_[0]);
 	end_call();
 	EXPECT_TRUE(answers_.empty());
 	step();
@@ -460,7 +469,7 @@
 /* Guards against more connections to a worker than it accepts. */
 TEST_F(RelayServe, OrdersToOneWorkerAreQueued)
 {
-	cell_relay_serve_add_spec(serve_, job1, "kept");
+	cell_relay_serve_add_spec(serve_, job1, {kSpec.data(), kSpec.size()});
 	serve_start(false);
 	serve_start(false);
 	EXPECT_EQ(1u, specs_.size());
@@ -474,7 +483,7 @@
 /* Guards against sending a start after the timeout of its owner. */
 TEST_F(RelayServe, QueuedOrderIsNotSentAfterTimeout)
 {
-	cell_relay_serve_add_spec(serve_, job1, "kept");
+	cell_relay_serve_add_spec(serve_, job1, {kSpec.data(), kSpec.size()});
 	serve_start(false);
 	serve_start(false);
 	now_ += OGL_SEC;
@@ -488,7 +497,7 @@
 /* Guards against carrying out an order long after the timeout of its owner. */
 TEST_F(RelayServe, RefusedOrdersAreNotCarriedOut)
 {
-	cell_relay_serve_add_spec(serve_, job1, "kept");
+	cell_relay_serve_add_spec(serve_, job1, {kSpec.data(), kSpec.size()});
 	serve_start(true);
 	step();
 	EXPECT_TRUE(specs_.empty());
@@ -517,7 +526,7 @@
  * cell_relay_serve_end. */
 TEST_F(RelayServe, CallMayEndAfterServeEnd)
 {
-	cell_relay_serve_add_spec(serve_, job1, "kept");
+	cell_relay_serve_add_spec(serve_, job1, {kSpec.data(), kSpec.size()});
 	serve_start(false);
 	cell_relay_serve_end(serve_);
 	serve_ = nullptr;
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -92,6 +92,19 @@
 	EXPECT_EQ(nullptr, platform_evacuated_zone(""));
 }
 
+/* dropped gets the number of strings that can't be used. */
+struct cell_worker_entry *
+parse_entry(const std::string &text, unsigned *dropped = nullptr)
+{
+	unsigned n = 0;
+	struct cell_worker_entry *e =
+	    platform_worker_entry_parse({text.data(), text.size()}, &n);
+
+	if (dropped != nullptr)
+		*dropped = n;
+	return e;
+}
+
 TEST(PlatformWorkerEntry, DecodesAllFields)
 {
 	const char text[] =
@@ -100,8 +113,7 @@
 	    R"("capacity":{"cpu":16000,"mem_mb":32768,"gpus":1},)"
 	    R"("labels":["a","r1-3"],"clock_ms":482113,"seq":4,)"
 	    R"("born":1700000000123,"drain_remaining_ms":900})";
-	struct cell_worker_entry *e =
-	    platform_worker_entry_parse(ogl_str(text));
+	struct cell_worker_entry *e = parse_entry(text);
 
 	ASSERT_NE(nullptr, e);
 	EXPECT_STREQ("svc", e->service);
@@ -127,16 +139,15 @@
 	    R"({"service":"s","address":["x"],"state":"ready"})"};
 
 	for (const char *text : bad)
-		EXPECT_EQ(nullptr, platform_worker_entry_parse(ogl_str(text)))
-		    << text;
+		EXPECT_EQ(nullptr, parse_entry(text)) << text;
 }
 
 TEST(PlatformWorkerEntry, IgnoresOptionalFieldsOfOtherTypes)
 {
-	struct cell_worker_entry *e = platform_worker_entry_parse(
-	    ogl_str(R"({"service":"s","address":"x","state":"ready",)"
-		    R"("capacity":"all","labels":[1,null,"r2-1"],)"
-		    R"("born":"now"})"));
+	struct cell_worker_entry *e =
+	    parse_entry(R"({"service":"s","address":"x","state":"ready",)"
+			R"("capacity":"all","labels":[1,null,"r2-1"],)"
+			R"("born":"now"})");
 
 	ASSERT_NE(nullptr, e);
 	EXPECT_EQ(0U, e->capacity.cpu_milli);
@@ -145,6 +156,33 @@
 	platform_worker_entry_free(e);
 }
 
+/* Guards against a cut off label that another step requires, and against line
+ * ends in the address and id that go into a request. */
+TEST(PlatformWorkerEntry, ControlCharactersAreNotCutOff)
+{
+	const char *bad[] = {
+	    R"({"service":"s\u0000t","address":"x","state":"ready"})",
+	    R"({"service":"s","address":"x\r\nA: b","state":"ready"})",
+	    R"({"service":"s","address":"x","state":"ready","zone":"z\u0000"})",
+	    R"({"service":"s","address":"x","state":"ready\u0000"})",
+	    R"({"service":"s","address":"x","state":"ready","zone":"\u0085"})"};
+	unsigned dropped;
+	struct cell_worker_entry *e;
+
+	for (const char *text : bad)
+		EXPECT_EQ(nullptr, parse_entry(text)) << text;
+	e = parse_entry(R"({"service":"s","address":"x","state":"ready",)"
+			R"("labels":["gpu\u0000x","a","r1-3\n","r2-1"]})",
+	    &dropped);
+	ASSERT_NE(nullptr, e);
+	EXPECT_EQ(2U, dropped);
+	EXPECT_STREQ("a", e->labels[0]);
+	EXPECT_STREQ("r2-1", e->labels[1]);
+	EXPECT_EQ(nullptr, e->labels[2]);
+	EXPECT_STREQ("r2-1", e->rack);
+	platform_worker_entry_free(e);
+}
+
 TEST(PlatformTask, ParsesOnlyCompleteNames)
 {
 	struct cell_task_name t;
@@ -158,11 +196,13 @@
 	EXPECT_FALSE(platform_task_parse("5c0e7a21d94b36f8.0.1", &t));
 	EXPECT_FALSE(platform_task_parse("5c0e7a21d94b36f8.0.1.17.2", &t));
 	EXPECT_FALSE(platform_task_parse("5c0e.0.1.17", &t));
+	EXPECT_FALSE(platform_task_parse("5c0e7a21d94b36f8.0.\n1.17", &t));
+	EXPECT_FALSE(platform_task_parse("5c0e7a21d94b36f8.0.1.-17", &t));
 }
 
 TEST(PlatformJob, DecodesAllFields)
 {
-	const char *why = "";
+	char why[PLATFORM_REASON_BYTES] = "";
 	Ogl__CellJob *j = platform_job_parse(
 	    ogl_str(R"({"spec":"text","steps":[{"count":4,"cpu":500,)"
 		    R"("mem_mb":256,"gpus":2,"estimate_ms":900,"gang":true,)"
@@ -173,11 +213,11 @@
 		    R"("long_running":true,"image":"i","target_ms":40,)"
 		    R"("fills":true,"may_miss":1}],"repeat_count":3,)"
 		    R"("first_run_ms":1700000000000,"interval_ms":500})"),
-	    &why);
+	    why);
 
 	ASSERT_NE(nullptr, j) << why;
 	ASSERT_EQ(2U, j->n_steps);
-	EXPECT_STREQ("text", j->spec);
+	EXPECT_TRUE(ogl_str_eq(ogl_str("text"), cell_field_str(&j->spec)));
 	EXPECT_EQ(3U, j->repeats);
 	EXPECT_EQ(1700000000000U, j->first_due_ms);
 	EXPECT_EQ(500U, j->interval_ms);
@@ -206,14 +246,73 @@
 	    "{\"steps\":[{\"count\":1}]", "{\"steps\":\"\xff\"}"};
 
 	for (const std::string &text : bad) {
-		const char *why = nullptr;
+		char why[PLATFORM_REASON_BYTES] = "";
 
 		EXPECT_EQ(
-		    nullptr, platform_job_parse(ogl_str(text.c_str()), &why));
-		EXPECT_NE(nullptr, why) << text;
+		    nullptr, platform_job_parse(ogl_str(text.c_str()), why));
+		EXPECT_STRNE("", why) << text;
 	}
 }
 
+/* The NUL counts as a byte, so that the limit holds for what is behind it. */
+TEST(PlatformJob, SpecIsDecodedWhole)
+{
+	char why[PLATFORM_REASON_BYTES] = "";
+	std::string spec(4000, 'x');
+	std::string body;
+	Ogl__CellJob *j;
+
+	spec[4] = '\0';
+	body = "{\"spec\":\"xxxx\\u0000" + spec.substr(5);
+	j = platform_job_parse(
+	    ogl_str((body + "\",\"steps\":[{\"count\":1}]}").c_str()), why);
+	ASSERT_NE(nullptr, j) << why;
+	EXPECT_TRUE(
+	    ogl_str_eq({spec.data(), spec.size()}, cell_field_str(&j->spec)));
+	ogl__cell_job__free_unpacked(j, nullptr);
+	EXPECT_EQ(nullptr,
+	    platform_job_parse(
+		ogl_str((body + "y\",\"steps\":[{\"count\":1}]}").c_str()),
+		why));
+	EXPECT_STREQ("spec is too long", why);
+}
+
+/* Guards against a requirement that is cut off, and so met by other workers. */
+TEST(PlatformJob, RefusesControlCharactersInNames)
+{
+	const struct {
+		const char *body;
+		const char *why;
+	} rows[] = {
+	    {R"({"steps":[{"count":1},{"count":1,"requirements":"a\u0000b"}]})",
+		"steps[1].requirements has a control character"},
+	    {R"({"steps":[{"count":1,"requirements":"\u0000"}]})",
+		"steps[0].requirements has a control character"},
+	    {R"({"steps":[{"count":1,"data_rack":"r1-3\n"}]})",
+		"steps[0].data_rack has a control character"},
+	    {R"({"steps":[{"count":1,"image":"\u007f"}]})",
+		"steps[0].image has a control character"},
+	    {R"({"steps":[{"count":1,"image":"\u009b1m"}]})",
+		"steps[0].image has a control character"},
+	    {R"({"spec":7,"steps":[{"count":1}]})", "spec is no string"},
+	    {R"({"spec":null,"steps":[{"count":1}]})", "spec is no string"},
+	    {R"({"spec":["a"],"steps":[{"count":1}]})", "spec is no string"}};
+	char why[PLATFORM_REASON_BYTES];
+	Ogl__CellJob *j;
+
+	for (const auto &row : rows) {
+		why[0] = '\0';
+		EXPECT_EQ(nullptr, platform_job_parse(ogl_str(row.body), why))
+		    << row.body;
+		EXPECT_STREQ(row.why, why);
+	}
+	j = platform_job_parse(
+	    ogl_str(R"({"steps":[{"count":1,"requirements":"\u00e9"}]})"), why);
+	ASSERT_NE(nullptr, j);
+	EXPECT_STREQ("\u00e9", j->steps[0]->label);
+	ogl__cell_job__free_unpacked(j, nullptr);
+}
+
 /* A step must not wait for itself or a later one, or the job would never end.
  * Steps without tasks are rejected too. */
 TEST(PlatformJob, RejectsInvalidSteps)
@@ -226,7 +325,8 @@
 
 	for (const char *text : bad) {
 		const char *why = nullptr;
-		Ogl__CellJob *j = platform_job_parse(ogl_str(text), &why);
+		char reason[PLATFORM_REASON_BYTES];
+		Ogl__CellJob *j = platform_job_parse(ogl_str(text), reason);
 
 		if (j == nullptr)
 			continue;
