Split the progress of large jobs over several records

With 10,000 started tasks that have saved checkpoints of 16 bytes, the record of a job's progress exceeds the 256 KiB that the store takes. The append with it is refused each time it is sent, and with it every later change of the shard: no job is accepted or ends any more. Longer checkpoints, which had no bound, need fewer tasks; a step may have 20,000.

A progress beyond 64 KiB is split: the job's record keeps what is of the job, and parts, records of their own, have the marks of 128 tasks each. Why by tasks, and not by bytes with all pieces in one append: all about a task is in one part, so each part is right whatever else is stored, and the parts may go into several appends; with the longest checkpoints 20,000 tasks need 21 MB, an append takes 2. Only parts that differ from what was written last are written, where the whole progress was before at each change. A refused append makes its parts unknown, so that they are written or deleted again. Parts beside a progress that is not marked as split are left over from an owner of an earlier version and are dropped.

The bounds are named: CELL_RECORD_MAX_BYTES, CELL_APPEND_MAX_BYTES, the tasks of a part, CELL_CHECKPOINT_MAX_BYTES (a worker's longer checkpoint counts as none) and CELL_FAILED_RUNS_MAX, with a static assertion that the largest part fits. A job of more than 100,000 tasks, of more than 40,000 occurrences, or whose submission doesn't fit into a record is a 400 with the reason. Keys and lengths count for the size of an append. The records of jobs move from job.c to job_record.c.

test_cell_large has a store with the platform's limits.

--- a/cell/job.c
+++ b/cell/job.c
@@ -1,6 +1,5 @@
 /*
- * Creates, changes and frees jobs in memory, and converts them to and from
- * their stored records.
+ * Creates, changes and frees jobs in memory; job_record.c has their records.
  *
  * A job's occurrences are made when they are due and freed once all their tasks
  * are done, which limits the memory of a job that is repeated many times.
@@ -14,7 +13,11 @@
  * in it. */
 #define STEP_TASKS_MAX 20000
 #define STEPS_MAX 1000
-#define FAILED_RUNS_MAX 64 /* far above the attempts_max of any queue */
+#define JOB_TASKS_MAX 100000
+/* Its finished occurrences are listed in one record. */
+#define REPEATS_MAX 40000
+/* Bytes of a submission's record for what is added to the caller's part. */
+#define DEF_EXTRA_BYTES 4096
 
 bool
 cell_id_valid(struct ogl_str id)
@@ -52,6 +55,7 @@
 bool
 cell_job_def_valid(const Ogl__CellJob *def, const char **why)
 {
+	uint64_t ntasks = 0;
 	size_t i;
 
 	if (def->n_steps == 0 || def->n_steps > STEPS_MAX) {
@@ -61,6 +65,20 @@
 	for (i = 0; i < def->n_steps; i++) {
 		if (!step_valid(def, i, why))
 			return false;
+		ntasks += def->steps[i]->count;
+	}
+	if (ntasks > JOB_TASKS_MAX) {
+		*why = "the job has too many tasks";
+		return false;
+	}
+	if (def->repeats > REPEATS_MAX) {
+		*why = "repeat_count is out of range";
+		return false;
+	}
+	if (ogl__cell_job__get_packed_size(def) + DEF_EXTRA_BYTES >
+	    CELL_RECORD_MAX_BYTES) {
+		*why = "the job is too large";
+		return false;
 	}
 	return true;
 }
@@ -292,26 +310,6 @@
 	return NULL;
 }
 
-static void
-pack_stopping(const struct cell_job *j, GPtrArray *out)
-{
-	guint i;
-
-	for (i = 0; j->stopping != NULL && i < j->stopping->len; i++) {
-		const struct cell_stopping *s =
-		    &g_array_index(j->stopping, struct cell_stopping, i);
-		Ogl__CellStopping *m = g_new(Ogl__CellStopping, 1);
-
-		ogl__cell_stopping__init(m);
-		m->step = s->step;
-		m->count = s->count;
-		m->cpu_milli = s->need.cpu_milli;
-		m->mem_mb = s->need.mem_mb;
-		m->accel = s->need.accel;
-		g_ptr_array_add(out, m);
-	}
-}
-
 struct cell_job *
 cell_job_new_ended(const char *id, const Ogl__CellProgress *p)
 {
@@ -357,6 +355,7 @@
 	g_ptr_array_unref(j->occurrences);
 	g_array_unref(j->finished);
 	g_free(j->stopping_team);
+	g_clear_pointer(&j->parts, g_hash_table_unref);
 	if (j->stopping != NULL)
 		g_array_unref(j->stopping);
 	g_free(j);
@@ -508,7 +507,7 @@
  * Records the number of a failed run.  A count is not enough: a new owner
  * receives the ends of several runs in any order, and again if the last owner
  * stored but did not acknowledge them.  A lasting task may fail without limit;
- * beyond FAILED_RUNS_MAX the oldest number is dropped.
+ * beyond CELL_FAILED_RUNS_MAX the oldest number is dropped.
  */
 bool
 cell_task_record_failure(struct cell_task *t, uint64_t run)
@@ -521,7 +520,7 @@
 		if (g_array_index(t->failed_runs, uint64_t, i) == run)
 			return false;
 	}
-	if (t->failed_runs->len >= FAILED_RUNS_MAX)
+	if (t->failed_runs->len >= CELL_FAILED_RUNS_MAX)
 		g_array_remove_index(t->failed_runs, 0);
 	g_array_append_val(t->failed_runs, run);
 	return true;
@@ -549,202 +548,3 @@
 	g_free(t->checkpoint);
 	t->checkpoint = g_strdup(checkpoint);
 }
-
-/* ---- records ---------------------------------------------------------- */
-
-GBytes *
-cell_job_pack_def(const struct cell_job *j)
-{
-	size_t n = ogl__cell_job__get_packed_size(j->def);
-	uint8_t *p = g_malloc(n);
-
-	ogl__cell_job__pack(j->def, p);
-	return g_bytes_new_take(p, n);
-}
-
-/* A mark stores the runs and checkpoint of a task.  A task that was never
- * started needs none, nor does a done task, which is listed in CellDone. */
-static bool
-needs_mark(const struct cell_task *t)
-{
-	return !t->done && (t->failed_runs != NULL || t->run > 0);
-}
-
-static Ogl__CellMark *
-mark_new(const struct cell_stage *s, uint32_t index)
-{
-	struct cell_task *t = &s->tasks[index];
-	Ogl__CellMark *m = g_new(Ogl__CellMark, 1);
-
-	ogl__cell_mark__init(m);
-	m->occurrence = s->occurrence;
-	m->step = s->step;
-	m->index = index;
-	m->run = t->run;
-	if (t->failed_runs != NULL) {
-		m->failed_runs = (uint64_t *)(void *)t->failed_runs->data;
-		m->n_failed_runs = t->failed_runs->len;
-	}
-	if (t->checkpoint != NULL)
-		m->checkpoint = t->checkpoint;
-	return m;
-}
-
-static void
-add_marks(GPtrArray *marks, const struct cell_stage *s)
-{
-	uint32_t i;
-
-	for (i = 0; i < s->ntasks; i++) {
-		if (needs_mark(&s->tasks[i]))
-			g_ptr_array_add(marks, mark_new(s, i));
-	}
-}
-
-static void
-done_free(void *p)
-{
-	Ogl__CellDone *d = p;
-
-	g_free(d->indexes);
-	g_free(d);
-}
-
-static void
-add_done(GPtrArray *done, const struct cell_stage *s)
-{
-	Ogl__CellDone *d;
-	uint32_t i;
-
-	if (s->ndone == 0)
-		return;
-	d = g_new(Ogl__CellDone, 1);
-	ogl__cell_done__init(d);
-	d->occurrence = s->occurrence;
-	d->step = s->step;
-	d->indexes = g_new(uint32_t, s->ndone);
-	for (i = 0; i < s->ntasks && d->n_indexes < s->ndone; i++) {
-		if (s->tasks[i].done)
-			d->indexes[d->n_indexes++] = i;
-	}
-	g_ptr_array_add(done, d);
-}
-
-GBytes *
-cell_job_pack_progress(const struct cell_job *j)
-{
-	Ogl__CellProgress p = OGL__CELL_PROGRESS__INIT;
-	GPtrArray *marks = g_ptr_array_new_with_free_func(g_free);
-	GPtrArray *done = g_ptr_array_new_with_free_func(done_free);
-	GPtrArray *stopping = g_ptr_array_new_with_free_func(g_free);
-	uint8_t *out;
-	size_t n;
-	guint i, k;
-
-	p.state = j->state;
-	p.ended_ms = j->ended_ms;
-	p.begun = j->begun;
-	if (!cell_job_state_ended(j->state) && j->def != NULL) {
-		p.finished = (uint32_t *)(void *)j->finished->data;
-		p.n_finished = j->finished->len;
-		for (i = 0; i < j->occurrences->len; i++) {
-			struct cell_occurrence *o = j->occurrences->pdata[i];
-
-			for (k = 0; k < j->def->n_steps; k++) {
-				add_marks(marks, &o->stages[k]);
-				add_done(done, &o->stages[k]);
-			}
-		}
-	}
-	p.marks = (Ogl__CellMark **)marks->pdata;
-	p.n_marks = marks->len;
-	p.done = (Ogl__CellDone **)done->pdata;
-	p.n_done = done->len;
-	pack_stopping(j, stopping);
-	p.stopping = (Ogl__CellStopping **)stopping->pdata;
-	p.n_stopping = stopping->len;
-	if (stopping->len > 0)
-		p.team = j->stopping_team;
-	n = ogl__cell_progress__get_packed_size(&p);
-	out = g_malloc(n);
-	ogl__cell_progress__pack(&p, out);
-	g_ptr_array_unref(marks);
-	g_ptr_array_unref(done);
-	g_ptr_array_unref(stopping);
-	return g_bytes_new_take(out, n);
-}
-
-static ogl_time
-occurrence_due(const struct cell_job *j, uint32_t number)
-{
-	return (ogl_time)(j->def->first_due_ms + number * j->def->interval_ms) *
-	       OGL_MS;
-}
-
-/* Returns the stage of a task, and begins its occurrence first if necessary.
- * Returns NULL if the occurrence is finished or there is no such task. */
-static struct cell_stage *
-begun_stage(struct cell_job *j, const struct cell_task_name *name)
-{
-	if (cell_job_occurrence_finished(j, name->occurrence))
-		return NULL;
-	cell_job_begin_occurrence(
-	    j, name->occurrence, occurrence_due(j, name->occurrence));
-	return cell_job_stage(j, name);
-}
-
-static void
-apply_done(struct cell_job *j, const Ogl__CellDone *d)
-{
-	struct cell_task_name name = {
-	    .occurrence = d->occurrence, .step = d->step};
-	size_t i;
-
-	for (i = 0; i < d->n_indexes; i++) {
-		struct cell_stage *s;
-
-		name.index = d->indexes[i];
-		s = begun_stage(j, &name);
-		if (s == NULL || s->tasks[name.index].done)
-			continue;
-		s->tasks[name.index].done = true;
-		s->ndone++;
-	}
-}
-
-static void
-apply_mark(struct cell_job *j, const Ogl__CellMark *m)
-{
-	struct cell_task_name name = {
-	    .occurrence = m->occurrence, .step = m->step, .index = m->index};
-	struct cell_stage *s = begun_stage(j, &name);
-	struct cell_task *t;
-	size_t i;
-
-	if (s == NULL)
-		return;
-	t = &s->tasks[m->index];
-	for (i = 0; i < m->n_failed_runs; i++)
-		cell_task_record_failure(t, m->failed_runs[i]);
-	t->run = m->run;
-	cell_task_save_checkpoint(t, m->checkpoint);
-}
-
-void
-cell_job_restore_progress(struct cell_job *j, const Ogl__CellProgress *p)
-{
-	size_t i;
-
-	j->state = p->state;
-	j->begun = p->begun;
-	j->ended_ms = p->ended_ms;
-	for (i = 0; i < p->n_finished; i++) {
-		g_array_append_val(j->finished, p->finished[i]);
-		j->next_occurrence =
-		    MAX(j->next_occurrence, p->finished[i] + 1);
-	}
-	for (i = 0; i < p->n_marks; i++)
-		apply_mark(j, p->marks[i]);
-	for (i = 0; i < p->n_done; i++)
-		apply_done(j, p->done[i]);
-}
--- a/cell/job.h
+++ b/cell/job.h
@@ -17,6 +17,10 @@
 struct cell_line;
 struct cell_queue;
 struct cell_run;
+/* Failed runs that are kept of a task; far above the attempts_max of any
+ * queue. */
+#define CELL_FAILED_RUNS_MAX 64
+
 struct cell_worker;
 struct cell_job;
 struct ogl_share_queue;
@@ -136,6 +140,9 @@
 	bool write_def;    /* the submission has to be written */
 	bool drop_def;     /* the submission has to be dropped */
 	bool drop_records; /* both records have to be dropped */
+	/* If its progress is split (job_record.c), what is stored of it; NULL
+	 * otherwise. */
+	GHashTable *parts;
 	/* Lines in which it waits, see forecast.h; NULL not looked up yet. */
 	struct cell_line *line;
 	struct cell_line *team_line; /* while its team's limit is reached */
@@ -233,6 +240,26 @@
 
 GBytes *cell_job_pack_def(const struct cell_job *j);
 GBytes *cell_job_pack_progress(const struct cell_job *j);
+/* The whole progress, of any size. */
+bool cell_job_write_progress(
+    struct cell_job *j, GArray *puts, size_t *bytes, size_t room);
+/* Adds the records of the progress that have changed to puts (struct cell_put)
+ * and their size to bytes.  Returns false if bytes would exceed room: the rest is
+ * to be written by the next append. */
+bool cell_job_drop_progress(
+    struct cell_job *j, GArray *puts, size_t *bytes, size_t room);
+/* The same with the deletion of all these records. */
+void cell_job_forget_part(struct cell_job *j, uint64_t number);
+/* To be called when the append with that part was refused: the next one has it
+ * again. */
+
+bool cell_job_part_key_parse(
+    const char *key, char id[CELL_ID_LEN + 1], uint64_t *number);
+/* Whether the key is that of a part of a split progress. */
+void cell_progress_add_part(
+    Ogl__CellProgress *p, uint64_t number, Ogl__CellProgress *part);
+/* Adds a part to the progress, and moves its contents there if that is split;
+ * otherwise the part is left over from an earlier time. */
 void cell_job_restore_progress(struct cell_job *j, const Ogl__CellProgress *p);
 /* Restores the progress that an earlier owner stored.  Runs are not created. */
 
--- a/cell/journal.c
+++ b/cell/journal.c
@@ -63,7 +63,11 @@
 #define FAILING_FACTOR 2
 /* No job is added to a batch of this size or more, a quarter of the store's
  * limit. */
-#define BATCH_FULL_BYTES ((size_t)512 * 1024)
+#define BATCH_FULL_BYTES (CELL_APPEND_MAX_BYTES / 4)
+/* The parts of a split progress are added up to this size.  A batch that is not
+ * full may still grow by the submission, the rest of the progress and the other
+ * records, each of at most a record's size. */
+#define BATCH_ROOM_BYTES (CELL_APPEND_MAX_BYTES * 5 / 8)
 
 struct waiter {
 	cell_stored_fn *fn;
@@ -399,38 +403,34 @@
 /* ---- building a batch ------------------------------------------------- */
 
 static void
-add_put(struct batch *b, char prefix, const char *id, GBytes *value)
+put_def(struct batch *b, const struct cell_job *j, GBytes *value, size_t *bytes)
 {
-	struct cell_put u = {g_strdup_printf("%c%s", prefix, id), value};
+	struct cell_put u = {g_strdup_printf("s%s", j->id), value};
 
+	*bytes += cell_put_bytes(&u);
 	g_array_append_val(b->puts, u);
 }
 
-static size_t
-add_job(struct batch *b, struct cell_job *j)
-{
-	GBytes *v;
-	size_t n = 0;
-
-	if (j->drop_records) {
-		add_put(b, 'p', j->id, NULL);
-		return 0;
-	}
-	if (j->write_def && j->def != NULL) {
-		v = cell_job_pack_def(j);
-		n += g_bytes_get_size(v);
-		add_put(b, 's', j->id, v);
-	}
-	if (!j->write_def || j->begun || cell_job_state_ended(j->state)) {
-		v = cell_job_pack_progress(j);
-		n += g_bytes_get_size(v);
-		add_put(b, 'p', j->id, v);
-	}
+/* Adds the size of the records to bytes.  Returns false if some records of the
+ * job are left for the next batch. */
+static bool
+add_job(struct batch *b, struct cell_job *j, size_t *bytes)
+{
+	bool complete = true;
+
+	if (j->drop_records)
+		return cell_job_drop_progress(
+		    j, b->puts, bytes, BATCH_ROOM_BYTES);
+	if (j->write_def && j->def != NULL)
+		put_def(b, j, cell_job_pack_def(j), bytes);
+	if (!j->write_def || j->begun || cell_job_state_ended(j->state))
+		complete = cell_job_write_progress(
+		    j, b->puts, bytes, BATCH_ROOM_BYTES);
 	if (j->drop_def)
-		add_put(b, 's', j->id, NULL);
+		put_def(b, j, NULL, bytes);
 	j->write_def = false;
 	j->drop_def = false;
-	return n;
+	return complete;
 }
 
 /*
@@ -459,9 +459,10 @@
 	for (i = 0; i < g->marked->len && bytes < BATCH_FULL_BYTES; i++) {
 		struct cell_job *j = g->marked->pdata[i];
 
-		bytes += add_job(b, j);
-		j->dirty = false;
 		g_ptr_array_add(b->jobs, j);
+		if (!add_job(b, j, &bytes))
+			break;
+		j->dirty = false;
 	}
 	g_ptr_array_remove_range(g->marked, 0, i);
 	g->urgent_at = OGL_NEVER;
@@ -638,6 +639,34 @@
 	}
 }
 
+/* The parts in the batch have to be written or deleted again. */
+static void
+forget_parts(const struct batch *b)
+{
+	GHashTable *jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	char id[CELL_ID_LEN + 1];
+	uint64_t number;
+	guint i;
+
+	for (i = 0; i < b->jobs->len; i++) {
+		struct cell_job *j = b->jobs->pdata[i];
+
+		if (j->parts != NULL)
+			g_hash_table_insert(jobs, j->id, j);
+	}
+	for (i = 0; g_hash_table_size(jobs) > 0 && i < b->puts->len; i++) {
+		const struct cell_put *u =
+		    &g_array_index(b->puts, struct cell_put, i);
+		struct cell_job *j = NULL;
+
+		if (cell_job_part_key_parse(u->key, id, &number))
+			j = g_hash_table_lookup(jobs, id);
+		if (j != NULL)
+			cell_job_forget_part(j, number);
+	}
+	g_hash_table_unref(jobs);
+}
+
 /* Marks the contents of the batch again. */
 static void
 requeue_batch(struct cell_journal *g, struct batch *b)
@@ -646,6 +675,7 @@
 	gpointer k, v;
 	guint i;
 
+	forget_parts(b);
 	g_hash_table_iter_init(&it, b->other_records);
 	while (g_hash_table_iter_next(&it, &k, &v)) {
 		if (!g_hash_table_contains(g->other_records, k))
--- a/cell/loader.c
+++ b/cell/loader.c
@@ -93,6 +93,7 @@
 	uint64_t tail_offset;       /* first offset of the tail not read yet */
 	ogl_time prepared_at;       /* when all pages were read; 0 not yet */
 	struct cell_loaded records; /* read so far */
+	GHashTable *parts; /* key -> Ogl__CellProgress, of split progress */
 };
 
 /* A range of keys still to be read. */
@@ -195,6 +196,7 @@
 	g_clear_pointer(&l->records.workers, g_bytes_unref);
 	g_clear_pointer(&l->records.progress, g_hash_table_unref);
 	g_clear_pointer(&l->records.defs, g_hash_table_unref);
+	g_clear_pointer(&l->parts, g_hash_table_unref);
 	g_ptr_array_set_size(l->ranges, 0);
 	l->reading_tail = false;
 	l->tail_offset_known = false;
@@ -223,6 +225,8 @@
 	    g_str_hash, g_str_equal, g_free, progress_free);
 	l->records.defs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, def_free);
+	l->parts = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, progress_free);
 }
 
 static uint32_t
@@ -387,17 +391,58 @@
 		g_hash_table_replace(l->records.progress, g_strdup(id), p);
 }
 
+static void
+add_part(struct cell_loader *l, const struct cell_record *r)
+{
+	Ogl__CellProgress *p = NULL;
+
+	if (!r->dropped)
+		p = ogl__cell_progress__unpack(
+		    NULL, r->value.n, (const uint8_t *)r->value.p);
+	if (p != NULL)
+		g_hash_table_replace(l->parts, g_strdup(r->key), p);
+	else
+		g_hash_table_remove(l->parts, r->key);
+	if (p == NULL && !r->dropped)
+		l->ops->log(l->ops->ctx, "owner", "record_unreadable", r->key);
+}
+
+/* Moves the parts that were read into the progress of their jobs. */
+static void
+join_parts(struct cell_loader *l)
+{
+	char id[CELL_ID_LEN + 1];
+	GHashTableIter it;
+	uint64_t number;
+	gpointer k, v;
+
+	g_hash_table_iter_init(&it, l->parts);
+	while (g_hash_table_iter_next(&it, &k, &v)) {
+		Ogl__CellProgress *p = NULL;
+
+		if (cell_job_part_key_parse(k, id, &number))
+			p = g_hash_table_lookup(l->records.progress, id);
+		if (p != NULL)
+			cell_progress_add_part(p, number, v);
+	}
+	g_hash_table_remove_all(l->parts);
+}
+
 static void
 apply_record(struct cell_loader *l, const struct cell_record *r)
 {
 	const char *id = r->key + 1;
 	bool def = r->key[0] == 's';
+	char part_of[CELL_ID_LEN + 1];
+	uint64_t number;
 
 	if (strcmp(r->key, CELL_WORKERS_KEY) == 0 && !r->dropped) {
 		g_clear_pointer(&l->records.workers, g_bytes_unref);
 		l->records.workers = g_bytes_new(r->value.p, r->value.n);
 		return;
 	}
+	if (cell_job_part_key_parse(r->key, part_of, &number))
+		add_part(l, r);
 	if (strlen(r->key) != CELL_ID_LEN + 1)
 		return;
 	/* A record read earlier may have been dropped since, because the job
@@ -417,6 +462,7 @@
 finish_loading(struct cell_loader *l, ogl_time now)
 {
 	l->phase = PHASE_IDLE;
+	join_parts(l);
 	l->events.loaded(l->events.arg, &l->records, now);
 	drop_records(l);
 }
--- a/cell/ops.h
+++ b/cell/ops.h
@@ -11,12 +11,23 @@
 #ifndef OGL_CELL_OPS_H
 #define OGL_CELL_OPS_H
 
+#include <string.h>
+
 #include "cell.pb-c.h"
 #include "orioleglade.h"
 
 #define CELL_LONG_AGO (-(OGL_NEVER / 4)) /* earlier than any time in use */
 #define CELL_ID_LEN 16                   /* hexadecimal digits of a job's id */
 
+/* Longest checkpoint; a worker's longer one counts as none. */
+#define CELL_CHECKPOINT_MAX_BYTES 1024
+/* Largest record of the store with its key, and largest total of an append. */
+#define CELL_RECORD_MAX_BYTES ((size_t)256 * 1024)
+#define CELL_APPEND_MAX_BYTES ((size_t)2 * 1024 * 1024)
+/* Batches of messages to another node are cut at this size, half of the largest
+ * message. */
+#define CELL_BATCH_MAX_BYTES ((size_t)512 * 1024)
+
 struct cell_config;
 
 /* The bytes of a field of a message, and those of b; borrowed. */
@@ -54,6 +65,14 @@
 	GBytes *value;
 };
 
+/* Bytes of the record in an append, with its length and that of its key. */
+static inline size_t
+cell_put_bytes(const struct cell_put *u)
+{
+	return 5 + strlen(u->key) +
+	       (u->value != NULL ? g_bytes_get_size(u->value) : 0);
+}
+
 struct cell_append {
 	enum cell_stream stream;
 	uint32_t shard; /* 0 for a stream of the whole cell */
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -2017,7 +2017,7 @@
   (ProtobufCMessageInit) ogl__cell_mark__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_progress__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ogl__cell_progress__field_descriptors[10] =
 {
   {
     "state",
@@ -2115,6 +2115,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "split",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellProgress, split),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Ogl__CellProgress, n_parts),
+    offsetof(Ogl__CellProgress, parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_progress__field_indices_by_name[] = {
   2,   /* field[2] = begun */
@@ -2122,6 +2146,8 @@
   1,   /* field[1] = ended_ms */
   3,   /* field[3] = finished */
   4,   /* field[4] = marks */
+  9,   /* field[9] = parts */
+  8,   /* field[8] = split */
   0,   /* field[0] = state */
   7,   /* field[7] = stopping */
   6,   /* field[6] = team */
@@ -2129,7 +2155,7 @@
 static const ProtobufCIntRange ogl__cell_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor ogl__cell_progress__descriptor =
 {
@@ -2139,7 +2165,7 @@
   "Ogl__CellProgress",
   "ogl",
   sizeof(Ogl__CellProgress),
-  8,
+  10,
   ogl__cell_progress__field_descriptors,
   ogl__cell_progress__field_indices_by_name,
   1,  ogl__cell_progress__number_ranges,
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -346,10 +346,19 @@
   char *team;
   size_t n_stopping;
   Ogl__CellStopping **stopping;
+  /*
+   * The marks and done tasks are in parts: further records with this message.
+   */
+  protobuf_c_boolean split;
+  /*
+   * Numbers of the parts that were read; not stored.
+   */
+  size_t n_parts;
+  uint64_t *parts;
 };
 #define OGL__CELL_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_progress__descriptor) \
-    , OGL__CELL_JOB_STATE__cell_queued, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL }
+    , OGL__CELL_JOB_STATE__cell_queued, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL }
 
 
 /*
--- a/test/test_daemon_carry.cc
+++ b/test/test_daemon_carry.cc
@@ -368,7 +368,7 @@
 		SCOPED_TRACE("seed " + std::to_string(first + i));
 		Random rnd((uint64_t)(first + i));
 		std::string spec = rnd.String(4000, true);
-		std::string saved = rnd.String(300, false);
+		std::string saved = rnd.String(1024, false);
 		struct cell_job *j, *successor;
 		Ogl__CellProgress *p;
 		std::string record;
@@ -409,8 +409,9 @@
 	EXPECT_EQ(0u, counts_["bad_checkpoints"]);
 }
 
-// Guards against a checkpoint that is sent back cut off at a NUL.
-TEST_F(Carry, CheckpointWithNulCountsAsNone)
+// Guards against a checkpoint that is sent back cut off at a NUL, and one that
+// does not fit into the job's record.
+TEST_F(Carry, UnusableCheckpointCountsAsNone)
 {
 	Random rnd(1);
 
@@ -423,6 +424,10 @@
 	}
 	EXPECT_EQ(4u, counts_["bad_checkpoints"]);
 	EXPECT_EQ(1, lines_["checkpoint_unusable"]);
+	EXPECT_EQ(std::string(1024, 'c'),
+	    hold(std::string(1024, 'c'), false, false, &rnd));
+	EXPECT_EQ("", hold(std::string(1025, 'c'), false, false, &rnd));
+	EXPECT_EQ(5u, counts_["bad_checkpoints"]);
 }
 
 // Guards against a key that is cut off at a NUL and hides another worker's entry,
