--- a/cell/fleet_impl.h
+++ b/cell/fleet_impl.h
@@ -39,8 +39,8 @@
 					* have shown that we are the owner */
 	bool leases_withheld;
 	bool confirmation_wanted; /* expired leases wait for one */
-	bool record_outdated;  /* the workers are to be stored again */
-	ogl_time confirmed_at; /* latest time of confirmed ownership */
+	bool record_outdated;     /* the workers are to be stored again */
+	ogl_time confirmed_at;    /* latest time of confirmed ownership */
 	/* Nothing is started until ownership is confirmed as of this time. */
 	ogl_time confirmation_from;
 	ogl_time next_scan_at;
