--- a/cell/ops.h
+++ b/cell/ops.h
@@ -11,14 +11,43 @@
 #ifndef OGL_CELL_OPS_H
 #define OGL_CELL_OPS_H
 
+#include <string.h>
+
 #include "cell.pb-c.h"
 #include "orioleglade.h"
 
 #define CELL_LONG_AGO (-(OGL_NEVER / 4)) /* earlier than any time in use */
 #define CELL_ID_LEN 16                   /* hexadecimal digits of a job's id */
 
+/* Longest checkpoint; a worker's longer one counts as none. */
+#define CELL_CHECKPOINT_MAX_BYTES 1024
+/* Largest record of the store with its key, and largest total of an append. */
+#define CELL_RECORD_MAX_BYTES ((size_t)256 * 1024)
+#define CELL_APPEND_MAX_BYTES ((size_t)2 * 1024 * 1024)
+/* Batches of messages to another node are cut at this size, half of the largest
+ * message. */
+#define CELL_BATCH_MAX_BYTES ((size_t)512 * 1024)
+
 struct cell_config;
 
+/* The bytes of a field of a message, and those of b; borrowed. */
+static inline struct ogl_str
+cell_field_str(const ProtobufCBinaryData *field)
+{
+	struct ogl_str s = {(const char *)field->data, field->len};
+
+	return s;
+}
+
+static inline struct ogl_str
+cell_bytes_str(GBytes *b)
+{
+	struct ogl_str s;
+
+	s.p = (const char *)g_bytes_get_data(b, &s.n);
+	return s;
+}
+
 /* ---- the store: streams of keyed records ------------------------------ */
 
 enum cell_stream {
@@ -36,6 +65,14 @@
 	GBytes *value;
 };
 
+/* Bytes of the record in an append, with its length and that of its key. */
+static inline size_t
+cell_put_bytes(const struct cell_put *u)
+{
+	return 5 + strlen(u->key) +
+	       (u->value != NULL ? g_bytes_get_size(u->value) : 0);
+}
+
 struct cell_append {
 	enum cell_stream stream;
 	uint32_t shard; /* 0 for a stream of the whole cell */
@@ -196,7 +233,7 @@
 	uint64_t run;
 	uint32_t timeout_ms;
 	/* for a start only */
-	const char *spec;
+	struct ogl_str spec;
 	uint64_t until_ms; /* end of the lease, on the worker's clock */
 	const char *checkpoint;
 	const char *ticket; /* NULL none */
@@ -319,7 +356,8 @@
 	Ogl__CellJob *(*decode_job)(
 	    void *ctx, struct ogl_str body, const char **why);
 	/* Decodes the body of a submission, which leaves id, team and queue
-	 * unset; NULL, with the reason in why, if it is malformed. */
+	 * unset; NULL, with the reason in why, if it is malformed.  The reason
+	 * is valid until the next call. */
 	void (*reply)(void *ctx, uint64_t token, const struct cell_answer *a);
 	/* Answers a caller's request. */
 
