fleet: a worker's clock that went back shows that it has restarted

What callers saw: a task that must run once starts again after an end that was taken note of (TWICE).

Cause: a start reaches the next incarnation of a worker that has just restarted, and is answered. The answer doesn't name the incarnation, so the owner went on with the last one: its next hold acknowledged an end of that one by number, which is that of the new run's end, too. The worker forgot that end before any owner had seen it, and the run counted as lapsed.

Change: an answer to a start with a time that the last incarnation's clock had passed when the start was sent shows the restart (cell_lease_clock_restarted). No more ends of that incarnation are acknowledged, and the new one is called at once, as when the platform's list shows it.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -259,6 +259,19 @@
 	set_string(&w->addr, addr);
 }
 
+/* A new incarnation has seen no epoch, so it is called at once.  The answer to a
+ * hold in flight no longer counts, as it was sent to the last incarnation, and
+ * no more ends of that one are acknowledged. */
+void
+cell_fleet_incarnation_over(struct cell_worker *w, ogl_time now)
+{
+	w->fenced = false;
+	w->hold_pending = false;
+	w->hold_number++;
+	w->next_hold_at = now;
+	w->ends_acked = w->ends_stored;
+}
+
 void
 cell_fleet_update_entry(struct cell_fleet *f, const char *id,
     const struct cell_worker_entry *e, ogl_time now)
@@ -294,17 +307,9 @@
 		w->entry_born_ms = e->born_ms;
 		w->failures = 0;
 		w->next_hold_at = now;
-		/* A new incarnation has seen no epoch, so it is called at once.
-		 * The answer to a hold in flight no longer counts, as it was
-		 * sent to the last incarnation. */
 		if (w->incarnation != 0 && e->born_ms != 0 &&
-		    e->born_ms != w->incarnation) {
-			w->fenced = false;
-			w->hold_pending = false;
-			w->hold_number++;
-			/* No more ends of that incarnation are acknowledged. */
-			w->ends_acked = w->ends_stored;
-		}
+		    e->born_ms != w->incarnation)
+			cell_fleet_incarnation_over(w, now);
 	}
 	if (f->open)
 		f->events.room_freed(f->events.arg, now);
--- a/cell/fleet_impl.h
+++ b/cell/fleet_impl.h
@@ -81,6 +81,8 @@
 void cell_fleet_run_ended(struct cell_fleet *f, struct cell_run *r,
     enum cell_end how, const char *checkpoint, ogl_time now);
 /* Reports the end of a run to the owner and removes the run. */
+void cell_fleet_incarnation_over(struct cell_worker *w, ogl_time now);
+/* The incarnation that last answered has ended. */
 bool cell_fleet_needs_quorum(const struct cell_fleet *f, ogl_time now);
 /* Whether the store's confirmation is so old that the workers' will be needed
  * soon. */
--- a/cell/fleet_order.c
+++ b/cell/fleet_order.c
@@ -211,8 +211,14 @@
 		return;
 	/* The last incarnation's answer may come after the next one's. */
 	if ((a->io == OGL_IO_OK || a->why != CELL_NOT_REFUSED) &&
-	    incarnation == r->worker->incarnation)
-		cell_lease_read_clock(&r->worker->lease, a->clock_ms, now);
+	    incarnation == r->worker->incarnation) {
+		if (cell_lease_clock_restarted(
+			&r->worker->lease, a->clock_ms, sent_at))
+			cell_fleet_incarnation_over(r->worker, now);
+		else
+			cell_lease_read_clock(
+			    &r->worker->lease, a->clock_ms, now);
+	}
 	if (a->io == OGL_IO_OK || a->io == OGL_IO_REFUSED) {
 		cell_fleet_count_call(
 		    f, r->worker, OGL_HEALTH_START_UNANSWERED, true, now);
--- a/cell/lease.c
+++ b/cell/lease.c
@@ -28,6 +28,7 @@
  * long the tasks of a worker that is cut off can't be started elsewhere. */
 #define LEASE_MS 4000
 #define CLOCK_RATE_MIN 0.98
+#define ROUNDING_MS 2
 /* Covers timers and the rounding of times to milliseconds. */
 #define EXPIRY_MARGIN (250 * OGL_MS)
 /* An order that is not answered is carried out within this time or never. */
@@ -58,6 +59,20 @@
 	return l->clock_ms + (uint64_t)((double)age_ms * CLOCK_RATE_MIN);
 }
 
+bool
+cell_lease_clock_restarted(
+    const struct cell_lease *l, uint64_t clock_ms, ogl_time sent_at)
+{
+	ogl_time since_ms = (sent_at - l->read_at) / OGL_MS;
+	int64_t least_ms = (int64_t)l->clock_ms + since_ms;
+
+	if (clock_ms == 0 || l->clock_ms == 0)
+		return false;
+	if (since_ms > 0)
+		least_ms = (int64_t)clock_min(l, sent_at);
+	return (int64_t)clock_ms < least_ms - ROUNDING_MS;
+}
+
 /* The longest time on our clock in which the worker's advances by ms. */
 static ogl_time
 longest_time(uint64_t ms)
--- a/cell/lease.h
+++ b/cell/lease.h
@@ -21,6 +21,11 @@
     struct cell_lease *l, uint64_t clock_ms, ogl_time now);
 /* Takes a time that the worker has told; 0 is no time and changes nothing. */
 
+bool cell_lease_clock_restarted(
+    const struct cell_lease *l, uint64_t clock_ms, ogl_time sent_at);
+/* Whether the time that the worker tells in the answer to a call sent at
+ * sent_at shows that it has restarted; 0 is no time and shows nothing. */
+
 bool cell_lease_clock_old(const struct cell_lease *l, ogl_time now);
 /* Whether the clock was last read so long ago that a lease asked for now might
  * be much too short. */
