--- a/soak/soak.py
+++ b/soak/soak.py
@@ -230,10 +230,11 @@
             await asyncio.sleep(0.3)
         if job.accepted and self.rand.random() < 0.1:
             node = self.rand.choice(self.nodes)
+            cut = self.net.cut
             status, _ = await self.call(node, "DELETE", f"/q/{job.id}")
             if status == 200:
                 job.cancelled_at = w.now()
-            elif status == 410:
+            elif status == 410 and not (cut and cut.parts_store(node.addr)):
                 self.platform.report_violation("LOST", job.id)
 
     async def submit_jobs(self, until):
