Cut batches of relayed orders and answers by their size

A message between nodes of over 1 MiB is dropped. Orders to a relay, and its answers to the owner, were batched by time only: 1,200 starts of jobs with specs of 4,000 bytes gave three relays messages of 1.2 to 2.4 MB, and all their calls counted as lost after their time. The list of workers and the rows of a worker's answer had no bound either.

Both are cut into messages of CELL_BATCH_MAX_BYTES when they are sent, which is after the check for a suspended process as before. The list ends early; the owner reads on from its last entry. A single answer beyond a message counts as a lost call and in relay_answers_too_large: left out rows would show that runs are over.

--- a/cell/ops.h
+++ b/cell/ops.h
@@ -24,9 +24,10 @@
 /* Largest record of the store with its key, and largest total of an append. */
 #define CELL_RECORD_MAX_BYTES ((size_t)256 * 1024)
 #define CELL_APPEND_MAX_BYTES ((size_t)2 * 1024 * 1024)
-/* Batches of messages to another node are cut at this size, half of the largest
- * message. */
-#define CELL_BATCH_MAX_BYTES ((size_t)512 * 1024)
+/* Largest body of a message to another node, and the size at which batches are
+ * cut into several messages. */
+#define CELL_PAYLOAD_MAX_BYTES ((size_t)1000 * 1024)
+#define CELL_BATCH_MAX_BYTES (CELL_PAYLOAD_MAX_BYTES / 2)
 
 struct cell_config;
 
--- a/cell/relay.c
+++ b/cell/relay.c
@@ -753,6 +753,32 @@
 	g_array_unref(tokens);
 }
 
+/* Sends the batch in messages that are not too large. */
+static void
+send_batch(struct cell_relay *r, struct node *n)
+{
+	Ogl__CellOrders m = OGL__CELL_ORDERS__INIT;
+	size_t bytes = 0;
+	size_t i;
+
+	m.orders = n->batch.orders;
+	for (i = 0; i < n->batch.n_orders; i++) {
+		size_t size =
+		    ogl__cell_order__get_packed_size(n->batch.orders[i]);
+
+		if (m.n_orders > 0 && bytes + size > CELL_BATCH_MAX_BYTES) {
+			r->events.send(r->events.arg, n->addr, &m);
+			m.orders += m.n_orders;
+			m.n_orders = 0;
+			bytes = 0;
+		}
+		m.n_orders++;
+		bytes += size;
+	}
+	r->events.send(r->events.arg, n->addr, &m);
+	batch_clear(n);
+}
+
 void
 cell_relay_flush(struct cell_relay *r, ogl_time now)
 {
@@ -768,8 +794,7 @@
 			drop_batch(r, n, now);
 			continue;
 		}
-		r->events.send(r->events.arg, n->addr, &n->batch);
-		batch_clear(n);
+		send_batch(r, n);
 	}
 }
 
--- a/cell/relay_serve.c
+++ b/cell/relay_serve.c
@@ -140,13 +140,53 @@
 	return b;
 }
 
+static void
+free_rows(Ogl__CellRunRow **rows, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		ogl__cell_run_row__free_unpacked(rows[i], NULL);
+}
+
+/* Turns an answer that is too large for a message into that of a lost call.
+ * Without some of its rows it would show that these runs are over. */
+static size_t
+lose_rows(struct cell_relay_serve *v, Ogl__CellOrderAnswer *a)
+{
+	v->ops->count(v->ops->ctx, "relay_answers_too_large", 1);
+	free_rows(a->running, a->n_running);
+	free_rows(a->ended, a->n_ended);
+	a->n_running = 0;
+	a->n_ended = 0;
+	a->outcome = OGL__CELL_ORDER_OUTCOME__cell_order_lost;
+	return ogl__cell_order_answer__get_packed_size(a);
+}
+
+/* Sends the batch in messages that are not too large. */
 static void
 send_batch(struct cell_relay_serve *v, const struct batch *b)
 {
 	Ogl__CellOrderAnswers m = OGL__CELL_ORDER_ANSWERS__INIT;
+	size_t bytes = 0;
+	guint i;
 
 	m.answers = (Ogl__CellOrderAnswer **)b->answers->pdata;
-	m.n_answers = b->answers->len;
+	for (i = 0; i < b->answers->len; i++) {
+		Ogl__CellOrderAnswer *a = b->answers->pdata[i];
+		size_t size = ogl__cell_order_answer__get_packed_size(a);
+
+		if (size > CELL_PAYLOAD_MAX_BYTES)
+			size = lose_rows(v, a);
+		if (m.n_answers > 0 && bytes + size > CELL_BATCH_MAX_BYTES) {
+			v->send(v->arg, b->shard, b->owner, &m);
+			m.answers += m.n_answers;
+			m.n_answers = 0;
+			bytes = 0;
+		}
+		m.n_answers++;
+		bytes += size;
+	}
 	v->send(v->arg, b->shard, b->owner, &m);
 }
 
@@ -471,16 +511,18 @@
 	return true;
 }
 
-/* Adds the changed entries to the answer.  The last entry is added even if it
- * is unchanged, because its offset tells the owner where to read next. */
+/* Adds the changed entries to the answer, until that is large enough for a
+ * message.  The last entry is added even if it is unchanged, because its offset
+ * tells the owner where to read next. */
 static void
 add_entries(struct list_reader *l, Ogl__CellOrderAnswer *m,
     const struct cell_read_answer *a)
 {
+	size_t bytes = 0;
 	size_t i;
 
 	m->entries = malloc((a->n + 1) * sizeof(Ogl__CellEntry *));
-	for (i = 0; i < a->n; i++) {
+	for (i = 0; i < a->n && bytes < CELL_BATCH_MAX_BYTES; i++) {
 		Ogl__CellEntry *e = cell_entry_to_msg(&a->records[i]);
 
 		if (!record_if_changed(l, e) && i + 1 < a->n) {
@@ -488,6 +530,7 @@
 			continue;
 		}
 		e->offset = a->records[i].offset;
+		bytes += ogl__cell_entry__get_packed_size(e);
 		l->next_offset = e->offset + 1;
 		m->entries[m->n_entries++] = e;
 	}
--- a/test/test_cell_relay.cc
+++ b/test/test_cell_relay.cc
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 extern "C" {
@@ -75,7 +77,8 @@
 		cell_relay_flush(relay_, now_);
 	}
 
-	void start(const char *job, const char *worker = "w1")
+	void start(const char *job, const char *worker = "w1",
+	    const std::string &spec = kSpec)
 	{
 		struct cell_order o = {};
 
@@ -83,7 +86,7 @@
 		g_strlcpy(o.task.id, job, sizeof o.task.id);
 		o.run = 1;
 		o.timeout_ms = 600;
-		o.spec = {kSpec.data(), kSpec.size()};
+		o.spec = {spec.data(), spec.size()};
 		relayed_.start(relayed_.backend_ctx, &o, on_order, this);
 	}
 
@@ -106,6 +109,8 @@
 	{
 		auto *t = static_cast<Relay *>(arg);
 
+		t->message_bytes_.push_back(
+		    ogl__cell_orders__get_packed_size(m));
 		for (size_t i = 0; i < m->n_orders; i++) {
 			const Ogl__CellOrder *o = m->orders[i];
 
@@ -124,6 +129,7 @@
 	struct cell_ops relayed_ = {};
 	struct cell_relay *relay_ = nullptr;
 	std::vector<Sent> sent_;
+	std::vector<size_t> message_bytes_;
 	std::vector<enum ogl_io_result> outcomes_;
 	int direct_calls_ = 0;
 	ogl_time now_ = 100 * OGL_SEC;
@@ -320,6 +326,33 @@
 	EXPECT_EQ(0, cell_relay_min_delay(relay_, now_ + OGL_SEC));
 }
 
+/* Guards against a batch beyond the size of a message, which is dropped with all
+ * its orders. */
+TEST_F(Relay, BatchesAreCutByTheirSize)
+{
+	const std::string spec(4000, 'x');
+	char job[CELL_ID_LEN + 1];
+	std::vector<uint64_t> tokens;
+
+	begin(2000);
+	for (unsigned i = 0; i < 1200; i++) {
+		g_snprintf(job, sizeof job, "%016x", i);
+		start(job, "w1", spec);
+	}
+	step(10);
+	ASSERT_EQ(1200u, sent_.size());
+	for (const Sent &s : sent_) {
+		EXPECT_EQ(spec, s.spec);
+		tokens.push_back(s.token);
+	}
+	for (size_t bytes : message_bytes_) {
+		EXPECT_LT(0u, bytes);
+		EXPECT_GT(600000u, bytes);
+	}
+	std::sort(tokens.begin(), tokens.end());
+	EXPECT_EQ(tokens.end(), std::unique(tokens.begin(), tokens.end()));
+}
+
 /* The node that makes the calls. */
 class RelayServe : public testing::Test
 {
@@ -334,6 +367,13 @@
 			t->done_ = done;
 			t->arg_ = arg;
 		};
+		ops_.hold = [](void *ctx, const struct cell_hold *,
+				cell_hold_fn *done, void *arg) {
+			auto *t = static_cast<RelayServe *>(ctx);
+
+			t->holds_.push_back({done, arg});
+		};
+		ops_.count = [](void *, const char *, uint64_t) {};
 		ops_.read = [](void *ctx, const struct cell_read *r,
 				cell_read_fn *done, void *arg) {
 			auto *t = static_cast<RelayServe *>(ctx);
@@ -367,6 +407,30 @@
 		cell_relay_serve(serve_, 0, "owner", &m, refuse, now_);
 	}
 
+	/* Serves a hold, whose answer has these numbers of rows. */
+	void serve_hold(size_t nrunning, size_t nended)
+	{
+		const std::string checkpoint(1024, 'c');
+		struct cell_run_row row = {};
+		struct cell_hold_answer a = {};
+		Ogl__CellOrder o = OGL__CELL_ORDER__INIT;
+		Ogl__CellOrder *list[] = {&o};
+		Ogl__CellOrders m = OGL__CELL_ORDERS__INIT;
+
+		o.token = ++token_;
+		o.kind = OGL__CELL_ORDER_KIND__cell_order_hold;
+		m.orders = list;
+		m.n_orders = 1;
+		cell_relay_serve(serve_, 0, "owner", &m, false, now_);
+		row.checkpoint = checkpoint.c_str();
+		std::vector<struct cell_run_row> rows(
+		    MAX(nrunning, nended), row);
+		a.running = a.ended = rows.data();
+		a.nrunning = nrunning;
+		a.nended = nended;
+		holds_.back().first(holds_.back().second, &a, now_);
+	}
+
 	void end_call()
 	{
 		struct cell_order_answer a = {};
@@ -385,9 +449,12 @@
 	{
 		auto *t = static_cast<RelayServe *>(arg);
 
+		t->message_bytes_.push_back(
+		    ogl__cell_order_answers__get_packed_size(m));
 		for (size_t i = 0; i < m->n_answers; i++) {
 			const Ogl__CellOrderAnswer *a = m->answers[i];
 
+			t->rows_ += a->n_running + a->n_ended;
 			t->answers_.push_back(a->outcome);
 			t->entries_.clear();
 			for (size_t k = 0; k < a->n_entries; k++)
@@ -435,6 +502,9 @@
 	struct cell_relay_serve *serve_ = nullptr;
 	std::vector<std::string> specs_;
 	std::vector<std::string> entries_;
+	std::vector<std::pair<cell_hold_fn *, void *>> holds_;
+	std::vector<size_t> message_bytes_;
+	size_t rows_ = 0;
 	uint64_t read_from_ = 0;
 	cell_read_fn *read_ = nullptr;
 	std::vector<Ogl__CellOrderOutcome> answers_;
@@ -444,6 +514,53 @@
 	ogl_time now_ = 100 * OGL_SEC;
 };
 
+/* The same for the answers. */
+TEST_F(RelayServe, AnswersAreCutByTheirSize)
+{
+	for (int i = 0; i < 10; i++)
+		serve_hold(100, 100);
+	step();
+	EXPECT_EQ(10u, answers_.size());
+	EXPECT_EQ(2000u, rows_);
+	EXPECT_EQ(5u, message_bytes_.size());
+	for (size_t bytes : message_bytes_)
+		EXPECT_GT(600000u, bytes);
+}
+
+/* If only some rows were sent, the owner would take the other runs for over. */
+TEST_F(RelayServe, AnswerTooLargeForAMessageCountsAsLost)
+{
+	serve_hold(400, 500);
+	step();
+	ASSERT_EQ(1u, message_bytes_.size());
+	EXPECT_GT(1048576u, message_bytes_[0]);
+	EXPECT_EQ(900u, rows_);
+	EXPECT_EQ(OGL__CELL_ORDER_OUTCOME__cell_order_done, answers_[0]);
+	serve_hold(600, 500);
+	step();
+	ASSERT_EQ(2u, message_bytes_.size());
+	EXPECT_GT(1048576u, message_bytes_[1]);
+	EXPECT_EQ(900u, rows_);
+	EXPECT_EQ(OGL__CELL_ORDER_OUTCOME__cell_order_lost, answers_[1]);
+}
+
+/* Entries that don't fit are read again from the offset of the last one. */
+TEST_F(RelayServe, ListIsCutByItsSize)
+{
+	std::vector<std::string> workers;
+
+	for (int i = 0; i < 2000; i++)
+		workers.push_back(std::to_string(i) + std::string(400, 'w'));
+	size_t n = read_list(7, workers).size();
+	ASSERT_EQ(1u, message_bytes_.size());
+	EXPECT_GT(600000u, message_bytes_[0]);
+	EXPECT_LT(1000u, n);
+	ASSERT_GT(2000u, n);
+	EXPECT_EQ(2000 - n,
+	    read_list(7 + n, {workers.begin() + (long)n, workers.end()})
+		.size());
+}
+
 TEST_F(RelayServe, StartUsesSpecOfForwardedJob)
 {
 	cell_relay_serve_add_spec(serve_, job1, {kSpec.data(), kSpec.size()});
