Relays check that they have the spec that the owner means

A relay kept the first spec that it forwarded under a job's id, also if the submission was refused. A later one with that id, which may be another team's, was started with the refused spec, as the owner leaves the spec out of starts by the node that forwarded the job.

A later spec replaces the kept one. Orders without a digest, of owners of earlier versions, are carried out as before.

RelayServe.SpecOfAnotherSubmissionIsNotUsed failed before (in a form without the digest): the start had "refused", both before and after the relay had seen the right spec.

--- a/cell/order_msg.c
+++ b/cell/order_msg.c
@@ -25,6 +25,17 @@
 		memcpy(field->data, value.p, value.n);
 }
 
+void
+cell_order_digest(struct ogl_str spec, uint8_t digest[CELL_DIGEST_BYTES])
+{
+	GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+	gsize n = CELL_DIGEST_BYTES;
+
+	g_checksum_update(sum, (const guchar *)spec.p, (gssize)spec.n);
+	g_checksum_get_digest(sum, digest, &n);
+	g_checksum_free(sum);
+}
+
 Ogl__CellOrder *
 cell_order_copy(const Ogl__CellOrder *m)
 {
--- a/cell/order_msg.h
+++ b/cell/order_msg.h
@@ -14,6 +14,11 @@
 void cell_order_set_bytes(ProtobufCBinaryData *field, struct ogl_str value);
 /* Copies value into an empty field of a message, which frees it. */
 
+#define CELL_DIGEST_BYTES 32
+
+void cell_order_digest(struct ogl_str spec, uint8_t digest[CELL_DIGEST_BYTES]);
+/* The digest of a spec; different specs have different ones. */
+
 Ogl__CellOrder *cell_order_copy(const Ogl__CellOrder *m);
 /* Result: free with ogl__cell_order__free_unpacked. */
 
--- a/cell/relay.c
+++ b/cell/relay.c
@@ -411,6 +411,8 @@
     void *ctx, const struct cell_order *o, cell_order_fn *done, void *arg)
 {
 	struct cell_relay *r = ctx;
+	uint8_t digest[CELL_DIGEST_BYTES];
+	struct ogl_str d;
 	bool has_spec = false;
 	struct node *n = NULL;
 	Ogl__CellOrder *m;
@@ -427,6 +429,10 @@
 	call->order_done = done;
 	call->worker = g_strdup(o->to.id);
 	if (has_spec) {
+		cell_order_digest(o->spec, digest);
+		d.p = (const char *)digest;
+		d.n = sizeof digest;
+		cell_order_set_bytes(&m->spec_digest, d);
 		call->message = cell_order_copy(m);
 		call->spec = g_bytes_new(o->spec.p, o->spec.n);
 	} else {
--- a/cell/relay_serve.c
+++ b/cell/relay_serve.c
@@ -68,20 +68,44 @@
 static void
 spec_cache_add(struct spec_cache *s, const char *job, struct ogl_str spec)
 {
+	GBytes *before = g_hash_table_lookup(s->specs, job);
 	GBytes *b;
 	char *key;
 
-	if (g_hash_table_contains(s->specs, job))
+	if (before != NULL && ogl_str_eq(cell_bytes_str(before), spec))
 		return;
 	key = g_strdup(job);
 	b = g_bytes_new(spec.p, spec.n);
-	g_hash_table_insert(s->specs, key, b);
-	g_queue_push_tail(&s->fifo, key);
+	if (before != NULL)
+		s->bytes -= entry_size(job, before);
+	else
+		g_queue_push_tail(&s->fifo, key);
 	s->bytes += entry_size(job, b);
+	/* If there is an entry, its key stays and this one is freed. */
+	g_hash_table_insert(s->specs, key, b);
 	while (s->bytes > SPEC_CACHE_BYTES_MAX)
 		evict_oldest(s);
 }
 
+/* The spec for which the owner has sent the digest; NULL if it is not there.
+ * A submission that was refused may have had another spec under the job's id. */
+static GBytes *
+spec_cache_find(const struct spec_cache *s, const char *job,
+    const ProtobufCBinaryData *digest)
+{
+	GBytes *spec = g_hash_table_lookup(s->specs, job);
+	uint8_t own[CELL_DIGEST_BYTES];
+
+	/* Owners of earlier versions send no digest. */
+	if (spec == NULL || digest->len == 0)
+		return spec;
+	cell_order_digest(cell_bytes_str(spec), own);
+	return digest->len == sizeof own &&
+		       memcmp(digest->data, own, sizeof own) == 0
+		   ? spec
+		   : NULL;
+}
+
 /* ---- answers ---------------------------------------------------------- */
 
 /* Answers that wait to be sent to the owner of a shard. */
@@ -599,7 +623,7 @@
 		o.spec = cell_field_str(&m->spec);
 		spec_cache_add(&v->specs, m->job, o.spec);
 	} else {
-		spec = g_hash_table_lookup(v->specs.specs, m->job);
+		spec = spec_cache_find(&v->specs, m->job, &m->spec_digest);
 		if (spec == NULL) {
 			reject(c,
 			    OGL__CELL_ORDER_OUTCOME__cell_order_lacks_spec,
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -3871,7 +3871,7 @@
   (ProtobufCMessageInit) ogl__cell_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_order__field_descriptors[19] =
+static const ProtobufCFieldDescriptor ogl__cell_order__field_descriptors[20] =
 {
   {
     "token",
@@ -4101,6 +4101,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "spec_digest",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellOrder, spec_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_order__field_indices_by_name[] = {
   2,   /* field[2] = addr */
@@ -4114,6 +4126,7 @@
   8,   /* field[8] = occurrence */
   11,   /* field[11] = run */
   15,   /* field[15] = spec */
+  19,   /* field[19] = spec_digest */
   9,   /* field[9] = step */
   13,   /* field[13] = ticket */
   5,   /* field[5] = timeout_ms */
@@ -4126,7 +4139,7 @@
 static const ProtobufCIntRange ogl__cell_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor ogl__cell_order__descriptor =
 {
@@ -4136,7 +4149,7 @@
   "Ogl__CellOrder",
   "ogl",
   sizeof(Ogl__CellOrder),
-  19,
+  20,
   ogl__cell_order__field_descriptors,
   ogl__cell_order__field_indices_by_name,
   1,  ogl__cell_order__number_ranges,
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -848,6 +848,11 @@
    */
   protobuf_c_boolean with_spec;
   ProtobufCBinaryData spec;
+  /*
+   * Of a start without spec: digest of the spec, by which the relay tells it
+   * from that of another submission with the job's id.
+   */
+  ProtobufCBinaryData spec_digest;
   /*
    * of a hold: number of the last end that is recorded
    */
@@ -863,7 +868,7 @@
 };
 #define OGL__CELL_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_order__descriptor) \
-    , 0, OGL__CELL_ORDER_KIND__cell_order_start, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0, 0, 0 }
+    , 0, OGL__CELL_ORDER_KIND__cell_order_start, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, {0,NULL}, 0, 0, 0 }
 
 
 /*
--- a/test/test_cell_relay.cc
+++ b/test/test_cell_relay.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 extern "C" {
+#include "order_msg.h"
 #include "relay.h"
 #include "relay_serve.h"
 }
@@ -30,6 +31,7 @@
 	uint64_t token;
 	bool with_spec;
 	std::string spec;
+	std::string digest;
 };
 
 class Relay : public testing::Test
@@ -115,7 +117,8 @@
 			const Ogl__CellOrder *o = m->orders[i];
 
 			t->sent_.push_back({to, o->kind, o->token,
-			    o->with_spec != 0, text(cell_field_str(&o->spec))});
+			    o->with_spec != 0, text(cell_field_str(&o->spec)),
+			    text(cell_field_str(&o->spec_digest))});
 		}
 	}
 
@@ -392,16 +395,24 @@
 			cell_relay_serve_end(serve_);
 	}
 
-	void serve_start(bool refuse)
+	/* digest_of: the spec that the owner means; it sends no digest if
+	 * NULL. */
+	void serve_start(bool refuse, const std::string *digest_of = nullptr)
 	{
 		Ogl__CellOrder o = OGL__CELL_ORDER__INIT;
 		Ogl__CellOrder *list[] = {&o};
+		uint8_t digest[CELL_DIGEST_BYTES];
 		Ogl__CellOrders m = OGL__CELL_ORDERS__INIT;
 
 		o.token = ++token_;
 		o.job = const_cast<char *>(job1);
 		o.addr = const_cast<char *>("10.9.0.1:80");
 		o.timeout_ms = 600;
+		if (digest_of != nullptr) {
+			cell_order_digest(
+			    {digest_of->data(), digest_of->size()}, digest);
+			o.spec_digest = {sizeof digest, digest};
+		}
 		m.orders = list;
 		m.n_orders = 1;
 		cell_relay_serve(serve_, 0, "owner", &m, refuse, now_);
@@ -561,6 +572,36 @@
 		.size());
 }
 
+/* Guards against the spec of a submission that was refused, whose caller has
+ * submitted another one under the same id since. */
+TEST_F(RelayServe, SpecOfAnotherSubmissionIsNotUsed)
+{
+	cell_relay_serve_add_spec(serve_, job1, ogl_str("refused"));
+	serve_start(false, &kSpec);
+	step();
+	EXPECT_TRUE(specs_.empty());
+	ASSERT_EQ(1u, answers_.size());
+	EXPECT_EQ(OGL__CELL_ORDER_OUTCOME__cell_order_lacks_spec, answers_[0]);
+	cell_relay_serve_add_spec(serve_, job1, {kSpec.data(), kSpec.size()});
+	serve_start(false, &kSpec);
+	ASSERT_EQ(1u, specs_.size());
+	EXPECT_EQ(kSpec, specs_[0]);
+}
+
+TEST_F(Relay, StartWithoutSpecNamesItsDigest)
+{
+	uint8_t digest[CELL_DIGEST_BYTES];
+
+	begin(2000);
+	cell_relay_note_spec(relay_, job1, "n2");
+	start(job1);
+	step(10);
+	ASSERT_EQ(1u, sent_.size());
+	EXPECT_FALSE(sent_[0].with_spec);
+	cell_order_digest({kSpec.data(), kSpec.size()}, digest);
+	EXPECT_EQ(std::string(digest, digest + sizeof digest), sent_[0].digest);
+}
+
 TEST_F(RelayServe, StartUsesSpecOfForwardedJob)
 {
 	cell_relay_serve_add_spec(serve_, job1, {kSpec.data(), kSpec.size()});
