--- a/cell/relay.c
+++ b/cell/relay.c
@@ -411,6 +411,8 @@
     void *ctx, const struct cell_order *o, cell_order_fn *done, void *arg)
 {
 	struct cell_relay *r = ctx;
+	uint8_t digest[CELL_DIGEST_BYTES];
+	struct ogl_str d;
 	bool has_spec = false;
 	struct node *n = NULL;
 	Ogl__CellOrder *m;
@@ -427,6 +429,10 @@
 	call->order_done = done;
 	call->worker = g_strdup(o->to.id);
 	if (has_spec) {
+		cell_order_digest(o->spec, digest);
+		d.p = (const char *)digest;
+		d.n = sizeof digest;
+		cell_order_set_bytes(&m->spec_digest, d);
 		call->message = cell_order_copy(m);
 		call->spec = g_bytes_new(o->spec.p, o->spec.n);
 	} else {
@@ -753,6 +759,32 @@
 	g_array_unref(tokens);
 }
 
+/* Sends the batch in messages that are not too large. */
+static void
+send_batch(struct cell_relay *r, struct node *n)
+{
+	Ogl__CellOrders m = OGL__CELL_ORDERS__INIT;
+	size_t bytes = 0;
+	size_t i;
+
+	m.orders = n->batch.orders;
+	for (i = 0; i < n->batch.n_orders; i++) {
+		size_t size =
+		    ogl__cell_order__get_packed_size(n->batch.orders[i]);
+
+		if (m.n_orders > 0 && bytes + size > CELL_BATCH_MAX_BYTES) {
+			r->events.send(r->events.arg, n->addr, &m);
+			m.orders += m.n_orders;
+			m.n_orders = 0;
+			bytes = 0;
+		}
+		m.n_orders++;
+		bytes += size;
+	}
+	r->events.send(r->events.arg, n->addr, &m);
+	batch_clear(n);
+}
+
 void
 cell_relay_flush(struct cell_relay *r, ogl_time now)
 {
@@ -768,8 +800,7 @@
 			drop_batch(r, n, now);
 			continue;
 		}
-		r->events.send(r->events.arg, n->addr, &n->batch);
-		batch_clear(n);
+		send_batch(r, n);
 	}
 }
 
--- a/test/test_cell_relay.cc
+++ b/test/test_cell_relay.cc
@@ -2,10 +2,13 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 extern "C" {
+#include "order_msg.h"
 #include "relay.h"
 #include "relay_serve.h"
 }
@@ -28,6 +31,7 @@
 	uint64_t token;
 	bool with_spec;
 	std::string spec;
+	std::string digest;
 };
 
 class Relay : public testing::Test
@@ -75,7 +79,8 @@
 		cell_relay_flush(relay_, now_);
 	}
 
-	void start(const char *job, const char *worker = "w1")
+	void start(const char *job, const char *worker = "w1",
+	    const std::string &spec = kSpec)
 	{
 		struct cell_order o = {};
 
@@ -83,7 +88,7 @@
 		g_strlcpy(o.task.id, job, sizeof o.task.id);
 		o.run = 1;
 		o.timeout_ms = 600;
-		o.spec = {kSpec.data(), kSpec.size()};
+		o.spec = {spec.data(), spec.size()};
 		relayed_.start(relayed_.backend_ctx, &o, on_order, this);
 	}
 
@@ -106,11 +111,14 @@
 	{
 		auto *t = static_cast<Relay *>(arg);
 
+		t->message_bytes_.push_back(
+		    ogl__cell_orders__get_packed_size(m));
 		for (size_t i = 0; i < m->n_orders; i++) {
 			const Ogl__CellOrder *o = m->orders[i];
 
 			t->sent_.push_back({to, o->kind, o->token,
-			    o->with_spec != 0, text(cell_field_str(&o->spec))});
+			    o->with_spec != 0, text(cell_field_str(&o->spec)),
+			    text(cell_field_str(&o->spec_digest))});
 		}
 	}
 
@@ -124,6 +132,7 @@
 	struct cell_ops relayed_ = {};
 	struct cell_relay *relay_ = nullptr;
 	std::vector<Sent> sent_;
+	std::vector<size_t> message_bytes_;
 	std::vector<enum ogl_io_result> outcomes_;
 	int direct_calls_ = 0;
 	ogl_time now_ = 100 * OGL_SEC;
@@ -320,6 +329,33 @@
 	EXPECT_EQ(0, cell_relay_min_delay(relay_, now_ + OGL_SEC));
 }
 
+/* Guards against a batch beyond the size of a message, which is dropped with all
+ * its orders. */
+TEST_F(Relay, BatchesAreCutByTheirSize)
+{
+	const std::string spec(4000, 'x');
+	char job[CELL_ID_LEN + 1];
+	std::vector<uint64_t> tokens;
+
+	begin(2000);
+	for (unsigned i = 0; i < 1200; i++) {
+		g_snprintf(job, sizeof job, "%016x", i);
+		start(job, "w1", spec);
+	}
+	step(10);
+	ASSERT_EQ(1200u, sent_.size());
+	for (const Sent &s : sent_) {
+		EXPECT_EQ(spec, s.spec);
+		tokens.push_back(s.token);
+	}
+	for (size_t bytes : message_bytes_) {
+		EXPECT_LT(0u, bytes);
+		EXPECT_GT(600000u, bytes);
+	}
+	std::sort(tokens.begin(), tokens.end());
+	EXPECT_EQ(tokens.end(), std::unique(tokens.begin(), tokens.end()));
+}
+
 /* The node that makes the calls. */
 class RelayServe : public testing::Test
 {
@@ -334,6 +370,13 @@
 			t->done_ = done;
 			t->arg_ = arg;
 		};
+		ops_.hold = [](void *ctx, const struct cell_hold *,
+				cell_hold_fn *done, void *arg) {
+			auto *t = static_cast<RelayServe *>(ctx);
+
+			t->holds_.push_back({done, arg});
+		};
+		ops_.count = [](void *, const char *, uint64_t) {};
 		ops_.read = [](void *ctx, const struct cell_read *r,
 				cell_read_fn *done, void *arg) {
 			auto *t = static_cast<RelayServe *>(ctx);
@@ -352,21 +395,53 @@
 			cell_relay_serve_end(serve_);
 	}
 
-	void serve_start(bool refuse)
+	/* digest_of: the spec that the owner means; it sends no digest if
+	 * NULL. */
+	void serve_start(bool refuse, const std::string *digest_of = nullptr)
 	{
 		Ogl__CellOrder o = OGL__CELL_ORDER__INIT;
 		Ogl__CellOrder *list[] = {&o};
+		uint8_t digest[CELL_DIGEST_BYTES];
 		Ogl__CellOrders m = OGL__CELL_ORDERS__INIT;
 
 		o.token = ++token_;
 		o.job = const_cast<char *>(job1);
 		o.addr = const_cast<char *>("10.9.0.1:80");
 		o.timeout_ms = 600;
+		if (digest_of != nullptr) {
+			cell_order_digest(
+			    {digest_of->data(), digest_of->size()}, digest);
+			o.spec_digest = {sizeof digest, digest};
+		}
 		m.orders = list;
 		m.n_orders = 1;
 		cell_relay_serve(serve_, 0, "owner", &m, refuse, now_);
 	}
 
+	/* Serves a hold, whose answer has these numbers of rows. */
+	void serve_hold(size_t nrunning, size_t nended)
+	{
+		const std::string checkpoint(1024, 'c');
+		struct cell_run_row row = {};
+		struct cell_hold_answer a = {};
+		Ogl__CellOrder o = OGL__CELL_ORDER__INIT;
+		Ogl__CellOrder *list[] = {&o};
+		Ogl__CellOrders m = OGL__CELL_ORDERS__INIT;
+
+		o.token = ++token_;
+		o.kind = OGL__CELL_ORDER_KIND__cell_order_hold;
+		m.orders = list;
+		m.n_orders = 1;
+		cell_relay_serve(serve_, 0, "owner", &m, false, now_);
+		row.checkpoint = checkpoint.c_str();
+		std::vector<struct cell_run_row> rows(
+		    MAX(nrunning, nended), row);
+		a.running = a.ended = rows.data();
+		a.nrunning = nrunning;
+		a.nended = nended;
+		holds_.back().first(holds_.back().second, &a, now_);
+	}
+
 	void end_call()
 	{
 		struct cell_order_answer a = {};
@@ -385,9 +460,12 @@
 	{
 		auto *t = static_cast<RelayServe *>(arg);
 
+		t->message_bytes_.push_back(
+		    ogl__cell_order_answers__get_packed_size(m));
 		for (size_t i = 0; i < m->n_answers; i++) {
 			const Ogl__CellOrderAnswer *a = m->answers[i];
 
+			t->rows_ += a->n_running + a->n_ended;
 			t->answers_.push_back(a->outcome);
 			t->entries_.clear();
 			for (size_t k = 0; k < a->n_entries; k++)
@@ -435,6 +513,9 @@
 	struct cell_relay_serve *serve_ = nullptr;
 	std::vector<std::string> specs_;
 	std::vector<std::string> entries_;
+	std::vector<std::pair<cell_hold_fn *, void *>> holds_;
+	std::vector<size_t> message_bytes_;
+	size_t rows_ = 0;
 	uint64_t read_from_ = 0;
 	cell_read_fn *read_ = nullptr;
 	std::vector<Ogl__CellOrderOutcome> answers_;
@@ -444,6 +525,83 @@
 	ogl_time now_ = 100 * OGL_SEC;
 };
 
+/* The same for the answers. */
+TEST_F(RelayServe, AnswersAreCutByTheirSize)
+{
+	for (int i = 0; i < 10; i++)
+		serve_hold(100, 100);
+	step();
+	EXPECT_EQ(10u, answers_.size());
+	EXPECT_EQ(2000u, rows_);
+	EXPECT_EQ(5u, message_bytes_.size());
+	for (size_t bytes : message_bytes_)
+		EXPECT_GT(600000u, bytes);
+}
+
+/* If only some rows were sent, the owner would take the other runs for over. */
+TEST_F(RelayServe, AnswerTooLargeForAMessageCountsAsLost)
+{
+	serve_hold(400, 500);
+	step();
+	ASSERT_EQ(1u, message_bytes_.size());
+	EXPECT_GT(1048576u, message_bytes_[0]);
+	EXPECT_EQ(900u, rows_);
+	EXPECT_EQ(OGL__CELL_ORDER_OUTCOME__cell_order_done, answers_[0]);
+	serve_hold(600, 500);
+	step();
+	ASSERT_EQ(2u, message_bytes_.size());
+	EXPECT_GT(1048576u, message_bytes_[1]);
+	EXPECT_EQ(900u, rows_);
+	EXPECT_EQ(OGL__CELL_ORDER_OUTCOME__cell_order_lost, answers_[1]);
+}
+
+/* Entries that don't fit are read again from the offset of the last one. */
+TEST_F(RelayServe, ListIsCutByItsSize)
+{
+	std::vector<std::string> workers;
+
+	for (int i = 0; i < 2000; i++)
+		workers.push_back(std::to_string(i) + std::string(400, 'w'));
+	size_t n = read_list(7, workers).size();
+	ASSERT_EQ(1u, message_bytes_.size());
+	EXPECT_GT(600000u, message_bytes_[0]);
+	EXPECT_LT(1000u, n);
+	ASSERT_GT(2000u, n);
+	EXPECT_EQ(2000 - n,
+	    read_list(7 + n, {workers.begin() + (long)n, workers.end()})
+		.size());
+}
+
+/* Guards against the spec of a submission that was refused, whose caller has
+ * submitted another one under the same id since. */
+TEST_F(RelayServe, SpecOfAnotherSubmissionIsNotUsed)
+{
+	cell_relay_serve_add_spec(serve_, job1, ogl_str("refused"));
+	serve_start(false, &kSpec);
+	step();
+	EXPECT_TRUE(specs_.empty());
+	ASSERT_EQ(1u, answers_.size());
+	EXPECT_EQ(OGL__CELL_ORDER_OUTCOME__cell_order_lacks_spec, answers_[0]);
+	cell_relay_serve_add_spec(serve_, job1, {kSpec.data(), kSpec.size()});
+	serve_start(false, &kSpec);
+	ASSERT_EQ(1u, specs_.size());
+	EXPECT_EQ(kSpec, specs_[0]);
+}
+
+TEST_F(Relay, StartWithoutSpecNamesItsDigest)
+{
+	uint8_t digest[CELL_DIGEST_BYTES];
+
+	begin(2000);
+	cell_relay_note_spec(relay_, job1, "n2");
+	start(job1);
+	step(10);
+	ASSERT_EQ(1u, sent_.size());
+	EXPECT_FALSE(sent_[0].with_spec);
+	cell_order_digest({kSpec.data(), kSpec.size()}, digest);
+	EXPECT_EQ(std::string(digest, digest + sizeof digest), sent_[0].digest);
+}
+
 TEST_F(RelayServe, StartUsesSpecOfForwardedJob)
 {
 	cell_relay_serve_add_spec(serve_, job1, {kSpec.data(), kSpec.size()});
