fake cell: the end of a gang's member after a lapsed lease counts like others

Cause: an end is taken note of when last_seen reaches it, unless the executor's lease lapsed between the two; that stands for good. The fake had the condition for the task that ended, but not for the other members of its gang.

Change: the same condition for both.

--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -1867,6 +1867,7 @@
 			t->failed_runs++;
 		/* The end of one gang member counts for the whole gang. */
 		if (j != NULL && e->how == CELL_END_DONE &&
+		    w->lease_lapsed_ms < e->clock_ms &&
 		    j->steps[e->task.step].gang) {
 			struct cell_task_name m = e->task;
 
