--- a/test/test_cell_relay.cc
+++ b/test/test_cell_relay.cc
@@ -586,6 +586,7 @@
 	serve_start(false, &kSpec);
 	ASSERT_EQ(1u, specs_.size());
 	EXPECT_EQ(kSpec, specs_[0]);
+	end_call();
 }
 
 TEST_F(Relay, StartWithoutSpecNamesItsDigest)
