advice: an answer holds for one appearance of a worker

Callers saw an accepted job with nothing running and room on a worker that the advice service admits (LOST). A stage was asked about a worker once. The service does not name a worker that is down, or whose entry has lapsed, when it answers, so such a worker counted as refused for good, also after its return.

Each worker now counts its appearances, that is its incarnations and the times that it was listed anew, and an answer counts only for the appearance that was asked about.

Evidence: Overdue.RestartedWorkerIsAskedAboutAgain and Overdue.WorkerThatIsListedAgainIsAskedAboutAgain fail before and pass now.

--- a/cell/advice.c
+++ b/cell/advice.c
@@ -62,9 +62,10 @@
 	char id[CELL_ID_LEN + 1];
 	uint32_t occurrence;
 	uint32_t step;
-	GPtrArray *workers; /* ids */
-	bool first;         /* the stage's first question */
-	char *lane_addr;    /* address of the node it was sent to */
+	GPtrArray *workers;  /* ids */
+	GArray *appearances; /* uint32_t, of these workers when it was sent */
+	bool first;          /* the stage's first question */
+	char *lane_addr;     /* address of the node it was sent to */
 	ogl_time sent_at;
 	ogl_time busy_time; /* expected time of the service for it */
 	ogl_time deadline;
@@ -103,6 +104,7 @@
 	struct question *q = p;
 
 	g_ptr_array_unref(q->workers);
+	g_array_unref(q->appearances);
 	g_free(q->lane_addr);
 	g_free(q);
 }
@@ -306,10 +308,12 @@
 	q->step = s->step;
 	q->first = g_hash_table_size(s->asked) == 0;
 	q->workers = g_ptr_array_new_with_free_func(g_free);
+	q->appearances = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	for (i = 0; i < workers->len && i < CELL_ADVICE_WORKERS_MAX; i++) {
 		const struct cell_worker *w = workers->pdata[i];
 
 		g_ptr_array_add(q->workers, g_strdup(w->id));
+		g_array_append_val(q->appearances, w->appearance);
 	}
 	busy_time =
 	    (ogl_time)(cell_advice_question_ms(p, workers->len) * OGL_MS);
@@ -349,19 +353,30 @@
 }
 
 /*
- * Records that the service was asked about the worker, so that it is not asked
- * again.  A worker that is not listed when the answer arrives, for example
- * because its entry lapsed for a moment, is left out: no ticket is stored for
- * it, so it has to be asked about again.  Otherwise a stage that may run on no
- * other worker would wait for ever.
+ * Records that the service has answered about the worker, so that it is not
+ * asked again.  The service does not approve a worker that is down or not
+ * listed, so the answer holds for the worker's present appearance only.
+ * Otherwise a stage that may run on no other worker would wait for ever.
  */
 static void
-mark_asked(struct cell_advice *a, struct cell_stage *s, const char *id)
+mark_asked(struct cell_advice *a, struct cell_stage *s, const char *id,
+    uint32_t appearance)
 {
 	const struct cell_worker *w = a->events.worker(a->events.arg, id);
 
-	if (w != NULL)
-		g_hash_table_add(s->asked, GUINT_TO_POINTER(w->serial));
+	if (w != NULL && w->listed)
+		g_hash_table_insert(s->asked, GUINT_TO_POINTER(w->serial),
+		    GUINT_TO_POINTER(appearance));
+}
+
+bool
+cell_advice_knows(const struct cell_stage *s, const struct cell_worker *w)
+{
+	gpointer appearance;
+
+	return g_hash_table_lookup_extended(
+		   s->asked, GUINT_TO_POINTER(w->serial), NULL, &appearance) &&
+	       GPOINTER_TO_UINT(appearance) == w->appearance;
 }
 
 static void
@@ -408,7 +423,8 @@
 		count_answer(
 		    a, s->job->def->queue, q->workers->len, m->n_tickets);
 	for (i = 0; i < q->workers->len; i++)
-		mark_asked(a, s, q->workers->pdata[i]);
+		mark_asked(a, s, q->workers->pdata[i],
+		    g_array_index(q->appearances, uint32_t, i));
 	for (i = 0; i < m->n_tickets; i++)
 		store_ticket(a, s, m->tickets[i]->worker, m->tickets[i]->ticket,
 		    expires);
--- a/cell/advice.h
+++ b/cell/advice.h
@@ -77,6 +77,10 @@
 /* The fraction of workers that the queue's policy approves, as learned from
  * earlier answers. */
 
+bool cell_advice_knows(const struct cell_stage *s, const struct cell_worker *w);
+/* Whether the service has answered about the worker in its present appearance.
+ */
+
 const struct cell_approval *cell_advice_approval(
     const struct cell_stage *s, const struct cell_worker *w);
 /* The service's approval of a worker in its present incarnation.  NULL if the
--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -300,6 +300,7 @@
 	if (w->draining != e->draining || !w->listed) {
 		f->record_outdated |= w->draining != e->draining;
 		w->draining = e->draining;
+		w->appearance += !w->listed;
 		w->listed = true;
 		cell_fleet_log_worker(f, w, "worker_listed");
 	}
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -87,6 +87,8 @@
 	uint64_t entry_born_ms; /* incarnation that the list entry describes */
 
 	uint64_t incarnation; /* born_ms of the last incarnation, 0 none yet */
+	/* Counts its incarnations, and the times that it was listed anew. */
+	uint32_t appearance;
 	ogl_time incarnation_since; /* first answer of that incarnation */
 	bool fenced;                /* this incarnation has seen our epoch */
 	ogl_time accepted_at; /* when the last hold that it answered was sent */
--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -330,10 +330,12 @@
 		    w->incarnation != 0 ||
 			w->first_record == CELL_FLEET_LOADED_RECORD);
 	}
-	if (w->incarnation == a->born_ms)
+	if (w->incarnation == a->born_ms) {
 		w->ends_acked = MAX(w->ends_acked, c->ends_acked);
-	else
+	} else {
 		w->incarnation_since = now;
+		w->appearance++;
+	}
 	if (w->incarnation == 0 && w->first_record == CELL_FLEET_LOADED_RECORD)
 		f->nexpected_answered++;
 	w->incarnation = a->born_ms;
--- a/cell/job.h
+++ b/cell/job.h
@@ -84,8 +84,10 @@
 	GQueue *queue;    /* the scheduler's list it is in; NULL none */
 	GList link;
 	GArray *approvals; /* struct cell_approval */
-	GHashTable *asked; /* serials of workers the policy has answered for */
-	bool asking;       /* a question for the stage is pending */
+	/* Serials of workers that the policy has answered for -> their
+	 * appearance then, see cell_advice_knows. */
+	GHashTable *asked;
+	bool asking;                /* a question for the stage is pending */
 	enum cell_wait wait_reason; /* reason last logged */
 	ogl_time wait_since;
 	ogl_time blocked_since; /* when placing it first failed; 0: placed */
--- a/cell/question.c
+++ b/cell/question.c
@@ -49,8 +49,7 @@
 static bool
 not_asked_about(const struct cell_stage *st, const struct cell_worker *w)
 {
-	return !g_hash_table_contains(st->asked, GUINT_TO_POINTER(w->serial)) &&
-	       cell_worker_could_run(w, st);
+	return !cell_advice_knows(st, w) && cell_worker_could_run(w, st);
 }
 
 static double
--- a/cell/sched_place.c
+++ b/cell/sched_place.c
@@ -164,8 +164,7 @@
 		if (!cell_health_proven(w) || !cell_worker_could_run(w, st))
 			continue;
 		if (!policy_needed || cell_advice_approval(st, w) != NULL ||
-		    !g_hash_table_contains(
-			st->asked, GUINT_TO_POINTER(w->serial)))
+		    !cell_advice_knows(st, w))
 			return true;
 	}
 	return false;
--- a/cell/sched_yield.c
+++ b/cell/sched_yield.c
@@ -227,8 +227,7 @@
 		if ((w->reserved_rank_plus_1 == 1 && !st->def->gang) ||
 		    !cell_worker_could_run(w, st))
 			continue;
-		if (policy_needed && !g_hash_table_contains(st->asked,
-					 GUINT_TO_POINTER(w->serial)))
+		if (policy_needed && !cell_advice_knows(st, w))
 			free_slots += cell_worker_free_slots(w, st);
 		if (free_slots >= cell_stage_waiting(st))
 			return false;
