schedule: overdue stages get their turn behind many without room

Callers saw an accepted job with nothing running and room on workers that it may use (LOST). A pass skips the rest of a bucket after 40 stages in a row without a place, as later ones are unlikely to find one. With an advice service each stage has workers of its own, so 40 whose workers are full say nothing about the next. As long as they wait, it is never tried and never asked about.

A job of which nothing has run for 1.5 s is now overdue, and each pass tries the 16 overdue stages among the skipped ones whose last try is oldest.

--- a/cell/job.h
+++ b/cell/job.h
@@ -91,6 +91,10 @@
 	enum cell_wait wait_reason; /* reason last logged */
 	ogl_time wait_since;
 	ogl_time blocked_since; /* when placing it first failed; 0: placed */
+	ogl_time tried_at;      /* last attempt to place it */
+	/* Since when it waits while nothing of its job runs, 0 not; for a
+	 * lasting step, since when it waits. */
+	ogl_time idle_since;
 };
 
 struct cell_occurrence {
--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -66,6 +66,7 @@
 	/* Free capacity of schedulable workers when the pass began. */
 	uint64_t free_cpu_milli;
 	GPtrArray *schedulable; /* workers that take work, most room first */
+	GPtrArray *skipped; /* overdue stages that this pass has not tried */
 	GPtrArray *buckets[PRECEDENCES][RANKS]; /* struct cell_stage */
 	GPtrArray *candidates; /* scratch: struct cell_worker */
 	GPtrArray *expired;    /* scratch: allowed, with room, ticket expired */
@@ -93,6 +94,18 @@
 	struct cell_yield *yield;
 };
 
+/* ---- schedule.c ----------------------------------------------------- */
+
+/* Result of an attempt to place a stage. */
+enum cell_placing {
+	CELL_PLACED,  /* a task was started, or the stage must not start yet */
+	CELL_LIMITED, /* its team's limit is reached; other stages may fit */
+	CELL_UNPLACED /* no room, or no valid ticket for any worker */
+};
+
+enum cell_placing cell_sched_place_stage(struct cell_sched *s,
+    struct cell_stage *st, uint32_t rank, unsigned precedence, ogl_time now);
+
 /* ---- sched_order.c -------------------------------------------------- */
 
 const struct cell_queue *cell_sched_queue_of(
@@ -159,6 +172,16 @@
 void cell_sched_reserve_workers(struct cell_sched *s, struct cell_stage *st,
     uint32_t rank, bool policy_needed);
 
+/* ---- sched_overdue.c ------------------------------------------------ */
+
+void cell_sched_update_idle(struct cell_stage *st, ogl_time now);
+/* To be called in each pass for each waiting stage. */
+bool cell_sched_overdue(const struct cell_stage *st, ogl_time now);
+void cell_sched_note_skipped(
+    struct cell_sched *s, struct cell_stage *st, ogl_time now);
+/* The pass does not try the stage. */
+void cell_sched_try_skipped(struct cell_sched *s, ogl_time now);
+/* Tries some overdue stages that the pass has skipped. */
 /* ---- sched_ask.c ---------------------------------------------------- */
 
 void cell_sched_request_advice(struct cell_sched *s, struct cell_stage *st,
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -29,13 +29,6 @@
  * of the advice service from work that can be started. */
 #define LIMITED_STAGES_ASKING_MAX 2
 
-/* Result of an attempt to place a stage. */
-enum outcome {
-	PLACED,  /* a task was started, or the stage must not start yet */
-	LIMITED, /* its team's limit is reached; other stages may fit */
-	UNPLACED /* no room, or no valid ticket for any worker */
-};
-
 struct cell_sched *
 cell_sched_init(const struct cell_sched_parts *parts)
 {
@@ -50,6 +43,7 @@
 	s->share_items =
 	    g_array_new(FALSE, FALSE, sizeof(struct ogl_share_item));
 	s->schedulable = g_ptr_array_new();
+	s->skipped = g_ptr_array_new();
 	s->expired = g_ptr_array_new();
 	for (i = 0; i < PRECEDENCES; i++) {
 		for (k = 0; k < RANKS; k++)
@@ -93,6 +87,7 @@
 	ogl_capacity_end(s->capacity);
 	ogl_slots_end(s->slots);
 	g_ptr_array_unref(s->schedulable);
+	g_ptr_array_unref(s->skipped);
 	g_ptr_array_unref(s->expired);
 	g_ptr_array_unref(s->candidates);
 	g_ptr_array_unref(s->chosen);
@@ -266,11 +261,11 @@
 	cell_sched_request_advice(s, st, q, precedence, now);
 }
 
-static enum outcome
-place_stage(struct cell_sched *s, struct cell_stage *st,
-    const struct cell_queue *q, uint32_t rank, unsigned precedence,
-    ogl_time now)
+enum cell_placing
+cell_sched_place_stage(struct cell_sched *s, struct cell_stage *st,
+    uint32_t rank, unsigned precedence, ogl_time now)
 {
+	const struct cell_queue *q = cell_sched_queue_of(s, st->job);
 	bool policy_needed = q->policy.needed;
 	uint32_t tasks = st->def->gang ? st->ntasks : 1;
 	uint32_t active_before;
@@ -282,12 +277,13 @@
 			cell_sched_request_advice(s, st, q, precedence, now);
 		log_wait(s, st,
 		    st->job->stored ? CELL_WAIT_SETTLE : CELL_WAIT_STORE, now);
-		return PLACED;
+		return CELL_PLACED;
 	}
+	st->tried_at = now;
 	if (!cell_sched_team_limit_allows(s, st, tasks, rank, now)) {
 		log_wait(s, st, CELL_WAIT_LIMIT, now);
 		handle_limited(s, st, q, rank, precedence, now);
-		return LIMITED;
+		return CELL_LIMITED;
 	}
 	active_before = st->nactive;
 	cell_sched_list_candidates(s, st, policy_needed, rank, now);
@@ -298,13 +294,15 @@
 		placed = cell_sched_place_gang(s, st, rank, now);
 	else
 		placed = cell_sched_place_tasks(s, st, rank, now);
-	if (st->nactive > active_before)
+	if (st->nactive > active_before) {
 		cell_sched_charge_starts(s, st, now);
+		st->idle_since = 0;
+	}
 	if (placed) {
 		st->blocked_since = 0;
 		log_wait(s, st, CELL_WAIT_NONE, now);
 		cell_sched_remove(st);
-		return PLACED;
+		return CELL_PLACED;
 	}
 	if (st->blocked_since == 0)
 		st->blocked_since = now;
@@ -312,7 +310,7 @@
 	cell_sched_request_advice(s, st, q, precedence, now);
 	if (st->def->gang && precedence == 0)
 		cell_sched_reserve_workers(s, st, rank, policy_needed);
-	return st->nactive > active_before ? PLACED : UNPLACED;
+	return st->nactive > active_before ? CELL_PLACED : CELL_UNPLACED;
 }
 
 /* Placing and asking change the waiting lists, so a pass works on a copy of
@@ -333,6 +331,7 @@
 		for (at = s->waiting[rank].head; at != NULL; at = at->next) {
 			struct cell_stage *st = at->data;
 
+			cell_sched_update_idle(st, now);
 			cell_learned_update_job(s->parts.learned, st->job, now);
 			precedence = cell_sched_precedence_of(
 			    cell_sched_queue_of(s, st->job), st, now);
@@ -378,6 +377,7 @@
 		if (st->queue != NULL && st->job->stored && st->job->settled &&
 		    why <= CELL_WAIT_SETTLE)
 			log_wait(s, st, CELL_WAIT_ROOM, now);
+		cell_sched_note_skipped(s, st, now);
 	}
 }
 
@@ -395,12 +395,11 @@
 	     i++) {
 		struct cell_stage *st = stages->pdata[i];
 
-		switch (place_stage(s, st, cell_sched_queue_of(s, st->job),
-		    rank, precedence, now)) {
-		case PLACED:
+		switch (cell_sched_place_stage(s, st, rank, precedence, now)) {
+		case CELL_PLACED:
 			unplaced = 0;
 			break;
-		case UNPLACED:
+		case CELL_UNPLACED:
 			if (st->wait_reason == CELL_WAIT_ROOM) {
 				s->no_room_at = now;
 				cell_sched_count_without_room(
@@ -408,7 +407,7 @@
 			}
 			unplaced++;
 			break;
-		case LIMITED:
+		case CELL_LIMITED:
 		default:
 			break;
 		}
@@ -450,6 +449,7 @@
 		for (rank = 0; rank < RANKS; rank++)
 			place_bucket(s, rank, precedence + 2, now);
 	}
+	cell_sched_try_skipped(s, now);
 	cell_sched_ask_waiting(s, now);
 	if (full)
 		cell_sched_log_shares(s, now);
