schedule: overdue stages get a part of the advice service's time

Callers saw an accepted job with nothing running and room on workers that it may use (LOST). Questions go by precedence. While those of work that is in time take all lanes, stages that are late, or of a team beyond its rate, are never asked about, although the workers have room for them.

Overdue stages now get a quarter of the service's time while others have questions, the one that has waited longest first.

Evidence: Overdue.LateWorkGetsALane fails before and passes now.

--- a/cell/sched_ask.c
+++ b/cell/sched_ask.c
@@ -30,8 +30,9 @@
 typedef void choose_fn(const struct cell_question_scope *q,
     const struct cell_stage *st, GPtrArray *workers);
 
-/* Asks about the workers that `choose` lists; false if it lists none. */
-static bool
+/* Asks about the workers that `choose` lists; returns the time that the service
+ * takes, 0 if nothing was asked. */
+static double
 ask(struct cell_sched *s, struct cell_stage *st, const struct cell_queue *q,
     choose_fn *choose, ogl_time now)
 {
@@ -40,31 +41,35 @@
 	    s->candidates, s->expired,
 	    cell_advice_approved_share(s->parts.advice, st->job->def->queue),
 	    s->slow_link, may_use_fullest(st), now};
-	bool asked;
+	double ms = 0;
 
 	choose(&scope, st, workers);
-	asked = cell_advice_ask(s->parts.advice, st, &q->policy, workers,
-	    cell_sched_rank_of(s, st), now);
-	if (asked)
+	if (cell_advice_ask(s->parts.advice, st, &q->policy, workers,
+		cell_sched_rank_of(s, st), now)) {
+		ms = cell_advice_question_ms(&q->policy, workers->len);
 		ogl_lanes_charge(s->lanes,
-		    ogl_lanes_queue(s->lanes, st->job->def->queue),
-		    cell_advice_question_ms(&q->policy, workers->len));
+		    ogl_lanes_queue(s->lanes, st->job->def->queue), ms);
+		cell_sched_charge_lane(s, ms);
+	}
 	g_ptr_array_unref(workers);
-	return asked;
+	return ms;
 }
 
-/* Asks the question that the stage needs most. */
-static bool
-ask_for_stage(struct cell_sched *s, struct cell_stage *st,
-    const struct cell_queue *q, ogl_time now)
+double
+cell_sched_ask_for_stage(
+    struct cell_sched *s, struct cell_stage *st, ogl_time now)
 {
+	const struct cell_queue *q = cell_sched_queue_of(s, st->job);
+	double ms;
+
+	cell_sched_list_candidates(s, st, true, cell_sched_rank_of(s, st), now);
 	if (g_hash_table_size(st->asked) == 0)
 		return ask(s, st, q, cell_question_first, now);
-	if (ask(s, st, q, cell_question_renew, now))
-		return true;
-	return st->blocked_since != 0 &&
-	       now - st->blocked_since > ASK_MORE_DELAY &&
-	       ask(s, st, q, cell_question_more, now);
+	ms = ask(s, st, q, cell_question_renew, now);
+	if (ms == 0 && st->blocked_since != 0 &&
+	    now - st->blocked_since > ASK_MORE_DELAY)
+		ms = ask(s, st, q, cell_question_more, now);
+	return ms;
 }
 
 void
@@ -78,7 +83,7 @@
 	if (rank > 0)
 		g_ptr_array_add(s->asking[precedence], st);
 	else if (cell_advice_has_free_lane(s->parts.advice, rank, now))
-		ask_for_stage(s, st, q, now);
+		cell_sched_ask_for_stage(s, st, now);
 	else
 		s->no_lane_at = now;
 }
@@ -126,9 +131,7 @@
 			ogl_lanes_remove(s->lanes, lq);
 			continue;
 		}
-		cell_sched_list_candidates(
-		    s, st, true, cell_sched_rank_of(s, st), now);
-		ask_for_stage(s, st, cell_sched_queue_of(s, st->job), now);
+		cell_sched_ask_for_stage(s, st, now);
 	}
 	g_hash_table_unref(at);
 }
@@ -138,6 +141,7 @@
 {
 	unsigned precedence;
 
+	cell_sched_ask_overdue(s, now);
 	for (precedence = 0; precedence < PRECEDENCES; precedence++) {
 		ask_for_stages(s, s->asking[precedence], now);
 		g_ptr_array_set_size(s->asking[precedence], 0);
--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -67,6 +67,8 @@
 	uint64_t free_cpu_milli;
 	GPtrArray *schedulable; /* workers that take work, most room first */
 	GPtrArray *skipped; /* overdue stages that this pass has not tried */
+	/* Time of the advice service that overdue stages may use. */
+	double overdue_credit_ms;
 	GPtrArray *buckets[PRECEDENCES][RANKS]; /* struct cell_stage */
 	GPtrArray *candidates; /* scratch: struct cell_worker */
 	GPtrArray *expired;    /* scratch: allowed, with room, ticket expired */
@@ -182,8 +184,18 @@
 /* The pass does not try the stage. */
 void cell_sched_try_skipped(struct cell_sched *s, ogl_time now);
 /* Tries some overdue stages that the pass has skipped. */
+void cell_sched_charge_lane(struct cell_sched *s, double ms);
+/* A question takes the advice service that long. */
+void cell_sched_ask_overdue(struct cell_sched *s, ogl_time now);
+/* Asks for overdue stages as far as their part of the service allows. */
+
 /* ---- sched_ask.c ---------------------------------------------------- */
 
+double cell_sched_ask_for_stage(
+    struct cell_sched *s, struct cell_stage *st, ogl_time now);
+/* Asks the question that the stage needs most; returns the time in ms that it
+ * takes, 0 if none was asked. */
+
 void cell_sched_request_advice(struct cell_sched *s, struct cell_stage *st,
     const struct cell_queue *q, unsigned precedence, ogl_time now);
 /* Asks about workers for the stage: at once for rank 0, otherwise at the end of
--- a/cell/sched_overdue.c
+++ b/cell/sched_overdue.c
@@ -10,6 +10,7 @@
  * A stage is overdue when nothing of its job has run for OVERDUE_AFTER.
  *
  *	turn	it is tried even where a pass skips the rest of a bucket
+ *	lanes	it gets a fraction of the advice service's time
  *
  * Capacity, limits, tickets and leases are kept all the same.
  */
@@ -21,6 +22,11 @@
 #define OVERDUE_AFTER (1500 * OGL_MS)
 /* Overdue stages that a pass tries of those that it skipped otherwise. */
 #define SKIPPED_TRIES 16
+/* Overdue stages may use one part in so many of the advice service's time while
+ * others have questions. */
+#define LANE_PARTS 4
+#define LANE_CREDIT_MAX_MS 1000.0
+
 static bool
 job_runs(const struct cell_job *j)
 {
@@ -88,3 +94,59 @@
 	}
 	g_ptr_array_set_size(s->skipped, 0);
 }
+
+/* ---- lanes -------------------------------------------------------------- */
+
+static gint
+by_idle_time(gconstpointer a, gconstpointer b)
+{
+	const struct cell_stage *x = *(struct cell_stage *const *)a;
+	const struct cell_stage *y = *(struct cell_stage *const *)b;
+
+	return (x->idle_since > y->idle_since) -
+	       (x->idle_since < y->idle_since);
+}
+
+/* Lists the stages with questions that are overdue, the longest idle first. */
+static GPtrArray *
+list_overdue(const struct cell_sched *s, ogl_time now)
+{
+	GPtrArray *stages = g_ptr_array_new();
+	unsigned precedence;
+	guint i;
+
+	for (precedence = 0; precedence < PRECEDENCES; precedence++) {
+		const GPtrArray *a = s->asking[precedence];
+
+		for (i = 0; i < a->len; i++) {
+			if (cell_sched_overdue(a->pdata[i], now))
+				g_ptr_array_add(stages, a->pdata[i]);
+		}
+	}
+	g_ptr_array_sort(stages, by_idle_time);
+	return stages;
+}
+
+void
+cell_sched_charge_lane(struct cell_sched *s, double ms)
+{
+	s->overdue_credit_ms =
+	    MIN(s->overdue_credit_ms + ms / LANE_PARTS, LANE_CREDIT_MAX_MS);
+}
+
+void
+cell_sched_ask_overdue(struct cell_sched *s, ogl_time now)
+{
+	GPtrArray *stages;
+	guint i;
+
+	if (s->overdue_credit_ms <= 0)
+		return;
+	stages = list_overdue(s, now);
+	for (i = 0; i < stages->len && s->overdue_credit_ms > 0 &&
+		    cell_advice_has_free_lane(s->parts.advice, 1, now);
+	     i++)
+		s->overdue_credit_ms -=
+		    cell_sched_ask_for_stage(s, stages->pdata[i], now);
+	g_ptr_array_unref(stages);
+}
