schedule: overdue stages may use the whole limit of a team below half of it

Callers saw an accepted job with nothing running, room for it, and its team below half of its limit (LOST). Ranks other than 0 get 93% of a team's limit, so a gang that needs more of it than that leaves is not started, and while urgent work is refused by the limit the other ranks wait, both for as long as the load lasts.

An overdue stage of a team that uses less than half of its limit is now held to the limit alone. The wait for a gang of a higher rank stays: it was bounded before.

Evidence: Overdue.GangWithinItsTeamsWholeLimitStarts and Overdue.LowerRankStartsWhileUrgentWorkWaitsForTheLimit fail before and pass now.

--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -69,6 +69,9 @@
 	GPtrArray *skipped; /* overdue stages that this pass has not tried */
 	/* Time of the advice service that overdue stages may use. */
 	double overdue_credit_ms;
+	/* scratch: the current stage is overdue, and may use the whole limit of
+	 * its team */
+	bool whole_limit;
 	GPtrArray *buckets[PRECEDENCES][RANKS]; /* struct cell_stage */
 	GPtrArray *candidates; /* scratch: struct cell_worker */
 	GPtrArray *expired;    /* scratch: allowed, with room, ticket expired */
--- a/cell/sched_limit.c
+++ b/cell/sched_limit.c
@@ -132,22 +132,40 @@
 		   LOWER_RANKS_PAUSE;
 }
 
+static bool
+uses_half(uint32_t used, uint32_t max)
+{
+	return max > 0 && used >= max / 2;
+}
+
+static bool
+team_uses_half(const struct ogl_res *used, const struct ogl_res *max)
+{
+	return uses_half(used->cpu_milli, max->cpu_milli) ||
+	       uses_half(used->mem_mb, max->mem_mb) ||
+	       uses_half(used->accel, max->accel);
+}
+
 bool
 cell_sched_team_limit_allows(struct cell_sched *s, const struct cell_stage *st,
     uint32_t tasks, uint32_t rank, ogl_time now)
 {
-	double share =
-	    rank == 0 || !CELL_USES_LIMIT_PART ? 1.0 : LOWER_RANK_LIMIT_SHARE;
 	const struct cell_team *t =
 	    cell_config_team(s->config, st->job->def->team);
 	struct ogl_res used =
 	    cell_fleet_team_used(s->parts.fleet, st->job->def->team);
 	struct ogl_res need = cell_stage_need(st);
+	bool ranks_equal;
+	double share;
 	struct ogl_res max;
 
 	if (t == NULL)
 		return true;
-	if (waits_for_urgent(s, st, rank, now) ||
+	ranks_equal = s->whole_limit && !team_uses_half(&used, &t->max);
+	share = rank == 0 || ranks_equal || !CELL_USES_LIMIT_PART
+		    ? 1.0
+		    : LOWER_RANK_LIMIT_SHARE;
+	if ((!ranks_equal && waits_for_urgent(s, st, rank, now)) ||
 	    rank > cell_sched_team_state_of(s, st->job->def->team)
 		       ->waiting_gang_rank)
 		return false;
@@ -170,21 +188,13 @@
 	return max > 0 && need <= max && used + need > max;
 }
 
-static bool
-uses_half(uint32_t used, uint32_t max)
-{
-	return max > 0 && used >= max / 2;
-}
-
 /* A team whose gang blocks lower ranks may have less than half of its limit in
  * use only for UNDERUSE_TIME_MAX. */
 static bool
 may_underuse(struct team_state *t, const struct ogl_res *used,
     const struct ogl_res *max, ogl_time now)
 {
-	if (uses_half(used->cpu_milli, max->cpu_milli) ||
-	    uses_half(used->mem_mb, max->mem_mb) ||
-	    uses_half(used->accel, max->accel)) {
+	if (team_uses_half(used, max)) {
 		t->underused_since = 0;
 		return true;
 	}
--- a/cell/sched_overdue.c
+++ b/cell/sched_overdue.c
@@ -11,6 +11,8 @@
  *
  *	turn	it is tried even where a pass skips the rest of a bucket
  *	lanes	it gets a fraction of the advice service's time
+ *	limit	its team's ranks are equal while the team uses less than half
+ *		of its limit
  *
  * Capacity, limits, tickets and leases are kept all the same.
  */
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -280,6 +280,7 @@
 		return CELL_PLACED;
 	}
 	st->tried_at = now;
+	s->whole_limit = cell_sched_overdue(st, now);
 	if (!cell_sched_team_limit_allows(s, st, tasks, rank, now)) {
 		log_wait(s, st, CELL_WAIT_LIMIT, now);
 		handle_limited(s, st, q, rank, precedence, now);
