schedule: overdue stages are started on workers that are avoided

Callers saw an accepted job with nothing running and room for it twice over on the workers that the advice service admits (LOST). Two kinds of these workers were closed to it for as long as the reason held: those that gangs without room reserve, pass by pass until they start, and those that failed other jobs, of which suspect ones get no gang and one task at a time, and those aside nothing for 2 to 16 s. Where few workers are admitted, these may be all that have room.

An overdue stage that finds no other place is now started there if these workers have room for it twice over: one task, so that the job goes on, or the whole gang. Reserved workers go before suspect ones, and these before those aside. With less room than that, reservations and health hold as before.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -567,15 +567,20 @@
 }
 
 bool
-cell_worker_schedulable(const struct cell_worker *w, ogl_time now)
+cell_worker_usable(const struct cell_worker *w, ogl_time now)
 {
 	return w->listed && w->open_in_record && !w->draining &&
 	       !w->evacuated && w->fenced && w->failures == 0 &&
 	       w->norphans == 0 && now >= w->cooldown_until &&
-	       cell_health_may_start(w, false) &&
 	       !cell_fleet_hold_overdue(w, now);
 }
 
+bool
+cell_worker_schedulable(const struct cell_worker *w, ogl_time now)
+{
+	return cell_worker_usable(w, now) && cell_health_may_start(w, false);
+}
+
 void
 cell_worker_count_result(struct cell_fleet *f, struct cell_worker *w,
     const char *job, bool ok, ogl_time now)
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -118,7 +118,8 @@
 
 	GArray *unanswered_starts; /* struct cell_unanswered_start */
 	GHashTable *runs;          /* set of struct cell_run */
-	uint64_t schedulable_pass; /* scheduler's last pass that may use it */
+	uint64_t usable_pass;      /* scheduler's last pass that can use it */
+	uint64_t schedulable_pass; /* the same, and its health allows it */
 	/* Rank + 1 of the gang that it is kept for in that pass, 0 none. */
 	uint32_t reserved_rank_plus_1;
 	uint32_t calls_pending;  /* unanswered calls; not freed while > 0 */
@@ -280,8 +281,10 @@
 /* To be called when the process may have been suspended.  Nothing is started
  * until the ownership is confirmed as of now. */
 
+bool cell_worker_usable(const struct cell_worker *w, ogl_time now);
+/* Whether the worker can be given work, whatever its health. */
 bool cell_worker_schedulable(const struct cell_worker *w, ogl_time now);
-/* Whether the worker may be given work. */
+/* Whether the worker is to be given work. */
 
 double cell_fleet_pace(const struct cell_fleet *f, const struct cell_worker *w);
 /* The time that the worker takes, relative to healthy workers: 1 for the same
--- a/cell/question.c
+++ b/cell/question.c
@@ -52,17 +52,6 @@
 	return !cell_advice_knows(st, w) && cell_worker_could_run(w, st);
 }
 
-static double
-free_slots_of(const GPtrArray *workers, const struct cell_stage *st)
-{
-	double n = 0;
-	guint i;
-
-	for (i = 0; i < workers->len; i++)
-		n += cell_worker_free_slots(workers->pdata[i], st);
-	return n;
-}
-
 /* Adds the worker unless it is listed already.  Returns the number of tasks
  * that it is expected to take. */
 static double
@@ -156,8 +145,8 @@
     const struct cell_stage *st, GPtrArray *workers)
 {
 	uint32_t waiting = cell_stage_waiting(st);
-	double known =
-	    free_slots_of(q->valid, st) + free_slots_of(q->expired, st);
+	double known = (double)(cell_workers_free_slots(q->valid, st) +
+				cell_workers_free_slots(q->expired, st));
 	double expected = list_new(q, st, SLOTS_MARGIN * waiting - known,
 	    CELL_ADVICE_WORKERS_MAX, workers);
 
@@ -211,7 +200,8 @@
 		else
 			g_ptr_array_add(workers, w);
 	}
-	if (st->def->gang && slots + free_slots_of(workers, st) < waiting) {
+	if (st->def->gang &&
+	    slots + (double)cell_workers_free_slots(workers, st) < waiting) {
 		g_ptr_array_set_size(workers, 0);
 		return;
 	}
--- a/cell/room.c
+++ b/cell/room.c
@@ -55,6 +55,17 @@
 	return slots_in(&room, st);
 }
 
+uint64_t
+cell_workers_free_slots(const GPtrArray *workers, const struct cell_stage *st)
+{
+	uint64_t n = 0;
+	guint i;
+
+	for (i = 0; i < workers->len; i++)
+		n += cell_worker_free_slots(workers->pdata[i], st);
+	return n;
+}
+
 uint32_t
 cell_worker_slots(const struct cell_worker *w, const struct cell_stage *st)
 {
--- a/cell/room.h
+++ b/cell/room.h
@@ -22,6 +22,9 @@
     const struct cell_worker *w, const struct cell_stage *st);
 /* Number of the stage's tasks that fit into the worker's free capacity, at most
  * the number that the step allows on one worker. */
+uint64_t cell_workers_free_slots(
+    const GPtrArray *workers, const struct cell_stage *st);
+/* The same of all workers in the array. */
 uint32_t cell_worker_slots(
     const struct cell_worker *w, const struct cell_stage *st);
 /* As cell_worker_free_slots, if nothing ran on the worker. */
--- a/cell/sched_ask.c
+++ b/cell/sched_ask.c
@@ -37,8 +37,9 @@
     choose_fn *choose, ogl_time now)
 {
 	GPtrArray *workers = g_ptr_array_new();
-	struct cell_question_scope scope = {&q->policy, s->schedulable,
-	    s->candidates, s->expired,
+	struct cell_question_scope scope = {&q->policy,
+	    s->any_worker ? s->usable : s->schedulable, s->candidates,
+	    s->expired,
 	    cell_advice_approved_share(s->parts.advice, st->job->def->queue),
 	    s->slow_link, may_use_fullest(st), now};
 	double ms = 0;
@@ -62,13 +63,18 @@
 	const struct cell_queue *q = cell_sched_queue_of(s, st->job);
 	double ms;
 
+	s->any_worker = cell_sched_overdue(st, now);
 	cell_sched_list_candidates(s, st, true, cell_sched_rank_of(s, st), now);
-	if (g_hash_table_size(st->asked) == 0)
-		return ask(s, st, q, cell_question_first, now);
+	if (g_hash_table_size(st->asked) == 0) {
+		ms = ask(s, st, q, cell_question_first, now);
+		goto out;
+	}
 	ms = ask(s, st, q, cell_question_renew, now);
 	if (ms == 0 && st->blocked_since != 0 &&
 	    now - st->blocked_since > ASK_MORE_DELAY)
 		ms = ask(s, st, q, cell_question_more, now);
+out:
+	s->any_worker = false;
 	return ms;
 }
 
--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -66,12 +66,15 @@
 	/* Free capacity of schedulable workers when the pass began. */
 	uint64_t free_cpu_milli;
 	GPtrArray *schedulable; /* workers that take work, most room first */
+	/* The same and those that only their health keeps from it. */
+	GPtrArray *usable;
 	GPtrArray *skipped; /* overdue stages that this pass has not tried */
 	/* Time of the advice service that overdue stages may use. */
 	double overdue_credit_ms;
 	/* scratch: the current stage is overdue, and may use the whole limit of
-	 * its team */
+	 * its team, or any worker that it is admitted to */
 	bool whole_limit;
+	bool any_worker;
 	GPtrArray *buckets[PRECEDENCES][RANKS]; /* struct cell_stage */
 	GPtrArray *candidates; /* scratch: struct cell_worker */
 	GPtrArray *expired;    /* scratch: allowed, with room, ticket expired */
@@ -187,6 +190,10 @@
 /* The pass does not try the stage. */
 void cell_sched_try_skipped(struct cell_sched *s, ogl_time now);
 /* Tries some overdue stages that the pass has skipped. */
+bool cell_sched_place_overdue(struct cell_sched *s, struct cell_stage *st,
+    bool policy_needed, uint32_t rank, ogl_time now);
+/* Starts a task of the stage, or the gang, on any worker that it may run on.
+ * Returns whether no task is left waiting. */
 void cell_sched_charge_lane(struct cell_sched *s, double ms);
 /* A question takes the advice service that long. */
 void cell_sched_ask_overdue(struct cell_sched *s, ogl_time now);
--- a/cell/sched_overdue.c
+++ b/cell/sched_overdue.c
@@ -13,15 +13,21 @@
  *	lanes	it gets a fraction of the advice service's time
  *	limit	its team's ranks are equal while the team uses less than half
  *		of its limit
+ *	workers	it is started on whatever workers it may run on, if these have
+ *		room for it twice over; one task, of a gang all
  *
  * Capacity, limits, tickets and leases are kept all the same.
  */
 
+#include "room.h"
 #include "sched_impl.h"
 
 /* Callers may expect a job for which there is room to run within 3 s.  A
  * question to the advice service takes up to 1.1 s of that. */
 #define OVERDUE_AFTER (1500 * OGL_MS)
+/* Room for so many times the work shows that it is avoided; with less room, its
+ * turn may just not have come. */
+#define ROOM_FACTOR 2
 /* Overdue stages that a pass tries of those that it skipped otherwise. */
 #define SKIPPED_TRIES 16
 /* Overdue stages may use one part in so many of the advice service's time while
@@ -152,3 +158,33 @@
 		    cell_sched_ask_for_stage(s, stages->pdata[i], now);
 	g_ptr_array_unref(stages);
 }
+
+/* ---- workers ------------------------------------------------------------ */
+
+/* Whether the workers in scratch have room for the work twice over, by tickets
+ * that are valid or were. */
+static bool
+has_ample_room(const struct cell_sched *s, const struct cell_stage *st)
+{
+	uint32_t tasks = st->def->gang ? st->ntasks : 1;
+
+	return cell_workers_free_slots(s->candidates, st) +
+		   cell_workers_free_slots(s->expired, st) >=
+	       (uint64_t)ROOM_FACTOR * tasks;
+}
+
+bool
+cell_sched_place_overdue(struct cell_sched *s, struct cell_stage *st,
+    bool policy_needed, uint32_t rank, ogl_time now)
+{
+	bool placed = false;
+
+	s->any_worker = true;
+	cell_sched_list_candidates(s, st, policy_needed, rank, now);
+	if (has_ample_room(s, st))
+		placed = st->def->gang
+			     ? cell_sched_place_gang(s, st, rank, now)
+			     : cell_sched_place_tasks(s, st, rank, now);
+	s->any_worker = false;
+	return placed;
+}
--- a/cell/sched_place.c
+++ b/cell/sched_place.c
@@ -33,6 +33,9 @@
 #define RESTART_PACE_MAX 1.7
 /* Cost of a suspect worker for work that has failed before or is urgent. */
 #define SUSPECT_COST_MILLI 2e6
+/* Cost of a worker that only an overdue stage may use, as a unit.  It is above
+ * all that pace and room can cost. */
+#define OVERDUE_COST_MILLI 20e6
 /* How long a last attempt waits for a proven worker.  They are known one run
  * after the first start, so a longer wait would mean that all are full. */
 #define PROVEN_WAIT_MAX OGL_SEC
@@ -48,6 +51,17 @@
 	       rank + 1 >= w->reserved_rank_plus_1;
 }
 
+/* Whether the worker takes work of that rank; in place of an overdue stage,
+ * whether it can take any. */
+static bool
+takes_work(
+    const struct cell_sched *s, const struct cell_worker *w, uint32_t rank)
+{
+	if (s->any_worker)
+		return w->usable_pass == s->pass;
+	return w->schedulable_pass == s->pass && !reserved_against(w, rank);
+}
+
 /* Tasks of the stage on a worker, including those chosen in this pass. */
 static uint32_t
 tasks_on(const struct cell_sched *s, const struct cell_stage *st,
@@ -100,8 +114,8 @@
 		struct cell_worker *w =
 		    cell_fleet_by_serial(s->parts.fleet, approval->worker);
 
-		if (w == NULL || w->schedulable_pass != s->pass ||
-		    reserved_against(w, rank) || !cell_worker_fits(w, &need))
+		if (w == NULL || !takes_work(s, w, rank) ||
+		    !cell_worker_fits(w, &need))
 			continue;
 		/* Not listed, as the stage could not use a new ticket. */
 		if (at_worker_max(s, st, w)) {
@@ -120,6 +134,7 @@
 cell_sched_list_candidates(struct cell_sched *s, const struct cell_stage *st,
     bool policy_needed, uint32_t rank, ogl_time now)
 {
+	const GPtrArray *workers = s->any_worker ? s->usable : s->schedulable;
 	struct ogl_res need = cell_stage_need(st);
 	guint i;
 
@@ -131,10 +146,10 @@
 		list_allowed(s, st, rank, now);
 		return;
 	}
-	for (i = 0; i < s->schedulable->len; i++) {
-		struct cell_worker *w = s->schedulable->pdata[i];
+	for (i = 0; i < workers->len; i++) {
+		struct cell_worker *w = workers->pdata[i];
 
-		if (cell_worker_fits(w, &need) && !reserved_against(w, rank) &&
+		if (cell_worker_fits(w, &need) && takes_work(s, w, rank) &&
 		    cell_worker_could_run(w, st))
 			g_ptr_array_add(s->candidates, w);
 	}
@@ -194,8 +209,8 @@
 health_allows(const struct cell_sched *s, const struct cell_stage *st,
     const struct cell_worker *w)
 {
-	return cell_health_may_start(w, st->def->gang) &&
-	       (!s->proven_only || cell_health_proven(w));
+	return s->any_worker || (cell_health_may_start(w, st->def->gang) &&
+				    (!s->proven_only || cell_health_proven(w)));
 }
 
 static double
@@ -208,6 +223,21 @@
 		   : 0;
 }
 
+/* An overdue stage takes workers that are reserved rather than suspect ones,
+ * and these rather than those aside. */
+static double
+avoided_cost(const struct cell_sched *s, const struct cell_worker *w)
+{
+	static const double costs[] = {[OGL_HEALTH_SOUND] = 0,
+	    [OGL_HEALTH_SUSPECT] = 2 * OVERDUE_COST_MILLI,
+	    [OGL_HEALTH_ASIDE] = 4 * OVERDUE_COST_MILLI};
+
+	if (!s->any_worker)
+		return 0;
+	return costs[w->health] +
+	       (w->reserved_rank_plus_1 != 0 ? OVERDUE_COST_MILLI : 0);
+}
+
 /*
  * Stages with a tight deadline prefer fast workers.  Other stages prefer slow
  * ones, to leave the fast ones free, but avoid faulty workers and those that
@@ -237,8 +267,8 @@
     const struct cell_task *t, const struct cell_worker *w)
 {
 	struct ogl_res room = cell_worker_room(w);
-	double cost =
-	    (double)room.cpu_milli + pace_cost(s, w) + health_cost(s, t, w);
+	double cost = (double)room.cpu_milli + pace_cost(s, w) +
+		      health_cost(s, t, w) + avoided_cost(s, w);
 
 	if (*st->def->data_rack != '\0' &&
 	    strcmp(st->def->data_rack, w->rack) != 0)
@@ -295,7 +325,8 @@
 	s->parts.started(s->parts.arg, st, index, now);
 }
 
-/* Places tasks one by one; true if none is left waiting. */
+/* Places tasks one by one, of an overdue stage only one; true if none is left
+ * waiting. */
 bool
 cell_sched_place_tasks(
     struct cell_sched *s, struct cell_stage *st, uint32_t rank, ogl_time now)
@@ -327,6 +358,8 @@
 		}
 		start_task(s, st, i, w, s->parts.next_run(s->parts.arg, st),
 		    rank, now);
+		if (s->any_worker)
+			return cell_stage_waiting(st) == 0;
 	}
 	return all_placed;
 }
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -43,6 +43,7 @@
 	s->share_items =
 	    g_array_new(FALSE, FALSE, sizeof(struct ogl_share_item));
 	s->schedulable = g_ptr_array_new();
+	s->usable = g_ptr_array_new();
 	s->skipped = g_ptr_array_new();
 	s->expired = g_ptr_array_new();
 	for (i = 0; i < PRECEDENCES; i++) {
@@ -87,6 +88,7 @@
 	ogl_capacity_end(s->capacity);
 	ogl_slots_end(s->slots);
 	g_ptr_array_unref(s->schedulable);
+	g_ptr_array_unref(s->usable);
 	g_ptr_array_unref(s->skipped);
 	g_ptr_array_unref(s->expired);
 	g_ptr_array_unref(s->candidates);
@@ -295,6 +297,9 @@
 		placed = cell_sched_place_gang(s, st, rank, now);
 	else
 		placed = cell_sched_place_tasks(s, st, rank, now);
+	if (st->nactive == active_before && s->whole_limit)
+		placed =
+		    cell_sched_place_overdue(s, st, policy_needed, rank, now);
 	if (st->nactive > active_before) {
 		cell_sched_charge_starts(s, st, now);
 		st->idle_since = 0;
@@ -351,18 +356,24 @@
 	s->pass++;
 	s->free_cpu_milli = 0;
 	g_ptr_array_set_size(s->schedulable, 0);
+	g_ptr_array_set_size(s->usable, 0);
 	g_hash_table_iter_init(&it, cell_fleet_workers(s->parts.fleet));
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct cell_worker *w = p;
 
+		if (!cell_worker_usable(w, now))
+			continue;
+		w->usable_pass = s->pass;
+		w->reserved_rank_plus_1 = 0;
+		g_ptr_array_add(s->usable, w);
 		if (!cell_worker_schedulable(w, now))
 			continue;
 		w->schedulable_pass = s->pass;
-		w->reserved_rank_plus_1 = 0;
 		s->free_cpu_milli += cell_worker_room(w).cpu_milli;
 		g_ptr_array_add(s->schedulable, w);
 	}
 	g_ptr_array_sort(s->schedulable, cell_worker_compare_room);
+	g_ptr_array_sort(s->usable, cell_worker_compare_room);
 }
 
 /* Stages that were not tried wait for room, as those before them do. */
