schedule: a gang's reservation does not hide its workers from itself

Callers saw accepted gangs with nothing running for tens of seconds beside empty workers that the advice service admits to them (LOST). Gangs of ranks other than 0 ask for new tickets at the end of a pass. By then those without room have reserved workers, and a reserved worker was closed to every stage of the same rank, the gang itself included. Once its tickets had run out it never asked for them again, and as it could still be in time it kept the workers from others, too. Only when it became late, and reserved nothing more, did it go on.

A reservation now names its gang and holds against others only.

Overdue.GangRenewsTicketsOfWorkers- ThatItReserves fails before, without the bound of overdue stages, and passes now.

--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -122,6 +122,8 @@
 	uint64_t schedulable_pass; /* the same, and its health allows it */
 	/* Rank + 1 of the gang that it is kept for in that pass, 0 none. */
 	uint32_t reserved_rank_plus_1;
+	/* The gang itself, which may be gone after the pass. */
+	const struct cell_stage *reserved_for;
 	uint32_t calls_pending;  /* unanswered calls; not freed while > 0 */
 	uint32_t norphans;       /* runs that are orphans */
 	ogl_time cooldown_until; /* gets no work until then */
--- a/cell/sched_place.c
+++ b/cell/sched_place.c
@@ -42,24 +42,24 @@
 /* Free capacity counts as spare when no stage has lacked room for this long. */
 #define ROOM_SPARE_AFTER (300 * OGL_MS)
 
-/* Whether a gang of the same or a higher rank has reserved the worker, which
- * stores that gang's rank + 1. */
+/* Whether another gang of the same or a higher rank has reserved the worker. */
 static bool
-reserved_against(const struct cell_worker *w, uint32_t rank)
+reserved_against(
+    const struct cell_worker *w, const struct cell_stage *st, uint32_t rank)
 {
-	return w->reserved_rank_plus_1 != 0 &&
+	return w->reserved_rank_plus_1 != 0 && w->reserved_for != st &&
 	       rank + 1 >= w->reserved_rank_plus_1;
 }
 
-/* Whether the worker takes work of that rank; in place of an overdue stage,
- * whether it can take any. */
+/* Whether the worker takes work of the stage; if that is overdue, whether it can
+ * take any. */
 static bool
-takes_work(
-    const struct cell_sched *s, const struct cell_worker *w, uint32_t rank)
+takes_work(const struct cell_sched *s, const struct cell_worker *w,
+    const struct cell_stage *st, uint32_t rank)
 {
 	if (s->any_worker)
 		return w->usable_pass == s->pass;
-	return w->schedulable_pass == s->pass && !reserved_against(w, rank);
+	return w->schedulable_pass == s->pass && !reserved_against(w, st, rank);
 }
 
 /* Tasks of the stage on a worker, including those chosen in this pass. */
@@ -114,7 +114,7 @@
 		struct cell_worker *w =
 		    cell_fleet_by_serial(s->parts.fleet, approval->worker);
 
-		if (w == NULL || !takes_work(s, w, rank) ||
+		if (w == NULL || !takes_work(s, w, st, rank) ||
 		    !cell_worker_fits(w, &need))
 			continue;
 		/* Not listed, as the stage could not use a new ticket. */
@@ -149,7 +149,7 @@
 	for (i = 0; i < workers->len; i++) {
 		struct cell_worker *w = workers->pdata[i];
 
-		if (cell_worker_fits(w, &need) && takes_work(s, w, rank) &&
+		if (cell_worker_fits(w, &need) && takes_work(s, w, st, rank) &&
 		    cell_worker_could_run(w, st))
 			g_ptr_array_add(s->candidates, w);
 	}
@@ -422,13 +422,14 @@
 	for (i = 0; i < s->schedulable->len && n < st->ntasks; i++) {
 		struct cell_worker *w = s->schedulable->pdata[i];
 
-		if (reserved_against(w, rank) ||
+		if (reserved_against(w, st, rank) ||
 		    !cell_health_may_start(w, st->def->gang) ||
 		    !cell_worker_could_run(w, st) ||
 		    (policy_needed && cell_advice_approval(st, w) == NULL))
 			continue;
 		n += cell_res_tasks(&w->capacity, &need);
 		w->reserved_rank_plus_1 = rank + 1;
+		w->reserved_for = st;
 	}
 	s->reserving_gangs++;
 }
--- a/test/test_cell_overdue.cc
+++ b/test/test_cell_overdue.cc
@@ -209,6 +209,24 @@
 	EXPECT_TRUE(starts(add("l", 3, 1000, false, workers(4, 2))));
 }
 
+/* Guards against a gang whose own reservation hides its workers from the
+ * question that renews its tickets: it would wait for ever beside them. */
+TEST_F(Overdue, GangRenewsTicketsOfWorkersThatItReserves)
+{
+	struct cell_stage *st;
+
+	occupy_all();
+	st = add("q", 6, 8000, true, workers(0, kWorkers));
+	run(500);
+	for (guint i = 0; i < st->approvals->len; i++)
+		g_array_index(st->approvals, struct cell_approval, i).expires =
+		    0;
+	for (unsigned i = 0; i < 3; i++)
+		occupy((unsigned)std::stoul(stage_worker(i).substr(1)), 0);
+	/* Before it is overdue. */
+	EXPECT_TRUE(starts(st, 500));
+}
+
 /* Guards against a gang that waits until workers which failed other jobs have
  * proved themselves, although it may run on no others. */
 TEST_F(Overdue, GangStartsOnSuspectWorkersIfNoOthersAreAdmitted)
