soak: the cases under review/ can make a Platform again

Seen: review/1, 2 and 3 ended at once with "TypeError: Platform.__init__() missing 1 required positional argument: 'net'", with the exit status of a broken rule. Cause: the platform was given its network by the caller when cuts were added, and the cases pass none. Now the network is optional; without one there are no cuts.

Two tests make the calls that the cases make: entry, start, hold, end, and a break that is recorded under the rule's name.

--- a/soak/test_world.py
+++ b/soak/test_world.py
@@ -2,14 +2,21 @@
 
 import asyncio
 import json
+import os
 import random
 import subprocess
 import sys
+import tempfile
 import unittest
 
 import net
 import world as w
 
+REVIEW = os.path.join(os.path.dirname(os.path.abspath(__file__)), "../review")
+sys.path.append(REVIEW)
+
+import cellworld  # noqa: E402
+
 READERS, WRITERS, SEEDS = 8, 3, 6
 END_TIMEOUT_S = 8  # the cancellation takes milliseconds
 TARGET, PROXY = ("127.0.200.1", 20981), ("127.0.200.1", 20982)
@@ -141,6 +148,57 @@
         self.assertEqual(["EVAC"], self.breaches(2))
 
 
+class ReviewTest(unittest.IsolatedAsyncioTestCase):
+    STEP = {"count": 1, "cpu": 1000, "estimate_ms": 20}
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.cell = cellworld.Cell(os.path.join(folder.name, "record"), nodes=1)
+        self.addCleanup(os.rmdir, self.cell.dir)
+        self.addCleanup(self.cell.record.file.close)
+        self.worker = cellworld.Worker(
+            self.cell, "w0", "127.0.0.1", self.cell.port, ["a"]
+        )
+        self.cell.platform.workers.append(self.worker)
+        job = w.Job("1", [self.STEP])
+        job.submissions = 1
+        self.cell.platform.jobs[job.id] = job
+
+    async def call(self, path, **fields):
+        body = {"fencing_token": 1, "until_ms": 9000, "last_seen": 0} | fields
+        out = await self.worker.handle(
+            "POST", path, {"x-expected-instance": "w0"}, json.dumps(body)
+        )
+        head, _, text = out.partition(b"\r\n\r\n")
+        return int(head.split()[1]), json.loads(text)
+
+    async def test_cases_of_the_review_use_the_platform(self):
+        """A call that the platform no longer takes ends each case with a
+        traceback, whose exit status is that of a broken rule."""
+        await self.cell.configure()
+        await self.worker.publish()
+        _, entry = self.cell.workers_topic.newest()["w0"]
+        self.assertEqual(["a"], json.loads(entry)["labels"])
+        task = "1.0.0.0"
+        status, _ = await self.call("/start", task=task, run_id=1)
+        self.assertEqual(200, status)
+        _, held = await self.call("/hold")
+        self.assertEqual([task, 1], held["running"][0][:2])
+        await asyncio.sleep(0.1)
+        _, held = await self.call("/hold")
+        self.assertEqual([[1, task, 1, "done", ""]], held["ended"])
+        self.assertEqual([], self.cell.record.broken)
+
+    async def test_broken_rule_is_recorded_under_the_name_of_the_review(self):
+        """A case counts only the breaks that carry its rule's name."""
+        await self.call("/start", task="1.0.0.0", run_id=1)
+        await asyncio.sleep(0.1)
+        await self.call("/hold", last_seen=1)
+        await self.call("/start", task="1.0.0.0", run_id=2)
+        self.assertEqual(["TWICE"], self.cell.record.broken)
+
+
 async def leave_streams_open():
     """Ends with an open connection, as the soak does with many."""
     n = net.Net()
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,7 +11,7 @@
 import struct
 import time
 
-from net import ADDRESS
+from net import ADDRESS, Net
 
 CLAIMS_TOPIC = "keyed.claims"
 WORKER_CPU = 16000
@@ -457,8 +457,9 @@
 class Platform:
     attempts_max = 3
 
-    def __init__(self, rand, net):
-        self.rand, self.net = rand, net
+    def __init__(self, rand, net=None):
+        """The cases under review/ pass no network: theirs has no cuts."""
+        self.rand, self.net = rand, net or Net()
         self.store = Store(rand)
         self.jobs, self.workers, self.tickets = {}, [], {}
         self.violations, self.notes = [], []
