fleet: tell why a worker may not be given work

Which of ten conditions keeps a worker from work couldn't be told from outside of cell_worker_schedulable(), so no line or counter could name it.

cell_worker_unusable() returns the first reason that holds, with a name, and cell_worker_schedulable() is defined by it. The conditions and their results are the same.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -565,14 +565,56 @@
 	return ogl_res_fits(need, &room);
 }
 
+enum cell_unusable
+cell_worker_unusable(const struct cell_worker *w, ogl_time now)
+{
+	if (!w->listed)
+		return CELL_UNLISTED;
+	if (!w->open_in_record)
+		return CELL_UNRECORDED;
+	if (w->draining)
+		return CELL_DRAINING;
+	if (w->evacuated)
+		return CELL_EVACUATED;
+	if (!w->fenced)
+		return CELL_UNFENCED;
+	if (w->failures > 0)
+		return CELL_FAILING;
+	if (w->norphans > 0)
+		return CELL_ORPHANS;
+	if (now < w->cooldown_until)
+		return CELL_COOLDOWN;
+	if (!cell_health_may_start(w, false))
+		return w->health == OGL_HEALTH_ASIDE ? CELL_ASIDE
+						     : CELL_SUSPECT;
+	return cell_fleet_hold_overdue(w, now) ? CELL_OVERDUE : CELL_USABLE;
+}
+
+const char *
+cell_unusable_name(enum cell_unusable why)
+{
+	static const char *const names[CELL_NUNUSABLE] = {
+	    [CELL_USABLE] = "usable",
+	    [CELL_UNLISTED] = "unlisted",
+	    [CELL_UNRECORDED] = "unrecorded",
+	    [CELL_DRAINING] = "draining",
+	    [CELL_EVACUATED] = "evacuated",
+	    [CELL_UNFENCED] = "unfenced",
+	    [CELL_FAILING] = "failing",
+	    [CELL_ORPHANS] = "orphans",
+	    [CELL_COOLDOWN] = "cooldown",
+	    [CELL_ASIDE] = "aside",
+	    [CELL_SUSPECT] = "suspect",
+	    [CELL_OVERDUE] = "overdue",
+	};
+
+	return names[why];
+}
+
 bool
 cell_worker_schedulable(const struct cell_worker *w, ogl_time now)
 {
-	return w->listed && w->open_in_record && !w->draining &&
-	       !w->evacuated && w->fenced && w->failures == 0 &&
-	       w->norphans == 0 && now >= w->cooldown_until &&
-	       cell_health_may_start(w, false) &&
-	       !cell_fleet_hold_overdue(w, now);
+	return cell_worker_unusable(w, now) == CELL_USABLE;
 }
 
 void
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -278,6 +278,29 @@
 /* To be called when the process may have been suspended.  Nothing is started
  * until the ownership is confirmed as of now. */
 
+/* Why a worker may not be given work.  If several reasons hold, the first in
+ * this order counts. */
+enum cell_unusable {
+	CELL_USABLE,
+	CELL_UNLISTED,   /* not on the platform's list */
+	CELL_UNRECORDED, /* no stored record allows new runs there */
+	CELL_DRAINING,
+	CELL_EVACUATED, /* its zone is */
+	CELL_UNFENCED,  /* has not answered under this owner's epoch */
+	CELL_FAILING,   /* leaves calls unanswered */
+	CELL_ORPHANS,   /* has runs of which no resources are known */
+	CELL_COOLDOWN,  /* has refused a start */
+	CELL_ASIDE,     /* by its health */
+	CELL_SUSPECT,   /* by its health, and it has a run */
+	CELL_OVERDUE,   /* the answer to a hold is overdue */
+	CELL_NUNUSABLE
+};
+
+enum cell_unusable cell_worker_unusable(
+    const struct cell_worker *w, ogl_time now);
+/* Why the worker may not be given work now; CELL_USABLE if it may. */
+const char *cell_unusable_name(enum cell_unusable why);
+
 bool cell_worker_schedulable(const struct cell_worker *w, ogl_time now);
 /* Whether the worker may be given work. */
 
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -423,6 +423,41 @@
 	EXPECT_TRUE(cell_worker_schedulable(worker(), now_));
 }
 
+/* Guards against a worker without work whose reason can't be told. */
+TEST_F(Fleet, EachReasonThatAWorkerIsUnusableIsTold)
+{
+	struct cell_worker *w = worker();
+
+	step(10);
+	answer(OGL_IO_OK, 0);
+	EXPECT_EQ(CELL_UNRECORDED, cell_worker_unusable(w, now_));
+	cell_fleet_record_stored(fleet_, "w", 1);
+	EXPECT_EQ(CELL_USABLE, cell_worker_unusable(w, now_));
+	w->hold_pending = true;
+	w->hold_sent_at = now_ - 100 * OGL_SEC;
+	EXPECT_EQ(CELL_OVERDUE, cell_worker_unusable(w, now_));
+	w->health = OGL_HEALTH_SUSPECT;
+	EXPECT_EQ(CELL_OVERDUE, cell_worker_unusable(w, now_));
+	w->health = OGL_HEALTH_ASIDE;
+	EXPECT_EQ(CELL_ASIDE, cell_worker_unusable(w, now_));
+	w->cooldown_until = now_ + 1;
+	EXPECT_EQ(CELL_COOLDOWN, cell_worker_unusable(w, now_));
+	w->norphans = 1;
+	EXPECT_EQ(CELL_ORPHANS, cell_worker_unusable(w, now_));
+	w->failures = 1;
+	EXPECT_EQ(CELL_FAILING, cell_worker_unusable(w, now_));
+	w->fenced = false;
+	EXPECT_EQ(CELL_UNFENCED, cell_worker_unusable(w, now_));
+	w->evacuated = true;
+	EXPECT_EQ(CELL_EVACUATED, cell_worker_unusable(w, now_));
+	w->draining = true;
+	EXPECT_EQ(CELL_DRAINING, cell_worker_unusable(w, now_));
+	w->listed = false;
+	EXPECT_EQ(CELL_UNLISTED, cell_worker_unusable(w, now_));
+	EXPECT_STREQ("unlisted", cell_unusable_name(CELL_UNLISTED));
+	w->norphans = 0;
+}
+
 /* Guards against repeating a lost start in an evacuated zone. */
 TEST_F(Fleet, LostStartIsNotRepeatedInEvacuatedZone)
 {
