logline: lines that name a job but are not sampled by it

A line with job=ID is left out if the job is outside the log sample, also when it is written by cell_ops.log. A rare line that is to explain any job had no way out.

cell_ops.log_unsampled writes such a line. Hosts that don't set it get the line by log.

--- a/cell/ops.h
+++ b/cell/ops.h
@@ -377,6 +377,11 @@
 	 * jobs are left out: those that began at the same time are treated
 	 * alike.  began: OGL_NEVER if it is not known.  May be NULL; log then
 	 * gets the line.  To be called by cell_log_job. */
+	void (*log_unsampled)(
+	    void *ctx, const char *part, const char *event, const char *text);
+	/* As log, but the line is written even if it names a job whose lines
+	 * are left out.  The caller limits the number of lines.  May be NULL;
+	 * log then gets the line. */
 	void (*count)(void *ctx, const char *name, uint64_t by);
 	void (*observe)(void *ctx, const char *name, uint64_t ms);
 	/* Add to a counter, and a time to a latency histogram. */
--- a/daemon/cell_host.c
+++ b/daemon/cell_host.c
@@ -147,6 +147,16 @@
 	    boot_time(NULL), read_clock(CLOCK_REALTIME));
 }
 
+static void
+on_log_unsampled(
+    void *ctx, const char *part, const char *event, const char *text)
+{
+	struct ogl_cell_host *h = ctx;
+
+	ogl_logline_put_unsampled(h->log_lines, part, event, text,
+	    boot_time(NULL), read_clock(CLOCK_REALTIME));
+}
+
 static void
 on_count(void *ctx, const char *name, uint64_t by)
 {
@@ -489,6 +499,7 @@
 	h->ops.peer_refused = on_peer_refused;
 	h->ops.log = on_log;
 	h->ops.log_job = on_log_job;
+	h->ops.log_unsampled = on_log_unsampled;
 	h->ops.count = on_count;
 	h->ops.count_labels = on_count_labels;
 	h->ops.observe = on_observe;
--- a/daemon/logline.c
+++ b/daemon/logline.c
@@ -244,6 +244,16 @@
 	    part, event, text);
 }
 
+void
+ogl_logline_put_unsampled(struct ogl_logline *l, const char *part,
+    const char *event, const char *text, ogl_time now, ogl_time wall)
+{
+	struct event_budget *b = budget_of(l, part, event);
+
+	begin_line(l, now, wall);
+	put_or_leave_out(l, b, take_line(b, now), part, event, text);
+}
+
 static bool
 writable(int fd)
 {
--- a/daemon/logline.h
+++ b/daemon/logline.h
@@ -28,6 +28,11 @@
  * job that have the same time `began` (the node's clock) are kept or left out
  * together. */
 
+void ogl_logline_put_unsampled(struct ogl_logline *l, const char *part,
+    const char *event, const char *text, ogl_time now, ogl_time wall);
+/* As ogl_logline_put, but the line is also written if it names a job that is
+ * not in the sample. */
+
 void ogl_logline_flush(struct ogl_logline *l);
 /* Writes what fd takes without blocking. */
 
--- a/test/test_daemon_lines.cc
+++ b/test/test_daemon_lines.cc
@@ -123,6 +123,37 @@
 	EXPECT_NE(std::string::npos, s.find(" jobs_share_permille=250\n"));
 }
 
+/* Guards against a line that is to explain any job, but is left out with the
+ * other lines of its job. */
+TEST(LogLine, WritesUnsampledLinesOfJobsOutsideTheSample)
+{
+	Pipe p;
+	struct ogl_logline *l = ogl_logline_init(p.write_end(), "n1");
+	std::string s;
+	unsigned sampled = 0, unsampled = 0;
+
+	for (int i = 0; i < 2000; i++) {
+		std::string text = "job=" + std::to_string(i);
+
+		ogl_logline_put(l, "a", "b", text.c_str(), OGL_SEC, 0);
+		if (i % 20 == 0)
+			ogl_logline_put_unsampled(
+			    l, "a", "c", text.c_str(), OGL_SEC, 0);
+		ogl_logline_flush(l);
+		s += p.read_all();
+	}
+	ogl_logline_end(l);
+	s += p.read_all();
+	for (int i = 0; i < 2000; i += 20) {
+		std::string job = " job=" + std::to_string(i) + "\n";
+
+		sampled += s.find("event=b" + job) != std::string::npos;
+		unsampled += s.find("event=c" + job) != std::string::npos;
+	}
+	EXPECT_LT(sampled, 100U);
+	EXPECT_EQ(100U, unsampled);
+}
+
 /* The reader of the lines has stopped.  The process must not block but leave
  * out the lines that no longer fit. */
 TEST(LogLine, DoesNotBlockOnStoppedReader)
