stall: lines and counters that tell why a job is not started

Accepted jobs stood with room on the workers that the policy allows, and no line told why: lines of jobs are sampled, and stage_waits gives one reason for a whole stage when it changes. The hypotheses of the incident need different facts: which workers are avoided and why, what the service has answered, whether the pass tried the stage, and what is held back.

cell/stall.c looks at all open jobs once a second, in the scheduler's lists or not, and whether the scheduler runs or not. A job of which nothing has run for 2 s, by what workers have reported, has its stages told by owner.stage_stalled: at most 20 lines a second, those without a line first, then the oldest; owner.stages_stalled counts the rest. Counters stages_stalled_WHY count all. Orders that have not begun don't hide a stall, as a start that is refused again and again leaves nothing running either.

What the workers are refused for is computed for the lines only. The scheduler's order and choice are unchanged: it notes when a pass ran and when a stage was tried.

Tested: test_cell_stall, one test for each family of reasons; the other test_cell_* named here with it: fleet, schedule, scale, account, answers, scripts, forecast, learned, large, relay, front, lead, watch, admission, seeds.

--- a/cell/advice.c
+++ b/cell/advice.c
@@ -509,3 +509,43 @@
 		return NULL;
 	return approval;
 }
+
+struct cell_advice_lanes
+cell_advice_count_lanes(const struct cell_advice *a, ogl_time now)
+{
+	struct cell_advice_lanes n = {0};
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, a->lanes);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct lane *l = p;
+
+		if (now - l->heard_at > NODE_HEARD_MAX_AGE)
+			continue;
+		n.known++;
+		if (now < l->paused_until)
+			n.paused++;
+		else if (l->busy_until <= now + LANE_SEND_AHEAD)
+			n.idle++;
+	}
+	n.rank0 = rank0_lanes(a, n.known - n.paused, now);
+	return n;
+}
+
+ogl_time
+cell_advice_asked_at(const struct cell_advice *a, const struct cell_stage *s)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, a->questions);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct question *q = p;
+
+		if (q->step == s->step && q->occurrence == s->occurrence &&
+		    strcmp(q->id, s->job->id) == 0)
+			return q->sent_at;
+	}
+	return 0;
+}
--- a/cell/advice.h
+++ b/cell/advice.h
@@ -83,4 +83,20 @@
  * service did not approve the worker or was not asked.  The ticket may have
  * expired. */
 
+/* Lanes of the nodes that are alive. */
+struct cell_advice_lanes {
+	unsigned known;
+	unsigned paused; /* after a question that failed */
+	unsigned idle;   /* of those not paused */
+	double rank0;    /* idle ones that are kept free for rank 0 */
+};
+
+struct cell_advice_lanes cell_advice_count_lanes(
+    const struct cell_advice *a, ogl_time now);
+
+ogl_time cell_advice_asked_at(
+    const struct cell_advice *a, const struct cell_stage *s);
+/* When the question for the stage that awaits its answer was sent; 0 if there
+ * is none. */
+
 #endif
--- a/cell/job.h
+++ b/cell/job.h
@@ -88,7 +88,9 @@
 	bool asking;       /* a question for the stage is pending */
 	enum cell_wait wait_reason; /* reason last logged */
 	ogl_time wait_since;
-	ogl_time blocked_since; /* when placing it first failed; 0: placed */
+	ogl_time blocked_since;   /* when placing it first failed; 0: placed */
+	ogl_time tried_at;        /* last pass that tried to place it; 0 none */
+	ogl_time stall_logged_at; /* last line that it is stalled; 0 none */
 };
 
 struct cell_occurrence {
@@ -129,6 +131,8 @@
 	GArray *finished;  /* uint32_t, numbers of finished occurrences */
 	ogl_time accepted; /* node clock */
 	struct cell_job_clock clock;
+	/* Since when nothing of it runs that could; 0: not so, see stall.c. */
+	ogl_time idle_since;
 	/* Its place among jobs of its rank: when it was accepted, or first
 	 * refused if its caller came back in its return slot. */
 	ogl_time waits_since;
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -261,6 +261,7 @@
 	sched_parts.fleet = o->fleet;
 	sched_parts.advice = o->advice;
 	o->sched = cell_sched_init(&sched_parts);
+	o->stall = cell_stall_init(ops, o->sched);
 	return o;
 }
 
@@ -268,6 +269,7 @@
 cell_owner_end(struct cell_owner *o)
 {
 	cell_owner_close(o, 0);
+	cell_stall_end(o->stall);
 	cell_sched_end(o->sched);
 	cell_escrow_end(o->escrow);
 	cell_advice_end(o->advice);
@@ -612,8 +614,10 @@
 	cell_relay_step(o->relay, workers, now);
 	cell_journal_set_slow_link(o->journal, cell_relay_active(o->relay));
 	cell_sched_set_slow_link(o->sched, cell_relay_active(o->relay));
-	if (o->phase == PHASE_SERVING)
+	if (o->phase == PHASE_SERVING) {
 		serve(o, confirmed, may_act, now);
+		cell_stall_step(o->stall, o->jobs, now);
+	}
 	cell_relay_flush(o->relay, now);
 }
 
--- a/cell/owner_impl.h
+++ b/cell/owner_impl.h
@@ -18,6 +18,7 @@
 #include "relay.h"
 #include "roster.h"
 #include "schedule.h"
+#include "stall.h"
 #include "watch.h"
 
 enum phase {
@@ -58,6 +59,7 @@
 	struct cell_held *held;
 	struct cell_learned *learned;
 	struct cell_sched *sched;
+	struct cell_stall *stall;
 	struct cell_advice *advice;
 	struct cell_escrow *escrow;
 	uint64_t worker_records; /* records of the workers written so far */
--- a/cell/owner_jobs.c
+++ b/cell/owner_jobs.c
@@ -555,6 +555,7 @@
 	if (r->stage == NULL)
 		return;
 	j = r->stage->job;
+	j->idle_since = 0;
 	if (!j->begun) {
 		j->begun = true;
 		j->state = OGL__CELL_JOB_STATE__cell_running;
--- a/cell/room.c
+++ b/cell/room.c
@@ -2,6 +2,8 @@
  * Compares what the tasks of a stage need with what a worker has.
  */
 
+#include <string.h>
+
 #include "room.h"
 
 struct ogl_res
@@ -61,6 +63,25 @@
 	return slots_in(&w->capacity, st);
 }
 
+uint32_t
+cell_worker_runs_of(const struct cell_worker *w, const struct cell_stage *st)
+{
+	GHashTableIter it;
+	gpointer p;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&it, w->runs);
+	while (g_hash_table_iter_next(&it, &p, NULL)) {
+		const struct cell_run *r = p;
+
+		if (r->name.step == st->step &&
+		    r->name.occurrence == st->occurrence &&
+		    strcmp(r->name.id, st->job->id) == 0)
+			n++;
+	}
+	return n;
+}
+
 static bool
 has_label(const struct cell_worker *w, const char *label)
 {
--- a/cell/room.h
+++ b/cell/room.h
@@ -26,6 +26,10 @@
     const struct cell_worker *w, const struct cell_stage *st);
 /* As cell_worker_free_slots, if nothing ran on the worker. */
 
+uint32_t cell_worker_runs_of(
+    const struct cell_worker *w, const struct cell_stage *st);
+/* Number of runs of the stage on the worker. */
+
 bool cell_worker_could_run(
     const struct cell_worker *w, const struct cell_stage *st);
 /* Whether the worker's service, labels and total capacity suit the stage. */
--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -62,6 +62,7 @@
 	ogl_time closed_since; /* no worker takes work since then; 0 some do */
 	ogl_time last_closure; /* how long that lasted the last time */
 	uint64_t pass;         /* number of the current pass */
+	ogl_time passed_at;    /* time of the last pass; 0 none */
 	ogl_time no_room_at;   /* last time that a stage found no room */
 	/* Free capacity of schedulable workers when the pass began. */
 	uint64_t free_cpu_milli;
@@ -149,6 +150,8 @@
 
 /* ---- sched_place.c -------------------------------------------------- */
 
+bool cell_sched_reserved_against(const struct cell_worker *w, uint32_t rank);
+/* Whether a gang of the same or a higher rank has reserved the worker. */
 void cell_sched_list_candidates(struct cell_sched *s,
     const struct cell_stage *st, bool policy_needed, uint32_t rank,
     ogl_time now);
--- a/cell/sched_place.c
+++ b/cell/sched_place.c
@@ -39,10 +39,9 @@
 /* Free capacity counts as spare when no stage has lacked room for this long. */
 #define ROOM_SPARE_AFTER (300 * OGL_MS)
 
-/* Whether a gang of the same or a higher rank has reserved the worker, which
- * stores that gang's rank + 1. */
-static bool
-reserved_against(const struct cell_worker *w, uint32_t rank)
+/* A worker stores the rank + 1 of the gang that has reserved it. */
+bool
+cell_sched_reserved_against(const struct cell_worker *w, uint32_t rank)
 {
 	return w->reserved_rank_plus_1 != 0 &&
 	       rank + 1 >= w->reserved_rank_plus_1;
@@ -53,20 +52,9 @@
 tasks_on(const struct cell_sched *s, const struct cell_stage *st,
     const struct cell_worker *w)
 {
-	GHashTableIter it;
-	gpointer p;
-	uint32_t n = 0;
+	uint32_t n = cell_worker_runs_of(w, st);
 	guint i;
 
-	g_hash_table_iter_init(&it, w->runs);
-	while (g_hash_table_iter_next(&it, &p, NULL)) {
-		const struct cell_run *r = p;
-
-		if (r->name.step == st->step &&
-		    r->name.occurrence == st->occurrence &&
-		    strcmp(r->name.id, st->job->id) == 0)
-			n++;
-	}
 	for (i = 0; i < s->chosen->len; i++) {
 		if (s->chosen->pdata[i] == w)
 			n++;
@@ -101,7 +89,8 @@
 		    cell_fleet_by_serial(s->parts.fleet, approval->worker);
 
 		if (w == NULL || w->schedulable_pass != s->pass ||
-		    reserved_against(w, rank) || !cell_worker_fits(w, &need))
+		    cell_sched_reserved_against(w, rank) ||
+		    !cell_worker_fits(w, &need))
 			continue;
 		/* Not listed, as the stage could not use a new ticket. */
 		if (at_worker_max(s, st, w)) {
@@ -134,7 +123,8 @@
 	for (i = 0; i < s->schedulable->len; i++) {
 		struct cell_worker *w = s->schedulable->pdata[i];
 
-		if (cell_worker_fits(w, &need) && !reserved_against(w, rank) &&
+		if (cell_worker_fits(w, &need) &&
+		    !cell_sched_reserved_against(w, rank) &&
 		    cell_worker_could_run(w, st))
 			g_ptr_array_add(s->candidates, w);
 	}
@@ -390,7 +380,7 @@
 	for (i = 0; i < s->schedulable->len && n < st->ntasks; i++) {
 		struct cell_worker *w = s->schedulable->pdata[i];
 
-		if (reserved_against(w, rank) ||
+		if (cell_sched_reserved_against(w, rank) ||
 		    !cell_health_may_start(w, st->def->gang) ||
 		    !cell_worker_could_run(w, st) ||
 		    (policy_needed && cell_advice_approval(st, w) == NULL))
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -119,6 +119,7 @@
 	ogl_share_clear(s->share);
 	s->no_room_at = CELL_LONG_AGO;
 	s->no_lane_at = CELL_LONG_AGO;
+	s->passed_at = 0;
 	for (i = 0; i < RANKS; i++) {
 		while ((l = g_queue_pop_head_link(&s->waiting[i])) != NULL)
 			((struct cell_stage *)l->data)->queue = NULL;
@@ -276,6 +277,7 @@
 	uint32_t active_before;
 	bool placed;
 
+	st->tried_at = now;
 	if (!st->job->settled || !st->job->stored) {
 		/* The answer should have arrived when the stage may start. */
 		if (g_hash_table_size(st->asked) == 0)
@@ -434,6 +436,7 @@
 		return;
 	s->next_pass_at = now + PASS_INTERVAL +
 			  (ogl_time)waiting * PASS_INTERVAL_PER_STAGE_US;
+	s->passed_at = now;
 	s->reserving_gangs = 0;
 	list_schedulable_workers(s, now);
 	fill_buckets(s, now);
