explain: why a job is not started, from the lines of its stalled steps

A job outside the log sample has only the lines owner.stage_stalled. explain showed them among the others, but drew nothing from them. It now tells the last one's reason and what the allowed workers with room can't be used for, and shows how many stalled steps got no line meanwhile.

--- a/ctl/cmd_explain.c
+++ b/ctl/cmd_explain.c
@@ -122,10 +122,10 @@
 {
 	static const char *const cell_events[] = {"lead.ownership_won",
 	    "lead.ownership_lost", "lead.owner_unable", "owner.cell_taken_over",
-	    "owner.settled", "front.store_lost", "front.store_regained",
-	    "front.zone_evacuated", "front.zone_taken_back",
-	    "fleet.workers_evacuated", "host.started", "host.stopping",
-	    "log.lines_left_out"};
+	    "owner.settled", "owner.stages_stalled", "front.store_lost",
+	    "front.store_regained", "front.zone_evacuated",
+	    "front.zone_taken_back", "fleet.workers_evacuated", "host.started",
+	    "host.stopping", "log.lines_left_out"};
 	size_t i;
 
 	if (e->of_job)
@@ -151,6 +151,7 @@
 	const struct entry *ended;
 	const struct entry *refused;
 	const struct entry *given_up; /* the entry gave up the call */
+	const struct entry *stalled;  /* last line that it is not started */
 	unsigned takeovers; /* changes of the cell's owner since first_ts */
 	unsigned failed_runs;
 	unsigned lost_runs; /* the lease or the worker was lost */
@@ -229,6 +230,26 @@
 		c->refused = e;
 	else if (strcmp(e->event, "front.call_given_up") == 0)
 		c->given_up = e;
+	else if (strcmp(e->event, "owner.stage_stalled") == 0)
+		c->stalled = e;
+}
+
+static void
+print_stall(const struct entry *e)
+{
+	char *why = ctl_field(e->text, "why");
+	char *unusable = ctl_field(e->text, "unusable");
+
+	printf("  nothing of it ran for %.0f ms (%s); of %.0f "
+	       "allowed workers with room %.0f could be used%s%s\n",
+	    ctl_field_number(e->text, "for_ms"),
+	    why != NULL ? why : "no reason given",
+	    ctl_field_number(e->text, "allowed_room"),
+	    ctl_field_number(e->text, "usable"),
+	    unusable != NULL && *unusable != '\0' ? ", not " : "",
+	    unusable != NULL ? unusable : "");
+	g_free(why);
+	g_free(unusable);
 }
 
 static void
@@ -237,6 +258,8 @@
 	if (c->started != NULL && c->accepted != NULL)
 		printf("  first start %.0f ms after it was accepted\n",
 		    (c->started->ts - c->accepted->ts) * 1e3);
+	if (c->stalled != NULL)
+		print_stall(c->stalled);
 	if (c->takeovers > 0)
 		printf("  the cell was taken over %u times meanwhile\n",
 		    c->takeovers);
--- a/test/test_ctl_explain.cc
+++ b/test/test_ctl_explain.cc
@@ -68,6 +68,26 @@
 	    out);
 }
 
+/* Guards against a job that waits and of which all other lines are left out. */
+TEST(Explain, TellsWhyAJobOutsideTheSampleIsNotStarted)
+{
+	int status;
+	std::string out = explain(
+	    "ts=1.000 node=a part=owner event=stage_stalled job=7 task=0.0 "
+	    "why=room for_ms=3000 allowed_room=3 usable=0 "
+	    "unusable=aside:2,suspect:1 refused_room=4\n"
+	    "ts=1.001 node=a part=owner event=stages_stalled stages=30 "
+	    "left_out=10\n",
+	    "7", &status);
+
+	EXPECT_EQ(0, status);
+	EXPECT_NE(std::string::npos, out.find("event=stages_stalled"));
+	EXPECT_NE(std::string::npos,
+	    out.find("  nothing of it ran for 3000 ms (room); of 3 allowed "
+		     "workers with room 0 could be used, not "
+		     "aside:2,suspect:1\n"));
+}
+
 TEST(Explain, ReportsRefusalAndLinesLeftOut)
 {
 	int status;
