--- a/cell/sched_place.c
+++ b/cell/sched_place.c
@@ -42,9 +42,8 @@
 /* Free capacity counts as spare when no stage has lacked room for this long. */
 #define ROOM_SPARE_AFTER (300 * OGL_MS)
 
-/* Whether another gang of the same or a higher rank has reserved the worker. */
-static bool
-reserved_against(
+bool
+cell_sched_reserved_against(
     const struct cell_worker *w, const struct cell_stage *st, uint32_t rank)
 {
 	return w->reserved_rank_plus_1 != 0 && w->reserved_for != st &&
@@ -59,7 +58,8 @@
 {
 	if (s->any_worker)
 		return w->usable_pass == s->pass;
-	return w->schedulable_pass == s->pass && !reserved_against(w, st, rank);
+	return w->schedulable_pass == s->pass &&
+	       !cell_sched_reserved_against(w, st, rank);
 }
 
 /* Tasks of the stage on a worker, including those chosen in this pass. */
@@ -67,20 +67,9 @@
 tasks_on(const struct cell_sched *s, const struct cell_stage *st,
     const struct cell_worker *w)
 {
-	GHashTableIter it;
-	gpointer p;
-	uint32_t n = 0;
+	uint32_t n = cell_worker_runs_of(w, st);
 	guint i;
 
-	g_hash_table_iter_init(&it, w->runs);
-	while (g_hash_table_iter_next(&it, &p, NULL)) {
-		const struct cell_run *r = p;
-
-		if (r->name.step == st->step &&
-		    r->name.occurrence == st->occurrence &&
-		    strcmp(r->name.id, st->job->id) == 0)
-			n++;
-	}
 	for (i = 0; i < s->chosen->len; i++) {
 		if (s->chosen->pdata[i] == w)
 			n++;
@@ -422,7 +411,7 @@
 	for (i = 0; i < s->schedulable->len && n < st->ntasks; i++) {
 		struct cell_worker *w = s->schedulable->pdata[i];
 
-		if (reserved_against(w, st, rank) ||
+		if (cell_sched_reserved_against(w, st, rank) ||
 		    !cell_health_may_start(w, st->def->gang) ||
 		    !cell_worker_could_run(w, st) ||
 		    (policy_needed && cell_advice_approval(st, w) == NULL))
