soak: a check for accepted jobs that nothing runs for, and the world it needs

Callers saw accepted jobs with nothing running although a task could start and admitted workers had room for it twice over. No check of the soak knew of that promise: a job only had to end within 60 s after all faults.

starve.py judges each job during the run, from what callers, workers and the advice service see. It counts room and use at their worst since the last look, so that room that is taken between two looks excuses.

Platform takes its network as an optional argument, as review/ calls it. A hold whose caller has gone no longer leaves a task behind.

--- a/soak/test_world.py
+++ b/soak/test_world.py
@@ -7,7 +7,11 @@
 import sys
 import unittest
 
+import advice
+import gangs
 import net
+import shapes
+import starve
 import world as w
 
 READERS, WRITERS, SEEDS = 8, 3, 6
@@ -141,6 +145,162 @@
         self.assertEqual(["EVAC"], self.breaches(2))
 
 
+QUEUE = shapes.HIMA.queues[0]
+
+
+def make_world(count, workers=4, team_cpu=0):
+    """A platform with a queue's step of so many tasks, and workers."""
+    p = w.Platform(random.Random(1))
+    p.gangs, p.gang_timeout_s = {}, 0.1
+    p.teams = [starve.Team("t", "k", 1, team_cpu)]
+    for i in range(workers):
+        p.workers.append(
+            gangs.Worker(p, f"w{i}", "127.0.0.1", 1, "z", "r1-1", 1)
+        )
+    p.workers_by_id = {x.id: x for x in p.workers}
+    step = {"count": count, "cpu": 4000, "mem_mb": 1, "estimate_ms": 50}
+    step |= {"run_ms": 50, "gang": count > 1}
+    job = starve.Job("1", [step], QUEUE, p.teams[0])
+    job.accepted, job.accepted_at, job.submissions = True, w.now(), 1
+    p.jobs["1"] = job
+    return p, job
+
+
+def start(worker, index, run=1):
+    worker.start_run(
+        {"task": f"1.0.0.{index}", "run_id": run, "fencing_token": 1}
+    )
+
+
+class GangTest(unittest.IsolatedAsyncioTestCase):
+    async def ends(self, started, count=2):
+        p, _ = make_world(count)
+        for i in range(started):
+            start(p.workers[i], i)
+        await asyncio.sleep(0.3)
+        return [x.ended[0][3] if x.ended else "" for x in p.workers]
+
+    async def test_members_that_are_all_present_end_done(self):
+        self.assertEqual(["done", "done", "", ""], await self.ends(2))
+
+    async def test_member_without_the_others_ends_alone(self):
+        self.assertEqual(["alone", "", "", ""], await self.ends(1))
+
+    async def test_end_of_a_member_breaks_the_others(self):
+        p, job = make_world(2)
+        start(p.workers[0], 0)
+        start(p.workers[1], 1)
+        p.workers[0].crash()
+        self.assertEqual("broken", p.workers[1].ended[0][3])
+        self.assertEqual((0, 0), (job.active, job.team.used_cpu))
+
+
+class AdviceTest(unittest.IsolatedAsyncioTestCase):
+    async def test_worker_that_is_down_is_not_admitted(self):
+        p, job = make_world(1)
+        a = advice.Advice(p, 1)
+        admitted = a.admission(job, 0).workers
+        admitted[0].mode = "crashed"
+        good, _ = a.answer_for("n", {"step": "1.0.0"}, p.workers)
+        self.assertEqual(
+            {x.id for x in admitted[1:]}, {worker for worker, _ in good}
+        )
+
+    async def test_node_with_too_many_calls_is_refused(self):
+        p, _ = make_world(1)
+        a = advice.Advice(p, 1)
+        a.waiting["n"] = advice.WAITING_MAX
+        out = await a.answer("n", b'{"step": "1.0.0", "workers": []}')
+        self.assertIn(b" 429 ", out)
+
+
+class StarveTest(unittest.IsolatedAsyncioTestCase):
+    """The check finds jobs that nothing runs for, and only those."""
+
+    def polls(self, p, job, seconds=4, during=lambda: None):
+        """Breaches of a world that stands still but for `during`."""
+        check = starve.Check(p, advice.Advice(p, 1))
+        check.jobs.append(job)
+        before = len(p.violations)
+        real, began = w.now, w.now()
+        try:
+            for i in range(round((seconds + starve.CALM_S) / starve.POLL_S)):
+                w.now = lambda at=began + i * starve.POLL_S: at
+                during()
+                check.poll()
+        finally:
+            w.now = real
+        return len(p.violations) - before
+
+    async def test_job_with_room_starves(self):
+        self.assertEqual(1, self.polls(*make_world(1)))
+
+    async def test_time_is_counted_from_the_start_of_calm(self):
+        self.assertEqual(0, self.polls(*make_world(1), seconds=2))
+
+    async def test_full_workers_excuse(self):
+        p, job = make_world(1)
+        for x in p.workers:
+            x.used_cpu = w.WORKER_CPU - 5000
+            x.reset_peak()
+        self.assertEqual(1, self.polls(p, job))
+        for x in p.workers:
+            x.used_cpu = w.WORKER_CPU
+            x.reset_peak()
+        self.assertEqual(0, self.polls(p, job))
+
+    async def test_room_that_was_taken_between_polls_excuses(self):
+        p, job = make_world(1)
+
+        def fill():
+            for x in p.workers:
+                x.peak_cpu = w.WORKER_CPU
+
+        self.assertEqual(0, self.polls(p, job, during=fill))
+
+    async def test_gang_needs_room_for_all_its_tasks(self):
+        p, job = make_world(6, workers=12)
+        admitted = advice.Advice(p, 1).admission(job, 0).workers
+        self.assertEqual(4, len(admitted))
+        self.assertEqual(1, self.polls(p, job))
+        admitted[0].used_cpu = w.WORKER_CPU
+        admitted[1].used_cpu = 1
+        for x in admitted:
+            x.reset_peak()
+        self.assertEqual(0, self.polls(p, job))
+
+    async def test_team_that_uses_half_of_its_limit_excuses(self):
+        p, job = make_world(1, team_cpu=10000)
+        job.team.used_cpu = job.team.peak_cpu = 5000
+        self.assertEqual(0, self.polls(p, job))
+
+    async def test_running_task_excuses(self):
+        p, job = make_world(1)
+        job.active = 1
+        self.assertEqual(0, self.polls(p, job))
+
+    async def test_cancelled_job_is_owed_nothing(self):
+        p, job = make_world(1)
+        job.cancel_sent_at = w.now()
+        self.assertEqual(0, self.polls(p, job))
+
+    async def test_step_waits_for_those_before_it(self):
+        p, job = make_world(1)
+        job.steps.append(dict(job.steps[0], after=[0]))
+        self.assertEqual([0], job.ready_steps())
+        job.task(0, 0).done_recorded = True
+        self.assertEqual([1], job.ready_steps())
+
+    async def test_lasting_task_is_judged_by_itself(self):
+        p, job = make_world(1)
+        job.steps[0] |= {"count": 2, "long_running": True}
+        job.task(0, 0).running.append(None)
+        job.active = 1
+        job.task(0, 1).idle_since = w.now()
+        self.assertEqual(0, self.polls(p, job, seconds=4.5))
+        self.assertEqual(1, self.polls(p, job, seconds=6))
+
+
 async def leave_streams_open():
     """Ends with an open connection, as the soak does with many."""
     n = net.Net()
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,12 +11,15 @@
 import struct
 import time
 
+import net
 from net import ADDRESS
 
 CLAIMS_TOPIC = "keyed.claims"
 WORKER_CPU = 16000
+WORKER_MEM_MB = 65536
 LEASE_MAX_MS = 10000
 TASK_STOP_S = 0.2
+STARTUP_MS = 300  # of a task that lasts
 TICKET_VALID_MS = 2500
 SLOW_STORE_S = 0.25  # time of an append to a slow store
 EVACUATION_BOUND_S = 5  # from an evacuation's record to the last start there
@@ -195,6 +198,8 @@
         self.done = False  # a run has ended as done
         self.done_recorded = False  # and the owner has recorded that end
         self.failed = 0  # failed runs whose ends the owner has recorded
+        self.listed = 0  # ends that workers list and the owner has not recorded
+        self.idle_since = now()  # end of the last run
 
 
 class Job:
@@ -209,17 +214,29 @@
     def task(self, step, index):
         return self.tasks.setdefault((step, index), Task())
 
+    def is_done(self, step, index):
+        return self.task(step, index).done_recorded
+
+    def is_over_budget(self, step, index, attempts_max):
+        return self.task(step, index).failed >= attempts_max
+
 
 class Run:
     def __init__(self, worker, step, body):
         self.worker, self.step, self.body = worker, step, body
         self.name, self.number = body["task"], body["run_id"]
-        self.began = now()
+        self.began = self.works_since = now()
         self.timer = None
 
     def percent(self):
-        share = (now() - self.began) * 1000 / self.step["estimate_ms"]
-        return min(99, int(100 * share))
+        """A task that lasts is at work when it shows 100."""
+        if self.works_since is None:  # a member of a gang that waits
+            return 0
+        elapsed_ms = (now() - self.works_since) * 1000
+        if self.step.get("long_running"):
+            return 100 if elapsed_ms > STARTUP_MS else 0
+        run_ms = self.step.get("run_ms", self.step["estimate_ms"])
+        return min(99, int(100 * elapsed_ms / run_ms))
 
     def __str__(self):
         p, epoch = self.worker.platform, self.body["fencing_token"]
@@ -286,9 +303,9 @@
             report("LIMIT", name)
         if t.running:
             report("TWICE", f"{name}: {run}; {t.running[0]}")
-        if t.done_recorded:
+        if job.is_done(step, index):
             report("AGAIN", f"{name}: {run}; {t.last_end}")
-        if t.failed >= self.platform.attempts_max:
+        if job.is_over_budget(step, index, self.platform.attempts_max):
             report("BUDGET", name)
         for before in job.steps[step].get("after", []):
             if not all(
@@ -324,9 +341,12 @@
         self.check_start(job, step, index, run)
         job.task(step, index).running.append(run)
         self.runs[(run.name, run.number)] = run
-        bad = self.mode == "failing" or job.steps[step].get("bad")
+        self.begin_work(job, run)
+
+    def begin_work(self, job, run):
+        bad = self.mode == "failing" or run.step.get("bad")
         run.timer = asyncio.get_running_loop().call_later(
-            job.steps[step]["estimate_ms"] / 1000 / (2 if bad else 1),
+            run.step["estimate_ms"] / 1000 / (2 if bad else 1),
             self.end_run,
             run,
             "failed" if bad else "done",
@@ -390,8 +410,10 @@
         if not self.ended and b.get("wait_ms"):
             self.end_event.clear()
             wait = asyncio.ensure_future(self.end_event.wait())
-            await asyncio.wait([wait], timeout=b["wait_ms"] / 1000)
-            wait.cancel()
+            try:
+                await asyncio.wait([wait], timeout=b["wait_ms"] / 1000)
+            finally:
+                wait.cancel()
         return 200, None
 
     def cut_from(self, epoch):
@@ -448,7 +470,11 @@
                 "zone": self.zone,
                 "state": "ready",
                 "born": self.born,
-                "capacity": {"cpu": WORKER_CPU, "mem_mb": 65536, "gpus": 0},
+                "capacity": {
+                    "cpu": WORKER_CPU,
+                    "mem_mb": WORKER_MEM_MB,
+                    "gpus": 0,
+                },
                 "labels": ["a", "r1-1"],
             }
         ).encode()
@@ -457,8 +483,8 @@
 class Platform:
     attempts_max = 3
 
-    def __init__(self, rand, net):
-        self.rand, self.net = rand, net
+    def __init__(self, rand, network=None):
+        self.rand, self.net = rand, network or net.Net()
         self.store = Store(rand)
         self.jobs, self.workers, self.tickets = {}, [], {}
         self.violations, self.notes = [], []
