soak: cells of the size of the record, with traffic, faults and calm phases

Nodes reach the world without proxies. Faults (rolls 8 s apart, kills, frozen nodes, workers that crash, fail or answer late, a disturbed store) come in phases with calm between them; `--calm` has none, `--rate` scales the traffic.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -1,7 +1,7 @@
 """Soak test with faults: runs real node processes and checks invariants.
 
     soak/soak.py BUILD --seed N [--seconds S] [--nodes N] [--workers N]
-        [--large] [--keep DIR]
+        [--large] [--shape small|hima|crb [--rate R] [--calm]] [--keep DIR]
 
 Nodes reach the store and the workers through loopback proxies that delay, drop
 or reset traffic, drop it in one direction or refuse connections.  Cuts part some
@@ -25,6 +25,8 @@
 
 import cuts
 import net
+import shapes
+import sites
 import world as w
 
 API_KEY = "key-one"
@@ -58,6 +60,8 @@
         self.addr = f"{self.ip}:{soak.port + 8}"  # that its peers are told
         self.starting = asyncio.Lock()
         self.frozen = False  # not to be continued by remove_faults
+        self.stopping = False  # gets no new connections
+        self.direct = False  # connections go without proxies
         self.store = net.StoreProxy(
             soak.net, ("127.0.0.1", soak.port), self.addr
         )
@@ -66,6 +70,11 @@
         )
 
     def settings(self):
+        site = self.soak.site
+        base = self.common_settings()
+        return site.settings(self, base) if site else base
+
+    def common_settings(self):
         s = self.soak
         return {
             "node_name": f"n{self.index}",
@@ -110,8 +119,9 @@
             stderr=log,
         )
         log.close()
-        self.peer.set_mode("pass")
-        asyncio.ensure_future(self.watch(self.proc))
+        if not self.direct:
+            self.peer.set_mode("pass")
+            asyncio.ensure_future(self.watch(self.proc))
 
     async def watch(self, proc):
         """Refuses connections in place of a process that has ended, as its host
@@ -150,6 +160,7 @@
         self.last_job = 0
         self.calls = set()
         self.connections = {}
+        self.site = None  # the cell of a shape, which has its own world
 
     async def listen(self):
         host, store = "127.0.0.1", self.platform.store
@@ -174,6 +185,11 @@
 
     async def call(self, node, method, path, body=b""):
         """Returns (status, body); status 0 if no whole answer came in time."""
+        status, _, out = await self.exchange(node, method, path, body, API_KEY)
+        return status, out
+
+    async def exchange(self, node, method, path, body, key):
+        """Returns (status, headers, body) of a call, as call does."""
         connections = self.connections.setdefault(node.index, [])
         reader, writer = connections.pop() if connections else (None, None)
         try:
@@ -184,7 +200,7 @@
             writer.write(
                 (
                     f"{method} {path} HTTP/1.1\r\nHost: q.example\r\n"
-                    f"Authorization: Bearer {API_KEY}\r\n"
+                    f"Authorization: Bearer {key}\r\n"
                     "X-Deadline-Ms: 3000\r\n"
                     f"Content-Length: {len(body)}\r\n\r\n"
                 ).encode()
@@ -193,13 +209,13 @@
             m = await asyncio.wait_for(w.read_message(reader), 3.5)
             if m is None:
                 self.net.streams.close_writer(writer)
-                return 0, None
+                return 0, None, None
             connections.append((reader, writer))
-            return int(m[0][1]), m[2]
+            return int(m[0][1]), m[1], m[2]
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             if writer:
                 self.net.streams.close_writer(writer)
-            return 0, None
+            return 0, None, None
 
     async def submit(self):
         self.last_job += 1
@@ -403,8 +419,12 @@
 
     async def begin(self):
         await self.check_ports_free()
-        await self.listen()
-        await self.platform.configure([API_KEY])
+        if self.site:
+            await self.site.listen()
+            await self.site.configure()
+        else:
+            await self.listen()
+            await self.platform.configure([API_KEY])
         asyncio.ensure_future(self.platform.list_workers())
         for n in self.nodes:
             await n.start()
@@ -433,6 +453,8 @@
                 n.signal(signal.SIGKILL)
                 if n.proc:
                     await n.proc.wait()
+            if self.site:
+                self.site.stop()
             await self.net.streams.close_all()
             with open(f"{self.dir}/notes.txt", "w") as f:
                 f.writelines(line + "\n" for line in self.platform.notes)
@@ -483,11 +505,23 @@
     p.add_argument(
         "--large", action="store_true", help="40 nodes and 60 workers"
     )
+    p.add_argument(
+        "--shape", choices=["small", *shapes.SHAPES], default="small"
+    )
+    p.add_argument(
+        "--rate", type=float, default=1, help="part of the shape's traffic"
+    )
+    p.add_argument("--calm", action="store_true", help="no faults in a shape")
     a = p.parse_args()
     if a.large:
         a.nodes, a.workers = 40, 60
+    if a.shape != "small":
+        a.nodes = sum(shapes.SHAPES[a.shape].nodes)
     soak = Soak(a)
-    return run_soak(soak, soak.play)
+    if a.shape == "small":
+        return run_soak(soak, soak.play)
+    soak.site = sites.Site(soak, shapes.SHAPES[a.shape], a.rate, a.calm)
+    return run_soak(soak, soak.site.play)
 
 
 if __name__ == "__main__":
