stall: why workers that the service was not asked about are not askable

The field unaskable counts them by reason, as unusable does the allowed ones.

Tested: test_cell_stall (9 tests; one asserts the field), test_cell_scripts.

--- a/cell/stall.c
+++ b/cell/stall.c
@@ -131,7 +131,7 @@
 		if (!g_hash_table_contains(
 			st->asked, GUINT_TO_POINTER(w->serial))) {
 			room->unasked++;
-			room->askable += cell_worker_schedulable(w, now);
+			room->askable[cell_worker_unusable(w, now)]++;
 			return;
 		}
 		approval = cell_stage_approval(st, w->serial);
@@ -276,29 +276,40 @@
 	    lanes.rank0);
 }
 
+/* Adds how many workers can't be used for each of the n reasons. */
+static void
+add_reasons(GString *text, const char *key, const unsigned *workers, unsigned n)
+{
+	const char *sep = "";
+	unsigned why;
+
+	g_string_append_printf(text, " %s=", key);
+	for (why = CELL_USABLE + 1; why < n; why++) {
+		if (workers[why] == 0)
+			continue;
+		g_string_append_printf(
+		    text, "%s%s:%u", sep, unplaced_name(why), workers[why]);
+		sep = ",";
+	}
+}
+
 static void
 add_room(GString *text, const struct cell_sched *s, const struct cell_stage *st,
     ogl_time now)
 {
 	struct cell_stall_room room = cell_stall_count_room(s, st, now);
-	const char *sep = "";
-	unsigned why;
 
 	g_string_append_printf(text,
 	    " allowed_room=%u places=%" G_GUINT64_FORMAT
-	    " usable=%u usable_places=%" G_GUINT64_FORMAT " unusable=",
+	    " usable=%u usable_places=%" G_GUINT64_FORMAT,
 	    room.allowed, room.places, room.unplaced[CELL_USABLE], room.usable);
-	for (why = CELL_USABLE + 1; why < CELL_NUNPLACED; why++) {
-		if (room.unplaced[why] == 0)
-			continue;
-		g_string_append_printf(text, "%s%s:%u", sep, unplaced_name(why),
-		    room.unplaced[why]);
-		sep = ",";
-	}
+	add_reasons(text, "unusable", room.unplaced, CELL_NUNPLACED);
 	g_string_append_printf(text,
-	    " refused_room=%u unasked_room=%u askable=%u "
-	    "free_cpu=%" G_GUINT64_FORMAT,
-	    room.refused, room.unasked, room.askable, s->free_cpu_milli);
+	    " refused_room=%u unasked_room=%u askable=%u", room.refused,
+	    room.unasked, room.askable[CELL_USABLE]);
+	add_reasons(text, "unaskable", room.askable, CELL_NUNUSABLE);
+	g_string_append_printf(
+	    text, " free_cpu=%" G_GUINT64_FORMAT, s->free_cpu_milli);
 }
 
 static void
--- a/cell/stall.h
+++ b/cell/stall.h
@@ -36,13 +36,14 @@
 	unsigned allowed; /* the service allows them, or isn't asked */
 	unsigned refused; /* the service has answered without a ticket */
 	unsigned unasked; /* the service has not answered for them */
-	unsigned askable; /* of these, the ones that may be given work */
-	uint64_t places;  /* tasks for which the allowed ones have room */
-	uint64_t usable;  /* the same on those in unplaced[CELL_USABLE] */
+	unsigned askable[CELL_NUNUSABLE]; /* unasked ones by reason */
+	uint64_t places; /* tasks for which the allowed ones have room */
+	uint64_t usable; /* the same on those in unplaced[CELL_USABLE] */
 	unsigned unplaced[CELL_NUNPLACED]; /* allowed ones by reason */
 };
 
 struct cell_stall_room cell_stall_count_room(
     const struct cell_sched *s, const struct cell_stage *st, ogl_time now);
+/* Looks at all workers. */
 
 #endif
--- a/test/test_cell_stall.cc
+++ b/test/test_cell_stall.cc
@@ -298,6 +298,7 @@
 	EXPECT_TRUE(has(l, "refused_room=2")) << l;
 	EXPECT_TRUE(has(l, "unasked_room=2")) << l;
 	EXPECT_TRUE(has(l, "askable=1")) << l;
+	EXPECT_TRUE(has(l, "unaskable=draining:1")) << l;
 	EXPECT_TRUE(has(l, "asked=2")) << l;
 	EXPECT_TRUE(has(l, "asking=1")) << l;
 	EXPECT_TRUE(has(l, "asking_ms=-1")) << l;
