fake cell: several queues and teams, and a check for starved jobs

Accepted jobs have nothing running although admitted workers have room. No test of the simulated cell could see it: it had one team with a limit, advice that admits half of the workers and answers any number of questions at once, and no check of what waits.

The state of the fake moves to fake_cell_impl.h, so that new parts get files of their own. fake_advice.c: further queues whose advice admits a share of the workers, differing by step, and works on one question at a time for each node, also on those given up; 429 when 32 wait. fake_starved.c: for 3 s, with the 4 s before free of faults, no accepted job may have nothing running while a task's turn has come, admitted workers have room for it twice over and its team uses under half of its limit; for tasks that last, each by itself, 6 s after its last run. It looks at workers, callers and advice only. The limit of each team is checked where several have one; with one team the check of starts is as before. A submission's queue is set by number.

--- a/bench/bench_owner.c
+++ b/bench/bench_owner.c
@@ -42,7 +42,7 @@
 	char id[17];
 
 	snprintf(id, sizeof id, "%016x", n);
-	fake_cell_set_queue_rank(f, n % 20 == 0 ? 1 : n % 8 == 1 ? 2 : 0);
+	fake_cell_set_queue(f, n % 20 == 0 ? 1 : n % 8 == 1 ? 2 : 0);
 	fake_cell_submit(f, n % nodes, id, NULL,
 	    n % 20 == 0  ? &gang
 	    : n % 8 == 1 ? &wide
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -11,8 +11,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fake_cell.h"
-#include "job.h"
+#include "fake_advice.h"
+#include "fake_cell_impl.h"
+#include "fake_starved.h"
 
 /* A message takes this to twice this long one way, besides its time on
  * links. */
@@ -26,7 +27,6 @@
 #define API_KEY "key-one"
 #define QUEUE_HOST "cell.example"
 #define QUEUE_PATH "/q/" /* for rank 0; /q1/ and /q2/ for the other ranks */
-#define QUEUE_COUNT 3
 #define QUEUE_NAME "q"
 #define SERVICE_NAME "svc"
 #define TEAM_NAME "team"
@@ -34,7 +34,6 @@
 #define APPENDS_REMEMBERED 5
 /* A caller's token modulo this is the request's enum cell_method. */
 #define METHOD_COUNT 4
-#define WORKER_CPU_MILLI 16000
 #define STOP_DELAY (200 * OGL_MS)
 #define GANG_TIMEOUT (3 * OGL_SEC)
 #define LEASE_MAX_MS 10000
@@ -56,50 +55,9 @@
 /* As for evacuated zones, for tasks of a job whose cancel was acknowledged. */
 #define CANCEL_DELAY_MAX (3 * OGL_SEC)
 #define CANCEL_CONTACT_TIME (3 * OGL_SEC)
-#define MAX_ZONES 8
 /* Key of an evacuated zone in the settings stream, followed by the zone. */
 #define EVACUATE_KEY_PREFIX "evacuate "
 
-typedef void event_fn(struct fake_cell *f, void *arg);
-
-struct event {
-	ogl_time at;
-	uint64_t order;       /* of posting, for events of the same time */
-	int node;             /* -1: of no node */
-	uint64_t incarnation; /* of the node when the event was posted */
-	event_fn *fn;
-	event_fn *drop; /* frees arg when the event is dropped */
-	void *arg;
-};
-
-struct call;
-
-struct node {
-	struct fake_cell *cell;
-	unsigned index;
-	struct cell_node *node;
-	struct cell_ops ops;
-	uint64_t incarnation;
-	bool up;
-	bool frozen;
-	uint32_t step_ms;       /* duration of one step */
-	ogl_time busy_until;    /* end of the last step */
-	bool last_peer_refused; /* the last message met a peer that was down */
-	unsigned island;        /* part of the network, 0 the main one */
-	uint8_t *links;         /* enum fake_link, by worker */
-	enum fake_store_fault store_fault;
-	ogl_time healthy_since;   /* running, and served by the store */
-	ogl_time send_busy_until; /* when the link has sent all it was given */
-	ogl_time receive_busy_until; /* the same for messages to the node */
-	char addr[32];
-	char name[32];
-	ogl_time wake_at;
-	GHashTable *open_calls; /* set of struct call */
-	unsigned store_calls;   /* so far */
-	unsigned peer_messages; /* sent so far */
-	GHashTable *peers;      /* set of addresses sent to */
-};
-
 /* Fixed part of each kind of message (headers, names, numbers), and the size of
  * one run and one worker id in a list. */
 #define CALL_BYTES 300
@@ -109,157 +67,11 @@
 #define WORKER_ID_BYTES 15
 #define SPEC_BYTES 1000 /* of a job, when links are limited */
 
-/* ---- records of the store --------------------------------------------- */
-
-struct record {
-	char *key;
-	GBytes *value; /* NULL: dropped */
-};
-
-struct stream {
-	GPtrArray *records; /* struct record, by offset */
-	uint64_t first;     /* oldest retained offset */
-	uint64_t epoch;     /* highest seen */
-	uint64_t seq;       /* of the last fenced append in that epoch */
-	bool seq_set;
-	GQueue recent_appends; /* pairs of uint64_t: seq, offset */
-	GQueue readers;        /* struct call of long polls */
-};
-
-/* ---- workers ---------------------------------------------------------- */
-
-struct run {
-	struct cell_task_name task;
-	uint64_t number; /* as given by the owner */
-	uint64_t id;     /* unique in the fake */
-	uint32_t cpu_milli;
-	bool gang;
-	bool working;         /* false while its gang is incomplete */
-	uint32_t run_ms;      /* work of the whole task */
-	uint32_t saved_ms;    /* work done, by the checkpoint it started from */
-	uint32_t slow_factor; /* its time as a multiple of the usual */
-	bool hangs;
-	ogl_time began_at; /* when it began to work */
-	bool fails;
-	bool checkpoints;
-	bool lasting;
-	unsigned gang_size;
-};
-
-struct ended {
-	uint64_t number; /* counts the ends of one incarnation of a worker */
-	struct cell_task_name task;
-	uint64_t run;
-	enum cell_end how;
-	char checkpoint[24];
-	uint64_t clock_ms; /* the worker's clock when the run ended */
-};
-
-struct worker {
-	unsigned index;
-	char id[24];
-	char addr[32];
-	char rack[8];
-	char zone[8];
-	uint64_t born_ms;         /* identifies the incarnation */
-	ogl_time started_at;      /* start of the worker's clock */
-	uint64_t epoch;           /* highest fencing token seen */
-	uint64_t lease_until_ms;  /* on the worker's clock */
-	uint64_t lease_lapsed_ms; /* last end of a lease that ran out */
-	bool up;
-	bool draining;
-	unsigned island; /* part of the network, 0 the main one */
-	bool
-	    entry_outdated; /* the store's entry, and no new one is on its way */
-	bool entry_expired;
-	ogl_time heard_at; /* when the store could last hear the worker */
-	enum fake_worker_fault fault;
-	GPtrArray *runs;  /* struct run */
-	GPtrArray *ended; /* struct ended */
-	/* task_text -> highest number of a run that was stopped or ended */
-	GHashTable *highest_runs;
-	uint64_t last_end_number;
-	unsigned nbegun; /* runs */
-	GQueue holds;    /* struct call of holds that wait for an end */
-};
-
-/* What the checks know of a task, counted over all workers. */
-struct task {
-	unsigned running;
-	bool completed;        /* some run ended as CELL_END_DONE */
-	bool completion_acked; /* that end was acknowledged within the lease */
-	unsigned failed_runs;
-	unsigned starts;
-};
-
-struct job {
-	char id[CELL_ID_LEN + 1];
-	GBytes *spec;
-	struct fake_step steps[4];
-	size_t nsteps;
-	int status; /* HTTP status of the last answer, -1 none */
-	bool accepted;
-	unsigned submissions;
-	unsigned rejections; /* submissions answered as not accepted */
-	bool cancelled;      /* a cancellation was acknowledged */
-	ogl_time cancelled_at;
-	bool has_state;
-	Ogl__CellJobState state;
-	unsigned starts;
-	unsigned running;
-	GHashTable *tasks; /* "step.index" -> struct task */
-	/* Whose key the submission accepted first had, "" none, and when that
-	 * was answered; NULL before. */
-	const char *team;
-	ogl_time accepted_at;
-};
-
-/* A caller's request without an answer yet. */
-struct request {
-	struct job *job;  /* NULL: asks for the number of waiting jobs */
-	const char *team; /* of its key; "" if it has none or an unknown one */
-	ogl_time sent_at;
-};
-
-struct fake_cell {
-	struct fake_cell_params shape;
-	ogl_time now;
-	uint64_t last_order; /* of events posted */
-	GSequence *events;   /* struct event */
-	GRand *rand;
-	uint32_t caller_timeout_ms;
-	unsigned queue_rank;    /* of the queue that jobs are submitted to */
-	struct node *nodes;     /* shape.nodes of them */
-	struct worker *workers; /* shape.workers of them */
-	enum fake_cut cut;      /* which messages the cuts lose */
-	struct stream streams[CELL_NSTREAMS][CELL_SHARDS_MAX];
-	GHashTable *jobs;            /* id -> struct job */
-	GHashTable *caller_requests; /* token -> struct request */
-	GHashTable *revoked_keys;    /* set of API keys */
-	GHashTable *keys;            /* API key -> team, revoked ones as well */
-	const char *caller_key;      /* of requests for which none is given */
-	unsigned public_queues;      /* bit for each rank */
-	int pending;                 /* as last told; -1 none */
-	GHashTable *tickets; /* "step worker born_ms" -> ogl_time of expiry */
-	uint64_t last_token;
-	uint64_t last_run_id;
-	uint64_t config_version;
-	uint32_t team_cpu_milli;
-	ogl_time limit_set_at; /* when team_cpu_milli was set */
-	/* Highest earlier limit that may still be applied. */
-	uint32_t earlier_limit_milli;
-	unsigned writes;
-	ogl_time evacuated_at[MAX_ZONES + 1]; /* by zone number; 0: it is not */
-	GString *violations;
-	FILE *log;            /* NULL: not kept */
-	GHashTable *counters; /* "name label=value ..." -> uint64_t */
-};
-
 /* Wall clock time at virtual time 0. */
 #define WALL_CLOCK_OFFSET ((ogl_time)1780000000 * OGL_SEC)
 
-static void
-report_violation(struct fake_cell *f, const char *rule, const char *subject)
+void
+fake_cell_report(struct fake_cell *f, const char *rule, const char *subject)
 {
 	g_string_append_printf(f->violations,
 	    "%" G_GINT64_FORMAT " ms: %s: %s\n", f->now / OGL_MS, rule,
@@ -606,9 +418,58 @@
  * `VERSION POLICY ATTEMPTS CPU RATE KEY...`, where POLICY is 0 when no advice
  * is needed, else 1 plus the milliseconds a question takes for each worker.  A
  * key of another team than the first one is `KEY@TEAM`, and `*RANK` makes the
- * queue of the rank public.
+ * queue of the rank public.  Further queues are
+ * `+RANK:ADVICE:DECIDE_MS:WORKER_US`, other teams with limits are
+ * `%NAME:CPU:RATE`, in any place after RATE.
  * A worker's entry is `ADDR RACK BORN DRAINING ZONE`.
  */
+static struct cell_queue *
+add_queue(struct cell_config *c, unsigned number, unsigned rank, char **w)
+{
+	struct cell_queue *q = cell_config_add_queue(c);
+	char public_mark[] = "*0";
+
+	q->name = number == 0 ? g_strdup(QUEUE_NAME)
+			      : g_strdup_printf(QUEUE_NAME "%u", number);
+	q->host = g_strdup(QUEUE_HOST);
+	q->prefix = number == 0 ? g_strdup(QUEUE_PATH)
+				: g_strdup_printf("/q%u/", number);
+	q->service = g_strdup(SERVICE_NAME);
+	q->rank = rank;
+	q->attempts_max = (uint32_t)atoi(w[2]);
+	q->objective_ms = 1000;
+	q->slack = rank < 2 ? 2 : 8;
+	q->policy.valid_ms = TICKET_VALID_MS;
+	public_mark[1] = (char)('0' + number);
+	q->is_public = g_strv_contains((const char *const *)w, public_mark);
+	return q;
+}
+
+static void
+decode_queue(struct cell_config *c, unsigned number, char **w, const char *text)
+{
+	char **field = g_strsplit(text, ":", -1);
+	struct cell_queue *q =
+	    add_queue(c, number, (unsigned)atoi(field[0]), w);
+
+	q->policy.needed = atoi(field[1]) != 0;
+	q->policy.decide_ms = atoi(field[2]);
+	q->policy.worker_ms = atoi(field[3]) / 1000.0;
+	g_strfreev(field);
+}
+
+static void
+decode_team(struct cell_config *c, const char *text)
+{
+	char **field = g_strsplit(text, ":", -1);
+	struct cell_team *t = cell_config_add_team(c);
+
+	t->name = g_strdup(field[0]);
+	t->max.cpu_milli = (uint32_t)atoi(field[1]);
+	t->rate = atoi(field[2]);
+	g_strfreev(field);
+}
+
 static struct cell_config *
 decode_config(struct ogl_str value)
 {
@@ -617,35 +478,27 @@
 	struct cell_config *c =
 	    cell_config_new(g_ascii_strtoull(w[0], NULL, 10));
 	struct cell_team *t = cell_config_add_team(c);
-	char public_mark[] = "*0";
+	unsigned queues = 0;
 	guint i;
 
 	t->name = g_strdup(TEAM_NAME);
-	for (i = 0; i < QUEUE_COUNT; i++) {
-		struct cell_queue *q = cell_config_add_queue(c);
-
-		q->name = i == 0 ? g_strdup(QUEUE_NAME)
-				 : g_strdup_printf(QUEUE_NAME "%u", i);
-		q->host = g_strdup(QUEUE_HOST);
-		q->prefix =
-		    i == 0 ? g_strdup(QUEUE_PATH) : g_strdup_printf("/q%u/", i);
-		q->service = g_strdup(SERVICE_NAME);
-		q->rank = i;
-		q->attempts_max = (uint32_t)atoi(w[2]);
-		q->objective_ms = 1000;
-		q->slack = i < 2 ? 2 : 8;
+	t->rate = atoi(w[4]);
+	t->max.cpu_milli = (uint32_t)atoi(w[3]);
+	for (; queues < FAKE_RANK_QUEUES; queues++) {
+		struct cell_queue *q = add_queue(c, queues, queues, w);
+
 		q->policy.needed = atoi(w[1]) > 0;
 		q->policy.decide_ms = ADVICE_DELAY_US / 1000.0;
 		q->policy.worker_ms = atoi(w[1]) - 1;
-		q->policy.valid_ms = TICKET_VALID_MS;
-		public_mark[1] = (char)('0' + i);
-		q->is_public =
-		    g_strv_contains((const char *const *)w, public_mark);
 	}
-	t->rate = atoi(w[4]);
-	t->max.cpu_milli = (uint32_t)atoi(w[3]);
 	for (i = 5; w[i] != NULL; i++) {
-		if (*w[i] != '*')
+		if (*w[i] == '+')
+			decode_queue(c, queues++, w, w[i] + 1);
+		else if (*w[i] == '%')
+			decode_team(c, w[i] + 1);
+	}
+	for (i = 5; w[i] != NULL; i++) {
+		if (strchr("*+%", *w[i]) == NULL)
 			decode_key(c, w[i]);
 	}
 	g_strfreev(w);
@@ -674,7 +527,7 @@
 	e->labels = g_strsplit(w[1], ",", -1);
 	e->born_ms = g_ascii_strtoull(w[2], NULL, 10);
 	e->draining = atoi(w[3]) != 0;
-	e->capacity.cpu_milli = WORKER_CPU_MILLI;
+	e->capacity.cpu_milli = FAKE_WORKER_CPU_MILLI;
 	e->capacity.mem_mb = 65536;
 	g_strfreev(w);
 	g_free(text);
@@ -1194,9 +1047,8 @@
 	return g_hash_table_lookup(f->jobs, id);
 }
 
-/* Adds the task at its first use; NULL if its job was never submitted. */
-static struct task *
-task_of(const struct fake_cell *f, const struct cell_task_name *name)
+struct task *
+fake_cell_task(const struct fake_cell *f, const struct cell_task_name *name)
 {
 	struct job *j = job_of(f, name->id);
 	char key[32];
@@ -1288,11 +1140,13 @@
 static void
 remove_run(struct fake_cell *f, struct worker *w, struct run *r)
 {
-	struct task *t = task_of(f, &r->task);
+	struct task *t = fake_cell_task(f, &r->task);
 	struct job *j = job_of(f, r->task.id);
 
-	if (t != NULL)
+	if (t != NULL) {
 		t->running--;
+		t->ended_at = f->now;
+	}
 	if (j != NULL)
 		j->running--;
 	g_ptr_array_remove(w->runs, r);
@@ -1315,12 +1169,22 @@
 mark_completed(struct fake_cell *f, const struct run *r)
 {
 	struct cell_task_name m = r->task;
-	struct task *t = task_of(f, &m);
+	struct task *t = fake_cell_task(f, &m);
 
 	if (t != NULL)
 		t->completed = true;
 	for (m.index = 0; r->gang && m.index < r->gang_size; m.index++)
-		task_of(f, &m)->completed = true;
+		fake_cell_task(f, &m)->completed = true;
+}
+
+static void
+count_failed_end(struct fake_cell *f, const struct run *r)
+{
+	struct cell_task_name name = r->task;
+
+	if (r->gang)
+		name.index = 0;
+	fake_cell_task(f, &name)->failed_ends++;
 }
 
 static void
@@ -1332,6 +1196,8 @@
 	    r->number);
 	if (how == CELL_END_DONE)
 		mark_completed(f, r);
+	else if (how == CELL_END_FAILED)
+		count_failed_end(f, r);
 
 	e->number = ++w->last_end_number;
 	e->task = r->task;
@@ -1405,8 +1271,10 @@
 {
 	uint32_t left_ms =
 	    r->run_ms > r->saved_ms ? r->run_ms - r->saved_ms : 1;
-	bool fails = r->fails || w->fault == FAKE_WORKER_FAILING ||
-		     (w->fault == FAKE_WORKER_FLAKY && chance(f, 0.4));
+	bool fails =
+	    r->fails || w->fault == FAKE_WORKER_FAILING ||
+	    (w->fault == FAKE_WORKER_FLAKY && chance(f, 0.4)) ||
+	    (r->fail_permille > 0 && chance(f, r->fail_permille / 1000.0));
 
 	w->nbegun++;
 	r->working = true;
@@ -1478,6 +1346,69 @@
 	for_other_members(f, r, begin_work);
 }
 
+bool
+fake_cell_step_due(
+    const struct fake_cell *f, const struct job *j, uint32_t step)
+{
+	int32_t after = j->steps[step].after;
+	struct cell_task_name name = {.step = (uint32_t)after};
+	uint32_t i;
+
+	if (after < 0)
+		return true;
+	memcpy(name.id, j->id, sizeof name.id);
+	for (i = 0; i < j->steps[after].count; i++) {
+		name.index = i;
+		if (!fake_cell_task(f, &name)->completion_acked)
+			return false;
+	}
+	return true;
+}
+
+uint32_t
+fake_cell_team_limit(const struct fake_cell *f, const char *team)
+{
+	unsigned i;
+
+	if (strcmp(team, TEAM_NAME) == 0)
+		return f->team_cpu_milli;
+	for (i = 0; i < f->shape.nteams; i++) {
+		if (strcmp(f->shape.teams[i].name, team) == 0)
+			return f->shape.teams[i].cpu_milli_max;
+	}
+	return 0;
+}
+
+/* Whether the run counts against the limit of the job's team.  Where only the
+ * first team has one, all runs do. */
+static bool
+counts_for_team(
+    const struct fake_cell *f, const struct job *j, const struct run *r)
+{
+	return f->shape.nteams == 0 ||
+	       strcmp(job_of(f, r->task.id)->caller_team, j->caller_team) == 0;
+}
+
+static uint32_t
+team_cpu_used(const struct fake_cell *f, const struct job *j)
+{
+	uint32_t used = 0;
+	unsigned i;
+	guint k;
+
+	for (i = 0; i < f->shape.workers; i++) {
+		const struct worker *w = &f->workers[i];
+
+		for (k = 0; k < w->runs->len; k++) {
+			const struct run *r = w->runs->pdata[k];
+
+			if (counts_for_team(f, j, r))
+				used += r->cpu_milli;
+		}
+	}
+	return used;
+}
+
 static bool
 predecessor_completed(
     const struct fake_cell *f, const struct job *j, uint32_t step)
@@ -1491,7 +1422,7 @@
 	memcpy(name.id, j->id, sizeof name.id);
 	for (i = 0; i < j->steps[after].count; i++) {
 		name.index = i;
-		if (!task_of(f, &name)->completed)
+		if (!fake_cell_task(f, &name)->completed)
 			return false;
 	}
 	return true;
@@ -1503,45 +1434,41 @@
 check_start(struct fake_cell *f, const struct worker *w, struct job *j,
     const struct cell_task_name *name, uint32_t cpu_milli)
 {
-	struct task *t = task_of(f, name);
+	struct task *t = fake_cell_task(f, name);
 	char *text = task_text(name);
 	uint32_t worker_cpu = cpu_milli;
-	uint32_t team_cpu_used = cpu_milli;
-	uint32_t limit = f->team_cpu_milli;
-	unsigned i;
+	uint32_t team_cpu = cpu_milli + team_cpu_used(f, j);
+	bool first_team =
+	    f->shape.nteams == 0 || strcmp(j->caller_team, TEAM_NAME) == 0;
+	uint32_t limit = first_team ? f->team_cpu_milli
+				    : fake_cell_team_limit(f, j->caller_team);
 	guint k;
 
-	if (f->now - f->limit_set_at < LIMIT_SETTLE_TIME)
+	if (first_team && f->now - f->limit_set_at < LIMIT_SETTLE_TIME)
 		limit = f->earlier_limit_milli == 0 || f->team_cpu_milli == 0
 			    ? 0
 			    : MAX(f->earlier_limit_milli, f->team_cpu_milli);
 	for (k = 0; k < w->runs->len; k++)
 		worker_cpu += ((struct run *)w->runs->pdata[k])->cpu_milli;
-	for (i = 0; i < f->shape.workers; i++) {
-		for (k = 0; k < f->workers[i].runs->len; k++)
-			team_cpu_used +=
-			    ((struct run *)f->workers[i].runs->pdata[k])
-				->cpu_milli;
-	}
-	if (worker_cpu > WORKER_CPU_MILLI)
-		report_violation(f, "worker's capacity exceeded", text);
-	if (limit > 0 && team_cpu_used > limit + limit / 10 + cpu_milli)
-		report_violation(f, "team's limit exceeded", text);
+	if (worker_cpu > FAKE_WORKER_CPU_MILLI)
+		fake_cell_report(f, "worker's capacity exceeded", text);
+	if (limit > 0 && team_cpu > limit + limit / 10 + cpu_milli)
+		fake_cell_report(f, "team's limit exceeded", text);
 	if (t->running > 0 && !j->steps[name->step].duplicates)
-		report_violation(
+		fake_cell_report(
 		    f, "task started while another run of it is running", text);
 	if (t->completion_acked && !j->steps[name->step].duplicates)
-		report_violation(f,
+		fake_cell_report(f,
 		    "task started after its completion was acknowledged", text);
 	if (!predecessor_completed(f, j, name->step))
-		report_violation(
+		fake_cell_report(
 		    f, "step started before its predecessor completed", text);
 	if (!j->steps[name->step].lasting && f->shape.attempts_max > 0 &&
 	    t->failed_runs >= f->shape.attempts_max)
-		report_violation(
+		fake_cell_report(
 		    f, "task started after attempts_max failed runs", text);
 	if (j->rejections == j->submissions)
-		report_violation(f, "task of a refused job started", text);
+		fake_cell_report(f, "task of a refused job started", text);
 	g_free(text);
 }
 
@@ -1558,7 +1485,7 @@
 {
 	if (j->cancelled && f->now - j->cancelled_at > CANCEL_DELAY_MAX &&
 	    sender_in_touch(c, CANCEL_CONTACT_TIME))
-		report_violation(f,
+		fake_cell_report(f,
 		    "task started long after its job was cancelled",
 		    c->task.id);
 }
@@ -1571,7 +1498,7 @@
 	if (zone_evacuated_at != 0 &&
 	    c->sent_at > zone_evacuated_at + EVACUATION_DELAY_MAX &&
 	    sender_in_touch(c, STORE_CONTACT_TIME))
-		report_violation(
+		fake_cell_report(
 		    f, "task started in an evacuated zone", c->task.id);
 }
 
@@ -1589,7 +1516,7 @@
 		return CELL_REFUSED_OLD;
 	if (c->lease_until_ms <= worker_clock_ms(f, w))
 		return CELL_REFUSED_LATE;
-	if (!f->shape.needs_advice)
+	if (!fake_advice_needed(f, job_of(f, c->task.id)))
 		return CELL_NOT_REFUSED;
 	ticket = g_strdup_printf("%s.%u.%u %s %" G_GUINT64_FORMAT, c->task.id,
 	    c->task.occurrence, c->task.step, w->id, w->born_ms);
@@ -1608,7 +1535,7 @@
 	struct run *r;
 
 	if (j == NULL || c->task.step >= j->nsteps) {
-		report_violation(
+		fake_cell_report(
 		    f, "start for an unknown job or step", c->task.id);
 		return;
 	}
@@ -1625,12 +1552,13 @@
 	r->gang = s->gang;
 	r->gang_size = s->count;
 	r->fails = s->fails;
+	r->fail_permille = s->fail_permille;
 	r->checkpoints = s->checkpoints;
 	r->lasting = s->lasting;
 	r->saved_ms = (uint32_t)atoi(c->checkpoint);
 	trace(f, w->id, "started", &r->task, r->number);
-	task_of(f, &c->task)->running++;
-	task_of(f, &c->task)->starts++;
+	fake_cell_task(f, &c->task)->running++;
+	fake_cell_task(f, &c->task)->starts++;
 	j->starts++;
 	j->running++;
 	g_ptr_array_add(w->runs, r);
@@ -1686,7 +1614,7 @@
 		return;
 	}
 	if (!g_bytes_equal(c->spec, job_of(f, c->task.id)->spec))
-		report_violation(f, "start with a wrong spec", c->task.id);
+		fake_cell_report(f, "start with a wrong spec", c->task.id);
 	renew_lease(f, w, c->lease_until_ms);
 	start_run(f, w, c);
 }
@@ -1852,7 +1780,7 @@
 	record_lease_lapse(f, w);
 	while (w->ended->len > 0) {
 		struct ended *e = w->ended->pdata[0];
-		struct task *t = task_of(f, &e->task);
+		struct task *t = fake_cell_task(f, &e->task);
 		struct job *j = job_of(f, e->task.id);
 
 		if (e->number > last_seen)
@@ -1873,7 +1801,7 @@
 
 			for (m.index = 0;
 			     m.index < j->steps[e->task.step].count; m.index++)
-				task_of(f, &m)->completion_acked = true;
+				fake_cell_task(f, &m)->completion_acked = true;
 		}
 		g_ptr_array_remove_index(w->ended, 0);
 	}
@@ -2030,12 +1958,22 @@
 
 /* ---- advice ----------------------------------------------------------- */
 
+static const struct job *
+job_of_step(const struct fake_cell *f, const char *step)
+{
+	char id[CELL_ID_LEN + 1];
+
+	g_strlcpy(id, step, sizeof id);
+	return job_of(f, id);
+}
+
 static void
 answer_ask(struct fake_cell *f, void *arg)
 {
 	struct call *c = arg;
 	struct cell_ask_answer a = {
 	    .io = OGL_IO_OK, .valid_ms = TICKET_VALID_MS};
+	const struct job *j = job_of_step(f, c->step);
 	struct cell_ticket *tickets =
 	    g_new(struct cell_ticket, c->worker_ids->len);
 	GPtrArray *texts = g_ptr_array_new_with_free_func(g_free);
@@ -2048,10 +1986,11 @@
 			ogl_time *until;
 			char *text;
 
-			/* For each step the same half of the workers is
-			 * allowed at all times. */
 			if (strcmp(w->id, c->worker_ids->pdata[i]) != 0 ||
-			    (g_str_hash(c->step) + k) % 2 != 0)
+			    !fake_advice_admits(f, j, c->step, k) ||
+			    (f->shape.advice_skips_down &&
+				j->queue >= FAKE_RANK_QUEUES &&
+				(!w->up || w->started_at > c->sent_at)))
 				continue;
 			text = g_strdup_printf("%s %s %" G_GUINT64_FORMAT,
 			    c->step, w->id, w->born_ms);
@@ -2074,6 +2013,33 @@
 	call_unref(f, c);
 }
 
+static void
+refuse_ask(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	struct cell_ask_answer a = {.io = OGL_IO_REFUSED};
+
+	if (call_finish(c)) {
+		((cell_ask_fn *)c->done)(c->arg, &a, f->now);
+		step_node(f, c->node);
+	}
+	call_unref(f, c);
+}
+
+static void
+at_advice_ask(struct fake_cell *f, void *arg)
+{
+	struct call *c = arg;
+	ogl_time wait = fake_advice_accept(
+	    f, job_of_step(f, c->step), c->node->index, c->worker_ids->len);
+
+	if (wait >= 0)
+		transmit(c, wait, (int)c->node->index, answer_ask);
+	else
+		transmit(c, 0, (int)c->node->index, refuse_ask);
+	call_unref(f, c);
+}
+
 static void
 on_ask(
     void *ctx, const struct cell_advice_query *a, cell_ask_fn *done, void *arg)
@@ -2090,6 +2056,10 @@
 		g_ptr_array_add(c->worker_ids, g_strdup(a->workers[i]));
 	if (lost_at_cut(c, false))
 		return;
+	if (job_of_step(f, c->step)->queue >= FAKE_RANK_QUEUES) {
+		transmit(c, 0, -1, at_advice_ask);
+		return;
+	}
 	transmit(c,
 	    ADVICE_DELAY_US +
 		(ogl_time)a->n * f->shape.advice_worker_ms * OGL_MS,
@@ -2215,9 +2185,9 @@
 	if (token % METHOD_COUNT == CELL_POST)
 		j->submissions--;
 	if (a->status == CELL_OK)
-		report_violation(f, "call of another team done", j->id);
+		fake_cell_report(f, "call of another team done", j->id);
 	if (a->status == CELL_NO_JOB && token % METHOD_COUNT == CELL_POST)
-		report_violation(f, "submission answered with 410", j->id);
+		fake_cell_report(f, "submission answered with 410", j->id);
 }
 
 static void
@@ -2249,7 +2219,7 @@
 	    sent_at > j->accepted_at + VISIBLE_DELAY_MAX &&
 	    sent_at > n->healthy_since + VISIBLE_CONTACT_TIME &&
 	    f->now - j->accepted_at < STATUS_MS * OGL_MS)
-		report_violation(f, "job unknown to its team", j->id);
+		fake_cell_report(f, "job unknown to its team", j->id);
 	if (a->has_state) {
 		j->has_state = true;
 		j->state = a->state;
@@ -2298,7 +2268,7 @@
 	p->count = s->count;
 	p->cpu_milli = s->cpu_milli;
 	p->mem_mb = 100;
-	p->estimate_ms = s->run_ms;
+	p->estimate_ms = s->estimate_ms > 0 ? s->estimate_ms : s->run_ms;
 	p->gang = s->gang;
 	p->checkpoints = s->checkpoints;
 	p->duplicates = s->duplicates;
@@ -2354,12 +2324,14 @@
 	uint64_t *token = g_new(uint64_t, 1);
 	struct request *q;
 
-	if (f->queue_rank == 0 || method != CELL_POST)
+	if (f->queue == 0 || method != CELL_POST)
 		g_snprintf(path, sizeof path, QUEUE_PATH "%s", id);
 	else
-		g_snprintf(path, sizeof path, "/q%u/%s", f->queue_rank, id);
+		g_snprintf(path, sizeof path, "/q%u/%s", f->queue, id);
 	r.path = ogl_str(path);
 	*token = ++f->last_token * METHOD_COUNT + method;
+	if (method == CELL_DELETE)
+		j->cancel_sent = true;
 	if (method == CELL_POST)
 		j->submissions++;
 	if (!n->up || n->frozen) {
@@ -2388,9 +2360,21 @@
 }
 
 void
-fake_cell_set_queue_rank(struct fake_cell *f, unsigned rank)
+fake_cell_set_queue(struct fake_cell *f, unsigned queue)
+{
+	f->queue = queue;
+}
+
+void
+fake_cell_set_admitted(
+    struct fake_cell *f, const char *id, const unsigned *workers, size_t n)
 {
-	f->queue_rank = rank;
+	struct job *j = job_of(f, id);
+
+	if (j->admitted == NULL)
+		j->admitted = g_array_new(FALSE, FALSE, sizeof *workers);
+	g_array_set_size(j->admitted, 0);
+	g_array_append_vals(j->admitted, workers, (guint)n);
 }
 
 void
@@ -2406,6 +2390,9 @@
 		memcpy(j->steps, steps, n * sizeof *steps);
 		j->nsteps = n;
 		j->status = -1;
+		j->queue = f->queue;
+		j->caller_team =
+		    team_of_key(f, key != NULL ? key : f->caller_key);
 		j->tasks = g_hash_table_new_full(
 		    g_str_hash, g_str_equal, g_free, g_free);
 		g_hash_table_insert(f->jobs, j->id, j);
@@ -2651,6 +2638,7 @@
 		.visible_ms = 3000,
 		.gang_ms = 3000}};
 
+	f->disturbed_at = f->now;
 	if (n->up)
 		return;
 	n->up = true;
@@ -2669,6 +2657,7 @@
 	GHashTableIter it;
 	gpointer p;
 
+	f->disturbed_at = f->now;
 	if (!n->up)
 		return;
 	n->up = false;
@@ -2689,6 +2678,7 @@
 void
 fake_cell_freeze(struct fake_cell *f, unsigned node, bool on)
 {
+	f->disturbed_at = f->now;
 	f->nodes[node].frozen = on;
 	if (!on)
 		f->nodes[node].healthy_since =
@@ -2700,6 +2690,7 @@
 void
 fake_cell_set_step_ms(struct fake_cell *f, unsigned node, uint32_t ms)
 {
+	f->disturbed_at = f->now;
 	f->nodes[node].step_ms = ms;
 }
 
@@ -2714,6 +2705,7 @@
 void
 fake_cell_stop(struct fake_cell *f, unsigned node)
 {
+	f->disturbed_at = f->now;
 	if (!f->nodes[node].up)
 		return;
 	cell_node_stop(f->nodes[node].node, f->now);
@@ -2818,7 +2810,19 @@
 		if (strcmp(team, TEAM_NAME) != 0)
 			g_string_append_printf(s, "@%s", team);
 	}
-	for (i = 0; i < QUEUE_COUNT; i++) {
+	for (i = 0; i < f->shape.nqueues; i++) {
+		const struct fake_queue *q = &f->shape.queues[i];
+
+		g_string_append_printf(s, " +%u:%d:%u:%u", q->rank, q->advice,
+		    q->decide_ms, q->worker_us);
+	}
+	for (i = 0; i < f->shape.nteams; i++) {
+		const struct fake_team *t = &f->shape.teams[i];
+
+		g_string_append_printf(s, " %%%s:%u:%u", t->name,
+		    t->cpu_milli_max, t->rate > 0 ? t->rate : RATE_UNLIMITED);
+	}
+	for (i = 0; i < FAKE_RANK_QUEUES + f->shape.nqueues; i++) {
 		if ((f->public_queues >> i & 1) != 0)
 			g_string_append_printf(s, " *%u", i);
 	}
@@ -2834,6 +2838,7 @@
 	if (w->entry_outdated)
 		return;
 	w->entry_expired = false;
+	w->listed = w->up;
 	put_text(f, CELL_WORKERS, w->id,
 	    w->up ? g_strdup_printf("%s %s %" G_GUINT64_FORMAT " %d %s",
 			w->addr, w->rack, w->born_ms, w->draining, w->zone)
@@ -2855,6 +2860,7 @@
 {
 	unsigned i;
 
+	f->disturbed_at = f->now;
 	for (i = 0; i < f->shape.nodes; i++) {
 		if (node >= 0 && (unsigned)node != i)
 			continue;
@@ -2869,6 +2875,7 @@
 	ogl_time *at = &f->evacuated_at[atoi(zone + 1)];
 	char *key = g_strdup_printf(EVACUATE_KEY_PREFIX "%s", zone);
 
+	f->disturbed_at = f->now;
 	if (on && *at == 0)
 		*at = f->now;
 	else if (!on)
@@ -2882,6 +2889,7 @@
 {
 	struct stream *s = &f->streams[CELL_SETTINGS][0];
 
+	f->disturbed_at = f->now;
 	s->first = s->records->len;
 }
 
@@ -2906,6 +2914,7 @@
 void
 fake_cell_revoke_key(struct fake_cell *f, const char *key)
 {
+	f->disturbed_at = f->now;
 	g_hash_table_add(f->revoked_keys, g_strdup(key));
 	put_config(f);
 }
@@ -2913,6 +2922,7 @@
 void
 fake_cell_set_team_limit(struct fake_cell *f, uint32_t team_cpu_milli_max)
 {
+	f->disturbed_at = f->now;
 	if (f->now - f->limit_set_at > LIMIT_SETTLE_TIME)
 		f->earlier_limit_milli = f->team_cpu_milli;
 	else
@@ -2934,7 +2944,9 @@
 {
 	unsigned i;
 
+	f->disturbed_at = f->now;
 	for (i = 0; i < f->shape.workers; i++) {
+		f->workers[i].listed = false;
 		put_text(f, CELL_WORKERS, f->workers[i].id, NULL);
 		post(f, g_rand_int_range(f->rand, 200, 2000) * OGL_MS, -1,
 		    on_entry_restored, drop_nothing, &f->workers[i]);
@@ -3007,6 +3019,7 @@
 {
 	struct worker *w = &f->workers[worker];
 
+	f->disturbed_at = f->now;
 	if (fault == FAKE_WORKER_CRASHED && w->up) {
 		w->up = false;
 		lose_state(f, w);
@@ -3024,6 +3037,7 @@
 void
 fake_cell_restart_worker(struct fake_cell *f, unsigned worker)
 {
+	f->disturbed_at = f->now;
 	f->workers[worker].draining = false;
 	lose_state(f, &f->workers[worker]);
 	put_entry(f, &f->workers[worker]);
@@ -3032,6 +3046,7 @@
 void
 fake_cell_drain_worker(struct fake_cell *f, unsigned worker)
 {
+	f->disturbed_at = f->now;
 	f->workers[worker].draining = true;
 	put_entry(f, &f->workers[worker]);
 }
@@ -3051,6 +3066,7 @@
 void
 fake_cell_move_node(struct fake_cell *f, unsigned node, unsigned island)
 {
+	f->disturbed_at = f->now;
 	f->nodes[node].island = island;
 	update_contact(f, &f->nodes[node]);
 }
@@ -3058,6 +3074,7 @@
 void
 fake_cell_move_worker(struct fake_cell *f, unsigned worker, unsigned island)
 {
+	f->disturbed_at = f->now;
 	f->workers[worker].island = island;
 }
 
@@ -3070,6 +3087,7 @@
 void
 fake_cell_set_cut(struct fake_cell *f, enum fake_cut cut)
 {
+	f->disturbed_at = f->now;
 	f->cut = cut;
 }
 
@@ -3077,6 +3095,7 @@
 fake_cell_set_link(
     struct fake_cell *f, unsigned node, unsigned worker, enum fake_link link)
 {
+	f->disturbed_at = f->now;
 	f->nodes[node].links[worker] = (uint8_t)link;
 }
 
@@ -3085,6 +3104,7 @@
 {
 	unsigned i;
 
+	f->disturbed_at = f->now;
 	for (i = 0; i < f->shape.nodes; i++) {
 		if (f->nodes[i].island != 0)
 			fake_cell_move_node(f, i, 0);
@@ -3106,6 +3126,7 @@
 			return;
 		w->entry_expired = true;
 		w->entry_outdated = true;
+		w->listed = false;
 		put_text(f, CELL_WORKERS, w->id, NULL);
 		return;
 	}
@@ -3138,6 +3159,8 @@
 				break_gang(f, &copy);
 		}
 	}
+	if (f->starved != NULL)
+		fake_starved_look(f);
 	post(f, 50 * OGL_MS, -1, on_lease_sweep, drop_nothing, NULL);
 }
 
@@ -3184,6 +3207,8 @@
 	struct job *j = p;
 
 	g_hash_table_unref(j->tasks);
+	if (j->admitted != NULL)
+		g_array_unref(j->admitted);
 	g_bytes_unref(j->spec);
 	g_free(j);
 }
@@ -3201,7 +3226,7 @@
 	g_snprintf(
 	    w->rack, sizeof w->rack, "r%u", f->shape.shards > 1 ? i : i / 6);
 	g_snprintf(w->zone, sizeof w->zone, "z%u",
-	    1 + i % CLAMP(f->shape.zones, 1, MAX_ZONES));
+	    1 + i % CLAMP(f->shape.zones, 1, FAKE_MAX_ZONES));
 	w->born_ms = 1000000 * (i + 1);
 	w->up = true;
 	w->runs = g_ptr_array_new_with_free_func(g_free);
@@ -3250,6 +3275,10 @@
 	for (i = 0; i < G_N_ELEMENTS(keys); i++)
 		g_hash_table_insert(f->keys, g_strdup(keys[i]),
 		    (char *)(uintptr_t)g_intern_string(TEAM_NAME));
+	for (i = 0; i < shape->nteams; i++)
+		g_hash_table_insert(f->keys,
+		    g_strdup_printf("key-%s", shape->teams[i].name),
+		    (char *)(uintptr_t)g_intern_string(shape->teams[i].name));
 	f->caller_key = API_KEY;
 	f->revoked_keys =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -3258,6 +3287,9 @@
 	f->counters =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->violations = g_string_new(NULL);
+	f->advice = fake_advice_init(shape->nodes);
+	if (shape->check_starved)
+		f->starved = fake_starved_init();
 	if (f->shape.shards == 0)
 		f->shape.shards = 1;
 	for (i = 0; i < CELL_NSTREAMS * CELL_SHARDS_MAX; i++) {
@@ -3331,6 +3363,9 @@
 	g_hash_table_unref(f->keys);
 	g_hash_table_unref(f->tickets);
 	g_hash_table_unref(f->counters);
+	fake_advice_end(f->advice);
+	if (f->starved != NULL)
+		fake_starved_end(f->starved);
 	g_string_free(f->violations, TRUE);
 	g_free(f->nodes);
 	g_free(f->workers);
@@ -3399,7 +3434,7 @@
 		g_snprintf(text, sizeof text, "%s state %d status %d runs %u",
 		    j->id, j->has_state ? (int)j->state : -1, j->status,
 		    j->running);
-		report_violation(f, "job has not ended", text);
+		fake_cell_report(f, "job has not ended", text);
 	}
 }
 
@@ -3419,7 +3454,7 @@
 	}
 	for (i = 0; i < f->shape.workers; i++)
 		fake_cell_set_worker_fault(f, i, FAKE_WORKER_OK);
-	for (i = 1; i <= MAX_ZONES; i++) {
+	for (i = 1; i <= FAKE_MAX_ZONES; i++) {
 		g_snprintf(zone, sizeof zone, "z%u", i);
 		if (f->evacuated_at[i] != 0)
 			fake_cell_evacuate(f, zone, false);
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -18,6 +18,23 @@
 
 struct fake_cell;
 
+/* A queue besides those of the ranks 0 to 2, which all cells have. */
+struct fake_queue {
+	unsigned rank;
+	bool advice;             /* its steps need advice */
+	uint32_t decide_ms;      /* time that a question takes */
+	uint32_t worker_us;      /* the same, more for each worker named */
+	uint32_t admit_permille; /* of the workers; others for each step */
+	uint32_t admit_min;      /* up to so many are admitted in any case */
+};
+
+/* A team besides the first one.  Its API key is "key-" and its name. */
+struct fake_team {
+	const char *name;
+	uint32_t cpu_milli_max; /* 0 no limit */
+	uint32_t rate;          /* jobs a second, 0 no limit */
+};
+
 struct fake_cell_params {
 	unsigned nodes;
 	unsigned workers;    /* 16 processors and 64 GB each; six to a rack, or
@@ -39,6 +56,14 @@
 	uint32_t advice_worker_ms; /* time a question takes for each worker */
 	/* Most records in an answer of newest records, 0 all. */
 	unsigned page_records;
+	/* Both are borrowed until the end. */
+	const struct fake_queue *queues; /* numbers 3 and up */
+	unsigned nqueues;
+	const struct fake_team *teams;
+	unsigned nteams;
+	bool advice_skips_down; /* advice on further queues does not admit a
+				 * worker that is down at that moment */
+	bool check_starved;     /* see fake_starved.c */
 };
 
 struct fake_cell *fake_cell_init(const struct fake_cell_params *shape);
@@ -58,7 +83,9 @@
 	uint32_t run_ms;    /* duration of a task */
 	int32_t after;      /* step that has to complete first, -1 none */
 	bool gang;
-	bool fails; /* every run ends as failed */
+	bool fails;             /* every run ends as failed */
+	uint32_t fail_permille; /* chance of a run to end as failed */
+	uint32_t estimate_ms;   /* declared duration, 0: run_ms */
 	bool checkpoints;
 	bool duplicates;
 	bool lasting;        /* runs until it is stopped */
@@ -67,8 +94,13 @@
 
 void fake_cell_set_caller_timeout(struct fake_cell *f, uint32_t ms);
 /* Sets the time that callers wait for answers from now on; initially 3 s. */
-void fake_cell_set_queue_rank(struct fake_cell *f, unsigned rank);
-/* Submits go to the queue of this rank, 0 to 2, from now on; initially 0. */
+void fake_cell_set_queue(struct fake_cell *f, unsigned queue);
+/* Submits go to the queue of this number from now on; initially 0.  The queues
+ * 0 to 2 are of these ranks. */
+void fake_cell_set_admitted(
+    struct fake_cell *f, const char *id, const unsigned *workers, size_t n);
+/* Advice admits these workers, and no others, for all steps of a submitted
+ * job. */
 void fake_cell_submit(struct fake_cell *f, unsigned node, const char *id,
     const char *key, const struct fake_step *steps, size_t n);
 /* key: API key, NULL for one that is valid until it is revoked.  An id that is
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -22,12 +22,24 @@
  *      page-records=           records in one answer of newest ones
  *      refuse-connections      connections to crashed workers are refused
  *      no-shard-plan           the nodes decide on the number of shards
+ *      queue=RANK:ADVICE:DECIDE:WORKER:ADMITTED
+ *                              adds a queue, numbered from 3 on: whether its
+ *                              steps need advice, the time that a question
+ *                              takes, the microseconds more for each worker
+ *                              named, and thousandths of the workers admitted
+ *      team=NAME:CPU:RATE      adds a team with these limits, 0 none, whose
+ *                              key is key-NAME
+ *      skips-down              advice on queues that are added does not admit a
+ *                              worker that is down at that moment
+ *      starved                 no job may be starved, see fake_starved.c
  * submit JOB NODE [key=K] step OPTION ... [step ...]
  *      tasks= cpu= run=        number of tasks, processors and time of a task
  *      after=                  step that has to end before, counted from 0
  *      apart=                  tasks that may share a worker
  *      gang lasting checkpoints
  *      fails                   every run ends as failed
+ *      fail=                   thousandths of its runs that do
+ *      declared=               run time that is declared
  *      duplicates              its tasks may run twice
  * submit-many JOB COUNT INTERVAL step ...
  *                              submits JOB0, JOB1, ..., at all nodes in turn
@@ -39,6 +51,10 @@
  * freeze NODE, thaw NODE       halts and resumes the machine
  * loop-delay NODE TIME         each step of the node takes so long, 0 ends it
  * rank RANK                    queue of later jobs, 0 to 2
+ * queue NUMBER                 the same, also a queue that the cell has added
+ * admit JOB WORKER ...         advice admits only these for a submitted job
+ * admit-many JOB COUNT WORKER ...
+ *                              the same for the jobs of a submit-many
  * caller-timeout TIME          how long callers wait for an answer
  * cancel JOB NODE              cancels a job through a node
  * ask JOB NODE                 asks a node for a job's status
@@ -144,8 +160,13 @@
 			fake_cell_freeze(cell_, node(w[1]), true);
 		else if (w[0] == "thaw")
 			fake_cell_freeze(cell_, node(w[1]), false);
-		else if (w[0] == "rank")
-			fake_cell_set_queue_rank(cell_, num(w[1]));
+		else if (w[0] == "admit")
+			admit(w[1], w, 2);
+		else if (w[0] == "admit-many")
+			for (unsigned i = 0; i < num(w[2]); i++)
+				admit(w[1] + std::to_string(i), w, 3);
+		else if (w[0] == "rank" || w[0] == "queue")
+			fake_cell_set_queue(cell_, num(w[1]));
 		else if (w[0] == "caller-timeout")
 			fake_cell_set_caller_timeout(cell_, num(w[1]));
 		else if (w[0] == "loop-delay")
@@ -414,11 +435,51 @@
 		shape_.zones = o.count("zones") != 0 ? num(o["zones"]) : 1;
 		shape_.attempts_max =
 		    o.count("attempts") != 0 ? num(o["attempts"]) : 3;
+		shape_.check_starved = o.count("starved") != 0;
+		shape_.advice_skips_down = o.count("skips-down") != 0;
+		add_queues_and_teams(w);
 		cell_ = fake_cell_init(&shape_);
 		fake_cell_advance(cell_, 1000);
 		return "";
 	}
 
+	static Words fields(const std::string &s)
+	{
+		std::istringstream in(s);
+		Words v;
+
+		for (std::string f; std::getline(in, f, ':');)
+			v.push_back(f);
+		return v;
+	}
+
+	void add_queues_and_teams(const Words &w)
+	{
+		for (const std::string &s : w) {
+			Words f = fields(s.substr(s.find('=') + 1));
+
+			if (s.rfind("queue=", 0) == 0)
+				queues_.push_back({num(f[0]), f[1] != "0",
+				    num(f[2]), num(f[3]), num(f[4]), 0});
+			else if (s.rfind("team=", 0) == 0)
+				teams_.push_back({g_intern_string(f[0].c_str()),
+				    num(f[1]), num(f[2])});
+		}
+		shape_.queues = queues_.data();
+		shape_.nqueues = static_cast<unsigned>(queues_.size());
+		shape_.teams = teams_.data();
+		shape_.nteams = static_cast<unsigned>(teams_.size());
+	}
+
+	void admit(const std::string &job, const Words &w, size_t from)
+	{
+		std::vector<unsigned> v;
+
+		for (size_t i = from; i < w.size(); i++)
+			v.push_back(num(w[i]));
+		fake_cell_set_admitted(cell_, id(job), v.data(), v.size());
+	}
+
 	/* A step without options has one task: one processor for 1 s. */
 	std::string submit(const Words &w)
 	{
@@ -448,6 +509,10 @@
 				      : -1;
 			s.gang = o.count("gang") != 0;
 			s.fails = o.count("fails") != 0;
+			s.fail_permille =
+			    o.count("fail") != 0 ? num(o["fail"]) : 0;
+			s.estimate_ms =
+			    o.count("declared") != 0 ? num(o["declared"]) : 0;
 			s.checkpoints = o.count("checkpoints") != 0;
 			s.duplicates = o.count("duplicates") != 0;
 			s.lasting = o.count("lasting") != 0;
@@ -463,6 +528,8 @@
 
 	struct fake_cell *cell_ = nullptr;
 	struct fake_cell_params shape_ = {};
+	std::vector<struct fake_queue> queues_;
+	std::vector<struct fake_team> teams_;
 	std::map<std::string, int> node_names_;
 	std::map<std::string, std::string> job_ids_;
 };
--- a/test/test_ctl_losses.cc
+++ b/test/test_ctl_losses.cc
@@ -255,7 +255,7 @@
 		s.cpu_milli = 2000;
 		s.run_ms = 600;
 		s.gang = k % 3 == 1;
-		fake_cell_set_queue_rank(cell, k % 3);
+		fake_cell_set_queue(cell, k % 3);
 		fake_cell_submit(cell, k % 3, id, nullptr, &s, 1);
 		if (k % 300 == 299) /* in bursts */
 			fake_cell_advance(cell, 9000);
