schedule: stages at their team's limit ask after all others

Callers saw accepted jobs with nothing running for up to 50 s beside room, never asked about (LOST). Stages that their team's limit refuses renew their tickets, and ask for their first ones, so that they can start at once when a task of the team ends. Tickets last 2.5 s, so with a few teams at their limits these questions, most of them of no use, took the lanes that other work waited for.

They now get the lanes that others leave, and an overdue stage names as many workers in a further question as the service takes: few may be admitted.

--- a/cell/question.c
+++ b/cell/question.c
@@ -147,8 +147,10 @@
 	uint32_t waiting = cell_stage_waiting(st);
 	double known = (double)(cell_workers_free_slots(q->valid, st) +
 				cell_workers_free_slots(q->expired, st));
-	double expected = list_new(q, st, SLOTS_MARGIN * waiting - known,
-	    CELL_ADVICE_WORKERS_MAX, workers);
+	double wanted =
+	    q->overdue ? G_MAXDOUBLE : SLOTS_MARGIN * waiting - known;
+	double expected =
+	    list_new(q, st, wanted, CELL_ADVICE_WORKERS_MAX, workers);
 
 	if (!st->def->gang) {
 		if (expected <= 0)
--- a/cell/question.h
+++ b/cell/question.h
@@ -20,6 +20,7 @@
 	double approved_share; /* fraction of workers that is approved */
 	bool slow_link;        /* tickets of unneeded workers cost too much */
 	bool fullest_first;    /* use up the small rooms of nearly full ones */
+	bool overdue;          /* name as many as the service takes */
 	ogl_time now;
 };
 
--- a/cell/sched_ask.c
+++ b/cell/sched_ask.c
@@ -41,7 +41,7 @@
 	    s->any_worker ? s->usable : s->schedulable, s->candidates,
 	    s->expired,
 	    cell_advice_approved_share(s->parts.advice, st->job->def->queue),
-	    s->slow_link, may_use_fullest(st), now};
+	    s->slow_link, may_use_fullest(st), s->any_worker, now};
 	double ms = 0;
 
 	choose(&scope, st, workers);
@@ -80,14 +80,14 @@
 
 void
 cell_sched_request_advice(struct cell_sched *s, struct cell_stage *st,
-    const struct cell_queue *q, unsigned precedence, ogl_time now)
+    GPtrArray *asking, ogl_time now)
 {
 	uint32_t rank = cell_sched_rank_of(s, st);
 
-	if (!q->policy.needed || st->asking)
+	if (!cell_sched_queue_of(s, st->job)->policy.needed || st->asking)
 		return;
 	if (rank > 0)
-		g_ptr_array_add(s->asking[precedence], st);
+		g_ptr_array_add(asking, st);
 	else if (cell_advice_has_free_lane(s->parts.advice, rank, now))
 		cell_sched_ask_for_stage(s, st, now);
 	else
@@ -152,4 +152,7 @@
 		ask_for_stages(s, s->asking[precedence], now);
 		g_ptr_array_set_size(s->asking[precedence], 0);
 	}
+	/* Their tickets may expire unused, so they get what others leave. */
+	ask_for_stages(s, s->asking_limited, now);
+	g_ptr_array_set_size(s->asking_limited, 0);
 }
--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -98,8 +98,9 @@
 	GArray *share_items; /* scratch: struct ogl_share_item */
 	ogl_time next_share_log_at;
 	/* Stages with questions that wait for the end of the pass, in the order
-	 * of the pass. */
+	 * of the pass; those at the limit of their team apart. */
 	GPtrArray *asking[PRECEDENCES];
+	GPtrArray *asking_limited;
 	struct cell_yield *yield;
 };
 
@@ -211,9 +212,9 @@
  * takes, 0 if none was asked. */
 
 void cell_sched_request_advice(struct cell_sched *s, struct cell_stage *st,
-    const struct cell_queue *q, unsigned precedence, ogl_time now);
+    GPtrArray *asking, ogl_time now);
 /* Asks about workers for the stage: at once for rank 0, otherwise at the end of
- * the pass if its turn comes. */
+ * the pass if its turn comes among the stages in `asking`. */
 void cell_sched_ask_waiting(struct cell_sched *s, ogl_time now);
 /* Asks the questions of this pass for which there are lanes. */
 
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -64,6 +64,7 @@
 	s->yield = cell_yield_init();
 	for (i = 0; i < PRECEDENCES; i++)
 		s->asking[i] = g_ptr_array_new();
+	s->asking_limited = g_ptr_array_new();
 	return s;
 }
 
@@ -78,6 +79,7 @@
 			g_ptr_array_unref(s->buckets[i][k]);
 		g_ptr_array_unref(s->asking[i]);
 	}
+	g_ptr_array_unref(s->asking_limited);
 	ogl_lanes_end(s->lanes);
 	ogl_share_end(s->share);
 	g_array_unref(s->share_items);
@@ -243,9 +245,8 @@
 
 /* Records that the limit refused the stage, and keeps some tickets valid. */
 static void
-handle_limited(struct cell_sched *s, struct cell_stage *st,
-    const struct cell_queue *q, uint32_t rank, unsigned precedence,
-    ogl_time now)
+handle_limited(struct cell_sched *s, struct cell_stage *st, uint32_t rank,
+    unsigned precedence, ogl_time now)
 {
 	struct team_state *t = cell_sched_team_state_of(s, st->job->def->team);
 
@@ -260,8 +261,7 @@
 	if (t->nlimited[rank]++ >= LIMITED_STAGES_ASKING_MAX &&
 	    g_hash_table_size(st->asked) > 0)
 		return;
-	cell_sched_list_candidates(s, st, q->policy.needed, rank, now);
-	cell_sched_request_advice(s, st, q, precedence, now);
+	cell_sched_request_advice(s, st, s->asking_limited, now);
 }
 
 enum cell_placing
@@ -278,7 +278,8 @@
 	if (!st->job->settled || !st->job->stored) {
 		/* The answer should have arrived when the stage may start. */
 		if (g_hash_table_size(st->asked) == 0)
-			cell_sched_request_advice(s, st, q, precedence, now);
+			cell_sched_request_advice(
+			    s, st, s->asking[precedence], now);
 		log_wait(s, st,
 		    st->job->stored ? CELL_WAIT_SETTLE : CELL_WAIT_STORE, now);
 		return CELL_PLACED;
@@ -286,7 +287,7 @@
 	s->whole_limit = cell_sched_overdue(st, now);
 	if (!cell_sched_team_limit_allows(s, st, tasks, rank, now)) {
 		log_wait(s, st, CELL_WAIT_LIMIT, now);
-		handle_limited(s, st, q, rank, precedence, now);
+		handle_limited(s, st, rank, precedence, now);
 		return CELL_LIMITED;
 	}
 	active_before = st->nactive;
@@ -314,7 +315,7 @@
 	if (st->blocked_since == 0)
 		st->blocked_since = now;
 	log_wait(s, st, find_wait_reason(s, st, &q->policy), now);
-	cell_sched_request_advice(s, st, q, precedence, now);
+	cell_sched_request_advice(s, st, s->asking[precedence], now);
 	if (st->def->gang && precedence == 0)
 		cell_sched_reserve_workers(s, st, rank, policy_needed);
 	return st->nactive > active_before ? CELL_PLACED : CELL_UNPLACED;
