cell: shards start nothing while a lowered limit is exceeded

Cause: parts of a limit are fractions, so lowering it sends no message. Tasks of one shard may then use more than that shard's part; the coordinator learned of that only by chance, and never took anything from the other shards, which started tasks within the parts that they held.

Now a shard reports what certainly runs there as held if that is more than its part: at once, and twice a second for a coordinator that is new. A grant never leaves a shard more than the other shards' reported parts do. What a predecessor may or may not have started is not counted so, as it can be the whole queue: the team would stand still in all shards at each takeover.

--- a/cell/escrow.c
+++ b/cell/escrow.c
@@ -30,7 +30,11 @@
  * gets nothing with which it could start nothing.  For a while, what is returned
  * is kept for the first in the order, so that a gang can start.
  *
- * Parts are fractions of a limit, so a changed limit needs no message.
+ * Parts are fractions of a limit, so a changed limit needs no message.  After a
+ * limit was lowered, however, tasks that run on may use more than their shard's
+ * part of it.  Such a shard reports what they use as what it holds.  While all
+ * parts together exceed the limit, the coordinator takes the excess from every
+ * shard, so that none starts a task before enough of the others have ended.
  */
 
 #include <string.h>
@@ -58,6 +62,9 @@
  * follow at once. */
 #define REQUEST_AHEAD_PPM (CELL_PART_WHOLE_PPM / 50)
 
+/* A shard that uses more than its part reports that this often, in case that
+ * the coordinator is new. */
+#define OVERUSE_REPORT_INTERVAL (500 * OGL_MS)
 /* A shard that wants more asks again at least this often. */
 #define WANT_TIMEOUT (1200 * OGL_MS)
 /* For this long, returned parts are kept for the first shard in the order. */
@@ -69,8 +76,8 @@
 	bool reported;
 	uint64_t epoch;  /* epoch of the owner that reported last */
 	uint64_t number; /* number of its last report */
-	uint32_t held;
-	uint32_t used; /* in the last report; usually less than held */
+	uint32_t held;   /* its part, or what runs there if that is more */
+	uint32_t used;   /* in the last report; usually less than held */
 	uint32_t wanted;
 	uint32_t least;
 	uint32_t rank;
@@ -89,6 +96,7 @@
 	uint32_t rank;
 	ogl_time asked_at; /* last request for more */
 	uint64_t number;   /* number of the last report */
+	uint32_t reported; /* held in it */
 	bool unanswered;   /* the last report was not answered yet */
 	ogl_time sent_at;
 	bool report_due;         /* wants more, not reported yet */
@@ -196,6 +204,12 @@
 	t->report_due = due;
 }
 
+static uint32_t
+running(const struct cell_escrow *e, const struct team *t)
+{
+	return e->events.running(e->events.arg, t->name);
+}
+
 static void
 send_report(struct cell_escrow *e, struct team *t, ogl_time now)
 {
@@ -205,7 +219,8 @@
 	m.kind = OGL__CELL_PART_KIND__cell_part_report;
 	m.number = ++t->number;
 	m.fresh = !t->known;
-	m.held = t->held;
+	m.held = MAX(t->held, running(e, t));
+	t->reported = m.held;
 	m.used = e->events.used(e->events.arg, t->name);
 	m.wanted = t->wanted;
 	m.least = t->least;
@@ -227,6 +242,13 @@
 	return t != NULL && t->known ? t->held : 0;
 }
 
+void
+cell_escrow_watch(struct cell_escrow *e, const char *team)
+{
+	if (e->open && e->shards > 1)
+		find_or_add_team(e, team);
+}
+
 static uint32_t
 ahead(uint32_t part)
 {
@@ -272,6 +294,8 @@
 		t->next_report_at = now + DENIED_BACKOFF;
 	if (t->held > before)
 		e->events.granted(e->events.arg, now);
+	else if (t->held < before)
+		send_report(e, t, now); /* the rest is free for others */
 }
 
 static void
@@ -323,6 +347,21 @@
 	send_report(e, t, now);
 }
 
+/* Reports use beyond the part, which a lowered limit or a takeover brings. */
+static bool
+report_overuse(struct cell_escrow *e, struct team *t, ogl_time now)
+{
+	uint32_t now_running = running(e, t);
+
+	if (now_running <= t->held)
+		return false;
+	if (now_running <= t->reported &&
+	    now - t->sent_at < OVERUSE_REPORT_INTERVAL)
+		return false;
+	send_report(e, t, now);
+	return true;
+}
+
 /* ---- the coordinator -------------------------------------------------- */
 
 static bool
@@ -412,8 +451,7 @@
 	state->wanted = m->wanted;
 	state->least = m->least;
 	state->rank = m->rank;
-	if (!m->fresh)
-		state->held = m->held;
+	state->held = m->fresh ? MAX(state->held, m->held) : m->held;
 	if (state->wanted <= state->held)
 		state->wants_since = 0;
 	else if (state->wants_since == 0)
@@ -423,6 +461,26 @@
 	return true;
 }
 
+/* The part that the shard may keep: less than it holds only if all shards
+ * together hold more than the whole limit. */
+static uint32_t
+part_to_keep(const struct cell_escrow *e, const struct team *t, uint32_t shard)
+{
+	uint64_t held_by_others = 0;
+	uint32_t i;
+
+	for (i = 0; i < e->shards; i++) {
+		if (i != shard)
+			held_by_others += t->states[i].held;
+	}
+	if (held_by_others >= CELL_PART_WHOLE_PPM)
+		return 0;
+	return MIN(t->states[shard].held,
+	    (uint32_t)(CELL_PART_WHOLE_PPM - held_by_others));
+}
+
+/* A part that the grant reduces counts as held until the shard has reported
+ * the smaller one. */
 static void
 send_grant(struct cell_escrow *e, struct team *t, uint32_t shard)
 {
@@ -432,7 +490,7 @@
 	state->answer_due = false;
 	grant.kind = OGL__CELL_PART_KIND__cell_part_grant;
 	grant.number = state->number;
-	grant.held = state->held;
+	grant.held = part_to_keep(e, t, shard);
 	send_part(e, shard, &grant, t);
 }
 
@@ -463,8 +521,8 @@
 	return n;
 }
 
-/* Answers all reports, and grants what was returned to shards that want more.
- * Returns the first shard that did not get enough, or the number of shards if
+/* Answers all reports, grants what was returned to shards that want more, and
+ * reduces parts that exceed the limit together.  Returns the first shard that did not get enough, or the number of shards if
  * there is none. */
 static uint32_t
 send_grants(struct cell_escrow *e, struct team *t, ogl_time now)
@@ -495,7 +553,8 @@
 			collecting = true;
 	}
 	for (i = 0; i < e->shards; i++) {
-		if (t->states[i].answer_due)
+		if (t->states[i].answer_due ||
+		    part_to_keep(e, t, i) < t->states[i].held)
 			send_grant(e, t, i);
 	}
 	return denied;
@@ -549,10 +608,13 @@
 static void
 step_team(struct cell_escrow *e, struct team *t, ogl_time now)
 {
-	if (t->unanswered && now - t->sent_at > ANSWER_TIMEOUT)
-		send_report(e, t, now);
-	else if (t->known && !t->unanswered && !withdraw_want(e, t, now))
+	if (t->unanswered) {
+		if (now - t->sent_at > ANSWER_TIMEOUT)
+			send_report(e, t, now);
+	} else if (!report_overuse(e, t, now) && t->known &&
+		   !withdraw_want(e, t, now)) {
 		return_unused(e, t, now);
+	}
 	if (t->has_reports && !all_reported(e, t) && now >= t->next_query_at)
 		query_missing(e, t, now);
 }
--- a/cell/escrow.h
+++ b/cell/escrow.h
@@ -18,6 +18,8 @@
 	uint32_t (*used)(void *arg, const char *team);
 	/* Result: millionths of the team's limit that may be in use in this
 	 * shard. */
+	uint32_t (*running)(void *arg, const char *team);
+	/* The same without what an earlier owner may or may not have started. */
 	void (*granted)(void *arg, ogl_time now);
 	/* This shard's part of a team's limit has grown. */
 	void *arg;
@@ -36,6 +38,10 @@
 /* Result: millionths of the team's limit that this shard may use; the whole
  * limit in a cell with one shard. */
 
+void cell_escrow_watch(struct cell_escrow *e, const char *team);
+/* Tasks of the team may be running in this shard since before its owner
+ * changed: what they use beyond the shard's part is reported. */
+
 /* Parts of a team's limit that waiting work needs, in millionths. */
 struct cell_part_need {
 	uint32_t least;  /* so that one task or gang can start */
--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -651,39 +651,73 @@
 
 /* ---- resources in use ------------------------------------------------- */
 
-static struct ogl_res *
-team_usage(struct cell_fleet *f, const char *team)
+struct team_use {
+	struct ogl_res used;
+	struct ogl_res unsure; /* of these, by runs that may not have begun */
+};
+
+static struct team_use *
+team_use(struct cell_fleet *f, const char *team)
 {
-	struct ogl_res *used = g_hash_table_lookup(f->teams, team);
+	struct team_use *t = g_hash_table_lookup(f->teams, team);
 
-	if (used == NULL) {
-		used = g_new0(struct ogl_res, 1);
-		g_hash_table_insert(f->teams, g_strdup(team), used);
+	if (t == NULL) {
+		t = g_new0(struct team_use, 1);
+		g_hash_table_insert(f->teams, g_strdup(team), t);
 	}
-	return used;
+	return t;
 }
 
 struct ogl_res
 cell_fleet_team_used(const struct cell_fleet *f, const char *team)
 {
 	const struct ogl_res none = {0};
-	const struct ogl_res *used = g_hash_table_lookup(f->teams, team);
+	const struct team_use *t = g_hash_table_lookup(f->teams, team);
 
-	return used != NULL ? *used : none;
+	return t != NULL ? t->used : none;
+}
+
+struct ogl_res
+cell_fleet_team_running(const struct cell_fleet *f, const char *team)
+{
+	const struct team_use *t = g_hash_table_lookup(f->teams, team);
+	struct ogl_res running = {0};
+
+	if (t != NULL) {
+		running = t->used;
+		ogl_res_sub(&running, &t->unsure);
+	}
+	return running;
 }
 
 void
 cell_fleet_team_charge(
     struct cell_fleet *f, const char *team, const struct ogl_res *res)
 {
-	ogl_res_add(team_usage(f, team), res);
+	ogl_res_add(&team_use(f, team)->used, res);
 }
 
 void
 cell_fleet_team_uncharge(
     struct cell_fleet *f, const char *team, const struct ogl_res *res)
 {
-	ogl_res_sub(team_usage(f, team), res);
+	ogl_res_sub(&team_use(f, team)->used, res);
+}
+
+void
+cell_fleet_team_charge_unsure(
+    struct cell_fleet *f, const char *team, const struct ogl_res *res)
+{
+	ogl_res_add(&team_use(f, team)->unsure, res);
+	cell_fleet_team_charge(f, team, res);
+}
+
+void
+cell_fleet_team_uncharge_unsure(
+    struct cell_fleet *f, const char *team, const struct ogl_res *res)
+{
+	ogl_res_sub(&team_use(f, team)->unsure, res);
+	cell_fleet_team_uncharge(f, team, res);
 }
 
 struct cell_run *
@@ -699,7 +733,7 @@
 	r->res = *res;
 	r->team = g_strdup(team);
 	ogl_res_add(&w->used, res);
-	ogl_res_add(team_usage(f, r->team), res);
+	ogl_res_add(&team_use(f, r->team)->used, res);
 	g_hash_table_add(w->runs, r);
 	return r;
 }
@@ -711,7 +745,7 @@
 	struct cell_worker *w = r->worker;
 
 	ogl_res_sub(&w->used, &r->res);
-	ogl_res_sub(team_usage(f, r->team), &r->res);
+	ogl_res_sub(&team_use(f, r->team)->used, &r->res);
 	g_hash_table_remove(w->runs, r);
 	if (r->orphan)
 		w->norphans--;
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -313,14 +313,21 @@
 struct ogl_res cell_fleet_team_used(
     const struct cell_fleet *f, const char *team);
 /* Resources of all runs of a team that may be running. */
+struct ogl_res cell_fleet_team_running(
+    const struct cell_fleet *f, const char *team);
+/* The same without those that may never have begun. */
 
 void cell_fleet_team_charge(
     struct cell_fleet *f, const char *team, const struct ogl_res *res);
 void cell_fleet_team_uncharge(
     struct cell_fleet *f, const char *team, const struct ogl_res *res);
+void cell_fleet_team_charge_unsure(
+    struct cell_fleet *f, const char *team, const struct ogl_res *res);
+void cell_fleet_team_uncharge_unsure(
+    struct cell_fleet *f, const char *team, const struct ogl_res *res);
 /* Add resources to those that count against a team's limit, and subtract them
  * again.  Used for tasks that may be running on workers that have not answered
- * yet. */
+ * yet; unsure: for those of which no begun run is on record. */
 
 bool cell_fleet_settled(const struct cell_fleet *f);
 /* Whether every worker that could run something has answered under our epoch
--- a/cell/job.c
+++ b/cell/job.c
@@ -514,16 +514,24 @@
  * beyond CELL_FAILED_RUNS_MAX the oldest number is dropped.
  */
 bool
-cell_task_record_failure(struct cell_task *t, uint64_t run)
+cell_task_run_failed(const struct cell_task *t, uint64_t run)
 {
 	guint i;
 
-	if (t->failed_runs == NULL)
-		t->failed_runs = g_array_new(FALSE, FALSE, sizeof run);
-	for (i = 0; i < t->failed_runs->len; i++) {
+	for (i = 0; i < cell_task_failures(t); i++) {
 		if (g_array_index(t->failed_runs, uint64_t, i) == run)
-			return false;
+			return true;
 	}
+	return false;
+}
+
+bool
+cell_task_record_failure(struct cell_task *t, uint64_t run)
+{
+	if (cell_task_run_failed(t, run))
+		return false;
+	if (t->failed_runs == NULL)
+		t->failed_runs = g_array_new(FALSE, FALSE, sizeof run);
 	if (t->failed_runs->len >= CELL_FAILED_RUNS_MAX)
 		g_array_remove_index(t->failed_runs, 0);
 	g_array_append_val(t->failed_runs, run);
--- a/cell/job.h
+++ b/cell/job.h
@@ -36,8 +36,9 @@
 	/* An earlier owner started it, and it may still run on a worker that
 	 * has not answered since the takeover. */
 	bool assumed_running;
-	char *avoid_worker;      /* worker of the last failed run; NULL none */
-	ogl_time not_before;     /* earliest start */
+	bool assumed_begun;  /* and no record says that this run has ended */
+	char *avoid_worker;  /* worker of the last failed run; NULL none */
+	ogl_time not_before; /* earliest start */
 	uint32_t silent_workers; /* silent workers on which it may run */
 	uint32_t move_count;     /* times it was stopped to run elsewhere */
 	ogl_time preempted_at;   /* last stop for work of rank 0; 0 never */
@@ -275,6 +276,7 @@
 void cell_task_save_checkpoint(struct cell_task *t, const char *checkpoint);
 /* Replaces the checkpoint; an empty one or NULL changes nothing. */
 
+bool cell_task_run_failed(const struct cell_task *t, uint64_t run);
 bool cell_task_record_failure(struct cell_task *t, uint64_t run);
 /* Records a failed run; false when it was recorded before. */
 uint32_t cell_task_failures(const struct cell_task *t);
--- a/cell/owner.c
+++ b/cell/owner.c
@@ -126,22 +126,39 @@
 }
 
 static uint32_t
-team_used_ppm(void *arg, const char *team)
+ppm_of_limit(
+    const struct cell_owner *o, const char *team, const struct ogl_res *used)
 {
-	struct cell_owner *o = arg;
 	const struct cell_team *t =
 	    o->config != NULL ? cell_config_team(o->config, team) : NULL;
-	struct ogl_res used = cell_fleet_team_used(o->fleet, team);
 	double largest;
 
 	if (t == NULL)
 		return 0;
-	largest = fraction(used.cpu_milli, t->max.cpu_milli);
-	largest = MAX(largest, fraction(used.mem_mb, t->max.mem_mb));
-	largest = MAX(largest, fraction(used.accel, t->max.accel));
+	largest = fraction(used->cpu_milli, t->max.cpu_milli);
+	largest = MAX(largest, fraction(used->mem_mb, t->max.mem_mb));
+	largest = MAX(largest, fraction(used->accel, t->max.accel));
 	return (uint32_t)(MIN(largest, 1.0) * CELL_PART_WHOLE_PPM);
 }
 
+static uint32_t
+team_used_ppm(void *arg, const char *team)
+{
+	const struct cell_owner *o = arg;
+	struct ogl_res used = cell_fleet_team_used(o->fleet, team);
+
+	return ppm_of_limit(o, team, &used);
+}
+
+static uint32_t
+team_running_ppm(void *arg, const char *team)
+{
+	const struct cell_owner *o = arg;
+	struct ogl_res used = cell_fleet_team_running(o->fleet, team);
+
+	return ppm_of_limit(o, team, &used);
+}
+
 static void
 on_part_granted(void *arg, ogl_time now)
 {
@@ -227,7 +244,7 @@
 	struct cell_roster_events roster_events = {
 	    on_worker_entry, on_list_read, o};
 	struct cell_escrow_events escrow_events = {
-	    send_part, team_used_ppm, on_part_granted, o};
+	    send_part, team_used_ppm, team_running_ppm, on_part_granted, o};
 	struct cell_relay_events relay_events = {send_orders, o};
 
 	o->ops = ops;
--- a/cell/owner_jobs.c
+++ b/cell/owner_jobs.c
@@ -159,7 +159,16 @@
 		if (t->done || t->active != NULL || (t->run == 0 && !ready))
 			continue;
 		t->assumed_running = true;
-		cell_fleet_team_charge(o->fleet, st->job->def->team, &need);
+		t->assumed_begun =
+		    t->run > 0 && !cell_task_run_failed(
+				      cell_stage_shared_task(st, i), t->run);
+		if (t->assumed_begun)
+			cell_fleet_team_charge(
+			    o->fleet, st->job->def->team, &need);
+		else
+			cell_fleet_team_charge_unsure(
+			    o->fleet, st->job->def->team, &need);
+		cell_escrow_watch(o->escrow, st->job->def->team);
 	}
 }
 
@@ -171,7 +180,11 @@
 	if (!t->assumed_running)
 		return;
 	t->assumed_running = false;
-	cell_fleet_team_uncharge(o->fleet, st->job->def->team, &need);
+	if (t->assumed_begun)
+		cell_fleet_team_uncharge(o->fleet, st->job->def->team, &need);
+	else
+		cell_fleet_team_uncharge_unsure(
+		    o->fleet, st->job->def->team, &need);
 }
 
 /* Applies charge to what is assumed to run of the ended job. */
@@ -205,7 +218,7 @@
 
 		s->assumed = s->count;
 	}
-	charge_stopping(o, j, cell_fleet_team_charge);
+	charge_stopping(o, j, cell_fleet_team_charge_unsure);
 }
 
 void
@@ -215,7 +228,7 @@
 
 	if (j->stopping == NULL)
 		return;
-	charge_stopping(o, j, cell_fleet_team_uncharge);
+	charge_stopping(o, j, cell_fleet_team_uncharge_unsure);
 	for (i = 0; i < j->stopping->len; i++)
 		g_array_index(j->stopping, struct cell_stopping, i).assumed = 0;
 }
@@ -309,7 +322,7 @@
 	for (i = 0; i < j->occurrences->len; i++)
 		cell_owner_drop_occurrence(o, j, j->occurrences->pdata[i], now);
 	if (j->stopping != NULL)
-		charge_stopping(o, j, cell_fleet_team_charge);
+		charge_stopping(o, j, cell_fleet_team_charge_unsure);
 	cell_job_clear(j);
 	j->ended_here = true;
 	j->state = state;
--- a/test/test_cell_escrow.cc
+++ b/test/test_cell_escrow.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -31,6 +32,7 @@
 		Escrow *test;
 		uint32_t shard;
 		uint32_t used;
+		uint32_t running;
 		uint64_t epoch;
 		struct cell_escrow *e;
 	};
@@ -48,13 +50,18 @@
 			h->test->in_flight_.push_back({h->shard, to, b});
 		};
 		ev.used = [](void *arg, const char *) {
-			return static_cast<Holder *>(arg)->used;
+			auto *h = static_cast<Holder *>(arg);
+
+			return std::max(h->used, h->running);
+		};
+		ev.running = [](void *arg, const char *) {
+			return static_cast<Holder *>(arg)->running;
 		};
 		ev.granted = [](void *, ogl_time) {};
 		for (uint32_t i = 0; i < kShards; i++) {
 			Holder &h = holders_[i];
 
-			h = {this, i, 0, 1, nullptr};
+			h = {this, i, 0, 0, 1, nullptr};
 			ev.arg = &h;
 			h.e = cell_escrow_init(i, kShards, &ev);
 			cell_escrow_open(h.e, 1);
@@ -345,4 +352,56 @@
 	EXPECT_GE(part(coordinator_), 300000U);
 }
 
+/* A limit is lowered, and long tasks of one shard then use all of it.  Another
+ * shard that went on within its own part would take the team beyond its limit.
+ * Once those tasks have ended it gets its part back. */
+TEST_F(Escrow, NothingIsStartedWhileAShardUsesTheWholeLimit)
+{
+	want(shard_a_, 400000);
+	want(shard_b_, 400000);
+	deliver_all();
+	holders_[shard_a_].running = kWhole;
+	holders_[shard_b_].running = 300000;
+	advance(200);
+	EXPECT_EQ(0U, part(shard_b_));
+	EXPECT_LE(part(shard_a_), kWhole - 300000);
+	holders_[shard_b_].running = 100000;
+	wait_for(shard_b_, 200000, 0, 500);
+	EXPECT_LE(part(shard_b_), 100000U);
+	holders_[shard_a_].running = 0;
+	wait_for(shard_b_, 200000, 0, 500);
+	EXPECT_GE(part(shard_b_), 200000U);
+}
+
+/* The coordinator is replaced after a shard has reported its use and before the
+ * others have returned anything.  The next coordinator has to learn of it. */
+TEST_F(Escrow, OveruseIsReportedToANewCoordinator)
+{
+	want(shard_a_, 400000);
+	want(shard_b_, 400000);
+	deliver_all();
+	holders_[shard_b_].running = 400000;
+	holders_[shard_a_].running = kWhole;
+	advance(200, shard_b_);
+	EXPECT_GE(part(shard_b_), 400000U);
+	replace_owner(coordinator_);
+	advance(1000);
+	EXPECT_EQ(0U, part(shard_b_));
+}
+
+/* The owner of a shard that uses the whole limit is replaced, and the new one
+ * has no work of the team that waits, so it asks for nothing. */
+TEST_F(Escrow, OveruseIsReportedByANewOwner)
+{
+	want(shard_a_, 400000);
+	want(shard_b_, 400000);
+	deliver_all();
+	holders_[shard_b_].running = 400000;
+	replace_owner(shard_a_);
+	holders_[shard_a_].running = kWhole;
+	cell_escrow_watch(holders_[shard_a_].e, "team");
+	advance(1000);
+	EXPECT_EQ(0U, part(shard_b_));
+}
+
 } // namespace
