cell: the other run of an ended task counts until it is over

Callers saw a team with more running than its limit allows right after a takeover (QUOTA).

Cause: a task ended on a worker that had been given up, and its run elsewhere was told to stop. The run is detached from its task before the job's end is recorded, and the record listed only runs that tasks still had. The next owner found it on its worker as a run of nobody, which counts for no team and blocks the worker, and started other tasks up to the limit. The same holds for runs of a job that goes on, whose needs the submission tells, and for members of a gang whose step is done.

Now each run that its task no longer needs is noted with the job until it is over, and the progress record lists how many there are. The next owner counts them until all workers have answered or the leases have expired, so nothing is held back for longer than before. What is found of a job that goes on counts by its submission.

Trace of (ms): 220113 three runs given up and started on w6; 220117 w2 is back and has ended all three, the job is over, w6 is told to stop; 220215 the next owner; 220233 settled without them; 220292 four tasks started; 220319 the three stop.

--- a/cell/job.c
+++ b/cell/job.c
@@ -254,82 +254,82 @@
 	return j;
 }
 
-/* ---- what outlasts the end of a job ------------------------------------- */
+/* ---- runs that are no longer needed ------------------------------------- */
 
-static void
-add_stopping(
-    struct cell_job *j, const char *team, const struct cell_stopping *s)
+static struct ogl_res
+step_need(const Ogl__CellStep *s)
 {
-	if (j->stopping == NULL) {
-		j->stopping =
-		    g_array_new(FALSE, FALSE, sizeof(struct cell_stopping));
-		j->stopping_team = g_strdup(team);
-	}
-	g_array_append_val(j->stopping, *s);
-}
+	struct ogl_res need = {
+	    s->fills ? 0 : s->cpu_milli, s->mem_mb, s->accel};
 
-void
-cell_job_note_stopping(struct cell_job *j)
-{
-	guint i;
-	size_t k;
-	uint32_t n;
-
-	for (i = 0; i < j->occurrences->len; i++) {
-		struct cell_occurrence *o = j->occurrences->pdata[i];
-
-		for (k = 0; k < j->def->n_steps; k++) {
-			const struct cell_stage *st = &o->stages[k];
-			struct cell_stopping s = {
-			    .step = (uint32_t)k, .need = cell_stage_need(st)};
-
-			for (n = 0; n < st->ntasks; n++) {
-				const struct cell_task *t = &st->tasks[n];
-
-				s.assumed += t->assumed_running;
-				s.count += t->assumed_running +
-					   (t->active != NULL) +
-					   (t->copy != NULL);
-			}
-			if (s.count > 0)
-				add_stopping(j, j->def->team, &s);
-		}
-	}
+	return need;
 }
 
-const struct ogl_res *
-cell_job_stopping_need(const struct cell_job *j, uint32_t step)
+static struct cell_stopping *
+find_stopping(const struct cell_job *j, uint32_t step)
 {
 	guint i;
 
 	for (i = 0; j->stopping != NULL && i < j->stopping->len; i++) {
-		const struct cell_stopping *s =
+		struct cell_stopping *s =
 		    &g_array_index(j->stopping, struct cell_stopping, i);
 
 		if (s->step == step)
-			return &s->need;
+			return s;
 	}
 	return NULL;
 }
 
+void
+cell_job_add_stopping(struct cell_job *j, const struct cell_stopping *more)
+{
+	struct cell_stopping *s = find_stopping(j, more->step);
+
+	if (s != NULL) {
+		s->count += more->count;
+		s->assumed += more->assumed;
+		return;
+	}
+	if (j->stopping == NULL)
+		j->stopping =
+		    g_array_new(FALSE, FALSE, sizeof(struct cell_stopping));
+	g_array_append_val(j->stopping, *more);
+}
+
+void
+cell_job_stopping_over(struct cell_job *j, uint32_t step)
+{
+	struct cell_stopping *s = find_stopping(j, step);
+
+	if (s != NULL && s->count > s->assumed)
+		s->count--;
+}
+
+bool
+cell_job_step_need(
+    const struct cell_job *j, uint32_t step, struct ogl_res *need)
+{
+	const struct cell_stopping *s = find_stopping(j, step);
+
+	if (s != NULL)
+		*need = s->need;
+	else if (j->def != NULL && step < j->def->n_steps)
+		*need = step_need(j->def->steps[step]);
+	else
+		return false;
+	return true;
+}
+
 struct cell_job *
 cell_job_new_ended(const char *id, const Ogl__CellProgress *p)
 {
 	struct cell_job *j = job_alloc(id, p->team, "");
-	size_t i;
 
 	j->state = p->state;
 	j->ended_ms = p->ended_ms;
 	j->begun = p->begun;
 	j->stored = true;
-	for (i = 0; i < p->n_stopping; i++) {
-		const Ogl__CellStopping *m = p->stopping[i];
-		struct cell_stopping s = {.step = m->step,
-		    .count = m->count,
-		    .need = {m->cpu_milli, m->mem_mb, m->accel}};
-
-		add_stopping(j, p->team, &s);
-	}
+	cell_job_restore_stopping(j, p);
 	return j;
 }
 
@@ -358,7 +358,6 @@
 	g_array_unref(j->finished);
 	g_free(j->team);
 	g_free(j->queue_name);
-	g_free(j->stopping_team);
 	g_clear_pointer(&j->parts, g_hash_table_unref);
 	if (j->stopping != NULL)
 		g_array_unref(j->stopping);
@@ -474,10 +473,7 @@
 struct ogl_res
 cell_stage_need(const struct cell_stage *s)
 {
-	struct ogl_res need = {s->def->fills ? 0 : s->def->cpu_milli,
-	    s->def->mem_mb, s->def->accel};
-
-	return need;
+	return step_need(s->def);
 }
 
 uint32_t
--- a/cell/job.h
+++ b/cell/job.h
@@ -113,7 +113,7 @@
 	struct cell_expected_step steps[];
 };
 
-/* Tasks of one step of an ended job that were still being stopped. */
+/* Runs of one step that the job no longer needs and that may not be over. */
 struct cell_stopping {
 	uint32_t step;
 	uint32_t count;
@@ -171,10 +171,9 @@
 	 * the job ended under an earlier owner. */
 	char *team;
 	char *queue_name;
-	/* Of an ended job: its team and what was still being stopped then, so
-	 * that a successor counts it; NULL none. */
-	char *stopping_team;
-	GArray *stopping;                /* struct cell_stopping */
+	/* What may run on though it is not needed, so that a successor counts
+	 * it for the team: struct cell_stopping; NULL none. */
+	GArray *stopping;
 	bool ended_here;                 /* ended under this owner */
 	uint64_t queue_config_version;   /* version of queue_config */
 	struct cell_queue *queue_config; /* NULL not looked up yet */
@@ -267,6 +266,7 @@
 /* Adds a part to the progress, and moves its contents there if that is split;
  * otherwise the part is left over from an earlier time. */
 void cell_job_restore_progress(struct cell_job *j, const Ogl__CellProgress *p);
+void cell_job_restore_stopping(struct cell_job *j, const Ogl__CellProgress *p);
 /* Restores the progress that an earlier owner stored.  Runs are not created. */
 
 struct cell_task *cell_stage_shared_task(struct cell_stage *s, uint32_t index);
@@ -287,14 +287,16 @@
 /* Longest chain of run times, each measured or, if there is no measurement,
  * declared. */
 
-void cell_job_note_stopping(struct cell_job *j);
-/* To be called when the job ends, before its runs are dropped: records those
- * that may still be running. */
+void cell_job_add_stopping(
+    struct cell_job *j, const struct cell_stopping *more);
+/* Adds runs that may still be running and are no longer those of a task. */
+void cell_job_stopping_over(struct cell_job *j, uint32_t step);
+/* One of them that is not an assumed one is over. */
 
-const struct ogl_res *cell_job_stopping_need(
-    const struct cell_job *j, uint32_t step);
-/* What a run of that step uses which may outlast the ended job; NULL when none
- * is known. */
+bool cell_job_step_need(
+    const struct cell_job *j, uint32_t step, struct ogl_res *need);
+/* What a run of that step uses; false when the job has ended and no run of the
+ * step may have outlasted it. */
 
 void cell_job_clear(struct cell_job *j);
 /* Frees its stages and the submission; no run may point at them. */
--- a/cell/job_record.c
+++ b/cell/job_record.c
@@ -141,8 +141,11 @@
 	for (i = 0; j->stopping != NULL && i < j->stopping->len; i++) {
 		const struct cell_stopping *s =
 		    &g_array_index(j->stopping, struct cell_stopping, i);
-		Ogl__CellStopping *m = g_new(Ogl__CellStopping, 1);
+		Ogl__CellStopping *m;
 
+		if (s->count == 0)
+			continue;
+		m = g_new(Ogl__CellStopping, 1);
 		ogl__cell_stopping__init(m);
 		m->step = s->step;
 		m->count = s->count;
@@ -486,6 +489,21 @@
 	cell_task_save_checkpoint(t, m->checkpoint);
 }
 
+void
+cell_job_restore_stopping(struct cell_job *j, const Ogl__CellProgress *p)
+{
+	size_t i;
+
+	for (i = 0; i < p->n_stopping; i++) {
+		const Ogl__CellStopping *m = p->stopping[i];
+		struct cell_stopping s = {.step = m->step,
+		    .count = m->count,
+		    .need = {m->cpu_milli, m->mem_mb, m->accel}};
+
+		cell_job_add_stopping(j, &s);
+	}
+}
+
 void
 cell_job_restore_progress(struct cell_job *j, const Ogl__CellProgress *p)
 {
@@ -507,4 +525,5 @@
 		apply_mark(j, p->marks[i]);
 	for (i = 0; i < p->n_done; i++)
 		apply_done(j, p->done[i]);
+	cell_job_restore_stopping(j, p);
 }
--- a/cell/owner_jobs.c
+++ b/cell/owner_jobs.c
@@ -187,7 +187,7 @@
 		    o->fleet, st->job->def->team, &need);
 }
 
-/* Applies charge to what is assumed to run of the ended job. */
+/* Applies charge to what is assumed to run on although it is not needed. */
 static void
 charge_stopping(struct cell_owner *o, const struct cell_job *j,
     void (*charge)(struct cell_fleet *, const char *, const struct ogl_res *))
@@ -200,7 +200,7 @@
 		struct ogl_res all = {s->need.cpu_milli * s->assumed,
 		    s->need.mem_mb * s->assumed, s->need.accel * s->assumed};
 
-		charge(o->fleet, j->stopping_team, &all);
+		charge(o->fleet, j->team, &all);
 	}
 }
 
@@ -210,7 +210,8 @@
 	int64_t age_ms = o->wall / OGL_MS - (int64_t)j->ended_ms;
 	guint i;
 
-	if (j->stopping == NULL || ABS(age_ms) > STOPPING_TIME_MAX_MS)
+	if (j->stopping == NULL || (cell_job_state_ended(j->state) &&
+				       ABS(age_ms) > STOPPING_TIME_MAX_MS))
 		return;
 	for (i = 0; i < j->stopping->len; i++) {
 		struct cell_stopping *s =
@@ -229,8 +230,34 @@
 	if (j->stopping == NULL)
 		return;
 	charge_stopping(o, j, cell_fleet_team_uncharge_unsure);
-	for (i = 0; i < j->stopping->len; i++)
-		g_array_index(j->stopping, struct cell_stopping, i).assumed = 0;
+	for (i = 0; i < j->stopping->len; i++) {
+		struct cell_stopping *s =
+		    &g_array_index(j->stopping, struct cell_stopping, i);
+
+		s->count -= s->assumed;
+		s->assumed = 0;
+	}
+}
+
+/* The job ends: what is assumed to run of its tasks goes on counting. */
+static void
+assume_stopping_tasks(struct cell_owner *o, const struct cell_stage *st)
+{
+	struct cell_stopping s = {
+	    .step = st->step, .need = cell_stage_need(st)};
+	struct ogl_res all;
+	uint32_t i;
+
+	for (i = 0; i < st->ntasks; i++)
+		s.assumed += st->tasks[i].assumed_running;
+	if (s.assumed == 0)
+		return;
+	s.count = s.assumed;
+	cell_job_add_stopping(st->job, &s);
+	all.cpu_milli = s.need.cpu_milli * s.assumed;
+	all.mem_mb = s.need.mem_mb * s.assumed;
+	all.accel = s.need.accel * s.assumed;
+	cell_fleet_team_charge_unsure(o->fleet, st->job->team, &all);
 }
 
 static void
@@ -255,12 +282,33 @@
 	}
 }
 
+/* The run is no longer its task's, but counts for the team until it is over,
+ * also under the next owner. */
+static void
+leave_run(struct cell_run *r)
+{
+	struct cell_stopping s = {
+	    .step = r->name.step, .count = 1, .need = r->res};
+
+	cell_job_add_stopping(r->stage->job, &s);
+	r->stage = NULL;
+}
+
+static void
+left_run_over(struct cell_owner *o, const struct cell_run *r)
+{
+	struct cell_job *j = cell_owner_job(o, r->name.id);
+
+	if (j != NULL)
+		cell_job_stopping_over(j, r->name.step);
+}
+
 static void
 abandon_run(struct cell_owner *o, struct cell_run *r, ogl_time now)
 {
 	if (r == NULL)
 		return;
-	r->stage = NULL;
+	leave_run(r);
 	if (r->state != CELL_RUN_STOPPING)
 		cell_fleet_stop(o->fleet, r, now);
 }
@@ -306,6 +354,7 @@
 	double objective_ms = cell_sched_measured_objective_ms(o->sched, j);
 	char more[200];
 	guint i;
+	size_t k;
 
 	g_snprintf(more, sizeof more,
 	    "state=%s why=%s age_ms=%" G_GINT64_FORMAT
@@ -318,11 +367,13 @@
 	    o->ops->ctx, "job_ms", (uint64_t)((now - j->accepted) / OGL_MS));
 	if (state == OGL__CELL_JOB_STATE__cell_completed)
 		cell_sched_job_completed(o->sched, j, now);
-	cell_job_note_stopping(j);
-	for (i = 0; i < j->occurrences->len; i++)
-		cell_owner_drop_occurrence(o, j, j->occurrences->pdata[i], now);
-	if (j->stopping != NULL)
-		charge_stopping(o, j, cell_fleet_team_charge_unsure);
+	for (i = 0; i < j->occurrences->len; i++) {
+		struct cell_occurrence *oc = j->occurrences->pdata[i];
+
+		for (k = 0; k < j->def->n_steps; k++)
+			assume_stopping_tasks(o, &oc->stages[k]);
+		cell_owner_drop_occurrence(o, j, oc, now);
+	}
 	cell_job_clear(j);
 	j->ended_here = true;
 	j->state = state;
@@ -414,7 +465,7 @@
 		if (t->active == NULL)
 			continue;
 		if (t->active->number == run)
-			t->active->stage = NULL;
+			leave_run(t->active);
 		else
 			abandon_run(o, t->active, now);
 		t->active = NULL;
@@ -504,8 +555,10 @@
 	    more, sizeof more, "how=%s percent=%u", end_name(how), r->percent);
 	log_run(o, r, "run_ended", more, now);
 	cell_sched_run_ended(o->sched, r, how, now);
-	if (st == NULL)
+	if (st == NULL) {
+		left_run_over(o, r);
 		return;
+	}
 	/* If an earlier owner started the run, its start time is not known. */
 	if (how == CELL_END_DONE && r->start_sent)
 		cell_job_record_run_ms(
@@ -535,8 +588,10 @@
 	log_run(o, r, "start_refused", more, now);
 	o->ops->count(o->ops->ctx, "starts_refused", 1);
 	cell_sched_run_ended(o->sched, r, CELL_END_STOPPED, now);
-	if (st == NULL)
+	if (st == NULL) {
+		left_run_over(o, r);
 		return;
+	}
 	detach_run(st, &st->tasks[r->name.index], r);
 	if (why == CELL_REFUSED_TICKET || why == CELL_REFUSED_INCARNATION) {
 		g = cell_stage_approval(st, r->worker->serial);
@@ -597,15 +652,15 @@
 stop_unneeded(struct cell_owner *o, struct cell_worker *w,
     const struct cell_run_row *row, ogl_time now)
 {
-	const struct cell_job *j = cell_owner_job(o, row->task.id);
-	const struct ogl_res *need =
-	    j != NULL ? cell_job_stopping_need(j, row->task.step) : NULL;
+	struct cell_job *j = cell_owner_job(o, row->task.id);
+	struct cell_stopping s = {.step = row->task.step, .count = 1};
 
-	if (need != NULL)
-		cell_fleet_stop_found(
-		    o->fleet, w, row, need, j->stopping_team, now);
-	else
+	if (j == NULL || !cell_job_step_need(j, s.step, &s.need)) {
 		cell_fleet_stop_orphan(o->fleet, w, row, now);
+		return;
+	}
+	cell_job_add_stopping(j, &s);
+	cell_fleet_stop_found(o->fleet, w, row, &s.need, j->team, now);
 }
 
 void
--- a/cell/owner_takeover.c
+++ b/cell/owner_takeover.c
@@ -132,6 +132,7 @@
 	size_t k;
 
 	cell_owner_begin_due_occurrences(o, j);
+	cell_owner_assume_stopping(o, j);
 	for (i = 0; i < j->occurrences->len; i++) {
 		struct cell_occurrence *oc = j->occurrences->pdata[i];
 
