--- a/tools/check.sh
+++ b/tools/check.sh
@@ -8,6 +8,14 @@
 fail=0
 known_red=$(sed -n 's/^test \([^ ]*\): .*/\1/p' KNOWN-RED.txt 2>/dev/null |
     tr '\n' ':')
+# The cases of review/ take minutes of waiting, so they are played beside the
+# tests.  They use a build of their own: one of CI's two passes plays them.
+review=
+if [ -z "$pick" ] && ! grep -q '^OGL_SANITIZE:BOOL=ON' "$b/CMakeCache.txt"; then
+	review=$(mktemp)
+	./tools/review.sh >"$review" 2>&1 &
+	review_pid=$!
+fi
 for t in "$b"/test_*"$pick"* "$b"/example-*"$pick"*; do
 	[ -x "$t" ] && [ -f "$t" ] || continue
 	case $t in
@@ -76,6 +84,16 @@
 		fail=$((fail + 1))
 	fi
 fi
+if [ -n "$review" ]; then
+	wait $review_pid
+	rc=$?
+	cat "$review"
+	pass=$((pass + $(grep -c ': held: ' "$review")))
+	f=$(grep -c ': failed, ' "$review")
+	[ $rc -ne 0 ] && [ "$f" -eq 0 ] && f=1
+	fail=$((fail + f))
+	rm -f "$review"
+fi
 [ -f KNOWN-RED.txt ] && grep -v '^#' KNOWN-RED.txt | sed 's/^/known red: /'
 echo "$pass passed, $fail failed"
 [ "$fail" -eq 0 ] && [ "$pass" -gt 0 ]
