platform: a value that can't be read doesn't hide the rest of an answer

One number beyond 64 bits or 1e999, one string that is no text, or one deeply nested value in an answer of a worker or of the advice service made the whole answer unreadable. It counted as lost, and so did each later one with the same row: the worker's other runs counted as over once their lease ended.

One that is cut off or no JSON is lost as before.

--- a/test/test_platform_odd.cc
+++ b/test/test_platform_odd.cc
@@ -33,6 +33,19 @@
 	return {s.data(), s.size()};
 }
 
+std::string
+Nested(size_t levels, const char *open, const char *close)
+{
+	std::string s;
+
+	for (size_t i = 0; i < levels; i++)
+		s += open;
+	s += "1";
+	for (size_t i = 0; i < levels; i++)
+		s += close;
+	return s;
+}
+
 // The adapter, with requests that the test answers.
 class Odd : public testing::Test
 {
@@ -184,4 +197,53 @@
 	}
 }
 
+// Guards against a worker that counts as silent, and its runs as over, since one
+// row of its answers has a number or text that the parser refuses.
+TEST_F(Odd, UnreadableRowDoesNotHideTheOthers)
+{
+	const std::string odd[] = {"1e999", "-1e999", "99999999999999999999",
+	    "-99999999999999999999", "NaN", "-Infinity", "\"\xff\xfe\"",
+	    "\"\\ud800\"", "\"\\udc00x\"", "\"\\ud800\\u0041\"", "\"\x01\"",
+	    Nested(100, "[", "]"), Nested(3000, "[", "]"),
+	    Nested(3000, "{\"a\":", "}"), Nested(1000000, "[", "]")};
+
+	for (const std::string &v : odd) {
+		std::string name = v.substr(0, 40);
+
+		hold(std::string(R"({"clock_ms":482113,"born":5,"running":[)") +
+			 "[\"" + kTask + "\"," + v + ",\"c\",4],[" + v +
+			 ",1,\"\",4],[\"" + kTask + "\",9,\"c\",4]," + v +
+			 R"(],"ended":[],"more":)" + v + "}",
+		    [&](const struct cell_hold_answer *a) {
+			    EXPECT_EQ(OGL_IO_OK, a->io) << name;
+			    EXPECT_EQ(482113u, a->clock_ms) << name;
+			    EXPECT_EQ(5u, a->born_ms) << name;
+			    ASSERT_EQ(2u, a->nrunning) << name;
+			    EXPECT_EQ(0u, a->running[0].run) << name;
+			    EXPECT_EQ(9u, a->running[1].run) << name;
+			    EXPECT_STREQ("c", a->running[1].checkpoint);
+		    });
+	}
+}
+
+// Guards against an answer that is no JSON, or cut off, being taken for one that
+// lists no runs: all of the worker's runs would count as lost.
+TEST_F(Odd, AnswerThatIsCutOffIsLost)
+{
+	const std::string whole = Running("1,\"c\",4");
+	const std::string bad[] = {"", "null", "[]", "x", "{",
+	    "{\"running\":", whole.substr(0, whole.size() - 1), whole + "]",
+	    whole + "{}", "{\"running\":[1e999", "{\"running\":[\"\xff",
+	    "{\"a\" 1e999}", "{\"a\":\"\\u12\",\"b\":1e999}",
+	    Nested(100000, "[", "]"), std::string(1000000, '['),
+	    std::string(1000000, '{')};
+
+	for (const std::string &text : bad) {
+		hold(text, [&](const struct cell_hold_answer *a) {
+			EXPECT_EQ(OGL_IO_LOST, a->io) << text.substr(0, 80);
+			EXPECT_EQ(0u, a->nrunning);
+		});
+	}
+}
+
 } // namespace
