platform: tickets have a largest size

A ticket of any size was kept with the run and sent with the start, also in a message to a relay, which has a largest size.

Before: Odd.OddTicketsAreNotGiven got a ticket of 2,000,000 bytes.

--- a/test/test_platform_odd.cc
+++ b/test/test_platform_odd.cc
@@ -246,4 +246,40 @@
 	}
 }
 
+// ---- advice -----------------------------------------------------------------
+
+// Guards against odd rows of an answer that hide the others, or give a ticket
+// that can't be sent on.
+TEST_F(Odd, OddTicketsAreNotGiven)
+{
+	const std::string odd[] = {"7", "null", "[]", "{}", "1e999", "NaN",
+	    "\"\xff\"", "\"\\ud800\"", "\"a\\u0000b\"", "\"\\n\"",
+	    Nested(3000, "[", "]"), "99999999999999999999",
+	    "\"" + std::string(2000000, 't') + "\""};
+	const char *ids[] = {"w1", "w2"};
+	struct cell_advice_query q = {"s", ids, 2, 600};
+	std::string got;
+
+	for (const std::string &v : odd) {
+		got.clear();
+		ops_.ask(
+		    ops_.backend_ctx, &q,
+		    [](void *arg, const struct cell_ask_answer *a, ogl_time) {
+			    EXPECT_EQ(OGL_IO_OK, a->io);
+			    for (size_t i = 0; i < a->n; i++)
+				    *static_cast<std::string *>(arg) +=
+					std::string(a->tickets[i].worker, 2) +
+					"=" + a->tickets[i].ticket + " ";
+		    },
+		    &got);
+		answer("{\"good\":[[\"w1\",\"t1\"],[\"w9\"," + v + "],[" + v +
+		       ",\"t\"]," + v + ",[],[\"w2\",\"t2\"]],\"valid_ms\":" +
+		       (v.size() < 100 ? v : "5") + "}");
+		EXPECT_EQ(0u, got.find("w1=t1 ")) << v.substr(0, 40);
+		EXPECT_NE(std::string::npos, got.find("w2=t2 "))
+		    << v.substr(0, 40);
+		EXPECT_GT(100u, got.size()) << v.substr(0, 40);
+	}
+}
+
 } // namespace
