platform: readers of the store go on behind records they can't use

A record whose key has a NUL was left out of the answer. Readers go on by the records they are given, so:

- a follower that got only such records (4 of 256 KB fill an answer) read them again for ever;
- with such a record at the end of the operator's, no read reached the end: the configuration counted as out of date, and all calls were refused;
- a page of the list of workers with such keys only was taken for the last one, and the workers behind it counted as gone.

A key that is no text made a whole page unreadable, and one that the store replaced could give the same page for ever.

Each record read now has its place in the answer; one with such a key counts as deleted, under a key that no other record has. Pages are parsed with unreadable values replaced, and one that ends with the key it was to begin after is the last. Empty ids, and ids that are no text, name no worker.

Carry.KeyOfAWorkerIsNotCutOff expected the record to be left out. It now expects it as one that names no worker; the rest is unchanged.

--- a/cell/ops.h
+++ b/cell/ops.h
@@ -132,7 +132,9 @@
 	uint64_t offset;
 	char *key;
 	struct ogl_str value;
-	bool dropped; /* the key is deleted */
+	/* The key is deleted, or can't be used: key is then one that no other
+	 * record has. */
+	bool dropped;
 	/* Decoded for the stream named; NULL for others and if malformed. */
 	struct cell_config *config; /* CELL_SETTINGS: the configuration */
 	/* CELL_SETTINGS: the zone that is evacuated, or that no longer is if
--- a/test/test_daemon_carry.cc
+++ b/test/test_daemon_carry.cc
@@ -435,7 +435,8 @@
 TEST_F(Carry, KeyOfAWorkerIsNotCutOff)
 {
 	const std::string entry =
-	    R"({"service":"s","address":"x","state":"ready"})";
+	    R"({"service":"s","address":"10.0.0.9:80","zone":"z",)"
+	    R"("state":"ready","capacity":{}})";
 	struct cell_read q = {};
 	std::vector<std::string> rows;
 	std::string page(16, '\0');
@@ -459,8 +460,8 @@
 	    },
 	    &rows);
 	answer(page);
-	EXPECT_EQ(
-	    (std::vector<std::string>{"w1 readable", "w2\r\n unreadable"}),
+	EXPECT_EQ((std::vector<std::string>{
+		      "w1 readable", "w1\x01 unreadable", "w2\r\n unreadable"}),
 	    rows);
 	EXPECT_EQ(1u, counts_["bad_keys"]);
 	EXPECT_EQ(1u, counts_["bad_entries"]);
--- a/test/test_platform_odd.cc
+++ b/test/test_platform_odd.cc
@@ -33,6 +33,16 @@
 	return {s.data(), s.size()};
 }
 
+std::string
+Entry(const std::string &addr, const std::string &more = "")
+{
+	return R"({"service":"svc","address":")" + addr +
+	       R"(","zone":"z","state":"ready","born":1700000000123,)"
+	       R"("capacity":{"cpu":16000,"mem_mb":32768,"gpus":0},)"
+	       R"("labels":["a","r1-3"],"seq":4)" +
+	       more + "}";
+}
+
 std::string
 Nested(size_t levels, const char *open, const char *close)
 {
@@ -46,6 +56,54 @@
 	return s;
 }
 
+// One record in the form of a read's answer.
+std::string
+Record(const std::string &key, const std::string &value)
+{
+	size_t n = 1 + key.size() + value.size();
+	std::string s;
+
+	for (int shift = 24; shift >= 0; shift -= 8)
+		s += (char)(n >> shift & 0xff);
+	return s + (char)key.size() + key + value;
+}
+
+std::string
+ReadHead(uint64_t end, uint64_t first)
+{
+	std::string s;
+
+	for (uint64_t n : {end, first}) {
+		for (int shift = 56; shift >= 0; shift -= 8)
+			s += (char)(n >> shift & 0xff);
+	}
+	return s;
+}
+
+// One item of a page of newest records; the key is JSON already.
+std::string
+Item(const std::string &key, const std::string &value, uint64_t offset)
+{
+	char *text =
+	    g_base64_encode((const guchar *)value.data(), value.size());
+	std::string s = "{\"key\":\"" + key + "\",\"value\":\"" + text +
+			"\",\"offset\":" + std::to_string(offset) + "}";
+
+	g_free(text);
+	return s;
+}
+
+std::string
+Page(const std::vector<std::string> &items, bool more, uint64_t end)
+{
+	std::string s = "{\"items\":[";
+
+	for (const std::string &item : items)
+		s += (s.back() == '[' ? "" : ",") + item;
+	return s + "],\"has_more\":" + (more ? "true" : "false") +
+	       ",\"end_offset\":" + std::to_string(end) + "}";
+}
+
 // The adapter, with requests that the test answers.
 class Odd : public testing::Test
 {
@@ -246,6 +304,250 @@
 	}
 }
 
+// ---- readers of the store ---------------------------------------------------
+
+// Follows the list of workers through the adapter.
+class OddList : public Odd
+{
+      protected:
+	void SetUp() override
+	{
+		struct cell_roster_events events = {};
+
+		Odd::SetUp();
+		events.entry = [](void *arg, const char *id,
+				   const struct cell_worker_entry *e,
+				   ogl_time) {
+			auto *t = static_cast<OddList *>(arg);
+
+			if (e != nullptr)
+				t->usable_[id] = e->addr;
+			else
+				t->usable_.erase(id);
+		};
+		events.list_read = [](void *arg, GHashTable *listed, ogl_time) {
+			auto *t = static_cast<OddList *>(arg);
+
+			t->lists_++;
+			t->listed_ = g_hash_table_size(listed);
+		};
+		events.arg = this;
+		roster_ = cell_roster_init(&ops_, &events);
+		cell_roster_open(roster_, now_);
+	}
+	void TearDown() override
+	{
+		cell_roster_end(roster_);
+		Odd::TearDown();
+	}
+	void step()
+	{
+		now_ += 300 * OGL_MS;
+		cell_roster_step(roster_, now_);
+	}
+	// The next request, which the caller answers.
+	std::string request()
+	{
+		step();
+		EXPECT_TRUE(pending());
+		return url_;
+	}
+	void follow(uint64_t end)
+	{
+		request();
+		answer(Page({Item("w1", Entry("10.0.0.1:80"), 0)}, false, end));
+	}
+
+	struct cell_roster *roster_ = nullptr;
+	std::map<std::string, std::string> usable_;
+	int lists_ = 0;
+	unsigned listed_ = 0;
+};
+
+// Guards against a follower that reads the same records for ever, when a whole
+// answer of the store has none with a key that can be used.
+TEST_F(OddList, FollowerGoesOnBehindRecordsLeftOut)
+{
+	const std::string large(262000, 'x');
+	std::string page = ReadHead(9, 0);
+
+	follow(4);
+	EXPECT_NE(std::string::npos, request().find("from=4"));
+	for (int i = 0; i < 4; i++)
+		page += Record(std::string("w\0x", 3), large);
+	answer(page);
+	EXPECT_NE(std::string::npos, request().find("from=8")) << url_;
+	answer(ReadHead(9, 0) + Record("w2", Entry("10.0.0.2:80")));
+	EXPECT_EQ("10.0.0.2:80", usable_["w2"]);
+	EXPECT_NE(std::string::npos, request().find("from=9")) << url_;
+	answer(ReadHead(9, 0));
+}
+
+// Guards against workers that count as gone, as a page of the list has only keys
+// that can't be used and is taken for the last one.
+TEST_F(OddList, ListGoesOnBehindPageLeftOut)
+{
+	request();
+	answer(Page(
+	    {Item("a\\u0000b", "x", 0), Item("a\\u0000c", "x", 1)}, true, 4));
+	EXPECT_EQ(0, lists_);
+	EXPECT_NE(std::string::npos, request().find("after=a")) << url_;
+	answer(Page({Item("w1", Entry("10.0.0.1:80"), 2),
+			Item("w2", Entry("10.0.0.2:80"), 3)},
+	    false, 4));
+	EXPECT_EQ(1, lists_);
+	EXPECT_EQ(2u, listed_);
+}
+
+// Guards against a list that is never read to its end: a key that can't be read
+// gives a page that begins with the same key again.
+TEST_F(OddList, PageThatDoesNotAdvanceIsTheLast)
+{
+	request();
+	answer(Page({Item("w1", Entry("10.0.0.1:80"), 0)}, true, 4));
+	for (int i = 0; i < 3 && lists_ == 0; i++) {
+		request();
+		answer(Page({Item("w2\xef\xbf\xbd", "x", 1)}, true, 4));
+	}
+	EXPECT_EQ(1, lists_);
+	EXPECT_EQ(1u, listed_);
+}
+
+// Guards against a list that can't be read at all since one key in it is no
+// text.
+TEST_F(OddList, KeyThatIsNoTextDoesNotHideTheOthers)
+{
+	for (const char *key : {"w\xff", "w\xc3", "w\\ud800", "w\\udfff!",
+		 "\xf5\xf6", "w\xed\xa0\x80"}) {
+		usable_.clear();
+		cell_roster_open(roster_, now_);
+		request();
+		answer(Page({Item("a", Entry("10.0.0.1:80"), 0),
+				Item(key, Entry("10.0.0.2:80"), 1),
+				Item("z", Entry("10.0.0.3:80"), 2)},
+		    false, 3));
+		EXPECT_EQ("10.0.0.1:80", usable_["a"]) << key;
+		EXPECT_EQ("10.0.0.3:80", usable_["z"]) << key;
+		EXPECT_EQ(2u, listed_) << key;
+	}
+}
+
+// Guards against an entry under a name that can't be sent in a header.
+TEST_F(OddList, OddNamesNameNoWorker)
+{
+	std::string page = ReadHead(9, 0);
+
+	follow(4);
+	request();
+	for (const std::string &key :
+	    {std::string(), std::string("w\x7f"), std::string("w\r\n"),
+		std::string("\x01"), std::string("w\xff")})
+		page += Record(key, Entry("10.0.0.2:80"));
+	answer(page);
+	EXPECT_EQ(1u, usable_.size());
+	EXPECT_EQ(1u, usable_.count("w1"));
+}
+
+// ---- the operator's records -------------------------------------------------
+
+const char kConfig[] =
+    R"({"version":%s,"routes":[{"name":"r","host":"h","path_prefix":"/q/",)"
+    R"("service":"svc","public":true}],"services":[{"name":"svc"}],)"
+    R"("tenants":[{"name":"t","api_keys":["k"],"weight":1}]})";
+
+std::string
+Config(const char *version)
+{
+	char text[512];
+
+	snprintf(text, sizeof text, kConfig, version);
+	return text;
+}
+
+// Reads the operator's records through the adapter.
+class OddSettings : public Odd
+{
+      protected:
+	void SetUp() override
+	{
+		struct cell_front_events events = {};
+
+		Odd::SetUp();
+		limits_.revoke_ms = 4000;
+		events.send = [](void *, uint32_t, const char *,
+				  const Ogl__CellCall *) {};
+		front_ = cell_front_init(&ops_, &limits_, &events);
+		step();
+		answer(Page({Item("config", Config("3"), 4)}, false, 5));
+		ASSERT_EQ(3u, version());
+	}
+	void TearDown() override
+	{
+		cell_front_end(front_);
+		Odd::TearDown();
+	}
+	void step()
+	{
+		now_ += 200 * OGL_MS;
+		cell_front_step(front_, now_);
+	}
+	uint64_t version() const
+	{
+		return cell_config_version(cell_front_config(front_));
+	}
+	// Answers the next read with these records.
+	void read(const std::vector<std::pair<std::string, std::string>> &list)
+	{
+		std::string page;
+
+		step();
+		ASSERT_NE(std::string::npos,
+		    url_.find("from=" + std::to_string(end_)))
+		    << url_;
+		end_ += list.size();
+		page = ReadHead(end_, 0);
+		for (const auto &r : list)
+			page += Record(r.first, r.second);
+		answer(page);
+	}
+	bool evacuated(const char *zone)
+	{
+		return cell_zones_evacuated(cell_front_zones(front_), zone);
+	}
+
+	struct cell_limits limits_ = {};
+	struct cell_front *front_ = nullptr;
+	uint64_t end_ = 5;
+};
+
+// Guards against calls that are all refused, as the newest of the operator's
+// records has a key that can't be used and so seems never to have been read.
+TEST_F(OddSettings, UnusableKeyAtTheEndDoesNotMakeKeysUntrusted)
+{
+	read({{std::string("config\0", 7), Config("9")}});
+	for (int i = 0; i < 40; i++)
+		read({});
+	EXPECT_TRUE(cell_front_fresh(front_, now_));
+	EXPECT_EQ(3u, version());
+}
+
+// Guards against a zone that is evacuated or taken back by an odd record under
+// another name, and against one whose record has odd bytes.
+TEST_F(OddSettings, OddEvacuations)
+{
+	read({{"evacuate/z1", "\xff\xfe"}, {"evacuate/", "{}"},
+	    {std::string("evacuate/z2\0x", 13), "{}"},
+	    {"evacuate/z3\xff", "{}"}, {"Evacuate/z4", "{}"}});
+	EXPECT_TRUE(evacuated("z1"));
+	EXPECT_FALSE(evacuated("z2"));
+	EXPECT_FALSE(evacuated("z3"));
+	EXPECT_FALSE(evacuated("z4"));
+	read({{std::string("evacuate/z1\0", 12), ""}});
+	EXPECT_TRUE(evacuated("z1"));
+	read({{"evacuate/z1", ""}});
+	EXPECT_FALSE(evacuated("z1"));
+}
+
 // ---- advice -----------------------------------------------------------------
 
 // Guards against odd rows of an answer that hide the others, or give a ticket
