platform: an entry with an odd field names no worker

An entry counted with any text as its address, without a zone, and with a capacity of any type. One with a port out of range in place of a worker's own moved all calls to that address, and the worker's runs counted as over when their lease ended.

Service, address, zone, state and capacity have to be there with their types, the address has to be ip:port with a port from 1 to 65535, and an amount of the capacity a whole number that fits. Any other entry names no worker: runs there go on, held at the address that is known, and new ones wait for a sound entry.

PlatformWorkerEntry.IgnoresOptionalFieldsOfOtherTypes took an entry with the capacity "all" for a usable one, and ControlCharactersAreNotCutOff entries without zone; the protocol says that an entry with a field missing or of another type names no executor. The first is now about fields that aren't used, and the capacity's type is tested with the others in test_platform_odd.cc; in the second, the bad string is each entry's only fault.

--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <fstream>
 
 extern "C" {
@@ -142,15 +143,16 @@
 		EXPECT_EQ(nullptr, parse_entry(text)) << text;
 }
 
-TEST(PlatformWorkerEntry, IgnoresOptionalFieldsOfOtherTypes)
+TEST(PlatformWorkerEntry, IgnoresFieldsThatAreNotUsed)
 {
-	struct cell_worker_entry *e =
-	    parse_entry(R"({"service":"s","address":"x","state":"ready",)"
-			R"("capacity":"all","labels":[1,null,"r2-1"],)"
-			R"("born":"now"})");
+	struct cell_worker_entry *e = parse_entry(
+	    R"({"service":"s","address":"10.1.0.9:8080","state":"ready",)"
+	    R"("zone":"z","capacity":{"cpu":1,"x":"all"},)"
+	    R"("labels":[1,null,"r2-1"],"seq":"now","slots":[]})");
 
 	ASSERT_NE(nullptr, e);
-	EXPECT_EQ(0U, e->capacity.cpu_milli);
+	EXPECT_EQ(1U, e->capacity.cpu_milli);
+	EXPECT_EQ(0U, e->capacity.mem_mb);
 	EXPECT_STREQ("r2-1", e->rack);
 	EXPECT_EQ(0U, e->born_ms);
 	platform_worker_entry_free(e);
@@ -160,19 +162,33 @@
  * ends in the address and id that go into a request. */
 TEST(PlatformWorkerEntry, ControlCharactersAreNotCutOff)
 {
-	const char *bad[] = {
-	    R"({"service":"s\u0000t","address":"x","state":"ready"})",
-	    R"({"service":"s","address":"x\r\nA: b","state":"ready"})",
-	    R"({"service":"s","address":"x","state":"ready","zone":"z\u0000"})",
-	    R"({"service":"s","address":"x","state":"ready\u0000"})",
-	    R"({"service":"s","address":"x","state":"ready","zone":"\u0085"})"};
+	const char *fields[][2] = {
+	    {R"("service":"s")", R"("service":"s\u0000t")"},
+	    {R"("address":"10.1.0.9:80")",
+		R"("address":"10.1.0.9:80\r\nA: b")"},
+	    {R"("address":"10.1.0.9:80")", R"("address":"10.1.0.9:80\u0000")"},
+	    {R"("zone":"z")", R"("zone":"z\u0000")"},
+	    {R"("zone":"z")", R"("zone":"\u0085")"},
+	    {R"("state":"ready")", R"("state":"ready\u0000")"}};
+	const std::string sound =
+	    R"({"service":"s","address":"10.1.0.9:80","state":"ready",)"
+	    R"("zone":"z","capacity":{}})";
 	unsigned dropped;
 	struct cell_worker_entry *e;
 
-	for (const char *text : bad)
+	e = parse_entry(sound);
+	EXPECT_NE(nullptr, e);
+	platform_worker_entry_free(e);
+	for (const auto &f : fields) {
+		std::string text = sound;
+
+		text.replace(text.find(f[0]), strlen(f[0]), f[1]);
 		EXPECT_EQ(nullptr, parse_entry(text)) << text;
-	e = parse_entry(R"({"service":"s","address":"x","state":"ready",)"
-			R"("labels":["gpu\u0000x","a","r1-3\n","r2-1"]})",
+	}
+	e = parse_entry(
+	    R"({"service":"s","address":"10.1.0.9:80","state":"ready",)"
+	    R"("zone":"z","capacity":{},)"
+	    R"("labels":["gpu\u0000x","a","r1-3\n","r2-1"]})",
 	    &dropped);
 	ASSERT_NE(nullptr, e);
 	EXPECT_EQ(2U, dropped);
--- a/test/test_platform_odd.cc
+++ b/test/test_platform_odd.cc
@@ -304,6 +304,140 @@
 	}
 }
 
+// ---- workers' entries -------------------------------------------------------
+
+struct cell_worker_entry *
+ParseEntry(const std::string &text)
+{
+	unsigned dropped = 0;
+
+	return platform_worker_entry_parse(Str(text), &dropped);
+}
+
+// Guards against calls to an address that is none, for which a worker's runs
+// would count as lost when such an entry replaces its own.
+TEST_F(Odd, EntryWithoutUsableAddressNamesNoWorker)
+{
+	const char *bad[] = {"", "x", "10.0.0.9", "10.0.0.9:", "10.0.0.9:0",
+	    "10.0.0.9:65536", "10.0.0.9:99999999999999999999", "10.0.0.9:-1",
+	    "10.0.0.9:+80", "10.0.0.9: 80", "10.0.0.9:80 ", " 10.0.0.9:80",
+	    "10.0.0.9:80/x", "10.0.0.9:80?x", "10.0.0.9:80#x", "10.0.0.9:8x",
+	    "10.0.0.9:0x50", "10.0.0.999:80", "10.0.0:80", "u@10.0.0.9:80",
+	    "http://10.0.0.9:80", ":80", "[::1]", "[::1:80", "::1:80", "a b:80",
+	    "host.example:80", "%31:80"};
+	struct cell_worker_entry *e;
+
+	for (const char *addr : bad) {
+		e = ParseEntry(Entry(addr));
+		EXPECT_EQ(nullptr, e) << addr;
+		platform_worker_entry_free(e);
+	}
+	for (const char *addr : {"10.0.0.9:1", "10.0.0.9:65535", "[::1]:80"}) {
+		e = ParseEntry(Entry(addr));
+		ASSERT_NE(nullptr, e) << addr;
+		EXPECT_STREQ(addr, e->addr);
+		platform_worker_entry_free(e);
+	}
+}
+
+// Guards against starts on a worker that nobody vouches for: the zone of an entry
+// without one is not evacuated, and its capacity is not known.
+TEST_F(Odd, EntryWithMissingOrOddFieldNamesNoWorker)
+{
+	const char *fields[][2] = {{R"("zone":"z")", R"("zone":7)"},
+	    {R"("service":"svc")", R"("service":null)"},
+	    {R"("state":"ready")", R"("state":["ready"])"},
+	    {R"("born":1700000000123)", R"("born":"now")"},
+	    {R"("capacity":{"cpu":16000,"mem_mb":32768,"gpus":0})",
+		R"("capacity":"all")"},
+	    {R"("labels":["a","r1-3"])", R"("labels":"r1-3")"}};
+	const char *capacities[] = {"[16000]",
+	    R"({"cpu":-1,"mem_mb":1,"gpus":0})",
+	    R"({"cpu":"16","mem_mb":1,"gpus":0})",
+	    R"({"cpu":1.5,"mem_mb":1,"gpus":0})",
+	    R"({"cpu":4294967296,"mem_mb":1,"gpus":0})",
+	    R"({"cpu":1,"mem_mb":9223372036854775807,"gpus":0})",
+	    R"({"cpu":1,"mem_mb":1,"gpus":1e300})",
+	    R"({"cpu":1,"mem_mb":1,"gpus":-1})"};
+	std::string sound = Entry("10.0.0.9:80");
+	struct cell_worker_entry *e;
+
+	for (const auto &f : fields) {
+		std::string text = sound;
+
+		text.replace(text.find(f[0]), strlen(f[0]), f[1]);
+		e = ParseEntry(text);
+		EXPECT_EQ(nullptr, e) << text;
+		platform_worker_entry_free(e);
+	}
+	for (const char *f : {R"("zone":"z",)", R"("service":"svc",)",
+		 R"("address":"10.0.0.9:80",)", R"("state":"ready",)",
+		 R"("capacity":{"cpu":16000,"mem_mb":32768,"gpus":0},)"}) {
+		std::string text = sound;
+
+		text.erase(text.find(f), strlen(f));
+		e = ParseEntry(text);
+		EXPECT_EQ(nullptr, e) << text;
+		platform_worker_entry_free(e);
+	}
+	for (const char *c : capacities) {
+		std::string text = sound;
+		const char *was = fields[4][0];
+
+		text.replace(text.find(was), strlen(was),
+		    std::string("\"capacity\":") + c);
+		e = ParseEntry(text);
+		EXPECT_EQ(nullptr, e) << text;
+		platform_worker_entry_free(e);
+	}
+}
+
+// Guards against the end of a node by an entry that is nested very deeply, and
+// against a reader that accepts what it can't read in full.
+TEST_F(Odd, DeeplyNestedEntryIsRefusedWithoutRecursion)
+{
+	struct cell_worker_entry *e;
+
+	for (size_t levels : {2048u, 10000u, 100000u, 1000000u}) {
+		for (bool closed : {false, true}) {
+			e = ParseEntry(Entry("10.0.0.9:80",
+			    ",\"x\":" +
+				Nested(levels, "[", closed ? "]" : "")));
+			EXPECT_EQ(nullptr, e) << levels;
+			e = ParseEntry(Entry("10.0.0.9:80",
+			    ",\"x\":" +
+				Nested(levels, "{\"a\":", closed ? "}" : "")));
+			EXPECT_EQ(nullptr, e) << levels;
+		}
+	}
+	e = ParseEntry(Entry("10.0.0.9:80", ",\"x\":" + Nested(30, "[", "]")));
+	EXPECT_NE(nullptr, e);
+	platform_worker_entry_free(e);
+}
+
+// Guards against an operator who is not told why a worker isn't used, and
+// against one line for each heartbeat of such a worker.
+TEST_F(Odd, EntryThatNamesNoWorkerIsLogged)
+{
+	struct cell_read q = {};
+	std::string page = ReadHead(2, 0);
+
+	page += Record("w1", "\xff\xfe") + Record("w2", Entry("x"));
+	q.stream = CELL_WORKERS;
+	for (int i = 0; i < 20; i++) {
+		ops_.read(
+		    ops_.backend_ctx, &q,
+		    [](void *, const struct cell_read_answer *a, ogl_time) {
+			    EXPECT_EQ(2u, a->n);
+		    },
+		    nullptr);
+		answer(page);
+		now_ += OGL_SEC;
+	}
+	EXPECT_EQ(40u, counts_["bad_entries"]);
+	EXPECT_EQ(2, lines_["entry_unusable"]);
+}
+
 // ---- readers of the store ---------------------------------------------------
 
 // Follows the list of workers through the adapter.
@@ -448,6 +582,225 @@
 	EXPECT_EQ(1u, usable_.count("w1"));
 }
 
+// Guards against entries that hide the others, on either way: each odd one is
+// between two sound ones.
+TEST_F(OddList, OddEntriesBetweenSoundOnes)
+{
+	const std::string odd[] = {"", "null", "[]", "{", "\xff\xfe",
+	    std::string("\0", 1), Nested(100, "[", "]"),
+	    Nested(100000, "[", "]"), Nested(50000, "{\"a\":", "}"),
+	    std::string(261000, '['), std::string(261000, '9'),
+	    "\"" + std::string(261000, 'x') + "\"", "1e999", "NaN",
+	    Entry("10.0.0.9:99999"), Entry("10.0.0.9:-1"), Entry("none"),
+	    Entry("10.0.0.9:80", ",\"x\":1e999"),
+	    Entry("10.0.0.9:80", ",\"seq\":99999999999999999999"),
+	    Entry("10.0.0.9:80", ",\"x\":" + Nested(3000, "[", "]")),
+	    Entry("10.0.0.9:80", ",\"state\":\"draining\"")};
+	std::vector<std::string> items;
+	uint64_t offset = 0;
+
+	items.push_back(Item("a", Entry("10.0.0.1:80"), offset++));
+	for (const std::string &v : odd)
+		items.push_back(Item("o" + std::to_string(offset), v, offset)),
+		    offset++;
+	items.push_back(Item("z", Entry("10.0.0.2:80"), offset++));
+	request();
+	answer(Page(items, false, offset));
+	EXPECT_EQ(2u, usable_.size());
+	EXPECT_EQ(2u, listed_);
+	for (const std::string &v : odd) {
+		std::string page = ReadHead(offset + 3, 0);
+
+		usable_.clear();
+		request();
+		page += Record("a", Entry("10.0.0.1:80")) + Record("o", v) +
+			Record("z", Entry("10.0.0.2:80"));
+		answer(page);
+		offset += 3;
+		EXPECT_EQ(2u, usable_.size()) << v.substr(0, 60);
+	}
+	EXPECT_NE(
+	    std::string::npos, request().find("from=" + std::to_string(offset)))
+	    << url_;
+	answer(ReadHead(offset, 0));
+}
+
+// Guards against a worker that is not used again after an odd entry took the
+// place of its own for a while, or flapped.
+TEST_F(OddList, SoundEntryCountsAgainAfterAnOddOne)
+{
+	uint64_t offset = 4;
+
+	follow(offset);
+	for (int i = 0; i < 50; i++) {
+		request();
+		answer(ReadHead(++offset, 0) + Record("w1", Entry("x")));
+		EXPECT_EQ(0u, usable_.size());
+		request();
+		answer(
+		    ReadHead(++offset, 0) + Record("w1", Entry("10.0.0.1:80")));
+		EXPECT_EQ("10.0.0.1:80", usable_["w1"]);
+	}
+}
+
+// Guards against memory or time that grow with the number of odd entries: they
+// come in pages of 500 and are read again after each trim.
+TEST_F(OddList, ManyThousandsOfOddEntries)
+{
+	const unsigned pages = 60, page_items = 500;
+	std::vector<std::string> items(page_items);
+
+	for (unsigned p = 0; p < pages; p++) {
+		for (unsigned i = 0; i < page_items; i++) {
+			char key[32];
+
+			snprintf(key, sizeof key, "o%08u", p * page_items + i);
+			items[i] = Item(key,
+			    i % 2 == 0 ? "{\"service\":7}" : Entry("x"),
+			    p * page_items + i);
+		}
+		if (p == pages / 2)
+			items[0] = Item("o00014999.5", Entry("10.0.0.1:80"), 1);
+		request();
+		answer(Page(items, p + 1 < pages, 30000));
+	}
+	EXPECT_EQ(1, lists_);
+	EXPECT_EQ(1u, listed_);
+	EXPECT_EQ(1u, usable_.size());
+}
+
+// A worker that runs a task, and answers calls to its own address only.
+class OddWorker : public Odd
+{
+      protected:
+	void SetUp() override
+	{
+		struct cell_fleet_events e = {};
+
+		Odd::SetUp();
+		fleet_ops_ = ops_;
+		fleet_ops_.backend_ctx = this;
+		fleet_ops_.hold = [](void *ctx, const struct cell_hold *h,
+				      cell_hold_fn *done, void *arg) {
+			static_cast<OddWorker *>(ctx)->holds_.push_back(
+			    {h->to.addr, done, arg});
+		};
+		limits_.lease_max_ms = 10000;
+		e.answered = [](void *, struct cell_worker *, ogl_time) {};
+		e.room_freed = [](void *, ogl_time) {};
+		e.run_found = [](void *arg, struct cell_worker *w,
+				  const struct cell_run_row *row,
+				  ogl_time now) {
+			auto *t = static_cast<OddWorker *>(arg);
+
+			cell_fleet_adopt(t->fleet_, w,
+			    &cell_job_occurrence(t->job_, 0)->stages[0], row, 0,
+			    now);
+		};
+		e.run_started = [](void *, struct cell_run *, ogl_time) {};
+		e.run_ended = [](void *arg, struct cell_run *, enum cell_end,
+				  const char *, ogl_time) {
+			static_cast<OddWorker *>(arg)->ended_++;
+		};
+		e.arg = this;
+		fleet_ = cell_fleet_init(&fleet_ops_, &limits_, &e);
+		cell_fleet_open(fleet_, 1, now_);
+		job_ = cell_job_new(
+		    platform_job_parse(
+			ogl_str(R"({"steps":[{"count":99,"cpu":1000}]})"),
+			why_),
+		    now_);
+		cell_job_begin_occurrence(job_, 0, now_);
+	}
+	void TearDown() override
+	{
+		cell_fleet_close(fleet_);
+		answer_holds(false);
+		cell_fleet_end(fleet_);
+		cell_job_free(job_);
+		Odd::TearDown();
+	}
+	void list(const std::string &text)
+	{
+		struct cell_worker_entry *e = ParseEntry(text);
+
+		cell_fleet_update_entry(fleet_, "w1", e, now_);
+		platform_worker_entry_free(e);
+	}
+	void answer_holds(bool alive)
+	{
+		std::vector<Call> calls;
+
+		calls.swap(holds_);
+		for (const Call &c : calls) {
+			struct cell_hold_answer a = {};
+			struct cell_run_row row = {};
+
+			row.run = 4;
+			row.checkpoint = "";
+			platform_task_parse(kTask, &row.task);
+			row.task.step = 0;
+			a.io =
+			    alive && c.addr == kAddr ? OGL_IO_OK : OGL_IO_LOST;
+			a.born_ms = 1700000000123;
+			a.clock_ms = (uint64_t)(now_ / OGL_MS);
+			a.running = &row;
+			a.nrunning = 1;
+			c.done(c.arg, &a, now_);
+		}
+	}
+	void run(int ms)
+	{
+		for (int i = 0; i < ms; i += 50) {
+			now_ += 50 * OGL_MS;
+			cell_fleet_confirm(fleet_, now_);
+			cell_fleet_step(fleet_, now_);
+			answer_holds(true);
+		}
+	}
+	unsigned runs() const
+	{
+		struct cell_worker *w = cell_fleet_worker(fleet_, "w1");
+
+		return w != nullptr ? g_hash_table_size(w->runs) : 0;
+	}
+
+	struct Call {
+		std::string addr;
+		cell_hold_fn *done;
+		void *arg;
+	};
+	const std::string kAddr = "10.0.0.1:80";
+	struct cell_ops fleet_ops_ = {};
+	struct cell_limits limits_ = {};
+	struct cell_fleet *fleet_ = nullptr;
+	struct cell_job *job_ = nullptr;
+	char why_[PLATFORM_REASON_BYTES] = "";
+	std::vector<Call> holds_;
+	int ended_ = 0;
+};
+
+// Guards against the loss of a worker's runs, when another program replaces its
+// entry by one with an address that is none.
+TEST_F(OddWorker, RunsOutlastAnOddEntry)
+{
+	list(Entry(kAddr));
+	run(1000);
+	ASSERT_EQ(1u, runs());
+	for (const char *addr :
+	    {"10.0.0.1:99999", "10.0.0.1:-80", "none", ""}) {
+		list(Entry(addr));
+		run(15000);
+		EXPECT_EQ(0, ended_) << addr;
+		EXPECT_EQ(1u, runs()) << addr;
+		EXPECT_FALSE(cell_worker_schedulable(
+		    cell_fleet_worker(fleet_, "w1"), now_));
+		list(Entry(kAddr));
+		run(500);
+	}
+	EXPECT_EQ(0, ended_);
+}
+
 // ---- the operator's records -------------------------------------------------
 
 const char kConfig[] =
