platform: a configuration without routes doesn't replace the one in force

A record with a version alone, or with a list of another type, counted as a configuration without queues or teams: each call was refused. Numbers such as 1e300 went into sums of times.

--- a/test/test_platform_odd.cc
+++ b/test/test_platform_odd.cc
@@ -884,6 +884,32 @@
 	EXPECT_EQ(3u, version());
 }
 
+// Guards against an unreadable record that takes the place of the configuration
+// in force, or hides a later one.
+TEST_F(OddSettings, OddConfigDoesNotUnseatTheSoundOne)
+{
+	const std::string odd[] = {"\xff\xfe", "{", "null", Config("-7"),
+	    Config("1e999"), Config("\"8\""), Config("NaN"), Config("null"),
+	    Config(Nested(200, "[", "]").c_str()),
+	    "{\"version\":99,\"x\":" + Nested(100000, "[", "]") + "}",
+	    R"({"version":99,"routes":[7]})", R"({"version":99,"routes":7})",
+	    R"({"version":99,"tenants":{}})", R"({"version":99})"};
+	int n = 3;
+
+	for (const std::string &v : odd) {
+		std::string next = std::to_string(++n);
+
+		read({{"config", v}});
+		EXPECT_EQ((uint64_t)n - 1, version()) << v.substr(0, 60);
+		read({{"config", Config(next.c_str())}, {"config", v}, {"x", v},
+		    {"wave/1", v}, {"", v}});
+		EXPECT_EQ((uint64_t)n, version()) << v.substr(0, 60);
+	}
+	EXPECT_TRUE(cell_front_fresh(front_, now_));
+	EXPECT_LT(0u, counts_["bad_configs"]);
+	EXPECT_LE(1, lines_["config_unusable"]);
+}
+
 // Guards against a zone that is evacuated or taken back by an odd record under
 // another name, and against one whose record has odd bytes.
 TEST_F(OddSettings, OddEvacuations)
@@ -901,6 +927,32 @@
 	EXPECT_FALSE(evacuated("z1"));
 }
 
+// Guards against numbers of a configuration that overflow in later sums.
+TEST_F(Odd, NumbersOfAConfigurationAreLimited)
+{
+	const char *why = nullptr;
+	struct cell_config *c = platform_config_parse(
+	    ogl_str(R"({"version":1,"routes":[{"name":"r","host":"h",)"
+		    R"("path_prefix":"/q/","service":"s","priority":-1,)"
+		    R"("max_attempts":1e300,"slack_factor":1e300,)"
+		    R"("advice":{"decide_ms":1e300,"period_ms":-1e300,)"
+		    R"("valid_ms":9223372036854775807}}],)"
+		    R"("tenants":[{"name":"t","weight":-1e300,)"
+		    R"("maximum":{"cpu":-5,"mem_mb":1e300,"gpus":"x"}}]})"),
+	    &why);
+	const struct cell_queue *q;
+
+	ASSERT_NE(nullptr, c);
+	q = cell_config_queue(c, "r");
+	EXPECT_EQ(0u, q->rank);
+	EXPECT_EQ(UINT32_MAX, q->attempts_max);
+	EXPECT_GE(1e9, q->slack);
+	EXPECT_GE(1e9, q->policy.decide_ms);
+	EXPECT_LE(0, q->policy.worker_ms);
+	EXPECT_EQ(UINT32_MAX, q->policy.valid_ms);
+	cell_config_unref(c);
+}
+
 // ---- advice -----------------------------------------------------------------
 
 // Guards against odd rows of an answer that hide the others, or give a ticket
