platform: a step waits for the step that was named

In a submission, `after` beyond 32 bits was cut to its lower part, and one that is no whole number counted as 0, so the step waited for another one.

--- a/test/test_platform_odd.cc
+++ b/test/test_platform_odd.cc
@@ -989,4 +989,26 @@
 	}
 }
 
+// ---- callers ----------------------------------------------------------------
+
+// Guards against a step that waits for another one than the caller named.
+TEST_F(Odd, StepsToWaitForAreNotWrapped)
+{
+	for (const char *after : {"4294967296", "1e999", "0.5", "\"0\"", "null",
+		 "-4294967296", "18446744073709551616"}) {
+		char why[PLATFORM_REASON_BYTES] = "";
+		const char *reason = nullptr;
+		Ogl__CellJob *j = platform_job_parse(
+		    ogl_str((std::string(R"({"steps":[{"count":1},)") +
+			     R"({"count":1,"after":[)" + after + "]}]}")
+				.c_str()),
+		    why);
+
+		if (j == nullptr)
+			continue;
+		EXPECT_FALSE(cell_job_def_valid(j, &reason)) << after;
+		ogl__cell_job__free_unpacked(j, nullptr);
+	}
+}
+
 } // namespace
