cell: times of occurrences are limited

first_run_ms and interval_ms of any size were accepted. Their sum overflowed when it was turned into a time, and the occurrences could be due at once. A job whose last occurrence is due after the year 9999 is refused.

--- a/cell/job.c
+++ b/cell/job.c
@@ -16,6 +16,8 @@
 #define JOB_TASKS_MAX 100000
 /* Its finished occurrences are listed in one record. */
 #define REPEATS_MAX 40000
+/* The end of the year 9999, Unix ms. */
+#define DUE_MAX_MS UINT64_C(253402300799999)
 /* Bytes of a submission's record for what is added to the caller's part. */
 #define DEF_EXTRA_BYTES 4096
 
@@ -75,6 +77,13 @@
 		*why = "repeat_count is out of range";
 		return false;
 	}
+	if (def->repeats > 0 &&
+	    (def->first_due_ms > DUE_MAX_MS ||
+		def->interval_ms >
+		    (DUE_MAX_MS - def->first_due_ms) / def->repeats)) {
+		*why = "first_run_ms or interval_ms is out of range";
+		return false;
+	}
 	if (ogl__cell_job__get_packed_size(def) + DEF_EXTRA_BYTES >
 	    CELL_RECORD_MAX_BYTES) {
 		*why = "the job is too large";
--- a/test/test_platform_odd.cc
+++ b/test/test_platform_odd.cc
@@ -1011,4 +1011,33 @@
 	}
 }
 
+// Guards against times of occurrences that overflow, so that all are due at
+// once.
+TEST_F(Odd, TimesOfOccurrencesAreLimited)
+{
+	const struct {
+		const char *times;
+		bool valid;
+	} rows[] = {{R"("first_run_ms":1796384887253,"interval_ms":500)", true},
+	    {R"("first_run_ms":9223372036854775807)", false},
+	    {R"("first_run_ms":1e300)", false},
+	    {R"("interval_ms":9223372036854775807)", false},
+	    {R"("first_run_ms":1796384887253,"interval_ms":1e13)", false}};
+
+	for (const auto &row : rows) {
+		char why[PLATFORM_REASON_BYTES] = "";
+		const char *reason = nullptr;
+		Ogl__CellJob *j = platform_job_parse(
+		    ogl_str((std::string(R"({"steps":[{"count":1}],)") +
+			     "\"repeat_count\":40000," + row.times + "}")
+				.c_str()),
+		    why);
+
+		ASSERT_NE(nullptr, j) << row.times;
+		EXPECT_EQ(row.valid, cell_job_def_valid(j, &reason))
+		    << row.times;
+		ogl__cell_job__free_unpacked(j, nullptr);
+	}
+}
+
 } // namespace
