cell: an unreadable record among the claims doesn't end all claims

A claim is stored only at the end of the claims that the node has read, and that end was the last claim's epoch. With another program's record behind it each claim was refused, and the shard never got an owner again.

The end of the claims read is kept apart from the epoch.

Before: Lead.UnreadableClaimIsPassedOver claims at offset 1 again.

--- a/cell/lead.c
+++ b/cell/lead.c
@@ -205,7 +205,8 @@
 	struct cell_put put = {key, NULL};
 	struct cell_append a = {.stream = m->claim ? CELL_CLAIMS : CELL_LEAD,
 	    .shard = m->claim ? s->shard : 0,
-	    .expected_end = m->claim ? (int64_t)s->epoch : -1,
+	    .expected_end =
+		m->claim ? (int64_t)MAX(s->epoch, s->claims_end) : -1,
 	    .puts = &put,
 	    .nputs = 1,
 	    .timeout_ms = APPEND_TIMEOUT_MS};
--- a/cell/lead_claim.c
+++ b/cell/lead_claim.c
@@ -77,6 +77,9 @@
 		Ogl__CellLead *m =
 		    r->dropped ? NULL : cell_lead_unpack(s->lead, r);
 
+		/* An unreadable record claims nothing, but the next claim has
+		 * to follow it. */
+		s->claims_end = MAX(s->claims_end, r->offset + 1);
 		if (m == NULL)
 			continue;
 		apply_claim(s, m, r->offset + 1, now);
@@ -92,8 +95,10 @@
 	struct lead_shard *s = arg;
 
 	s->reading_claims = false;
-	if (a->io == OGL_IO_OK)
-		apply_claims(s, a->records, a->n, now);
+	if (a->io != OGL_IO_OK)
+		return;
+	apply_claims(s, a->records, a->n, now);
+	s->claims_end = MAX(s->claims_end, a->end);
 }
 
 /* Reads only the newest claim, as the claims after the last known one are no
@@ -123,14 +128,14 @@
 		apply_claims(s, a->records, a->n, now);
 }
 
-/* Reads the claims after the last known one. */
+/* Reads the claims after the last one read. */
 void
 cell_lead_read_claims(struct lead_shard *s)
 {
 	struct cell_lead *l = s->lead;
 	struct cell_read r = {.stream = CELL_CLAIMS,
 	    .shard = s->shard,
-	    .from = s->epoch,
+	    .from = MAX(s->epoch, s->claims_end),
 	    .timeout_ms = PROBE_TIMEOUT_MS};
 
 	if (s->reading_claims)
--- a/cell/lead_impl.h
+++ b/cell/lead_impl.h
@@ -25,7 +25,8 @@
 struct lead_shard {
 	struct cell_lead *lead;
 	uint32_t shard;
-	uint64_t epoch;          /* highest known; offset for the next claim */
+	uint64_t epoch;          /* highest known */
+	uint64_t claims_end;     /* end of the claims read, 0 if below epoch */
 	uint64_t resigned_epoch; /* last epoch whose owner has resigned */
 	uint64_t reported_epoch; /* epoch of the last changed event */
 	char *owner;             /* address; NULL: vacant or never claimed */
--- a/test/test_cell_lead.cc
+++ b/test/test_cell_lead.cc
@@ -503,6 +503,35 @@
 	EXPECT_EQ(1U, claims().size());
 }
 
+/* Guards against a shard that stays without an owner: each claim is refused, as
+ * another program's record is the last one among the claims. */
+TEST_F(Lead, UnreadableClaimIsPassedOver)
+{
+	start(1);
+	read_n2(false, 1);
+	run_idle(2000);
+	ASSERT_EQ(1U, claims().size());
+	EXPECT_EQ(1, claims()[0].at);
+	Append c = claims()[0];
+	struct cell_append_answer moved = {};
+
+	moved.io = OGL_IO_REFUSED;
+	moved.end_moved = true;
+	answer(c, moved);
+	ASSERT_NE(nullptr, store_.claims);
+	answer_claims("\xff\xff", 2);
+	EXPECT_EQ("10.0.0.2:1", owner());
+	run_idle(400);
+	ASSERT_EQ(2U, claims().size());
+	EXPECT_EQ(2, claims()[1].at);
+	struct cell_append_answer ok = {};
+
+	ok.io = OGL_IO_OK;
+	ok.offset = 2;
+	answer(claims()[1], ok);
+	EXPECT_EQ(3U, won_);
+}
+
 /* An owner was paused and replaced meanwhile.  The probe must show that, or it
  * would start tasks on a worker that has restarted and forgotten the new
  * owner. */
