cell: the list of the ownership stream is read to its end

Only the first page was read. With more than a page of another program's keys before ours the nodes did not find the number of shards, nor the owners.

Before: Lead.RecordsBehindTheFirstPageAreRead asks for no second page.

--- a/cell/lead.c
+++ b/cell/lead.c
@@ -144,6 +144,7 @@
 		g_free(l->by_shard[i].owner);
 	g_free(l->by_shard);
 	g_rand_free(l->rand);
+	g_free(l->list_after);
 	g_free(l->node);
 	g_free(l->addr);
 	g_free(l);
--- a/cell/lead_impl.h
+++ b/cell/lead_impl.h
@@ -72,6 +72,11 @@
 	bool loaded; /* the newest record of each key was read once */
 	bool reading;
 	bool newest_wanted; /* next read gets the newest record of each key */
+	/* Of a listing of the newest records that is under way. */
+	char *list_after; /* last key of the previous page, NULL at the first */
+	uint64_t list_end;
+	ogl_time list_sent_at;
+	bool list_without_shards; /* begun without the number of shards */
 	ogl_time read_sent_at;
 	ogl_time next_read_at; /* no read is sent before this time */
 	uint64_t next_offset;  /* offset to read from */
--- a/cell/lead_read.c
+++ b/cell/lead_read.c
@@ -276,25 +276,54 @@
 /* Applies the record with the number of shards first, as the other records
  * can't be applied without it and may be listed before it. */
 static void
+apply_page(
+    struct cell_lead *l, const struct cell_newest_answer *a, ogl_time now)
+{
+	size_t i;
+
+	for (i = 0; i < a->n; i++) {
+		if (strcmp(a->records[i].key, PLAN_KEY) == 0)
+			apply_record(l, &a->records[i], now);
+	}
+	for (i = 0; i < a->n; i++)
+		apply_record(l, &a->records[i], now);
+}
+
+/* Our own records fit one page; there are more if another program writes to
+ * the stream. */
+static void
 on_newest(void *arg, const struct cell_newest_answer *a, ogl_time now)
 {
 	struct cell_lead *l = arg;
-	size_t i;
+	bool first_page = l->list_after == NULL;
 
 	l->reading = false;
 	if (a->io != OGL_IO_OK) {
 		read_failed(l, now);
 		return;
 	}
+	if (first_page) {
+		l->list_end = a->end;
+		l->list_sent_at = l->read_sent_at;
+		l->list_without_shards = l->shards == 0;
+	}
+	apply_page(l, a, now);
+	g_clear_pointer(&l->list_after, g_free);
+	if (a->more && a->n > 0) {
+		l->list_after = g_strdup(a->records[a->n - 1].key);
+		l->newest_wanted = true;
+		l->next_read_at = now;
+		return;
+	}
+	if (!first_page && l->list_without_shards && l->shards > 0) {
+		l->newest_wanted = true; /* for the pages before the number */
+		l->next_read_at = now;
+		return;
+	}
 	l->loaded = true;
 	l->newest_wanted = false;
-	for (i = 0; i < a->n; i++) {
-		if (strcmp(a->records[i].key, PLAN_KEY) == 0)
-			apply_record(l, &a->records[i], now);
-	}
-	for (i = 0; i < a->n; i++)
-		apply_record(l, &a->records[i], now);
-	l->next_offset = a->end;
+	l->next_offset = l->list_end;
+	l->read_sent_at = l->list_sent_at;
 	caught_up(l);
 	read_succeeded(l, now);
 }
@@ -306,8 +335,9 @@
 	    .from = l->next_offset,
 	    .wait_ms = l->quiet ? 0 : READ_WAIT_MS,
 	    .timeout_ms = READ_TIMEOUT_MS};
-	struct cell_newest q = {
-	    .stream = CELL_LEAD, .timeout_ms = READ_TIMEOUT_MS};
+	struct cell_newest q = {.stream = CELL_LEAD,
+	    .after = l->list_after,
+	    .timeout_ms = READ_TIMEOUT_MS};
 
 	if (l->reading || now < l->next_read_at)
 		return;
--- a/test/test_cell_lead.cc
+++ b/test/test_cell_lead.cc
@@ -35,6 +35,7 @@
 	void *arg = nullptr;
 	void *claims_arg = nullptr;
 	uint32_t claims_shard = 0;
+	std::string after; /* of the last list page asked for */
 	std::vector<Append> written;
 };
 
@@ -72,10 +73,11 @@
 
 void
 on_newest(
-    void *ctx, const struct cell_newest *, cell_newest_fn *done, void *arg)
+    void *ctx, const struct cell_newest *q, cell_newest_fn *done, void *arg)
 {
 	auto *s = static_cast<Store *>(ctx);
 
+	s->after = q->after != nullptr ? q->after : "";
 	s->newest = done;
 	s->arg = arg;
 }
@@ -532,6 +534,56 @@
 	EXPECT_EQ(3U, won_);
 }
 
+/* Guards against nodes that never learn the number of shards or the owners: the
+ * records of another program fill the first pages of the list. */
+TEST_F(Lead, RecordsBehindTheFirstPageAreRead)
+{
+	Ogl__CellPlan m = OGL__CELL_PLAN__INIT;
+	uint8_t buf[16];
+	char odd[] = "a", junk[] = "\xff\xff", lead[] = "lead.0",
+	     shards[] = "shards";
+	std::string n2 = n2_record(0, false, false, 1);
+	struct cell_record r = {};
+	struct cell_newest_answer a = {};
+
+	lead_ = cell_lead_init(&ops_, &events_, &self_, 1);
+	cell_lead_step(lead_, now_);
+	r.key = odd;
+	r.value = ogl_str(junk);
+	a.io = OGL_IO_OK;
+	a.records = &r;
+	a.n = 1;
+	a.more = true;
+	a.end = 3;
+	store_.newest(store_.arg, &a, now_);
+	store_.newest = nullptr;
+	cell_lead_step(lead_, now_);
+	ASSERT_NE(nullptr, store_.newest);
+	EXPECT_EQ("a", store_.after);
+	r.key = lead;
+	r.value = {n2.data(), n2.size()};
+	store_.newest(store_.arg, &a, now_);
+	store_.newest = nullptr;
+	cell_lead_step(lead_, now_);
+	ASSERT_NE(nullptr, store_.newest);
+	m.shards = 1;
+	r.key = shards;
+	r.value.n = ogl__cell_plan__pack(&m, buf);
+	r.value.p = reinterpret_cast<const char *>(buf);
+	a.more = false;
+	store_.newest(store_.arg, &a, now_);
+	store_.newest = nullptr;
+	EXPECT_EQ(1U, cell_lead_shards(lead_));
+	/* The first pages could not be applied without the number. */
+	cell_lead_step(lead_, now_);
+	ASSERT_NE(nullptr, store_.newest);
+	EXPECT_EQ("", store_.after);
+	r.key = lead;
+	r.value = {n2.data(), n2.size()};
+	store_.newest(store_.arg, &a, now_);
+	EXPECT_EQ("10.0.0.2:1", owner());
+}
+
 /* An owner was paused and replaced meanwhile.  The probe must show that, or it
  * would start tasks on a worker that has restarted and forgotten the new
  * owner. */
