cell: a row without a readable run number keeps its task's run

The number of a row's run counted as 0. So the row named a run that was not known, which was stopped, and the known run of the task was in neither list and counted as lost: the task was started again while it ran.

Such a row now stands for the run of its task that is known there; if none is, it is passed over, as no order can name the run.

Before: Fleet.RowWithoutRunNumberKeepsTheRun sent a stop and lost the run.

--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -69,10 +69,13 @@
 	       a->occurrence == b->occurrence && strcmp(a->id, b->id) == 0;
 }
 
+/* A row without a run number shows that a run of the task is there, but not
+ * which one. */
 static bool
 row_matches(const struct cell_run *r, const struct cell_run_row *row)
 {
-	return r->number == row->run && same_task(&r->name, &row->task);
+	return (row->run == 0 || r->number == row->run) &&
+	       same_task(&r->name, &row->task);
 }
 
 static struct cell_run *
@@ -235,6 +238,8 @@
 		struct cell_run *r = find_run(w, row);
 
 		if (r == NULL) {
+			if (row->run == 0)
+				continue; /* no order can name it */
 			f->events.run_found(f->events.arg, w, row, now);
 			r = find_run(w, row);
 			if (r == NULL)
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -74,6 +74,13 @@
 			cell_fleet_stop_orphan(t->fleet_, w, row, now);
 		};
 		e.arg = this;
+		e.end_found = [](void *arg, struct cell_worker *,
+				  const struct cell_run_row *row, ogl_time) {
+			static_cast<Fleet *>(arg)->ends_found_.push_back(
+			    row->number);
+		};
+		e.ends_processed = [](void *, struct cell_worker *, ogl_time) {
+		};
 		e.run_started = [](void *, struct cell_run *, ogl_time) {};
 		e.run_ended = [](void *arg, struct cell_run *, enum cell_end,
 				  const char *, ogl_time) {
@@ -231,6 +238,7 @@
 	uint64_t records_ = 0;
 	size_t answered_starts_ = 0;
 	int ended_ = 0;
+	std::vector<uint64_t> ends_found_;
 	struct cell_job *job_ = nullptr;
 	struct cell_ops ops_ = {};
 	struct cell_limits limits_ = {};
@@ -478,4 +486,46 @@
 	EXPECT_EQ(OGL_HEALTH_SOUND, worker()->health);
 }
 
+/* Guards against a task that runs twice, or a run that is lost: the row with its
+ * run has no number that can be read. */
+TEST_F(Fleet, RowWithoutRunNumberKeepsTheRun)
+{
+	struct cell_run_row row = {};
+	struct cell_hold_answer a = {};
+
+	step(10);
+	answer(OGL_IO_OK, 0);
+	step(30);
+	start();
+	g_strlcpy(row.task.id, "0000000000000001", sizeof row.task.id);
+	row.checkpoint = "c";
+	row.percent = 40;
+	a.io = OGL_IO_OK;
+	a.born_ms = 7;
+	a.running = &row;
+	a.nrunning = 1;
+	for (int i = 0; i < 3; i++) {
+		Hold &h = worker_.holds.back();
+
+		a.clock_ms = static_cast<uint64_t>(now_ / OGL_MS);
+		if (!h.answered) {
+			h.answered = true;
+			h.done(h.arg, &a, now_);
+		}
+		step(50);
+	}
+	EXPECT_EQ(0, ended_);
+	EXPECT_EQ(0u, worker_.stops.size());
+	EXPECT_EQ(1u, g_hash_table_size(worker()->runs));
+	/* Nothing is known here of a run of this task. */
+	row.task.index = 9;
+	Hold &h = worker_.holds.back();
+
+	ASSERT_FALSE(h.answered);
+	h.answered = true;
+	h.done(h.arg, &a, now_);
+	EXPECT_EQ(0u, worker_.stops.size());
+	EXPECT_EQ(1, ended_);
+}
+
 } // namespace
