cell: ends that are listed out of order are all taken

An end with a lower number than the one before it in the same list was passed over, but acknowledged with the others. Its run was in neither list then, and counted as lost: a task that was done ran again.

--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -263,15 +263,18 @@
 process_ended(struct cell_fleet *f, struct cell_worker *w,
     const struct cell_hold_answer *a, ogl_time now)
 {
+	uint64_t before = w->ends_reported;
 	size_t i;
 
 	for (i = 0; i < a->nended; i++) {
 		const struct cell_run_row *row = &a->ended[i];
 		struct cell_run *r;
 
-		if (row->number <= w->ends_reported)
+		if (row->number <= before)
+			continue;
+		w->ends_reported = MAX(w->ends_reported, row->number);
+		if (row->run == 0)
 			continue;
-		w->ends_reported = row->number;
 		r = find_run(w, row);
 		/* A run that is being stopped as unknown may have been of use: a
 		 * start that went unanswered and was given up. */
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -528,4 +528,32 @@
 	EXPECT_EQ(1, ended_);
 }
 
+/* Guards against ends that are acknowledged but not taken, as a later one was
+ * listed before them: a task that is done would run again. */
+TEST_F(Fleet, EndsOutOfOrderAreAllTaken)
+{
+	const uint64_t numbers[] = {5, 3, 4, 4, 0, 9, 1};
+	std::vector<struct cell_run_row> rows;
+	struct cell_hold_answer a = {};
+
+	for (uint64_t n : numbers) {
+		struct cell_run_row row = {};
+
+		row.number = n;
+		row.run = 100 + n;
+		row.checkpoint = "";
+		rows.push_back(row);
+	}
+	step(10);
+	a.io = OGL_IO_OK;
+	a.born_ms = 7;
+	a.clock_ms = static_cast<uint64_t>(now_ / OGL_MS);
+	a.ended = rows.data();
+	a.nended = rows.size();
+	worker_.holds.back().answered = true;
+	worker_.holds.back().done(worker_.holds.back().arg, &a, now_);
+	EXPECT_EQ((std::vector<uint64_t>{5, 3, 4, 4, 9, 1}), ends_found_);
+	EXPECT_EQ(9u, worker()->ends_reported);
+}
+
 } // namespace
