--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -607,7 +607,7 @@
  * is needed, else 1 plus the milliseconds a question takes for each worker.  A
  * key of another team than the first one is `KEY@TEAM`, and `*RANK` makes the
  * queue of the rank public.
- * A worker's entry is `ADDR RACK BORN DRAINING ZONE`.
+ * A worker's entry is `ADDR RACK BORN DRAINING ZONE`; any other is malformed.
  */
 static struct cell_config *
 decode_config(struct ogl_str value)
@@ -665,8 +665,11 @@
 {
 	char *text = ogl_str_dup(value);
 	char **w = g_strsplit(text, " ", -1);
-	struct cell_worker_entry *e = g_new0(struct cell_worker_entry, 1);
+	struct cell_worker_entry *e = NULL;
 
+	if (g_strv_length(w) < 5)
+		goto out;
+	e = g_new0(struct cell_worker_entry, 1);
 	e->service = g_strdup(SERVICE_NAME);
 	e->addr = g_strdup(w[0]);
 	e->zone = g_strdup(w[4]);
@@ -676,6 +679,7 @@
 	e->draining = atoi(w[3]) != 0;
 	e->capacity.cpu_milli = WORKER_CPU_MILLI;
 	e->capacity.mem_mb = 65536;
+out:
 	g_strfreev(w);
 	g_free(text);
 	return e;
@@ -2941,6 +2945,31 @@
 	}
 }
 
+void
+fake_cell_write_odd_entry(struct fake_cell *f, unsigned worker)
+{
+	put_text(f, CELL_WORKERS, f->workers[worker].id, g_strdup("odd"));
+}
+
+void
+fake_cell_write_entry(struct fake_cell *f, unsigned worker)
+{
+	put_entry(f, &f->workers[worker]);
+}
+
+void
+fake_cell_add_odd_entries(struct fake_cell *f, unsigned n)
+{
+	char key[32];
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		g_snprintf(
+		    key, sizeof key, "%c-odd-%u", i % 2 == 0 ? 'a' : 'z', i);
+		put_text(f, CELL_WORKERS, key, g_strdup("odd"));
+	}
+}
+
 unsigned
 fake_cell_writes(const struct fake_cell *f)
 {
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -153,6 +153,13 @@
 /* The store trims the settings stream; the newest record of each key stays. */
 void fake_cell_expire_entries(struct fake_cell *f);
 /* The entries of all workers expire; they are written again within 2 s. */
+void fake_cell_write_odd_entry(struct fake_cell *f, unsigned worker);
+/* Another program replaces the worker's entry by one that can't be read. */
+void fake_cell_write_entry(struct fake_cell *f, unsigned worker);
+/* The worker writes its entry. */
+void fake_cell_add_odd_entries(struct fake_cell *f, unsigned n);
+/* Another program adds entries that can't be read, half of them before those of
+ * the workers and half behind. */
 unsigned fake_cell_writes(const struct fake_cell *f);
 /* Number of appends that nodes have made so far. */
 
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -58,6 +58,10 @@
  * restart-worker WORKER        same id, but all its runs are lost
  * drain WORKER                 the worker announces that it leaves
  * expire-worker-entries        the store lists the workers again within 2 s
+ * odd-entry WORKER             another program replaces its entry by an unreadable
+ *                              one
+ * entry WORKER                 the worker writes its entry
+ * add-odd-entries COUNT        another program adds unreadable entries
  * evacuate ZONE, end-evacuation ZONE
  * drop-settings-history        only the newest record of each key stays
  * revoke KEY                   revokes an API key
@@ -170,6 +174,12 @@
 			fake_cell_drain_worker(cell_, num(w[1]));
 		else if (w[0] == "expire-worker-entries")
 			fake_cell_expire_entries(cell_);
+		else if (w[0] == "odd-entry")
+			fake_cell_write_odd_entry(cell_, num(w[1]));
+		else if (w[0] == "entry")
+			fake_cell_write_entry(cell_, num(w[1]));
+		else if (w[0] == "add-odd-entries")
+			fake_cell_add_odd_entries(cell_, num(w[1]));
 		else if (w[0] == "evacuate")
 			fake_cell_evacuate(cell_, w[1].c_str(), true);
 		else if (w[0] == "end-evacuation")
