fuzz: answers of the store, workers and advice, and submissions

The adapter to the platform gets answers with odd values, odd keys and changed bytes. Each read has a record for each offset.

--- a/test/test_daemon_fuzz.cc
+++ b/test/test_daemon_fuzz.cc
@@ -23,8 +23,11 @@
 #include "orioleglade.h"
 extern "C" {
 #include "config.h"
+#include "job.h"
 #include "logpage.h"
+#include "platform.h"
 #include "random.h"
+#include "wire_json.h"
 }
 
 namespace
@@ -840,4 +843,294 @@
 	});
 }
 
+// ---- the adapter to the platform --------------------------------------------
+
+// Values that other programs may write where the text has a value.
+const char *const kOddValues[] = {"1e999", "-1e999", "1e300", "-1",
+    "99999999999999999999", "9223372036854775807", "0.5", "NaN", "null", "[]",
+    "{}", "\"\"", "true", "\"\\ud800\"", "\"\xff\"", "\"\\u0000\"", "\"x\"",
+    "[[[[[[[[1]]]]]]]]", "4294967296", "-0"};
+
+// Replaces one value of the text, or nests it deeply.
+void
+ReplaceValue(std::string *s, Random *rnd)
+{
+	const char *const ends = ",:[]{}";
+	size_t from = rnd->Below(s->size());
+	size_t to;
+	std::string v = kOddValues[rnd->Below(G_N_ELEMENTS(kOddValues))];
+
+	from = s->find_first_of(ends, from);
+	if (from == std::string::npos)
+		return;
+	to = s->find_first_of(ends, ++from);
+	if (to == std::string::npos)
+		to = s->size();
+	if (rnd->ChancePermille(100)) {
+		size_t levels = rnd->Below(5000);
+
+		v = std::string(levels, '[') + v + std::string(levels, ']');
+	}
+	s->replace(from, to - from, v);
+}
+
+void
+CorruptJson(std::string *s, Random *rnd)
+{
+	for (uint64_t i = rnd->Below(4); i > 0; i--)
+		ReplaceValue(s, rnd);
+	if (rnd->ChancePermille(300))
+		CorruptBytes(s, rnd);
+}
+
+std::string
+RawRecord(const std::string &key, const std::string &value)
+{
+	size_t n = 1 + key.size() + value.size();
+	std::string s;
+
+	for (int shift = 24; shift >= 0; shift -= 8)
+		s += (char)(n >> shift & 0xff);
+	return s + (char)key.size() + key + value;
+}
+
+const char *const kStoreValues[][2] = {
+    {"i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z","born":5,)"
+	    R"("state":"ready","capacity":{"cpu":1,"mem_mb":2,"gpus":3},)"
+	    R"("labels":["a","r1-1"],"cold_remaining_ms":5})"},
+    {"config",
+	R"({"version":3,"routes":[{"name":"r","host":"h",)"
+	R"("path_prefix":"/q/","service":"s","slack_factor":1.5,)"
+	R"("advice":{"decide_ms":6.5,"period_ms":0.1,"valid_ms":2500}}],)"
+	R"("tenants":[{"name":"t","api_keys":["k"],"weight":38,)"
+	R"("maximum":{"cpu":4,"mem_mb":5,"gpus":0}}]})"},
+    {"evacuate/z1", "{}"}, {"wave/1", R"({"wave":1,"machines":["m"]})"}};
+const char kHoldAnswer[] =
+    R"({"clock_ms":482113,"born":1700000000123,"running":[)"
+    R"(["5c0e7a21d94b36f8.0.1.17",2,"00000bb87a21d94b",41,7],)"
+    R"(["5c0e7a21d94b36f8.0.1.18",3,"",0,0]],)"
+    R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
+const char kAdvice[] = R"({"good":[["w1","t1"],["w2","t2"]],"valid_ms":2500})";
+const char kJob[] =
+    R"({"spec":"x","steps":[{"count":4,"cpu":500,"after":[]},)"
+    R"({"count":2,"after":[0],"requirements":"a","target_ms":5}],)"
+    R"("repeat_count":3,"first_run_ms":1700000000000,"interval_ms":500})";
+
+class Adapter
+{
+      public:
+	explicit Adapter(uint64_t seed) : rnd_(seed)
+	{
+		struct platform_settings s = {};
+		struct platform_http http = {on_request, this};
+		char addr[] = "10.0.0.1:1";
+
+		s.store = s.advice = addr;
+		platform_ = platform_init(
+		    &http, &s, [](void *) { return OGL_SEC; }, nullptr);
+		platform_set_ops(platform_, &ops_);
+		ops_.log = [](void *, const char *, const char *,
+			       const char *text) {
+			EXPECT_TRUE(platform_text_printable(ogl_str(text)));
+		};
+		ops_.count = [](void *, const char *, uint64_t) {};
+	}
+	~Adapter()
+	{
+		platform_end(platform_);
+	}
+	void Run()
+	{
+		Read();
+		Newest();
+		Hold();
+		Ask();
+		Submit();
+	}
+
+      private:
+	static void on_request(void *ctx, const struct ogl_http_request *r)
+	{
+		auto *t = static_cast<Adapter *>(ctx);
+
+		t->done_ = r->done;
+		t->arg_ = r->arg;
+	}
+	void Answer(const std::string &body)
+	{
+		struct ogl_http_result r = {OGL_IO_OK, false, 200, Str(body)};
+
+		answers_ = 0;
+		done_(arg_, &r);
+		EXPECT_EQ(1, answers_);
+	}
+	std::string Key(const char *usual)
+	{
+		std::string key = usual;
+
+		if (rnd_.ChancePermille(300))
+			CorruptBytes(&key, &rnd_);
+		return key.substr(0, 255);
+	}
+	std::string Value(const char *usual)
+	{
+		std::string v = usual;
+
+		CorruptJson(&v, &rnd_);
+		return v;
+	}
+	static void CheckRecord(const struct cell_record *r)
+	{
+		ASSERT_NE(nullptr, r->key);
+		EXPECT_TRUE(!r->dropped || r->worker == nullptr);
+		if (r->worker == nullptr)
+			return;
+		EXPECT_STRNE("", r->key);
+		EXPECT_TRUE(platform_text_printable(ogl_str(r->worker->addr)));
+		EXPECT_NE(nullptr, r->worker->service);
+		EXPECT_NE(nullptr, r->worker->zone);
+		EXPECT_NE(nullptr, r->worker->rack);
+	}
+	// A reader has to get a record for each offset, or it would read these
+	// again.
+	void Read()
+	{
+		struct cell_read q = {};
+		std::string page(16, '\0');
+
+		q.stream = rnd_.Below(2) == 0 ? CELL_WORKERS : CELL_SETTINGS;
+		q.from = 7;
+		for (const auto &v : kStoreValues)
+			page += RawRecord(Key(v[0]), Value(v[1]));
+		ops_.read(
+		    ops_.backend_ctx, &q,
+		    [](void *arg, const struct cell_read_answer *a, ogl_time) {
+			    static_cast<Adapter *>(arg)->answers_++;
+			    EXPECT_EQ(OGL_IO_OK, a->io);
+			    ASSERT_EQ(G_N_ELEMENTS(kStoreValues), a->n);
+			    for (size_t i = 0; i < a->n; i++) {
+				    EXPECT_EQ(7 + i, a->records[i].offset);
+				    CheckRecord(&a->records[i]);
+			    }
+		    },
+		    this);
+		Answer(page);
+		CorruptBytes(&page, &rnd_);
+		ops_.read(
+		    ops_.backend_ctx, &q,
+		    [](void *arg, const struct cell_read_answer *a, ogl_time) {
+			    static_cast<Adapter *>(arg)->answers_++;
+			    for (size_t i = 0; i < a->n; i++)
+				    CheckRecord(&a->records[i]);
+		    },
+		    this);
+		Answer(page);
+	}
+	void Newest()
+	{
+		struct cell_newest q = {};
+		std::string page = "{\"items\":[";
+
+		q.stream = rnd_.Below(2) == 0 ? CELL_WORKERS : CELL_SETTINGS;
+		q.after = rnd_.Below(2) == 0 ? "a" : nullptr;
+		for (const auto &v : kStoreValues) {
+			std::string value = Value(v[1]);
+			char *text = g_base64_encode(
+			    (const guchar *)value.data(), value.size());
+
+			page += (page.back() == '[' ? "" : ",") +
+				std::string("{\"key\":\"") + Key(v[0]) +
+				"\",\"value\":\"" + text + "\",\"offset\":4}";
+			g_free(text);
+		}
+		page += "],\"has_more\":true,\"end_offset\":9}";
+		if (rnd_.ChancePermille(300))
+			CorruptJson(&page, &rnd_);
+		ops_.newest(
+		    ops_.backend_ctx, &q,
+		    [](void *arg, const struct cell_newest_answer *a,
+			ogl_time) {
+			    static_cast<Adapter *>(arg)->answers_++;
+			    EXPECT_TRUE(!a->more || a->n > 0);
+			    for (size_t i = 0; i < a->n; i++)
+				    CheckRecord(&a->records[i]);
+		    },
+		    this);
+		Answer(page);
+	}
+	void Hold()
+	{
+		struct cell_hold h = {};
+
+		h.to = {"10.0.0.9:80", "w1", 3};
+		ops_.hold(
+		    ops_.backend_ctx, &h,
+		    [](void *arg, const struct cell_hold_answer *a, ogl_time) {
+			    static_cast<Adapter *>(arg)->answers_++;
+			    EXPECT_GE((uint64_t)1 << 53, a->clock_ms);
+			    for (size_t i = 0; i < a->nrunning; i++) {
+				    EXPECT_GE(100u, a->running[i].percent);
+				    EXPECT_LE(0, a->running[i].gauge);
+				    EXPECT_NE(
+					nullptr, a->running[i].checkpoint);
+			    }
+			    for (size_t i = 0; i < a->nended; i++)
+				    EXPECT_GE(
+					(uint64_t)1 << 53, a->ended[i].number);
+		    },
+		    this);
+		Answer(Value(kHoldAnswer));
+	}
+	void Ask()
+	{
+		const char *ids[] = {"w1", "w2"};
+		struct cell_advice_query q = {"s", ids, 2, 600};
+
+		ops_.ask(
+		    ops_.backend_ctx, &q,
+		    [](void *arg, const struct cell_ask_answer *a, ogl_time) {
+			    static_cast<Adapter *>(arg)->answers_++;
+			    for (size_t i = 0; i < a->n; i++)
+				    EXPECT_TRUE(platform_text_printable(
+					ogl_str(a->tickets[i].ticket)));
+		    },
+		    this);
+		Answer(Value(kAdvice));
+	}
+	void Submit()
+	{
+		const char *why = "";
+		std::string body = Value(kJob);
+		Ogl__CellJob *j =
+		    ops_.decode_job(ops_.backend_ctx, Str(body), &why);
+		struct cell_job *job;
+
+		if (j == nullptr) {
+			EXPECT_STRNE("", why);
+			return;
+		}
+		if (!cell_job_def_valid(j, &why)) {
+			EXPECT_STRNE("", why);
+			ogl__cell_job__free_unpacked(j, nullptr);
+			return;
+		}
+		j->id = strdup("5c0e7a21d94b36f8");
+		job = cell_job_new(j, OGL_SEC);
+		cell_job_begin_occurrence(job, 0, 0);
+		cell_job_free(job);
+	}
+
+	Random rnd_;
+	struct platform *platform_ = nullptr;
+	struct cell_ops ops_ = {};
+	ogl_http_done *done_ = nullptr;
+	void *arg_ = nullptr;
+	int answers_ = 0;
+};
+
+TEST(Fuzz, AnswersOfThePlatform)
+{
+	ForEachSeed(2000, [](uint64_t seed) { Adapter(seed).Run(); });
+}
+
 } // namespace
