cell: unknown runs of a worker are stopped in parts

Each row of a worker's answer that names an unknown run adds a run to be stopped, and each row is looked for among these: the time grew with the square of the list. With 100,000 rows the node did nothing else for minutes.

At most 100 unknown runs of a worker are stopped at a time; the next answers list the others. The worker gets no work meanwhile, as before.

--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -58,6 +58,9 @@
 #define HOLD_OVERDUE_AFTER (250 * OGL_MS)
 /* A start without an answer is carried out within this time or never. */
 #define UNANSWERED_START_MAX (15 * OGL_SEC)
+/* Unknown runs of a worker that are stopped at a time.  The next answers list the
+ * others, and the worker gets no work until the last one is over. */
+#define ORPHANS_MAX 100
 #define ENDS_PER_ANSWER_MAX 500 /* a list this long may be incomplete */
 
 /* ---- ends of runs ----------------------------------------------------- */
@@ -238,8 +241,9 @@
 		struct cell_run *r = find_run(w, row);
 
 		if (r == NULL) {
-			if (row->run == 0)
-				continue; /* no order can name it */
+			/* A run without a number can be named in no order. */
+			if (row->run == 0 || w->norphans >= ORPHANS_MAX)
+				continue;
 			f->events.run_found(f->events.arg, w, row, now);
 			r = find_run(w, row);
 			if (r == NULL)
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -556,4 +556,30 @@
 	EXPECT_EQ(9u, worker()->ends_reported);
 }
 
+/* Guards against a node that does nothing else for minutes: a worker lists 100,000
+ * runs that are not known. */
+TEST_F(Fleet, UnknownRunsAreStoppedInParts)
+{
+	const size_t n = 100000;
+	std::vector<struct cell_run_row> rows(n);
+	struct cell_hold_answer a = {};
+
+	for (size_t i = 0; i < n; i++) {
+		g_snprintf(
+		    rows[i].task.id, sizeof rows[i].task.id, "%016zx", i);
+		rows[i].run = 1;
+		rows[i].checkpoint = "";
+	}
+	step(10);
+	a.io = OGL_IO_OK;
+	a.born_ms = 7;
+	a.clock_ms = static_cast<uint64_t>(now_ / OGL_MS);
+	a.running = rows.data();
+	a.nrunning = n;
+	worker_.holds.back().answered = true;
+	worker_.holds.back().done(worker_.holds.back().arg, &a, now_);
+	EXPECT_EQ(100u, worker_.stops.size());
+	EXPECT_FALSE(cell_worker_schedulable(worker(), now_));
+}
+
 } // namespace
