--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -58,6 +58,9 @@
 #define HOLD_OVERDUE_AFTER (250 * OGL_MS)
 /* A start without an answer is carried out within this time or never. */
 #define UNANSWERED_START_MAX (15 * OGL_SEC)
+/* Unknown runs of a worker that are stopped at a time.  The next answers list the
+ * others, and the worker gets no work until the last one is over. */
+#define ORPHANS_MAX 100
 #define ENDS_PER_ANSWER_MAX 500 /* a list this long may be incomplete */
 
 /* ---- ends of runs ----------------------------------------------------- */
@@ -69,10 +72,13 @@
 	       a->occurrence == b->occurrence && strcmp(a->id, b->id) == 0;
 }
 
+/* A row without a run number shows that a run of the task is there, but not
+ * which one. */
 static bool
 row_matches(const struct cell_run *r, const struct cell_run_row *row)
 {
-	return r->number == row->run && same_task(&r->name, &row->task);
+	return (row->run == 0 || r->number == row->run) &&
+	       same_task(&r->name, &row->task);
 }
 
 static struct cell_run *
@@ -235,6 +241,9 @@
 		struct cell_run *r = find_run(w, row);
 
 		if (r == NULL) {
+			/* A run without a number can be named in no order. */
+			if (row->run == 0 || w->norphans >= ORPHANS_MAX)
+				continue;
 			f->events.run_found(f->events.arg, w, row, now);
 			r = find_run(w, row);
 			if (r == NULL)
@@ -258,15 +267,18 @@
 process_ended(struct cell_fleet *f, struct cell_worker *w,
     const struct cell_hold_answer *a, ogl_time now)
 {
+	uint64_t before = w->ends_reported;
 	size_t i;
 
 	for (i = 0; i < a->nended; i++) {
 		const struct cell_run_row *row = &a->ended[i];
 		struct cell_run *r;
 
-		if (row->number <= w->ends_reported)
+		if (row->number <= before)
+			continue;
+		w->ends_reported = MAX(w->ends_reported, row->number);
+		if (row->run == 0)
 			continue;
-		w->ends_reported = row->number;
 		r = find_run(w, row);
 		/* A run that is being stopped as unknown may have been of use: a
 		 * start that went unanswered and was given up. */
--- a/cell/lead_impl.h
+++ b/cell/lead_impl.h
@@ -25,7 +25,8 @@
 struct lead_shard {
 	struct cell_lead *lead;
 	uint32_t shard;
-	uint64_t epoch;          /* highest known; offset for the next claim */
+	uint64_t epoch;          /* highest known */
+	uint64_t claims_end;     /* end of the claims read, 0 if below epoch */
 	uint64_t resigned_epoch; /* last epoch whose owner has resigned */
 	uint64_t reported_epoch; /* epoch of the last changed event */
 	char *owner;             /* address; NULL: vacant or never claimed */
@@ -71,6 +72,11 @@
 	bool loaded; /* the newest record of each key was read once */
 	bool reading;
 	bool newest_wanted; /* next read gets the newest record of each key */
+	/* Of a listing of the newest records that is under way. */
+	char *list_after; /* last key of the previous page, NULL at the first */
+	uint64_t list_end;
+	ogl_time list_sent_at;
+	bool list_without_shards; /* begun without the number of shards */
 	ogl_time read_sent_at;
 	ogl_time next_read_at; /* no read is sent before this time */
 	uint64_t next_offset;  /* offset to read from */
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -421,7 +421,7 @@
  * queue of the rank public.  Further queues are
  * `+RANK:ADVICE:DECIDE_MS:WORKER_US`, other teams with limits are
  * `%NAME:CPU:RATE`, in any place after RATE.
- * A worker's entry is `ADDR RACK BORN DRAINING ZONE`.
+ * A worker's entry is `ADDR RACK BORN DRAINING ZONE`; any other is malformed.
  */
 static struct cell_queue *
 add_queue(struct cell_config *c, unsigned number, unsigned rank, char **w)
@@ -518,8 +518,11 @@
 {
 	char *text = ogl_str_dup(value);
 	char **w = g_strsplit(text, " ", -1);
-	struct cell_worker_entry *e = g_new0(struct cell_worker_entry, 1);
+	struct cell_worker_entry *e = NULL;
 
+	if (g_strv_length(w) < 5)
+		goto out;
+	e = g_new0(struct cell_worker_entry, 1);
 	e->service = g_strdup(SERVICE_NAME);
 	e->addr = g_strdup(w[0]);
 	e->zone = g_strdup(w[4]);
@@ -529,6 +532,7 @@
 	e->draining = atoi(w[3]) != 0;
 	e->capacity.cpu_milli = FAKE_WORKER_CPU_MILLI;
 	e->capacity.mem_mb = 65536;
+out:
 	g_strfreev(w);
 	g_free(text);
 	return e;
@@ -2953,6 +2957,31 @@
 	}
 }
 
+void
+fake_cell_write_odd_entry(struct fake_cell *f, unsigned worker)
+{
+	put_text(f, CELL_WORKERS, f->workers[worker].id, g_strdup("odd"));
+}
+
+void
+fake_cell_write_entry(struct fake_cell *f, unsigned worker)
+{
+	put_entry(f, &f->workers[worker]);
+}
+
+void
+fake_cell_add_odd_entries(struct fake_cell *f, unsigned n)
+{
+	char key[32];
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		g_snprintf(
+		    key, sizeof key, "%c-odd-%u", i % 2 == 0 ? 'a' : 'z', i);
+		put_text(f, CELL_WORKERS, key, g_strdup("odd"));
+	}
+}
+
 unsigned
 fake_cell_writes(const struct fake_cell *f)
 {
