soak: the check measures the room of each worker once a look

The free room is now measured once a look, and full workers are left out at once.

A job that runs 60 s after the traffic is no longer reported as OPEN. Jobs that have nothing running then are reported as before.

--- a/soak/gangs.py
+++ b/soak/gangs.py
@@ -65,6 +65,7 @@
 
     def __init__(self, platform, worker_id, host, port, zone, rack, pace):
         self.used_cpu = self.used_mem = self.peak_cpu = self.peak_mem = 0
+        self.free_cpu = self.free_mem = 0  # since the last poll of the check
         self.rack, self.pace, self.silent_since = rack, pace, None
         super().__init__(platform, worker_id, f"{host}:{port}", zone)
         self.server = serve.Server(self.handle, host, port)
--- a/soak/sites.py
+++ b/soak/sites.py
@@ -464,6 +464,8 @@
         while self.open_jobs() and w.now() < end:
             await asyncio.sleep(0.3)
         for job in self.open_jobs():
+            if job.active:  # long steps that failed before take longer
+                continue
             if await self.ask_state(job) in ("queued", "running", None):
                 self.platform.report_violation("OPEN", job.id)
 
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -12,6 +12,9 @@
 Callers reuse their connections while the node runs.
 At the end all faults are removed and each accepted job has to end.  The exit
 status is 0 if there was no violation.
+
+--shape plays a cell of a deployment's size instead (shapes.py, sites.py): no job
+may starve (starve.py), and each has to end or run 60 s after the traffic.
 """
 
 import argparse
--- a/soak/starve.py
+++ b/soak/starve.py
@@ -111,12 +111,19 @@
     return min(n, step.get("anti_affinity") or n)
 
 
+def measure_room(worker):
+    """What was free at any time since the last poll."""
+    worker.free_cpu = worker.free_mem = 0
+    if worker.up() and worker.entry() is not None:
+        worker.free_cpu = w.WORKER_CPU - worker.peak_cpu
+        worker.free_mem = w.WORKER_MEM_MB - worker.peak_mem
+    worker.reset_peak()
+
+
 def places_on(worker, step):
-    """Tasks of the step that fit at any time since the last poll."""
-    if not worker.up() or worker.entry() is None:
+    if worker.free_cpu < step["cpu"]:
         return 0
-    cpu = w.WORKER_CPU - worker.peak_cpu
-    return slots(cpu, w.WORKER_MEM_MB - worker.peak_mem, step)
+    return slots(worker.free_cpu, worker.free_mem, step)
 
 
 class Check:
@@ -180,10 +187,12 @@
         for s in ready:
             if s in lasting:
                 continue
-            if self.has_room(job, s, self.waiting_tasks(job, s)):
+            room = self.has_room(job, s, self.waiting_tasks(job, s))
+            if room:
                 yield s, ALL
-            if self.has_room(job, s, 1) and not job.steps[s].get("gang"):
-                yield s, ONE
+            if not job.steps[s].get("gang"):
+                if room or self.has_room(job, s, 1):
+                    yield s, ONE
 
     def look(self, job):
         if not self.calm():
@@ -263,12 +272,12 @@
     # ---- polls -------------------------------------------------------------
 
     def poll(self):
+        for x in self.platform.workers:
+            measure_room(x)
         self.jobs = [j for j in self.jobs if not self.dropped(j)]
         for job in self.jobs:
             if job.owed():
                 self.look(job)
-        for x in self.platform.workers:
-            x.reset_peak()
         for t in self.platform.teams:
             t.reset_peak()
 
