--- a/soak/sites.py
+++ b/soak/sites.py
@@ -29,6 +29,7 @@
 LASTING_JOBS = 3
 CALLS_AT_ONCE_MAX = 1500
 LAG_POLL_S = 0.05
+LAG_MAX_S = 0.2
 SETTLE_S = 60
 PRIVATE = ("run_ms", "fails", "bad")  # fields of steps that are not declared
 
@@ -448,6 +449,9 @@
             self.lag_max = max(self.lag_max, lag)
             self.lag_sum += lag
             self.lag_count += 1
+            if lag > LAG_MAX_S:  # the store was slow for all nodes
+                self.check.last_fault = w.now()
+                self.platform.note(f"the world was late by {lag:.2f} s")
             if self.lag_count % round(starve.POLL_S / LAG_POLL_S) == 0:
                 self.check.poll()
 
