--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -300,6 +300,7 @@
 	if (w->draining != e->draining || !w->listed) {
 		f->record_outdated |= w->draining != e->draining;
 		w->draining = e->draining;
+		w->appearance += !w->listed;
 		w->listed = true;
 		cell_fleet_log_worker(f, w, "worker_listed");
 	}
@@ -584,10 +585,12 @@
 		return CELL_ORPHANS;
 	if (now < w->cooldown_until)
 		return CELL_COOLDOWN;
+	if (cell_fleet_hold_overdue(w, now))
+		return CELL_OVERDUE;
 	if (!cell_health_may_start(w, false))
 		return w->health == OGL_HEALTH_ASIDE ? CELL_ASIDE
 						     : CELL_SUSPECT;
-	return cell_fleet_hold_overdue(w, now) ? CELL_OVERDUE : CELL_USABLE;
+	return CELL_USABLE;
 }
 
 const char *
@@ -603,14 +606,22 @@
 	    [CELL_FAILING] = "failing",
 	    [CELL_ORPHANS] = "orphans",
 	    [CELL_COOLDOWN] = "cooldown",
+	    [CELL_OVERDUE] = "overdue",
 	    [CELL_ASIDE] = "aside",
 	    [CELL_SUSPECT] = "suspect",
-	    [CELL_OVERDUE] = "overdue",
 	};
 
 	return names[why];
 }
 
+bool
+cell_worker_usable(const struct cell_worker *w, ogl_time now)
+{
+	enum cell_unusable why = cell_worker_unusable(w, now);
+
+	return why == CELL_USABLE || why == CELL_ASIDE || why == CELL_SUSPECT;
+}
+
 bool
 cell_worker_schedulable(const struct cell_worker *w, ogl_time now)
 {
@@ -693,39 +704,73 @@
 
 /* ---- resources in use ------------------------------------------------- */
 
-static struct ogl_res *
-team_usage(struct cell_fleet *f, const char *team)
+struct team_use {
+	struct ogl_res used;
+	struct ogl_res unsure; /* of these, by runs that may not have begun */
+};
+
+static struct team_use *
+team_use(struct cell_fleet *f, const char *team)
 {
-	struct ogl_res *used = g_hash_table_lookup(f->teams, team);
+	struct team_use *t = g_hash_table_lookup(f->teams, team);
 
-	if (used == NULL) {
-		used = g_new0(struct ogl_res, 1);
-		g_hash_table_insert(f->teams, g_strdup(team), used);
+	if (t == NULL) {
+		t = g_new0(struct team_use, 1);
+		g_hash_table_insert(f->teams, g_strdup(team), t);
 	}
-	return used;
+	return t;
 }
 
 struct ogl_res
 cell_fleet_team_used(const struct cell_fleet *f, const char *team)
 {
 	const struct ogl_res none = {0};
-	const struct ogl_res *used = g_hash_table_lookup(f->teams, team);
+	const struct team_use *t = g_hash_table_lookup(f->teams, team);
+
+	return t != NULL ? t->used : none;
+}
+
+struct ogl_res
+cell_fleet_team_running(const struct cell_fleet *f, const char *team)
+{
+	const struct team_use *t = g_hash_table_lookup(f->teams, team);
+	struct ogl_res running = {0};
 
-	return used != NULL ? *used : none;
+	if (t != NULL) {
+		running = t->used;
+		ogl_res_sub(&running, &t->unsure);
+	}
+	return running;
 }
 
 void
 cell_fleet_team_charge(
     struct cell_fleet *f, const char *team, const struct ogl_res *res)
 {
-	ogl_res_add(team_usage(f, team), res);
+	ogl_res_add(&team_use(f, team)->used, res);
 }
 
 void
 cell_fleet_team_uncharge(
     struct cell_fleet *f, const char *team, const struct ogl_res *res)
 {
-	ogl_res_sub(team_usage(f, team), res);
+	ogl_res_sub(&team_use(f, team)->used, res);
+}
+
+void
+cell_fleet_team_charge_unsure(
+    struct cell_fleet *f, const char *team, const struct ogl_res *res)
+{
+	ogl_res_add(&team_use(f, team)->unsure, res);
+	cell_fleet_team_charge(f, team, res);
+}
+
+void
+cell_fleet_team_uncharge_unsure(
+    struct cell_fleet *f, const char *team, const struct ogl_res *res)
+{
+	ogl_res_sub(&team_use(f, team)->unsure, res);
+	cell_fleet_team_uncharge(f, team, res);
 }
 
 struct cell_run *
@@ -741,7 +786,7 @@
 	r->res = *res;
 	r->team = g_strdup(team);
 	ogl_res_add(&w->used, res);
-	ogl_res_add(team_usage(f, r->team), res);
+	ogl_res_add(&team_use(f, r->team)->used, res);
 	g_hash_table_add(w->runs, r);
 	return r;
 }
@@ -753,7 +798,7 @@
 	struct cell_worker *w = r->worker;
 
 	ogl_res_sub(&w->used, &r->res);
-	ogl_res_sub(team_usage(f, r->team), &r->res);
+	ogl_res_sub(&team_use(f, r->team)->used, &r->res);
 	g_hash_table_remove(w->runs, r);
 	if (r->orphan)
 		w->norphans--;
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -87,6 +87,8 @@
 	uint64_t entry_born_ms; /* incarnation that the list entry describes */
 
 	uint64_t incarnation; /* born_ms of the last incarnation, 0 none yet */
+	/* Counts its incarnations, and the times that it was listed anew. */
+	uint32_t appearance;
 	ogl_time incarnation_since; /* first answer of that incarnation */
 	bool fenced;                /* this incarnation has seen our epoch */
 	ogl_time accepted_at; /* when the last hold that it answered was sent */
@@ -116,9 +118,12 @@
 
 	GArray *unanswered_starts; /* struct cell_unanswered_start */
 	GHashTable *runs;          /* set of struct cell_run */
-	uint64_t schedulable_pass; /* scheduler's last pass that may use it */
+	uint64_t usable_pass;      /* scheduler's last pass that can use it */
+	uint64_t schedulable_pass; /* the same, and its health allows it */
 	/* Rank + 1 of the gang that it is kept for in that pass, 0 none. */
 	uint32_t reserved_rank_plus_1;
+	/* The gang itself, which may be gone after the pass. */
+	const struct cell_stage *reserved_for;
 	uint32_t calls_pending;  /* unanswered calls; not freed while > 0 */
 	uint32_t norphans;       /* runs that are orphans */
 	ogl_time cooldown_until; /* gets no work until then */
@@ -290,9 +295,9 @@
 	CELL_FAILING,   /* leaves calls unanswered */
 	CELL_ORPHANS,   /* has runs of which no resources are known */
 	CELL_COOLDOWN,  /* has refused a start */
+	CELL_OVERDUE,   /* the answer to a hold is overdue */
 	CELL_ASIDE,     /* by its health */
 	CELL_SUSPECT,   /* by its health, and it has a run */
-	CELL_OVERDUE,   /* the answer to a hold is overdue */
 	CELL_NUNUSABLE
 };
 
@@ -301,8 +306,10 @@
 /* Why the worker may not be given work now; CELL_USABLE if it may. */
 const char *cell_unusable_name(enum cell_unusable why);
 
+bool cell_worker_usable(const struct cell_worker *w, ogl_time now);
+/* Whether the worker can be given work, whatever its health. */
 bool cell_worker_schedulable(const struct cell_worker *w, ogl_time now);
-/* Whether the worker may be given work. */
+/* Whether the worker is to be given work. */
 
 double cell_fleet_pace(const struct cell_fleet *f, const struct cell_worker *w);
 /* The time that the worker takes, relative to healthy workers: 1 for the same
@@ -336,14 +343,21 @@
 struct ogl_res cell_fleet_team_used(
     const struct cell_fleet *f, const char *team);
 /* Resources of all runs of a team that may be running. */
+struct ogl_res cell_fleet_team_running(
+    const struct cell_fleet *f, const char *team);
+/* The same without those that may never have begun. */
 
 void cell_fleet_team_charge(
     struct cell_fleet *f, const char *team, const struct ogl_res *res);
 void cell_fleet_team_uncharge(
     struct cell_fleet *f, const char *team, const struct ogl_res *res);
+void cell_fleet_team_charge_unsure(
+    struct cell_fleet *f, const char *team, const struct ogl_res *res);
+void cell_fleet_team_uncharge_unsure(
+    struct cell_fleet *f, const char *team, const struct ogl_res *res);
 /* Add resources to those that count against a team's limit, and subtract them
  * again.  Used for tasks that may be running on workers that have not answered
- * yet. */
+ * yet; unsure: for those of which no begun run is on record. */
 
 bool cell_fleet_settled(const struct cell_fleet *f);
 /* Whether every worker that could run something has answered under our epoch
--- a/cell/job.h
+++ b/cell/job.h
@@ -36,8 +36,9 @@
 	/* An earlier owner started it, and it may still run on a worker that
 	 * has not answered since the takeover. */
 	bool assumed_running;
-	char *avoid_worker;      /* worker of the last failed run; NULL none */
-	ogl_time not_before;     /* earliest start */
+	bool assumed_begun;  /* and no record says that this run has ended */
+	char *avoid_worker;  /* worker of the last failed run; NULL none */
+	ogl_time not_before; /* earliest start */
 	uint32_t silent_workers; /* silent workers on which it may run */
 	uint32_t move_count;     /* times it was stopped to run elsewhere */
 	ogl_time preempted_at;   /* last stop for work of rank 0; 0 never */
@@ -84,13 +85,18 @@
 	GQueue *queue;    /* the scheduler's list it is in; NULL none */
 	GList link;
 	GArray *approvals; /* struct cell_approval */
-	GHashTable *asked; /* serials of workers the policy has answered for */
-	bool asking;       /* a question for the stage is pending */
+	/* Serials of workers that the policy has answered for -> their
+	 * appearance then, see cell_advice_knows. */
+	GHashTable *asked;
+	bool asking;                /* a question for the stage is pending */
 	enum cell_wait wait_reason; /* reason last logged */
 	ogl_time wait_since;
 	ogl_time blocked_since;   /* when placing it first failed; 0: placed */
 	ogl_time tried_at;        /* last pass that tried to place it; 0 none */
 	ogl_time stall_logged_at; /* last line that it is stalled; 0 none */
+	/* Since when it waits while nothing of its job runs, 0 not; for a
+	 * lasting step, since when it waits. */
+	ogl_time idle_since;
 };
 
 struct cell_occurrence {
@@ -114,7 +120,7 @@
 	struct cell_expected_step steps[];
 };
 
-/* Tasks of one step of an ended job that were still being stopped. */
+/* Runs of one step that the job no longer needs and that may not be over. */
 struct cell_stopping {
 	uint32_t step;
 	uint32_t count;
@@ -174,10 +180,9 @@
 	 * the job ended under an earlier owner. */
 	char *team;
 	char *queue_name;
-	/* Of an ended job: its team and what was still being stopped then, so
-	 * that a successor counts it; NULL none. */
-	char *stopping_team;
-	GArray *stopping;                /* struct cell_stopping */
+	/* What may run on though it is not needed, so that a successor counts
+	 * it for the team: struct cell_stopping; NULL none. */
+	GArray *stopping;
 	bool ended_here;                 /* ended under this owner */
 	uint64_t queue_config_version;   /* version of queue_config */
 	struct cell_queue *queue_config; /* NULL not looked up yet */
@@ -270,6 +275,7 @@
 /* Adds a part to the progress, and moves its contents there if that is split;
  * otherwise the part is left over from an earlier time. */
 void cell_job_restore_progress(struct cell_job *j, const Ogl__CellProgress *p);
+void cell_job_restore_stopping(struct cell_job *j, const Ogl__CellProgress *p);
 /* Restores the progress that an earlier owner stored.  Runs are not created. */
 
 struct cell_task *cell_stage_shared_task(struct cell_stage *s, uint32_t index);
@@ -279,6 +285,7 @@
 void cell_task_save_checkpoint(struct cell_task *t, const char *checkpoint);
 /* Replaces the checkpoint; an empty one or NULL changes nothing. */
 
+bool cell_task_run_failed(const struct cell_task *t, uint64_t run);
 bool cell_task_record_failure(struct cell_task *t, uint64_t run);
 /* Records a failed run; false when it was recorded before. */
 uint32_t cell_task_failures(const struct cell_task *t);
@@ -289,14 +296,16 @@
 /* Longest chain of run times, each measured or, if there is no measurement,
  * declared. */
 
-void cell_job_note_stopping(struct cell_job *j);
-/* To be called when the job ends, before its runs are dropped: records those
- * that may still be running. */
+void cell_job_add_stopping(
+    struct cell_job *j, const struct cell_stopping *more);
+/* Adds runs that may still be running and are no longer those of a task. */
+void cell_job_stopping_over(struct cell_job *j, uint32_t step);
+/* One of them that is not an assumed one is over. */
 
-const struct ogl_res *cell_job_stopping_need(
-    const struct cell_job *j, uint32_t step);
-/* What a run of that step uses which may outlast the ended job; NULL when none
- * is known. */
+bool cell_job_step_need(
+    const struct cell_job *j, uint32_t step, struct ogl_res *need);
+/* What a run of that step uses; false when the job has ended and no run of the
+ * step may have outlasted it. */
 
 void cell_job_clear(struct cell_job *j);
 /* Frees its stages and the submission; no run may point at them. */
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -144,6 +144,7 @@
 		g_free(l->by_shard[i].owner);
 	g_free(l->by_shard);
 	g_rand_free(l->rand);
+	g_free(l->list_after);
 	g_free(l->node);
 	g_free(l->addr);
 	g_free(l);
@@ -205,7 +206,8 @@
 	struct cell_put put = {key, NULL};
 	struct cell_append a = {.stream = m->claim ? CELL_CLAIMS : CELL_LEAD,
 	    .shard = m->claim ? s->shard : 0,
-	    .expected_end = m->claim ? (int64_t)s->epoch : -1,
+	    .expected_end =
+		m->claim ? (int64_t)MAX(s->epoch, s->claims_end) : -1,
 	    .puts = &put,
 	    .nputs = 1,
 	    .timeout_ms = APPEND_TIMEOUT_MS};
--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -67,6 +67,15 @@
 	/* Free capacity of schedulable workers when the pass began. */
 	uint64_t free_cpu_milli;
 	GPtrArray *schedulable; /* workers that take work, most room first */
+	/* The same and those that only their health keeps from it. */
+	GPtrArray *usable;
+	GPtrArray *skipped; /* overdue stages that this pass has not tried */
+	/* Time of the advice service that overdue stages may use. */
+	double overdue_credit_ms;
+	/* scratch: the current stage is overdue, and may use the whole limit of
+	 * its team, or any worker that it is admitted to */
+	bool whole_limit;
+	bool any_worker;
 	GPtrArray *buckets[PRECEDENCES][RANKS]; /* struct cell_stage */
 	GPtrArray *candidates; /* scratch: struct cell_worker */
 	GPtrArray *expired;    /* scratch: allowed, with room, ticket expired */
@@ -89,11 +98,24 @@
 	GArray *share_items; /* scratch: struct ogl_share_item */
 	ogl_time next_share_log_at;
 	/* Stages with questions that wait for the end of the pass, in the order
-	 * of the pass. */
+	 * of the pass; those at the limit of their team apart. */
 	GPtrArray *asking[PRECEDENCES];
+	GPtrArray *asking_limited;
 	struct cell_yield *yield;
 };
 
+/* ---- schedule.c ----------------------------------------------------- */
+
+/* Result of an attempt to place a stage. */
+enum cell_placing {
+	CELL_PLACED,  /* a task was started, or the stage must not start yet */
+	CELL_LIMITED, /* its team's limit is reached; other stages may fit */
+	CELL_UNPLACED /* no room, or no valid ticket for any worker */
+};
+
+enum cell_placing cell_sched_place_stage(struct cell_sched *s,
+    struct cell_stage *st, uint32_t rank, unsigned precedence, ogl_time now);
+
 /* ---- sched_order.c -------------------------------------------------- */
 
 const struct cell_queue *cell_sched_queue_of(
@@ -150,8 +172,9 @@
 
 /* ---- sched_place.c -------------------------------------------------- */
 
-bool cell_sched_reserved_against(const struct cell_worker *w, uint32_t rank);
-/* Whether a gang of the same or a higher rank has reserved the worker. */
+bool cell_sched_reserved_against(
+    const struct cell_worker *w, const struct cell_stage *st, uint32_t rank);
+/* Whether another gang of the same or a higher rank has reserved the worker. */
 void cell_sched_list_candidates(struct cell_sched *s,
     const struct cell_stage *st, bool policy_needed, uint32_t rank,
     ogl_time now);
@@ -162,12 +185,36 @@
 void cell_sched_reserve_workers(struct cell_sched *s, struct cell_stage *st,
     uint32_t rank, bool policy_needed);
 
+/* ---- sched_overdue.c ------------------------------------------------ */
+
+void cell_sched_update_idle(struct cell_stage *st, ogl_time now);
+/* To be called in each pass for each waiting stage. */
+bool cell_sched_overdue(const struct cell_stage *st, ogl_time now);
+void cell_sched_note_skipped(
+    struct cell_sched *s, struct cell_stage *st, ogl_time now);
+/* The pass does not try the stage. */
+void cell_sched_try_skipped(struct cell_sched *s, ogl_time now);
+/* Tries some overdue stages that the pass has skipped. */
+bool cell_sched_place_overdue(struct cell_sched *s, struct cell_stage *st,
+    bool policy_needed, uint32_t rank, ogl_time now);
+/* Starts a task of the stage, or the gang, on any worker that it may run on.
+ * Returns whether no task is left waiting. */
+void cell_sched_charge_lane(struct cell_sched *s, double ms);
+/* A question takes the advice service that long. */
+void cell_sched_ask_overdue(struct cell_sched *s, ogl_time now);
+/* Asks for overdue stages as far as their part of the service allows. */
+
 /* ---- sched_ask.c ---------------------------------------------------- */
 
+double cell_sched_ask_for_stage(
+    struct cell_sched *s, struct cell_stage *st, ogl_time now);
+/* Asks the question that the stage needs most; returns the time in ms that it
+ * takes, 0 if none was asked. */
+
 void cell_sched_request_advice(struct cell_sched *s, struct cell_stage *st,
-    const struct cell_queue *q, unsigned precedence, ogl_time now);
+    GPtrArray *asking, ogl_time now);
 /* Asks about workers for the stage: at once for rank 0, otherwise at the end of
- * the pass if its turn comes. */
+ * the pass if its turn comes among the stages in `asking`. */
 void cell_sched_ask_waiting(struct cell_sched *s, ogl_time now);
 /* Asks the questions of this pass for which there are lanes. */
 
--- a/cell/stall.c
+++ b/cell/stall.c
@@ -107,7 +107,7 @@
 	if (!cell_health_may_start(w, st->def->gang))
 		return CELL_SUSPECT;
 	if (w->schedulable_pass == s->pass &&
-	    cell_sched_reserved_against(w, cell_sched_rank_of(s, st)))
+	    cell_sched_reserved_against(w, st, cell_sched_rank_of(s, st)))
 		return CELL_UNPLACED_RESERVED;
 	if (st->def->worker_max > 0 &&
 	    cell_worker_runs_of(w, st) >= st->def->worker_max)
@@ -128,15 +128,14 @@
 	unsigned why;
 
 	if (cell_sched_queue_of(s, st->job)->policy.needed) {
-		if (!g_hash_table_contains(
-			st->asked, GUINT_TO_POINTER(w->serial))) {
-			room->unasked++;
-			room->askable += cell_worker_schedulable(w, now);
+		approval = cell_stage_approval(st, w->serial);
+		if (approval == NULL && cell_advice_knows(st, w)) {
+			room->refused++;
 			return;
 		}
-		approval = cell_stage_approval(st, w->serial);
 		if (approval == NULL) {
-			room->refused++;
+			room->unasked++;
+			room->askable[cell_worker_unusable(w, now)]++;
 			return;
 		}
 	}
@@ -276,29 +275,40 @@
 	    lanes.rank0);
 }
 
+/* Adds how many workers can't be used for each of the n reasons. */
+static void
+add_reasons(GString *text, const char *key, const unsigned *workers, unsigned n)
+{
+	const char *sep = "";
+	unsigned why;
+
+	g_string_append_printf(text, " %s=", key);
+	for (why = CELL_USABLE + 1; why < n; why++) {
+		if (workers[why] == 0)
+			continue;
+		g_string_append_printf(
+		    text, "%s%s:%u", sep, unplaced_name(why), workers[why]);
+		sep = ",";
+	}
+}
+
 static void
 add_room(GString *text, const struct cell_sched *s, const struct cell_stage *st,
     ogl_time now)
 {
 	struct cell_stall_room room = cell_stall_count_room(s, st, now);
-	const char *sep = "";
-	unsigned why;
 
 	g_string_append_printf(text,
 	    " allowed_room=%u places=%" G_GUINT64_FORMAT
-	    " usable=%u usable_places=%" G_GUINT64_FORMAT " unusable=",
+	    " usable=%u usable_places=%" G_GUINT64_FORMAT,
 	    room.allowed, room.places, room.unplaced[CELL_USABLE], room.usable);
-	for (why = CELL_USABLE + 1; why < CELL_NUNPLACED; why++) {
-		if (room.unplaced[why] == 0)
-			continue;
-		g_string_append_printf(text, "%s%s:%u", sep, unplaced_name(why),
-		    room.unplaced[why]);
-		sep = ",";
-	}
+	add_reasons(text, "unusable", room.unplaced, CELL_NUNPLACED);
 	g_string_append_printf(text,
-	    " refused_room=%u unasked_room=%u askable=%u "
-	    "free_cpu=%" G_GUINT64_FORMAT,
-	    room.refused, room.unasked, room.askable, s->free_cpu_milli);
+	    " refused_room=%u unasked_room=%u askable=%u", room.refused,
+	    room.unasked, room.askable[CELL_USABLE]);
+	add_reasons(text, "unaskable", room.askable, CELL_NUNUSABLE);
+	g_string_append_printf(
+	    text, " free_cpu=%" G_GUINT64_FORMAT, s->free_cpu_milli);
 }
 
 static void
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -74,6 +74,13 @@
 			cell_fleet_stop_orphan(t->fleet_, w, row, now);
 		};
 		e.arg = this;
+		e.end_found = [](void *arg, struct cell_worker *,
+				  const struct cell_run_row *row, ogl_time) {
+			static_cast<Fleet *>(arg)->ends_found_.push_back(
+			    row->number);
+		};
+		e.ends_processed = [](void *, struct cell_worker *, ogl_time) {
+		};
 		e.run_started = [](void *, struct cell_run *, ogl_time) {};
 		e.run_ended = [](void *arg, struct cell_run *, enum cell_end,
 				  const char *, ogl_time) {
@@ -231,6 +238,7 @@
 	uint64_t records_ = 0;
 	size_t answered_starts_ = 0;
 	int ended_ = 0;
+	std::vector<uint64_t> ends_found_;
 	struct cell_job *job_ = nullptr;
 	struct cell_ops ops_ = {};
 	struct cell_limits limits_ = {};
@@ -436,10 +444,12 @@
 	w->hold_pending = true;
 	w->hold_sent_at = now_ - 100 * OGL_SEC;
 	EXPECT_EQ(CELL_OVERDUE, cell_worker_unusable(w, now_));
-	w->health = OGL_HEALTH_SUSPECT;
-	EXPECT_EQ(CELL_OVERDUE, cell_worker_unusable(w, now_));
 	w->health = OGL_HEALTH_ASIDE;
+	EXPECT_EQ(CELL_OVERDUE, cell_worker_unusable(w, now_));
+	w->hold_pending = false;
 	EXPECT_EQ(CELL_ASIDE, cell_worker_unusable(w, now_));
+	w->health = OGL_HEALTH_SUSPECT;
+	EXPECT_EQ(CELL_USABLE, cell_worker_unusable(w, now_));
 	w->cooldown_until = now_ + 1;
 	EXPECT_EQ(CELL_COOLDOWN, cell_worker_unusable(w, now_));
 	w->norphans = 1;
@@ -513,4 +523,100 @@
 	EXPECT_EQ(OGL_HEALTH_SOUND, worker()->health);
 }
 
+/* Guards against a task that runs twice, or a run that is lost: the row with its
+ * run has no number that can be read. */
+TEST_F(Fleet, RowWithoutRunNumberKeepsTheRun)
+{
+	struct cell_run_row row = {};
+	struct cell_hold_answer a = {};
+
+	step(10);
+	answer(OGL_IO_OK, 0);
+	step(30);
+	start();
+	g_strlcpy(row.task.id, "0000000000000001", sizeof row.task.id);
+	row.checkpoint = "c";
+	row.percent = 40;
+	a.io = OGL_IO_OK;
+	a.born_ms = 7;
+	a.running = &row;
+	a.nrunning = 1;
+	for (int i = 0; i < 3; i++) {
+		Hold &h = worker_.holds.back();
+
+		a.clock_ms = static_cast<uint64_t>(now_ / OGL_MS);
+		if (!h.answered) {
+			h.answered = true;
+			h.done(h.arg, &a, now_);
+		}
+		step(50);
+	}
+	EXPECT_EQ(0, ended_);
+	EXPECT_EQ(0u, worker_.stops.size());
+	EXPECT_EQ(1u, g_hash_table_size(worker()->runs));
+	/* Nothing is known here of a run of this task. */
+	row.task.index = 9;
+	Hold &h = worker_.holds.back();
+
+	ASSERT_FALSE(h.answered);
+	h.answered = true;
+	h.done(h.arg, &a, now_);
+	EXPECT_EQ(0u, worker_.stops.size());
+	EXPECT_EQ(1, ended_);
+}
+
+/* Guards against ends that are acknowledged but not taken, as a later one was
+ * listed before them: a task that is done would run again. */
+TEST_F(Fleet, EndsOutOfOrderAreAllTaken)
+{
+	const uint64_t numbers[] = {5, 3, 4, 4, 0, 9, 1};
+	std::vector<struct cell_run_row> rows;
+	struct cell_hold_answer a = {};
+
+	for (uint64_t n : numbers) {
+		struct cell_run_row row = {};
+
+		row.number = n;
+		row.run = 100 + n;
+		row.checkpoint = "";
+		rows.push_back(row);
+	}
+	step(10);
+	a.io = OGL_IO_OK;
+	a.born_ms = 7;
+	a.clock_ms = static_cast<uint64_t>(now_ / OGL_MS);
+	a.ended = rows.data();
+	a.nended = rows.size();
+	worker_.holds.back().answered = true;
+	worker_.holds.back().done(worker_.holds.back().arg, &a, now_);
+	EXPECT_EQ((std::vector<uint64_t>{5, 3, 4, 4, 9, 1}), ends_found_);
+	EXPECT_EQ(9u, worker()->ends_reported);
+}
+
+/* Guards against a node that does nothing else for minutes: a worker lists 100,000
+ * runs that are not known. */
+TEST_F(Fleet, UnknownRunsAreStoppedInParts)
+{
+	const size_t n = 100000;
+	std::vector<struct cell_run_row> rows(n);
+	struct cell_hold_answer a = {};
+
+	for (size_t i = 0; i < n; i++) {
+		g_snprintf(
+		    rows[i].task.id, sizeof rows[i].task.id, "%016zx", i);
+		rows[i].run = 1;
+		rows[i].checkpoint = "";
+	}
+	step(10);
+	a.io = OGL_IO_OK;
+	a.born_ms = 7;
+	a.clock_ms = static_cast<uint64_t>(now_ / OGL_MS);
+	a.running = rows.data();
+	a.nrunning = n;
+	worker_.holds.back().answered = true;
+	worker_.holds.back().done(worker_.holds.back().arg, &a, now_);
+	EXPECT_EQ(100u, worker_.stops.size());
+	EXPECT_FALSE(cell_worker_schedulable(worker(), now_));
+}
+
 } // namespace
--- a/test/test_cell_stall.cc
+++ b/test/test_cell_stall.cc
@@ -144,8 +144,9 @@
 		for (; from < to; from++) {
 			struct cell_approval a = {};
 
-			g_hash_table_add(stage_->asked,
-			    GUINT_TO_POINTER(worker(from)->serial));
+			g_hash_table_insert(stage_->asked,
+			    GUINT_TO_POINTER(worker(from)->serial),
+			    GUINT_TO_POINTER(worker(from)->appearance));
 			a.worker = worker(from)->serial;
 			a.expires = now_ + 100 * OGL_SEC;
 			a.incarnation = 7;
@@ -298,6 +299,7 @@
 	EXPECT_TRUE(has(l, "refused_room=2")) << l;
 	EXPECT_TRUE(has(l, "unasked_room=2")) << l;
 	EXPECT_TRUE(has(l, "askable=1")) << l;
+	EXPECT_TRUE(has(l, "unaskable=draining:1")) << l;
 	EXPECT_TRUE(has(l, "asked=2")) << l;
 	EXPECT_TRUE(has(l, "asking=1")) << l;
 	EXPECT_TRUE(has(l, "asking_ms=-1")) << l;
