--- a/soak/sites.py
+++ b/soak/sites.py
@@ -55,6 +55,7 @@
         p.teams = self.make_teams()
         self.make_workers()
         self.servers = []
+        self.store_ip = f"127.0.{1 + soak.subnet}.1"
         self.idle_queues, self.last_idle = [], 0
         self.boosts = {}  # team or queue -> factor of its traffic
         self.calls = 0
@@ -112,7 +113,7 @@
             "zones": zones,
             "advertised_addr": node.addr,
             "limits": {"cpu_shares": share, "cores": 1, "link_mbps": mbps},
-            "platform": {"address": f"127.0.0.1:{p}"},
+            "platform": {"address": f"{self.store_ip}:{p}"},
             "advice": f"{node.ip}:{p + 5}",
             "bounds": self.shape.bounds,
         }
@@ -129,7 +130,7 @@
             (FILES_MAX, resource.getrlimit(resource.RLIMIT_NOFILE)[1]),
         )
         store = self.platform.store.handle
-        self.servers = [serve.Server(store, "127.0.0.1", self.soak.port)]
+        self.servers = [serve.Server(store, self.store_ip, self.soak.port)]
         self.servers += [self.serve_advice(n) for n in self.soak.nodes]
         self.servers += [x.server for x in self.platform.workers]
         for server in self.servers:
