--- a/soak/sites.py
+++ b/soak/sites.py
@@ -29,6 +29,7 @@
 LASTING_JOBS = 3
 CALLS_AT_ONCE_MAX = 1500
 LAG_POLL_S = 0.05
+LAG_MAX_S = 0.2
 SETTLE_S = 60
 PRIVATE = ("run_ms", "fails", "bad")  # fields of steps that are not declared
 
@@ -54,6 +55,7 @@
         p.teams = self.make_teams()
         self.make_workers()
         self.servers = []
+        self.store_ip = f"127.0.{1 + soak.subnet}.1"
         self.idle_queues, self.last_idle = [], 0
         self.boosts = {}  # team or queue -> factor of its traffic
         self.calls = 0
@@ -111,7 +113,7 @@
             "zones": zones,
             "advertised_addr": node.addr,
             "limits": {"cpu_shares": share, "cores": 1, "link_mbps": mbps},
-            "platform": {"address": f"127.0.0.1:{p}"},
+            "platform": {"address": f"{self.store_ip}:{p}"},
             "advice": f"{node.ip}:{p + 5}",
             "bounds": self.shape.bounds,
         }
@@ -128,7 +130,7 @@
             (FILES_MAX, resource.getrlimit(resource.RLIMIT_NOFILE)[1]),
         )
         store = self.platform.store.handle
-        self.servers = [serve.Server(store, "127.0.0.1", self.soak.port)]
+        self.servers = [serve.Server(store, self.store_ip, self.soak.port)]
         self.servers += [self.serve_advice(n) for n in self.soak.nodes]
         self.servers += [x.server for x in self.platform.workers]
         for server in self.servers:
@@ -448,6 +450,9 @@
             self.lag_max = max(self.lag_max, lag)
             self.lag_sum += lag
             self.lag_count += 1
+            if lag > LAG_MAX_S:  # the store was slow for all nodes
+                self.check.last_fault = w.now()
+                self.platform.note(f"the world was late by {lag:.2f} s")
             if self.lag_count % round(starve.POLL_S / LAG_POLL_S) == 0:
                 self.check.poll()
 
