--- a/src/follow.c
+++ b/src/follow.c
@@ -272,7 +272,9 @@
 		 * Otherwise nodes that restart often would delay the next
 		 * snapshot until log retention has deleted the last one. */
 		f->edits_since_snapshot = 0;
-		f->snapshot_at = MIN(now, (ogl_time)(r->at_ms * OGL_MS));
+		f->snapshot_at = now;
+		if (r->at_ms < (uint64_t)(now / OGL_MS))
+			f->snapshot_at = (ogl_time)r->at_ms * OGL_MS;
 		if (!f->complete)
 			load_snapshot(f, r->settings_snap, now);
 		break;
--- a/test/test_daemon_fuzz.cc
+++ b/test/test_daemon_fuzz.cc
@@ -727,6 +727,13 @@
 	ForEachSeed(kRuns, [](uint64_t seed) { Cell(seed).Run(); });
 }
 
+// A snapshot of the settings is dated beyond the range of times, so that its age
+// overflows (seed 284).
+TEST(Fuzz, NodesSurviveSeedsThatFailed)
+{
+	Cell(284).Run();
+}
+
 // ---- parsers of text --------------------------------------------------------
 
 const ProtobufCMessageDescriptor *const kMessages[] = {
