--- a/soak/sites.py
+++ b/soak/sites.py
@@ -35,13 +35,9 @@
 
 
 class Site:
-    def __init__(self, soak, shape, rate, calm):
-        self.soak, self.shape, self.rate, self.always_calm = (
-            soak,
-            shape,
-            rate,
-            calm,
-        )
+    def __init__(self, soak, shape, a):
+        self.soak, self.shape = soak, shape
+        self.rate, self.hot, self.always_calm = a.rate, a.hot, a.calm
         self.platform = p = soak.platform
         self.rand = random.Random(soak.seed + 10)
         self.fault_rand = random.Random(soak.seed + 11)
@@ -300,6 +296,7 @@
         """Jobs of one queue, of all teams by their shares."""
         r, teams = self.rand, self.platform.teams
         shares = self.shape.team_shares()
+        shares[-1] *= self.hot
         at = w.now()
         while at < until:
             parts = [
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -1,7 +1,8 @@
 """Soak test with faults: runs real node processes and checks invariants.
 
     soak/soak.py BUILD --seed N [--seconds S] [--nodes N] [--workers N]
-        [--large] [--shape small|hima|crb [--rate R] [--calm]] [--keep DIR]
+        [--large] [--keep DIR]
+        [--shape small|hima|crb [--rate R] [--hot X] [--calm]]
 
 Nodes reach the store and the workers through loopback proxies that delay, drop
 or reset traffic, drop it in one direction or refuse connections.  Cuts part some
@@ -514,6 +515,12 @@
     p.add_argument(
         "--rate", type=float, default=1, help="part of the shape's traffic"
     )
+    p.add_argument(
+        "--hot",
+        type=float,
+        default=1,
+        help="how many times its share the last team of a shape sends",
+    )
     p.add_argument("--calm", action="store_true", help="no faults in a shape")
     a = p.parse_args()
     if a.large:
@@ -523,7 +530,7 @@
     soak = Soak(a)
     if a.shape == "small":
         return run_soak(soak, soak.play)
-    soak.site = sites.Site(soak, shapes.SHAPES[a.shape], a.rate, a.calm)
+    soak.site = sites.Site(soak, shapes.SHAPES[a.shape], a)
     return run_soak(soak, soak.site.play)
 
 
