--- a/soak/sites.py
+++ b/soak/sites.py
@@ -466,7 +466,8 @@
         while self.open_jobs() and w.now() < end:
             await asyncio.sleep(0.3)
         for job in self.open_jobs():
-            if job.active:  # long steps that failed before take longer
+            # Long steps that failed before take longer.
+            if job.active or w.now() - job.changed_at < starve.STARVED_S:
                 continue
             if await self.ask_state(job) in ("queued", "running", None):
                 self.platform.report_violation("OPEN", job.id)
