--- a/soak/sites.py
+++ b/soak/sites.py
@@ -35,13 +35,9 @@
 
 
 class Site:
-    def __init__(self, soak, shape, rate, calm):
-        self.soak, self.shape, self.rate, self.always_calm = (
-            soak,
-            shape,
-            rate,
-            calm,
-        )
+    def __init__(self, soak, shape, a):
+        self.soak, self.shape = soak, shape
+        self.rate, self.hot, self.always_calm = a.rate, a.hot, a.calm
         self.platform = p = soak.platform
         self.rand = random.Random(soak.seed + 10)
         self.fault_rand = random.Random(soak.seed + 11)
@@ -300,6 +296,7 @@
         """Jobs of one queue, of all teams by their shares."""
         r, teams = self.rand, self.platform.teams
         shares = self.shape.team_shares()
+        shares[-1] *= self.hot
         at = w.now()
         while at < until:
             parts = [
@@ -469,7 +466,8 @@
         while self.open_jobs() and w.now() < end:
             await asyncio.sleep(0.3)
         for job in self.open_jobs():
-            if job.active:  # long steps that failed before take longer
+            # Long steps that failed before take longer.
+            if job.active or w.now() - job.changed_at < starve.STARVED_S:
                 continue
             if await self.ask_state(job) in ("queued", "running", None):
                 self.platform.report_violation("OPEN", job.id)
