schedule: overdue stages are asked about in turn

Overdue stages get a quarter of the advice service's time, the longest idle first.

They now take turns: first those whose last question is the oldest.

--- a/cell/advice.c
+++ b/cell/advice.c
@@ -325,6 +325,7 @@
 	q->busy_time = busy_time;
 	q->deadline = l->busy_until + NETWORK_MARGIN_MS * OGL_MS;
 	s->asking = true;
+	s->asked_at = now;
 	g_hash_table_insert(a->questions, &q->token, q);
 	send_question(a, q);
 	return true;
--- a/cell/job.h
+++ b/cell/job.h
@@ -88,7 +88,8 @@
 	/* Serials of workers that the policy has answered for -> their
 	 * appearance then, see cell_advice_knows. */
 	GHashTable *asked;
-	bool asking;                /* a question for the stage is pending */
+	bool asking;       /* a question for the stage is pending */
+	ogl_time asked_at; /* when its last question was sent; 0 none */
 	enum cell_wait wait_reason; /* reason last logged */
 	ogl_time wait_since;
 	ogl_time blocked_since;   /* when placing it first failed; 0: placed */
--- a/cell/sched_overdue.c
+++ b/cell/sched_overdue.c
@@ -105,17 +105,22 @@
 
 /* ---- lanes -------------------------------------------------------------- */
 
+/* Stages that find no room for long would otherwise use all the time with new
+ * questions. */
 static gint
-by_idle_time(gconstpointer a, gconstpointer b)
+by_last_question(gconstpointer a, gconstpointer b)
 {
 	const struct cell_stage *x = *(struct cell_stage *const *)a;
 	const struct cell_stage *y = *(struct cell_stage *const *)b;
 
+	if (x->asked_at != y->asked_at)
+		return x->asked_at > y->asked_at ? 1 : -1;
 	return (x->idle_since > y->idle_since) -
 	       (x->idle_since < y->idle_since);
 }
 
-/* Lists the stages with questions that are overdue, the longest idle first. */
+/* Lists the stages with questions that are overdue, first those whose last
+ * question is the oldest. */
 static GPtrArray *
 list_overdue(const struct cell_sched *s, ogl_time now)
 {
@@ -131,7 +136,7 @@
 				g_ptr_array_add(stages, a->pdata[i]);
 		}
 	}
-	g_ptr_array_sort(stages, by_idle_time);
+	g_ptr_array_sort(stages, by_last_question);
 	return stages;
 }
 
--- a/test/test_cell_overdue.cc
+++ b/test/test_cell_overdue.cc
@@ -301,6 +301,30 @@
 	EXPECT_GT(late->nactive, 0u);
 }
 
+/* Guards against stages that find no room, and renew their tickets with all of
+ * the time that overdue stages get: later ones are never asked about. */
+TEST_F(Overdue, OverdueStagesAreAskedAboutInTurn)
+{
+	struct cell_stage *late;
+
+	configure_queues(400, 0);
+	for (unsigned i = 0; i < 4; i++)
+		occupy(i, 15000);
+	for (unsigned i = 0; i < 12; i++) {
+		add("q", 8, 1000, true, workers(i % 4, 1));
+		job_->accepted -= 600 * OGL_SEC;
+	}
+	run(12000);
+	late = add("q", 1, 1000, false, workers(10, 4));
+	job_->accepted -= 600 * OGL_SEC;
+	for (int ms = 0; ms < kIdleMaxMs + 1000 && late->nactive == 0;
+	     ms += 100) {
+		add("q", 1, 100, false, workers(4, 4));
+		starts(late, 100);
+	}
+	EXPECT_GT(late->nactive, 0u);
+}
+
 /* Guards against an answer that is kept for ever: the service does not admit a
  * worker that is down when it is asked about. */
 TEST_F(Overdue, RestartedWorkerIsAskedAboutAgain)
