--- a/test/test_cell_overdue.cc
+++ b/test/test_cell_overdue.cc
@@ -45,6 +45,7 @@
 			q->policy.worker_ms = worker_ms;
 			q->policy.valid_ms = 2500;
 			q->objective_ms = 60000;
+			q->attempts_max = 2;
 		}
 		t = cell_config_add_team(c);
 		t->name = g_strdup("t");
@@ -253,6 +254,19 @@
 	EXPECT_TRUE(starts(add("q", 1, 1000, false, workers(3, 1))));
 }
 
+/* Guards against jobs that are ended by a worker which is known to fail. */
+TEST_F(Overdue, LastAttemptWaitsForAWorkerThatIsNotAside)
+{
+	struct cell_stage *st = add("q", 1, 1000, false, workers(3, 2));
+
+	fail_until(3, OGL_HEALTH_ASIDE);
+	occupy(4, 16000);
+	cell_task_record_failure(&st->tasks[0], 1);
+	EXPECT_FALSE(starts(st));
+	occupy(4, 0);
+	EXPECT_TRUE(starts(st));
+}
+
 /* Guards against a gang that fits into its team's limit, but not into the part
  * of it that ranks other than 0 may use. */
 TEST_F(Overdue, GangWithinItsTeamsWholeLimitStarts)
@@ -301,6 +315,30 @@
 	EXPECT_GT(late->nactive, 0u);
 }
 
+/* Guards against stages that find no room, and renew their tickets with all of
+ * the time that overdue stages get: later ones are never asked about. */
+TEST_F(Overdue, OverdueStagesAreAskedAboutInTurn)
+{
+	struct cell_stage *late;
+
+	configure_queues(400, 0);
+	for (unsigned i = 0; i < 4; i++)
+		occupy(i, 15000);
+	for (unsigned i = 0; i < 12; i++) {
+		add("q", 8, 1000, true, workers(i % 4, 1));
+		job_->accepted -= 600 * OGL_SEC;
+	}
+	run(12000);
+	late = add("q", 1, 1000, false, workers(10, 4));
+	job_->accepted -= 600 * OGL_SEC;
+	for (int ms = 0; ms < kIdleMaxMs + 1000 && late->nactive == 0;
+	     ms += 100) {
+		add("q", 1, 100, false, workers(4, 4));
+		starts(late, 100);
+	}
+	EXPECT_GT(late->nactive, 0u);
+}
+
 /* Guards against an answer that is kept for ever: the service does not admit a
  * worker that is down when it is asked about. */
 TEST_F(Overdue, RestartedWorkerIsAskedAboutAgain)
