--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -84,10 +84,7 @@
 	/* scratch: time to the objective of the current stage, as a multiple of
 	 * its remaining run time */
 	double slack;
-	/* scratch: a failure of the current task would end its job; and such a
-	 * task waits for a proven worker */
-	bool last_attempt;
-	bool proven_only;
+	bool proven_only; /* scratch: the current task's last attempt */
 	/* scratch: whether a proven worker may run the stage, and the stage that
 	 * this was determined for in the current placement, NULL none */
 	bool some_proven;
--- a/cell/sched_place.c
+++ b/cell/sched_place.c
@@ -198,10 +198,8 @@
 health_allows(const struct cell_sched *s, const struct cell_stage *st,
     const struct cell_worker *w)
 {
-	if (s->any_worker)
-		return !s->last_attempt || w->health != OGL_HEALTH_ASIDE;
-	return cell_health_may_start(w, st->def->gang) &&
-	       (!s->proven_only || cell_health_proven(w));
+	return s->any_worker || (cell_health_may_start(w, st->def->gang) &&
+				    (!s->proven_only || cell_health_proven(w)));
 }
 
 static double
@@ -337,7 +335,6 @@
 			continue;
 		}
 		s->proven_only = needs_proven_worker(s, st, i, now);
-		s->last_attempt = is_last_attempt(s, st, i);
 		w = task_startable(t, now) &&
 			    cell_sched_team_limit_allows(s, st, 1, rank, now)
 			? pick_worker(s, st, t)
@@ -382,7 +379,6 @@
 		return false;
 	g_ptr_array_set_size(s->chosen, 0);
 	s->proven_only = needs_proven_worker(s, st, 0, now);
-	s->last_attempt = is_last_attempt(s, st, 0);
 	for (i = 0; i < st->ntasks; i++) {
 		struct cell_worker *w = pick_worker(s, st, &st->tasks[0]);
 
