--- a/cell/sched_overdue.c
+++ b/cell/sched_overdue.c
@@ -14,9 +14,7 @@
  *	limit	its team's ranks are equal while the team uses less than half
  *		of its limit
  *	workers	it is started on whatever workers it may run on, if these have
- *		room for it twice over; one task, of a gang all.  A last
- *		attempt waits for a worker that is not aside: its failure would
- *		end the job
+ *		room for it twice over; one task, of a gang all
  *
  * Capacity, limits, tickets and leases are kept all the same.
  */
