--- a/test/test_cell_overdue.cc
+++ b/test/test_cell_overdue.cc
@@ -292,8 +292,7 @@
 	configure_queues(400, 0);
 	late = add("q", 1, 1000, false, workers(0, 4));
 	job_->accepted -= 600 * OGL_SEC;
-	for (int ms = 0; ms < kIdleMaxMs && late->nactive == 0;
-	     ms += 100) {
+	for (int ms = 0; ms < kIdleMaxMs && late->nactive == 0; ms += 100) {
 		add("q", 1, 100, false, workers(4, 4));
 		add("l", 1, 100, false, workers(4, 4));
 		starts(late, 100);
@@ -317,8 +316,7 @@
 	run(12000);
 	late = add("q", 1, 1000, false, workers(10, 4));
 	job_->accepted -= 600 * OGL_SEC;
-	for (int ms = 0; ms < kIdleMaxMs && late->nactive == 0;
-	     ms += 100) {
+	for (int ms = 0; ms < kIdleMaxMs && late->nactive == 0; ms += 100) {
 		add("q", 1, 100, false, workers(4, 4));
 		starts(late, 100);
 	}
