--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -241,6 +241,21 @@
 	cell_fleet_log_worker_why(f, w, event, "");
 }
 
+void
+cell_fleet_log_lease(struct cell_fleet *f, const struct cell_worker *w,
+    const char *event, ogl_time now)
+{
+	const struct cell_lease *l = &w->lease;
+	char text[200];
+
+	g_snprintf(text, sizeof text,
+	    "worker=%s life=%" G_GUINT64_FORMAT " clock_ms=%" G_GUINT64_FORMAT
+	    " lease_ms=%" G_GINT64_FORMAT " read_ms=%" G_GINT64_FORMAT,
+	    w->id, w->incarnation, l->clock_ms,
+	    (int64_t)(l->end_ms - l->clock_ms), (now - l->read_at) / OGL_MS);
+	f->ops->log(f->ops->ctx, "fleet", event, text);
+}
+
 /* A successor that knows only the old address would get no answer there and
  * conclude that the worker has ended.  It would then start elsewhere the tasks
  * that run at the new address.  So a worker whose address has changed gets no
@@ -854,6 +869,7 @@
 	if (w->incarnation != 0 && g_hash_table_size(w->runs) > 0 &&
 	    expired_unrenewed(f, cell_lease_expires_at(&w->lease), now)) {
 		cell_fleet_log_worker(f, w, "worker_lapsed");
+		cell_fleet_log_lease(f, w, "lease_over", now);
 		cell_fleet_lose_runs(f, w, NULL, now, now);
 	}
 	if (w->open_in_record && cell_worker_silent(w, now))
--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -319,6 +319,7 @@
 	struct cell_worker *w = c->worker;
 	uint64_t ends_before = w->ends_reported;
 	bool first_answer = !w->fenced;
+	bool restarted = w->incarnation != 0 && w->incarnation != a->born_ms;
 	GHashTable *seen;
 
 	if (w->failures > 0)
@@ -332,7 +333,7 @@
 	w->last_answer_at = now;
 	cell_fleet_count_call(f, w, OGL_HEALTH_HOLD_UNANSWERED, true, now);
 	cell_fleet_count_call(f, w, OGL_HEALTH_CONN_REFUSED, true, now);
-	if (w->incarnation != 0 && w->incarnation != a->born_ms)
+	if (restarted)
 		worker_restarted(f, w, a, c->sent_at, now);
 	cell_lease_read_clock(&w->lease, a->clock_ms, now);
 	if (w->incarnation != a->born_ms) {
@@ -351,6 +352,8 @@
 	if (w->incarnation == 0 && w->first_record == CELL_FLEET_LOADED_RECORD)
 		f->nexpected_answered++;
 	w->incarnation = a->born_ms;
+	if (restarted)
+		cell_fleet_log_lease(f, w, "incarnation_lease", now);
 	w->accepted_at = MAX(w->accepted_at, c->sent_at);
 	w->fenced = true;
 	w->expected = false;
--- a/cell/fleet_impl.h
+++ b/cell/fleet_impl.h
@@ -66,6 +66,9 @@
     const struct cell_worker *w, const char *event, const char *why);
 void cell_fleet_log_worker(
     struct cell_fleet *f, const struct cell_worker *w, const char *event);
+void cell_fleet_log_lease(struct cell_fleet *f, const struct cell_worker *w,
+    const char *event, ogl_time now);
+/* Logs the end of the worker's lease that is counted with. */
 void cell_fleet_count_call(struct cell_fleet *f, struct cell_worker *w,
     enum ogl_health_evidence kind, bool ok, ogl_time now);
 /* Counts the outcome of a call to a worker that has answered before. */
