fleet: calls meant for a worker's former incarnation are fenced, and its lease counts as the longest

What callers saw: a task that must run once runs on two workers. A worker restarts under its id, gets a task, and is cut off 2 s later; the task starts elsewhere 4.3 s after the last renewal and goes on at the first worker for up to 10 s.

Cause: a lease is asked for as a time on the worker's clock, which starts anew with each incarnation, from any value. A call that was meant for the former incarnation and is carried out by the next one may ask for a time far ahead, which the worker shortens to max_hold_ms. The owner counted with 4 s unless the clock was below 15 s. The same call may arrive after the first answer of the next incarnation, and then nothing that is read with that answer bounds the lease.

Ruled out: a change of owner (one owner starts all runs of the record), a slow clock (2 % of 4 s are 80 ms), a late end.

Change: the fence of a call is the epoch and, below it, the restarts of that worker that the owner knows of. An incarnation that has answered under its own fence refuses all calls meant for former ones. Until then its lists are not used. Its lease counts as the longest that such calls can have asked for before that answer: the earlier of the latest end asked of former incarnations, if one was asked for in the last 15 s, and its clock + max_hold_ms. An owner that a worker refuses for a later fence of its own goes on. Stops of starts that the former incarnation left unanswered are not needed any more.

Evidence: Lease.HasExpired...OnTheClockOfAFormerIncarnation, now with clocks that start anywhere; Fleet.RunsOfRestartedWorkerAreOverOnceItAnswersUnderItsOwnFence, RefusalBecauseOfItsOwnLaterFenceDoesNotEndOwnership, FenceOfHigherEpochIsHigher... (each fails before; the Lease test needs the new calls). The first of Fleet replaces StartAnsweredAfterHoldWasSentIsStoppedInNewIncarnation: such a start is refused or listed under the new fence; the run still counts until that answer. Overdue.RestartedWorkerIsAskedAboutAgain's emulated worker answers twice, as any does.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -20,6 +20,9 @@
  * the workers are asked. */
 #define STORE_SILENT_AFTER (550 * OGL_MS)
 #define RUN_SCAN_INTERVAL (40 * OGL_MS)
+/* A fence is the epoch, and below it the worker's restarts in that epoch. */
+#define FENCE_EPOCH_SHIFT 20
+#define FENCE_RESTARTS_MAX ((1U << FENCE_EPOCH_SHIFT) - 1)
 
 void
 cell_fleet_run_free(struct cell_run *r)
@@ -138,6 +141,8 @@
 		w->hold_pending = false;
 		w->incarnation = 0;
 		w->incarnation_since = 0;
+		w->restarts = 0;
+		w->restarted = false;
 		w->accepted_at = 0;
 		w->first_record = 0;
 		w->ends_stored = 0;
@@ -274,12 +279,22 @@
 	set_string(&w->addr, addr);
 }
 
-/* A new incarnation has seen no epoch, so it is called at once.  The answer to a
- * hold in flight no longer counts, as it was sent to the last incarnation, and
- * no more ends of that one are acknowledged. */
+uint64_t
+cell_fleet_fence(const struct cell_fleet *f, const struct cell_worker *w)
+{
+	return f->epoch << FENCE_EPOCH_SHIFT | w->restarts;
+}
+
+/* A new incarnation has seen no fence, so it is called at once.  Until it has
+ * answered under a fence above that of the last one's calls, it may carry these
+ * out, however late they arrive.  The answer to a hold in flight no longer
+ * counts, as it was sent to the last incarnation, and no more ends of that one
+ * are acknowledged. */
 void
 cell_fleet_incarnation_over(struct cell_worker *w, ogl_time now)
 {
+	w->restarts = MIN(w->restarts + 1, FENCE_RESTARTS_MAX);
+	w->restarted = true;
 	w->fenced = false;
 	w->hold_pending = false;
 	w->hold_number++;
@@ -870,7 +885,7 @@
 	    expired_unrenewed(f, cell_lease_expires_at(&w->lease), now)) {
 		cell_fleet_log_worker(f, w, "worker_lapsed");
 		cell_fleet_log_lease(f, w, "lease_over", now);
-		cell_fleet_lose_runs(f, w, NULL, now, now);
+		cell_fleet_lose_runs(f, w, now);
 	}
 	if (w->open_in_record && cell_worker_silent(w, now))
 		f->record_outdated = true;
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -90,7 +90,13 @@
 	/* Counts its incarnations, and the times that it was listed anew. */
 	uint32_t appearance;
 	ogl_time incarnation_since; /* first answer of that incarnation */
-	bool fenced;                /* this incarnation has seen our epoch */
+	/* Restarts of it that this owner knows of.  Part of the fence of its
+	 * calls: an incarnation that has answered under its own refuses calls
+	 * that were meant for the former ones. */
+	uint32_t restarts;
+	/* The last incarnation is over, and the next has not answered. */
+	bool restarted;
+	bool fenced;          /* this incarnation has seen its fence */
 	ogl_time accepted_at; /* when the last hold that it answered was sent */
 	struct cell_lease lease;   /* of this incarnation */
 	bool open_in_record;       /* a stored record allows new runs there */
@@ -219,7 +225,8 @@
 
 bool cell_fleet_record_outdated(struct cell_fleet *f);
 /* Whether the stored record of the workers is out of date: since the last call
- * a worker was added or removed, or its address or state has changed. */
+ * a worker was added or removed, or its address or state has changed.
+ */
 
 void cell_fleet_step(struct cell_fleet *f, ogl_time now);
 /* Sends the holds, starts and stops that are due, and ends the runs of workers
--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -56,8 +56,6 @@
 #define HOLD_RETRY_DELAY (150 * OGL_MS)
 /* A worker whose answer is overdue by this gets no new work. */
 #define HOLD_OVERDUE_AFTER (250 * OGL_MS)
-/* A start without an answer is carried out within this time or never. */
-#define UNANSWERED_START_MAX (15 * OGL_SEC)
 /* Unknown runs of a worker that are stopped at a time.  The next answers list the
  * others, and the worker gets no work until the last one is over. */
 #define ORPHANS_MAX 100
@@ -97,17 +95,17 @@
 	return NULL;
 }
 
-/* Whether either list of the answer contains the run; false if a is NULL. */
+/* Whether either list of the answer contains the run. */
 static bool
 answer_lists(const struct cell_hold_answer *a, const struct cell_run *r)
 {
 	size_t i;
 
-	for (i = 0; a != NULL && i < a->nrunning; i++) {
+	for (i = 0; i < a->nrunning; i++) {
 		if (row_matches(r, &a->running[i]))
 			return true;
 	}
-	for (i = 0; a != NULL && i < a->nended; i++) {
+	for (i = 0; i < a->nended; i++) {
 		if (row_matches(r, &a->ended[i]))
 			return true;
 	}
@@ -120,20 +118,16 @@
 	GArray *a = r->worker->unanswered_starts;
 	struct cell_unanswered_start start = {r->name, r->number, now};
 
-	while (a->len > 0 &&
-	       now - g_array_index(a, struct cell_unanswered_start, 0).sent_at >
-		   UNANSWERED_START_MAX)
+	while (
+	    a->len > 0 &&
+	    cell_lease_order_is_late(
+		g_array_index(a, struct cell_unanswered_start, 0).sent_at, now))
 		g_array_remove_index(a, 0);
 	g_array_append_val(a, start);
 }
 
-/* Ends the runs of the worker's last incarnation.  new_answer is the answer of
- * the new incarnation to the hold that was sent at hold_sent_at, or NULL.  Runs
- * that it lists are kept: their start has reached the new incarnation. */
 void
-cell_fleet_lose_runs(struct cell_fleet *f, struct cell_worker *w,
-    const struct cell_hold_answer *new_answer, ogl_time hold_sent_at,
-    ogl_time now)
+cell_fleet_lose_runs(struct cell_fleet *f, struct cell_worker *w, ogl_time now)
 {
 	GPtrArray *runs = cell_worker_runs(w);
 	guint i;
@@ -141,66 +135,45 @@
 	for (i = 0; i < runs->len; i++) {
 		struct cell_run *r = runs->pdata[i];
 
-		if (answer_lists(new_answer, r))
-			continue;
 		/* A start in flight may reach the worker's next incarnation. */
-		if (new_answer == NULL && r->order_pending &&
-		    r->state == CELL_RUN_STARTING)
+		if (r->order_pending && r->state == CELL_RUN_STARTING)
 			cell_fleet_remember_unanswered_start(r, now);
-		/* A start without an answer may still reach the new incarnation
-		 * of a worker that kept its id.  A new incarnation knows no
-		 * epoch and no run yet, so it would carry out the start unless
-		 * it gets a stop first.  A start answered since the hold was
-		 * sent may have reached it after it listed its runs. */
-		if (new_answer != NULL &&
-		    (r->start_unanswered || r->order_pending ||
-			r->running_since > hold_sent_at)) {
-			r->stop_answered = false;
-			cell_fleet_stop(f, r, now);
-		} else {
-			cell_fleet_run_ended(f, r, CELL_END_LAPSED, NULL, now);
-		}
+		cell_fleet_run_ended(f, r, CELL_END_LAPSED, NULL, now);
 	}
 	g_ptr_array_unref(runs);
 }
 
-/*
- * A new incarnation does not know earlier runs.  It would carry out a start
- * that the last incarnation left unanswered, even if the task is done by now.
- * Each of these starts is refused once a stop for it has been received.
- */
+/* Ends the runs that the next incarnation does not list in its first answer
+ * under its fence.  Of their starts, none can reach it any more. */
 static void
-stop_unanswered_starts(
-    struct cell_fleet *f, struct cell_worker *w, ogl_time now)
+lose_unlisted_runs(struct cell_fleet *f, struct cell_worker *w,
+    const struct cell_hold_answer *a, ogl_time now)
 {
+	GPtrArray *runs = cell_worker_runs(w);
 	guint i;
 
-	for (i = 0; i < w->unanswered_starts->len; i++) {
-		const struct cell_unanswered_start *start = &g_array_index(
-		    w->unanswered_starts, struct cell_unanswered_start, i);
-		struct cell_run_row row = {
-		    .task = start->task, .run = start->run};
-
-		if (now - start->sent_at < UNANSWERED_START_MAX &&
-		    find_run(w, &row) == NULL)
-			cell_fleet_stop_orphan(f, w, &row, now);
+	for (i = 0; i < runs->len; i++) {
+		if (!answer_lists(a, runs->pdata[i]))
+			cell_fleet_run_ended(
+			    f, runs->pdata[i], CELL_END_LAPSED, NULL, now);
 	}
+	g_ptr_array_unref(runs);
 	g_array_set_size(w->unanswered_starts, 0);
 }
 
 static void
 worker_restarted(struct cell_fleet *f, struct cell_worker *w,
-    const struct cell_hold_answer *a, ogl_time hold_sent_at, ogl_time now)
+    const struct cell_hold_answer *a, ogl_time now)
 {
 	cell_fleet_log_worker(f, w, "worker_reborn");
 	w->ends_acked = 0;
 	w->ends_stored = 0;
 	w->ends_reported = 0;
-	memset(&w->lease, 0, sizeof w->lease);
+	cell_lease_next_incarnation(
+	    &w->lease, a->clock_ms, f->limits->lease_max_ms, now);
 	memset(&w->pace, 0, sizeof w->pace);
 	w->proven = false;
-	cell_fleet_lose_runs(f, w, a, hold_sent_at, now);
-	stop_unanswered_starts(f, w, now);
+	lose_unlisted_runs(f, w, a, now);
 }
 
 /* ---- the answer to a hold --------------------------------------------- */
@@ -322,6 +295,12 @@
 	bool restarted = w->incarnation != 0 && w->incarnation != a->born_ms;
 	GHashTable *seen;
 
+	/* The next incarnation may still carry out calls under this fence, so
+	 * that its lists say little. */
+	if (restarted && !w->restarted) {
+		cell_fleet_incarnation_over(w, now);
+		return;
+	}
 	if (w->failures > 0)
 		cell_fleet_log_worker(f, w, "worker_regained");
 	f->record_outdated |= w->silent_in_record;
@@ -334,24 +313,24 @@
 	cell_fleet_count_call(f, w, OGL_HEALTH_HOLD_UNANSWERED, true, now);
 	cell_fleet_count_call(f, w, OGL_HEALTH_CONN_REFUSED, true, now);
 	if (restarted)
-		worker_restarted(f, w, a, c->sent_at, now);
-	cell_lease_read_clock(&w->lease, a->clock_ms, now);
-	if (w->incarnation != a->born_ms) {
-		ends_before = 0;
-		/* An earlier owner may just have renewed the lease. */
-		cell_lease_assume_longest(&w->lease, f->limits->lease_max_ms,
-		    w->incarnation != 0 ||
-			w->first_record == CELL_FLEET_LOADED_RECORD);
-	}
+		worker_restarted(f, w, a, now);
+	else if (w->incarnation == 0)
+		cell_lease_first_answer(&w->lease, a->clock_ms,
+		    f->limits->lease_max_ms,
+		    w->expected ? CELL_LEASE_OF_ANY : CELL_LEASE_NONE, now);
+	else
+		cell_lease_read_clock(&w->lease, a->clock_ms, now);
+	if (w->incarnation == 0 && w->first_record == CELL_FLEET_LOADED_RECORD)
+		f->nexpected_answered++;
+	w->restarted = false;
 	if (w->incarnation == a->born_ms) {
 		w->ends_acked = MAX(w->ends_acked, c->ends_acked);
 	} else {
+		ends_before = 0;
+		w->incarnation = a->born_ms;
 		w->incarnation_since = now;
 		w->appearance++;
 	}
-	if (w->incarnation == 0 && w->first_record == CELL_FLEET_LOADED_RECORD)
-		f->nexpected_answered++;
-	w->incarnation = a->born_ms;
 	if (restarted)
 		cell_fleet_log_lease(f, w, "incarnation_lease", now);
 	w->accepted_at = MAX(w->accepted_at, c->sent_at);
@@ -380,7 +359,7 @@
 	w->gone = true;
 	w->expected = false;
 	cell_fleet_log_worker(f, w, "worker_gone");
-	cell_fleet_lose_runs(f, w, NULL, now, now);
+	cell_fleet_lose_runs(f, w, now);
 	f->events.answered(f->events.arg, w, now);
 }
 
@@ -427,7 +406,7 @@
 	if (a->why != CELL_REFUSED_INCARNATION)
 		return;
 	if (w->gone)
-		cell_fleet_lose_runs(f, w, NULL, now, now);
+		cell_fleet_lose_runs(f, w, now);
 	else
 		set_gone(f, w, now);
 }
@@ -524,7 +503,7 @@
 	struct cell_fleet_call *c = g_new0(struct cell_fleet_call, 1);
 	bool renew = g_hash_table_size(w->runs) > 0;
 	struct cell_hold h = {
-	    .to = {w->addr, w->id, f->epoch},
+	    .to = {w->addr, w->id, cell_fleet_fence(f, w)},
 	    .last_seen = ends_to_acknowledge(w),
 	    .until_ms =
 		renew && may_renew(f, w, now)
--- a/cell/fleet_impl.h
+++ b/cell/fleet_impl.h
@@ -54,6 +54,7 @@
 	struct cell_run *run; /* NULL for a hold */
 	uint64_t generation;  /* of the fleet when the call was sent */
 	uint64_t incarnation; /* of the worker when the call was sent */
+	uint64_t fence;
 	uint64_t ends_acked;  /* ends up to this were acknowledged by a hold */
 	uint64_t hold_number; /* 0 for a start or stop */
 	ogl_time sent_at;
@@ -86,6 +87,9 @@
 /* Reports the end of a run to the owner and removes the run. */
 void cell_fleet_incarnation_over(struct cell_worker *w, ogl_time now);
 /* The incarnation that last answered has ended. */
+uint64_t cell_fleet_fence(
+    const struct cell_fleet *f, const struct cell_worker *w);
+/* The fencing token of calls to the worker's present incarnation. */
 bool cell_fleet_needs_quorum(const struct cell_fleet *f, ogl_time now);
 /* Whether the store's confirmation is so old that the workers' will be needed
  * soon. */
@@ -96,9 +100,9 @@
 void cell_fleet_count_failure(struct cell_worker *w, ogl_time now);
 void cell_fleet_remember_unanswered_start(
     const struct cell_run *r, ogl_time now);
-void cell_fleet_lose_runs(struct cell_fleet *f, struct cell_worker *w,
-    const struct cell_hold_answer *new_answer, ogl_time hold_sent_at,
-    ogl_time now);
+void cell_fleet_lose_runs(
+    struct cell_fleet *f, struct cell_worker *w, ogl_time now);
+/* Ends the runs of a worker whose lease has expired or that has ended. */
 void cell_fleet_run_started(
     struct cell_fleet *f, struct cell_run *r, ogl_time now);
 void cell_fleet_call_free(struct cell_fleet_call *c);
--- a/cell/fleet_order.c
+++ b/cell/fleet_order.c
@@ -29,6 +29,7 @@
 	c->run = r;
 	c->generation = f->generation;
 	c->incarnation = r->worker->incarnation;
+	c->fence = cell_fleet_fence(f, r->worker);
 	c->sent_at = now;
 	r->worker->calls_pending++;
 	r->order_pending = true;
@@ -40,7 +41,7 @@
 {
 	struct cell_worker *w = r->worker;
 	struct cell_order o = {
-	    .to = {w->addr, w->id, f->epoch},
+	    .to = {w->addr, w->id, cell_fleet_fence(f, w)},
 	    .task = r->name,
 	    .run = r->number,
 	    .spec = cell_bytes_str(r->spec),
@@ -63,7 +64,7 @@
 {
 	struct cell_worker *w = r->worker;
 	struct cell_order o = {
-	    .to = {w->addr, w->id, f->epoch},
+	    .to = {w->addr, w->id, cell_fleet_fence(f, w)},
 	    .task = r->name,
 	    .run = r->number,
 	    .timeout_ms = ORDER_TIMEOUT_MS,
@@ -198,12 +199,23 @@
 	return false;
 }
 
+/* Whether the worker refused the order because it has answered under a later
+ * fence of this owner.  It has done nothing, and the order is sent again. */
+static bool
+fence_superseded(const struct cell_fleet *f, const struct cell_run *r,
+    const struct cell_order_answer *a, uint64_t fence)
+{
+	return a->why == CELL_REFUSED_FENCE &&
+	       fence < cell_fleet_fence(f, r->worker);
+}
+
 static void
 on_start(void *arg, const struct cell_order_answer *a, ogl_time now)
 {
 	struct cell_fleet_call *c = arg;
 	struct cell_fleet *f = c->fleet;
 	ogl_time sent_at = c->sent_at;
+	uint64_t fence = c->fence;
 	uint64_t incarnation = c->incarnation;
 	struct cell_run *r;
 
@@ -229,6 +241,8 @@
 		f->ops->observe(f->ops->ctx, "start_ms",
 		    (uint64_t)((now - sent_at) / OGL_MS));
 		start_confirmed(f, r, now);
+	} else if (fence_superseded(f, r, a, fence)) {
+		r->retry_at = now;
 	} else if (a->io == OGL_IO_REFUSED) {
 		start_refused(f, r, a->why, now);
 	} else {
@@ -241,6 +255,7 @@
 {
 	struct cell_fleet_call *c = arg;
 	struct cell_fleet *f = c->fleet;
+	uint64_t fence = c->fence;
 	struct cell_run *r;
 
 	if (!order_finish(c, &r))
@@ -251,7 +266,7 @@
 		r->worker->next_hold_no_wait = true;
 		return;
 	}
-	if (a->why == CELL_REFUSED_FENCE) {
+	if (a->why == CELL_REFUSED_FENCE && !fence_superseded(f, r, a, fence)) {
 		f->events.outranked(f->events.arg, now);
 		return;
 	}
--- a/cell/lease.c
+++ b/cell/lease.c
@@ -13,15 +13,20 @@
  *   old its reading is.  An old reading makes the lease shorter.
  * - A new owner that has read the clock after all orders of earlier owners
  *   counts with an end LEASE_MS after that reading.
- * - An order to a worker's last incarnation that reaches the next one asks for
- *   an end on the old clock, which the new one shortens to the longest lease
- *   that it grants.  A worker's clock starts with its incarnation.
+ * - A worker's clock starts anew with each incarnation, from any value.  A call
+ *   that was meant for a former incarnation names an end on another clock, and
+ *   the worker shortens it to the longest lease that it grants.  No such call is
+ *   accepted once the incarnation has answered one under its own fence
+ *   (fleet.h), so its lease ends by then at the earlier of the latest end asked
+ *   of former ones and its clock + that longest lease.
  * - A lease has expired once clock_min(t) has reached its end.
  * - Where a new owner has read no clock, a lease asked for at time s has expired
  *   at s + LEASE_MS / 0.98.  No earlier owner asks for one more than
  *   CELL_LEASE_PROOF_MAX_AGE after the last proof that it was the owner.
  */
 
+#include <string.h>
+
 #include "lease.h"
 
 /* Longest lease asked for.  It has to outlast a change of owner, and bounds how
@@ -31,8 +36,8 @@
 #define ROUNDING_MS 2
 /* Covers timers and the rounding of times to milliseconds. */
 #define EXPIRY_MARGIN (250 * OGL_MS)
-/* An order that is not answered is carried out within this time or never. */
-#define LATE_ORDER_MAX_MS 15000
+/* A call that is not answered is carried out within this time or never. */
+#define LATE_CALL_MAX (15 * OGL_SEC)
 /* A lease asked for by a reading of this age is shorter by 1.2 s. */
 #define CLOCK_AGE_MAX (60 * OGL_SEC)
 
@@ -86,17 +91,51 @@
 	uint64_t end_ms = clock_min(l, now) + MIN(LEASE_MS, max_ms);
 
 	l->end_ms = MAX(l->end_ms, end_ms);
+	l->asked_at = now;
 	return end_ms;
 }
 
 void
-cell_lease_assume_longest(
-    struct cell_lease *l, uint32_t max_ms, bool called_before)
+cell_lease_first_answer(struct cell_lease *l, uint64_t clock_ms,
+    uint32_t max_ms, enum cell_lease_earlier earlier, ogl_time now)
 {
-	bool late_orders = called_before && l->clock_ms < LATE_ORDER_MAX_MS;
-	uint64_t end_ms = l->clock_ms + (late_orders ? max_ms : LEASE_MS);
+	memset(l, 0, sizeof *l);
+	l->clock_ms = clock_ms;
+	l->read_at = now;
+	l->end_ms =
+	    clock_ms + (earlier == CELL_LEASE_OF_ANY ? max_ms : LEASE_MS);
+	if (earlier != CELL_LEASE_NONE) {
+		l->former_until = now + LATE_CALL_MAX;
+		l->former_end_ms = UINT64_MAX;
+	}
+}
 
-	l->end_ms = MAX(l->end_ms, end_ms);
+void
+cell_lease_next_incarnation(
+    struct cell_lease *l, uint64_t clock_ms, uint32_t max_ms, ogl_time now)
+{
+	if (now >= l->former_until)
+		l->former_end_ms = 0;
+	if (l->asked_at != 0 && now < l->asked_at + LATE_CALL_MAX) {
+		l->former_until =
+		    MAX(l->former_until, l->asked_at + LATE_CALL_MAX);
+		l->former_end_ms = MAX(l->former_end_ms, l->end_ms);
+	}
+	l->clock_ms = clock_ms;
+	l->read_at = now;
+	l->end_ms = MAX(MIN(l->former_end_ms, clock_ms + max_ms), clock_ms);
+}
+
+bool
+cell_lease_is_longest(const struct cell_lease *l, ogl_time now)
+{
+	return l->end_ms > clock_min(l, now) + LEASE_MS;
+}
+
+bool
+cell_lease_order_is_late(ogl_time sent_at, ogl_time now)
+{
+	return now - sent_at > LATE_CALL_MAX;
 }
 
 ogl_time
--- a/cell/ops.h
+++ b/cell/ops.h
@@ -193,7 +193,7 @@
 struct cell_target {
 	const char *addr;
 	const char *id;
-	uint64_t epoch; /* fencing token */
+	uint64_t fence; /* fencing token */
 };
 
 /* Renews a worker's lease and asks for its runs. */
--- a/cell/relay.c
+++ b/cell/relay.c
@@ -318,7 +318,7 @@
 	m->kind = kind;
 	m->addr = cell_order_strdup(to->addr);
 	m->worker = cell_order_strdup(to->id);
-	m->epoch = to->epoch;
+	m->fence = to->fence;
 	m->timeout_ms = timeout_ms;
 	return m;
 }
--- a/cell/relay_serve.c
+++ b/cell/relay_serve.c
@@ -480,7 +480,7 @@
 static void
 send_hold(const struct cell_ops *ops, const Ogl__CellOrder *m, struct call *c)
 {
-	struct cell_hold h = {.to = {m->addr, m->worker, m->epoch},
+	struct cell_hold h = {.to = {m->addr, m->worker, m->fence},
 	    .last_seen = m->last_seen,
 	    .until_ms = m->until_ms,
 	    .wait_ms = m->wait_ms,
@@ -596,7 +596,7 @@
 static struct cell_order
 order_from_msg(const Ogl__CellOrder *m)
 {
-	struct cell_order o = {.to = {m->addr, m->worker, m->epoch},
+	struct cell_order o = {.to = {m->addr, m->worker, m->fence},
 	    .task = {.occurrence = m->occurrence,
 		.step = m->step,
 		.index = m->index},
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -3935,12 +3935,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
+    "fence",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Ogl__CellOrder, epoch),
+    offsetof(Ogl__CellOrder, fence),
     NULL,
     NULL,
     0,             /* flags */
@@ -4130,7 +4130,7 @@
 static const unsigned ogl__cell_order__field_indices_by_name[] = {
   2,   /* field[2] = addr */
   12,   /* field[12] = checkpoint */
-  4,   /* field[4] = epoch */
+  4,   /* field[4] = fence */
   18,   /* field[18] = from */
   10,   /* field[10] = index */
   7,   /* field[7] = job */
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -829,7 +829,7 @@
   /*
    * fencing token
    */
-  uint64_t epoch;
+  uint64_t fence;
   uint32_t timeout_ms;
   /*
    * end of the lease, worker's clock; 0: no change
--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -1746,7 +1746,7 @@
 	struct call *c = call_new(n, kind, o->timeout_ms, (void *)done, arg);
 
 	c->worker = worker_at(f, o->to.addr);
-	c->epoch = o->to.epoch;
+	c->epoch = o->to.fence;
 	c->task = o->task;
 	c->run = o->run;
 	c->lease_until_ms = o->until_ms;
@@ -1929,7 +1929,7 @@
 	    call_new(n, CALL_HOLD, h->timeout_ms, (void *)done, arg);
 
 	c->worker = worker_at(n->cell, h->to.addr);
-	c->epoch = h->to.epoch;
+	c->epoch = h->to.fence;
 	c->last_seen = h->last_seen;
 	c->lease_until_ms = h->until_ms;
 	c->wait_ms = h->wait_ms;
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -16,12 +16,14 @@
 	uint32_t wait_ms;
 	uint32_t timeout_ms;
 	uint64_t until_ms;
+	uint64_t fence;
 	cell_hold_fn *done;
 	void *arg;
 	bool answered;
 };
 
 struct Order {
+	uint64_t fence;
 	cell_order_fn *done;
 	void *arg;
 };
@@ -35,20 +37,20 @@
 void
 on_hold(void *ctx, const struct cell_hold *h, cell_hold_fn *done, void *arg)
 {
-	static_cast<Worker *>(ctx)->holds.push_back(
-	    {h->wait_ms, h->timeout_ms, h->until_ms, done, arg, false});
+	static_cast<Worker *>(ctx)->holds.push_back({h->wait_ms, h->timeout_ms,
+	    h->until_ms, h->to.fence, done, arg, false});
 }
 
 void
-on_stop(void *ctx, const struct cell_order *, cell_order_fn *done, void *arg)
+on_stop(void *ctx, const struct cell_order *o, cell_order_fn *done, void *arg)
 {
-	static_cast<Worker *>(ctx)->stops.push_back({done, arg});
+	static_cast<Worker *>(ctx)->stops.push_back({o->to.fence, done, arg});
 }
 
 void
-on_start(void *ctx, const struct cell_order *, cell_order_fn *done, void *arg)
+on_start(void *ctx, const struct cell_order *o, cell_order_fn *done, void *arg)
 {
-	static_cast<Worker *>(ctx)->starts.push_back({done, arg});
+	static_cast<Worker *>(ctx)->starts.push_back({o->to.fence, done, arg});
 }
 
 class Fleet : public testing::Test
@@ -82,6 +84,9 @@
 		e.ends_processed = [](void *, struct cell_worker *, ogl_time) {
 		};
 		e.run_started = [](void *, struct cell_run *, ogl_time) {};
+		e.outranked = [](void *arg, ogl_time) {
+			static_cast<Fleet *>(arg)->outranked_ = true;
+		};
 		e.run_ended = [](void *arg, struct cell_run *, enum cell_end,
 				  const char *, ogl_time) {
 			static_cast<Fleet *>(arg)->ended_++;
@@ -95,7 +100,7 @@
 	}
 
 	/* Lists the worker at that address. */
-	void list(const char *addr)
+	void list(const char *addr, uint64_t born = 0)
 	{
 		struct cell_worker_entry entry = {};
 		char service[] = "svc", none[] = "", zone[] = "z";
@@ -104,6 +109,7 @@
 		entry.addr = const_cast<char *>(addr);
 		entry.zone = zone;
 		entry.rack = none;
+		entry.born_ms = born;
 		entry.capacity.cpu_milli = 16000;
 		cell_fleet_update_entry(fleet_, "w", &entry, now_);
 	}
@@ -129,8 +135,8 @@
 			    worker_.starts[i].arg, &unanswered, now_);
 		cell_fleet_end(fleet_);
 		cell_zones_end(zones_);
-		if (job_ != nullptr)
-			cell_job_free(job_);
+		for (struct cell_job *j : jobs_)
+			cell_job_free(j);
 	}
 
 	/* Advances the clock by ms; returns the last hold sent. */
@@ -164,6 +170,52 @@
 		g_ptr_array_unref(ids);
 	}
 
+	/* A new owner opens, for which an earlier one has left a record. */
+	void take_over(uint64_t epoch)
+	{
+		char id[] = "w", addr[] = "10.9.0.1:80", service[] = "svc";
+		Ogl__CellKnown k = OGL__CELL_KNOWN__INIT;
+
+		cell_fleet_close(fleet_);
+		cell_fleet_open(fleet_, epoch, now_);
+		k.id = id;
+		k.addr = addr;
+		k.service = service;
+		k.counts = true;
+		cell_fleet_expect(fleet_, &k, now_);
+		cell_fleet_record_sent(fleet_, CELL_FLEET_LOADED_RECORD);
+	}
+
+	/* Steps until no run counts; returns how long that took. */
+	ogl_time wait_for_ends(int ends)
+	{
+		ogl_time since = now_;
+
+		while (ended_ < ends && now_ - since < 60 * OGL_SEC)
+			step(10);
+		return now_ - since;
+	}
+
+	/* Answers the last hold with `running` rows of the started run. */
+	void list_run(uint64_t born)
+	{
+		struct cell_hold_answer a = {};
+		struct cell_run_row row = {};
+		Hold &h = worker_.holds.back();
+
+		a.io = OGL_IO_OK;
+		a.born_ms = born;
+		a.clock_ms =
+		    static_cast<uint64_t>(now_ / OGL_MS + clock_ahead_ms_);
+		g_strlcpy(row.task.id, "0000000000000001", sizeof row.task.id);
+		row.run = 5;
+		row.checkpoint = "";
+		a.running = &row;
+		a.nrunning = 1;
+		h.answered = true;
+		h.done(h.arg, &a, now_);
+	}
+
 	struct cell_worker *worker()
 	{
 		return cell_fleet_worker(fleet_, "w");
@@ -183,11 +235,13 @@
 		answer_start(io, 0);
 	}
 
-	void answer_start(enum ogl_io_result io, uint64_t clock_ms)
+	void answer_start(enum ogl_io_result io, uint64_t clock_ms,
+	    enum cell_refusal why = CELL_NOT_REFUSED)
 	{
 		struct cell_order_answer a = {};
 
 		a.io = io;
+		a.why = why;
 		a.clock_ms = clock_ms;
 		worker_.starts.back().done(worker_.starts.back().arg, &a, now_);
 		answered_starts_ = worker_.starts.size();
@@ -208,10 +262,11 @@
 		d->steps = static_cast<Ogl__CellStep **>(malloc(sizeof s));
 		d->steps[0] = s;
 		d->n_steps = 1;
-		job_ = cell_job_new(d, now_);
+		jobs_.push_back(cell_job_new(d, now_));
 		cell_fleet_start(fleet_, worker(),
-		    &cell_job_begin_occurrence(job_, 0, now_)->stages[0], 0, 5,
-		    nullptr, 0, now_);
+		    &cell_job_begin_occurrence(jobs_.back(), 0, now_)
+			 ->stages[0],
+		    0, 5, nullptr, 0, now_);
 	}
 
 	/* Answers the last hold; the worker lists `running` (0 or 1) runs. */
@@ -223,7 +278,8 @@
 
 		a.io = io;
 		a.born_ms = born;
-		a.clock_ms = static_cast<uint64_t>(now_ / OGL_MS);
+		a.clock_ms =
+		    static_cast<uint64_t>(now_ / OGL_MS + clock_ahead_ms_);
 		row.run = 1;
 		row.checkpoint = "";
 		a.running = &row;
@@ -238,8 +294,10 @@
 	uint64_t records_ = 0;
 	size_t answered_starts_ = 0;
 	int ended_ = 0;
+	bool outranked_ = false;
+	int clock_ahead_ms_ = 0; /* worker's clock */
 	std::vector<uint64_t> ends_found_;
-	struct cell_job *job_ = nullptr;
+	std::vector<struct cell_job *> jobs_;
 	struct cell_ops ops_ = {};
 	struct cell_limits limits_ = {};
 	struct cell_fleet *fleet_ = nullptr;
@@ -285,18 +343,79 @@
 }
 
 /* Guards against starting a task elsewhere while the new incarnation of its
- * worker runs it: the start was answered before a hold sent earlier. */
-TEST_F(Fleet, StartAnsweredAfterHoldWasSentIsStoppedInNewIncarnation)
+ * worker runs it: its first answer comes before a start that was meant for the
+ * former one. */
+TEST_F(Fleet, RunsOfRestartedWorkerAreOverOnceItAnswersUnderItsOwnFence)
 {
+	size_t holds;
+
+	step(10);
+	answer(OGL_IO_OK, 0);
+	send_start();
+	answer_start(OGL_IO_LOST, 0);
 	step(10);
-	answer(OGL_IO_OK, 1);
-	step(30);
-	now_ += 5 * OGL_MS;
-	start();
 	now_ += 5 * OGL_MS;
 	answer(OGL_IO_OK, 0, 8);
 	EXPECT_EQ(0, ended_);
-	EXPECT_EQ(2u, worker_.stops.size());
+	holds = worker_.holds.size();
+	step(10);
+	ASSERT_EQ(holds + 1, worker_.holds.size());
+	EXPECT_LT(worker_.holds[holds - 1].fence, worker_.holds[holds].fence);
+	EXPECT_EQ(0u, worker_.holds[holds].until_ms);
+	answer(OGL_IO_OK, 0, 8);
+	EXPECT_EQ(1, ended_);
+	EXPECT_EQ(8u, worker()->incarnation);
+}
+
+/* The same for one that it has begun by then, which goes on. */
+TEST_F(Fleet, RunThatRestartedWorkerListsUnderItsOwnFenceGoesOn)
+{
+	step(10);
+	answer(OGL_IO_OK, 0);
+	send_start();
+	answer_start(OGL_IO_LOST, 0);
+	step(10);
+	answer(OGL_IO_OK, 0, 8);
+	step(10);
+	list_run(8);
+	EXPECT_EQ(0, ended_);
+	EXPECT_EQ(1u, g_hash_table_size(worker()->runs));
+}
+
+/* Guards against an owner that takes the fence of its own later calls for that
+ * of a successor. */
+TEST_F(Fleet, RefusalBecauseOfItsOwnLaterFenceDoesNotEndOwnership)
+{
+	step(10);
+	answer(OGL_IO_OK, 0);
+	send_start();
+	list("10.9.0.1:80", 8);
+	step(10);
+	answer(OGL_IO_OK, 0);
+	answer_start(OGL_IO_REFUSED, 0, CELL_REFUSED_FENCE);
+	EXPECT_FALSE(outranked_);
+	step(50);
+	ASSERT_EQ(2u, worker_.starts.size());
+	EXPECT_LT(worker_.starts[0].fence, worker_.starts[1].fence);
+	answer_start(OGL_IO_REFUSED, 0, CELL_REFUSED_FENCE);
+	EXPECT_TRUE(outranked_);
+}
+
+/* Guards against fences of a new owner that a worker refuses because its
+ * predecessor's were raised by restarts. */
+TEST_F(Fleet, FenceOfHigherEpochIsHigherWhateverRestartsThereWere)
+{
+	uint64_t fence;
+
+	for (uint64_t born = 1; born < 2000; born++) {
+		list("10.9.0.1:80", born);
+		step(10);
+		answer(OGL_IO_OK, 0, born);
+	}
+	fence = worker_.holds.back().fence;
+	EXPECT_LT(worker_.holds.front().fence, fence);
+	take_over(2);
+	EXPECT_LT(fence, step(10).fence);
 }
 
 /* Guards against a lease as long as the last incarnation's life: its answer to a
@@ -308,11 +427,30 @@
 	send_start();
 	step(10);
 	answer(OGL_IO_OK, 0, 8);
+	step(10);
+	answer(OGL_IO_OK, 0, 8);
 	answer_start(OGL_IO_OK, 3600000);
 	EXPECT_EQ(
 	    static_cast<uint64_t>(now_ / OGL_MS), worker()->lease.clock_ms);
 }
 
+/* Guards against starting tasks elsewhere that run on a worker whose lease is
+ * longer than any that was asked for by its clock. */
+TEST_F(Fleet, RunsOfRestartedWorkerCountForTheLongestLease)
+{
+	step(10);
+	answer(OGL_IO_OK, 0);
+	start(OGL_IO_OK);
+	step(10);
+	clock_ahead_ms_ = -50000;
+	answer(OGL_IO_OK, 0, 8);
+	step(10);
+	answer(OGL_IO_OK, 0, 8);
+	EXPECT_EQ(1, ended_);
+	start(OGL_IO_OK);
+	EXPECT_GE(wait_for_ends(2), 10 * OGL_SEC);
+}
+
 /* Guards against an owner that renews leases and repeats starts after its
  * successor has begun to wait for the last of them. */
 TEST_F(Fleet, NothingIsLeasedWithoutProofOfOwnership)
@@ -544,7 +682,8 @@
 	for (int i = 0; i < 3; i++) {
 		Hold &h = worker_.holds.back();
 
-		a.clock_ms = static_cast<uint64_t>(now_ / OGL_MS);
+		a.clock_ms =
+		    static_cast<uint64_t>(now_ / OGL_MS + clock_ahead_ms_);
 		if (!h.answered) {
 			h.answered = true;
 			h.done(h.arg, &a, now_);
@@ -584,7 +723,7 @@
 	step(10);
 	a.io = OGL_IO_OK;
 	a.born_ms = 7;
-	a.clock_ms = static_cast<uint64_t>(now_ / OGL_MS);
+	a.clock_ms = static_cast<uint64_t>(now_ / OGL_MS + clock_ahead_ms_);
 	a.ended = rows.data();
 	a.nended = rows.size();
 	worker_.holds.back().answered = true;
@@ -610,7 +749,7 @@
 	step(10);
 	a.io = OGL_IO_OK;
 	a.born_ms = 7;
-	a.clock_ms = static_cast<uint64_t>(now_ / OGL_MS);
+	a.clock_ms = static_cast<uint64_t>(now_ / OGL_MS + clock_ahead_ms_);
 	a.running = rows.data();
 	a.nrunning = n;
 	worker_.holds.back().answered = true;
--- a/test/test_cell_lease.cc
+++ b/test/test_cell_lease.cc
@@ -14,18 +14,20 @@
 
 constexpr int kRounds = 20000;
 
-/* A worker whose clock is exact or up to 2% slow. */
+/* An incarnation of a worker, whose clock starts at any value and is exact or up
+ * to 2% slow. */
 class Worker
 {
       public:
-	Worker(double rate, uint32_t max_ms) : rate_(rate), max_ms_(max_ms)
+	Worker(uint64_t start_ms, double rate, uint32_t max_ms)
+	    : start_ms_(start_ms), rate_(rate), max_ms_(max_ms)
 	{
 	}
 
 	uint64_t clock_ms(ogl_time t) const
 	{
-		return 1000 + static_cast<uint64_t>(
-				  static_cast<double>(t) / OGL_MS * rate_);
+		return start_ms_ + static_cast<uint64_t>(
+				       static_cast<double>(t) / OGL_MS * rate_);
 	}
 
 	/* An order that asks for a lease arrives. */
@@ -51,6 +53,7 @@
 	}
 
       private:
+	uint64_t start_ms_;
 	double rate_;
 	uint32_t max_ms_;
 	uint64_t end_ms_ = 0;
@@ -66,7 +69,7 @@
 
 	Worker worker()
 	{
-		return Worker(
+		return Worker(rand_() % 10000000,
 		    0.98 + 0.02 * static_cast<double>(rand_() % 101) / 100,
 		    rand_() % 2 == 0 ? 6000 : 10000);
 	}
@@ -80,6 +83,24 @@
 		cell_lease_read_clock(l, clock, now_);
 	}
 
+	void answer_first(struct cell_lease *l, const Worker &w,
+	    enum cell_lease_earlier earlier)
+	{
+		uint64_t clock = w.clock_ms(now_);
+
+		now_ += ms(2000);
+		cell_lease_first_answer(l, clock, w.max_ms(), earlier, now_);
+	}
+
+	/* The next incarnation answers. */
+	void restart(struct cell_lease *l, const Worker &next)
+	{
+		uint64_t clock = next.clock_ms(now_);
+
+		now_ += ms(2000);
+		cell_lease_next_incarnation(l, clock, next.max_ms(), now_);
+	}
+
 	/* Idle for up to an hour, then a start that arrives late. */
 	void start_after_idling(struct cell_lease *l, Worker *w)
 	{
@@ -123,31 +144,84 @@
 		for (int owner = 0; owner < 3; owner++) {
 			struct cell_lease l = {};
 
-			read(&l, w);
-			cell_lease_assume_longest(&l, w.max_ms(), true);
+			answer_first(&l, w, CELL_LEASE_OF_THIS);
 			EXPECT_TRUE(w.lease_expired(cell_lease_expires_at(&l)));
 			start_after_idling(&l, &w);
 		}
 	}
 }
 
-/* Guards against an order to a worker's last incarnation, whose clock was far
- * ahead, that the next one has carried out by the time it is heard. */
-TEST_F(Lease, HasExpiredWhenItWasAskedForOnTheClockOfTheLastIncarnation)
+/* Guards against a lease of a restarted worker that ends later than the owner
+ * counts with, because a call meant for the former incarnation asked for it. */
+TEST_F(Lease, HasExpiredWhenItWasAskedForOnTheClockOfAFormerIncarnation)
+{
+	for (int i = 0; i < kRounds; i++) {
+		Worker lives[] = {worker(), worker(), worker()};
+		struct cell_lease l = {};
+		uint64_t end = 0;
+
+		now_ = ms(3600000);
+		answer_first(&l, lives[0], CELL_LEASE_NONE);
+		for (int n = 1; n < 3; n++) {
+			now_ += ms(6000);
+			end = std::max(end, cell_lease_extend(&l, 10000, now_));
+			now_ += ms(1500);
+			lives[n].grant(end, now_);
+			restart(&l, lives[n]);
+			EXPECT_TRUE(
+			    lives[n].lease_expired(cell_lease_expires_at(&l)));
+		}
+	}
+}
+
+/* The same for calls of an earlier owner, whose ends are not known. */
+TEST_F(Lease, HasExpiredWhenAnEarlierOwnerAskedForItOnAnyClock)
 {
 	for (int i = 0; i < kRounds; i++) {
 		Worker w = worker();
 		struct cell_lease l = {};
 
 		now_ = ms(13000);
-		w.grant(3600000, now_);
+		w.grant(UINT64_MAX, now_);
 		now_ += ms(500);
-		read(&l, w);
-		cell_lease_assume_longest(&l, w.max_ms(), true);
+		answer_first(&l, w, CELL_LEASE_OF_ANY);
 		EXPECT_TRUE(w.lease_expired(cell_lease_expires_at(&l)));
 	}
 }
 
+/* The same where that call reaches the incarnation after the one that has
+ * answered this owner. */
+TEST_F(Lease, HasExpiredWhenAnEarlierOwnerAskedTheNextIncarnation)
+{
+	for (int i = 0; i < kRounds; i++) {
+		Worker next = worker();
+		struct cell_lease l = {};
+
+		now_ = ms(3600000);
+		answer_first(&l, worker(), CELL_LEASE_OF_THIS);
+		now_ += ms(11000);
+		next.grant(UINT64_MAX, now_);
+		restart(&l, next);
+		EXPECT_TRUE(next.lease_expired(cell_lease_expires_at(&l)));
+	}
+}
+
+/* Guards against tasks that wait for the longest lease although no call can
+ * have asked for one. */
+TEST_F(Lease, IsNotTheLongestWithoutCallsThatCanHaveAskedForIt)
+{
+	for (int i = 0; i < kRounds; i++) {
+		struct cell_lease l = {};
+
+		now_ = ms(3600000);
+		answer_first(&l, worker(), CELL_LEASE_NONE);
+		cell_lease_extend(&l, 10000, now_);
+		now_ += 15 * OGL_SEC;
+		restart(&l, worker());
+		EXPECT_FALSE(cell_lease_is_longest(&l, now_));
+	}
+}
+
 /* The same where no new owner reaches the worker: the last one to give it work
  * goes on for a second after it was replaced. */
 TEST_F(Lease, HasExpiredWhenANewOwnerThatHeardNothingCountsSo)
--- a/test/test_cell_overdue.cc
+++ b/test/test_cell_overdue.cc
@@ -155,13 +155,16 @@
 		struct cell_worker *w = worker(i);
 		struct cell_hold_answer a = {};
 
-		holds_.clear();
-		w->hold_pending = false;
-		cell_fleet_send_hold(fleet_, w, now_);
 		a.io = OGL_IO_OK;
 		a.born_ms = 8;
 		a.clock_ms = 1000;
-		holds_.back().done(holds_.back().arg, &a, now_);
+		w->hold_pending = false;
+		/* The second answer is the first one under its own fence. */
+		for (int n = 0; n < 2; n++) {
+			holds_.clear();
+			cell_fleet_send_hold(fleet_, w, now_);
+			holds_.back().done(holds_.back().arg, &a, now_);
+		}
 		advance(OGL_MS);
 	}
 
