known: the record of the workers tells where a lease may be the longest

What callers saw: tasks run twice after their workers restarted, the owner was killed and the workers were cut off. The new owner reaches no answer of theirs and starts their tasks 5.3 s after its first call; the leases that calls meant for the former incarnations gave the new ones last 10 s.

Cause: cell_lease_all_expired_at() counts with the longest lease that owners ask for by the right clock. Nothing told a new owner that a worker had restarted.

Change: the record names each worker's incarnation and whether its lease may be the longest. A worker whose lease may be gets no work before that is stored; other incarnations are recorded within a second, with one record for many. A new owner counts with max_hold_ms for a silent worker that is so marked, and with 15 s more, for calls that are late, where the list names another incarnation than the record. For a worker that answers as the recorded incarnation, unmarked, it counts with 4 s as before.

Costs: only where such a worker is silent after a change of owner; all others as before.

Tests: Fleet.NewOwnerWaitsForTheLongestLeaseThatTheRecordNames, NewOwnerWaitsForLateCallsToWorkerThatRestartedUnrecorded, WorkerWithTheLongestLeaseGetsNoWorkUntilRecordIsStored.

Not covered: a worker that restarts unnoticed within the last second of its owner, and is cut off from the nodes and from the store before its entry is read.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -20,6 +20,9 @@
  * the workers are asked. */
 #define STORE_SILENT_AFTER (550 * OGL_MS)
 #define RUN_SCAN_INTERVAL (40 * OGL_MS)
+/* An incarnation that changes nothing but itself is recorded with this delay,
+ * so that many need one record. */
+#define INCARNATION_RECORDED_AFTER (1 * OGL_SEC)
 /* A fence is the epoch, and below it the worker's restarts in that epoch. */
 #define FENCE_EPOCH_SHIFT 20
 #define FENCE_RESTARTS_MAX ((1U << FENCE_EPOCH_SHIFT) - 1)
@@ -113,6 +116,7 @@
 	f->confirmed_at = 0;
 	f->confirmation_from = 0;
 	f->record_outdated = true; /* the stored one is an earlier owner's */
+	f->record_due_at = OGL_NEVER;
 	f->opened_at = now;
 	f->first_step_at = 0;
 	f->nexpected = 0;
@@ -153,7 +157,9 @@
 		w->open_in_record = false;
 		w->tasks_recorded = false;
 		w->open_from_record = 0;
-		w->addr_unrecorded = false;
+		w->unrecorded = false;
+		w->incarnation_in_record = 0;
+		w->longest_in_record = false;
 		w->silent_in_record = false;
 		w->gone = false;
 		w->ends_acked = 0;
@@ -269,8 +275,8 @@
 set_addr(
     struct cell_fleet *f, struct cell_worker *w, const char *addr, ogl_time now)
 {
-	w->addr_unrecorded = w->addr != NULL;
-	if (w->addr_unrecorded) {
+	w->unrecorded = w->addr != NULL;
+	if (w->unrecorded) {
 		w->open_in_record = false;
 		w->gone = false;
 		w->next_hold_at = now;
@@ -295,6 +301,7 @@
 {
 	w->restarts = MIN(w->restarts + 1, FENCE_RESTARTS_MAX);
 	w->restarted = true;
+	w->restarted_at = now;
 	w->fenced = false;
 	w->hold_pending = false;
 	w->hold_number++;
@@ -373,6 +380,57 @@
 	f->events.room_freed(f->events.arg, now);
 }
 
+uint64_t
+cell_worker_incarnation(const struct cell_worker *w)
+{
+	return w->incarnation != 0 ? w->incarnation : w->incarnation_in_record;
+}
+
+/* Whether the list names another incarnation than the record of the last owner,
+ * to which that owner's calls may have got. */
+static bool
+restarted_unrecorded(const struct cell_worker *w)
+{
+	return w->incarnation == 0 && w->incarnation_in_record != 0 &&
+	       w->entry_born_ms != 0 &&
+	       w->entry_born_ms != w->incarnation_in_record;
+}
+
+bool
+cell_fleet_may_hold_longest(
+    const struct cell_fleet *f, const struct cell_worker *w, ogl_time now)
+{
+	ogl_time late_end = cell_lease_late_orders_expired_at(
+	    w->restarted_at, f->limits->lease_max_ms);
+
+	if (w->incarnation == 0)
+		return !f->old_leases_expired &&
+		       (w->longest_in_record || restarted_unrecorded(w));
+	return cell_lease_is_longest(&w->lease, now) ||
+	       (w->restarted && now <= late_end);
+}
+
+static void
+record_later(struct cell_fleet *f, ogl_time now)
+{
+	f->record_due_at =
+	    MIN(f->record_due_at, now + INCARNATION_RECORDED_AFTER);
+}
+
+/* A successor that reaches no answer of the worker takes its lease for an usual
+ * one unless the record tells otherwise, so the worker gets no work before. */
+void
+cell_fleet_incarnation_heard(
+    struct cell_fleet *f, struct cell_worker *w, ogl_time now)
+{
+	record_later(f, now);
+	if (w->longest_in_record || !cell_fleet_may_hold_longest(f, w, now))
+		return;
+	w->unrecorded = true;
+	w->open_in_record = false;
+	f->record_outdated = true;
+}
+
 static void
 record_tasks(struct cell_worker *w, const Ogl__CellKnown *k)
 {
@@ -402,6 +460,8 @@
 	}
 	w->tasks_recorded = k->closed;
 	record_tasks(w, k);
+	w->incarnation_in_record = k->incarnation;
+	w->longest_in_record = k->longest_lease;
 	w->open_in_record = !k->closed;
 	if (w->addr != NULL)
 		return;
@@ -440,6 +500,7 @@
 	GHashTableIter it;
 	gpointer p;
 
+	f->record_due_at = OGL_NEVER;
 	if (record == CELL_FLEET_LOADED_RECORD) {
 		cell_quorum_record_sent(
 		    f->quorum, record, f->nexpected, f->nexpected);
@@ -470,7 +531,7 @@
 {
 	struct cell_worker *w = g_hash_table_lookup(f->workers, id);
 
-	if (w == NULL || w->open_in_record || w->addr_unrecorded ||
+	if (w == NULL || w->open_in_record || w->unrecorded ||
 	    record < w->open_from_record)
 		return;
 	w->open_in_record = true;
@@ -848,18 +909,47 @@
 
 /* ---- periodic work ---------------------------------------------------- */
 
+/* When a lease has expired that an earlier owner gave to a worker which has not
+ * answered this one.  last_proof: as for cell_lease_all_expired_at. */
+static ogl_time
+unheard_lease_end(const struct cell_fleet *f, const struct cell_worker *w,
+    ogl_time last_proof)
+{
+	uint32_t max_ms = f->limits->lease_max_ms;
+
+	if (restarted_unrecorded(w))
+		return cell_lease_late_orders_expired_at(
+		    last_proof + CELL_LEASE_PROOF_MAX_AGE, max_ms);
+	if (w->longest_in_record)
+		return cell_lease_longest_expired_at(f->first_step_at, max_ms);
+	return 0;
+}
+
 /* When every lease of earlier owners has expired. */
 static ogl_time
-old_leases_end(const struct cell_fleet *f)
+old_leases_end(const struct cell_fleet *f, ogl_time now)
 {
 	/* The last owner may have more than half of the workers on its side. */
 	ogl_time last_proof = f->first_step_at +
 			      CELL_LEASE_CONFIRMATION_MAX_AGE -
 			      CELL_LEASE_PROOF_MAX_AGE;
+	ogl_time end;
+	GHashTableIter it;
+	gpointer p;
 
 	if (f->quorum_at != 0)
 		last_proof = MIN(last_proof, f->quorum_at);
-	return cell_lease_all_expired_at(last_proof);
+	end = cell_lease_all_expired_at(last_proof);
+	if (now <= end)
+		return end;
+	g_hash_table_iter_init(&it, f->workers);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct cell_worker *w = p;
+
+		if (w->expected && w->incarnation == 0)
+			end = MAX(end, unheard_lease_end(f, w, last_proof));
+	}
+	return end;
 }
 
 /*
@@ -887,6 +977,8 @@
 		cell_fleet_log_lease(f, w, "lease_over", now);
 		cell_fleet_lose_runs(f, w, now);
 	}
+	if (w->longest_in_record && !cell_fleet_may_hold_longest(f, w, now))
+		record_later(f, now);
 	if (w->open_in_record && cell_worker_silent(w, now))
 		f->record_outdated = true;
 	if (cell_fleet_wants_hold(f, w, now))
@@ -974,10 +1066,11 @@
 		f->quorum_at = now;
 		f->record_outdated |= any_unrecorded(f);
 	}
+	f->record_outdated |= now >= f->record_due_at;
 	update_proof(f, now);
 	f->confirmation_wanted = false;
 	if (!f->old_leases_expired &&
-	    expired_unrenewed(f, old_leases_end(f), now)) {
+	    expired_unrenewed(f, old_leases_end(f, now), now)) {
 		f->old_leases_expired = true;
 		clear_expected(f, now);
 	}
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -96,14 +96,21 @@
 	uint32_t restarts;
 	/* The last incarnation is over, and the next has not answered. */
 	bool restarted;
+	ogl_time restarted_at;
 	bool fenced;          /* this incarnation has seen its fence */
 	ogl_time accepted_at; /* when the last hold that it answered was sent */
 	struct cell_lease lease;   /* of this incarnation */
 	bool open_in_record;       /* a stored record allows new runs there */
 	uint64_t open_from_record; /* first record to allow new runs, 0 any */
-	bool addr_unrecorded;      /* no record holds its address yet */
-	bool silent_in_record;     /* the last record calls it silent */
-	ogl_time silent_since;     /* valid while failures > 0 */
+	/* No record holds its address yet, or that its lease may be the
+	 * longest. */
+	bool unrecorded;
+	/* Of the last record: the incarnation, and whether it says that the
+	 * lease may be the longest. */
+	uint64_t incarnation_in_record;
+	bool longest_in_record;
+	bool silent_in_record; /* the last record calls it silent */
+	ogl_time silent_since; /* valid while failures > 0 */
 	/* The last owner's record lists every task that may run there, so this
 	 * owner does not wait for its answer. */
 	bool tasks_recorded;
@@ -219,14 +226,22 @@
  * stored.  It tells a new owner to call the worker, so the worker may be given
  * work from now on, unless a later record calls it silent. */
 
+uint64_t cell_worker_incarnation(const struct cell_worker *w);
+/* The incarnation that last answered, this owner or an earlier one; 0 none. */
+bool cell_fleet_may_hold_longest(
+    const struct cell_fleet *f, const struct cell_worker *w, ogl_time now);
+/* Whether the worker's lease may end later than any that an owner has asked
+ * for by its clock, as calls meant for another incarnation may have reached it.
+ */
+
 bool cell_worker_silent(const struct cell_worker *w, ogl_time now);
 /* Whether the worker has answered under our epoch before, but has not answered
  * for a while. */
 
 bool cell_fleet_record_outdated(struct cell_fleet *f);
 /* Whether the stored record of the workers is out of date: since the last call
- * a worker was added or removed, or its address or state has changed.
- */
+ * a worker was added or removed, or its address, state or incarnation has
+ * changed. */
 
 void cell_fleet_step(struct cell_fleet *f, ogl_time now);
 /* Sends the holds, starts and stops that are due, and ends the runs of workers
--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -176,6 +176,18 @@
 	lose_unlisted_runs(f, w, a, now);
 }
 
+/* What earlier owners may have asked of a worker that answers for the first
+ * time. */
+static enum cell_lease_earlier
+asked_by_earlier(const struct cell_worker *w, uint64_t born_ms)
+{
+	if (!w->expected)
+		return CELL_LEASE_NONE;
+	return w->incarnation_in_record == born_ms && !w->longest_in_record
+		   ? CELL_LEASE_OF_THIS
+		   : CELL_LEASE_OF_ANY;
+}
+
 /* ---- the answer to a hold --------------------------------------------- */
 
 void
@@ -316,8 +328,8 @@
 		worker_restarted(f, w, a, now);
 	else if (w->incarnation == 0)
 		cell_lease_first_answer(&w->lease, a->clock_ms,
-		    f->limits->lease_max_ms,
-		    w->expected ? CELL_LEASE_OF_ANY : CELL_LEASE_NONE, now);
+		    f->limits->lease_max_ms, asked_by_earlier(w, a->born_ms),
+		    now);
 	else
 		cell_lease_read_clock(&w->lease, a->clock_ms, now);
 	if (w->incarnation == 0 && w->first_record == CELL_FLEET_LOADED_RECORD)
@@ -330,6 +342,7 @@
 		w->incarnation = a->born_ms;
 		w->incarnation_since = now;
 		w->appearance++;
+		cell_fleet_incarnation_heard(f, w, now);
 	}
 	if (restarted)
 		cell_fleet_log_lease(f, w, "incarnation_lease", now);
--- a/cell/fleet_impl.h
+++ b/cell/fleet_impl.h
@@ -40,6 +40,7 @@
 	bool leases_withheld;
 	bool confirmation_wanted; /* expired leases wait for one */
 	bool record_outdated;     /* the workers are to be stored again */
+	ogl_time record_due_at;   /* at the latest from then on */
 	ogl_time confirmed_at;    /* latest time of confirmed ownership */
 	/* Nothing is started until ownership is confirmed as of this time. */
 	ogl_time confirmation_from;
@@ -90,6 +91,10 @@
 uint64_t cell_fleet_fence(
     const struct cell_fleet *f, const struct cell_worker *w);
 /* The fencing token of calls to the worker's present incarnation. */
+void cell_fleet_incarnation_heard(
+    struct cell_fleet *f, struct cell_worker *w, ogl_time now);
+/* To be called after the first answer of an incarnation, with its lease set.
+ * Sees to its record. */
 bool cell_fleet_needs_quorum(const struct cell_fleet *f, ogl_time now);
 /* Whether the store's confirmation is so old that the workers' will be needed
  * soon. */
--- a/cell/known.c
+++ b/cell/known.c
@@ -66,7 +66,8 @@
  * silent or draining, or was when the last owner was lost, it gets no new work
  * from now on. */
 static Ogl__CellKnown *
-known_new(struct cell_worker *w, uint64_t number, ogl_time now)
+known_new(const struct cell_fleet *f, struct cell_worker *w, uint64_t number,
+    ogl_time now)
 {
 	Ogl__CellKnown *k = g_new(Ogl__CellKnown, 1);
 
@@ -74,9 +75,13 @@
 	k->id = g_strdup(w->id);
 	k->addr = g_strdup(w->addr);
 	k->service = g_strdup(w->service);
-	if (w->addr_unrecorded)
+	k->incarnation = cell_worker_incarnation(w);
+	k->longest_lease = cell_fleet_may_hold_longest(f, w, now);
+	w->incarnation_in_record = k->incarnation;
+	w->longest_in_record = k->longest_lease;
+	if (w->unrecorded)
 		w->open_from_record = number;
-	w->addr_unrecorded = false;
+	w->unrecorded = false;
 	w->silent_in_record = cell_worker_silent(w, now) || w->tasks_recorded;
 	if (w->silent_in_record || w->draining) {
 		k->closed = true;
@@ -105,7 +110,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		Ogl__CellKnown *k;
 
-		k = known_new(p, number, now);
+		k = known_new(f, p, number, now);
 		k->counts = cell_fleet_marks(f, p);
 		g_ptr_array_add(all, k);
 		if (!k->closed)
--- a/cell/lease.c
+++ b/cell/lease.c
@@ -152,3 +152,15 @@
 	return last_proof + CELL_LEASE_PROOF_MAX_AGE + longest_time(LEASE_MS) +
 	       EXPIRY_MARGIN;
 }
+
+ogl_time
+cell_lease_longest_expired_at(ogl_time given_before, uint32_t max_ms)
+{
+	return given_before + longest_time(max_ms) + EXPIRY_MARGIN;
+}
+
+ogl_time
+cell_lease_late_orders_expired_at(ogl_time sent_at, uint32_t max_ms)
+{
+	return cell_lease_longest_expired_at(sent_at + LATE_CALL_MAX, max_ms);
+}
--- a/cell/lease.h
+++ b/cell/lease.h
@@ -79,6 +79,13 @@
  * last_proof is the latest time of which an earlier owner can have proof that
  * it is the owner. */
 
+ogl_time cell_lease_longest_expired_at(ogl_time given_before, uint32_t max_ms);
+/* The same for a lease of any length that was given before that time. */
+
+ogl_time cell_lease_late_orders_expired_at(ogl_time sent_at, uint32_t max_ms);
+/* The same for a lease that an order of that time gives to another incarnation
+ * than the one that it was meant for. */
+
 bool cell_lease_order_is_late(ogl_time sent_at, ogl_time now);
 /* Whether an order that was sent then and not answered can't arrive any more. */
 
--- a/gen/cell.pb-c.c
+++ b/gen/cell.pb-c.c
@@ -2326,7 +2326,7 @@
   (ProtobufCMessageInit) ogl__cell_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ogl__cell_known__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ogl__cell_known__field_descriptors[8] =
 {
   {
     "id",
@@ -2400,19 +2400,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incarnation",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellKnown, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "longest_lease",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ogl__CellKnown, longest_lease),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ogl__cell_known__field_indices_by_name[] = {
   1,   /* field[1] = addr */
   3,   /* field[3] = closed */
   5,   /* field[5] = counts */
   0,   /* field[0] = id */
+  6,   /* field[6] = incarnation */
+  7,   /* field[7] = longest_lease */
   2,   /* field[2] = service */
   4,   /* field[4] = tasks */
 };
 static const ProtobufCIntRange ogl__cell_known__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ogl__cell_known__descriptor =
 {
@@ -2422,7 +2448,7 @@
   "Ogl__CellKnown",
   "ogl",
   sizeof(Ogl__CellKnown),
-  6,
+  8,
   ogl__cell_known__field_descriptors,
   ogl__cell_known__field_indices_by_name,
   1,  ogl__cell_known__number_ranges,
--- a/gen/cell.pb-c.h
+++ b/gen/cell.pb-c.h
@@ -419,10 +419,19 @@
    * marked, all count.
    */
   protobuf_c_boolean counts;
+  /*
+   * that last answered, 0 if none did
+   */
+  uint64_t incarnation;
+  /*
+   * Its lease may be the longest that it grants, or calls meant for it may
+   * reach another incarnation.
+   */
+  protobuf_c_boolean longest_lease;
 };
 #define OGL__CELL_KNOWN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ogl__cell_known__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Ogl__CellKnownTask
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -171,7 +171,7 @@
 	}
 
 	/* A new owner opens, for which an earlier one has left a record. */
-	void take_over(uint64_t epoch)
+	void take_over(uint64_t epoch, uint64_t incarnation, bool longest)
 	{
 		char id[] = "w", addr[] = "10.9.0.1:80", service[] = "svc";
 		Ogl__CellKnown k = OGL__CELL_KNOWN__INIT;
@@ -182,10 +182,24 @@
 		k.addr = addr;
 		k.service = service;
 		k.counts = true;
+		k.incarnation = incarnation;
+		k.longest_lease = longest;
 		cell_fleet_expect(fleet_, &k, now_);
 		cell_fleet_record_sent(fleet_, CELL_FLEET_LOADED_RECORD);
 	}
 
+	/* Steps until the leases of earlier owners have expired; returns how
+	 * long that took. */
+	ogl_time wait_for_old_leases()
+	{
+		ogl_time since = now_;
+
+		while (!cell_fleet_old_leases_expired(fleet_) &&
+		       now_ - since < 60 * OGL_SEC)
+			step(10);
+		return now_ - since;
+	}
+
 	/* Steps until no run counts; returns how long that took. */
 	ogl_time wait_for_ends(int ends)
 	{
@@ -414,7 +428,7 @@
 	}
 	fence = worker_.holds.back().fence;
 	EXPECT_LT(worker_.holds.front().fence, fence);
-	take_over(2);
+	take_over(2, 0, false);
 	EXPECT_LT(fence, step(10).fence);
 }
 
@@ -451,6 +465,54 @@
 	EXPECT_GE(wait_for_ends(2), 10 * OGL_SEC);
 }
 
+/* Guards against a successor that takes such a lease for a usual one, as no
+ * record tells of it. */
+TEST_F(Fleet, WorkerWithTheLongestLeaseGetsNoWorkUntilRecordIsStored)
+{
+	step(10);
+	answer(OGL_IO_OK, 0);
+	cell_fleet_record_stored(fleet_, "w", 1);
+	start(OGL_IO_OK);
+	step(10);
+	clock_ahead_ms_ = -50000;
+	answer(OGL_IO_OK, 0, 8);
+	step(10);
+	answer(OGL_IO_OK, 0, 8);
+	EXPECT_FALSE(cell_worker_usable(worker(), now_));
+	EXPECT_TRUE(cell_fleet_record_outdated(fleet_));
+	cell_fleet_record_stored(fleet_, "w", 2);
+	EXPECT_FALSE(cell_worker_usable(worker(), now_));
+	store(3);
+	cell_fleet_record_stored(fleet_, "w", 3);
+	EXPECT_TRUE(cell_worker_usable(worker(), now_));
+	EXPECT_TRUE(worker()->longest_in_record);
+	step(12000);
+	step(1000);
+	EXPECT_TRUE(cell_fleet_record_outdated(fleet_));
+	store(4);
+	EXPECT_FALSE(worker()->longest_in_record);
+}
+
+/* Guards against a new owner that starts tasks elsewhere while they run on a
+ * worker that it doesn't reach: the record names its longest lease. */
+TEST_F(Fleet, NewOwnerWaitsForTheLongestLeaseThatTheRecordNames)
+{
+	take_over(2, 7, false);
+	EXPECT_LT(wait_for_old_leases(), 17 * OGL_SEC);
+	take_over(3, 7, true);
+	worker()->first_record = 0; /* it has most answers */
+	EXPECT_GE(wait_for_old_leases(), 10 * OGL_SEC);
+}
+
+/* The same where the worker has restarted since that record: calls meant for
+ * the former incarnation may reach this one late. */
+TEST_F(Fleet, NewOwnerWaitsForLateCallsToWorkerThatRestartedUnrecorded)
+{
+	take_over(2, 7, false);
+	list("10.9.0.1:80", 8);
+	EXPECT_GE(wait_for_old_leases(), 25 * OGL_SEC);
+}
+
 /* Guards against an owner that renews leases and repeats starts after its
  * successor has begun to wait for the last of them. */
 TEST_F(Fleet, NothingIsLeasedWithoutProofOfOwnership)
