fleet: a start that may have reached the next incarnation of a silent worker counts until it is late

What callers would see: a task runs twice. Its start went unanswered, the worker restarts behind a cut, and carries the start out late, under a clock on which its lease lasts up to max_hold_ms. The owner knows of the restart from the list or from an answer, but the new incarnation has not answered under its fence. It gave the run up with the lease of the former one.

Change: such a run counts until 15 s and max_hold_ms after its last start. Runs that the former incarnation has listed, and whose start was answered, are over with its lease.

Tests: Fleet.UnansweredStartOnSilentRestartedWorkerCountsUntilItIsLate (fails before), ListedRunOnSilentRestartedWorkerIsOverWithItsLease (the other side).

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -972,7 +972,8 @@
     struct cell_fleet *f, struct cell_worker *w, bool scan_runs, ogl_time now)
 {
 	if (w->incarnation != 0 && g_hash_table_size(w->runs) > 0 &&
-	    expired_unrenewed(f, cell_lease_expires_at(&w->lease), now)) {
+	    expired_unrenewed(f, cell_lease_expires_at(&w->lease), now) &&
+	    cell_fleet_has_lapsed(f, w, now)) {
 		cell_fleet_log_worker(f, w, "worker_lapsed");
 		cell_fleet_log_lease(f, w, "lease_over", now);
 		cell_fleet_lose_runs(f, w, now);
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -44,10 +44,12 @@
 	ogl_time running_since; /* when first known to run, 0 not yet */
 	uint32_t percent;
 	struct cell_progress progress;
-	bool stall_counted;    /* against the health of its worker */
-	bool order_pending;    /* a start or stop awaits its answer */
-	bool start_unanswered; /* the answer to a start was lost */
-	bool start_sent;       /* this owner has sent a start */
+	bool stall_counted;     /* against the health of its worker */
+	bool order_pending;     /* a start or stop awaits its answer */
+	bool start_unanswered;  /* the answer to a start was lost */
+	bool start_sent;        /* this owner has sent a start */
+	ogl_time start_sent_at; /* the last one */
+	bool listed;            /* its worker has listed it as running */
 	bool stop_answered;
 	ogl_time stop_answered_at;
 	ogl_time retry_at;
--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -126,6 +126,54 @@
 	g_array_append_val(a, start);
 }
 
+/* Whether a start of the run was left unanswered. */
+static bool
+start_was_unanswered(const struct cell_run *r)
+{
+	const GArray *a = r->worker->unanswered_starts;
+	guint i;
+
+	for (i = 0; i < a->len; i++) {
+		const struct cell_unanswered_start *start =
+		    &g_array_index(a, struct cell_unanswered_start, i);
+
+		if (start->run == r->number &&
+		    same_task(&start->task, &r->name))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether the run may be one of the worker's next incarnation, of which nothing
+ * but its existence is known.  A run that was listed is over with the
+ * incarnation that listed it, unless another copy of its start is on its way.
+ */
+static bool
+may_run_in_next(
+    const struct cell_fleet *f, const struct cell_run *r, ogl_time now)
+{
+	if (!r->worker->restarted || (r->listed && !start_was_unanswered(r)))
+		return false;
+	return now <= cell_lease_late_orders_expired_at(
+			  r->start_sent_at, f->limits->lease_max_ms);
+}
+
+bool
+cell_fleet_has_lapsed(
+    const struct cell_fleet *f, const struct cell_worker *w, ogl_time now)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, w->runs);
+	while (g_hash_table_iter_next(&it, &p, NULL)) {
+		if (!may_run_in_next(f, p, now))
+			return true;
+	}
+	return false;
+}
+
 void
 cell_fleet_lose_runs(struct cell_fleet *f, struct cell_worker *w, ogl_time now)
 {
@@ -135,6 +183,8 @@
 	for (i = 0; i < runs->len; i++) {
 		struct cell_run *r = runs->pdata[i];
 
+		if (may_run_in_next(f, r, now))
+			continue;
 		/* A start in flight may reach the worker's next incarnation. */
 		if (r->order_pending && r->state == CELL_RUN_STARTING)
 			cell_fleet_remember_unanswered_start(r, now);
@@ -236,6 +286,7 @@
 		}
 		g_hash_table_add(seen, r);
 		r->start_unanswered = false;
+		r->listed = true;
 		cell_fleet_run_started(f, r, now);
 		r->percent = row->percent;
 		observe_pace(f, w, r, a->clock_ms);
--- a/cell/fleet_impl.h
+++ b/cell/fleet_impl.h
@@ -108,6 +108,9 @@
 void cell_fleet_lose_runs(
     struct cell_fleet *f, struct cell_worker *w, ogl_time now);
 /* Ends the runs of a worker whose lease has expired or that has ended. */
+bool cell_fleet_has_lapsed(
+    const struct cell_fleet *f, const struct cell_worker *w, ogl_time now);
+/* Whether cell_fleet_lose_runs would end any. */
 void cell_fleet_run_started(
     struct cell_fleet *f, struct cell_run *r, ogl_time now);
 void cell_fleet_call_free(struct cell_fleet_call *c);
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -513,6 +513,35 @@
 	EXPECT_GE(wait_for_old_leases(), 25 * OGL_SEC);
 }
 
+/* Guards against starting a task elsewhere whose start may yet reach the next
+ * incarnation of a worker that is cut off. */
+TEST_F(Fleet, UnansweredStartOnSilentRestartedWorkerCountsUntilItIsLate)
+{
+	step(10);
+	answer(OGL_IO_OK, 0);
+	send_start();
+	answer_start(OGL_IO_LOST, 0);
+	list("10.9.0.1:80", 8);
+	step(10);
+	answer(OGL_IO_LOST, 0);
+	EXPECT_GE(wait_for_ends(1), 25 * OGL_SEC);
+}
+
+/* A run that the former incarnation has listed is over with its lease. */
+TEST_F(Fleet, ListedRunOnSilentRestartedWorkerIsOverWithItsLease)
+{
+	step(10);
+	answer(OGL_IO_OK, 0);
+	start(OGL_IO_OK);
+	step(10);
+	list_run(7);
+	step(10);
+	list("10.9.0.1:80", 8);
+	step(10);
+	answer(OGL_IO_LOST, 0);
+	EXPECT_LT(wait_for_ends(1), 5 * OGL_SEC);
+}
+
 /* Guards against an owner that renews leases and repeats starts after its
  * successor has begun to wait for the last of them. */
 TEST_F(Fleet, NothingIsLeasedWithoutProofOfOwnership)
