test: workers' clocks start anywhere, late calls reach the next incarnation

Late orders, and two in ten holds of workers in the late mode, are carried out by whichever incarnation is there by then.

Scripts can keep a worker down while it restarts, set the next clock, and keep calls to a worker and have them carried out later.

--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -38,7 +38,9 @@
 #define GANG_TIMEOUT (3 * OGL_SEC)
 #define LEASE_MAX_MS 10000
 #define STATUS_MS 120000 /* how long ended jobs are told of */
+#define FIRST_CLOCK_MAX_MS 10000000
 #define CHECKPOINT_INTERVAL_MS 500
+#define LATE_HOLD_CHANCE 0.2
 #define SLOW_FACTOR 6
 #define RATE_UNLIMITED 1000u /* jobs a second; no test submits more */
 /* Until this long after a change of the team's limit an earlier limit may still
@@ -162,7 +164,7 @@
 	enum cell_stream stream;
 	uint32_t shard;
 	bool fenced;
-	uint64_t epoch; /* of the writer, or an order's fencing token */
+	uint64_t epoch; /* of the writer, or the fencing token for a worker */
 	uint64_t seq;
 	int64_t expected_end; /* appends only there; -1: anywhere */
 	GPtrArray *puts;      /* struct record */
@@ -171,8 +173,7 @@
 	uint32_t wait_ms;
 	struct worker *worker;
 	char *worker_id;
-	/* Of the worker when an order was sent or a hold arrived. */
-	uint64_t born_ms;
+	uint64_t born_ms; /* of the worker when a hold arrived */
 	uint64_t last_seen;
 	uint64_t lease_until_ms;
 	struct cell_task_name task;
@@ -1034,10 +1035,23 @@
 {
 	double rate = f->shape.slow_clocks ? 1 - w->index % 3 * 0.01 : 1;
 
-	return 1000 +
+	return w->first_clock_ms +
 	       (uint64_t)((double)(f->now - w->started_at) / OGL_MS * rate);
 }
 
+/* Each incarnation's clock starts from any value. */
+static void
+start_clock(struct fake_cell *f, struct worker *w)
+{
+	w->started_at = f->now;
+	if (w->next_clock_ms >= 0)
+		w->first_clock_ms = (uint64_t)w->next_clock_ms;
+	else
+		w->first_clock_ms = (uint64_t)g_rand_int_range(
+		    f->worker_rand, 0, FIRST_CLOCK_MAX_MS + 1);
+	w->next_clock_ms = -1;
+}
+
 static char *
 task_text(const struct cell_task_name *t)
 {
@@ -1573,11 +1587,11 @@
 }
 
 static bool
-epoch_is_stale(struct worker *w, const struct call *c)
+token_is_stale(struct worker *w, const struct call *c)
 {
-	if (c->epoch < w->epoch)
+	if (c->epoch < w->token)
 		return true;
-	w->epoch = c->epoch;
+	w->token = c->epoch;
 	return false;
 }
 
@@ -1604,7 +1618,7 @@
 
 	c->order_answer.io = OGL_IO_OK;
 	c->order_answer.clock_ms = worker_clock_ms(f, w);
-	if (epoch_is_stale(w, c)) {
+	if (token_is_stale(w, c)) {
 		c->order_answer.io = OGL_IO_REFUSED;
 		c->order_answer.why = CELL_REFUSED_FENCE;
 		return;
@@ -1631,7 +1645,7 @@
 
 	c->order_answer.io = OGL_IO_OK;
 	c->order_answer.clock_ms = worker_clock_ms(f, w);
-	if (epoch_is_stale(w, c)) {
+	if (token_is_stale(w, c)) {
 		c->order_answer.io = OGL_IO_REFUSED;
 		c->order_answer.why = CELL_REFUSED_FENCE;
 		return;
@@ -1643,6 +1657,53 @@
 		raise_highest_run(w, &c->task, c->run);
 }
 
+static void
+acknowledge_ends(struct fake_cell *f, struct worker *w, uint64_t last_seen)
+{
+	record_lease_lapse(f, w);
+	while (w->ended->len > 0) {
+		struct ended *e = w->ended->pdata[0];
+		struct task *t = fake_cell_task(f, &e->task);
+		struct job *j = job_of(f, e->task.id);
+
+		if (e->number > last_seen)
+			break;
+		trace(f, w->id, "end acknowledged", &e->task, e->run);
+		/* An end does not count as acknowledged if the lease ran out
+		 * between the end and its acknowledgement. */
+		if (t != NULL && e->how == CELL_END_DONE &&
+		    w->lease_lapsed_ms < e->clock_ms)
+			t->completion_acked = true;
+		if (t != NULL && e->how == CELL_END_FAILED)
+			t->failed_runs++;
+		/* The end of one gang member counts for the whole gang. */
+		if (j != NULL && e->how == CELL_END_DONE &&
+		    w->lease_lapsed_ms < e->clock_ms &&
+		    j->steps[e->task.step].gang) {
+			struct cell_task_name m = e->task;
+
+			for (m.index = 0;
+			     m.index < j->steps[e->task.step].count; m.index++)
+				fake_cell_task(f, &m)->completion_acked = true;
+		}
+		g_ptr_array_remove_index(w->ended, 0);
+	}
+}
+
+/* Does what a hold asks for; false if its fencing token is too low. */
+static bool
+take_hold(struct fake_cell *f, const struct call *c)
+{
+	struct worker *w = c->worker;
+
+	if (token_is_stale(w, c))
+		return false;
+	acknowledge_ends(f, w, c->last_seen);
+	if (c->lease_until_ms > 0)
+		renew_lease(f, w, c->lease_until_ms);
+	return true;
+}
+
 static void
 answer_order(struct fake_cell *f, void *arg)
 {
@@ -1691,41 +1752,71 @@
 	call_unref(f, c);
 }
 
+static void
+do_order(struct fake_cell *f, struct call *c)
+{
+	if (c->kind == CALL_START)
+		do_start(f, c);
+	else
+		do_stop(f, c);
+}
+
+/* Keeps the call for later if the worker delays calls of its kind. */
+static bool
+delay_call(struct call *c)
+{
+	unsigned kind = c->kind == CALL_HOLD    ? FAKE_HOLDS
+			: c->kind == CALL_START ? FAKE_STARTS
+						: FAKE_STOPS;
+
+	if (c->worker == NULL || (c->worker->delays & kind) == 0)
+		return false;
+	g_queue_push_tail(&c->worker->delayed, c);
+	return true;
+}
+
 static void
 at_worker_order(struct fake_cell *f, void *arg)
 {
 	struct call *c = arg;
 
+	if (delay_call(c))
+		return;
 	if (worker_refuses(f, c)) {
 		transmit(c, 0, (int)c->node->index, answer_not_connected);
 		call_unref(f, c);
 		return;
 	}
 	if (worker_reachable(f, c)) {
-		if (c->kind == CALL_START)
-			do_start(f, c);
-		else
-			do_stop(f, c);
+		do_order(f, c);
 		transmit(c, 0, (int)c->node->index, answer_order);
 	}
 	call_unref(f, c);
 }
 
-/* The worker has delayed the order, so a restart of the worker loses it. */
+/* Whichever incarnation is there by now carries the call out. */
 static void
-at_worker_order_late(struct fake_cell *f, void *arg)
+at_worker_late(struct fake_cell *f, void *arg)
 {
 	struct call *c = arg;
 
-	if (worker_reachable(f, c) && c->born_ms == c->worker->born_ms) {
-		if (c->kind == CALL_START)
-			do_start(f, c);
+	if (worker_reachable(f, c)) {
+		trace(f, c->worker->id, "carries out a late call",
+		    c->kind == CALL_HOLD ? NULL : &c->task, c->run);
+		if (c->kind == CALL_HOLD)
+			take_hold(f, c);
 		else
-			do_stop(f, c);
+			do_order(f, c);
 	}
 	call_unref(f, c);
 }
 
+static ogl_time
+late_delay(GRand *rand)
+{
+	return g_rand_int_range(rand, 2000, 12000) * OGL_MS;
+}
+
 static struct worker *
 worker_at(struct fake_cell *f, const char *addr)
 {
@@ -1753,12 +1844,9 @@
 	c->spec = g_bytes_new(o->spec.p, o->spec.n);
 	c->checkpoint = g_strdup(o->checkpoint != NULL ? o->checkpoint : "");
 	c->ticket = g_strdup(o->ticket);
-	if (c->worker != NULL)
-		c->born_ms = c->worker->born_ms;
 	if (c->worker != NULL && c->worker->fault == FAKE_WORKER_LATE &&
 	    chance(f, 0.4))
-		transmit(c, g_rand_int_range(f->rand, 2000, 12000) * OGL_MS, -1,
-		    at_worker_order_late);
+		transmit(c, late_delay(f->rand), -1, at_worker_late);
 	else
 		transmit(c, 0, -1, at_worker_order);
 	return c;
@@ -1778,39 +1866,6 @@
 
 /* ---- holds ------------------------------------------------------------ */
 
-static void
-acknowledge_ends(struct fake_cell *f, struct worker *w, uint64_t last_seen)
-{
-	record_lease_lapse(f, w);
-	while (w->ended->len > 0) {
-		struct ended *e = w->ended->pdata[0];
-		struct task *t = fake_cell_task(f, &e->task);
-		struct job *j = job_of(f, e->task.id);
-
-		if (e->number > last_seen)
-			break;
-		trace(f, w->id, "end acknowledged", &e->task, e->run);
-		/* An end does not count as acknowledged if the lease ran out
-		 * between the end and its acknowledgement. */
-		if (t != NULL && e->how == CELL_END_DONE &&
-		    w->lease_lapsed_ms < e->clock_ms)
-			t->completion_acked = true;
-		if (t != NULL && e->how == CELL_END_FAILED)
-			t->failed_runs++;
-		/* The end of one gang member counts for the whole gang. */
-		if (j != NULL && e->how == CELL_END_DONE &&
-		    w->lease_lapsed_ms < e->clock_ms &&
-		    j->steps[e->task.step].gang) {
-			struct cell_task_name m = e->task;
-
-			for (m.index = 0;
-			     m.index < j->steps[e->task.step].count; m.index++)
-				fake_cell_task(f, &m)->completion_acked = true;
-		}
-		g_ptr_array_remove_index(w->ended, 0);
-	}
-}
-
 static void
 answer_hold(struct fake_cell *f, void *arg)
 {
@@ -1893,6 +1948,8 @@
 	struct call *c = arg;
 	struct worker *w = c->worker;
 
+	if (delay_call(c))
+		return;
 	if (worker_refuses(f, c)) {
 		transmit(c, 0, (int)c->node->index, answer_not_connected);
 		call_unref(f, c);
@@ -1903,14 +1960,11 @@
 		return;
 	}
 	c->born_ms = w->born_ms;
-	if (epoch_is_stale(w, c)) {
+	if (!take_hold(f, c)) {
 		transmit(c, 0, (int)c->node->index, answer_hold_fenced);
 		call_unref(f, c);
 		return;
 	}
-	acknowledge_ends(f, w, c->last_seen);
-	if (c->lease_until_ms > 0)
-		renew_lease(f, w, c->lease_until_ms);
 	if (w->ended->len > 0 || c->wait_ms == 0) {
 		transmit_hold_answer(c);
 	} else {
@@ -1933,7 +1987,12 @@
 	c->last_seen = h->last_seen;
 	c->lease_until_ms = h->until_ms;
 	c->wait_ms = h->wait_ms;
-	transmit(c, 0, -1, at_worker_hold);
+	if (c->worker != NULL && c->worker->fault == FAKE_WORKER_LATE &&
+	    g_rand_double(n->cell->worker_rand) < LATE_HOLD_CHANCE)
+		transmit(
+		    c, late_delay(n->cell->worker_rand), -1, at_worker_late);
+	else
+		transmit(c, 0, -1, at_worker_hold);
 }
 
 static void
@@ -3034,11 +3093,12 @@
 	g_ptr_array_set_size(w->ended, 0);
 	g_hash_table_remove_all(w->highest_runs);
 	w->last_end_number = 0;
-	w->epoch = 0;
+	w->token = 0;
 	w->lease_until_ms = 0;
 	w->lease_lapsed_ms = 0;
 	w->born_ms++;
-	w->started_at = f->now;
+	if (w->up)
+		start_clock(f, w);
 	trace(f, w->id, "state lost", NULL, 0);
 }
 
@@ -3055,7 +3115,7 @@
 		put_entry(f, w);
 	} else if (fault != FAKE_WORKER_CRASHED && !w->up) {
 		w->up = true;
-		w->started_at = f->now;
+		start_clock(f, w);
 		put_entry(f, w);
 	}
 	w->fault = fault;
@@ -3072,6 +3132,75 @@
 	put_entry(f, &f->workers[worker]);
 }
 
+/* A restart that is void if the worker has changed its state meanwhile. */
+struct planned_restart {
+	struct worker *worker;
+	uint64_t born_ms;
+};
+
+static void
+planned_restart_free(struct fake_cell *f, void *arg)
+{
+	(void)f;
+	g_free(arg);
+}
+
+static void
+on_planned_restart(struct fake_cell *f, void *arg)
+{
+	struct planned_restart *p = arg;
+	struct worker *w = p->worker;
+
+	if (!w->up && w->born_ms == p->born_ms) {
+		f->disturbed_at = f->now;
+		w->up = true;
+		start_clock(f, w);
+		put_entry(f, w);
+	}
+	g_free(p);
+}
+
+void
+fake_cell_restart_worker_after(
+    struct fake_cell *f, unsigned worker, uint32_t down_ms)
+{
+	struct planned_restart *p = g_new(struct planned_restart, 1);
+	struct worker *w = &f->workers[worker];
+
+	f->disturbed_at = f->now;
+	w->up = false;
+	w->draining = false;
+	lose_state(f, w);
+	p->worker = w;
+	p->born_ms = w->born_ms;
+	post(f, down_ms * OGL_MS, -1, on_planned_restart, planned_restart_free,
+	    p);
+}
+
+void
+fake_cell_set_next_clock(
+    struct fake_cell *f, unsigned worker, uint32_t clock_ms)
+{
+	f->workers[worker].next_clock_ms = clock_ms;
+}
+
+void
+fake_cell_delay_calls(struct fake_cell *f, unsigned worker, unsigned calls)
+{
+	f->disturbed_at = f->now;
+	f->workers[worker].delays = calls;
+}
+
+void
+fake_cell_carry_out_delayed(struct fake_cell *f, unsigned worker)
+{
+	struct call *c;
+
+	f->disturbed_at = f->now;
+	while ((c = g_queue_pop_head(&f->workers[worker].delayed)) != NULL)
+		at_worker_late(f, c);
+}
+
 void
 fake_cell_drain_worker(struct fake_cell *f, unsigned worker)
 {
@@ -3257,6 +3386,8 @@
 	g_snprintf(w->zone, sizeof w->zone, "z%u",
 	    1 + i % CLAMP(f->shape.zones, 1, FAKE_MAX_ZONES));
 	w->born_ms = 1000000 * (i + 1);
+	w->next_clock_ms = -1;
+	start_clock(f, w);
 	w->up = true;
 	w->runs = g_ptr_array_new_with_free_func(g_free);
 	w->ended = g_ptr_array_new_with_free_func(g_free);
@@ -3296,6 +3427,7 @@
 	f->team_cpu_milli = shape->team_cpu_milli_max;
 	f->events = g_sequence_new(NULL);
 	f->rand = g_rand_new_with_seed((guint32)shape->seed);
+	f->worker_rand = g_rand_new_with_seed((guint32)shape->seed);
 	f->jobs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 	f->caller_requests =
@@ -3372,6 +3504,7 @@
 		struct worker *w = &f->workers[i];
 
 		unref_calls(f, &w->holds);
+		unref_calls(f, &w->delayed);
 		g_ptr_array_unref(w->runs);
 		g_ptr_array_unref(w->ended);
 		g_hash_table_unref(w->highest_runs);
@@ -3386,6 +3519,7 @@
 	}
 	g_sequence_free(f->events);
 	g_rand_free(f->rand);
+	g_rand_free(f->worker_rand);
 	g_hash_table_unref(f->caller_requests);
 	g_hash_table_unref(f->jobs);
 	g_hash_table_unref(f->revoked_keys);
@@ -3481,8 +3615,10 @@
 		fake_cell_freeze(f, i, false);
 		fake_cell_set_step_ms(f, i, 0);
 	}
-	for (i = 0; i < f->shape.workers; i++)
+	for (i = 0; i < f->shape.workers; i++) {
 		fake_cell_set_worker_fault(f, i, FAKE_WORKER_OK);
+		fake_cell_delay_calls(f, i, 0);
+	}
 	for (i = 1; i <= FAKE_MAX_ZONES; i++) {
 		g_snprintf(zone, sizeof zone, "z%u", i);
 		if (f->evacuated_at[i] != 0)
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -216,8 +216,9 @@
 	FAKE_WORKER_CRASHED, /* down, its runs are lost, its entry is dropped */
 	FAKE_WORKER_FAILING, /* runs it starts end as failed */
 	FAKE_WORKER_FLAKY,   /* two in five of them end as failed */
-	FAKE_WORKER_LATE,    /* executes four in ten orders 2 to 12 s late and
-			      * does not answer them */
+	FAKE_WORKER_LATE,    /* executes four in ten orders, and two in ten
+			      * holds, 2 to 12 s late and does not answer them;
+			      * after a restart the next incarnation does */
 	FAKE_WORKER_SLOW,    /* runs it starts take six times as long */
 	FAKE_WORKER_HANGING  /* runs it starts make no progress */
 };
@@ -225,7 +226,28 @@
 void fake_cell_set_worker_fault(
     struct fake_cell *f, unsigned worker, enum fake_worker_fault fault);
 void fake_cell_restart_worker(struct fake_cell *f, unsigned worker);
-/* Restarts at once under the same id, with nothing running. */
+/* Restarts at once under the same id, with nothing running.  The clock of each
+ * incarnation starts from a random value. */
+void fake_cell_restart_worker_after(
+    struct fake_cell *f, unsigned worker, uint32_t down_ms);
+/* The same, but it is down first and answers no call; its entry stays listed. */
+void fake_cell_set_next_clock(
+    struct fake_cell *f, unsigned worker, uint32_t clock_ms);
+/* The clock of the worker's next incarnation starts from this value. */
+
+enum fake_calls {
+	FAKE_HOLDS = 1,
+	FAKE_STARTS = 2,
+	FAKE_STOPS = 4
+};
+
+void fake_cell_delay_calls(
+    struct fake_cell *f, unsigned worker, unsigned calls);
+/* The worker does not carry out calls of this set that arrive from now on, nor
+ * answers them.  0: calls are carried out again; the delayed ones still wait. */
+void fake_cell_carry_out_delayed(struct fake_cell *f, unsigned worker);
+/* The incarnation that is there now carries out the delayed calls, in order of
+ * arrival and without answers. */
 void fake_cell_drain_worker(struct fake_cell *f, unsigned worker);
 /* Marks the worker's entry as draining. */
 
--- a/test/fake_cell_impl.h
+++ b/test/fake_cell_impl.h
@@ -108,9 +108,11 @@
 	char addr[32];
 	char rack[8];
 	char zone[8];
-	uint64_t born_ms;         /* identifies the incarnation */
-	ogl_time started_at;      /* start of the worker's clock */
-	uint64_t epoch;           /* highest fencing token seen */
+	uint64_t born_ms;        /* identifies the incarnation */
+	ogl_time started_at;     /* start of the worker's clock */
+	uint64_t first_clock_ms; /* what the clock read then */
+	int64_t next_clock_ms; /* the same of the next incarnation; -1 random */
+	uint64_t token;        /* highest fencing token seen */
 	uint64_t lease_until_ms;  /* on the worker's clock */
 	uint64_t lease_lapsed_ms; /* last end of a lease that ran out */
 	bool up;
@@ -129,6 +131,8 @@
 	uint64_t last_end_number;
 	unsigned nbegun; /* runs */
 	GQueue holds;    /* struct call of holds that wait for an end */
+	unsigned delays; /* set of enum fake_calls that it delays */
+	GQueue delayed;  /* struct call, in order of arrival */
 };
 
 /* What the checks know of a task, counted over all workers. */
@@ -187,6 +191,7 @@
 	uint64_t last_order; /* of events posted */
 	GSequence *events;   /* struct event */
 	GRand *rand;
+	GRand *worker_rand; /* for clocks and late holds */
 	uint32_t caller_timeout_ms;
 	unsigned queue;         /* that jobs are submitted to */
 	struct node *nodes;     /* shape.nodes of them */
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -64,14 +64,21 @@
  *                              same, and they are done seconds later)
  * worker WORKER|all FAULT      healthy, unreachable (runs go on), crashed,
  *                              failing (runs end as failed), flaky (two in
- *                              five runs do), late (orders are
+ *                              five runs do), late (orders and holds are
  *                              done seconds later, unanswered), slow (new runs
  *                              take six times as long) or hanging (new runs
  *                              make no progress)
  * cut-off-node NODE, cut-off-worker WORKER
  *                              what is cut off is connected among itself only
  * end-cut                      nothing is cut off any more
- * restart-worker WORKER        same id, but all its runs are lost
+ * restart-worker WORKER [TIME] same id, but all its runs are lost; it answers
+ *                              nothing for that time
+ * next-clock WORKER TIME       what its clock reads after its next restart
+ * delay-calls WORKER KIND ...  the worker keeps holds, starts or stops that
+ *                              arrive, unanswered
+ * end-delay WORKER             later calls are carried out as usual
+ * carry-out-delayed WORKER     carries out the calls that it has kept, also
+ *                              those to its former incarnations
  * drain WORKER                 the worker announces that it leaves
  * expire-worker-entries        the store lists the workers again within 2 s
  * odd-entry WORKER             another program replaces its entry by an unreadable
@@ -183,7 +190,15 @@
 				fake_cell_set_worker_fault(
 				    cell_, i, worker_fault(w[2]));
 		else if (w[0] == "restart-worker")
-			fake_cell_restart_worker(cell_, num(w[1]));
+			restart_worker(w);
+		else if (w[0] == "next-clock")
+			fake_cell_set_next_clock(cell_, num(w[1]), num(w[2]));
+		else if (w[0] == "delay-calls")
+			fake_cell_delay_calls(cell_, num(w[1]), calls(w));
+		else if (w[0] == "end-delay")
+			fake_cell_delay_calls(cell_, num(w[1]), 0);
+		else if (w[0] == "carry-out-delayed")
+			fake_cell_carry_out_delayed(cell_, num(w[1]));
 		else if (w[0] == "cut-off-node")
 			fake_cell_cut_off_node(
 			    cell_, static_cast<unsigned>(node(w[1])));
@@ -237,6 +252,28 @@
 	}
 
       private:
+	void restart_worker(const Words &w)
+	{
+		if (w.size() > 2)
+			fake_cell_restart_worker_after(
+			    cell_, num(w[1]), num(w[2]));
+		else
+			fake_cell_restart_worker(cell_, num(w[1]));
+	}
+
+	/* The set that the words from the third on name. */
+	static unsigned calls(const Words &w)
+	{
+		static const std::map<std::string, enum fake_calls> m = {
+		    {"holds", FAKE_HOLDS}, {"starts", FAKE_STARTS},
+		    {"stops", FAKE_STOPS}};
+		unsigned set = 0;
+
+		for (size_t i = 2; i < w.size(); i++)
+			set |= m.at(w[i]);
+		return set;
+	}
+
 	/* The jobs are submitted one by one, at all nodes in turn. */
 	std::string submit_many(const Words &w)
 	{
