fleet: ends are acknowledged right after an answer of their incarnation

What callers saw (script worker_restarts_before_start, once clocks start anywhere): a task that is done starts again.

Cause: ends are acknowledged once they are stored. With a slow store that is 0.35 s after the answer that listed them; the worker restarts in between, carries a start out, ends it, and forgets that end by the number of the former incarnation's. The answer to that hold shows the restart, but by then the end is gone.

Change: the number is sent only within 100 ms of an answer; else a hold without it comes first and shows the incarnation. An idle worker is called again for it, which also makes up for a lost acknowledgement.

--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -59,6 +59,8 @@
 /* Unknown runs of a worker that are stopped at a time.  The next answers list the
  * others, and the worker gets no work until the last one is over. */
 #define ORPHANS_MAX 100
+/* Ends are acknowledged within this time of the worker's last answer. */
+#define ACK_AGE_MAX (100 * OGL_MS)
 #define ENDS_PER_ANSWER_MAX 500 /* a list this long may be incomplete */
 
 /* ---- ends of runs ----------------------------------------------------- */
@@ -407,6 +409,8 @@
 		process_missing(f, w, seen, c->sent_at, now);
 	g_hash_table_unref(seen);
 	w->next_hold_at = now;
+	if (w->ends_stored > w->ends_acked && g_hash_table_size(w->runs) == 0)
+		w->next_hold_no_wait = true;
 	if (w->ends_reported != ends_before) {
 		w->next_hold_at = now + ENDS_BATCH_DELAY;
 		f->events.ends_processed(f->events.arg, w, now);
@@ -527,15 +531,16 @@
  * Returns the number up to which ends are acknowledged, 0 for none.  When a
  * worker restarts under its id, its ends count from 1 again, so an old number
  * would acknowledge ends of the new incarnation that no owner has seen.  Hence
- * a number is sent only once, right after its ends were listed, and not while
- * answers are missing: the next answer may be that of a new incarnation.
+ * a number is sent only once, right after an answer of the incarnation whose
+ * ends they are, and not while answers are missing: the next answer may be that
+ * of a new incarnation.
  */
 static uint64_t
-ends_to_acknowledge(const struct cell_worker *w)
+ends_to_acknowledge(const struct cell_worker *w, ogl_time now)
 {
-	return w->failures == 0 && w->ends_stored > w->ends_acked
-		   ? w->ends_stored
-		   : 0;
+	if (w->failures > 0 || now - w->last_answer_at > ACK_AGE_MAX)
+		return 0;
+	return w->ends_stored > w->ends_acked ? w->ends_stored : 0;
 }
 
 /* Sets how long the worker may delay its answer and how long we wait for it. */
@@ -568,7 +573,7 @@
 	bool renew = g_hash_table_size(w->runs) > 0;
 	struct cell_hold h = {
 	    .to = {w->addr, w->id, cell_fleet_fence(f, w)},
-	    .last_seen = ends_to_acknowledge(w),
+	    .last_seen = ends_to_acknowledge(w, now),
 	    .until_ms =
 		renew && may_renew(f, w, now)
 		    ? cell_lease_extend(&w->lease, f->limits->lease_max_ms, now)
