soak: workers that restart under their ids do what the platform allows

The soak's workers were kinder than the platform's. Each incarnation's clock started at 1,000 ms, so an order with an end on the former clock was never long for the next one; calls that were carried out late were dropped at a restart; holds were never late; and the list named a restart at once. Faults of restarts under the same id could not be found.

Now a clock starts anywhere from 0 to 10,000,000 ms, by the seed. Late calls, holds as well, and calls to a worker that is down reach its next incarnation. A hold that waits at a restart is not answered, as before. The entry of a silent worker stays for three heartbeats, and that of a new incarnation is written up to one heartbeat after its start. owner_epoch() alone tells the owner of a fencing token; workers only compare tokens. The larger worlds use the same entries. A platform may also have queues without advice, whose starts carry no ticket of an incarnation.

--- a/soak/gangs.py
+++ b/soak/gangs.py
@@ -11,8 +11,6 @@
 import serve
 import world as w
 
-SILENCE_S = 4.5  # of a worker, until its entry is removed
-
 
 class Gang:
     def __init__(self, step):
@@ -66,10 +64,9 @@
     def __init__(self, platform, worker_id, host, port, zone, rack, pace):
         self.used_cpu = self.used_mem = self.peak_cpu = self.peak_mem = 0
         self.free_cpu = self.free_mem = 0  # since the last poll of the check
-        self.rack, self.pace, self.silent_since = rack, pace, None
+        self.rack, self.pace = rack, pace
         super().__init__(platform, worker_id, f"{host}:{port}", zone)
         self.server = serve.Server(self.handle, host, port)
-        self.text = None  # of the entry
 
     def up(self):
         return self.mode != "crashed"
@@ -157,7 +154,7 @@
     def stop_process(self, silent):
         """silent: calls go unanswered, otherwise connections are refused."""
         self.crash()
-        self.mode, self.silent_since = "crashed", w.now()
+        self.mode = "crashed"
         if not silent:
             self.server.stop()
 
@@ -165,18 +162,9 @@
         if self.mode != "crashed":
             return
         self.new_incarnation()
-        self.text = None
         self.server.stop()  # old connections do not reach a new process
         await self.server.start()
-        self.mode, self.silent_since = "normal", None
-
-    def entry(self):
-        """The entry of a silent worker stays for some heartbeats."""
-        if self.silent_since and w.now() - self.silent_since > SILENCE_S:
-            return None
-        if self.text is None:
-            self.text = self.entry_text()
-        return self.text
+        self.mode = "normal"
 
     def entry_text(self):
         return json.dumps(
--- a/soak/test_world.py
+++ b/soak/test_world.py
@@ -123,11 +123,159 @@
                 json.dumps({"fencing_token": token, "last_seen": 0}),
             )
             self.assertEqual(answered, out is not None)
-            x.epoch = 0
+            x.fence = 0
             if token == 2:
                 n.cut = net.Cut(["127.0.0.9:2"], ["w0"], True)
 
 
+class IncarnationTest(unittest.IsolatedAsyncioTestCase):
+    """Faults that a restart under the same id causes are found only if the
+    worker allows what real ones do."""
+
+    STEP = {"count": 1, "cpu": 1, "estimate_ms": 60000}
+
+    def setUp(self):
+        self.platform = p = w.Platform(random.Random(1))
+        job = w.Job("1", [self.STEP])
+        job.submissions = 1
+        p.jobs[job.id] = job
+        self.worker = w.Worker(p, "w0", "127.0.0.1:1")
+        p.worker_rand.random = lambda: 0  # each call is late in that mode
+        p.worker_rand.uniform = lambda least, most: 0.1
+
+    def call(self, path, **fields):
+        until_ms = self.worker.clock() + 4000
+        body = {"fencing_token": 1, "until_ms": until_ms, "last_seen": 0}
+        return self.worker.handle(
+            "POST",
+            path,
+            {"x-expected-instance": "w0"},
+            json.dumps(body | fields),
+        )
+
+    def start(self, run=1):
+        key = "1.0.0", "w0", self.worker.born
+        self.platform.tickets[key] = w.now() + 5
+        return self.call("/start", task="1.0.0.0", run_id=run)
+
+    async def stop_process(self):
+        await asyncio.sleep(0.002)  # another millisecond of birth
+        self.worker.crash()
+        self.worker.mode = "crashed"
+
+    def start_process(self):
+        self.worker.new_incarnation()
+        self.worker.mode = "normal"
+
+    async def test_clock_starts_anywhere(self):
+        """A clock that starts near zero tells of a restart."""
+        readings = []
+        for _ in range(100):
+            self.worker.new_incarnation()
+            readings.append(self.worker.clock())
+        self.assertGreater(max(readings), 0.9 * w.CLOCK_START_MAX_MS)
+        self.assertLess(min(readings), 0.1 * w.CLOCK_START_MAX_MS)
+        before = w.Worker(w.Platform(random.Random(1)), "w0", "127.0.0.1:1")
+        again = w.Worker(w.Platform(random.Random(1)), "w0", "127.0.0.1:1")
+        self.assertEqual(before.clock_start, again.clock_start)
+
+    async def test_late_start_reaches_the_next_incarnation(self):
+        self.worker.mode = "late"
+        self.assertIsNone(await self.start())
+        await self.stop_process()
+        self.start_process()
+        self.worker.clock_start = 0
+        self.platform.tickets["1.0.0", "w0", self.worker.born] = w.now() + 5
+        self.assertEqual({}, self.worker.runs)
+        await asyncio.sleep(0.2)
+        self.assertEqual([("1.0.0.0", 1)], list(self.worker.runs))
+
+    async def test_late_hold_reaches_the_next_incarnation(self):
+        """Its end of the lease, on the former clock, counts on the new one."""
+        self.worker.clock_start = w.CLOCK_START_MAX_MS
+        self.worker.mode = "late"
+        self.assertIsNone(await self.call("/hold"))
+        await self.stop_process()
+        self.start_process()
+        self.worker.clock_start = 0
+        await asyncio.sleep(0.2)
+        left_ms = self.worker.lease_until - self.worker.clock()
+        self.assertGreater(left_ms, w.LEASE_MAX_MS - 1000)
+
+    async def test_late_call_waits_for_the_next_incarnation(self):
+        self.worker.mode = "late"
+        self.assertIsNone(await self.call("/hold"))
+        await self.stop_process()
+        await asyncio.sleep(0.2)
+        self.assertEqual(0, self.worker.lease_until)
+        self.start_process()
+        await asyncio.sleep(0.1)
+        self.assertGreater(self.worker.lease_until, 0)
+
+    async def test_hold_that_waits_at_a_restart_is_not_answered(self):
+        held = asyncio.ensure_future(self.call("/hold", wait_ms=200))
+        await asyncio.sleep(0.05)
+        await self.stop_process()
+        self.start_process()
+        self.assertIsNone(await held)
+        self.assertEqual((0, 0), (self.worker.fence, self.worker.lease_until))
+
+    async def test_call_to_a_worker_that_is_down_reaches_the_next(self):
+        await self.stop_process()
+        held = asyncio.ensure_future(self.call("/hold"))
+        await asyncio.sleep(0.1)
+        self.assertEqual(0, self.worker.fence)
+        self.start_process()
+        self.assertIn(b" 200 ", await held)
+        self.assertEqual(1, self.worker.fence)
+
+    async def test_cut_loses_calls_to_a_worker_that_is_down(self):
+        self.platform.store.owners = {1: "127.0.0.8:2"}
+        await self.stop_process()
+        held = asyncio.ensure_future(self.call("/hold"))
+        await asyncio.sleep(0.05)
+        self.platform.net.cut = net.Cut([], ["w0"], False)
+        self.start_process()
+        self.assertIsNone(await held)
+        self.assertEqual(0, self.worker.fence)
+
+    async def test_entry_of_the_next_incarnation_comes_late(self):
+        """The list may name a former incarnation after the next one answers."""
+        x, real, began = self.worker, w.now, w.now()
+
+        def born_at(seconds):
+            w.now = lambda: began + seconds
+            entry = x.entry()
+            return entry and json.loads(entry)["born"]
+
+        try:
+            former = x.born
+            self.assertEqual(former, born_at(0))
+            await self.stop_process()
+            self.assertEqual(former, born_at(w.SILENCE_S - 0.1))
+            self.start_process()
+            self.assertEqual(former, born_at(w.SILENCE_S - 0.1))
+            self.assertEqual(x.born, born_at(w.SILENCE_S + w.HEARTBEAT_S))
+            await self.stop_process()
+            self.assertIsNone(born_at(3 * w.SILENCE_S))
+            self.start_process()
+            self.assertEqual(x.born, born_at(3 * w.SILENCE_S))
+        finally:
+            w.now = real
+
+    async def test_fence_is_compared_as_a_whole(self):
+        """It tells the owner's epoch, and rises with the worker's restarts."""
+        first, second = 1 << w.EPOCH_SHIFT, (1 << w.EPOCH_SHIFT) + 1
+        self.assertEqual([1, 1, 1], [*map(w.owner_epoch, (1, first, second))])
+        self.assertIn(b" 200 ", await self.call("/hold", fencing_token=second))
+        self.assertIn(b" 409 ", await self.call("/hold", fencing_token=first))
+        self.platform.store.owners = {1: "127.0.0.8:2", 2: "127.0.0.9:2"}
+        self.platform.net.cut = net.Cut(["127.0.0.8:2"], ["w0"], True)
+        self.assertIn(b" 200 ", await self.call("/hold", fencing_token=second))
+        token = 2 << w.EPOCH_SHIFT
+        self.assertIsNone(await self.call("/hold", fencing_token=token))
+
+
 class EvacuationTest(unittest.TestCase):
     def breaches(self, node):
         """Of a start by the node, long after an evacuation, while node 1 is cut
--- a/soak/world.py
+++ b/soak/world.py
@@ -7,7 +7,9 @@
 
 import asyncio
 import base64
+import copy
 import json
+import random
 import struct
 import time
 
@@ -17,6 +19,13 @@
 WORKER_CPU = 16000
 WORKER_MEM_MB = 65536
 LEASE_MAX_MS = 10000
+CLOCK_START_MAX_MS = 10000000
+LATE_SHARE = 0.3  # of the calls to a worker that carries them out late
+LATE_MIN_S, LATE_MAX_S = 2, 8  # from such a call to its execution
+DOWN_POLL_S = 0.02
+HEARTBEAT_S = 1.5
+SILENCE_S = 3 * HEARTBEAT_S  # of a worker, until its entry is removed
+EPOCH_SHIFT = 20  # of fencing tokens that count restarts of the worker as well
 TASK_STOP_S = 0.2
 STARTUP_MS = 300  # of a task that lasts
 TICKET_VALID_MS = 2500
@@ -29,6 +38,11 @@
     return time.monotonic()
 
 
+def owner_epoch(token):
+    """The epoch of the owner that sent the fencing token."""
+    return token >> EPOCH_SHIFT or token
+
+
 async def read_message(reader):
     """Returns (first line, headers, body), or None at the end of the stream."""
     line = await reader.readline()
@@ -238,7 +252,7 @@
         return min(99, int(100 * elapsed_ms / run_ms))
 
     def __str__(self):
-        p, epoch = self.worker.platform, self.body["fencing_token"]
+        p, epoch = self.worker.platform, owner_epoch(self.body["fencing_token"])
         return (
             f"run {self.number} on {self.worker.id} since "
             f"{self.began - p.started_at:.2f} s, ordered in epoch {epoch} "
@@ -252,17 +266,23 @@
         self.zone = zone
         self.mode = "normal"  # or failing, late, crashed
         self.clock_rate = 1 - len(platform.workers) % 3 * 0.01
+        self.silent_since, self.listed_entry = 0, None
         self.new_incarnation()
 
     def new_incarnation(self):
+        r = self.platform.worker_rand
         self.born = time.time_ns() // 1000000
         self.started_at = now()
-        self.epoch = self.lease_until = self.last_end = 0
+        self.clock_start = r.randint(0, CLOCK_START_MAX_MS)
+        self.fence = self.lease_until = self.last_end = 0
+        self.entry_at = now() + r.uniform(0, HEARTBEAT_S)
+        self.entry_written = False
         self.runs, self.ended, self.highest_run = {}, [], {}
         self.end_event = asyncio.Event()
 
     def clock(self):
-        return 1000 + int((now() - self.started_at) * 1000 * self.clock_rate)
+        elapsed_ms = (now() - self.started_at) * 1000
+        return self.clock_start + int(elapsed_ms * self.clock_rate)
 
     def end_run(self, run, how):
         if self.runs.pop((run.name, run.number), None) is None:
@@ -287,6 +307,7 @@
             job_id, _, step, index = run.name.split(".")
             t = self.platform.jobs[job_id].task(int(step), int(index))
             t.running.remove(run)
+        self.silent_since = now()
         self.new_incarnation()
 
     def expire_lease(self):
@@ -324,7 +345,7 @@
     def settled(self, run):
         """Whether the node that ordered the run can know of an evacuation."""
         p = self.platform
-        owner = p.store.owners.get(run.body["fencing_token"])
+        owner = p.store.owners.get(owner_epoch(run.body["fencing_token"]))
         if p.net.cut and p.net.cut.parts_store(owner):
             return False
         return now() - p.last_fault > FAULT_SETTLE_S
@@ -352,9 +373,9 @@
         )
 
     def fenced(self, b):
-        if b["fencing_token"] < self.epoch:
+        if b["fencing_token"] < self.fence:
             return True
-        self.epoch = b["fencing_token"]
+        self.fence = b["fencing_token"]
         return False
 
     def renew_lease(self, b):
@@ -373,7 +394,7 @@
             return 409, "late"
         job_id, k, step, _ = b["task"].split(".")
         key = (f"{job_id}.{k}.{step}", self.id, self.born)
-        if self.platform.tickets.get(key, 0) < now():
+        if self.platform.advised and self.platform.tickets.get(key, 0) < now():
             return 409, "ticket"
         self.renew_lease(b)
         self.start_run(b)
@@ -401,20 +422,21 @@
             t.done_recorded = t.done_recorded or how == "done"
             t.failed += how == "failed"
 
-    async def hold(self, b):
+    def hold(self, b):
         if self.fenced(b):
             return 409, "fence"
         self.record_ends(b["last_seen"])
         self.renew_lease(b)
-        if not self.ended and b.get("wait_ms"):
-            self.end_event.clear()
-            wait = asyncio.ensure_future(self.end_event.wait())
-            try:
-                await asyncio.wait([wait], timeout=b["wait_ms"] / 1000)
-            finally:
-                wait.cancel()
         return 200, None
 
+    async def wait_for_end(self, seconds):
+        self.end_event.clear()
+        wait = asyncio.ensure_future(self.end_event.wait())
+        try:
+            await asyncio.wait([wait], timeout=seconds)
+        finally:
+            wait.cancel()
+
     def cut_from(self, epoch):
         """Whether a cut parts the worker from the owner of the epoch.  Calls of
         all nodes come from one address, so their epoch tells the sender."""
@@ -422,30 +444,50 @@
         return cut and cut.parts_worker(owners.get(epoch), self.id)
 
     async def handle(self, method, path, headers, body):
-        """An answer that is ready after the start of a cut is lost, too."""
-        epoch = json.loads(body)["fencing_token"]
+        """A call to a worker that is down reaches its next incarnation.  An
+        answer that is ready after the start of a cut is lost, too."""
+        end = now() + LATE_MAX_S
+        epoch = owner_epoch(json.loads(body)["fencing_token"])
+        if self.cut_from(epoch):
+            return None
+        while self.mode == "crashed":
+            if now() > end:
+                return None
+            await asyncio.sleep(DOWN_POLL_S)
         if self.cut_from(epoch):
             return None
         out = await self.answer_call(path, headers, body)
         return None if self.cut_from(epoch) else out
 
+    def carry_out_late(self, act, b, end):
+        """An incarnation can't tell the calls that were meant for a former one
+        of the same id."""
+        if self.mode != "crashed":
+            act(b)
+        elif now() < end:
+            asyncio.get_running_loop().call_later(
+                DOWN_POLL_S, self.carry_out_late, act, b, end
+            )
+
     async def answer_call(self, path, headers, body):
-        if self.mode == "crashed":
-            return None
         if headers.get("x-expected-instance") != self.id:
             return answer(421, {})
-        b, born = json.loads(body), self.born
+        b, born, r = json.loads(body), self.born, self.platform.worker_rand
+        act = self.run_start if path.endswith("start") else self.run_stop
         if path.endswith("hold"):
-            status, why = await self.hold(b)
-        else:
-            act = self.run_start if path.endswith("start") else self.run_stop
-            if self.mode == "late" and self.platform.rand.random() < 0.3:
-                asyncio.get_running_loop().call_later(
-                    self.platform.rand.uniform(2, 8),
-                    lambda: self.born == born and act(b),
-                )
-                return None
-            status, why = act(b)
+            act = self.hold
+        if self.mode == "late" and r.random() < LATE_SHARE:
+            asyncio.get_running_loop().call_later(
+                r.uniform(LATE_MIN_S, LATE_MAX_S),
+                self.carry_out_late,
+                act,
+                b,
+                now() + LATE_MAX_S,
+            )
+            return None
+        status, why = act(b)
+        if status == 200 and not self.ended and b.get("wait_ms"):
+            await self.wait_for_end(b["wait_ms"] / 1000)
         if self.born != born or self.mode == "crashed":
             return None
         out = {"clock_ms": self.clock(), "born": self.born}
@@ -460,8 +502,20 @@
         return answer(status, out)
 
     def entry(self):
+        """What the list has: the entry of a silent worker stays for some
+        heartbeats, and that of a new incarnation may come after its first
+        answer."""
         if self.mode == "crashed":
-            return None
+            if now() - self.silent_since > SILENCE_S:
+                self.listed_entry = None
+        elif not self.entry_written and (
+            self.listed_entry is None or now() >= self.entry_at
+        ):
+            self.listed_entry = self.entry_text()
+            self.entry_written = True
+        return self.listed_entry
+
+    def entry_text(self):
         return json.dumps(
             {
                 "service": "svc",
@@ -481,10 +535,13 @@
 
 class Platform:
     attempts_max = 3
+    advised = True  # whether starts carry tickets
 
     def __init__(self, rand, net=None):
         """The cases under review/ pass no network: theirs has no cuts."""
         self.rand, self.net = rand, net or Net()
+        # Draws nothing from rand, on which the order of faults depends.
+        self.worker_rand = random.Random(copy.copy(rand).random())
         self.store = Store(rand)
         self.jobs, self.workers, self.tickets = {}, [], {}
         self.violations, self.notes = [], []
@@ -514,25 +571,25 @@
 
     async def configure(self, keys):
         self.version += 1
+        route = {
+            "name": "r",
+            "host": "q.example",
+            "path_prefix": "/q/",
+            "service": "svc",
+            "priority": 0,
+            "max_attempts": self.attempts_max,
+            "slack_factor": 2,
+            "target_latency_ms": 500,
+        }
+        if self.advised:
+            route["advice"] = {
+                "decide_ms": 3,
+                "period_ms": 0.1,
+                "valid_ms": TICKET_VALID_MS,
+            }
         config = {
             "version": self.version,
-            "routes": [
-                {
-                    "name": "r",
-                    "host": "q.example",
-                    "path_prefix": "/q/",
-                    "service": "svc",
-                    "priority": 0,
-                    "max_attempts": self.attempts_max,
-                    "slack_factor": 2,
-                    "target_latency_ms": 500,
-                    "advice": {
-                        "decide_ms": 3,
-                        "period_ms": 0.1,
-                        "valid_ms": TICKET_VALID_MS,
-                    },
-                }
-            ],
+            "routes": [route],
             "services": [{"name": "svc"}],
             "tenants": [{"name": "t", "api_keys": keys, "weight": 1000}],
         }
