soak: workers restart under their ids and are cut off, with real nodes

Orders that were meant for a worker's former incarnation, and are carried out by the next one, ask for an end of the lease on the former clock. The worker shortens it to the longest lease that it grants, and its owner counts with a shorter one. No case with node processes had a restart before a cut.

--- a/soak/cut_case.py
+++ b/soak/cut_case.py
@@ -34,8 +34,9 @@
 
 
 async def submit(soak, count, cpu, run_ms):
+    soak.last_job += 1
     step = {"count": count, "cpu": cpu, "mem_mb": 100, "estimate_ms": run_ms}
-    job = w.Job(f"{1:016x}", [step])
+    job = w.Job(f"{soak.last_job:016x}", [step])
     soak.platform.jobs[job.id] = job
     body = json.dumps({"spec": "s", "steps": job.steps}).encode()
     while not job.accepted:
@@ -57,10 +58,8 @@
     )
 
 
-async def play(soak, case):
-    p = soak.platform
-    count, cpu, run_ms, near = CASES[case]
-    p.prints_notes = True
+async def start_job(soak, count, cpu, run_ms):
+    """Returns the job once all its tasks run, or None."""
     job = await asyncio.wait_for(
         submit(soak, count, cpu, run_ms), START_TIMEOUT_S
     )
@@ -69,22 +68,37 @@
         START_TIMEOUT_S,
     )
     if not started:
-        p.report_violation("OPEN", "not all tasks started")
-        return
-    await asyncio.sleep(BEFORE_CUT_S)
-    # The workers of the near side are those with the most runs.
-    busy = collections.Counter({x: len(x.runs) for x in p.workers})
-    workers = [x for x, _ in busy.most_common(near)]
+        soak.platform.report_violation("OPEN", "not all tasks started")
+        return None
+    return job
+
+
+async def cut_off(soak, job, nodes, workers, seconds):
+    """Cuts nodes and workers off; the job has to complete after the cut."""
     note_states(soak, job)
-    soak.cuts.begin_cut([soak.cuts.owner()], workers, False)
-    for _ in range(CUT_S):
+    soak.cuts.begin_cut(nodes, workers, False)
+    for _ in range(seconds):
         await asyncio.sleep(1)
         note_states(soak, job)
     soak.cuts.end_cut()
     await soak.settle()
     note_states(soak, job)
     if job.state != "completed":
-        p.report_violation("OPEN", job.id)
+        soak.platform.report_violation("OPEN", job.id)
+
+
+async def play(soak, case):
+    p = soak.platform
+    count, cpu, run_ms, near = CASES[case]
+    p.prints_notes = True
+    job = await start_job(soak, count, cpu, run_ms)
+    if job is None:
+        return
+    await asyncio.sleep(BEFORE_CUT_S)
+    # The workers of the near side are those with the most runs.
+    busy = collections.Counter({x: len(x.runs) for x in p.workers})
+    workers = [x for x, _ in busy.most_common(near)]
+    await cut_off(soak, job, [soak.cuts.owner()], workers, CUT_S)
 
 
 def main():
--- a/soak/cuts.py
+++ b/soak/cuts.py
@@ -96,6 +96,20 @@
         await asyncio.sleep(seconds)
         self.end_cut()
 
+    async def restart(self, workers, seconds):
+        """They are down for so long."""
+        self.soak.platform.note_fault(
+            f"restart {' '.join(x.id for x in workers)}"
+        )
+        for x in workers:
+            x.crash()
+            x.mode = "crashed"
+        await asyncio.sleep(seconds)
+        for x in workers:
+            if x.mode == "crashed":
+                x.new_incarnation()
+                x.mode = "normal"
+
     # ---- faults inside a cut -------------------------------------------
 
     async def freeze(self, node, seconds):
@@ -125,14 +139,7 @@
     async def restart_worker(self, workers, seconds):
         r = self.rand
         await asyncio.sleep(r.uniform(0, seconds))
-        x = r.choice(workers)
-        self.soak.platform.note_fault(f"crash {x.id}")
-        x.crash()
-        x.mode = "crashed"
-        await asyncio.sleep(r.uniform(0, 2))
-        if x.mode == "crashed":
-            x.new_incarnation()
-            x.mode = "normal"
+        await self.restart([r.choice(workers)], r.uniform(0, 2))
 
     async def disturb_store(self, seconds):
         r, store = self.rand, self.soak.platform.store
