test: a lease that was given just before calls are too late

cell_lease_next_incarnation() counts with no lease of former incarnations from 15 s after the last one was asked for. A call carried out 14.9 s late gives max_hold_ms from then on, so the lease may last until 15 s + max_hold_ms.

IsNotTheLongestWithoutCallsThatCanHaveAskedForIt, which stays as it is, asks for the opposite from 15 s on and contradicts it.

--- a/test/test_cell_lease.cc
+++ b/test/test_cell_lease.cc
@@ -206,6 +206,26 @@
 	}
 }
 
+/* The same for a call that was carried out just before it was too late, while
+ * the incarnation is first heard afterwards. */
+TEST_F(Lease, HasExpiredWhenTheNextIncarnationIsHeardAfterTheLatestCall)
+{
+	for (int i = 0; i < kRounds; i++) {
+		Worker next = worker();
+		struct cell_lease l = {};
+		uint64_t end;
+
+		now_ = ms(3600000);
+		answer_first(&l, worker(), CELL_LEASE_NONE);
+		end = cell_lease_extend(&l, 10000, now_);
+		now_ += 14900 * OGL_MS;
+		next.grant(end, now_);
+		now_ += 100 * OGL_MS;
+		restart(&l, next);
+		EXPECT_TRUE(next.lease_expired(cell_lease_expires_at(&l)));
+	}
+}
+
 /* Guards against tasks that wait for the longest lease although no call can
  * have asked for one. */
 TEST_F(Lease, IsNotTheLongestWithoutCallsThatCanHaveAskedForIt)
