test: fences, leases, waits and acknowledgements after restarts

- FenceOfForgottenWorkerIsNotLower, FenceOfForgottenWorkersNextIncarnationIsHigher: the units of the scripts of forgotten workers.
- LateCallToNextIncarnationAfterOldLeasesExpiredIsCountedWith: clear_expected() makes the first answer count as CELL_LEASE_NONE, also that of another incarnation than the recorded one.
- NewOwnerWaitsForLateCallsToWorkerRestartedButUnfenced: the record has the former incarnation and "longest" both for a worker that has answered under its own fence and for one that has not; only where the list names the new one is the second told apart.
- StopAnsweredByTheFormerIncarnationIsRepeated: the answer counts for the next one.

--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -13,6 +13,7 @@
 {
 
 struct Hold {
+	uint64_t last_seen;
 	uint32_t wait_ms;
 	uint32_t timeout_ms;
 	uint64_t until_ms;
@@ -37,8 +38,8 @@
 void
 on_hold(void *ctx, const struct cell_hold *h, cell_hold_fn *done, void *arg)
 {
-	static_cast<Worker *>(ctx)->holds.push_back({h->wait_ms, h->timeout_ms,
-	    h->until_ms, h->to.fence, done, arg, false});
+	static_cast<Worker *>(ctx)->holds.push_back({h->last_seen, h->wait_ms,
+	    h->timeout_ms, h->until_ms, h->to.fence, done, arg, false});
 }
 
 void
@@ -171,7 +172,8 @@
 	}
 
 	/* A new owner opens, for which an earlier one has left a record. */
-	void take_over(uint64_t epoch, uint64_t incarnation, bool longest)
+	void take_over(uint64_t epoch, uint64_t incarnation, bool longest,
+	    bool counts = true)
 	{
 		char id[] = "w", addr[] = "10.9.0.1:80", service[] = "svc";
 		Ogl__CellKnown k = OGL__CELL_KNOWN__INIT;
@@ -181,13 +183,41 @@
 		k.id = id;
 		k.addr = addr;
 		k.service = service;
-		k.counts = true;
+		k.counts = counts;
 		k.incarnation = incarnation;
 		k.longest_lease = longest;
 		cell_fleet_expect(fleet_, &k, now_);
 		cell_fleet_record_sent(fleet_, CELL_FLEET_LOADED_RECORD);
 	}
 
+	/* The same with the record that the earlier owner makes now; the list
+	 * doesn't name the worker. */
+	void take_over_record(uint64_t epoch)
+	{
+		GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+		GBytes *record = cell_known_pack(fleet_, 2, ids, now_);
+		auto expect = [](void *arg, const Ogl__CellKnown *k,
+				  ogl_time now) {
+			cell_fleet_expect(
+			    static_cast<struct cell_fleet *>(arg), k, now);
+		};
+
+		cell_fleet_close(fleet_);
+		cell_fleet_open(fleet_, epoch, now_);
+		cell_known_unpack(record, expect, fleet_, now_);
+		cell_fleet_record_sent(fleet_, CELL_FLEET_LOADED_RECORD);
+		g_bytes_unref(record);
+		g_ptr_array_unref(ids);
+	}
+
+	/* The worker is not listed for long enough to be forgotten. */
+	void forget()
+	{
+		cell_fleet_update_entry(fleet_, "w", nullptr, now_);
+		step(100);
+		ASSERT_EQ(nullptr, worker());
+	}
+
 	/* Steps until the leases of earlier owners have expired; returns how
 	 * long that took. */
 	ogl_time wait_for_old_leases()
@@ -230,6 +260,33 @@
 		h.done(h.arg, &a, now_);
 	}
 
+	/* Answers the last hold with one run that goes on and the ends up to
+	 * `last` that are not acknowledged. */
+	void list_ends(uint64_t last)
+	{
+		struct cell_hold_answer a = {};
+		struct cell_run_row run = {};
+		std::vector<struct cell_run_row> ended;
+		Hold &h = worker_.holds.back();
+
+		run.run = 1;
+		run.checkpoint = "";
+		for (uint64_t n = worker()->ends_acked + 1; n <= last; n++) {
+			run.number = n;
+			ended.push_back(run);
+			ended.back().run = 100 + n;
+		}
+		a.io = OGL_IO_OK;
+		a.born_ms = 7;
+		a.clock_ms = static_cast<uint64_t>(now_ / OGL_MS);
+		a.running = &run;
+		a.nrunning = 1;
+		a.ended = ended.data();
+		a.nended = ended.size();
+		h.answered = true;
+		h.done(h.arg, &a, now_);
+	}
+
 	struct cell_worker *worker()
 	{
 		return cell_fleet_worker(fleet_, "w");
@@ -261,6 +318,16 @@
 		answered_starts_ = worker_.starts.size();
 	}
 
+	/* Answers the last stop. */
+	void answer_stop()
+	{
+		struct cell_order_answer a = {};
+
+		a.io = OGL_IO_OK;
+		worker_.stops.back().done(worker_.stops.back().arg, &a, now_);
+		worker_.stops.pop_back();
+	}
+
 	void send_start()
 	{
 		auto *d = static_cast<Ogl__CellJob *>(
@@ -542,6 +609,126 @@
 	EXPECT_LT(wait_for_ends(1), 5 * OGL_SEC);
 }
 
+/* The same for a start of an earlier owner: the worker restarts and carries it out
+ * after this owner has waited for the leases. */
+TEST_F(Fleet, LateCallToNextIncarnationAfterOldLeasesExpiredIsCountedWith)
+{
+	take_over(2, 7, false);
+	wait_for_old_leases();
+	list_run(8);
+	ASSERT_EQ(1u, g_hash_table_size(worker()->runs));
+	EXPECT_GE(wait_for_ends(1), 10 * OGL_SEC);
+}
+
+/* Guards against a new owner that waits only for the leases that its
+ * predecessor's worker held by then: the restarted worker has not answered under
+ * its own fence, so late calls may give it longer ones. */
+TEST_F(Fleet, NewOwnerWaitsForLateCallsToWorkerRestartedButUnfenced)
+{
+	ogl_time sent_at;
+
+	step(10);
+	answer(OGL_IO_OK, 0);
+	send_start();
+	sent_at = now_;
+	step(10);
+	answer(OGL_IO_OK, 0, 8);
+	step(10);
+	answer(OGL_IO_LOST, 0);
+	take_over_record(2);
+	wait_for_old_leases();
+	EXPECT_GE(now_ - sent_at, 25 * OGL_SEC);
+}
+
+/* Guards against a takeover that waits for the longest lease although most
+ * workers have answered and the record tells that there is none. */
+TEST_F(Fleet, NewOwnerWithMostAnswersWaitsAsLongAsTheRecordTells)
+{
+	take_over(2, 7, false, false);
+	EXPECT_LT(wait_for_old_leases(), 6 * OGL_SEC);
+	take_over(3, 7, true, false);
+	EXPECT_GE(wait_for_old_leases(), 10 * OGL_SEC);
+}
+
+/* Guards against a takeover that waits for late calls because of an entry that
+ * was read in an earlier ownership. */
+TEST_F(Fleet, EntryReadInEarlierOwnershipIsNoRestart)
+{
+	list("10.9.0.1:80", 7);
+	step(10);
+	answer(OGL_IO_OK, 0);
+	take_over(3, 8, false);
+	EXPECT_LT(wait_for_old_leases(), 17 * OGL_SEC);
+}
+
+/* Guards against a takeover that waits for late calls to a worker on which, as
+ * the record tells, no task can run. */
+TEST_F(Fleet, RestartedWorkerWithoutRecordedTasksIsNotWaitedFor)
+{
+	take_over(2, 7, false);
+	worker()->tasks_recorded = true;
+	list("10.9.0.1:80", 8);
+	EXPECT_LT(wait_for_old_leases(), 17 * OGL_SEC);
+}
+
+/* Guards against an owner that gives its shard up because it has forgotten a
+ * worker, and begins again with a fence that this worker refuses. */
+TEST_F(Fleet, FenceOfForgottenWorkerIsNotLower)
+{
+	uint64_t fence;
+
+	step(10);
+	answer(OGL_IO_OK, 0);
+	list("10.9.0.1:80", 8);
+	fence = step(10).fence;
+	answer(OGL_IO_OK, 0, 8);
+	forget();
+	list("10.9.0.1:80", 8);
+	EXPECT_GE(step(10).fence, fence);
+}
+
+/* Guards against late calls to a worker that was forgotten and is listed again:
+ * its next incarnation accepts those meant for the former one. */
+TEST_F(Fleet, FenceOfForgottenWorkersNextIncarnationIsHigher)
+{
+	uint64_t fence;
+
+	step(10);
+	answer(OGL_IO_OK, 0);
+	fence = worker_.holds.back().fence;
+	start(OGL_IO_OK);
+	cell_fleet_update_entry(fleet_, "w", nullptr, now_);
+	wait_for_ends(1);
+	answer(OGL_IO_LOST, 0);
+	forget();
+	list("10.9.0.1:80", 8);
+	EXPECT_GT(step(10).fence, fence);
+}
+
+/* Guards against a run that is never stopped: the former incarnation has answered
+ * the stop, and the next has carried out its start. */
+TEST_F(Fleet, StopAnsweredByTheFormerIncarnationIsRepeated)
+{
+	size_t stops;
+	gpointer run;
+
+	step(10);
+	answer(OGL_IO_OK, 0);
+	send_start();
+	answer_start(OGL_IO_LOST, 0);
+	run = g_hash_table_get_keys(worker()->runs)->data;
+	step(10);
+	cell_fleet_stop(fleet_, static_cast<struct cell_run *>(run), now_);
+	answer_stop();
+	answer(OGL_IO_OK, 0, 8);
+	step(10);
+	stops = worker_.stops.size();
+	list_run(8);
+	step(50);
+	step(50);
+	EXPECT_GT(worker_.stops.size(), stops);
+}
+
 /* Guards against an owner that renews leases and repeats starts after its
  * successor has begun to wait for the last of them. */
 TEST_F(Fleet, NothingIsLeasedWithoutProofOfOwnership)
@@ -697,6 +884,21 @@
 	w->norphans = 0;
 }
 
+/* Guards against a worker that lists hundreds of ends again and again: they are
+ * stored, but each answer brings a new one and none is acknowledged. */
+TEST_F(Fleet, EndsAreAcknowledgedAlthoughEachAnswerBringsNewOnes)
+{
+	step(10);
+	answer(OGL_IO_OK, 1);
+	for (uint64_t n = 1; n <= 20; n++) {
+		step(30);
+		list_ends(n);
+		step(350);
+		cell_fleet_ends_stored(fleet_, worker(), 7, n);
+	}
+	EXPECT_GE(worker()->ends_acked, 10u);
+}
+
 /* Guards against repeating a lost start in an evacuated zone. */
 TEST_F(Fleet, LostStartIsNotRepeatedInEvacuatedZone)
 {
