test: an end that is not acknowledged after a late entry

cell_fleet_incarnation_over() takes stored ends for acknowledged. If the entry was an old one, the same incarnation answers next, and its ends stay on its lists until it has a new one.

--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -899,6 +899,22 @@
 	EXPECT_GE(worker()->ends_acked, 10u);
 }
 
+/* Guards against ends that are never acknowledged, so that each hold is answered
+ * at once: an entry of the former incarnation is read late. */
+TEST_F(Fleet, EndsAreAcknowledgedAfterALateEntryOfTheFormerIncarnation)
+{
+	list("10.9.0.1:80", 7);
+	step(10);
+	answer(OGL_IO_OK, 1);
+	step(30);
+	list_ends(1);
+	cell_fleet_ends_stored(fleet_, worker(), 7, 1);
+	list("10.9.0.1:80", 6);
+	step(10);
+	answer(OGL_IO_OK, 1);
+	EXPECT_EQ(1u, step(10).last_seen);
+}
+
 /* Guards against repeating a lost start in an evacuated zone. */
 TEST_F(Fleet, LostStartIsNotRepeatedInEvacuatedZone)
 {
