test: seeds of workers that restart under their ids and are cut off

Random faults restarted workers and cut them off independently of each other, so that a cut soon after a restart, with calls to the former incarnation on their way, was rare.

The new test restarts a third of the workers, keeps some of the calls that were on their way, has them carried out later, and cuts the workers off.

--- a/test/test_cell_seeds.cc
+++ b/test/test_cell_seeds.cc
@@ -6,7 +6,7 @@
  * start.  OGL_SEEDS is the number of seeds from OGL_SEED_FIRST on; OGL_SEED
  * runs one seed alone.  Other variables with the same roles are read by the
  * tests of cells that stop nodes, have slow links, zones or several shards, of
- * series of faults and of cuts of the network.
+ * series of faults, of cuts of the network and of restarts before cuts.
  */
 
 #include <gtest/gtest.h>
@@ -132,6 +132,26 @@
 		}
 	}
 
+	/* Workers restart under their ids and are cut off soon after, while
+	 * calls to their former incarnations are still to be carried out. */
+	void run_restarts(unsigned count)
+	{
+		for (unsigned i = 0; i < count; i++) {
+			submit_load();
+			advance(500 + random_below(1500));
+			for (unsigned w = 0; w < shape_.workers; w++) {
+				if (random_below(3) == 0)
+					plan_restart_and_cut(w);
+			}
+			if (random_below(3) == 0)
+				plan(random_below(5000),
+				    [=] { lose_node(pick_node()); });
+			turns(1 + random_below(8));
+			advance(4000 + random_below(12000));
+			clear_all_faults();
+		}
+	}
+
 	std::string settle()
 	{
 		planned_.clear();
@@ -491,6 +511,43 @@
 		    cell_, random_below(shape_.nodes), id, nullptr, s, n);
 	}
 
+	void plan_restart_and_cut(unsigned w)
+	{
+		unsigned calls = 1 + random_below(7);
+		unsigned down_ms = random_below(2) * random_below(1000);
+		unsigned restart_at = random_below(1200);
+		unsigned up_at = restart_at + down_ms;
+		unsigned late_at = up_at + random_below(2) * random_below(6000);
+		unsigned cut_at = up_at + random_below(4000);
+
+		fake_cell_delay_calls(cell_, w, calls);
+		if (random_below(3) == 0)
+			fake_cell_set_worker_fault(cell_, w, FAKE_WORKER_LATE);
+		plan(restart_at, [=] {
+			fake_cell_restart_worker_after(cell_, w, down_ms);
+			fake_cell_delay_calls(cell_, w, 0);
+		});
+		plan(late_at, [=] { fake_cell_carry_out_delayed(cell_, w); });
+		plan(cut_at,
+		    [=] { fake_cell_move_worker(cell_, w, 1 + w % 2); });
+		plan(cut_at + 2000 + random_below(12000),
+		    [=] { fake_cell_move_worker(cell_, w, 0); });
+	}
+
+	/* Kills the node or cuts it off, in one part with some workers. */
+	void lose_node(unsigned i)
+	{
+		if (random_below(2) == 0) {
+			fake_cell_kill(cell_, i);
+			plan(random_below(4000),
+			    [=] { fake_cell_boot(cell_, i); });
+			return;
+		}
+		fake_cell_move_node(cell_, i, 1);
+		plan(1000 + random_below(12000),
+		    [=] { fake_cell_move_node(cell_, i, 0); });
+	}
+
 	/* What a cut puts into a part of the network of its own. */
 	struct Cut {
 		unsigned island;
@@ -687,8 +744,10 @@
 			fake_cell_freeze(cell_, n, false);
 		}
 		fake_cell_set_store_fault(cell_, -1, FAKE_STORE_OK);
-		for (unsigned w = 0; w < shape_.workers; w++)
+		for (unsigned w = 0; w < shape_.workers; w++) {
 			fake_cell_set_worker_fault(cell_, w, FAKE_WORKER_OK);
+			fake_cell_delay_calls(cell_, w, 0);
+		}
 	}
 
 	void clear_faults()
@@ -791,6 +850,16 @@
 	return fault_run.settle();
 }
 
+std::string
+run_restarts(unsigned seed)
+{
+	FaultRun fault_run(
+	    seed, seed % 4 == 0 ? 2 : 1, false, 0, 1, seed % 2 == 0, 2);
+
+	fault_run.run_restarts(6);
+	return fault_run.settle();
+}
+
 unsigned
 from_env(const char *name, unsigned default_value)
 {
@@ -966,6 +1035,22 @@
 	}
 }
 
+/* Guards against calls that were meant for a worker's former incarnation and
+ * give its next one a lease, a run or an acknowledgement that its owner doesn't
+ * count with. */
+TEST(CellSeeds, InvariantsHoldAfterRestartsBeforeCuts)
+{
+	unsigned one = from_env("OGL_RESTART_SEED", 0);
+	unsigned seeds = one != 0 ? 1 : from_env("OGL_RESTART_SEEDS", 60);
+	unsigned first = from_env("OGL_RESTART_SEED_FIRST", 4000);
+
+	for (unsigned i = 0; i < seeds; i++) {
+		unsigned seed = one != 0 ? one : first + i;
+		EXPECT_EQ("", run_in_fresh_process(run_restarts, seed))
+		    << "OGL_RESTART_SEED=" << seed;
+	}
+}
+
 /* Cells of two and three shards, whose owners change independently. */
 TEST(CellSeeds, InvariantsHoldWithShards)
 {
