--- a/cell/fleet_impl.h
+++ b/cell/fleet_impl.h
@@ -40,6 +40,7 @@
 	bool leases_withheld;
 	bool confirmation_wanted; /* expired leases wait for one */
 	bool record_outdated;     /* the workers are to be stored again */
+	ogl_time record_due_at;   /* at the latest from then on */
 	ogl_time confirmed_at;    /* latest time of confirmed ownership */
 	/* Nothing is started until ownership is confirmed as of this time. */
 	ogl_time confirmation_from;
@@ -54,6 +55,7 @@
 	struct cell_run *run; /* NULL for a hold */
 	uint64_t generation;  /* of the fleet when the call was sent */
 	uint64_t incarnation; /* of the worker when the call was sent */
+	uint64_t fence;
 	uint64_t ends_acked;  /* ends up to this were acknowledged by a hold */
 	uint64_t hold_number; /* 0 for a start or stop */
 	ogl_time sent_at;
@@ -66,6 +68,9 @@
     const struct cell_worker *w, const char *event, const char *why);
 void cell_fleet_log_worker(
     struct cell_fleet *f, const struct cell_worker *w, const char *event);
+void cell_fleet_log_lease(struct cell_fleet *f, const struct cell_worker *w,
+    const char *event, ogl_time now);
+/* Logs the end of the worker's lease that is counted with. */
 void cell_fleet_count_call(struct cell_fleet *f, struct cell_worker *w,
     enum ogl_health_evidence kind, bool ok, ogl_time now);
 /* Counts the outcome of a call to a worker that has answered before. */
@@ -83,6 +88,13 @@
 /* Reports the end of a run to the owner and removes the run. */
 void cell_fleet_incarnation_over(struct cell_worker *w, ogl_time now);
 /* The incarnation that last answered has ended. */
+uint64_t cell_fleet_fence(
+    const struct cell_fleet *f, const struct cell_worker *w);
+/* The fencing token of calls to the worker's present incarnation. */
+void cell_fleet_incarnation_heard(
+    struct cell_fleet *f, struct cell_worker *w, ogl_time now);
+/* To be called after the first answer of an incarnation, with its lease set.
+ * Sees to its record. */
 bool cell_fleet_needs_quorum(const struct cell_fleet *f, ogl_time now);
 /* Whether the store's confirmation is so old that the workers' will be needed
  * soon. */
@@ -93,9 +105,12 @@
 void cell_fleet_count_failure(struct cell_worker *w, ogl_time now);
 void cell_fleet_remember_unanswered_start(
     const struct cell_run *r, ogl_time now);
-void cell_fleet_lose_runs(struct cell_fleet *f, struct cell_worker *w,
-    const struct cell_hold_answer *new_answer, ogl_time hold_sent_at,
-    ogl_time now);
+void cell_fleet_lose_runs(
+    struct cell_fleet *f, struct cell_worker *w, ogl_time now);
+/* Ends the runs of a worker whose lease has expired or that has ended. */
+bool cell_fleet_has_lapsed(
+    const struct cell_fleet *f, const struct cell_worker *w, ogl_time now);
+/* Whether cell_fleet_lose_runs would end any. */
 void cell_fleet_run_started(
     struct cell_fleet *f, struct cell_run *r, ogl_time now);
 void cell_fleet_call_free(struct cell_fleet_call *c);
