test: leases of a worker that restarts again and again, under late calls

The new test lets a worker restart at any time and calls arrive up to 15 s late, at whichever incarnation is there, and compares the end that the owner counts with to the end that the worker holds.

It fails, and so does a script: cell_lease_next_incarnation() takes it that no call has given a lease once 15 s have passed since the last was sent. A call that was carried out just before that gives a lease which lasts for up to max_hold_ms more. In the script the owner counts with 0 ms at its first answer, and starts a task at 24.1 s that its worker runs until 27.9 s.

--- a/test/test_cell_lease.cc
+++ b/test/test_cell_lease.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <random>
 
 extern "C" {
@@ -116,6 +117,98 @@
 	ogl_time now_ = 0;
 };
 
+/* A worker that restarts, and its owner.  Calls that ask for a lease are carried
+ * out up to 15 s late, by the incarnation that is there by then. */
+class RestartingWorker : public Lease
+{
+      protected:
+	struct Call {
+		uint64_t end_ms;
+		uint64_t fence;
+	};
+
+	void begin()
+	{
+		now_ = ms(3600000);
+		max_ms_ = rand_() % 2 == 0 ? 6000 : 10000;
+		fence_ = 1;
+		calls_.clear();
+		start_incarnation();
+		lease_ = {};
+		answer_first(&lease_, life_, CELL_LEASE_NONE);
+		fence_seen_ = fence_;
+		heard_ = true;
+	}
+
+	void start_incarnation()
+	{
+		do
+			life_ = worker();
+		while (life_.max_ms() != max_ms_);
+		fence_seen_ = 0;
+		heard_ = false;
+	}
+
+	/* Lets time pass, and carries out the calls that arrive. */
+	void advance(ogl_time time)
+	{
+		now_ += time;
+		while (!calls_.empty() && calls_.begin()->first <= now_) {
+			ogl_time at = calls_.begin()->first;
+			Call c = calls_.begin()->second;
+
+			calls_.erase(calls_.begin());
+			if (c.fence < fence_seen_)
+				continue;
+			fence_seen_ = c.fence;
+			life_.grant(c.end_ms, at);
+		}
+	}
+
+	void ask()
+	{
+		uint64_t end = cell_lease_extend(&lease_, max_ms_, now_);
+
+		calls_.emplace(now_ + ms(rand_() % 2 == 0 ? 100 : 15000),
+		    Call{end, fence_});
+	}
+
+	/* The owner calls, and reads the clock in the answer.  The first answer
+	 * of another incarnation only shows the restart. */
+	void hear()
+	{
+		uint64_t clock;
+
+		advance(ms(500));
+		if (!heard_) {
+			fence_++;
+			advance(ms(1000));
+			fence_seen_ = fence_;
+		}
+		clock = life_.clock_ms(now_);
+		advance(ms(500));
+		if (heard_)
+			cell_lease_read_clock(&lease_, clock, now_);
+		else
+			cell_lease_next_incarnation(
+			    &lease_, clock, max_ms_, now_);
+		heard_ = true;
+	}
+
+	bool counted_lease_expired() const
+	{
+		return life_.lease_expired(cell_lease_expires_at(&lease_));
+	}
+
+	uint32_t max_ms_ = 0;
+	uint64_t fence_ = 0;
+	uint64_t fence_seen_ = 0; /* by the present incarnation */
+	bool heard_ = false;      /* it has answered under its own fence */
+	std::multimap<ogl_time, Call> calls_;
+	Worker life_{0, 1, 0};
+	struct cell_lease lease_ = {};
+};
+
 /* Guards against tasks that start elsewhere while their worker's clock has not
  * reached the end of the lease. */
 TEST_F(Lease, HasExpiredWhenItsOwnerCountsItAsExpired)
@@ -206,6 +299,30 @@
 	}
 }
 
+/* Guards against late calls that reach the second incarnation after the one that
+ * they were meant for, or arrive when the owner counts on none any more. */
+TEST_F(RestartingWorker, LeaseHasExpiredAfterAnyCallsAndRestarts)
+{
+	for (int i = 0; i < kRounds; i++) {
+		begin();
+		for (int k = 0; k < 30; k++) {
+			advance(ms(rand_() % 8 == 0 ? 20000 : 1500));
+			switch (rand_() % 4) {
+			case 0:
+				start_incarnation();
+				break;
+			case 1:
+				hear();
+				break;
+			default:
+				ask();
+				break;
+			}
+			ASSERT_TRUE(!heard_ || counted_lease_expired());
+		}
+	}
+}
+
 /* Guards against tasks that wait for the longest lease although no call can
  * have asked for one. */
 TEST_F(Lease, IsNotTheLongestWithoutCallsThatCanHaveAskedForIt)
