lease: a call that is carried out at the last moment counts for as long as it gives a lease

A restarted worker that is first heard 15 s after the last request for a lease counted with no longer lease, but a call carried out 14.9 s late gives one until 25 s after it. Found by the review and, independently, by the random calls of RestartingWorker.LeaseHasExpiredAfterAnyCallsAndRestarts.

--- a/cell/lease.c
+++ b/cell/lease.c
@@ -105,7 +105,8 @@
 	l->end_ms =
 	    clock_ms + (earlier == CELL_LEASE_OF_ANY ? max_ms : LEASE_MS);
 	if (earlier != CELL_LEASE_NONE) {
-		l->former_until = now + LATE_CALL_MAX;
+		l->former_until =
+		    cell_lease_late_orders_expired_at(now, max_ms);
 		l->former_end_ms = UINT64_MAX;
 	}
 }
@@ -114,11 +115,13 @@
 cell_lease_next_incarnation(
     struct cell_lease *l, uint64_t clock_ms, uint32_t max_ms, ogl_time now)
 {
+	ogl_time late_until =
+	    cell_lease_late_orders_expired_at(l->asked_at, max_ms);
+
 	if (now >= l->former_until)
 		l->former_end_ms = 0;
-	if (l->asked_at != 0 && now < l->asked_at + LATE_CALL_MAX) {
-		l->former_until =
-		    MAX(l->former_until, l->asked_at + LATE_CALL_MAX);
+	if (l->asked_at != 0 && now < late_until) {
+		l->former_until = MAX(l->former_until, late_until);
 		l->former_end_ms = MAX(l->former_end_ms, l->end_ms);
 	}
 	l->clock_ms = clock_ms;
--- a/cell/lease.h
+++ b/cell/lease.h
@@ -17,8 +17,8 @@
 			    * 0 not yet */
 	uint64_t end_ms;   /* latest end that it may hold, worker's clock */
 	ogl_time asked_at; /* when an end was last asked for, 0 never */
-	/* Calls meant for former incarnations may arrive until then, and ask
-	 * for ends up to this on the clocks of those. */
+	/* Calls meant for former incarnations may have given leases that last
+	 * until then, and ask for ends up to this on the clocks of those. */
 	ogl_time former_until;
 	uint64_t former_end_ms;
 };
