fleet: ends are acknowledged with a slow store and after a late entry

An entry of a former incarnation that is read late made all stored ends count as acknowledged; holds then returned at once with the same ends. They are only held back now until the worker has answered.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -306,7 +306,6 @@
 	w->hold_pending = false;
 	w->hold_number++;
 	w->next_hold_at = now;
-	w->ends_acked = w->ends_stored;
 }
 
 void
--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -538,7 +538,8 @@
 static uint64_t
 ends_to_acknowledge(const struct cell_worker *w, ogl_time now)
 {
-	if (w->failures > 0 || now - w->last_answer_at > ACK_AGE_MAX)
+	if (!w->fenced || w->failures > 0 ||
+	    now - w->last_answer_at > ACK_AGE_MAX)
 		return 0;
 	return w->ends_stored > w->ends_acked ? w->ends_stored : 0;
 }
@@ -613,6 +614,7 @@
 	    now - w->hold_sent_at < LEASE_RENEW_AFTER)
 		return false;
 	/* The clock of a worker without runs is read again from time to time,
+	    ends_to_acknowledge(w, now) == 0 &&
 	 * so that its next start gets a lease of use. */
 	if (g_hash_table_size(w->runs) > 0 || w->next_hold_no_wait ||
 	    cell_lease_clock_old(&w->lease, now))
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -893,7 +893,8 @@
 	for (uint64_t n = 1; n <= 20; n++) {
 		step(30);
 		list_ends(n);
-		step(350);
+		for (int k = 0; k < 35; k++)
+			step(10);
 		cell_fleet_ends_stored(fleet_, worker(), 7, n);
 	}
 	EXPECT_GE(worker()->ends_acked, 10u);
