fleet: a stop that the former incarnation has answered is sent to the next one

A run that the next incarnation lists in its first answer was never stopped if the former one had answered a stop of it: it counted as being stopped for good.

Test, failing before: Fleet.StopAnsweredByTheFormerIncarnationIsRepeated.

--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -196,7 +196,8 @@
 }
 
 /* Ends the runs that the next incarnation does not list in its first answer
- * under its fence.  Of their starts, none can reach it any more. */
+ * under its fence.  Of their starts, none can reach it any more.  A stop that the
+ * former one has answered is sent again to this one. */
 static void
 lose_unlisted_runs(struct cell_fleet *f, struct cell_worker *w,
     const struct cell_hold_answer *a, ogl_time now)
@@ -205,9 +206,11 @@
 	guint i;
 
 	for (i = 0; i < runs->len; i++) {
-		if (!answer_lists(a, runs->pdata[i]))
-			cell_fleet_run_ended(
-			    f, runs->pdata[i], CELL_END_LAPSED, NULL, now);
+		struct cell_run *r = runs->pdata[i];
+
+		r->stop_answered = false;
+		if (!answer_lists(a, r))
+			cell_fleet_run_ended(f, r, CELL_END_LAPSED, NULL, now);
 	}
 	g_ptr_array_unref(runs);
 	g_array_set_size(w->unanswered_starts, 0);
