fleet: a new owner counts with late calls to restarted workers where they can be, and only there

Found by the review: - a worker that answers first after the leases of earlier owners were waited for counted as one that they never called, so a run that a late start had begun counted for 4.35 s, its lease lasts 10 s; - the record did not tell whether a restarted worker had answered under its own fence, so a successor waited 16.4 s where late calls may give leases until 25 s. Such a worker is recorded without an incarnation now; - an entry read in an earlier ownership made a takeover wait 37.5 s in place of 16.4 s; - so did a restarted worker on which, as the record tells, no task can run.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -161,6 +161,8 @@
 		w->incarnation_in_record = 0;
 		w->longest_in_record = false;
 		w->silent_in_record = false;
+		w->entry_born_ms = 0;
+		w->called_before = false;
 		w->gone = false;
 		w->ends_acked = 0;
 	}
@@ -385,15 +387,20 @@
 	return w->incarnation != 0 ? w->incarnation : w->incarnation_in_record;
 }
 
-/* Whether the list names another incarnation than the record of the last owner,
- * to which that owner's calls may have got. */
+/* Whether another incarnation than the one in the last owner's record may be
+ * there, to which that owner's calls may get. */
 static bool
 restarted_unrecorded(const struct cell_worker *w)
 {
-	return w->incarnation == 0 && w->incarnation_in_record != 0 &&
-	       w->entry_born_ms != 0 &&
+	if (w->incarnation != 0)
+		return false;
+	if (w->incarnation_in_record == 0)
+		return w->longest_in_record;
+	return w->entry_born_ms != 0 &&
 	       w->entry_born_ms != w->incarnation_in_record;
 }
+	if (w->restarted)
+		return 0;
 
 bool
 cell_fleet_may_hold_longest(
@@ -465,6 +472,7 @@
 	if (w->addr != NULL)
 		return;
 	set_string(&w->addr, k->addr);
+	w->called_before = true;
 	set_string(&w->service, k->service);
 	set_string(&w->zone, "");
 	set_string(&w->rack, "");
@@ -928,6 +936,8 @@
 static ogl_time
 old_leases_end(const struct cell_fleet *f, ogl_time now)
 {
+	if (w->tasks_recorded && w->recorded_tasks->len == 0)
+		return 0;
 	/* The last owner may have more than half of the workers on its side. */
 	ogl_time last_proof = f->first_step_at +
 			      CELL_LEASE_CONFIRMATION_MAX_AGE -
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -81,6 +81,7 @@
 	/* An earlier owner may have called it, and it has not answered this
 	 * owner yet. */
 	bool expected;
+	bool called_before; /* an earlier owner may have called it */
 	/* First record of the workers that names it, 0 none.  It is in all
 	 * later ones, too. */
 	uint64_t first_record;
@@ -229,7 +230,8 @@
  * work from now on, unless a later record calls it silent. */
 
 uint64_t cell_worker_incarnation(const struct cell_worker *w);
-/* The incarnation that last answered, this owner or an earlier one; 0 none. */
+/* The incarnation that last answered, this owner or an earlier one; 0 if none
+ * did, or another one is known to be there. */
 bool cell_fleet_may_hold_longest(
     const struct cell_fleet *f, const struct cell_worker *w, ogl_time now);
 /* Whether the worker's lease may end later than any that an owner has asked
--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -236,7 +236,7 @@
 static enum cell_lease_earlier
 asked_by_earlier(const struct cell_worker *w, uint64_t born_ms)
 {
-	if (!w->expected)
+	if (!w->called_before)
 		return CELL_LEASE_NONE;
 	return w->incarnation_in_record == born_ms && !w->longest_in_record
 		   ? CELL_LEASE_OF_THIS
