fleet: fences rise over all workers, so that one that was forgotten goes on above its own

What callers would see: an owner gives its shard up although it is the only one. An idle worker whose entry has expired is forgotten with its number of restarts; when it is listed again, its calls have a lower fence than it has seen, and the refusal looks like that of a later epoch. And its next incarnation, called under the fence of the former one, accepts late calls of that one: a task runs twice.

Cause: the number below the epoch was kept with the worker. Now it rises over all workers of an owner, and a worker that is added starts above all.

Found by the review. Tests, failing before: scripts restarted_worker_entry_expired, late_start_to_forgotten_worker, Fleet.FenceOfForgottenWorkerIsNotLower, FenceOfForgottenWorkersNextIncarnationIsHigher.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -23,7 +23,7 @@
 /* An incarnation that changes nothing but itself is recorded with this delay,
  * so that many need one record. */
 #define INCARNATION_RECORDED_AFTER (1 * OGL_SEC)
-/* A fence is the epoch, and below it the worker's restarts in that epoch. */
+/* A fence is the epoch, and below it a number that rises with restarts. */
 #define FENCE_EPOCH_SHIFT 20
 #define FENCE_RESTARTS_MAX ((1U << FENCE_EPOCH_SHIFT) - 1)
 
@@ -117,6 +117,7 @@
 	f->confirmation_from = 0;
 	f->record_outdated = true; /* the stored one is an earlier owner's */
 	f->record_due_at = OGL_NEVER;
+	f->restarts = 0;
 	f->opened_at = now;
 	f->first_step_at = 0;
 	f->nexpected = 0;
@@ -160,9 +161,9 @@
 		w->unrecorded = false;
 		w->incarnation_in_record = 0;
 		w->longest_in_record = false;
-		w->silent_in_record = false;
 		w->entry_born_ms = 0;
 		w->called_before = false;
+		w->silent_in_record = false;
 		w->gone = false;
 		w->ends_acked = 0;
 	}
@@ -210,6 +211,15 @@
 	*to = g_strdup(from);
 }
 
+/* Rises over all workers: one that was forgotten and is listed again continues
+ * above its former fence. */
+static uint32_t
+next_restarts(struct cell_fleet *f)
+{
+	f->restarts = MIN(f->restarts + 1, FENCE_RESTARTS_MAX);
+	return f->restarts;
+}
+
 static struct cell_worker *
 get_or_add_worker(struct cell_fleet *f, const char *id, ogl_time now)
 {
@@ -219,6 +229,7 @@
 		return w;
 	w = g_new0(struct cell_worker, 1);
 	w->serial = ++f->last_serial;
+	w->restarts = f->open ? next_restarts(f) : 0;
 	w->id = g_strdup(id);
 	w->runs = g_hash_table_new(NULL, NULL);
 	w->unanswered_starts =
@@ -299,9 +310,10 @@
  * counts, as it was sent to the last incarnation, and no more ends of that one
  * are acknowledged. */
 void
-cell_fleet_incarnation_over(struct cell_worker *w, ogl_time now)
+cell_fleet_incarnation_over(
+    struct cell_fleet *f, struct cell_worker *w, ogl_time now)
 {
-	w->restarts = MIN(w->restarts + 1, FENCE_RESTARTS_MAX);
+	w->restarts = next_restarts(f);
 	w->restarted = true;
 	w->restarted_at = now;
 	w->fenced = false;
@@ -348,7 +360,7 @@
 		w->next_hold_at = now;
 		if (w->incarnation != 0 && e->born_ms != 0 &&
 		    e->born_ms != w->incarnation)
-			cell_fleet_incarnation_over(w, now);
+			cell_fleet_incarnation_over(f, w, now);
 	}
 	if (f->open)
 		f->events.room_freed(f->events.arg, now);
@@ -384,6 +396,8 @@
 uint64_t
 cell_worker_incarnation(const struct cell_worker *w)
 {
+	if (w->restarted)
+		return 0;
 	return w->incarnation != 0 ? w->incarnation : w->incarnation_in_record;
 }
 
@@ -399,8 +413,6 @@
 	return w->entry_born_ms != 0 &&
 	       w->entry_born_ms != w->incarnation_in_record;
 }
-	if (w->restarted)
-		return 0;
 
 bool
 cell_fleet_may_hold_longest(
@@ -460,6 +472,7 @@
 	struct cell_worker *w = get_or_add_worker(f, k->id, now);
 
 	w->expected = true;
+	w->called_before = true;
 	if (k->counts) {
 		w->first_record = CELL_FLEET_LOADED_RECORD;
 		f->nexpected++;
@@ -472,7 +485,6 @@
 	if (w->addr != NULL)
 		return;
 	set_string(&w->addr, k->addr);
-	w->called_before = true;
 	set_string(&w->service, k->service);
 	set_string(&w->zone, "");
 	set_string(&w->rack, "");
@@ -924,6 +936,8 @@
 {
 	uint32_t max_ms = f->limits->lease_max_ms;
 
+	if (w->tasks_recorded && w->recorded_tasks->len == 0)
+		return 0;
 	if (restarted_unrecorded(w))
 		return cell_lease_late_orders_expired_at(
 		    last_proof + CELL_LEASE_PROOF_MAX_AGE, max_ms);
@@ -936,8 +950,6 @@
 static ogl_time
 old_leases_end(const struct cell_fleet *f, ogl_time now)
 {
-	if (w->tasks_recorded && w->recorded_tasks->len == 0)
-		return 0;
 	/* The last owner may have more than half of the workers on its side. */
 	ogl_time last_proof = f->first_step_at +
 			      CELL_LEASE_CONFIRMATION_MAX_AGE -
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -93,9 +93,9 @@
 	/* Counts its incarnations, and the times that it was listed anew. */
 	uint32_t appearance;
 	ogl_time incarnation_since; /* first answer of that incarnation */
-	/* Restarts of it that this owner knows of.  Part of the fence of its
-	 * calls: an incarnation that has answered under its own refuses calls
-	 * that were meant for the former ones. */
+	/* Part of the fence of its calls, raised with each restart of it that
+	 * this owner knows of: an incarnation that has answered under its own
+	 * fence refuses calls that were meant for the former ones. */
 	uint32_t restarts;
 	/* The last incarnation is over, and the next has not answered. */
 	bool restarted;
--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -366,7 +366,7 @@
 	/* The next incarnation may still carry out calls under this fence, so
 	 * that its lists say little. */
 	if (restarted && !w->restarted) {
-		cell_fleet_incarnation_over(w, now);
+		cell_fleet_incarnation_over(f, w, now);
 		return;
 	}
 	if (w->failures > 0)
@@ -614,10 +614,10 @@
 	/* Until the reported ends are stored, the worker would only list them
 	 * again. */
 	if (w->ends_reported > w->ends_stored &&
+	    ends_to_acknowledge(w, now) == 0 &&
 	    now - w->hold_sent_at < LEASE_RENEW_AFTER)
 		return false;
 	/* The clock of a worker without runs is read again from time to time,
-	    ends_to_acknowledge(w, now) == 0 &&
 	 * so that its next start gets a lease of use. */
 	if (g_hash_table_size(w->runs) > 0 || w->next_hold_no_wait ||
 	    cell_lease_clock_old(&w->lease, now))
--- a/cell/fleet_impl.h
+++ b/cell/fleet_impl.h
@@ -24,6 +24,7 @@
 	bool open;
 	uint64_t epoch;
 	uint64_t generation; /* raised by each open and close */
+	uint32_t restarts;   /* highest of all workers */
 	ogl_time opened_at;
 	ogl_time first_step_at; /* no worker was called before; 0 not yet */
 	/* Workers that the record read at the takeover names, and how many of
@@ -86,7 +87,8 @@
 void cell_fleet_run_ended(struct cell_fleet *f, struct cell_run *r,
     enum cell_end how, const char *checkpoint, ogl_time now);
 /* Reports the end of a run to the owner and removes the run. */
-void cell_fleet_incarnation_over(struct cell_worker *w, ogl_time now);
+void cell_fleet_incarnation_over(
+    struct cell_fleet *f, struct cell_worker *w, ogl_time now);
 /* The incarnation that last answered has ended. */
 uint64_t cell_fleet_fence(
     const struct cell_fleet *f, const struct cell_worker *w);
--- a/cell/fleet_order.c
+++ b/cell/fleet_order.c
@@ -227,7 +227,7 @@
 	    incarnation == r->worker->incarnation) {
 		if (cell_lease_clock_restarted(
 			&r->worker->lease, a->clock_ms, sent_at))
-			cell_fleet_incarnation_over(r->worker, now);
+			cell_fleet_incarnation_over(f, r->worker, now);
 		else
 			cell_lease_read_clock(
 			    &r->worker->lease, a->clock_ms, now);
