escrow: a grant for the predecessor of a shard's owner is ignored

A grant names the number of the report that it answers, and each owner numbered its reports from 1. A grant that was queued for an owner at the same address, which has since restarted or lost the shard and won it again, was taken for the answer to a report of the new owner with the same number. The part may have been returned, and granted to another shard, in between.

The epoch is now in the upper bits of the number, as in the tokens of relay.c and advice.c.

--- a/cell/escrow.c
+++ b/cell/escrow.c
@@ -7,11 +7,11 @@
  * so that all parts together never exceed the whole limit.  A shard that does
  * not use its part reduces it without being asked, and reports that.
  *
- * Reports are numbered.  For each shard, the coordinator uses the report with
- * the highest number from the latest owner.  A shard accepts a grant only if it
- * answers the shard's last report.  Otherwise a grant that arrives after the
- * shard has reported a smaller part would restore the larger one, which may
- * already be granted to another shard.
+ * Reports are numbered, each owner's above those of its predecessors.  For each
+ * shard, the coordinator uses the report with the highest number.  A shard
+ * accepts a grant only if it answers the shard's last report.  Otherwise a grant
+ * that arrives after the shard has reported a smaller part would restore the
+ * larger one, which may already be granted to another shard.
  *
  * None of this is stored.  A new coordinator grants nothing before each shard
  * has reported what it holds, under a number that invalidates all grants of the
@@ -69,6 +69,8 @@
 #define WANT_TIMEOUT (1200 * OGL_MS)
 /* For this long, returned parts are kept for the first shard in the order. */
 #define COLLECT_TIME_MAX OGL_SEC
+/* The number of a report is the epoch in its upper bits and a counter below. */
+#define NUMBER_EPOCH_SHIFT 32
 
 /* What the coordinator knows of one shard.  held, used and wanted are in
  * millionths of the team's limit. */
@@ -173,6 +175,7 @@
 	if (t == NULL) {
 		t = g_new0(struct team, 1);
 		t->name = g_strdup(name);
+		t->number = e->epoch << NUMBER_EPOCH_SHIFT;
 		g_hash_table_insert(e->teams, t->name, t);
 	}
 	return t;
--- a/test/test_cell_escrow.cc
+++ b/test/test_cell_escrow.cc
@@ -93,6 +93,25 @@
 		ogl__cell_part__free_unpacked(p, nullptr);
 	}
 
+	void deliver_next()
+	{
+		Message m = in_flight_.front();
+
+		in_flight_.pop_front();
+		deliver(m);
+	}
+
+	static bool is_grant(const Message &m)
+	{
+		Ogl__CellPart *p =
+		    ogl__cell_part__unpack(nullptr, m.bytes.size(),
+			reinterpret_cast<const uint8_t *>(m.bytes.data()));
+		bool grant = p->kind == OGL__CELL_PART_KIND__cell_part_grant;
+
+		ogl__cell_part__free_unpacked(p, nullptr);
+		return grant;
+	}
+
 	/* Delivers all messages but those from or to the shard `isolated`,
 	 * which are dropped. */
 	void deliver_all(uint32_t isolated = kShards)
@@ -254,6 +273,30 @@
 	EXPECT_LE(part(shard_a_) + part(shard_b_), kWhole);
 }
 
+/* Guards against a part that two shards use, as a new owner takes a grant that
+ * answered a report of its predecessor. */
+TEST_F(Escrow, GrantForThePredecessorIsIgnored)
+{
+	want(shard_a_, 700000);
+	while (!is_grant(in_flight_.front()))
+		deliver_next();
+	Message grant = in_flight_.front();
+
+	ASSERT_EQ(shard_a_, grant.to);
+	in_flight_.clear();
+	advance(2500);
+	ASSERT_EQ(0U, part(shard_a_));
+	want(shard_b_, 900000);
+	deliver_all();
+	ASSERT_GE(part(shard_b_), 900000U);
+	replace_owner(shard_a_);
+	want(shard_a_, 700000);
+	deliver(grant);
+	EXPECT_LE(part(shard_a_) + part(shard_b_), kWhole);
+	deliver_all();
+	EXPECT_LE(part(shard_a_) + part(shard_b_), kWhole);
+}
+
 /* All owners are replaced at once, and none knows what was held.  What may be
  * running in a shard is reserved for it, even if that is more than it may use,
  * and no part is granted to two shards. */
