advice: a ticket is for the incarnation that the question was about

A ticket is valid during one incarnation of its worker. It was stored with the incarnation known when the answer arrived. If the worker had restarted while the question was under way, the ticket of the last incarnation counted as one of the new one. The start was refused, and the refusal of one member stops the whole gang.

Question and ticket now carry the incarnation that was known when the question was sent. The worker is asked about again, as it is already for answers of an earlier appearance. Tickets for workers that the question did not name are left out.

--- a/cell/advice.c
+++ b/cell/advice.c
@@ -57,15 +57,21 @@
 	ogl_time paused_until;
 };
 
+/* A worker that a question names, as it was when the question was sent. */
+struct named_worker {
+	char *id;
+	uint32_t appearance;
+	uint64_t incarnation;
+};
+
 struct question {
 	uint64_t token;
 	char id[CELL_ID_LEN + 1];
 	uint32_t occurrence;
 	uint32_t step;
-	GPtrArray *workers;  /* ids */
-	GArray *appearances; /* uint32_t, of these workers when it was sent */
-	bool first;          /* the stage's first question */
-	char *lane_addr;     /* address of the node it was sent to */
+	GArray *workers; /* struct named_worker */
+	bool first;      /* the stage's first question */
+	char *lane_addr; /* address of the node it was sent to */
 	ogl_time sent_at;
 	ogl_time busy_time; /* expected time of the service for it */
 	ogl_time deadline;
@@ -98,13 +104,18 @@
 	g_free(l);
 }
 
+static void
+named_worker_clear(void *p)
+{
+	g_free(((struct named_worker *)p)->id);
+}
+
 static void
 question_free(void *p)
 {
 	struct question *q = p;
 
-	g_ptr_array_unref(q->workers);
-	g_array_unref(q->appearances);
+	g_array_unref(q->workers);
 	g_free(q->lane_addr);
 	g_free(q);
 }
@@ -264,18 +275,28 @@
 		ogl_capacity_reserve_lanes(c, rank0_lanes(a, lanes, now));
 }
 
+static const struct named_worker *
+named_worker(const struct question *q, guint i)
+{
+	return &g_array_index(q->workers, struct named_worker, i);
+}
+
 static void
 send_question(struct cell_advice *a, const struct question *q)
 {
 	Ogl__CellAsk ask = OGL__CELL_ASK__INIT;
+	char *ids[CELL_ADVICE_WORKERS_MAX];
 	char step[64];
 	char text[200];
+	guint i;
 
+	for (i = 0; i < q->workers->len; i++)
+		ids[i] = named_worker(q, i)->id;
 	g_snprintf(
 	    step, sizeof step, "%s.%u.%u", q->id, q->occurrence, q->step);
 	ask.token = q->token;
 	ask.step = step;
-	ask.workers = (char **)q->workers->pdata;
+	ask.workers = ids;
 	ask.n_workers = q->workers->len;
 	ask.timeout_ms = (uint32_t)((q->deadline - q->sent_at) / OGL_MS);
 	a->events.send(a->events.arg, q->lane_addr, &ask);
@@ -307,13 +328,14 @@
 	q->occurrence = s->occurrence;
 	q->step = s->step;
 	q->first = g_hash_table_size(s->asked) == 0;
-	q->workers = g_ptr_array_new_with_free_func(g_free);
-	q->appearances = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	q->workers = g_array_new(FALSE, FALSE, sizeof(struct named_worker));
+	g_array_set_clear_func(q->workers, named_worker_clear);
 	for (i = 0; i < workers->len && i < CELL_ADVICE_WORKERS_MAX; i++) {
 		const struct cell_worker *w = workers->pdata[i];
+		struct named_worker named = {
+		    g_strdup(w->id), w->appearance, w->incarnation};
 
-		g_ptr_array_add(q->workers, g_strdup(w->id));
-		g_array_append_val(q->appearances, w->appearance);
+		g_array_append_val(q->workers, named);
 	}
 	busy_time =
 	    (ogl_time)(cell_advice_question_ms(p, workers->len) * OGL_MS);
@@ -331,11 +353,14 @@
 	return true;
 }
 
+/* Stores the ticket as one for the incarnation that the question was about: the
+ * worker may have restarted since, and its new incarnation would refuse it. */
 static void
-store_ticket(struct cell_advice *a, struct cell_stage *s, const char *id,
-    const char *ticket, ogl_time expires)
+store_ticket(struct cell_advice *a, struct cell_stage *s,
+    const struct named_worker *named, const char *ticket, ogl_time expires)
 {
-	const struct cell_worker *w = a->events.worker(a->events.arg, id);
+	const struct cell_worker *w =
+	    a->events.worker(a->events.arg, named->id);
 	struct cell_approval *approval;
 
 	if (w == NULL)
@@ -350,7 +375,20 @@
 	g_free(approval->ticket);
 	approval->ticket = g_strdup(ticket);
 	approval->expires = expires;
-	approval->incarnation = w->incarnation;
+	approval->incarnation = named->incarnation;
+}
+
+/* The worker of that id as the question named it; NULL if it did not. */
+static const struct named_worker *
+find_named(const struct question *q, const char *id)
+{
+	guint i;
+
+	for (i = 0; i < q->workers->len; i++) {
+		if (strcmp(named_worker(q, i)->id, id) == 0)
+			return named_worker(q, i);
+	}
+	return NULL;
 }
 
 /*
@@ -360,14 +398,15 @@
  * Otherwise a stage that may run on no other worker would wait for ever.
  */
 static void
-mark_asked(struct cell_advice *a, struct cell_stage *s, const char *id,
-    uint32_t appearance)
+mark_asked(struct cell_advice *a, struct cell_stage *s,
+    const struct named_worker *named)
 {
-	const struct cell_worker *w = a->events.worker(a->events.arg, id);
+	const struct cell_worker *w =
+	    a->events.worker(a->events.arg, named->id);
 
 	if (w != NULL && w->listed)
 		g_hash_table_insert(s->asked, GUINT_TO_POINTER(w->serial),
-		    GUINT_TO_POINTER(appearance));
+		    GUINT_TO_POINTER(named->appearance));
 }
 
 bool
@@ -424,11 +463,15 @@
 		count_answer(
 		    a, s->job->def->queue, q->workers->len, m->n_tickets);
 	for (i = 0; i < q->workers->len; i++)
-		mark_asked(a, s, q->workers->pdata[i],
-		    g_array_index(q->appearances, uint32_t, i));
-	for (i = 0; i < m->n_tickets; i++)
-		store_ticket(a, s, m->tickets[i]->worker, m->tickets[i]->ticket,
-		    expires);
+		mark_asked(a, s, named_worker(q, (guint)i));
+	for (i = 0; i < m->n_tickets; i++) {
+		const struct named_worker *named =
+		    find_named(q, m->tickets[i]->worker);
+
+		if (named != NULL)
+			store_ticket(
+			    a, s, named, m->tickets[i]->ticket, expires);
+	}
 }
 
 /* Pauses the question's lane if the question failed or got no answer, as the
--- a/test/schedule_fixture.h
+++ b/test/schedule_fixture.h
@@ -174,6 +174,33 @@
 		cell_fleet_confirm(fleet_, now_);
 	}
 
+	/* The worker restarts under its id, and its new incarnation answers. */
+	void restart(unsigned i, uint64_t born_ms)
+	{
+		struct cell_worker_entry e = {};
+		struct cell_hold_answer a = {};
+		struct cell_worker *w = worker(i);
+
+		e.service = w->service;
+		e.addr = w->addr;
+		e.zone = w->zone;
+		e.rack = w->rack;
+		e.capacity = w->capacity;
+		e.born_ms = born_ms;
+		cell_fleet_update_entry(fleet_, w->id, &e, now_);
+		holds_.clear();
+		advance(OGL_SEC);
+		cell_fleet_step(fleet_, now_);
+		a.io = OGL_IO_OK;
+		a.born_ms = born_ms;
+		a.clock_ms = 1000;
+		for (const Hold &h : holds_) {
+			if (h.worker == w->id)
+				h.done(h.arg, &a, now_);
+		}
+		ASSERT_EQ(born_ms, w->incarnation);
+	}
+
 	/* Lets time pass, at the end of which the store confirms the owner. */
 	void advance(ogl_time t)
 	{
--- a/test/test_cell_schedule.cc
+++ b/test/test_cell_schedule.cc
@@ -127,6 +127,25 @@
 	EXPECT_EQ(before, cell_advice_approved_share(advice_, "other"));
 }
 
+/* Guards against a start with the ticket of a worker's last incarnation, whose
+ * refusal stops all other members of a gang. */
+TEST_F(Schedule, TicketOfTheLastIncarnationIsNotUsed)
+{
+	occupy_all();
+	occupy(3, 0);
+	submit(1, 1000);
+	pass(10);
+	ASSERT_TRUE(asked("w3"));
+	restart(3, 9);
+	answer(token_, {"w3"});
+	pass(10);
+	EXPECT_TRUE(starts_.empty());
+	EXPECT_TRUE(asked("w3"));
+	allow();
+	pass(10);
+	EXPECT_EQ(1u, starts_.size());
+}
+
 /* Guards against a gang that reserves workers it may not use, which are empty
  * and would be reserved first, while smaller work takes the others. */
 TEST_F(Schedule, GangReservesNoSuspectWorker)
