roster: changes older than the entry on a page are left out

The list of workers is read page by page, and then the changes since the first page. A worker that restarts in between is on a later page with its new entry, and the changes bring the entries of its last incarnation again, its address, capacity and labels, or that it is gone. An owner took these for the present ones until it had read on, which takes another 250 ms if the answer ends there: it discarded the hold in flight, and gave the worker no work before a record with its address was stored. Needs more than one page, that is 500 workers.

The offsets of entries on the pages that the changes reach again are kept, and older changes of these workers are not reported.

OddList.ChangesOlderThanThePageAreLeftOut before: the address of the older change is in force; after: that of the page.

--- a/cell/roster.c
+++ b/cell/roster.c
@@ -3,8 +3,10 @@
  *
  * The list is a stream of the store with the entries of all workers.  First the
  * newest entry of each worker is read, page by page.  Then the changes are
- * read, beginning at the end offset that came with the first page.  If records
- * have been trimmed before they were read, the whole list is read again.
+ * read, beginning at the end offset that came with the first page.  A later page
+ * may have an entry that is newer than some of these changes, which are then left
+ * out: they may describe an earlier incarnation of the worker.  If records have
+ * been trimmed before they were read, the whole list is read again.
  */
 
 #include "roster.h"
@@ -27,6 +29,9 @@
 	uint64_t next_offset;
 	ogl_time next_read_at;
 	GHashTable *listed; /* ids of workers on the pages read so far */
+	/* Offsets of entries on the pages that the changes will bring again:
+	 * worker -> its offset. */
+	GHashTable *ahead;
 };
 
 /* Argument of the callback of a read. */
@@ -67,6 +72,8 @@
 	r->events = *events;
 	r->listed =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	r->ahead =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return r;
 }
 
@@ -74,6 +81,7 @@
 cell_roster_end(struct cell_roster *r)
 {
 	g_hash_table_unref(r->listed);
+	g_hash_table_unref(r->ahead);
 	g_free(r->last_key);
 	g_free(r);
 }
@@ -95,6 +103,7 @@
 	r->reading = false;
 	r->following = false;
 	g_hash_table_remove_all(r->listed);
+	g_hash_table_remove_all(r->ahead);
 	g_clear_pointer(&r->last_key, g_free);
 }
 
@@ -109,11 +118,33 @@
 {
 	const struct cell_worker_entry *e = rec->dropped ? NULL : rec->worker;
 
-	if (e != NULL && !r->following)
-		g_hash_table_add(r->listed, g_strdup(rec->key));
 	r->events.entry(r->events.arg, rec->key, e, now);
 }
 
+static void
+report_listed(
+    struct cell_roster *r, const struct cell_record *rec, ogl_time now)
+{
+	if (!rec->dropped && rec->worker != NULL)
+		g_hash_table_add(r->listed, g_strdup(rec->key));
+	if (rec->offset >= r->next_offset)
+		g_hash_table_replace(r->ahead, g_strdup(rec->key),
+		    g_memdup2(&rec->offset, sizeof rec->offset));
+	report_entry(r, rec, now);
+}
+
+static void
+report_change(
+    struct cell_roster *r, const struct cell_record *rec, ogl_time now)
+{
+	const uint64_t *listed_at = g_hash_table_lookup(r->ahead, rec->key);
+
+	if (listed_at != NULL && rec->offset < *listed_at)
+		return;
+	g_hash_table_remove(r->ahead, rec->key);
+	report_entry(r, rec, now);
+}
+
 static void
 on_page(void *arg, const struct cell_newest_answer *a, ogl_time now)
 {
@@ -130,9 +161,10 @@
 	if (r->last_key == NULL) {
 		r->next_offset = a->end;
 		g_hash_table_remove_all(r->listed);
+		g_hash_table_remove_all(r->ahead);
 	}
 	for (i = 0; i < a->n; i++)
-		report_entry(r, &a->records[i], now);
+		report_listed(r, &a->records[i], now);
 	if (a->more && a->n > 0) {
 		g_free(r->last_key);
 		r->last_key = g_strdup(a->records[a->n - 1].key);
@@ -165,7 +197,7 @@
 		return;
 	}
 	for (i = 0; i < a->n; i++) {
-		report_entry(r, &a->records[i], now);
+		report_change(r, &a->records[i], now);
 		r->next_offset = MAX(r->next_offset, a->records[i].offset + 1);
 	}
 }
--- a/test/test_platform_odd.cc
+++ b/test/test_platform_odd.cc
@@ -533,6 +533,23 @@
 	EXPECT_EQ(2u, listed_);
 }
 
+// Guards against the address of a worker's last incarnation that replaces the
+// present one, as changes are read again that a later page already has.
+TEST_F(OddList, ChangesOlderThanThePageAreLeftOut)
+{
+	request();
+	answer(Page({Item("a", Entry("10.0.0.1:80"), 0)}, true, 4));
+	request();
+	answer(Page({Item("w1", Entry("10.0.0.9:80"), 5)}, false, 6));
+	EXPECT_NE(std::string::npos, request().find("from=4")) << url_;
+	answer(ReadHead(7, 0) + Record("w1", Entry("10.0.0.2:80")));
+	EXPECT_EQ("10.0.0.9:80", usable_["w1"]);
+	EXPECT_NE(std::string::npos, request().find("from=5")) << url_;
+	answer(ReadHead(7, 0) + Record("w1", Entry("10.0.0.9:80")) +
+	       Record("w1", Entry("10.0.0.3:80")));
+	EXPECT_EQ("10.0.0.3:80", usable_["w1"]);
+}
+
 // Guards against a list that is never read to its end: a key that can't be read
 // gives a page that begins with the same key again.
 TEST_F(OddList, PageThatDoesNotAdvanceIsTheLast)
