owner: a worker that has moved to a rack of another shard is not used

Workers belong to shards by their rack. An entry with a rack of another shard was skipped, so the owner went on with the entry of the worker's last incarnation, beside the owner of the other shard. Both would call it, each under epochs of its own shard, and the one with the lower epoch takes the refusal for that of a successor and gives its shard up.

Such an entry now counts as the end of the listing.

ShardOwner.WorkerOfAnotherRackIsNoLongerListed before: still listed; after: not listed until an entry with a rack of this shard comes.

--- a/cell/owner.c
+++ b/cell/owner.c
@@ -188,15 +188,17 @@
 	o->events.outranked(o->events.arg, now);
 }
 
+/* A worker's next incarnation may be in another rack, and so in another
+ * shard. */
 static void
 on_worker_entry(
     void *arg, const char *id, const struct cell_worker_entry *e, ogl_time now)
 {
 	struct cell_owner *o = arg;
+	bool ours = e != NULL && cell_shard_of_worker(e->rack, id,
+				     o->params.shards) == o->params.shard;
 
-	if (e == NULL || cell_shard_of_worker(e->rack, id, o->params.shards) ==
-			     o->params.shard)
-		cell_fleet_update_entry(o->fleet, id, e, now);
+	cell_fleet_update_entry(o->fleet, id, ours ? e : NULL, now);
 }
 
 /* Workers that are not on the complete list have been removed from it. */
--- a/test/test_cell_shards.cc
+++ b/test/test_cell_shards.cc
@@ -2,10 +2,12 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <string>
 #include <vector>
 
 extern "C" {
+#include "owner_impl.h"
 #include "shards.h"
 }
 
@@ -85,4 +87,162 @@
 	}
 }
 
+/* The owner of one of two shards, which follows the list of workers. */
+class ShardOwner : public testing::Test
+{
+      protected:
+	struct Newest {
+		cell_newest_fn *done;
+		void *arg;
+	};
+	struct Read {
+		cell_read_fn *done;
+		void *arg;
+	};
+
+	void SetUp() override
+	{
+		struct cell_owner_events events = {};
+		struct cell_owner_params params = {};
+
+		ops_.newest = [](void *ctx, const struct cell_newest *q,
+				  cell_newest_fn *done, void *arg) {
+			auto *t = static_cast<ShardOwner *>(ctx);
+
+			(q->stream == CELL_WORKERS ? t->pages_ : t->others_)
+			    .push_back({done, arg});
+		};
+		ops_.read = [](void *ctx, const struct cell_read *,
+				cell_read_fn *done, void *arg) {
+			static_cast<ShardOwner *>(ctx)->reads_.push_back(
+			    {done, arg});
+		};
+		ops_.append = [](void *ctx, const struct cell_append *,
+				  cell_append_fn *done, void *arg) {
+			static_cast<ShardOwner *>(ctx)->appends_.push_back(
+			    [done, arg](ogl_time now) {
+				    struct cell_append_answer lost = {};
+
+				    lost.io = OGL_IO_LOST;
+				    done(arg, &lost, now);
+			    });
+		};
+		ops_.log = [](void *, const char *, const char *,
+			       const char *) {};
+		ops_.count = [](void *, const char *, uint64_t) {};
+		ops_.observe = ops_.count;
+		ops_.backend_ctx = this;
+		params.shard = 0;
+		params.shards = 2;
+		owner_ = cell_owner_init(&ops_, &limits_, &events, &params);
+		cell_owner_open(owner_, 1, 0, now_);
+		step();
+	}
+
+	/* Every call has to be answered once. */
+	void TearDown() override
+	{
+		struct cell_newest_answer no_page = {};
+		struct cell_read_answer none = {};
+
+		no_page.io = OGL_IO_LOST;
+		none.io = OGL_IO_LOST;
+		cell_owner_close(owner_, now_);
+		for (const Newest &q : pages_)
+			q.done(q.arg, &no_page, now_);
+		for (const Newest &q : others_)
+			q.done(q.arg, &no_page, now_);
+		for (const Read &q : reads_)
+			q.done(q.arg, &none, now_);
+		for (const auto &lose : appends_)
+			lose(now_);
+		cell_owner_end(owner_);
+	}
+
+	void step()
+	{
+		now_ += OGL_SEC;
+		cell_owner_step(owner_, now_, true, now_, now_);
+	}
+
+	/* Answers the owner's read of the list with an entry of the worker. */
+	void list(const std::string &rack, uint64_t born_ms)
+	{
+		char key[] = "w", addr[] = "10.9.0.1:80", svc[] = "svc";
+		char zone[] = "z", *labels[] = {nullptr};
+		struct cell_worker_entry e = {};
+		struct cell_record rec = {};
+
+		e.service = svc;
+		e.addr = addr;
+		e.zone = zone;
+		e.rack = const_cast<char *>(rack.c_str());
+		e.labels = labels;
+		e.born_ms = born_ms;
+		rec.key = key;
+		rec.offset = end_++;
+		rec.worker = &e;
+		if (!pages_.empty()) {
+			Newest q = pages_.back();
+			struct cell_newest_answer a = {};
+
+			a.records = &rec;
+			a.n = 1;
+			a.end = end_;
+			pages_.pop_back();
+			q.done(q.arg, &a, now_);
+		} else {
+			Read q = reads_.back();
+			struct cell_read_answer a = {};
+
+			a.records = &rec;
+			a.n = 1;
+			a.end = end_;
+			reads_.pop_back();
+			q.done(q.arg, &a, now_);
+		}
+		step();
+	}
+
+	bool listed()
+	{
+		const struct cell_worker *w =
+		    cell_fleet_worker(owner_->fleet, "w");
+
+		return w != nullptr && w->listed;
+	}
+
+	/* A rack whose workers are in that shard. */
+	std::string rack_in(uint32_t shard)
+	{
+		int i = 0;
+
+		while (cell_shard_of_worker(("r1-" + std::to_string(i)).c_str(),
+			   "w", 2) != shard)
+			i++;
+		return "r1-" + std::to_string(i);
+	}
+
+	std::vector<Newest> pages_, others_;
+	std::vector<Read> reads_;
+	std::vector<std::function<void(ogl_time)>> appends_;
+	struct cell_ops ops_ = {};
+	struct cell_limits limits_ = {};
+	struct cell_owner *owner_ = nullptr;
+	uint64_t end_ = 0;
+	ogl_time now_ = 100 * OGL_SEC;
+};
+
+/* Guards against a worker that the owners of two shards use, as one goes by the
+ * rack of its last incarnation. */
+TEST_F(ShardOwner, WorkerOfAnotherRackIsNoLongerListed)
+{
+	list(rack_in(0), 1);
+	EXPECT_TRUE(listed());
+	list(rack_in(1), 2);
+	EXPECT_FALSE(listed());
+	list(rack_in(0), 3);
+	EXPECT_TRUE(listed());
+}
+
 } // namespace
