schedule: one sort a pass lists the usable and the schedulable workers

Since each pass sorted two lists of workers, of which the second differs by the few that only their health keeps from work, and each comparison computed the room of two workers. With 22,000 workers the two sorts were 64 % of the pass.

The rooms are computed once and sorted beside the workers. The sort is stable, so the schedulable ones among the sorted are in the same order as sorted alone. Sorting `usable` at its first use in a pass would give another order, as rooms have changed by then.

--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -46,6 +46,12 @@
 	ogl_time underused_since;
 };
 
+/* A usable worker and its free processors when the pass began. */
+struct worker_room {
+	struct cell_worker *worker;
+	uint32_t cpu_milli;
+};
+
 struct cell_sched {
 	struct cell_sched_parts parts;
 	bool slow_link;
@@ -69,6 +75,7 @@
 	GPtrArray *schedulable; /* workers that take work, most room first */
 	/* The same and those that only their health keeps from it. */
 	GPtrArray *usable;
+	GArray *by_room;    /* scratch: struct worker_room */
 	GPtrArray *skipped; /* overdue stages that this pass has not tried */
 	/* Time of the advice service that overdue stages may use. */
 	double overdue_credit_ms;
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -44,6 +44,7 @@
 	    g_array_new(FALSE, FALSE, sizeof(struct ogl_share_item));
 	s->schedulable = g_ptr_array_new();
 	s->usable = g_ptr_array_new();
+	s->by_room = g_array_new(FALSE, FALSE, sizeof(struct worker_room));
 	s->skipped = g_ptr_array_new();
 	s->expired = g_ptr_array_new();
 	for (i = 0; i < PRECEDENCES; i++) {
@@ -91,6 +92,7 @@
 	ogl_slots_end(s->slots);
 	g_ptr_array_unref(s->schedulable);
 	g_ptr_array_unref(s->usable);
+	g_array_unref(s->by_room);
 	g_ptr_array_unref(s->skipped);
 	g_ptr_array_unref(s->expired);
 	g_ptr_array_unref(s->candidates);
@@ -349,33 +351,51 @@
 	}
 }
 
+static gint
+most_room_first(gconstpointer a, gconstpointer b)
+{
+	const struct worker_room *x = a;
+	const struct worker_room *y = b;
+
+	return (x->cpu_milli < y->cpu_milli) - (x->cpu_milli > y->cpu_milli);
+}
+
 static void
-list_schedulable_workers(struct cell_sched *s, ogl_time now)
+list_workers(struct cell_sched *s, ogl_time now)
 {
 	GHashTableIter it;
 	gpointer p;
+	guint i;
 
 	s->pass++;
 	s->free_cpu_milli = 0;
-	g_ptr_array_set_size(s->schedulable, 0);
-	g_ptr_array_set_size(s->usable, 0);
+	g_array_set_size(s->by_room, 0);
 	g_hash_table_iter_init(&it, cell_fleet_workers(s->parts.fleet));
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct cell_worker *w = p;
+		struct worker_room x = {w, cell_worker_room(w).cpu_milli};
 
 		if (!cell_worker_usable(w, now))
 			continue;
 		w->usable_pass = s->pass;
 		w->reserved_rank_plus_1 = 0;
-		g_ptr_array_add(s->usable, w);
+		g_array_append_val(s->by_room, x);
 		if (!cell_worker_schedulable(w, now))
 			continue;
 		w->schedulable_pass = s->pass;
-		s->free_cpu_milli += cell_worker_room(w).cpu_milli;
-		g_ptr_array_add(s->schedulable, w);
+		s->free_cpu_milli += x.cpu_milli;
+	}
+	g_array_sort(s->by_room, most_room_first);
+	g_ptr_array_set_size(s->schedulable, 0);
+	g_ptr_array_set_size(s->usable, 0);
+	for (i = 0; i < s->by_room->len; i++) {
+		struct cell_worker *w =
+		    g_array_index(s->by_room, struct worker_room, i).worker;
+
+		g_ptr_array_add(s->usable, w);
+		if (w->schedulable_pass == s->pass)
+			g_ptr_array_add(s->schedulable, w);
 	}
-	g_ptr_array_sort(s->schedulable, cell_worker_compare_room);
-	g_ptr_array_sort(s->usable, cell_worker_compare_room);
 }
 
 /* Stages that were not tried wait for room, as those before them do. */
@@ -449,7 +469,7 @@
 			  (ogl_time)waiting * PASS_INTERVAL_PER_STAGE_US;
 	s->passed_at = now;
 	s->reserving_gangs = 0;
-	list_schedulable_workers(s, now);
+	list_workers(s, now);
 	fill_buckets(s, now);
 	cell_sched_order_beyond_rate(s);
 	full = cell_sched_update_full(s, now);
