schedule: of the skipped stages only those that are tried are sorted

A pass that skips the rest of its buckets listed all overdue stages among them, with many waiting jobs nearly all, and sorted them to try 16. Now only the 16 whose last try is the oldest are kept, in the same order.

--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -75,8 +75,10 @@
 	GPtrArray *schedulable; /* workers that take work, most room first */
 	/* The same and those that only their health keeps from it. */
 	GPtrArray *usable;
-	GArray *by_room;    /* scratch: struct worker_room */
-	GPtrArray *skipped; /* overdue stages that this pass has not tried */
+	GArray *by_room; /* scratch: struct worker_room */
+	/* Overdue stages that this pass has not tried and is to try; first those
+	 * whose last try is the oldest. */
+	GPtrArray *skipped;
 	/* Time of the advice service that overdue stages may use. */
 	double overdue_credit_ms;
 	/* scratch: the current stage is overdue, and may use the whole limit of
--- a/cell/sched_overdue.c
+++ b/cell/sched_overdue.c
@@ -70,21 +70,29 @@
 
 /* ---- turn --------------------------------------------------------------- */
 
-void
-cell_sched_note_skipped(
-    struct cell_sched *s, struct cell_stage *st, ogl_time now)
+static bool
+tried_before(const struct cell_stage *a, const struct cell_stage *b)
 {
-	if (st->queue != NULL && cell_sched_overdue(st, now))
-		g_ptr_array_add(s->skipped, st);
+	return a->tried_at < b->tried_at;
 }
 
-static gint
-by_last_try(gconstpointer a, gconstpointer b)
+/* Keeps the SKIPPED_TRIES stages whose last try is the oldest, in this order. */
+void
+cell_sched_note_skipped(
+    struct cell_sched *s, struct cell_stage *st, ogl_time now)
 {
-	const struct cell_stage *x = *(struct cell_stage *const *)a;
-	const struct cell_stage *y = *(struct cell_stage *const *)b;
+	GPtrArray *a = s->skipped;
+	guint i;
 
-	return (x->tried_at > y->tried_at) - (x->tried_at < y->tried_at);
+	if (st->queue == NULL || !cell_sched_overdue(st, now))
+		return;
+	if (a->len < SKIPPED_TRIES)
+		g_ptr_array_add(a, st);
+	else if (!tried_before(st, a->pdata[a->len - 1]))
+		return;
+	for (i = a->len - 1; i > 0 && tried_before(st, a->pdata[i - 1]); i--)
+		a->pdata[i] = a->pdata[i - 1];
+	a->pdata[i] = st;
 }
 
 void
@@ -92,8 +100,7 @@
 {
 	guint i;
 
-	g_ptr_array_sort(s->skipped, by_last_try);
-	for (i = 0; i < s->skipped->len && i < SKIPPED_TRIES; i++) {
+	for (i = 0; i < s->skipped->len; i++) {
 		struct cell_stage *st = s->skipped->pdata[i];
 		const struct cell_queue *q = cell_sched_queue_of(s, st->job);
 
