--- a/bench/bench_pass.c
+++ b/bench/bench_pass.c
@@ -1,5 +1,6 @@
 /*
- * Processor time of the scheduler's passes over many waiting stages.
+ * Processor time of the scheduler's passes over many waiting stages, and of the
+ * look for stalled ones.
  *
  * The scheduler, fleet and advice modules of a shard's owner run in virtual time
  * against workers and an advice service that answer as theirs would.  New jobs
@@ -15,6 +16,7 @@
 #include <time.h>
 
 #include "schedule.h"
+#include "stall.h"
 
 #define TEAMS 20
 #define BUSY_TEAMS 4 /* which submit half of all jobs */
@@ -82,6 +84,7 @@
 	struct cell_advice *advice;
 	struct cell_escrow *escrow;
 	struct cell_sched *sched;
+	struct cell_stall *stall;
 	struct worker *workers;
 	unsigned nworkers;
 	unsigned nodes;
@@ -587,6 +590,7 @@
 	parts.advice = b->advice = cell_advice_init(&b->ops, &ae);
 	parts.escrow = b->escrow = cell_escrow_init(0, 1, &ee);
 	b->sched = cell_sched_init(&parts);
+	b->stall = cell_stall_init(&b->ops, b->sched);
 	cell_sched_open(b->sched, b->now);
 	cell_advice_open(b->advice, 1);
 	configure(b);
@@ -619,6 +623,7 @@
 	for (i = 0; i < b->questions->len; i++)
 		g_ptr_array_unref(
 		    g_array_index(b->questions, struct question, i).workers);
+	cell_stall_end(b->stall);
 	cell_sched_end(b->sched);
 	cell_escrow_end(b->escrow);
 	cell_advice_end(b->advice);
@@ -665,32 +670,43 @@
 	return (x > y) - (x < y);
 }
 
+/* Runs a pass and the look for stalled stages; adds their times. */
+static void
+run_pass(struct bench *b, unsigned stages, double *pass_us, double *stall_us)
+{
+	double t;
+
+	advance(b, stages);
+	t = cpu_us();
+	cell_sched_pass(b->sched, b->now);
+	*pass_us += cpu_us() - t;
+	t = cpu_us();
+	cell_stall_step(b->stall, b->jobs, b->now);
+	*stall_us += cpu_us() - t;
+}
+
 static void
 measure(unsigned workers, unsigned stages, unsigned nodes, unsigned passes)
 {
 	GArray *times = g_array_new(FALSE, FALSE, sizeof(double));
+	double total_us = 0, stall_us = 0;
 	struct bench b;
-	double total = 0;
 	unsigned i;
 
 	bench_init(&b, workers, nodes);
-	for (i = 0; i < WARM_UP_PASSES; i++) {
-		advance(&b, stages);
-		cell_sched_pass(b.sched, b.now);
-	}
+	for (i = 0; i < WARM_UP_PASSES; i++)
+		run_pass(&b, stages, &total_us, &stall_us);
 	b.starts = b.nquestions = 0;
+	total_us = stall_us = 0;
 	for (i = 0; i < passes; i++) {
-		double us;
+		double us = 0;
 
-		advance(&b, stages);
-		us = cpu_us();
-		cell_sched_pass(b.sched, b.now);
-		us = cpu_us() - us;
-		total += us;
+		run_pass(&b, stages, &us, &stall_us);
+		total_us += us;
 		g_array_append_val(times, us);
 	}
 	g_array_sort(times, by_value);
-	printf("pass_%u_us %.0f us\n", workers, total / passes);
+	printf("pass_%u_us %.0f us\n", workers, total_us / passes);
 	printf("pass_%u_median_us %.0f us\n", workers,
 	    g_array_index(times, double, passes / 2));
 	printf("pass_%u_most_us %.0f us\n", workers,
@@ -699,6 +715,8 @@
 	    "pass_%u_starts %.1f starts\n", workers, (double)b.starts / passes);
 	printf("pass_%u_questions %.1f questions\n", workers,
 	    (double)b.nquestions / passes);
+	printf("stall_%u_us_s %.0f us\n", workers,
+	    stall_us / passes * OGL_SEC / PASS_INTERVAL(stages));
 	bench_end(&b);
 	g_array_unref(times);
 }
