stall: a worker's places are counted only for stages that may use them

For each of up to 20 lines a second and each worker with room, the look for stalled stages computed how many tasks fit there and looked the queue's policy up, also for the many workers that the service was not asked about, where neither is used.

Lines and counters are the same (equal digests of all log lines, starts and questions). The number of lines times that of workers remains.

--- a/cell/stall.c
+++ b/cell/stall.c
@@ -119,26 +119,27 @@
 	return CELL_USABLE;
 }
 
+/* Counts a worker that has room for a task of the stage. */
 static void
 count_worker(struct cell_stall_room *room, const struct cell_sched *s,
-    const struct cell_stage *st, const struct cell_worker *w, ogl_time now)
+    const struct cell_stage *st, bool policy_needed,
+    const struct cell_worker *w, ogl_time now)
 {
-	const struct cell_approval *approval = NULL;
-	uint32_t places = MIN(cell_worker_free_slots(w, st), st->ntasks);
+	const struct cell_approval *approval =
+	    policy_needed ? cell_stage_approval(st, w->serial) : NULL;
+	uint32_t places;
 	unsigned why;
 
-	if (cell_sched_queue_of(s, st->job)->policy.needed) {
-		approval = cell_stage_approval(st, w->serial);
-		if (approval == NULL && cell_advice_knows(st, w)) {
+	if (policy_needed && approval == NULL) {
+		if (cell_advice_knows(st, w)) {
 			room->refused++;
 			return;
 		}
-		if (approval == NULL) {
-			room->unasked++;
-			room->askable[cell_worker_unusable(w, now)]++;
-			return;
-		}
+		room->unasked++;
+		room->askable[cell_worker_unusable(w, now)]++;
+		return;
 	}
+	places = MIN(cell_worker_free_slots(w, st), st->ntasks);
 	why = why_unplaced(s, st, w, approval, now);
 	room->allowed++;
 	room->places += places;
@@ -151,6 +152,7 @@
 cell_stall_count_room(
     const struct cell_sched *s, const struct cell_stage *st, ogl_time now)
 {
+	bool policy_needed = cell_sched_queue_of(s, st->job)->policy.needed;
 	struct ogl_res need = cell_stage_need(st);
 	struct cell_stall_room room = {0};
 	GHashTableIter it;
@@ -161,7 +163,7 @@
 		const struct cell_worker *w = p;
 
 		if (cell_worker_fits(w, &need) && cell_worker_could_run(w, st))
-			count_worker(&room, s, st, w, now);
+			count_worker(&room, s, st, policy_needed, w, now);
 	}
 	return room;
 }
