--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -373,14 +373,17 @@
 	g_hash_table_iter_init(&it, cell_fleet_workers(s->parts.fleet));
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct cell_worker *w = p;
-		struct worker_room x = {w, cell_worker_room(w).cpu_milli};
+		bool schedulable = cell_worker_schedulable(w, now);
+		struct worker_room x;
 
-		if (!cell_worker_usable(w, now))
+		if (!schedulable && !cell_worker_usable(w, now))
 			continue;
+		x.worker = w;
+		x.cpu_milli = cell_worker_room(w).cpu_milli;
+		g_array_append_val(s->by_room, x);
 		w->usable_pass = s->pass;
 		w->reserved_rank_plus_1 = 0;
-		g_array_append_val(s->by_room, x);
-		if (!cell_worker_schedulable(w, now))
+		if (!schedulable)
 			continue;
 		w->schedulable_pass = s->pass;
 		s->free_cpu_milli += x.cpu_milli;
