--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -20,6 +20,12 @@
  * the workers are asked. */
 #define STORE_SILENT_AFTER (550 * OGL_MS)
 #define RUN_SCAN_INTERVAL (40 * OGL_MS)
+/* An incarnation that changes nothing but itself is recorded with this delay,
+ * so that many need one record. */
+#define INCARNATION_RECORDED_AFTER (1 * OGL_SEC)
+/* A fence is the epoch, and below it the worker's restarts in that epoch. */
+#define FENCE_EPOCH_SHIFT 20
+#define FENCE_RESTARTS_MAX ((1U << FENCE_EPOCH_SHIFT) - 1)
 
 void
 cell_fleet_run_free(struct cell_run *r)
@@ -110,6 +116,7 @@
 	f->confirmed_at = 0;
 	f->confirmation_from = 0;
 	f->record_outdated = true; /* the stored one is an earlier owner's */
+	f->record_due_at = OGL_NEVER;
 	f->opened_at = now;
 	f->first_step_at = 0;
 	f->nexpected = 0;
@@ -138,6 +145,8 @@
 		w->hold_pending = false;
 		w->incarnation = 0;
 		w->incarnation_since = 0;
+		w->restarts = 0;
+		w->restarted = false;
 		w->accepted_at = 0;
 		w->first_record = 0;
 		w->ends_stored = 0;
@@ -148,7 +157,9 @@
 		w->open_in_record = false;
 		w->tasks_recorded = false;
 		w->open_from_record = 0;
-		w->addr_unrecorded = false;
+		w->unrecorded = false;
+		w->incarnation_in_record = 0;
+		w->longest_in_record = false;
 		w->silent_in_record = false;
 		w->gone = false;
 		w->ends_acked = 0;
@@ -241,6 +252,21 @@
 	cell_fleet_log_worker_why(f, w, event, "");
 }
 
+void
+cell_fleet_log_lease(struct cell_fleet *f, const struct cell_worker *w,
+    const char *event, ogl_time now)
+{
+	const struct cell_lease *l = &w->lease;
+	char text[200];
+
+	g_snprintf(text, sizeof text,
+	    "worker=%s life=%" G_GUINT64_FORMAT " clock_ms=%" G_GUINT64_FORMAT
+	    " lease_ms=%" G_GINT64_FORMAT " read_ms=%" G_GINT64_FORMAT,
+	    w->id, w->incarnation, l->clock_ms,
+	    (int64_t)(l->end_ms - l->clock_ms), (now - l->read_at) / OGL_MS);
+	f->ops->log(f->ops->ctx, "fleet", event, text);
+}
+
 /* A successor that knows only the old address would get no answer there and
  * conclude that the worker has ended.  It would then start elsewhere the tasks
  * that run at the new address.  So a worker whose address has changed gets no
@@ -249,8 +275,8 @@
 set_addr(
     struct cell_fleet *f, struct cell_worker *w, const char *addr, ogl_time now)
 {
-	w->addr_unrecorded = w->addr != NULL;
-	if (w->addr_unrecorded) {
+	w->unrecorded = w->addr != NULL;
+	if (w->unrecorded) {
 		w->open_in_record = false;
 		w->gone = false;
 		w->next_hold_at = now;
@@ -259,12 +285,23 @@
 	set_string(&w->addr, addr);
 }
 
-/* A new incarnation has seen no epoch, so it is called at once.  The answer to a
- * hold in flight no longer counts, as it was sent to the last incarnation, and
- * no more ends of that one are acknowledged. */
+uint64_t
+cell_fleet_fence(const struct cell_fleet *f, const struct cell_worker *w)
+{
+	return f->epoch << FENCE_EPOCH_SHIFT | w->restarts;
+}
+
+/* A new incarnation has seen no fence, so it is called at once.  Until it has
+ * answered under a fence above that of the last one's calls, it may carry these
+ * out, however late they arrive.  The answer to a hold in flight no longer
+ * counts, as it was sent to the last incarnation, and no more ends of that one
+ * are acknowledged. */
 void
 cell_fleet_incarnation_over(struct cell_worker *w, ogl_time now)
 {
+	w->restarts = MIN(w->restarts + 1, FENCE_RESTARTS_MAX);
+	w->restarted = true;
+	w->restarted_at = now;
 	w->fenced = false;
 	w->hold_pending = false;
 	w->hold_number++;
@@ -343,6 +380,57 @@
 	f->events.room_freed(f->events.arg, now);
 }
 
+uint64_t
+cell_worker_incarnation(const struct cell_worker *w)
+{
+	return w->incarnation != 0 ? w->incarnation : w->incarnation_in_record;
+}
+
+/* Whether the list names another incarnation than the record of the last owner,
+ * to which that owner's calls may have got. */
+static bool
+restarted_unrecorded(const struct cell_worker *w)
+{
+	return w->incarnation == 0 && w->incarnation_in_record != 0 &&
+	       w->entry_born_ms != 0 &&
+	       w->entry_born_ms != w->incarnation_in_record;
+}
+
+bool
+cell_fleet_may_hold_longest(
+    const struct cell_fleet *f, const struct cell_worker *w, ogl_time now)
+{
+	ogl_time late_end = cell_lease_late_orders_expired_at(
+	    w->restarted_at, f->limits->lease_max_ms);
+
+	if (w->incarnation == 0)
+		return !f->old_leases_expired &&
+		       (w->longest_in_record || restarted_unrecorded(w));
+	return cell_lease_is_longest(&w->lease, now) ||
+	       (w->restarted && now <= late_end);
+}
+
+static void
+record_later(struct cell_fleet *f, ogl_time now)
+{
+	f->record_due_at =
+	    MIN(f->record_due_at, now + INCARNATION_RECORDED_AFTER);
+}
+
+/* A successor that reaches no answer of the worker takes its lease for an usual
+ * one unless the record tells otherwise, so the worker gets no work before. */
+void
+cell_fleet_incarnation_heard(
+    struct cell_fleet *f, struct cell_worker *w, ogl_time now)
+{
+	record_later(f, now);
+	if (w->longest_in_record || !cell_fleet_may_hold_longest(f, w, now))
+		return;
+	w->unrecorded = true;
+	w->open_in_record = false;
+	f->record_outdated = true;
+}
+
 static void
 record_tasks(struct cell_worker *w, const Ogl__CellKnown *k)
 {
@@ -372,6 +460,8 @@
 	}
 	w->tasks_recorded = k->closed;
 	record_tasks(w, k);
+	w->incarnation_in_record = k->incarnation;
+	w->longest_in_record = k->longest_lease;
 	w->open_in_record = !k->closed;
 	if (w->addr != NULL)
 		return;
@@ -410,6 +500,7 @@
 	GHashTableIter it;
 	gpointer p;
 
+	f->record_due_at = OGL_NEVER;
 	if (record == CELL_FLEET_LOADED_RECORD) {
 		cell_quorum_record_sent(
 		    f->quorum, record, f->nexpected, f->nexpected);
@@ -440,7 +531,7 @@
 {
 	struct cell_worker *w = g_hash_table_lookup(f->workers, id);
 
-	if (w == NULL || w->open_in_record || w->addr_unrecorded ||
+	if (w == NULL || w->open_in_record || w->unrecorded ||
 	    record < w->open_from_record)
 		return;
 	w->open_in_record = true;
@@ -818,18 +909,47 @@
 
 /* ---- periodic work ---------------------------------------------------- */
 
+/* When a lease has expired that an earlier owner gave to a worker which has not
+ * answered this one.  last_proof: as for cell_lease_all_expired_at. */
+static ogl_time
+unheard_lease_end(const struct cell_fleet *f, const struct cell_worker *w,
+    ogl_time last_proof)
+{
+	uint32_t max_ms = f->limits->lease_max_ms;
+
+	if (restarted_unrecorded(w))
+		return cell_lease_late_orders_expired_at(
+		    last_proof + CELL_LEASE_PROOF_MAX_AGE, max_ms);
+	if (w->longest_in_record)
+		return cell_lease_longest_expired_at(f->first_step_at, max_ms);
+	return 0;
+}
+
 /* When every lease of earlier owners has expired. */
 static ogl_time
-old_leases_end(const struct cell_fleet *f)
+old_leases_end(const struct cell_fleet *f, ogl_time now)
 {
 	/* The last owner may have more than half of the workers on its side. */
 	ogl_time last_proof = f->first_step_at +
 			      CELL_LEASE_CONFIRMATION_MAX_AGE -
 			      CELL_LEASE_PROOF_MAX_AGE;
+	ogl_time end;
+	GHashTableIter it;
+	gpointer p;
 
 	if (f->quorum_at != 0)
 		last_proof = MIN(last_proof, f->quorum_at);
-	return cell_lease_all_expired_at(last_proof);
+	end = cell_lease_all_expired_at(last_proof);
+	if (now <= end)
+		return end;
+	g_hash_table_iter_init(&it, f->workers);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct cell_worker *w = p;
+
+		if (w->expected && w->incarnation == 0)
+			end = MAX(end, unheard_lease_end(f, w, last_proof));
+	}
+	return end;
 }
 
 /*
@@ -852,10 +972,14 @@
     struct cell_fleet *f, struct cell_worker *w, bool scan_runs, ogl_time now)
 {
 	if (w->incarnation != 0 && g_hash_table_size(w->runs) > 0 &&
-	    expired_unrenewed(f, cell_lease_expires_at(&w->lease), now)) {
+	    expired_unrenewed(f, cell_lease_expires_at(&w->lease), now) &&
+	    cell_fleet_has_lapsed(f, w, now)) {
 		cell_fleet_log_worker(f, w, "worker_lapsed");
-		cell_fleet_lose_runs(f, w, NULL, now, now);
+		cell_fleet_log_lease(f, w, "lease_over", now);
+		cell_fleet_lose_runs(f, w, now);
 	}
+	if (w->longest_in_record && !cell_fleet_may_hold_longest(f, w, now))
+		record_later(f, now);
 	if (w->open_in_record && cell_worker_silent(w, now))
 		f->record_outdated = true;
 	if (cell_fleet_wants_hold(f, w, now))
@@ -943,10 +1067,11 @@
 		f->quorum_at = now;
 		f->record_outdated |= any_unrecorded(f);
 	}
+	f->record_outdated |= now >= f->record_due_at;
 	update_proof(f, now);
 	f->confirmation_wanted = false;
 	if (!f->old_leases_expired &&
-	    expired_unrenewed(f, old_leases_end(f), now)) {
+	    expired_unrenewed(f, old_leases_end(f, now), now)) {
 		f->old_leases_expired = true;
 		clear_expected(f, now);
 	}
