--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -1761,15 +1761,24 @@
 		do_stop(f, c);
 }
 
+static unsigned
+kind_of_call(const struct call *c)
+{
+	switch (c->kind) {
+	case CALL_HOLD:
+		return FAKE_HOLDS;
+	case CALL_START:
+		return FAKE_STARTS;
+	default:
+		return FAKE_STOPS;
+	}
+}
+
 /* Keeps the call for later if the worker delays calls of its kind. */
 static bool
 delay_call(struct call *c)
 {
-	unsigned kind = c->kind == CALL_HOLD    ? FAKE_HOLDS
-			: c->kind == CALL_START ? FAKE_STARTS
-						: FAKE_STOPS;
-
-	if (c->worker == NULL || (c->worker->delays & kind) == 0)
+	if (c->worker == NULL || (c->worker->delays & kind_of_call(c)) == 0)
 		return false;
 	g_queue_push_tail(&c->worker->delayed, c);
 	return true;
@@ -3192,13 +3201,21 @@
 }
 
 void
-fake_cell_carry_out_delayed(struct fake_cell *f, unsigned worker)
+fake_cell_carry_out_delayed(
+    struct fake_cell *f, unsigned worker, unsigned calls)
 {
+	GQueue *delayed = &f->workers[worker].delayed;
+	guint n = g_queue_get_length(delayed);
 	struct call *c;
 
 	f->disturbed_at = f->now;
-	while ((c = g_queue_pop_head(&f->workers[worker].delayed)) != NULL)
-		at_worker_late(f, c);
+	while (n-- > 0) {
+		c = g_queue_pop_head(delayed);
+		if ((kind_of_call(c) & calls) != 0)
+			at_worker_late(f, c);
+		else
+			g_queue_push_tail(delayed, c);
+	}
 }
 
 void
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -238,16 +238,18 @@
 enum fake_calls {
 	FAKE_HOLDS = 1,
 	FAKE_STARTS = 2,
-	FAKE_STOPS = 4
+	FAKE_STOPS = 4,
+	FAKE_ALL_CALLS = 7
 };
 
 void fake_cell_delay_calls(
     struct fake_cell *f, unsigned worker, unsigned calls);
 /* The worker does not carry out calls of this set that arrive from now on, nor
  * answers them.  0: calls are carried out again; the delayed ones still wait. */
-void fake_cell_carry_out_delayed(struct fake_cell *f, unsigned worker);
-/* The incarnation that is there now carries out the delayed calls, in order of
- * arrival and without answers. */
+void fake_cell_carry_out_delayed(
+    struct fake_cell *f, unsigned worker, unsigned calls);
+/* The incarnation that is there now carries out the delayed calls of this set,
+ * in order of arrival and without answers. */
 void fake_cell_drain_worker(struct fake_cell *f, unsigned worker);
 /* Marks the worker's entry as draining. */
 
--- a/test/test_cell_scripts.cc
+++ b/test/test_cell_scripts.cc
@@ -74,11 +74,14 @@
  * restart-worker WORKER [TIME] same id, but all its runs are lost; it answers
  *                              nothing for that time
  * next-clock WORKER TIME       what its clock reads after its next restart
- * delay-calls WORKER KIND ...  the worker keeps holds, starts or stops that
+ * delay-calls WORKER [KIND ...]
+ *                              the worker keeps holds, starts or stops that
  *                              arrive, unanswered
  * end-delay WORKER             later calls are carried out as usual
- * carry-out-delayed WORKER     carries out the calls that it has kept, also
- *                              those to its former incarnations
+ * carry-out-delayed WORKER [KIND ...]
+ *                              carries out the calls, or those of these kinds,
+ *                              that it has kept, also those to its former
+ *                              incarnations
  * drain WORKER                 the worker announces that it leaves
  * expire-worker-entries        the store lists the workers again within 2 s
  * odd-entry WORKER             another program replaces its entry by an unreadable
@@ -198,7 +201,7 @@
 		else if (w[0] == "end-delay")
 			fake_cell_delay_calls(cell_, num(w[1]), 0);
 		else if (w[0] == "carry-out-delayed")
-			fake_cell_carry_out_delayed(cell_, num(w[1]));
+			fake_cell_carry_out_delayed(cell_, num(w[1]), calls(w));
 		else if (w[0] == "cut-off-node")
 			fake_cell_cut_off_node(
 			    cell_, static_cast<unsigned>(node(w[1])));
@@ -261,7 +264,7 @@
 			fake_cell_restart_worker(cell_, num(w[1]));
 	}
 
-	/* The set that the words from the third on name. */
+	/* The set that the words from the third on name, all if there are none. */
 	static unsigned calls(const Words &w)
 	{
 		static const std::map<std::string, enum fake_calls> m = {
@@ -271,6 +274,8 @@
 
 		for (size_t i = 2; i < w.size(); i++)
 			set |= m.at(w[i]);
+		if (set == 0)
+			set = FAKE_ALL_CALLS;
 		return set;
 	}
 
--- a/test/test_cell_seeds.cc
+++ b/test/test_cell_seeds.cc
@@ -527,7 +527,9 @@
 			fake_cell_restart_worker_after(cell_, w, down_ms);
 			fake_cell_delay_calls(cell_, w, 0);
 		});
-		plan(late_at, [=] { fake_cell_carry_out_delayed(cell_, w); });
+		plan(late_at, [=] {
+			fake_cell_carry_out_delayed(cell_, w, FAKE_ALL_CALLS);
+		});
 		plan(cut_at,
 		    [=] { fake_cell_move_worker(cell_, w, 1 + w % 2); });
 		plan(cut_at + 2000 + random_below(12000),
