--- a/test/fake_cell.c
+++ b/test/fake_cell.c
@@ -1623,10 +1623,14 @@
 		c->order_answer.why = CELL_REFUSED_FENCE;
 		return;
 	}
-	if (run_of(w, &c->task, c->run) != NULL)
+	if (run_of(w, &c->task, c->run) != NULL) {
+		renew_lease(f, w, c->lease_until_ms);
 		return;
+	}
 	why = start_refusal(f, w, c);
 	if (why != CELL_NOT_REFUSED) {
+		if (why == CELL_REFUSED_OLD)
+			renew_lease(f, w, c->lease_until_ms);
 		c->order_answer.io = OGL_IO_REFUSED;
 		c->order_answer.why = why;
 		return;
