fleet: an idle worker is not forgotten while calls to it may be late

What callers would see: a task runs twice. A worker whose entry has expired, and that runs nothing, was forgotten at once. When it was listed again it counted as one that nobody had called, and so its lease as a usual one, whatever a late hold had given it.

Change: it is kept for 15 s and max_hold_ms after the last call that asked for a lease, of this owner or an earlier one. So that a successor doesn't wait for it, the record calls it closed, without tasks, as it does a draining one.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -348,7 +348,8 @@
 	w->labels = g_strdupv(e->labels);
 	w->capacity = e->capacity;
 	if (w->draining != e->draining || !w->listed) {
-		f->record_outdated |= w->draining != e->draining;
+		f->record_outdated |=
+		    w->draining != e->draining || !w->open_in_record;
 		w->draining = e->draining;
 		w->appearance += !w->listed;
 		w->listed = true;
@@ -1056,20 +1057,47 @@
 	}
 }
 
-static gboolean
-worker_is_unused(gpointer key, gpointer value, gpointer ctx)
+/* Whether calls to an incarnation of the worker may still be carried out by the
+ * next one. */
+static bool
+awaits_late_calls(
+    const struct cell_fleet *f, const struct cell_worker *w, ogl_time now)
 {
-	const struct cell_worker *w = value;
-	struct cell_fleet *f = ctx;
+	ogl_time called_at = w->lease.asked_at;
 
-	(void)key;
-	if (w->listed || w->expected || w->calls_pending > 0 ||
-	    g_hash_table_size(w->runs) > 0 || !predecessors_are_out(f))
-		return FALSE;
-	f->record_outdated = true;
-	cell_health_forget(f->health, w);
-	g_hash_table_remove(f->by_serial, GUINT_TO_POINTER(w->serial));
-	return TRUE;
+	if (w->called_before)
+		called_at = MAX(called_at, f->first_step_at);
+	return called_at != 0 && now <= cell_lease_late_orders_expired_at(
+					    called_at, f->limits->lease_max_ms);
+}
+
+static bool
+worker_is_unused(const struct cell_fleet *f, const struct cell_worker *w)
+{
+	return !w->listed && !w->expected && w->calls_pending == 0 &&
+	       g_hash_table_size(w->runs) == 0 && predecessors_are_out(f);
+}
+
+static void
+forget_unused_workers(struct cell_fleet *f, ogl_time now)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, f->workers);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct cell_worker *w = p;
+
+		if (!worker_is_unused(f, w))
+			continue;
+		f->record_outdated |= w->open_in_record;
+		if (awaits_late_calls(f, w, now))
+			continue;
+		f->record_outdated = true;
+		cell_health_forget(f->health, w);
+		g_hash_table_remove(f->by_serial, GUINT_TO_POINTER(w->serial));
+		g_hash_table_iter_remove(&it);
+	}
 }
 
 void
@@ -1104,7 +1132,7 @@
 		step_worker(f, p, scan_runs, now);
 	cell_health_step(f->health, now);
 	if (scan_runs)
-		g_hash_table_foreach_remove(f->workers, worker_is_unused, f);
+		forget_unused_workers(f, now);
 }
 
 bool
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -214,7 +214,8 @@
 	void forget()
 	{
 		cell_fleet_update_entry(fleet_, "w", nullptr, now_);
-		step(100);
+		for (int i = 0; i < 300; i++)
+			step(100);
 		ASSERT_EQ(nullptr, worker());
 	}
 
