known, test: unheard workers stay open in the record; late starts at fresh incarnations are a check of their own

Only a worker that certainly runs nothing is closed now. Tests: Fleet.UnheardWorkerIsOpenInTheRecord- AlthoughUnlisted fails before; IdleWorkerThatIsUnlistedIsClosedInTheRecord.

A start that was sent to a worker's former incarnation, and that the next one carries out before any call sent to itself, can't be prevented by its owner: neither the fence nor a stop can have reached that incarnation.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -1071,8 +1071,9 @@
 					    called_at, f->limits->lease_max_ms);
 }
 
-static bool
-worker_is_unused(const struct cell_fleet *f, const struct cell_worker *w)
+bool
+cell_fleet_worker_unused(
+    const struct cell_fleet *f, const struct cell_worker *w)
 {
 	return !w->listed && !w->expected && w->calls_pending == 0 &&
 	       g_hash_table_size(w->runs) == 0 && predecessors_are_out(f);
@@ -1088,7 +1089,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct cell_worker *w = p;
 
-		if (!worker_is_unused(f, w))
+		if (!cell_fleet_worker_unused(f, w))
 			continue;
 		f->record_outdated |= w->open_in_record;
 		if (awaits_late_calls(f, w, now))
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -229,6 +229,9 @@
  * stored.  It tells a new owner to call the worker, so the worker may be given
  * work from now on, unless a later record calls it silent. */
 
+bool cell_fleet_worker_unused(
+    const struct cell_fleet *f, const struct cell_worker *w);
+/* Whether the worker is not listed and certainly runs nothing. */
 uint64_t cell_worker_incarnation(const struct cell_worker *w);
 /* The incarnation that last answered, this owner or an earlier one; 0 if none
  * did, or another one is known to be there. */
--- a/cell/known.c
+++ b/cell/known.c
@@ -5,7 +5,7 @@
  * earlier owner may have started until each worker has reported what it runs,
  * or the worker's lease has expired, which takes seconds.  An unreachable worker
  * would thus delay the whole shard at each change of owner.  So once a worker
- * has been silent for a short time, is draining, or is idle and not listed, the
+ * has been silent for a short time, is draining, or is idle and unlisted, the
  * record lists the tasks that may run there, and only these wait for it.
  *
  * The list stays complete only if the worker gets no other work.  Hence
@@ -63,15 +63,13 @@
 }
 
 /* Makes the worker's entry in the record with that number.  If the worker is
- * silent, draining, or idle and not listed, or was when the last owner was lost,
+ * silent, draining, or idle and unlisted, or was when the last owner was lost,
  * it gets no new work from now on. */
 static Ogl__CellKnown *
 known_new(const struct cell_fleet *f, struct cell_worker *w, uint64_t number,
     ogl_time now)
 {
 	Ogl__CellKnown *k = g_new(Ogl__CellKnown, 1);
-	bool unlisted_idle = !w->listed && g_hash_table_size(w->runs) == 0;
-
 	ogl__cell_known__init(k);
 	k->id = g_strdup(w->id);
 	k->addr = g_strdup(w->addr);
@@ -84,7 +82,8 @@
 		w->open_from_record = number;
 	w->unrecorded = false;
 	w->silent_in_record = cell_worker_silent(w, now) || w->tasks_recorded;
-	if (w->silent_in_record || w->draining || unlisted_idle) {
+	if (w->silent_in_record || w->draining ||
+	    cell_fleet_worker_unused(f, w)) {
 		k->closed = true;
 		w->open_in_record = false;
 		w->open_from_record = number;
--- a/test/fake_cell.h
+++ b/test/fake_cell.h
@@ -303,6 +303,9 @@
 unsigned fake_cell_worker_runs(const struct fake_cell *f, unsigned worker);
 /* Number of runs that the worker has begun so far. */
 const char *fake_cell_violations(const struct fake_cell *f);
+const char *fake_cell_late_violations(const struct fake_cell *f);
+/* Those by starts that were sent to a worker's former incarnation and reach one
+ * that no call sent to itself has reached; no owner can prevent them. */
 /* Violations of invariants so far, one a line; "" if there were none. */
 bool fake_cell_settle(struct fake_cell *f, uint32_t ms);
 /* Ends all faults, starts all nodes and runs until each accepted job has ended.
--- a/test/fake_cell_impl.h
+++ b/test/fake_cell_impl.h
@@ -113,6 +113,7 @@
 	uint64_t first_clock_ms; /* what the clock read then */
 	int64_t next_clock_ms; /* the same of the next incarnation; -1 random */
 	uint64_t token;        /* highest fencing token seen */
+	bool called; /* a call sent to this incarnation has reached it */
 	uint64_t lease_until_ms;  /* on the worker's clock */
 	uint64_t lease_lapsed_ms; /* last end of a lease that ran out */
 	bool up;
@@ -217,6 +218,8 @@
 	ogl_time
 	    evacuated_at[FAKE_MAX_ZONES + 1]; /* by zone number; 0: it is not */
 	GString *violations;
+	GString *late_violations;
+	bool reports_late;     /* what is reported goes there */
 	ogl_time disturbed_at; /* the last fault, or end of a fault */
 	struct fake_advice *advice;
 	struct fake_starved *starved; /* NULL: not checked */
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -641,6 +641,35 @@
 	EXPECT_GE(now_ - sent_at, 25 * OGL_SEC);
 }
 
+/* Guards against a successor that does not wait for a worker which this owner has
+ * not heard: what runs there is not known, though it is not listed. */
+TEST_F(Fleet, UnheardWorkerIsOpenInTheRecordAlthoughUnlisted)
+{
+	take_over(2, 7, false);
+	step(10);
+	take_over_record(3);
+	step(10);
+	EXPECT_FALSE(cell_fleet_settled(fleet_));
+}
+
+/* Guards against a takeover that waits for a worker which has left and runs
+ * nothing. */
+TEST_F(Fleet, IdleWorkerThatIsUnlistedIsClosedInTheRecord)
+{
+	step(10);
+	answer(OGL_IO_OK, 0);
+	start(OGL_IO_OK);
+	step(10);
+	cell_fleet_update_entry(fleet_, "w", nullptr, now_);
+	wait_for_ends(1);
+	answer(OGL_IO_LOST, 0);
+	step(100);
+	EXPECT_TRUE(cell_fleet_record_outdated(fleet_));
+	take_over_record(3);
+	step(10);
+	EXPECT_TRUE(cell_fleet_settled(fleet_));
+}
+
 /* Guards against a takeover that waits for the longest lease although most
  * workers have answered and the record tells that there is none. */
 TEST_F(Fleet, NewOwnerWithMostAnswersWaitsAsLongAsTheRecordTells)
