schedule: a gang looks for workers to reserve only if it may use some

A gang without a ticket looked through all workers in vain, and one with tickets compared service, labels and capacity of each worker before it looked whether it has a ticket for it.

Starts, questions and log lines are the same (equal digests).

--- a/cell/sched_place.c
+++ b/cell/sched_place.c
@@ -403,18 +403,20 @@
     uint32_t rank, bool policy_needed)
 {
 	struct ogl_res need = cell_stage_need(st);
+	bool some_allowed = !policy_needed || st->approvals->len > 0;
 	uint32_t n = 0;
 	guint i;
 
 	if (!CELL_USES_RESERVE || s->reserving_gangs >= RESERVING_GANGS_MAX)
 		return;
-	for (i = 0; i < s->schedulable->len && n < st->ntasks; i++) {
+	for (i = 0; some_allowed && i < s->schedulable->len && n < st->ntasks;
+	     i++) {
 		struct cell_worker *w = s->schedulable->pdata[i];
 
 		if (cell_sched_reserved_against(w, st, rank) ||
+		    (policy_needed && cell_advice_approval(st, w) == NULL) ||
 		    !cell_health_may_start(w, st->def->gang) ||
-		    !cell_worker_could_run(w, st) ||
-		    (policy_needed && cell_advice_approval(st, w) == NULL))
+		    !cell_worker_could_run(w, st))
 			continue;
 		n += cell_res_tasks(&w->capacity, &need);
 		w->reserved_rank_plus_1 = rank + 1;
