advice: a lane is looked for only if there is a question

cell_advice_ask() looked through all lanes before it returned for a stage with nothing to ask or with a question under way.

--- a/cell/advice.c
+++ b/cell/advice.c
@@ -293,12 +293,15 @@
     const struct cell_policy *p, GPtrArray *workers, uint32_t rank,
     ogl_time now)
 {
-	struct lane *l = pick_lane(a, rank, now);
 	struct question *q;
+	struct lane *l;
 	ogl_time busy_time;
 	guint i;
 
-	if (l == NULL || workers->len == 0 || s->asking)
+	if (workers->len == 0 || s->asking)
+		return false;
+	l = pick_lane(a, rank, now);
+	if (l == NULL)
 		return false;
 	q = g_new0(struct question, 1);
 	q->token = ++a->last_token;
