advice: one loop over the lanes of live nodes

pick_lane(), cell_advice_add_lanes() and cell_advice_count_lanes() each skipped the lanes of silent nodes by a test of their own, as did lane_is_silent().

--- a/cell/advice.c
+++ b/cell/advice.c
@@ -168,6 +168,26 @@
 	g_hash_table_remove(a->lanes, addr);
 }
 
+/* Whether the lane's node has been heard from lately. */
+static bool
+is_live(const struct lane *l, ogl_time now)
+{
+	return now - l->heard_at <= NODE_HEARD_MAX_AGE;
+}
+
+/* The next lane whose node is live; NULL if there are no more. */
+static struct lane *
+next_live_lane(GHashTableIter *it, ogl_time now)
+{
+	gpointer p;
+
+	while (g_hash_table_iter_next(it, NULL, &p)) {
+		if (is_live(p, now))
+			return p;
+	}
+	return NULL;
+}
+
 static double
 decayed_rank0_lanes(const struct cell_advice *a, ogl_time now)
 {
@@ -207,14 +227,11 @@
 	unsigned lanes = 0;
 	unsigned idle = 0;
 	GHashTableIter it;
-	gpointer p;
+	struct lane *l;
 
 	g_hash_table_iter_init(&it, a->lanes);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		struct lane *l = p;
-
-		if (now - l->heard_at > NODE_HEARD_MAX_AGE ||
-		    now < l->paused_until)
+	while ((l = next_live_lane(&it, now)) != NULL) {
+		if (now < l->paused_until)
 			continue;
 		lanes++;
 		if (l->busy_until <= now + LANE_SEND_AHEAD)
@@ -246,16 +263,12 @@
 cell_advice_add_lanes(
     const struct cell_advice *a, struct ogl_capacity *c, ogl_time now)
 {
+	const struct lane *l;
 	unsigned lanes = 0;
 	GHashTableIter it;
-	gpointer p;
 
 	g_hash_table_iter_init(&it, a->lanes);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		const struct lane *l = p;
-
-		if (now - l->heard_at > NODE_HEARD_MAX_AGE)
-			continue;
+	while ((l = next_live_lane(&it, now)) != NULL) {
 		lanes++;
 		ogl_capacity_add_lane(
 		    c, MAX(l->busy_until - LANE_SEND_AHEAD, l->paused_until));
@@ -492,7 +505,7 @@
 {
 	const struct lane *l = g_hash_table_lookup(a->lanes, q->lane_addr);
 
-	return l == NULL || now - l->heard_at > NODE_HEARD_MAX_AGE;
+	return l == NULL || !is_live(l, now);
 }
 
 void
@@ -534,15 +547,11 @@
 cell_advice_count_lanes(const struct cell_advice *a, ogl_time now)
 {
 	struct cell_advice_lanes n = {0};
+	const struct lane *l;
 	GHashTableIter it;
-	gpointer p;
 
 	g_hash_table_iter_init(&it, a->lanes);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		const struct lane *l = p;
-
-		if (now - l->heard_at > NODE_HEARD_MAX_AGE)
-			continue;
+	while ((l = next_live_lane(&it, now)) != NULL) {
 		n.known++;
 		if (now < l->paused_until)
 			n.paused++;
