soak: workers restart under their ids and are cut off, as a fault of the soak

The soak's faults restarted workers and cut them off, but rarely the one after the other, and its tasks ended before a lease did. In about a third of the times at which a cut may begin, up to half of the workers now restart, answer and are cut off from all nodes; at times calls to the former incarnations are carried out late, or the owner is killed before the cut.

--- a/soak/cuts.py
+++ b/soak/cuts.py
@@ -1,6 +1,7 @@
 """Cuts of the network as a fault of the soak, and what happens inside them."""
 
 import asyncio
+import random
 import signal
 
 import net
@@ -9,6 +10,11 @@
 BEGIN_SHARE = 0.4  # of the times at which a cut may begin
 CUT_MIN_S, CUT_MAX_S = 1, 12
 FREEZE_MIN_S, FREEZE_MAX_S = 0.5, 9  # the longer ones outlast a takeover
+RESTART_SHARE = 0.3  # of the times at which restarts before a cut may begin
+LATE_BEFORE_MAX_S = 1.5  # time in which calls for the next incarnations come up
+DOWN_MAX_S = 1.5
+UP_MIN_S, UP_MAX_S = 0.3, 3  # of new incarnations, before the cut
+LAPSE_MIN_S = 5  # a shorter cut ends before tasks count as lapsed
 STOP_MAX_S = 5  # of a node that was sent SIGTERM and is not frozen
 OWNER_POLL_S = 0.05
 
@@ -19,6 +25,7 @@
 
     def __init__(self, soak, rand):
         self.soak, self.rand = soak, rand
+        self.restart_rand = random.Random(soak.seed + 4)
         self.task = None
 
     def owner(self):
@@ -46,6 +53,8 @@
         if self.task and self.task.done():
             self.task.result()  # an error of the soak ends it
             self.task = None
+        if self.task is None and self.restart_rand.random() < RESTART_SHARE:
+            self.task = asyncio.ensure_future(self.restart_then_cut())
         if self.task is None and self.rand.random() < BEGIN_SHARE:
             self.task = asyncio.ensure_future(self.run_cut())
 
@@ -96,6 +105,30 @@
         await asyncio.sleep(seconds)
         self.end_cut()
 
+    async def restart_then_cut(self):
+        """Workers restart under their ids, answer, and are cut off from all
+        nodes.  At times calls to the former incarnations are carried out late,
+        and the owner is killed before the cut."""
+        r, p = self.restart_rand, self.soak.platform
+        count = r.randint(1, max(1, self.soak.nworkers // 2))
+        workers = r.sample(p.workers, count)
+        if r.random() < 0.5:
+            for x in workers:
+                if x.mode == "normal":
+                    x.mode = "late"
+            await asyncio.sleep(r.uniform(0, LATE_BEFORE_MAX_S))
+        await self.restart(workers, r.uniform(0, DOWN_MAX_S))
+        await asyncio.sleep(r.uniform(UP_MIN_S, UP_MAX_S))
+        owner = self.owner()
+        if owner and r.random() < 0.4:
+            owner.signal(signal.SIGKILL)
+            await asyncio.sleep(r.uniform(0, 1))
+        self.begin_cut([], workers, r.random() < 0.5)
+        try:
+            await asyncio.sleep(r.uniform(LAPSE_MIN_S, CUT_MAX_S))
+        finally:
+            self.end_cut()
+
     async def restart(self, workers, seconds):
         """They are down for so long."""
         self.soak.platform.note_fault(
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -6,10 +6,11 @@
 
 Nodes reach the store and the workers through loopback proxies that delay, drop
 or reset traffic, drop it in one direction or refuse connections.  Cuts part some
-nodes and workers from the others and from the store.  Node processes get SIGKILL,
-SIGSTOP, SIGCONT, SIGTERM and SIGHUP and are restarted.  The store refuses
-requests, is slow, loses answers and executes writes late.  Workers crash,
-restart, fail all tasks and answer late; their clocks are up to 2% slow.
+nodes and workers from the others and from the store, or workers that have just
+restarted under their ids from all nodes.  Node processes get SIGKILL, SIGSTOP,
+SIGCONT, SIGTERM and SIGHUP and are restarted.  The store refuses requests, is
+slow, loses answers and executes writes late.  Workers crash, restart, fail all
+tasks and answer late; their clocks are up to 2% slow.
 Callers reuse their connections while the node runs.
 At the end all faults are removed and each accepted job has to end.  The exit
 status is 0 if there was no violation.
@@ -36,6 +37,8 @@
 API_KEY = "key-one"
 SETTLE_TIMEOUT_S = 60
 CALLS_TIMEOUT_S = 30
+LONG_SHARE = 0.15  # of jobs with tasks that outlast a lease
+LONG_MIN_MS, LONG_MAX_MS = 6000, 14000
 ZONES = ["za", "zb"]  # of the workers, alternating
 
 
@@ -151,6 +154,7 @@
         self.seed, self.rand = a.seed, random.Random(a.seed)
         self.zone_rand = random.Random(a.seed + 1)
         self.series_rand = random.Random(a.seed + 2)
+        self.long_rand = random.Random(a.seed + 6)
         self.build, self.dir = a.build, a.keep or tempfile.mkdtemp()
         os.makedirs(self.dir, exist_ok=True)
         self.subnet = a.seed % 200
@@ -235,6 +239,10 @@
         ]
         if len(steps) == 2:
             steps[1]["after"] = [0]
+        if self.long_rand.random() < LONG_SHARE:
+            steps[0]["estimate_ms"] = self.long_rand.randint(
+                LONG_MIN_MS, LONG_MAX_MS
+            )
         job = w.Job(f"{self.last_job:016x}", steps)
         self.platform.jobs[job.id] = job
         body = json.dumps({"spec": "s", "steps": steps}).encode()
@@ -529,6 +537,7 @@
         a.nodes = sum(shapes.SHAPES[a.shape].nodes)
     soak = Soak(a)
     if a.shape == "small":
+        soak.platform.advised = random.Random(a.seed + 5).random() < 0.5
         return run_soak(soak, soak.play)
     soak.site = sites.Site(soak, shapes.SHAPES[a.shape], a)
     return run_soak(soak, soak.site.play)
