fleet: a worker gets no work by the entry of its former incarnation

The list may describe the former incarnation after the next one has answered. The owner started tasks there by its capacity and labels.

A worker gets no work while list and answers name different incarnations.

Evidence: the test fails before.

--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -677,10 +677,19 @@
 	return ogl_res_fits(need, &room);
 }
 
+/* Whether the list describes another incarnation than the one that answers: what
+ * capacity and labels that one has is not known. */
+static bool
+entry_is_outdated(const struct cell_worker *w)
+{
+	return w->entry_born_ms != 0 && w->incarnation != 0 &&
+	       w->entry_born_ms != w->incarnation;
+}
+
 enum cell_unusable
 cell_worker_unusable(const struct cell_worker *w, ogl_time now)
 {
-	if (!w->listed)
+	if (!w->listed || entry_is_outdated(w))
 		return CELL_UNLISTED;
 	if (!w->open_in_record)
 		return CELL_UNRECORDED;
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -500,6 +500,31 @@
 	EXPECT_LT(fence, step(10).fence);
 }
 
+/* Guards against tasks that a worker can't run, started by the labels and the
+ * capacity of its last incarnation. */
+TEST_F(Fleet, EntryOfTheLastIncarnationOpensNoWorker)
+{
+	list("10.9.0.1:80", 7);
+	step(10);
+	answer(OGL_IO_OK, 0, 7);
+	store(2);
+	cell_fleet_record_stored(fleet_, "w", 2);
+	step(10);
+	ASSERT_EQ(CELL_USABLE, cell_worker_unusable(worker(), now_));
+	worker()->next_hold_no_wait = true;
+	step(70000);
+	answer(OGL_IO_OK, 0, 8);
+	step(10);
+	answer(OGL_IO_OK, 0, 8);
+	store(3);
+	cell_fleet_record_stored(fleet_, "w", 3);
+	step(10);
+	ASSERT_EQ(8u, worker()->incarnation);
+	EXPECT_NE(CELL_USABLE, cell_worker_unusable(worker(), now_));
+	list("10.9.0.1:80", 8);
+	EXPECT_EQ(CELL_USABLE, cell_worker_unusable(worker(), now_));
+}
+
 /* Guards against a lease as long as the last incarnation's life: its answer to a
  * start arrives after the next incarnation's to a hold. */
 TEST_F(Fleet, ClockOfTheLastIncarnationIsIgnored)
