fleet: progress measured by the former incarnation's clock is forgotten

A run may be carried out by the next incarnation of its worker, by a late start. Its progress was compared with readings of the former clock; if the next one is ahead, the run counted as stalled.

Evidence: the test fails before.

--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -209,6 +209,7 @@
 		struct cell_run *r = runs->pdata[i];
 
 		r->stop_answered = false;
+		memset(&r->progress, 0, sizeof r->progress);
 		if (!answer_lists(a, r))
 			cell_fleet_run_ended(f, r, CELL_END_LAPSED, NULL, now);
 	}
--- a/test/test_cell_fleet.cc
+++ b/test/test_cell_fleet.cc
@@ -525,6 +525,33 @@
 	EXPECT_EQ(CELL_USABLE, cell_worker_unusable(worker(), now_));
 }
 
+/* Guards against a run that counts as stalled by the clock of its worker's last
+ * incarnation. */
+TEST_F(Fleet, ProgressOfTheLastIncarnationIsForgotten)
+{
+	GPtrArray *runs;
+	struct cell_run *r;
+
+	step(10);
+	answer(OGL_IO_OK, 0);
+	send_start();
+	step(10);
+	answer_start(OGL_IO_LOST, 0);
+	step(10);
+	list_run(7);
+	runs = cell_worker_runs(worker());
+	r = static_cast<struct cell_run *>(runs->pdata[0]);
+	r->progress.clock_ms = 1000;
+	r->progress.percent = 0;
+	list("10.9.0.1:80", 8);
+	clock_ahead_ms_ = 8000000;
+	step(10);
+	list_run(8);
+	EXPECT_FALSE(
+	    cell_pace_is_stalled(&r->progress, worker()->lease.clock_ms, 1000));
+	g_ptr_array_unref(runs);
+}
+
 /* Guards against a lease as long as the last incarnation's life: its answer to a
  * start arrives after the next incarnation's to a hold. */
 TEST_F(Fleet, ClockOfTheLastIncarnationIsIgnored)
