--- a/cell/sched_impl.h
+++ b/cell/sched_impl.h
@@ -75,9 +75,7 @@
 	GPtrArray *schedulable; /* workers that take work, most room first */
 	/* The same and those that only their health keeps from it. */
 	GPtrArray *usable;
-	/* scratch: struct worker_room */
-	GArray *by_room;
-	GArray *sorted_by_room;
+	GArray *by_room; /* scratch: struct worker_room */
 	/* Overdue stages that this pass has not tried and is to try; first those
 	 * whose last try is the oldest. */
 	GPtrArray *skipped;
--- a/cell/schedule.c
+++ b/cell/schedule.c
@@ -45,8 +45,6 @@
 	s->schedulable = g_ptr_array_new();
 	s->usable = g_ptr_array_new();
 	s->by_room = g_array_new(FALSE, FALSE, sizeof(struct worker_room));
-	s->sorted_by_room =
-	    g_array_new(FALSE, FALSE, sizeof(struct worker_room));
 	s->skipped = g_ptr_array_new();
 	s->expired = g_ptr_array_new();
 	for (i = 0; i < PRECEDENCES; i++) {
@@ -95,7 +93,6 @@
 	g_ptr_array_unref(s->schedulable);
 	g_ptr_array_unref(s->usable);
 	g_array_unref(s->by_room);
-	g_array_unref(s->sorted_by_room);
 	g_ptr_array_unref(s->skipped);
 	g_ptr_array_unref(s->expired);
 	g_ptr_array_unref(s->candidates);
@@ -354,61 +351,18 @@
 	}
 }
 
-#define DIGIT_BITS 8
-#define DIGITS (1 << DIGIT_BITS)
-
-static unsigned
-digit_of(const struct worker_room *x, unsigned shift)
-{
-	return x->cpu_milli >> shift & (DIGITS - 1);
-}
-
-/* Orders n workers by one digit of their rooms, the highest first; those with
- * the same digit keep their order. */
-static void
-sort_by_digit(const struct worker_room *from, struct worker_room *to, guint n,
-    unsigned shift)
+static gint
+most_room_first(gconstpointer a, gconstpointer b)
 {
-	guint next[DIGITS] = {0}; /* position in `to`, by digit */
-	guint before = 0;
-	unsigned digit;
-	guint i;
+	const struct worker_room *x = a;
+	const struct worker_room *y = b;
 
-	for (i = 0; i < n; i++)
-		next[digit_of(&from[i], shift)]++;
-	for (digit = DIGITS; digit-- > 0;) {
-		guint same = next[digit];
-
-		next[digit] = before;
-		before += same;
-	}
-	for (i = 0; i < n; i++)
-		to[next[digit_of(&from[i], shift)]++] = from[i];
-}
-
-/* Orders the workers by their room, most first; those with the same room keep
- * their order.  A radix sort, as passes are frequent and workers many. */
-static void
-sort_by_room(struct cell_sched *s, uint32_t most)
-{
-	unsigned shift;
-
-	for (shift = 0; shift < 32 && most >> shift > 0; shift += DIGIT_BITS) {
-		GArray *from = s->by_room;
-		GArray *to = s->sorted_by_room;
-
-		g_array_set_size(to, from->len);
-		sort_by_digit((const struct worker_room *)(void *)from->data,
-		    (struct worker_room *)(void *)to->data, from->len, shift);
-		s->by_room = to;
-		s->sorted_by_room = from;
-	}
+	return (x->cpu_milli < y->cpu_milli) - (x->cpu_milli > y->cpu_milli);
 }
 
 static void
 list_workers(struct cell_sched *s, ogl_time now)
 {
-	uint32_t most = 0;
 	GHashTableIter it;
 	gpointer p;
 	guint i;
@@ -427,7 +381,6 @@
 		x.worker = w;
 		x.cpu_milli = cell_worker_room(w).cpu_milli;
 		g_array_append_val(s->by_room, x);
-		most = MAX(most, x.cpu_milli);
 		w->usable_pass = s->pass;
 		w->reserved_rank_plus_1 = 0;
 		if (!schedulable)
@@ -435,7 +388,7 @@
 		w->schedulable_pass = s->pass;
 		s->free_cpu_milli += x.cpu_milli;
 	}
-	sort_by_room(s, most);
+	g_array_sort(s->by_room, most_room_first);
 	g_ptr_array_set_size(s->schedulable, 0);
 	g_ptr_array_set_size(s->usable, 0);
 	for (i = 0; i < s->by_room->len; i++) {
