--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -436,7 +436,7 @@
 	    MIN(f->record_due_at, now + INCARNATION_RECORDED_AFTER);
 }
 
-/* A successor that reaches no answer of the worker takes its lease for an usual
+/* A successor that reaches no answer of the worker takes its lease for a usual
  * one unless the record tells otherwise, so the worker gets no work before. */
 void
 cell_fleet_incarnation_heard(
