--- a/tools/check.sh
+++ b/tools/check.sh
@@ -53,17 +53,20 @@
 		fail=$((fail + 1))
 	fi
 fi
-# Scripted cuts of an owner and workers: real node processes.
+# Scripted cuts of an owner and workers, and of workers that have restarted:
+# real node processes.
 if [ -z "$pick" ]; then
-	for c in 'running --seed 71' 'ended --seed 72'; do
+	for c in 'cut_case running --seed 71' 'cut_case ended --seed 72' \
+	    'restart_case cut --seed 2' 'restart_case kill --seed 12' \
+	    'restart_case late --seed 26'; do
 		# shellcheck disable=SC2086
-		if out=$(python3 soak/cut_case.py "$b" $c 2>&1); then
+		if out=$(python3 "soak/${c%% *}.py" "$b" ${c#* } 2>&1); then
 			pass=$((pass + 1))
 		else
 			printf '%s\n' "$out" | tail -20
 			fail=$((fail + 1))
 		fi
-		printf 'cut_case %s: %s\n' "$c" \
+		printf '%s: %s\n' "$c" \
 		    "$(printf '%s\n' "$out" | tail -1)"
 	done
 fi
