--- a/tools/check.sh
+++ b/tools/check.sh
@@ -57,7 +57,7 @@
 # real node processes.
 if [ -z "$pick" ]; then
 	for c in 'cut_case running --seed 71' 'cut_case ended --seed 72' \
-	    'restart_case cut --seed 2' 'restart_case kill --seed 18' \
+	    'restart_case cut --seed 2' 'restart_case kill --seed 12' \
 	    'restart_case late --seed 26'; do
 		# shellcheck disable=SC2086
 		if out=$(python3 "soak/${c%% *}.py" "$b" ${c#* } 2>&1); then
