--- a/cell/fleet_hold.c
+++ b/cell/fleet_hold.c
@@ -354,6 +354,36 @@
 	g_ptr_array_unref(runs);
 }
 
+/* Takes the clock of the answering incarnation, which may be another one than
+ * answered last.  Returns whether it is. */
+static bool
+process_incarnation(struct cell_fleet *f, struct cell_worker *w,
+    const struct cell_hold_answer *a, ogl_time now)
+{
+	uint64_t last = w->incarnation;
+
+	w->restarted = false;
+	if (last == a->born_ms) {
+		cell_lease_read_clock(&w->lease, a->clock_ms, now);
+		return false;
+	}
+	if (last != 0)
+		worker_restarted(f, w, a, now);
+	else
+		cell_lease_first_answer(&w->lease, a->clock_ms,
+		    f->limits->lease_max_ms, asked_by_earlier(w, a->born_ms),
+		    now);
+	if (last == 0 && w->first_record == CELL_FLEET_LOADED_RECORD)
+		f->nexpected_answered++;
+	w->incarnation = a->born_ms;
+	w->incarnation_since = now;
+	w->appearance++;
+	cell_fleet_incarnation_heard(f, w, now);
+	if (last != 0)
+		cell_fleet_log_lease(f, w, "incarnation_lease", now);
+	return true;
+}
+
 static void
 process_hold(struct cell_fleet *f, struct cell_fleet_call *c,
     const struct cell_hold_answer *a, ogl_time now)
@@ -361,12 +391,12 @@
 	struct cell_worker *w = c->worker;
 	uint64_t ends_before = w->ends_reported;
 	bool first_answer = !w->fenced;
-	bool restarted = w->incarnation != 0 && w->incarnation != a->born_ms;
 	GHashTable *seen;
 
 	/* The next incarnation may still carry out calls under this fence, so
 	 * that its lists say little. */
-	if (restarted && !w->restarted) {
+	if (w->incarnation != 0 && w->incarnation != a->born_ms &&
+	    !w->restarted) {
 		cell_fleet_incarnation_over(f, w, now);
 		return;
 	}
@@ -381,28 +411,10 @@
 	w->last_answer_at = now;
 	cell_fleet_count_call(f, w, OGL_HEALTH_HOLD_UNANSWERED, true, now);
 	cell_fleet_count_call(f, w, OGL_HEALTH_CONN_REFUSED, true, now);
-	if (restarted)
-		worker_restarted(f, w, a, now);
-	else if (w->incarnation == 0)
-		cell_lease_first_answer(&w->lease, a->clock_ms,
-		    f->limits->lease_max_ms, asked_by_earlier(w, a->born_ms),
-		    now);
+	if (process_incarnation(f, w, a, now))
+		ends_before = 0;
 	else
-		cell_lease_read_clock(&w->lease, a->clock_ms, now);
-	if (w->incarnation == 0 && w->first_record == CELL_FLEET_LOADED_RECORD)
-		f->nexpected_answered++;
-	w->restarted = false;
-	if (w->incarnation == a->born_ms) {
 		w->ends_acked = MAX(w->ends_acked, c->ends_acked);
-	} else {
-		ends_before = 0;
-		w->incarnation = a->born_ms;
-		w->incarnation_since = now;
-		w->appearance++;
-		cell_fleet_incarnation_heard(f, w, now);
-	}
-	if (restarted)
-		cell_fleet_log_lease(f, w, "incarnation_lease", now);
 	w->accepted_at = MAX(w->accepted_at, c->sent_at);
 	w->fenced = true;
 	w->expected = false;
