--- a/cell/fleet.c
+++ b/cell/fleet.c
@@ -10,9 +10,6 @@
 #include "ablate.h"
 #include "fleet_impl.h"
 
-/* The stored record of the workers (known.h) calls a worker silent after this
- * time; a single lost answer does not justify storing a new record. */
-#define SILENT_RECORDED_AFTER (400 * OGL_MS)
 /* Intervals of the scans of all workers and of all runs.  An owner is stepped
  * hundreds of times a second, and calls that are due may wait this long. */
 #define SCAN_INTERVAL (8 * OGL_MS)
@@ -20,12 +17,6 @@
  * the workers are asked. */
 #define STORE_SILENT_AFTER (550 * OGL_MS)
 #define RUN_SCAN_INTERVAL (40 * OGL_MS)
-/* An incarnation that changes nothing but itself is recorded with this delay,
- * so that many need one record. */
-#define INCARNATION_RECORDED_AFTER (1 * OGL_SEC)
-/* A fence is the epoch, and below it a number that rises with restarts. */
-#define FENCE_EPOCH_SHIFT 20
-#define FENCE_RESTARTS_MAX ((1U << FENCE_EPOCH_SHIFT) - 1)
 
 void
 cell_fleet_run_free(struct cell_run *r)
@@ -211,15 +202,6 @@
 	*to = g_strdup(from);
 }
 
-/* Rises over all workers: one that was forgotten and is listed again continues
- * above its former fence. */
-static uint32_t
-next_restarts(struct cell_fleet *f)
-{
-	f->restarts = MIN(f->restarts + 1, FENCE_RESTARTS_MAX);
-	return f->restarts;
-}
-
 static struct cell_worker *
 get_or_add_worker(struct cell_fleet *f, const char *id, ogl_time now)
 {
@@ -229,7 +211,7 @@
 		return w;
 	w = g_new0(struct cell_worker, 1);
 	w->serial = ++f->last_serial;
-	w->restarts = f->open ? next_restarts(f) : 0;
+	w->restarts = f->open ? cell_fleet_next_restarts(f) : 0;
 	w->id = g_strdup(id);
 	w->runs = g_hash_table_new(NULL, NULL);
 	w->unanswered_starts =
@@ -265,21 +247,6 @@
 	cell_fleet_log_worker_why(f, w, event, "");
 }
 
-void
-cell_fleet_log_lease(struct cell_fleet *f, const struct cell_worker *w,
-    const char *event, ogl_time now)
-{
-	const struct cell_lease *l = &w->lease;
-	char text[200];
-
-	g_snprintf(text, sizeof text,
-	    "worker=%s life=%" G_GUINT64_FORMAT " clock_ms=%" G_GUINT64_FORMAT
-	    " lease_ms=%" G_GINT64_FORMAT " read_ms=%" G_GINT64_FORMAT,
-	    w->id, w->incarnation, l->clock_ms,
-	    (int64_t)(l->end_ms - l->clock_ms), (now - l->read_at) / OGL_MS);
-	f->ops->log(f->ops->ctx, "fleet", event, text);
-}
-
 /* A successor that knows only the old address would get no answer there and
  * conclude that the worker has ended.  It would then start elsewhere the tasks
  * that run at the new address.  So a worker whose address has changed gets no
@@ -298,30 +265,6 @@
 	set_string(&w->addr, addr);
 }
 
-uint64_t
-cell_fleet_fence(const struct cell_fleet *f, const struct cell_worker *w)
-{
-	return f->epoch << FENCE_EPOCH_SHIFT | w->restarts;
-}
-
-/* A new incarnation has seen no fence, so it is called at once.  Until it has
- * answered under a fence above that of the last one's calls, it may carry these
- * out, however late they arrive.  The answer to a hold in flight no longer
- * counts, as it was sent to the last incarnation, and no more ends of that one
- * are acknowledged. */
-void
-cell_fleet_incarnation_over(
-    struct cell_fleet *f, struct cell_worker *w, ogl_time now)
-{
-	w->restarts = next_restarts(f);
-	w->restarted = true;
-	w->restarted_at = now;
-	w->fenced = false;
-	w->hold_pending = false;
-	w->hold_number++;
-	w->next_hold_at = now;
-}
-
 void
 cell_fleet_update_entry(struct cell_fleet *f, const char *id,
     const struct cell_worker_entry *e, ogl_time now)
@@ -394,62 +337,6 @@
 	f->events.room_freed(f->events.arg, now);
 }
 
-uint64_t
-cell_worker_incarnation(const struct cell_worker *w)
-{
-	if (w->restarted)
-		return 0;
-	return w->incarnation != 0 ? w->incarnation : w->incarnation_in_record;
-}
-
-/* Whether another incarnation than the one in the last owner's record may be
- * there, to which that owner's calls may get. */
-static bool
-restarted_unrecorded(const struct cell_worker *w)
-{
-	if (w->incarnation != 0)
-		return false;
-	if (w->incarnation_in_record == 0)
-		return w->longest_in_record;
-	return w->entry_born_ms != 0 &&
-	       w->entry_born_ms != w->incarnation_in_record;
-}
-
-bool
-cell_fleet_may_hold_longest(
-    const struct cell_fleet *f, const struct cell_worker *w, ogl_time now)
-{
-	ogl_time late_end = cell_lease_late_orders_expired_at(
-	    w->restarted_at, f->limits->lease_max_ms);
-
-	if (w->incarnation == 0)
-		return !f->old_leases_expired &&
-		       (w->longest_in_record || restarted_unrecorded(w));
-	return cell_lease_is_longest(&w->lease, now) ||
-	       (w->restarted && now <= late_end);
-}
-
-static void
-record_later(struct cell_fleet *f, ogl_time now)
-{
-	f->record_due_at =
-	    MIN(f->record_due_at, now + INCARNATION_RECORDED_AFTER);
-}
-
-/* A successor that reaches no answer of the worker takes its lease for a usual
- * one unless the record tells otherwise, so the worker gets no work before. */
-void
-cell_fleet_incarnation_heard(
-    struct cell_fleet *f, struct cell_worker *w, ogl_time now)
-{
-	record_later(f, now);
-	if (w->longest_in_record || !cell_fleet_may_hold_longest(f, w, now))
-		return;
-	w->unrecorded = true;
-	w->open_in_record = false;
-	f->record_outdated = true;
-}
-
 static void
 record_tasks(struct cell_worker *w, const Ogl__CellKnown *k)
 {
@@ -558,13 +445,6 @@
 	f->events.room_freed(f->events.arg, f->opened_at);
 }
 
-bool
-cell_worker_silent(const struct cell_worker *w, ogl_time now)
-{
-	return CELL_USES_SILENT && w->incarnation != 0 && w->failures > 0 &&
-	       now - w->silent_since > SILENT_RECORDED_AFTER;
-}
-
 /*
  * A restarted worker knows no epoch and accepts the calls of whichever owner
  * calls it first.  An owner that was suspended or cut off may have been
@@ -938,51 +818,6 @@
 
 /* ---- periodic work ---------------------------------------------------- */
 
-/* When a lease has expired that an earlier owner gave to a worker which has not
- * answered this one.  last_proof: as for cell_lease_all_expired_at. */
-static ogl_time
-unheard_lease_end(const struct cell_fleet *f, const struct cell_worker *w,
-    ogl_time last_proof)
-{
-	uint32_t max_ms = f->limits->lease_max_ms;
-
-	if (w->tasks_recorded && w->recorded_tasks->len == 0)
-		return 0;
-	if (restarted_unrecorded(w))
-		return cell_lease_late_orders_expired_at(
-		    last_proof + CELL_LEASE_PROOF_MAX_AGE, max_ms);
-	if (w->longest_in_record)
-		return cell_lease_longest_expired_at(f->first_step_at, max_ms);
-	return 0;
-}
-
-/* When every lease of earlier owners has expired. */
-static ogl_time
-old_leases_end(const struct cell_fleet *f, ogl_time now)
-{
-	/* The last owner may have more than half of the workers on its side. */
-	ogl_time last_proof = f->first_step_at +
-			      CELL_LEASE_CONFIRMATION_MAX_AGE -
-			      CELL_LEASE_PROOF_MAX_AGE;
-	ogl_time end;
-	GHashTableIter it;
-	gpointer p;
-
-	if (f->quorum_at != 0)
-		last_proof = MIN(last_proof, f->quorum_at);
-	end = cell_lease_all_expired_at(last_proof);
-	if (now <= end)
-		return end;
-	g_hash_table_iter_init(&it, f->workers);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		const struct cell_worker *w = p;
-
-		if (w->expected && w->incarnation == 0)
-			end = MAX(end, unheard_lease_end(f, w, last_proof));
-	}
-	return end;
-}
-
 /*
  * Whether a lease that ended at that time can't have been renewed by a
  * successor.  A successor that reaches a worker which this owner doesn't reach
@@ -1010,7 +845,7 @@
 		cell_fleet_lose_runs(f, w, now);
 	}
 	if (w->longest_in_record && !cell_fleet_may_hold_longest(f, w, now))
-		record_later(f, now);
+		cell_fleet_record_later(f, now);
 	if (w->open_in_record && cell_worker_silent(w, now))
 		f->record_outdated = true;
 	if (cell_fleet_wants_hold(f, w, now))
@@ -1066,20 +901,6 @@
 	}
 }
 
-/* Whether calls to an incarnation of the worker may still be carried out by the
- * next one. */
-static bool
-awaits_late_calls(
-    const struct cell_fleet *f, const struct cell_worker *w, ogl_time now)
-{
-	ogl_time called_at = w->lease.asked_at;
-
-	if (w->called_before)
-		called_at = MAX(called_at, f->first_step_at);
-	return called_at != 0 && now <= cell_lease_late_orders_expired_at(
-					    called_at, f->limits->lease_max_ms);
-}
-
 bool
 cell_fleet_worker_unused(
     const struct cell_fleet *f, const struct cell_worker *w)
@@ -1101,7 +922,7 @@
 		if (!cell_fleet_worker_unused(f, w))
 			continue;
 		f->record_outdated |= w->open_in_record;
-		if (awaits_late_calls(f, w, now))
+		if (cell_fleet_awaits_late_calls(f, w, now))
 			continue;
 		f->record_outdated = true;
 		cell_health_forget(f->health, w);
@@ -1130,7 +951,7 @@
 	update_proof(f, now);
 	f->confirmation_wanted = false;
 	if (!f->old_leases_expired &&
-	    expired_unrenewed(f, old_leases_end(f, now), now)) {
+	    expired_unrenewed(f, cell_fleet_old_leases_end(f, now), now)) {
 		f->old_leases_expired = true;
 		clear_expected(f, now);
 	}
--- a/cell/fleet_impl.h
+++ b/cell/fleet_impl.h
@@ -69,9 +69,6 @@
     const struct cell_worker *w, const char *event, const char *why);
 void cell_fleet_log_worker(
     struct cell_fleet *f, const struct cell_worker *w, const char *event);
-void cell_fleet_log_lease(struct cell_fleet *f, const struct cell_worker *w,
-    const char *event, ogl_time now);
-/* Logs the end of the worker's lease that is counted with. */
 void cell_fleet_count_call(struct cell_fleet *f, struct cell_worker *w,
     enum ogl_health_evidence kind, bool ok, ogl_time now);
 /* Counts the outcome of a call to a worker that has answered before. */
@@ -87,6 +84,12 @@
 void cell_fleet_run_ended(struct cell_fleet *f, struct cell_run *r,
     enum cell_end how, const char *checkpoint, ogl_time now);
 /* Reports the end of a run to the owner and removes the run. */
+bool cell_fleet_needs_quorum(const struct cell_fleet *f, ogl_time now);
+/* Whether the store's confirmation is so old that the workers' will be needed
+ * soon. */
+
+/* ---- fleet_incarnation.c ---------------------------------------------- */
+
 void cell_fleet_incarnation_over(
     struct cell_fleet *f, struct cell_worker *w, ogl_time now);
 /* The incarnation that last answered has ended. */
@@ -97,9 +100,19 @@
     struct cell_fleet *f, struct cell_worker *w, ogl_time now);
 /* To be called after the first answer of an incarnation, with its lease set.
  * Sees to its record. */
-bool cell_fleet_needs_quorum(const struct cell_fleet *f, ogl_time now);
-/* Whether the store's confirmation is so old that the workers' will be needed
- * soon. */
+uint32_t cell_fleet_next_restarts(struct cell_fleet *f);
+/* The number for the fence of a worker that is added or has restarted. */
+void cell_fleet_record_later(struct cell_fleet *f, ogl_time now);
+/* Has the workers recorded within a second. */
+ogl_time cell_fleet_old_leases_end(const struct cell_fleet *f, ogl_time now);
+/* When every lease of earlier owners has expired. */
+bool cell_fleet_awaits_late_calls(
+    const struct cell_fleet *f, const struct cell_worker *w, ogl_time now);
+/* Whether calls to an incarnation of the worker may still be carried out by the
+ * next one. */
+void cell_fleet_log_lease(struct cell_fleet *f, const struct cell_worker *w,
+    const char *event, ogl_time now);
+/* Logs the end of the worker's lease that is counted with. */
 
 /* ---- fleet_hold.c ----------------------------------------------------- */
 
--- a/cell/known.c
+++ b/cell/known.c
@@ -20,8 +20,20 @@
 
 #include <string.h>
 
+#include "ablate.h"
 #include "known.h"
 
+/* The record calls a worker silent after this
+ * time; a single lost answer does not justify storing a new record. */
+#define SILENT_RECORDED_AFTER (400 * OGL_MS)
+
+bool
+cell_worker_silent(const struct cell_worker *w, ogl_time now)
+{
+	return CELL_USES_SILENT && w->incarnation != 0 && w->failures > 0 &&
+	       now - w->silent_since > SILENT_RECORDED_AFTER;
+}
+
 static Ogl__CellKnownTask *
 task_new(const struct cell_task_name *name)
 {
