review: former owners keep the connections of executors

Cause: an owner pools up to 48 of an executor's 64 connections and keeps them after it has lost the shard; the third owner gets none.

--- a/review/world2.py
+++ b/review/world2.py
@@ -59,6 +59,11 @@
 
     def connection_made(self, transport):
         self.transport = transport
+        if len(self.server.connections) >= self.server.connections_max:
+            self.server.refused += 1
+            self.silent = True
+            transport.abort()
+            return
         self.server.connections.add(self)
 
     def connection_lost(self, error):
@@ -119,8 +124,11 @@
 
 
 class Server:
-    def __init__(self, handle):
+    """One connection more than connections_max is reset."""
+
+    def __init__(self, handle, connections_max=10000):
         self.handle, self.connections, self.listener = handle, set(), None
+        self.connections_max, self.refused = connections_max, 0
 
     async def start(self, host, port):
         self.listener = await asyncio.get_running_loop().create_server(
@@ -299,7 +307,7 @@
         self.id = f"i-{number:04x}{world.rand.getrandbits(16):04x}"
         self.number, self.rack, self.kind = number, rack, "a"
         self.zone = f"z{number % 4}"
-        self.server = Server(self.handle)
+        self.server = Server(self.handle, 64)  # as SYSTEM.md has it
         self.up, self.listed = False, False
         self.capacity = {"cpu": CPU, "mem_mb": MEM_MB, "gpus": 0}
 
@@ -622,6 +630,87 @@
             if d[1] is e and d[3] == row[0]:
                 d[4] = now()
 
+    def idle_spells(self, task):
+        """Spells in which nothing of the task ran: (from, to)."""
+        edges = [(at, 1) for at, _, _ in self.starts.get(task, [])]
+        edges += [(at, -1) for at, _, _ in self.overs.get(task, [])]
+        running, since, spells = 0, None, []
+        for at, change in sorted(edges):
+            if running == 0 and since is not None:
+                spells.append((since, at))
+            running += change
+            since = at if running == 0 else None
+        if since is not None:
+            spells.append((since, now()))
+        return spells
+
+    def not_running(self, tasks, calm_from):
+        """LOST, of tasks that last: from 6 s after the last run, and from
+        calm_from, 3 s without a run."""
+        return [
+            f"LOST: nothing of {task}, which lasts, ran from"
+            f" {self.t(since):.3f} s to {self.t(to):.3f} s"
+            for task in tasks
+            for since, to in self.idle_spells(task)
+            if to - max(since + 6, calm_from) >= 3
+        ]
+
+    def standing(self, jobs, since):
+        """LOST, of accepted jobs that are not completed: 3 s on end after
+        `since` in which nothing of the job runs, while under half of the
+        service's capacity is in use."""
+        times, step = [], 0.1
+        at = since
+        while at < now():
+            times.append(at)
+            at += step
+        runs = {}  # (task, number) -> (began, over)
+        for task, starts in self.starts.items():
+            for began, _, number in starts:
+                runs[(task, number)] = [began, now()]
+        for task, overs in self.overs.items():
+            for at, number, _ in overs:
+                runs[(task, number)][1] = at
+        used = [
+            sum(
+                self.jobs[task.split(".")[0]].steps[0]["cpu"]
+                for (task, _), (b, o) in runs.items()
+                if b <= at < o
+            )
+            for at in times
+        ]
+        broken = []
+        for j in jobs:
+            mine = [bo for (task, _), bo in runs.items() if task.startswith(j.id)]
+            spell = 0
+            for at, cpu in zip(times, used):
+                idle = not any(b <= at < o for b, o in mine)
+                spell = spell + step if idle and cpu < self.cpu() / 2 else 0
+                if spell >= 3:
+                    broken.append(
+                        f"LOST: job {j.id}, accepted at {self.t(j.accepted):.3f}"
+                        f" s and not completed, had nothing running for 3 s"
+                        f" until {self.t(at):.3f} s"
+                    )
+                    break
+        return broken
+
+    def cpu(self):
+        return sum(e.capacity["cpu"] for e in self.executors if e.up)
+
+    async def burst(self, jobs, steps, ms, wait_s=15):
+        """Submits so many jobs at once and waits for their ends.  Returns those
+        that were accepted and are not completed after wait_s."""
+        new = await asyncio.gather(*(self.submit(ms, steps) for _ in range(jobs)))
+        end, left = now() + wait_s, [j for j in new if j.accepted]
+        while left and now() < end:
+            _, out = await self.call("GET", left[0].id)
+            if out.get("state") == "completed":
+                left.pop(0)
+            else:
+                await asyncio.sleep(0.2)
+        return left
+
     def started_again(self):
         """TWICE, second part: starts after a run has ended done, if that end is
         taken note of, unless the executor's lease lapsed between the two."""
