--- a/review/world2.py
+++ b/review/world2.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import random
@@ -495,8 +496,10 @@
         s.close()
 
 
-def limit_descriptors():
-    """Of the node alone, as its settings and DEPLOY.md say."""
+def prepare_node():
+    """Runs in a node's process before its program.  The node ends with this
+    process, and has the descriptors that its settings and DEPLOY.md say."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
     hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     n = 4200 if hard == resource.RLIM_INFINITY else min(4200, hard)
     resource.setrlimit(resource.RLIMIT_NOFILE, (n, n))
@@ -544,7 +547,7 @@
         command = self.world.command + ["--settings", path]
         self.proc = subprocess.Popen(
             command, stdout=log, stderr=log, cwd=self.world.root,
-            preexec_fn=limit_descriptors,
+            preexec_fn=prepare_node,
         )
         log.close()
         self.world.note(f"node {self.ip} starts, pid {self.proc.pid}")
@@ -899,12 +902,12 @@
             f.write("\n".join(self.events) + "\n")
 
 
-def main(play, prepare=None, **kw):
-    """Runs play(world, trouble).  Exits with 1 if it returns broken rules, 0 if
-    it returns none, 2 if the case could not run.  TROUBLE=0 leaves out the
-    disruption; KEEP=1 keeps the logs of the nodes."""
-    folder = os.path.dirname(os.path.abspath(sys.argv[0]))
-    w = World(os.path.join(folder, "record.txt"), **kw)
+def main(rule, play, prepare=None, **kw):
+    """Runs play(world, trouble), which returns how the rule was broken, and
+    writes the record to the file that the first argument names.  Exits with 1 if
+    the rule was broken, 0 if it held, 2 if the case could not run.  TROUBLE=0
+    leaves out the disruption; KEEP=1 keeps the logs of the nodes."""
+    w = World(sys.argv[1], **kw)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     status = 2
     if prepare:
@@ -919,11 +922,20 @@
     loop.set_exception_handler(lambda *_: None)
     try:
         broken = loop.run_until_complete(run())
-        for line in broken:
-            w.note(line)
+        if rule != "TWICE":
+            for line in broken:
+                w.note(line)
         for line in broken[:5]:
             print(line)
-        print(f"{len(broken)} times broken; see record.txt")
+        twice = w.started_again() + w.at_once
+        for line in twice:
+            w.note(line)
+        others = ["TWICE"] if twice and rule != "TWICE" else []
+        accepted = sum(j.accepted is not None for j in w.jobs.values())
+        print(
+            f"{rule} broken {len(broken)} times; {accepted} jobs accepted;"
+            f" others {others}"
+        )
         status = 1 if broken else 0
     except Exception as e:
         w.note(f"the case could not run: {e!r}")
